--- /dev/null
+++ b/internal/deps/deps.go
@@ -0,0 +1,33 @@
+// Package deps keeps modules in go.mod that are planned but not used yet.
+package deps
+
+import (
+	_ "connectrpc.com/connect"
+	_ "github.com/HdrHistogram/hdrhistogram-go"
+	_ "github.com/alexflint/go-arg"
+	_ "github.com/cespare/xxhash/v2"
+	_ "github.com/google/go-cmp/cmp"
+	_ "github.com/google/uuid"
+	_ "github.com/hashicorp/go-hclog"
+	_ "github.com/pelletier/go-toml/v2"
+	_ "github.com/pkg/errors"
+	_ "github.com/sebdah/goldie/v2"
+	_ "go.opentelemetry.io/otel"
+	_ "go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	_ "go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	_ "go.opentelemetry.io/otel/sdk/trace"
+	_ "go.opentelemetry.io/otel/trace"
+	_ "go.uber.org/goleak"
+	_ "golang.org/x/net/http2"
+	_ "golang.org/x/net/http2/h2c"
+	_ "golang.org/x/sync/errgroup"
+	_ "golang.org/x/time/rate"
+	_ "gonum.org/v1/gonum/stat"
+	_ "gonum.org/v1/plot/plotter"
+	_ "gonum.org/v1/plot/vg/vgsvg"
+	_ "google.golang.org/grpc"
+	_ "google.golang.org/grpc/credentials"
+	_ "google.golang.org/grpc/test/bufconn"
+	_ "google.golang.org/protobuf/proto"
+	_ "pgregory.net/rapid"
+)
--- /dev/null
+++ b/tools/tools.go
@@ -0,0 +1,2 @@
+// Package tools exists so that its module pins the generators and linters.
+package tools
