--- /dev/null
+++ b/internal/standin/cloud/cloud.go
@@ -0,0 +1,185 @@
+// Package cloud is an in-memory stand-in for the platform's cloud API.
+package cloud
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/fault"
+)
+
+// Options are a Cloud's rules and its links to other stand-ins.
+type Options struct {
+	// ChecksFencing makes Start and Stop refuse a fencing number below the
+	// highest that the cloud has seen.
+	ChecksFencing bool
+	// Started is called, if set, when a new instance starts.
+	Started func(ident.Instance, platform.StartRequest)
+	// Stopped is called, if set, when an instance is told to stop.
+	Stopped func(ident.Instance)
+	// Announced is called, if set, when a notice is announced.
+	Announced func(platform.Notice)
+}
+
+// Cloud is a platform.Cloud in memory. Its embedded Injector makes it fail.
+type Cloud struct {
+	fault.Injector
+
+	options Options
+
+	mu      sync.Mutex
+	fence   ident.Fence
+	started map[string]ident.Instance
+	full    map[market]bool
+	notices []notice
+}
+
+// market is where and what the cloud has, or has not, in stock.
+type market struct {
+	domain ident.FailureDomain
+	class  ident.MachineClass
+}
+
+// notice is an announced end at a point in time.
+type notice struct {
+	platform.Notice
+	endsAt time.Time
+}
+
+var _ platform.Cloud = (*Cloud)(nil)
+
+// New returns a cloud that has every class in every failure domain.
+func New(options Options) *Cloud {
+	return &Cloud{
+		options: options,
+		started: make(map[string]ident.Instance),
+		full:    make(map[market]bool),
+	}
+}
+
+// SetCapacity says whether instances of a class start in a failure domain.
+func (c *Cloud) SetCapacity(domain ident.FailureDomain, class ident.MachineClass, available bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.full[market{domain, class}] = !available
+}
+
+// Announce issues a notice that one life of an instance ends after endsIn.
+func (c *Cloud) Announce(id ident.Instance, incarnation ident.Incarnation, endsIn time.Duration) platform.Notice {
+	c.mu.Lock()
+	n := notice{
+		Notice: platform.Notice{
+			Sequence:    uint64(len(c.notices)) + 1,
+			Instance:    id,
+			Incarnation: incarnation,
+			EndsIn:      endsIn,
+		},
+		endsAt: time.Now().Add(endsIn),
+	}
+	c.notices = append(c.notices, n)
+	c.mu.Unlock()
+	if c.options.Announced != nil {
+		c.options.Announced(n.Notice)
+	}
+	return n.Notice
+}
+
+// Start implements platform.Cloud.
+func (c *Cloud) Start(ctx context.Context, req platform.StartRequest) (ident.Instance, error) {
+	if err := c.Begin(ctx); err != nil {
+		return "", err
+	}
+	var id ident.Instance
+	err := c.Run(func() error {
+		started, err := c.start(req)
+		id = started
+		return err
+	})
+	if err != nil {
+		return "", err
+	}
+	return id, nil
+}
+
+// Stop implements platform.Cloud.
+func (c *Cloud) Stop(ctx context.Context, id ident.Instance, fence ident.Fence) error {
+	if err := c.Begin(ctx); err != nil {
+		return err
+	}
+	return c.Run(func() error { return c.stop(id, fence) })
+}
+
+// Notices implements platform.Cloud.
+func (c *Cloud) Notices(ctx context.Context, after uint64) ([]platform.Notice, error) {
+	if err := c.Begin(ctx); err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if after >= uint64(len(c.notices)) {
+		return nil, nil
+	}
+	var notices []platform.Notice
+	for _, n := range c.notices[after:] {
+		n.EndsIn = time.Until(n.endsAt)
+		notices = append(notices, n.Notice)
+	}
+	return notices, nil
+}
+
+func (c *Cloud) start(req platform.StartRequest) (ident.Instance, error) {
+	id, fresh, err := c.reserve(req)
+	if err != nil {
+		return "", err
+	}
+	if fresh && c.options.Started != nil {
+		c.options.Started(id, req)
+	}
+	return id, nil
+}
+
+func (c *Cloud) reserve(req platform.StartRequest) (id ident.Instance, fresh bool, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.checkFence(req.Fence); err != nil {
+		return "", false, err
+	}
+	if id, ok := c.started[req.StartID]; ok {
+		return id, false, nil
+	}
+	if c.full[market{req.FailureDomain, req.Class}] {
+		return "", false, platform.ErrNoCapacity
+	}
+	id = ident.Instance(fmt.Sprintf("%s-%s-%d", req.Service, req.FailureDomain, len(c.started)+1))
+	c.started[req.StartID] = id
+	return id, true, nil
+}
+
+func (c *Cloud) stop(id ident.Instance, fence ident.Fence) error {
+	c.mu.Lock()
+	err := c.checkFence(fence)
+	c.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	if c.options.Stopped != nil {
+		c.options.Stopped(id)
+	}
+	return nil
+}
+
+// checkFence is called with the lock held.
+func (c *Cloud) checkFence(fence ident.Fence) error {
+	if !c.options.ChecksFencing {
+		return nil
+	}
+	if fence < c.fence {
+		return platform.ErrOldFence
+	}
+	c.fence = fence
+	return nil
+}
--- /dev/null
+++ b/internal/standin/logstore/logstore.go
@@ -0,0 +1,188 @@
+// Package logstore is an in-memory stand-in for the platform's log.
+package logstore
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/fault"
+)
+
+// Options are the limits of a Log.
+type Options struct {
+	// MaxRecords is how many records of a stream are kept; 0 keeps all.
+	MaxRecords int
+	// AppendsPerSecond limits the appends of all streams together; 0 does
+	// not limit them.
+	AppendsPerSecond float64
+}
+
+// Log is a platform.Log in memory. Its embedded Injector makes it fail.
+type Log struct {
+	fault.Injector
+
+	options Options
+	limiter *rate.Limiter
+
+	mu      sync.Mutex
+	streams map[string]*stream
+	appends int
+}
+
+// stream is one stream's kept records.
+type stream struct {
+	first   ident.Offset
+	records []platform.Record
+	// grown is closed at the next append; nil while nobody waits.
+	grown chan struct{}
+}
+
+var _ platform.Log = (*Log)(nil)
+
+// New returns an empty log.
+func New(options Options) *Log {
+	log := &Log{options: options, streams: make(map[string]*stream)}
+	if options.AppendsPerSecond > 0 {
+		log.limiter = rate.NewLimiter(rate.Limit(options.AppendsPerSecond), 1)
+	}
+	return log
+}
+
+// Append implements platform.Log.
+func (l *Log) Append(ctx context.Context, name string, records [][]byte) (ident.Offset, error) {
+	if err := l.Begin(ctx); err != nil {
+		return 0, err
+	}
+	if l.limiter != nil {
+		if err := l.limiter.Wait(ctx); err != nil {
+			return 0, fault.GaveUp(err)
+		}
+	}
+	copies := clone(records)
+	var first ident.Offset
+	err := l.Run(func() error {
+		first = l.add(name, copies)
+		return nil
+	})
+	if err != nil {
+		return 0, err
+	}
+	return first, nil
+}
+
+// Read implements platform.Log.
+func (l *Log) Read(
+	ctx context.Context, name string, from ident.Offset, limit int, wait time.Duration,
+) (platform.Batch, error) {
+	if err := l.Begin(ctx); err != nil {
+		return platform.Batch{}, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		outage := l.Changed()
+		if l.Down() {
+			return platform.Batch{}, platform.ErrUnavailable
+		}
+		batch, grown, err := l.read(name, from, limit)
+		if err != nil || len(batch.Records) > 0 || wait <= 0 {
+			return batch, err
+		}
+		select {
+		case <-grown:
+		case <-outage:
+		case <-timer.C:
+			return batch, nil
+		case <-ctx.Done():
+			return platform.Batch{}, fault.GaveUp(ctx.Err())
+		}
+	}
+}
+
+// Appends returns how many appends took effect since the start.
+func (l *Log) Appends() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends
+}
+
+// Expire drops all records of a stream before an offset.
+func (l *Log) Expire(name string, before ident.Offset) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stream(name).drop(before)
+}
+
+func (l *Log) add(name string, records [][]byte) ident.Offset {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	first := s.head()
+	now := time.Now()
+	for _, data := range records {
+		s.records = append(s.records, platform.Record{Offset: s.head(), Data: data, AppendedAt: now})
+	}
+	l.appends++
+	if kept := ident.Offset(l.options.MaxRecords); kept > 0 && s.head() > kept {
+		s.drop(s.head() - kept)
+	}
+	if s.grown != nil {
+		close(s.grown)
+		s.grown = nil
+	}
+	return first
+}
+
+// read returns what is there now, and a channel that is closed at the next
+// append.
+func (l *Log) read(name string, from ident.Offset, limit int) (platform.Batch, <-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	batch := platform.Batch{Head: s.head(), First: s.first}
+	if from < s.first {
+		return batch, nil, platform.ErrExpired
+	}
+	if from < s.head() {
+		rest := s.records[from-s.first:]
+		batch.Records = slices.Clone(rest[:min(limit, len(rest))])
+	}
+	if s.grown == nil {
+		s.grown = make(chan struct{})
+	}
+	return batch, s.grown, nil
+}
+
+func (l *Log) stream(name string) *stream {
+	s, ok := l.streams[name]
+	if !ok {
+		s = &stream{}
+		l.streams[name] = s
+	}
+	return s
+}
+
+func (s *stream) head() ident.Offset { return s.first + ident.Offset(len(s.records)) }
+
+func (s *stream) drop(before ident.Offset) {
+	if before <= s.first {
+		return
+	}
+	before = min(before, s.head())
+	s.records = slices.Clone(s.records[before-s.first:])
+	s.first = before
+}
+
+func clone(records [][]byte) [][]byte {
+	copies := make([][]byte, len(records))
+	for i, data := range records {
+		copies[i] = slices.Clone(data)
+	}
+	return copies
+}
