Stand-ins as processes: Connect adapters, admin API and cmd/standin

connectplatform and connectupstream implement the interfaces over Connect and serve any implementation of them. transport makes the HTTP client that never repeats a request and knows whether a failed request was sent.

Additive contract edit: platform.v1.Notice.ends_in, which counts from the answer, so that the clocks of platform and gateway need not agree.

--- /dev/null
+++ b/internal/platform/connectplatform/client.go
@@ -0,0 +1,159 @@
+// Package connectplatform speaks the platform's protocol over Connect: clients
+// that implement the interfaces of package platform, and handlers that serve
+// any implementation of them.
+package connectplatform
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	platformv1 "github.com/goldcrestspool/goldcrestspool/api/platform/v1"
+	"github.com/goldcrestspool/goldcrestspool/api/platform/v1/platformv1connect"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/transport"
+)
+
+// Client is the platform behind one base URL.
+type Client struct {
+	log       platformv1connect.LogServiceClient
+	instances platformv1connect.InstanceServiceClient
+	cloud     platformv1connect.CloudServiceClient
+	weights   platformv1connect.WeightServiceClient
+}
+
+var (
+	_ platform.Log       = (*Client)(nil)
+	_ platform.Instances = (*Client)(nil)
+	_ platform.Cloud     = (*Client)(nil)
+	_ platform.Weights   = (*Client)(nil)
+)
+
+// NewClient returns a client. The HTTP client has to come from
+// transport.NewClient: an append that it repeated would be in the log twice.
+func NewClient(client *http.Client, baseURL string) *Client {
+	return &Client{
+		log:       platformv1connect.NewLogServiceClient(client, baseURL),
+		instances: platformv1connect.NewInstanceServiceClient(client, baseURL),
+		cloud:     platformv1connect.NewCloudServiceClient(client, baseURL),
+		weights:   platformv1connect.NewWeightServiceClient(client, baseURL),
+	}
+}
+
+// Append implements platform.Log.
+func (c *Client) Append(ctx context.Context, stream string, records [][]byte) (ident.Offset, error) {
+	ctx, attempt := transport.Observe(ctx)
+	response, err := c.log.Append(ctx, &platformv1.AppendRequest{Stream: stream, Records: records})
+	if err != nil {
+		return 0, fromWire(err, doubtOf(attempt), "append to stream "+stream)
+	}
+	return ident.Offset(response.GetFirstOffset()), nil
+}
+
+// Read implements platform.Log.
+func (c *Client) Read(
+	ctx context.Context, stream string, from ident.Offset, limit int, wait time.Duration,
+) (platform.Batch, error) {
+	response, err := c.log.Read(ctx, &platformv1.ReadRequest{
+		Stream:     stream,
+		FromOffset: uint64(from),
+		MaxRecords: uint32(limit),
+		Wait:       durationpb.New(wait),
+	})
+	if err != nil {
+		return c.failedRead(stream, err)
+	}
+	return batchFromProto(response), nil
+}
+
+func (c *Client) failedRead(stream string, err error) (platform.Batch, error) {
+	operation := "read stream " + stream
+	kind := fromWire(err, platform.ErrUnavailable, operation)
+	if !errors.Is(kind, platform.ErrExpired) {
+		return platform.Batch{}, kind
+	}
+	batch, malformed := expiredBatch(err)
+	if malformed != nil {
+		return platform.Batch{}, classify(platform.ErrUnavailable, malformed, operation)
+	}
+	return batch, kind
+}
+
+// List implements platform.Instances.
+func (c *Client) List(ctx context.Context) ([]platform.Instance, error) {
+	response, err := c.instances.ListInstances(ctx, &platformv1.ListInstancesRequest{})
+	if err != nil {
+		return nil, fromWire(err, platform.ErrUnavailable, "list instances")
+	}
+	list := make([]platform.Instance, 0, len(response.GetInstances()))
+	for _, instance := range response.GetInstances() {
+		list = append(list, InstanceFromProto(instance))
+	}
+	return list, nil
+}
+
+// Start implements platform.Cloud.
+func (c *Client) Start(ctx context.Context, req platform.StartRequest) (ident.Instance, error) {
+	ctx, attempt := transport.Observe(ctx)
+	response, err := c.cloud.Start(ctx, &platformv1.StartRequest{
+		StartId:       req.StartID,
+		Service:       string(req.Service),
+		Role:          platformv1.Role(req.Role),
+		FailureDomain: string(req.FailureDomain),
+		MachineClass:  string(req.Class),
+		Reclaimable:   req.Reclaimable,
+		Fence:         uint64(req.Fence),
+	})
+	if err != nil {
+		return "", fromWire(err, doubtOf(attempt), "start instance")
+	}
+	return ident.Instance(response.GetInstanceId()), nil
+}
+
+// Stop implements platform.Cloud.
+func (c *Client) Stop(ctx context.Context, id ident.Instance, fence ident.Fence) error {
+	ctx, attempt := transport.Observe(ctx)
+	_, err := c.cloud.Stop(ctx, &platformv1.StopRequest{InstanceId: string(id), Fence: uint64(fence)})
+	if err != nil {
+		return fromWire(err, doubtOf(attempt), "stop instance "+string(id))
+	}
+	return nil
+}
+
+// Notices implements platform.Cloud.
+func (c *Client) Notices(ctx context.Context, after uint64) ([]platform.Notice, error) {
+	response, err := c.cloud.ListNotices(ctx, &platformv1.ListNoticesRequest{After: after})
+	if err != nil {
+		return nil, fromWire(err, platform.ErrUnavailable, "list notices")
+	}
+	notices := make([]platform.Notice, 0, len(response.GetNotices()))
+	for _, notice := range response.GetNotices() {
+		notices = append(notices, noticeFromProto(notice))
+	}
+	return notices, nil
+}
+
+// Reserve implements platform.Weights.
+func (c *Client) Reserve(ctx context.Context, model, version string) (platform.Transfer, error) {
+	response, err := c.weights.Reserve(ctx, &platformv1.ReserveRequest{Model: model, Version: version})
+	if err != nil {
+		return platform.Transfer{}, fromWire(err, platform.ErrUnavailable, "reserve weights of "+model)
+	}
+	return platform.Transfer{
+		Bytes:    response.GetBytes(),
+		Duration: response.GetDuration().AsDuration(),
+	}, nil
+}
+
+// doubtOf says what may have become of a request with an effect that failed
+// without a word from the server.
+func doubtOf(attempt *transport.Attempt) error {
+	if attempt.NotSent() {
+		return platform.ErrUnavailable
+	}
+	return platform.ErrAnswerLost
+}
--- /dev/null
+++ b/internal/platform/connectplatform/errors.go
@@ -0,0 +1,96 @@
+package connectplatform
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"connectrpc.com/connect"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/transport"
+)
+
+// The reasons on the wire.
+const (
+	reasonUnavailable transport.Reason = "unavailable"
+	reasonExpired     transport.Reason = "expired"
+	reasonNoCapacity  transport.Reason = "no_capacity"
+	reasonOldFence    transport.Reason = "old_fence"
+)
+
+// The headers that come with reasonExpired.
+const (
+	firstHeader = "Goldcrestspool-First-Offset"
+	headHeader  = "Goldcrestspool-Head-Offset"
+)
+
+// wireErrors pairs the errors that a platform answers with what is sent.
+var wireErrors = []struct {
+	err    error
+	code   connect.Code
+	reason transport.Reason
+}{
+	{platform.ErrUnavailable, connect.CodeUnavailable, reasonUnavailable},
+	{platform.ErrExpired, connect.CodeOutOfRange, reasonExpired},
+	{platform.ErrNoCapacity, connect.CodeResourceExhausted, reasonNoCapacity},
+	{platform.ErrOldFence, connect.CodeFailedPrecondition, reasonOldFence},
+}
+
+// toWire returns the error that a handler sends. A lost answer stays lost: the
+// connection is cut, as a real platform's answer would be.
+func toWire(err error) error {
+	if errors.Is(err, platform.ErrAnswerLost) {
+		panic(http.ErrAbortHandler)
+	}
+	for _, w := range wireErrors {
+		if errors.Is(err, w.err) {
+			return transport.NewError(w.code, w.reason, err)
+		}
+	}
+	return connect.NewError(transport.ConnectCode(errcode.Of(err)), err)
+}
+
+// expired adds the kept offsets to the error of a read.
+func expired(batch platform.Batch, err error) error {
+	wire := transport.NewError(connect.CodeOutOfRange, reasonExpired, err)
+	wire.Meta().Set(firstHeader, strconv.FormatUint(uint64(batch.First), 10))
+	wire.Meta().Set(headHeader, strconv.FormatUint(uint64(batch.Head), 10))
+	return wire
+}
+
+// expiredBatch returns the kept offsets that came with an error.
+func expiredBatch(err error) (platform.Batch, error) {
+	var wire *connect.Error
+	if !errors.As(err, &wire) {
+		return platform.Batch{}, err
+	}
+	first, err := strconv.ParseUint(wire.Meta().Get(firstHeader), 10, 64)
+	if err != nil {
+		return platform.Batch{}, err
+	}
+	head, err := strconv.ParseUint(wire.Meta().Get(headHeader), 10, 64)
+	if err != nil {
+		return platform.Batch{}, err
+	}
+	return platform.Batch{First: ident.Offset(first), Head: ident.Offset(head)}, nil
+}
+
+// fromWire returns the error of a client. Without a reason from the server,
+// doubt says what may have happened.
+func fromWire(err, doubt error, operation string) error {
+	reason := transport.ReasonOf(err)
+	for _, w := range wireErrors {
+		if w.reason == reason {
+			return classify(w.err, err, operation)
+		}
+	}
+	return classify(doubt, err, operation)
+}
+
+func classify(kind, err error, operation string) error {
+	return errcode.Wrap(transport.Code(err), fmt.Errorf("%w: %w", kind, err), operation)
+}
--- /dev/null
+++ b/internal/standin/process/process.go
@@ -0,0 +1,66 @@
+// Package process runs the stand-ins as servers.
+package process
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/transport"
+)
+
+// shutdownLimit bounds the wait for connections once the work has ended.
+const shutdownLimit = 5 * time.Second
+
+// event is one line on stdout, for the script that started the process.
+type event struct {
+	Event       string            `json:"event"`
+	Role        string            `json:"role"`
+	ID          ident.Instance    `json:"id,omitempty"`
+	Incarnation ident.Incarnation `json:"incarnation,omitempty"`
+	Address     string            `json:"address,omitempty"`
+}
+
+func (e event) print(out io.Writer) error { return json.NewEncoder(out).Encode(e) }
+
+// server is a listening HTTP server.
+type server struct {
+	http    *http.Server
+	address string
+	failed  chan error
+}
+
+// serve listens on an address and serves until stopped.
+func serve(listen string, handler http.Handler) (*server, error) {
+	listener, err := net.Listen("tcp", listen)
+	if err != nil {
+		return nil, errors.WithMessage(err, "listen on "+listen)
+	}
+	s := &server{
+		http:    transport.NewServer(handler),
+		address: listener.Addr().String(),
+		failed:  make(chan error, 1),
+	}
+	go func() {
+		if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			s.failed <- err
+		}
+	}()
+	return s, nil
+}
+
+// shutdown ends the server once its connections are idle.
+func (s *server) shutdown() error {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownLimit)
+	defer cancel()
+	return s.http.Shutdown(ctx)
+}
+
+// cut ends the server and all its connections at once.
+func (s *server) cut() error { return s.http.Close() }
--- /dev/null
+++ b/internal/standin/process/upstream.go
@@ -0,0 +1,200 @@
+package process
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	platformv1 "github.com/goldcrestspool/goldcrestspool/api/platform/v1"
+	standinv1 "github.com/goldcrestspool/goldcrestspool/api/standin/v1"
+	"github.com/goldcrestspool/goldcrestspool/api/standin/v1/standinv1connect"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform/connectplatform"
+	"github.com/goldcrestspool/goldcrestspool/internal/transport"
+)
+
+const (
+	// noticeEvery is how often an upstream asks for its reclaim notice.
+	noticeEvery = 200 * time.Millisecond
+	// adminTimeout bounds one request to the platform stand-in.
+	adminTimeout = 5 * time.Second
+)
+
+// UpstreamOptions are what all upstream stand-ins have in common.
+type UpstreamOptions struct {
+	Listen string
+	// PlatformURL is the base URL of the platform stand-in.
+	PlatformURL string
+	// Instance is what to register; address and incarnation are filled in.
+	Instance platform.Instance
+	// DrainLimit bounds the wait for running work at a planned stop.
+	DrainLimit time.Duration
+}
+
+// work is the part of an upstream that a stop concerns.
+type work interface {
+	SetLeaving(bool)
+	Drain(context.Context) error
+}
+
+// upstreamServer is one registered upstream stand-in.
+type upstreamServer struct {
+	options  UpstreamOptions
+	role     string
+	instance platform.Instance
+	server   *server
+	work     work
+	admin    standinv1connect.PlatformAdminServiceClient
+	cloud    platform.Cloud
+	logger   hclog.Logger
+	out      io.Writer
+}
+
+// buildFunc makes an upstream once its incarnation is known.
+type buildFunc func(mux *http.ServeMux, incarnation ident.Incarnation) work
+
+// runUpstream registers and serves an upstream until ctx ends or its instance
+// is reclaimed.
+func runUpstream(
+	ctx context.Context, role string, options UpstreamOptions, build buildFunc, logger hclog.Logger, out io.Writer,
+) error {
+	client := transport.NewClient(transport.Options{})
+	defer client.CloseIdleConnections()
+	mux := http.NewServeMux()
+	server, err := serve(options.Listen, mux)
+	if err != nil {
+		return err
+	}
+	u := &upstreamServer{
+		options:  options,
+		role:     role,
+		instance: options.Instance,
+		server:   server,
+		admin:    standinv1connect.NewPlatformAdminServiceClient(client, options.PlatformURL),
+		cloud:    connectplatform.NewClient(client, options.PlatformURL),
+		logger:   logger,
+		out:      out,
+	}
+	if err := u.register(ctx, func(incarnation ident.Incarnation) { u.work = build(mux, incarnation) }); err != nil {
+		return errors.WithMessage(errors.WithStack(err), "register with the platform")
+	}
+	if err := u.event("listening").print(out); err != nil {
+		return err
+	}
+	return u.wait(ctx)
+}
+
+// register learns the incarnation with a first entry that is not live, makes
+// the upstream and enters it as live, so that nobody is sent to a server that
+// cannot answer yet.
+func (u *upstreamServer) register(ctx context.Context, build func(ident.Incarnation)) error {
+	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
+	defer cancel()
+	u.instance.Address = u.server.address
+	u.instance.State = platform.Ended
+	response, err := u.admin.Register(ctx, &standinv1.RegisterRequest{
+		Instance: connectplatform.InstanceToProto(u.instance),
+	})
+	if err != nil {
+		return err
+	}
+	u.instance.Incarnation = ident.Incarnation(response.GetIncarnation())
+	build(u.instance.Incarnation)
+	return u.setState(ctx, platformv1.InstanceState_INSTANCE_STATE_LIVE)
+}
+
+// wait returns once the upstream has stopped.
+func (u *upstreamServer) wait(ctx context.Context) error {
+	watching, cancel := context.WithCancel(ctx)
+	defer cancel()
+	notices := make(chan platform.Notice, 1)
+	go u.watchNotices(watching, notices)
+	var reclaimed <-chan time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return u.stop()
+		case err := <-u.server.failed:
+			return err
+		case notice := <-notices:
+			u.work.SetLeaving(true)
+			u.logger.Info("reclaim announced", "instance", u.instance.ID, "ends_in", notice.EndsIn)
+			reclaimed = time.After(notice.EndsIn)
+		case <-reclaimed:
+			if err := u.event("reclaimed").print(u.out); err != nil {
+				return err
+			}
+			return u.server.cut()
+		}
+	}
+}
+
+// watchNotices sends the first notice that concerns this life of the instance.
+func (u *upstreamServer) watchNotices(ctx context.Context, notices chan<- platform.Notice) {
+	ticker := time.NewTicker(noticeEvery)
+	defer ticker.Stop()
+	after := uint64(0)
+	for {
+		list, err := u.cloud.Notices(ctx, after)
+		if err != nil && ctx.Err() == nil {
+			u.logger.Debug("cannot read notices", "error", err)
+		}
+		for _, notice := range list {
+			after = max(after, notice.Sequence)
+			if notice.Instance == u.instance.ID && notice.Incarnation == u.instance.Incarnation {
+				notices <- notice
+				return
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// stop ends the upstream without cutting off running work.
+func (u *upstreamServer) stop() error {
+	ctx, cancel := context.WithTimeout(context.Background(), u.options.DrainLimit)
+	defer cancel()
+	u.work.SetLeaving(true)
+	if err := u.setState(ctx, platformv1.InstanceState_INSTANCE_STATE_LEAVING); err != nil {
+		u.logger.Warn("cannot tell the platform of leaving", "error", err)
+	}
+	if err := u.work.Drain(ctx); err != nil {
+		u.logger.Error("work cut off at the drain limit", "limit", u.options.DrainLimit)
+		return errors.WithStack(err)
+	}
+	if err := u.server.shutdown(); err != nil {
+		return errors.WithStack(err)
+	}
+	if err := u.setState(ctx, platformv1.InstanceState_INSTANCE_STATE_ENDED); err != nil {
+		u.logger.Warn("cannot tell the platform of the end", "error", err)
+	}
+	return u.event("stopped").print(u.out)
+}
+
+func (u *upstreamServer) setState(ctx context.Context, state platformv1.InstanceState) error {
+	_, err := u.admin.SetState(ctx, &standinv1.SetStateRequest{
+		InstanceId:  string(u.instance.ID),
+		Incarnation: uint64(u.instance.Incarnation),
+		State:       state,
+	})
+	return err
+}
+
+func (u *upstreamServer) event(name string) event {
+	return event{
+		Event:       name,
+		Role:        u.role,
+		ID:          u.instance.ID,
+		Incarnation: u.instance.Incarnation,
+		Address:     u.server.address,
+	}
+}
--- /dev/null
+++ b/internal/transport/server.go
@@ -0,0 +1,25 @@
+package transport
+
+import (
+	"net/http"
+	"time"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	maxHeaderBytes    = 32 << 10
+)
+
+// NewServer returns a server for HTTP/1.1 and for HTTP/2 without TLS.
+func NewServer(handler http.Handler) *http.Server {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           handler,
+		Protocols:         &protocols,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       serverIdleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
--- /dev/null
+++ b/internal/upstream/connectupstream/errors.go
@@ -0,0 +1,72 @@
+package connectupstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
+	"github.com/goldcrestspool/goldcrestspool/internal/transport"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstream"
+)
+
+// The reasons on the wire. Each says that the upstream ran nothing.
+const (
+	reasonLeaving  transport.Reason = "leaving"
+	reasonOldFence transport.Reason = "old_fence"
+	reasonRefused  transport.Reason = "refused"
+)
+
+// wireErrors pairs an upstream's refusals with what is sent; the general one
+// comes last, because the others match it too.
+var wireErrors = []struct {
+	err    error
+	code   connect.Code
+	reason transport.Reason
+}{
+	{upstream.ErrLeaving, connect.CodeUnavailable, reasonLeaving},
+	{upstream.ErrOldFence, connect.CodeFailedPrecondition, reasonOldFence},
+	{upstream.ErrRefused, connect.CodeFailedPrecondition, reasonRefused},
+}
+
+// refusalToWire returns the error that a handler sends for a refused request.
+// Any other failure cuts the connection: the client then knows as little as it
+// would of a real upstream that died.
+func refusalToWire(ctx context.Context, err error) error {
+	for _, w := range wireErrors {
+		if errors.Is(err, w.err) {
+			return transport.NewError(w.code, w.reason, err)
+		}
+	}
+	if ctx.Err() != nil {
+		return connect.NewError(connect.CodeCanceled, err)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// fromWire returns the error of a client. Only a refusal that the upstream
+// itself sent and a request that certainly was not sent are told apart: all
+// else may have run.
+func fromWire(err error, attempt *transport.Attempt, operation string) error {
+	reason := transport.ReasonOf(err)
+	for _, w := range wireErrors {
+		if w.reason == reason {
+			return classify(w.err, err, operation)
+		}
+	}
+	if attempt.NotSent() {
+		return classify(upstream.ErrNotSent, err, operation)
+	}
+	return uncertain(err, operation)
+}
+
+func classify(kind, err error, operation string) error {
+	return errcode.Wrap(transport.Code(err), fmt.Errorf("%w: %w", kind, err), operation)
+}
+
+func uncertain(err error, operation string) error {
+	return errcode.Wrap(transport.Code(err), err, operation)
+}
