Settings and documents: TOML with all findings together

Cause: the thin path needs settings and documents. go-toml's Unmarshal stops at the first value of a wrong type, so internal/tomlfile binds its syntax tree to structs and places each finding by line, column and key. Ruled out: Unmarshal into structs with strict mode (one type fault a run); into maps (no places).

--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -21,82 +21,84 @@
 
 // Document is one service as its team wants it. It is immutable once parsed.
 type Document struct {
-	Schema  int
-	Service ident.Service
-	Kind    Kind
+	Schema  int           `toml:"schema"`
+	Service ident.Service `toml:"service"`
+	Kind    Kind          `toml:"kind"`
 	// Model is set for kind model.
-	Model ModelSpec
+	Model ModelSpec `toml:"model"`
 	// Upstream tells what the service's upstreams can be trusted with.
-	Upstream UpstreamSpec
+	Upstream UpstreamSpec `toml:"upstream"`
 	// Classes are the latency classes of a model service.
-	Classes []Class
+	Classes []Class `toml:"classes"`
 	// Methods are the methods of a plain service.
-	Methods []Method
+	Methods []Method `toml:"methods"`
 	// Accounts are limits of client accounts. An account without an entry
 	// gets DefaultAccount.
-	Accounts       []AccountLimit
-	DefaultAccount AccountLimit
-	Placement      Placement
+	Accounts       []AccountLimit `toml:"accounts"`
+	DefaultAccount AccountLimit   `toml:"default_account"`
+	Placement      Placement      `toml:"placement"`
 }
 
 // ModelSpec names what engines have to load.
 type ModelSpec struct {
-	Name, Version string
-	Adapters      []string
+	Name     string   `toml:"name"`
+	Version  string   `toml:"version"`
+	Adapters []string `toml:"adapters"`
 }
 
 // UpstreamSpec tells what the service's upstreams can be trusted with.
 type UpstreamSpec struct {
 	// ChecksFencing: upstreams refuse an order or call with an old fence.
-	ChecksFencing bool
+	ChecksFencing bool `toml:"checks_fencing"`
 	// FindsOutcomes: upstreams can tell an outcome by key.
-	FindsOutcomes bool
+	FindsOutcomes bool `toml:"finds_outcomes"`
 }
 
 // Class is a latency class. A target of 0 is none.
 type Class struct {
-	Name          ident.Class
-	FirstToken    time.Duration
-	BetweenTokens time.Duration
+	Name          ident.Class   `toml:"name"`
+	FirstToken    time.Duration `toml:"first_token"`
+	BetweenTokens time.Duration `toml:"between_tokens"`
 	// Completion is the deadline of the whole answer.
-	Completion time.Duration
+	Completion time.Duration `toml:"completion"`
 	// Priority: higher is served first.
-	Priority int
+	Priority int `toml:"priority"`
 }
 
 // Method is a method of a plain service.
 type Method struct {
-	Name       ident.Method
-	Idempotent bool
-	Timeout    time.Duration
+	Name       ident.Method  `toml:"name"`
+	Idempotent bool          `toml:"idempotent"`
+	Timeout    time.Duration `toml:"timeout"`
 }
 
 // AccountLimit is what a client account may use. 0 is no limit.
 type AccountLimit struct {
-	Account           ident.ClientAccount
-	RequestsPerSecond float64
-	Burst             int
-	MaxInFlight       int
+	Account           ident.ClientAccount `toml:"account"`
+	RequestsPerSecond float64             `toml:"requests_per_second"`
+	Burst             int                 `toml:"burst"`
+	MaxInFlight       int                 `toml:"max_in_flight"`
 	// Share is the account's weight under overload; 0 counts as 1.
-	Share float64
+	Share float64 `toml:"share"`
 }
 
 // Placement says where and on what the service's upstreams run.
 type Placement struct {
 	// Min and Max bound the number of upstreams.
-	Min, Max int
+	Min int `toml:"min"`
+	Max int `toml:"max"`
 	// OnDemandShare is the least share, 0 to 1, on on-demand instances.
-	OnDemandShare float64
+	OnDemandShare float64 `toml:"on_demand_share"`
 	// Prices are in cents an hour.
-	Prices []Price
+	Prices []Price `toml:"prices"`
 }
 
 // Price is the price of one kind of instance in one failure domain.
 type Price struct {
-	FailureDomain ident.FailureDomain
-	Class         ident.MachineClass
-	Reclaimable   bool
-	CentsPerHour  float64
+	FailureDomain ident.FailureDomain `toml:"failure_domain"`
+	Class         ident.MachineClass  `toml:"class"`
+	Reclaimable   bool                `toml:"reclaimable"`
+	CentsPerHour  float64             `toml:"cents_per_hour"`
 }
 
 // FindClass returns the class with a name.
--- /dev/null
+++ b/internal/settings/defaults.go
@@ -0,0 +1,57 @@
+package settings
+
+import "time"
+
+// kernelChosen is a loopback address whose port the kernel chooses.
+const kernelChosen = "127.0.0.1:0"
+
+func defaultCommon() Common {
+	return Common{
+		Platform: Platform{Timeout: 2 * time.Second},
+		Log:      Log{Level: "info", Format: LogJSON},
+		Trace:    Trace{Exporter: TraceNone},
+		Limits: Limits{
+			MaxBody:       1 << 20,
+			MaxHeader:     64 << 10,
+			HeaderTimeout: 5 * time.Second,
+			MaxStreams:    1000,
+			StopTimeout:   20 * time.Second,
+			Heartbeat:     500 * time.Millisecond,
+			Silence:       2 * time.Second,
+		},
+		Membership: Membership{
+			Heartbeat:      500 * time.Millisecond,
+			PeersPerDomain: 8,
+			OtherDomains:   2,
+		},
+		Journal: Journal{
+			Partitions: 1,
+			BatchWait:  10 * time.Millisecond,
+			Window:     time.Hour,
+			Timeout:    2 * time.Second,
+		},
+	}
+}
+
+func defaultGateway() *Gateway {
+	return &Gateway{
+		Common: defaultCommon(),
+		Listen: GatewayListen{
+			Callers:   kernelChosen,
+			Peers:     kernelChosen,
+			Operators: kernelChosen,
+		},
+	}
+}
+
+func defaultController() *Controller {
+	return &Controller{
+		Common: defaultCommon(),
+		Listen: ControllerListen{Operators: kernelChosen},
+		Control: Control{
+			Lease:    10 * time.Second,
+			Margin:   2 * time.Second,
+			Interval: time.Second,
+		},
+	}
+}
--- /dev/null
+++ b/internal/settings/types.go
@@ -0,0 +1,51 @@
+package settings
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"strconv"
+	"strings"
+)
+
+// Size is a number of bytes.
+type Size int64
+
+// sizeUnits are tried in this order: "B" is a suffix of the others.
+var sizeUnits = []struct {
+	suffix string
+	bytes  int64
+}{{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"B", 1}}
+
+// maxSize keeps a product with a unit far from overflow.
+const maxSize = 1 << 40
+
+// UnmarshalText reads a size with its unit.
+func (s *Size) UnmarshalText(text []byte) error {
+	for _, unit := range sizeUnits {
+		number, ok := strings.CutSuffix(string(text), unit.suffix)
+		if !ok {
+			continue
+		}
+		n, err := strconv.ParseInt(number, 10, 64)
+		if err != nil || n < 0 || n > maxSize/unit.bytes {
+			break
+		}
+		*s = Size(n * unit.bytes)
+		return nil
+	}
+	return errors.New(`a size with a unit, such as "512B", "64KiB" or "1MiB"`)
+}
+
+// Digest is a SHA-256 digest.
+type Digest [sha256.Size]byte
+
+// UnmarshalText reads a digest in hexadecimal.
+func (d *Digest) UnmarshalText(text []byte) error {
+	decoded, err := hex.DecodeString(string(text))
+	if err != nil || len(decoded) != sha256.Size {
+		return errors.New("the SHA-256 of the token as 64 hexadecimal digits")
+	}
+	copy(d[:], decoded)
+	return nil
+}
--- /dev/null
+++ b/internal/tomlfile/bind.go
@@ -0,0 +1,163 @@
+package tomlfile
+
+import (
+	"encoding"
+	"math"
+	"reflect"
+	"sort"
+	"strings"
+	"time"
+)
+
+var durationType = reflect.TypeFor[time.Duration]()
+
+// wantDuration is what a duration has to look like.
+const wantDuration = `a duration with a unit, such as "250ms" or "30s"`
+
+// bindTable sets the fields of a struct from a table.
+func (s *Source) bindTable(n *node, target reflect.Value) { s.bindTableAt(n, "", target) }
+
+func (s *Source) bindTableAt(n *node, key string, target reflect.Value) {
+	fields := fieldsByTag(target)
+	for _, name := range n.names {
+		at := joinKey(key, name)
+		field, known := fields[name]
+		if !known {
+			s.add(n.fields[name].place, at, "is not a known key", "one of "+namesOf(fields))
+			continue
+		}
+		s.bind(n.fields[name], at, field)
+	}
+}
+
+// fieldsByTag also looks into embedded structs.
+func fieldsByTag(target reflect.Value) map[string]reflect.Value {
+	fields := map[string]reflect.Value{}
+	for _, f := range reflect.VisibleFields(target.Type()) {
+		if tag := f.Tag.Get("toml"); tag != "" {
+			fields[tag] = target.FieldByIndex(f.Index)
+		}
+	}
+	return fields
+}
+
+func namesOf(fields map[string]reflect.Value) string {
+	names := make([]string, 0, len(fields))
+	for name := range fields {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return strings.Join(names, ", ")
+}
+
+func (s *Source) bind(n *node, key string, target reflect.Value) {
+	if target.Type() == durationType {
+		s.bindDuration(n, key, target)
+		return
+	}
+	if text, ok := target.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		s.bindText(n, key, text)
+		return
+	}
+	switch target.Kind() {
+	case reflect.Struct:
+		if s.expect(n, key, tableShape) {
+			s.bindTableAt(n, key, target)
+		}
+	case reflect.Slice:
+		s.bindSlice(n, key, target)
+	case reflect.String:
+		if s.expect(n, key, stringShape) {
+			target.SetString(n.scalar)
+		}
+	case reflect.Bool:
+		if s.expect(n, key, boolShape) {
+			target.SetBool(n.scalar == "true")
+		}
+	case reflect.Float64:
+		s.bindFloat(n, key, target)
+	default:
+		s.bindInteger(n, key, target)
+	}
+}
+
+func (s *Source) expect(n *node, key string, want shape) bool {
+	if n.shape == want {
+		return true
+	}
+	s.add(n.place, key, "is "+n.shape.String(), want.String())
+	return false
+}
+
+func (s *Source) bindDuration(n *node, key string, target reflect.Value) {
+	if n.shape != stringShape {
+		s.add(n.place, key, "is "+n.shape.String(), wantDuration)
+		return
+	}
+	d, err := time.ParseDuration(n.scalar)
+	if err != nil {
+		s.add(n.place, key, quote(n.scalar)+" is not a duration", wantDuration)
+		return
+	}
+	if d < 0 {
+		s.add(n.place, key, quote(n.scalar)+" is negative", "a duration of 0 or more")
+		return
+	}
+	target.SetInt(int64(d))
+}
+
+func (s *Source) bindText(n *node, key string, target encoding.TextUnmarshaler) {
+	if !s.expect(n, key, stringShape) {
+		return
+	}
+	if err := target.UnmarshalText([]byte(n.scalar)); err != nil {
+		s.add(n.place, key, quote(n.scalar)+" is not valid", err.Error())
+	}
+}
+
+func (s *Source) bindSlice(n *node, key string, target reflect.Value) {
+	if !s.expect(n, key, arrayShape) {
+		return
+	}
+	items := reflect.MakeSlice(target.Type(), len(n.items), len(n.items))
+	for i, item := range n.items {
+		s.bind(item, itemKey(key, i), items.Index(i))
+	}
+	target.Set(items)
+}
+
+func (s *Source) bindFloat(n *node, key string, target reflect.Value) {
+	if n.shape != floatShape && n.shape != integerShape {
+		s.add(n.place, key, "is "+n.shape.String(), "a number")
+		return
+	}
+	f, err := n.float()
+	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
+		s.add(n.place, key, n.scalar+" is not a finite number", "a number")
+		return
+	}
+	target.SetFloat(f)
+}
+
+func (s *Source) bindInteger(n *node, key string, target reflect.Value) {
+	if !s.expect(n, key, integerShape) {
+		return
+	}
+	i, err := n.integer()
+	unsigned := target.CanUint()
+	if err == nil && unsigned && i >= 0 && !target.OverflowUint(uint64(i)) {
+		target.SetUint(uint64(i))
+		return
+	}
+	if err == nil && !unsigned && !target.OverflowInt(i) {
+		target.SetInt(i)
+		return
+	}
+	want := "an integer"
+	if unsigned {
+		want = "an integer of 0 or more"
+	}
+	s.add(n.place, key, n.scalar+" is out of range", want)
+}
+
+func quote(text string) string { return `"` + text + `"` }
