--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,223 @@
+// Package telemetry builds a process's log and tracer from its settings, the
+// same way in every program.
+package telemetry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/hashicorp/go-hclog"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+// The log formats.
+const (
+	FormatText = "text"
+	FormatJSON = "json"
+)
+
+// The trace exporters.
+const (
+	// ExporterNone records no spans; the W3C headers still pass through.
+	ExporterNone = "none"
+	// ExporterStdout writes spans as JSON to Config.TraceOutput.
+	ExporterStdout = "stdout"
+	// ExporterOTLP sends spans by OTLP over HTTP.
+	ExporterOTLP = "otlp"
+)
+
+// The resource attributes, by the names of OpenTelemetry's conventions.
+const (
+	serviceNameKey      = attribute.Key("service.name")
+	serviceInstanceKey  = attribute.Key("service.instance.id")
+	availabilityZoneKey = attribute.Key("cloud.availability_zone")
+	cloudRegionKey      = attribute.Key("cloud.region")
+)
+
+const (
+	tracerName          = "github.com/goldcrestspool/goldcrestspool"
+	defaultSampledShare = 1.0
+	defaultLogLevel     = "info"
+)
+
+// Config is what the settings say of logs and traces. Empty values stand for
+// the defaults: level info, format text, exporter none.
+type Config struct {
+	// Program is the service name of the spans, for example "gateway".
+	Program       string
+	Instance      ident.Instance
+	FailureDomain ident.FailureDomain
+	Region        ident.Region
+	LogLevel      string
+	LogFormat     string
+	// LogOutput is os.Stderr when nil.
+	LogOutput     io.Writer
+	TraceExporter string
+	// TraceEndpoint is the URL that OTLP spans are sent to, for example
+	// "http://127.0.0.1:4318/v1/traces".
+	TraceEndpoint string
+	// TraceOutput takes the spans of ExporterStdout; os.Stderr when nil,
+	// because stdout carries the program's events.
+	TraceOutput io.Writer
+	// SampledShare of new traces, 0 to 1; nil is all. A trace that a caller
+	// began keeps the caller's choice.
+	SampledShare *float64
+}
+
+// Telemetry is a process's log and tracer.
+type Telemetry struct {
+	Log    hclog.Logger
+	Tracer trace.Tracer
+	// Propagator carries trace contexts in W3C headers.
+	Propagator propagation.TextMapPropagator
+	provider   trace.TracerProvider
+	shutdown   func(context.Context) error
+}
+
+// Setup builds the log and the tracer and makes them OpenTelemetry's globals.
+// Errors: errcode.InvalidArgument for a value that is not known.
+func Setup(cfg Config) (*Telemetry, error) {
+	log, err := NewLog(cfg)
+	if err != nil {
+		return nil, err
+	}
+	t := &Telemetry{
+		Log:        log,
+		Propagator: propagation.NewCompositeTextMapPropagator(propagation.TraceContext{}, propagation.Baggage{}),
+	}
+	if err := t.addTracer(cfg); err != nil {
+		return nil, err
+	}
+	otel.SetTracerProvider(t.provider)
+	otel.SetTextMapPropagator(t.Propagator)
+	otel.SetErrorHandler(otel.ErrorHandlerFunc(func(err error) {
+		log.Named("telemetry").Warn("traces", "error", err)
+	}))
+	return t, nil
+}
+
+// Provider is the process's tracer provider.
+func (t *Telemetry) Provider() trace.TracerProvider { return t.provider }
+
+// Shutdown sends the spans that are still buffered. Spans that end later are
+// dropped. It gives up when ctx ends.
+func (t *Telemetry) Shutdown(ctx context.Context) error {
+	return errcode.Wrap(errcode.Unavailable, t.shutdown(ctx), "flush spans")
+}
+
+// NewLog builds the log alone.
+func NewLog(cfg Config) (hclog.Logger, error) {
+	level := hclog.LevelFromString(valueOr(cfg.LogLevel, defaultLogLevel))
+	if level == hclog.NoLevel {
+		return nil, unknownValue("log level", cfg.LogLevel, "trace, debug, info, warn, error or off")
+	}
+	format := valueOr(cfg.LogFormat, FormatText)
+	if format != FormatText && format != FormatJSON {
+		return nil, unknownValue("log format", cfg.LogFormat, "text or json")
+	}
+	output := cfg.LogOutput
+	if output == nil {
+		output = os.Stderr
+	}
+	log := hclog.New(&hclog.LoggerOptions{
+		Name:       cfg.Program,
+		Level:      level,
+		JSONFormat: format == FormatJSON,
+		Output:     output,
+	})
+	return log.With("instance", string(cfg.Instance)), nil
+}
+
+// addTracer sets the provider, the tracer and their shutdown.
+func (t *Telemetry) addTracer(cfg Config) error {
+	exporter, err := newExporter(cfg)
+	if err != nil {
+		return err
+	}
+	options := []sdktrace.TracerProviderOption{
+		sdktrace.WithResource(newResource(cfg)),
+		sdktrace.WithSampler(newSampler(cfg, exporter)),
+	}
+	if exporter != nil {
+		options = append(options, sdktrace.WithBatcher(exporter))
+	}
+	provider := sdktrace.NewTracerProvider(options...)
+	t.provider = provider
+	t.shutdown = provider.Shutdown
+	t.Tracer = provider.Tracer(tracerName)
+	return nil
+}
+
+// newExporter returns nil for ExporterNone.
+func newExporter(cfg Config) (sdktrace.SpanExporter, error) {
+	switch valueOr(cfg.TraceExporter, ExporterNone) {
+	case ExporterNone:
+		return nil, nil
+	case ExporterStdout:
+		return newWriterExporter(cfg.TraceOutput)
+	case ExporterOTLP:
+		return newOTLPExporter(cfg.TraceEndpoint)
+	}
+	return nil, unknownValue("trace exporter", cfg.TraceExporter, "none, stdout or otlp")
+}
+
+func newWriterExporter(output io.Writer) (sdktrace.SpanExporter, error) {
+	if output == nil {
+		output = os.Stderr
+	}
+	exporter, err := stdouttrace.New(stdouttrace.WithWriter(output))
+	return exporter, errcode.Wrap(errcode.Internal, err, "create trace exporter")
+}
+
+func newOTLPExporter(endpoint string) (sdktrace.SpanExporter, error) {
+	if endpoint == "" {
+		return nil, unknownValue("trace endpoint", endpoint, "a URL")
+	}
+	// New connects lazily, so an absent collector never delays the start.
+	exporter, err := otlptracehttp.New(context.Background(), otlptracehttp.WithEndpointURL(endpoint))
+	return exporter, errcode.Wrap(errcode.InvalidArgument, err, "create trace exporter")
+}
+
+// newSampler records nothing where nothing is exported.
+func newSampler(cfg Config, exporter sdktrace.SpanExporter) sdktrace.Sampler {
+	if exporter == nil {
+		return sdktrace.NeverSample()
+	}
+	share := defaultSampledShare
+	if cfg.SampledShare != nil {
+		share = *cfg.SampledShare
+	}
+	return sdktrace.ParentBased(sdktrace.TraceIDRatioBased(share))
+}
+
+func newResource(cfg Config) *resource.Resource {
+	return resource.NewSchemaless(
+		serviceNameKey.String(cfg.Program),
+		serviceInstanceKey.String(string(cfg.Instance)),
+		availabilityZoneKey.String(string(cfg.FailureDomain)),
+		cloudRegionKey.String(string(cfg.Region)),
+	)
+}
+
+func unknownValue(what, got, want string) error {
+	return errcode.New(errcode.InvalidArgument, fmt.Sprintf("%s %q is not known, want %s", what, got, want))
+}
+
+func valueOr(value, fallback string) string {
+	if value == "" {
+		return fallback
+	}
+	return value
+}
