standin/engine: model engine stand-in, deterministic model and real-time wrapper

Model is free of clocks, goroutines and randomness, so that the policy driver steps many of them in virtual time; Engine runs one Model in real time and implements upstream.Engine (also under testing/synctest).

--- /dev/null
+++ b/internal/standin/engine/cache.go
@@ -0,0 +1,165 @@
+package engine
+
+import (
+	"container/list"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/upstream"
+)
+
+// gapRun is how many consecutive cache events are lost together.
+const gapRun = 32
+
+// block is a prefix block in memory.
+type block struct {
+	hash uint64
+	// users are the running streams that need the block.
+	users int
+	// idle is the block's place among the unused ones, or nil.
+	idle *list.Element
+}
+
+// cache is the engine's KV memory: blocks with a prefix hash, which streams
+// share, and anonymous blocks, which belong to one running stream.
+type cache struct {
+	capacity  int
+	anonymous int
+	blocks    map[uint64]*block
+	// idle holds the unused blocks, least recently used at the back.
+	idle   *list.List
+	events eventLog
+}
+
+func newCache(p Parameters) cache {
+	return cache{
+		capacity: p.MemoryBlocks,
+		blocks:   make(map[uint64]*block),
+		idle:     list.New(),
+		events:   eventLog{lag: p.EventLag, gapEvery: p.EventGapEvery, keep: p.EventLog},
+	}
+}
+
+// hits returns how many leading blocks are in memory.
+func (c *cache) hits(blocks []uint64) int {
+	for i, h := range blocks {
+		if c.blocks[h] == nil {
+			return i
+		}
+	}
+	return len(blocks)
+}
+
+// reserve makes room for n anonymous blocks by evicting unused ones. It
+// changes nothing and returns false if that is not enough.
+func (c *cache) reserve(n int, now time.Time) bool {
+	excess := len(c.blocks) + c.anonymous + n - c.capacity
+	if excess > c.idle.Len() {
+		return false
+	}
+	for ; excess > 0; excess-- {
+		c.evict(now)
+	}
+	c.anonymous += n
+	return true
+}
+
+func (c *cache) evict(now time.Time) {
+	e := c.idle.Back()
+	b := c.idle.Remove(e).(*block)
+	delete(c.blocks, b.hash)
+	c.events.add(now, false, b.hash)
+}
+
+// use marks a block in memory as needed by one more stream.
+func (c *cache) use(hash uint64) {
+	b := c.blocks[hash]
+	if b.idle != nil {
+		c.idle.Remove(b.idle)
+		b.idle = nil
+	}
+	b.users++
+}
+
+// store turns one anonymous block into a shared one, used by one stream.
+func (c *cache) store(hash uint64, now time.Time) {
+	c.anonymous--
+	if c.blocks[hash] == nil {
+		c.blocks[hash] = &block{hash: hash}
+		c.events.add(now, true, hash)
+	}
+	c.use(hash)
+}
+
+// release ends the use of blocks by one stream. The last block becomes the
+// least recently used, since it is worth nothing without those before it.
+func (c *cache) release(blocks []uint64) {
+	for i := len(blocks) - 1; i >= 0; i-- {
+		b := c.blocks[blocks[i]]
+		b.users--
+		if b.users == 0 {
+			b.idle = c.idle.PushFront(b)
+		}
+	}
+}
+
+// eventLog holds the cache events, late and with gaps.
+type eventLog struct {
+	lag      time.Duration
+	gapEvery uint64
+	keep     int
+	last     uint64
+	events   []event
+}
+
+type event struct {
+	upstream.CacheEvent
+	at time.Time
+}
+
+func (l *eventLog) add(now time.Time, stored bool, hash uint64) {
+	l.last++
+	if l.lost(l.last) {
+		return
+	}
+	if len(l.events) >= 2*l.keep {
+		l.events = append(l.events[:0], l.events[len(l.events)-l.keep:]...)
+	}
+	e := upstream.CacheEvent{Sequence: l.last, Stored: stored, Block: hash}
+	l.events = append(l.events, event{CacheEvent: e, at: now})
+}
+
+// lost spreads the gaps evenly but not regularly over the sequence numbers.
+func (l *eventLog) lost(sequence uint64) bool {
+	if l.gapEvery == 0 {
+		return false
+	}
+	const mix = 0x9e3779b97f4a7c15
+	run := (sequence / gapRun) * mix
+	return (run>>32)%l.gapEvery == 0
+}
+
+// after returns the readable events above a sequence number.
+func (l *eventLog) after(sequence uint64, now time.Time) []upstream.CacheEvent {
+	var found []upstream.CacheEvent
+	for i := l.index(sequence); i < len(l.events); i++ {
+		if l.events[i].at.Add(l.lag).After(now) {
+			break
+		}
+		found = append(found, l.events[i].CacheEvent)
+	}
+	return found
+}
+
+// index returns the place of the first event above a sequence number.
+func (l *eventLog) index(sequence uint64) int {
+	low, high := 0, len(l.events)
+	for low < high {
+		mid := (low + high) / 2
+		if l.events[mid].Sequence > sequence {
+			high = mid
+		} else {
+			low = mid + 1
+		}
+	}
+	return low
+}
--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,316 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/prompt"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstream"
+)
+
+// ErrEnded: the engine's instance ended; streams that it served are lost.
+var ErrEnded = errors.New("engine ended")
+
+// defaultHeartbeat is how often a stream without tokens sends an empty frame.
+const defaultHeartbeat = time.Second
+
+// Config sets up an Engine.
+type Config struct {
+	Instance    ident.Instance
+	Incarnation ident.Incarnation
+	Parameters  Parameters
+	// Model and Version that are loaded at the start.
+	Model, Version string
+	// ChecksFencing: orders with an old fencing number are refused.
+	ChecksFencing bool
+	// LoadTime is how long another model or version takes to load.
+	LoadTime time.Duration
+	// Heartbeat is how often a stream without tokens sends an empty frame;
+	// 0 means once a second.
+	Heartbeat time.Duration
+}
+
+// Engine runs a Model in real time. It implements upstream.Engine and is safe
+// for concurrent use. Its timers are those of package time, so that it works
+// in a testing/synctest bubble.
+type Engine struct {
+	config Config
+	wake   chan struct{}
+	done   chan struct{}
+	ended  chan struct{}
+	once   sync.Once
+
+	mu      sync.Mutex
+	model   *Model
+	streams map[ident.Request]*tokenStream
+	fence   ident.Fence
+	loaded  loadedModel
+	next    loadedModel
+	gone    bool
+}
+
+var _ upstream.Engine = (*Engine)(nil)
+
+// loadedModel is a model in memory, usable from a time on.
+type loadedModel struct {
+	model, version string
+	from           time.Time
+}
+
+// New starts an engine. Close it after use.
+func New(c Config) *Engine {
+	if c.Heartbeat <= 0 {
+		c.Heartbeat = defaultHeartbeat
+	}
+	first := loadedModel{model: c.Model, version: c.Version}
+	e := &Engine{
+		config:  c,
+		wake:    make(chan struct{}, 1),
+		done:    make(chan struct{}),
+		ended:   make(chan struct{}),
+		model:   NewModel(c.Parameters),
+		streams: make(map[ident.Request]*tokenStream),
+		loaded:  first,
+		next:    first,
+	}
+	go e.run()
+	return e
+}
+
+// Close ends the engine at once, as when its instance ends: streams fail with
+// ErrEnded and nothing is served any more.
+func (e *Engine) Close() {
+	e.once.Do(func() {
+		e.mu.Lock()
+		e.gone = true
+		for _, s := range e.streams {
+			s.fail(ErrEnded)
+		}
+		clear(e.streams)
+		e.mu.Unlock()
+		close(e.done)
+	})
+	<-e.ended
+}
+
+// Leave makes the engine refuse new work, as after a reclaim notice. Its
+// streams go on until Close.
+func (e *Engine) Leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.model.Leave(time.Now())
+}
+
+// SetSlowdown changes how much slower than reported the steps are.
+func (e *Engine) SetSlowdown(factor float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.model.params.Slowdown = factor
+}
+
+// run does step after step until Close.
+func (e *Engine) run() {
+	defer close(e.ended)
+	for {
+		tokens, d := e.step()
+		if d == 0 {
+			select {
+			case <-e.wake:
+				continue
+			case <-e.done:
+				return
+			}
+		}
+		timer := time.NewTimer(d)
+		select {
+		case <-timer.C:
+			e.deliver(tokens)
+		case <-e.done:
+			timer.Stop()
+			return
+		}
+	}
+}
+
+func (e *Engine) step() ([]Token, time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.model.Step(time.Now(), nil)
+}
+
+func (e *Engine) deliver(tokens []Token) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, t := range tokens {
+		s := e.streams[t.ID]
+		if s == nil || int(s.req.Attempt) != t.Tag {
+			continue
+		}
+		s.push(t)
+		if t.Done {
+			delete(e.streams, t.ID)
+		}
+	}
+}
+
+// Generate queues a request. Errors: upstream.ErrLeaving, ErrRefused;
+// ErrEnded after Close.
+func (e *Engine) Generate(ctx context.Context, req upstream.GenerateRequest) (upstream.TokenStream, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, errors.Join(upstream.ErrNotSent, err)
+	}
+	s := newTokenStream(ctx, e, req)
+	if len(req.Delivered) >= int(req.MaxTokens) {
+		s.push(Token{Done: true})
+		return s, nil
+	}
+	if err := e.submit(s); err != nil {
+		return nil, err
+	}
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+	return s, nil
+}
+
+func (e *Engine) submit(s *tokenStream) error {
+	req := s.req
+	w := Work{
+		ID:       req.Request,
+		Tag:      int(req.Attempt),
+		Priority: req.Priority,
+		Blocks:   prompt.Blocks(req.Prompt),
+		Context:  max(1, prompt.Tokens(req.Prompt)+len(req.Delivered)),
+		Output:   int(req.MaxTokens) - len(req.Delivered),
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.gone {
+		return ErrEnded
+	}
+	if err := e.model.Submit(time.Now(), w); err != nil {
+		return err
+	}
+	e.streams[w.ID] = s
+	return nil
+}
+
+// cancel ends a stream whose reader left.
+func (e *Engine) cancel(s *tokenStream) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.streams[s.req.Request] != s {
+		return
+	}
+	delete(e.streams, s.req.Request)
+	e.model.Cancel(time.Now(), s.req.Request)
+}
+
+// Report returns the load as it was some time ago.
+func (e *Engine) Report(context.Context) (upstream.Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.gone {
+		return upstream.Report{}, ErrEnded
+	}
+	r := e.model.Report(time.Now())
+	// Leaving is told without lag: an engine knows its own notice.
+	r.Leaving = e.model.leaving
+	r.Instance, r.Incarnation = e.config.Instance, e.config.Incarnation
+	e.settle()
+	r.Model, r.Version = e.loaded.model, e.loaded.version
+	r.AppliedFence = e.fence
+	return r, nil
+}
+
+// settle takes a model into use that has finished loading.
+func (e *Engine) settle() {
+	if !e.next.from.After(time.Now()) {
+		e.loaded = e.next
+	}
+}
+
+// CacheEvents returns cache events above a sequence number.
+func (e *Engine) CacheEvents(_ context.Context, after uint64) ([]upstream.CacheEvent, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.gone {
+		return nil, ErrEnded
+	}
+	return e.model.CacheEvents(after, time.Now()), nil
+}
+
+// ExportCache returns the KV cache of a stream after the time that its
+// transfer takes.
+func (e *Engine) ExportCache(ctx context.Context, id ident.Request) ([]byte, error) {
+	e.mu.Lock()
+	exported, ok := e.model.Export(id)
+	gone := e.gone
+	e.mu.Unlock()
+	if gone {
+		return nil, ErrEnded
+	}
+	if !ok {
+		return nil, upstream.ErrRefused
+	}
+	if err := e.transfer(ctx, exported.Tokens); err != nil {
+		return nil, err
+	}
+	return json.Marshal(exported)
+}
+
+// ImportCache takes a KV cache for a request that follows.
+func (e *Engine) ImportCache(ctx context.Context, id ident.Request, cache []byte) (int, error) {
+	var exported Exported
+	if err := json.Unmarshal(cache, &exported); err != nil {
+		return 0, errors.Join(upstream.ErrRefused, err)
+	}
+	if err := e.transfer(ctx, exported.Tokens); err != nil {
+		return 0, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.model.leaving {
+		return 0, upstream.ErrLeaving
+	}
+	e.model.Import(id, exported)
+	return exported.Tokens, nil
+}
+
+// transfer waits as long as moving so many tokens takes.
+func (e *Engine) transfer(ctx context.Context, tokens int) error {
+	timer := time.NewTimer(e.config.Parameters.TransferTime(tokens))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-e.done:
+		return ErrEnded
+	}
+}
+
+// Apply takes an order. Errors: upstream.ErrOldFence where it checks them.
+func (e *Engine) Apply(_ context.Context, o upstream.Order) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.gone {
+		return ErrEnded
+	}
+	if e.config.ChecksFencing && o.Fence < e.fence {
+		return upstream.ErrOldFence
+	}
+	e.fence = o.Fence
+	e.settle()
+	if o.Model == e.next.model && o.Version == e.next.version {
+		return nil
+	}
+	e.next = loadedModel{model: o.Model, version: o.Version, from: time.Now().Add(e.config.LoadTime)}
+	return nil
+}
