--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -13,6 +13,7 @@
 
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/engine"
 	"github.com/goldcrestspool/goldcrestspool/internal/standin/plain"
 	"github.com/goldcrestspool/goldcrestspool/internal/standin/process"
 )
@@ -66,7 +67,16 @@
 
 type engineArguments struct {
 	upstreamArguments
-	Step time.Duration `default:"20ms" help:"time of one token"`
+	Model         string        `help:"model loaded at the start"`
+	ModelVersion  string        `arg:"--model-version" help:"version loaded at the start"`
+	LoadTime      time.Duration `arg:"--load-time" default:"2s" help:"time to load another model or version"`
+	ChecksFencing bool          `arg:"--checks-fencing" help:"refuse orders with old fencing numbers"`
+	Step          time.Duration `default:"12ms" help:"time of a step apart from its contents"`
+	PrefillRate   float64       `arg:"--prefill-rate" default:"8000" help:"tokens a second"`
+	ReportLag     time.Duration `arg:"--report-lag" default:"250ms" help:"age of load reports"`
+	EventLag      time.Duration `arg:"--event-lag" default:"500ms" help:"age of cache events"`
+	EventGapEvery uint64        `arg:"--event-gap-every" help:"lose one run of cache events in so many; 0 loses none"`
+	Slowdown      float64       `default:"1" help:"factor on each step that reports do not show"`
 }
 
 type plainArguments struct {
@@ -161,7 +171,23 @@
 }
 
 func (a *engineArguments) options() process.EngineOptions {
-	return process.EngineOptions{UpstreamOptions: a.upstreamOptions(), Step: a.Step}
+	parameters := engine.DefaultParameters()
+	parameters.StepBase = a.Step
+	parameters.PrefillRate = a.PrefillRate
+	parameters.ReportLag = a.ReportLag
+	parameters.EventLag = a.EventLag
+	parameters.EventGapEvery = a.EventGapEvery
+	parameters.Slowdown = a.Slowdown
+	return process.EngineOptions{
+		UpstreamOptions: a.upstreamOptions(),
+		Config: engine.Config{
+			Parameters:    parameters,
+			Model:         a.Model,
+			Version:       a.ModelVersion,
+			ChecksFencing: a.ChecksFencing,
+			LoadTime:      a.LoadTime,
+		},
+	}
 }
 
 func (a *plainArguments) options() process.PlainOptions {
--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -11,6 +11,7 @@
 
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/standin/answer"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/inflight"
 	"github.com/goldcrestspool/goldcrestspool/internal/upstream"
 )
 
@@ -54,15 +55,14 @@
 // by its key: each call that arrives has an effect.
 type Service struct {
 	options Options
+	running inflight.Counter
 
 	mu       sync.Mutex
 	leaving  bool
-	running  int
 	delays   Delays
 	failures []Failure
 	calls    map[string]*call
 	effects  map[string]int
-	idle     chan struct{}
 }
 
 // call is what the service knows of a key.
@@ -120,23 +120,8 @@
 
 // Drain refuses new calls and waits until those that run have ended.
 func (s *Service) Drain(ctx context.Context) error {
-	s.mu.Lock()
-	s.leaving = true
-	if s.running == 0 {
-		s.mu.Unlock()
-		return nil
-	}
-	if s.idle == nil {
-		s.idle = make(chan struct{})
-	}
-	idle := s.idle
-	s.mu.Unlock()
-	select {
-	case <-idle:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	s.SetLeaving(true)
+	return s.running.Wait(ctx)
 }
 
 // Invoke implements upstream.Plain. A call that was taken in is executed even
@@ -191,7 +176,7 @@
 		Instance:    s.options.Instance,
 		Incarnation: s.options.Incarnation,
 		Leaving:     s.leaving,
-		Running:     s.running,
+		Running:     s.running.Running(),
 	}, nil
 }
 
@@ -223,7 +208,7 @@
 			c.state = upstream.Running
 		}
 	}
-	s.running++
+	s.running.Begin()
 	accepted := acceptance{delays: s.delays}
 	if len(s.failures) > 0 {
 		accepted.failure = s.failures[0]
@@ -233,7 +218,7 @@
 }
 
 func (s *Service) execute(req upstream.InvokeRequest, accepted acceptance) result {
-	defer s.finish()
+	defer s.running.End()
 	time.Sleep(accepted.delays.BeforeEffect)
 	if accepted.failure == LostBeforeEffect {
 		s.forget(req.Key)
@@ -273,16 +258,6 @@
 	}
 }
 
-func (s *Service) finish() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.running--
-	if s.running == 0 && s.idle != nil {
-		close(s.idle)
-		s.idle = nil
-	}
-}
-
 // call is called with the lock held.
 func (s *Service) call(key string) *call {
 	c, ok := s.calls[key]
--- a/internal/standin/process/plain.go
+++ b/internal/standin/process/plain.go
@@ -36,7 +36,14 @@
 		service.SetDelays(options.Delays)
 		connectupstream.MountPlain(mux, service)
 		mux.Handle(standinv1connect.NewPlainAdminServiceHandler(&admin.Plain{Service: service}))
-		return service
+		return plainWork{service}
 	}
 	return runUpstream(ctx, "plain", options.UpstreamOptions, build, logger, out)
 }
+
+// plainWork is a plain service at its stop.
+type plainWork struct{ service *plain.Service }
+
+func (p plainWork) Leave() { p.service.SetLeaving(true) }
+
+func (p plainWork) Wait(ctx context.Context) error { return p.service.Drain(ctx) }
--- a/internal/standin/process/upstream.go
+++ b/internal/standin/process/upstream.go
@@ -38,8 +38,10 @@
 
 // work is the part of an upstream that a stop concerns.
 type work interface {
-	SetLeaving(bool)
-	Drain(context.Context) error
+	// Leave makes the upstream refuse new work.
+	Leave()
+	// Wait returns nil once no work runs, or the context's error.
+	Wait(context.Context) error
 }
 
 // upstreamServer is one registered upstream stand-in.
@@ -122,7 +124,7 @@
 		case err := <-u.server.failed:
 			return err
 		case notice := <-notices:
-			u.work.SetLeaving(true)
+			u.work.Leave()
 			u.logger.Info("reclaim announced", "instance", u.instance.ID, "ends_in", notice.EndsIn)
 			reclaimed = time.After(notice.EndsIn)
 		case <-reclaimed:
@@ -163,11 +165,11 @@
 func (u *upstreamServer) stop() error {
 	ctx, cancel := context.WithTimeout(context.Background(), u.options.DrainLimit)
 	defer cancel()
-	u.work.SetLeaving(true)
+	u.work.Leave()
 	if err := u.setState(ctx, platformv1.InstanceState_INSTANCE_STATE_LEAVING); err != nil {
 		u.logger.Warn("cannot tell the platform of leaving", "error", err)
 	}
-	if err := u.work.Drain(ctx); err != nil {
+	if err := u.work.Wait(ctx); err != nil {
 		u.logger.Error("work cut off at the drain limit", "limit", u.options.DrainLimit)
 		return errors.WithStack(err)
 	}
