--- /dev/null
+++ b/internal/transport/attempt_test.go
@@ -0,0 +1,88 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"testing"
+
+	"go.opentelemetry.io/otel/trace"
+)
+
+// Symptom: a call that was reported as not sent runs at the upstream.
+// Sequence: a request gets its connection, is given up on before its first
+// byte, and the transport's writer, which was already on its way, writes it.
+// Cause: looking at what was written, without stopping later writes.
+func TestNotSentStopsLateWrites(t *testing.T) {
+	ours, theirs := net.Pipe()
+	defer func() { _ = theirs.Close() }()
+	c := &conn{Conn: ours}
+	attempt := &Attempt{}
+	attempt.gotConn(httptrace.GotConnInfo{Conn: c})
+	if !attempt.NotSent() {
+		t.Fatal("nothing was written")
+	}
+	if _, err := c.Write([]byte("POST")); !errors.Is(err, errSealed) {
+		t.Errorf("a late write: got %v, want errSealed", err)
+	}
+}
+
+func TestNotSentCountsOnlyTheRequestsOwnWrites(t *testing.T) {
+	ours, theirs := net.Pipe()
+	go func() { _, _ = io.Copy(io.Discard, theirs) }()
+	defer func() { _ = theirs.Close() }()
+	c := &conn{Conn: ours}
+	write := func() {
+		if _, err := c.Write([]byte("POST")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write()
+	second := &Attempt{}
+	second.gotConn(httptrace.GotConnInfo{Conn: c, Reused: true})
+	write()
+	if second.NotSent() {
+		t.Error("the second request was written")
+	}
+	third := &Attempt{}
+	third.gotConn(httptrace.GotConnInfo{Conn: c, Reused: true})
+	if !third.NotSent() {
+		t.Error("the third request was not written")
+	}
+	unknown := &Attempt{}
+	unknown.gotConn(httptrace.GotConnInfo{Conn: ours})
+	if unknown.NotSent() {
+		t.Error("nothing is known of a connection that is not counted")
+	}
+}
+
+// recorder is a round tripper that keeps the request.
+type recorder struct{ got *http.Request }
+
+func (r *recorder) RoundTrip(req *http.Request) (*http.Response, error) {
+	r.got = req
+	return nil, io.EOF
+}
+
+func TestRequestsCarryTheTraceContext(t *testing.T) {
+	span := trace.NewSpanContext(trace.SpanContextConfig{
+		TraceID: trace.TraceID{1}, SpanID: trace.SpanID{2}, TraceFlags: trace.FlagsSampled,
+	})
+	ctx := trace.ContextWithSpanContext(context.Background(), span)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://127.0.0.1/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := &recorder{}
+	_, _ = (&singleUse{next: next}).RoundTrip(req)
+	want := "00-01000000000000000000000000000000-0200000000000000-01"
+	if got := next.got.Header.Get("Traceparent"); got != want {
+		t.Errorf("traceparent %q, want %q", got, want)
+	}
+	if req.Header.Get("Traceparent") != "" {
+		t.Error("the caller's request was changed")
+	}
+}
--- a/internal/transport/errors.go
+++ b/internal/transport/errors.go
@@ -21,11 +21,12 @@
 	return wire
 }
 
-// ReasonOf returns the reason that the server gave with err, or "". An error
-// that did not come from the server has none, whatever headers a proxy added.
+// ReasonOf returns the reason that the server gave with err, or "". Connect
+// reads it only from an error in its own format, so that a proxy's error page
+// has none.
 func ReasonOf(err error) Reason {
 	var wire *connect.Error
-	if !errors.As(err, &wire) || !connect.IsWireError(err) {
+	if !errors.As(err, &wire) {
 		return ""
 	}
 	return Reason(wire.Meta().Get(reasonHeader))
--- /dev/null
+++ b/internal/upstream/connectupstream/plain_test.go
@@ -0,0 +1,202 @@
+package connectupstream_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/answer"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/plain"
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstream"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstream/connectupstream"
+)
+
+const key = "auktion-app/account-1/bid-1"
+
+var bid = upstream.InvokeRequest{Method: "bid", Key: key, Fence: 5, Payload: []byte("lot 17")}
+
+// onEachPlain runs a contract test on the fake in memory and on the Connect
+// adapter over a loopback socket.
+func onEachPlain(t *testing.T, options plain.Options, test func(t *testing.T, fake *plain.Service, subject upstream.Plain)) {
+	options.Instance, options.Incarnation = "plain-1", 2
+	t.Run("memory", func(t *testing.T) {
+		fake := plain.New(options)
+		test(t, fake, fake)
+	})
+	t.Run("connect", func(t *testing.T) {
+		fake := plain.New(options)
+		mux := http.NewServeMux()
+		connectupstream.MountPlain(mux, fake)
+		clients := connectupstream.NewClients(nil)
+		t.Cleanup(clients.Close)
+		test(t, fake, connectupstream.NewPlain(clients, testkit.Serve(t, mux)))
+	})
+}
+
+// Symptom: a booking is made twice, or a caller is told that a booking was not
+// made that was. Sequence: a call fails, the gateway decides by the error
+// whether it may try elsewhere. Cause: an error that says less, or more, than
+// is known.
+func TestPlainErrorsTellWhatHappened(t *testing.T) {
+	cases := []struct {
+		story   string
+		prepare func(*plain.Service)
+		want    error
+		ran     bool
+		effects int
+	}{
+		{"leaving", func(s *plain.Service) { s.SetLeaving(true) }, upstream.ErrLeaving, false, 0},
+		{"old fencing number", func(s *plain.Service) { _, _ = s.Find(context.Background(), key, 6) }, upstream.ErrOldFence, false, 0},
+		{"connection lost before the effect", func(s *plain.Service) { s.FailNext(plain.LostBeforeEffect) }, nil, true, 0},
+		{"connection lost after the effect", func(s *plain.Service) { s.FailNext(plain.LostAfterEffect) }, nil, true, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.story, func(t *testing.T) {
+			options := plain.Options{ChecksFencing: true, FindsOutcomes: true}
+			onEachPlain(t, options, func(t *testing.T, fake *plain.Service, subject upstream.Plain) {
+				c.prepare(fake)
+				_, err := subject.Invoke(t.Context(), bid)
+				if err == nil || (c.want != nil && !errors.Is(err, c.want)) {
+					t.Errorf("got %v, want %v", err, c.want)
+				}
+				if upstream.Ran(err) != c.ran {
+					t.Errorf("Ran(%v) = %v", err, !c.ran)
+				}
+				if got := fake.Effects(key); got != c.effects {
+					t.Errorf("%d effects, want %d", got, c.effects)
+				}
+			})
+		})
+	}
+}
+
+func TestPlainAnswers(t *testing.T) {
+	onEachPlain(t, plain.Options{}, func(t *testing.T, fake *plain.Service, subject upstream.Plain) {
+		fake.FailNext(plain.NoFailure, plain.ApplicationError)
+		for _, failed := range []bool{false, true} {
+			got, err := subject.Invoke(t.Context(), bid)
+			want := upstream.Answer{Payload: answer.Reply(bid.Method, bid.Payload), Failed: failed}
+			if err != nil || !cmp.Equal(got, want) {
+				t.Errorf("got %+v, %v, want %+v", got, err, want)
+			}
+		}
+		if got := fake.Effects(key); got != 2 {
+			t.Errorf("two calls with one key had %d effects, and the fake must show both", got)
+		}
+		fake.SetLeaving(true)
+		health, err := subject.Health(t.Context())
+		want := upstream.Health{Instance: "plain-1", Incarnation: 2, Leaving: true}
+		if err != nil || health != want {
+			t.Errorf("health %+v, %v, want %+v", health, err, want)
+		}
+	})
+}
+
+// Symptom: a call whose caller gave up is reported as not run, and runs.
+// Sequence: the call is taken in, its context ends, the effect comes later.
+// Cause: taking the end of one's own context for the end of the call.
+func TestPlainCallGoesOnWhenItsCallerGivesUp(t *testing.T) {
+	onEachPlain(t, plain.Options{FindsOutcomes: true}, func(t *testing.T, fake *plain.Service, subject upstream.Plain) {
+		fake.SetDelays(plain.Delays{BeforeEffect: 50 * time.Millisecond})
+		ctx, cancel := context.WithCancel(t.Context())
+		failed := make(chan error, 1)
+		go func() {
+			_, err := subject.Invoke(ctx, bid)
+			failed <- err
+		}()
+		awaitRunning(t, subject)
+		cancel()
+		if err := <-failed; !upstream.Ran(err) || !errors.Is(err, context.Canceled) {
+			t.Errorf("got %v; the call may have run", err)
+		}
+		if err := fake.Drain(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if got := fake.Effects(key); got != 1 {
+			t.Errorf("%d effects, want 1", got)
+		}
+	})
+}
+
+// awaitRunning returns once the service says that the key's call runs.
+func awaitRunning(t *testing.T, subject upstream.Plain) {
+	t.Helper()
+	for {
+		found, err := subject.Find(t.Context(), key, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if found.State != upstream.Absent {
+			return
+		}
+	}
+}
+
+func TestPlainNothingSentIsCertain(t *testing.T) {
+	onEachPlain(t, plain.Options{}, func(t *testing.T, fake *plain.Service, subject upstream.Plain) {
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, err := subject.Invoke(ctx, bid)
+		if !errors.Is(err, upstream.ErrNotSent) {
+			t.Errorf("got %v, want ErrNotSent", err)
+		}
+		if got := fake.Effects(key); got != 0 {
+			t.Errorf("%d effects", got)
+		}
+	})
+}
+
+func TestPlainFindsOutcomesAndFences(t *testing.T) {
+	type want struct {
+		found upstream.FindResult
+		err   error
+		// late is the error of a call with the old fencing number that
+		// arrives after Find.
+		late error
+	}
+	done := upstream.Answer{Payload: answer.Reply(bid.Method, bid.Payload)}
+	cases := []struct {
+		story   string
+		options plain.Options
+		invoked bool
+		want    want
+	}{
+		{"nothing known, fences checked", plain.Options{ChecksFencing: true, FindsOutcomes: true}, false,
+			want{upstream.FindResult{State: upstream.Absent, Fenced: true}, nil, upstream.ErrOldFence}},
+		{"nothing known, fences ignored", plain.Options{FindsOutcomes: true}, false,
+			want{upstream.FindResult{State: upstream.Absent}, nil, nil}},
+		{"call done", plain.Options{ChecksFencing: true, FindsOutcomes: true}, true,
+			want{upstream.FindResult{State: upstream.Done, Answer: done, Fenced: true}, nil, upstream.ErrOldFence}},
+		{"cannot tell outcomes", plain.Options{ChecksFencing: true}, false,
+			want{upstream.FindResult{}, upstream.ErrRefused, nil}},
+	}
+	for _, c := range cases {
+		t.Run(c.story, func(t *testing.T) {
+			onEachPlain(t, c.options, func(t *testing.T, _ *plain.Service, subject upstream.Plain) {
+				if c.invoked {
+					if _, err := subject.Invoke(t.Context(), bid); err != nil {
+						t.Fatal(err)
+					}
+				}
+				found, err := subject.Find(t.Context(), key, bid.Fence+1)
+				if !errors.Is(err, c.want.err) || !cmp.Equal(found, c.want.found) {
+					t.Errorf("got %+v, %v, want %+v, %v", found, err, c.want.found, c.want.err)
+				}
+				if _, err := subject.Invoke(t.Context(), bid); !errors.Is(err, c.want.late) {
+					t.Errorf("a late call: got %v, want %v", err, c.want.late)
+				}
+				higher := bid
+				higher.Fence = ident.Fence(bid.Fence + 2)
+				if _, err := subject.Invoke(t.Context(), higher); err != nil {
+					t.Errorf("a higher fencing number: %v", err)
+				}
+			})
+		})
+	}
+}
