--- /dev/null
+++ b/internal/loadgen/booking.go
@@ -0,0 +1,104 @@
+package loadgen
+
+import (
+	"bytes"
+	"context"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	callerv1 "github.com/goldcrestspool/goldcrestspool/api/caller/v1"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/answer"
+	"github.com/goldcrestspool/goldcrestspool/internal/transport"
+)
+
+// bookingCaller carries one call that may not be repeated through to its end.
+type bookingCaller struct {
+	caller
+	request *callerv1.CallRequest
+	// doubt: a call may be running, so ask for its outcome before another.
+	doubt bool
+}
+
+// run sends the call until its outcome is final, it was refused maxRefusals
+// times, or ctx ends.
+func (b *bookingCaller) run(ctx context.Context, maxRefusals int) *finding {
+	for {
+		reply, err := b.once(ctx)
+		if err != nil {
+			if final := rejected(err); final != nil {
+				return final
+			}
+			if !b.broken(ctx) {
+				return b.giveUp(err)
+			}
+			continue
+		}
+		outcome := reply.outcome
+		switch outcome.GetKind() {
+		case callerv1.OutcomeKind_OUTCOME_KIND_COMPLETED:
+			return b.judge(reply.payload)
+		case callerv1.OutcomeKind_OUTCOME_KIND_FAILED:
+			return findingf(Failed, "%s", outcome.GetMessage())
+		case callerv1.OutcomeKind_OUTCOME_KIND_NOT_RUN:
+			b.refusals++
+			b.doubt = false
+		default:
+			b.doubt = true
+		}
+		if b.refusals >= maxRefusals || !b.told(ctx, outcome) {
+			b.last = outcome
+			return b.giveUp(nil)
+		}
+	}
+}
+
+// callReply is what a gateway said of a call.
+type callReply struct {
+	outcome *callerv1.Outcome
+	payload []byte
+}
+
+// once asks for the outcome of a call in doubt, or sends the call.
+func (b *bookingCaller) once(ctx context.Context) (callReply, error) {
+	if b.doubt {
+		return b.ask(ctx)
+	}
+	ctx, attempt := transport.Observe(ctx)
+	ctx, gateway := b.try(ctx)
+	b.request.Attempt++
+	response, err := gateway.Call(ctx, proto.CloneOf(b.request))
+	if err != nil {
+		b.doubt = !notSent(attempt, err)
+		if !b.doubt {
+			b.request.Attempt--
+		}
+		return callReply{}, err
+	}
+	return callReply{response.GetOutcome(), response.GetPayload()}, nil
+}
+
+// ask asks for the outcome. A key that nobody knows may be sent again: its
+// repeat is the gateways' to recognize.
+func (b *bookingCaller) ask(ctx context.Context) (callReply, error) {
+	ctx, gateway := b.try(ctx)
+	response, err := gateway.GetOutcome(ctx, &callerv1.GetOutcomeRequest{
+		Service:        b.request.GetService(),
+		IdempotencyKey: b.request.GetIdempotencyKey(),
+		IssuedAt:       b.request.GetIssuedAt(),
+	})
+	if err != nil {
+		b.doubt = connect.CodeOf(err) != connect.CodeNotFound
+		return callReply{}, err
+	}
+	return callReply{response.GetOutcome(), response.GetPayload()}, nil
+}
+
+func (b *bookingCaller) judge(payload []byte) *finding {
+	want := answer.Reply(ident.Method(b.request.GetMethod()), b.request.GetPayload())
+	if !bytes.Equal(payload, want) {
+		return findingf(Wrong, "payload %q, want %q", payload, want)
+	}
+	return findingf(Whole, "")
+}
--- /dev/null
+++ b/internal/loadgen/caller.go
@@ -0,0 +1,109 @@
+package loadgen
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	callerv1 "github.com/goldcrestspool/goldcrestspool/api/caller/v1"
+	"github.com/goldcrestspool/goldcrestspool/api/caller/v1/callerv1connect"
+	"github.com/goldcrestspool/goldcrestspool/internal/transport"
+)
+
+const (
+	// The wait before a caller tries again after a failed connection.
+	firstBackoff = 20 * time.Millisecond
+	maxBackoff   = time.Second
+	// defaultReturn is used where an outcome names no time to return.
+	defaultReturn = 500 * time.Millisecond
+)
+
+// caller holds the state of one request: which gateway is next, and what it
+// has cost so far.
+type caller struct {
+	gateways []callerv1connect.CallerServiceClient
+	// next is the gateway that is asked next.
+	next    int
+	token   string
+	backoff time.Duration
+	// tries counts requests to gateways.
+	tries int
+	// refusals counts outcomes that said not_run.
+	refusals int
+	// last is the outcome that was heard last, or nil.
+	last *callerv1.Outcome
+}
+
+func newGateways(client *http.Client, addresses []string) []callerv1connect.CallerServiceClient {
+	gateways := make([]callerv1connect.CallerServiceClient, len(addresses))
+	for i, address := range addresses {
+		gateways[i] = callerv1connect.NewCallerServiceClient(client, "http://"+address)
+	}
+	return gateways
+}
+
+// try prepares one request to the next gateway.
+func (c *caller) try(ctx context.Context) (context.Context, callerv1connect.CallerServiceClient) {
+	c.tries++
+	ctx, call := connect.NewClientContext(ctx)
+	call.RequestHeader().Set("Authorization", "Bearer "+c.token)
+	return ctx, c.gateways[c.next%len(c.gateways)]
+}
+
+// broken moves to another gateway after a failed connection, with a wait that
+// grows. It returns false when the caller's patience has ended.
+func (c *caller) broken(ctx context.Context) bool {
+	c.next++
+	c.backoff = min(max(2*c.backoff, firstBackoff), maxBackoff)
+	return wait(ctx, c.backoff)
+}
+
+// told notes an outcome that is not final and waits until the time to return.
+func (c *caller) told(ctx context.Context, outcome *callerv1.Outcome) bool {
+	c.next++
+	c.backoff = 0
+	c.last = outcome
+	after := outcome.GetRetryAfter().AsDuration()
+	if after <= 0 {
+		after = defaultReturn
+	}
+	return wait(ctx, after)
+}
+
+// giveUp judges a request whose caller's patience has ended.
+func (c *caller) giveUp(problem error) *finding {
+	switch c.last.GetKind() {
+	case callerv1.OutcomeKind_OUTCOME_KIND_NOT_RUN:
+		return findingf(Refused, "%s: %s", c.last.GetReason(), c.last.GetMessage())
+	case callerv1.OutcomeKind_OUTCOME_KIND_UNKNOWN, callerv1.OutcomeKind_OUTCOME_KIND_IN_PROGRESS:
+		return findingf(Unknown, "%s: %s", c.last.GetReason(), c.last.GetMessage())
+	}
+	return findingf(Lost, "no outcome after %d tries: %v", c.tries, problem)
+}
+
+// rejected returns what to say of an error that no other gateway would answer
+// differently, or nil.
+func rejected(err error) *finding {
+	switch connect.CodeOf(err) {
+	case connect.CodeUnauthenticated, connect.CodeInvalidArgument, connect.CodeUnimplemented:
+		return findingf(Lost, "rejected: %v", err)
+	}
+	return nil
+}
+
+// wait returns false if the context ends first.
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// notSent reports whether a request certainly never left this process.
+func notSent(attempt *transport.Attempt, err error) bool { return err != nil && attempt.NotSent() }
--- /dev/null
+++ b/internal/loadgen/loadgen_test.go
@@ -0,0 +1,302 @@
+package loadgen
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	callerv1 "github.com/goldcrestspool/goldcrestspool/api/caller/v1"
+	"github.com/goldcrestspool/goldcrestspool/api/caller/v1/callerv1connect"
+	"github.com/goldcrestspool/goldcrestspool/api/standin/v1/standinv1connect"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/admin"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/answer"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/plain"
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstream"
+)
+
+// errCut cuts the connection in place of an answer.
+var errCut = errors.New("cut")
+
+// gateway is a scripted gateway over a plain stand-in. Each script is used
+// once, the last one for ever.
+type gateway struct {
+	callerv1connect.UnimplementedCallerServiceHandler
+	plain *plain.Service
+
+	mu       sync.Mutex
+	streams  []streamScript
+	calls    []callScript
+	outcomes []callScript
+}
+
+// streamScript sends the tokens of a prompt from an index on.
+type streamScript func(ctx context.Context, prompt string, from, to int, send func(int, ...string)) (*callerv1.Outcome, error)
+
+// callScript answers a call.
+type callScript func(ctx context.Context, g *gateway, key string) (*callerv1.Outcome, []byte, error)
+
+// take returns the next script of a list.
+func take[S any](g *gateway, scripts *[]S) S {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	script := (*scripts)[0]
+	if len(*scripts) > 1 {
+		*scripts = (*scripts)[1:]
+	}
+	return script
+}
+
+func (g *gateway) Generate(
+	ctx context.Context, req *callerv1.GenerateRequest, out *connect.ServerStream[callerv1.GenerateResponse],
+) error {
+	outcome, err := take(g, &g.streams)(ctx, req.GetPrompt(), 0, int(req.GetMaxTokens()), func(i int, tokens ...string) {
+		frame := &callerv1.TokenFrame{Index: uint32(i), Tokens: tokens}
+		_ = out.Send(&callerv1.GenerateResponse{Event: &callerv1.GenerateResponse_Tokens{Tokens: frame}})
+	})
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	return out.Send(&callerv1.GenerateResponse{Event: &callerv1.GenerateResponse_Outcome{Outcome: outcome}})
+}
+
+func (g *gateway) Resume(
+	ctx context.Context, req *callerv1.ResumeRequest, out *connect.ServerStream[callerv1.ResumeResponse],
+) error {
+	from, to := int(req.GetNextIndex()), int(req.GetOriginal().GetMaxTokens())
+	outcome, err := take(g, &g.streams)(ctx, req.GetOriginal().GetPrompt(), from, to, func(i int, tokens ...string) {
+		frame := &callerv1.TokenFrame{Index: uint32(i), Tokens: tokens}
+		_ = out.Send(&callerv1.ResumeResponse{Event: &callerv1.ResumeResponse_Tokens{Tokens: frame}})
+	})
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	return out.Send(&callerv1.ResumeResponse{Event: &callerv1.ResumeResponse_Outcome{Outcome: outcome}})
+}
+
+func (g *gateway) Call(ctx context.Context, req *callerv1.CallRequest) (*callerv1.CallResponse, error) {
+	outcome, payload, err := take(g, &g.calls)(ctx, g, req.GetIdempotencyKey())
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	return &callerv1.CallResponse{Outcome: outcome, Payload: payload}, nil
+}
+
+func (g *gateway) GetOutcome(
+	ctx context.Context, req *callerv1.GetOutcomeRequest,
+) (*callerv1.GetOutcomeResponse, error) {
+	outcome, payload, err := take(g, &g.outcomes)(ctx, g, req.GetIdempotencyKey())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeNotFound, err)
+	}
+	return &callerv1.GetOutcomeResponse{Outcome: outcome, Payload: payload}, nil
+}
+
+func told(kind callerv1.OutcomeKind) *callerv1.Outcome {
+	return &callerv1.Outcome{Kind: kind, RetryAfter: durationpb.New(time.Millisecond)}
+}
+
+var (
+	completed = told(callerv1.OutcomeKind_OUTCOME_KIND_COMPLETED)
+	notRun    = told(callerv1.OutcomeKind_OUTCOME_KIND_NOT_RUN)
+	unknown   = told(callerv1.OutcomeKind_OUTCOME_KIND_UNKNOWN)
+)
+
+func whole(_ context.Context, prompt string, from, to int, send func(int, ...string)) (*callerv1.Outcome, error) {
+	for i := from; i < to; i++ {
+		send(i, answer.Token(prompt, i))
+	}
+	return completed, nil
+}
+
+func refuse(context.Context, string, int, int, func(int, ...string)) (*callerv1.Outcome, error) {
+	return notRun, nil
+}
+
+func cut(_ context.Context, prompt string, from, _ int, send func(int, ...string)) (*callerv1.Outcome, error) {
+	send(from, answer.Token(prompt, from))
+	return nil, errCut
+}
+
+func silent(ctx context.Context, prompt string, from, _ int, send func(int, ...string)) (*callerv1.Outcome, error) {
+	send(from, answer.Token(prompt, from))
+	<-ctx.Done()
+	return nil, errCut
+}
+
+// sends returns a script that sends one frame and calls the answer whole.
+func sends(index int, tokens func(prompt string, n int) []string) streamScript {
+	return func(_ context.Context, prompt string, _, to int, send func(int, ...string)) (*callerv1.Outcome, error) {
+		send(index, tokens(prompt, to)...)
+		return completed, nil
+	}
+}
+
+// execute runs a booking once at the plain stand-in.
+func execute(ctx context.Context, g *gateway, key string) (*callerv1.Outcome, []byte, error) {
+	got, err := g.plain.Invoke(ctx, upstream.InvokeRequest{
+		Method:  "bid",
+		Key:     ident.CallKey{Service: "auktion-app", Account: "alpha", Key: ident.Key(key)}.String(),
+		Payload: []byte("booking " + key),
+	})
+	return completed, got.Payload, err
+}
+
+func executeTwice(ctx context.Context, g *gateway, key string) (*callerv1.Outcome, []byte, error) {
+	_, _, _ = execute(ctx, g, key)
+	return execute(ctx, g, key)
+}
+
+// executeButTell executes a booking and tells something else.
+func executeButTell(outcome *callerv1.Outcome, err error) callScript {
+	return func(ctx context.Context, g *gateway, key string) (*callerv1.Outcome, []byte, error) {
+		_, _, _ = execute(ctx, g, key)
+		return outcome, []byte("something else"), err
+	}
+}
+
+// tell answers without executing anything.
+func tell(outcome *callerv1.Outcome, err error) callScript {
+	return func(_ context.Context, _ *gateway, key string) (*callerv1.Outcome, []byte, error) {
+		return outcome, answer.Reply("bid", []byte("booking "+key)), err
+	}
+}
+
+// drive sends one arrival to a scripted gateway and returns the result.
+func drive(t *testing.T, g *gateway, kind Kind) *Result {
+	t.Helper()
+	g.plain = plain.New(plain.Options{})
+	mux := http.NewServeMux()
+	mux.Handle(callerv1connect.NewCallerServiceHandler(g))
+	mux.Handle(standinv1connect.NewPlainAdminServiceHandler(&admin.Plain{Service: g.plain}))
+	address := strings.TrimPrefix(testkit.Serve(t, mux), "http://")
+	account := Account{Name: "alpha", Token: "secret", Weight: 1}
+	workload := &Workload{
+		ModelService: "spool-llm", PlainService: "auktion-app", BookingMethod: "bid",
+		Accounts: []Account{account},
+		Shapes:   map[Kind]Shape{Short: {Class: "short", PromptTokens: 8, MaxTokens: 4}},
+	}
+	run := NewRun(Options{
+		Gateways: []string{address}, Plains: []string{address},
+		Patience: 2 * time.Second, Silence: 50 * time.Millisecond, MaxRefusals: 2,
+	}, workload)
+	return run.Do(t.Context(), []Arrival{{Kind: kind, Account: account}})
+}
+
+func expect(t *testing.T, result *Result, kind Kind, want Verdict) {
+	t.Helper()
+	if got := result.Kinds[kind].Verdicts; !cmp.Equal(got, map[Verdict]int{want: 1}) {
+		t.Errorf("got %v, want %s; %+v", got, want, result.Problems)
+	}
+	if (result.Broken > 0) != want.Broken() {
+		t.Errorf("%d broken for verdict %s", result.Broken, want)
+	}
+}
+
+func TestStreamsAreJudged(t *testing.T) {
+	cases := []struct {
+		story   string
+		streams []streamScript
+		want    Verdict
+		resumes int
+	}{
+		{"whole answer", []streamScript{whole}, Whole, 0},
+		{"answer of another prompt", []streamScript{sends(0, func(_ string, n int) []string { return answer.Tokens("other", n) })}, Wrong, 0},
+		{"gap", []streamScript{sends(1, answer.Tokens)}, Wrong, 0},
+		{"more than asked", []streamScript{sends(0, func(p string, n int) []string { return answer.Tokens(p, n+1) })}, Wrong, 0},
+		{"end missing", []streamScript{sends(0, func(p string, n int) []string { return answer.Tokens(p, n-1) })}, Incomplete, 0},
+		{"resumed with a token again", []streamScript{cut, sends(0, answer.Tokens)}, Doubled, 1},
+		{"cut and resumed", []streamScript{cut, cut, whole}, Whole, 2},
+		{"silent and resumed", []streamScript{silent, whole}, Whole, 1},
+		{"refused, then served", []streamScript{refuse, whole}, Whole, 0},
+		{"cut, refused, then resumed", []streamScript{cut, refuse, whole}, Whole, 2},
+		{"refused for ever", []streamScript{refuse}, Refused, 0},
+		{"nothing but a dead connection", []streamScript{func(context.Context, string, int, int, func(int, ...string)) (*callerv1.Outcome, error) {
+			return nil, errCut
+		}}, Lost, -1},
+	}
+	for _, c := range cases {
+		t.Run(c.story, func(t *testing.T) {
+			result := drive(t, &gateway{streams: c.streams}, Short)
+			expect(t, result, Short, c.want)
+			if c.resumes >= 0 && result.Resumes != c.resumes {
+				t.Errorf("%d resumes, want %d", result.Resumes, c.resumes)
+			}
+		})
+	}
+}
+
+func TestBookingsAreJudged(t *testing.T) {
+	calls := func(scripts ...callScript) []callScript { return scripts }
+	cases := []struct {
+		story           string
+		calls, outcomes []callScript
+		want            Verdict
+	}{
+		{"executed once", calls(execute), nil, Whole},
+		{"answer of another booking", calls(executeButTell(completed, nil)), nil, Wrong},
+		{"executed twice", calls(executeTwice), nil, Doubled},
+		{"confirmed but not executed", calls(tell(completed, nil)), nil, Lost},
+		{"called not run but executed", calls(executeButTell(notRun, nil), tell(notRun, nil)), nil, Wrong},
+		{"refused, then served", calls(tell(notRun, nil), execute), nil, Whole},
+		{"refused for ever", calls(tell(notRun, nil)), nil, Refused},
+		{"answer lost, outcome found", calls(executeButTell(nil, errCut)), calls(tell(unknown, nil), tell(completed, nil)), Whole},
+		{"request lost, key unknown, sent again", calls(tell(nil, errCut), execute), calls(tell(nil, errCut)), Whole},
+		{"unknown for ever", calls(tell(unknown, nil)), calls(tell(unknown, nil)), Unknown},
+	}
+	for _, c := range cases {
+		t.Run(c.story, func(t *testing.T) {
+			result := drive(t, &gateway{calls: c.calls, outcomes: c.outcomes}, Booking)
+			expect(t, result, Booking, c.want)
+		})
+	}
+}
+
+func TestArrivalsFollowTheirRateAndShares(t *testing.T) {
+	workload := &Workload{
+		Accounts: []Account{{Name: "large", Weight: 3}, {Name: "small", Weight: 1}},
+		Weights:  map[Kind]float64{Short: 1, Booking: 1},
+	}
+	arrivals := workload.Poisson(100, 100*time.Second, 1)
+	if !cmp.Equal(arrivals, workload.Poisson(100, 100*time.Second, 1)) {
+		t.Error("the same seed gave other arrivals")
+	}
+	count := map[string]int{}
+	for _, a := range arrivals {
+		count[string(a.Account.Name)]++
+		count[string(a.Kind)]++
+	}
+	// Five standard deviations of a count of 10,000 are 500.
+	for name, want := range map[string]int{"large": 7500, "small": 2500, "short": 5000, "booking": 5000, "long": 0} {
+		if got := count[name]; got < want-500 || got > want+500 {
+			t.Errorf("%s: %d arrivals, want about %d", name, got, want)
+		}
+	}
+}
+
+func TestTraceFaultsAreReportedTogether(t *testing.T) {
+	workload := &Workload{Accounts: []Account{{Name: "alpha"}}}
+	good := `{"at_ms":5,"kind":"short","account":"alpha"}`
+	arrivals, err := workload.ReadTrace(strings.NewReader(good))
+	want := []Arrival{{At: 5 * time.Millisecond, Kind: Short, Account: Account{Name: "alpha"}}}
+	if err != nil || !cmp.Equal(arrivals, want) {
+		t.Errorf("got %+v, %v", arrivals, err)
+	}
+	bad := good + "\nnonsense\n" + `{"at_ms":1,"kind":"short","account":"alpha"}` + "\n" +
+		`{"at_ms":6,"kind":"odd","account":"alpha"}` + "\n" + `{"at_ms":7,"kind":"short","account":"beta"}`
+	_, err = workload.ReadTrace(strings.NewReader(bad))
+	for _, fault := range []string{"line 2:", "line 3: at_ms", "line 4: unknown kind", "line 5: unknown account"} {
+		if err == nil || !strings.Contains(err.Error(), fault) {
+			t.Errorf("%q is missing in %v", fault, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/loadgen/verdict.go
@@ -0,0 +1,87 @@
+package loadgen
+
+import (
+	"fmt"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/answer"
+)
+
+// Verdict says how a request ended.
+type Verdict string
+
+// The verdicts.
+const (
+	// Whole: the caller has exactly its whole answer.
+	Whole Verdict = "whole"
+	// Refused: the caller was told that the request was not run.
+	Refused Verdict = "refused"
+	// Failed: the application itself answered with an error.
+	Failed Verdict = "failed"
+	// Unknown: the caller was told that the request may have run, until its
+	// patience ended.
+	Unknown Verdict = "unknown"
+	// Wrong: something that is not the request's answer, or a refusal of a
+	// request that was executed.
+	Wrong Verdict = "wrong"
+	// Incomplete: an answer that was called whole lacks its end.
+	Incomplete Verdict = "short"
+	// Doubled: a token came twice, or a booking was executed twice.
+	Doubled Verdict = "doubled"
+	// Lost: the caller heard nothing final, or a booking that was confirmed
+	// was not executed.
+	Lost Verdict = "lost"
+)
+
+// Verdicts lists the verdicts in the order of reports.
+var Verdicts = []Verdict{Whole, Refused, Failed, Unknown, Wrong, Incomplete, Doubled, Lost}
+
+// Broken reports whether a verdict breaks a promise.
+func (v Verdict) Broken() bool {
+	return v == Wrong || v == Incomplete || v == Doubled || v == Lost
+}
+
+// finding is a verdict with what led to it.
+type finding struct {
+	verdict Verdict
+	detail  string
+}
+
+func findingf(verdict Verdict, format string, args ...any) *finding {
+	return &finding{verdict: verdict, detail: fmt.Sprintf(format, args...)}
+}
+
+// tokenCheck compares a stream with the answer that the prompt must have.
+type tokenCheck struct {
+	prompt string
+	want   int
+	got    []string
+}
+
+// add takes consecutive tokens from an index on. It returns what is wrong with
+// them, or nil.
+func (c *tokenCheck) add(index uint32, tokens []string) *finding {
+	if int(index) < len(c.got) {
+		return findingf(Doubled, "token %d came again", index)
+	}
+	if int(index) > len(c.got) {
+		return findingf(Wrong, "token %d came after %d tokens", index, len(c.got))
+	}
+	for _, token := range tokens {
+		if want := answer.Token(c.prompt, len(c.got)); token != want {
+			return findingf(Wrong, "token %d is %q, want %q", len(c.got), token, want)
+		}
+		c.got = append(c.got, token)
+	}
+	if len(c.got) > c.want {
+		return findingf(Wrong, "%d tokens, want %d", len(c.got), c.want)
+	}
+	return nil
+}
+
+// complete judges an answer that was called whole.
+func (c *tokenCheck) complete() *finding {
+	if len(c.got) < c.want {
+		return findingf(Incomplete, "%d tokens, want %d", len(c.got), c.want)
+	}
+	return findingf(Whole, "")
+}
--- a/internal/platform/connectplatform/cloud_test.go
+++ b/internal/platform/connectplatform/cloud_test.go
@@ -54,9 +54,9 @@
 		time.Sleep(3 * time.Second)
 		list.SetState("e-1", 1, platform.Leaving)
 		expectList(t, s, e)
-		time.Sleep(3*time.Second - 1)
+		time.Sleep(3*time.Second - time.Nanosecond)
 		expectList(t, s, e)
-		time.Sleep(1)
+		time.Sleep(time.Nanosecond)
 		e.State = platform.Leaving
 		expectList(t, s, e)
 	})
