routing: Router with Decide, Started, FirstToken, Finished

API for the gateway: one routing.New(DefaultParams(), time.Now()) per model or plain service; r.Decide(doc, view, Request, now) -> Decision (Found, Upstream, Address, predicted FirstToken and BetweenTokens); t := r.Started(decision, request, now) before the first byte, r.FirstToken(&t, now), r.Finished(&t, Result, now). Request.Explain fills Reasons.

First score: queue (report plus own work sent since) + uncached prefill + hop, plus price. Leaving, gone and excluded upstreams are never chosen, suspects only when nothing else is left; plain services by fewest in flight. Not measured yet.

--- /dev/null
+++ b/internal/routing/choose.go
@@ -0,0 +1,146 @@
+package routing
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+)
+
+// shortlistSize is how many of the best upstreams are compared at the end.
+const shortlistSize = 4
+
+// chooser makes one decision.
+type chooser struct {
+	router  *Router
+	view    []blackboard.Upstream
+	entries []entry
+	req     *Request
+	now     time.Time
+	plain   bool
+
+	best    [shortlistSize]candidate
+	count   int
+	reasons []Reason
+}
+
+// candidate is an upstream that could serve the request.
+type candidate struct {
+	index int
+	estimate
+}
+
+// choose returns the decision. Suspect upstreams are used only when there is
+// no other.
+func (c *chooser) choose() Decision {
+	if len(c.view) == 0 {
+		return Decision{}
+	}
+	c.shortlist(blackboard.Alive)
+	if c.count == 0 {
+		c.shortlist(blackboard.Suspect)
+	}
+	if c.count == 0 {
+		return Decision{Reasons: c.reasons}
+	}
+	return c.decision(c.draw())
+}
+
+// shortlist keeps the best usable upstreams in a state. It begins at a random
+// place, so that gateways do not all prefer the same of many equals.
+func (c *chooser) shortlist(state blackboard.MemberState) {
+	n := len(c.view)
+	start := int(c.router.params.Random() % uint64(n))
+	for k := range n {
+		i := (start + k) % n
+		if !c.usable(i, state) {
+			continue
+		}
+		e := c.estimate(i)
+		c.insert(candidate{index: i, estimate: e})
+		if c.req.Explain {
+			c.explain(i, RuleScored, fmt.Sprintf("score %.4f s, first token %.4f s, uncached %d tokens", e.score, e.firstToken, e.uncached))
+		}
+	}
+}
+
+// usable reports whether the i-th upstream may serve the request.
+func (c *chooser) usable(i int, state blackboard.MemberState) bool {
+	u := &c.view[i]
+	switch {
+	case u.State >= blackboard.Leaving || u.Report.Leaving:
+		c.explain(i, RuleLeaving, "")
+	case slices.Contains(c.req.Exclude, u.Instance.ID):
+		c.explain(i, RuleExcluded, "")
+	case u.State != state:
+		c.explain(i, RuleSuspect, "")
+	default:
+		return true
+	}
+	return false
+}
+
+func (c *chooser) explain(i int, rule Rule, detail string) {
+	if !c.req.Explain {
+		return
+	}
+	c.reasons = append(c.reasons, Reason{Upstream: c.view[i].Instance.ID, Rule: rule, Detail: detail})
+}
+
+// insert keeps the shortlist sorted by score.
+func (c *chooser) insert(x candidate) {
+	at := c.count
+	for at > 0 && c.best[at-1].score > x.score {
+		at--
+	}
+	if at == shortlistSize {
+		return
+	}
+	copy(c.best[at+1:], c.best[at:])
+	c.best[at] = x
+	c.count = min(c.count+1, shortlistSize)
+}
+
+// draw chooses from those that are nearly as good as the best. Without it all
+// gateways with the same late view would send to the same upstream at once;
+// one would notice by queues that swing from one upstream to the next.
+func (c *chooser) draw() candidate {
+	near := 1
+	limit := c.best[0].score + c.router.params.NearEqual
+	for near < c.count && c.best[near].score <= limit {
+		near++
+	}
+	if near == 1 {
+		return c.best[0]
+	}
+	random := c.router.params.Random()
+	a := c.best[random%uint64(near)]
+	b := c.best[(random>>32)%uint64(near)]
+	if c.outstanding(b) < c.outstanding(a) {
+		return b
+	}
+	return a
+}
+
+func (c *chooser) outstanding(x candidate) int64 {
+	return c.entries[x.index].slot.outstanding.Load()
+}
+
+func (c *chooser) decision(x candidate) Decision {
+	u := &c.view[x.index]
+	c.explain(x.index, RuleChosen, "")
+	d := Decision{
+		Upstream:       u.Instance.ID,
+		Address:        u.Instance.Address,
+		FirstToken:     duration(x.firstToken),
+		BetweenTokens:  duration(x.betweenTokens),
+		UncachedTokens: x.uncached,
+		Reasons:        c.reasons,
+		slot:           c.entries[x.index].slot,
+	}
+	if p, ok := u.Cache.(placer); ok {
+		d.placer = p
+	}
+	return d
+}
--- /dev/null
+++ b/internal/routing/router.go
@@ -0,0 +1,176 @@
+package routing
+
+import (
+	"maps"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+// placer is a cache view that takes notice of this gateway's own placements.
+type placer interface {
+	Placed(blocks []uint64, now time.Time)
+}
+
+// Router routes the requests of one service at one gateway. Create it with
+// New. It is safe for concurrent use.
+type Router struct {
+	params Params
+	// began is the origin of the epochs.
+	began time.Time
+	slots atomic.Pointer[slots]
+	// prepared belongs to the view seen last.
+	prepared atomic.Pointer[prepared]
+}
+
+// prepared holds what a view and a document give for every decision.
+type prepared struct {
+	first   *blackboard.Upstream
+	count   int
+	doc     *document.Document
+	entries []entry
+}
+
+// entry belongs to the upstream with the same index in the view.
+type entry struct {
+	slot *slot
+	// price is relative to the dearest upstream of the view, 0 to 1.
+	price float64
+}
+
+// New returns a Router that has sent nothing yet; now is the present.
+func New(p Params, now time.Time) *Router {
+	r := &Router{params: p, began: now}
+	r.slots.Store(&slots{})
+	r.prepared.Store(&prepared{})
+	return r
+}
+
+// Decide chooses an upstream from a view, which must not change afterwards.
+// doc may be nil: then prices are equal, and the service counts as plain if
+// the request has no prompt.
+func (r *Router) Decide(doc *document.Document, view []blackboard.Upstream, req Request, now time.Time) Decision {
+	p := r.prepare(doc, view)
+	c := chooser{router: r, view: view, entries: p.entries, req: &req, now: now}
+	c.plain = isPlain(doc, &req)
+	return c.choose()
+}
+
+func isPlain(doc *document.Document, req *Request) bool {
+	if doc != nil {
+		return doc.Kind == document.Plain
+	}
+	return req.PromptTokens == 0
+}
+
+// prepare returns the entries of a view, which are built once for each view.
+func (r *Router) prepare(doc *document.Document, view []blackboard.Upstream) *prepared {
+	p := r.prepared.Load()
+	if len(view) == 0 {
+		return &prepared{}
+	}
+	if p.first == &view[0] && p.count == len(view) && p.doc == doc {
+		return p
+	}
+	p = &prepared{first: &view[0], count: len(view), doc: doc, entries: make([]entry, len(view))}
+	highest := 0.0
+	for i := range view {
+		p.entries[i].slot = r.slot(view[i].Instance.ID)
+		p.entries[i].price = price(doc, &view[i])
+		highest = max(highest, p.entries[i].price)
+	}
+	for i := range p.entries {
+		if highest > 0 {
+			p.entries[i].price /= highest
+		}
+	}
+	r.prepared.Store(p)
+	return p
+}
+
+// price returns what an upstream costs, in cents an hour; 0 if unknown.
+func price(doc *document.Document, u *blackboard.Upstream) float64 {
+	if doc == nil {
+		return 0
+	}
+	for _, p := range doc.Placement.Prices {
+		in := u.Instance
+		if p.FailureDomain == in.FailureDomain && p.Class == in.Class && p.Reclaimable == in.Reclaimable {
+			return p.CentsPerHour
+		}
+	}
+	return 0
+}
+
+// slot returns the slot of an instance and adds it if need be.
+func (r *Router) slot(id ident.Instance) *slot {
+	for {
+		old := r.slots.Load()
+		if s := (*old)[id]; s != nil {
+			return s
+		}
+		next := maps.Clone(*old)
+		s := &slot{}
+		next[id] = s
+		if r.slots.CompareAndSwap(old, &next) {
+			return s
+		}
+	}
+}
+
+// Forget drops what is known of instances that no view contains any more.
+func (r *Router) Forget(gone []ident.Instance) {
+	for {
+		old := r.slots.Load()
+		next := maps.Clone(*old)
+		maps.DeleteFunc(next, func(id ident.Instance, _ *slot) bool { return slices.Contains(gone, id) })
+		if r.slots.CompareAndSwap(old, &next) {
+			r.prepared.Store(&prepared{})
+			return
+		}
+	}
+}
+
+// epoch numbers the buckets of time since the Router began.
+func (r *Router) epoch(at time.Time) int64 {
+	return max(0, int64(at.Sub(r.began)/bucketWidth))
+}
+
+// Started notes that an attempt is sent as decided. Call it before the first
+// byte leaves, so that concurrent decisions see it.
+func (r *Router) Started(d Decision, req Request, now time.Time) Ticket {
+	if d.slot == nil {
+		return Ticket{}
+	}
+	t := Ticket{slot: d.slot, epoch: r.epoch(now), tokens: d.UncachedTokens, waiting: true}
+	d.slot.add(t.epoch, t.tokens)
+	if d.placer != nil && len(req.Blocks) > 0 {
+		d.placer.Placed(req.Blocks, now)
+	}
+	return t
+}
+
+// FirstToken notes that the first token came. Later calls do nothing.
+func (r *Router) FirstToken(t *Ticket, _ time.Time) { t.FirstToken() }
+
+// Finished notes that an attempt ended. Later calls do nothing.
+func (r *Router) Finished(t *Ticket, _ Result, _ time.Time) {
+	if t.slot == nil {
+		return
+	}
+	t.FirstToken()
+	t.slot.outstanding.Add(-1)
+	t.slot = nil
+}
+
+// Outstanding returns how many attempts of this gateway an instance has.
+func (r *Router) Outstanding(id ident.Instance) int {
+	if s := (*r.slots.Load())[id]; s != nil {
+		return int(s.outstanding.Load())
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,108 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstream"
+)
+
+// cached is a cache view that always believes in n blocks.
+type cached float64
+
+func (c cached) Cached([]uint64, time.Time) float64 { return float64(c) }
+
+func runner(id ident.Instance, state blackboard.MemberState, queued int) blackboard.Upstream {
+	return blackboard.Upstream{
+		Instance: platform.Instance{ID: id, Address: string(id) + ":1", FailureDomain: "hall-a", Class: "gpu", Reclaimable: true},
+		State:    state,
+		Report:   upstream.Report{QueuedPrefillTokens: queued, PrefillRate: 8000, Step: 20 * time.Millisecond},
+		AsOf:     time.Unix(100, 0),
+	}
+}
+
+func TestDecide(t *testing.T) {
+	now := time.Unix(100, int64(100*time.Millisecond))
+	model := &document.Document{Kind: document.Model}
+	plain := &document.Document{Kind: document.Plain}
+	request := Request{PromptTokens: 4000, MaxTokens: 100, Blocks: make([]uint64, 62)}
+	warm := runner("warm", blackboard.Alive, 2000)
+	warm.Cache = cached(60)
+	busy := runner("busy", blackboard.Alive, 0)
+	busy.Report.Running = 3
+	leavingByReport := runner("noticed", blackboard.Alive, 0)
+	leavingByReport.Report.Leaving = true
+	cases := []struct {
+		name    string
+		doc     *document.Document
+		view    []blackboard.Upstream
+		exclude []ident.Instance
+		want    ident.Instance
+	}{
+		{"an empty view gives none", model, nil, nil, ""},
+		{"the shorter queue wins", model, []blackboard.Upstream{runner("a", blackboard.Alive, 9000), runner("b", blackboard.Alive, 10)}, nil, "b"},
+		{"a cached prefix outweighs a queue", model, []blackboard.Upstream{warm, runner("cold", blackboard.Alive, 0)}, nil, "warm"},
+		{"a leaving upstream gets nothing, even as the last", model, []blackboard.Upstream{runner("a", blackboard.Leaving, 0)}, nil, ""},
+		{"a gone upstream gets nothing", model, []blackboard.Upstream{runner("a", blackboard.Gone, 0)}, nil, ""},
+		{"an upstream that reports its own notice gets nothing", model, []blackboard.Upstream{leavingByReport}, nil, ""},
+		{"a suspect serves when there is no other", model, []blackboard.Upstream{runner("a", blackboard.Suspect, 0), runner("b", blackboard.Leaving, 0)}, nil, "a"},
+		{"a suspect serves only then", model, []blackboard.Upstream{runner("a", blackboard.Suspect, 0), runner("b", blackboard.Alive, 9000)}, nil, "b"},
+		{"an upstream that failed the request is not tried again", model, []blackboard.Upstream{runner("a", blackboard.Alive, 0), runner("b", blackboard.Alive, 9000)}, []ident.Instance{"a"}, "b"},
+		{"a plain service is chosen by fewest in flight", plain, []blackboard.Upstream{busy, runner("idle", blackboard.Alive, 0)}, nil, "idle"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := New(DefaultParams(), time.Unix(90, 0))
+			req := request
+			req.Exclude = c.exclude
+			if got := r.Decide(c.doc, c.view, req, now); got.Upstream != c.want {
+				t.Errorf("chose %q, want %q", got.Upstream, c.want)
+			}
+		})
+	}
+}
+
+// Symptom: one upstream gets a burst of requests while another idles.
+// Sequence: a report arrives; the gateway decides several times before the
+// next report. Cause: the report cannot know what was sent after it.
+func TestOwnWorkCountsUntilItsFirstToken(t *testing.T) {
+	now := time.Unix(101, 0)
+	view := []blackboard.Upstream{runner("a", blackboard.Alive, 0), runner("b", blackboard.Alive, 2000)}
+	r := New(DefaultParams(), time.Unix(90, 0))
+	req := Request{PromptTokens: 4000, MaxTokens: 10}
+	first := r.Decide(nil, view, req, now)
+	ticket := r.Started(first, req, now)
+	second := r.Decide(nil, view, req, now)
+	if first.Upstream != "a" || second.Upstream != "b" {
+		t.Fatalf("chose %q then %q, want a then b", first.Upstream, second.Upstream)
+	}
+	r.FirstToken(&ticket, now)
+	if third := r.Decide(nil, view, req, now); third.Upstream != "a" {
+		t.Errorf("after the first token chose %q, want a", third.Upstream)
+	}
+	r.Finished(&ticket, ResultDone, now)
+	r.Finished(&ticket, ResultDone, now)
+	if n := r.Outstanding("a"); n != 0 {
+		t.Errorf("%d attempts outstanding after the end, want 0", n)
+	}
+}
+
+// A report that is newer than the sending already contains it.
+func TestOwnWorkIsNotCountedTwice(t *testing.T) {
+	r := New(DefaultParams(), time.Unix(90, 0))
+	view := []blackboard.Upstream{runner("a", blackboard.Alive, 0)}
+	req := Request{PromptTokens: 4000, MaxTokens: 10}
+	now := time.Unix(101, 0)
+	alone := r.Decide(nil, view, req, now)
+	r.Started(alone, req, now)
+	view = []blackboard.Upstream{runner("a", blackboard.Alive, 0)}
+	view[0].AsOf = now.Add(bucketWidth)
+	again := r.Decide(nil, view, req, now.Add(2*bucketWidth))
+	if again.FirstToken != alone.FirstToken {
+		t.Errorf("predicted %v, want %v as before", again.FirstToken, alone.FirstToken)
+	}
+}
--- /dev/null
+++ b/internal/routing/score.go
@@ -0,0 +1,82 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	"github.com/goldcrestspool/goldcrestspool/internal/prompt"
+)
+
+// estimate is what one upstream is expected to do with one request.
+type estimate struct {
+	// score is in seconds; lower is better.
+	score float64
+	// firstToken and betweenTokens are in seconds.
+	firstToken    float64
+	betweenTokens float64
+	uncached      int
+}
+
+// estimate predicts a request at the i-th upstream of the view.
+func (c *chooser) estimate(i int) estimate {
+	u := &c.view[i]
+	unseen := c.unseen(i)
+	if c.plain {
+		return c.estimatePlain(i, unseen)
+	}
+	p := &c.router.params
+	rate := orElse(u.Report.PrefillRate, p.PrefillRate)
+	step := orElse(u.Report.Step.Seconds(), p.Step.Seconds())
+	e := estimate{betweenTokens: step, uncached: c.uncached(u)}
+	queued := float64(u.Report.QueuedPrefillTokens + unseen.tokens)
+	// Prefill shares each step with the streams that decode.
+	decode := min(step, p.Step.Seconds())
+	effective := p.StepTokens / (decode + p.StepTokens/rate)
+	e.firstToken = step/2 + (queued+float64(e.uncached))/effective + c.hop(u)
+	work := float64(e.uncached)/rate + float64(c.req.MaxTokens)*step/float64(u.Report.Running+unseen.requests+1)
+	e.score = e.firstToken + p.PriceWeight*c.entries[i].price*work
+	return e
+}
+
+// estimatePlain predicts a call of a plain service: fewest in flight wins,
+// the near ones first.
+func (c *chooser) estimatePlain(i int, unseen load) estimate {
+	u := &c.view[i]
+	known := u.Report.Running + unseen.requests
+	own := int(c.entries[i].slot.outstanding.Load())
+	return estimate{score: float64(max(known, own)) + c.hop(u)}
+}
+
+// unseen is this gateway's own work that the upstream's report cannot know.
+func (c *chooser) unseen(i int) load {
+	r := c.router
+	return c.entries[i].slot.since(r.epoch(c.view[i].AsOf), r.epoch(c.now))
+}
+
+// uncached is how many tokens of the prompt need prefill at an upstream.
+func (c *chooser) uncached(u *blackboard.Upstream) int {
+	cached := 0.0
+	if u.Cache != nil {
+		cached = u.Cache.Cached(c.req.Blocks, c.now) * prompt.BlockTokens
+	}
+	return max(1, c.req.PromptTokens-int(cached))
+}
+
+// hop is the round trip to an upstream, in seconds.
+func (c *chooser) hop(u *blackboard.Upstream) float64 {
+	if u.Instance.FailureDomain == c.req.FailureDomain {
+		return 0
+	}
+	return c.router.params.Hop.Seconds()
+}
+
+func orElse(value, fallback float64) float64 {
+	if value > 0 {
+		return value
+	}
+	return fallback
+}
+
+func duration(seconds float64) time.Duration {
+	return time.Duration(seconds * float64(time.Second))
+}
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -1,5 +1,9 @@
-// Package routing decides which upstream serves a request. Decisions are
-// pure: they depend on their arguments alone, and they say their reasons.
+// Package routing decides which upstream serves a request.
+//
+// A Router belongs to one service at one gateway. Decide depends only on its
+// arguments and on what this gateway itself sent, which the Router knows from
+// Started, FirstToken and Finished. It takes no lock, waits for nothing and,
+// unless reasons are asked for, does not allocate once a view is known.
 package routing
 
 import (
@@ -16,18 +20,41 @@
 	// Class is the zero value for plain services.
 	Class document.Class
 	// Blocks are the prefix blocks of the prompt; see package prompt.
-	Blocks       []uint64
+	Blocks []uint64
+	// PromptTokens counts the prompt and, when a stream resumes, the tokens
+	// already delivered.
 	PromptTokens int
-	MaxTokens    int
+	// MaxTokens is how many tokens are still to be generated.
+	MaxTokens int
 	// FailureDomain of the deciding gateway.
 	FailureDomain ident.FailureDomain
 	// Exclude are upstreams that already failed this request.
 	Exclude []ident.Instance
+	// Explain asks for Decision.Reasons.
+	Explain bool
 }
 
 // Rule names a reason for a decision.
 type Rule string
 
+// The rules.
+const (
+	// RuleExcluded: the upstream already failed this request.
+	RuleExcluded Rule = "excluded"
+	// RuleLeaving: the upstream is leaving or gone.
+	RuleLeaving Rule = "leaving"
+	// RuleSuspect: the upstream is suspect and others are not.
+	RuleSuspect Rule = "suspect"
+	// RuleEjected: the upstream answers much later than it reports.
+	RuleEjected Rule = "ejected"
+	// RuleFull: this gateway's concurrency limit for the upstream is reached.
+	RuleFull Rule = "full"
+	// RuleScored: the upstream could serve the request at this score.
+	RuleScored Rule = "scored"
+	// RuleChosen: the upstream serves the request.
+	RuleChosen Rule = "chosen"
+)
+
 // Reason is one step of a decision, for `spoolctl explain`.
 type Reason struct {
 	Upstream ident.Instance
@@ -42,6 +69,32 @@
 	Address  string
 	// FirstToken is the predicted time to the first token.
 	FirstToken time.Duration
+	// BetweenTokens is the predicted time between two tokens.
+	BetweenTokens time.Duration
+	// UncachedTokens is how much of the prompt is believed to need prefill.
+	UncachedTokens int
 	// Reasons are filled only when asked for, since they allocate.
 	Reasons []Reason
+
+	slot   *slot
+	placer placer
 }
+
+// Found reports whether the decision names an upstream.
+func (d Decision) Found() bool { return d.Upstream != "" }
+
+// Result says how an attempt at an upstream ended.
+type Result int
+
+// The results.
+const (
+	// ResultDone: the whole answer came.
+	ResultDone Result = 1
+	// ResultRefused: the upstream ran nothing.
+	ResultRefused Result = 2
+	// ResultFailed: the attempt broke off, or its connection did.
+	ResultFailed Result = 3
+	// ResultCancelled: the caller or the gateway gave up; says nothing about
+	// the upstream.
+	ResultCancelled Result = 4
+)
