cacheview: belief in an upstream's prefix cache from events and own placements

Fixed-size table of atomic words, 8 bytes a block at 4 ways, read without a lock. A gap in the event numbers halves the worth of older entries until they are confirmed again; age lowers it linearly. Writer of events: one goroutine (After, Apply); routing notes its placements through Placed.

--- /dev/null
+++ b/internal/cacheview/cacheview.go
@@ -0,0 +1,187 @@
+// Package cacheview believes what an upstream holds in its prefix cache, from
+// the upstream's late and gappy events and from this gateway's own placements.
+//
+// A View is a fixed-size table of atomic words: the data path reads it without
+// a lock while the events are applied, and its memory does not grow. Blocks
+// that find no room replace the least recently confirmed of their set.
+package cacheview
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstream"
+)
+
+const (
+	// ways is the size of a set in which a block may stand.
+	ways = 4
+	// spare is how many words there are for each expected block, so that few
+	// sets overflow.
+	spare = 2
+
+	// A word is a fingerprint of the block's hash above the time of its last
+	// confirmation. Two blocks of a set are taken for each other with a
+	// probability of 2^-40.
+	stampBits = 24
+	stampMask = 1<<stampBits - 1
+	// stampUnit makes the stamps last for 52 days.
+	stampShift = 28
+)
+
+// Params tell how far a View believes its entries.
+type Params struct {
+	// Blocks is how many blocks the upstream may hold.
+	Blocks int
+	// Lifetime is the age at which an unconfirmed entry is worth nothing; its
+	// worth falls linearly until then.
+	Lifetime time.Duration
+	// Distrusted is the worth of an entry older than a gap in the events, as
+	// a share of what it would be worth otherwise.
+	Distrusted float64
+}
+
+// DefaultParams returns the measured defaults.
+func DefaultParams() Params {
+	return Params{Blocks: 4096, Lifetime: 10 * time.Minute, Distrusted: 0.5}
+}
+
+// View is what is believed of one incarnation of one upstream. Apply has one
+// caller; the other methods are safe for concurrent use.
+type View struct {
+	params Params
+	began  time.Time
+	sets   uint64
+	words  []atomic.Uint64
+	// last is the sequence number of the newest event applied.
+	last atomic.Uint64
+	// distrustBefore is the stamp of the last gap.
+	distrustBefore atomic.Uint64
+}
+
+var _ blackboard.CachedPrefix = (*View)(nil)
+
+// New returns an empty View; now is the present.
+func New(p Params, now time.Time) *View {
+	sets := uint64(max(1, p.Blocks*spare/ways))
+	return &View{params: p, began: now, sets: sets, words: make([]atomic.Uint64, sets*ways)}
+}
+
+// After returns the sequence number above which events are wanted.
+func (v *View) After() uint64 { return v.last.Load() }
+
+// Apply takes events in, which are in order. A hole in their numbers means
+// that evictions may have been missed: all that is older is believed less
+// until it is confirmed again.
+func (v *View) Apply(events []upstream.CacheEvent, now time.Time) {
+	for _, e := range events {
+		last := v.last.Load()
+		if e.Sequence <= last {
+			continue
+		}
+		if e.Sequence != last+1 {
+			v.distrustBefore.Store(v.stamp(now))
+		}
+		v.last.Store(e.Sequence)
+		if e.Stored {
+			v.confirm(e.Block, now)
+		} else {
+			v.remove(e.Block)
+		}
+	}
+}
+
+// Placed notes that this gateway sends a prompt with these blocks, which the
+// upstream will then hold.
+func (v *View) Placed(blocks []uint64, now time.Time) {
+	for _, b := range blocks {
+		v.confirm(b, now)
+	}
+}
+
+// Cached returns how many leading blocks are believed cached, weighed by how
+// much that belief is worth.
+func (v *View) Cached(blocks []uint64, now time.Time) float64 {
+	present := v.stamp(now)
+	distrust := v.distrustBefore.Load()
+	lifetime := float64(v.params.Lifetime >> stampShift)
+	sum := 0.0
+	for _, b := range blocks {
+		stamp, ok := v.find(b)
+		if !ok {
+			break
+		}
+		worth := 1 - float64(present-min(stamp, present))/lifetime
+		if stamp < distrust {
+			worth *= v.params.Distrusted
+		}
+		if worth <= 0 {
+			break
+		}
+		sum += worth
+	}
+	return sum
+}
+
+// stamp numbers the times since the View began, from 1.
+func (v *View) stamp(now time.Time) uint64 {
+	return uint64(max(0, now.Sub(v.began))>>stampShift)&stampMask + 1
+}
+
+// set returns the words where a block may stand.
+func (v *View) set(block uint64) []atomic.Uint64 {
+	i := block % v.sets * ways
+	return v.words[i : i+ways]
+}
+
+func fingerprint(block uint64) uint64 { return block >> stampBits }
+
+func (v *View) find(block uint64) (stamp uint64, ok bool) {
+	set := v.set(block)
+	for i := range set {
+		word := set[i].Load()
+		if word != 0 && word>>stampBits == fingerprint(block) {
+			return word & stampMask, true
+		}
+	}
+	return 0, false
+}
+
+// confirm notes a block as present now.
+func (v *View) confirm(block uint64, now time.Time) {
+	set := v.set(block)
+	word := fingerprint(block)<<stampBits | v.stamp(now)
+	for {
+		place, old := victim(set, fingerprint(block))
+		if place.CompareAndSwap(old, word) {
+			return
+		}
+	}
+}
+
+// victim returns the word to replace: the block's own, an empty one, or the
+// one that was confirmed longest ago.
+func victim(set []atomic.Uint64, print uint64) (place *atomic.Uint64, old uint64) {
+	oldest := uint64(stampMask) + 1
+	for i := range set {
+		word := set[i].Load()
+		if word != 0 && word>>stampBits == print {
+			return &set[i], word
+		}
+		if stamp := word & stampMask; stamp < oldest {
+			place, old, oldest = &set[i], word, stamp
+		}
+	}
+	return place, old
+}
+
+func (v *View) remove(block uint64) {
+	set := v.set(block)
+	for i := range set {
+		word := set[i].Load()
+		if word != 0 && word>>stampBits == fingerprint(block) {
+			set[i].CompareAndSwap(word, 0)
+		}
+	}
+}
