Admission: gate with fair queue, account limits, return times; retry budget; ejection; concurrency limit

First API for the gateway and the driver: admission.New, Admit, Ticket.Done; gate.Gate is the pure form. The waiting queue is fuzzed under virtual time; the other packages' tests follow.

--- /dev/null
+++ b/internal/admission/concurrency/limit.go
@@ -0,0 +1,126 @@
+// Package concurrency finds how many requests one gateway may have in flight
+// at one upstream, from the latency that it observes there.
+//
+// The limit follows the ratio of unloaded to observed latency (a gradient): as
+// long as answers come at about the unloaded latency it grows by an allowance
+// for a short queue; when they come later it shrinks in proportion. A dropped
+// request shrinks it at once. Gateways that share an upstream need not talk:
+// all see the same latency. The package is pure.
+package concurrency
+
+import (
+	"math"
+	"time"
+)
+
+// Defaults of Config.
+const (
+	DefaultInitial   = 8
+	DefaultMin       = 1
+	DefaultMax       = 256
+	DefaultTolerance = 2.0
+)
+
+const (
+	// smoothing is the weight of one sample in the limit.
+	smoothing = 0.1
+	// steepest bounds how much one sample can shrink the limit.
+	steepest = 0.5
+	// dropFactor shrinks the limit when a request was dropped.
+	dropFactor = 0.9
+	// usedShare of the limit has to be in flight before it may grow: an
+	// upstream that is not asked for much proves nothing about more.
+	usedShare = 0.5
+	// baselineDrift lets a measured baseline rise again per sample, so that
+	// one lucky answer, or a version that was faster, is forgotten.
+	baselineDrift = 0.001
+)
+
+// Config bounds a limit.
+type Config struct {
+	Initial, Min, Max float64
+	// Tolerance is how many times the unloaded latency is still taken as
+	// no queue, 1 or more.
+	Tolerance float64
+}
+
+func (c Config) withDefaults() Config {
+	if c.Initial <= 0 {
+		c.Initial = DefaultInitial
+	}
+	if c.Min <= 0 {
+		c.Min = DefaultMin
+	}
+	if c.Max <= 0 {
+		c.Max = DefaultMax
+	}
+	if c.Tolerance < 1 {
+		c.Tolerance = DefaultTolerance
+	}
+	return c
+}
+
+// Sample is one ended request.
+type Sample struct {
+	// Latency to the first token, or to the answer of a plain service.
+	Latency time.Duration
+	// Unloaded is the latency expected of an idle upstream. 0: use the
+	// least that was observed.
+	Unloaded time.Duration
+	// InFlight at this upstream from this gateway when it was sent.
+	InFlight int
+	// Dropped: refused for load, timed out, or failed without an answer.
+	Dropped bool
+}
+
+// Limit is the limit of one upstream. See New.
+type Limit struct {
+	config   Config
+	value    float64
+	baseline float64
+}
+
+// New returns a limit at its initial value.
+func New(config Config) *Limit {
+	config = config.withDefaults()
+	return &Limit{config: config, value: config.Initial}
+}
+
+// Value returns how many requests may be in flight.
+func (l *Limit) Value() int { return int(l.value) }
+
+// Observe takes in one ended request.
+func (l *Limit) Observe(s Sample) {
+	if s.Dropped {
+		l.set(l.value * dropFactor)
+		return
+	}
+	if s.Latency <= 0 {
+		return
+	}
+	gradient := l.config.Tolerance * l.unloaded(s) / s.Latency.Seconds()
+	gradient = min(max(gradient, steepest), 1)
+	next := l.value*gradient + math.Sqrt(l.value)
+	if next > l.value && float64(s.InFlight) < usedShare*l.value {
+		return
+	}
+	l.set(l.value + smoothing*(next-l.value))
+}
+
+func (l *Limit) set(value float64) {
+	l.value = min(max(value, l.config.Min), l.config.Max)
+}
+
+// unloaded returns the baseline in seconds.
+func (l *Limit) unloaded(s Sample) float64 {
+	if s.Unloaded > 0 {
+		return s.Unloaded.Seconds()
+	}
+	latency := s.Latency.Seconds()
+	if l.baseline == 0 || latency < l.baseline {
+		l.baseline = latency
+	} else {
+		l.baseline += baselineDrift * (latency - l.baseline)
+	}
+	return l.baseline
+}
--- /dev/null
+++ b/internal/admission/fairshare/account.go
@@ -0,0 +1,251 @@
+package fairshare
+
+import (
+	"container/heap"
+	"slices"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+// meanWeight is the weight of one grant in the moving average of costs.
+const meanWeight = 0.05
+
+func effective(weight float64) float64 {
+	if weight <= 0 {
+		return 1
+	}
+	return weight
+}
+
+// account finds or creates an account and updates its weight.
+func (q *Queue) account(name ident.ClientAccount, weight float64) *account {
+	weight = effective(weight)
+	a := q.accounts[name]
+	if a == nil {
+		a = &account{name: name, weight: weight, slot: -1}
+		q.accounts[name] = a
+		return a
+	}
+	if a.weight != weight {
+		if a.slot >= 0 {
+			q.weights += weight - a.weight
+		}
+		a.weight = weight
+	}
+	return a
+}
+
+// enter makes an account backlogged. An account that was idle starts at the
+// present: it neither saves up service nor pays for what it used while nobody
+// else waited.
+func (q *Queue) enter(a *account) {
+	a.tag = max(a.tag, q.clock)
+	a.slot = len(q.backlogged)
+	q.backlogged = append(q.backlogged, a)
+	q.weights += a.weight
+}
+
+func (q *Queue) leave(a *account) {
+	last := len(q.backlogged) - 1
+	moved := q.backlogged[last]
+	q.backlogged[a.slot] = moved
+	moved.slot = a.slot
+	q.backlogged[last] = nil
+	q.backlogged = q.backlogged[:last]
+	a.slot = -1
+	q.weights -= a.weight
+	for _, l := range a.lanes {
+		l.credit = 0
+	}
+	if len(q.backlogged) == 0 {
+		// Sums of floats drift; an empty queue starts from exact zero.
+		q.weights = 0
+	}
+}
+
+// take removes a queued item from its lane.
+func (q *Queue) take(item *Item) {
+	l := item.lane
+	heap.Remove(&l.items, item.position-1)
+	q.count(item, -1)
+	if l.items.Len() == 0 {
+		l.queued, l.returning, l.credit = 0, 0, 0
+	}
+	if a := l.account; a.length == 0 {
+		a.queued = 0
+		q.leave(a)
+	}
+}
+
+// count adds an item to the totals, or takes it from them.
+func (q *Queue) count(item *Item, sign int) {
+	l := item.lane
+	cost := float64(sign) * item.cost()
+	l.queued += cost
+	if item.Returning {
+		l.returning += cost
+	}
+	l.account.queued += cost
+	l.account.length += sign
+	q.length += sign
+}
+
+func (q *Queue) charge(a *account, cost float64) {
+	if cost <= 0 {
+		cost = 1
+	}
+	a.tag += cost / a.weight
+	if q.meanCost == 0 {
+		q.meanCost = cost
+	}
+	q.meanCost += meanWeight * (cost - q.meanCost)
+}
+
+func (q *Queue) smallestTag() float64 {
+	smallest := q.backlogged[0].tag
+	for _, a := range q.backlogged[1:] {
+		smallest = min(smallest, a.tag)
+	}
+	return smallest
+}
+
+// chooseAccount returns the account to serve: of those within the lead, the
+// one with the most urgent class, then the one furthest behind.
+func (q *Queue) chooseAccount() *account {
+	limit := q.smallestTag() + q.config.Lead*q.meanCost
+	var best *account
+	bestPriority := 0
+	for _, a := range q.backlogged {
+		if a.tag > limit {
+			continue
+		}
+		priority := a.urgency()
+		if best == nil || priority > bestPriority || (priority == bestPriority && before(a, best)) {
+			best, bestPriority = a, priority
+		}
+	}
+	return best
+}
+
+// before breaks ties by name, so that a run gives the same order every time.
+func before(a, b *account) bool {
+	if a.tag != b.tag {
+		return a.tag < b.tag
+	}
+	return a.name < b.name
+}
+
+// lane finds or creates the lane of a priority.
+func (a *account) lane(priority int) *lane {
+	i, found := slices.BinarySearchFunc(a.lanes, priority, func(l *lane, p int) int { return p - l.priority })
+	if !found {
+		a.lanes = slices.Insert(a.lanes, i, &lane{account: a, priority: priority})
+	}
+	return a.lanes[i]
+}
+
+// urgency returns the highest priority that waits.
+func (a *account) urgency() int {
+	for _, l := range a.lanes {
+		if len(l.items) > 0 {
+			return l.priority
+		}
+	}
+	return 0
+}
+
+// chooseLane returns the lane to serve: one that has earned its share, the
+// least urgent first, else the most urgent.
+//
+// Without the earned share a steady flow of short replies would keep a long
+// review waiting for ever; it would show as a wait that grows with the flow's
+// length. With it, a lane gets at least share of the account's cost.
+func (a *account) chooseLane(share float64) *lane {
+	var urgent *lane
+	for i := len(a.lanes) - 1; i >= 0; i-- {
+		l := a.lanes[i]
+		if len(l.items) == 0 {
+			continue
+		}
+		if l.credit >= price(l.items[0], share) {
+			return l
+		}
+		urgent = l
+	}
+	return urgent
+}
+
+// price is the cost of other lanes after which an item has earned its grant.
+func price(item *Item, share float64) float64 { return item.cost() * (1 - share) / share }
+
+// settleCredit gives the waiting lanes credit for the served cost, and takes
+// the price of an earned grant from the served lane.
+func (a *account) settleCredit(served *lane, cost, share float64) {
+	for _, l := range a.lanes {
+		if l != served && len(l.items) > 0 {
+			l.credit += cost
+		}
+	}
+	served.credit = max(0, served.credit-price(served.items[0], share))
+}
+
+// last returns the item that would be served last: the least urgent lane's
+// latest.
+func (a *account) last() *Item {
+	for i := len(a.lanes) - 1; i >= 0; i-- {
+		if items := a.lanes[i].items; len(items) > 0 {
+			return items.latest()
+		}
+	}
+	return nil
+}
+
+// itemHeap orders items: returning first, then by latest start, then by
+// arrival.
+type itemHeap []*Item
+
+func (h itemHeap) Len() int           { return len(h) }
+func (h itemHeap) Less(i, j int) bool { return earlier(h[i], h[j]) }
+
+func (h itemHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].position, h[j].position = i+1, j+1
+}
+
+// Push implements heap.Interface.
+func (h *itemHeap) Push(x any) {
+	item := x.(*Item)
+	*h = append(*h, item)
+	item.position = len(*h)
+}
+
+// Pop implements heap.Interface.
+func (h *itemHeap) Pop() any {
+	old := *h
+	last := len(old) - 1
+	item := old[last]
+	old[last] = nil
+	*h = old[:last]
+	item.position = 0
+	return item
+}
+
+func (h itemHeap) latest() *Item {
+	latest := h[0]
+	for _, item := range h[1:] {
+		if earlier(latest, item) {
+			latest = item
+		}
+	}
+	return latest
+}
+
+func earlier(a, b *Item) bool {
+	if a.Returning != b.Returning {
+		return a.Returning
+	}
+	if !a.LatestStart.Equal(b.LatestStart) {
+		return a.LatestStart.Before(b.LatestStart)
+	}
+	return a.sequence < b.sequence
+}
--- /dev/null
+++ b/internal/admission/fairshare/queue.go
@@ -0,0 +1,235 @@
+// Package fairshare orders waiting requests: client accounts share a service
+// by weight, and within that a short class goes before a long one, yet no
+// class starves.
+//
+// Accounts are kept in step by start-time fair queueing: every grant moves its
+// account's tag forward by cost/weight, and only accounts whose tag lies
+// within a lead of the smallest tag may be served. Among those, the most
+// urgent class goes first. Within an account, a class that is passed over
+// collects credit and is served once it has earned its guaranteed share.
+//
+// The package is pure: no clock, no goroutine, no lock.
+package fairshare
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+// Defaults of Config.
+const (
+	DefaultLead       = 4
+	DefaultClassShare = 0.2
+)
+
+// Config sets how strictly accounts and classes are kept in step.
+type Config struct {
+	// Lead is how far one account may run ahead of another so that an
+	// urgent class goes first, in mean costs per unit of weight.
+	Lead float64
+	// ClassShare is the share of an account's cost, 0 to 1, that a waiting
+	// class gets even while more urgent ones wait.
+	ClassShare float64
+}
+
+func (c Config) withDefaults() Config {
+	if c.Lead <= 0 {
+		c.Lead = DefaultLead
+	}
+	if c.ClassShare <= 0 {
+		c.ClassShare = DefaultClassShare
+	}
+	return c
+}
+
+// Item is one waiting request. It is in at most one queue.
+type Item struct {
+	Account ident.ClientAccount
+	// Weight is the account's share; 0 counts as 1.
+	Weight float64
+	// Priority of the class: higher is more urgent.
+	Priority int
+	// Cost in any unit that is the same for all items; 0 counts as 1.
+	Cost float64
+	// LatestStart orders items of one account and class.
+	LatestStart time.Time
+	// Returning items were refused before and go ahead of first tries of
+	// the same account and class.
+	Returning bool
+
+	sequence uint64
+	// position in the lane's heap, from 1; 0 is not queued.
+	position int
+	lane     *lane
+}
+
+// Queued reports whether the item waits in a queue.
+func (i *Item) Queued() bool { return i.position > 0 }
+
+func (i *Item) cost() float64 {
+	if i.Cost <= 0 {
+		return 1
+	}
+	return i.Cost
+}
+
+// lane holds the waiting items of one account and priority.
+type lane struct {
+	account  *account
+	priority int
+	items    itemHeap
+	// queued is the cost of all items; returning of those that return.
+	queued, returning float64
+	// credit is the cost of other lanes served while this one waited.
+	credit float64
+}
+
+// account is what the queue remembers of a client account.
+type account struct {
+	name   ident.ClientAccount
+	weight float64
+	// tag is the virtual time at which the account's next grant starts.
+	tag float64
+	// lanes by falling priority. Empty ones are kept: classes are few.
+	lanes []*lane
+	// length and queued count all lanes' items and their cost.
+	length int
+	queued float64
+	// slot is the index in Queue.backlogged; -1 when nothing waits.
+	slot int
+}
+
+// Queue orders waiting items. The zero value is not usable; see New.
+type Queue struct {
+	config   Config
+	accounts map[ident.ClientAccount]*account
+	// backlogged are the accounts with waiting items, in no order.
+	backlogged []*account
+	// clock is the virtual time: the smallest tag served so far.
+	clock float64
+	// meanCost is a moving average of the costs granted.
+	meanCost float64
+	weights  float64
+	length   int
+	sequence uint64
+}
+
+// New returns an empty queue.
+func New(config Config) *Queue {
+	return &Queue{config: config.withDefaults(), accounts: map[ident.ClientAccount]*account{}}
+}
+
+// Len returns how many items wait.
+func (q *Queue) Len() int { return q.length }
+
+// Push adds an item. Its weight becomes its account's.
+func (q *Queue) Push(item *Item) {
+	a := q.account(item.Account, item.Weight)
+	if a.slot < 0 {
+		q.enter(a)
+	}
+	l := a.lane(item.Priority)
+	q.sequence++
+	item.sequence = q.sequence
+	item.lane = l
+	heap.Push(&l.items, item)
+	q.count(item, 1)
+}
+
+// Pop removes the item to grant next and charges its account. It returns nil
+// when nothing waits.
+func (q *Queue) Pop() *Item {
+	if q.length == 0 {
+		return nil
+	}
+	q.clock = max(q.clock, q.smallestTag())
+	a := q.chooseAccount()
+	l := a.chooseLane(q.config.ClassShare)
+	item := l.items[0]
+	a.settleCredit(l, item.cost(), q.config.ClassShare)
+	q.take(item)
+	q.charge(a, item.cost())
+	return item
+}
+
+// Remove takes an item out without a grant. It reports whether it waited.
+func (q *Queue) Remove(item *Item) bool {
+	if !item.Queued() {
+		return false
+	}
+	q.take(item)
+	return true
+}
+
+// Charge accounts for a grant that never waited.
+func (q *Queue) Charge(name ident.ClientAccount, weight, cost float64) {
+	a := q.account(name, weight)
+	a.tag = max(a.tag, q.clock)
+	if q.length == 0 {
+		q.clock = a.tag
+	}
+	q.charge(a, cost)
+}
+
+// Correct adds to an account what a grant cost beyond its estimate; extra may
+// be negative.
+func (q *Queue) Correct(name ident.ClientAccount, extra float64) {
+	if a := q.accounts[name]; a != nil {
+		a.tag += extra / a.weight
+	}
+}
+
+// Victim returns the item to push out so that incoming finds room: the last
+// item of the account that waits with most cost for its weight. It returns
+// nil when that account is incoming's own, or no account waits with more.
+func (q *Queue) Victim(incoming *Item) *Item {
+	own := q.account(incoming.Account, incoming.Weight)
+	worst, most := own, (own.queued+incoming.cost())/own.weight
+	for _, a := range q.backlogged {
+		if load := a.queued / a.weight; load > most {
+			worst, most = a, load
+		}
+	}
+	if worst == own {
+		return nil
+	}
+	return worst.last()
+}
+
+// Share returns the part of the service, 0 to 1, that an account gets while
+// the accounts that now wait go on waiting.
+func (q *Queue) Share(name ident.ClientAccount, weight float64) float64 {
+	weight = effective(weight)
+	total := q.weights
+	if a := q.accounts[name]; a == nil || a.slot < 0 {
+		total += weight
+	}
+	return weight / total
+}
+
+// Ahead returns the time, as cost at the account's own share, that an item
+// would wait in the worst case: returning requests ahead of it, then its own
+// lane, and the more urgent lanes of its account as far as they may hold it up.
+func (q *Queue) Ahead(item *Item) float64 {
+	a := q.accounts[item.Account]
+	if a == nil {
+		return 0
+	}
+	var own, urgent float64
+	for _, l := range a.lanes {
+		switch {
+		case l.priority > item.Priority:
+			urgent += l.queued
+		case l.priority == item.Priority && item.Returning:
+			own = l.returning
+		case l.priority == item.Priority:
+			own = l.queued
+		}
+	}
+	if urgent == 0 {
+		return own
+	}
+	return (own + item.cost()) / q.config.ClassShare
+}
--- /dev/null
+++ b/internal/admission/gate/meter.go
@@ -0,0 +1,66 @@
+package gate
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// meterMemory is the time constant of a meter.
+	meterMemory = 10 * time.Second
+	// holdMemory is how many ended requests the holds remember.
+	holdMemory = 50
+)
+
+// meter is an exponentially decaying rate a second. The zero value is 0.
+type meter struct {
+	value float64
+	at    time.Time
+}
+
+func (m *meter) add(now time.Time, amount float64) {
+	m.value = m.rate(now) + amount/meterMemory.Seconds()
+	m.at = now
+}
+
+func (m *meter) rate(now time.Time) float64 {
+	if m.value == 0 {
+		return 0
+	}
+	return m.value * math.Exp(-now.Sub(m.at).Seconds()/meterMemory.Seconds())
+}
+
+// holds measures how long a slot is held for one unit of cost. By Little's
+// law, slots over that time is the drain rate, also while no queue exists.
+type holds struct {
+	// assumed stands in before the first request ended.
+	assumed             time.Duration
+	seconds, cost, ends float64
+}
+
+func (h *holds) add(held time.Duration, cost float64) {
+	const keep = 1 - 1.0/holdMemory
+	h.seconds = h.seconds*keep + held.Seconds()
+	h.cost = h.cost*keep + cost
+	h.ends = h.ends*keep + 1
+}
+
+// perCost is the slot time of one unit of cost, above 0.
+func (h *holds) perCost() time.Duration {
+	if h.cost == 0 {
+		return h.assumed
+	}
+	return max(time.Duration(h.seconds/h.cost*float64(time.Second)), time.Microsecond)
+}
+
+// of is the expected slot time of a cost.
+func (h *holds) of(cost float64) time.Duration {
+	return time.Duration(cost * float64(h.perCost()))
+}
+
+func (h *holds) meanCost() float64 {
+	if h.ends == 0 {
+		return 1
+	}
+	return h.cost / h.ends
+}
--- /dev/null
+++ b/internal/admission/gate/plan.go
@@ -0,0 +1,174 @@
+package gate
+
+import (
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/admission/fairshare"
+	"github.com/goldcrestspool/goldcrestspool/internal/admission/returntime"
+	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
+)
+
+const (
+	// returnReserve is the part of a target that first tries leave to
+	// requests that were told to return.
+	returnReserve = 0.25
+	// leastFirstShare is the part of an account's drain rate that first
+	// tries can count on, however many requests return.
+	leastFirstShare = 0.1
+	// noUpstreamReturn is the return time while no upstream is there.
+	noUpstreamReturn = 2 * time.Second
+)
+
+// The sentences that callers hear.
+const (
+	messageRate       = "The client account sends more requests a second than its limit."
+	messageInFlight   = "The client account has as many requests in progress as its limit."
+	messageNoUpstream = "No upstream can serve the request now."
+	messageOverloaded = "The answer would come later than its class allows."
+	messageDeadline   = "The request's deadline would pass before its answer."
+	messageCancelled  = "The caller gave the request up before it ran."
+)
+
+// plan is whether a request can start in time.
+type plan struct {
+	refused bool
+	refusal outcome.Outcome
+}
+
+// prepare fills the entry's place in the queue.
+func (g *Gate) prepare(now time.Time, e *Entry) {
+	r := &e.Request
+	cost := r.Cost
+	if cost <= 0 {
+		cost = 1
+	}
+	e.Item = fairshare.Item{
+		Account:     r.Account,
+		Weight:      r.Limit.Share,
+		Priority:    r.Class.Priority,
+		Cost:        cost,
+		LatestStart: g.latestStart(now, r),
+		Returning:   r.returning(),
+	}
+}
+
+// target is the time that the class allows up to the first token. A request
+// that would miss it on an idle upstream is measured by twice its own best:
+// refusing it now and at every return would be untruthful.
+func target(r *Request) time.Duration {
+	if r.Class.FirstToken <= 0 {
+		return 0
+	}
+	return max(r.Class.FirstToken, 2*r.Unloaded)
+}
+
+// latestStart is the last moment at which a grant still meets the class's
+// targets and the caller's deadline.
+func (g *Gate) latestStart(now time.Time, r *Request) time.Time {
+	wait := g.config.MaxWait
+	bounded := false
+	if t := target(r); t > 0 {
+		wait, bounded = t-r.Predicted, true
+	}
+	if r.Class.Completion > 0 {
+		left := r.Class.Completion - r.Predicted - r.Remaining
+		if !bounded || left < wait {
+			wait = left
+		}
+	}
+	latest := now.Add(wait)
+	if byDeadline := r.Deadline.Add(-r.Predicted - r.Remaining); !r.Deadline.IsZero() && byDeadline.Before(latest) {
+		latest = byDeadline
+	}
+	return latest
+}
+
+// checkLimits refuses a request that exceeds its account's limits.
+func (g *Gate) checkLimits(now time.Time, c *client, e *Entry) (outcome.Outcome, bool) {
+	if c.quota.Full() {
+		limit := c.quota.Limit().MaxInFlight
+		gap := g.holds.of(e.Item.Cost) / time.Duration(limit)
+		after := c.limited.Book(now, gap, gap, e.Request.ID)
+		return outcome.NewNotRun(outcome.ReasonRateLimited, messageInFlight, after), true
+	}
+	if delay := c.quota.Delay(now, e.Request.returning()); delay > 0 {
+		after := c.limited.Book(now, delay, c.quota.Gap(), e.Request.ID)
+		return outcome.NewNotRun(outcome.ReasonRateLimited, messageRate, after), true
+	}
+	return outcome.Outcome{}, false
+}
+
+// plan refuses a request that cannot start in time.
+func (g *Gate) plan(now time.Time, c *client, e *Entry) plan {
+	r := &e.Request
+	if !r.Deadline.IsZero() && !now.Add(r.Predicted).Before(r.Deadline) {
+		return plan{refused: true, refusal: g.deadline(now, c, e)}
+	}
+	if g.slots == 0 {
+		after := returntime.Spread(noUpstreamReturn, r.ID)
+		return plan{refused: true, refusal: outcome.NewNotRun(outcome.ReasonNoUpstream, messageNoUpstream, after)}
+	}
+	budget := e.Item.LatestStart.Sub(now)
+	if !r.returning() && now.Before(g.bookedUntil) {
+		// Without this reserve a first try takes each place as it appears,
+		// and those who return as told find none.
+		budget -= time.Duration(returnReserve * float64(target(r)))
+	}
+	wait := g.wait(now, c, e)
+	if wait > budget {
+		return plan{refused: true, refusal: g.overloaded(now, c, e, wait-budget)}
+	}
+	return plan{}
+}
+
+// wait predicts how long a request waits for a slot.
+func (g *Gate) wait(now time.Time, c *client, e *Entry) time.Duration {
+	if g.queue.Len() == 0 && g.inFlight < g.slots {
+		return 0
+	}
+	rate := g.rate(e)
+	if !e.Request.returning() {
+		rate = max(rate-c.returns.rate(now), rate*leastFirstShare)
+	}
+	ahead := g.queue.Ahead(&e.Item) + g.holds.meanCost()
+	return seconds(ahead / rate)
+}
+
+// rate is the cost a second that the entry's account is served.
+func (g *Gate) rate(e *Entry) float64 {
+	perSlot := 1 / g.holds.perCost().Seconds()
+	return float64(max(g.slots, 1)) * perSlot * g.queue.Share(e.Item.Account, e.Item.Weight)
+}
+
+// overloaded refuses for load, with a turn after the excess has drained.
+func (g *Gate) overloaded(now time.Time, c *client, e *Entry, excess time.Duration) outcome.Outcome {
+	return outcome.NewNotRun(outcome.ReasonOverloaded, messageOverloaded, g.book(now, c, e, excess))
+}
+
+// deadline refuses for the caller's own deadline.
+func (g *Gate) deadline(now time.Time, c *client, e *Entry) outcome.Outcome {
+	return outcome.NewNotRun(outcome.ReasonDeadline, messageDeadline, g.book(now, c, e, 0))
+}
+
+// late is what a caller hears whose turn did not come in time.
+func (g *Gate) late(now time.Time, c *client, e *Entry) outcome.Outcome {
+	if d := e.Request.Deadline; !d.IsZero() && !now.Add(e.Request.Predicted+e.Request.Remaining).Before(d) {
+		return g.deadline(now, c, e)
+	}
+	return g.overloaded(now, c, e, 0)
+}
+
+func (g *Gate) book(now time.Time, c *client, e *Entry, earliest time.Duration) time.Duration {
+	gap := seconds(e.Item.Cost / g.rate(e))
+	after := c.overload.Book(now, earliest, gap, e.Request.ID)
+	if until := now.Add(after); until.After(g.bookedUntil) {
+		g.bookedUntil = until
+	}
+	return after
+}
+
+// seconds converts without overflow.
+func seconds(s float64) time.Duration {
+	const most = float64(returntime.Max/time.Second) * 10
+	return time.Duration(min(s, most) * float64(time.Second))
+}
--- /dev/null
+++ b/internal/admission/service.go
@@ -0,0 +1,243 @@
+package admission
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/admission/concurrency"
+	"github.com/goldcrestspool/goldcrestspool/internal/admission/ejection"
+	"github.com/goldcrestspool/goldcrestspool/internal/admission/gate"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
+)
+
+// service is the admission of one service. Its lock is held for the length of
+// one decision and never while waiting.
+type service struct {
+	config  Config
+	metrics *Metrics
+
+	mu      sync.Mutex
+	gate    *gate.Gate
+	waiting map[*gate.Entry]*Ticket
+	// upstreams is nil until setUpstreams was called; the gate's own slots
+	// count until then.
+	upstreams map[ident.Instance]*concurrency.Limit
+	ejection  *ejection.Set
+
+	// exclusion is the last exclusion; see excluded.
+	exclusion atomic.Pointer[exclusion]
+}
+
+// exclusion is the upstreams that get no request, until a time.
+type exclusion struct {
+	ids []ident.Instance
+	// until is when the list changes by time alone; zero is never.
+	until time.Time
+}
+
+func newService(config Config, metrics *Metrics) *service {
+	s := &service{
+		config:   config,
+		metrics:  metrics,
+		gate:     gate.New(config.Gate),
+		waiting:  map[*gate.Entry]*Ticket{},
+		ejection: ejection.New(config.Ejection),
+	}
+	s.exclusion.Store(&exclusion{})
+	return s
+}
+
+// admit decides on a ticket's entry and waits if it has to.
+func (s *service) admit(ctx context.Context, t *Ticket) *outcome.Outcome {
+	if ctx.Err() != nil {
+		refusal := outcome.NewNotRun(reasonOf(ctx), "The request was given up before it ran.", 0)
+		return &refusal
+	}
+	now := time.Now()
+	s.mu.Lock()
+	decision := s.gate.Offer(now, &t.entry)
+	if decision.Evicted != nil {
+		s.end(decision.Evicted)
+	}
+	if t.entry.Waiting() {
+		t.ended = make(chan struct{})
+		s.waiting[&t.entry] = t
+	}
+	s.mu.Unlock()
+	switch {
+	case decision.Granted:
+		return nil
+	case decision.Refused:
+		return &decision.Refusal
+	}
+	return s.wait(ctx, t)
+}
+
+// wait blocks until the entry is granted or ended.
+func (s *service) wait(ctx context.Context, t *Ticket) *outcome.Outcome {
+	s.metrics.queued(1)
+	defer s.metrics.queued(-1)
+	timer := time.NewTimer(time.Until(t.entry.LatestStart()))
+	defer timer.Stop()
+	select {
+	case <-t.ended:
+		return t.refusal
+	case <-ctx.Done():
+		return s.giveUp(t, reasonOf(ctx))
+	case <-timer.C:
+		return s.giveUp(t, outcome.ReasonOverloaded)
+	}
+}
+
+// giveUp ends a wait. A grant can come between the cause and the lock: a
+// caller that has gone gives the slot back, since nobody would ever call Done;
+// one that is only late keeps it.
+func (s *service) giveUp(t *Ticket, cause outcome.Reason) *outcome.Outcome {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if refusal, waited := s.gate.Abandon(now, &t.entry, cause); waited {
+		delete(s.waiting, &t.entry)
+		return &refusal
+	}
+	if !t.entry.Granted() || cause == outcome.ReasonOverloaded {
+		return t.refusal
+	}
+	s.gate.Cancel(&t.entry)
+	s.grantNext(now)
+	refusal := outcome.NewNotRun(cause, "The request was given up before it ran.", 0)
+	return &refusal
+}
+
+// done frees a ticket's slot and learns from its result.
+func (s *service) done(t *Ticket, r Result) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !t.entry.Granted() {
+		return
+	}
+	s.gate.Done(now, &t.entry, r.Cost)
+	if r.Upstream != "" {
+		s.learn(now, t, r)
+	}
+	s.grantNext(now)
+}
+
+func (s *service) learn(now time.Time, t *Ticket, r Result) {
+	if limit := s.upstreams[r.Upstream]; limit != nil {
+		limit.Observe(concurrency.Sample{
+			Latency:  r.FirstToken,
+			Unloaded: t.unloaded,
+			InFlight: r.InFlight,
+			Dropped:  r.Failed,
+		})
+	}
+	sample := ejection.Sample{Failed: r.Failed, Latency: r.FirstToken.Seconds(), Started: r.Sent}
+	if t.unloaded > 0 {
+		sample.Latency /= t.unloaded.Seconds()
+	}
+	s.ejection.Ended(now, r.Upstream, sample)
+	s.refresh(now)
+}
+
+// grantNext wakes those whose turn it is. The lock must be held.
+func (s *service) grantNext(now time.Time) {
+	for {
+		granted, expired := s.gate.Next(now)
+		switch {
+		case granted != nil:
+			t := s.waiting[granted]
+			delete(s.waiting, granted)
+			close(t.ended)
+		case expired != nil:
+			s.end(expired)
+		default:
+			return
+		}
+	}
+}
+
+// end tells a waiting caller its refusal. The lock must be held.
+func (s *service) end(ending *gate.Ending) {
+	t := s.waiting[ending.Entry]
+	delete(s.waiting, ending.Entry)
+	t.refusal = &ending.Refusal
+	close(t.ended)
+}
+
+func (s *service) setUpstreams(ids []ident.Instance) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.upstreams == nil {
+		s.upstreams = map[ident.Instance]*concurrency.Limit{}
+	}
+	for id := range s.upstreams {
+		if !slices.Contains(ids, id) {
+			delete(s.upstreams, id)
+		}
+	}
+	for _, id := range ids {
+		if s.upstreams[id] == nil {
+			s.upstreams[id] = concurrency.New(s.config.Concurrency)
+		}
+	}
+	s.ejection.SetUpstreams(ids)
+	s.refresh(now)
+	s.grantNext(now)
+}
+
+func (s *service) sending(now time.Time, id ident.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ejection.State(id) == ejection.Healthy {
+		return
+	}
+	s.ejection.Started(now, id)
+	s.refresh(now)
+}
+
+// refresh publishes the exclusion and sets the slots to the sum of the limits
+// of those that are not excluded. The lock must be held.
+func (s *service) refresh(now time.Time) {
+	ids := s.ejection.Excluded(now)
+	if old := s.exclusion.Load(); !slices.Equal(old.ids, ids) || !old.until.Equal(s.ejection.NextChange(now)) {
+		s.exclusion.Store(&exclusion{ids: ids, until: s.ejection.NextChange(now)})
+	}
+	if s.upstreams == nil {
+		return
+	}
+	slots := 0
+	for id, limit := range s.upstreams {
+		if !slices.Contains(ids, id) {
+			slots += limit.Value()
+		}
+	}
+	s.gate.SetSlots(slots)
+}
+
+// excluded returns the published exclusion; it takes the lock only at the
+// moment when an ejection ends.
+func (s *service) excluded(now time.Time) []ident.Instance {
+	e := s.exclusion.Load()
+	if e.until.IsZero() || now.Before(e.until) {
+		return e.ids
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refresh(now)
+	return s.exclusion.Load().ids
+}
+
+// reasonOf tells a passed deadline from a caller that left.
+func reasonOf(ctx context.Context) outcome.Reason {
+	if ctx.Err() == context.DeadlineExceeded {
+		return outcome.ReasonDeadline
+	}
+	return outcome.ReasonCancelled
+}
--- /dev/null
+++ b/internal/retry/backoff.go
@@ -0,0 +1,31 @@
+package retry
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/admission/returntime"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+// Backoff is the pause before an extra attempt.
+type Backoff struct {
+	// Base is the longest pause before the second attempt. It doubles with
+	// each attempt up to Max.
+	Base, Max time.Duration
+}
+
+// DefaultBackoff suits upstreams a millisecond away.
+var DefaultBackoff = Backoff{Base: 20 * time.Millisecond, Max: time.Second}
+
+// Delay returns the pause after an attempt, counted from 1, has failed. It
+// lies between half and all of the doubled base, fixed by the request's ID
+// and the attempt, so that requests that failed together part.
+func (b Backoff) Delay(attempt int, id ident.Request) time.Duration {
+	longest := b.Max
+	if shift := max(attempt-1, 0); shift < 30 && b.Base<<shift < b.Max {
+		longest = b.Base << shift
+	}
+	jitter := returntime.Fraction(id + ident.Request("/"+strconv.Itoa(attempt)))
+	return longest/2 + time.Duration(float64(longest/2)*jitter)
+}
--- /dev/null
+++ b/internal/retry/classify.go
@@ -0,0 +1,51 @@
+package retry
+
+import (
+	"context"
+	"errors"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstream"
+)
+
+// Retryable reports whether a failed attempt may be made again. Sent says
+// that bytes of the request left the process.
+//
+// A call that is not idempotent is only repeated when it is certain that it
+// did not run: the upstream refused it, or nothing was sent. An error that
+// says "not sent" for a request that was sent contradicts itself and counts
+// as sent. Otherwise a bid that ran and whose answer was lost would be placed
+// twice.
+func Retryable(err error, idempotent, sent bool) bool {
+	switch {
+	case err == nil, errors.Is(err, context.Canceled):
+		return false
+	case errors.Is(err, upstream.ErrOldFence):
+		// Another holder is ahead; the same number is refused everywhere.
+		return false
+	case certainlyNotRun(err, sent):
+		return true
+	case !idempotent:
+		return false
+	}
+	return worthRepeating(errcode.Of(err))
+}
+
+func certainlyNotRun(err error, sent bool) bool {
+	if errors.Is(err, upstream.ErrNotSent) {
+		return !sent
+	}
+	return !upstream.Ran(err)
+}
+
+// worthRepeating reports whether the same request can get another answer
+// elsewhere.
+func worthRepeating(code errcode.Code) bool {
+	switch code {
+	case errcode.Cancelled, errcode.InvalidArgument, errcode.NotFound,
+		errcode.AlreadyExists, errcode.PermissionDenied, errcode.FailedPrecondition,
+		errcode.OutOfRange, errcode.Unauthenticated:
+		return false
+	}
+	return true
+}
