--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -19,6 +19,9 @@
 	// Failed: the upstream ran the request and answered with an
 	// application error.
 	Failed Kind = 5
+	// Interrupted: a token stream ended before its answer did. What was
+	// delivered is right, and the caller may resume at any gateway.
+	Interrupted Kind = 6
 )
 
 // String returns the name that logs and pages use.
@@ -34,6 +37,8 @@
 		return "in_progress"
 	case Failed:
 		return "failed"
+	case Interrupted:
+		return "interrupted"
 	}
 	return "unspecified"
 }
@@ -60,6 +65,9 @@
 	ReasonClaimedElsewhere Reason = "claimed_elsewhere"
 	ReasonKeyReused        Reason = "key_reused"
 	ReasonApplication      Reason = "application_error"
+	// ReasonReplaced: the same caller resumed the request elsewhere, with
+	// tokens that this stream does not continue.
+	ReasonReplaced Reason = "replaced"
 )
 
 // Outcome is the final word on a request, with when to come back.
@@ -83,3 +91,8 @@
 func NewUnknown(reason Reason, message string, retryAfter time.Duration) Outcome {
 	return Outcome{Kind: Unknown, Reason: reason, Message: message, RetryAfter: retryAfter}
 }
+
+// NewInterrupted returns the end of a token stream that may be resumed.
+func NewInterrupted(reason Reason, message string, retryAfter time.Duration) Outcome {
+	return Outcome{Kind: Interrupted, Reason: reason, Message: message, RetryAfter: retryAfter}
+}
