Gate: reserve slots for urgent classes, spread returns below the drain rate

Change: bands reserve slots for the measured demand of more urgent classes; waits are predicted by fair sharing over all accounts; returns are booked at 0.8 of the drain rate and first tries leave half of the target to them. Sums run over a slice now, not a map: float rounding differed between runs.

--- a/internal/admission/fairshare/account.go
+++ b/internal/admission/fairshare/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"slices"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
@@ -101,27 +102,34 @@
 	q.meanCost += meanWeight * (cost - q.meanCost)
 }
 
-func (q *Queue) smallestTag() float64 {
-	smallest := q.backlogged[0].tag
-	for _, a := range q.backlogged[1:] {
-		smallest = min(smallest, a.tag)
-	}
-	return smallest
-}
-
 // chooseAccount returns the account to serve: of those within the lead, the
-// one with the most urgent class, then the one furthest behind.
-func (q *Queue) chooseAccount() *account {
-	limit := q.smallestTag() + q.config.Lead*q.meanCost
+// one with the most urgent class, then the one furthest behind. Accounts of
+// which nothing is allowed do not hold the others back; they keep their tag
+// and so catch up later.
+func (q *Queue) chooseAccount(allowed func(int) bool) *account {
+	smallest := math.Inf(1)
+	for _, a := range q.backlogged {
+		if a.tag < smallest && a.urgent(allowed) != nil {
+			smallest = a.tag
+		}
+	}
+	if math.IsInf(smallest, 1) {
+		return nil
+	}
+	q.clock = max(q.clock, smallest)
+	limit := smallest + q.config.Lead*q.meanCost
 	var best *account
 	bestPriority := 0
 	for _, a := range q.backlogged {
 		if a.tag > limit {
 			continue
 		}
-		priority := a.urgency()
-		if best == nil || priority > bestPriority || (priority == bestPriority && before(a, best)) {
-			best, bestPriority = a, priority
+		l := a.urgent(allowed)
+		if l == nil {
+			continue
+		}
+		if best == nil || l.priority > bestPriority || (l.priority == bestPriority && before(a, best)) {
+			best, bestPriority = a, l.priority
 		}
 	}
 	return best
@@ -144,14 +152,18 @@
 	return a.lanes[i]
 }
 
-// urgency returns the highest priority that waits.
-func (a *account) urgency() int {
+// urgent returns the most urgent lane that waits and is allowed, or nil.
+func (a *account) urgent(allowed func(int) bool) *lane {
 	for _, l := range a.lanes {
-		if len(l.items) > 0 {
-			return l.priority
+		if l.ready(allowed) {
+			return l
 		}
 	}
-	return 0
+	return nil
+}
+
+func (l *lane) ready(allowed func(int) bool) bool {
+	return len(l.items) > 0 && (allowed == nil || allowed(l.priority))
 }
 
 // chooseLane returns the lane to serve: one that has earned its share, the
@@ -160,11 +172,11 @@
 // Without the earned share a steady flow of short replies would keep a long
 // review waiting for ever; it would show as a wait that grows with the flow's
 // length. With it, a lane gets at least share of the account's cost.
-func (a *account) chooseLane(share float64) *lane {
+func (a *account) chooseLane(share float64, allowed func(int) bool) *lane {
 	var urgent *lane
 	for i := len(a.lanes) - 1; i >= 0; i-- {
 		l := a.lanes[i]
-		if len(l.items) == 0 {
+		if !l.ready(allowed) {
 			continue
 		}
 		if l.credit >= price(l.items[0], share) {
--- a/internal/admission/fairshare/queue.go
+++ b/internal/admission/fairshare/queue.go
@@ -124,6 +124,9 @@
 // Len returns how many items wait.
 func (q *Queue) Len() int { return q.length }
 
+// ClassShare returns the share in force; see Config.
+func (q *Queue) ClassShare() float64 { return q.config.ClassShare }
+
 // Push adds an item. Its weight becomes its account's.
 func (q *Queue) Push(item *Item) {
 	a := q.account(item.Account, item.Weight)
@@ -138,15 +141,15 @@
 	q.count(item, 1)
 }
 
-// Pop removes the item to grant next and charges its account. It returns nil
-// when nothing waits.
-func (q *Queue) Pop() *Item {
-	if q.length == 0 {
+// Pop removes the item to grant next and charges its account. Items of a
+// priority that is not allowed now stay; nil allows all. It returns nil when
+// nothing that is allowed waits.
+func (q *Queue) Pop(allowed func(priority int) bool) *Item {
+	a := q.chooseAccount(allowed)
+	if a == nil {
 		return nil
 	}
-	q.clock = max(q.clock, q.smallestTag())
-	a := q.chooseAccount()
-	l := a.chooseLane(q.config.ClassShare)
+	l := a.chooseLane(q.config.ClassShare, allowed)
 	item := l.items[0]
 	a.settleCredit(l, item.cost(), q.config.ClassShare)
 	q.take(item)
@@ -209,27 +212,57 @@
 	return weight / total
 }
 
-// Ahead returns the time, as cost at the account's own share, that an item
-// would wait in the worst case: returning requests ahead of it, then its own
-// lane, and the more urgent lanes of its account as far as they may hold it up.
+// Ahead returns the cost that will be served before an item, if what waits now
+// is all that comes: at most what its own account has ahead of it, and from
+// each other account as much as is served meanwhile at that one's weight.
+// Less urgent lanes of other accounts are not counted.
 func (q *Queue) Ahead(item *Item) float64 {
-	a := q.accounts[item.Account]
-	if a == nil {
-		return 0
+	own := q.accounts[item.Account]
+	if own == nil {
+		return q.aheadOfIdle(item)
+	}
+	mine := own.ahead(item, q.config.ClassShare)
+	total := mine
+	for _, a := range q.backlogged {
+		if a != own {
+			total += min(a.queuedFrom(item.Priority), (mine+item.cost())*a.weight/own.weight)
+		}
+	}
+	return total
+}
+
+func (q *Queue) aheadOfIdle(item *Item) float64 {
+	total := 0.0
+	for _, a := range q.backlogged {
+		total += min(a.queuedFrom(item.Priority), item.cost()*a.weight/effective(item.Weight))
 	}
-	var own, urgent float64
+	return total
+}
+
+// ahead is the cost of the account itself that goes before an item: its lane,
+// and more urgent lanes as far as the lane's earned share lets them.
+func (a *account) ahead(item *Item, classShare float64) float64 {
+	lane := 0.0
 	for _, l := range a.lanes {
-		switch {
-		case l.priority > item.Priority:
-			urgent += l.queued
-		case l.priority == item.Priority && item.Returning:
-			own = l.returning
-		case l.priority == item.Priority:
-			own = l.queued
+		if l.priority != item.Priority {
+			continue
+		}
+		lane = l.queued
+		if item.Returning {
+			lane = l.returning
 		}
 	}
-	if urgent == 0 {
-		return own
+	urgent := a.queuedFrom(item.Priority + 1)
+	return lane + min(urgent, (lane+item.cost())*(1-classShare)/classShare)
+}
+
+// queuedFrom is the waiting cost of a priority and all more urgent ones.
+func (a *account) queuedFrom(priority int) float64 {
+	total := 0.0
+	for _, l := range a.lanes {
+		if l.priority >= priority {
+			total += l.queued
+		}
 	}
-	return (own + item.cost()) / q.config.ClassShare
+	return total
 }
--- a/internal/admission/gate/gate.go
+++ b/internal/admission/gate/gate.go
@@ -126,11 +126,22 @@
 
 // client is what the gate remembers of a client account.
 type client struct {
-	quota *quota.Account
-	// overload and rate book turns of those refused for either reason.
-	overload, limited returntime.Schedule
-	// returns is the cost a second of returning requests.
-	returns meter
+	quota  *quota.Account
+	weight float64
+	// limited books turns of those refused for a limit.
+	limited returntime.Schedule
+	// uses are by priority; classes are few.
+	uses []*use
+}
+
+// use is one account's use of one priority.
+type use struct {
+	priority int
+	// offered is the cost a second of first tries, returns of those that
+	// come back.
+	offered, returns meter
+	// overload books turns of those refused for load.
+	overload returntime.Schedule
 }
 
 // Gate decides for one service. See New.
@@ -138,19 +149,23 @@
 	config  Config
 	queue   *fairshare.Queue
 	clients map[ident.ClientAccount]*client
+	// order lists the clients as they came: sums over a map would round
+	// differently at every run.
+	order []*client
 	// waiting finds the entry of a queued item.
 	waiting  map[*fairshare.Item]*Entry
 	slots    int
 	inFlight int
 	holds    holds
-	// bookedUntil is when the last turn that was told to anyone begins.
-	bookedUntil time.Time
+	bands    bands
+	// allowed is bands.allows for this gate, made once.
+	allowed func(priority int) bool
 }
 
 // New returns a gate without requests.
 func New(config Config) *Gate {
 	config = config.withDefaults()
-	return &Gate{
+	g := &Gate{
 		config:  config,
 		queue:   fairshare.New(config.Fair),
 		clients: map[ident.ClientAccount]*client{},
@@ -158,6 +173,8 @@
 		slots:   config.Slots,
 		holds:   holds{assumed: config.Hold},
 	}
+	g.allowed = func(priority int) bool { return g.bands.allows(priority, g.slots) }
+	return g
 }
 
 // SetSlots changes how many requests may run at once. 0 says that no
@@ -186,17 +203,16 @@
 func (g *Gate) Offer(now time.Time, e *Entry) Decision {
 	c := g.client(&e.Request, now)
 	g.prepare(now, e)
-	if e.Request.returning() {
-		c.returns.add(now, e.Item.Cost)
-	}
+	u := c.use(e.Item.Priority)
+	u.count(now, e)
+	g.reserve(now)
 	if refusal, refused := g.checkLimits(now, c, e); refused {
 		return refuse(e, refusal)
 	}
-	plan := g.plan(now, c, e)
-	if plan.refused {
-		return refuse(e, plan.refusal)
+	if refusal, refused := g.checkTime(now, u, e); refused {
+		return refuse(e, refusal)
 	}
-	if g.queue.Len() == 0 && g.inFlight < g.slots {
+	if g.free(e) {
 		c.quota.Take(now)
 		g.queue.Charge(e.Item.Account, e.Item.Weight, e.Item.Cost)
 		g.grant(now, e)
@@ -205,6 +221,11 @@
 	return g.enqueue(now, c, e)
 }
 
+// free reports whether an entry can be granted a slot without waiting.
+func (g *Gate) free(e *Entry) bool {
+	return g.inFlight < g.slots && g.allowed(e.Item.Priority) && g.queue.Ahead(&e.Item) == 0
+}
+
 // enqueue lets an entry wait. A full queue makes room at the expense of the
 // account that waits with most, or else refuses the entry.
 //
@@ -216,10 +237,10 @@
 	if g.queue.Len() >= g.config.MaxQueue {
 		victim := g.queue.Victim(&e.Item)
 		if victim == nil {
-			return refuse(e, g.overloaded(now, c, e, 0))
+			return refuse(e, g.overloaded(now, c.use(e.Item.Priority), e, 0))
 		}
 		evicted := g.waiting[victim]
-		refusal := g.overloaded(now, g.clients[victim.Account], evicted, 0)
+		refusal := g.overloaded(now, g.clients[victim.Account].use(victim.Priority), evicted, 0)
 		g.drop(evicted)
 		decision.Evicted = &Ending{Entry: evicted, Refusal: refusal}
 	}
@@ -236,15 +257,18 @@
 	if g.queue.Len() == 0 || g.inFlight >= g.slots {
 		return nil, nil
 	}
-	item := g.queue.Pop()
+	g.reserve(now)
+	item := g.queue.Pop(g.allowed)
+	if item == nil {
+		return nil, nil
+	}
 	e := g.waiting[item]
 	delete(g.waiting, item)
 	if late := e.Item.LatestStart; !late.IsZero() && now.After(late) {
 		g.queue.Correct(item.Account, -item.Cost)
 		e.state = ended
-		c := g.clients[item.Account]
-		c.quota.Release()
-		return nil, &Ending{Entry: e, Refusal: g.late(now, c, e)}
+		g.clients[item.Account].quota.Release()
+		return nil, &Ending{Entry: e, Refusal: g.late(now, e)}
 	}
 	g.grant(now, e)
 	return e, nil
@@ -257,11 +281,10 @@
 		return outcome.Outcome{}, false
 	}
 	g.drop(e)
-	c := g.clients[e.Item.Account]
 	if cause == outcome.ReasonCancelled {
 		return outcome.NewNotRun(cause, messageCancelled, 0), true
 	}
-	return g.late(now, c, e), true
+	return g.late(now, e), true
 }
 
 // Done frees the slot of a granted entry. Cost is what the request did cost;
@@ -270,15 +293,14 @@
 	if e.state != granted {
 		return
 	}
-	e.state = ended
-	g.inFlight--
-	g.clients[e.Item.Account].quota.Release()
+	g.vacate(e)
 	if cost > 0 {
 		g.queue.Correct(e.Item.Account, cost-e.Item.Cost)
 	} else {
 		cost = e.Item.Cost
 	}
 	g.holds.add(now.Sub(e.grantedAt), cost)
+	g.bands.of(e.Item.Priority).learn(cost)
 }
 
 // Cancel takes back a grant that was never used: it frees the slot and the
@@ -287,9 +309,7 @@
 	if e.state != granted {
 		return
 	}
-	e.state = ended
-	g.inFlight--
-	g.clients[e.Item.Account].quota.Release()
+	g.vacate(e)
 	g.queue.Correct(e.Item.Account, -e.Item.Cost)
 }
 
@@ -297,6 +317,15 @@
 	e.state = granted
 	e.grantedAt = now
 	g.inFlight++
+	g.bands.of(e.Item.Priority).inFlight++
+}
+
+// vacate frees a granted entry's slot.
+func (g *Gate) vacate(e *Entry) {
+	e.state = ended
+	g.inFlight--
+	g.bands.of(e.Item.Priority).inFlight--
+	g.clients[e.Item.Account].quota.Release()
 }
 
 // drop takes a waiting entry out of the queue.
@@ -312,12 +341,36 @@
 	if c == nil {
 		c = &client{quota: quota.NewAccount(r.Limit, now)}
 		g.clients[r.Account] = c
-		return c
+		g.order = append(g.order, c)
 	}
 	c.quota.SetLimit(r.Limit, now)
+	c.weight = r.Limit.Share
+	if c.weight <= 0 {
+		c.weight = 1
+	}
 	return c
 }
 
+// use finds or creates the account's use of a priority.
+func (c *client) use(priority int) *use {
+	for _, u := range c.uses {
+		if u.priority == priority {
+			return u
+		}
+	}
+	u := &use{priority: priority}
+	c.uses = append(c.uses, u)
+	return u
+}
+
+func (u *use) count(now time.Time, e *Entry) {
+	if e.Request.returning() {
+		u.returns.add(now, e.Item.Cost)
+		return
+	}
+	u.offered.add(now, e.Item.Cost)
+}
+
 func refuse(e *Entry, refusal outcome.Outcome) Decision {
 	e.state = ended
 	return Decision{Refused: true, Refusal: refusal}
--- a/internal/admission/gate/meter.go
+++ b/internal/admission/gate/meter.go
@@ -34,15 +34,14 @@
 // law, slots over that time is the drain rate, also while no queue exists.
 type holds struct {
 	// assumed stands in before the first request ended.
-	assumed             time.Duration
-	seconds, cost, ends float64
+	assumed       time.Duration
+	seconds, cost float64
 }
 
 func (h *holds) add(held time.Duration, cost float64) {
 	const keep = 1 - 1.0/holdMemory
 	h.seconds = h.seconds*keep + held.Seconds()
 	h.cost = h.cost*keep + cost
-	h.ends = h.ends*keep + 1
 }
 
 // perCost is the slot time of one unit of cost, above 0.
@@ -57,10 +56,3 @@
 func (h *holds) of(cost float64) time.Duration {
 	return time.Duration(cost * float64(h.perCost()))
 }
-
-func (h *holds) meanCost() float64 {
-	if h.ends == 0 {
-		return 1
-	}
-	return h.cost / h.ends
-}
--- a/internal/admission/gate/plan.go
+++ b/internal/admission/gate/plan.go
@@ -11,10 +11,14 @@
 const (
 	// returnReserve is the part of a target that first tries leave to
 	// requests that were told to return.
-	returnReserve = 0.25
+	returnReserve = 0.5
 	// leastFirstShare is the part of an account's drain rate that first
 	// tries can count on, however many requests return.
 	leastFirstShare = 0.1
+	// bookedShare is the part of a drain rate that is booked for returns. At
+	// the full rate the random gaps between returns would make queues that
+	// some of them find too long.
+	bookedShare = 0.8
 	// noUpstreamReturn is the return time while no upstream is there.
 	noUpstreamReturn = 2 * time.Second
 )
@@ -29,12 +33,6 @@
 	messageCancelled  = "The caller gave the request up before it ran."
 )
 
-// plan is whether a request can start in time.
-type plan struct {
-	refused bool
-	refusal outcome.Outcome
-}
-
 // prepare fills the entry's place in the queue.
 func (g *Gate) prepare(now time.Time, e *Entry) {
 	r := &e.Request
@@ -98,71 +96,74 @@
 	return outcome.Outcome{}, false
 }
 
-// plan refuses a request that cannot start in time.
-func (g *Gate) plan(now time.Time, c *client, e *Entry) plan {
+// checkTime refuses a request that cannot start in time.
+func (g *Gate) checkTime(now time.Time, u *use, e *Entry) (outcome.Outcome, bool) {
 	r := &e.Request
 	if !r.Deadline.IsZero() && !now.Add(r.Predicted).Before(r.Deadline) {
-		return plan{refused: true, refusal: g.deadline(now, c, e)}
+		return g.deadline(now, u, e), true
 	}
 	if g.slots == 0 {
 		after := returntime.Spread(noUpstreamReturn, r.ID)
-		return plan{refused: true, refusal: outcome.NewNotRun(outcome.ReasonNoUpstream, messageNoUpstream, after)}
+		return outcome.NewNotRun(outcome.ReasonNoUpstream, messageNoUpstream, after), true
 	}
 	budget := e.Item.LatestStart.Sub(now)
-	if !r.returning() && now.Before(g.bookedUntil) {
+	if !r.returning() && now.Before(g.bands.of(e.Item.Priority).bookedUntil) {
 		// Without this reserve a first try takes each place as it appears,
 		// and those who return as told find none.
 		budget -= time.Duration(returnReserve * float64(target(r)))
 	}
-	wait := g.wait(now, c, e)
+	wait := g.wait(now, u, e)
 	if wait > budget {
-		return plan{refused: true, refusal: g.overloaded(now, c, e, wait-budget)}
+		return g.overloaded(now, u, e, wait-budget), true
 	}
-	return plan{}
+	return outcome.Outcome{}, false
 }
 
 // wait predicts how long a request waits for a slot.
-func (g *Gate) wait(now time.Time, c *client, e *Entry) time.Duration {
-	if g.queue.Len() == 0 && g.inFlight < g.slots {
+func (g *Gate) wait(now time.Time, u *use, e *Entry) time.Duration {
+	if g.free(e) {
 		return 0
 	}
-	rate := g.rate(e)
+	drain := g.drain(e)
+	ahead := g.queue.Ahead(&e.Item) + g.bands.of(e.Item.Priority).meanCost()
 	if !e.Request.returning() {
-		rate = max(rate-c.returns.rate(now), rate*leastFirstShare)
+		own := drain * g.queue.Share(e.Item.Account, e.Item.Weight)
+		drain *= max(leastFirstShare, 1-u.returns.rate(now)/own)
 	}
-	ahead := g.queue.Ahead(&e.Item) + g.holds.meanCost()
-	return seconds(ahead / rate)
+	return seconds(ahead / drain)
 }
 
-// rate is the cost a second that the entry's account is served.
-func (g *Gate) rate(e *Entry) float64 {
-	perSlot := 1 / g.holds.perCost().Seconds()
-	return float64(max(g.slots, 1)) * perSlot * g.queue.Share(e.Item.Account, e.Item.Weight)
+// drain is the cost a second that is served of the entry's priority.
+func (g *Gate) drain(e *Entry) float64 {
+	return g.bands.slotsFor(e.Item.Priority, g.slots) / g.holds.perCost().Seconds()
 }
 
 // overloaded refuses for load, with a turn after the excess has drained.
-func (g *Gate) overloaded(now time.Time, c *client, e *Entry, excess time.Duration) outcome.Outcome {
-	return outcome.NewNotRun(outcome.ReasonOverloaded, messageOverloaded, g.book(now, c, e, excess))
+func (g *Gate) overloaded(now time.Time, u *use, e *Entry, excess time.Duration) outcome.Outcome {
+	return outcome.NewNotRun(outcome.ReasonOverloaded, messageOverloaded, g.book(now, u, e, excess))
 }
 
 // deadline refuses for the caller's own deadline.
-func (g *Gate) deadline(now time.Time, c *client, e *Entry) outcome.Outcome {
-	return outcome.NewNotRun(outcome.ReasonDeadline, messageDeadline, g.book(now, c, e, 0))
+func (g *Gate) deadline(now time.Time, u *use, e *Entry) outcome.Outcome {
+	return outcome.NewNotRun(outcome.ReasonDeadline, messageDeadline, g.book(now, u, e, 0))
 }
 
 // late is what a caller hears whose turn did not come in time.
-func (g *Gate) late(now time.Time, c *client, e *Entry) outcome.Outcome {
+func (g *Gate) late(now time.Time, e *Entry) outcome.Outcome {
+	u := g.clients[e.Item.Account].use(e.Item.Priority)
 	if d := e.Request.Deadline; !d.IsZero() && !now.Add(e.Request.Predicted+e.Request.Remaining).Before(d) {
-		return g.deadline(now, c, e)
+		return g.deadline(now, u, e)
 	}
-	return g.overloaded(now, c, e, 0)
+	return g.overloaded(now, u, e, 0)
 }
 
-func (g *Gate) book(now time.Time, c *client, e *Entry, earliest time.Duration) time.Duration {
-	gap := seconds(e.Item.Cost / g.rate(e))
-	after := c.overload.Book(now, earliest, gap, e.Request.ID)
-	if until := now.Add(after); until.After(g.bookedUntil) {
-		g.bookedUntil = until
+// book gives a refused request a turn of its own.
+func (g *Gate) book(now time.Time, u *use, e *Entry, earliest time.Duration) time.Duration {
+	rate := bookedShare * g.drain(e) * g.queue.Share(e.Item.Account, e.Item.Weight)
+	after := u.overload.Book(now, earliest, seconds(e.Item.Cost/rate), e.Request.ID)
+	b := g.bands.of(e.Item.Priority)
+	if until := now.Add(after); until.After(b.bookedUntil) {
+		b.bookedUntil = until
 	}
 	return after
 }
