--- /dev/null
+++ b/internal/calls/claim.go
@@ -0,0 +1,95 @@
+package calls
+
+import (
+	"sync/atomic"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/calls/fold"
+	"github.com/goldcrestspool/goldcrestspool/internal/calls/journal"
+	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
+)
+
+// phase is how far a claim of this gateway has come. Only one step leads out
+// of waiting, and it is atomic: a call is either dispatched, or given up, or
+// handed to a peer.
+//
+// What would go wrong otherwise: the caller's deadline passes, or the gateway
+// starts to leave, while the claim is just being won; the caller hears not_run
+// and the call is dispatched all the same.
+type phase = int32
+
+const (
+	waiting phase = iota
+	dispatched
+	abandoned
+	handed
+)
+
+// claim is one claim of this gateway.
+type claim struct {
+	call   Call
+	record journal.Claim
+	phase  atomic.Int32
+	// sent: the record was part of an append that may have taken effect;
+	// doubtful: the answer of such an append was lost. Both are guarded by
+	// the committer's mutex.
+	sent, doubtful bool
+	// decided gets the verdict, once.
+	decided chan ruling
+	// given gets what the caller is told when the claim was handed over.
+	given chan outcome.Outcome
+	// done is closed when the dispatched call has ended with result.
+	done   chan struct{}
+	result dispatchResult
+}
+
+// ruling is what became of a claim: the verdict of the log, or a refusal
+// before the log had it.
+type ruling struct {
+	fold.Decision
+	// refused: the record is not in the log and never will be.
+	refused bool
+	// lost: this reader can no longer tell.
+	lost bool
+}
+
+// won reports whether the claim owns its key.
+func (r ruling) won() bool { return !r.refused && !r.lost && r.Verdict == fold.Won }
+
+// newClaim returns a claim that waits for its verdict.
+func (c *Coordinator) newClaim(call Call, digest journal.Digest, target journal.Target, supersedes journal.ClaimID) *claim {
+	return &claim{
+		call: call,
+		record: journal.Claim{
+			Head: journal.Head{
+				Key:      call.Key,
+				ID:       journal.NewClaimID(),
+				Digest:   digest,
+				IssuedAt: call.IssuedAt,
+			},
+			Holder:            c.cfg.Instance,
+			HolderIncarnation: c.cfg.Incarnation,
+			Attempt:           call.Attempt,
+			Target:            target,
+			Supersedes:        supersedes,
+		},
+		decided: make(chan ruling, 1),
+		given:   make(chan outcome.Outcome, 1),
+		done:    make(chan struct{}),
+	}
+}
+
+// leave moves the claim out of waiting and reports whether it did.
+func (cl *claim) leave(to phase) bool { return cl.phase.CompareAndSwap(waiting, to) }
+
+// settles reports whether the claim takes over only to find out an outcome. Its
+// call is not here, and ending such a claim without the upstream's word would
+// open a key whose call may still run.
+func (cl *claim) settles() bool { return cl.record.Supersedes != journal.ClaimID{} }
+
+// rule delivers the verdict. Only the first one counts.
+func (cl *claim) rule(r ruling) {
+	select {
+	case cl.decided <- r:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/calls/committer.go
@@ -0,0 +1,255 @@
+package calls
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/calls/journal"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+)
+
+// The committer's counters: appends tried, records in them, appends that
+// failed or whose answer was lost.
+var (
+	appendCount  = expvar.NewInt("goldcrestspool.calls.appends")
+	recordCount  = expvar.NewInt("goldcrestspool.calls.appended_records")
+	appendErrors = expvar.NewInt("goldcrestspool.calls.append_errors")
+)
+
+// The pause after a failed append grows from the first to the second.
+const (
+	firstBackoff = 100 * time.Millisecond
+	lastBackoff  = 2 * time.Second
+)
+
+// committer writes the records of one partition: one append at a time, with
+// all that has come meanwhile (group commit).
+type committer struct {
+	stream string
+	c      *Coordinator
+	wake   chan struct{}
+
+	mu    sync.Mutex
+	queue []*queued
+	// appending is how many records the running append carries; began is
+	// when it began.
+	appending int
+	began     time.Time
+	// retryAt is when the next append is tried after a failure.
+	retryAt time.Time
+	backoff time.Duration
+}
+
+// queued is one record on its way to the log.
+type queued struct {
+	event journal.Event
+	// claim is set for claims.
+	claim *claim
+}
+
+func newCommitter(stream string, c *Coordinator) *committer {
+	return &committer{stream: stream, c: c, wake: make(chan struct{}, 1)}
+}
+
+// add queues an event that must reach the log sooner or later.
+func (w *committer) add(e journal.Event) {
+	w.mu.Lock()
+	w.queue = append(w.queue, &queued{event: e})
+	w.mu.Unlock()
+	w.signal()
+}
+
+// addClaim queues a claim, with events that go before it in the same append.
+// It reports false when too much is queued.
+func (w *committer) addClaim(cl *claim, before ...journal.Event) bool {
+	w.mu.Lock()
+	if len(w.queue) >= w.c.limits.MaxQueue {
+		w.mu.Unlock()
+		return false
+	}
+	for _, e := range before {
+		w.queue = append(w.queue, &queued{event: e})
+	}
+	w.queue = append(w.queue, &queued{event: cl.record, claim: cl})
+	w.mu.Unlock()
+	w.signal()
+	return true
+}
+
+func (w *committer) signal() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// mayHaveSent reports whether the log may hold the claim's record, now or
+// later. Once it has reported false for a claim that is not waiting any more,
+// the record is never sent.
+func (w *committer) mayHaveSent(cl *claim) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return cl.sent
+}
+
+// down reports whether appends fail or hang now, and when to come back.
+func (w *committer) down(now time.Time) (time.Duration, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.appending > 0 && now.Sub(w.began) >= w.c.limits.SlowAfter {
+		return w.c.limits.AppendTimeout, true
+	}
+	if now.Before(w.retryAt) {
+		return w.retryAt.Sub(now), true
+	}
+	return 0, false
+}
+
+// commit appends until ctx ends.
+func (p *partition) commit(ctx context.Context) {
+	w := p.writer
+	for ctx.Err() == nil {
+		batch, data := w.take()
+		if len(batch) == 0 {
+			w.await(ctx)
+			continue
+		}
+		began := time.Now()
+		err := w.append(ctx, data)
+		w.settle(p, batch, err)
+		if err != nil {
+			sleep(ctx, w.pause())
+			continue
+		}
+		sleep(ctx, w.c.limits.AppendInterval-time.Since(began))
+	}
+}
+
+// await blocks until something may be queued.
+func (w *committer) await(ctx context.Context) {
+	select {
+	case <-w.wake:
+	case <-ctx.Done():
+	}
+}
+
+// take removes the next batch from the queue. Claims that were given up before
+// they were ever sent are left out.
+func (w *committer) take() ([]*queued, [][]byte) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var batch []*queued
+	var data [][]byte
+	n := 0
+	for n < len(w.queue) && len(batch) < w.c.limits.MaxBatch {
+		q := w.queue[n]
+		n++
+		if q.claim != nil && !q.claim.sent && q.claim.phase.Load() != waiting {
+			continue
+		}
+		bytes, err := journal.Encode(q.event)
+		if err != nil {
+			w.c.log.Error("journal record not encoded", "error", err)
+			if q.claim != nil {
+				q.claim.rule(ruling{refused: true})
+			}
+			continue
+		}
+		if q.claim != nil {
+			q.claim.sent = true
+		}
+		batch = append(batch, q)
+		data = append(data, bytes)
+	}
+	w.queue = append([]*queued(nil), w.queue[n:]...)
+	w.appending, w.began = len(batch), time.Now()
+	return batch, data
+}
+
+func (w *committer) append(ctx context.Context, data [][]byte) error {
+	ctx, cancel := context.WithTimeout(ctx, w.c.limits.AppendTimeout)
+	defer cancel()
+	appendCount.Add(1)
+	recordCount.Add(int64(len(data)))
+	_, err := w.c.cfg.Log.Append(ctx, w.stream, data)
+	if err != nil {
+		appendErrors.Add(1)
+		w.c.log.Warn("append failed", "stream", w.stream, "records", len(data), "error", err)
+	}
+	return err
+}
+
+// settle decides what becomes of a batch. Records whose fate is not known are
+// appended again: every record names its claim, so a second copy changes
+// nothing.
+func (w *committer) settle(p *partition, batch []*queued, err error) {
+	var again []*queued
+	var refused []*claim
+	w.mu.Lock()
+	for _, q := range batch {
+		switch {
+		case err == nil:
+		case q.claim == nil:
+			again = append(again, q)
+		case errors.Is(err, platform.ErrUnavailable) && !q.claim.doubtful:
+			q.claim.sent = false
+			refused = append(refused, q.claim)
+		case q.claim.phase.Load() == waiting:
+			q.claim.doubtful = true
+			again = append(again, q)
+		default:
+			q.claim.doubtful = true
+		}
+	}
+	w.queue = append(again, w.queue...)
+	w.appending = 0
+	w.updateBackoff(err)
+	w.mu.Unlock()
+	for _, cl := range refused {
+		p.refuse(cl)
+	}
+}
+
+// updateBackoff sets when the next append is tried. The caller holds mu.
+func (w *committer) updateBackoff(err error) {
+	if err == nil {
+		w.backoff, w.retryAt = 0, time.Time{}
+		return
+	}
+	w.backoff = min(max(2*w.backoff, firstBackoff), lastBackoff)
+	w.retryAt = time.Now().Add(w.backoff)
+}
+
+func (w *committer) pause() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Until(w.retryAt)
+}
+
+// flush waits until nothing is queued or ctx ends.
+func (w *committer) flush(ctx context.Context) error {
+	const every = 10 * time.Millisecond
+	for {
+		w.mu.Lock()
+		empty := len(w.queue) == 0 && w.appending == 0
+		w.mu.Unlock()
+		if empty {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		sleep(ctx, every)
+	}
+}
+
+// refuse tells a claim that the log did not take it.
+func (p *partition) refuse(cl *claim) {
+	p.mu.Lock()
+	delete(p.undecided, cl.record.ID)
+	p.mu.Unlock()
+	cl.rule(ruling{refused: true})
+}
--- /dev/null
+++ b/internal/calls/fold/fold.go
@@ -0,0 +1,327 @@
+// Package fold decides, from the records of one journal partition in their
+// order, who may dispatch the call of a key and how it ended. It is pure:
+// every reader of the same records reaches the same decisions.
+//
+// States of a key:
+//
+//	open ──Claim──▶ claimed ──Outcome(completed|failed)──▶ final
+//	                   │ ├──Outcome(unknown)──▶ unknown ──▶ final, or open
+//	                   │ └──Claim that supersedes──▶ claimed, being settled
+//	                   ├──Outcome(not_run)──▶ open again
+//	                   └──Release──▶ open again, and a peer will claim it
+package fold
+
+import (
+	"slices"
+	"time"
+	"unique"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/calls/journal"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
+)
+
+// State is the state of a key.
+type State uint8
+
+// The states.
+const (
+	// Open: no claim was seen, only the end of one that may land later.
+	Open State = iota
+	// Claimed: the holder may have dispatched the call.
+	Claimed
+	// Unknown: the holder dispatched the call and does not know its outcome.
+	Unknown
+	// NotRun: the last claim ended without running; the key is open again.
+	NotRun
+	// Released: a peer of the last holder will claim the key.
+	Released
+	// Final: the outcome is known and never changes.
+	Final
+)
+
+// Verdict is what became of a claim.
+type Verdict int
+
+// The verdicts.
+const (
+	// Won: the claim owns the key.
+	Won Verdict = iota + 1
+	// LostClaimed: another claim owns the key.
+	LostClaimed
+	// LostFinal: the outcome of the key was already known.
+	LostFinal
+	// LostKeyReused: the key belongs to a different request.
+	LostKeyReused
+	// LostAttempt: a later attempt of the caller has owned the key.
+	LostAttempt
+	// LostTime: the key was issued outside the window.
+	LostTime
+	// LostEnded: the claim had been given up before its record came.
+	LostEnded
+)
+
+// Decision is the verdict on one claim record.
+type Decision struct {
+	Claim   journal.ClaimID
+	Verdict Verdict
+	// Fence is the winner's fencing number.
+	Fence ident.Fence
+}
+
+// View is what is known of a key.
+type View struct {
+	State    State
+	Digest   journal.Digest
+	IssuedAt time.Time
+	// Attempt is the highest that has owned the key.
+	Attempt uint32
+	// Claim, Holder, Target and Fence are those of the last owner.
+	Claim             journal.ClaimID
+	Holder            ident.Instance
+	HolderIncarnation ident.Incarnation
+	Target            journal.Target
+	Fence             ident.Fence
+	// Settling: the owner took over only to find out the outcome.
+	Settling bool
+	// SeenAt is the reader's own clock when the last owner's claim came.
+	SeenAt time.Time
+	// Kind, Reason and Payload are set when State is Final; Reason also for
+	// NotRun and Unknown.
+	Kind           outcome.Kind
+	Reason         outcome.Reason
+	Payload        []byte
+	PayloadOmitted bool
+}
+
+// Fold is the state of one partition. It is not safe for concurrent use.
+type Fold struct {
+	entries map[ident.CallKey]*entry
+	// expiring lists the entries in the order in which they came.
+	expiring []expiring
+	logTime  time.Time
+	// partial: records before the first one read had expired.
+	partial  bool
+	firstSet bool
+	first    time.Time
+}
+
+// entry is the state of one key. ended lists all claims that can no longer
+// own the key, so that a record of one of them that comes late, or twice, is
+// known to be void.
+type entry struct {
+	View
+	ended []journal.ClaimID
+}
+
+// expiring is a key with the time at which it was issued.
+type expiring struct {
+	key      ident.CallKey
+	issuedAt time.Time
+}
+
+// New returns an empty fold. partial tells that the records before the first
+// one that will be applied have expired.
+func New(partial bool) *Fold {
+	return &Fold{entries: map[ident.CallKey]*entry{}, partial: partial}
+}
+
+// Len returns the number of keys held.
+func (f *Fold) Len() int { return len(f.entries) }
+
+// CompleteSince returns the time from which on keys are known for certain: all
+// valid claims of a key issued after it have been read, once the reader is at
+// the log's head. ok is false while nothing can be said. It is sound because a
+// claim is void when its key was issued more than MaxSkew after the record's
+// own time in the log.
+func (f *Fold) CompleteSince() (since time.Time, ok bool) {
+	if !f.partial {
+		return time.Time{}, true
+	}
+	return f.first.Add(journal.MaxSkew), f.firstSet
+}
+
+// Get returns what is known of a key.
+func (f *Fold) Get(key ident.CallKey) (View, bool) {
+	e, ok := f.entries[key]
+	if !ok {
+		return View{}, false
+	}
+	return e.View, true
+}
+
+// Apply takes the next record. offset and appendedAt are the record's, now is
+// the reader's clock. The decision is set for claims only.
+func (f *Fold) Apply(offset ident.Offset, appendedAt, now time.Time, event journal.Event) (Decision, bool) {
+	f.advance(appendedAt)
+	switch e := event.(type) {
+	case journal.Claim:
+		return f.applyClaim(offset, now, e), true
+	case journal.Release:
+		f.applyRelease(e)
+	case journal.Outcome:
+		f.applyOutcome(e)
+	}
+	return Decision{}, false
+}
+
+// advance moves the log's time, which never goes back here even if the log's
+// clock is set back, and forgets keys that can no longer be claimed.
+func (f *Fold) advance(appendedAt time.Time) {
+	if !f.firstSet {
+		f.first, f.firstSet = appendedAt, true
+	}
+	if appendedAt.After(f.logTime) {
+		f.logTime = appendedAt
+	}
+	for len(f.expiring) > 0 && journal.Expired(f.expiring[0].issuedAt, f.logTime) {
+		delete(f.entries, f.expiring[0].key)
+		f.expiring[0] = expiring{}
+		f.expiring = f.expiring[1:]
+	}
+}
+
+// entryOf returns the entry of an event's key, made if it does not exist yet.
+// It returns nil when the key belongs to a different request or has expired.
+func (f *Fold) entryOf(h journal.Head) (e *entry, reused bool) {
+	if journal.Expired(h.IssuedAt, f.logTime) || journal.Early(h.IssuedAt, f.logTime) {
+		return nil, false
+	}
+	e, ok := f.entries[h.Key]
+	if ok {
+		if e.Digest != h.Digest {
+			return nil, true
+		}
+		return e, false
+	}
+	key := ident.CallKey{
+		Service: ident.Service(shared(string(h.Key.Service))),
+		Account: ident.ClientAccount(shared(string(h.Key.Account))),
+		Key:     h.Key.Key,
+	}
+	e = &entry{View: View{Digest: h.Digest, IssuedAt: h.IssuedAt}}
+	f.entries[key] = e
+	f.expiring = append(f.expiring, expiring{key: key, issuedAt: h.IssuedAt})
+	return e, false
+}
+
+func (f *Fold) applyClaim(offset ident.Offset, now time.Time, c journal.Claim) Decision {
+	d := Decision{Claim: c.ID}
+	e, reused := f.entryOf(c.Head)
+	switch {
+	case reused:
+		d.Verdict = LostKeyReused
+		return d
+	case e == nil:
+		d.Verdict = LostTime
+		return d
+	}
+	d.Verdict = e.judge(c)
+	if d.Verdict != Won {
+		return d
+	}
+	if e.Claim != c.ID {
+		e.own(offset, now, c)
+	}
+	d.Fence = e.Fence
+	return d
+}
+
+// judge tells whether a claim may own the key now.
+func (e *entry) judge(c journal.Claim) Verdict {
+	switch {
+	case slices.Contains(e.ended, c.ID):
+		return LostEnded
+	case e.State == Final:
+		return LostFinal
+	case e.owned() && e.Claim == c.ID:
+		// The same record again, after an append whose answer was lost.
+		return Won
+	case c.Supersedes != journal.ClaimID{}:
+		if e.owned() && e.Claim == c.Supersedes {
+			return Won
+		}
+		return LostClaimed
+	case e.owned():
+		return LostClaimed
+	case c.Attempt < e.Attempt:
+		return LostAttempt
+	}
+	return Won
+}
+
+// owned reports whether a claim owns the key.
+func (e *entry) owned() bool { return e.State == Claimed || e.State == Unknown }
+
+// own makes a claim the owner.
+func (e *entry) own(offset ident.Offset, now time.Time, c journal.Claim) {
+	if e.owned() {
+		e.ended = append(e.ended, e.Claim)
+	}
+	e.State = Claimed
+	e.Claim = c.ID
+	e.Holder = ident.Instance(shared(string(c.Holder)))
+	e.HolderIncarnation = c.HolderIncarnation
+	// An offset starts from 0, a fence from 1.
+	e.Fence = ident.Fence(offset) + 1
+	e.SeenAt = now
+	e.Settling = c.Supersedes != journal.ClaimID{}
+	if e.Settling {
+		// The call can only be where the superseded claim sent it.
+		return
+	}
+	e.Attempt = c.Attempt
+	e.Target = journal.Target{
+		Instance:    ident.Instance(shared(string(c.Target.Instance))),
+		Incarnation: c.Target.Incarnation,
+		Address:     shared(c.Target.Address),
+	}
+}
+
+// end makes sure that a claim can never own the key again, whether its record
+// came already or comes later, and reports whether it was the owner.
+func (e *entry) end(id journal.ClaimID) bool {
+	owner := e.owned() && e.Claim == id
+	if !slices.Contains(e.ended, id) {
+		e.ended = append(e.ended, id)
+	}
+	return owner
+}
+
+func (f *Fold) applyRelease(r journal.Release) {
+	e, _ := f.entryOf(r.Head)
+	if e == nil || e.State == Final {
+		return
+	}
+	if e.end(r.ID) && !e.Settling {
+		e.State = Released
+	}
+}
+
+func (f *Fold) applyOutcome(o journal.Outcome) {
+	e, _ := f.entryOf(o.Head)
+	if e == nil || e.State == Final {
+		return
+	}
+	switch o.Kind {
+	case outcome.NotRun:
+		if e.end(o.ID) {
+			e.State, e.Reason = NotRun, o.Reason
+		}
+	case outcome.Unknown:
+		if e.State == Claimed && e.Claim == o.ID {
+			e.State, e.Reason = Unknown, o.Reason
+		}
+	default:
+		// What an upstream answered is true whoever reports it, also when
+		// another claim has taken over meanwhile.
+		e.State = Final
+		e.Kind, e.Reason = o.Kind, o.Reason
+		e.Payload, e.PayloadOmitted = o.Payload, o.PayloadOmitted
+		e.ended = nil
+	}
+}
+
+// shared returns the one copy in memory of a name that many keys have in
+// common.
+func shared(name string) string { return unique.Make(name).Value() }
--- /dev/null
+++ b/internal/calls/handover.go
@@ -0,0 +1,205 @@
+package calls
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/calls/journal"
+	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
+)
+
+// ErrNotHanded says that a hand-over reached nobody: the peer took nothing and
+// never will.
+var ErrNotHanded = errors.New("nothing was handed over")
+
+// Stop makes the gateway leave: it accepts no new calls, hands those that are
+// not dispatched to peers, waits for those that are, and writes everything to
+// the journal. It returns the error of ctx if that ends first. Run must go on
+// until Stop has returned.
+func (c *Coordinator) Stop(ctx context.Context) error {
+	c.stopping.Store(true)
+	c.handOverCalls(ctx)
+	finished := c.awaitDispatched(ctx)
+	c.handOverOutcomes(ctx)
+	for _, p := range c.partitions {
+		if err := p.writer.flush(ctx); err != nil {
+			return err
+		}
+	}
+	return finished
+}
+
+// handOverCalls gives up all claims that wait and offers their calls to peers.
+func (c *Coordinator) handOverCalls(ctx context.Context) {
+	offered := map[journal.ClaimID]*claim{}
+	var h HandOver
+	for _, cl := range c.giveUpWaiting() {
+		offered[cl.record.ID] = cl
+		h.Calls = append(h.Calls, HandedCall{
+			Call:      cl.call,
+			Claim:     cl.record.ID,
+			Digest:    cl.record.Digest,
+			Remaining: c.limits.ClaimWait,
+		})
+	}
+	doubtful := false
+	for _, peer := range c.cfg.Peers.Candidates() {
+		if len(offered) == 0 {
+			return
+		}
+		accepted, err := c.handTo(ctx, peer, h)
+		doubtful = doubtful || err != nil && !errors.Is(err, ErrNotHanded)
+		for _, id := range accepted {
+			if cl, ok := offered[id]; ok {
+				c.concludeHanded(cl)
+				delete(offered, id)
+			}
+		}
+		h.Calls = remaining(h.Calls, offered)
+	}
+	for _, cl := range offered {
+		c.concludeNotHanded(cl, doubtful)
+	}
+}
+
+// giveUpWaiting moves all waiting claims to handed: from here on this gateway
+// will never dispatch them.
+func (c *Coordinator) giveUpWaiting() []*claim {
+	var given []*claim
+	for _, p := range c.partitions {
+		p.mu.Lock()
+		for cl := range p.active {
+			if !cl.settles() && cl.leave(handed) {
+				given = append(given, cl)
+			}
+		}
+		p.mu.Unlock()
+	}
+	return given
+}
+
+func (c *Coordinator) handTo(ctx context.Context, peer Peer, h HandOver) ([]journal.ClaimID, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.limits.PeerTimeout)
+	defer cancel()
+	accepted, err := peer.HandOver(ctx, h)
+	if err != nil {
+		c.log.Warn("hand-over failed", "peer", peer.ID(), "calls", len(h.Calls), "error", err)
+	}
+	return accepted, err
+}
+
+func remaining(calls []HandedCall, offered map[journal.ClaimID]*claim) []HandedCall {
+	var left []HandedCall
+	for _, call := range calls {
+		if _, ok := offered[call.Claim]; ok {
+			left = append(left, call)
+		}
+	}
+	return left
+}
+
+// concludeHanded ends a claim whose call a peer has taken.
+func (c *Coordinator) concludeHanded(cl *claim) {
+	p := c.partition(cl.call.Key)
+	p.writer.add(journal.Release{Head: cl.record.Head})
+	cl.given <- inProgress("this gateway is leaving; another one runs the call, ask again by key")
+}
+
+// concludeNotHanded ends a claim whose call no peer has taken for certain.
+// After a lost answer one may have, so that the claim is released rather than
+// not run.
+func (c *Coordinator) concludeNotHanded(cl *claim, doubtful bool) {
+	if doubtful {
+		c.concludeHanded(cl)
+		return
+	}
+	c.partition(cl.call.Key).endClaim(cl, outcome.ReasonLeaving)
+	cl.given <- refuse(cl.call, outcome.ReasonLeaving, "this gateway is leaving", retrySoon)
+}
+
+// awaitDispatched waits for the calls that upstreams are running.
+func (c *Coordinator) awaitDispatched(ctx context.Context) error {
+	for _, cl := range c.dispatchedClaims() {
+		select {
+		case <-cl.done:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (c *Coordinator) dispatchedClaims() []*claim {
+	var running []*claim
+	for _, p := range c.partitions {
+		p.mu.Lock()
+		for cl := range p.active {
+			if !cl.settles() && cl.phase.Load() == dispatched {
+				running = append(running, cl)
+			}
+		}
+		p.mu.Unlock()
+	}
+	return running
+}
+
+// handOverOutcomes gives the outcomes that the journal may not have to a peer.
+func (c *Coordinator) handOverOutcomes(ctx context.Context) {
+	var h HandOver
+	for _, p := range c.partitions {
+		p.mu.Lock()
+		for _, held := range p.copies {
+			h.Outcomes = append(h.Outcomes, held.KeyedOutcome)
+		}
+		p.mu.Unlock()
+	}
+	if len(h.Outcomes) == 0 {
+		return
+	}
+	for _, peer := range c.cfg.Peers.Candidates() {
+		if _, err := c.handTo(ctx, peer, h); err == nil {
+			return
+		}
+	}
+}
+
+// TakeOver takes what a leaving peer hands over and returns the claims whose
+// calls this gateway will try to run. It does not wait for them.
+func (c *Coordinator) TakeOver(h HandOver) []journal.ClaimID {
+	c.PutOutcomes(h.Outcomes)
+	var accepted []journal.ClaimID
+	for _, given := range h.Calls {
+		if c.accept(given) {
+			accepted = append(accepted, given.Claim)
+		}
+	}
+	return accepted
+}
+
+// accept begins to run a handed call. The message itself proves that the
+// former holder never dispatches it, so that this gateway journals the release
+// together with its own claim: the former holder may die before it can.
+func (c *Coordinator) accept(given HandedCall) bool {
+	call := given.Call
+	digest := journal.NewDigest(call.Key, call.Method, call.IssuedAt, call.Payload)
+	p := c.partition(call.Key)
+	if digest != given.Digest || c.stopping.Load() || !p.usable(call.IssuedAt, time.Now()) {
+		return false
+	}
+	release := journal.Release{Head: journal.Head{Key: call.Key, ID: given.Claim, Digest: digest, IssuedAt: call.IssuedAt}}
+	return c.spawn(func() {
+		ctx, cancel := context.WithTimeout(c.workCtx, given.Remaining)
+		defer cancel()
+		o := c.own(ctx, p, call, digest, &release)
+		c.log.Info("handed call ended", "key", call.Key.String(), "kind", o.Kind.String(), "reason", o.Reason)
+	})
+}
+
+// usable reports whether calls issued at issuedAt can be claimed now.
+func (p *partition) usable(issuedAt, now time.Time) bool {
+	_, down := p.writer.down(now)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ready && p.readable && !down && p.certain(issuedAt)
+}
--- /dev/null
+++ b/internal/calls/partition.go
@@ -0,0 +1,264 @@
+package calls
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	"github.com/goldcrestspool/goldcrestspool/internal/calls/fold"
+	"github.com/goldcrestspool/goldcrestspool/internal/calls/journal"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+)
+
+// The reader's figures.
+const (
+	readLimit   = 2000
+	readWait    = time.Second
+	readTimeout = 3 * time.Second
+	readBackoff = 250 * time.Millisecond
+)
+
+// partition is this gateway's view of one journal partition.
+type partition struct {
+	c      *Coordinator
+	stream string
+	writer *committer
+
+	mu   sync.Mutex
+	fold *fold.Fold
+	// next is the offset of the next record to read.
+	next ident.Offset
+	// ready: the reader was at the log's head since the fold began.
+	ready bool
+	// readable: the last read succeeded.
+	readable bool
+	// lastRecord is when the last record came, by this process's clock.
+	lastRecord time.Time
+	// undecided are claims of this gateway that the reader has not met.
+	undecided map[journal.ClaimID]*claim
+	// active are claims of this gateway that wait or are dispatched.
+	active map[*claim]struct{}
+	// copies are final outcomes that the journal may not have yet.
+	copies map[ident.CallKey]*outcomeCopy
+}
+
+// outcomeCopy is a final outcome that was found here or sent by a peer.
+type outcomeCopy struct {
+	KeyedOutcome
+	since time.Time
+	// queued: this gateway has given it to the journal itself.
+	queued bool
+}
+
+func newPartition(index int, c *Coordinator) *partition {
+	p := &partition{
+		c:         c,
+		stream:    journal.Stream(index),
+		fold:      fold.New(false),
+		undecided: map[journal.ClaimID]*claim{},
+		active:    map[*claim]struct{}{},
+		copies:    map[ident.CallKey]*outcomeCopy{},
+	}
+	p.writer = newCommitter(p.stream, c)
+	return p
+}
+
+// read follows the partition's stream until ctx ends.
+func (p *partition) read(ctx context.Context) {
+	p.mu.Lock()
+	p.lastRecord = time.Now()
+	p.mu.Unlock()
+	for ctx.Err() == nil {
+		batch, err := p.readBatch(ctx)
+		switch {
+		case errors.Is(err, platform.ErrExpired):
+			p.restart(batch.First)
+		case err != nil:
+			p.setReadable(false)
+			sleep(ctx, readBackoff)
+		default:
+			p.take(batch)
+		}
+	}
+}
+
+func (p *partition) readBatch(ctx context.Context) (platform.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return p.c.cfg.Log.Read(ctx, p.stream, p.next, readLimit, readWait)
+}
+
+// restart begins a new fold at first, because the records before it expired
+// unread. Verdicts on this gateway's claims may be among them, so the calls
+// that wait for one are told that it cannot be known.
+func (p *partition) restart(first ident.Offset) {
+	p.mu.Lock()
+	p.c.log.Warn("journal records expired unread", "stream", p.stream, "next", p.next, "first", first)
+	p.fold = fold.New(true)
+	p.next = first
+	p.ready = false
+	for id, cl := range p.undecided {
+		cl.rule(ruling{lost: true})
+		delete(p.undecided, id)
+	}
+	p.mu.Unlock()
+	p.c.publishHealth()
+}
+
+// take applies a batch.
+func (p *partition) take(batch platform.Batch) {
+	p.mu.Lock()
+	if len(batch.Records) > 0 && batch.Records[0].Offset > p.next {
+		// A log that skips expired records silently must not look complete.
+		p.mu.Unlock()
+		p.restart(batch.Records[0].Offset)
+		p.mu.Lock()
+	}
+	now := time.Now()
+	for _, r := range batch.Records {
+		p.apply(r, now)
+	}
+	changed := !p.readable || !p.ready
+	p.ready = p.ready || p.next >= batch.Head
+	p.readable = true
+	p.mu.Unlock()
+	if changed || len(batch.Records) > 0 {
+		p.c.publishHealth()
+	}
+}
+
+// apply takes one record and tells the claim that waits for it.
+func (p *partition) apply(r platform.Record, now time.Time) {
+	p.next = r.Offset + 1
+	p.lastRecord = now
+	event, err := journal.Decode(r.Data)
+	if err != nil {
+		p.c.log.Error("void journal record", "stream", p.stream, "offset", r.Offset, "error", err)
+		return
+	}
+	decision, ok := p.fold.Apply(r.Offset, r.AppendedAt, now, event)
+	if !ok {
+		return
+	}
+	cl, ours := p.undecided[decision.Claim]
+	if !ours {
+		return
+	}
+	delete(p.undecided, decision.Claim)
+	if decision.Verdict == fold.Won && !p.certain(cl.call.IssuedAt) {
+		decision.Verdict = fold.LostTime
+	}
+	cl.rule(ruling{Decision: decision})
+}
+
+// certain reports whether all records that could concern a key issued at
+// issuedAt were read. The caller holds mu.
+func (p *partition) certain(issuedAt time.Time) bool {
+	since, ok := p.fold.CompleteSince()
+	return ok && issuedAt.After(since)
+}
+
+func (p *partition) setReadable(readable bool) {
+	p.mu.Lock()
+	changed := p.readable != readable
+	p.readable = readable
+	p.mu.Unlock()
+	if changed {
+		p.c.publishHealth()
+	}
+}
+
+// submit queues a claim for the journal. It reports false when the queue is
+// full.
+func (p *partition) submit(cl *claim, before ...journal.Event) bool {
+	p.mu.Lock()
+	p.undecided[cl.record.ID] = cl
+	p.active[cl] = struct{}{}
+	p.mu.Unlock()
+	if p.writer.addClaim(cl, before...) {
+		return true
+	}
+	p.forget(cl)
+	return false
+}
+
+// forget drops a claim that waits no longer.
+func (p *partition) forget(cl *claim) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.undecided, cl.record.ID)
+	delete(p.active, cl)
+}
+
+// find returns what the fold knows of a key.
+func (p *partition) find(key ident.CallKey) (fold.View, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fold.Get(key)
+}
+
+// maintain keeps the partition in order until ctx ends.
+func (p *partition) maintain(ctx context.Context) {
+	const every = 5 * time.Second
+	for ctx.Err() == nil {
+		sleep(ctx, every)
+		p.mark()
+		p.sweepCopies(time.Now())
+	}
+}
+
+// mark appends a mark when the stream has been silent, or when all its records
+// have expired, so that it cannot be told since when everything is known.
+func (p *partition) mark() {
+	p.mu.Lock()
+	_, known := p.fold.CompleteSince()
+	silent := time.Since(p.lastRecord) >= p.c.limits.MarkEvery
+	due := p.readable && p.ready && (silent || !known)
+	if due {
+		p.lastRecord = time.Now()
+	}
+	p.mu.Unlock()
+	if due {
+		p.writer.add(journal.Mark{})
+	}
+}
+
+// publishHealth writes the journal's section of the blackboard.
+func (c *Coordinator) publishHealth() {
+	c.healthMu.Lock()
+	defer c.healthMu.Unlock()
+	health := blackboard.JournalHealth{Ready: true, LogReachable: true}
+	for _, p := range c.partitions {
+		ready, readable, since := p.health()
+		health.Ready = health.Ready && ready
+		health.LogReachable = health.LogReachable && readable
+		if since.After(health.WindowStart) {
+			health.WindowStart = since
+		}
+	}
+	if c.cfg.Health.Value() != health {
+		c.cfg.Health.Publish(health)
+	}
+}
+
+// health returns whether the partition is read whole and reachable, and since
+// when keys are known for certain.
+func (p *partition) health() (ready, readable bool, since time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	since, ok := p.fold.CompleteSince()
+	return p.ready && ok, p.readable, since
+}
+
+// sleep waits for d or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/ident/ident.go
+++ b/internal/ident/ident.go
@@ -4,7 +4,11 @@
 // where a client account is meant.
 package ident
 
-import "github.com/google/uuid"
+import (
+	"net/url"
+
+	"github.com/google/uuid"
+)
 
 // Instance identifies one machine of the platform, entry or upstream.
 type Instance string
@@ -60,9 +64,11 @@
 	Key     Key
 }
 
-// String is the form in which upstreams see the key.
+// String is the form in which upstreams see the key. Its parts are escaped:
+// otherwise the key "a/x" of one account could equal the key "x" of another
+// account whose name ends in "/a", and one would get the other's outcome.
 func (k CallKey) String() string {
-	return string(k.Service) + "/" + string(k.Account) + "/" + string(k.Key)
+	return url.PathEscape(string(k.Service)) + "/" + url.PathEscape(string(k.Account)) + "/" + url.PathEscape(string(k.Key))
 }
 
 // NewRequest returns a random request ID.
