--- /dev/null
+++ b/internal/calls/machine_test.go
@@ -0,0 +1,348 @@
+package calls
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/answer"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/fault"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/plain"
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
+)
+
+func init() {
+	testkit.FixSeed()
+	// Most faults need a few steps to meet each other.
+	_ = flag.Set("rapid.steps", "60")
+}
+
+// request is what one caller asks under a key, however often.
+type request struct {
+	key      ident.CallKey
+	payload  string
+	issuedAt time.Time
+	attempts uint32
+
+	mu   sync.Mutex
+	told []told
+}
+
+// machine sends requests at gateways while things fail, and checks what
+// callers heard against what upstreams ran.
+type machine struct {
+	w        *world
+	requests []*request
+	pending  sync.WaitGroup
+	// deaths: a gateway ended without having written all it knew.
+	deaths atomic.Bool
+}
+
+func newMachine(trust document.UpstreamSpec) *machine {
+	m := &machine{w: newWorld(trust)}
+	m.w.newGateway("hall-a")
+	m.w.newGateway("hall-a")
+	m.w.newGateway("hall-b")
+	return m
+}
+
+// newRequest issues a key, now and then one that another request has.
+func (m *machine) newRequest(reuse bool) *request {
+	r := &request{
+		key:      ident.CallKey{Service: service, Account: account, Key: ident.Key(fmt.Sprintf("bid-%d", len(m.requests)))},
+		payload:  fmt.Sprintf("lot %d", len(m.requests)),
+		issuedAt: time.Now(),
+	}
+	if reuse && len(m.requests) > 0 {
+		r.key = m.requests[len(m.requests)-1].key
+	}
+	m.requests = append(m.requests, r)
+	return r
+}
+
+// send sends the next attempt of a request to a gateway and does not wait.
+func (m *machine) send(g *gateway, r *request, patience time.Duration) {
+	r.attempts++
+	call := Call{
+		Key:      r.key,
+		Method:   confirm,
+		Payload:  []byte(r.payload),
+		IssuedAt: r.issuedAt,
+		Attempt:  r.attempts,
+	}
+	m.pending.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		o := g.calls.Do(ctx, call)
+		if g.step() != nil {
+			return
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.told = append(r.told, told{attempt: call.Attempt, outcome: o})
+	})
+	synctest.Wait()
+}
+
+// attemptOf returns which attempt of the request a reply answers, or 0.
+func (r *request) attemptOf(reply string) uint32 {
+	for n := uint32(1); n <= r.attempts; n++ {
+		if string(answer.Reply(confirm, upstreamPayload([]byte(r.payload), n))) == reply {
+			return n
+		}
+	}
+	return 0
+}
+
+// check holds what callers heard against what upstreams ran.
+func (m *machine) check(t rapidOrTest) {
+	for _, r := range m.requests {
+		count, replies := m.w.effects(r.key)
+		if count > 1 {
+			t.Fatalf("%s ran %d times", r.key, count)
+		}
+		var ran uint32
+		if count == 1 {
+			ran = r.attemptOf(replies[0])
+		}
+		r.mu.Lock()
+		for _, heard := range r.told {
+			checkTold(t, r, heard, ran, replies)
+		}
+		r.mu.Unlock()
+	}
+}
+
+func checkTold(t rapidOrTest, r *request, heard told, ran uint32, replies []string) {
+	switch heard.outcome.Kind {
+	case outcome.NotRun:
+		if ran != 0 && ran <= heard.attempt {
+			t.Fatalf("%s: attempt %d heard not_run (%s), but attempt %d ran", r.key, heard.attempt, heard.outcome.Reason, ran)
+		}
+	case outcome.Completed, outcome.Failed:
+		if ran == 0 || !slices.Contains(replies, string(heard.outcome.Payload)) {
+			t.Fatalf("%s: attempt %d heard %q, upstreams ran %q", r.key, heard.attempt, heard.outcome.Payload, replies)
+		}
+	}
+}
+
+// rapidOrTest is what *rapid.T and *testing.T have in common.
+type rapidOrTest interface {
+	Fatalf(format string, args ...any)
+}
+
+// settle heals everything and sends each request once more, at a new gateway.
+// Then the last word must be final wherever the promises allow it.
+func (m *machine) settle(t rapidOrTest) {
+	m.w.heal()
+	time.Sleep(10 * time.Second)
+	synctest.Wait()
+	m.check(t)
+	for _, domain := range []ident.FailureDomain{"hall-a", "hall-b"} {
+		m.w.newGateway(domain)
+	}
+	time.Sleep(10 * time.Second)
+	for _, r := range m.requests {
+		if time.Since(r.issuedAt) < 50*time.Minute {
+			m.settleRequest(t, r)
+		}
+	}
+	m.check(t)
+}
+
+func (m *machine) settleRequest(t rapidOrTest, r *request) {
+	live := m.w.live()
+	last := live[len(live)-1]
+	for range 4 {
+		m.send(last, r, 10*time.Second)
+		m.pending.Wait()
+		if k := r.last().Kind; k != outcome.InProgress && k != outcome.NotRun {
+			break
+		}
+		time.Sleep(3 * time.Second)
+	}
+	heard := r.last()
+	if heard.Kind == outcome.Completed {
+		time.Sleep(time.Second)
+		for _, g := range live {
+			if o := g.calls.Find(context.Background(), r.key); string(o.Payload) != string(heard.Payload) {
+				t.Fatalf("%s: %s heard by key %s %q, want %q", r.key, g.id, o.Kind, o.Payload, heard.Payload)
+			}
+		}
+		return
+	}
+	reused := heard.Reason == outcome.ReasonKeyReused
+	if !reused && !m.deaths.Load() && m.w.sent[r.key.Key] == 0 {
+		t.Fatalf("%s: never dispatched, no gateway died, and yet it ends as %s (%s: %s)", r.key, heard.Kind, heard.Reason, heard.Message)
+	}
+}
+
+func (r *request) last() outcome.Outcome {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.told[len(r.told)-1].outcome
+}
+
+func (m *machine) close() {
+	m.w.heal()
+	m.pending.Wait()
+	m.w.close()
+}
+
+// inBubble hides from rapid the deadline of a test, which must not be asked for
+// in virtual time.
+type inBubble struct{ rapid.TB }
+
+// TestAtMostOnceMachine sends and repeats calls at several gateways while the
+// log, the network, the gateways and the upstreams fail.
+func TestAtMostOnceMachine(t *testing.T) {
+	kinds := map[string]document.UpstreamSpec{
+		"upstreams that know nothing":             {},
+		"upstreams that find outcomes":            {FindsOutcomes: true},
+		"upstreams that find and check fencing":   {FindsOutcomes: true, ChecksFencing: true},
+		"upstreams that check fencing but forget": {ChecksFencing: true},
+	}
+	for name, trust := range kinds {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				heard := map[outcome.Kind]int{}
+				rapid.Check(inBubble{t}, func(t *rapid.T) { runMachine(t, trust, heard) })
+				t.Logf("callers heard: %v", heard)
+			})
+		})
+	}
+}
+
+func runMachine(t *rapid.T, trust document.UpstreamSpec, heard map[outcome.Kind]int) {
+	m := newMachine(trust)
+	defer m.close()
+	faults := m.faults()
+	names := slices.Sorted(maps.Keys(faults))
+	patience := rapid.SampledFrom([]time.Duration{20 * time.Millisecond, 300 * time.Millisecond, 5 * time.Second})
+	t.Repeat(map[string]func(*rapid.T){
+		"": func(t *rapid.T) { m.check(t) },
+		"new call": func(t *rapid.T) {
+			r := m.newRequest(rapid.IntRange(0, 9).Draw(t, "reuse") == 0)
+			m.send(m.anyGateway(t), r, patience.Draw(t, "patience"))
+		},
+		"repeat": func(t *rapid.T) {
+			if len(m.requests) == 0 {
+				t.Skip()
+			}
+			r := rapid.SampledFrom(m.requests).Draw(t, "request")
+			m.send(m.anyGateway(t), r, patience.Draw(t, "patience"))
+		},
+		"repeat the last": func(t *rapid.T) {
+			if len(m.requests) == 0 {
+				t.Skip()
+			}
+			m.send(m.anyGateway(t), m.requests[len(m.requests)-1], patience.Draw(t, "patience"))
+		},
+		"ask by key": func(t *rapid.T) {
+			if len(m.requests) == 0 {
+				t.Skip()
+			}
+			r := rapid.SampledFrom(m.requests).Draw(t, "request")
+			g := m.anyGateway(t)
+			m.pending.Go(func() { g.calls.Find(context.Background(), r.key) })
+		},
+		"time passes": func(t *rapid.T) {
+			ms := rapid.SampledFrom([]int{1, 30, 300, 3000, 12000}).Draw(t, "ms")
+			time.Sleep(time.Duration(ms) * time.Millisecond)
+		},
+		"fault":         func(t *rapid.T) { faults[rapid.SampledFrom(names).Draw(t, "fault")](t) },
+		"another fault": func(t *rapid.T) { faults[rapid.SampledFrom(names).Draw(t, "fault")](t) },
+	})
+	m.settle(t)
+	for _, r := range m.requests {
+		for _, one := range r.told {
+			heard[one.outcome.Kind]++
+		}
+	}
+}
+
+func (m *machine) anyGateway(t *rapid.T) *gateway {
+	return rapid.SampledFrom(m.w.live()).Draw(t, "gateway")
+}
+
+func (m *machine) anyUpstream(t *rapid.T) *server {
+	return rapid.SampledFrom(m.w.upstreams).Draw(t, "upstream")
+}
+
+// faults are the ways in which things fail, and in which they recover.
+func (m *machine) faults() map[string]func(*rapid.T) {
+	on := rapid.IntRange(0, 2)
+	delays := rapid.SampledFrom([]time.Duration{0, 200 * time.Millisecond, 4 * time.Second})
+	lates := rapid.SampledFrom([]time.Duration{50 * time.Millisecond, 3 * time.Second, 20 * time.Second})
+	losses := rapid.SampledFrom([]fault.Loss{fault.None, fault.BeforeEffect, fault.AfterEffect, fault.Late})
+	failures := rapid.SampledFrom([]plain.Failure{plain.LostBeforeEffect, plain.LostAfterEffect, plain.ApplicationError})
+	notices := rapid.SampledFrom([]time.Duration{time.Millisecond, time.Second, 20 * time.Second})
+	return map[string]func(*rapid.T){
+		"lose appends": func(t *rapid.T) {
+			m.w.log.SetLateness(lates.Draw(t, "late"))
+			m.w.log.LoseNext(rapid.SliceOfN(losses, 1, 4).Draw(t, "losses")...)
+		},
+		"log down":          func(t *rapid.T) { m.w.log.SetOutage(on.Draw(t, "on") == 1) },
+		"log slow":          func(t *rapid.T) { m.w.log.SetDelay(delays.Draw(t, "delay")) },
+		"cut from platform": func(t *rapid.T) { m.anyGateway(t).cut.Store(on.Draw(t, "on") == 1) },
+		"split domains": func(t *rapid.T) {
+			split := on.Draw(t, "on") == 1
+			m.w.locked(func() { m.w.split = split })
+		},
+		"freeze": func(t *rapid.T) { m.anyGateway(t).freeze() },
+		"thaw":   func(t *rapid.T) { m.anyGateway(t).thaw() },
+		"kill": func(t *rapid.T) {
+			g := m.anyGateway(t)
+			m.deaths.Store(true)
+			g.kill()
+			m.w.newGateway(g.domain)
+		},
+		"reclaim": func(t *rapid.T) {
+			g := m.anyGateway(t)
+			lose := on.Draw(t, "lose answer") == 1
+			m.w.locked(func() { m.w.loseHandOver = lose })
+			m.reclaim(g, notices.Draw(t, "notice"))
+			m.w.newGateway(g.domain)
+		},
+		"upstream fails": func(t *rapid.T) { m.anyUpstream(t).life().FailNext(failures.Draw(t, "failure")) },
+		"upstream slow": func(t *rapid.T) {
+			s := m.anyUpstream(t)
+			s.life().SetDelays(plain.Delays{BeforeEffect: delays.Draw(t, "before"), AfterEffect: delays.Draw(t, "after")})
+		},
+		"upstream leaves": func(t *rapid.T) { m.anyUpstream(t).life().SetLeaving(on.Draw(t, "leaving") == 1) },
+		"upstream is replaced": func(t *rapid.T) {
+			s := m.anyUpstream(t)
+			m.w.locked(s.start)
+		},
+		"call arrives late": func(t *rapid.T) {
+			late := lates.Draw(t, "late")
+			m.w.locked(func() { m.w.lateness = append(m.w.lateness, late) })
+		},
+	}
+}
+
+// reclaim announces the end of a gateway, which comes after notice.
+func (m *machine) reclaim(g *gateway, notice time.Duration) {
+	g.leaving.Store(true)
+	m.pending.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), notice)
+		defer cancel()
+		if err := g.calls.Stop(ctx); err != nil {
+			m.deaths.Store(true)
+		}
+		g.kill()
+	})
+	synctest.Wait()
+}
