--- /dev/null
+++ b/internal/controllers/probing/controller.go
@@ -0,0 +1,213 @@
+package probing
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	controller "github.com/goldcrestspool/goldcrestspool/internal/controllers/membership"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/membership"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstream"
+)
+
+// Controller probes upstreams. Its state belongs to Run's goroutine.
+type Controller struct {
+	config  Config
+	deps    Deps
+	probes  map[ident.Instance]*probeState
+	results chan result
+	// suspects are upstreams that the data path could not reach.
+	suspects chan ident.Instance
+	// dirty: load has changed since the last publication.
+	dirty bool
+}
+
+// probeState is what this process's own probes told of one life of an upstream.
+type probeState struct {
+	incarnation ident.Incarnation
+	running     bool
+	failures    int
+	report      upstream.Report
+	// asOf is zero before the first answer.
+	asOf time.Time
+	// lastEvent is the sequence of the last cache event.
+	lastEvent uint64
+}
+
+// maxSuspects bounds the hints of the data path that wait.
+const maxSuspects = 64
+
+// New returns a controller that has probed nothing yet.
+func New(config Config, deps Deps) *Controller {
+	return &Controller{
+		config:   config,
+		deps:     deps,
+		probes:   map[ident.Instance]*probeState{},
+		results:  make(chan result),
+		suspects: make(chan ident.Instance, maxSuspects),
+	}
+}
+
+// NoteUnreachable asks for a probe at once, when the data path could not reach
+// an upstream. It never blocks.
+func (c *Controller) NoteUnreachable(id ident.Instance) {
+	select {
+	case c.suspects <- id:
+	default:
+	}
+}
+
+// Run probes and publishes until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	var running sync.WaitGroup
+	defer running.Wait()
+	probeTick := time.NewTicker(c.config.Interval)
+	defer probeTick.Stop()
+	publishTick := time.NewTicker(c.config.PublishInterval)
+	defer publishTick.Stop()
+	members := c.deps.Board.Members.Load()
+	c.startNew(ctx, &running, members.Value)
+	for {
+		select {
+		case <-members.Changed():
+			members = c.deps.Board.Members.Load()
+			c.publish(members.Value)
+			c.startNew(ctx, &running, members.Value)
+		case <-probeTick.C:
+			c.startAll(ctx, &running, members.Value)
+		case id := <-c.suspects:
+			c.start(ctx, &running, members.Value.ByID[id].Instance)
+		case r := <-c.results:
+			if c.settle(r) {
+				c.publish(members.Value)
+			}
+		case <-publishTick.C:
+			if c.dirty || c.sharing(members.Value) {
+				c.publish(members.Value)
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// startNew probes at once what was never probed, so that a new upstream is used
+// as soon as it answers.
+func (c *Controller) startNew(ctx context.Context, running *sync.WaitGroup, members *blackboard.Members) {
+	for _, instance := range c.assigned(members) {
+		p, ok := c.probes[instance.ID]
+		if !ok || p.incarnation != instance.Incarnation {
+			c.start(ctx, running, instance)
+		}
+	}
+	c.forgetGone(members)
+}
+
+func (c *Controller) startAll(ctx context.Context, running *sync.WaitGroup, members *blackboard.Members) {
+	for _, instance := range c.assigned(members) {
+		c.start(ctx, running, instance)
+	}
+}
+
+// start probes an upstream unless a probe of it is running.
+func (c *Controller) start(ctx context.Context, running *sync.WaitGroup, instance platform.Instance) {
+	if !isUpstream(instance) {
+		return
+	}
+	p, ok := c.probes[instance.ID]
+	if !ok || p.incarnation != instance.Incarnation {
+		p = &probeState{incarnation: instance.Incarnation}
+		c.probes[instance.ID] = p
+	}
+	if p.running {
+		return
+	}
+	p.running = true
+	after := p.lastEvent
+	running.Go(func() {
+		r := c.probe(ctx, instance, after)
+		select {
+		case c.results <- r:
+		case <-ctx.Done():
+		}
+	})
+}
+
+// isUpstream reports whether an instance is an upstream that can be reached.
+// One that is only known by its ID has no address yet.
+func isUpstream(instance platform.Instance) bool {
+	upstreamRole := instance.Role == platform.RoleEngine || instance.Role == platform.RolePlain
+	return upstreamRole && instance.Address != ""
+}
+
+// settle takes the end of a probe and reports whether it changes the state by
+// which routing decides.
+func (c *Controller) settle(r result) bool {
+	p, ok := c.probes[r.id]
+	if !ok || p.incarnation != r.incarnation {
+		return false
+	}
+	p.running = false
+	if r.err != nil {
+		return c.settleFailure(r, p)
+	}
+	recovered := p.failures >= c.config.FailuresToSuspect || p.asOf.IsZero()
+	p.failures = 0
+	p.report = r.report
+	p.asOf = r.asOf
+	c.dirty = true
+	c.deps.Membership.Observe(observationOf(r))
+	c.applyEvents(r, p)
+	return recovered
+}
+
+func (c *Controller) settleFailure(r result, p *probeState) bool {
+	p.failures++
+	probesFailed.Add(1)
+	if p.failures == c.config.FailuresToSuspect {
+		c.deps.Log.Warn("upstream does not answer", "upstream", r.id, "error", r.err)
+		return true
+	}
+	return false
+}
+
+func observationOf(r result) controller.Observation {
+	return controller.Observation{
+		Instance:    r.report.Instance,
+		Incarnation: r.report.Incarnation,
+		Leaving:     r.report.Leaving,
+		Load: membership.Load{
+			Running:             uint32(max(r.report.Running, 0)),
+			Queued:              uint32(max(r.report.Queued, 0)),
+			QueuedPrefillTokens: uint32(max(r.report.QueuedPrefillTokens, 0)),
+			At:                  r.asOf,
+		},
+	}
+}
+
+func (c *Controller) applyEvents(r result, p *probeState) {
+	if c.deps.Cache == nil || r.eventsErr != nil {
+		return
+	}
+	for _, e := range r.events {
+		p.lastEvent = max(p.lastEvent, e.Sequence)
+	}
+	c.deps.Cache.Apply(r.id, r.incarnation, r.events)
+}
+
+// forgetGone drops what is kept of upstreams that are gone.
+func (c *Controller) forgetGone(members *blackboard.Members) {
+	for id := range c.probes {
+		m, ok := members.ByID[id]
+		if ok && m.State != blackboard.Gone {
+			continue
+		}
+		delete(c.probes, id)
+		if c.deps.Cache != nil {
+			c.deps.Cache.Forget(id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/controllers/probing/metrics.go
@@ -0,0 +1,5 @@
+package probing
+
+import "expvar"
+
+var probesFailed = expvar.NewInt("goldcrestspool.probing.probes_failed")
--- /dev/null
+++ b/internal/controllers/probing/publish.go
@@ -0,0 +1,126 @@
+package probing
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/membership"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+)
+
+// assigned returns the upstreams that this process probes.
+func (c *Controller) assigned(members *blackboard.Members) []platform.Instance {
+	if !c.sharing(members) {
+		return upstreamsOf(members)
+	}
+	gateways := gatewaysByDomain(members)
+	var out []platform.Instance
+	for _, instance := range upstreamsOf(members) {
+		if c.owns(instance, gateways) {
+			out = append(out, instance)
+		}
+	}
+	return out
+}
+
+// sharing reports whether the upstreams are too many for every gateway to
+// probe them all.
+func (c *Controller) sharing(members *blackboard.Members) bool {
+	count := 0
+	for _, m := range members.ByID {
+		if isUpstream(m.Instance) && m.State < blackboard.Leaving {
+			count++
+		}
+	}
+	return count > c.config.ProbeAllUpTo
+}
+
+// owns reports whether this process is among the probers of an upstream: the
+// gateways of its failure domain, or all when the domain has none.
+func (c *Controller) owns(instance platform.Instance, gateways map[ident.FailureDomain][]ident.Instance) bool {
+	candidates := gateways[instance.FailureDomain]
+	if len(candidates) == 0 {
+		for _, others := range gateways {
+			candidates = append(candidates, others...)
+		}
+	} else if instance.FailureDomain != c.config.FailureDomain {
+		return false
+	}
+	return membership.Owns(c.config.Self, candidates, instance.ID, c.config.ProbersPerUpstream)
+}
+
+func gatewaysByDomain(members *blackboard.Members) map[ident.FailureDomain][]ident.Instance {
+	out := map[ident.FailureDomain][]ident.Instance{}
+	for id, m := range members.ByID {
+		if m.Instance.Role == platform.RoleEntry && m.State == blackboard.Alive {
+			out[m.Instance.FailureDomain] = append(out[m.Instance.FailureDomain], id)
+		}
+	}
+	return out
+}
+
+// upstreamsOf returns the upstreams that are not leaving, in no order.
+func upstreamsOf(members *blackboard.Members) []platform.Instance {
+	var out []platform.Instance
+	for _, m := range members.ByID {
+		if isUpstream(m.Instance) && m.State < blackboard.Leaving {
+			out = append(out, m.Instance)
+		}
+	}
+	return out
+}
+
+// publish replaces board.Upstreams.
+func (c *Controller) publish(members *blackboard.Members) {
+	c.dirty = false
+	loads := c.loads()
+	byService := map[ident.Service][]blackboard.Upstream{}
+	for _, m := range members.ByID {
+		if !isUpstream(m.Instance) || m.State == blackboard.Gone {
+			continue
+		}
+		service := m.Instance.Service
+		byService[service] = append(byService[service], c.describe(m, loads[m.Instance.ID]))
+	}
+	for _, list := range byService {
+		slices.SortFunc(list, func(a, b blackboard.Upstream) int { return cmp.Compare(a.Instance.ID, b.Instance.ID) })
+	}
+	c.deps.Board.Upstreams.Publish(&blackboard.Upstreams{ByService: byService})
+}
+
+// loads returns the latest load of each upstream as told by any process.
+func (c *Controller) loads() map[ident.Instance]membership.Load {
+	entries := c.deps.Membership.Entries()
+	out := make(map[ident.Instance]membership.Load, len(entries))
+	for _, e := range entries {
+		if !e.Load.At.IsZero() {
+			out[e.ID] = e.Load
+		}
+	}
+	return out
+}
+
+// describe joins the merged state with what this process's own probes told.
+func (c *Controller) describe(m blackboard.Member, load membership.Load) blackboard.Upstream {
+	u := blackboard.Upstream{Instance: m.Instance, State: m.State}
+	if c.deps.Cache != nil {
+		u.Cache = c.deps.Cache.View(m.Instance.ID)
+	}
+	p, ok := c.probes[m.Instance.ID]
+	if ok && p.incarnation == m.Incarnation {
+		u.Report = p.report
+		u.AsOf = p.asOf
+		if m.State == blackboard.Alive && p.failures >= c.config.FailuresToSuspect {
+			u.State = blackboard.Suspect
+		}
+	}
+	if load.At.After(u.AsOf) {
+		u.Report.Running = int(load.Running)
+		u.Report.Queued = int(load.Queued)
+		u.Report.QueuedPrefillTokens = int(load.QueuedPrefillTokens)
+		u.AsOf = load.At
+	}
+	return u
+}
--- /dev/null
+++ b/internal/membership/entry.go
@@ -0,0 +1,133 @@
+// Package membership merges what several sources say of the instances: the
+// platform's lagging list, notices, peers' digests and upstreams' own answers.
+//
+// What is known for good of one life of an instance (its incarnation) only
+// moves forward: alive, leaving, gone. Merging takes the later state, so the
+// order, repetition and age of the messages do not matter, and "leaving" never
+// turns back into "alive". A higher incarnation replaces a lower one.
+//
+// Being suspect is not merged: it is each process's own view of how old the
+// last proof of life is. Upstreams do not speak this protocol and cannot refute
+// a suspicion, so a merged one would outlive the partition that caused it.
+//
+// The package is pure: time is an argument, and nothing here is safe for
+// concurrent use.
+package membership
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+)
+
+// Load is an upstream's load as somebody observed it.
+type Load struct {
+	Running             uint32
+	Queued              uint32
+	QueuedPrefillTokens uint32
+	// At is when the figures were true. Zero: no figures.
+	At time.Time
+}
+
+// Entry is what is known of one instance.
+type Entry struct {
+	ID          ident.Instance
+	Incarnation ident.Incarnation
+	// State is Alive, Leaving or Gone, never Suspect.
+	State         blackboard.MemberState
+	FailureDomain ident.FailureDomain
+	// PeerAddress is empty for upstreams.
+	PeerAddress string
+	// Seen is the last proof of life: an answer of the instance itself to
+	// some process. Zero: none.
+	Seen time.Time
+	// GoneAt is when the first process learnt that the instance is gone.
+	GoneAt time.Time
+	Load   Load
+	// Description is what the platform says; nil when not known yet. It must
+	// not be changed.
+	Description *platform.Instance
+}
+
+// Join merges two entries of the same instance. It is commutative, associative
+// and idempotent.
+func Join(a, b Entry) Entry {
+	if a.Incarnation != b.Incarnation {
+		if a.Incarnation > b.Incarnation {
+			return a
+		}
+		return b
+	}
+	out := a
+	out.State = max(a.State, b.State)
+	out.FailureDomain = max(a.FailureDomain, b.FailureDomain)
+	out.PeerAddress = max(a.PeerAddress, b.PeerAddress)
+	out.Seen = later(a.Seen, b.Seen)
+	out.GoneAt = later(a.GoneAt, b.GoneAt)
+	out.Load = newerLoad(a.Load, b.Load)
+	out.Description = chooseDescription(a.Description, b.Description)
+	return out
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// newerLoad takes the younger figures, and among figures of the same moment
+// the higher ones, so that the order of the arguments does not matter.
+func newerLoad(a, b Load) Load {
+	order := cmp.Or(
+		a.At.Compare(b.At),
+		cmp.Compare(a.Running, b.Running),
+		cmp.Compare(a.Queued, b.Queued),
+		cmp.Compare(a.QueuedPrefillTokens, b.QueuedPrefillTokens),
+	)
+	if order >= 0 {
+		return a
+	}
+	return b
+}
+
+// chooseDescription prefers a known description. Two that differ for the same
+// incarnation are a fault of the platform; any fixed choice will do, as long
+// as all processes make the same.
+func chooseDescription(a, b *platform.Instance) *platform.Instance {
+	switch {
+	case a == nil:
+		return b
+	case b == nil:
+		return a
+	case compareDescriptions(a, b) >= 0:
+		return a
+	}
+	return b
+}
+
+func compareDescriptions(a, b *platform.Instance) int {
+	return cmp.Or(
+		cmp.Compare(a.Address, b.Address),
+		cmp.Compare(a.Service, b.Service),
+		cmp.Compare(a.Role, b.Role),
+		cmp.Compare(a.Class, b.Class),
+		cmp.Compare(a.Region, b.Region),
+		cmp.Compare(a.FailureDomain, b.FailureDomain),
+		cmp.Compare(a.PeerAddress, b.PeerAddress),
+		compareBools(a.Reclaimable, b.Reclaimable),
+	)
+}
+
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
--- /dev/null
+++ b/internal/peer/pool.go
@@ -0,0 +1,215 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	peerv1 "github.com/goldcrestspool/goldcrestspool/api/peer/v1"
+)
+
+// The limits of a pool.
+const (
+	// defaultTimeout bounds a call whose context has no deadline.
+	defaultTimeout = 5 * time.Second
+	// clientPing is after how much silence a client checks a connection;
+	// gRPC allows no less.
+	clientPing = 10 * time.Second
+	// condemnAfter is how many calls in a row may run into their deadline
+	// before the connection is given up.
+	condemnAfter = 2
+	// maxReconnectDelay bounds the pause between two attempts to connect, so
+	// that a peer that is back is reached within a heartbeat.
+	maxReconnectDelay = time.Second
+	// idleTimeout drops connections to addresses that are no longer asked.
+	idleTimeout = 5 * time.Minute
+	// linger is how long the calls in progress on a connection that was given
+	// up may go on.
+	linger = 10 * time.Second
+)
+
+// Pool holds one connection to each peer address. It is safe for concurrent
+// use.
+type Pool struct {
+	reload *reloader
+	dial   []grpc.DialOption
+
+	mu     sync.Mutex
+	conns  map[string]*connection
+	closed bool
+}
+
+// connection is a connection with the calls in a row that it has failed.
+type connection struct {
+	conn     *grpc.ClientConn
+	expired  int
+	lastUsed time.Time
+}
+
+// NewPool returns an empty pool. tlsFiles may be the zero value for plaintext;
+// options are added to those of each connection.
+func NewPool(tlsFiles TLSFiles, options ...grpc.DialOption) (*Pool, error) {
+	p := &Pool{conns: map[string]*connection{}, dial: options}
+	if !tlsFiles.Set() {
+		return p, nil
+	}
+	reload, err := newReloader(tlsFiles)
+	if err != nil {
+		return nil, err
+	}
+	p.reload = reload
+	return p, nil
+}
+
+// Close closes all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for address, c := range p.conns {
+		_ = c.conn.Close()
+		delete(p.conns, address)
+	}
+}
+
+// Exchange sends a heartbeat.
+func (p *Pool) Exchange(ctx context.Context, address string, req *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error) {
+	return call(ctx, p, address, req, peerv1.PeerServiceClient.Exchange)
+}
+
+// GetDocuments asks for the records behind a revision.
+func (p *Pool) GetDocuments(ctx context.Context, address string, req *peerv1.GetDocumentsRequest) (*peerv1.GetDocumentsResponse, error) {
+	return call(ctx, p, address, req, peerv1.PeerServiceClient.GetDocuments)
+}
+
+// PutOutcomes stores outcomes with a peer.
+func (p *Pool) PutOutcomes(ctx context.Context, address string, req *peerv1.PutOutcomesRequest) (*peerv1.PutOutcomesResponse, error) {
+	return call(ctx, p, address, req, peerv1.PeerServiceClient.PutOutcomes)
+}
+
+// FindOutcome asks for what a peer knows of a key.
+func (p *Pool) FindOutcome(ctx context.Context, address string, req *peerv1.FindOutcomeRequest) (*peerv1.FindOutcomeResponse, error) {
+	return call(ctx, p, address, req, peerv1.PeerServiceClient.FindOutcome)
+}
+
+// HandOver gives calls and streams to a peer. Any error means that the peer may
+// have taken them.
+func (p *Pool) HandOver(ctx context.Context, address string, req *peerv1.HandOverRequest) (*peerv1.HandOverResponse, error) {
+	return call(ctx, p, address, req, peerv1.PeerServiceClient.HandOver)
+}
+
+// ExplainRequest asks why a request went where it went.
+func (p *Pool) ExplainRequest(ctx context.Context, address string, req *peerv1.ExplainRequestRequest) (*peerv1.ExplainRequestResponse, error) {
+	return call(ctx, p, address, req, peerv1.PeerServiceClient.ExplainRequest)
+}
+
+// method is a method of the generated client.
+type method[Req, Resp any] func(peerv1.PeerServiceClient, context.Context, *Req, ...grpc.CallOption) (*Resp, error)
+
+// call sends one request once. Errors carry a code of errcode.
+func call[Req, Resp any](ctx context.Context, p *Pool, address string, req *Req, invoke method[Req, Resp]) (*Resp, error) {
+	c, err := p.connect(address)
+	if err != nil {
+		return nil, fromStatus(err, "peer "+address)
+	}
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, defaultTimeout)
+		defer cancel()
+	}
+	resp, err := invoke(peerv1.NewPeerServiceClient(c.conn), ctx, req)
+	p.judge(address, c, err)
+	if err != nil {
+		return nil, fromStatus(err, "peer "+address)
+	}
+	return resp, nil
+}
+
+// connect returns the connection to an address; it is established on use.
+func (p *Pool) connect(address string) (*connection, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, status.Error(codes.Canceled, "pool closed")
+	}
+	now := time.Now()
+	if c, ok := p.conns[address]; ok {
+		c.lastUsed = now
+		return c, nil
+	}
+	p.dropIdle(now)
+	// The passthrough scheme keeps gRPC from resolving names: a peer is an
+	// IP number and a port.
+	conn, err := grpc.NewClient("passthrough:///"+address, p.options()...)
+	if err != nil {
+		return nil, err
+	}
+	c := &connection{conn: conn, lastUsed: now}
+	p.conns[address] = c
+	return c, nil
+}
+
+// dropIdle closes the connections that nobody used for long, since instances
+// come and go and each has its own address. The lock is held.
+func (p *Pool) dropIdle(now time.Time) {
+	for address, c := range p.conns {
+		if now.Sub(c.lastUsed) > idleTimeout {
+			_ = c.conn.Close()
+			delete(p.conns, address)
+		}
+	}
+}
+
+// options switch off what gRPC would decide by itself: service configuration,
+// name resolution, retries and proxies.
+func (p *Pool) options() []grpc.DialOption {
+	creds := insecure.NewCredentials()
+	if p.reload != nil {
+		creds = newClientCredentials(p.reload)
+	}
+	options := []grpc.DialOption{
+		grpc.WithTransportCredentials(creds),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithDisableRetry(),
+		grpc.WithNoProxy(),
+		grpc.WithIdleTimeout(idleTimeout),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: clientPing, Timeout: pingTimeout, PermitWithoutStream: true}),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 2, MaxDelay: maxReconnectDelay},
+			MinConnectTimeout: maxReconnectDelay,
+		}),
+	}
+	return append(options, p.dial...)
+}
+
+// judge counts calls that ran into their deadline and gives up a connection
+// after condemnAfter in a row.
+//
+// What goes wrong without: something between the two ends loses track of the
+// connection and swallows its packets. No error shows; calls just expire, while
+// a new connection would work. The pings of gRPC need 13 seconds to notice,
+// which is longer than a departure may take to spread.
+func (p *Pool) judge(address string, c *connection, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if status.Code(err) != codes.DeadlineExceeded {
+		c.expired = 0
+		return
+	}
+	c.expired++
+	if c.expired < condemnAfter || p.conns[address] != c {
+		return
+	}
+	delete(p.conns, address)
+	connectionsCondemned.Add(1)
+	// The peer may only be slow: calls in progress keep their own deadlines.
+	time.AfterFunc(linger, func() { _ = c.conn.Close() })
+}
