--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -278,3 +278,26 @@
 		t.Fatalf("%d entries are left, want none", n)
 	}
 }
+
+// Symptom: an upstream that has ended gets work again.
+// Sequence: its end is known and forgotten; then a list from before the end
+// arrives, or a peer that was apart sends its last proof of life.
+// Cause: the end is forgotten while such messages can still arrive.
+func TestStaleAliveAfterTheEnd(t *testing.T) {
+	limits := DefaultLimits()
+	up := platform.Instance{ID: "u", Incarnation: 1, State: platform.Live}
+	proof := Entry{ID: "u", Incarnation: 1, State: blackboard.Alive, Seen: epoch}
+	for delay := time.Duration(0); delay < 2*limits.Forget; delay += time.Second {
+		table := NewTable("g", "one", limits)
+		table.Observe(Entry{ID: "u", Incarnation: 1, State: blackboard.Gone}, epoch)
+		now := epoch.Add(delay)
+		table.Forget(now)
+		if delay <= limits.ListLag {
+			table.ApplyList([]platform.Instance{up}, now)
+		}
+		table.MergePeer("p", proof, now)
+		if e, ok := table.Find("u"); ok && e.State == blackboard.Alive {
+			t.Fatalf("alive again %v after the end", delay)
+		}
+	}
+}
