--- /dev/null
+++ b/internal/lease/append.go
@@ -0,0 +1,127 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+)
+
+// due returns the records to append now. Where one renewal is due, all go
+// with it: one append renews every lease of this process.
+func (m *Manager) due() []Record {
+	now := time.Now()
+	records := m.releases(func(v view) bool { return m.timing.releasable(now, v) })
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var renewals []Record
+	renew := false
+	for _, want := range *m.wanted.Load() {
+		record, isDue := m.timing.next(now, m.state, m.cfg.Holder, want, m.viewOf(want.Name, now))
+		switch {
+		case record.Kind == Renewal:
+			renewals = append(renewals, record)
+			renew = renew || isDue
+		case isDue:
+			records = append(records, record)
+		}
+	}
+	if renew {
+		records = append(records, renewals...)
+	}
+	return records
+}
+
+// viewOf returns the view of a lease. Of one without records it begins now.
+func (m *Manager) viewOf(name Name, now time.Time) view {
+	v, known := m.views[name]
+	if !known {
+		v = view{readAt: now}
+		m.views[name] = v
+	}
+	return v
+}
+
+// releases returns a release for each revoked lease that ready selects. From
+// then on this process does not hold it, whatever becomes of the release: one
+// that takes effect late must not meet a holder that acts again.
+func (m *Manager) releases(ready func(view) bool) []Record {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var records []Record
+	for name, v := range m.views {
+		entry, known := m.state.Find(name)
+		if v.revokedAt.IsZero() || !ready(v) {
+			continue
+		}
+		v.revokedAt = time.Time{}
+		m.views[name] = v
+		if !known || entry.Record.Holder != m.cfg.Holder {
+			continue
+		}
+		records = append(records, Record{
+			Kind:       Release,
+			Name:       name,
+			Holder:     m.cfg.Holder,
+			Length:     entry.Record.Length,
+			Supersedes: LinkTo(entry.Offset),
+			Fence:      entry.Fence,
+		})
+	}
+	return records
+}
+
+// append adds records to the log and reports whether they may be there.
+func (m *Manager) append(ctx context.Context, records []Record) bool {
+	if len(records) == 0 {
+		return false
+	}
+	encoded := make([][]byte, len(records))
+	for i := range records {
+		records[i].ID = newRecordID()
+		data, err := records[i].Encode()
+		if err != nil {
+			m.cfg.Log.Error("lease record not encoded", "error", err)
+			return false
+		}
+		encoded[i] = data
+	}
+	m.begin(records)
+	ctx, cancel := context.WithTimeout(ctx, m.cfg.CallTimeout)
+	defer cancel()
+	m.metrics.appends.Add(1)
+	_, err := m.log.Append(ctx, Stream, encoded)
+	if errors.Is(err, platform.ErrUnavailable) {
+		m.cancel(records)
+		return false
+	}
+	if err != nil {
+		// The records may be in the log, now or later. They are found by
+		// their IDs, and appending anew is harmless: only one of two records
+		// that name the same one is accepted.
+		m.metrics.answersLost.Add(1)
+	}
+	return true
+}
+
+// begin notes when the append of records started. The holder's deadline counts
+// from here: an instant read after the append could lie past the one at which
+// a candidate has read the record, and both would believe that they hold.
+func (m *Manager) begin(records []Record) {
+	started := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, record := range records {
+		m.pending[record.ID] = started
+	}
+}
+
+// cancel forgets records that are not in the log and never will be.
+func (m *Manager) cancel(records []Record) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, record := range records {
+		delete(m.pending, record.ID)
+	}
+}
--- /dev/null
+++ b/internal/lease/candidates.go
@@ -0,0 +1,94 @@
+package lease
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+)
+
+// CandidateCount is how many processes are candidates for a lease. The others
+// neither read nor append, which keeps the log's load apart from their number.
+const CandidateCount = 3
+
+// RankOf returns an instance's rank among the candidates for a lease, or
+// false when it is none. It goes by the list of instances, which lags: two
+// processes may disagree for a while, which costs time and never safety.
+//
+// The candidates depend on the failure domain alone, so that few processes
+// read the stream; the service rotates their ranks, so that they share the
+// work. A failure domain without a live entry instance gets candidates of
+// other failure domains.
+func RankOf(self ident.Instance, name Name, instances []platform.Instance) (int, bool) {
+	candidates := chooseCandidates(name.FailureDomain, instances)
+	place := slices.Index(candidates, self)
+	if place < 0 {
+		return 0, false
+	}
+	turn := int(xxhash.Sum64String(string(name.Service)) % uint64(len(candidates)))
+	return (place + turn) % len(candidates), true
+}
+
+// chooseCandidates returns the candidates of a failure domain by rendezvous
+// hashing, those within it first. For the empty failure domain it takes each
+// from another one, so that the loss of one leaves candidates.
+func chooseCandidates(domain ident.FailureDomain, instances []platform.Instance) []ident.Instance {
+	entries := liveEntries(instances)
+	slices.SortFunc(entries, func(a, b platform.Instance) int {
+		return cmp.Or(
+			cmp.Compare(distance(domain, a), distance(domain, b)),
+			cmp.Compare(weight(domain, b.ID), weight(domain, a.ID)),
+			cmp.Compare(a.ID, b.ID),
+		)
+	})
+	if domain == "" {
+		entries = firstOfEachDomain(entries)
+	}
+	entries = entries[:min(len(entries), CandidateCount)]
+	ids := make([]ident.Instance, len(entries))
+	for i, entry := range entries {
+		ids[i] = entry.ID
+	}
+	return ids
+}
+
+func liveEntries(instances []platform.Instance) []platform.Instance {
+	var entries []platform.Instance
+	for _, instance := range instances {
+		if instance.Role == platform.RoleEntry && instance.State == platform.Live {
+			entries = append(entries, instance)
+		}
+	}
+	return entries
+}
+
+// distance is 0 within the failure domain and 1 elsewhere.
+func distance(domain ident.FailureDomain, instance platform.Instance) int {
+	if instance.FailureDomain == domain {
+		return 0
+	}
+	return 1
+}
+
+func weight(domain ident.FailureDomain, id ident.Instance) uint64 {
+	return xxhash.Sum64String(string(domain) + "/" + string(id))
+}
+
+// firstOfEachDomain moves the first instance of each failure domain to the
+// front and keeps the order otherwise.
+func firstOfEachDomain(entries []platform.Instance) []platform.Instance {
+	seen := make(map[ident.FailureDomain]bool)
+	var first, rest []platform.Instance
+	for _, entry := range entries {
+		if seen[entry.FailureDomain] {
+			rest = append(rest, entry)
+			continue
+		}
+		seen[entry.FailureDomain] = true
+		first = append(first, entry)
+	}
+	return append(first, rest...)
+}
--- /dev/null
+++ b/internal/lease/fake_test.go
@@ -0,0 +1,173 @@
+package lease_test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/lease"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+)
+
+// fault is what happens to the next append of a process.
+type fault int
+
+const (
+	noFault fault = iota
+	// answerLost: the append takes effect, the answer does not come.
+	answerLost
+	// appendLate: the answer is lost and the append takes effect later.
+	appendLate
+	// appendSlow: effect and answer both come late.
+	appendSlow
+)
+
+// fakeLog is one stream that forgets records after a while.
+type fakeLog struct {
+	mu      sync.Mutex
+	records []platform.Record
+	first   ident.Offset
+	down    bool
+}
+
+func (l *fakeLog) add(data [][]byte) ident.Offset {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	offset := l.first + ident.Offset(len(l.records))
+	for i, d := range data {
+		l.records = append(l.records, platform.Record{Offset: offset + ident.Offset(i), Data: d, AppendedAt: time.Now()})
+	}
+	return offset
+}
+
+// expire forgets what is older than the least time that the leases ask for.
+func (l *fakeLog) expire() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for len(l.records) > 0 && time.Since(l.records[0].AppendedAt) > 2*lease.Horizon {
+		l.records = l.records[1:]
+		l.first++
+	}
+}
+
+func (l *fakeLog) setDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+func (l *fakeLog) isDown() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.down
+}
+
+func (l *fakeLog) read(from ident.Offset, limit int) (platform.Batch, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	batch := platform.Batch{Head: l.first + ident.Offset(len(l.records)), First: l.first}
+	if from < l.first {
+		return batch, platform.ErrExpired
+	}
+	rest := l.records[min(int(from-l.first), len(l.records)):]
+	batch.Records = rest[:min(limit, len(rest))]
+	return batch, nil
+}
+
+// link is one process's way to the log, with the process's own faults. While
+// frozen, every call waits before it leaves and before it returns, as a
+// stopped process does.
+type link struct {
+	log  *fakeLog
+	dead context.Context
+
+	mu     sync.Mutex
+	thawed chan struct{}
+	fault  fault
+	delay  time.Duration
+}
+
+func newLink(log *fakeLog, dead context.Context) *link {
+	thawed := make(chan struct{})
+	close(thawed)
+	return &link{log: log, dead: dead, thawed: thawed}
+}
+
+func (l *link) freeze() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.isThawed() {
+		l.thawed = make(chan struct{})
+	}
+}
+
+func (l *link) thaw() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.isThawed() {
+		close(l.thawed)
+	}
+}
+
+func (l *link) isThawed() bool {
+	select {
+	case <-l.thawed:
+		return true
+	default:
+		return false
+	}
+}
+
+// pause waits while the process is frozen and reports whether it waited.
+func (l *link) pause() bool {
+	l.mu.Lock()
+	thawed, waits := l.thawed, !l.isThawed()
+	l.mu.Unlock()
+	<-thawed
+	return waits
+}
+
+func (l *link) setFault(f fault, delay time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fault, l.delay = f, delay
+}
+
+func (l *link) takeFault() (fault, time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f := l.fault
+	l.fault = noFault
+	return f, l.delay
+}
+
+func (l *link) Append(ctx context.Context, _ string, records [][]byte) (ident.Offset, error) {
+	l.pause()
+	defer l.pause()
+	if l.log.isDown() || l.dead.Err() != nil {
+		return 0, platform.ErrUnavailable
+	}
+	f, delay := l.takeFault()
+	switch f {
+	case answerLost:
+		l.log.add(records)
+		return 0, platform.ErrAnswerLost
+	case appendLate:
+		time.AfterFunc(delay, func() { l.log.add(records) })
+		return 0, platform.ErrAnswerLost
+	case appendSlow:
+		time.Sleep(delay)
+		return l.log.add(records), nil
+	}
+	return l.log.add(records), nil
+}
+
+func (l *link) Read(ctx context.Context, _ string, from ident.Offset, limit int, _ time.Duration) (platform.Batch, error) {
+	l.pause()
+	defer l.pause()
+	if l.log.isDown() || l.dead.Err() != nil {
+		return platform.Batch{}, platform.ErrUnavailable
+	}
+	return l.log.read(from, limit)
+}
--- /dev/null
+++ b/internal/lease/metrics.go
@@ -0,0 +1,41 @@
+package lease
+
+import "expvar"
+
+// metrics are the counters of one process.
+type metrics struct {
+	reads, appends, answersLost                expvar.Int
+	claimsAccepted, claimsRejected             expvar.Int
+	renewalsAccepted, renewalsRejected, others expvar.Int
+}
+
+// counters of this process, under the names that operators see.
+var counters metrics
+
+func init() {
+	vars := expvar.NewMap("goldcrestspool.lease")
+	vars.Set("reads", &counters.reads)
+	vars.Set("appends", &counters.appends)
+	vars.Set("answers_lost", &counters.answersLost)
+	vars.Set("claims_accepted", &counters.claimsAccepted)
+	vars.Set("claims_rejected", &counters.claimsRejected)
+	vars.Set("renewals_accepted", &counters.renewalsAccepted)
+	vars.Set("renewals_rejected", &counters.renewalsRejected)
+	vars.Set("other_records", &counters.others)
+}
+
+// count counts what became of one of this process's records.
+func (m *metrics) count(kind Kind, verdict Verdict) {
+	switch {
+	case kind == Claim && verdict == Accepted:
+		m.claimsAccepted.Add(1)
+	case kind == Claim:
+		m.claimsRejected.Add(1)
+	case kind == Renewal && verdict == Accepted:
+		m.renewalsAccepted.Add(1)
+	case kind == Renewal:
+		m.renewalsRejected.Add(1)
+	default:
+		m.others.Add(1)
+	}
+}
