--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	$(GO) test -race ./...
 
 generate:
-	$(TOOL) buf generate --template buf.gen.connect.yaml --path api/caller --path api/platform --path api/upstream --path api/standin
+	$(TOOL) buf generate --template buf.gen.connect.yaml --exclude-path api/peer
 	$(TOOL) buf generate --template buf.gen.grpc.yaml --path api/peer --path api/journal
 
 # Fails when the committed generated code differs from what the protos give.
