--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 
 generate:
 	$(TOOL) buf generate --template buf.gen.connect.yaml --path api/caller --path api/platform --path api/upstream
-	$(TOOL) buf generate --template buf.gen.grpc.yaml --path api/peer
+	$(TOOL) buf generate --template buf.gen.grpc.yaml --path api/peer --path api/config
 
 # Fails when the committed generated code differs from what the protos give.
 generate-check: generate
--- /dev/null
+++ b/internal/controllers/configuration/controller.go
@@ -0,0 +1,188 @@
+// Package configuration keeps the documents in force on the blackboard. It
+// reads the configuration stream of the platform's log and, where the log is
+// down or late, takes revisions from other processes. It never goes back to a
+// lower revision.
+package configuration
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+)
+
+const (
+	// readWait is how long a read waits at the log's head.
+	readWait = 4 * time.Second
+	// readTimeout is added to readWait. A read that hangs longer, for
+	// example on a connection that went silent, counts as failed. Together
+	// they stay under the 12 s in which a change has to be in force.
+	readTimeout = 2 * time.Second
+	// readLimit bounds the records of one read.
+	readLimit = 256
+	// firstBackoff and maxBackoff bound the pause after a failed read.
+	firstBackoff = 250 * time.Millisecond
+	maxBackoff   = 4 * time.Second
+	// minPause keeps a log that answers at once, instead of waiting for a
+	// record, from being asked without end.
+	minPause = 50 * time.Millisecond
+	// peerInterval is the time between two looks at the peers' revisions.
+	peerInterval = 500 * time.Millisecond
+	// peerGrace is how long a peer may be ahead before it is asked while the
+	// log is reachable. Usually the log brings the same records sooner.
+	peerGrace = time.Second
+	// peerTimeout bounds one request to a peer.
+	peerTimeout = 2 * time.Second
+)
+
+// Peer is another process and the revision that it has in force.
+type Peer struct {
+	ID       ident.Instance
+	Revision ident.Revision
+}
+
+// PeerDocuments is what this controller needs of other processes.
+type PeerDocuments interface {
+	// Highest returns the reachable peer with the highest revision. It is
+	// false when no peer is reachable, and until every known peer was heard
+	// of or failed once: the one not asked yet may hold a higher revision.
+	Highest() (Peer, bool)
+	// GetDocuments asks a peer for everything above a revision.
+	GetDocuments(ctx context.Context, peer ident.Instance, above ident.Revision) (document.Delta, error)
+}
+
+// Options are what a Controller works with.
+type Options struct {
+	// Instance spreads work that any process may do.
+	Instance ident.Instance
+	Log      platform.Log
+	// Peers may be nil.
+	Peers     PeerDocuments
+	Documents *blackboard.Section[*document.Set]
+	Health    *blackboard.Section[blackboard.ConfigurationHealth]
+	Logger    hclog.Logger
+	// Schema is the newest schema understood; 0 is
+	// document.CurrentSchema.
+	Schema int
+	// Snapshots says when to write snapshots; the zero value is
+	// DefaultSnapshotPolicy.
+	Snapshots SnapshotPolicy
+	// Random returns numbers in [0, 1) that spread retries; nil is
+	// math/rand.
+	Random func() float64
+}
+
+// Controller owns the sections Documents and Health. Create it with New.
+type Controller struct {
+	options Options
+	logger  hclog.Logger
+	// progress is what other goroutines may read.
+	progress atomic.Pointer[progress]
+	snapshot snapshotWriter
+
+	// What follows belongs to the goroutine of Run.
+	reader       document.Reader
+	set          *document.Set
+	problems     []string
+	ready        bool
+	logReachable bool
+	logFailed    bool
+	backoff      time.Duration
+	peerAhead    time.Time
+	first        ident.Offset
+	sinceWritten writtenSnapshot
+}
+
+// New returns a controller. Run starts it.
+func New(options Options) *Controller {
+	if options.Schema == 0 {
+		options.Schema = document.CurrentSchema
+	}
+	if options.Snapshots == (SnapshotPolicy{}) {
+		options.Snapshots = DefaultSnapshotPolicy
+	}
+	if options.Random == nil {
+		options.Random = rand.Float64
+	}
+	if options.Logger == nil {
+		options.Logger = hclog.NewNullLogger()
+	}
+	c := &Controller{options: options, logger: options.Logger.Named("configuration")}
+	c.progress.Store(&progress{})
+	return c
+}
+
+// State returns the configuration as far as this process knows it, also before
+// it is ready. It may be called by any goroutine.
+func (c *Controller) State() document.State { return c.progress.Load().state }
+
+// Revision returns the revision to tell peers. It may be called by any
+// goroutine.
+func (c *Controller) Revision() ident.Revision { return c.State().Revision() }
+
+// Delta answers a peer's GetDocuments. It may be called by any goroutine.
+func (c *Controller) Delta(above ident.Revision) document.Delta { return c.State().Delta(above) }
+
+// readResult is what one read of the log gave.
+type readResult struct {
+	batch platform.Batch
+	err   error
+}
+
+// Run follows the log and the peers until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	var readers sync.WaitGroup
+	defer readers.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	results := make(chan readResult, 1)
+	read := func() {
+		from, wait := c.reader.From(), c.wait()
+		readers.Go(func() { results <- c.read(ctx, from, wait) })
+	}
+	peers := time.NewTicker(peerInterval)
+	defer peers.Stop()
+	retry := time.NewTimer(0)
+	defer retry.Stop()
+	c.sinceWritten.readAt = time.Now()
+	c.publish()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-retry.C:
+			read()
+		case result := <-results:
+			retry.Reset(c.take(result))
+		case <-peers.C:
+			c.followPeers(ctx)
+		}
+		c.publish()
+	}
+}
+
+// wait is zero until the head is reached: a process that is not ready must
+// learn quickly whether the log is down.
+func (c *Controller) wait() time.Duration {
+	if c.ready {
+		return readWait
+	}
+	return 0
+}
+
+func (c *Controller) read(ctx context.Context, from ident.Offset, wait time.Duration) readResult {
+	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
+	defer cancel()
+	metrics.reads.Add(1)
+	batch, err := c.options.Log.Read(ctx, document.StreamName, from, readLimit, wait)
+	return readResult{batch, err}
+}
--- /dev/null
+++ b/internal/controllers/configuration/follow.go
@@ -0,0 +1,192 @@
+package configuration
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+)
+
+// take handles the answer of a read and returns the pause before the next.
+func (c *Controller) take(result readResult) time.Duration {
+	if errors.Is(result.err, platform.ErrExpired) {
+		c.reachable()
+		c.reader.Expired(result.batch.First)
+		c.logger.Warn("log records expired before they were read", "first_kept", result.batch.First)
+		return c.pause()
+	}
+	if result.err != nil {
+		c.unreachable(result.err)
+		return c.pause()
+	}
+	c.reachable()
+	c.first = result.batch.First
+	before := c.reader.From()
+	c.note(c.reader.Take(result.batch))
+	if c.reader.AtHead() {
+		c.ready = true
+		c.backoff = 0
+		return minPause
+	}
+	if c.reader.From() == before {
+		return c.pause()
+	}
+	c.backoff = 0
+	return 0
+}
+
+func (c *Controller) reachable() {
+	if !c.logReachable {
+		c.logger.Info("platform's log answers")
+	}
+	c.logReachable = true
+}
+
+func (c *Controller) unreachable(err error) {
+	metrics.readFailures.Add(1)
+	if c.logReachable || !c.logFailed {
+		c.logger.Warn("platform's log does not answer", "error", err)
+	}
+	c.logReachable = false
+	c.logFailed = true
+}
+
+// pause grows up to maxBackoff. A random part keeps processes that failed at
+// the same moment from coming back at the same moment.
+func (c *Controller) pause() time.Duration {
+	c.backoff = min(max(2*c.backoff, firstBackoff), maxBackoff)
+	return c.backoff/2 + time.Duration(c.options.Random()*float64(c.backoff/2))
+}
+
+// note logs and counts what became of new records.
+func (c *Controller) note(decisions []document.Decision) {
+	for _, d := range decisions {
+		switch d.Kind {
+		case document.AcceptedRecord:
+			metrics.accepted.Add(1)
+			c.logger.Info("document accepted", "service", d.Publication.Service,
+				"revision", d.Current, "publish_id", d.Publication.PublishID)
+		case document.RefusedRecord:
+			metrics.refused.Add(1)
+		case document.SnapshotRecord:
+			c.sinceWritten = writtenSnapshot{covers: d.Covers, readAt: time.Now()}
+		case document.UnreadableRecord:
+			metrics.unreadable.Add(1)
+		}
+		if d.Problem != "" {
+			c.logger.Error("configuration record", "offset", d.Offset, "problem", d.Problem)
+		}
+	}
+	c.sinceWritten.records += len(decisions)
+}
+
+// followPeers takes over what a peer knows beyond this process.
+func (c *Controller) followPeers(ctx context.Context) {
+	if c.options.Peers == nil {
+		return
+	}
+	peer, ok := c.options.Peers.Highest()
+	if !ok {
+		return
+	}
+	if c.behind(peer) && c.patienceOver() {
+		c.merge(ctx, peer)
+	}
+	if !c.behind(peer) {
+		c.peerAhead = time.Time{}
+		c.readyFromPeers()
+	}
+}
+
+// behind reports whether a peer may know what this process lacks.
+func (c *Controller) behind(peer Peer) bool {
+	return peer.Revision > c.reader.State().Revision() || c.reader.Searching()
+}
+
+// patienceOver reports whether a peer ahead is to be asked now.
+func (c *Controller) patienceOver() bool {
+	if c.peerAhead.IsZero() {
+		c.peerAhead = time.Now()
+	}
+	return !c.logReachable && c.logFailed || time.Since(c.peerAhead) >= peerGrace
+}
+
+func (c *Controller) merge(ctx context.Context, peer Peer) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	delta, err := c.options.Peers.GetDocuments(ctx, peer.ID, c.reader.State().Through())
+	if err == nil {
+		err = c.reader.Merge(delta)
+	}
+	if err != nil {
+		metrics.mergeFailures.Add(1)
+		c.logger.Warn("no documents from peer", "peer", peer.ID, "error", err)
+		return
+	}
+	metrics.merges.Add(1)
+	c.logger.Info("documents from peer", "peer", peer.ID, "revision", c.reader.State().Revision())
+}
+
+// readyFromPeers: with the log down, a process is ready at the highest
+// revision of its reachable peers. Without any document it is not: they may
+// all be as new as this one.
+func (c *Controller) readyFromPeers() {
+	if !c.logReachable && c.logFailed && c.reader.State().Revision() > 0 {
+		c.ready = true
+	}
+}
+
+// publish brings the sections and the shared progress up to date. Documents
+// stay empty until the process is ready, so that no caller is served by an
+// older document than another instance served by before.
+func (c *Controller) publish() {
+	state := c.reader.State()
+	if c.ready && (c.set == nil || c.set.Revision != state.Revision()) {
+		c.set, c.problems = document.BuildSet(state, c.set, c.options.Schema)
+		c.options.Documents.Publish(c.set)
+		metrics.revision.Set(int64(state.Revision()))
+	}
+	health := blackboard.ConfigurationHealth{
+		Ready:        c.ready,
+		LogReachable: c.logReachable,
+		Problem:      c.problem(),
+	}
+	if c.options.Health.Value() != health {
+		c.options.Health.Publish(health)
+		if health.Problem != "" {
+			c.logger.Warn("configuration", "ready", health.Ready, "problem", health.Problem)
+		}
+	}
+	c.progress.Store(&progress{
+		state:   state,
+		written: c.sinceWritten,
+		first:   c.first,
+		current: c.ready && c.logReachable && c.reader.AtHead(),
+	})
+}
+
+// problem says why the process is not ready, or what it cannot follow.
+func (c *Controller) problem() string {
+	var all []string
+	if !c.ready {
+		all = append(all, c.notReady())
+	}
+	if p := c.reader.Problem(); p != "" && c.logReachable {
+		all = append(all, p)
+	}
+	return strings.Join(append(all, c.problems...), "; ")
+}
+
+func (c *Controller) notReady() string {
+	switch {
+	case c.logReachable:
+		return "reading the configuration stream"
+	case c.logFailed:
+		return "the platform's log does not answer and no reachable peer has documents"
+	}
+	return "the platform's log was not read yet"
+}
--- /dev/null
+++ b/internal/controllers/configuration/promise_test.go
@@ -0,0 +1,331 @@
+package configuration
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	configv1 "github.com/goldcrestspool/goldcrestspool/api/config/v1"
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
+)
+
+func init() { testkit.FixSeed() }
+
+// noDeadline hides testing.T's Deadline, which a synctest bubble refuses.
+type noDeadline struct{ rapid.TB }
+
+const (
+	// newSchema is that of the newer program; the older understands one less.
+	newSchema = 2
+	// inForce is the time within which an accepted change is served by
+	// everywhere, and settling the time for a new snapshot besides.
+	inForce  = 12 * time.Second
+	settling = 90 * time.Second
+)
+
+// text is a document whose model version tells publications apart.
+func text(service ident.Service, publishID string) []byte {
+	return fmt.Appendf(nil, `
+schema = 1
+service = "%s"
+kind = "model"
+model = { name = "m", version = "%s" }
+classes = [{ name = "short", completion = "1s" }]
+placement = { max = 1, prices = [{ failure_domain = "hall-a", class = "c", cents_per_hour = 1 }] }
+`, service, publishID)
+}
+
+// oracle is the plain list of publications in the order of the log.
+type oracle struct{ accepted []oracleEntry }
+
+type oracleEntry struct {
+	service  ident.Service
+	revision ident.Revision
+	id       string
+	schema   int
+}
+
+// newOracle reads the whole log, expired records included, with the wire
+// types only: it shares no code with the fold.
+func newOracle(records []platform.Record) oracle {
+	var o oracle
+	for _, r := range records {
+		var record configv1.Record
+		if err := proto.Unmarshal(r.Data, &record); err != nil {
+			continue
+		}
+		p := record.GetPublication()
+		if p == nil || uint64(o.current(ident.Service(p.Service))) != p.BaseRevision {
+			continue
+		}
+		o.accepted = append(o.accepted, oracleEntry{
+			service:  ident.Service(p.Service),
+			revision: ident.Revision(r.Offset) + 1,
+			id:       p.PublishId,
+			schema:   int(p.Schema),
+		})
+	}
+	return o
+}
+
+func (o oracle) current(service ident.Service) ident.Revision {
+	revision := ident.Revision(0)
+	for _, e := range o.accepted {
+		if e.service == service {
+			revision = e.revision
+		}
+	}
+	return revision
+}
+
+// at returns what a program has to serve by at a revision.
+func (o oracle) at(revision ident.Revision, schema int) map[ident.Service]oracleEntry {
+	out := map[ident.Service]oracleEntry{}
+	for _, e := range o.accepted {
+		if e.revision <= revision && e.schema <= schema {
+			out[e.service] = e
+		}
+	}
+	return out
+}
+
+func (o oracle) last() ident.Revision {
+	if len(o.accepted) == 0 {
+		return 0
+	}
+	return o.accepted[len(o.accepted)-1].revision
+}
+
+// inspect checks a set that a process serves by: it is the oracle's at that
+// revision, and no service goes back.
+func (w *world) inspect(p *process, set *document.Set) {
+	want := newOracle(w.log.records()).at(set.Revision, p.schema)
+	if len(want) != len(set.Services) {
+		w.fault("%s at %d serves %d services, want %d", p.name, set.Revision, len(set.Services), len(want))
+	}
+	for service, entry := range set.Services {
+		e := want[service]
+		if e.revision != entry.Revision || e.id != entry.Document.Model.Version {
+			w.fault("%s at %d serves %s by %d (%s), want %d (%s)", p.name, set.Revision, service,
+				entry.Revision, entry.Document.Model.Version, e.revision, e.id)
+		}
+		if entry.Revision < p.served[service] {
+			w.fault("%s went back from %d to %d", p.name, p.served[service], entry.Revision)
+		}
+		p.served[service] = entry.Revision
+	}
+}
+
+// machine is the rapid state machine: its methods are what may happen.
+type machine struct {
+	*world
+	published int
+	late      [][]byte
+}
+
+var serviceNames = []ident.Service{"spool-llm", "auktion-app", "appli-jumelage"}
+
+func (m *machine) record(t *rapid.T, service ident.Service, base ident.Revision) []byte {
+	m.published++
+	id := fmt.Sprintf("p%d", m.published)
+	data, err := document.EncodePublication(document.Publication{
+		Service: service, Base: base, PublishID: id,
+		Schema:   rapid.IntRange(1, newSchema).Draw(t, "schema"),
+		Document: text(service, id),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// publish: operators race for the same base; some answers are lost, and the
+// record lands now, later or twice; some bases are stale.
+func (m *machine) publish(t *rapid.T) {
+	service := rapid.SampledFrom(serviceNames).Draw(t, "service")
+	base := newOracle(m.log.records()).current(service)
+	if rapid.IntRange(0, 4).Draw(t, "stale") == 0 {
+		base = ident.Revision(rapid.IntRange(0, int(base)).Draw(t, "base"))
+	}
+	for range rapid.IntRange(1, 3).Draw(t, "operators") {
+		data := m.record(t, service, base)
+		switch rapid.SampledFrom([]string{"now", "later", "twice"}).Draw(t, "lands") {
+		case "now":
+			m.log.land(data)
+		case "later":
+			m.late = append(m.late, data)
+		case "twice":
+			m.log.land(data)
+			m.late = append(m.late, data)
+		}
+	}
+}
+
+func (m *machine) landLate(t *rapid.T) {
+	if len(m.late) == 0 {
+		t.Skip("nothing is under way")
+	}
+	m.log.land(m.late[0])
+	m.late = m.late[1:]
+}
+
+func (m *machine) garbage(t *rapid.T) {
+	m.log.land(rapid.SliceOfN(rapid.Byte(), 0, 8).Draw(t, "bytes"))
+}
+
+func (m *machine) logDown(t *rapid.T) { m.log.setDown(rapid.Bool().Draw(t, "down")) }
+
+func (m *machine) cutDomains(t *rapid.T) { m.setApart(rapid.Bool().Draw(t, "apart")) }
+
+// cutFromLog: one failure domain loses the log, or its connections hang.
+func (m *machine) cutFromLog(t *rapid.T) {
+	domain := rapid.IntRange(0, domains-1).Draw(t, "domain")
+	cut, hang := rapid.Bool().Draw(t, "cut"), rapid.Bool().Draw(t, "hang")
+	for _, p := range m.processes {
+		if p.domain == domain {
+			p.link.set(cut, hang)
+		}
+	}
+}
+
+func (m *machine) replaceOne(t *rapid.T) {
+	m.replace(rapid.IntRange(0, len(m.processes)-1).Draw(t, "place"))
+}
+
+func (m *machine) replaceDomain(t *rapid.T) {
+	domain := rapid.IntRange(0, domains-1).Draw(t, "domain")
+	for place, p := range m.processes {
+		if p.domain == domain {
+			m.replace(place)
+		}
+	}
+}
+
+// expire: the log forgets, also beyond what a snapshot covers.
+func (m *machine) expire(t *rapid.T) {
+	m.log.expire(ident.Offset(rapid.IntRange(0, len(m.log.records())).Draw(t, "first")))
+}
+
+func (m *machine) pass(t *rapid.T) {
+	time.Sleep(rapid.SampledFrom([]time.Duration{
+		100 * time.Millisecond, time.Second, 5 * time.Second, time.Minute, time.Hour,
+	}).Draw(t, "time"))
+}
+
+// logDownForHours: meanwhile a whole failure domain is replaced. The new
+// processes serve by what the other domain holds.
+func (m *machine) logDownForHours(t *rapid.T) {
+	m.log.setDown(true)
+	m.setApart(false)
+	m.replaceDomain(t)
+	highest := ident.Revision(0)
+	for _, p := range m.processes {
+		highest = max(highest, p.controller.Revision())
+	}
+	time.Sleep(3 * time.Hour)
+	for _, p := range m.processes {
+		set, health := p.board.Documents.Value(), p.board.Configuration.Value()
+		if set.Revision < highest || highest > 0 && !health.Ready {
+			t.Fatalf("%s is at %d without the log, peers at %d; health %+v", p.name, set.Revision, highest, health)
+		}
+	}
+}
+
+// heal ends all faults; then every process serves the oracle's documents, as
+// long as one process was left that knew them.
+func (m *machine) heal(t *rapid.T) {
+	m.log.setDown(false)
+	m.setApart(false)
+	for _, p := range m.processes {
+		p.link.set(false, false)
+	}
+	time.Sleep(settling)
+	m.publish(t)
+	time.Sleep(inForce)
+	synctest.Wait()
+	m.checkEverywhere(t)
+}
+
+func (m *machine) checkEverywhere(t *rapid.T) {
+	want := newOracle(m.log.records()).last()
+	if !m.recoverable(want) {
+		return
+	}
+	for _, p := range m.processes {
+		health := p.board.Configuration.Value()
+		if set := p.board.Documents.Value(); set.Revision != want || !health.Ready {
+			t.Fatalf("%s is at %d, want %d; health %+v", p.name, set.Revision, want, health)
+		}
+	}
+}
+
+// recoverable is false once every process that had read the expired records
+// is gone and they are in no snapshot: the documents exist nowhere.
+func (m *machine) recoverable(want ident.Revision) bool {
+	for _, p := range m.processes {
+		if p.controller.Revision() >= want {
+			return true
+		}
+	}
+	m.log.mu.Lock()
+	defer m.log.mu.Unlock()
+	if m.log.first == 0 {
+		return true
+	}
+	for _, r := range m.log.all[m.log.first:] {
+		var record configv1.Record
+		if proto.Unmarshal(r.Data, &record) != nil || record.GetSnapshot() == nil {
+			continue
+		}
+		if ident.Offset(record.GetSnapshot().Covers) >= m.log.first {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *machine) check(t *rapid.T) {
+	synctest.Wait()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.faults) > 0 {
+		t.Fatal(m.faults)
+	}
+}
+
+// Symptom: an instance serves by a document that was never accepted, by a mix
+// of revisions, goes back to an older one, or never gets a change.
+// Sequence: any order of racing operators, lost and late answers, garbage,
+// outages, cuts, silent connections, expired records, replaced instances and
+// failure domains, with an older program among them.
+// Cause: looked for, by comparison with a plain list of the log's records.
+func TestDocumentsNeverRevertAndArriveEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(noDeadline{t}, func(t *rapid.T) {
+			m := &machine{world: newWorld()}
+			defer m.stopAll()
+			t.Repeat(map[string]func(*rapid.T){
+				"publish":       m.publish,
+				"landLate":      m.landLate,
+				"garbage":       m.garbage,
+				"logDown":       m.logDown,
+				"cutDomains":    m.cutDomains,
+				"cutFromLog":    m.cutFromLog,
+				"replaceOne":    m.replaceOne,
+				"replaceDomain": m.replaceDomain,
+				"expire":        m.expire,
+				"pass":          m.pass,
+				"downForHours":  m.logDownForHours,
+				"heal":          m.heal,
+				"":              m.check,
+			})
+		})
+	})
+}
--- /dev/null
+++ b/internal/controllers/configuration/world_test.go
@@ -0,0 +1,291 @@
+package configuration
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+)
+
+// memoryLog is one stream of the platform's log, with the log's faults.
+type memoryLog struct {
+	mu      sync.Mutex
+	all     []platform.Record // also the expired ones, for the oracle
+	first   ident.Offset
+	down    bool
+	changed chan struct{}
+}
+
+func newMemoryLog() *memoryLog { return &memoryLog{changed: make(chan struct{})} }
+
+func (l *memoryLog) land(data []byte) ident.Offset {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	offset := ident.Offset(len(l.all))
+	l.all = append(l.all, platform.Record{Offset: offset, Data: data, AppendedAt: time.Now()})
+	close(l.changed)
+	l.changed = make(chan struct{})
+	return offset
+}
+
+func (l *memoryLog) setDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+func (l *memoryLog) expire(first ident.Offset) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.first = max(l.first, min(first, ident.Offset(len(l.all))))
+}
+
+func (l *memoryLog) records() []platform.Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.all)
+}
+
+// get returns a batch, and a channel to wait on when there is no record yet.
+func (l *memoryLog) get(from ident.Offset, limit int) (platform.Batch, <-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	batch := platform.Batch{Head: ident.Offset(len(l.all)), First: l.first}
+	if l.down {
+		return platform.Batch{}, nil, platform.ErrUnavailable
+	}
+	if from < l.first {
+		return batch, nil, platform.ErrExpired
+	}
+	if from < batch.Head {
+		end := min(from+ident.Offset(limit), batch.Head)
+		batch.Records = slices.Clone(l.all[from:end])
+	}
+	return batch, l.changed, nil
+}
+
+// link is one process's way to the log.
+type link struct {
+	log *memoryLog
+	mu  sync.Mutex
+	cut bool
+	// hang: reads never answer, as on a connection that went silent.
+	hang bool
+}
+
+func (l *link) set(cut, hang bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut, l.hang = cut, hang
+}
+
+func (l *link) state() (cut, hang bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cut, l.hang
+}
+
+func (l *link) Append(_ context.Context, _ string, records [][]byte) (ident.Offset, error) {
+	if cut, hang := l.state(); cut || hang || l.log.isDown() {
+		return 0, platform.ErrUnavailable
+	}
+	return l.log.land(records[0]), nil
+}
+
+func (l *memoryLog) isDown() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.down
+}
+
+func (l *link) Read(ctx context.Context, _ string, from ident.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	for {
+		cut, hang := l.state()
+		if hang {
+			<-ctx.Done()
+			return platform.Batch{}, ctx.Err()
+		}
+		if cut {
+			return platform.Batch{}, platform.ErrUnavailable
+		}
+		batch, changed, err := l.log.get(from, limit)
+		if err != nil || len(batch.Records) > 0 {
+			return batch, err
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			return batch, nil
+		case <-ctx.Done():
+			return platform.Batch{}, ctx.Err()
+		}
+	}
+}
+
+// process is one instance with the real controller.
+type process struct {
+	name       string
+	domain     int
+	schema     int
+	link       *link
+	board      *blackboard.Board
+	controller *Controller
+	world      *world
+	stop       func()
+	// served is the highest revision served by for each service.
+	served map[ident.Service]ident.Revision
+}
+
+// world is a few processes in two failure domains and what connects them.
+type world struct {
+	log       *memoryLog
+	mu        sync.Mutex
+	processes []*process
+	// apart: the failure domains cannot reach each other.
+	apart  bool
+	faults []string
+	lives  int
+}
+
+const (
+	domains          = 2
+	processesADomain = 2
+)
+
+func newWorld() *world {
+	w := &world{log: newMemoryLog()}
+	for i := range domains * processesADomain {
+		w.processes = append(w.processes, w.start(i))
+	}
+	return w
+}
+
+// start begins a new life at a place; odd places run an older program.
+func (w *world) start(place int) *process {
+	w.lives++
+	p := &process{
+		name:   fmt.Sprintf("entry-%d-life-%d", place, w.lives),
+		domain: place / processesADomain,
+		schema: newSchema - place%2,
+		link:   &link{log: w.log},
+		board:  blackboard.NewBoard(),
+		world:  w,
+		served: map[ident.Service]ident.Revision{},
+	}
+	p.controller = New(Options{
+		Instance:  ident.Instance(p.name),
+		Log:       p.link,
+		Peers:     p,
+		Documents: p.board.Documents,
+		Health:    p.board.Configuration,
+		Schema:    p.schema,
+		Random:    func() float64 { return 0.5 },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = p.controller.Run(ctx) })
+	running.Go(func() { p.writeSnapshots(ctx) })
+	running.Go(func() { p.watch(ctx) })
+	p.stop = func() { cancel(); running.Wait() }
+	return p
+}
+
+func (w *world) replace(place int) {
+	old := w.processes[place]
+	old.stop()
+	next := w.start(place)
+	cut, hang := old.link.state()
+	next.link.set(cut, hang)
+	w.mu.Lock()
+	w.processes[place] = next
+	w.mu.Unlock()
+}
+
+func (w *world) stopAll() {
+	for _, p := range w.processes {
+		p.stop()
+	}
+}
+
+func (w *world) fault(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = append(w.faults, fmt.Sprintf(format, args...))
+}
+
+func (w *world) setApart(apart bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.apart = apart
+}
+
+func (p *process) writeSnapshots(ctx context.Context) {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			_, _ = p.controller.WriteSnapshotIfDue(ctx)
+		}
+	}
+}
+
+// watch sees every set that the process serves by.
+func (p *process) watch(ctx context.Context) {
+	version := uint64(0)
+	for {
+		snap, err := p.board.Documents.Wait(ctx, version)
+		if err != nil {
+			return
+		}
+		version = snap.Version
+		p.world.inspect(p, snap.Value)
+	}
+}
+
+// reachable returns the other processes that p can talk to.
+func (p *process) reachable() []*process {
+	p.world.mu.Lock()
+	defer p.world.mu.Unlock()
+	var out []*process
+	for _, other := range p.world.processes {
+		near := other.domain == p.domain || !p.world.apart
+		if other != p && near {
+			out = append(out, other)
+		}
+	}
+	return out
+}
+
+// Highest implements PeerDocuments.
+func (p *process) Highest() (Peer, bool) {
+	var best Peer
+	found := false
+	for _, other := range p.reachable() {
+		revision := other.controller.Revision()
+		if !found || revision > best.Revision {
+			best, found = Peer{ID: ident.Instance(other.name), Revision: revision}, true
+		}
+	}
+	return best, found
+}
+
+// GetDocuments implements PeerDocuments, through the wire form.
+func (p *process) GetDocuments(_ context.Context, peer ident.Instance, above ident.Revision) (document.Delta, error) {
+	for _, other := range p.reachable() {
+		if ident.Instance(other.name) == peer {
+			return FromProto(ToProto(other.controller.Delta(above))), nil
+		}
+	}
+	return document.Delta{}, platform.ErrUnavailable
+}
--- /dev/null
+++ b/internal/document/fold.go
@@ -0,0 +1,186 @@
+package document
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+)
+
+// State is the configuration after all records of the stream below an offset.
+// It is immutable; the zero value is the state before the first record.
+//
+// The fold decides by bases alone and never looks into documents, so that
+// programs of different versions decide alike.
+type State struct {
+	next     ident.Offset
+	revision ident.Revision
+	// services holds, for each service, the accepted publications that some
+	// program may serve by: the newest of each schema, as far as no newer one
+	// has a lower schema. Ascending by revision, so also by schema.
+	services map[ident.Service][]Accepted
+}
+
+// Next returns the first offset that is not part of the state.
+func (s State) Next() ident.Offset { return s.next }
+
+// Through returns the revision up to which the state is complete.
+func (s State) Through() ident.Revision { return ident.Revision(s.next) }
+
+// Revision returns the revision of the newest accepted publication.
+func (s State) Revision() ident.Revision { return s.revision }
+
+// Current returns the publication in force of a service.
+func (s State) Current(service ident.Service) (Accepted, bool) {
+	versions := s.services[service]
+	if len(versions) == 0 {
+		return Accepted{}, false
+	}
+	return versions[len(versions)-1], true
+}
+
+// Services returns the names of all services in order.
+func (s State) Services() []ident.Service {
+	return slices.Sorted(maps.Keys(s.services))
+}
+
+// DecisionKind says what became of a record.
+type DecisionKind string
+
+// The kinds.
+const (
+	// AcceptedRecord: the publication is in force from its revision on.
+	AcceptedRecord DecisionKind = "accepted"
+	// RefusedRecord: the service had moved on from the publication's base.
+	RefusedRecord DecisionKind = "refused"
+	// SnapshotRecord: a snapshot; it changes nothing for a reader that has
+	// read all before it.
+	SnapshotRecord DecisionKind = "snapshot"
+	// UnreadableRecord: no record of this schema.
+	UnreadableRecord DecisionKind = "unreadable"
+)
+
+// Decision tells what became of one record.
+type Decision struct {
+	Offset ident.Offset
+	Kind   DecisionKind
+	// Publication is set for accepted and refused records.
+	Publication Publication
+	// Current is the service's revision after the record.
+	Current ident.Revision
+	// Covers is set for snapshots: the first offset that one leaves out.
+	Covers ident.Offset
+	// Problem is set for unreadable records and differing snapshots.
+	Problem string
+}
+
+// Fold applies records in the order of their offsets and returns the new
+// state with one decision for each record. Records below the state's next
+// offset are left out: they are part of it.
+func Fold(s State, records []platform.Record) (State, []Decision) {
+	f := folder{state: s}
+	for _, r := range records {
+		if r.Offset >= f.state.next {
+			f.apply(r)
+		}
+	}
+	return f.state, f.decisions
+}
+
+// folder folds in place what it has copied before.
+type folder struct {
+	state     State
+	copied    bool
+	decisions []Decision
+}
+
+func (f *folder) apply(r platform.Record) {
+	f.state.next = r.Offset + 1
+	d, err := decode(r.Data)
+	switch {
+	case err != nil:
+		f.decide(Decision{Offset: r.Offset, Kind: UnreadableRecord, Problem: err.Error()})
+	case d.snapshot != nil:
+		f.snapshot(r.Offset, d.snapshot)
+	default:
+		f.publication(r, *d.publication)
+	}
+}
+
+func (f *folder) decide(d Decision) { f.decisions = append(f.decisions, d) }
+
+func (f *folder) publication(r platform.Record, p Publication) {
+	current, _ := f.state.Current(p.Service)
+	if p.Base != current.Revision {
+		f.decide(Decision{Offset: r.Offset, Kind: RefusedRecord, Publication: p, Current: current.Revision})
+		return
+	}
+	revision := ident.Revision(r.Offset + 1)
+	f.accept(Accepted{Revision: revision, Publication: p, record: r.Data})
+	f.decide(Decision{Offset: r.Offset, Kind: AcceptedRecord, Publication: p, Current: revision})
+}
+
+// accept puts a publication in force. Earlier ones stay only while a program
+// that cannot understand the new schema may need them.
+func (f *folder) accept(a Accepted) {
+	if !f.copied {
+		f.state.services = maps.Clone(f.state.services)
+		f.copied = true
+	}
+	if f.state.services == nil {
+		f.state.services = map[ident.Service][]Accepted{}
+	}
+	var kept []Accepted
+	for _, earlier := range f.state.services[a.Service] {
+		if earlier.Schema < a.Schema {
+			kept = append(kept, earlier)
+		}
+	}
+	f.state.services[a.Service] = append(kept, a)
+	f.state.revision = a.Revision
+}
+
+// snapshot compares a snapshot with what this reader folded itself. They can
+// only differ if two programs fold by different rules, which would otherwise
+// show as instances that serve by different documents.
+func (f *folder) snapshot(offset ident.Offset, s *snapshot) {
+	d := Decision{Offset: offset, Kind: SnapshotRecord, Covers: s.covers}
+	if f.state.revision <= ident.Revision(s.covers) && !equalRecords(s.records, f.state.records(0)) {
+		d.Problem = "snapshot differs from the records that it covers"
+	}
+	f.decide(d)
+}
+
+// reverts reports whether a service would fall behind earlier.
+func (s State) reverts(earlier State) bool {
+	for service := range earlier.services {
+		was, _ := earlier.Current(service)
+		is, _ := s.Current(service)
+		if is.Revision < was.Revision {
+			return true
+		}
+	}
+	return false
+}
+
+// records returns the publications above a revision, ascending by revision.
+func (s State) records(above ident.Revision) []Accepted {
+	var all []Accepted
+	for _, versions := range s.services {
+		for _, a := range versions {
+			if a.Revision > above {
+				all = append(all, a)
+			}
+		}
+	}
+	slices.SortFunc(all, func(a, b Accepted) int { return cmp.Compare(a.Revision, b.Revision) })
+	return all
+}
+
+func equalRecords(a, b []Accepted) bool {
+	return slices.EqualFunc(a, b, func(x, y Accepted) bool {
+		return x.Revision == y.Revision && string(x.record) == string(y.record)
+	})
+}
--- /dev/null
+++ b/internal/document/record.go
@@ -0,0 +1,102 @@
+package document
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	configv1 "github.com/goldcrestspool/goldcrestspool/api/config/v1"
+	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+// StreamName is the configuration stream in the platform's log.
+const StreamName = "configuration"
+
+// MaxBytes bounds a document, so that a snapshot of all documents stays a
+// small record.
+const MaxBytes = 64 << 10
+
+// Publication is an operator's new version of one document.
+type Publication struct {
+	Service ident.Service
+	// Base is the revision that this one replaces; 0 for the first.
+	Base ident.Revision
+	// PublishID is unique for each publication. By it an operator's program
+	// finds its own record after a lost answer.
+	PublishID string
+	Schema    int
+	// Document is the document as its team wrote it.
+	Document []byte
+}
+
+// Accepted is a publication that was in force, with its record as it stands in
+// the log.
+type Accepted struct {
+	Revision ident.Revision
+	Publication
+	record []byte
+}
+
+// EncodePublication returns the record of a publication.
+func EncodePublication(p Publication) ([]byte, error) {
+	return encode(&configv1.Record{Kind: &configv1.Record_Publication{
+		Publication: &configv1.Publication{
+			Service:      string(p.Service),
+			BaseRevision: uint64(p.Base),
+			PublishId:    p.PublishID,
+			Schema:       uint32(p.Schema),
+			Document:     p.Document,
+		},
+	}})
+}
+
+func encode(r *configv1.Record) ([]byte, error) {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(r)
+	return data, errcode.Wrap(errcode.InvalidArgument, err, "encode configuration record")
+}
+
+// decoded is one record; exactly one of its fields is set.
+type decoded struct {
+	publication *Publication
+	snapshot    *snapshot
+}
+
+func decode(data []byte) (decoded, error) {
+	var r configv1.Record
+	if err := proto.Unmarshal(data, &r); err != nil {
+		return decoded{}, errcode.Wrap(errcode.InvalidArgument, err, "decode configuration record")
+	}
+	switch kind := r.GetKind().(type) {
+	case *configv1.Record_Publication:
+		p, err := decodePublication(kind.Publication)
+		return decoded{publication: p}, err
+	case *configv1.Record_Snapshot:
+		s, err := decodeSnapshot(kind.Snapshot)
+		return decoded{snapshot: s}, err
+	}
+	return decoded{}, errcode.New(errcode.InvalidArgument, "configuration record of an unknown kind")
+}
+
+func decodePublication(p *configv1.Publication) (*Publication, error) {
+	if p.GetService() == "" || p.GetPublishId() == "" {
+		return nil, errcode.New(errcode.InvalidArgument, "publication without service or publish ID")
+	}
+	return &Publication{
+		Service:   ident.Service(p.GetService()),
+		Base:      ident.Revision(p.GetBaseRevision()),
+		PublishID: p.GetPublishId(),
+		Schema:    int(p.GetSchema()),
+		Document:  p.GetDocument(),
+	}, nil
+}
+
+// decodeAccepted reads a publication that another process accepted.
+func decodeAccepted(revision ident.Revision, record []byte) (Accepted, error) {
+	d, err := decode(record)
+	if err != nil {
+		return Accepted{}, err
+	}
+	if d.publication == nil || revision == 0 {
+		return Accepted{}, errcode.New(errcode.InvalidArgument, "accepted record is not a publication")
+	}
+	return Accepted{Revision: revision, Publication: *d.publication, record: record}, nil
+}
--- /dev/null
+++ b/internal/document/snapshot.go
@@ -0,0 +1,105 @@
+package document
+
+import (
+	configv1 "github.com/goldcrestspool/goldcrestspool/api/config/v1"
+	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+// snapshot is a state as it stands in the log.
+type snapshot struct {
+	covers  ident.Offset
+	records []Accepted
+}
+
+// EncodeSnapshot returns the record of a state. Two processes at the same
+// offset write equal bytes, so a race between them is harmless.
+func EncodeSnapshot(s State) ([]byte, error) {
+	out := &configv1.Snapshot{Covers: uint64(s.next)}
+	for _, a := range s.records(0) {
+		out.Records = append(out.Records, &configv1.AcceptedRecord{
+			Revision: uint64(a.Revision),
+			Record:   a.record,
+		})
+	}
+	return encode(&configv1.Record{Kind: &configv1.Record_Snapshot{Snapshot: out}})
+}
+
+func decodeSnapshot(s *configv1.Snapshot) (*snapshot, error) {
+	out := &snapshot{covers: ident.Offset(s.GetCovers())}
+	last := ident.Revision(0)
+	for _, r := range s.GetRecords() {
+		a, err := decodeAccepted(ident.Revision(r.GetRevision()), r.GetRecord())
+		if err != nil {
+			return nil, err
+		}
+		if a.Revision <= last || a.Revision > ident.Revision(out.covers) {
+			return nil, errcode.New(errcode.InvalidArgument, "snapshot with revisions out of order")
+		}
+		last = a.Revision
+		out.records = append(out.records, a)
+	}
+	return out, nil
+}
+
+// state is the state that the snapshot holds.
+func (s *snapshot) state() State {
+	var f folder
+	for _, a := range s.records {
+		f.accept(a)
+	}
+	f.state.next = s.covers
+	return f.state
+}
+
+// Delta is what one process tells another about the configuration above a
+// revision.
+type Delta struct {
+	// Records in force above the revision, ascending.
+	Records []DeltaRecord
+	// Through is the revision up to which Records are complete.
+	Through ident.Revision
+}
+
+// DeltaRecord is a publication as it stands in the log.
+type DeltaRecord struct {
+	Revision ident.Revision
+	Record   []byte
+}
+
+// Delta returns what a process needs that is complete up to above.
+func (s State) Delta(above ident.Revision) Delta {
+	d := Delta{Through: s.Through()}
+	for _, a := range s.records(above) {
+		d.Records = append(d.Records, DeltaRecord{Revision: a.Revision, Record: a.record})
+	}
+	return d
+}
+
+// Merge returns the state with what another process knew above it. A delta
+// that reaches no further is refused, since it could only revert. The delta
+// must have been asked for above s.Through() or lower.
+func (s State) Merge(d Delta) (State, error) {
+	if d.Through <= s.Through() {
+		return s, errcode.Errorf(errcode.FailedPrecondition,
+			"delta through revision %d is not newer than %d", d.Through, s.Through())
+	}
+	f := folder{state: s}
+	last := s.Through()
+	for _, r := range d.Records {
+		if r.Revision <= s.Through() {
+			continue
+		}
+		a, err := decodeAccepted(r.Revision, r.Record)
+		if err != nil {
+			return s, err
+		}
+		if a.Revision <= last || a.Revision > d.Through {
+			return s, errcode.New(errcode.InvalidArgument, "delta with revisions out of order")
+		}
+		last = a.Revision
+		f.accept(a)
+	}
+	f.state.next = ident.Offset(d.Through)
+	return f.state, nil
+}
