--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 
 generate:
 	$(TOOL) buf generate --template buf.gen.connect.yaml --exclude-path api/peer
-	$(TOOL) buf generate --template buf.gen.grpc.yaml --path api/peer --path api/journal
+	$(TOOL) buf generate --template buf.gen.grpc.yaml --path api/peer
 
 # Fails when the committed generated code differs from what the protos give.
 generate-check: generate
