Fault table of silent connections; only repeatable calls use kept connections

Trial before: with kept connections for Find, asking for an outcome after a silence hung until its deadline (the test stood 30 s); so do probes, which then condemn an upstream that is well. Now everything towards upstreams but calls without a key dials anew.

--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -118,6 +118,9 @@
 	return maps.Clone(s.effects)
 }
 
+// Running returns how many calls run.
+func (s *Service) Running() int { return s.running.Running() }
+
 // Drain refuses new calls and waits until those that run have ended.
 func (s *Service) Drain(ctx context.Context) error {
 	s.SetLeaving(true)
--- a/internal/upstream/connectupstream/clients.go
+++ b/internal/upstream/connectupstream/clients.go
@@ -11,10 +11,16 @@
 )
 
 // Clients are the HTTP clients that all upstreams of a process share.
+//
+// What goes wrong with kept connections: they can go silent for good while new
+// ones work. A call that may not be repeated then ends as unknown, a stream
+// waits for its first frame, a probe condemns an upstream that is well. All
+// these dial a connection each, and a dead path shows as a failed dial, which
+// is certain. docs/design/transport.md has the cost.
 type Clients struct {
-	// pooled serves what may be repeated.
+	// pooled keeps connections. It serves calls that may be repeated.
 	pooled *http.Client
-	// fresh serves calls that may not be repeated.
+	// fresh serves everything else.
 	fresh *http.Client
 }
 
--- a/internal/upstream/connectupstream/plain.go
+++ b/internal/upstream/connectupstream/plain.go
@@ -26,8 +26,8 @@
 	}
 }
 
-// Invoke implements upstream.Plain. A call with a key gets a connection of its
-// own, so that a pooled one that went silent cannot swallow it.
+// Invoke implements upstream.Plain. Only a call without a key, which may be
+// repeated, uses a kept connection.
 func (p *Plain) Invoke(ctx context.Context, req upstream.InvokeRequest) (upstream.Answer, error) {
 	client := p.pooled
 	if req.Key != "" {
@@ -49,7 +49,7 @@
 // Find implements upstream.Plain.
 func (p *Plain) Find(ctx context.Context, key string, fence ident.Fence) (upstream.FindResult, error) {
 	ctx, attempt := transport.Observe(ctx)
-	response, err := p.pooled.Find(ctx, &upstreamv1.FindRequest{Key: key, Fence: uint64(fence)})
+	response, err := p.fresh.Find(ctx, &upstreamv1.FindRequest{Key: key, Fence: uint64(fence)})
 	if err != nil {
 		return upstream.FindResult{}, fromWire(err, attempt, "find outcome")
 	}
@@ -63,7 +63,7 @@
 // Health implements upstream.Plain.
 func (p *Plain) Health(ctx context.Context) (upstream.Health, error) {
 	ctx, attempt := transport.Observe(ctx)
-	response, err := p.pooled.GetHealth(ctx, &upstreamv1.GetHealthRequest{})
+	response, err := p.fresh.GetHealth(ctx, &upstreamv1.GetHealthRequest{})
 	if err != nil {
 		return upstream.Health{}, fromWire(err, attempt, "get health")
 	}
