--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -15,6 +15,9 @@
 // ErrEnded: the engine's instance ended; streams that it served are lost.
 var ErrEnded = errors.New("engine ended")
 
+// ErrReplaced: a later attempt of the same request took the stream's place.
+var ErrReplaced = errors.New("replaced by a later attempt")
+
 // defaultHeartbeat is how often a stream without tokens sends an empty frame.
 const defaultHeartbeat = time.Second
 
@@ -193,6 +196,7 @@
 	if e.gone {
 		return ErrEnded
 	}
+	e.replace(req)
 	if err := e.model.Submit(time.Now(), w); err != nil {
 		return err
 	}
@@ -200,6 +204,20 @@
 	return nil
 }
 
+// replace ends an earlier attempt of the same request. When its connection
+// fell silent, no cancel has arrived and none will: without this, the engine
+// would refuse the attempt that follows on a new connection, and the request
+// would lose the prefix that is cached here.
+func (e *Engine) replace(req upstream.GenerateRequest) {
+	old := e.streams[req.Request]
+	if old == nil || old.req.Attempt >= req.Attempt || e.model.leaving {
+		return
+	}
+	old.fail(ErrReplaced)
+	delete(e.streams, req.Request)
+	e.model.Cancel(time.Now(), req.Request)
+}
+
 // cancel ends a stream whose reader left.
 func (e *Engine) cancel(s *tokenStream) {
 	e.mu.Lock()
--- a/internal/streaming/attempt.go
+++ b/internal/streaming/attempt.go
@@ -157,7 +157,8 @@
 // extended tells the answer's new tokens.
 func (a *attempt) extended() {
 	if a.firstToken == 0 {
-		a.firstToken = time.Since(a.opened)
+		a.firstToken = max(time.Since(a.opened), 1)
+		a.target.firstToken()
 	}
 	a.run.progress.Extended(a.run.assembler.Answer())
 }
--- a/internal/streaming/caller_test.go
+++ b/internal/streaming/caller_test.go
@@ -73,6 +73,8 @@
 type fakeCaller struct {
 	req  Request
 	slow time.Duration
+	// unchecked: the tokens are not the chain's; the test compares them.
+	unchecked bool
 
 	mu         sync.Mutex
 	tokens     []string
@@ -119,7 +121,7 @@
 	c.tokens = append(c.tokens, tokens...)
 	var problem string
 	c.hash, problem = checkTokens(c.hash, tokens)
-	if c.problem == "" {
+	if c.problem == "" && !c.unchecked {
 		c.problem = problem
 	}
 }
--- a/internal/streaming/config.go
+++ b/internal/streaming/config.go
@@ -1,6 +1,10 @@
 package streaming
 
-import "time"
+import (
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/retry"
+)
 
 // Config bounds what a gateway spends on token streams.
 type Config struct {
@@ -16,9 +20,8 @@
 	Moves int
 	// FruitlessAttempts without any new token give the request up.
 	FruitlessAttempts int
-	// BackoffBase and BackoffMax bound the pause after a second fruitless
-	// attempt and later ones.
-	BackoffBase, BackoffMax time.Duration
+	// Backoff is the pause after a second fruitless attempt and later ones.
+	Backoff retry.Backoff
 	// RetryAfter is the least time told to callers whose request is given
 	// up; they are told up to twice as much, so that they do not return
 	// together.
@@ -49,8 +52,7 @@
 		MoveTime:          2 * time.Second,
 		Moves:             4,
 		FruitlessAttempts: 6,
-		BackoffBase:       50 * time.Millisecond,
-		BackoffMax:        time.Second,
+		Backoff:           retry.DefaultBackoff,
 		RetryAfter:        time.Second,
 		Linger:            10 * time.Second,
 		Keep:              30 * time.Second,
--- a/internal/streaming/runner.go
+++ b/internal/streaming/runner.go
@@ -116,7 +116,7 @@
 	if r.fruitless >= r.runner.config.FruitlessAttempts {
 		return r.giveUp(end.reason(), "no engine brought the answer further", r.retryAfter())
 	}
-	if !r.allowed() {
+	if !r.allowed(end) {
 		return r.giveUp(outcome.ReasonOverloaded, "too many retries at this time", r.retryAfter())
 	}
 	// A leaving engine is excluded, so that the next one is another.
@@ -127,39 +127,35 @@
 	return nil
 }
 
-// allowed asks the retry budget.
-func (r *run) allowed() bool {
+// allowed asks the retry budget. An attempt that brought new tokens is
+// followed for free: when an engine with many streams is lost, its streams
+// replace attempts that are gone, and giving them up would throw away what
+// they have computed. Only attempts without success can add up to a retry
+// storm. A leaving engine refuses a request once and is then excluded.
+func (r *run) allowed(end attemptEnd) bool {
 	budget := r.runner.budget
-	return budget == nil || budget.Take(r.req, r.cause)
+	if budget == nil || end.tokens > 0 || end.leaving {
+		return true
+	}
+	return budget.Take(r.req, r.cause)
 }
 
 // pause waits longer after each fruitless attempt but the first, so that a
 // request without a working engine does not hammer all engines. It reports
 // whether ctx is still open.
 func (r *run) pause(ctx context.Context) bool {
-	wait := r.backoff()
-	if wait <= 0 {
+	const freeRetries = 1
+	if r.fruitless <= freeRetries {
 		return true
 	}
 	select {
 	case <-ctx.Done():
 		return false
-	case <-time.After(wait):
+	case <-time.After(r.runner.config.Backoff.Delay(r.fruitless-freeRetries, r.req.Key.Request)):
 		return true
 	}
 }
 
-// backoff returns the pause before the next attempt.
-func (r *run) backoff() time.Duration {
-	const freeRetries = 1
-	doublings := r.fruitless - freeRetries - 1
-	if doublings < 0 {
-		return 0
-	}
-	wait := min(r.runner.config.BackoffBase<<doublings, r.runner.config.BackoffMax)
-	return jitter(wait / 2)
-}
-
 // jitter returns a random time between d and 2d.
 func jitter(d time.Duration) time.Duration {
 	if d <= 0 {
--- a/internal/streaming/target.go
+++ b/internal/streaming/target.go
@@ -72,6 +72,8 @@
 	// Notice gets one value when the instance is to be reclaimed; nil when
 	// notices are not known. The channel belongs to this target alone.
 	Notice <-chan Notice
+	// FirstToken is called when the first token has come; it may be nil.
+	FirstToken func()
 	// Release is called once when the attempt has ended; it may be nil.
 	Release func(Result)
 }
@@ -83,6 +85,13 @@
 	}
 }
 
+// firstToken tells the picker that the prompt is computed.
+func (t Target) firstToken() {
+	if t.FirstToken != nil {
+		t.FirstToken()
+	}
+}
+
 // Notice tells that an instance is to be reclaimed.
 type Notice struct {
 	// Deadline after which the instance may be gone. It must hold a
@@ -106,7 +115,7 @@
 	Prefilled int
 }
 
-// Budget limits attempts after the first.
+// Budget limits attempts that follow one without any new token.
 type Budget interface {
 	// Take reports whether one more attempt may be opened for the cause.
 	Take(req Request, cause Cause) bool
