--- a/internal/platform/connectplatform/client.go
+++ b/internal/platform/connectplatform/client.go
@@ -18,12 +18,24 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/transport"
 )
 
+const (
+	// requestTimeout bounds requests whose caller sets no deadline, or a later
+	// one: on a connection that went silent an answer never comes.
+	requestTimeout = 10 * time.Second
+	// readGrace is how much longer than its wait a read may take. A log that
+	// is slow by more than this cannot be read; a shorter grace would take a
+	// slow log for a silent connection.
+	readGrace = 5 * time.Second
+)
+
 // Client is the platform behind one base URL.
 type Client struct {
 	log       platformv1connect.LogServiceClient
 	instances platformv1connect.InstanceServiceClient
 	cloud     platformv1connect.CloudServiceClient
 	weights   platformv1connect.WeightServiceClient
+	// timeout and grace are constants but in tests.
+	timeout, grace time.Duration
 }
 
 var (
@@ -34,18 +46,24 @@
 )
 
 // NewClient returns a client. The HTTP client has to come from
-// transport.NewClient: an append that it repeated would be in the log twice.
+// transport.NewClient: an append that it repeated would be in the log twice. It
+// should dial a connection for each request (transport.Options), so that a
+// connection that went silent costs one request at most.
 func NewClient(client *http.Client, baseURL string) *Client {
 	return &Client{
 		log:       platformv1connect.NewLogServiceClient(client, baseURL),
 		instances: platformv1connect.NewInstanceServiceClient(client, baseURL),
 		cloud:     platformv1connect.NewCloudServiceClient(client, baseURL),
 		weights:   platformv1connect.NewWeightServiceClient(client, baseURL),
+		timeout:   requestTimeout,
+		grace:     readGrace,
 	}
 }
 
 // Append implements platform.Log.
 func (c *Client) Append(ctx context.Context, stream string, records [][]byte) (ident.Offset, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
 	ctx, attempt := transport.Observe(ctx)
 	response, err := c.log.Append(ctx, &platformv1.AppendRequest{Stream: stream, Records: records})
 	if err != nil {
@@ -58,6 +76,8 @@
 func (c *Client) Read(
 	ctx context.Context, stream string, from ident.Offset, limit int, wait time.Duration,
 ) (platform.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+c.grace)
+	defer cancel()
 	response, err := c.log.Read(ctx, &platformv1.ReadRequest{
 		Stream:     stream,
 		FromOffset: uint64(from),
@@ -85,6 +105,8 @@
 
 // List implements platform.Instances.
 func (c *Client) List(ctx context.Context) ([]platform.Instance, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
 	response, err := c.instances.ListInstances(ctx, &platformv1.ListInstancesRequest{})
 	if err != nil {
 		return nil, fromWire(err, platform.ErrUnavailable, "list instances")
@@ -98,6 +120,8 @@
 
 // Start implements platform.Cloud.
 func (c *Client) Start(ctx context.Context, req platform.StartRequest) (ident.Instance, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
 	ctx, attempt := transport.Observe(ctx)
 	response, err := c.cloud.Start(ctx, &platformv1.StartRequest{
 		StartId:       req.StartID,
@@ -116,6 +140,8 @@
 
 // Stop implements platform.Cloud.
 func (c *Client) Stop(ctx context.Context, id ident.Instance, fence ident.Fence) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
 	ctx, attempt := transport.Observe(ctx)
 	_, err := c.cloud.Stop(ctx, &platformv1.StopRequest{InstanceId: string(id), Fence: uint64(fence)})
 	if err != nil {
@@ -126,6 +152,8 @@
 
 // Notices implements platform.Cloud.
 func (c *Client) Notices(ctx context.Context, after uint64) ([]platform.Notice, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
 	response, err := c.cloud.ListNotices(ctx, &platformv1.ListNoticesRequest{After: after})
 	if err != nil {
 		return nil, fromWire(err, platform.ErrUnavailable, "list notices")
@@ -139,6 +167,8 @@
 
 // Reserve implements platform.Weights.
 func (c *Client) Reserve(ctx context.Context, model, version string) (platform.Transfer, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
 	response, err := c.weights.Reserve(ctx, &platformv1.ReserveRequest{Model: model, Version: version})
 	if err != nil {
 		return platform.Transfer{}, fromWire(err, platform.ErrUnavailable, "reserve weights of "+model)
--- a/internal/standin/process/upstream.go
+++ b/internal/standin/process/upstream.go
@@ -65,7 +65,7 @@
 func runUpstream(
 	ctx context.Context, role string, options UpstreamOptions, build buildFunc, logger hclog.Logger, out io.Writer,
 ) error {
-	client := transport.NewClient(transport.Options{})
+	client := transport.NewClient(transport.Options{FreshConnections: true})
 	defer client.CloseIdleConnections()
 	mux := http.NewServeMux()
 	server, err := serve(options.Listen, mux)
--- a/internal/transport/attempt_test.go
+++ b/internal/transport/attempt_test.go
@@ -18,6 +18,7 @@
 // Cause: looking at what was written, without stopping later writes.
 func TestNotSentStopsLateWrites(t *testing.T) {
 	ours, theirs := net.Pipe()
+	go func() { _, _ = io.Copy(io.Discard, theirs) }()
 	defer func() { _ = theirs.Close() }()
 	c := &conn{Conn: ours}
 	attempt := &Attempt{}
