--- a/internal/deps/deps.go
+++ b/internal/deps/deps.go
@@ -19,7 +19,6 @@
 	_ "go.opentelemetry.io/otel/trace"
 	_ "go.uber.org/goleak"
 	_ "golang.org/x/net/http2"
-	_ "golang.org/x/net/http2/h2c"
 	_ "golang.org/x/sync/errgroup"
 	_ "golang.org/x/time/rate"
 	_ "gonum.org/v1/gonum/stat"
