--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -3,6 +3,7 @@
 package explain
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -10,52 +11,106 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/routing"
 )
 
+// Subject is the request that an event is about.
+type Subject struct {
+	Request ident.Request       `json:"request_id"`
+	Service ident.Service       `json:"service"`
+	Account ident.ClientAccount `json:"client_account"`
+}
+
 // Attempt is one upstream that was tried, with the decision behind it.
 type Attempt struct {
-	Upstream   ident.Instance   `json:"upstream"`
-	Reasons    []routing.Reason `json:"reasons,omitempty"`
-	Predicted  time.Duration    `json:"predicted_first_token_ns"`
-	FirstToken time.Duration    `json:"first_token_ns,omitempty"`
-	Error      string           `json:"error,omitempty"`
+	Upstream ident.Instance `json:"upstream"`
+	// Cause of the attempt: "first" or why one before it was not enough.
+	Cause   string           `json:"cause"`
+	Reasons []routing.Reason `json:"reasons,omitempty"`
+	// Predicted and FirstToken are times to the first token, or to the
+	// answer of a plain service; FirstToken is 0 when none came.
+	Predicted  time.Duration `json:"predicted_first_token_ns"`
+	FirstToken time.Duration `json:"first_token_ns,omitempty"`
+	Error      string        `json:"error,omitempty"`
+}
+
+// Ending is what the caller was told.
+type Ending struct {
+	Outcome string `json:"outcome"`
+	Reason  string `json:"reason,omitempty"`
+	Message string `json:"message,omitempty"`
 }
 
-// Record is what is known of one request. It is immutable once added.
+// event is an attempt or an ending. It is immutable once added.
+type event struct {
+	subject Subject
+	attempt *Attempt
+	ending  *Ending
+	at      time.Time
+}
+
+// Record is what is remembered of one request, oldest first.
 type Record struct {
-	Request  ident.Request       `json:"request_id"`
-	Service  ident.Service       `json:"service"`
-	Account  ident.ClientAccount `json:"client_account"`
-	Attempts []Attempt           `json:"attempts"`
-	Outcome  string              `json:"outcome"`
-	Reason   string              `json:"reason,omitempty"`
-	At       time.Time           `json:"at"`
+	Subject
+	Attempts []Attempt `json:"attempts"`
+	Endings  []Ending  `json:"endings"`
+	// Since is when the oldest remembered event happened.
+	Since time.Time `json:"since"`
 }
 
-// Recorder keeps the last records in a ring. Adding takes no lock.
+// Recorder keeps the last events of a gateway in a ring. Adding takes no lock.
 type Recorder struct {
 	next  atomic.Uint64
-	slots []atomic.Pointer[Record]
+	slots []atomic.Pointer[event]
 }
 
-// NewRecorder returns a recorder that keeps size records.
+// NewRecorder returns a recorder that keeps size events.
 func NewRecorder(size int) *Recorder {
-	return &Recorder{slots: make([]atomic.Pointer[Record], size)}
+	return &Recorder{slots: make([]atomic.Pointer[event], size)}
+}
+
+// Attempt remembers an attempt that has ended.
+func (r *Recorder) Attempt(s Subject, a Attempt) {
+	r.add(&event{subject: s, attempt: &a, at: time.Now()})
 }
 
-// Add remembers a finished request in place of the oldest one.
-func (r *Recorder) Add(record *Record) {
+// End remembers what a caller was told.
+func (r *Recorder) End(s Subject, e Ending) {
+	r.add(&event{subject: s, ending: &e, at: time.Now()})
+}
+
+// add puts an event in place of the oldest one.
+func (r *Recorder) add(e *event) {
 	slot := (r.next.Add(1) - 1) % uint64(len(r.slots))
-	r.slots[slot].Store(record)
+	r.slots[slot].Store(e)
+}
+
+// Find returns what is remembered of a request. Client accounts choose request
+// IDs, so there may be a record for each account that used the same one.
+func (r *Recorder) Find(id ident.Request) []Record {
+	var records []Record
+	for _, e := range r.events(id) {
+		i := slices.IndexFunc(records, func(known Record) bool { return known.Subject == e.subject })
+		if i < 0 {
+			i = len(records)
+			records = append(records, Record{Subject: e.subject, Since: e.at})
+		}
+		if e.attempt != nil {
+			records[i].Attempts = append(records[i].Attempts, *e.attempt)
+		}
+		if e.ending != nil {
+			records[i].Endings = append(records[i].Endings, *e.ending)
+		}
+	}
+	return records
 }
 
-// Find returns the newest record of a request.
-func (r *Recorder) Find(id ident.Request) (*Record, bool) {
-	newest := r.next.Load()
-	size := uint64(len(r.slots))
-	for back := uint64(1); back <= size && back <= newest; back++ {
-		record := r.slots[(newest-back)%size].Load()
-		if record != nil && record.Request == id {
-			return record, true
+// events returns the events of a request, oldest first.
+func (r *Recorder) events(id ident.Request) []*event {
+	var found []*event
+	for i := range r.slots {
+		e := r.slots[i].Load()
+		if e != nil && e.subject.Request == id {
+			found = append(found, e)
 		}
 	}
-	return nil, false
+	slices.SortStableFunc(found, func(a, b *event) int { return a.at.Compare(b.at) })
+	return found
 }
--- /dev/null
+++ b/internal/gateway/check.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/google/uuid"
+
+	callerv1 "github.com/goldcrestspool/goldcrestspool/api/caller/v1"
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
+	"github.com/goldcrestspool/goldcrestspool/internal/finding"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+// maxKey bounds the bytes of an idempotency key: every gateway keeps keys for
+// the whole window.
+const maxKey = 256
+
+// service returns the document that a request names.
+func findService(set *document.Set, name string, kind document.Kind) (*document.Document, error) {
+	doc, ok := set.Find(ident.Service(name))
+	if !ok {
+		return nil, errcode.Errorf(errcode.NotFound, "no service %q", name)
+	}
+	if doc.Kind != kind {
+		return nil, errcode.Errorf(errcode.InvalidArgument, "service %q is of kind %s; want %s", name, doc.Kind, kind)
+	}
+	return doc, nil
+}
+
+// invalid returns all findings of a request as one error, or nil.
+func invalid(found finding.List) error {
+	return errcode.Wrap(errcode.InvalidArgument, found.Err(), "invalid request")
+}
+
+// checkCall returns the method of a call.
+func checkCall(doc *document.Document, req *callerv1.CallRequest) (document.Method, error) {
+	method, ok := doc.FindMethod(ident.Method(req.GetMethod()))
+	if !ok {
+		return method, errcode.Errorf(errcode.InvalidArgument, "service %q has no method %q", doc.Service, req.GetMethod())
+	}
+	if method.Idempotent && req.GetIdempotencyKey() == "" {
+		return method, nil
+	}
+	found := checkKey(req.GetIdempotencyKey())
+	if !req.GetIssuedAt().IsValid() {
+		found.Add(finding.Finding{Key: "issued_at", Problem: "missing or out of range", Want: "when the key was first used"})
+	}
+	if req.GetAttempt() == 0 {
+		found.Add(finding.Finding{Key: "attempt", Problem: "is 0", Want: "1 for the first attempt with this key"})
+	}
+	return method, invalid(found)
+}
+
+func checkKey(key string) finding.List {
+	var found finding.List
+	switch {
+	case key == "":
+		found.Add(finding.Finding{Key: "idempotency_key", Problem: "missing", Want: "a key that is unique within the client account"})
+	case len(key) > maxKey:
+		found.Add(finding.Finding{Key: "idempotency_key", Problem: "too long", Want: "at most 256 bytes"})
+	}
+	return found
+}
+
+// checkGenerate returns the latency class of a token stream.
+func checkGenerate(doc *document.Document, req *callerv1.GenerateRequest) (document.Class, error) {
+	var found finding.List
+	class, ok := doc.FindClass(ident.Class(req.GetClass()))
+	if !ok {
+		found.Add(finding.Finding{Key: "class", Problem: "unknown class", Want: "a latency class of service " + string(doc.Service)})
+	}
+	if _, err := uuid.Parse(req.GetRequestId()); err != nil {
+		found.Add(finding.Finding{Key: "request_id", Problem: "not a UUID", Want: "a random UUID chosen by the caller"})
+	}
+	if req.GetPrompt() == "" {
+		found.Add(finding.Finding{Key: "prompt", Problem: "empty", Want: "a text"})
+	}
+	if req.GetMaxTokens() == 0 {
+		found.Add(finding.Finding{Key: "max_tokens", Problem: "is 0", Want: "the length of the answer"})
+	}
+	return class, invalid(found)
+}
+
+// deadlineOf returns when a request has to be answered, or zero for never.
+// The caller's own deadline is in the context.
+func deadlineOf(now time.Time, limit time.Duration) time.Time {
+	if limit <= 0 {
+		return time.Time{}
+	}
+	return now.Add(limit)
+}
