Upstream contract: the incarnation that may run a call, and that answers a question

Cause: a new incarnation at the address of an old one has forgotten calls and fences. Its 'absent' would let a call run a second time. An upstream now refuses a call meant for another incarnation and says who answers Find.

--- /dev/null
+++ b/internal/gateway/plains.go
@@ -0,0 +1,207 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	"github.com/goldcrestspool/goldcrestspool/internal/calls"
+	"github.com/goldcrestspool/goldcrestspool/internal/calls/journal"
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
+	"github.com/goldcrestspool/goldcrestspool/internal/explain"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
+	"github.com/goldcrestspool/goldcrestspool/internal/retry"
+	"github.com/goldcrestspool/goldcrestspool/internal/routing"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstream"
+)
+
+// maxAttempts bounds the attempts of one idempotent call, whatever the budget
+// still holds.
+const maxAttempts = 4
+
+// plainDialer reaches plain services.
+type plainDialer interface {
+	Plain(address string) upstream.Plain
+}
+
+// plains sends calls to plain services. For calls with a key it is the
+// dispatcher of package calls, which decides when to send; for idempotent ones
+// it retries by itself, from a budget.
+type plains struct {
+	documents *blackboard.Section[*document.Set]
+	routes    *routes
+	dialer    plainDialer
+	refusals  refusalNotes
+	results   upstreamResults
+	budgets   *budgets
+	backoff   retry.Backoff
+	explain   *explain.Recorder
+	tracer    trace.Tracer
+}
+
+// idempotentCall is a call that may run any number of times.
+type idempotentCall struct {
+	doc     *document.Document
+	method  ident.Method
+	payload []byte
+	account ident.ClientAccount
+	request ident.Request
+}
+
+func (c idempotentCall) subject() explain.Subject {
+	return explain.Subject{Request: c.request, Service: c.doc.Service, Account: c.account}
+}
+
+// Run sends an idempotent call until it is answered, the budget is empty or
+// ctx ends.
+func (p *plains) Run(ctx context.Context, call idempotentCall) outcome.Outcome {
+	budget := p.budgets.of(call.doc.Service)
+	budget.FirstTry()
+	var tried []ident.Instance
+	ran := false
+	for attempt := 1; ; attempt++ {
+		u, decision, found := p.decide(call.doc, call.account, tried)
+		if !found {
+			return unanswered(ran, outcome.ReasonNoUpstream, "no upstream can take the call now")
+		}
+		route := routing.Request{Service: call.doc.Service, Account: call.account}
+		answer, err := p.send(ctx, u, sending{subject: call.subject(), route: route, decision: decision, attempt: attempt,
+			request: upstream.InvokeRequest{Method: call.method, Payload: call.payload}})
+		if err == nil {
+			return answered(answer)
+		}
+		ran = ran || upstream.Ran(err)
+		if ctx.Err() != nil {
+			return unanswered(ran, reasonOf(ctx), "the request was given up before an upstream answered")
+		}
+		if attempt == maxAttempts || !retry.Retryable(err, true, upstream.Ran(err)) {
+			return unanswered(ran, outcome.ReasonUpstreamLost, "no upstream answered")
+		}
+		if !budget.Spend(time.Now()) {
+			return unanswered(ran, outcome.ReasonOverloaded, "too many retries at this time")
+		}
+		tried = append(tried, u.Instance.ID)
+		if !pause(ctx, p.backoff.Delay(attempt, call.request)) {
+			return unanswered(ran, reasonOf(ctx), "the request was given up before an upstream answered")
+		}
+	}
+}
+
+// unanswered is the truthful answer for an idempotent call without an answer.
+func unanswered(ran bool, reason outcome.Reason, message string) outcome.Outcome {
+	if ran {
+		return outcome.NewUnknown(reason, message, noUpstreamRetry)
+	}
+	return outcome.NewNotRun(reason, message, noUpstreamRetry)
+}
+
+// answered returns the outcome of a call that an upstream answered.
+func answered(a upstream.Answer) outcome.Outcome {
+	if a.Failed {
+		return outcome.Outcome{Kind: outcome.Failed, Reason: outcome.ReasonApplication, Payload: a.Payload}
+	}
+	return outcome.Outcome{Kind: outcome.Completed, Payload: a.Payload}
+}
+
+func reasonOf(ctx context.Context) outcome.Reason {
+	if ctx.Err() == context.DeadlineExceeded {
+		return outcome.ReasonDeadline
+	}
+	return outcome.ReasonCancelled
+}
+
+// pause reports whether d passed before ctx ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// decide chooses an upstream of a plain service.
+func (p *plains) decide(doc *document.Document, account ident.ClientAccount, exclude []ident.Instance) (blackboard.Upstream, routing.Decision, bool) {
+	decision := p.routes.decide(doc, routing.Request{Service: doc.Service, Account: account, Exclude: exclude})
+	u, found := p.routes.find(doc.Service, decision.Upstream)
+	return u, decision, found && decision.Found()
+}
+
+// sending is one request to one upstream.
+type sending struct {
+	subject  explain.Subject
+	route    routing.Request
+	decision routing.Decision
+	attempt  int
+	request  upstream.InvokeRequest
+}
+
+// send sends one request, once, and tells everyone who learns from it.
+func (p *plains) send(ctx context.Context, u blackboard.Upstream, s sending) (upstream.Answer, error) {
+	ctx, span := p.tracer.Start(ctx, "upstream attempt", trace.WithAttributes(
+		attribute.String("upstream", string(u.Instance.ID)),
+		attribute.Int("attempt", s.attempt)))
+	defer span.End()
+	flight := p.routes.start(s.decision, s.route)
+	p.results.Sending(s.route.Service, u.Instance.ID)
+	answer, err := p.dialer.Plain(u.Instance.Address).Invoke(ctx, s.request)
+	took := time.Since(flight.sent)
+	flight.end(plainResult(err))
+	if err != nil {
+		span.SetStatus(codes.Error, err.Error())
+		took = 0
+	}
+	if isLeaving(err) {
+		p.refusals.NoteRefusal(u.Instance.ID, u.Instance.Incarnation)
+	}
+	p.results.Observe(s.route.Service, attemptResult{
+		upstream:   u.Instance.ID,
+		sent:       flight.sent,
+		inFlight:   flight.inFlight,
+		firstToken: took,
+		failed:     err != nil && !isLeaving(err) && ctx.Err() == nil,
+	})
+	p.explain.Attempt(s.subject, explain.Attempt{
+		Upstream:   u.Instance.ID,
+		Cause:      causeOf(s.attempt),
+		Reasons:    s.decision.Reasons,
+		Predicted:  s.decision.FirstToken,
+		FirstToken: took,
+		Error:      textOf(err),
+	})
+	return answer, err
+}
+
+func plainResult(err error) routing.Result {
+	switch {
+	case err == nil:
+		return routing.ResultDone
+	case !upstream.Ran(err):
+		return routing.ResultRefused
+	}
+	return routing.ResultFailed
+}
+
+func causeOf(attempt int) string {
+	if attempt <= 1 {
+		return "first"
+	}
+	return "retry"
+}
+
+// textOf names an error for operators by its code alone: its text may hold
+// what a caller sent.
+func textOf(err error) string {
+	if err == nil {
+		return ""
+	}
+	return errcode.Of(err).String()
+}
--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -177,6 +177,8 @@
 		State:  c.state,
 		Answer: c.answer,
 		Fenced: s.options.ChecksFencing,
+
+		Incarnation: s.options.Incarnation,
 	}, nil
 }
 
@@ -213,6 +215,9 @@
 	if s.leaving {
 		return acceptance{}, upstream.ErrLeaving
 	}
+	if req.Incarnation != 0 && req.Incarnation != s.options.Incarnation {
+		return acceptance{}, upstream.ErrRefused
+	}
 	if req.Key != "" {
 		c := s.call(req.Key)
 		if s.options.ChecksFencing && req.Fence < c.fence {
--- a/internal/upstream/connectupstream/plain.go
+++ b/internal/upstream/connectupstream/plain.go
@@ -39,6 +39,8 @@
 		Key:     req.Key,
 		Fence:   uint64(req.Fence),
 		Payload: req.Payload,
+
+		Incarnation: uint64(req.Incarnation),
 	})
 	if err != nil {
 		return upstream.Answer{}, fromWire(err, attempt, "invoke "+string(req.Method))
@@ -57,6 +59,8 @@
 		State:  upstream.FindState(response.GetState()),
 		Answer: upstream.Answer{Payload: response.GetPayload(), Failed: response.GetFailed()},
 		Fenced: response.GetFenced(),
+
+		Incarnation: ident.Incarnation(response.GetIncarnation()),
 	}, nil
 }
 
--- a/internal/upstream/connectupstream/server.go
+++ b/internal/upstream/connectupstream/server.go
@@ -36,6 +36,8 @@
 		Key:     req.GetKey(),
 		Fence:   ident.Fence(req.GetFence()),
 		Payload: req.GetPayload(),
+
+		Incarnation: ident.Incarnation(req.GetIncarnation()),
 	})
 	if err != nil {
 		return nil, refusalToWire(ctx, err)
@@ -53,6 +55,8 @@
 		Payload: found.Answer.Payload,
 		Failed:  found.Answer.Failed,
 		Fenced:  found.Fenced,
+
+		Incarnation: uint64(found.Incarnation),
 	}, nil
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -133,6 +133,10 @@
 	Key     string
 	Fence   ident.Fence
 	Payload []byte
+	// Incarnation, unless 0, is the only one that may run the call. Another
+	// one refuses it with ErrRefused: it has forgotten the calls and the
+	// fences that this one knew.
+	Incarnation ident.Incarnation
 }
 
 // Answer is what a plain service answered after running a call.
@@ -158,6 +162,9 @@
 	Answer Answer
 	// Fenced: lower fences are refused for this key from now on.
 	Fenced bool
+	// Incarnation that answered. Only the one that a call was sent to can
+	// say that the call never came.
+	Incarnation ident.Incarnation
 }
 
 // Health is a plain service's state.
