--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -111,6 +111,13 @@
 	c.service(name).sending(time.Now(), id)
 }
 
+// Observe learns from one attempt of a request that may take several. Unloaded
+// is the time to the first token on an idle upstream; 0 is unknown. The
+// request's own ticket then ends with a Result without an upstream.
+func (c *Controller) Observe(name ident.Service, r Result, unloaded time.Duration) {
+	c.service(name).observe(r, unloaded)
+}
+
 // Admit returns a ticket, or else the outcome that the caller has to hear. It
 // blocks while the request waits. The holder of a ticket must call Done.
 func (c *Controller) Admit(ctx context.Context, r Request) (*Ticket, *outcome.Outcome) {
--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -123,23 +123,32 @@
 	}
 	s.gate.Done(now, &t.entry, r.Cost)
 	if r.Upstream != "" {
-		s.learn(now, t, r)
+		s.learn(now, r, t.unloaded)
 	}
 	s.grantNext(now)
 }
 
-func (s *service) learn(now time.Time, t *Ticket, r Result) {
+// observe learns from an attempt and wakes those for whom it made room.
+func (s *service) observe(r Result, unloaded time.Duration) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.learn(now, r, unloaded)
+	s.grantNext(now)
+}
+
+func (s *service) learn(now time.Time, r Result, unloaded time.Duration) {
 	if limit := s.upstreams[r.Upstream]; limit != nil {
 		limit.Observe(concurrency.Sample{
 			Latency:  r.FirstToken,
-			Unloaded: t.unloaded,
+			Unloaded: unloaded,
 			InFlight: r.InFlight,
 			Dropped:  r.Failed,
 		})
 	}
 	sample := ejection.Sample{Failed: r.Failed, Latency: r.FirstToken.Seconds(), Started: r.Sent}
-	if t.unloaded > 0 {
-		sample.Latency /= t.unloaded.Seconds()
+	if unloaded > 0 {
+		sample.Latency /= unloaded.Seconds()
 	}
 	s.ejection.Ended(now, r.Upstream, sample)
 	s.refresh(now)
--- a/internal/errcode/errcode.go
+++ b/internal/errcode/errcode.go
@@ -31,6 +31,21 @@
 	Unauthenticated
 )
 
+// names are the codes' names in logs, in the order of the constants.
+var names = [...]string{
+	"unknown", "cancelled", "invalid_argument", "deadline_exceeded", "not_found", "already_exists",
+	"permission_denied", "resource_exhausted", "failed_precondition", "aborted", "out_of_range",
+	"unavailable", "internal", "unauthenticated",
+}
+
+// String returns the code's name.
+func (c Code) String() string {
+	if c < 0 || int(c) >= len(names) {
+		return names[Unknown]
+	}
+	return names[c]
+}
+
 // coded is an error with a code and the stack where it arose.
 type coded struct {
 	code Code
--- /dev/null
+++ b/internal/gateway/handler.go
@@ -0,0 +1,277 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/hashicorp/go-hclog"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	callerv1 "github.com/goldcrestspool/goldcrestspool/api/caller/v1"
+	"github.com/goldcrestspool/goldcrestspool/api/caller/v1/callerv1connect"
+	"github.com/goldcrestspool/goldcrestspool/internal/admission"
+	"github.com/goldcrestspool/goldcrestspool/internal/auth"
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	"github.com/goldcrestspool/goldcrestspool/internal/calls"
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/explain"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
+	"github.com/goldcrestspool/goldcrestspool/internal/streaming"
+)
+
+// keyedCalls runs calls at most once; see package calls.
+type keyedCalls interface {
+	Do(ctx context.Context, call calls.Call) outcome.Outcome
+	Find(ctx context.Context, key ident.CallKey) outcome.Outcome
+	FindLocal(key ident.CallKey) calls.PeerAnswer
+}
+
+// tokenStreams serves token streams; see package streaming.
+type tokenStreams interface {
+	Generate(ctx context.Context, req streaming.Request, sink streaming.Sink) (outcome.Outcome, error)
+	Resume(ctx context.Context, resume streaming.ResumeRequest, sink streaming.Sink) (outcome.Outcome, error)
+}
+
+// handler serves the callers' API.
+type handler struct {
+	documents *blackboard.Section[*document.Set]
+	stopping  *blackboard.Section[bool]
+	admission *admission.Controller
+	routes    *routes
+	plains    *plains
+	calls     keyedCalls
+	streams   tokenStreams
+	results   *results
+	explain   *explain.Recorder
+	log       hclog.Logger
+	tracer    trace.Tracer
+}
+
+var _ callerv1connect.CallerServiceHandler = (*handler)(nil)
+
+// Call implements the callers' API.
+func (h *handler) Call(ctx context.Context, req *callerv1.CallRequest) (*callerv1.CallResponse, error) {
+	ctx, span := h.tracer.Start(ctx, "call", trace.WithAttributes(attribute.String("service", req.GetService())))
+	defer span.End()
+	doc, err := findService(h.documents.Value(), req.GetService(), document.Plain)
+	if err != nil {
+		return nil, wireError(err)
+	}
+	method, err := checkCall(doc, req)
+	if err != nil {
+		return nil, wireError(err)
+	}
+	ctx, cancel := withLimit(ctx, method.Timeout)
+	defer cancel()
+	subject := explain.Subject{Request: ident.NewRequest(), Service: doc.Service, Account: auth.Account(ctx)}
+	o := h.call(ctx, subject, doc, method, req)
+	h.told(subject, o)
+	return &callerv1.CallResponse{Outcome: toWire(o), Payload: o.Payload, RequestId: string(subject.Request)}, nil
+}
+
+// withLimit bounds ctx; a limit of 0 is none.
+func withLimit(ctx context.Context, limit time.Duration) (context.Context, context.CancelFunc) {
+	if limit <= 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, limit)
+}
+
+// call admits and runs a call.
+func (h *handler) call(ctx context.Context, subject explain.Subject, doc *document.Document, method document.Method, req *callerv1.CallRequest) outcome.Outcome {
+	keyed := !method.Idempotent
+	call := calls.Call{
+		Key:      ident.CallKey{Service: doc.Service, Account: subject.Account, Key: ident.Key(req.GetIdempotencyKey())},
+		Method:   method.Name,
+		Payload:  req.GetPayload(),
+		IssuedAt: req.GetIssuedAt().AsTime(),
+		Attempt:  req.GetAttempt(),
+		Request:  subject.Request,
+	}
+	// A repeat of a call that has an outcome costs no upstream, so it is
+	// answered without admission.
+	if keyed && h.calls.FindLocal(call.Key).Outcome != nil {
+		return h.calls.Do(ctx, call)
+	}
+	if !keyed && h.stopping.Value() {
+		return outcome.NewNotRun(outcome.ReasonLeaving, "this gateway is leaving; ask any other", 0)
+	}
+	ticket, refusal := h.admit(ctx, admission.Request{
+		Service: doc.Service,
+		ID:      subject.Request,
+		Account: subject.Account,
+		Limit:   doc.AccountLimit(subject.Account),
+		Attempt: req.GetAttempt(),
+	})
+	if refusal != nil {
+		return refusedCall(*refusal, keyed, call.Attempt)
+	}
+	defer ticket.Done(admission.Result{})
+	if keyed {
+		ctx, span := h.tracer.Start(ctx, "journal")
+		defer span.End()
+		return h.calls.Do(ctx, call)
+	}
+	return h.plains.Run(ctx, idempotentCall{
+		doc:     doc,
+		method:  method.Name,
+		payload: req.GetPayload(),
+		account: subject.Account,
+		request: subject.Request,
+	})
+}
+
+// refusedCall returns the truthful answer to a call that admission refused. An
+// earlier attempt with the same key may have run, so only the refusal of a
+// first attempt says that the call did not.
+func refusedCall(refusal outcome.Outcome, keyed bool, attempt uint32) outcome.Outcome {
+	if !keyed || attempt == 1 {
+		return refusal
+	}
+	return outcome.NewUnknown(refusal.Reason, "This attempt was refused; an earlier one may have run.", refusal.RetryAfter)
+}
+
+func (h *handler) admit(ctx context.Context, req admission.Request) (*admission.Ticket, *outcome.Outcome) {
+	ctx, span := h.tracer.Start(ctx, "admission")
+	defer span.End()
+	return h.admission.Admit(ctx, req)
+}
+
+// told logs and remembers what a caller was told.
+func (h *handler) told(s explain.Subject, o outcome.Outcome) {
+	h.explain.End(s, explain.Ending{Outcome: o.Kind.String(), Reason: string(o.Reason), Message: o.Message})
+	outcomesVar.Add(o.Kind.String(), 1)
+	fields := []any{"request_id", s.Request, "client_account", s.Account, "service", s.Service,
+		"outcome", o.Kind.String(), "reason", o.Reason, "retry_after", o.RetryAfter}
+	if o.Kind == outcome.Completed {
+		h.log.Debug("request ended", fields...)
+		return
+	}
+	h.log.Info("request refused or failed", append(fields, "message", o.Message)...)
+}
+
+// GetOutcome implements the callers' API.
+func (h *handler) GetOutcome(ctx context.Context, req *callerv1.GetOutcomeRequest) (*callerv1.GetOutcomeResponse, error) {
+	ctx, span := h.tracer.Start(ctx, "get outcome")
+	defer span.End()
+	doc, err := findService(h.documents.Value(), req.GetService(), document.Plain)
+	if err != nil {
+		return nil, wireError(err)
+	}
+	if err := invalid(checkKey(req.GetIdempotencyKey())); err != nil {
+		return nil, wireError(err)
+	}
+	key := ident.CallKey{Service: doc.Service, Account: auth.Account(ctx), Key: ident.Key(req.GetIdempotencyKey())}
+	o := h.calls.Find(ctx, key)
+	return &callerv1.GetOutcomeResponse{Outcome: toWire(o), Payload: o.Payload}, nil
+}
+
+// Generate implements the callers' API.
+func (h *handler) Generate(ctx context.Context, req *callerv1.GenerateRequest, out *connect.ServerStream[callerv1.GenerateResponse]) error {
+	ctx, span := h.tracer.Start(ctx, "generate", trace.WithAttributes(attribute.String("service", req.GetService())))
+	defer span.End()
+	stream, err := h.streamRequest(ctx, req)
+	if err != nil {
+		return wireError(err)
+	}
+	sink := generateSink(out)
+	o, err := h.generate(ctx, stream, sink)
+	if err != nil {
+		return wireError(err)
+	}
+	h.told(stream.subject(), o)
+	return sink.end(o)
+}
+
+// streamAsk is a checked token stream request with its document.
+type streamAsk struct {
+	doc     *document.Document
+	class   document.Class
+	request streaming.Request
+}
+
+func (s streamAsk) subject() explain.Subject {
+	return explain.Subject{Request: s.request.Key.Request, Service: s.doc.Service, Account: s.request.Key.Account}
+}
+
+// streamRequest checks a token stream request.
+func (h *handler) streamRequest(ctx context.Context, req *callerv1.GenerateRequest) (streamAsk, error) {
+	doc, err := findService(h.documents.Value(), req.GetService(), document.Model)
+	if err != nil {
+		return streamAsk{}, err
+	}
+	class, err := checkGenerate(doc, req)
+	if err != nil {
+		return streamAsk{}, err
+	}
+	return streamAsk{doc: doc, class: class, request: streaming.Request{
+		Key: streaming.Key{Account: auth.Account(ctx), Request: ident.Request(req.GetRequestId())},
+		Ask: streaming.Ask{
+			Service:   doc.Service,
+			Class:     class.Name,
+			Prompt:    req.GetPrompt(),
+			MaxTokens: req.GetMaxTokens(),
+		},
+		Priority: int32(class.Priority),
+		Deadline: deadlineOf(time.Now(), class.Completion),
+	}}, nil
+}
+
+// generate admits and serves a token stream.
+func (h *handler) generate(ctx context.Context, s streamAsk, sink streaming.Sink) (outcome.Outcome, error) {
+	if h.stopping.Value() {
+		return outcome.NewNotRun(outcome.ReasonLeaving, "this gateway is leaving; ask any other", 0), nil
+	}
+	key := s.request.Key
+	ask := s.request.Ask
+	route := streamRequest(s.doc, s.class, key.Account, ask.Prompt, ask.MaxTokens, nil)
+	predicted := h.routes.decide(s.doc, route)
+	u, _ := h.routes.find(s.doc.Service, predicted.Upstream)
+	ticket, refusal := h.admit(ctx, admission.Request{
+		Service:   s.doc.Service,
+		ID:        key.Request,
+		Account:   key.Account,
+		Limit:     s.doc.AccountLimit(key.Account),
+		Class:     s.class,
+		Predicted: predicted.FirstToken,
+		Unloaded:  unloaded(u.Report, predicted.UncachedTokens),
+		Remaining: time.Duration(ask.MaxTokens) * predicted.BetweenTokens,
+		Deadline:  s.request.Deadline,
+		Cost:      float64(predicted.UncachedTokens) + float64(ask.MaxTokens),
+	})
+	if refusal != nil {
+		return *refusal, nil
+	}
+	defer ticket.Done(admission.Result{})
+	h.plains.budgets.of(s.doc.Service).FirstTry()
+	return h.streams.Generate(ctx, s.request, sink)
+}
+
+// Resume implements the callers' API. A request that was accepted once is not
+// admitted a second time.
+func (h *handler) Resume(ctx context.Context, req *callerv1.ResumeRequest, out *connect.ServerStream[callerv1.ResumeResponse]) error {
+	ctx, span := h.tracer.Start(ctx, "resume", trace.WithAttributes(attribute.String("service", req.GetService())))
+	defer span.End()
+	resume := streaming.ResumeRequest{
+		Key:       streaming.Key{Account: auth.Account(ctx), Request: ident.Request(req.GetRequestId())},
+		Next:      req.GetNextIndex(),
+		Delivered: req.GetDelivered(),
+	}
+	if req.GetOriginal() != nil {
+		original, err := h.streamRequest(ctx, req.GetOriginal())
+		if err != nil {
+			return wireError(err)
+		}
+		resume.Original = &original.request
+	}
+	sink := resumeSink(out)
+	o, err := h.streams.Resume(ctx, resume, sink)
+	if err != nil {
+		return wireError(err)
+	}
+	h.told(explain.Subject{Request: resume.Key.Request, Service: ident.Service(req.GetService()), Account: resume.Key.Account}, o)
+	return sink.end(o)
+}
--- a/internal/gateway/plains.go
+++ b/internal/gateway/plains.go
@@ -9,8 +9,6 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
-	"github.com/goldcrestspool/goldcrestspool/internal/calls"
-	"github.com/goldcrestspool/goldcrestspool/internal/calls/journal"
 	"github.com/goldcrestspool/goldcrestspool/internal/document"
 	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
 	"github.com/goldcrestspool/goldcrestspool/internal/explain"
--- a/internal/gateway/wire.go
+++ b/internal/gateway/wire.go
@@ -24,8 +24,8 @@
 	return w
 }
 
-// codes maps canonical codes to those of the callers' protocol.
-var codes = map[errcode.Code]connect.Code{
+// wireCodes maps canonical codes to those of the callers' protocol.
+var wireCodes = map[errcode.Code]connect.Code{
 	errcode.Cancelled:          connect.CodeCanceled,
 	errcode.InvalidArgument:    connect.CodeInvalidArgument,
 	errcode.DeadlineExceeded:   connect.CodeDeadlineExceeded,
@@ -44,7 +44,7 @@
 // wireError returns an error as callers get it. Texts of errors without a
 // code stay inside: they may name addresses.
 func wireError(err error) error {
-	code, ok := codes[errcode.Of(err)]
+	code, ok := wireCodes[errcode.Of(err)]
 	if !ok {
 		return connect.NewError(connect.CodeInternal, errors.New("internal error"))
 	}
