--- /dev/null
+++ b/cmd/gateway/main.go
@@ -0,0 +1,28 @@
+// Command gateway is the process that callers reach. One runs on each entry
+// instance.
+package main
+
+import (
+	"os"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/gateway"
+	"github.com/goldcrestspool/goldcrestspool/internal/program"
+	"github.com/goldcrestspool/goldcrestspool/internal/settings"
+)
+
+func main() {
+	os.Exit(program.Daemon[settings.Gateway]{
+		Name:        "gateway",
+		Description: "gateway serves callers: it admits, routes and retries requests, streams answers, and hands over what is in progress when it leaves.",
+		Load:        settings.LoadGateway,
+		Run:         run,
+	}.Main())
+}
+
+func run(signals program.Signals, s *settings.Gateway) error {
+	process, err := gateway.New(s)
+	if err != nil {
+		return err
+	}
+	return process.Run(signals, os.Stdout)
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -44,10 +44,10 @@
 	plains    *plains
 	calls     keyedCalls
 	streams   tokenStreams
-	results   *results
 	explain   *explain.Recorder
 	log       hclog.Logger
 	tracer    trace.Tracer
+	auth      *auth.Authenticator
 }
 
 var _ callerv1connect.CallerServiceHandler = (*handler)(nil)
--- /dev/null
+++ b/internal/gateway/process.go
@@ -0,0 +1,393 @@
+// Package gateway is the process that callers reach: it admits, routes and
+// retries requests, streams answers, and hands over what it has in progress
+// when it leaves. Its parts meet on the blackboard; this package wires them.
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/admission"
+	"github.com/goldcrestspool/goldcrestspool/internal/auth"
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	"github.com/goldcrestspool/goldcrestspool/internal/cacheview"
+	"github.com/goldcrestspool/goldcrestspool/internal/calls"
+	"github.com/goldcrestspool/goldcrestspool/internal/controllers/configuration"
+	"github.com/goldcrestspool/goldcrestspool/internal/controllers/instances"
+	"github.com/goldcrestspool/goldcrestspool/internal/controllers/membership"
+	"github.com/goldcrestspool/goldcrestspool/internal/controllers/probing"
+	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
+	"github.com/goldcrestspool/goldcrestspool/internal/explain"
+	"github.com/goldcrestspool/goldcrestspool/internal/gateway/peering"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/peer"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform/connectplatform"
+	"github.com/goldcrestspool/goldcrestspool/internal/retry"
+	"github.com/goldcrestspool/goldcrestspool/internal/settings"
+	"github.com/goldcrestspool/goldcrestspool/internal/streaming"
+	"github.com/goldcrestspool/goldcrestspool/internal/telemetry"
+	"github.com/goldcrestspool/goldcrestspool/internal/transport"
+)
+
+// explainEvents is how many attempts and endings a gateway remembers.
+const explainEvents = 4096
+
+// listening is the line on stdout by which whoever started the process learns
+// the ports that the kernel chose.
+type listening struct {
+	Event     string         `json:"event"`
+	Instance  ident.Instance `json:"instance"`
+	Callers   string         `json:"callers"`
+	Peers     string         `json:"peers"`
+	Operators string         `json:"operators"`
+}
+
+// Process is one gateway. Create it with New.
+type Process struct {
+	settings  *settings.Gateway
+	self      platform.Instance
+	board     *blackboard.Board
+	telemetry *telemetry.Telemetry
+	log       hclog.Logger
+	tracer    trace.Tracer
+	listeners listeners
+	platform  *connectplatform.Client
+	dialer    *dialer
+	pool      *peer.Pool
+	notices   *noticeBoard
+	recorder  *explain.Recorder
+	admission *admission.Controller
+	members   *membership.Controller
+	documents *configuration.Controller
+	calls     *calls.Coordinator
+	streams   *streaming.Registry
+	peers     *peering.Peers
+	handler   *handler
+	// reclaimed gets the time left when this instance is to be reclaimed.
+	reclaimed chan time.Duration
+}
+
+// listeners are a gateway's open ports.
+type listeners struct{ callers, peers, operators net.Listener }
+
+func listen(addresses settings.GatewayListen) (listeners, error) {
+	var l listeners
+	for _, side := range []struct {
+		address string
+		into    *net.Listener
+	}{
+		{addresses.Callers, &l.callers},
+		{addresses.Peers, &l.peers},
+		{addresses.Operators, &l.operators},
+	} {
+		opened, err := net.Listen("tcp", side.address)
+		if err != nil {
+			l.close()
+			return listeners{}, errcode.Wrap(errcode.Unavailable, err, "listen on "+side.address)
+		}
+		*side.into = opened
+	}
+	return l, nil
+}
+
+// close closes what is open.
+func (l listeners) close() {
+	for _, opened := range []net.Listener{l.callers, l.peers, l.operators} {
+		if opened != nil {
+			_ = opened.Close()
+		}
+	}
+}
+
+// New opens the ports and wires the parts. Run starts them.
+func New(s *settings.Gateway) (*Process, error) {
+	t, err := telemetry.Setup(telemetryConfig(s))
+	if err != nil {
+		return nil, err
+	}
+	opened, err := listen(s.Listen)
+	if err != nil {
+		return nil, err
+	}
+	p := &Process{
+		settings:  s,
+		board:     blackboard.NewBoard(),
+		telemetry: t,
+		log:       t.Log,
+		tracer:    t.Tracer,
+		listeners: opened,
+		notices:   newNoticeBoard(),
+		recorder:  explain.NewRecorder(explainEvents),
+		reclaimed: make(chan time.Duration, 1),
+	}
+	p.self = selfOf(s, opened)
+	if err := p.wire(); err != nil {
+		opened.close()
+		return nil, err
+	}
+	return p, nil
+}
+
+func telemetryConfig(s *settings.Gateway) telemetry.Config {
+	return telemetry.Config{
+		Program:       "gateway",
+		Instance:      s.Instance.ID,
+		FailureDomain: s.Instance.FailureDomain,
+		Region:        s.Instance.Region,
+		LogLevel:      s.Log.Level,
+		LogFormat:     string(s.Log.Format),
+		TraceExporter: string(s.Trace.Exporter),
+		TraceEndpoint: s.Trace.Endpoint,
+	}
+}
+
+// selfOf describes this process's own instance.
+func selfOf(s *settings.Gateway, l listeners) platform.Instance {
+	incarnation := s.Instance.Incarnation
+	if incarnation == 0 {
+		incarnation = ident.Incarnation(time.Now().UnixNano())
+	}
+	return platform.Instance{
+		ID:            s.Instance.ID,
+		Incarnation:   incarnation,
+		Role:          platform.RoleEntry,
+		Region:        s.Instance.Region,
+		FailureDomain: s.Instance.FailureDomain,
+		Address:       l.callers.Addr().String(),
+		PeerAddress:   l.peers.Addr().String(),
+		State:         platform.Live,
+	}
+}
+
+// wire makes the parts and connects them.
+func (p *Process) wire() error {
+	authenticator, err := auth.New(credentials(p.settings.ClientAccounts))
+	if err != nil {
+		return err
+	}
+	p.pool, err = peer.NewPool(peerTLS(p.settings.TLS.Peers))
+	if err != nil {
+		return err
+	}
+	upstreamTLS, err := trusting(p.settings.TLS.Upstream)
+	if err != nil {
+		return err
+	}
+	p.platform = connectplatform.NewClient(transport.NewClient(transport.Options{}), p.settings.Platform.Address)
+	p.dialer = newDialer(upstreamTLS)
+	p.wireState()
+	p.wireRequests(authenticator)
+	return nil
+}
+
+func credentials(accounts []settings.ClientAccount) []auth.Credential {
+	var out []auth.Credential
+	for _, a := range accounts {
+		out = append(out, auth.Credential{Account: a.Name, TokenSHA256: string(a.TokenSHA256)})
+	}
+	return out
+}
+
+// wireState makes the controllers that write the blackboard.
+func (p *Process) wireState() {
+	documents := &ownDocuments{}
+	config := membership.DefaultConfig(p.self)
+	config.Interval = p.settings.Membership.Heartbeat
+	config.Seeds = p.settings.Membership.Seeds
+	p.members = membership.New(config, membership.Deps{
+		Board:          p.board,
+		Transport:      p.pool,
+		Configuration:  documents,
+		Log:            p.log.Named("membership"),
+		OnOwnDeparture: func() { p.noteOwnReclaim(p.settings.Limits.StopTimeout) },
+	})
+	p.documents = configuration.New(configuration.Options{
+		Instance:  p.self.ID,
+		Log:       p.platform,
+		Peers:     &peerDocuments{members: p.members, pool: p.pool},
+		Documents: p.board.Documents,
+		Health:    p.board.Configuration,
+		Logger:    p.log,
+	})
+	documents.controller = p.documents
+	p.peers = &peering.Peers{
+		Self:    p.self.ID,
+		Domain:  p.self.FailureDomain,
+		Members: p.board.Members,
+		Client:  p.pool,
+	}
+}
+
+// wireRequests makes what serves callers.
+func (p *Process) wireRequests(authenticator *auth.Authenticator) {
+	metrics := &admission.Metrics{}
+	metrics.Publish()
+	p.admission = admission.New(admission.Config{Metrics: metrics})
+	learned := &results{admission: p.admission}
+	routes := &routes{board: p.board, domain: p.self.FailureDomain, ejections: p.admission}
+	plains := &plains{
+		documents: p.board.Documents,
+		routes:    routes,
+		dialer:    p.dialer,
+		refusals:  p.members,
+		results:   learned,
+		budgets:   &budgets{},
+		backoff:   retry.DefaultBackoff,
+		explain:   p.recorder,
+		tracer:    p.tracer,
+	}
+	p.calls = calls.New(calls.Config{
+		Instance:    p.self.ID,
+		Incarnation: p.self.Incarnation,
+		Log:         p.platform,
+		Dispatcher:  plains,
+		Peers:       p.peers,
+		Documents:   p.board.Documents,
+		Health:      p.board.Journal,
+		Limits:      calls.Limits{AppendInterval: p.settings.Journal.BatchWait, AppendTimeout: p.settings.Journal.Timeout},
+		Logger:      p.log,
+	})
+	streamConfig := p.streamConfig()
+	runner := streaming.NewRunner(streamConfig, &engines{
+		documents: p.board.Documents,
+		routes:    routes,
+		dialer:    p.dialer,
+		refusals:  p.members,
+		notices:   p.notices,
+		results:   learned,
+		explain:   p.recorder,
+		tracer:    p.tracer,
+	}, plains.budgets, nil)
+	p.streams = streaming.NewRegistry(streamConfig, runner)
+	p.handler = &handler{
+		documents: p.board.Documents,
+		stopping:  p.board.Stopping,
+		admission: p.admission,
+		routes:    routes,
+		plains:    plains,
+		calls:     p.calls,
+		streams:   p.streams,
+		explain:   p.recorder,
+		log:       p.log.Named("requests"),
+		tracer:    p.tracer,
+		auth:      authenticator,
+	}
+}
+
+func (p *Process) streamConfig() streaming.Config {
+	c := streaming.DefaultConfig()
+	c.SilenceLimit = p.settings.Limits.Silence
+	c.HeartbeatInterval = p.settings.Limits.Heartbeat
+	return c
+}
+
+// noteOwnReclaim asks the process to leave within a time. Only the first
+// request counts.
+func (p *Process) noteOwnReclaim(left time.Duration) {
+	select {
+	case p.reclaimed <- left:
+	default:
+	}
+}
+
+// announce prints where the process listens.
+func (p *Process) announce(stdout io.Writer) error {
+	return json.NewEncoder(stdout).Encode(listening{
+		Event:     "listening",
+		Instance:  p.self.ID,
+		Callers:   p.self.Address,
+		Peers:     p.self.PeerAddress,
+		Operators: p.listeners.operators.Addr().String(),
+	})
+}
+
+// tappedNotices tells streams of the notices that the instances controller
+// reads.
+type tappedNotices struct {
+	cloud instances.Notices
+	board *noticeBoard
+}
+
+// Notices implements instances.Notices.
+func (t *tappedNotices) Notices(ctx context.Context, after uint64) ([]platform.Notice, error) {
+	// EndsIn counts from when the notice was read at the earliest: from
+	// before the request.
+	asked := time.Now()
+	read, err := t.cloud.Notices(ctx, after)
+	for _, n := range read {
+		t.board.Note(n.Instance, n.Incarnation, asked.Add(n.EndsIn))
+	}
+	return read, err
+}
+
+// stateLoops are the controllers that keep the blackboard, by name.
+func (p *Process) stateLoops() map[string]func(context.Context) error {
+	listing := instances.New(instances.DefaultConfig(p.self.ID, p.self.Incarnation), instances.Deps{
+		List:        p.platform,
+		Notices:     &tappedNotices{cloud: p.platform, board: p.notices},
+		Membership:  p.members,
+		Log:         p.log.Named("instances"),
+		OnOwnNotice: p.noteOwnReclaim,
+	})
+	probes := probing.New(probing.DefaultConfig(p.self.ID, p.self.FailureDomain), probing.Deps{
+		Board:      p.board,
+		Membership: p.members,
+		Dialer:     p.dialer,
+		Cache:      probing.NewCaches(cacheview.DefaultParams()),
+		Log:        p.log.Named("probing"),
+	})
+	return map[string]func(context.Context) error{
+		"membership":    p.members.Run,
+		"configuration": p.documents.Run,
+		"instances":     listing.Run,
+		"probing":       probes.Run,
+		"calls":         p.calls.Run,
+		"admission":     p.followUpstreams,
+	}
+}
+
+// followUpstreams keeps admission informed of the upstreams and of the number
+// of gateways that share the documents' limits.
+func (p *Process) followUpstreams(ctx context.Context) error {
+	for {
+		upstreams := p.board.Upstreams.Load()
+		members := p.board.Members.Load()
+		p.admission.SetGateways(liveGateways(members.Value))
+		for service, list := range upstreams.Value.ByService {
+			p.admission.SetUpstreams(service, aliveIDs(list))
+		}
+		select {
+		case <-upstreams.Changed():
+		case <-members.Changed():
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func liveGateways(members *blackboard.Members) int {
+	live := 0
+	for _, m := range members.ByID {
+		if m.Instance.Role == platform.RoleEntry && m.State == blackboard.Alive {
+			live++
+		}
+	}
+	return live
+}
+
+func aliveIDs(list []blackboard.Upstream) []ident.Instance {
+	var ids []ident.Instance
+	for _, u := range list {
+		if u.State == blackboard.Alive {
+			ids = append(ids, u.Instance.ID)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/gateway/run.go
@@ -0,0 +1,199 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/goldcrestspool/goldcrestspool/api/caller/v1/callerv1connect"
+	"github.com/goldcrestspool/goldcrestspool/internal/auth"
+	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
+	"github.com/goldcrestspool/goldcrestspool/internal/gateway/peering"
+	"github.com/goldcrestspool/goldcrestspool/internal/operations"
+	"github.com/goldcrestspool/goldcrestspool/internal/peer"
+	"github.com/goldcrestspool/goldcrestspool/internal/program"
+	"github.com/goldcrestspool/goldcrestspool/internal/telemetry"
+	"github.com/goldcrestspool/goldcrestspool/internal/transport"
+)
+
+const (
+	// lastWords is kept free of a stop's time for answering callers, closing
+	// listeners and flushing traces.
+	lastWords = 500 * time.Millisecond
+	// reclaimMargin is kept free before an announced reclaim.
+	reclaimMargin = time.Second
+)
+
+// Run serves until it is told to stop, or until its instance is to be
+// reclaimed, then leaves gracefully.
+func (p *Process) Run(signals program.Signals, stdout io.Writer) error {
+	servers, err := p.servers()
+	if err != nil {
+		p.listeners.close()
+		return err
+	}
+	// The loops go on while the process leaves: hand-over and the journal
+	// need them.
+	loopsCtx, endLoops := context.WithCancel(context.Background())
+	defer endLoops()
+	failed := make(chan error, 1)
+	loops := p.start(loopsCtx, servers, failed)
+	if err := p.announce(stdout); err != nil {
+		return err
+	}
+	limit, err := p.awaitStop(signals, failed)
+	if err == nil {
+		err = p.leave(signals, servers, limit)
+	}
+	endLoops()
+	servers.close()
+	loops.Wait()
+	p.pool.Close()
+	p.dialer.close()
+	return err
+}
+
+// servers are what answers on the three ports.
+type servers struct {
+	callers    *http.Server
+	operations *operations.Server
+	peers      *peer.Server
+	endPeers   context.CancelFunc
+}
+
+func (p *Process) servers() (*servers, error) {
+	mux := http.NewServeMux()
+	limits := p.settings.Limits
+	mux.Handle(callerv1connect.NewCallerServiceHandler(p.handler,
+		connect.WithInterceptors(auth.Interceptor{Authenticator: p.handler.auth}),
+		connect.WithReadMaxBytes(int(limits.MaxBody))))
+	callers := transport.NewServer(telemetry.Continue(mux))
+	callers.ReadHeaderTimeout = limits.HeaderTimeout
+	callers.MaxHeaderBytes = int(limits.MaxHeader)
+	callers.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: limits.MaxStreams}
+	peers, err := peer.NewServer(peer.Handlers{
+		Heartbeats: p.members,
+		Documents:  &ownDocuments{controller: p.documents},
+		Calls:      &peering.Local{Calls: p.calls, Streams: p.streams, Stopping: p.board.Stopping},
+	}, peerTLS(p.settings.TLS.Peers))
+	if err != nil {
+		return nil, err
+	}
+	return &servers{
+		callers: callers,
+		peers:   peers,
+		operations: operations.New(operations.Config{
+			Listener: p.listeners.operators,
+			Ready:    func() (bool, string) { return ready(p.board) },
+			Pprof:    p.settings.Listen.PProf,
+			Handlers: map[string]http.Handler{
+				statusPath:  statusHandler(p.self, p.board),
+				explainPath: explainHandler(p.recorder),
+			},
+		}),
+	}, nil
+}
+
+// start runs the servers and the controllers. The first that fails while the
+// process should run is sent to failed.
+func (p *Process) start(ctx context.Context, s *servers, failed chan<- error) *sync.WaitGroup {
+	var running sync.WaitGroup
+	run := func(name string, work func() error) {
+		running.Go(func() {
+			err := work()
+			if err == nil || ctx.Err() != nil || errors.Is(err, http.ErrServerClosed) {
+				return
+			}
+			select {
+			case failed <- errcode.Wrap(errcode.Internal, err, name):
+			default:
+			}
+		})
+	}
+	for name, loop := range p.stateLoops() {
+		run(name, func() error { return loop(ctx) })
+	}
+	var peersCtx context.Context
+	peersCtx, s.endPeers = context.WithCancel(ctx)
+	run("callers", func() error { return p.serveCallers(s.callers) })
+	run("peers", func() error { return s.peers.Serve(peersCtx, p.listeners.peers, lastWords) })
+	run("operators", s.operations.Serve)
+	return &running
+}
+
+func (p *Process) serveCallers(server *http.Server) error {
+	pair := p.settings.TLS.Callers
+	if pair.Set() {
+		return server.ServeTLS(p.listeners.callers, pair.Cert, pair.Key)
+	}
+	return server.Serve(p.listeners.callers)
+}
+
+// awaitStop waits for a reason to leave and returns how long that may take.
+func (p *Process) awaitStop(signals program.Signals, failed <-chan error) (time.Duration, error) {
+	limit := p.settings.Limits.StopTimeout
+	select {
+	case <-signals.Stop.Done():
+		p.log.Info("stopping", "cause", "signal", "limit", limit)
+		return limit, nil
+	case left := <-p.reclaimed:
+		limit = min(limit, max(left-reclaimMargin, 0))
+		p.log.Info("stopping", "cause", "reclaim notice", "limit", limit)
+		return limit, nil
+	case err := <-failed:
+		return 0, err
+	}
+}
+
+// leave stops gracefully: no new work, what is in progress is finished or
+// handed over, the journal is flushed. A second signal cuts it short.
+func (p *Process) leave(signals program.Signals, s *servers, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(signals.Kill, limit)
+	defer cancel()
+	p.board.Stopping.Publish(true)
+	var parts sync.WaitGroup
+	var cut error
+	parts.Go(func() {
+		report := p.streams.Leave(ctx, max(limit-streamHandOver-lastWords, 0), p.peers.ForStreams())
+		p.log.Info("token streams left", "handed_over", report.HandedOver, "left", report.Left)
+	})
+	parts.Go(func() { cut = p.calls.Stop(ctx) })
+	parts.Wait()
+	if cut != nil {
+		p.log.Warn("calls were cut off", "error", cut)
+	}
+	if err := s.callers.Shutdown(ctx); err != nil {
+		p.log.Warn("callers were cut off", "error", err)
+	}
+	p.streams.Close()
+	return p.flush(signals)
+}
+
+// streamHandOver is the part of a stop's time that is kept for handing over
+// the streams that are not finished by then.
+const streamHandOver = 2 * time.Second
+
+// flush writes the last spans.
+func (p *Process) flush(signals program.Signals) error {
+	ctx, cancel := context.WithTimeout(signals.Kill, lastWords)
+	defer cancel()
+	if err := p.telemetry.Shutdown(ctx); err != nil {
+		p.log.Warn("spans were lost", "error", err)
+	}
+	p.log.Info("stopped")
+	return signals.Kill.Err()
+}
+
+// close ends all servers.
+func (s *servers) close() {
+	s.endPeers()
+	_ = s.callers.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), lastWords)
+	defer cancel()
+	_ = s.operations.Shutdown(ctx)
+}
