--- a/internal/auth/auth.go
+++ b/internal/auth/auth.go
@@ -7,7 +7,7 @@
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
-	"encoding/hex"
+	"slices"
 	"strings"
 
 	"connectrpc.com/connect"
@@ -22,34 +22,21 @@
 // that nobody learns which tokens exist.
 var errUnauthenticated = errcode.New(errcode.Unauthenticated, "a valid bearer token is required")
 
+// Digest is the SHA-256 digest of a token.
+type Digest [sha256.Size]byte
+
 // Credential is a client account with the digest of its token.
 type Credential struct {
 	Account ident.ClientAccount
-	// TokenSHA256 is the hex form of the token's SHA-256 digest.
-	TokenSHA256 string
-}
-
-// entry is a credential with its digest decoded.
-type entry struct {
-	account ident.ClientAccount
-	digest  [sha256.Size]byte
+	Token   Digest
 }
 
 // Authenticator maps tokens to client accounts. It is immutable.
-type Authenticator struct{ entries []entry }
-
-// New returns an authenticator for credentials. Error: InvalidArgument for a
-// digest that is not 32 bytes in hex.
-func New(credentials []Credential) (*Authenticator, error) {
-	a := &Authenticator{entries: make([]entry, 0, len(credentials))}
-	for _, c := range credentials {
-		raw, err := hex.DecodeString(c.TokenSHA256)
-		if err != nil || len(raw) != sha256.Size {
-			return nil, errcode.Errorf(errcode.InvalidArgument, "client account %q: token digest is not 32 bytes in hex", c.Account)
-		}
-		a.entries = append(a.entries, entry{account: c.Account, digest: [sha256.Size]byte(raw)})
-	}
-	return a, nil
+type Authenticator struct{ credentials []Credential }
+
+// New returns an authenticator for credentials.
+func New(credentials []Credential) *Authenticator {
+	return &Authenticator{credentials: slices.Clone(credentials)}
 }
 
 // Authenticate returns the client account of an Authorization header. It
@@ -61,9 +48,9 @@
 	}
 	digest := sha256.Sum256([]byte(token))
 	var found ident.ClientAccount
-	for _, e := range a.entries {
-		if subtle.ConstantTimeCompare(digest[:], e.digest[:]) == 1 {
-			found = e.account
+	for _, c := range a.credentials {
+		if subtle.ConstantTimeCompare(digest[:], c.Token[:]) == 1 {
+			found = c.Account
 		}
 	}
 	if found == "" {
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -21,9 +21,9 @@
 // take the request: the membership learns of a new one within seconds.
 const noUpstreamRetry = 2 * time.Second
 
-// refusalNotes takes note of an upstream that refused because it is leaving.
-type refusalNotes interface {
-	NoteRefusal(id ident.Instance, incarnation ident.Incarnation)
+// leavingNotes takes note of an upstream that refused because it is leaving.
+type leavingNotes interface {
+	NoteLeaving(id ident.Instance, incarnation ident.Incarnation)
 }
 
 // engineDialer reaches model engines.
@@ -44,7 +44,7 @@
 	documents *blackboard.Section[*document.Set]
 	routes    *routes
 	dialer    engineDialer
-	refusals  refusalNotes
+	leaving   leavingNotes
 	notices   notices
 	results   upstreamResults
 	explain   *explain.Recorder
@@ -112,7 +112,7 @@
 // ended tells everyone who learns from an attempt how it ended.
 func (e *engines) ended(req streaming.PickRequest, route routing.Request, d routing.Decision, u blackboard.Upstream, f *flight, r streaming.Result) {
 	if r.Leaving {
-		e.refusals.NoteRefusal(d.Upstream, u.Instance.Incarnation)
+		e.leaving.NoteLeaving(d.Upstream, u.Instance.Incarnation)
 	}
 	e.results.Observe(route.Service, attemptResult{
 		upstream:   d.Upstream,
--- a/internal/gateway/plains.go
+++ b/internal/gateway/plains.go
@@ -35,7 +35,7 @@
 	documents *blackboard.Section[*document.Set]
 	routes    *routes
 	dialer    plainDialer
-	refusals  refusalNotes
+	leaving   leavingNotes
 	results   upstreamResults
 	budgets   *budgets
 	backoff   retry.Backoff
@@ -158,7 +158,7 @@
 		took = 0
 	}
 	if isLeaving(err) {
-		p.refusals.NoteRefusal(u.Instance.ID, u.Instance.Incarnation)
+		p.leaving.NoteLeaving(u.Instance.ID, u.Instance.Incarnation)
 	}
 	p.results.Observe(s.route.Service, attemptResult{
 		upstream:   u.Instance.ID,
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -168,10 +168,7 @@
 
 // wire makes the parts and connects them.
 func (p *Process) wire() error {
-	authenticator, err := auth.New(credentials(p.settings.ClientAccounts))
-	if err != nil {
-		return err
-	}
+	var err error
 	p.pool, err = peer.NewPool(peerTLS(p.settings.TLS.Peers))
 	if err != nil {
 		return err
@@ -183,14 +180,14 @@
 	p.platform = connectplatform.NewClient(transport.NewClient(transport.Options{}), p.settings.Platform.Address)
 	p.dialer = newDialer(upstreamTLS)
 	p.wireState()
-	p.wireRequests(authenticator)
+	p.wireRequests()
 	return nil
 }
 
 func credentials(accounts []settings.ClientAccount) []auth.Credential {
 	var out []auth.Credential
 	for _, a := range accounts {
-		out = append(out, auth.Credential{Account: a.Name, TokenSHA256: string(a.TokenSHA256)})
+		out = append(out, auth.Credential{Account: a.Name, Token: auth.Digest(a.TokenSHA256)})
 	}
 	return out
 }
@@ -226,7 +223,7 @@
 }
 
 // wireRequests makes what serves callers.
-func (p *Process) wireRequests(authenticator *auth.Authenticator) {
+func (p *Process) wireRequests() {
 	metrics := &admission.Metrics{}
 	metrics.Publish()
 	p.admission = admission.New(admission.Config{Metrics: metrics})
@@ -236,7 +233,7 @@
 		documents: p.board.Documents,
 		routes:    routes,
 		dialer:    p.dialer,
-		refusals:  p.members,
+		leaving:   p.members,
 		results:   learned,
 		budgets:   &budgets{},
 		backoff:   retry.DefaultBackoff,
@@ -259,7 +256,7 @@
 		documents: p.board.Documents,
 		routes:    routes,
 		dialer:    p.dialer,
-		refusals:  p.members,
+		leaving:   p.members,
 		notices:   p.notices,
 		results:   learned,
 		explain:   p.recorder,
@@ -277,7 +274,7 @@
 		explain:   p.recorder,
 		log:       p.log.Named("requests"),
 		tracer:    p.tracer,
-		auth:      authenticator,
+		auth:      auth.New(credentials(p.settings.ClientAccounts)),
 	}
 }
 
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -10,10 +10,11 @@
 	maxHeaderBytes    = 32 << 10
 )
 
-// NewServer returns a server for HTTP/1.1 and for HTTP/2 without TLS.
+// NewServer returns a server for HTTP/1.1 and for HTTP/2, with TLS or without.
 func NewServer(handler http.Handler) *http.Server {
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
 		Handler:           handler,
--- /dev/null
+++ b/scripts/lib.sh
@@ -0,0 +1,145 @@
+# Functions that start the processes of a small system on loopback. Sourced by
+# demo.sh and by the other scripts. Needs bash and the programs under bin/.
+
+ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
+BIN="$ROOT/bin"
+WORK=$(mktemp -d)
+TOKEN=demo-token
+declare -A PIDS
+
+# start NAME PROGRAM ARGS... starts a process in the background; its output
+# goes to $WORK/NAME.out and .err.
+start() {
+  local name=$1
+  shift
+  "$BIN/$1" "${@:2}" >"$WORK/$name.out" 2>"$WORK/$name.err" &
+  PIDS[$name]=$!
+}
+
+# await_line NAME waits until the process has printed where it listens.
+await_line() {
+  local i
+  for i in $(seq 200); do
+    grep -q '"event":"listening"' "$WORK/$1.out" 2>/dev/null && return 0
+    kill -0 "${PIDS[$1]}" 2>/dev/null || break
+    sleep 0.05
+  done
+  echo "$1 does not listen:" >&2
+  cat "$WORK/$1.err" >&2
+  return 1
+}
+
+# field NAME KEY prints a field of the line that a process printed.
+field() {
+  sed -n 's/.*"'"$2"'":"\([^"]*\)".*/\1/p' "$WORK/$1.out" | head -1
+}
+
+# digest TEXT prints its SHA-256 in hexadecimal.
+digest() { printf %s "$1" | sha256sum | cut -d' ' -f1; }
+
+# gateway_settings NAME FAILURE_DOMAIN prints the settings of a gateway.
+gateway_settings() {
+  cat <<EOF
+[instance]
+id = "$1"
+region = "tirol"
+failure_domain = "$2"
+incarnation = 1
+[platform]
+address = "http://$PLATFORM"
+[log]
+level = "${LOG_LEVEL:-info}"
+[limits]
+stop_timeout = "20s"
+[[client_accounts]]
+name = "registrar"
+token_sha256 = "$(digest "$TOKEN")"
+[[client_accounts]]
+name = "trader"
+token_sha256 = "$(digest trader-token)"
+EOF
+}
+
+# controller_settings NAME FAILURE_DOMAIN prints the settings of a controller.
+controller_settings() {
+  cat <<EOF
+[instance]
+id = "$1"
+region = "tirol"
+failure_domain = "$2"
+incarnation = 1
+[platform]
+address = "http://$PLATFORM"
+[log]
+level = "${LOG_LEVEL:-info}"
+EOF
+}
+
+# start_platform starts the platform stand-in and sets PLATFORM.
+start_platform() {
+  start platform standin platform
+  await_line platform
+  PLATFORM=$(field platform address)
+}
+
+# start_gateway NAME FAILURE_DOMAIN starts a gateway and lists it.
+start_gateway() {
+  gateway_settings "$1" "$2" >"$WORK/$1.toml"
+  start "$1" gateway --settings "$WORK/$1.toml"
+  await_line "$1"
+  "$BIN/standin" admin --platform "$PLATFORM" register --id "$1" --incarnation 1 --region tirol \
+    --failure-domain "$2" --address "$(field "$1" callers)" --peer-address "$(field "$1" peers)" >/dev/null
+}
+
+# start_controller NAME FAILURE_DOMAIN starts a controller.
+start_controller() {
+  controller_settings "$1" "$2" >"$WORK/$1.toml"
+  start "$1" controller --settings "$WORK/$1.toml"
+  await_line "$1"
+}
+
+# ready_or_fail NAME waits until an operators' address says ready.
+ready_or_fail() {
+  local i host port status
+  IFS=: read -r host port <<<"$(field "$1" operators)"
+  for i in $(seq 200); do
+    exec 3<>"/dev/tcp/$host/$port"
+    printf 'GET /readyz HTTP/1.0\r\n\r\n' >&3
+    status=$(head -1 <&3)
+    exec 3<&-
+    [[ $status == *" 200 "* ]] && return 0
+    sleep 0.1
+  done
+  echo "$1 is not ready: $status" >&2
+  cat "$WORK/$1.err" >&2
+  return 1
+}
+
+# stop_all NAMES... stops processes gracefully, in order, and returns 1 if one
+# did not exit with 0.
+stop_all() {
+  local name failed=0
+  for name in "$@"; do
+    [ -n "${PIDS[$name]:-}" ] || continue
+    kill -TERM "${PIDS[$name]}" 2>/dev/null
+  done
+  for name in "$@"; do
+    [ -n "${PIDS[$name]:-}" ] || continue
+    if ! wait "${PIDS[$name]}"; then
+      echo "$name did not stop with 0:" >&2
+      tail -5 "$WORK/$name.err" >&2
+      failed=1
+    fi
+    unset "PIDS[$name]"
+  done
+  return $failed
+}
+
+# clean_up ends what still runs, by process ID, and removes the work folder.
+clean_up() {
+  local name
+  for name in "${!PIDS[@]}"; do
+    kill -KILL "${PIDS[$name]}" 2>/dev/null
+  done
+  rm -rf "$WORK"
+}
