--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -70,6 +70,7 @@
 	streams   *streaming.Registry
 	peers     *peering.Peers
 	handler   *handler
+	ready     *readiness
 	// reclaimed gets the time left when this instance is to be reclaimed.
 	reclaimed chan time.Duration
 }
@@ -127,6 +128,7 @@
 		recorder:  explain.NewRecorder(explainEvents),
 		reclaimed: make(chan time.Duration, 1),
 	}
+	p.ready = &readiness{board: p.board, began: time.Now()}
 	p.self = selfOf(s, opened)
 	if err := p.wire(); err != nil {
 		opened.close()
--- /dev/null
+++ b/internal/gateway/readiness.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+// warmUp is how long a new gateway waits for what it would like to know before
+// it gets callers. After that it serves what it can: in a failure domain that
+// is cut off, some of it may never come.
+const warmUp = 10 * time.Second
+
+// readiness tells whether a gateway should get callers.
+type readiness struct {
+	board *blackboard.Board
+	began time.Time
+}
+
+// check reports whether the gateway should get callers, and if not, why.
+func (r *readiness) check(now time.Time) (bool, string) {
+	if r.board.Stopping.Value() {
+		return false, "stopping"
+	}
+	if health := r.board.Configuration.Value(); !health.Ready {
+		return false, "configuration: " + cmp.Or(health.Problem, "not read yet")
+	}
+	if now.Sub(r.began) > warmUp {
+		return true, ""
+	}
+	if service, missing := r.missing(); missing {
+		return false, "upstreams: none known yet of service " + string(service)
+	}
+	journal := r.board.Journal.Value()
+	if !journal.Ready {
+		return false, "journal: not read yet"
+	}
+	return true, ""
+}
+
+// missing returns a service without a known upstream.
+func (r *readiness) missing() (ident.Service, bool) {
+	upstreams := r.board.Upstreams.Value()
+	for service := range r.board.Documents.Value().Services {
+		if len(upstreams.ByService[service]) == 0 {
+			return service, true
+		}
+	}
+	return "", false
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -89,10 +89,10 @@
 		peers:   peers,
 		operations: operations.New(operations.Config{
 			Listener: p.listeners.operators,
-			Ready:    func() (bool, string) { return ready(p.board) },
+			Ready:    func() (bool, string) { return p.ready.check(time.Now()) },
 			Pprof:    p.settings.Listen.PProf,
 			Handlers: map[string]http.Handler{
-				statusPath:  statusHandler(p.self, p.board),
+				statusPath:  statusHandler(p.self, p.board, p.ready),
 				explainPath: explainHandler(p.recorder),
 			},
 		}),
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -62,21 +62,8 @@
 	blackboard.Gone:    "gone",
 }
 
-// ready reports whether the gateway should get callers, and if not, why. The
-// journal is no part of it: while it is down, token streams and idempotent
-// calls go on, and other calls get a truthful refusal.
-func ready(board *blackboard.Board) (bool, string) {
-	if board.Stopping.Value() {
-		return false, "stopping"
-	}
-	if health := board.Configuration.Value(); !health.Ready {
-		return false, "configuration: " + cmp.Or(health.Problem, "not read yet")
-	}
-	return true, ""
-}
-
-func statusOf(self platform.Instance, board *blackboard.Board) status {
-	ok, reason := ready(board)
+func statusOf(self platform.Instance, board *blackboard.Board, r *readiness) status {
+	ok, reason := r.check(time.Now())
 	set := board.Documents.Value()
 	s := status{
 		Instance:      self.ID,
@@ -109,9 +96,9 @@
 }
 
 // statusHandler answers with the gateway's status.
-func statusHandler(self platform.Instance, board *blackboard.Board) http.Handler {
+func statusHandler(self platform.Instance, board *blackboard.Board, r *readiness) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		answerJSON(w, http.StatusOK, statusOf(self, board))
+		answerJSON(w, http.StatusOK, statusOf(self, board, r))
 	})
 }
 
