--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -63,8 +63,10 @@
 	sent       time.Time
 	inFlight   int
 	firstToken time.Duration
-	unloaded   time.Duration
 	failed     bool
+	// pressure is the attempt's times in units of its class's targets; 0
+	// when there is no target to compare with.
+	pressure float64
 }
 
 // Pick implements streaming.Picker.
@@ -119,8 +121,8 @@
 		sent:       f.sent,
 		inFlight:   f.inFlight,
 		firstToken: r.FirstToken,
-		unloaded:   unloaded(u.Report, d.UncachedTokens),
 		failed:     r.Next != "" && !r.Leaving,
+		pressure:   pressureOf(route.Class, f, r, time.Now()),
 	})
 	subject := explain.Subject{Request: req.Request.Key.Request, Service: route.Service, Account: req.Request.Key.Account}
 	e.explain.Attempt(subject, explain.Attempt{
@@ -133,6 +135,24 @@
 	})
 }
 
+// pressureOf returns how close an attempt came to its class's targets: 1 is at
+// the target, for the first token or between tokens, whichever is worse.
+//
+// An engine's first token comes several times later in a full batch than on an
+// idle engine and is still in time. Held against the idle engine, a limit would
+// keep engines half empty and refuse callers that could have been served.
+func pressureOf(class document.Class, f *flight, r streaming.Result, now time.Time) float64 {
+	pressure := 0.0
+	if class.FirstToken > 0 && r.FirstToken > 0 {
+		pressure = r.FirstToken.Seconds() / class.FirstToken.Seconds()
+	}
+	if class.BetweenTokens > 0 && r.Tokens > 1 {
+		between := (now.Sub(f.sent) - r.FirstToken) / time.Duration(r.Tokens-1)
+		pressure = max(pressure, between.Seconds()/class.BetweenTokens.Seconds())
+	}
+	return pressure
+}
+
 // unloaded is the time to the first token on an idle engine.
 func unloaded(r upstream.Report, uncached int) time.Duration {
 	if r.PrefillRate <= 0 {
--- a/internal/gateway/results.go
+++ b/internal/gateway/results.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/admission"
+	"github.com/goldcrestspool/goldcrestspool/internal/admission/concurrency"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/retry"
 	"github.com/goldcrestspool/goldcrestspool/internal/streaming"
@@ -49,11 +50,21 @@
 
 // Observe implements upstreamResults.
 func (r *results) Observe(service ident.Service, a attemptResult) {
-	r.admission.Observe(service, admission.Result{
+	observed := admission.Result{
 		Upstream:   a.upstream,
 		Sent:       a.sent,
 		FirstToken: a.firstToken,
 		InFlight:   a.inFlight,
 		Failed:     a.failed,
-	}, a.unloaded)
+	}
+	var unloaded time.Duration
+	if a.pressure > 0 {
+		observed.FirstToken = time.Duration(a.pressure * float64(time.Second))
+		unloaded = atTarget
+	}
+	r.admission.Observe(service, observed, unloaded)
 }
+
+// atTarget is the unloaded latency with which an attempt at its target, taken
+// as one second, neither widens nor narrows the upstream's limit.
+const atTarget = time.Second / concurrency.DefaultTolerance
