--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,10 @@
 
 demo-up: build
 	scripts/demo.sh --up
+
+# --- routing policies (cmd/experiment) ---
+.PHONY: policy
+
+# Compares routing policies in virtual time and prints which goals are met.
+policy:
+	$(GO) run ./cmd/experiment --seeds 5
--- /dev/null
+++ b/cmd/experiment/main.go
@@ -0,0 +1,51 @@
+// Command experiment compares routing policies over stand-ins of the engines,
+// in virtual time. It is a tool for development.
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime/debug"
+	"slices"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/experiment"
+)
+
+type arguments struct {
+	Seeds    int    `arg:"--seeds" default:"5" help:"runs of each cell"`
+	Workload string `arg:"--workload" help:"only this workload"`
+	Case     string `arg:"--case" help:"only this case"`
+	Policy   string `arg:"--policy" help:"only this policy"`
+}
+
+// gcPercent trades memory for time: a run allocates much and keeps little.
+const gcPercent = 400
+
+func main() {
+	debug.SetGCPercent(gcPercent)
+	var args arguments
+	arg.MustParse(&args)
+	workloads := []*experiment.Workload{experiment.Domaenenhaus(), experiment.Harfang()}
+	workloads = only(workloads, args.Workload, func(w *experiment.Workload) string { return w.Name })
+	cases := only(experiment.Cases(), args.Case, func(c experiment.Case) string { return c.Name })
+	policies := only(experiment.Contenders(), args.Policy, func(p experiment.Contender) string { return p.Name })
+	if len(workloads)*len(cases)*len(policies) == 0 {
+		fmt.Fprintln(os.Stderr, "no such workload, case or policy")
+		os.Exit(2)
+	}
+	table := experiment.RunAll(workloads, cases, policies, args.Seeds)
+	fmt.Println("Times in ms, costs in cents per thousand requests at target, tokens in thousands per thousand requests.")
+	table.Print(os.Stdout)
+	fmt.Println()
+	experiment.PrintGoals(os.Stdout, table.Goals())
+}
+
+// only keeps the entries with a name; an empty name keeps all.
+func only[T any](list []T, name string, of func(T) string) []T {
+	if name == "" {
+		return list
+	}
+	return slices.DeleteFunc(list, func(x T) bool { return of(x) != name })
+}
--- /dev/null
+++ b/internal/experiment/calls.go
@@ -0,0 +1,200 @@
+package experiment
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/prompt"
+	"github.com/goldcrestspool/goldcrestspool/internal/routing"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/engine"
+)
+
+// attemptBits is how much of a token's tag names the attempt.
+const attemptBits = 8
+
+// arrive takes a request in.
+func (r *run) arrive(k *call) {
+	if k.kind.Patience > 0 {
+		r.at(r.now+k.kind.Patience, func() { r.giveUp(k) })
+	}
+	r.dispatch(k)
+}
+
+// giveUp ends a request whose caller waited too long for the first token.
+func (r *run) giveUp(k *call) {
+	if k.done || k.delivered > 0 {
+		return
+	}
+	k.gaveUp = true
+	if k.runner != nil {
+		k.runner.model.Cancel(r.clock(), k.id())
+	}
+	r.leave(k, routing.ResultCancelled)
+	r.close(k)
+}
+
+func (r *run) close(k *call) {
+	if !k.done {
+		k.done = true
+		r.open--
+	}
+}
+
+func (k *call) id() ident.Request { return ident.Request(strconv.Itoa(k.index)) }
+
+func (k *call) request(doc ident.Service) routing.Request {
+	q := routing.Request{
+		Service: doc, Account: ident.ClientAccount(strconv.Itoa(k.account)), Class: k.kind.Class,
+		Blocks: k.blocks, PromptTokens: k.prompt + k.delivered, MaxTokens: k.output - k.delivered, Exclude: k.exclude,
+	}
+	return q
+}
+
+// dispatch sends the next attempt of a request, and another at once when an
+// upstream refuses it.
+func (r *run) dispatch(k *call) {
+	doc := r.document(k.kind.Plain)
+	policy := k.decider.policies[doc]
+	for k.attempts < maxAttempts {
+		k.attempts++
+		req := k.request(doc.Service)
+		d := policy.Decide(doc, k.decider.views[doc], req, r.clock())
+		if !d.Found() {
+			break
+		}
+		k.ticket = policy.Started(d, req, r.clock())
+		if u := r.runner(d.Upstream); r.submit(k, u, d) {
+			return
+		}
+		policy.Finished(&k.ticket, routing.ResultRefused, r.clock())
+		k.exclude = append(k.exclude, d.Upstream)
+	}
+	r.close(k)
+}
+
+func (r *run) submit(k *call, u *runner, d routing.Decision) bool {
+	if u.ended {
+		return false
+	}
+	w := engine.Work{
+		ID: k.id(), Tag: k.index<<attemptBits | k.attempts, Priority: int32(k.kind.Class.Priority),
+		Blocks: k.blocks, Context: k.prompt + k.delivered, Output: k.output - k.delivered,
+	}
+	if u.model.Submit(r.clock(), w) != nil {
+		return false
+	}
+	k.runner, k.decision, k.sent = u, d, r.now
+	u.active[k.index] = k
+	r.step(u)
+	return true
+}
+
+func (r *run) runner(id ident.Instance) *runner {
+	for _, u := range r.runners {
+		if u.ID == id {
+			return u
+		}
+	}
+	return nil
+}
+
+// step begins the next step of an idle runner.
+func (r *run) step(u *runner) {
+	if u.busy || u.ended {
+		return
+	}
+	var d time.Duration
+	u.tokens, d = u.model.Step(r.clock(), u.tokens[:0])
+	if d == 0 {
+		return
+	}
+	u.busy = true
+	if r.now >= warmUp {
+		u.used += d
+	}
+	u.longest = max(u.longest, u.model.Waiting())
+	r.at(r.now+d, func() {
+		u.busy = false
+		if u.ended {
+			return
+		}
+		for _, t := range u.tokens {
+			r.token(u, t)
+		}
+		r.step(u)
+	})
+}
+
+// token hands a token to its request, unless the attempt is over.
+func (r *run) token(u *runner, t engine.Token) {
+	k := r.calls[t.Tag>>attemptBits]
+	if k.runner != u || t.Tag&(1<<attemptBits-1) != k.attempts {
+		return
+	}
+	if t.Index == 0 {
+		r.firstToken(k, t)
+	}
+	k.delivered++
+	k.last = r.now
+	if !t.Done {
+		return
+	}
+	r.leave(k, routing.ResultDone)
+	r.close(k)
+}
+
+// firstToken notes an attempt's first token and what its prefill repeated.
+func (r *run) firstToken(k *call, t engine.Token) {
+	r.policy(k).FirstToken(&k.ticket, r.clock())
+	if k.attempts == 1 {
+		k.predicted, k.actual = k.decision.FirstToken, r.now-k.sent
+	}
+	if k.delivered > 0 {
+		k.resumed += t.Prefilled
+		k.recomputed += t.Prefilled
+		return
+	}
+	k.first = r.now
+	computedFrom := k.prompt - t.Prefilled
+	for i, b := range k.blocks {
+		if i*prompt.BlockTokens >= computedFrom && r.seen[b] {
+			k.recomputed += prompt.BlockTokens
+		}
+		r.seen[b] = true
+	}
+}
+
+func (r *run) policy(k *call) Policy { return k.decider.policies[r.document(k.kind.Plain)] }
+
+// leave ends the request's present attempt, if there is one.
+func (r *run) leave(k *call, result routing.Result) {
+	if k.runner == nil {
+		return
+	}
+	delete(k.runner.active, k.index)
+	k.runner = nil
+	r.policy(k).Finished(&k.ticket, result, r.clock())
+}
+
+// gap is the mean time between two tokens, interruptions included.
+func (k *call) gap() time.Duration {
+	if k.delivered < 2 {
+		return 0
+	}
+	return (k.last - k.first) / time.Duration(k.delivered-1)
+}
+
+// met reports whether the request met all targets of its class.
+func (k *call) met() bool {
+	c := k.kind.Class
+	switch {
+	case k.delivered < k.output:
+		return false
+	case k.first-k.at > c.FirstToken:
+		return false
+	case c.BetweenTokens > 0 && k.gap() > c.BetweenTokens:
+		return false
+	}
+	return c.Completion == 0 || k.last-k.at <= c.Completion
+}
--- /dev/null
+++ b/internal/experiment/driver.go
@@ -0,0 +1,264 @@
+package experiment
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	"github.com/goldcrestspool/goldcrestspool/internal/cacheview"
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/routing"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/engine"
+)
+
+const (
+	// pollEvery is how often a decider reads an upstream's report and events.
+	pollEvery = 200 * time.Millisecond
+	// maxAttempts bounds the attempts of one request.
+	maxAttempts = 6
+	// drainLimit ends a run whose queues never empty.
+	drainLimit = arrivalsEnd + 100*time.Second
+)
+
+// action happens at a moment; seq orders those of the same moment.
+type action struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type agenda []action
+
+func (a agenda) Len() int      { return len(a) }
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
+}
+func (a *agenda) Push(x any) { *a = append(*a, x.(action)) }
+func (a *agenda) Pop() any {
+	last := len(*a) - 1
+	x := (*a)[last]
+	*a = (*a)[:last]
+	return x
+}
+
+// runner is one upstream.
+type runner struct {
+	platform.Instance
+	model *engine.Model
+	busy  bool
+	// tokens come out at the end of the step under way.
+	tokens  []engine.Token
+	leaving bool
+	ended   bool
+	// used is the time spent in steps after the warm-up.
+	used     time.Duration
+	from, to time.Duration
+	active   map[int]*call
+	longest  int
+}
+
+// decider is one gateway's decisions; it sees no other decider's.
+type decider struct {
+	policies map[*document.Document]Policy
+	views    map[*document.Document][]blackboard.Upstream
+	caches   map[ident.Instance]*cacheview.View
+}
+
+// call is one request on its way through its attempts.
+type call struct {
+	arrival
+	index     int
+	decider   *decider
+	runner    *runner
+	ticket    routing.Ticket
+	decision  routing.Decision
+	exclude   []ident.Instance
+	attempts  int
+	sent      time.Duration
+	delivered int
+	first     time.Duration
+	last      time.Duration
+	// recomputed counts tokens that some engine had computed before, and
+	// resumed those of them that an interrupted stream cost.
+	recomputed, resumed int
+	done, gaveUp        bool
+	// refusals counts refusals by admission; retries those that came back at
+	// the time they were told, and retriesAdmitted those then taken.
+	refusals, retries, retriesAdmitted int
+	// predicted and actual are of the first attempt's first token.
+	predicted, actual time.Duration
+}
+
+// run is one policy under one case with one seed.
+type run struct {
+	workload *Workload
+	fault    Case
+	rng      *rand.Rand
+	now      time.Duration
+	agenda   agenda
+	seq      int
+	runners  []*runner
+	deciders []*decider
+	calls    []*call
+	// seen are the blocks that any engine has computed.
+	seen map[uint64]bool
+	open int
+}
+
+// Run plays a case and returns its figures.
+func Run(w *Workload, c Case, contender Contender, seed uint64) Figures {
+	r := &run{workload: w, fault: c, rng: rand.New(rand.NewPCG(seed, 1)), seen: make(map[uint64]bool)}
+	for _, i := range w.Runners {
+		r.addRunner(i, engine.DefaultParameters())
+	}
+	for _, i := range w.PlainRunners {
+		r.addRunner(i, plainParameters())
+	}
+	r.addDeciders(contender)
+	for i, a := range w.arrivals(rand.New(rand.NewPCG(seed, 2)), c.phases(), c.accounts(w)) {
+		k := &call{arrival: a, index: i, decider: r.deciders[mix(seed+uint64(i)<<8)%deciders]}
+		r.calls = append(r.calls, k)
+		r.at(a.at, func() { r.arrive(k) })
+	}
+	r.open = len(r.calls)
+	r.at(faultAt, r.strike)
+	for r.open > 0 && len(r.agenda) > 0 && r.now < drainLimit {
+		next := heap.Pop(&r.agenda).(action)
+		r.now = next.at
+		next.do()
+	}
+	return r.figures()
+}
+
+func (r *run) at(t time.Duration, do func()) {
+	r.seq++
+	heap.Push(&r.agenda, action{at: t, seq: r.seq, do: do})
+}
+
+// clock is the present as the decision code sees it.
+func (r *run) clock() time.Time { return time.Unix(0, int64(r.now)) }
+
+func (r *run) addRunner(i platform.Instance, p engine.Parameters) {
+	if r.fault.ReportLag > 0 {
+		p.ReportLag = r.fault.ReportLag
+	}
+	p.EventGapEvery = r.fault.EventGapEvery
+	u := &runner{Instance: i, model: engine.NewModel(p), active: make(map[int]*call), from: r.now, to: arrivalsEnd}
+	r.runners = append(r.runners, u)
+}
+
+func (r *run) addDeciders(contender Contender) {
+	for i := range deciders {
+		d := &decider{caches: make(map[ident.Instance]*cacheview.View), views: make(map[*document.Document][]blackboard.Upstream)}
+		d.policies = map[*document.Document]Policy{
+			r.workload.Model: contender.New(r.rng.Uint64, r.clock()),
+			r.workload.Plain: contender.New(r.rng.Uint64, r.clock()),
+		}
+		r.deciders = append(r.deciders, d)
+		r.poll(d)
+		r.at(pollEvery*time.Duration(i)/deciders, func() { r.pollOnAndOn(d) })
+	}
+}
+
+func (r *run) pollOnAndOn(d *decider) {
+	r.poll(d)
+	r.at(r.now+pollEvery, func() { r.pollOnAndOn(d) })
+}
+
+// poll reads all upstreams' reports and cache events into new views.
+func (r *run) poll(d *decider) {
+	d.views[r.workload.Model], d.views[r.workload.Plain] = nil, nil
+	for _, u := range r.runners {
+		if u.ended {
+			continue
+		}
+		cache := d.caches[u.ID]
+		if cache == nil {
+			cache = cacheview.New(cacheview.DefaultParams(), r.clock())
+			d.caches[u.ID] = cache
+		}
+		cache.Apply(u.model.CacheEvents(cache.After(), r.clock()), r.clock())
+		report := u.model.Report(r.clock())
+		seen := blackboard.Upstream{Instance: u.Instance, State: blackboard.Alive, Report: report, Cache: cache}
+		seen.AsOf = r.clock().Add(-report.Age)
+		if u.leaving {
+			seen.State = blackboard.Leaving
+		}
+		doc := r.document(u.Role == platform.RolePlain)
+		d.views[doc] = append(d.views[doc], seen)
+	}
+}
+
+func (r *run) document(plain bool) *document.Document {
+	if plain {
+		return r.workload.Plain
+	}
+	return r.workload.Model
+}
+
+// strike brings the case's fault about.
+func (r *run) strike() {
+	if r.fault.Slow > 0 {
+		r.runners[0].model.SetSlowdown(r.fault.Slow)
+	}
+	if !r.fault.Reclaim {
+		return
+	}
+	domain := r.workload.Runners[0].FailureDomain
+	for _, u := range slices.Clone(r.runners) {
+		if u.FailureDomain != domain {
+			continue
+		}
+		u.leaving = true
+		u.model.Leave(r.clock())
+		r.at(r.now+reclaimNotice, func() { r.end(u) })
+		r.replace(u, 1)
+	}
+}
+
+// replace starts a new instance in place of one that was reclaimed.
+func (r *run) replace(old *runner, attempt int) {
+	p := engine.DefaultParameters()
+	p.FailingStarts = r.fault.FailingStarts
+	delay, ok := p.StartResult(attempt)
+	if r.now+delay > arrivalsEnd {
+		return
+	}
+	r.at(r.now+delay, func() {
+		if !ok {
+			r.replace(old, attempt+1)
+			return
+		}
+		next := old.Instance
+		next.ID += "-" + ident.Instance(strconv.Itoa(attempt)) + "b"
+		if next.Role == platform.RolePlain {
+			p = plainParameters()
+		}
+		r.addRunner(next, p)
+	})
+}
+
+// end loses a runner and resumes its calls elsewhere, oldest first.
+func (r *run) end(u *runner) {
+	u.ended, u.to = true, r.now
+	for _, k := range sorted(u.active) {
+		r.leave(k, routing.ResultFailed)
+		k.exclude = append(k.exclude, u.ID)
+		r.dispatch(k)
+	}
+}
+
+func sorted(active map[int]*call) []*call {
+	list := make([]*call, 0, len(active))
+	for _, k := range active {
+		list = append(list, k)
+	}
+	slices.SortFunc(list, func(a, b *call) int { return a.index - b.index })
+	return list
+}
--- /dev/null
+++ b/internal/experiment/figures.go
@@ -0,0 +1,268 @@
+package experiment
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/engine"
+)
+
+// Figures are what one run measured, over the requests that came after the
+// warm-up. Times are in milliseconds, costs in cents, shares from 0 to 1.
+type Figures struct {
+	// Short are the times to the first token of the most urgent class, and
+	// Long those of the least urgent one.
+	ShortP50, ShortP95, ShortP99, LongP95 float64
+	// Between is the 95th percentile of the mean time between tokens.
+	Between float64
+	// Met is the share of requests that met their class's targets.
+	Met, ShortMet, LongMet float64
+	// ModelMet is Met without the plain services' calls.
+	ModelMet float64
+	// UsedCost and FleetCost are per thousand requests that met their
+	// targets: of the engines' busy time, and of all the fleet's time.
+	UsedCost, FleetCost float64
+	// Recomputed counts prefilled tokens that some engine had computed
+	// before, Resumed those that interrupted streams cost; per thousand
+	// requests.
+	Recomputed, Resumed float64
+	// Goodput is requests that met their targets, a second, among those that
+	// came from faultAt to rushEnd.
+	Goodput float64
+	// WorkGoodput is the same as a share of the fleet's engine time: each
+	// request counts as the least engine time that its kind takes.
+	WorkGoodput float64
+	// Refused is the share of requests refused for good, Unfinished the share
+	// that was begun or queued and never completed.
+	Refused, Unfinished float64
+	// Truthful is the share of retries at the return time that were taken.
+	Truthful float64
+	// LeastShare is the worst ratio of what a client account got to its fair
+	// share; SmallShare is the same of the smallest account that did not ask
+	// for more than it does otherwise.
+	LeastShare, SmallShare float64
+	// Attempts is sent attempts per request, Queue the longest queue.
+	Attempts, Queue float64
+	// ErrorMedian is the median of |log2(actual/predicted)| first token, and
+	// ErrorBias the median of log2(actual/predicted).
+	ErrorMedian, ErrorBias float64
+}
+
+// figures sums a finished run up.
+func (r *run) figures() Figures {
+	var f Figures
+	var calls []*call
+	for _, k := range r.calls {
+		if k.at >= warmUp {
+			calls = append(calls, k)
+		}
+	}
+	f.latencies(r.workload, calls)
+	f.counts(calls)
+	f.goodput(r.workload, calls)
+	f.costs(r, calls)
+	f.predictions(calls)
+	f.shares(calls, r.workload.Accounts)
+	return f
+}
+
+func (f *Figures) latencies(w *Workload, calls []*call) {
+	var short, long, between []float64
+	urgent, patient := &w.Kinds[0], longest(w)
+	for _, k := range calls {
+		if k.kind == urgent {
+			short = append(short, k.waited())
+		}
+		if k.kind == patient {
+			long = append(long, k.waited())
+		}
+		if k.delivered > 1 {
+			between = append(between, milliseconds(k.gap()))
+		}
+	}
+	f.ShortP50, f.ShortP95, f.ShortP99 = quantile(short, 0.50), quantile(short, 0.95), quantile(short, 0.99)
+	f.LongP95 = quantile(long, 0.95)
+	f.Between = quantile(between, 0.95)
+	f.ShortMet = share(calls, func(k *call) bool { return k.kind == urgent }, (*call).met)
+	f.LongMet = share(calls, func(k *call) bool { return k.kind == patient }, (*call).met)
+}
+
+// longest is the kind of model request with the most output.
+func longest(w *Workload) *Kind {
+	found := &w.Kinds[0]
+	for i := range w.Kinds {
+		if w.Kinds[i].Output > found.Output {
+			found = &w.Kinds[i]
+		}
+	}
+	return found
+}
+
+// waited is the time to the first token; for a request that never got one, the
+// time until the caller gave up or the run ended.
+func (k *call) waited() float64 {
+	switch {
+	case k.delivered > 0:
+		return milliseconds(k.first - k.at)
+	case k.kind.Patience > 0:
+		return milliseconds(k.kind.Patience)
+	}
+	return milliseconds(drainLimit - k.at)
+}
+
+func (f *Figures) counts(calls []*call) {
+	n := float64(len(calls))
+	all := func(*call) bool { return true }
+	f.Met = share(calls, all, (*call).met)
+	f.Unfinished = share(calls, all, func(k *call) bool { return k.delivered < k.output && k.refusals == 0 })
+	f.Refused = share(calls, all, func(k *call) bool { return k.refusals > 0 && k.attempts == 0 })
+	retries, admitted := 0, 0
+	for _, k := range calls {
+		f.Recomputed += float64(k.recomputed) * 1000 / n
+		f.Resumed += float64(k.resumed) * 1000 / n
+		f.Attempts += float64(k.attempts)
+		retries += k.retries
+		admitted += k.retriesAdmitted
+	}
+	f.Attempts /= n
+	f.Truthful = 1
+	if retries > 0 {
+		f.Truthful = float64(admitted) / float64(retries)
+	}
+}
+
+// goodput counts what came in during the fault and met its targets.
+func (f *Figures) goodput(w *Workload, calls []*call) {
+	p := engine.DefaultParameters()
+	seconds := (rushEnd - faultAt).Seconds()
+	for _, k := range calls {
+		if k.at < faultAt || k.at >= rushEnd || !k.met() {
+			continue
+		}
+		f.Goodput += 1 / seconds
+		if !k.kind.Plain {
+			f.WorkGoodput += k.kind.perRequest(p) / seconds / float64(len(w.Runners))
+		}
+	}
+}
+
+func (f *Figures) costs(r *run, calls []*call) {
+	used, fleet := 0.0, 0.0
+	for _, u := range r.runners {
+		f.Queue = max(f.Queue, float64(u.longest))
+		if u.Role == platform.RolePlain {
+			continue
+		}
+		cents := centsPerHour(r.workload.Model, u.Instance)
+		used += cents * u.used.Hours()
+		fleet += cents * max(0, u.to-max(u.from, warmUp)).Hours()
+	}
+	met, asked := 0, 0
+	for _, k := range calls {
+		if k.kind.Plain {
+			continue
+		}
+		asked++
+		if k.met() {
+			met++
+		}
+	}
+	f.ModelMet = float64(met) / float64(max(1, asked))
+	// A run that met nothing counts as one request met, to keep ratios finite.
+	f.UsedCost = used * 1000 / float64(max(1, met))
+	f.FleetCost = fleet * 1000 / float64(max(1, met))
+}
+
+func centsPerHour(doc *document.Document, i platform.Instance) float64 {
+	for _, p := range doc.Placement.Prices {
+		if p.FailureDomain == i.FailureDomain && p.Class == i.Class && p.Reclaimable == i.Reclaimable {
+			return p.CentsPerHour
+		}
+	}
+	return 0
+}
+
+func (f *Figures) predictions(calls []*call) {
+	var bias, size []float64
+	for _, k := range calls {
+		if k.kind.Plain || k.actual == 0 || k.predicted <= 0 {
+			continue
+		}
+		e := math.Log2(float64(k.actual) / float64(k.predicted))
+		bias = append(bias, e)
+		size = append(size, math.Abs(e))
+	}
+	f.ErrorBias, f.ErrorMedian = quantile(bias, 0.5), quantile(size, 0.5)
+}
+
+// shares divides the engine time of the answers that met their targets fairly
+// (no account gets more than it asked for, and what one leaves the others
+// share equally) and compares it with what each account got.
+func (f *Figures) shares(calls []*call, usual []float64) {
+	asked, got := make([]float64, len(usual)), make([]float64, len(usual))
+	total := 0.0
+	p := engine.DefaultParameters()
+	for _, k := range calls {
+		if k.kind.Plain {
+			continue
+		}
+		work := k.kind.perRequest(p)
+		asked[k.account] += work
+		if k.met() {
+			got[k.account] += work
+			total += work
+		}
+	}
+	fair := fairShares(asked, total)
+	f.LeastShare = 1
+	for a := range fair {
+		f.LeastShare = min(f.LeastShare, got[a]/max(fair[a], math.SmallestNonzeroFloat64))
+	}
+	small := len(usual) - 2
+	f.SmallShare = got[small] / max(fair[small], math.SmallestNonzeroFloat64)
+}
+
+// fairShares fills the accounts up alike until the total is spent.
+func fairShares(asked []float64, total float64) []float64 {
+	order := make([]int, len(asked))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(asked[a], asked[b]) })
+	fair := make([]float64, len(asked))
+	for i, a := range order {
+		fair[a] = min(asked[a], total/float64(len(order)-i))
+		total -= fair[a]
+	}
+	return fair
+}
+
+// share is the share of the calls in a group that have a property.
+func share(calls []*call, in, has func(*call) bool) float64 {
+	n, yes := 0, 0
+	for _, k := range calls {
+		if !in(k) {
+			continue
+		}
+		n++
+		if has(k) {
+			yes++
+		}
+	}
+	return float64(yes) / float64(max(1, n))
+}
+
+// quantile returns the value below which a share q of the values lies.
+func quantile(values []float64, q float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[int(q*float64(len(sorted)-1)+0.5)]
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/internal/experiment/policies.go
@@ -0,0 +1,127 @@
+package experiment
+
+import (
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/routing"
+)
+
+// Policy is one decider's way to choose upstreams.
+type Policy interface {
+	// Decide returns a decision without an upstream if there is none.
+	Decide(doc *document.Document, view []blackboard.Upstream, req routing.Request, now time.Time) routing.Decision
+	Started(d routing.Decision, req routing.Request, now time.Time) routing.Ticket
+	FirstToken(t *routing.Ticket, now time.Time)
+	Finished(t *routing.Ticket, r routing.Result, now time.Time)
+}
+
+// Contender makes a Policy for each service of each decider.
+type Contender struct {
+	Name string
+	New  func(random func() uint64, now time.Time) Policy
+}
+
+// Ours is the name of the policy that gateways use.
+const Ours = "ours"
+
+// Contenders returns the baselines and our policy.
+func Contenders() []Contender {
+	return []Contender{
+		baseline("round robin", roundRobin),
+		baseline("fewest in flight", fewestInFlight),
+		baseline("random of two", randomOfTwo),
+		baseline("prefix affinity", prefixAffinity),
+		{Name: Ours, New: func(random func() uint64, now time.Time) Policy {
+			p := routing.DefaultParams()
+			p.Random = random
+			return routing.New(p, now)
+		}},
+	}
+}
+
+// simple is a baseline: it chooses among the usable upstreams.
+type simple struct {
+	// Router only counts what is in flight.
+	*routing.Router
+	choose func(s *simple, usable []*blackboard.Upstream, req routing.Request, now time.Time) *blackboard.Upstream
+	random func() uint64
+	turn   int
+}
+
+func baseline(name string, choose func(*simple, []*blackboard.Upstream, routing.Request, time.Time) *blackboard.Upstream) Contender {
+	return Contender{Name: name, New: func(random func() uint64, now time.Time) Policy {
+		p := routing.DefaultParams()
+		p.Random = random
+		return &simple{Router: routing.New(p, now), choose: choose, random: random, turn: int(random() % modelRunners)}
+	}}
+}
+
+// Decide narrows the view to the chosen upstream and lets the Router make the
+// decision, so that baselines are counted and predicted alike.
+func (s *simple) Decide(doc *document.Document, view []blackboard.Upstream, req routing.Request, now time.Time) routing.Decision {
+	var usable []*blackboard.Upstream
+	for i := range view {
+		if view[i].State == blackboard.Alive && !excluded(req.Exclude, view[i].Instance.ID) {
+			usable = append(usable, &view[i])
+		}
+	}
+	if len(usable) == 0 {
+		return routing.Decision{}
+	}
+	chosen := s.choose(s, usable, req, now)
+	return s.Router.Decide(doc, []blackboard.Upstream{*chosen}, req, now)
+}
+
+func excluded(list []ident.Instance, id ident.Instance) bool {
+	for _, x := range list {
+		if x == id {
+			return true
+		}
+	}
+	return false
+}
+
+func roundRobin(s *simple, usable []*blackboard.Upstream, _ routing.Request, _ time.Time) *blackboard.Upstream {
+	s.turn++
+	return usable[s.turn%len(usable)]
+}
+
+func fewestInFlight(s *simple, usable []*blackboard.Upstream, _ routing.Request, _ time.Time) *blackboard.Upstream {
+	start := int(s.random() % uint64(len(usable)))
+	best := usable[start]
+	for i := range usable {
+		if u := usable[(start+i)%len(usable)]; s.Outstanding(u.Instance.ID) < s.Outstanding(best.Instance.ID) {
+			best = u
+		}
+	}
+	return best
+}
+
+func randomOfTwo(s *simple, usable []*blackboard.Upstream, _ routing.Request, _ time.Time) *blackboard.Upstream {
+	a := usable[s.random()%uint64(len(usable))]
+	b := usable[s.random()%uint64(len(usable))]
+	if s.Outstanding(b.Instance.ID) < s.Outstanding(a.Instance.ID) {
+		return b
+	}
+	return a
+}
+
+// prefixAffinity goes where most of the prompt is cached, and to the fewest
+// in flight when that is equal.
+func prefixAffinity(s *simple, usable []*blackboard.Upstream, req routing.Request, now time.Time) *blackboard.Upstream {
+	var longest []*blackboard.Upstream
+	most := -1
+	for _, u := range usable {
+		n := int(u.Cache.Cached(req.Blocks, now) + 0.5)
+		if n > most {
+			longest, most = longest[:0], n
+		}
+		if n == most {
+			longest = append(longest, u)
+		}
+	}
+	return fewestInFlight(s, longest, req, now)
+}
--- /dev/null
+++ b/internal/experiment/workloads.go
@@ -0,0 +1,156 @@
+package experiment
+
+import (
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+)
+
+// Sizes of both users; see docs/design/routing.md for where they come from.
+const (
+	modelRunners = 9
+	plainRunners = 4
+	deciders     = 6
+)
+
+// Names of the workloads.
+const (
+	domaenenhausName = "domaenenhaus"
+	harfangName      = "harfang"
+)
+
+// accountShares: five client accounts, a few of them large.
+var accountShares = []float64{0.40, 0.30, 0.20, 0.05, 0.05}
+
+func class(name ident.Class, first, between, completion time.Duration, priority int) document.Class {
+	return document.Class{Name: name, FirstToken: first, BetweenTokens: between, Completion: completion, Priority: priority}
+}
+
+// Domaenenhaus has long dossiers with shared prefixes, drafts, tags and bids.
+func Domaenenhaus() *Workload {
+	domains := []ident.FailureDomain{"hall-a", "hall-b", "hall-c", "hall-d"}
+	w := &Workload{Name: domaenenhausName, Accounts: accountShares, Kinds: []Kind{
+		{
+			Class: class("tag", 460*time.Millisecond, 44*time.Millisecond, 0, 3),
+			Share: 0.50, Prefixes: 4, PrefixTokens: 512, Own: 50, Output: 8, Patience: 8 * time.Second,
+		},
+		{
+			Class: class("draft", 1500*time.Millisecond, 60*time.Millisecond, 0, 2),
+			Share: 0.30, Prefixes: 3, PrefixTokens: 1024, Own: 300, Output: 150, Patience: 20 * time.Second,
+		},
+		{
+			Class: class("dossier", 4*time.Second, 100*time.Millisecond, 2*time.Minute, 1),
+			Share: 0.20, Prefixes: 40, PrefixTokens: 3072, Own: 1500, Output: 600,
+		},
+		{
+			Class: class("bid", 100*time.Millisecond, 0, time.Second, 3),
+			Plain: true, Share: 0.50, Own: 1, Output: 1,
+		},
+	}}
+	return w.on(domains, "spool-llm", "auktion-app")
+}
+
+// Harfang has short replies within conversations, long reviews and bookings.
+func Harfang() *Workload {
+	domains := []ident.FailureDomain{"salle-a", "salle-b", "salle-c", "salle-d"}
+	w := &Workload{Name: harfangName, Accounts: accountShares, Kinds: []Kind{
+		{
+			Class: class("reply", 460*time.Millisecond, 44*time.Millisecond, 0, 3),
+			Share: 0.80, Prefixes: 1, PrefixTokens: 768, Own: 120, Output: 40,
+			Turns: 6, Think: 12 * time.Second, Patience: 8 * time.Second,
+		},
+		{
+			Class: class("review", 3*time.Second, 100*time.Millisecond, time.Minute, 1),
+			Share: 0.20, Prefixes: 2, PrefixTokens: 512, Own: 3000, Output: 500,
+		},
+		{
+			Class: class("booking", 100*time.Millisecond, 0, time.Second, 3),
+			Plain: true, Share: 0.20, Own: 1, Output: 1,
+		},
+	}}
+	return w.on(domains, "goldcrest-modeles", "appli-jumelage")
+}
+
+// on places the workload's services on failure domains.
+func (w *Workload) on(domains []ident.FailureDomain, model, plain ident.Service) *Workload {
+	w.Model = &document.Document{Service: model, Kind: document.Model, Placement: document.Placement{Prices: prices(domains)}}
+	for _, k := range w.Kinds {
+		if !k.Plain {
+			w.Model.Classes = append(w.Model.Classes, k.Class)
+		}
+	}
+	w.Plain = &document.Document{Service: plain, Kind: document.Plain}
+	w.Runners = fleet(model, "runner-", domains, modelRunners, platform.RoleEngine)
+	w.PlainRunners = fleet(plain, "app-", domains, plainRunners, platform.RolePlain)
+	return w
+}
+
+// Case is one line of the table of faults.
+type Case struct {
+	Name string
+	// Load is a share of the workload's Capacity.
+	Load float64
+	// Rush is the load from faultAt to rushEnd; 0 is no rush.
+	Rush float64
+	// Reclaim ends the first failure domain after a notice.
+	Reclaim bool
+	// FailingStarts is how many starts of each replacement fail.
+	FailingStarts int
+	// Slow makes one runner so many times slower than it reports.
+	Slow float64
+	// ReportLag replaces the engines' report lag; 0 keeps it.
+	ReportLag time.Duration
+	// EventGapEvery loses one run of cache events in so many.
+	EventGapEvery uint64
+	// Greedy multiplies the requests of the last client account.
+	Greedy float64
+}
+
+// The times of a run.
+const (
+	warmUp        = 20 * time.Second
+	faultAt       = 45 * time.Second
+	rushEnd       = 85 * time.Second
+	arrivalsEnd   = 100 * time.Second
+	reclaimNotice = 5 * time.Second
+)
+
+// Cases returns the table of faults.
+func Cases() []Case {
+	return []Case{
+		{Name: "no fault", Load: 0.7},
+		{Name: "load 0.9", Load: 0.9},
+		{Name: "domain reclaimed", Load: 0.6, Reclaim: true},
+		{Name: "reclaimed, starts fail", Load: 0.6, Reclaim: true, FailingStarts: 100},
+		{Name: "slow upstream", Load: 0.7, Slow: 4},
+		{Name: "rush 1.5", Load: 0.7, Rush: 1.5},
+		{Name: "rush 3", Load: 0.7, Rush: 3},
+		{Name: "one account x10", Load: 0.7, Greedy: 10},
+		{Name: "reports lag 5 s", Load: 0.7, ReportLag: 5 * time.Second},
+		{Name: "cache events with gaps", Load: 0.7, EventGapEvery: 3},
+	}
+}
+
+// phases returns the case's load over time.
+func (c Case) phases() []phase {
+	load := c.Load
+	if c.Greedy > 0 {
+		load *= 1 + (c.Greedy-1)*accountShares[len(accountShares)-1]
+	}
+	list := []phase{{load: load, to: arrivalsEnd}}
+	if c.Rush > 0 {
+		list = append(list, phase{load: c.Rush - c.Load, from: faultAt, to: rushEnd})
+	}
+	return list
+}
+
+// accounts returns the client accounts' shares in a case.
+func (c Case) accounts(w *Workload) []float64 {
+	shares := append([]float64(nil), w.Accounts...)
+	if c.Greedy > 0 {
+		shares[len(shares)-1] *= c.Greedy
+	}
+	return shares
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -109,7 +109,7 @@
 func (e *Engine) SetSlowdown(factor float64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.model.params.Slowdown = factor
+	e.model.SetSlowdown(factor)
 }
 
 // run does step after step until Close.
