routing: predict the first token from batch, queue and learnt share of the queue

Cause: the prediction took all queued prefill as ahead of a request and a fixed step; engines serve higher priorities first and their steps grow with the batch. Change: decode-only step from the report, whole steps of prefill, wait for a place in a full batch, and a learnt share, by priority, of the queue that is really ahead.

--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -138,6 +138,8 @@
 		UncachedTokens: x.uncached,
 		Reasons:        c.reasons,
 		slot:           c.entries[x.index].slot,
+		ahead:          x.ahead,
+		own:            x.own,
 	}
 	if p, ok := u.Cache.(placer); ok {
 		d.placer = p
--- a/internal/routing/inflight.go
+++ b/internal/routing/inflight.go
@@ -108,11 +108,15 @@
 	epoch   int64
 	tokens  int
 	waiting bool
+	// sent, ahead, own and priority serve to learn from the first token.
+	sent       time.Time
+	ahead, own float64
+	priority   int
 }
 
-// FirstToken notes that the attempt's prefill is over. Later calls do nothing.
-func (t *Ticket) FirstToken() {
-	if t.slot == nil || !t.waiting {
+// settle ends the attempt's part in what waits for a first token.
+func (t *Ticket) settle() {
+	if !t.waiting {
 		return
 	}
 	t.waiting = false
--- a/internal/routing/params.go
+++ b/internal/routing/params.go
@@ -10,6 +10,8 @@
 type Params struct {
 	// StepTokens is the engines' token budget of a step.
 	StepTokens float64
+	// BatchLimit is how many requests run at once at an engine.
+	BatchLimit float64
 	// PrefillRate is assumed, in tokens a second, until a report tells it.
 	PrefillRate float64
 	// Step is assumed to be the time between tokens until a report tells it.
@@ -29,8 +31,9 @@
 // DefaultParams returns the measured defaults.
 func DefaultParams() Params {
 	return Params{
-		StepTokens:  512,
-		PrefillRate: 8000,
+		StepTokens:  384,
+		BatchLimit:  96,
+		PrefillRate: 20000,
 		Step:        20 * time.Millisecond,
 		Hop:         time.Millisecond,
 		PriceWeight: 0.5,
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -24,7 +24,8 @@
 	began time.Time
 	slots atomic.Pointer[slots]
 	// prepared belongs to the view seen last.
-	prepared atomic.Pointer[prepared]
+	prepared  atomic.Pointer[prepared]
+	predictor predictor
 }
 
 // prepared holds what a view and a document give for every decision.
@@ -146,7 +147,11 @@
 	if d.slot == nil {
 		return Ticket{}
 	}
-	t := Ticket{slot: d.slot, epoch: r.epoch(now), tokens: d.UncachedTokens, waiting: true}
+	t := Ticket{
+		slot: d.slot, epoch: r.epoch(now), tokens: d.UncachedTokens, waiting: true,
+		sent: now, ahead: d.ahead, own: d.own, priority: req.Class.Priority,
+	}
+	r.predictor.output.add(float64(max(1, req.MaxTokens)), assumedOutput)
 	d.slot.add(t.epoch, t.tokens)
 	if d.placer != nil && len(req.Blocks) > 0 {
 		d.placer.Placed(req.Blocks, now)
@@ -155,14 +160,20 @@
 }
 
 // FirstToken notes that the first token came. Later calls do nothing.
-func (r *Router) FirstToken(t *Ticket, _ time.Time) { t.FirstToken() }
+func (r *Router) FirstToken(t *Ticket, now time.Time) {
+	if t.slot == nil || !t.waiting {
+		return
+	}
+	r.predictor.learn(t, now.Sub(t.sent))
+	t.settle()
+}
 
 // Finished notes that an attempt ended. Later calls do nothing.
 func (r *Router) Finished(t *Ticket, _ Result, _ time.Time) {
 	if t.slot == nil {
 		return
 	}
-	t.FirstToken()
+	t.settle()
 	t.slot.outstanding.Add(-1)
 	t.slot = nil
 }
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -14,7 +14,9 @@
 	// firstToken and betweenTokens are in seconds.
 	firstToken    float64
 	betweenTokens float64
-	uncached      int
+	// ahead and own are the parts of firstToken, ahead before priority.
+	ahead, own float64
+	uncached   int
 }
 
 // estimate predicts a request at the i-th upstream of the view.
@@ -25,15 +27,13 @@
 		return c.estimatePlain(i, unseen)
 	}
 	p := &c.router.params
-	rate := orElse(u.Report.PrefillRate, p.PrefillRate)
-	step := orElse(u.Report.Step.Seconds(), p.Step.Seconds())
-	e := estimate{betweenTokens: step, uncached: c.uncached(u)}
-	queued := float64(u.Report.QueuedPrefillTokens + unseen.tokens)
-	// Prefill shares each step with the streams that decode.
-	decode := min(step, p.Step.Seconds())
-	effective := p.StepTokens / (decode + p.StepTokens/rate)
-	e.firstToken = step/2 + (queued+float64(e.uncached))/effective + c.hop(u)
-	work := float64(e.uncached)/rate + float64(c.req.MaxTokens)*step/float64(u.Report.Running+unseen.requests+1)
+	s := c.situation(&u.Report, unseen)
+	e := estimate{betweenTokens: s.step, uncached: c.uncached(u)}
+	e.ahead, e.own = c.wait(s, e.uncached)
+	share := c.router.predictor.aheadOf(c.req.Class.Priority).load(1)
+	e.own += c.hop(u)
+	e.firstToken = share*e.ahead + e.own
+	work := float64(e.uncached)/s.rate + float64(c.req.MaxTokens)*s.step/(s.running+float64(unseen.requests)+1)
 	e.score = e.firstToken + p.PriceWeight*c.entries[i].price*work
 	return e
 }
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -78,6 +78,8 @@
 
 	slot   *slot
 	placer placer
+	// ahead and own are the parts of FirstToken, in seconds.
+	ahead, own float64
 }
 
 // Found reports whether the decision names an upstream.
