Configuration: ready at the peers' revision also while records are missing

Symptom: with the log down, a new instance stayed not ready although it held all that its peers held. Cause: a reader that lacks expired records counted as behind for ever.

--- a/internal/controllers/configuration/follow.go
+++ b/internal/controllers/configuration/follow.go
@@ -93,20 +93,19 @@
 	if !ok {
 		return
 	}
-	if c.behind(peer) && c.patienceOver() {
+	ahead := peer.Revision > c.reader.State().Revision()
+	// A peer with the same revision may have read on where records expired
+	// for this process.
+	if !ahead && !c.reader.Searching() {
+		c.peerAhead = time.Time{}
+	} else if c.patienceOver() {
 		c.merge(ctx, peer)
 	}
-	if !c.behind(peer) {
-		c.peerAhead = time.Time{}
+	if peer.Revision <= c.reader.State().Revision() {
 		c.readyFromPeers()
 	}
 }
 
-// behind reports whether a peer may know what this process lacks.
-func (c *Controller) behind(peer Peer) bool {
-	return peer.Revision > c.reader.State().Revision() || c.reader.Searching()
-}
-
 // patienceOver reports whether a peer ahead is to be asked now.
 func (c *Controller) patienceOver() bool {
 	if c.peerAhead.IsZero() {
@@ -118,7 +117,11 @@
 func (c *Controller) merge(ctx context.Context, peer Peer) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	delta, err := c.options.Peers.GetDocuments(ctx, peer.ID, c.reader.State().Through())
+	through := c.reader.State().Through()
+	delta, err := c.options.Peers.GetDocuments(ctx, peer.ID, through)
+	if err == nil && delta.Through <= through {
+		return
+	}
 	if err == nil {
 		err = c.reader.Merge(delta)
 	}
--- a/internal/controllers/configuration/snapshots.go
+++ b/internal/controllers/configuration/snapshots.go
@@ -60,7 +60,7 @@
 
 // needed reports whether the log lacks a snapshot.
 func (p SnapshotPolicy) needed(now time.Time, at *progress) bool {
-	if !at.current || at.state.Revision() == 0 {
+	if !at.current || at.state.Next() == 0 {
 		return false
 	}
 	expiring := at.written.covers < at.first
