--- a/internal/lease/append.go
+++ b/internal/lease/append.go
@@ -55,7 +55,7 @@
 		if v.revokedAt.IsZero() || !ready(v) {
 			continue
 		}
-		v.revokedAt = time.Time{}
+		v.started, v.revokedAt = time.Time{}, time.Time{}
 		m.views[name] = v
 		if !known || entry.Record.Holder != m.cfg.Holder {
 			continue
--- a/internal/lease/fake_test.go
+++ b/internal/lease/fake_test.go
@@ -21,6 +21,8 @@
 	appendLate
 	// appendSlow: effect and answer both come late.
 	appendSlow
+	// answerSlow: the append takes effect, the answer comes late.
+	answerSlow
 )
 
 // fakeLog is one stream that forgets records after a while.
@@ -86,6 +88,7 @@
 	thawed chan struct{}
 	fault  fault
 	delay  time.Duration
+	cut    bool
 }
 
 func newLink(log *fakeLog, dead context.Context) *link {
@@ -128,6 +131,19 @@
 	return waits
 }
 
+// setCut cuts this process alone off from the log.
+func (l *link) setCut(cut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = cut
+}
+
+func (l *link) unreachable() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cut || l.dead.Err() != nil || l.log.isDown()
+}
+
 func (l *link) setFault(f fault, delay time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -145,7 +161,7 @@
 func (l *link) Append(ctx context.Context, _ string, records [][]byte) (ident.Offset, error) {
 	l.pause()
 	defer l.pause()
-	if l.log.isDown() || l.dead.Err() != nil {
+	if l.unreachable() {
 		return 0, platform.ErrUnavailable
 	}
 	f, delay := l.takeFault()
@@ -159,6 +175,10 @@
 	case appendSlow:
 		time.Sleep(delay)
 		return l.log.add(records), nil
+	case answerSlow:
+		offset := l.log.add(records)
+		time.Sleep(delay)
+		return offset, nil
 	}
 	return l.log.add(records), nil
 }
@@ -166,7 +186,7 @@
 func (l *link) Read(ctx context.Context, _ string, from ident.Offset, limit int, _ time.Duration) (platform.Batch, error) {
 	l.pause()
 	defer l.pause()
-	if l.log.isDown() || l.dead.Err() != nil {
+	if l.unreachable() {
 		return platform.Batch{}, platform.ErrUnavailable
 	}
 	return l.log.read(from, limit)
--- a/internal/lease/machine_test.go
+++ b/internal/lease/machine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,27 +19,43 @@
 
 const (
 	processCount = 3
+	orderEvery   = 250 * time.Millisecond
+	// startSpread keeps the processes from polling at the same instants.
+	startSpread = 370 * time.Millisecond
 	// checkEvery is the time between two looks of the oracle.
-	checkEvery = 200 * time.Millisecond
+	checkEvery = 250 * time.Millisecond
 	// healTime is enough for an undecided state to be settled, for a lease to
 	// lapse and for each candidate to wait its rank.
 	healTime = lease.Horizon + 2*time.Minute
 )
 
+// waits lie below and above a margin, a renewal and a lease.
+var waits = []time.Duration{300 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second, 9 * time.Second, 14 * time.Second}
+
 var names = []lease.Name{{Service: "spool-llm", FailureDomain: "hall-a"}, {Service: "auktion-app"}}
 
 // virtualTime hides the test's deadline from rapid: it is in real time, and
 // must not be read in a bubble of virtual time.
 type virtualTime struct{ rapid.TB }
 
+// fataler is a test or one check of rapid.
+type fataler interface {
+	Fatal(...any)
+	Fatalf(string, ...any)
+}
+
 // process is one controller that wants all leases and sends an order each
 // second under each of those that it holds.
 type process struct {
 	link    *link
 	manager *lease.Manager
 	kill    context.CancelFunc
-	stop    context.CancelFunc
-	done    chan struct{}
+	// stopOrders and stop end the process's two loops.
+	stopOrders, stop       context.CancelFunc
+	ordersStopped, stopped chan struct{}
+	// flight is how long its next orders take, and stall how long it works
+	// on an order before it checks the lease again; in nanoseconds.
+	flight, stall atomic.Int64
 }
 
 // landed is an order that an engine got.
@@ -54,7 +71,6 @@
 	log       *fakeLog
 	processes []*process
 	margin    time.Duration
-	flight    time.Duration
 	// highest is the highest fence that landed, by lease.
 	highest map[lease.Name]ident.Fence
 	arrived chan func()
@@ -65,16 +81,27 @@
 func (m *machine) start(i int) {
 	dead, kill := context.WithCancel(context.Background())
 	running, stop := context.WithCancel(dead)
+	ordering, stopOrders := context.WithCancel(dead)
 	m.started++
-	p := &process{link: newLink(m.log, dead), kill: kill, stop: stop, done: make(chan struct{})}
+	p := &process{
+		link:          newLink(m.log, dead),
+		kill:          kill,
+		stopOrders:    stopOrders,
+		stop:          stop,
+		ordersStopped: make(chan struct{}),
+		stopped:       make(chan struct{}),
+	}
 	holder := lease.NewHolder(ident.Instance(fmt.Sprintf("entry-%d", i)), ident.Incarnation(m.started))
 	p.manager = lease.New(lease.Config{Holder: holder, Margin: m.margin}, p.link)
-	p.manager.Want(wanted(i))
+	p.manager.Want(wanted(0))
 	go func() {
 		p.manager.Run(running)
-		close(p.done)
+		close(p.stopped)
+	}()
+	go func() {
+		m.sendOrders(p, ordering)
+		close(p.ordersStopped)
 	}()
-	go m.sendOrders(p, running)
 	m.processes[i] = p
 }
 
@@ -86,22 +113,35 @@
 	return all
 }
 
-// sendOrders sends orders until the process ends. A frozen process sends the
-// order that it had checked right before, whenever it wakes.
+// stopGracefully ends the orders, waits until they landed, and then releases.
+func (m *machine) stopGracefully(t fataler, p *process) {
+	p.link.thaw()
+	p.stopOrders()
+	<-p.ordersStopped
+	m.advance(t, m.margin)
+	p.stop()
+	<-p.stopped
+}
+
+// sendOrders sends orders until the process ends. A process that is frozen
+// after the check sends the order whenever it wakes.
 func (m *machine) sendOrders(p *process, running context.Context) {
 	for running.Err() == nil {
 		for _, name := range names {
 			grant, held := p.manager.Grant(name)
-			if !held {
+			time.Sleep(time.Duration(p.stall.Swap(0)))
+			p.link.pause()
+			if !held || running.Err() != nil || !grant.Valid() {
 				continue
 			}
 			frozen := p.link.pause()
 			order := landed{fence: grant.Fence, frozen: frozen}
-			time.AfterFunc(m.flight, func() { m.arrived <- func() { m.land(name, order) } })
+			flight := time.Duration(p.flight.Load())
+			time.AfterFunc(flight, func() { m.arrived <- func() { m.land(name, order) } })
 		}
 		select {
 		case <-running.Done():
-		case <-time.After(time.Second):
+		case <-time.After(orderEvery):
 		}
 	}
 }
@@ -116,7 +156,7 @@
 }
 
 // advance lets virtual time pass and looks at every process in between.
-func (m *machine) advance(t *rapid.T, d time.Duration) {
+func (m *machine) advance(t fataler, d time.Duration) {
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		time.Sleep(checkEvery)
 		synctest.Wait()
@@ -139,7 +179,7 @@
 
 // check is the oracle of holders: at most one process holds a lease, frozen
 // ones included.
-func (m *machine) check(t *rapid.T) {
+func (m *machine) check(t fataler) {
 	if m.problem != "" {
 		t.Fatal(m.problem)
 	}
@@ -160,17 +200,49 @@
 	return holders
 }
 
-// heal ends all faults and expects one holder of each lease.
-func (m *machine) heal(t *rapid.T) {
+// heal ends all faults and expects one holder of each lease in time.
+func (m *machine) heal(t fataler) {
 	m.log.setDown(false)
 	for _, p := range m.processes {
 		p.link.thaw()
+		p.link.setCut(false)
 		p.link.setFault(noFault, 0)
 	}
-	m.advance(t, healTime)
+	for limit := time.Now().Add(healTime); time.Now().Before(limit); {
+		m.advance(t, 10*time.Second)
+		if m.allHeld() {
+			m.checkAgreement(t)
+			return
+		}
+	}
+	t.Fatalf("no holder of a lease %v after all faults ended", healTime)
+}
+
+func (m *machine) allHeld() bool {
 	for _, name := range names {
-		if holders := m.holders(name); len(holders) != 1 {
-			t.Fatalf("%v: holders after healing: %v", name, holders)
+		if len(m.holders(name)) != 1 {
+			return false
+		}
+	}
+	return true
+}
+
+// checkAgreement is the oracle of the fold: whoever knows a lease's state
+// knows the same one, whichever records it started from.
+func (m *machine) checkAgreement(t fataler) {
+	for _, name := range names {
+		offsets := make(map[ident.Offset]bool)
+		for _, p := range m.processes {
+			p.manager.Step(context.Background())
+		}
+		for _, p := range m.processes {
+			p.manager.Step(context.Background())
+			if entry, known := p.manager.Find(name); known {
+				offsets[entry.Offset] = true
+			}
+		}
+		if len(offsets) != 1 {
+			t.Fatalf("%v: readers disagree on the newest record: %v", name, offsets)
 		}
 	}
 }
@@ -180,24 +252,25 @@
 	for _, p := range m.processes {
 		p.link.thaw()
 		p.kill()
-		<-p.done
+		<-p.stopped
+		<-p.ordersStopped
 	}
 	time.Sleep(time.Minute)
 	synctest.Wait()
 	m.drain()
 }
 
-func newMachine(margin, flight time.Duration) *machine {
+func newMachine(margin time.Duration) *machine {
 	m := &machine{
 		log:       &fakeLog{},
 		processes: make([]*process, processCount),
 		margin:    margin,
-		flight:    flight,
 		highest:   make(map[lease.Name]ident.Fence),
 		arrived:   make(chan func(), 1<<16),
 	}
 	for i := range m.processes {
 		m.start(i)
+		time.Sleep(startSpread)
 	}
 	return m
 }
@@ -209,22 +282,25 @@
 func TestAtMostOneHolderUnderFaults(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rapid.Check(virtualTime{t}, func(t *rapid.T) {
-			m := newMachine(lease.DefaultMargin, lease.DefaultMargin)
+			m := newMachine(lease.DefaultMargin)
 			defer m.end()
 			pick := func() *process { return m.processes[rapid.IntRange(0, processCount-1).Draw(t, "process")] }
 			t.Repeat(map[string]func(*rapid.T){
-				"wait":     func(t *rapid.T) { m.advance(t, durationUpTo(t, 40*time.Second)) },
+				"wait": func(t *rapid.T) { m.advance(t, drawDuration(t, waits...)) },
 				"waitLong": func(t *rapid.T) {
 					if rapid.IntRange(0, 3).Draw(t, "rare") == 0 {
-						m.advance(t, durationUpTo(t, 4*lease.Horizon))
+						m.advance(t, drawDuration(t, lease.Horizon, 4*lease.Horizon))
 					}
 				},
-				"freeze":   func(t *rapid.T) { pick().link.freeze() },
-				"thaw":     func(t *rapid.T) { pick().link.thaw() },
-				"outage":   func(t *rapid.T) { m.log.setDown(rapid.Bool().Draw(t, "down")) },
-				"fault": func(t *rapid.T) {
-					f := rapid.SampledFrom([]fault{answerLost, appendLate, appendSlow}).Draw(t, "fault")
-					pick().link.setFault(f, durationUpTo(t, 40*time.Second))
+				"freeze": func(t *rapid.T) { pick().link.freeze() },
+				"thaw":   func(t *rapid.T) { pick().link.thaw() },
+				"stall":  func(t *rapid.T) { pick().stall.Store(int64(drawDuration(t, waits...))) },
+				"cut":    func(t *rapid.T) { pick().link.setCut(true) },
+				"join":   func(t *rapid.T) { pick().link.setCut(false) },
+				"outage": func(t *rapid.T) { m.log.setDown(rapid.Bool().Draw(t, "down")) },
+				"fault":  func(t *rapid.T) { pick().drawFault(t) },
+				"flight": func(t *rapid.T) {
+					pick().flight.Store(int64(drawDuration(t, 0, lease.DefaultMargin/2, lease.DefaultMargin)))
 				},
 				"kill": func(t *rapid.T) {
 					i := rapid.IntRange(0, processCount-1).Draw(t, "process")
@@ -234,12 +310,14 @@
 				},
 				"stop": func(t *rapid.T) {
 					i := rapid.IntRange(0, processCount-1).Draw(t, "process")
-					m.processes[i].stop()
-					m.processes[i].link.thaw()
-					<-m.processes[i].done
+					m.stopGracefully(t, m.processes[i])
 					m.start(i)
 				},
-				"unwant":    func(t *rapid.T) { pick().manager.Want(nil) },
+				"unwant": func(t *rapid.T) {
+					p := pick()
+					p.manager.Want(nil)
+					p.drawFault(t)
+				},
 				"wantAgain": func(t *rapid.T) { pick().manager.Want(wanted(rapid.IntRange(0, 2).Draw(t, "rank"))) },
 			})
 			for i, p := range m.processes {
@@ -250,6 +328,14 @@
 	})
 }
 
-func durationUpTo(t *rapid.T, limit time.Duration) time.Duration {
-	return time.Duration(rapid.Int64Range(0, int64(limit/time.Millisecond)).Draw(t, "milliseconds")) * time.Millisecond
+// drawFault chooses what happens to the process's next append.
+func (p *process) drawFault(t *rapid.T) {
+	f := rapid.SampledFrom([]fault{noFault, answerLost, appendLate, appendSlow, answerSlow}).Draw(t, "fault")
+	p.link.setFault(f, drawDuration(t, waits...))
+}
+
+// drawDuration draws one of a few telling durations. A range would do worse:
+// rapid prefers its small values.
+func drawDuration(t *rapid.T, among ...time.Duration) time.Duration {
+	return rapid.SampledFrom(among).Draw(t, "duration")
 }
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -172,6 +172,13 @@
 	return names
 }
 
+// Find returns the newest accepted record of a lease, as far as it was read.
+func (m *Manager) Find(name Name) (Entry, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.Find(name)
+}
+
 // Run keeps the wanted leases until ctx ends, and then releases them at once.
 // End ctx only after the last order was answered. Run reads nothing while no
 // lease is wanted or held, so that the many processes that are no candidates
--- /dev/null
+++ b/internal/lease/scenario_test.go
@@ -0,0 +1,103 @@
+package lease_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/lease"
+)
+
+// Symptom: an order of an earlier holder changes an engine after its
+// successor's order did. Sequence and cause: see each case; the oracle is the
+// one of the machine.
+func TestOrdersNeverLandAfterTheSuccessors(t *testing.T) {
+	cases := []struct {
+		name string
+		run  func(t *testing.T, m *machine)
+	}{
+		{
+			// The holder cannot renew; its last order leaves right before
+			// its deadline and flies for the whole margin.
+			name: "last order before the deadline flies long",
+			run: func(t *testing.T, m *machine) {
+				m.processes[0].flight.Store(int64(lease.DefaultMargin))
+				m.processes[0].link.setCut(true)
+				m.advance(t, 20*time.Second)
+			},
+		},
+		{
+			// The lease is given up while an order is in flight.
+			name: "order in flight while the lease is revoked",
+			run: func(t *testing.T, m *machine) {
+				m.processes[0].flight.Store(int64(lease.DefaultMargin))
+				m.advance(t, time.Second)
+				m.processes[0].manager.Want(nil)
+				m.advance(t, 20*time.Second)
+			},
+		},
+		{
+			// The holder prepares an order for some seconds; meanwhile the
+			// lease is revoked, released and claimed.
+			name: "order prepared before the lease is revoked",
+			run: func(t *testing.T, m *machine) {
+				m.processes[0].stall.Store(int64(5 * time.Second))
+				m.advance(t, time.Second)
+				m.processes[0].manager.Want(nil)
+				m.advance(t, 20*time.Second)
+			},
+		},
+		{
+			// A release takes effect late, after its holder wants the lease
+			// again and lost the log: it must not hold by what it had before.
+			name: "late release of a lease that is wanted again",
+			run: func(t *testing.T, m *machine) {
+				m.processes[0].manager.Want(nil)
+				m.processes[0].link.setFault(appendLate, 3*time.Second)
+				m.advance(t, lease.DefaultMargin+2*lease.DefaultPoll)
+				m.processes[0].link.setCut(true)
+				m.processes[0].manager.Want(wanted(0))
+				m.advance(t, 20*time.Second)
+			},
+		},
+		{
+			// The answer to a renewal comes shortly before the lease can move.
+			name: "answer to a renewal comes late",
+			run: func(t *testing.T, m *machine) {
+				m.processes[0].link.setFault(answerSlow, 9*time.Second)
+				m.advance(t, 30*time.Second)
+			},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMachine(lease.DefaultMargin)
+				defer m.end()
+				m.makeFirstHold(t)
+				c.run(t, m)
+				for i, p := range m.processes {
+					p.manager.Want(wanted(i))
+				}
+				m.heal(t)
+			})
+		})
+	}
+}
+
+// makeFirstHold waits until process 0 holds all leases.
+func (m *machine) makeFirstHold(t *testing.T) {
+	for _, p := range m.processes[1:] {
+		p.manager.Want(nil)
+	}
+	m.advance(t, 30*time.Second)
+	for _, p := range m.processes[1:] {
+		p.manager.Want(wanted(0))
+	}
+	m.advance(t, 5*time.Second)
+	for _, name := range names {
+		if holders := m.holders(name); len(holders) != 1 || holders[0] != 0 {
+			t.Fatalf("%v: holders %v, want process 0", name, holders)
+		}
+	}
+}
