calls: sharper machine; it finds that Stop does not wait for every call

Cause: the claim was forgotten when its caller's Do returned, so Stop neither waited for the call nor wrote its outcome, and peers were told that it was not running.

--- a/internal/calls/machine_test.go
+++ b/internal/calls/machine_test.go
@@ -96,6 +96,21 @@
 	synctest.Wait()
 }
 
+// ask asks a gateway by key and does not wait.
+func (m *machine) ask(g *gateway, r *request) {
+	attempts := r.attempts
+	m.pending.Go(func() {
+		o := g.calls.Find(context.Background(), r.key)
+		if g.step() != nil {
+			return
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.told = append(r.told, told{attempt: attempts, outcome: o, byKey: true})
+	})
+	synctest.Wait()
+}
+
 // attemptOf returns which attempt of the request a reply answers, or 0.
 func (r *request) attemptOf(reply string) uint32 {
 	for n := uint32(1); n <= r.attempts; n++ {
@@ -111,17 +126,15 @@
 	for _, r := range m.requests {
 		count, replies := m.w.effects(r.key)
 		if count > 1 {
-			t.Fatalf("%s ran %d times", r.key, count)
+			t.Fatalf("%s ran %d times%s", r.key, count, m.w.history(r.key))
 		}
 		var ran uint32
 		if count == 1 {
 			ran = r.attemptOf(replies[0])
 		}
-		r.mu.Lock()
-		for _, heard := range r.told {
+		for _, heard := range r.allTold() {
 			checkTold(t, r, heard, ran, replies)
 		}
-		r.mu.Unlock()
 	}
 }
 
@@ -132,7 +145,8 @@
 			t.Fatalf("%s: attempt %d heard not_run (%s), but attempt %d ran", r.key, heard.attempt, heard.outcome.Reason, ran)
 		}
 	case outcome.Completed, outcome.Failed:
-		if ran == 0 || !slices.Contains(replies, string(heard.outcome.Payload)) {
+		own := heard.byKey || ran != 0
+		if !own || !slices.Contains(replies, string(heard.outcome.Payload)) {
 			t.Fatalf("%s: attempt %d heard %q, upstreams ran %q", r.key, heard.attempt, heard.outcome.Payload, replies)
 		}
 	}
@@ -147,7 +161,7 @@
 // Then the last word must be final wherever the promises allow it.
 func (m *machine) settle(t rapidOrTest) {
 	m.w.heal()
-	time.Sleep(10 * time.Second)
+	time.Sleep(30 * time.Second)
 	synctest.Wait()
 	m.check(t)
 	for _, domain := range []ident.FailureDomain{"hall-a", "hall-b"} {
@@ -168,31 +182,46 @@
 	for range 4 {
 		m.send(last, r, 10*time.Second)
 		m.pending.Wait()
-		if k := r.last().Kind; k != outcome.InProgress && k != outcome.NotRun {
+		if o := r.last(); o.Kind.Final() || o.Reason == outcome.ReasonKeyReused {
 			break
 		}
 		time.Sleep(3 * time.Second)
 	}
 	heard := r.last()
-	if heard.Kind == outcome.Completed {
-		time.Sleep(time.Second)
-		for _, g := range live {
-			if o := g.calls.Find(context.Background(), r.key); string(o.Payload) != string(heard.Payload) {
-				t.Fatalf("%s: %s heard by key %s %q, want %q", r.key, g.id, o.Kind, o.Payload, heard.Payload)
-			}
-		}
+	if heard.Kind.Final() {
+		m.checkAgreed(t, r, live)
 		return
 	}
-	reused := heard.Reason == outcome.ReasonKeyReused
-	if !reused && !m.deaths.Load() && m.w.sent[r.key.Key] == 0 {
-		t.Fatalf("%s: never dispatched, no gateway died, and yet it ends as %s (%s: %s)", r.key, heard.Kind, heard.Reason, heard.Message)
+	w := m.w
+	settles := w.trust.FindsOutcomes && w.trust.ChecksFencing && !w.replaced
+	neverTaken := !m.deaths.Load() && w.taken[r.key] == 0
+	if heard.Reason != outcome.ReasonKeyReused && (settles || neverTaken) {
+		t.Fatalf("%s: ends as %s (%s: %s); settles: %t, never taken by an upstream and no gateway died: %t%s",
+			r.key, heard.Kind, heard.Reason, heard.Message, settles, neverTaken, w.history(r.key))
 	}
 }
 
-func (r *request) last() outcome.Outcome {
+// checkAgreed checks that every gateway tells the outcome that r heard last.
+func (m *machine) checkAgreed(t rapidOrTest, r *request, live []*gateway) {
+	heard := r.last()
+	time.Sleep(time.Second)
+	for _, g := range live {
+		o := g.calls.Find(context.Background(), r.key)
+		if o.Kind != heard.Kind || string(o.Payload) != string(heard.Payload) {
+			t.Fatalf("%s: %s tells %s %q, a caller heard %s %q", r.key, g.id, o.Kind, o.Payload, heard.Kind, heard.Payload)
+		}
+	}
+}
+
+func (r *request) allTold() []told {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.told[len(r.told)-1].outcome
+	return slices.Clone(r.told)
+}
+
+func (r *request) last() outcome.Outcome {
+	all := r.allTold()
+	return all[len(all)-1].outcome
 }
 
 func (m *machine) close() {
@@ -241,7 +270,7 @@
 			if len(m.requests) == 0 {
 				t.Skip()
 			}
-			r := rapid.SampledFrom(m.requests).Draw(t, "request")
+			r := m.requests[rapid.IntRange(0, len(m.requests)-1).Draw(t, "request")]
 			m.send(m.anyGateway(t), r, patience.Draw(t, "patience"))
 		},
 		"repeat the last": func(t *rapid.T) {
@@ -254,9 +283,9 @@
 			if len(m.requests) == 0 {
 				t.Skip()
 			}
-			r := rapid.SampledFrom(m.requests).Draw(t, "request")
+			r := m.requests[rapid.IntRange(0, len(m.requests)-1).Draw(t, "request")]
 			g := m.anyGateway(t)
-			m.pending.Go(func() { g.calls.Find(context.Background(), r.key) })
+			m.ask(g, r)
 		},
 		"time passes": func(t *rapid.T) {
 			ms := rapid.SampledFrom([]int{1, 30, 300, 3000, 12000}).Draw(t, "ms")
@@ -274,11 +303,12 @@
 }
 
 func (m *machine) anyGateway(t *rapid.T) *gateway {
-	return rapid.SampledFrom(m.w.live()).Draw(t, "gateway")
+	live := m.w.live()
+	return live[rapid.IntRange(0, len(live)-1).Draw(t, "live gateway")]
 }
 
 func (m *machine) anyUpstream(t *rapid.T) *server {
-	return rapid.SampledFrom(m.w.upstreams).Draw(t, "upstream")
+	return m.w.upstreams[rapid.IntRange(0, 1).Draw(t, "upstream")]
 }
 
 // faults are the ways in which things fail, and in which they recover.
@@ -301,8 +331,9 @@
 			split := on.Draw(t, "on") == 1
 			m.w.locked(func() { m.w.split = split })
 		},
-		"freeze": func(t *rapid.T) { m.anyGateway(t).freeze() },
-		"thaw":   func(t *rapid.T) { m.anyGateway(t).thaw() },
+		"freeze":             func(t *rapid.T) { m.anyGateway(t).freeze() },
+		"freeze at dispatch": func(t *rapid.T) { m.anyGateway(t).freezeAtDispatch.Store(true) },
+		"thaw":               func(t *rapid.T) { m.anyGateway(t).thaw() },
 		"kill": func(t *rapid.T) {
 			g := m.anyGateway(t)
 			m.deaths.Store(true)
@@ -316,6 +347,15 @@
 			m.reclaim(g, notices.Draw(t, "notice"))
 			m.w.newGateway(g.domain)
 		},
+		"reclaim while calls wait for the log": func(t *rapid.T) {
+			g := m.anyGateway(t)
+			lose := on.Draw(t, "lose answer") == 1
+			m.w.locked(func() { m.w.loseHandOver = lose })
+			m.w.log.SetDelay(delays.Draw(t, "delay"))
+			m.send(g, m.newRequest(false), 5*time.Second)
+			m.reclaim(g, notices.Draw(t, "notice"))
+			m.w.newGateway(g.domain)
+		},
 		"upstream fails": func(t *rapid.T) { m.anyUpstream(t).life().FailNext(failures.Draw(t, "failure")) },
 		"upstream slow": func(t *rapid.T) {
 			s := m.anyUpstream(t)
@@ -324,7 +364,10 @@
 		"upstream leaves": func(t *rapid.T) { m.anyUpstream(t).life().SetLeaving(on.Draw(t, "leaving") == 1) },
 		"upstream is replaced": func(t *rapid.T) {
 			s := m.anyUpstream(t)
-			m.w.locked(s.start)
+			m.w.locked(func() {
+				m.w.replaced = true
+				s.start()
+			})
 		},
 		"call arrives late": func(t *rapid.T) {
 			late := lates.Draw(t, "late")
--- a/internal/calls/settle.go
+++ b/internal/calls/settle.go
@@ -29,6 +29,9 @@
 		}
 		return outcome.NewUnknown(reasonNotSeen, "no attempt with this key was seen; it may be sent again", retrySoon)
 	}
+	if view, _ := p.find(key); view.State == fold.Released {
+		return inProgress("the gateway that had the call left; another one will run it")
+	}
 	return outcome.NewUnknown(reasonNotSeen, "the last attempt seen did not run; it may be sent again", retrySoon)
 }
 
--- a/internal/calls/world_test.go
+++ b/internal/calls/world_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing/synctest"
@@ -46,8 +47,11 @@
 	// lateness delays the calls sent next until after their sender has
 	// heard that the connection was lost.
 	lateness []time.Duration
-	// sent counts the calls given to the network, by key.
-	sent map[ident.Key]int
+	// taken counts the calls that an upstream may have run as far as their
+	// senders can tell, by key.
+	taken map[ident.CallKey]int
+	// replaced: an upstream has forgotten what its former incarnation knew.
+	replaced bool
 }
 
 // server is the upstream of one failure domain, in one incarnation after the
@@ -70,6 +74,8 @@
 	// cut: the gateway does not reach the platform.
 	cut     atomic.Bool
 	leaving atomic.Bool
+	// freezeAtDispatch freezes the gateway when it is about to send a call.
+	freezeAtDispatch atomic.Bool
 
 	mu     sync.Mutex
 	frozen chan struct{}
@@ -88,7 +94,7 @@
 		trust: trust,
 		docs:  blackboard.NewSection(set),
 		log:   logstore.New(logstore.Options{}),
-		sent:  map[ident.Key]int{},
+		taken: map[ident.CallKey]int{},
 	}
 	for _, domain := range []ident.FailureDomain{"hall-a", "hall-b"} {
 		s := &server{id: ident.Instance("app-" + domain), domain: domain}
@@ -261,20 +267,28 @@
 	return fmt.Appendf(nil, "%s#%d", payload, attempt)
 }
 
+func (w *world) nextLateness() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.lateness) == 0 {
+		return 0
+	}
+	late := w.lateness[0]
+	w.lateness = w.lateness[1:]
+	return late
+}
+
 // Invoke sends the call even if ctx has ended while the gateway was frozen: a
 // real process can be stopped after its last look at a deadline.
 func (d dispatcher) Invoke(ctx context.Context, call Call, target journal.Target, fence ident.Fence) (upstream.Answer, error) {
+	if d.g.freezeAtDispatch.CompareAndSwap(true, false) {
+		d.g.freeze()
+	}
 	if err := d.g.step(); err != nil {
 		return upstream.Answer{}, err
 	}
 	w := d.g.w
-	w.mu.Lock()
-	w.sent[call.Key.Key]++
-	var late time.Duration
-	if len(w.lateness) > 0 {
-		late, w.lateness = w.lateness[0], w.lateness[1:]
-	}
-	w.mu.Unlock()
+	late := w.nextLateness()
 	req := upstream.InvokeRequest{
 		Method:  call.Method,
 		Key:     call.Key.String(),
@@ -289,13 +303,19 @@
 		if !same {
 			return upstream.Answer{}, upstream.ErrNotSent
 		}
-		return life.Invoke(ctx, req)
+		answer, err := life.Invoke(ctx, req)
+		if upstream.Ran(err) {
+			w.locked(func() { w.taken[call.Key]++ })
+		}
+		return answer, err
 	}
 	if late > 0 {
+		w.locked(func() { w.taken[call.Key]++ })
 		time.AfterFunc(late, func() { _, _ = send(context.Background()) })
 		return upstream.Answer{}, plain.ErrConnectionLost
 	}
 	if ctx.Err() != nil {
+		w.locked(func() { w.taken[call.Key]++ })
 		_, _ = send(context.Background())
 		return upstream.Answer{}, ctx.Err()
 	}
@@ -423,6 +443,31 @@
 	return count, replies
 }
 
+// history tells the journal's records of a key, for the message of a failure.
+func (w *world) history(key ident.CallKey) string {
+	batch, _ := w.log.Read(context.Background(), journal.Stream(journal.Partition(key)), 0, 1<<20, 0)
+	var b strings.Builder
+	for _, r := range batch.Records {
+		event, _ := journal.Decode(r.Data)
+		at := r.AppendedAt.Format("04:05.000")
+		switch e := event.(type) {
+		case journal.Claim:
+			if e.Key == key {
+				fmt.Fprintf(&b, "\n%s %d claim %.4x attempt %d by %s for %s", at, r.Offset, e.ID, e.Attempt, e.Holder, e.Target.Instance)
+			}
+		case journal.Release:
+			if e.Key == key {
+				fmt.Fprintf(&b, "\n%s %d release %.4x", at, r.Offset, e.ID)
+			}
+		case journal.Outcome:
+			if e.Key == key {
+				fmt.Fprintf(&b, "\n%s %d %s %.4x (%s)", at, r.Offset, e.Kind, e.ID, e.Reason)
+			}
+		}
+	}
+	return b.String()
+}
+
 // live returns the gateways that were neither killed nor stopped.
 func (w *world) live() []*gateway {
 	var live []*gateway
@@ -443,6 +488,7 @@
 	w.log.SetDelay(0)
 	for _, g := range w.gateways {
 		g.cut.Store(false)
+		g.freezeAtDispatch.Store(false)
 		g.thaw()
 	}
 	for _, s := range w.upstreams {
@@ -467,4 +513,6 @@
 type told struct {
 	attempt uint32
 	outcome outcome.Outcome
+	// byKey: the question named the key alone, which requests may share.
+	byKey bool
 }
