--- a/internal/calls/dispatch.go
+++ b/internal/calls/dispatch.go
@@ -52,11 +52,14 @@
 	return detached, func() { stop(); cancel() }
 }
 
-// dispatch sends the call of a claim to its upstream, once.
+// dispatch sends the call of a claim to its upstream, once. The claim stays
+// active until that has ended, also when its caller has gone: otherwise Stop
+// would not wait for it, and its outcome would be lost with this gateway.
 func (c *Coordinator) dispatch(ctx context.Context, p *partition, cl *claim, fence ident.Fence) {
 	spec := c.spec(cl.call.Key.Service, cl.call.Method)
 	ctx, cancel := c.detach(ctx, spec.timeout)
 	defer cancel()
+	defer p.forget(cl)
 	answer, err := c.cfg.Dispatcher.Invoke(ctx, cl.call, cl.record.Target, fence)
 	switch {
 	case err == nil:
--- a/internal/calls/do.go
+++ b/internal/calls/do.go
@@ -165,7 +165,9 @@
 			return refuse(call, outcome.ReasonOverloaded, "too many calls wait for the log", retryLater)
 		}
 		o, again := c.runClaim(ctx, p, cl, picked)
-		p.forget(cl)
+		if cl.phase.Load() != dispatched {
+			p.forget(cl)
+		}
 		if !again || try >= c.limits.MaxTargets || ctx.Err() != nil {
 			return o
 		}
@@ -190,6 +192,7 @@
 		return <-cl.given, false
 	}
 	if !c.spawn(func() { c.dispatch(ctx, p, cl, r.Fence) }) {
+		p.forget(cl)
 		p.writer.add(notRun(cl, outcome.ReasonLeaving))
 		return outcome.NewNotRun(outcome.ReasonLeaving, "this gateway has stopped", retrySoon), false
 	}
