Streaming: registry stories, hand-over over the peers' protocol

Cause: the registry's promises besides order (joining, coming back, limits per account, heartbeats, budget) had no test of their own.

--- a/internal/streaming/caller_test.go
+++ b/internal/streaming/caller_test.go
@@ -16,6 +16,24 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
+// reportLog collects the reports of all attempts.
+type reportLog struct {
+	mu      sync.Mutex
+	reports []AttemptReport
+}
+
+func (l *reportLog) AttemptEnded(r AttemptReport) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reports = append(l.reports, r)
+}
+
+func (l *reportLog) all() []AttemptReport {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.reports)
+}
+
 // fakePicker takes the first engine in its order that is not excluded, but the
 // one that served the request last goes first, since it may hold the prefix.
 type fakePicker struct {
--- a/internal/streaming/engine_test.go
+++ b/internal/streaming/engine_test.go
@@ -306,6 +306,13 @@
 	return e.started[key.engineID()]
 }
 
+// open returns the number of open streams.
+func (e *fakeEngine) open() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.streams)
+}
+
 // watchNotice returns the notice channel of one target.
 func (e *fakeEngine) watchNotice() <-chan Notice {
 	e.mu.Lock()
--- a/internal/streaming/handover.go
+++ b/internal/streaming/handover.go
@@ -242,21 +242,20 @@
 	}
 }
 
-// batches splits streams into messages of bounded size.
+// batches splits streams into messages of bounded size. A stream that is
+// larger than the bound gets a message of its own.
 func batches(streams map[Key]Handed) [][]Handed {
 	var all [][]Handed
-	var batch []Handed
 	size := 0
 	for _, s := range streams {
-		batch = append(batch, s)
-		size += s.size()
-		if len(batch) >= handedStreams || size >= handedBytes {
-			all = append(all, batch)
-			batch, size = nil, 0
+		last := len(all) - 1
+		if last < 0 || size+s.size() > handedBytes || len(all[last]) >= handedStreams {
+			all = append(all, nil)
+			last++
+			size = 0
 		}
-	}
-	if len(batch) > 0 {
-		all = append(all, batch)
+		all[last] = append(all[last], s)
+		size += s.size()
 	}
 	return all
 }
--- /dev/null
+++ b/internal/streaming/handover/handover_test.go
@@ -0,0 +1,35 @@
+package handover
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/goldcrestspool/goldcrestspool/api/peer/v1"
+	"github.com/goldcrestspool/goldcrestspool/internal/streaming"
+)
+
+func TestHandedStreamSurvivesTheWire(t *testing.T) {
+	want := streaming.Handed{
+		Key:       streaming.Key{Account: "weber", Request: "r-1"},
+		Ask:       streaming.Ask{Service: "spool-llm", Class: "long", Prompt: "lot 7", MaxTokens: 9},
+		Priority:  3,
+		Remaining: 1500 * time.Millisecond,
+		Delivered: []string{"a", "b"},
+		Attempt:   4,
+		Served:    "hall-a-1",
+	}
+	wire, err := proto.Marshal(toProto(want))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var message peerv1.HandedStream
+	if err := proto.Unmarshal(wire, &message); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, fromProto(&message)); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/streaming/machine_test.go
+++ b/internal/streaming/machine_test.go
@@ -358,7 +358,7 @@
 		rt.Fatalf("%d targets were not released", held)
 	}
 	for _, e := range w.engines {
-		if n := len(e.streams); n != 0 {
+		if n := e.open(); n != 0 {
 			rt.Fatalf("engine %s still has %d streams", e.instance, n)
 		}
 	}
--- a/internal/streaming/recompute_test.go
+++ b/internal/streaming/recompute_test.go
@@ -100,8 +100,7 @@
 	notices  [2]chan Notice
 	config   Config
 	registry *Registry
-	mu       sync.Mutex
-	reports  []AttemptReport
+	reportLog
 }
 
 func newPair() *pair {
@@ -127,21 +126,14 @@
 	return Target{}, errors.New("none is left")
 }
 
-func (p *pair) AttemptEnded(r AttemptReport) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.reports = append(p.reports, r)
-}
-
 // recomputed sums the reports.
 func (p *pair) recomputed() (attempts, recomputed, imported int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, r := range p.reports {
+	reports := p.all()
+	for _, r := range reports {
 		recomputed += r.Recomputed
 		imported += r.Imported
 	}
-	return len(p.reports), recomputed, imported
+	return len(reports), recomputed, imported
 }
 
 // leave gives notice of a reclaim and ends the engine at its deadline.
--- a/internal/streaming/registry.go
+++ b/internal/streaming/registry.go
@@ -93,6 +93,25 @@
 	g.runs.Wait()
 }
 
+// Stats are a registry's figures.
+type Stats struct {
+	// Streams that are kept.
+	Streams int
+	// Idle streams have no caller.
+	Idle int
+}
+
+// Stats returns the figures at this moment.
+func (g *Registry) Stats() Stats {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	stats := Stats{Streams: len(g.entries)}
+	for account := range g.idle.byAccount {
+		stats.Idle += g.idle.count(account)
+	}
+	return stats
+}
+
 // follow delivers an entry's answer to one caller.
 func (g *Registry) follow(ctx context.Context, e *entry, next uint32, sink Sink) outcome.Outcome {
 	defer g.depart(e)
--- /dev/null
+++ b/internal/streaming/registry_test.go
@@ -0,0 +1,178 @@
+package streaming
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
+	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstream"
+)
+
+// serve brings a call to its end and checks that it completed.
+func serve(t *testing.T, caller *fakeCaller, g *Registry, how func(context.Context, *Registry) (outcome.Outcome, error)) {
+	t.Helper()
+	got, err := how(t.Context(), g)
+	if err != nil || got.Kind != outcome.Completed {
+		t.Errorf("outcome %v, error %v; want completed", got, err)
+	}
+	if problem := caller.check(got); problem != "" {
+		t.Error(problem)
+	}
+}
+
+// leaveAfter makes a call whose caller goes away after a while.
+func leaveAfter(t *testing.T, caller *fakeCaller, g *Registry, after time.Duration) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), after)
+	defer cancel()
+	if got, _ := caller.generate(ctx, g); got.Reason != outcome.ReasonCancelled {
+		t.Errorf("outcome %v; want cancelled", got)
+	}
+}
+
+// countedBudget allows no attempt and counts how often it was asked.
+type countedBudget struct{ asked int }
+
+func (b *countedBudget) Take(Request, Cause) bool {
+	b.asked++
+	return false
+}
+
+// TestRegistryKeepsStreams tells one story in each case. An answer has 100
+// tokens, which takes 2 s.
+func TestRegistryKeepsStreams(t *testing.T) {
+	const length = 100
+	cases := []struct {
+		story string
+		tell  func(t *testing.T, b *bench)
+	}{
+		{"the same request twice is one answer", func(t *testing.T, b *bench) {
+			first, second := newCaller("weber", "r-1", length), newCaller("weber", "r-1", length)
+			second.slow = 50 * time.Millisecond
+			time.AfterFunc(time.Second, func() { serve(t, first, b.registry, first.generate) })
+			serve(t, second, b.registry, second.generate)
+			if !slices.Equal(first.tokens, second.tokens) || b.engines[0].opened != 1 {
+				t.Errorf("%d attempts; want one answer of one attempt", b.engines[0].opened)
+			}
+		}},
+		{"another request under the same ID is refused", func(t *testing.T, b *bench) {
+			first, second := newCaller("weber", "r-1", length), newCaller("weber", "r-1", length+1)
+			leaveAfter(t, first, b.registry, time.Second)
+			if got, _ := second.generate(t.Context(), b.registry); got.Kind != outcome.NotRun || got.Reason != outcome.ReasonKeyReused {
+				t.Errorf("outcome %v; want not_run, key_reused", got)
+			}
+		}},
+		{"another account's request looks like none", func(t *testing.T, b *bench) {
+			leaveAfter(t, newCaller("weber", "r-1", length), b.registry, time.Second)
+			_, theirs := newCaller("kofler", "r-1", length).resumeByID(t.Context(), b.registry)
+			_, none := newCaller("kofler", "r-2", length).resumeByID(t.Context(), b.registry)
+			if errcode.Of(theirs) != errcode.NotFound || theirs.Error() != none.Error() {
+				t.Errorf("told %q for another account's request and %q for none", theirs, none)
+			}
+		}},
+		{"a slow caller holds up neither the engine nor others", func(t *testing.T, b *bench) {
+			slow := newCaller("weber", "r-1", length)
+			slow.slow = time.Second
+			serve(t, slow, b.registry, slow.generate)
+			if took := b.all()[0].Took; took > 3*time.Second {
+				t.Errorf("the engine was held for %v", took)
+			}
+		}},
+		{"a slow engine is covered by heartbeats", func(t *testing.T, b *bench) {
+			b.engines[0].step = 2500 * time.Millisecond
+			caller := newCaller("weber", "r-1", 2)
+			serve(t, caller, b.registry, caller.generate)
+			if caller.heartbeats != 4 {
+				t.Errorf("%d heartbeats in 5 s; want 4", caller.heartbeats)
+			}
+		}},
+		{"a caller comes back for the rest", func(t *testing.T, b *bench) {
+			caller := newCaller("weber", "r-1", length)
+			leaveAfter(t, caller, b.registry, time.Second)
+			time.Sleep(5 * time.Second)
+			serve(t, caller, b.registry, caller.resumeByID)
+			if b.engines[0].opened != 1 {
+				t.Errorf("%d attempts; want one", b.engines[0].opened)
+			}
+		}},
+		{"nobody comes back", func(t *testing.T, b *bench) {
+			leaveAfter(t, newCaller("weber", "r-1", 10*length), b.registry, time.Second)
+			time.Sleep(b.registry.config.Linger + b.registry.config.Keep + time.Second)
+			if stats, open := b.registry.Stats(), b.engines[0].open(); stats != (Stats{}) || open != 0 {
+				t.Errorf("left over: %+v, %d streams at the engine", stats, open)
+			}
+		}},
+		{"the peer that took a stream over knows its request ID", func(t *testing.T, b *bench) {
+			peer := NewRegistry(b.registry.config, b.registry.runner)
+			defer peer.Close()
+			caller := newCaller("weber", "r-1", length)
+			time.AfterFunc(time.Second, func() {
+				b.registry.Leave(t.Context(), time.Millisecond, []Peer{fakePeer{to: peer}})
+			})
+			if got, _ := caller.generate(t.Context(), b.registry); got.Kind != outcome.Interrupted || got.Reason != outcome.ReasonLeaving {
+				t.Errorf("outcome %v; want interrupted, leaving", got)
+			}
+			serve(t, caller, peer, caller.resumeByID)
+		}},
+		{"one account's streams push out no other account's", func(t *testing.T, b *bench) {
+			caller := newCaller("weber", "r-1", length)
+			leaveAfter(t, caller, b.registry, time.Second)
+			for _, id := range []string{"1", "2", "3", "4", "5", "6", "7", "8", "9"} {
+				leaveAfter(t, newCaller("kofler", id, length), b.registry, 10*time.Millisecond)
+			}
+			if idle := b.registry.Stats().Idle; idle != b.registry.config.IdleStreams+1 {
+				t.Errorf("%d idle streams; want %d of one account and 1 of the other", idle, b.registry.config.IdleStreams)
+			}
+			serve(t, caller, b.registry, caller.resumeByID)
+		}},
+		{"a full gateway refuses at once", func(t *testing.T, b *bench) {
+			for _, id := range []string{"1", "2", "3", "4", "5", "6"} {
+				go newCaller("weber", id, length).generate(t.Context(), b.registry)
+			}
+			synctest.Wait()
+			if got, _ := newCaller("weber", "7", length).generate(t.Context(), b.registry); got.Reason != outcome.ReasonOverloaded {
+				t.Errorf("outcome %v; want overloaded", got)
+			}
+		}},
+		{"a lost stream with progress is resumed without a budget", func(t *testing.T, b *bench) {
+			budget := &countedBudget{}
+			b.registry.runner.budget = budget
+			caller := newCaller("weber", "r-1", length)
+			time.AfterFunc(time.Second, b.engines[0].lose)
+			serve(t, caller, b.registry, caller.generate)
+			if budget.asked != 0 {
+				t.Errorf("the budget was asked %d times", budget.asked)
+			}
+		}},
+		{"an attempt without progress needs the budget", func(t *testing.T, b *bench) {
+			b.registry.runner.budget = &countedBudget{}
+			b.engines[0].setRefuse(errors.New("reset"))
+			if got, _ := newCaller("weber", "r-1", length).generate(t.Context(), b.registry); got.Reason != outcome.ReasonOverloaded {
+				t.Errorf("outcome %v; want overloaded", got)
+			}
+		}},
+		{"a leaving engine costs no budget", func(t *testing.T, b *bench) {
+			b.registry.runner.budget = &countedBudget{}
+			b.engines[0].setRefuse(upstream.ErrLeaving)
+			caller := newCaller("weber", "r-1", length)
+			serve(t, caller, b.registry, caller.generate)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.story, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				config := DefaultConfig()
+				config.Streams = 6
+				config.IdleStreams = 3
+				b := newBench(config)
+				defer b.registry.Close()
+				c.tell(t, b)
+			})
+		})
+	}
+}
--- a/internal/streaming/request.go
+++ b/internal/streaming/request.go
@@ -15,12 +15,16 @@
 	Request ident.Request
 }
 
+// String names the request together with its account. Both parts are escaped,
+// so that no two keys have the same name.
+func (k Key) String() string {
+	return url.PathEscape(string(k.Account)) + "/" + url.PathEscape(string(k.Request))
+}
+
 // engineID is the name under which engines know the request. It holds the
 // account, because callers choose request IDs: two accounts with the same ID
 // at the same engine would otherwise share one exported KV cache.
-func (k Key) engineID() ident.Request {
-	return ident.Request(url.PathEscape(string(k.Account)) + "/" + url.PathEscape(string(k.Request)))
-}
+func (k Key) engineID() ident.Request { return ident.Request(k.String()) }
 
 // Ask is what a caller asks for. Two requests with the same Key and a
 // different Ask are different requests.
--- a/internal/streaming/runner_test.go
+++ b/internal/streaming/runner_test.go
@@ -15,7 +15,7 @@
 	picker   *fakePicker
 	engines  []*fakeEngine
 	registry *Registry
-	reports  []AttemptReport
+	reportLog
 }
 
 func newBench(config Config) *bench {
@@ -26,8 +26,6 @@
 	return b
 }
 
-func (b *bench) AttemptEnded(r AttemptReport) { b.reports = append(b.reports, r) }
-
 // Symptom: a caller gets part of an answer, twice the same part, or a mix of
 // two answers.
 // Sequence: the first engine's stream goes wrong in the middle of the answer,
@@ -74,8 +72,8 @@
 				if problem := caller.check(got); problem != "" {
 					t.Error(problem)
 				}
-				if b.reports[0].Next != c.next || b.reports[0].Fault != c.kind {
-					t.Errorf("first attempt ended for %q, fault %q; want %q, %q", b.reports[0].Next, b.reports[0].Fault, c.next, c.kind)
+				if first := b.all()[0]; first.Next != c.next || first.Fault != c.kind {
+					t.Errorf("first attempt ended for %q, fault %q; want %q, %q", first.Next, first.Fault, c.next, c.kind)
 				}
 				synctest.Wait()
 				if held := b.picker.heldTargets(); held != 0 {
