Streaming: tests for what mutations survived

Cause: of 40 mutations these lived: a given-up run joined, not_run streams handed over, replaced told as not_run, two runs of one request at once, the serving engine not told to the peer, late timer not noticed, joining a run that is being stopped. Stories were added for the first five. The guard against joining a stopping run was taken out: the window is the time that a run takes to see its context end, and a caller in it hears the truth and comes back. Not killed by any test: the check for a timer that fires late (a race between timer and caller that virtual time does not order).

--- a/internal/streaming/entry.go
+++ b/internal/streaming/entry.go
@@ -22,8 +22,6 @@
 	// reached is the request as the run left it, ready to be resumed.
 	reached Request
 	last    outcome.Outcome
-	// stopping: the run was told to end.
-	stopping bool
 	// ended: the run has ended.
 	ended bool
 	// withheld: the callers are not told the end before the hand-over.
@@ -36,19 +34,10 @@
 	rests uint64
 }
 
-// stop ends the entry's run for the cause.
-func (e *entry) stop(cause error) {
-	e.stopping = true
-	e.cancel(cause)
-}
-
 // useful reports whether following the entry leads to the whole answer, as far
 // as is known.
 func (e *entry) useful() bool {
-	if e.ended {
-		return e.last.Kind == outcome.Completed
-	}
-	return !e.stopping
+	return !e.ended || e.last.Kind == outcome.Completed
 }
 
 // tokens returns the answer so far.
--- a/internal/streaming/handover.go
+++ b/internal/streaming/handover.go
@@ -205,7 +205,7 @@
 	var stopped []*entry
 	for _, e := range g.entries {
 		if !e.ended || e.callers > 0 {
-			e.stop(errLeaving)
+			e.cancel(errLeaving)
 			stopped = append(stopped, e)
 		}
 	}
--- a/internal/streaming/keep.go
+++ b/internal/streaming/keep.go
@@ -103,12 +103,12 @@
 		g.drop(e.req.Key, e)
 		return
 	}
-	e.stop(errAbandoned)
+	e.cancel(errAbandoned)
 }
 
 // evict makes room by giving up an entry without a caller.
 func (g *Registry) evict(e *entry) {
-	e.stop(errAbandoned)
+	e.cancel(errAbandoned)
 	g.drop(e.req.Key, e)
 }
 
--- a/internal/streaming/recompute_test.go
+++ b/internal/streaming/recompute_test.go
@@ -220,9 +220,12 @@
 	}
 }
 
-// handOver replaces the gateway, which hands its streams to the new one.
+// handOver replaces the gateway, which hands its streams to the new one. Only
+// what it hands over tells the new one which engine holds the prefix: by
+// itself it would take the other.
 func (p *pair) handOver(t *testing.T) {
 	old := p.registry
+	p.engines[0], p.engines[1] = p.engines[1], p.engines[0]
 	p.registry = p.gateway()
 	report := old.Leave(t.Context(), time.Millisecond, []Peer{fakePeer{to: p.registry}})
 	if report.HandedOver != 1 || report.Left != 0 {
--- a/internal/streaming/registry.go
+++ b/internal/streaming/registry.go
@@ -86,7 +86,7 @@
 	g.mu.Lock()
 	g.leaving = true
 	for key, e := range g.entries {
-		e.stop(errAbandoned)
+		e.cancel(errAbandoned)
 		g.drop(key, e)
 	}
 	g.mu.Unlock()
@@ -178,7 +178,7 @@
 	// answers, so the caller's tokens win.
 	if held && !e.continues(resume.Delivered) {
 		req.Delivered = resume.Delivered
-		e.stop(errReplaced)
+		e.cancel(errReplaced)
 		return g.start(ctx, req, e), nil
 	}
 	if !e.useful() {
--- a/internal/streaming/registry_test.go
+++ b/internal/streaming/registry_test.go
@@ -119,6 +119,61 @@
 			}
 			serve(t, caller, peer, caller.resumeByID)
 		}},
+		{"a stream that no engine ran is not handed over", func(t *testing.T, b *bench) {
+			peer := NewRegistry(b.registry.config, b.registry.runner)
+			defer peer.Close()
+			refuseAll(upstream.ErrNotSent)(b)
+			caller := newCaller("weber", "r-1", length)
+			time.AfterFunc(30*time.Millisecond, func() {
+				b.registry.Leave(t.Context(), time.Millisecond, []Peer{fakePeer{to: peer}})
+			})
+			if got, _ := caller.generate(t.Context(), b.registry); got.Kind != outcome.NotRun || got.Reason != outcome.ReasonLeaving {
+				t.Errorf("outcome %v; want not_run, leaving", got)
+			}
+			if _, err := caller.resumeByID(t.Context(), peer); errcode.Of(err) != errcode.NotFound {
+				t.Errorf("the peer has it: %v", err)
+			}
+		}},
+		{"a caller that went on elsewhere keeps its own tokens", func(t *testing.T, b *bench) {
+			here, elsewhere := newCaller("weber", "r-1", length), newCaller("weber", "r-1", length)
+			elsewhere.take(0, []string{tokenAfter(elsewhere.hash, "engine of another gateway")})
+			ended := make(chan outcome.Outcome)
+			go func() {
+				got, _ := here.generate(t.Context(), b.registry)
+				ended <- got
+			}()
+			time.Sleep(time.Second)
+			go serve(t, elsewhere, b.registry, elsewhere.resume)
+			if got := <-ended; got.Kind != outcome.Interrupted || got.Reason != outcome.ReasonReplaced {
+				t.Errorf("outcome %v; want interrupted, replaced", got)
+			}
+			time.Sleep(3 * time.Second)
+			if reports := b.all(); len(reports) != 2 || reports[1].Attempt != 2 {
+				t.Errorf("attempts %+v; want 1 and 2", reports)
+			}
+		}},
+		{"a request that was given up on is taken up again", func(t *testing.T, b *bench) {
+			caller := newCaller("weber", "r-1", length)
+			caller.req.Deadline = time.Now().Add(time.Second)
+			if got, _ := caller.generate(t.Context(), b.registry); got.Reason != outcome.ReasonDeadline {
+				t.Errorf("outcome %v; want deadline", got)
+			}
+			caller.req.Deadline = time.Time{}
+			serve(t, caller, b.registry, caller.resume)
+		}},
+		{"a replaced stream is not told not_run", func(t *testing.T, b *bench) {
+			refuseAll(upstream.ErrNotSent)(b)
+			here, elsewhere := newCaller("weber", "r-1", length), newCaller("weber", "r-1", length)
+			elsewhere.take(0, []string{tokenAfter(elsewhere.hash, "engine of another gateway")})
+			time.AfterFunc(30*time.Millisecond, func() {
+				refuseAll(nil)(b)
+				serve(t, elsewhere, b.registry, elsewhere.resume)
+			})
+			if got, _ := here.generate(t.Context(), b.registry); got.Kind != outcome.Interrupted || got.Reason != outcome.ReasonReplaced {
+				t.Errorf("outcome %v; want interrupted, replaced", got)
+			}
+			time.Sleep(3 * time.Second)
+		}},
 		{"one account's streams push out no other account's", func(t *testing.T, b *bench) {
 			caller := newCaller("weber", "r-1", length)
 			leaveAfter(t, caller, b.registry, time.Second)
--- a/internal/streaming/runner_test.go
+++ b/internal/streaming/runner_test.go
@@ -72,6 +72,13 @@
 				if problem := caller.check(got); problem != "" {
 					t.Error(problem)
 				}
+				attempts := 1
+				if c.next != "" {
+					attempts = 2
+				}
+				if got := len(b.all()); got != attempts {
+					t.Errorf("%d attempts; want %d", got, attempts)
+				}
 				if first := b.all()[0]; first.Next != c.next || first.Fault != c.kind {
 					t.Errorf("first attempt ended for %q, fault %q; want %q, %q", first.Next, first.Fault, c.next, c.kind)
 				}
