Streams dial their own connections, so that a resumed one gets a live one

Cause: over real sockets, when all open connections of a gateway went silent, the resumed attempt took an idle dead one from the pool: attempts for [first silent silent]; want [first silent] It lost a second silence limit, and after the second silence the working engine was left out. Generate now uses the clients that dial for each request. Ruled out: closing idle connections on silence, since the pool is shared by all streams and others would still race for dead ones. Cost: one round trip a stream.

--- /dev/null
+++ b/internal/streaming/sockets_test.go
@@ -0,0 +1,181 @@
+package streaming_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/answer"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/engine"
+	"github.com/goldcrestspool/goldcrestspool/internal/streaming"
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstream/connectupstream"
+)
+
+// relay stands between client and server. It can lose track of its open
+// connections: their bytes vanish, and neither end is told.
+type relay struct {
+	listener net.Listener
+	target   string
+	ended    sync.WaitGroup
+
+	mu    sync.Mutex
+	lost  *atomic.Bool
+	conns []net.Conn
+}
+
+func newRelay(t *testing.T, target string) *relay {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{listener: listener, target: target, lost: new(atomic.Bool)}
+	r.ended.Go(r.accept)
+	t.Cleanup(func() {
+		_ = listener.Close()
+		r.mu.Lock()
+		for _, c := range r.conns {
+			_ = c.Close()
+		}
+		r.mu.Unlock()
+		r.ended.Wait()
+	})
+	return r
+}
+
+func (r *relay) accept() {
+	for {
+		client, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		server, err := net.Dial("tcp", r.target)
+		if err != nil {
+			_ = client.Close()
+			continue
+		}
+		r.mu.Lock()
+		lost := r.lost
+		r.conns = append(r.conns, client, server)
+		r.mu.Unlock()
+		r.ended.Go(func() { forward(client, server, lost) })
+		r.ended.Go(func() { forward(server, client, lost) })
+	}
+}
+
+func forward(from, to net.Conn, lost *atomic.Bool) {
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		if lost.Load() {
+			if err != nil {
+				return
+			}
+			continue
+		}
+		if _, writeErr := to.Write(buffer[:n]); err != nil || writeErr != nil {
+			_ = to.Close()
+			return
+		}
+	}
+}
+
+// loseTrack makes all connections so far silent for good; new ones work.
+func (r *relay) loseTrack() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lost.Store(true)
+	r.lost = new(atomic.Bool)
+}
+
+// onlyEngine picks the same engine always.
+type onlyEngine struct{ target streaming.Target }
+
+func (o onlyEngine) Pick(context.Context, streaming.PickRequest) (streaming.Target, error) {
+	return o.target, nil
+}
+
+// attempts collects the causes of attempts.
+type attempts struct {
+	mu     sync.Mutex
+	causes []streaming.Cause
+}
+
+func (a *attempts) AttemptEnded(r streaming.AttemptReport) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.causes = append(a.causes, r.Cause)
+}
+
+// collector is a caller's connection; half is closed at half of the answer.
+type collector struct {
+	tokens []string
+	at     int
+	half   func()
+}
+
+func (c *collector) Tokens(_ uint32, tokens []string) error {
+	c.tokens = append(c.tokens, tokens...)
+	if c.half != nil && len(c.tokens) >= c.at {
+		c.half()
+		c.half = nil
+	}
+	return nil
+}
+
+func (c *collector) Heartbeat() error { return nil }
+
+// Symptom: a stream stops for good, or its engine is left out although it
+// works.
+// Sequence: something between gateway and engine loses track of all open
+// connections in the middle of an answer, idle ones in the pool included.
+// Cause: nothing watched the stream's silence; or the resumed attempt took
+// another dead connection from the pool instead of dialling.
+func TestStreamGoesOnWhenConnectionsGoSilent(t *testing.T) {
+	const tokens = 200
+	parameters := engine.DefaultParameters()
+	parameters.StepBase = time.Millisecond
+	fake := engine.New(engine.Config{Instance: "hall-a-1", Parameters: parameters})
+	t.Cleanup(fake.Close)
+	mux := http.NewServeMux()
+	connectupstream.MountEngine(mux, fake)
+	between := newRelay(t, strings.TrimPrefix(testkit.Serve(t, mux), "http://"))
+	clients := connectupstream.NewClients(nil)
+	t.Cleanup(clients.Close)
+	client := connectupstream.NewEngine(clients, "http://"+between.listener.Addr().String())
+
+	config := streaming.DefaultConfig()
+	config.SilenceLimit = time.Second
+	seen := &attempts{}
+	picker := onlyEngine{streaming.Target{Instance: "hall-a-1", Engine: client}}
+	registry := streaming.NewRegistry(config, streaming.NewRunner(config, picker, nil, seen))
+	defer registry.Close()
+	req := streaming.Request{
+		Key: streaming.Key{Account: "weber", Request: "r-1"},
+		Ask: streaming.Ask{Service: "spool-llm", Prompt: "Dossier of lot 7", MaxTokens: tokens},
+	}
+	sink := &collector{at: tokens / 2, half: func() {
+		if _, err := client.Report(t.Context()); err != nil {
+			t.Error(err)
+		}
+		between.loseTrack()
+	}}
+	got, err := registry.Generate(t.Context(), req, sink)
+	if err != nil || got.Kind != outcome.Completed {
+		t.Fatalf("outcome %v, error %v; want completed", got, err)
+	}
+	if !slices.Equal(sink.tokens, answer.Tokens(req.Ask.Prompt, tokens)) {
+		t.Errorf("%d tokens, not the answer", len(sink.tokens))
+	}
+	if want := []streaming.Cause{streaming.CauseFirst, streaming.CauseSilent}; !slices.Equal(seen.causes, want) {
+		t.Errorf("attempts for %v; want %v", seen.causes, want)
+	}
+}
--- a/internal/upstream/connectupstream/clients.go
+++ b/internal/upstream/connectupstream/clients.go
@@ -14,7 +14,7 @@
 type Clients struct {
 	// pooled serves what may be repeated.
 	pooled *http.Client
-	// fresh serves calls that may not be repeated.
+	// fresh serves calls that may not be repeated, and token streams.
 	fresh *http.Client
 }
 
--- a/internal/upstream/connectupstream/engine.go
+++ b/internal/upstream/connectupstream/engine.go
@@ -17,13 +17,21 @@
 // Engine is the model engine behind one base URL.
 type Engine struct {
 	client upstreamv1connect.EngineServiceClient
+	// streams dials for each stream. When something between the two ends
+	// loses track of open connections, a stream that is resumed must not
+	// take the next dead one from the pool. A dial costs one round trip, far
+	// less than the prefill that follows it.
+	streams upstreamv1connect.EngineServiceClient
 }
 
 var _ upstream.Engine = (*Engine)(nil)
 
 // NewEngine returns a client of the engine at a base URL.
 func NewEngine(clients *Clients, baseURL string) *Engine {
-	return &Engine{client: upstreamv1connect.NewEngineServiceClient(clients.pooled, baseURL)}
+	return &Engine{
+		client:  upstreamv1connect.NewEngineServiceClient(clients.pooled, baseURL),
+		streams: upstreamv1connect.NewEngineServiceClient(clients.fresh, baseURL),
+	}
 }
 
 // Generate implements upstream.Engine. It returns once the engine has sent its
@@ -31,7 +39,7 @@
 func (e *Engine) Generate(ctx context.Context, req upstream.GenerateRequest) (upstream.TokenStream, error) {
 	ctx, attempt := transport.Observe(ctx)
 	ctx, cancel := context.WithCancel(ctx)
-	frames, err := e.client.Generate(ctx, &upstreamv1.GenerateRequest{
+	frames, err := e.streams.Generate(ctx, &upstreamv1.GenerateRequest{
 		RequestId: string(req.Request),
 		Attempt:   req.Attempt,
 		Prompt:    req.Prompt,
