--- a/internal/streaming/attempt.go
+++ b/internal/streaming/attempt.go
@@ -74,34 +74,40 @@
 
 // serve opens the stream and takes its frames in. The stream is closed when
 // serve returns, and no later frame of it can reach the answer.
-func (a *attempt) serve(ctx context.Context) (end attemptEnd) {
+func (a *attempt) serve(ctx context.Context) attemptEnd {
 	streamCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	frames := receive(streamCtx, a.target.Engine, a.request())
 	watch := newLeaveWatch(a)
 	defer watch.stop()
-	defer func() { end.leaving = end.leaving || watch.noticed }()
+	frames := receive(streamCtx, a.target.Engine, a.request())
+	end := a.collect(ctx, frames, watch)
+	end.leaving = end.leaving || watch.noticed
+	return end
+}
+
+// collect takes in what happens to the stream until the attempt is over.
+func (a *attempt) collect(ctx context.Context, frames <-chan received, watch *leaveWatch) attemptEnd {
 	limit := a.run.runner.config.SilenceLimit
 	silence := time.NewTimer(limit)
 	defer silence.Stop()
-	var lost *attemptEnd
+	var lost attemptEnd
 	for {
 		select {
 		case <-ctx.Done():
 			return attemptEnd{}
 		case r := <-frames:
 			silence.Reset(limit)
-			got, over := a.take(r)
+			end, over := a.take(r)
 			if !over {
 				continue
 			}
-			if !watch.moving || got.next != CauseLost {
-				return got
+			if !watch.moving || end.next != CauseLost {
+				return end
 			}
 			// The upstream went while its cache was on the way to
 			// another. Wait for the rest of the move: it may have
 			// been exported in time.
-			lost, frames = &got, nil
+			lost, frames = end, nil
 			silence.Stop()
 		case <-silence.C:
 			return attemptEnd{next: CauseSilent}
@@ -115,10 +121,10 @@
 		case m := <-watch.arrived:
 			watch.moving = false
 			if m.err == nil {
-				return attemptEnd{next: m.cause(), moved: &m.moved}
+				return attemptEnd{next: m.cause(), moved: m.moved}
 			}
-			if lost != nil {
-				return *lost
+			if lost.next != "" {
+				return lost
 			}
 		}
 	}
--- a/internal/streaming/move.go
+++ b/internal/streaming/move.go
@@ -23,7 +23,7 @@
 
 // moveEnd is how a move ended.
 type moveEnd struct {
-	moved moved
+	moved *moved
 	// err is set when there is no target.
 	err error
 }
@@ -81,7 +81,7 @@
 	if err != nil {
 		return moveEnd{err: err}
 	}
-	return moveEnd{moved: moved{target: target, imported: m.carry(ctx, target)}}
+	return moveEnd{moved: &moved{target: target, imported: m.carry(ctx, target)}}
 }
 
 // carry returns how many tokens of cache reached the target.
