Streaming: one picker and one notice board for all fakes in tests

Cause: the recomputation table had a gateway and a picker of its own beside those of the other tests.

--- a/internal/streaming/caller_test.go
+++ b/internal/streaming/caller_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstream"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -34,14 +35,20 @@
 	return slices.Clone(l.reports)
 }
 
+// testEngine is an engine that a fakePicker can pick.
+type testEngine interface {
+	upstream.Engine
+	name() ident.Instance
+	watchNotice() <-chan Notice
+}
+
 // fakePicker takes the first engine in its order that is not excluded, but the
 // one that served the request last goes first, since it may hold the prefix.
 type fakePicker struct {
 	mu      sync.Mutex
-	engines []*fakeEngine
+	engines []testEngine
 	refusal *Refusal
 	held    int
-	causes  []Cause
 }
 
 func (p *fakePicker) Pick(ctx context.Context, req PickRequest) (Target, error) {
@@ -53,22 +60,21 @@
 	if p.refusal != nil {
 		return Target{}, p.refusal
 	}
-	p.causes = append(p.causes, req.Cause)
 	order := slices.Clone(p.engines)
-	slices.SortStableFunc(order, func(a, b *fakeEngine) int {
+	slices.SortStableFunc(order, func(a, b testEngine) int {
 		return rank(a, req.Served) - rank(b, req.Served)
 	})
 	for _, e := range order {
-		if !slices.Contains(req.Exclude, e.instance) {
+		if !slices.Contains(req.Exclude, e.name()) {
 			p.held++
-			return Target{Instance: e.instance, Engine: e, Notice: e.watchNotice(), Release: p.release}, nil
+			return Target{Instance: e.name(), Engine: e, Notice: e.watchNotice(), Release: p.release}, nil
 		}
 	}
 	return Target{}, fmt.Errorf("all %d engines are excluded", len(order))
 }
 
-func rank(e *fakeEngine, served ident.Instance) int {
-	if e.instance == served {
+func rank(e testEngine, served ident.Instance) int {
+	if e.name() == served {
 		return 0
 	}
 	return 1
--- a/internal/streaming/engine_test.go
+++ b/internal/streaming/engine_test.go
@@ -67,10 +67,39 @@
 	oddities
 )
 
+// noticeBoard gives notice to whoever picked an engine.
+type noticeBoard struct {
+	instance ident.Instance
+	boardMu  sync.Mutex
+	notices  []chan Notice
+}
+
+func (b *noticeBoard) name() ident.Instance { return b.instance }
+
+// watchNotice returns the notice channel of one target.
+func (b *noticeBoard) watchNotice() <-chan Notice {
+	b.boardMu.Lock()
+	defer b.boardMu.Unlock()
+	c := make(chan Notice, 1)
+	b.notices = append(b.notices, c)
+	return c
+}
+
+// announce tells every target that the instance is to be reclaimed.
+func (b *noticeBoard) announce(left time.Duration) {
+	b.boardMu.Lock()
+	defer b.boardMu.Unlock()
+	for _, c := range b.notices {
+		c <- Notice{Deadline: time.Now().Add(left)}
+	}
+	b.notices = nil
+}
+
 // fakeEngine generates tokens under the test's control.
 type fakeEngine struct {
-	instance ident.Instance
-	step     time.Duration
+	upstream.Engine
+	noticeBoard
+	step time.Duration
 
 	mu      sync.Mutex
 	streams map[*fakeStream]struct{}
@@ -81,22 +110,18 @@
 	refuse error
 	// odd is what the next frame does.
 	odd oddity
-	// prefilled sums what attempts had to prefill, and wasted the tokens
-	// that were generated and never read.
-	prefilled int
+	// opened counts the attempts, refused ones included.
 	opened    int
-	noExport  bool
 	exportFor time.Duration
-	notices   []chan Notice
 }
 
 func newFakeEngine(instance ident.Instance, step time.Duration) *fakeEngine {
 	return &fakeEngine{
-		instance: instance,
-		step:     step,
-		streams:  make(map[*fakeStream]struct{}),
-		cache:    make(map[ident.Request][]string),
-		started:  make(map[ident.Request]int),
+		noticeBoard: noticeBoard{instance: instance},
+		step:        step,
+		streams:     make(map[*fakeStream]struct{}),
+		cache:       make(map[ident.Request][]string),
+		started:     make(map[ident.Request]int),
 	}
 }
 
@@ -131,7 +156,6 @@
 		lost:   make(chan struct{}), silent: make(chan struct{}), closed: make(chan struct{}),
 		prefilled: prompt.Tokens(req.Prompt) + len(req.Delivered) - e.cached(req),
 	}
-	e.prefilled += s.prefilled
 	e.streams[s] = struct{}{}
 	return s, nil
 }
@@ -313,24 +337,10 @@
 	return len(e.streams)
 }
 
-// watchNotice returns the notice channel of one target.
-func (e *fakeEngine) watchNotice() <-chan Notice {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	c := make(chan Notice, 1)
-	e.notices = append(e.notices, c)
-	return c
-}
-
 // giveNotice announces a reclaim to every target, and refuses new streams.
 func (e *fakeEngine) giveNotice(left time.Duration) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.refuse = upstream.ErrLeaving
-	for _, c := range e.notices {
-		c <- Notice{Deadline: time.Now().Add(left)}
-	}
-	e.notices = nil
+	e.setRefuse(upstream.ErrLeaving)
+	e.announce(left)
 }
 
 func (e *fakeEngine) ExportCache(ctx context.Context, id ident.Request) ([]byte, error) {
@@ -341,9 +351,6 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.noExport {
-		return nil, errors.New("export is not supported")
-	}
 	cached, ok := e.cache[id]
 	if !ok {
 		return nil, errors.New("not cached")
@@ -361,13 +368,3 @@
 	e.cache[id] = tokens
 	return len(tokens), nil
 }
-
-func (e *fakeEngine) Report(context.Context) (upstream.Report, error) {
-	return upstream.Report{}, nil
-}
-
-func (e *fakeEngine) CacheEvents(context.Context, uint64) ([]upstream.CacheEvent, error) {
-	return nil, nil
-}
-
-func (e *fakeEngine) Apply(context.Context, upstream.Order) error { return nil }
--- a/internal/streaming/machine_test.go
+++ b/internal/streaming/machine_test.go
@@ -89,7 +89,7 @@
 		e.exportFor = drawMillis(rt, "export", 10, 300)
 		w.engines = append(w.engines, e)
 	}
-	w.picker = &fakePicker{engines: w.engines}
+	w.picker = &fakePicker{engines: []testEngine{w.engines[0], w.engines[1], w.engines[2]}}
 	w.runner = NewRunner(w.config, w.picker, nil, nil)
 	for range 3 {
 		w.gateways = append(w.gateways, NewRegistry(w.config, w.runner))
--- a/internal/streaming/recompute_test.go
+++ b/internal/streaming/recompute_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"slices"
 	"strings"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,115 +14,55 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/prompt"
 	standin "github.com/goldcrestspool/goldcrestspool/internal/standin/answer"
 	"github.com/goldcrestspool/goldcrestspool/internal/standin/engine"
-	"github.com/goldcrestspool/goldcrestspool/internal/upstream"
 )
 
-// cutEngine is a stand-in engine whose connections can fall silent for good,
-// and whose KV cache can be made unavailable. It runs in the test's process.
-type cutEngine struct {
+// standInEngine is the repository's stand-in engine. Its KV cache can be made
+// unavailable.
+type standInEngine struct {
 	*engine.Engine
-	name     ident.Instance
+	noticeBoard
 	noExport bool
-
-	mu   sync.Mutex
-	open map[*cutStream]struct{}
-}
-
-// cutStream is one connection to a cutEngine.
-type cutStream struct {
-	upstream.TokenStream
-	ctx context.Context
-	cut chan struct{}
 }
 
-func newCutEngine(name ident.Instance) *cutEngine {
-	return &cutEngine{
-		Engine: engine.New(engine.Config{Instance: name, Parameters: engine.DefaultParameters()}),
-		name:   name,
-		open:   make(map[*cutStream]struct{}),
-	}
-}
-
-func (e *cutEngine) Generate(ctx context.Context, req upstream.GenerateRequest) (upstream.TokenStream, error) {
-	// Cancelling does not reach the engine over a silent connection.
-	stream, err := e.Engine.Generate(context.WithoutCancel(ctx), req)
-	if err != nil {
-		return nil, err
-	}
-	s := &cutStream{TokenStream: stream, ctx: ctx, cut: make(chan struct{})}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.open[s] = struct{}{}
-	return s, nil
-}
-
-func (e *cutEngine) ExportCache(ctx context.Context, id ident.Request) ([]byte, error) {
+func (e *standInEngine) ExportCache(ctx context.Context, id ident.Request) ([]byte, error) {
 	if e.noExport {
 		return nil, errors.New("the notice leaves no time to export")
 	}
 	return e.Engine.ExportCache(ctx, id)
 }
 
-// silence makes every open connection silent for good.
-func (e *cutEngine) silence() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for s := range e.open {
-		close(s.cut)
-	}
-	clear(e.open)
-}
-
-func (s *cutStream) Next() (upstream.Frame, error) {
-	f, err := s.TokenStream.Next()
-	select {
-	case <-s.cut:
-		<-s.ctx.Done()
-		return upstream.Frame{}, s.ctx.Err()
-	default:
-		return f, err
-	}
-}
-
-func (s *cutStream) Close() error {
-	select {
-	case <-s.cut:
-		return nil
-	default:
-		return s.TokenStream.Close()
-	}
+// leave gives notice of a reclaim and ends the engine at its deadline.
+func (e *standInEngine) leave(left time.Duration) {
+	e.Leave()
+	e.announce(left)
+	time.AfterFunc(left, e.Close)
 }
 
 // pair is a gateway over two stand-in engines.
 type pair struct {
-	engines  [2]*cutEngine
-	notices  [2]chan Notice
-	config   Config
-	registry *Registry
 	reportLog
+	engines  []*standInEngine
+	picker   *fakePicker
+	registry *Registry
 }
 
 func newPair() *pair {
-	p := &pair{config: DefaultConfig()}
-	for i, name := range []ident.Instance{"a", "b"} {
-		p.engines[i] = newCutEngine(name)
-		p.notices[i] = make(chan Notice, 1)
+	p := &pair{picker: &fakePicker{}}
+	for _, name := range []ident.Instance{"a", "b"} {
+		e := &standInEngine{
+			Engine:      engine.New(engine.Config{Instance: name, Parameters: engine.DefaultParameters()}),
+			noticeBoard: noticeBoard{instance: name},
+		}
+		p.engines = append(p.engines, e)
+		p.picker.engines = append(p.picker.engines, e)
 	}
 	p.registry = p.gateway()
 	return p
 }
 
-func (p *pair) gateway() *Registry { return NewRegistry(p.config, NewRunner(p.config, p, nil, p)) }
-
-// Pick implements Picker: the engine that served last, then a, then b.
-func (p *pair) Pick(_ context.Context, req PickRequest) (Target, error) {
-	for _, i := range []int{0, 1, 0} {
-		e := p.engines[i]
-		if !slices.Contains(req.Exclude, e.name) && (req.Served == "" || req.Served == e.name || slices.Contains(req.Exclude, req.Served)) {
-			return Target{Instance: e.name, Engine: e, Notice: p.notices[i]}, nil
-		}
-	}
-	return Target{}, errors.New("none is left")
+func (p *pair) gateway() *Registry {
+	config := DefaultConfig()
+	return NewRegistry(config, NewRunner(config, p.picker, nil, p))
 }
 
 // recomputed sums the reports.
@@ -136,13 +75,6 @@
 	return len(reports), recomputed, imported
 }
 
-// leave gives notice of a reclaim and ends the engine at its deadline.
-func (p *pair) leave(left time.Duration) {
-	p.engines[0].Leave()
-	p.notices[0] <- Notice{Deadline: time.Now().Add(left)}
-	time.AfterFunc(left, p.engines[0].Close)
-}
-
 func (p *pair) close() {
 	p.registry.Close()
 	p.engines[0].Close()
@@ -172,11 +104,10 @@
 	}{
 		{story: "nothing goes wrong", fault: func(*pair) {}, most: 0},
 		{story: "upstream lost without notice", fault: func(p *pair) { p.engines[0].Close() }, most: promptTokens + answerTokens},
-		{story: "notice of 30 s: the answer ends in time", fault: func(p *pair) { p.leave(30 * time.Second) }, most: 0},
-		{story: "notice of 3 s: cache moved", fault: func(p *pair) { p.leave(3 * time.Second) }, most: 2 * prompt.BlockTokens, imported: true},
-		{story: "notice of 3 s: no export", fault: func(p *pair) { p.engines[0].noExport = true; p.leave(3 * time.Second) }, most: promptTokens + answerTokens},
-		{story: "notice of 1 s: no time to move", fault: func(p *pair) { p.leave(time.Second) }, most: promptTokens + answerTokens},
-		{story: "connection silent, upstream alive", fault: func(p *pair) { p.engines[0].silence() }, most: answerTokens},
+		{story: "notice of 30 s: the answer ends in time", fault: func(p *pair) { p.engines[0].leave(30 * time.Second) }, most: 0},
+		{story: "notice of 3 s: cache moved", fault: func(p *pair) { p.engines[0].leave(3 * time.Second) }, most: 2 * prompt.BlockTokens, imported: true},
+		{story: "notice of 3 s: no export", fault: func(p *pair) { p.engines[0].noExport = true; p.engines[0].leave(3 * time.Second) }, most: promptTokens + answerTokens},
+		{story: "notice of 1 s: no time to move", fault: func(p *pair) { p.engines[0].leave(time.Second) }, most: promptTokens + answerTokens},
 		{story: "gateway leaves, upstream stays", fault: func(*pair) {}, most: answerTokens},
 	}
 	t.Logf("prompt of %d tokens, answer of %d, fault after %v", promptTokens, answerTokens, faultAfter)
@@ -225,7 +156,7 @@
 // itself it would take the other.
 func (p *pair) handOver(t *testing.T) {
 	old := p.registry
-	p.engines[0], p.engines[1] = p.engines[1], p.engines[0]
+	slices.Reverse(p.picker.engines)
 	p.registry = p.gateway()
 	report := old.Leave(t.Context(), time.Millisecond, []Peer{fakePeer{to: p.registry}})
 	if report.HandedOver != 1 || report.Left != 0 {
--- a/internal/streaming/runner_test.go
+++ b/internal/streaming/runner_test.go
@@ -21,7 +21,7 @@
 func newBench(config Config) *bench {
 	const step = 20 * time.Millisecond
 	b := &bench{engines: []*fakeEngine{newFakeEngine("a", step), newFakeEngine("b", step)}}
-	b.picker = &fakePicker{engines: b.engines}
+	b.picker = &fakePicker{engines: []testEngine{b.engines[0], b.engines[1]}}
 	b.registry = NewRegistry(config, NewRunner(config, b.picker, nil, b))
 	return b
 }
--- a/internal/streaming/sockets_test.go
+++ b/internal/streaming/sockets_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
+	"github.com/goldcrestspool/goldcrestspool/internal/prompt"
 	"github.com/goldcrestspool/goldcrestspool/internal/standin/answer"
 	"github.com/goldcrestspool/goldcrestspool/internal/standin/engine"
 	"github.com/goldcrestspool/goldcrestspool/internal/streaming"
@@ -103,17 +104,10 @@
 	return o.target, nil
 }
 
-// attempts collects the causes of attempts.
-type attempts struct {
-	mu     sync.Mutex
-	causes []streaming.Cause
-}
+// attempts collects the reports of one stream's attempts.
+type attempts []streaming.AttemptReport
 
-func (a *attempts) AttemptEnded(r streaming.AttemptReport) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.causes = append(a.causes, r.Cause)
-}
+func (a *attempts) AttemptEnded(r streaming.AttemptReport) { *a = append(*a, r) }
 
 // collector is a caller's connection; half is closed at half of the answer.
 type collector struct {
@@ -160,7 +154,7 @@
 	defer registry.Close()
 	req := streaming.Request{
 		Key: streaming.Key{Account: "weber", Request: "r-1"},
-		Ask: streaming.Ask{Service: "spool-llm", Prompt: "Dossier of lot 7", MaxTokens: tokens},
+		Ask: streaming.Ask{Service: "spool-llm", Prompt: strings.Repeat("lot.", 3000), MaxTokens: tokens},
 	}
 	sink := &collector{at: tokens / 2, half: func() {
 		if _, err := client.Report(t.Context()); err != nil {
@@ -175,7 +169,11 @@
 	if !slices.Equal(sink.tokens, answer.Tokens(req.Ask.Prompt, tokens)) {
 		t.Errorf("%d tokens, not the answer", len(sink.tokens))
 	}
-	if want := []streaming.Cause{streaming.CauseFirst, streaming.CauseSilent}; !slices.Equal(seen.causes, want) {
-		t.Errorf("attempts for %v; want %v", seen.causes, want)
+	if len(*seen) != 2 || (*seen)[1].Cause != streaming.CauseSilent {
+		t.Fatalf("attempts %+v; want a first and one after the silence", *seen)
+	}
+	t.Logf("connection silent, upstream alive: %d tokens delivered before, %d recomputed", (*seen)[0].Tokens, (*seen)[1].Recomputed)
+	if whole := prompt.Tokens(req.Ask.Prompt) + (*seen)[0].Tokens; (*seen)[1].Recomputed >= whole {
+		t.Errorf("recomputed all %d tokens; the prompt is cached here", whole)
 	}
 }
