--- a/internal/streaming/recompute_test.go
+++ b/internal/streaming/recompute_test.go
@@ -83,7 +83,7 @@
 
 const (
 	promptTokens = 3000
-	answerTokens = 600
+	answerTokens = 800
 	// faultAfter is when about half of the answer is delivered.
 	faultAfter = 4 * time.Second
 )
