--- a/Makefile
+++ b/Makefile
@@ -1,21 +1,20 @@
 # Targets for people. CI calls .ci/run, which calls test and demo.
 GO    ?= go
 TOOL  := $(GO) tool -modfile=tools/go.mod
-BINS  := gateway controller spoolctl standin loadgen
 FOR   ?= 60s
 
-.PHONY: build test demo demo-up generate generate-check lint
+.PHONY: build test lint generate generate-check demo demo-up load promises fuzz
 
 build:
 	@mkdir -p bin
-	CGO_ENABLED=1 $(GO) build -o bin/ $(addprefix ./cmd/,$(BINS))
+	CGO_ENABLED=1 $(GO) build -o bin/ ./cmd/... ./examples/...
 
 lint:
-	@test -z "$$(gofmt -l cmd internal)" || { gofmt -l cmd internal; exit 1; }
+	@test -z "$$(gofmt -l cmd internal examples)" || { gofmt -l cmd internal examples; exit 1; }
 	$(GO) vet ./...
 	$(TOOL) staticcheck ./...
 
-# -rapid.seed fixes the seeds of the fuzzing tests, so that a run is repeatable.
+# The fuzzing tests fix their seeds (internal/testkit), so a run is repeatable.
 test: lint
 	$(GO) test -race ./...
 
@@ -33,6 +32,18 @@
 demo-up: build
 	scripts/demo.sh --up
 
+# Load at today's size, with one gateway stopped gracefully half-way.
+load: build
+	STOP=10 scripts/load.sh 200 20s
+
+# Runs every test that docs/PROMISES.md names and prints a line for each.
+promises:
+	$(GO) run ./internal/promises/check docs/PROMISES.md
+
+# Looks for new failures with fresh seeds for a time: make fuzz FOR=60s
+fuzz:
+	scripts/fuzz.sh $(FOR)
+
 # --- routing policies (cmd/experiment) ---
 .PHONY: policy
 
