--- /dev/null
+++ b/cmd/spoolctl/main.go
@@ -0,0 +1,18 @@
+// Command spoolctl is the operators' client: it validates and publishes
+// documents and shows what the system does.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/spoolctl"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	os.Exit(spoolctl.Run(ctx, os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/internal/controllers/configuration/controller.go
+++ b/internal/controllers/configuration/controller.go
@@ -43,22 +43,6 @@
 	peerTimeout = 2 * time.Second
 )
 
-// Peer is another process and the revision that it has in force.
-type Peer struct {
-	ID       ident.Instance
-	Revision ident.Revision
-}
-
-// PeerDocuments is what this controller needs of other processes.
-type PeerDocuments interface {
-	// Highest returns the reachable peer with the highest revision. It is
-	// false when no peer is reachable, and until every known peer was heard
-	// of or failed once: the one not asked yet may hold a higher revision.
-	Highest() (Peer, bool)
-	// GetDocuments asks a peer for everything above a revision.
-	GetDocuments(ctx context.Context, peer ident.Instance, above ident.Revision) (document.Delta, error)
-}
-
 // Options are what a Controller works with.
 type Options struct {
 	// Instance spreads work that any process may do.
@@ -128,7 +112,8 @@
 // goroutine.
 func (c *Controller) Revision() ident.Revision { return c.State().Revision() }
 
-// Delta answers a peer's GetDocuments. It may be called by any goroutine.
+// Delta returns what a process needs that is complete up to a revision. It may
+// be called by any goroutine.
 func (c *Controller) Delta(above ident.Revision) document.Delta { return c.State().Delta(above) }
 
 // readResult is what one read of the log gave.
--- a/internal/controllers/configuration/follow.go
+++ b/internal/controllers/configuration/follow.go
@@ -118,7 +118,7 @@
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	through := c.reader.State().Through()
-	delta, err := c.options.Peers.GetDocuments(ctx, peer.ID, through)
+	delta, err := c.options.Peers.GetDocuments(ctx, peer, through)
 	if err == nil && delta.Through <= through {
 		return
 	}
--- /dev/null
+++ b/internal/controllers/configuration/peers.go
@@ -0,0 +1,84 @@
+package configuration
+
+import (
+	"context"
+
+	peerv1 "github.com/goldcrestspool/goldcrestspool/api/peer/v1"
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+// Peer is another process and the revision that it has in force.
+type Peer struct {
+	ID ident.Instance
+	// Address is host:port of its peer listener.
+	Address  string
+	Revision ident.Revision
+}
+
+// PeerDocuments is what this controller needs of other processes.
+type PeerDocuments interface {
+	// Highest returns the reachable peer with the highest revision. It is
+	// false when no peer is reachable, and until every known peer was heard
+	// of or failed once: the one not asked yet may hold a higher revision.
+	Highest() (Peer, bool)
+	// GetDocuments asks a peer for everything above a revision.
+	GetDocuments(ctx context.Context, peer Peer, above ident.Revision) (document.Delta, error)
+}
+
+// PeerClient sends a request to the process at an address; *peer.Pool does.
+type PeerClient interface {
+	GetDocuments(ctx context.Context, address string, req *peerv1.GetDocumentsRequest) (*peerv1.GetDocumentsResponse, error)
+}
+
+// remotePeers asks peers over their own protocol.
+type remotePeers struct {
+	client  PeerClient
+	highest func() (Peer, bool)
+}
+
+// NewPeers returns PeerDocuments over a client. highest is as in
+// PeerDocuments; membership knows it from the heartbeats.
+func NewPeers(client PeerClient, highest func() (Peer, bool)) PeerDocuments {
+	return &remotePeers{client: client, highest: highest}
+}
+
+// Highest implements PeerDocuments.
+func (r *remotePeers) Highest() (Peer, bool) { return r.highest() }
+
+// GetDocuments implements PeerDocuments.
+func (r *remotePeers) GetDocuments(ctx context.Context, peer Peer, above ident.Revision) (document.Delta, error) {
+	req := &peerv1.GetDocumentsRequest{AboveRevision: uint64(above)}
+	resp, err := r.client.GetDocuments(ctx, peer.Address, req)
+	if err != nil {
+		return document.Delta{}, err
+	}
+	return fromProto(resp), nil
+}
+
+// GetDocuments answers a peer; the peer server's handler Documents.
+func (c *Controller) GetDocuments(_ context.Context, req *peerv1.GetDocumentsRequest) (*peerv1.GetDocumentsResponse, error) {
+	return toProto(c.Delta(ident.Revision(req.GetAboveRevision()))), nil
+}
+
+func toProto(d document.Delta) *peerv1.GetDocumentsResponse {
+	out := &peerv1.GetDocumentsResponse{Revision: uint64(d.Through)}
+	for _, r := range d.Records {
+		out.Records = append(out.Records, &peerv1.DocumentRecord{
+			Revision: uint64(r.Revision),
+			Record:   r.Record,
+		})
+	}
+	return out
+}
+
+func fromProto(in *peerv1.GetDocumentsResponse) document.Delta {
+	d := document.Delta{Through: ident.Revision(in.GetRevision())}
+	for _, r := range in.GetRecords() {
+		d.Records = append(d.Records, document.DeltaRecord{
+			Revision: ident.Revision(r.GetRevision()),
+			Record:   r.GetRecord(),
+		})
+	}
+	return d
+}
--- a/internal/controllers/configuration/world_test.go
+++ b/internal/controllers/configuration/world_test.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
+	peerv1 "github.com/goldcrestspool/goldcrestspool/api/peer/v1"
 	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
-	"github.com/goldcrestspool/goldcrestspool/internal/document"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
 )
@@ -183,7 +183,7 @@
 	p.controller = New(Options{
 		Instance:  ident.Instance(p.name),
 		Log:       p.link,
-		Peers:     p,
+		Peers:     NewPeers(p, p.highest),
 		Documents: p.board.Documents,
 		Health:    p.board.Configuration,
 		Schema:    p.schema,
@@ -267,25 +267,25 @@
 	return out
 }
 
-// Highest implements PeerDocuments.
-func (p *process) Highest() (Peer, bool) {
+// highest is what membership knows from the heartbeats.
+func (p *process) highest() (Peer, bool) {
 	var best Peer
 	found := false
 	for _, other := range p.reachable() {
 		revision := other.controller.Revision()
 		if !found || revision > best.Revision {
-			best, found = Peer{ID: ident.Instance(other.name), Revision: revision}, true
+			best, found = Peer{Address: other.name, Revision: revision}, true
 		}
 	}
 	return best, found
 }
 
-// GetDocuments implements PeerDocuments, through the wire form.
-func (p *process) GetDocuments(_ context.Context, peer ident.Instance, above ident.Revision) (document.Delta, error) {
+// GetDocuments implements PeerClient.
+func (p *process) GetDocuments(ctx context.Context, address string, req *peerv1.GetDocumentsRequest) (*peerv1.GetDocumentsResponse, error) {
 	for _, other := range p.reachable() {
-		if ident.Instance(other.name) == peer {
-			return FromProto(ToProto(other.controller.Delta(above))), nil
+		if other.name == address {
+			return other.controller.GetDocuments(ctx, req)
 		}
 	}
-	return document.Delta{}, platform.ErrUnavailable
+	return nil, platform.ErrUnavailable
 }
--- a/internal/document/fold.go
+++ b/internal/document/fold.go
@@ -41,6 +41,10 @@
 	return versions[len(versions)-1], true
 }
 
+// Versions returns the versions of a service that some program may serve by,
+// ascending by revision; the last one is in force.
+func (s State) Versions(service ident.Service) []Accepted { return slices.Clone(s.services[service]) }
+
 // Services returns the names of all services in order.
 func (s State) Services() []ident.Service {
 	return slices.Sorted(maps.Keys(s.services))
--- /dev/null
+++ b/internal/spoolctl/command_test.go
@@ -0,0 +1,73 @@
+package spoolctl
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/platform/connectplatform"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/logstore"
+)
+
+// run carries out a command line against a platform at address.
+func run(t *testing.T, line ...string) (int, string) {
+	t.Helper()
+	stderr, err := os.Create(filepath.Join(t.TempDir(), "stderr"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = stderr.Close() }()
+	var out bytes.Buffer
+	status := Run(context.Background(), line, &out, stderr)
+	said, err := os.ReadFile(stderr.Name())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return status, out.String() + string(said)
+}
+
+func TestCommands(t *testing.T) {
+	mux := http.NewServeMux()
+	connectplatform.Mount(mux, connectplatform.Services{Log: logstore.New(logstore.Options{})})
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	const file = "../../examples/auktion-app.toml"
+	bad := filepath.Join(t.TempDir(), "bad.toml")
+	if err := os.WriteFile(bad, []byte("schema = 1\nkind = \"plain\"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	steps := []struct {
+		name   string
+		line   []string
+		status int
+		want   string
+	}{
+		{"a good document is valid", []string{"validate", file}, ExitGood, "1 valid"},
+		{"a bad document has findings", []string{"validate", bad}, ExitUsage, "service: is missing"},
+		{"findings as JSON", []string{"validate", "--json", bad}, ExitUsage, `"key": "service"`},
+		{"a bad document is not published", []string{"publish", bad, "--platform", server.URL}, ExitUsage, "service: is missing"},
+		{"nothing to show yet", []string{"show", "auktion-app", "--platform", server.URL}, ExitRefused, "was published"},
+		{"the first version", []string{"publish", file, "--platform", server.URL}, ExitGood, "accepted at revision 1 (replaces none)"},
+		{"an edit of an older version loses", []string{"publish", file, "--platform", server.URL, "--base", "0"}, ExitRefused, "lost to revision 1"},
+		{"the second version", []string{"publish", file, "--platform", server.URL, "--base", "1"}, ExitGood, "accepted at revision 2"},
+		{"the history", []string{"history", "auktion-app", "--platform", server.URL}, ExitGood, "in force"},
+		{"the version in force", []string{"show", "auktion-app", "--platform", server.URL}, ExitGood, "place_bid"},
+		{"an earlier version", []string{"show", "auktion-app", "--revision", "1", "--json", "--platform", server.URL}, ExitGood, `"revision": 1`},
+		{"no such version", []string{"show", "auktion-app", "--revision", "9", "--platform", server.URL}, ExitRefused, "no revision 9"},
+		{"no platform", []string{"publish", file}, ExitUsage, "--platform"},
+		{"no command", nil, ExitUsage, "no command"},
+		{"help", []string{"--help"}, ExitGood, "publish"},
+		{"a gateway that does not answer", []string{"status", "--gateway", "127.0.0.1:1"}, ExitRefused, "does not answer"},
+	}
+	for _, step := range steps {
+		status, said := run(t, step.line...)
+		if status != step.status || !strings.Contains(said, step.want) {
+			t.Errorf("%s: status %d, want %d; said %q, want %q", step.name, status, step.status, said, step.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/spoolctl/history.go
@@ -0,0 +1,155 @@
+package spoolctl
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+// version is one line of a service's history.
+type version struct {
+	// Revision is 0 for a publication that was refused.
+	Revision  ident.Revision `json:"revision,omitempty"`
+	Base      ident.Revision `json:"base_revision"`
+	PublishID string         `json:"publish_id"`
+	Schema    int            `json:"schema"`
+	Bytes     int            `json:"bytes"`
+	Verdict   verdict        `json:"verdict"`
+	// LostTo is the revision that came first, for a refused publication.
+	LostTo ident.Revision `json:"lost_to,omitempty"`
+	// At is the log's time; nil if the record itself expired.
+	At      *time.Time `json:"at,omitempty"`
+	InForce bool       `json:"in_force,omitempty"`
+
+	document []byte
+}
+
+// versions lists what the log still tells of a service, oldest first.
+func (s *stream) versions(service ident.Service) []version {
+	current, _ := s.reader.State().Current(service)
+	list := s.fromSnapshot(service)
+	for _, d := range s.decisions {
+		if d.Publication.Service == service {
+			list = append(list, s.version(d))
+		}
+	}
+	for i := range list {
+		list[i].InForce = list[i].Revision != 0 && list[i].Revision == current.Revision
+	}
+	return list
+}
+
+// fromSnapshot lists the versions whose records expired.
+func (s *stream) fromSnapshot(service ident.Service) []version {
+	var list []version
+	for _, a := range s.reader.State().Versions(service) {
+		if _, read := s.appendedAt[ident.Offset(a.Revision-1)]; !read {
+			list = append(list, newVersion(a.Publication, accepted, a.Revision))
+		}
+	}
+	return list
+}
+
+func (s *stream) version(d document.Decision) version {
+	at := s.appendedAt[d.Offset]
+	var v version
+	if d.Kind == document.AcceptedRecord {
+		v = newVersion(d.Publication, accepted, d.Current)
+	} else {
+		v = newVersion(d.Publication, lost, 0)
+		v.LostTo = d.Current
+	}
+	v.At = &at
+	return v
+}
+
+func newVersion(p document.Publication, what verdict, revision ident.Revision) version {
+	return version{
+		Revision: revision, Base: p.Base, PublishID: p.PublishID, Schema: p.Schema,
+		Bytes: len(p.Document), Verdict: what, document: p.Document,
+	}
+}
+
+func (c *command) history(ctx context.Context, a *historyArguments) error {
+	s, err := a.stream()
+	if err != nil {
+		return err
+	}
+	if err := s.toHead(ctx); err != nil {
+		return err
+	}
+	list := s.versions(ident.Service(a.Service))
+	if len(list) == 0 {
+		return errcode.Errorf(errcode.NotFound, "no document of service %q was published", a.Service)
+	}
+	c.print(struct {
+		Service  string    `json:"service"`
+		Versions []version `json:"versions"`
+	}{a.Service, list}, historyTable(list))
+	return nil
+}
+
+func historyTable(list []version) string {
+	var b strings.Builder
+	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "REVISION\tBASE\tPUBLISHED\tSCHEMA\tBYTES\tPUBLISH ID\tVERDICT")
+	for _, v := range list {
+		at := "expired"
+		if v.At != nil {
+			at = v.At.UTC().Format(time.RFC3339)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%s\t%s\n", dashForNone(v.Revision), revisionOrNone(v.Base),
+			at, v.Schema, v.Bytes, v.PublishID, v.remark())
+	}
+	_ = w.Flush()
+	return strings.TrimSuffix(b.String(), "\n")
+}
+
+func dashForNone(r ident.Revision) string {
+	if r == 0 {
+		return "-"
+	}
+	return fmt.Sprint(r)
+}
+
+func (v version) remark() string {
+	switch {
+	case v.Verdict == lost:
+		return "lost to " + revisionOrNone(v.LostTo)
+	case v.InForce:
+		return "in force"
+	}
+	return string(v.Verdict)
+}
+
+func (c *command) show(ctx context.Context, a *showArguments) error {
+	s, err := a.stream()
+	if err != nil {
+		return err
+	}
+	if err := s.toHead(ctx); err != nil {
+		return err
+	}
+	service, wanted := ident.Service(a.Service), ident.Revision(a.Revision)
+	for _, v := range s.versions(service) {
+		if v.Verdict != accepted || v.Revision != wanted && (wanted != 0 || !v.InForce) {
+			continue
+		}
+		c.print(struct {
+			Service string `json:"service"`
+			version
+			Document string `json:"document"`
+		}{a.Service, v, string(v.document)}, strings.TrimSuffix(string(v.document), "\n"))
+		return nil
+	}
+	if wanted == 0 {
+		return errcode.Errorf(errcode.NotFound, "no document of service %q was published", a.Service)
+	}
+	return notKept(service, wanted)
+}
--- /dev/null
+++ b/internal/spoolctl/publish.go
@@ -0,0 +1,221 @@
+package spoolctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/google/uuid"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
+	"github.com/goldcrestspool/goldcrestspool/internal/finding"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+)
+
+// verdict says what became of a publication.
+type verdict string
+
+// The verdicts.
+const (
+	// accepted: in force from the revision on.
+	accepted verdict = "accepted"
+	// lost: another operator's publication came first. Nothing changed.
+	lost verdict = "lost"
+	// notPublished: the log did not take it and never will.
+	notPublished verdict = "not_published"
+	// undecided: the log's answer was lost and the record has not shown up.
+	// It may still be accepted.
+	undecided verdict = "undecided"
+)
+
+// publication is the result of a publish command.
+type publication struct {
+	Service   ident.Service `json:"service"`
+	PublishID string        `json:"publish_id"`
+	Verdict   verdict       `json:"verdict"`
+	// Base is the revision that was to be replaced.
+	Base ident.Revision `json:"base_revision"`
+	// Revision is the own one if accepted, else the one in force.
+	Revision ident.Revision `json:"revision"`
+	Detail   string         `json:"detail,omitempty"`
+}
+
+func (c *command) publish(ctx context.Context, a *publishArguments) error {
+	doc, data, found := readDocument(a.File)
+	if err := found.Err(); err != nil {
+		return err
+	}
+	s, err := a.stream()
+	if err != nil {
+		return err
+	}
+	p := document.Publication{
+		Service:   doc.Service,
+		PublishID: a.PublishID,
+		Schema:    doc.Schema,
+		Document:  data,
+	}
+	result, err := publish(ctx, s, p, a.Base)
+	if err != nil {
+		return err
+	}
+	c.print(result, result.String())
+	if result.Verdict != accepted {
+		return errTold
+	}
+	return nil
+}
+
+// String tells the verdict in a sentence.
+func (p publication) String() string {
+	switch p.Verdict {
+	case accepted:
+		return fmt.Sprintf("%s: accepted at revision %d (replaces %s)",
+			p.Service, p.Revision, revisionOrNone(p.Base))
+	case lost:
+		return fmt.Sprintf("%s: lost to revision %s, which came before this one could replace %s",
+			p.Service, revisionOrNone(p.Revision), revisionOrNone(p.Base))
+	case notPublished:
+		return fmt.Sprintf("%s: not published: %s", p.Service, p.Detail)
+	}
+	return fmt.Sprintf("%s: undecided: %s; run again with --publish-id %s --base %d",
+		p.Service, p.Detail, p.PublishID, p.Base)
+}
+
+func readDocument(file string) (*document.Document, []byte, finding.List) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, nil, finding.List{{File: file, Problem: err.Error(), Want: "a readable file"}}
+	}
+	doc, found := document.Parse(file, data)
+	return doc, data, found
+}
+
+// publish appends a publication at most once and reads back until its own
+// record is decided. An answer of the log that was lost is resolved by the
+// publish ID, never by a second append: the first may have taken effect.
+func publish(ctx context.Context, s *stream, p document.Publication, base *uint64) (publication, error) {
+	if err := s.toHead(ctx); err != nil {
+		return publication{}, err
+	}
+	if p.PublishID == "" {
+		p.PublishID = uuid.NewString()
+	} else if result, ok := s.settled(p); ok {
+		return result, nil
+	}
+	current, _ := s.reader.State().Current(p.Service)
+	p.Base = current.Revision
+	if base != nil {
+		p.Base = ident.Revision(*base)
+	}
+	result := publication{Service: p.Service, PublishID: p.PublishID, Base: p.Base}
+	if p.Base != current.Revision {
+		result.Verdict, result.Revision = lost, current.Revision
+		return result, nil
+	}
+	return s.append(ctx, p, result)
+}
+
+func (s *stream) append(ctx context.Context, p document.Publication, result publication) (publication, error) {
+	record, err := document.EncodePublication(p)
+	if err != nil {
+		return result, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.patience)
+	defer cancel()
+	s.skipped = false
+	appendCtx, cancelAppend := context.WithTimeout(ctx, readTimeout)
+	defer cancelAppend()
+	_, err = s.log.Append(appendCtx, document.StreamName, [][]byte{record})
+	if errors.Is(err, platform.ErrUnavailable) {
+		result.Verdict, result.Detail, result.Revision = notPublished, err.Error(), p.Base
+		return result, nil
+	}
+	return s.await(ctx, p, result, err)
+}
+
+// await reads until the publication is decided. lostAnswer is the append's
+// error, or nil.
+func (s *stream) await(ctx context.Context, p document.Publication, result publication, lostAnswer error) (publication, error) {
+	for {
+		if decided, ok := s.settled(p); ok {
+			return decided, nil
+		}
+		if current, _ := s.reader.State().Current(p.Service); current.Revision != p.Base && !s.skipped {
+			// All records to this revision were read and the own one is not
+			// among them; after it the fold can only refuse it.
+			result.Verdict, result.Revision = lost, current.Revision
+			return result, nil
+		}
+		if ctx.Err() != nil {
+			result.Verdict, result.Revision = undecided, p.Base
+			result.Detail = "the log's answer was lost and the record is not in the log yet"
+			if lostAnswer == nil {
+				result.Detail = "the log took the record but could not be read back"
+			}
+			return result, nil
+		}
+		if err := s.read(ctx, readWait); err != nil {
+			pause(ctx, retryPause)
+		}
+	}
+}
+
+// settled finds what became of the publication with p's ID.
+func (s *stream) settled(p document.Publication) (publication, bool) {
+	result := publication{Service: p.Service, PublishID: p.PublishID, Base: p.Base}
+	for _, d := range s.decisions {
+		if d.Publication.PublishID != p.PublishID || d.Publication.Service != p.Service {
+			continue
+		}
+		result.Base, result.Revision = d.Publication.Base, d.Current
+		result.Verdict = lost
+		if d.Kind == document.AcceptedRecord {
+			result.Verdict = accepted
+		}
+		return result, true
+	}
+	// The record itself may have expired; a snapshot then tells.
+	current, _ := s.reader.State().Current(p.Service)
+	if current.PublishID == p.PublishID {
+		result.Base, result.Revision, result.Verdict = current.Base, current.Revision, accepted
+		return result, true
+	}
+	return publication{}, false
+}
+
+func (c *command) validate(a *validateArguments) error {
+	var all finding.List
+	services := map[ident.Service]string{}
+	for _, file := range a.Files {
+		doc, _, found := readDocument(file)
+		all = append(all, found...)
+		if len(found) > 0 {
+			continue
+		}
+		if earlier, ok := services[doc.Service]; ok {
+			all.Add(finding.Finding{
+				File: file, Key: "service",
+				Problem: fmt.Sprintf("%q is also described by %s", doc.Service, earlier),
+				Want:    "one document a service",
+			})
+		}
+		services[doc.Service] = file
+	}
+	if err := all.Err(); err != nil {
+		return err
+	}
+	c.print(struct {
+		Valid []string `json:"valid"`
+	}{a.Files}, fmt.Sprintf("%d valid", len(a.Files)))
+	return nil
+}
+
+// notKept is the error for a revision that the log no longer has.
+func notKept(service ident.Service, revision ident.Revision) error {
+	return errcode.Errorf(errcode.NotFound,
+		"%s has no revision %d, or the log no longer keeps it", service, revision)
+}
--- /dev/null
+++ b/internal/spoolctl/publish_test.go
@@ -0,0 +1,142 @@
+package spoolctl
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/fault"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/logstore"
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
+)
+
+func init() { testkit.FixSeed() }
+
+const (
+	service  ident.Service = "auktion-app"
+	patience               = 30 * time.Second
+)
+
+// operator publishes once and reports what it was told.
+func operator(t *rapid.T, log *logstore.Log, id string, base *uint64) publication {
+	s := &stream{log: log, patience: patience}
+	p := document.Publication{Service: service, PublishID: "", Schema: 1, Document: []byte(id)}
+	result, err := publish(context.Background(), s, p, base)
+	if err != nil {
+		return publication{Verdict: notPublished, Detail: err.Error()}
+	}
+	return result
+}
+
+// fates reads the log from the start and says what became of each publication.
+func fates(t *rapid.T, log *logstore.Log) map[string]publication {
+	s := &stream{log: log, patience: patience}
+	if err := s.toHead(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	out := map[string]publication{}
+	for _, d := range s.decisions {
+		verdict := lost
+		if d.Kind == document.AcceptedRecord {
+			verdict = accepted
+		}
+		if _, twice := out[d.Publication.PublishID]; twice {
+			t.Fatalf("%s was appended twice", d.Publication.PublishID)
+		}
+		out[d.Publication.PublishID] = publication{Verdict: verdict, Revision: d.Current}
+	}
+	return out
+}
+
+// Symptom: an operator is told accepted for a change that is not in force, or
+// lost for one that is, or a change is appended twice.
+// Sequence: operators race for one service; answers of the log are lost before
+// or after the append took effect, or the append takes effect later; outages
+// begin and end meanwhile.
+// Cause: a verdict taken from the append's answer instead of the log's order.
+func TestVerdictsAreTrue(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		testkit.Bubble(t, func() { raceOperators(r) })
+	})
+}
+
+func raceOperators(t *rapid.T) {
+	log := logstore.New(logstore.Options{})
+	log.SetLateness(time.Duration(rapid.IntRange(1, 60).Draw(t, "late")) * time.Second)
+	var told []publication
+	for round := range rapid.IntRange(1, 4).Draw(t, "rounds") {
+		operators := rapid.IntRange(1, 4).Draw(t, "operators")
+		for range operators {
+			log.LoseNext(rapid.SampledFrom([]fault.Loss{
+				fault.None, fault.None, fault.BeforeEffect, fault.AfterEffect, fault.Late,
+			}).Draw(t, "loss"))
+		}
+		results := make(chan publication, operators)
+		for i := range operators {
+			go func() { results <- operator(t, log, fmt.Sprintf("%d-%d", round, i), nil) }()
+		}
+		if rapid.Bool().Draw(t, "outage") {
+			log.SetOutage(true)
+			time.Sleep(time.Duration(rapid.IntRange(1, 40).Draw(t, "outage")) * time.Second)
+			log.SetOutage(false)
+		}
+		for range operators {
+			told = append(told, <-results)
+		}
+	}
+	time.Sleep(time.Minute)
+	compare(t, told, fates(t, log))
+}
+
+func compare(t *rapid.T, told []publication, fates map[string]publication) {
+	for _, p := range told {
+		fate, inLog := fates[p.PublishID]
+		switch p.Verdict {
+		case accepted:
+			if fate.Verdict != accepted || fate.Revision != p.Revision {
+				t.Fatalf("told %+v, fate %+v", p, fate)
+			}
+		case lost:
+			if fate.Verdict == accepted {
+				t.Fatalf("told lost, but it is revision %d", fate.Revision)
+			}
+		case notPublished:
+			if inLog && p.PublishID != "" {
+				t.Fatalf("told not published, but the log has it: %+v", fate)
+			}
+		}
+	}
+}
+
+// Symptom: a second publication of a change whose answer was lost.
+// Sequence: the log loses the answer and takes the record only after the
+// operator's program gave up; the operator runs it again with the same ID.
+// Cause: a second append without looking for the first.
+func TestUndecidedPublicationIsSettledByItsID(t *testing.T) {
+	testkit.Bubble(t, func() {
+		log := logstore.New(logstore.Options{})
+		log.SetLateness(time.Minute)
+		log.LoseNext(fault.Late)
+		first := &stream{log: log, patience: patience}
+		p := document.Publication{Service: service, Schema: 1, Document: []byte("x")}
+		result, err := publish(context.Background(), first, p, nil)
+		if err != nil || result.Verdict != undecided {
+			t.Fatalf("first: %+v, %v", result, err)
+		}
+		time.Sleep(time.Minute)
+		p.PublishID = result.PublishID
+		base := uint64(result.Base)
+		again, err := publish(context.Background(), &stream{log: log, patience: patience}, p, &base)
+		if err != nil || again.Verdict != accepted || again.Revision != 1 {
+			t.Errorf("again: %+v, %v", again, err)
+		}
+		if log.Appends() != 1 {
+			t.Errorf("%d appends", log.Appends())
+		}
+	})
+}
--- /dev/null
+++ b/internal/spoolctl/spoolctl.go
@@ -0,0 +1,207 @@
+// Package spoolctl is the operators' command line: documents are validated and
+// published, their history is shown, and gateways are asked what they do.
+package spoolctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
+	"github.com/goldcrestspool/goldcrestspool/internal/finding"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform/connectplatform"
+	"github.com/goldcrestspool/goldcrestspool/internal/transport"
+)
+
+// The exit statuses.
+const (
+	// ExitGood: done.
+	ExitGood = 0
+	// ExitRefused: refused, lost to another operator, or not reachable.
+	ExitRefused = 1
+	// ExitUsage: bad usage, or a document with findings.
+	ExitUsage = 2
+)
+
+// arguments is the command line.
+type arguments struct {
+	Validate *validateArguments `arg:"subcommand:validate" help:"check documents without publishing them"`
+	Publish  *publishArguments  `arg:"subcommand:publish" help:"put a new version of a document in force"`
+	History  *historyArguments  `arg:"subcommand:history" help:"list the versions of a service's document"`
+	Show     *showArguments     `arg:"subcommand:show" help:"print a version of a service's document"`
+	Status   *statusArguments   `arg:"subcommand:status" help:"show readiness, revision and members of a gateway"`
+	Explain  *explainArguments  `arg:"subcommand:explain" help:"tell why a request went where it went"`
+
+	JSON bool `arg:"--json" help:"print the result as JSON"`
+}
+
+type validateArguments struct {
+	Files []string `arg:"positional,required" placeholder:"FILE"`
+}
+
+// platformArguments are of the commands that read the platform's log.
+type platformArguments struct {
+	Platform string        `arg:"required,env:SPOOLCTL_PLATFORM" placeholder:"ADDR" help:"platform's address, host:port or URL"`
+	Patience time.Duration `default:"30s" help:"how long to wait for the log"`
+}
+
+type publishArguments struct {
+	File string `arg:"positional,required"`
+	platformArguments
+	Base      *uint64 `placeholder:"REVISION" help:"refuse unless the service is still at this revision, from which the file was edited; 0 for a new service [default: whatever is in force]"`
+	PublishID string  `arg:"--publish-id" placeholder:"ID" help:"ID of an earlier, undecided publication to settle first"`
+}
+
+type historyArguments struct {
+	Service string `arg:"positional,required"`
+	platformArguments
+}
+
+type showArguments struct {
+	Service string `arg:"positional,required"`
+	platformArguments
+	Revision uint64 `placeholder:"REVISION" help:"an accepted revision [default: the one in force]"`
+}
+
+// gatewayArguments are of the commands that ask a gateway.
+type gatewayArguments struct {
+	Gateway string `arg:"required,env:SPOOLCTL_GATEWAY" placeholder:"ADDR" help:"gateway's operators' address, host:port or URL"`
+}
+
+type statusArguments struct{ gatewayArguments }
+
+type explainArguments struct {
+	RequestID string `arg:"positional,required" placeholder:"REQUEST_ID"`
+	gatewayArguments
+}
+
+// Description implements go-arg's interface for --help.
+func (arguments) Description() string {
+	return "Operates goldcrestspool. Exit status 0: done; 1: refused, lost to another operator " +
+		"or not reachable; 2: bad usage or input."
+}
+
+// Version implements go-arg's interface for --version.
+func (arguments) Version() string { return "spoolctl (goldcrestspool)" }
+
+// Run carries out a command line and returns the exit status.
+func Run(ctx context.Context, args []string, stdout io.Writer, stderr *os.File) int {
+	var parsed arguments
+	parser, err := arg.NewParser(arg.Config{Program: "spoolctl", Out: stderr}, &parsed)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitUsage
+	}
+	switch err := parser.Parse(args); {
+	case errors.Is(err, arg.ErrHelp):
+		_ = parser.WriteHelpForSubcommand(stdout, parser.SubcommandNames()...)
+		return ExitGood
+	case errors.Is(err, arg.ErrVersion):
+		fmt.Fprintln(stdout, parsed.Version())
+		return ExitGood
+	case err == nil && parser.Subcommand() == nil:
+		err = errors.New("no command")
+		fallthrough
+	case err != nil:
+		_ = parser.WriteUsageForSubcommand(stderr, parser.SubcommandNames()...)
+		fmt.Fprintln(stderr, "error:", err)
+		return ExitUsage
+	}
+	c := &command{out: stdout, json: parsed.JSON}
+	return c.exit(c.run(ctx, &parsed), stderr)
+}
+
+// command carries out one command.
+type command struct {
+	out  io.Writer
+	json bool
+}
+
+func (c *command) run(ctx context.Context, a *arguments) error {
+	switch {
+	case a.Validate != nil:
+		return c.validate(a.Validate)
+	case a.Publish != nil:
+		return c.publish(ctx, a.Publish)
+	case a.History != nil:
+		return c.history(ctx, a.History)
+	case a.Show != nil:
+		return c.show(ctx, a.Show)
+	case a.Status != nil:
+		return c.status(ctx, a.Status)
+	}
+	return c.explain(ctx, a.Explain)
+}
+
+// exit reports an error and chooses the exit status.
+func (c *command) exit(err error, stderr io.Writer) int {
+	var findings *finding.Error
+	switch {
+	case err == nil:
+		return ExitGood
+	case errors.As(err, &findings):
+		c.printFindings(findings.Findings, stderr)
+		return ExitUsage
+	case errors.Is(err, errTold):
+		return ExitRefused
+	}
+	fmt.Fprintln(stderr, "spoolctl:", err)
+	if errcode.Of(err) == errcode.InvalidArgument {
+		return ExitUsage
+	}
+	return ExitRefused
+}
+
+// errTold ends a command whose result was printed and is not good.
+var errTold = errors.New("result was printed")
+
+func (c *command) printFindings(list finding.List, stderr io.Writer) {
+	if c.json {
+		c.printJSON(struct {
+			Findings finding.List `json:"findings"`
+		}{list})
+		return
+	}
+	for _, f := range list {
+		fmt.Fprintln(stderr, f)
+	}
+}
+
+// stream opens the configuration stream.
+func (a *platformArguments) stream() (*stream, error) {
+	base, err := baseURL(a.Platform)
+	if err != nil {
+		return nil, err
+	}
+	client := transport.NewClient(transport.Options{})
+	return &stream{log: platform.Log(connectplatform.NewClient(client, base)), patience: a.Patience}, nil
+}
+
+// baseURL accepts host:port besides URLs.
+func baseURL(address string) (string, error) {
+	if !strings.Contains(address, "://") {
+		address = "http://" + address
+	}
+	req, err := http.NewRequest(http.MethodGet, address, nil)
+	if err != nil || req.URL.Host == "" {
+		return "", errcode.Errorf(errcode.InvalidArgument, "%q is not an address such as 127.0.0.1:8080", address)
+	}
+	return strings.TrimSuffix(address, "/"), nil
+}
+
+// revisionOrNone prints revision 0 as what it means.
+func revisionOrNone(r ident.Revision) string {
+	if r == 0 {
+		return "none"
+	}
+	return fmt.Sprint(r)
+}
--- a/internal/testkit/bubble.go
+++ b/internal/testkit/bubble.go
@@ -17,7 +17,8 @@
 // One bubble around the whole rapid.Check would share its virtual time among
 // all checks: rapid gives up after 24 h by its clock and then passes with the
 // few checks it made. All goroutines that f starts must have ended when it
-// returns or panics.
+// returns or panics, and it must not use the context of t or of rapid's T: that
+// belongs outside of the bubble.
 func Bubble(t *testing.T, f func()) {
 	t.Helper()
 	var failure any
