--- a/internal/gateway/documents.go
+++ b/internal/gateway/documents.go
@@ -1,51 +1,24 @@
 package gateway
 
 import (
-	"context"
-
-	peerv1 "github.com/goldcrestspool/goldcrestspool/api/peer/v1"
 	"github.com/goldcrestspool/goldcrestspool/internal/controllers/configuration"
-	"github.com/goldcrestspool/goldcrestspool/internal/controllers/membership"
-	"github.com/goldcrestspool/goldcrestspool/internal/document"
-	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
-	"github.com/goldcrestspool/goldcrestspool/internal/peer"
 )
 
-// peerDocuments gets documents from other gateways. It implements
-// configuration.PeerDocuments.
-type peerDocuments struct {
-	members *membership.Controller
-	pool    *peer.Pool
-}
-
-// Highest implements configuration.PeerDocuments.
-func (p *peerDocuments) Highest() (configuration.Peer, bool) {
+// highestPeer returns the reachable gateway with the highest revision, as the
+// heartbeats tell it.
+func (p *Process) highestPeer() (configuration.Peer, bool) {
 	id, revision, ok := p.members.Highest()
-	return configuration.Peer{ID: id, Revision: revision}, ok
-}
-
-// GetDocuments implements configuration.PeerDocuments.
-func (p *peerDocuments) GetDocuments(ctx context.Context, from ident.Instance, above ident.Revision) (document.Delta, error) {
-	address, ok := p.members.PeerAddress(from)
 	if !ok {
-		return document.Delta{}, errcode.Errorf(errcode.Unavailable, "peer %s has no known address", from)
-	}
-	resp, err := p.pool.GetDocuments(ctx, address, &peerv1.GetDocumentsRequest{AboveRevision: uint64(above)})
-	if err != nil {
-		return document.Delta{}, err
+		return configuration.Peer{}, false
 	}
-	return configuration.FromProto(resp), nil
+	address, ok := p.members.PeerAddress(id)
+	return configuration.Peer{ID: id, Address: address, Revision: revision}, ok
 }
 
-// ownDocuments gives documents to other gateways. It implements
-// peer.Documents, and membership.Configuration for the heartbeats.
-type ownDocuments struct{ controller *configuration.Controller }
-
-// GetDocuments implements peer.Documents.
-func (o *ownDocuments) GetDocuments(_ context.Context, req *peerv1.GetDocumentsRequest) (*peerv1.GetDocumentsResponse, error) {
-	return configuration.ToProto(o.controller.Delta(ident.Revision(req.GetAboveRevision()))), nil
-}
+// ownRevision tells membership the revision of this process. The two
+// controllers need each other, so the second is filled in later.
+type ownRevision struct{ controller *configuration.Controller }
 
 // Revision implements membership.Configuration.
-func (o *ownDocuments) Revision() ident.Revision { return o.controller.Revision() }
+func (o *ownRevision) Revision() ident.Revision { return o.controller.Revision() }
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -196,26 +196,26 @@
 
 // wireState makes the controllers that write the blackboard.
 func (p *Process) wireState() {
-	documents := &ownDocuments{}
+	revision := &ownRevision{}
 	config := membership.DefaultConfig(p.self)
 	config.Interval = p.settings.Membership.Heartbeat
 	config.Seeds = p.settings.Membership.Seeds
 	p.members = membership.New(config, membership.Deps{
 		Board:          p.board,
 		Transport:      p.pool,
-		Configuration:  documents,
+		Configuration:  revision,
 		Log:            p.log.Named("membership"),
 		OnOwnDeparture: func() { p.noteOwnReclaim(p.settings.Limits.StopTimeout) },
 	})
 	p.documents = configuration.New(configuration.Options{
 		Instance:  p.self.ID,
 		Log:       p.platform,
-		Peers:     &peerDocuments{members: p.members, pool: p.pool},
+		Peers:     configuration.NewPeers(p.pool, p.highestPeer),
 		Documents: p.board.Documents,
 		Health:    p.board.Configuration,
 		Logger:    p.log,
 	})
-	documents.controller = p.documents
+	revision.controller = p.documents
 	p.peers = &peering.Peers{
 		Self:    p.self.ID,
 		Domain:  p.self.FailureDomain,
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -78,7 +78,7 @@
 	callers.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: limits.MaxStreams}
 	peers, err := peer.NewServer(peer.Handlers{
 		Heartbeats: p.members,
-		Documents:  &ownDocuments{controller: p.documents},
+		Documents:  p.documents,
 		Calls:      &peering.Local{Calls: p.calls, Streams: p.streams, Stopping: p.board.Stopping},
 	}, peerTLS(p.settings.TLS.Peers))
 	if err != nil {
