--- a/internal/loadgen/booking.go
+++ b/internal/loadgen/booking.go
@@ -40,7 +40,7 @@
 		case callerv1.OutcomeKind_OUTCOME_KIND_COMPLETED:
 			return b.judge(reply.payload)
 		case callerv1.OutcomeKind_OUTCOME_KIND_FAILED:
-			return findingf(Failed, "%s", outcome.GetMessage())
+			return fromOutcome(Failed, outcome)
 		case callerv1.OutcomeKind_OUTCOME_KIND_NOT_RUN:
 			b.refusals++
 			b.doubt = false
--- a/internal/loadgen/caller.go
+++ b/internal/loadgen/caller.go
@@ -76,9 +76,9 @@
 func (c *caller) giveUp(problem error) *finding {
 	switch c.last.GetKind() {
 	case callerv1.OutcomeKind_OUTCOME_KIND_NOT_RUN:
-		return findingf(Refused, "%s: %s", c.last.GetReason(), c.last.GetMessage())
+		return fromOutcome(Refused, c.last)
 	case callerv1.OutcomeKind_OUTCOME_KIND_UNKNOWN, callerv1.OutcomeKind_OUTCOME_KIND_IN_PROGRESS:
-		return findingf(Unknown, "%s: %s", c.last.GetReason(), c.last.GetMessage())
+		return fromOutcome(Unknown, c.last)
 	}
 	return findingf(Lost, "no outcome after %d tries: %v", c.tries, problem)
 }
--- a/internal/loadgen/loadgen_test.go
+++ b/internal/loadgen/loadgen_test.go
@@ -102,7 +102,7 @@
 }
 
 func told(kind callerv1.OutcomeKind) *callerv1.Outcome {
-	return &callerv1.Outcome{Kind: kind, RetryAfter: durationpb.New(time.Millisecond)}
+	return &callerv1.Outcome{Kind: kind, Reason: "overloaded", RetryAfter: durationpb.New(time.Millisecond)}
 }
 
 var (
@@ -197,6 +197,13 @@
 	if got := result.Kinds[kind].Verdicts; !cmp.Equal(got, map[Verdict]int{want: 1}) {
 		t.Errorf("got %v, want %s; %+v", got, want, result.Problems)
 	}
+	reasons := map[string]int{}
+	if want == Refused || want == Unknown {
+		reasons["overloaded"] = 1
+	}
+	if got := result.Kinds[kind].Reasons; !cmp.Equal(got, reasons) {
+		t.Errorf("reasons %v, want %v", got, reasons)
+	}
 	if (result.Broken > 0) != want.Broken() {
 		t.Errorf("%d broken for verdict %s", result.Broken, want)
 	}
--- a/internal/loadgen/result.go
+++ b/internal/loadgen/result.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -30,11 +32,14 @@
 // KindResult is the result of one kind of request. Times count from when a
 // request was due; only whole answers are in them.
 type KindResult struct {
-	Sent          int             `json:"sent"`
-	Verdicts      map[Verdict]int `json:"verdicts"`
-	FirstToken    Percentiles     `json:"first_token"`
-	BetweenTokens Percentiles     `json:"between_tokens"`
-	Completion    Percentiles     `json:"completion"`
+	Sent     int             `json:"sent"`
+	Verdicts map[Verdict]int `json:"verdicts"`
+	// Reasons counts the gateways' reasons for refused, failed and unknown
+	// ends.
+	Reasons       map[string]int `json:"reasons"`
+	FirstToken    Percentiles    `json:"first_token"`
+	BetweenTokens Percentiles    `json:"between_tokens"`
+	Completion    Percentiles    `json:"completion"`
 }
 
 // Problem is one answer that broke a promise.
@@ -106,7 +111,7 @@
 	}
 	times := make(map[Kind]histograms)
 	for _, kind := range Kinds {
-		result.Kinds[kind] = &KindResult{Verdicts: make(map[Verdict]int)}
+		result.Kinds[kind] = &KindResult{Verdicts: make(map[Verdict]int), Reasons: make(map[string]int)}
 		times[kind] = newHistograms()
 	}
 	for _, e := range all {
@@ -125,6 +130,9 @@
 	k := r.Kinds[e.arrival.Kind]
 	k.Sent++
 	k.Verdicts[e.finding.verdict]++
+	if e.finding.reason != "" {
+		k.Reasons[e.finding.reason]++
+	}
 	r.Tries += e.tries
 	r.Resumes += e.resumes
 	account := r.account(string(e.arrival.Account.Name))
@@ -192,6 +200,11 @@
 		printPercentiles(w, string(kind)+" completion", k.Completion)
 	}
 	fmt.Fprintf(w, "\n%.1f s, %d tries, %d resumes, audit: %s\n", r.Seconds, r.Tries, r.Resumes, r.Audit)
+	for _, kind := range Kinds {
+		for _, reason := range slices.Sorted(maps.Keys(r.Kinds[kind].Reasons)) {
+			fmt.Fprintf(w, "%s not answered because of %s: %d\n", kind, reason, r.Kinds[kind].Reasons[reason])
+		}
+	}
 	for _, p := range r.Problems {
 		fmt.Fprintf(w, "%s %s: %s: %s\n", p.Kind, p.Request, p.Verdict, p.Detail)
 	}
--- a/internal/loadgen/stream.go
+++ b/internal/loadgen/stream.go
@@ -83,7 +83,7 @@
 		case callerv1.OutcomeKind_OUTCOME_KIND_COMPLETED:
 			return s.check.complete()
 		case callerv1.OutcomeKind_OUTCOME_KIND_FAILED:
-			return findingf(Failed, "%s", outcome.GetMessage())
+			return fromOutcome(Failed, outcome)
 		case callerv1.OutcomeKind_OUTCOME_KIND_NOT_RUN:
 			s.refusals++
 			// A refusal of a stream that has given nothing leaves
--- a/internal/loadgen/verdict.go
+++ b/internal/loadgen/verdict.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	callerv1 "github.com/goldcrestspool/goldcrestspool/api/caller/v1"
 	"github.com/goldcrestspool/goldcrestspool/internal/standin/answer"
 )
 
@@ -43,13 +44,24 @@
 // finding is a verdict with what led to it.
 type finding struct {
 	verdict Verdict
-	detail  string
+	// reason is the gateway's, for refusals, failures and unknown ends.
+	reason string
+	detail string
 }
 
 func findingf(verdict Verdict, format string, args ...any) *finding {
 	return &finding{verdict: verdict, detail: fmt.Sprintf(format, args...)}
 }
 
+// fromOutcome returns a finding that a gateway gave its reason for.
+func fromOutcome(verdict Verdict, outcome *callerv1.Outcome) *finding {
+	return &finding{
+		verdict: verdict,
+		reason:  outcome.GetReason(),
+		detail:  outcome.GetReason() + ": " + outcome.GetMessage(),
+	}
+}
+
 // tokenCheck compares a stream with the answer that the prompt must have.
 type tokenCheck struct {
 	prompt string
