Contract test of Find: the incarnation that answers is part of the answer

Cause: the stand-in tells its incarnation since the upstream contract carries it; the expectation stood at 0. The check is as strict as before.

--- a/internal/upstream/connectupstream/plain_test.go
+++ b/internal/upstream/connectupstream/plain_test.go
@@ -17,6 +17,8 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/upstream/connectupstream"
 )
 
+const plainIncarnation = 2
+
 const key = "auktion-app/account-1/bid-1"
 
 var bid = upstream.InvokeRequest{Method: "bid", Key: key, Fence: 5, Payload: []byte("lot 17")}
@@ -24,7 +26,7 @@
 // onEachPlain runs a contract test on the fake in memory and on the Connect
 // adapter over a loopback socket.
 func onEachPlain(t *testing.T, options plain.Options, test func(t *testing.T, fake *plain.Service, subject upstream.Plain)) {
-	options.Instance, options.Incarnation = "plain-1", 2
+	options.Instance, options.Incarnation = "plain-1", plainIncarnation
 	t.Run("memory", func(t *testing.T) {
 		fake := plain.New(options)
 		test(t, fake, fake)
@@ -91,7 +93,7 @@
 		}
 		fake.SetLeaving(true)
 		health, err := subject.Health(t.Context())
-		want := upstream.Health{Instance: "plain-1", Incarnation: 2, Leaving: true}
+		want := upstream.Health{Instance: "plain-1", Incarnation: plainIncarnation, Leaving: true}
 		if err != nil || health != want {
 			t.Errorf("health %+v, %v, want %+v", health, err, want)
 		}
@@ -168,11 +170,11 @@
 		want    want
 	}{
 		{"nothing known, fences checked", plain.Options{ChecksFencing: true, FindsOutcomes: true}, false,
-			want{upstream.FindResult{State: upstream.Absent, Fenced: true}, nil, upstream.ErrOldFence}},
+			want{upstream.FindResult{State: upstream.Absent, Fenced: true, Incarnation: plainIncarnation}, nil, upstream.ErrOldFence}},
 		{"nothing known, fences ignored", plain.Options{FindsOutcomes: true}, false,
-			want{upstream.FindResult{State: upstream.Absent}, nil, nil}},
+			want{upstream.FindResult{State: upstream.Absent, Incarnation: plainIncarnation}, nil, nil}},
 		{"call done", plain.Options{ChecksFencing: true, FindsOutcomes: true}, true,
-			want{upstream.FindResult{State: upstream.Done, Answer: done, Fenced: true}, nil, upstream.ErrOldFence}},
+			want{upstream.FindResult{State: upstream.Done, Answer: done, Fenced: true, Incarnation: plainIncarnation}, nil, upstream.ErrOldFence}},
 		{"cannot tell outcomes", plain.Options{ChecksFencing: true}, false,
 			want{upstream.FindResult{}, upstream.ErrRefused, nil}},
 	}
