routing: keep prefixes at home, spill by bounded load, saturate lateness

Cause: a prefix computed again costs engine time that all streams share, and the first score traded it away for a few milliseconds of queue; under overload every decision chased the shortest of nine long queues and lost all affinity. Change: a second of prefill counts ten times, lateness saturates at one target, a crowded batch counts only beyond 0.95 of the batch or 1.2 times the mean, and each prefix has homes by rendezvous hashing, as many as its share of the engine time needs. All gateways find the same homes without a word between them.

--- a/internal/experiment/policies.go
+++ b/internal/experiment/policies.go
@@ -24,6 +24,9 @@
 	New  func(random func() uint64, now time.Time) Policy
 }
 
+// ourParams are those of our policy; a trial may replace them.
+var ourParams = routing.DefaultParams
+
 // Ours is the name of the policy that gateways use.
 const Ours = "ours"
 
@@ -35,7 +38,7 @@
 		baseline("random of two", randomOfTwo),
 		baseline("prefix affinity", prefixAffinity),
 		{Name: Ours, New: func(random func() uint64, now time.Time) Policy {
-			p := routing.DefaultParams()
+			p := ourParams()
 			p.Random = random
 			return routing.New(p, now)
 		}},
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -19,6 +19,13 @@
 	req     *Request
 	now     time.Time
 	plain   bool
+	// mean is the mean number of requests at an upstream, by the reports.
+	mean float64
+
+	// cached holds, by upstream, how many leading blocks it probably has.
+	cached []float64
+	// farthest is the largest place that is a home of the request's prefix.
+	farthest float64
 
 	best    [shortlistSize]candidate
 	count   int
@@ -37,6 +44,9 @@
 	if len(c.view) == 0 {
 		return Decision{}
 	}
+	scratch := c.router.scratch.Get().(*[]float64)
+	defer c.router.scratch.Put(scratch)
+	c.lookUp(scratch)
 	c.shortlist(blackboard.Alive)
 	if c.count == 0 {
 		c.shortlist(blackboard.Suspect)
@@ -47,6 +57,22 @@
 	return c.decision(c.draw())
 }
 
+// lookUp asks all cache views for the request's prefix.
+func (c *chooser) lookUp(scratch *[]float64) {
+	if len(c.req.Blocks) == 0 {
+		return
+	}
+	*scratch = slices.Grow((*scratch)[:0], len(c.view))[:len(c.view)]
+	c.cached = *scratch
+	for i := range c.view {
+		c.cached[i] = 0
+		if u := &c.view[i]; u.Cache != nil && u.State < blackboard.Leaving {
+			c.cached[i] = u.Cache.Cached(c.req.Blocks, c.now)
+		}
+	}
+	c.homes()
+}
+
 // shortlist keeps the best usable upstreams in a state. It begins at a random
 // place, so that gateways do not all prefer the same of many equals.
 func (c *chooser) shortlist(state blackboard.MemberState) {
@@ -140,6 +166,7 @@
 		slot:           c.entries[x.index].slot,
 		ahead:          x.ahead,
 		own:            x.own,
+		work:           x.work,
 	}
 	if p, ok := u.Cache.(placer); ok {
 		d.placer = p
--- /dev/null
+++ b/internal/routing/home.go
@@ -0,0 +1,95 @@
+package routing
+
+import (
+	"math"
+	"sync/atomic"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+)
+
+const (
+	// popularityCells is the size of the table of popular prefixes. Prefixes
+	// that share a cell only get more homes than they need.
+	popularityCells = 512
+	// popularityWindow is how much engine time, in microseconds, is counted
+	// before all counts are halved.
+	popularityWindow = 60_000_000
+	// maxHomes bounds the homes that are told apart; a prefix that needs more
+	// is at home everywhere.
+	maxHomes = 16
+)
+
+// popularity estimates each prefix's share of the engine time that this
+// gateway asks for. Updates may be lost when goroutines race, which only
+// blurs the estimate.
+type popularity struct {
+	cells [popularityCells]atomic.Uint32
+	total atomic.Uint32
+}
+
+func (p *popularity) add(prefix uint64, seconds float64) {
+	micros := uint32(seconds*1e6) + 1
+	p.cells[prefix%popularityCells].Add(micros)
+	if p.total.Add(micros) < popularityWindow {
+		return
+	}
+	for i := range p.cells {
+		p.cells[i].Store(p.cells[i].Load() / 2)
+	}
+	p.total.Store(p.total.Load() / 2)
+}
+
+func (p *popularity) share(prefix uint64) float64 {
+	return float64(p.cells[prefix%popularityCells].Load()) / float64(max(1, p.total.Load()))
+}
+
+// homes finds the upstreams where the request's prefix is at home: the same at
+// all gateways without a word between them, and as many as the prefix's share
+// of the work needs. It sets the largest place that is a home.
+func (c *chooser) homes() {
+	c.farthest = 1
+	prefix := c.req.Blocks[0]
+	share := c.router.popularity.share(prefix)
+	n := int(math.Ceil(share * float64(len(c.view)) * c.router.params.HomeSpread))
+	n = max(1, n)
+	if n > maxHomes || n >= len(c.view) {
+		return
+	}
+	var nearest [maxHomes]float64
+	count := 0
+	for i := range c.view {
+		if c.view[i].State != blackboard.Alive {
+			continue
+		}
+		x := place(prefix, c.entries[i].hash)
+		at := count
+		for at > 0 && nearest[at-1] > x {
+			at--
+		}
+		if at >= n {
+			continue
+		}
+		copy(nearest[at+1:n], nearest[at:])
+		nearest[at] = x
+		count = min(count+1, n)
+	}
+	if count > 0 {
+		c.farthest = nearest[count-1]
+	}
+}
+
+// away reports whether the i-th upstream is no home of the request's prefix.
+func (c *chooser) away(i int) bool {
+	return len(c.req.Blocks) > 0 && place(c.req.Blocks[0], c.entries[i].hash) > c.farthest
+}
+
+// place orders the upstreams for a prefix, alike at all gateways: it is
+// between 0 and 1 and looks random (rendezvous hashing).
+func place(prefix, upstream uint64) float64 {
+	const golden = 0x9e3779b97f4a7c15
+	x := (prefix ^ upstream) * golden
+	x ^= x >> 32
+	x *= golden
+	x ^= x >> 29
+	return float64(x>>11) / (1 << 53)
+}
--- a/internal/routing/params.go
+++ b/internal/routing/params.go
@@ -18,9 +18,26 @@
 	Step time.Duration
 	// Hop is the round trip to another failure domain.
 	Hop time.Duration
-	// PriceWeight is how many seconds of waiting one second of engine time
-	// at the highest price is worth.
-	PriceWeight float64
+	// Target is the time to the first token of classes without one.
+	Target time.Duration
+	// Comfort is the share of the target up to which waiting costs nothing.
+	Comfort float64
+	// RecomputeWeight and PriceWeight are what a second of prefill costs, and
+	// what a second at the highest price costs, in seconds of lateness as a
+	// share of the target.
+	RecomputeWeight, PriceWeight float64
+	// LateWeight is what a whole target of lateness costs.
+	LateWeight float64
+	// Crowded is the share of BatchLimit from which on an upstream is avoided,
+	// Bound how far above the mean of all upstreams it may be nevertheless,
+	// and CrowdWeight what a whole batch beyond both costs.
+	Crowded, Bound, CrowdWeight float64
+	// BalanceWeight is what a whole batch costs below those limits.
+	BalanceWeight float64
+	// HomeWeight is what an upstream costs that is no home of the prefix, and
+	// HomeSpread how many homes a prefix has for each upstream that its share
+	// of the work would fill.
+	HomeWeight, HomeSpread float64
 	// NearEqual is how much worse than the best, in seconds, a score may be
 	// for its upstream to be drawn as well.
 	NearEqual float64
@@ -31,13 +48,23 @@
 // DefaultParams returns the measured defaults.
 func DefaultParams() Params {
 	return Params{
-		StepTokens:  384,
-		BatchLimit:  96,
-		PrefillRate: 20000,
-		Step:        20 * time.Millisecond,
-		Hop:         time.Millisecond,
-		PriceWeight: 0.5,
-		NearEqual:   0.020,
-		Random:      rand.Uint64,
+		StepTokens:      384,
+		BatchLimit:      96,
+		PrefillRate:     20000,
+		Step:            20 * time.Millisecond,
+		Hop:             time.Millisecond,
+		Target:          2 * time.Second,
+		Comfort:         0.5,
+		RecomputeWeight: 10,
+		PriceWeight:     0,
+		LateWeight:      0.3,
+		Crowded:         0.95,
+		Bound:           1.2,
+		CrowdWeight:     3,
+		BalanceWeight:   0.1,
+		HomeWeight:      0.2,
+		HomeSpread:      1.5,
+		NearEqual:       0.020,
+		Random:          rand.Uint64,
 	}
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -3,9 +3,12 @@
 import (
 	"maps"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
 	"github.com/goldcrestspool/goldcrestspool/internal/document"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
@@ -24,8 +27,11 @@
 	began time.Time
 	slots atomic.Pointer[slots]
 	// prepared belongs to the view seen last.
-	prepared  atomic.Pointer[prepared]
-	predictor predictor
+	prepared   atomic.Pointer[prepared]
+	predictor  predictor
+	popularity popularity
+	// scratch holds slices for the decisions under way.
+	scratch sync.Pool
 }
 
 // prepared holds what a view and a document give for every decision.
@@ -34,6 +40,8 @@
 	count   int
 	doc     *document.Document
 	entries []entry
+	// mean is the mean number of requests at an alive upstream.
+	mean float64
 }
 
 // entry belongs to the upstream with the same index in the view.
@@ -41,11 +49,14 @@
 	slot *slot
 	// price is relative to the dearest upstream of the view, 0 to 1.
 	price float64
+	// hash of the instance's name.
+	hash uint64
 }
 
 // New returns a Router that has sent nothing yet; now is the present.
 func New(p Params, now time.Time) *Router {
 	r := &Router{params: p, began: now}
+	r.scratch.New = func() any { return new([]float64) }
 	r.slots.Store(&slots{})
 	r.prepared.Store(&prepared{})
 	return r
@@ -56,7 +67,7 @@
 // the request has no prompt.
 func (r *Router) Decide(doc *document.Document, view []blackboard.Upstream, req Request, now time.Time) Decision {
 	p := r.prepare(doc, view)
-	c := chooser{router: r, view: view, entries: p.entries, req: &req, now: now}
+	c := chooser{router: r, view: view, entries: p.entries, req: &req, now: now, mean: p.mean}
 	c.plain = isPlain(doc, &req)
 	return c.choose()
 }
@@ -82,6 +93,7 @@
 	for i := range view {
 		p.entries[i].slot = r.slot(view[i].Instance.ID)
 		p.entries[i].price = price(doc, &view[i])
+		p.entries[i].hash = xxhash.Sum64String(string(view[i].Instance.ID))
 		highest = max(highest, p.entries[i].price)
 	}
 	for i := range p.entries {
@@ -89,10 +101,24 @@
 			p.entries[i].price /= highest
 		}
 	}
+	p.mean = meanLoad(view)
 	r.prepared.Store(p)
 	return p
 }
 
+// meanLoad is the mean number of requests, running and queued, at the alive
+// upstreams of a view.
+func meanLoad(view []blackboard.Upstream) float64 {
+	sum, count := 0, 0
+	for i := range view {
+		if view[i].State == blackboard.Alive {
+			sum += view[i].Report.Running + view[i].Report.Queued
+			count++
+		}
+	}
+	return float64(sum) / float64(max(1, count))
+}
+
 // price returns what an upstream costs, in cents an hour; 0 if unknown.
 func price(doc *document.Document, u *blackboard.Upstream) float64 {
 	if doc == nil {
@@ -153,7 +179,10 @@
 	}
 	r.predictor.output.add(float64(max(1, req.MaxTokens)), assumedOutput)
 	d.slot.add(t.epoch, t.tokens)
-	if d.placer != nil && len(req.Blocks) > 0 {
+	if len(req.Blocks) > 0 {
+		r.popularity.add(req.Blocks[0], d.work)
+	}
+	if d.placer != nil {
 		d.placer.Placed(req.Blocks, now)
 	}
 	return t
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -17,6 +17,8 @@
 	// ahead and own are the parts of firstToken, ahead before priority.
 	ahead, own float64
 	uncached   int
+	// work is the engine time that the request takes.
+	work float64
 }
 
 // estimate predicts a request at the i-th upstream of the view.
@@ -26,18 +28,34 @@
 	if c.plain {
 		return c.estimatePlain(i, unseen)
 	}
-	p := &c.router.params
 	s := c.situation(&u.Report, unseen)
-	e := estimate{betweenTokens: s.step, uncached: c.uncached(u)}
+	e := estimate{betweenTokens: s.step, uncached: c.uncached(i)}
 	e.ahead, e.own = c.wait(s, e.uncached)
 	share := c.router.predictor.aheadOf(c.req.Class.Priority).load(1)
 	e.own += c.hop(u)
 	e.firstToken = share*e.ahead + e.own
-	work := float64(e.uncached)/s.rate + float64(c.req.MaxTokens)*s.step/(s.running+float64(unseen.requests)+1)
-	e.score = e.firstToken + p.PriceWeight*c.entries[i].price*work
+	e.work = float64(e.uncached)/s.rate + float64(c.req.MaxTokens)*s.decode/c.router.params.BatchLimit
+	e.score = c.cost(s, e, c.entries[i].price, i)
 	return e
 }
 
+// cost weighs what a request takes from an upstream against what its caller
+// waits, all in seconds: engine time by its price, lateness, and the crowding
+// of a batch that is nearly full.
+func (c *chooser) cost(s situation, e estimate, price float64, i int) float64 {
+	p := &c.router.params
+	prefill := float64(e.uncached) / s.rate
+	target := orElse(c.req.Class.FirstToken.Seconds(), p.Target.Seconds())
+	late := min(1, max(0, e.firstToken-p.Comfort*target)/target)
+	bound := max(p.Crowded, p.Bound*c.mean/p.BatchLimit)
+	crowd := max(0, (s.running+s.waiting)/p.BatchLimit-bound)
+	sum := p.BalanceWeight * (s.running + s.waiting) / p.BatchLimit
+	if c.away(i) {
+		sum += p.HomeWeight
+	}
+	return sum + p.RecomputeWeight*prefill + p.PriceWeight*price*e.work + p.LateWeight*late + p.CrowdWeight*crowd
+}
+
 // estimatePlain predicts a call of a plain service: fewest in flight wins,
 // the near ones first.
 func (c *chooser) estimatePlain(i int, unseen load) estimate {
@@ -54,10 +72,10 @@
 }
 
 // uncached is how many tokens of the prompt need prefill at an upstream.
-func (c *chooser) uncached(u *blackboard.Upstream) int {
+func (c *chooser) uncached(i int) int {
 	cached := 0.0
-	if u.Cache != nil {
-		cached = u.Cache.Cached(c.req.Blocks, c.now) * prompt.BlockTokens
+	if c.cached != nil {
+		cached = c.cached[i] * prompt.BlockTokens
 	}
 	return max(1, c.req.PromptTokens-int(cached))
 }
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -80,6 +80,8 @@
 	placer placer
 	// ahead and own are the parts of FirstToken, in seconds.
 	ahead, own float64
+	// work is the engine time that the request takes, in seconds.
+	work float64
 }
 
 // Found reports whether the decision names an upstream.
