--- /dev/null
+++ b/internal/admission/gate/sim_test.go
@@ -0,0 +1,230 @@
+package gate
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
+)
+
+var (
+	shortClass  = document.Class{Name: "short", FirstToken: time.Second, Priority: 10}
+	reviewClass = document.Class{Name: "review", Completion: 90 * time.Second, Priority: 1}
+)
+
+// load is one stream of requests of the simulation.
+type load struct {
+	account ident.ClientAccount
+	class   document.Class
+	limit   document.AccountLimit
+	// rate is in requests a second; hold is the mean slot time, which is
+	// also the cost in seconds.
+	rate float64
+	hold time.Duration
+}
+
+// tally counts what became of one load.
+type tally struct {
+	first, granted, refused int
+	// expired are those refused after they had waited.
+	expired int
+	// returned counts those who came back as told; admitted of them.
+	returned, admitted int
+	// cost granted, and offered by first tries.
+	cost, offered float64
+	longestWait   time.Duration
+}
+
+func (t *tally) add(o tally) {
+	t.first += o.first
+	t.granted += o.granted
+	t.refused += o.refused
+	t.expired += o.expired
+	t.returned += o.returned
+	t.admitted += o.admitted
+	t.cost += o.cost
+}
+
+// event is a step of the simulation.
+type event struct {
+	at       time.Time
+	sequence int
+	run      func()
+}
+
+type events []event
+
+func (h events) Len() int { return len(h) }
+func (h events) Less(i, j int) bool {
+	if !h[i].at.Equal(h[j].at) {
+		return h[i].at.Before(h[j].at)
+	}
+	return h[i].sequence < h[j].sequence
+}
+func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *events) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	*h = (*h)[:last]
+	return e
+}
+
+// sim drives gates in virtual time: callers arrive at random at one of them,
+// hold a slot for a random time, and come back when told, at any gate.
+type sim struct {
+	gates    []*Gate
+	random   *rand.Rand
+	now      time.Time
+	end      time.Time
+	events   events
+	sequence int
+	requests int
+	// patience is how many times a caller comes back.
+	patience int
+	loads    []load
+	tallies  []tally
+	owner    map[*Entry]int
+	offered  map[*Entry]time.Time
+}
+
+func newSim(seed uint64, gates, slots, patience int) *sim {
+	s := &sim{
+		random:   rand.New(rand.NewPCG(seed, 1)),
+		now:      time.Unix(0, 0),
+		patience: patience,
+		owner:    map[*Entry]int{},
+		offered:  map[*Entry]time.Time{},
+	}
+	for range gates {
+		s.gates = append(s.gates, New(Config{Slots: slots}))
+	}
+	return s
+}
+
+func (s *sim) at(after time.Duration, run func()) {
+	s.sequence++
+	heap.Push(&s.events, event{s.now.Add(after), s.sequence, run})
+}
+
+// run simulates the loads for a time.
+func (s *sim) run(length time.Duration, loads []load) []tally {
+	s.end = s.now.Add(length)
+	s.loads = loads
+	s.tallies = make([]tally, len(loads))
+	for i := range loads {
+		s.nextArrival(i, loads[i])
+	}
+	for len(s.events) > 0 {
+		e := heap.Pop(&s.events).(event)
+		if e.at.After(s.end) {
+			break
+		}
+		s.now = e.at
+		e.run()
+	}
+	return s.tallies
+}
+
+func (s *sim) nextArrival(i int, l load) {
+	s.at(s.exponential(time.Duration(float64(time.Second)/l.rate)), func() {
+		s.requests++
+		s.tallies[i].first++
+		hold := s.exponential(l.hold)
+		s.tallies[i].offered += hold.Seconds()
+		s.offer(i, l, ident.Request(fmt.Sprint("r", s.requests)), hold, 1)
+		s.nextArrival(i, l)
+	})
+}
+
+func (s *sim) exponential(mean time.Duration) time.Duration {
+	return time.Duration(s.random.ExpFloat64() * float64(mean))
+}
+
+func (s *sim) offer(i int, l load, id ident.Request, hold time.Duration, attempt uint32) {
+	g := s.gates[s.random.IntN(len(s.gates))]
+	e := &Entry{Request: Request{
+		ID: id, Account: l.account, Limit: l.limit, Class: l.class,
+		Remaining: hold, Cost: hold.Seconds(), Attempt: attempt,
+	}}
+	s.owner[e], s.offered[e] = i, s.now
+	if attempt > 1 && s.judged(e) {
+		s.tallies[i].returned++
+	}
+	d := g.Offer(s.now, e)
+	if d.Evicted != nil {
+		s.expired(d.Evicted.Entry, d.Evicted.Refusal)
+	}
+	switch {
+	case d.Granted:
+		s.granted(g, e)
+	case d.Refused:
+		s.refused(e, d.Refusal)
+	default:
+		s.at(e.LatestStart().Sub(s.now), func() {
+			if refusal, waited := g.Abandon(s.now, e, outcome.ReasonOverloaded); waited {
+				s.expired(e, refusal)
+			}
+		})
+	}
+}
+
+// judged reports whether an entry came early enough for its end to be seen.
+func (s *sim) judged(e *Entry) bool { return s.end.Sub(s.offered[e]) > reviewClass.Completion }
+
+func (s *sim) expired(e *Entry, refusal outcome.Outcome) {
+	s.tallies[s.owner[e]].expired++
+	s.refused(e, refusal)
+}
+
+// refused lets a caller come back when it was told to.
+func (s *sim) refused(e *Entry, refusal outcome.Outcome) {
+	i, r := s.owner[e], e.Request
+	s.tallies[i].refused++
+	if int(r.Attempt) > s.patience {
+		return
+	}
+	s.at(refusal.RetryAfter, func() { s.offer(i, s.loads[i], r.ID, r.Remaining, r.Attempt+1) })
+}
+
+// waitingCost is what an account has waiting at the gates.
+func (s *sim) waitingCost(account ident.ClientAccount) float64 {
+	total := 0.0
+	for e := range s.owner {
+		if e.Waiting() && e.Request.Account == account {
+			total += e.Request.Cost
+		}
+	}
+	return total
+}
+
+func (s *sim) granted(g *Gate, e *Entry) {
+	t := &s.tallies[s.owner[e]]
+	t.granted++
+	t.cost += e.Request.Cost
+	if e.Request.Attempt > 1 && s.judged(e) {
+		t.admitted++
+	}
+	s.at(e.Request.Remaining, func() {
+		g.Done(s.now, e, 0)
+		s.drain(g)
+	})
+}
+
+func (s *sim) drain(g *Gate) {
+	for {
+		e, expired := g.Next(s.now)
+		if expired != nil {
+			s.expired(expired.Entry, expired.Refusal)
+			continue
+		}
+		if e == nil {
+			return
+		}
+		s.granted(g, e)
+	}
+}
