--- /dev/null
+++ b/internal/admission/ejection/ejection_test.go
@@ -0,0 +1,133 @@
+package ejection
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
+)
+
+func init() { testkit.FixSeed() }
+
+func instances(n int) []ident.Instance {
+	ids := make([]ident.Instance, n)
+	for i := range ids {
+		ids[i] = ident.Instance(fmt.Sprint("u", i))
+	}
+	return ids
+}
+
+// TestFloor: whatever fails, more than a third is never kept out, and an
+// upstream that is kept out is tried again in bounded time.
+//
+// Symptom: a slow minute ends with no upstream left, or one that recovered
+// stays out. Sequence: many fail at once; upstreams leave while others are
+// ejected; a probe's answer never comes. Cause: each is judged alone.
+func TestFloor(t *testing.T) { rapid.Check(t, checkFloor) }
+
+func checkFloor(t *rapid.T) {
+	s := New(Config{})
+	now := time.Unix(1000, 0)
+	ids := instances(rapid.IntRange(1, 12).Draw(t, "upstreams"))
+	s.SetUpstreams(ids)
+	for range rapid.IntRange(1, 150).Draw(t, "steps") {
+		id := rapid.SampledFrom(ids).Draw(t, "upstream")
+		switch rapid.IntRange(0, 5).Draw(t, "step") {
+		case 0:
+			now = now.Add(time.Duration(rapid.IntRange(1, 20).Draw(t, "pause")) * time.Second)
+		case 1:
+			if len(ids) > 1 {
+				ids = slices.DeleteFunc(slices.Clone(ids), func(x ident.Instance) bool { return x == id })
+				s.SetUpstreams(ids)
+			}
+		case 2:
+			s.Started(now, id)
+		case 3:
+			s.Ended(now, id, Sample{Latency: rapid.Float64Range(0.1, 10).Draw(t, "latency")})
+		default:
+			for range DefaultFailures {
+				s.Ended(now, id, Sample{Failed: true})
+			}
+		}
+		if out := s.Excluded(now); len(out)*ejectedPart > len(ids) {
+			t.Fatalf("%d of %d kept out", len(out), len(ids))
+		}
+		if late := now.Add(DefaultLongest + DefaultProbeLimit); len(s.Excluded(late)) > 0 {
+			t.Fatalf("%v still kept out after the longest ejection", s.Excluded(late))
+		}
+		checkNextChange(t, s, now)
+	}
+}
+
+// checkNextChange: the exclusion stays as it is until NextChange says so.
+func checkNextChange(t *rapid.T, s *Set, now time.Time) {
+	next := s.NextChange(now)
+	before := now.Add(time.Hour)
+	if !next.IsZero() {
+		before = next.Add(-1)
+	}
+	if !slices.Equal(s.Excluded(before), s.Excluded(now)) {
+		t.Fatalf("exclusion changes from %v to %v before %v", s.Excluded(now), s.Excluded(before), next)
+	}
+}
+
+// TestStory walks through an ejection from cause to return.
+func TestStory(t *testing.T) {
+	now := time.Unix(1000, 0)
+	cases := []struct {
+		story string
+		bad   func(*Set)
+	}{
+		{"failures in a row", func(s *Set) {
+			for range DefaultFailures {
+				s.Ended(now, "u0", Sample{Failed: true})
+			}
+		}},
+		{"far slower than its peers though it answers", func(s *Set) {
+			for range DefaultSlowSamples {
+				s.Ended(now, "u0", Sample{Latency: 5})
+				s.Ended(now, "u1", Sample{Latency: 1})
+				s.Ended(now, "u2", Sample{Latency: 1.2})
+			}
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.story, func(t *testing.T) {
+			s := New(Config{})
+			s.SetUpstreams(instances(3))
+			c.bad(s)
+			if s.State("u0") != Ejected || !slices.Equal(s.Excluded(now), []ident.Instance{"u0"}) {
+				t.Fatal("not ejected")
+			}
+			now := now.Add(DefaultBase)
+			if len(s.Excluded(now)) != 0 {
+				t.Fatal("not probed when its time is over")
+			}
+			s.Started(now, "u0")
+			if len(s.Excluded(now)) != 1 {
+				t.Fatal("a second request during the probe")
+			}
+			s.Ended(now, "u0", Sample{Failed: true, Started: now.Add(-time.Minute)})
+			if s.State("u0") != Probing {
+				t.Fatal("an answer to an earlier request counts as the probe's")
+			}
+			s.Ended(now, "u0", Sample{Failed: true, Started: now})
+			if len(s.Excluded(now.Add(2*DefaultBase-1))) != 1 {
+				t.Fatal("a failed probe does not double the time")
+			}
+			now = now.Add(2 * DefaultBase)
+			for range DefaultProbes {
+				s.Started(now, "u0")
+				s.Ended(now, "u0", Sample{Latency: 1, Started: now})
+			}
+			if s.State("u0") != Healthy {
+				t.Fatal("not readmitted after good probes")
+			}
+		})
+	}
+}
--- a/internal/admission/fairshare/account.go
+++ b/internal/admission/fairshare/account.go
@@ -171,27 +171,44 @@
 	return len(l.items) > 0 && (allowed == nil || allowed(l.priority))
 }
 
-// chooseLane returns the lane to serve: one that has earned its share, the
-// least urgent first, else the most urgent.
+// chooseLane returns the lane to serve: of those that have earned their share
+// the one with most credit beyond its price, else the most urgent.
 //
 // Without the earned share a steady flow of short replies would keep a long
 // review waiting for ever; it would show as a wait that grows with the flow's
-// length. With it, a lane gets at least share of the account's cost.
+// length. With it, a lane gets at least its part of the account's cost.
 func (a *account) chooseLane(share float64, allowed func(int) bool) *lane {
-	var urgent *lane
-	for i := len(a.lanes) - 1; i >= 0; i-- {
-		l := a.lanes[i]
+	share = a.laneShare(share)
+	var urgent, earned *lane
+	most := 0.0
+	for _, l := range a.lanes {
 		if !l.ready(allowed) {
 			continue
 		}
-		if l.credit >= price(l.items[0], share) {
-			return l
+		if urgent == nil {
+			urgent = l
 		}
-		urgent = l
+		if surplus := l.credit - price(l.items[0], share); surplus >= most {
+			earned, most = l, surplus
+		}
+	}
+	if earned != nil {
+		return earned
 	}
 	return urgent
 }
 
+// laneShare divides the class share among all lanes but the most urgent.
+func (a *account) laneShare(share float64) float64 {
+	waiting := 0
+	for _, l := range a.lanes {
+		if len(l.items) > 0 {
+			waiting++
+		}
+	}
+	return share / float64(max(waiting-1, 1))
+}
+
 // price is the cost of other lanes after which an item has earned its grant.
 func price(item *Item, share float64) float64 { return item.cost() * (1 - share) / share }
 
@@ -203,7 +220,7 @@
 			l.credit += cost
 		}
 	}
-	served.credit = max(0, served.credit-price(served.items[0], share))
+	served.credit = max(0, served.credit-price(served.items[0], a.laneShare(share)))
 }
 
 // last returns the item that would be served last: the least urgent lane's
--- a/internal/admission/fairshare/queue.go
+++ b/internal/admission/fairshare/queue.go
@@ -36,8 +36,8 @@
 	// do, would lose what falls between its bursts to those that always
 	// wait. Negative is none.
 	Credit float64
-	// ClassShare is the share of an account's cost, 0 to 1, that a waiting
-	// class gets even while more urgent ones wait.
+	// ClassShare is the share of an account's cost, 0 to 1, that all waiting
+	// classes but the most urgent get together, in equal parts.
 	ClassShare float64
 }
 
@@ -229,10 +229,9 @@
 func (q *Queue) Ahead(item *Item) (total, own float64) {
 	weight := effective(item.Weight)
 	mine := q.accounts[item.Account]
-	credit := q.config.Credit * q.meanCost * weight
+	credit := q.lag(item) * weight
 	if mine != nil {
 		own = mine.ahead(item)
-		credit = max(0, (q.clock-max(mine.tag, q.oldestTag()))*weight)
 	}
 	total = own
 	own = max(0, own-credit)
@@ -254,7 +253,16 @@
 			weights += a.weight
 		}
 	}
-	return q.config.Lead * q.meanCost * weights
+	return max(0, q.config.Lead*q.meanCost-q.lag(item)) * weights
+}
+
+// lag is how far an item's account is behind the present, within its credit.
+func (q *Queue) lag(item *Item) float64 {
+	a := q.accounts[item.Account]
+	if a == nil {
+		return q.config.Credit * q.meanCost
+	}
+	return max(0, q.clock-max(a.tag, q.oldestTag()))
 }
 
 // ahead is the waiting cost of an item's priority that goes before it.
--- a/internal/admission/gate/meter.go
+++ b/internal/admission/gate/meter.go
@@ -16,10 +16,23 @@
 type meter struct {
 	value float64
 	at    time.Time
+	// full is how much of the memory has been filled, 0 to 1. Without it a
+	// rush would count as a fraction of itself during its first seconds, and
+	// too much would be let in.
+	full float64
 }
 
+// leastFull keeps the first event from counting as an endless rate.
+const leastFull = 0.1
+
 func (m *meter) add(now time.Time, amount float64) {
-	m.value = m.rate(now) + amount/meterMemory.Seconds()
+	kept := m.kept(now)
+	m.value = m.value*kept + amount/meterMemory.Seconds()
+	if m.at.IsZero() {
+		m.full = leastFull
+	} else {
+		m.full = 1 - (1-m.full)*kept
+	}
 	m.at = now
 }
 
@@ -27,7 +40,16 @@
 	if m.value == 0 {
 		return 0
 	}
-	return m.value * math.Exp(-now.Sub(m.at).Seconds()/meterMemory.Seconds())
+	kept := m.kept(now)
+	return m.value * kept / (1 - (1-m.full)*kept)
+}
+
+// kept is the part of the value that is left now.
+func (m *meter) kept(now time.Time) float64 {
+	if m.at.IsZero() {
+		return 0
+	}
+	return math.Exp(-now.Sub(m.at).Seconds() / meterMemory.Seconds())
 }
 
 // holds measures how long a slot is held for one unit of cost. By Little's
--- a/internal/admission/gate/plan.go
+++ b/internal/admission/gate/plan.go
@@ -14,7 +14,7 @@
 	returnReserve = 0.25
 	// waitMargin is what a predicted wait is multiplied by: a request that is
 	// refused after it waited has lost more than one refused at once.
-	waitMargin = 1.3
+	waitMargin = 1.5
 	// leastFirstShare is the part of an account's drain rate that first
 	// tries can count on, however many requests return.
 	leastFirstShare = 0.1
