--- a/internal/admission/gate/sim_test.go
+++ b/internal/admission/gate/sim_test.go
@@ -36,7 +36,6 @@
 	returned, admitted int
 	// cost granted, and offered by first tries.
 	cost, offered float64
-	longestWait   time.Duration
 }
 
 func (t *tally) add(o tally) {
