Streaming: spans of attempts; a peer that does not answer leaves time for the next

Cause: the first peer of a hand-over had the whole time, so that a frozen one left none for the second. Each peer now has its share. An attempt that was refused no longer counts as the place where the prefix may be cached. Each attempt has a span; the figures of hand-overs are exported.

--- a/internal/streaming/attempt.go
+++ b/internal/streaming/attempt.go
@@ -61,14 +61,21 @@
 		before:     r.assembler.Next(),
 		afterOther: r.ran,
 	}
-	r.served = at.target.Instance
+	ctx, span := startSpan(ctx, a)
 	end := a.serve(ctx)
 	end.tokens = int(r.assembler.Next() - a.before)
 	if end.err == nil || upstream.Ran(end.err) {
 		r.ran = true
+		r.served = at.target.Instance
 	}
 	r.excluded.add(at.target.Instance, end)
-	a.report(end)
+	report := a.report(end)
+	endSpan(span, report)
+	publish(report)
+	if observer := r.runner.observer; observer != nil {
+		observer.AttemptEnded(report)
+	}
+	a.release(end)
 	return end
 }
 
@@ -178,15 +185,8 @@
 	return attemptEnd{next: CauseRefused, err: err, leaving: errors.Is(err, upstream.ErrLeaving)}
 }
 
-// report tells picker, observer and figures how the attempt ended.
-func (a *attempt) report(end attemptEnd) {
-	a.target.release(Result{
-		Next:       end.next,
-		Leaving:    end.leaving,
-		FirstToken: a.firstToken,
-		Tokens:     end.tokens,
-		Prefilled:  a.prefilled,
-	})
+// report says what the attempt did.
+func (a *attempt) report(end attemptEnd) AttemptReport {
 	report := AttemptReport{
 		Key:      a.run.req.Key,
 		Attempt:  a.number,
@@ -204,8 +204,16 @@
 	if a.afterOther {
 		report.Recomputed = a.prefilled
 	}
-	publish(report)
-	if observer := a.run.runner.observer; observer != nil {
-		observer.AttemptEnded(report)
-	}
+	return report
+}
+
+// release tells the picker how the attempt ended.
+func (a *attempt) release(end attemptEnd) {
+	a.target.release(Result{
+		Next:       end.next,
+		Leaving:    end.leaving,
+		FirstToken: a.firstToken,
+		Tokens:     end.tokens,
+		Prefilled:  a.prefilled,
+	})
 }
--- a/internal/streaming/bench_test.go
+++ b/internal/streaming/bench_test.go
@@ -116,7 +116,7 @@
 // token, with a caller that follows it.
 func BenchmarkOpenStreamMemory(b *testing.B) {
 	const streams = 1000
-	for _, tokens := range []uint32{0, 64, 256, 1024, 4096} {
+	for _, tokens := range []uint32{1, 64, 256, 1024, 4096} {
 		b.Run(fmt.Sprintf("tokens=%d", tokens), func(b *testing.B) {
 			for b.Loop() {
 				b.ReportMetric(openStreams(b, streams, tokens), "B/stream")
@@ -134,9 +134,7 @@
 	var here, callers sync.WaitGroup
 	before := memoryInUse()
 	for i := range streams {
-		if tokens > 0 {
-			here.Add(1)
-		}
+		here.Add(1)
 		callers.Go(func() {
 			sink := &countingSink{left: int(tokens), done: here.Done}
 			_, _ = g.Generate(ctx, benchRequest(i, tokens+1), sink)
--- a/internal/streaming/handover.go
+++ b/internal/streaming/handover.go
@@ -184,8 +184,10 @@
 
 // freeze stops every run in progress and returns the entries that a peer can
 // go on with. From here on no caller gets a token that the peer would not know
-// of.
+// of. A run that does not end in time is left out.
 func (g *Registry) freeze(ctx context.Context) []*entry {
+	ctx, cancel := context.WithTimeout(ctx, g.config.HandOverTime)
+	defer cancel()
 	var frozen []*entry
 	for _, e := range g.stopAll() {
 		select {
@@ -214,8 +216,6 @@
 
 // handOver stops the streams and offers them to one peer after another.
 func (g *Registry) handOver(ctx context.Context, peers []Peer) LeaveReport {
-	ctx, cancel := context.WithTimeout(ctx, g.config.HandOverTime)
-	defer cancel()
 	waiting := make(map[Key]Handed)
 	for _, e := range g.freeze(ctx) {
 		if h, ok := e.handed(); ok {
@@ -224,13 +224,19 @@
 	}
 	frozen := len(waiting)
 	for _, peer := range peers {
-		offer(ctx, peer, waiting)
+		g.offer(ctx, peer, len(peers), waiting)
 	}
-	return LeaveReport{HandedOver: frozen - len(waiting), Left: len(waiting)}
+	report := LeaveReport{HandedOver: frozen - len(waiting), Left: len(waiting)}
+	handedOverVar.Add(int64(report.HandedOver))
+	leftVar.Add(int64(report.Left))
+	return report
 }
 
-// offer gives the waiting streams to a peer and removes those that it takes.
-func offer(ctx context.Context, peer Peer, waiting map[Key]Handed) {
+// offer gives the waiting streams to one of so many peers and removes those
+// that it takes. A peer that does not answer leaves time for the others.
+func (g *Registry) offer(ctx context.Context, peer Peer, peers int, waiting map[Key]Handed) {
+	ctx, cancel := context.WithTimeout(ctx, g.config.HandOverTime/time.Duration(peers))
+	defer cancel()
 	for _, batch := range batches(waiting) {
 		accepted, err := peer.HandOver(ctx, batch)
 		if err != nil {
--- a/internal/streaming/keep.go
+++ b/internal/streaming/keep.go
@@ -24,6 +24,7 @@
 		done:   make(chan struct{}),
 	}
 	g.entries[req.Key] = e
+	streamsVar.Add(1)
 	g.runs.Add(1)
 	go g.serve(runCtx, e, before)
 	return e
@@ -117,6 +118,7 @@
 	g.wake(e)
 	if g.entries[key] == e {
 		delete(g.entries, key)
+		streamsVar.Add(-1)
 	}
 }
 
--- a/internal/streaming/machine_test.go
+++ b/internal/streaming/machine_test.go
@@ -228,9 +228,15 @@
 	to *Registry
 	// loseAnswer: the streams are taken, but the sender never hears of it.
 	loseAnswer bool
+	// frozen: the peer does not answer.
+	frozen bool
 }
 
-func (p fakePeer) HandOver(_ context.Context, streams []Handed) ([]Key, error) {
+func (p fakePeer) HandOver(ctx context.Context, streams []Handed) ([]Key, error) {
+	if p.frozen {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	accepted := p.to.Accept(streams)
 	if p.loseAnswer {
 		return nil, errors.New("answer lost")
@@ -239,18 +245,15 @@
 }
 
 // leave ends a gateway as SIGTERM does, and starts another in its place. The
-// first peer may be leaving too.
+// first peer is leaving too, or frozen.
 func (w *world) leave(rt *rapid.T) {
 	i := rapid.IntRange(0, len(w.gateways)-1).Draw(rt, "gateway")
 	grace := drawMillis(rt, "grace", 1, 400)
 	gone := NewRegistry(w.config, w.runner)
 	gone.Close()
-	var peers []Peer
-	if rapid.Bool().Draw(rt, "peer leaves too") {
-		peers = append(peers, fakePeer{to: gone})
-	}
+	first := pickOne(rt, "first peer", []fakePeer{{to: gone}, {frozen: true}})
 	next := w.gateways[(i+1)%len(w.gateways)]
-	peers = append(peers, fakePeer{to: next, loseAnswer: rapid.Bool().Draw(rt, "answer lost")})
+	peers := []Peer{first, fakePeer{to: next, loseAnswer: rapid.Bool().Draw(rt, "answer lost")}}
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	w.gateways[i].Leave(ctx, grace, peers)
--- a/internal/streaming/observer.go
+++ b/internal/streaming/observer.go
@@ -38,7 +38,7 @@
 }
 
 // The figures of all token streams of this process. The maps are keyed by
-// Cause.
+// Cause, that of faults by Fault. Streams is how many are kept now.
 var (
 	attemptsVar   = expvar.NewMap("goldcrestspool.streaming.attempts")
 	recomputedVar = expvar.NewMap("goldcrestspool.streaming.tokens_recomputed")
@@ -46,6 +46,9 @@
 	deliveredVar  = expvar.NewInt("goldcrestspool.streaming.tokens_assembled")
 	silentVar     = expvar.NewInt("goldcrestspool.streaming.connections_silent")
 	faultsVar     = expvar.NewMap("goldcrestspool.streaming.faults")
+	streamsVar    = expvar.NewInt("goldcrestspool.streaming.streams")
+	handedOverVar = expvar.NewInt("goldcrestspool.streaming.streams_handed_over")
+	leftVar       = expvar.NewInt("goldcrestspool.streaming.streams_left")
 )
 
 // publish adds a report to the process's figures.
--- a/internal/streaming/registry_test.go
+++ b/internal/streaming/registry_test.go
@@ -112,7 +112,7 @@
 			defer peer.Close()
 			caller := newCaller("weber", "r-1", length)
 			time.AfterFunc(time.Second, func() {
-				b.registry.Leave(t.Context(), time.Millisecond, []Peer{fakePeer{to: peer}})
+				b.registry.Leave(t.Context(), time.Millisecond, []Peer{fakePeer{frozen: true}, fakePeer{to: peer}})
 			})
 			if got, _ := caller.generate(t.Context(), b.registry); got.Kind != outcome.Interrupted || got.Reason != outcome.ReasonLeaving {
 				t.Errorf("outcome %v; want interrupted, leaving", got)
--- /dev/null
+++ b/internal/streaming/span.go
@@ -0,0 +1,56 @@
+package streaming
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// tracer makes a span of each attempt, the hop from gateway to engine. It uses
+// the process's tracer provider.
+var tracer = otel.Tracer("github.com/goldcrestspool/goldcrestspool/internal/streaming")
+
+// The attributes of an attempt's span.
+const (
+	attemptKey    = attribute.Key("stream.attempt")
+	instanceKey   = attribute.Key("stream.upstream")
+	causeKey      = attribute.Key("stream.cause")
+	nextKey       = attribute.Key("stream.next")
+	tokensKey     = attribute.Key("stream.tokens")
+	recomputedKey = attribute.Key("stream.tokens_recomputed")
+	importedKey   = attribute.Key("stream.tokens_imported")
+)
+
+// startSpan begins the span of an attempt.
+func startSpan(ctx context.Context, a *attempt) (context.Context, trace.Span) {
+	return tracer.Start(ctx, "stream attempt", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
+		attemptKey.Int(int(a.number)),
+		instanceKey.String(string(a.target.Instance)),
+		causeKey.String(string(a.cause)),
+	))
+}
+
+// endSpan ends the span of an attempt with what it did.
+func endSpan(span trace.Span, r AttemptReport) {
+	span.SetAttributes(
+		nextKey.String(string(r.Next)),
+		tokensKey.Int(r.Tokens),
+		recomputedKey.Int(r.Recomputed),
+		importedKey.Int(r.Imported),
+	)
+	if r.Err != nil {
+		span.RecordError(r.Err)
+	}
+	if r.failed() {
+		span.SetStatus(codes.Error, string(r.Next))
+	}
+	span.End()
+}
+
+// failed reports whether the attempt ended against plan.
+func (r AttemptReport) failed() bool {
+	return r.Next != "" && r.Next != CauseMoved && r.Next != CauseNotice
+}
