Planner: which upstreams to start, drain and stop

Cause: the fleet's size and mix must follow from state alone, so that a new lease holder repairs without replaying. Ruled out by the fuzzing: judging the mix at the present size (the mending instance called for another one, for ever); counting failure domains whose back-off is over (each try changed the size); choosing greedily (5.00 against 4.00 in a case of 8). Limit: all classes count as equally strong.

--- /dev/null
+++ b/internal/planner/planner_test.go
@@ -0,0 +1,357 @@
+package planner
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
+)
+
+func init() { testkit.FixSeed() }
+
+// world applies plans at once: starts are listed and serve a round later,
+// drained instances are idle a round later and then stop.
+type world struct {
+	actual Actual
+	wanted Wanted
+	now    time.Time
+	closed map[Offering]bool
+	ids    int
+	// changed: the latest plan met a start that failed or that works again,
+	// or made room by a stop. Each calls for another plan at once.
+	changed bool
+}
+
+// fataler is a test or one check of rapid.
+type fataler interface{ Fatalf(string, ...any) }
+
+const round = 10 * time.Second
+
+// step plans once, checks the plan, and applies it. It returns how many
+// actions took effect: starts that are refused are tried for ever.
+func (w *world) step(t fataler) int {
+	actions := Plan(w.actual, w.wanted, w.now)
+	before := newFleet(w.actual)
+	least, most := w.wanted.Placement.Min, w.wanted.Placement.Max
+	drains, effects := 0, 0
+	w.changed = false
+	for _, action := range actions {
+		if !w.apply(action) {
+			continue
+		}
+		effects++
+		if action.Kind == Drain {
+			drains++
+		}
+	}
+	after := newFleet(w.actual)
+	if after.total > max(most, before.total) {
+		t.Fatalf("%d instances are more than the maximum %d: %v", after.total, most, actions)
+	}
+	if drains > 0 && after.serving < least {
+		t.Fatalf("draining leaves %d of at least %d: %v", after.serving, least, actions)
+	}
+	if again := Plan(w.actual, w.wanted, w.now); len(again) > 0 && !w.changed {
+		t.Fatalf("planning again gives %v after %v", again, actions)
+	}
+	return effects
+}
+
+// apply reports whether the action took effect.
+func (w *world) apply(action Action) bool {
+	switch action.Kind {
+	case Start:
+		return w.start(action)
+	case Drain:
+		w.find(action.Instance).State = Draining
+	case Stop:
+		w.find(action.Instance).State = Leaving
+		w.changed = true
+	}
+	return true
+}
+
+func (w *world) start(action Action) bool {
+	w.actual.Starts++
+	if w.closed[action.Offering] {
+		w.changed = true
+		f := w.actual.Failures[action.Offering]
+		w.actual.Failures[action.Offering] = Failures{Count: f.Count + 1, Last: w.now}
+		return false
+	}
+	if _, failed := w.actual.Failures[action.Offering]; failed {
+		w.changed = true
+		delete(w.actual.Failures, action.Offering)
+	}
+	w.actual.Pending = append(w.actual.Pending, Pending{StartID: action.StartID, Offering: action.Offering, Answered: true})
+	return true
+}
+
+func (w *world) find(id ident.Instance) *Instance {
+	for i := range w.actual.Instances {
+		if w.actual.Instances[i].ID == id {
+			return &w.actual.Instances[i]
+		}
+	}
+	panic("the plan names an instance that is not there: " + string(id))
+}
+
+// tick lets time pass: what was asked for is there.
+func (w *world) tick() {
+	w.now = w.now.Add(round)
+	var kept []Instance
+	for _, instance := range w.actual.Instances {
+		switch instance.State {
+		case Leaving:
+			continue
+		case Starting:
+			instance.State = Serving
+		case Draining:
+			instance.Idle = true
+		}
+		kept = append(kept, instance)
+	}
+	for _, pending := range w.actual.Pending {
+		w.ids++
+		id := ident.Instance(fmt.Sprintf("i%04d", w.ids))
+		kept = append(kept, Instance{ID: id, Offering: pending.Offering, State: Starting})
+	}
+	w.actual.Instances, w.actual.Pending = kept, nil
+}
+
+// settle runs until the plan is empty, which steady input must bring about.
+func (w *world) settle(t fataler) {
+	const rounds = 200
+	quiet := 0
+	for range rounds {
+		if w.step(t) == 0 {
+			quiet++
+		} else {
+			quiet = 0
+		}
+		if quiet > 30 {
+			return
+		}
+		w.tick()
+	}
+	t.Fatalf("the plan does not come to rest: %v of %+v", Plan(w.actual, w.wanted, w.now), newFleet(w.actual))
+}
+
+// checkSettled is the oracle of a fleet at rest while all offerings start.
+func (w *world) checkSettled(t *rapid.T) {
+	f := newFleet(w.actual)
+	p := w.wanted.Placement
+	if f.kept < p.Min || float64(f.kept) < min(float64(p.Max), w.actual.Demand) {
+		t.Fatalf("%d upstreams for a demand of %.1f and bounds %d to %d", f.kept, w.actual.Demand, p.Min, p.Max)
+	}
+	// At the maximum with the bare minimum there is no room for a change: the
+	// minimum comes before the mix.
+	stuck := f.total >= p.Max && f.serving <= p.Min
+	if !stuck && float64(f.onDemand) < p.OnDemandShare*float64(f.kept)-roundingError {
+		t.Fatalf("%d of %d are on-demand, want a share of %.2f", f.onDemand, f.kept, p.OnDemandShare)
+	}
+	domains := len(newMarket(w.wanted, nil, w.now).provenDomains(f))
+	survivors := f.kept - f.largestDomain()
+	if domains > 1 && p.Max >= sizeToSurvive(p.Min, domains) && !stuck && p.OnDemandShare == 0 && survivors < p.Min {
+		t.Fatalf("the loss of a failure domain leaves %d of %d: %v", survivors, p.Min, f.byDomain)
+	}
+}
+
+func drawWorld(t *rapid.T) *world {
+	w := &world{now: time.Unix(0, 0), closed: make(map[Offering]bool)}
+	w.actual = Actual{Service: "spool-llm", Holder: 7, Failures: make(map[Offering]Failures)}
+	w.wanted.Reclaims = Reclaims{Default: 0.1, Lost: 10 * time.Minute}
+	w.wanted.Placement.Min = rapid.IntRange(1, 12).Draw(t, "min")
+	w.wanted.Placement.Max = w.wanted.Placement.Min + rapid.IntRange(0, 12).Draw(t, "more")
+	w.wanted.Placement.OnDemandShare = rapid.SampledFrom([]float64{0, 0, 0.32, 1}).Draw(t, "share")
+	w.wanted.Placement.Prices = drawPrices(t)
+	w.drawDemand(t)
+	return w
+}
+
+// drawPrices offers both kinds everywhere, at prices of all orders.
+func drawPrices(t *rapid.T) []document.Price {
+	var prices []document.Price
+	for i := range rapid.IntRange(1, 4).Draw(t, "domains") {
+		for _, reclaimable := range []bool{false, true} {
+			prices = append(prices, document.Price{
+				FailureDomain: ident.FailureDomain(fmt.Sprintf("hall-%c", 'a'+i)),
+				Class:         "gpu",
+				Reclaimable:   reclaimable,
+				CentsPerHour:  float64(rapid.IntRange(1, 20).Draw(t, "price")),
+			})
+		}
+	}
+	return prices
+}
+
+func (w *world) drawDemand(t *rapid.T) {
+	w.actual.Demand = float64(rapid.IntRange(0, 100).Draw(t, "demand")) / 5
+}
+
+func (w *world) drawOffering(t *rapid.T) Offering {
+	p := rapid.SampledFrom(w.wanted.Placement.Prices).Draw(t, "offering")
+	return Offering{FailureDomain: p.FailureDomain, Class: p.Class, Reclaimable: p.Reclaimable}
+}
+
+func (w *world) reclaim(lost func(Instance) bool) {
+	for i := range w.actual.Instances {
+		if lost(w.actual.Instances[i]) {
+			w.actual.Instances[i].State = Leaving
+		}
+	}
+}
+
+// Symptom: a fleet above its maximum, below its minimum, or that starts and
+// stops instances for ever. Sequence: reclaims of instances and of whole
+// failure domains, starts that fail, changes of demand, in any order. Cause: a
+// plan that forgets what it asked for, or whose parts disagree on the goal.
+func TestPlanKeepsItsBoundsAndComesToRest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := drawWorld(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"round":  func(t *rapid.T) { w.step(t); w.tick() },
+			"demand": w.drawDemand,
+			"close":  func(t *rapid.T) { w.closed[w.drawOffering(t)] = true },
+			"open":   func(t *rapid.T) { delete(w.closed, w.drawOffering(t)) },
+			"reclaim one": func(t *rapid.T) {
+				n := rapid.IntRange(0, w.ids).Draw(t, "instance")
+				w.reclaim(func(i Instance) bool { return string(i.ID) == fmt.Sprintf("i%04d", n) })
+			},
+			"reclaim failure domain": func(t *rapid.T) {
+				domain := w.drawOffering(t).FailureDomain
+				w.reclaim(func(i Instance) bool { return i.Offering.FailureDomain == domain })
+			},
+			"settle": func(t *rapid.T) { w.settle(t) },
+		})
+		clear(w.closed)
+		clear(w.actual.Failures)
+		w.settle(t)
+		w.checkSettled(t)
+	})
+}
+
+// Symptom: the fleet costs more than it needs to. Sequence: none. Cause: a
+// greedy choice that spends a cheap domain's room on the wrong need.
+func TestChoiceIsTheCheapestThatSatisfies(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		wanted := Wanted{Placement: document.Placement{Prices: drawPrices(t)}}
+		m := newMarket(wanted, nil, time.Unix(0, 0))
+		f := newFleet(Actual{})
+		count := rapid.IntRange(1, 8).Draw(t, "count")
+		onDemand := rapid.IntRange(0, count).Draw(t, "on-demand")
+		domains := len(m.provenDomains(f))
+		limit := rapid.IntRange(ceilDiv(count, domains), count).Draw(t, "limit")
+		chosen := m.choose(count, onDemand, limit, f)
+		got := 0.0
+		for _, offering := range chosen {
+			got += m.cost(offering)
+			f.add(offering)
+		}
+		if len(chosen) != count || f.onDemand < onDemand || f.largestDomain() > limit {
+			t.Fatalf("%v does not satisfy %d, %d on-demand, limit %d", chosen, count, onDemand, limit)
+		}
+		want := cheapestByTrying(m, m.spots(limit, newFleet(Actual{})), count, onDemand)
+		if math.Abs(got-want) > roundingError {
+			t.Fatalf("chosen costs %.2f, the cheapest %.2f", got, want)
+		}
+	})
+}
+
+// cheapestByTrying tries every split over the failure domains.
+func cheapestByTrying(m market, spots []spot, count, onDemand int) float64 {
+	if count == 0 && onDemand <= 0 {
+		return 0
+	}
+	if len(spots) == 0 {
+		return math.Inf(1)
+	}
+	best := math.Inf(1)
+	s := spots[0]
+	for total := 0; total <= min(s.room, count); total++ {
+		for dear := 0; dear <= total; dear++ {
+			here := float64(total-dear)*s.costs[anyKind] + float64(dear)*s.costs[onDemandOnly]
+			best = min(best, here+cheapestByTrying(m, spots[1:], count-total, onDemand-dear))
+		}
+	}
+	return best
+}
+
+func TestFailingStartsBackOffAndAnotherIsTried(t *testing.T) {
+	w := &world{now: time.Unix(0, 0), closed: make(map[Offering]bool)}
+	w.actual = Actual{Service: "spool-llm", Failures: make(map[Offering]Failures)}
+	cheap := Offering{FailureDomain: "hall-a", Class: "gpu", Reclaimable: true}
+	w.wanted.Placement = document.Placement{Min: 2, Max: 2, Prices: []document.Price{
+		{FailureDomain: "hall-a", Class: "gpu", Reclaimable: true, CentsPerHour: 1},
+		{FailureDomain: "hall-b", Class: "gpu", Reclaimable: true, CentsPerHour: 9},
+	}}
+	w.closed[cheap] = true
+	w.step(t)
+	w.step(t)
+	if got := w.actual.Failures[cheap].Count; got != 1 {
+		t.Errorf("the closed offering was tried %d times at one instant, want once", got)
+	}
+	if got := newFleet(w.actual).byDomain["hall-b"]; got != 2 {
+		t.Errorf("%d were started in the other failure domain, want 2", got)
+	}
+	var waits []time.Duration
+	for count := range 7 {
+		waits = append(waits, Failures{Count: count + 1, Last: w.now}.RetryAt().Sub(w.now))
+	}
+	if fmt.Sprint(waits) != "[5s 10s 20s 40s 1m20s 2m0s 2m0s]" {
+		t.Errorf("waits are %v", waits)
+	}
+}
+
+// largeFleet is at rest with 9 at least, spread over four failure domains.
+func largeFleet(t *testing.T) *world {
+	t.Helper()
+	w := &world{now: time.Unix(0, 0), closed: make(map[Offering]bool)}
+	w.actual = Actual{Service: "spool-llm", Failures: make(map[Offering]Failures), Demand: 6}
+	w.wanted.Placement = document.Placement{Min: 9, Max: 20}
+	for i := range 4 {
+		w.wanted.Placement.Prices = append(w.wanted.Placement.Prices, document.Price{
+			FailureDomain: ident.FailureDomain(fmt.Sprintf("hall-%c", 'a'+i)), Class: "gpu", Reclaimable: true, CentsPerHour: 10,
+		})
+	}
+	w.settle(t)
+	return w
+}
+
+// Symptom: the fleet stands below its minimum after a second failure domain is
+// lost. Sequence: one is reclaimed whole and refuses every new start. Cause: a
+// size that goes on counting with the failure domain that refuses.
+func TestRefusingFailureDomainIsMadeUpFor(t *testing.T) {
+	w := largeFleet(t)
+	lost := Offering{FailureDomain: "hall-d", Class: "gpu", Reclaimable: true}
+	w.closed[lost] = true
+	w.reclaim(func(i Instance) bool { return i.Offering == lost })
+	w.settle(t)
+	f := newFleet(w.actual)
+	if survivors := f.kept - f.largestDomain(); survivors < 9 {
+		t.Errorf("the loss of a second failure domain leaves %d of 9: %v", survivors, f.byDomain)
+	}
+	delete(w.closed, lost)
+	w.settle(t)
+	if f := newFleet(w.actual); f.byDomain["hall-d"] != 3 || f.kept != 12 {
+		t.Errorf("once it starts again the fleet is not as before: %v", f.byDomain)
+	}
+}
+
+func TestSmallChangesOfDemandMoveNothing(t *testing.T) {
+	w := largeFleet(t)
+	w.actual.Demand = 12
+	w.settle(t)
+	for _, demand := range []float64{11.4, 12, 10.9, 11.8, 11.1} {
+		w.actual.Demand = demand
+		if actions := Plan(w.actual, w.wanted, w.now); len(actions) > 0 {
+			t.Errorf("demand %.1f after 12: %v", demand, actions)
+		}
+	}
+}
