--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -118,6 +118,9 @@
 	return maps.Clone(s.effects)
 }
 
+// Running returns how many calls run.
+func (s *Service) Running() int { return s.running.Running() }
+
 // Drain refuses new calls and waits until those that run have ended.
 func (s *Service) Drain(ctx context.Context) error {
 	s.SetLeaving(true)
@@ -162,6 +165,8 @@
 		State:  c.state,
 		Answer: c.answer,
 		Fenced: s.options.ChecksFencing,
+
+		Incarnation: s.options.Incarnation,
 	}, nil
 }
 
@@ -198,6 +203,9 @@
 	if s.leaving {
 		return acceptance{}, upstream.ErrLeaving
 	}
+	if req.Incarnation != 0 && req.Incarnation != s.options.Incarnation {
+		return acceptance{}, upstream.ErrRefused
+	}
 	if req.Key != "" {
 		c := s.call(req.Key)
 		if s.options.ChecksFencing && req.Fence < c.fence {
