Contract suite: the incarnation that may run a call and that answers

The suite now wants incarnation 2 told, and a call for another life refused. Both seen failing with the field left out of the adapter.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -13,5 +13,7 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	// A second signal ends the process at once.
+	context.AfterFunc(ctx, stop)
 	os.Exit(command.Run(ctx, os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/internal/upstream/connectupstream/plain_test.go
+++ b/internal/upstream/connectupstream/plain_test.go
@@ -49,21 +49,26 @@
 	cases := []struct {
 		story   string
 		prepare func(*plain.Service)
-		want    error
-		ran     bool
-		effects int
+		// incarnation is the one that the call is meant for; 0 is any.
+		incarnation ident.Incarnation
+		want        error
+		ran         bool
+		effects     int
 	}{
-		{"leaving", func(s *plain.Service) { s.SetLeaving(true) }, upstream.ErrLeaving, false, 0},
-		{"old fencing number", func(s *plain.Service) { _, _ = s.Find(context.Background(), key, 6) }, upstream.ErrOldFence, false, 0},
-		{"connection lost before the effect", func(s *plain.Service) { s.FailNext(plain.LostBeforeEffect) }, nil, true, 0},
-		{"connection lost after the effect", func(s *plain.Service) { s.FailNext(plain.LostAfterEffect) }, nil, true, 1},
+		{"leaving", func(s *plain.Service) { s.SetLeaving(true) }, 2, upstream.ErrLeaving, false, 0},
+		{"old fencing number", func(s *plain.Service) { _, _ = s.Find(context.Background(), key, 6) }, 0, upstream.ErrOldFence, false, 0},
+		{"another life of the instance", func(*plain.Service) {}, 1, upstream.ErrRefused, false, 0},
+		{"connection lost before the effect", func(s *plain.Service) { s.FailNext(plain.LostBeforeEffect) }, 2, nil, true, 0},
+		{"connection lost after the effect", func(s *plain.Service) { s.FailNext(plain.LostAfterEffect) }, 0, nil, true, 1},
 	}
 	for _, c := range cases {
 		t.Run(c.story, func(t *testing.T) {
 			options := plain.Options{ChecksFencing: true, FindsOutcomes: true}
 			onEachPlain(t, options, func(t *testing.T, fake *plain.Service, subject upstream.Plain) {
 				c.prepare(fake)
-				_, err := subject.Invoke(t.Context(), bid)
+				call := bid
+				call.Incarnation = c.incarnation
+				_, err := subject.Invoke(t.Context(), call)
 				if err == nil || (c.want != nil && !errors.Is(err, c.want)) {
 					t.Errorf("got %v, want %v", err, c.want)
 				}
