routing: shares of the queue, margins, slots; experiment: admission in the driver

Admission (internal/admission/gate) in the driver, callers return as told up to five times. Learning the batch from any queued request was wrong (a request that has just come is queued until the next step); it takes more than 4 + 10% now.

--- a/internal/experiment/calls.go
+++ b/internal/experiment/calls.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
 	"github.com/goldcrestspool/goldcrestspool/internal/prompt"
 	"github.com/goldcrestspool/goldcrestspool/internal/routing"
 	"github.com/goldcrestspool/goldcrestspool/internal/standin/engine"
@@ -18,7 +19,7 @@
 	if k.kind.Patience > 0 {
 		r.at(r.now+k.kind.Patience, func() { r.giveUp(k) })
 	}
-	r.dispatch(k)
+	r.admit(k)
 }
 
 // giveUp ends a request whose caller waited too long for the first token.
@@ -27,11 +28,17 @@
 		return
 	}
 	k.gaveUp = true
+	k.done = true
+	r.open--
+	if k.entry != nil && k.entry.Waiting() {
+		r.abandon(k, k.entry, outcome.ReasonCancelled)
+		return
+	}
 	if k.runner != nil {
 		k.runner.model.Cancel(r.clock(), k.id())
 	}
 	r.leave(k, routing.ResultCancelled)
-	r.close(k)
+	r.release(k)
 }
 
 func (r *run) close(k *call) {
@@ -39,6 +46,7 @@
 		k.done = true
 		r.open--
 	}
+	r.release(k)
 }
 
 func (k *call) id() ident.Request { return ident.Request(strconv.Itoa(k.index)) }
@@ -59,6 +67,9 @@
 	for k.attempts < maxAttempts {
 		k.attempts++
 		req := k.request(doc.Service)
+		if p := k.decider.keepers[doc]; p != nil {
+			req.Exclude = append(req.Exclude[:len(req.Exclude):len(req.Exclude)], p.ejection.Excluded(r.clock())...)
+		}
 		d := policy.Decide(doc, k.decider.views[doc], req, r.clock())
 		if !d.Found() {
 			break
@@ -84,7 +95,11 @@
 	if u.model.Submit(r.clock(), w) != nil {
 		return false
 	}
-	k.runner, k.decision, k.sent = u, d, r.now
+	k.runner, k.decision, k.sent, k.firstOfAttempt = u, d, r.now, 0
+	k.resumedAt = k.delivered
+	if p := k.decider.keepers[r.document(k.kind.Plain)]; p != nil {
+		p.ejection.Started(r.clock(), u.ID)
+	}
 	u.active[k.index] = k
 	r.step(u)
 	return true
@@ -147,6 +162,7 @@
 // firstToken notes an attempt's first token and what its prefill repeated.
 func (r *run) firstToken(k *call, t engine.Token) {
 	r.policy(k).FirstToken(&k.ticket, r.clock())
+	k.firstOfAttempt = r.now - k.sent
 	if k.attempts == 1 {
 		k.predicted, k.actual = k.decision.FirstToken, r.now-k.sent
 	}
@@ -173,7 +189,11 @@
 		return
 	}
 	delete(k.runner.active, k.index)
+	u := k.runner
 	k.runner = nil
+	if result != routing.ResultCancelled {
+		r.observe(k, u, result == routing.ResultFailed)
+	}
 	r.policy(k).Finished(&k.ticket, result, r.clock())
 }
 
--- a/internal/experiment/driver.go
+++ b/internal/experiment/driver.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/admission/gate"
 	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
 	"github.com/goldcrestspool/goldcrestspool/internal/cacheview"
 	"github.com/goldcrestspool/goldcrestspool/internal/document"
@@ -68,6 +69,8 @@
 	policies map[*document.Document]Policy
 	views    map[*document.Document][]blackboard.Upstream
 	caches   map[ident.Instance]*cacheview.View
+	// keepers are empty for policies without admission.
+	keepers map[*document.Document]*keeper
 }
 
 // call is one request on its way through its attempts.
@@ -91,6 +94,12 @@
 	// refusals counts refusals by admission; retries those that came back at
 	// the time they were told, and retriesAdmitted those then taken.
 	refusals, retries, retriesAdmitted int
+	// entry is the request's place in its decider's admission, or nil.
+	entry *gate.Entry
+	// firstOfAttempt is of the present attempt.
+	firstOfAttempt time.Duration
+	// resumedAt is how many tokens the attempt began with.
+	resumedAt int
 	// predicted and actual are of the first attempt's first token.
 	predicted, actual time.Duration
 }
@@ -160,6 +169,9 @@
 			r.workload.Model: contender.New(r.rng.Uint64, r.clock()),
 			r.workload.Plain: contender.New(r.rng.Uint64, r.clock()),
 		}
+		if contender.Admission {
+			d.keepers = map[*document.Document]*keeper{r.workload.Model: newKeeper(), r.workload.Plain: newKeeper()}
+		}
 		r.deciders = append(r.deciders, d)
 		r.poll(d)
 		r.at(pollEvery*time.Duration(i)/deciders, func() { r.pollOnAndOn(d) })
@@ -193,6 +205,14 @@
 		doc := r.document(u.Role == platform.RolePlain)
 		d.views[doc] = append(d.views[doc], seen)
 	}
+	for doc, p := range d.keepers {
+		p.setUpstreams(d.views[doc], d.policies[doc], r.clock())
+	}
+	for _, doc := range []*document.Document{r.workload.Model, r.workload.Plain} {
+		if p := d.keepers[doc]; p != nil {
+			r.letIn(p)
+		}
+	}
 }
 
 func (r *run) document(plain bool) *document.Document {
--- a/internal/experiment/goals.go
+++ b/internal/experiment/goals.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"math"
+	"strings"
 )
 
 // The goals, from issue 5.
@@ -81,7 +82,7 @@
 func (t Table) best(of Cell, figure func(Figures) float64) (best Cell, value float64) {
 	value = math.Inf(1)
 	for _, cell := range t {
-		if cell.Policy == Ours || cell.Workload != of.Workload || cell.Case != of.Case {
+		if strings.HasPrefix(cell.Policy, Ours) || cell.Workload != of.Workload || cell.Case != of.Case {
 			continue
 		}
 		if v := cell.Median(figure); v < value {
--- /dev/null
+++ b/internal/experiment/keeper.go
@@ -0,0 +1,155 @@
+package experiment
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/admission/ejection"
+	"github.com/goldcrestspool/goldcrestspool/internal/admission/gate"
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
+	"github.com/goldcrestspool/goldcrestspool/internal/routing"
+)
+
+// maxReturns is how often a refused caller comes back as told.
+const maxReturns = 5
+
+// keeper is one decider's admission for one service: the pure parts that
+// admission.Controller wraps for goroutines, driven in virtual time.
+type keeper struct {
+	gate     *gate.Gate
+	ejection *ejection.Set
+	entries  map[*gate.Entry]*call
+}
+
+func newKeeper() *keeper {
+	return &keeper{
+		gate:     gate.New(gate.Config{}),
+		ejection: ejection.New(ejection.Config{}),
+		entries:  make(map[*gate.Entry]*call),
+	}
+}
+
+// setUpstreams takes over which upstreams are alive.
+func (p *keeper) setUpstreams(view []blackboard.Upstream, policy Policy, now time.Time) {
+	var ids []ident.Instance
+	for _, u := range view {
+		if u.State == blackboard.Alive {
+			ids = append(ids, u.Instance.ID)
+		}
+	}
+	p.ejection.SetUpstreams(ids)
+	p.gate.SetSlots(policy.Slots(view, deciders, now))
+}
+
+// offer asks for a slot for a request as routing sees it now.
+func (p *keeper) offer(k *call, d routing.Decision, now time.Time) gate.Decision {
+	account := ident.ClientAccount(strconv.Itoa(k.account))
+	k.entry = &gate.Entry{Request: gate.Request{
+		ID: k.id(), Account: account, Limit: document.AccountLimit{Account: account, Share: 1}, Class: k.kind.Class,
+		Predicted: d.FirstTokenBy, Unloaded: d.Unloaded, Remaining: time.Duration(k.output) * d.BetweenTokens,
+		Cost: d.Work, Attempt: uint32(k.refusals + 1),
+	}}
+	p.entries[k.entry] = k
+	return p.gate.Offer(now, k.entry)
+}
+
+// admit lets a request in, makes it wait, or refuses it.
+func (r *run) admit(k *call) {
+	doc := r.document(k.kind.Plain)
+	p := k.decider.keepers[doc]
+	if p == nil {
+		r.dispatch(k)
+		return
+	}
+	d := k.decider.policies[doc].Decide(doc, k.decider.views[doc], k.request(doc.Service), r.clock())
+	decision := p.offer(k, d, r.clock())
+	if k.refusals > 0 {
+		k.retries++
+		if !decision.Refused {
+			k.retriesAdmitted++
+		}
+	}
+	switch {
+	case decision.Granted:
+		r.dispatch(k)
+	case decision.Refused:
+		r.refuse(k, decision.Refusal)
+	default:
+		entry := k.entry
+		r.at(time.Duration(entry.LatestStart().UnixNano()), func() { r.abandon(k, entry, outcome.ReasonOverloaded) })
+	}
+	if decision.Evicted != nil {
+		r.refuse(p.entries[decision.Evicted.Entry], decision.Evicted.Refusal)
+	}
+}
+
+// abandon ends a wait that took too long, or whose caller left.
+func (r *run) abandon(k *call, entry *gate.Entry, cause outcome.Reason) {
+	p := k.decider.keepers[r.document(k.kind.Plain)]
+	if refusal, waited := p.gate.Abandon(r.clock(), entry, cause); waited {
+		r.refuse(k, refusal)
+	}
+}
+
+// refuse tells a caller when to come back; it does so a few times.
+func (r *run) refuse(k *call, o outcome.Outcome) {
+	delete(k.decider.keepers[r.document(k.kind.Plain)].entries, k.entry)
+	k.entry = nil
+	k.refusals++
+	if k.done || k.refusals > maxReturns || o.RetryAfter <= 0 {
+		r.close(k)
+		return
+	}
+	r.at(r.now+o.RetryAfter, func() {
+		if !k.done {
+			r.admit(k)
+		}
+	})
+}
+
+// release gives the slot of an ended request back and lets others in.
+func (r *run) release(k *call) {
+	doc := r.document(k.kind.Plain)
+	p := k.decider.keepers[doc]
+	if p == nil || k.entry == nil {
+		return
+	}
+	p.gate.Done(r.clock(), k.entry, 0)
+	delete(p.entries, k.entry)
+	k.entry = nil
+	r.letIn(p)
+}
+
+// letIn grants free slots to those who wait.
+func (r *run) letIn(p *keeper) {
+	for {
+		granted, expired := p.gate.Next(r.clock())
+		switch {
+		case granted != nil:
+			r.dispatch(p.entries[granted])
+		case expired != nil:
+			r.refuse(p.entries[expired.Entry], expired.Refusal)
+		default:
+			return
+		}
+	}
+}
+
+// observe learns from an attempt that ended at an upstream.
+func (r *run) observe(k *call, u *runner, failed bool) {
+	p := k.decider.keepers[r.document(k.kind.Plain)]
+	if p == nil {
+		return
+	}
+	// The time between tokens hardly depends on the queue, so that it tells a
+	// slow upstream from one that is only asked for much.
+	sample := ejection.Sample{Failed: failed, Started: time.Unix(0, int64(k.sent))}
+	if n := k.delivered - k.resumedAt; n > 1 {
+		gap := (r.now - k.sent - k.firstOfAttempt) / time.Duration(n-1)
+		sample.Latency = gap.Seconds() / k.decision.BetweenTokens.Seconds()
+	}
+	p.ejection.Ended(r.clock(), u.ID, sample)
+}
--- a/internal/experiment/policies.go
+++ b/internal/experiment/policies.go
@@ -16,12 +16,15 @@
 	Started(d routing.Decision, req routing.Request, now time.Time) routing.Ticket
 	FirstToken(t *routing.Ticket, now time.Time)
 	Finished(t *routing.Ticket, r routing.Result, now time.Time)
+	Slots(view []blackboard.Upstream, gateways int, now time.Time) int
 }
 
 // Contender makes a Policy for each service of each decider.
 type Contender struct {
 	Name string
-	New  func(random func() uint64, now time.Time) Policy
+	// Admission: requests are admitted, wait or are refused.
+	Admission bool
+	New       func(random func() uint64, now time.Time) Policy
 }
 
 // ourParams are those of our policy; a trial may replace them.
@@ -37,14 +40,19 @@
 		baseline("fewest in flight", fewestInFlight),
 		baseline("random of two", randomOfTwo),
 		baseline("prefix affinity", prefixAffinity),
-		{Name: Ours, New: func(random func() uint64, now time.Time) Policy {
-			p := ourParams()
-			p.Random = random
-			return routing.New(p, now)
-		}},
+		{Name: Ours, Admission: true, New: ourPolicy},
 	}
 }
 
+// LetAllIn is our routing without admission, for trials.
+func LetAllIn() Contender { return Contender{Name: Ours + ", all let in", New: ourPolicy} }
+
+func ourPolicy(random func() uint64, now time.Time) Policy {
+	p := ourParams()
+	p.Random = random
+	return routing.New(p, now)
+}
+
 // simple is a baseline: it chooses among the usable upstreams.
 type simple struct {
 	// Router only counts what is in flight.
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -24,6 +24,11 @@
 
 	// cached holds, by upstream, how many leading blocks it probably has.
 	cached []float64
+	// shareRequests and shareTokens are which part of a queue is served before
+	// the request.
+	shareRequests, shareTokens float64
+	// margin is the factor within which nine of ten predictions come true.
+	margin float64
 	// farthest is the largest place that is a home of the request's prefix.
 	farthest float64
 
@@ -47,6 +52,8 @@
 	scratch := c.router.scratch.Get().(*[]float64)
 	defer c.router.scratch.Put(scratch)
 	c.lookUp(scratch)
+	c.margin = c.router.predictor.margin(c.req.Class.Priority)
+	c.shareRequests, c.shareTokens = c.router.predictor.shares(c.req.Class.Priority)
 	c.shortlist(blackboard.Alive)
 	if c.count == 0 {
 		c.shortlist(blackboard.Suspect)
@@ -160,13 +167,13 @@
 		Upstream:       u.Instance.ID,
 		Address:        u.Instance.Address,
 		FirstToken:     duration(x.firstToken),
+		FirstTokenBy:   duration(x.firstToken * c.margin),
 		BetweenTokens:  duration(x.betweenTokens),
 		UncachedTokens: x.uncached,
+		Unloaded:       duration(x.unloaded),
+		Work:           x.work,
 		Reasons:        c.reasons,
 		slot:           c.entries[x.index].slot,
-		ahead:          x.ahead,
-		own:            x.own,
-		work:           x.work,
 	}
 	if p, ok := u.Cache.(placer); ok {
 		d.placer = p
--- a/internal/routing/inflight.go
+++ b/internal/routing/inflight.go
@@ -29,6 +29,8 @@
 	outstanding atomic.Int64
 	// lastSent is when the newest attempt was sent, as an epoch.
 	lastSent atomic.Int64
+	// batch is the learnt size of the upstream's batch.
+	batch average
 	// sent holds, by time of sending, the attempts whose first token has not
 	// come, and their uncached tokens. Each word is epoch, count and tokens.
 	sent [bucketCount]atomic.Uint64
@@ -104,21 +106,12 @@
 // Ticket follows one attempt from Started to Finished. It belongs to the one
 // goroutine that runs the attempt. The zero value does nothing.
 type Ticket struct {
-	slot    *slot
-	epoch   int64
-	tokens  int
-	waiting bool
-	// sent, ahead, own and priority serve to learn from the first token.
-	sent       time.Time
-	ahead, own float64
-	priority   int
-}
-
-// settle ends the attempt's part in what waits for a first token.
-func (t *Ticket) settle() {
-	if !t.waiting {
-		return
-	}
-	t.waiting = false
-	t.slot.settle(t.epoch, t.tokens)
+	slot     *slot
+	epoch    int64
+	tokens   int
+	priority int
+	// waiting: the first token has not come.
+	waiting   bool
+	sent      time.Time
+	predicted time.Duration
 }
--- a/internal/routing/params.go
+++ b/internal/routing/params.go
@@ -10,8 +10,12 @@
 type Params struct {
 	// StepTokens is the engines' token budget of a step.
 	StepTokens float64
-	// BatchLimit is how many requests run at once at an engine.
-	BatchLimit float64
+	// BatchLimit is how many requests are taken to run at once at an engine
+	// until its queue shows that fewer do; Filled is the share of that which
+	// gateways fill.
+	BatchLimit, Filled float64
+	// SlotRate is the weight of one view in what Slots returns.
+	SlotRate float64
 	// PrefillRate is assumed, in tokens a second, until a report tells it.
 	PrefillRate float64
 	// Step is assumed to be the time between tokens until a report tells it.
@@ -50,6 +54,8 @@
 	return Params{
 		StepTokens:      384,
 		BatchLimit:      96,
+		Filled:          1,
+		SlotRate:        0.1,
 		PrefillRate:     20000,
 		Step:            20 * time.Millisecond,
 		Hop:             time.Millisecond,
@@ -57,7 +63,7 @@
 		Comfort:         0.5,
 		RecomputeWeight: 10,
 		PriceWeight:     0,
-		LateWeight:      0.3,
+		LateWeight:      0.6,
 		Crowded:         0.95,
 		Bound:           1.2,
 		CrowdWeight:     3,
--- a/internal/routing/predict.go
+++ b/internal/routing/predict.go
@@ -4,8 +4,6 @@
 	"math"
 	"sync/atomic"
 	"time"
-
-	"github.com/goldcrestspool/goldcrestspool/internal/upstream"
 )
 
 const (
@@ -13,6 +11,11 @@
 	priorities = 8
 	// learnRate is the weight of one observation in a learnt average.
 	learnRate = 0.02
+	// marginQuantile of the first tokens come within the margin, which moves
+	// in steps of marginStep and up to marginMost, as logarithms of a factor.
+	marginQuantile = 0.9
+	marginStep     = 0.05
+	marginMost     = 2
 	// assumedOutput is the mean answer, in tokens, until it is learnt.
 	assumedOutput = 200
 )
@@ -33,16 +36,95 @@
 	a.bits.Store(math.Float64bits(old + learnRate*(x-old)))
 }
 
+func (a *average) store(x float64) { a.bits.Store(math.Float64bits(x)) }
+
 // predictor learns what reports do not tell.
+//
+// Engines serve higher priorities first, but their reports only give sums. What
+// share of a queue goes before a new request is taken from this gateway's own
+// requests: the mix of those that wait for their first token. Other gateways'
+// requests are like them.
 type predictor struct {
-	// ahead is, by priority, the share of an upstream's queue that is served
-	// before a new request: engines serve higher priorities first, but their
-	// reports only give sums.
-	ahead [priorities]average
+	// waiting is what waits for its first token now, by priority.
+	waiting [priorities]waiting
+	// margins are, by priority, the logarithm of the factor within which
+	// marginQuantile of the first tokens came.
+	margins [priorities]average
 	// output is the mean length of the answers.
 	output average
 }
 
+// waiting is this gateway's work of one priority that waits for first tokens,
+// now and on average.
+type waiting struct {
+	requests, tokens         atomic.Int64
+	meanRequests, meanTokens average
+}
+
+func priorityIndex(priority int) int { return min(max(priority, 0), priorities-1) }
+
+func (p *predictor) started(priority, tokens int) {
+	w := &p.waiting[priorityIndex(priority)]
+	w.requests.Add(1)
+	w.tokens.Add(int64(tokens))
+	for i := range p.waiting {
+		w := &p.waiting[i]
+		w.meanRequests.add(float64(w.requests.Load()), 0)
+		w.meanTokens.add(float64(w.tokens.Load()), 0)
+	}
+}
+
+func (p *predictor) settled(priority, tokens int) {
+	w := &p.waiting[priorityIndex(priority)]
+	w.requests.Add(-1)
+	w.tokens.Add(-int64(tokens))
+}
+
+// learn notes how a prediction came out. The margin moves up by each miss and
+// down by each hit, in such a proportion that it rests at its quantile.
+func (p *predictor) learn(priority int, predicted, actual time.Duration) {
+	if predicted <= 0 || actual <= 0 {
+		return
+	}
+	margin := &p.margins[priorityIndex(priority)]
+	m := margin.load(0)
+	if math.Log(float64(actual)/float64(predicted)) > m {
+		m += marginStep * marginQuantile
+	} else {
+		m -= marginStep * (1 - marginQuantile)
+	}
+	margin.store(min(max(m, 0), marginMost))
+}
+
+// margin is the factor within which marginQuantile of the first tokens come.
+func (p *predictor) margin(priority int) float64 {
+	return math.Exp(p.margins[priorityIndex(priority)].load(0))
+}
+
+// shares returns which part of queued requests and of queued prefill is served
+// before a new request of a priority.
+func (p *predictor) shares(priority int) (requests, tokens float64) {
+	var aheadRequests, allRequests, aheadTokens, allTokens float64
+	for i := range p.waiting {
+		r, t := p.waiting[i].meanRequests.load(0), p.waiting[i].meanTokens.load(0)
+		allRequests += r
+		allTokens += t
+		if i >= priorityIndex(priority) {
+			aheadRequests += r
+			aheadTokens += t
+		}
+	}
+	return part(aheadRequests, allRequests), part(aheadTokens, allTokens)
+}
+
+// part is a share of a whole; of nothing it is all.
+func part(of, whole float64) float64 {
+	if whole <= 0 {
+		return 1
+	}
+	return of / whole
+}
+
 // situation is an upstream as it probably is now, in seconds and tokens.
 type situation struct {
 	rate    float64
@@ -52,10 +134,13 @@
 	running float64
 	waiting float64
 	prefill float64
+	// batch is how many requests run at once there.
+	batch float64
 }
 
 // situation adds to a report what it cannot know of yet.
-func (c *chooser) situation(r *upstream.Report, unseen load) situation {
+func (c *chooser) situation(i int, unseen load) situation {
+	r := &c.view[i].Report
 	p := &c.router.params
 	s := situation{
 		rate:    orElse(r.PrefillRate, p.PrefillRate),
@@ -63,6 +148,7 @@
 		running: float64(r.Running),
 		waiting: float64(r.Queued + unseen.requests),
 		prefill: float64(r.QueuedPrefillTokens + unseen.tokens),
+		batch:   c.entries[i].slot.batchSize(p.BatchLimit),
 	}
 	s.chunk = max(1, p.StepTokens-s.running)
 	// With prefill in the queue, the reported step held a whole chunk of it.
@@ -70,32 +156,17 @@
 	return s
 }
 
-// wait predicts the parts of the time to the first token: waits for what is
-// ahead, which priority may skip, and the request's own prefill.
+// wait predicts the parts of the time to the first token: what is ahead, and
+// the request's own prefill.
 func (c *chooser) wait(s situation, uncached int) (ahead, own float64) {
 	perToken := s.decode/s.chunk + 1/s.rate
-	ahead = s.prefill * perToken
-	room := c.router.params.BatchLimit - s.running
-	if s.waiting > room {
+	ahead = c.shareTokens * s.prefill * perToken
+	if room := s.batch - s.running; s.waiting > room {
 		output := c.router.predictor.output.load(assumedOutput)
 		release := s.running / (s.step * output)
-		ahead += (s.waiting - max(0, room)) / max(release, 1e-3)
+		ahead += c.shareRequests * (s.waiting - max(0, room)) / max(release, 1e-3)
 	}
 	steps := math.Ceil(float64(uncached) / s.chunk)
 	own = s.step/2 + steps*s.decode + float64(uncached)/s.rate
 	return ahead, own
 }
-
-func (p *predictor) aheadOf(priority int) *average {
-	return &p.ahead[min(max(priority, 0), priorities-1)]
-}
-
-// learn notes how long a first token took.
-func (p *predictor) learn(t *Ticket, took time.Duration) {
-	const least = 0.005
-	if t.ahead < least {
-		return
-	}
-	share := (took.Seconds() - t.own) / t.ahead
-	p.aheadOf(t.priority).add(min(max(share, 0.001), 2), 1)
-}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -27,9 +27,10 @@
 	began time.Time
 	slots atomic.Pointer[slots]
 	// prepared belongs to the view seen last.
-	prepared   atomic.Pointer[prepared]
-	predictor  predictor
-	popularity popularity
+	prepared    atomic.Pointer[prepared]
+	predictor   predictor
+	popularity  popularity
+	slotsSmooth average
 	// scratch holds slices for the decisions under way.
 	scratch sync.Pool
 }
@@ -92,6 +93,7 @@
 	highest := 0.0
 	for i := range view {
 		p.entries[i].slot = r.slot(view[i].Instance.ID)
+		p.entries[i].slot.learnBatch(&view[i], r.params.BatchLimit)
 		p.entries[i].price = price(doc, &view[i])
 		p.entries[i].hash = xxhash.Sum64String(string(view[i].Instance.ID))
 		highest = max(highest, p.entries[i].price)
@@ -174,13 +176,14 @@
 		return Ticket{}
 	}
 	t := Ticket{
-		slot: d.slot, epoch: r.epoch(now), tokens: d.UncachedTokens, waiting: true,
-		sent: now, ahead: d.ahead, own: d.own, priority: req.Class.Priority,
+		slot: d.slot, epoch: r.epoch(now), tokens: d.UncachedTokens, priority: req.Class.Priority,
+		waiting: true, sent: now, predicted: d.FirstToken,
 	}
+	r.predictor.started(t.priority, t.tokens)
 	r.predictor.output.add(float64(max(1, req.MaxTokens)), assumedOutput)
 	d.slot.add(t.epoch, t.tokens)
 	if len(req.Blocks) > 0 {
-		r.popularity.add(req.Blocks[0], d.work)
+		r.popularity.add(req.Blocks[0], d.Work)
 	}
 	if d.placer != nil {
 		d.placer.Placed(req.Blocks, now)
@@ -188,13 +191,24 @@
 	return t
 }
 
-// FirstToken notes that the first token came. Later calls do nothing.
+// FirstToken notes that the first token came, so that the attempt's prefill is
+// over. Later calls do nothing.
 func (r *Router) FirstToken(t *Ticket, now time.Time) {
 	if t.slot == nil || !t.waiting {
 		return
 	}
-	r.predictor.learn(t, now.Sub(t.sent))
-	t.settle()
+	r.predictor.learn(t.priority, t.predicted, now.Sub(t.sent))
+	r.settle(t)
+}
+
+// settle ends the attempt's part in what waits for a first token.
+func (r *Router) settle(t *Ticket) {
+	if !t.waiting {
+		return
+	}
+	t.waiting = false
+	t.slot.settle(t.epoch, t.tokens)
+	r.predictor.settled(t.priority, t.tokens)
 }
 
 // Finished notes that an attempt ended. Later calls do nothing.
@@ -202,7 +216,7 @@
 	if t.slot == nil {
 		return
 	}
-	t.settle()
+	r.settle(t)
 	t.slot.outstanding.Add(-1)
 	t.slot = nil
 }
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -11,12 +11,12 @@
 type estimate struct {
 	// score is in seconds; lower is better.
 	score float64
-	// firstToken and betweenTokens are in seconds.
+	// firstToken, unloaded (firstToken at an idle upstream) and betweenTokens
+	// are in seconds.
 	firstToken    float64
 	betweenTokens float64
-	// ahead and own are the parts of firstToken, ahead before priority.
-	ahead, own float64
-	uncached   int
+	unloaded      float64
+	uncached      int
 	// work is the engine time that the request takes.
 	work float64
 }
@@ -28,13 +28,12 @@
 	if c.plain {
 		return c.estimatePlain(i, unseen)
 	}
-	s := c.situation(&u.Report, unseen)
+	s := c.situation(i, unseen)
 	e := estimate{betweenTokens: s.step, uncached: c.uncached(i)}
-	e.ahead, e.own = c.wait(s, e.uncached)
-	share := c.router.predictor.aheadOf(c.req.Class.Priority).load(1)
-	e.own += c.hop(u)
-	e.firstToken = share*e.ahead + e.own
-	e.work = float64(e.uncached)/s.rate + float64(c.req.MaxTokens)*s.decode/c.router.params.BatchLimit
+	ahead, own := c.wait(s, e.uncached)
+	e.unloaded = own + c.hop(u)
+	e.firstToken = ahead + e.unloaded
+	e.work = float64(e.uncached)/s.rate + float64(c.req.MaxTokens)*s.decode/s.batch
 	e.score = c.cost(s, e, c.entries[i].price, i)
 	return e
 }
@@ -46,10 +45,10 @@
 	p := &c.router.params
 	prefill := float64(e.uncached) / s.rate
 	target := orElse(c.req.Class.FirstToken.Seconds(), p.Target.Seconds())
-	late := min(1, max(0, e.firstToken-p.Comfort*target)/target)
-	bound := max(p.Crowded, p.Bound*c.mean/p.BatchLimit)
-	crowd := max(0, (s.running+s.waiting)/p.BatchLimit-bound)
-	sum := p.BalanceWeight * (s.running + s.waiting) / p.BatchLimit
+	late := min(1, max(0, e.firstToken*c.margin-p.Comfort*target)/target)
+	bound := max(p.Crowded, p.Bound*c.mean/s.batch)
+	crowd := max(0, (s.running+s.waiting)/s.batch-bound)
+	sum := p.BalanceWeight * (s.running + s.waiting) / s.batch
 	if c.away(i) {
 		sum += p.HomeWeight
 	}
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -69,19 +69,23 @@
 	Address  string
 	// FirstToken is the predicted time to the first token.
 	FirstToken time.Duration
+	// FirstTokenBy is when nine of ten such first tokens have come, by how
+	// earlier predictions came out.
+	FirstTokenBy time.Duration
 	// BetweenTokens is the predicted time between two tokens.
 	BetweenTokens time.Duration
 	// UncachedTokens is how much of the prompt is believed to need prefill.
 	UncachedTokens int
+	// Unloaded is the predicted time to the first token if the upstream were
+	// idle.
+	Unloaded time.Duration
+	// Work is the engine time that the request takes, in seconds.
+	Work float64
 	// Reasons are filled only when asked for, since they allocate.
 	Reasons []Reason
 
 	slot   *slot
 	placer placer
-	// ahead and own are the parts of FirstToken, in seconds.
-	ahead, own float64
-	// work is the engine time that the request takes, in seconds.
-	work float64
 }
 
 // Found reports whether the decision names an upstream.
