Streaming: three more mutations die

Cause: excluding an instance after its first silence, an engine that keeps the attempt of a dead connection, and a first peer that takes all the time of a hand-over passed all tests. The table now looks at the instance of the second attempt, the engine in the socket test is still at work when the second attempt comes, and leaving is timed (virtual time).

--- a/internal/streaming/registry_test.go
+++ b/internal/streaming/registry_test.go
@@ -112,7 +112,11 @@
 			defer peer.Close()
 			caller := newCaller("weber", "r-1", length)
 			time.AfterFunc(time.Second, func() {
+				began := time.Now()
 				b.registry.Leave(t.Context(), time.Millisecond, []Peer{fakePeer{frozen: true}, fakePeer{to: peer}})
+				if took := time.Since(began); took > b.registry.config.HandOverTime {
+					t.Errorf("leaving took %v although the second peer answers at once", took)
+				}
 			})
 			if got, _ := caller.generate(t.Context(), b.registry); got.Kind != outcome.Interrupted || got.Reason != outcome.ReasonLeaving {
 				t.Errorf("outcome %v; want interrupted, leaving", got)
--- a/internal/streaming/runner_test.go
+++ b/internal/streaming/runner_test.go
@@ -79,6 +79,9 @@
 				if got := len(b.all()); got != attempts {
 					t.Errorf("%d attempts; want %d", got, attempts)
 				}
+				if again := b.all()[attempts-1]; c.next == CauseSilent && again.Instance != b.all()[0].Instance {
+					t.Errorf("the instance was left out, and not its connection alone")
+				}
 				if first := b.all()[0]; first.Next != c.next || first.Fault != c.kind {
 					t.Errorf("first attempt ended for %q, fault %q; want %q, %q", first.Next, first.Fault, c.next, c.kind)
 				}
--- a/internal/streaming/sockets_test.go
+++ b/internal/streaming/sockets_test.go
@@ -109,18 +109,18 @@
 
 func (a *attempts) AttemptEnded(r streaming.AttemptReport) { *a = append(*a, r) }
 
-// collector is a caller's connection; half is closed at half of the answer.
+// collector is a caller's connection. It calls then, once, at a token.
 type collector struct {
 	tokens []string
 	at     int
-	half   func()
+	then   func()
 }
 
 func (c *collector) Tokens(_ uint32, tokens []string) error {
 	c.tokens = append(c.tokens, tokens...)
-	if c.half != nil && len(c.tokens) >= c.at {
-		c.half()
-		c.half = nil
+	if c.then != nil && len(c.tokens) >= c.at {
+		c.then()
+		c.then = nil
 	}
 	return nil
 }
@@ -136,7 +136,8 @@
 func TestStreamGoesOnWhenConnectionsGoSilent(t *testing.T) {
 	const tokens = 200
 	parameters := engine.DefaultParameters()
-	parameters.StepBase = time.Millisecond
+	// The engine is still at work on the first attempt when the second comes.
+	parameters.StepBase = 8 * time.Millisecond
 	fake := engine.New(engine.Config{Instance: "hall-a-1", Parameters: parameters})
 	t.Cleanup(fake.Close)
 	mux := http.NewServeMux()
@@ -156,7 +157,7 @@
 		Key: streaming.Key{Account: "weber", Request: "r-1"},
 		Ask: streaming.Ask{Service: "spool-llm", Prompt: strings.Repeat("lot.", 3000), MaxTokens: tokens},
 	}
-	sink := &collector{at: tokens / 2, half: func() {
+	sink := &collector{at: tokens / 20, then: func() {
 		if _, err := client.Report(t.Context()); err != nil {
 			t.Error(err)
 		}
