--- /dev/null
+++ b/cmd/controller/main.go
@@ -0,0 +1,29 @@
+// Command controller takes the leased decisions: which upstreams to start and
+// to stop, and what model engines run. One runs beside the gateway on each
+// entry instance.
+package main
+
+import (
+	"os"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/controller"
+	"github.com/goldcrestspool/goldcrestspool/internal/program"
+	"github.com/goldcrestspool/goldcrestspool/internal/settings"
+)
+
+func main() {
+	os.Exit(program.Daemon[settings.Controller]{
+		Name:        "controller",
+		Description: "controller takes the leased decisions: which upstreams to start and to stop, and what model engines run.",
+		Load:        settings.LoadController,
+		Run:         run,
+	}.Main())
+}
+
+func run(signals program.Signals, s *settings.Controller) error {
+	process, err := controller.New(s)
+	if err != nil {
+		return err
+	}
+	return process.Run(signals, os.Stdout)
+}
--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,203 @@
+// Package controller is the process that takes the leased decisions: which
+// upstreams to start and to stop, and what model engines run. One runs beside
+// the gateway on each entry instance. Callers never wait for it.
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	"github.com/goldcrestspool/goldcrestspool/internal/controllers/configuration"
+	"github.com/goldcrestspool/goldcrestspool/internal/controllers/fleet"
+	"github.com/goldcrestspool/goldcrestspool/internal/controllers/orders"
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/lease"
+	"github.com/goldcrestspool/goldcrestspool/internal/operations"
+	"github.com/goldcrestspool/goldcrestspool/internal/peer"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform/connectplatform"
+	"github.com/goldcrestspool/goldcrestspool/internal/program"
+	"github.com/goldcrestspool/goldcrestspool/internal/settings"
+	"github.com/goldcrestspool/goldcrestspool/internal/telemetry"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstream/connectupstream"
+)
+
+// lastWords bounds the end of a stop: the release of the leases is bounded
+// apart, by the log's timeout.
+const lastWords = 500 * time.Millisecond
+
+// statusPath shows the leases as this process knows them.
+const statusPath = "GET /status"
+
+// Process is one controller. Create it with New.
+type Process struct {
+	settings  *settings.Controller
+	telemetry *telemetry.Telemetry
+	log       hclog.Logger
+	listener  net.Listener
+	client    *http.Client
+	platform  *connectplatform.Client
+	dialer    *connectupstream.Dialer
+	pool      *peer.Pool
+
+	documents *blackboard.Section[*document.Set]
+	health    *blackboard.Section[blackboard.ConfigurationHealth]
+	instances *blackboard.Section[[]platform.Instance]
+
+	configuration *configuration.Controller
+	leases        *lease.Manager
+	orders        *orders.Controller
+	fleet         *fleet.Controller
+}
+
+// New opens the operators' port and wires the parts. Run starts them.
+func New(s *settings.Controller) (*Process, error) {
+	t, err := telemetry.Setup(telemetryConfig(s))
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", s.Listen.Operators)
+	if err != nil {
+		return nil, errcode.Wrap(errcode.Unavailable, err, "listen on "+s.Listen.Operators)
+	}
+	p := &Process{settings: s, telemetry: t, log: t.Log, listener: listener}
+	if err := p.wire(); err != nil {
+		_ = listener.Close()
+		return nil, err
+	}
+	return p, nil
+}
+
+func telemetryConfig(s *settings.Controller) telemetry.Config {
+	return telemetry.Config{
+		Program:       "controller",
+		Instance:      s.Instance.ID,
+		FailureDomain: s.Instance.FailureDomain,
+		Region:        s.Instance.Region,
+		LogLevel:      s.Log.Level,
+		LogFormat:     string(s.Log.Format),
+		TraceExporter: string(s.Trace.Exporter),
+		TraceEndpoint: s.Trace.Endpoint,
+	}
+}
+
+// Run works until it is told to stop. Then it ends the rounds, releases its
+// leases so that another process takes them over at once, and returns.
+func (p *Process) Run(signals program.Signals, stdout io.Writer) error {
+	rounds, endRounds := context.WithCancel(signals.Kill)
+	defer endRounds()
+	holding, endHolding := context.WithCancel(signals.Kill)
+	defer endHolding()
+	var roundsDone, holdingDone sync.WaitGroup
+	failed := make(chan error, 1)
+
+	server := p.operations()
+	holdingDone.Go(func() { p.leases.Run(holding) })
+	for _, loop := range p.loops() {
+		roundsDone.Go(func() { report(failed, loop(rounds)) })
+	}
+	go func() { report(failed, server.Serve()) }()
+	if err := p.announce(stdout); err != nil {
+		return err
+	}
+
+	var err error
+	select {
+	case <-signals.Stop.Done():
+		p.log.Info("stopping")
+	case err = <-failed:
+	}
+	// The leases go last: no order may land after its lease was released.
+	endRounds()
+	waitOrKill(&roundsDone, signals.Kill)
+	endHolding()
+	waitOrKill(&holdingDone, signals.Kill)
+	return errors.Join(err, p.close(signals, server))
+}
+
+// loops are the rounds that end before the leases are released.
+func (p *Process) loops() []func(context.Context) error {
+	return []func(context.Context) error{p.configuration.Run, p.runListing, p.orders.Run, p.fleet.Run}
+}
+
+// report sends a loop's failure, once. The end of its context is none.
+func report(failed chan<- error, err error) {
+	if err == nil || errors.Is(err, context.Canceled) {
+		return
+	}
+	select {
+	case failed <- err:
+	default:
+	}
+}
+
+// waitOrKill waits for a group, or until the second signal.
+func waitOrKill(group *sync.WaitGroup, kill context.Context) {
+	done := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-kill.Done():
+	}
+}
+
+func (p *Process) close(signals program.Signals, server *operations.Server) error {
+	ctx, cancel := context.WithTimeout(signals.Kill, lastWords)
+	defer cancel()
+	_ = server.Shutdown(ctx)
+	if err := p.telemetry.Shutdown(ctx); err != nil {
+		p.log.Warn("spans were lost", "error", err)
+	}
+	p.dialer.Close()
+	p.pool.Close()
+	p.client.CloseIdleConnections()
+	p.log.Info("stopped")
+	return signals.Kill.Err()
+}
+
+// listening is the line on stdout by which whoever started the process learns
+// the port that the kernel chose.
+type listening struct {
+	Event     string         `json:"event"`
+	Instance  ident.Instance `json:"instance"`
+	Operators string         `json:"operators"`
+}
+
+func (p *Process) announce(stdout io.Writer) error {
+	line := listening{Event: "listening", Instance: p.settings.Instance.ID, Operators: p.listener.Addr().String()}
+	return errcode.Wrap(errcode.Internal, json.NewEncoder(stdout).Encode(line), "announce")
+}
+
+func (p *Process) operations() *operations.Server {
+	return operations.New(operations.Config{
+		Listener: p.listener,
+		Ready:    p.ready,
+		Pprof:    p.settings.Listen.PProf,
+		Handlers: map[string]http.Handler{statusPath: http.HandlerFunc(p.serveStatus)},
+	})
+}
+
+// ready reports whether this process could take decisions.
+func (p *Process) ready() (bool, string) {
+	if health := p.health.Value(); !health.Ready {
+		return false, "documents: " + health.Problem
+	}
+	if p.instances.Load().Version == 0 {
+		return false, "instance list: not read yet"
+	}
+	return true, ""
+}
--- /dev/null
+++ b/internal/controller/listing.go
@@ -0,0 +1,96 @@
+package controller
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/lease"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+)
+
+// The times between two reads of the platform's list: for a candidate, and for
+// a process that only watches whether it has become one.
+const (
+	candidateListing = 2 * time.Second
+	watcherListing   = 10 * time.Second
+)
+
+// runListing reads the platform's list and tells the lease manager which
+// leases this process is a candidate for. It is the one writer of p.instances.
+func (p *Process) runListing(ctx context.Context) error {
+	for {
+		p.readList(ctx)
+		wanted := p.candidacies()
+		p.leases.Want(wanted)
+		pause := watcherListing
+		if len(wanted) > 0 || p.instances.Load().Version == 0 {
+			pause = candidateListing
+		}
+		select {
+		case <-time.After(pause):
+		case <-p.documents.Load().Changed():
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (p *Process) readList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, p.settings.Platform.Timeout)
+	defer cancel()
+	list, err := p.platform.List(ctx)
+	if err != nil {
+		p.log.Debug("instance list not read", "error", err)
+		return
+	}
+	p.instances.Publish(list)
+}
+
+// candidacies returns the leases that this process wants: those for which it
+// is a candidate, and those that it holds. A holder stays one when the list
+// changes, so that the list's lag moves no lease.
+func (p *Process) candidacies() []lease.Wanted {
+	instances := p.instances.Value()
+	held := make(map[lease.Name]bool)
+	for _, name := range p.leases.Held() {
+		held[name] = true
+	}
+	var wanted []lease.Wanted
+	for _, name := range leaseNames(p.documents.Value(), instances) {
+		rank, candidate := lease.RankOf(p.settings.Instance.ID, name, instances)
+		if candidate || held[name] {
+			wanted = append(wanted, lease.Wanted{Name: name, Rank: rank})
+		}
+	}
+	return wanted
+}
+
+// leaseNames returns the leases that exist: one over each service's fleet, and
+// one for the engines of each failure domain that has any.
+func leaseNames(set *document.Set, instances []platform.Instance) []lease.Name {
+	var names []lease.Name
+	for _, service := range slices.Sorted(maps.Keys(set.Services)) {
+		names = append(names, lease.Name{Service: service})
+		if set.Services[service].Document.Kind != document.Model {
+			continue
+		}
+		for _, domain := range domainsOf(service, instances) {
+			names = append(names, lease.Name{Service: service, FailureDomain: domain})
+		}
+	}
+	return names
+}
+
+func domainsOf(service ident.Service, instances []platform.Instance) []ident.FailureDomain {
+	domains := make(map[ident.FailureDomain]bool)
+	for _, instance := range instances {
+		if instance.Service == service && instance.Role == platform.RoleEngine && instance.State == platform.Live {
+			domains[instance.FailureDomain] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(domains))
+}
--- /dev/null
+++ b/internal/controller/wire.go
@@ -0,0 +1,107 @@
+package controller
+
+import (
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	"github.com/goldcrestspool/goldcrestspool/internal/controllers/configuration"
+	"github.com/goldcrestspool/goldcrestspool/internal/controllers/fleet"
+	"github.com/goldcrestspool/goldcrestspool/internal/controllers/orders"
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/lease"
+	"github.com/goldcrestspool/goldcrestspool/internal/peer"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform/connectplatform"
+	"github.com/goldcrestspool/goldcrestspool/internal/settings"
+	"github.com/goldcrestspool/goldcrestspool/internal/transport"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstream/connectupstream"
+)
+
+// renewalsPerLease is how many renewals a lease's length has room for.
+const renewalsPerLease = 3
+
+// wire creates the parts, which meet on the blackboard's sections.
+func (p *Process) wire() error {
+	s := p.settings
+	p.documents = blackboard.NewSection(&document.Set{})
+	p.health = blackboard.NewSection(blackboard.ConfigurationHealth{Problem: "not read yet"})
+	p.instances = blackboard.NewSection([]platform.Instance(nil))
+	p.client = transport.NewClient(transport.Options{})
+	p.platform = connectplatform.NewClient(p.client, s.Platform.Address)
+
+	trusted, err := s.TLS.Upstream.ClientConfig()
+	if err != nil {
+		return err
+	}
+	p.dialer = connectupstream.NewDialer(trusted)
+	if p.pool, err = peer.NewPool(peerTLS(s.TLS.Peers)); err != nil {
+		return err
+	}
+	if err := p.wireLeases(); err != nil {
+		return err
+	}
+	p.configuration = configuration.New(configuration.Options{
+		Instance:  s.Instance.ID,
+		Log:       p.platform,
+		Documents: p.documents,
+		Health:    p.health,
+		Logger:    p.log,
+	})
+	p.wireControllers()
+	return nil
+}
+
+func (p *Process) wireLeases() error {
+	s := p.settings
+	config := lease.Config{
+		Holder:      lease.NewHolder(s.Instance.ID, s.Instance.Incarnation),
+		Length:      s.Control.Lease,
+		Margin:      s.Control.Margin,
+		RenewEvery:  s.Control.Lease / renewalsPerLease,
+		Poll:        s.Control.Interval,
+		CallTimeout: s.Platform.Timeout,
+		Log:         p.log.Named("lease"),
+	}
+	if err := config.Check(); err != nil {
+		return err
+	}
+	p.leases = lease.New(config, p.platform)
+	return nil
+}
+
+func (p *Process) wireControllers() {
+	s := p.settings
+	p.orders = orders.New(
+		orders.Config{Interval: s.Control.Interval, Flight: s.Control.Margin, Parallel: orders.DefaultParallel},
+		orders.Deps{
+			Documents: p.documents,
+			Instances: p.instances,
+			Leases:    p.leases,
+			Dialer:    p.dialer,
+			Weights:   p.platform,
+			Log:       p.log.Named("orders"),
+		})
+	p.fleet = fleet.New(
+		fleet.Config{
+			Interval:       s.Control.Interval,
+			Flight:         s.Control.Margin,
+			Parallel:       fleet.DefaultParallel,
+			SlotsPerEngine: fleet.DefaultSlotsPerEngine,
+			SlotsPerPlain:  fleet.DefaultSlotsPerPlain,
+		},
+		fleet.Deps{
+			Documents: p.documents,
+			Instances: p.instances,
+			Leases:    p.leases,
+			Cloud:     p.platform,
+			Dialer:    p.dialer,
+			Gateways:  newGateways(s.Instance, p.pool, p.instances),
+			Log:       p.log.Named("fleet"),
+		})
+}
+
+// peerTLS returns the files for mutual TLS with the gateways.
+func peerTLS(pair settings.PeerKeyPair) peer.TLSFiles {
+	if !pair.Set() {
+		return peer.TLSFiles{}
+	}
+	return peer.TLSFiles{Certificate: pair.Cert, Key: pair.Key, Authority: pair.CA, ServerName: settings.PeerName}
+}
--- /dev/null
+++ b/internal/controllers/fleet/controller.go
@@ -0,0 +1,227 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/lease"
+	"github.com/goldcrestspool/goldcrestspool/internal/planner"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstream"
+)
+
+// Leases tells whether this process may act; lease.Manager does.
+type Leases interface {
+	Grant(name lease.Name) (lease.Grant, bool)
+}
+
+// Dialer returns the upstream at an address without blocking.
+type Dialer interface {
+	Engine(address string) upstream.Engine
+	Plain(address string) upstream.Plain
+}
+
+// Gateways are told which upstreams shall get no new work, and can tell which
+// ones they know as leaving.
+type Gateways interface {
+	// AnnounceLeaving returns an error when no gateway has heard it.
+	AnnounceLeaving(ctx context.Context, upstreams []platform.Instance) error
+	// Leaving returns the instances that a gateway knows as leaving.
+	Leaving(ctx context.Context) (map[ident.Instance]ident.Incarnation, error)
+}
+
+// Config says how often to plan and how long a request may take.
+type Config struct {
+	// Interval is the time between two rounds.
+	Interval time.Duration
+	// Flight bounds one request. It must not exceed the leases' margin.
+	Flight time.Duration
+	// Parallel bounds the requests in progress.
+	Parallel int
+	// SlotsPerEngine and SlotsPerPlain are how many requests keep one
+	// upstream busy. Documents do not say it yet.
+	SlotsPerEngine, SlotsPerPlain float64
+}
+
+// The defaults of Config.
+const (
+	DefaultParallel       = 32
+	DefaultSlotsPerEngine = 16
+	DefaultSlotsPerPlain  = 32
+)
+
+// Deps is what the controller works with.
+type Deps struct {
+	Documents *blackboard.Section[*document.Set]
+	Instances *blackboard.Section[[]platform.Instance]
+	Leases    Leases
+	Cloud     platform.Cloud
+	Dialer    Dialer
+	Gateways  Gateways
+	Log       hclog.Logger
+}
+
+// Controller keeps the fleets. Create it with New.
+type Controller struct {
+	config   Config
+	deps     Deps
+	memories map[ident.Service]*memory
+	// noticed and after are the reclaim notices read so far.
+	noticed map[upstreamKey]bool
+	after   uint64
+}
+
+// New returns a controller that has looked at nothing yet.
+func New(config Config, deps Deps) *Controller {
+	return &Controller{
+		config:   config,
+		deps:     deps,
+		memories: make(map[ident.Service]*memory),
+		noticed:  make(map[upstreamKey]bool),
+	}
+}
+
+// Run plans and acts until ctx ends. A request that has left is not given up
+// then, since it could land after the lease was released.
+func (c *Controller) Run(ctx context.Context) error {
+	ticker := time.NewTicker(c.config.Interval)
+	defer ticker.Stop()
+	for {
+		c.Round(context.WithoutCancel(ctx))
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Round plans each service whose fleet this process holds and carries the plan
+// out.
+func (c *Controller) Round(ctx context.Context) {
+	held := make(map[ident.Service]*memory)
+	for service, entry := range c.deps.Documents.Value().Services {
+		grant, holds := c.deps.Leases.Grant(lease.Name{Service: service})
+		if !holds {
+			continue
+		}
+		held[service] = c.memoryOf(ctx, service, grant)
+		if len(held) == 1 {
+			c.readNotices(ctx)
+		}
+		c.round(ctx, grant, entry.Document, held[service])
+	}
+	c.memories = held
+}
+
+// memoryOf returns the memory of the holder with this fence.
+func (c *Controller) memoryOf(ctx context.Context, service ident.Service, grant lease.Grant) *memory {
+	m := c.memories[service]
+	now := time.Now()
+	if m == nil || m.fence != grant.Fence {
+		m = newMemory(grant.Fence, now)
+	}
+	if now.Sub(m.askedAt) >= askLeavingEvery {
+		c.askLeaving(ctx, m, now)
+	}
+	return m
+}
+
+// askLeaving learns from a gateway what drains already: for an earlier holder,
+// or because the answer to an announcement was lost.
+func (c *Controller) askLeaving(ctx context.Context, m *memory, now time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, c.config.Flight)
+	defer cancel()
+	leaving, err := c.deps.Gateways.Leaving(ctx)
+	if err != nil {
+		c.deps.Log.Debug("gateways do not tell what drains", "error", err)
+		return
+	}
+	m.askedAt = now
+	for id, incarnation := range leaving {
+		k := upstreamKey{id, incarnation}
+		if _, known := m.draining[k]; !known {
+			m.draining[k] = now
+		}
+	}
+}
+
+func (c *Controller) round(ctx context.Context, grant lease.Grant, doc *document.Document, m *memory) {
+	o := c.observe(ctx, doc)
+	now := time.Now()
+	m.reclaims.update(o, now)
+	actual := m.actual(doc.Service, o, now)
+	wanted := planner.Wanted{Placement: doc.Placement, Reclaims: m.reclaims.estimate()}
+	for _, action := range planner.Plan(actual, wanted, now) {
+		if action.Kind == planner.Start && !m.settled(now) {
+			continue
+		}
+		c.act(ctx, grant, doc, m, o, action)
+	}
+}
+
+// observe reads the service's upstreams.
+func (c *Controller) observe(ctx context.Context, doc *document.Document) observation {
+	o := observation{noticed: c.noticed, loads: make(map[upstreamKey]load), slots: c.config.SlotsPerEngine}
+	if doc.Kind == document.Plain {
+		o.slots = c.config.SlotsPerPlain
+	}
+	for _, instance := range c.deps.Instances.Value() {
+		isUpstream := instance.Role == platform.RoleEngine || instance.Role == platform.RolePlain
+		if isUpstream && instance.Service == doc.Service && instance.State != platform.Ended {
+			o.instances = append(o.instances, instance)
+		}
+	}
+	var mu sync.Mutex
+	var group errgroup.Group
+	group.SetLimit(c.config.Parallel)
+	for _, instance := range o.instances {
+		group.Go(func() error {
+			l, err := c.ask(ctx, instance)
+			if err != nil {
+				return nil
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			o.loads[key(instance)] = l
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return o
+}
+
+// ask reads one upstream's load.
+func (c *Controller) ask(ctx context.Context, instance platform.Instance) (load, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.config.Flight)
+	defer cancel()
+	now := time.Now()
+	if instance.Role == platform.RolePlain {
+		health, err := c.deps.Dialer.Plain(instance.Address).Health(ctx)
+		return load{running: health.Running, leaving: health.Leaving, asOf: now}, err
+	}
+	report, err := c.deps.Dialer.Engine(instance.Address).Report(ctx)
+	return load{running: report.Running, queued: report.Queued, leaving: report.Leaving, asOf: now.Add(-report.Age)}, err
+}
+
+// readNotices reads the reclaim notices that are new.
+func (c *Controller) readNotices(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, c.config.Flight)
+	defer cancel()
+	notices, err := c.deps.Cloud.Notices(ctx, c.after)
+	if err != nil {
+		c.deps.Log.Debug("reclaim notices not read", "error", err)
+		return
+	}
+	for _, notice := range notices {
+		c.noticed[upstreamKey{notice.Instance, notice.Incarnation}] = true
+		c.after = max(c.after, notice.Sequence)
+	}
+}
