--- a/internal/calls/partition.go
+++ b/internal/calls/partition.go
@@ -88,7 +88,18 @@
 func (p *partition) readBatch(ctx context.Context) (platform.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	return p.c.cfg.Log.Read(ctx, p.stream, p.next, readLimit, readWait)
+	return p.c.cfg.Log.Read(ctx, p.stream, p.next, readLimit, p.readWait())
+}
+
+// readWait returns how long a read waits for a first record: not at all until
+// the log's head was met, since that would only delay the news.
+func (p *partition) readWait() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.ready || !p.readable {
+		return 0
+	}
+	return readWait
 }
 
 // restart begins a new fold at first, because the records before it expired
--- a/internal/calls/world_test.go
+++ b/internal/calls/world_test.go
@@ -59,6 +59,7 @@
 type server struct {
 	id     ident.Instance
 	domain ident.FailureDomain
+	fences bool
 	lives  []*plain.Service
 }
 
@@ -97,7 +98,7 @@
 		taken: map[ident.CallKey]int{},
 	}
 	for _, domain := range []ident.FailureDomain{"hall-a", "hall-b"} {
-		s := &server{id: ident.Instance("app-" + domain), domain: domain}
+		s := &server{id: ident.Instance("app-" + domain), domain: domain, fences: trust.ChecksFencing}
 		s.start()
 		w.upstreams = append(w.upstreams, s)
 	}
@@ -108,7 +109,8 @@
 	s.lives = append(s.lives, plain.New(plain.Options{
 		Instance:      s.id,
 		Incarnation:   s.incarnation() + 1,
-		ChecksFencing: true,
+		ChecksFencing: s.fences,
+		// The oracle asks it; the dispatcher only where it may.
 		FindsOutcomes: true,
 	}))
 }
@@ -183,6 +185,12 @@
 	return !g.killed
 }
 
+func (g *gateway) isFrozen() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.frozen != nil
+}
+
 // step is passed before and after everything that the gateway does to the
 // outside. It blocks while the gateway is frozen.
 func (g *gateway) step() error {
@@ -295,9 +303,6 @@
 		Fence:   fence,
 		Payload: upstreamPayload(call.Payload, call.Attempt),
 	}
-	if !w.trust.ChecksFencing {
-		req.Fence = 0
-	}
 	send := func(ctx context.Context) (upstream.Answer, error) {
 		life, same := w.life(target)
 		if !same {
@@ -334,9 +339,7 @@
 	if !same || !d.g.w.trust.FindsOutcomes {
 		return upstream.FindResult{}, upstream.ErrRefused
 	}
-	found, err := life.Find(ctx, key.String(), fence)
-	found.Fenced = d.g.w.trust.ChecksFencing
-	return found, err
+	return life.Find(ctx, key.String(), fence)
 }
 
 // peers are the other gateways, those of the other failure domain first.
@@ -364,7 +367,7 @@
 
 func (p peer) ID() ident.Instance { return p.to.id }
 
-// reach blocks while either end is frozen, until ctx ends.
+// reach returns an error when the peer cannot be reached at all.
 func (p peer) reach() error {
 	if err := p.from.step(); err != nil {
 		return err
@@ -386,10 +389,15 @@
 	return nil
 }
 
-func (p peer) FindOutcome(_ context.Context, key ident.CallKey) (PeerAnswer, error) {
+// FindOutcome hears nothing from a frozen peer.
+func (p peer) FindOutcome(ctx context.Context, key ident.CallKey) (PeerAnswer, error) {
 	if err := p.reach(); err != nil {
 		return PeerAnswer{}, err
 	}
+	if p.to.isFrozen() {
+		<-ctx.Done()
+		return PeerAnswer{}, ctx.Err()
+	}
 	return p.to.calls.FindLocal(key), nil
 }
 
