--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -11,7 +11,7 @@
 
 UPSTREAMS=(engine-1 engine-2 app-1)
 GATEWAYS=(gateway-a gateway-b)
-CONTROLLERS=()
+CONTROLLERS=(controller-a controller-b)
 
 echo "starting"
 start_platform
@@ -21,6 +21,8 @@
 for name in "${UPSTREAMS[@]}"; do await_line "$name"; done
 start_gateway gateway-a hall-a
 start_gateway gateway-b hall-b
+start_controller controller-a hall-a
+start_controller controller-b hall-b
 
 echo "publishing"
 for document in spool-llm auktion-app; do
