--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 
 # Runs every test that docs/PROMISES.md names and prints a line for each.
 promises:
-	$(GO) run ./internal/promises/check docs/PROMISES.md
+	scripts/promises.sh
 
 # Looks for new failures with fresh seeds for a time: make fuzz FOR=60s
 fuzz:
--- a/internal/gateway/peering/peers.go
+++ b/internal/gateway/peering/peers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 
 	peerv1 "github.com/goldcrestspool/goldcrestspool/api/peer/v1"
@@ -13,6 +14,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
 	"github.com/goldcrestspool/goldcrestspool/internal/streaming"
+	"github.com/goldcrestspool/goldcrestspool/internal/streaming/handover"
 )
 
 // Client sends messages to the peer at an address; peer.Pool does.
@@ -68,7 +70,7 @@
 func (p *Peers) ForStreams() []streaming.Peer {
 	var out []streaming.Peer
 	for _, r := range p.alive() {
-		out = append(out, streamPeer{r})
+		out = append(out, handover.Peer{From: p.Self, Address: r.address, Sender: p.Client})
 	}
 	return out
 }
@@ -116,8 +118,8 @@
 	return answer, nil
 }
 
-// HandOver implements calls.Peer. An answer says what was taken; an error of
-// any kind leaves open whether the peer took the calls.
+// HandOver implements calls.Peer. A peer that refuses says so before it takes
+// anything; any other error leaves open whether it took the calls.
 func (r *remote) HandOver(ctx context.Context, h calls.HandOver) ([]journal.ClaimID, error) {
 	req := &peerv1.HandOverRequest{From: string(r.peers.Self)}
 	known := map[string]journal.ClaimID{}
@@ -129,6 +131,9 @@
 		req.Outcomes = append(req.Outcomes, outcomeToWire(o))
 	}
 	resp, err := r.peers.Client.HandOver(ctx, r.address, req)
+	if errcode.Of(err) == errcode.FailedPrecondition {
+		return nil, errors.Join(calls.ErrNotHanded, err)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -141,30 +146,6 @@
 	return accepted, nil
 }
 
-// streamPeer is a gateway that takes streams over.
-type streamPeer struct{ remote *remote }
-
-// HandOver implements streaming.Peer.
-func (s streamPeer) HandOver(ctx context.Context, streams []streaming.Handed) ([]streaming.Key, error) {
-	req := &peerv1.HandOverRequest{From: string(s.remote.peers.Self)}
-	known := map[string]streaming.Key{}
-	for _, h := range streams {
-		req.Streams = append(req.Streams, streamToWire(h))
-		known[acceptedStream(h.Key)] = h.Key
-	}
-	resp, err := s.remote.peers.Client.HandOver(ctx, s.remote.address, req)
-	if err != nil {
-		return nil, err
-	}
-	var accepted []streaming.Key
-	for _, name := range resp.GetAccepted() {
-		if key, ok := known[name]; ok {
-			accepted = append(accepted, key)
-		}
-	}
-	return accepted, nil
-}
-
 // Local is what this gateway does for its peers.
 type Local struct {
 	Calls interface {
@@ -172,9 +153,7 @@
 		FindLocal(key ident.CallKey) calls.PeerAnswer
 		TakeOver(h calls.HandOver) []journal.ClaimID
 	}
-	Streams interface {
-		Accept(streams []streaming.Handed) []streaming.Key
-	}
+	Streams *streaming.Registry
 	// Stopping: a gateway that leaves takes nothing over.
 	Stopping *blackboard.Section[bool]
 }
@@ -230,16 +209,10 @@
 		return nil, err
 	}
 	h.Outcomes = outcomes
-	var streams []streaming.Handed
-	for _, w := range req.GetStreams() {
-		streams = append(streams, streamFromWire(w))
-	}
 	resp := &peerv1.HandOverResponse{}
 	for _, id := range l.Calls.TakeOver(h) {
 		resp.Accepted = append(resp.Accepted, id.String())
 	}
-	for _, key := range l.Streams.Accept(streams) {
-		resp.Accepted = append(resp.Accepted, acceptedStream(key))
-	}
+	resp.Accepted = append(resp.Accepted, handover.Accept(l.Streams, req.GetStreams())...)
 	return resp, nil
 }
--- /dev/null
+++ b/scripts/promises.sh
@@ -0,0 +1,43 @@
+#!/usr/bin/env bash
+# Runs every test that docs/PROMISES.md names, with the race detector, and
+# prints a line for each:  PROMISE n name ok|FAILED|not proved
+# A test that is named and does not exist fails.
+#
+# It reads two forms of lines below a heading "## N. ...":
+#   - `./package` `TestName` text
+#   - not proved: text
+set -uo pipefail
+cd "$(dirname "$0")/.."
+PAGE=docs/PROMISES.md
+
+# Each line: promise, package, test.
+NAMED=$(awk '
+  /^## [0-9]+\. /   { split($2, n, "."); promise = n[1] }
+  /^- `\.\/[^`]*` `Test[^`]*`/ {
+    split($0, part, "`"); print promise, part[2], part[4]
+  }' "$PAGE")
+[ -n "$NAMED" ] || { echo "no tests named in $PAGE"; exit 1; }
+
+RESULTS=$(mktemp)
+trap 'rm -f "$RESULTS"' EXIT
+for package in $(awk '{print $2}' <<<"$NAMED" | sort -u); do
+  tests=$(awk -v p="$package" '$2 == p {print $3}' <<<"$NAMED" | sort -u | paste -sd'|')
+  go test -race -count=1 -v -run "^($tests)\$" "$package" 2>&1 |
+    awk -v p="$package" '/^--- (PASS|FAIL|SKIP): /{sub(":", "", $2); print p, $3, $2}' >>"$RESULTS"
+done
+
+passed=0 failed=0
+while read -r promise package name; do
+  if grep -qx "$package $name PASS" "$RESULTS" && ! grep -q "^$package $name FAIL" "$RESULTS"; then
+    echo "PROMISE $promise $name ok"
+    passed=$((passed + 1))
+  else
+    echo "PROMISE $promise $name FAILED"
+    failed=$((failed + 1))
+  fi
+done <<<"$NAMED"
+awk '
+  /^## [0-9]+\. /    { split($2, n, "."); promise = n[1] }
+  /^- not proved: / { sub("^- not proved: ", ""); print "PROMISE " promise " " $0 " not proved" }' "$PAGE"
+echo "$passed passed, $failed failed"
+[ "$failed" -eq 0 ]
