--- a/internal/gateway/peering/peers.go
+++ b/internal/gateway/peering/peers.go
@@ -14,7 +14,6 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
 	"github.com/goldcrestspool/goldcrestspool/internal/streaming"
-	"github.com/goldcrestspool/goldcrestspool/internal/streaming/handover"
 )
 
 // Client sends messages to the peer at an address; peer.Pool does.
@@ -70,7 +69,7 @@
 func (p *Peers) ForStreams() []streaming.Peer {
 	var out []streaming.Peer
 	for _, r := range p.alive() {
-		out = append(out, handover.Peer{From: p.Self, Address: r.address, Sender: p.Client})
+		out = append(out, streamPeer{r})
 	}
 	return out
 }
@@ -146,6 +145,30 @@
 	return accepted, nil
 }
 
+// streamPeer is a gateway that takes streams over.
+type streamPeer struct{ remote *remote }
+
+// HandOver implements streaming.Peer.
+func (s streamPeer) HandOver(ctx context.Context, streams []streaming.Handed) ([]streaming.Key, error) {
+	req := &peerv1.HandOverRequest{From: string(s.remote.peers.Self)}
+	known := map[string]streaming.Key{}
+	for _, h := range streams {
+		req.Streams = append(req.Streams, streamToWire(h))
+		known[h.Key.String()] = h.Key
+	}
+	resp, err := s.remote.peers.Client.HandOver(ctx, s.remote.address, req)
+	if err != nil {
+		return nil, err
+	}
+	var accepted []streaming.Key
+	for _, name := range resp.GetAccepted() {
+		if key, ok := known[name]; ok {
+			accepted = append(accepted, key)
+		}
+	}
+	return accepted, nil
+}
+
 // Local is what this gateway does for its peers.
 type Local struct {
 	Calls interface {
@@ -153,7 +176,9 @@
 		FindLocal(key ident.CallKey) calls.PeerAnswer
 		TakeOver(h calls.HandOver) []journal.ClaimID
 	}
-	Streams *streaming.Registry
+	Streams interface {
+		Accept(streams []streaming.Handed) []streaming.Key
+	}
 	// Stopping: a gateway that leaves takes nothing over.
 	Stopping *blackboard.Section[bool]
 }
@@ -209,10 +234,16 @@
 		return nil, err
 	}
 	h.Outcomes = outcomes
+	var streams []streaming.Handed
+	for _, w := range req.GetStreams() {
+		streams = append(streams, streamFromWire(w))
+	}
 	resp := &peerv1.HandOverResponse{}
 	for _, id := range l.Calls.TakeOver(h) {
 		resp.Accepted = append(resp.Accepted, id.String())
 	}
-	resp.Accepted = append(resp.Accepted, handover.Accept(l.Streams, req.GetStreams())...)
+	for _, key := range l.Streams.Accept(streams) {
+		resp.Accepted = append(resp.Accepted, key.String())
+	}
 	return resp, nil
 }
--- a/internal/gateway/peering/wire.go
+++ b/internal/gateway/peering/wire.go
@@ -1,9 +1,11 @@
 // Package peering connects a gateway's calls and token streams to the peer
-// protocol: it knows which gateways to turn to, and translates calls to
-// messages and back. Package streaming/handover does so for streams.
+// protocol: it translates their values to messages and back, and knows which
+// gateways to turn to.
 package peering
 
 import (
+	"time"
+
 	"github.com/google/uuid"
 	"google.golang.org/protobuf/types/known/durationpb"
 	"google.golang.org/protobuf/types/known/timestamppb"
@@ -14,6 +16,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
+	"github.com/goldcrestspool/goldcrestspool/internal/streaming"
 )
 
 // callKey returns the scoped key of a message.
@@ -101,3 +104,43 @@
 		Remaining: w.GetRemaining().AsDuration(),
 	}, nil
 }
+
+func streamToWire(s streaming.Handed) *peerv1.HandedStream {
+	w := &peerv1.HandedStream{
+		Service:       string(s.Ask.Service),
+		ClientAccount: string(s.Key.Account),
+		RequestId:     string(s.Key.Request),
+		Class:         string(s.Ask.Class),
+		Prompt:        s.Ask.Prompt,
+		MaxTokens:     s.Ask.MaxTokens,
+		Delivered:     s.Delivered,
+		Attempt:       s.Attempt,
+		Upstream:      string(s.Served),
+		Priority:      s.Priority,
+	}
+	if s.Remaining > 0 {
+		w.Remaining = durationpb.New(s.Remaining)
+	}
+	return w
+}
+
+func streamFromWire(w *peerv1.HandedStream) streaming.Handed {
+	var remaining time.Duration
+	if w.GetRemaining().IsValid() {
+		remaining = w.GetRemaining().AsDuration()
+	}
+	return streaming.Handed{
+		Key: streaming.Key{Account: ident.ClientAccount(w.GetClientAccount()), Request: ident.Request(w.GetRequestId())},
+		Ask: streaming.Ask{
+			Service:   ident.Service(w.GetService()),
+			Class:     ident.Class(w.GetClass()),
+			Prompt:    w.GetPrompt(),
+			MaxTokens: w.GetMaxTokens(),
+		},
+		Priority:  w.GetPriority(),
+		Remaining: remaining,
+		Delivered: w.GetDelivered(),
+		Attempt:   w.GetAttempt(),
+		Served:    ident.Instance(w.GetUpstream()),
+	}
+}
