Streaming: leaving without grace hands over at once; one conversion of handed streams

Cause: a grace of 0, which a short reclaim notice gives, meant no limit, so that the gateway waited for its streams instead of handing them over. Shown by the story of the peer that took a stream over, now with a grace of 0. The conversion to the peers' messages stood twice, here and in internal/gateway/peering; the one here is gone and its test moved there. Runner.Run and Progress had no caller. Holds lets the handler admit a Resume that begins a run like a new request.

--- a/internal/streaming/handover/handover_test.go
+++ b/internal/gateway/peering/stream_test.go
@@ -1,4 +1,4 @@
-package handover
+package peering
 
 import (
 	"testing"
@@ -21,7 +21,7 @@
 		Attempt:   4,
 		Served:    "hall-a-1",
 	}
-	wire, err := proto.Marshal(toProto(want))
+	wire, err := proto.Marshal(streamToWire(want))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -29,7 +29,7 @@
 	if err := proto.Unmarshal(wire, &message); err != nil {
 		t.Fatal(err)
 	}
-	if diff := cmp.Diff(want, fromProto(&message)); diff != "" {
+	if diff := cmp.Diff(want, streamFromWire(&message)); diff != "" {
 		t.Error(diff)
 	}
 }
--- a/internal/streaming/answer.go
+++ b/internal/streaming/answer.go
@@ -30,8 +30,9 @@
 	return &answer{tokens: delivered, followers: make(map[*follower]struct{})}
 }
 
-// Extended implements Progress.
-func (a *answer) Extended(tokens []string) {
+// extend sets the whole answer so far. The tokens in it never change, so that
+// the slice can be shared.
+func (a *answer) extend(tokens []string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.tokens = tokens
--- a/internal/streaming/attempt.go
+++ b/internal/streaming/attempt.go
@@ -173,7 +173,7 @@
 		a.firstToken = max(time.Since(a.opened), 1)
 		a.target.firstToken()
 	}
-	a.run.progress.Extended(a.run.assembler.Answer())
+	a.run.answer.extend(a.run.assembler.Answer())
 }
 
 // failed says what an engine's error means. An end of the stream before the
--- a/internal/streaming/handover.go
+++ b/internal/streaming/handover.go
@@ -47,15 +47,17 @@
 )
 
 // Leave ends the registry: it takes no new streams, lets those in progress end
-// within grace, and gives the rest to the first peers that take them. Callers
+// within grace, which may be 0, and gives the rest to the first peers that take them. Callers
 // then hear that they may resume elsewhere at once. It returns when no caller
 // follows any more, or when ctx ends.
 func (g *Registry) Leave(ctx context.Context, grace time.Duration, peers []Peer) LeaveReport {
 	g.refuseNew()
-	g.await(ctx, grace, (*Registry).busy)
+	graced, cancel := context.WithTimeout(ctx, grace)
+	defer cancel()
+	g.await(graced, (*Registry).busy)
 	report := g.handOver(ctx, peers)
 	g.tellLeaving()
-	g.await(ctx, 0, (*Registry).followed)
+	g.await(ctx, (*Registry).followed)
 	return report
 }
 
@@ -156,15 +158,9 @@
 	return false
 }
 
-// await returns when the condition no longer holds, when limit has passed
-// unless it is 0, or when ctx has ended.
-func (g *Registry) await(ctx context.Context, limit time.Duration, condition func(*Registry) bool) {
+// await returns when the condition no longer holds, or when ctx has ended.
+func (g *Registry) await(ctx context.Context, condition func(*Registry) bool) {
 	const interval = 10 * time.Millisecond
-	if limit > 0 {
-		limited, cancel := context.WithTimeout(ctx, limit)
-		defer cancel()
-		ctx = limited
-	}
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for g.holds(condition) {
--- a/internal/streaming/machine_test.go
+++ b/internal/streaming/machine_test.go
@@ -248,7 +248,7 @@
 // first peer is leaving too, or frozen.
 func (w *world) leave(rt *rapid.T) {
 	i := rapid.IntRange(0, len(w.gateways)-1).Draw(rt, "gateway")
-	grace := drawMillis(rt, "grace", 1, 400)
+	grace := drawMillis(rt, "grace", 0, 400)
 	gone := NewRegistry(w.config, w.runner)
 	gone.Close()
 	first := pickOne(rt, "first peer", []fakePeer{{to: gone}, {frozen: true}})
--- a/internal/streaming/move.go
+++ b/internal/streaming/move.go
@@ -17,7 +17,7 @@
 // release gives a target back that no attempt will use.
 func (m *moved) release() {
 	if m != nil {
-		m.target.release(Result{})
+		m.target.release(Result{Unused: true})
 	}
 }
 
--- a/internal/streaming/registry.go
+++ b/internal/streaming/registry.go
@@ -81,6 +81,14 @@
 	return g.follow(ctx, e, resume.Next, sink), nil
 }
 
+// Holds reports whether the gateway keeps the stream. Resuming one that it does
+// not keep begins a run like a new request, and should be admitted as such.
+func (g *Registry) Holds(key Key) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.entries[key] != nil
+}
+
 // Close cancels every stream and waits for their runs to end.
 func (g *Registry) Close() {
 	g.mu.Lock()
--- a/internal/streaming/registry_test.go
+++ b/internal/streaming/registry_test.go
@@ -113,7 +113,7 @@
 			caller := newCaller("weber", "r-1", length)
 			time.AfterFunc(time.Second, func() {
 				began := time.Now()
-				b.registry.Leave(t.Context(), time.Millisecond, []Peer{fakePeer{frozen: true}, fakePeer{to: peer}})
+				b.registry.Leave(t.Context(), 0, []Peer{fakePeer{frozen: true}, fakePeer{to: peer}})
 				if took := time.Since(began); took > b.registry.config.HandOverTime {
 					t.Errorf("leaving took %v although the second peer answers at once", took)
 				}
@@ -121,6 +121,9 @@
 			if got, _ := caller.generate(t.Context(), b.registry); got.Kind != outcome.Interrupted || got.Reason != outcome.ReasonLeaving {
 				t.Errorf("outcome %v; want interrupted, leaving", got)
 			}
+			if !peer.Holds(caller.req.Key) {
+				t.Error("the peer does not hold the stream")
+			}
 			serve(t, caller, peer, caller.resumeByID)
 		}},
 		{"a stream that no engine ran is not handed over", func(t *testing.T, b *bench) {
--- a/internal/streaming/runner.go
+++ b/internal/streaming/runner.go
@@ -9,14 +9,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
 )
 
-// Progress hears how an answer grows.
-type Progress interface {
-	// Extended gets the whole answer so far. It must not block, and it may
-	// keep the slice, whose tokens never change.
-	Extended(answer []string)
-}
-
-// Runner brings one answer after another to its end.
+// Runner brings the answers of a registry to their ends.
 type Runner struct {
 	config   Config
 	picker   Picker
@@ -36,18 +29,12 @@
 	}
 }
 
-// Run opens attempts until the answer is whole or the request is given up on,
-// which is told at once. The cause with which ctx is cancelled chooses the
-// words of the outcome; see stop.go.
-func (r *Runner) Run(ctx context.Context, req Request, progress Progress) outcome.Outcome {
-	return newRun(r, req, progress).loop(ctx)
-}
-
 // run is the state of one answer.
 type run struct {
-	runner    *Runner
-	req       Request
-	progress  Progress
+	runner *Runner
+	req    Request
+	// answer is told each new token.
+	answer    *answer
 	assembler *Assembler
 	// cause of the next attempt.
 	cause Cause
@@ -61,7 +48,7 @@
 	fruitless int
 }
 
-func newRun(r *Runner, req Request, progress Progress) *run {
+func newRun(r *Runner, req Request, answer *answer) *run {
 	cause := CauseFirst
 	ran := len(req.Delivered) > 0 || req.Attempt > 0
 	if ran {
@@ -70,7 +57,7 @@
 	return &run{
 		runner:    r,
 		req:       req,
-		progress:  progress,
+		answer:    answer,
 		assembler: NewAssembler(req.Delivered, req.Ask.MaxTokens, req.Attempt),
 		cause:     cause,
 		served:    req.Served,
@@ -78,7 +65,9 @@
 	}
 }
 
-// loop opens attempts one after another.
+// loop opens attempts until the answer is whole or the request is given up on,
+// which is told at once. The cause with which ctx is cancelled chooses the
+// words of the outcome; see stopped.
 func (r *run) loop(ctx context.Context) outcome.Outcome {
 	var next *moved
 	for !r.assembler.Whole() {
--- a/internal/streaming/target.go
+++ b/internal/streaming/target.go
@@ -104,7 +104,10 @@
 	// Next is the cause of the attempt that follows, or "" when the answer
 	// is whole or the request was given up on.
 	Next Cause
-	// Leaving: the upstream refused because it is leaving.
+	// Unused: no attempt was opened, since the stream for which the target
+	// was picked had ended meanwhile.
+	Unused bool
+	// Leaving: the upstream refused because it is leaving, or gave notice.
 	Leaving bool
 	// FirstToken is the time from opening to the first token; 0 when none
 	// came.
