Streaming: tokens beyond the answer's length do not replace a stream

Cause: a resume without the original request was not checked against the answer's length. A caller that showed more tokens than the answer has replaced its own stream and was told completed: registry_test.go:84: error <nil>; want invalid argument

--- a/internal/streaming/registry.go
+++ b/internal/streaming/registry.go
@@ -186,6 +186,9 @@
 	// answers, so the caller's tokens win.
 	if held && !e.continues(resume.Delivered) {
 		req.Delivered = resume.Delivered
+		if err := req.validate(g.config.MaxTokens); err != nil {
+			return nil, err
+		}
 		e.cancel(errReplaced)
 		return g.start(ctx, req, e), nil
 	}
--- a/internal/streaming/registry_test.go
+++ b/internal/streaming/registry_test.go
@@ -75,6 +75,16 @@
 				t.Errorf("told %q for another account's request and %q for none", theirs, none)
 			}
 		}},
+		{"more tokens than the answer has do not replace a stream", func(t *testing.T, b *bench) {
+			caller := newCaller("weber", "r-1", length)
+			leaveAfter(t, caller, b.registry, time.Second)
+			tooMany := make([]string, length+1)
+			_, err := b.registry.Resume(t.Context(), ResumeRequest{Key: caller.req.Key, Next: length + 1, Delivered: tooMany}, nil)
+			if errcode.Of(err) != errcode.InvalidArgument {
+				t.Errorf("error %v; want invalid argument", err)
+			}
+			serve(t, caller, b.registry, caller.resumeByID)
+		}},
 		{"a slow caller holds up neither the engine nor others", func(t *testing.T, b *bench) {
 			slow := newCaller("weber", "r-1", length)
 			slow.slow = time.Second
