--- a/internal/admission/gate/plan.go
+++ b/internal/admission/gate/plan.go
@@ -110,12 +110,12 @@
 		return outcome.NewNotRun(outcome.ReasonNoUpstream, messageNoUpstream, after), true
 	}
 	budget := e.Item.LatestStart.Sub(now)
-	if !r.returning() && now.Before(g.bands.of(e.Item.Priority).bookedUntil) {
+	wait := g.wait(now, u, e)
+	if wait > 0 && !r.returning() && now.Before(g.bands.of(e.Item.Priority).bookedUntil) {
 		// Without this reserve a first try takes each place as it appears,
 		// and those who return as told find none.
 		budget -= time.Duration(returnReserve * float64(target(r)))
 	}
-	wait := g.wait(now, u, e)
 	if wait > budget {
 		return g.overloaded(now, u, e, wait-budget), true
 	}
