--- a/internal/admission/gate/plan.go
+++ b/internal/admission/gate/plan.go
@@ -18,10 +18,11 @@
 	// leastFirstShare is the part of an account's drain rate that first
 	// tries can count on, however many requests return.
 	leastFirstShare = 0.1
-	// bookedShare is the part of a drain rate that is booked for returns. At
-	// the full rate the random gaps between returns would make queues that
-	// some of them find too long.
-	bookedShare = 0.8
+	// bookedShare is the part of a drain rate that is booked for returns. A
+	// returning request has mostly missed its target already, and one served
+	// in its place would have met it; so in a rush most turns go to first
+	// tries, and those refused hear a time at which they will find room.
+	bookedShare = 0.1
 	// noUpstreamReturn is the return time while no upstream is there.
 	noUpstreamReturn = 2 * time.Second
 )
