calls: late readers agree with early ones; decoder returns no half events

Causes: expired entries were dropped at different times, and a request that lost a key to another left no trace. Now a key lists its requests in the log's order, the first unexpired one owns it, and a partial reader serves only keys issued a window and two skews after its first record.

--- a/internal/calls/cases_test.go
+++ b/internal/calls/cases_test.go
@@ -6,9 +6,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
 	"github.com/goldcrestspool/goldcrestspool/internal/calls/journal"
 	"github.com/goldcrestspool/goldcrestspool/internal/document"
 	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
 	"github.com/goldcrestspool/goldcrestspool/internal/standin/fault"
 	"github.com/goldcrestspool/goldcrestspool/internal/standin/plain"
 )
@@ -79,20 +81,21 @@
 }
 
 // Symptom: an accepted call is never run although a peer has taken it.
-// Sequence: a gateway has a claim on its way to the log when its reclaim is
-// announced; a peer takes the call; the gateway dies before it journals the
-// release; its claim lands.
+// Sequence: a claim is in the log, but its gateway does not hear so and is cut
+// off; its reclaim is announced and a peer takes the call; the gateway dies
+// before it can journal the release.
 // Cause: only the record of the release opens the key; the peer must write it
 // too, because the message that hands the call over proves it.
 func TestHolderDiesInTheMiddleOfTheHandOver(t *testing.T) {
 	inWorld(t, blind, func(t *testing.T, m *machine, g []*gateway) {
-		m.w.log.SetDelay(time.Second)
+		m.w.log.SetLateness(50 * time.Millisecond)
+		m.w.log.LoseNext(fault.Late)
 		r := m.newRequest(false)
 		m.send(g[0], r, patient)
-		time.Sleep(500 * time.Millisecond)
+		g[0].cut.Store(true)
+		m.w.log.SetDelay(200 * time.Millisecond)
 		m.reclaim(g[0], patient)
 		g[0].kill()
-		m.w.log.SetDelay(0)
 		time.Sleep(patient)
 		if count, _ := m.w.effects(r.key); count != 1 {
 			t.Fatalf("the call ran %d times, want once, by the peer%s", count, m.w.history(r.key))
@@ -242,6 +245,7 @@
 			fresh := m.w.newGateway("hall-a")
 			time.Sleep(10 * time.Minute)
 			wantKind(t, "attempt 2", m.do(fresh, r), outcome.Unknown)
+			time.Sleep(journal.Window)
 			wantKind(t, "a new call", m.do(fresh, m.newRequest(false)), outcome.Completed)
 		})
 	})
@@ -269,6 +273,12 @@
 			time.Sleep(journal.Window + time.Hour)
 			m.do(g[0], m.newRequest(false))
 			wantKind(t, "attempt 2", m.do(g[1], r), outcome.Unknown)
+			other := m.newRequest(false)
+			other.key = r.key
+			m.requests = []*request{other}
+			wantKind(t, "another request under the key", m.do(g[0], other), outcome.Completed)
+			wantKind(t, "attempt 3", m.do(g[0], r), outcome.Unknown)
+			m.requests = nil
 		})
 	})
 }
@@ -300,31 +310,42 @@
 }
 
 // Symptom: callers are cut off by a planned stop.
-// Sequence: a gateway stops while one call waits for the log and another one
-// runs; it ends as soon as Stop has returned, and so do all other gateways.
-// Cause: Stop must hand over what waits, wait for what runs, and return only
-// when the journal has everything.
+// Sequence: a gateway stops while a call runs or waits for the log, and ends as
+// soon as Stop has returned.
+// Cause: Stop must hand over what waits, wait for what runs, also when its
+// caller has gone, and return only when the journal has everything.
 func TestStopLosesNothing(t *testing.T) {
-	inWorld(t, blind, func(t *testing.T, m *machine, g []*gateway) {
-		m.w.upstreams[0].life().SetDelays(plain.Delays{AfterEffect: 2 * time.Second})
-		m.w.upstreams[1].life().SetDelays(plain.Delays{AfterEffect: 2 * time.Second})
-		running := m.newRequest(false)
-		m.send(g[0], running, time.Second)
-		m.w.log.SetDelay(700 * time.Millisecond)
-		waits := m.newRequest(false)
-		m.send(g[0], waits, patient)
-		m.reclaim(g[0], patient)
-		time.Sleep(patient)
-		if m.deaths.Load() {
-			t.Fatal("Stop did not end in order")
-		}
-		for _, other := range g[1:] {
-			other.kill()
-		}
-		fresh := m.w.newGateway("hall-b")
-		time.Sleep(10 * time.Second)
-		wantKind(t, "the running call", fresh.calls.Find(context.Background(), running.key), outcome.Completed)
-		wantKind(t, "the waiting call", fresh.calls.Find(context.Background(), waits.key), outcome.Completed)
+	slow := plain.Delays{AfterEffect: 2 * time.Second}
+	stop := func(m *machine, g *gateway) {
+		m.reclaim(g, patient)
+		m.pending.Wait()
+	}
+	t.Run("a call that runs, at the last gateway", func(t *testing.T) {
+		inWorld(t, blind, func(t *testing.T, m *machine, g []*gateway) {
+			m.w.upstreams[0].life().SetDelays(slow)
+			m.w.upstreams[1].life().SetDelays(slow)
+			g[1].kill()
+			g[2].kill()
+			r := m.newRequest(false)
+			m.send(g[0], r, time.Second)
+			m.w.log.SetDelay(time.Second)
+			stop(m, g[0])
+			m.w.log.SetDelay(0)
+			fresh := m.w.newGateway("hall-b")
+			time.Sleep(10 * time.Second)
+			wantKind(t, "a question by key", fresh.calls.Find(context.Background(), r.key), outcome.Completed)
+		})
+	})
+	t.Run("a call that waits, with peers", func(t *testing.T) {
+		inWorld(t, blind, func(t *testing.T, m *machine, g []*gateway) {
+			m.w.log.SetDelay(700 * time.Millisecond)
+			r := m.newRequest(false)
+			m.send(g[0], r, patient)
+			stop(m, g[0])
+			wantKind(t, "attempt 1", r.last(), outcome.InProgress)
+			time.Sleep(patient)
+			wantKind(t, "a question by key", g[1].calls.Find(context.Background(), r.key), outcome.Completed)
+		})
 	})
 }
 
@@ -351,16 +372,19 @@
 	cases := []struct {
 		name string
 		fail func(*world)
+		// since is how long ago that was.
+		since time.Duration
 	}{
-		{"the log is down", func(w *world) { w.log.SetOutage(true) }},
-		{"the log hangs", func(w *world) { w.log.SetDelay(time.Hour) }},
+		{"the log is down", func(w *world) { w.log.SetOutage(true) }, 5 * time.Second},
+		{"the log hangs", func(w *world) { w.log.SetDelay(time.Hour) }, 5 * time.Second},
+		{"an append hangs", func(w *world) { w.log.SetDelay(time.Hour) }, 1500 * time.Millisecond},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			inWorld(t, blind, func(t *testing.T, m *machine, g []*gateway) {
 				c.fail(m.w)
 				m.send(g[0], m.newRequest(false), patient)
-				time.Sleep(5 * time.Second)
+				time.Sleep(c.since)
 				r := m.newRequest(false)
 				for attempt, want := range []outcome.Kind{outcome.NotRun, outcome.Unknown} {
 					before := time.Now()
@@ -375,3 +399,19 @@
 		})
 	}
 }
+
+// Symptom: a repeat runs the call a second time.
+// Sequence: a log skips expired records without saying so.
+// Cause: a gap in the offsets must be taken for what it is.
+func TestSkippedRecordsAreNoticed(t *testing.T) {
+	p := New(Config{Health: blackboard.NewSection(blackboard.JournalHealth{})}).partitions[0]
+	now := time.Now()
+	mark, _ := journal.Encode(journal.Mark{})
+	p.take(platform.Batch{Records: []platform.Record{{Offset: 3, Data: mark, AppendedAt: now}}, Head: 4, First: 3})
+	if p.certain(now) {
+		t.Fatal("a key is certain though records were skipped")
+	}
+	if !p.certain(now.Add(journal.Window + 3*journal.MaxSkew)) {
+		t.Fatal("a key issued later is not certain")
+	}
+}
--- a/internal/calls/committer.go
+++ b/internal/calls/committer.go
@@ -95,6 +95,17 @@
 	return cl.sent
 }
 
+// logDown reports whether appends fail or hang now, and when to come back. All
+// partitions are in one log, so that the trouble of one is taken for that of
+// all: a call would only wait to find out by itself.
+func (c *Coordinator) logDown(now time.Time) (wait time.Duration, down bool) {
+	for _, p := range c.partitions {
+		w, d := p.writer.down(now)
+		wait, down = max(wait, w), down || d
+	}
+	return wait, down
+}
+
 // down reports whether appends fail or hang now, and when to come back.
 func (w *committer) down(now time.Time) (time.Duration, bool) {
 	w.mu.Lock()
--- a/internal/calls/do.go
+++ b/internal/calls/do.go
@@ -38,6 +38,9 @@
 	if o, ok := c.admit(ctx, p, call); !ok {
 		return o
 	}
+	if p.reused(call.Key, digest) {
+		return keyReused()
+	}
 	if o, ok := c.settleOwner(ctx, p, call.Key, &digest); !ok {
 		return o
 	}
@@ -54,29 +57,33 @@
 	return outcome.NewUnknown(reason, message+"; an earlier attempt may have run", retryAfter)
 }
 
-// known returns the final outcome of a key if it is known here, or the refusal
-// of a request that is not the key's. digest is nil for questions by key.
+// known returns the final outcome of a key if it is known here. digest, if not
+// nil, is that of the request which may hear it.
 func (p *partition) known(key ident.CallKey, digest *journal.Digest) (outcome.Outcome, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	view, inFold := p.fold.Get(key)
 	held, inCopies := p.copies[key]
-	if digest != nil {
-		if inFold && view.Digest != *digest || inCopies && held.Digest != *digest {
-			return keyReused(), true
-		}
-	}
 	switch {
-	case inCopies:
+	case inCopies && (digest == nil || held.Digest == *digest):
 		return outcome.Outcome{Kind: held.Kind, Reason: finalReason(held.Kind), Payload: held.Payload}, true
-	case inFold && view.State == fold.Final:
+	case inFold && view.State == fold.Final && (digest == nil || view.Digest == *digest):
 		return finalOutcome(view), true
 	}
 	return outcome.Outcome{}, false
 }
 
-// keyReused says nothing of the other request. The attempt is not run, and
-// never will be, whatever became of the other.
+// reused reports whether the key belongs to a request with another digest.
+func (p *partition) reused(key ident.CallKey, digest journal.Digest) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	view, inFold := p.fold.Get(key)
+	held, inCopies := p.copies[key]
+	return inFold && view.Digest != digest || inCopies && held.Digest != digest
+}
+
+// keyReused says nothing of the other request. It is only told of a key that is
+// certain: then no earlier attempt of this request can have owned it.
 func keyReused() outcome.Outcome {
 	return outcome.NewNotRun(outcome.ReasonKeyReused, "the key was used for a different request", 0)
 }
@@ -113,14 +120,11 @@
 	if !ready {
 		return refuse(call, outcome.ReasonCatchingUp, "this gateway is still reading the journal", retryLater), false
 	}
-	if wait, down := p.writer.down(now); down {
+	if wait, down := c.logDown(now); down {
 		return c.refuseLogDown(ctx, p, call, wait), false
 	}
-	p.mu.Lock()
-	certain := p.certain(call.IssuedAt)
-	p.mu.Unlock()
-	if !certain || journal.Expired(call.IssuedAt, now) {
-		return refuse(call, outcome.ReasonExpired, "the key was issued too long ago to be known", 0), false
+	if !p.certain(call.IssuedAt) || journal.Expired(call.IssuedAt, now) {
+		return refuse(call, outcome.ReasonExpired, "the key was issued too long ago to be known", p.untilCertain(now)), false
 	}
 	if journal.Early(call.IssuedAt, now) {
 		return refuse(call, reasonClock, "issued_at is in the future", journal.MaxSkew), false
@@ -281,6 +285,7 @@
 		p.endClaim(cl, outcome.ReasonExpired)
 		return refuse(call, outcome.ReasonExpired, "the key was issued outside the window", 0)
 	case r.Verdict == fold.LostKeyReused:
+		p.endClaim(cl, outcome.ReasonKeyReused)
 		return keyReused()
 	case r.Verdict == fold.LostAttempt:
 		p.endClaim(cl, reasonLaterAttempt)
--- a/internal/calls/fold/fold.go
+++ b/internal/calls/fold/fold.go
@@ -96,8 +96,9 @@
 
 // Fold is the state of one partition. It is not safe for concurrent use.
 type Fold struct {
+	// entries holds the first request of each key.
 	entries map[ident.CallKey]*entry
-	// expiring lists the entries in the order in which they came.
+	// expiring lists all requests in the order in which they came.
 	expiring []expiring
 	logTime  time.Time
 	// partial: records before the first one read had expired.
@@ -106,15 +107,18 @@
 	first    time.Time
 }
 
-// entry is the state of one key. ended lists all claims that can no longer
-// own the key, so that a record of one of them that comes late, or twice, is
-// known to be void.
+// entry is the state of one request under a key. ended lists all its claims
+// that can no longer own the key, so that a record of one of them that comes
+// late, or twice, is known to be void.
 type entry struct {
 	View
 	ended []journal.ClaimID
+	// later is the next request under the same key, in the order of the log.
+	// It cannot own the key before this one has expired.
+	later *entry
 }
 
-// expiring is a key with the time at which it was issued.
+// expiring is a request with its key.
 type expiring struct {
 	key      ident.CallKey
 	issuedAt time.Time
@@ -130,26 +134,47 @@
 func (f *Fold) Len() int { return len(f.entries) }
 
 // CompleteSince returns the time from which on keys are known for certain: all
-// valid claims of a key issued after it have been read, once the reader is at
-// the log's head. ok is false while nothing can be said. It is sound because a
-// claim is void when its key was issued more than MaxSkew after the record's
-// own time in the log.
+// records that decide about a key issued after it have been read, once the
+// reader is at the log's head. ok is false while nothing can be said.
+//
+// A record is void when its key was issued more than MaxSkew after the
+// record's own time in the log, or more than Window before. So records that
+// expired unread are about keys issued before first + MaxSkew. Such a key could
+// also keep another request from owning it, for one Window more, which a reader
+// cannot see; requests issued another MaxSkew later have no record from before
+// that.
 func (f *Fold) CompleteSince() (since time.Time, ok bool) {
 	if !f.partial {
 		return time.Time{}, true
 	}
-	return f.first.Add(journal.MaxSkew), f.firstSet
+	return f.first.Add(journal.Window + 2*journal.MaxSkew), f.firstSet
+}
+
+// Certain reports whether all that the log has said of a key issued at issuedAt
+// is known here: nothing expired unread, and nothing was forgotten.
+func (f *Fold) Certain(issuedAt time.Time) bool {
+	since, ok := f.CompleteSince()
+	return ok && issuedAt.After(since) && !journal.Expired(issuedAt, f.logTime)
 }
 
-// Get returns what is known of a key.
+// Get returns what is known of the request that a key belongs to.
 func (f *Fold) Get(key ident.CallKey) (View, bool) {
-	e, ok := f.entries[key]
-	if !ok {
+	e := f.current(key)
+	if e == nil {
 		return View{}, false
 	}
 	return e.View, true
 }
 
+// current returns the first request of a key that has not expired.
+func (f *Fold) current(key ident.CallKey) *entry {
+	e := f.entries[key]
+	for e != nil && journal.Expired(e.IssuedAt, f.logTime) {
+		e = e.later
+	}
+	return e
+}
+
 // Apply takes the next record. offset and appendedAt are the record's, now is
 // the reader's clock. The decision is set for claims only.
 func (f *Fold) Apply(offset ident.Offset, appendedAt, now time.Time, event journal.Event) (Decision, bool) {
@@ -175,46 +200,70 @@
 		f.logTime = appendedAt
 	}
 	for len(f.expiring) > 0 && journal.Expired(f.expiring[0].issuedAt, f.logTime) {
-		delete(f.entries, f.expiring[0].key)
+		f.forgetExpired(f.expiring[0].key)
 		f.expiring[0] = expiring{}
 		f.expiring = f.expiring[1:]
 	}
 }
 
-// entryOf returns the entry of an event's key, made if it does not exist yet.
-// It returns nil when the key belongs to a different request or has expired.
+// forgetExpired drops the expired requests at the head of a key.
+func (f *Fold) forgetExpired(key ident.CallKey) {
+	e := f.current(key)
+	if e == nil {
+		delete(f.entries, key)
+		return
+	}
+	f.entries[key] = e
+}
+
+// entryOf returns the entry of an event's request, made if it does not exist
+// yet, and whether the key belongs to another request. It returns nil when the
+// record is void because of its time.
 func (f *Fold) entryOf(h journal.Head) (e *entry, reused bool) {
 	if journal.Expired(h.IssuedAt, f.logTime) || journal.Early(h.IssuedAt, f.logTime) {
 		return nil, false
 	}
-	e, ok := f.entries[h.Key]
-	if ok {
-		if e.Digest != h.Digest {
-			return nil, true
+	first := f.current(h.Key)
+	if first == nil {
+		return f.newEntry(h, nil), false
+	}
+	last := first
+	for e := first; e != nil; e = e.later {
+		if e.Digest == h.Digest {
+			return e, e != first
 		}
-		return e, false
+		last = e
 	}
+	return f.newEntry(h, last), true
+}
+
+// newEntry adds a request after last, or as the first one of its key.
+func (f *Fold) newEntry(h journal.Head, last *entry) *entry {
 	key := ident.CallKey{
 		Service: ident.Service(shared(string(h.Key.Service))),
 		Account: ident.ClientAccount(shared(string(h.Key.Account))),
 		Key:     h.Key.Key,
 	}
-	e = &entry{View: View{Digest: h.Digest, IssuedAt: h.IssuedAt}}
-	f.entries[key] = e
+	e := &entry{View: View{Digest: h.Digest, IssuedAt: h.IssuedAt}}
+	if last == nil {
+		f.entries[key] = e
+	} else {
+		last.later = e
+	}
 	f.expiring = append(f.expiring, expiring{key: key, issuedAt: h.IssuedAt})
-	return e, false
+	return e
 }
 
 func (f *Fold) applyClaim(offset ident.Offset, now time.Time, c journal.Claim) Decision {
 	d := Decision{Claim: c.ID}
 	e, reused := f.entryOf(c.Head)
 	switch {
-	case reused:
-		d.Verdict = LostKeyReused
-		return d
 	case e == nil:
 		d.Verdict = LostTime
 		return d
+	case reused:
+		d.Verdict = LostKeyReused
+		return d
 	}
 	d.Verdict = e.judge(c)
 	if d.Verdict != Won {
--- a/internal/calls/handover.go
+++ b/internal/calls/handover.go
@@ -198,8 +198,7 @@
 
 // usable reports whether calls issued at issuedAt can be claimed now.
 func (p *partition) usable(issuedAt, now time.Time) bool {
-	_, down := p.writer.down(now)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.ready && p.readable && !down && p.certain(issuedAt)
+	_, down := p.c.logDown(now)
+	ready, readable, _ := p.health()
+	return ready && readable && !down && p.certain(issuedAt)
 }
--- a/internal/calls/journal/codec.go
+++ b/internal/calls/journal/codec.go
@@ -83,7 +83,10 @@
 		return claimFromProto(e.Claim)
 	case *journalv1.Record_Release:
 		head, err := headFromProto(e.Release.GetHead())
-		return Release{Head: head}, err
+		if err != nil {
+			return nil, err
+		}
+		return Release{Head: head}, nil
 	case *journalv1.Record_Outcome:
 		return outcomeFromProto(e.Outcome)
 	case *journalv1.Record_Mark:
@@ -135,10 +138,14 @@
 			Address:     p.GetTarget().GetAddress(),
 		},
 	}
-	if len(p.GetSupersedes()) > 0 {
-		c.Supersedes, err = claimIDFromBytes(p.GetSupersedes())
+	if len(p.GetSupersedes()) == 0 {
+		return c, nil
 	}
-	return c, err
+	c.Supersedes, err = claimIDFromBytes(p.GetSupersedes())
+	if err != nil {
+		return nil, err
+	}
+	return c, nil
 }
 
 func outcomeFromProto(p *journalv1.Outcome) (Event, error) {
--- a/internal/calls/partition.go
+++ b/internal/calls/partition.go
@@ -159,17 +159,24 @@
 		return
 	}
 	delete(p.undecided, decision.Claim)
-	if decision.Verdict == fold.Won && !p.certain(cl.call.IssuedAt) {
+	if !p.fold.Certain(cl.call.IssuedAt) {
 		decision.Verdict = fold.LostTime
 	}
 	cl.rule(ruling{Decision: decision})
 }
 
-// certain reports whether all records that could concern a key issued at
-// issuedAt were read. The caller holds mu.
+// certain reports whether all that the log has said of a key issued at issuedAt
+// is known here.
 func (p *partition) certain(issuedAt time.Time) bool {
-	since, ok := p.fold.CompleteSince()
-	return ok && issuedAt.After(since)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fold.Certain(issuedAt)
+}
+
+// untilCertain returns how long it takes until keys issued then are certain.
+func (p *partition) untilCertain(now time.Time) time.Duration {
+	_, _, since := p.health()
+	return max(0, since.Sub(now))
 }
 
 func (p *partition) setReadable(readable bool) {
