--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -81,6 +81,7 @@
 	class, _ := doc.FindClass(ask.Class)
 	route := streamRequest(doc, class, req.Request.Key.Account, ask.Prompt, ask.MaxTokens, req.Answer)
 	route.Exclude = req.Exclude
+	e.rememberServed(doc.Service, req.Served, route.Blocks)
 	decision := e.routes.decide(doc, route)
 	u, found := e.routes.find(doc.Service, decision.Upstream)
 	if !decision.Found() || !found {
@@ -90,6 +91,24 @@
 	return e.target(req, route, decision, u), nil
 }
 
+// placer is a cache view that takes notice of placements.
+type placer interface {
+	Placed(blocks []uint64, now time.Time)
+}
+
+// rememberServed notes that an engine has computed a stream's prompt already.
+// A gateway that took the stream over did not place it there itself, and would
+// have the whole prompt computed again elsewhere.
+func (e *engines) rememberServed(service ident.Service, served ident.Instance, blocks []uint64) {
+	u, found := e.routes.find(service, served)
+	if !found || len(blocks) == 0 {
+		return
+	}
+	if view, ok := u.Cache.(placer); ok {
+		view.Placed(blocks, time.Now())
+	}
+}
+
 func noUpstream(message string) error {
 	return &streaming.Refusal{Reason: outcome.ReasonNoUpstream, Message: message, RetryAfter: noUpstreamRetry}
 }
@@ -100,12 +119,16 @@
 	e.results.Sending(route.Service, d.Upstream)
 	notice, unwatch := e.notices.Watch(d.Upstream, u.Instance.Incarnation)
 	return streaming.Target{
-		Instance: d.Upstream,
-		Engine:   e.dialer.Engine(d.Address),
-		Notice:   notice,
+		Instance:   d.Upstream,
+		Engine:     e.dialer.Engine(d.Address),
+		Notice:     notice,
+		FirstToken: flight.firstToken,
 		Release: func(r streaming.Result) {
 			unwatch()
 			flight.end(resultOf(r))
+			if r.Unused {
+				return
+			}
 			e.ended(req, route, d, u, flight, r)
 		},
 	}
@@ -163,10 +186,12 @@
 
 // resultOf translates how an attempt ended for the router.
 func resultOf(r streaming.Result) routing.Result {
-	switch r.Next {
-	case "":
+	switch {
+	case r.Unused:
+		return routing.ResultCancelled
+	case r.Next == "":
 		return routing.ResultDone
-	case streaming.CauseRefused:
+	case r.Next == streaming.CauseRefused:
 		return routing.ResultRefused
 	}
 	return routing.ResultFailed
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -33,6 +33,7 @@
 type tokenStreams interface {
 	Generate(ctx context.Context, req streaming.Request, sink streaming.Sink) (outcome.Outcome, error)
 	Resume(ctx context.Context, resume streaming.ResumeRequest, sink streaming.Sink) (outcome.Outcome, error)
+	Holds(key streaming.Key) bool
 }
 
 // handler serves the callers' API.
@@ -225,12 +226,23 @@
 	if h.stopping.Value() {
 		return outcome.NewNotRun(outcome.ReasonLeaving, "this gateway is leaving; ask any other", 0), nil
 	}
+	ticket, refusal := h.admitStream(ctx, s, nil, 1)
+	if refusal != nil {
+		return *refusal, nil
+	}
+	defer ticket.Done(admission.Result{})
+	h.plains.budgets.of(s.doc.Service).FirstTry()
+	return h.streams.Generate(ctx, s.request, sink)
+}
+
+// admitStream admits a token stream that has delivered some tokens already.
+func (h *handler) admitStream(ctx context.Context, s streamAsk, delivered []string, attempt uint32) (*admission.Ticket, *outcome.Outcome) {
 	key := s.request.Key
 	ask := s.request.Ask
-	route := streamRequest(s.doc, s.class, key.Account, ask.Prompt, ask.MaxTokens, nil)
+	route := streamRequest(s.doc, s.class, key.Account, ask.Prompt, ask.MaxTokens, delivered)
 	predicted := h.routes.decide(s.doc, route)
 	u, _ := h.routes.find(s.doc.Service, predicted.Upstream)
-	ticket, refusal := h.admit(ctx, admission.Request{
+	return h.admit(ctx, admission.Request{
 		Service:   s.doc.Service,
 		ID:        key.Request,
 		Account:   key.Account,
@@ -238,20 +250,14 @@
 		Class:     s.class,
 		Predicted: predicted.FirstToken,
 		Unloaded:  unloaded(u.Report, predicted.UncachedTokens),
-		Remaining: time.Duration(ask.MaxTokens) * predicted.BetweenTokens,
+		Remaining: time.Duration(route.MaxTokens) * predicted.BetweenTokens,
 		Deadline:  s.request.Deadline,
-		Cost:      float64(predicted.UncachedTokens) + float64(ask.MaxTokens),
+		Cost:      float64(predicted.UncachedTokens + route.MaxTokens),
+		Attempt:   attempt,
 	})
-	if refusal != nil {
-		return *refusal, nil
-	}
-	defer ticket.Done(admission.Result{})
-	h.plains.budgets.of(s.doc.Service).FirstTry()
-	return h.streams.Generate(ctx, s.request, sink)
 }
 
-// Resume implements the callers' API. A request that was accepted once is not
-// admitted a second time.
+// Resume implements the callers' API.
 func (h *handler) Resume(ctx context.Context, req *callerv1.ResumeRequest, out *connect.ServerStream[callerv1.ResumeResponse]) error {
 	ctx, span := h.tracer.Start(ctx, "resume", trace.WithAttributes(attribute.String("service", req.GetService())))
 	defer span.End()
@@ -260,18 +266,46 @@
 		Next:      req.GetNextIndex(),
 		Delivered: req.GetDelivered(),
 	}
-	if req.GetOriginal() != nil {
-		original, err := h.streamRequest(ctx, req.GetOriginal())
-		if err != nil {
-			return wireError(err)
-		}
-		resume.Original = &original.request
-	}
 	sink := resumeSink(out)
-	o, err := h.streams.Resume(ctx, resume, sink)
+	o, err := h.resume(ctx, resume, req.GetOriginal(), sink)
 	if err != nil {
 		return wireError(err)
 	}
 	h.told(explain.Subject{Request: resume.Key.Request, Service: ident.Service(req.GetService()), Account: resume.Key.Account}, o)
 	return sink.end(o)
 }
+
+// resume serves the rest of a token stream. A stream that this gateway keeps
+// was admitted before. One that it does not keep begins a run as a new request
+// does, ahead of first tries, so that resuming is no way around the limits.
+func (h *handler) resume(ctx context.Context, resume streaming.ResumeRequest, original *callerv1.GenerateRequest, sink streaming.Sink) (outcome.Outcome, error) {
+	if original == nil {
+		return h.streams.Resume(ctx, resume, sink)
+	}
+	ask, err := h.streamRequest(ctx, original)
+	if err != nil {
+		return outcome.Outcome{}, err
+	}
+	resume.Original = &ask.request
+	if h.streams.Holds(resume.Key) {
+		return h.streams.Resume(ctx, resume, sink)
+	}
+	ticket, refusal := h.admitStream(ctx, ask, resume.Delivered, resumeAttempt)
+	if refusal != nil {
+		return refusedResume(*refusal, resume.Next), nil
+	}
+	defer ticket.Done(admission.Result{})
+	return h.streams.Resume(ctx, resume, sink)
+}
+
+// resumeAttempt tells admission that the request was accepted before.
+const resumeAttempt = 2
+
+// refusedResume returns the truthful answer to a resume that admission refused:
+// a stream that has delivered tokens did run.
+func refusedResume(refusal outcome.Outcome, next uint32) outcome.Outcome {
+	if next == 0 {
+		return refusal
+	}
+	return outcome.NewInterrupted(refusal.Reason, "The rest of the answer cannot be served now.", refusal.RetryAfter)
+}
--- a/internal/gateway/routes.go
+++ b/internal/gateway/routes.go
@@ -84,6 +84,9 @@
 	inFlight int
 }
 
+// firstToken notes that the prompt is computed.
+func (f *flight) firstToken() { f.router.FirstToken(&f.ticket, time.Now()) }
+
 func (f *flight) end(result routing.Result) { f.router.Finished(&f.ticket, result, time.Now()) }
 
 // streamRequest returns what routing needs to know of a token stream that has
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -72,7 +72,7 @@
 	mux.Handle(callerv1connect.NewCallerServiceHandler(p.handler,
 		connect.WithInterceptors(auth.Interceptor{Authenticator: p.handler.auth}),
 		connect.WithReadMaxBytes(int(limits.MaxBody))))
-	callers := transport.NewServer(telemetry.Continue(mux))
+	callers := transport.NewServer(telemetry.Continue(limitWrites(mux)))
 	callers.ReadHeaderTimeout = limits.HeaderTimeout
 	callers.MaxHeaderBytes = int(limits.MaxHeader)
 	callers.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: limits.MaxStreams}
