--- a/api/caller/v1/callerv1connect/caller.connect.go
+++ b/api/caller/v1/callerv1connect/caller.connect.go
@@ -50,7 +50,9 @@
 type CallerServiceClient interface {
 	// Call runs one method of a plain service.
 	Call(context.Context, *v1.CallRequest) (*v1.CallResponse, error)
-	// GetOutcome tells what became of the call with a key, at any gateway.
+	// GetOutcome tells what became of the call with a key, at any gateway. For a
+	// key that no gateway has seen it tells UNKNOWN with the reason "not_seen":
+	// send the call again with the same key and a higher attempt.
 	GetOutcome(context.Context, *v1.GetOutcomeRequest) (*v1.GetOutcomeResponse, error)
 	// Generate starts a token stream.
 	Generate(context.Context, *v1.GenerateRequest) (*connect.ServerStreamForClient[v1.GenerateResponse], error)
@@ -136,7 +138,9 @@
 type CallerServiceHandler interface {
 	// Call runs one method of a plain service.
 	Call(context.Context, *v1.CallRequest) (*v1.CallResponse, error)
-	// GetOutcome tells what became of the call with a key, at any gateway.
+	// GetOutcome tells what became of the call with a key, at any gateway. For a
+	// key that no gateway has seen it tells UNKNOWN with the reason "not_seen":
+	// send the call again with the same key and a higher attempt.
 	GetOutcome(context.Context, *v1.GetOutcomeRequest) (*v1.GetOutcomeResponse, error)
 	// Generate starts a token stream.
 	Generate(context.Context, *v1.GenerateRequest, *connect.ServerStream[v1.GenerateResponse]) error
--- a/internal/calls/settle.go
+++ b/internal/calls/settle.go
@@ -27,16 +27,14 @@
 		if o, ok := p.known(key, nil); ok {
 			return o
 		}
-		return outcome.NewUnknown(reasonNotSeen, "no attempt with this key was seen; it may be sent again", retrySoon)
+		return outcome.NewUnknown(outcome.ReasonNotSeen, "no attempt with this key was seen; it may be sent again", retrySoon)
 	}
 	if view, _ := p.find(key); view.State == fold.Released {
 		return inProgress("the gateway that had the call left; another one will run it")
 	}
-	return outcome.NewUnknown(reasonNotSeen, "the last attempt seen did not run; it may be sent again", retrySoon)
+	return outcome.NewUnknown(outcome.ReasonNotSeen, "the last attempt seen did not run; it may be sent again", retrySoon)
 }
 
-// reasonNotSeen: no attempt that may have run is known here.
-const reasonNotSeen outcome.Reason = "not_seen"
 
 // settleOwner finds out about a claim that owns the key. ok is true when the
 // key is open, so that the caller may claim it; otherwise o is the answer.
--- /dev/null
+++ b/internal/e2e/norace_test.go
@@ -0,0 +1,5 @@
+//go:build e2e && !race
+
+package e2e
+
+const raceFlag = "-race=false"
--- /dev/null
+++ b/internal/e2e/system_test.go
@@ -0,0 +1,275 @@
+//go:build e2e
+
+package e2e
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/loadgen"
+)
+
+const (
+	root = "../.."
+	// patience bounds every wait of the tests; nothing is asserted by it.
+	patience = 60 * time.Second
+	token    = "test-token"
+	account  = "registrar"
+	services = "spool-llm auktion-app"
+)
+
+// bin is where TestMain puts the programs.
+var bin string
+
+func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "e2e")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	bin = dir
+	build := exec.Command("go", "build", raceFlag, "-o", dir+"/", "./cmd/gateway", "./cmd/controller", "./cmd/standin", "./cmd/spoolctl")
+	build.Dir = root
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// addresses are those that a process prints when it listens; stand-ins have
+// the first, gateways the others.
+type addresses struct{ Address, Callers, Peers, Operators string }
+
+// process is a program that a test started.
+type process struct {
+	t      *testing.T
+	name   string
+	cmd    *exec.Cmd
+	stderr bytes.Buffer
+	at     addresses
+	exited chan struct{}
+	err    error
+}
+
+// launch starts a program and waits until it says where it listens. It is
+// killed at the end of the test unless it has ended by then.
+func launch(t *testing.T, name, program string, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, name: name, cmd: exec.Command(filepath.Join(bin, program), args...), exited: make(chan struct{})}
+	p.cmd.Stderr = &p.stderr
+	stdout, err := p.cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	line, err := bufio.NewReader(stdout).ReadBytes('\n')
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.exited)
+	}()
+	t.Cleanup(p.kill)
+	if err == nil {
+		err = json.Unmarshal(line, &p.at)
+	}
+	if err != nil {
+		p.kill()
+		t.Fatalf("%s does not listen: %v\n%s", name, err, p.stderr.String())
+	}
+	return p
+}
+
+// kill ends the process without notice.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.exited
+}
+
+func (p *process) signal(s syscall.Signal) {
+	select {
+	case <-p.exited:
+	default:
+		// It may end between the two lines; then there is nobody to tell.
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// stop asks the process to end gracefully and expects exit status 0.
+func (p *process) stop() {
+	p.t.Helper()
+	p.signal(syscall.SIGTERM)
+	<-p.exited
+	if p.err != nil {
+		p.t.Errorf("%s: planned stop ended with %v\n%s", p.name, p.err, p.stderr.String())
+	}
+}
+
+// system is a platform stand-in with what was started around it.
+type system struct {
+	t        *testing.T
+	platform *process
+	gateways []*process
+	plains   []*process
+}
+
+func newSystem(t *testing.T) *system {
+	t.Helper()
+	return &system{t: t, platform: launch(t, "platform", "standin", "platform")}
+}
+
+func (s *system) address() string { return s.platform.at.Address }
+
+// run runs a program to its end and returns what it printed.
+func (s *system) run(program string, args ...string) string {
+	s.t.Helper()
+	ctx, cancel := context.WithTimeout(s.t.Context(), patience)
+	defer cancel()
+	out, err := exec.CommandContext(ctx, filepath.Join(bin, program), args...).CombinedOutput()
+	if err != nil {
+		s.t.Fatalf("%s %s: %v\n%s", program, strings.Join(args, " "), err, out)
+	}
+	return string(out)
+}
+
+func (s *system) admin(args ...string) {
+	s.t.Helper()
+	s.run("standin", append([]string{"admin", "--platform", s.address()}, args...)...)
+}
+
+func (s *system) engine(id, domain string) *process {
+	s.t.Helper()
+	return launch(s.t, id, "standin", "engine", "--platform", s.address(), "--id", id, "--service", "spool-llm",
+		"--failure-domain", domain, "--class", "gpu-small", "--model", "spool-llm", "--model-version", "2026-11")
+}
+
+func (s *system) plain(id, domain string) *process {
+	s.t.Helper()
+	p := launch(s.t, id, "standin", "plain", "--platform", s.address(), "--id", id, "--service", "auktion-app",
+		"--failure-domain", domain, "--class", "cpu-small", "--checks-fencing", "--finds-outcomes")
+	s.plains = append(s.plains, p)
+	return p
+}
+
+func (s *system) gateway(id, domain string) *process {
+	s.t.Helper()
+	settings := fmt.Sprintf(`
+[instance]
+id = %q
+region = "tirol"
+failure_domain = %q
+incarnation = 1
+[platform]
+address = "http://%s"
+[[client_accounts]]
+name = %q
+token_sha256 = "%x"
+`, id, domain, s.address(), account, sha256.Sum256([]byte(token)))
+	file := filepath.Join(s.t.TempDir(), id+".toml")
+	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	p := launch(s.t, id, "gateway", "--settings", file)
+	s.admin("register", "--id", id, "--incarnation", "1", "--failure-domain", domain,
+		"--address", p.at.Callers, "--peer-address", p.at.Peers)
+	s.gateways = append(s.gateways, p)
+	return p
+}
+
+// publish publishes the example documents and waits until every gateway is
+// ready.
+func (s *system) publish() {
+	s.t.Helper()
+	for _, service := range strings.Fields(services) {
+		s.run("spoolctl", "publish", filepath.Join(root, "examples", service+".toml"), "--platform", s.address())
+	}
+	for _, g := range s.gateways {
+		s.awaitReady(g)
+	}
+}
+
+func (s *system) awaitReady(p *process) {
+	s.t.Helper()
+	deadline := time.Now().Add(patience)
+	for {
+		resp, err := http.Get("http://" + p.at.Operators + "/readyz")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		if time.Now().After(deadline) {
+			s.t.Fatalf("%s is not ready: %v\n%s", p.name, err, p.stderr.String())
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// load sends a load to all gateways and calls during while it runs.
+func (s *system) load(rate float64, duration time.Duration, during func()) *loadgen.Result {
+	s.t.Helper()
+	workload := &loadgen.Workload{
+		ModelService:  "spool-llm",
+		PlainService:  "auktion-app",
+		BookingMethod: "place_bid",
+		Accounts:      []loadgen.Account{{Name: account, Token: token, Weight: 1}},
+		Shapes: map[loadgen.Kind]loadgen.Shape{
+			loadgen.Short: {Class: "short", PromptTokens: 64, MaxTokens: 16},
+			loadgen.Long:  {Class: "long", PromptTokens: 512, SharedTokens: 256, MaxTokens: 128},
+		},
+		Weights: map[loadgen.Kind]float64{loadgen.Short: 0.4, loadgen.Long: 0.1, loadgen.Booking: 0.5},
+	}
+	options := loadgen.Options{Patience: patience, Silence: 5 * time.Second, MaxRefusals: 20}
+	for _, g := range s.gateways {
+		options.Gateways = append(options.Gateways, g.at.Callers)
+	}
+	for _, p := range s.plains {
+		options.Plains = append(options.Plains, p.at.Address)
+	}
+	run := loadgen.NewRun(options, workload)
+	done := make(chan *loadgen.Result, 1)
+	go func() { done <- run.Do(s.t.Context(), workload.Poisson(rate, duration, 1)) }()
+	during()
+	result := <-done
+	for _, kind := range loadgen.Kinds {
+		s.t.Logf("%s: %d sent, %v, reasons %v", kind, result.Kinds[kind].Sent, result.Kinds[kind].Verdicts, result.Kinds[kind].Reasons)
+	}
+	return result
+}
+
+// expectKept fails the test if a promise was broken.
+func expectKept(t *testing.T, r *loadgen.Result) {
+	t.Helper()
+	if r.Broken > 0 {
+		t.Errorf("%d answers broke a promise: %+v", r.Broken, r.Problems)
+	}
+}
+
+// expectWhole fails the test if any request had another end than a whole
+// answer.
+func expectWhole(t *testing.T, r *loadgen.Result) {
+	t.Helper()
+	expectKept(t, r)
+	for kind, result := range r.Kinds {
+		if whole := result.Verdicts[loadgen.Whole]; whole != result.Sent {
+			t.Errorf("%s: %d of %d whole: %v %v", kind, whole, result.Sent, result.Verdicts, result.Reasons)
+		}
+	}
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -226,7 +226,7 @@
 	if h.stopping.Value() {
 		return outcome.NewNotRun(outcome.ReasonLeaving, "this gateway is leaving; ask any other", 0), nil
 	}
-	ticket, refusal := h.admitStream(ctx, s, nil, 1)
+	ticket, refusal := h.admitStream(ctx, s)
 	if refusal != nil {
 		return *refusal, nil
 	}
@@ -235,11 +235,11 @@
 	return h.streams.Generate(ctx, s.request, sink)
 }
 
-// admitStream admits a token stream that has delivered some tokens already.
-func (h *handler) admitStream(ctx context.Context, s streamAsk, delivered []string, attempt uint32) (*admission.Ticket, *outcome.Outcome) {
+// admitStream admits a token stream of which nothing was delivered.
+func (h *handler) admitStream(ctx context.Context, s streamAsk) (*admission.Ticket, *outcome.Outcome) {
 	key := s.request.Key
 	ask := s.request.Ask
-	route := streamRequest(s.doc, s.class, key.Account, ask.Prompt, ask.MaxTokens, delivered)
+	route := streamRequest(s.doc, s.class, key.Account, ask.Prompt, ask.MaxTokens, nil)
 	predicted := h.routes.decide(s.doc, route)
 	u, _ := h.routes.find(s.doc.Service, predicted.Upstream)
 	return h.admit(ctx, admission.Request{
@@ -253,7 +253,6 @@
 		Remaining: time.Duration(route.MaxTokens) * predicted.BetweenTokens,
 		Deadline:  s.request.Deadline,
 		Cost:      float64(predicted.UncachedTokens + route.MaxTokens),
-		Attempt:   attempt,
 	})
 }
 
@@ -275,9 +274,10 @@
 	return sink.end(o)
 }
 
-// resume serves the rest of a token stream. A stream that this gateway keeps
-// was admitted before. One that it does not keep begins a run as a new request
-// does, ahead of first tries, so that resuming is no way around the limits.
+// resume serves the rest of a token stream. One that some gateway accepted, as
+// this one keeps it or tokens of it were delivered, must finish, so it is not
+// refused for load: callers of killed gateways come back when there is least
+// room for them. One of which nothing was delivered is admitted like a new one.
 func (h *handler) resume(ctx context.Context, resume streaming.ResumeRequest, original *callerv1.GenerateRequest, sink streaming.Sink) (outcome.Outcome, error) {
 	if original == nil {
 		return h.streams.Resume(ctx, resume, sink)
@@ -287,25 +287,13 @@
 		return outcome.Outcome{}, err
 	}
 	resume.Original = &ask.request
-	if h.streams.Holds(resume.Key) {
+	if resume.Next > 0 || h.streams.Holds(resume.Key) {
 		return h.streams.Resume(ctx, resume, sink)
 	}
-	ticket, refusal := h.admitStream(ctx, ask, resume.Delivered, resumeAttempt)
+	ticket, refusal := h.admitStream(ctx, ask)
 	if refusal != nil {
-		return refusedResume(*refusal, resume.Next), nil
+		return *refusal, nil
 	}
 	defer ticket.Done(admission.Result{})
 	return h.streams.Resume(ctx, resume, sink)
 }
-
-// resumeAttempt tells admission that the request was accepted before.
-const resumeAttempt = 2
-
-// refusedResume returns the truthful answer to a resume that admission refused:
-// a stream that has delivered tokens did run.
-func refusedResume(refusal outcome.Outcome, next uint32) outcome.Outcome {
-	if next == 0 {
-		return refusal
-	}
-	return outcome.NewInterrupted(refusal.Reason, "The rest of the answer cannot be served now.", refusal.RetryAfter)
-}
--- a/internal/loadgen/booking.go
+++ b/internal/loadgen/booking.go
@@ -9,6 +9,7 @@
 
 	callerv1 "github.com/goldcrestspool/goldcrestspool/api/caller/v1"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
 	"github.com/goldcrestspool/goldcrestspool/internal/standin/answer"
 	"github.com/goldcrestspool/goldcrestspool/internal/transport"
 )
@@ -19,6 +20,8 @@
 	request *callerv1.CallRequest
 	// doubt: a call may be running, so ask for its outcome before another.
 	doubt bool
+	// notSeen: the last answer said that no gateway has seen the key.
+	notSeen bool
 }
 
 // run sends the call until its outcome is final, it was refused maxRefusals
@@ -35,20 +38,21 @@
 			}
 			continue
 		}
-		outcome := reply.outcome
-		switch outcome.GetKind() {
+		told := reply.outcome
+		switch told.GetKind() {
 		case callerv1.OutcomeKind_OUTCOME_KIND_COMPLETED:
 			return b.judge(reply.payload)
 		case callerv1.OutcomeKind_OUTCOME_KIND_FAILED:
-			return fromOutcome(Failed, outcome)
+			return fromOutcome(Failed, told)
 		case callerv1.OutcomeKind_OUTCOME_KIND_NOT_RUN:
 			b.refusals++
 			b.doubt = false
 		default:
-			b.doubt = true
+			b.doubt = !b.notSeen
+			b.notSeen = false
 		}
-		if b.refusals >= maxRefusals || !b.told(ctx, outcome) {
-			b.last = outcome
+		if b.refusals >= maxRefusals || !b.told(ctx, told) {
+			b.last = told
 			return b.giveUp(nil)
 		}
 	}
@@ -92,7 +96,9 @@
 		b.doubt = connect.CodeOf(err) != connect.CodeNotFound
 		return callReply{}, err
 	}
-	return callReply{response.GetOutcome(), response.GetPayload()}, nil
+	reply := callReply{response.GetOutcome(), response.GetPayload()}
+	b.notSeen = reply.outcome.GetReason() == string(outcome.ReasonNotSeen)
+	return reply, nil
 }
 
 func (b *bookingCaller) judge(payload []byte) *finding {
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -65,6 +65,9 @@
 	ReasonClaimedElsewhere Reason = "claimed_elsewhere"
 	ReasonKeyReused        Reason = "key_reused"
 	ReasonApplication      Reason = "application_error"
+	// ReasonNotSeen: no gateway has seen the key. The call may still be on
+	// its way; sending it again with a higher attempt is always safe.
+	ReasonNotSeen Reason = "not_seen"
 	// ReasonReplaced: the same caller resumed the request elsewhere, with
 	// tokens that this stream does not continue.
 	ReasonReplaced Reason = "replaced"
