--- a/internal/calls/settle.go
+++ b/internal/calls/settle.go
@@ -35,7 +35,6 @@
 	return outcome.NewUnknown(outcome.ReasonNotSeen, "the last attempt seen did not run; it may be sent again", retrySoon)
 }
 
-
 // settleOwner finds out about a claim that owns the key. ok is true when the
 // key is open, so that the caller may claim it; otherwise o is the answer.
 func (c *Coordinator) settleOwner(ctx context.Context, p *partition, key ident.CallKey, digest *journal.Digest) (o outcome.Outcome, ok bool) {
