routing: PlanReclaim; price while there is slack; weights

Reclaim wave: at a notice each gateway plans for its own streams: those that end in time stay, the others move with their KV cache in the order of recomputation saved per token moved, as long as the notice lasts, the rest resume spread over it. Moved streams bring their prefix to its next home. The stand-in's transfers share its bandwidth now; each had it alone before.

Price: a constant per request that fades as the mean batch fills, only where the document names prices. Price times engine time, as before, decided nothing. Weights: RecomputeWeight 20, LateWeight 1, HomeWeight 0.25, Crowded 0.97, CrowdWeight 2.

--- a/internal/experiment/driver.go
+++ b/internal/experiment/driver.go
@@ -56,6 +56,7 @@
 	// tokens come out at the end of the step under way.
 	tokens  []engine.Token
 	leaving bool
+	endsAt  time.Duration
 	ended   bool
 	// used is the time spent in steps after the warm-up.
 	used     time.Duration
@@ -71,6 +72,9 @@
 	caches   map[ident.Instance]*cacheview.View
 	// keepers are empty for policies without admission.
 	keepers map[*document.Document]*keeper
+	// evacuated are the leaving runners that were planned for; nil for
+	// policies that only react to the end.
+	evacuated map[ident.Instance]bool
 }
 
 // call is one request on its way through its attempts.
@@ -170,6 +174,7 @@
 			r.workload.Plain: contender.New(r.rng.Uint64, r.clock()),
 		}
 		if contender.Admission {
+			d.evacuated = make(map[ident.Instance]bool)
 			d.keepers = map[*document.Document]*keeper{r.workload.Model: newKeeper(), r.workload.Plain: newKeeper()}
 		}
 		r.deciders = append(r.deciders, d)
@@ -205,6 +210,11 @@
 		doc := r.document(u.Role == platform.RolePlain)
 		d.views[doc] = append(d.views[doc], seen)
 	}
+	for _, u := range r.runners {
+		if d.evacuated != nil && u.leaving && !u.ended {
+			r.evacuate(d, u)
+		}
+	}
 	for doc, p := range d.keepers {
 		p.setUpstreams(d.views[doc], d.policies[doc], r.clock())
 	}
@@ -237,7 +247,8 @@
 		}
 		u.leaving = true
 		u.model.Leave(r.clock())
-		r.at(r.now+reclaimNotice, func() { r.end(u) })
+		u.endsAt = r.now + reclaimNotice
+		r.at(u.endsAt, func() { r.end(u) })
 		r.replace(u, 1)
 	}
 }
--- a/internal/experiment/figures.go
+++ b/internal/experiment/figures.go
@@ -157,7 +157,7 @@
 		if u.Role == platform.RolePlain {
 			continue
 		}
-		cents := centsPerHour(r.workload.Model, u.Instance)
+		cents := centsPerHour(r.workload.Prices, u.Instance)
 		used += cents * u.used.Hours()
 		fleet += cents * max(0, u.to-max(u.from, warmUp)).Hours()
 	}
@@ -177,8 +177,8 @@
 	f.FleetCost = fleet * 1000 / float64(max(1, met))
 }
 
-func centsPerHour(doc *document.Document, i platform.Instance) float64 {
-	for _, p := range doc.Placement.Prices {
+func centsPerHour(prices []document.Price, i platform.Instance) float64 {
+	for _, p := range prices {
 		if p.FailureDomain == i.FailureDomain && p.Class == i.Class && p.Reclaimable == i.Reclaimable {
 			return p.CentsPerHour
 		}
--- /dev/null
+++ b/internal/experiment/reclaim.go
@@ -0,0 +1,86 @@
+package experiment
+
+import (
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/routing"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/engine"
+)
+
+// evacuate lets a decider that has just learnt of a notice plan for its
+// streams at the leaving runner.
+func (r *run) evacuate(d *decider, u *runner) {
+	if d.evacuated[u.ID] || u.Role == platform.RolePlain {
+		return
+	}
+	d.evacuated[u.ID] = true
+	var calls []*call
+	var streams []routing.LeavingStream
+	for _, k := range sorted(u.active) {
+		if k.decider != d {
+			continue
+		}
+		doc := r.document(false)
+		k.exclude = append(k.exclude, u.ID)
+		next := r.policy(k).Decide(doc, d.views[doc], k.request(doc.Service), r.clock())
+		calls = append(calls, k)
+		streams = append(streams, routing.LeavingStream{
+			Context: k.prompt + k.delivered, Cached: k.prompt + k.delivered - next.UncachedTokens,
+			Remaining: k.output - k.delivered, BetweenTokens: k.decision.BetweenTokens,
+		})
+	}
+	left := u.endsAt - r.now
+	for _, step := range routing.PlanReclaim(streams, left, engine.DefaultParameters().TransferRate, deciders) {
+		k := calls[step.Stream]
+		switch step.Action {
+		case routing.MoveCache:
+			r.at(r.now+step.After, func() { r.export(k, u) })
+		case routing.Recompute:
+			r.at(r.now+step.After, func() { r.resume(k, u) })
+		}
+	}
+}
+
+// resume goes on elsewhere from the prompt and what was delivered.
+func (r *run) resume(k *call, u *runner) {
+	if k.runner != u {
+		return
+	}
+	u.model.Cancel(r.clock(), k.id())
+	r.leave(k, routing.ResultCancelled)
+	r.dispatch(k)
+}
+
+// export copies a stream's KV cache while the stream goes on, and then moves
+// the stream to where its prefix will be at home.
+func (r *run) export(k *call, u *runner) {
+	exported, ok := u.model.Export(k.id())
+	if k.runner != u || !ok {
+		return
+	}
+	r.at(r.now+u.model.Transfer(r.clock(), exported.Tokens), func() {
+		if k.runner == u {
+			r.importTo(k, u, exported)
+		}
+	})
+}
+
+func (r *run) importTo(k *call, u *runner, exported engine.Exported) {
+	doc := r.document(false)
+	d := r.policy(k).Decide(doc, k.decider.views[doc], k.request(doc.Service), r.clock())
+	if !d.Found() {
+		return
+	}
+	target := r.runner(d.Upstream)
+	u.model.Cancel(r.clock(), k.id())
+	r.leave(k, routing.ResultCancelled)
+	target.model.Import(k.id(), exported)
+	// The import counts as load at the target from now on.
+	k.ticket = r.policy(k).Started(d, k.request(doc.Service), r.clock())
+	r.at(r.now+target.model.Transfer(r.clock(), exported.Tokens), func() {
+		k.attempts++
+		if k.done || !r.submit(k, target, d) {
+			r.policy(k).Finished(&k.ticket, routing.ResultRefused, r.clock())
+			r.dispatch(k)
+		}
+	})
+}
--- a/internal/experiment/workload.go
+++ b/internal/experiment/workload.go
@@ -24,6 +24,9 @@
 	Name string
 	// Model is the model service, Plain the application beside it.
 	Model, Plain *document.Document
+	// Prices are what the runners cost. The document of a workload names
+	// prices only where its owner wants them to decide.
+	Prices       []document.Price
 	Runners      []platform.Instance
 	PlainRunners []platform.Instance
 	Kinds        []Kind
@@ -108,7 +111,7 @@
 func (w *Workload) leastCost(c Case) float64 {
 	var cents []float64
 	for _, i := range w.Runners {
-		cents = append(cents, centsPerHour(w.Model, i))
+		cents = append(cents, centsPerHour(w.Prices, i))
 	}
 	slices.Sort(cents)
 	load := min(1, c.phases()[0].load)
--- a/internal/experiment/workloads.go
+++ b/internal/experiment/workloads.go
@@ -29,6 +29,8 @@
 }
 
 // Domaenenhaus has long dossiers with shared prefixes, drafts, tags and bids.
+// It weighs recomputed tokens more heavily than cost, so its document names no
+// prices: work stays where its prefix is.
 func Domaenenhaus() *Workload {
 	domains := []ident.FailureDomain{"hall-a", "hall-b", "hall-c", "hall-d"}
 	w := &Workload{Name: domaenenhausName, Accounts: accountShares, Kinds: []Kind{
@@ -53,6 +55,7 @@
 }
 
 // Harfang has short replies within conversations, long reviews and bookings.
+// It weighs cost more heavily, and its document names prices.
 func Harfang() *Workload {
 	domains := []ident.FailureDomain{"salle-a", "salle-b", "salle-c", "salle-d"}
 	w := &Workload{Name: harfangName, Accounts: accountShares, Kinds: []Kind{
@@ -70,12 +73,15 @@
 			Plain: true, Share: 0.20, Own: 1, Output: 1,
 		},
 	}}
-	return w.on(domains, "goldcrest-modeles", "appli-jumelage")
+	w.on(domains, "goldcrest-modeles", "appli-jumelage")
+	w.Model.Placement.Prices = w.Prices
+	return w
 }
 
 // on places the workload's services on failure domains.
 func (w *Workload) on(domains []ident.FailureDomain, model, plain ident.Service) *Workload {
-	w.Model = &document.Document{Service: model, Kind: document.Model, Placement: document.Placement{Prices: prices(domains)}}
+	w.Model = &document.Document{Service: model, Kind: document.Model}
+	w.Prices = prices(domains)
 	for _, k := range w.Kinds {
 		if !k.Plain {
 			w.Model.Classes = append(w.Model.Classes, k.Class)
--- a/internal/routing/params.go
+++ b/internal/routing/params.go
@@ -30,6 +30,9 @@
 	// what a second at the highest price costs, in seconds of lateness as a
 	// share of the target.
 	RecomputeWeight, PriceWeight float64
+	// PriceUpTo is the mean share of a batch in use from which on prices no
+	// longer count: the dear upstreams are needed then.
+	PriceUpTo float64
 	// LateWeight is what a whole target of lateness costs.
 	LateWeight float64
 	// Crowded is the share of BatchLimit from which on an upstream is avoided,
@@ -61,14 +64,15 @@
 		Hop:             time.Millisecond,
 		Target:          2 * time.Second,
 		Comfort:         0.5,
-		RecomputeWeight: 10,
-		PriceWeight:     0,
-		LateWeight:      0.6,
-		Crowded:         0.95,
+		RecomputeWeight: 20,
+		PriceWeight:     0.6,
+		PriceUpTo:       0.65,
+		LateWeight:      1,
+		Crowded:         0.97,
 		Bound:           1.2,
-		CrowdWeight:     3,
+		CrowdWeight:     2,
 		BalanceWeight:   0.1,
-		HomeWeight:      0.2,
+		HomeWeight:      0.25,
 		HomeSpread:      1.5,
 		NearEqual:       0.020,
 		Random:          rand.Uint64,
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -48,11 +48,12 @@
 	late := min(1, max(0, e.firstToken*c.margin-p.Comfort*target)/target)
 	bound := max(p.Crowded, p.Bound*c.mean/s.batch)
 	crowd := max(0, (s.running+s.waiting)/s.batch-bound)
+	slack := max(0, 1-c.mean/(p.PriceUpTo*s.batch))
 	sum := p.BalanceWeight * (s.running + s.waiting) / s.batch
 	if c.away(i) {
 		sum += p.HomeWeight
 	}
-	return sum + p.RecomputeWeight*prefill + p.PriceWeight*price*e.work + p.LateWeight*late + p.CrowdWeight*crowd
+	return sum + p.RecomputeWeight*prefill + p.PriceWeight*slack*price + p.LateWeight*late + p.CrowdWeight*crowd
 }
 
 // estimatePlain predicts a call of a plain service: fewest in flight wins,
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -302,7 +302,10 @@
 
 // transfer waits as long as moving so many tokens takes.
 func (e *Engine) transfer(ctx context.Context, tokens int) error {
-	timer := time.NewTimer(e.config.Parameters.TransferTime(tokens))
+	e.mu.Lock()
+	took := e.model.Transfer(time.Now(), tokens)
+	e.mu.Unlock()
+	timer := time.NewTimer(took)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/standin/engine/model.go
+++ b/internal/standin/engine/model.go
@@ -26,6 +26,8 @@
 	imported map[ident.Request]int
 	leaving  bool
 	lastStep time.Duration
+	// transferFree is when the bandwidth of KV transfer is free again.
+	transferFree time.Time
 	// waitingTokens is the sum of estimate over the waiting streams.
 	waitingTokens int
 	reports       reportLog
@@ -265,6 +267,17 @@
 	m.imported[id] = e.Tokens
 }
 
+// Transfer books the engine's bandwidth for so many tokens of KV cache, after
+// what is booked already, and returns when from now the transfer is over.
+func (m *Model) Transfer(now time.Time, tokens int) time.Duration {
+	begin := now
+	if m.transferFree.After(begin) {
+		begin = m.transferFree
+	}
+	m.transferFree = begin.Add(m.params.TransferTime(tokens))
+	return m.transferFree.Sub(now)
+}
+
 // Report returns the load as it was ReportLag ago.
 func (m *Model) Report(now time.Time) upstream.Report {
 	r := m.reports.at(now)
