experiment: a runner stays busy until its tokens are handed out; salted prefixes

Symptom: resumed tokens in cases without any reclaim (domaenenhaus rush 1.5: 7 k per thousand) since admission came into the driver. Cause: an ended request let the next one in, whose submission began the runner's next step into the buffer of tokens that was being read.

--- a/internal/experiment/calls.go
+++ b/internal/experiment/calls.go
@@ -130,13 +130,15 @@
 	}
 	u.longest = max(u.longest, u.model.Waiting())
 	r.at(r.now+d, func() {
-		u.busy = false
 		if u.ended {
 			return
 		}
+		// The runner stays busy until its tokens are handed out: an ended
+		// request lets the next one in, which must not begin another step yet.
 		for _, t := range u.tokens {
 			r.token(u, t)
 		}
+		u.busy = false
 		r.step(u)
 	})
 }
--- a/internal/experiment/workload.go
+++ b/internal/experiment/workload.go
@@ -132,9 +132,11 @@
 // arrivals draws the requests of a run in the order in which they come.
 func (w *Workload) arrivals(rng *rand.Rand, phases []phase, accounts []float64) []arrival {
 	var all []arrival
+	// Each run has prefixes of its own, so that their homes differ as well.
+	salt := rng.Uint64()
 	for _, p := range phases {
 		for i := range w.Kinds {
-			all = append(all, w.stream(rng, i, p, accounts)...)
+			all = append(all, w.stream(rng, i, p, accounts, salt)...)
 		}
 	}
 	slices.SortStableFunc(all, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
@@ -143,7 +145,7 @@
 
 // stream draws Poisson arrivals of conversations of one kind. Some are under
 // way when the phase begins, so that it has its load from its first second.
-func (w *Workload) stream(rng *rand.Rand, kind int, p phase, accounts []float64) []arrival {
+func (w *Workload) stream(rng *rand.Rand, kind int, p phase, accounts []float64, salt uint64) []arrival {
 	k := &w.Kinds[kind]
 	turns := max(1, k.Turns)
 	rate := w.Capacity() * p.load * k.Share / float64(turns)
@@ -154,7 +156,7 @@
 		if at >= p.to {
 			return list
 		}
-		for _, turn := range k.conversation(rng, kind, at, pick(rng, accounts)) {
+		for _, turn := range k.conversation(rng, kind, at, pick(rng, accounts), salt) {
 			if turn.at >= p.from && turn.at < p.to {
 				list = append(list, turn)
 			}
@@ -163,12 +165,12 @@
 }
 
 // conversation draws the turns of one conversation, often only one.
-func (k *Kind) conversation(rng *rand.Rand, kind int, at time.Duration, account int) []arrival {
+func (k *Kind) conversation(rng *rand.Rand, kind int, at time.Duration, account int, salt uint64) []arrival {
 	prefix := 0
 	if k.Prefixes > 0 {
 		prefix = pick(rng, zipf(k.Prefixes))
 	}
-	shared := uint64(kind)<<40 | uint64(account)<<32 | uint64(prefix)<<16
+	shared := mix(salt ^ (uint64(kind)<<40 | uint64(account)<<32 | uint64(prefix)<<16))
 	own := rng.Uint64()
 	var turns []arrival
 	length := k.PrefixTokens
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -19,8 +19,8 @@
 	req     *Request
 	now     time.Time
 	plain   bool
-	// mean is the mean number of requests at an upstream, by the reports.
-	mean float64
+	// mean and slack are those of the view; see prepared.
+	mean, slack float64
 
 	// cached holds, by upstream, how many leading blocks it probably has.
 	cached []float64
--- a/internal/routing/home.go
+++ b/internal/routing/home.go
@@ -47,7 +47,7 @@
 // all gateways without a word between them, and as many as the prefix's share
 // of the work needs. It sets the largest place that is a home.
 func (c *chooser) homes() {
-	c.farthest = 1
+	c.farthest = math.Inf(1)
 	prefix := c.req.Blocks[0]
 	share := c.router.popularity.share(prefix)
 	n := int(math.Ceil(share * float64(len(c.view)) * c.router.params.HomeSpread))
@@ -61,7 +61,7 @@
 		if c.view[i].State != blackboard.Alive {
 			continue
 		}
-		x := place(prefix, c.entries[i].hash)
+		x := c.place(prefix, i)
 		at := count
 		for at > 0 && nearest[at-1] > x {
 			at--
@@ -80,16 +80,21 @@
 
 // away reports whether the i-th upstream is no home of the request's prefix.
 func (c *chooser) away(i int) bool {
-	return len(c.req.Blocks) > 0 && place(c.req.Blocks[0], c.entries[i].hash) > c.farthest
+	return len(c.req.Blocks) > 0 && c.place(c.req.Blocks[0], i) > c.farthest
 }
 
-// place orders the upstreams for a prefix, alike at all gateways: it is
-// between 0 and 1 and looks random (rendezvous hashing).
-func place(prefix, upstream uint64) float64 {
+// place orders the upstreams for a prefix, alike at all gateways: an upstream
+// comes first in proportion to its weight (weighted rendezvous hashing).
+func (c *chooser) place(prefix uint64, i int) float64 {
+	return -math.Log(random(prefix, c.entries[i].hash)) / c.entries[i].weight
+}
+
+// random is a number between 0 and 1 that looks random.
+func random(prefix, upstream uint64) float64 {
 	const golden = 0x9e3779b97f4a7c15
 	x := (prefix ^ upstream) * golden
 	x ^= x >> 32
 	x *= golden
 	x ^= x >> 29
-	return float64(x>>11) / (1 << 53)
+	return (float64(x>>11) + 1) / (1<<53 + 1)
 }
--- a/internal/routing/params.go
+++ b/internal/routing/params.go
@@ -30,16 +30,20 @@
 	// what a second at the highest price costs, in seconds of lateness as a
 	// share of the target.
 	RecomputeWeight, PriceWeight float64
-	// PriceUpTo is the mean share of a batch in use from which on prices no
-	// longer count: the dear upstreams are needed then.
+	// PriceUpTo is the mean fill from which on prices no longer count: the dear upstreams are needed then.
 	PriceUpTo float64
+	// PriceHome is how fast the dearest upstream loses its part in being home
+	// to prefixes as there is more slack, down to LeastHome.
+	PriceHome, LeastHome float64
 	// LateWeight is what a whole target of lateness costs.
 	LateWeight float64
-	// Crowded is the share of BatchLimit from which on an upstream is avoided,
-	// Bound how far above the mean of all upstreams it may be nevertheless,
-	// and CrowdWeight what a whole batch beyond both costs.
+	// FullBacklog is the backlog of prefill that counts like a full batch.
+	FullBacklog time.Duration
+	// Crowded is the fill from which on an upstream is avoided, Bound how far
+	// above the mean of all upstreams it may be nevertheless, and CrowdWeight
+	// what a fill of 1 beyond both costs.
 	Crowded, Bound, CrowdWeight float64
-	// BalanceWeight is what a whole batch costs below those limits.
+	// BalanceWeight is what a fill of 1 costs in any case.
 	BalanceWeight float64
 	// HomeWeight is what an upstream costs that is no home of the prefix, and
 	// HomeSpread how many homes a prefix has for each upstream that its share
@@ -67,7 +71,10 @@
 		RecomputeWeight: 20,
 		PriceWeight:     0.6,
 		PriceUpTo:       0.65,
+		PriceHome:       2,
+		LeastHome:       0.05,
 		LateWeight:      1,
+		FullBacklog:     2 * time.Second,
 		Crowded:         0.97,
 		Bound:           1.2,
 		CrowdWeight:     2,
--- a/internal/routing/predict.go
+++ b/internal/routing/predict.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync/atomic"
 	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
 )
 
 const (
@@ -139,28 +141,36 @@
 }
 
 // situation adds to a report what it cannot know of yet.
-func (c *chooser) situation(i int, unseen load) situation {
-	r := &c.view[i].Report
-	p := &c.router.params
+func (r *Router) situation(u *blackboard.Upstream, known *slot, unseen load) situation {
+	p, report := &r.params, &u.Report
 	s := situation{
-		rate:    orElse(r.PrefillRate, p.PrefillRate),
-		step:    orElse(r.Step.Seconds(), p.Step.Seconds()),
-		running: float64(r.Running),
-		waiting: float64(r.Queued + unseen.requests),
-		prefill: float64(r.QueuedPrefillTokens + unseen.tokens),
-		batch:   c.entries[i].slot.batchSize(p.BatchLimit),
+		rate:    orElse(report.PrefillRate, p.PrefillRate),
+		step:    orElse(report.Step.Seconds(), p.Step.Seconds()),
+		running: float64(report.Running),
+		waiting: float64(report.Queued + unseen.requests),
+		prefill: float64(report.QueuedPrefillTokens + unseen.tokens),
+		batch:   known.batchSize(p.BatchLimit),
 	}
 	s.chunk = max(1, p.StepTokens-s.running)
 	// With prefill in the queue, the reported step held a whole chunk of it.
-	s.decode = max(s.step/4, s.step-min(float64(r.QueuedPrefillTokens), s.chunk)/s.rate)
+	s.decode = max(s.step/4, s.step-min(float64(report.QueuedPrefillTokens), s.chunk)/s.rate)
 	return s
 }
 
+// backlog is how long the prefill in the queue takes, in seconds.
+func (s *situation) backlog() float64 { return s.prefill * (s.decode/s.chunk + 1/s.rate) }
+
+// fill is how full an upstream is: 1 is a whole batch, or a backlog of prefill
+// that counts as much. Engines with long prompts have a backlog long before
+// their batch is full.
+func (s *situation) fill(p *Params) float64 {
+	return (s.running+s.waiting)/s.batch + s.backlog()/p.FullBacklog.Seconds()
+}
+
 // wait predicts the parts of the time to the first token: what is ahead, and
 // the request's own prefill.
 func (c *chooser) wait(s situation, uncached int) (ahead, own float64) {
-	perToken := s.decode/s.chunk + 1/s.rate
-	ahead = c.shareTokens * s.prefill * perToken
+	ahead = c.shareTokens * s.backlog()
 	if room := s.batch - s.running; s.waiting > room {
 		output := c.router.predictor.output.load(assumedOutput)
 		release := s.running / (s.step * output)
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -37,12 +37,12 @@
 
 // prepared holds what a view and a document give for every decision.
 type prepared struct {
-	first   *blackboard.Upstream
-	count   int
+	view    []blackboard.Upstream
 	doc     *document.Document
 	entries []entry
-	// mean is the mean number of requests at an alive upstream.
-	mean float64
+	// mean is the mean fill of the alive upstreams; slack is how far it is
+	// below the fill at which prices no longer count, from 0 to 1.
+	mean, slack float64
 }
 
 // entry belongs to the upstream with the same index in the view.
@@ -52,6 +52,9 @@
 	price float64
 	// hash of the instance's name.
 	hash uint64
+	// weight is the upstream's part in being home to prefixes: less for a dear
+	// one while there is slack.
+	weight float64
 }
 
 // New returns a Router that has sent nothing yet; now is the present.
@@ -68,7 +71,7 @@
 // the request has no prompt.
 func (r *Router) Decide(doc *document.Document, view []blackboard.Upstream, req Request, now time.Time) Decision {
 	p := r.prepare(doc, view)
-	c := chooser{router: r, view: view, entries: p.entries, req: &req, now: now, mean: p.mean}
+	c := chooser{router: r, view: view, entries: p.entries, req: &req, now: now, mean: p.mean, slack: p.slack}
 	c.plain = isPlain(doc, &req)
 	return c.choose()
 }
@@ -86,10 +89,10 @@
 	if len(view) == 0 {
 		return &prepared{}
 	}
-	if p.first == &view[0] && p.count == len(view) && p.doc == doc {
+	if len(p.view) == len(view) && &p.view[0] == &view[0] && p.doc == doc {
 		return p
 	}
-	p = &prepared{first: &view[0], count: len(view), doc: doc, entries: make([]entry, len(view))}
+	p = &prepared{view: view, doc: doc, entries: make([]entry, len(view))}
 	highest := 0.0
 	for i := range view {
 		p.entries[i].slot = r.slot(view[i].Instance.ID)
@@ -98,27 +101,30 @@
 		p.entries[i].hash = xxhash.Sum64String(string(view[i].Instance.ID))
 		highest = max(highest, p.entries[i].price)
 	}
+	p.mean = r.meanFill(p)
+	p.slack = max(0, 1-p.mean/r.params.PriceUpTo)
 	for i := range p.entries {
+		e := &p.entries[i]
 		if highest > 0 {
-			p.entries[i].price /= highest
+			e.price /= highest
 		}
+		e.weight = max(r.params.LeastHome, 1-min(1, r.params.PriceHome*p.slack)*e.price)
 	}
-	p.mean = meanLoad(view)
 	r.prepared.Store(p)
 	return p
 }
 
-// meanLoad is the mean number of requests, running and queued, at the alive
-// upstreams of a view.
-func meanLoad(view []blackboard.Upstream) float64 {
-	sum, count := 0, 0
-	for i := range view {
-		if view[i].State == blackboard.Alive {
-			sum += view[i].Report.Running + view[i].Report.Queued
+// meanFill is the mean fill of the alive upstreams, by their reports.
+func (r *Router) meanFill(p *prepared) float64 {
+	sum, count := 0.0, 0
+	for i := range p.view {
+		if u := &p.view[i]; u.State == blackboard.Alive {
+			s := r.situation(u, p.entries[i].slot, load{})
+			sum += s.fill(&r.params)
 			count++
 		}
 	}
-	return float64(sum) / float64(max(1, count))
+	return sum / float64(max(1, count))
 }
 
 // price returns what an upstream costs, in cents an hour; 0 if unknown.
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -28,32 +28,40 @@
 	if c.plain {
 		return c.estimatePlain(i, unseen)
 	}
-	s := c.situation(i, unseen)
+	s := c.router.situation(u, c.entries[i].slot, unseen)
 	e := estimate{betweenTokens: s.step, uncached: c.uncached(i)}
 	ahead, own := c.wait(s, e.uncached)
 	e.unloaded = own + c.hop(u)
 	e.firstToken = ahead + e.unloaded
 	e.work = float64(e.uncached)/s.rate + float64(c.req.MaxTokens)*s.decode/s.batch
-	e.score = c.cost(s, e, c.entries[i].price, i)
+	e.score = c.cost(i, s, e)
 	return e
 }
 
-// cost weighs what a request takes from an upstream against what its caller
-// waits, all in seconds: engine time by its price, lateness, and the crowding
-// of a batch that is nearly full.
-func (c *chooser) cost(s situation, e estimate, price float64, i int) float64 {
+// cost adds up what speaks against an upstream, each term by its weight:
+// prefill that is cached elsewhere, the price, lateness, a fill above what the
+// others have, and a place that is no home of the prefix.
+func (c *chooser) cost(i int, s situation, e estimate) float64 {
 	p := &c.router.params
-	prefill := float64(e.uncached) / s.rate
-	target := orElse(c.req.Class.FirstToken.Seconds(), p.Target.Seconds())
-	late := min(1, max(0, e.firstToken*c.margin-p.Comfort*target)/target)
-	bound := max(p.Crowded, p.Bound*c.mean/s.batch)
-	crowd := max(0, (s.running+s.waiting)/s.batch-bound)
-	slack := max(0, 1-c.mean/(p.PriceUpTo*s.batch))
-	sum := p.BalanceWeight * (s.running + s.waiting) / s.batch
+	fill := s.fill(p)
+	sum := p.RecomputeWeight * float64(e.uncached) / s.rate
+	sum += p.PriceWeight * c.slack * c.entries[i].price
+	sum += p.LateWeight * c.lateness(e.firstToken)
+	sum += p.CrowdWeight * max(0, fill-max(p.Crowded, p.Bound*c.mean))
+	sum += p.BalanceWeight * fill
 	if c.away(i) {
 		sum += p.HomeWeight
 	}
-	return sum + p.RecomputeWeight*prefill + p.PriceWeight*slack*price + p.LateWeight*late + p.CrowdWeight*crowd
+	return sum
+}
+
+// lateness is how much of its target a first token is likely to be late by,
+// beyond what is comfortable. It is at most 1: when all upstreams are late,
+// chasing the least late one would only scatter the prefixes.
+func (c *chooser) lateness(firstToken float64) float64 {
+	p := &c.router.params
+	target := orElse(c.req.Class.FirstToken.Seconds(), p.Target.Seconds())
+	return min(1, max(0, firstToken*c.margin/target-p.Comfort))
 }
 
 // estimatePlain predicts a call of a plain service: fewest in flight wins,
