--- a/internal/admission/gate/plan.go
+++ b/internal/admission/gate/plan.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"math"
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/admission/fairshare"
@@ -22,7 +23,13 @@
 	// returning request has mostly missed its target already, and one served
 	// in its place would have met it; so in a rush most turns go to first
 	// tries, and those refused hear a time at which they will find room.
-	bookedShare = 0.1
+	// While all slots are taken, accounts that ask for no more than their
+	// part are booked at their full rate. While there are slots, what was
+	// refused is what upstreams cannot answer in time, whoever asks.
+	bookedShare = 0.03
+	// returnLeniency is how many times its target a returning request may
+	// take: for its caller late is better than refused again.
+	returnLeniency = 2
 	// noUpstreamReturn is the return time while no upstream is there.
 	noUpstreamReturn = 2 * time.Second
 )
@@ -61,7 +68,11 @@
 	if r.Class.FirstToken <= 0 {
 		return 0
 	}
-	return max(r.Class.FirstToken, 2*r.Unloaded)
+	t := max(r.Class.FirstToken, 2*r.Unloaded)
+	if r.returning() {
+		t *= returnLeniency
+	}
+	return t
 }
 
 // latestStart is the last moment at which a grant still meets the class's
@@ -187,7 +198,10 @@
 
 // book gives a refused request a turn of its own.
 func (g *Gate) book(now time.Time, u *use, e *Entry, earliest time.Duration) time.Duration {
-	rate := bookedShare * g.ownDrain(now, e)
+	rate := g.ownDrain(now, e)
+	if c := g.clients[e.Item.Account]; c.demand > g.fairSlots(c) || math.IsInf(g.level, 1) {
+		rate *= bookedShare
+	}
 	after := u.overload.Book(now, earliest, seconds(e.Item.Cost/rate), e.Request.ID)
 	b := g.bands.of(e.Item.Priority)
 	if until := now.Add(after); until.After(b.bookedUntil) {
