--- a/internal/admission/concurrency/limit.go
+++ b/internal/admission/concurrency/limit.go
@@ -1,9 +1,10 @@
 // Package concurrency finds how many requests one gateway may have in flight
 // at one upstream, from the latency that it observes there.
 //
-// The limit follows the ratio of unloaded to observed latency (a gradient): as
-// long as answers come at about the unloaded latency it grows by an allowance
-// for a short queue; when they come later it shrinks in proportion. A dropped
+// The limit follows the ratio of a goal, by default some times the unloaded
+// latency, to the observed latency (a gradient): as long as answers come within
+// the goal it grows by an allowance for a short queue; when they come later it
+// shrinks in proportion. A dropped
 // request shrinks it at once. Gateways that share an upstream need not talk:
 // all see the same latency. The package is pure.
 package concurrency
@@ -28,6 +29,10 @@
 	steepest = 0.5
 	// dropFactor shrinks the limit when a request was dropped.
 	dropFactor = 0.9
+	// easyShare of the goal is a latency at which the limit grows by at
+	// least easyStep a sample, so that it recovers soon after a rush.
+	easyShare = 0.5
+	easyStep  = 0.5
 	// usedShare of the limit has to be in flight before it may grow: an
 	// upstream that is not asked for much proves nothing about more.
 	usedShare = 0.5
@@ -64,6 +69,8 @@
 type Sample struct {
 	// Latency to the first token, or to the answer of a plain service.
 	Latency time.Duration
+	// Goal is the latency that is still fine. 0: Tolerance times Unloaded.
+	Goal time.Duration
 	// Unloaded is the latency expected of an idle upstream. 0: use the
 	// least that was observed.
 	Unloaded time.Duration
@@ -98,13 +105,24 @@
 	if s.Latency <= 0 {
 		return
 	}
-	gradient := l.config.Tolerance * l.unloaded(s) / s.Latency.Seconds()
-	gradient = min(max(gradient, steepest), 1)
-	next := l.value*gradient + math.Sqrt(l.value)
+	room := l.goal(s) / s.Latency.Seconds()
+	next := l.value*min(max(room, steepest), 1) + math.Sqrt(l.value)
 	if next > l.value && float64(s.InFlight) < usedShare*l.value {
 		return
 	}
-	l.set(l.value + smoothing*(next-l.value))
+	step := smoothing * (next - l.value)
+	if room > 1/easyShare {
+		step = max(step, easyStep)
+	}
+	l.set(l.value + step)
+}
+
+// goal returns the latency that is still fine, in seconds.
+func (l *Limit) goal(s Sample) float64 {
+	if s.Goal > 0 {
+		return s.Goal.Seconds()
+	}
+	return l.config.Tolerance * l.unloaded(s)
 }
 
 func (l *Limit) set(value float64) {
--- a/internal/admission/gate/band.go
+++ b/internal/admission/gate/band.go
@@ -25,6 +25,7 @@
 	returns meter
 	// bookedUntil is when the last turn told to anyone begins.
 	bookedUntil time.Time
+	lateness
 }
 
 func (b *band) learn(cost float64) {
@@ -59,7 +60,7 @@
 			return x
 		}
 	}
-	x := &band{priority: priority}
+	x := &band{priority: priority, lateness: newLateness()}
 	b.list = append(b.list, x)
 	slices.SortFunc(b.list, func(x, y *band) int { return y.priority - x.priority })
 	return x
@@ -68,7 +69,11 @@
 // allows reports whether a slot may go to a priority. One slot always may, so
 // that no class starves.
 func (b *bands) allows(priority, slots int) bool {
-	return float64(b.inFlightUpTo(priority)) < max(1, float64(slots)-b.of(priority).reserve)
+	x := b.of(priority)
+	if x.inFlight >= x.limit.Value() && x.heard {
+		return false
+	}
+	return float64(b.inFlightUpTo(priority)) < max(1, float64(slots)-x.reserve)
 }
 
 // inFlightUpTo counts a priority and all less urgent ones.
@@ -83,11 +88,15 @@
 }
 
 // slotsFor is how many slots a priority can count on: those not reserved for
-// more urgent bands and not held by less urgent ones.
+// more urgent bands and not held by less urgent ones, up to its own limit.
 func (b *bands) slotsFor(priority, slots int) float64 {
 	x := b.of(priority)
 	below := b.inFlightUpTo(priority) - x.inFlight
-	return max(1, float64(slots)-x.reserve-float64(below))
+	room := max(1, float64(slots)-x.reserve-float64(below))
+	if x.heard {
+		room = min(room, float64(x.limit.Value()))
+	}
+	return room
 }
 
 // reserve works out the fair level and how many slots each band leaves to more
--- a/internal/admission/gate/gate.go
+++ b/internal/admission/gate/gate.go
@@ -97,6 +97,10 @@
 
 	state     state
 	grantedAt time.Time
+	// answered is set with the first token.
+	answered bool
+	// others is how many of its priority were in flight with it at first.
+	others int
 }
 
 // Waiting reports whether the entry is queued.
@@ -215,6 +219,7 @@
 	u := c.use(e.Item.Priority)
 	g.count(now, u, e)
 	g.reserve(now)
+	g.bands.judge(now, g.bands.of(e.Item.Priority))
 	if refusal, refused := g.checkLimits(now, c, e); refused {
 		return refuse(e, refusal)
 	}
@@ -326,7 +331,10 @@
 	e.state = granted
 	e.grantedAt = now
 	g.inFlight++
-	g.bands.of(e.Item.Priority).inFlight++
+	b := g.bands.of(e.Item.Priority)
+	b.inFlight++
+	e.others = b.inFlight
+	b.open = append(b.open, e)
 	g.clients[e.Item.Account].use(e.Item.Priority).inFlight++
 }
 
--- a/internal/experiment/calls.go
+++ b/internal/experiment/calls.go
@@ -162,6 +162,7 @@
 // firstToken notes an attempt's first token and what its prefill repeated.
 func (r *run) firstToken(k *call, t engine.Token) {
 	r.policy(k).FirstToken(&k.ticket, r.clock())
+	r.answered(k)
 	k.firstOfAttempt = r.now - k.sent
 	if k.attempts == 1 {
 		k.predicted, k.actual = k.decision.FirstToken, r.now-k.sent
--- a/internal/experiment/keeper.go
+++ b/internal/experiment/keeper.go
@@ -110,6 +110,13 @@
 	})
 }
 
+// answered tells a request's first token to the gate.
+func (r *run) answered(k *call) {
+	if p := k.decider.keepers[r.document(k.kind.Plain)]; p != nil && k.entry != nil {
+		p.gate.FirstToken(r.clock(), k.entry)
+	}
+}
+
 // release gives the slot of an ended request back and lets others in.
 func (r *run) release(k *call) {
 	doc := r.document(k.kind.Plain)
