--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -45,6 +45,9 @@
 	// the first token now and on an idle upstream, and from the first token
 	// to the last.
 	Predicted, Unloaded, Remaining time.Duration
+	// PredictedBy is when nine of ten such first tokens have come; 0 counts
+	// as Predicted.
+	PredictedBy time.Duration
 	// Deadline of the caller; zero is none. The context's deadline counts
 	// too.
 	Deadline time.Time
@@ -126,16 +129,17 @@
 	}
 	t := &Ticket{service: c.service(r.Service), unloaded: r.Unloaded}
 	t.entry.Request = gate.Request{
-		ID:        r.ID,
-		Account:   r.Account,
-		Limit:     quota.Divide(r.Limit, int(c.gateways.Load())),
-		Class:     r.Class,
-		Predicted: r.Predicted,
-		Unloaded:  r.Unloaded,
-		Remaining: r.Remaining,
-		Deadline:  r.Deadline,
-		Cost:      r.Cost,
-		Attempt:   r.Attempt,
+		ID:          r.ID,
+		Account:     r.Account,
+		Limit:       quota.Divide(r.Limit, int(c.gateways.Load())),
+		Class:       r.Class,
+		Predicted:   r.Predicted,
+		PredictedBy: r.PredictedBy,
+		Unloaded:    r.Unloaded,
+		Remaining:   r.Remaining,
+		Deadline:    r.Deadline,
+		Cost:        r.Cost,
+		Attempt:     r.Attempt,
 	}
 	refusal := t.service.admit(ctx, t)
 	c.metrics.admitted(refusal)
@@ -164,5 +168,10 @@
 	refusal *outcome.Outcome
 }
 
+// FirstToken tells that the first token came. A gateway that calls it for the
+// requests of a service has each priority limited to what upstreams answer in
+// time; see gate.Gate.FirstToken. Further calls change nothing.
+func (t *Ticket) FirstToken() { t.service.firstToken(t) }
+
 // Done gives the slot back. Further calls change nothing.
 func (t *Ticket) Done(r Result) { t.service.done(t, r) }
--- a/internal/admission/gate/plan.go
+++ b/internal/admission/gate/plan.go
@@ -75,22 +75,32 @@
 	return t
 }
 
+// predicted is the time from grant to first token to count on.
+func (g *Gate) predicted(r *Request) time.Duration {
+	g.bands.of(r.Class.Priority)
+	if mostUrgent := g.bands.list[0].priority; r.Class.Priority == mostUrgent {
+		return r.Predicted
+	}
+	return max(r.Predicted, r.PredictedBy)
+}
+
 // latestStart is the last moment at which a grant still meets the class's
 // targets and the caller's deadline.
 func (g *Gate) latestStart(now time.Time, r *Request) time.Time {
 	wait := g.config.MaxWait
 	bounded := false
+	predicted := g.predicted(r)
 	if t := target(r); t > 0 {
-		wait, bounded = t-r.Predicted, true
+		wait, bounded = t-predicted, true
 	}
 	if r.Class.Completion > 0 {
-		left := r.Class.Completion - r.Predicted - r.Remaining
+		left := r.Class.Completion - predicted - r.Remaining
 		if !bounded || left < wait {
 			wait = left
 		}
 	}
 	latest := now.Add(wait)
-	if byDeadline := r.Deadline.Add(-r.Predicted - r.Remaining); !r.Deadline.IsZero() && byDeadline.Before(latest) {
+	if byDeadline := r.Deadline.Add(-predicted - r.Remaining); !r.Deadline.IsZero() && byDeadline.Before(latest) {
 		latest = byDeadline
 	}
 	return latest
--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -113,6 +113,15 @@
 	return &refusal
 }
 
+// firstToken notes a first token. It may let in more of those that wait.
+func (s *service) firstToken(t *Ticket) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gate.FirstToken(now, &t.entry)
+	s.grantNext(now)
+}
+
 // done frees a ticket's slot and learns from its result.
 func (s *service) done(t *Ticket, r Result) {
 	now := time.Now()
--- a/internal/experiment/keeper.go
+++ b/internal/experiment/keeper.go
@@ -49,7 +49,7 @@
 	account := ident.ClientAccount(strconv.Itoa(k.account))
 	k.entry = &gate.Entry{Request: gate.Request{
 		ID: k.id(), Account: account, Limit: document.AccountLimit{Account: account, Share: 1}, Class: k.kind.Class,
-		Predicted: d.FirstTokenBy, Unloaded: d.Unloaded, Remaining: time.Duration(k.output) * d.BetweenTokens,
+		Predicted: d.FirstToken, PredictedBy: d.FirstTokenBy, Unloaded: d.Unloaded, Remaining: time.Duration(k.output) * d.BetweenTokens,
 		Cost: d.Work, Attempt: uint32(k.refusals + 1),
 	}}
 	p.entries[k.entry] = k
