Gate: accounts beyond their part leave room while upstreams are late

Cause: while first tokens are predicted late, slots are free and nothing waits, so the queue divides nothing and each account is refused alike. A test with fixed predictions then found that refusing the large account shrank what there was to divide until the small one was refused too (3 of 40 granted): hence the mean demand as a floor.

--- a/internal/admission/gate/band.go
+++ b/internal/admission/gate/band.go
@@ -10,6 +10,13 @@
 const (
 	// reserveEvery is how often the reserves are worked out again.
 	reserveEvery = 200 * time.Millisecond
+	// idleDemand is a demand, in slots, that counts as none.
+	idleDemand = 1e-3
+	// lateFor is how long upstreams count as late after a refusal for it.
+	lateFor = 2 * time.Second
+	// inFlightMargin times what is in flight is divided then: demand is
+	// measured, and a little more than is in flight is no overload.
+	inFlightMargin = 1.15
 	// costMemory is the weight of one request in a band's mean cost.
 	costMemory = 0.05
 )
@@ -110,6 +117,11 @@
 	g.bands.reservedAt = now
 	g.measureDemand(now)
 	g.level = fairLevel(g.order, float64(g.slots))
+	g.part = math.Inf(1)
+	if now.Sub(g.lateAt) < lateFor {
+		answered := fairLevel(g.order, inFlightMargin*float64(max(g.inFlight, 1)))
+		g.part = max(answered, meanDemand(g.order))
+	}
 	spare := max(0, float64(g.slots)-g.demandAbove(now, math.MinInt))
 	for _, b := range g.bands.list {
 		urgent := g.demandAbove(now, b.priority)
@@ -161,7 +173,7 @@
 	asking := make([]*client, 0, len(clients))
 	weights := 0.0
 	for _, c := range clients {
-		if c.demand > 0 {
+		if c.demand > idleDemand {
 			asking = append(asking, c)
 			weights += c.weight
 		}
@@ -179,6 +191,27 @@
 	return math.Inf(1)
 }
 
+// beyondPart reports whether an account asks for more than its part while
+// upstreams cannot answer all in time.
+//
+// Slots may be free then, so that nothing waits and the order of the queue
+// divides nothing: without this, places would go to whoever asks most often.
+func (g *Gate) beyondPart(c *client) bool { return c.demand > g.part*c.weight }
+
+// meanDemand is the mean of what accounts ask for, per unit of weight. Whoever
+// asks for less never counts as beyond its part: what is in flight falls when
+// large accounts are refused, and with it what there seems to be to divide.
+func meanDemand(clients []*client) float64 {
+	demand, weights := 0.0, 0.0
+	for _, c := range clients {
+		if c.demand > idleDemand {
+			demand += c.demand
+			weights += c.weight
+		}
+	}
+	return demand / max(weights, idleDemand)
+}
+
 // fairSlots is an account's part of the slots while all ask for what they ask
 // for now.
 func (g *Gate) fairSlots(c *client) float64 {
--- a/internal/admission/gate/gate.go
+++ b/internal/admission/gate/gate.go
@@ -13,8 +13,6 @@
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/admission/fairshare"
-	"github.com/goldcrestspool/goldcrestspool/internal/admission/quota"
-	"github.com/goldcrestspool/goldcrestspool/internal/admission/returntime"
 	"github.com/goldcrestspool/goldcrestspool/internal/document"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
@@ -133,30 +131,6 @@
 	Evicted *Ending
 }
 
-// client is what the gate remembers of a client account.
-type client struct {
-	quota  *quota.Account
-	weight float64
-	// demand is how many slots the account asked for when the reserves were
-	// last worked out.
-	demand float64
-	// limited books turns of those refused for a limit.
-	limited returntime.Schedule
-	// uses are by priority; classes are few.
-	uses []*use
-}
-
-// use is one account's use of one priority.
-type use struct {
-	priority int
-	inFlight int
-	// offered is the cost a second of first tries, returns of those that
-	// come back.
-	offered, returns meter
-	// overload books turns of those refused for load.
-	overload returntime.Schedule
-}
-
 // Gate decides for one service. See New.
 type Gate struct {
 	config  Config
@@ -174,6 +148,11 @@
 	// level is the slots per unit of weight that an account can have while
 	// all are taken; infinite while there is enough for all.
 	level float64
+	// part is the same for what upstreams answer in time; see beyondPart.
+	part float64
+	// lateAt is when a request was last refused because its first token
+	// would have come late.
+	lateAt time.Time
 	// allowed is bands.allows for this gate, made once.
 	allowed func(priority int) bool
 }
@@ -189,6 +168,7 @@
 		slots:   config.Slots,
 		holds:   holds{assumed: config.Hold},
 		level:   math.Inf(1),
+		part:    math.Inf(1),
 	}
 	g.allowed = func(priority int) bool { return g.bands.allows(priority, g.slots) }
 	return g
@@ -227,7 +207,7 @@
 	if refusal, refused := g.checkLimits(now, c, e); refused {
 		return refuse(e, refusal)
 	}
-	if refusal, refused := g.checkTime(now, u, e); refused {
+	if refusal, refused := g.checkTime(now, c, u, e); refused {
 		return refuse(e, refusal)
 	}
 	if g.free(e) {
@@ -360,43 +340,6 @@
 	g.clients[e.Item.Account].quota.Release()
 }
 
-func (g *Gate) client(r *Request, now time.Time) *client {
-	c := g.clients[r.Account]
-	if c == nil {
-		c = &client{quota: quota.NewAccount(r.Limit, now)}
-		g.clients[r.Account] = c
-		g.order = append(g.order, c)
-	}
-	c.quota.SetLimit(r.Limit, now)
-	c.weight = r.Limit.Share
-	if c.weight <= 0 {
-		c.weight = 1
-	}
-	return c
-}
-
-// use finds or creates the account's use of a priority.
-func (c *client) use(priority int) *use {
-	for _, u := range c.uses {
-		if u.priority == priority {
-			return u
-		}
-	}
-	u := &use{priority: priority}
-	c.uses = append(c.uses, u)
-	return u
-}
-
-// count measures what is asked for.
-func (g *Gate) count(now time.Time, u *use, e *Entry) {
-	if !e.Request.returning() {
-		u.offered.add(now, e.Item.Cost)
-		return
-	}
-	u.returns.add(now, e.Item.Cost)
-	g.bands.of(u.priority).returns.add(now, e.Item.Cost)
-}
-
 func refuse(e *Entry, refusal outcome.Outcome) Decision {
 	e.state = ended
 	return Decision{Refused: true, Refusal: refusal}
--- a/internal/admission/gate/gate_test.go
+++ b/internal/admission/gate/gate_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
 )
 
@@ -80,3 +81,43 @@
 		t.Errorf("queue of %d, large account counts %d", g.Queued(), g.AccountInFlight("large"))
 	}
 }
+
+// TestLateUpstreams: while upstreams cannot answer all in time, the account
+// that asks for most of it leaves room to the others, although slots are free.
+//
+// Symptom: a small account's requests are refused as often as those of the
+// account that causes the load. Sequence: one account asks for ever more;
+// predictions come to lie around the target. Cause: nothing waits, so that no
+// queue divides.
+func TestLateUpstreams(t *testing.T) {
+	g := New(Config{Slots: 1000})
+	now := time.Unix(1000, 0)
+	granted := map[ident.ClientAccount]int{}
+	offered := map[ident.ClientAccount]int{}
+	var running []*Entry
+	offer := func(account ident.ClientAccount, predicted time.Duration) {
+		e := &Entry{Request: Request{Account: account, Class: shortClass, Predicted: predicted}}
+		offered[account]++
+		if g.Offer(now, e).Granted {
+			granted[account]++
+			running = append(running, e)
+		}
+	}
+	for i := range 2000 {
+		now = now.Add(10 * time.Millisecond)
+		for len(running) > 0 && now.Sub(running[0].grantedAt) >= time.Second {
+			g.Done(now, running[0], 0)
+			running = running[1:]
+		}
+		offer("large", []time.Duration{800 * time.Millisecond, 1200 * time.Millisecond}[i%2])
+		if i%50 == 0 {
+			offer("small", 800*time.Millisecond)
+		}
+	}
+	if granted["small"] != offered["small"] {
+		t.Errorf("%d of %d of the small account's requests granted", granted["small"], offered["small"])
+	}
+	if granted["large"]*10 > offered["large"] {
+		t.Errorf("%d of %d of the large account's requests granted", granted["large"], offered["large"])
+	}
+}
--- a/internal/admission/gate/plan.go
+++ b/internal/admission/gate/plan.go
@@ -30,6 +30,9 @@
 	// returnLeniency is how many times its target a returning request may
 	// take: for its caller late is better than refused again.
 	returnLeniency = 2
+	// beyondReserve is the part of a target that accounts beyond their part
+	// leave to the others while upstreams are late.
+	beyondReserve = 0.5
 	// noUpstreamReturn is the return time while no upstream is there.
 	noUpstreamReturn = 2 * time.Second
 )
@@ -122,7 +125,7 @@
 }
 
 // checkTime refuses a request that cannot start in time.
-func (g *Gate) checkTime(now time.Time, u *use, e *Entry) (outcome.Outcome, bool) {
+func (g *Gate) checkTime(now time.Time, c *client, u *use, e *Entry) (outcome.Outcome, bool) {
 	r := &e.Request
 	if !r.Deadline.IsZero() && !now.Add(r.Predicted).Before(r.Deadline) {
 		return g.deadline(now, u, e), true
@@ -138,7 +141,11 @@
 		// and those who return as told find none.
 		budget -= time.Duration(returnReserve * float64(target(r)))
 	}
+	if wait == 0 && g.beyondPart(c) {
+		budget -= time.Duration(beyondReserve * float64(target(r)))
+	}
 	if wait > budget {
+		g.lateAt = now
 		return g.overloaded(now, u, e, wait-budget), true
 	}
 	return outcome.Outcome{}, false
