Configuration: no false alarm of a shorter log after a peer's documents

Symptom: an instance that rejoined reported that the log ends below what it read. Cause: the answer to a read was older than the state that a peer had given meanwhile; now two answers on end have to say so. Also capacity benchmarks in processor time.

--- a/internal/controllers/configuration/world_test.go
+++ b/internal/controllers/configuration/world_test.go
@@ -46,6 +46,12 @@
 	l.first = max(l.first, min(first, ident.Offset(len(l.all))))
 }
 
+func (l *memoryLog) truncate(head ident.Offset) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all = l.all[:head]
+}
+
 func (l *memoryLog) records() []platform.Record {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- /dev/null
+++ b/internal/document/capacity_test.go
@@ -0,0 +1,123 @@
+package document
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+)
+
+// processorTime is what this process used so far; unlike the wall clock it does
+// not count the machine's other work.
+func processorTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func perUnit(b *testing.B, start time.Duration, units int) float64 {
+	return float64((processorTime(b) - start).Microseconds()) / float64(b.N*units)
+}
+
+// published returns one publication of each of count services, in the form of
+// an example.
+func published(b *testing.B, count int) []platform.Record {
+	example, err := os.ReadFile("../../examples/spool-llm.toml")
+	if err != nil {
+		b.Fatal(err)
+	}
+	records := make([]platform.Record, count)
+	for i := range records {
+		service := fmt.Sprintf("service-%04d", i)
+		text := bytes.Replace(example, []byte(`"spool-llm"`), []byte(`"`+service+`"`), 1)
+		data, err := EncodePublication(Publication{
+			Service: ident.Service(service), PublishID: "0e8f7c1c-5d0e-4d5b-9c6c-0a0b0c0d0e0f",
+			Schema: CurrentSchema, Document: text,
+		})
+		if err != nil {
+			b.Fatal(err)
+		}
+		records[i] = platform.Record{Offset: ident.Offset(i), Data: data}
+	}
+	return records
+}
+
+// sizes are numbers of services.
+var sizes = []int{10, 40, 160, 640}
+
+func bySize(b *testing.B, measure func(b *testing.B, services int)) {
+	for _, services := range sizes {
+		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) { measure(b, services) })
+	}
+}
+
+// BenchmarkStart is what a new process spends on reading and parsing all
+// documents.
+func BenchmarkStart(b *testing.B) {
+	bySize(b, func(b *testing.B, services int) {
+		records := published(b, services)
+		start := processorTime(b)
+		for b.Loop() {
+			state, _ := Fold(State{}, records)
+			if set, problems := BuildSet(state, nil, CurrentSchema); len(set.Services) != services {
+				b.Fatal(problems)
+			}
+		}
+		b.ReportMetric(perUnit(b, start, services), "cpu-µs/document")
+	})
+}
+
+// BenchmarkChange is what a process spends on one changed document.
+func BenchmarkChange(b *testing.B) {
+	bySize(b, func(b *testing.B, services int) {
+		records := published(b, services)
+		state, _ := Fold(State{}, records[:services-1])
+		set, _ := BuildSet(state, nil, CurrentSchema)
+		start := processorTime(b)
+		for b.Loop() {
+			next, _ := Fold(state, records[services-1:])
+			BuildSet(next, set, CurrentSchema)
+		}
+		b.ReportMetric(perUnit(b, start, 1), "cpu-µs/change")
+	})
+}
+
+// BenchmarkMemory is what a process holds for the documents, and what the log
+// and the peers carry.
+func BenchmarkMemory(b *testing.B) {
+	bySize(b, func(b *testing.B, services int) {
+		records := published(b, services)
+		before := heap()
+		state, _ := Fold(State{}, records)
+		set, _ := BuildSet(state, nil, CurrentSchema)
+		held := heap() - before
+		snapshot, err := EncodeSnapshot(state)
+		if err != nil {
+			b.Fatal(err)
+		}
+		for b.Loop() {
+			runtime.KeepAlive(set)
+		}
+		record := len(records[services-1].Data)
+		b.ReportMetric(float64(int(held)/services+record), "held-B/document")
+		b.ReportMetric(float64(len(snapshot)/services), "snapshot-B/document")
+		b.ReportMetric(float64(record), "record-B")
+		b.ReportMetric(float64(len(state.Delta(ident.Revision(services - 1)).Records[0].Record)), "peer-B/change")
+		runtime.KeepAlive(state)
+	})
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/internal/document/reader.go
+++ b/internal/document/reader.go
@@ -23,8 +23,14 @@
 	search ident.Offset
 	// head is the log's head at the last batch.
 	head ident.Offset
+	// short counts batches on end whose head was below the state. The first
+	// may be older than the state, if a peer's documents came meanwhile.
+	short int
 }
 
+// maxShort is how many batches on end may be older than the state.
+const maxShort = 1
+
 // State returns what was read so far.
 func (r *Reader) State() State { return r.state }
 
@@ -48,7 +54,7 @@
 		return fmt.Sprintf("records %d to %d expired before they were read and no snapshot covers them yet",
 			r.state.next, r.first)
 	}
-	if r.head < r.state.next {
+	if r.short > maxShort {
 		return fmt.Sprintf("the log ends at %d, but %d was read already; not reverting",
 			r.head, r.state.next)
 	}
@@ -67,6 +73,11 @@
 	}
 	var decisions []Decision
 	r.state, decisions = Fold(r.state, batch.Records)
+	if r.head < r.state.next {
+		r.short++
+	} else {
+		r.short = 0
+	}
 	return decisions
 }
 
