--- a/internal/calls/partition.go
+++ b/internal/calls/partition.go
@@ -88,7 +88,18 @@
 func (p *partition) readBatch(ctx context.Context) (platform.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	return p.c.cfg.Log.Read(ctx, p.stream, p.next, readLimit, readWait)
+	return p.c.cfg.Log.Read(ctx, p.stream, p.next, readLimit, p.readWait())
+}
+
+// readWait returns how long a read waits for a first record: not at all until
+// the log's head was met, since that would only delay the news.
+func (p *partition) readWait() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.ready || !p.readable {
+		return 0
+	}
+	return readWait
 }
 
 // restart begins a new fold at first, because the records before it expired
@@ -148,17 +159,24 @@
 		return
 	}
 	delete(p.undecided, decision.Claim)
-	if decision.Verdict == fold.Won && !p.certain(cl.call.IssuedAt) {
+	if !p.fold.Certain(cl.call.IssuedAt) {
 		decision.Verdict = fold.LostTime
 	}
 	cl.rule(ruling{Decision: decision})
 }
 
-// certain reports whether all records that could concern a key issued at
-// issuedAt were read. The caller holds mu.
+// certain reports whether all that the log has said of a key issued at issuedAt
+// is known here.
 func (p *partition) certain(issuedAt time.Time) bool {
-	since, ok := p.fold.CompleteSince()
-	return ok && issuedAt.After(since)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fold.Certain(issuedAt)
+}
+
+// untilCertain returns how long it takes until keys issued then are certain.
+func (p *partition) untilCertain(now time.Time) time.Duration {
+	_, _, since := p.health()
+	return max(0, since.Sub(now))
 }
 
 func (p *partition) setReadable(readable bool) {
--- a/internal/calls/world_test.go
+++ b/internal/calls/world_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing/synctest"
@@ -46,8 +47,11 @@
 	// lateness delays the calls sent next until after their sender has
 	// heard that the connection was lost.
 	lateness []time.Duration
-	// sent counts the calls given to the network, by key.
-	sent map[ident.Key]int
+	// taken counts the calls that an upstream may have run as far as their
+	// senders can tell, by key.
+	taken map[ident.CallKey]int
+	// replaced: an upstream has forgotten what its former incarnation knew.
+	replaced bool
 }
 
 // server is the upstream of one failure domain, in one incarnation after the
@@ -55,6 +59,7 @@
 type server struct {
 	id     ident.Instance
 	domain ident.FailureDomain
+	fences bool
 	lives  []*plain.Service
 }
 
@@ -70,6 +75,8 @@
 	// cut: the gateway does not reach the platform.
 	cut     atomic.Bool
 	leaving atomic.Bool
+	// freezeAtDispatch freezes the gateway when it is about to send a call.
+	freezeAtDispatch atomic.Bool
 
 	mu     sync.Mutex
 	frozen chan struct{}
@@ -88,10 +95,10 @@
 		trust: trust,
 		docs:  blackboard.NewSection(set),
 		log:   logstore.New(logstore.Options{}),
-		sent:  map[ident.Key]int{},
+		taken: map[ident.CallKey]int{},
 	}
 	for _, domain := range []ident.FailureDomain{"hall-a", "hall-b"} {
-		s := &server{id: ident.Instance("app-" + domain), domain: domain}
+		s := &server{id: ident.Instance("app-" + domain), domain: domain, fences: trust.ChecksFencing}
 		s.start()
 		w.upstreams = append(w.upstreams, s)
 	}
@@ -102,7 +109,8 @@
 	s.lives = append(s.lives, plain.New(plain.Options{
 		Instance:      s.id,
 		Incarnation:   s.incarnation() + 1,
-		ChecksFencing: true,
+		ChecksFencing: s.fences,
+		// The oracle asks it; the dispatcher only where it may.
 		FindsOutcomes: true,
 	}))
 }
@@ -177,6 +185,12 @@
 	return !g.killed
 }
 
+func (g *gateway) isFrozen() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.frozen != nil
+}
+
 // step is passed before and after everything that the gateway does to the
 // outside. It blocks while the gateway is frozen.
 func (g *gateway) step() error {
@@ -261,41 +275,52 @@
 	return fmt.Appendf(nil, "%s#%d", payload, attempt)
 }
 
+func (w *world) nextLateness() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.lateness) == 0 {
+		return 0
+	}
+	late := w.lateness[0]
+	w.lateness = w.lateness[1:]
+	return late
+}
+
 // Invoke sends the call even if ctx has ended while the gateway was frozen: a
 // real process can be stopped after its last look at a deadline.
 func (d dispatcher) Invoke(ctx context.Context, call Call, target journal.Target, fence ident.Fence) (upstream.Answer, error) {
+	if d.g.freezeAtDispatch.CompareAndSwap(true, false) {
+		d.g.freeze()
+	}
 	if err := d.g.step(); err != nil {
 		return upstream.Answer{}, err
 	}
 	w := d.g.w
-	w.mu.Lock()
-	w.sent[call.Key.Key]++
-	var late time.Duration
-	if len(w.lateness) > 0 {
-		late, w.lateness = w.lateness[0], w.lateness[1:]
-	}
-	w.mu.Unlock()
+	late := w.nextLateness()
 	req := upstream.InvokeRequest{
 		Method:  call.Method,
 		Key:     call.Key.String(),
 		Fence:   fence,
 		Payload: upstreamPayload(call.Payload, call.Attempt),
 	}
-	if !w.trust.ChecksFencing {
-		req.Fence = 0
-	}
 	send := func(ctx context.Context) (upstream.Answer, error) {
 		life, same := w.life(target)
 		if !same {
 			return upstream.Answer{}, upstream.ErrNotSent
 		}
-		return life.Invoke(ctx, req)
+		answer, err := life.Invoke(ctx, req)
+		if upstream.Ran(err) {
+			w.locked(func() { w.taken[call.Key]++ })
+		}
+		return answer, err
 	}
 	if late > 0 {
+		w.locked(func() { w.taken[call.Key]++ })
 		time.AfterFunc(late, func() { _, _ = send(context.Background()) })
 		return upstream.Answer{}, plain.ErrConnectionLost
 	}
 	if ctx.Err() != nil {
+		w.locked(func() { w.taken[call.Key]++ })
 		_, _ = send(context.Background())
 		return upstream.Answer{}, ctx.Err()
 	}
@@ -314,9 +339,7 @@
 	if !same || !d.g.w.trust.FindsOutcomes {
 		return upstream.FindResult{}, upstream.ErrRefused
 	}
-	found, err := life.Find(ctx, key.String(), fence)
-	found.Fenced = d.g.w.trust.ChecksFencing
-	return found, err
+	return life.Find(ctx, key.String(), fence)
 }
 
 // peers are the other gateways, those of the other failure domain first.
@@ -344,7 +367,7 @@
 
 func (p peer) ID() ident.Instance { return p.to.id }
 
-// reach blocks while either end is frozen, until ctx ends.
+// reach returns an error when the peer cannot be reached at all.
 func (p peer) reach() error {
 	if err := p.from.step(); err != nil {
 		return err
@@ -366,10 +389,15 @@
 	return nil
 }
 
-func (p peer) FindOutcome(_ context.Context, key ident.CallKey) (PeerAnswer, error) {
+// FindOutcome hears nothing from a frozen peer.
+func (p peer) FindOutcome(ctx context.Context, key ident.CallKey) (PeerAnswer, error) {
 	if err := p.reach(); err != nil {
 		return PeerAnswer{}, err
 	}
+	if p.to.isFrozen() {
+		<-ctx.Done()
+		return PeerAnswer{}, ctx.Err()
+	}
 	return p.to.calls.FindLocal(key), nil
 }
 
@@ -423,6 +451,31 @@
 	return count, replies
 }
 
+// history tells the journal's records of a key, for the message of a failure.
+func (w *world) history(key ident.CallKey) string {
+	batch, _ := w.log.Read(context.Background(), journal.Stream(journal.Partition(key)), 0, 1<<20, 0)
+	var b strings.Builder
+	for _, r := range batch.Records {
+		event, _ := journal.Decode(r.Data)
+		at := r.AppendedAt.Format("04:05.000")
+		switch e := event.(type) {
+		case journal.Claim:
+			if e.Key == key {
+				fmt.Fprintf(&b, "\n%s %d claim %.4x attempt %d by %s for %s", at, r.Offset, e.ID, e.Attempt, e.Holder, e.Target.Instance)
+			}
+		case journal.Release:
+			if e.Key == key {
+				fmt.Fprintf(&b, "\n%s %d release %.4x", at, r.Offset, e.ID)
+			}
+		case journal.Outcome:
+			if e.Key == key {
+				fmt.Fprintf(&b, "\n%s %d %s %.4x (%s)", at, r.Offset, e.Kind, e.ID, e.Reason)
+			}
+		}
+	}
+	return b.String()
+}
+
 // live returns the gateways that were neither killed nor stopped.
 func (w *world) live() []*gateway {
 	var live []*gateway
@@ -443,6 +496,7 @@
 	w.log.SetDelay(0)
 	for _, g := range w.gateways {
 		g.cut.Store(false)
+		g.freezeAtDispatch.Store(false)
 		g.thaw()
 	}
 	for _, s := range w.upstreams {
@@ -467,4 +521,6 @@
 type told struct {
 	attempt uint32
 	outcome outcome.Outcome
+	// byKey: the question named the key alone, which requests may share.
+	byKey bool
 }
--- a/internal/loadgen/loadgen_test.go
+++ b/internal/loadgen/loadgen_test.go
@@ -102,7 +102,7 @@
 }
 
 func told(kind callerv1.OutcomeKind) *callerv1.Outcome {
-	return &callerv1.Outcome{Kind: kind, RetryAfter: durationpb.New(time.Millisecond)}
+	return &callerv1.Outcome{Kind: kind, Reason: "overloaded", RetryAfter: durationpb.New(time.Millisecond)}
 }
 
 var (
@@ -197,6 +197,13 @@
 	if got := result.Kinds[kind].Verdicts; !cmp.Equal(got, map[Verdict]int{want: 1}) {
 		t.Errorf("got %v, want %s; %+v", got, want, result.Problems)
 	}
+	reasons := map[string]int{}
+	if want == Refused || want == Unknown {
+		reasons["overloaded"] = 1
+	}
+	if got := result.Kinds[kind].Reasons; !cmp.Equal(got, reasons) {
+		t.Errorf("reasons %v, want %v", got, reasons)
+	}
 	if (result.Broken > 0) != want.Broken() {
 		t.Errorf("%d broken for verdict %s", result.Broken, want)
 	}
@@ -300,3 +307,28 @@
 		}
 	}
 }
+
+func TestAuditWithoutAllExecutions(t *testing.T) {
+	const key = "auktion-app/alpha/k"
+	cases := []struct {
+		story string
+		count uint32
+		told  Verdict
+		want  Verdict
+	}{
+		{"executed where nobody answers, it may be", 0, Whole, ""},
+		{"doubled among those that answer", 2, Whole, Doubled},
+		{"refused but executed", 1, Refused, Wrong},
+		{"refused", 0, Refused, ""},
+	}
+	for _, c := range cases {
+		e := executions{count: map[string]uint32{key: c.count}, silent: 1}
+		found := e.audit(key, c.told)
+		if found == nil {
+			found = &finding{}
+		}
+		if found.verdict != c.want {
+			t.Errorf("%s: got %q, want %q", c.story, found.verdict, c.want)
+		}
+	}
+}
--- a/internal/streaming/registry.go
+++ b/internal/streaming/registry.go
@@ -81,18 +81,45 @@
 	return g.follow(ctx, e, resume.Next, sink), nil
 }
 
+// Holds reports whether the gateway keeps the stream. Resuming one that it does
+// not keep begins a run like a new request, and should be admitted as such.
+func (g *Registry) Holds(key Key) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.entries[key] != nil
+}
+
 // Close cancels every stream and waits for their runs to end.
 func (g *Registry) Close() {
 	g.mu.Lock()
 	g.leaving = true
 	for key, e := range g.entries {
-		e.stop(errAbandoned)
+		e.cancel(errAbandoned)
 		g.drop(key, e)
 	}
 	g.mu.Unlock()
 	g.runs.Wait()
 }
 
+// Stats are a registry's figures.
+type Stats struct {
+	// Streams that are kept.
+	Streams int
+	// Idle streams have no caller.
+	Idle int
+}
+
+// Stats returns the figures at this moment.
+func (g *Registry) Stats() Stats {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	stats := Stats{Streams: len(g.entries)}
+	for account := range g.idle.byAccount {
+		stats.Idle += g.idle.count(account)
+	}
+	return stats
+}
+
 // follow delivers an entry's answer to one caller.
 func (g *Registry) follow(ctx context.Context, e *entry, next uint32, sink Sink) outcome.Outcome {
 	defer g.depart(e)
@@ -159,7 +186,10 @@
 	// answers, so the caller's tokens win.
 	if held && !e.continues(resume.Delivered) {
 		req.Delivered = resume.Delivered
-		e.stop(errReplaced)
+		if err := req.validate(g.config.MaxTokens); err != nil {
+			return nil, err
+		}
+		e.cancel(errReplaced)
 		return g.start(ctx, req, e), nil
 	}
 	if !e.useful() {
