--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -128,7 +128,13 @@
 
 // loops are the rounds that end before the leases are released.
 func (p *Process) loops() []func(context.Context) error {
-	return []func(context.Context) error{p.configuration.Run, p.runListing, p.orders.Run, p.fleet.Run}
+	return []func(context.Context) error{
+		p.configuration.Run,
+		p.configuration.WriteSnapshots,
+		p.runListing,
+		p.orders.Run,
+		p.fleet.Run,
+	}
 }
 
 // report sends a loop's failure, once. The end of its context is none.
--- a/internal/controllers/configuration/snapshots.go
+++ b/internal/controllers/configuration/snapshots.go
@@ -36,6 +36,9 @@
 // minSpread is the least delay, in which a snapshot just written is read back.
 const minSpread = 5 * time.Second
 
+// snapshotInterval is the time between two looks whether one is due.
+const snapshotInterval = 5 * time.Second
+
 // appendTimeout bounds the append of a snapshot.
 const appendTimeout = 5 * time.Second
 
@@ -82,6 +85,23 @@
 	since time.Time
 }
 
+// WriteSnapshots writes a snapshot whenever one is due, until ctx ends. One
+// process of an instance does it; that others do it too is harmless.
+func (c *Controller) WriteSnapshots(ctx context.Context) error {
+	ticker := time.NewTicker(snapshotInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		if _, err := c.WriteSnapshotIfDue(ctx); err != nil {
+			c.logger.Warn("no snapshot written", "error", err)
+		}
+	}
+}
+
 // WriteSnapshotIfDue appends a snapshot of the configuration to the log when
 // the log needs one and no other process has written it meanwhile. Call it
 // every few seconds; it may be called by any goroutine. A lost answer is
--- a/internal/controllers/configuration/world_test.go
+++ b/internal/controllers/configuration/world_test.go
@@ -207,7 +207,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { _ = p.controller.Run(ctx) })
-	running.Go(func() { p.writeSnapshots(ctx) })
+	running.Go(func() { _ = p.controller.WriteSnapshots(ctx) })
 	running.Go(func() { p.watch(ctx) })
 	p.stop = func() { cancel(); running.Wait() }
 	return p
@@ -254,19 +254,6 @@
 	return w.deaf
 }
 
-func (p *process) writeSnapshots(ctx context.Context) {
-	ticker := time.NewTicker(time.Second)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			_, _ = p.controller.WriteSnapshotIfDue(ctx)
-		}
-	}
-}
-
 // watch sees every set that the process serves by.
 func (p *process) watch(ctx context.Context) {
 	version := uint64(0)
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -11,44 +11,15 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/explain"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/report"
 )
 
 // The gateway's own paths on the operators' address.
 const (
-	statusPath  = "GET /status"
-	explainPath = "GET /explain"
+	statusPath  = "GET " + report.StatusPath
+	explainPath = "GET " + report.ExplainPath
 )
 
-// status is what an operator sees of a gateway, as JSON.
-type status struct {
-	Instance      ident.Instance      `json:"instance"`
-	Incarnation   ident.Incarnation   `json:"incarnation"`
-	FailureDomain ident.FailureDomain `json:"failure_domain"`
-	Ready         bool                `json:"ready"`
-	// NotReady says why Ready is false.
-	NotReady string `json:"not_ready,omitempty"`
-	Stopping bool   `json:"stopping"`
-	// Revision of the configuration in force.
-	Revision ident.Revision `json:"revision"`
-	// Services with the revision of each one's document.
-	Services map[ident.Service]ident.Revision `json:"services"`
-	// Problem of the configuration, such as a record that is not understood.
-	Problem      string         `json:"problem,omitempty"`
-	LogReachable bool           `json:"log_reachable"`
-	JournalReady bool           `json:"journal_ready"`
-	Members      []memberStatus `json:"members"`
-}
-
-// memberStatus is one instance as the gateway sees it.
-type memberStatus struct {
-	ID            ident.Instance      `json:"id"`
-	Role          string              `json:"role"`
-	Service       ident.Service       `json:"service,omitempty"`
-	FailureDomain ident.FailureDomain `json:"failure_domain"`
-	State         string              `json:"state"`
-	Since         time.Time           `json:"since"`
-}
-
 var roleNames = map[platform.Role]string{
 	platform.RoleEntry:  "entry",
 	platform.RoleEngine: "engine",
@@ -62,10 +33,10 @@
 	blackboard.Gone:    "gone",
 }
 
-func statusOf(self platform.Instance, board *blackboard.Board, r *readiness) status {
+func statusOf(self platform.Instance, board *blackboard.Board, r *readiness) report.Status {
 	ok, reason := r.check(time.Now())
 	set := board.Documents.Value()
-	s := status{
+	s := report.Status{
 		Instance:      self.ID,
 		Incarnation:   self.Incarnation,
 		FailureDomain: self.FailureDomain,
@@ -82,7 +53,7 @@
 		s.Services[name] = entry.Revision
 	}
 	for _, m := range board.Members.Value().ByID {
-		s.Members = append(s.Members, memberStatus{
+		s.Members = append(s.Members, report.Member{
 			ID:            m.Instance.ID,
 			Role:          roleNames[m.Instance.Role],
 			Service:       m.Instance.Service,
@@ -91,7 +62,7 @@
 			Since:         m.Since,
 		})
 	}
-	slices.SortFunc(s.Members, func(a, b memberStatus) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(s.Members, func(a, b report.Member) int { return cmp.Compare(a.ID, b.ID) })
 	return s
 }
 
@@ -105,7 +76,7 @@
 // explainHandler answers with what is remembered of a request.
 func explainHandler(recorder *explain.Recorder) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		id := ident.Request(r.URL.Query().Get("request_id"))
+		id := ident.Request(r.URL.Query().Get(report.RequestParameter))
 		records := recorder.Find(id)
 		if len(records) == 0 {
 			answerJSON(w, http.StatusNotFound, problem{"this gateway remembers no request with this ID"})
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -1,8 +1,13 @@
-// Package report is what a process tells its operators as JSON: the contract
-// between the operators' address of a gateway or controller and spoolctl.
+// Package report is what a gateway tells its operators as JSON: the contract
+// between its operators' address and spoolctl. What /explain answers is in
+// package explain.
 package report
 
-import "time"
+import (
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
 
 // The paths on the operators' address.
 const (
@@ -12,65 +17,32 @@
 	RequestParameter = "request_id"
 )
 
-// Status is how a process sees itself and the others.
+// Status is what an operator sees of a gateway.
 type Status struct {
-	Instance      string `json:"instance"`
-	FailureDomain string `json:"failure_domain"`
-	Ready         bool   `json:"ready"`
-	// Reason says why the process is not ready.
-	Reason string `json:"reason,omitempty"`
+	Instance      ident.Instance      `json:"instance"`
+	Incarnation   ident.Incarnation   `json:"incarnation"`
+	FailureDomain ident.FailureDomain `json:"failure_domain"`
+	Ready         bool                `json:"ready"`
+	// NotReady says why Ready is false.
+	NotReady string `json:"not_ready,omitempty"`
+	Stopping bool   `json:"stopping"`
 	// Revision of the configuration in force.
-	Revision uint64 `json:"revision"`
-	// LogReachable: the platform's log answered the last read.
-	LogReachable bool `json:"log_reachable"`
-	// Problem is what of the configuration cannot be followed.
-	Problem  string    `json:"problem,omitempty"`
-	Stopping bool      `json:"stopping,omitempty"`
-	Services []Service `json:"services"`
-	Members  []Member  `json:"members"`
+	Revision ident.Revision `json:"revision"`
+	// Services with the revision of each one's document.
+	Services map[ident.Service]ident.Revision `json:"services"`
+	// Problem of the configuration, such as a record that is not understood.
+	Problem      string   `json:"problem,omitempty"`
+	LogReachable bool     `json:"log_reachable"`
+	JournalReady bool     `json:"journal_ready"`
+	Members      []Member `json:"members"`
 }
 
-// Service is a document in force.
-type Service struct {
-	Name     string `json:"name"`
-	Kind     string `json:"kind"`
-	Revision uint64 `json:"revision"`
-}
-
-// Member is another instance as the process knows it.
+// Member is one instance as the gateway sees it.
 type Member struct {
-	ID            string `json:"id"`
-	Role          string `json:"role"`
-	Service       string `json:"service,omitempty"`
-	FailureDomain string `json:"failure_domain"`
-	State         string `json:"state"`
-	Incarnation   uint64 `json:"incarnation"`
-	Address       string `json:"address"`
-}
-
-// Explanation tells why a request went where it went.
-type Explanation struct {
-	RequestID string    `json:"request_id"`
-	Service   string    `json:"service"`
-	Attempts  []Attempt `json:"attempts"`
-	// Outcome is empty while the request is in progress.
-	Outcome string `json:"outcome,omitempty"`
-}
-
-// Attempt is one try at one upstream.
-type Attempt struct {
-	// Upstream is empty when none could serve the request.
-	Upstream string   `json:"upstream,omitempty"`
-	Reasons  []Reason `json:"reasons"`
-	// The times to the first token in nanoseconds; 0 is unknown.
-	PredictedFirstToken time.Duration `json:"predicted_first_token_ns,omitempty"`
-	ActualFirstToken    time.Duration `json:"actual_first_token_ns,omitempty"`
-}
-
-// Reason is one step of a decision.
-type Reason struct {
-	// Upstream is empty for a reason that is about the request.
-	Upstream string `json:"upstream,omitempty"`
-	Rule     string `json:"rule"`
-	Detail   string `json:"detail,omitempty"`
+	ID            ident.Instance      `json:"id"`
+	Role          string              `json:"role"`
+	Service       ident.Service       `json:"service,omitempty"`
+	FailureDomain ident.FailureDomain `json:"failure_domain"`
+	State         string              `json:"state"`
+	Since         time.Time           `json:"since"`
 }
--- a/internal/spoolctl/command_test.go
+++ b/internal/spoolctl/command_test.go
@@ -3,14 +3,19 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/explain"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform/connectplatform"
+	"github.com/goldcrestspool/goldcrestspool/internal/report"
+	"github.com/goldcrestspool/goldcrestspool/internal/routing"
 	"github.com/goldcrestspool/goldcrestspool/internal/standin/logstore"
 )
 
@@ -31,11 +36,36 @@
 	return status, out.String() + string(said)
 }
 
+// newGateway answers as a gateway's operators' address does.
+func newGateway() *httptest.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+report.StatusPath, func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(report.Status{Instance: "entry-1", NotReady: "catching up"})
+	})
+	mux.HandleFunc("GET "+report.ExplainPath, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get(report.RequestParameter) != "r1" {
+			http.Error(w, "no such request", http.StatusNotFound)
+			return
+		}
+		_ = json.NewEncoder(w).Encode([]explain.Record{{
+			Subject: explain.Subject{Request: "r1", Service: "spool-llm", Account: "registrar"},
+			Attempts: []explain.Attempt{{
+				Upstream: "engine-1", Cause: "first", Predicted: 20 * time.Millisecond,
+				Reasons: []routing.Reason{{Upstream: "engine-1", Rule: "chosen", Detail: "cheapest"}},
+			}},
+			Endings: []explain.Ending{{Outcome: "completed"}},
+		}})
+	})
+	return httptest.NewServer(mux)
+}
+
 func TestCommands(t *testing.T) {
 	mux := http.NewServeMux()
 	connectplatform.Mount(mux, connectplatform.Services{Log: logstore.New(logstore.Options{})})
 	server := httptest.NewServer(mux)
 	defer server.Close()
+	gateway := newGateway()
+	defer gateway.Close()
 	const file = "../../examples/auktion-app.toml"
 	bad := filepath.Join(t.TempDir(), "bad.toml")
 	if err := os.WriteFile(bad, []byte("schema = 1\nkind = \"plain\"\n"), 0o600); err != nil {
@@ -62,6 +92,9 @@
 		{"no platform", []string{"publish", file}, ExitUsage, "--platform"},
 		{"no command", nil, ExitUsage, "no command"},
 		{"help", []string{"--help"}, ExitGood, "publish"},
+		{"a gateway's status", []string{"status", "--gateway", gateway.URL}, ExitRefused, "no: catching up"},
+		{"a request explained", []string{"explain", "r1", "--gateway", gateway.URL}, ExitGood, "attempt 1: engine-1, first, predicted 20ms\n  engine-1: chosen: cheapest\ntold: completed"},
+		{"an unknown request", []string{"explain", "r2", "--gateway", gateway.URL}, ExitRefused, "no such request"},
 		{"a gateway that does not answer", []string{"status", "--gateway", "127.0.0.1:1"}, ExitRefused, "does not answer"},
 	}
 	for _, step := range steps {
--- a/internal/spoolctl/gateway.go
+++ b/internal/spoolctl/gateway.go
@@ -5,13 +5,16 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
+	"github.com/goldcrestspool/goldcrestspool/internal/explain"
 	"github.com/goldcrestspool/goldcrestspool/internal/report"
 	"github.com/goldcrestspool/goldcrestspool/internal/transport"
 )
@@ -36,12 +39,12 @@
 }
 
 func (c *command) explain(ctx context.Context, a *explainArguments) error {
-	var explanation report.Explanation
+	var records []explain.Record
 	query := url.Values{report.RequestParameter: {a.RequestID}}
-	if err := ask(ctx, a.Gateway, report.ExplainPath, query, &explanation); err != nil {
+	if err := ask(ctx, a.Gateway, report.ExplainPath, query, &records); err != nil {
 		return err
 	}
-	c.print(explanation, explanationText(explanation))
+	c.print(records, explanationText(records))
 	return nil
 }
 
@@ -77,22 +80,24 @@
 	var b strings.Builder
 	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(w, "instance\t%s (%s)\n", s.Instance, s.FailureDomain)
-	fmt.Fprintf(w, "ready\t%s\n", yesOr(s.Ready, s.Reason))
+	fmt.Fprintf(w, "ready\t%s\n", yesOr(s.Ready, s.NotReady))
 	fmt.Fprintf(w, "revision\t%d\n", s.Revision)
 	fmt.Fprintf(w, "log\t%s\n", yesOr(s.LogReachable, "not reachable"))
+	fmt.Fprintf(w, "journal\t%s\n", yesOr(s.JournalReady, "reading its window"))
 	if s.Problem != "" {
 		fmt.Fprintf(w, "problem\t%s\n", s.Problem)
 	}
 	if s.Stopping {
 		fmt.Fprintln(w, "stopping\tyes")
 	}
-	fmt.Fprintln(w, "\nSERVICE\tKIND\tREVISION")
-	for _, service := range s.Services {
-		fmt.Fprintf(w, "%s\t%s\t%d\n", service.Name, service.Kind, service.Revision)
+	fmt.Fprintln(w, "\nSERVICE\tREVISION")
+	for _, service := range slices.Sorted(maps.Keys(s.Services)) {
+		fmt.Fprintf(w, "%s\t%d\n", service, s.Services[service])
 	}
-	fmt.Fprintln(w, "\nMEMBER\tROLE\tSERVICE\tFAILURE DOMAIN\tSTATE\tADDRESS")
+	fmt.Fprintln(w, "\nMEMBER\tROLE\tSERVICE\tFAILURE DOMAIN\tSTATE\tSINCE")
 	for _, m := range s.Members {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", m.ID, m.Role, m.Service, m.FailureDomain, m.State, m.Address)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", m.ID, m.Role, m.Service, m.FailureDomain, m.State,
+			m.Since.UTC().Format(time.RFC3339))
 	}
 	_ = w.Flush()
 	return strings.TrimSuffix(b.String(), "\n")
@@ -105,45 +110,44 @@
 	return "no: " + reason
 }
 
-func explanationText(e report.Explanation) string {
+// explanationText tells each account's request with the ID: what was tried, why
+// there, and what the caller was told.
+func explanationText(records []explain.Record) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "request %s of %s: %s\n", e.RequestID, e.Service, outcomeOr(e.Outcome))
-	for i, attempt := range e.Attempts {
-		fmt.Fprintf(&b, "attempt %d: %s\n", i+1, attemptText(attempt))
-		for _, r := range attempt.Reasons {
-			fmt.Fprintf(&b, "  %s\n", strings.Join(nonEmpty(r.Upstream, r.Rule, r.Detail), ": "))
+	for _, r := range records {
+		fmt.Fprintf(&b, "request %s of %s for %s\n", r.Request, r.Account, r.Service)
+		for i, attempt := range r.Attempts {
+			fmt.Fprintf(&b, "attempt %d: %s\n", i+1, attemptText(attempt))
+			for _, reason := range attempt.Reasons {
+				fmt.Fprintf(&b, "  %s\n", joined(": ", string(reason.Upstream), string(reason.Rule), reason.Detail))
+			}
+		}
+		for _, ending := range r.Endings {
+			fmt.Fprintf(&b, "told: %s\n", joined(", ", ending.Outcome, ending.Reason, ending.Message))
 		}
 	}
 	return strings.TrimSuffix(b.String(), "\n")
 }
 
-func outcomeOr(outcome string) string {
-	if outcome == "" {
-		return "in progress"
+func attemptText(a explain.Attempt) string {
+	upstream := string(a.Upstream)
+	if upstream == "" {
+		upstream = "no upstream"
 	}
-	return outcome
+	return joined(", ", upstream, a.Cause, duration("predicted", a.Predicted),
+		duration("answered after", a.FirstToken), a.Error)
 }
 
-func attemptText(a report.Attempt) string {
-	if a.Upstream == "" {
-		return "no upstream"
-	}
-	text := a.Upstream
-	if a.PredictedFirstToken > 0 {
-		text += fmt.Sprintf(", first token predicted after %v", a.PredictedFirstToken)
-	}
-	if a.ActualFirstToken > 0 {
-		text += fmt.Sprintf(", came after %v", a.ActualFirstToken)
+// duration leaves out what is not known.
+func duration(what string, d time.Duration) string {
+	if d == 0 {
+		return ""
 	}
-	return text
+	return fmt.Sprintf("%s %v", what, d.Round(time.Millisecond))
 }
 
-func nonEmpty(parts ...string) []string {
-	var kept []string
-	for _, p := range parts {
-		if p != "" {
-			kept = append(kept, p)
-		}
-	}
-	return kept
+// joined leaves out empty parts.
+func joined(separator string, parts ...string) string {
+	parts = slices.DeleteFunc(parts, func(p string) bool { return p == "" })
+	return strings.Join(parts, separator)
 }
