--- a/internal/controllers/configuration/follow.go
+++ b/internal/controllers/configuration/follow.go
@@ -160,7 +160,7 @@
 	}
 	if c.options.Health.Value() != health {
 		c.options.Health.Publish(health)
-		if health.Problem != "" {
+		if health.Problem != "" && c.everRead() {
 			c.logger.Warn("configuration", "ready", health.Ready, "problem", health.Problem)
 		}
 	}
@@ -172,6 +172,9 @@
 	})
 }
 
+// everRead reports whether the log was tried; before that nothing is wrong.
+func (c *Controller) everRead() bool { return c.logReachable || c.logFailed }
+
 // problem says why the process is not ready, or what it cannot follow.
 func (c *Controller) problem() string {
 	var all []string
--- a/internal/controllers/configuration/snapshots.go
+++ b/internal/controllers/configuration/snapshots.go
@@ -33,6 +33,12 @@
 	Spread:     time.Minute,
 }
 
+// Every returns the policy with another interval.
+func (p SnapshotPolicy) Every(interval time.Duration) SnapshotPolicy {
+	p.Interval = interval
+	return p
+}
+
 // minSpread is the least delay, in which a snapshot just written is read back.
 const minSpread = 5 * time.Second
 
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -79,18 +79,13 @@
 		id := ident.Request(r.URL.Query().Get(report.RequestParameter))
 		records := recorder.Find(id)
 		if len(records) == 0 {
-			answerJSON(w, http.StatusNotFound, problem{"this gateway remembers no request with this ID"})
+			answerJSON(w, http.StatusNotFound, report.Problem{Error: "this gateway remembers no request with this ID"})
 			return
 		}
 		answerJSON(w, http.StatusOK, records)
 	})
 }
 
-// problem is an answer that says what is wrong.
-type problem struct {
-	Error string `json:"error"`
-}
-
 func answerJSON(w http.ResponseWriter, code int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(code)
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -46,3 +46,8 @@
 	State         string              `json:"state"`
 	Since         time.Time           `json:"since"`
 }
+
+// Problem is the answer to a question that cannot be answered.
+type Problem struct {
+	Error string `json:"error"`
+}
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -49,9 +49,10 @@
 		Common: defaultCommon(),
 		Listen: ControllerListen{Operators: kernelChosen},
 		Control: Control{
-			Lease:    10 * time.Second,
-			Margin:   2 * time.Second,
-			Interval: time.Second,
+			Lease:            10 * time.Second,
+			Margin:           2 * time.Second,
+			Interval:         time.Second,
+			SnapshotInterval: 10 * time.Minute,
 		},
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -170,6 +170,10 @@
 	Margin time.Duration `toml:"margin"`
 	// Interval between two rounds. Default 1s.
 	Interval time.Duration `toml:"interval"`
+	// SnapshotInterval is how often the documents are written to the log
+	// again. At most a quarter of the time that the log keeps records.
+	// Default 10m.
+	SnapshotInterval time.Duration `toml:"snapshot_interval"`
 }
 
 // TLS is off for a side without certificate files.
--- a/internal/spoolctl/gateway.go
+++ b/internal/spoolctl/gateway.go
@@ -70,12 +70,20 @@
 		return errcode.Wrap(errcode.Unavailable, err, "the gateway's answer broke off")
 	}
 	if resp.StatusCode != http.StatusOK {
-		return errcode.Errorf(errcode.NotFound, "the gateway answers %s: %s",
-			resp.Status, strings.TrimSpace(string(body)))
+		return errcode.Errorf(errcode.NotFound, "the gateway answers %s: %s", resp.Status, said(body))
 	}
 	return errcode.Wrap(errcode.Internal, json.Unmarshal(body, answer), "the gateway's answer is not understood")
 }
 
+// said takes the text out of a gateway's error.
+func said(body []byte) string {
+	var problem report.Problem
+	if err := json.Unmarshal(body, &problem); err == nil && problem.Error != "" {
+		return problem.Error
+	}
+	return strings.TrimSpace(string(body))
+}
+
 func statusText(s report.Status) string {
 	var b strings.Builder
 	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
