--- a/internal/controllers/configuration/controller.go
+++ b/internal/controllers/configuration/controller.go
@@ -73,16 +73,24 @@
 	snapshot snapshotWriter
 
 	// What follows belongs to the goroutine of Run.
-	reader       document.Reader
-	set          *document.Set
-	problems     []string
-	ready        bool
+
+	reader document.Reader
+	// set is what was published, nil before the process is ready.
+	set *document.Set
+	// problems are the documents of set that could not be used.
+	problems []string
+	ready    bool
+	// logReachable: the last read succeeded.
 	logReachable bool
-	logFailed    bool
-	backoff      time.Duration
-	peerAhead    time.Time
+	// logFailed: some read has failed.
+	logFailed bool
+	// backoff is the last pause after a failed read.
+	backoff time.Duration
+	// peerAhead is since when a peer is known to be ahead.
+	peerAhead time.Time
+	// first is the oldest offset that the log keeps.
 	first        ident.Offset
-	sinceWritten writtenSnapshot
+	lastSnapshot seenSnapshot
 }
 
 // New returns a controller. Run starts it.
@@ -138,7 +146,7 @@
 	defer peers.Stop()
 	retry := time.NewTimer(0)
 	defer retry.Stop()
-	c.sinceWritten.readAt = time.Now()
+	c.lastSnapshot.readAt = time.Now()
 	c.publish()
 	for {
 		select {
--- a/internal/controllers/configuration/follow.go
+++ b/internal/controllers/configuration/follow.go
@@ -73,7 +73,7 @@
 		case document.RefusedRecord:
 			metrics.refused.Add(1)
 		case document.SnapshotRecord:
-			c.sinceWritten = writtenSnapshot{covers: d.Covers, readAt: time.Now()}
+			c.lastSnapshot = seenSnapshot{covers: d.Covers, readAt: time.Now()}
 		case document.UnreadableRecord:
 			metrics.unreadable.Add(1)
 		}
@@ -81,7 +81,7 @@
 			c.logger.Error("configuration record", "offset", d.Offset, "problem", d.Problem)
 		}
 	}
-	c.sinceWritten.records += len(decisions)
+	c.lastSnapshot.records += len(decisions)
 }
 
 // followPeers takes over what a peer knows beyond this process.
@@ -166,7 +166,7 @@
 	}
 	c.progress.Store(&progress{
 		state:   state,
-		written: c.sinceWritten,
+		written: c.lastSnapshot,
 		first:   c.first,
 		current: c.ready && c.logReachable && c.reader.AtHead(),
 	})
--- a/internal/controllers/configuration/ready_test.go
+++ b/internal/controllers/configuration/ready_test.go
@@ -27,6 +27,15 @@
 	w.log.land(data)
 }
 
+// newServingWorld returns processes that all serve by publication "a".
+func newServingWorld(t *testing.T) *world {
+	t.Helper()
+	w := newWorld()
+	w.land(t, "a", 1, text(service, "a"))
+	time.Sleep(inForce)
+	return w
+}
+
 // slowLog gives one record a second.
 type slowLog struct{ platform.Log }
 
@@ -91,10 +100,8 @@
 // snapshots are written by age alone.
 func TestGapIsClosedByPeersAndThenByASnapshot(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld()
+		w := newServingWorld(t)
 		defer w.stopAll()
-		w.land(t, "a", 1, text(service, "a"))
-		time.Sleep(inForce)
 		w.processes[0].link.set(true, false)
 		time.Sleep(inForce)
 		w.log.land([]byte("?"))
@@ -121,10 +128,8 @@
 // Cause: documents that live in the log and nowhere else.
 func TestFailureDomainReplacedWhileTheLogIsDownForHours(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld()
+		w := newServingWorld(t)
 		defer w.stopAll()
-		w.land(t, "a", 1, text(service, "a"))
-		time.Sleep(inForce)
 		w.log.setDown(true)
 		time.Sleep(2 * time.Hour)
 		w.replace(0)
@@ -192,10 +197,8 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				w := newWorld()
+				w := newServingWorld(t)
 				defer w.stopAll()
-				w.land(t, "a", 1, text(service, "a"))
-				time.Sleep(inForce)
 				w.land(t, "b", c.schema, c.text)
 				time.Sleep(inForce)
 				for _, p := range w.processes {
--- a/internal/controllers/configuration/snapshots.go
+++ b/internal/controllers/configuration/snapshots.go
@@ -48,8 +48,8 @@
 // appendTimeout bounds the append of a snapshot.
 const appendTimeout = 5 * time.Second
 
-// writtenSnapshot is the newest snapshot that was read from the log.
-type writtenSnapshot struct {
+// seenSnapshot is the newest snapshot that was read from the log.
+type seenSnapshot struct {
 	covers ident.Offset
 	// readAt is when this process read it, or started; monotonic.
 	readAt time.Time
@@ -60,7 +60,7 @@
 // progress is what other goroutines see of the controller.
 type progress struct {
 	state   document.State
-	written writtenSnapshot
+	written seenSnapshot
 	// first is the oldest offset that the log keeps.
 	first ident.Offset
 	// current: the state is that of the log's head.
