spoolctl start-over: a way out when the log lost the documents

Symptom: all entry instances stopped for longer than the log keeps records; then no instance gets ready and no publication is decided, for good.

--- a/internal/document/reader.go
+++ b/internal/document/reader.go
@@ -45,6 +45,9 @@
 // Searching reports whether the reader lacks expired records.
 func (r *Reader) Searching() bool { return r.searching }
 
+// Head returns the log's head at the last batch.
+func (r *Reader) Head() ident.Offset { return r.head }
+
 // AtHead reports whether all records of the last batch's log are read.
 func (r *Reader) AtHead() bool { return !r.searching && r.state.next >= r.head }
 
--- a/internal/document/snapshot.go
+++ b/internal/document/snapshot.go
@@ -12,6 +12,10 @@
 	records []Accepted
 }
 
+// EmptyState is the state before any document, for a stream whose records below
+// next are lost for good.
+func EmptyState(next ident.Offset) State { return State{next: next} }
+
 // EncodeSnapshot returns the record of a state. Two processes at the same
 // offset write equal bytes, so a race between them is harmless.
 func EncodeSnapshot(s State) ([]byte, error) {
--- a/internal/spoolctl/publish_test.go
+++ b/internal/spoolctl/publish_test.go
@@ -140,3 +140,37 @@
 		}
 	})
 }
+
+// Symptom: after all instances were stopped for longer than the log keeps
+// records, no instance gets ready and nothing can be published.
+// Sequence: all records expire and no snapshot is left; an operator tries to
+// publish, starts over, and publishes again.
+// Cause: nobody can tell what was in force, and nothing may be assumed.
+func TestStartOverAfterTheLogLostTheDocuments(t *testing.T) {
+	testkit.Bubble(t, func() {
+		ctx := context.Background()
+		log := logstore.New(logstore.Options{})
+		p := document.Publication{Service: service, Schema: 1, Document: []byte("x")}
+		open := func() *stream { return &stream{log: log, patience: patience} }
+		if _, err := publish(ctx, open(), p, nil); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := open().startOver(ctx, true); err == nil {
+			t.Error("started over although the documents are there")
+		}
+		log.Expire(document.StreamName, 1)
+		if _, err := publish(ctx, open(), p, nil); err == nil {
+			t.Error("published although nobody can tell what is in force")
+		}
+		if _, err := open().startOver(ctx, false); err == nil {
+			t.Error("started over without a confirmation")
+		}
+		log.LoseNext(fault.AfterEffect)
+		if covers, err := open().startOver(ctx, true); err != nil || covers != 1 {
+			t.Errorf("covers %d: %v", covers, err)
+		}
+		if result, err := publish(ctx, open(), p, nil); err != nil || result.Verdict != accepted || result.Base != 0 {
+			t.Errorf("%+v, %v", result, err)
+		}
+	})
+}
--- a/internal/spoolctl/spoolctl.go
+++ b/internal/spoolctl/spoolctl.go
@@ -41,6 +41,8 @@
 	Status   *statusArguments   `arg:"subcommand:status" help:"show readiness, revision and members of a gateway"`
 	Explain  *explainArguments  `arg:"subcommand:explain" help:"tell why a request went where it went"`
 
+	StartOver *startOverArguments `arg:"subcommand:start-over" help:"begin with no documents after the log lost them"`
+
 	JSON bool `arg:"--json" help:"print the result as JSON"`
 }
 
@@ -72,6 +74,11 @@
 	Revision uint64 `placeholder:"REVISION" help:"an accepted revision [default: the one in force]"`
 }
 
+type startOverArguments struct {
+	platformArguments
+	Confirm bool `help:"all instances that knew the documents are gone; all services will be published again"`
+}
+
 // gatewayArguments are of the commands that ask a gateway.
 type gatewayArguments struct {
 	Gateway string `arg:"required,env:SPOOLCTL_GATEWAY" placeholder:"ADDR" help:"gateway's operators' address, host:port or URL"`
@@ -138,6 +145,8 @@
 		return c.show(ctx, a.Show)
 	case a.Status != nil:
 		return c.status(ctx, a.Status)
+	case a.StartOver != nil:
+		return c.startOver(ctx, a.StartOver)
 	}
 	return c.explain(ctx, a.Explain)
 }
--- a/internal/spoolctl/stream.go
+++ b/internal/spoolctl/stream.go
@@ -57,7 +57,8 @@
 func (s *stream) gaveUp(err error) error {
 	if s.reader.Searching() {
 		return errcode.New(errcode.Unavailable,
-			s.reader.Problem()+"; the controllers write one within minutes")
+			s.reader.Problem()+"; a controller that read them writes one within two minutes; "+
+				"if none is left, see start-over")
 	}
 	return errcode.Wrap(errcode.Unavailable, err, "the configuration stream cannot be read")
 }
