--- a/internal/document/reader_test.go
+++ b/internal/document/reader_test.go
@@ -190,3 +190,25 @@
 		})
 	})
 }
+
+// Symptom: accepted documents vanish from an instance that was cut off.
+// Sequence: its records expire; an operator starts the stream over, believing
+// that no process knows the documents any more.
+// Cause: taking a snapshot that reverts a service.
+func TestSnapshotThatLacksADocumentIsNotTaken(t *testing.T) {
+	publication, err := EncodePublication(Publication{Service: "spool-llm", PublishID: "a", Schema: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	empty, err := EncodeSnapshot(EmptyState(5))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var r Reader
+	r.Take(platform.Batch{Records: []platform.Record{{Data: publication}}, Head: 1})
+	r.Expired(5)
+	r.Take(platform.Batch{Records: []platform.Record{{Offset: 5, Data: empty}}, Head: 6, First: 5})
+	if _, kept := r.State().Current("spool-llm"); !kept || !r.Searching() {
+		t.Errorf("state %v, searching %v", r.State(), r.Searching())
+	}
+}
