Membership: tests of each mechanism that spreads departures

The machine alone did not notice a missing push, relay or substitute peer: in a fleet of today's size heartbeats alone reach everyone in time.

--- a/internal/controllers/membership/departure_test.go
+++ b/internal/controllers/membership/departure_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -48,9 +49,21 @@
 	stale []platform.Instance
 }
 
-func newDepartureMachine(lossSeed uint64) *departureMachine {
+// sparse makes a heartbeat reach as small a part of the fleet as in one of
+// hundreds of processes.
+func sparse(c *Config) {
+	c.LocalAll = 1
+	c.LocalFanout = 1
+	c.RemoteFanout = 1
+	c.IntroductionFanout = 0
+}
+
+// pushOnly leaves out the heartbeats.
+func pushOnly(c *Config) { c.Interval = time.Hour }
+
+func newDepartureMachine(lossSeed uint64, tune func(*Config)) *departureMachine {
 	m := &departureMachine{
-		fleet: newFleet(6, 3, 3, nil),
+		fleet: newFleet(9, 3, 3, tune),
 		start: time.Now(),
 		signs: map[life]sign{},
 		knew:  map[*node]map[life]bool{},
@@ -189,9 +202,18 @@
 // lag and say "live" again; an ID and address return with a new incarnation.
 // Cause: the sign is not passed on in time, or something older overrides it.
 func TestDeparturesSpreadInTimeAndForGood(t *testing.T) {
+	checkDepartures(t, nil)
+}
+
+// The same in a fleet whose heartbeats reach few.
+func TestDeparturesSpreadInALargeFleet(t *testing.T) {
+	checkDepartures(t, sparse)
+}
+
+func checkDepartures(t *testing.T, tune func(*Config)) {
 	synctest.Test(t, func(t *testing.T) {
 		rapid.Check(bubble{t}, func(t *rapid.T) {
-			m := newDepartureMachine(rapid.Uint64Range(0, 1<<32).Draw(t, "losses"))
+			m := newDepartureMachine(rapid.Uint64Range(0, 1<<32).Draw(t, "losses"), tune)
 			defer m.fleet.run()()
 			t.Repeat(m.actions())
 			m.heal()
@@ -200,46 +222,99 @@
 	})
 }
 
-// Symptom: the failure domain of a dead gateway hears late of a departure.
-// Sequence: one gateway of each other domain dies without a word; then the first
-// sign arrives.
-// Cause: the push tries only the dead one.
-func TestDepartureReachesDomainsWithADeadPeer(t *testing.T) {
-	for dead := range 2 {
+// Symptom: a failure domain with dead gateways hears late of a departure.
+// Sequence: all gateways but one of each other domain die without a word; then
+// the first sign arrives.
+// Cause: the push tries only dead ones.
+func TestDepartureReachesDomainsWithDeadPeers(t *testing.T) {
+	for survivor := range 3 {
 		synctest.Test(t, func(t *testing.T) {
-			f := newFleet(8, 2, 4, nil)
+			f := newFleet(9, 2, 3, pushOnly)
 			defer f.run()()
-			time.Sleep(3 * time.Second)
-			for _, n := range f.nodes[dead*4+1 : dead*4+4] {
-				f.kill(n)
-			}
-			u := f.upstreams[0]
-			f.nodes[0].NoteLeaving(u.ID, u.Incarnation)
-			time.Sleep(boundBetween)
-			synctest.Wait()
-			for _, n := range f.nodes {
-				if state, _ := n.state(u.ID); !n.dead && state != blackboard.Leaving {
-					t.Errorf("%s holds state %v", n.self.ID, state)
+			time.Sleep(time.Second)
+			for i, n := range f.nodes {
+				if n.self.FailureDomain != "hall-a" && i/3 != survivor {
+					f.kill(n)
 				}
 			}
+			f.expectSpread(t, boundBetween)
 		})
 	}
 }
 
+// Symptom: most gateways of a large failure domain hear late of a departure.
+// Sequence: the first sign arrives in another domain, whose push reaches two.
+// Cause: these do not pass it on at once.
+func TestDepartureIsPassedOnWithinADomain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(60, 2, 2, pushOnly)
+		defer f.run()()
+		time.Sleep(time.Second)
+		f.expectSpread(t, boundBetween/2)
+	})
+}
+
+// expectSpread gives one process a first sign and expects all that live to know
+// of it in time.
+func (f *fleet) expectSpread(t *testing.T, bound time.Duration) {
+	u := f.upstreams[0]
+	f.nodes[0].NoteLeaving(u.ID, u.Incarnation)
+	time.Sleep(bound)
+	synctest.Wait()
+	for _, n := range f.nodes {
+		if state, _ := n.state(u.ID); !n.dead && state != blackboard.Leaving {
+			t.Errorf("%s holds state %v after %v", n.self.ID, state, bound)
+		}
+	}
+}
+
 // Symptom: an instance works on until the platform ends it, losing its calls.
 // Sequence: the reclaim notice reaches a peer but not the instance itself.
 // Cause: nobody looks for the own instance among the departures of others.
 func TestOwnDepartureIsNoticedFromPeers(t *testing.T) {
+	for _, at := range []int{1, 4} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(8, 0, 4, nil)
+			told := make(chan struct{})
+			f.nodes[5].deps.OnOwnDeparture = func() { close(told) }
+			defer f.run()()
+			f.nodes[at].NoteLeaving(f.nodes[5].self.ID, f.nodes[5].self.Incarnation)
+			select {
+			case <-told:
+			case <-time.After(boundBetween):
+				t.Errorf("not told of the sign at %s", f.nodes[at].self.ID)
+			}
+		})
+	}
+}
+
+// Symptom: a new process sends work to an upstream that left before it began.
+// Sequence: the sign is a minute old; the new process reads a list that does not
+// show it yet.
+// Cause: peers tell only what changed lately, and nothing compares the facts.
+func TestOldNewsReachesANewProcess(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(8, 0, 4, nil)
-		told := make(chan struct{})
-		f.nodes[5].deps.OnOwnDeparture = func() { close(told) }
-		defer f.run()()
-		f.nodes[0].NoteLeaving(f.nodes[5].self.ID, f.nodes[5].self.Incarnation)
-		start := time.Now()
-		<-told
-		if took := time.Since(start); took > boundBetween {
-			t.Errorf("told after %v", took)
+		f := newFleet(2, 1, 1, nil)
+		stop := f.run()
+		u := f.upstreams[0]
+		f.nodes[0].NoteLeaving(u.ID, u.Incarnation)
+		time.Sleep(time.Minute)
+		f.add(2, "hall-a", nil)
+		newcomer := f.nodes[2]
+		newcomer.ApplyList(f.list())
+		ctx, cancel := context.WithCancel(t.Context())
+		newcomer.cancel = cancel
+		done := make(chan struct{})
+		go func() {
+			_ = newcomer.Run(ctx)
+			close(done)
+		}()
+		time.Sleep(boundWithin)
+		synctest.Wait()
+		if state, _ := newcomer.state(u.ID); state != blackboard.Leaving {
+			t.Errorf("state %v", state)
 		}
+		stop()
+		<-done
 	})
 }
