Orders: late orders are repaired, and what the margin buys

Cause: an order that left under a valid lease may arrive after its successor's. Figures (virtual time): engine that checks: never applied.

--- a/internal/controllers/orders/controller.go
+++ b/internal/controllers/orders/controller.go
@@ -144,7 +144,7 @@
 			engine := c.known[engineKey{instance.ID, instance.Incarnation}]
 			engine.ID, engine.Incarnation = instance.ID, instance.Incarnation
 			engine.Address = instance.Address
-			engine.Model, engine.Version = report.Model, report.Version
+			engine.Model, engine.Version, engine.Fence = report.Model, report.Version, report.AppliedFence
 			mu.Lock()
 			defer mu.Unlock()
 			engines[engine.ID] = &engine
--- a/internal/controllers/orders/decide.go
+++ b/internal/controllers/orders/decide.go
@@ -24,6 +24,10 @@
 	// Model and Version are those that it reported last. An engine without
 	// a version serves nothing.
 	Model, Version string
+	// Fence is the number of the order that it applied last, 0 where it does
+	// not tell. It shows an order of another holder before that one's version
+	// is loaded, also where the engine does not check the number.
+	Fence ident.Fence
 	// Last is the order that this holder sent last, and when. Its fence is 0
 	// before the first one.
 	Last   upstream.Order
@@ -35,9 +39,11 @@
 	return e.Model == order.Model && e.Version == order.Version
 }
 
-// changing reports whether the engine was ordered to a version that it has not
-// reported yet.
-func (e Engine) changing() bool { return e.Last.Fence != 0 && !e.at(e.Last) }
+// follows reports whether the engine does what an order wants, and obeyed no
+// other one since.
+func (e Engine) follows(order upstream.Order) bool {
+	return e.at(order) && (e.Fence == 0 || e.Fence == order.Fence)
+}
 
 const (
 	// repeatEvery is the time between two equal orders to an engine that does
@@ -51,7 +57,8 @@
 //
 // Each engine gets it once from each holder: that raises its fencing number,
 // and covers what reports do not tell, the adapters and the role. From then on
-// it gets the order whenever its report differs. Only a part of the engines
+// it gets the order whenever its report differs. Reports lag, so some orders
+// are repeated needlessly; they are absolute, which makes that harmless. Only a part of the engines
 // changes version at once, so that the others go on serving.
 func Decide(engines []Engine, wanted upstream.Order, now time.Time) []ident.Instance {
 	engines = slices.Clone(engines)
@@ -60,15 +67,11 @@
 	var due []ident.Instance
 	for _, engine := range engines {
 		switch {
-		case engine.at(wanted):
-			if !equal(engine.Last, wanted) {
-				due = append(due, engine.ID)
-			}
 		case equal(engine.Last, wanted):
-			if now.Sub(engine.LastAt) >= repeatEvery || engine.Version == "" {
+			if !engine.follows(wanted) && now.Sub(engine.LastAt) >= repeatEvery {
 				due = append(due, engine.ID)
 			}
-		case engine.Version == "":
+		case engine.at(wanted), engine.Version == "":
 			due = append(due, engine.ID)
 		case room > 0:
 			room--
@@ -78,11 +81,11 @@
 	return due
 }
 
-// countChanging counts the engines that change to the wanted version now.
+// countChanging counts the engines that load the wanted version.
 func countChanging(engines []Engine, wanted upstream.Order) int {
 	count := 0
 	for _, engine := range engines {
-		if engine.changing() && equal(engine.Last, wanted) && engine.Version != "" {
+		if equal(engine.Last, wanted) && !engine.at(wanted) && engine.Version != "" {
 			count++
 		}
 	}
--- /dev/null
+++ b/internal/controllers/orders/late_order_test.go
@@ -0,0 +1,335 @@
+package orders_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	"github.com/goldcrestspool/goldcrestspool/internal/controllers/orders"
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/lease"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/engine"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/logstore"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstream"
+)
+
+// step is how finely the tests look at an engine.
+const step = 50 * time.Millisecond
+
+// setting is what a scene varies.
+type setting struct {
+	checks   bool
+	loadTime time.Duration
+	margin   time.Duration
+	// version that the engine runs at the start.
+	version string
+	// freezeBeforeCheck freezes holders before their last check of the lease
+	// instead of after it.
+	freezeBeforeCheck bool
+	// interval is the time between two rounds, and between two reads of the
+	// leases.
+	interval time.Duration
+}
+
+// link is one process's way to the log and to the engines.
+type link struct {
+	log platform.Log
+	// flight is how long an order takes; it lands also when its sender has
+	// given it up.
+	flight time.Duration
+
+	mu sync.Mutex
+	// cut: the log is not reachable.
+	cut bool
+	// thawed is closed while the process runs.
+	thawed chan struct{}
+}
+
+func newLink(log platform.Log) *link {
+	l := &link{log: log, thawed: make(chan struct{})}
+	close(l.thawed)
+	return l
+}
+
+func (l *link) setCut(cut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = cut
+}
+
+func (l *link) isCut() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cut
+}
+
+// freeze stops the process at its next append, read or order until the
+// returned function runs. Reports still work, so that a round gets as far as
+// its first order: the process stops between the check and the send.
+func (l *link) freeze() func() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	thawed := make(chan struct{})
+	l.thawed = thawed
+	return func() { close(thawed) }
+}
+
+func (l *link) pause() {
+	l.mu.Lock()
+	thawed := l.thawed
+	l.mu.Unlock()
+	<-thawed
+}
+
+func (l *link) Append(ctx context.Context, stream string, records [][]byte) (ident.Offset, error) {
+	l.pause()
+	if l.isCut() {
+		return 0, platform.ErrUnavailable
+	}
+	return l.log.Append(ctx, stream, records)
+}
+
+func (l *link) Read(ctx context.Context, stream string, from ident.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+	l.pause()
+	if l.isCut() {
+		return platform.Batch{}, platform.ErrUnavailable
+	}
+	return l.log.Read(ctx, stream, from, limit, wait)
+}
+
+// remoteEngine is an engine as one process reaches it.
+type remoteEngine struct {
+	upstream.Engine
+	link *link
+}
+
+func (r remoteEngine) Apply(ctx context.Context, order upstream.Order) error {
+	r.link.pause()
+	answer := make(chan error, 1)
+	time.AfterFunc(r.link.flight, func() { answer <- r.Engine.Apply(context.Background(), order) })
+	select {
+	case err := <-answer:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// holder is one controller process with its own view of the documents.
+type holder struct {
+	link      *link
+	leases    *lease.Manager
+	documents *blackboard.Section[*document.Set]
+	instances *blackboard.Section[[]platform.Instance]
+}
+
+// Engine implements orders.Dialer: there is one engine.
+type dialer struct{ engine upstream.Engine }
+
+func (d dialer) Engine(string) upstream.Engine { return d.engine }
+
+// weights grants every transfer, when the process is frozen there only later.
+type weights struct {
+	link    *link
+	freezes bool
+}
+
+func (w weights) Reserve(context.Context, string, string) (platform.Transfer, error) {
+	if w.freezes {
+		w.link.pause()
+	}
+	return platform.Transfer{}, nil
+}
+
+func startHolder(t *testing.T, ctx context.Context, id ident.Instance, log platform.Log, e upstream.Engine, with setting) *holder {
+	t.Helper()
+	h := &holder{
+		link:      newLink(log),
+		documents: blackboard.NewSection(documentOf("1")),
+		instances: blackboard.NewSection([]platform.Instance(nil)),
+	}
+	h.leases = lease.New(lease.Config{Holder: lease.NewHolder(id, 1), Margin: with.margin, Poll: with.interval}, h.link)
+	go h.leases.Run(ctx)
+	controller := orders.New(
+		orders.Config{Interval: with.interval, Flight: lease.DefaultMargin, Parallel: 4},
+		orders.Deps{
+			Documents: h.documents,
+			Instances: h.instances,
+			Leases:    h.leases,
+			Dialer:    dialer{remoteEngine{Engine: e, link: h.link}},
+			Weights:   weights{link: h.link, freezes: with.freezeBeforeCheck},
+			Log:       hclog.NewNullLogger(),
+		})
+	go func() { _ = controller.Run(ctx) }()
+	return h
+}
+
+var leaseName = lease.Name{Service: "spool-llm", FailureDomain: "hall-a"}
+
+// list makes the engine known to the holder.
+func (h *holder) list() {
+	h.instances.Publish([]platform.Instance{{
+		ID: "engine-1", Incarnation: 1, Role: platform.RoleEngine, Service: leaseName.Service,
+		FailureDomain: leaseName.FailureDomain, Address: "engine-1", State: platform.Live,
+	}})
+}
+
+func (h *holder) want() { h.leases.Want([]lease.Wanted{{Name: leaseName}}) }
+
+func documentOf(version string) *document.Set {
+	doc := &document.Document{Service: leaseName.Service, Kind: document.Model, Model: document.ModelSpec{Name: "m", Version: version}}
+	return &document.Set{Services: map[ident.Service]document.Entry{leaseName.Service: {Document: doc}}}
+}
+
+// scene is one engine with an old holder that wants version 1 and its
+// successor that wants version 2.
+type scene struct {
+	engine   *engine.Engine
+	old, new *holder
+}
+
+func newScene(t *testing.T, ctx context.Context, with setting) *scene {
+	e := engine.New(engine.Config{
+		Instance: "engine-1", Incarnation: 1, Parameters: engine.DefaultParameters(),
+		ChecksFencing: with.checks, LoadTime: with.loadTime, Model: "m", Version: with.version,
+	})
+	t.Cleanup(e.Close)
+	log := logstore.New(logstore.Options{})
+	s := &scene{engine: e}
+	s.old = startHolder(t, ctx, "entry-1", log, e, with)
+	time.Sleep(with.interval / 3)
+	s.new = startHolder(t, ctx, "entry-2", log, e, with)
+	s.new.documents.Publish(documentOf("2"))
+	s.new.list()
+	s.old.want()
+	time.Sleep(5 * time.Second)
+	s.new.want()
+	// From now on the successor watches each renewal as it comes.
+	time.Sleep(5 * time.Second)
+	return s
+}
+
+// wrongFor watches the engine for a while and returns for how long it had
+// version 1 after it had version 2.
+func (s *scene) wrongFor(t *testing.T, watch time.Duration) time.Duration {
+	t.Helper()
+	var wrong time.Duration
+	reached := false
+	for range int(watch / step) {
+		time.Sleep(step)
+		report, err := s.engine.Report(context.Background())
+		if err != nil {
+			t.Fatal(err)
+		}
+		reached = reached || report.Version == "2"
+		if reached && report.Version != "2" {
+			wrong += step
+		}
+	}
+	if report, _ := s.engine.Report(context.Background()); report.Version != "2" {
+		t.Errorf("the engine ends at version %q, want 2", report.Version)
+	}
+	return wrong
+}
+
+// inBubble runs a test in virtual time and ends its processes.
+func inBubble(t *testing.T, run func(t *testing.T, ctx context.Context)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		defer func() {
+			stop()
+			time.Sleep(time.Minute)
+		}()
+		run(t, ctx)
+	})
+}
+
+// Symptom: an engine goes back to an old version, for good. Sequence: a holder
+// is frozen right before it sends an order; its lease passes on and the new
+// holder orders the new version; then the old holder wakes and its order
+// arrives. Cause: the order was checked before the freeze.
+func TestLateOrderOfAFrozenHolderIsRepaired(t *testing.T) {
+	const (
+		interval = time.Second
+		flight   = 200 * time.Millisecond
+		// bound is one round until the report is read, the order's flight,
+		// and the grain of the test.
+		bound = interval + flight + step
+	)
+	cases := []struct {
+		name  string
+		with  setting
+		limit time.Duration
+	}{
+		{"engine checks the number: never applied", setting{checks: true}, 0},
+		{"engine checks the number and had the version before", setting{checks: true, version: "2"}, 0},
+		{"engine ignores it: repaired within the bound", setting{}, bound},
+		{"engine ignores it and loads slowly: seen by the number before it is loaded", setting{loadTime: 10 * time.Second}, 0},
+		{"engine ignores it, freeze before the check: never sent", setting{freezeBeforeCheck: true}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var worst time.Duration
+			for wake := time.Duration(0); wake < interval; wake += step {
+				inBubble(t, func(t *testing.T, ctx context.Context) {
+					c.with.margin, c.with.interval = lease.DefaultMargin, interval
+					s := newScene(t, ctx, c.with)
+					s.old.link.flight, s.new.link.flight = flight, flight
+					thaw := s.old.link.freeze()
+					s.old.list()
+					time.Sleep(40 * time.Second)
+					if report, _ := s.engine.Report(ctx); report.Version != "2" {
+						t.Fatalf("the new holder has not ordered version 2, but %q", report.Version)
+					}
+					time.AfterFunc(wake, thaw)
+					worst = max(worst, s.wrongFor(t, 40*time.Second))
+				})
+			}
+			t.Logf("at the old version for %v at worst, bound %v", worst, c.limit)
+			if worst > c.limit {
+				t.Errorf("at the old version for %v, want at most %v", worst, c.limit)
+			}
+			if c.limit > 0 && worst == 0 {
+				t.Error("the late order changed nothing: the test shows nothing")
+			}
+		})
+	}
+}
+
+// Symptom: as above, without any freeze. Sequence: the old holder loses the
+// log; an engine appears shortly before its deadline and gets an order that
+// flies for a while; meanwhile the lease passes on. Cause: the order leaves
+// under a valid lease and lands after it. The margin is there for it.
+func TestMarginKeepsOrdersInFlightOutOfTheNextLease(t *testing.T) {
+	worst := func(margin time.Duration) time.Duration {
+		var worst time.Duration
+		for at := lease.DefaultLength / 2; at <= lease.DefaultLength; at += 3 * step {
+			inBubble(t, func(t *testing.T, ctx context.Context) {
+				s := newScene(t, ctx, setting{margin: margin, interval: 2 * step})
+				s.old.link.flight = lease.DefaultMargin - step
+				s.old.link.setCut(true)
+				go func() {
+					time.Sleep(at)
+					s.old.list()
+				}()
+				worst = max(worst, s.wrongFor(t, 40*time.Second))
+			})
+		}
+		return worst
+	}
+	with, without := worst(lease.DefaultMargin), worst(0)
+	t.Logf("at the old version for %v with the margin, %v without", with, without)
+	if with != 0 {
+		t.Errorf("with the margin an engine was at the old version for %v", with)
+	}
+	if without == 0 {
+		t.Error("without the margin nothing went wrong: the test shows nothing")
+	}
+}
