Fleet: bounds and graceful stops proved under faults

Cause: the controller that carries plans out had no test. Stand-in: the cloud compares fencing numbers by service, since holders of different services change apart; Options.ServiceOf tells it the service of instances that it did not start.

--- a/internal/controllers/fleet/actual.go
+++ b/internal/controllers/fleet/actual.go
@@ -161,9 +161,13 @@
 	m.failures[offering] = planner.Failures{Count: f.Count + 1, Last: now}
 }
 
-// settled reports whether this holder has held the lease for long enough to
-// see all that earlier holders started.
-func (m *memory) settled(now time.Time) bool { return now.Sub(m.since) >= settle }
+// mayStart reports whether this holder has held the lease for long enough to
+// see all that earlier holders started, and whether no start of the offering
+// was refused since the plan was made: the others would be refused as well.
+func (m *memory) mayStart(offering planner.Offering, planned time.Time) bool {
+	settled := planned.Sub(m.since) >= settle
+	return settled && m.failures[offering].Last.Before(planned)
+}
 
 func key(instance platform.Instance) upstreamKey {
 	return upstreamKey{instance.ID, instance.Incarnation}
--- a/internal/controllers/fleet/controller.go
+++ b/internal/controllers/fleet/controller.go
@@ -160,7 +160,7 @@
 	actual := m.actual(doc.Service, o, now)
 	wanted := planner.Wanted{Placement: doc.Placement, Reclaims: m.reclaims.estimate()}
 	for _, action := range planner.Plan(actual, wanted, now) {
-		if action.Kind == planner.Start && !m.settled(now) {
+		if action.Kind == planner.Start && !m.mayStart(action.Offering, now) {
 			continue
 		}
 		c.act(ctx, grant, doc, m, o, action)
--- /dev/null
+++ b/internal/controllers/fleet/fleet_test.go
@@ -0,0 +1,174 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/fault"
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
+)
+
+func init() { testkit.FixSeed() }
+
+// virtualTime hides the test's deadline from rapid: it is in real time, and
+// must not be read in a bubble of virtual time.
+type virtualTime struct{ rapid.TB }
+
+const (
+	// healTime is enough for back-offs of two minutes, for starts that were
+	// never listed to be given up, and for the memory of a rush to fade.
+	healTime = 30 * time.Minute
+	// restTime is for how long nothing may change then.
+	restTime = 3 * time.Minute
+	// restSize spread over three failure domains leaves the least 3 upstreams
+	// when one is lost.
+	restSize = 5
+)
+
+// machine runs two controllers against the world.
+type machine struct {
+	*world
+	processes [2]*process
+	lives     int
+	// busy: gateways send a request to each upstream each second.
+	busy bool
+}
+
+func newMachine() *machine {
+	m := &machine{world: newWorld()}
+	for i := range m.processes {
+		m.start(i)
+	}
+	return m
+}
+
+func (m *machine) start(i int) {
+	m.lives++
+	m.processes[i] = m.startProcess(ident.Instance(fmt.Sprintf("entry-%d-%d", i, m.lives)), i)
+}
+
+// stop ends a process; its last requests may still be on their way.
+func (m *machine) stop(i int) {
+	m.processes[i].stop()
+	m.processes[i].done.Wait()
+}
+
+// fataler is a test or one check of rapid.
+type fataler interface {
+	Fatal(...any)
+	Fatalf(string, ...any)
+}
+
+func (m *machine) advance(t fataler, d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		time.Sleep(time.Second)
+		if m.busy {
+			m.send()
+		}
+		m.check(t)
+	}
+}
+
+func (m *machine) check(t fataler) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.problems) > 0 {
+		t.Fatal(m.problems[0])
+	}
+}
+
+// end stops all goroutines.
+func (m *machine) end() {
+	m.stop(0)
+	m.stop(1)
+	time.Sleep(time.Minute)
+}
+
+func (m *machine) size() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.count()
+}
+
+func (m *machine) stopCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.stops
+}
+
+func (m *machine) setCut(cut bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cut = cut
+}
+
+// heal ends all faults and expects a fleet that comes to rest at the right size.
+func (m *machine) heal(t fataler) {
+	m.cloud.SetOutage(false)
+	m.log.SetOutage(false)
+	m.setCut(false)
+	m.busy = false
+	for _, domain := range domains {
+		m.cloud.SetCapacity(domain, "cpu", true)
+	}
+	began := time.Now()
+	stops, restSince := -1, began
+	for time.Since(restSince) < restTime {
+		if time.Since(began) > healTime {
+			t.Fatalf("no rest: %d upstreams, want %d", m.size(), restSize)
+		}
+		m.advance(t, 10*time.Second)
+		if m.size() != restSize || m.stopCount() != stops {
+			stops, restSince = m.stopCount(), time.Now()
+		}
+	}
+}
+
+// Symptom: more upstreams than the document allows, fewer than it asks for, or
+// requests cut off by a planned stop. Sequence: controllers that come and go,
+// starts and stops whose answer is lost or that take effect late, starts that
+// are refused, whole failure domains reclaimed, gateways and log not reachable.
+// Cause: a holder that acts on what it remembers instead of on what is there.
+func TestFleetKeepsItsBoundsUnderFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(virtualTime{t}, func(t *rapid.T) {
+			m := newMachine()
+			defer m.end()
+			domain := func() ident.FailureDomain { return rapid.SampledFrom(domains).Draw(t, "domain") }
+			t.Repeat(map[string]func(*rapid.T){
+				"wait": func(t *rapid.T) {
+					waits := []time.Duration{time.Second, 5 * time.Second, 20 * time.Second, time.Minute}
+					m.advance(t, rapid.SampledFrom(waits).Draw(t, "wait"))
+				},
+				"load":   func(t *rapid.T) { m.busy = rapid.Bool().Draw(t, "busy") },
+				"refuse": func(t *rapid.T) { m.cloud.SetCapacity(domain(), "cpu", false) },
+				"allow":  func(t *rapid.T) { m.cloud.SetCapacity(domain(), "cpu", true) },
+				"lose": func(t *rapid.T) {
+					m.cloud.SetLateness(3 * time.Second)
+					losses := []fault.Loss{fault.BeforeEffect, fault.AfterEffect, fault.Late}
+					m.cloud.LoseNext(rapid.SampledFrom(losses).Draw(t, "loss"))
+				},
+				"dud": func(t *rapid.T) {
+					m.mu.Lock()
+					defer m.mu.Unlock()
+					m.duds = 1
+				},
+				"cloud":    func(t *rapid.T) { m.cloud.SetOutage(rapid.Bool().Draw(t, "down")) },
+				"log":      func(t *rapid.T) { m.log.SetOutage(rapid.Bool().Draw(t, "down")) },
+				"gateways": func(t *rapid.T) { m.setCut(rapid.Bool().Draw(t, "cut")) },
+				"reclaim":  func(t *rapid.T) { m.reclaim(domain()) },
+				"restart": func(t *rapid.T) {
+					i := rapid.IntRange(0, 1).Draw(t, "process")
+					m.stop(i)
+					m.start(i)
+				},
+			})
+			m.heal(t)
+		})
+	})
+}
--- /dev/null
+++ b/internal/controllers/fleet/scenario_test.go
@@ -0,0 +1,110 @@
+package fleet_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Each case's name tells the symptom that its mechanism prevents; sequence and
+// cause stand in the case.
+func TestFleetScenarios(t *testing.T) {
+	cases := []struct {
+		name string
+		run  func(t *testing.T, m *machine)
+	}{
+		{
+			// A holder dies after it announced upstreams as leaving and before
+			// they were stopped. Its successor knows only the platform's list,
+			// which calls them live.
+			name: "upstreams that get no work count as serving for ever",
+			run: func(t *testing.T, m *machine) {
+				m.rush(t)
+				m.awaitDrain(t)
+				m.stop(0)
+				m.stop(1)
+				m.start(0)
+				m.start(1)
+			},
+		},
+		{
+			// The gateways cannot be reached while there is too much.
+			name: "an upstream is stopped that gateways still use",
+			run: func(t *testing.T, m *machine) {
+				m.rush(t)
+				m.setCut(true)
+				m.advance(t, 15*time.Minute)
+				if got := m.size(); got != most {
+					t.Errorf("%d upstreams, want all %d while no gateway hears", got, most)
+				}
+			},
+		},
+		{
+			// A start is answered with yes, and the instance never comes.
+			name: "the fleet waits for ever for an instance that died at its start",
+			run: func(t *testing.T, m *machine) {
+				m.mu.Lock()
+				m.duds = 3
+				m.mu.Unlock()
+				m.advance(t, time.Minute)
+			},
+		},
+		{
+			// Work pauses for less than the demand's memory.
+			name: "a short lull in a rush stops upstreams",
+			run: func(t *testing.T, m *machine) {
+				m.rush(t)
+				m.busy = false
+				m.advance(t, time.Minute)
+				if got := m.size(); got != most {
+					t.Errorf("%d upstreams after a lull, want %d", got, most)
+				}
+			},
+		},
+		{
+			// Every start is refused, for a quarter of an hour.
+			name: "refused starts are asked for without pause",
+			run: func(t *testing.T, m *machine) {
+				for _, domain := range domains {
+					m.cloud.SetCapacity(domain, "cpu", false)
+				}
+				m.advance(t, 15*time.Minute)
+				// 6 offerings at 5, 10, 20, 40, 80 and then each 120 s.
+				const limit = 6 * 14
+				if m.asked == 0 || m.asked > limit {
+					t.Errorf("%d starts asked for in a quarter of an hour, at most %d expected", m.asked, limit)
+				}
+			},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMachine()
+				defer m.end()
+				c.run(t, m)
+				m.heal(t)
+			})
+		})
+	}
+}
+
+// rush brings the fleet to its maximum and then ends the work.
+func (m *machine) rush(t *testing.T) {
+	m.busy = true
+	m.advance(t, 3*time.Minute)
+	if got := m.size(); got != most {
+		t.Fatalf("%d upstreams in a rush, want %d", got, most)
+	}
+	m.busy = false
+}
+
+// awaitDrain waits until an upstream is announced as leaving.
+func (m *machine) awaitDrain(t *testing.T) {
+	for limit := time.Now().Add(healTime); m.size() == most; {
+		if time.Now().After(limit) {
+			t.Fatal("nothing is drained")
+		}
+		m.advance(t, time.Second)
+	}
+}
--- /dev/null
+++ b/internal/controllers/fleet/world_test.go
@@ -0,0 +1,310 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	"github.com/goldcrestspool/goldcrestspool/internal/controllers/fleet"
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/lease"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/cloud"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/instances"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/logstore"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstream"
+)
+
+const (
+	service = ident.Service("auktion-app")
+	least   = 3
+	most    = 8
+	// listLag is how late the platform's list is, and startTime how long an
+	// instance takes until it is in it and serves.
+	listLag   = time.Second
+	startTime = 2 * time.Second
+	// spreadTime is how long gateways go on sending work to an upstream after
+	// one of them has heard that it is leaving.
+	spreadTime = 4 * time.Second
+	// requestTime is how long a request runs, and reclaimTime how much time
+	// the notice of a reclaim gives.
+	requestTime = 15 * time.Second
+	reclaimTime = 5 * time.Second
+	flight      = 2 * time.Second
+	slots       = 4
+)
+
+var domains = []ident.FailureDomain{"hall-a", "hall-b", "hall-c"}
+
+// app is one upstream.
+type app struct {
+	id      ident.Instance
+	domain  ident.FailureDomain
+	running int
+	// leavingAt is when a gateway heard that it is leaving; stopping is set
+	// by the cloud.
+	leavingAt time.Time
+	stopping  bool
+}
+
+func (a *app) sendable(now time.Time) bool {
+	return !a.stopping && (a.leavingAt.IsZero() || now.Sub(a.leavingAt) < spreadTime)
+}
+
+// counted: it exists and nothing has told it to go.
+func (a *app) counted() bool { return !a.stopping && a.leavingAt.IsZero() }
+
+// world is the platform, the upstreams and the gateways.
+type world struct {
+	list  *instances.List
+	cloud *cloud.Cloud
+	log   *logstore.Log
+
+	mu       sync.Mutex
+	apps     map[ident.Instance]*app
+	cut      bool
+	problems []string
+	stops    int
+	// duds is how many of the next starts fail after the cloud said yes.
+	duds int
+	// asked counts the starts that were asked for.
+	asked int
+}
+
+// Start implements platform.Cloud and counts.
+func (w *world) Start(ctx context.Context, req platform.StartRequest) (ident.Instance, error) {
+	w.mu.Lock()
+	w.asked++
+	w.mu.Unlock()
+	return w.cloud.Start(ctx, req)
+}
+
+// Stop implements platform.Cloud.
+func (w *world) Stop(ctx context.Context, id ident.Instance, fence ident.Fence) error {
+	return w.cloud.Stop(ctx, id, fence)
+}
+
+// Notices implements platform.Cloud.
+func (w *world) Notices(ctx context.Context, after uint64) ([]platform.Notice, error) {
+	return w.cloud.Notices(ctx, after)
+}
+
+func newWorld() *world {
+	w := &world{list: instances.New(listLag), log: logstore.New(logstore.Options{}), apps: make(map[ident.Instance]*app)}
+	w.cloud = cloud.New(cloud.Options{ChecksFencing: true, Started: w.started, Stopped: w.stopped})
+	return w
+}
+
+func (w *world) problem(format string, args ...any) {
+	w.problems = append(w.problems, fmt.Sprintf(format, args...))
+}
+
+// started is called by the cloud for each new instance.
+func (w *world) started(id ident.Instance, req platform.StartRequest) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.duds > 0 {
+		w.duds--
+		return
+	}
+	w.apps[id] = &app{id: id, domain: req.FailureDomain}
+	if count := w.count(); count > most {
+		w.problem("%d upstreams, at most %d wanted", count, most)
+	}
+	time.AfterFunc(startTime, func() {
+		w.list.Register(platform.Instance{
+			ID: id, Role: platform.RolePlain, Service: req.Service, FailureDomain: req.FailureDomain,
+			Class: req.Class, Reclaimable: req.Reclaimable, Address: string(id),
+		})
+	})
+}
+
+func (w *world) count() int {
+	count := 0
+	for _, a := range w.apps {
+		if a.counted() {
+			count++
+		}
+	}
+	return count
+}
+
+// stopped is called by the cloud when an instance is told to stop.
+func (w *world) stopped(id ident.Instance) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	a, known := w.apps[id]
+	if !known {
+		return
+	}
+	if a.running > 0 {
+		w.problem("%s was stopped with %d requests running", id, a.running)
+	}
+	if a.leavingAt.IsZero() || time.Since(a.leavingAt) < spreadTime {
+		w.problem("%s was stopped while gateways still send it work", id)
+	}
+	w.stops++
+	w.end(a)
+}
+
+// end is called with the lock held.
+func (w *world) end(a *app) {
+	a.stopping = true
+	delete(w.apps, a.id)
+	w.list.SetState(a.id, 0, platform.Ended)
+}
+
+// reclaim ends all instances of a failure domain after a notice.
+func (w *world) reclaim(domain ident.FailureDomain) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, a := range w.apps {
+		if a.domain != domain || a.stopping {
+			continue
+		}
+		instance, listed := w.list.Find(a.id)
+		if !listed {
+			continue
+		}
+		a.stopping = true
+		w.cloud.Announce(a.id, instance.Incarnation, reclaimTime)
+		w.list.SetState(a.id, 0, platform.Leaving)
+		time.AfterFunc(reclaimTime, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.end(a)
+		})
+	}
+}
+
+// send gives each upstream one more request, as gateways would.
+func (w *world) send() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, a := range w.apps {
+		if _, listed := w.list.Find(a.id); !listed || !a.sendable(time.Now()) {
+			continue
+		}
+		a.running++
+		time.AfterFunc(requestTime, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			a.running--
+		})
+	}
+}
+
+// AnnounceLeaving implements fleet.Gateways.
+func (w *world) AnnounceLeaving(_ context.Context, upstreams []platform.Instance) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cut {
+		return platform.ErrUnavailable
+	}
+	for _, u := range upstreams {
+		a, known := w.apps[u.ID]
+		if !known || !a.leavingAt.IsZero() {
+			continue
+		}
+		a.leavingAt = time.Now()
+		if serving := w.count(); serving < least && !a.stopping {
+			w.problem("draining %s leaves %d of at least %d", u.ID, serving, least)
+		}
+	}
+	return nil
+}
+
+// Leaving implements fleet.Gateways.
+func (w *world) Leaving(context.Context) (map[ident.Instance]ident.Incarnation, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cut {
+		return nil, platform.ErrUnavailable
+	}
+	leaving := make(map[ident.Instance]ident.Incarnation)
+	for _, a := range w.apps {
+		if instance, listed := w.list.Find(a.id); listed && !a.leavingAt.IsZero() {
+			leaving[a.id] = instance.Incarnation
+		}
+	}
+	return leaving, nil
+}
+
+// Plain implements fleet.Dialer.
+func (w *world) Plain(address string) upstream.Plain {
+	return plain{world: w, id: ident.Instance(address)}
+}
+
+// Engine implements fleet.Dialer; there are none.
+func (w *world) Engine(string) upstream.Engine { return nil }
+
+// plain answers for one upstream.
+type plain struct {
+	upstream.Plain
+	world *world
+	id    ident.Instance
+}
+
+func (p plain) Health(context.Context) (upstream.Health, error) {
+	p.world.mu.Lock()
+	defer p.world.mu.Unlock()
+	a, known := p.world.apps[p.id]
+	if !known {
+		return upstream.Health{}, upstream.ErrNotSent
+	}
+	return upstream.Health{Instance: p.id, Running: a.running, Leaving: a.stopping}, nil
+}
+
+// process is one controller.
+type process struct {
+	leases *lease.Manager
+	stop   context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// startProcess starts a controller that reads the platform's list each second.
+func (w *world) startProcess(id ident.Instance, rank int) *process {
+	ctx, stop := context.WithCancel(context.Background())
+	p := &process{stop: stop}
+	doc := &document.Document{Service: service, Kind: document.Plain, Placement: placement()}
+	documents := blackboard.NewSection(&document.Set{Services: map[ident.Service]document.Entry{service: {Document: doc}}})
+	listed := blackboard.NewSection([]platform.Instance(nil))
+	p.leases = lease.New(lease.Config{Holder: lease.NewHolder(id, 1), Margin: flight}, w.log)
+	p.leases.Want([]lease.Wanted{{Name: lease.Name{Service: service}, Rank: rank}})
+	controller := fleet.New(
+		fleet.Config{Interval: time.Second, Flight: flight, Parallel: 4, SlotsPerEngine: slots, SlotsPerPlain: slots},
+		fleet.Deps{
+			Documents: documents, Instances: listed, Leases: p.leases, Cloud: w,
+			Dialer: w, Gateways: w, Log: hclog.NewNullLogger(),
+		})
+	p.done.Go(func() { p.leases.Run(ctx) })
+	p.done.Go(func() { _ = controller.Run(ctx) })
+	p.done.Go(func() {
+		for ctx.Err() == nil {
+			if list, err := w.list.List(ctx); err == nil {
+				listed.Publish(list)
+			}
+			time.Sleep(time.Second)
+		}
+	})
+	return p
+}
+
+func placement() document.Placement {
+	p := document.Placement{Min: least, Max: most, OnDemandShare: 0.3}
+	for i, domain := range domains {
+		for _, reclaimable := range []bool{false, true} {
+			price := document.Price{FailureDomain: domain, Class: "cpu", Reclaimable: reclaimable, CentsPerHour: float64(10 + i)}
+			if reclaimable {
+				price.CentsPerHour /= 3
+			}
+			p.Prices = append(p.Prices, price)
+		}
+	}
+	return p
+}
--- a/internal/standin/process/platform.go
+++ b/internal/standin/process/platform.go
@@ -64,8 +64,12 @@
 		Instances: list,
 		Cloud: cloud.New(cloud.Options{
 			ChecksFencing: options.ChecksFencing,
-			Stopped:       func(id ident.Instance) { list.SetState(id, 0, platform.Leaving) },
-			Announced:     func(n platform.Notice) { reclaim(list, n) },
+			ServiceOf: func(id ident.Instance) ident.Service {
+				instance, _ := list.Find(id)
+				return instance.Service
+			},
+			Stopped:   func(id ident.Instance) { list.SetState(id, 0, platform.Leaving) },
+			Announced: func(n platform.Notice) { reclaim(list, n) },
 		}),
 		Weights: weights.New(weights.Options{
 			ModelBytes:     options.ModelBytes,
