--- a/internal/controllers/fleet/actual.go
+++ b/internal/controllers/fleet/actual.go
@@ -99,6 +99,9 @@
 		work += l.running + l.queued
 		actual.Instances = append(actual.Instances, counted)
 	}
+	if m.demand.at.IsZero() {
+		m.demand.seed(len(o.instances), now)
+	}
 	for _, p := range m.pending {
 		actual.Pending = append(actual.Pending, p.Pending)
 	}
--- a/internal/controllers/fleet/estimate.go
+++ b/internal/controllers/fleet/estimate.go
@@ -17,6 +17,16 @@
 // halfLife is the time in which a peak that is over counts half.
 const halfLife = 3 * time.Minute
 
+// assumedUse is the use of each upstream that a new holder assumes, who has not
+// seen the demand before: as much as calls for neither more nor fewer.
+const assumedUse = 0.7
+
+// seed sets the demand that a new holder assumes.
+func (p *peakHold) seed(upstreams int, now time.Time) {
+	p.value, p.at = assumedUse*float64(upstreams), now
+}
+
+// update returns the demand to plan for.
 func (p *peakHold) update(demand float64, now time.Time) float64 {
 	faded := p.value * math.Exp2(-now.Sub(p.at).Seconds()/halfLife.Seconds())
 	p.value, p.at = max(demand, faded), now
--- a/internal/controllers/fleet/scenario_test.go
+++ b/internal/controllers/fleet/scenario_test.go
@@ -25,6 +25,7 @@
 				m.stop(1)
 				m.start(0)
 				m.start(1)
+				m.rush(t)
 			},
 		},
 		{
@@ -61,6 +62,21 @@
 				}
 			},
 		},
+		{
+			// A new holder takes over in a lull. It has not seen the rush.
+			name: "a takeover in a lull stops upstreams",
+			run: func(t *testing.T, m *machine) {
+				m.rush(t)
+				for i := range m.processes {
+					m.stop(i)
+					m.start(i)
+				}
+				m.advance(t, time.Minute)
+				if got := m.size(); got != most {
+					t.Errorf("%d upstreams after a takeover, want %d", got, most)
+				}
+			},
+		},
 		{
 			// Every start is refused, for a quarter of an hour.
 			name: "refused starts are asked for without pause",
--- a/internal/lease/fake_test.go
+++ b/internal/lease/fake_test.go
@@ -31,11 +31,19 @@
 	records []platform.Record
 	first   ident.Offset
 	down    bool
+	appends int
+}
+
+func (l *fakeLog) appendCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends
 }
 
 func (l *fakeLog) add(data [][]byte) ident.Offset {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.appends++
 	offset := l.first + ident.Offset(len(l.records))
 	for i, d := range data {
 		l.records = append(l.records, platform.Record{Offset: offset + ident.Offset(i), Data: d, AppendedAt: time.Now()})
--- /dev/null
+++ b/internal/lease/outage_test.go
@@ -0,0 +1,52 @@
+package lease_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/lease"
+)
+
+// Symptom: nobody holds a lease for good, although its last holder lives.
+// Sequence: the log is down for longer than the horizon; there is one candidate
+// only. Cause: it goes on renewing a record that no longer counts.
+func TestOnlyCandidateHoldsAgainAfterALongOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMachine(lease.DefaultMargin)
+		defer m.end()
+		m.makeFirstHold(t)
+		for _, p := range m.processes[1:] {
+			p.manager.Want(nil)
+		}
+		m.log.setDown(true)
+		m.advance(t, 2*lease.Horizon)
+		if holders := m.holders(names[0]); len(holders) != 0 {
+			t.Errorf("without the log processes %v hold the lease", holders)
+		}
+		m.log.setDown(false)
+		m.advance(t, 3*lease.DefaultPoll)
+		if !m.allHeld() {
+			t.Error("the only candidate does not hold its leases again")
+		}
+	})
+}
+
+// Symptom: the log's appends grow with the number of nodes, or of services.
+// Sequence: none. Cause: processes that are no candidates read and append, or
+// a holder renews each lease by an append of its own.
+func TestAppendsDependOnHoldersOnly(t *testing.T) {
+	const minutes = 10
+	synctest.Test(t, func(t *testing.T) {
+		m := newMachine(lease.DefaultMargin)
+		defer m.end()
+		m.makeFirstHold(t)
+		before := m.log.appendCount()
+		m.advance(t, minutes*time.Minute)
+		got := m.log.appendCount() - before
+		want := int(minutes * time.Minute / lease.DefaultRenewEvery)
+		if got > want+1 {
+			t.Errorf("%d appends in %d minutes by one holder of %d leases, want %d", got, minutes, len(names), want)
+		}
+	})
+}
