--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -87,6 +87,13 @@
 	ByID map[ident.Instance]Member
 }
 
+// Listing is the platform's list of instances as it was read last.
+type Listing struct {
+	Instances []platform.Instance
+	// ReadAt is when the read began; zero before the first one.
+	ReadAt time.Time
+}
+
 // CachedPrefix tells how much of a prompt an upstream holds in its cache.
 type CachedPrefix interface {
 	// Cached returns how many leading blocks are believed cached, weighed
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -25,7 +25,6 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/lease"
 	"github.com/goldcrestspool/goldcrestspool/internal/operations"
 	"github.com/goldcrestspool/goldcrestspool/internal/peer"
-	"github.com/goldcrestspool/goldcrestspool/internal/platform"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform/connectplatform"
 	"github.com/goldcrestspool/goldcrestspool/internal/program"
 	"github.com/goldcrestspool/goldcrestspool/internal/settings"
@@ -53,7 +52,7 @@
 
 	documents *blackboard.Section[*document.Set]
 	health    *blackboard.Section[blackboard.ConfigurationHealth]
-	instances *blackboard.Section[[]platform.Instance]
+	listing   *blackboard.Section[blackboard.Listing]
 
 	configuration *configuration.Controller
 	leases        *lease.Manager
@@ -196,7 +195,7 @@
 	if health := p.health.Value(); !health.Ready {
 		return false, "documents: " + health.Problem
 	}
-	if p.instances.Load().Version == 0 {
+	if p.listing.Value().ReadAt.IsZero() {
 		return false, "instance list: not read yet"
 	}
 	return true, ""
--- /dev/null
+++ b/internal/controller/controller_test.go
@@ -0,0 +1,181 @@
+package controller_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/controller"
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/lease"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform/connectplatform"
+	"github.com/goldcrestspool/goldcrestspool/internal/program"
+	"github.com/goldcrestspool/goldcrestspool/internal/settings"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/cloud"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/instances"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/logstore"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/weights"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// patience bounds waits for another goroutine; nothing is concluded from how
+// long they take.
+const patience = 30 * time.Second
+
+// startPlatform serves a platform with one document and two entry instances.
+func startPlatform(t *testing.T) (address string, log *logstore.Log) {
+	t.Helper()
+	log = logstore.New(logstore.Options{})
+	list := instances.New(0)
+	for _, id := range []ident.Instance{"entry-1", "entry-2"} {
+		list.Register(platform.Instance{ID: id, Incarnation: 1, Role: platform.RoleEntry, FailureDomain: "hall-a", State: platform.Live})
+	}
+	publish(t, log, "../../examples/auktion-app.toml")
+	mux := http.NewServeMux()
+	connectplatform.Mount(mux, connectplatform.Services{
+		Log: log, Instances: list, Cloud: cloud.New(cloud.Options{}), Weights: weights.New(weights.Options{}),
+	})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return server.URL, log
+}
+
+func publish(t *testing.T, log platform.Log, file string) {
+	t.Helper()
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	record, err := document.EncodePublication(document.Publication{Service: "auktion-app", PublishID: "p-1", Schema: document.CurrentSchema, Document: text})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := log.Append(t.Context(), document.StreamName, [][]byte{record}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// running is a controller that runs in this process.
+type running struct {
+	operators string
+	stop      context.CancelFunc
+	ended     chan error
+}
+
+func start(t *testing.T, id, address string) *running {
+	t.Helper()
+	s, findings := settings.ParseController("test", []byte(`
+[instance]
+id = "`+id+`"
+region = "tirol"
+failure_domain = "hall-a"
+incarnation = 1
+[platform]
+address = "`+address+`"
+[control]
+lease = "2s"
+margin = "300ms"
+interval = "50ms"
+[log]
+level = "error"
+`))
+	if err := findings.Err(); err != nil {
+		t.Fatal(err)
+	}
+	process, err := controller.New(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stopCtx, stop := context.WithCancel(context.Background())
+	kill, endKill := context.WithCancel(context.Background())
+	reader, writer := io.Pipe()
+	r := &running{stop: stop, ended: make(chan error, 1)}
+	go func() { r.ended <- process.Run(program.Signals{Stop: stopCtx, Kill: kill}, writer) }()
+	line, err := bufio.NewReader(reader).ReadBytes('\n')
+	if err != nil {
+		t.Fatal(err)
+	}
+	var listening struct{ Event, Operators string }
+	if err := json.Unmarshal(line, &listening); err != nil || listening.Event != "listening" {
+		t.Fatalf("got %q, %v", line, err)
+	}
+	r.operators = listening.Operators
+	t.Cleanup(endKill)
+	return r
+}
+
+// await waits until the controller answers a path with 200 and a body that ok
+// accepts.
+func (r *running) await(t *testing.T, path string, ok func(body []byte) bool) {
+	t.Helper()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for limit := time.Now().Add(patience); time.Now().Before(limit); time.Sleep(20 * time.Millisecond) {
+		resp, err := client.Get("http://" + r.operators + path)
+		if err != nil {
+			continue
+		}
+		body, _ := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusOK && ok(body) {
+			return
+		}
+	}
+	t.Fatalf("%s: not as expected within %v", path, patience)
+}
+
+func anything([]byte) bool { return true }
+
+// holdsFleet: it holds the lease over the service's fleet.
+func holdsFleet(body []byte) bool {
+	var statuses []struct {
+		Lease lease.Name
+		Held  bool
+	}
+	if err := json.Unmarshal(body, &statuses); err != nil {
+		return false
+	}
+	for _, s := range statuses {
+		if s.Lease == (lease.Name{Service: "auktion-app"}) && s.Held {
+			return true
+		}
+	}
+	return false
+}
+
+// Symptom: after each update of a controller nobody acts for the length of a
+// lease. Sequence: a holder is told to stop. Cause: it ends without a release.
+func TestStoppedHolderReleasesItsLease(t *testing.T) {
+	address, log := startPlatform(t)
+	first := start(t, "entry-1", address)
+	first.await(t, "/readyz", anything)
+	first.await(t, "/status", holdsFleet)
+	first.stop()
+	if err := <-first.ended; err != nil {
+		t.Errorf("a graceful stop ended with %v", err)
+	}
+	batch, err := log.Read(t.Context(), lease.Stream, 0, 1000, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	last, err := lease.Decode(batch.Records[len(batch.Records)-1].Data)
+	if err != nil || last.Kind != lease.Release {
+		t.Fatalf("the last record is %+v (%v), want a release", last, err)
+	}
+	second := start(t, "entry-2", address)
+	second.await(t, "/status", holdsFleet)
+	second.stop()
+	if err := <-second.ended; err != nil {
+		t.Errorf("a graceful stop ended with %v", err)
+	}
+}
--- a/internal/controller/gateways.go
+++ b/internal/controller/gateways.go
@@ -29,14 +29,14 @@
 // gateways speaks to gateways by the peers' protocol. It implements
 // fleet.Gateways.
 type gateways struct {
-	self      settings.Instance
-	pool      *peer.Pool
-	instances *blackboard.Section[[]platform.Instance]
-	epoch     uint64
+	self    settings.Instance
+	pool    *peer.Pool
+	listing *blackboard.Section[blackboard.Listing]
+	epoch   uint64
 }
 
-func newGateways(self settings.Instance, pool *peer.Pool, instances *blackboard.Section[[]platform.Instance]) *gateways {
-	return &gateways{self: self, pool: pool, instances: instances, epoch: rand.Uint64() | 1}
+func newGateways(self settings.Instance, pool *peer.Pool, listing *blackboard.Section[blackboard.Listing]) *gateways {
+	return &gateways{self: self, pool: pool, listing: listing, epoch: rand.Uint64() | 1}
 }
 
 // AnnounceLeaving tells some gateways of each failure domain that upstreams get
@@ -111,7 +111,7 @@
 func (g *gateways) addresses() []string {
 	var own, others []string
 	chosen := make(map[ident.FailureDomain]int)
-	for _, instance := range g.instances.Value() {
+	for _, instance := range g.listing.Value().Instances {
 		isGateway := instance.Role == platform.RoleEntry && instance.State == platform.Live && instance.PeerAddress != ""
 		if !isGateway || chosen[instance.FailureDomain] >= toldPerDomain {
 			continue
--- a/internal/controller/listing.go
+++ b/internal/controller/listing.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
 	"github.com/goldcrestspool/goldcrestspool/internal/document"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/lease"
@@ -20,14 +21,14 @@
 )
 
 // runListing reads the platform's list and tells the lease manager which
-// leases this process is a candidate for. It is the one writer of p.instances.
+// leases this process is a candidate for. It is the one writer of p.listing.
 func (p *Process) runListing(ctx context.Context) error {
 	for {
 		p.readList(ctx)
 		wanted := p.candidacies()
 		p.leases.Want(wanted)
 		pause := watcherListing
-		if len(wanted) > 0 || p.instances.Load().Version == 0 {
+		if len(wanted) > 0 || p.listing.Value().ReadAt.IsZero() {
 			pause = candidateListing
 		}
 		select {
@@ -42,19 +43,20 @@
 func (p *Process) readList(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, p.settings.Platform.Timeout)
 	defer cancel()
+	began := time.Now()
 	list, err := p.platform.List(ctx)
 	if err != nil {
 		p.log.Debug("instance list not read", "error", err)
 		return
 	}
-	p.instances.Publish(list)
+	p.listing.Publish(blackboard.Listing{Instances: list, ReadAt: began})
 }
 
 // candidacies returns the leases that this process wants: those for which it
 // is a candidate, and those that it holds. A holder stays one when the list
 // changes, so that the list's lag moves no lease.
 func (p *Process) candidacies() []lease.Wanted {
-	instances := p.instances.Value()
+	instances := p.listing.Value().Instances
 	held := make(map[lease.Name]bool)
 	for _, name := range p.leases.Held() {
 		held[name] = true
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -24,7 +24,7 @@
 // none, so their holders may be missing.
 func (p *Process) serveStatus(w http.ResponseWriter, _ *http.Request) {
 	statuses := []leaseStatus{}
-	for _, name := range leaseNames(p.documents.Value(), p.instances.Value()) {
+	for _, name := range leaseNames(p.documents.Value(), p.listing.Value().Instances) {
 		statuses = append(statuses, p.statusOf(name))
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/controller/wire.go
+++ b/internal/controller/wire.go
@@ -8,7 +8,6 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/document"
 	"github.com/goldcrestspool/goldcrestspool/internal/lease"
 	"github.com/goldcrestspool/goldcrestspool/internal/peer"
-	"github.com/goldcrestspool/goldcrestspool/internal/platform"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform/connectplatform"
 	"github.com/goldcrestspool/goldcrestspool/internal/settings"
 	"github.com/goldcrestspool/goldcrestspool/internal/transport"
@@ -23,7 +22,7 @@
 	s := p.settings
 	p.documents = blackboard.NewSection(&document.Set{})
 	p.health = blackboard.NewSection(blackboard.ConfigurationHealth{Problem: "not read yet"})
-	p.instances = blackboard.NewSection([]platform.Instance(nil))
+	p.listing = blackboard.NewSection(blackboard.Listing{})
 	p.client = transport.NewClient(transport.Options{})
 	p.platform = connectplatform.NewClient(p.client, s.Platform.Address)
 
@@ -73,7 +72,7 @@
 		orders.Config{Interval: s.Control.Interval, Flight: s.Control.Margin, Parallel: orders.DefaultParallel},
 		orders.Deps{
 			Documents: p.documents,
-			Instances: p.instances,
+			Listing:   p.listing,
 			Leases:    p.leases,
 			Dialer:    p.dialer,
 			Weights:   p.platform,
@@ -89,11 +88,11 @@
 		},
 		fleet.Deps{
 			Documents: p.documents,
-			Instances: p.instances,
+			Listing:   p.listing,
 			Leases:    p.leases,
 			Cloud:     p.platform,
 			Dialer:    p.dialer,
-			Gateways:  newGateways(s.Instance, p.pool, p.instances),
+			Gateways:  newGateways(s.Instance, p.pool, p.listing),
 			Log:       p.log.Named("fleet"),
 		})
 }
--- a/internal/controllers/fleet/actual.go
+++ b/internal/controllers/fleet/actual.go
@@ -41,6 +41,9 @@
 	// settle is how long a new holder starts nothing: the starts of the
 	// holder before it must be listed, or they would be asked for twice.
 	settle = 10 * time.Second
+	// oldestListing is the age of the platform's list above which nothing is
+	// planned by it.
+	oldestListing = 15 * time.Second
 	// drainGrace is when, after the announcement, no gateway sends work to an
 	// upstream any more. The membership takes at most 4 s.
 	drainGrace = 6 * time.Second
--- a/internal/controllers/fleet/controller.go
+++ b/internal/controllers/fleet/controller.go
@@ -60,7 +60,7 @@
 // Deps is what the controller works with.
 type Deps struct {
 	Documents *blackboard.Section[*document.Set]
-	Instances *blackboard.Section[[]platform.Instance]
+	Listing   *blackboard.Section[blackboard.Listing]
 	Leases    Leases
 	Cloud     platform.Cloud
 	Dialer    Dialer
@@ -105,7 +105,14 @@
 
 // Round plans each service whose fleet this process holds and carries the plan
 // out.
+//
+// It does nothing without a recent list: an instance that is not seen would be
+// started a second time, or counted although it has ended.
 func (c *Controller) Round(ctx context.Context) {
+	if time.Since(c.deps.Listing.Value().ReadAt) > oldestListing {
+		roundsWithoutList.Add(1)
+		return
+	}
 	held := make(map[ident.Service]*memory)
 	for service, entry := range c.deps.Documents.Value().Services {
 		grant, holds := c.deps.Leases.Grant(lease.Name{Service: service})
@@ -173,7 +180,7 @@
 	if doc.Kind == document.Plain {
 		o.slots = c.config.SlotsPerPlain
 	}
-	for _, instance := range c.deps.Instances.Value() {
+	for _, instance := range c.deps.Listing.Value().Instances {
 		isUpstream := instance.Role == platform.RoleEngine || instance.Role == platform.RolePlain
 		if isUpstream && instance.Service == doc.Service && instance.State != platform.Ended {
 			o.instances = append(o.instances, instance)
--- a/internal/controllers/fleet/metrics.go
+++ b/internal/controllers/fleet/metrics.go
@@ -4,9 +4,10 @@
 
 // Counters of this process.
 var (
-	starts          = expvar.NewInt("goldcrestspool.fleet.starts")
-	startsFailed    = expvar.NewInt("goldcrestspool.fleet.starts_failed")
-	drains          = expvar.NewInt("goldcrestspool.fleet.drains")
-	stops           = expvar.NewInt("goldcrestspool.fleet.stops")
-	actionsWithheld = expvar.NewInt("goldcrestspool.fleet.withheld_lease_lost")
+	starts            = expvar.NewInt("goldcrestspool.fleet.starts")
+	startsFailed      = expvar.NewInt("goldcrestspool.fleet.starts_failed")
+	drains            = expvar.NewInt("goldcrestspool.fleet.drains")
+	stops             = expvar.NewInt("goldcrestspool.fleet.stops")
+	roundsWithoutList = expvar.NewInt("goldcrestspool.fleet.rounds_without_list")
+	actionsWithheld   = expvar.NewInt("goldcrestspool.fleet.withheld_lease_lost")
 )
--- a/internal/controllers/fleet/scenario_test.go
+++ b/internal/controllers/fleet/scenario_test.go
@@ -67,6 +67,7 @@
 			name: "a takeover in a lull stops upstreams",
 			run: func(t *testing.T, m *machine) {
 				m.rush(t)
+				m.advance(t, 2*requestTime)
 				for i := range m.processes {
 					m.stop(i)
 					m.start(i)
--- a/internal/controllers/fleet/world_test.go
+++ b/internal/controllers/fleet/world_test.go
@@ -273,13 +273,13 @@
 	p := &process{stop: stop}
 	doc := &document.Document{Service: service, Kind: document.Plain, Placement: placement()}
 	documents := blackboard.NewSection(&document.Set{Services: map[ident.Service]document.Entry{service: {Document: doc}}})
-	listed := blackboard.NewSection([]platform.Instance(nil))
+	listed := blackboard.NewSection(blackboard.Listing{})
 	p.leases = lease.New(lease.Config{Holder: lease.NewHolder(id, 1), Margin: flight}, w.log)
 	p.leases.Want([]lease.Wanted{{Name: lease.Name{Service: service}, Rank: rank}})
 	controller := fleet.New(
 		fleet.Config{Interval: time.Second, Flight: flight, Parallel: 4, SlotsPerEngine: slots, SlotsPerPlain: slots},
 		fleet.Deps{
-			Documents: documents, Instances: listed, Leases: p.leases, Cloud: w,
+			Documents: documents, Listing: listed, Leases: p.leases, Cloud: w,
 			Dialer: w, Gateways: w, Log: hclog.NewNullLogger(),
 		})
 	p.done.Go(func() { p.leases.Run(ctx) })
@@ -287,7 +287,7 @@
 	p.done.Go(func() {
 		for ctx.Err() == nil {
 			if list, err := w.list.List(ctx); err == nil {
-				listed.Publish(list)
+				listed.Publish(blackboard.Listing{Instances: list, ReadAt: time.Now()})
 			}
 			time.Sleep(time.Second)
 		}
--- a/internal/controllers/orders/controller.go
+++ b/internal/controllers/orders/controller.go
@@ -51,7 +51,7 @@
 // Deps is what the controller works with.
 type Deps struct {
 	Documents *blackboard.Section[*document.Set]
-	Instances *blackboard.Section[[]platform.Instance]
+	Listing   *blackboard.Section[blackboard.Listing]
 	Leases    Leases
 	Dialer    Dialer
 	Weights   Weights
@@ -112,7 +112,7 @@
 func (c *Controller) held() map[lease.Name][]platform.Instance {
 	documents := c.deps.Documents.Value()
 	held := make(map[lease.Name][]platform.Instance)
-	for _, instance := range c.deps.Instances.Value() {
+	for _, instance := range c.deps.Listing.Value().Instances {
 		doc, found := documents.Find(instance.Service)
 		isEngine := instance.Role == platform.RoleEngine && instance.State == platform.Live
 		if !found || doc.Kind != document.Model || !isEngine {
--- a/internal/controllers/orders/late_order_test.go
+++ b/internal/controllers/orders/late_order_test.go
@@ -127,7 +127,7 @@
 	link      *link
 	leases    *lease.Manager
 	documents *blackboard.Section[*document.Set]
-	instances *blackboard.Section[[]platform.Instance]
+	listing   *blackboard.Section[blackboard.Listing]
 }
 
 // Engine implements orders.Dialer: there is one engine.
@@ -153,7 +153,7 @@
 	h := &holder{
 		link:      newLink(log),
 		documents: blackboard.NewSection(documentOf("1")),
-		instances: blackboard.NewSection([]platform.Instance(nil)),
+		listing:   blackboard.NewSection(blackboard.Listing{}),
 	}
 	h.leases = lease.New(lease.Config{Holder: lease.NewHolder(id, 1), Margin: with.margin, Poll: with.interval}, h.link)
 	go h.leases.Run(ctx)
@@ -161,7 +161,7 @@
 		orders.Config{Interval: with.interval, Flight: lease.DefaultMargin, Parallel: 4},
 		orders.Deps{
 			Documents: h.documents,
-			Instances: h.instances,
+			Listing:   h.listing,
 			Leases:    h.leases,
 			Dialer:    dialer{remoteEngine{Engine: e, link: h.link}},
 			Weights:   weights{link: h.link, freezes: with.freezeBeforeCheck},
@@ -175,10 +175,10 @@
 
 // list makes the engine known to the holder.
 func (h *holder) list() {
-	h.instances.Publish([]platform.Instance{{
+	h.listing.Publish(blackboard.Listing{Instances: []platform.Instance{{
 		ID: "engine-1", Incarnation: 1, Role: platform.RoleEngine, Service: leaseName.Service,
 		FailureDomain: leaseName.FailureDomain, Address: "engine-1", State: platform.Live,
-	}})
+	}}})
 }
 
 func (h *holder) want() { h.leases.Want([]lease.Wanted{{Name: leaseName}}) }
