--- a/internal/controllers/fleet/actual.go
+++ b/internal/controllers/fleet/actual.go
@@ -41,6 +41,9 @@
 	// settle is how long a new holder starts nothing: the starts of the
 	// holder before it must be listed, or they would be asked for twice.
 	settle = 10 * time.Second
+	// oldestListing is the age of the platform's list above which nothing is
+	// planned by it.
+	oldestListing = 15 * time.Second
 	// drainGrace is when, after the announcement, no gateway sends work to an
 	// upstream any more. The membership takes at most 4 s.
 	drainGrace = 6 * time.Second
@@ -99,6 +102,9 @@
 		work += l.running + l.queued
 		actual.Instances = append(actual.Instances, counted)
 	}
+	if m.demand.at.IsZero() {
+		m.demand.seed(len(o.instances), now)
+	}
 	for _, p := range m.pending {
 		actual.Pending = append(actual.Pending, p.Pending)
 	}
@@ -161,9 +167,13 @@
 	m.failures[offering] = planner.Failures{Count: f.Count + 1, Last: now}
 }
 
-// settled reports whether this holder has held the lease for long enough to
-// see all that earlier holders started.
-func (m *memory) settled(now time.Time) bool { return now.Sub(m.since) >= settle }
+// mayStart reports whether this holder has held the lease for long enough to
+// see all that earlier holders started, and whether no start of the offering
+// was refused since the plan was made: the others would be refused as well.
+func (m *memory) mayStart(offering planner.Offering, planned time.Time) bool {
+	settled := planned.Sub(m.since) >= settle
+	return settled && m.failures[offering].Last.Before(planned)
+}
 
 func key(instance platform.Instance) upstreamKey {
 	return upstreamKey{instance.ID, instance.Incarnation}
