--- a/internal/loadgen/booking.go
+++ b/internal/loadgen/booking.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"time"
 
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/proto"
 
 	callerv1 "github.com/goldcrestspool/goldcrestspool/api/caller/v1"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	outcomes "github.com/goldcrestspool/goldcrestspool/internal/outcome"
 	"github.com/goldcrestspool/goldcrestspool/internal/standin/answer"
 	"github.com/goldcrestspool/goldcrestspool/internal/transport"
 )
@@ -17,6 +19,9 @@
 type bookingCaller struct {
 	caller
 	request *callerv1.CallRequest
+	// silence is how long a gateway may give no answer. A frozen gateway, or a
+	// connection gone silent, would otherwise hold the caller for good.
+	silence time.Duration
 	// doubt: a call may be running, so ask for its outcome before another.
 	doubt bool
 }
@@ -45,7 +50,7 @@
 			b.refusals++
 			b.doubt = false
 		default:
-			b.doubt = true
+			b.doubt = outcome.GetReason() != string(outcomes.ReasonNotSeen)
 		}
 		if b.refusals >= maxRefusals || !b.told(ctx, outcome) {
 			b.last = outcome
@@ -62,6 +67,8 @@
 
 // once asks for the outcome of a call in doubt, or sends the call.
 func (b *bookingCaller) once(ctx context.Context) (callReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, b.silence)
+	defer cancel()
 	if b.doubt {
 		return b.ask(ctx)
 	}
--- a/internal/loadgen/command/command.go
+++ b/internal/loadgen/command/command.go
@@ -78,7 +78,7 @@
 	BookingMethod string `arg:"--booking-method" default:"bid" help:"method of bookings"`
 
 	Patience    time.Duration `default:"60s" help:"how long a caller waits for its final outcome"`
-	Silence     time.Duration `default:"5s" help:"silence after which a caller resumes its stream elsewhere"`
+	Silence     time.Duration `default:"5s" help:"silence after which a caller goes to another gateway"`
 	MaxRefusals int           `arg:"--max-refusals" default:"3" help:"refusals after which a caller gives up"`
 	JSON        bool          `arg:"--json" help:"print the result as JSON"`
 }
--- a/internal/loadgen/loadgen_test.go
+++ b/internal/loadgen/loadgen_test.go
@@ -109,6 +109,7 @@
 	completed = told(callerv1.OutcomeKind_OUTCOME_KIND_COMPLETED)
 	notRun    = told(callerv1.OutcomeKind_OUTCOME_KIND_NOT_RUN)
 	unknown   = told(callerv1.OutcomeKind_OUTCOME_KIND_UNKNOWN)
+	notSeen   = &callerv1.Outcome{Kind: callerv1.OutcomeKind_OUTCOME_KIND_UNKNOWN, Reason: "not_seen"}
 )
 
 func whole(_ context.Context, prompt string, from, to int, send func(int, ...string)) (*callerv1.Outcome, error) {
@@ -263,6 +264,18 @@
 	}
 }
 
+// Symptom: a caller waits for ever. Sequence: a gateway takes a call, executes
+// it and freezes. Cause: nothing bounds one attempt.
+func TestSilentCallIsAskedFor(t *testing.T) {
+	frozen := func(ctx context.Context, g *gateway, key string) (*callerv1.Outcome, []byte, error) {
+		_, _, _ = execute(ctx, g, key)
+		<-ctx.Done()
+		return nil, nil, errCut
+	}
+	g := &gateway{calls: []callScript{frozen, executeTwice}, outcomes: []callScript{tell(completed, nil)}}
+	drive(t, g, Booking, shortSilence, Whole)
+}
+
 func TestBookingsAreJudged(t *testing.T) {
 	calls := func(scripts ...callScript) []callScript { return scripts }
 	cases := []struct {
@@ -279,6 +292,7 @@
 		{"refused for ever", calls(tell(notRun, nil)), nil, Refused},
 		{"answer lost, outcome found", calls(executeButTell(nil, errCut)), calls(tell(unknown, nil), tell(completed, nil)), Whole},
 		{"request lost, key unknown, sent again", calls(tell(nil, errCut), execute), calls(tell(nil, errCut)), Whole},
+		{"request lost, not seen, sent again", calls(tell(nil, errCut), execute), calls(tell(notSeen, nil)), Whole},
 		{"unknown for ever", calls(tell(unknown, nil)), calls(tell(unknown, nil)), Unknown},
 	}
 	for _, c := range cases {
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -27,7 +27,7 @@
 	Plains []string
 	// Patience is how long a caller waits for its final outcome.
 	Patience time.Duration
-	// Silence is how long a stream may give nothing.
+	// Silence is how long a stream may give nothing, and a call no answer.
 	Silence time.Duration
 	// MaxRefusals is after how many refusals a caller gives up.
 	MaxRefusals int
@@ -95,7 +95,7 @@
 
 func (r *Run) book(ctx context.Context, base caller, a Arrival, due time.Time) *ended {
 	key := fmt.Sprintf("%s-%d", r.id, a.Number)
-	b := &bookingCaller{caller: base, request: &callerv1.CallRequest{
+	b := &bookingCaller{caller: base, silence: r.options.Silence, request: &callerv1.CallRequest{
 		Service:        string(r.workload.PlainService),
 		Method:         string(r.workload.BookingMethod),
 		IdempotencyKey: key,
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -65,6 +65,9 @@
 	ReasonClaimedElsewhere Reason = "claimed_elsewhere"
 	ReasonKeyReused        Reason = "key_reused"
 	ReasonApplication      Reason = "application_error"
+	// ReasonNotSeen: no attempt with the key is known that may have run. The
+	// call may be sent again with the same key.
+	ReasonNotSeen Reason = "not_seen"
 	// ReasonReplaced: the same caller resumed the request elsewhere, with
 	// tokens that this stream does not continue.
 	ReasonReplaced Reason = "replaced"
