--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -42,6 +42,8 @@
 // Version implements go-arg's interface for --version.
 func (arguments) Version() string { return "standin (goldcrestspool)" }
 
+// platformArguments has the fields of process.PlatformOptions, to which it is
+// converted.
 type platformArguments struct {
 	Listen           string        `default:"127.0.0.1:0" help:"address to serve on; port 0 lets the kernel choose"`
 	MaxRecords       int           `arg:"--max-records" help:"records kept of a stream; 0 keeps all"`
