--- a/internal/loadgen/booking.go
+++ b/internal/loadgen/booking.go
@@ -3,13 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"time"
 
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/proto"
 
 	callerv1 "github.com/goldcrestspool/goldcrestspool/api/caller/v1"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
-	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
+	outcomes "github.com/goldcrestspool/goldcrestspool/internal/outcome"
 	"github.com/goldcrestspool/goldcrestspool/internal/standin/answer"
 	"github.com/goldcrestspool/goldcrestspool/internal/transport"
 )
@@ -18,10 +19,11 @@
 type bookingCaller struct {
 	caller
 	request *callerv1.CallRequest
+	// silence is how long a gateway may give no answer. A frozen gateway, or a
+	// connection gone silent, would otherwise hold the caller for good.
+	silence time.Duration
 	// doubt: a call may be running, so ask for its outcome before another.
 	doubt bool
-	// notSeen: the last answer said that no gateway has seen the key.
-	notSeen bool
 }
 
 // run sends the call until its outcome is final, it was refused maxRefusals
@@ -38,21 +40,20 @@
 			}
 			continue
 		}
-		told := reply.outcome
-		switch told.GetKind() {
+		outcome := reply.outcome
+		switch outcome.GetKind() {
 		case callerv1.OutcomeKind_OUTCOME_KIND_COMPLETED:
 			return b.judge(reply.payload)
 		case callerv1.OutcomeKind_OUTCOME_KIND_FAILED:
-			return fromOutcome(Failed, told)
+			return fromOutcome(Failed, outcome)
 		case callerv1.OutcomeKind_OUTCOME_KIND_NOT_RUN:
 			b.refusals++
 			b.doubt = false
 		default:
-			b.doubt = !b.notSeen
-			b.notSeen = false
+			b.doubt = outcome.GetReason() != string(outcomes.ReasonNotSeen)
 		}
-		if b.refusals >= maxRefusals || !b.told(ctx, told) {
-			b.last = told
+		if b.refusals >= maxRefusals || !b.told(ctx, outcome) {
+			b.last = outcome
 			return b.giveUp(nil)
 		}
 	}
@@ -66,6 +67,8 @@
 
 // once asks for the outcome of a call in doubt, or sends the call.
 func (b *bookingCaller) once(ctx context.Context) (callReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, b.silence)
+	defer cancel()
 	if b.doubt {
 		return b.ask(ctx)
 	}
@@ -96,9 +99,7 @@
 		b.doubt = connect.CodeOf(err) != connect.CodeNotFound
 		return callReply{}, err
 	}
-	reply := callReply{response.GetOutcome(), response.GetPayload()}
-	b.notSeen = reply.outcome.GetReason() == string(outcome.ReasonNotSeen)
-	return reply, nil
+	return callReply{response.GetOutcome(), response.GetPayload()}, nil
 }
 
 func (b *bookingCaller) judge(payload []byte) *finding {
