--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -179,7 +179,7 @@
 	if err != nil {
 		return err
 	}
-	p.platform = connectplatform.NewClient(transport.NewClient(transport.Options{}), p.settings.Platform.Address)
+	p.platform = connectplatform.NewClient(transport.NewClient(transport.Options{FreshConnections: true}), p.settings.Platform.Address)
 	p.dialer = newDialer(upstreamTLS)
 	p.wireState()
 	p.wireRequests()
--- a/internal/spoolctl/gateway.go
+++ b/internal/spoolctl/gateway.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return errcode.Wrap(errcode.InvalidArgument, err, "gateway's address")
 	}
-	resp, err := transport.NewClient(transport.Options{}).Do(req)
+	resp, err := transport.NewClient(transport.Options{FreshConnections: true}).Do(req)
 	if err != nil {
 		return errcode.Wrap(errcode.Unavailable, err, "the gateway does not answer")
 	}
--- a/internal/spoolctl/spoolctl.go
+++ b/internal/spoolctl/spoolctl.go
@@ -191,7 +191,7 @@
 	if err != nil {
 		return nil, err
 	}
-	client := transport.NewClient(transport.Options{})
+	client := transport.NewClient(transport.Options{FreshConnections: true})
 	return &stream{log: platform.Log(connectplatform.NewClient(client, base)), patience: a.Patience}, nil
 }
 
