--- a/internal/auth/auth.go
+++ b/internal/auth/auth.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
+	"net/http"
 	"slices"
 	"strings"
 
@@ -61,7 +62,7 @@
 
 type accountKey struct{}
 
-// Account returns the client account that Interceptor put into a handler's
+// Account returns the client account that Middleware put into a handler's
 // context; empty outside a handler.
 func Account(ctx context.Context) ident.ClientAccount {
 	account, _ := ctx.Value(accountKey{}).(ident.ClientAccount)
@@ -73,33 +74,23 @@
 	return context.WithValue(ctx, accountKey{}, account)
 }
 
-// Interceptor refuses every request without a valid token and gives the
-// handler the client account of the others.
-type Interceptor struct{ Authenticator *Authenticator }
-
-// WrapUnary implements connect.Interceptor.
-func (i Interceptor) WrapUnary(next connect.UnaryFunc) connect.UnaryFunc {
-	return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
-		account, err := i.Authenticator.Authenticate(req.Header().Get("Authorization"))
-		if err != nil {
-			return nil, connect.NewError(connect.CodeUnauthenticated, err)
+// Middleware returns a handler that gives next the client account of a request
+// in its context. It answers requests without a valid token itself, without
+// reading their body, and calls refused for each.
+func (a *Authenticator) Middleware(next http.Handler, refused func(*http.Request)) http.Handler {
+	errors := connect.NewErrorWriter()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		account, err := a.Authenticate(r.Header.Get("Authorization"))
+		if err == nil {
+			next.ServeHTTP(w, r.WithContext(WithAccount(r.Context(), account)))
+			return
 		}
-		return next(WithAccount(ctx, account), req)
-	}
-}
-
-// WrapStreamingClient implements connect.Interceptor; clients pass through.
-func (i Interceptor) WrapStreamingClient(next connect.StreamingClientFunc) connect.StreamingClientFunc {
-	return next
-}
-
-// WrapStreamingHandler implements connect.Interceptor.
-func (i Interceptor) WrapStreamingHandler(next connect.StreamingHandlerFunc) connect.StreamingHandlerFunc {
-	return func(ctx context.Context, conn connect.StreamingHandlerConn) error {
-		account, err := i.Authenticator.Authenticate(conn.RequestHeader().Get("Authorization"))
-		if err != nil {
-			return connect.NewError(connect.CodeUnauthenticated, err)
+		refused(r)
+		if !errors.IsSupported(r) {
+			http.Error(w, err.Error(), http.StatusUnauthorized)
+			return
 		}
-		return next(WithAccount(ctx, account), conn)
-	}
+		// The caller may be gone; there is nobody left to tell.
+		_ = errors.Write(w, r, connect.NewError(connect.CodeUnauthenticated, err))
+	})
 }
--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -45,7 +45,7 @@
 type Dispatcher interface {
 	// Pick chooses the upstream for a call, none of exclude. ok is false
 	// when there is none.
-	Pick(call Call, exclude []ident.Instance) (target journal.Target, ok bool)
+	Pick(ctx context.Context, call Call, exclude []ident.Instance) (target journal.Target, ok bool)
 	// Invoke sends the call to the target, once, and never repeats it by
 	// itself. upstream.Ran tells what an error means. When the target's
 	// address is served by another incarnation, Invoke must not send the
--- a/internal/calls/dispatch.go
+++ b/internal/calls/dispatch.go
@@ -66,7 +66,9 @@
 		cl.result.outcome = p.conclude(cl.record.Head, answer)
 	case !upstream.Ran(err):
 		p.writer.add(notRun(cl, outcome.ReasonUpstreamRefused))
-		cl.result.outcome = outcome.NewNotRun(outcome.ReasonUpstreamRefused, "the upstream ran nothing: "+err.Error(), retrySoon)
+		// The error's text stays inside: it may name addresses and quote
+		// the call.
+		cl.result.outcome = outcome.NewNotRun(outcome.ReasonUpstreamRefused, "the upstream ran nothing", retrySoon)
 		cl.result.again = true
 	default:
 		cl.result.outcome = c.concludeLost(p, cl, spec)
--- a/internal/calls/do.go
+++ b/internal/calls/do.go
@@ -154,7 +154,7 @@
 func (c *Coordinator) own(ctx context.Context, p *partition, call Call, digest journal.Digest, releases *journal.Release) outcome.Outcome {
 	var exclude []ident.Instance
 	for try := 1; ; try++ {
-		target, picked := c.cfg.Dispatcher.Pick(call, exclude)
+		target, picked := c.cfg.Dispatcher.Pick(ctx, call, exclude)
 		if !picked && (try > 1 || call.first() && releases == nil) {
 			return outcome.NewNotRun(outcome.ReasonNoUpstream, "no upstream can take the call", retryLater)
 		}
@@ -227,6 +227,8 @@
 // awaitRuling waits until the log's verdict is known. ok is false when the
 // claim was given up or handed over instead; then o is the answer.
 func (c *Coordinator) awaitRuling(ctx context.Context, p *partition, cl *claim) (r ruling, o outcome.Outcome, ok bool) {
+	ctx, end := startSpan(ctx)
+	defer end()
 	limit := time.NewTimer(c.limits.ClaimWait)
 	defer limit.Stop()
 	reason := outcome.ReasonLogUnavailable
--- a/internal/calls/world_test.go
+++ b/internal/calls/world_test.go
@@ -242,7 +242,7 @@
 // dispatcher reaches the upstreams of the gateway's side of a split.
 type dispatcher struct{ g *gateway }
 
-func (d dispatcher) Pick(_ Call, exclude []ident.Instance) (journal.Target, bool) {
+func (d dispatcher) Pick(_ context.Context, _ Call, exclude []ident.Instance) (journal.Target, bool) {
 	w := d.g.w
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/gateway/check.go
+++ b/internal/gateway/check.go
@@ -70,9 +70,7 @@
 	if !ok {
 		found.Add(finding.Finding{Key: "class", Problem: "unknown class", Want: "a latency class of service " + string(doc.Service)})
 	}
-	if _, err := uuid.Parse(req.GetRequestId()); err != nil {
-		found.Add(finding.Finding{Key: "request_id", Problem: "not a UUID", Want: "a random UUID chosen by the caller"})
-	}
+	checkRequestID(&found, req.GetRequestId())
 	if req.GetPrompt() == "" {
 		found.Add(finding.Finding{Key: "prompt", Problem: "empty", Want: "a text"})
 	}
@@ -82,6 +80,29 @@
 	return class, invalid(found)
 }
 
+func checkRequestID(found *finding.List, id string) {
+	if _, err := uuid.Parse(id); err != nil {
+		found.Add(finding.Finding{Key: "request_id", Problem: "not a UUID", Want: "a random UUID chosen by the caller"})
+	}
+}
+
+// maxServiceName bounds what is logged of a service that no document describes.
+const maxServiceName = 256
+
+// checkResume checks what a resumed token stream says itself. Its service may
+// have been withdrawn since it began, so none is looked up.
+func checkResume(req *callerv1.ResumeRequest) error {
+	var found finding.List
+	checkRequestID(&found, req.GetRequestId())
+	switch {
+	case len(req.GetService()) > maxServiceName:
+		found.Add(finding.Finding{Key: "service", Problem: "too long", Want: "the service of the stream"})
+	case req.GetOriginal() != nil && req.GetOriginal().GetService() != req.GetService():
+		found.Add(finding.Finding{Key: "service", Problem: "is not that of original", Want: "the service of the stream"})
+	}
+	return invalid(found)
+}
+
 // deadlineOf returns when a request has to be answered, or zero for never.
 // The caller's own deadline is in the context.
 func deadlineOf(now time.Time, limit time.Duration) time.Time {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -18,12 +18,12 @@
 func isLeaving(err error) bool { return errors.Is(err, upstream.ErrLeaving) }
 
 // Pick implements calls.Dispatcher.
-func (p *plains) Pick(call calls.Call, exclude []ident.Instance) (journal.Target, bool) {
+func (p *plains) Pick(ctx context.Context, call calls.Call, exclude []ident.Instance) (journal.Target, bool) {
 	doc, ok := p.documents.Value().Find(call.Key.Service)
 	if !ok {
 		return journal.Target{}, false
 	}
-	u, _, found := p.decide(doc, call.Key.Account, exclude)
+	u, _, found := p.decide(ctx, doc, call.Key.Account, exclude)
 	return journal.Target{
 		Instance:    u.Instance.ID,
 		Incarnation: u.Instance.Incarnation,
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
@@ -71,8 +70,8 @@
 
 // Pick implements streaming.Picker.
 func (e *engines) Pick(ctx context.Context, req streaming.PickRequest) (streaming.Target, error) {
-	_, span := e.tracer.Start(ctx, "routing")
-	defer span.End()
+	_, span, end := startSpan(ctx, e.tracer, "routing")
+	defer end()
 	ask := req.Request.Ask
 	doc, ok := e.documents.Value().Find(ask.Service)
 	if !ok {
@@ -87,7 +86,7 @@
 	if !decision.Found() || !found {
 		return streaming.Target{}, noUpstream("no engine can take the request now")
 	}
-	span.SetAttributes(attribute.String("upstream", string(decision.Upstream)))
+	span.SetAttributes(upstreamKey.String(string(decision.Upstream)))
 	return e.target(req, route, decision, u), nil
 }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -6,7 +6,6 @@
 
 	"connectrpc.com/connect"
 	"github.com/hashicorp/go-hclog"
-	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
 	callerv1 "github.com/goldcrestspool/goldcrestspool/api/caller/v1"
@@ -55,8 +54,8 @@
 
 // Call implements the callers' API.
 func (h *handler) Call(ctx context.Context, req *callerv1.CallRequest) (*callerv1.CallResponse, error) {
-	ctx, span := h.tracer.Start(ctx, "call", trace.WithAttributes(attribute.String("service", req.GetService())))
-	defer span.End()
+	ctx, span, end := h.startRequest(ctx, "call", req.GetService())
+	defer end()
 	doc, err := findService(h.documents.Value(), req.GetService(), document.Plain)
 	if err != nil {
 		return nil, wireError(err)
@@ -69,7 +68,7 @@
 	defer cancel()
 	subject := explain.Subject{Request: ident.NewRequest(), Service: doc.Service, Account: auth.Account(ctx)}
 	o := h.call(ctx, subject, doc, method, req)
-	h.told(subject, o)
+	h.told(span, subject, o)
 	return &callerv1.CallResponse{Outcome: toWire(o), Payload: o.Payload, RequestId: string(subject.Request)}, nil
 }
 
@@ -112,8 +111,6 @@
 	}
 	defer ticket.Done(admission.Result{})
 	if keyed {
-		ctx, span := h.tracer.Start(ctx, "journal")
-		defer span.End()
 		return h.calls.Do(ctx, call)
 	}
 	return h.plains.Run(ctx, idempotentCall{
@@ -136,13 +133,19 @@
 }
 
 func (h *handler) admit(ctx context.Context, req admission.Request) (*admission.Ticket, *outcome.Outcome) {
-	ctx, span := h.tracer.Start(ctx, "admission")
-	defer span.End()
-	return h.admission.Admit(ctx, req)
+	ctx, span, end := startSpan(ctx, h.tracer, "admission")
+	defer end()
+	ticket, refusal := h.admission.Admit(ctx, req)
+	if refusal != nil {
+		span.SetAttributes(refusedKey.String(string(refusal.Reason)))
+	}
+	return ticket, refusal
 }
 
-// told logs and remembers what a caller was told.
-func (h *handler) told(s explain.Subject, o outcome.Outcome) {
+// told logs, traces and remembers what a caller was told.
+func (h *handler) told(span trace.Span, s explain.Subject, o outcome.Outcome) {
+	span.SetAttributes(requestKey.String(string(s.Request)), accountKey.String(string(s.Account)),
+		outcomeKey.String(o.Kind.String()), reasonKey.String(string(o.Reason)))
 	h.explain.End(s, explain.Ending{Outcome: o.Kind.String(), Reason: string(o.Reason), Message: o.Message})
 	outcomesVar.Add(o.Kind.String(), 1)
 	fields := []any{"request_id", s.Request, "client_account", s.Account, "service", s.Service,
@@ -156,8 +159,8 @@
 
 // GetOutcome implements the callers' API.
 func (h *handler) GetOutcome(ctx context.Context, req *callerv1.GetOutcomeRequest) (*callerv1.GetOutcomeResponse, error) {
-	ctx, span := h.tracer.Start(ctx, "get outcome")
-	defer span.End()
+	ctx, _, end := h.startRequest(ctx, "get outcome", req.GetService())
+	defer end()
 	doc, err := findService(h.documents.Value(), req.GetService(), document.Plain)
 	if err != nil {
 		return nil, wireError(err)
@@ -172,8 +175,8 @@
 
 // Generate implements the callers' API.
 func (h *handler) Generate(ctx context.Context, req *callerv1.GenerateRequest, out *connect.ServerStream[callerv1.GenerateResponse]) error {
-	ctx, span := h.tracer.Start(ctx, "generate", trace.WithAttributes(attribute.String("service", req.GetService())))
-	defer span.End()
+	ctx, span, end := h.startRequest(ctx, "generate", req.GetService())
+	defer end()
 	stream, err := h.streamRequest(ctx, req)
 	if err != nil {
 		return wireError(err)
@@ -183,7 +186,7 @@
 	if err != nil {
 		return wireError(err)
 	}
-	h.told(stream.subject(), o)
+	h.told(span, stream.subject(), o)
 	return sink.end(o)
 }
 
@@ -258,8 +261,11 @@
 
 // Resume implements the callers' API.
 func (h *handler) Resume(ctx context.Context, req *callerv1.ResumeRequest, out *connect.ServerStream[callerv1.ResumeResponse]) error {
-	ctx, span := h.tracer.Start(ctx, "resume", trace.WithAttributes(attribute.String("service", req.GetService())))
-	defer span.End()
+	ctx, span, end := h.startRequest(ctx, "resume", req.GetService())
+	defer end()
+	if err := checkResume(req); err != nil {
+		return wireError(err)
+	}
 	resume := streaming.ResumeRequest{
 		Key:       streaming.Key{Account: auth.Account(ctx), Request: ident.Request(req.GetRequestId())},
 		Next:      req.GetNextIndex(),
@@ -270,7 +276,7 @@
 	if err != nil {
 		return wireError(err)
 	}
-	h.told(explain.Subject{Request: resume.Key.Request, Service: ident.Service(req.GetService()), Account: resume.Key.Account}, o)
+	h.told(span, explain.Subject{Request: resume.Key.Request, Service: ident.Service(req.GetService()), Account: resume.Key.Account}, o)
 	return sink.end(o)
 }
 
--- /dev/null
+++ b/internal/gateway/handler_test.go
@@ -0,0 +1,501 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	callerv1 "github.com/goldcrestspool/goldcrestspool/api/caller/v1"
+	"github.com/goldcrestspool/goldcrestspool/api/caller/v1/callerv1connect"
+	"github.com/goldcrestspool/goldcrestspool/internal/admission"
+	"github.com/goldcrestspool/goldcrestspool/internal/admission/concurrency"
+	"github.com/goldcrestspool/goldcrestspool/internal/admission/gate"
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
+	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
+	"github.com/goldcrestspool/goldcrestspool/internal/retry"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/answer"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstream"
+)
+
+// The kinds, in short.
+const (
+	completed  = callerv1.OutcomeKind_OUTCOME_KIND_COMPLETED
+	notRun     = callerv1.OutcomeKind_OUTCOME_KIND_NOT_RUN
+	unknown    = callerv1.OutcomeKind_OUTCOME_KIND_UNKNOWN
+	inProgress = callerv1.OutcomeKind_OUTCOME_KIND_IN_PROGRESS
+	failed     = callerv1.OutcomeKind_OUTCOME_KIND_FAILED
+)
+
+// errLost is an upstream's answer that was lost: the call may have run.
+var errLost = errcode.New(errcode.Unavailable, "connection reset")
+
+func TestMalformedRequestsNameEveryFault(t *testing.T) {
+	w := newWorld(t, worldOptions{})
+	call := func(change func(*callerv1.CallRequest)) func() error {
+		return func() error {
+			req := bid("malformed", 1, "")
+			change(req)
+			_, err := w.client.Call(context.Background(), req)
+			return err
+		}
+	}
+	stream := func(req *callerv1.GenerateRequest) func() error {
+		return func() error {
+			_, err := generate(context.Background(), w.client, req)
+			return err
+		}
+	}
+	takeUp := func(req *callerv1.ResumeRequest) func() error {
+		return func() error {
+			_, err := resume(context.Background(), w.client, req)
+			return err
+		}
+	}
+	cases := map[string]struct {
+		send func() error
+		code connect.Code
+		want []string
+	}{
+		"a call of no service": {call(func(r *callerv1.CallRequest) { r.Service = "none" }), connect.CodeNotFound, []string{`"none"`}},
+		"a call of a model service": {call(func(r *callerv1.CallRequest) { r.Service = modelService }), connect.CodeInvalidArgument,
+			[]string{"kind model", "want plain"}},
+		"a call of no method": {call(func(r *callerv1.CallRequest) { r.Method = "none" }), connect.CodeInvalidArgument, []string{`method "none"`}},
+		"a booking without anything": {call(func(r *callerv1.CallRequest) { r.IdempotencyKey, r.IssuedAt, r.Attempt = "", nil, 0 }),
+			connect.CodeInvalidArgument, []string{"idempotency_key", "issued_at", "attempt"}},
+		"a booking with a key of 257 bytes, issued out of range": {call(func(r *callerv1.CallRequest) {
+			r.IdempotencyKey, r.IssuedAt = strings.Repeat("k", 257), &timestamppb.Timestamp{Nanos: -1}
+		}), connect.CodeInvalidArgument, []string{"idempotency_key", "issued_at"}},
+		"a stream of no service":      {stream(&callerv1.GenerateRequest{Service: "none"}), connect.CodeNotFound, []string{`"none"`}},
+		"a stream of a plain service": {stream(&callerv1.GenerateRequest{Service: plainService}), connect.CodeInvalidArgument, []string{"kind plain"}},
+		"a stream without anything": {stream(&callerv1.GenerateRequest{Service: modelService}), connect.CodeInvalidArgument,
+			[]string{"class", "request_id", "prompt", "max_tokens"}},
+		"a resumed stream without a request ID": {takeUp(&callerv1.ResumeRequest{Service: modelService}), connect.CodeInvalidArgument, []string{"request_id"}},
+		"a resumed stream whose original is of another service": {takeUp(&callerv1.ResumeRequest{
+			Service: strings.Repeat("s", 300), RequestId: streamID, Original: ask(streamID, "p", 3),
+		}), connect.CodeInvalidArgument, []string{"service"}},
+		"a resumed stream whose original has another ID": {takeUp(&callerv1.ResumeRequest{
+			Service: modelService, RequestId: streamID, Original: ask(otherID, "p", 3),
+		}), connect.CodeInvalidArgument, []string{"request_id"}},
+		"a resumed stream with fewer tokens than it says": {takeUp(&callerv1.ResumeRequest{
+			Service: modelService, RequestId: streamID, Original: ask(streamID, "p", 3), NextIndex: 2, Delivered: []string{"a"},
+		}), connect.CodeInvalidArgument, []string{"next_index"}},
+		"an outcome asked of no service": {func() error {
+			_, err := w.client.GetOutcome(context.Background(), &callerv1.GetOutcomeRequest{Service: "none", IdempotencyKey: "k"})
+			return err
+		}, connect.CodeNotFound, nil},
+		"an outcome asked without a key": {func() error {
+			_, err := w.client.GetOutcome(context.Background(), &callerv1.GetOutcomeRequest{Service: plainService})
+			return err
+		}, connect.CodeInvalidArgument, []string{"idempotency_key"}},
+		"a body over the limit": {call(func(r *callerv1.CallRequest) { r.Payload = make([]byte, 65<<10) }), connect.CodeResourceExhausted, nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			before := strings.Count(w.output.String(), `"request refused"`)
+			code, text := wireText(c.send())
+			if code != c.code {
+				t.Fatalf("code %v (%s), want %v", code, text, c.code)
+			}
+			for _, want := range c.want {
+				if !strings.Contains(text, want) {
+					t.Errorf("the error does not name %s: %s", want, text)
+				}
+			}
+			if after := strings.Count(w.output.String(), `"request refused"`); after != before+1 {
+				t.Errorf("%d lines in the log, want 1", after-before)
+			}
+		})
+	}
+	if n := len(w.first.calls()) + len(w.second.calls()); n != 0 {
+		t.Errorf("%d calls reached an upstream", n)
+	}
+}
+
+const (
+	streamID = "7f0c1d52-6f2e-4d0e-9b61-0a1b2c3d4e5f"
+	otherID  = "0d8e7c61-1111-4222-8333-444455556666"
+)
+
+// ask returns a token stream request.
+func ask(id, prompt string, tokens uint32) *callerv1.GenerateRequest {
+	return &callerv1.GenerateRequest{Service: modelService, Class: "short", Prompt: prompt, MaxTokens: tokens, RequestId: id}
+}
+
+// methods are the four methods of the API, each with a request that a caller
+// with a token gets an answer to.
+func methods(client callerv1connect.CallerServiceClient) map[string]func() error {
+	ctx := context.Background()
+	return map[string]func() error{
+		"Call": func() error { _, err := client.Call(ctx, lookUp("lot")); return err },
+		"GetOutcome": func() error {
+			_, err := client.GetOutcome(ctx, &callerv1.GetOutcomeRequest{Service: plainService, IdempotencyKey: "k"})
+			return err
+		},
+		"Generate": func() error { _, err := generate(ctx, client, ask(streamID, "p", 2)); return err },
+		"Resume": func() error {
+			_, err := resume(ctx, client, &callerv1.ResumeRequest{Service: modelService, RequestId: streamID, Original: ask(streamID, "p", 2)})
+			return err
+		},
+	}
+}
+
+func TestMissingAndWrongTokensGetTheSameAnswer(t *testing.T) {
+	w := newWorld(t, worldOptions{})
+	for name, send := range methods(w.client) {
+		if err := send(); err != nil {
+			t.Errorf("%s with a token: %v", name, err)
+		}
+	}
+	missing, wrong := methods(w.as(t, "")), methods(w.as(t, "wrong"))
+	for name := range missing {
+		t.Run(name, func(t *testing.T) {
+			code, text := wireText(missing[name]())
+			if code != connect.CodeUnauthenticated {
+				t.Errorf("without a token: %v %s", code, text)
+			}
+			otherCode, otherText := wireText(wrong[name]())
+			if otherCode != code || otherText != text {
+				t.Errorf("wrong token: %v %q; missing token: %v %q", otherCode, otherText, code, text)
+			}
+		})
+	}
+}
+
+// Symptom: anyone who can connect makes the gateway read and decode bodies.
+// Sequence: a request without a token and with a body over the limit.
+// Cause: Connect reads the body before its interceptors, and so before a token
+// that one of them checks.
+func TestBodyIsNotReadBeforeTheToken(t *testing.T) {
+	w := newWorld(t, worldOptions{})
+	_, err := w.as(t, "").Call(context.Background(), lookUp(strings.Repeat("x", 65<<10)))
+	if code, text := wireText(err); code != connect.CodeUnauthenticated {
+		t.Errorf("got %v %s", code, text)
+	}
+}
+
+func TestAccountsNeverMeet(t *testing.T) {
+	w := newWorld(t, worldOptions{})
+	other := w.as(t, traderToken)
+	ctx := context.Background()
+	outcomeOf := func(key string) *callerv1.GetOutcomeResponse {
+		resp, err := other.GetOutcome(ctx, &callerv1.GetOutcomeRequest{Service: plainService, IdempotencyKey: key})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return resp
+	}
+	if got := w.call(t, w.client, bid("shared", 1, "bid of the registrar")); got.kind != completed {
+		t.Fatalf("the registrar's bid: %+v", got)
+	}
+	theirs, nobodys := outcomeOf("shared"), outcomeOf("nobody's")
+	if diff := cmp.Diff(theirs.String(), nobodys.String()); diff != "" {
+		t.Errorf("another account's key is told apart from none:\n%s", diff)
+	}
+	if got := w.call(t, other, bid("shared", 1, "bid of the trader")); got.kind != completed || got.payload != "bid of the trader" {
+		t.Errorf("the trader's bid under the same key: %+v", got)
+	}
+	if got := w.call(t, w.client, bid("shared", 2, "bid of the registrar")); got.payload != "bid of the registrar" {
+		t.Errorf("the registrar's repeat: %+v", got)
+	}
+	if n := len(w.first.calls()) + len(w.second.calls()); n != 2 {
+		t.Errorf("%d effects, want one for each account", n)
+	}
+
+	if got, err := generate(ctx, w.client, ask(streamID, "prompt of the registrar", 5)); err != nil || len(got.tokens) != 5 {
+		t.Fatalf("the registrar's stream: %+v %v", got, err)
+	}
+	errorOf := func(id string) string {
+		_, err := resume(ctx, other, &callerv1.ResumeRequest{Service: modelService, RequestId: id})
+		code, text := wireText(err)
+		return code.String() + text
+	}
+	if theirs, nobodys := errorOf(streamID), errorOf(otherID); theirs != nobodys || !strings.HasPrefix(theirs, "not_found") {
+		t.Errorf("another account's stream is told apart from none: %q, %q", theirs, nobodys)
+	}
+	got, err := generate(ctx, other, ask(streamID, "prompt of the trader", 5))
+	if err != nil || !slices.Equal(got.tokens, answer.Tokens("prompt of the trader", 5)) {
+		t.Errorf("the trader's stream under the same ID: %+v %v", got, err)
+	}
+	got, err = resume(ctx, w.client, &callerv1.ResumeRequest{Service: modelService, RequestId: streamID, NextIndex: 0})
+	if err != nil || !slices.Equal(got.tokens, answer.Tokens("prompt of the registrar", 5)) {
+		t.Errorf("the registrar's stream, resumed: %+v %v", got, err)
+	}
+}
+
+// oneAtOnce admits one request of an account for a long time.
+var oneAtOnce = document.AccountLimit{RequestsPerSecond: 0.001, Burst: 1}
+
+func TestAdmissionRefusesTruthfully(t *testing.T) {
+	cases := map[string]struct {
+		send func(w *world) told
+		want told
+	}{
+		"an idempotent call": {func(w *world) told { return w.call(t, w.client, lookUp("x")) }, told{kind: notRun, reason: "rate_limited"}},
+		"the first attempt of a booking did not run": {func(w *world) told { return w.call(t, w.client, bid("new", 1, "x")) },
+			told{kind: notRun, reason: "rate_limited"}},
+		"a later attempt of a booking may have run": {func(w *world) told {
+			// A burst keeps one place for who was told to return.
+			w.call(t, w.client, bid("returned", 2, "x"))
+			return w.call(t, w.client, bid("new", 2, "x"))
+		},
+			told{kind: unknown, reason: "rate_limited"}},
+		"a repeat of a booking that an earlier attempt completed": {func(w *world) told { return w.call(t, w.client, bid("done", 2, "x")) },
+			told{kind: completed, payload: "x"}},
+		"another request under a key that is done": {func(w *world) told { return w.call(t, w.client, bid("done", 2, "y")) },
+			told{kind: notRun, reason: "key_reused"}},
+		"a token stream": {func(w *world) told {
+			if _, err := generate(context.Background(), w.client, ask(streamID, "p", 2)); err != nil {
+				t.Fatal(err)
+			}
+			got, err := generate(context.Background(), w.client, ask(otherID, "p", 2))
+			if err != nil || len(got.tokens) > 0 {
+				t.Fatalf("%+v %v", got, err)
+			}
+			return told{kind: got.outcome.GetKind(), reason: got.outcome.GetReason()}
+		}, told{kind: notRun, reason: "rate_limited"}},
+		"another account is not refused": {func(w *world) told { return w.call(t, w.as(t, traderToken), lookUp("z")) },
+			told{kind: completed, payload: "z"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, worldOptions{limit: oneAtOnce})
+			if got := w.call(t, w.client, bid("done", 1, "x")); got.kind != completed {
+				t.Fatalf("the first request: %+v", got)
+			}
+			if got := c.send(w); got != c.want {
+				t.Errorf("told %+v, want %+v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestRetries(t *testing.T) {
+	refuse := func(err error) func(invocation) (upstream.Answer, error) {
+		return func(invocation) (upstream.Answer, error) { return upstream.Answer{}, err }
+	}
+	none := retry.BudgetConfig{Ratio: 1e-9, Floor: 1e-9, MostStored: 1e-9}
+	cases := map[string]struct {
+		budget retry.BudgetConfig
+		err    error
+		send   *callerv1.CallRequest
+		// want is what is told, and calls how many reached both upstreams.
+		want  told
+		calls int
+	}{
+		"an idempotent call is repeated elsewhere":                {err: errLost, send: lookUp("x"), want: told{kind: completed, payload: "x"}, calls: 2},
+		"an idempotent call is not repeated beyond the budget":    {budget: none, err: errLost, send: lookUp("x"), want: told{kind: unknown, reason: "overloaded"}, calls: 1},
+		"one that was refused did not run":                        {budget: none, err: upstream.ErrLeaving, send: lookUp("x"), want: told{kind: notRun, reason: "overloaded"}, calls: 1},
+		"a booking whose answer was lost is never sent again":     {err: errLost, send: bid("lost", 1, "x"), want: told{kind: unknown, reason: "upstream_lost"}, calls: 1},
+		"a booking that an upstream refused may go to another":    {err: upstream.ErrLeaving, send: bid("refused", 1, "x"), want: told{kind: completed, payload: "x"}, calls: 2},
+		"an error that another upstream would give as well stays": {err: errcode.New(errcode.InvalidArgument, "bad lot"), send: lookUp("x"), want: told{kind: unknown, reason: "upstream_lost"}, calls: 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, worldOptions{budget: c.budget})
+			w.failFirst(refuse(c.err))
+			if got := w.call(t, w.client, c.send); got != c.want {
+				t.Errorf("told %+v, want %+v", got, c.want)
+			}
+			if n := len(w.first.calls()) + len(w.second.calls()); n != c.calls {
+				t.Errorf("%d calls reached the upstreams, want %d", n, c.calls)
+			}
+		})
+	}
+}
+
+// failFirst has the first call be answered by fail, wherever it goes.
+func (w *world) failFirst(fail func(invocation) (upstream.Answer, error)) {
+	turn := make(chan struct{}, 1)
+	turn <- struct{}{}
+	answer := func(i invocation) (upstream.Answer, error) {
+		select {
+		case <-turn:
+			return fail(i)
+		default:
+			return upstream.Answer{Payload: i.request.Payload}, nil
+		}
+	}
+	w.first.answer, w.second.answer = answer, answer
+}
+
+// hold has calls wait at the upstreams until release or their context ends;
+// arrived gets one value for each.
+func (w *world) hold() (arrived chan invocation, release chan struct{}) {
+	arrived, release = make(chan invocation, 16), make(chan struct{})
+	answer := func(i invocation) (upstream.Answer, error) {
+		arrived <- i
+		select {
+		case <-release:
+			return upstream.Answer{Payload: i.request.Payload}, nil
+		case <-i.ctx.Done():
+			return upstream.Answer{}, errcode.Wrap(errcode.Cancelled, i.ctx.Err(), "invoke")
+		}
+	}
+	w.first.answer, w.second.answer = answer, answer
+	return arrived, release
+}
+
+func TestDeadlines(t *testing.T) {
+	t.Run("the upstream gets the method's timeout", func(t *testing.T) {
+		for _, req := range []*callerv1.CallRequest{lookUp("x"), bid("timeout", 1, "x")} {
+			w := newWorld(t, worldOptions{})
+			w.call(t, w.client, req)
+			seen := append(w.first.calls(), w.second.calls()...)
+			deadline, ok := seen[0].ctx.Deadline()
+			if !ok || time.Until(deadline) > 20*time.Second {
+				t.Errorf("%s: deadline %v %v", req.GetMethod(), deadline, ok)
+			}
+		}
+	})
+	t.Run("a call that runs when the method's timeout ends may have run", func(t *testing.T) {
+		w := newWorld(t, worldOptions{})
+		w.hold()
+		req := bid("slow", 1, "x")
+		req.Method = "quick_bid"
+		if got := w.call(t, w.client, req); got.kind != unknown {
+			t.Errorf("told %+v", got)
+		}
+	})
+	t.Run("a booking goes on when its caller has gone, and its outcome is kept", func(t *testing.T) {
+		w := newWorld(t, worldOptions{})
+		arrived, release := w.hold()
+		ctx, cancel := context.WithCancel(context.Background())
+		gone := make(chan error, 1)
+		go func() {
+			_, err := w.client.Call(ctx, bid("left", 1, "x"))
+			gone <- err
+		}()
+		i := <-arrived
+		cancel()
+		if err := <-gone; connect.CodeOf(err) != connect.CodeCanceled {
+			t.Errorf("the caller heard %v", err)
+		}
+		close(release)
+		if got := w.eventually(t, bid("left", 2, "x")); got.kind != completed {
+			t.Errorf("the repeat: %+v", got)
+		}
+		if i.ctx.Err() != nil && len(w.first.calls())+len(w.second.calls()) != 1 {
+			t.Error("the booking was cut off or ran twice")
+		}
+	})
+	t.Run("a look-up is cut off when its caller goes", func(t *testing.T) {
+		w := newWorld(t, worldOptions{})
+		arrived, _ := w.hold()
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { _, _ = w.client.Call(ctx, lookUp("x")) }()
+		i := <-arrived
+		cancel()
+		<-i.ctx.Done()
+	})
+	t.Run("a queued call that is given up on did not run", func(t *testing.T) {
+		w := newWorld(t, worldOptions{admission: admission.Config{
+			// A short hold has callers wait that could be served in time.
+			Gate:        gate.Config{Hold: time.Millisecond},
+			Concurrency: concurrency.Config{Initial: 1, Min: 1, Max: 1},
+		}})
+		arrived, release := w.hold()
+		for _, key := range []string{"runs-1", "runs-2"} {
+			go func() { _, _ = w.client.Call(context.Background(), bid(key, 1, "x")) }()
+		}
+		<-arrived
+		<-arrived
+		late := bid("late", 1, "y")
+		late.Method = "quick_bid"
+		if got := w.call(t, w.client, late); got.kind != notRun || got.reason != string(outcome.ReasonDeadline) {
+			t.Errorf("told at the deadline: %+v", got)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		if _, err := w.client.Call(ctx, bid("cancelled", 1, "y")); connect.CodeOf(err) != connect.CodeDeadlineExceeded {
+			t.Errorf("the caller heard %v", err)
+		}
+		close(release)
+		if got := w.call(t, w.client, bid("after", 1, "z")); got.kind != completed {
+			t.Errorf("a call after: %+v", got)
+		}
+		if n := len(w.first.calls()) + len(w.second.calls()); n != 3 {
+			t.Errorf("%d calls reached the upstreams, want 3", n)
+		}
+	})
+}
+
+// eventually repeats a call until its outcome is final.
+func (w *world) eventually(t *testing.T, req *callerv1.CallRequest) told {
+	t.Helper()
+	for {
+		got := w.call(t, w.client, req)
+		if got.kind != inProgress && got.kind != unknown {
+			return got
+		}
+		req.Attempt++
+	}
+}
+
+func TestLeavingGatewayRefusesTruthfully(t *testing.T) {
+	w := newWorld(t, worldOptions{})
+	if got := w.call(t, w.client, bid("done", 1, "x")); got.kind != completed {
+		t.Fatal(got)
+	}
+	w.board.Stopping.Publish(true)
+	stop, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	if err := w.handler.calls.(interface{ Stop(context.Context) error }).Stop(stop); err != nil {
+		t.Fatal(err)
+	}
+	leaving := string(outcome.ReasonLeaving)
+	if got, want := w.call(t, w.client, lookUp("x")), (told{kind: notRun, reason: leaving}); got != want {
+		t.Errorf("a look-up: %+v", got)
+	}
+	if got, want := w.call(t, w.client, bid("new", 1, "x")), (told{kind: notRun, reason: leaving}); got != want {
+		t.Errorf("a new booking: %+v", got)
+	}
+	if got, want := w.call(t, w.client, bid("new", 2, "x")), (told{kind: unknown, reason: leaving}); got != want {
+		t.Errorf("a repeated booking: %+v", got)
+	}
+	if got, want := w.call(t, w.client, bid("done", 2, "x")), (told{kind: completed, payload: "x"}); got != want {
+		t.Errorf("a booking that is done: %+v", got)
+	}
+	got, err := generate(context.Background(), w.client, ask(streamID, "p", 3))
+	if err != nil || got.outcome.GetKind() != notRun || got.outcome.GetReason() != leaving {
+		t.Errorf("a token stream: %+v %v", got, err)
+	}
+	if n := len(w.first.calls()) + len(w.second.calls()); n != 1 {
+		t.Errorf("%d calls reached the upstreams", n)
+	}
+}
+
+// Symptom: one request ends the process and every other request with it, or
+// leaves its slot taken for good.
+// Sequence: a handler panics.
+// Cause: a panic that is not recovered, or a ticket that is not given back.
+func TestPanicEndsOneRequestOnly(t *testing.T) {
+	w := newWorld(t, worldOptions{limit: document.AccountLimit{MaxInFlight: 1}})
+	w.failFirst(func(invocation) (upstream.Answer, error) { panic("secret-panic") })
+	_, err := w.client.Call(context.Background(), lookUp("x"))
+	if code, text := wireText(err); code != connect.CodeInternal || text != "internal error" {
+		t.Errorf("got %v %s", code, text)
+	}
+	if got := w.call(t, w.client, lookUp("y")); got.kind != completed {
+		t.Errorf("the next request: %+v", got)
+	}
+	if log := w.output.String(); !strings.Contains(log, "handler panicked") || strings.Contains(log, "secret-panic") {
+		t.Errorf("log: %s", log)
+	}
+}
+
+func TestApplicationErrorIsToldAsFailed(t *testing.T) {
+	w := newWorld(t, worldOptions{})
+	w.failFirst(func(invocation) (upstream.Answer, error) {
+		return upstream.Answer{Payload: []byte("no such lot"), Failed: true}, nil
+	})
+	if got, want := w.call(t, w.client, lookUp("x")), (told{failed, "application_error", "no such lot"}); got != want {
+		t.Errorf("told %+v, want %+v", got, want)
+	}
+}
--- a/internal/gateway/plains.go
+++ b/internal/gateway/plains.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/trace"
 
@@ -64,7 +63,7 @@
 	var tried []ident.Instance
 	ran := false
 	for attempt := 1; ; attempt++ {
-		u, decision, found := p.decide(call.doc, call.account, tried)
+		u, decision, found := p.decide(ctx, call.doc, call.account, tried)
 		if !found {
 			return unanswered(ran, outcome.ReasonNoUpstream, "no upstream can take the call now")
 		}
@@ -127,8 +126,11 @@
 }
 
 // decide chooses an upstream of a plain service.
-func (p *plains) decide(doc *document.Document, account ident.ClientAccount, exclude []ident.Instance) (blackboard.Upstream, routing.Decision, bool) {
+func (p *plains) decide(ctx context.Context, doc *document.Document, account ident.ClientAccount, exclude []ident.Instance) (blackboard.Upstream, routing.Decision, bool) {
+	_, span, end := startSpan(ctx, p.tracer, "routing")
+	defer end()
 	decision := p.routes.decide(doc, routing.Request{Service: doc.Service, Account: account, Exclude: exclude})
+	span.SetAttributes(upstreamKey.String(string(decision.Upstream)))
 	u, found := p.routes.find(doc.Service, decision.Upstream)
 	return u, decision, found && decision.Found()
 }
@@ -144,17 +146,16 @@
 
 // send sends one request, once, and tells everyone who learns from it.
 func (p *plains) send(ctx context.Context, u blackboard.Upstream, s sending) (upstream.Answer, error) {
-	ctx, span := p.tracer.Start(ctx, "upstream attempt", trace.WithAttributes(
-		attribute.String("upstream", string(u.Instance.ID)),
-		attribute.Int("attempt", s.attempt)))
-	defer span.End()
+	ctx, span, end := startSpan(ctx, p.tracer, "upstream attempt", trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(upstreamKey.String(string(u.Instance.ID)), attemptKey.Int(s.attempt)))
+	defer end()
 	flight := p.routes.start(s.decision, s.route)
 	p.results.Sending(s.route.Service, u.Instance.ID)
 	answer, err := p.dialer.Plain(u.Instance.Address).Invoke(ctx, s.request)
 	took := time.Since(flight.sent)
 	flight.end(plainResult(err))
 	if err != nil {
-		span.SetStatus(codes.Error, err.Error())
+		span.SetStatus(codes.Error, textOf(err))
 		took = 0
 	}
 	if isLeaving(err) {
@@ -195,8 +196,8 @@
 	return "retry"
 }
 
-// textOf names an error for operators by its code alone: its text may hold
-// what a caller sent.
+// textOf names an upstream's error for operators by its code alone: its text
+// may hold what a caller sent.
 func textOf(err error) string {
 	if err == nil {
 		return ""
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -8,17 +8,11 @@
 	"sync"
 	"time"
 
-	"connectrpc.com/connect"
-
-	"github.com/goldcrestspool/goldcrestspool/api/caller/v1/callerv1connect"
-	"github.com/goldcrestspool/goldcrestspool/internal/auth"
 	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
 	"github.com/goldcrestspool/goldcrestspool/internal/gateway/peering"
 	"github.com/goldcrestspool/goldcrestspool/internal/operations"
 	"github.com/goldcrestspool/goldcrestspool/internal/peer"
 	"github.com/goldcrestspool/goldcrestspool/internal/program"
-	"github.com/goldcrestspool/goldcrestspool/internal/telemetry"
-	"github.com/goldcrestspool/goldcrestspool/internal/transport"
 )
 
 const (
@@ -67,15 +61,6 @@
 }
 
 func (p *Process) servers() (*servers, error) {
-	mux := http.NewServeMux()
-	limits := p.settings.Limits
-	mux.Handle(callerv1connect.NewCallerServiceHandler(p.handler,
-		connect.WithInterceptors(auth.Interceptor{Authenticator: p.handler.auth}),
-		connect.WithReadMaxBytes(int(limits.MaxBody))))
-	callers := transport.NewServer(telemetry.Continue(limitWrites(mux)))
-	callers.ReadHeaderTimeout = limits.HeaderTimeout
-	callers.MaxHeaderBytes = int(limits.MaxHeader)
-	callers.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: limits.MaxStreams}
 	peers, err := peer.NewServer(peer.Handlers{
 		Heartbeats: p.members,
 		Documents:  p.documents,
@@ -85,7 +70,7 @@
 		return nil, err
 	}
 	return &servers{
-		callers: callers,
+		callers: newCallersServer(p.handler, p.settings.Limits),
 		peers:   peers,
 		operations: operations.New(operations.Config{
 			Listener: p.listeners.operators,
--- /dev/null
+++ b/internal/gateway/secrets_test.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstream"
+)
+
+// quotingEngine fails its first request with an error that quotes the prompt.
+type quotingEngine struct {
+	upstream.Engine
+	asked atomic.Int32
+}
+
+func (q *quotingEngine) Generate(ctx context.Context, req upstream.GenerateRequest) (upstream.TokenStream, error) {
+	if q.asked.Add(1) == 1 {
+		return nil, errcode.New(errcode.Unavailable, "cannot serve "+req.Prompt)
+	}
+	return q.Engine.Generate(ctx, req)
+}
+
+// Symptom: what callers send can be read in the log, in traces, or by another
+// caller.
+// Sequence: requests that succeed, fail and are refused, at upstreams whose
+// errors quote the request and name addresses.
+// Cause: an upstream's error text passed on as it is.
+func TestNothingThatCallersSendIsLoggedOrTraced(t *testing.T) {
+	w := newWorld(t, worldOptions{engine: &quotingEngine{Engine: newEngine(t)}})
+	// With three upstreams a booking is given up on after its last target.
+	upstreams := worldUpstreams()
+	third := upstreams.ByService[plainService][1]
+	third.Instance.ID, third.Instance.Address = "app-3", "app-3"
+	upstreams.ByService[plainService] = append(upstreams.ByService[plainService], third)
+	w.board.Upstreams.Publish(upstreams)
+	quote := func(kind error) func(invocation) (upstream.Answer, error) {
+		return func(i invocation) (upstream.Answer, error) {
+			text := "10.9.8.7:443 says: cannot run " + string(i.request.Payload)
+			if kind != nil {
+				return upstream.Answer{}, errcode.Wrap(errcode.Unavailable, fmt.Errorf("%w: %s", kind, text), "invoke")
+			}
+			return upstream.Answer{}, errcode.New(errcode.Unavailable, text)
+		}
+	}
+	ctx := context.Background()
+	var told strings.Builder
+	for _, kind := range []error{nil, upstream.ErrLeaving, upstream.ErrNotSent} {
+		for i, req := range []string{"first", "second", "third", "fourth"} {
+			w.first.answer, w.second.answer = quote(kind), quote(kind)
+			for _, call := range []bool{true, false} {
+				message := lookUp("secret-payload")
+				if call {
+					message = bid(fmt.Sprint(req, i, kind), 1, "secret-payload")
+				}
+				resp, err := w.client.Call(ctx, message)
+				if err != nil {
+					t.Fatal(err)
+				}
+				told.WriteString(resp.GetOutcome().GetMessage() + "\n")
+			}
+		}
+	}
+	if got, err := generate(ctx, w.client, ask(streamID, "secret-prompt", 4)); err != nil || len(got.tokens) != 4 {
+		t.Errorf("%+v %v", got, err)
+	}
+	malformed := ask("secret-id", "secret-prompt", 0)
+	if _, err := generate(ctx, w.client, malformed); err == nil {
+		t.Error("no error for a malformed request")
+	}
+	if _, err := w.as(t, "secret-wrong-token").Call(ctx, lookUp("secret-payload")); err == nil {
+		t.Error("no error for a wrong token")
+	}
+	var traced strings.Builder
+	for _, span := range spans.GetSpans() {
+		fmt.Fprintf(&traced, "%s %v %v %v\n", span.Name, span.Attributes, span.Events, span.Status)
+	}
+	if !strings.Contains(traced.String(), "upstream attempt") || !strings.Contains(w.output.String(), "request refused or failed") {
+		t.Fatal("nothing was logged or traced")
+	}
+	for place, text := range map[string]string{"log": w.output.String(), "spans": traced.String(), "outcomes": told.String()} {
+		for line := range strings.Lines(text) {
+			if strings.Contains(line, "secret-") || strings.Contains(line, "10.9.8.7") {
+				t.Errorf("in the %s: %s", place, line)
+			}
+		}
+	}
+}
--- a/internal/gateway/slow.go
+++ b/internal/gateway/slow.go
@@ -1,30 +1,87 @@
 package gateway
 
 import (
+	"io"
 	"net/http"
 	"time"
 )
 
-// writeLimit is how long a caller's connection may take in nothing of what is
-// sent to it.
-//
-// What goes wrong without: a caller's connection goes silent for good. Writes
-// to it fill the kernel's buffer and then block for as long as the kernel keeps
-// sending again, a quarter of an hour, and hold the request's memory and slot.
-const writeLimit = 10 * time.Second
-
-// limitWrites returns a handler whose answers end when the caller takes in
-// nothing for writeLimit.
-func limitWrites(next http.Handler) http.Handler {
+const (
+	// writeLimit is how long a caller's connection may take in nothing of
+	// what is sent to it.
+	//
+	// What goes wrong without: a caller's connection goes silent for good.
+	// Writes to it fill the kernel's buffer and then block for as long as
+	// the kernel keeps sending again, a quarter of an hour, and hold the
+	// request's memory and slot.
+	writeLimit = 10 * time.Second
+	// readLimit is how long a caller may take to send a request's body.
+	//
+	// What goes wrong without: a caller sends its header and then nothing,
+	// or a byte a minute. Each such request holds a goroutine, a buffer and
+	// a place among its connection's streams for as long as the caller
+	// likes.
+	readLimit = 10 * time.Second
+)
+
+// callerLimits bound how slow a caller may be.
+type callerLimits struct{ read, write time.Duration }
+
+// limitCallers returns a handler whose requests end when the caller is slower
+// than the limits in sending its request or in taking in the answer.
+func limitCallers(next http.Handler, limits callerLimits) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		next.ServeHTTP(&limitedWriter{ResponseWriter: w, control: http.NewResponseController(w)}, r)
+		control := http.NewResponseController(w)
+		if r.ProtoMajor == 1 {
+			// The deadline of the connection's request before may be
+			// over. In HTTP/2 each stream has its own, and one set now
+			// would end an answer that takes its time to begin.
+			_ = control.SetWriteDeadline(time.Now().Add(limits.write))
+		}
+		body := &limitedBody{ReadCloser: r.Body, control: control}
+		body.limit(limits.read)
+		r.Body = body
+		next.ServeHTTP(&limitedWriter{ResponseWriter: w, control: control, body: body, limit: limits.write}, r)
 	})
 }
 
+// limitedBody is a request's body that has to come within a time.
+type limitedBody struct {
+	io.ReadCloser
+	control *http.ResponseController
+	limited bool
+}
+
+// limit sets the deadline. A connection without deadlines (in tests) has none
+// to set.
+func (b *limitedBody) limit(within time.Duration) {
+	b.limited = b.control.SetReadDeadline(time.Now().Add(within)) == nil
+}
+
+// Read implements io.Reader. Once the body has come or failed, the deadline is
+// lifted: it would else end the request itself, since the server goes on to
+// read the connection in order to notice its end.
+func (b *limitedBody) Read(data []byte) (int, error) {
+	n, err := b.ReadCloser.Read(data)
+	if err != nil {
+		b.lift()
+	}
+	return n, err
+}
+
+func (b *limitedBody) lift() {
+	if b.limited {
+		b.limited = false
+		_ = b.control.SetReadDeadline(time.Time{})
+	}
+}
+
 // limitedWriter gives each write its own deadline.
 type limitedWriter struct {
 	http.ResponseWriter
 	control *http.ResponseController
+	body    *limitedBody
+	limit   time.Duration
 }
 
 // Write implements io.Writer.
@@ -42,6 +99,9 @@
 // Unwrap lets http.ResponseController reach the connection.
 func (l *limitedWriter) Unwrap() http.ResponseWriter { return l.ResponseWriter }
 
-// extend sets the deadline anew. A connection without deadlines (in tests) has
-// none to set.
-func (l *limitedWriter) extend() { _ = l.control.SetWriteDeadline(time.Now().Add(writeLimit)) }
+// extend sets the deadline anew. Who answers has read all that it wants of the
+// body.
+func (l *limitedWriter) extend() {
+	l.body.lift()
+	_ = l.control.SetWriteDeadline(time.Now().Add(l.limit))
+}
--- a/internal/gateway/wire.go
+++ b/internal/gateway/wire.go
@@ -46,7 +46,9 @@
 func wireError(err error) error {
 	code, ok := wireCodes[errcode.Of(err)]
 	if !ok {
-		return connect.NewError(connect.CodeInternal, errors.New("internal error"))
+		return errInternal()
 	}
 	return connect.NewError(code, err)
 }
+
+func errInternal() error { return connect.NewError(connect.CodeInternal, errors.New("internal error")) }
--- /dev/null
+++ b/internal/gateway/world_test.go
@@ -0,0 +1,396 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/hashicorp/go-hclog"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	callerv1 "github.com/goldcrestspool/goldcrestspool/api/caller/v1"
+	"github.com/goldcrestspool/goldcrestspool/api/caller/v1/callerv1connect"
+	"github.com/goldcrestspool/goldcrestspool/internal/admission"
+	"github.com/goldcrestspool/goldcrestspool/internal/auth"
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	"github.com/goldcrestspool/goldcrestspool/internal/calls"
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/explain"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/retry"
+	"github.com/goldcrestspool/goldcrestspool/internal/settings"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/engine"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/logstore"
+	"github.com/goldcrestspool/goldcrestspool/internal/streaming"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstream"
+)
+
+// The callers of a world.
+const (
+	registrar      ident.ClientAccount = "registrar"
+	trader         ident.ClientAccount = "trader"
+	registrarToken                     = "secret-token-registrar"
+	traderToken                        = "secret-token-trader"
+)
+
+// The services of a world.
+const (
+	plainService = "auktion-app"
+	modelService = "spool-llm"
+)
+
+// spans are the spans of all worlds: the parts take OpenTelemetry's globals.
+var spans = tracetest.NewInMemoryExporter()
+
+func init() {
+	otel.SetTracerProvider(sdktrace.NewTracerProvider(sdktrace.WithSyncer(spans)))
+	otel.SetTextMapPropagator(propagation.TraceContext{})
+}
+
+// invocation is a call that reached a fakePlain.
+type invocation struct {
+	ctx     context.Context
+	request upstream.InvokeRequest
+}
+
+// fakePlain answers each call as the test says.
+type fakePlain struct {
+	// answer is called for each call; nil echoes the payload.
+	answer func(invocation) (upstream.Answer, error)
+
+	mu   sync.Mutex
+	seen []invocation
+}
+
+func (f *fakePlain) Invoke(ctx context.Context, req upstream.InvokeRequest) (upstream.Answer, error) {
+	i := invocation{ctx: ctx, request: req}
+	f.mu.Lock()
+	f.seen = append(f.seen, i)
+	answer := f.answer
+	f.mu.Unlock()
+	if answer == nil {
+		return upstream.Answer{Payload: req.Payload}, nil
+	}
+	return answer(i)
+}
+
+func (f *fakePlain) Find(context.Context, string, ident.Fence) (upstream.FindResult, error) {
+	return upstream.FindResult{}, upstream.ErrRefused
+}
+
+func (f *fakePlain) Health(context.Context) (upstream.Health, error) { return upstream.Health{}, nil }
+
+// calls returns the calls so far.
+func (f *fakePlain) calls() []invocation {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]invocation(nil), f.seen...)
+}
+
+// fakeDialer reaches upstreams by their address.
+type fakeDialer struct {
+	plains  map[string]upstream.Plain
+	engines map[string]upstream.Engine
+}
+
+func (d fakeDialer) Plain(address string) upstream.Plain   { return d.plains[address] }
+func (d fakeDialer) Engine(address string) upstream.Engine { return d.engines[address] }
+
+// noNotes takes no note of leaving upstreams.
+type noNotes struct{}
+
+func (noNotes) NoteLeaving(ident.Instance, ident.Incarnation) {}
+
+// logBuffer is a log that a test reads while it is written.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *logBuffer) Write(data []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(data)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// world is the real handler with its real parts over in-memory upstreams and
+// an in-memory log, behind a real HTTP server.
+type world struct {
+	url     string
+	board   *blackboard.Board
+	handler *handler
+	first   *fakePlain
+	second  *fakePlain
+	log     *logstore.Log
+	output  *logBuffer
+	client  callerv1connect.CallerServiceClient
+}
+
+// worldOptions change a world before it starts.
+type worldOptions struct {
+	// limit of every client account.
+	limit document.AccountLimit
+	// slots of each upstream for requests at once.
+	admission admission.Config
+	// budget of the retries; zero is the default.
+	budget retry.BudgetConfig
+	engine upstream.Engine
+	limits settings.Limits
+}
+
+func worldDocuments(limit document.AccountLimit) *document.Set {
+	plain := &document.Document{Service: plainService, Kind: document.Plain, DefaultAccount: limit, Methods: []document.Method{
+		{Name: "find_lot", Idempotent: true, Timeout: 20 * time.Second},
+		{Name: "place_bid", Timeout: 20 * time.Second},
+		{Name: "quick_bid", Timeout: 300 * time.Millisecond},
+	}}
+	model := &document.Document{Service: modelService, Kind: document.Model, DefaultAccount: limit, Classes: []document.Class{
+		{Name: "short", Completion: 20 * time.Second},
+	}}
+	return &document.Set{Revision: 1, Services: map[ident.Service]document.Entry{
+		plainService: {Revision: 1, Document: plain},
+		modelService: {Revision: 1, Document: model},
+	}}
+}
+
+func worldUpstreams() *blackboard.Upstreams {
+	at := func(id ident.Instance, role platform.Role, service ident.Service) blackboard.Upstream {
+		return blackboard.Upstream{State: blackboard.Alive, AsOf: time.Now(), Instance: platform.Instance{
+			ID: id, Incarnation: 1, Role: role, Service: service, Address: string(id), FailureDomain: "hall-a", State: platform.Live,
+		}}
+	}
+	return &blackboard.Upstreams{ByService: map[ident.Service][]blackboard.Upstream{
+		plainService: {at("app-1", platform.RolePlain, plainService), at("app-2", platform.RolePlain, plainService)},
+		modelService: {at("engine-1", platform.RoleEngine, modelService)},
+	}}
+}
+
+func worldLimits() settings.Limits {
+	return settings.Limits{MaxBody: 64 << 10, MaxHeader: 8 << 10, HeaderTimeout: 5 * time.Second, MaxStreams: 2000}
+}
+
+// newEngine returns a stand-in engine that is quick.
+func newEngine(t testing.TB) *engine.Engine {
+	parameters := engine.DefaultParameters()
+	parameters.StepBase = time.Millisecond
+	parameters.StepPerStream = 0
+	e := engine.New(engine.Config{Instance: "engine-1", Incarnation: 1, Parameters: parameters})
+	t.Cleanup(e.Close)
+	return e
+}
+
+func newWorld(t testing.TB, o worldOptions) *world {
+	t.Helper()
+	w := &world{
+		board:  blackboard.NewBoard(),
+		first:  &fakePlain{},
+		second: &fakePlain{},
+		log:    logstore.New(logstore.Options{}),
+		output: &logBuffer{},
+	}
+	if o.engine == nil {
+		o.engine = newEngine(t)
+	}
+	if o.limits == (settings.Limits{}) {
+		o.limits = worldLimits()
+	}
+	w.board.Documents.Publish(worldDocuments(o.limit))
+	w.board.Upstreams.Publish(worldUpstreams())
+	w.wire(t, o)
+	w.serve(t, o.limits)
+	return w
+}
+
+// wire makes the parts as Process.wireRequests does.
+func (w *world) wire(t testing.TB, o worldOptions) {
+	log := hclog.New(&hclog.LoggerOptions{Level: hclog.Trace, Output: w.output, JSONFormat: true})
+	tracer := otel.Tracer("gateway")
+	dialer := fakeDialer{
+		plains:  map[string]upstream.Plain{"app-1": w.first, "app-2": w.second, "app-3": w.second},
+		engines: map[string]upstream.Engine{"engine-1": o.engine},
+	}
+	admitted := admission.New(o.admission)
+	admitted.SetUpstreams(plainService, []ident.Instance{"app-1", "app-2"})
+	admitted.SetUpstreams(modelService, []ident.Instance{"engine-1"})
+	learned := &results{admission: admitted}
+	routes := &routes{board: w.board, domain: "hall-a", ejections: admitted}
+	recorder := explain.NewRecorder(64)
+	plains := &plains{documents: w.board.Documents, routes: routes, dialer: dialer, leaving: noNotes{}, results: learned,
+		budgets: &budgets{}, backoff: retry.DefaultBackoff, explain: recorder, tracer: tracer}
+	plains.budgets.known.Store(ident.Service(plainService), retry.NewBudget(o.budget, time.Now()))
+	coordinator := calls.New(calls.Config{Instance: "entry-1", Incarnation: 1, Log: w.log, Dispatcher: plains,
+		Documents: w.board.Documents, Health: w.board.Journal, Limits: calls.Limits{AppendInterval: time.Millisecond}, Logger: log})
+	config := streaming.DefaultConfig()
+	runner := streaming.NewRunner(config, &engines{documents: w.board.Documents, routes: routes, dialer: dialer, leaving: noNotes{},
+		notices: newNoticeBoard(), results: learned, explain: recorder, tracer: tracer}, plains.budgets, nil)
+	streams := streaming.NewRegistry(config, runner)
+	w.handler = &handler{documents: w.board.Documents, stopping: w.board.Stopping, admission: admitted, routes: routes, plains: plains,
+		calls: coordinator, streams: streams, explain: recorder, log: log, tracer: tracer, auth: auth.New([]auth.Credential{
+			{Account: registrar, Token: sha256.Sum256([]byte(registrarToken))},
+			{Account: trader, Token: sha256.Sum256([]byte(traderToken))},
+		})}
+	w.run(t, coordinator, streams)
+}
+
+// run runs the journal until the test ends, and waits until it is read.
+func (w *world) run(t testing.TB, coordinator *calls.Coordinator, streams *streaming.Registry) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = coordinator.Run(ctx) })
+	t.Cleanup(func() {
+		streams.Close()
+		cancel()
+		running.Wait()
+	})
+	limit, end := context.WithTimeout(ctx, 20*time.Second)
+	defer end()
+	for snapshot := w.board.Journal.Load(); !snapshot.Value.Ready; {
+		next, err := w.board.Journal.Wait(limit, snapshot.Version)
+		if err != nil {
+			t.Fatal("the journal is not ready:", err)
+		}
+		snapshot = next
+	}
+}
+
+func (w *world) serve(t testing.TB, limits settings.Limits) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := newCallersServer(w.handler, limits)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	w.url = "http://" + listener.Addr().String()
+	w.client = w.as(t, registrarToken)
+}
+
+// bearer adds a token to requests.
+type bearer struct {
+	token string
+	next  http.RoundTripper
+}
+
+func (b bearer) RoundTrip(req *http.Request) (*http.Response, error) {
+	req = req.Clone(req.Context())
+	if b.token != "" {
+		req.Header.Set("Authorization", "Bearer "+b.token)
+	}
+	return b.next.RoundTrip(req)
+}
+
+// as returns a client with a token; an empty one sends none.
+func (w *world) as(t testing.TB, token string) callerv1connect.CallerServiceClient {
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{Protocols: &protocols}
+	t.Cleanup(transport.CloseIdleConnections)
+	return callerv1connect.NewCallerServiceClient(&http.Client{Transport: bearer{token: token, next: transport}}, w.url)
+}
+
+// bid returns a keyed call.
+func bid(key string, attempt uint32, payload string) *callerv1.CallRequest {
+	return &callerv1.CallRequest{
+		Service: plainService, Method: "place_bid", IdempotencyKey: key, IssuedAt: timestamppb.New(issued),
+		Attempt: attempt, Payload: []byte(payload),
+	}
+}
+
+// issued is the time at which the tests' keys are issued.
+var issued = time.Now()
+
+// lookUp returns an idempotent call.
+func lookUp(payload string) *callerv1.CallRequest {
+	return &callerv1.CallRequest{Service: plainService, Method: "find_lot", Payload: []byte(payload), Attempt: 1}
+}
+
+// told is what a caller was told, in short.
+type told struct {
+	kind    callerv1.OutcomeKind
+	reason  string
+	payload string
+}
+
+func summary(resp *callerv1.CallResponse, err error) (told, error) {
+	if err != nil {
+		return told{}, err
+	}
+	return told{resp.GetOutcome().GetKind(), resp.GetOutcome().GetReason(), string(resp.GetPayload())}, nil
+}
+
+// call sends a call that must get an outcome.
+func (w *world) call(t testing.TB, client callerv1connect.CallerServiceClient, req *callerv1.CallRequest) told {
+	t.Helper()
+	got, err := summary(client.Call(context.Background(), req))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return got
+}
+
+// streamed is a token stream as its caller got it.
+type streamed struct {
+	tokens  []string
+	outcome *callerv1.Outcome
+}
+
+// generate reads a token stream to its end.
+func generate(ctx context.Context, client callerv1connect.CallerServiceClient, req *callerv1.GenerateRequest) (streamed, error) {
+	stream, err := client.Generate(ctx, req)
+	if err != nil {
+		return streamed{}, err
+	}
+	defer func() { _ = stream.Close() }()
+	var got streamed
+	for stream.Receive() {
+		got.tokens = append(got.tokens, stream.Msg().GetTokens().GetTokens()...)
+		if o := stream.Msg().GetOutcome(); o != nil {
+			got.outcome = o
+		}
+	}
+	return got, stream.Err()
+}
+
+// resume reads the rest of a token stream to its end.
+func resume(ctx context.Context, client callerv1connect.CallerServiceClient, req *callerv1.ResumeRequest) (streamed, error) {
+	stream, err := client.Resume(ctx, req)
+	if err != nil {
+		return streamed{}, err
+	}
+	defer func() { _ = stream.Close() }()
+	var got streamed
+	for stream.Receive() {
+		got.tokens = append(got.tokens, stream.Msg().GetTokens().GetTokens()...)
+		if o := stream.Msg().GetOutcome(); o != nil {
+			got.outcome = o
+		}
+	}
+	return got, stream.Err()
+}
+
+// wireText returns the code and the text of an error.
+func wireText(err error) (connect.Code, string) {
+	var wire *connect.Error
+	if !errors.As(err, &wire) {
+		return 0, ""
+	}
+	return wire.Code(), wire.Message()
+}
--- a/internal/streaming/span.go
+++ b/internal/streaming/span.go
@@ -7,6 +7,8 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/trace"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
 )
 
 // tracer makes a span of each attempt, the hop from gateway to engine. It uses
@@ -22,6 +24,7 @@
 	tokensKey     = attribute.Key("stream.tokens")
 	recomputedKey = attribute.Key("stream.tokens_recomputed")
 	importedKey   = attribute.Key("stream.tokens_imported")
+	errorKey      = attribute.Key("stream.error")
 )
 
 // startSpan begins the span of an attempt.
@@ -33,7 +36,8 @@
 	))
 }
 
-// endSpan ends the span of an attempt with what it did.
+// endSpan ends the span of an attempt with what it did. An error is named by
+// its code: its text may quote the prompt.
 func endSpan(span trace.Span, r AttemptReport) {
 	span.SetAttributes(
 		nextKey.String(string(r.Next)),
@@ -42,7 +46,7 @@
 		importedKey.Int(r.Imported),
 	)
 	if r.Err != nil {
-		span.RecordError(r.Err)
+		span.SetAttributes(errorKey.String(errcode.Of(r.Err).String()))
 	}
 	if r.failed() {
 		span.SetStatus(codes.Error, string(r.Next))
