A span for each hop continues the caller's trace, over peers too

The peer protocol carries W3C context by two small interceptors; only calls that belong to a trace get spans, so heartbeats make none. One test sends a look-up, a booking, a token stream and a question to a peer with a trace of the caller's and checks the chain of parents and what the upstream hears.

--- /dev/null
+++ b/internal/gateway/span_test.go
@@ -0,0 +1,180 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	callerv1 "github.com/goldcrestspool/goldcrestspool/api/caller/v1"
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	"github.com/goldcrestspool/goldcrestspool/internal/calls"
+	"github.com/goldcrestspool/goldcrestspool/internal/calls/journal"
+	"github.com/goldcrestspool/goldcrestspool/internal/gateway/peering"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/peer"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstream/connectupstream"
+)
+
+// heard are the spans that upstreams heard of, by the path of their requests.
+type heard struct {
+	mu     sync.Mutex
+	parent map[string]trace.SpanContext
+}
+
+// listen returns a handler that notes the trace context of each request.
+func (h *heard) listen(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := propagation.TraceContext{}.Extract(context.Background(), propagation.HeaderCarrier(r.Header))
+		h.mu.Lock()
+		h.parent[r.URL.Path] = trace.SpanContextFromContext(ctx)
+		h.mu.Unlock()
+		next.ServeHTTP(w, r)
+	})
+}
+
+// knowsNothing is a peer without calls.
+type knowsNothing struct{}
+
+func (knowsNothing) PutOutcomes([]calls.KeyedOutcome)          {}
+func (knowsNothing) FindLocal(ident.CallKey) calls.PeerAnswer  { return calls.PeerAnswer{} }
+func (knowsNothing) TakeOver(calls.HandOver) []journal.ClaimID { return nil }
+
+// onePeer starts a peer and returns the peers of a gateway that knows it.
+func onePeer(t *testing.T) func(*world) calls.Peers {
+	return func(w *world) calls.Peers {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		local := &peering.Local{Calls: knowsNothing{}, Stopping: blackboard.NewSection(false)}
+		server, err := peer.NewServer(peer.Handlers{Calls: local}, peer.TLSFiles{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		pool, err := peer.NewPool(peer.TLSFiles{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { _ = server.Serve(ctx, listener, time.Second) })
+		t.Cleanup(func() { pool.Close(); cancel(); running.Wait() })
+		w.board.Members.Publish(&blackboard.Members{ByID: map[ident.Instance]blackboard.Member{"entry-2": {State: blackboard.Alive, Instance: platform.Instance{
+			ID: "entry-2", Role: platform.RoleEntry, PeerAddress: listener.Addr().String(),
+		}}}})
+		return &peering.Peers{Self: "entry-1", Domain: "hall-a", Members: w.board.Members, Client: pool}
+	}
+}
+
+// chain describes a span by its name and those of its parents, up to the
+// caller's, for each span of a trace.
+func chains(id trace.TraceID, caller trace.SpanID) map[string]trace.SpanID {
+	type link struct {
+		name   string
+		parent trace.SpanID
+	}
+	links := map[trace.SpanID]link{caller: {name: "caller"}}
+	for _, span := range spans.GetSpans() {
+		if span.SpanContext.TraceID() == id {
+			links[span.SpanContext.SpanID()] = link{span.Name + kindOf(span.SpanKind), span.Parent.SpanID()}
+		}
+	}
+	found := map[string]trace.SpanID{}
+	for id := range links {
+		path := ""
+		for at := id; ; {
+			l, ok := links[at]
+			if !ok {
+				break
+			}
+			path = strings.TrimSuffix(l.name+" > "+path, " > ")
+			at = l.parent
+		}
+		found[path] = id
+	}
+	return found
+}
+
+func kindOf(kind trace.SpanKind) string {
+	if kind == trace.SpanKindInternal {
+		return ""
+	}
+	return "(" + kind.String() + ")"
+}
+
+func TestSpansOfEachHopContinueTheCallersTrace(t *testing.T) {
+	upstreams := &heard{parent: map[string]trace.SpanContext{}}
+	mux := http.NewServeMux()
+	connectupstream.MountEngine(mux, newEngine(t))
+	connectupstream.MountPlain(mux, &fakePlain{})
+	url := testkit.Serve(t, upstreams.listen(mux))
+	clients := connectupstream.NewClients(nil)
+	t.Cleanup(clients.Close)
+	w := newWorld(t, worldOptions{
+		plain:  connectupstream.NewPlain(clients, url),
+		engine: connectupstream.NewEngine(clients, url),
+		peers:  onePeer(t),
+	})
+	const (
+		invoke   = "/goldcrestspool.upstream.v1.PlainService/Invoke"
+		produce  = "/goldcrestspool.upstream.v1.EngineService/Generate"
+		findPeer = "/goldcrestspool.peer.v1.PeerService/FindOutcome"
+	)
+	cases := map[string]struct {
+		send func(context.Context) error
+		want []string
+		// upstream hears of the span of the last chain at this path.
+		upstream string
+	}{
+		"a look-up": {func(ctx context.Context) error { _, err := w.client.Call(ctx, lookUp("x")); return err },
+			[]string{"call(server) > admission", "call(server) > routing", "call(server) > upstream attempt(client)"}, invoke},
+		"a booking": {func(ctx context.Context) error { _, err := w.client.Call(ctx, bid("traced", 1, "x")); return err },
+			[]string{"call(server) > admission", "call(server) > routing", "call(server) > journal", "call(server) > upstream attempt(client)"}, invoke},
+		"a token stream": {func(ctx context.Context) error { _, err := generate(ctx, w.client, ask(streamID, "p", 3)); return err },
+			[]string{"generate(server) > admission", "generate(server) > routing", "generate(server) > stream attempt(client)"}, produce},
+		"an outcome that a peer may know": {func(ctx context.Context) error {
+			_, err := w.client.GetOutcome(ctx, &callerv1.GetOutcomeRequest{Service: plainService, IdempotencyKey: "elsewhere"})
+			return err
+		}, []string{"get outcome(server) > " + findPeer + "(client) > " + findPeer + "(server)"}, ""},
+	}
+	number := byte(0)
+	for name, c := range cases {
+		number++
+		t.Run(name, func(t *testing.T) {
+			caller := trace.NewSpanContext(trace.SpanContextConfig{
+				TraceID: trace.TraceID{15: number}, SpanID: trace.SpanID{7: number}, TraceFlags: trace.FlagsSampled,
+			})
+			if err := c.send(trace.ContextWithSpanContext(context.Background(), caller)); err != nil {
+				t.Fatal(err)
+			}
+			found := chains(caller.TraceID(), caller.SpanID())
+			var last trace.SpanID
+			for _, want := range c.want {
+				id, ok := found["caller > "+want]
+				if !ok {
+					t.Errorf("no span %q among %s", want, fmt.Sprint(found))
+				}
+				last = id
+			}
+			if c.upstream == "" {
+				return
+			}
+			upstreams.mu.Lock()
+			defer upstreams.mu.Unlock()
+			got := upstreams.parent[c.upstream]
+			if got.TraceID() != caller.TraceID() || got.SpanID() != last {
+				t.Errorf("the upstream heard of trace %v span %v, want span %v", got.TraceID(), got.SpanID(), last)
+			}
+		})
+	}
+}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -152,7 +152,11 @@
 	admission admission.Config
 	// budget of the retries; zero is the default.
 	budget retry.BudgetConfig
+	// plain and engine replace the upstreams in memory.
+	plain  upstream.Plain
 	engine upstream.Engine
+	// peers are the other gateways; nil is none.
+	peers  func(*world) calls.Peers
 	limits settings.Limits
 }
 
@@ -227,6 +231,13 @@
 		plains:  map[string]upstream.Plain{"app-1": w.first, "app-2": w.second, "app-3": w.second},
 		engines: map[string]upstream.Engine{"engine-1": o.engine},
 	}
+	if o.plain != nil {
+		dialer.plains = map[string]upstream.Plain{"app-1": o.plain, "app-2": o.plain}
+	}
+	var peers calls.Peers
+	if o.peers != nil {
+		peers = o.peers(w)
+	}
 	admitted := admission.New(o.admission)
 	admitted.SetUpstreams(plainService, []ident.Instance{"app-1", "app-2"})
 	admitted.SetUpstreams(modelService, []ident.Instance{"engine-1"})
@@ -236,7 +247,7 @@
 	plains := &plains{documents: w.board.Documents, routes: routes, dialer: dialer, leaving: noNotes{}, results: learned,
 		budgets: &budgets{}, backoff: retry.DefaultBackoff, explain: recorder, tracer: tracer}
 	plains.budgets.known.Store(ident.Service(plainService), retry.NewBudget(o.budget, time.Now()))
-	coordinator := calls.New(calls.Config{Instance: "entry-1", Incarnation: 1, Log: w.log, Dispatcher: plains,
+	coordinator := calls.New(calls.Config{Instance: "entry-1", Incarnation: 1, Log: w.log, Dispatcher: plains, Peers: peers,
 		Documents: w.board.Documents, Health: w.board.Journal, Limits: calls.Limits{AppendInterval: time.Millisecond}, Logger: log})
 	config := streaming.DefaultConfig()
 	runner := streaming.NewRunner(config, &engines{documents: w.board.Documents, routes: routes, dialer: dialer, leaving: noNotes{},
@@ -283,7 +294,7 @@
 	w.client = w.as(t, registrarToken)
 }
 
-// bearer adds a token to requests.
+// bearer adds a token and the trace context to requests.
 type bearer struct {
 	token string
 	next  http.RoundTripper
@@ -294,6 +305,7 @@
 	if b.token != "" {
 		req.Header.Set("Authorization", "Bearer "+b.token)
 	}
+	propagation.TraceContext{}.Inject(req.Context(), propagation.HeaderCarrier(req.Header))
 	return b.next.RoundTrip(req)
 }
 
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -179,6 +179,7 @@
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDisableRetry(),
 		grpc.WithNoProxy(),
+		grpc.WithChainUnaryInterceptor(traceClient),
 		grpc.WithIdleTimeout(idleTimeout),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: clientPing, Timeout: pingTimeout, PermitWithoutStream: true}),
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -98,7 +98,7 @@
 		grpc.ConnectionTimeout(connectTimeout),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: serverPing, Timeout: pingTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minClientPing, PermitWithoutStream: true}),
-		grpc.UnaryInterceptor(translateErrors),
+		grpc.ChainUnaryInterceptor(traceServer, translateErrors),
 	)
 	peerv1.RegisterPeerServiceServer(server, &service{handlers: handlers})
 	return &Server{server: server}, nil
