TLS: one reloader of certificates for callers and peers

Callers' certificate was read once, at Serve: a renewed one needed a restart, and a bad file ended the process after it had announced its ports. Now package certificate, which the peers' transport had for itself, serves both; a bad file is an error at the start that names the file; at least TLS 1.3 on all sides, HTTP/2 or HTTP/1.1 by ALPN.

The gateway's own dialer was a copy of connectupstream.Dialer, and its trusting and peerTLS copies of what settings and the controller had; all gone.

--- a/internal/controller/wire.go
+++ b/internal/controller/wire.go
@@ -9,7 +9,6 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/lease"
 	"github.com/goldcrestspool/goldcrestspool/internal/peer"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform/connectplatform"
-	"github.com/goldcrestspool/goldcrestspool/internal/settings"
 	"github.com/goldcrestspool/goldcrestspool/internal/transport"
 	"github.com/goldcrestspool/goldcrestspool/internal/upstream/connectupstream"
 )
@@ -31,7 +30,7 @@
 		return err
 	}
 	p.dialer = connectupstream.NewDialer(trusted)
-	if p.pool, err = peer.NewPool(peerTLS(s.TLS.Peers)); err != nil {
+	if p.pool, err = peer.NewPool(s.TLS.Peers.Files()); err != nil {
 		return err
 	}
 	if err := p.wireLeases(); err != nil {
@@ -97,11 +96,3 @@
 			Log:       p.log.Named("fleet"),
 		})
 }
-
-// peerTLS returns the files for mutual TLS with the gateways.
-func peerTLS(pair settings.PeerKeyPair) peer.TLSFiles {
-	if !pair.Set() {
-		return peer.TLSFiles{}
-	}
-	return peer.TLSFiles{Certificate: pair.Cert, Key: pair.Key, Authority: pair.CA, ServerName: settings.PeerName}
-}
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"runtime"
 	"runtime/debug"
@@ -12,6 +13,7 @@
 
 	"github.com/goldcrestspool/goldcrestspool/api/caller/v1/callerv1connect"
 	"github.com/goldcrestspool/goldcrestspool/internal/auth"
+	"github.com/goldcrestspool/goldcrestspool/internal/certificate"
 	"github.com/goldcrestspool/goldcrestspool/internal/settings"
 	"github.com/goldcrestspool/goldcrestspool/internal/telemetry"
 	"github.com/goldcrestspool/goldcrestspool/internal/transport"
@@ -37,6 +39,25 @@
 	return server
 }
 
+// callersCertificate returns the certificate that is shown to callers, or nil
+// when callers get plaintext.
+func callersCertificate(pair settings.KeyPair) (*certificate.Reloader, error) {
+	if !pair.Set() {
+		return nil, nil
+	}
+	return certificate.NewReloader(pair.Files())
+}
+
+// serve answers callers until the server is closed, over TLS if there is a
+// certificate. Callers choose HTTP/2 or HTTP/1.1 by ALPN.
+func serve(server *http.Server, listener net.Listener, shown *certificate.Reloader) error {
+	if shown == nil {
+		return server.Serve(listener)
+	}
+	server.TLSConfig = shown.Server("h2", "http/1.1")
+	return server.ServeTLS(listener, "", "")
+}
+
 // recovered ends one request whose handler panicked. Its caller hears an error
 // that says nothing of whether the request ran. The panic's value may hold what
 // a caller sent, so only that of the runtime is logged.
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -18,6 +18,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
 	"github.com/goldcrestspool/goldcrestspool/internal/cacheview"
 	"github.com/goldcrestspool/goldcrestspool/internal/calls"
+	"github.com/goldcrestspool/goldcrestspool/internal/certificate"
 	"github.com/goldcrestspool/goldcrestspool/internal/controllers/configuration"
 	"github.com/goldcrestspool/goldcrestspool/internal/controllers/instances"
 	"github.com/goldcrestspool/goldcrestspool/internal/controllers/membership"
@@ -34,6 +35,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/streaming"
 	"github.com/goldcrestspool/goldcrestspool/internal/telemetry"
 	"github.com/goldcrestspool/goldcrestspool/internal/transport"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstream/connectupstream"
 )
 
 // explainEvents is how many attempts and endings a gateway remembers.
@@ -59,7 +61,7 @@
 	tracer    trace.Tracer
 	listeners listeners
 	platform  *connectplatform.Client
-	dialer    *dialer
+	dialer    *connectupstream.Dialer
 	pool      *peer.Pool
 	notices   *noticeBoard
 	recorder  *explain.Recorder
@@ -73,6 +75,8 @@
 	ready     *readiness
 	// reclaimed gets the time left when this instance is to be reclaimed.
 	reclaimed chan time.Duration
+	// certificate is shown to callers; nil is plaintext.
+	certificate *certificate.Reloader
 }
 
 // listeners are a gateway's open ports.
@@ -170,19 +174,29 @@
 
 // wire makes the parts and connects them.
 func (p *Process) wire() error {
+	if err := p.wireTLS(); err != nil {
+		return err
+	}
+	p.platform = connectplatform.NewClient(transport.NewClient(transport.Options{FreshConnections: true}), p.settings.Platform.Address)
+	p.wireState()
+	p.wireRequests()
+	return nil
+}
+
+// wireTLS makes what needs certificates. Errors name the file that is bad.
+func (p *Process) wireTLS() error {
 	var err error
-	p.pool, err = peer.NewPool(peerTLS(p.settings.TLS.Peers))
-	if err != nil {
+	if p.certificate, err = callersCertificate(p.settings.TLS.Callers); err != nil {
+		return err
+	}
+	if p.pool, err = peer.NewPool(p.settings.TLS.Peers.Files()); err != nil {
 		return err
 	}
-	upstreamTLS, err := trusting(p.settings.TLS.Upstream)
+	upstreams, err := p.settings.TLS.Upstream.ClientConfig()
 	if err != nil {
 		return err
 	}
-	p.platform = connectplatform.NewClient(transport.NewClient(transport.Options{FreshConnections: true}), p.settings.Platform.Address)
-	p.dialer = newDialer(upstreamTLS)
-	p.wireState()
-	p.wireRequests()
+	p.dialer = connectupstream.NewDialer(upstreams)
 	return nil
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -48,7 +48,7 @@
 	servers.close()
 	loops.Wait()
 	p.pool.Close()
-	p.dialer.close()
+	p.dialer.Close()
 	return err
 }
 
@@ -65,7 +65,7 @@
 		Heartbeats: p.members,
 		Documents:  p.documents,
 		Calls:      &peering.Local{Calls: p.calls, Streams: p.streams, Stopping: p.board.Stopping},
-	}, peerTLS(p.settings.TLS.Peers))
+	}, p.settings.TLS.Peers.Files())
 	if err != nil {
 		return nil, err
 	}
@@ -112,11 +112,7 @@
 }
 
 func (p *Process) serveCallers(server *http.Server) error {
-	pair := p.settings.TLS.Callers
-	if pair.Set() {
-		return server.ServeTLS(p.listeners.callers, pair.Cert, pair.Key)
-	}
-	return server.Serve(p.listeners.callers)
+	return serve(server, p.listeners.callers, p.certificate)
 }
 
 // awaitStop waits for a reason to leave and returns how long that may take.
--- /dev/null
+++ b/internal/gateway/tls_test.go
@@ -0,0 +1,167 @@
+package gateway
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/goldcrestspool/goldcrestspool/api/caller/v1/callerv1connect"
+	"github.com/goldcrestspool/goldcrestspool/internal/settings"
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
+)
+
+// secureWorld is a world behind a listener with TLS.
+type secureWorld struct {
+	*world
+	authority *testkit.Authority
+	pair      settings.KeyPair
+	address   string
+	serial    int64
+}
+
+func newSecureWorld(t *testing.T) *secureWorld {
+	t.Helper()
+	dir := t.TempDir()
+	s := &secureWorld{
+		world:     newWorld(t, worldOptions{}),
+		authority: testkit.NewAuthority(t),
+		pair:      settings.KeyPair{Cert: filepath.Join(dir, "callers.pem"), Key: filepath.Join(dir, "callers.key")},
+	}
+	s.serial = s.renew()
+	shown, err := callersCertificate(s.pair)
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := newCallersServer(s.handler, worldLimits())
+	go func() { _ = serve(server, listener, shown) }()
+	t.Cleanup(func() { _ = server.Close() })
+	s.address = listener.Addr().String()
+	return s
+}
+
+func (s *secureWorld) renew() int64 { return s.authority.Issue(s.pair.Cert, s.pair.Key, "gateway") }
+
+// connect returns the state of a new connection.
+func (s *secureWorld) connect(t *testing.T, config *tls.Config) (tls.ConnectionState, error) {
+	t.Helper()
+	config.RootCAs = s.authority.Pool()
+	conn, err := tls.Dial("tcp", s.address, config)
+	if err != nil {
+		return tls.ConnectionState{}, err
+	}
+	defer func() { _ = conn.Close() }()
+	return conn.ConnectionState(), nil
+}
+
+func TestCallersGetTLS(t *testing.T) {
+	s := newSecureWorld(t)
+	t.Run("callers choose HTTP/2 or HTTP/1.1 by ALPN", func(t *testing.T) {
+		for _, protocol := range []string{"h2", "http/1.1"} {
+			var protocols http.Protocols
+			protocols.SetHTTP1(protocol == "http/1.1")
+			protocols.SetHTTP2(protocol == "h2")
+			transport := &http.Transport{Protocols: &protocols, TLSClientConfig: &tls.Config{RootCAs: s.authority.Pool()}}
+			t.Cleanup(transport.CloseIdleConnections)
+			client := callerv1connect.NewCallerServiceClient(&http.Client{Transport: bearer{token: registrarToken, next: transport}}, "https://"+s.address)
+			if got := s.call(t, client, lookUp("x")); got.kind != completed {
+				t.Errorf("%s: %+v", protocol, got)
+			}
+			if got, err := generate(context.Background(), client, ask(streamID, "p", 3)); err != nil || len(got.tokens) != 3 {
+				t.Errorf("%s: %+v %v", protocol, got, err)
+			}
+			state, err := s.connect(t, &tls.Config{NextProtos: []string{protocol}})
+			if err != nil || state.NegotiatedProtocol != protocol {
+				t.Errorf("%s: negotiated %q %v", protocol, state.NegotiatedProtocol, err)
+			}
+		}
+	})
+	t.Run("nothing before TLS 1.3 is spoken", func(t *testing.T) {
+		if _, err := s.connect(t, &tls.Config{MaxVersion: tls.VersionTLS12}); err == nil {
+			t.Error("TLS 1.2 was accepted")
+		}
+	})
+}
+
+// Symptom: callers cannot connect since the certificate has expired, though its
+// file was renewed in time; or every new connection fails while it is renewed.
+// Sequence: the files are replaced, one after the other, while the process runs.
+// Cause: they are read only at the start, or half-way.
+func TestRenewedCertificateIsServedWithoutARestart(t *testing.T) {
+	s := newSecureWorld(t)
+	served := func() int64 {
+		state, err := s.connect(t, &tls.Config{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return state.PeerCertificates[0].SerialNumber.Int64()
+	}
+	if got := served(); got != s.serial {
+		t.Fatalf("serial %d, want %d", got, s.serial)
+	}
+	old, err := os.ReadFile(s.pair.Key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	renewed := s.renew()
+	key, err := os.ReadFile(s.pair.Key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.put(t, old)
+	if got := served(); got != s.serial {
+		t.Errorf("serial %d while the key is not there yet, want %d", got, s.serial)
+	}
+	s.put(t, key)
+	if got := served(); got != renewed {
+		t.Errorf("serial %d, want the renewed %d", got, renewed)
+	}
+}
+
+// put replaces the key file.
+func (s *secureWorld) put(t *testing.T, key []byte) {
+	t.Helper()
+	if err := os.WriteFile(s.pair.Key, append(key, '\n'), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestBadFilesAreNamedAtTheStart(t *testing.T) {
+	dir := t.TempDir()
+	authority := testkit.NewAuthority(t)
+	file := func(name string) string { return filepath.Join(dir, name) }
+	authority.Issue(file("good.pem"), file("good.key"), "gateway")
+	authority.Issue(file("other.pem"), file("other.key"), "gateway")
+	if err := os.WriteFile(file("garbage.pem"), []byte("no certificate"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cases := map[string]struct {
+		tls  settings.TLS
+		want string
+	}{
+		"no certificate for callers":          {settings.TLS{Callers: settings.KeyPair{Cert: file("none.pem"), Key: file("good.key")}}, "none.pem"},
+		"garbage for callers":                 {settings.TLS{Callers: settings.KeyPair{Cert: file("garbage.pem"), Key: file("good.key")}}, "garbage.pem"},
+		"a key of another certificate":        {settings.TLS{Callers: settings.KeyPair{Cert: file("good.pem"), Key: file("other.key")}}, "other.key"},
+		"no key for peers":                    {settings.TLS{Peers: settings.PeerKeyPair{Cert: file("good.pem"), Key: file("none.key"), CA: authority.File}}, "none.key"},
+		"garbage as the peers' authority":     {settings.TLS{Peers: settings.PeerKeyPair{Cert: file("good.pem"), Key: file("good.key"), CA: file("garbage.pem")}}, "garbage.pem"},
+		"garbage as the upstreams' authority": {settings.TLS{Upstream: settings.Authority{CA: file("garbage.pem")}}, "garbage.pem"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := &settings.Gateway{Listen: settings.GatewayListen{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Operators: "127.0.0.1:0"}}
+			g.TLS = c.tls
+			p := &Process{settings: g}
+			if err := p.wireTLS(); err == nil || !strings.Contains(err.Error(), c.want) {
+				t.Errorf("error %v, want one that names %s", err, c.want)
+			}
+		})
+	}
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc/status"
 
 	peerv1 "github.com/goldcrestspool/goldcrestspool/api/peer/v1"
+	"github.com/goldcrestspool/goldcrestspool/internal/certificate"
 )
 
 // The limits of a pool.
@@ -38,7 +39,7 @@
 // Pool holds one connection to each peer address. It is safe for concurrent
 // use.
 type Pool struct {
-	reload *reloader
+	reload *certificate.Reloader
 	dial   []grpc.DialOption
 
 	mu     sync.Mutex
@@ -60,7 +61,7 @@
 	if !tlsFiles.Set() {
 		return p, nil
 	}
-	reload, err := newReloader(tlsFiles)
+	reload, err := certificate.NewReloader(tlsFiles)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -25,6 +25,7 @@
 	"google.golang.org/grpc/status"
 
 	peerv1 "github.com/goldcrestspool/goldcrestspool/api/peer/v1"
+	"github.com/goldcrestspool/goldcrestspool/internal/certificate"
 	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
 )
 
@@ -84,11 +85,11 @@
 func NewServer(handlers Handlers, tlsFiles TLSFiles) (*Server, error) {
 	creds := insecure.NewCredentials()
 	if tlsFiles.Set() {
-		config, err := tlsFiles.serverConfig()
+		reload, err := certificate.NewReloader(tlsFiles)
 		if err != nil {
 			return nil, err
 		}
-		creds = credentials.NewTLS(config)
+		creds = credentials.NewTLS(reload.Server(protocol))
 	}
 	server := grpc.NewServer(
 		grpc.Creds(creds),
--- a/internal/settings/tls.go
+++ b/internal/settings/tls.go
@@ -2,28 +2,36 @@
 
 import (
 	"crypto/tls"
-	"crypto/x509"
-	"os"
 
-	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
+	"github.com/goldcrestspool/goldcrestspool/internal/certificate"
 )
 
 // PeerName is the name that every peer's certificate carries.
 const PeerName = "goldcrestspool-peer"
 
+// Files returns the files for TLS towards callers; none when it is off.
+func (k KeyPair) Files() certificate.Files {
+	return certificate.Files{Certificate: k.Cert, Key: k.Key}
+}
+
+// Files returns the files for mutual TLS between processes; none when it is
+// off.
+func (k PeerKeyPair) Files() certificate.Files {
+	if !k.Set() {
+		return certificate.Files{}
+	}
+	return certificate.Files{Certificate: k.Cert, Key: k.Key, Authority: k.CA, ServerName: PeerName}
+}
+
 // ClientConfig returns a client configuration that trusts the authority's
-// certificates, or nil when no authority is set.
+// certificates, or nil when no authority is set. The file is read once.
 func (a Authority) ClientConfig() (*tls.Config, error) {
 	if a.CA == "" {
 		return nil, nil
 	}
-	pem, err := os.ReadFile(a.CA)
+	authority, err := certificate.ReadAuthority(a.CA)
 	if err != nil {
-		return nil, errcode.Wrap(errcode.FailedPrecondition, err, "authority")
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return nil, errcode.Errorf(errcode.FailedPrecondition, "authority %s holds no certificate", a.CA)
+		return nil, err
 	}
-	return &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}, nil
+	return &tls.Config{RootCAs: authority, MinVersion: tls.VersionTLS13}, nil
 }
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -69,7 +69,7 @@
 	return &http.Transport{
 		DialContext:         dial,
 		Protocols:           &protocols,
-		TLSClientConfig:     options.TLS,
+		TLSClientConfig:     withLeastVersion(options.TLS),
 		DisableKeepAlives:   options.FreshConnections,
 		IdleConnTimeout:     idleTimeout,
 		MaxIdleConnsPerHost: maxIdlePerHost,
@@ -80,6 +80,16 @@
 	}
 }
 
+// withLeastVersion returns a configuration that speaks no TLS before 1.3.
+func withLeastVersion(config *tls.Config) *tls.Config {
+	if config == nil {
+		return &tls.Config{MinVersion: tls.VersionTLS13}
+	}
+	config = config.Clone()
+	config.MinVersion = max(config.MinVersion, tls.VersionTLS13)
+	return config
+}
+
 // refuseRedirect hands a redirect to the caller as the answer. Followed, a 307
 // or 308 would send the request a second time, after the first server may have
 // run it already.
