Slow callers: limits tested in virtual time on both protocols

Ruled out: a test of too long headers over HTTP/2 in memory, since both ends then wait for each other on an unbuffered pipe; the announced limit is checked instead.

--- /dev/null
+++ b/internal/gateway/limits_test.go
@@ -0,0 +1,277 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/net/http2"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/auth"
+	"github.com/goldcrestspool/goldcrestspool/internal/settings"
+	"github.com/goldcrestspool/goldcrestspool/internal/transport"
+)
+
+// pipes is a listener in memory. Its connections hold nothing that is not
+// read, and their deadlines follow virtual time.
+type pipes struct {
+	conns  chan net.Conn
+	closed chan struct{}
+}
+
+func newPipes() *pipes { return &pipes{conns: make(chan net.Conn), closed: make(chan struct{})} }
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.conns:
+		return c, nil
+	case <-p.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (p *pipes) Close() error   { close(p.closed); return nil }
+func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// dial returns the caller's end of a new connection.
+func (p *pipes) dial(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	p.conns <- far
+	return near, nil
+}
+
+// inMemory runs f in virtual time. What f starts with its argument is served
+// until f returns.
+func inMemory(t *testing.T, f func(t *testing.T, start func(*http.Server) *pipes)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f(t, func(server *http.Server) *pipes {
+			p := newPipes()
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				_ = server.Serve(p)
+			}()
+			t.Cleanup(func() {
+				_ = server.Close()
+				<-ended
+				// A server lingers on a connection that it gave up.
+				time.Sleep(time.Second)
+			})
+			return p
+		})
+	})
+}
+
+// testLimits are short against the waits of the tests, which are virtual.
+var testLimits = callerLimits{read: 10 * time.Second, write: 10 * time.Second}
+
+func limited(handler http.HandlerFunc) *http.Server {
+	return transport.NewServer(limitCallers(handler, testLimits))
+}
+
+// request returns a request over a protocol, and its client.
+func request(p *pipes, protocol string, body io.Reader) (*http.Client, *http.Request) {
+	var protocols http.Protocols
+	protocols.SetHTTP1(protocol == "HTTP/1.1")
+	protocols.SetUnencryptedHTTP2(protocol == "HTTP/2")
+	req, _ := http.NewRequest(http.MethodPost, "http://gateway/", body)
+	return &http.Client{Transport: &http.Transport{DialContext: p.dial, Protocols: &protocols}}, req
+}
+
+var bothProtocols = []string{"HTTP/1.1", "HTTP/2"}
+
+// Symptom: memory and slots of requests fill up though no caller is answered.
+// Sequence: callers send a request and then read nothing of the answer.
+// Cause: writes that block for as long as the connection stands.
+func TestCallerThatStopsReadingIsLeft(t *testing.T) {
+	for _, protocol := range bothProtocols {
+		t.Run(protocol, func(t *testing.T) {
+			inMemory(t, func(t *testing.T, start func(*http.Server) *pipes) {
+				ended := make(chan error, 1)
+				written := 0
+				p := start(limited(func(w http.ResponseWriter, _ *http.Request) {
+					chunk := make([]byte, 32<<10)
+					for {
+						n, err := w.Write(chunk)
+						written += n
+						if err != nil {
+							ended <- err
+							return
+						}
+					}
+				}))
+				client, req := request(p, protocol, nil)
+				resp, err := client.Do(req)
+				if err != nil {
+					t.Fatal(err)
+				}
+				began := time.Now()
+				<-ended
+				if took := time.Since(began); took > 2*testLimits.write {
+					t.Errorf("the handler was held for %v", took)
+				}
+				if written > 8<<20 {
+					t.Errorf("%d bytes are held for a caller that reads nothing", written)
+				}
+				_ = resp.Body.Close()
+				client.CloseIdleConnections()
+			})
+		})
+	}
+}
+
+// Symptom: as above.
+// Sequence: callers send the header of a request and then little or nothing.
+// Cause: a body may take for ever.
+func TestCallerWhoseBodyDoesNotComeIsLeft(t *testing.T) {
+	for _, protocol := range bothProtocols {
+		t.Run(protocol, func(t *testing.T) {
+			inMemory(t, func(t *testing.T, start func(*http.Server) *pipes) {
+				ended := make(chan error, 1)
+				p := start(limited(func(_ http.ResponseWriter, r *http.Request) {
+					_, err := io.Copy(io.Discard, r.Body)
+					ended <- err
+				}))
+				body, more := io.Pipe()
+				client, req := request(p, protocol, body)
+				answered := make(chan struct{})
+				go func() {
+					defer close(answered)
+					if resp, err := client.Do(req); err == nil {
+						_ = resp.Body.Close()
+					}
+				}()
+				stopped := make(chan struct{})
+				go func() {
+					defer close(stopped)
+					// A byte every second.
+					for _, err := more.Write([]byte("x")); err == nil; _, err = more.Write([]byte("x")) {
+						time.Sleep(time.Second)
+					}
+				}()
+				began := time.Now()
+				if err := <-ended; err == nil {
+					t.Error("the body ended")
+				}
+				if took := time.Since(began); took > 2*testLimits.read {
+					t.Errorf("the handler was held for %v", took)
+				}
+				_ = body.CloseWithError(errors.New("enough"))
+				<-answered
+				<-stopped
+				client.CloseIdleConnections()
+			})
+		})
+	}
+}
+
+// Symptom: requests that take longer than the limits on slow callers are cut
+// off, or those that come on a connection after a pause.
+// Sequence: a request whose answer begins after a minute; then, on the same
+// connection, one that is answered without a body.
+// Cause: a deadline that outlives what it was for.
+func TestLongRequestsAreNotTakenForSlowCallers(t *testing.T) {
+	for _, protocol := range bothProtocols {
+		t.Run(protocol, func(t *testing.T) {
+			inMemory(t, func(t *testing.T, start func(*http.Server) *pipes) {
+				p := start(limited(func(w http.ResponseWriter, r *http.Request) {
+					if _, err := io.Copy(io.Discard, r.Body); err != nil {
+						t.Error(err)
+					}
+					select {
+					case <-time.After(time.Minute):
+					case <-r.Context().Done():
+						t.Error("the request was ended")
+					}
+					w.WriteHeader(http.StatusNoContent)
+				}))
+				client, req := request(p, protocol, strings.NewReader("ask"))
+				for range 3 {
+					req.Body = io.NopCloser(strings.NewReader("ask"))
+					resp, err := client.Do(req)
+					if err != nil {
+						t.Fatal(err)
+					}
+					if resp.StatusCode != http.StatusNoContent {
+						t.Errorf("status %d", resp.StatusCode)
+					}
+					_ = resp.Body.Close()
+				}
+				client.CloseIdleConnections()
+			})
+		})
+	}
+}
+
+// bareServer is the callers' server without anything behind it.
+func bareServer(limits settings.Limits) *http.Server {
+	return newCallersServer(&handler{log: hclog.NewNullLogger(), auth: auth.New(nil)}, limits)
+}
+
+func TestHeadersAreBounded(t *testing.T) {
+	limits := settings.Limits{MaxBody: 1 << 10, MaxHeader: 4 << 10, HeaderTimeout: 5 * time.Second, MaxStreams: 7}
+	t.Run("in time", func(t *testing.T) {
+		inMemory(t, func(t *testing.T, start func(*http.Server) *pipes) {
+			p := start(bareServer(limits))
+			conn, _ := p.dial(context.Background(), "", "")
+			if _, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost:"); err != nil {
+				t.Fatal(err)
+			}
+			began := time.Now()
+			_, _ = io.Copy(io.Discard, conn)
+			if took := time.Since(began); took > 2*limits.HeaderTimeout {
+				t.Errorf("the connection was held for %v", took)
+			}
+		})
+	})
+	t.Run("in size", func(t *testing.T) {
+		inMemory(t, func(t *testing.T, start func(*http.Server) *pipes) {
+			client, req := request(start(bareServer(limits)), "HTTP/1.1", nil)
+			req.Header.Set("X-Long", strings.Repeat("x", 16<<10))
+			resp, err := client.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if resp.StatusCode != http.StatusRequestHeaderFieldsTooLarge {
+				t.Errorf("status %d", resp.StatusCode)
+			}
+			_ = resp.Body.Close()
+			client.CloseIdleConnections()
+		})
+	})
+	t.Run("in HTTP/2, as is the number of streams on a connection", func(t *testing.T) {
+		inMemory(t, func(t *testing.T, start func(*http.Server) *pipes) {
+			p := start(bareServer(limits))
+			conn, _ := p.dial(context.Background(), "", "")
+			framer := http2.NewFramer(conn, bufio.NewReader(conn))
+			go func() {
+				_, _ = io.WriteString(conn, http2.ClientPreface)
+				_ = framer.WriteSettings()
+			}()
+			frame, err := framer.ReadFrame()
+			if err != nil {
+				t.Fatal(err)
+			}
+			announced, ok := frame.(*http2.SettingsFrame)
+			if !ok {
+				t.Fatalf("got %v", frame)
+			}
+			if streams, _ := announced.Value(http2.SettingMaxConcurrentStreams); streams != uint32(limits.MaxStreams) {
+				t.Errorf("%d streams, want %d", streams, limits.MaxStreams)
+			}
+			if size, ok := announced.Value(http2.SettingMaxHeaderListSize); !ok || size >= 8<<10 {
+				t.Errorf("headers of %d bytes", size)
+			}
+			_ = conn.Close()
+		})
+	})
+}
--- a/internal/gateway/slow.go
+++ b/internal/gateway/slow.go
@@ -32,16 +32,16 @@
 func limitCallers(next http.Handler, limits callerLimits) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		control := http.NewResponseController(w)
-		if r.ProtoMajor == 1 {
-			// The deadline of the connection's request before may be
-			// over. In HTTP/2 each stream has its own, and one set now
-			// would end an answer that takes its time to begin.
-			_ = control.SetWriteDeadline(time.Now().Add(limits.write))
-		}
+		// In HTTP/1.1 the deadline of the connection's request before
+		// stays, and may be over.
+		_ = control.SetWriteDeadline(time.Time{})
 		body := &limitedBody{ReadCloser: r.Body, control: control}
 		body.limit(limits.read)
 		r.Body = body
-		next.ServeHTTP(&limitedWriter{ResponseWriter: w, control: control, body: body, limit: limits.write}, r)
+		writer := &limitedWriter{ResponseWriter: w, control: control, body: body, limit: limits.write}
+		next.ServeHTTP(writer, r)
+		// What is still buffered is written now.
+		writer.extend()
 	})
 }
 
