--- a/internal/gateway/handler_test.go
+++ b/internal/gateway/handler_test.go
@@ -487,7 +487,8 @@
 func TestPanicEndsOneRequestOnly(t *testing.T) {
 	w := newWorld(t, worldOptions{limit: document.AccountLimit{MaxInFlight: 1}})
 	w.failFirst(func(invocation) (upstream.Answer, error) { panic("secret-panic") })
-	_, err := w.client.Call(context.Background(), lookUp("x"))
+	ctx, caller := traced()
+	_, err := w.client.Call(ctx, lookUp("x"))
 	if code, text := wireText(err); code != connect.CodeInternal || text != "internal error" {
 		t.Errorf("got %v %s", code, text)
 	}
@@ -497,6 +498,9 @@
 	if log := w.output.String(); !strings.Contains(log, "handler panicked") || strings.Contains(log, "secret-panic") {
 		t.Errorf("log: %s", log)
 	}
+	if text := tracedText(caller.TraceID()); !strings.Contains(text, "call") || strings.Contains(text, "secret-panic") {
+		t.Errorf("spans: %s", text)
+	}
 }
 
 func TestApplicationErrorIsToldAsFailed(t *testing.T) {
--- /dev/null
+++ b/internal/gateway/overhead_test.go
@@ -0,0 +1,292 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+
+	callerv1 "github.com/goldcrestspool/goldcrestspool/api/caller/v1"
+	upstreamv1 "github.com/goldcrestspool/goldcrestspool/api/upstream/v1"
+	"github.com/goldcrestspool/goldcrestspool/api/upstream/v1/upstreamv1connect"
+	"github.com/goldcrestspool/goldcrestspool/internal/admission"
+	"github.com/goldcrestspool/goldcrestspool/internal/admission/concurrency"
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
+	"github.com/goldcrestspool/goldcrestspool/internal/transport"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstream"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstream/connectupstream"
+)
+
+const (
+	// tokenInterval and streamTokens are those of a stream of the benchmark.
+	tokenInterval = 40 * time.Millisecond
+	streamTokens  = 50
+	// callsARound is how many calls a round makes at least.
+	callsARound = 4000
+)
+
+// pacedEngine sends a token every tokenInterval.
+type pacedEngine struct{ upstream.Engine }
+
+func (pacedEngine) Generate(ctx context.Context, req upstream.GenerateRequest) (upstream.TokenStream, error) {
+	return &pacedStream{ctx: ctx, req: req, ticker: time.NewTicker(tokenInterval)}, nil
+}
+
+type pacedStream struct {
+	ctx    context.Context
+	req    upstream.GenerateRequest
+	ticker *time.Ticker
+	next   uint32
+}
+
+func (p *pacedStream) Next() (upstream.Frame, error) {
+	if p.next == p.req.MaxTokens {
+		return upstream.Frame{}, io.EOF
+	}
+	select {
+	case <-p.ticker.C:
+	case <-p.ctx.Done():
+		return upstream.Frame{}, p.ctx.Err()
+	}
+	frame := upstream.Frame{Attempt: p.req.Attempt, Index: p.next, Tokens: []string{"token"}, Done: p.next+1 == p.req.MaxTokens}
+	p.next++
+	return frame, nil
+}
+
+func (p *pacedStream) Close() error {
+	p.ticker.Stop()
+	return nil
+}
+
+// benchWorld is the system under test and a bare reverse path to the same
+// upstream, both reached by one kind of client.
+type benchWorld struct {
+	*world
+	plain  upstreamv1connect.PlainServiceClient
+	engine upstreamv1connect.EngineServiceClient
+}
+
+func newBenchWorld(b *testing.B) *benchWorld {
+	b.Helper()
+	mux := http.NewServeMux()
+	connectupstream.MountEngine(mux, pacedEngine{})
+	connectupstream.MountPlain(mux, &fakePlain{})
+	url := testkit.Serve(b, mux)
+	clients := connectupstream.NewClients(nil)
+	b.Cleanup(clients.Close)
+	many := concurrency.Config{Initial: 4096, Min: 4096, Max: 4096}
+	w := newWorld(b, worldOptions{
+		plain:     connectupstream.NewPlain(clients, url),
+		engine:    connectupstream.NewEngine(clients, url),
+		admission: admission.Config{Concurrency: many},
+		level:     hclog.Info,
+	})
+	w.board.Upstreams.Publish(manyEngines())
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	client := &http.Client{Transport: &http.Transport{Protocols: &protocols}}
+	b.Cleanup(client.CloseIdleConnections)
+	bare := serveBare(b, url)
+	return &benchWorld{
+		world:  w,
+		plain:  upstreamv1connect.NewPlainServiceClient(client, bare),
+		engine: upstreamv1connect.NewEngineServiceClient(client, bare),
+	}
+}
+
+// engineEntries is how many engines the gateway takes the one of the benchmark
+// for: it would not send a thousand streams to one.
+const engineEntries = 32
+
+func manyEngines() *blackboard.Upstreams {
+	upstreams := worldUpstreams()
+	engine := upstreams.ByService[modelService][0]
+	for i := range engineEntries - 1 {
+		engine.Instance.ID = ident.Instance(fmt.Sprintf("engine-%d", i+2))
+		upstreams.ByService[modelService] = append(upstreams.ByService[modelService], engine)
+	}
+	return upstreams
+}
+
+// serveBare serves the least that a reverse path does: it copies the request
+// to the upstream and the answer back.
+func serveBare(b *testing.B, upstreamURL string) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2048}}
+	server := transport.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		req, _ := http.NewRequestWithContext(r.Context(), r.Method, upstreamURL+r.URL.Path, r.Body)
+		req.Header = r.Header
+		req.ContentLength = r.ContentLength
+		resp, err := client.Do(req)
+		if err != nil {
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		defer func() { _ = resp.Body.Close() }()
+		for key, values := range resp.Header {
+			w.Header()[key] = values
+		}
+		w.WriteHeader(resp.StatusCode)
+		copyAndFlush(w, resp.Body)
+	}))
+	server.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: worldLimits().MaxStreams}
+	go func() { _ = server.Serve(listener) }()
+	b.Cleanup(func() {
+		_ = server.Close()
+		client.CloseIdleConnections()
+	})
+	return "http://" + listener.Addr().String()
+}
+
+func copyAndFlush(w http.ResponseWriter, from io.Reader) {
+	control := http.NewResponseController(w)
+	buffer := make([]byte, 4<<10)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			_, _ = w.Write(buffer[:n])
+			_ = control.Flush()
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// cost is the processor time of this process: caller, path and upstream.
+func cost() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		panic(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// spent adds up what rounds of one path cost.
+type spent struct{ processor, wall time.Duration }
+
+// round runs work on so many goroutines and adds what it cost.
+func (s *spent) round(b *testing.B, concurrent int, work func() error) {
+	b.Helper()
+	processor, began := cost(), time.Now()
+	var all sync.WaitGroup
+	for range concurrent {
+		all.Go(func() {
+			if err := work(); err != nil {
+				b.Error(err)
+			}
+		})
+	}
+	all.Wait()
+	s.processor += cost() - processor
+	s.wall += time.Since(began)
+}
+
+// reportCost reports the cost of one operation by both paths and their ratio.
+func reportCost(b *testing.B, gateway, bare spent, operations int, name string) {
+	micros := func(d time.Duration) float64 { return d.Seconds() * 1e6 / float64(operations) }
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(micros(gateway.processor), "gateway-cpu-µs/"+name)
+	b.ReportMetric(micros(bare.processor), "bare-cpu-µs/"+name)
+	b.ReportMetric(gateway.processor.Seconds()/bare.processor.Seconds(), "cpu-ratio")
+	b.ReportMetric(gateway.wall.Seconds()/bare.wall.Seconds(), "wall-ratio")
+}
+
+// BenchmarkOverhead compares the gateway with a bare reverse path to the same
+// upstream, round by round in the same run. Processor time counts all that a
+// request costs this process: caller, path and upstream.
+func BenchmarkOverhead(b *testing.B) {
+	for _, concurrent := range []int{1, 100, 1000} {
+		b.Run(fmt.Sprintf("call/%d", concurrent), func(b *testing.B) { benchmarkCalls(b, concurrent) })
+		b.Run(fmt.Sprintf("token/%d", concurrent), func(b *testing.B) { benchmarkTokens(b, concurrent) })
+	}
+}
+
+func benchmarkCalls(b *testing.B, concurrent int) {
+	w := newBenchWorld(b)
+	each := max(1, callsARound/concurrent)
+	ctx := context.Background()
+	payload := make([]byte, 512)
+	direct := func() error {
+		for range each {
+			if _, err := w.plain.Invoke(ctx, &upstreamv1.InvokeRequest{Method: "find_lot", Payload: payload}); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	through := func() error {
+		for range each {
+			resp, err := w.client.Call(ctx, lookUp(string(payload)))
+			if err != nil {
+				return err
+			}
+			if resp.GetOutcome().GetKind() != callerv1.OutcomeKind_OUTCOME_KIND_COMPLETED {
+				return fmt.Errorf("told %v", resp.GetOutcome())
+			}
+		}
+		return nil
+	}
+	var gateway, bare, warm spent
+	warm.round(b, concurrent, direct)
+	warm.round(b, concurrent, through)
+	rounds := 0
+	for b.Loop() {
+		bare.round(b, concurrent, direct)
+		gateway.round(b, concurrent, through)
+		rounds++
+	}
+	reportCost(b, gateway, bare, rounds*each*concurrent, "call")
+}
+
+func benchmarkTokens(b *testing.B, concurrent int) {
+	w := newBenchWorld(b)
+	ctx := context.Background()
+	direct := func() error {
+		stream, err := w.engine.Generate(ctx, &upstreamv1.GenerateRequest{
+			RequestId: uuid.NewString(), Attempt: 1, Prompt: "lot 7", MaxTokens: streamTokens,
+		})
+		if err != nil {
+			return err
+		}
+		defer func() { _ = stream.Close() }()
+		got := 0
+		for stream.Receive() {
+			got += len(stream.Msg().GetTokens())
+		}
+		if got != streamTokens {
+			return fmt.Errorf("%d tokens: %w", got, stream.Err())
+		}
+		return nil
+	}
+	through := func() error {
+		req := ask(uuid.NewString(), "lot 7", streamTokens)
+		req.Class = "untimed"
+		got, err := generate(ctx, w.client, req)
+		if err != nil || len(got.tokens) != streamTokens {
+			return fmt.Errorf("%d tokens, %v: %w", len(got.tokens), got.outcome, err)
+		}
+		return nil
+	}
+	var gateway, bare spent
+	rounds := 0
+	for b.Loop() {
+		bare.round(b, concurrent, direct)
+		gateway.round(b, concurrent, through)
+		rounds++
+	}
+	reportCost(b, gateway, bare, rounds*concurrent*streamTokens, "token")
+}
--- a/internal/gateway/secrets_test.go
+++ b/internal/gateway/secrets_test.go
@@ -46,7 +46,7 @@
 			return upstream.Answer{}, errcode.New(errcode.Unavailable, text)
 		}
 	}
-	ctx := context.Background()
+	ctx, caller := traced()
 	var told strings.Builder
 	for _, kind := range []error{nil, upstream.ErrLeaving, upstream.ErrNotSent} {
 		for i, req := range []string{"first", "second", "third", "fourth"} {
@@ -74,14 +74,11 @@
 	if _, err := w.as(t, "secret-wrong-token").Call(ctx, lookUp("secret-payload")); err == nil {
 		t.Error("no error for a wrong token")
 	}
-	var traced strings.Builder
-	for _, span := range spans.GetSpans() {
-		fmt.Fprintf(&traced, "%s %v %v %v\n", span.Name, span.Attributes, span.Events, span.Status)
-	}
-	if !strings.Contains(traced.String(), "upstream attempt") || !strings.Contains(w.output.String(), "request refused or failed") {
+	inSpans := tracedText(caller.TraceID())
+	if !strings.Contains(inSpans, "upstream attempt") || !strings.Contains(w.output.String(), "request refused or failed") {
 		t.Fatal("nothing was logged or traced")
 	}
-	for place, text := range map[string]string{"log": w.output.String(), "spans": traced.String(), "outcomes": told.String()} {
+	for place, text := range map[string]string{"log": w.output.String(), "spans": inSpans, "outcomes": told.String()} {
 		for line := range strings.Lines(text) {
 			if strings.Contains(line, "secret-") || strings.Contains(line, "10.9.8.7") {
 				t.Errorf("in the %s: %s", place, line)
--- a/internal/gateway/span_test.go
+++ b/internal/gateway/span_test.go
@@ -10,7 +10,6 @@
 	"testing"
 	"time"
 
-	"github.com/google/uuid"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
@@ -150,10 +149,8 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			caller := trace.NewSpanContext(trace.SpanContextConfig{
-				TraceID: trace.TraceID(uuid.New()), SpanID: trace.SpanID{1}, TraceFlags: trace.FlagsSampled,
-			})
-			if err := c.send(trace.ContextWithSpanContext(context.Background(), caller)); err != nil {
+			ctx, caller := traced()
+			if err := c.send(ctx); err != nil {
 				t.Fatal(err)
 			}
 			found := chains(caller.TraceID(), caller.SpanID())
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -5,18 +5,22 @@
 	"context"
 	"crypto/sha256"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"go.opentelemetry.io/otel/trace"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	callerv1 "github.com/goldcrestspool/goldcrestspool/api/caller/v1"
@@ -52,10 +56,12 @@
 )
 
 // spans are the spans of all worlds: the parts take OpenTelemetry's globals.
+// Only requests with a trace of the caller's have spans.
 var spans = tracetest.NewInMemoryExporter()
 
 func init() {
-	otel.SetTracerProvider(sdktrace.NewTracerProvider(sdktrace.WithSyncer(spans)))
+	otel.SetTracerProvider(sdktrace.NewTracerProvider(
+		sdktrace.WithSyncer(spans), sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.NeverSample()))))
 	otel.SetTextMapPropagator(propagation.TraceContext{})
 }
 
@@ -158,6 +164,27 @@
 	// peers are the other gateways; nil is none.
 	peers  func(*world) calls.Peers
 	limits settings.Limits
+	// level of the log; zero is everything.
+	level hclog.Level
+}
+
+// traced returns a context with a trace of the caller's.
+func traced() (context.Context, trace.SpanContext) {
+	caller := trace.NewSpanContext(trace.SpanContextConfig{
+		TraceID: trace.TraceID(uuid.New()), SpanID: trace.SpanID{1}, TraceFlags: trace.FlagsSampled,
+	})
+	return trace.ContextWithSpanContext(context.Background(), caller), caller
+}
+
+// tracedText is what the spans of a trace say.
+func tracedText(id trace.TraceID) string {
+	var text strings.Builder
+	for _, span := range spans.GetSpans() {
+		if span.SpanContext.TraceID() == id {
+			fmt.Fprintf(&text, "%s %v %v %v\n", span.Name, span.Attributes, span.Events, span.Status)
+		}
+	}
+	return text.String()
 }
 
 func worldDocuments(limit document.AccountLimit) *document.Set {
@@ -168,6 +195,7 @@
 	}}
 	model := &document.Document{Service: modelService, Kind: document.Model, DefaultAccount: limit, Classes: []document.Class{
 		{Name: "short", Completion: 20 * time.Second},
+		{Name: "untimed"},
 	}}
 	return &document.Set{Revision: 1, Services: map[ident.Service]document.Entry{
 		plainService: {Revision: 1, Document: plain},
@@ -225,7 +253,7 @@
 
 // wire makes the parts as Process.wireRequests does.
 func (w *world) wire(t testing.TB, o worldOptions) {
-	log := hclog.New(&hclog.LoggerOptions{Level: hclog.Trace, Output: w.output, JSONFormat: true})
+	log := hclog.New(&hclog.LoggerOptions{Level: max(o.level, hclog.Trace), Output: w.output, JSONFormat: true})
 	tracer := otel.Tracer("gateway")
 	dialer := fakeDialer{
 		plains:  map[string]upstream.Plain{"app-1": w.first, "app-2": w.second, "app-3": w.second},
