--- a/scripts/promises.sh
+++ b/scripts/promises.sh
@@ -20,10 +20,18 @@
 
 RESULTS=$(mktemp)
 trap 'rm -f "$RESULTS"' EXIT
+# run_tests PACKAGE TESTS notes "PACKAGE TEST PASS|FAIL|SKIP" for each test.
+run_tests() {
+  local race=-race
+  # Separate processes need the cores that the detector would take.
+  [ "$1" = ./internal/e2e ] && race=-tags=e2e
+  go test "$race" -count=1 -v -run "^($2)\$" "$1" 2>&1 |
+    awk -v p="$1" '/^--- (PASS|FAIL|SKIP): /{sub(":", "", $2); print p, $3, $2}' >>"$RESULTS"
+}
+
 for package in $(awk '{print $2}' <<<"$NAMED" | sort -u); do
   tests=$(awk -v p="$package" '$2 == p {print $3}' <<<"$NAMED" | sort -u | paste -sd'|')
-  go test -race -count=1 -v -run "^($tests)\$" "$package" 2>&1 |
-    awk -v p="$package" '/^--- (PASS|FAIL|SKIP): /{sub(":", "", $2); print p, $3, $2}' >>"$RESULTS"
+  run_tests "$package" "$tests"
 done
 
 passed=0 failed=0
