--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -27,7 +27,7 @@
 	// shareRequests and shareTokens are which part of a queue is served before
 	// the request.
 	shareRequests, shareTokens float64
-	// margin is the factor within which nine of ten predictions come true.
+	// margin is the factor within which four of five predictions come true.
 	margin float64
 	// farthest is the largest place that is a home of the request's prefix.
 	farthest float64
--- a/internal/routing/limit.go
+++ b/internal/routing/limit.go
@@ -7,34 +7,37 @@
 )
 
 const (
-	// batchShrink is the weight of one report that shows a queue in the learnt
-	// size of a batch, batchGrow how far one without a queue lets it rise.
-	batchShrink = 0.2
-	batchGrow   = 0.1
+	// batchShrink is what a report of a saturated engine leaves of the learnt
+	// size of its batch, batchGrow what any other makes of it.
+	batchShrink = 0.98
+	batchGrow   = 1.01
+	// batchLeast is the smallest size that is learnt.
+	batchLeast = 4
 	// queueShare and queueLeast tell a queue before a full batch from requests
 	// that have only just come and wait for the next step.
 	queueShare = 0.1
 	queueLeast = 4
 )
 
-// learnBatch follows how many requests an engine really runs at once: its
-// memory may hold fewer than its batch, and models differ. While requests
-// queue there, the running ones are all that fit.
-func (s *slot) learnBatch(u *blackboard.Upstream, initial float64) {
+// learnBatch follows how many requests an engine can really work on at once:
+// its memory may hold fewer than its batch, long prompts may take all of its
+// steps, and models differ. A queue, or a backlog of prefill, shows that fewer
+// would do as well.
+func (r *Router) learnBatch(u *blackboard.Upstream, known *slot) {
 	if u.AsOf.IsZero() {
 		return
 	}
-	size := s.batchSize(initial)
+	initial := r.params.BatchLimit
+	size := known.batchSize(initial)
 	running := float64(u.Report.Running)
+	s := r.situation(u, known, load{})
 	switch {
-	case float64(u.Report.Queued) > queueLeast+queueShare*running:
-		size += batchShrink * (running - size)
-	case running > size:
-		size = running
+	case float64(u.Report.Queued) > queueLeast+queueShare*running, s.backlog() > r.params.MostBacklog.Seconds():
+		size = max(batchLeast, min(size, running)*batchShrink)
 	case size < initial:
-		size += batchGrow
+		size = min(initial, size*batchGrow)
 	}
-	s.batch.store(size)
+	known.batch.store(max(size, batchLeast))
 }
 
 // batchSize is the learnt size of the upstream's batch.
--- a/internal/routing/params.go
+++ b/internal/routing/params.go
@@ -14,6 +14,9 @@
 	// until its queue shows that fewer do; Filled is the share of that which
 	// gateways fill.
 	BatchLimit, Filled float64
+	// MostBacklog is the backlog of prefill from which on an engine counts as
+	// saturated.
+	MostBacklog time.Duration
 	// SlotRate is the weight of one view in what Slots returns.
 	SlotRate float64
 	// PrefillRate is assumed, in tokens a second, until a report tells it.
@@ -61,7 +64,8 @@
 	return Params{
 		StepTokens:      384,
 		BatchLimit:      96,
-		Filled:          1,
+		Filled:          0.9,
+		MostBacklog:     2 * time.Second,
 		SlotRate:        0.1,
 		PrefillRate:     20000,
 		Step:            20 * time.Millisecond,
@@ -69,12 +73,12 @@
 		Target:          2 * time.Second,
 		Comfort:         0.5,
 		RecomputeWeight: 20,
-		PriceWeight:     0.6,
+		PriceWeight:     0.25,
 		PriceUpTo:       0.65,
-		PriceHome:       2,
+		PriceHome:       0,
 		LeastHome:       0.05,
 		LateWeight:      1,
-		FullBacklog:     2 * time.Second,
+		FullBacklog:     8 * time.Second,
 		Crowded:         0.97,
 		Bound:           1.2,
 		CrowdWeight:     2,
--- a/internal/routing/predict.go
+++ b/internal/routing/predict.go
@@ -15,7 +15,7 @@
 	learnRate = 0.02
 	// marginQuantile of the first tokens come within the margin, which moves
 	// in steps of marginStep and up to marginMost, as logarithms of a factor.
-	marginQuantile = 0.9
+	marginQuantile = 0.8
 	marginStep     = 0.05
 	marginMost     = 2
 	// assumedOutput is the mean answer, in tokens, until it is learnt.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -96,7 +96,7 @@
 	highest := 0.0
 	for i := range view {
 		p.entries[i].slot = r.slot(view[i].Instance.ID)
-		p.entries[i].slot.learnBatch(&view[i], r.params.BatchLimit)
+		r.learnBatch(&view[i], p.entries[i].slot)
 		p.entries[i].price = price(doc, &view[i])
 		p.entries[i].hash = xxhash.Sum64String(string(view[i].Instance.ID))
 		highest = max(highest, p.entries[i].price)
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -69,7 +69,7 @@
 	Address  string
 	// FirstToken is the predicted time to the first token.
 	FirstToken time.Duration
-	// FirstTokenBy is when nine of ten such first tokens have come, by how
+	// FirstTokenBy is when four of five such first tokens have come, by how
 	// earlier predictions came out.
 	FirstTokenBy time.Duration
 	// BetweenTokens is the predicted time between two tokens.
