--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -46,8 +46,9 @@
 // share of the work. Sequence: it slows down; its reports do not change.
 // Cause: routing believes reports alone.
 func TestSlowUpstreamIsLeftAlone(t *testing.T) {
-	slow := Case{Name: "slow upstream", Load: light, Slow: 4}
-	if f := Run(Domaenenhaus(), slow, ours(), 1); f.Met < 0.98 {
-		t.Errorf("%.1f%% of the requests in target beside a slow upstream, want 98%%", 100*f.Met)
+	const want = 0.985
+	slow := Case{Name: "slow upstream", Load: 2 * light, Slow: 4}
+	if f := Run(Domaenenhaus(), slow, ours(), 1); f.Met < want {
+		t.Errorf("%.2f%% of the requests in target beside a slow upstream, want %.2f%%", 100*f.Met, 100*want)
 	}
 }
--- a/internal/standin/engine/model_test.go
+++ b/internal/standin/engine/model_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -18,7 +19,7 @@
 // small parameters reach every limit within a few requests.
 func small() Parameters {
 	p := DefaultParameters()
-	p.StepTokens, p.MaxRunning, p.MemoryBlocks = 96, 4, 24
+	p.StepTokens, p.MaxRunning, p.MemoryBlocks = 96, 4, 12
 	p.ReportLag, p.EventLag = 0, 0
 	return p
 }
@@ -175,3 +176,37 @@
 		t.Error("the third start failed, want two to fail")
 	}
 }
+
+// Symptom: short replies come late behind long prompts. Sequence: long prompts
+// are queued or half prefilled; an urgent request comes. Cause: priorities are
+// not honoured, in the queue or among the prefills of a step.
+func TestModelServesUrgentRequestsFirst(t *testing.T) {
+	m := NewModel(small())
+	now := time.Unix(0, 0)
+	submit := func(tag, context int, priority int32) {
+		w := Work{ID: ident.Request(strconv.Itoa(tag)), Tag: tag, Priority: priority, Context: context, Output: 1}
+		if err := m.Submit(now, w); err != nil {
+			t.Fatal(err)
+		}
+	}
+	submit(1, 300, 1)
+	submit(2, 300, 1)
+	m.Step(now, nil)
+	submit(3, 300, 1)
+	submit(4, 90, 3)
+	submit(5, 90, 3)
+	var order []int
+	for {
+		tokens, d := m.Step(now, nil)
+		if d == 0 {
+			break
+		}
+		now = now.Add(d)
+		for _, token := range tokens {
+			order = append(order, token.Tag)
+		}
+	}
+	if want := []int{4, 5, 1, 2, 3}; !slices.Equal(order, want) {
+		t.Errorf("first tokens came in the order %v, want %v", order, want)
+	}
+}
