--- a/internal/admission/gate/plan.go
+++ b/internal/admission/gate/plan.go
@@ -32,7 +32,7 @@
 	returnLeniency = 2
 	// beyondReserve is the part of a target that accounts beyond their part
 	// leave to the others while upstreams are late.
-	beyondReserve = 0.5
+	beyondReserve = 0.6
 	// noUpstreamReturn is the return time while no upstream is there.
 	noUpstreamReturn = 2 * time.Second
 )
