--- a/internal/admission/gate/gate_test.go
+++ b/internal/admission/gate/gate_test.go
@@ -121,3 +121,33 @@
 		t.Errorf("%d of %d of the large account's requests granted", granted["large"], offered["large"])
 	}
 }
+
+// TestLateBound: the late bound of a prediction refuses a less urgent request,
+// unless such requests are answered in time anyway; it never refuses one of
+// the most urgent class.
+func TestLateBound(t *testing.T) {
+	long := document.Class{Name: "long", FirstToken: time.Second, Priority: 1}
+	g := New(Config{Slots: 100})
+	now := time.Unix(1000, 0)
+	offer := func(class document.Class, by time.Duration) *Entry {
+		e := &Entry{Request: Request{Account: "a", Class: class, PredictedBy: by}}
+		g.Offer(now, e)
+		return e
+	}
+	if !offer(shortClass, 2*time.Second).Granted() {
+		t.Error("most urgent request refused for its late bound")
+	}
+	if offer(long, 2*time.Second).Granted() {
+		t.Error("long request granted against its late bound, though nothing is known of its answers")
+	}
+	g.FirstToken(now, offer(long, 0))
+	if !offer(long, 2*time.Second).Granted() {
+		t.Error("long request refused for its late bound, though such requests are answered in time")
+	}
+	e := offer(long, 0)
+	now = now.Add(2 * time.Second)
+	g.FirstToken(now, e)
+	if offer(long, 2*time.Second).Granted() {
+		t.Error("long request granted against its late bound, though such requests are answered late")
+	}
+}
--- a/internal/admission/gate/lateness.go
+++ b/internal/admission/gate/lateness.go
@@ -15,6 +15,9 @@
 	// slow upstream, which is for ejection to find.
 	lateMemory = 0.1
 	lateShare  = 0.2
+	// inTimeShare is the share of late answers below which predictions need no
+	// margin.
+	inTimeShare = 0.1
 	// judgeParts is how often in a goal's time the oldest entry without an
 	// answer counts as late again.
 	judgeParts = 4
@@ -92,6 +95,9 @@
 	}
 }
 
+// inTime reports whether hardly any answer came late of late.
+func (l *lateness) inTime() bool { return l.heard && l.share < inTimeShare }
+
 // yields reports whether a smaller limit would hold the band back more than
 // it is already.
 func (b *band) yields() bool {
--- a/internal/admission/gate/plan.go
+++ b/internal/admission/gate/plan.go
@@ -78,10 +78,12 @@
 	return t
 }
 
-// predicted is the time from grant to first token to count on.
+// predicted is the time from grant to first token to count on: the late bound
+// of a prediction counts only for less urgent priorities, and only while some
+// of their answers do come late or for accounts beyond their part.
 func (g *Gate) predicted(r *Request) time.Duration {
-	g.bands.of(r.Class.Priority)
-	if mostUrgent := g.bands.list[0].priority; r.Class.Priority == mostUrgent {
+	own := g.bands.of(r.Class.Priority)
+	if own == g.bands.list[0] || own.inTime() && !g.beyondPart(g.clients[r.Account]) {
 		return r.Predicted
 	}
 	return max(r.Predicted, r.PredictedBy)
