--- a/internal/controller/wire.go
+++ b/internal/controller/wire.go
@@ -8,7 +8,6 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/document"
 	"github.com/goldcrestspool/goldcrestspool/internal/lease"
 	"github.com/goldcrestspool/goldcrestspool/internal/peer"
-	"github.com/goldcrestspool/goldcrestspool/internal/platform"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform/connectplatform"
 	"github.com/goldcrestspool/goldcrestspool/internal/settings"
 	"github.com/goldcrestspool/goldcrestspool/internal/transport"
@@ -23,8 +22,8 @@
 	s := p.settings
 	p.documents = blackboard.NewSection(&document.Set{})
 	p.health = blackboard.NewSection(blackboard.ConfigurationHealth{Problem: "not read yet"})
-	p.instances = blackboard.NewSection([]platform.Instance(nil))
-	p.client = transport.NewClient(transport.Options{})
+	p.listing = blackboard.NewSection(blackboard.Listing{})
+	p.client = transport.NewClient(transport.Options{FreshConnections: true})
 	p.platform = connectplatform.NewClient(p.client, s.Platform.Address)
 
 	trusted, err := s.TLS.Upstream.ClientConfig()
@@ -44,6 +43,7 @@
 		Documents: p.documents,
 		Health:    p.health,
 		Logger:    p.log,
+		Snapshots: configuration.DefaultSnapshotPolicy.Every(s.Control.SnapshotInterval),
 	})
 	p.wireControllers()
 	return nil
@@ -73,7 +73,7 @@
 		orders.Config{Interval: s.Control.Interval, Flight: s.Control.Margin, Parallel: orders.DefaultParallel},
 		orders.Deps{
 			Documents: p.documents,
-			Instances: p.instances,
+			Listing:   p.listing,
 			Leases:    p.leases,
 			Dialer:    p.dialer,
 			Weights:   p.platform,
@@ -89,11 +89,11 @@
 		},
 		fleet.Deps{
 			Documents: p.documents,
-			Instances: p.instances,
+			Listing:   p.listing,
 			Leases:    p.leases,
 			Cloud:     p.platform,
 			Dialer:    p.dialer,
-			Gateways:  newGateways(s.Instance, p.pool, p.instances),
+			Gateways:  newGateways(s.Instance, p.pool, p.listing),
 			Log:       p.log.Named("fleet"),
 		})
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -33,6 +33,7 @@
 type tokenStreams interface {
 	Generate(ctx context.Context, req streaming.Request, sink streaming.Sink) (outcome.Outcome, error)
 	Resume(ctx context.Context, resume streaming.ResumeRequest, sink streaming.Sink) (outcome.Outcome, error)
+	Holds(key streaming.Key) bool
 }
 
 // handler serves the callers' API.
@@ -225,12 +226,23 @@
 	if h.stopping.Value() {
 		return outcome.NewNotRun(outcome.ReasonLeaving, "this gateway is leaving; ask any other", 0), nil
 	}
+	ticket, refusal := h.admitStream(ctx, s)
+	if refusal != nil {
+		return *refusal, nil
+	}
+	defer ticket.Done(admission.Result{})
+	h.plains.budgets.of(s.doc.Service).FirstTry()
+	return h.streams.Generate(ctx, s.request, sink)
+}
+
+// admitStream admits a token stream of which nothing was delivered.
+func (h *handler) admitStream(ctx context.Context, s streamAsk) (*admission.Ticket, *outcome.Outcome) {
 	key := s.request.Key
 	ask := s.request.Ask
 	route := streamRequest(s.doc, s.class, key.Account, ask.Prompt, ask.MaxTokens, nil)
 	predicted := h.routes.decide(s.doc, route)
 	u, _ := h.routes.find(s.doc.Service, predicted.Upstream)
-	ticket, refusal := h.admit(ctx, admission.Request{
+	return h.admit(ctx, admission.Request{
 		Service:   s.doc.Service,
 		ID:        key.Request,
 		Account:   key.Account,
@@ -238,20 +250,13 @@
 		Class:     s.class,
 		Predicted: predicted.FirstToken,
 		Unloaded:  unloaded(u.Report, predicted.UncachedTokens),
-		Remaining: time.Duration(ask.MaxTokens) * predicted.BetweenTokens,
+		Remaining: time.Duration(route.MaxTokens) * predicted.BetweenTokens,
 		Deadline:  s.request.Deadline,
-		Cost:      float64(predicted.UncachedTokens) + float64(ask.MaxTokens),
+		Cost:      float64(predicted.UncachedTokens + route.MaxTokens),
 	})
-	if refusal != nil {
-		return *refusal, nil
-	}
-	defer ticket.Done(admission.Result{})
-	h.plains.budgets.of(s.doc.Service).FirstTry()
-	return h.streams.Generate(ctx, s.request, sink)
 }
 
-// Resume implements the callers' API. A request that was accepted once is not
-// admitted a second time.
+// Resume implements the callers' API.
 func (h *handler) Resume(ctx context.Context, req *callerv1.ResumeRequest, out *connect.ServerStream[callerv1.ResumeResponse]) error {
 	ctx, span := h.tracer.Start(ctx, "resume", trace.WithAttributes(attribute.String("service", req.GetService())))
 	defer span.End()
@@ -260,18 +265,35 @@
 		Next:      req.GetNextIndex(),
 		Delivered: req.GetDelivered(),
 	}
-	if req.GetOriginal() != nil {
-		original, err := h.streamRequest(ctx, req.GetOriginal())
-		if err != nil {
-			return wireError(err)
-		}
-		resume.Original = &original.request
-	}
 	sink := resumeSink(out)
-	o, err := h.streams.Resume(ctx, resume, sink)
+	o, err := h.resume(ctx, resume, req.GetOriginal(), sink)
 	if err != nil {
 		return wireError(err)
 	}
 	h.told(explain.Subject{Request: resume.Key.Request, Service: ident.Service(req.GetService()), Account: resume.Key.Account}, o)
 	return sink.end(o)
 }
+
+// resume serves the rest of a token stream. One that some gateway accepted, as
+// this one keeps it or tokens of it were delivered, must finish, so it is not
+// refused for load: callers of killed gateways come back when there is least
+// room for them. One of which nothing was delivered is admitted like a new one.
+func (h *handler) resume(ctx context.Context, resume streaming.ResumeRequest, original *callerv1.GenerateRequest, sink streaming.Sink) (outcome.Outcome, error) {
+	if original == nil {
+		return h.streams.Resume(ctx, resume, sink)
+	}
+	ask, err := h.streamRequest(ctx, original)
+	if err != nil {
+		return outcome.Outcome{}, err
+	}
+	resume.Original = &ask.request
+	if resume.Next > 0 || h.streams.Holds(resume.Key) {
+		return h.streams.Resume(ctx, resume, sink)
+	}
+	ticket, refusal := h.admitStream(ctx, ask)
+	if refusal != nil {
+		return *refusal, nil
+	}
+	defer ticket.Done(admission.Result{})
+	return h.streams.Resume(ctx, resume, sink)
+}
