Gateway: slots from routing, late bounds and first tokens for admission

Ejected returned a slice that routes.decide appends to: with room left in its array two requests at once would have written each other's exclusions. It is clipped now.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -102,6 +102,11 @@
 	c.service(name).setUpstreams(ids)
 }
 
+// SetSlots tells how many requests of a service may run at once from here, in
+// place of the sum of the upstreams' limits; see routing.Router.Slots. 0 goes
+// back to the limits. Without upstreams there are no slots all the same.
+func (c *Controller) SetSlots(name ident.Service, slots int) { c.service(name).setSlots(slots) }
+
 // Ejected returns the upstreams that a request must not go to now. The slice
 // is shared and must not be changed.
 func (c *Controller) Ejected(name ident.Service) []ident.Instance {
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -128,6 +128,26 @@
 	})
 }
 
+// TestSetSlots: slots that are set replace the upstreams' limits while there
+// are upstreams.
+func TestSetSlots(t *testing.T) {
+	ctl := New(Config{Concurrency: concurrency.Config{Initial: 1, Max: 1}})
+	ctl.SetUpstreams("s", []ident.Instance{"u1"})
+	ctl.SetSlots("s", 3)
+	if n := ctl.service("s").gate.Slots(); n != 3 {
+		t.Errorf("%d slots, want those that were set", n)
+	}
+	ctl.Observe("s", Result{Upstream: "u1", Failed: true}, 0)
+	ctl.SetUpstreams("s", []ident.Instance{"u1", "u2"})
+	if n := ctl.service("s").gate.Slots(); n != 3 {
+		t.Errorf("%d slots after a change of upstreams", n)
+	}
+	ctl.SetUpstreams("s", nil)
+	if n := ctl.service("s").gate.Slots(); n != 0 {
+		t.Errorf("%d slots without upstreams", n)
+	}
+}
+
 // TestDividedLimit: the document's limit holds for all gateways together.
 func TestDividedLimit(t *testing.T) {
 	ctl := New(Config{Gate: gate.Config{Slots: 100}})
--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -27,6 +27,8 @@
 	// count until then.
 	upstreams map[ident.Instance]*concurrency.Limit
 	ejection  *ejection.Set
+	// slots is what SetSlots said; 0 leaves it to the upstreams' limits.
+	slots int
 
 	// exclusion is the last exclusion; see excluded.
 	exclusion atomic.Pointer[exclusion]
@@ -156,7 +158,7 @@
 			InFlight: r.InFlight,
 			Dropped:  r.Failed,
 		})
-		if !slices.Contains(s.exclusion.Load().ids, r.Upstream) {
+		if s.slots == 0 && !slices.Contains(s.exclusion.Load().ids, r.Upstream) {
 			s.gate.SetSlots(s.gate.Slots() + limit.Value() - before)
 		}
 	}
@@ -218,6 +220,15 @@
 	s.grantNext(now)
 }
 
+func (s *service) setSlots(slots int) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slots = max(slots, 0)
+	s.refresh(now)
+	s.grantNext(now)
+}
+
 func (s *service) sending(now time.Time, id ident.Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -228,16 +239,22 @@
 	s.refresh(now)
 }
 
-// refresh publishes the exclusion and sets the slots to the sum of the limits
-// of those that are not excluded. The lock must be held.
+// refresh publishes the exclusion and sets the slots: what was set, or the sum
+// of the limits of those that are not excluded. The lock must be held.
 func (s *service) refresh(now time.Time) {
-	ids := s.ejection.Excluded(now)
+	// Clipped, so that a reader who appends does not write into the shared
+	// array: two requests at once would exclude each other's upstreams.
+	ids := slices.Clip(s.ejection.Excluded(now))
 	if old := s.exclusion.Load(); !slices.Equal(old.ids, ids) || !old.until.Equal(s.ejection.NextChange(now)) {
 		s.exclusion.Store(&exclusion{ids: ids, until: s.ejection.NextChange(now)})
 	}
 	if s.upstreams == nil {
 		return
 	}
+	if s.slots > 0 && len(s.upstreams) > 0 {
+		s.gate.SetSlots(s.slots)
+		return
+	}
 	slots := 0
 	for id, limit := range s.upstreams {
 		if !slices.Contains(ids, id) {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -232,7 +232,7 @@
 	}
 	defer ticket.Done(admission.Result{})
 	h.plains.budgets.of(s.doc.Service).FirstTry()
-	return h.streams.Generate(ctx, s.request, sink)
+	return h.streams.Generate(ctx, s.request, &firstTokenSink{Sink: sink, tell: ticket.FirstToken})
 }
 
 // admitStream admits a token stream of which nothing was delivered.
@@ -243,16 +243,17 @@
 	predicted := h.routes.decide(s.doc, route)
 	u, _ := h.routes.find(s.doc.Service, predicted.Upstream)
 	return h.admit(ctx, admission.Request{
-		Service:   s.doc.Service,
-		ID:        key.Request,
-		Account:   key.Account,
-		Limit:     s.doc.AccountLimit(key.Account),
-		Class:     s.class,
-		Predicted: predicted.FirstToken,
-		Unloaded:  unloaded(u.Report, predicted.UncachedTokens),
-		Remaining: time.Duration(route.MaxTokens) * predicted.BetweenTokens,
-		Deadline:  s.request.Deadline,
-		Cost:      float64(predicted.UncachedTokens + route.MaxTokens),
+		Service:     s.doc.Service,
+		ID:          key.Request,
+		Account:     key.Account,
+		Limit:       s.doc.AccountLimit(key.Account),
+		Class:       s.class,
+		Predicted:   predicted.FirstToken,
+		PredictedBy: predicted.FirstTokenBy,
+		Unloaded:    unloaded(u.Report, predicted.UncachedTokens),
+		Remaining:   time.Duration(route.MaxTokens) * predicted.BetweenTokens,
+		Deadline:    s.request.Deadline,
+		Cost:        float64(predicted.UncachedTokens + route.MaxTokens),
 	})
 }
 
@@ -295,5 +296,5 @@
 		return *refusal, nil
 	}
 	defer ticket.Done(admission.Result{})
-	return h.streams.Resume(ctx, resume, sink)
+	return h.streams.Resume(ctx, resume, &firstTokenSink{Sink: sink, tell: ticket.FirstToken})
 }
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -358,9 +358,11 @@
 	for {
 		upstreams := p.board.Upstreams.Load()
 		members := p.board.Members.Load()
-		p.admission.SetGateways(liveGateways(members.Value))
+		live := liveGateways(members.Value)
+		p.admission.SetGateways(live)
 		for service, list := range upstreams.Value.ByService {
 			p.admission.SetUpstreams(service, aliveIDs(list))
+			p.admission.SetSlots(service, p.handler.routes.router(service).Slots(list, live, time.Now()))
 		}
 		select {
 		case <-upstreams.Changed():
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -56,3 +56,19 @@
 
 // end sends the last event.
 func (s *sink) end(o outcome.Outcome) error { return s.outcome(toWire(o)) }
+
+// firstTokenSink tells admission when the first token comes.
+type firstTokenSink struct {
+	streaming.Sink
+	tell func()
+	told bool
+}
+
+// Tokens implements streaming.Sink.
+func (s *firstTokenSink) Tokens(index uint32, tokens []string) error {
+	if !s.told {
+		s.told = true
+		s.tell()
+	}
+	return s.Sink.Tokens(index, tokens)
+}
