--- a/internal/admission/gate/plan.go
+++ b/internal/admission/gate/plan.go
@@ -32,7 +32,7 @@
 	returnLeniency = 2
 	// beyondReserve is the part of a target that accounts beyond their part
 	// leave to the others while upstreams are late.
-	beyondReserve = 0.5
+	beyondReserve = 0.6
 	// noUpstreamReturn is the return time while no upstream is there.
 	noUpstreamReturn = 2 * time.Second
 )
@@ -78,10 +78,12 @@
 	return t
 }
 
-// predicted is the time from grant to first token to count on.
+// predicted is the time from grant to first token to count on: the late bound
+// of a prediction counts only for less urgent priorities, and only while some
+// of their answers do come late or for accounts beyond their part.
 func (g *Gate) predicted(r *Request) time.Duration {
-	g.bands.of(r.Class.Priority)
-	if mostUrgent := g.bands.list[0].priority; r.Class.Priority == mostUrgent {
+	own := g.bands.of(r.Class.Priority)
+	if own == g.bands.list[0] || own.inTime() && !g.beyondPart(g.clients[r.Account]) {
 		return r.Predicted
 	}
 	return max(r.Predicted, r.PredictedBy)
