Peers tell the revision up to which they know all

Cause: records without effect raise no revision in force, so peers with equal ones could not be told apart and the wrong one was asked again and again. Ruled out: asking peers in turn (more requests, later). The special case for readers that lack records is gone.

--- a/internal/controllers/configuration/controller.go
+++ b/internal/controllers/configuration/controller.go
@@ -116,9 +116,11 @@
 // it is ready. It may be called by any goroutine.
 func (c *Controller) State() document.State { return c.progress.Load().state }
 
-// Revision returns the revision to tell peers. It may be called by any
-// goroutine.
-func (c *Controller) Revision() ident.Revision { return c.State().Revision() }
+// Revision returns the revision to tell peers: the one up to which this process
+// knows all. The revision in force would not do: a peer that lacks expired
+// records could not tell who has them, as records without effect raise none. It
+// may be called by any goroutine.
+func (c *Controller) Revision() ident.Revision { return c.State().Through() }
 
 // Delta returns what a process needs that is complete up to a revision. It may
 // be called by any goroutine.
--- a/internal/controllers/configuration/follow.go
+++ b/internal/controllers/configuration/follow.go
@@ -93,15 +93,12 @@
 	if !ok {
 		return
 	}
-	ahead := peer.Revision > c.reader.State().Revision()
-	// A peer with the same revision may have read on where records expired
-	// for this process.
-	if !ahead && !c.reader.Searching() {
+	if peer.Revision <= c.reader.State().Through() {
 		c.peerAhead = time.Time{}
 	} else if c.patienceOver() {
 		c.merge(ctx, peer)
 	}
-	if peer.Revision <= c.reader.State().Revision() {
+	if peer.Revision <= c.reader.State().Through() {
 		c.readyFromPeers()
 	}
 }
@@ -117,11 +114,7 @@
 func (c *Controller) merge(ctx context.Context, peer Peer) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	through := c.reader.State().Through()
-	delta, err := c.options.Peers.GetDocuments(ctx, peer, through)
-	if err == nil && delta.Through <= through {
-		return
-	}
+	delta, err := c.options.Peers.GetDocuments(ctx, peer, c.reader.State().Through())
 	if err == nil {
 		err = c.reader.Merge(delta)
 	}
--- a/internal/controllers/configuration/peers.go
+++ b/internal/controllers/configuration/peers.go
@@ -8,7 +8,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 )
 
-// Peer is another process and the revision that it has in force.
+// Peer is another process and the revision up to which it knows all.
 type Peer struct {
 	ID ident.Instance
 	// Address is host:port of its peer listener.
--- a/internal/controllers/configuration/promise_test.go
+++ b/internal/controllers/configuration/promise_test.go
@@ -227,7 +227,7 @@
 	m.replaceDomain(t)
 	highest := ident.Revision(0)
 	for _, p := range m.processes {
-		highest = max(highest, p.controller.Revision())
+		highest = max(highest, p.controller.State().Revision())
 	}
 	time.Sleep(outage)
 	for _, p := range m.processes {
