--- a/internal/admission/gate/plan.go
+++ b/internal/admission/gate/plan.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"math"
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/admission/fairshare"
@@ -22,7 +23,16 @@
 	// returning request has mostly missed its target already, and one served
 	// in its place would have met it; so in a rush most turns go to first
 	// tries, and those refused hear a time at which they will find room.
-	bookedShare = 0.1
+	// While all slots are taken, accounts that ask for no more than their
+	// part are booked at their full rate. While there are slots, what was
+	// refused is what upstreams cannot answer in time, whoever asks.
+	bookedShare = 0.03
+	// returnLeniency is how many times its target a returning request may
+	// take: for its caller late is better than refused again.
+	returnLeniency = 2
+	// beyondReserve is the part of a target that accounts beyond their part
+	// leave to the others while upstreams are late.
+	beyondReserve = 0.5
 	// noUpstreamReturn is the return time while no upstream is there.
 	noUpstreamReturn = 2 * time.Second
 )
@@ -61,7 +71,20 @@
 	if r.Class.FirstToken <= 0 {
 		return 0
 	}
-	return max(r.Class.FirstToken, 2*r.Unloaded)
+	t := max(r.Class.FirstToken, 2*r.Unloaded)
+	if r.returning() {
+		t *= returnLeniency
+	}
+	return t
+}
+
+// predicted is the time from grant to first token to count on.
+func (g *Gate) predicted(r *Request) time.Duration {
+	g.bands.of(r.Class.Priority)
+	if mostUrgent := g.bands.list[0].priority; r.Class.Priority == mostUrgent {
+		return r.Predicted
+	}
+	return max(r.Predicted, r.PredictedBy)
 }
 
 // latestStart is the last moment at which a grant still meets the class's
@@ -69,17 +92,18 @@
 func (g *Gate) latestStart(now time.Time, r *Request) time.Time {
 	wait := g.config.MaxWait
 	bounded := false
+	predicted := g.predicted(r)
 	if t := target(r); t > 0 {
-		wait, bounded = t-r.Predicted, true
+		wait, bounded = t-predicted, true
 	}
 	if r.Class.Completion > 0 {
-		left := r.Class.Completion - r.Predicted - r.Remaining
+		left := r.Class.Completion - predicted - r.Remaining
 		if !bounded || left < wait {
 			wait = left
 		}
 	}
 	latest := now.Add(wait)
-	if byDeadline := r.Deadline.Add(-r.Predicted - r.Remaining); !r.Deadline.IsZero() && byDeadline.Before(latest) {
+	if byDeadline := r.Deadline.Add(-predicted - r.Remaining); !r.Deadline.IsZero() && byDeadline.Before(latest) {
 		latest = byDeadline
 	}
 	return latest
@@ -101,7 +125,7 @@
 }
 
 // checkTime refuses a request that cannot start in time.
-func (g *Gate) checkTime(now time.Time, u *use, e *Entry) (outcome.Outcome, bool) {
+func (g *Gate) checkTime(now time.Time, c *client, u *use, e *Entry) (outcome.Outcome, bool) {
 	r := &e.Request
 	if !r.Deadline.IsZero() && !now.Add(r.Predicted).Before(r.Deadline) {
 		return g.deadline(now, u, e), true
@@ -117,7 +141,11 @@
 		// and those who return as told find none.
 		budget -= time.Duration(returnReserve * float64(target(r)))
 	}
+	if wait == 0 && g.beyondPart(c) {
+		budget -= time.Duration(beyondReserve * float64(target(r)))
+	}
 	if wait > budget {
+		g.lateAt = now
 		return g.overloaded(now, u, e, wait-budget), true
 	}
 	return outcome.Outcome{}, false
@@ -187,7 +215,10 @@
 
 // book gives a refused request a turn of its own.
 func (g *Gate) book(now time.Time, u *use, e *Entry, earliest time.Duration) time.Duration {
-	rate := bookedShare * g.ownDrain(now, e)
+	rate := g.ownDrain(now, e)
+	if c := g.clients[e.Item.Account]; c.demand > g.fairSlots(c) || math.IsInf(g.level, 1) {
+		rate *= bookedShare
+	}
 	after := u.overload.Book(now, earliest, seconds(e.Item.Cost/rate), e.Request.ID)
 	b := g.bands.of(e.Item.Priority)
 	if until := now.Add(after); until.After(b.bookedUntil) {
--- a/internal/experiment/keeper.go
+++ b/internal/experiment/keeper.go
@@ -49,7 +49,7 @@
 	account := ident.ClientAccount(strconv.Itoa(k.account))
 	k.entry = &gate.Entry{Request: gate.Request{
 		ID: k.id(), Account: account, Limit: document.AccountLimit{Account: account, Share: 1}, Class: k.kind.Class,
-		Predicted: d.FirstTokenBy, Unloaded: d.Unloaded, Remaining: time.Duration(k.output) * d.BetweenTokens,
+		Predicted: d.FirstToken, PredictedBy: d.FirstTokenBy, Unloaded: d.Unloaded, Remaining: time.Duration(k.output) * d.BetweenTokens,
 		Cost: d.Work, Attempt: uint32(k.refusals + 1),
 	}}
 	p.entries[k.entry] = k
@@ -110,6 +110,13 @@
 	})
 }
 
+// answered tells a request's first token to the gate.
+func (r *run) answered(k *call) {
+	if p := k.decider.keepers[r.document(k.kind.Plain)]; p != nil && k.entry != nil {
+		p.gate.FirstToken(r.clock(), k.entry)
+	}
+}
+
 // release gives the slot of an ended request back and lets others in.
 func (r *run) release(k *call) {
 	doc := r.document(k.kind.Plain)
