--- a/internal/calls/committer.go
+++ b/internal/calls/committer.go
@@ -25,6 +25,11 @@
 	lastBackoff  = 2 * time.Second
 )
 
+// failuresDown is how many answers of appends have to be lost in a row until new
+// calls are refused at once: one is no outage, and waiting for the second try
+// costs a caller less than coming back.
+const failuresDown = 2
+
 // committer writes the records of one partition: one append at a time, with
 // all that has come meanwhile (group commit).
 type committer struct {
@@ -41,6 +46,9 @@
 	// retryAt is when the next append is tried after a failure.
 	retryAt time.Time
 	backoff time.Duration
+	// failures counts the answers lost since the last success. An outage or
+	// a hanging append counts for failuresDown.
+	failures int
 }
 
 // queued is one record on its way to the log.
@@ -113,7 +121,7 @@
 	if w.appending > 0 && now.Sub(w.began) >= w.c.limits.SlowAfter {
 		return w.c.limits.AppendTimeout, true
 	}
-	if now.Before(w.retryAt) {
+	if w.failures >= failuresDown && now.Before(w.retryAt) {
 		return w.retryAt.Sub(now), true
 	}
 	return 0, false
@@ -227,9 +235,15 @@
 // updateBackoff sets when the next append is tried. The caller holds mu.
 func (w *committer) updateBackoff(err error) {
 	if err == nil {
-		w.backoff, w.retryAt = 0, time.Time{}
+		w.failures, w.backoff, w.retryAt = 0, 0, time.Time{}
 		return
 	}
+	hung := time.Since(w.began) >= w.c.limits.SlowAfter
+	if errors.Is(err, platform.ErrAnswerLost) && !hung {
+		w.failures++
+	} else {
+		w.failures = failuresDown
+	}
 	w.backoff = min(max(2*w.backoff, firstBackoff), lastBackoff)
 	w.retryAt = time.Now().Add(w.backoff)
 }
--- /dev/null
+++ b/internal/calls/shares_test.go
@@ -0,0 +1,152 @@
+package calls
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/fault"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/plain"
+)
+
+// shareCase is a fault that comes when a third of the calls were sent.
+type shareCase struct {
+	name  string
+	fault func(m *machine, g []*gateway)
+}
+
+func shareCases() []shareCase {
+	kill := func(g *gateway) { g.kill() }
+	return []shareCase{
+		{"none", func(*machine, []*gateway) {}},
+		{"answers of appends lost", func(m *machine, _ []*gateway) {
+			m.w.log.SetLateness(500 * time.Millisecond)
+			for range 20 {
+				m.w.log.LoseNext(fault.AfterEffect, fault.None, fault.Late, fault.BeforeEffect)
+			}
+		}},
+		{"log down for 20 s", func(m *machine, _ []*gateway) {
+			m.w.log.SetOutage(true)
+			time.AfterFunc(20*time.Second, func() { m.w.log.SetOutage(false) })
+		}},
+		{"gateway killed", func(_ *machine, g []*gateway) { kill(g[0]) }},
+		{"gateway frozen for 20 s", func(_ *machine, g []*gateway) {
+			g[0].freeze()
+			time.AfterFunc(20*time.Second, g[0].thaw)
+		}},
+		{"gateway reclaimed", func(m *machine, g []*gateway) { m.reclaim(g[0], 10*time.Second) }},
+		{"gateway reclaimed, answer of hand-over lost", func(m *machine, g []*gateway) {
+			m.w.locked(func() { m.w.loseHandOver = true })
+			m.reclaim(g[0], 10*time.Second)
+		}},
+		{"gateway reclaimed, peer killed at once", func(m *machine, g []*gateway) {
+			m.reclaim(g[0], 10*time.Second)
+			kill(g[2])
+			m.w.newGateway("hall-b")
+		}},
+		{"failure domain reclaimed, its upstream too", func(m *machine, g []*gateway) {
+			m.reclaim(g[0], 10*time.Second)
+			m.reclaim(g[1], 10*time.Second)
+			m.w.upstreams[0].life().SetLeaving(true)
+		}},
+		{"failure domain lost without notice", func(m *machine, g []*gateway) {
+			kill(g[0])
+			kill(g[1])
+			m.w.locked(func() { m.w.upstreams[0].start() })
+		}},
+		{"domains cut from each other for 20 s", func(m *machine, _ []*gateway) {
+			m.w.locked(func() { m.w.split = true })
+			time.AfterFunc(20*time.Second, func() { m.w.locked(func() { m.w.split = false }) })
+		}},
+		{"every third answer of an upstream lost", func(m *machine, _ []*gateway) {
+			for _, s := range m.w.upstreams {
+				for range 20 {
+					s.life().FailNext(plain.LostAfterEffect, plain.NoFailure, plain.NoFailure)
+				}
+			}
+		}},
+	}
+}
+
+// shares counts what callers heard, by kind.
+type shares map[outcome.Kind]int
+
+func (s shares) String() string {
+	total := 0
+	for _, n := range s {
+		total += n
+	}
+	share := func(n int) string { return fmt.Sprintf("%3d %%", n*100/total) }
+	done := s[outcome.Completed] + s[outcome.Failed]
+	return fmt.Sprintf("%s | %s | %s | %s", share(done), share(s[outcome.NotRun]), share(s[outcome.Unknown]), share(s[outcome.InProgress]))
+}
+
+// TestOutcomeShares measures, for each fault, what callers hear at first and
+// what they hear in the end, when they ask again at other gateways for up to a
+// minute. Run it with -v for the table of docs/design/calls.md.
+func TestOutcomeShares(t *testing.T) {
+	kinds := []struct {
+		name  string
+		trust document.UpstreamSpec
+	}{{"nothing", blind}, {"find", finding}, {"find and fence", fencing}}
+	var table strings.Builder
+	for _, c := range shareCases() {
+		for _, k := range kinds {
+			inWorld(t, k.trust, func(t *testing.T, m *machine, g []*gateway) {
+				first, last := m.measure(c, g)
+				fmt.Fprintf(&table, "| %s | %s | %s | %s |\n", c.name, k.name, first, last)
+				if c.name == "none" && last[outcome.Completed] != sharedCalls {
+					t.Errorf("without a fault %d of %d calls completed", last[outcome.Completed], sharedCalls)
+				}
+			})
+		}
+	}
+	t.Logf("\n%s", table.String())
+}
+
+const sharedCalls = 90
+
+// measure sends calls and returns what callers heard first and last.
+func (m *machine) measure(c shareCase, g []*gateway) (first, last shares) {
+	m.w.log.SetDelay(100 * time.Millisecond)
+	for _, s := range m.w.upstreams {
+		s.life().SetDelays(plain.Delays{BeforeEffect: 100 * time.Millisecond, AfterEffect: 100 * time.Millisecond})
+	}
+	for i := range sharedCalls {
+		if i == sharedCalls/3 {
+			c.fault(m, g)
+		}
+		live := m.w.live()
+		m.send(live[i%len(live)], m.newRequest(false), 5*time.Second)
+		time.Sleep(20 * time.Millisecond)
+	}
+	time.Sleep(6 * time.Second)
+	first = m.count()
+	for retry := range 10 {
+		for i, r := range m.requests {
+			if !r.last().Kind.Final() {
+				live := m.w.live()
+				m.send(live[(i+retry)%len(live)], r, 5*time.Second)
+			}
+		}
+		time.Sleep(6 * time.Second)
+	}
+	return first, m.count()
+}
+
+// count counts the last word of each caller; one who heard nothing counts as
+// unknown.
+func (m *machine) count() shares {
+	s := shares{}
+	for _, r := range m.requests {
+		kind := r.last().Kind
+		if kind == 0 {
+			kind = outcome.Unknown
+		}
+		s[kind]++
+	}
+	return s
+}
