--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -148,7 +148,7 @@
 // withDefaults fills zero fields.
 func (l Limits) withDefaults() Limits {
 	defaults := Limits{
-		AppendInterval: 40 * time.Millisecond,
+		AppendInterval: 50 * time.Millisecond,
 		AppendTimeout:  2 * time.Second,
 		SlowAfter:      time.Second,
 		ClaimWait:      4 * time.Second,
--- a/internal/calls/world_test.go
+++ b/internal/calls/world_test.go
@@ -121,6 +121,13 @@
 
 // newGateway starts an entry instance and waits until it has read the journal.
 func (w *world) newGateway(domain ident.FailureDomain) *gateway {
+	g := w.newGatewayUnsynced(domain)
+	synctest.Wait()
+	return g
+}
+
+// newGatewayUnsynced starts an entry instance, also outside virtual time.
+func (w *world) newGatewayUnsynced(domain ident.FailureDomain) *gateway {
 	w.mu.Lock()
 	w.started++
 	g := &gateway{
@@ -147,7 +154,6 @@
 		defer close(g.done)
 		_ = g.calls.Run(ctx)
 	}()
-	synctest.Wait()
 	return g
 }
 
