--- a/Makefile
+++ b/Makefile
@@ -1,27 +1,31 @@
 # Targets for people. CI calls .ci/run, which calls test and demo.
 GO    ?= go
 TOOL  := $(GO) tool -modfile=tools/go.mod
-BINS  := gateway controller spoolctl standin loadgen
 FOR   ?= 60s
 
-.PHONY: build test demo demo-up generate generate-check lint
+.PHONY: build test e2e lint generate generate-check demo demo-up load promises fuzz
 
 build:
 	@mkdir -p bin
-	CGO_ENABLED=1 $(GO) build -o bin/ $(addprefix ./cmd/,$(BINS))
+	CGO_ENABLED=1 $(GO) build -o bin/ ./cmd/... ./examples/...
 
 lint:
-	@test -z "$$(gofmt -l cmd internal)" || { gofmt -l cmd internal; exit 1; }
-	$(GO) vet ./...
-	$(TOOL) staticcheck ./...
+	@test -z "$$(gofmt -l cmd internal examples)" || { gofmt -l cmd internal examples; exit 1; }
+	$(GO) vet -tags e2e ./...
+	$(TOOL) staticcheck -tags e2e ./...
 
-# -rapid.seed fixes the seeds of the fuzzing tests, so that a run is repeatable.
+# The fuzzing tests fix their seeds (internal/testkit), so a run is repeatable.
 test: lint
-	$(GO) test -race ./...
+	scripts/test.sh
+	$(MAKE) --no-print-directory e2e
+
+# Tests with separate processes, one after the other.
+e2e:
+	$(GO) test -tags e2e -count=1 ./internal/e2e
 
 generate:
-	$(TOOL) buf generate --template buf.gen.connect.yaml --path api/caller --path api/platform --path api/upstream --path api/standin
-	$(TOOL) buf generate --template buf.gen.grpc.yaml --path api/peer --path api/journal
+	$(TOOL) buf generate --template buf.gen.connect.yaml --exclude-path api/peer
+	$(TOOL) buf generate --template buf.gen.grpc.yaml --path api/peer
 
 # Fails when the committed generated code differs from what the protos give.
 generate-check: generate
@@ -32,3 +36,22 @@
 
 demo-up: build
 	scripts/demo.sh --up
+
+# Load at today's size, with one gateway stopped gracefully half-way.
+load: build
+	STOP=10 scripts/load.sh 200 20s
+
+# Runs every test that docs/PROMISES.md names and prints a line for each.
+promises:
+	scripts/promises.sh
+
+# Looks for new failures with fresh seeds for a time: make fuzz FOR=60s
+fuzz:
+	scripts/fuzz.sh $(FOR)
+
+# --- routing policies (cmd/experiment) ---
+.PHONY: policy
+
+# Compares routing policies in virtual time and prints which goals are met.
+policy:
+	$(GO) run ./cmd/experiment --seeds 5
--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,146 @@
+package admission
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/admission/concurrency"
+	"github.com/goldcrestspool/goldcrestspool/internal/admission/ejection"
+	"github.com/goldcrestspool/goldcrestspool/internal/admission/gate"
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
+)
+
+func init() { testkit.FixSeed() }
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var shortClass = document.Class{Name: "short", FirstToken: time.Second, Priority: 10}
+
+func oneSlot() *Controller {
+	return New(Config{Gate: gate.Config{Slots: 1, Hold: 100 * time.Millisecond}})
+}
+
+func request(id ident.Request) Request {
+	return Request{Service: "s", ID: id, Account: "a", Class: shortClass}
+}
+
+// TestWaitingEnds: whatever ends a wait, the caller hears it at that moment and
+// the slot is free afterwards.
+//
+// Symptom: a slot stays taken after a caller gave up, and the gateway's
+// capacity shrinks until it is restarted. Sequence: a request waits; its
+// caller cancels, its deadline passes or its class's target passes. Cause: the
+// wait ends without the entry leaving the gate.
+func TestWaitingEnds(t *testing.T) {
+	cases := []struct {
+		story  string
+		ctx    func(context.Context) (context.Context, context.CancelFunc)
+		after  time.Duration
+		reason outcome.Reason
+	}{
+		{"the caller cancels", func(ctx context.Context) (context.Context, context.CancelFunc) {
+			ctx, cancel := context.WithCancel(ctx)
+			time.AfterFunc(300*time.Millisecond, cancel)
+			return ctx, cancel
+		}, 300 * time.Millisecond, outcome.ReasonCancelled},
+		{"the caller's deadline passes", func(ctx context.Context) (context.Context, context.CancelFunc) {
+			return context.WithTimeout(ctx, 200*time.Millisecond)
+		}, 200 * time.Millisecond, outcome.ReasonDeadline},
+		{"the class's target passes", context.WithCancel, time.Second, outcome.ReasonOverloaded},
+	}
+	for _, c := range cases {
+		t.Run(c.story, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctl := oneSlot()
+				first, refusal := ctl.Admit(t.Context(), request("first"))
+				if refusal != nil {
+					t.Fatal("first request refused:", refusal)
+				}
+				ctx, cancel := c.ctx(t.Context())
+				defer cancel()
+				begin := time.Now()
+				_, refusal = ctl.Admit(ctx, request("second"))
+				if refusal == nil || refusal.Kind != outcome.NotRun || refusal.Reason != c.reason {
+					t.Fatalf("got %+v, want not_run %s", refusal, c.reason)
+				}
+				if waited := time.Since(begin); waited != c.after {
+					t.Errorf("answer after %v, want %v", waited, c.after)
+				}
+				first.Done(Result{})
+				first.Done(Result{})
+				third, refusal := ctl.Admit(t.Context(), request("third"))
+				if refusal != nil {
+					t.Fatal("slot not free after the wait ended:", refusal)
+				}
+				third.Done(Result{})
+			})
+		})
+	}
+}
+
+// TestUpstreams: slots follow the upstreams that are there, an upstream that
+// fails is left out until its time is over, and who waits is let in when an
+// upstream comes.
+func TestUpstreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctl := New(Config{Concurrency: concurrency.Config{Initial: 1, Max: 1}})
+		ctl.SetUpstreams("s", nil)
+		_, refusal := ctl.Admit(t.Context(), request("none"))
+		if refusal == nil || refusal.Reason != outcome.ReasonNoUpstream || refusal.RetryAfter <= 0 {
+			t.Fatalf("got %+v without an upstream", refusal)
+		}
+		ctl.SetUpstreams("s", []ident.Instance{"u1", "u2"})
+		first, _ := ctl.Admit(t.Context(), request("1"))
+		second, _ := ctl.Admit(t.Context(), request("2"))
+		granted := make(chan *Ticket)
+		go func() {
+			third, _ := ctl.Admit(t.Context(), request("3"))
+			granted <- third
+		}()
+		synctest.Wait()
+		ctl.SetUpstreams("s", []ident.Instance{"u1", "u2", "u3"})
+		third := <-granted
+		for _, ticket := range []*Ticket{first, second, third} {
+			ticket.FirstToken()
+			ticket.Done(Result{Upstream: "u1", Failed: true, Sent: time.Now()})
+		}
+		for range ejection.DefaultFailures {
+			ctl.Observe("s", Result{Upstream: "u1", Failed: true, Sent: time.Now()}, 0)
+		}
+		if out := ctl.Ejected("s"); len(out) != 1 || out[0] != "u1" {
+			t.Fatalf("ejected %v, want u1", out)
+		}
+		time.Sleep(ejection.DefaultBase)
+		if out := ctl.Ejected("s"); len(out) != 0 {
+			t.Fatalf("ejected %v after its time", out)
+		}
+		ctl.Sending("s", "u1")
+		if out := ctl.Ejected("s"); len(out) != 1 {
+			t.Fatalf("ejected %v during a probe, want u1", out)
+		}
+	})
+}
+
+// TestDividedLimit: the document's limit holds for all gateways together.
+func TestDividedLimit(t *testing.T) {
+	ctl := New(Config{Gate: gate.Config{Slots: 100}})
+	ctl.SetGateways(4)
+	r := request("r")
+	r.Limit = document.AccountLimit{MaxInFlight: 8}
+	for range 2 {
+		if _, refusal := ctl.Admit(t.Context(), r); refusal != nil {
+			t.Fatal("refused within the limit:", refusal)
+		}
+	}
+	_, refusal := ctl.Admit(t.Context(), r)
+	if refusal == nil || refusal.Reason != outcome.ReasonRateLimited || refusal.RetryAfter <= 0 {
+		t.Fatalf("got %+v beyond a quarter of 8 in flight", refusal)
+	}
+}
--- /dev/null
+++ b/internal/lease/machine_test.go
@@ -0,0 +1,341 @@
+package lease_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/lease"
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
+)
+
+func init() { testkit.FixSeed() }
+
+const (
+	processCount = 3
+	orderEvery   = 250 * time.Millisecond
+	// startSpread keeps the processes from polling at the same instants.
+	startSpread = 370 * time.Millisecond
+	// checkEvery is the time between two looks of the oracle.
+	checkEvery = 250 * time.Millisecond
+	// healTime is enough for an undecided state to be settled, for a lease to
+	// lapse and for each candidate to wait its rank.
+	healTime = lease.Horizon + 2*time.Minute
+)
+
+// waits lie below and above a margin, a renewal and a lease.
+var waits = []time.Duration{300 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second, 9 * time.Second, 14 * time.Second}
+
+var names = []lease.Name{{Service: "spool-llm", FailureDomain: "hall-a"}, {Service: "auktion-app"}}
+
+// virtualTime hides the test's deadline from rapid: it is in real time, and
+// must not be read in a bubble of virtual time.
+type virtualTime struct{ rapid.TB }
+
+// fataler is a test or one check of rapid.
+type fataler interface {
+	Fatal(...any)
+	Fatalf(string, ...any)
+}
+
+// process is one controller that wants all leases and sends an order each
+// second under each of those that it holds.
+type process struct {
+	link    *link
+	manager *lease.Manager
+	kill    context.CancelFunc
+	// stopOrders and stop end the process's two loops.
+	stopOrders, stop       context.CancelFunc
+	ordersStopped, stopped chan struct{}
+	// flight is how long its next orders take, and stall how long it works
+	// on an order before it checks the lease again; in nanoseconds.
+	flight, stall atomic.Int64
+}
+
+// landed is an order that an engine got.
+type landed struct {
+	fence ident.Fence
+	// frozen: its sender was frozen between the check and the send.
+	frozen bool
+}
+
+// machine runs several processes against one log and engines that do not
+// check fences.
+type machine struct {
+	log       *fakeLog
+	processes []*process
+	margin    time.Duration
+	// highest is the highest fence that landed, by lease.
+	highest map[lease.Name]ident.Fence
+	arrived chan func()
+	started int
+	problem string
+}
+
+func (m *machine) start(i int) {
+	dead, kill := context.WithCancel(context.Background())
+	running, stop := context.WithCancel(dead)
+	ordering, stopOrders := context.WithCancel(dead)
+	m.started++
+	p := &process{
+		link:          newLink(m.log, dead),
+		kill:          kill,
+		stopOrders:    stopOrders,
+		stop:          stop,
+		ordersStopped: make(chan struct{}),
+		stopped:       make(chan struct{}),
+	}
+	holder := lease.NewHolder(ident.Instance(fmt.Sprintf("entry-%d", i)), ident.Incarnation(m.started))
+	p.manager = lease.New(lease.Config{Holder: holder, Margin: m.margin}, p.link)
+	p.manager.Want(wanted(0))
+	go func() {
+		p.manager.Run(running)
+		close(p.stopped)
+	}()
+	go func() {
+		m.sendOrders(p, ordering)
+		close(p.ordersStopped)
+	}()
+	m.processes[i] = p
+}
+
+func wanted(rank int) []lease.Wanted {
+	var all []lease.Wanted
+	for _, name := range names {
+		all = append(all, lease.Wanted{Name: name, Rank: rank})
+	}
+	return all
+}
+
+// stopGracefully ends the orders, waits until they landed, and then releases.
+func (m *machine) stopGracefully(t fataler, p *process) {
+	p.link.thaw()
+	p.stopOrders()
+	<-p.ordersStopped
+	m.advance(t, m.margin)
+	p.stop()
+	<-p.stopped
+}
+
+// sendOrders sends orders until the process ends. A process that is frozen
+// after the check sends the order whenever it wakes.
+func (m *machine) sendOrders(p *process, running context.Context) {
+	for running.Err() == nil {
+		for _, name := range names {
+			grant, held := p.manager.Grant(name)
+			time.Sleep(time.Duration(p.stall.Swap(0)))
+			p.link.pause()
+			if !held || running.Err() != nil || !grant.Valid() {
+				continue
+			}
+			frozen := p.link.pause()
+			order := landed{fence: grant.Fence, frozen: frozen}
+			flight := time.Duration(p.flight.Load())
+			time.AfterFunc(flight, func() { m.arrived <- func() { m.land(name, order) } })
+		}
+		select {
+		case <-running.Done():
+		case <-time.After(orderEvery):
+		}
+	}
+}
+
+// land is the oracle of orders: one whose sender was not frozen never lands
+// after an order of a newer holder.
+func (m *machine) land(name lease.Name, order landed) {
+	if order.fence < m.highest[name] && !order.frozen {
+		m.problem = fmt.Sprintf("order with fence %d landed after fence %d", order.fence, m.highest[name])
+	}
+	m.highest[name] = max(m.highest[name], order.fence)
+}
+
+// advance lets virtual time pass and looks at every process in between.
+func (m *machine) advance(t fataler, d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		time.Sleep(checkEvery)
+		synctest.Wait()
+		m.log.expire()
+		m.drain()
+		m.check(t)
+	}
+}
+
+func (m *machine) drain() {
+	for {
+		select {
+		case land := <-m.arrived:
+			land()
+		default:
+			return
+		}
+	}
+}
+
+// check is the oracle of holders: at most one process holds a lease, frozen
+// ones included.
+func (m *machine) check(t fataler) {
+	if m.problem != "" {
+		t.Fatal(m.problem)
+	}
+	for _, name := range names {
+		if holders := m.holders(name); len(holders) > 1 {
+			t.Fatalf("%v: processes %v hold the lease at once", name, holders)
+		}
+	}
+}
+
+func (m *machine) holders(name lease.Name) []int {
+	var holders []int
+	for i, p := range m.processes {
+		if _, held := p.manager.Grant(name); held {
+			holders = append(holders, i)
+		}
+	}
+	return holders
+}
+
+// heal ends all faults and expects one holder of each lease in time.
+func (m *machine) heal(t fataler) {
+	m.log.setDown(false)
+	for _, p := range m.processes {
+		p.link.thaw()
+		p.link.setCut(false)
+		p.link.setFault(noFault, 0)
+	}
+	for limit := time.Now().Add(healTime); time.Now().Before(limit); {
+		m.advance(t, 10*time.Second)
+		if m.allHeld() {
+			m.checkAgreement(t)
+			return
+		}
+	}
+	t.Fatalf("no holder of a lease %v after all faults ended", healTime)
+}
+
+func (m *machine) allHeld() bool {
+	for _, name := range names {
+		if len(m.holders(name)) != 1 {
+			return false
+		}
+	}
+	return true
+}
+
+// checkAgreement is the oracle of the fold: whoever knows a lease's state
+// knows the same one, whichever records it started from.
+func (m *machine) checkAgreement(t fataler) {
+	for _, name := range names {
+		offsets := make(map[ident.Offset]bool)
+		for _, p := range m.processes {
+			p.manager.Step(context.Background())
+		}
+		for _, p := range m.processes {
+			p.manager.Step(context.Background())
+			if entry, known := p.manager.Find(name); known {
+				offsets[entry.Offset] = true
+			}
+		}
+		if len(offsets) != 1 {
+			t.Fatalf("%v: readers disagree on the newest record: %v", name, offsets)
+		}
+	}
+}
+
+// end stops all goroutines of one check.
+func (m *machine) end() {
+	for _, p := range m.processes {
+		p.link.thaw()
+		p.kill()
+		<-p.stopped
+		<-p.ordersStopped
+	}
+	time.Sleep(time.Minute)
+	synctest.Wait()
+	m.drain()
+}
+
+func newMachine(margin time.Duration) *machine {
+	m := &machine{
+		log:       &fakeLog{},
+		processes: make([]*process, processCount),
+		margin:    margin,
+		highest:   make(map[lease.Name]ident.Fence),
+		arrived:   make(chan func(), 1<<16),
+	}
+	for i := range m.processes {
+		m.start(i)
+		time.Sleep(startSpread)
+	}
+	return m
+}
+
+// Symptom: two controllers order the same engine about, and the older order
+// wins. Sequence: any mix of freezes, kills, restarts, log outages, appends
+// whose answer is lost or that take effect late, and expired records. Cause: a
+// holder that believes in its lease for longer than its successor waits.
+func TestAtMostOneHolderUnderFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(virtualTime{t}, func(t *rapid.T) {
+			m := newMachine(lease.DefaultMargin)
+			defer m.end()
+			pick := func() *process { return m.processes[rapid.IntRange(0, processCount-1).Draw(t, "process")] }
+			t.Repeat(map[string]func(*rapid.T){
+				"wait": func(t *rapid.T) { m.advance(t, drawDuration(t, waits...)) },
+				"waitLong": func(t *rapid.T) {
+					if rapid.IntRange(0, 3).Draw(t, "rare") == 0 {
+						m.advance(t, drawDuration(t, lease.Horizon, 4*lease.Horizon))
+					}
+				},
+				"freeze": func(t *rapid.T) { pick().link.freeze() },
+				"thaw":   func(t *rapid.T) { pick().link.thaw() },
+				"stall":  func(t *rapid.T) { pick().stall.Store(int64(drawDuration(t, waits...))) },
+				"cut":    func(t *rapid.T) { pick().link.setCut(true) },
+				"join":   func(t *rapid.T) { pick().link.setCut(false) },
+				"outage": func(t *rapid.T) { m.log.setDown(rapid.Bool().Draw(t, "down")) },
+				"fault":  func(t *rapid.T) { pick().drawFault(t) },
+				"flight": func(t *rapid.T) {
+					pick().flight.Store(int64(drawDuration(t, 0, lease.DefaultMargin/2, lease.DefaultMargin)))
+				},
+				"kill": func(t *rapid.T) {
+					i := rapid.IntRange(0, processCount-1).Draw(t, "process")
+					m.processes[i].kill()
+					m.processes[i].link.thaw()
+					m.start(i)
+				},
+				"stop": func(t *rapid.T) {
+					i := rapid.IntRange(0, processCount-1).Draw(t, "process")
+					m.stopGracefully(t, m.processes[i])
+					m.start(i)
+				},
+				"unwant": func(t *rapid.T) {
+					p := pick()
+					p.manager.Want(nil)
+					p.drawFault(t)
+				},
+				"wantAgain": func(t *rapid.T) { pick().manager.Want(wanted(rapid.IntRange(0, 2).Draw(t, "rank"))) },
+			})
+			for i, p := range m.processes {
+				p.manager.Want(wanted(i))
+			}
+			m.heal(t)
+		})
+	})
+}
+
+// drawFault chooses what happens to the process's next append.
+func (p *process) drawFault(t *rapid.T) {
+	f := rapid.SampledFrom([]fault{noFault, answerLost, appendLate, appendSlow, answerSlow}).Draw(t, "fault")
+	p.link.setFault(f, drawDuration(t, waits...))
+}
+
+// drawDuration draws one of a few telling durations. A range would do worse:
+// rapid prefers its small values.
+func drawDuration(t *rapid.T, among ...time.Duration) time.Duration {
+	return rapid.SampledFrom(among).Draw(t, "duration")
+}
--- /dev/null
+++ b/internal/spoolctl/gateway.go
@@ -0,0 +1,161 @@
+package spoolctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
+	"github.com/goldcrestspool/goldcrestspool/internal/explain"
+	"github.com/goldcrestspool/goldcrestspool/internal/report"
+	"github.com/goldcrestspool/goldcrestspool/internal/transport"
+)
+
+const (
+	// gatewayTimeout bounds one question to a gateway.
+	gatewayTimeout = 5 * time.Second
+	// maxAnswer bounds a gateway's answer.
+	maxAnswer = 16 << 20
+)
+
+func (c *command) status(ctx context.Context, a *statusArguments) error {
+	var status report.Status
+	if err := ask(ctx, a.Gateway, report.StatusPath, nil, &status); err != nil {
+		return err
+	}
+	c.print(status, statusText(status))
+	if !status.Ready {
+		return errTold
+	}
+	return nil
+}
+
+func (c *command) explain(ctx context.Context, a *explainArguments) error {
+	var records []explain.Record
+	query := url.Values{report.RequestParameter: {a.RequestID}}
+	if err := ask(ctx, a.Gateway, report.ExplainPath, query, &records); err != nil {
+		return err
+	}
+	c.print(records, explanationText(records))
+	return nil
+}
+
+// ask gets one page of a gateway's operators' address.
+func ask(ctx context.Context, gateway, path string, query url.Values, answer any) error {
+	base, err := baseURL(gateway)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, gatewayTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+path+"?"+query.Encode(), nil)
+	if err != nil {
+		return errcode.Wrap(errcode.InvalidArgument, err, "gateway's address")
+	}
+	resp, err := transport.NewClient(transport.Options{FreshConnections: true}).Do(req)
+	if err != nil {
+		return errcode.Wrap(errcode.Unavailable, err, "the gateway does not answer")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return errcode.Wrap(errcode.Unavailable, err, "the gateway's answer broke off")
+	}
+	if resp.StatusCode != http.StatusOK {
+		return errcode.Errorf(errcode.NotFound, "the gateway answers %s: %s", resp.Status, said(body))
+	}
+	return errcode.Wrap(errcode.Internal, json.Unmarshal(body, answer), "the gateway's answer is not understood")
+}
+
+// said takes the text out of a gateway's error.
+func said(body []byte) string {
+	var problem report.Problem
+	if err := json.Unmarshal(body, &problem); err == nil && problem.Error != "" {
+		return problem.Error
+	}
+	return strings.TrimSpace(string(body))
+}
+
+func statusText(s report.Status) string {
+	var b strings.Builder
+	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "instance\t%s (%s)\n", s.Instance, s.FailureDomain)
+	fmt.Fprintf(w, "ready\t%s\n", yesOr(s.Ready, s.NotReady))
+	fmt.Fprintf(w, "revision\t%d\n", s.Revision)
+	fmt.Fprintf(w, "log\t%s\n", yesOr(s.LogReachable, "not reachable"))
+	fmt.Fprintf(w, "journal\t%s\n", yesOr(s.JournalReady, "reading its window"))
+	if s.Problem != "" {
+		fmt.Fprintf(w, "problem\t%s\n", s.Problem)
+	}
+	if s.Stopping {
+		fmt.Fprintln(w, "stopping\tyes")
+	}
+	fmt.Fprintln(w, "\nSERVICE\tREVISION")
+	for _, service := range slices.Sorted(maps.Keys(s.Services)) {
+		fmt.Fprintf(w, "%s\t%d\n", service, s.Services[service])
+	}
+	fmt.Fprintln(w, "\nMEMBER\tROLE\tSERVICE\tFAILURE DOMAIN\tSTATE\tSINCE")
+	for _, m := range s.Members {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", m.ID, m.Role, m.Service, m.FailureDomain, m.State,
+			m.Since.UTC().Format(time.RFC3339))
+	}
+	_ = w.Flush()
+	return strings.TrimSuffix(b.String(), "\n")
+}
+
+func yesOr(ok bool, reason string) string {
+	if ok {
+		return "yes"
+	}
+	return "no: " + reason
+}
+
+// explanationText tells each account's request with the ID: what was tried, why
+// there, and what the caller was told.
+func explanationText(records []explain.Record) string {
+	var b strings.Builder
+	for _, r := range records {
+		fmt.Fprintf(&b, "request %s of %s for %s\n", r.Request, r.Account, r.Service)
+		for i, attempt := range r.Attempts {
+			fmt.Fprintf(&b, "attempt %d: %s\n", i+1, attemptText(attempt))
+			for _, reason := range attempt.Reasons {
+				fmt.Fprintf(&b, "  %s\n", joined(": ", string(reason.Upstream), string(reason.Rule), reason.Detail))
+			}
+		}
+		for _, ending := range r.Endings {
+			fmt.Fprintf(&b, "told: %s\n", joined(", ", ending.Outcome, ending.Reason, ending.Message))
+		}
+	}
+	return strings.TrimSuffix(b.String(), "\n")
+}
+
+func attemptText(a explain.Attempt) string {
+	upstream := string(a.Upstream)
+	if upstream == "" {
+		upstream = "no upstream"
+	}
+	return joined(", ", upstream, a.Cause, duration("predicted", a.Predicted),
+		duration("answered after", a.FirstToken), a.Error)
+}
+
+// duration leaves out what is not known.
+func duration(what string, d time.Duration) string {
+	if d == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%s %v", what, d.Round(time.Millisecond))
+}
+
+// joined leaves out empty parts.
+func joined(separator string, parts ...string) string {
+	parts = slices.DeleteFunc(parts, func(p string) bool { return p == "" })
+	return strings.Join(parts, separator)
+}
