calls: no claim begins after the hand-over; answers of peers end the questions

Found by reading: a call admitted just before Stop could claim its key after all waiting claims were handed over, and be cut off. Batches are bounded in bytes.

--- a/internal/calls/cases_test.go
+++ b/internal/calls/cases_test.go
@@ -355,6 +355,36 @@
 	})
 }
 
+// Symptom: a call is cut off by a planned stop.
+// Sequence: it was admitted before the gateway began to leave, and claims its
+// key after all waiting claims were handed over.
+// Cause: from the hand-over on no claim may begin.
+func TestCallAdmittedJustBeforeTheStop(t *testing.T) {
+	inWorld(t, blind, func(t *testing.T, m *machine, g []*gateway) {
+		r := m.newRequest(false)
+		g[0].calls.giveUpWaiting()
+		wantKind(t, "attempt 1", m.do(g[0], r), outcome.NotRun)
+		wantKind(t, "attempt 2", m.do(g[1], r), outcome.Completed)
+	})
+}
+
+// Symptom: a caller hears that its call may have run, while it runs.
+// Sequence: a repeat comes to another gateway when the claim is old already.
+// Cause: the holder must be asked whether it waits for the upstream.
+func TestRepeatWhileTheCallRuns(t *testing.T) {
+	inWorld(t, blind, func(t *testing.T, m *machine, g []*gateway) {
+		for _, s := range m.w.upstreams {
+			s.life().SetDelays(plain.Delays{BeforeEffect: 2800 * time.Millisecond})
+		}
+		r := m.newRequest(false)
+		m.send(g[0], r, patient)
+		time.Sleep(2500 * time.Millisecond)
+		m.send(g[2], r, patient)
+		wantKind(t, "attempt 2", r.last(), outcome.InProgress)
+		wantKind(t, "attempt 3", m.do(g[2], r), outcome.Completed)
+	})
+}
+
 // Symptom: a request under a used key reads another request's answer, or runs.
 // Sequence: two requests of one client account share a key.
 // Cause: a key belongs to the digest of the request that claimed it first.
--- a/internal/calls/committer.go
+++ b/internal/calls/committer.go
@@ -19,6 +19,10 @@
 	appendErrors = expvar.NewInt("goldcrestspool.calls.append_errors")
 )
 
+// maxBatchBytes bounds the data of one append, so that many large answers do
+// not make one that the log refuses.
+const maxBatchBytes = 1 << 20
+
 // The pause after a failed append grows from the first to the second.
 const (
 	firstBackoff = 100 * time.Millisecond
@@ -162,8 +166,8 @@
 	defer w.mu.Unlock()
 	var batch []*queued
 	var data [][]byte
-	n := 0
-	for n < len(w.queue) && len(batch) < w.c.limits.MaxBatch {
+	n, size := 0, 0
+	for n < len(w.queue) && len(batch) < w.c.limits.MaxBatch && size < maxBatchBytes {
 		q := w.queue[n]
 		n++
 		if q.claim != nil && !q.claim.sent && q.claim.phase.Load() != waiting {
@@ -182,6 +186,7 @@
 		}
 		batch = append(batch, q)
 		data = append(data, bytes)
+		size += len(bytes)
 	}
 	w.queue = append([]*queued(nil), w.queue[n:]...)
 	w.appending, w.began = len(batch), time.Now()
--- a/internal/calls/dispatch.go
+++ b/internal/calls/dispatch.go
@@ -93,7 +93,7 @@
 // once more what became of the key.
 func (c *Coordinator) concludeLost(p *partition, cl *claim, spec spec) outcome.Outcome {
 	if spec.findsOutcomes {
-		found, err := c.findAt(cl.record.Head, cl.record.Target, 0)
+		found, err := c.findAt(c.workCtx, cl.record.Head, cl.record.Target, 0)
 		if err == nil && found.State == upstream.Done {
 			return p.conclude(cl.record.Head, found.Answer)
 		}
@@ -103,8 +103,8 @@
 }
 
 // findAt asks an upstream about a key. A fence of 0 fences nothing off.
-func (c *Coordinator) findAt(head journal.Head, target journal.Target, fence ident.Fence) (upstream.FindResult, error) {
-	ctx, cancel := context.WithTimeout(c.workCtx, c.limits.PeerTimeout)
+func (c *Coordinator) findAt(ctx context.Context, head journal.Head, target journal.Target, fence ident.Fence) (upstream.FindResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.limits.PeerTimeout)
 	defer cancel()
 	return c.cfg.Dispatcher.Find(ctx, head.Key, target, fence)
 }
--- a/internal/calls/do.go
+++ b/internal/calls/do.go
@@ -153,6 +153,7 @@
 // journaled before the first claim.
 func (c *Coordinator) own(ctx context.Context, p *partition, call Call, digest journal.Digest, releases *journal.Release) outcome.Outcome {
 	var exclude []ident.Instance
+	var last outcome.Outcome
 	for try := 1; ; try++ {
 		target, picked := c.cfg.Dispatcher.Pick(call, exclude)
 		if !picked && (try > 1 || call.first() && releases == nil) {
@@ -165,10 +166,14 @@
 		if releases != nil && try == 1 {
 			before = append(before, *releases)
 		}
-		if !p.submit(cl, before...) {
-			return refuse(call, outcome.ReasonOverloaded, "too many calls wait for the log", retryLater)
+		if reason := p.submit(cl, before...); reason != "" {
+			if try > 1 {
+				return last
+			}
+			return refuse(call, reason, "the call cannot be journaled here now", retryLater)
 		}
 		o, again := c.runClaim(ctx, p, cl, picked)
+		last = o
 		if cl.phase.Load() != dispatched {
 			p.forget(cl)
 		}
--- a/internal/calls/handover.go
+++ b/internal/calls/handover.go
@@ -69,6 +69,7 @@
 	var given []*claim
 	for _, p := range c.partitions {
 		p.mu.Lock()
+		p.left = true
 		for cl := range p.active {
 			if !cl.settles() && cl.leave(handed) {
 				given = append(given, cl)
--- a/internal/calls/outcomes.go
+++ b/internal/calls/outcomes.go
@@ -93,10 +93,11 @@
 // gateway even before the journal has them.
 func (c *Coordinator) putWithPeers(outcomes []KeyedOutcome) {
 	peers := c.cfg.Peers.Candidates()
-	c.eachPeer(c.workCtx, peers[:min(len(peers), outcomeReplicas)], func(ctx context.Context, peer Peer) {
+	c.eachPeer(c.workCtx, peers[:min(len(peers), outcomeReplicas)], func(ctx context.Context, peer Peer) (enough bool) {
 		if err := peer.PutOutcomes(ctx, outcomes); err != nil {
 			c.log.Debug("outcomes not stored with peer", "peer", peer.ID(), "error", err)
 		}
+		return false
 	})
 }
 
@@ -105,17 +106,19 @@
 func (c *Coordinator) askPeers(ctx context.Context, p *partition, key ident.CallKey, holder ident.Instance) (running bool) {
 	peers := holderFirst(c.cfg.Peers.Candidates(), holder)
 	var mu sync.Mutex
-	c.eachPeer(ctx, peers[:min(len(peers), peersAsked)], func(ctx context.Context, peer Peer) {
+	c.eachPeer(ctx, peers[:min(len(peers), peersAsked)], func(ctx context.Context, peer Peer) (enough bool) {
 		answer, err := peer.FindOutcome(ctx, key)
 		if err != nil {
-			return
-		}
-		if answer.Outcome != nil && answer.Outcome.Key == key {
-			p.keepCopy(*answer.Outcome, false)
+			return false
 		}
 		mu.Lock()
 		running = running || answer.Running
 		mu.Unlock()
+		if answer.Outcome == nil || answer.Outcome.Key != key {
+			return answer.Running
+		}
+		p.keepCopy(*answer.Outcome, false)
+		return true
 	})
 	return running
 }
@@ -137,13 +140,17 @@
 }
 
 // eachPeer talks to peers at the same time and waits for all, PeerTimeout at
-// most.
-func (c *Coordinator) eachPeer(ctx context.Context, peers []Peer, talk func(context.Context, Peer)) {
+// most, or until one talk says that it was enough.
+func (c *Coordinator) eachPeer(ctx context.Context, peers []Peer, talk func(context.Context, Peer) (enough bool)) {
 	ctx, cancel := context.WithTimeout(ctx, c.limits.PeerTimeout)
 	defer cancel()
 	var all sync.WaitGroup
 	for _, peer := range peers {
-		all.Go(func() { talk(ctx, peer) })
+		all.Go(func() {
+			if talk(ctx, peer) {
+				cancel()
+			}
+		})
 	}
 	all.Wait()
 }
--- a/internal/calls/partition.go
+++ b/internal/calls/partition.go
@@ -10,6 +10,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/calls/fold"
 	"github.com/goldcrestspool/goldcrestspool/internal/calls/journal"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
 )
 
@@ -37,6 +38,8 @@
 	readable bool
 	// lastRecord is when the last record came, by this process's clock.
 	lastRecord time.Time
+	// left: the waiting claims were handed over, and no new one may begin.
+	left bool
 	// undecided are claims of this gateway that the reader has not met.
 	undecided map[journal.ClaimID]*claim
 	// active are claims of this gateway that wait or are dispatched.
@@ -192,18 +195,24 @@
 	}
 }
 
-// submit queues a claim for the journal. It reports false when the queue is
-// full.
-func (p *partition) submit(cl *claim, before ...journal.Event) bool {
+// submit queues a claim for the journal, with events that go before it. It
+// returns why it did not, or "". A call that was admitted just before the
+// gateway began to leave is stopped here: otherwise it would be missed by the
+// hand-over and be cut off by the end of the process.
+func (p *partition) submit(cl *claim, before ...journal.Event) outcome.Reason {
 	p.mu.Lock()
+	if p.left {
+		p.mu.Unlock()
+		return outcome.ReasonLeaving
+	}
 	p.undecided[cl.record.ID] = cl
 	p.active[cl] = struct{}{}
 	p.mu.Unlock()
 	if p.writer.addClaim(cl, before...) {
-		return true
+		return ""
 	}
 	p.forget(cl)
-	return false
+	return outcome.ReasonOverloaded
 }
 
 // forget drops a claim that waits no longer.
--- a/internal/calls/settle.go
+++ b/internal/calls/settle.go
@@ -72,7 +72,7 @@
 		return unknown, false
 	}
 	head := headOf(key, view)
-	found, err := c.findAt(head, view.Target, 0)
+	found, err := c.findAt(ctx, head, view.Target, 0)
 	switch {
 	case err != nil:
 		return unknown, false
@@ -96,7 +96,7 @@
 	unknown := outcome.NewUnknown(outcome.ReasonClaimedElsewhere, "an attempt with this key may have run; ask again by key", retryLater)
 	call := Call{Key: key, IssuedAt: view.IssuedAt, Attempt: view.Attempt}
 	cl := c.newClaim(call, view.Digest, view.Target, view.Claim)
-	if !p.submit(cl) {
+	if p.submit(cl) != "" {
 		return unknown, false
 	}
 	defer p.forget(cl)
@@ -104,7 +104,7 @@
 	if !ok || !r.won() {
 		return unknown, false
 	}
-	found, err := c.findAt(cl.record.Head, view.Target, r.Fence)
+	found, err := c.findAt(ctx, cl.record.Head, view.Target, r.Fence)
 	switch {
 	case err != nil:
 		return unknown, false
