--- a/internal/calls/committer.go
+++ b/internal/calls/committer.go
@@ -19,12 +19,21 @@
 	appendErrors = expvar.NewInt("goldcrestspool.calls.append_errors")
 )
 
+// maxBatchBytes bounds the data of one append, so that many large answers do
+// not make one that the log refuses.
+const maxBatchBytes = 1 << 20
+
 // The pause after a failed append grows from the first to the second.
 const (
 	firstBackoff = 100 * time.Millisecond
 	lastBackoff  = 2 * time.Second
 )
 
+// failuresDown is how many answers of appends have to be lost in a row until new
+// calls are refused at once: one is no outage, and waiting for the second try
+// costs a caller less than coming back.
+const failuresDown = 2
+
 // committer writes the records of one partition: one append at a time, with
 // all that has come meanwhile (group commit).
 type committer struct {
@@ -41,6 +50,9 @@
 	// retryAt is when the next append is tried after a failure.
 	retryAt time.Time
 	backoff time.Duration
+	// failures counts the answers lost since the last success. An outage or
+	// a hanging append counts for failuresDown.
+	failures int
 }
 
 // queued is one record on its way to the log.
@@ -113,7 +125,7 @@
 	if w.appending > 0 && now.Sub(w.began) >= w.c.limits.SlowAfter {
 		return w.c.limits.AppendTimeout, true
 	}
-	if now.Before(w.retryAt) {
+	if w.failures >= failuresDown && now.Before(w.retryAt) {
 		return w.retryAt.Sub(now), true
 	}
 	return 0, false
@@ -154,8 +166,8 @@
 	defer w.mu.Unlock()
 	var batch []*queued
 	var data [][]byte
-	n := 0
-	for n < len(w.queue) && len(batch) < w.c.limits.MaxBatch {
+	n, size := 0, 0
+	for n < len(w.queue) && len(batch) < w.c.limits.MaxBatch && size < maxBatchBytes {
 		q := w.queue[n]
 		n++
 		if q.claim != nil && !q.claim.sent && q.claim.phase.Load() != waiting {
@@ -174,6 +186,7 @@
 		}
 		batch = append(batch, q)
 		data = append(data, bytes)
+		size += len(bytes)
 	}
 	w.queue = append([]*queued(nil), w.queue[n:]...)
 	w.appending, w.began = len(batch), time.Now()
@@ -227,9 +240,15 @@
 // updateBackoff sets when the next append is tried. The caller holds mu.
 func (w *committer) updateBackoff(err error) {
 	if err == nil {
-		w.backoff, w.retryAt = 0, time.Time{}
+		w.failures, w.backoff, w.retryAt = 0, 0, time.Time{}
 		return
 	}
+	hung := time.Since(w.began) >= w.c.limits.SlowAfter
+	if errors.Is(err, platform.ErrAnswerLost) && !hung {
+		w.failures++
+	} else {
+		w.failures = failuresDown
+	}
 	w.backoff = min(max(2*w.backoff, firstBackoff), lastBackoff)
 	w.retryAt = time.Now().Add(w.backoff)
 }
--- a/internal/calls/partition.go
+++ b/internal/calls/partition.go
@@ -10,6 +10,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/calls/fold"
 	"github.com/goldcrestspool/goldcrestspool/internal/calls/journal"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
 )
 
@@ -37,10 +38,14 @@
 	readable bool
 	// lastRecord is when the last record came, by this process's clock.
 	lastRecord time.Time
+	// left: the waiting claims were handed over, and no new one may begin.
+	left bool
 	// undecided are claims of this gateway that the reader has not met.
 	undecided map[journal.ClaimID]*claim
 	// active are claims of this gateway that wait or are dispatched.
 	active map[*claim]struct{}
+	// running counts the dispatched calls of a key.
+	running map[ident.CallKey]int
 	// copies are final outcomes that the journal may not have yet.
 	copies map[ident.CallKey]*outcomeCopy
 }
@@ -60,6 +65,7 @@
 		fold:      fold.New(false),
 		undecided: map[journal.ClaimID]*claim{},
 		active:    map[*claim]struct{}{},
+		running:   map[ident.CallKey]int{},
 		copies:    map[ident.CallKey]*outcomeCopy{},
 	}
 	p.writer = newCommitter(p.stream, c)
@@ -189,18 +195,24 @@
 	}
 }
 
-// submit queues a claim for the journal. It reports false when the queue is
-// full.
-func (p *partition) submit(cl *claim, before ...journal.Event) bool {
+// submit queues a claim for the journal, with events that go before it. It
+// returns why it did not, or "". A call that was admitted just before the
+// gateway began to leave is stopped here: otherwise it would be missed by the
+// hand-over and be cut off by the end of the process.
+func (p *partition) submit(cl *claim, before ...journal.Event) outcome.Reason {
 	p.mu.Lock()
+	if p.left {
+		p.mu.Unlock()
+		return outcome.ReasonLeaving
+	}
 	p.undecided[cl.record.ID] = cl
 	p.active[cl] = struct{}{}
 	p.mu.Unlock()
 	if p.writer.addClaim(cl, before...) {
-		return true
+		return ""
 	}
 	p.forget(cl)
-	return false
+	return outcome.ReasonOverloaded
 }
 
 // forget drops a claim that waits no longer.
@@ -211,6 +223,24 @@
 	delete(p.active, cl)
 }
 
+// begin notes that the call of a claim is being dispatched.
+func (p *partition) begin(cl *claim) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running[cl.call.Key]++
+}
+
+// finish notes that the dispatched call of a claim has ended.
+func (p *partition) finish(cl *claim) {
+	p.forget(cl)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running[cl.call.Key]--
+	if p.running[cl.call.Key] == 0 {
+		delete(p.running, cl.call.Key)
+	}
+}
+
 // find returns what the fold knows of a key.
 func (p *partition) find(key ident.CallKey) (fold.View, bool) {
 	p.mu.Lock()
