--- a/internal/controllers/membership/beat.go
+++ b/internal/controllers/membership/beat.go
@@ -50,7 +50,7 @@
 	c.advanceRecent(now)
 	c.dropSessions()
 	peers := peersByDomain(c.table, c.config.Self.ID)
-	chosen := chooseTargets(peers, c.config, c.start, c.turn)
+	chosen := chooseTargets(c.reachable(peers), c.config, turns{start: c.start, turn: c.turn})
 	c.turn++
 	if len(peers) == 0 {
 		return c.seedTargets()
@@ -64,7 +64,7 @@
 	for _, list := range peers {
 		for _, peer := range list {
 			known := c.session(peer.id).contact != noContact
-			if known || slices.Contains(chosen, peer) {
+			if known || slices.ContainsFunc(chosen, func(t target) bool { return t.id == peer.id }) {
 				continue
 			}
 			if added++; added > c.config.IntroductionFanout {
@@ -83,7 +83,25 @@
 			out = append(out, target{address: address})
 		}
 	}
-	return take(out, c.turn, c.config.LocalFanout)
+	return take(out, c.turn, seedFanout)
+}
+
+// seedFanout is how many seeds are asked in one turn.
+const seedFanout = 3
+
+// reachable leaves out peers that do not answer, but for one in a turn, so that
+// a ring closes around the dead, and those that are back are found.
+func (c *Controller) reachable(peers map[ident.FailureDomain][]target) map[ident.FailureDomain][]target {
+	out := map[ident.FailureDomain][]target{}
+	for domain, list := range peers {
+		retried := list[c.turn%len(list)].id
+		for _, peer := range list {
+			if peer.id == retried || c.session(peer.id).failures < c.config.PeerFailures {
+				out[domain] = append(out[domain], peer)
+			}
+		}
+	}
+	return out
 }
 
 // advanceRecent keeps recent at a number from one to two windows ago.
--- a/internal/controllers/membership/codec.go
+++ b/internal/controllers/membership/codec.go
@@ -10,39 +10,82 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
 )
 
-// encodeLines returns the wire form of a digest. Times travel as ages, since
-// the clocks of two instances cannot be compared.
-func encodeLines(lines []membership.Line, describe bool, now time.Time) []*peerv1.MemberEntry {
-	out := make([]*peerv1.MemberEntry, 0, len(lines))
-	for _, line := range lines {
-		out = append(out, encodeLine(line, describe, now))
+// encodeFacts returns the wire form of facts. Times travel as ages, since the
+// clocks of two instances cannot be compared.
+func encodeFacts(facts []membership.Entry, describe bool, now time.Time) []*peerv1.MemberEntry {
+	out := make([]*peerv1.MemberEntry, 0, len(facts))
+	for _, e := range facts {
+		out = append(out, encodeFact(e, describe, now))
 	}
 	return out
 }
 
-func encodeLine(line membership.Line, describe bool, now time.Time) *peerv1.MemberEntry {
-	e := &peerv1.MemberEntry{
-		InstanceId:          string(line.ID),
-		Incarnation:         uint64(line.Incarnation),
-		Running:             line.Load.Running,
-		Queued:              line.Load.Queued,
-		QueuedPrefillTokens: line.Load.QueuedPrefillTokens,
-		LoadAgeMs:           encodeAge(line.Load.At, now),
-		AgeMs:               encodeAge(line.Seen, now),
+func encodeFact(e membership.Entry, describe bool, now time.Time) *peerv1.MemberEntry {
+	line := &peerv1.MemberEntry{
+		InstanceId:          string(e.ID),
+		Incarnation:         uint64(e.Incarnation),
+		State:               peerv1.MemberState(e.State),
+		Running:             e.Load.Running,
+		Queued:              e.Load.Queued,
+		QueuedPrefillTokens: e.Load.QueuedPrefillTokens,
+		LoadAgeMs:           encodeAge(e.Load.At, now),
+		FailureDomain:       string(e.FailureDomain),
+		PeerAddress:         e.PeerAddress,
+		AgeMs:               encodeAge(e.Seen, now),
 	}
-	if !line.Fact {
-		return e
+	if e.State == blackboard.Gone {
+		line.AgeMs = encodeAge(e.GoneAt, now)
 	}
-	e.State = peerv1.MemberState(line.State)
-	e.FailureDomain = string(line.FailureDomain)
-	e.PeerAddress = line.PeerAddress
-	if line.State == blackboard.Gone {
-		e.AgeMs = encodeAge(line.GoneAt, now)
+	if describe && e.Description != nil {
+		line.Description = encodeDescription(e.Description)
 	}
-	if describe && line.Description != nil {
-		e.Description = encodeDescription(line.Description)
+	return line
+}
+
+// encodeFigures returns nil for none.
+func encodeFigures(figures []membership.Entry, now time.Time) *peerv1.Figures {
+	if len(figures) == 0 {
+		return nil
+	}
+	out := &peerv1.Figures{}
+	for _, e := range figures {
+		out.Key = append(out.Key, membership.Key(e))
+		out.Running = append(out.Running, e.Load.Running)
+		out.Queued = append(out.Queued, e.Load.Queued)
+		out.QueuedPrefillTokens = append(out.QueuedPrefillTokens, e.Load.QueuedPrefillTokens)
+		out.LoadAgeMs = append(out.LoadAgeMs, encodeAge(e.Load.At, now))
+		out.AgeMs = append(out.AgeMs, encodeAge(e.Seen, now))
+	}
+	return out
+}
+
+// checkFigures reports whether all lists have the same length.
+func checkFigures(f *peerv1.Figures) bool {
+	n := len(f.GetKey())
+	for _, list := range [][]uint32{f.GetRunning(), f.GetQueued(), f.GetQueuedPrefillTokens(), f.GetLoadAgeMs(), f.GetAgeMs()} {
+		if len(list) != n {
+			return false
+		}
+	}
+	return true
+}
+
+// decodeFigures returns the i-th element as an entry that says no more than
+// that the instance was alive.
+func decodeFigures(f *peerv1.Figures, i int, known membership.Entry, now time.Time) membership.Entry {
+	return membership.Entry{
+		ID:            known.ID,
+		Incarnation:   known.Incarnation,
+		State:         blackboard.Alive,
+		FailureDomain: known.FailureDomain,
+		Seen:          decodeAge(f.GetAgeMs()[i], now),
+		Load: membership.Load{
+			Running:             f.GetRunning()[i],
+			Queued:              f.GetQueued()[i],
+			QueuedPrefillTokens: f.GetQueuedPrefillTokens()[i],
+			At:                  decodeAge(f.GetLoadAgeMs()[i], now),
+		},
 	}
-	return e
 }
 
 func encodeDescription(d *platform.Instance) *peerv1.MemberDescription {
@@ -56,7 +99,7 @@
 	}
 }
 
-func decodeLine(line *peerv1.MemberEntry, now time.Time) membership.Entry {
+func decodeFact(line *peerv1.MemberEntry, now time.Time) membership.Entry {
 	e := membership.Entry{
 		ID:            ident.Instance(line.GetInstanceId()),
 		Incarnation:   ident.Incarnation(line.GetIncarnation()),
@@ -70,14 +113,9 @@
 			At:                  decodeAge(line.GetLoadAgeMs(), now),
 		},
 	}
-	switch e.State {
-	case blackboard.Alive, blackboard.Leaving:
-		e.Seen = decodeAge(line.GetAgeMs(), now)
-	case blackboard.Gone:
+	if e.State == blackboard.Gone {
 		e.GoneAt = decodeAge(line.GetAgeMs(), now)
-	default:
-		// A line without a state tells only figures.
-		e.State = blackboard.Alive
+	} else {
 		e.Seen = decodeAge(line.GetAgeMs(), now)
 	}
 	e.Description = decodeDescription(line, e)
--- a/internal/controllers/membership/config.go
+++ b/internal/controllers/membership/config.go
@@ -28,13 +28,12 @@
 	// Timeout is how long an exchange may take.
 	Timeout time.Duration
 	// LocalAll is up to how many peers of the own failure domain all get
-	// each heartbeat. Of more, LocalFanout do, in turn.
-	LocalAll    int
-	LocalFanout int
-	// RemotePerDomain peers of each other failure domain get each heartbeat,
-	// but RemoteFanout at most, in turn.
+	// each heartbeat. Of more, three do; see chooseTargets.
+	LocalAll int
+	// RemotePerDomain peers of each other failure domain get each heartbeat
+	// while these are not more than RemoteAll. Of more, two do.
 	RemotePerDomain int
-	RemoteFanout    int
+	RemoteAll       int
 	// IntroductionFanout more peers get the heartbeat while they were never
 	// heard of, so that a new process soon knows what all peers have.
 	IntroductionFanout int
@@ -47,6 +46,9 @@
 	PushAttempts int
 	Limits       membership.Limits
 	Suspicion    membership.Suspicion
+	// PeerFailures is how many exchanges in a row with a peer must fail
+	// before this process suspects it.
+	PeerFailures int
 }
 
 // DefaultConfig returns the settings in use. Everyone in the failure domain
@@ -60,15 +62,15 @@
 		Interval:           time.Second,
 		Timeout:            450 * time.Millisecond,
 		LocalAll:           8,
-		LocalFanout:        3,
 		RemotePerDomain:    2,
-		RemoteFanout:       6,
+		RemoteAll:          8,
 		IntroductionFanout: 16,
 		MaxFigures:         128,
 		FullInterval:       30 * time.Second,
 		PushAttempts:       4,
 		Limits:             membership.DefaultLimits(),
-		Suspicion:          membership.Suspicion{Local: 5 * time.Second, Remote: 40 * time.Second},
+		Suspicion:          membership.Suspicion{Local: 12 * time.Second, Remote: 90 * time.Second},
+		PeerFailures:       3,
 	}
 }
 
--- a/internal/controllers/membership/controller.go
+++ b/internal/controllers/membership/controller.go
@@ -262,7 +262,12 @@
 }
 
 func (c *Controller) effective(e membership.Entry, now time.Time) blackboard.MemberState {
-	return c.table.Effective(e, c.config.Suspicion, now)
+	state := c.table.Effective(e, c.config.Suspicion, now)
+	s, ok := c.sessions[e.ID]
+	if ok && state == blackboard.Alive && s.failures >= c.config.PeerFailures {
+		return blackboard.Suspect
+	}
+	return state
 }
 
 func (c *Controller) member(e membership.Entry, now time.Time) blackboard.Member {
--- a/internal/controllers/membership/departure_test.go
+++ b/internal/controllers/membership/departure_test.go
@@ -53,8 +53,7 @@
 // hundreds of processes.
 func sparse(c *Config) {
 	c.LocalAll = 1
-	c.LocalFanout = 1
-	c.RemoteFanout = 1
+	c.RemoteAll = 1
 	c.IntroductionFanout = 0
 }
 
@@ -295,12 +294,13 @@
 func TestOldNewsReachesANewProcess(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(2, 1, 1, nil)
+		f.add(2, "hall-a", nil)
+		newcomer := f.nodes[2]
+		f.nodes = f.nodes[:2]
 		stop := f.run()
 		u := f.upstreams[0]
 		f.nodes[0].NoteLeaving(u.ID, u.Incarnation)
 		time.Sleep(time.Minute)
-		f.add(2, "hall-a", nil)
-		newcomer := f.nodes[2]
 		newcomer.ApplyList(f.list())
 		ctx, cancel := context.WithCancel(t.Context())
 		newcomer.cancel = cancel
@@ -315,6 +315,7 @@
 			t.Errorf("state %v", state)
 		}
 		stop()
+		cancel()
 		<-done
 	})
 }
--- a/internal/controllers/membership/exchange.go
+++ b/internal/controllers/membership/exchange.go
@@ -20,12 +20,14 @@
 type session struct {
 	// epoch of the peer's run; 0: not known.
 	epoch uint64
-	// acknowledged is the number of our table that the peer has merged.
-	acknowledged uint64
-	// merged is the number of the peer's table that we have merged.
-	merged uint64
-	// contact is how the last exchange with the peer ended.
-	contact contact
+	// acknowledged is how far the peer has merged our table.
+	acknowledged membership.Position
+	// merged is how far we have merged the peer's table.
+	merged membership.Position
+	// contact is how the last exchange with the peer ended, and failures how
+	// many in a row failed.
+	contact  contact
+	failures int
 	// revision is the highest configuration revision that the peer told.
 	revision ident.Revision
 }
@@ -42,16 +44,22 @@
 // heard notes that the peer has just asked or answered.
 func (s *session) heard(revision ident.Revision) {
 	s.contact = contactMade
+	s.failures = 0
 	s.revision = max(s.revision, revision)
 }
 
+// advance moves a position forward.
+func advance(p *membership.Position, facts, figures uint64) {
+	p.Facts = max(p.Facts, facts)
+	p.Figures = max(p.Figures, figures)
+}
+
 // outgoing is a request with what its answer will mean.
 type outgoing struct {
 	request *peerv1.ExchangeRequest
 	// epoch of the peer that the digest was made for.
-	epoch        uint64
-	sequence     uint64
-	factsThrough uint64
+	epoch  uint64
+	digest membership.Digest
 }
 
 // exchange sends one heartbeat and merges the answer. It returns the number of
@@ -70,7 +78,7 @@
 	}
 	bytesReceived.Add(int64(proto.Size(resp)))
 	c.mergeResponse(peer, out, resp)
-	return out.factsThrough, nil
+	return out.digest.Sequence, nil
 }
 
 func (c *Controller) buildRequest(peer target) outgoing {
@@ -78,19 +86,28 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	s := c.session(peer.id)
-	digest := c.table.DeltaSince(s.acknowledged, peer.id, c.config.MaxFigures)
+	digest := c.table.DeltaSince(s.acknowledged, peer.id, c.maxFigures(!peer.figures))
 	request := &peerv1.ExchangeRequest{
 		From:          string(c.config.Self.ID),
 		Incarnation:   uint64(c.config.Self.Incarnation),
 		FailureDomain: string(c.config.Self.FailureDomain),
 		PeerAddress:   c.config.Self.PeerAddress,
-		Members:       encodeLines(digest.Lines, true, now),
+		Members:       encodeFacts(digest.Facts, true, now),
+		Figures:       encodeFigures(digest.Figures, now),
 		Revision:      uint64(c.revision()),
 		Position:      c.position(s, digest),
 	}
+	request.Position.FactsOnly = !peer.figures
 	request.Position.NeedsFull = c.needsFull(now)
 	request.Position.NeedsDescriptions = request.Position.NeedsFull && !c.listed
-	return outgoing{request: request, epoch: s.epoch, sequence: digest.Sequence, factsThrough: digest.FactsThrough}
+	return outgoing{request: request, epoch: s.epoch, digest: digest}
+}
+
+func (c *Controller) maxFigures(factsOnly bool) int {
+	if factsOnly {
+		return 0
+	}
+	return c.config.MaxFigures
 }
 
 // needsFull reports whether to ask for a full digest: at the start, and when
@@ -110,7 +127,9 @@
 		Epoch:                c.epoch,
 		Sequence:             digest.Sequence,
 		AcknowledgedEpoch:    s.epoch,
-		AcknowledgedSequence: s.merged,
+		AcknowledgedSequence: s.merged.Facts,
+		FiguresSequence:      digest.FiguresSequence,
+		AcknowledgedFigures:  s.merged.Figures,
 		Checksum:             c.table.Checksum(),
 	}
 }
@@ -123,10 +142,11 @@
 	position := resp.GetPosition()
 	s := c.sessionOfRun(from, position.GetEpoch())
 	if out.epoch == s.epoch || out.epoch == 0 {
-		s.acknowledged = max(s.acknowledged, out.sequence)
+		advance(&s.acknowledged, out.digest.Sequence, out.digest.FiguresSequence)
 	}
-	s.merged = max(s.merged, position.GetSequence())
-	c.mergeLines(from, ident.FailureDomain(resp.GetFailureDomain()), resp.GetMembers(), now)
+	advance(&s.merged, position.GetSequence(), position.GetFiguresSequence())
+	c.mergeFacts(from, ident.FailureDomain(resp.GetFailureDomain()), resp.GetMembers(), now)
+	c.mergeFigures(from, resp.GetFigures(), now)
 	c.observePeer(membership.Entry{
 		ID:            from,
 		Incarnation:   ident.Incarnation(resp.GetIncarnation()),
@@ -143,6 +163,9 @@
 	if req.GetFrom() == "" || req.GetPosition().GetEpoch() == 0 {
 		return nil, errcode.New(errcode.InvalidArgument, "heartbeat without sender or epoch")
 	}
+	if !checkFigures(req.GetFigures()) {
+		return nil, errcode.New(errcode.InvalidArgument, "heartbeat with figures of different lengths")
+	}
 	exchangesServed.Add(1)
 	bytesReceived.Add(int64(proto.Size(req)))
 	resp := c.serve(req)
@@ -158,11 +181,12 @@
 	domain := ident.FailureDomain(req.GetFailureDomain())
 	position := req.GetPosition()
 	s := c.sessionOfRun(from, position.GetEpoch())
-	s.merged = max(s.merged, position.GetSequence())
+	advance(&s.merged, position.GetSequence(), position.GetFiguresSequence())
 	if position.GetAcknowledgedEpoch() == c.epoch {
-		s.acknowledged = max(s.acknowledged, position.GetAcknowledgedSequence())
+		advance(&s.acknowledged, position.GetAcknowledgedSequence(), position.GetAcknowledgedFigures())
 	}
-	c.mergeLines(from, domain, req.GetMembers(), now)
+	c.mergeFacts(from, domain, req.GetMembers(), now)
+	c.mergeFigures(from, req.GetFigures(), now)
 	c.observePeer(membership.Entry{
 		ID:            from,
 		Incarnation:   ident.Incarnation(req.GetIncarnation()),
@@ -181,13 +205,14 @@
 		digest = c.table.Full()
 		describe = asked.GetNeedsDescriptions()
 	} else {
-		digest = c.table.DeltaSince(s.acknowledged, to, c.config.MaxFigures)
+		digest = c.table.DeltaSince(s.acknowledged, to, c.maxFigures(asked.GetFactsOnly()))
 	}
 	return &peerv1.ExchangeResponse{
 		From:          string(c.config.Self.ID),
 		Incarnation:   uint64(c.config.Self.Incarnation),
 		FailureDomain: string(c.config.Self.FailureDomain),
-		Members:       encodeLines(digest.Lines, describe, now),
+		Members:       encodeFacts(digest.Facts, describe, now),
+		Figures:       encodeFigures(digest.Figures, now),
 		Revision:      uint64(c.revision()),
 		Position:      c.position(s, digest),
 	}
@@ -197,7 +222,7 @@
 func (c *Controller) session(id ident.Instance) *session {
 	s, ok := c.sessions[id]
 	if !ok {
-		s = &session{acknowledged: c.recent.sequence}
+		s = &session{acknowledged: c.recentPosition()}
 		if id != "" {
 			c.sessions[id] = s
 		}
@@ -205,23 +230,29 @@
 	return s
 }
 
+// recentPosition is the position of a peer without history: what is older it
+// has from others, or the checksums differ.
+func (c *Controller) recentPosition() membership.Position {
+	return membership.Position{Facts: c.recent.sequence, Figures: c.recent.sequence}
+}
+
 // sessionOfRun returns the session with one run of a peer. A new run of the
 // peer knows nothing of what the earlier one had merged.
 func (c *Controller) sessionOfRun(id ident.Instance, epoch uint64) *session {
 	s := c.session(id)
 	if s.epoch != 0 && s.epoch != epoch {
-		*s = session{acknowledged: c.recent.sequence, contact: s.contact}
+		*s = session{acknowledged: c.recentPosition(), contact: s.contact}
 	}
 	s.epoch = epoch
 	return s
 }
 
-// mergeLines merges a digest. A departure that comes from another failure
+// mergeFacts merges the facts of a digest. A departure that comes from another failure
 // domain is pushed on within the own one; its sender does that in its own.
-func (c *Controller) mergeLines(from ident.Instance, domain ident.FailureDomain, lines []*peerv1.MemberEntry, now time.Time) {
+func (c *Controller) mergeFacts(from ident.Instance, domain ident.FailureDomain, lines []*peerv1.MemberEntry, now time.Time) {
 	var departed []ident.Instance
 	for _, line := range lines {
-		e := decodeLine(line, now)
+		e := decodeFact(line, now)
 		if c.table.MergePeer(from, e, now) == membership.Departure {
 			departed = append(departed, e.ID)
 		}
@@ -237,6 +268,20 @@
 	c.departed(departed, ownDomain)
 }
 
+// mergeFigures merges the figures of a digest. Those of instances, or lives of
+// instances, that this process does not know are worth nothing to it.
+func (c *Controller) mergeFigures(from ident.Instance, figures *peerv1.Figures, now time.Time) {
+	if !checkFigures(figures) {
+		return
+	}
+	for i, key := range figures.GetKey() {
+		known, ok := c.table.FindKey(key)
+		if ok {
+			c.table.MergePeer(from, decodeFigures(figures, i, known, now), now)
+		}
+	}
+}
+
 // observePeer records that a peer has just answered or asked.
 func (c *Controller) observePeer(e membership.Entry, now time.Time) {
 	if e.ID == "" || e.ID == c.config.Self.ID {
@@ -258,7 +303,9 @@
 func (c *Controller) noteFailure(id ident.Instance) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.session(id).contact = contactFailed
+	s := c.session(id)
+	s.contact = contactFailed
+	s.failures++
 }
 
 // Highest returns the reachable peer with the highest configuration revision.
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -12,91 +12,104 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 )
 
-// Line is an entry of a digest.
-type Line struct {
-	Entry
-	// Fact: state and description matter to the receiver. Otherwise the line
-	// only carries proof of life and load.
-	Fact bool
-}
-
 // Digest is what a peer has not merged yet.
 type Digest struct {
-	Lines []Line
-	// Sequence is the number up to which the peer is informed once it has
-	// merged the lines.
-	Sequence uint64
-	// FactsThrough is the number up to which it has all facts then. It is
-	// higher than Sequence when not all figures had room.
-	FactsThrough uint64
+	// Facts are entries whose state matters to the receiver.
+	Facts []Entry
+	// Figures are entries of which only proof of life and load are new.
+	Figures []Entry
+	// Sequence and FiguresSequence are the numbers up to which the peer is
+	// informed once it has merged both.
+	Sequence, FiguresSequence uint64
+}
+
+// Position is how far a peer has merged facts and figures.
+type Position struct {
+	Facts, Figures uint64
 }
 
 // Full returns all entries as facts.
 func (t *Table) Full() Digest {
-	lines := make([]Line, 0, len(t.records))
+	digest := Digest{Sequence: t.sequence, FiguresSequence: t.sequence}
 	for _, r := range t.records {
-		lines = append(lines, Line{Entry: r.Entry, Fact: true})
+		digest.Facts = append(digest.Facts, r.Entry)
 	}
-	return Digest{Lines: lines, Sequence: t.sequence, FactsThrough: t.sequence}
+	return digest
 }
 
-// DeltaSince returns the changes with a number above after for one peer. It
-// carries all facts but at most maxFigures lines of other kinds, the oldest
-// changes first; what is left comes with the next digest.
-func (t *Table) DeltaSince(after uint64, to ident.Instance, maxFigures int) Digest {
-	var facts, figures []*record
+// DeltaSince returns what a peer at a position has not merged. It carries all
+// facts but at most maxFigures figures, the oldest changes first; what is left
+// comes with the next digest.
+func (t *Table) DeltaSince(after Position, to ident.Instance, maxFigures int) Digest {
+	digest := Digest{Sequence: t.sequence, FiguresSequence: t.sequence}
+	var figures []*record
 	for _, r := range t.records {
 		switch {
-		case r.factAt > after && r.factFrom != to:
-			facts = append(facts, r)
-		case r.figuresAt > after && r.figuresFrom != to:
+		case r.factAt > after.Facts && r.factFrom != to:
+			digest.Facts = append(digest.Facts, r.Entry)
+		case r.figuresAt > after.Figures && r.figuresFrom != to:
 			figures = append(figures, r)
 		}
 	}
-	digest := Digest{Sequence: t.sequence, FactsThrough: t.sequence}
 	if len(figures) > maxFigures {
 		slices.SortFunc(figures, func(a, b *record) int { return cmp.Compare(a.figuresAt, b.figuresAt) })
 		figures = figures[:maxFigures]
-		digest.Sequence = figures[maxFigures-1].figuresAt
-	}
-	digest.Lines = make([]Line, 0, len(facts)+len(figures))
-	for _, r := range facts {
-		digest.Lines = append(digest.Lines, Line{Entry: r.Entry, Fact: true})
+		digest.FiguresSequence = after.Figures
 	}
 	for _, r := range figures {
-		digest.Lines = append(digest.Lines, Line{Entry: r.Entry})
+		digest.Figures = append(digest.Figures, r.Entry)
+		if len(figures) == maxFigures {
+			digest.FiguresSequence = max(digest.FiguresSequence, r.figuresAt)
+		}
 	}
 	return digest
 }
 
+// Key stands for one life of an instance in figures, where an ID would take
+// most of the bytes.
+func Key(e Entry) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(string(e.ID))
+	var tail [8]byte
+	binary.LittleEndian.PutUint64(tail[:], uint64(e.Incarnation))
+	_, _ = d.Write(tail[:])
+	return d.Sum64()
+}
+
+// FindKey returns the entry with a key.
+func (t *Table) FindKey(key uint64) (Entry, bool) {
+	return t.Find(t.byKey[key])
+}
+
 // Checksum stands for all facts of instances that are not gone. Two processes
 // with equal checksums hold the same facts, so that they need not exchange
 // them. It does not depend on the order of events.
 func (t *Table) Checksum() uint64 {
+	if t.checksumAt == t.lastFact {
+		return t.checksum
+	}
 	var sum uint64
 	for _, r := range t.records {
 		if r.State != blackboard.Gone {
 			sum += factHash(r.Entry)
 		}
 	}
+	t.checksum, t.checksumAt = sum, t.lastFact
 	return sum
 }
 
+// factHash mixes the state into the key; the multiplier is odd, so that no two
+// states of one life are the same.
 func factHash(e Entry) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(string(e.ID))
-	var tail [9]byte
-	binary.LittleEndian.PutUint64(tail[:], uint64(e.Incarnation))
-	tail[8] = byte(e.State)
-	_, _ = d.Write(tail[:])
-	return d.Sum64()
+	const mix = 0x9e3779b97f4a7c15
+	return (Key(e) + uint64(e.State)) * mix
 }
 
 // Suspicion says how old a proof of life may be.
 type Suspicion struct {
-	// Local and Remote are the limits for instances of the own failure
-	// domain and of others, whose proofs arrive later.
+	// Local and Remote are the limits for upstreams of the own failure domain
+	// and for all others, whose proofs are passed on less often.
 	Local  time.Duration
 	Remote time.Duration
 }
@@ -109,7 +122,7 @@
 		return e.State
 	}
 	limit := limits.Remote
-	if e.FailureDomain == t.domain {
+	if e.FailureDomain == t.domain && e.PeerAddress == "" {
 		limit = limits.Local
 	}
 	if e.Seen.IsZero() || now.Sub(e.Seen) > limit {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -20,7 +20,8 @@
 	// that was missing for longer, and was silent, has ended.
 	ListLag time.Duration
 	// LocalRefresh and RemoteRefresh are how often new proof of life and load
-	// of one instance are passed on: of the own failure domain, of others.
+	// of one instance are passed on: of upstreams of the own failure domain,
+	// and of all others.
 	LocalRefresh  time.Duration
 	RemoteRefresh time.Duration
 }
@@ -31,8 +32,8 @@
 		Admission:     2 * time.Minute,
 		Forget:        10 * time.Minute,
 		ListLag:       time.Minute,
-		LocalRefresh:  time.Second,
-		RemoteRefresh: 10 * time.Second,
+		LocalRefresh:  2 * time.Second,
+		RemoteRefresh: 20 * time.Second,
 	}
 }
 
@@ -44,6 +45,11 @@
 	// sequence numbers the changes that digests carry, from 1.
 	sequence uint64
 	records  map[ident.Instance]*record
+	// lastFact is the number of the last fact; checksum was computed at
+	// checksumAt.
+	lastFact, checksumAt, checksum uint64
+	// byKey finds the instances by the Key of their present life.
+	byKey map[uint64]ident.Instance
 }
 
 // record is an entry with what this process needs to know around it.
@@ -79,7 +85,13 @@
 
 // NewTable returns an empty table of the process self in a failure domain.
 func NewTable(self ident.Instance, domain ident.FailureDomain, limits Limits) *Table {
-	return &Table{limits: limits, self: self, domain: domain, records: map[ident.Instance]*record{}}
+	return &Table{
+		limits:  limits,
+		self:    self,
+		domain:  domain,
+		records: map[ident.Instance]*record{},
+		byKey:   map[uint64]ident.Instance{},
+	}
 }
 
 // Len returns the number of entries, gone ones included.
@@ -144,6 +156,7 @@
 	if !known {
 		r = &record{Entry: e}
 		t.records[e.ID] = r
+		t.byKey[Key(e)] = e.ID
 		t.number(r, from, Fact)
 		if e.State >= blackboard.Leaving {
 			return Departure
@@ -162,6 +175,8 @@
 	replaced := r.Incarnation != before.Incarnation
 	if replaced {
 		r.absentSince = time.Time{}
+		delete(t.byKey, Key(before))
+		t.byKey[Key(r.Entry)] = r.ID
 	}
 	departed := r.State >= blackboard.Leaving && (replaced || before.State < blackboard.Leaving)
 	switch {
@@ -171,14 +186,14 @@
 		return Fact
 	case r.PeerAddress != before.PeerAddress, r.FailureDomain != before.FailureDomain:
 		return Fact
-	case r.Seen.Sub(r.announced) >= t.refresh(r.FailureDomain):
+	case r.Seen.Sub(r.announced) >= t.refresh(r.Entry):
 		return Figures
 	}
 	return Nothing
 }
 
-func (t *Table) refresh(domain ident.FailureDomain) time.Duration {
-	if domain == t.domain {
+func (t *Table) refresh(e Entry) time.Duration {
+	if e.FailureDomain == t.domain && e.PeerAddress == "" {
 		return t.limits.LocalRefresh
 	}
 	return t.limits.RemoteRefresh
@@ -195,6 +210,7 @@
 	r.figuresFrom = from
 	if change >= Fact {
 		r.factAt = t.sequence
+		t.lastFact = t.sequence
 		r.factFrom = from
 	}
 }
@@ -280,6 +296,7 @@
 	for id, r := range t.records {
 		if r.State == blackboard.Gone && now.Sub(r.GoneAt) > t.limits.Forget {
 			delete(t.records, id)
+			delete(t.byKey, Key(r.Entry))
 		}
 	}
 }
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -147,7 +147,7 @@
 		"digest": func(t *rapid.T) {
 			from, to := m.drawTable(t, "from"), m.drawTable(t, "to")
 			after := rapid.Uint64Range(0, m.tables[from].Sequence()).Draw(t, "after")
-			d := m.tables[from].DeltaSince(after, m.tables[to].self, 2)
+			d := m.tables[from].DeltaSince(Position{after, after / 2}, m.tables[to].self, 2)
 			m.deliver(from, to, d)
 		},
 		"full": func(t *rapid.T) {
@@ -182,8 +182,8 @@
 
 // deliver merges a digest.
 func (m *tableMachine) deliver(from, to int, d Digest) {
-	for _, line := range d.Lines {
-		m.tables[to].MergePeer(m.tables[from].self, line.Entry, m.now)
+	for _, e := range append(d.Facts, d.Figures...) {
+		m.tables[to].MergePeer(m.tables[from].self, e, m.now)
 	}
 }
 
@@ -268,8 +268,8 @@
 	for range 20 {
 		now = now.Add(time.Minute)
 		for i, table := range tables {
-			for _, line := range table.Full().Lines {
-				tables[1-i].MergePeer(table.self, line.Entry, now)
+			for _, e := range table.Full().Facts {
+				tables[1-i].MergePeer(table.self, e, now)
 			}
 			table.Forget(now)
 		}
