--- a/internal/controllers/membership/config.go
+++ b/internal/controllers/membership/config.go
@@ -63,13 +63,13 @@
 		Timeout:            450 * time.Millisecond,
 		LocalAll:           8,
 		RemotePerDomain:    2,
-		RemoteAll:          8,
+		RemoteAll:          6,
 		IntroductionFanout: 16,
 		MaxFigures:         128,
 		FullInterval:       30 * time.Second,
 		PushAttempts:       4,
 		Limits:             membership.DefaultLimits(),
-		Suspicion:          membership.Suspicion{Local: 12 * time.Second, Remote: 90 * time.Second},
+		Suspicion:          membership.Suspicion{Local: 12 * time.Second, Remote: 120 * time.Second},
 		PeerFailures:       3,
 	}
 }
--- a/internal/controllers/membership/controller.go
+++ b/internal/controllers/membership/controller.go
@@ -31,7 +31,8 @@
 	// recent is a number of the table from at least recentWindow ago.
 	recent, nextRecent mark
 	// published is the last published state of each instance.
-	published map[ident.Instance]blackboard.Member
+	published     map[ident.Instance]blackboard.Member
+	publishedFact uint64
 	// listed: the platform's list was read at least once.
 	listed bool
 	// mismatch: a peer's facts differed from ours since lastFull.
@@ -225,10 +226,19 @@
 	}
 }
 
+// publishFacts publishes unless only proofs of life and loads have changed since
+// the last time; a suspicion that these clear waits for the next turn.
+func (c *Controller) publishFacts(now time.Time) {
+	if c.table.LastFact() != c.publishedFact {
+		c.publish(now)
+	}
+}
+
 // publish replaces board.Members when a state differs from the published one.
 // The lock is held, so there is one writer.
 func (c *Controller) publish(now time.Time) {
 	c.table.Forget(now)
+	c.publishedFact = c.table.LastFact()
 	if !c.differs(now) {
 		return
 	}
--- a/internal/controllers/membership/cost_test.go
+++ b/internal/controllers/membership/cost_test.go
@@ -28,7 +28,9 @@
 		t.Skip("set MEMBERSHIP_COST=1 to measure")
 	}
 	for _, s := range sizes {
-		synctest.Test(t, func(t *testing.T) { measure(t, s) })
+		t.Run(fmt.Sprintf("%d+%d", s.gateways, s.upstreams), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { measure(t, s) })
+		})
 	}
 }
 
--- a/internal/controllers/membership/exchange.go
+++ b/internal/controllers/membership/exchange.go
@@ -154,7 +154,7 @@
 		PeerAddress:   peer.address,
 	}, now)
 	c.mismatch = c.mismatch || c.table.Checksum() != position.GetChecksum()
-	c.publish(now)
+	c.publishFacts(now)
 	s.heard(ident.Revision(resp.GetRevision()))
 }
 
@@ -193,7 +193,7 @@
 		FailureDomain: domain,
 		PeerAddress:   req.GetPeerAddress(),
 	}, now)
-	c.publish(now)
+	c.publishFacts(now)
 	s.heard(ident.Revision(req.GetRevision()))
 	return c.buildResponse(s, from, position, now)
 }
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -33,7 +33,7 @@
 		Forget:        10 * time.Minute,
 		ListLag:       time.Minute,
 		LocalRefresh:  2 * time.Second,
-		RemoteRefresh: 20 * time.Second,
+		RemoteRefresh: 30 * time.Second,
 	}
 }
 
@@ -100,6 +100,9 @@
 // Sequence returns the number of the last change.
 func (t *Table) Sequence() uint64 { return t.sequence }
 
+// LastFact returns the number of the last change that was a fact.
+func (t *Table) LastFact() uint64 { return t.lastFact }
+
 // Find returns the entry of an instance.
 func (t *Table) Find(id ident.Instance) (Entry, bool) {
 	r, ok := t.records[id]
