--- /dev/null
+++ b/internal/controllers/instances/instances_test.go
@@ -0,0 +1,97 @@
+package instances
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+)
+
+// fakePlatform is the list and the notices; while down it answers neither.
+type fakePlatform struct {
+	down    bool
+	list    []platform.Instance
+	notices []platform.Notice
+	asked   []uint64
+}
+
+func (p *fakePlatform) List(context.Context) ([]platform.Instance, error) {
+	if p.down {
+		return nil, platform.ErrUnavailable
+	}
+	return p.list, nil
+}
+
+func (p *fakePlatform) Notices(_ context.Context, after uint64) ([]platform.Notice, error) {
+	p.asked = append(p.asked, after)
+	if p.down {
+		return nil, platform.ErrUnavailable
+	}
+	time.Sleep(100 * time.Millisecond)
+	var out []platform.Notice
+	for _, n := range p.notices {
+		if n.Sequence > after {
+			out = append(out, n)
+		}
+	}
+	return out, nil
+}
+
+// recorder is the membership.
+type recorder struct {
+	lists   int
+	leaving []ident.Instance
+}
+
+func (r *recorder) ApplyList([]platform.Instance) { r.lists++ }
+func (r *recorder) NoteLeaving(id ident.Instance, _ ident.Incarnation) {
+	r.leaving = append(r.leaving, id)
+}
+
+// Symptom: an instance does not stop in time, or stops for a notice that was
+// not its own.
+// Sequence: the platform is down at the start; then notices arrive for another
+// instance, for an earlier life of this one, and for this one.
+// Cause: notices are lost, repeated or mistaken.
+func TestNoticesReachTheRightOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &fakePlatform{down: true}
+		members := &recorder{}
+		var ends []time.Duration
+		c := New(DefaultConfig("g", 2), Deps{
+			List: p, Notices: p, Membership: members, Log: hclog.NewNullLogger(),
+			OnOwnNotice: func(endsIn time.Duration) { ends = append(ends, endsIn) },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = c.Run(ctx)
+		}()
+		time.Sleep(10 * time.Second)
+		if members.lists != 0 {
+			t.Errorf("%d lists applied while the platform was down", members.lists)
+		}
+		p.notices = []platform.Notice{
+			{Sequence: 1, Instance: "u", Incarnation: 1, EndsIn: 30 * time.Second},
+			{Sequence: 2, Instance: "g", Incarnation: 1, EndsIn: 30 * time.Second},
+			{Sequence: 3, Instance: "g", Incarnation: 2, EndsIn: 30 * time.Second},
+		}
+		p.down = false
+		time.Sleep(10 * time.Second)
+		cancel()
+		<-done
+		// The 100 ms on the way count.
+		if len(ends) != 1 || ends[0] != 29900*time.Millisecond {
+			t.Errorf("told %v, want once 29.9s", ends)
+		}
+		if len(members.leaving) != 3 || members.lists == 0 || p.asked[len(p.asked)-1] != 3 {
+			t.Errorf("leaving %v, %d lists, asked after %v", members.leaving, members.lists, p.asked)
+		}
+	})
+}
--- a/internal/controllers/probing/controller.go
+++ b/internal/controllers/probing/controller.go
@@ -69,6 +69,7 @@
 	publishTick := time.NewTicker(c.config.PublishInterval)
 	defer publishTick.Stop()
 	members := c.deps.Board.Members.Load()
+	c.publish(members.Value)
 	c.startNew(ctx, &running, members.Value)
 	for {
 		select {
--- /dev/null
+++ b/internal/controllers/probing/probing_test.go
@@ -0,0 +1,270 @@
+package probing
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"runtime"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	peerv1 "github.com/goldcrestspool/goldcrestspool/api/peer/v1"
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	"github.com/goldcrestspool/goldcrestspool/internal/cacheview"
+	controller "github.com/goldcrestspool/goldcrestspool/internal/controllers/membership"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstream"
+)
+
+// TestMain runs on one processor; see the tests of controllers/membership.
+func TestMain(m *testing.M) {
+	runtime.GOMAXPROCS(1)
+	os.Exit(m.Run())
+}
+
+// engines answer probes by address.
+type engines struct {
+	mu      sync.Mutex
+	reports map[string]upstream.Report
+	events  []upstream.CacheEvent
+	probes  map[string]int
+}
+
+func (e *engines) Engine(address string) upstream.Engine { return &engine{all: e, address: address} }
+func (e *engines) Plain(string) upstream.Plain           { return nil }
+
+func (e *engines) set(address string, r upstream.Report) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reports[address] = r
+}
+
+func (e *engines) remove(address string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.reports, address)
+}
+
+type engine struct {
+	upstream.Engine
+	all     *engines
+	address string
+}
+
+// Report does not answer at an address where nothing is.
+func (e *engine) Report(ctx context.Context) (upstream.Report, error) {
+	e.all.mu.Lock()
+	report, ok := e.all.reports[e.address]
+	e.all.probes[e.address]++
+	e.all.mu.Unlock()
+	if !ok {
+		<-ctx.Done()
+		return upstream.Report{}, errors.New("no answer")
+	}
+	return report, nil
+}
+
+func (e *engine) CacheEvents(_ context.Context, after uint64) ([]upstream.CacheEvent, error) {
+	e.all.mu.Lock()
+	defer e.all.mu.Unlock()
+	var out []upstream.CacheEvent
+	for _, event := range e.all.events {
+		if event.Sequence > after {
+			out = append(out, event)
+		}
+	}
+	return out, nil
+}
+
+// alone is a transport without peers.
+type alone struct{}
+
+func (alone) Exchange(context.Context, string, *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error) {
+	return nil, errors.New("no peer")
+}
+
+// bench is one process with its engines.
+type bench struct {
+	t       *testing.T
+	board   *blackboard.Board
+	members *controller.Controller
+	engines *engines
+	probing *Controller
+}
+
+func runBench(t *testing.T, scenario func(b *bench)) {
+	synctest.Test(t, func(t *testing.T) {
+		self := platform.Instance{ID: "g", Incarnation: 1, Role: platform.RoleEntry, FailureDomain: "one"}
+		b := &bench{
+			t:       t,
+			board:   blackboard.NewBoard(),
+			engines: &engines{reports: map[string]upstream.Report{}, probes: map[string]int{}},
+		}
+		log := hclog.NewNullLogger()
+		b.members = controller.New(controller.DefaultConfig(self), controller.Deps{Board: b.board, Transport: alone{}, Log: log})
+		b.probing = New(DefaultConfig("g", "one"), Deps{
+			Board: b.board, Membership: b.members, Dialer: b.engines,
+			Cache: NewCaches(cacheview.DefaultParams()), Log: log,
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { _ = b.members.Run(ctx) })
+		running.Go(func() { _ = b.probing.Run(ctx) })
+		scenario(b)
+		cancel()
+		running.Wait()
+	})
+}
+
+func engineInstance(id ident.Instance, incarnation ident.Incarnation, address string) platform.Instance {
+	return platform.Instance{
+		ID: id, Incarnation: incarnation, Role: platform.RoleEngine, Service: "spool-llm",
+		FailureDomain: "one", Address: address, State: platform.Live,
+	}
+}
+
+// expect compares the state of an upstream as routing sees it.
+func (b *bench) expect(id ident.Instance, want blackboard.MemberState) {
+	b.t.Helper()
+	synctest.Wait()
+	for _, u := range b.board.Upstreams.Value().ByService["spool-llm"] {
+		if u.Instance.ID == id {
+			if u.State != want {
+				b.t.Errorf("%s is in state %v, want %v", id, u.State, want)
+			}
+			return
+		}
+	}
+	b.t.Errorf("%s is not published", id)
+}
+
+// An upstream is used once it answers, avoided while it does not, and used
+// again.
+func TestAnswersDecide(t *testing.T) {
+	runBench(t, func(b *bench) {
+		b.members.ApplyList([]platform.Instance{engineInstance("u", 1, "a:1")})
+		b.expect("u", blackboard.Suspect)
+		b.engines.set("a:1", upstream.Report{Instance: "u", Incarnation: 1, Running: 3, PrefillRate: 5000})
+		time.Sleep(2 * time.Second)
+		b.expect("u", blackboard.Alive)
+		if u := b.board.Upstreams.Value().ByService["spool-llm"][0]; u.Report.Running != 3 || u.Report.PrefillRate != 5000 || u.AsOf.IsZero() {
+			t.Errorf("load %+v as of %v", u.Report, u.AsOf)
+		}
+		b.engines.remove("a:1")
+		time.Sleep(3500 * time.Millisecond)
+		b.expect("u", blackboard.Suspect)
+		b.engines.set("a:1", upstream.Report{Instance: "u", Incarnation: 1})
+		time.Sleep(2 * time.Second)
+		b.expect("u", blackboard.Alive)
+	})
+}
+
+// Symptom: an upstream that says it leaves, or refuses, gets more work.
+// Sequence: the list says live; the upstream's own report, or its refusal of a
+// request, says leaving.
+// Cause: its own word waits for the next list or probe.
+func TestOwnWordCountsAtOnce(t *testing.T) {
+	runBench(t, func(b *bench) {
+		list := []platform.Instance{engineInstance("u", 1, "a:1"), engineInstance("v", 1, "a:2")}
+		b.engines.set("a:1", upstream.Report{Instance: "u", Incarnation: 1})
+		b.engines.set("a:2", upstream.Report{Instance: "v", Incarnation: 1})
+		b.members.ApplyList(list)
+		time.Sleep(100 * time.Millisecond)
+		b.expect("u", blackboard.Alive)
+		b.members.NoteLeaving("u", 1)
+		b.expect("u", blackboard.Leaving)
+		b.engines.set("a:2", upstream.Report{Instance: "v", Incarnation: 1, Leaving: true})
+		time.Sleep(time.Second)
+		b.expect("v", blackboard.Leaving)
+		b.members.ApplyList(list)
+		time.Sleep(2 * time.Second)
+		b.expect("u", blackboard.Leaving)
+		b.expect("v", blackboard.Leaving)
+	})
+}
+
+// Symptom: requests for one service reach an instance of another.
+// Sequence: an upstream ends without a word; its address goes to a new instance,
+// which answers; the list still shows the old one.
+// Cause: any answer at the address is taken for the old instance's.
+func TestReusedAddressIsNoProofOfLife(t *testing.T) {
+	runBench(t, func(b *bench) {
+		b.engines.set("a:1", upstream.Report{Instance: "u", Incarnation: 1})
+		b.members.ApplyList([]platform.Instance{engineInstance("u", 1, "a:1")})
+		time.Sleep(time.Second)
+		b.expect("u", blackboard.Alive)
+		b.engines.set("a:1", upstream.Report{Instance: "other", Incarnation: 1})
+		time.Sleep(3 * time.Second)
+		b.expect("u", blackboard.Suspect)
+		b.members.ApplyList([]platform.Instance{engineInstance("other", 1, "a:1")})
+		time.Sleep(time.Second)
+		b.expect("other", blackboard.Alive)
+	})
+}
+
+// Cache events are pulled after the last one known, and a new incarnation
+// starts with an empty cache.
+func TestCacheEventsReachRouting(t *testing.T) {
+	runBench(t, func(b *bench) {
+		b.engines.events = []upstream.CacheEvent{{Sequence: 1, Stored: true, Block: 7}, {Sequence: 2, Stored: true, Block: 8}}
+		b.engines.set("a:1", upstream.Report{Instance: "u", Incarnation: 1})
+		b.members.ApplyList([]platform.Instance{engineInstance("u", 1, "a:1")})
+		time.Sleep(2 * time.Second)
+		cached := func() float64 {
+			synctest.Wait()
+			return b.board.Upstreams.Value().ByService["spool-llm"][0].Cache.Cached([]uint64{7, 8}, time.Now())
+		}
+		if got := cached(); got < 1.5 {
+			t.Errorf("%v blocks believed cached, want about 2", got)
+		}
+		b.engines.mu.Lock()
+		b.engines.events = nil
+		b.engines.mu.Unlock()
+		b.engines.set("a:1", upstream.Report{Instance: "u", Incarnation: 2})
+		b.members.ApplyList([]platform.Instance{engineInstance("u", 2, "a:1")})
+		time.Sleep(2 * time.Second)
+		if got := cached(); got != 0 {
+			t.Errorf("%v blocks believed cached in a new life", got)
+		}
+	})
+}
+
+// At scale each upstream is probed by a few gateways of its domain, and every
+// one by some.
+func TestSharesCoverAllUpstreams(t *testing.T) {
+	const gateways, upstreams = 33, 69
+	members := &blackboard.Members{ByID: map[ident.Instance]blackboard.Member{}}
+	add := func(i platform.Instance) {
+		members.ByID[i.ID] = blackboard.Member{Instance: i, State: blackboard.Alive}
+	}
+	for i := range gateways {
+		add(platform.Instance{ID: ident.Instance(fmt.Sprintf("g%d", i)), Role: platform.RoleEntry, FailureDomain: "one"})
+	}
+	for i := range upstreams {
+		add(engineInstance(ident.Instance(fmt.Sprintf("u%d", i)), 1, "a:1"))
+	}
+	orphan := engineInstance("orphan", 1, "a:1")
+	orphan.FailureDomain = "without gateways"
+	add(orphan)
+	count := map[ident.Instance]int{}
+	for i := range gateways {
+		c := New(DefaultConfig(ident.Instance(fmt.Sprintf("g%d", i)), "one"), Deps{})
+		for _, u := range c.assigned(members) {
+			count[u.ID]++
+		}
+	}
+	for id, n := range count {
+		if n != DefaultConfig("", "").ProbersPerUpstream {
+			t.Errorf("%s has %d probers", id, n)
+		}
+	}
+	if len(count) != upstreams+1 {
+		t.Errorf("%d upstreams are probed, want %d", len(count), upstreams+1)
+	}
+}
