--- a/internal/controllers/instances/instances_test.go
+++ b/internal/controllers/instances/instances_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +15,7 @@
 
 // fakePlatform is the list and the notices; while down it answers neither.
 type fakePlatform struct {
+	mu      sync.Mutex
 	down    bool
 	list    []platform.Instance
 	notices []platform.Notice
@@ -21,6 +23,8 @@
 }
 
 func (p *fakePlatform) List(context.Context) ([]platform.Instance, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.down {
 		return nil, platform.ErrUnavailable
 	}
@@ -28,11 +32,13 @@
 }
 
 func (p *fakePlatform) Notices(_ context.Context, after uint64) ([]platform.Notice, error) {
+	time.Sleep(100 * time.Millisecond)
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.asked = append(p.asked, after)
 	if p.down {
 		return nil, platform.ErrUnavailable
 	}
-	time.Sleep(100 * time.Millisecond)
 	var out []platform.Notice
 	for _, n := range p.notices {
 		if n.Sequence > after {
@@ -74,15 +80,18 @@
 			_ = c.Run(ctx)
 		}()
 		time.Sleep(10 * time.Second)
+		synctest.Wait()
 		if members.lists != 0 {
 			t.Errorf("%d lists applied while the platform was down", members.lists)
 		}
+		p.mu.Lock()
 		p.notices = []platform.Notice{
 			{Sequence: 1, Instance: "u", Incarnation: 1, EndsIn: 30 * time.Second},
 			{Sequence: 2, Instance: "g", Incarnation: 1, EndsIn: 30 * time.Second},
 			{Sequence: 3, Instance: "g", Incarnation: 2, EndsIn: 30 * time.Second},
 		}
 		p.down = false
+		p.mu.Unlock()
 		time.Sleep(10 * time.Second)
 		cancel()
 		<-done
