--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -45,6 +45,9 @@
 	// the first token now and on an idle upstream, and from the first token
 	// to the last.
 	Predicted, Unloaded, Remaining time.Duration
+	// PredictedBy is when nine of ten such first tokens have come; 0 counts
+	// as Predicted.
+	PredictedBy time.Duration
 	// Deadline of the caller; zero is none. The context's deadline counts
 	// too.
 	Deadline time.Time
@@ -111,6 +114,13 @@
 	c.service(name).sending(time.Now(), id)
 }
 
+// Observe learns from one attempt of a request that may take several. Unloaded
+// is the time to the first token on an idle upstream; 0 is unknown. The
+// request's own ticket then ends with a Result without an upstream.
+func (c *Controller) Observe(name ident.Service, r Result, unloaded time.Duration) {
+	c.service(name).observe(r, unloaded)
+}
+
 // Admit returns a ticket, or else the outcome that the caller has to hear. It
 // blocks while the request waits. The holder of a ticket must call Done.
 func (c *Controller) Admit(ctx context.Context, r Request) (*Ticket, *outcome.Outcome) {
@@ -119,16 +129,17 @@
 	}
 	t := &Ticket{service: c.service(r.Service), unloaded: r.Unloaded}
 	t.entry.Request = gate.Request{
-		ID:        r.ID,
-		Account:   r.Account,
-		Limit:     quota.Divide(r.Limit, int(c.gateways.Load())),
-		Class:     r.Class,
-		Predicted: r.Predicted,
-		Unloaded:  r.Unloaded,
-		Remaining: r.Remaining,
-		Deadline:  r.Deadline,
-		Cost:      r.Cost,
-		Attempt:   r.Attempt,
+		ID:          r.ID,
+		Account:     r.Account,
+		Limit:       quota.Divide(r.Limit, int(c.gateways.Load())),
+		Class:       r.Class,
+		Predicted:   r.Predicted,
+		PredictedBy: r.PredictedBy,
+		Unloaded:    r.Unloaded,
+		Remaining:   r.Remaining,
+		Deadline:    r.Deadline,
+		Cost:        r.Cost,
+		Attempt:     r.Attempt,
 	}
 	refusal := t.service.admit(ctx, t)
 	c.metrics.admitted(refusal)
@@ -157,5 +168,10 @@
 	refusal *outcome.Outcome
 }
 
+// FirstToken tells that the first token came. A gateway that calls it for the
+// requests of a service has each priority limited to what upstreams answer in
+// time; see gate.Gate.FirstToken. Further calls change nothing.
+func (t *Ticket) FirstToken() { t.service.firstToken(t) }
+
 // Done gives the slot back. Further calls change nothing.
 func (t *Ticket) Done(r Result) { t.service.done(t, r) }
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -11,10 +11,14 @@
 type estimate struct {
 	// score is in seconds; lower is better.
 	score float64
-	// firstToken and betweenTokens are in seconds.
+	// firstToken, unloaded (firstToken at an idle upstream) and betweenTokens
+	// are in seconds.
 	firstToken    float64
 	betweenTokens float64
+	unloaded      float64
 	uncached      int
+	// work is the engine time that the request takes.
+	work float64
 }
 
 // estimate predicts a request at the i-th upstream of the view.
@@ -24,20 +28,42 @@
 	if c.plain {
 		return c.estimatePlain(i, unseen)
 	}
-	p := &c.router.params
-	rate := orElse(u.Report.PrefillRate, p.PrefillRate)
-	step := orElse(u.Report.Step.Seconds(), p.Step.Seconds())
-	e := estimate{betweenTokens: step, uncached: c.uncached(u)}
-	queued := float64(u.Report.QueuedPrefillTokens + unseen.tokens)
-	// Prefill shares each step with the streams that decode.
-	decode := min(step, p.Step.Seconds())
-	effective := p.StepTokens / (decode + p.StepTokens/rate)
-	e.firstToken = step/2 + (queued+float64(e.uncached))/effective + c.hop(u)
-	work := float64(e.uncached)/rate + float64(c.req.MaxTokens)*step/float64(u.Report.Running+unseen.requests+1)
-	e.score = e.firstToken + p.PriceWeight*c.entries[i].price*work
+	s := c.router.situation(u, c.entries[i].slot, unseen)
+	e := estimate{betweenTokens: s.step, uncached: c.uncached(i)}
+	ahead, own := c.wait(s, e.uncached)
+	e.unloaded = own + c.hop(u)
+	e.firstToken = ahead + e.unloaded
+	e.work = float64(e.uncached)/s.rate + float64(c.req.MaxTokens)*s.decode/s.batch
+	e.score = c.cost(i, s, e)
 	return e
 }
 
+// cost adds up what speaks against an upstream, each term by its weight:
+// prefill that is cached elsewhere, the price, lateness, a fill above what the
+// others have, and a place that is no home of the prefix.
+func (c *chooser) cost(i int, s situation, e estimate) float64 {
+	p := &c.router.params
+	fill := s.fill(p)
+	sum := p.RecomputeWeight * float64(e.uncached) / s.rate
+	sum += p.PriceWeight * c.slack * c.entries[i].price
+	sum += p.LateWeight * c.lateness(e.firstToken)
+	sum += p.CrowdWeight * max(0, fill-max(p.Crowded, p.Bound*c.mean))
+	sum += p.BalanceWeight * fill
+	if c.away(i) {
+		sum += p.HomeWeight
+	}
+	return sum
+}
+
+// lateness is how much of its target a first token is likely to be late by,
+// beyond what is comfortable. It is at most 1: when all upstreams are late,
+// chasing the least late one would only scatter the prefixes.
+func (c *chooser) lateness(firstToken float64) float64 {
+	p := &c.router.params
+	target := orElse(c.req.Class.FirstToken.Seconds(), p.Target.Seconds())
+	return min(1, max(0, firstToken*c.margin/target-p.Comfort))
+}
+
 // estimatePlain predicts a call of a plain service: fewest in flight wins,
 // the near ones first.
 func (c *chooser) estimatePlain(i int, unseen load) estimate {
@@ -54,10 +80,10 @@
 }
 
 // uncached is how many tokens of the prompt need prefill at an upstream.
-func (c *chooser) uncached(u *blackboard.Upstream) int {
+func (c *chooser) uncached(i int) int {
 	cached := 0.0
-	if u.Cache != nil {
-		cached = u.Cache.Cached(c.req.Blocks, c.now) * prompt.BlockTokens
+	if c.cached != nil {
+		cached = c.cached[i] * prompt.BlockTokens
 	}
 	return max(1, c.req.PromptTokens-int(cached))
 }
--- a/internal/streaming/attempt.go
+++ b/internal/streaming/attempt.go
@@ -61,47 +61,60 @@
 		before:     r.assembler.Next(),
 		afterOther: r.ran,
 	}
-	r.served = at.target.Instance
+	ctx, span := startSpan(ctx, a)
 	end := a.serve(ctx)
 	end.tokens = int(r.assembler.Next() - a.before)
 	if end.err == nil || upstream.Ran(end.err) {
 		r.ran = true
+		r.served = at.target.Instance
 	}
 	r.excluded.add(at.target.Instance, end)
-	a.report(end)
+	report := a.report(end)
+	endSpan(span, report)
+	publish(report)
+	if observer := r.runner.observer; observer != nil {
+		observer.AttemptEnded(report)
+	}
+	a.release(end)
 	return end
 }
 
 // serve opens the stream and takes its frames in. The stream is closed when
 // serve returns, and no later frame of it can reach the answer.
-func (a *attempt) serve(ctx context.Context) (end attemptEnd) {
+func (a *attempt) serve(ctx context.Context) attemptEnd {
 	streamCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	frames := receive(streamCtx, a.target.Engine, a.request())
 	watch := newLeaveWatch(a)
 	defer watch.stop()
-	defer func() { end.leaving = end.leaving || watch.noticed }()
+	frames := receive(streamCtx, a.target.Engine, a.request())
+	end := a.collect(ctx, frames, watch)
+	end.leaving = end.leaving || watch.noticed
+	return end
+}
+
+// collect takes in what happens to the stream until the attempt is over.
+func (a *attempt) collect(ctx context.Context, frames <-chan received, watch *leaveWatch) attemptEnd {
 	limit := a.run.runner.config.SilenceLimit
 	silence := time.NewTimer(limit)
 	defer silence.Stop()
-	var lost *attemptEnd
+	var lost attemptEnd
 	for {
 		select {
 		case <-ctx.Done():
 			return attemptEnd{}
 		case r := <-frames:
 			silence.Reset(limit)
-			got, over := a.take(r)
+			end, over := a.take(r)
 			if !over {
 				continue
 			}
-			if !watch.moving || got.next != CauseLost {
-				return got
+			if !watch.moving || end.next != CauseLost {
+				return end
 			}
 			// The upstream went while its cache was on the way to
 			// another. Wait for the rest of the move: it may have
 			// been exported in time.
-			lost, frames = &got, nil
+			lost, frames = end, nil
 			silence.Stop()
 		case <-silence.C:
 			return attemptEnd{next: CauseSilent}
@@ -115,10 +128,10 @@
 		case m := <-watch.arrived:
 			watch.moving = false
 			if m.err == nil {
-				return attemptEnd{next: m.cause(), moved: &m.moved}
+				return attemptEnd{next: m.cause(), moved: m.moved}
 			}
-			if lost != nil {
-				return *lost
+			if lost.next != "" {
+				return lost
 			}
 		}
 	}
@@ -157,9 +170,10 @@
 // extended tells the answer's new tokens.
 func (a *attempt) extended() {
 	if a.firstToken == 0 {
-		a.firstToken = time.Since(a.opened)
+		a.firstToken = max(time.Since(a.opened), 1)
+		a.target.firstToken()
 	}
-	a.run.progress.Extended(a.run.assembler.Answer())
+	a.run.answer.extend(a.run.assembler.Answer())
 }
 
 // failed says what an engine's error means. An end of the stream before the
@@ -171,15 +185,8 @@
 	return attemptEnd{next: CauseRefused, err: err, leaving: errors.Is(err, upstream.ErrLeaving)}
 }
 
-// report tells picker, observer and figures how the attempt ended.
-func (a *attempt) report(end attemptEnd) {
-	a.target.release(Result{
-		Next:       end.next,
-		Leaving:    end.leaving,
-		FirstToken: a.firstToken,
-		Tokens:     end.tokens,
-		Prefilled:  a.prefilled,
-	})
+// report says what the attempt did.
+func (a *attempt) report(end attemptEnd) AttemptReport {
 	report := AttemptReport{
 		Key:      a.run.req.Key,
 		Attempt:  a.number,
@@ -197,8 +204,16 @@
 	if a.afterOther {
 		report.Recomputed = a.prefilled
 	}
-	publish(report)
-	if observer := a.run.runner.observer; observer != nil {
-		observer.AttemptEnded(report)
-	}
+	return report
+}
+
+// release tells the picker how the attempt ended.
+func (a *attempt) release(end attemptEnd) {
+	a.target.release(Result{
+		Next:       end.next,
+		Leaving:    end.leaving,
+		FirstToken: a.firstToken,
+		Tokens:     end.tokens,
+		Prefilled:  a.prefilled,
+	})
 }
