--- a/internal/calls/dispatch.go
+++ b/internal/calls/dispatch.go
@@ -59,14 +59,17 @@
 	spec := c.spec(cl.call.Key.Service, cl.call.Method)
 	ctx, cancel := c.detach(ctx, spec.timeout)
 	defer cancel()
-	defer p.forget(cl)
+	p.begin(cl)
+	defer p.finish(cl)
 	answer, err := c.cfg.Dispatcher.Invoke(ctx, cl.call, cl.record.Target, fence)
 	switch {
 	case err == nil:
 		cl.result.outcome = p.conclude(cl.record.Head, answer)
 	case !upstream.Ran(err):
 		p.writer.add(notRun(cl, outcome.ReasonUpstreamRefused))
-		cl.result.outcome = outcome.NewNotRun(outcome.ReasonUpstreamRefused, "the upstream ran nothing: "+err.Error(), retrySoon)
+		// The error's text stays inside: it may name addresses and quote
+		// the call.
+		cl.result.outcome = outcome.NewNotRun(outcome.ReasonUpstreamRefused, "the upstream ran nothing", retrySoon)
 		cl.result.again = true
 	default:
 		cl.result.outcome = c.concludeLost(p, cl, spec)
@@ -92,7 +95,7 @@
 // once more what became of the key.
 func (c *Coordinator) concludeLost(p *partition, cl *claim, spec spec) outcome.Outcome {
 	if spec.findsOutcomes {
-		found, err := c.findAt(cl.record.Head, cl.record.Target, 0)
+		found, err := c.findAt(c.workCtx, cl.record.Head, cl.record.Target, 0)
 		if err == nil && found.State == upstream.Done {
 			return p.conclude(cl.record.Head, found.Answer)
 		}
@@ -102,8 +105,8 @@
 }
 
 // findAt asks an upstream about a key. A fence of 0 fences nothing off.
-func (c *Coordinator) findAt(head journal.Head, target journal.Target, fence ident.Fence) (upstream.FindResult, error) {
-	ctx, cancel := context.WithTimeout(c.workCtx, c.limits.PeerTimeout)
+func (c *Coordinator) findAt(ctx context.Context, head journal.Head, target journal.Target, fence ident.Fence) (upstream.FindResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.limits.PeerTimeout)
 	defer cancel()
 	return c.cfg.Dispatcher.Find(ctx, head.Key, target, fence)
 }
--- a/internal/calls/do.go
+++ b/internal/calls/do.go
@@ -153,8 +153,9 @@
 // journaled before the first claim.
 func (c *Coordinator) own(ctx context.Context, p *partition, call Call, digest journal.Digest, releases *journal.Release) outcome.Outcome {
 	var exclude []ident.Instance
+	var last outcome.Outcome
 	for try := 1; ; try++ {
-		target, picked := c.cfg.Dispatcher.Pick(call, exclude)
+		target, picked := c.cfg.Dispatcher.Pick(ctx, call, exclude)
 		if !picked && (try > 1 || call.first() && releases == nil) {
 			return outcome.NewNotRun(outcome.ReasonNoUpstream, "no upstream can take the call", retryLater)
 		}
@@ -165,10 +166,14 @@
 		if releases != nil && try == 1 {
 			before = append(before, *releases)
 		}
-		if !p.submit(cl, before...) {
-			return refuse(call, outcome.ReasonOverloaded, "too many calls wait for the log", retryLater)
+		if reason := p.submit(cl, before...); reason != "" {
+			if try > 1 {
+				return last
+			}
+			return refuse(call, reason, "the call cannot be journaled here now", retryLater)
 		}
 		o, again := c.runClaim(ctx, p, cl, picked)
+		last = o
 		if cl.phase.Load() != dispatched {
 			p.forget(cl)
 		}
@@ -227,6 +232,8 @@
 // awaitRuling waits until the log's verdict is known. ok is false when the
 // claim was given up or handed over instead; then o is the answer.
 func (c *Coordinator) awaitRuling(ctx context.Context, p *partition, cl *claim) (r ruling, o outcome.Outcome, ok bool) {
+	ctx, end := startSpan(ctx)
+	defer end()
 	limit := time.NewTimer(c.limits.ClaimWait)
 	defer limit.Stop()
 	reason := outcome.ReasonLogUnavailable
