--- a/internal/controllers/membership/fleet_test.go
+++ b/internal/controllers/membership/fleet_test.go
@@ -131,9 +131,19 @@
 		Log:       hclog.NewNullLogger(),
 	})
 	f.nodes = append(f.nodes, n)
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.byAddress[self.PeerAddress] = n
 }
 
+// at returns the node at an address, or nil. A node can be added while others
+// run.
+func (f *fleet) at(address string) *node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.byAddress[address]
+}
+
 func (f *fleet) list() []platform.Instance {
 	list := append([]platform.Instance(nil), f.upstreams...)
 	for _, n := range f.nodes {
@@ -175,7 +185,7 @@
 // Exchange implements Transport. A lost message shows only by its deadline.
 func (l *link) Exchange(ctx context.Context, address string, req *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error) {
 	time.Sleep(hop)
-	to := l.fleet.byAddress[address]
+	to := l.fleet.at(address)
 	if to == nil || l.fleet.loses(l.from, to, "request") {
 		return nil, expire(ctx)
 	}
