--- a/internal/e2e/promises_test.go
+++ b/internal/e2e/promises_test.go
@@ -100,6 +100,23 @@
 	expectWhole(t, result)
 }
 
+// Symptom: answers are lost when a failure domain is reclaimed at once.
+// Sequence: everything in hall-a, gateways, engines and the plain service, gets
+// a notice of 4 s; each gateway hands over while its neighbours leave too.
+// Cause: a hand-over to a peer that is itself leaving.
+func TestReclaimedFailureDomainLosesNothing(t *testing.T) {
+	s := small(t, 4)
+	result := s.load(rate, duration, func() {
+		time.Sleep(settle)
+		for _, id := range []string{"gateway-1", "gateway-3", "engine-1", "engine-3", "app-1"} {
+			s.admin("notice", "--id", id, "--seconds", "4")
+		}
+		<-s.gateways[0].exited
+		<-s.gateways[2].exited
+	})
+	expectWhole(t, result)
+}
+
 // Symptom: bids hang while the platform's log is down, or run unrecorded.
 // Sequence: the log goes down under load and comes back. Cause: a data path
 // that waits for the platform, or a call dispatched without its claim.
