--- a/internal/e2e/promises_test.go
+++ b/internal/e2e/promises_test.go
@@ -51,6 +51,7 @@
 		}
 	})
 	expectWhole(t, result)
+	expectNoCuts(t, result)
 }
 
 // Symptom: a bid is executed twice, or its trader hears something false, after
--- a/internal/e2e/system_test.go
+++ b/internal/e2e/system_test.go
@@ -236,7 +236,7 @@
 		},
 		Weights: map[loadgen.Kind]float64{loadgen.Short: 0.4, loadgen.Long: 0.1, loadgen.Booking: 0.5},
 	}
-	options := loadgen.Options{Patience: patience, Silence: 5 * time.Second, MaxRefusals: 20}
+	options := loadgen.Options{Patience: patience, Silence: 5 * time.Second, MaxRefusals: 20, FreshConnections: true}
 	for _, g := range s.gateways {
 		options.Gateways = append(options.Gateways, g.at.Callers)
 	}
@@ -262,6 +262,15 @@
 	}
 }
 
+// expectNoCuts fails the test if a connection broke with a request on it, or a
+// stream had to be resumed.
+func expectNoCuts(t *testing.T, r *loadgen.Result) {
+	t.Helper()
+	if r.Cuts > 0 || r.Resumes > 0 {
+		t.Errorf("%d connections cut, %d streams resumed; want none", r.Cuts, r.Resumes)
+	}
+}
+
 // expectWhole fails the test if any request had another end than a whole
 // answer.
 func expectWhole(t *testing.T, r *loadgen.Result) {
--- a/internal/loadgen/booking.go
+++ b/internal/loadgen/booking.go
@@ -77,7 +77,7 @@
 	b.request.Attempt++
 	response, err := gateway.Call(ctx, proto.CloneOf(b.request))
 	if err != nil {
-		b.doubt = !notSent(attempt, err)
+		b.doubt = b.sent(attempt, err)
 		if !b.doubt {
 			b.request.Attempt--
 		}
--- a/internal/loadgen/caller.go
+++ b/internal/loadgen/caller.go
@@ -30,6 +30,9 @@
 	backoff time.Duration
 	// tries counts requests to gateways.
 	tries int
+	// cuts counts connections that broke after the request may have been
+	// taken.
+	cuts int
 	// refusals counts outcomes that said not_run.
 	refusals int
 	// last is the outcome that was heard last, or nil.
@@ -52,6 +55,16 @@
 	return ctx, c.gateways[c.next%len(c.gateways)]
 }
 
+// sent reports whether a request that failed may have been taken, and counts it
+// if so.
+func (c *caller) sent(attempt *transport.Attempt, err error) bool {
+	if notSent(attempt, err) {
+		return false
+	}
+	c.cuts++
+	return true
+}
+
 // broken moves to another gateway after a failed connection, with a wait that
 // grows. It returns false when the caller's patience has ended.
 func (c *caller) broken(ctx context.Context) bool {
--- a/internal/loadgen/recorder.go
+++ b/internal/loadgen/recorder.go
@@ -22,6 +22,7 @@
 	completion time.Duration
 	times      streamTimes
 	tries      int
+	cuts       int
 	resumes    int
 }
 
--- a/internal/loadgen/result.go
+++ b/internal/loadgen/result.go
@@ -58,6 +58,9 @@
 	Accounts map[string]*AccountResult `json:"accounts"`
 	// Tries counts requests to gateways, first ones included.
 	Tries int `json:"tries"`
+	// Cuts counts connections that broke after a request may have been
+	// taken.
+	Cuts int `json:"cuts"`
 	// Resumes counts streams that were resumed.
 	Resumes int `json:"resumes"`
 	// Audit says whether bookings were compared with their executions.
@@ -134,6 +137,7 @@
 		k.Reasons[e.finding.reason]++
 	}
 	r.Tries += e.tries
+	r.Cuts += e.cuts
 	r.Resumes += e.resumes
 	account := r.account(string(e.arrival.Account.Name))
 	account.Sent++
@@ -199,7 +203,7 @@
 		printPercentiles(w, string(kind)+" between tokens", k.BetweenTokens)
 		printPercentiles(w, string(kind)+" completion", k.Completion)
 	}
-	fmt.Fprintf(w, "\n%.1f s, %d tries, %d resumes, audit: %s\n", r.Seconds, r.Tries, r.Resumes, r.Audit)
+	fmt.Fprintf(w, "\n%.1f s, %d tries, %d cuts, %d resumes, audit: %s\n", r.Seconds, r.Tries, r.Cuts, r.Resumes, r.Audit)
 	for _, kind := range Kinds {
 		for _, reason := range slices.Sorted(maps.Keys(r.Kinds[kind].Reasons)) {
 			fmt.Fprintf(w, "%s not answered because of %s: %d\n", kind, reason, r.Kinds[kind].Reasons[reason])
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -31,6 +31,9 @@
 	Silence time.Duration
 	// MaxRefusals is after how many refusals a caller gives up.
 	MaxRefusals int
+	// FreshConnections dials a connection for each request, so that a kept
+	// one that its server is closing counts as no cut.
+	FreshConnections bool
 }
 
 // Run is one load on its way.
@@ -45,7 +48,7 @@
 
 // NewRun prepares a run.
 func NewRun(options Options, workload *Workload) *Run {
-	client := transport.NewClient(transport.Options{})
+	client := transport.NewClient(transport.Options{FreshConnections: options.FreshConnections})
 	return &Run{
 		options:  options,
 		workload: workload,
@@ -109,6 +112,7 @@
 		finding:    found,
 		completion: time.Since(due),
 		tries:      b.tries,
+		cuts:       b.cuts,
 	}
 }
 
@@ -136,6 +140,7 @@
 		completion: time.Since(due),
 		times:      s.times,
 		tries:      s.tries,
+		cuts:       s.cuts,
 		resumes:    s.resumes,
 	}
 }
--- a/internal/loadgen/stream.go
+++ b/internal/loadgen/stream.go
@@ -106,7 +106,7 @@
 	ctx, attempt := transport.Observe(ctx)
 	events, err := s.open(ctx)
 	if err != nil {
-		s.begun = s.begun || !notSent(attempt, err)
+		s.begun = s.sent(attempt, err) || s.begun
 		return nil, nil, err
 	}
 	for events.receive() {
@@ -125,7 +125,7 @@
 	if err == nil {
 		err = errors.New("stream ended without an outcome")
 	}
-	s.begun = s.begun || !notSent(attempt, err)
+	s.begun = s.sent(attempt, err) || s.begun
 	return nil, nil, err
 }
 
