--- a/internal/spoolctl/history.go
+++ b/internal/spoolctl/history.go
@@ -45,19 +45,36 @@
 	return list
 }
 
-// fromSnapshot lists the versions whose records expired.
+// fromSnapshot lists the versions that the reader took from a snapshot instead
+// of folding their records.
 func (s *stream) fromSnapshot(service ident.Service) []version {
+	folded := map[ident.Revision]bool{}
+	for _, d := range s.decisions {
+		if d.Kind == document.AcceptedRecord {
+			folded[d.Current] = true
+		}
+	}
 	var list []version
 	for _, a := range s.reader.State().Versions(service) {
-		if _, read := s.appendedAt[ident.Offset(a.Revision-1)]; !read {
-			list = append(list, newVersion(a.Publication, accepted, a.Revision))
+		if !folded[a.Revision] {
+			v := newVersion(a.Publication, accepted, a.Revision)
+			v.At = s.at(ident.Offset(a.Revision - 1))
+			list = append(list, v)
 		}
 	}
 	return list
 }
 
+// at returns when a record was appended, or nil if it expired.
+func (s *stream) at(offset ident.Offset) *time.Time {
+	at, read := s.appendedAt[offset]
+	if !read {
+		return nil
+	}
+	return &at
+}
+
 func (s *stream) version(d document.Decision) version {
-	at := s.appendedAt[d.Offset]
 	var v version
 	if d.Kind == document.AcceptedRecord {
 		v = newVersion(d.Publication, accepted, d.Current)
@@ -65,7 +82,7 @@
 		v = newVersion(d.Publication, lost, 0)
 		v.LostTo = d.Current
 	}
-	v.At = &at
+	v.At = s.at(d.Offset)
 	return v
 }
 
--- a/internal/spoolctl/publish_test.go
+++ b/internal/spoolctl/publish_test.go
@@ -174,3 +174,40 @@
 		}
 	})
 }
+
+// Symptom: history and show find no document of a service that has one.
+// Sequence: the first records expire; the record of the version in force is
+// still there, before the snapshot that covers it.
+// Cause: a version left out because its record was seen, though not folded.
+func TestHistoryFromASnapshot(t *testing.T) {
+	testkit.Bubble(t, func() {
+		ctx := context.Background()
+		log := logstore.New(logstore.Options{})
+		for _, text := range []string{"x", "y"} {
+			p := document.Publication{Service: service, Schema: 1, Document: []byte(text)}
+			if _, err := publish(ctx, &stream{log: log, patience: patience}, p, nil); err != nil {
+				t.Fatal(err)
+			}
+		}
+		writer := &stream{log: log, patience: patience}
+		if err := writer.toHead(ctx); err != nil {
+			t.Fatal(err)
+		}
+		snapshot, err := document.EncodeSnapshot(writer.reader.State())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := log.Append(ctx, document.StreamName, [][]byte{snapshot}); err != nil {
+			t.Fatal(err)
+		}
+		log.Expire(document.StreamName, 1)
+		s := &stream{log: log, patience: patience}
+		if err := s.toHead(ctx); err != nil {
+			t.Fatal(err)
+		}
+		list := s.versions(service)
+		if len(list) != 1 || !list[0].InForce || list[0].At == nil || string(list[0].document) != "y" {
+			t.Errorf("%+v", list)
+		}
+	})
+}
