--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -8,17 +8,11 @@
 	"sync"
 	"time"
 
-	"connectrpc.com/connect"
-
-	"github.com/goldcrestspool/goldcrestspool/api/caller/v1/callerv1connect"
-	"github.com/goldcrestspool/goldcrestspool/internal/auth"
 	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
 	"github.com/goldcrestspool/goldcrestspool/internal/gateway/peering"
 	"github.com/goldcrestspool/goldcrestspool/internal/operations"
 	"github.com/goldcrestspool/goldcrestspool/internal/peer"
 	"github.com/goldcrestspool/goldcrestspool/internal/program"
-	"github.com/goldcrestspool/goldcrestspool/internal/telemetry"
-	"github.com/goldcrestspool/goldcrestspool/internal/transport"
 )
 
 const (
@@ -54,7 +48,7 @@
 	servers.close()
 	loops.Wait()
 	p.pool.Close()
-	p.dialer.close()
+	p.dialer.Close()
 	return err
 }
 
@@ -67,25 +61,16 @@
 }
 
 func (p *Process) servers() (*servers, error) {
-	mux := http.NewServeMux()
-	limits := p.settings.Limits
-	mux.Handle(callerv1connect.NewCallerServiceHandler(p.handler,
-		connect.WithInterceptors(auth.Interceptor{Authenticator: p.handler.auth}),
-		connect.WithReadMaxBytes(int(limits.MaxBody))))
-	callers := transport.NewServer(telemetry.Continue(limitWrites(mux)))
-	callers.ReadHeaderTimeout = limits.HeaderTimeout
-	callers.MaxHeaderBytes = int(limits.MaxHeader)
-	callers.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: limits.MaxStreams}
 	peers, err := peer.NewServer(peer.Handlers{
 		Heartbeats: p.members,
 		Documents:  p.documents,
 		Calls:      &peering.Local{Calls: p.calls, Streams: p.streams, Stopping: p.board.Stopping},
-	}, peerTLS(p.settings.TLS.Peers))
+	}, p.settings.TLS.Peers.Files())
 	if err != nil {
 		return nil, err
 	}
 	return &servers{
-		callers: callers,
+		callers: newCallersServer(p.handler, p.settings.Limits),
 		peers:   peers,
 		operations: operations.New(operations.Config{
 			Listener: p.listeners.operators,
@@ -127,11 +112,7 @@
 }
 
 func (p *Process) serveCallers(server *http.Server) error {
-	pair := p.settings.TLS.Callers
-	if pair.Set() {
-		return server.ServeTLS(p.listeners.callers, pair.Cert, pair.Key)
-	}
-	return server.Serve(p.listeners.callers)
+	return serve(server, p.listeners.callers, p.certificate)
 }
 
 // awaitStop waits for a reason to leave and returns how long that may take.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -52,9 +52,6 @@
 	price float64
 	// hash of the instance's name.
 	hash uint64
-	// weight is the upstream's part in being home to prefixes: less for a dear
-	// one while there is slack.
-	weight float64
 }
 
 // New returns a Router that has sent nothing yet; now is the present.
@@ -96,7 +93,7 @@
 	highest := 0.0
 	for i := range view {
 		p.entries[i].slot = r.slot(view[i].Instance.ID)
-		p.entries[i].slot.learnBatch(&view[i], r.params.BatchLimit)
+		r.learnBatch(&view[i], p.entries[i].slot)
 		p.entries[i].price = price(doc, &view[i])
 		p.entries[i].hash = xxhash.Sum64String(string(view[i].Instance.ID))
 		highest = max(highest, p.entries[i].price)
@@ -104,11 +101,9 @@
 	p.mean = r.meanFill(p)
 	p.slack = max(0, 1-p.mean/r.params.PriceUpTo)
 	for i := range p.entries {
-		e := &p.entries[i]
 		if highest > 0 {
-			e.price /= highest
+			p.entries[i].price /= highest
 		}
-		e.weight = max(r.params.LeastHome, 1-min(1, r.params.PriceHome*p.slack)*e.price)
 	}
 	r.prepared.Store(p)
 	return p
