--- a/internal/e2e/system_test.go
+++ b/internal/e2e/system_test.go
@@ -162,7 +162,9 @@
 func (s *system) plain(id, domain string) *process {
 	s.t.Helper()
 	p := launch(s.t, id, "standin", "plain", "--platform", s.address(), "--id", id, "--service", "auktion-app",
-		"--failure-domain", domain, "--class", "cpu-small", "--checks-fencing", "--finds-outcomes")
+		"--failure-domain", domain, "--class", "cpu-small", "--checks-fencing", "--finds-outcomes",
+		// Long enough that a killed gateway leaves calls that ran, without an answer.
+		"--before", "50ms", "--after", "400ms")
 	s.plains = append(s.plains, p)
 	return p
 }
