--- a/internal/admission/returntime/returntime.go
+++ b/internal/admission/returntime/returntime.go
@@ -63,6 +63,3 @@
 	s.next = turn.Add(gap)
 	return Clamp(turn.Sub(now) + time.Duration(float64(gap)*Fraction(id)))
 }
-
-// Backlog returns how far ahead turns are booked.
-func (s *Schedule) Backlog(now time.Time) time.Duration { return max(0, s.next.Sub(now)) }
--- a/internal/admission/returntime/returntime_test.go
+++ b/internal/admission/returntime/returntime_test.go
@@ -29,11 +29,11 @@
 			t.Errorf("%d callers return within one gap, at %v", n, slot*gap)
 		}
 	}
-	if ahead := s.Backlog(now); ahead != time.Second+callers*gap {
-		t.Errorf("booked %v ahead", ahead)
+	if after := s.Book(now, 0, 0, "next"); after != time.Second+callers*gap {
+		t.Errorf("the next one returns after %v", after)
 	}
-	if ahead := s.Backlog(now.Add(time.Hour)); ahead != 0 {
-		t.Errorf("booked %v ahead an hour later", ahead)
+	if after := s.Book(now.Add(time.Hour), 0, 0, "late"); after != Min {
+		t.Errorf("one an hour later returns after %v", after)
 	}
 }
 
