--- a/internal/calls/world_test.go
+++ b/internal/calls/world_test.go
@@ -121,6 +121,13 @@
 
 // newGateway starts an entry instance and waits until it has read the journal.
 func (w *world) newGateway(domain ident.FailureDomain) *gateway {
+	g := w.newGatewayUnsynced(domain)
+	synctest.Wait()
+	return g
+}
+
+// newGatewayUnsynced starts an entry instance, also outside virtual time.
+func (w *world) newGatewayUnsynced(domain ident.FailureDomain) *gateway {
 	w.mu.Lock()
 	w.started++
 	g := &gateway{
@@ -147,7 +154,6 @@
 		defer close(g.done)
 		_ = g.calls.Run(ctx)
 	}()
-	synctest.Wait()
 	return g
 }
 
@@ -242,7 +248,7 @@
 // dispatcher reaches the upstreams of the gateway's side of a split.
 type dispatcher struct{ g *gateway }
 
-func (d dispatcher) Pick(_ Call, exclude []ident.Instance) (journal.Target, bool) {
+func (d dispatcher) Pick(_ context.Context, _ Call, exclude []ident.Instance) (journal.Target, bool) {
 	w := d.g.w
 	w.mu.Lock()
 	defer w.mu.Unlock()
