experiment: a brown-out, with retries from the budget

The figure divides by the times that a request was taken on, since a caller that comes back as told makes a request of its own; it is the same as before for all policies that turn nobody away.

--- a/internal/experiment/calls.go
+++ b/internal/experiment/calls.go
@@ -64,7 +64,11 @@
 func (r *run) dispatch(k *call) {
 	doc := r.document(k.kind.Plain)
 	policy := k.decider.policies[doc]
-	for k.attempts < maxAttempts {
+	for refused := false; k.attempts < maxAttempts; refused = true {
+		if !r.mayTry(k, refused) {
+			r.turnAway(k)
+			return
+		}
 		k.attempts++
 		req := k.request(doc.Service)
 		if p := k.decider.keepers[doc]; p != nil {
@@ -79,13 +83,14 @@
 			return
 		}
 		policy.Finished(&k.ticket, routing.ResultRefused, r.clock())
+		r.noteRefusal(k, d.Upstream)
 		k.exclude = append(k.exclude, d.Upstream)
 	}
 	r.close(k)
 }
 
 func (r *run) submit(k *call, u *runner, d routing.Decision) bool {
-	if u.ended {
+	if u.ended || r.refuses() {
 		return false
 	}
 	w := engine.Work{
--- a/internal/experiment/driver.go
+++ b/internal/experiment/driver.go
@@ -100,6 +100,8 @@
 	refusals, retries, retriesAdmitted int
 	// entry is the request's place in its decider's admission, or nil.
 	entry *gate.Entry
+	// turnedAway counts the times when no budget paid for another attempt.
+	turnedAway int
 	// firstOfAttempt is of the present attempt.
 	firstOfAttempt time.Duration
 	// resumedAt is how many tokens the attempt began with.
@@ -175,7 +177,7 @@
 		}
 		if contender.Admission {
 			d.evacuated = make(map[ident.Instance]bool)
-			d.keepers = map[*document.Document]*keeper{r.workload.Model: newKeeper(), r.workload.Plain: newKeeper()}
+			d.keepers = map[*document.Document]*keeper{r.workload.Model: newKeeper(r.clock()), r.workload.Plain: newKeeper(r.clock())}
 		}
 		r.deciders = append(r.deciders, d)
 		r.poll(d)
--- a/internal/experiment/figures.go
+++ b/internal/experiment/figures.go
@@ -45,7 +45,9 @@
 	// share; SmallShare is the same of the smallest account that did not ask
 	// for more than it does otherwise.
 	LeastShare, SmallShare float64
-	// Attempts is sent attempts per request, Queue the longest queue.
+	// Attempts is sent attempts for each time that a request was taken on:
+	// once, and again whenever its caller came back after being turned away.
+	// Queue is the longest queue.
 	Attempts, Queue float64
 	// ErrorMedian is the median of |log2(actual/predicted)| first token, and
 	// ErrorBias the median of log2(actual/predicted).
@@ -120,15 +122,16 @@
 	f.Met = share(calls, all, (*call).met)
 	f.Unfinished = share(calls, all, func(k *call) bool { return k.delivered < k.output && k.refusals == 0 })
 	f.Refused = share(calls, all, func(k *call) bool { return k.refusals > 0 && k.attempts == 0 })
-	retries, admitted := 0, 0
+	retries, admitted, taken := 0, 0, 0
 	for _, k := range calls {
 		f.Recomputed += float64(k.recomputed) * 1000 / n
 		f.Resumed += float64(k.resumed) * 1000 / n
 		f.Attempts += float64(k.attempts)
+		taken += 1 + k.turnedAway
 		retries += k.retries
 		admitted += k.retriesAdmitted
 	}
-	f.Attempts /= n
+	f.Attempts /= float64(max(1, taken))
 	f.Truthful = 1
 	if retries > 0 {
 		f.Truthful = float64(admitted) / float64(retries)
--- a/internal/experiment/goals.go
+++ b/internal/experiment/goals.go
@@ -68,7 +68,7 @@
 	if c.Greedy > 0 {
 		goals = append(goals, shareGoal(ours))
 	}
-	if c.Slow > 0 || c.Reclaim {
+	if c.Slow > 0 || c.Reclaim || c.Refusing > 0 {
 		goals = append(goals, attemptsGoal(ours))
 	}
 	return goals
--- a/internal/experiment/keeper.go
+++ b/internal/experiment/keeper.go
@@ -10,6 +10,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/document"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
+	"github.com/goldcrestspool/goldcrestspool/internal/retry"
 	"github.com/goldcrestspool/goldcrestspool/internal/routing"
 )
 
@@ -21,13 +22,15 @@
 type keeper struct {
 	gate     *gate.Gate
 	ejection *ejection.Set
+	budget   *retry.Budget
 	entries  map[*gate.Entry]*call
 }
 
-func newKeeper() *keeper {
+func newKeeper(now time.Time) *keeper {
 	return &keeper{
 		gate:     gate.New(gate.Config{}),
 		ejection: ejection.New(ejection.Config{}),
+		budget:   retry.NewBudget(retry.BudgetConfig{}, now),
 		entries:  make(map[*gate.Entry]*call),
 	}
 }
--- a/internal/experiment/workloads.go
+++ b/internal/experiment/workloads.go
@@ -112,6 +112,9 @@
 	EventGapEvery uint64
 	// Greedy multiplies the requests of the last client account.
 	Greedy float64
+	// Refusing is the share of attempts that upstreams refuse from faultAt
+	// to rushEnd.
+	Refusing float64
 }
 
 // The times of a run.
@@ -134,6 +137,7 @@
 		{Name: "rush 1.5", Load: 0.7, Rush: 1.5},
 		{Name: "rush 3", Load: 0.7, Rush: 3},
 		{Name: "one account x10", Load: 0.7, Greedy: 10},
+		{Name: "brown-out", Load: 0.6, Refusing: 0.5},
 		{Name: "reports lag 5 s", Load: 0.7, ReportLag: 5 * time.Second},
 		{Name: "cache events with gaps", Load: 0.7, EventGapEvery: 3},
 	}
