--- a/internal/admission/fuzz_test.go
+++ b/internal/admission/fuzz_test.go
@@ -59,6 +59,8 @@
 func checkConcurrentUse(t *rapid.T) {
 	slots := rapid.IntRange(1, 4).Draw(t, "slots")
 	ctl := New(Config{Gate: gate.Config{Slots: slots, MaxQueue: 5, Hold: 50 * time.Millisecond}})
+	ctl.SetUpstreams("s", []ident.Instance{"u"})
+	ctl.SetSlots("s", slots)
 	var callers []*caller
 	running := func() (n int) {
 		for _, c := range callers {
@@ -79,6 +81,14 @@
 			}
 		},
 		"finish": func(t *rapid.T) { finish(take(callers, rapid.IntRange(0, 8).Draw(t, "nth"))) },
+		"first token": func(t *rapid.T) {
+			if n := len(callers); n > 0 {
+				if ticket := callers[rapid.IntRange(0, n-1).Draw(t, "caller")].running(); ticket != nil {
+					ticket.FirstToken()
+				}
+			}
+		},
+		"slots change": func(t *rapid.T) { ctl.SetSlots("s", rapid.IntRange(1, slots).Draw(t, "to")) },
 		"cancel and finish at once": func(t *rapid.T) {
 			ticket := take(callers, 0)
 			for _, c := range callers {
