--- a/internal/controller/wire.go
+++ b/internal/controller/wire.go
@@ -81,6 +81,7 @@
 	p.fleet = fleet.New(
 		fleet.Config{
 			Interval:       s.Control.Interval,
+			LoadInterval:   fleet.DefaultLoadInterval,
 			Flight:         s.Control.Margin,
 			Parallel:       fleet.DefaultParallel,
 			SlotsPerEngine: fleet.DefaultSlotsPerEngine,
--- a/internal/controllers/fleet/actual.go
+++ b/internal/controllers/fleet/actual.go
@@ -66,6 +66,9 @@
 	askedAt time.Time
 	// draining is when this holder learnt that an upstream drains.
 	draining map[upstreamKey]time.Time
+	// loads are what the upstreams that answered told at loadsAt.
+	loads   map[upstreamKey]load
+	loadsAt time.Time
 	// reclaims estimates how often each offering is reclaimed.
 	reclaims *reclaimRates
 	demand   peakHold
--- a/internal/controllers/fleet/controller.go
+++ b/internal/controllers/fleet/controller.go
@@ -41,6 +41,9 @@
 type Config struct {
 	// Interval is the time between two rounds.
 	Interval time.Duration
+	// LoadInterval is the least time between two questions to an upstream for
+	// its load, which are what a holder spends most on.
+	LoadInterval time.Duration
 	// Flight bounds one request. It must not exceed the leases' margin.
 	Flight time.Duration
 	// Parallel bounds the requests in progress.
@@ -53,6 +56,7 @@
 // The defaults of Config.
 const (
 	DefaultParallel       = 32
+	DefaultLoadInterval   = 5 * time.Second
 	DefaultSlotsPerEngine = 16
 	DefaultSlotsPerPlain  = 32
 )
@@ -161,7 +165,7 @@
 }
 
 func (c *Controller) round(ctx context.Context, grant lease.Grant, doc *document.Document, m *memory) {
-	o := c.observe(ctx, doc)
+	o := c.observe(ctx, doc, m)
 	now := time.Now()
 	m.reclaims.update(o, now)
 	actual := m.actual(doc.Service, o, now)
@@ -175,8 +179,8 @@
 }
 
 // observe reads the service's upstreams.
-func (c *Controller) observe(ctx context.Context, doc *document.Document) observation {
-	o := observation{noticed: c.noticed, loads: make(map[upstreamKey]load), slots: c.config.SlotsPerEngine}
+func (c *Controller) observe(ctx context.Context, doc *document.Document, m *memory) observation {
+	o := observation{noticed: c.noticed, slots: c.config.SlotsPerEngine}
 	if doc.Kind == document.Plain {
 		o.slots = c.config.SlotsPerPlain
 	}
@@ -186,10 +190,20 @@
 			o.instances = append(o.instances, instance)
 		}
 	}
+	if now := time.Now(); now.Sub(m.loadsAt) >= c.config.LoadInterval {
+		m.loads, m.loadsAt = c.askAll(ctx, o.instances), now
+	}
+	o.loads = m.loads
+	return o
+}
+
+// askAll reads the loads of all upstreams that answer.
+func (c *Controller) askAll(ctx context.Context, instances []platform.Instance) map[upstreamKey]load {
 	var mu sync.Mutex
+	loads := make(map[upstreamKey]load)
 	var group errgroup.Group
 	group.SetLimit(c.config.Parallel)
-	for _, instance := range o.instances {
+	for _, instance := range instances {
 		group.Go(func() error {
 			l, err := c.ask(ctx, instance)
 			if err != nil {
@@ -197,12 +211,12 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			o.loads[key(instance)] = l
+			loads[key(instance)] = l
 			return nil
 		})
 	}
 	_ = group.Wait()
-	return o
+	return loads
 }
 
 // ask reads one upstream's load.
