--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -355,3 +355,20 @@
 		}
 	}
 }
+
+// Symptom: on-demand instances are started and drained for ever. Sequence: a
+// rush ends. Cause: the dearest are drained first, and on-demand ones are.
+func TestShrinkingKeepsTheOnDemandShare(t *testing.T) {
+	w := &world{now: time.Unix(0, 0), closed: make(map[Offering]bool)}
+	w.actual = Actual{Service: "spool-llm", Failures: make(map[Offering]Failures), Demand: 8}
+	w.wanted.Placement = document.Placement{Min: 2, Max: 12, OnDemandShare: 0.32, Prices: []document.Price{
+		{FailureDomain: "hall-a", Class: "gpu", CentsPerHour: 9},
+		{FailureDomain: "hall-a", Class: "gpu", Reclaimable: true, CentsPerHour: 3},
+	}}
+	w.settle(t)
+	w.actual.Demand = 1
+	w.settle(t)
+	if f := newFleet(w.actual); f.kept != 2 || f.onDemand != 1 {
+		t.Errorf("%d upstreams, %d on-demand, want 2 and 1", f.kept, f.onDemand)
+	}
+}
--- /dev/null
+++ b/scripts/capacity-controller.sh
@@ -0,0 +1,54 @@
+#!/usr/bin/env bash
+# Measures what a controller spends on upstreams: processor time, bytes of its
+# reads and writes, and memory, of one that holds all leases and of one that is
+# no candidate. All engines are listed at the address of one stand-in.
+#
+#   scripts/capacity-controller.sh COUNT...     default: 8 64 128 256
+set -uo pipefail
+source "$(dirname "$0")/lib.sh"
+export LOG_LEVEL=error
+readonly SETTLE=14 WINDOW=20
+
+# usage NAME prints milliseconds of processor time, bytes and resident KB.
+usage() {
+  local pid=${PIDS[$1]}
+  awk '{printf "%d ", ($14 + $15) * 10}' "/proc/$pid/stat"
+  awk '/^[rw]char/ {s += $2} END {printf "%d ", s}' "/proc/$pid/io"
+  awk '/VmRSS/ {print $2}' "/proc/$pid/status"
+}
+
+# measure COUNT runs one size and prints a line for each controller.
+measure() {
+  local i name cpu bytes rss
+  local -A before
+  start_platform
+  start engine-1 standin engine --platform "$PLATFORM" --id engine-1 --service spool-llm --failure-domain hall-a \
+    --class gpu-small --model spool-llm --model-version 2026-11
+  await_line engine-1
+  "$BIN/standin" admin --platform "$PLATFORM" register --id holder --failure-domain hall-a --address 127.0.0.1:9 >/dev/null
+  for i in $(seq 2 "$1"); do
+    "$BIN/standin" admin --platform "$PLATFORM" register --id "engine-$i" --role engine --service spool-llm \
+      --class gpu-small --failure-domain hall-a --address "$(field engine-1 address)" >/dev/null
+  done
+  sed "s/^min = .*/min = $1/; s/^max = .*/max = $1/" "$ROOT/examples/spool-llm.toml" >"$WORK/spool-llm.toml"
+  "$BIN/spoolctl" publish "$WORK/spool-llm.toml" --platform "$PLATFORM" >/dev/null
+  for name in holder watcher; do start_controller "$name" hall-a; done
+  sleep $SETTLE
+  for name in holder watcher; do before[$name]=$(usage $name); done
+  sleep $WINDOW
+  for name in holder watcher; do
+    read -r cpu bytes rss < <(usage $name)
+    set -- "$1" ${before[$name]}
+    echo "engines=$1 $name cpu_ms_per_s=$(((cpu - $2) / WINDOW)) bytes_per_s=$(((bytes - $3) / WINDOW)) rss_kb=$rss"
+  done
+  for i in "${!PIDS[@]}"; do
+    kill "${PIDS[$i]}"
+    wait "${PIDS[$i]}" 2>/dev/null
+    unset "PIDS[$i]"
+  done
+}
+
+for count in "${@:-8 64 128 256}"; do
+  for size in $count; do measure "$size"; done
+done
+rm -rf "$WORK"
