--- a/internal/calls/do.go
+++ b/internal/calls/do.go
@@ -38,6 +38,9 @@
 	if o, ok := c.admit(ctx, p, call); !ok {
 		return o
 	}
+	if p.reused(call.Key, digest) {
+		return keyReused()
+	}
 	if o, ok := c.settleOwner(ctx, p, call.Key, &digest); !ok {
 		return o
 	}
@@ -54,29 +57,33 @@
 	return outcome.NewUnknown(reason, message+"; an earlier attempt may have run", retryAfter)
 }
 
-// known returns the final outcome of a key if it is known here, or the refusal
-// of a request that is not the key's. digest is nil for questions by key.
+// known returns the final outcome of a key if it is known here. digest, if not
+// nil, is that of the request which may hear it.
 func (p *partition) known(key ident.CallKey, digest *journal.Digest) (outcome.Outcome, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	view, inFold := p.fold.Get(key)
 	held, inCopies := p.copies[key]
-	if digest != nil {
-		if inFold && view.Digest != *digest || inCopies && held.Digest != *digest {
-			return keyReused(), true
-		}
-	}
 	switch {
-	case inCopies:
+	case inCopies && (digest == nil || held.Digest == *digest):
 		return outcome.Outcome{Kind: held.Kind, Reason: finalReason(held.Kind), Payload: held.Payload}, true
-	case inFold && view.State == fold.Final:
+	case inFold && view.State == fold.Final && (digest == nil || view.Digest == *digest):
 		return finalOutcome(view), true
 	}
 	return outcome.Outcome{}, false
 }
 
-// keyReused says nothing of the other request. The attempt is not run, and
-// never will be, whatever became of the other.
+// reused reports whether the key belongs to a request with another digest.
+func (p *partition) reused(key ident.CallKey, digest journal.Digest) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	view, inFold := p.fold.Get(key)
+	held, inCopies := p.copies[key]
+	return inFold && view.Digest != digest || inCopies && held.Digest != digest
+}
+
+// keyReused says nothing of the other request. It is only told of a key that is
+// certain: then no earlier attempt of this request can have owned it.
 func keyReused() outcome.Outcome {
 	return outcome.NewNotRun(outcome.ReasonKeyReused, "the key was used for a different request", 0)
 }
@@ -113,14 +120,11 @@
 	if !ready {
 		return refuse(call, outcome.ReasonCatchingUp, "this gateway is still reading the journal", retryLater), false
 	}
-	if wait, down := p.writer.down(now); down {
+	if wait, down := c.logDown(now); down {
 		return c.refuseLogDown(ctx, p, call, wait), false
 	}
-	p.mu.Lock()
-	certain := p.certain(call.IssuedAt)
-	p.mu.Unlock()
-	if !certain || journal.Expired(call.IssuedAt, now) {
-		return refuse(call, outcome.ReasonExpired, "the key was issued too long ago to be known", 0), false
+	if !p.certain(call.IssuedAt) || journal.Expired(call.IssuedAt, now) {
+		return refuse(call, outcome.ReasonExpired, "the key was issued too long ago to be known", p.untilCertain(now)), false
 	}
 	if journal.Early(call.IssuedAt, now) {
 		return refuse(call, reasonClock, "issued_at is in the future", journal.MaxSkew), false
@@ -149,8 +153,9 @@
 // journaled before the first claim.
 func (c *Coordinator) own(ctx context.Context, p *partition, call Call, digest journal.Digest, releases *journal.Release) outcome.Outcome {
 	var exclude []ident.Instance
+	var last outcome.Outcome
 	for try := 1; ; try++ {
-		target, picked := c.cfg.Dispatcher.Pick(call, exclude)
+		target, picked := c.cfg.Dispatcher.Pick(ctx, call, exclude)
 		if !picked && (try > 1 || call.first() && releases == nil) {
 			return outcome.NewNotRun(outcome.ReasonNoUpstream, "no upstream can take the call", retryLater)
 		}
@@ -161,10 +166,14 @@
 		if releases != nil && try == 1 {
 			before = append(before, *releases)
 		}
-		if !p.submit(cl, before...) {
-			return refuse(call, outcome.ReasonOverloaded, "too many calls wait for the log", retryLater)
+		if reason := p.submit(cl, before...); reason != "" {
+			if try > 1 {
+				return last
+			}
+			return refuse(call, reason, "the call cannot be journaled here now", retryLater)
 		}
 		o, again := c.runClaim(ctx, p, cl, picked)
+		last = o
 		if cl.phase.Load() != dispatched {
 			p.forget(cl)
 		}
@@ -223,6 +232,8 @@
 // awaitRuling waits until the log's verdict is known. ok is false when the
 // claim was given up or handed over instead; then o is the answer.
 func (c *Coordinator) awaitRuling(ctx context.Context, p *partition, cl *claim) (r ruling, o outcome.Outcome, ok bool) {
+	ctx, end := startSpan(ctx)
+	defer end()
 	limit := time.NewTimer(c.limits.ClaimWait)
 	defer limit.Stop()
 	reason := outcome.ReasonLogUnavailable
@@ -281,6 +292,7 @@
 		p.endClaim(cl, outcome.ReasonExpired)
 		return refuse(call, outcome.ReasonExpired, "the key was issued outside the window", 0)
 	case r.Verdict == fold.LostKeyReused:
+		p.endClaim(cl, outcome.ReasonKeyReused)
 		return keyReused()
 	case r.Verdict == fold.LostAttempt:
 		p.endClaim(cl, reasonLaterAttempt)
--- a/internal/controllers/configuration/controller.go
+++ b/internal/controllers/configuration/controller.go
@@ -73,16 +73,24 @@
 	snapshot snapshotWriter
 
 	// What follows belongs to the goroutine of Run.
-	reader       document.Reader
-	set          *document.Set
-	problems     []string
-	ready        bool
+
+	reader document.Reader
+	// set is what was published, nil before the process is ready.
+	set *document.Set
+	// problems are the documents of set that could not be used.
+	problems []string
+	ready    bool
+	// logReachable: the last read succeeded.
 	logReachable bool
-	logFailed    bool
-	backoff      time.Duration
-	peerAhead    time.Time
+	// logFailed: some read has failed.
+	logFailed bool
+	// backoff is the last pause after a failed read.
+	backoff time.Duration
+	// peerAhead is since when a peer is known to be ahead.
+	peerAhead time.Time
+	// first is the oldest offset that the log keeps.
 	first        ident.Offset
-	sinceWritten writtenSnapshot
+	lastSnapshot seenSnapshot
 }
 
 // New returns a controller. Run starts it.
@@ -108,9 +116,11 @@
 // it is ready. It may be called by any goroutine.
 func (c *Controller) State() document.State { return c.progress.Load().state }
 
-// Revision returns the revision to tell peers. It may be called by any
-// goroutine.
-func (c *Controller) Revision() ident.Revision { return c.State().Revision() }
+// Revision returns the revision to tell peers: the one up to which this process
+// knows all. The revision in force would not do: a peer that lacks expired
+// records could not tell who has them, as records without effect raise none. It
+// may be called by any goroutine.
+func (c *Controller) Revision() ident.Revision { return c.State().Through() }
 
 // Delta returns what a process needs that is complete up to a revision. It may
 // be called by any goroutine.
@@ -138,7 +148,7 @@
 	defer peers.Stop()
 	retry := time.NewTimer(0)
 	defer retry.Stop()
-	c.sinceWritten.readAt = time.Now()
+	c.lastSnapshot.readAt = time.Now()
 	c.publish()
 	for {
 		select {
--- a/internal/experiment/calls.go
+++ b/internal/experiment/calls.go
@@ -130,13 +130,15 @@
 	}
 	u.longest = max(u.longest, u.model.Waiting())
 	r.at(r.now+d, func() {
-		u.busy = false
 		if u.ended {
 			return
 		}
+		// The runner stays busy until its tokens are handed out: an ended
+		// request lets the next one in, which must not begin another step yet.
 		for _, t := range u.tokens {
 			r.token(u, t)
 		}
+		u.busy = false
 		r.step(u)
 	})
 }
@@ -162,6 +164,7 @@
 // firstToken notes an attempt's first token and what its prefill repeated.
 func (r *run) firstToken(k *call, t engine.Token) {
 	r.policy(k).FirstToken(&k.ticket, r.clock())
+	r.answered(k)
 	k.firstOfAttempt = r.now - k.sent
 	if k.attempts == 1 {
 		k.predicted, k.actual = k.decision.FirstToken, r.now-k.sent
--- a/internal/gateway/peering/peers.go
+++ b/internal/gateway/peering/peers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 
 	peerv1 "github.com/goldcrestspool/goldcrestspool/api/peer/v1"
@@ -116,8 +117,8 @@
 	return answer, nil
 }
 
-// HandOver implements calls.Peer. An answer says what was taken; an error of
-// any kind leaves open whether the peer took the calls.
+// HandOver implements calls.Peer. A peer that refuses says so before it takes
+// anything; any other error leaves open whether it took the calls.
 func (r *remote) HandOver(ctx context.Context, h calls.HandOver) ([]journal.ClaimID, error) {
 	req := &peerv1.HandOverRequest{From: string(r.peers.Self)}
 	known := map[string]journal.ClaimID{}
@@ -129,6 +130,9 @@
 		req.Outcomes = append(req.Outcomes, outcomeToWire(o))
 	}
 	resp, err := r.peers.Client.HandOver(ctx, r.address, req)
+	if errcode.Of(err) == errcode.FailedPrecondition {
+		return nil, errors.Join(calls.ErrNotHanded, err)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -150,7 +154,7 @@
 	known := map[string]streaming.Key{}
 	for _, h := range streams {
 		req.Streams = append(req.Streams, streamToWire(h))
-		known[acceptedStream(h.Key)] = h.Key
+		known[h.Key.String()] = h.Key
 	}
 	resp, err := s.remote.peers.Client.HandOver(ctx, s.remote.address, req)
 	if err != nil {
@@ -239,7 +243,7 @@
 		resp.Accepted = append(resp.Accepted, id.String())
 	}
 	for _, key := range l.Streams.Accept(streams) {
-		resp.Accepted = append(resp.Accepted, acceptedStream(key))
+		resp.Accepted = append(resp.Accepted, key.String())
 	}
 	return resp, nil
 }
--- a/internal/gateway/peering/wire.go
+++ b/internal/gateway/peering/wire.go
@@ -144,6 +144,3 @@
 		Served:    ident.Instance(w.GetUpstream()),
 	}
 }
-
-// acceptedStream names a stream in the answer to a hand-over.
-func acceptedStream(k streaming.Key) string { return string(k.Account) + "/" + string(k.Request) }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -25,6 +25,7 @@
 	"google.golang.org/grpc/status"
 
 	peerv1 "github.com/goldcrestspool/goldcrestspool/api/peer/v1"
+	"github.com/goldcrestspool/goldcrestspool/internal/certificate"
 	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
 )
 
@@ -84,11 +85,11 @@
 func NewServer(handlers Handlers, tlsFiles TLSFiles) (*Server, error) {
 	creds := insecure.NewCredentials()
 	if tlsFiles.Set() {
-		config, err := tlsFiles.serverConfig()
+		reload, err := certificate.NewReloader(tlsFiles)
 		if err != nil {
 			return nil, err
 		}
-		creds = credentials.NewTLS(config)
+		creds = credentials.NewTLS(reload.Server(protocol))
 	}
 	server := grpc.NewServer(
 		grpc.Creds(creds),
@@ -98,7 +99,7 @@
 		grpc.ConnectionTimeout(connectTimeout),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: serverPing, Timeout: pingTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minClientPing, PermitWithoutStream: true}),
-		grpc.UnaryInterceptor(translateErrors),
+		grpc.ChainUnaryInterceptor(traceServer, translateErrors),
 	)
 	peerv1.RegisterPeerServiceServer(server, &service{handlers: handlers})
 	return &Server{server: server}, nil
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -19,15 +19,15 @@
 	req     *Request
 	now     time.Time
 	plain   bool
-	// mean is the mean number of requests at an upstream, by the reports.
-	mean float64
+	// mean and slack are those of the view; see prepared.
+	mean, slack float64
 
 	// cached holds, by upstream, how many leading blocks it probably has.
 	cached []float64
 	// shareRequests and shareTokens are which part of a queue is served before
 	// the request.
 	shareRequests, shareTokens float64
-	// margin is the factor within which nine of ten predictions come true.
+	// margin is the factor within which four of five predictions come true.
 	margin float64
 	// farthest is the largest place that is a home of the request's prefix.
 	farthest float64
