Demo: controllers run on their gateways' entry instances

Cause: a controller whose instance is not listed is no candidate, so those of the demo decided nothing.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -21,8 +21,8 @@
 for name in "${UPSTREAMS[@]}"; do await_line "$name"; done
 start_gateway gateway-a hall-a
 start_gateway gateway-b hall-b
-start_controller controller-a hall-a
-start_controller controller-b hall-b
+start_controller controller-a hall-a gateway-a
+start_controller controller-b hall-b gateway-b
 
 echo "publishing"
 for document in spool-llm auktion-app; do
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -60,7 +60,8 @@
 EOF
 }
 
-# controller_settings NAME FAILURE_DOMAIN prints the settings of a controller.
+# controller_settings INSTANCE FAILURE_DOMAIN prints the settings of the
+# controller beside an entry instance's gateway.
 controller_settings() {
   cat <<EOF
 [instance]
@@ -91,9 +92,10 @@
     --failure-domain "$2" --address "$(field "$1" callers)" --peer-address "$(field "$1" peers)" >/dev/null
 }
 
-# start_controller NAME FAILURE_DOMAIN starts a controller.
+# start_controller NAME FAILURE_DOMAIN [INSTANCE] starts a controller. Only one
+# whose entry instance is listed is a candidate for leases.
 start_controller() {
-  controller_settings "$1" "$2" >"$WORK/$1.toml"
+  controller_settings "${3:-$1}" "$2" >"$WORK/$1.toml"
   start "$1" controller --settings "$WORK/$1.toml"
   await_line "$1"
 }
