--- a/Makefile
+++ b/Makefile
@@ -34,8 +34,16 @@
 	scripts/demo.sh --up
 
 # --- routing policies (cmd/experiment) ---
-.PHONY: policy
+.PHONY: policy policy-report capacity-engine
 
 # Compares routing policies in virtual time and prints which goals are met.
 policy:
 	$(GO) run ./cmd/experiment --seeds 5
+
+# The same with plots, into docs/report.
+policy-report:
+	$(GO) run ./cmd/experiment --seeds 5 --report docs/report
+
+# The slopes of docs/capacity-engine.md.
+capacity-engine:
+	$(GO) test ./internal/routing ./internal/cacheview -run XXX -bench . -benchtime 300ms
--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -18,6 +18,7 @@
 	Workload string `arg:"--workload" help:"only this workload"`
 	Case     string `arg:"--case" help:"only this case"`
 	Policy   string `arg:"--policy" help:"only this policy"`
+	Report   string `arg:"--report" help:"write table and plots into this directory"`
 }
 
 // gcPercent trades memory for time: a run allocates much and keeps little.
@@ -43,6 +44,13 @@
 	table.Print(os.Stdout)
 	fmt.Println()
 	experiment.PrintGoals(os.Stdout, table.Goals())
+	if args.Report == "" {
+		return
+	}
+	if err := table.WriteReport(args.Report); err != nil {
+		fmt.Fprintln(os.Stderr, "report:", err)
+		os.Exit(1)
+	}
 }
 
 // only keeps the entries with a name; an empty name keeps all.
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -16,7 +16,7 @@
 	router  *Router
 	view    []blackboard.Upstream
 	entries []entry
-	req     *Request
+	req     Request
 	now     time.Time
 	plain   bool
 	// mean and slack are those of the view; see prepared.
--- a/internal/routing/mechanisms_test.go
+++ b/internal/routing/mechanisms_test.go
@@ -156,12 +156,13 @@
 	full, free := fleet(1), fleet(1)
 	full[0].Report.Running, full[0].Report.Queued = 30, 50
 	free[0].Report.Running = 30
-	r.learnBatch(&full[0], r.slot("runner-0"))
-	shrunk := r.slot("runner-0").batchSize(96)
+	known := r.addSlots(full)["runner-0"]
+	r.learnBatch(&full[0], known)
+	shrunk := known.batchSize(96)
 	for range 300 {
-		r.learnBatch(&free[0], r.slot("runner-0"))
+		r.learnBatch(&free[0], known)
 	}
-	if grown := r.slot("runner-0").batchSize(96); shrunk > 30 || grown != 96 {
+	if grown := known.batchSize(96); shrunk > 30 || grown != 96 {
 		t.Errorf("learnt %.1f from a queue behind 30 and %.1f later, want below 30 and 96", shrunk, grown)
 	}
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -68,12 +68,12 @@
 // the request has no prompt.
 func (r *Router) Decide(doc *document.Document, view []blackboard.Upstream, req Request, now time.Time) Decision {
 	p := r.prepare(doc, view)
-	c := chooser{router: r, view: view, entries: p.entries, req: &req, now: now, mean: p.mean, slack: p.slack}
-	c.plain = isPlain(doc, &req)
+	c := chooser{router: r, view: view, entries: p.entries, req: req, now: now, mean: p.mean, slack: p.slack}
+	c.plain = isPlain(doc, req)
 	return c.choose()
 }
 
-func isPlain(doc *document.Document, req *Request) bool {
+func isPlain(doc *document.Document, req Request) bool {
 	if doc != nil {
 		return doc.Kind == document.Plain
 	}
@@ -90,9 +90,10 @@
 		return p
 	}
 	p = &prepared{view: view, doc: doc, entries: make([]entry, len(view))}
+	known := r.addSlots(view)
 	highest := 0.0
 	for i := range view {
-		p.entries[i].slot = r.slot(view[i].Instance.ID)
+		p.entries[i].slot = known[view[i].Instance.ID]
 		r.learnBatch(&view[i], p.entries[i].slot)
 		p.entries[i].price = price(doc, &view[i])
 		p.entries[i].hash = xxhash.Sum64String(string(view[i].Instance.ID))
@@ -136,18 +137,24 @@
 	return 0
 }
 
-// slot returns the slot of an instance and adds it if need be.
-func (r *Router) slot(id ident.Instance) *slot {
+// addSlots adds what slots a view still needs, all at once: a copy for each of
+// them would cost the square of their number.
+func (r *Router) addSlots(view []blackboard.Upstream) slots {
 	for {
 		old := r.slots.Load()
-		if s := (*old)[id]; s != nil {
-			return s
+		next := *old
+		for i := range view {
+			id := view[i].Instance.ID
+			if next[id] != nil {
+				continue
+			}
+			if len(next) == len(*old) {
+				next = maps.Clone(next)
+			}
+			next[id] = &slot{}
 		}
-		next := maps.Clone(*old)
-		s := &slot{}
-		next[id] = s
-		if r.slots.CompareAndSwap(old, &next) {
-			return s
+		if len(next) == len(*old) || r.slots.CompareAndSwap(old, &next) {
+			return next
 		}
 	}
 }
