--- a/internal/controllers/configuration/world_test.go
+++ b/internal/controllers/configuration/world_test.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
+	peerv1 "github.com/goldcrestspool/goldcrestspool/api/peer/v1"
 	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
-	"github.com/goldcrestspool/goldcrestspool/internal/document"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
 )
@@ -46,6 +46,12 @@
 	l.first = max(l.first, min(first, ident.Offset(len(l.all))))
 }
 
+func (l *memoryLog) truncate(head ident.Offset) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all = l.all[:head]
+}
+
 func (l *memoryLog) records() []platform.Record {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -150,7 +156,9 @@
 	mu        sync.Mutex
 	processes []*process
 	// apart: the failure domains cannot reach each other.
-	apart  bool
+	apart bool
+	// deaf: heartbeats come through, but no answer to GetDocuments.
+	deaf   bool
 	faults []string
 	lives  int
 }
@@ -168,22 +176,29 @@
 	return w
 }
 
-// start begins a new life at a place; odd places run an older program.
+// start begins a new life at a place.
 func (w *world) start(place int) *process {
+	l := &link{log: w.log}
+	p := w.startWith(place, l)
+	p.link = l
+	return p
+}
+
+// startWith uses a way to the log of its own. Odd places run an older program.
+func (w *world) startWith(place int, log platform.Log) *process {
 	w.lives++
 	p := &process{
 		name:   fmt.Sprintf("entry-%d-life-%d", place, w.lives),
 		domain: place / processesADomain,
 		schema: newSchema - place%2,
-		link:   &link{log: w.log},
 		board:  blackboard.NewBoard(),
 		world:  w,
 		served: map[ident.Service]ident.Revision{},
 	}
 	p.controller = New(Options{
 		Instance:  ident.Instance(p.name),
-		Log:       p.link,
-		Peers:     p,
+		Log:       log,
+		Peers:     NewPeers(p, p.highest),
 		Documents: p.board.Documents,
 		Health:    p.board.Configuration,
 		Schema:    p.schema,
@@ -192,7 +207,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { _ = p.controller.Run(ctx) })
-	running.Go(func() { p.writeSnapshots(ctx) })
+	running.Go(func() { _ = p.controller.WriteSnapshots(ctx) })
 	running.Go(func() { p.watch(ctx) })
 	p.stop = func() { cancel(); running.Wait() }
 	return p
@@ -227,17 +242,16 @@
 	w.apart = apart
 }
 
-func (p *process) writeSnapshots(ctx context.Context) {
-	ticker := time.NewTicker(time.Second)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			_, _ = p.controller.WriteSnapshotIfDue(ctx)
-		}
-	}
+func (w *world) setDeaf(deaf bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.deaf = deaf
+}
+
+func (w *world) isDeaf() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.deaf
 }
 
 // watch sees every set that the process serves by.
@@ -267,25 +281,25 @@
 	return out
 }
 
-// Highest implements PeerDocuments.
-func (p *process) Highest() (Peer, bool) {
+// highest is what membership knows from the heartbeats.
+func (p *process) highest() (Peer, bool) {
 	var best Peer
 	found := false
 	for _, other := range p.reachable() {
 		revision := other.controller.Revision()
 		if !found || revision > best.Revision {
-			best, found = Peer{ID: ident.Instance(other.name), Revision: revision}, true
+			best, found = Peer{Address: other.name, Revision: revision}, true
 		}
 	}
 	return best, found
 }
 
-// GetDocuments implements PeerDocuments, through the wire form.
-func (p *process) GetDocuments(_ context.Context, peer ident.Instance, above ident.Revision) (document.Delta, error) {
+// GetDocuments implements PeerClient.
+func (p *process) GetDocuments(ctx context.Context, address string, req *peerv1.GetDocumentsRequest) (*peerv1.GetDocumentsResponse, error) {
 	for _, other := range p.reachable() {
-		if ident.Instance(other.name) == peer {
-			return FromProto(ToProto(other.controller.Delta(above))), nil
+		if other.name == address && !p.world.isDeaf() {
+			return other.controller.GetDocuments(ctx, req)
 		}
 	}
-	return document.Delta{}, platform.ErrUnavailable
+	return nil, platform.ErrUnavailable
 }
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -26,7 +26,7 @@
 		},
 		Journal: Journal{
 			Partitions: 1,
-			BatchWait:  10 * time.Millisecond,
+			BatchWait:  50 * time.Millisecond,
 			Window:     time.Hour,
 			Timeout:    2 * time.Second,
 		},
@@ -49,9 +49,10 @@
 		Common: defaultCommon(),
 		Listen: ControllerListen{Operators: kernelChosen},
 		Control: Control{
-			Lease:    10 * time.Second,
-			Margin:   2 * time.Second,
-			Interval: time.Second,
+			Lease:            10 * time.Second,
+			Margin:           2 * time.Second,
+			Interval:         time.Second,
+			SnapshotInterval: 10 * time.Minute,
 		},
 	}
 }
--- a/internal/streaming/handover.go
+++ b/internal/streaming/handover.go
@@ -47,15 +47,17 @@
 )
 
 // Leave ends the registry: it takes no new streams, lets those in progress end
-// within grace, and gives the rest to the first peers that take them. Callers
+// within grace, which may be 0, and gives the rest to the first peers that take them. Callers
 // then hear that they may resume elsewhere at once. It returns when no caller
 // follows any more, or when ctx ends.
 func (g *Registry) Leave(ctx context.Context, grace time.Duration, peers []Peer) LeaveReport {
 	g.refuseNew()
-	g.await(ctx, grace, (*Registry).busy)
+	graced, cancel := context.WithTimeout(ctx, grace)
+	defer cancel()
+	g.await(graced, (*Registry).busy)
 	report := g.handOver(ctx, peers)
 	g.tellLeaving()
-	g.await(ctx, 0, (*Registry).followed)
+	g.await(ctx, (*Registry).followed)
 	return report
 }
 
@@ -156,15 +158,9 @@
 	return false
 }
 
-// await returns when the condition no longer holds, when limit has passed
-// unless it is 0, or when ctx has ended.
-func (g *Registry) await(ctx context.Context, limit time.Duration, condition func(*Registry) bool) {
+// await returns when the condition no longer holds, or when ctx has ended.
+func (g *Registry) await(ctx context.Context, condition func(*Registry) bool) {
 	const interval = 10 * time.Millisecond
-	if limit > 0 {
-		limited, cancel := context.WithTimeout(ctx, limit)
-		defer cancel()
-		ctx = limited
-	}
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for g.holds(condition) {
@@ -184,8 +180,10 @@
 
 // freeze stops every run in progress and returns the entries that a peer can
 // go on with. From here on no caller gets a token that the peer would not know
-// of.
+// of. A run that does not end in time is left out.
 func (g *Registry) freeze(ctx context.Context) []*entry {
+	ctx, cancel := context.WithTimeout(ctx, g.config.HandOverTime)
+	defer cancel()
 	var frozen []*entry
 	for _, e := range g.stopAll() {
 		select {
@@ -205,7 +203,7 @@
 	var stopped []*entry
 	for _, e := range g.entries {
 		if !e.ended || e.callers > 0 {
-			e.stop(errLeaving)
+			e.cancel(errLeaving)
 			stopped = append(stopped, e)
 		}
 	}
@@ -214,8 +212,6 @@
 
 // handOver stops the streams and offers them to one peer after another.
 func (g *Registry) handOver(ctx context.Context, peers []Peer) LeaveReport {
-	ctx, cancel := context.WithTimeout(ctx, g.config.HandOverTime)
-	defer cancel()
 	waiting := make(map[Key]Handed)
 	for _, e := range g.freeze(ctx) {
 		if h, ok := e.handed(); ok {
@@ -224,13 +220,19 @@
 	}
 	frozen := len(waiting)
 	for _, peer := range peers {
-		offer(ctx, peer, waiting)
+		g.offer(ctx, peer, len(peers), waiting)
 	}
-	return LeaveReport{HandedOver: frozen - len(waiting), Left: len(waiting)}
+	report := LeaveReport{HandedOver: frozen - len(waiting), Left: len(waiting)}
+	handedOverVar.Add(int64(report.HandedOver))
+	leftVar.Add(int64(report.Left))
+	return report
 }
 
-// offer gives the waiting streams to a peer and removes those that it takes.
-func offer(ctx context.Context, peer Peer, waiting map[Key]Handed) {
+// offer gives the waiting streams to one of so many peers and removes those
+// that it takes. A peer that does not answer leaves time for the others.
+func (g *Registry) offer(ctx context.Context, peer Peer, peers int, waiting map[Key]Handed) {
+	ctx, cancel := context.WithTimeout(ctx, g.config.HandOverTime/time.Duration(peers))
+	defer cancel()
 	for _, batch := range batches(waiting) {
 		accepted, err := peer.HandOver(ctx, batch)
 		if err != nil {
@@ -242,21 +244,20 @@
 	}
 }
 
-// batches splits streams into messages of bounded size.
+// batches splits streams into messages of bounded size. A stream that is
+// larger than the bound gets a message of its own.
 func batches(streams map[Key]Handed) [][]Handed {
 	var all [][]Handed
-	var batch []Handed
 	size := 0
 	for _, s := range streams {
-		batch = append(batch, s)
-		size += s.size()
-		if len(batch) >= handedStreams || size >= handedBytes {
-			all = append(all, batch)
-			batch, size = nil, 0
+		last := len(all) - 1
+		if last < 0 || size+s.size() > handedBytes || len(all[last]) >= handedStreams {
+			all = append(all, nil)
+			last++
+			size = 0
 		}
-	}
-	if len(batch) > 0 {
-		all = append(all, batch)
+		all[last] = append(all[last], s)
+		size += s.size()
 	}
 	return all
 }
--- a/internal/upstream/connectupstream/plain_test.go
+++ b/internal/upstream/connectupstream/plain_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"testing"
-	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -17,6 +16,8 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/upstream/connectupstream"
 )
 
+const plainIncarnation = 2
+
 const key = "auktion-app/account-1/bid-1"
 
 var bid = upstream.InvokeRequest{Method: "bid", Key: key, Fence: 5, Payload: []byte("lot 17")}
@@ -24,7 +25,7 @@
 // onEachPlain runs a contract test on the fake in memory and on the Connect
 // adapter over a loopback socket.
 func onEachPlain(t *testing.T, options plain.Options, test func(t *testing.T, fake *plain.Service, subject upstream.Plain)) {
-	options.Instance, options.Incarnation = "plain-1", 2
+	options.Instance, options.Incarnation = "plain-1", plainIncarnation
 	t.Run("memory", func(t *testing.T) {
 		fake := plain.New(options)
 		test(t, fake, fake)
@@ -47,21 +48,26 @@
 	cases := []struct {
 		story   string
 		prepare func(*plain.Service)
-		want    error
-		ran     bool
-		effects int
+		// incarnation is the one that the call is meant for; 0 is any.
+		incarnation ident.Incarnation
+		want        error
+		ran         bool
+		effects     int
 	}{
-		{"leaving", func(s *plain.Service) { s.SetLeaving(true) }, upstream.ErrLeaving, false, 0},
-		{"old fencing number", func(s *plain.Service) { _, _ = s.Find(context.Background(), key, 6) }, upstream.ErrOldFence, false, 0},
-		{"connection lost before the effect", func(s *plain.Service) { s.FailNext(plain.LostBeforeEffect) }, nil, true, 0},
-		{"connection lost after the effect", func(s *plain.Service) { s.FailNext(plain.LostAfterEffect) }, nil, true, 1},
+		{"leaving", func(s *plain.Service) { s.SetLeaving(true) }, 2, upstream.ErrLeaving, false, 0},
+		{"old fencing number", func(s *plain.Service) { _, _ = s.Find(context.Background(), key, 6) }, 0, upstream.ErrOldFence, false, 0},
+		{"another life of the instance", func(*plain.Service) {}, 1, upstream.ErrRefused, false, 0},
+		{"connection lost before the effect", func(s *plain.Service) { s.FailNext(plain.LostBeforeEffect) }, 2, nil, true, 0},
+		{"connection lost after the effect", func(s *plain.Service) { s.FailNext(plain.LostAfterEffect) }, 0, nil, true, 1},
 	}
 	for _, c := range cases {
 		t.Run(c.story, func(t *testing.T) {
 			options := plain.Options{ChecksFencing: true, FindsOutcomes: true}
 			onEachPlain(t, options, func(t *testing.T, fake *plain.Service, subject upstream.Plain) {
 				c.prepare(fake)
-				_, err := subject.Invoke(t.Context(), bid)
+				call := bid
+				call.Incarnation = c.incarnation
+				_, err := subject.Invoke(t.Context(), call)
 				if err == nil || (c.want != nil && !errors.Is(err, c.want)) {
 					t.Errorf("got %v, want %v", err, c.want)
 				}
@@ -91,7 +97,7 @@
 		}
 		fake.SetLeaving(true)
 		health, err := subject.Health(t.Context())
-		want := upstream.Health{Instance: "plain-1", Incarnation: 2, Leaving: true}
+		want := upstream.Health{Instance: "plain-1", Incarnation: plainIncarnation, Leaving: true}
 		if err != nil || health != want {
 			t.Errorf("health %+v, %v, want %+v", health, err, want)
 		}
@@ -103,7 +109,7 @@
 // Cause: taking the end of one's own context for the end of the call.
 func TestPlainCallGoesOnWhenItsCallerGivesUp(t *testing.T) {
 	onEachPlain(t, plain.Options{FindsOutcomes: true}, func(t *testing.T, fake *plain.Service, subject upstream.Plain) {
-		fake.SetDelays(plain.Delays{BeforeEffect: 50 * time.Millisecond})
+		fake.SetDelays(plain.Delays{BeforeEffect: 10 * shortPatience})
 		ctx, cancel := context.WithCancel(t.Context())
 		failed := make(chan error, 1)
 		go func() {
@@ -168,11 +174,11 @@
 		want    want
 	}{
 		{"nothing known, fences checked", plain.Options{ChecksFencing: true, FindsOutcomes: true}, false,
-			want{upstream.FindResult{State: upstream.Absent, Fenced: true}, nil, upstream.ErrOldFence}},
+			want{upstream.FindResult{State: upstream.Absent, Fenced: true, Incarnation: plainIncarnation}, nil, upstream.ErrOldFence}},
 		{"nothing known, fences ignored", plain.Options{FindsOutcomes: true}, false,
-			want{upstream.FindResult{State: upstream.Absent}, nil, nil}},
+			want{upstream.FindResult{State: upstream.Absent, Incarnation: plainIncarnation}, nil, nil}},
 		{"call done", plain.Options{ChecksFencing: true, FindsOutcomes: true}, true,
-			want{upstream.FindResult{State: upstream.Done, Answer: done, Fenced: true}, nil, upstream.ErrOldFence}},
+			want{upstream.FindResult{State: upstream.Done, Answer: done, Fenced: true, Incarnation: plainIncarnation}, nil, upstream.ErrOldFence}},
 		{"cannot tell outcomes", plain.Options{ChecksFencing: true}, false,
 			want{upstream.FindResult{}, upstream.ErrRefused, nil}},
 	}
