--- a/Makefile
+++ b/Makefile
@@ -56,9 +56,10 @@
 policy:
 	$(GO) run ./cmd/experiment --seeds 5
 
-# The same with plots, into docs/report.
+# The same with plots, into docs/report. The plotting library is pinned in a
+# file of its own, so that the main module's graph stays small.
 policy-report:
-	$(GO) run ./cmd/experiment --seeds 5 --report docs/report
+	$(GO) run -modfile=cmd/experiment/plots.mod -tags plots ./cmd/experiment --seeds 5 --report docs/report
 
 # The slopes of docs/capacity-engine.md.
 capacity-engine:
--- a/internal/experiment/driver.go
+++ b/internal/experiment/driver.go
@@ -70,6 +70,7 @@
 	policies map[*document.Document]Policy
 	views    map[*document.Document][]blackboard.Upstream
 	caches   map[ident.Instance]*cacheview.View
+	blind    bool
 	// keepers are empty for policies without admission.
 	keepers map[*document.Document]*keeper
 	// evacuated are the leaving runners that were planned for; nil for
@@ -168,7 +169,7 @@
 
 func (r *run) addDeciders(contender Contender) {
 	for i := range deciders {
-		d := &decider{caches: make(map[ident.Instance]*cacheview.View), views: make(map[*document.Document][]blackboard.Upstream)}
+		d := &decider{caches: make(map[ident.Instance]*cacheview.View), views: make(map[*document.Document][]blackboard.Upstream), blind: contender.BlindToCaches}
 		d.policies = map[*document.Document]Policy{
 			r.workload.Model: contender.New(r.rng.Uint64, r.clock()),
 			r.workload.Plain: contender.New(r.rng.Uint64, r.clock()),
@@ -195,15 +196,12 @@
 		if u.ended {
 			continue
 		}
-		cache := d.caches[u.ID]
-		if cache == nil {
-			cache = cacheview.New(cacheview.DefaultParams(), r.clock())
-			d.caches[u.ID] = cache
-		}
-		cache.Apply(u.model.CacheEvents(cache.After(), r.clock()), r.clock())
 		report := u.model.Report(r.clock())
-		seen := blackboard.Upstream{Instance: u.Instance, State: blackboard.Alive, Report: report, Cache: cache}
+		seen := blackboard.Upstream{Instance: u.Instance, State: blackboard.Alive, Report: report}
 		seen.AsOf = r.clock().Add(-report.Age)
+		if !d.blind {
+			seen.Cache = r.cacheOf(d, u)
+		}
 		if u.leaving {
 			seen.State = blackboard.Leaving
 		}
@@ -225,6 +223,18 @@
 	}
 }
 
+// cacheOf returns what a decider believes of a runner's cache after reading
+// its newest events.
+func (r *run) cacheOf(d *decider, u *runner) *cacheview.View {
+	cache := d.caches[u.ID]
+	if cache == nil {
+		cache = cacheview.New(cacheview.DefaultParams(), r.clock())
+		d.caches[u.ID] = cache
+	}
+	cache.Apply(u.model.CacheEvents(cache.After(), r.clock()), r.clock())
+	return cache
+}
+
 func (r *run) document(plain bool) *document.Document {
 	if plain {
 		return r.workload.Plain
--- a/internal/experiment/report.go
+++ b/internal/experiment/plots.go
@@ -1,8 +1,8 @@
+//go:build plots
+
 package experiment
 
 import (
-	"fmt"
-	"os"
 	"path/filepath"
 
 	"gonum.org/v1/plot"
@@ -34,16 +34,8 @@
 	}
 }
 
-// WriteReport writes the table, the goals and the plots into a directory.
-func (t Table) WriteReport(directory string) error {
-	text, err := os.Create(filepath.Join(directory, "table.txt"))
-	if err != nil {
-		return err
-	}
-	defer text.Close()
-	t.Print(text)
-	fmt.Fprintln(text)
-	PrintGoals(text, t.Goals())
+// drawAll writes all plots into a directory.
+func (t Table) drawAll(directory string) error {
 	for _, w := range t.workloads() {
 		for _, c := range charts() {
 			if err := t.draw(w, c, directory); err != nil {
@@ -51,7 +43,7 @@
 			}
 		}
 	}
-	return text.Sync()
+	return nil
 }
 
 // workloads are those in the table, in its order.
--- a/internal/experiment/policies.go
+++ b/internal/experiment/policies.go
@@ -24,7 +24,9 @@
 	Name string
 	// Admission: requests are admitted, wait or are refused.
 	Admission bool
-	New       func(random func() uint64, now time.Time) Policy
+	// BlindToCaches: upstreams' cache events are not read.
+	BlindToCaches bool
+	New           func(random func() uint64, now time.Time) Policy
 }
 
 // ourParams are those of our policy; a trial may replace them.
@@ -36,9 +38,9 @@
 // Contenders returns the baselines and our policy.
 func Contenders() []Contender {
 	return []Contender{
-		baseline("round robin", roundRobin),
-		baseline("fewest in flight", fewestInFlight),
-		baseline("random of two", randomOfTwo),
+		blind(baseline("round robin", roundRobin)),
+		blind(baseline("fewest in flight", fewestInFlight)),
+		blind(baseline("random of two", randomOfTwo)),
 		baseline("prefix affinity", prefixAffinity),
 		{Name: Ours, Admission: true, New: ourPolicy},
 	}
@@ -70,6 +72,11 @@
 	}}
 }
 
+func blind(c Contender) Contender {
+	c.BlindToCaches = true
+	return c
+}
+
 // Decide narrows the view to the chosen upstream and lets the Router make the
 // decision, so that baselines are counted and predicted alike.
 func (s *simple) Decide(doc *document.Document, view []blackboard.Upstream, req routing.Request, now time.Time) routing.Decision {
--- a/internal/experiment/table.go
+++ b/internal/experiment/table.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"os"
+	"path/filepath"
 	"runtime"
 	"slices"
 
@@ -134,3 +136,19 @@
 	}
 	fmt.Fprintln(out)
 }
+
+// WriteReport writes the table, the goals and the plots into a directory.
+func (t Table) WriteReport(directory string) error {
+	text, err := os.Create(filepath.Join(directory, "table.txt"))
+	if err != nil {
+		return err
+	}
+	defer text.Close()
+	t.Print(text)
+	fmt.Fprintln(text)
+	PrintGoals(text, t.Goals())
+	if err := t.drawAll(directory); err != nil {
+		return err
+	}
+	return text.Sync()
+}
