--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -153,7 +153,10 @@
 			}
 			next[id] = &slot{}
 		}
-		if len(next) == len(*old) || r.slots.CompareAndSwap(old, &next) {
+		if len(next) == len(*old) {
+			return next
+		}
+		if added := next; r.slots.CompareAndSwap(old, &added) {
 			return next
 		}
 	}
