--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -27,7 +27,8 @@
 	if first[1].Policy != Ours || first[1].Seeds[0] == first[1].Seeds[1] || first[1].Seeds[0] == first[0].Seeds[0] {
 		t.Error("two seeds or two policies gave the same figures")
 	}
-	if resumed := first[1].Seeds[0].Resumed; resumed >= first[0].Seeds[0].Resumed {
+	const most = 0.2
+	if resumed := first[1].Seeds[0].Resumed; resumed > most*first[0].Seeds[0].Resumed {
 		t.Errorf("ours recomputed %.0f tokens of interrupted streams, round robin %.0f", resumed, first[0].Seeds[0].Resumed)
 	}
 }
