--- a/Makefile
+++ b/Makefile
@@ -50,8 +50,17 @@
 	scripts/fuzz.sh $(FOR)
 
 # --- routing policies (cmd/experiment) ---
-.PHONY: policy
+.PHONY: policy policy-report capacity-engine
 
 # Compares routing policies in virtual time and prints which goals are met.
 policy:
 	$(GO) run ./cmd/experiment --seeds 5
+
+# The same with plots, into docs/report. The plotting library is pinned in a
+# file of its own, so that the main module's graph stays small.
+policy-report:
+	$(GO) run -modfile=cmd/experiment/plots.mod -tags plots ./cmd/experiment --seeds 5 --report docs/report
+
+# The slopes of docs/capacity-engine.md.
+capacity-engine:
+	$(GO) test ./internal/routing ./internal/cacheview -run XXX -bench . -benchtime 300ms
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -12,7 +12,7 @@
 // failure domain is reclaimed.
 func TestFiguresAreReproducible(t *testing.T) {
 	cases := []Case{{Name: "reclaimed", Load: light, Reclaim: true}}
-	play := func() Table { return RunAll([]*Workload{Harfang()}, cases, []Contender{Contenders()[0], ours()}, 2) }
+	play := func() Table { return RunAll([]*Workload{Domaenenhaus()}, cases, []Contender{Contenders()[0], ours()}, 2) }
 	first, second := play(), play()
 	for i := range first {
 		for seed, f := range first[i].Seeds {
@@ -27,7 +27,8 @@
 	if first[1].Policy != Ours || first[1].Seeds[0] == first[1].Seeds[1] || first[1].Seeds[0] == first[0].Seeds[0] {
 		t.Error("two seeds or two policies gave the same figures")
 	}
-	if resumed := first[1].Seeds[0].Resumed; resumed >= first[0].Seeds[0].Resumed {
+	const most = 0.2
+	if resumed := first[1].Seeds[0].Resumed; resumed > most*first[0].Seeds[0].Resumed {
 		t.Errorf("ours recomputed %.0f tokens of interrupted streams, round robin %.0f", resumed, first[0].Seeds[0].Resumed)
 	}
 }
