--- a/internal/calls/world_test.go
+++ b/internal/calls/world_test.go
@@ -500,6 +500,10 @@
 	w.mu.Unlock()
 	w.log.SetOutage(false)
 	w.log.SetDelay(0)
+	for range 200 {
+		// Uses up the losses that no append has met yet.
+		_, _ = w.log.Append(context.Background(), "unused", nil)
+	}
 	for _, g := range w.gateways {
 		g.cut.Store(false)
 		g.freezeAtDispatch.Store(false)
