--- /dev/null
+++ b/internal/calls/leaving_test.go
@@ -0,0 +1,132 @@
+package calls
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/fault"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/plain"
+)
+
+// Symptom: an accepted call is never run although a peer has taken it.
+// Sequence: a claim is in the log, but its gateway does not hear so and is cut
+// off; its reclaim is announced and a peer takes the call; the gateway dies
+// before it can journal the release.
+// Cause: only the record of the release opens the key; the peer must write it
+// too, because the message that hands the call over proves it.
+func TestHolderDiesInTheMiddleOfTheHandOver(t *testing.T) {
+	inWorld(t, blind, func(t *testing.T, m *machine, g []*gateway) {
+		m.w.log.SetLateness(50 * time.Millisecond)
+		m.w.log.LoseNext(fault.Late)
+		r := m.newRequest(false)
+		m.send(g[0], r, patient)
+		g[0].cut.Store(true)
+		m.w.log.SetDelay(200 * time.Millisecond)
+		m.reclaim(g[0], patient)
+		g[0].kill()
+		time.Sleep(patient)
+		if count, _ := m.w.effects(r.key); count != 1 {
+			t.Fatalf("the call ran %d times, want once, by the peer%s", count, m.w.history(r.key))
+		}
+		wantKind(t, "attempt 2", m.do(g[2], r), outcome.Completed)
+	})
+}
+
+// Symptom: a caller whose call ran hears unknown, for ever.
+// Sequence: a call completes while the log is down; its gateway dies before it
+// can journal the outcome.
+// Cause: the outcome must be with peers at once, and they must journal it when
+// the gateway no longer can.
+func TestOutcomeOutlivesItsGateway(t *testing.T) {
+	inWorld(t, blind, func(t *testing.T, m *machine, g []*gateway) {
+		m.w.upstreams[0].life().SetDelays(plain.Delays{AfterEffect: time.Second})
+		m.w.upstreams[1].life().SetDelays(plain.Delays{AfterEffect: time.Second})
+		r := m.newRequest(false)
+		m.send(g[0], r, patient)
+		m.w.log.SetOutage(true)
+		time.Sleep(2 * time.Second)
+		wantKind(t, "attempt 1", r.last(), outcome.Completed)
+		g[0].kill()
+		wantKind(t, "a question in the other failure domain", g[2].calls.Find(context.Background(), r.key), outcome.Completed)
+		m.w.log.SetOutage(false)
+		time.Sleep(patient)
+		g[1].kill()
+		g[2].kill()
+		fresh := m.w.newGateway("hall-b")
+		time.Sleep(10 * time.Second)
+		wantKind(t, "a question at a fresh gateway", fresh.calls.Find(context.Background(), r.key), outcome.Completed)
+	})
+}
+
+// Symptom: callers are cut off by a planned stop.
+// Sequence: a gateway stops while a call runs or waits for the log, and ends as
+// soon as Stop has returned.
+// Cause: Stop must hand over what waits, wait for what runs, also when its
+// caller has gone, and return only when the journal has everything.
+func TestStopLosesNothing(t *testing.T) {
+	slow := plain.Delays{AfterEffect: 2 * time.Second}
+	stop := func(m *machine, g *gateway) {
+		m.reclaim(g, patient)
+		m.pending.Wait()
+	}
+	t.Run("a call that runs, at the last gateway", func(t *testing.T) {
+		inWorld(t, blind, func(t *testing.T, m *machine, g []*gateway) {
+			m.w.upstreams[0].life().SetDelays(slow)
+			m.w.upstreams[1].life().SetDelays(slow)
+			g[1].kill()
+			g[2].kill()
+			r := m.newRequest(false)
+			m.send(g[0], r, time.Second)
+			time.Sleep(1500 * time.Millisecond)
+			m.w.log.SetDelay(time.Second)
+			stop(m, g[0])
+			m.w.log.SetDelay(0)
+			fresh := m.w.newGateway("hall-b")
+			time.Sleep(10 * time.Second)
+			wantKind(t, "a question by key", fresh.calls.Find(context.Background(), r.key), outcome.Completed)
+		})
+	})
+	t.Run("a call that waits, with peers", func(t *testing.T) {
+		inWorld(t, blind, func(t *testing.T, m *machine, g []*gateway) {
+			m.w.log.SetDelay(700 * time.Millisecond)
+			r := m.newRequest(false)
+			m.send(g[0], r, patient)
+			stop(m, g[0])
+			wantKind(t, "attempt 1", r.last(), outcome.InProgress)
+			time.Sleep(patient)
+			wantKind(t, "a question by key", g[1].calls.Find(context.Background(), r.key), outcome.Completed)
+		})
+	})
+}
+
+// Symptom: a call is cut off by a planned stop.
+// Sequence: it was admitted before the gateway began to leave, and claims its
+// key after all waiting claims were handed over.
+// Cause: from the hand-over on no claim may begin.
+func TestCallAdmittedJustBeforeTheStop(t *testing.T) {
+	inWorld(t, blind, func(t *testing.T, m *machine, g []*gateway) {
+		r := m.newRequest(false)
+		g[0].calls.giveUpWaiting()
+		wantKind(t, "attempt 1", m.do(g[0], r), outcome.NotRun)
+		wantKind(t, "attempt 2", m.do(g[1], r), outcome.Completed)
+	})
+}
+
+// Symptom: a caller hears that its call may have run, while it runs.
+// Sequence: a repeat comes to another gateway when the claim is old already.
+// Cause: the holder must be asked whether it waits for the upstream.
+func TestRepeatWhileTheCallRuns(t *testing.T) {
+	inWorld(t, blind, func(t *testing.T, m *machine, g []*gateway) {
+		for _, s := range m.w.upstreams {
+			s.life().SetDelays(plain.Delays{BeforeEffect: 2800 * time.Millisecond})
+		}
+		r := m.newRequest(false)
+		m.send(g[0], r, patient)
+		time.Sleep(2500 * time.Millisecond)
+		m.send(g[2], r, patient)
+		wantKind(t, "attempt 2", r.last(), outcome.InProgress)
+		wantKind(t, "attempt 3", m.do(g[2], r), outcome.Completed)
+	})
+}
--- /dev/null
+++ b/internal/calls/network_test.go
@@ -0,0 +1,229 @@
+package calls
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/calls/journal"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/plain"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstream"
+)
+
+// gatewayLog is the log as one gateway reaches it.
+type gatewayLog struct{ g *gateway }
+
+func (l gatewayLog) Append(ctx context.Context, stream string, records [][]byte) (ident.Offset, error) {
+	if err := l.g.step(); err != nil {
+		return 0, err
+	}
+	if l.g.cut.Load() {
+		return 0, platform.ErrUnavailable
+	}
+	offset, err := l.g.w.log.Append(ctx, stream, records)
+	if killed := l.g.step(); killed != nil {
+		return 0, killed
+	}
+	return offset, err
+}
+
+func (l gatewayLog) Read(ctx context.Context, stream string, from ident.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+	if err := l.g.step(); err != nil {
+		return platform.Batch{}, err
+	}
+	if l.g.cut.Load() {
+		return platform.Batch{}, platform.ErrUnavailable
+	}
+	batch, err := l.g.w.log.Read(ctx, stream, from, limit, wait)
+	if killed := l.g.step(); killed != nil {
+		return platform.Batch{}, killed
+	}
+	return batch, err
+}
+
+// dispatcher reaches the upstreams of the gateway's side of a split.
+type dispatcher struct{ g *gateway }
+
+func (d dispatcher) Pick(_ context.Context, _ Call, exclude []ident.Instance) (journal.Target, bool) {
+	w := d.g.w
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.picks++
+	for i := range w.upstreams {
+		s := w.upstreams[(w.picks+i)%len(w.upstreams)]
+		excluded := len(exclude) > 0 && exclude[0] == s.id
+		if excluded || w.split && s.domain != d.g.domain {
+			continue
+		}
+		return journal.Target{Instance: s.id, Incarnation: s.incarnation()}, true
+	}
+	return journal.Target{}, false
+}
+
+// life returns the running incarnation of a target if it is the target's.
+func (w *world) life(target journal.Target) (*plain.Service, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range w.upstreams {
+		if s.id == target.Instance {
+			return s.life(), s.incarnation() == target.Incarnation
+		}
+	}
+	return nil, false
+}
+
+// upstreamPayload marks the attempt, so that the oracle sees which one ran.
+func upstreamPayload(payload []byte, attempt uint32) []byte {
+	return fmt.Appendf(nil, "%s#%d", payload, attempt)
+}
+
+func (w *world) nextLateness() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.lateness) == 0 {
+		return 0
+	}
+	late := w.lateness[0]
+	w.lateness = w.lateness[1:]
+	return late
+}
+
+// Invoke sends the call even if ctx has ended while the gateway was frozen: a
+// real process can be stopped after its last look at a deadline.
+func (d dispatcher) Invoke(ctx context.Context, call Call, target journal.Target, fence ident.Fence) (upstream.Answer, error) {
+	if d.g.freezeAtDispatch.CompareAndSwap(true, false) {
+		d.g.freeze()
+	}
+	if err := d.g.step(); err != nil {
+		return upstream.Answer{}, err
+	}
+	w := d.g.w
+	late := w.nextLateness()
+	req := upstream.InvokeRequest{
+		Method:  call.Method,
+		Key:     call.Key.String(),
+		Fence:   fence,
+		Payload: upstreamPayload(call.Payload, call.Attempt),
+	}
+	send := func(ctx context.Context) (upstream.Answer, error) {
+		life, same := w.life(target)
+		if !same {
+			return upstream.Answer{}, upstream.ErrNotSent
+		}
+		answer, err := life.Invoke(ctx, req)
+		if upstream.Ran(err) {
+			w.locked(func() { w.taken[call.Key]++ })
+		}
+		return answer, err
+	}
+	if late > 0 {
+		w.locked(func() { w.taken[call.Key]++ })
+		time.AfterFunc(late, func() { _, _ = send(context.Background()) })
+		return upstream.Answer{}, plain.ErrConnectionLost
+	}
+	if ctx.Err() != nil {
+		w.locked(func() { w.taken[call.Key]++ })
+		_, _ = send(context.Background())
+		return upstream.Answer{}, ctx.Err()
+	}
+	answer, err := send(ctx)
+	if killed := d.g.step(); killed != nil {
+		return upstream.Answer{}, killed
+	}
+	return answer, err
+}
+
+func (d dispatcher) Find(ctx context.Context, key ident.CallKey, target journal.Target, fence ident.Fence) (upstream.FindResult, error) {
+	if err := d.g.step(); err != nil {
+		return upstream.FindResult{}, err
+	}
+	life, same := d.g.w.life(target)
+	if !same || !d.g.w.trust.FindsOutcomes {
+		return upstream.FindResult{}, upstream.ErrRefused
+	}
+	return life.Find(ctx, key.String(), fence)
+}
+
+// peers are the other gateways, those of the other failure domain first.
+type peers struct{ g *gateway }
+
+func (p peers) Candidates() []Peer {
+	w := p.g.w
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var near, far []Peer
+	for _, other := range w.gateways {
+		switch {
+		case other == p.g || !other.alive():
+		case other.domain == p.g.domain:
+			near = append(near, peer{p.g, other})
+		default:
+			far = append(far, peer{p.g, other})
+		}
+	}
+	return append(far, near...)
+}
+
+// peer is another gateway as one gateway reaches it.
+type peer struct{ from, to *gateway }
+
+func (p peer) ID() ident.Instance { return p.to.id }
+
+// reach returns an error when the peer cannot be reached at all.
+func (p peer) reach() error {
+	if err := p.from.step(); err != nil {
+		return err
+	}
+	p.from.w.mu.Lock()
+	split := p.from.w.split && p.from.domain != p.to.domain
+	p.from.w.mu.Unlock()
+	if split || !p.to.alive() {
+		return ErrNotHanded
+	}
+	return nil
+}
+
+func (p peer) PutOutcomes(_ context.Context, outcomes []KeyedOutcome) error {
+	if err := p.reach(); err != nil {
+		return err
+	}
+	p.to.calls.PutOutcomes(outcomes)
+	return nil
+}
+
+// FindOutcome hears nothing from a frozen peer.
+func (p peer) FindOutcome(ctx context.Context, key ident.CallKey) (PeerAnswer, error) {
+	if err := p.reach(); err != nil {
+		return PeerAnswer{}, err
+	}
+	if p.to.isFrozen() {
+		<-ctx.Done()
+		return PeerAnswer{}, ctx.Err()
+	}
+	return p.to.calls.FindLocal(key), nil
+}
+
+// HandOver reaches a frozen peer once that goes on, however late.
+func (p peer) HandOver(ctx context.Context, h HandOver) ([]journal.ClaimID, error) {
+	if err := p.reach(); err != nil {
+		return nil, err
+	}
+	answer := make(chan []journal.ClaimID, 1)
+	go func() {
+		if p.to.step() == nil {
+			answer <- p.to.calls.TakeOver(h)
+		}
+	}()
+	select {
+	case accepted := <-answer:
+		if p.from.w.handOverLost() {
+			return nil, errors.New("answer of hand-over lost")
+		}
+		return accepted, p.from.step()
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
