--- a/internal/calls/shares_test.go
+++ b/internal/calls/shares_test.go
@@ -61,6 +61,12 @@
 			m.w.locked(func() { m.w.split = true })
 			time.AfterFunc(20*time.Second, func() { m.w.locked(func() { m.w.split = false }) })
 		}},
+		{"failure domain cut from the platform for 20 s", func(_ *machine, g []*gateway) {
+			for _, cut := range g[:2] {
+				cut.cut.Store(true)
+				time.AfterFunc(20*time.Second, func() { cut.cut.Store(false) })
+			}
+		}},
 		{"every third answer of an upstream lost", func(m *machine, _ []*gateway) {
 			for _, s := range m.w.upstreams {
 				for range 20 {
