--- a/internal/calls/network_test.go
+++ b/internal/calls/network_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/calls/journal"
@@ -63,16 +64,12 @@
 	return journal.Target{}, false
 }
 
-// life returns the running incarnation of a target if it is the target's.
-func (w *world) life(target journal.Target) (*plain.Service, bool) {
+// life returns what runs at a target's address now.
+func (w *world) life(target journal.Target) *plain.Service {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, s := range w.upstreams {
-		if s.id == target.Instance {
-			return s.life(), s.incarnation() == target.Incarnation
-		}
-	}
-	return nil, false
+	i := slices.IndexFunc(w.upstreams, func(s *server) bool { return s.id == target.Instance })
+	return w.upstreams[i].life()
 }
 
 // upstreamPayload marks the attempt, so that the oracle sees which one ran.
@@ -108,12 +105,12 @@
 		Fence:   fence,
 		Payload: upstreamPayload(call.Payload, call.Attempt),
 	}
+	if w.trust.ChecksFencing {
+		// Upstreams that check nothing do not look at this either.
+		req.Incarnation = target.Incarnation
+	}
 	send := func(ctx context.Context) (upstream.Answer, error) {
-		life, same := w.life(target)
-		if !same {
-			return upstream.Answer{}, upstream.ErrNotSent
-		}
-		answer, err := life.Invoke(ctx, req)
+		answer, err := w.life(target).Invoke(ctx, req)
 		if upstream.Ran(err) {
 			w.locked(func() { w.taken[call.Key]++ })
 		}
@@ -140,11 +137,11 @@
 	if err := d.g.step(); err != nil {
 		return upstream.FindResult{}, err
 	}
-	life, same := d.g.w.life(target)
-	if !same || !d.g.w.trust.FindsOutcomes {
+	found, err := d.g.w.life(target).Find(ctx, key.String(), fence)
+	if found.Incarnation != target.Incarnation || !d.g.w.trust.FindsOutcomes {
 		return upstream.FindResult{}, upstream.ErrRefused
 	}
-	return life.Find(ctx, key.String(), fence)
+	return found, err
 }
 
 // peers are the other gateways, those of the other failure domain first.
