--- a/internal/controllers/membership/exchange.go
+++ b/internal/controllers/membership/exchange.go
@@ -153,11 +153,23 @@
 		FailureDomain: ident.FailureDomain(resp.GetFailureDomain()),
 		PeerAddress:   peer.address,
 	}, now)
-	c.mismatch = c.mismatch || c.table.Checksum() != position.GetChecksum()
+	c.mismatch = c.mismatch || !c.compareFacts(s, position)
 	c.publishFacts(now)
 	s.heard(ident.Revision(resp.GetRevision()))
 }
 
+// compareFacts reports whether the peer held the same facts when it sent. If so,
+// it need not be told those that it heard of from others.
+func (c *Controller) compareFacts(s *session, position *peerv1.DigestPosition) bool {
+	if c.table.Checksum() != position.GetChecksum() {
+		return false
+	}
+	if s.acknowledged.Facts < c.table.LastFact() {
+		s.acknowledged.Facts = c.table.EqualThrough(s.acknowledged.Facts)
+	}
+	return true
+}
+
 // Exchange answers a peer's heartbeat.
 func (c *Controller) Exchange(_ context.Context, req *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error) {
 	if req.GetFrom() == "" || req.GetPosition().GetEpoch() == 0 {
@@ -194,6 +206,7 @@
 		PeerAddress:   req.GetPeerAddress(),
 	}, now)
 	c.publishFacts(now)
+	c.compareFacts(s, position)
 	s.heard(ident.Revision(req.GetRevision()))
 	return c.buildResponse(s, from, position, now)
 }
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -101,6 +101,19 @@
 
 // factHash mixes the state into the key; the multiplier is odd, so that no two
 // states of one life are the same.
+// EqualThrough returns the number up to which a peer with the same checksum has
+// all facts. The checksum says nothing of gone instances, so it is below the
+// first end after the number up to which the peer has all for certain.
+func (t *Table) EqualThrough(after uint64) uint64 {
+	through := t.sequence
+	for _, r := range t.records {
+		if r.State == blackboard.Gone && r.factAt > after {
+			through = min(through, r.factAt-1)
+		}
+	}
+	return through
+}
+
 func factHash(e Entry) uint64 {
 	const mix = 0x9e3779b97f4a7c15
 	return (Key(e) + uint64(e.State)) * mix
