Membership: a sign about an unknown instance counts

Seen failing first: TestMembershipOverSockets hung and TestSignOfAnUnknownInstanceCounts showed state 2 (suspect, by the late list) at the peers; admission asked a proof of life of leaving entries too and dropped the sign. Only living instances need a proof now.

--- a/internal/controllers/membership/controller.go
+++ b/internal/controllers/membership/controller.go
@@ -305,3 +305,6 @@
 	}
 	return instance
 }
+
+// Self returns this process's own instance.
+func (c *Controller) Self() ident.Instance { return c.config.Self.ID }
--- a/internal/controllers/membership/departure_test.go
+++ b/internal/controllers/membership/departure_test.go
@@ -347,3 +347,27 @@
 		})
 	}
 }
+
+// Symptom: a process sends work to an upstream that its peers knew to leave.
+// Sequence: the sign reaches one process; another, whose list lags, has not heard
+// of the instance yet; then its list says "live".
+// Cause: a sign about an unknown instance is dropped.
+func TestSignOfAnUnknownInstanceCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(8, 0, 4, nil)
+		defer f.run()()
+		time.Sleep(5 * time.Second)
+		u := platform.Instance{ID: "u", Incarnation: 1, Role: platform.RoleEngine, FailureDomain: "hall-a", State: platform.Live}
+		f.nodes[0].NoteLeaving(u.ID, u.Incarnation)
+		time.Sleep(boundBetween)
+		for _, n := range f.nodes {
+			n.ApplyList(append(f.list(), u))
+		}
+		synctest.Wait()
+		for _, n := range f.nodes {
+			if state, _ := n.state(u.ID); state != blackboard.Leaving {
+				t.Errorf("%s holds state %v", n.self.ID, state)
+			}
+		}
+	})
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -12,7 +12,7 @@
 // and ListLag; see Table.Forget.
 type Limits struct {
 	// Admission is the greatest age of the proof of life with which a peer
-	// can introduce an instance that this process does not know.
+	// can introduce a living instance that this process does not know.
 	Admission time.Duration
 	// Forget is how long a gone instance is remembered.
 	Forget time.Duration
@@ -138,8 +138,12 @@
 }
 
 func (t *Table) admits(e Entry, now time.Time) bool {
-	if e.State == blackboard.Gone {
+	switch e.State {
+	case blackboard.Gone:
 		return now.Sub(e.GoneAt) <= t.limits.Forget
+	case blackboard.Leaving:
+		// This process's list may show it as live yet.
+		return true
 	}
 	return now.Sub(e.Seen) <= t.limits.Admission
 }
