--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -12,7 +12,8 @@
 // and ListLag; see Table.Forget.
 type Limits struct {
 	// Admission is the greatest age of the proof of life with which a peer
-	// can introduce a living instance that this process does not know.
+	// can introduce a living instance, or a new life of one, that this
+	// process does not know.
 	Admission time.Duration
 	// Forget is how long a gone instance is remembered.
 	Forget time.Duration
@@ -126,15 +127,22 @@
 // What goes wrong without admission: a peer comes back from an hour's partition
 // and still holds an instance as alive that all others have seen end and
 // forgotten; it would be alive again everywhere. An instance that is gone gives
-// no proof of life, so an old proof is the sign of it.
+// no proof of life, so an old proof is the sign of it. That holds for each life:
+// an earlier one may still be remembered where the later one is forgotten.
 func (t *Table) MergePeer(from ident.Instance, e Entry, now time.Time) Change {
 	if e.State == blackboard.Suspect {
 		e.State = blackboard.Alive
 	}
-	if _, known := t.records[e.ID]; !known && !t.admits(e, now) {
+	r, known := t.records[e.ID]
+	newLife := !known || e.Incarnation > r.Incarnation
+	if !newLife || t.admits(e, now) {
+		return t.merge(from, e, now)
+	}
+	if !known {
 		return Nothing
 	}
-	return t.merge(from, e, now)
+	// Whether or not the later life goes on, the earlier one is over.
+	return t.merge(from, Entry{ID: r.ID, Incarnation: r.Incarnation, State: blackboard.Gone}, now)
 }
 
 func (t *Table) admits(e Entry, now time.Time) bool {
