--- a/internal/controllers/probing/probing_test.go
+++ b/internal/controllers/probing/probing_test.go
@@ -18,6 +18,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/cacheview"
 	controller "github.com/goldcrestspool/goldcrestspool/internal/controllers/membership"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/membership"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
 	"github.com/goldcrestspool/goldcrestspool/internal/upstream"
 )
@@ -268,3 +269,30 @@
 		t.Errorf("%d upstreams are probed, want %d", len(count), upstreams+1)
 	}
 }
+
+// known is a membership that holds entries and takes no observations.
+type known []membership.Entry
+
+func (known) Observe(controller.Observation) {}
+func (k known) Entries() []membership.Entry  { return k }
+
+// BenchmarkPublish is a new snapshot of all upstreams, as after each round of
+// probes or digests.
+func BenchmarkPublish(b *testing.B) {
+	for _, upstreams := range []int{13, 210, 690} {
+		b.Run(fmt.Sprint(upstreams), func(b *testing.B) {
+			members := &blackboard.Members{ByID: map[ident.Instance]blackboard.Member{}}
+			var entries known
+			for i := range upstreams {
+				u := engineInstance(ident.Instance(fmt.Sprintf("u%d", i)), 1, "a:1")
+				members.ByID[u.ID] = blackboard.Member{Instance: u, Incarnation: 1, State: blackboard.Alive}
+				entries = append(entries, membership.Entry{ID: u.ID, Incarnation: 1, Load: membership.Load{Running: 3, At: time.Now()}})
+			}
+			c := New(DefaultConfig("g", "one"), Deps{Board: blackboard.NewBoard(), Membership: entries})
+			b.ReportAllocs()
+			for b.Loop() {
+				c.publish(members)
+			}
+		})
+	}
+}
