--- a/internal/controllers/membership/departure_test.go
+++ b/internal/controllers/membership/departure_test.go
@@ -319,3 +319,55 @@
 		<-done
 	})
 }
+
+// Symptom: a process takes a stale "live" for true, though a peer knew of the
+// end.
+// Sequence: one process sees an instance end that the other never heard of; the
+// checksums, which leave out the gone, are equal; then the stale list arrives.
+// Cause: equal checksums are taken to cover the gone as well.
+func TestEndsAreToldThoughChecksumsAreEqual(t *testing.T) {
+	for tenths := range 10 {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(2, 0, 2, nil)
+			defer f.run()()
+			time.Sleep(5 * time.Second)
+			// The push of the news fails.
+			f.setCut("hall-a", true)
+			u := platform.Instance{ID: "u", Incarnation: 1, Role: platform.RoleEngine, FailureDomain: "hall-a", State: platform.Ended}
+			f.nodes[0].ApplyList(append(f.list(), u))
+			time.Sleep(5*time.Second + time.Duration(tenths)*100*time.Millisecond)
+			f.setCut("hall-a", false)
+			time.Sleep(boundHealed)
+			u.State = platform.Live
+			f.nodes[1].ApplyList(append(f.list(), u))
+			synctest.Wait()
+			if state, _ := f.nodes[1].state("u"); state != blackboard.Gone {
+				t.Errorf("state %v", state)
+			}
+		})
+	}
+}
+
+// Symptom: a process sends work to an upstream that its peers knew to leave.
+// Sequence: the sign reaches one process; another, whose list lags, has not heard
+// of the instance yet; then its list says "live".
+// Cause: a sign about an unknown instance is dropped.
+func TestSignOfAnUnknownInstanceCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(8, 0, 4, nil)
+		defer f.run()()
+		time.Sleep(5 * time.Second)
+		u := platform.Instance{ID: "u", Incarnation: 1, Role: platform.RoleEngine, FailureDomain: "hall-a", State: platform.Live}
+		f.nodes[0].NoteLeaving(u.ID, u.Incarnation)
+		time.Sleep(boundBetween)
+		for _, n := range f.nodes {
+			n.ApplyList(append(f.list(), u))
+		}
+		synctest.Wait()
+		for _, n := range f.nodes {
+			if state, _ := n.state(u.ID); state != blackboard.Leaving {
+				t.Errorf("%s holds state %v", n.self.ID, state)
+			}
+		}
+	})
+}
