TLS sessions are resumed on fresh connections

A listener keeps one configuration as long as its files stay, since only sessions of the same configuration can be resumed; a renewal ends them.

--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -229,6 +229,8 @@
 					if body == "" {
 						req.Body = nil
 					}
+					// Longer than the limits, shorter than an idle connection is kept.
+					time.Sleep(2 * testLimits.write)
 					req.Header.Del("Expect")
 					if strings.Contains(body, "Expect") {
 						req.Header.Set("Expect", "100-continue")
--- a/internal/gateway/tls_test.go
+++ b/internal/gateway/tls_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"os"
 	"path/filepath"
 	"strings"
@@ -13,6 +15,7 @@
 	"github.com/goldcrestspool/goldcrestspool/api/caller/v1/callerv1connect"
 	"github.com/goldcrestspool/goldcrestspool/internal/settings"
 	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
+	"github.com/goldcrestspool/goldcrestspool/internal/transport"
 )
 
 // secureWorld is a world behind a listener with TLS.
@@ -69,9 +72,9 @@
 			var protocols http.Protocols
 			protocols.SetHTTP1(protocol == "http/1.1")
 			protocols.SetHTTP2(protocol == "h2")
-			transport := &http.Transport{Protocols: &protocols, TLSClientConfig: &tls.Config{RootCAs: s.authority.Pool()}}
-			t.Cleanup(transport.CloseIdleConnections)
-			client := callerv1connect.NewCallerServiceClient(&http.Client{Transport: bearer{token: registrarToken, next: transport}}, "https://"+s.address)
+			secure := &http.Transport{Protocols: &protocols, TLSClientConfig: &tls.Config{RootCAs: s.authority.Pool()}}
+			t.Cleanup(secure.CloseIdleConnections)
+			client := callerv1connect.NewCallerServiceClient(&http.Client{Transport: bearer{token: registrarToken, next: secure}}, "https://"+s.address)
 			if got := s.call(t, client, lookUp("x")); got.kind != completed {
 				t.Errorf("%s: %+v", protocol, got)
 			}
@@ -84,6 +87,28 @@
 			}
 		}
 	})
+	t.Run("fresh connections resume the session until the certificate is renewed", func(t *testing.T) {
+		client := transport.NewClient(transport.Options{FreshConnections: true, TLS: &tls.Config{RootCAs: s.authority.Pool()}})
+		connect := func() (resumed bool) {
+			trace := &httptrace.ClientTrace{TLSHandshakeDone: func(state tls.ConnectionState, _ error) { resumed = state.DidResume }}
+			req, err := http.NewRequestWithContext(httptrace.WithClientTrace(context.Background(), trace), http.MethodGet, "https://"+s.address, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp, err := client.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+			return resumed
+		}
+		first, second := connect(), connect()
+		s.serial = s.renew()
+		if renewed := connect(); first || !second || renewed {
+			t.Errorf("resumed %v, %v and after the renewal %v", first, second, renewed)
+		}
+	})
 	t.Run("nothing before TLS 1.3 is spoken", func(t *testing.T) {
 		if _, err := s.connect(t, &tls.Config{MaxVersion: tls.VersionTLS12}); err == nil {
 			t.Error("TLS 1.2 was accepted")
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -69,7 +69,7 @@
 	return &http.Transport{
 		DialContext:         dial,
 		Protocols:           &protocols,
-		TLSClientConfig:     withLeastVersion(options.TLS),
+		TLSClientConfig:     clientTLS(options.TLS),
 		DisableKeepAlives:   options.FreshConnections,
 		IdleConnTimeout:     idleTimeout,
 		MaxIdleConnsPerHost: maxIdlePerHost,
@@ -80,13 +80,19 @@
 	}
 }
 
-// withLeastVersion returns a configuration that speaks no TLS before 1.3.
-func withLeastVersion(config *tls.Config) *tls.Config {
+// sessions is how many servers' TLS sessions a client keeps, to connect anew
+// without checking the certificate's signatures again.
+const sessions = 256
+
+// clientTLS returns a configuration that speaks no TLS before 1.3 and resumes
+// sessions.
+func clientTLS(config *tls.Config) *tls.Config {
 	if config == nil {
-		return &tls.Config{MinVersion: tls.VersionTLS13}
+		config = &tls.Config{}
 	}
 	config = config.Clone()
 	config.MinVersion = max(config.MinVersion, tls.VersionTLS13)
+	config.ClientSessionCache = tls.NewLRUClientSessionCache(sessions)
 	return config
 }
 
