TLS: sessions of peers are never resumed

Between gateways a session could then outlive a change of the authority, so mutual TLS issues no tickets; towards callers it matters not, since they show no certificate.

--- a/internal/certificate/certificate.go
+++ b/internal/certificate/certificate.go
@@ -137,32 +137,13 @@
 // clients with a certificate of it are served. Protocols are left to the
 // caller: they are taken over into each connection's configuration.
 func (r *Reloader) Server(protocols ...string) *tls.Config {
-	shown := &served{protocols: protocols}
-	config := shown.config(r.get()).Clone()
-	config.GetConfigForClient = func(*tls.ClientHelloInfo) (*tls.Config, error) { return shown.config(r.get()), nil }
+	config := r.server(protocols)
+	config.GetConfigForClient = func(*tls.ClientHelloInfo) (*tls.Config, error) { return r.server(protocols), nil }
 	return config
 }
 
-// served keeps a listener's configuration for as long as the files stay as they
-// are: clients can only resume sessions of the same configuration.
-type served struct {
-	protocols []string
-
-	mu      sync.Mutex
-	of      *material
-	current *tls.Config
-}
-
-func (s *served) config(m *material) *tls.Config {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.of != m {
-		s.of, s.current = m, serverConfig(m, s.protocols)
-	}
-	return s.current
-}
-
-func serverConfig(m *material, protocols []string) *tls.Config {
+func (r *Reloader) server(protocols []string) *tls.Config {
+	m := r.get()
 	config := &tls.Config{
 		MinVersion:   tls.VersionTLS13,
 		Certificates: []tls.Certificate{m.certificate},
@@ -171,6 +152,10 @@
 	if m.authority != nil {
 		config.ClientAuth = tls.RequireAndVerifyClientCert
 		config.ClientCAs = m.authority
+		// A resumed session would not be checked against an authority
+		// that has changed since. Peers keep their connections, so that
+		// resuming would save little.
+		config.SessionTicketsDisabled = true
 	}
 	return config
 }
