--- a/internal/gateway/slow.go
+++ b/internal/gateway/slow.go
@@ -31,9 +31,6 @@
 func limitCallers(next http.Handler, limits callerLimits) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		control := http.NewResponseController(w)
-		// In HTTP/1.1 the deadline of the connection's request before
-		// stays, and may be over.
-		_ = control.SetWriteDeadline(time.Time{})
 		// A request without a body is read to its end already, and a
 		// deadline would end it: the server goes on to read the connection
 		// in order to notice its end.
