demo-up: Ctrl-C stops gracefully

Cause: Ctrl-C reached the processes as well as the script, whose SIGTERM then was their second signal: they ended at once with 1. Each has its own process group now.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -8,12 +8,16 @@
 declare -A PIDS
 
 # start NAME PROGRAM ARGS... starts a process in the background; its output
-# goes to $WORK/NAME.out and .err.
+# goes to $WORK/NAME.out and .err. It gets a process group of its own: Ctrl-C
+# would otherwise reach it as well, and with the SIGTERM of stop_all it would
+# count two signals and end at once.
 start() {
   local name=$1
   shift
+  set -m
   "$BIN/$1" "${@:2}" >"$WORK/$name.out" 2>"$WORK/$name.err" &
   PIDS[$name]=$!
+  set +m
 }
 
 # await_line NAME waits until the process has printed where it listens.
