A returning stream says so: GenerateRequest.attempt

Cause (found by lane admission): without a count a caller that came back when it was told to stood behind first attempts in the gateway's queue; the policy driver had measured returns with it.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -195,6 +195,8 @@
 	doc     *document.Document
 	class   document.Class
 	request streaming.Request
+	// attempt is the caller's count.
+	attempt uint32
 }
 
 func (s streamAsk) subject() explain.Subject {
@@ -211,7 +213,7 @@
 	if err != nil {
 		return streamAsk{}, err
 	}
-	return streamAsk{doc: doc, class: class, request: streaming.Request{
+	return streamAsk{doc: doc, class: class, attempt: req.GetAttempt(), request: streaming.Request{
 		Key: streaming.Key{Account: auth.Account(ctx), Request: ident.Request(req.GetRequestId())},
 		Ask: streaming.Ask{
 			Service:   doc.Service,
@@ -257,6 +259,7 @@
 		Remaining:   time.Duration(route.MaxTokens) * predicted.BetweenTokens,
 		Deadline:    s.request.Deadline,
 		Cost:        float64(predicted.UncachedTokens + route.MaxTokens),
+		Attempt:     s.attempt,
 	})
 }
 
--- a/internal/loadgen/stream.go
+++ b/internal/loadgen/stream.go
@@ -133,6 +133,7 @@
 func (s *streamCaller) open(ctx context.Context) (tokenEvents, error) {
 	ctx, gateway := s.try(ctx)
 	if !s.begun {
+		s.original.Attempt = uint32(s.refusals) + 1
 		stream, err := gateway.Generate(ctx, s.original)
 		return generated{stream}, err
 	}
