--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -12,7 +12,9 @@
 // failure domain is reclaimed.
 func TestFiguresAreReproducible(t *testing.T) {
 	cases := []Case{{Name: "reclaimed", Load: light, Reclaim: true}}
-	play := func() Table { return RunAll([]*Workload{Domaenenhaus()}, cases, []Contender{Contenders()[0], ours()}, 2) }
+	play := func() Table {
+		return RunAll([]*Workload{Domaenenhaus()}, cases, []Contender{Contenders()[0], ours()}, 2)
+	}
 	first, second := play(), play()
 	for i := range first {
 		for seed, f := range first[i].Seeds {
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -93,7 +93,7 @@
 		e := c.estimate(i)
 		c.insert(candidate{index: i, estimate: e})
 		if c.req.Explain {
-			c.explain(i, RuleScored, fmt.Sprintf("score %.4f s, first token %.4f s, uncached %d tokens", e.score, e.firstToken, e.uncached))
+			c.explain(i, RuleScored, fmt.Sprintf("score %.4f, first token %.4f s, uncached %d tokens", e.score, e.firstToken, e.uncached))
 		}
 	}
 }
--- a/internal/routing/home.go
+++ b/internal/routing/home.go
@@ -28,7 +28,7 @@
 }
 
 func (p *popularity) add(prefix uint64, seconds float64) {
-	micros := uint32(seconds*1e6) + 1
+	micros := uint32(min(seconds*1e6, popularityWindow)) + 1
 	p.cells[prefix%popularityCells].Add(micros)
 	if p.total.Add(micros) < popularityWindow {
 		return
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -9,7 +9,7 @@
 
 // estimate is what one upstream is expected to do with one request.
 type estimate struct {
-	// score is in seconds; lower is better.
+	// score: lower is better; see cost.
 	score float64
 	// firstToken, unloaded (firstToken at an idle upstream) and betweenTokens
 	// are in seconds.
