--- a/internal/controllers/membership/codec.go
+++ b/internal/controllers/membership/codec.go
@@ -99,6 +99,13 @@
 	}
 }
 
+// checkFact reports whether a line names an instance and a state that this
+// program knows. A newer program may tell of others; they are left out.
+func checkFact(line *peerv1.MemberEntry) bool {
+	state := blackboard.MemberState(line.GetState())
+	return line.GetInstanceId() != "" && state >= blackboard.Alive && state <= blackboard.Gone
+}
+
 func decodeFact(line *peerv1.MemberEntry, now time.Time) membership.Entry {
 	e := membership.Entry{
 		ID:            ident.Instance(line.GetInstanceId()),
--- a/internal/controllers/membership/exchange.go
+++ b/internal/controllers/membership/exchange.go
@@ -265,6 +265,9 @@
 func (c *Controller) mergeFacts(from ident.Instance, domain ident.FailureDomain, lines []*peerv1.MemberEntry, now time.Time) {
 	var departed []ident.Instance
 	for _, line := range lines {
+		if !checkFact(line) {
+			continue
+		}
 		e := decodeFact(line, now)
 		if c.table.MergePeer(from, e, now) == membership.Departure {
 			departed = append(departed, e.ID)
