--- a/internal/calls/settle.go
+++ b/internal/calls/settle.go
@@ -22,17 +22,18 @@
 	if o, ok := c.settleOwner(ctx, p, key, nil); !ok {
 		return o
 	}
-	if view, ok := p.find(key); !ok || view.State == fold.Open {
-		c.askPeers(ctx, p, key, "")
-		if o, ok := p.known(key, nil); ok {
-			return o
-		}
-		return outcome.NewUnknown(outcome.ReasonNotSeen, "no attempt with this key was seen; it may be sent again", retrySoon)
-	}
-	if view, _ := p.find(key); view.State == fold.Released {
+	view, ok := p.find(key)
+	switch {
+	case ok && view.State == fold.Released:
 		return inProgress("the gateway that had the call left; another one will run it")
+	case ok && view.State != fold.Open:
+		return outcome.NewUnknown(outcome.ReasonNotSeen, "the last attempt seen did not run; it may be sent again", retrySoon)
+	}
+	c.askPeers(ctx, p, key, "")
+	if o, ok := p.known(key, nil); ok {
+		return o
 	}
-	return outcome.NewUnknown(outcome.ReasonNotSeen, "the last attempt seen did not run; it may be sent again", retrySoon)
+	return outcome.NewUnknown(outcome.ReasonNotSeen, "no attempt with this key was seen; it may be sent again", retrySoon)
 }
 
 // settleOwner finds out about a claim that owns the key. ok is true when the
