--- a/internal/experiment/plots.go
+++ b/internal/experiment/plots.go
@@ -4,6 +4,7 @@
 
 import (
 	"path/filepath"
+	"slices"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -16,6 +17,8 @@
 	plotWidth  = 30 * vg.Centimeter
 	plotHeight = 11 * vg.Centimeter
 	barWidth   = 7 * vg.Length(1)
+	// headroom above the highest bar holds the legend.
+	headroom = 1.35
 )
 
 // chart is one plotted figure.
@@ -78,6 +81,7 @@
 			cases = append(cases, cell.Case.Name)
 		}
 	}
+	highest := 0.0
 	for i, policy := range policies {
 		b, err := plotter.NewBarChart(bars[policy], barWidth)
 		if err != nil {
@@ -87,8 +91,10 @@
 		b.Color = plotutil.Color(i)
 		b.Offset = barWidth * vg.Length(float64(i)-float64(len(policies)-1)/2)
 		p.Add(b)
+		highest = max(highest, slices.Max(bars[policy]))
 		p.Legend.Add(policy, b)
 	}
+	p.Y.Max = headroom * highest
 	p.NominalX(cases...)
 	return p.Save(plotWidth, plotHeight, filepath.Join(directory, w.Name+"-"+c.file+".svg"))
 }
