--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -162,19 +161,6 @@
 	}
 }
 
-// Forget drops what is known of instances that no view contains any more.
-func (r *Router) Forget(gone []ident.Instance) {
-	for {
-		old := r.slots.Load()
-		next := maps.Clone(*old)
-		maps.DeleteFunc(next, func(id ident.Instance, _ *slot) bool { return slices.Contains(gone, id) })
-		if r.slots.CompareAndSwap(old, &next) {
-			r.prepared.Store(&prepared{})
-			return
-		}
-	}
-}
-
 // epoch numbers the buckets of time since the Router began.
 func (r *Router) epoch(at time.Time) int64 {
 	return max(0, int64(at.Sub(r.began)/bucketWidth))
