--- a/internal/loadgen/stream.go
+++ b/internal/loadgen/stream.go
@@ -106,7 +106,7 @@
 	ctx, attempt := transport.Observe(ctx)
 	events, err := s.open(ctx)
 	if err != nil {
-		s.begun = s.begun || !notSent(attempt, err)
+		s.begun = s.sent(attempt, err) || s.begun
 		return nil, nil, err
 	}
 	for events.receive() {
@@ -125,7 +125,7 @@
 	if err == nil {
 		err = errors.New("stream ended without an outcome")
 	}
-	s.begun = s.begun || !notSent(attempt, err)
+	s.begun = s.sent(attempt, err) || s.begun
 	return nil, nil, err
 }
 
@@ -133,6 +133,7 @@
 func (s *streamCaller) open(ctx context.Context) (tokenEvents, error) {
 	ctx, gateway := s.try(ctx)
 	if !s.begun {
+		s.original.Attempt = uint32(s.refusals) + 1
 		stream, err := gateway.Generate(ctx, s.original)
 		return generated{stream}, err
 	}
