--- a/internal/certificate/certificate.go
+++ b/internal/certificate/certificate.go
@@ -152,6 +152,10 @@
 	if m.authority != nil {
 		config.ClientAuth = tls.RequireAndVerifyClientCert
 		config.ClientCAs = m.authority
+		// A resumed session would not be checked against an authority
+		// that has changed since. Peers keep their connections, so that
+		// resuming would save little.
+		config.SessionTicketsDisabled = true
 	}
 	return config
 }
