--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -49,9 +50,11 @@
 }
 
 // inMemory runs f in virtual time. What f starts with its argument is served
-// until f returns.
+// until f returns. It runs on one processor, see testkit.OneProcessor; the other
+// tests of this package need theirs.
 func inMemory(t *testing.T, f func(t *testing.T, start func(*http.Server) *pipes)) {
 	t.Helper()
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	synctest.Test(t, func(t *testing.T) {
 		f(t, func(server *http.Server) *pipes {
 			p := newPipes()
