--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -4,16 +4,13 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
-	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 	"go.opentelemetry.io/otel"
@@ -21,9 +18,7 @@
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 	"go.opentelemetry.io/otel/trace"
-	"google.golang.org/protobuf/types/known/timestamppb"
 
-	callerv1 "github.com/goldcrestspool/goldcrestspool/api/caller/v1"
 	"github.com/goldcrestspool/goldcrestspool/api/caller/v1/callerv1connect"
 	"github.com/goldcrestspool/goldcrestspool/internal/admission"
 	"github.com/goldcrestspool/goldcrestspool/internal/auth"
@@ -320,116 +315,3 @@
 	w.url = "http://" + listener.Addr().String()
 	w.client = w.as(t, registrarToken)
 }
-
-// bearer adds a token and the trace context to requests.
-type bearer struct {
-	token string
-	next  http.RoundTripper
-}
-
-func (b bearer) RoundTrip(req *http.Request) (*http.Response, error) {
-	req = req.Clone(req.Context())
-	if b.token != "" {
-		req.Header.Set("Authorization", "Bearer "+b.token)
-	}
-	propagation.TraceContext{}.Inject(req.Context(), propagation.HeaderCarrier(req.Header))
-	return b.next.RoundTrip(req)
-}
-
-// as returns a client with a token; an empty one sends none.
-func (w *world) as(t testing.TB, token string) callerv1connect.CallerServiceClient {
-	var protocols http.Protocols
-	protocols.SetUnencryptedHTTP2(true)
-	transport := &http.Transport{Protocols: &protocols}
-	t.Cleanup(transport.CloseIdleConnections)
-	return callerv1connect.NewCallerServiceClient(&http.Client{Transport: bearer{token: token, next: transport}}, w.url)
-}
-
-// bid returns a keyed call.
-func bid(key string, attempt uint32, payload string) *callerv1.CallRequest {
-	return &callerv1.CallRequest{
-		Service: plainService, Method: "place_bid", IdempotencyKey: key, IssuedAt: timestamppb.New(issued),
-		Attempt: attempt, Payload: []byte(payload),
-	}
-}
-
-// issued is the time at which the tests' keys are issued.
-var issued = time.Now()
-
-// lookUp returns an idempotent call.
-func lookUp(payload string) *callerv1.CallRequest {
-	return &callerv1.CallRequest{Service: plainService, Method: "find_lot", Payload: []byte(payload), Attempt: 1}
-}
-
-// told is what a caller was told, in short.
-type told struct {
-	kind    callerv1.OutcomeKind
-	reason  string
-	payload string
-}
-
-func summary(resp *callerv1.CallResponse, err error) (told, error) {
-	if err != nil {
-		return told{}, err
-	}
-	return told{resp.GetOutcome().GetKind(), resp.GetOutcome().GetReason(), string(resp.GetPayload())}, nil
-}
-
-// call sends a call that must get an outcome.
-func (w *world) call(t testing.TB, client callerv1connect.CallerServiceClient, req *callerv1.CallRequest) told {
-	t.Helper()
-	got, err := summary(client.Call(context.Background(), req))
-	if err != nil {
-		t.Fatal(err)
-	}
-	return got
-}
-
-// streamed is a token stream as its caller got it.
-type streamed struct {
-	tokens  []string
-	outcome *callerv1.Outcome
-}
-
-// generate reads a token stream to its end.
-func generate(ctx context.Context, client callerv1connect.CallerServiceClient, req *callerv1.GenerateRequest) (streamed, error) {
-	stream, err := client.Generate(ctx, req)
-	if err != nil {
-		return streamed{}, err
-	}
-	defer func() { _ = stream.Close() }()
-	var got streamed
-	for stream.Receive() {
-		got.tokens = append(got.tokens, stream.Msg().GetTokens().GetTokens()...)
-		if o := stream.Msg().GetOutcome(); o != nil {
-			got.outcome = o
-		}
-	}
-	return got, stream.Err()
-}
-
-// resume reads the rest of a token stream to its end.
-func resume(ctx context.Context, client callerv1connect.CallerServiceClient, req *callerv1.ResumeRequest) (streamed, error) {
-	stream, err := client.Resume(ctx, req)
-	if err != nil {
-		return streamed{}, err
-	}
-	defer func() { _ = stream.Close() }()
-	var got streamed
-	for stream.Receive() {
-		got.tokens = append(got.tokens, stream.Msg().GetTokens().GetTokens()...)
-		if o := stream.Msg().GetOutcome(); o != nil {
-			got.outcome = o
-		}
-	}
-	return got, stream.Err()
-}
-
-// wireText returns the code and the text of an error.
-func wireText(err error) (connect.Code, string) {
-	var wire *connect.Error
-	if !errors.As(err, &wire) {
-		return 0, ""
-	}
-	return wire.Code(), wire.Message()
-}
