Planner: names of the choice by failure domain, one count less

spot read as the cloud's spot instances; it is what one failure domain offers. fleet.serving was always the length of fleet.instances, which held only those that serve: one field now. leastMissed is nextToDrain. No change of behaviour; the tests change names only.

--- a/internal/planner/choose.go
+++ b/internal/planner/choose.go
@@ -8,8 +8,8 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 )
 
-// spot is what one failure domain offers, and how much of it is chosen.
-type spot struct {
+// domainChoice is what one failure domain offers, and how much of it is chosen.
+type domainChoice struct {
 	domain ident.FailureDomain
 	// offers are the cheapest offering of each need.
 	offers [needs]Offering
@@ -34,108 +34,108 @@
 // Where that cannot be, the limit is raised first, and then on-demand ones are
 // replaced by others: too dear or too close together is better than too few.
 func (m market) choose(count, onDemand, limit int, f fleet) []Offering {
-	spots := m.spots(limit, f)
-	if len(spots) == 0 {
+	choices := m.domainChoices(limit, f)
+	if len(choices) == 0 {
 		return nil
 	}
-	for totalRoom(spots) < count {
-		raise(spots)
+	for totalRoom(choices) < count {
+		raise(choices)
 	}
 	onDemand = min(max(onDemand, 0), count)
-	placed := place(spots, onDemandOnly, onDemand)
+	placed := place(choices, onDemandOnly, onDemand)
 	if placed < onDemand {
-		placed += placeBeyondLimit(spots, onDemand-placed)
+		placed += placeBeyondLimit(choices, onDemand-placed)
 	}
-	for totalRoom(spots) < count-placed {
-		raise(spots)
+	for totalRoom(choices) < count-placed {
+		raise(choices)
 	}
-	place(spots, anyKind, count-placed)
-	for improve(spots) {
+	place(choices, anyKind, count-placed)
+	for improve(choices) {
 		continue
 	}
-	return list(spots)
+	return list(choices)
 }
 
-// spots returns the failure domains with an offering that may be tried now.
-func (m market) spots(limit int, f fleet) []spot {
+// domainChoices returns the failure domains with an offering that may be tried now.
+func (m market) domainChoices(limit int, f fleet) []domainChoice {
 	index := make(map[ident.FailureDomain]int)
-	var spots []spot
+	var choices []domainChoice
 	for _, offering := range m.ready {
 		i, known := index[offering.FailureDomain]
 		if !known {
-			i = len(spots)
+			i = len(choices)
 			index[offering.FailureDomain] = i
-			spots = append(spots, newSpot(offering.FailureDomain, limit-f.byDomain[offering.FailureDomain]))
+			choices = append(choices, newDomainChoice(offering.FailureDomain, limit-f.byDomain[offering.FailureDomain]))
 		}
-		spots[i].offer(anyKind, offering, m.costs[offering])
+		choices[i].offer(anyKind, offering, m.costs[offering])
 		if !offering.Reclaimable {
-			spots[i].offer(onDemandOnly, offering, m.costs[offering])
+			choices[i].offer(onDemandOnly, offering, m.costs[offering])
 		}
 	}
-	slices.SortFunc(spots, func(a, b spot) int { return cmp.Compare(a.domain, b.domain) })
-	return spots
+	slices.SortFunc(choices, func(a, b domainChoice) int { return cmp.Compare(a.domain, b.domain) })
+	return choices
 }
 
-func newSpot(domain ident.FailureDomain, room int) spot {
-	return spot{domain: domain, room: max(room, 0), costs: [needs]float64{math.Inf(1), math.Inf(1)}}
+func newDomainChoice(domain ident.FailureDomain, room int) domainChoice {
+	return domainChoice{domain: domain, room: max(room, 0), costs: [needs]float64{math.Inf(1), math.Inf(1)}}
 }
 
 // offer keeps the first offering of a need; they come the cheapest first.
-func (s *spot) offer(n need, offering Offering, cost float64) {
-	if math.IsInf(s.costs[n], 1) {
-		s.offers[n], s.costs[n] = offering, cost
+func (d *domainChoice) offer(n need, offering Offering, cost float64) {
+	if math.IsInf(d.costs[n], 1) {
+		d.offers[n], d.costs[n] = offering, cost
 	}
 }
 
-func (s *spot) has(n need) bool { return !math.IsInf(s.costs[n], 1) }
+func (d *domainChoice) has(n need) bool { return !math.IsInf(d.costs[n], 1) }
 
-func totalRoom(spots []spot) int {
+func totalRoom(choices []domainChoice) int {
 	total := 0
-	for _, s := range spots {
-		total += s.room
+	for _, d := range choices {
+		total += d.room
 	}
 	return total
 }
 
-func raise(spots []spot) {
-	for i := range spots {
-		spots[i].room++
+func raise(choices []domainChoice) {
+	for i := range choices {
+		choices[i].room++
 	}
 }
 
 // place puts count instances where they cost least, and returns for how many
 // there was room.
-func place(spots []spot, n need, count int) int {
+func place(choices []domainChoice, n need, count int) int {
 	placed := 0
 	for placed < count {
-		i := cheapest(spots, n, func(s *spot) bool { return s.room > 0 })
+		i := cheapest(choices, n, func(d *domainChoice) bool { return d.room > 0 })
 		if i < 0 {
 			return placed
 		}
-		batch := min(spots[i].room, count-placed)
-		spots[i].chosen[n] += batch
-		spots[i].room -= batch
+		batch := min(choices[i].room, count-placed)
+		choices[i].chosen[n] += batch
+		choices[i].room -= batch
 		placed += batch
 	}
 	return placed
 }
 
 // placeBeyondLimit puts on-demand instances where they cost least: the share
-// of on-demand ones is the document's word, the limit is only ours.
-func placeBeyondLimit(spots []spot, count int) int {
-	i := cheapest(spots, onDemandOnly, func(*spot) bool { return true })
+// of on-demand ones is the document'd word, the limit is only ours.
+func placeBeyondLimit(choices []domainChoice, count int) int {
+	i := cheapest(choices, onDemandOnly, func(*domainChoice) bool { return true })
 	if i < 0 {
 		return 0
 	}
-	spots[i].chosen[onDemandOnly] += count
+	choices[i].chosen[onDemandOnly] += count
 	return count
 }
 
-func cheapest(spots []spot, n need, fits func(*spot) bool) int {
+func cheapest(choices []domainChoice, n need, fits func(*domainChoice) bool) int {
 	best := -1
-	for i := range spots {
-		s := &spots[i]
-		if s.has(n) && fits(s) && (best < 0 || s.costs[n] < spots[best].costs[n]) {
+	for i := range choices {
+		d := &choices[i]
+		if d.has(n) && fits(d) && (best < 0 || d.costs[n] < choices[best].costs[n]) {
 			best = i
 		}
 	}
@@ -146,12 +146,12 @@
 // one. The choice is a transportation problem with two needs: it is optimal
 // when no move of one need, no exchange, and no chain of two moves helps,
 // because a cycle of the residual network passes each need at most once.
-func improve(spots []spot) bool {
+func improve(choices []domainChoice) bool {
 	for n := anyKind; n < needs; n++ {
 		other := needs - 1 - n
-		for from := range spots {
-			for over := range spots {
-				if tryMove(spots, n, from, over) || tryChain(spots, n, other, from, over) {
+		for from := range choices {
+			for over := range choices {
+				if tryMove(choices, n, from, over) || tryChain(choices, n, other, from, over) {
 					return true
 				}
 			}
@@ -164,33 +164,33 @@
 const worthwhile = 1e-9
 
 // tryMove moves instances of one need to a domain with room.
-func tryMove(spots []spot, n need, from, to int) bool {
-	batch := min(spots[from].chosen[n], spots[to].room)
-	if from == to || batch == 0 || gain(spots, n, from, to) <= worthwhile {
+func tryMove(choices []domainChoice, n need, from, to int) bool {
+	batch := min(choices[from].chosen[n], choices[to].room)
+	if from == to || batch == 0 || gain(choices, n, from, to) <= worthwhile {
 		return false
 	}
-	move(spots, n, from, to, batch)
+	move(choices, n, from, to, batch)
 	return true
 }
 
 // tryChain moves instances of one need from a domain over another one, which
 // passes as many of the other need on: to a third one, or back in exchange.
-func tryChain(spots []spot, n, other need, from, over int) bool {
-	if from == over || spots[from].chosen[n] == 0 || spots[over].chosen[other] == 0 {
+func tryChain(choices []domainChoice, n, other need, from, over int) bool {
+	if from == over || choices[from].chosen[n] == 0 || choices[over].chosen[other] == 0 {
 		return false
 	}
-	first := gain(spots, n, from, over)
-	for to := range spots {
-		room := spots[to].room
+	first := gain(choices, n, from, over)
+	for to := range choices {
+		room := choices[to].room
 		if to == from {
-			room = spots[from].chosen[n]
+			room = choices[from].chosen[n]
 		}
-		batch := min(spots[from].chosen[n], spots[over].chosen[other], room)
-		if to == over || batch == 0 || first+gain(spots, other, over, to) <= worthwhile {
+		batch := min(choices[from].chosen[n], choices[over].chosen[other], room)
+		if to == over || batch == 0 || first+gain(choices, other, over, to) <= worthwhile {
 			continue
 		}
-		move(spots, n, from, over, batch)
-		move(spots, other, over, to, batch)
+		move(choices, n, from, over, batch)
+		move(choices, other, over, to, batch)
 		return true
 	}
 	return false
@@ -198,23 +198,23 @@
 
 // gain is what moving one instance saves. It is minus infinity where the
 // target has no such offering.
-func gain(spots []spot, n need, from, to int) float64 {
-	return spots[from].costs[n] - spots[to].costs[n]
+func gain(choices []domainChoice, n need, from, to int) float64 {
+	return choices[from].costs[n] - choices[to].costs[n]
 }
 
-func move(spots []spot, n need, from, to, batch int) {
-	spots[from].chosen[n] -= batch
-	spots[from].room += batch
-	spots[to].chosen[n] += batch
-	spots[to].room -= batch
+func move(choices []domainChoice, n need, from, to, batch int) {
+	choices[from].chosen[n] -= batch
+	choices[from].room += batch
+	choices[to].chosen[n] += batch
+	choices[to].room -= batch
 }
 
-func list(spots []spot) []Offering {
+func list(choices []domainChoice) []Offering {
 	var offerings []Offering
-	for _, s := range spots {
-		for n, count := range s.chosen {
+	for _, d := range choices {
+		for n, count := range d.chosen {
 			for range count {
-				offerings = append(offerings, s.offers[n])
+				offerings = append(offerings, d.offers[n])
 			}
 		}
 	}
--- a/internal/planner/fleet.go
+++ b/internal/planner/fleet.go
@@ -9,12 +9,12 @@
 
 // fleet counts what is there.
 type fleet struct {
-	instances []Instance
+	// serving are the instances that get work.
+	serving []Instance
 	// kept are those that starting, serving and pending make.
 	kept int
 	// total is kept plus those that drain: what the maximum bounds.
 	total    int
-	serving  int
 	onDemand int
 	// unsettled are starting, pending or draining: while there are any, the
 	// mix is not judged.
@@ -31,8 +31,7 @@
 		case Serving:
 			f.add(instance.Offering)
 			f.unsettled--
-			f.serving++
-			f.instances = append(f.instances, instance)
+			f.serving = append(f.serving, instance)
 		case Draining:
 			f.total++
 			f.unsettled++
@@ -58,12 +57,11 @@
 // remove counts a serving instance as draining.
 func (f *fleet) remove(instance Instance) {
 	f.kept--
-	f.serving--
 	f.byDomain[instance.Offering.FailureDomain]--
 	if !instance.Offering.Reclaimable {
 		f.onDemand--
 	}
-	f.instances = slices.DeleteFunc(f.instances, func(i Instance) bool { return i.ID == instance.ID })
+	f.serving = slices.DeleteFunc(f.serving, func(i Instance) bool { return i.ID == instance.ID })
 }
 
 func (f *fleet) largestDomain() int {
@@ -74,14 +72,14 @@
 	return largest
 }
 
-// leastMissed returns the serving instance to drain first: one of the largest
+// nextToDrain returns the serving instance to drain first: one of the largest
 // failure domain where that is beyond its limit, then the one that costs most,
 // then the one with the least work. On-demand ones stay while they are needed.
-func (p *plan) leastMissed() (Instance, bool) {
+func (p *plan) nextToDrain() (Instance, bool) {
 	limit := p.targetLimit()
 	needOnDemand := p.fleet.onDemand <= p.size.onDemand(p.target())
 	var candidates []Instance
-	for _, instance := range p.fleet.instances {
+	for _, instance := range p.fleet.serving {
 		if instance.Offering.Reclaimable || !needOnDemand {
 			candidates = append(candidates, instance)
 		}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -191,7 +191,7 @@
 	case !found:
 	case p.fleet.total < p.size.most:
 		p.start(offering, reason)
-	case p.fleet.serving > p.size.least:
+	case len(p.fleet.serving) > p.size.least:
 		p.drainOne(reason)
 	}
 }
@@ -248,7 +248,7 @@
 	if p.fleet.onDemand > p.size.onDemand(p.target()) {
 		return false
 	}
-	for _, instance := range p.fleet.instances {
+	for _, instance := range p.fleet.serving {
 		offering := instance.Offering
 		if p.fleet.byDomain[offering.FailureDomain] > limit && offering.Reclaimable {
 			return false
@@ -270,9 +270,9 @@
 	}
 }
 
-// drainOne drains the instance that is missed least.
+// drainOne drains the instance that comes first, see nextToDrain.
 func (p *plan) drainOne(reason string) bool {
-	instance, found := p.leastMissed()
+	instance, found := p.nextToDrain()
 	if !found {
 		return false
 	}
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -54,8 +54,8 @@
 	if after.total > max(most, before.total) {
 		t.Fatalf("%d instances are more than the maximum %d: %v", after.total, most, actions)
 	}
-	if drains > 0 && after.serving < least {
-		t.Fatalf("draining leaves %d of at least %d: %v", after.serving, least, actions)
+	if drains > 0 && len(after.serving) < least {
+		t.Fatalf("draining leaves %d of at least %d: %v", len(after.serving), least, actions)
 	}
 	if again := Plan(w.actual, w.wanted, w.now); len(again) > 0 && !w.changed {
 		t.Fatalf("planning again gives %v after %v", again, actions)
@@ -152,7 +152,7 @@
 	}
 	// At the maximum with the bare minimum there is no room for a change: the
 	// minimum comes before the mix.
-	stuck := f.total >= p.Max && f.serving <= p.Min
+	stuck := f.total >= p.Max && len(f.serving) <= p.Min
 	if !stuck && float64(f.onDemand) < p.OnDemandShare*float64(f.kept)-roundingError {
 		t.Fatalf("%d of %d are on-demand, want a share of %.2f", f.onDemand, f.kept, p.OnDemandShare)
 	}
@@ -257,7 +257,7 @@
 		if len(chosen) != count || f.onDemand < onDemand || f.largestDomain() > limit {
 			t.Fatalf("%v does not satisfy %d, %d on-demand, limit %d", chosen, count, onDemand, limit)
 		}
-		want := cheapestByTrying(m, m.spots(limit, newFleet(Actual{})), count, onDemand)
+		want := cheapestByTrying(m, m.domainChoices(limit, newFleet(Actual{})), count, onDemand)
 		if math.Abs(got-want) > roundingError {
 			t.Fatalf("chosen costs %.2f, the cheapest %.2f", got, want)
 		}
@@ -265,19 +265,19 @@
 }
 
 // cheapestByTrying tries every split over the failure domains.
-func cheapestByTrying(m market, spots []spot, count, onDemand int) float64 {
+func cheapestByTrying(m market, choices []domainChoice, count, onDemand int) float64 {
 	if count == 0 && onDemand <= 0 {
 		return 0
 	}
-	if len(spots) == 0 {
+	if len(choices) == 0 {
 		return math.Inf(1)
 	}
 	best := math.Inf(1)
-	s := spots[0]
+	s := choices[0]
 	for total := 0; total <= min(s.room, count); total++ {
 		for dear := 0; dear <= total; dear++ {
 			here := float64(total-dear)*s.costs[anyKind] + float64(dear)*s.costs[onDemandOnly]
-			best = min(best, here+cheapestByTrying(m, spots[1:], count-total, onDemand-dear))
+			best = min(best, here+cheapestByTrying(m, choices[1:], count-total, onDemand-dear))
 		}
 	}
 	return best
