--- a/internal/calls/fold/fold.go
+++ b/internal/calls/fold/fold.go
@@ -77,11 +77,10 @@
 	// Attempt is the highest that has owned the key.
 	Attempt uint32
 	// Claim, Holder, Target and Fence are those of the last owner.
-	Claim             journal.ClaimID
-	Holder            ident.Instance
-	HolderIncarnation ident.Incarnation
-	Target            journal.Target
-	Fence             ident.Fence
+	Claim  journal.ClaimID
+	Holder ident.Instance
+	Target journal.Target
+	Fence  ident.Fence
 	// Settling: the owner took over only to find out the outcome.
 	Settling bool
 	// SeenAt is the reader's own clock when the last owner's claim came.
@@ -310,7 +309,6 @@
 	e.State = Claimed
 	e.Claim = c.ID
 	e.Holder = ident.Instance(shared(string(c.Holder)))
-	e.HolderIncarnation = c.HolderIncarnation
 	// An offset starts from 0, a fence from 1.
 	e.Fence = ident.Fence(offset) + 1
 	e.SeenAt = now
--- a/internal/calls/journal/journal.go
+++ b/internal/calls/journal/journal.go
@@ -25,7 +25,9 @@
 	// Partitions is the number of streams.
 	Partitions = 2
 	// Window is how long after it was issued a key may still be claimed. The
-	// log must keep records for longer than Window plus MaxSkew.
+	// log must keep records for twice the sum of Window and MaxSkew, plus the
+	// time between two marks, or a gateway that starts refuses calls for a
+	// while; see Fold.CompleteSince in package fold.
 	Window = time.Hour
 	// MaxSkew is how far a caller's clock may be ahead of the log's. A claim
 	// issued later than that is void.
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -32,9 +32,9 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/upstream/connectupstream"
 )
 
-// lastWords bounds the end of a stop: the release of the leases is bounded
-// apart, by the log's timeout.
-const lastWords = 500 * time.Millisecond
+// closeTimeout bounds the end of a stop, after the release of the leases, which
+// the log's timeout bounds.
+const closeTimeout = 500 * time.Millisecond
 
 // statusPath shows the leases as this process knows them.
 const statusPath = "GET /status"
@@ -161,7 +161,7 @@
 }
 
 func (p *Process) close(signals program.Signals, server *operations.Server) error {
-	ctx, cancel := context.WithTimeout(signals.Kill, lastWords)
+	ctx, cancel := context.WithTimeout(signals.Kill, closeTimeout)
 	defer cancel()
 	_ = server.Shutdown(ctx)
 	if err := p.telemetry.Shutdown(ctx); err != nil {
--- a/internal/controllers/configuration/snapshots.go
+++ b/internal/controllers/configuration/snapshots.go
@@ -42,8 +42,8 @@
 // minSpread is the least delay, in which a snapshot just written is read back.
 const minSpread = 5 * time.Second
 
-// snapshotInterval is the time between two looks whether one is due.
-const snapshotInterval = 5 * time.Second
+// snapshotCheckInterval is the time between two checks whether one is due.
+const snapshotCheckInterval = 5 * time.Second
 
 // appendTimeout bounds the append of a snapshot.
 const appendTimeout = 5 * time.Second
@@ -87,14 +87,15 @@
 
 // snapshotWriter remembers since when a snapshot is needed.
 type snapshotWriter struct {
-	mu    sync.Mutex
+	mu sync.Mutex
+	// since is zero while none is needed.
 	since time.Time
 }
 
 // WriteSnapshots writes a snapshot whenever one is due, until ctx ends. One
 // process of an instance does it; that others do it too is harmless.
 func (c *Controller) WriteSnapshots(ctx context.Context) error {
-	ticker := time.NewTicker(snapshotInterval)
+	ticker := time.NewTicker(snapshotCheckInterval)
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/controllers/fleet/actual.go
+++ b/internal/controllers/fleet/actual.go
@@ -94,7 +94,8 @@
 	slots   float64
 }
 
-// actual returns what the planner counts, and forgets what is over.
+// actual returns what the planner counts, and forgets the starts that are
+// settled.
 func (m *memory) actual(service ident.Service, o observation, now time.Time) planner.Actual {
 	m.settlePending(o, now)
 	actual := planner.Actual{Service: service, Failures: m.failures, Holder: m.fence, Starts: m.starts}
--- a/internal/controllers/fleet/controller.go
+++ b/internal/controllers/fleet/controller.go
@@ -127,12 +127,13 @@
 		if len(held) == 1 {
 			c.readNotices(ctx)
 		}
-		c.round(ctx, grant, entry.Document, held[service])
+		c.planService(ctx, grant, entry.Document, held[service])
 	}
 	c.memories = held
 }
 
-// memoryOf returns the memory of the holder with this fence.
+// memoryOf returns the memory of the holder with this fence, and asks the
+// gateways what drains when that is due.
 func (c *Controller) memoryOf(ctx context.Context, service ident.Service, grant lease.Grant) *memory {
 	m := c.memories[service]
 	now := time.Now()
@@ -164,7 +165,8 @@
 	}
 }
 
-func (c *Controller) round(ctx context.Context, grant lease.Grant, doc *document.Document, m *memory) {
+// planService plans one service and carries the plan out.
+func (c *Controller) planService(ctx context.Context, grant lease.Grant, doc *document.Document, m *memory) {
 	o := c.observe(ctx, doc, m)
 	now := time.Now()
 	m.reclaims.update(o, now)
--- a/internal/controllers/fleet/metrics.go
+++ b/internal/controllers/fleet/metrics.go
@@ -2,7 +2,8 @@
 
 import "expvar"
 
-// Counters of this process.
+// Counters of this process. Starts and stops count the requests to the cloud,
+// also those that failed.
 var (
 	starts            = expvar.NewInt("goldcrestspool.fleet.starts")
 	startsFailed      = expvar.NewInt("goldcrestspool.fleet.starts_failed")
--- a/internal/controllers/membership/beat.go
+++ b/internal/controllers/membership/beat.go
@@ -34,8 +34,9 @@
 func (c *Controller) pause() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	const steps = 100
-	step := (c.start + c.turn*37) % steps
+	// stride has no factor in common with steps, so that all steps come up.
+	const steps, stride = 100, 37
+	step := (c.start + c.turn*stride) % steps
 	tenth := c.config.Interval / 10
 	return c.config.Interval - tenth + 2*tenth*time.Duration(step)/steps
 }
--- a/internal/controllers/membership/exchange.go
+++ b/internal/controllers/membership/exchange.go
@@ -110,8 +110,9 @@
 	return c.config.MaxFigures
 }
 
-// needsFull reports whether to ask for a full digest: at the start, and when
-// the checksums differed since the last one. mismatch is set by mergeResponse.
+// needsFull reports whether to ask for a full digest: when the checksums have
+// differed since the last one, as they do after the first answer to a new
+// process. mismatch is set by mergeResponse.
 func (c *Controller) needsFull(now time.Time) bool {
 	if !c.mismatch || now.Sub(c.lastFull) < c.config.FullInterval {
 		return false
--- a/internal/document/reader.go
+++ b/internal/document/reader.go
@@ -23,12 +23,12 @@
 	search ident.Offset
 	// head is the log's head at the last batch.
 	head ident.Offset
-	// short counts batches on end whose head was below the state. The first
+	// short counts batches in a row whose head was below the state. The first
 	// may be older than the state, if a peer's documents came meanwhile.
 	short int
 }
 
-// maxShort is how many batches on end may be older than the state.
+// maxShort is how many batches in a row may be older than the state.
 const maxShort = 1
 
 // State returns what was read so far.
