Settings: a control.margin of 0 is refused

The controller passes the margin to the orders' and the fleet's Flight, the timeout of each request. With 0, context.WithTimeout has expired at once: the leases are held and nothing is ordered, started or stopped. TestMarginOfZeroIsRefused failed before the check was there. Ruled out: taking 0 as no timeout, since an order must land before another holder can exist.

--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -32,6 +32,8 @@
 	s.Check(c.Control.Lease > 0, "control.lease", "is zero", "more than 0")
 	s.Check(c.Control.Interval > 0, "control.interval", "is zero", "more than 0")
 	s.Check(c.Control.SnapshotInterval > 0, "control.snapshot_interval", "is zero", "more than 0")
+	s.Check(c.Control.Margin > 0, "control.margin", "is zero",
+		"more than 0: it also bounds each request under a lease")
 	s.Check(2*c.Control.Margin < c.Control.Lease || c.Control.Lease == 0, "control.margin",
 		"is half the lease or more", "less than half of control.lease, or little is left to act in")
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -162,7 +162,8 @@
 type Control struct {
 	// Lease is the length of a lease. Default 10s.
 	Lease time.Duration `toml:"lease"`
-	// Margin by which the holder stops early. Default 2s.
+	// Margin by which the holder stops early, and the timeout of each request
+	// that it sends under the lease. Default 2s.
 	Margin time.Duration `toml:"margin"`
 	// Interval between two rounds. Default 1s.
 	Interval time.Duration `toml:"interval"`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -77,6 +77,20 @@
 	}
 }
 
+// Symptom: a controller starts, holds its leases and never gives an order.
+// Sequence: the settings have a margin of 0 and pass all checks.
+// Cause: the margin also bounds each request under a lease, so that every one
+// has timed out before it leaves.
+func TestMarginOfZeroIsRefused(t *testing.T) {
+	_, found := ParseController("controller.toml", []byte("[control]\nmargin = \"0s\"\n"))
+	for _, f := range found {
+		if f.Key == "control.margin" {
+			return
+		}
+	}
+	t.Errorf("a margin of 0 is accepted; findings: %v", found)
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(smallGateway))
 	f.Fuzz(func(t *testing.T, data []byte) {
