One loop for periodic rounds, one measure of processor time and heap

Four harnesses of measurements each read processor time or heap by themselves: testkit.ProcessorTime and testkit.LiveHeap. The heap is now always read after two collections, as membership's was; calls' harness fails where it took 0 for a processor time that could not be read. No test or bound changed.

--- a/internal/calls/capacity_test.go
+++ b/internal/calls/capacity_test.go
@@ -5,7 +5,6 @@
 	"runtime"
 	"slices"
 	"sync"
-	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +13,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/calls/journal"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
 )
 
 // TestAppendsStayBounded offers more and more calls a second to three gateways
@@ -92,7 +92,7 @@
 				}
 			}
 			for b.Loop() {
-				before := heapInUse()
+				before := testkit.LiveHeap()
 				f := fold.New(false)
 				began := time.Now()
 				for offset, data := range records {
@@ -104,7 +104,7 @@
 				}
 				took := time.Since(began)
 				b.ReportMetric(float64(took.Nanoseconds())/float64(keys), "ns/key")
-				b.ReportMetric(float64(heapInUse()-before)/float64(keys), "heap-B/key")
+				b.ReportMetric(float64(testkit.LiveHeap()-before)/float64(keys), "heap-B/key")
 				b.ReportMetric(float64(logged)/float64(keys), "log-B/key")
 				runtime.KeepAlive(f)
 			}
@@ -112,13 +112,6 @@
 	}
 }
 
-func heapInUse() int64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc)
-}
-
 // BenchmarkCall measures the processor time of a whole call, from Do to its
 // journaled outcome, at three gateways that all read the journal; log and
 // upstreams in memory are part of it.
@@ -130,7 +123,7 @@
 				w.newGatewayUnsynced(domain)
 			}
 			time.Sleep(100 * time.Millisecond)
-			before := cpuTime()
+			before := testkit.ProcessorTime(b)
 			calls := 0
 			for b.Loop() {
 				var all sync.WaitGroup
@@ -143,7 +136,7 @@
 				}
 				all.Wait()
 			}
-			b.ReportMetric(float64((cpuTime()-before).Microseconds())/float64(calls), "cpu-µs/call")
+			b.ReportMetric(float64((testkit.ProcessorTime(b)-before).Microseconds())/float64(calls), "cpu-µs/call")
 			for _, g := range w.gateways {
 				g.kill()
 				<-g.done
@@ -151,11 +144,3 @@
 		})
 	}
 }
-
-func cpuTime() time.Duration {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
--- a/internal/controllers/configuration/capacity_test.go
+++ b/internal/controllers/configuration/capacity_test.go
@@ -7,7 +7,6 @@
 	"net/http/httptest"
 	"os"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,6 +17,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform/connectplatform"
 	"github.com/goldcrestspool/goldcrestspool/internal/standin/logstore"
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
 )
 
 // BenchmarkQuietHour is the processor time of one process that follows a log
@@ -45,17 +45,9 @@
 	defer w.stopAll()
 	w.land(t, "a", 1, text(service, "a"))
 	time.Sleep(time.Minute)
-	start := processorTime(t)
+	start := testkit.ProcessorTime(t)
 	time.Sleep(time.Hour)
-	return (processorTime(t) - start) / time.Duration(len(w.processes))
-}
-
-func processorTime(t *testing.T) time.Duration {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		t.Fatal(err)
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	return (testkit.ProcessorTime(t) - start) / time.Duration(len(w.processes))
 }
 
 // countingConn counts the bytes of a connection in both directions.
--- a/internal/controllers/instances/instances.go
+++ b/internal/controllers/instances/instances.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/controllers/rounds"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
 )
@@ -78,24 +79,11 @@
 // Run reads until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return repeat(ctx, c.config.ListInterval, c.readList) })
-	group.Go(func() error { return repeat(ctx, c.config.NoticeInterval, c.readNotices) })
+	group.Go(func() error { return rounds.Run(ctx, c.config.ListInterval, func() { c.readList(ctx) }) })
+	group.Go(func() error { return rounds.Run(ctx, c.config.NoticeInterval, func() { c.readNotices(ctx) }) })
 	return group.Wait()
 }
 
-func repeat(ctx context.Context, interval time.Duration, read func(context.Context)) error {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		read(ctx)
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
 func (c *Controller) readList(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, c.config.Timeout)
 	defer cancel()
--- a/internal/controllers/membership/cost_test.go
+++ b/internal/controllers/membership/cost_test.go
@@ -12,6 +12,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/membership"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
 )
 
 // size is a fleet to measure.
@@ -191,20 +192,12 @@
 	for _, s := range sizes {
 		f := newFleet(1, s.upstreams+s.gateways-1, s.domains, nil)
 		list := f.list()
-		before := liveBytes()
+		before := testkit.LiveHeap()
 		n := New(f.nodes[0].config, f.nodes[0].deps)
 		n.ApplyList(list)
-		after := liveBytes()
+		after := testkit.LiveHeap()
 		t.Logf("%d+%d: %d KB", s.gateways, s.upstreams, (after-before)/1000)
 		runtime.KeepAlive(n)
 		runtime.KeepAlive(f)
 	}
 }
-
-func liveBytes() int64 {
-	runtime.GC()
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc)
-}
--- a/internal/controllers/orders/controller.go
+++ b/internal/controllers/orders/controller.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	"github.com/goldcrestspool/goldcrestspool/internal/controllers/rounds"
 	"github.com/goldcrestspool/goldcrestspool/internal/document"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/lease"
@@ -79,16 +80,8 @@
 // Run looks and orders until ctx ends. An order that has left is not given up
 // then, since it could land after the lease was released.
 func (c *Controller) Run(ctx context.Context) error {
-	ticker := time.NewTicker(c.config.Interval)
-	defer ticker.Stop()
-	for {
-		c.Round(context.WithoutCancel(ctx))
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
+	finish := context.WithoutCancel(ctx)
+	return rounds.Run(ctx, c.config.Interval, func() { c.Round(finish) })
 }
 
 // Round looks at all engines of held leases once and orders what is due.
--- a/internal/document/capacity_test.go
+++ b/internal/document/capacity_test.go
@@ -5,26 +5,16 @@
 	"fmt"
 	"os"
 	"runtime"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
 )
 
-// processorTime is what this process used so far; unlike the wall clock it does
-// not count the machine's other work.
-func processorTime(b *testing.B) time.Duration {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		b.Fatal(err)
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
-
 func perUnit(b *testing.B, start time.Duration, units int) float64 {
-	return float64((processorTime(b) - start).Microseconds()) / float64(b.N*units)
+	return float64((testkit.ProcessorTime(b) - start).Microseconds()) / float64(b.N*units)
 }
 
 // published returns one publication of each of count services, in the form of
@@ -64,7 +54,7 @@
 func BenchmarkStart(b *testing.B) {
 	bySize(b, func(b *testing.B, services int) {
 		records := published(b, services)
-		start := processorTime(b)
+		start := testkit.ProcessorTime(b)
 		for b.Loop() {
 			state, _ := Fold(State{}, records)
 			if set, problems := BuildSet(state, nil, CurrentSchema); len(set.Services) != services {
@@ -81,7 +71,7 @@
 		records := published(b, services)
 		state, _ := Fold(State{}, records[:services-1])
 		set, _ := BuildSet(state, nil, CurrentSchema)
-		start := processorTime(b)
+		start := testkit.ProcessorTime(b)
 		for b.Loop() {
 			next, _ := Fold(state, records[services-1:])
 			BuildSet(next, set, CurrentSchema)
@@ -95,10 +85,10 @@
 func BenchmarkMemory(b *testing.B) {
 	bySize(b, func(b *testing.B, services int) {
 		records := published(b, services)
-		before := heap()
+		before := testkit.LiveHeap()
 		state, _ := Fold(State{}, records)
 		set, _ := BuildSet(state, nil, CurrentSchema)
-		held := heap() - before
+		held := testkit.LiveHeap() - before
 		snapshot, err := EncodeSnapshot(state)
 		if err != nil {
 			b.Fatal(err)
@@ -114,10 +104,3 @@
 		runtime.KeepAlive(state)
 	})
 }
-
-func heap() uint64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
-}
