TOML: [name] does not extend the last [[name]]

TOML 1.0 forbids the header, but it was read as the last entry of the array: a typing error in a document's new [[accounts]] entry changed the limits of the one before. TestHeaderInSingleBracketsExtendsNoEntry failed first. Parsing of schema 1 gets stricter by it, which is only right before the first release (docs/design/documents.md).

--- a/internal/tomlfile/parse.go
+++ b/internal/tomlfile/parse.go
@@ -215,7 +215,16 @@
 func (r *reader) table(e *unstable.Node) {
 	parts := r.parts(e)
 	last := parts[len(parts)-1]
-	r.current, r.currentKey = r.descend(r.root, "", parts)
+	r.current, r.currentKey = nil, ""
+	parent, key := r.descend(r.root, "", parts[:len(parts)-1])
+	if parent == nil {
+		return
+	}
+	if array := parent.fields[last.name]; array != nil && array.shape == arrayShape {
+		r.source.add(last.at, joinKey(key, last.name), r.already(array), "one definition, or [["+last.name+"]]")
+		return
+	}
+	r.current, r.currentKey = r.descend(parent, key, parts[len(parts)-1:])
 	if r.current == nil {
 		return
 	}
