Calls: a hand-over is cut into messages that a peer accepts

A peer's transport refuses messages above 8 MiB (package peer). All waiting calls went in one: nine requests of 1 MiB that wait for the log when a gateway leaves were refused by every peer, which looks like a lost answer, so they were released and told as in_progress, and ran nowhere for their whole window unless the caller sent them again. Now 4 MiB at most a message, for outcomes too. TestHandOverOfLargeRequests failed before (in_progress from Find, want completed), with the peer of the tests refusing what is above 8 MiB. Ruled out: taking the refusal for ErrNotHanded, which would only turn the calls into not_run. A request above 8 MiB by itself (limits.max_body raised) still cannot be handed over.

--- a/internal/calls/handover.go
+++ b/internal/calls/handover.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/calls/journal"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
 )
 
@@ -32,10 +33,10 @@
 
 // handOverCalls gives up all claims that wait and offers their calls to peers.
 func (c *Coordinator) handOverCalls(ctx context.Context) {
-	offered := map[journal.ClaimID]*claim{}
+	given := map[journal.ClaimID]*claim{}
 	var h HandOver
 	for _, cl := range c.giveUpWaiting() {
-		offered[cl.record.ID] = cl
+		given[cl.record.ID] = cl
 		h.Calls = append(h.Calls, HandedCall{
 			Call:      cl.call,
 			Claim:     cl.record.ID,
@@ -43,24 +44,70 @@
 			Remaining: c.limits.ClaimWait,
 		})
 	}
+	for _, batch := range h.batches() {
+		c.offerCalls(ctx, batch.Calls, given)
+	}
+}
+
+// offerCalls offers calls to one peer after the other until all are taken, and
+// ends their claims. given holds those of all calls that nobody took.
+func (c *Coordinator) offerCalls(ctx context.Context, calls []HandedCall, given map[journal.ClaimID]*claim) {
 	doubtful := false
 	for _, peer := range c.cfg.Peers.Candidates() {
-		if len(offered) == 0 {
+		if len(calls) == 0 {
 			return
 		}
-		accepted, err := c.handTo(ctx, peer, h)
+		accepted, err := c.handTo(ctx, peer, HandOver{Calls: calls})
 		doubtful = doubtful || err != nil && !errors.Is(err, ErrNotHanded)
 		for _, id := range accepted {
-			if cl, ok := offered[id]; ok {
+			if cl, ok := given[id]; ok {
 				c.concludeHanded(cl)
-				delete(offered, id)
+				delete(given, id)
 			}
 		}
-		h.Calls = remaining(h.Calls, offered)
+		calls = remaining(calls, given)
+	}
+	for _, call := range calls {
+		c.concludeNotHanded(given[call.Claim], doubtful)
+	}
+}
+
+const (
+	// maxHandOverBytes keeps a message of a hand-over well below what a peer
+	// accepts. One that is refused for its size cannot be told from one whose
+	// answer was lost: its calls would be told as in progress, and run nowhere.
+	maxHandOverBytes = 4 << 20
+	// handedBytes is what a call or an outcome takes besides its payload and
+	// its key, rounded up.
+	handedBytes = 512
+)
+
+// batches cuts a hand-over into messages of at most maxHandOverBytes. What is
+// larger by itself goes alone.
+func (h HandOver) batches() []HandOver {
+	var all []HandOver
+	var next HandOver
+	size := 0
+	reserve := func(key ident.CallKey, payload []byte) {
+		bytes := handedBytes + len(key.String()) + len(payload)
+		if size > 0 && size+bytes > maxHandOverBytes {
+			all = append(all, next)
+			next, size = HandOver{}, 0
+		}
+		size += bytes
+	}
+	for _, call := range h.Calls {
+		reserve(call.Key, call.Payload)
+		next.Calls = append(next.Calls, call)
 	}
-	for _, cl := range offered {
-		c.concludeNotHanded(cl, doubtful)
+	for _, o := range h.Outcomes {
+		reserve(o.Key, o.Payload)
+		next.Outcomes = append(next.Outcomes, o)
 	}
+	if size == 0 {
+		return nil
+	}
+	return append(all, next)
 }
 
 // giveUpWaiting moves all waiting claims to handed: from here on this gateway
@@ -90,10 +137,11 @@
 	return accepted, err
 }
 
-func remaining(calls []HandedCall, offered map[journal.ClaimID]*claim) []HandedCall {
+// remaining returns the calls whose claims are in given.
+func remaining(calls []HandedCall, given map[journal.ClaimID]*claim) []HandedCall {
 	var left []HandedCall
 	for _, call := range calls {
-		if _, ok := offered[call.Claim]; ok {
+		if _, ok := given[call.Claim]; ok {
 			left = append(left, call)
 		}
 	}
@@ -155,9 +203,13 @@
 		}
 		p.mu.Unlock()
 	}
-	if len(h.Outcomes) == 0 {
-		return
+	for _, batch := range h.batches() {
+		c.offerOutcomes(ctx, batch)
 	}
+}
+
+// offerOutcomes gives outcomes to the first peer that takes them.
+func (c *Coordinator) offerOutcomes(ctx context.Context, h HandOver) {
 	for _, peer := range c.cfg.Peers.Candidates() {
 		if _, err := c.handTo(ctx, peer, h); err == nil {
 			return
--- a/internal/calls/leaving_test.go
+++ b/internal/calls/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -101,6 +102,27 @@
 	})
 }
 
+// Symptom: callers hear for an hour that another gateway runs their calls, and
+// none does.
+// Sequence: a gateway leaves while calls with large requests wait for the log.
+// Cause: all of them in one message are more than a peer accepts.
+func TestHandOverOfLargeRequests(t *testing.T) {
+	inWorld(t, blind, func(t *testing.T, m *machine, g []*gateway) {
+		m.w.log.SetDelay(700 * time.Millisecond)
+		payload := strings.Repeat("x", 1<<20)
+		for range 12 {
+			r := m.newRequest(false)
+			r.payload = payload
+			m.send(g[0], r, patient)
+		}
+		m.reclaim(g[0], patient)
+		time.Sleep(patient)
+		for _, r := range m.requests {
+			wantKind(t, "a question by key", g[1].calls.Find(context.Background(), r.key), outcome.Completed)
+		}
+	})
+}
+
 // Symptom: a call is cut off by a planned stop.
 // Sequence: it was admitted before the gateway began to leave, and claims its
 // key after all waiting claims were handed over.
--- a/internal/calls/network_test.go
+++ b/internal/calls/network_test.go
@@ -208,6 +208,9 @@
 	if err := p.reach(); err != nil {
 		return nil, err
 	}
+	if payloadBytes(h) > maxMessage {
+		return nil, errors.New("message too large")
+	}
 	answer := make(chan []journal.ClaimID, 1)
 	go func() {
 		if p.to.step() == nil {
@@ -224,3 +227,16 @@
 		return nil, ctx.Err()
 	}
 }
+
+// maxMessage is the largest message between gateways, as in package peer.
+const maxMessage = 8 << 20
+
+func payloadBytes(h HandOver) (bytes int) {
+	for _, call := range h.Calls {
+		bytes += len(call.Payload)
+	}
+	for _, o := range h.Outcomes {
+		bytes += len(o.Payload)
+	}
+	return bytes
+}
