Probing: NoteUnreachable removed, nobody called it

Neither the data path nor a test used the hint for a probe at once; the probes' own interval (1 s) and the data path's retries serve. With it goes the check of the role in start, which only the hint could pass wrongly: assigned filters.

--- a/internal/controllers/probing/controller.go
+++ b/internal/controllers/probing/controller.go
@@ -19,8 +19,6 @@
 	deps    Deps
 	probes  map[ident.Instance]*probeState
 	results chan result
-	// suspects are upstreams that the data path could not reach.
-	suspects chan ident.Instance
 	// dirty: load has changed since the last publication.
 	dirty bool
 }
@@ -37,26 +35,13 @@
 	lastEvent uint64
 }
 
-// maxSuspects bounds the hints of the data path that wait.
-const maxSuspects = 64
-
 // New returns a controller that has probed nothing yet.
 func New(config Config, deps Deps) *Controller {
 	return &Controller{
-		config:   config,
-		deps:     deps,
-		probes:   map[ident.Instance]*probeState{},
-		results:  make(chan result),
-		suspects: make(chan ident.Instance, maxSuspects),
-	}
-}
-
-// NoteUnreachable asks for a probe at once, when the data path could not reach
-// an upstream. It never blocks.
-func (c *Controller) NoteUnreachable(id ident.Instance) {
-	select {
-	case c.suspects <- id:
-	default:
+		config:  config,
+		deps:    deps,
+		probes:  map[ident.Instance]*probeState{},
+		results: make(chan result),
 	}
 }
 
@@ -79,8 +64,6 @@
 			c.startNew(ctx, &running, members.Value)
 		case <-probeTick.C:
 			c.startAll(ctx, &running, members.Value)
-		case id := <-c.suspects:
-			c.start(ctx, &running, members.Value.ByID[id].Instance)
 		case r := <-c.results:
 			if c.settle(r) {
 				c.publish(members.Value)
@@ -115,9 +98,6 @@
 
 // start probes an upstream unless a probe of it is running.
 func (c *Controller) start(ctx context.Context, running *sync.WaitGroup, instance platform.Instance) {
-	if !isUpstream(instance) {
-		return
-	}
 	p, ok := c.probes[instance.ID]
 	if !ok || p.incarnation != instance.Incarnation {
 		p = &probeState{incarnation: instance.Incarnation}
