Comments and design notes that contradicted the code

- PredictedBy is the quantile 0.8 that routing learns, not nine of ten.
- The service lock of admission is taken by SetUpstreams and SetSlots too.
- Unused: RuleEjected, RuleFull, ident.NewClaim; slices.Contains in place of a loop; one sentence for leaving gateways; names.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -4,8 +4,8 @@
 // The decisions are those of the pure packages below it: quota (limits of a
 // client account), fairshare (order), gate (slots, deadlines, return times),
 // concurrency (limit per upstream) and ejection (upstreams to leave out). A
-// Controller adds a lock per service and the blocking wait. Nothing but
-// requests takes that lock; controllers read atomic snapshots.
+// Controller adds a lock per service and the blocking wait. The lock is held
+// for the length of one decision, also by SetUpstreams and SetSlots.
 package admission
 
 import (
@@ -45,7 +45,7 @@
 	// the first token now and on an idle upstream, and from the first token
 	// to the last.
 	Predicted, Unloaded, Remaining time.Duration
-	// PredictedBy is when nine of ten such first tokens have come; 0 counts
+	// PredictedBy is when four of five such first tokens have come; 0 counts
 	// as Predicted.
 	PredictedBy time.Duration
 	// Deadline of the caller; zero is none. The context's deadline counts
--- a/internal/admission/concurrency/limit.go
+++ b/internal/admission/concurrency/limit.go
@@ -4,9 +4,9 @@
 // The limit follows the ratio of a goal, by default some times the unloaded
 // latency, to the observed latency (a gradient): as long as answers come within
 // the goal it grows by an allowance for a short queue; when they come later it
-// shrinks in proportion. A dropped
-// request shrinks it at once. Gateways that share an upstream need not talk:
-// all see the same latency. The package is pure.
+// shrinks in proportion. A dropped request shrinks it at once. Gateways that
+// share an upstream need not talk: all see the same latency. The package is
+// pure.
 package concurrency
 
 import (
--- a/internal/admission/ejection/ejection.go
+++ b/internal/admission/ejection/ejection.go
@@ -83,8 +83,11 @@
 
 // The states.
 const (
+	// Healthy: the upstream gets requests.
 	Healthy State = iota
+	// Ejected: it gets none until its time is over; then one, as a probe.
 	Ejected
+	// Probing: it gets one request at a time.
 	Probing
 )
 
--- a/internal/admission/gate/gate.go
+++ b/internal/admission/gate/gate.go
@@ -63,7 +63,7 @@
 	// Predicted is the time from grant to the first token, as routing sees
 	// it now. Unloaded is the same on an idle upstream.
 	Predicted, Unloaded time.Duration
-	// PredictedBy is when nine of ten such first tokens have come; 0 counts
+	// PredictedBy is when four of five such first tokens have come; 0 counts
 	// as Predicted. It decides for all but the most urgent priority: what
 	// engines serve first varies little, and a wrong refusal costs most.
 	PredictedBy time.Duration
--- a/internal/cacheview/cacheview.go
+++ b/internal/cacheview/cacheview.go
@@ -26,7 +26,7 @@
 	// probability of 2^-40.
 	stampBits = 24
 	stampMask = 1<<stampBits - 1
-	// stampUnit makes the stamps last for 52 days.
+	// stampShift makes one stamp 2^28 ns, so that they last for 52 days.
 	stampShift = 28
 )
 
--- a/internal/experiment/driver.go
+++ b/internal/experiment/driver.go
@@ -182,13 +182,13 @@
 		}
 		r.deciders = append(r.deciders, d)
 		r.poll(d)
-		r.at(pollEvery*time.Duration(i)/deciders, func() { r.pollOnAndOn(d) })
+		r.at(pollEvery*time.Duration(i)/deciders, func() { r.pollRepeatedly(d) })
 	}
 }
 
-func (r *run) pollOnAndOn(d *decider) {
+func (r *run) pollRepeatedly(d *decider) {
 	r.poll(d)
-	r.at(r.now+pollEvery, func() { r.pollOnAndOn(d) })
+	r.at(r.now+pollEvery, func() { r.pollRepeatedly(d) })
 }
 
 // poll reads all upstreams' reports and cache events into new views.
--- a/internal/experiment/policies.go
+++ b/internal/experiment/policies.go
@@ -1,11 +1,11 @@
 package experiment
 
 import (
+	"slices"
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
 	"github.com/goldcrestspool/goldcrestspool/internal/document"
-	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/routing"
 )
 
@@ -82,7 +82,7 @@
 func (s *simple) Decide(doc *document.Document, view []blackboard.Upstream, req routing.Request, now time.Time) routing.Decision {
 	var usable []*blackboard.Upstream
 	for i := range view {
-		if view[i].State == blackboard.Alive && !excluded(req.Exclude, view[i].Instance.ID) {
+		if view[i].State == blackboard.Alive && !slices.Contains(req.Exclude, view[i].Instance.ID) {
 			usable = append(usable, &view[i])
 		}
 	}
@@ -93,15 +93,6 @@
 	return s.Router.Decide(doc, []blackboard.Upstream{*chosen}, req, now)
 }
 
-func excluded(list []ident.Instance, id ident.Instance) bool {
-	for _, x := range list {
-		if x == id {
-			return true
-		}
-	}
-	return false
-}
-
 func roundRobin(s *simple, usable []*blackboard.Upstream, _ routing.Request, _ time.Time) *blackboard.Upstream {
 	s.turn++
 	return usable[s.turn%len(usable)]
--- a/internal/ident/ident.go
+++ b/internal/ident/ident.go
@@ -10,7 +10,7 @@
 	"github.com/google/uuid"
 )
 
-// Instance identifies one machine of the platform, entry or upstream.
+// Instance identifies one instance of the platform: a gateway or an upstream.
 type Instance string
 
 // FailureDomain identifies a set of instances that can fail together.
@@ -73,6 +73,3 @@
 
 // NewRequest returns a random request ID.
 func NewRequest() Request { return Request(uuid.NewString()) }
-
-// NewClaim returns a random claim ID.
-func NewClaim() Claim { return Claim(uuid.NewString()) }
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -28,7 +28,8 @@
 	MaxTokens int
 	// FailureDomain of the deciding gateway.
 	FailureDomain ident.FailureDomain
-	// Exclude are upstreams that already failed this request.
+	// Exclude are upstreams that must not be chosen: they failed this request,
+	// or are ejected.
 	Exclude []ident.Instance
 	// Explain asks for Decision.Reasons.
 	Explain bool
@@ -39,16 +40,12 @@
 
 // The rules.
 const (
-	// RuleExcluded: the upstream already failed this request.
+	// RuleExcluded: the request excludes the upstream.
 	RuleExcluded Rule = "excluded"
 	// RuleLeaving: the upstream is leaving or gone.
 	RuleLeaving Rule = "leaving"
 	// RuleSuspect: the upstream is suspect and others are not.
 	RuleSuspect Rule = "suspect"
-	// RuleEjected: the upstream answers much later than it reports.
-	RuleEjected Rule = "ejected"
-	// RuleFull: this gateway's concurrency limit for the upstream is reached.
-	RuleFull Rule = "full"
 	// RuleScored: the upstream could serve the request at this score.
 	RuleScored Rule = "scored"
 	// RuleChosen: the upstream serves the request.
--- a/internal/streaming/handover.go
+++ b/internal/streaming/handover.go
@@ -47,9 +47,9 @@
 )
 
 // Leave ends the registry: it takes no new streams, lets those in progress end
-// within grace, which may be 0, and gives the rest to the first peers that take them. Callers
-// then hear that they may resume elsewhere at once. It returns when no caller
-// follows any more, or when ctx ends.
+// within grace, which may be 0, and gives the rest to the first peers that take
+// them. Callers then hear that they may resume elsewhere at once. It returns
+// when no caller follows any more, or when ctx ends.
 func (g *Registry) Leave(ctx context.Context, grace time.Duration, peers []Peer) LeaveReport {
 	g.refuseNew()
 	graced, cancel := context.WithTimeout(ctx, grace)
@@ -284,5 +284,5 @@
 }
 
 func leavingOutcome() outcome.Outcome {
-	return outcome.NewInterrupted(outcome.ReasonLeaving, "this gateway is leaving; resume at any other", 0)
+	return outcome.NewInterrupted(outcome.ReasonLeaving, messageLeaving, 0)
 }
--- a/internal/streaming/observer.go
+++ b/internal/streaming/observer.go
@@ -43,7 +43,7 @@
 	attemptsVar   = expvar.NewMap("goldcrestspool.streaming.attempts")
 	recomputedVar = expvar.NewMap("goldcrestspool.streaming.tokens_recomputed")
 	importedVar   = expvar.NewInt("goldcrestspool.streaming.tokens_imported")
-	deliveredVar  = expvar.NewInt("goldcrestspool.streaming.tokens_assembled")
+	assembledVar  = expvar.NewInt("goldcrestspool.streaming.tokens_assembled")
 	silentVar     = expvar.NewInt("goldcrestspool.streaming.connections_silent")
 	faultsVar     = expvar.NewMap("goldcrestspool.streaming.faults")
 	streamsVar    = expvar.NewInt("goldcrestspool.streaming.streams")
@@ -54,7 +54,7 @@
 // publish adds a report to the process's figures.
 func publish(r AttemptReport) {
 	attemptsVar.Add(string(r.Cause), 1)
-	deliveredVar.Add(int64(r.Tokens))
+	assembledVar.Add(int64(r.Tokens))
 	importedVar.Add(int64(r.Imported))
 	if r.Recomputed > 0 {
 		recomputedVar.Add(string(r.Cause), int64(r.Recomputed))
--- a/internal/streaming/stop.go
+++ b/internal/streaming/stop.go
@@ -19,13 +19,16 @@
 	errAbandoned = errors.New("no caller left")
 )
 
+// messageLeaving is what the callers of a leaving gateway hear.
+const messageLeaving = "this gateway is leaving; resume at any other"
+
 // stopped returns the outcome of a run whose context has ended.
 func (r *run) stopped(ctx context.Context) outcome.Outcome {
 	cause := context.Cause(ctx)
 	switch {
 	case errors.Is(cause, errLeaving):
 		// The next gateway can take the caller at once.
-		return *r.giveUp(outcome.ReasonLeaving, "this gateway is leaving; resume at any other", 0)
+		return *r.giveUp(outcome.ReasonLeaving, messageLeaving, 0)
 	case errors.Is(cause, errReplaced):
 		// The other call runs the request, so not_run would be wrong even
 		// if this run has reached no engine.
--- a/internal/testkit/seed.go
+++ b/internal/testkit/seed.go
@@ -1,5 +1,6 @@
-// Package testkit helps tests to give the same verdict at every run. Only
-// test files import it.
+// Package testkit holds what the tests of several packages share: fixed seeds,
+// bubbles of virtual time, loopback servers, a relay that loses connections,
+// and certificates. Only test files import it.
 package testkit
 
 import (
