Cache views outlive their stamps

Cause: stamps count 52 days in 24 bits. In the last tick of a turn the stamp ran over into the fingerprint, so that what was placed then was not found. After it, entries of before counted as fresh for ever and kept their places against newer ones. A view lasts as long as one incarnation of its upstream.

TestViewOutlivesItsStamps failed at all three moments (just before the turn, at it, an hour after). Stamps are now subtracted modulo their range; a confirmation up to 64 ticks ahead of a reader's clock counts as age 0.

--- a/internal/cacheview/cacheview.go
+++ b/internal/cacheview/cacheview.go
@@ -21,13 +21,20 @@
 	// sets overflow.
 	spare = 2
 
-	// A word is a fingerprint of the block's hash above the time of its last
+	// A word is a fingerprint of the block's hash above the stamp of its last
 	// confirmation. Two blocks of a set are taken for each other with a
 	// probability of 2^-40.
 	stampBits = 24
 	stampMask = 1<<stampBits - 1
-	// stampShift makes one stamp 2^28 ns, so that they last for 52 days.
+	// stampShift makes a tick 2^28 ns. A stamp is the low bits of a tick, so
+	// that stamps start again after 52 days.
 	stampShift = 28
+	// clockSlack is how many ticks a confirmation may lie after the present of
+	// a reader that took its time earlier. It counts as age 0 and not as 52
+	// days.
+	clockSlack = 64
+	// emptyAge is above the age of any block.
+	emptyAge = stampMask + 1
 )
 
 // Params tell how far a View believes its entries.
@@ -56,7 +63,7 @@
 	words  []atomic.Uint64
 	// last is the sequence number of the newest event applied.
 	last atomic.Uint64
-	// distrustBefore is the stamp of the last gap.
+	// distrustBefore is the tick of the last gap.
 	distrustBefore atomic.Uint64
 }
 
@@ -81,7 +88,7 @@
 			continue
 		}
 		if e.Sequence != last+1 {
-			v.distrustBefore.Store(v.stamp(now))
+			v.distrustBefore.Store(v.tick(now))
 		}
 		v.last.Store(e.Sequence)
 		if e.Stored {
@@ -103,17 +110,18 @@
 // Cached returns how many leading blocks are believed cached, weighed by how
 // much that belief is worth.
 func (v *View) Cached(blocks []uint64, now time.Time) float64 {
-	present := v.stamp(now)
+	present := v.tick(now)
 	distrust := v.distrustBefore.Load()
 	lifetime := float64(v.params.Lifetime >> stampShift)
 	sum := 0.0
 	for _, b := range blocks {
-		stamp, ok := v.find(b)
+		word, ok := v.find(b)
 		if !ok {
 			break
 		}
-		worth := 1 - float64(present-min(stamp, present))/lifetime
-		if stamp < distrust {
+		age := ageOf(word, present)
+		worth := 1 - float64(age)/lifetime
+		if present-min(age, present) < distrust {
 			worth *= v.params.Distrusted
 		}
 		if worth <= 0 {
@@ -124,9 +132,21 @@
 	return sum
 }
 
-// stamp numbers the times since the View began, from 1.
-func (v *View) stamp(now time.Time) uint64 {
-	return uint64(max(0, now.Sub(v.began))>>stampShift)&stampMask + 1
+// tick numbers the times since the View began.
+func (v *View) tick(now time.Time) uint64 {
+	return uint64(max(0, now.Sub(v.began)) >> stampShift)
+}
+
+// ageOf returns how many ticks before the present a word was confirmed.
+//
+// Stamps are subtracted modulo their range. Compared as numbers, the entries of
+// before their new start would count as fresh for ever and keep their places,
+// which shows as prompts that are sent where nothing of them is cached.
+func ageOf(word, present uint64) uint64 {
+	if word == 0 {
+		return emptyAge
+	}
+	return max((present+clockSlack-word)&stampMask, clockSlack) - clockSlack
 }
 
 // set returns the words where a block may stand.
@@ -137,12 +157,12 @@
 
 func fingerprint(block uint64) uint64 { return block >> stampBits }
 
-func (v *View) find(block uint64) (stamp uint64, ok bool) {
+func (v *View) find(block uint64) (word uint64, ok bool) {
 	set := v.set(block)
 	for i := range set {
 		word := set[i].Load()
 		if word != 0 && word>>stampBits == fingerprint(block) {
-			return word & stampMask, true
+			return word, true
 		}
 	}
 	return 0, false
@@ -151,9 +171,10 @@
 // confirm notes a block as present now.
 func (v *View) confirm(block uint64, now time.Time) {
 	set := v.set(block)
-	word := fingerprint(block)<<stampBits | v.stamp(now)
+	present := v.tick(now)
+	word := fingerprint(block)<<stampBits | present&stampMask
 	for {
-		place, old := victim(set, fingerprint(block))
+		place, old := victim(set, fingerprint(block), present)
 		if place.CompareAndSwap(old, word) {
 			return
 		}
@@ -162,15 +183,15 @@
 
 // victim returns the word to replace: the block's own, an empty one, or the
 // one that was confirmed longest ago.
-func victim(set []atomic.Uint64, print uint64) (place *atomic.Uint64, old uint64) {
-	oldest := uint64(stampMask) + 1
+func victim(set []atomic.Uint64, print, present uint64) (place *atomic.Uint64, old uint64) {
+	oldest := uint64(0)
 	for i := range set {
 		word := set[i].Load()
 		if word != 0 && word>>stampBits == print {
 			return &set[i], word
 		}
-		if stamp := word & stampMask; stamp < oldest {
-			place, old, oldest = &set[i], word, stamp
+		if age := ageOf(word, present); place == nil || age > oldest {
+			place, old, oldest = &set[i], word, age
 		}
 	}
 	return place, old
--- a/internal/cacheview/cacheview_test.go
+++ b/internal/cacheview/cacheview_test.go
@@ -69,3 +69,32 @@
 		t.Errorf("belief past its lifetime is %v, want 0", old)
 	}
 }
+
+// Symptom: a gateway that runs for long sends prompts where their prefix was
+// evicted weeks ago, and forgets what was placed just now.
+// Sequence: a view lasts longer than its stamps count; a block was confirmed
+// before their end, others are after it.
+// Cause: stamps that start again were compared as if they had not, and the last
+// one before the start ran over into the fingerprint.
+func TestViewOutlivesItsStamps(t *testing.T) {
+	turn := began.Add(time.Duration(1<<stampBits) << stampShift)
+	old := hashes(1)
+	for _, moment := range []time.Time{turn.Add(-time.Millisecond), turn, turn.Add(time.Hour)} {
+		// One set, so that a new block needs the place of the oldest.
+		v := New(Params{Blocks: 1, Lifetime: 10 * time.Minute, Distrusted: 0.5}, began)
+		v.Placed(old, turn.Add(-24*time.Hour))
+		if got := v.Cached(old, moment); got != 0 {
+			t.Errorf("%v after the turn: belief in a block of the day before is %v, want 0", moment.Sub(turn), got)
+		}
+		for i, b := range hashes(1 + 2*ways)[1:] {
+			at := moment.Add(time.Duration(i) * time.Second)
+			v.Placed([]uint64{b}, at)
+			if got := v.Cached([]uint64{b}, at); got != 1 {
+				t.Errorf("%v after the turn: belief in the block placed now is %v, want 1", at.Sub(turn), got)
+			}
+		}
+		if _, ok := v.find(old[0]); ok {
+			t.Errorf("%v after the turn: the oldest block kept its place", moment.Sub(turn))
+		}
+	}
+}
