--- a/internal/experiment/keeper.go
+++ b/internal/experiment/admission.go
@@ -17,17 +17,17 @@
 // maxReturns is how often a refused caller comes back as told.
 const maxReturns = 5
 
-// keeper is one decider's admission for one service: the pure parts that
+// admission is one decider's admission for one service: the pure parts that
 // admission.Controller wraps for goroutines, driven in virtual time.
-type keeper struct {
+type admission struct {
 	gate     *gate.Gate
 	ejection *ejection.Set
 	budget   *retry.Budget
 	entries  map[*gate.Entry]*call
 }
 
-func newKeeper(now time.Time) *keeper {
-	return &keeper{
+func newAdmission(now time.Time) *admission {
+	return &admission{
 		gate:     gate.New(gate.Config{}),
 		ejection: ejection.New(ejection.Config{}),
 		budget:   retry.NewBudget(retry.BudgetConfig{}, now),
@@ -36,39 +36,42 @@
 }
 
 // setUpstreams takes over which upstreams are alive.
-func (p *keeper) setUpstreams(view []blackboard.Upstream, policy Policy, now time.Time) {
+func (a *admission) setUpstreams(view []blackboard.Upstream, policy Policy, now time.Time) {
 	var ids []ident.Instance
 	for _, u := range view {
 		if u.State == blackboard.Alive {
 			ids = append(ids, u.Instance.ID)
 		}
 	}
-	p.ejection.SetUpstreams(ids)
-	p.gate.SetSlots(policy.Slots(view, deciders, now))
+	a.ejection.SetUpstreams(ids)
+	a.gate.SetSlots(policy.Slots(view, deciders, now))
 }
 
 // offer asks for a slot for a request as routing sees it now.
-func (p *keeper) offer(k *call, d routing.Decision, now time.Time) gate.Decision {
+func (a *admission) offer(k *call, d routing.Decision, now time.Time) gate.Decision {
 	account := ident.ClientAccount(strconv.Itoa(k.account))
 	k.entry = &gate.Entry{Request: gate.Request{
 		ID: k.id(), Account: account, Limit: document.AccountLimit{Account: account, Share: 1}, Class: k.kind.Class,
 		Predicted: d.FirstToken, PredictedBy: d.FirstTokenBy, Unloaded: d.Unloaded, Remaining: time.Duration(k.output) * d.BetweenTokens,
 		Cost: d.Work, Attempt: uint32(k.refusals + 1),
 	}}
-	p.entries[k.entry] = k
-	return p.gate.Offer(now, k.entry)
+	a.entries[k.entry] = k
+	return a.gate.Offer(now, k.entry)
 }
 
+// admission is that of a request's service at its decider; nil without one.
+func (r *run) admission(k *call) *admission { return k.decider.admissions[r.document(k.kind.Plain)] }
+
 // admit lets a request in, makes it wait, or refuses it.
 func (r *run) admit(k *call) {
 	doc := r.document(k.kind.Plain)
-	p := k.decider.keepers[doc]
-	if p == nil {
+	a := k.decider.admissions[doc]
+	if a == nil {
 		r.dispatch(k)
 		return
 	}
 	d := k.decider.policies[doc].Decide(doc, k.decider.views[doc], k.request(doc.Service), r.clock())
-	decision := p.offer(k, d, r.clock())
+	decision := a.offer(k, d, r.clock())
 	if k.refusals > 0 {
 		k.retries++
 		if !decision.Refused {
@@ -85,21 +88,21 @@
 		r.at(time.Duration(entry.LatestStart().UnixNano()), func() { r.abandon(k, entry, outcome.ReasonOverloaded) })
 	}
 	if decision.Evicted != nil {
-		r.refuse(p.entries[decision.Evicted.Entry], decision.Evicted.Refusal)
+		r.refuse(a.entries[decision.Evicted.Entry], decision.Evicted.Refusal)
 	}
 }
 
 // abandon ends a wait that took too long, or whose caller left.
 func (r *run) abandon(k *call, entry *gate.Entry, cause outcome.Reason) {
-	p := k.decider.keepers[r.document(k.kind.Plain)]
-	if refusal, waited := p.gate.Abandon(r.clock(), entry, cause); waited {
+	a := r.admission(k)
+	if refusal, waited := a.gate.Abandon(r.clock(), entry, cause); waited {
 		r.refuse(k, refusal)
 	}
 }
 
 // refuse tells a caller when to come back; it does so a few times.
 func (r *run) refuse(k *call, o outcome.Outcome) {
-	delete(k.decider.keepers[r.document(k.kind.Plain)].entries, k.entry)
+	delete(r.admission(k).entries, k.entry)
 	k.entry = nil
 	k.refusals++
 	if k.done || k.refusals > maxReturns || o.RetryAfter <= 0 {
@@ -115,33 +118,32 @@
 
 // answered tells a request's first token to the gate.
 func (r *run) answered(k *call) {
-	if p := k.decider.keepers[r.document(k.kind.Plain)]; p != nil && k.entry != nil {
-		p.gate.FirstToken(r.clock(), k.entry)
+	if a := r.admission(k); a != nil && k.entry != nil {
+		a.gate.FirstToken(r.clock(), k.entry)
 	}
 }
 
 // release gives the slot of an ended request back and lets others in.
 func (r *run) release(k *call) {
-	doc := r.document(k.kind.Plain)
-	p := k.decider.keepers[doc]
-	if p == nil || k.entry == nil {
+	a := r.admission(k)
+	if a == nil || k.entry == nil {
 		return
 	}
-	p.gate.Done(r.clock(), k.entry, 0)
-	delete(p.entries, k.entry)
+	a.gate.Done(r.clock(), k.entry, 0)
+	delete(a.entries, k.entry)
 	k.entry = nil
-	r.letIn(p)
+	r.grantWaiting(a)
 }
 
-// letIn grants free slots to those who wait.
-func (r *run) letIn(p *keeper) {
+// grantWaiting grants free slots to those who wait.
+func (r *run) grantWaiting(a *admission) {
 	for {
-		granted, expired := p.gate.Next(r.clock())
+		granted, expired := a.gate.Next(r.clock())
 		switch {
 		case granted != nil:
-			r.dispatch(p.entries[granted])
+			r.dispatch(a.entries[granted])
 		case expired != nil:
-			r.refuse(p.entries[expired.Entry], expired.Refusal)
+			r.refuse(a.entries[expired.Entry], expired.Refusal)
 		default:
 			return
 		}
@@ -150,8 +152,8 @@
 
 // observe learns from an attempt that ended at an upstream.
 func (r *run) observe(k *call, u *runner, failed bool) {
-	p := k.decider.keepers[r.document(k.kind.Plain)]
-	if p == nil {
+	a := r.admission(k)
+	if a == nil {
 		return
 	}
 	// The time between tokens hardly depends on the queue, so that it tells a
@@ -161,5 +163,5 @@
 		gap := (r.now - k.sent - k.firstOfAttempt) / time.Duration(n-1)
 		sample.Latency = gap.Seconds() / k.decision.BetweenTokens.Seconds()
 	}
-	p.ejection.Ended(r.clock(), u.ID, sample)
+	a.ejection.Ended(r.clock(), u.ID, sample)
 }
--- a/internal/experiment/brownout.go
+++ b/internal/experiment/brownout.go
@@ -21,28 +21,28 @@
 // and so is the one that resumes a stream after its upstream was lost; each
 // after a refusal is taken from the decider's budget.
 func (r *run) mayTry(k *call, refused bool) bool {
-	p := k.decider.keepers[r.document(k.kind.Plain)]
-	if p == nil {
+	a := r.admission(k)
+	if a == nil {
 		return true
 	}
 	if k.attempts == 0 {
-		p.budget.FirstTry()
+		a.budget.FirstTry()
 	}
-	return !refused || p.budget.Spend(r.clock())
+	return !refused || a.budget.Spend(r.clock())
 }
 
 // noteRefusal tells the ejection of an attempt that an upstream refused.
 func (r *run) noteRefusal(k *call, id ident.Instance) {
-	if p := k.decider.keepers[r.document(k.kind.Plain)]; p != nil {
-		p.ejection.Started(r.clock(), id)
-		p.ejection.Ended(r.clock(), id, ejection.Sample{Failed: true, Started: r.clock()})
+	if a := r.admission(k); a != nil {
+		a.ejection.Started(r.clock(), id)
+		a.ejection.Ended(r.clock(), id, ejection.Sample{Failed: true, Started: r.clock()})
 	}
 }
 
 // turnAway ends a request whose retry is not paid for. It ran nowhere, so its
 // caller hears when to come back.
 func (r *run) turnAway(k *call) {
-	p := k.decider.keepers[r.document(k.kind.Plain)]
+	a := r.admission(k)
 	if k.delivered > 0 || k.entry == nil {
 		r.close(k)
 		return
@@ -50,6 +50,6 @@
 	k.turnedAway++
 	entry := k.entry
 	r.refuse(k, outcome.NewNotRun(outcome.ReasonUpstreamRefused, "", returntime.Spread(spentReturn, k.id())))
-	p.gate.Done(r.clock(), entry, 0)
-	r.letIn(p)
+	a.gate.Done(r.clock(), entry, 0)
+	r.grantWaiting(a)
 }
--- a/internal/experiment/calls.go
+++ b/internal/experiment/calls.go
@@ -71,8 +71,8 @@
 		}
 		k.attempts++
 		req := k.request(doc.Service)
-		if p := k.decider.keepers[doc]; p != nil {
-			req.Exclude = append(req.Exclude[:len(req.Exclude):len(req.Exclude)], p.ejection.Excluded(r.clock())...)
+		if a := k.decider.admissions[doc]; a != nil {
+			req.Exclude = append(req.Exclude[:len(req.Exclude):len(req.Exclude)], a.ejection.Excluded(r.clock())...)
 		}
 		d := policy.Decide(doc, k.decider.views[doc], req, r.clock())
 		if !d.Found() {
@@ -102,8 +102,8 @@
 	}
 	k.runner, k.decision, k.sent, k.firstOfAttempt = u, d, r.now, 0
 	k.resumedAt = k.delivered
-	if p := k.decider.keepers[r.document(k.kind.Plain)]; p != nil {
-		p.ejection.Started(r.clock(), u.ID)
+	if a := r.admission(k); a != nil {
+		a.ejection.Started(r.clock(), u.ID)
 	}
 	u.active[k.index] = k
 	r.step(u)
--- a/internal/experiment/driver.go
+++ b/internal/experiment/driver.go
@@ -71,8 +71,8 @@
 	views    map[*document.Document][]blackboard.Upstream
 	caches   map[ident.Instance]*cacheview.View
 	blind    bool
-	// keepers are empty for policies without admission.
-	keepers map[*document.Document]*keeper
+	// admissions are empty for policies without admission.
+	admissions map[*document.Document]*admission
 	// evacuated are the leaving runners that were planned for; nil for
 	// policies that only react to the end.
 	evacuated map[ident.Instance]bool
@@ -171,14 +171,21 @@
 
 func (r *run) addDeciders(contender Contender) {
 	for i := range deciders {
-		d := &decider{caches: make(map[ident.Instance]*cacheview.View), views: make(map[*document.Document][]blackboard.Upstream), blind: contender.BlindToCaches}
+		d := &decider{
+			caches: make(map[ident.Instance]*cacheview.View),
+			views:  make(map[*document.Document][]blackboard.Upstream),
+			blind:  contender.BlindToCaches,
+		}
 		d.policies = map[*document.Document]Policy{
 			r.workload.Model: contender.New(r.rng.Uint64, r.clock()),
 			r.workload.Plain: contender.New(r.rng.Uint64, r.clock()),
 		}
 		if contender.Admission {
 			d.evacuated = make(map[ident.Instance]bool)
-			d.keepers = map[*document.Document]*keeper{r.workload.Model: newKeeper(r.clock()), r.workload.Plain: newKeeper(r.clock())}
+			d.admissions = map[*document.Document]*admission{
+				r.workload.Model: newAdmission(r.clock()),
+				r.workload.Plain: newAdmission(r.clock()),
+			}
 		}
 		r.deciders = append(r.deciders, d)
 		r.poll(d)
@@ -215,12 +222,12 @@
 			r.evacuate(d, u)
 		}
 	}
-	for doc, p := range d.keepers {
-		p.setUpstreams(d.views[doc], d.policies[doc], r.clock())
+	for doc, a := range d.admissions {
+		a.setUpstreams(d.views[doc], d.policies[doc], r.clock())
 	}
 	for _, doc := range []*document.Document{r.workload.Model, r.workload.Plain} {
-		if p := d.keepers[doc]; p != nil {
-			r.letIn(p)
+		if a := d.admissions[doc]; a != nil {
+			r.grantWaiting(a)
 		}
 	}
 }
--- a/internal/experiment/table.go
+++ b/internal/experiment/table.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"os"
@@ -137,18 +138,17 @@
 	fmt.Fprintln(out)
 }
 
+// reportMode lets everybody read a report.
+const reportMode = 0o644
+
 // WriteReport writes the table, the goals and the plots into a directory.
 func (t Table) WriteReport(directory string) error {
-	text, err := os.Create(filepath.Join(directory, "table.txt"))
-	if err != nil {
-		return err
-	}
-	defer text.Close()
-	t.Print(text)
-	fmt.Fprintln(text)
-	PrintGoals(text, t.Goals())
-	if err := t.drawAll(directory); err != nil {
+	var text bytes.Buffer
+	t.Print(&text)
+	fmt.Fprintln(&text)
+	PrintGoals(&text, t.Goals())
+	if err := os.WriteFile(filepath.Join(directory, "table.txt"), text.Bytes(), reportMode); err != nil {
 		return err
 	}
-	return text.Sync()
+	return t.drawAll(directory)
 }
