--- a/internal/experiment/calls.go
+++ b/internal/experiment/calls.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -72,7 +73,7 @@
 		k.attempts++
 		req := k.request(doc.Service)
 		if a := k.decider.admissions[doc]; a != nil {
-			req.Exclude = append(req.Exclude[:len(req.Exclude):len(req.Exclude)], a.ejection.Excluded(r.clock())...)
+			req.Exclude = slices.Concat(req.Exclude, a.ejection.Excluded(r.clock()))
 		}
 		d := policy.Decide(doc, k.decider.views[doc], req, r.clock())
 		if !d.Found() {
--- a/internal/streaming/attempt.go
+++ b/internal/streaming/attempt.go
@@ -97,6 +97,7 @@
 	limit := a.run.runner.config.SilenceLimit
 	silence := time.NewTimer(limit)
 	defer silence.Stop()
+	// lost is the end of the stream while its cache is still being moved.
 	var lost attemptEnd
 	for {
 		select {
@@ -127,11 +128,9 @@
 			return attemptEnd{next: CauseNotice}
 		case m := <-watch.arrived:
 			watch.moving = false
-			if m.err == nil {
-				return attemptEnd{next: m.cause(), moved: m.moved}
-			}
-			if lost.next != "" {
-				return lost
+			end := m.after(lost)
+			if end.next != "" {
+				return end
 			}
 		}
 	}
--- a/internal/streaming/move.go
+++ b/internal/streaming/move.go
@@ -28,12 +28,17 @@
 	err error
 }
 
-// cause returns the cause of the attempt after the move.
-func (m moveEnd) cause() Cause {
+// after returns how the attempt ends once the move is over: at the new target,
+// or if there is none as it had been lost meanwhile. An end without a next
+// cause says that the attempt goes on.
+func (m moveEnd) after(lost attemptEnd) attemptEnd {
+	if m.err != nil {
+		return lost
+	}
 	if m.moved.imported > 0 {
-		return CauseMoved
+		return attemptEnd{next: CauseMoved, moved: m.moved}
 	}
-	return CauseNotice
+	return attemptEnd{next: CauseNotice, moved: m.moved}
 }
 
 // move brings the KV cache of a leaving upstream to another one. Meanwhile the
