--- a/internal/admission/ejection/ejection.go
+++ b/internal/admission/ejection/ejection.go
@@ -52,30 +52,23 @@
 }
 
 func (c Config) withDefaults() Config {
-	c.Failures = orInt(c.Failures, DefaultFailures)
-	c.SlowSamples = orInt(c.SlowSamples, DefaultSlowSamples)
-	c.Probes = orInt(c.Probes, DefaultProbes)
-	c.Base = orDuration(c.Base, DefaultBase)
-	c.Longest = orDuration(c.Longest, DefaultLongest)
-	c.ProbeLimit = orDuration(c.ProbeLimit, DefaultProbeLimit)
+	c.Failures = positiveOr(c.Failures, DefaultFailures)
+	c.SlowSamples = positiveOr(c.SlowSamples, DefaultSlowSamples)
+	c.Probes = positiveOr(c.Probes, DefaultProbes)
+	c.Base = positiveOr(c.Base, DefaultBase)
+	c.Longest = positiveOr(c.Longest, DefaultLongest)
+	c.ProbeLimit = positiveOr(c.ProbeLimit, DefaultProbeLimit)
 	if c.SlowFactor <= 1 {
 		c.SlowFactor = DefaultSlowFactor
 	}
 	return c
 }
 
-func orInt(n, fallback int) int {
-	if n <= 0 {
+func positiveOr[T int | time.Duration](value, fallback T) T {
+	if value <= 0 {
 		return fallback
 	}
-	return n
-}
-
-func orDuration(d, fallback time.Duration) time.Duration {
-	if d <= 0 {
-		return fallback
-	}
-	return d
+	return value
 }
 
 // State of an upstream.
--- a/internal/admission/gate/gate.go
+++ b/internal/admission/gate/gate.go
@@ -228,7 +228,7 @@
 // account that waits with most, or else refuses the entry.
 //
 // Without that, one account that sends far more than its share would keep the
-// queue full and the others would be refused at the door, whatever the order
+// queue full and the others would be refused on arrival, whatever the order
 // inside.
 func (g *Gate) enqueue(now time.Time, c *client, e *Entry) Decision {
 	var decision Decision
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -3,7 +3,7 @@
 
 import "time"
 
-// Kind is the final word on a request.
+// Kind says how a request ended, or that it has not yet.
 type Kind int
 
 // The kinds. Their numbers are those of the callers' API.
@@ -73,7 +73,7 @@
 	ReasonReplaced Reason = "replaced"
 )
 
-// Outcome is the final word on a request, with when to come back.
+// Outcome is how a request ended, with when to come back.
 type Outcome struct {
 	Kind   Kind
 	Reason Reason
--- a/internal/routing/home.go
+++ b/internal/routing/home.go
@@ -44,7 +44,7 @@
 }
 
 // homes finds the upstreams where the request's prefix is at home: the same at
-// all gateways without a word between them, and as many as the prefix's share
+// all gateways without any messages between them, and as many as the prefix's share
 // of the work needs. It sets the largest place that is a home.
 func (c *chooser) homes() {
 	c.farthest = math.Inf(1)
--- a/internal/streaming/handover.go
+++ b/internal/streaming/handover.go
@@ -110,8 +110,8 @@
 
 // handed returns the stream of an entry whose run has ended, and false when
 // there is nothing to go on with: its time is up, or nothing of it has run.
-// The caller of the latter is told not_run, and a peer that ran it afterwards
-// would make this a lie.
+// The caller of the latter is told not_run, which would be wrong if a peer ran
+// it afterwards.
 func (e *entry) handed() (Handed, bool) {
 	if e.last.Kind == outcome.NotRun {
 		return Handed{}, false
--- a/internal/streaming/runner.go
+++ b/internal/streaming/runner.go
@@ -130,7 +130,7 @@
 }
 
 // pause waits longer after each fruitless attempt but the first, so that a
-// request without a working engine does not hammer all engines. It reports
+// request without a working engine does not load all engines. It reports
 // whether ctx is still open.
 func (r *run) pause(ctx context.Context) bool {
 	const freeRetries = 1
