--- a/internal/cacheview/cacheview_test.go
+++ b/internal/cacheview/cacheview_test.go
@@ -92,6 +92,10 @@
 			if got := v.Cached([]uint64{b}, at); got != 1 {
 				t.Errorf("%v after the turn: belief in the block placed now is %v, want 1", at.Sub(turn), got)
 			}
+			// A reader may have taken its time before the block was placed.
+			if got := v.Cached([]uint64{b}, at.Add(-time.Second)); got != 1 {
+				t.Errorf("%v after the turn: a reader of a second before believes %v, want 1", at.Sub(turn), got)
+			}
 		}
 		if _, ok := v.find(old[0]); ok {
 			t.Errorf("%v after the turn: the oldest block kept its place", moment.Sub(turn))
