loadgen: a rejection is no cut; bookings default to the example's method

Cause: every error of a request that may have been sent counted as a cut. An answered rejection counts no longer (it still ends as lost, so a run with one still exits with 1). TestRejectedBookingIsNoCut failed with 1 cut before. The default is now place_bid, as in examples/auktion-app.toml.

--- a/internal/loadgen/caller.go
+++ b/internal/loadgen/caller.go
@@ -55,13 +55,15 @@
 	return ctx, c.gateways[c.next%len(c.gateways)]
 }
 
-// sent reports whether a request that failed may have been taken, and counts it
-// if so.
+// sent reports whether a request that failed with err may have been taken. It
+// counts a cut, unless the gateway answered with a rejection.
 func (c *caller) sent(attempt *transport.Attempt, err error) bool {
-	if notSent(attempt, err) {
+	if attempt.NotSent() {
 		return false
 	}
-	c.cuts++
+	if rejected(err) == nil {
+		c.cuts++
+	}
 	return true
 }
 
@@ -117,6 +119,3 @@
 		return false
 	}
 }
-
-// notSent reports whether a request certainly never left this process.
-func notSent(attempt *transport.Attempt, err error) bool { return err != nil && attempt.NotSent() }
--- a/internal/loadgen/command/command.go
+++ b/internal/loadgen/command/command.go
@@ -75,7 +75,7 @@
 	ShortTokens   int    `arg:"--short-tokens" default:"16" help:"answer tokens of a short request"`
 	LongTokens    int    `arg:"--long-tokens" default:"128" help:"answer tokens of a long request"`
 	PlainService  string `arg:"--plain-service" default:"auktion-app" help:"service of bookings"`
-	BookingMethod string `arg:"--booking-method" default:"bid" help:"method of bookings"`
+	BookingMethod string `arg:"--booking-method" default:"place_bid" help:"method of bookings"`
 
 	Patience    time.Duration `default:"60s" help:"how long a caller waits for its final outcome"`
 	Silence     time.Duration `default:"5s" help:"silence after which a caller goes to another gateway"`
--- a/internal/loadgen/loadgen_test.go
+++ b/internal/loadgen/loadgen_test.go
@@ -85,6 +85,9 @@
 
 func (g *gateway) Call(ctx context.Context, req *callerv1.CallRequest) (*callerv1.CallResponse, error) {
 	outcome, payload, err := take(g, &g.calls)(ctx, g, req.GetIdempotencyKey())
+	if connect.CodeOf(err) == connect.CodeInvalidArgument {
+		return nil, err
+	}
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -302,6 +305,17 @@
 	}
 }
 
+// Symptom: loadgen reports cuts where no connection broke. Sequence: a gateway
+// answers that the service has no such method. Cause: every error of a request
+// that was sent counts as a cut.
+func TestRejectedBookingIsNoCut(t *testing.T) {
+	rejection := connect.NewError(connect.CodeInvalidArgument, errors.New("no such method"))
+	result := drive(t, &gateway{calls: []callScript{tell(nil, rejection)}}, Booking, patience, Lost)
+	if result.Cuts != 0 {
+		t.Errorf("%d cuts, want none", result.Cuts)
+	}
+}
+
 func TestArrivalsFollowTheirRateAndShares(t *testing.T) {
 	workload := &Workload{
 		Accounts: []Account{{Name: "large", Weight: 3}, {Name: "small", Weight: 1}},
--- a/internal/loadgen/result.go
+++ b/internal/loadgen/result.go
@@ -58,8 +58,8 @@
 	Accounts map[string]*AccountResult `json:"accounts"`
 	// Tries counts requests to gateways, first ones included.
 	Tries int `json:"tries"`
-	// Cuts counts connections that broke after a request may have been
-	// taken.
+	// Cuts counts connections that broke, or were given up as silent, after
+	// a request may have been taken.
 	Cuts int `json:"cuts"`
 	// Resumes counts streams that were resumed.
 	Resumes int `json:"resumes"`
