--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -31,10 +31,12 @@
 	workloads := []*experiment.Workload{experiment.Domaenenhaus(), experiment.Harfang()}
 	workloads = only(workloads, args.Workload, func(w *experiment.Workload) string { return w.Name })
 	cases := only(experiment.Cases(), args.Case, func(c experiment.Case) string { return c.Name })
-	policies := only(append(experiment.Contenders(), experiment.LetAllIn()), args.Policy, func(p experiment.Contender) string { return p.Name })
-	if args.Policy == "" {
-		policies = experiment.Contenders()
+	policies := experiment.Contenders()
+	if args.Policy != "" {
+		// Runs only by name: it shows what happens without admission.
+		policies = append(policies, experiment.LetAllIn())
 	}
+	policies = only(policies, args.Policy, func(p experiment.Contender) string { return p.Name })
 	if len(workloads)*len(cases)*len(policies) == 0 {
 		fmt.Fprintln(os.Stderr, "no such workload, case or policy")
 		os.Exit(2)
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -55,12 +55,12 @@
 		slices.SortFunc(figures, func(a, b *record) int { return cmp.Compare(a.figuresAt, b.figuresAt) })
 		figures = figures[:maxFigures]
 		digest.FiguresSequence = after.Figures
+		if maxFigures > 0 {
+			digest.FiguresSequence = figures[maxFigures-1].figuresAt
+		}
 	}
 	for _, r := range figures {
 		digest.Figures = append(digest.Figures, r.Entry)
-		if len(figures) == maxFigures {
-			digest.FiguresSequence = max(digest.FiguresSequence, r.figuresAt)
-		}
 	}
 	return digest
 }
@@ -99,8 +99,6 @@
 	return sum
 }
 
-// factHash mixes the state into the key; the multiplier is odd, so that no two
-// states of one life are the same.
 // EqualThrough returns the number up to which a peer with the same checksum has
 // all facts. The checksum says nothing of gone instances, so it is below the
 // first end after the number up to which the peer has all for certain.
@@ -114,6 +112,8 @@
 	return through
 }
 
+// factHash mixes the state into the key; the multiplier is odd, so that no two
+// states of one life are the same.
 func factHash(e Entry) uint64 {
 	const mix = 0x9e3779b97f4a7c15
 	return (Key(e) + uint64(e.State)) * mix
--- a/internal/operations/operations.go
+++ b/internal/operations/operations.go
@@ -23,8 +23,9 @@
 	profilesPath  = "/debug/pprof/"
 )
 
-// Limits of an operators' connection. Without them a client that stops
-// reading or never finishes its header would hold a connection for good.
+// Limits of an operators' connection. Without them a client that never finishes
+// its header, or asks nothing more, would hold a connection for good. Writing has
+// no limit: a profile takes as long as its client asks for.
 const (
 	headerTimeout = 5 * time.Second
 	idleTimeout   = time.Minute
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -49,10 +49,11 @@
   bin/spoolctl history spool-llm --platform $PLATFORM
   bin/spoolctl publish examples/spool-llm.toml --platform $PLATFORM
   bin/spoolctl explain REQUEST_ID --gateway $OPERATORS_A
-  bin/standin admin --platform $PLATFORM notice --help
-  bin/loadgen --gateway $CALLERS_A --gateway $CALLERS_B --account registrar=$TOKEN --account trader=trader-token --booking-method place_bid --plain $(field app-1 address)
+  bin/standin admin --platform $PLATFORM notice --id engine-1 --seconds 5
+  bin/loadgen --gateway $CALLERS_A --gateway $CALLERS_B --account registrar=$TOKEN --account trader=trader-token --plain $(field app-1 address)
 EOF
-  trap 'echo; echo stopping' INT
+  # The next line of a terminal begins after the "^C" that it shows.
+  trap echo INT
   wait "${PIDS[gateway-a]}" || true
   trap - INT
 else
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -43,16 +43,8 @@
 
 # gateway_settings NAME FAILURE_DOMAIN prints the settings of a gateway.
 gateway_settings() {
+  instance_settings "$1" "$2"
   cat <<EOF
-[instance]
-id = "$1"
-region = "tirol"
-failure_domain = "$2"
-incarnation = 1
-[platform]
-address = "http://$PLATFORM"
-[log]
-level = "${LOG_LEVEL:-info}"
 [limits]
 stop_timeout = "20s"
 [[client_accounts]]
@@ -64,9 +56,9 @@
 EOF
 }
 
-# controller_settings INSTANCE FAILURE_DOMAIN prints the settings of the
-# controller beside an entry instance's gateway.
-controller_settings() {
+# instance_settings INSTANCE FAILURE_DOMAIN prints the settings that a gateway
+# and the controller beside it share. A controller needs no others.
+instance_settings() {
   cat <<EOF
 [instance]
 id = "$1"
@@ -99,7 +91,7 @@
 # start_controller NAME FAILURE_DOMAIN [INSTANCE] starts a controller. Only one
 # whose entry instance is listed is a candidate for leases.
 start_controller() {
-  controller_settings "${3:-$1}" "$2" >"$WORK/$1.toml"
+  instance_settings "${3:-$1}" "$2" >"$WORK/$1.toml"
   start "$1" controller --settings "$WORK/$1.toml"
   await_line "$1"
 }
@@ -122,12 +114,14 @@
 }
 
 # stop_all NAMES... stops processes gracefully, in order, and returns 1 if one
-# did not exit with 0.
+# did not exit with 0. One may have ended before, for example reclaimed: its
+# signal fails, and under set -e that would end the script with the others
+# still running.
 stop_all() {
   local name failed=0
   for name in "$@"; do
     [ -n "${PIDS[$name]:-}" ] || continue
-    kill -TERM "${PIDS[$name]}" 2>/dev/null
+    kill -TERM "${PIDS[$name]}" 2>/dev/null || true
   done
   for name in "$@"; do
     [ -n "${PIDS[$name]:-}" ] || continue
@@ -141,11 +135,12 @@
   return $failed
 }
 
-# clean_up ends what still runs, by process ID, and removes the work folder.
+# clean_up ends what still runs, by process ID, and removes the work folder. Its
+# signals fail for what has ended, as those of stop_all do.
 clean_up() {
   local name
   for name in "${!PIDS[@]}"; do
-    kill -KILL "${PIDS[$name]}" 2>/dev/null
+    kill -KILL "${PIDS[$name]}" 2>/dev/null || true
   done
   rm -rf "$WORK"
 }
--- a/scripts/load.sh
+++ b/scripts/load.sh
@@ -37,7 +37,7 @@
 done
 for name in "${GATEWAYS[@]}"; do ready_or_fail "$name"; done
 
-LOAD=(--account "registrar=$TOKEN=3" --account trader=trader-token --booking-method place_bid)
+LOAD=(--account "registrar=$TOKEN=3" --account trader=trader-token)
 for name in "${GATEWAYS[@]}"; do LOAD+=(--gateway "$(field "$name" callers)"); done
 for name in "${APPS[@]}"; do LOAD+=(--plain "$(field "$name" address)"); done
 "$BIN/loadgen" "${LOAD[@]}" --rate "$RATE" --duration "$DURATION" ${LOADGEN_FLAGS:-} &
