--- a/scripts/capacity-controller.sh
+++ b/scripts/capacity-controller.sh
@@ -6,6 +6,7 @@
 #   scripts/capacity-controller.sh COUNT...     default: 8 64 128 256
 set -uo pipefail
 source "$(dirname "$0")/lib.sh"
+trap clean_up EXIT
 export LOG_LEVEL=error
 readonly SETTLE=14 WINDOW=20
 
@@ -19,18 +20,18 @@
 
 # measure COUNT runs one size and prints a line for each controller.
 measure() {
-  local i name cpu bytes rss
+  local engines=$1 i name cpu bytes rss cpu_before bytes_before
   local -A before
   start_platform
   start engine-1 standin engine --platform "$PLATFORM" --id engine-1 --service spool-llm --failure-domain hall-a \
     --class gpu-small --model spool-llm --model-version 2026-11
   await_line engine-1
   "$BIN/standin" admin --platform "$PLATFORM" register --id holder --failure-domain hall-a --address 127.0.0.1:9 >/dev/null
-  for i in $(seq 2 "$1"); do
+  for i in $(seq 2 "$engines"); do
     "$BIN/standin" admin --platform "$PLATFORM" register --id "engine-$i" --role engine --service spool-llm \
       --class gpu-small --failure-domain hall-a --address "$(field engine-1 address)" >/dev/null
   done
-  sed "s/^min = .*/min = $1/; s/^max = .*/max = $1/" "$ROOT/examples/spool-llm.toml" >"$WORK/spool-llm.toml"
+  sed "s/^min = .*/min = $engines/; s/^max = .*/max = $engines/" "$ROOT/examples/spool-llm.toml" >"$WORK/spool-llm.toml"
   "$BIN/spoolctl" publish "$WORK/spool-llm.toml" --platform "$PLATFORM" >/dev/null
   for name in holder watcher; do start_controller "$name" hall-a; done
   sleep $SETTLE
@@ -38,17 +39,12 @@
   sleep $WINDOW
   for name in holder watcher; do
     read -r cpu bytes rss < <(usage $name)
-    set -- "$1" ${before[$name]}
-    echo "engines=$1 $name cpu_ms_per_s=$(((cpu - $2) / WINDOW)) bytes_per_s=$(((bytes - $3) / WINDOW)) rss_kb=$rss"
-  done
-  for i in "${!PIDS[@]}"; do
-    kill "${PIDS[$i]}"
-    wait "${PIDS[$i]}" 2>/dev/null
-    unset "PIDS[$i]"
+    read -r cpu_before bytes_before _ <<<"${before[$name]}"
+    echo "engines=$engines $name cpu_ms_per_s=$(((cpu - cpu_before) / WINDOW)) bytes_per_s=$(((bytes - bytes_before) / WINDOW)) rss_kb=$rss"
   done
+  stop_all holder watcher
+  stop_all engine-1 platform
 }
 
-for count in "${@:-8 64 128 256}"; do
-  for size in $count; do measure "$size"; done
-done
-rm -rf "$WORK"
+[ $# -gt 0 ] || set -- 8 64 128 256
+for size in "$@"; do measure "$size"; done
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Looks for new failures with fresh seeds for a time, for example: fuzz.sh 60s
+# Looks for new failures with fresh seeds for a time in seconds: fuzz.sh 60s
 # Prints how to repeat what it finds. Exit status 1 if it found something.
 set -uo pipefail
 cd "$(dirname "$0")/.."
