Dead code: peers' ExplainRequest without server or client, SetLag without caller

No process set Handlers.Explainer and nobody called Pool.ExplainRequest or List.SetLag. The rpc stays in the protocol (contracts change additively) and is answered as unimplemented, as before.

--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -106,11 +106,6 @@
 	return call(ctx, p, address, req, peerv1.PeerServiceClient.HandOver)
 }
 
-// ExplainRequest asks why a request went where it went.
-func (p *Pool) ExplainRequest(ctx context.Context, address string, req *peerv1.ExplainRequestRequest) (*peerv1.ExplainRequestResponse, error) {
-	return call(ctx, p, address, req, peerv1.PeerServiceClient.ExplainRequest)
-}
-
 // method is a method of the generated client.
 type method[Req, Resp any] func(peerv1.PeerServiceClient, context.Context, *Req, ...grpc.CallOption) (*Resp, error)
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -47,17 +47,11 @@
 	HandOver(ctx context.Context, req *peerv1.HandOverRequest) (*peerv1.HandOverResponse, error)
 }
 
-// Explainer tells why a request went where it went.
-type Explainer interface {
-	ExplainRequest(ctx context.Context, req *peerv1.ExplainRequestRequest) (*peerv1.ExplainRequestResponse, error)
-}
-
 // Handlers answer the peers. A nil one is answered with Unimplemented.
 type Handlers struct {
 	Heartbeats Heartbeats
 	Documents  Documents
 	Calls      Calls
-	Explainer  Explainer
 }
 
 // The limits of a server.
@@ -136,7 +130,8 @@
 	return nil, status.Error(grpcCode(err), err.Error())
 }
 
-// service is the generated interface around the handlers.
+// service is the generated interface around the handlers. ExplainRequest of the
+// protocol has none: operators ask the gateway itself (package report).
 type service struct {
 	peerv1.UnimplementedPeerServiceServer
 	handlers Handlers
@@ -179,13 +174,6 @@
 	return s.handlers.Calls.HandOver(ctx, req)
 }
 
-func (s *service) ExplainRequest(ctx context.Context, req *peerv1.ExplainRequestRequest) (*peerv1.ExplainRequestResponse, error) {
-	if s.handlers.Explainer == nil {
-		return nil, errNotServed
-	}
-	return s.handlers.Explainer.ExplainRequest(ctx, req)
-}
-
 // codeTable maps the codes of errcode to those of gRPC.
 var codeTable = map[errcode.Code]codes.Code{
 	errcode.Cancelled:          codes.Canceled,
--- a/internal/standin/instances/instances.go
+++ b/internal/standin/instances/instances.go
@@ -19,8 +19,9 @@
 type List struct {
 	fault.Injector
 
+	lag time.Duration
+
 	mu      sync.Mutex
-	lag     time.Duration
 	current map[ident.Instance]platform.Instance
 	// history holds the list after each change, oldest first. The first
 	// entry is the one that a reader sees now.
@@ -79,13 +80,6 @@
 	return instance, ok
 }
 
-// SetLag changes after which time readers see a change.
-func (l *List) SetLag(lag time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.lag = lag
-}
-
 // List implements platform.Instances.
 func (l *List) List(ctx context.Context) ([]platform.Instance, error) {
 	if err := l.Begin(ctx); err != nil {
