Admission: a new list of upstreams no longer costs the square of its length

Cause: SetUpstreams searched the list for each upstream that it knew, in admission and again in ejection; the gateway calls it at each publication of the upstreams, up to four times a second.

--- a/internal/admission/ejection/ejection.go
+++ b/internal/admission/ejection/ejection.go
@@ -132,8 +132,12 @@
 
 // SetUpstreams says which upstreams there are. New ones are healthy.
 func (s *Set) SetUpstreams(ids []ident.Instance) {
+	wanted := make(map[ident.Instance]bool, len(ids))
+	for _, id := range ids {
+		wanted[id] = true
+	}
 	for id := range s.peers {
-		if !slices.Contains(ids, id) {
+		if !wanted[id] {
 			delete(s.peers, id)
 		}
 	}
--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -186,8 +186,12 @@
 	if s.upstreams == nil {
 		s.upstreams = map[ident.Instance]*concurrency.Limit{}
 	}
+	wanted := make(map[ident.Instance]bool, len(ids))
+	for _, id := range ids {
+		wanted[id] = true
+	}
 	for id := range s.upstreams {
-		if !slices.Contains(ids, id) {
+		if !wanted[id] {
 			delete(s.upstreams, id)
 		}
 	}
