--- a/Makefile
+++ b/Makefile
@@ -50,3 +50,17 @@
 # Compares routing policies in virtual time and prints which goals are met.
 policy:
 	$(GO) run ./cmd/experiment --seeds 5
+
+# --- capacity (cmd/capacity, docs/CAPACITY.md) ---
+.PHONY: capacity capacity-whole
+
+# Measures the slopes again and rewrites the tables of docs/CAPACITY.md.
+capacity:
+	@mkdir -p bin
+	$(GO) test ./internal/capacity -count=1 -run '^TestFleets$$' -args -fleets="$$PWD/bin/fleets.json"
+	$(GO) build -o bin/capacity ./cmd/capacity
+	bin/capacity --fleets bin/fleets.json
+
+# Measures whole gateway processes and prints their table.
+capacity-whole: build
+	scripts/capacity-whole.sh
--- /dev/null
+++ b/internal/capacity/configuration.go
@@ -0,0 +1,193 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	"github.com/goldcrestspool/goldcrestspool/internal/controllers/configuration"
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/logstore"
+)
+
+const (
+	// documentAccounts and documentDomains size a document for the letter's
+	// system: client accounts with limits of their own, and prices.
+	documentAccounts = 20
+	documentDomains  = 10
+	// publications is how many changes are timed.
+	publications = 3
+)
+
+// documentText returns the document of a service.
+func documentText(name ident.Service) []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, "schema = 1\nservice = %q\nkind = \"model\"\n[model]\nname = \"m\"\nversion = \"1\"\n", name)
+	b.WriteString("[[classes]]\nname = \"short\"\nfirst_token = \"460ms\"\nbetween_tokens = \"44ms\"\ncompletion = \"15s\"\npriority = 20\n")
+	b.WriteString("[default_account]\nrequests_per_second = 50.0\nburst = 100\nmax_in_flight = 64\nshare = 1.0\n")
+	for i := range documentAccounts {
+		fmt.Fprintf(&b, "[[accounts]]\naccount = \"client-account-%d\"\nrequests_per_second = 200.0\nburst = 400\nmax_in_flight = 256\nshare = 3.0\n", i)
+	}
+	b.WriteString("[placement]\nmin = 2\nmax = 69\non_demand_share = 0.32\n")
+	for i := range documentDomains {
+		for _, reclaimable := range []bool{false, true} {
+			fmt.Fprintf(&b, "[[placement.prices]]\nfailure_domain = %q\nclass = \"runner-large\"\nreclaimable = %t\ncents_per_hour = 310\n",
+				domainOf(i, documentDomains), reclaimable)
+		}
+	}
+	return []byte(b.String())
+}
+
+func serviceAt(i int) ident.Service { return ident.Service(fmt.Sprintf("service-%03d", i)) }
+
+// publication returns the record that publishes a service's document.
+func publication(name ident.Service, base ident.Revision) ([]byte, error) {
+	return document.EncodePublication(document.Publication{
+		Service: name, Base: base, PublishID: uuid.NewString(), Schema: document.CurrentSchema, Document: documentText(name),
+	})
+}
+
+// folded is a process's configuration with a number of documents.
+type folded struct {
+	state document.State
+	set   *document.Set
+}
+
+func foldDocuments(documents int) (*folded, error) {
+	f := &folded{}
+	var records []platform.Record
+	for i := range documents {
+		data, err := publication(serviceAt(i), 0)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, platform.Record{Offset: ident.Offset(i), Data: data})
+	}
+	f.state, _ = document.Fold(document.State{}, records)
+	var problems []string
+	f.set, problems = document.BuildSet(f.state, nil, document.CurrentSchema)
+	if len(problems) > 0 {
+		return nil, errcode.New(errcode.Internal, problems[0])
+	}
+	return f, nil
+}
+
+func documentMemory(documents int) (float64, error) {
+	var err error
+	used := held(func() any {
+		var f *folded
+		f, err = foldDocuments(documents)
+		return f
+	})
+	return used, err
+}
+
+// changeCost is one change among a number of documents: fold and new set.
+func changeCost(documents int) (float64, error) {
+	f, err := foldDocuments(documents)
+	if err != nil {
+		return 0, err
+	}
+	data, err := publication(serviceAt(0), 1)
+	if err != nil {
+		return 0, err
+	}
+	record := []platform.Record{{Offset: ident.Offset(documents), Data: data}}
+	return cost(func() {
+		next, _ := document.Fold(f.state, record)
+		document.BuildSet(next, f.set, document.CurrentSchema)
+	}), nil
+}
+
+// snapshotBytes is the record that keeps all documents.
+func snapshotBytes(documents int) (float64, error) {
+	f, err := foldDocuments(documents)
+	if err != nil {
+		return 0, err
+	}
+	data, err := document.EncodeSnapshot(f.state)
+	return float64(len(data)), err
+}
+
+// inForce is the longest time from an append until all processes serve by it,
+// with a log that answers at once.
+func inForce(processes int) (float64, error) {
+	log := logstore.New(logstore.Options{})
+	loops := newBackground()
+	defer loops.stop()
+	var sections []*blackboard.Section[*document.Set]
+	for i := range processes {
+		section := blackboard.NewSection(&document.Set{})
+		sections = append(sections, section)
+		c := configuration.New(configuration.Options{
+			Instance: gatewayAt(i, 10).ID, Log: log, Documents: section,
+			Health: blackboard.NewSection(blackboard.ConfigurationHealth{}),
+		})
+		loops.run(func(ctx context.Context) { _ = c.Run(ctx) })
+	}
+	longest := time.Duration(0)
+	for i := range publications {
+		// The processes are waiting at the log's head by then.
+		time.Sleep(300 * time.Millisecond)
+		data, err := publication(serviceAt(i), 0)
+		if err != nil {
+			return 0, err
+		}
+		began := time.Now()
+		offset, err := log.Append(loops.ctx, document.StreamName, [][]byte{data})
+		if err != nil {
+			return 0, err
+		}
+		if err := awaitRevision(sections, ident.Revision(offset)+1); err != nil {
+			return 0, err
+		}
+		longest = max(longest, time.Since(began))
+	}
+	return longest.Seconds() * 1000, nil
+}
+
+// awaitRevision waits until all processes serve by a revision.
+func awaitRevision(sections []*blackboard.Section[*document.Set], wanted ident.Revision) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	for _, section := range sections {
+		snap := section.Load()
+		for snap.Value.Revision < wanted {
+			next, err := section.Wait(ctx, snap.Version)
+			if err != nil {
+				return err
+			}
+			snap = next
+		}
+	}
+	return nil
+}
+
+// The series of configuration.
+const (
+	ChangeCost     ID = "configuration.cpu"
+	DocumentMemory ID = "configuration.memory"
+	SnapshotBytes  ID = "configuration.bytes"
+	InForce        ID = "configuration.in_force"
+)
+
+func configurationSeries() []Series {
+	documents := []int{2, 20, 80, 320}
+	return []Series{
+		{ID: ChangeCost, What: "one change: fold and new set", Package: "document", Size: "documents", Unit: Microseconds,
+			Sizes: documents, Measure: changeCost},
+		{ID: DocumentMemory, What: "records and parsed documents", Package: "document", Size: "documents", Unit: Bytes,
+			Sizes: documents, Measure: documentMemory},
+		{ID: SnapshotBytes, What: "the snapshot record; its slope is one revision", Package: "document", Size: "documents", Unit: Bytes,
+			Sizes: documents, Measure: snapshotBytes},
+		{ID: InForce, What: "append to in force at all, wall clock, log without delay", Package: "controllers/configuration", Size: "processes",
+			Unit: Milliseconds, Sizes: []int{8, 32, 128, 330}, Measure: inForce},
+	}
+}
--- /dev/null
+++ b/internal/capacity/control.go
@@ -0,0 +1,138 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	peerv1 "github.com/goldcrestspool/goldcrestspool/api/peer/v1"
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/lease"
+	"github.com/goldcrestspool/goldcrestspool/internal/peer"
+	"github.com/goldcrestspool/goldcrestspool/internal/planner"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/logstore"
+)
+
+// Leases are measured with all times a tenth of the defaults, and the rates
+// divided by ten.
+const (
+	leaseSpeed = 10
+	leaseRun   = 3 * time.Second
+)
+
+// leaseAppends runs one holder of a number of leases.
+func leaseAppends(leases int) (float64, error) {
+	log := logstore.New(logstore.Options{})
+	m := lease.New(lease.Config{
+		Holder:     lease.NewHolder("g-1", 1),
+		Length:     lease.DefaultLength / leaseSpeed,
+		Margin:     lease.DefaultMargin / leaseSpeed,
+		RenewEvery: lease.DefaultRenewEvery / leaseSpeed,
+		Poll:       lease.DefaultPoll / leaseSpeed,
+	}, log)
+	var wanted []lease.Wanted
+	for i := range leases {
+		wanted = append(wanted, lease.Wanted{Name: lease.Name{Service: serviceAt(i), FailureDomain: domainOf(0, 10)}})
+	}
+	m.Want(wanted)
+	loops := newBackground()
+	loops.run(m.Run)
+	defer loops.stop()
+	deadline := time.Now().Add(3 * time.Second)
+	for len(m.Held()) < leases && time.Now().Before(deadline) {
+		time.Sleep(20 * time.Millisecond)
+	}
+	if held := len(m.Held()); held < leases {
+		return 0, fmt.Errorf("%d of %d leases held", held, leases)
+	}
+	before, began := log.Appends(), time.Now()
+	time.Sleep(leaseRun)
+	return float64(log.Appends()-before) / time.Since(began).Seconds() / leaseSpeed, nil
+}
+
+// planCost is one plan of a fleet in a steady state.
+func planCost(runners int) (float64, error) {
+	actual := planner.Actual{Service: service, Holder: 7, Demand: 0.7 * float64(runners)}
+	placement := document.Placement{Min: 2, Max: 2 * runners, OnDemandShare: 0.32}
+	for i := range 10 {
+		for _, reclaimable := range []bool{false, true} {
+			placement.Prices = append(placement.Prices, document.Price{
+				FailureDomain: domainOf(i, 10), Class: "runner-large", Reclaimable: reclaimable, CentsPerHour: 95,
+			})
+		}
+	}
+	for i := range runners {
+		u := runnerAt(i, 10)
+		actual.Instances = append(actual.Instances, planner.Instance{
+			ID: u.ID, State: planner.Serving, Running: i % 20,
+			Offering: planner.Offering{FailureDomain: u.FailureDomain, Class: u.Class, Reclaimable: u.Reclaimable},
+		})
+	}
+	now := time.Now()
+	return cost(func() { planner.Plan(actual, planner.Wanted{Placement: placement}, now) }), nil
+}
+
+// echo answers a heartbeat with as many lines as it brought.
+type echo struct{}
+
+// Exchange implements peer.Heartbeats.
+func (echo) Exchange(_ context.Context, req *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error) {
+	return &peerv1.ExchangeResponse{From: req.From, Members: req.Members, Position: req.Position}, nil
+}
+
+// heartbeatOverWire is one exchange over gRPC with lines in both directions.
+func heartbeatOverWire(lines int) (wireFigures, error) {
+	server, err := peer.NewServer(peer.Handlers{Heartbeats: echo{}}, peer.TLSFiles{})
+	if err != nil {
+		return wireFigures{}, err
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return wireFigures{}, err
+	}
+	l := &loopback{address: listener.Addr().String()}
+	ctx, cancel := context.WithCancel(context.Background())
+	var served sync.WaitGroup
+	served.Go(func() { _ = server.Serve(ctx, &countingListener{Listener: listener, bytes: &l.bytes}, time.Second) })
+	defer served.Wait()
+	defer cancel()
+	pool, err := peer.NewPool(peer.TLSFiles{})
+	if err != nil {
+		return wireFigures{}, err
+	}
+	defer pool.Close()
+	req := &peerv1.ExchangeRequest{From: "g-1", Position: &peerv1.DigestPosition{Epoch: 1, Sequence: 1, Checksum: 1 << 60}}
+	for i := range lines {
+		u := runnerAt(i, 10)
+		req.Members = append(req.Members, &peerv1.MemberEntry{InstanceId: string(u.ID), Incarnation: uint64(u.Incarnation), AgeMs: 800})
+	}
+	return wireCostOf(&l.bytes, func() error {
+		_, err := pool.Exchange(ctx, l.address, req)
+		return err
+	})
+}
+
+// The series of controllers, and of the transport between gateways.
+const (
+	LeaseAppends   ID = "lease.appends"
+	PlanCost       ID = "planner.cpu"
+	HeartbeatWire  ID = "peer.cpu"
+	HeartbeatBytes ID = "peer.bytes"
+)
+
+func controlSeries() []Series {
+	heartbeat := newShared(heartbeatOverWire)
+	lines := []int{0, 32, 64, 128}
+	return []Series{
+		{ID: HeartbeatWire, What: "one exchange over gRPC on loopback, one end, without the merge", Package: "peer", Size: "lines each way",
+			Unit: Microseconds, Sizes: lines, Measure: func(n int) (float64, error) { w, err := heartbeat.at(n); return w.processor, err }},
+		{ID: HeartbeatBytes, What: "one exchange over gRPC, both directions", Package: "peer", Size: "lines each way",
+			Unit: Bytes, Sizes: lines, Measure: func(n int) (float64, error) { w, err := heartbeat.at(n); return w.bytes, err }},
+		{ID: LeaseAppends, What: "appends of one holder", Package: "lease", Size: "leases", Unit: PerSecond,
+			Sizes: []int{1, 4, 16, 64}, Measure: leaseAppends},
+		{ID: PlanCost, What: "one plan in a steady state", Package: "planner", Size: "runners", Unit: Microseconds,
+			Sizes: runnerSizes, Measure: planCost},
+	}
+}
--- /dev/null
+++ b/internal/capacity/fleet_test.go
@@ -0,0 +1,36 @@
+package capacity
+
+import (
+	"flag"
+	"testing"
+	"testing/synctest"
+)
+
+// fleetFile is where TestFleets writes the figures of fleets of all sizes.
+var fleetFile = flag.String("fleets", "", "file for the figures of fleets of all sizes")
+
+// controlBytes is the budget of a node in bytes a second.
+const controlBytes = 24_000
+
+// TestFleets runs whole fleets of membership controllers in virtual time.
+// Heartbeats at today's size have to stay within the budget.
+func TestFleets(t *testing.T) {
+	sizes := fleetSizes[:1]
+	if *fleetFile != "" {
+		sizes = fleetSizes
+	}
+	all := fleets{}
+	for _, entries := range sizes {
+		synctest.Test(t, func(t *testing.T) { all[entries] = runFleet(entries) })
+		t.Logf("%d entries: %+v", entries, all[entries])
+	}
+	if today := all[fleetSizes[0]]; today.Bytes > controlBytes || today.Exchanges == 0 {
+		t.Errorf("heartbeats at today's size: %+v, want at most %d B/s", today, controlBytes)
+	}
+	if *fleetFile == "" {
+		return
+	}
+	if err := all.write(*fleetFile); err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/capacity/membership.go
@@ -0,0 +1,272 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/goldcrestspool/goldcrestspool/api/peer/v1"
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	controller "github.com/goldcrestspool/goldcrestspool/internal/controllers/membership"
+	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
+	"github.com/goldcrestspool/goldcrestspool/internal/membership"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/settings"
+)
+
+const (
+	// fleetSettle lets the first digests pass: a session with a peer that was
+	// never met begins with the facts of up to 30 s. fleetRun is one round of
+	// the slowest refresh.
+	fleetSettle = 34 * time.Second
+	fleetRun    = 10 * time.Second
+	// probers is how many gateways tell the load of an upstream.
+	probers = 2
+	// probeInterval is that of package probing.
+	probeInterval = time.Second
+)
+
+// entrySizes are numbers of entries, gateways and upstreams together; see
+// fleetOf. The first is today's, the last the one to be reached.
+var entrySizes = []int{21, 102, 306, 1020}
+
+// fleetSizes are those at which a whole fleet runs. Larger ones take minutes:
+// at the start every gateway meets every other one with all its facts.
+var fleetSizes = []int{21, 51, 102, 153}
+
+// fleetOf splits a number of entries.
+func fleetOf(entries int) (gateways, runners, domains int) {
+	if entries == entrySizes[0] {
+		return 8, entries - 8, 4
+	}
+	gateways = entries * 330 / 1020
+	return gateways, entries - gateways, 10
+}
+
+// fleetFigures are what one gateway of a fleet costs.
+type fleetFigures struct {
+	// Processor in microseconds a second; Bytes and Exchanges a second.
+	Processor, Bytes, Exchanges float64
+	// Memory in bytes.
+	Memory float64
+}
+
+// fleet is many real membership controllers in this process. Messages are
+// encoded and decoded, but travel without a network.
+type fleet struct {
+	byAddress        map[string]*controller.Controller
+	bytes, exchanges atomic.Int64
+}
+
+// Exchange implements controller.Transport.
+func (f *fleet) Exchange(ctx context.Context, address string, req *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error) {
+	to, ok := f.byAddress[address]
+	if !ok {
+		return nil, errcode.New(errcode.Unavailable, "no such peer")
+	}
+	var arrived peerv1.ExchangeRequest
+	if err := f.carry(req, &arrived); err != nil {
+		return nil, err
+	}
+	resp, err := to.Exchange(ctx, &arrived)
+	if err != nil {
+		return nil, err
+	}
+	f.exchanges.Add(1)
+	var answer peerv1.ExchangeResponse
+	return &answer, f.carry(resp, &answer)
+}
+
+func (f *fleet) carry(from, to proto.Message) error {
+	data, err := proto.Marshal(from)
+	if err != nil {
+		return err
+	}
+	f.bytes.Add(int64(len(data)))
+	return proto.Unmarshal(data, to)
+}
+
+// member returns a controller as the gateway wires it.
+func member(self platform.Instance, transport controller.Transport) *controller.Controller {
+	config := controller.DefaultConfig(self)
+	config.Interval = settings.DefaultHeartbeat
+	return controller.New(config, controller.Deps{
+		Board:     blackboard.NewBoard(),
+		Transport: transport,
+		Log:       hclog.NewNullLogger(),
+	})
+}
+
+// runFleet runs a whole fleet in steady state and divides by its gateways.
+func runFleet(entries int) fleetFigures {
+	gateways, runners, domains := fleetOf(entries)
+	list := instances(gateways, runners, domains)
+	f := &fleet{byAddress: map[string]*controller.Controller{}}
+	members := make([]*controller.Controller, gateways)
+	memory := held(func() any {
+		for i := range members {
+			members[i] = member(list[i], f)
+			f.byAddress[list[i].PeerAddress] = members[i]
+			members[i].ApplyList(list)
+		}
+		return members
+	})
+	loops := newBackground()
+	for _, m := range members {
+		loops.run(func(ctx context.Context) { _ = m.Run(ctx) })
+	}
+	loops.every(probeInterval, func() { observeAll(members, list[gateways:], domains) })
+	time.Sleep(fleetSettle)
+	bytes, exchanges, began := f.bytes.Load(), f.exchanges.Load(), time.Now()
+	used := rate(fleetRun)
+	seconds := time.Since(began).Seconds()
+	bytes, exchanges = f.bytes.Load()-bytes, f.exchanges.Load()-exchanges
+	loops.stop()
+	n := float64(gateways)
+	return fleetFigures{
+		Processor: used / n,
+		// Each message costs two gateways.
+		Bytes:     2 * float64(bytes) / seconds / n,
+		Exchanges: float64(exchanges) / seconds / n,
+		Memory:    memory / n,
+	}
+}
+
+// fleets are the figures by number of entries. TestFleets writes them: it runs
+// the fleets in virtual time, so that a busy machine delays no heartbeat.
+type fleets map[int]fleetFigures
+
+func readFleets(path string) (fleets, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var all fleets
+	return all, json.Unmarshal(data, &all)
+}
+
+func (f fleets) write(path string) error {
+	data, err := json.Marshal(f)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, data, 0o600)
+}
+
+// observeAll tells the load of each upstream to its probers.
+func observeAll(members []*controller.Controller, runners []platform.Instance, domains int) {
+	now := time.Now()
+	for i, u := range runners {
+		for k := range probers {
+			// The members of a domain are domains places apart.
+			at := i%domains + domains*(i/domains+k)
+			members[at%len(members)].Observe(controller.Observation{
+				Instance:    u.ID,
+				Incarnation: u.Incarnation,
+				Load:        membership.Load{Running: uint32(i % 20), QueuedPrefillTokens: uint32(100 * k), At: now},
+			})
+		}
+	}
+}
+
+// exchangeCost is one served heartbeat with a number of changed lines, at a
+// table of the largest size: merge, publication, digest and checksum.
+func exchangeCost(lines int) (float64, error) {
+	gateways, runners, domains := fleetOf(entrySizes[len(entrySizes)-1])
+	list := instances(gateways, runners, domains)
+	m := member(list[0], &fleet{})
+	m.ApplyList(list)
+	req := &peerv1.ExchangeRequest{
+		From: string(list[domains].ID), Incarnation: uint64(list[domains].Incarnation),
+		FailureDomain: string(list[domains].FailureDomain), PeerAddress: list[domains].PeerAddress,
+		Position: &peerv1.DigestPosition{Epoch: 1, Sequence: 1},
+	}
+	for i := range lines {
+		u := list[gateways+i]
+		req.Members = append(req.Members, &peerv1.MemberEntry{
+			InstanceId: string(u.ID), Incarnation: uint64(u.Incarnation),
+			Running: 7, QueuedPrefillTokens: 900, LoadAgeMs: 800, AgeMs: 800,
+		})
+	}
+	var failed error
+	used := cost(func() {
+		resp, err := serve(m, req)
+		if err != nil {
+			failed = err
+			return
+		}
+		// The next heartbeat tells that this answer came.
+		req.Position.AcknowledgedEpoch = resp.Position.Epoch
+		req.Position.AcknowledgedSequence = resp.Position.Sequence
+	})
+	return used, failed
+}
+
+// serve hands a heartbeat over as it would come from the network.
+func serve(m *controller.Controller, req *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error) {
+	data, err := proto.Marshal(req)
+	if err != nil {
+		return nil, err
+	}
+	var arrived peerv1.ExchangeRequest
+	if err := proto.Unmarshal(data, &arrived); err != nil {
+		return nil, err
+	}
+	resp, err := m.Exchange(context.Background(), &arrived)
+	if err != nil {
+		return nil, err
+	}
+	_, err = proto.Marshal(resp)
+	return resp, err
+}
+
+// listCost is one merge of the platform's list, which changes nothing.
+func listCost(entries int) (float64, error) {
+	gateways, runners, domains := fleetOf(entries)
+	list := instances(gateways, runners, domains)
+	m := member(list[0], &fleet{})
+	m.ApplyList(list)
+	return cost(func() { m.ApplyList(list) }), nil
+}
+
+// The series of membership.
+const (
+	FleetProcessor ID = "membership.cpu"
+	FleetBytes     ID = "membership.bytes"
+	FleetExchanges ID = "membership.exchanges"
+	FleetMemory    ID = "membership.memory"
+	ExchangeCost   ID = "membership.exchange"
+	ListMerge      ID = "membership.list"
+)
+
+func membershipSeries(whole fleets) []Series {
+	from := func(figure func(fleetFigures) float64) func(int) (float64, error) {
+		return func(entries int) (float64, error) {
+			f, ok := whole[entries]
+			if !ok {
+				return 0, errcode.Errorf(errcode.NotFound, "no fleet of %d entries; see TestFleets", entries)
+			}
+			return figure(f), nil
+		}
+	}
+	const pkg = "controllers/membership"
+	return []Series{
+		{ID: FleetProcessor, What: "heartbeats of one gateway, without the network", Package: pkg, Size: "entries", Unit: MicrosPerSecond,
+			Sizes: fleetSizes, Measure: from(func(f fleetFigures) float64 { return f.Processor })},
+		{ID: FleetBytes, What: "heartbeats of one gateway, in and out, messages only", Package: pkg, Size: "entries", Unit: BytesPerSecond,
+			Sizes: fleetSizes, Measure: from(func(f fleetFigures) float64 { return f.Bytes })},
+		{ID: FleetExchanges, What: "heartbeats that one gateway sends", Package: pkg, Size: "entries", Unit: PerSecond,
+			Sizes: fleetSizes, Measure: from(func(f fleetFigures) float64 { return f.Exchanges })},
+		{ID: FleetMemory, What: "table and published snapshot of one gateway", Package: pkg, Size: "entries", Unit: Bytes,
+			Sizes: fleetSizes, Measure: from(func(f fleetFigures) float64 { return f.Memory })},
+		{ID: ExchangeCost, What: "one served heartbeat at 1020 entries", Package: pkg, Size: "changed lines", Unit: Microseconds,
+			Sizes: []int{0, 32, 64, 128}, Measure: exchangeCost},
+		{ID: ListMerge, What: "one merge of the platform's list", Package: "membership", Size: "entries", Unit: Microseconds,
+			Sizes: entrySizes, Measure: listCost},
+	}
+}
--- /dev/null
+++ b/internal/capacity/page.go
@@ -0,0 +1,141 @@
+package capacity
+
+import (
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
+)
+
+const (
+	beginMark = "<!-- begin generated: %s -->\n"
+	endMark   = "<!-- end generated: %s -->\n"
+)
+
+// WritePage rewrites the generated parts of a page. what describes the run.
+func WritePage(path string, measured []*Line, what string) error {
+	lines := Lines{}
+	for _, l := range measured {
+		lines[l.ID] = l
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return errcode.Wrap(errcode.NotFound, err, "read page")
+	}
+	page := string(data)
+	for name, text := range map[string]string{
+		"budget": budgetTable(lines),
+		"roles":  roleTable(lines),
+		"slopes": what + "\n\n" + slopeTable(measured),
+	} {
+		if page, err = replacePart(page, name, text); err != nil {
+			return err
+		}
+	}
+	return errcode.Wrap(errcode.Internal, os.WriteFile(path, []byte(page), 0o644), "write page")
+}
+
+// replacePart replaces what stands between the markers of a name.
+func replacePart(page, name, text string) (string, error) {
+	begin, end := fmt.Sprintf(beginMark, name), fmt.Sprintf(endMark, name)
+	head, rest, ok := strings.Cut(page, begin)
+	_, tail, closed := strings.Cut(rest, end)
+	if !ok || !closed {
+		return "", errcode.Errorf(errcode.InvalidArgument, "page has no generated part %q", name)
+	}
+	return head + begin + text + end + tail, nil
+}
+
+func roleTable(lines Lines) string {
+	var b strings.Builder
+	b.WriteString("| role | figure | unit | today | target | kind | from |\n|---|---|---|---|---|---|---|\n")
+	for _, r := range roles() {
+		var from []string
+		for _, id := range r.from {
+			from = append(from, "`"+string(id)+"`")
+		}
+		fmt.Fprintf(&b, "| %s | %s | %s | %s | %s | %s | %s |\n", r.role, r.what, r.unit,
+			figure(r.value(lines, Today())), figure(r.value(lines, Target())), r.kind, strings.Join(from, ", "))
+	}
+	return b.String()
+}
+
+// budgetTable sums the rows of each budget, and says which parts break it.
+func budgetTable(lines Lines) string {
+	var b strings.Builder
+	b.WriteString("| line | budget | today | target | target without the journal | verdict |\n|---|---|---|---|---|---|\n")
+	for _, line := range []struct {
+		name   total
+		unit   Unit
+		budget float64
+	}{
+		{totalProcessor, MicrosPerSecond, budgetProcessor},
+		{totalMemory, Bytes, budgetMemory},
+		{totalBytes, BytesPerSecond, budgetBytes},
+		{totalAppends, PerSecond, budgetAppends},
+	} {
+		now, then := sum(lines, Today(), line.name, ""), sum(lines, Target(), line.name, "")
+		rest := sum(lines, Target(), line.name, "journal")
+		fmt.Fprintf(&b, "| %s (%s) | %s | %s %s | %s %s | %s %s | %s |\n", line.name, line.unit, figure(line.budget),
+			figure(now), fits(now, line.budget), figure(then), fits(then, line.budget), figure(rest), fits(rest, line.budget),
+			largest(lines, line.name))
+	}
+	now, then := lines.at(InForce, Today().Gateways), lines.at(InForce, Target().Gateways)
+	fmt.Fprintf(&b, "| configuration in force everywhere, log without delay (%s) | %s | %s %s | %s %s | | |\n", Milliseconds,
+		figure(budgetInForce), figure(now), fits(now, budgetInForce), figure(then), fits(then, budgetInForce))
+	return b.String()
+}
+
+func fits(value, budget float64) string {
+	if value <= budget {
+		return "ok"
+	}
+	return fmt.Sprintf("SHORT by %.1fx", value/budget)
+}
+
+// sum adds the rows of a total, without those of one role.
+func sum(lines Lines, s Size, of total, without string) float64 {
+	all := 0.0
+	for _, r := range roles() {
+		if r.sum == of && r.role != without {
+			all += r.value(lines, s)
+		}
+	}
+	return all
+}
+
+// largest names the parts of a total at the target, the largest two.
+func largest(lines Lines, of total) string {
+	var first, second row
+	var a, b float64
+	for _, r := range roles() {
+		if r.sum != of {
+			continue
+		}
+		v := r.value(lines, Target())
+		switch {
+		case v > a:
+			second, b = first, a
+			first, a = r, v
+		case v > b:
+			second, b = r, v
+		}
+	}
+	return fmt.Sprintf("breaks first: %s, %s (%s); then %s, %s (%s)",
+		first.role, first.what, figure(a), second.role, second.what, figure(b))
+}
+
+func slopeTable(measured []*Line) string {
+	var b strings.Builder
+	b.WriteString("| series | what | package | unit | sizes: figures | base | slope | residual |\n|---|---|---|---|---|---|---|---|\n")
+	for _, l := range measured {
+		var points []string
+		for _, p := range l.Points {
+			points = append(points, fmt.Sprintf("%s: %s", figure(p.X), figure(p.Y)))
+		}
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s | %s | %s per %s | %.0f%% |\n", l.ID, l.What, l.Package, l.Unit,
+			strings.Join(points, ", "), figure(l.Base), figure(l.Slope), l.Size, 100*l.Residual)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/capacity/probing.go
@@ -0,0 +1,192 @@
+package capacity
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	"github.com/goldcrestspool/goldcrestspool/internal/cacheview"
+	controller "github.com/goldcrestspool/goldcrestspool/internal/controllers/membership"
+	"github.com/goldcrestspool/goldcrestspool/internal/controllers/probing"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform/connectplatform"
+	"github.com/goldcrestspool/goldcrestspool/internal/settings"
+	"github.com/goldcrestspool/goldcrestspool/internal/transport"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstream"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstream/connectupstream"
+)
+
+// probingRun is how long the probing controller runs for one figure.
+const probingRun = 4 * time.Second
+
+// idleEngine answers at once with a report and without new cache events.
+type idleEngine struct {
+	upstream.Engine
+	report upstream.Report
+	events int
+}
+
+// Report implements upstream.Engine.
+func (e idleEngine) Report(context.Context) (upstream.Report, error) { return e.report, nil }
+
+// CacheEvents implements upstream.Engine.
+func (e idleEngine) CacheEvents(_ context.Context, after uint64) ([]upstream.CacheEvent, error) {
+	events := make([]upstream.CacheEvent, e.events)
+	for i := range events {
+		events[i] = upstream.CacheEvent{Sequence: after + uint64(i) + 1, Stored: true, Block: (after + uint64(i)) * 0x9e3779b97f4a7c15}
+	}
+	return events, nil
+}
+
+// engineDialer reaches idle engines without a network.
+type engineDialer struct{ probing.Dialer }
+
+// Engine implements probing.Dialer.
+func (engineDialer) Engine(string) upstream.Engine {
+	return idleEngine{report: upstream.Report{Running: 7, PrefillRate: 20000, Step: 20 * time.Millisecond}}
+}
+
+// probingCost runs one gateway's probing controller among as many gateways as
+// belong to that number of runners. Probes travel without a network.
+func probingCost(runners int) (float64, error) {
+	gateways, domains := 8, 4
+	if runners > 9 {
+		gateways, domains = max(10, runners*330/690), 10
+	}
+	list := instances(gateways, runners, domains)
+	board := blackboard.NewBoard()
+	config := controller.DefaultConfig(list[0])
+	config.Interval = settings.DefaultHeartbeat
+	members := controller.New(config, controller.Deps{Board: board, Transport: &fleet{}, Log: hclog.NewNullLogger()})
+	members.ApplyList(list)
+	// Gateways count as probers once they were heard of.
+	for _, g := range list[:gateways] {
+		members.Observe(controller.Observation{Instance: g.ID, Incarnation: g.Incarnation})
+	}
+	members.ApplyList(list)
+	probes := probing.New(probing.DefaultConfig(list[0].ID, list[0].FailureDomain), probing.Deps{
+		Board:      board,
+		Membership: members,
+		Dialer:     engineDialer{},
+		Cache:      probing.NewCaches(cacheview.DefaultParams()),
+		Log:        hclog.NewNullLogger(),
+	})
+	loops := newBackground()
+	loops.run(func(ctx context.Context) { _ = probes.Run(ctx) })
+	time.Sleep(probeInterval / 2)
+	used := rate(probingRun)
+	loops.stop()
+	return used, nil
+}
+
+// wireFigures are what one exchange over loopback costs.
+type wireFigures struct{ processor, bytes float64 }
+
+// wireCost measures calls over an HTTP server on loopback. Both ends are in
+// this process; half of the processor time is taken for one end.
+func wireCost(l *loopback, call func() error) (wireFigures, error) {
+	defer l.close()
+	return wireCostOf(&l.bytes, call)
+}
+
+func wireCostOf(counted *atomic.Int64, call func() error) (wireFigures, error) {
+	const calls = 20
+	if err := call(); err != nil {
+		return wireFigures{}, err
+	}
+	before := counted.Load()
+	for range calls {
+		if err := call(); err != nil {
+			return wireFigures{}, err
+		}
+	}
+	bytes := float64(counted.Load()-before) / calls
+	var failed error
+	used := cost(func() {
+		if err := call(); err != nil {
+			failed = err
+		}
+	})
+	return wireFigures{processor: used / 2, bytes: bytes}, failed
+}
+
+// probeOverWire is one probe of an engine with a number of new cache events:
+// its report and the events.
+func probeOverWire(events int) (wireFigures, error) {
+	mux := http.NewServeMux()
+	connectupstream.MountEngine(mux, idleEngine{events: events, report: upstream.Report{
+		Instance: "i-00000000000000001", Incarnation: 1_700_000_001, Running: 7, QueuedPrefillTokens: 900,
+		BatchTokens: 40000, Model: "spool-llm", Version: "2026-11", Age: time.Second, PrefillRate: 20000, Step: 20 * time.Millisecond,
+	}})
+	l, err := newLoopback(mux)
+	if err != nil {
+		return wireFigures{}, err
+	}
+	dialer := connectupstream.NewDialer(nil)
+	defer dialer.Close()
+	engine := dialer.Engine(l.address)
+	return wireCost(l, func() error {
+		if _, err := engine.Report(context.Background()); err != nil {
+			return err
+		}
+		_, err := engine.CacheEvents(context.Background(), 1)
+		return err
+	})
+}
+
+// listOverWire is one read of the platform's list.
+func listOverWire(entries int) (wireFigures, error) {
+	gateways, runners, domains := fleetOf(entries)
+	mux := http.NewServeMux()
+	connectplatform.Mount(mux, connectplatform.Services{Instances: listed(instances(gateways, runners, domains))})
+	l, err := newLoopback(mux)
+	if err != nil {
+		return wireFigures{}, err
+	}
+	client := connectplatform.NewClient(transport.NewClient(transport.Options{}), l.url())
+	return wireCost(l, func() error {
+		_, err := client.List(context.Background())
+		return err
+	})
+}
+
+// The series of probing and of the platform's list.
+const (
+	ProbingLocal  ID = "probing.cpu"
+	ProbeWire     ID = "probing.probe"
+	ProbeBytes    ID = "probing.bytes"
+	ListWire      ID = "instances.cpu"
+	ListWireBytes ID = "instances.bytes"
+)
+
+func probingSeries() []Series {
+	probe, list := newShared(probeOverWire), newShared(listOverWire)
+	processor := func(s *shared[wireFigures]) func(int) (float64, error) {
+		return func(n int) (float64, error) {
+			w, err := s.at(n)
+			return w.processor, err
+		}
+	}
+	bytes := func(s *shared[wireFigures]) func(int) (float64, error) {
+		return func(n int) (float64, error) {
+			w, err := s.at(n)
+			return w.bytes, err
+		}
+	}
+	events := []int{0, 16, 64, 256}
+	return []Series{
+		{ID: ProbingLocal, What: "probing and publication of one gateway, without the network", Package: "controllers/probing", Size: "runners",
+			Unit: MicrosPerSecond, Sizes: []int{9, 100, 330, 690}, Measure: probingCost},
+		{ID: ProbeWire, What: "one probe of an engine over loopback, one end", Package: "upstream/connectupstream", Size: "cache events",
+			Unit: Microseconds, Sizes: events, Measure: processor(probe)},
+		{ID: ProbeBytes, What: "one probe of an engine, both directions", Package: "upstream/connectupstream", Size: "cache events",
+			Unit: Bytes, Sizes: events, Measure: bytes(probe)},
+		{ID: ListWire, What: "one read of the platform's list over loopback, one end", Package: "platform/connectplatform", Size: "entries",
+			Unit: Microseconds, Sizes: entrySizes, Measure: processor(list)},
+		{ID: ListWireBytes, What: "one read of the platform's list, both directions", Package: "platform/connectplatform", Size: "entries",
+			Unit: Bytes, Sizes: entrySizes, Measure: bytes(list)},
+	}
+}
--- /dev/null
+++ b/internal/capacity/roles.go
@@ -0,0 +1,197 @@
+package capacity
+
+// The budgets of control on one node, and what the log takes of all.
+const (
+	budgetProcessor = 12_000
+	budgetMemory    = 64e6
+	budgetBytes     = 24_000
+	budgetAppends   = 300
+	budgetInForce   = 12_000
+)
+
+// figureKind tells where a figure comes from.
+type figureKind string
+
+const (
+	// computed from measured lines, rates of the code and sizes.
+	computed figureKind = "computed"
+	// measured at the size itself for what runs today, computed beyond.
+	measuredToday figureKind = "measured today"
+	// assumed enters with a size that nobody has said.
+	assumed figureKind = "assumes shares"
+)
+
+// row is one figure of a role.
+type row struct {
+	role, what string
+	unit       Unit
+	kind       figureKind
+	from       []ID
+	value      func(Lines, Size) float64
+	// sum names the total that the row is a part of.
+	sum total
+}
+
+// total is a line of the budget.
+type total string
+
+const (
+	none           total = ""
+	totalProcessor total = "control: processor time of one gateway"
+	totalMemory    total = "control: memory of one gateway"
+	totalBytes     total = "control: bytes of one gateway, in and out"
+	totalAppends   total = "log: appends of all processes"
+)
+
+// roles returns all figures; each is one gateway's unless it says otherwise.
+func roles() []row {
+	return concat(membershipRows(), probingRows(), routingRows(), configurationRows(), journalRows(), controllerRows(), streamRows())
+}
+
+func concat(parts ...[]row) []row {
+	var all []row
+	for _, p := range parts {
+		all = append(all, p...)
+	}
+	return all
+}
+
+func membershipRows() []row {
+	const role = "membership"
+	return []row{
+		{role, "heartbeats sent and served", PerSecond, measuredToday, []ID{FleetExchanges},
+			func(l Lines, s Size) float64 { return s.exchanges(l) }, none},
+		{role, "heartbeats: merge and gRPC", MicrosPerSecond, measuredToday, []ID{FleetProcessor, ExchangeCost, HeartbeatWire},
+			func(l Lines, s Size) float64 {
+				if s.runsAsMeasured() {
+					return l.at(FleetProcessor, s.entries()) + s.exchanges(l)*l.at(HeartbeatWire, 0)
+				}
+				return s.exchanges(l) * (l.at(ExchangeCost, s.heartbeatLines()) + l.at(HeartbeatWire, s.heartbeatLines()))
+			}, totalProcessor},
+		{role, "heartbeats with their gRPC frames", BytesPerSecond, measuredToday, []ID{FleetBytes, HeartbeatBytes},
+			func(l Lines, s Size) float64 {
+				if s.runsAsMeasured() {
+					return l.at(FleetBytes, s.entries()) + s.exchanges(l)*l.at(HeartbeatBytes, 0)
+				}
+				return s.exchanges(l) * l.at(HeartbeatBytes, s.heartbeatLines())
+			}, totalBytes},
+		{role, "table and snapshot", Bytes, computed, []ID{FleetMemory},
+			func(l Lines, s Size) float64 { return l.at(FleetMemory, s.entries()) }, totalMemory},
+		{role, "platform's list and notices", MicrosPerSecond, computed, []ID{ListWire, ListMerge, ReadWire},
+			func(l Lines, s Size) float64 {
+				return listsPerSecond*(l.at(ListWire, s.entries())+l.at(ListMerge, s.entries())) + noticesPerSecond*l.at(ReadWire, 0)
+			}, totalProcessor},
+		{role, "platform's list and notices", BytesPerSecond, computed, []ID{ListWireBytes, ReadWireBytes},
+			func(l Lines, s Size) float64 {
+				return listsPerSecond*l.at(ListWireBytes, s.entries()) + noticesPerSecond*l.at(ReadWireBytes, 0)
+			}, totalBytes},
+	}
+}
+
+func probingRows() []row {
+	const role = "probing"
+	return []row{
+		{role, "upstreams probed", PerSecond, computed, nil,
+			func(_ Lines, s Size) float64 { return s.probes() }, none},
+		{role, "probes and publication", MicrosPerSecond, assumed, []ID{ProbingLocal, ProbeWire},
+			func(l Lines, s Size) float64 {
+				return l.at(ProbingLocal, s.Upstreams) + s.probes()*l.at(ProbeWire, s.Events)
+			}, totalProcessor},
+		{role, "probes", BytesPerSecond, assumed, []ID{ProbeBytes},
+			func(l Lines, s Size) float64 { return s.probes() * l.at(ProbeBytes, s.Events) }, totalBytes},
+	}
+}
+
+func routingRows() []row {
+	return []row{
+		{"cache view", "cache views, views and slots", Bytes, computed, []ID{RoutingMemory, CacheMemory},
+			func(l Lines, s Size) float64 { return l.at(RoutingMemory, s.Upstreams) }, totalMemory},
+		{"routing", "new views, for routing and admission", MicrosPerSecond, computed, []ID{Preparation, SetUpstreams},
+			func(l Lines, s Size) float64 {
+				return publicationsPerSecond * (l.at(Preparation, s.Upstreams) + l.at(SetUpstreams, s.Upstreams))
+			}, totalProcessor},
+		{"routing", "decisions, two a request (data path)", MicrosPerSecond, computed, []ID{Decision},
+			func(l Lines, s Size) float64 { return 2 * s.perGateway() * l.at(Decision, s.Upstreams) }, none},
+		{"admission", "requests (data path)", MicrosPerSecond, computed, []ID{Admission},
+			func(l Lines, s Size) float64 { return s.perGateway() * l.at(Admission, s.Accounts) }, none},
+		{"admission", "client accounts of one service", Bytes, assumed, []ID{AdmissionMemory},
+			func(l Lines, s Size) float64 { return l.at(AdmissionMemory, s.Accounts) }, totalMemory},
+	}
+}
+
+func configurationRows() []row {
+	const role = "configuration"
+	return []row{
+		{role, "reads at the log's head and changes", MicrosPerSecond, computed, []ID{ReadWire, ChangeCost},
+			func(l Lines, s Size) float64 {
+				return configurationReads*l.at(ReadWire, 0) + s.changeRate()*l.at(ChangeCost, s.Services)
+			}, totalProcessor},
+		{role, "reads at the log's head and changes", BytesPerSecond, computed, []ID{ReadWireBytes, SnapshotBytes},
+			func(l Lines, s Size) float64 {
+				return configurationReads*l.at(ReadWireBytes, 0) + s.changeRate()*l.slope(SnapshotBytes)
+			}, totalBytes},
+		{role, "documents", Bytes, assumed, []ID{DocumentMemory},
+			func(l Lines, s Size) float64 { return l.at(DocumentMemory, s.Services) }, totalMemory},
+		{role, "append to in force everywhere, log without delay", Milliseconds, computed, []ID{InForce},
+			func(l Lines, s Size) float64 { return l.at(InForce, s.Gateways) }, none},
+		{role, "all gateways and controllers: reads of the log", PerSecond, computed, nil,
+			func(_ Lines, s Size) float64 { return 2 * s.Gateways * configurationReads }, none},
+		{role, "all: bytes that the log sends for one change", Bytes, computed, []ID{SnapshotBytes},
+			func(l Lines, s Size) float64 { return 2 * s.Gateways * l.slope(SnapshotBytes) }, none},
+	}
+}
+
+func journalRows() []row {
+	const role = "journal"
+	return []row{
+		{role, "all gateways: keyed calls", PerSecond, assumed, nil,
+			func(_ Lines, s Size) float64 { return s.keyedCalls() }, none},
+		{role, "all gateways: appends", PerSecond, assumed, []ID{AppendsGateways, AppendsInterval},
+			func(l Lines, s Size) float64 { return s.appends(l) }, totalAppends},
+		{role, "reads of one gateway", PerSecond, assumed, []ID{AppendsGateways},
+			func(l Lines, s Size) float64 { return s.journalReadsPerSecond(l) }, none},
+		{role, "reading every record", MicrosPerSecond, assumed, []ID{KeyProcessor, ReadWire},
+			func(l Lines, s Size) float64 {
+				records := recordsPerKey * s.keyedCalls()
+				return s.keyedCalls()*l.slope(KeyProcessor) + records*l.slope(ReadWire) + s.journalReadsPerSecond(l)*l.at(ReadWire, 0)
+			}, totalProcessor},
+		{role, "reading every record", BytesPerSecond, assumed, []ID{ReadWireBytes},
+			func(l Lines, s Size) float64 {
+				return recordsPerKey*s.keyedCalls()*l.slope(ReadWireBytes) + s.journalReadsPerSecond(l)*l.at(ReadWireBytes, 0)
+			}, totalBytes},
+		{role, "an hour of keys", Bytes, assumed, []ID{KeyMemory},
+			func(l Lines, s Size) float64 { return s.keysInWindow() * l.slope(KeyMemory) }, totalMemory},
+	}
+}
+
+func controllerRows() []row {
+	const role = "controller"
+	return []row{
+		{role, "all: appends of leases", PerSecond, assumed, []ID{LeaseAppends},
+			func(l Lines, s Size) float64 { return s.leaseHolders() * l.at(LeaseAppends, 1) }, totalAppends},
+		{role, "all: reads of leases", PerSecond, computed, nil,
+			func(_ Lines, s Size) float64 { return (s.Domains + 1) * candidates }, none},
+		{role, "one holder of all leases of a domain: reports of its engines", MicrosPerSecond, computed, []ID{ProbeWire},
+			func(l Lines, s Size) float64 { return s.Upstreams / s.Domains * l.at(ProbeWire, 0) / 2 }, none},
+		{role, "one holder of all fleet leases: plans", MicrosPerSecond, assumed, []ID{PlanCost},
+			func(l Lines, s Size) float64 { return s.Services * l.at(PlanCost, s.Upstreams/s.Services) }, none},
+		{role, "platform's list, candidates", MicrosPerSecond, computed, []ID{ListWire},
+			func(l Lines, s Size) float64 { return listsPerSecond * l.at(ListWire, s.entries()) }, none},
+		{role, "all: snapshots and changes of configuration", PerSecond, computed, nil,
+			func(_ Lines, s Size) float64 { return s.changeRate() + 1.0/600 }, totalAppends},
+	}
+}
+
+func streamRows() []row {
+	const role = "streams (data path)"
+	return []row{
+		{role, "tokens", PerSecond, computed, nil,
+			func(_ Lines, s Size) float64 { return s.Tokens / s.Gateways }, none},
+		{role, "open streams at 44 ms a token", "", computed, nil,
+			func(_ Lines, s Size) float64 { return s.streams() }, none},
+		{role, "tokens, without the network", MicrosPerSecond, computed, []ID{StreamCost},
+			func(l Lines, s Size) float64 { return s.Tokens / s.Gateways * l.slope(StreamCost) }, none},
+		{role, "open streams, without buffers of the network", Bytes, computed, []ID{StreamMemory},
+			func(l Lines, s Size) float64 { return s.streams() * l.slope(StreamMemory) }, none},
+	}
+}
--- /dev/null
+++ b/internal/capacity/routing.go
@@ -0,0 +1,222 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/admission"
+	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	"github.com/goldcrestspool/goldcrestspool/internal/cacheview"
+	"github.com/goldcrestspool/goldcrestspool/internal/document"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/prompt"
+	"github.com/goldcrestspool/goldcrestspool/internal/routing"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstream"
+)
+
+// promptTokens is the length of the prompt in routing's figures.
+const promptTokens = 4096
+
+// runnerSizes are numbers of runners: today's first, the last to be reached.
+var runnerSizes = []int{9, 100, 330, 690}
+
+// view is what routing sees of runners with empty or warm cache views.
+func view(runners int, now time.Time, blocks []uint64) []blackboard.Upstream {
+	out := make([]blackboard.Upstream, runners)
+	for i := range out {
+		cache := cacheview.New(cacheview.DefaultParams(), now)
+		// Each runner holds a part of the prompt, so that look-ups go deep.
+		cache.Placed(blocks[:len(blocks)*(i%4)/3], now)
+		out[i] = blackboard.Upstream{
+			Instance: runnerAt(i, 10),
+			State:    blackboard.Alive,
+			Report: upstream.Report{
+				Running: i % 20, Queued: i % 3, QueuedPrefillTokens: i % 5 * 400,
+				PrefillRate: 20000, Step: 20 * time.Millisecond,
+			},
+			AsOf:  now.Add(-time.Second),
+			Cache: cache,
+		}
+	}
+	return out
+}
+
+// routingWorld is one service's router with a request.
+type routingWorld struct {
+	router *routing.Router
+	doc    *document.Document
+	views  [2][]blackboard.Upstream
+	req    routing.Request
+	now    time.Time
+}
+
+func newRoutingWorld(runners int) *routingWorld {
+	now := time.Now()
+	text := strings.Repeat("dossier ", promptTokens*prompt.BytesPerToken/len("dossier "))
+	w := &routingWorld{
+		router: routing.New(routing.DefaultParams(), now.Add(-time.Minute)),
+		doc:    &document.Document{Service: service, Kind: document.Model},
+		now:    now,
+		req: routing.Request{
+			Service: service, Account: "registrar", FailureDomain: domainOf(0, 10), MaxTokens: 357,
+			Class:  document.Class{Name: "short", FirstToken: 460 * time.Millisecond, Priority: 20},
+			Blocks: prompt.Blocks(text), PromptTokens: prompt.Tokens(text),
+		},
+	}
+	w.views[0] = view(runners, now, w.req.Blocks)
+	w.views[1] = slices.Clone(w.views[0])
+	return w
+}
+
+func decisionCost(runners int) (float64, error) {
+	w := newRoutingWorld(runners)
+	return cost(func() { w.router.Decide(w.doc, w.views[0], w.req, w.now) }), nil
+}
+
+// preparationCost is what the first decision on a new view costs more.
+func preparationCost(runners int) (float64, error) {
+	w := newRoutingWorld(runners)
+	turn := 0
+	both := cost(func() {
+		turn++
+		w.router.Decide(w.doc, w.views[turn%2], w.req, w.now)
+	})
+	alone, err := decisionCost(runners)
+	return max(0, both-alone), err
+}
+
+// routingMemory is what a gateway keeps to route to runners.
+func routingMemory(runners int) (float64, error) {
+	return held(func() any {
+		w := newRoutingWorld(runners)
+		w.router.Decide(w.doc, w.views[0], w.req, w.now)
+		return w
+	}), nil
+}
+
+func cacheMemory(runners int) (float64, error) {
+	return held(func() any {
+		views := make([]*cacheview.View, runners)
+		for i := range views {
+			views[i] = cacheview.New(cacheview.DefaultParams(), time.Now())
+		}
+		return views
+	}), nil
+}
+
+// upstreamsCost is what admission does at each publication of the upstreams.
+func upstreamsCost(runners int) (float64, error) {
+	c := admission.New(admission.Config{})
+	var ids []ident.Instance
+	for i := range runners {
+		ids = append(ids, runnerAt(i, 10).ID)
+	}
+	c.SetUpstreams(service, ids)
+	return cost(func() { c.SetUpstreams(service, ids) }), nil
+}
+
+// accountSizes are numbers of client accounts.
+var accountSizes = []int{1, 10, 100, 1000}
+
+func accounts(n int) []admission.Request {
+	requests := make([]admission.Request, n)
+	for i := range requests {
+		name := ident.ClientAccount(fmt.Sprintf("client-account-%d", i))
+		requests[i] = admission.Request{
+			Service: service, Account: name,
+			Limit: document.AccountLimit{Account: name, RequestsPerSecond: 1e9, Burst: 1 << 30, MaxInFlight: 1 << 20, Share: 1},
+			Class: document.Class{Name: "short", FirstToken: time.Second}, Cost: 400, Remaining: time.Second,
+		}
+	}
+	return requests
+}
+
+// admitAll admits and ends one request of each account.
+func admitAll(c *admission.Controller, requests []admission.Request) error {
+	for _, r := range requests {
+		r.ID = "7e2f"
+		ticket, refusal := c.Admit(context.Background(), r)
+		if refusal != nil {
+			return fmt.Errorf("refused: %s", refusal.Message)
+		}
+		ticket.Done(admission.Result{})
+	}
+	return nil
+}
+
+func newAdmission() *admission.Controller {
+	c := admission.New(admission.Config{})
+	c.SetUpstreams(service, []ident.Instance{"i-1", "i-2", "i-3", "i-4"})
+	return c
+}
+
+func admissionCost(n int) (float64, error) {
+	c, requests := newAdmission(), accounts(n)
+	var failed error
+	used := cost(func() {
+		if err := admitAll(c, requests); err != nil {
+			failed = err
+		}
+	})
+	return used / float64(n), failed
+}
+
+func admissionMemory(n int) (float64, error) {
+	requests := accounts(n)
+	var failed error
+	used := held(func() any {
+		c := newAdmission()
+		failed = admitAll(c, requests)
+		return c
+	})
+	// They count on both sides of the measurement.
+	runtime.KeepAlive(requests)
+	return used, failed
+}
+
+// blackboardCost is one publication and one load of a section.
+func blackboardCost(runners int) (float64, error) {
+	section := blackboard.NewSection(&blackboard.Upstreams{})
+	value := &blackboard.Upstreams{ByService: map[ident.Service][]blackboard.Upstream{service: make([]blackboard.Upstream, runners)}}
+	return cost(func() {
+		section.Publish(value)
+		_ = section.Value()
+	}), nil
+}
+
+// The series of routing and admission.
+const (
+	Decision        ID = "routing.decision"
+	Preparation     ID = "routing.view"
+	RoutingMemory   ID = "routing.memory"
+	CacheMemory     ID = "cacheview.memory"
+	SetUpstreams    ID = "admission.upstreams"
+	Admission       ID = "admission.cpu"
+	AdmissionMemory ID = "admission.memory"
+	Blackboard      ID = "blackboard.publish"
+)
+
+func routingSeries() []Series {
+	return []Series{
+		{ID: Decision, What: "one decision, prompt of 4096 tokens", Package: "routing", Size: "runners", Unit: Microseconds,
+			Sizes: runnerSizes, Measure: decisionCost},
+		{ID: Preparation, What: "one new view of the runners", Package: "routing", Size: "runners", Unit: Microseconds,
+			Sizes: runnerSizes, Measure: preparationCost},
+		{ID: RoutingMemory, What: "views, cache views and slots of one service", Package: "routing, cacheview", Size: "runners", Unit: Bytes,
+			Sizes: runnerSizes, Measure: routingMemory},
+		{ID: CacheMemory, What: "cache views", Package: "cacheview", Size: "runners", Unit: Bytes,
+			Sizes: runnerSizes, Measure: cacheMemory},
+		{ID: SetUpstreams, What: "one new list of live upstreams", Package: "admission", Size: "runners", Unit: Microseconds,
+			Sizes: runnerSizes, Measure: upstreamsCost},
+		{ID: Admission, What: "one request admitted and ended", Package: "admission", Size: "client accounts", Unit: Microseconds,
+			Sizes: accountSizes, Measure: admissionCost},
+		{ID: AdmissionMemory, What: "client accounts that were seen", Package: "admission", Size: "client accounts", Unit: Bytes,
+			Sizes: accountSizes, Measure: admissionMemory},
+		{ID: Blackboard, What: "one publication and one load of a section", Package: "blackboard", Size: "runners", Unit: Microseconds,
+			Sizes: runnerSizes, Measure: blackboardCost},
+	}
+}
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -5,6 +5,16 @@
 // kernelChosen is a loopback address whose port the kernel chooses.
 const kernelChosen = "127.0.0.1:0"
 
+// The defaults by which the control plane's cost is measured; see
+// docs/CAPACITY.md.
+const (
+	// DefaultHeartbeat is the interval of heartbeats between gateways.
+	DefaultHeartbeat = 500 * time.Millisecond
+	// DefaultBatchWait is the least time between two appends of a journal
+	// partition by one gateway.
+	DefaultBatchWait = 10 * time.Millisecond
+)
+
 func defaultCommon() Common {
 	return Common{
 		Platform: Platform{Timeout: 2 * time.Second},
@@ -20,13 +30,13 @@
 			Silence:       2 * time.Second,
 		},
 		Membership: Membership{
-			Heartbeat:      500 * time.Millisecond,
+			Heartbeat:      DefaultHeartbeat,
 			PeersPerDomain: 8,
 			OtherDomains:   2,
 		},
 		Journal: Journal{
 			Partitions: 1,
-			BatchWait:  10 * time.Millisecond,
+			BatchWait:  DefaultBatchWait,
 			Window:     time.Hour,
 			Timeout:    2 * time.Second,
 		},
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -98,6 +98,34 @@
   await_line "$1"
 }
 
+# start_system GATEWAYS ENGINES APPS starts a whole system over four failure
+# domains, publishes its documents, waits until every gateway is ready, and
+# lists the names in the arrays GATEWAYS, ENGINES and APPS.
+start_system() {
+  local i name document domains=(hall-a hall-b hall-c hall-d)
+  GATEWAYS=() ENGINES=() APPS=()
+  start_platform
+  for i in $(seq "$2"); do
+    ENGINES+=("engine-$i")
+    start "engine-$i" standin engine --platform "$PLATFORM" --id "engine-$i" --service spool-llm \
+      --failure-domain "${domains[$((i % 4))]}" --class gpu-small --model spool-llm --model-version 2026-11
+  done
+  for i in $(seq "$3"); do
+    APPS+=("app-$i")
+    start "app-$i" standin plain --platform "$PLATFORM" --id "app-$i" --service auktion-app \
+      --failure-domain "${domains[$((i % 4))]}" --class cpu-small --checks-fencing --finds-outcomes
+  done
+  for name in "${ENGINES[@]}" "${APPS[@]}"; do await_line "$name"; done
+  for i in $(seq "$1"); do
+    GATEWAYS+=("gateway-$i")
+    start_gateway "gateway-$i" "${domains[$((i % 4))]}"
+  done
+  for document in spool-llm auktion-app; do
+    "$BIN/spoolctl" publish "$ROOT/examples/$document.toml" --platform "$PLATFORM" >/dev/null
+  done
+  for name in "${GATEWAYS[@]}"; do ready_or_fail "$name"; done
+}
+
 # ready_or_fail NAME waits until an operators' address says ready.
 ready_or_fail() {
   local i host port status
