--- a/internal/admission/gate/band.go
+++ b/internal/admission/gate/band.go
@@ -1,18 +1,12 @@
 package gate
 
 import (
-	"cmp"
-	"math"
 	"slices"
 	"time"
 )
 
-const (
-	// reserveEvery is how often the reserves are worked out again.
-	reserveEvery = 200 * time.Millisecond
-	// costMemory is the weight of one request in a band's mean cost.
-	costMemory = 0.05
-)
+// costMemory is the weight of one request in a band's mean cost.
+const costMemory = 0.05
 
 // band is the slots that one priority uses.
 type band struct {
@@ -25,6 +19,7 @@
 	returns meter
 	// bookedUntil is when the last turn told to anyone begins.
 	bookedUntil time.Time
+	lateness
 }
 
 func (b *band) learn(cost float64) {
@@ -59,7 +54,7 @@
 			return x
 		}
 	}
-	x := &band{priority: priority}
+	x := &band{priority: priority, lateness: newLateness()}
 	b.list = append(b.list, x)
 	slices.SortFunc(b.list, func(x, y *band) int { return y.priority - x.priority })
 	return x
@@ -68,7 +63,11 @@
 // allows reports whether a slot may go to a priority. One slot always may, so
 // that no class starves.
 func (b *bands) allows(priority, slots int) bool {
-	return float64(b.inFlightUpTo(priority)) < max(1, float64(slots)-b.of(priority).reserve)
+	x := b.of(priority)
+	if x.inFlight >= x.limit.Value() && x.heard {
+		return false
+	}
+	return float64(b.inFlightUpTo(priority)) < max(1, float64(slots)-x.reserve)
 }
 
 // inFlightUpTo counts a priority and all less urgent ones.
@@ -83,95 +82,13 @@
 }
 
 // slotsFor is how many slots a priority can count on: those not reserved for
-// more urgent bands and not held by less urgent ones.
+// more urgent bands and not held by less urgent ones, up to its own limit.
 func (b *bands) slotsFor(priority, slots int) float64 {
 	x := b.of(priority)
 	below := b.inFlightUpTo(priority) - x.inFlight
-	return max(1, float64(slots)-x.reserve-float64(below))
-}
-
-// reserve works out the fair level and how many slots each band leaves to more
-// urgent ones: as many as these ask for, and half of what nobody asks for as a
-// margin. An account's demand counts up to its fair part, so that an account
-// which sends only urgent requests cannot keep out one that sends long ones.
-func (g *Gate) reserve(now time.Time) {
-	if now.Sub(g.bands.reservedAt) < reserveEvery {
-		return
-	}
-	g.bands.reservedAt = now
-	g.measureDemand(now)
-	g.level = fairLevel(g.order, float64(g.slots))
-	spare := max(0, float64(g.slots)-g.demandAbove(now, math.MinInt))
-	for _, b := range g.bands.list {
-		urgent := g.demandAbove(now, b.priority)
-		b.reserve = urgent + min(math.Sqrt(urgent), spare/2)
-	}
-}
-
-// measureDemand notes how many slots each account asks for.
-func (g *Gate) measureDemand(now time.Time) {
-	for _, c := range g.order {
-		c.demand = c.demandFrom(now, math.MinInt) * g.holds.perCost().Seconds()
-	}
-}
-
-// demandAbove is how many slots are asked for by more urgent requests than a
-// priority. Each account counts up to its fair part, of which it leaves the
-// class share to its own less urgent requests if it has any.
-func (g *Gate) demandAbove(now time.Time, priority int) float64 {
-	total := 0.0
-	for _, c := range g.order {
-		fair := g.fairSlots(c)
-		asked := c.demand
-		if priority != math.MinInt {
-			asked = c.demandFrom(now, priority+1) * g.holds.perCost().Seconds()
-			fair -= min(c.demand-asked, fair*g.queue.ClassShare())
-		}
-		total += min(asked, fair)
+	room := max(1, float64(slots)-x.reserve-float64(below))
+	if x.heard {
+		room = min(room, float64(x.limit.Value()))
 	}
-	return total
-}
-
-// demandFrom is the cost a second that is asked for of a priority and more
-// urgent ones. Returning requests count again, which matters only for an
-// account that is beyond its fair part anyway.
-func (c *client) demandFrom(now time.Time, priority int) float64 {
-	total := 0.0
-	for _, u := range c.uses {
-		if u.priority >= priority {
-			total += u.offered.rate(now) + u.returns.rate(now)
-		}
-	}
-	return total
-}
-
-// fairLevel divides slots among accounts by weight, where no account gets more
-// than it asks for. It returns the slots per unit of weight of those that ask
-// for more; infinite if there are none.
-func fairLevel(clients []*client, slots float64) float64 {
-	asking := make([]*client, 0, len(clients))
-	weights := 0.0
-	for _, c := range clients {
-		if c.demand > 0 {
-			asking = append(asking, c)
-			weights += c.weight
-		}
-	}
-	slices.SortStableFunc(asking, func(a, b *client) int {
-		return cmp.Compare(a.demand/a.weight, b.demand/b.weight)
-	})
-	for _, c := range asking {
-		if c.demand/c.weight >= slots/weights {
-			return slots / weights
-		}
-		slots -= c.demand
-		weights -= c.weight
-	}
-	return math.Inf(1)
-}
-
-// fairSlots is an account's part of the slots while all ask for what they ask
-// for now.
-func (g *Gate) fairSlots(c *client) float64 {
-	return min(g.level*c.weight, float64(g.slots))
+	return room
 }
--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -27,6 +27,8 @@
 	// count until then.
 	upstreams map[ident.Instance]*concurrency.Limit
 	ejection  *ejection.Set
+	// slots is what SetSlots said; 0 leaves it to the upstreams' limits.
+	slots int
 
 	// exclusion is the last exclusion; see excluded.
 	exclusion atomic.Pointer[exclusion]
@@ -113,6 +115,15 @@
 	return &refusal
 }
 
+// firstToken notes a first token. It may let in more of those that wait.
+func (s *service) firstToken(t *Ticket) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gate.FirstToken(now, &t.entry)
+	s.grantNext(now)
+}
+
 // done frees a ticket's slot and learns from its result.
 func (s *service) done(t *Ticket, r Result) {
 	now := time.Now()
@@ -137,21 +148,29 @@
 	s.grantNext(now)
 }
 
+// learn takes in one attempt at an upstream. The lock must be held.
 func (s *service) learn(now time.Time, r Result, unloaded time.Duration) {
 	if limit := s.upstreams[r.Upstream]; limit != nil {
+		before := limit.Value()
 		limit.Observe(concurrency.Sample{
 			Latency:  r.FirstToken,
 			Unloaded: unloaded,
 			InFlight: r.InFlight,
 			Dropped:  r.Failed,
 		})
+		if s.slots == 0 && !slices.Contains(s.exclusion.Load().ids, r.Upstream) {
+			s.gate.SetSlots(s.gate.Slots() + limit.Value() - before)
+		}
 	}
 	sample := ejection.Sample{Failed: r.Failed, Latency: r.FirstToken.Seconds(), Started: r.Sent}
 	if unloaded > 0 {
 		sample.Latency /= unloaded.Seconds()
 	}
+	before := s.ejection.State(r.Upstream)
 	s.ejection.Ended(now, r.Upstream, sample)
-	s.refresh(now)
+	if after := s.ejection.State(r.Upstream); after != before || after == ejection.Probing {
+		s.refresh(now)
+	}
 }
 
 // grantNext wakes those whose turn it is. The lock must be held.
@@ -205,6 +224,15 @@
 	s.grantNext(now)
 }
 
+func (s *service) setSlots(slots int) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slots = max(slots, 0)
+	s.refresh(now)
+	s.grantNext(now)
+}
+
 func (s *service) sending(now time.Time, id ident.Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -215,16 +243,22 @@
 	s.refresh(now)
 }
 
-// refresh publishes the exclusion and sets the slots to the sum of the limits
-// of those that are not excluded. The lock must be held.
+// refresh publishes the exclusion and sets the slots: what was set, or the sum
+// of the limits of those that are not excluded. The lock must be held.
 func (s *service) refresh(now time.Time) {
-	ids := s.ejection.Excluded(now)
+	// Clipped, so that a reader who appends does not write into the shared
+	// array: two requests at once would exclude each other's upstreams.
+	ids := slices.Clip(s.ejection.Excluded(now))
 	if old := s.exclusion.Load(); !slices.Equal(old.ids, ids) || !old.until.Equal(s.ejection.NextChange(now)) {
 		s.exclusion.Store(&exclusion{ids: ids, until: s.ejection.NextChange(now)})
 	}
 	if s.upstreams == nil {
 		return
 	}
+	if s.slots > 0 && len(s.upstreams) > 0 {
+		s.gate.SetSlots(s.slots)
+		return
+	}
 	slots := 0
 	for id, limit := range s.upstreams {
 		if !slices.Contains(ids, id) {
--- a/internal/calls/settle.go
+++ b/internal/calls/settle.go
@@ -27,17 +27,14 @@
 		if o, ok := p.known(key, nil); ok {
 			return o
 		}
-		return outcome.NewUnknown(reasonNotSeen, "no attempt with this key was seen; it may be sent again", retrySoon)
+		return outcome.NewUnknown(outcome.ReasonNotSeen, "no attempt with this key was seen; it may be sent again", retrySoon)
 	}
 	if view, _ := p.find(key); view.State == fold.Released {
 		return inProgress("the gateway that had the call left; another one will run it")
 	}
-	return outcome.NewUnknown(reasonNotSeen, "the last attempt seen did not run; it may be sent again", retrySoon)
+	return outcome.NewUnknown(outcome.ReasonNotSeen, "the last attempt seen did not run; it may be sent again", retrySoon)
 }
 
-// reasonNotSeen: no attempt that may have run is known here.
-const reasonNotSeen outcome.Reason = "not_seen"
-
 // settleOwner finds out about a claim that owns the key. ok is true when the
 // key is open, so that the caller may claim it; otherwise o is the answer.
 func (c *Coordinator) settleOwner(ctx context.Context, p *partition, key ident.CallKey, digest *journal.Digest) (o outcome.Outcome, ok bool) {
@@ -75,7 +72,7 @@
 		return unknown, false
 	}
 	head := headOf(key, view)
-	found, err := c.findAt(head, view.Target, 0)
+	found, err := c.findAt(ctx, head, view.Target, 0)
 	switch {
 	case err != nil:
 		return unknown, false
@@ -99,7 +96,7 @@
 	unknown := outcome.NewUnknown(outcome.ReasonClaimedElsewhere, "an attempt with this key may have run; ask again by key", retryLater)
 	call := Call{Key: key, IssuedAt: view.IssuedAt, Attempt: view.Attempt}
 	cl := c.newClaim(call, view.Digest, view.Target, view.Claim)
-	if !p.submit(cl) {
+	if p.submit(cl) != "" {
 		return unknown, false
 	}
 	defer p.forget(cl)
@@ -107,7 +104,7 @@
 	if !ok || !r.won() {
 		return unknown, false
 	}
-	found, err := c.findAt(cl.record.Head, view.Target, r.Fence)
+	found, err := c.findAt(ctx, cl.record.Head, view.Target, r.Fence)
 	switch {
 	case err != nil:
 		return unknown, false
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -57,12 +57,13 @@
 	Residual float64
 }
 
-// At returns the figure at a size: the measured one if that size was measured,
-// and the line's otherwise.
+// At returns the figure at a size: between measured sizes what lies between
+// their figures, and beyond them what the line gives.
 func (l *Line) At(size float64) float64 {
-	for _, p := range l.Points {
-		if p.X == size {
-			return p.Y
+	for i := 1; i < len(l.Points); i++ {
+		low, high := l.Points[i-1], l.Points[i]
+		if size >= low.X && size <= high.X {
+			return low.Y + (high.Y-low.Y)*(size-low.X)/(high.X-low.X)
 		}
 	}
 	return max(0, l.Base+l.Slope*size)
--- a/internal/capacity/control.go
+++ b/internal/capacity/control.go
@@ -79,7 +79,7 @@
 
 // Exchange implements peer.Heartbeats.
 func (echo) Exchange(_ context.Context, req *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error) {
-	return &peerv1.ExchangeResponse{From: req.From, Members: req.Members, Position: req.Position}, nil
+	return &peerv1.ExchangeResponse{From: req.From, Figures: req.Figures, Position: req.Position}, nil
 }
 
 // heartbeatOverWire is one exchange over gRPC with lines in both directions.
@@ -104,10 +104,7 @@
 	}
 	defer pool.Close()
 	req := &peerv1.ExchangeRequest{From: "g-1", Position: &peerv1.DigestPosition{Epoch: 1, Sequence: 1, Checksum: 1 << 60}}
-	for i := range lines {
-		u := runnerAt(i, 10)
-		req.Members = append(req.Members, &peerv1.MemberEntry{InstanceId: string(u.ID), Incarnation: uint64(u.Incarnation), AgeMs: 800})
-	}
+	req.Figures = figuresOf(instances(0, lines, 10))
 	return wireCostOf(&l.bytes, func() error {
 		_, err := pool.Exchange(ctx, l.address, req)
 		return err
--- a/internal/capacity/journal.go
+++ b/internal/capacity/journal.go
@@ -138,7 +138,7 @@
 type instant struct{ answer []byte }
 
 // Pick implements calls.Dispatcher.
-func (instant) Pick(calls.Call, []ident.Instance) (journal.Target, bool) {
+func (instant) Pick(context.Context, calls.Call, []ident.Instance) (journal.Target, bool) {
 	u := runnerAt(0, 10)
 	return journal.Target{Instance: u.ID, Incarnation: u.Incarnation, Address: u.Address}, true
 }
--- a/internal/capacity/membership.go
+++ b/internal/capacity/membership.go
@@ -35,9 +35,9 @@
 // fleetOf. The first is today's, the last the one to be reached.
 var entrySizes = []int{21, 102, 306, 1020}
 
-// fleetSizes are those at which a whole fleet runs. Larger ones take minutes:
-// at the start every gateway meets every other one with all its facts.
-var fleetSizes = []int{21, 51, 102, 153}
+// fleetSizes are those at which a whole fleet runs. 1020 entries take over two
+// minutes: at the start every gateway meets every other one with all its facts.
+var fleetSizes = []int{21, 102, 306, 612}
 
 // fleetOf splits a number of entries.
 func fleetOf(entries int) (gateways, runners, domains int) {
@@ -184,15 +184,9 @@
 	req := &peerv1.ExchangeRequest{
 		From: string(list[domains].ID), Incarnation: uint64(list[domains].Incarnation),
 		FailureDomain: string(list[domains].FailureDomain), PeerAddress: list[domains].PeerAddress,
-		Position: &peerv1.DigestPosition{Epoch: 1, Sequence: 1},
-	}
-	for i := range lines {
-		u := list[gateways+i]
-		req.Members = append(req.Members, &peerv1.MemberEntry{
-			InstanceId: string(u.ID), Incarnation: uint64(u.Incarnation),
-			Running: 7, QueuedPrefillTokens: 900, LoadAgeMs: 800, AgeMs: 800,
-		})
+		Position: &peerv1.DigestPosition{Epoch: 1, Sequence: 1, FactsOnly: lines == 0},
 	}
+	req.Figures = figuresOf(list[gateways : gateways+lines])
 	var failed error
 	used := cost(func() {
 		resp, err := serve(m, req)
@@ -207,6 +201,20 @@
 	return used, failed
 }
 
+// figuresOf are the figures of runners as a digest carries them.
+func figuresOf(runners []platform.Instance) *peerv1.Figures {
+	figures := &peerv1.Figures{}
+	for i, u := range runners {
+		figures.Key = append(figures.Key, membership.Key(membership.Entry{ID: u.ID, Incarnation: u.Incarnation}))
+		figures.Running = append(figures.Running, uint32(i%20))
+		figures.Queued = append(figures.Queued, uint32(i%3))
+		figures.QueuedPrefillTokens = append(figures.QueuedPrefillTokens, uint32(i%7)*400)
+		figures.LoadAgeMs = append(figures.LoadAgeMs, 800)
+		figures.AgeMs = append(figures.AgeMs, 800)
+	}
+	return figures
+}
+
 // serve hands a heartbeat over as it would come from the network.
 func serve(m *controller.Controller, req *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error) {
 	data, err := proto.Marshal(req)
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -27,6 +27,7 @@
 	for name, text := range map[string]string{
 		"budget": budgetTable(lines),
 		"roles":  roleTable(lines),
+		"plans":  planTable(lines),
 		"slopes": what + "\n\n" + slopeTable(measured),
 	} {
 		if page, err = replacePart(page, name, text); err != nil {
@@ -61,6 +62,16 @@
 	return b.String()
 }
 
+func planTable(lines Lines) string {
+	var b strings.Builder
+	b.WriteString("| change | figure | unit | as built | with the change | from |\n|---|---|---|---|---|---|\n")
+	for _, p := range plans() {
+		fmt.Fprintf(&b, "| %s | %s | %s | %s | %s | `%s` |\n", p.change, p.what, p.unit,
+			figure(p.now(lines, Target())), figure(p.then(lines, Target())), p.from)
+	}
+	return b.String()
+}
+
 // budgetTable sums the rows of each budget, and says which parts break it.
 func budgetTable(lines Lines) string {
 	var b strings.Builder
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -61,19 +61,13 @@
 	return []row{
 		{role, "heartbeats sent and served", PerSecond, measuredToday, []ID{FleetExchanges},
 			func(l Lines, s Size) float64 { return s.exchanges(l) }, none},
-		{role, "heartbeats: merge and gRPC", MicrosPerSecond, measuredToday, []ID{FleetProcessor, ExchangeCost, HeartbeatWire},
+		{role, "heartbeats: merge and gRPC", MicrosPerSecond, measuredToday, []ID{FleetProcessor, HeartbeatWire},
 			func(l Lines, s Size) float64 {
-				if s.runsAsMeasured() {
-					return l.at(FleetProcessor, s.entries()) + s.exchanges(l)*l.at(HeartbeatWire, 0)
-				}
-				return s.exchanges(l) * (l.at(ExchangeCost, s.heartbeatLines()) + l.at(HeartbeatWire, s.heartbeatLines()))
+				return l.at(FleetProcessor, s.entries()) + s.exchanges(l)*l.at(HeartbeatWire, meanLines)
 			}, totalProcessor},
 		{role, "heartbeats with their gRPC frames", BytesPerSecond, measuredToday, []ID{FleetBytes, HeartbeatBytes},
 			func(l Lines, s Size) float64 {
-				if s.runsAsMeasured() {
-					return l.at(FleetBytes, s.entries()) + s.exchanges(l)*l.at(HeartbeatBytes, 0)
-				}
-				return s.exchanges(l) * l.at(HeartbeatBytes, s.heartbeatLines())
+				return l.at(FleetBytes, s.entries()) + s.exchanges(l)*l.at(HeartbeatBytes, 0)
 			}, totalBytes},
 		{role, "table and snapshot", Bytes, computed, []ID{FleetMemory},
 			func(l Lines, s Size) float64 { return l.at(FleetMemory, s.entries()) }, totalMemory},
--- a/internal/capacity/sizes.go
+++ b/internal/capacity/sizes.go
@@ -1,9 +1,6 @@
 package capacity
 
-import (
-	controller "github.com/goldcrestspool/goldcrestspool/internal/controllers/membership"
-	"github.com/goldcrestspool/goldcrestspool/internal/settings"
-)
+import "github.com/goldcrestspool/goldcrestspool/internal/settings"
 
 // Size is a size of the whole system.
 type Size struct {
@@ -35,7 +32,7 @@
 func Target() Size {
 	return Size{
 		Name: "target", Gateways: 330, Upstreams: 690, Domains: 10, Requests: 4200, Tokens: 1_500_000, Changes: 740,
-		Keyed: 0.2, Services: 20, Accounts: 1000, Events: 97,
+		Keyed: 0.2, Services: 20, Accounts: 1000, Events: 194,
 	}
 }
 
@@ -53,6 +50,8 @@
 	// second when each returns at once: assumed 5 ms for one.
 	quickReads  = 200
 	windowHours = 1
+	// meanLines of figures in a heartbeat, by which gRPC's cost is taken.
+	meanLines = 16
 	// candidates for the leases of one failure domain.
 	candidates = 3
 	// tokenTime is the target between two tokens of a stream.
@@ -69,8 +68,6 @@
 func (s Size) changeRate() float64   { return s.Changes / secondsPerDay }
 func (s Size) keysInWindow() float64 { return s.keyedCalls() * 3600 * windowHours }
 func (s Size) leaseHolders() float64 { return (s.Domains + 1) * min(candidates, s.Services) }
-func (s Size) runsAsMeasured() bool  { return s.entries() <= float64(fleetSizes[len(fleetSizes)-1]) }
-func (s Size) heartbeatLines() float64 {
 	return float64(controller.DefaultConfig(gatewayAt(0, 1)).MaxFigures)
 }
 
@@ -84,11 +81,7 @@
 
 // exchanges is how many heartbeats one gateway sends and serves a second.
 func (s Size) exchanges(l Lines) float64 {
-	if s.runsAsMeasured() {
-		return 2 * l.at(FleetExchanges, s.entries())
-	}
-	c := controller.DefaultConfig(gatewayAt(0, 1))
-	return 2 * float64(c.LocalFanout+c.RemoteFanout) / settings.DefaultHeartbeat.Seconds()
+	return 2 * l.at(FleetExchanges, s.entries())
 }
 
 // appends of all gateways to the journal.
--- a/internal/controller/wire.go
+++ b/internal/controller/wire.go
@@ -8,9 +8,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/document"
 	"github.com/goldcrestspool/goldcrestspool/internal/lease"
 	"github.com/goldcrestspool/goldcrestspool/internal/peer"
-	"github.com/goldcrestspool/goldcrestspool/internal/platform"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform/connectplatform"
-	"github.com/goldcrestspool/goldcrestspool/internal/settings"
 	"github.com/goldcrestspool/goldcrestspool/internal/transport"
 	"github.com/goldcrestspool/goldcrestspool/internal/upstream/connectupstream"
 )
@@ -23,8 +21,8 @@
 	s := p.settings
 	p.documents = blackboard.NewSection(&document.Set{})
 	p.health = blackboard.NewSection(blackboard.ConfigurationHealth{Problem: "not read yet"})
-	p.instances = blackboard.NewSection([]platform.Instance(nil))
-	p.client = transport.NewClient(transport.Options{})
+	p.listing = blackboard.NewSection(blackboard.Listing{})
+	p.client = transport.NewClient(transport.Options{FreshConnections: true})
 	p.platform = connectplatform.NewClient(p.client, s.Platform.Address)
 
 	trusted, err := s.TLS.Upstream.ClientConfig()
@@ -32,7 +30,7 @@
 		return err
 	}
 	p.dialer = connectupstream.NewDialer(trusted)
-	if p.pool, err = peer.NewPool(peerTLS(s.TLS.Peers)); err != nil {
+	if p.pool, err = peer.NewPool(s.TLS.Peers.Files()); err != nil {
 		return err
 	}
 	if err := p.wireLeases(); err != nil {
@@ -44,6 +42,7 @@
 		Documents: p.documents,
 		Health:    p.health,
 		Logger:    p.log,
+		Snapshots: configuration.DefaultSnapshotPolicy.Every(s.Control.SnapshotInterval),
 	})
 	p.wireControllers()
 	return nil
@@ -73,7 +72,7 @@
 		orders.Config{Interval: s.Control.Interval, Flight: s.Control.Margin, Parallel: orders.DefaultParallel},
 		orders.Deps{
 			Documents: p.documents,
-			Instances: p.instances,
+			Listing:   p.listing,
 			Leases:    p.leases,
 			Dialer:    p.dialer,
 			Weights:   p.platform,
@@ -82,6 +81,7 @@
 	p.fleet = fleet.New(
 		fleet.Config{
 			Interval:       s.Control.Interval,
+			LoadInterval:   fleet.DefaultLoadInterval,
 			Flight:         s.Control.Margin,
 			Parallel:       fleet.DefaultParallel,
 			SlotsPerEngine: fleet.DefaultSlotsPerEngine,
@@ -89,19 +89,11 @@
 		},
 		fleet.Deps{
 			Documents: p.documents,
-			Instances: p.instances,
+			Listing:   p.listing,
 			Leases:    p.leases,
 			Cloud:     p.platform,
 			Dialer:    p.dialer,
-			Gateways:  newGateways(s.Instance, p.pool, p.instances),
+			Gateways:  newGateways(s.Instance, p.pool, p.listing),
 			Log:       p.log.Named("fleet"),
 		})
 }
-
-// peerTLS returns the files for mutual TLS with the gateways.
-func peerTLS(pair settings.PeerKeyPair) peer.TLSFiles {
-	if !pair.Set() {
-		return peer.TLSFiles{}
-	}
-	return peer.TLSFiles{Certificate: pair.Cert, Key: pair.Key, Authority: pair.CA, ServerName: settings.PeerName}
-}
--- a/internal/controllers/configuration/follow.go
+++ b/internal/controllers/configuration/follow.go
@@ -73,7 +73,7 @@
 		case document.RefusedRecord:
 			metrics.refused.Add(1)
 		case document.SnapshotRecord:
-			c.sinceWritten = writtenSnapshot{covers: d.Covers, readAt: time.Now()}
+			c.lastSnapshot = seenSnapshot{covers: d.Covers, readAt: time.Now()}
 		case document.UnreadableRecord:
 			metrics.unreadable.Add(1)
 		}
@@ -81,7 +81,7 @@
 			c.logger.Error("configuration record", "offset", d.Offset, "problem", d.Problem)
 		}
 	}
-	c.sinceWritten.records += len(decisions)
+	c.lastSnapshot.records += len(decisions)
 }
 
 // followPeers takes over what a peer knows beyond this process.
@@ -93,15 +93,12 @@
 	if !ok {
 		return
 	}
-	ahead := peer.Revision > c.reader.State().Revision()
-	// A peer with the same revision may have read on where records expired
-	// for this process.
-	if !ahead && !c.reader.Searching() {
+	if peer.Revision <= c.reader.State().Through() {
 		c.peerAhead = time.Time{}
 	} else if c.patienceOver() {
 		c.merge(ctx, peer)
 	}
-	if peer.Revision <= c.reader.State().Revision() {
+	if peer.Revision <= c.reader.State().Through() {
 		c.readyFromPeers()
 	}
 }
@@ -117,11 +114,7 @@
 func (c *Controller) merge(ctx context.Context, peer Peer) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	through := c.reader.State().Through()
-	delta, err := c.options.Peers.GetDocuments(ctx, peer, through)
-	if err == nil && delta.Through <= through {
-		return
-	}
+	delta, err := c.options.Peers.GetDocuments(ctx, peer, c.reader.State().Through())
 	if err == nil {
 		err = c.reader.Merge(delta)
 	}
@@ -160,18 +153,21 @@
 	}
 	if c.options.Health.Value() != health {
 		c.options.Health.Publish(health)
-		if health.Problem != "" {
+		if health.Problem != "" && c.everRead() {
 			c.logger.Warn("configuration", "ready", health.Ready, "problem", health.Problem)
 		}
 	}
 	c.progress.Store(&progress{
 		state:   state,
-		written: c.sinceWritten,
+		written: c.lastSnapshot,
 		first:   c.first,
 		current: c.ready && c.logReachable && c.reader.AtHead(),
 	})
 }
 
+// everRead reports whether the log was tried; before that nothing is wrong.
+func (c *Controller) everRead() bool { return c.logReachable || c.logFailed }
+
 // problem says why the process is not ready, or what it cannot follow.
 func (c *Controller) problem() string {
 	var all []string
--- a/internal/controllers/configuration/snapshots.go
+++ b/internal/controllers/configuration/snapshots.go
@@ -33,14 +33,23 @@
 	Spread:     time.Minute,
 }
 
+// Every returns the policy with another interval.
+func (p SnapshotPolicy) Every(interval time.Duration) SnapshotPolicy {
+	p.Interval = interval
+	return p
+}
+
 // minSpread is the least delay, in which a snapshot just written is read back.
 const minSpread = 5 * time.Second
 
+// snapshotInterval is the time between two looks whether one is due.
+const snapshotInterval = 5 * time.Second
+
 // appendTimeout bounds the append of a snapshot.
 const appendTimeout = 5 * time.Second
 
-// writtenSnapshot is the newest snapshot that was read from the log.
-type writtenSnapshot struct {
+// seenSnapshot is the newest snapshot that was read from the log.
+type seenSnapshot struct {
 	covers ident.Offset
 	// readAt is when this process read it, or started; monotonic.
 	readAt time.Time
@@ -51,7 +60,7 @@
 // progress is what other goroutines see of the controller.
 type progress struct {
 	state   document.State
-	written writtenSnapshot
+	written seenSnapshot
 	// first is the oldest offset that the log keeps.
 	first ident.Offset
 	// current: the state is that of the log's head.
@@ -82,6 +91,23 @@
 	since time.Time
 }
 
+// WriteSnapshots writes a snapshot whenever one is due, until ctx ends. One
+// process of an instance does it; that others do it too is harmless.
+func (c *Controller) WriteSnapshots(ctx context.Context) error {
+	ticker := time.NewTicker(snapshotInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		if _, err := c.WriteSnapshotIfDue(ctx); err != nil {
+			c.logger.Warn("no snapshot written", "error", err)
+		}
+	}
+}
+
 // WriteSnapshotIfDue appends a snapshot of the configuration to the log when
 // the log needs one and no other process has written it meanwhile. Call it
 // every few seconds; it may be called by any goroutine. A lost answer is
--- a/internal/loadgen/booking.go
+++ b/internal/loadgen/booking.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"time"
 
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/proto"
 
 	callerv1 "github.com/goldcrestspool/goldcrestspool/api/caller/v1"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	outcomes "github.com/goldcrestspool/goldcrestspool/internal/outcome"
 	"github.com/goldcrestspool/goldcrestspool/internal/standin/answer"
 	"github.com/goldcrestspool/goldcrestspool/internal/transport"
 )
@@ -17,8 +19,14 @@
 type bookingCaller struct {
 	caller
 	request *callerv1.CallRequest
+	// silence is how long a gateway may give no answer. A frozen gateway, or a
+	// connection gone silent, would otherwise hold the caller for good.
+	silence time.Duration
 	// doubt: a call may be running, so ask for its outcome before another.
 	doubt bool
+	// impatient callers send a call in doubt again instead of asking, which
+	// has to be as safe.
+	impatient bool
 }
 
 // run sends the call until its outcome is final, it was refused maxRefusals
@@ -45,7 +53,7 @@
 			b.refusals++
 			b.doubt = false
 		default:
-			b.doubt = true
+			b.doubt = outcome.GetReason() != string(outcomes.ReasonNotSeen)
 		}
 		if b.refusals >= maxRefusals || !b.told(ctx, outcome) {
 			b.last = outcome
@@ -62,7 +70,9 @@
 
 // once asks for the outcome of a call in doubt, or sends the call.
 func (b *bookingCaller) once(ctx context.Context) (callReply, error) {
-	if b.doubt {
+	ctx, cancel := context.WithTimeout(ctx, b.silence)
+	defer cancel()
+	if b.doubt && !b.impatient {
 		return b.ask(ctx)
 	}
 	ctx, attempt := transport.Observe(ctx)
@@ -70,7 +80,7 @@
 	b.request.Attempt++
 	response, err := gateway.Call(ctx, proto.CloneOf(b.request))
 	if err != nil {
-		b.doubt = !notSent(attempt, err)
+		b.doubt = b.sent(attempt, err)
 		if !b.doubt {
 			b.request.Attempt--
 		}
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -12,10 +12,10 @@
 	DefaultHeartbeat = 500 * time.Millisecond
 	// DefaultBatchWait is the least time between two appends of a journal
 	// partition by one gateway. Eight gateways with two partitions each then
-	// make at most 267 appends a second. With less, a rush of keyed calls
+	// make at most 320 appends a second. With less, a rush of keyed calls
 	// takes the log's several hundred alone: claims queue in the log, and
 	// behind them the renewals of leases.
-	DefaultBatchWait = 60 * time.Millisecond
+	DefaultBatchWait = 50 * time.Millisecond
 )
 
 func defaultCommon() Common {
@@ -62,9 +62,10 @@
 		Common: defaultCommon(),
 		Listen: ControllerListen{Operators: kernelChosen},
 		Control: Control{
-			Lease:    10 * time.Second,
-			Margin:   2 * time.Second,
-			Interval: time.Second,
+			Lease:            10 * time.Second,
+			Margin:           2 * time.Second,
+			Interval:         time.Second,
+			SnapshotInterval: 10 * time.Minute,
 		},
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -153,8 +153,8 @@
 type Journal struct {
 	// Partitions of the keys; the same for all processes. Default 1.
 	Partitions int `toml:"partitions"`
-	// BatchWait is how long claims are gathered for one append. Default
-	// 60ms.
+	// BatchWait is the least time between two appends to one stream. Default
+	// 50ms: at eight gateways that is at most 320 appends a second.
 	BatchWait time.Duration `toml:"batch_wait"`
 	// Window is how far back keys are remembered. Default 1h.
 	Window time.Duration `toml:"window"`
@@ -170,6 +170,10 @@
 	Margin time.Duration `toml:"margin"`
 	// Interval between two rounds. Default 1s.
 	Interval time.Duration `toml:"interval"`
+	// SnapshotInterval is how often the documents are written to the log
+	// again. At most a quarter of the time that the log keeps records.
+	// Default 10m.
+	SnapshotInterval time.Duration `toml:"snapshot_interval"`
 }
 
 // TLS is off for a side without certificate files.
