--- a/internal/capacity/sizes.go
+++ b/internal/capacity/sizes.go
@@ -68,8 +68,6 @@
 func (s Size) changeRate() float64   { return s.Changes / secondsPerDay }
 func (s Size) keysInWindow() float64 { return s.keyedCalls() * 3600 * windowHours }
 func (s Size) leaseHolders() float64 { return (s.Domains + 1) * min(candidates, s.Services) }
-	return float64(controller.DefaultConfig(gatewayAt(0, 1)).MaxFigures)
-}
 
 // probes is how many upstreams one gateway probes each second.
 func (s Size) probes() float64 {
