--- a/internal/capacity/fleet_test.go
+++ b/internal/capacity/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"slices"
 	"testing"
 	"testing/synctest"
 )
@@ -9,6 +10,9 @@
 // fleetFile is where TestFleets writes the figures of fleets of all sizes.
 var fleetFile = flag.String("fleets", "", "file for the figures of fleets of all sizes")
 
+// target adds the fleet of the target's size, which takes over two minutes.
+var target = flag.Bool("target", false, "run the fleet of the target's size as well")
+
 // controlBytes is the budget of a node in bytes a second.
 const controlBytes = 24_000
 
@@ -19,6 +23,9 @@
 	if *fleetFile != "" {
 		sizes = fleetSizes
 	}
+	if *target {
+		sizes = append(slices.Clone(sizes), entrySizes[len(entrySizes)-1])
+	}
 	all := fleets{}
 	for _, entries := range sizes {
 		synctest.Test(t, func(t *testing.T) { all[entries] = runFleet(entries) })
--- a/internal/capacity/membership.go
+++ b/internal/capacity/membership.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"os"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -39,6 +40,11 @@
 // minutes: at the start every gateway meets every other one with all its facts.
 var fleetSizes = []int{21, 102, 306, 612}
 
+// recordedFleet is the fleet of the target's size, 330 gateways and 690 runners,
+// as TestFleets measured it on 2026-12-02 in 137 s; make capacity-fleet repeats
+// that. It stands in where a run leaves that size out.
+var recordedFleet = fleetFigures{Processor: 5231, Bytes: 9868, Exchanges: 10.06, Memory: 769_817}
+
 // fleetOf splits a number of entries.
 func fleetOf(entries int) (gateways, runners, domains int) {
 	if entries == entrySizes[0] {
@@ -197,6 +203,8 @@
 		// The next heartbeat tells that this answer came.
 		req.Position.AcknowledgedEpoch = resp.Position.Epoch
 		req.Position.AcknowledgedSequence = resp.Position.Sequence
+		req.Position.AcknowledgedFigures = resp.Position.FiguresSequence
+		req.Position.Checksum = resp.Position.Checksum
 	})
 	return used, failed
 }
@@ -256,6 +264,9 @@
 	from := func(figure func(fleetFigures) float64) func(int) (float64, error) {
 		return func(entries int) (float64, error) {
 			f, ok := whole[entries]
+			if !ok && entries == entrySizes[len(entrySizes)-1] {
+				f, ok = recordedFleet, true
+			}
 			if !ok {
 				return 0, errcode.Errorf(errcode.NotFound, "no fleet of %d entries; see TestFleets", entries)
 			}
@@ -263,15 +274,16 @@
 		}
 	}
 	const pkg = "controllers/membership"
+	sizes := append(slices.Clone(fleetSizes), entrySizes[len(entrySizes)-1])
 	return []Series{
 		{ID: FleetProcessor, What: "heartbeats of one gateway, without the network", Package: pkg, Size: "entries", Unit: MicrosPerSecond,
-			Sizes: fleetSizes, Measure: from(func(f fleetFigures) float64 { return f.Processor })},
+			Sizes: sizes, Measure: from(func(f fleetFigures) float64 { return f.Processor })},
 		{ID: FleetBytes, What: "heartbeats of one gateway, in and out, messages only", Package: pkg, Size: "entries", Unit: BytesPerSecond,
-			Sizes: fleetSizes, Measure: from(func(f fleetFigures) float64 { return f.Bytes })},
+			Sizes: sizes, Measure: from(func(f fleetFigures) float64 { return f.Bytes })},
 		{ID: FleetExchanges, What: "heartbeats that one gateway sends", Package: pkg, Size: "entries", Unit: PerSecond,
-			Sizes: fleetSizes, Measure: from(func(f fleetFigures) float64 { return f.Exchanges })},
+			Sizes: sizes, Measure: from(func(f fleetFigures) float64 { return f.Exchanges })},
 		{ID: FleetMemory, What: "table and published snapshot of one gateway", Package: pkg, Size: "entries", Unit: Bytes,
-			Sizes: fleetSizes, Measure: from(func(f fleetFigures) float64 { return f.Memory })},
+			Sizes: sizes, Measure: from(func(f fleetFigures) float64 { return f.Memory })},
 		{ID: ExchangeCost, What: "one served heartbeat at 1020 entries", Package: pkg, Size: "changed lines", Unit: Microseconds,
 			Sizes: []int{0, 32, 64, 128}, Measure: exchangeCost},
 		{ID: ListMerge, What: "one merge of the platform's list", Package: "membership", Size: "entries", Unit: Microseconds,
