--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -38,10 +38,8 @@
 			OtherDomains:   2,
 		},
 		Journal: Journal{
-			Partitions: 1,
-			BatchWait:  DefaultBatchWait,
-			Window:     time.Hour,
-			Timeout:    2 * time.Second,
+			BatchWait: DefaultBatchWait,
+			Timeout:   2 * time.Second,
 		},
 	}
 }
