Membership: a process that only asks is no member

Cause: a gateway entered whoever sent it a heartbeat; a controller sends some without an address, only to read. Ruled out: the platform's list (it names instances only). The test failed first: 3 members instead of 2.

--- a/internal/controllers/membership/exchange.go
+++ b/internal/controllers/membership/exchange.go
@@ -200,12 +200,15 @@
 	}
 	c.mergeFacts(from, domain, req.GetMembers(), now)
 	c.mergeFigures(from, req.GetFigures(), now)
-	c.observePeer(membership.Entry{
-		ID:            from,
-		Incarnation:   ident.Incarnation(req.GetIncarnation()),
-		FailureDomain: domain,
-		PeerAddress:   req.GetPeerAddress(),
-	}, now)
+	// A process that only asks serves no peers and is no instance of its own.
+	if req.GetPeerAddress() != "" {
+		c.observePeer(membership.Entry{
+			ID:            from,
+			Incarnation:   ident.Incarnation(req.GetIncarnation()),
+			FailureDomain: domain,
+			PeerAddress:   req.GetPeerAddress(),
+		}, now)
+	}
 	c.publishFacts(now)
 	c.compareFacts(s, position)
 	s.heard(ident.Revision(req.GetRevision()))
--- a/internal/controllers/membership/fleet_test.go
+++ b/internal/controllers/membership/fleet_test.go
@@ -250,3 +250,27 @@
 		}
 	})
 }
+
+// Symptom: operators see members without a role that are suspect, and later
+// departures of instances that never were. Sequence: a controller process asks
+// a gateway for what it knows, under a name of its own. Cause: whoever sent a
+// heartbeat was taken for an instance.
+func TestProcessThatOnlyAsksIsNoMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 1, 1, nil)
+		asked := f.nodes[0]
+		before := len(asked.board.Members.Value().ByID)
+		resp, err := asked.Exchange(t.Context(), &peerv1.ExchangeRequest{
+			From:          "entry-1/controller",
+			Incarnation:   7,
+			FailureDomain: string(asked.self.FailureDomain),
+			Position:      &peerv1.DigestPosition{Epoch: 3},
+		})
+		if err != nil || len(resp.GetMembers()) == 0 {
+			t.Fatalf("answer %v, %v; want what the gateway knows", resp, err)
+		}
+		if after := len(asked.board.Members.Value().ByID); after != before {
+			t.Errorf("%d members after the question, want %d", after, before)
+		}
+	})
+}
