--- a/internal/e2e/system_test.go
+++ b/internal/e2e/system_test.go
@@ -127,6 +127,7 @@
 	platform *process
 	gateways []*process
 	plains   []*process
+	engines  []*process
 }
 
 func newSystem(t *testing.T) *system {
@@ -153,10 +154,14 @@
 	s.run("standin", append([]string{"admin", "--platform", s.address()}, args...)...)
 }
 
-func (s *system) engine(id, domain string) *process {
+// engine starts a model engine; more are further options of it.
+func (s *system) engine(id, domain string, more ...string) *process {
 	s.t.Helper()
-	return launch(s.t, id, "standin", "engine", "--platform", s.address(), "--id", id, "--service", "spool-llm",
-		"--failure-domain", domain, "--class", "gpu-small", "--model", "spool-llm", "--model-version", "2026-11")
+	args := []string{"engine", "--platform", s.address(), "--id", id, "--service", "spool-llm",
+		"--failure-domain", domain, "--class", "gpu-small", "--model", "spool-llm", "--model-version", "2026-11"}
+	p := launch(s.t, id, "standin", append(args, more...)...)
+	s.engines = append(s.engines, p)
+	return p
 }
 
 func (s *system) plain(id, domain string) *process {
@@ -169,9 +174,10 @@
 	return p
 }
 
-func (s *system) gateway(id, domain string) *process {
+// settings writes a file with the settings that all programs have, and more.
+func (s *system) settings(id, domain, more string) string {
 	s.t.Helper()
-	settings := fmt.Sprintf(`
+	common := fmt.Sprintf(`
 [instance]
 id = %q
 region = "tirol"
@@ -179,14 +185,27 @@
 incarnation = 1
 [platform]
 address = "http://%s"
+`, id, domain, s.address())
+	return s.file(id+".toml", common+more)
+}
+
+// file writes a file that is removed after the test and returns its path.
+func (s *system) file(name, text string) string {
+	s.t.Helper()
+	path := filepath.Join(s.t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	return path
+}
+
+func (s *system) gateway(id, domain string) *process {
+	s.t.Helper()
+	file := s.settings(id, domain, fmt.Sprintf(`
 [[client_accounts]]
 name = %q
 token_sha256 = "%x"
-`, id, domain, s.address(), account, sha256.Sum256([]byte(token)))
-	file := filepath.Join(s.t.TempDir(), id+".toml")
-	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
-		s.t.Fatal(err)
-	}
+`, account, sha256.Sum256([]byte(token))))
 	p := launch(s.t, id, "gateway", "--settings", file)
 	s.admin("register", "--id", id, "--incarnation", "1", "--failure-domain", domain,
 		"--address", p.at.Callers, "--peer-address", p.at.Peers)
