controller: looks again soon while its instance is not in the list

Cause: the platform's list lags (1 s in the stand-in). A controller that starts with its instance reads the list before that one is there, wants no lease, and slept 10 s as a watcher. Tried first and not the cause: documents that come between the decision and the wait were waited past (a lost wake-up). No test shows that window, it is some microseconds wide. Cost: an instance that is never listed reads the list every 2 s instead of every 10 s.

--- a/internal/controller/listing.go
+++ b/internal/controller/listing.go
@@ -13,8 +13,9 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
 )
 
-// The times between two reads of the platform's list: for a candidate, and for
-// a process that only watches whether it has become one.
+// The times between two reads of the platform's list: for a candidate, and one
+// that is not in the list yet; and for a process that only watches whether it
+// has become a candidate.
 const (
 	candidateListing = 2 * time.Second
 	watcherListing   = 10 * time.Second
@@ -25,21 +26,36 @@
 func (p *Process) runListing(ctx context.Context) error {
 	for {
 		p.readList(ctx)
-		wanted := p.candidacies()
+		// Loaded once: what goes wrong otherwise is that documents come between
+		// the decision and the wait, which then waits for the ones after them,
+		// and no lease is claimed until the pause is over.
+		documents := p.documents.Load()
+		wanted := p.candidacies(documents.Value)
 		p.leases.Want(wanted)
-		pause := watcherListing
-		if len(wanted) > 0 || p.listing.Value().ReadAt.IsZero() {
-			pause = candidateListing
-		}
 		select {
-		case <-time.After(pause):
-		case <-p.documents.Load().Changed():
+		case <-time.After(p.listingPause(wanted)):
+		case <-documents.Changed():
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
+// listingPause returns the time until the next read of the list.
+//
+// What goes wrong without the look at the own instance: the list lags, so a
+// process that starts with its instance reads it before that one is there, and
+// takes itself for a watcher. In a system that starts, nobody then controls
+// anything for as long as a watcher waits.
+func (p *Process) listingPause(wanted []lease.Wanted) time.Duration {
+	self := p.settings.Instance.ID
+	listed := slices.ContainsFunc(p.listing.Value().Instances, func(i platform.Instance) bool { return i.ID == self })
+	if len(wanted) > 0 || !listed {
+		return candidateListing
+	}
+	return watcherListing
+}
+
 func (p *Process) readList(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, p.settings.Platform.Timeout)
 	defer cancel()
@@ -55,14 +71,14 @@
 // candidacies returns the leases that this process wants: those for which it
 // is a candidate, and those that it holds. A holder stays one when the list
 // changes, so that the list's lag moves no lease.
-func (p *Process) candidacies() []lease.Wanted {
+func (p *Process) candidacies(documents *document.Set) []lease.Wanted {
 	instances := p.listing.Value().Instances
 	held := make(map[lease.Name]bool)
 	for _, name := range p.leases.Held() {
 		held[name] = true
 	}
 	var wanted []lease.Wanted
-	for _, name := range leaseNames(p.documents.Value(), instances) {
+	for _, name := range leaseNames(documents, instances) {
 		rank, candidate := lease.RankOf(p.settings.Instance.ID, name, instances)
 		if candidate || held[name] {
 			wanted = append(wanted, lease.Wanted{Name: name, Rank: rank})
