--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -37,6 +38,13 @@
 func startPlatform(t *testing.T) (address string, log *logstore.Log) {
 	t.Helper()
 	log = logstore.New(logstore.Options{})
+	server, _ := servePlatform(t, log)
+	return server.URL, log
+}
+
+// servePlatform is startPlatform with a log of the caller's.
+func servePlatform(t *testing.T, log *logstore.Log) (*httptest.Server, *instances.List) {
+	t.Helper()
 	list := instances.New(0)
 	for _, id := range []ident.Instance{"entry-1", "entry-2"} {
 		list.Register(platform.Instance{ID: id, Incarnation: 1, Role: platform.RoleEntry, FailureDomain: "hall-a", State: platform.Live})
@@ -48,7 +56,7 @@
 	})
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
-	return server.URL, log
+	return server, list
 }
 
 func publish(t *testing.T, log platform.Log, file string) {
@@ -179,3 +187,83 @@
 		t.Errorf("a graceful stop ended with %v", err)
 	}
 }
+
+// Symptom: a controller that starts while the platform is down, or after it,
+// ends or hangs, and a machine cannot be replaced. Sequence: it starts, is told
+// to stop while nothing or nobody answers. Cause: a start or a stop that needs
+// the platform.
+func TestStopsWithoutAPlatform(t *testing.T) {
+	silent := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-silent }))
+	t.Cleanup(server.Close)
+	t.Cleanup(func() { close(silent) })
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refusing := "http://" + listener.Addr().String()
+	listener.Close()
+	for name, address := range map[string]string{"nobody listens": refusing, "requests hang": server.URL} {
+		t.Run(name, func(t *testing.T) {
+			process := start(t, "entry-1", address)
+			process.awaitStatus(t, "/readyz", http.StatusServiceUnavailable)
+			process.stopAndExpectNil(t)
+		})
+	}
+}
+
+// Symptom: a holder cannot be stopped during an outage. Sequence: it holds
+// leases, the platform goes down, it is told to stop. Cause: a release that
+// is tried until it succeeds.
+func TestHolderStopsWhileThePlatformIsDown(t *testing.T) {
+	server, _ := servePlatform(t, logstore.New(logstore.Options{}))
+	process := start(t, "entry-1", server.URL)
+	process.await(t, "/status", holdsFleet)
+	server.Listener.Close()
+	server.CloseClientConnections()
+	process.stopAndExpectNil(t)
+}
+
+// Symptom: a controller that started before its instance was in the platform's
+// list never takes part. Sequence: it is ready, with leases in the documents,
+// and claims none; then its instance is listed. Cause: a list that is read
+// once, or a claim by a process that nobody knows.
+func TestUnlistedInstanceClaimsOnceListed(t *testing.T) {
+	server, list := servePlatform(t, logstore.New(logstore.Options{}))
+	process := start(t, "entry-9", server.URL)
+	process.await(t, "/readyz", anything)
+	process.await(t, "/status", func(body []byte) bool { return len(body) > len("[]\n") && !holdsFleet(body) })
+	list.Register(platform.Instance{ID: "entry-9", Incarnation: 1, Role: platform.RoleEntry, FailureDomain: "hall-a", State: platform.Live})
+	process.await(t, "/status", holdsFleet)
+	process.stopAndExpectNil(t)
+}
+
+func (r *running) stopAndExpectNil(t *testing.T) {
+	t.Helper()
+	r.stop()
+	select {
+	case err := <-r.ended:
+		if err != nil {
+			t.Errorf("a graceful stop ended with %v", err)
+		}
+	case <-time.After(patience):
+		t.Fatal("a graceful stop never ended")
+	}
+}
+
+// awaitStatus waits until the controller answers a path with a status.
+func (r *running) awaitStatus(t *testing.T, path string, want int) {
+	t.Helper()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for limit := time.Now().Add(patience); time.Now().Before(limit); time.Sleep(20 * time.Millisecond) {
+		resp, err := client.Get("http://" + r.operators + path)
+		if err != nil {
+			continue
+		}
+		resp.Body.Close()
+		if resp.StatusCode == want {
+			return
+		}
+	}
+	t.Fatalf("%s never answered %d", path, want)
+}
