--- a/internal/e2e/control_test.go
+++ b/internal/e2e/control_test.go
@@ -235,6 +235,23 @@
 	expectUndisturbed(t, result)
 }
 
+// Symptom: a controller cannot be stopped during an outage. Sequence: the
+// platform is frozen, so that requests hang; the holder gets SIGTERM. Cause: a
+// round, or a release, that waits for an answer.
+func TestHolderStopsWhileThePlatformHangs(t *testing.T) {
+	s, holder, _, _ := controlled(t)
+	s.platform.signal(syscall.SIGSTOP)
+	holder.signal(syscall.SIGTERM)
+	select {
+	case <-holder.exited:
+	case <-time.After(patience):
+		t.Fatal("the holder never ended")
+	}
+	if holder.err != nil {
+		t.Errorf("planned stop ended with %v\n%s", holder.err, holder.stderr.String())
+	}
+}
+
 // expectUndisturbed fails the test if a caller noticed anything.
 func expectUndisturbed(t *testing.T, r *loadgen.Result) {
 	t.Helper()
