--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -126,6 +126,12 @@
 // await waits until the controller answers a path with 200 and a body that ok
 // accepts.
 func (r *running) await(t *testing.T, path string, ok func(body []byte) bool) {
+	t.Helper()
+	r.awaitStatus(t, path, http.StatusOK, ok)
+}
+
+// awaitStatus is await with another status.
+func (r *running) awaitStatus(t *testing.T, path string, status int, ok func(body []byte) bool) {
 	t.Helper()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	for limit := time.Now().Add(patience); time.Now().Before(limit); time.Sleep(20 * time.Millisecond) {
@@ -135,7 +141,7 @@
 		}
 		body, _ := io.ReadAll(resp.Body)
 		resp.Body.Close()
-		if resp.StatusCode == http.StatusOK && ok(body) {
+		if resp.StatusCode == status && ok(body) {
 			return
 		}
 	}
@@ -206,7 +212,7 @@
 	for name, address := range map[string]string{"nobody listens": refusing, "requests hang": server.URL} {
 		t.Run(name, func(t *testing.T) {
 			process := start(t, "entry-1", address)
-			process.awaitStatus(t, "/readyz", http.StatusServiceUnavailable)
+			process.awaitStatus(t, "/readyz", http.StatusServiceUnavailable, anything)
 			process.stopAndExpectNil(t)
 		})
 	}
@@ -250,20 +256,3 @@
 		t.Fatal("a graceful stop never ended")
 	}
 }
-
-// awaitStatus waits until the controller answers a path with a status.
-func (r *running) awaitStatus(t *testing.T, path string, want int) {
-	t.Helper()
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	for limit := time.Now().Add(patience); time.Now().Before(limit); time.Sleep(20 * time.Millisecond) {
-		resp, err := client.Get("http://" + r.operators + path)
-		if err != nil {
-			continue
-		}
-		resp.Body.Close()
-		if resp.StatusCode == want {
-			return
-		}
-	}
-	t.Fatalf("%s never answered %d", path, want)
-}
