--- a/Makefile
+++ b/Makefile
@@ -51,16 +51,35 @@
 
 # --- routing policies (cmd/experiment) ---
 .PHONY: policy policy-report capacity-engine
+SEEDS  ?= 5
+REPORT ?= docs/report
 
 # Compares routing policies in virtual time and prints which goals are met.
 policy:
-	$(GO) run ./cmd/experiment --seeds 5
+	$(GO) run ./cmd/experiment --seeds $(SEEDS)
 
-# The same with plots, into docs/report. The plotting library is pinned in a
-# file of its own, so that the main module's graph stays small.
+# The same with plots, into REPORT.
 policy-report:
-	$(GO) run -modfile=cmd/experiment/plots.mod -tags plots ./cmd/experiment --seeds 5 --report docs/report
+	$(GO) run ./cmd/experiment --seeds $(SEEDS) --report $(REPORT)
 
 # The slopes of docs/capacity-engine.md.
 capacity-engine:
 	$(GO) test ./internal/routing ./internal/cacheview -run XXX -bench . -benchtime 300ms
+
+# --- capacity (cmd/capacity, docs/CAPACITY.md) ---
+.PHONY: capacity capacity-fleet capacity-whole
+
+# Measures the slopes again and rewrites the tables of docs/CAPACITY.md.
+capacity:
+	@mkdir -p bin
+	$(GO) test ./internal/capacity -count=1 -run '^TestFleets$$' -args -fleets="$$PWD/bin/fleets.json"
+	$(GO) build -o bin/capacity ./cmd/capacity
+	bin/capacity --fleets bin/fleets.json
+
+# Runs the fleet of the target's size in virtual time; over two minutes.
+capacity-fleet:
+	$(GO) test ./internal/capacity -count=1 -v -run '^TestFleets$$' -args -target
+
+# Measures whole gateway processes and prints their table.
+capacity-whole: build
+	scripts/capacity-whole.sh
--- a/internal/controllers/fleet/controller.go
+++ b/internal/controllers/fleet/controller.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	"github.com/goldcrestspool/goldcrestspool/internal/controllers/rounds"
 	"github.com/goldcrestspool/goldcrestspool/internal/document"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/lease"
@@ -95,16 +96,8 @@
 // Run plans and acts until ctx ends. A request that has left is not given up
 // then, since it could land after the lease was released.
 func (c *Controller) Run(ctx context.Context) error {
-	ticker := time.NewTicker(c.config.Interval)
-	defer ticker.Stop()
-	for {
-		c.Round(context.WithoutCancel(ctx))
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
+	finish := context.WithoutCancel(ctx)
+	return rounds.Run(ctx, c.config.Interval, func() { c.Round(finish) })
 }
 
 // Round plans each service whose fleet this process holds and carries the plan
@@ -127,12 +120,13 @@
 		if len(held) == 1 {
 			c.readNotices(ctx)
 		}
-		c.round(ctx, grant, entry.Document, held[service])
+		c.planService(ctx, grant, entry.Document, held[service])
 	}
 	c.memories = held
 }
 
-// memoryOf returns the memory of the holder with this fence.
+// memoryOf returns the memory of the holder with this fence, and asks the
+// gateways what drains when that is due.
 func (c *Controller) memoryOf(ctx context.Context, service ident.Service, grant lease.Grant) *memory {
 	m := c.memories[service]
 	now := time.Now()
@@ -164,7 +158,8 @@
 	}
 }
 
-func (c *Controller) round(ctx context.Context, grant lease.Grant, doc *document.Document, m *memory) {
+// planService plans one service and carries the plan out.
+func (c *Controller) planService(ctx context.Context, grant lease.Grant, doc *document.Document, m *memory) {
 	o := c.observe(ctx, doc, m)
 	now := time.Now()
 	m.reclaims.update(o, now)
--- a/internal/controllers/membership/exchange.go
+++ b/internal/controllers/membership/exchange.go
@@ -110,8 +110,9 @@
 	return c.config.MaxFigures
 }
 
-// needsFull reports whether to ask for a full digest: at the start, and when
-// the checksums differed since the last one. mismatch is set by mergeResponse.
+// needsFull reports whether to ask for a full digest: when the checksums have
+// differed since the last one, as they do after the first answer to a new
+// process. mismatch is set by mergeResponse.
 func (c *Controller) needsFull(now time.Time) bool {
 	if !c.mismatch || now.Sub(c.lastFull) < c.config.FullInterval {
 		return false
@@ -199,12 +200,15 @@
 	}
 	c.mergeFacts(from, domain, req.GetMembers(), now)
 	c.mergeFigures(from, req.GetFigures(), now)
-	c.observePeer(membership.Entry{
-		ID:            from,
-		Incarnation:   ident.Incarnation(req.GetIncarnation()),
-		FailureDomain: domain,
-		PeerAddress:   req.GetPeerAddress(),
-	}, now)
+	// A process that only asks serves no peers and is no instance of its own.
+	if req.GetPeerAddress() != "" {
+		c.observePeer(membership.Entry{
+			ID:            from,
+			Incarnation:   ident.Incarnation(req.GetIncarnation()),
+			FailureDomain: domain,
+			PeerAddress:   req.GetPeerAddress(),
+		}, now)
+	}
 	c.publishFacts(now)
 	c.compareFacts(s, position)
 	s.heard(ident.Revision(req.GetRevision()))
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -5,6 +5,19 @@
 // kernelChosen is a loopback address whose port the kernel chooses.
 const kernelChosen = "127.0.0.1:0"
 
+// The defaults by which the control plane's cost is measured; see
+// docs/CAPACITY.md.
+const (
+	// DefaultHeartbeat is the interval of heartbeats between gateways.
+	DefaultHeartbeat = 500 * time.Millisecond
+	// DefaultBatchWait is the least time between two appends of a journal
+	// partition by one gateway. Eight gateways with two partitions each then
+	// make at most 320 appends a second. With less, a rush of keyed calls
+	// takes the log's several hundred alone: claims queue in the log, and
+	// behind them the renewals of leases.
+	DefaultBatchWait = 50 * time.Millisecond
+)
+
 func defaultCommon() Common {
 	return Common{
 		Platform: Platform{Timeout: 2 * time.Second},
@@ -20,12 +33,12 @@
 			Silence:       2 * time.Second,
 		},
 		Membership: Membership{
-			Heartbeat:      500 * time.Millisecond,
+			Heartbeat:      DefaultHeartbeat,
 			PeersPerDomain: 8,
 			OtherDomains:   2,
 		},
 		Journal: Journal{
-			BatchWait: 50 * time.Millisecond,
+			BatchWait: DefaultBatchWait,
 			Timeout:   2 * time.Second,
 		},
 	}
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -43,16 +43,8 @@
 
 # gateway_settings NAME FAILURE_DOMAIN prints the settings of a gateway.
 gateway_settings() {
+  instance_settings "$1" "$2"
   cat <<EOF
-[instance]
-id = "$1"
-region = "tirol"
-failure_domain = "$2"
-incarnation = 1
-[platform]
-address = "http://$PLATFORM"
-[log]
-level = "${LOG_LEVEL:-info}"
 [limits]
 stop_timeout = "20s"
 [[client_accounts]]
@@ -64,9 +56,9 @@
 EOF
 }
 
-# controller_settings INSTANCE FAILURE_DOMAIN prints the settings of the
-# controller beside an entry instance's gateway.
-controller_settings() {
+# instance_settings INSTANCE FAILURE_DOMAIN prints the settings that a gateway
+# and the controller beside it share. A controller needs no others.
+instance_settings() {
   cat <<EOF
 [instance]
 id = "$1"
@@ -99,11 +91,39 @@
 # start_controller NAME FAILURE_DOMAIN [INSTANCE] starts a controller. Only one
 # whose entry instance is listed is a candidate for leases.
 start_controller() {
-  controller_settings "${3:-$1}" "$2" >"$WORK/$1.toml"
+  instance_settings "${3:-$1}" "$2" >"$WORK/$1.toml"
   start "$1" controller --settings "$WORK/$1.toml"
   await_line "$1"
 }
 
+# start_system GATEWAYS ENGINES APPS starts a whole system over four failure
+# domains, publishes its documents, waits until every gateway is ready, and
+# lists the names in the arrays GATEWAYS, ENGINES and APPS.
+start_system() {
+  local i name document domains=(hall-a hall-b hall-c hall-d)
+  GATEWAYS=() ENGINES=() APPS=()
+  start_platform
+  for i in $(seq "$2"); do
+    ENGINES+=("engine-$i")
+    start "engine-$i" standin engine --platform "$PLATFORM" --id "engine-$i" --service spool-llm \
+      --failure-domain "${domains[$((i % 4))]}" --class gpu-small --model spool-llm --model-version 2026-11
+  done
+  for i in $(seq "$3"); do
+    APPS+=("app-$i")
+    start "app-$i" standin plain --platform "$PLATFORM" --id "app-$i" --service auktion-app \
+      --failure-domain "${domains[$((i % 4))]}" --class cpu-small --checks-fencing --finds-outcomes
+  done
+  for name in "${ENGINES[@]}" "${APPS[@]}"; do await_line "$name"; done
+  for i in $(seq "$1"); do
+    GATEWAYS+=("gateway-$i")
+    start_gateway "gateway-$i" "${domains[$((i % 4))]}"
+  done
+  for document in spool-llm auktion-app; do
+    "$BIN/spoolctl" publish "$ROOT/examples/$document.toml" --platform "$PLATFORM" >/dev/null
+  done
+  for name in "${GATEWAYS[@]}"; do ready_or_fail "$name"; done
+}
+
 # ready_or_fail NAME waits until an operators' address says ready.
 ready_or_fail() {
   local i host port status
@@ -122,12 +142,14 @@
 }
 
 # stop_all NAMES... stops processes gracefully, in order, and returns 1 if one
-# did not exit with 0.
+# did not exit with 0. One may have ended before, for example reclaimed: its
+# signal fails, and under set -e that would end the script with the others
+# still running.
 stop_all() {
   local name failed=0
   for name in "$@"; do
     [ -n "${PIDS[$name]:-}" ] || continue
-    kill -TERM "${PIDS[$name]}" 2>/dev/null
+    kill -TERM "${PIDS[$name]}" 2>/dev/null || true
   done
   for name in "$@"; do
     [ -n "${PIDS[$name]:-}" ] || continue
@@ -141,11 +163,12 @@
   return $failed
 }
 
-# clean_up ends what still runs, by process ID, and removes the work folder.
+# clean_up ends what still runs, by process ID, and removes the work folder. Its
+# signals fail for what has ended, as those of stop_all do.
 clean_up() {
   local name
   for name in "${!PIDS[@]}"; do
-    kill -KILL "${PIDS[$name]}" 2>/dev/null
+    kill -KILL "${PIDS[$name]}" 2>/dev/null || true
   done
   rm -rf "$WORK"
 }
