--- /dev/null
+++ b/internal/entry/lifecycle.go
@@ -0,0 +1,115 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/program"
+	"github.com/goldcrestspool/goldcrestspool/internal/settings"
+)
+
+const (
+	// noticedAfter is how long the platform may still send new connections to
+	// a gateway that is not ready: two questions, a second apart, and its
+	// deciding.
+	noticedAfter = 3 * time.Second
+	// stopMargin is left of the grace for the last steps.
+	stopMargin = 700 * time.Millisecond
+	// stopStep is how often a leaving process looks whether it is done.
+	stopStep = 50 * time.Millisecond
+)
+
+// isReady reports whether callers should come: a configuration and the upstreams
+// are known, and the process does not leave.
+func (p *Process) isReady() bool {
+	return !p.leaving.Load() && p.table() != nil && len(p.board.upstreams.Value().IDs()) > 0
+}
+
+// newReadiness answers the platform's question.
+func (p *Process) newReadiness() *http.Server {
+	return &http.Server{
+		ReadHeaderTimeout: time.Second,
+		ErrorLog:          p.log.Named("readiness").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if !p.isReady() {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			w.WriteHeader(http.StatusOK)
+		}),
+	}
+}
+
+// newOperators serves the metrics.
+func (p *Process) newOperators() *http.Server {
+	return &http.Server{
+		ReadHeaderTimeout: time.Second,
+		Handler:           http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { p.writeMetrics(w) }),
+	}
+}
+
+// writeMetrics prints what operators watch, one a line.
+func (p *Process) writeMetrics(w io.Writer) {
+	p.metrics.Write(w)
+	c := p.pool.Counters()
+	fmt.Fprintf(w, "connections_dialled_total %d\nconnections_failed_total %d\nconnections_reused_total %d\nconnections_closed_total %d\nanswers_stray_total %d\n",
+		c.Dials, c.DialFailures, c.Reuses, c.Discards, c.Strays)
+	made, failed := p.ports.StoreCalls()
+	fmt.Fprintf(w, "store_calls_total %d\nstore_calls_failed_total %d\n", made, failed)
+	lines, dropped := p.ring.Counts()
+	fmt.Fprintf(w, "log_lines_total %d\nlog_lines_dropped_total %d\n", lines, dropped)
+	next, age := p.upstreams.state()
+	fmt.Fprintf(w, "upstreams_offset %d\nupstreams_age_seconds %.3f\nupstreams_known %d\n", next, age.Seconds(), len(p.board.upstreams.Value().IDs()))
+	if table := p.table(); table != nil {
+		fmt.Fprintf(w, "configuration_revision %d\n", table.Revision())
+	}
+	v := p.view.Load()
+	fmt.Fprintf(w, "gateways_heard %d\ngateways_known %d\nclock_correction_seconds %.3f\n", len(v.Fresh), v.Known, v.WallCorrection().Seconds())
+	fmt.Fprintf(w, "requests_active %d\ngossip_bytes_total %d\n", p.callers.Active(), p.gossip.Bytes())
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	fmt.Fprintf(w, "memory_heap_bytes %d\nmemory_system_bytes %d\ngoroutines %d\n", m.HeapAlloc, m.Sys, runtime.NumGoroutine())
+}
+
+// leave stops the process without cutting anything off: callers are told to go
+// elsewhere, what runs is finished, and only then the connections are closed.
+func (p *Process) leave(ctx context.Context, signals program.Signals) {
+	began := p.now()
+	p.leaving.Store(true)
+	p.callers.Leave()
+	p.log.Info("leaving", "active", p.callers.Active(), "grace_ms", p.settings.Stop.Grace.Milliseconds())
+	go p.gossip.Say(ctx)
+	end := began.Add(p.settings.Stop.Grace - stopMargin)
+	for {
+		now := p.now()
+		if !now.Before(end) || p.callers.Active() == 0 && now.Sub(began) >= noticedAfter {
+			break
+		}
+		if !pause(signals.Kill, stopStep) {
+			break
+		}
+	}
+	p.log.Info("closing", "active", p.callers.Active(), "after_ms", p.now().Sub(began).Milliseconds())
+	last, cancel := context.WithTimeout(ctx, max(end.Sub(p.now()), stopStep))
+	defer cancel()
+	if err := p.callers.Shutdown(last); err != nil {
+		p.log.Warn("requests cut off at the end of the grace", "active", p.callers.Active(), "error", err)
+	}
+}
+
+// reloadOnce reads the settings file again.
+func (p *Process) reloadOnce() {
+	next, findings := settings.LoadEntry(p.settings.Path)
+	if err := findings.Err(); err != nil {
+		p.log.Error("settings not usable, the last ones stay", "findings", err)
+		return
+	}
+	p.peers.AddSeeds(next.Peers.Seeds)
+	p.log.Info("settings reloaded", "seeds", next.Peers.Seeds)
+}
--- /dev/null
+++ b/internal/entry/process.go
@@ -0,0 +1,324 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	pkgerrors "github.com/pkg/errors"
+	"golang.org/x/net/netutil"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
+	"github.com/goldcrestspool/goldcrestspool/internal/directory"
+	"github.com/goldcrestspool/goldcrestspool/internal/forward"
+	"github.com/goldcrestspool/goldcrestspool/internal/gossip"
+	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/ingress"
+	"github.com/goldcrestspool/goldcrestspool/internal/metering"
+	"github.com/goldcrestspool/goldcrestspool/internal/program"
+	"github.com/goldcrestspool/goldcrestspool/internal/quota"
+	"github.com/goldcrestspool/goldcrestspool/internal/retry"
+	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
+	"github.com/goldcrestspool/goldcrestspool/internal/routing/placement"
+	"github.com/goldcrestspool/goldcrestspool/internal/settings"
+	"github.com/goldcrestspool/goldcrestspool/internal/telemetry"
+)
+
+const (
+	// memoryPart of the machine's memory is what Go's collector keeps to; the
+	// rest is for its own structures, stacks and the kernel's buffers.
+	memoryPart = 0.7
+	// bodyPart of the memory may be callers' bodies.
+	bodyPart = 0.25
+	// callerPart of the descriptors may be callers' connections; the rest are
+	// for upstreams, peers and files.
+	callerPart = 0.6
+	// sweepEvery is how often idle connections are looked at.
+	sweepEvery = time.Second
+)
+
+// Process is an entry process. Create it with New and run it once.
+type Process struct {
+	settings *settings.Entry
+	ports    Ports
+	log      hclog.Logger
+	ring     *telemetry.Ring
+	tracing  *telemetry.Telemetry
+	now      boottime.Clock
+	started  time.Time
+	// incarnation tells this life from earlier ones of the same instance.
+	incarnation ident.Incarnation
+	seq         atomic.Uint64
+	leaving     atomic.Bool
+
+	board         *board
+	pool          *httpconn.Pool
+	configuration *configuration
+	upstreams     *upstreams
+	peers         *gossip.Table
+	gossip        *gossip.Gossip
+	chooser       *placement.Chooser
+	keeper        *quota.Keeper
+	counter       *metering.Counter
+	ledger        *metering.Ledger
+	metrics       *ingress.Metrics
+	callers       *ingress.Server
+
+	view atomic.Pointer[peerView]
+}
+
+// peerView is what the data path needs of the other gateways. It is swapped
+// whole, once a round.
+type peerView struct {
+	gossip.View
+	loads map[ident.Instance]placement.Load
+}
+
+// New wires a process; makePorts gets the pool that all connections of the
+// process come from.
+func New(s *settings.Entry, makePorts func(*httpconn.Pool) Ports, output io.Writer) (*Process, error) {
+	ring := telemetry.NewRing(output)
+	tracing, err := telemetry.Setup(telemetry.Config{
+		Program: "entry", Instance: s.Instance.ID, FailureDomain: s.Instance.FailureDomain, Region: s.Instance.Region,
+		LogLevel: s.Log.Level, LogFormat: string(s.Log.Format), LogOutput: ring,
+		TraceExporter: string(s.Trace.Exporter), TraceEndpoint: s.Trace.Endpoint,
+	})
+	if err != nil {
+		return nil, err
+	}
+	p := &Process{
+		settings: s, log: tracing.Log, ring: ring, tracing: tracing, now: boottime.Now, started: boottime.Now(),
+		incarnation: ident.Incarnation(time.Now().UnixNano()), board: newBoard(), pool: httpconn.NewPool(boottime.Now),
+		peers: gossip.NewTable(s.Instance.ID, s.Peers.Seeds), ledger: metering.NewLedger(), metrics: ingress.NewMetrics(),
+	}
+	p.ports = makePorts(p.pool)
+	p.view.Store(&peerView{})
+	p.wire()
+	return p, nil
+}
+
+func (p *Process) wire() {
+	s := p.settings
+	p.configuration = newConfiguration(p.ports, p.board, p.log.Named("configuration"))
+	p.upstreams = newUpstreams(p.ports, p.board, p.pool, p.now, p.log.Named("upstreams"))
+	p.gossip = gossip.New(gossip.Config{
+		Self: s.Instance.ID, Address: s.Listen.Peers, Table: p.peers, Knowledge: knowledge{p},
+		Pool: p.pool, Now: p.now, Log: p.log.Named("gossip"),
+	})
+	p.counter = metering.NewCounter(s.Usage.Window, p.trueTime)
+	p.keeper = quota.NewKeeper(p.quotaOthers, p.now())
+	p.chooser = placement.New(placement.Config{
+		Params: placement.DefaultParams(), Domain: s.Instance.FailureDomain, Log: p.log.Named("placement"),
+		View:     func() *directory.View { return p.board.upstreams.Value() },
+		Others:   func(id ident.Instance) placement.Load { return p.view.Load().loads[id] },
+		Gateways: p.gateways,
+	})
+	forwarder := forward.New(forward.Config{
+		Now: p.now, Pool: p.pool, Dialect: p.ports.Protocol, Placement: p.chooser,
+		Budget: retry.NewShared(retry.SharedConfig{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window}, p.gateways),
+		Meter:  p.counter, Log: p.log.Named("forward"), Tracer: p.tracing.Tracer, RetryAfter: retryAfter,
+	})
+	p.callers = ingress.New(ingress.Config{
+		Now: p.now, Table: p.table, Protocol: p.ports.Protocol, Quota: p.keeper, Forwarder: forwarder,
+		Log: p.log.Named("ingress"), Tracer: p.tracing.Tracer, Metrics: p.metrics,
+		BodyBudget: int64(bodyPart * s.Machine.MemoryMiB * (1 << 20)),
+	})
+}
+
+// retryAfter is when a caller comes back whose request no upstream took. Slots
+// become free all the time, and the callers wait for a third of their time left
+// at the most.
+func retryAfter(call *forward.Call) time.Duration {
+	return max(call.Route.Objective/2, 100*time.Millisecond)
+}
+
+func (p *Process) table() *routetable.Table { return p.board.table.Value() }
+
+// gateways is how many gateways there may be, with this one.
+func (p *Process) gateways() int { return p.view.Load().Known + 1 }
+
+// trueTime is the time of day as most gateways have it.
+func (p *Process) trueTime() time.Time { return time.Now().Add(p.view.Load().WallCorrection()) }
+
+// quotaOthers returns what the other gateways report of an account.
+func (p *Process) quotaOthers(account ident.ClientAccount) quota.Others {
+	v := p.view.Load()
+	o := quota.Others{Fresh: len(v.Fresh), Known: v.Known, Spent: make(map[string]float64, len(v.Fresh)), Asked: make(map[string]float64, len(v.Fresh))}
+	for i := range v.Fresh {
+		r := &v.Fresh[i].Report
+		life := lifeOf(r)
+		o.Spent[life], o.Asked[life] = r.Spent[account], r.Asked[account]
+	}
+	return o
+}
+
+// lifeOf names one life of a gateway.
+func lifeOf(r *gossip.Report) string {
+	return string(r.Node) + "/" + time.Unix(0, int64(r.Incarnation)).UTC().Format("150405.000000000")
+}
+
+// Run serves until signals.Stop ends, and then leaves within the grace.
+func (p *Process) Run(signals program.Signals, reload <-chan os.Signal) error {
+	debug.SetMemoryLimit(int64(memoryPart * p.settings.Machine.MemoryMiB * (1 << 20)))
+	p.log.Info("started", "version", program.Version(), "domain", p.settings.Instance.FailureDomain,
+		"callers", p.settings.Listen.Callers, "seeds", p.settings.Peers.Seeds)
+	listeners, err := p.listen()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var work sync.WaitGroup
+	run := func(f func(context.Context)) { work.Go(func() { f(ctx) }) }
+	go p.serve("callers", func() error { return p.callers.Serve(listeners.callers) })
+	go p.serve("peers", func() error { return p.gossip.Serve(listeners.peers) })
+	go p.serve("readiness", func() error { return p.newReadiness().Serve(listeners.readiness) })
+	if listeners.operators != nil {
+		go p.serve("operators", func() error { return p.newOperators().Serve(listeners.operators) })
+	}
+	run(p.configuration.run)
+	run(p.upstreams.run)
+	run(p.gossip.Run)
+	run(p.follow)
+	run(p.sweep)
+	run(func(ctx context.Context) { p.reload(ctx, reload) })
+	p.runDuties(run)
+	<-signals.Stop.Done()
+	p.leave(ctx, signals)
+	cancel()
+	work.Wait()
+	p.log.Info("stopped")
+	p.ring.Flush()
+	return nil
+}
+
+// serve runs one server; its end while the process runs is told.
+func (p *Process) serve(name string, serve func() error) {
+	if err := serve(); err != nil && !pkgerrors.Is(err, http.ErrServerClosed) && !p.leaving.Load() {
+		p.log.Error("a server ended", "server", name, "error", err)
+	}
+}
+
+type listeners struct {
+	callers, peers, readiness, operators net.Listener
+}
+
+func (p *Process) listen() (listeners, error) {
+	var l listeners
+	for _, each := range []struct {
+		into    *net.Listener
+		address string
+	}{
+		{&l.callers, p.settings.Listen.Callers}, {&l.peers, p.settings.Listen.Peers},
+		{&l.readiness, p.settings.Listen.Readiness}, {&l.operators, p.settings.Listen.Operators},
+	} {
+		if each.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", each.address)
+		if err != nil {
+			return l, pkgerrors.Wrapf(err, "listen on %s", each.address)
+		}
+		*each.into = listener
+	}
+	l.callers = netutil.LimitListener(l.callers, int(callerPart*float64(p.settings.Machine.Descriptors)))
+	return l, nil
+}
+
+// follow takes over the other gateways' reports, twice a round.
+func (p *Process) follow(ctx context.Context) {
+	for pause(ctx, gossip.Interval/2) {
+		p.refreshPeers()
+	}
+}
+
+func (p *Process) refreshPeers() {
+	now := p.now()
+	v := &peerView{View: p.peers.View(now), loads: make(map[ident.Instance]placement.Load)}
+	for i := range v.Fresh {
+		m := &v.Fresh[i]
+		for id, load := range m.Report.Loads {
+			sum := v.loads[id]
+			sum.Running += load[0]
+			sum.Unread += load[1]
+			v.loads[id] = sum
+		}
+		p.upstreams.confirm(m.Report.Upstreams, m.HeardAt.Add(-time.Duration(m.Report.UpstreamsAge)*time.Millisecond))
+	}
+	for _, m := range p.peers.Members() {
+		p.ledger.Hear(lifeOf(&m.Report), m.Report.Began)
+	}
+	p.view.Store(v)
+}
+
+// sweep closes what was idle too long.
+func (p *Process) sweep(ctx context.Context) {
+	for pause(ctx, sweepEvery) {
+		p.pool.Sweep()
+		p.callers.SweepIdle()
+	}
+}
+
+// reload takes over a changed settings file: the seeds. Everything else in it
+// belongs to the process from its start on.
+func (p *Process) reload(ctx context.Context, signals <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		}
+		p.reloadOnce()
+	}
+}
+
+// knowledge is what a process holds and gives to the other gateways.
+type knowledge struct{ p *Process }
+
+// Report implements gossip.Knowledge.
+func (k knowledge) Report(now time.Time) gossip.Report {
+	p := k.p
+	r := gossip.Report{
+		Node: p.settings.Instance.ID, Incarnation: p.incarnation, Seq: p.seq.Add(1), Address: p.settings.Listen.Peers,
+		Domain: p.settings.Instance.FailureDomain, WallMillis: time.Now().UnixMilli(), Ready: p.isReady(), Leaving: p.leaving.Load(),
+		Loads: make(map[ident.Instance][2]int), Began: p.counter.Windows(),
+	}
+	if table := p.table(); table != nil {
+		r.Revision = table.Revision()
+	}
+	next, age := p.upstreams.state()
+	r.Upstreams, r.UpstreamsAge = next, age.Milliseconds()
+	for id, load := range p.chooser.Own() {
+		r.Loads[id] = [2]int{load.Running, load.Unread}
+	}
+	r.Spent, r.Asked = p.keeper.Totals()
+	return r
+}
+
+// Config implements gossip.Knowledge.
+func (k knowledge) Config(than ident.Revision) *gossip.ConfigRecord {
+	return k.p.configuration.record(than)
+}
+
+// Entries implements gossip.Knowledge.
+func (k knowledge) Entries(from ident.Offset) ([]gossip.EntryRecord, ident.Offset) {
+	return k.p.upstreams.entries(from)
+}
+
+// Learn implements gossip.Knowledge.
+func (k knowledge) Learn(config *gossip.ConfigRecord, entries []gossip.EntryRecord, upTo ident.Offset) {
+	if config != nil {
+		k.p.configuration.take(config.Offset, config.Data, "gateway")
+	}
+	if len(entries) > 0 {
+		k.p.upstreams.learn(entries, upTo)
+	}
+}
--- /dev/null
+++ b/internal/entry/upstreams.go
@@ -0,0 +1,268 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
+	"github.com/goldcrestspool/goldcrestspool/internal/directory"
+	"github.com/goldcrestspool/goldcrestspool/internal/gossip"
+	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+)
+
+const (
+	// viewAge is how old the view of the upstreams may become before this
+	// gateway asks the store. Entries change every 1.2 s by themselves, so that
+	// waiting reads would return at once; a departure is due within 2 s.
+	viewAge = 600 * time.Millisecond
+	// viewJitter spreads the gateways' reads: the first one's view reaches the
+	// others before they ask. Measured at 8 gateways it saves five reads of six.
+	viewJitter = 400 * time.Millisecond
+	// viewTick is how often the age is looked at.
+	viewTick = 50 * time.Millisecond
+)
+
+// upstreams follows the upstreams' entries and publishes them. It is the only
+// writer of board.upstreams.
+type upstreams struct {
+	ports Ports
+	board *board
+	pool  *httpconn.Pool
+	now   boottime.Clock
+	log   hclog.Logger
+
+	mu  sync.Mutex
+	dir *directory.Directory
+	// confirmed is when the store, or a peer by its word, confirmed the view.
+	confirmed time.Time
+	// listed: the newest records were read once in this life.
+	listed bool
+	faulty map[string]bool
+}
+
+func newUpstreams(ports Ports, b *board, pool *httpconn.Pool, now boottime.Clock, log hclog.Logger) *upstreams {
+	return &upstreams{ports: ports, board: b, pool: pool, now: now, log: log, dir: directory.New(), faulty: make(map[string]bool)}
+}
+
+// run keeps the view young until ctx ends.
+func (u *upstreams) run(ctx context.Context) {
+	failures := 0
+	limit := viewAge
+	for ctx.Err() == nil {
+		if u.age() < limit {
+			u.expire()
+			if !pause(ctx, viewTick) {
+				return
+			}
+			continue
+		}
+		limit = viewAge + rand.N(viewJitter)
+		err := u.read(ctx)
+		if err == nil {
+			if failures > 0 {
+				u.log.Info("store answers again", "topic", u.ports.UpstreamsTopic, "failures", failures)
+			}
+			failures = 0
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if failures == 0 {
+			u.log.Warn("store does not answer", "topic", u.ports.UpstreamsTopic, "error", err)
+		}
+		failures++
+		u.away()
+		if !pause(ctx, retryPause(failures)) {
+			return
+		}
+	}
+}
+
+func (u *upstreams) age() time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.confirmed.IsZero() {
+		return time.Hour
+	}
+	return u.now().Sub(u.confirmed)
+}
+
+func (u *upstreams) away() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.dir.StoreAway()
+}
+
+// read asks the store for what is new, or for all where that is not known.
+func (u *upstreams) read(ctx context.Context) error {
+	asked := u.now()
+	u.mu.Lock()
+	next, listed := u.dir.Next(), u.listed
+	u.mu.Unlock()
+	if !listed {
+		return u.list(ctx, asked)
+	}
+	batch, err := u.ports.Store.Follow(ctx, u.ports.UpstreamsTopic, next, 0)
+	if errors.Is(err, platform.ErrExpired) {
+		return u.list(ctx, asked)
+	}
+	if err != nil {
+		return err
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.dir.StoreBack(u.now())
+	changed := u.applyAll(batch.Records)
+	if n := len(batch.Records); n > 0 {
+		u.dir.Reached(batch.Records[n-1].Offset + 1)
+	}
+	if batch.End <= u.dir.Next() {
+		u.confirmed = asked
+	}
+	u.publish(changed)
+	return nil
+}
+
+// list reads the newest record of each upstream. What it does not hold is gone.
+func (u *upstreams) list(ctx context.Context, asked time.Time) error {
+	batch, err := u.ports.Store.Newest(ctx, u.ports.UpstreamsTopic)
+	if err != nil {
+		return err
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.listed = true
+	u.dir.StoreBack(u.now())
+	changed := u.applyAll(batch.Records)
+	present := make(map[ident.Instance]bool, len(batch.Records))
+	for _, record := range batch.Records {
+		present[ident.Instance(record.Key)] = true
+	}
+	changed = u.dir.Listed(present, batch.End, u.now()) || changed
+	u.confirmed = asked
+	u.log.Info("upstreams listed", "count", len(batch.Records), "end", batch.End)
+	u.publish(changed)
+	return nil
+}
+
+// applyAll takes records in and reports whether the upstreams changed.
+func (u *upstreams) applyAll(records []platform.KeyedRecord) bool {
+	changed := false
+	for _, record := range records {
+		changed = u.applyOne(record) || changed
+	}
+	return changed
+}
+
+func (u *upstreams) applyOne(record platform.KeyedRecord) bool {
+	id := ident.Instance(record.Key)
+	if record.Value == nil {
+		u.log.Info("upstream's entry dropped", "upstream", id, "offset", record.Offset)
+		return u.dir.Apply(id, record.Offset, nil, u.now())
+	}
+	entry, findings := u.ports.DecodeUpstream(u.ports.UpstreamsTopic+"/"+record.Key, record.Key, record.Value)
+	if err := findings.Err(); err != nil {
+		if !u.faulty[record.Key] {
+			u.faulty[record.Key] = true
+			u.log.Error("upstream's entry not usable, its last one stays", "upstream", id, "offset", record.Offset, "findings", err)
+		}
+		return false
+	}
+	return u.apply(id, record.Offset, &entry, "store")
+}
+
+func (u *upstreams) apply(id ident.Instance, offset ident.Offset, entry *directory.Upstream, from string) bool {
+	changed := u.dir.Apply(id, offset, entry, u.now())
+	if changed && entry != nil {
+		u.log.Info("upstream's entry", "upstream", id, "service", entry.Service, "address", entry.Address, "domain", entry.FailureDomain,
+			"leaving", entry.State == directory.Leaving, "leaves_ms", entry.LeavesIn.Milliseconds(), "reclaimable", entry.Reclaimable,
+			"offset", offset, "from", from)
+	}
+	return changed
+}
+
+// expire ends the grace of entries that lapsed.
+func (u *upstreams) expire() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.dir.Expire(u.now()) {
+		u.publish(true)
+	}
+}
+
+// publish puts a new view on the board, and closes the connections to upstreams
+// that are gone.
+func (u *upstreams) publish(changed bool) {
+	if !changed {
+		return
+	}
+	old := u.board.upstreams.Value()
+	view := u.dir.Snapshot(u.now())
+	u.board.upstreams.Publish(view)
+	for _, id := range old.IDs() {
+		if _, still := view.Upstream(id); !still {
+			u.pool.Forget(id)
+		}
+	}
+}
+
+// entries returns the entries that are not older than an offset, and up to which
+// offset they are complete.
+func (u *upstreams) entries(from ident.Offset) ([]gossip.EntryRecord, ident.Offset) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var out []gossip.EntryRecord
+	for id, entry := range u.dir.Entries() {
+		if entry.Offset < from {
+			continue
+		}
+		record := gossip.EntryRecord{ID: id, Offset: entry.Offset}
+		if entry.Present {
+			upstream := entry.Upstream
+			record.Upstream = &upstream
+		}
+		out = append(out, record)
+	}
+	return out, u.dir.Next()
+}
+
+// learn takes in what another gateway knows.
+func (u *upstreams) learn(records []gossip.EntryRecord, upTo ident.Offset) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	changed := false
+	for _, record := range records {
+		changed = u.apply(record.ID, record.Offset, record.Upstream, "gateway") || changed
+	}
+	if upTo > 0 {
+		u.dir.Reached(upTo)
+	}
+	u.publish(changed)
+}
+
+// state returns the offset up to which all is known, and the view's age.
+func (u *upstreams) state() (ident.Offset, time.Duration) {
+	u.mu.Lock()
+	next := u.dir.Next()
+	u.mu.Unlock()
+	return next, u.age()
+}
+
+// confirm takes another gateway's word that the store confirmed a view some time
+// ago, where this gateway's view is at least as new.
+func (u *upstreams) confirm(next ident.Offset, at time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if next > 0 && u.dir.Next() >= next && at.After(u.confirmed) {
+		u.confirmed = at
+		u.dir.StoreBack(u.now())
+	}
+}
--- /dev/null
+++ b/internal/forward/types.go
@@ -0,0 +1,155 @@
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
+)
+
+// PromptPart is a part of a prompt that other requests may share.
+type PromptPart struct {
+	ID     uint64
+	Tokens int
+}
+
+// Call is one request of a caller, checked and ready to be sent.
+type Call struct {
+	ID      ident.Request
+	Route   *routetable.Route
+	Service *routetable.Service
+	Account ident.ClientAccount
+	// Priority is the rank that counts, 0 first.
+	Priority int
+
+	Method string
+	URI    string
+	Host   string
+	// Header is what the caller sent and may be passed on.
+	Header http.Header
+	Body   []byte
+
+	// Parts of the prompt in order; the last belongs to this request alone.
+	Parts []PromptPart
+	// PromptTokens and MostTokens are the prompt's size and the bound of the
+	// answer's; 0 if not declared.
+	PromptTokens, MostTokens int
+	// LastEvent is after which event the caller wants to resume; empty for
+	// none.
+	LastEvent string
+
+	Received time.Time
+	// Expires is when the route's timeout or the caller's deadline is reached,
+	// whichever comes first.
+	Expires time.Time
+}
+
+// Tokens is the request's size for placement: what is read, and what is
+// generated.
+func (c *Call) Tokens() int { return c.PromptTokens + c.MostTokens }
+
+// Remaining is the time left at an instant.
+func (c *Call) Remaining(now time.Time) time.Duration { return c.Expires.Sub(now) }
+
+// Attempt says how a call is sent to one upstream.
+type Attempt struct {
+	Upstream ident.Instance
+	// Left is the time that the upstream may take.
+	Left time.Duration
+	// LastEvent is after which event the answer shall go on; empty for all.
+	LastEvent string
+}
+
+// Reading is what an answer's header says.
+type Reading struct {
+	// NotRun: the upstream did not run the request and never will.
+	NotRun bool
+	// Moved: another upstream has the address.
+	Moved bool
+	// Genuine: the answer carries the upstream's signature.
+	Genuine bool
+	// Stream: the body is events.
+	Stream bool
+	// Leaving: the upstream says that it closes the connection.
+	Leaving bool
+}
+
+// Dialect writes requests and reads answers in the upstreams' protocol.
+type Dialect interface {
+	// Request returns what to send for an attempt.
+	Request(call *Call, attempt Attempt) *httpconn.Request
+	// Read says what an answer's header means.
+	Read(status int, header http.Header) Reading
+}
+
+// Choice is an upstream that was chosen, with the place taken there.
+type Choice struct {
+	Upstream       ident.Instance
+	Address        string
+	MaxConnections int
+	// Slow is after how long without an answer, or a first event, the
+	// upstream is slower than nearly all attempts are.
+	Slow time.Duration
+	// Why names what decided, for the log.
+	Why string
+	// Place must be given back with Placement.Finished.
+	Place any
+}
+
+// Placement chooses upstreams and learns how they do.
+type Placement interface {
+	// Choose takes a place at an upstream, or says that there is none.
+	Choose(call *Call, exclude []ident.Instance, now time.Time) (Choice, bool)
+	// Began notes that a valid answer, or a stream's first event, came.
+	Began(choice Choice, now time.Time)
+	// Finished gives the place back.
+	Finished(choice Choice, result Result, now time.Time)
+}
+
+// Budget bounds what arrives at a service beyond the first attempts, over all
+// gateways together.
+type Budget interface {
+	FirstTry(service ident.Service, now time.Time)
+	Spend(service ident.Service, now time.Time) bool
+}
+
+// Meter counts the requests that began to run.
+type Meter interface {
+	Began(account ident.ClientAccount, now time.Time)
+}
+
+// Caller takes the answer. Its methods are called one after the other.
+type Caller interface {
+	// Answer delivers a whole answer.
+	Answer(status int, header http.Header, body []byte)
+	// Begin starts an answer that comes in parts.
+	Begin(status int, header http.Header)
+	// Part delivers the next part; an error means that the caller left.
+	Part(data []byte) error
+	// End ends an answer that came in parts as complete.
+	End()
+	// Break ends an answer that came in parts so that it looks cut off.
+	Break()
+	// Refuse says that the request did not run, and when to come back.
+	Refuse(reason string, after time.Duration)
+	// Fail says that the request may have run.
+	Fail(reason string)
+	// TimeOut says that the request's time is over; it may have run.
+	TimeOut()
+}
+
+// Outcome is what became of a call, for the log and the metrics.
+type Outcome struct {
+	Step     Step
+	Reason   string
+	Status   int
+	Attempts int
+	Tried    []ident.Instance
+	Resumed  int
+	// FirstPart is the time to the answer, or to a stream's first event; 0 if
+	// there was none.
+	FirstPart time.Duration
+	Events    int
+}
--- /dev/null
+++ b/internal/gossip/gossip.go
@@ -0,0 +1,278 @@
+package gossip
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	pkgerrors "github.com/pkg/errors"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
+	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+const (
+	// Interval between two rounds. Others' loads and spending are older than
+	// this by one round at the most; half of it would cost twice the bytes.
+	Interval = 250 * time.Millisecond
+	// fanout bounds the exchanges of a round, so that the work of a gateway does
+	// not grow with their number. Today's sites have up to nine gateways, all
+	// of which meet in each round.
+	fanout = 8
+	// exchangeTimeout ends an exchange on a connection that went silent. The
+	// farthest gateways are 1 ms apart, and a slowed one answers within some
+	// tenths of a second.
+	exchangeTimeout = 600 * time.Millisecond
+	// mostMessage bounds a message: 300 reports of some 600 bytes, and a large
+	// configuration.
+	mostMessage = 8 << 20
+	// path of the exchange, on the gateways' own address.
+	path = "/exchange"
+	// relayAge is after how long without a word from a gateway others pass its
+	// report on.
+	relayAge = 2 * Interval
+)
+
+// Knowledge is what a gateway holds and gives to others.
+type Knowledge interface {
+	// Report returns what to say of this gateway now.
+	Report(now time.Time) Report
+	// Config returns the configuration if it is newer than a revision.
+	Config(than ident.Revision) *ConfigRecord
+	// Entries returns the upstreams' entries that are not older than an
+	// offset, and up to which offset they are complete.
+	Entries(from ident.Offset) ([]EntryRecord, ident.Offset)
+	// Learn takes in what another gateway gave.
+	Learn(config *ConfigRecord, entries []EntryRecord, upTo ident.Offset)
+}
+
+// Config is what a Gossip works with.
+type Config struct {
+	Self      ident.Instance
+	Address   string
+	Table     *Table
+	Knowledge Knowledge
+	Pool      *httpconn.Pool
+	Now       boottime.Clock
+	Log       hclog.Logger
+}
+
+// Gossip exchanges reports with the other gateways.
+type Gossip struct {
+	cfg    Config
+	server *http.Server
+
+	mu sync.Mutex
+	// silent are the addresses that did not answer last, for the log.
+	silent map[string]bool
+	busy   map[string]bool
+	bytes  int64
+}
+
+// New returns a Gossip; call Serve and Run.
+func New(cfg Config) *Gossip {
+	g := &Gossip{cfg: cfg, silent: make(map[string]bool), busy: make(map[string]bool)}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+path, g.answer)
+	g.server = &http.Server{Handler: mux, ReadHeaderTimeout: exchangeTimeout, IdleTimeout: keepIdle,
+		ErrorLog: cfg.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
+	return g
+}
+
+// keepIdle is for how long a connection between gateways is kept.
+const keepIdle = 10 * time.Second
+
+// keepAliveHeader tells it to the other side.
+const keepAliveHeader = "timeout=10"
+
+// Serve answers other gateways until Close.
+func (g *Gossip) Serve(listener net.Listener) error {
+	err := g.server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Close ends the answering.
+func (g *Gossip) Close() error { return g.server.Close() }
+
+// Run exchanges reports until ctx ends.
+func (g *Gossip) Run(ctx context.Context) {
+	ticker := time.NewTicker(Interval)
+	defer ticker.Stop()
+	for {
+		g.round(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// round exchanges reports with up to fanout other gateways, all at once.
+func (g *Gossip) round(ctx context.Context) {
+	addresses := g.cfg.Table.Addresses(g.cfg.Address, g.cfg.Now())
+	if len(addresses) > fanout {
+		rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+		addresses = addresses[:fanout]
+	}
+	for _, address := range addresses {
+		if g.begin(address) {
+			go g.exchange(ctx, address)
+		}
+	}
+}
+
+// Say exchanges reports with all gateways at once and waits for them: for news
+// that must not wait for the next round.
+func (g *Gossip) Say(ctx context.Context) {
+	var all sync.WaitGroup
+	for _, address := range g.cfg.Table.Addresses(g.cfg.Address, g.cfg.Now()) {
+		all.Go(func() { g.exchange(ctx, address) })
+	}
+	all.Wait()
+}
+
+func (g *Gossip) begin(address string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.busy[address] {
+		return false
+	}
+	g.busy[address] = true
+	return true
+}
+
+func (g *Gossip) end(address string, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.busy, address)
+	if g.silent[address] == (err != nil) {
+		return
+	}
+	g.silent[address] = err != nil
+	if err != nil {
+		g.cfg.Log.Info("another gateway does not answer", "address", address, "error", err)
+	} else {
+		g.cfg.Log.Info("another gateway answers", "address", address)
+	}
+}
+
+// exchange sends this gateway's report to another one and takes its answer in.
+func (g *Gossip) exchange(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	answer, err := g.call(ctx, address)
+	g.end(address, err)
+	if err == nil {
+		g.take(answer)
+	}
+}
+
+func (g *Gossip) call(ctx context.Context, address string) (*message, error) {
+	now := g.cfg.Now()
+	body, err := json.Marshal(message{From: g.cfg.Knowledge.Report(now)})
+	if err != nil {
+		return nil, pkgerrors.Wrap(err, "encode report")
+	}
+	target := httpconn.Target{ID: ident.Instance(address), Address: address}
+	answer, failure := g.cfg.Pool.Send(ctx, target, &httpconn.Request{Method: http.MethodPost, URI: path, Host: address, Body: body})
+	if failure != nil {
+		return nil, failure
+	}
+	defer answer.Close()
+	data, err := io.ReadAll(io.LimitReader(answer, mostMessage))
+	if err != nil {
+		return nil, pkgerrors.Wrap(err, "read answer")
+	}
+	if answer.Status != http.StatusOK {
+		return nil, pkgerrors.Errorf("status %d", answer.Status)
+	}
+	var m message
+	if err := json.Unmarshal(data, &m); err != nil {
+		return nil, pkgerrors.Wrap(err, "decode answer")
+	}
+	g.mu.Lock()
+	g.bytes += int64(len(body) + len(data))
+	g.mu.Unlock()
+	return &m, nil
+}
+
+// Bytes returns how many bytes of messages were exchanged as a caller.
+func (g *Gossip) Bytes() int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.bytes
+}
+
+// take takes an answer in.
+func (g *Gossip) take(m *message) {
+	now, wall := g.cfg.Now(), time.Now()
+	g.cfg.Table.Hear(m.From, now, wall, true)
+	for _, other := range m.Others {
+		g.cfg.Table.Hear(other, now, wall, false)
+	}
+	g.cfg.Table.Learn(m.Contacts, now)
+	if m.Config != nil || len(m.Entries) > 0 {
+		g.cfg.Knowledge.Learn(m.Config, m.Entries, m.EntriesUpTo)
+	}
+}
+
+// answer takes another gateway's report and gives it what it lacks.
+func (g *Gossip) answer(w http.ResponseWriter, r *http.Request) {
+	var asked message
+	if err := json.NewDecoder(io.LimitReader(r.Body, mostMessage)).Decode(&asked); err != nil {
+		g.cfg.Log.Warn("a gateway's report is not valid", "from", r.RemoteAddr, "error", err)
+		http.Error(w, "not a report", http.StatusBadRequest)
+		return
+	}
+	now, wall := g.cfg.Now(), time.Now()
+	g.cfg.Table.Hear(asked.From, now, wall, true)
+	reply := message{From: g.cfg.Knowledge.Report(now)}
+	if reply.From.Revision > asked.From.Revision {
+		reply.Config = g.cfg.Knowledge.Config(asked.From.Revision)
+	}
+	if reply.From.Upstreams > asked.From.Upstreams {
+		reply.Entries, reply.EntriesUpTo = g.cfg.Knowledge.Entries(asked.From.Upstreams)
+	}
+	reply.Others, reply.Contacts = g.relayed(asked.From.Node, now)
+	var body bytes.Buffer
+	if err := json.NewEncoder(&body).Encode(reply); err != nil {
+		g.cfg.Log.Error("report not encoded", "error", err)
+		http.Error(w, "not encoded", http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Keep-Alive", keepAliveHeader)
+	w.Header().Set("Content-Type", "application/json")
+	// The other gateway may be gone; it asks again.
+	_, _ = w.Write(body.Bytes())
+}
+
+// relayed returns the reports of gateways that not everyone hears: those that
+// are silent towards someone would be asked for by their age, but a gateway does
+// not know what another one hears, so all are passed on where the mesh is too
+// large for all to meet, and contacts always.
+func (g *Gossip) relayed(to ident.Instance, now time.Time) ([]Report, []Contact) {
+	contacts := g.cfg.Table.Contacts(now)
+	if len(contacts) <= fanout {
+		return nil, contacts
+	}
+	var others []Report
+	for _, m := range g.cfg.Table.Members() {
+		if m.Report.Node != to && now.Sub(m.HeardAt) < relayAge {
+			others = append(others, m.Report)
+		}
+	}
+	return others, contacts
+}
--- /dev/null
+++ b/internal/gossip/table.go
@@ -0,0 +1,205 @@
+package gossip
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+const (
+	// FreshFor is for how long a report counts as the present: four rounds, so
+	// that two lost ones change nothing.
+	FreshFor = time.Second
+	// KnownFor is for how long a silent gateway still counts as one that may
+	// admit requests. Killed ones are back within some seconds; one that is cut
+	// off goes on admitting its part for as long as it lives, and the cuts that
+	// the users know last for less.
+	KnownFor = 15 * time.Second
+	// leavingFor is for how long one that said it leaves counts after its last
+	// word.
+	leavingFor = 2 * time.Second
+	// contactFor is for how long an address is tried after its gateway was last
+	// heard of.
+	contactFor = time.Minute
+)
+
+// Table holds what is known of the other gateways. It is safe for concurrent
+// use.
+type Table struct {
+	self ident.Instance
+
+	mu       sync.Mutex
+	members  map[ident.Instance]*Member
+	contacts map[string]contact
+}
+
+type contact struct {
+	node ident.Instance
+	// until is when the address is given up; zero for a seed, which never is.
+	until time.Time
+}
+
+// NewTable returns a table that knows only seeds' addresses.
+func NewTable(self ident.Instance, seeds []string) *Table {
+	t := &Table{self: self, members: make(map[ident.Instance]*Member), contacts: make(map[string]contact)}
+	t.AddSeeds(seeds)
+	return t
+}
+
+// AddSeeds adds addresses that are always tried.
+func (t *Table) AddSeeds(seeds []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, address := range seeds {
+		t.contacts[address] = contact{node: t.contacts[address].node}
+	}
+}
+
+// Hear takes a report in. An older one than is known changes nothing.
+func (t *Table) Hear(r Report, now, wall time.Time, direct bool) {
+	if r.Node == t.self || r.Node == "" {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.members[r.Node]
+	if known != nil && !newer(r, known.Report, direct) {
+		return
+	}
+	m := &Member{Report: r, HeardAt: now, WallOff: time.UnixMilli(r.WallMillis).Sub(wall)}
+	if !direct && known != nil {
+		// A relayed report was on its way for an unknown time.
+		m.WallOff = known.WallOff
+	}
+	t.members[r.Node] = m
+	t.addContact(Contact{Node: r.Node, Address: r.Address}, now)
+}
+
+// newer reports whether a replaces b. Incarnations are times of start, by a time
+// of day that may have been set back between two lives: what a gateway says of
+// itself is therefore its present life, whatever its number.
+func newer(a, b Report, direct bool) bool {
+	if a.Incarnation != b.Incarnation {
+		return direct || a.Incarnation > b.Incarnation
+	}
+	return a.Seq > b.Seq
+}
+
+// Learn takes in where other gateways can be reached.
+func (t *Table) Learn(contacts []Contact, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range contacts {
+		if c.Node == t.self {
+			continue
+		}
+		if _, known := t.contacts[c.Address]; !known {
+			t.addContact(c, now)
+		}
+	}
+}
+
+func (t *Table) addContact(c Contact, now time.Time) {
+	old, known := t.contacts[c.Address]
+	if known && old.until.IsZero() {
+		t.contacts[c.Address] = contact{node: c.Node}
+		return
+	}
+	t.contacts[c.Address] = contact{node: c.Node, until: now.Add(contactFor)}
+}
+
+// Addresses returns where to try to reach other gateways, in a fixed order.
+func (t *Table) Addresses(own string, now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for address, c := range t.contacts {
+		if address == own {
+			continue
+		}
+		if !c.until.IsZero() && now.After(c.until) {
+			delete(t.contacts, address)
+			continue
+		}
+		if m := t.members[c.node]; m != nil && m.Report.Address != address {
+			continue // the gateway has moved
+		}
+		out = append(out, address)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Contacts returns the gateways heard of lately.
+func (t *Table) Contacts(now time.Time) []Contact {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Contact
+	for node, m := range t.members {
+		if now.Sub(m.HeardAt) < KnownFor {
+			out = append(out, Contact{Node: node, Address: m.Report.Address})
+		}
+	}
+	slices.SortFunc(out, func(a, b Contact) int { return cmp.Compare(a.Node, b.Node) })
+	return out
+}
+
+// View is the other gateways at an instant.
+type View struct {
+	// Fresh are those heard within FreshFor, in the order of their names.
+	Fresh []Member
+	// Known counts those that may admit requests, heard lately or not.
+	Known int
+}
+
+// View returns the other gateways.
+func (t *Table) View(now time.Time) View {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var v View
+	for node, m := range t.members {
+		age := now.Sub(m.HeardAt)
+		if age <= FreshFor {
+			v.Fresh = append(v.Fresh, *m)
+		}
+		switch {
+		case m.Report.Leaving && age > leavingFor:
+		case age <= KnownFor:
+			v.Known++
+		case age > contactFor:
+			delete(t.members, node)
+		}
+	}
+	slices.SortFunc(v.Fresh, func(a, b Member) int { return cmp.Compare(a.Report.Node, b.Report.Node) })
+	return v
+}
+
+// Members returns all gateways heard of in the last minute.
+func (t *Table) Members() []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Member, 0, len(t.members))
+	for _, m := range t.members {
+		out = append(out, *m)
+	}
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.Report.Node, b.Report.Node) })
+	return out
+}
+
+// WallCorrection returns what to add to this machine's time of day so that it is
+// the median of all fresh gateways': a clock that was set wrong moves the median
+// only if most are.
+func (v View) WallCorrection() time.Duration {
+	offs := []time.Duration{0}
+	for _, m := range v.Fresh {
+		offs = append(offs, m.WallOff)
+	}
+	slices.Sort(offs)
+	if n := len(offs); n%2 == 0 {
+		return (offs[n/2-1] + offs[n/2]) / 2
+	}
+	return offs[len(offs)/2]
+}
--- /dev/null
+++ b/internal/gossip/types.go
@@ -0,0 +1,100 @@
+// Package gossip keeps the gateways in step without the platform's store: each
+// tells the others several times a second what it holds and spends, and gives
+// them the configuration and the upstreams' entries that they lack.
+//
+// It speaks HTTP/1.1 with JSON between gateways. gRPC is not used here because
+// it notices a silent connection after 10 s at the least (its keepalive's lower
+// bound), and the views are of no use after one.
+package gossip
+
+import (
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/directory"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+// Report is what one gateway says of itself. A later one replaces it whole.
+type Report struct {
+	Node        ident.Instance      `json:"node"`
+	Incarnation ident.Incarnation   `json:"inc"`
+	Seq         uint64              `json:"seq"`
+	Address     string              `json:"addr"`
+	Domain      ident.FailureDomain `json:"domain"`
+	// WallMillis is the sender's time of day, milliseconds since 1970.
+	WallMillis int64 `json:"wall"`
+	// Ready: it takes callers' requests.
+	Ready bool `json:"ready,omitempty"`
+	// Leaving: it was told to stop.
+	Leaving bool `json:"leaving,omitempty"`
+	// Revision of the configuration, and the offset up to which it knows the
+	// upstreams' entries.
+	Revision  ident.Revision `json:"rev,omitempty"`
+	Upstreams ident.Offset   `json:"ups,omitempty"`
+	// UpstreamsAge is how long ago the store confirmed that view.
+	UpstreamsAge int64 `json:"ups_age,omitempty"`
+	// Loads are its requests in progress and unread prompt tokens, by upstream.
+	Loads map[ident.Instance][2]int `json:"loads,omitempty"`
+	// Spent is what it admitted, and Asked what callers asked of it, by account
+	// since its start, in the account's unit.
+	Spent map[ident.ClientAccount]float64 `json:"spent,omitempty"`
+	Asked map[ident.ClientAccount]float64 `json:"asked,omitempty"`
+	// Began counts requests that began to run, by window of true time.
+	Began map[int64]map[ident.ClientAccount]int64 `json:"began,omitempty"`
+	// Work is what it asked of each service in the last seconds.
+	Work map[ident.Service]Work `json:"work,omitempty"`
+}
+
+// Work is a rate of work.
+type Work struct {
+	// Prompt is tokens to be read a second, and Running the mean number of
+	// requests in progress.
+	Prompt  float64 `json:"p"`
+	Running float64 `json:"r"`
+	// Waited is the longest time to a first event in the last second, as a
+	// part of its objective.
+	Waited float64 `json:"w,omitempty"`
+}
+
+// Contact is where a gateway can be reached.
+type Contact struct {
+	Node    ident.Instance `json:"node"`
+	Address string         `json:"addr"`
+}
+
+// EntryRecord is an upstream's entry with the offset of its record.
+type EntryRecord struct {
+	ID       ident.Instance      `json:"id"`
+	Offset   ident.Offset        `json:"off"`
+	Upstream *directory.Upstream `json:"up,omitempty"`
+}
+
+// ConfigRecord is the operators' configuration as it stands in the store.
+type ConfigRecord struct {
+	Revision ident.Revision `json:"rev"`
+	Offset   ident.Offset   `json:"off"`
+	Data     []byte         `json:"data"`
+}
+
+// message is a request, and its answer.
+type message struct {
+	From Report `json:"from"`
+	// Others are reports that the receiver may not have heard itself.
+	Others []Report `json:"others,omitempty"`
+	// Contacts are all gateways that the sender knows.
+	Contacts []Contact `json:"contacts,omitempty"`
+	// Config and Entries are what the receiver lacks.
+	Config  *ConfigRecord `json:"config,omitempty"`
+	Entries []EntryRecord `json:"entries,omitempty"`
+	// EntriesUpTo is the offset up to which Entries complete the receiver's.
+	EntriesUpTo ident.Offset `json:"upto,omitempty"`
+}
+
+// Member is another gateway as this one knows it.
+type Member struct {
+	Report Report
+	// HeardAt is when its newest report came, by this machine's boot time.
+	HeardAt time.Time
+	// WallOff is its time of day minus this machine's.
+	WallOff time.Duration
+}
--- /dev/null
+++ b/internal/httpconn/pool.go
@@ -0,0 +1,275 @@
+package httpconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+// ErrConnections: this gateway's part of the upstream's connections is in use.
+var ErrConnections = errors.New("all connections to the upstream are in use")
+
+// DefaultDialTimeout bounds one connection attempt. Domains are milliseconds
+// apart; an upstream that has not answered by then is down, cut off, or drops
+// openings because its queue is full, and another one serves sooner.
+const DefaultDialTimeout = 350 * time.Millisecond
+
+// Counters count what a pool does. Load them for metrics.
+type Counters struct {
+	Dials, DialFailures, Reuses, Discards, Strays int64
+}
+
+// Pool keeps connections by upstream. An upstream's next incarnation has
+// another ID, so that no connection is ever taken for one to it.
+type Pool struct {
+	now         boottime.Clock
+	dialTimeout time.Duration
+	dial        func(ctx context.Context, address string) (net.Conn, error)
+
+	mu       sync.Mutex
+	hosts    map[ident.Instance]*host
+	counters Counters
+}
+
+// host is one upstream's connections.
+type host struct {
+	open int
+	idle []*conn
+	// gone: the upstream left, its connections are not kept.
+	gone bool
+}
+
+// conn is one connection. Only one exchange uses it at a time.
+type conn struct {
+	pool   *Pool
+	id     ident.Instance
+	host   *host
+	net    net.Conn
+	reader *bufio.Reader
+	limit  *limitedReader
+	used   int
+	// strays counts answers to other requests.
+	strays int
+	// until is when it must not be reused any more, and unsaid for how long it
+	// is kept where the server says nothing.
+	until  time.Time
+	unsaid time.Duration
+
+	closeOnce sync.Once
+}
+
+// NewPool returns a pool without connections.
+func NewPool(now boottime.Clock) *Pool {
+	dialer := &net.Dialer{KeepAlive: -1}
+	return &Pool{
+		now:         now,
+		dialTimeout: DefaultDialTimeout,
+		dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		},
+		hosts: make(map[ident.Instance]*host),
+	}
+}
+
+// Target says where a request goes.
+type Target struct {
+	ID      ident.Instance
+	Address string
+	// MaxConnections bounds this gateway's connections to the upstream.
+	MaxConnections int
+	// Fresh asks for a new connection.
+	Fresh bool
+	// IdleFor is for how long a connection is kept idle where the server says
+	// nothing of it; 0 for the default.
+	IdleFor time.Duration
+}
+
+// Send sends a request once. It returns when the answer's header is there. When
+// ctx ends, the connection is closed at once, so that the upstream stops.
+func (p *Pool) Send(ctx context.Context, target Target, req *Request) (*Answer, *Failure) {
+	c, err := p.acquire(ctx, target)
+	if err != nil {
+		return nil, &Failure{Stage: StageConnect, Err: err}
+	}
+	c.used++
+	c.unsaid = max(target.IdleFor, unsaidIdle)
+	return c.exchange(ctx, req)
+}
+
+// acquire returns a connection that is idle and sound, or a new one.
+func (p *Pool) acquire(ctx context.Context, target Target) (*conn, error) {
+	h, c, err := p.reserve(target)
+	if c != nil || err != nil {
+		return c, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.dialTimeout)
+	defer cancel()
+	raw, err := p.dial(ctx, target.Address)
+	p.mu.Lock()
+	p.counters.Dials++
+	if err != nil {
+		p.counters.DialFailures++
+		h.open--
+		p.mu.Unlock()
+		return nil, err
+	}
+	p.mu.Unlock()
+	reader, limit := newReader(raw)
+	return &conn{pool: p, id: target.ID, host: h, net: raw, reader: reader, limit: limit}, nil
+}
+
+// reserve takes an idle connection, or room for a new one.
+func (p *Pool) reserve(target Target) (*host, *conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[target.ID]
+	if h == nil {
+		h = &host{}
+		p.hosts[target.ID] = h
+	}
+	now := p.now()
+	for !target.Fresh && len(h.idle) > 0 {
+		// The one used last is the one least likely to have gone silent.
+		c := h.idle[len(h.idle)-1]
+		h.idle = h.idle[:len(h.idle)-1]
+		if now.Before(c.until) && c.quiet() {
+			p.counters.Reuses++
+			return h, c, nil
+		}
+		p.close(c)
+	}
+	if target.MaxConnections > 0 && h.open >= target.MaxConnections {
+		return h, nil, ErrConnections
+	}
+	h.open++
+	return h, nil, nil
+}
+
+// quiet reports whether nothing came on an idle connection: neither its end,
+// nor bytes that belong to no request.
+func (c *conn) quiet() bool {
+	sc, ok := c.net.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = errors.Is(err, unix.EAGAIN)
+	})
+	return err == nil && quiet
+}
+
+// abort ends the connection from outside of its exchange.
+func (c *conn) abort() { _ = c.net.Close() } // the exchange sees its reads fail
+
+// discard closes the connection and gives its place back.
+func (c *conn) discard() {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.pool.close(c)
+}
+
+// close ends a connection; p.mu is held.
+func (p *Pool) close(c *conn) {
+	c.closeOnce.Do(func() {
+		_ = c.net.Close() // nothing is owed on it any more
+		c.host.open--
+		p.counters.Discards++
+		if c.strays > 0 {
+			p.counters.Strays++
+		}
+	})
+}
+
+// keep returns the connection for reuse within a time.
+func (c *conn) keep(within time.Duration) {
+	p := c.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.host.gone {
+		p.close(c)
+		return
+	}
+	c.until = p.now().Add(within)
+	c.host.idle = append(c.host.idle, c)
+}
+
+// Forget closes an upstream's idle connections, because it left.
+func (p *Pool) Forget(id ident.Instance) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[id]
+	if h == nil {
+		return
+	}
+	h.gone = true
+	p.closeIdle(h)
+	delete(p.hosts, id)
+}
+
+// Distrust closes an upstream's idle connections, because one of them went
+// silent: what silenced it may have silenced the others.
+func (p *Pool) Distrust(id ident.Instance) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h := p.hosts[id]; h != nil {
+		p.closeIdle(h)
+	}
+}
+
+func (p *Pool) closeIdle(h *host) {
+	for _, c := range h.idle {
+		p.close(c)
+	}
+	h.idle = nil
+}
+
+// Sweep closes idle connections whose time is over.
+func (p *Pool) Sweep() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	for _, h := range p.hosts {
+		kept := h.idle[:0]
+		for _, c := range h.idle {
+			if now.Before(c.until) {
+				kept = append(kept, c)
+			} else {
+				p.close(c)
+			}
+		}
+		h.idle = kept
+	}
+}
+
+// Open returns how many connections there are to an upstream.
+func (p *Pool) Open(id ident.Instance) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h := p.hosts[id]; h != nil {
+		return h.open
+	}
+	return 0
+}
+
+// Counters returns what was counted so far.
+func (p *Pool) Counters() Counters {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.counters
+}
--- /dev/null
+++ b/internal/ingress/ingress.go
@@ -0,0 +1,361 @@
+// Package ingress takes callers' HTTP requests: it checks them against the
+// operators' configuration, bounds what they may use, and delivers answers.
+package ingress
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+	"golang.org/x/time/rate"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
+	"github.com/goldcrestspool/goldcrestspool/internal/finding"
+	"github.com/goldcrestspool/goldcrestspool/internal/forward"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
+)
+
+// Parsed is what a request's headers say, in the product's terms.
+type Parsed struct {
+	ID ident.Request
+	// Key of the client account; empty if there is none.
+	Key string
+	// Deadline is how long the caller will wait; 0 if not said.
+	Deadline  time.Duration
+	LastEvent string
+	// Declared: the request declares its tokens.
+	Declared                 bool
+	PromptTokens, MostTokens int
+	Parts                    []forward.PromptPart
+	// Header is what may be passed on to an upstream.
+	Header http.Header
+}
+
+// Protocol reads callers' headers.
+type Protocol interface {
+	Parse(r *http.Request) (Parsed, finding.List)
+}
+
+// Quota admits requests within their accounts' limits over all gateways.
+type Quota interface {
+	// Admit takes a cost out of an account's limit, or says when it may be
+	// there.
+	Admit(account *routetable.Account, cost float64, now time.Time) (ok bool, after time.Duration)
+}
+
+// Forwarder takes a call to the upstreams.
+type Forwarder interface {
+	Serve(ctx context.Context, call *forward.Call, caller forward.Caller) forward.Outcome
+}
+
+// Config is what a Server works with.
+type Config struct {
+	Now       boottime.Clock
+	Table     func() *routetable.Table
+	Protocol  Protocol
+	Quota     Quota
+	Forwarder Forwarder
+	Log       hclog.Logger
+	Tracer    trace.Tracer
+	Metrics   *Metrics
+	// BodyBudget bounds the bytes of all requests' bodies together.
+	BodyBudget int64
+}
+
+const (
+	// mostHeader bounds what net/http reads of a header; the operators' limit
+	// is checked after it. It is twice the users' limit of 16 KiB.
+	mostHeader = 32 << 10
+	// headerTime bounds the reading of a header where no configuration says
+	// otherwise: the users' limit of 3 s and some slack.
+	headerTime = 4 * time.Second
+	// loggedSuccesses a second get a line each; a flood of successes would
+	// cost more processor time than it explains. Others always get theirs.
+	loggedSuccesses = 50
+	// comeBackSoon is told where the next moment may do: a shortage of memory
+	// or of configuration.
+	comeBackSoon = 500 * time.Millisecond
+	// sinceExpiry is how long after a call's end its answer may still be
+	// written to a caller that reads slowly.
+	sinceExpiry = time.Second
+)
+
+// Server serves callers. Create it with New.
+type Server struct {
+	cfg     Config
+	http    *http.Server
+	idle    *idleConnections
+	leaving atomic.Bool
+	bodies  atomic.Int64
+	active  atomic.Int64
+	sampled *rate.Limiter
+}
+
+// New returns a server; call Serve with a listener.
+func New(cfg Config) *Server {
+	s := &Server{cfg: cfg, idle: newIdleConnections(), sampled: rate.NewLimiter(loggedSuccesses, loggedSuccesses)}
+	s.http = &http.Server{
+		Handler:                      http.HandlerFunc(s.serve),
+		ReadHeaderTimeout:            headerTime,
+		MaxHeaderBytes:               mostHeader,
+		ConnState:                    s.idle.note,
+		DisableGeneralOptionsHandler: true,
+		ErrorLog:                     cfg.Log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+	return s
+}
+
+// Serve answers callers until Close.
+func (s *Server) Serve(listener net.Listener) error { return s.http.Serve(listener) }
+
+// Leave tells callers to use their connections no further. Requests that come
+// nevertheless are served.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// Active returns how many requests are in progress.
+func (s *Server) Active() int { return int(s.active.Load()) }
+
+// Close ends all connections.
+func (s *Server) Close() error { return s.http.Close() }
+
+// Shutdown closes idle connections and waits for the others.
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+
+// SweepIdle closes connections that were idle for longer than the limit in
+// force, or any that was in force while they were idle.
+func (s *Server) SweepIdle() {
+	limit := time.Duration(0)
+	if table := s.cfg.Table(); table != nil {
+		limit = table.Limits().IdleTime
+	}
+	s.idle.sweep(s.cfg.Now(), limit)
+}
+
+// serve answers one request.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	s.active.Add(1)
+	defer s.active.Add(-1)
+	caller := &caller{w: w, server: s, control: http.NewResponseController(w)}
+	if s.leaving.Load() || len(r.TransferEncoding) > 0 {
+		// net/http hides a length beside chunks. A peer that reads such a
+		// request by its length would take the rest for a second request, so
+		// nothing more is read on this connection.
+		w.Header().Set("Connection", "close")
+	}
+	received := s.cfg.Now()
+	call, refusal := s.accept(w, r, received)
+	if refusal != nil {
+		s.refuse(w, r, call, refusal)
+		return
+	}
+	ctx, span := s.cfg.Tracer.Start(r.Context(), "request", trace.WithAttributes(
+		attribute.String("request", string(call.ID)), attribute.String("route", call.Route.Name)))
+	defer span.End()
+	caller.expires = call.Expires.Sub(received)
+	outcome := s.cfg.Forwarder.Serve(ctx, call, caller)
+	s.bodies.Add(-int64(len(call.Body)))
+	s.note(call, outcome)
+	if caller.broken {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// refusal ends a request before it is forwarded.
+type refusal struct {
+	status int
+	reason string
+	// after is when to come back; 0 says nothing.
+	after time.Duration
+	// abort closes the connection without an answer.
+	abort bool
+}
+
+// accept checks a request and returns the call, or why not.
+func (s *Server) accept(w http.ResponseWriter, r *http.Request, now time.Time) (*forward.Call, *refusal) {
+	table := s.cfg.Table()
+	if table == nil {
+		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "no configuration is known yet", after: comeBackSoon}
+	}
+	if !strings.HasPrefix(r.RequestURI, "/") {
+		return nil, &refusal{status: http.StatusBadRequest, reason: "the request target is not a path"}
+	}
+	if limit := table.Limits().HeaderBytes; limit > 0 && headerSize(r) > limit {
+		return nil, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "the header is too long"}
+	}
+	parsed, findings := s.cfg.Protocol.Parse(r)
+	call := &forward.Call{
+		ID: parsed.ID, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: passable(parsed.Header), Received: now,
+		Parts: parsed.Parts, PromptTokens: parsed.PromptTokens, MostTokens: parsed.MostTokens, LastEvent: parsed.LastEvent,
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	call.Route = table.Route(r.Host, path)
+	if call.Route == nil {
+		return call, &refusal{status: http.StatusNotFound, reason: "no route"}
+	}
+	account, refused := s.account(table, call, &parsed)
+	if refused != nil {
+		return call, refused
+	}
+	if err := findings.Err(); err != nil {
+		return call, &refusal{status: http.StatusBadRequest, reason: err.Error()}
+	}
+	call.Service = table.Service(call.Route.Pick(call.ID))
+	call.Expires = now.Add(call.Route.Timeout)
+	if parsed.Deadline > 0 && parsed.Deadline < call.Route.Timeout {
+		call.Expires = now.Add(parsed.Deadline)
+	}
+	if refused := s.readBody(w, r, call, table.Limits().BodyBytes); refused != nil {
+		return call, refused
+	}
+	if account != nil {
+		cost := account.Cost(parsed.Declared, parsed.PromptTokens+parsed.MostTokens)
+		if ok, after := s.cfg.Quota.Admit(account, cost, now); !ok {
+			s.bodies.Add(-int64(len(call.Body)))
+			return call, &refusal{status: http.StatusTooManyRequests, reason: "the account's limit is reached", after: after}
+		}
+	}
+	return call, nil
+}
+
+// account finds who sends the call, and with which priority.
+func (s *Server) account(table *routetable.Table, call *forward.Call, parsed *Parsed) (*routetable.Account, *refusal) {
+	call.Priority = call.Route.Priority
+	if call.Route.Public || !table.NeedsKeys() {
+		return nil, nil
+	}
+	account := table.AccountByKey(parsed.Key)
+	if account == nil {
+		return nil, &refusal{status: http.StatusUnauthorized, reason: "the key is not known"}
+	}
+	call.Account = account.Name
+	if account.Priority != nil {
+		call.Priority = *account.Priority
+	}
+	return account, nil
+}
+
+// readBody reads the whole body, so that it can be sent more than once and with
+// its length.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, call *forward.Call, limit int64) *refusal {
+	if limit > 0 && r.ContentLength > limit {
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too long"}
+	}
+	if limit <= 0 {
+		limit = s.cfg.BodyBudget
+	}
+	if s.bodies.Load()+max(r.ContentLength, 0) > s.cfg.BodyBudget {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "too many bodies are in memory", after: comeBackSoon}
+	}
+	control := http.NewResponseController(w)
+	// net/http's connections all take deadlines; without one only a silent
+	// caller is not noticed.
+	_ = control.SetReadDeadline(time.Now().Add(call.Remaining(call.Received)))
+	body, err := readAll(r, limit)
+	_ = control.SetReadDeadline(time.Time{})
+	if err != nil {
+		return &refusal{status: http.StatusRequestTimeout, reason: "the body did not come: " + err.Error(), abort: r.Context().Err() != nil}
+	}
+	if int64(len(body)) > limit {
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too long"}
+	}
+	s.bodies.Add(int64(len(body)))
+	call.Body = body
+	return nil
+}
+
+func readAll(r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	if r.ContentLength > 0 {
+		body := make([]byte, r.ContentLength)
+		_, err := io.ReadFull(r.Body, body)
+		return body, err
+	}
+	return io.ReadAll(io.LimitReader(r.Body, limit+1))
+}
+
+func headerSize(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	return size
+}
+
+// perConnection are headers that concern one connection only.
+var perConnection = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
+}
+
+// passable removes what concerns one connection only. It changes header.
+func passable(header http.Header) http.Header {
+	for _, value := range header["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range perConnection {
+		header.Del(name)
+	}
+	return header
+}
+
+// refuse answers a request that is not forwarded.
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, call *forward.Call, why *refusal) {
+	s.cfg.Metrics.Refused(why.status)
+	var id ident.Request
+	route := ""
+	if call != nil {
+		id = call.ID
+		if call.Route != nil {
+			route = call.Route.Name
+		}
+	}
+	s.cfg.Log.Info("request refused", "id", id, "route", route, "host", r.Host, "target", r.RequestURI, "status", why.status,
+		"reason", why.reason, "after_ms", why.after.Milliseconds())
+	if why.abort {
+		panic(http.ErrAbortHandler)
+	}
+	answerError(w, why.status, why.reason, why.after)
+}
+
+// answerError writes a final answer of the system's own.
+func answerError(w http.ResponseWriter, status int, reason string, after time.Duration) {
+	h := w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	if after > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
+	}
+	h.Set("Content-Length", strconv.Itoa(len(reason)+1))
+	w.WriteHeader(status)
+	// The caller may be gone; there is nobody left to tell.
+	_, _ = io.WriteString(w, reason+"\n")
+}
+
+// note writes what became of a call to the log and the metrics.
+func (s *Server) note(call *forward.Call, outcome forward.Outcome) {
+	took := s.cfg.Now().Sub(call.Received)
+	s.cfg.Metrics.Ended(call, outcome, took)
+	plain := outcome.Step == forward.Deliver && outcome.Attempts == 1 && outcome.Status/100 == 2
+	if plain && !s.sampled.Allow() {
+		s.cfg.Metrics.Unlogged()
+		return
+	}
+	s.cfg.Log.Info("request ended", "id", call.ID, "route", call.Route.Name, "account", call.Account, "service", call.Service.Name,
+		"step", outcome.Step, "status", outcome.Status, "reason", outcome.Reason, "attempts", outcome.Attempts, "upstreams", outcome.Tried,
+		"resumed", outcome.Resumed, "events", outcome.Events, "first_ms", outcome.FirstPart.Milliseconds(), "took_ms", took.Milliseconds(),
+		"prompt", call.PromptTokens, "most", call.MostTokens)
+}
--- /dev/null
+++ b/internal/ingress/metrics.go
@@ -0,0 +1,87 @@
+package ingress
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/forward"
+)
+
+// Metrics counts callers' requests by route kind and ending, and keeps their
+// times. It is safe for concurrent use.
+type Metrics struct {
+	mu       sync.Mutex
+	counts   map[string]int64
+	firsts   map[string]*hdrhistogram.Histogram
+	unlogged int64
+}
+
+// Bounds of the histograms: a minute in microseconds, two digits.
+const (
+	longestMicroseconds = 60_000_000
+	histogramDigits     = 2
+)
+
+// NewMetrics returns metrics without counts.
+func NewMetrics() *Metrics {
+	return &Metrics{counts: make(map[string]int64), firsts: make(map[string]*hdrhistogram.Histogram)}
+}
+
+// Refused counts a request that was not forwarded.
+func (m *Metrics) Refused(status int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.counts[fmt.Sprintf("requests_refused_total{status=%q}", fmt.Sprint(status))]++
+}
+
+// Unlogged counts a success without a log line.
+func (m *Metrics) Unlogged() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.unlogged++
+}
+
+// Ended counts a call that was forwarded.
+func (m *Metrics) Ended(call *forward.Call, outcome forward.Outcome, took time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	kind := call.Route.Kind.String()
+	m.counts[fmt.Sprintf("requests_ended_total{kind=%q,step=%q,status=\"%d\"}", kind, outcome.Step, outcome.Status)]++
+	m.counts[fmt.Sprintf("attempts_total{kind=%q}", kind)] += int64(outcome.Attempts)
+	m.counts[fmt.Sprintf("streams_resumed_total{kind=%q}", kind)] += int64(outcome.Resumed)
+	if outcome.FirstPart <= 0 {
+		return
+	}
+	h := m.firsts[kind]
+	if h == nil {
+		h = hdrhistogram.New(1, longestMicroseconds, histogramDigits)
+		m.firsts[kind] = h
+	}
+	// A value beyond the bounds is recorded as the bound.
+	_ = h.RecordValue(min(max(outcome.FirstPart.Microseconds(), 1), longestMicroseconds))
+}
+
+// Write prints the metrics, one a line.
+func (m *Metrics) Write(w io.Writer) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	names := make([]string, 0, len(m.counts))
+	for name := range m.counts {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		fmt.Fprintf(w, "%s %d\n", name, m.counts[name])
+	}
+	fmt.Fprintf(w, "requests_unlogged_total %d\n", m.unlogged)
+	for kind, h := range m.firsts {
+		for _, q := range []float64{50, 95, 99} {
+			fmt.Fprintf(w, "first_part_seconds{kind=%q,quantile=\"%g\"} %.4f\n", kind, q/100, float64(h.ValueAtQuantile(q))/1e6)
+		}
+	}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -42,6 +42,9 @@
 type Daemon[S any] struct {
 	Name        string
 	Description string
+	// DefaultSettings is the settings file where the command line names none;
+	// empty where it must.
+	DefaultSettings string
 	// Load reads the settings file.
 	Load func(path string) (*S, finding.List)
 	// Run works until signals.Stop ends, then stops gracefully.
@@ -50,7 +53,7 @@
 
 // arguments are the command line of every daemon.
 type arguments struct {
-	Settings      string `arg:"--settings,required" placeholder:"FILE" help:"settings of this process (TOML)"`
+	Settings      string `arg:"--settings" placeholder:"FILE" help:"settings of this process (TOML)"`
 	CheckSettings bool   `arg:"--check-settings" help:"check the settings, print all findings and exit: 0 good, 2 bad"`
 
 	name, description string
@@ -77,6 +80,7 @@
 
 func (d Daemon[S]) main(args []string, stdout, stderr io.Writer) int {
 	parsed := arguments{name: d.Name, description: d.Description}
+	parsed.Settings = d.DefaultSettings
 	status, done := parse(&parsed, d.Name, args, stdout, stderr)
 	if done {
 		return status
@@ -107,6 +111,8 @@
 	}
 	err = parser.Parse(args)
 	switch {
+	case err == nil && parsed.Settings == "":
+		err = errors.New("--settings is required")
 	case err == nil:
 		return ExitOK, false
 	case errors.Is(err, arg.ErrHelp):
--- /dev/null
+++ b/internal/routing/placement/placement.go
@@ -0,0 +1,449 @@
+// Package placement chooses upstreams without asking them anything: from what
+// this gateway sent, from what the other gateways say that they have in
+// progress, and from which prompt parts belong where.
+//
+// Requests that share a prompt part go to the same engine, its home, so that
+// the part is read once. All gateways work out the same home by rendezvous
+// hashing and need no word of each other for it. Where the home has more work
+// before it than reading the part again takes, the next in line is used.
+package placement
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/admission/ejection"
+	"github.com/goldcrestspool/goldcrestspool/internal/directory"
+	"github.com/goldcrestspool/goldcrestspool/internal/forward"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
+)
+
+// Params are the weights of the choice.
+type Params struct {
+	// PrefillRate is how many prompt tokens an engine reads in a second.
+	PrefillRate float64
+	// RunningCost is how much sooner a request's first event comes at an
+	// engine with one request less in progress, in seconds: a step takes the
+	// longer the more requests are in it.
+	RunningCost float64
+	// OtherDomain is what sending to another failure domain costs, in seconds:
+	// the way, and the price of the bytes.
+	OtherDomain float64
+	// EngineQueue and PlainQueue are how many requests may wait at an upstream
+	// for each of its slots; beyond them it takes no work.
+	EngineQueue, PlainQueue float64
+}
+
+// DefaultParams suit engines of the users' kind.
+func DefaultParams() Params {
+	return Params{
+		// The engines' own figure, 92.1 tokens a millisecond.
+		PrefillRate: 92_100,
+		// 0.121 ms a step for each slot taken, and some ten steps until the
+		// first event of a prompt that is read in chunks.
+		RunningCost: 0.0012,
+		// 1 ms there and back, and bytes that cost as much as another 1 ms.
+		OtherDomain: 0.002,
+		EngineQueue: 0.5,
+		PlainQueue:  2,
+	}
+}
+
+// Load is the work at an upstream.
+type Load struct {
+	// Running counts requests in progress.
+	Running int
+	// Unread are prompt tokens of requests without a first event.
+	Unread int
+}
+
+// Config is what a Chooser works with.
+type Config struct {
+	Params Params
+	Domain ident.FailureDomain
+	Log    hclog.Logger
+	// View returns the upstreams; it is called for each choice.
+	View func() *directory.View
+	// Others returns what the other gateways have at an upstream.
+	Others func(ident.Instance) Load
+	// Gateways is how many gateways share the upstreams' connections.
+	Gateways func() int
+}
+
+// Chooser implements forward.Placement. It is safe for concurrent use.
+type Chooser struct {
+	cfg Config
+
+	mu       sync.Mutex
+	view     *directory.View
+	own      map[ident.Instance]*own
+	sets     map[ident.Service]*ejection.Set
+	learned  map[ident.Service]*timing
+	reported map[ident.Instance]ejection.State
+}
+
+// own is what this gateway has at an upstream.
+type own struct {
+	load Load
+	// avoidUntil: it could not be reached.
+	avoidUntil time.Time
+	failures   int
+}
+
+// Avoidance of upstreams that cannot be reached: doubled with each failure in
+// a row. A crashed upstream is back, or out of the directory, within seconds.
+const (
+	firstAvoid = 500 * time.Millisecond
+	mostAvoid  = 4 * time.Second
+)
+
+// ejectionConfig is quicker than the package's defaults: the users' upstreams
+// that fail part of their requests do so for five seconds at a time.
+var ejectionConfig = ejection.Config{Failures: 3, Base: 2 * time.Second, Longest: 8 * time.Second, Probes: 2, ProbeLimit: 5 * time.Second}
+
+// place is what a request holds at an upstream.
+type place struct {
+	service ident.Service
+	unread  int
+	sent    time.Time
+	// expected is the time to the first event at an idle upstream.
+	expected time.Duration
+	began    bool
+	latency  time.Duration
+}
+
+// New returns a Chooser that has sent nothing.
+func New(cfg Config) *Chooser {
+	return &Chooser{
+		cfg: cfg, own: make(map[ident.Instance]*own), sets: make(map[ident.Service]*ejection.Set),
+		learned: make(map[ident.Service]*timing), reported: make(map[ident.Instance]ejection.State),
+	}
+}
+
+// candidate is an upstream that may take a request.
+type candidate struct {
+	upstream directory.Upstream
+	own      *own
+	load     Load
+	score    float64
+	uncached int
+}
+
+// Choose implements forward.Placement.
+func (c *Chooser) Choose(call *forward.Call, exclude []ident.Instance, now time.Time) (forward.Choice, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	view := c.refresh()
+	set := c.set(call.Service.Name)
+	all := view.Of(call.Service.Name)
+	excluded := set.Excluded(now)
+	best, why, found := c.best(call, all, now, func(u *directory.Upstream, o *own) bool {
+		return !contains(exclude, u.ID) && !contains(excluded, u.ID) && !now.Before(o.avoidUntil)
+	})
+	if !found {
+		// Where only suspects are left, one of them is better than none.
+		best, why, found = c.best(call, all, now, func(u *directory.Upstream, _ *own) bool { return !contains(exclude, u.ID) })
+		why = "suspect, " + why
+	}
+	if !found {
+		return forward.Choice{}, false
+	}
+	set.Started(now, best.upstream.ID)
+	best.own.load.Running++
+	best.own.load.Unread += best.uncached
+	t := c.timing(call.Service.Name)
+	return forward.Choice{
+		Upstream:       best.upstream.ID,
+		Address:        best.upstream.Address,
+		MaxConnections: c.connections(call.Service),
+		Slow:           t.slow(call.Route.Objective, c.reading(best.uncached)),
+		Why:            why,
+		Place:          &place{service: call.Service.Name, unread: best.uncached, sent: now, expected: c.reading(best.uncached)},
+	}, true
+}
+
+func (c *Chooser) reading(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / c.cfg.Params.PrefillRate * float64(time.Second))
+}
+
+// best returns the candidate with the least score among those that fit.
+func (c *Chooser) best(call *forward.Call, all []directory.Upstream, now time.Time, fits func(*directory.Upstream, *own) bool) (candidate, string, bool) {
+	var best candidate
+	found := false
+	ranks := c.ranks(call, all)
+	for i := range all {
+		u := &all[i]
+		o := c.ownAt(u.ID)
+		if u.State != directory.Ready || !fits(u, o) {
+			continue
+		}
+		next := candidate{upstream: *u, own: o, load: c.loadAt(u.ID, o)}
+		if c.full(call, &next) {
+			continue
+		}
+		c.score(call, &next, ranks, i)
+		if !found || next.score < best.score {
+			best, found = next, true
+		}
+	}
+	why := "least work"
+	if found && ranks != nil && best.uncached < call.PromptTokens {
+		why = "holds the prompt's parts"
+	}
+	return best, why, found
+}
+
+func (c *Chooser) loadAt(id ident.Instance, o *own) Load {
+	others := c.cfg.Others(id)
+	return Load{Running: o.load.Running + others.Running, Unread: o.load.Unread + others.Unread}
+}
+
+// full reports whether an upstream has as much work as it may get.
+func (c *Chooser) full(call *forward.Call, x *candidate) bool {
+	queue := c.cfg.Params.PlainQueue
+	if call.Service.Engine != nil {
+		queue = c.cfg.Params.EngineQueue
+	}
+	most := float64(x.upstream.Slots) * (1 + queue)
+	return x.upstream.Slots > 0 && float64(x.load.Running) >= most
+}
+
+// score sets the candidate's score: the time to its first event, in seconds.
+func (c *Chooser) score(call *forward.Call, x *candidate, ranks []int, i int) {
+	p := c.cfg.Params
+	x.uncached = call.PromptTokens
+	if ranks != nil && ranks[i] < homes {
+		x.uncached -= sharedTokens(call)
+	}
+	if call.Service.Engine == nil {
+		x.score = float64(x.load.Running) / float64(max(1, x.upstream.Slots)) * call.Route.Objective.Seconds()
+	} else {
+		x.score = float64(x.load.Unread+x.uncached)/p.PrefillRate + float64(x.load.Running)*p.RunningCost
+	}
+	if ranks != nil {
+		// Among equals the first in line, so that copies of a part stay few.
+		x.score += float64(ranks[i]) * 1e-4
+	}
+	if x.upstream.FailureDomain != c.cfg.Domain {
+		x.score += p.OtherDomain
+	}
+}
+
+// homes is how many upstreams are taken to hold a shared part.
+const homes = 1
+
+// ranks returns each upstream's place in line for the call's shared part, or
+// nil if it shares none.
+func (c *Chooser) ranks(call *forward.Call, all []directory.Upstream) []int {
+	if call.Service.Engine == nil || len(call.Parts) < 2 {
+		return nil
+	}
+	part := call.Parts[len(call.Parts)-2].ID
+	weights := make([]uint64, len(all))
+	for i := range all {
+		if all[i].State == directory.Ready {
+			weights[i] = rendezvous(part, all[i].ID)
+		}
+	}
+	ranks := make([]int, len(all))
+	for i := range all {
+		for j := range all {
+			if weights[j] > weights[i] {
+				ranks[i]++
+			}
+		}
+	}
+	return ranks
+}
+
+func rendezvous(part uint64, id ident.Instance) uint64 {
+	var d xxhash.Digest
+	d.ResetWithSeed(part)
+	// Writing to a digest never fails.
+	_, _ = d.WriteString(string(id))
+	return d.Sum64()
+}
+
+// sharedTokens are those of all parts but the last, which belongs to the call.
+func sharedTokens(call *forward.Call) int {
+	sum := 0
+	for _, part := range call.Parts[:max(0, len(call.Parts)-1)] {
+		sum += part.Tokens
+	}
+	return sum
+}
+
+// connections is this gateway's part of an upstream's connections.
+func (c *Chooser) connections(service *routetable.Service) int {
+	if service.MaxConnections <= 0 {
+		return 0
+	}
+	const (
+		// kept is left for gateways that are not known yet.
+		kept = 0.9
+		// least connections of a gateway, however many gateways there are.
+		least = 2
+	)
+	return max(least, int(kept*float64(service.MaxConnections)/float64(max(1, c.cfg.Gateways()))))
+}
+
+// Began implements forward.Placement.
+func (c *Chooser) Began(choice forward.Choice, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := choice.Place.(*place)
+	if p.began {
+		return
+	}
+	p.began = true
+	p.latency = now.Sub(p.sent)
+	c.ownAt(choice.Upstream).load.Unread -= p.unread
+	c.timing(p.service).learn(p.latency - p.expected)
+}
+
+// Finished implements forward.Placement.
+func (c *Chooser) Finished(choice forward.Choice, result forward.Result, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := choice.Place.(*place)
+	o := c.ownAt(choice.Upstream)
+	o.load.Running--
+	if !p.began {
+		o.load.Unread -= p.unread
+	}
+	c.learnReach(o, result, now)
+	if sample, counts := sampleOf(p, result); counts {
+		c.set(p.service).Ended(now, choice.Upstream, sample)
+		c.noteEjection(p.service, choice.Upstream)
+	}
+}
+
+// sampleOf returns what a result says about its upstream. What the caller or the
+// clock ended says nothing.
+func sampleOf(p *place, result forward.Result) (ejection.Sample, bool) {
+	sample := ejection.Sample{Started: p.sent}
+	switch result {
+	case forward.CallerGone:
+		return sample, false
+	case forward.Expired:
+		if p.began {
+			return sample, false
+		}
+		sample.Failed = true
+	case forward.Done:
+		sample.Latency = p.latency.Seconds() / (p.expected.Seconds() + idleAnswer.Seconds())
+	default:
+		sample.Failed = true
+	}
+	return sample, true
+}
+
+// idleAnswer is what an idle upstream takes beside reading the prompt; it keeps
+// short requests from looking slow.
+const idleAnswer = 60 * time.Millisecond
+
+func (c *Chooser) learnReach(o *own, result forward.Result, now time.Time) {
+	if result != forward.NoConnection {
+		o.failures = 0
+		return
+	}
+	wait := min(firstAvoid<<min(o.failures, 8), mostAvoid)
+	o.failures++
+	o.avoidUntil = now.Add(wait)
+}
+
+// noteEjection logs a change of an upstream's state.
+func (c *Chooser) noteEjection(service ident.Service, id ident.Instance) {
+	state := c.set(service).State(id)
+	if c.reported[id] == state {
+		return
+	}
+	c.reported[id] = state
+	c.cfg.Log.Info("upstream's standing changed", "upstream", id, "service", service,
+		"standing", [...]string{"healthy", "ejected", "probing"}[state])
+}
+
+// refresh takes over a new view of the upstreams.
+func (c *Chooser) refresh() *directory.View {
+	view := c.cfg.View()
+	if view == c.view {
+		return view
+	}
+	c.view = view
+	for service, set := range c.sets {
+		set.SetUpstreams(ready(view.Of(service)))
+	}
+	for id, o := range c.own {
+		if _, known := view.Upstream(id); !known && o.load == (Load{}) {
+			delete(c.own, id)
+			delete(c.reported, id)
+		}
+	}
+	return view
+}
+
+func ready(upstreams []directory.Upstream) []ident.Instance {
+	var ids []ident.Instance
+	for _, u := range upstreams {
+		if u.State == directory.Ready {
+			ids = append(ids, u.ID)
+		}
+	}
+	return ids
+}
+
+func (c *Chooser) set(service ident.Service) *ejection.Set {
+	set := c.sets[service]
+	if set == nil {
+		set = ejection.New(ejectionConfig)
+		if c.view != nil {
+			set.SetUpstreams(ready(c.view.Of(service)))
+		}
+		c.sets[service] = set
+	}
+	return set
+}
+
+func (c *Chooser) ownAt(id ident.Instance) *own {
+	o := c.own[id]
+	if o == nil {
+		o = &own{}
+		c.own[id] = o
+	}
+	return o
+}
+
+func (c *Chooser) timing(service ident.Service) *timing {
+	t := c.learned[service]
+	if t == nil {
+		t = &timing{}
+		c.learned[service] = t
+	}
+	return t
+}
+
+// Own returns this gateway's work at each upstream that has any.
+func (c *Chooser) Own() map[ident.Instance]Load {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[ident.Instance]Load)
+	for id, o := range c.own {
+		if o.load != (Load{}) {
+			out[id] = o.load
+		}
+	}
+	return out
+}
+
+func contains(ids []ident.Instance, id ident.Instance) bool {
+	for _, x := range ids {
+		if x == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/routing/placement/timing.go
@@ -0,0 +1,42 @@
+package placement
+
+import "time"
+
+// timing learns how long first events of a service take, beyond the reading of
+// their prompts.
+type timing struct {
+	mean, deviation float64
+	samples         int
+}
+
+const (
+	// memory is the weight of one sample.
+	memory = 0.05
+	// deviations above the mean lie nearly all samples.
+	deviations = 4
+	// fewest samples before the timing is used.
+	fewest = 20
+)
+
+func (t *timing) learn(latency time.Duration) {
+	x := latency.Seconds()
+	t.samples++
+	if t.samples == 1 {
+		t.mean, t.deviation = x, x/2
+		return
+	}
+	off := x - t.mean
+	t.mean += memory * off
+	t.deviation += memory * (max(off, -off) - t.deviation)
+}
+
+// slow is after how long an attempt is slower than nearly all are: never under
+// a third of the objective, so that a calm service is not tried twice for
+// nothing, and never over the objective.
+func (t *timing) slow(objective, reading time.Duration) time.Duration {
+	usual := objective
+	if t.samples >= fewest {
+		usual = reading + time.Duration((t.mean+deviations*t.deviation)*float64(time.Second))
+	}
+	return min(max(usual, objective/3), max(objective, reading))
+}
--- /dev/null
+++ b/internal/settings/entry.go
@@ -0,0 +1,133 @@
+package settings
+
+import (
+	"os"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/finding"
+	"github.com/goldcrestspool/goldcrestspool/internal/tomlfile"
+)
+
+// Entry are the settings of an entry process: the gateway for opaque requests of
+// callers, with the controllers that one of them at a time runs under a lease.
+type Entry struct {
+	// Path is the file that the settings were read from, to read it again.
+	Path string
+
+	Instance Instance    `toml:"instance"`
+	Listen   EntryListen `toml:"listen"`
+	Peers    EntryPeers  `toml:"peers"`
+	Store    Address     `toml:"store"`
+	Cloud    EntryCloud  `toml:"cloud"`
+	Machine  Machine     `toml:"machine"`
+	Stop     EntryStop   `toml:"stop"`
+	Retries  Retries     `toml:"retries"`
+	Lease    EntryLease  `toml:"lease"`
+	Usage    Usage       `toml:"usage"`
+	Log      Log         `toml:"log"`
+	Trace    Trace       `toml:"trace"`
+}
+
+// EntryListen are an entry process's addresses, host:port.
+type EntryListen struct {
+	Callers   string `toml:"callers"`
+	Readiness string `toml:"readiness"`
+	Peers     string `toml:"peers"`
+	// Operators serves metrics; empty serves none.
+	Operators string `toml:"operators"`
+}
+
+// EntryPeers are where to find other entry processes at the start.
+type EntryPeers struct {
+	Seeds []string `toml:"seeds"`
+}
+
+// Address is where a service answers, host:port.
+type Address struct {
+	Address string `toml:"address"`
+}
+
+// EntryCloud is where orders and reports go.
+type EntryCloud struct {
+	Address string `toml:"address"`
+	// Duties that are owed: "metering", "autoscale".
+	Duties []string `toml:"duties"`
+}
+
+// Machine bounds what the process may use.
+type Machine struct {
+	// MemoryMiB is where the process would be ended. Default 256.
+	MemoryMiB float64 `toml:"memory_mib"`
+	// Descriptors is how many it may have open. Default 1024.
+	Descriptors int `toml:"descriptors"`
+}
+
+// EntryStop is how a process ends.
+type EntryStop struct {
+	// Grace is the time between SIGTERM and SIGKILL. Default 8s.
+	Grace time.Duration `toml:"grace"`
+}
+
+// Retries bound the arrivals at a service beyond the first of each request.
+type Retries struct {
+	Ratio  float64       `toml:"ratio"`
+	Window time.Duration `toml:"window"`
+	Slack  float64       `toml:"slack"`
+}
+
+// EntryLease is how long a duty stays taken.
+type EntryLease struct {
+	// Length: a holder that is silent for so long has lost the duty.
+	Length time.Duration `toml:"length"`
+}
+
+// Usage is how usage is reported.
+type Usage struct {
+	Window time.Duration `toml:"window"`
+	// DueAfter is how long after a window's end its report is due.
+	DueAfter time.Duration `toml:"due_after"`
+}
+
+func defaultEntry() Entry {
+	return Entry{
+		Machine: Machine{MemoryMiB: 256, Descriptors: 1024},
+		Stop:    EntryStop{Grace: 8 * time.Second},
+		Retries: Retries{Ratio: 0.2, Window: 10 * time.Second, Slack: 50},
+		Lease:   EntryLease{Length: 3 * time.Second},
+		Usage:   Usage{Window: 5 * time.Second, DueAfter: 10 * time.Second},
+		Log:     Log{Level: "info", Format: LogJSON},
+		Trace:   Trace{Exporter: TraceNone},
+	}
+}
+
+// LoadEntry reads an entry process's settings file.
+func LoadEntry(path string) (*Entry, finding.List) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, finding.List{{File: path, Problem: err.Error(), Want: "a settings file"}}
+	}
+	e, findings := ParseEntry(path, data)
+	e.Path = path
+	return e, findings
+}
+
+// ParseEntry reads and checks an entry process's settings.
+func ParseEntry(file string, data []byte) (*Entry, finding.List) {
+	e := defaultEntry()
+	s := tomlfile.Decode(file, data, &e)
+	checkInstance(s, e.Instance)
+	required(s, "listen.callers", e.Listen.Callers)
+	required(s, "listen.readiness", e.Listen.Readiness)
+	required(s, "listen.peers", e.Listen.Peers)
+	required(s, "store.address", e.Store.Address)
+	s.Check(e.Machine.MemoryMiB >= 32, "machine.memory_mib", "is too small", "32 or more")
+	s.Check(e.Machine.Descriptors >= 64, "machine.descriptors", "is too small", "64 or more")
+	s.Check(e.Stop.Grace >= time.Second, "stop.grace", "is too short", "1s or more")
+	s.Check(e.Retries.Window > 0, "retries.window", "is zero", "more than 0")
+	s.Check(e.Retries.Ratio >= 0 && e.Retries.Slack >= 0, "retries.ratio", "or slack is negative", "0 or more")
+	s.Check(e.Lease.Length >= 2*time.Second, "lease.length", "is too short", "2s or more: calls under it take up to 0.7s")
+	s.Check(e.Usage.Window > 0, "usage.window", "is zero", "more than 0")
+	oneOf(s, "log.level", e.Log.Level, logLevels)
+	oneOf(s, "trace.exporter", string(e.Trace.Exporter), []string{string(TraceNone), string(TraceStdout), string(TraceOTLP)})
+	return &e, s.Findings()
+}
