Quota: take the others' spending out in every round

Cause: a bucket was refreshed only when its account was asked for, so it filled to the brim first and then lost ten seconds of the others' spending at once (level -115,000 at a gateway while the account asked half of its rate). The rest of the 429 belong to an account that the operators cut far below its use.

--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -114,7 +114,7 @@
 		Pool: p.pool, Now: p.now, Log: p.log.Named("gossip"),
 	})
 	p.counter = metering.NewCounter(s.Usage.Window, p.trueTime)
-	p.keeper = quota.NewKeeper(p.quotaOthers, p.now())
+	p.keeper = quota.NewKeeper(quota.Tolerance{Window: s.Quota.Window, Overage: s.Quota.Overage, Slack: s.Quota.Slack}, p.quotaOthers, p.now())
 	p.chooser = placement.New(placement.Config{
 		Params: placement.DefaultParams(), Domain: s.Instance.FailureDomain, Log: p.log.Named("placement"),
 		View:     func() *directory.View { return p.board.upstreams.Value() },
@@ -257,6 +257,9 @@
 		p.ledger.Hear(lifeOf(&m.Report), m.Report.Began)
 	}
 	p.view.Store(v)
+	if table := p.table(); table != nil {
+		p.keeper.Tick(table.Accounts(), now)
+	}
 }
 
 // sweep closes what was idle too long.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -113,7 +113,7 @@
 		step := s.state.After(choice.Upstream, result, s.spend)
 		if result != Done {
 			s.f.cfg.Log.Info("attempt ended", "id", s.call.ID, "upstream", choice.Upstream, "why", choice.Why,
-				"result", result, "cause", s.reason, "next", step, "attempt", s.state.Attempts(),
+				"result", result.String(), "cause", s.reason, "next", step.String(), "attempt", s.state.Attempts(),
 				"left_ms", s.call.Remaining(s.f.cfg.Now()).Milliseconds())
 		}
 		if step != TryAnother && step != Resume {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -21,6 +21,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/finding"
 	"github.com/goldcrestspool/goldcrestspool/internal/forward"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/quota"
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
 )
 
@@ -49,7 +50,7 @@
 type Quota interface {
 	// Admit takes a cost out of an account's limit, or says when it may be
 	// there.
-	Admit(account *routetable.Account, cost float64, now time.Time) (ok bool, after time.Duration)
+	Admit(account *routetable.Account, cost float64, now time.Time) quota.Decision
 }
 
 // Forwarder takes a call to the upstreams.
@@ -218,9 +219,11 @@
 	}
 	if account != nil {
 		cost := account.Cost(parsed.Declared, parsed.PromptTokens+parsed.MostTokens)
-		if ok, after := s.cfg.Quota.Admit(account, cost, now); !ok {
+		if d := s.cfg.Quota.Admit(account, cost, now); !d.OK {
 			s.bodies.Add(-int64(len(call.Body)))
-			return call, &refusal{status: http.StatusTooManyRequests, reason: "the account's limit is reached", after: after}
+			s.cfg.Log.Info("account at its limit", "id", call.ID, "account", account.Name, "cost", cost, "rate", account.Rate,
+				"level", d.Level, "paced", d.Paced, "need", d.Need, "part", d.Part, "asked", d.Asked, "heard", d.Heard, "known", d.Known)
+			return call, &refusal{status: http.StatusTooManyRequests, reason: "the account's limit is reached", after: d.After}
 		}
 	}
 	return call, nil
@@ -355,7 +358,7 @@
 		return
 	}
 	s.cfg.Log.Info("request ended", "id", call.ID, "route", call.Route.Name, "account", call.Account, "service", call.Service.Name,
-		"step", outcome.Step, "status", outcome.Status, "reason", outcome.Reason, "attempts", outcome.Attempts, "upstreams", outcome.Tried,
+		"step", outcome.Step.String(), "status", outcome.Status, "reason", outcome.Reason, "attempts", outcome.Attempts, "upstreams", outcome.Tried,
 		"resumed", outcome.Resumed, "events", outcome.Events, "first_ms", outcome.FirstPart.Milliseconds(), "took_ms", took.Milliseconds(),
 		"prompt", call.PromptTokens, "most", call.MostTokens)
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -33,6 +33,23 @@
 	mostAfter  = 2 * time.Second
 )
 
+// Tolerance is by how much an account may exceed its limit in a window before it
+// counts as exceeded. Half of it serves callers, the other half is for what
+// gateways admit before they hear of each other.
+type Tolerance struct {
+	Window time.Duration
+	// Overage is a part of what the limit allows in a window, Slack an amount
+	// beside it, in the account's unit.
+	Overage, Slack float64
+}
+
+// tolerancePart of the tolerance is given to callers.
+const tolerancePart = 0.5
+
+// startPart of a bucket is filled at the start: what was admitted just before is
+// not known, and all gateways may have started together.
+const startPart = 0.25
+
 // Others is what the other gateways report of one account, since their starts.
 type Others struct {
 	// Fresh and Known count the gateways heard and those that may admit,
@@ -44,6 +61,7 @@
 
 // Keeper admits requests. It is safe for concurrent use.
 type Keeper struct {
+	tolerance Tolerance
 	// others returns the reports on an account.
 	others func(ident.ClientAccount) Others
 
@@ -91,51 +109,105 @@
 	return r.rate
 }
 
-// NewKeeper returns a keeper whose buckets begin empty: what was admitted before
-// a restart is not known.
-func NewKeeper(others func(ident.ClientAccount) Others, now time.Time) *Keeper {
-	return &Keeper{others: others, started: now, accounts: make(map[ident.ClientAccount]*account)}
+// NewKeeper returns a keeper that has admitted nothing.
+func NewKeeper(tolerance Tolerance, others func(ident.ClientAccount) Others, now time.Time) *Keeper {
+	return &Keeper{tolerance: tolerance, others: others, started: now, accounts: make(map[ident.ClientAccount]*account)}
 }
 
-// Admit implements ingress.Quota.
-func (k *Keeper) Admit(limit *routetable.Account, cost float64, now time.Time) (bool, time.Duration) {
+// Decision is whether a request is admitted, with what decided it.
+type Decision struct {
+	OK bool
+	// After is when a refused request may be admitted.
+	After time.Duration
+	// Level and Paced are what the buckets held, Need what the request needed.
+	Level, Paced, Need float64
+	// Part of what is asked of the gateways that is asked of this one, and what
+	// is asked of all of them a second.
+	Part, Asked float64
+	// Heard and Known count the gateways, with this one.
+	Heard, Known int
+}
+
+// Admit takes a request's cost out of its account's limit, or says when it may
+// be there.
+func (k *Keeper) Admit(limit *routetable.Account, cost float64, now time.Time) Decision {
 	if limit.Rate <= 0 {
-		return true, 0
+		return Decision{OK: true}
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	a := k.account(limit.Name)
-	a.asked += cost
 	others := k.others(limit.Name)
-	part := a.part(others, now)
-	a.refresh(limit, others, part, now)
-	heard := float64(others.Fresh+1) / float64(max(others.Known, others.Fresh)+1)
-	most := limit.Burst * heard
-	need := min(cost, most)
-	near := a.level-cost < limit.Rate*nearLimit.Seconds()
-	if a.level >= need && (!near || a.paced >= min(cost, a.mostPaced(limit, heard*part))) {
+	a := k.account(limit)
+	a.asked += cost
+	f := k.refresh(a, limit, others, now)
+	rate, part, asked := f.rate, f.part, f.asked
+	need := min(cost, f.burst)
+	d := Decision{
+		Level: a.level, Paced: a.paced, Need: need, Part: part, Asked: asked,
+		Heard: others.Fresh + 1, Known: max(others.Known, others.Fresh) + 1,
+	}
+	near := asked > paceAbove*rate && a.level-cost < limit.Rate*nearLimit.Seconds()
+	if a.level >= need && (!near || a.paced >= min(cost, mostPaced(rate, part))) {
 		a.level -= cost
 		a.paced -= cost
 		a.spent += cost
-		return true, 0
+		d.OK = true
+		return d
 	}
-	missing := max(need-a.level, cost-a.paced, 0)
-	after := time.Duration(missing / (limit.Rate * heard) * float64(time.Second))
-	return false, min(max(after, leastAfter), mostAfter)
+	missing := need - a.level
+	if near {
+		missing = max(missing, (min(cost, mostPaced(rate, part))-a.paced)/part)
+	}
+	after := time.Duration(missing / rate * float64(time.Second))
+	d.After = min(max(after, leastAfter), mostAfter)
+	return d
 }
 
-func (k *Keeper) account(name ident.ClientAccount) *account {
-	a := k.accounts[name]
+// paceAbove is the part of the rate above which what callers ask is paced near
+// the limit. Below it the bucket fills faster than it is emptied.
+const paceAbove = 0.9
+
+// burst is how much an account may save up.
+func (k *Keeper) burst(limit *routetable.Account) float64 {
+	t := k.tolerance
+	beyond := t.Overage*(limit.Rate*t.Window.Seconds()+limit.Burst) + t.Slack
+	return limit.Burst + tolerancePart*beyond
+}
+
+// Tick takes in what the other gateways reported, for all accounts. Call it with
+// every round of reports: a bucket that is seldom looked at would fill to its
+// brim first and then lose all that others spent in the meantime at once.
+func (k *Keeper) Tick(limits []routetable.Account, now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for i := range limits {
+		if limit := &limits[i]; limit.Rate > 0 {
+			k.refresh(k.account(limit), limit, k.others(limit.Name), now)
+		}
+	}
+}
+
+func (k *Keeper) account(limit *routetable.Account) *account {
+	a := k.accounts[limit.Name]
 	if a == nil {
-		a = &account{filled: k.started, seen: make(map[string]float64), theirs: make(map[string]*rateOf)}
-		k.accounts[name] = a
+		a = &account{level: startPart * k.burst(limit), filled: k.started, seen: make(map[string]float64), theirs: make(map[string]*rateOf)}
+		k.accounts[limit.Name] = a
 	}
 	return a
 }
 
+// filling is what a gateway may use of an account's limit now.
+type filling struct {
+	// rate and burst of the gateways that are heard, together.
+	rate, burst float64
+	// part of this gateway in what is asked of them, and asked all of it.
+	part, asked float64
+}
+
 // part is how much of what is asked of the gateways that are heard is asked of
-// this one, never less than a tenth of an even part.
-func (a *account) part(others Others, now time.Time) float64 {
+// this one, never less than a tenth of an even part; and how much is asked of
+// all of them, a second.
+func (a *account) part(others Others, now time.Time) (part, all float64) {
 	own := a.own.update(a.asked, now)
 	sum := own
 	for gateway, asked := range others.Asked {
@@ -153,24 +225,30 @@
 	}
 	even := 1 / float64(others.Fresh+1)
 	if sum <= 0 {
-		return even
+		return even, 0
 	}
-	return max(own/sum, even/10)
+	return max(own/sum, even/10), sum
 }
 
 // mostPaced is how much a gateway may save up near the limit.
-func (a *account) mostPaced(limit *routetable.Account, part float64) float64 {
-	return limit.Rate * part * pacedBurst.Seconds()
-}
+func mostPaced(rate, part float64) float64 { return rate * part * pacedBurst.Seconds() }
 
-// refresh fills the buckets, and takes out what others spent.
-func (a *account) refresh(limit *routetable.Account, others Others, part float64, now time.Time) {
+// refresh fills an account's buckets, and takes out what others spent.
+func (k *Keeper) refresh(a *account, limit *routetable.Account, others Others, now time.Time) filling {
 	heard := float64(others.Fresh+1) / float64(max(others.Known, others.Fresh)+1)
+	f := filling{rate: limit.Rate * heard, burst: k.burst(limit) * heard}
+	f.part, f.asked = a.part(others, now)
 	if elapsed := now.Sub(a.filled).Seconds(); elapsed > 0 {
-		a.level = min(a.level+limit.Rate*heard*elapsed, limit.Burst*heard)
-		a.paced = min(a.paced+limit.Rate*heard*part*elapsed, max(a.mostPaced(limit, heard*part), 0))
+		a.level = min(a.level+f.rate*elapsed, f.burst)
+		a.paced = min(a.paced+f.rate*f.part*elapsed, mostPaced(f.rate, f.part))
 		a.filled = now
 	}
+	a.takeOut(others)
+	return f
+}
+
+// takeOut takes what the other gateways spent since their last reports out.
+func (a *account) takeOut(others Others) {
 	for gateway := range a.seen {
 		if _, heard := others.Spent[gateway]; !heard {
 			// While it is not heard, its part is not filled in; what it spends
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -22,6 +22,7 @@
 	Machine  Machine     `toml:"machine"`
 	Stop     EntryStop   `toml:"stop"`
 	Retries  Retries     `toml:"retries"`
+	Quota    EntryQuota  `toml:"quota"`
 	Lease    EntryLease  `toml:"lease"`
 	Usage    Usage       `toml:"usage"`
 	Log      Log         `toml:"log"`
@@ -75,6 +76,14 @@
 	Slack  float64       `toml:"slack"`
 }
 
+// EntryQuota is by how much accounts may exceed their limits in a window.
+type EntryQuota struct {
+	Window  time.Duration `toml:"window"`
+	Overage float64       `toml:"overage"`
+	// Slack is in the accounts' unit.
+	Slack float64 `toml:"slack"`
+}
+
 // EntryLease is how long a duty stays taken.
 type EntryLease struct {
 	// Length: a holder that is silent for so long has lost the duty.
@@ -93,6 +102,7 @@
 		Machine: Machine{MemoryMiB: 256, Descriptors: 1024},
 		Stop:    EntryStop{Grace: 8 * time.Second},
 		Retries: Retries{Ratio: 0.2, Window: 10 * time.Second, Slack: 50},
+		Quota:   EntryQuota{Window: 10 * time.Second, Overage: 0.05},
 		Lease:   EntryLease{Length: 3 * time.Second},
 		Usage:   Usage{Window: 5 * time.Second, DueAfter: 10 * time.Second},
 		Log:     Log{Level: "info", Format: LogJSON},
@@ -125,6 +135,8 @@
 	s.Check(e.Stop.Grace >= time.Second, "stop.grace", "is too short", "1s or more")
 	s.Check(e.Retries.Window > 0, "retries.window", "is zero", "more than 0")
 	s.Check(e.Retries.Ratio >= 0 && e.Retries.Slack >= 0, "retries.ratio", "or slack is negative", "0 or more")
+	s.Check(e.Quota.Window > 0, "quota.window", "is zero", "more than 0")
+	s.Check(e.Quota.Overage >= 0 && e.Quota.Slack >= 0, "quota.overage", "or slack is negative", "0 or more")
 	s.Check(e.Lease.Length >= 2*time.Second, "lease.length", "is too short", "2s or more: calls under it take up to 0.7s")
 	s.Check(e.Usage.Window > 0, "usage.window", "is zero", "more than 0")
 	oneOf(s, "log.level", e.Log.Level, logLevels)
