--- /dev/null
+++ b/internal/duty/lease.go
@@ -0,0 +1,224 @@
+// Package duty decides which gateway carries the duties that only one may have
+// at a time, by a lease kept in the platform's store.
+//
+// The lease is one record that is replaced only under the condition that nothing
+// was written since it was read, so that of two gateways that want it one
+// succeeds. The offset of a claim is its fencing number: later holders have
+// higher ones. The record also carries what the holder has decided for good, so
+// that a successor repeats decisions exactly.
+package duty
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+// Record is the lease as it stands in the store.
+type Record struct {
+	Holder ident.Instance    `json:"holder"`
+	Life   ident.Incarnation `json:"life"`
+	// Claim identifies the claim that the record belongs to.
+	Claim string `json:"claim"`
+	// Fence is the fencing number; 0 in the claim itself, whose offset gives it.
+	Fence ident.Fence `json:"fence,omitempty"`
+	// Released: the holder gave it up and calls no more.
+	Released bool `json:"released,omitempty"`
+	// Before is who held it before the holder.
+	Before ident.Instance `json:"before,omitempty"`
+	// Decided is what holders decided for good.
+	Decided json.RawMessage `json:"decided,omitempty"`
+}
+
+// Timing bounds a lease. All are measured by a clock that counts suspensions.
+type Timing struct {
+	// Length: a lease whose record did not change for so long may be claimed.
+	Length time.Duration
+	// Margin is by how much a holder stops before that.
+	Margin time.Duration
+	// RenewEvery is the time between two renewals.
+	RenewEvery time.Duration
+	// RankDelay is how much longer each further candidate waits.
+	RankDelay time.Duration
+}
+
+// NewTiming returns the timing of a lease of a length. A holder survives one lost
+// renewal.
+func NewTiming(length, flight time.Duration) Timing {
+	const (
+		// slack covers the rounding of clocks and the process's own delays.
+		slack = 300 * time.Millisecond
+	)
+	// The platform counts a return of the duty to its last holder within the
+	// length as a fault, so that the lease itself is longer.
+	length += flight + slack
+	margin := flight + slack
+	return Timing{Length: length, Margin: margin, RenewEvery: (length - margin) / 2, RankDelay: 500 * time.Millisecond}
+}
+
+// State is what a gateway knows of the lease. It does no I/O.
+type State struct {
+	self ident.Instance
+	life ident.Incarnation
+
+	known bool
+	// record is the newest one read, at offset; end is what a condition names.
+	record Record
+	some   bool
+	offset ident.Offset
+	end    ident.Offset
+	// seenAt is when the record was first seen.
+	seenAt time.Time
+	// claim is this gateway's claim, begun at started; fence is 0 until the
+	// claim was seen in the store.
+	claim   string
+	started time.Time
+	fence   ident.Fence
+	dropped bool
+}
+
+// NewState returns a state that knows nothing.
+func NewState(self ident.Instance, life ident.Incarnation) *State {
+	return &State{self: self, life: life}
+}
+
+// Read takes in the newest record, or that there is none, as read at an instant.
+func (s *State) Read(record *Record, offset, end ident.Offset, now time.Time) {
+	changed := !s.known || s.some != (record != nil) || s.offset != offset
+	if s.known && end < s.end {
+		return // a read that was behind
+	}
+	s.known, s.end = true, end
+	if record == nil {
+		if changed {
+			s.seenAt = now
+		}
+		s.some = false
+		return
+	}
+	s.some, s.offset, s.record = true, offset, *record
+	if changed {
+		s.seenAt = now
+	}
+	if s.claim != "" && record.Claim != s.claim {
+		s.forgetClaim()
+	}
+	if s.claim != "" && s.fence == 0 {
+		s.fence = fenceOf(*record, offset)
+	}
+}
+
+// fenceOf returns a record's fencing number. Offsets count from 0, and 0 means
+// none.
+func fenceOf(r Record, offset ident.Offset) ident.Fence {
+	if r.Fence != 0 {
+		return r.Fence
+	}
+	return ident.Fence(offset) + 1
+}
+
+func (s *State) forgetClaim() { s.claim, s.fence, s.started, s.dropped = "", 0, time.Time{}, false }
+
+// Drop gives the duties up at once, because a call showed a later holder.
+func (s *State) Drop() { s.dropped = true }
+
+// Deadline is when this gateway must stop to act; zero if it does not hold the
+// lease.
+func (s *State) Deadline(t Timing) time.Time {
+	if s.claim == "" || s.fence == 0 || s.dropped || s.record.Released {
+		return time.Time{}
+	}
+	return s.started.Add(t.Length - t.Margin)
+}
+
+// Action is what to write next.
+type Action int
+
+// The actions.
+const (
+	// Wait: nothing is due.
+	Wait Action = iota
+	// Claim the lease.
+	Claim
+	// Renew it.
+	Renew
+)
+
+// Due returns what is due now for a candidate of a rank.
+func (s *State) Due(t Timing, rank int, now time.Time) Action {
+	if !s.known {
+		return Wait
+	}
+	if deadline := s.Deadline(t); !deadline.IsZero() && now.Before(deadline) {
+		if now.Sub(s.started) >= t.RenewEvery {
+			return Renew
+		}
+		return Wait
+	}
+	if s.claimable(t, rank, now) {
+		return Claim
+	}
+	return Wait
+}
+
+// claimable reports whether nobody can act under the newest record any more.
+func (s *State) claimable(t Timing, rank int, now time.Time) bool {
+	waited := now.Sub(s.seenAt)
+	delay := time.Duration(rank) * t.RankDelay
+	switch {
+	case !s.some:
+		return waited >= delay
+	case s.record.Released && s.record.Before != s.self && s.record.Holder != s.self:
+		return waited >= delay
+	case s.claim != "" && s.record.Claim == s.claim:
+		// Its own lease, run out or refused: a new claim has a higher fence.
+		return !s.dropped || waited >= t.Length
+	}
+	return waited > t.Length+delay
+}
+
+// Next returns the record to write for an action, and the end that must not have
+// moved. It must be called right before the write, with the present: the
+// deadline counts from here.
+func (s *State) Next(action Action, claim string, decided json.RawMessage, now time.Time) (Record, ident.Offset) {
+	r := Record{Holder: s.self, Life: s.life, Decided: decided}
+	if decided == nil {
+		r.Decided = s.record.Decided
+	}
+	if action == Claim {
+		s.forgetClaim()
+		s.claim = claim
+		r.Before = s.record.Holder
+	} else {
+		r.Fence, r.Before = s.fence, s.record.Before
+	}
+	s.started = now
+	r.Claim = s.claim
+	return r, s.end
+}
+
+// Written notes that a record was written at an offset.
+func (s *State) Written(r Record, offset ident.Offset, now time.Time) {
+	s.some, s.record, s.offset, s.end, s.seenAt = true, r, offset, offset+1, now
+	if s.claim == r.Claim && s.fence == 0 {
+		s.fence = fenceOf(r, offset)
+	}
+}
+
+// Conflict notes that something else was written meanwhile: what is known is old.
+func (s *State) Conflict(before time.Time) {
+	s.known = false
+	s.started = before
+}
+
+// Release returns the record that gives the lease up, or false where it is not
+// held.
+func (s *State) Release(t Timing, now time.Time) (Record, ident.Offset, bool) {
+	if deadline := s.Deadline(t); deadline.IsZero() || !now.Before(deadline) {
+		return Record{}, 0, false
+	}
+	r := s.record
+	r.Fence, r.Released = s.fence, true
+	return r, s.end, true
+}
--- /dev/null
+++ b/internal/duty/manager.go
@@ -0,0 +1,262 @@
+package duty
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	pkgerrors "github.com/pkg/errors"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+)
+
+const (
+	// Topic and key of the lease in the platform's store.
+	Topic = "keyed.duties"
+	key   = "entry"
+	// step is how often a candidate looks whether something is due.
+	step = 100 * time.Millisecond
+	// readEvery is how often a candidate reads the lease when it does not hear
+	// of a holder.
+	readEvery = 700 * time.Millisecond
+	// candidates is how many gateways watch the lease: enough for two that are
+	// lost together with the holder.
+	candidates = 3
+)
+
+// ErrNotHeld: this gateway does not hold the lease now.
+var ErrNotHeld = errors.New("the lease is not held")
+
+// Config is what a Manager works with.
+type Config struct {
+	Self   ident.Instance
+	Life   ident.Incarnation
+	Timing Timing
+	Store  platform.KeyedLog
+	Now    boottime.Clock
+	Log    hclog.Logger
+	// Rank is this gateway's place among the candidates, from 0, and whether
+	// another gateway says that it holds the lease.
+	Rank func() (rank int, held bool)
+}
+
+// Manager keeps the lease. It is safe for concurrent use.
+type Manager struct {
+	cfg Config
+
+	// writing is held during a write, so that a commit and a renewal never
+	// write under the same condition.
+	writing sync.Mutex
+
+	mu     sync.Mutex
+	state  *State
+	readAt time.Time
+	held   bool
+}
+
+// NewManager returns a manager that holds nothing.
+func NewManager(cfg Config) *Manager {
+	return &Manager{cfg: cfg, state: NewState(cfg.Self, cfg.Life)}
+}
+
+// Grant is the right to make one call. Its deadline leaves time for the call's
+// flight.
+type Grant struct {
+	Fence    ident.Fence
+	Deadline time.Time
+}
+
+// Grant returns the right to call now.
+func (m *Manager) Grant() (Grant, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	deadline := m.state.Deadline(m.cfg.Timing)
+	if deadline.IsZero() || !m.cfg.Now().Before(deadline) {
+		return Grant{}, false
+	}
+	return Grant{Fence: m.state.fence, Deadline: deadline}, true
+}
+
+// Refused notes that a call was refused because a later holder has called.
+func (m *Manager) Refused(fence ident.Fence) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.state.fence == fence {
+		m.state.Drop()
+		m.cfg.Log.Warn("lease given up, a later holder has called", "fence", fence)
+	}
+}
+
+// Decided returns what holders decided for good, as far as it is known here.
+func (m *Manager) Decided() json.RawMessage {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.record.Decided
+}
+
+// Run keeps the lease until ctx ends, and then releases it.
+func (m *Manager) Run(ctx context.Context) {
+	ticker := time.NewTicker(step)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			m.release()
+			return
+		case <-ticker.C:
+		}
+		m.tick(ctx)
+		m.note()
+	}
+}
+
+// tick reads what is new where that matters, and writes what is due.
+func (m *Manager) tick(ctx context.Context) {
+	rank, heard := m.cfg.Rank()
+	now := m.cfg.Now()
+	_, holding := m.Grant()
+	if !holding && (heard || rank >= candidates) {
+		m.mu.Lock()
+		// A holder is heard: what was read before says nothing about how long
+		// its record has stood.
+		m.state.known = false
+		m.mu.Unlock()
+		return
+	}
+	m.mu.Lock()
+	stale := !m.state.known || !holding && now.Sub(m.readAt) >= readEvery
+	m.mu.Unlock()
+	if stale {
+		if err := m.read(ctx); err != nil {
+			m.cfg.Log.Debug("lease not read", "error", err)
+			return
+		}
+	}
+	m.mu.Lock()
+	action := m.state.Due(m.cfg.Timing, rank, m.cfg.Now())
+	m.mu.Unlock()
+	if action == Wait {
+		return
+	}
+	if err := m.write(ctx, action, nil); err != nil {
+		m.cfg.Log.Info("lease not written", "action", int(action), "error", err)
+	}
+}
+
+// read reads the lease's record.
+func (m *Manager) read(ctx context.Context) error {
+	batch, err := m.cfg.Store.Newest(ctx, Topic)
+	if err != nil {
+		return err
+	}
+	var newest *Record
+	var offset ident.Offset
+	for _, r := range batch.Records {
+		if r.Key != key || r.Value == nil {
+			continue
+		}
+		var record Record
+		if err := json.Unmarshal(r.Value, &record); err != nil {
+			return pkgerrors.Wrapf(err, "lease record at %d", r.Offset)
+		}
+		newest, offset = &record, r.Offset
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.readAt = m.cfg.Now()
+	m.state.Read(newest, offset, batch.End, m.readAt)
+	return nil
+}
+
+// Commit writes a decision under the lease. Without an error it stands, and every
+// later holder knows it. After an error it may stand or not: read Decided later.
+func (m *Manager) Commit(ctx context.Context, decided json.RawMessage) error {
+	if _, holds := m.Grant(); !holds {
+		return ErrNotHeld
+	}
+	return m.write(ctx, Renew, decided)
+}
+
+// write writes the lease's next record.
+func (m *Manager) write(ctx context.Context, action Action, decided json.RawMessage) error {
+	m.writing.Lock()
+	defer m.writing.Unlock()
+	m.mu.Lock()
+	before := m.state.started
+	if action == Renew && (m.state.claim == "" || m.state.fence == 0 || !m.state.known) {
+		m.mu.Unlock()
+		return ErrNotHeld
+	}
+	record, condition := m.state.Next(action, uuid.NewString(), decided, m.cfg.Now())
+	m.mu.Unlock()
+	data, err := json.Marshal(record)
+	if err != nil {
+		return pkgerrors.Wrap(err, "encode lease record")
+	}
+	offset, err := m.cfg.Store.Put(ctx, Topic, key, data, &condition)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case err == nil:
+		m.state.Written(record, offset, m.cfg.Now())
+	case action == Claim && errors.Is(err, platform.ErrAnswerLost):
+		// It may be there now or later: the next read tells, and the deadline
+		// counts from before the write.
+		m.state.known = false
+	default:
+		// What was not written, or is not known to be, extends nothing.
+		m.state.Conflict(before)
+		if action == Claim {
+			m.state.forgetClaim()
+		}
+	}
+	return err
+}
+
+// note logs when the lease is taken or lost.
+func (m *Manager) note() {
+	grant, held := m.Grant()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if held == m.held {
+		return
+	}
+	m.held = held
+	if held {
+		m.cfg.Log.Info("lease held", "fence", grant.Fence, "before", m.state.record.Before)
+	} else {
+		m.cfg.Log.Info("lease lost", "holder", m.state.record.Holder, "dropped", m.state.dropped)
+	}
+}
+
+// release gives the lease up, so that a successor need not wait for its length.
+// Calls under it must have ended.
+func (m *Manager) release() {
+	m.writing.Lock()
+	defer m.writing.Unlock()
+	m.mu.Lock()
+	record, condition, holds := m.state.Release(m.cfg.Timing, m.cfg.Now())
+	m.state.Drop()
+	m.mu.Unlock()
+	if !holds {
+		return
+	}
+	data, err := json.Marshal(record)
+	if err != nil {
+		m.cfg.Log.Error("release not encoded", "error", err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), step*5)
+	defer cancel()
+	if _, err := m.cfg.Store.Put(ctx, Topic, key, data, &condition); err != nil {
+		m.cfg.Log.Info("lease not released, it runs out", "error", err)
+		return
+	}
+	m.cfg.Log.Info("lease released", "fence", record.Fence)
+}
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -17,6 +17,7 @@
 
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
 	"github.com/goldcrestspool/goldcrestspool/internal/directory"
+	"github.com/goldcrestspool/goldcrestspool/internal/duty"
 	"github.com/goldcrestspool/goldcrestspool/internal/forward"
 	"github.com/goldcrestspool/goldcrestspool/internal/gossip"
 	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
@@ -66,6 +67,7 @@
 	peers         *gossip.Table
 	gossip        *gossip.Gossip
 	chooser       *placement.Chooser
+	lease         *duty.Manager
 	keeper        *quota.Keeper
 	counter       *metering.Counter
 	ledger        *metering.Ledger
@@ -126,6 +128,7 @@
 		Budget: retry.NewShared(retry.SharedConfig{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window}, p.gateways),
 		Meter:  p.counter, Log: p.log.Named("forward"), Tracer: p.tracing.Tracer, RetryAfter: retryAfter,
 	})
+	p.lease = p.newLease()
 	p.callers = ingress.New(ingress.Config{
 		Now: p.now, Table: p.table, Protocol: p.ports.Protocol, Quota: p.keeper, Forwarder: forwarder,
 		Log: p.log.Named("ingress"), Tracer: p.tracing.Tracer, Metrics: p.metrics,
@@ -256,6 +259,7 @@
 	for _, m := range p.peers.Members() {
 		p.ledger.Hear(lifeOf(&m.Report), m.Report.Began)
 	}
+	p.ledger.Hear("", p.counter.Windows())
 	p.view.Store(v)
 	if table := p.table(); table != nil {
 		p.keeper.Tick(table.Accounts(), now)
@@ -303,6 +307,8 @@
 		r.Loads[id] = [2]int{load.Running, load.Unread}
 	}
 	r.Spent, r.Asked = p.keeper.Totals()
+	r.Work = p.work(now)
+	_, r.Holds = p.lease.Grant()
 	return r
 }
 
--- a/internal/gossip/types.go
+++ b/internal/gossip/types.go
@@ -27,6 +27,8 @@
 	Ready bool `json:"ready,omitempty"`
 	// Leaving: it was told to stop.
 	Leaving bool `json:"leaving,omitempty"`
+	// Holds: it holds the lease of the duties.
+	Holds bool `json:"holds,omitempty"`
 	// Revision of the configuration, and the offset up to which it knows the
 	// upstreams' entries.
 	Revision  ident.Revision `json:"rev,omitempty"`
@@ -51,9 +53,6 @@
 	// requests in progress.
 	Prompt  float64 `json:"p"`
 	Running float64 `json:"r"`
-	// Waited is the longest time to a first event in the last second, as a
-	// part of its objective.
-	Waited float64 `json:"w,omitempty"`
 }
 
 // Contact is where a gateway can be reached.
--- /dev/null
+++ b/internal/metering/reporter.go
@@ -0,0 +1,156 @@
+package metering
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/duty"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+)
+
+// Decision is what holders decided for good: the reports of the newest windows.
+// A window's counts never change once they stand here, so that two holders never
+// report different ones.
+type Decision struct {
+	Windows map[int64]Counts `json:"windows"`
+}
+
+const (
+	// settleFor is how long after a window's end its counts are decided: the
+	// gateways' reports take a round of 250 ms, and a slowed one a second.
+	settleFor = 2500 * time.Millisecond
+	// decidedKept is how many decided windows stay on record: the report of one
+	// is due 10 s after its end, and the users' windows take 5 s.
+	decidedKept = 6
+	// repeatWithin is for how many of the newest windows a new holder repeats
+	// the report, because it does not know whether it was sent.
+	repeatWithin = 3
+	// mostBehind is how many windows a new holder reports that nobody decided.
+	mostBehind = 4
+)
+
+// Leases is what a reporter needs of the lease.
+type Leases interface {
+	Grant() (duty.Grant, bool)
+	Refused(ident.Fence)
+	Decided() json.RawMessage
+	Commit(context.Context, json.RawMessage) error
+}
+
+// Reporter reports usage while this gateway holds the lease.
+type Reporter struct {
+	Length   time.Duration
+	TrueTime func() time.Time
+	Ledger   *Ledger
+	Leases   Leases
+	Duties   platform.Duties
+	Log      hclog.Logger
+
+	// sent are the windows reported under a fence.
+	sent  map[int64]bool
+	fence ident.Fence
+}
+
+// Step decides and reports what is due.
+func (r *Reporter) Step(ctx context.Context) {
+	grant, holds := r.Leases.Grant()
+	if !holds {
+		return
+	}
+	if grant.Fence != r.fence || r.sent == nil {
+		r.fence, r.sent = grant.Fence, make(map[int64]bool)
+	}
+	decision, err := readDecision(r.Leases.Decided())
+	if err != nil {
+		r.Log.Error("decided usage not readable, it is decided anew", "error", err)
+	}
+	if next, changed := r.decide(decision); changed {
+		data, err := json.Marshal(next)
+		if err != nil {
+			r.Log.Error("usage not encoded", "error", err)
+			return
+		}
+		if err := r.Leases.Commit(ctx, data); err != nil {
+			r.Log.Info("usage not decided", "error", err)
+			return
+		}
+		decision = next
+	}
+	r.send(ctx, decision)
+}
+
+func readDecision(data json.RawMessage) (Decision, error) {
+	d := Decision{Windows: make(map[int64]Counts)}
+	if len(data) == 0 {
+		return d, nil
+	}
+	err := json.Unmarshal(data, &d)
+	if d.Windows == nil {
+		d.Windows = make(map[int64]Counts)
+	}
+	return d, err
+}
+
+// decide adds the windows whose counts have settled.
+func (r *Reporter) decide(d Decision) (Decision, bool) {
+	last := Window(r.TrueTime().Add(-settleFor), r.Length) - 1
+	next := Decision{Windows: maps.Clone(d.Windows)}
+	changed := false
+	for window := last - mostBehind; window <= last; window++ {
+		if _, decided := next.Windows[window]; decided || !r.follows(d, window) {
+			continue
+		}
+		next.Windows[window] = r.Ledger.Sum(window)
+		changed = true
+	}
+	for _, window := range slices.Sorted(maps.Keys(next.Windows)) {
+		if len(next.Windows) > decidedKept {
+			delete(next.Windows, window)
+		}
+	}
+	return next, changed
+}
+
+// follows reports whether a window is later than all that were decided. Earlier
+// ones may have been reported and forgotten. Before the first counts there is
+// nothing to report.
+func (r *Reporter) follows(d Decision, window int64) bool {
+	if len(d.Windows) == 0 {
+		return len(r.Ledger.Sum(window)) > 0
+	}
+	return window > slices.Max(slices.Collect(maps.Keys(d.Windows)))
+}
+
+// send reports the newest windows that were not reported under this fence. An
+// exact repeat of an earlier holder's report changes nothing.
+func (r *Reporter) send(ctx context.Context, d Decision) {
+	windows := slices.Sorted(maps.Keys(d.Windows))
+	for _, window := range windows[max(0, len(windows)-repeatWithin):] {
+		if r.sent[window] {
+			continue
+		}
+		grant, holds := r.Leases.Grant()
+		if !holds || grant.Fence != r.fence {
+			return
+		}
+		err := r.Duties.Report(ctx, grant.Fence, platform.UsageReport{Window: window, Counts: d.Windows[window]})
+		switch {
+		case err == nil:
+			r.sent[window] = true
+			r.Log.Info("usage reported", "window", window, "accounts", len(d.Windows[window]), "fence", grant.Fence)
+		case errors.Is(err, platform.ErrOldFence):
+			r.Leases.Refused(grant.Fence)
+			return
+		default:
+			r.Log.Info("usage not reported, it is tried again", "window", window, "error", err)
+			return
+		}
+	}
+}
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -84,6 +84,7 @@
 	sets     map[ident.Service]*ejection.Set
 	learned  map[ident.Service]*timing
 	reported map[ident.Instance]ejection.State
+	work     map[ident.Service]*workOf
 }
 
 // own is what this gateway has at an upstream.
@@ -121,6 +122,7 @@
 	return &Chooser{
 		cfg: cfg, own: make(map[ident.Instance]*own), sets: make(map[ident.Service]*ejection.Set),
 		learned: make(map[ident.Service]*timing), reported: make(map[ident.Instance]ejection.State),
+		work: make(map[ident.Service]*workOf),
 	}
 }
 
@@ -155,6 +157,7 @@
 	set.Started(now, best.upstream.ID)
 	best.own.load.Running++
 	best.own.load.Unread += best.uncached
+	c.workAt(call.Service.Name).began(best.uncached, now)
 	t := c.timing(call.Service.Name)
 	return forward.Choice{
 		Upstream:       best.upstream.ID,
@@ -312,6 +315,7 @@
 	p := choice.Place.(*place)
 	o := c.ownAt(choice.Upstream)
 	o.load.Running--
+	c.workAt(p.service).ended(now)
 	if !p.began {
 		o.load.Unread -= p.unread
 	}
--- /dev/null
+++ b/internal/routing/placement/work.go
@@ -0,0 +1,67 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+// workMemory is over how long the work of a service is averaged: two or three
+// seconds show a burst before its queues have grown.
+const workMemory = 2500 * time.Millisecond
+
+// workOf is the work that this gateway asks of a service.
+type workOf struct {
+	// prompt is tokens to be read a second, running the mean number of requests
+	// in progress; both decay.
+	prompt, running float64
+	inProgress      int
+	at              time.Time
+}
+
+// moveTo lets time pass.
+func (w *workOf) moveTo(now time.Time) {
+	elapsed := now.Sub(w.at)
+	if elapsed <= 0 {
+		return
+	}
+	keep := math.Exp(-elapsed.Seconds() / workMemory.Seconds())
+	w.prompt *= keep
+	w.running = w.running*keep + float64(w.inProgress)*(1-keep)
+	w.at = now
+}
+
+// began notes a request that is sent, with the tokens to be read.
+func (w *workOf) began(tokens int, now time.Time) {
+	w.moveTo(now)
+	w.prompt += float64(tokens) / workMemory.Seconds()
+	w.inProgress++
+}
+
+func (w *workOf) ended(now time.Time) {
+	w.moveTo(now)
+	w.inProgress--
+}
+
+// Work returns how many prompt tokens a second this gateway asks a service to
+// read, and how many of its requests are in progress on average.
+func (c *Chooser) Work(service ident.Service, now time.Time) (prompt, running float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.workAt(service)
+	w.moveTo(now)
+	return w.prompt, w.running
+}
+
+func (c *Chooser) workAt(service ident.Service) *workOf {
+	w := c.work[service]
+	if w == nil {
+		w = &workOf{}
+		c.work[service] = w
+	}
+	return w
+}
+
+// Params returns the weights of the choice.
+func (c *Chooser) Params() Params { return c.cfg.Params }
--- /dev/null
+++ b/internal/scaling/controller.go
@@ -0,0 +1,202 @@
+package scaling
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
+	"github.com/goldcrestspool/goldcrestspool/internal/directory"
+	"github.com/goldcrestspool/goldcrestspool/internal/duty"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
+)
+
+const (
+	// shrinkAfter is for how long less must be wanted before upstreams are given
+	// up: as long as a wave of the users' traffic takes from its middle to its
+	// top, so that what is given up is not wanted back at once.
+	shrinkAfter = 8 * time.Second
+	// closedFor is for how long a slot counts as closed after an order was
+	// turned down or its upstreams were reclaimed.
+	closedFor = 4 * time.Second
+	// showSlack is how much longer than their start new upstreams may take to
+	// be listed before the order is repeated.
+	showSlack = 3 * time.Second
+	// settleAfter is how long a new holder watches before it orders less than
+	// there is.
+	settleAfter = 3 * time.Second
+)
+
+// Leases is what a controller needs of the lease.
+type Leases interface {
+	Grant() (duty.Grant, bool)
+	Refused(ident.Fence)
+}
+
+// Controller orders upstreams of the services that have a scale.
+type Controller struct {
+	Now    boottime.Clock
+	Table  func() *routetable.Table
+	View   func() *directory.View
+	Need   func(*routetable.Service) float64
+	Leases Leases
+	Duties platform.Duties
+	Log    hclog.Logger
+
+	fence    ident.Fence
+	since    time.Time
+	services map[ident.Service]*service
+}
+
+// service is what a holder remembers of one service.
+type service struct {
+	// orders are the newest ones, by slot.
+	orders map[Slot]*order
+	closed map[Slot]time.Time
+	// less is since when less than ordered was wanted, by slot.
+	less map[Slot]time.Time
+	// leaving are upstreams whose reclaim was seen.
+	leaving map[ident.Instance]bool
+}
+
+type order struct {
+	wanted int
+	// answered: the platform took it.
+	answered bool
+	at       time.Time
+}
+
+// Step orders what is due.
+func (c *Controller) Step(ctx context.Context) {
+	grant, holds := c.Leases.Grant()
+	table := c.Table()
+	if !holds || table == nil {
+		return
+	}
+	now := c.Now()
+	if grant.Fence != c.fence || c.services == nil {
+		c.fence, c.since, c.services = grant.Fence, now, make(map[ident.Service]*service)
+	}
+	for i := range table.Services() {
+		if s := &table.Services()[i]; s.Scale != nil {
+			c.step(ctx, s, now)
+		}
+	}
+}
+
+func (c *Controller) step(ctx context.Context, s *routetable.Service, now time.Time) {
+	state := c.services[s.Name]
+	if state == nil {
+		state = &service{orders: make(map[Slot]*order), closed: make(map[Slot]time.Time), less: make(map[Slot]time.Time), leaving: make(map[ident.Instance]bool)}
+		c.services[s.Name] = state
+	}
+	serving := c.count(s.Name, state, now)
+	need := c.Need(s)
+	closed := make(map[Slot]bool)
+	for slot, until := range state.closed {
+		closed[slot] = now.Before(until)
+	}
+	wanted := Plan(Situation{Scale: s.Scale, Need: need, Serving: serving, Closed: closed})
+	total := 0
+	for _, n := range serving {
+		total += n
+	}
+	for slot, n := range wanted {
+		if !c.due(s, state, slot, n, serving, total, need, now) {
+			continue
+		}
+		if !c.send(ctx, s, state, slot, n, serving[slot], need, now) {
+			return
+		}
+	}
+}
+
+// count counts the ready upstreams, and closes slots whose upstreams are being
+// reclaimed.
+func (c *Controller) count(name ident.Service, state *service, now time.Time) map[Slot]int {
+	serving := make(map[Slot]int)
+	for _, u := range c.View().Of(name) {
+		slot := Slot{u.FailureDomain, u.Reclaimable}
+		if u.State == directory.Ready {
+			serving[slot]++
+			continue
+		}
+		if u.Reclaimable && u.LeavesIn > 0 && !state.leaving[u.ID] {
+			state.leaving[u.ID] = true
+			state.closed[slot] = now.Add(closedFor)
+			c.Log.Info("upstream is reclaimed", "upstream", u.ID, "domain", u.FailureDomain, "leaves_ms", u.LeavesIn.Milliseconds())
+		}
+	}
+	return serving
+}
+
+// due reports whether an order must be sent for a slot.
+func (c *Controller) due(s *routetable.Service, state *service, slot Slot, wanted int, serving map[Slot]int, total int, need float64, now time.Time) bool {
+	last := state.orders[slot]
+	before := serving[slot]
+	if last != nil {
+		before = last.wanted
+	}
+	switch {
+	case wanted > before:
+		delete(state.less, slot)
+		return true
+	case wanted < before:
+		return c.mayShrink(state, slot, wanted, serving, total, need, now)
+	}
+	delete(state.less, slot)
+	if last == nil {
+		return false
+	}
+	missing := serving[slot] != wanted && now.Sub(last.at) > s.Scale.Startup+showSlack
+	return !last.answered || missing
+}
+
+// mayShrink reports whether a slot's upstreams may be given up: not as long as
+// the others could not carry the work, nor before less was wanted for a while.
+// Dear ones whose place is taken go at once.
+func (c *Controller) mayShrink(state *service, slot Slot, wanted int, serving map[Slot]int, total int, need float64, now time.Time) bool {
+	if now.Sub(c.since) < settleAfter {
+		return false
+	}
+	since, waiting := state.less[slot]
+	if !waiting {
+		state.less[slot] = now
+		since = now
+	}
+	left := total - max(serving[slot]-wanted, 0)
+	if float64(left) < need {
+		return false
+	}
+	return !slot.Reclaimable || now.Sub(since) >= shrinkAfter
+}
+
+// send sends one order and reports whether to go on.
+func (c *Controller) send(ctx context.Context, s *routetable.Service, state *service, slot Slot, wanted, serving int, need float64, now time.Time) bool {
+	grant, holds := c.Leases.Grant()
+	if !holds || grant.Fence != c.fence {
+		return false
+	}
+	err := c.Duties.Scale(ctx, grant.Fence, platform.ScaleOrder{
+		Service: s.Name, FailureDomain: slot.FailureDomain, Reclaimable: slot.Reclaimable, Wanted: wanted,
+	})
+	c.Log.Info("upstreams ordered", "service", s.Name, "domain", slot.FailureDomain, "reclaimable", slot.Reclaimable,
+		"wanted", wanted, "serving", serving, "need", need, "fence", grant.Fence, "error", err)
+	delete(state.less, slot)
+	switch {
+	case err == nil:
+		state.orders[slot] = &order{wanted: wanted, answered: true, at: now}
+	case errors.Is(err, platform.ErrOldFence):
+		c.Leases.Refused(grant.Fence)
+		return false
+	case errors.Is(err, platform.ErrNoCapacity):
+		state.closed[slot] = now.Add(closedFor)
+	default:
+		state.orders[slot] = &order{wanted: wanted, at: now}
+	}
+	return true
+}
