--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -87,12 +87,14 @@
 	}
 }
 
-// The share of an engine's capacity that its work should take. Half of its
-// reading leaves first events within a tenth of a second; half of its slots leave
-// room for a burst of 1.7 times the usual.
+// What an engine carries when it is as busy as it should be. Reading and
+// generating take its time one after the other, so that their parts add up.
 const (
-	busyReading = 0.5
-	busySlots   = 0.5
+	// busyReading is the part of its time that reading prompts may take.
+	busyReading = 0.6
+	// busyRunning is the part of its slots that may be generating: a step takes
+	// the longer the more there are, and the first events wait for steps.
+	busyRunning = 0.3
 )
 
 // need is how many upstreams the present work of all gateways keeps busy.
@@ -108,8 +110,8 @@
 		running += w.Running
 	}
 	byReading := prompt / (p.chooser.Params().PrefillRate * busyReading)
-	bySlots := running / (float64(max(1, s.Engine.Slots)) * busySlots)
-	return max(byReading, bySlots)
+	byRunning := running / (float64(max(1, s.Engine.Slots)) * busyRunning)
+	return byReading + byRunning
 }
 
 // work is what this gateway asks of each service, for its report.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -84,6 +85,8 @@
 	began bool
 	// lastEvent is the ID of the last event that was delivered.
 	lastEvent string
+	// paid: the next attempt was taken out of the budget already.
+	paid atomic.Bool
 	// counted: the first attempt was paid into the budget.
 	counted bool
 	// metered: the run was counted for the account.
@@ -159,6 +162,9 @@
 }
 
 func (s *session) spend() bool {
+	if s.paid.Swap(false) {
+		return true
+	}
 	return s.f.cfg.Budget.Spend(s.call.Service.Name, s.f.cfg.Now())
 }
 
@@ -215,13 +221,19 @@
 
 // watch starts to watch an attempt. It does nothing for calls that only one
 // upstream may run: a silent upstream is then still the only one with an answer.
+// Nor does it end an attempt that the budget lets nobody replace.
 func (s *session) watch(choice Choice, cancel context.CancelCauseFunc) *patience {
 	route := s.call.Route
 	if !route.Repeatable() && !route.Resumable || choice.Slow <= 0 || s.state.ran+1 >= route.Attempts {
 		return &patience{}
 	}
 	p := &patience{gap: max(silentGaps*route.GapObjective, choice.Slow)}
-	p.timer = time.AfterFunc(choice.Slow, func() { cancel(errSlow) })
+	p.timer = time.AfterFunc(choice.Slow, func() {
+		if s.call.Remaining(s.f.cfg.Now()) > choice.Slow && s.spend() {
+			s.paid.Store(true)
+			cancel(errSlow)
+		}
+	})
 	return p
 }
 
--- a/internal/routing/placement/timing.go
+++ b/internal/routing/placement/timing.go
@@ -31,12 +31,12 @@
 }
 
 // slow is after how long an attempt is slower than nearly all are: never under
-// a third of the objective, so that a calm service is not tried twice for
-// nothing, and never over the objective.
+// half of the objective, so that a calm service is not tried twice for nothing.
+// Where all are slow, waiting is better than moving.
 func (t *timing) slow(objective, reading time.Duration) time.Duration {
-	usual := objective
-	if t.samples >= fewest {
-		usual = reading + time.Duration((t.mean+deviations*t.deviation)*float64(time.Second))
+	if t.samples < fewest {
+		return max(objective, 2*reading)
 	}
-	return min(max(usual, objective/3), max(objective, reading))
+	usual := 2*reading + time.Duration((t.mean+deviations*t.deviation)*float64(time.Second))
+	return max(usual, objective/2)
 }
--- a/internal/scaling/controller.go
+++ b/internal/scaling/controller.go
@@ -26,6 +26,11 @@
 	// showSlack is how much longer than their start new upstreams may take to
 	// be listed before the order is repeated.
 	showSlack = 3 * time.Second
+	// leastWork is the need above which a service counts as used.
+	leastWork = 0.1
+	// watchFor is for how long work is watched before the number of upstreams
+	// follows it: the averages take some seconds to fill.
+	watchFor = 6 * time.Second
 	// settleAfter is how long a new holder watches before it orders less than
 	// there is.
 	settleAfter = 3 * time.Second
@@ -61,6 +66,11 @@
 	less map[Slot]time.Time
 	// leaving are upstreams whose reclaim was seen.
 	leaving map[ident.Instance]bool
+	// found is how many upstreams served when this holder began, and workSince
+	// when it first saw work: until it has watched the work for a while, it
+	// keeps that number.
+	found     int
+	workSince time.Time
 }
 
 type order struct {
@@ -95,7 +105,10 @@
 		c.services[s.Name] = state
 	}
 	serving := c.count(s.Name, state, now)
-	need := c.Need(s)
+	need := c.watched(state, c.Need(s), serving, now)
+	if state.workSince.IsZero() && now.Sub(c.since) < settleAfter {
+		return
+	}
 	closed := make(map[Slot]bool)
 	for slot, until := range state.closed {
 		closed[slot] = now.Before(until)
@@ -115,6 +128,27 @@
 	}
 }
 
+// watched returns the need, which is unknown until some work was seen: a system
+// that was just started, or changed its holder, must not give up what serves.
+func (c *Controller) watched(state *service, need float64, serving map[Slot]int, now time.Time) float64 {
+	if len(state.orders) == 0 {
+		// What this holder ordered beside them, to replace them, must not count
+		// as found.
+		total := 0
+		for _, n := range serving {
+			total += n
+		}
+		state.found = max(state.found, total)
+	}
+	if state.workSince.IsZero() && need > leastWork {
+		state.workSince = now
+	}
+	if state.workSince.IsZero() || now.Sub(state.workSince) < watchFor {
+		return max(need, float64(state.found))
+	}
+	return need
+}
+
 // count counts the ready upstreams, and closes slots whose upstreams are being
 // reclaimed.
 func (c *Controller) count(name ident.Service, state *service, now time.Time) map[Slot]int {
--- a/internal/scaling/plan.go
+++ b/internal/scaling/plan.go
@@ -32,10 +32,8 @@
 
 const (
 	// lossReserve: so much of the need must be left when the domain with the
-	// most reclaimable upstreams loses them all. What is missing then waits for
-	// some seconds longer, which the objectives allow; a whole reserve would cost
-	// a fifth more.
-	lossReserve = 0.8
+	// most reclaimable upstreams loses them all.
+	lossReserve = 1.0
 	// minimum upstreams of a service, whatever the work.
 	minimum = 1
 )
