Departures: one gateway asks the store first; a leaving gateway refuses streams that begin too late

Now the first in line keeps its view under 250 ms, the others take it over by the exchange. Ruled out: streams begun before SIGTERM (all ended in the grace).

--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -59,18 +59,13 @@
 	if p.leaving.Load() {
 		return notCandidate, true
 	}
-	rank := 0
 	v := p.view.Load()
 	for i := range v.Fresh {
-		r := &v.Fresh[i].Report
-		if r.Holds {
+		if v.Fresh[i].Report.Holds {
 			return notCandidate, true
 		}
-		if !r.Leaving && r.Node < p.settings.Instance.ID {
-			rank++
-		}
 	}
-	return rank, false
+	return p.place(), false
 }
 
 func (p *Process) newReporter() *metering.Reporter {
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -19,6 +19,13 @@
 	// a gateway that is not ready: two questions, a second apart, and its
 	// deciding.
 	noticedAfter = 3 * time.Second
+	// streamsAfter is for how long a leaving gateway still takes streams: the
+	// platform stops to send new connections by then, and what begins so early
+	// has most of the grace to end.
+	streamsAfter = 2800 * time.Millisecond
+	// idleAfter is when idle connections are closed: their callers would only
+	// send what must be refused.
+	idleAfter = 2500 * time.Millisecond
 	// stopMargin is left of the grace for the last steps.
 	stopMargin = 700 * time.Millisecond
 	// stopStep is how often a leaving process looks whether it is done.
@@ -82,12 +89,15 @@
 func (p *Process) leave(ctx context.Context, signals program.Signals) {
 	began := p.now()
 	p.leaving.Store(true)
-	p.callers.Leave()
+	end := began.Add(p.settings.Stop.Grace - stopMargin)
+	p.callers.Leave(began.Add(streamsAfter), end)
 	p.log.Info("leaving", "active", p.callers.Active(), "grace_ms", p.settings.Stop.Grace.Milliseconds())
 	go p.gossip.Say(ctx)
-	end := began.Add(p.settings.Stop.Grace - stopMargin)
 	for {
 		now := p.now()
+		if now.Sub(began) >= idleAfter {
+			p.callers.CloseIdle()
+		}
 		if !now.Before(end) || p.callers.Active() == 0 && now.Sub(began) >= noticedAfter {
 			break
 		}
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -110,7 +110,7 @@
 func (p *Process) wire() {
 	s := p.settings
 	p.configuration = newConfiguration(p.ports, p.board, p.log.Named("configuration"))
-	p.upstreams = newUpstreams(p.ports, p.board, p.pool, p.now, p.log.Named("upstreams"))
+	p.upstreams = newUpstreams(p.ports, p.board, p.pool, p.now, p.place, p.log.Named("upstreams"))
 	p.gossip = gossip.New(gossip.Config{
 		Self: s.Instance.ID, Address: s.Listen.Peers, Table: p.peers, Knowledge: knowledge{p},
 		Pool: p.pool, Now: p.now, Log: p.log.Named("gossip"),
@@ -145,6 +145,18 @@
 
 func (p *Process) table() *routetable.Table { return p.board.table.Value() }
 
+// place is this gateway's place in line among those that are heard.
+func (p *Process) place() int {
+	place := 0
+	v := p.view.Load()
+	for i := range v.Fresh {
+		if r := &v.Fresh[i].Report; !r.Leaving && r.Node < p.settings.Instance.ID {
+			place++
+		}
+	}
+	return place
+}
+
 // gateways is how many gateways there may be, with this one.
 func (p *Process) gateways() int { return p.view.Load().Known + 1 }
 
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -18,17 +18,33 @@
 )
 
 const (
-	// viewAge is how old the view of the upstreams may become before this
-	// gateway asks the store. Entries change every 1.2 s by themselves, so that
-	// waiting reads would return at once; a departure is due within 2 s.
-	viewAge = 600 * time.Millisecond
-	// viewJitter spreads the gateways' reads: the first one's view reaches the
-	// others before they ask. Measured at 8 gateways it saves five reads of six.
-	viewJitter = 400 * time.Millisecond
+	// A departure is due at every gateway within 2 s of the store's word. The
+	// first gateway in line asks the store so often that its view is never
+	// older than firstAge, and the others take it over within a round of their
+	// exchange. A gateway asks by itself when its view becomes older than that:
+	// the second in line soon after, so that it takes over where the first one is
+	// cut off from the store, the others later. At 8 gateways this takes 5 calls
+	// a second where each asking for itself took 12.
+	firstAge  = 250 * time.Millisecond
+	secondAge = 600 * time.Millisecond
+	otherAge  = 800 * time.Millisecond
+	// viewJitter spreads the gateways that ask for themselves.
+	viewJitter = 150 * time.Millisecond
 	// viewTick is how often the age is looked at.
 	viewTick = 50 * time.Millisecond
 )
 
+// viewLimit is how old the view may become at a gateway with a place in line.
+func viewLimit(rank int) time.Duration {
+	switch rank {
+	case 0:
+		return firstAge
+	case 1:
+		return secondAge
+	}
+	return otherAge + rand.N(viewJitter)
+}
+
 // upstreams follows the upstreams' entries and publishes them. It is the only
 // writer of board.upstreams.
 type upstreams struct {
@@ -37,6 +53,8 @@
 	pool  *httpconn.Pool
 	now   boottime.Clock
 	log   hclog.Logger
+	// rank is this gateway's place in line for asking the store.
+	rank func() int
 
 	mu  sync.Mutex
 	dir *directory.Directory
@@ -47,23 +65,21 @@
 	faulty map[string]bool
 }
 
-func newUpstreams(ports Ports, b *board, pool *httpconn.Pool, now boottime.Clock, log hclog.Logger) *upstreams {
-	return &upstreams{ports: ports, board: b, pool: pool, now: now, log: log, dir: directory.New(), faulty: make(map[string]bool)}
+func newUpstreams(ports Ports, b *board, pool *httpconn.Pool, now boottime.Clock, rank func() int, log hclog.Logger) *upstreams {
+	return &upstreams{ports: ports, board: b, pool: pool, now: now, rank: rank, log: log, dir: directory.New(), faulty: make(map[string]bool)}
 }
 
 // run keeps the view young until ctx ends.
 func (u *upstreams) run(ctx context.Context) {
 	failures := 0
-	limit := viewAge
 	for ctx.Err() == nil {
-		if u.age() < limit {
+		if u.age() < viewLimit(u.rank()) {
 			u.expire()
 			if !pause(ctx, viewTick) {
 				return
 			}
 			continue
 		}
-		limit = viewAge + rand.N(viewJitter)
 		err := u.read(ctx)
 		if err == nil {
 			if failures > 0 {
--- a/internal/ingress/idle.go
+++ b/internal/ingress/idle.go
@@ -67,3 +67,14 @@
 		}
 	}
 }
+
+// closeAll closes every idle connection. A request that crosses the close was
+// not read, and its caller may send it again elsewhere.
+func (i *idleConnections) closeAll() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for c := range i.since {
+		delete(i.since, c)
+		_ = c.Close() // nobody waits for an answer on it
+	}
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -85,6 +85,8 @@
 	// comeBackSoon is told where the next moment may do: a shortage of memory
 	// or of configuration.
 	comeBackSoon = 500 * time.Millisecond
+	// comeBackNow is told where another gateway serves at once.
+	comeBackNow = 20 * time.Millisecond
 	// sinceExpiry is how long after a call's end its answer may still be
 	// written to a caller that reads slowly.
 	sinceExpiry = time.Second
@@ -95,7 +97,7 @@
 	cfg     Config
 	http    *http.Server
 	idle    *idleConnections
-	leaving atomic.Bool
+	leaving atomic.Pointer[leaving]
 	bodies  atomic.Int64
 	active  atomic.Int64
 	sampled *rate.Limiter
@@ -119,8 +121,31 @@
 func (s *Server) Serve(listener net.Listener) error { return s.http.Serve(listener) }
 
 // Leave tells callers to use their connections no further. Requests that come
-// nevertheless are served.
-func (s *Server) Leave() { s.leaving.Store(true) }
+// nevertheless are served, as long as they can be expected to end by the time of
+// closing: streams that begin too late are refused, so that their callers go
+// elsewhere at once instead of being cut off.
+func (s *Server) Leave(streamsUntil, closing time.Time) {
+	s.leaving.Store(&leaving{streamsUntil: streamsUntil, closing: closing})
+}
+
+// leaving is until when a server that leaves takes what.
+type leaving struct {
+	streamsUntil, closing time.Time
+}
+
+// takes reports whether a request of a route can be expected to end in time.
+func (l *leaving) takes(route *routetable.Route, now time.Time) bool {
+	if l == nil {
+		return true
+	}
+	if route.Kind == routetable.Streaming {
+		return now.Before(l.streamsUntil)
+	}
+	return now.Add(route.Timeout).Before(l.closing) || now.Before(l.streamsUntil)
+}
+
+// CloseIdle closes the connections on which nothing is in progress.
+func (s *Server) CloseIdle() { s.idle.closeAll() }
 
 // Active returns how many requests are in progress.
 func (s *Server) Active() int { return int(s.active.Load()) }
@@ -146,7 +171,7 @@
 	s.active.Add(1)
 	defer s.active.Add(-1)
 	caller := &caller{w: w, server: s, control: http.NewResponseController(w)}
-	if s.leaving.Load() || len(r.TransferEncoding) > 0 {
+	if s.leaving.Load() != nil || len(r.TransferEncoding) > 0 {
 		// net/http hides a length beside chunks. A peer that reads such a
 		// request by its length would take the rest for a second request, so
 		// nothing more is read on this connection.
@@ -202,6 +227,9 @@
 	if call.Route == nil {
 		return call, &refusal{status: http.StatusNotFound, reason: "no route"}
 	}
+	if !s.leaving.Load().takes(call.Route, now) {
+		return call, &refusal{status: http.StatusServiceUnavailable, reason: "this gateway is leaving", after: comeBackNow}
+	}
 	account, refused := s.account(table, call, &parsed)
 	if refused != nil {
 		return call, refused
