--- /dev/null
+++ b/internal/standin/metastore/metastore.go
@@ -0,0 +1,292 @@
+// Package metastore is an in-memory stand-in for the users' platform's store: it
+// speaks the store's HTTP calls for keyed topics of one partition, and fails as
+// told.
+package metastore
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Mode is how the store treats calls.
+type Mode int
+
+// The modes.
+const (
+	// Up: calls are answered.
+	Up Mode = iota
+	// Refusing: calls get 503, and nothing is done.
+	Refusing
+	// Silent: calls hang, and nothing is done.
+	Silent
+	// LosingAnswers: writes are done, and their answers never come.
+	LosingAnswers
+)
+
+// Store is the stand-in. Its zero value is an empty store that is up.
+type Store struct {
+	mu     sync.Mutex
+	topics map[string]*topic
+	mode   Mode
+	// refuse returns whether one machine's calls are refused.
+	refuse func(r *http.Request) bool
+	calls  map[string]int
+}
+
+type topic struct {
+	records []record
+	// first is the oldest offset still in the history.
+	first int
+	grown chan struct{}
+}
+
+type record struct {
+	key   string
+	value []byte
+}
+
+// New returns an empty store that is up.
+func New() *Store { return &Store{topics: make(map[string]*topic), calls: make(map[string]int)} }
+
+// SetMode changes how calls are treated.
+func (s *Store) SetMode(mode Mode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mode = mode
+}
+
+// RefuseWhere refuses the calls that match; nil refuses none.
+func (s *Store) RefuseWhere(match func(*http.Request) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuse = match
+}
+
+// Calls returns how many calls came to a path.
+func (s *Store) Calls(path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[path]
+}
+
+// Write appends a record as the operator or an upstream does. A nil value drops
+// the key. It returns the record's offset.
+func (s *Store) Write(name, key string, value []byte) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.append(name, []record{{key: key, value: value}})
+}
+
+// Forget drops a topic's history; the newest record of each key stays.
+func (s *Store) Forget(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	t.first = len(t.records)
+}
+
+// Newest returns a key's newest value, or nil.
+func (s *Store) Newest(name, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	for i := len(t.records) - 1; i >= 0; i-- {
+		if t.records[i].key == key {
+			return t.records[i].value
+		}
+	}
+	return nil
+}
+
+func (s *Store) topic(name string) *topic {
+	t := s.topics[name]
+	if t == nil {
+		t = &topic{grown: make(chan struct{})}
+		s.topics[name] = t
+	}
+	return t
+}
+
+func (s *Store) append(name string, records []record) int {
+	t := s.topic(name)
+	first := len(t.records)
+	t.records = append(t.records, records...)
+	close(t.grown)
+	t.grown = make(chan struct{})
+	return first
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls[r.URL.Path]++
+	mode := s.mode
+	if s.refuse != nil && s.refuse(r) {
+		mode = Refusing
+	}
+	s.mu.Unlock()
+	switch mode {
+	case Refusing:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case Silent:
+		<-r.Context().Done()
+		return
+	}
+	switch r.URL.Path {
+	case "/api/log-append":
+		s.serveAppend(w, r, mode)
+	case "/api/log-read":
+		s.serveRead(w, r)
+	case "/api/log-newest":
+		s.serveNewest(w, r)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func (s *Store) serveAppend(w http.ResponseWriter, r *http.Request, mode Mode) {
+	body, err := io.ReadAll(r.Body)
+	records, ok := decode(body)
+	if err != nil || !ok {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	name := r.URL.Query().Get("Topic")
+	s.mu.Lock()
+	end := len(s.topic(name).records)
+	if at := r.URL.Query().Get("At"); at != "" && at != strconv.Itoa(end) {
+		s.mu.Unlock()
+		answer(w, http.StatusPreconditionFailed, map[string]int{"End": end})
+		return
+	}
+	offset := s.append(name, records)
+	s.mu.Unlock()
+	if mode == LosingAnswers {
+		<-r.Context().Done()
+		return
+	}
+	answer(w, http.StatusOK, map[string]int{"Offset": offset, "End": offset + len(records)})
+}
+
+func decode(body []byte) ([]record, bool) {
+	var out []record
+	for len(body) >= 4 {
+		length := int(binary.BigEndian.Uint32(body))
+		body = body[4:]
+		if length > len(body) || length < 1 || 1+int(body[0]) > length {
+			return nil, false
+		}
+		end := 1 + int(body[0])
+		rec := record{key: string(body[1:end])}
+		if length > end {
+			rec.value = append([]byte(nil), body[end:length]...)
+		}
+		out = append(out, rec)
+		body = body[length:]
+	}
+	return out, len(body) == 0
+}
+
+func (s *Store) serveRead(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	from, err := strconv.Atoi(query.Get("From"))
+	wait, errWait := strconv.Atoi(query.Get("WaitMs"))
+	if err != nil || errWait != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		t := s.topic(query.Get("Topic"))
+		first, end, grown := t.first, len(t.records), t.grown
+		var records []record
+		if from >= first && from < end {
+			records = t.records[from:]
+		}
+		s.mu.Unlock()
+		if from < first {
+			answer(w, http.StatusGone, map[string]int{"First": first})
+			return
+		}
+		if len(records) == 0 && wait > 0 {
+			select {
+			case <-grown:
+				continue
+			case <-timer.C:
+				wait = 0
+			case <-r.Context().Done():
+				return
+			}
+		}
+		w.Header().Set("Content-Type", "application/octet-stream")
+		// The reader may be gone; it asks again.
+		_, _ = w.Write(encode(end, first, records))
+		return
+	}
+}
+
+func encode(end, first int, records []record) []byte {
+	out := binary.BigEndian.AppendUint64(nil, uint64(end))
+	out = binary.BigEndian.AppendUint64(out, uint64(first))
+	for _, rec := range records {
+		out = binary.BigEndian.AppendUint32(out, uint32(1+len(rec.key)+len(rec.value)))
+		out = append(out, byte(len(rec.key)))
+		out = append(out, rec.key...)
+		out = append(out, rec.value...)
+	}
+	return out
+}
+
+// pageSize is small, so that tests see several pages.
+const pageSize = 4
+
+func (s *Store) serveNewest(w http.ResponseWriter, r *http.Request) {
+	type item struct {
+		Key    string
+		Value  string
+		Offset int
+	}
+	query := r.URL.Query()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(query.Get("Topic"))
+	newest := make(map[string]int)
+	for i, rec := range t.records {
+		newest[rec.key] = i
+	}
+	var items []item
+	for key, i := range newest {
+		if value := t.records[i].value; value != nil && key > query.Get("After") {
+			items = append(items, item{Key: key, Value: base64.StdEncoding.EncodeToString(value), Offset: i})
+		}
+	}
+	slices.SortFunc(items, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
+	more := len(items) > pageSize
+	if more {
+		items = items[:pageSize]
+	}
+	answer(w, http.StatusOK, map[string]any{"Items": items, "HasMore": more, "End": len(t.records)})
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The caller may be gone.
+	_, _ = w.Write(data)
+}
