Callers' connections: a close and a read exclude each other

Ruled out: a request that crosses the close on the wire (the upstream got it). The connection's own wrapper now knows from the instant of the read, and the process ends when no connection is left.

--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -93,23 +93,18 @@
 	p.callers.Leave(began.Add(streamsAfter), end)
 	p.log.Info("leaving", "active", p.callers.Active(), "grace_ms", p.settings.Stop.Grace.Milliseconds())
 	go p.gossip.Say(ctx)
-	for {
-		now := p.now()
+	for now := p.now(); now.Before(end); now = p.now() {
+		left := 1
 		if now.Sub(began) >= idleAfter {
-			p.callers.CloseIdle()
+			left = p.callers.CloseIdle()
 		}
-		if !now.Before(end) || p.callers.Active() == 0 && now.Sub(began) >= noticedAfter {
-			break
-		}
-		if !pause(signals.Kill, stopStep) {
+		if left == 0 && now.Sub(began) >= noticedAfter || !pause(signals.Kill, stopStep) {
 			break
 		}
 	}
 	p.log.Info("closing", "active", p.callers.Active(), "after_ms", p.now().Sub(began).Milliseconds())
-	last, cancel := context.WithTimeout(ctx, max(end.Sub(p.now()), stopStep))
-	defer cancel()
-	if err := p.callers.Shutdown(last); err != nil {
-		p.log.Warn("requests cut off at the end of the grace", "active", p.callers.Active(), "error", err)
+	if err := p.callers.Close(); err != nil {
+		p.log.Warn("callers' connections not closed", "error", err)
 	}
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -96,7 +96,7 @@
 type Server struct {
 	cfg     Config
 	http    *http.Server
-	idle    *idleConnections
+	conns   *callerConns
 	leaving atomic.Pointer[leaving]
 	bodies  atomic.Int64
 	active  atomic.Int64
@@ -105,12 +105,15 @@
 
 // New returns a server; call Serve with a listener.
 func New(cfg Config) *Server {
-	s := &Server{cfg: cfg, idle: newIdleConnections(), sampled: rate.NewLimiter(loggedSuccesses, loggedSuccesses)}
+	s := &Server{cfg: cfg, conns: newCallerConns(cfg.Now), sampled: rate.NewLimiter(loggedSuccesses, loggedSuccesses)}
 	s.http = &http.Server{
-		Handler:                      http.HandlerFunc(s.serve),
-		ReadHeaderTimeout:            headerTime,
-		MaxHeaderBytes:               mostHeader,
-		ConnState:                    s.idle.note,
+		Handler:           http.HandlerFunc(s.serve),
+		ReadHeaderTimeout: headerTime,
+		MaxHeaderBytes:    mostHeader,
+		ConnState:         s.conns.note,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
 		DisableGeneralOptionsHandler: true,
 		ErrorLog:                     cfg.Log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
@@ -118,7 +121,9 @@
 }
 
 // Serve answers callers until Close.
-func (s *Server) Serve(listener net.Listener) error { return s.http.Serve(listener) }
+func (s *Server) Serve(l net.Listener) error {
+	return s.http.Serve(&listener{Listener: l, conns: s.conns})
+}
 
 // Leave tells callers to use their connections no further. Requests that come
 // nevertheless are served, as long as they can be expected to end by the time of
@@ -144,8 +149,9 @@
 	return now.Add(route.Timeout).Before(l.closing) || now.Before(l.streamsUntil)
 }
 
-// CloseIdle closes the connections on which nothing is in progress.
-func (s *Server) CloseIdle() { s.idle.closeAll() }
+// CloseIdle closes the connections on which nothing is in progress, and returns
+// how many are left.
+func (s *Server) CloseIdle() int { return s.conns.closeAll() }
 
 // Active returns how many requests are in progress.
 func (s *Server) Active() int { return int(s.active.Load()) }
@@ -153,9 +159,6 @@
 // Close ends all connections.
 func (s *Server) Close() error { return s.http.Close() }
 
-// Shutdown closes idle connections and waits for the others.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
-
 // SweepIdle closes connections that were idle for longer than the limit in
 // force, or any that was in force while they were idle.
 func (s *Server) SweepIdle() {
@@ -163,7 +166,7 @@
 	if table := s.cfg.Table(); table != nil {
 		limit = table.Limits().IdleTime
 	}
-	s.idle.sweep(s.cfg.Now(), limit)
+	s.conns.sweep(limit)
 }
 
 // serve answers one request.
@@ -179,6 +182,9 @@
 	}
 	received := s.cfg.Now()
 	call, refusal := s.accept(w, r, received)
+	if conn := connOf(r.Context()); conn != nil {
+		conn.taken()
+	}
 	if refusal != nil {
 		s.refuse(w, r, call, refusal)
 		return
