Directory: no grace for departures some seconds after an outage

Grace now ends 2 s after the store's return, and a store that other gateways hear from counts as there. Ruled out: late reads (the drop was known after 250 ms).

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -55,15 +55,13 @@
 // Usable reports whether new work may be sent there.
 func (e *Entry) Usable() bool { return e.Present && e.Upstream.State == Ready }
 
-// graceAfterOutage is how long a dropped entry stays usable where the platform's
-// store was away just before: entries lapse while upstreams cannot renew them,
-// and are back within two seconds (the platform's word) of the store's return.
+// graceAfterOutage is until when after the end of an outage of the platform's
+// store a dropped entry stays usable: entries lapse while upstreams cannot renew
+// them, and are back within two seconds (the platform's word) of the store's
+// return. What is dropped later is a departure, which is due within two seconds
+// of the drop, so that it gets no grace.
 const graceAfterOutage = 2 * time.Second
 
-// outageReach is how long after the end of an outage a drop may still be due to
-// it: upstreams write every 1.2 s, and an entry lapses after three such intervals.
-const outageReach = 4 * time.Second
-
 // dropKept is how long a dropped entry is remembered, so that a peer that is
 // behind cannot bring it back, and departures can be passed on.
 const dropKept = 60 * time.Second
@@ -147,15 +145,24 @@
 	}
 	d.entries[id] = &next
 	if wasPresent && known.Upstream.State == Ready && d.lapsesNow(now) {
-		d.lapsed[id] = now.Add(graceAfterOutage)
+		d.lapsed[id] = d.graceEnd(now)
 	}
 	return wasPresent
 }
 
 // lapsesNow reports whether an entry that is dropped now may have lapsed only
 // because the store was away.
-func (d *Directory) lapsesNow(now time.Time) bool {
-	return d.away || !d.outageEnded.IsZero() && now.Sub(d.outageEnded) < outageReach
+func (d *Directory) lapsesNow(now time.Time) bool { return d.away || now.Before(d.graceEnd(now)) }
+
+// graceEnd is until when entries that lapse now stay usable.
+func (d *Directory) graceEnd(now time.Time) time.Time {
+	if d.away {
+		return now.Add(graceAfterOutage)
+	}
+	if d.outageEnded.IsZero() {
+		return time.Time{}
+	}
+	return d.outageEnded.Add(graceAfterOutage)
 }
 
 // Reached notes that all records before an offset were applied.
--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,151 @@
+package directory
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
+)
+
+func init() { testkit.FixSeed() }
+
+var start = time.Unix(1000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func ready(id string) *Upstream {
+	return &Upstream{ID: ident.Instance(id), Service: "svc", Address: "10.0.0.1:80", FailureDomain: "hall-a", Slots: 8, State: Ready}
+}
+
+func leavingOf(id string) *Upstream {
+	u := ready(id)
+	u.State = Leaving
+	return u
+}
+
+// usable returns whether a view lets new work go to an upstream.
+func usable(d *Directory, id string, now time.Time) bool {
+	u, known := d.Snapshot(now).Upstream(ident.Instance(id))
+	return known && u.State == Ready
+}
+
+// Symptom: a departed upstream gets work again, or gateways differ for good.
+// Sequence: the same records, by the store and by other gateways, in any order
+// and more than once. Cause: a view that takes whatever comes last.
+func TestRecordsJoinInAnyOrder(t *testing.T) {
+	type step struct {
+		id       string
+		offset   ident.Offset
+		upstream *Upstream
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		var steps []step
+		for offset := range rapid.IntRange(1, 12).Draw(t, "records") {
+			id := fmt.Sprint("u", rapid.IntRange(0, 2).Draw(t, "id"))
+			s := step{id: id, offset: ident.Offset(offset)}
+			switch rapid.IntRange(0, 2).Draw(t, "kind") {
+			case 0:
+				s.upstream = ready(id)
+			case 1:
+				s.upstream = leavingOf(id)
+			}
+			steps = append(steps, s)
+		}
+		apply := func(order []step) map[ident.Instance]bool {
+			d := New()
+			for _, s := range order {
+				d.Apply(ident.Instance(s.id), s.offset, s.upstream, start)
+			}
+			got := make(map[ident.Instance]bool)
+			for id, entry := range d.Entries() {
+				got[id] = entry.Present
+			}
+			return got
+		}
+		want := apply(steps)
+		shuffled := rapid.Permutation(append(steps, steps...)).Draw(t, "order")
+		if diff := cmp.Diff(want, apply(shuffled)); diff != "" {
+			t.Fatal(diff)
+		}
+	})
+}
+
+func TestStories(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		play func(d *Directory)
+		now  time.Duration
+		want bool
+	}{
+		// Symptom: work is sent to an upstream 2.1 s after it left. Sequence: a
+		// gateway hears from the store again; three seconds later an upstream
+		// leaves without a word. Cause: the drop was taken for an entry that
+		// lapsed because of the outage, and got the outage's grace.
+		{"leaves some seconds after an outage", func(d *Directory) {
+			d.Apply("u", 1, ready("u"), at(0))
+			d.StoreAway()
+			d.StoreBack(at(time.Second))
+			d.Apply("u", 2, nil, at(4*time.Second))
+		}, 4100 * time.Millisecond, false},
+		// Symptom: no upstream is left when the store comes back. Sequence: the
+		// store is away for longer than entries live. Cause: lapsed entries are
+		// taken for departures.
+		{"lapses while the store is away", func(d *Directory) {
+			d.Apply("u", 1, ready("u"), at(0))
+			d.StoreAway()
+			d.StoreBack(at(5 * time.Second))
+			d.Apply("u", 2, nil, at(5*time.Second))
+		}, 6 * time.Second, true},
+		{"lapsed and did not come back", func(d *Directory) {
+			d.Apply("u", 1, ready("u"), at(0))
+			d.StoreAway()
+			d.StoreBack(at(5 * time.Second))
+			d.Apply("u", 2, nil, at(5*time.Second))
+		}, 7100 * time.Millisecond, false},
+		{"leaves", func(d *Directory) {
+			d.Apply("u", 1, ready("u"), at(0))
+			d.Apply("u", 2, leavingOf("u"), at(time.Second))
+		}, 2 * time.Second, false},
+		{"was leaving when the store went away", func(d *Directory) {
+			d.Apply("u", 1, leavingOf("u"), at(0))
+			d.StoreAway()
+			d.Apply("u", 2, nil, at(time.Second))
+		}, 1100 * time.Millisecond, false},
+		{"is not in a complete listing", func(d *Directory) {
+			d.Apply("u", 1, ready("u"), at(0))
+			d.Listed(map[ident.Instance]bool{}, 5, at(time.Second))
+		}, time.Second, false},
+		{"is newer than a listing", func(d *Directory) {
+			d.Apply("u", 7, ready("u"), at(0))
+			d.Listed(map[ident.Instance]bool{}, 5, at(time.Second))
+		}, time.Second, true},
+		{"an older record comes late", func(d *Directory) {
+			d.Apply("u", 3, leavingOf("u"), at(0))
+			d.Apply("u", 2, ready("u"), at(time.Second))
+		}, time.Second, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := New()
+			c.play(d)
+			d.Expire(at(c.now))
+			if got := usable(d, "u", at(c.now)); got != c.want {
+				t.Errorf("usable: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestDroppedEntriesAreForgotten(t *testing.T) {
+	d := New()
+	d.Apply("u", 1, ready("u"), at(0))
+	d.Apply("u", 2, nil, at(time.Second))
+	d.Expire(at(time.Second + dropKept + 1))
+	if n := len(d.Entries()); n != 0 {
+		t.Errorf("%d entries are left", n)
+	}
+}
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -28,6 +28,10 @@
 	firstAge  = 250 * time.Millisecond
 	secondAge = 600 * time.Millisecond
 	otherAge  = 800 * time.Millisecond
+	// awayAge is how old the view must be for the store to count as away: longer
+	// than a gateway that is turned away by the store waits for the others' view,
+	// shorter than an entry lives without renewal (3.6 s).
+	awayAge = 1800 * time.Millisecond
 	// viewJitter spreads the gateways that ask for themselves.
 	viewJitter = 150 * time.Millisecond
 	// viewTick is how often the age is looked at.
@@ -111,7 +115,12 @@
 	return u.now().Sub(u.confirmed)
 }
 
+// away notes that the store did not answer. Only where no gateway hears from it
+// the upstreams may be unable to renew their entries too.
 func (u *upstreams) away() {
+	if u.age() < awayAge {
+		return
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.dir.StoreAway()
--- /dev/null
+++ b/internal/ingress/idle_test.go
@@ -0,0 +1,77 @@
+package ingress
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
+)
+
+// Symptom: a leaving gateway forwards a request and closes its caller's
+// connection without an answer. Sequence: the request's bytes were read, and
+// before net/http calls the connection active, idle ones are closed. Cause: a
+// connection counts as idle until a whole header was read.
+func TestAReadConnectionIsNotClosedAsIdle(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	c := &callerConn{Conn: near}
+	go far.Write([]byte("GET "))
+	if _, err := c.Read(make([]byte, 4)); err != nil {
+		t.Fatal(err)
+	}
+	if c.closeIfIdle(boottime.Now()) {
+		t.Error("closed with a request arriving")
+	}
+	c.taken()
+	if c.closeIfIdle(boottime.Now()) {
+		t.Error("closed with a request being served")
+	}
+	c.idle(boottime.Now())
+	if c.closeIfIdle(boottime.Now().Add(-time.Second)) {
+		t.Error("closed though it was idle for less than asked")
+	}
+	if !c.closeIfIdle(boottime.Now()) {
+		t.Error("not closed though idle")
+	}
+}
+
+// Symptom, sequence and cause as above, the other way round: the close comes
+// first, so that what was on its way must not be read.
+func TestAClosedConnectionReadsNothing(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	c := &callerConn{Conn: stubborn{near}}
+	c.closeIfIdle(boottime.Now())
+	if n, err := c.Read(make([]byte, 4)); n != 0 || err == nil {
+		t.Errorf("read %d bytes, error %v", n, err)
+	}
+}
+
+// stubborn delivers bytes that were read just before the close.
+type stubborn struct{ net.Conn }
+
+func (stubborn) Read(p []byte) (int, error) { return copy(p, "GET "), nil }
+
+// Symptom: a caller that keeps to the idle limit finds its connection closed.
+// Sequence: the operators lower the limit while the connection is idle under the
+// earlier one. Cause: only the newest limit counts.
+func TestTheLongestIdleLimitInForceCounts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	conns := newCallerConns(func() time.Time { return now })
+	near, far := net.Pipe()
+	defer far.Close()
+	c := &callerConn{Conn: near, since: now}
+	conns.conns[c] = true
+	conns.sweep(15 * time.Second)
+	now = now.Add(10 * time.Second)
+	conns.sweep(5 * time.Second)
+	if len(conns.conns) != 1 {
+		t.Error("closed after 10 s under a limit of 15 s")
+	}
+	now = now.Add(7 * time.Second)
+	conns.sweep(5 * time.Second)
+	if len(conns.conns) != 0 {
+		t.Error("still open after 17 s")
+	}
+}
