--- /dev/null
+++ b/internal/duty/lease_test.go
@@ -0,0 +1,240 @@
+package duty
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"pgregory.net/rapid"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
+)
+
+func init() { testkit.FixSeed() }
+
+// world is a store and several managers in virtual time: nothing runs unless the
+// test calls it.
+type world struct {
+	now      time.Time
+	records  []platform.KeyedRecord
+	managers []*Manager
+	// fault is how the next write is treated, and late are writes that are done
+	// later if their condition still holds.
+	fault func() fault
+	late  []func()
+	// took is how long a write takes.
+	took time.Duration
+}
+
+type fault int
+
+const (
+	none fault = iota
+	unavailable
+	answerLost
+	doneLate
+)
+
+func newWorld(n int) *world {
+	w := &world{now: time.Unix(1000, 0), fault: func() fault { return none }}
+	for i := range n {
+		w.add(ident.Instance(fmt.Sprint("gw", i)), i)
+	}
+	return w
+}
+
+var testTiming = NewTiming(3*time.Second, 700*time.Millisecond)
+
+func (w *world) add(self ident.Instance, rank int) *Manager {
+	m := NewManager(Config{
+		Self: self, Life: ident.Incarnation(len(w.managers) + 1), Timing: testTiming, Store: w, Log: hclog.NewNullLogger(),
+		Now:  func() time.Time { return w.now },
+		Rank: func() (int, bool) { return rank, false },
+	})
+	w.managers = append(w.managers, m)
+	return m
+}
+
+func (w *world) Put(_ context.Context, _, key string, value []byte, condition *ident.Offset) (ident.Offset, error) {
+	write := func() (ident.Offset, error) {
+		if condition != nil && int(*condition) != len(w.records) {
+			return 0, platform.ErrConflict
+		}
+		offset := ident.Offset(len(w.records))
+		w.records = append(w.records, platform.KeyedRecord{Offset: offset, Key: key, Value: value})
+		return offset, nil
+	}
+	w.now = w.now.Add(w.took)
+	switch w.fault() {
+	case unavailable:
+		return 0, platform.ErrUnavailable
+	case answerLost:
+		_, _ = write() // whether it was done is what the caller cannot know
+		return 0, platform.ErrAnswerLost
+	case doneLate:
+		w.late = append(w.late, func() { _, _ = write() })
+		return 0, platform.ErrAnswerLost
+	}
+	return write()
+}
+
+func (w *world) Follow(context.Context, string, ident.Offset, time.Duration) (platform.KeyedBatch, error) {
+	panic("the lease is read as a whole")
+}
+
+func (w *world) Newest(context.Context, string) (platform.KeyedBatch, error) {
+	batch := platform.KeyedBatch{End: ident.Offset(len(w.records))}
+	if n := len(w.records); n > 0 {
+		batch.Records = w.records[n-1:]
+	}
+	return batch, nil
+}
+
+// run ticks all managers for a time.
+func (w *world) run(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(step) {
+		for _, m := range w.managers {
+			m.tick(context.Background())
+		}
+	}
+}
+
+// holders returns the managers that may call now.
+func (w *world) holders() []int {
+	var out []int
+	for i, m := range w.managers {
+		if _, holds := m.Grant(); holds {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// Symptom: two gateways carry a duty at the same time, or one number is used by
+// two. Sequence: gateways that stop for any time at any place, writes that are
+// refused, whose answers are lost, or that are done seconds later. Cause: a
+// deadline that counts from the answer, a claim taken for held before it was read
+// back, or a condition that is not checked.
+func TestOneHolderAtATime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(3)
+		fences := make(map[ident.Fence]int)
+		last := ident.Fence(0)
+		w.fault = func() fault {
+			return rapid.SampledFrom([]fault{none, none, none, none, unavailable, answerLost, doneLate}).Draw(t, "fault")
+		}
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			w.took = time.Duration(rapid.IntRange(0, 300).Draw(t, "took")) * time.Millisecond
+			i := rapid.IntRange(0, len(w.managers)-1).Draw(t, "manager")
+			w.managers[i].tick(context.Background())
+			w.now = w.now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "passes")) * time.Millisecond)
+			if len(w.late) > 0 && rapid.Bool().Draw(t, "late write is done") {
+				w.late[0]()
+				w.late = w.late[1:]
+			}
+			holders := w.holders()
+			if len(holders) > 1 {
+				t.Fatalf("%v hold the lease at once", holders)
+			}
+			for _, h := range holders {
+				grant, _ := w.managers[h].Grant()
+				if by, used := fences[grant.Fence]; used && by != h {
+					t.Fatalf("fencing number %d is used by two", grant.Fence)
+				}
+				fences[grant.Fence] = h
+				if grant.Fence < last {
+					t.Fatalf("fencing number %d after %d", grant.Fence, last)
+				}
+				last = grant.Fence
+			}
+		}
+	})
+}
+
+func TestLeaseStories(t *testing.T) {
+	t.Run("the first in line takes it", func(t *testing.T) {
+		w := newWorld(3)
+		w.run(time.Second)
+		if got := fmt.Sprint(w.holders()); got != "[0]" {
+			t.Errorf("held by %s", got)
+		}
+	})
+	t.Run("it is renewed", func(t *testing.T) {
+		w := newWorld(3)
+		w.run(time.Minute)
+		grant, holds := w.managers[0].Grant()
+		if !holds || grant.Fence != 1 {
+			t.Errorf("held: %v, fence %d", holds, grant.Fence)
+		}
+	})
+	t.Run("a dead holder is followed within two lengths", func(t *testing.T) {
+		w := newWorld(3)
+		w.run(time.Second)
+		w.managers = w.managers[1:]
+		w.run(2 * testTiming.Length)
+		if got := fmt.Sprint(w.holders()); got != "[0]" {
+			t.Errorf("held by %s", got)
+		}
+	})
+	t.Run("a released one is taken at once", func(t *testing.T) {
+		w := newWorld(3)
+		w.run(time.Second)
+		w.managers[0].release()
+		w.managers = w.managers[1:]
+		w.run(readEvery + 2*testTiming.RankDelay)
+		if got := fmt.Sprint(w.holders()); got != "[0]" {
+			t.Errorf("held by %s", got)
+		}
+	})
+	// Symptom: the duty goes from one gateway to another and back within the
+	// length of a lease. Sequence: the holder releases it and is started again;
+	// its successor releases it too. Cause: a released lease is free for all.
+	t.Run("it does not come back at once", func(t *testing.T) {
+		w := newWorld(2)
+		w.run(time.Second)
+		w.managers[0].release()
+		first := w.managers[0]
+		w.managers = w.managers[1:]
+		w.run(testTiming.RankDelay + readEvery + time.Second)
+		w.managers[0].release()
+		restarted := w.add(first.cfg.Self, 0)
+		w.managers = []*Manager{restarted}
+		w.run(testTiming.Length - time.Second)
+		if _, holds := restarted.Grant(); holds {
+			t.Error("held again at once")
+		}
+		w.run(3 * time.Second)
+		if _, holds := restarted.Grant(); !holds {
+			t.Error("not held after the length")
+		}
+	})
+	t.Run("a refused holder stops and comes back with a higher number", func(t *testing.T) {
+		w := newWorld(1)
+		w.run(time.Second)
+		grant, _ := w.managers[0].Grant()
+		w.managers[0].Refused(grant.Fence)
+		if _, holds := w.managers[0].Grant(); holds {
+			t.Fatal("still held")
+		}
+		w.run(2 * testTiming.Length)
+		if next, holds := w.managers[0].Grant(); !holds || next.Fence <= grant.Fence {
+			t.Errorf("held: %v, fence %d after %d", holds, next.Fence, grant.Fence)
+		}
+	})
+	t.Run("a decision outlives its holder", func(t *testing.T) {
+		w := newWorld(2)
+		w.run(time.Second)
+		if err := w.managers[0].Commit(context.Background(), []byte(`{"a":1}`)); err != nil {
+			t.Fatal(err)
+		}
+		w.managers = w.managers[1:]
+		w.run(3 * testTiming.Length)
+		if got := string(w.managers[0].Decided()); got != `{"a":1}` || len(w.holders()) != 1 {
+			t.Errorf("decided %q", got)
+		}
+	})
+}
--- /dev/null
+++ b/internal/metering/metering_test.go
@@ -0,0 +1,177 @@
+package metering
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/duty"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+)
+
+// holder is a lease, and the platform that takes reports.
+type holder struct {
+	fence    ident.Fence
+	holds    bool
+	decided  json.RawMessage
+	commit   error
+	report   error
+	reported []platform.UsageReport
+}
+
+func (h *holder) Grant() (duty.Grant, bool) { return duty.Grant{Fence: h.fence}, h.holds }
+func (h *holder) Refused(ident.Fence)       { h.holds = false }
+func (h *holder) Decided() json.RawMessage  { return h.decided }
+
+func (h *holder) Commit(_ context.Context, decided json.RawMessage) error {
+	if h.commit == nil {
+		h.decided = decided
+	}
+	return h.commit
+}
+
+func (h *holder) Scale(context.Context, ident.Fence, platform.ScaleOrder) error { return nil }
+
+func (h *holder) Report(_ context.Context, _ ident.Fence, r platform.UsageReport) error {
+	if h.report != nil {
+		return h.report
+	}
+	h.reported = append(h.reported, r)
+	return nil
+}
+
+// scene is a reporter at a time of day.
+type scene struct {
+	now    time.Time
+	ledger *Ledger
+	holder *holder
+	*Reporter
+}
+
+const length = 5 * time.Second
+
+func newScene() *scene {
+	s := &scene{now: time.Unix(5000, 0), ledger: NewLedger(), holder: &holder{fence: 1, holds: true}}
+	s.Reporter = s.reporter(s.holder)
+	return s
+}
+
+func (s *scene) reporter(h *holder) *Reporter {
+	return &Reporter{
+		Length: length, TrueTime: func() time.Time { return s.now }, Ledger: s.ledger, Leases: h, Duties: h, Log: hclog.NewNullLogger(),
+	}
+}
+
+func (s *scene) began(gateway string, window int64, n int64) {
+	s.ledger.Hear(gateway, map[int64]map[ident.ClientAccount]int64{window: {"acct": n}})
+}
+
+func TestAWindowIsReportedOnceItHasSettled(t *testing.T) {
+	s := newScene()
+	s.began("a/1", 1000, 3)
+	s.began("b/1", 1000, 4)
+	s.Step(t.Context())
+	if len(s.holder.reported) != 0 {
+		t.Fatal("reported before the window ended")
+	}
+	s.now = s.now.Add(length + settleFor)
+	s.Step(t.Context())
+	s.Step(t.Context())
+	want := []platform.UsageReport{{Window: 1000, Counts: Counts{"acct": 7}}}
+	if diff := cmp.Diff(want, s.holder.reported); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+// Symptom: the platform gets two reports of one window with different counts.
+// Sequence: the holder reports; more counts of the window arrive; another gateway
+// takes the duty. Cause: a successor that counts anew.
+func TestASuccessorRepeatsTheDecisionExactly(t *testing.T) {
+	s := newScene()
+	s.began("a/1", 1000, 3)
+	s.now = s.now.Add(length + settleFor)
+	s.Step(t.Context())
+	s.began("b/1", 1000, 9)
+	next := &holder{fence: 2, holds: true, decided: s.holder.decided}
+	s.reporter(next).Step(t.Context())
+	if diff := cmp.Diff(s.holder.reported, next.reported); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+// Symptom: as above. Sequence: the decision cannot be written, or whether it was
+// written is not known. Cause: a report that is sent before its decision stands.
+func TestNothingIsSentBeforeItsDecisionStands(t *testing.T) {
+	for _, err := range []error{platform.ErrAnswerLost, platform.ErrUnavailable, duty.ErrNotHeld} {
+		s := newScene()
+		s.began("a/1", 1000, 3)
+		s.holder.commit = err
+		s.now = s.now.Add(length + settleFor)
+		s.Step(t.Context())
+		if len(s.holder.reported) != 0 {
+			t.Errorf("%v: reported", err)
+		}
+	}
+}
+
+func TestARefusedHolderStops(t *testing.T) {
+	s := newScene()
+	s.began("a/1", 1000, 3)
+	s.holder.report = platform.ErrOldFence
+	s.now = s.now.Add(length + settleFor)
+	s.Step(t.Context())
+	if s.holder.holds {
+		t.Error("goes on after a higher fencing number was seen")
+	}
+}
+
+func TestAReportIsRepeatedUntilItIsTaken(t *testing.T) {
+	s := newScene()
+	s.began("a/1", 1000, 3)
+	s.holder.report = platform.ErrAnswerLost
+	s.now = s.now.Add(length + settleFor)
+	s.Step(t.Context())
+	s.holder.report = nil
+	s.Step(t.Context())
+	if len(s.holder.reported) != 1 {
+		t.Errorf("taken %d times", len(s.holder.reported))
+	}
+}
+
+// Symptom: counts of a gateway that died are missing, or counted twice after its
+// restart. Sequence: it reports, dies, and begins anew from zero. Cause: one entry
+// a gateway, whatever its life.
+func TestTheDeadCount(t *testing.T) {
+	l := NewLedger()
+	l.Hear("a/1", map[int64]map[ident.ClientAccount]int64{7: {"acct": 5}})
+	l.Hear("a/1", map[int64]map[ident.ClientAccount]int64{7: {"acct": 6}})
+	l.Hear("a/2", map[int64]map[ident.ClientAccount]int64{7: {"acct": 1}})
+	if got := l.Sum(7); got["acct"] != 7 {
+		t.Errorf("counted %v", got)
+	}
+}
+
+// Symptom: memory grows with time, or with a gateway whose clock is wild. Cause:
+// windows that are never forgotten.
+func TestWindowsAreBounded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := NewCounter(length, func() time.Time { return now })
+	l := NewLedger()
+	for i := range 100 {
+		now = now.Add(length)
+		c.Began("acct", now)
+		l.Hear(fmt.Sprint("a/", i%3), c.Windows())
+	}
+	if n := len(c.Windows()); n > keptWindows {
+		t.Errorf("%d windows kept by the counter", n)
+	}
+	if n := len(l.counts); n > ledgerWindows {
+		t.Errorf("%d windows kept by the ledger", n)
+	}
+}
--- /dev/null
+++ b/internal/quota/quota_test.go
@@ -0,0 +1,259 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
+)
+
+// fleet is gateways that admit requests of one account and hear of each other by
+// reports that take a time.
+type fleet struct {
+	now       time.Time
+	limit     routetable.Account
+	tolerance Tolerance
+	rng       *rand.Rand
+	gateways  []*member
+	// hears says whether a gateway hears another one.
+	hears func(a, b int) bool
+	// admitted are the costs, by time.
+	admitted []admission
+	refused  int
+	asked    int
+}
+
+type member struct {
+	keeper *Keeper
+	life   string
+	// reports are what the others heard last, of each gateway.
+	heard map[int]report
+}
+
+type report struct {
+	life         string
+	spent, asked float64
+	at           time.Time
+}
+
+type admission struct {
+	at   time.Time
+	cost float64
+}
+
+// reportEvery and freshFor are those of the exchange between gateways.
+const (
+	reportEvery = 250 * time.Millisecond
+	freshFor    = time.Second
+)
+
+func newFleet(n int, rate float64) *fleet {
+	f := &fleet{
+		now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(1, 2)), hears: func(int, int) bool { return true },
+		limit:     routetable.Account{Name: "acct", Rate: rate, Burst: rate, CountsTokens: true},
+		tolerance: Tolerance{Window: 8 * time.Second, Overage: 0.1, Slack: 140_000},
+	}
+	for i := range n {
+		f.gateways = append(f.gateways, nil)
+		f.restart(i)
+	}
+	return f
+}
+
+func (f *fleet) restart(i int) {
+	m := &member{life: fmt.Sprint(i, "/", f.now.UnixNano()), heard: make(map[int]report)}
+	m.keeper = NewKeeper(f.tolerance, func(ident.ClientAccount) Others { return f.others(m) }, f.now)
+	f.gateways[i] = m
+}
+
+func (f *fleet) others(m *member) Others {
+	o := Others{Spent: make(map[string]float64), Asked: make(map[string]float64)}
+	for _, r := range m.heard {
+		o.Known++
+		if f.now.Sub(r.at) <= freshFor {
+			o.Fresh++
+			o.Spent[r.life], o.Asked[r.life] = r.spent, r.asked
+		}
+	}
+	return o
+}
+
+// exchange lets gateways hear each other.
+func (f *fleet) exchange() {
+	for i, from := range f.gateways {
+		spent, asked := from.keeper.Totals()
+		for j, to := range f.gateways {
+			if i != j && f.hears(j, i) {
+				to.heard[i] = report{life: from.life, spent: spent["acct"], asked: asked["acct"], at: f.now}
+			}
+		}
+	}
+	for _, m := range f.gateways {
+		m.keeper.Tick([]routetable.Account{f.limit}, f.now)
+	}
+}
+
+// run lets callers ask for a rate of tokens, spread over the gateways by weights,
+// in requests of a mean size.
+func (f *fleet) run(d time.Duration, rate, size float64, weights []float64) {
+	const tick = 10 * time.Millisecond
+	sum := 0.0
+	for _, w := range weights {
+		sum += w
+	}
+	owed := make([]float64, len(f.gateways))
+	nextExchange := f.now
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(tick) {
+		if !f.now.Before(nextExchange) {
+			f.exchange()
+			nextExchange = f.now.Add(reportEvery)
+		}
+		for i, m := range f.gateways {
+			owed[i] += rate * tick.Seconds() * weights[i] / sum
+			for cost := size * (0.2 + 1.6*f.rng.Float64()); owed[i] >= cost; cost = size * (0.2 + 1.6*f.rng.Float64()) {
+				owed[i] -= cost
+				f.ask(m, cost)
+			}
+		}
+	}
+}
+
+func (f *fleet) ask(m *member, cost float64) {
+	f.asked++
+	if m.keeper.Admit(&f.limit, cost, f.now).OK {
+		f.admitted = append(f.admitted, admission{f.now, cost})
+	} else {
+		f.refused++
+	}
+}
+
+// most returns the most that was admitted in any window, and what the limit
+// allows.
+func (f *fleet) most() (got, allowed float64) {
+	w := f.tolerance.Window
+	sum, first := 0.0, 0
+	for _, a := range f.admitted {
+		sum += a.cost
+		for !f.admitted[first].at.After(a.at.Add(-w)) {
+			sum -= f.admitted[first].cost
+			first++
+		}
+		got = max(got, sum)
+	}
+	return got, (f.limit.Rate*w.Seconds()+f.limit.Burst)*(1+f.tolerance.Overage) + f.tolerance.Slack
+}
+
+func (f *fleet) check(t *testing.T) {
+	t.Helper()
+	if got, allowed := f.most(); got > allowed {
+		t.Errorf("%.0f tokens admitted in a window, %.0f allowed", got, allowed)
+	}
+}
+
+// uneven is how a balancer that hashes callers spreads an account.
+var uneven = []float64{8, 1, 3, 0.2, 2, 5, 0, 1}
+
+// Symptom: callers are refused far below the account's limit. Sequence: an
+// account asks for 0.55 of its rate, through few of the gateways. Cause: an even
+// split of the limit, or spending that is taken out in one lump.
+func TestNobodyIsRefusedFarBelowTheLimit(t *testing.T) {
+	for _, rate := range []float64{36_000, 162_000} {
+		f := newFleet(8, rate)
+		f.run(2*time.Second, 0, 1, uneven)
+		f.refused, f.asked = 0, 0
+		f.run(50*time.Second, 0.55*rate, 5000, uneven)
+		if f.refused > 0 {
+			t.Errorf("rate %.0f: %d of %d requests refused", rate, f.refused, f.asked)
+		}
+		f.check(t)
+	}
+}
+
+// Symptom: an account gets more than its limit. Sequence: it asks for many times
+// its rate, through all gateways, or uneven ones. Cause: gateways that spend the
+// same refill before they hear of each other.
+func TestAnAccountFarBeyondItsLimit(t *testing.T) {
+	for _, rate := range []float64{36_000, 162_000, 500_000} {
+		for _, weights := range [][]float64{{1, 1, 1, 1, 1, 1, 1, 1}, uneven} {
+			f := newFleet(8, rate)
+			f.run(5*time.Second, 0.5*rate, 5000, weights)
+			f.run(30*time.Second, 4.5*rate, 5000, weights)
+			f.check(t)
+			got, _ := f.most()
+			if least := f.limit.Rate * f.tolerance.Window.Seconds(); got < least {
+				t.Errorf("rate %.0f: only %.0f admitted in the best window, %.0f owed", rate, got, least)
+			}
+		}
+	}
+}
+
+// Symptom: an account gets more than its limit during a cut. Sequence: the
+// gateways fall into two sides that do not hear each other, and the account asks
+// for many times its rate on both; then they hear each other again. Cause: both
+// sides use the whole limit, or the other side's spending is taken out twice.
+func TestBothSidesOfACutKeepTheLimitTogether(t *testing.T) {
+	for _, side := range []int{1, 3, 4} {
+		f := newFleet(8, 162_000)
+		even := []float64{1, 1, 1, 1, 1, 1, 1, 1}
+		f.run(5*time.Second, 2*162_000, 5000, even)
+		f.hears = func(a, b int) bool { return (a < side) == (b < side) }
+		f.run(10*time.Second, 4.5*162_000, 5000, even)
+		f.hears = func(int, int) bool { return true }
+		f.run(2*time.Second, 4.5*162_000, 5000, even)
+		f.check(t)
+		f.refused, f.asked = 0, 0
+		f.run(3*time.Second, 0, 5000, even)
+		f.run(10*time.Second, 0.5*162_000, 5000, even)
+		if f.refused > 0 {
+			t.Errorf("side of %d: %d of %d refused after the cut", side, f.refused, f.asked)
+		}
+	}
+}
+
+// Symptom: an account gets more than its limit after restarts. Sequence: all
+// gateways start again at once, or one after the other, while the account asks
+// for many times its rate. Cause: buckets that begin full.
+func TestRestartsGiveNothingAway(t *testing.T) {
+	even := []float64{1, 1, 1, 1, 1, 1, 1, 1}
+	f := newFleet(8, 162_000)
+	f.run(8*time.Second, 4.5*162_000, 5000, even)
+	for i := range f.gateways {
+		f.restart(i)
+	}
+	f.run(10*time.Second, 4.5*162_000, 5000, even)
+	for i := range f.gateways {
+		f.restart(i)
+		f.run(time.Second, 4.5*162_000, 5000, even)
+	}
+	f.check(t)
+}
+
+// Symptom: a lowered limit is not kept. Sequence: the operators lower it far
+// below what the account asks. Cause: a bucket that keeps its old contents.
+func TestALoweredLimitBindsAtOnce(t *testing.T) {
+	f := newFleet(8, 162_000)
+	f.run(10*time.Second, 0.6*162_000, 5000, uneven)
+	f.limit.Rate, f.limit.Burst = 30_000, 30_000
+	f.admitted = nil
+	f.run(20*time.Second, 0.6*162_000, 5000, uneven)
+	f.check(t)
+}
+
+// A request larger than the whole burst must still pass at times.
+func TestALargeRequestPassesWhenTheBucketIsFull(t *testing.T) {
+	f := newFleet(1, 10_000)
+	f.tolerance = Tolerance{Window: 8 * time.Second}
+	f.restart(0)
+	f.run(2*time.Second, 0, 1, []float64{1})
+	f.ask(f.gateways[0], 60_000)
+	if f.refused != 0 {
+		t.Error("refused")
+	}
+	f.ask(f.gateways[0], 1000)
+	if f.refused != 1 {
+		t.Error("the request was not taken out of the bucket")
+	}
+}
--- /dev/null
+++ b/internal/retry/shared_test.go
@@ -0,0 +1,81 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+// Symptom: a service gets more further arrivals in some window than its budget.
+// Sequence: any first tries and any wish for further ones, at all gateways, at any
+// times. Cause: a budget that each gateway takes for itself, or that is saved up.
+func TestGatewaysKeepTheBudgetTogether(t *testing.T) {
+	cfg := SharedConfig{Ratio: 0.2, Slack: 56, Window: 10 * time.Second}
+	type event struct {
+		at    time.Time
+		extra bool
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "gateways")
+		known := n
+		if rapid.Bool().Draw(t, "one is not known") {
+			known = max(1, n-1)
+		}
+		var budgets []*Shared
+		for range n {
+			budgets = append(budgets, NewShared(cfg, func() int { return known }))
+		}
+		now := time.Unix(1000, 0)
+		var events []event
+		for range rapid.IntRange(1, 400).Draw(t, "events") {
+			b := budgets[rapid.IntRange(0, n-1).Draw(t, "gateway")]
+			service := ident.Service("svc")
+			if rapid.IntRange(0, 2).Draw(t, "kind") == 0 {
+				b.FirstTry(service, now)
+				events = append(events, event{now, false})
+			} else if b.Spend(service, now) {
+				events = append(events, event{now, true})
+			}
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "passes")) * time.Millisecond)
+		}
+		for i := range events {
+			extras, firsts := 0.0, 0.0
+			for j := i; j >= 0 && events[i].at.Sub(events[j].at) < cfg.Window; j-- {
+				if events[j].extra {
+					extras++
+				}
+			}
+			for j := i; j >= 0 && events[i].at.Sub(events[j].at) < 2*cfg.Window; j-- {
+				if !events[j].extra {
+					firsts++
+				}
+			}
+			if allowed := cfg.Ratio*firsts + cfg.Slack; extras > allowed {
+				t.Fatalf("%.0f further arrivals, %.1f allowed", extras, allowed)
+			}
+		}
+	})
+}
+
+func TestAFailingServiceGetsItsFewRetriesAndNoMore(t *testing.T) {
+	b := NewShared(SharedConfig{Ratio: 0.2, Slack: 56, Window: 10 * time.Second}, func() int { return 8 })
+	now := time.Unix(1000, 0)
+	granted := 0
+	for range 100 {
+		b.FirstTry("svc", now)
+		if b.Spend("svc", now) {
+			granted++
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	// 0.6 of a fifth of 100 requests, and of an eighth of 56.
+	if granted != 16 {
+		t.Errorf("%d of 100 repeated, want 16", granted)
+	}
+	if !b.Spend("other", now) {
+		t.Error("another service's budget is used up")
+	}
+}
--- /dev/null
+++ b/internal/scaling/scaling_test.go
@@ -0,0 +1,219 @@
+package scaling
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/hashicorp/go-hclog"
+	"pgregory.net/rapid"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/directory"
+	"github.com/goldcrestspool/goldcrestspool/internal/duty"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
+)
+
+func init() { testkit.FixSeed() }
+
+var domains = []ident.FailureDomain{"a", "b", "c", "d"}
+
+func standardScale() *routetable.Scale {
+	return &routetable.Scale{
+		Least: 1, Most: 6, Startup: 4 * time.Second, ReclaimablePrice: 0.22,
+		Prices: map[ident.FailureDomain]float64{"a": 1, "b": 0.8, "c": 1.25, "d": 0.9},
+	}
+}
+
+// Symptom: an order beyond what the operators allow, or a plan that leaves the
+// work to too few. Sequence: any need, with any slots closed. Cause: parts of the
+// plan that count differently.
+func TestPlanKeepsItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := Situation{Scale: standardScale(), Need: rapid.Float64Range(0, 40).Draw(t, "need"), Closed: make(map[Slot]bool)}
+		s.Scale.Least = rapid.IntRange(0, 2).Draw(t, "least")
+		s.Scale.Most = rapid.IntRange(s.Scale.Least, 8).Draw(t, "most")
+		if rapid.Bool().Draw(t, "no reclaimable ones") {
+			s.Scale.ReclaimablePrice = 0
+		}
+		for _, d := range domains {
+			s.Closed[Slot{d, true}] = rapid.IntRange(0, 3).Draw(t, "closed") == 0
+		}
+		wanted := Plan(s)
+		total := 0
+		for _, d := range domains {
+			n := inDomain(wanted, d)
+			total += n
+			if n > s.Scale.Most || n < s.Scale.Least {
+				t.Fatalf("%d in %s, want %d to %d", n, d, s.Scale.Least, s.Scale.Most)
+			}
+			if s.Scale.ReclaimablePrice == 0 && wanted[Slot{d, true}] > 0 {
+				t.Fatal("reclaimable ones where there are none")
+			}
+		}
+		if room := s.Scale.Most * len(domains); float64(total) < min(s.Need, float64(room)) {
+			t.Fatalf("%d for a need of %.1f", total, s.Need)
+		}
+	})
+}
+
+func TestPlanStories(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		need   float64
+		closed []Slot
+		want   map[Slot]int
+	}{
+		{"an idle service keeps its least", 0, nil, map[Slot]int{{"a", true}: 1, {"b", true}: 1, {"c", true}: 1, {"d", true}: 1}},
+		{"spread so that the rest carries the work when a domain is lost", 4, nil,
+			map[Slot]int{{"a", true}: 1, {"b", true}: 2, {"c", true}: 1, {"d", true}: 2}},
+		{"a closed domain is made up for elsewhere", 4, []Slot{{"b", true}},
+			map[Slot]int{{"a", true}: 2, {"b", true}: 1, {"c", true}: 2, {"d", true}: 2}},
+		{"with no reclaimable ones to be had, on-demand ones for the need alone", 3,
+			[]Slot{{"a", true}, {"b", true}, {"c", true}, {"d", true}},
+			map[Slot]int{{"a", false}: 1, {"b", false}: 1, {"d", false}: 1, {"c", true}: 1}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := Situation{Scale: standardScale(), Need: c.need, Closed: make(map[Slot]bool)}
+			for _, slot := range c.closed {
+				s.Closed[slot] = true
+			}
+			got := Plan(s)
+			for slot, n := range got {
+				if n == 0 {
+					delete(got, slot)
+				}
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// cloud takes orders and holds the lease.
+type cloud struct {
+	now    time.Time
+	holds  bool
+	need   float64
+	err    error
+	view   *directory.View
+	orders []platform.ScaleOrder
+}
+
+func (c *cloud) Grant() (duty.Grant, bool) { return duty.Grant{Fence: 1}, c.holds }
+func (c *cloud) Refused(ident.Fence)       { c.holds = false }
+func (c *cloud) Report(context.Context, ident.Fence, platform.UsageReport) error {
+	return nil
+}
+
+func (c *cloud) Scale(_ context.Context, _ ident.Fence, o platform.ScaleOrder) error {
+	c.orders = append(c.orders, o)
+	return c.err
+}
+
+func newCloud() (*cloud, *Controller) {
+	c := &cloud{now: time.Unix(1000, 0), holds: true, view: directory.NewView(nil)}
+	table := routetable.New(routetable.Spec{Services: []routetable.Service{{Name: "svc", Scale: standardScale()}}})
+	return c, &Controller{
+		Now: func() time.Time { return c.now }, Table: func() *routetable.Table { return table },
+		View: func() *directory.View { return c.view }, Need: func(*routetable.Service) float64 { return c.need },
+		Leases: c, Duties: c, Log: hclog.NewNullLogger(),
+	}
+}
+
+// steps plays a time in steps of a quarter of a second.
+func (c *cloud) steps(t *testing.T, controller *Controller, d time.Duration) {
+	for end := c.now.Add(d); c.now.Before(end); c.now = c.now.Add(250 * time.Millisecond) {
+		controller.Step(t.Context())
+	}
+}
+
+// serve sets how many upstreams of each slot there are.
+func (c *cloud) serve(counts map[Slot]int, state directory.State) {
+	var list []directory.Upstream
+	for slot, n := range counts {
+		for i := range n {
+			list = append(list, directory.Upstream{
+				ID: ident.Instance(string(slot.FailureDomain) + string(rune('0'+i))), Service: "svc", FailureDomain: slot.FailureDomain,
+				Reclaimable: slot.Reclaimable, State: state, LeavesIn: time.Second,
+			})
+		}
+	}
+	c.view = directory.NewView(list)
+}
+
+// Symptom: a system that was just started gives its upstreams up before callers
+// come, and is too small for them. Sequence: the duty is taken with no work yet.
+// Cause: no work is taken for no need.
+func TestWhatServesStaysUntilWorkWasSeen(t *testing.T) {
+	c, controller := newCloud()
+	c.serve(map[Slot]int{{"a", false}: 3, {"b", false}: 2, {"c", false}: 2, {"d", false}: 2}, directory.Ready)
+	c.steps(t, controller, 10*time.Second)
+	total := 0
+	for _, o := range c.orders {
+		if !o.Reclaimable && o.Wanted == 0 {
+			t.Errorf("gives up what serves, with nothing in its place: %+v", o)
+		}
+		if o.Reclaimable {
+			total += o.Wanted
+		}
+	}
+	if total < 9 {
+		t.Errorf("%d reclaimable ones ordered in the place of 9", total)
+	}
+}
+
+// Symptom: an order is lost for good. Sequence: its answer is lost. Cause: an
+// order that counts as given.
+func TestAnOrderIsRepeatedUntilItIsAnswered(t *testing.T) {
+	c, controller := newCloud()
+	c.need, c.err = 2, platform.ErrAnswerLost
+	c.steps(t, controller, 5*time.Second)
+	first := len(c.orders)
+	c.steps(t, controller, time.Second)
+	if len(c.orders) == first {
+		t.Error("not repeated")
+	}
+	c.err = nil
+	c.steps(t, controller, time.Second)
+	answered := len(c.orders)
+	c.steps(t, controller, time.Second)
+	if len(c.orders) != answered {
+		t.Error("repeated though answered")
+	}
+}
+
+func TestARefusedHolderOrdersNothingMore(t *testing.T) {
+	c, controller := newCloud()
+	c.need, c.err = 2, platform.ErrOldFence
+	c.steps(t, controller, 5*time.Second)
+	if len(c.orders) != 1 {
+		t.Errorf("%d orders", len(c.orders))
+	}
+}
+
+// Symptom: too few upstreams for a dozen seconds after a reclaim. Sequence: the
+// upstreams of a domain are told to leave. Cause: they count until they are gone.
+func TestAReclaimIsMadeUpForAtItsNotice(t *testing.T) {
+	c, controller := newCloud()
+	c.need = 4
+	full := map[Slot]int{{"a", true}: 1, {"b", true}: 2, {"c", true}: 1, {"d", true}: 2}
+	c.serve(full, directory.Ready)
+	c.steps(t, controller, 10*time.Second)
+	c.orders = nil
+	c.serve(map[Slot]int{{"b", true}: 2}, directory.Leaving)
+	c.steps(t, controller, time.Second)
+	more := 0
+	for _, o := range c.orders {
+		if o.FailureDomain != "b" && o.Reclaimable {
+			more += o.Wanted
+		}
+	}
+	if more < 4 {
+		t.Errorf("orders %+v", c.orders)
+	}
+}
