--- a/internal/standin/metastore/metastore.go
+++ b/internal/standin/metastore/metastore.go
@@ -138,7 +138,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case Silent:
-		<-r.Context().Done()
+		hang(r)
 		return
 	}
 	switch r.URL.Path {
@@ -153,6 +153,14 @@
 	}
 }
 
+// hang says nothing until the caller leaves, which net/http sees only once the
+// body was read.
+func hang(r *http.Request) {
+	// The caller may have left already.
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
 func (s *Store) serveAppend(w http.ResponseWriter, r *http.Request, mode Mode) {
 	body, err := io.ReadAll(r.Body)
 	records, ok := decode(body)
@@ -171,7 +179,7 @@
 	offset := s.append(name, records)
 	s.mu.Unlock()
 	if mode == LosingAnswers {
-		<-r.Context().Done()
+		hang(r)
 		return
 	}
 	answer(w, http.StatusOK, map[string]int{"Offset": offset, "End": offset + len(records)})
