--- a/internal/scaling/controller.go
+++ b/internal/scaling/controller.go
@@ -26,6 +26,13 @@
 	// closedFor is for how long a slot counts as closed after an order was
 	// turned down or its upstreams were reclaimed.
 	closedFor = 4 * time.Second
+	// pauseFor is for how long nothing else is ordered after an order was turned
+	// down: mostly nothing is to be had anywhere then, and what is missing here
+	// must not be heaped up elsewhere.
+	pauseFor = time.Second
+	// shortFor is for how long less must be wanted before on-demand upstreams are
+	// given up: a step of the need to and fro costs a start of 4 s.
+	shortFor = 3 * time.Second
 	// showSlack is how much longer than their start new upstreams may take to
 	// be listed before the order is repeated.
 	showSlack = 3 * time.Second
@@ -179,21 +186,12 @@
 		state.workSince = now
 	}
 	if state.workSince.IsZero() || now.Sub(state.workSince) < watchFor {
-		found := float64(max(state.found, minimum*domainsOf(serving)))
+		found := float64(state.found)
 		return max(need, found/reserve), max(need, found)
 	}
 	return need, need
 }
 
-// domainsOf counts the domains in which upstreams serve.
-func domainsOf(serving map[Slot]int) int {
-	domains := make(map[ident.FailureDomain]bool)
-	for slot := range serving {
-		domains[slot.FailureDomain] = true
-	}
-	return len(domains)
-}
-
 // coming is how many reclaimable upstreams were ordered and may still start.
 func coming(s *routetable.Service, state *service, serving map[Slot]int, now time.Time) int {
 	sum := 0
@@ -260,12 +258,24 @@
 		return false
 	}
 	if !slot.Reclaimable {
-		return true
+		replaced := r.state.workSince.IsZero()
+		return replaced || r.now.Sub(since) >= shortFor
 	}
 	calm := r.state.reclaimed.IsZero() || r.now.Sub(r.state.reclaimed) >= calmAfter
 	return calm && r.now.Sub(since) >= shrinkAfter
 }
 
+// pauseOthers closes all reclaimable slots for a moment.
+func (c *Controller) pauseOthers(s *routetable.Service, state *service, now time.Time) {
+	until := now.Add(pauseFor)
+	for d := range s.Scale.Prices {
+		slot := Slot{d, true}
+		if state.closed[slot].Before(until) {
+			state.closed[slot] = until
+		}
+	}
+}
+
 // send sends one order and reports whether to go on.
 func (c *Controller) send(ctx context.Context, s *routetable.Service, state *service, slot Slot, wanted, serving int, need float64, now time.Time) bool {
 	grant, holds := c.Leases.Grant()
@@ -287,6 +297,7 @@
 	case errors.Is(err, platform.ErrNoCapacity):
 		state.closed[slot] = now.Add(closedFor)
 		state.reclaimed = now
+		c.pauseOthers(s, state, now)
 	default:
 		state.orders[slot] = &order{wanted: wanted, at: now}
 	}
--- a/internal/scaling/plan.go
+++ b/internal/scaling/plan.go
@@ -42,8 +42,13 @@
 	// shortage: on-demand upstreams are ordered when less than this part of the
 	// need is there or on its way.
 	shortage = 0.8
-	// minimum upstreams of a service in each domain before any work was seen.
+	// minimum reclaimable upstreams of a service in each domain, as far as the
+	// operators allow it: a domain's single upstream would be lost to one crash,
+	// and a service at one a domain is half gone after two reclaims.
 	minimum = 2
+	// uneven is how many more than an even part a domain may get where others are
+	// closed: what stands in one domain is reclaimed together.
+	uneven = 1
 )
 
 // Plan returns how many upstreams each slot should have. Reclaimable ones are
@@ -60,13 +65,14 @@
 		wanted[Slot{d, true}], wanted[Slot{d, false}] = 0, 0
 	}
 	if s.Scale.ReclaimablePrice <= 0 {
-		s.fill(wanted, domains, s.total(s.Need), false)
+		s.fill(wanted, domains, s.total(s.Need), s.Scale.Most, false)
 		s.keepLeast(wanted, domains, false)
 		return wanted
 	}
-	s.fill(wanted, domains, s.total(reserve*s.Need), true)
+	total := max(s.total(reserve*s.Need), min(minimum, s.Scale.Most)*len(domains))
+	s.fill(wanted, domains, total, (total+len(domains)-1)/len(domains)+uneven, true)
 	s.keepLeast(wanted, domains, true)
-	s.fill(wanted, domains, s.short(), false)
+	s.fill(wanted, domains, s.short(), s.Scale.Most, false)
 	return wanted
 }
 
@@ -93,16 +99,15 @@
 }
 
 // fill adds so many upstreams of a kind, each in the domain that has the least,
-// the cheapest first among equals. It returns how many found a place.
-func (s Situation) fill(wanted map[Slot]int, domains []ident.FailureDomain, count int, reclaimable bool) int {
-	placed := 0
-	for placed < count {
+// the cheapest first among equals, and at most so many of the kind in a domain.
+func (s Situation) fill(wanted map[Slot]int, domains []ident.FailureDomain, count, most int, reclaimable bool) {
+	for range count {
 		open := slices.DeleteFunc(slices.Clone(domains), func(d ident.FailureDomain) bool {
 			slot := Slot{d, reclaimable}
-			return inDomain(wanted, d) >= s.Scale.Most || s.Closed[slot] && wanted[slot] >= s.Serving[slot]
+			return inDomain(wanted, d) >= s.Scale.Most || wanted[slot] >= most || s.Closed[slot] && wanted[slot] >= s.Serving[slot]
 		})
 		if len(open) == 0 {
-			return placed
+			return
 		}
 		best := slices.MinFunc(open, func(a, b ident.FailureDomain) int {
 			return cmp.Or(
@@ -112,9 +117,7 @@
 			)
 		})
 		wanted[Slot{best, reclaimable}]++
-		placed++
 	}
-	return placed
 }
 
 func inDomain(wanted map[Slot]int, d ident.FailureDomain) int {
--- a/internal/scaling/scaling_test.go
+++ b/internal/scaling/scaling_test.go
@@ -69,7 +69,7 @@
 		serving map[Slot]int
 		want    map[Slot]int
 	}{
-		{"an idle service keeps its least", 0, nil, nil, map[Slot]int{{"a", true}: 1, {"b", true}: 1, {"c", true}: 1, {"d", true}: 1}},
+		{"an idle service keeps two in each domain", 0, nil, nil, map[Slot]int{{"a", true}: 2, {"b", true}: 2, {"c", true}: 2, {"d", true}: 2}},
 		{"with a reserve, spread evenly, the cheapest first", 4, nil, map[Slot]int{{"a", true}: 4},
 			map[Slot]int{{"a", true}: 2, {"b", true}: 2, {"c", true}: 2, {"d", true}: 2}},
 		{"a closed domain is made up for elsewhere, and keeps what it has", 4, []Slot{{"b", true}}, map[Slot]int{{"b", true}: 1, {"a", true}: 3},
