--- /dev/null
+++ b/internal/routing/placement/learn.go
@@ -0,0 +1,86 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/admission/ejection"
+	"github.com/goldcrestspool/goldcrestspool/internal/forward"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+// Began implements forward.Placement.
+func (c *Chooser) Began(choice forward.Choice, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := choice.Place.(*place)
+	if p.began {
+		return
+	}
+	p.began = true
+	p.latency = now.Sub(p.sent)
+	c.ownAt(choice.Upstream).load.Unread -= p.unread
+	c.timing(p.service).learn(p.latency - p.expected)
+}
+
+// Finished implements forward.Placement.
+func (c *Chooser) Finished(choice forward.Choice, result forward.Result, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := choice.Place.(*place)
+	o := c.ownAt(choice.Upstream)
+	o.load.Running--
+	c.workAt(p.service).ended(now)
+	if !p.began {
+		o.load.Unread -= p.unread
+	}
+	c.learnReach(o, result, now)
+	if sample, counts := sampleOf(p, result); counts {
+		c.set(p.service).Ended(now, choice.Upstream, sample)
+		c.noteEjection(p.service, choice.Upstream)
+	}
+}
+
+// sampleOf returns what a result says about its upstream. What the caller or the
+// clock ended says nothing.
+func sampleOf(p *place, result forward.Result) (ejection.Sample, bool) {
+	sample := ejection.Sample{Started: p.sent}
+	switch result {
+	case forward.CallerGone:
+		return sample, false
+	case forward.Expired:
+		if p.began {
+			return sample, false
+		}
+		sample.Failed = true
+	case forward.Done:
+		sample.Latency = p.latency.Seconds() / (p.expected.Seconds() + idleAnswer.Seconds())
+	default:
+		sample.Failed = true
+	}
+	return sample, true
+}
+
+// idleAnswer is what an idle upstream takes beside reading the prompt; it keeps
+// short requests from looking slow.
+const idleAnswer = 60 * time.Millisecond
+
+func (c *Chooser) learnReach(o *own, result forward.Result, now time.Time) {
+	if result != forward.NoConnection {
+		o.failures = 0
+		return
+	}
+	wait := min(firstAvoid<<min(o.failures, 8), mostAvoid)
+	o.failures++
+	o.avoidUntil = now.Add(wait)
+}
+
+// noteEjection logs a change of an upstream's state.
+func (c *Chooser) noteEjection(service ident.Service, id ident.Instance) {
+	state := c.set(service).State(id)
+	if c.reported[id] == state {
+		return
+	}
+	c.reported[id] = state
+	c.cfg.Log.Info("upstream's standing changed", "upstream", id, "service", service,
+		"standing", [...]string{"healthy", "ejected", "probing"}[state])
+}
