--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -70,11 +70,14 @@
 
 func (p *Process) newReporter() *metering.Reporter {
 	return &metering.Reporter{
-		Length: p.settings.Usage.Window, TrueTime: p.trueTime, Ledger: p.ledger, Leases: p.lease,
+		Length: p.settings.Usage.Window, DueAfter: p.settings.Usage.DueAfter, Hearing: p.hearing, TrueTime: p.trueTime, Ledger: p.ledger, Leases: p.lease,
 		Duties: p.ports.Duties, Log: p.log.Named("metering"),
 	}
 }
 
+// hearing is how long it takes to hear of every other gateway.
+func (p *Process) hearing() time.Duration { return gossip.FreshFor(p.view.Load().Known) }
+
 func (p *Process) newScaling() *scaling.Controller {
 	return &scaling.Controller{
 		Now: p.now, Table: p.table, View: p.board.upstreams.Value, Need: p.need, Leases: p.lease,
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -81,6 +82,8 @@
 // whole, once a round.
 type peerView struct {
 	gossip.View
+	// lives name the fresh gateways' lives, in their order.
+	lives []string
 	loads map[ident.Instance]placement.Load
 }
 
@@ -116,7 +119,7 @@
 		Pool: p.pool, Now: p.now, Log: p.log.Named("gossip"),
 	})
 	p.counter = metering.NewCounter(s.Usage.Window, p.trueTime)
-	p.keeper = quota.NewKeeper(quota.Tolerance{Window: s.Quota.Window, Overage: s.Quota.Overage, Slack: s.Quota.Slack}, p.quotaOthers, p.now())
+	p.keeper = quota.NewKeeper(quota.Tolerance{Window: s.Quota.Window, Overage: s.Quota.Overage, Slack: s.Quota.Slack}, p.quotaOthers, rand.Float64, p.now())
 	p.chooser = placement.New(placement.Config{
 		Params: placement.DefaultParams(), Domain: s.Instance.FailureDomain, Log: p.log.Named("placement"),
 		View:     func() *directory.View { return p.board.upstreams.Value() },
@@ -165,12 +168,11 @@
 
 // quotaOthers returns what the other gateways report of an account.
 func (p *Process) quotaOthers(account ident.ClientAccount) quota.Others {
-	v := p.view.Load()
-	o := quota.Others{Fresh: len(v.Fresh), Known: v.Known, Spent: make(map[string]float64, len(v.Fresh)), Asked: make(map[string]float64, len(v.Fresh))}
+	v, now := p.view.Load(), p.now()
+	o := quota.Others{Fresh: len(v.Fresh), Known: v.Known, Reports: make(map[string]quota.Report, len(v.Fresh))}
 	for i := range v.Fresh {
-		r := &v.Fresh[i].Report
-		life := lifeOf(r)
-		o.Spent[life], o.Asked[life] = r.Spent[account], r.Asked[account]
+		m := &v.Fresh[i]
+		o.Reports[v.lives[i]] = quota.Report{Spent: m.Report.Spent[account], Asked: m.Report.Asked[account], Age: now.Sub(m.HeardAt)}
 	}
 	return o
 }
@@ -260,6 +262,7 @@
 	v := &peerView{View: p.peers.View(now), loads: make(map[ident.Instance]placement.Load)}
 	for i := range v.Fresh {
 		m := &v.Fresh[i]
+		v.lives = append(v.lives, lifeOf(&m.Report))
 		for id, load := range m.Report.Loads {
 			sum := v.loads[id]
 			sum.Running += load[0]
--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -17,7 +17,7 @@
 	// counts for as many times longer as it takes to meet each of them.
 	freshRounds = 4
 	// mostFresh bounds that: a view older than this says nothing.
-	mostFresh = 5 * time.Second
+	mostFresh = 8 * time.Second
 	// KnownFor is for how long a silent gateway still counts as one that may
 	// admit requests. Killed ones are back within some seconds; one that is cut
 	// off goes on admitting its part for as long as it lives, and the cuts that
@@ -153,8 +153,8 @@
 	Known int
 }
 
-// freshFor is for how long a report counts as the present among so many others.
-func freshFor(others int) time.Duration {
+// FreshFor is for how long a report counts as the present among so many others.
+func FreshFor(others int) time.Duration {
 	// Two gateways meet in a round as caller and as callee.
 	rounds := max(1, (others+2*fanout-1)/(2*fanout))
 	return min(time.Duration(freshRounds*rounds)*IntervalOf(others), mostFresh)
@@ -165,7 +165,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var v View
-	fresh := freshFor(len(t.members))
+	fresh := FreshFor(len(t.members))
 	for node, m := range t.members {
 		age := now.Sub(m.HeardAt)
 		if age <= fresh {
--- a/internal/metering/reporter.go
+++ b/internal/metering/reporter.go
@@ -23,9 +23,13 @@
 }
 
 const (
-	// settleFor is how long after a window's end its counts are decided: the
-	// gateways' reports take a round of 250 ms, and a slowed one a second.
-	settleFor = 2500 * time.Millisecond
+	// leastSettle is how long after a window's end its counts are decided at the
+	// least: the gateways' reports take a round of 250 ms, and a slowed one a
+	// second.
+	leastSettle = 2500 * time.Millisecond
+	// reportLeft is the time left for deciding and reporting before the report is
+	// due, also by a successor.
+	reportLeft = 3500 * time.Millisecond
 	// decidedKept is how many decided windows stay on record: the report of one
 	// is due 10 s after its end, and the users' windows take 5 s.
 	decidedKept = 6
@@ -46,7 +50,11 @@
 
 // Reporter reports usage while this gateway holds the lease.
 type Reporter struct {
-	Length   time.Duration
+	Length time.Duration
+	// DueAfter is how long after a window's end its report is due.
+	DueAfter time.Duration
+	// Hearing is how long it takes to hear of all gateways' counts.
+	Hearing  func() time.Duration
 	TrueTime func() time.Time
 	Ledger   *Ledger
 	Leases   Leases
@@ -100,7 +108,8 @@
 
 // decide adds the windows whose counts have settled.
 func (r *Reporter) decide(d Decision) (Decision, bool) {
-	last := Window(r.TrueTime().Add(-settleFor), r.Length) - 1
+	settle := max(leastSettle, min(r.Hearing(), r.DueAfter-reportLeft))
+	last := Window(r.TrueTime().Add(-settle), r.Length) - 1
 	next := Decision{Windows: maps.Clone(d.Windows)}
 	changed := false
 	for window := last - mostBehind; window <= last; window++ {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -2,11 +2,13 @@
 // without a word to anyone per request.
 //
 // Each gateway keeps a bucket of the whole limit. It takes its own admissions
-// out at once and those of the others as their reports come, a round later. A
-// gateway that does not hear all the others fills its bucket only with the part
-// of those that it hears, so that the sides of a cut never admit more than the
-// limit together. Near the limit, where all would spend the same refill before
-// they hear of each other, each keeps to its part by what callers asked of it.
+// out at once, those of the others as their reports come, and expects of each that
+// it goes on spending as it did until the next report. A gateway that does not
+// hear all the others fills its bucket only with the part of those that it hears,
+// so that the sides of a cut never admit more than the limit together. Where more
+// is asked than the limit gives, each gateway admits the same share of requests
+// by chance: all of them see the same refill, and would spend it together before
+// they hear of each other.
 package quota
 
 import (
@@ -18,16 +20,12 @@
 )
 
 const (
-	// nearLimit is for how much of the rate the bucket must hold so that
-	// admissions need no pacing: what all gateways can admit before they hear of
-	// each other, two rounds and some slack.
-	nearLimit = 700 * time.Millisecond
-	// pacedBurst is how much of its own part a gateway may save up near the
-	// limit: the time between two reports and some slack.
-	pacedBurst = 400 * time.Millisecond
-	// askedMemory is over how long the parts of the gateways are measured: long
-	// enough for a few requests at each, short against a surge of an account.
+	// askedMemory is over how long rates are measured: long enough for a few
+	// requests at each gateway, short against a surge of an account.
 	askedMemory = 2 * time.Second
+	// scarceAbove is the part of the rate above which what is asked counts as more
+	// than the limit gives.
+	scarceAbove = 0.95
 	// leastAfter and mostAfter bound when a refused caller is told to return.
 	leastAfter = 100 * time.Millisecond
 	mostAfter  = 2 * time.Second
@@ -61,13 +59,23 @@
 	// Fresh and Known count the gateways heard and those that may admit,
 	// without this one.
 	Fresh, Known int
-	// Spent and Asked by gateway and incarnation.
-	Spent, Asked map[string]float64
+	// Reports by gateway and incarnation.
+	Reports map[string]Report
+}
+
+// Report is what another gateway last said of an account.
+type Report struct {
+	// Spent and Asked are totals since its start.
+	Spent, Asked float64
+	// Age is how long ago it said so.
+	Age time.Duration
 }
 
 // Keeper admits requests. It is safe for concurrent use.
 type Keeper struct {
 	tolerance Tolerance
+	// chance returns a number from 0 to 1.
+	chance func() float64
 	// others returns the reports on an account.
 	others func(ident.ClientAccount) Others
 
@@ -79,17 +87,19 @@
 type account struct {
 	// level is what the bucket holds; negative when more was admitted.
 	level float64
-	// paced is what this gateway may still admit near the limit.
-	paced float64
-	// filled is up to when both were filled.
+	// filled is up to when it was filled.
 	filled time.Time
 	// spent and asked are this gateway's totals.
 	spent, asked float64
-	// seen is how much of each other gateway's spending was taken out.
-	seen map[string]float64
-	// rates are who was asked for how much lately.
-	own    rateOf
-	theirs map[string]*rateOf
+	own          rateOf
+	others       map[string]*other
+}
+
+// other is what is known of another gateway's use of the account.
+type other struct {
+	// seen is how much of its spending was taken out.
+	seen          float64
+	spends, asked rateOf
 }
 
 // rateOf measures a growing total's rate.
@@ -115,9 +125,10 @@
 	return r.rate
 }
 
-// NewKeeper returns a keeper that has admitted nothing.
-func NewKeeper(tolerance Tolerance, others func(ident.ClientAccount) Others, now time.Time) *Keeper {
-	return &Keeper{tolerance: tolerance, others: others, started: now, accounts: make(map[ident.ClientAccount]*account)}
+// NewKeeper returns a keeper that has admitted nothing. chance returns numbers
+// from 0 to 1.
+func NewKeeper(tolerance Tolerance, others func(ident.ClientAccount) Others, chance func() float64, now time.Time) *Keeper {
+	return &Keeper{tolerance: tolerance, others: others, chance: chance, started: now, accounts: make(map[ident.ClientAccount]*account)}
 }
 
 // Decision is whether a request is admitted, with what decided it.
@@ -125,11 +136,12 @@
 	OK bool
 	// After is when a refused request may be admitted.
 	After time.Duration
-	// Level and Paced are what the buckets held, Need what the request needed.
-	Level, Paced, Need float64
-	// Part of what is asked of the gateways that is asked of this one, and what
-	// is asked of all of them a second.
-	Part, Asked float64
+	// Level is what the bucket held, after what others have probably spent since
+	// their reports, and Need what the request needed.
+	Level, Need float64
+	// Asked is what is asked of all gateways a second, Rate what they may admit,
+	// and Share the part of the requests that is admitted.
+	Asked, Rate, Share float64
 	// Heard and Known count the gateways, with this one.
 	Heard, Known int
 }
@@ -146,32 +158,51 @@
 	a := k.account(limit)
 	a.asked += cost
 	f := k.refresh(a, limit, others, now)
-	rate, part, asked := f.rate, f.part, f.asked
-	need := min(cost, f.burst)
 	d := Decision{
-		Level: a.level, Paced: a.paced, Need: need, Part: part, Asked: asked,
+		Level: a.level - f.unheard, Need: min(cost, f.burst), Asked: f.asked, Rate: f.rate, Share: f.share(a.level - f.unheard),
 		Heard: others.Fresh + 1, Known: max(others.Known, others.Fresh) + 1,
 	}
-	near := asked > paceAbove*rate && a.level-cost < limit.Rate*nearLimit.Seconds()
-	if a.level >= need && (!near || a.paced >= min(cost, mostPaced(rate, part))) {
+	if d.Level >= d.Need && (d.Share >= 1 || k.chance() < d.Share) {
 		a.level -= cost
-		a.paced -= cost
 		a.spent += cost
 		d.OK = true
 		return d
 	}
-	missing := need - a.level
-	if near {
-		missing = max(missing, (min(cost, mostPaced(rate, part))-a.paced)/part)
-	}
-	after := time.Duration(missing / rate * float64(time.Second))
+	after := time.Duration((d.Need - d.Level) / f.rate * float64(time.Second))
 	d.After = min(max(after, leastAfter), mostAfter)
 	return d
 }
 
-// paceAbove is the part of the rate above which what callers ask is paced near
-// the limit. Below it the bucket fills faster than it is emptied.
-const paceAbove = 0.9
+// filling is what a gateway may use of an account's limit now.
+type filling struct {
+	// rate and burst of the gateways that are heard, together.
+	rate, burst float64
+	// asked of all of them a second.
+	asked float64
+	// unheard is what the others have probably spent since their reports.
+	unheard float64
+}
+
+// share is the part of the requests to admit. Where more is asked than there is,
+// it is what there is of it, and more or less as the bucket is full or empty.
+func (f filling) share(level float64) float64 {
+	if f.asked <= scarceAbove*f.rate {
+		return 1
+	}
+	const (
+		// half full, the share is the mean one.
+		half = 0.5
+		// A full bucket is spent faster than it fills, or a surge after a calm
+		// would get no more than the rate.
+		most = 8
+	)
+	fullness := max(level, 0) / f.burst
+	mean := f.rate / f.asked
+	if fullness <= half {
+		return mean * fullness / half
+	}
+	return mean * (1 + (most-1)*(fullness-half)/half)
+}
 
 // limits are the rate and the burst that callers get of an account's.
 func (k *Keeper) limits(limit *routetable.Account) (rate, burst float64) {
@@ -197,80 +228,42 @@
 	a := k.accounts[limit.Name]
 	if a == nil {
 		_, burst := k.limits(limit)
-		a = &account{level: startPart * burst, filled: k.started, seen: make(map[string]float64), theirs: make(map[string]*rateOf)}
+		a = &account{level: startPart * burst, filled: k.started, others: make(map[string]*other)}
 		k.accounts[limit.Name] = a
 	}
 	return a
 }
 
-// filling is what a gateway may use of an account's limit now.
-type filling struct {
-	// rate and burst of the gateways that are heard, together.
-	rate, burst float64
-	// part of this gateway in what is asked of them, and asked all of it.
-	part, asked float64
-}
-
-// part is how much of what is asked of the gateways that are heard is asked of
-// this one, never less than a tenth of an even part; and how much is asked of
-// all of them, a second.
-func (a *account) part(others Others, now time.Time) (part, all float64) {
-	own := a.own.update(a.asked, now)
-	sum := own
-	for gateway, asked := range others.Asked {
-		r := a.theirs[gateway]
-		if r == nil {
-			r = &rateOf{}
-			a.theirs[gateway] = r
-		}
-		sum += r.update(asked, now)
-	}
-	for gateway := range a.theirs {
-		if _, heard := others.Asked[gateway]; !heard {
-			delete(a.theirs, gateway)
-		}
-	}
-	even := 1 / float64(others.Fresh+1)
-	if sum <= 0 {
-		return even, 0
-	}
-	return max(own/sum, even/10), sum
-}
-
-// mostPaced is how much a gateway may save up near the limit.
-func mostPaced(rate, part float64) float64 { return rate * part * pacedBurst.Seconds() }
-
-// refresh fills an account's buckets, and takes out what others spent.
+// refresh fills an account's bucket, and takes out what others spent.
 func (k *Keeper) refresh(a *account, limit *routetable.Account, others Others, now time.Time) filling {
 	heard := float64(others.Fresh+1) / float64(max(others.Known, others.Fresh)+1)
 	rate, burst := k.limits(limit)
 	f := filling{rate: rate * heard, burst: burst * heard}
-	f.part, f.asked = a.part(others, now)
 	if elapsed := now.Sub(a.filled).Seconds(); elapsed > 0 {
 		a.level = min(a.level+f.rate*elapsed, f.burst)
-		a.paced = min(a.paced+f.rate*f.part*elapsed, mostPaced(f.rate, f.part))
 		a.filled = now
 	}
-	a.takeOut(others)
-	return f
-}
-
-// takeOut takes what the other gateways spent since their last reports out.
-func (a *account) takeOut(others Others) {
-	for gateway := range a.seen {
-		if _, heard := others.Spent[gateway]; !heard {
+	f.asked = a.own.update(a.asked, now)
+	for gateway := range a.others {
+		if _, heard := others.Reports[gateway]; !heard {
 			// While it is not heard, its part is not filled in; what it spends
 			// then must not be taken out a second time when it is heard again.
-			delete(a.seen, gateway)
+			delete(a.others, gateway)
 		}
 	}
-	for gateway, spent := range others.Spent {
-		seen, known := a.seen[gateway]
-		if known {
-			a.level -= max(spent-seen, 0)
+	for gateway, r := range others.Reports {
+		o := a.others[gateway]
+		if o == nil {
+			o = &other{seen: r.Spent}
+			a.others[gateway] = o
 		}
-		a.seen[gateway] = spent
+		a.level -= max(r.Spent-o.seen, 0)
+		o.seen = r.Spent
+		reported := now.Add(-r.Age)
+		f.asked += o.asked.update(r.Asked, reported)
+		f.unheard += o.spends.update(r.Spent, reported) * r.Age.Seconds()
 	}
+	return f
 }
 
 // Totals returns what this gateway admitted, and was asked for, by account.
--- a/internal/scaling/controller.go
+++ b/internal/scaling/controller.go
@@ -173,21 +173,19 @@
 // unknown until some work was seen: a system that was just started, or changed its
 // holder, keeps what serves.
 func (c *Controller) watched(state *service, need float64, serving map[Slot]int, now time.Time) (wanted, keep float64) {
-	if len(state.orders) == 0 {
-		// What this holder ordered beside them, to replace them, must not count
-		// as found.
-		total := 0
-		for _, n := range serving {
-			total += n
+	found := 0
+	for slot, n := range serving {
+		// What this holder ordered, to replace what it found, must not count.
+		if state.orders[slot] == nil {
+			found += n
 		}
-		state.found = max(state.found, total)
 	}
+	state.found = max(state.found, found)
 	if state.workSince.IsZero() && need > leastWork {
 		state.workSince = now
 	}
 	if state.workSince.IsZero() || now.Sub(state.workSince) < watchFor {
-		found := float64(state.found)
-		return max(need, found/reserve), max(need, found)
+		return max(need, float64(state.found)/reserve), max(need, float64(state.found))
 	}
 	return need, need
 }
