Placement: a failure domain that is cut off is left alone after one failure

Now a domain counts as cut off when no gateway there is heard and one upstream there did not answer.

--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -85,6 +85,9 @@
 	// lives name the fresh gateways' lives, in their order.
 	lives []string
 	loads map[ident.Instance]placement.Load
+	// silent are the other failure domains in which gateways were heard lately,
+	// and none is now.
+	silent map[ident.FailureDomain]bool
 }
 
 // New wires a process; makePorts gets the pool that all connections of the
@@ -124,6 +127,7 @@
 		Params: placement.DefaultParams(), Domain: s.Instance.FailureDomain, Log: p.log.Named("placement"),
 		View:     func() *directory.View { return p.board.upstreams.Value() },
 		Others:   func(id ident.Instance) placement.Load { return p.view.Load().loads[id] },
+		Silent:   func(d ident.FailureDomain) bool { return p.view.Load().silent[d] },
 		Gateways: p.gateways,
 	})
 	forwarder := forward.New(forward.Config{
@@ -271,9 +275,11 @@
 		}
 		p.upstreams.confirm(m.Report.Upstreams, m.HeardAt.Add(-time.Duration(m.Report.UpstreamsAge)*time.Millisecond))
 	}
-	for _, m := range p.peers.Members() {
+	members := p.peers.Members()
+	for _, m := range members {
 		p.ledger.Hear(lifeOf(&m.Report), m.Report.Began)
 	}
+	v.silent = gossip.SilentDomains(members, p.settings.Instance.FailureDomain, now)
 	p.ledger.Hear("", p.counter.Windows())
 	p.view.Store(v)
 	if table := p.table(); table != nil {
--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -236,3 +236,24 @@
 	}
 	return offs[len(offs)/2]
 }
+
+// silentAfter is after how long without a word a gateway counts as silent where a
+// round reaches all others: three rounds and the time of an exchange.
+const silentAfter = 1100 * time.Millisecond
+
+// SilentDomains returns the failure domains but one's own whose gateways were
+// heard in the last while, and none of them is now.
+func SilentDomains(members []Member, own ident.FailureDomain, now time.Time) map[ident.FailureDomain]bool {
+	// Among many, the time in which one of a domain's gateways is met is shorter
+	// than that in which each is; the same limit does.
+	silent := make(map[ident.FailureDomain]bool)
+	for _, m := range members {
+		domain, age := m.Report.Domain, now.Sub(m.HeardAt)
+		if domain == own || age > KnownFor {
+			continue
+		}
+		known, seen := silent[domain]
+		silent[domain] = (known || !seen) && age > silentAfter
+	}
+	return silent
+}
--- a/internal/routing/placement/learn.go
+++ b/internal/routing/placement/learn.go
@@ -34,6 +34,9 @@
 		o.load.Unread -= p.unread
 	}
 	c.learnReach(o, result, now)
+	if result == forward.NoConnection || result == forward.Broken || result == forward.Cut {
+		c.lost[p.domain] = now
+	}
 	if sample, counts := sampleOf(p, result); counts {
 		c.set(p.service).Ended(now, choice.Upstream, sample)
 		c.noteEjection(p.service, choice.Upstream)
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -9,6 +9,7 @@
 package placement
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -77,6 +78,9 @@
 	View func() *directory.View
 	// Others returns what the other gateways have at an upstream.
 	Others func(ident.Instance) Load
+	// Silent reports whether all gateways of another failure domain have fallen
+	// silent just now.
+	Silent func(ident.FailureDomain) bool
 	// Gateways is how many gateways share the upstreams' connections.
 	Gateways func() int
 }
@@ -85,8 +89,10 @@
 type Chooser struct {
 	cfg Config
 
-	mu       sync.Mutex
-	view     *directory.View
+	mu   sync.Mutex
+	view *directory.View
+	// lost are domains with when an upstream there did not answer last.
+	lost     map[ident.FailureDomain]time.Time
 	own      map[ident.Instance]*own
 	sets     map[ident.Service]*ejection.Set
 	learned  map[ident.Service]*timing
@@ -115,6 +121,7 @@
 
 // place is what a request holds at an upstream.
 type place struct {
+	domain  ident.FailureDomain
 	service ident.Service
 	unread  int
 	sent    time.Time
@@ -127,7 +134,7 @@
 // New returns a Chooser that has sent nothing.
 func New(cfg Config) *Chooser {
 	return &Chooser{
-		cfg: cfg, own: make(map[ident.Instance]*own), sets: make(map[ident.Service]*ejection.Set),
+		cfg: cfg, lost: make(map[ident.FailureDomain]time.Time), own: make(map[ident.Instance]*own), sets: make(map[ident.Service]*ejection.Set),
 		learned: make(map[ident.Service]*timing), reported: make(map[ident.Instance]ejection.State),
 		work: make(map[ident.Service]*workOf),
 	}
@@ -150,8 +157,9 @@
 	set := c.set(call.Service.Name)
 	all := view.Of(call.Service.Name)
 	excluded := set.Excluded(now)
+	cut := c.cutOff(now)
 	best, why, found := c.best(call, all, now, func(u *directory.Upstream, o *own) bool {
-		return !contains(exclude, u.ID) && !contains(excluded, u.ID) && !now.Before(o.avoidUntil)
+		return !contains(exclude, u.ID) && !contains(excluded, u.ID) && !now.Before(o.avoidUntil) && !contains(cut, u.FailureDomain)
 	})
 	if !found {
 		// Where only suspects are left, one of them is better than none.
@@ -172,7 +180,7 @@
 		MaxConnections: c.connections(call.Service),
 		Slow:           t.slow(call.Route.Objective, c.reading(best.uncached)),
 		Why:            why,
-		Place:          &place{service: call.Service.Name, unread: best.uncached, sent: now, expected: c.reading(best.uncached)},
+		Place:          &place{domain: best.upstream.FailureDomain, service: call.Service.Name, unread: best.uncached, sent: now, expected: c.reading(best.uncached)},
 	}, true
 }
 
@@ -379,11 +387,28 @@
 	return out
 }
 
-func contains(ids []ident.Instance, id ident.Instance) bool {
-	for _, x := range ids {
-		if x == id {
-			return true
+func contains[T comparable](list []T, x T) bool { return slices.Contains(list, x) }
+
+// lostFor is for how long an upstream that did not answer makes its domain
+// suspect: gateways that are not heard show within the same time that the cut is
+// over.
+const lostFor = 3 * time.Second
+
+// cutOff returns the failure domains that are probably cut off from this one: no
+// gateway there is heard, and an upstream there did not answer. A request for a
+// silent domain costs a connection time-out, or its whole time where it went out
+// on a kept connection; without the gateways' word each upstream there would have
+// to fail by itself. A domain whose only gateway is restarted has upstreams that
+// answer, and is not taken for cut off.
+func (c *Chooser) cutOff(now time.Time) []ident.FailureDomain {
+	var cut []ident.FailureDomain
+	for domain, at := range c.lost {
+		switch {
+		case now.Sub(at) > lostFor:
+			delete(c.lost, domain)
+		case c.cfg.Silent(domain):
+			cut = append(cut, domain)
 		}
 	}
-	return false
+	return cut
 }
--- /dev/null
+++ b/internal/routing/placement/placement_test.go
@@ -0,0 +1,207 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/directory"
+	"github.com/goldcrestspool/goldcrestspool/internal/forward"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
+)
+
+// fixture is a Chooser in failure domain a, with upstreams in a, b and c.
+type fixture struct {
+	*Chooser
+	now    time.Time
+	view   *directory.View
+	silent map[ident.FailureDomain]bool
+	others map[ident.Instance]Load
+}
+
+var (
+	plain  = &routetable.Service{Name: "svc"}
+	engine = &routetable.Service{Name: "svc", Engine: &routetable.Engine{Slots: 8}}
+	route  = &routetable.Route{Kind: routetable.Idempotent, Objective: 300 * time.Millisecond, Attempts: 2}
+)
+
+func newFixture() *fixture {
+	f := &fixture{now: time.Unix(1000, 0), silent: make(map[ident.FailureDomain]bool), others: make(map[ident.Instance]Load)}
+	f.see(directory.Ready, "a0", "a1", "b0", "b1", "c0", "c1")
+	f.Chooser = New(Config{
+		Params: DefaultParams(), Domain: "a", Log: hclog.NewNullLogger(),
+		View:     func() *directory.View { return f.view },
+		Others:   func(id ident.Instance) Load { return f.others[id] },
+		Silent:   func(d ident.FailureDomain) bool { return f.silent[d] },
+		Gateways: func() int { return 3 },
+	})
+	return f
+}
+
+func (f *fixture) see(state directory.State, ids ...string) {
+	var list []directory.Upstream
+	for _, id := range ids {
+		list = append(list, directory.Upstream{ID: ident.Instance(id), Service: "svc", FailureDomain: ident.FailureDomain(id[:1]), Slots: 8, State: state})
+	}
+	f.view = directory.NewView(list)
+}
+
+func (f *fixture) call(service *routetable.Service, part uint64) *forward.Call {
+	c := &forward.Call{Route: route, Service: service}
+	if part > 0 {
+		c.PromptTokens = 6000
+		c.Parts = []forward.PromptPart{{ID: 1, Tokens: 500}, {ID: part, Tokens: 5000}, {ID: part * 1000, Tokens: 500}}
+	}
+	return c
+}
+
+// choose chooses and gives the place back with a result.
+func (f *fixture) choose(t *testing.T, call *forward.Call, result forward.Result) forward.Choice {
+	t.Helper()
+	choice, found := f.Choose(call, nil, f.now)
+	if !found {
+		t.Fatal("no upstream")
+	}
+	if result == forward.Done {
+		f.Began(choice, f.now.Add(30*time.Millisecond))
+	}
+	f.Finished(choice, result, f.now.Add(30*time.Millisecond))
+	return choice
+}
+
+// Symptom: for six seconds every request for a cut-off domain waits for a
+// connection time-out, at each of its upstreams again. Sequence: a failure domain
+// is cut off. Cause: each upstream has to fail by itself.
+func TestACutOffDomainIsLeftAloneAfterOneFailure(t *testing.T) {
+	f := newFixture()
+	f.others["a0"], f.others["a1"] = Load{Running: 7}, Load{Running: 7}
+	f.silent["b"], f.silent["c"] = true, false
+	lost := false
+	for range 20 {
+		choice, found := f.Choose(f.call(plain, 0), nil, f.now)
+		if !found {
+			t.Fatal("no upstream")
+		}
+		inB := choice.Upstream[0] == 'b'
+		if inB && lost {
+			t.Fatalf("%s was chosen after its domain was lost", choice.Upstream)
+		}
+		result := forward.Done
+		if inB {
+			lost, result = true, forward.NoConnection
+		}
+		f.Finished(choice, result, f.now)
+		f.others[choice.Upstream] = Load{Running: f.others[choice.Upstream].Running + 1}
+	}
+	if !lost {
+		t.Fatal("the domain was never tried")
+	}
+	f.silent["b"] = false
+	f.now = f.now.Add(firstAvoid)
+	f.others = map[ident.Instance]Load{"a0": {Running: 8}, "a1": {Running: 8}, "c0": {Running: 8}, "c1": {Running: 8}}
+	if choice := f.choose(t, f.call(plain, 0), forward.Done); choice.Upstream[0] != 'b' {
+		t.Errorf("%s is chosen though the domain is back", choice.Upstream)
+	}
+}
+
+// Symptom: a domain's upstreams stand idle. Sequence: its only gateway is
+// restarted. Cause: a silent gateway is taken for a cut.
+func TestADomainWhoseGatewayIsRestartedIsUsed(t *testing.T) {
+	f := newFixture()
+	f.silent["b"], f.silent["c"] = true, true
+	f.others["a0"], f.others["a1"] = Load{Running: 8}, Load{Running: 8}
+	if choice := f.choose(t, f.call(plain, 0), forward.Done); choice.Upstream[0] == 'a' {
+		t.Errorf("%s is chosen", choice.Upstream)
+	}
+}
+
+func TestSharedPartsHaveOneHomeAtAllGateways(t *testing.T) {
+	for part := uint64(2); part < 50; part++ {
+		homes := make(map[ident.Instance]bool)
+		for range 3 {
+			homes[newFixture().choose(t, newFixture().call(engine, part), forward.Done).Upstream] = true
+		}
+		if len(homes) != 1 {
+			t.Fatalf("part %d has homes %v", part, homes)
+		}
+	}
+}
+
+// Symptom: a popular part's home has a long queue while others are idle. Cause:
+// requests never leave their home.
+func TestABusyHomeIsLeft(t *testing.T) {
+	f := newFixture()
+	home := f.choose(t, f.call(engine, 7), forward.Done).Upstream
+	f.others[home] = Load{Running: 5, Unread: 60_000}
+	if next := f.choose(t, f.call(engine, 7), forward.Done).Upstream; next == home {
+		t.Error("still at home behind 60,000 unread tokens")
+	}
+	f.others[home] = Load{Running: 5, Unread: 5000}
+	if next := f.choose(t, f.call(engine, 7), forward.Done).Upstream; next != home {
+		t.Error("not at home behind 5,000 unread tokens")
+	}
+}
+
+func TestWhoIsNotChosen(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		play    func(*testing.T, *fixture)
+		exclude []ident.Instance
+		never   string
+	}{
+		{"one that is excluded", func(*testing.T, *fixture) {}, []ident.Instance{"a0", "a1"}, "a"},
+		{"full ones", func(_ *testing.T, f *fixture) {
+			f.others["a0"], f.others["a1"] = Load{Running: 24}, Load{Running: 24}
+		}, nil, "a"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture()
+			c.play(t, f)
+			choice, found := f.Choose(f.call(plain, 0), c.exclude, f.now)
+			if !found || string(choice.Upstream[0]) == c.never {
+				t.Errorf("chosen %q, found %v", choice.Upstream, found)
+			}
+		})
+	}
+}
+
+// Symptom: a third of the requests fail at one upstream for as long as it is
+// faulty. Cause: its failures are not held against it.
+func TestAnUpstreamThatFailsIsEjectedAndComesBack(t *testing.T) {
+	f := newFixture()
+	failed := 0
+	for range 60 {
+		choice, _ := f.Choose(f.call(plain, 0), nil, f.now)
+		result := forward.Done
+		if choice.Upstream == "a0" {
+			result = forward.Failed
+			failed++
+		}
+		f.Finished(choice, result, f.now)
+	}
+	if failed > ejectionConfig.Failures {
+		t.Errorf("%d requests failed", failed)
+	}
+	f.now = f.now.Add(ejectionConfig.Longest)
+	back := false
+	for range 60 {
+		back = f.choose(t, f.call(plain, 0), forward.Done).Upstream == "a0" || back
+	}
+	if !back {
+		t.Error("never tried again")
+	}
+}
+
+func TestPlacesAreGivenBack(t *testing.T) {
+	f := newFixture()
+	for i, result := range []forward.Result{forward.Done, forward.NoConnection, forward.Broken, forward.Rejected, forward.Expired, forward.CallerGone} {
+		f.now = f.now.Add(time.Minute)
+		f.choose(t, f.call(engine, uint64(i+2)), result)
+	}
+	if own := f.Own(); len(own) != 0 {
+		t.Errorf("left over: %v", fmt.Sprint(own))
+	}
+}
