--- /dev/null
+++ b/internal/gossip/bench_test.go
@@ -0,0 +1,49 @@
+package gossip
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+// BenchmarkReport gives the slopes of docs/CAPACITY.md: one report encoded and
+// decoded, and its bytes, with the loads at so many upstreams and so many accounts.
+func BenchmarkReport(b *testing.B) {
+	for _, n := range []struct{ upstreams, accounts int }{{9, 5}, {64, 16}, {64, 100}} {
+		r := report("edge-hall-a-1", 1, 1)
+		r.Loads = make(map[ident.Instance][2]int)
+		r.Spent, r.Asked = make(map[ident.ClientAccount]float64), make(map[ident.ClientAccount]float64)
+		r.Began = make(map[int64]map[ident.ClientAccount]int64)
+		for i := range n.upstreams {
+			r.Loads[ident.Instance(fmt.Sprintf("i-%010x", i))] = [2]int{3, 12000}
+		}
+		for i := range n.accounts {
+			name := ident.ClientAccount(fmt.Sprintf("hule%d", i))
+			r.Spent[name], r.Asked[name] = 1234567, 2345678
+			for w := range int64(5) {
+				if r.Began[w] == nil {
+					r.Began[w] = make(map[ident.ClientAccount]int64)
+				}
+				r.Began[w][name] = 412
+			}
+		}
+		b.Run(fmt.Sprintf("%d upstreams %d accounts", n.upstreams, n.accounts), func(b *testing.B) {
+			b.ReportAllocs()
+			size := 0
+			for b.Loop() {
+				data, err := json.Marshal(message{From: r})
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+				var m message
+				if err := json.Unmarshal(data, &m); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
--- /dev/null
+++ b/internal/routing/placement/bench_test.go
@@ -0,0 +1,33 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/directory"
+	"github.com/goldcrestspool/goldcrestspool/internal/forward"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+// BenchmarkChoose gives the slope of docs/CAPACITY.md: one request placed among so
+// many engines.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{9, 64, 690} {
+		f := newFixture()
+		var list []directory.Upstream
+		for i := range n {
+			list = append(list, directory.Upstream{
+				ID: ident.Instance(fmt.Sprintf("i-%08x", i)), Service: "svc", FailureDomain: ident.FailureDomain(rune('a' + i%5)), Slots: 64, State: directory.Ready,
+			})
+		}
+		f.view = directory.NewView(list)
+		call := f.call(engine, 7)
+		b.Run(fmt.Sprintf("%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				choice, _ := f.Choose(call, nil, f.now)
+				f.Finished(choice, forward.Done, f.now)
+			}
+		})
+	}
+}
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -9,6 +9,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -192,7 +193,7 @@
 func (c *Chooser) best(call *forward.Call, all []directory.Upstream, now time.Time, fits func(*directory.Upstream, *own) bool) (candidate, string, bool) {
 	var best candidate
 	found := false
-	ranks := c.ranks(call, all)
+	order := c.line(call, all)
 	for i := range all {
 		u := &all[i]
 		o := c.ownAt(u.ID)
@@ -203,13 +204,13 @@
 		if c.full(call, &next) {
 			continue
 		}
-		c.score(call, &next, ranks, i)
+		c.score(call, &next, order, i)
 		if !found || next.score < best.score {
 			best, found = next, true
 		}
 	}
 	why := "least work"
-	if found && ranks != nil && best.uncached < call.PromptTokens {
+	if found && order != nil && best.uncached < call.PromptTokens {
 		why = "holds the prompt's parts"
 	}
 	return best, why, found
@@ -231,13 +232,13 @@
 }
 
 // score sets the candidate's score: the time to its first event, in seconds.
-func (c *Chooser) score(call *forward.Call, x *candidate, ranks []int, i int) {
+func (c *Chooser) score(call *forward.Call, x *candidate, order *line, i int) {
 	p := c.cfg.Params
 	x.uncached = call.PromptTokens
 	again := 0.0
-	if ranks != nil {
+	if order != nil {
 		shared := sharedTokens(call)
-		if ranks[i] < homes {
+		if order.home == i {
 			x.uncached -= shared
 		} else {
 			again = (p.Again - 1) * float64(shared)
@@ -248,42 +249,45 @@
 	} else {
 		x.score = (float64(x.load.Unread+x.uncached)+again)/p.PrefillRate + float64(x.load.Running)*p.RunningCost
 	}
-	if ranks != nil {
-		// Among equals the first in line, so that copies of a part stay few.
-		x.score += float64(ranks[i]) * 1e-4
+	if order != nil {
+		// Among equals the first in line, so that copies of a part stay few. The
+		// weight is below what a request in progress counts.
+		x.score += order.behind(i) * 1e-3
 	}
 	if x.upstream.FailureDomain != c.cfg.Domain {
 		x.score += p.OtherDomain
 	}
 }
 
-// homes is how many upstreams are taken to hold a shared part.
-const homes = 1
+// line is the order of upstreams for a shared part: by weights that all gateways
+// work out alike. The one with the highest weight is the part's home.
+type line struct {
+	weights []uint64
+	home    int
+}
 
-// ranks returns each upstream's place in line for the call's shared part, or
-// nil if it shares none.
-func (c *Chooser) ranks(call *forward.Call, all []directory.Upstream) []int {
+// line returns the order for the call's shared part, or nil if it shares none.
+func (c *Chooser) line(call *forward.Call, all []directory.Upstream) *line {
 	if call.Service.Engine == nil || len(call.Parts) < 2 {
 		return nil
 	}
 	part := call.Parts[len(call.Parts)-2].ID
-	weights := make([]uint64, len(all))
+	l := &line{weights: make([]uint64, len(all)), home: -1}
 	for i := range all {
-		if all[i].State == directory.Ready {
-			weights[i] = rendezvous(part, all[i].ID)
+		if all[i].State != directory.Ready {
+			continue
 		}
-	}
-	ranks := make([]int, len(all))
-	for i := range all {
-		for j := range all {
-			if weights[j] > weights[i] {
-				ranks[i]++
-			}
+		l.weights[i] = rendezvous(part, all[i].ID)
+		if l.home < 0 || l.weights[i] > l.weights[l.home] {
+			l.home = i
 		}
 	}
-	return ranks
+	return l
 }
 
+// behind is how far an upstream is from the front, from 0 to 1.
+func (l *line) behind(i int) float64 { return 1 - float64(l.weights[i])/float64(math.MaxUint64) }
+
 func rendezvous(part uint64, id ident.Instance) uint64 {
 	var d xxhash.Digest
 	d.ResetWithSeed(part)
