Quota without shares by chance; the lease's model freezes a holder within its write

The mutation 'a lease counts from its answer' survived because the model's writes were atomic; now others go on during one, and it fails.

--- a/internal/duty/lease_test.go
+++ b/internal/duty/lease_test.go
@@ -26,8 +26,9 @@
 	// later if their condition still holds.
 	fault func() fault
 	late  []func()
-	// took is how long a write takes.
-	took time.Duration
+	// took is how long a write takes, and meanwhile what happens then.
+	took      time.Duration
+	meanwhile func()
 }
 
 type fault int
@@ -68,7 +69,7 @@
 		w.records = append(w.records, platform.KeyedRecord{Offset: offset, Key: key, Value: value})
 		return offset, nil
 	}
-	w.now = w.now.Add(w.took)
+	defer w.freeze()
 	switch w.fault() {
 	case unavailable:
 		return 0, platform.ErrUnavailable
@@ -82,6 +83,17 @@
 	return write()
 }
 
+// freeze lets the time of a write pass, while the others go on.
+func (w *world) freeze() {
+	others := w.meanwhile
+	w.meanwhile = nil
+	for end := w.now.Add(w.took); w.now.Before(end); w.now = w.now.Add(step) {
+		if others != nil {
+			others()
+		}
+	}
+}
+
 func (w *world) Follow(context.Context, string, ident.Offset, time.Duration) (platform.KeyedBatch, error) {
 	panic("the lease is read as a whole")
 }
@@ -129,7 +141,16 @@
 		}
 		for range rapid.IntRange(1, 150).Draw(t, "steps") {
 			w.took = time.Duration(rapid.IntRange(0, 300).Draw(t, "took")) * time.Millisecond
+			if rapid.IntRange(0, 9).Draw(t, "frozen before the answer") == 0 {
+				w.took += 2 * testTiming.Length
+			}
 			i := rapid.IntRange(0, len(w.managers)-1).Draw(t, "manager")
+			w.meanwhile = func() {
+				took := w.took
+				w.took = 0
+				w.managers[(i+1)%len(w.managers)].tick(context.Background())
+				w.took = took
+			}
 			w.managers[i].tick(context.Background())
 			w.now = w.now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "passes")) * time.Millisecond)
 			if len(w.late) > 0 && rapid.Bool().Draw(t, "late write is done") {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -256,7 +256,7 @@
 		if d := s.cfg.Quota.Admit(account, cost, now); !d.OK {
 			s.bodies.Add(-int64(len(call.Body)))
 			s.cfg.Log.Info("account at its limit", "id", call.ID, "account", account.Name, "cost", cost, "rate", account.Rate,
-				"level", d.Level, "need", d.Need, "share", d.Share, "asked", d.Asked, "heard", d.Heard, "known", d.Known)
+				"level", d.Level, "need", d.Need, "asked", d.Asked, "heard", d.Heard, "known", d.Known)
 			return call, &refusal{status: http.StatusTooManyRequests, reason: "the account's limit is reached", after: d.After}
 		}
 	}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -5,10 +5,7 @@
 // out at once, those of the others as their reports come, and expects of each that
 // it goes on spending as it did until the next report. A gateway that does not
 // hear all the others fills its bucket only with the part of those that it hears,
-// so that the sides of a cut never admit more than the limit together. Where more
-// is asked than the limit gives, each gateway admits the same share of requests
-// by chance: all of them see the same refill, and would spend it together before
-// they hear of each other.
+// so that the sides of a cut never admit more than the limit together.
 package quota
 
 import (
@@ -23,9 +20,6 @@
 	// askedMemory is over how long rates are measured: long enough for a few
 	// requests at each gateway, short against a surge of an account.
 	askedMemory = 2 * time.Second
-	// scarceAbove is the part of the rate above which what is asked counts as more
-	// than the limit gives.
-	scarceAbove = 0.95
 	// leastAfter and mostAfter bound when a refused caller is told to return.
 	leastAfter = 100 * time.Millisecond
 	mostAfter  = 2 * time.Second
@@ -74,8 +68,6 @@
 // Keeper admits requests. It is safe for concurrent use.
 type Keeper struct {
 	tolerance Tolerance
-	// chance returns a number from 0 to 1.
-	chance func() float64
 	// others returns the reports on an account.
 	others func(ident.ClientAccount) Others
 
@@ -128,10 +120,9 @@
 	return r.rate
 }
 
-// NewKeeper returns a keeper that has admitted nothing. chance returns numbers
-// from 0 to 1.
-func NewKeeper(tolerance Tolerance, others func(ident.ClientAccount) Others, chance func() float64, now time.Time) *Keeper {
-	return &Keeper{tolerance: tolerance, others: others, chance: chance, started: now, accounts: make(map[ident.ClientAccount]*account)}
+// NewKeeper returns a keeper that has admitted nothing.
+func NewKeeper(tolerance Tolerance, others func(ident.ClientAccount) Others, now time.Time) *Keeper {
+	return &Keeper{tolerance: tolerance, others: others, started: now, accounts: make(map[ident.ClientAccount]*account)}
 }
 
 // Decision is whether a request is admitted, with what decided it.
@@ -141,9 +132,9 @@
 	After time.Duration
 	// Level is what the bucket held, and Need what the request needed.
 	Level, Need float64
-	// Asked is what is asked of all gateways a second, Rate what they may admit,
-	// and Share the part of the requests that is admitted.
-	Asked, Rate, Share float64
+	// Asked is what is asked of all gateways a second, and Rate what they may
+	// admit.
+	Asked, Rate float64
 	// Heard and Known count the gateways, with this one.
 	Heard, Known int
 }
@@ -161,10 +152,10 @@
 	a.asked += cost
 	f := k.refresh(a, limit, others, now)
 	d := Decision{
-		Level: a.level, Need: min(cost, f.burst), Asked: f.asked, Rate: f.rate, Share: f.share(a.level),
+		Level: a.level, Need: min(cost, f.burst), Asked: f.asked, Rate: f.rate,
 		Heard: others.Fresh + 1, Known: max(others.Known, others.Fresh) + 1,
 	}
-	if d.Level >= d.Need && (d.Share >= 1 || k.chance() < d.Share) {
+	if d.Level >= d.Need {
 		a.level -= cost
 		a.spent += cost
 		d.OK = true
@@ -183,27 +174,6 @@
 	asked float64
 }
 
-// share is the part of the requests to admit. Where more is asked than there is,
-// it is what there is of it, and more or less as the bucket is full or empty.
-func (f filling) share(level float64) float64 {
-	if f.asked <= scarceAbove*f.rate {
-		return 1
-	}
-	const (
-		// half full, the share is the mean one.
-		half = 0.5
-		// A full bucket is spent faster than it fills, or a surge after a calm
-		// would get no more than the rate.
-		most = 8
-	)
-	fullness := max(level, 0) / f.burst
-	mean := f.rate / f.asked
-	if fullness <= half {
-		return mean * fullness / half
-	}
-	return mean * (1 + (most-1)*(fullness-half)/half)
-}
-
 // limits are the rate and the burst that callers get of an account's.
 func (k *Keeper) limits(limit *routetable.Account) (rate, burst float64) {
 	t := k.tolerance
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -64,7 +64,7 @@
 
 func (f *fleet) restart(i int) {
 	m := &member{life: fmt.Sprint(i, "/", f.now.UnixNano()), heard: make(map[int]report)}
-	m.keeper = NewKeeper(f.tolerance, func(ident.ClientAccount) Others { return f.others(m) }, f.rng.Float64, f.now)
+	m.keeper = NewKeeper(f.tolerance, func(ident.ClientAccount) Others { return f.others(m) }, f.now)
 	f.gateways[i] = m
 }
 
