--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -189,7 +189,7 @@
 func (p *Process) Run(signals program.Signals, reload <-chan os.Signal) error {
 	debug.SetMemoryLimit(int64(memoryPart * p.settings.Machine.MemoryMiB * (1 << 20)))
 	p.log.Info("started", "version", program.Version(), "domain", p.settings.Instance.FailureDomain,
-		"callers", p.settings.Listen.Callers, "seeds", p.settings.Peers.Seeds)
+		"callers", p.settings.Listen.Callers, "operators", p.settings.Listen.Operators, "seeds", p.settings.Peers.Seeds)
 	listeners, err := p.listen()
 	if err != nil {
 		return err
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -33,13 +33,11 @@
 type record struct {
 	id, kind string
 	gateway  int
-	// life is the gateway's at the request's end; the same as at its start unless
-	// changed.
-	status  int
-	header  http.Header
-	body    string
-	err     error
-	changed bool
+	status   int
+	header   http.Header
+	body     string
+	// err is set where the answer did not come, or was cut off.
+	err error
 }
 
 // TestSoak: whatever goes wrong, in any order and over each other, no request that
