--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -244,6 +244,11 @@
 			continue
 		}
 		listener, err := net.Listen("tcp", each.address)
+		if err != nil && each.into == &l.operators {
+			// Callers are served without metrics too.
+			p.log.Error("metrics are not served", "address", each.address, "error", err)
+			continue
+		}
 		if err != nil {
 			return l, pkgerrors.Wrapf(err, "listen on %s", each.address)
 		}
