--- a/internal/calls/committer.go
+++ b/internal/calls/committer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/calls/journal"
+	"github.com/goldcrestspool/goldcrestspool/internal/pause"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
 )
 
@@ -144,10 +145,10 @@
 		err := w.append(ctx, data)
 		w.settle(p, batch, err)
 		if err != nil {
-			sleep(ctx, w.pause())
+			pause.For(ctx, w.pause())
 			continue
 		}
-		sleep(ctx, w.c.limits.AppendInterval-time.Since(began))
+		pause.For(ctx, w.c.limits.AppendInterval-time.Since(began))
 	}
 }
 
@@ -272,7 +273,7 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		sleep(ctx, every)
+		pause.For(ctx, every)
 	}
 }
 
--- a/internal/calls/partition.go
+++ b/internal/calls/partition.go
@@ -11,6 +11,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/calls/journal"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
+	"github.com/goldcrestspool/goldcrestspool/internal/pause"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
 )
 
@@ -84,7 +85,7 @@
 			p.restart(batch.First)
 		case err != nil:
 			p.setReadable(false)
-			sleep(ctx, readBackoff)
+			pause.For(ctx, readBackoff)
 		default:
 			p.take(batch)
 		}
@@ -252,7 +253,7 @@
 func (p *partition) maintain(ctx context.Context) {
 	const every = 5 * time.Second
 	for ctx.Err() == nil {
-		sleep(ctx, every)
+		pause.For(ctx, every)
 		p.mark()
 		p.sweepCopies(time.Now())
 	}
@@ -300,13 +301,3 @@
 	since, ok := p.fold.CompleteSince()
 	return p.ready && ok, p.readable, since
 }
-
-// sleep waits for d or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/controllers/membership/spread.go
+++ b/internal/controllers/membership/spread.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/pause"
 )
 
 // audience says who has to hear of a departure at once.
@@ -47,7 +48,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		if !sleep(ctx, pushDelay) {
+		if !pause.For(ctx, pushDelay) {
 			return ctx.Err()
 		}
 		c.startPushes(ctx, &pushes)
@@ -125,7 +126,7 @@
 		}
 		// A refused connection fails at once; the attempts are meant to
 		// last until the peer may be back.
-		if err != nil && !sleep(ctx, c.config.Timeout-time.Since(start)) {
+		if err != nil && !pause.For(ctx, c.config.Timeout-time.Since(start)) {
 			return
 		}
 	}
@@ -154,13 +155,3 @@
 	p.running = false
 	return true
 }
-
-// sleep waits and reports whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -11,6 +11,7 @@
 
 	"github.com/goldcrestspool/goldcrestspool/internal/gossip"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/pause"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
 )
 
@@ -32,18 +33,6 @@
 	return pause/2 + rand.N(pause/2+1)
 }
 
-// pause waits, and reports false when ctx has ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // configuration follows the operators' configuration and publishes it. It is the
 // only writer of board.table. Revisions never go back, wherever they come from.
 type configuration struct {
@@ -143,7 +132,7 @@
 			f.log.Warn("store does not answer", "topic", f.topic, "error", err)
 		}
 		failures++
-		if !pause(ctx, retryPause(failures)) {
+		if !pause.For(ctx, retryPause(failures)) {
 			return
 		}
 	}
--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -9,6 +9,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/gossip"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/metering"
+	"github.com/goldcrestspool/goldcrestspool/internal/pause"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
 	"github.com/goldcrestspool/goldcrestspool/internal/scaling"
@@ -38,7 +39,7 @@
 // every runs a step again and again until ctx ends.
 func (p *Process) every(step func(context.Context)) func(context.Context) {
 	return func(ctx context.Context) {
-		for pause(ctx, dutyStep) {
+		for pause.For(ctx, dutyStep) {
 			if !p.leaving.Load() {
 				step(ctx)
 			}
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -10,6 +10,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/pause"
 	"github.com/goldcrestspool/goldcrestspool/internal/program"
 	"github.com/goldcrestspool/goldcrestspool/internal/settings"
 )
@@ -98,7 +99,7 @@
 		if now.Sub(began) >= idleAfter {
 			left = p.callers.CloseIdle()
 		}
-		if left == 0 && now.Sub(began) >= noticedAfter || !pause(signals.Kill, stopStep) {
+		if left == 0 && now.Sub(began) >= noticedAfter || !pause.For(signals.Kill, stopStep) {
 			break
 		}
 	}
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -24,6 +24,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/ingress"
 	"github.com/goldcrestspool/goldcrestspool/internal/metering"
+	"github.com/goldcrestspool/goldcrestspool/internal/pause"
 	"github.com/goldcrestspool/goldcrestspool/internal/program"
 	"github.com/goldcrestspool/goldcrestspool/internal/quota"
 	"github.com/goldcrestspool/goldcrestspool/internal/retry"
@@ -260,7 +261,7 @@
 
 // follow takes over the other gateways' reports, twice a round.
 func (p *Process) follow(ctx context.Context) {
-	for pause(ctx, gossip.Interval/2) {
+	for pause.For(ctx, gossip.Interval/2) {
 		p.refreshPeers()
 	}
 }
@@ -293,7 +294,7 @@
 
 // sweep closes what was idle too long.
 func (p *Process) sweep(ctx context.Context) {
-	for pause(ctx, sweepEvery) {
+	for pause.For(ctx, sweepEvery) {
 		p.pool.Sweep()
 		p.callers.SweepIdle()
 	}
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -14,6 +14,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/gossip"
 	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/pause"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
 )
 
@@ -83,7 +84,7 @@
 	for ctx.Err() == nil {
 		if u.age() < u.viewLimit() {
 			u.expire()
-			if !pause(ctx, viewTick) {
+			if !pause.For(ctx, viewTick) {
 				return
 			}
 			continue
@@ -104,7 +105,7 @@
 		}
 		failures++
 		u.away()
-		if !pause(ctx, retryPause(failures)) {
+		if !pause.For(ctx, retryPause(failures)) {
 			return
 		}
 	}
--- a/internal/gateway/plains.go
+++ b/internal/gateway/plains.go
@@ -13,6 +13,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/explain"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
+	"github.com/goldcrestspool/goldcrestspool/internal/pause"
 	"github.com/goldcrestspool/goldcrestspool/internal/retry"
 	"github.com/goldcrestspool/goldcrestspool/internal/routing"
 	"github.com/goldcrestspool/goldcrestspool/internal/upstream"
@@ -84,7 +85,7 @@
 			return unanswered(ran, outcome.ReasonOverloaded, "too many retries at this time")
 		}
 		tried = append(tried, u.Instance.ID)
-		if !pause(ctx, p.backoff.Delay(attempt, call.request)) {
+		if !pause.For(ctx, p.backoff.Delay(attempt, call.request)) {
 			return unanswered(ran, reasonOf(ctx), "the request was given up before an upstream answered")
 		}
 	}
@@ -113,18 +114,6 @@
 	return outcome.ReasonCancelled
 }
 
-// pause reports whether d passed before ctx ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // decide chooses an upstream of a plain service.
 func (p *plains) decide(ctx context.Context, doc *document.Document, account ident.ClientAccount, exclude []ident.Instance) (blackboard.Upstream, routing.Decision, bool) {
 	_, span, end := startSpan(ctx, p.tracer, "routing")
--- a/internal/loadgen/caller.go
+++ b/internal/loadgen/caller.go
@@ -9,6 +9,7 @@
 
 	callerv1 "github.com/goldcrestspool/goldcrestspool/api/caller/v1"
 	"github.com/goldcrestspool/goldcrestspool/api/caller/v1/callerv1connect"
+	"github.com/goldcrestspool/goldcrestspool/internal/pause"
 	"github.com/goldcrestspool/goldcrestspool/internal/transport"
 )
 
@@ -72,7 +73,7 @@
 func (c *caller) broken(ctx context.Context) bool {
 	c.next++
 	c.backoff = min(max(2*c.backoff, firstBackoff), maxBackoff)
-	return wait(ctx, c.backoff)
+	return pause.For(ctx, c.backoff)
 }
 
 // told notes an outcome that is not final and waits until the time to return.
@@ -84,7 +85,7 @@
 	if after <= 0 {
 		after = defaultReturn
 	}
-	return wait(ctx, after)
+	return pause.For(ctx, after)
 }
 
 // giveUp judges a request whose caller's patience has ended.
@@ -107,15 +108,3 @@
 	}
 	return nil
 }
-
-// wait returns false if the context ends first.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/soak/system_test.go
+++ b/internal/soak/system_test.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -103,8 +102,8 @@
 	var seeds []string
 	for i := range gateways {
 		g := &gateway{s: s, name: fmt.Sprint("gw", i), store: testkit.NewRelay(t, store)}
-		g.callers = freeAddress(t)
-		peers := freeAddress(t)
+		g.callers = testkit.FreeAddress(t)
+		peers := testkit.FreeAddress(t)
 		g.settings = g.write(peers, seeds, strings.TrimPrefix(cloudServer, "http://"))
 		seeds = append(seeds, peers)
 		log, err := os.Create(filepath.Join(dir, g.name+".log"))
@@ -128,24 +127,6 @@
 	return server.URL
 }
 
-// nextPort is below the ports that the kernel gives to outgoing connections, and
-// apart from those of soaks that run at the same time: a caller of one must not
-// reach a gateway of another.
-var nextPort atomic.Int32
-
-func freeAddress(t *testing.T) string {
-	nextPort.CompareAndSwap(0, int32(22000+os.Getpid()%100*100))
-	for range 1000 {
-		address := fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1))
-		if l, err := net.Listen("tcp", address); err == nil {
-			l.Close()
-			return address
-		}
-	}
-	t.Fatal("no free port")
-	return ""
-}
-
 func (g *gateway) write(peers string, seeds []string, cloud string) string {
 	file := filepath.Join(g.s.t.TempDir(), "entry.toml")
 	quoted, err := json.Marshal(seeds)
@@ -157,7 +138,7 @@
 	}
 	text := fmt.Sprintf("[instance]\nid = %q\nfailure_domain = \"d-%s\"\nregion = \"r\"\n[listen]\ncallers = %q\nreadiness = %q\npeers = %q\n"+
 		"[peers]\nseeds = %s\n[store]\naddress = %q\n[cloud]\naddress = %q\nduties = [\"metering\"]\n[stop]\ngrace = %q\n[usage]\nwindow = \"1s\"\ndue_after = \"8s\"\n",
-		g.name, g.name, g.callers, freeAddress(g.s.t), peers, quoted, g.store.Address(), cloud, grace)
+		g.name, g.name, g.callers, testkit.FreeAddress(g.s.t), peers, quoted, g.store.Address(), cloud, grace)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		g.s.t.Fatal(err)
 	}
--- a/internal/testkit/serve.go
+++ b/internal/testkit/serve.go
@@ -1,8 +1,11 @@
 package testkit
 
 import (
+	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"sync/atomic"
 	"testing"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/transport"
@@ -28,3 +31,23 @@
 	})
 	return "http://" + listener.Addr().String()
 }
+
+// nextPort is below the ports that the kernel gives to outgoing connections, so
+// that none of those takes a port between its choice and its use, and apart from
+// those of tests of other packages that run at the same time.
+var nextPort atomic.Int32
+
+// FreeAddress returns an address on loopback on which nobody listens.
+func FreeAddress(t testing.TB) string {
+	t.Helper()
+	nextPort.CompareAndSwap(0, int32(20000+os.Getpid()%120*100))
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1))
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close() // it is only asked whether it can be had
+			return address
+		}
+	}
+	t.Fatal("no free port")
+	return ""
+}
