--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -210,8 +210,6 @@
 
 // View is an immutable snapshot of the upstreams, by service.
 type View struct {
-	// Version counts the snapshots.
-	Version  uint64
 	services map[ident.Service][]Upstream
 	known    map[ident.Instance]Upstream
 }
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -103,9 +103,6 @@
 // Attempts returns how many attempts there were.
 func (s *State) Attempts() int { return len(s.Tried) }
 
-// First reports whether the next attempt is the request's first arrival.
-func (s *State) First() bool { return s.ran == 0 && s.rejected == 0 }
-
 // After takes the result of an attempt at an upstream and returns what to do.
 // spend takes one further arrival out of the retry budget; it is called only
 // where that is what decides.
@@ -118,7 +115,7 @@
 		return Abandon
 	case Expired:
 		s.ran++
-		return s.expired()
+		return TimeOut
 	case NoConnection:
 		return s.afterNoConnection()
 	case Rejected:
@@ -128,8 +125,6 @@
 	return s.afterRun(result, spend)
 }
 
-func (s *State) expired() Step { return TimeOut }
-
 func (s *State) afterNoConnection() Step {
 	s.unsent++
 	if s.unsent < mostUnsent {
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -46,10 +46,6 @@
 	Expires time.Time
 }
 
-// Tokens is the request's size for placement: what is read, and what is
-// generated.
-func (c *Call) Tokens() int { return c.PromptTokens + c.MostTokens }
-
 // Remaining is the time left at an instant.
 func (c *Call) Remaining(now time.Time) time.Duration { return c.Expires.Sub(now) }
 
@@ -66,14 +62,10 @@
 type Reading struct {
 	// NotRun: the upstream did not run the request and never will.
 	NotRun bool
-	// Moved: another upstream has the address.
-	Moved bool
 	// Genuine: the answer carries the upstream's signature.
 	Genuine bool
 	// Stream: the body is events.
 	Stream bool
-	// Leaving: the upstream says that it closes the connection.
-	Leaving bool
 }
 
 // Dialect writes requests and reads answers in the upstreams' protocol.
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -86,8 +86,6 @@
 	Address string
 	// MaxConnections bounds this gateway's connections to the upstream.
 	MaxConnections int
-	// Fresh asks for a new connection.
-	Fresh bool
 	// IdleFor is for how long a connection is kept idle where the server says
 	// nothing of it; 0 for the default.
 	IdleFor time.Duration
@@ -137,7 +135,7 @@
 		p.hosts[target.ID] = h
 	}
 	now := p.now()
-	for !target.Fresh && len(h.idle) > 0 {
+	for len(h.idle) > 0 {
 		// The one used last is the one least likely to have gone silent.
 		c := h.idle[len(h.idle)-1]
 		h.idle = h.idle[:len(h.idle)-1]
@@ -257,16 +255,6 @@
 	}
 }
 
-// Open returns how many connections there are to an upstream.
-func (p *Pool) Open(id ident.Instance) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if h := p.hosts[id]; h != nil {
-		return h.open
-	}
-	return 0
-}
-
 // Counters returns what was counted so far.
 func (p *Pool) Counters() Counters {
 	p.mu.Lock()
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -108,14 +108,6 @@
 type Engine struct {
 	// Slots is how many requests one engine works on at a time.
 	Slots int
-	// MemoryTokens is how many tokens an engine's memory holds.
-	MemoryTokens int
-	// BytesPerToken is what one token's part of the KV cache takes.
-	BytesPerToken int
-	// Moves: a running request's memory can be copied to another engine.
-	Moves bool
-	// Backups: an engine can send a run's memory to another as it grows.
-	Backups bool
 }
 
 // Scale bounds and prices the upstreams of a service.
