--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 # Faults on entry processes: make soak SOAK_FOR=5m SOAK_SEED=7
 .PHONY: soak
 soak:
-	SOAK_FOR=$(SOAK_FOR) SOAK_SEED=$(SOAK_SEED) $(GO) test -tags soak -count=1 -timeout 60m -v -run TestSoak ./internal/soak
+	SOAK_FOR=$(SOAK_FOR) SOAK_SEED=$(SOAK_SEED) $(GO) test -tags soak -count=1 -timeout 60m -v -run TestSoak ./platform/soak
 
 generate:
 	$(TOOL) buf generate --template buf.gen.connect.yaml --exclude-path api/peer
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -16,8 +16,8 @@
 
 func request(id, body string) *Request {
 	return &Request{
-		Method: http.MethodPost, URI: "/x", Host: "app", Header: http.Header{"X-Request-Id": {id}}, Body: []byte(body),
-		Belongs: func(h http.Header) bool { return h.Get("X-Request-Id") == id },
+		Method: http.MethodPost, URI: "/x", Host: "app", Header: http.Header{worker.RequestID: {id}}, Body: []byte(body),
+		Belongs: func(h http.Header) bool { return h.Get(worker.RequestID) == id },
 	}
 }
 
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -15,6 +15,10 @@
 	"time"
 )
 
+// RequestID is the header that names a request, for tests that speak to a worker
+// without the adapter.
+const RequestID = "X-Request-Id"
+
 // Act is how the stand-in treats one request.
 type Act func(w *Writer, r *http.Request)
 
@@ -169,7 +173,7 @@
 func (w *Writer) Run() {
 	w.worker.mu.Lock()
 	defer w.worker.mu.Unlock()
-	w.worker.ran[w.request.Header.Get("X-Request-Id")]++
+	w.worker.ran[w.request.Header.Get(RequestID)]++
 }
 
 // Raw writes bytes as they are.
@@ -181,7 +185,7 @@
 // Head writes a status line and the headers of a genuine answer.
 func (w *Writer) Head(status int, more string) {
 	w.Raw(fmt.Sprintf("HTTP/1.1 %d X\r\nX-Request-Id: %s\r\nX-Response-Signature: sig-%s\r\nX-Instance-Id: %s\r\n%s\r\n",
-		status, w.request.Header.Get("X-Request-Id"), w.worker.ID, w.worker.ID, more))
+		status, w.request.Header.Get(RequestID), w.worker.ID, w.worker.ID, more))
 }
 
 // Close ends the connection; with reset it is reset.
