--- a/internal/telemetry/ring_test.go
+++ b/internal/telemetry/ring_test.go
@@ -34,8 +34,10 @@
 		}
 	}
 	taken, dropped := ring.Counts()
-	if taken+dropped != lines || dropped < lines/2 || taken < lines/4 {
-		t.Errorf("%d taken, %d dropped of %d", taken, dropped, lines)
+	// One ring full waits, and at the most one is with the stuck writer.
+	const full = ringBytes / 1024
+	if taken+dropped != lines || taken < full || taken > 2*full {
+		t.Errorf("%d taken, %d dropped of %d, want %d to %d taken", taken, dropped, lines, full, 2*full)
 	}
 	close(out.free)
 	ring.Flush()
