--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -24,8 +24,7 @@
 	// their exchange. A gateway asks by itself when its view becomes older than a
 	// part of the time within which a departure is due: the second in line soon,
 	// so that it takes over where the first one is cut off from the store, the
-	// others later. At 8 gateways this takes 5 calls a second where each asking
-	// for itself took 12.
+	// others later.
 	firstAge   = 250 * time.Millisecond
 	secondPart = 0.3
 	otherPart  = 0.4
