A gateway that has just started counts with as many others as there were before

The lease's record now says how many gateways there are; each one reads it at its start and counts with it for 3 s, and buckets begin at a quarter of the part that is heard.

--- a/internal/duty/lease.go
+++ b/internal/duty/lease.go
@@ -29,6 +29,9 @@
 	Before ident.Instance `json:"before,omitempty"`
 	// Decided is what holders decided for good.
 	Decided json.RawMessage `json:"decided,omitempty"`
+	// Gateways is how many gateways the holder knew, for those that have just
+	// started and know none.
+	Gateways int `json:"gateways,omitempty"`
 }
 
 // Timing bounds a lease. All are measured by a clock that counts suspensions.
--- a/internal/duty/lease_test.go
+++ b/internal/duty/lease_test.go
@@ -54,7 +54,7 @@
 	m := NewManager(Config{
 		Self: self, Life: ident.Incarnation(len(w.managers) + 1), Timing: testTiming, Store: w, Log: hclog.NewNullLogger(),
 		Now:  func() time.Time { return w.now },
-		Rank: func() (int, bool) { return rank, false },
+		Rank: func() (int, bool) { return rank, false }, Gateways: func() int { return 5 },
 	})
 	w.managers = append(w.managers, m)
 	return m
--- a/internal/duty/manager.go
+++ b/internal/duty/manager.go
@@ -44,6 +44,8 @@
 	// Rank is this gateway's place among the candidates, from 0, and whether
 	// another gateway says that it holds the lease.
 	Rank func() (rank int, held bool)
+	// Gateways is how many gateways are known.
+	Gateways func() int
 }
 
 // Manager keeps the lease. It is safe for concurrent use.
@@ -93,6 +95,20 @@
 	}
 }
 
+// ReadGateways reads how many gateways the newest holder knew; 0 where nothing is
+// on record.
+func (m *Manager) ReadGateways(ctx context.Context) (int, error) {
+	if err := m.read(ctx); err != nil {
+		return 0, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.state.some {
+		return 0, nil
+	}
+	return m.state.record.Gateways, nil
+}
+
 // Decided returns what holders decided for good, as far as it is known here.
 func (m *Manager) Decided() json.RawMessage {
 	m.mu.Lock()
@@ -195,6 +211,7 @@
 	}
 	record, condition := m.state.Next(action, uuid.NewString(), decided, m.cfg.Now())
 	m.mu.Unlock()
+	record.Gateways = m.cfg.Gateways()
 	data, err := json.Marshal(record)
 	if err != nil {
 		return pkgerrors.Wrap(err, "encode lease record")
--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -27,6 +27,7 @@
 	if p.ports.Duties == nil {
 		return
 	}
+	run(p.learnGateways)
 	run(p.lease.Run)
 	if slices.Contains(p.settings.Cloud.Duties, "metering") {
 		run(p.every(p.newReporter().Step))
@@ -36,6 +37,21 @@
 	}
 }
 
+// learnGateways reads how many gateways there were before this process started.
+func (p *Process) learnGateways(ctx context.Context) {
+	for failures := 0; p.now().Sub(p.started) < assumedFor; failures++ {
+		n, err := p.lease.ReadGateways(ctx)
+		if err == nil {
+			p.assumed.Store(int64(n))
+			p.log.Info("gateways before the start", "count", n)
+			return
+		}
+		if !pause.For(ctx, retryPause(failures)) {
+			return
+		}
+	}
+}
+
 // every runs a step again and again until ctx ends.
 func (p *Process) every(step func(context.Context)) func(context.Context) {
 	return func(ctx context.Context) {
@@ -50,7 +66,7 @@
 func (p *Process) newLease() *duty.Manager {
 	return duty.NewManager(duty.Config{
 		Self: p.settings.Instance.ID, Life: p.incarnation, Timing: duty.NewTiming(p.settings.Lease.Length, platform.DutyTimeout),
-		Store: p.ports.Store, Now: p.now, Log: p.log.Named("lease"), Rank: p.rank,
+		Store: p.ports.Store, Now: p.now, Log: p.log.Named("lease"), Rank: p.rank, Gateways: p.gateways,
 	})
 }
 
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -61,6 +61,9 @@
 	incarnation ident.Incarnation
 	seq         atomic.Uint64
 	leaving     atomic.Bool
+	// assumed is how many gateways there were before the start; it counts for
+	// assumedFor.
+	assumed atomic.Int64
 
 	board         *board
 	pool          *httpconn.Pool
@@ -165,8 +168,20 @@
 	return place
 }
 
+// assumedFor is for how long after its start a process counts with at least as
+// many gateways as there were before. What goes wrong without it: many start at
+// once, each knows none of the others for some rounds of the exchange, and all of
+// them give callers the whole of each account's limit.
+const assumedFor = 3 * time.Second
+
 // gateways is how many gateways there may be, with this one.
-func (p *Process) gateways() int { return p.view.Load().Known + 1 }
+func (p *Process) gateways() int {
+	known := p.view.Load().Known + 1
+	if p.now().Sub(p.started) < assumedFor {
+		return max(known, int(p.assumed.Load()))
+	}
+	return known
+}
 
 // trueTime is the time of day as most gateways have it.
 func (p *Process) trueTime() time.Time { return time.Now().Add(p.view.Load().WallCorrection()) }
@@ -174,7 +189,7 @@
 // quotaOthers returns what the other gateways report of an account.
 func (p *Process) quotaOthers(account ident.ClientAccount) quota.Others {
 	v, now := p.view.Load(), p.now()
-	o := quota.Others{Fresh: len(v.Fresh), Known: v.Known, Reports: make(map[string]quota.Report, len(v.Fresh))}
+	o := quota.Others{Fresh: len(v.Fresh), Known: p.gateways() - 1, Reports: make(map[string]quota.Report, len(v.Fresh))}
 	for i := range v.Fresh {
 		m := &v.Fresh[i]
 		o.Reports[v.lives[i]] = quota.Report{Spent: m.Report.Spent[account], Asked: m.Report.Asked[account], Age: now.Sub(m.HeardAt)}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -160,7 +160,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	others := k.others(limit.Name)
-	a := k.account(limit)
+	a := k.account(limit, others)
 	a.asked += cost
 	f := k.refresh(a, limit, others, now)
 	d := Decision{
@@ -198,6 +198,11 @@
 	return limit.Rate + rateTolerance*beyond/t.Window.Seconds(), limit.Burst + burstTolerance*beyond
 }
 
+// heard is the part of the gateways that is heard, with this one.
+func (o Others) heard() float64 {
+	return float64(o.Fresh+1) / float64(max(o.Known, o.Fresh)+1)
+}
+
 // lag is the mean age of the reports.
 func (o Others) lag() time.Duration {
 	if len(o.Reports) == 0 {
@@ -218,16 +223,17 @@
 	defer k.mu.Unlock()
 	for i := range limits {
 		if limit := &limits[i]; limit.Rate > 0 {
-			k.refresh(k.account(limit), limit, k.others(limit.Name), now)
+			others := k.others(limit.Name)
+			k.refresh(k.account(limit, others), limit, others, now)
 		}
 	}
 }
 
-func (k *Keeper) account(limit *routetable.Account) *account {
+func (k *Keeper) account(limit *routetable.Account, others Others) *account {
 	a := k.accounts[limit.Name]
 	if a == nil {
 		_, burst := k.limits(limit, 0)
-		a = &account{level: startPart * burst, filled: k.started, others: make(map[string]*other)}
+		a = &account{level: startPart * burst * others.heard(), filled: k.started, others: make(map[string]*other)}
 		k.accounts[limit.Name] = a
 	}
 	return a
@@ -236,7 +242,7 @@
 // refresh fills an account's bucket, and takes out what others spend: at the rate
 // at which they did, corrected when their reports come.
 func (k *Keeper) refresh(a *account, limit *routetable.Account, others Others, now time.Time) filling {
-	heard := float64(others.Fresh+1) / float64(max(others.Known, others.Fresh)+1)
+	heard := others.heard()
 	lag := others.lag()
 	rate, burst := k.limits(limit, lag)
 	f := filling{rate: rate * heard, burst: burst * heard}
