Read again: pieces that existed are called, work is done once, dead fields are gone

- one storeHealth for both followers of the store, which told and paused alike
- a round's report is built and encoded once, not once for each of eight gateways; a life's name no longer formats a time; counting the upstreams sorts nothing
- comments that were wrong: an answer over 1 MiB counts as broken (it is not delivered in parts); the exchange's bytes are not near 24 KB/s Decisions, bounds and checks are as before; the operators' address now answers other paths than /metrics as every process's does.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -6,6 +6,7 @@
 package directory
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -37,8 +38,6 @@
 	Reclaimable bool
 	// LeavesIn is the time left when the entry was written; 0 if not said.
 	LeavesIn time.Duration
-	// ColdFor is how much longer it stays slow after its start.
-	ColdFor time.Duration
 }
 
 // Entry is the newest known record of one upstream.
@@ -52,9 +51,6 @@
 	ChangedAt time.Time
 }
 
-// Usable reports whether new work may be sent there.
-func (e *Entry) Usable() bool { return e.Present && e.Upstream.State == Ready }
-
 // graceAfterOutage is until when after the end of an outage of the platform's
 // store a dropped entry stays usable: entries lapse while upstreams cannot renew
 // them, and are back within two seconds (the platform's word) of the store's
@@ -125,7 +121,6 @@
 }
 
 func sameButTime(a, b Upstream) bool {
-	a.ColdFor, b.ColdFor = 0, 0
 	a.LeavesIn, b.LeavesIn = 0, 0
 	return a == b
 }
@@ -222,12 +217,7 @@
 		v.known[u.ID] = u
 	}
 	for _, list := range v.services {
-		slices.SortFunc(list, func(a, b Upstream) int {
-			if a.ID < b.ID {
-				return -1
-			}
-			return 1
-		})
+		slices.SortFunc(list, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
 	}
 	return v
 }
@@ -255,5 +245,8 @@
 	return u, ok
 }
 
+// Count returns how many upstreams run.
+func (v *View) Count() int { return len(v.known) }
+
 // IDs returns all upstreams that run.
 func (v *View) IDs() []ident.Instance { return slices.Sorted(maps.Keys(v.known)) }
--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -112,32 +112,49 @@
 }
 
 func (f *follower) run(ctx context.Context) {
-	failures := 0
+	health := storeHealth{log: f.log, topic: f.topic}
 	for ctx.Err() == nil {
 		err := f.step(ctx)
 		switch {
 		case err == nil:
-			if failures > 0 {
-				f.log.Info("store answers again", "topic", f.topic, "failures", failures)
-			}
-			failures = 0
-			continue
+			health.answered()
 		case errors.Is(err, platform.ErrExpired):
 			f.known = false
-			continue
-		case ctx.Err() != nil:
-			return
-		}
-		if failures == 0 {
-			f.log.Warn("store does not answer", "topic", f.topic, "error", err)
-		}
-		failures++
-		if !pause.For(ctx, retryPause(failures)) {
-			return
+		default:
+			health.failed(ctx, err)
 		}
 	}
 }
 
+// storeHealth tells when the store stops to answer and when it is back, once each.
+type storeHealth struct {
+	log   hclog.Logger
+	topic string
+	// failures in a row.
+	failures int
+}
+
+// answered notes a call that the store answered.
+func (h *storeHealth) answered() {
+	if h.failures > 0 {
+		h.log.Info("store answers again", "topic", h.topic, "failures", h.failures)
+	}
+	h.failures = 0
+}
+
+// failed notes a call that failed, and waits until the next one is due or ctx has
+// ended.
+func (h *storeHealth) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if h.failures == 0 {
+		h.log.Warn("store does not answer", "topic", h.topic, "error", err)
+	}
+	h.failures++
+	pause.For(ctx, retryPause(h.failures))
+}
+
 func (f *follower) step(ctx context.Context) error {
 	if !f.known {
 		batch, err := f.store.Newest(ctx, f.topic)
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"runtime"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/operations"
 	"github.com/goldcrestspool/goldcrestspool/internal/pause"
 	"github.com/goldcrestspool/goldcrestspool/internal/program"
 	"github.com/goldcrestspool/goldcrestspool/internal/settings"
@@ -33,10 +35,18 @@
 	stopStep = 50 * time.Millisecond
 )
 
-// isReady reports whether callers should come: a configuration and the upstreams
-// are known, and the process does not leave.
-func (p *Process) isReady() bool {
-	return !p.leaving.Load() && p.table() != nil && len(p.board.upstreams.Value().IDs()) > 0
+// readiness reports whether callers should come, and if not, why: a configuration
+// and the upstreams must be known, and the process must not leave.
+func (p *Process) readiness() (ready bool, reason string) {
+	switch {
+	case p.leaving.Load():
+		return false, "leaving"
+	case p.table() == nil:
+		return false, "no configuration is known yet"
+	case p.board.upstreams.Value().Count() == 0:
+		return false, "no upstream is known yet"
+	}
+	return true, ""
 }
 
 // newReadiness answers the platform's question.
@@ -45,7 +55,7 @@
 		ReadHeaderTimeout: time.Second,
 		ErrorLog:          p.log.Named("readiness").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			if !p.isReady() {
+			if ready, _ := p.readiness(); !ready {
 				w.WriteHeader(http.StatusServiceUnavailable)
 				return
 			}
@@ -54,12 +64,18 @@
 	}
 }
 
-// newOperators serves the metrics.
-func (p *Process) newOperators() *http.Server {
-	return &http.Server{
-		ReadHeaderTimeout: time.Second,
-		Handler:           http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { p.writeMetrics(w) }),
-	}
+// metricsPath is where the metrics are, beside what every process serves its
+// operators.
+const metricsPath = "/metrics"
+
+// newOperators serves the metrics, liveness, and readiness with its reason.
+func (p *Process) newOperators(listener net.Listener) *operations.Server {
+	return operations.New(operations.Config{
+		Listener: listener, Ready: p.readiness,
+		Handlers: map[string]http.Handler{
+			"GET " + metricsPath: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { p.writeMetrics(w) }),
+		},
+	})
 }
 
 // writeMetrics prints what operators watch, one a line.
@@ -73,7 +89,7 @@
 	lines, dropped := p.ring.Counts()
 	fmt.Fprintf(w, "log_lines_total %d\nlog_lines_dropped_total %d\n", lines, dropped)
 	next, age := p.upstreams.state()
-	fmt.Fprintf(w, "upstreams_offset %d\nupstreams_age_seconds %.3f\nupstreams_known %d\n", next, age.Seconds(), len(p.board.upstreams.Value().IDs()))
+	fmt.Fprintf(w, "upstreams_offset %d\nupstreams_age_seconds %.3f\nupstreams_known %d\n", next, age.Seconds(), p.board.upstreams.Value().Count())
 	if table := p.table(); table != nil {
 		fmt.Fprintf(w, "configuration_revision %d\n", table.Revision())
 	}
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -199,7 +200,7 @@
 
 // lifeOf names one life of a gateway.
 func lifeOf(r *gossip.Report) string {
-	return string(r.Node) + "/" + time.Unix(0, int64(r.Incarnation)).UTC().Format("150405.000000000")
+	return string(r.Node) + "/" + strconv.FormatUint(uint64(r.Incarnation), 10)
 }
 
 // Run serves until signals.Stop ends, and then leaves within the grace.
@@ -219,7 +220,7 @@
 	go p.serve("peers", func() error { return p.gossip.Serve(listeners.peers) })
 	go p.serve("readiness", func() error { return p.newReadiness().Serve(listeners.readiness) })
 	if listeners.operators != nil {
-		go p.serve("operators", func() error { return p.newOperators().Serve(listeners.operators) })
+		go p.serve("operators", p.newOperators(listeners.operators).Serve)
 	}
 	run(p.configuration.run)
 	run(p.upstreams.run)
@@ -337,7 +338,7 @@
 	p := k.p
 	r := gossip.Report{
 		Node: p.settings.Instance.ID, Incarnation: p.incarnation, Seq: p.seq.Add(1), Address: p.settings.Listen.Peers,
-		Domain: p.settings.Instance.FailureDomain, WallMillis: time.Now().UnixMilli(), Ready: p.isReady(), Leaving: p.leaving.Load(),
+		Domain: p.settings.Instance.FailureDomain, WallMillis: time.Now().UnixMilli(), Leaving: p.leaving.Load(),
 		Loads: make(map[ident.Instance][2]int), Began: p.counter.Windows(),
 	}
 	if table := p.table(); table != nil {
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -79,34 +79,19 @@
 
 // run keeps the view young until ctx ends.
 func (u *upstreams) run(ctx context.Context) {
-	failures := 0
+	health := storeHealth{log: u.log, topic: u.ports.UpstreamsTopic}
 	for ctx.Err() == nil {
 		if u.age() < u.viewLimit() {
 			u.expire()
-			if !pause.For(ctx, viewTick) {
-				return
-			}
+			pause.For(ctx, viewTick)
 			continue
 		}
-		err := u.read(ctx)
-		if err == nil {
-			if failures > 0 {
-				u.log.Info("store answers again", "topic", u.ports.UpstreamsTopic, "failures", failures)
-			}
-			failures = 0
+		if err := u.read(ctx); err != nil {
+			u.away()
+			health.failed(ctx, err)
 			continue
 		}
-		if ctx.Err() != nil {
-			return
-		}
-		if failures == 0 {
-			u.log.Warn("store does not answer", "topic", u.ports.UpstreamsTopic, "error", err)
-		}
-		failures++
-		u.away()
-		if !pause.For(ctx, retryPause(failures)) {
-			return
-		}
+		health.answered()
 	}
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -14,12 +14,13 @@
 
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
 	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
+	"github.com/goldcrestspool/goldcrestspool/internal/pause"
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
 )
 
 const (
-	// mostBuffered bounds a short answer that is held back until it is whole.
-	// Longer ones are delivered in parts. The users' answers are below 5 KiB.
+	// mostBuffered bounds an answer that is held back until it is whole. A longer
+	// one counts as broken. The users' answers are below 5 KiB.
 	mostBuffered = 1 << 20
 	// waitPart of the objective is how long a request waits for an upstream
 	// that takes work; after that it is refused, so that the caller can come
@@ -174,12 +175,7 @@
 		if found || !now.Before(waitUntil) || s.ctx.Err() != nil {
 			return choice, found && s.ctx.Err() == nil
 		}
-		timer := time.NewTimer(waitStep)
-		select {
-		case <-timer.C:
-		case <-s.ctx.Done():
-			timer.Stop()
-		}
+		pause.For(s.ctx, waitStep) // the next look sees whether the call has ended
 	}
 }
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -18,6 +18,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
 	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/pause"
 )
 
 const (
@@ -25,8 +26,8 @@
 	// this by one round at the most; half of it would cost twice the bytes.
 	Interval = 250 * time.Millisecond
 	// wideInterval takes its place where a round does not reach all gateways:
-	// each has then so small a part of everything that older views do, and the
-	// bytes stay near the budget of 24 KB a second.
+	// each has then so small a part of everything that older views do, at half the
+	// bytes.
 	wideInterval = 500 * time.Millisecond
 	// fanout bounds the exchanges of a round, so that the work of a gateway does
 	// not grow with their number. Today's sites have up to nine gateways, all
@@ -36,8 +37,8 @@
 	// farthest gateways are 1 ms apart, and a slowed one answers within some
 	// tenths of a second.
 	exchangeTimeout = 600 * time.Millisecond
-	// mostMessage bounds a message: 300 reports of some 600 bytes, and a large
-	// configuration.
+	// mostMessage bounds a message: a report, the contacts and entries of hundreds
+	// of gateways and upstreams, and a large configuration.
 	mostMessage = 8 << 20
 	// path of the exchange, on the gateways' own address.
 	path = "/exchange"
@@ -117,15 +118,8 @@
 
 // Run exchanges reports until ctx ends.
 func (g *Gossip) Run(ctx context.Context) {
-	for {
-		others := g.round(ctx)
-		timer := time.NewTimer(IntervalOf(others))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return
-		case <-timer.C:
-		}
+	for pause.For(ctx, IntervalOf(g.round(ctx))) {
+		continue
 	}
 }
 
@@ -138,9 +132,10 @@
 		rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 		addresses = addresses[:fanout]
 	}
+	body := g.report()
 	for _, address := range addresses {
 		if g.begin(address) {
-			go g.exchange(ctx, address)
+			go g.exchange(ctx, address, body)
 		}
 	}
 	return others
@@ -150,8 +145,9 @@
 // that must not wait for the next round.
 func (g *Gossip) Say(ctx context.Context) {
 	var all sync.WaitGroup
+	body := g.report()
 	for _, address := range g.cfg.Table.Addresses(g.cfg.Address, g.cfg.Now()) {
-		all.Go(func() { g.exchange(ctx, address) })
+		all.Go(func() { g.exchange(ctx, address, body) })
 	}
 	all.Wait()
 }
@@ -181,25 +177,32 @@
 	}
 }
 
+// report encodes this gateway's report, once for all that it is sent to.
+func (g *Gossip) report() []byte {
+	now := g.cfg.Now()
+	body, err := json.Marshal(message{From: g.cfg.Knowledge.Report(now), Knows: g.cfg.Table.Digest(now)})
+	if err != nil {
+		// Reports hold nothing that cannot be encoded; the others then say that
+		// they got none.
+		g.cfg.Log.Error("report not encoded", "error", err)
+	}
+	return body
+}
+
 // exchange sends this gateway's report to another one and takes its answer in.
-func (g *Gossip) exchange(ctx context.Context, address string) {
+func (g *Gossip) exchange(ctx context.Context, address string, report []byte) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	answer, err := g.call(ctx, address)
+	answer, err := g.call(ctx, address, report)
 	g.end(address, err)
 	if err == nil {
 		g.take(answer)
 	}
 }
 
-func (g *Gossip) call(ctx context.Context, address string) (*message, error) {
-	now := g.cfg.Now()
-	body, err := json.Marshal(message{From: g.cfg.Knowledge.Report(now), Knows: g.cfg.Table.Digest(now)})
-	if err != nil {
-		return nil, pkgerrors.Wrap(err, "encode report")
-	}
+func (g *Gossip) call(ctx context.Context, address string, report []byte) (*message, error) {
 	target := httpconn.Target{ID: ident.Instance(address), Address: address}
-	answer, failure := g.cfg.Pool.Send(ctx, target, &httpconn.Request{Method: http.MethodPost, URI: path, Host: address, Body: body})
+	answer, failure := g.cfg.Pool.Send(ctx, target, &httpconn.Request{Method: http.MethodPost, URI: path, Host: address, Body: report})
 	if failure != nil {
 		return nil, failure
 	}
@@ -216,7 +219,7 @@
 		return nil, pkgerrors.Wrap(err, "decode answer")
 	}
 	g.mu.Lock()
-	g.bytes += int64(len(body) + len(data))
+	g.bytes += int64(len(report) + len(data))
 	g.mu.Unlock()
 	return &m, nil
 }
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -176,7 +176,7 @@
 				var all sync.WaitGroup
 				addresses := g.cfg.Table.Addresses(g.cfg.Address, boottime.Now())
 				for i := range min(len(addresses), fanout) {
-					all.Go(func() { g.exchange(t.Context(), addresses[(round*fanout+i)%len(addresses)]) })
+					all.Go(func() { g.exchange(t.Context(), addresses[(round*fanout+i)%len(addresses)], g.report()) })
 				}
 				all.Wait()
 			}
--- a/internal/gossip/types.go
+++ b/internal/gossip/types.go
@@ -23,8 +23,6 @@
 	Domain      ident.FailureDomain `json:"domain"`
 	// WallMillis is the sender's time of day, milliseconds since 1970.
 	WallMillis int64 `json:"wall"`
-	// Ready: it takes callers' requests.
-	Ready bool `json:"ready,omitempty"`
 	// Leaving: it was told to stop.
 	Leaving bool `json:"leaving,omitempty"`
 	// Holds: it holds the lease of the duties.
--- a/internal/ingress/caller.go
+++ b/internal/ingress/caller.go
@@ -10,7 +10,6 @@
 type caller struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
-	server  *Server
 	// expires is how long the call may take.
 	expires time.Duration
 	// broken: the connection must end so that the answer looks cut off.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -173,7 +173,7 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.active.Add(1)
 	defer s.active.Add(-1)
-	caller := &caller{w: w, server: s, control: http.NewResponseController(w)}
+	caller := &caller{w: w, control: http.NewResponseController(w)}
 	if s.leaving.Load() != nil || len(r.TransferEncoding) > 0 {
 		// net/http hides a length beside chunks. A peer that reads such a
 		// request by its length would take the rest for a second request, so
@@ -181,7 +181,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	received := s.cfg.Now()
-	call, refusal := s.accept(w, r, received)
+	call, refusal := s.accept(caller.control, r, received)
 	if conn := connOf(r.Context()); conn != nil {
 		conn.taken()
 	}
@@ -212,7 +212,7 @@
 }
 
 // accept checks a request and returns the call, or why not.
-func (s *Server) accept(w http.ResponseWriter, r *http.Request, now time.Time) (*forward.Call, *refusal) {
+func (s *Server) accept(control *http.ResponseController, r *http.Request, now time.Time) (*forward.Call, *refusal) {
 	table := s.cfg.Table()
 	if table == nil {
 		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "no configuration is known yet", after: comeBackSoon}
@@ -248,7 +248,7 @@
 	if parsed.Deadline > 0 && parsed.Deadline < call.Route.Timeout {
 		call.Expires = now.Add(parsed.Deadline)
 	}
-	if refused := s.readBody(w, r, call, table.Limits().BodyBytes); refused != nil {
+	if refused := s.readBody(control, r, call, table.Limits().BodyBytes); refused != nil {
 		return call, refused
 	}
 	if account != nil {
@@ -282,7 +282,7 @@
 
 // readBody reads the whole body, so that it can be sent more than once and with
 // its length.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request, call *forward.Call, limit int64) *refusal {
+func (s *Server) readBody(control *http.ResponseController, r *http.Request, call *forward.Call, limit int64) *refusal {
 	if limit > 0 && r.ContentLength > limit {
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too long"}
 	}
@@ -292,7 +292,6 @@
 	if s.bodies.Load()+max(r.ContentLength, 0) > s.cfg.BodyBudget {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "too many bodies are in memory", after: comeBackSoon}
 	}
-	control := http.NewResponseController(w)
 	// net/http's connections all take deadlines; without one only a silent
 	// caller is not noticed.
 	_ = control.SetReadDeadline(time.Now().Add(call.Remaining(call.Received)))
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -144,9 +144,8 @@
 	After time.Duration
 	// Level is what the bucket held, and Need what the request needed.
 	Level, Need float64
-	// Asked is what is asked of all gateways a second, and Rate what they may
-	// admit.
-	Asked, Rate float64
+	// Asked is what is asked of all gateways a second.
+	Asked float64
 	// Heard and Known count the gateways, with this one.
 	Heard, Known int
 }
@@ -164,7 +163,7 @@
 	a.asked += cost
 	f := k.refresh(a, limit, others, now)
 	d := Decision{
-		Level: a.level, Need: min(cost, f.burst), Asked: f.asked, Rate: f.rate,
+		Level: a.level, Need: min(cost, f.burst), Asked: f.asked,
 		Heard: others.Fresh + 1, Known: max(others.Known, others.Fresh) + 1,
 	}
 	if d.Level >= d.Need && (f.share >= 1 || k.chance() < f.share) {
