A departure that is heard of from another gateway gets no outage's grace of its own

Now gateways tell how long a dropped entry stays usable with them, and the outage ends when the store confirmed the view. Two stories of TestStories fail before. Ruled out: late sends of held requests (none in the log).

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -49,6 +49,9 @@
 	Upstream Upstream
 	// ChangedAt is when this process learned of the state.
 	ChangedAt time.Time
+	// UsableUntil is until when a dropped entry may still be used, because it may
+	// have lapsed only while the store was away; zero for a departure.
+	UsableUntil time.Time
 }
 
 // graceAfterOutage is until when after the end of an outage of the platform's
@@ -70,13 +73,11 @@
 	// away.
 	outageEnded time.Time
 	away        bool
-	// lapsed are dropped entries that stay usable until a time.
-	lapsed map[ident.Instance]time.Time
 }
 
 // New returns a directory that knows nothing.
 func New() *Directory {
-	return &Directory{entries: make(map[ident.Instance]*Entry), lapsed: make(map[ident.Instance]time.Time)}
+	return &Directory{entries: make(map[ident.Instance]*Entry)}
 }
 
 // Next is the offset up to which all records of the store are known.
@@ -85,25 +86,38 @@
 // StoreAway notes that the store did not answer.
 func (d *Directory) StoreAway() { d.away = true }
 
-// StoreBack notes that the store answered.
-func (d *Directory) StoreBack(now time.Time) {
+// StoreBack notes that the store answered at an instant, to this gateway or to
+// another one.
+func (d *Directory) StoreBack(at time.Time) {
 	if d.away {
 		d.away = false
-		d.outageEnded = now
+		d.outageEnded = at
 	}
 }
 
-// Apply takes one record and reports whether something changed beyond its
-// offset. A record that is not newer than what is known changes nothing.
+// Apply takes one record of the store and reports whether something changed beyond
+// its offset. A record that is not newer than what is known changes nothing.
 func (d *Directory) Apply(id ident.Instance, offset ident.Offset, u *Upstream, now time.Time) bool {
+	return d.apply(id, offset, u, d.graceEnd(now), now)
+}
+
+// Learn takes one record that another gateway had from the store, as Apply does. A
+// dropped entry stays usable for as long as it does there: this gateway alone may
+// have been away from the store, or may hear of the drop long after it, and would
+// give a departure the grace of an outage. In a deployment of 61 gateways, 31
+// requests reached upstreams up to 3.0 s after they had left.
+func (d *Directory) Learn(id ident.Instance, offset ident.Offset, u *Upstream, usable time.Duration, now time.Time) bool {
+	return d.apply(id, offset, u, now.Add(usable), now)
+}
+
+func (d *Directory) apply(id ident.Instance, offset ident.Offset, u *Upstream, graceEnd, now time.Time) bool {
 	known := d.entries[id]
 	if known != nil && offset <= known.Offset {
 		return false
 	}
 	if u == nil {
-		return d.drop(id, offset, now)
+		return d.drop(id, offset, graceEnd, now)
 	}
-	delete(d.lapsed, id)
 	next := &Entry{Offset: offset, Present: true, Upstream: *u, ChangedAt: now}
 	d.entries[id] = next
 	if known == nil || !known.Present {
@@ -125,31 +139,26 @@
 	return a == b
 }
 
-func (d *Directory) drop(id ident.Instance, offset ident.Offset, now time.Time) bool {
+// drop notes that an entry was dropped; until graceEnd it stays usable.
+func (d *Directory) drop(id ident.Instance, offset ident.Offset, graceEnd, now time.Time) bool {
+	next := Entry{Offset: offset, ChangedAt: now}
 	known := d.entries[id]
-	if known == nil {
-		d.entries[id] = &Entry{Offset: offset, ChangedAt: now}
-		return false
+	wasPresent := known != nil && known.Present
+	if known != nil {
+		next.Upstream = known.Upstream
+	}
+	if known != nil && !wasPresent {
+		next.ChangedAt = known.ChangedAt
 	}
-	next := *known
-	next.Offset = offset
-	wasPresent := known.Present
-	next.Present = false
-	if wasPresent {
-		next.ChangedAt = now
+	if wasPresent && known.Upstream.State == Ready && now.Before(graceEnd) {
+		next.UsableUntil = graceEnd
 	}
 	d.entries[id] = &next
-	if wasPresent && known.Upstream.State == Ready && d.lapsesNow(now) {
-		d.lapsed[id] = d.graceEnd(now)
-	}
 	return wasPresent
 }
 
-// lapsesNow reports whether an entry that is dropped now may have lapsed only
-// because the store was away.
-func (d *Directory) lapsesNow(now time.Time) bool { return d.away || now.Before(d.graceEnd(now)) }
-
-// graceEnd is until when entries that lapse now stay usable.
+// graceEnd is until when entries that the store drops now stay usable; zero if
+// they get no grace.
 func (d *Directory) graceEnd(now time.Time) time.Time {
 	if d.away {
 		return now.Add(graceAfterOutage)
@@ -169,7 +178,7 @@
 	changed := false
 	for id, entry := range d.entries {
 		if entry.Present && !present[id] && entry.Offset < end {
-			changed = d.drop(id, end-1, now) || changed
+			changed = d.drop(id, end-1, d.graceEnd(now), now) || changed
 		}
 	}
 	d.next = max(d.next, end)
@@ -180,20 +189,25 @@
 // It reports whether an entry stopped to be usable.
 func (d *Directory) Expire(now time.Time) bool {
 	changed := false
-	for id, until := range d.lapsed {
-		if !now.Before(until) && !d.away {
-			delete(d.lapsed, id)
-			changed = true
-		}
-	}
 	for id, entry := range d.entries {
-		if _, lapsed := d.lapsed[id]; !entry.Present && !lapsed && now.Sub(entry.ChangedAt) > dropKept {
+		switch {
+		case entry.Present || d.usable(entry, now):
+		case !entry.UsableUntil.IsZero():
+			entry.UsableUntil = time.Time{}
+			changed = true
+		case now.Sub(entry.ChangedAt) > dropKept:
 			delete(d.entries, id)
 		}
 	}
 	return changed
 }
 
+// usable reports whether a dropped entry is within its grace, which does not end
+// while the store is away.
+func (d *Directory) usable(entry *Entry, now time.Time) bool {
+	return !entry.UsableUntil.IsZero() && (d.away || now.Before(entry.UsableUntil))
+}
+
 // Entries returns a copy of all entries, also dropped ones.
 func (d *Directory) Entries() map[ident.Instance]Entry {
 	out := make(map[ident.Instance]Entry, len(d.entries))
@@ -226,10 +240,8 @@
 // lapsed ones within their grace.
 func (d *Directory) Snapshot(now time.Time) *View {
 	var list []Upstream
-	for id, entry := range d.entries {
-		until, lapsed := d.lapsed[id]
-		lapsed = lapsed && (now.Before(until) || d.away)
-		if entry.Present || lapsed {
+	for _, entry := range d.entries {
+		if entry.Present || d.usable(entry, now) {
 			list = append(list, entry.Upstream)
 		}
 	}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -116,6 +116,38 @@
 			d.StoreAway()
 			d.Apply("u", 2, nil, at(time.Second))
 		}, 1100 * time.Millisecond, false},
+		// Symptom: requests reach an upstream 3 s after it left. Sequence: a gateway
+		// alone does not hear from the store for a while, and then hears of the
+		// departure from another one. Cause: the drop was taken for an entry that
+		// lapsed in an outage.
+		{"leaves while this gateway alone is away from the store", func(d *Directory) {
+			d.Apply("u", 1, ready("u"), at(0))
+			d.StoreAway()
+			d.Learn("u", 2, nil, 0, at(2*time.Second))
+		}, 2100 * time.Millisecond, false},
+		// Symptom and cause: as above. Sequence: the gateway hears late that the store
+		// confirmed the others' views, and then reads the departure itself.
+		{"leaves after the store was back for the others", func(d *Directory) {
+			d.Apply("u", 1, ready("u"), at(0))
+			d.StoreAway()
+			d.StoreBack(at(time.Second))
+			d.Apply("u", 2, nil, at(3100*time.Millisecond))
+		}, 3200 * time.Millisecond, false},
+		// Symptom: no upstream is left when the store comes back. Sequence: another
+		// gateway hears first that the entries lapsed, and tells this one. Cause: its
+		// word is taken for departures.
+		{"lapsed while the store was away for all", func(d *Directory) {
+			d.Apply("u", 1, ready("u"), at(0))
+			d.StoreAway()
+			d.Learn("u", 2, nil, 1500*time.Millisecond, at(5*time.Second))
+			d.StoreBack(at(5100 * time.Millisecond))
+		}, 6 * time.Second, true},
+		{"lapsed for all, and its grace has ended", func(d *Directory) {
+			d.Apply("u", 1, ready("u"), at(0))
+			d.StoreAway()
+			d.Learn("u", 2, nil, 1500*time.Millisecond, at(5*time.Second))
+			d.StoreBack(at(5100 * time.Millisecond))
+		}, 6600 * time.Millisecond, false},
 		{"is not in a complete listing", func(d *Directory) {
 			d.Apply("u", 1, ready("u"), at(0))
 			d.Listed(map[ident.Instance]bool{}, 5, at(time.Second))
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -179,8 +179,9 @@
 func (u *upstreams) applyOne(record platform.KeyedRecord) bool {
 	id := ident.Instance(record.Key)
 	if record.Value == nil {
-		u.log.Info("upstream's entry dropped", "upstream", id, "offset", record.Offset)
-		return u.dir.Apply(id, record.Offset, nil, u.now())
+		changed := u.dir.Apply(id, record.Offset, nil, u.now())
+		u.logEntry(changed, id, record.Offset, nil, "store")
+		return changed
 	}
 	entry, findings := u.ports.DecodeUpstream(u.ports.UpstreamsTopic+"/"+record.Key, record.Key, record.Value)
 	if err := findings.Err(); err != nil {
@@ -190,17 +191,21 @@
 		}
 		return false
 	}
-	return u.apply(id, record.Offset, &entry, "store")
+	changed := u.dir.Apply(id, record.Offset, &entry, u.now())
+	u.logEntry(changed, id, record.Offset, &entry, "store")
+	return changed
 }
 
-func (u *upstreams) apply(id ident.Instance, offset ident.Offset, entry *directory.Upstream, from string) bool {
-	changed := u.dir.Apply(id, offset, entry, u.now())
-	if changed && entry != nil {
+// logEntry tells of an upstream's entry that changed something.
+func (u *upstreams) logEntry(changed bool, id ident.Instance, offset ident.Offset, entry *directory.Upstream, from string) {
+	switch {
+	case changed && entry == nil:
+		u.log.Info("upstream's entry dropped", "upstream", id, "offset", offset, "from", from)
+	case changed:
 		u.log.Info("upstream's entry", "upstream", id, "service", entry.Service, "address", entry.Address, "domain", entry.FailureDomain,
 			"leaving", entry.State == directory.Leaving, "leaves_ms", entry.LeavesIn.Milliseconds(), "reclaimable", entry.Reclaimable,
 			"offset", offset, "from", from)
 	}
-	return changed
 }
 
 // expire ends the grace of entries that lapsed.
@@ -234,6 +239,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	var out []gossip.EntryRecord
+	now := u.now()
 	for id, entry := range u.dir.Entries() {
 		if entry.Offset < from {
 			continue
@@ -242,6 +248,8 @@
 		if entry.Present {
 			upstream := entry.Upstream
 			record.Upstream = &upstream
+		} else if now.Before(entry.UsableUntil) {
+			record.UsableMillis = entry.UsableUntil.Sub(now).Milliseconds()
 		}
 		out = append(out, record)
 	}
@@ -254,7 +262,10 @@
 	defer u.mu.Unlock()
 	changed := false
 	for _, record := range records {
-		changed = u.apply(record.ID, record.Offset, record.Upstream, "gateway") || changed
+		usable := time.Duration(record.UsableMillis) * time.Millisecond
+		one := u.dir.Learn(record.ID, record.Offset, record.Upstream, usable, u.now())
+		u.logEntry(one, record.ID, record.Offset, record.Upstream, "gateway")
+		changed = changed || one
 	}
 	if upTo > 0 {
 		u.dir.Reached(upTo)
@@ -277,6 +288,6 @@
 	defer u.mu.Unlock()
 	if next > 0 && u.dir.Next() >= next && at.After(u.confirmed) {
 		u.confirmed = at
-		u.dir.StoreBack(u.now())
+		u.dir.StoreBack(at)
 	}
 }
--- a/internal/gossip/types.go
+++ b/internal/gossip/types.go
@@ -64,6 +64,9 @@
 	ID       ident.Instance      `json:"id"`
 	Offset   ident.Offset        `json:"off"`
 	Upstream *directory.Upstream `json:"up,omitempty"`
+	// UsableMillis is for how long a dropped entry stays usable, because it may
+	// have lapsed only while the store was away.
+	UsableMillis int64 `json:"usable,omitempty"`
 }
 
 // ConfigRecord is the operators' configuration as it stands in the store.
