Admission of a request no longer walks through all gateways' reports

Now Tick keeps what they come to, and a request fills its bucket by it. The quota tests hold unchanged.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -92,10 +92,15 @@
 	level float64
 	// filled is up to when it was filled.
 	filled time.Time
+	// filling and the numbers of gateways are those of the last Tick.
+	filling
+	heard, known int
 	// spent and asked are this gateway's totals.
 	spent, asked float64
 	own          rateOf
 	others       map[string]*other
+	// ticked is up to when the others' expected spending was taken out of others.
+	ticked time.Time
 }
 
 // other is what is known of another gateway's use of the account.
@@ -158,21 +163,17 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	others := k.others(limit.Name)
-	a := k.account(limit, others)
+	a := k.account(limit, now)
 	a.asked += cost
-	f := k.refresh(a, limit, others, now)
-	d := Decision{
-		Level: a.level, Need: min(cost, f.burst), Asked: f.asked,
-		Heard: others.Fresh + 1, Known: max(others.Known, others.Fresh) + 1,
-	}
-	if d.Level >= d.Need && (f.share >= 1 || k.chance() < f.share) {
+	a.fill(now)
+	d := Decision{Level: a.level, Need: min(cost, a.burst), Asked: a.askedOfAll, Heard: a.heard, Known: a.known}
+	if d.Level >= d.Need && (a.share >= 1 || k.chance() < a.share) {
 		a.level -= cost
 		a.spent += cost
 		d.OK = true
 		return d
 	}
-	after := time.Duration((d.Need - d.Level) / f.rate * float64(time.Second))
+	after := time.Duration((d.Need - d.Level) / a.rate * float64(time.Second))
 	d.After = min(max(after, leastAfter), mostAfter)
 	return d
 }
@@ -181,8 +182,10 @@
 type filling struct {
 	// rate and burst of the gateways that are heard, together.
 	rate, burst float64
-	// asked of all of them a second.
-	asked float64
+	// othersSpend is what they are expected to spend a second, without this one.
+	othersSpend float64
+	// askedOfAll of them a second.
+	askedOfAll float64
 	// share of the requests that is admitted by chance, where the gateways hear
 	// late of each other and more is asked than there is.
 	share float64
@@ -197,8 +200,8 @@
 	return limit.Rate + rateTolerance*beyond/t.Window.Seconds(), limit.Burst + burstTolerance*beyond
 }
 
-// heard is the part of the gateways that is heard, with this one.
-func (o Others) heard() float64 {
+// part is the part of the gateways that is heard, with this one.
+func (o Others) part() float64 {
 	return float64(o.Fresh+1) / float64(max(o.Known, o.Fresh)+1)
 }
 
@@ -215,62 +218,67 @@
 }
 
 // Tick takes in what the other gateways reported, for all accounts. Call it with
-// every round of reports: a bucket that is seldom looked at would fill to its
-// brim first and then lose all that others spent in the meantime at once.
+// every round of reports: what others spend is taken out a little at a time, and a
+// request costs no walk through their reports.
 func (k *Keeper) Tick(limits []routetable.Account, now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for i := range limits {
 		if limit := &limits[i]; limit.Rate > 0 {
-			others := k.others(limit.Name)
-			k.refresh(k.account(limit, others), limit, others, now)
+			k.refresh(k.account(limit, now), limit, k.others(limit.Name), now)
 		}
 	}
 }
 
-func (k *Keeper) account(limit *routetable.Account, others Others) *account {
+// account returns an account's state; one that is new to this gateway takes in
+// first what the others report.
+func (k *Keeper) account(limit *routetable.Account, now time.Time) *account {
 	a := k.accounts[limit.Name]
 	if a == nil {
+		others := k.others(limit.Name)
 		_, burst := k.limits(limit, 0)
-		a = &account{level: startPart * burst * others.heard(), filled: k.started, others: make(map[string]*other)}
+		a = &account{level: startPart * burst * others.part(), filled: k.started, ticked: k.started, others: make(map[string]*other)}
 		k.accounts[limit.Name] = a
+		k.refresh(a, limit, others, now)
 	}
 	return a
 }
 
-// refresh fills an account's bucket, and takes out what others spend: at the rate
-// at which they did, corrected when their reports come.
-func (k *Keeper) refresh(a *account, limit *routetable.Account, others Others, now time.Time) filling {
-	heard := others.heard()
-	lag := others.lag()
-	rate, burst := k.limits(limit, lag)
-	f := filling{rate: rate * heard, burst: burst * heard}
-	a.forgetUnheard(others)
+// fill lets time pass: the bucket fills, and others spend as they did.
+func (a *account) fill(now time.Time) {
 	elapsed := max(now.Sub(a.filled).Seconds(), 0)
 	a.filled = now
-	a.level += f.rate * elapsed
-	for _, o := range a.others {
-		spends := o.spends.rate * elapsed
-		o.expected += spends
-		a.level -= spends
-	}
-	a.level = min(a.level, f.burst)
-	f.asked = a.own.update(a.asked, now)
+	a.level = min(a.level+(a.rate-a.othersSpend)*elapsed, a.burst)
+}
+
+// refresh takes in what others report: what they spent beyond what was expected of
+// them, and how fast they spend now.
+func (k *Keeper) refresh(a *account, limit *routetable.Account, others Others, now time.Time) {
+	part, lag := others.part(), others.lag()
+	rate, burst := k.limits(limit, lag)
+	a.rate, a.burst = rate*part, burst*part
+	a.heard, a.known = others.Fresh+1, max(others.Known, others.Fresh)+1
+	a.fill(now)
+	elapsed := max(now.Sub(a.ticked).Seconds(), 0)
+	a.ticked = now
+	a.forgetUnheard(others)
+	a.othersSpend, a.askedOfAll = 0, a.own.update(a.asked, now)
 	for gateway, r := range others.Reports {
 		o := a.others[gateway]
 		if o == nil {
 			o = &other{seen: r.Spent, seenAt: now.Add(-r.Age)}
 			a.others[gateway] = o
 		}
+		o.expected += o.spends.rate * elapsed
 		a.level -= o.hear(r, now)
-		f.asked += o.asked.rate
+		a.othersSpend += o.spends.rate
+		a.askedOfAll += o.asked.rate
 	}
-	a.level = min(a.level, f.burst)
-	f.share = 1
-	if lag > lagForShares && f.asked > f.rate {
-		f.share = f.rate / f.asked
+	a.level = min(a.level, a.burst)
+	a.share = 1
+	if lag > lagForShares && a.askedOfAll > a.rate {
+		a.share = a.rate / a.askedOfAll
 	}
-	return f
 }
 
 // hear takes a report in and returns how much more was spent than was expected.
