A gateway that has just started tells others all entries, not only newer ones

Cause, from the logs: a gateway restarted by the rolling stop listed the store's entries after an entry had been dropped; the others took over its offset with what was newer and never heard of the drop. Now a listing's offset is the first from which on drops are known; before it the whole list is told and what it lacks is gone. Two tests in directory_test.go fail without it.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -68,7 +68,9 @@
 // Directory holds the entries. It is not safe for concurrent use.
 type Directory struct {
 	entries map[ident.Instance]*Entry
-	next    ident.Offset
+	// next is the offset up to which all records are known, and since the one from
+	// which on all drops are: a listing of the store does not tell what it lacks.
+	next, since ident.Offset
 	// outageEnded is when the store was last seen to be back; zero if never
 	// away.
 	outageEnded time.Time
@@ -101,15 +103,6 @@
 	return d.apply(id, offset, u, d.graceEnd(now), now)
 }
 
-// Learn takes one record that another gateway had from the store, as Apply does. A
-// dropped entry stays usable for as long as it does there: this gateway alone may
-// have been away from the store, or may hear of the drop long after it, and would
-// give a departure the grace of an outage. In a deployment of 61 gateways, 31
-// requests reached upstreams up to 3.0 s after they had left.
-func (d *Directory) Learn(id ident.Instance, offset ident.Offset, u *Upstream, usable time.Duration, now time.Time) bool {
-	return d.apply(id, offset, u, now.Add(usable), now)
-}
-
 func (d *Directory) apply(id ident.Instance, offset ident.Offset, u *Upstream, graceEnd, now time.Time) bool {
 	known := d.entries[id]
 	if known != nil && offset <= known.Offset {
@@ -181,7 +174,7 @@
 			changed = d.drop(id, end-1, d.graceEnd(now), now) || changed
 		}
 	}
-	d.next = max(d.next, end)
+	d.next, d.since = max(d.next, end), max(d.since, end)
 	return changed
 }
 
@@ -196,6 +189,7 @@
 			entry.UsableUntil = time.Time{}
 			changed = true
 		case now.Sub(entry.ChangedAt) > dropKept:
+			d.since = max(d.since, entry.Offset+1)
 			delete(d.entries, id)
 		}
 	}
@@ -208,15 +202,6 @@
 	return !entry.UsableUntil.IsZero() && (d.away || now.Before(entry.UsableUntil))
 }
 
-// Entries returns a copy of all entries, also dropped ones.
-func (d *Directory) Entries() map[ident.Instance]Entry {
-	out := make(map[ident.Instance]Entry, len(d.entries))
-	for id, entry := range d.entries {
-		out[id] = *entry
-	}
-	return out
-}
-
 // View is an immutable snapshot of the upstreams, by service.
 type View struct {
 	services map[ident.Service][]Upstream
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -62,8 +62,8 @@
 				d.Apply(ident.Instance(s.id), s.offset, s.upstream, start)
 			}
 			got := make(map[ident.Instance]bool)
-			for id, entry := range d.Entries() {
-				got[id] = entry.Present
+			for _, r := range d.News(0, start).Records {
+				got[r.ID] = r.Upstream != nil
 			}
 			return got
 		}
@@ -123,7 +123,7 @@
 		{"leaves while this gateway alone is away from the store", func(d *Directory) {
 			d.Apply("u", 1, ready("u"), at(0))
 			d.StoreAway()
-			d.Learn("u", 2, nil, 0, at(2*time.Second))
+			d.Take(News{Records: []Record{{ID: "u", Offset: 2}}, UpTo: 3}, at(2*time.Second))
 		}, 2100 * time.Millisecond, false},
 		// Symptom and cause: as above. Sequence: the gateway hears late that the store
 		// confirmed the others' views, and then reads the departure itself.
@@ -139,13 +139,13 @@
 		{"lapsed while the store was away for all", func(d *Directory) {
 			d.Apply("u", 1, ready("u"), at(0))
 			d.StoreAway()
-			d.Learn("u", 2, nil, 1500*time.Millisecond, at(5*time.Second))
+			d.Take(News{Records: []Record{{ID: "u", Offset: 2, Usable: 1500 * time.Millisecond}}, UpTo: 3}, at(5*time.Second))
 			d.StoreBack(at(5100 * time.Millisecond))
 		}, 6 * time.Second, true},
 		{"lapsed for all, and its grace has ended", func(d *Directory) {
 			d.Apply("u", 1, ready("u"), at(0))
 			d.StoreAway()
-			d.Learn("u", 2, nil, 1500*time.Millisecond, at(5*time.Second))
+			d.Take(News{Records: []Record{{ID: "u", Offset: 2, Usable: 1500 * time.Millisecond}}, UpTo: 3}, at(5*time.Second))
 			d.StoreBack(at(5100 * time.Millisecond))
 		}, 6600 * time.Millisecond, false},
 		{"is not in a complete listing", func(d *Directory) {
@@ -172,12 +172,53 @@
 	}
 }
 
+// Symptom: requests reach an upstream 2.3 s after it left, by one gateway of six.
+// Sequence: an entry is dropped; a gateway that has just started lists the store, and
+// tells this one all that is newer than what this one knows. Cause: the listing has
+// no trace of the drop, and this gateway took over the offset that goes with it.
+func TestADropBeforeAnotherGatewaysListing(t *testing.T) {
+	here, started := New(), New()
+	for _, d := range []*Directory{here, started} {
+		d.Apply("stays", 2, ready("stays"), at(0))
+	}
+	here.Apply("u", 1, ready("u"), at(0))
+	here.Reached(3)
+	started.Apply("new", 4, ready("new"), at(time.Second))
+	started.Listed(map[ident.Instance]bool{"stays": true, "new": true}, 5, at(time.Second))
+	here.Take(started.News(here.Next(), at(time.Second)), at(time.Second))
+	for id, want := range map[string]bool{"u": false, "stays": true, "new": true} {
+		if got := usable(here, id, at(1100*time.Millisecond)); got != want {
+			t.Errorf("%s usable: %v, want %v", id, got, want)
+		}
+	}
+	if here.Next() != 5 {
+		t.Errorf("known up to %d", here.Next())
+	}
+}
+
+// Symptom and cause: as above. Sequence: the other gateway has forgotten a drop that
+// is a minute old, and this one was cut off for longer.
+func TestADropThatAnotherGatewayHasForgotten(t *testing.T) {
+	here, there := New(), New()
+	for _, d := range []*Directory{here, there} {
+		d.Apply("u", 1, ready("u"), at(0))
+		d.Reached(2)
+	}
+	there.Apply("u", 2, nil, at(time.Second))
+	there.Reached(3)
+	there.Expire(at(2*time.Second + dropKept))
+	here.Take(there.News(here.Next(), at(2*time.Second+dropKept)), at(2*time.Second+dropKept))
+	if usable(here, "u", at(3*time.Second+dropKept)) {
+		t.Error("usable")
+	}
+}
+
 func TestDroppedEntriesAreForgotten(t *testing.T) {
 	d := New()
 	d.Apply("u", 1, ready("u"), at(0))
 	d.Apply("u", 2, nil, at(time.Second))
 	d.Expire(at(time.Second + dropKept + 1))
-	if n := len(d.Entries()); n != 0 {
+	if n := len(d.entries); n != 0 {
 		t.Errorf("%d entries are left", n)
 	}
 }
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -360,17 +360,15 @@
 	return k.p.configuration.record(than)
 }
 
-// Entries implements gossip.Knowledge.
-func (k knowledge) Entries(from ident.Offset) ([]gossip.EntryRecord, ident.Offset) {
-	return k.p.upstreams.entries(from)
-}
+// Upstreams implements gossip.Knowledge.
+func (k knowledge) Upstreams(from ident.Offset) directory.News { return k.p.upstreams.news(from) }
 
 // Learn implements gossip.Knowledge.
-func (k knowledge) Learn(config *gossip.ConfigRecord, entries []gossip.EntryRecord, upTo ident.Offset) {
+func (k knowledge) Learn(config *gossip.ConfigRecord, upstreams *directory.News) {
 	if config != nil {
 		k.p.configuration.take(config.Offset, config.Data, "gateway")
 	}
-	if len(entries) > 0 {
-		k.p.upstreams.learn(entries, upTo)
+	if upstreams != nil {
+		k.p.upstreams.learn(*upstreams)
 	}
 }
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -11,7 +11,6 @@
 
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
 	"github.com/goldcrestspool/goldcrestspool/internal/directory"
-	"github.com/goldcrestspool/goldcrestspool/internal/gossip"
 	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/pause"
@@ -233,42 +232,23 @@
 	}
 }
 
-// entries returns the entries that are not older than an offset, and up to which
-// offset they are complete.
-func (u *upstreams) entries(from ident.Offset) ([]gossip.EntryRecord, ident.Offset) {
+// news returns what another gateway lacks that knows all records before an offset.
+func (u *upstreams) news(from ident.Offset) directory.News {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	var out []gossip.EntryRecord
-	now := u.now()
-	for id, entry := range u.dir.Entries() {
-		if entry.Offset < from {
-			continue
-		}
-		record := gossip.EntryRecord{ID: id, Offset: entry.Offset}
-		if entry.Present {
-			upstream := entry.Upstream
-			record.Upstream = &upstream
-		} else if now.Before(entry.UsableUntil) {
-			record.UsableMillis = entry.UsableUntil.Sub(now).Milliseconds()
-		}
-		out = append(out, record)
-	}
-	return out, u.dir.Next()
+	return u.dir.News(from, u.now())
 }
 
 // learn takes in what another gateway knows.
-func (u *upstreams) learn(records []gossip.EntryRecord, upTo ident.Offset) {
+func (u *upstreams) learn(news directory.News) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	changed := false
-	for _, record := range records {
-		usable := time.Duration(record.UsableMillis) * time.Millisecond
-		one := u.dir.Learn(record.ID, record.Offset, record.Upstream, usable, u.now())
-		u.logEntry(one, record.ID, record.Offset, record.Upstream, "gateway")
-		changed = changed || one
+	changes, changed := u.dir.Take(news, u.now())
+	for _, r := range changes {
+		u.logEntry(true, r.ID, r.Offset, r.Upstream, "gateway")
 	}
-	if upTo > 0 {
-		u.dir.Reached(upTo)
+	if news.Complete {
+		u.log.Info("upstreams listed by another gateway", "count", len(news.Records), "end", news.UpTo, "changes", len(changes))
 	}
 	u.publish(changed)
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -16,6 +16,7 @@
 	pkgerrors "github.com/pkg/errors"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
+	"github.com/goldcrestspool/goldcrestspool/internal/directory"
 	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/pause"
@@ -56,11 +57,11 @@
 	Report(now time.Time) Report
 	// Config returns the configuration if it is newer than a revision.
 	Config(than ident.Revision) *ConfigRecord
-	// Entries returns the upstreams' entries that are not older than an
-	// offset, and up to which offset they are complete.
-	Entries(from ident.Offset) ([]EntryRecord, ident.Offset)
-	// Learn takes in what another gateway gave.
-	Learn(config *ConfigRecord, entries []EntryRecord, upTo ident.Offset)
+	// Upstreams returns what a gateway lacks that knows the upstreams' entries up
+	// to an offset.
+	Upstreams(from ident.Offset) directory.News
+	// Learn takes in what another gateway gave; nil where it gave nothing.
+	Learn(config *ConfigRecord, upstreams *directory.News)
 }
 
 // Config is what a Gossip works with.
@@ -231,8 +232,8 @@
 	now, wall := g.cfg.Now(), time.Now()
 	g.cfg.Table.Hear(m.From, now, wall)
 	g.cfg.Table.Learn(m.Contacts, now)
-	if m.Config != nil || len(m.Entries) > 0 {
-		g.cfg.Knowledge.Learn(m.Config, m.Entries, m.EntriesUpTo)
+	if m.Config != nil || m.Upstreams != nil {
+		g.cfg.Knowledge.Learn(m.Config, m.Upstreams)
 	}
 }
 
@@ -251,7 +252,8 @@
 		reply.Config = g.cfg.Knowledge.Config(asked.From.Revision)
 	}
 	if reply.From.Upstreams > asked.From.Upstreams {
-		reply.Entries, reply.EntriesUpTo = g.cfg.Knowledge.Entries(asked.From.Upstreams)
+		news := g.cfg.Knowledge.Upstreams(asked.From.Upstreams)
+		reply.Upstreams = &news
 	}
 	if asked.Knows != g.cfg.Table.Digest(now) {
 		reply.Contacts = g.cfg.Table.Contacts(now)
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
+	"github.com/goldcrestspool/goldcrestspool/internal/directory"
 	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 )
@@ -84,10 +85,10 @@
 
 // holder is what one gateway of a test knows.
 type holder struct {
-	mu      sync.Mutex
-	self    Report
-	config  *ConfigRecord
-	entries []EntryRecord
+	mu        sync.Mutex
+	self      Report
+	config    *ConfigRecord
+	upstreams directory.News
 }
 
 func (h *holder) Report(time.Time) Report {
@@ -97,9 +98,7 @@
 	if h.config != nil {
 		h.self.Revision = h.config.Revision
 	}
-	for _, e := range h.entries {
-		h.self.Upstreams = max(h.self.Upstreams, e.Offset+1)
-	}
+	h.self.Upstreams = h.upstreams.UpTo
 	return h.self
 }
 
@@ -109,20 +108,20 @@
 	return h.config
 }
 
-func (h *holder) Entries(ident.Offset) ([]EntryRecord, ident.Offset) {
+func (h *holder) Upstreams(ident.Offset) directory.News {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.entries, h.self.Upstreams
+	return h.upstreams
 }
 
-func (h *holder) Learn(config *ConfigRecord, entries []EntryRecord, _ ident.Offset) {
+func (h *holder) Learn(config *ConfigRecord, upstreams *directory.News) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if config != nil {
 		h.config = config
 	}
-	if len(entries) > 0 {
-		h.entries = entries
+	if upstreams != nil {
+		h.upstreams = *upstreams
 	}
 }
 
@@ -190,11 +189,11 @@
 		}
 	}
 	holders[17].config = &ConfigRecord{Revision: 5, Offset: 3, Data: []byte("x")}
-	holders[3].entries = []EntryRecord{{ID: "u", Offset: 7}}
+	holders[3].upstreams = directory.News{Records: []directory.Record{{ID: "u", Offset: 7}}, UpTo: 8}
 	rounds(4)
 	for i, h := range holders {
-		if h.config == nil || len(h.entries) != 1 {
-			t.Errorf("gateway %d: config %v, %d entries", i, h.config, len(h.entries))
+		if h.config == nil || len(h.upstreams.Records) != 1 {
+			t.Errorf("gateway %d: config %v, upstreams %v", i, h.config, h.upstreams)
 		}
 	}
 }
--- a/internal/gossip/types.go
+++ b/internal/gossip/types.go
@@ -59,16 +59,6 @@
 	Address string         `json:"addr"`
 }
 
-// EntryRecord is an upstream's entry with the offset of its record.
-type EntryRecord struct {
-	ID       ident.Instance      `json:"id"`
-	Offset   ident.Offset        `json:"off"`
-	Upstream *directory.Upstream `json:"up,omitempty"`
-	// UsableMillis is for how long a dropped entry stays usable, because it may
-	// have lapsed only while the store was away.
-	UsableMillis int64 `json:"usable,omitempty"`
-}
-
 // ConfigRecord is the operators' configuration as it stands in the store.
 type ConfigRecord struct {
 	Revision ident.Revision `json:"rev"`
@@ -83,11 +73,9 @@
 	// of them, where the receiver's digest differs.
 	Knows    uint64    `json:"knows,omitempty"`
 	Contacts []Contact `json:"contacts,omitempty"`
-	// Config and Entries are what the receiver lacks.
-	Config  *ConfigRecord `json:"config,omitempty"`
-	Entries []EntryRecord `json:"entries,omitempty"`
-	// EntriesUpTo is the offset up to which Entries complete the receiver's.
-	EntriesUpTo ident.Offset `json:"upto,omitempty"`
+	// Config and Upstreams are what the receiver lacks.
+	Config    *ConfigRecord   `json:"config,omitempty"`
+	Upstreams *directory.News `json:"upstreams,omitempty"`
 }
 
 // Member is another gateway as this one knows it.
