--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/duty"
@@ -22,19 +23,34 @@
 	notCandidate = 1 << 20
 )
 
-// runDuties starts what one gateway at a time does under the lease.
-func (p *Process) runDuties(run func(func(context.Context))) {
+// runDuties does what one gateway at a time does under the lease, until ctx ends.
+// When stop ends, the lease is handed on as soon as the calls under it have ended:
+// requests may run for seconds yet, and a successor must not wait for them.
+func (p *Process) runDuties(ctx, stop context.Context) {
 	if p.ports.Duties == nil {
 		return
 	}
-	run(p.learnGateways)
-	run(p.lease.Run)
+	var steps, lease sync.WaitGroup
+	run := func(step func(context.Context)) {
+		steps.Go(func() {
+			for pause.For(stop, dutyStep) {
+				step(ctx)
+			}
+		})
+	}
+	steps.Go(func() { p.learnGateways(stop) })
 	if slices.Contains(p.settings.Cloud.Duties, "metering") {
-		run(p.every(p.newReporter().Step))
+		run(p.newReporter().Step)
 	}
 	if slices.Contains(p.settings.Cloud.Duties, "autoscale") {
-		run(p.every(p.newScaling().Step))
+		run(p.newScaling().Step)
 	}
+	held, release := context.WithCancel(ctx)
+	lease.Go(func() { p.lease.Run(held) })
+	steps.Wait()
+	<-stop.Done()
+	release()
+	lease.Wait()
 }
 
 // learnGateways reads how many gateways there were before this process started.
@@ -52,17 +68,6 @@
 	}
 }
 
-// every runs a step again and again until ctx ends.
-func (p *Process) every(step func(context.Context)) func(context.Context) {
-	return func(ctx context.Context) {
-		for pause.For(ctx, dutyStep) {
-			if !p.leaving.Load() {
-				step(ctx)
-			}
-		}
-	}
-}
-
 func (p *Process) newLease() *duty.Manager {
 	return duty.NewManager(duty.Config{
 		Self: p.settings.Instance.ID, Life: p.incarnation, Timing: duty.NewTiming(p.settings.Lease.Length, platform.DutyTimeout),
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -125,6 +125,16 @@
 	}
 }
 
+// flushSpans sends the spans that are still buffered, within what is left of the
+// grace.
+func (p *Process) flushSpans() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopMargin/2)
+	defer cancel()
+	if err := p.tracing.Shutdown(ctx); err != nil {
+		p.log.Warn("spans not sent", "error", err)
+	}
+}
+
 // reloadOnce reads the settings file again.
 func (p *Process) reloadOnce() {
 	next, findings := settings.LoadEntry(p.settings.Path)
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -231,11 +231,12 @@
 	run(p.follow)
 	run(p.sweep)
 	run(func(ctx context.Context) { p.reload(ctx, reload) })
-	p.runDuties(run)
+	run(func(ctx context.Context) { p.runDuties(ctx, signals.Stop) })
 	<-signals.Stop.Done()
 	p.leave(ctx, signals)
 	cancel()
 	work.Wait()
+	p.flushSpans()
 	p.log.Info("stopped")
 	p.ring.Flush()
 	return nil
