A configuration is fetched from one other gateway, compressed, and only if the store does not bring it

Now exchanges never carry it; a gateway that hears of a newer revision for 0.4 s, or whose store does not answer, asks one other one at a time, which hands it to two at a time, gzipped. Ruled out: load of the machine (the same with nothing beside it). TestALargeConfigurationIsFetchedOnce fails before.

--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -25,6 +26,10 @@
 	// store together do not come back together.
 	retryLeast = 150 * time.Millisecond
 	retryMost  = 1200 * time.Millisecond
+	// storeFirst is for how long a gateway leaves it to the store to bring a
+	// configuration that others have: a waiting read brings 300 KB within it on a
+	// link of 10 Mbit/s, and a change is due 2 s after it is acknowledged.
+	storeFirst = 400 * time.Millisecond
 )
 
 // retryPause returns the pause after a number of failures in a row.
@@ -40,22 +45,27 @@
 	board *board
 	log   hclog.Logger
 
+	// failing: the store does not answer.
+	failing atomic.Bool
+
 	mu      sync.Mutex
 	current gossip.ConfigRecord
-	// faulty are offsets whose record could not be used, so that it is logged
-	// once.
-	faulty map[ident.Offset]bool
+	// behind is since when others are heard to have a newer one; zero if not.
+	behind time.Time
+	// faulty is the offset after that of the newest record that could not be used,
+	// so that it is logged once; 0 if there is none.
+	faulty ident.Offset
 }
 
 func newConfiguration(ports Ports, b *board, log hclog.Logger) *configuration {
-	return &configuration{ports: ports, board: b, log: log, faulty: make(map[ident.Offset]bool)}
+	return &configuration{ports: ports, board: b, log: log}
 }
 
 // run follows the store until ctx ends.
 func (c *configuration) run(ctx context.Context) {
 	reader := &follower{
 		store: c.ports.Store, topic: c.ports.ConfigTopic, log: c.log,
-		wait: configWait, apply: c.applyRecord,
+		wait: configWait, apply: c.applyRecord, failing: &c.failing,
 	}
 	reader.run(ctx)
 }
@@ -70,12 +80,12 @@
 func (c *configuration) take(offset ident.Offset, data []byte, from string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.faulty[offset] || offset < c.current.Offset || offset == c.current.Offset && c.current.Revision > 0 {
+	if c.faulty == offset+1 || offset < c.current.Offset || offset == c.current.Offset && c.current.Revision > 0 {
 		return
 	}
 	table, findings := c.ports.DecodeConfig(c.ports.ConfigTopic+"/"+c.ports.ConfigKey, data)
 	if err := findings.Err(); err != nil {
-		c.faulty[offset] = true
+		c.faulty = offset + 1
 		c.log.Error("configuration not usable, the last one stays", "offset", offset, "from", from, "findings", err)
 		return
 	}
@@ -98,6 +108,23 @@
 	return &record
 }
 
+// lacks reports whether another gateway should be asked for the configuration, where
+// others are heard to have a revision: only if the store does not bring it.
+func (c *configuration) lacks(heard ident.Revision, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.current.Revision == 0:
+		return true
+	case heard <= c.current.Revision:
+		c.behind = time.Time{}
+		return false
+	case c.behind.IsZero():
+		c.behind = now
+	}
+	return c.failing.Load() || now.Sub(c.behind) >= storeFirst
+}
+
 // follower reads a keyed topic: its newest records first, then what follows.
 type follower struct {
 	store platform.KeyedLog
@@ -106,6 +133,8 @@
 	wait  time.Duration
 	// apply takes one record.
 	apply func(platform.KeyedRecord)
+	// failing is set while the store does not answer.
+	failing *atomic.Bool
 
 	next  ident.Offset
 	known bool
@@ -115,6 +144,7 @@
 	health := storeHealth{log: f.log, topic: f.topic}
 	for ctx.Err() == nil {
 		err := f.step(ctx)
+		f.failing.Store(err != nil && !errors.Is(err, platform.ErrExpired))
 		switch {
 		case err == nil:
 			health.answered()
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -364,6 +364,11 @@
 	return k.p.configuration.record(than)
 }
 
+// LacksConfig implements gossip.Knowledge.
+func (k knowledge) LacksConfig(heard ident.Revision) bool {
+	return k.p.configuration.lacks(heard, k.p.now())
+}
+
 // Upstreams implements gossip.Knowledge.
 func (k knowledge) Upstreams(from ident.Offset) directory.News { return k.p.upstreams.news(from) }
 
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -69,6 +69,7 @@
 	confirmed time.Time
 	// listed: the newest records were read once in this life.
 	listed bool
+	// faulty are the entries that could not be used, so that each is logged once.
 	faulty map[string]bool
 }
 
@@ -178,6 +179,7 @@
 func (u *upstreams) applyOne(record platform.KeyedRecord) bool {
 	id := ident.Instance(record.Key)
 	if record.Value == nil {
+		delete(u.faulty, record.Key)
 		changed := u.dir.Apply(id, record.Offset, nil, u.now())
 		u.logEntry(changed, id, record.Offset, nil, "store")
 		return changed
@@ -190,6 +192,7 @@
 		}
 		return false
 	}
+	delete(u.faulty, record.Key)
 	changed := u.dir.Apply(id, record.Offset, &entry, u.now())
 	u.logEntry(changed, id, record.Offset, &entry, "store")
 	return changed
--- /dev/null
+++ b/internal/gossip/config.go
@@ -0,0 +1,148 @@
+package gossip
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+// A configuration can be large: 300 KB take a quarter of a second on a link of
+// 10 Mbit/s. What goes wrong if it is part of each exchange with a gateway that lacks
+// it: after a change, each of sixty gateways is sent it by several others at once,
+// the links stand still for seconds, exchanges run into their timeout and begin
+// again, and neither the configuration nor departures arrive in time (a day with
+// such a configuration broke both rules in two plays of two). So a gateway asks
+// one other at a time for it, only if the store does not bring it, and gets it
+// compressed.
+
+const (
+	// fetchTimeout ends the transfer of a configuration: several hundred KB
+	// compressed on a slow link that is shared with requests.
+	fetchTimeout = 2 * time.Second
+	// mostHanding is how many gateways are handed the configuration at a time.
+	mostHanding = 2
+	// mostConfig bounds a configuration, bytes.
+	mostConfig = 16 << 20
+)
+
+// packedConfig is a ConfigRecord as it travels.
+type packedConfig struct {
+	Revision ident.Revision `json:"rev"`
+	Offset   ident.Offset   `json:"off"`
+	// Gzip is the record's data, compressed.
+	Gzip []byte `json:"gzip"`
+}
+
+// pack compresses a configuration. The last one is kept, because others ask for it.
+func (g *Gossip) pack(record *ConfigRecord) (*packedConfig, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p := g.packed; p != nil && p.Revision == record.Revision && p.Offset == record.Offset {
+		return p, nil
+	}
+	var buffer bytes.Buffer
+	w, err := gzip.NewWriterLevel(&buffer, gzip.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "compress the configuration")
+	}
+	if _, err := w.Write(record.Data); err != nil {
+		return nil, errors.Wrap(err, "compress the configuration")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress the configuration")
+	}
+	g.packed = &packedConfig{Revision: record.Revision, Offset: record.Offset, Gzip: buffer.Bytes()}
+	return g.packed, nil
+}
+
+// unpack is the inverse of pack.
+func (p *packedConfig) unpack() (*ConfigRecord, error) {
+	r, err := gzip.NewReader(bytes.NewReader(p.Gzip))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress the configuration")
+	}
+	data, err := io.ReadAll(io.LimitReader(r, mostConfig+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress the configuration")
+	}
+	if len(data) > mostConfig {
+		return nil, errors.Errorf("a configuration of more than %d bytes", mostConfig)
+	}
+	return &ConfigRecord{Revision: p.Revision, Offset: p.Offset, Data: data}, nil
+}
+
+// fetch asks one other gateway for the configuration if this one lacks it, unless it
+// is already asking. It does not wait for the answer.
+func (g *Gossip) fetch(ctx context.Context, addresses []string) {
+	heard, from := g.cfg.Table.newestConfig(g.cfg.Now())
+	if !g.cfg.Knowledge.LacksConfig(heard) {
+		return
+	}
+	if len(from) == 0 {
+		from = addresses
+	}
+	if len(from) == 0 || !g.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	address := from[rand.IntN(len(from))]
+	go func() {
+		defer g.fetching.Store(false)
+		g.fetchFrom(ctx, address)
+	}()
+}
+
+func (g *Gossip) fetchFrom(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	answer, err := g.call(ctx, address, g.report(true))
+	if err != nil {
+		g.cfg.Log.Info("no configuration from another gateway", "address", address, "error", err)
+		return
+	}
+	g.take(answer)
+}
+
+// handConfig adds the configuration to an answer, if the asker wants it and its turn
+// has come; otherwise it asks again, or another gateway. Call done when the answer is
+// sent.
+func (g *Gossip) handConfig(asked, reply *message) (done func()) {
+	if !asked.Wants || reply.From.Revision <= asked.From.Revision {
+		return func() {}
+	}
+	if g.handing.Add(1) > mostHanding {
+		g.handing.Add(-1)
+		return func() {}
+	}
+	if record := g.cfg.Knowledge.Config(asked.From.Revision); record != nil {
+		packed, err := g.pack(record)
+		if err != nil {
+			g.cfg.Log.Error("configuration not handed on", "revision", record.Revision, "error", err)
+		}
+		reply.Config = packed
+	}
+	return func() { g.handing.Add(-1) }
+}
+
+// newestConfig returns the newest revision among the gateways that are heard, and the
+// addresses of those that have it.
+func (t *Table) newestConfig(now time.Time) (ident.Revision, []string) {
+	newest := ident.Revision(0)
+	var addresses []string
+	for _, m := range t.View(now).Fresh {
+		switch r := m.Report.Revision; {
+		case r == 0 || r < newest:
+		case r > newest:
+			newest, addresses = r, []string{m.Report.Address}
+		default:
+			addresses = append(addresses, m.Report.Address)
+		}
+	}
+	return newest, addresses
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -57,6 +58,9 @@
 	Report(now time.Time) Report
 	// Config returns the configuration if it is newer than a revision.
 	Config(than ident.Revision) *ConfigRecord
+	// LacksConfig reports whether another gateway should be asked for the
+	// configuration, where others are heard to have a revision.
+	LacksConfig(heard ident.Revision) bool
 	// Upstreams returns what a gateway lacks that knows the upstreams' entries up
 	// to an offset.
 	Upstreams(from ident.Offset) directory.News
@@ -80,7 +84,14 @@
 	cfg    Config
 	server *http.Server
 
+	// fetching: another gateway is being asked for the configuration.
+	fetching atomic.Bool
+	// handing counts the gateways that are being handed it.
+	handing atomic.Int32
+
 	mu sync.Mutex
+	// packed is the newest configuration that was handed on.
+	packed *packedConfig
 	// silent are the addresses that did not answer last, for the log.
 	silent map[string]bool
 	busy   map[string]bool
@@ -129,7 +140,8 @@
 		rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 		addresses = addresses[:fanout]
 	}
-	body := g.report()
+	g.fetch(ctx, addresses)
+	body := g.report(false)
 	for _, address := range addresses {
 		if g.begin(address) {
 			go g.exchange(ctx, address, body)
@@ -141,7 +153,7 @@
 // that must not wait for the next round.
 func (g *Gossip) Say(ctx context.Context) {
 	var all sync.WaitGroup
-	body := g.report()
+	body := g.report(false)
 	for _, address := range g.cfg.Table.Addresses(g.cfg.Address, g.cfg.Now()) {
 		all.Go(func() { g.exchange(ctx, address, body) })
 	}
@@ -174,9 +186,9 @@
 }
 
 // report encodes this gateway's report, once for all that it is sent to.
-func (g *Gossip) report() []byte {
+func (g *Gossip) report(wants bool) []byte {
 	now := g.cfg.Now()
-	body, err := json.Marshal(message{From: g.cfg.Knowledge.Report(now), Knows: g.cfg.Table.Digest(now)})
+	body, err := json.Marshal(message{From: g.cfg.Knowledge.Report(now), Knows: g.cfg.Table.Digest(now), Wants: wants})
 	if err != nil {
 		// Reports hold nothing that cannot be encoded; the others then say that
 		// they got none.
@@ -232,8 +244,15 @@
 	now, wall := g.cfg.Now(), time.Now()
 	g.cfg.Table.Hear(m.From, now, wall)
 	g.cfg.Table.Learn(m.Contacts, now)
-	if m.Config != nil || m.Upstreams != nil {
-		g.cfg.Knowledge.Learn(m.Config, m.Upstreams)
+	var config *ConfigRecord
+	if m.Config != nil {
+		var err error
+		if config, err = m.Config.unpack(); err != nil {
+			g.cfg.Log.Error("a gateway's configuration is not usable", "node", m.From.Node, "revision", m.Config.Revision, "error", err)
+		}
+	}
+	if config != nil || m.Upstreams != nil {
+		g.cfg.Knowledge.Learn(config, m.Upstreams)
 	}
 }
 
@@ -248,9 +267,7 @@
 	now, wall := g.cfg.Now(), time.Now()
 	g.cfg.Table.Hear(asked.From, now, wall)
 	reply := message{From: g.cfg.Knowledge.Report(now)}
-	if reply.From.Revision > asked.From.Revision {
-		reply.Config = g.cfg.Knowledge.Config(asked.From.Revision)
-	}
+	defer g.handConfig(&asked, &reply)()
 	if reply.From.Upstreams > asked.From.Upstreams {
 		news := g.cfg.Knowledge.Upstreams(asked.From.Upstreams)
 		reply.Upstreams = &news
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -1,9 +1,11 @@
 package gossip
 
 import (
+	"bytes"
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -108,6 +110,12 @@
 	return h.config
 }
 
+func (h *holder) LacksConfig(heard ident.Revision) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.config == nil && heard > 0 || h.config != nil && heard > h.config.Revision
+}
+
 func (h *holder) Upstreams(ident.Offset) directory.News {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -175,9 +183,13 @@
 				var all sync.WaitGroup
 				addresses := g.cfg.Table.Addresses(g.cfg.Address, boottime.Now())
 				for i := range min(len(addresses), fanout) {
-					all.Go(func() { g.exchange(t.Context(), addresses[(round*fanout+i)%len(addresses)], g.report()) })
+					all.Go(func() { g.exchange(t.Context(), addresses[(round*fanout+i)%len(addresses)], g.report(false)) })
 				}
 				all.Wait()
+				g.fetch(t.Context(), addresses)
+				for g.fetching.Load() {
+					time.Sleep(time.Millisecond)
+				}
 			}
 			round++
 		}
@@ -197,3 +209,42 @@
 		}
 	}
 }
+
+// Symptom: requests reach upstreams that have left, and changes of the configuration
+// come seconds late, at sixty gateways whose links carry 10 Mbit/s. Sequence: a
+// configuration of 300 KB changes. Cause: each exchange with a gateway that lacks
+// it carries it, from several gateways to several at once.
+func TestALargeConfigurationIsFetchedOnce(t *testing.T) {
+	gossips, holders := mesh(t, 2)
+	data := []byte(strings.Repeat(`{"Prefix":"/a/","Service":"b"},`, 10_000))
+	holders[0].config = &ConfigRecord{Revision: 5, Offset: 3, Data: data}
+	lacking, address := gossips[1], gossips[0].cfg.Address
+	for range 10 {
+		lacking.exchange(t.Context(), address, lacking.report(false))
+	}
+	if n := lacking.Bytes(); n > 10_000 || holders[1].config != nil {
+		t.Errorf("ten exchanges took %d bytes, configuration %v", n, holders[1].config != nil)
+	}
+	gossips[0].handing.Store(mostHanding)
+	lacking.fetchFrom(t.Context(), address)
+	if holders[1].config != nil {
+		t.Error("handed to more than are served at a time")
+	}
+	gossips[0].handing.Store(0)
+	lacking.fetchFrom(t.Context(), address)
+	if got := holders[1].config; got == nil || got.Revision != 5 || !bytes.Equal(got.Data, data) {
+		t.Error("not fetched")
+	}
+	if n := lacking.Bytes(); n > int64(len(data))/4 {
+		t.Errorf("fetching took %d bytes", n)
+	}
+	if n := gossips[0].handing.Load(); n != 0 {
+		t.Errorf("%d are counted as being handed it", n)
+	}
+}
+
+func TestADamagedConfigurationIsRefused(t *testing.T) {
+	if _, err := (&packedConfig{Gzip: []byte("no gzip")}).unpack(); err == nil {
+		t.Error("accepted")
+	}
+}
--- a/internal/gossip/types.go
+++ b/internal/gossip/types.go
@@ -61,9 +61,9 @@
 
 // ConfigRecord is the operators' configuration as it stands in the store.
 type ConfigRecord struct {
-	Revision ident.Revision `json:"rev"`
-	Offset   ident.Offset   `json:"off"`
-	Data     []byte         `json:"data"`
+	Revision ident.Revision
+	Offset   ident.Offset
+	Data     []byte
 }
 
 // message is a request, and its answer.
@@ -73,8 +73,10 @@
 	// of them, where the receiver's digest differs.
 	Knows    uint64    `json:"knows,omitempty"`
 	Contacts []Contact `json:"contacts,omitempty"`
+	// Wants: the sender lacks a configuration, and takes it with the answer.
+	Wants bool `json:"wants,omitempty"`
 	// Config and Upstreams are what the receiver lacks.
-	Config    *ConfigRecord   `json:"config,omitempty"`
+	Config    *packedConfig   `json:"config,omitempty"`
 	Upstreams *directory.News `json:"upstreams,omitempty"`
 }
 
