--- a/internal/duty/lease.go
+++ b/internal/duty/lease.go
@@ -78,6 +78,8 @@
 	claim   string
 	started time.Time
 	fence   ident.Fence
+	// over: the lease ran out, and the claim is used no more.
+	over    bool
 	dropped bool
 }
 
@@ -121,7 +123,20 @@
 	return ident.Fence(offset) + 1
 }
 
-func (s *State) forgetClaim() { s.claim, s.fence, s.started, s.dropped = "", 0, time.Time{}, false }
+func (s *State) forgetClaim() {
+	s.claim, s.fence, s.started, s.dropped, s.over = "", 0, time.Time{}, false, false
+}
+
+// Expire notes that the lease has run out without a renewal, and returns its fencing
+// number, once. From then on this gateway never acts under that number, even if a
+// renewal succeeds late, so that others may be told.
+func (s *State) Expire(t Timing, now time.Time) (ident.Fence, bool) {
+	if deadline := s.Deadline(t); deadline.IsZero() || now.Before(deadline) {
+		return 0, false
+	}
+	s.over = true
+	return s.fence, true
+}
 
 // Drop gives the duties up at once, because a call showed a later holder.
 func (s *State) Drop() { s.dropped = true }
@@ -129,7 +144,7 @@
 // Deadline is when this gateway must stop to act; zero if it does not hold the
 // lease.
 func (s *State) Deadline(t Timing) time.Time {
-	if s.claim == "" || s.fence == 0 || s.dropped || s.record.Released {
+	if s.claim == "" || s.fence == 0 || s.dropped || s.over || s.record.Released {
 		return time.Time{}
 	}
 	return s.started.Add(t.Length - t.Margin)
@@ -148,8 +163,9 @@
 	Renew
 )
 
-// Due returns what is due now for a candidate of a rank.
-func (s *State) Due(t Timing, rank int, now time.Time) Action {
+// Due returns what is due now for a candidate of a rank. givenUp is the highest fencing
+// number whose holder says that it acts under it no more; 0 if none.
+func (s *State) Due(t Timing, rank int, givenUp ident.Fence, now time.Time) Action {
 	if !s.known {
 		return Wait
 	}
@@ -159,20 +175,20 @@
 		}
 		return Wait
 	}
-	if s.claimable(t, rank, now) {
+	if s.claimable(t, rank, givenUp, now) {
 		return Claim
 	}
 	return Wait
 }
 
 // claimable reports whether nobody can act under the newest record any more.
-func (s *State) claimable(t Timing, rank int, now time.Time) bool {
+func (s *State) claimable(t Timing, rank int, givenUp ident.Fence, now time.Time) bool {
 	waited := now.Sub(s.seenAt)
 	delay := time.Duration(rank) * t.RankDelay
 	switch {
 	case !s.some:
 		return waited >= delay
-	case s.record.Released && s.record.Before != s.self && s.record.Holder != s.self:
+	case (s.record.Released || givenUp == fenceOf(s.record, s.offset)) && s.record.Before != s.self && s.record.Holder != s.self:
 		return waited >= delay
 	case s.claim != "" && s.record.Claim == s.claim:
 		// Its own lease, run out or refused: a new claim has a higher fence.
--- a/internal/duty/lease_test.go
+++ b/internal/duty/lease_test.go
@@ -29,6 +29,8 @@
 	// took is how long a write takes, and meanwhile what happens then.
 	took      time.Duration
 	meanwhile func()
+	// silent: holders whose lease has run out do not say so.
+	silent bool
 }
 
 type fault int
@@ -55,11 +57,23 @@
 		Self: self, Life: ident.Incarnation(len(w.managers) + 1), Timing: testTiming, Store: w, Log: hclog.NewNullLogger(),
 		Now:  func() time.Time { return w.now },
 		Rank: func() (int, bool) { return rank, false }, Gateways: func() int { return 5 },
+		GivenUp: func() ident.Fence { return w.givenUp(self) }, Lost: func() {},
 	})
 	w.managers = append(w.managers, m)
 	return m
 }
 
+// givenUp is what the other managers say.
+func (w *world) givenUp(self ident.Instance) ident.Fence {
+	highest := ident.Fence(0)
+	for _, m := range w.managers {
+		if m.cfg.Self != self && !w.silent {
+			highest = max(highest, m.GivenUp())
+		}
+	}
+	return highest
+}
+
 func (w *world) Put(_ context.Context, _, key string, value []byte, condition *ident.Offset) (ident.Offset, error) {
 	write := func() (ident.Offset, error) {
 		if condition != nil && int(*condition) != len(w.records) {
@@ -144,6 +158,7 @@
 			if rapid.IntRange(0, 9).Draw(t, "frozen before the answer") == 0 {
 				w.took += 2 * testTiming.Length
 			}
+			w.silent = rapid.Bool().Draw(t, "nobody is told")
 			i := rapid.IntRange(0, len(w.managers)-1).Draw(t, "manager")
 			w.meanwhile = func() {
 				took := w.took
@@ -211,6 +226,31 @@
 			t.Errorf("held by %s", got)
 		}
 	})
+	// Symptom: a usage report comes too late, and nothing is scaled for 4 s. Sequence:
+	// the store turns away the holder, and no other gateway. Cause: successors that
+	// wait for the lease's length from when they first read its record.
+	t.Run("one that has run out is taken at its holder's word", func(t *testing.T) {
+		w := newWorld(3)
+		w.run(time.Second)
+		holder := w.managers[0]
+		w.fault = func() fault { return unavailable }
+		// The others hear of a holder, and do not look at the record.
+		all := w.managers
+		w.managers = all[:1]
+		for holds := true; holds; _, holds = holder.Grant() {
+			w.run(step)
+		}
+		w.run(step)
+		w.fault = func() fault { return none }
+		w.managers = all
+		for end := w.now.Add(testTiming.RankDelay + 3*step); w.now.Before(end); w.now = w.now.Add(step) {
+			all[1].tick(t.Context())
+		}
+		grant, holds := all[1].Grant()
+		if !holds || grant.Fence <= holder.GivenUp() || holder.GivenUp() == 0 {
+			t.Errorf("held: %v, fence %d after %d", holds, grant.Fence, holder.GivenUp())
+		}
+	})
 	// Symptom: the duty goes from one gateway to another and back within the
 	// length of a lease. Sequence: the holder releases it and is started again;
 	// its successor releases it too. Cause: a released lease is free for all.
--- a/internal/duty/manager.go
+++ b/internal/duty/manager.go
@@ -46,6 +46,12 @@
 	Rank func() (rank int, held bool)
 	// Gateways is how many gateways are known.
 	Gateways func() int
+	// GivenUp is the highest fencing number whose holder says that it acts under it
+	// no more. Without its word, a holder that has lost the store, and it alone, is
+	// followed only when its record has stood for the lease's length (some 4 s).
+	GivenUp func() ident.Fence
+	// Lost is called when this gateway's lease has run out, to tell the others.
+	Lost func()
 }
 
 // Manager keeps the lease. It is safe for concurrent use.
@@ -60,6 +66,8 @@
 	state  *State
 	readAt time.Time
 	held   bool
+	// givenUp is the newest lease of this gateway that ran out.
+	givenUp ident.Fence
 }
 
 // NewManager returns a manager that holds nothing.
@@ -95,6 +103,28 @@
 	}
 }
 
+// GivenUp returns the fencing number of this gateway's newest lease that ran out; 0 if
+// none did. It acts under that number no more.
+func (m *Manager) GivenUp() ident.Fence {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.givenUp
+}
+
+// expire notes when the lease has run out.
+func (m *Manager) expire() {
+	m.mu.Lock()
+	fence, over := m.state.Expire(m.cfg.Timing, m.cfg.Now())
+	if over {
+		m.givenUp = fence
+	}
+	m.mu.Unlock()
+	if over {
+		m.cfg.Log.Info("lease has run out", "fence", fence)
+		m.cfg.Lost()
+	}
+}
+
 // ReadGateways reads how many gateways the newest holder knew; 0 where nothing is
 // on record.
 func (m *Manager) ReadGateways(ctx context.Context) (int, error) {
@@ -134,6 +164,7 @@
 
 // tick reads what is new where that matters, and writes what is due.
 func (m *Manager) tick(ctx context.Context) {
+	m.expire()
 	rank, heard := m.cfg.Rank()
 	now := m.cfg.Now()
 	_, holding := m.Grant()
@@ -155,7 +186,7 @@
 		}
 	}
 	m.mu.Lock()
-	action := m.state.Due(m.cfg.Timing, rank, m.cfg.Now())
+	action := m.state.Due(m.cfg.Timing, rank, m.cfg.GivenUp(), m.cfg.Now())
 	m.mu.Unlock()
 	if action == Wait {
 		return
--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -72,9 +72,21 @@
 	return duty.NewManager(duty.Config{
 		Self: p.settings.Instance.ID, Life: p.incarnation, Timing: duty.NewTiming(p.settings.Lease.Length, platform.DutyTimeout),
 		Store: p.ports.Store, Now: p.now, Log: p.log.Named("lease"), Rank: p.rank, Gateways: p.gateways,
+		GivenUp: p.givenUp,
+		Lost:    func() { go p.gossip.Say(context.Background()) },
 	})
 }
 
+// givenUp is the highest fencing number whose holder says that it has run out.
+func (p *Process) givenUp() ident.Fence {
+	highest := ident.Fence(0)
+	v := p.view.Load()
+	for i := range v.Fresh {
+		highest = max(highest, v.Fresh[i].Report.GivenUp)
+	}
+	return highest
+}
+
 // rank is this gateway's place among those that could take the lease, and
 // whether another one says that it holds it.
 func (p *Process) rank() (int, bool) {
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -356,6 +356,7 @@
 	r.Spent, r.Refused = p.keeper.Totals()
 	r.Work = p.work(now)
 	_, r.Holds = p.lease.Grant()
+	r.GivenUp = p.lease.GivenUp()
 	return r
 }
 
--- a/internal/gossip/types.go
+++ b/internal/gossip/types.go
@@ -25,8 +25,10 @@
 	WallMillis int64 `json:"wall"`
 	// Leaving: it was told to stop.
 	Leaving bool `json:"leaving,omitempty"`
-	// Holds: it holds the lease of the duties.
-	Holds bool `json:"holds,omitempty"`
+	// Holds: it holds the lease of the duties. GivenUp is the fencing number of its
+	// newest one that ran out, under which it acts no more.
+	Holds   bool        `json:"holds,omitempty"`
+	GivenUp ident.Fence `json:"given_up,omitempty"`
 	// Revision of the configuration, and the offset up to which it knows the
 	// upstreams' entries.
 	Revision  ident.Revision `json:"rev,omitempty"`
