--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -23,9 +23,9 @@
 	// their exchange. A gateway asks by itself when its view becomes older than a
 	// part of the time within which a departure is due: the second in line soon,
 	// so that it takes over where the first one is cut off from the store, the
-	// others later.
-	firstAge   = 250 * time.Millisecond
-	secondPart = 0.3
+	// others later. With 250 ms, a tenth more of the store's calls were these.
+	firstAge   = 350 * time.Millisecond
+	secondPart = 0.35
 	otherPart  = 0.4
 	// viewJitter spreads the gateways that ask for themselves.
 	viewJitter = 150 * time.Millisecond
