--- a/internal/metering/counter.go
+++ b/internal/metering/counter.go
@@ -13,6 +13,14 @@
 // Counts is how many requests of each account began to run.
 type Counts map[ident.ClientAccount]int64
 
+func (c Counts) total() int64 {
+	sum := int64(0)
+	for _, n := range c {
+		sum += n
+	}
+	return sum
+}
+
 // keptWindows is how many windows of counts a gateway keeps: the newest one, and
 // those whose report may still be due.
 const keptWindows = 5
--- a/internal/metering/reporter.go
+++ b/internal/metering/reporter.go
@@ -212,7 +212,7 @@
 		switch {
 		case err == nil:
 			r.sent[window] = true
-			r.Log.Info("usage reported", "window", window, "accounts", len(d.Windows[window]), "fence", grant.Fence)
+			r.Log.Info("usage reported", "window", window, "accounts", len(d.Windows[window]), "requests", d.Windows[window].total(), "fence", grant.Fence)
 		case errors.Is(err, platform.ErrOldFence):
 			r.Leases.Refused(grant.Fence)
 			return
