--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -202,8 +202,8 @@
 	return c.current.Revision, c.now().Sub(c.confirmed)
 }
 
-// lacks reports whether another gateway should be asked for the configuration, where
-// others are heard to have a revision: only if the store does not bring it.
+// lacks takes in which revision others are heard to have, and reports whether one of
+// them should be asked for it: only if the store does not bring it.
 func (c *configuration) lacks(heard ident.Revision, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
