--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -49,8 +49,12 @@
 	}
 	members := p.peers.Members()
 	for _, m := range members {
-		p.ledger.Hear(lifeOf(m.Report.Node, m.Report.Incarnation), m.Report.Began)
+		// Reports that were taken in before say nothing new.
+		if !m.HeardAt.Before(p.refreshed) {
+			p.ledger.Hear(lifeOf(m.Report.Node, m.Report.Incarnation), m.Report.Began)
+		}
 	}
+	p.refreshed = now
 	v.silent = gossip.SilentDomains(members, p.settings.Instance.FailureDomain, now)
 	p.ledger.Hear(p.life, p.counter.Windows())
 	p.view.Store(v)
