A gateway that hears of a newer configuration asks the store at once

Cause, by reading: a gateway that keeps no waiting read left the store its 0.4 s and then asked another gateway, though nothing asked the store meanwhile. Test: TestAnothersWordForANewerRevisionConfirmsNothing plays it.

--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -36,6 +36,9 @@
 	// configuration that others have: a waiting read brings 300 KB within it on a
 	// link of 10 Mbit/s, and a change is due 2 s after it is acknowledged.
 	storeFirst = 400 * time.Millisecond
+	// askAgain is the time between two reads by a gateway that hears of a newer
+	// configuration which the store does not show it yet.
+	askAgain = 250 * time.Millisecond
 )
 
 // configuration follows the operators' configuration and publishes it. It is the
@@ -52,9 +55,11 @@
 	// failing: the store does not answer.
 	failing atomic.Bool
 
-	// next is the offset up to which the store's records were read, once listed.
+	// next is the offset up to which the store's records were read, once listed, and
+	// asked is when it was asked last.
 	next   ident.Offset
 	listed bool
+	asked  time.Time
 
 	mu      sync.Mutex
 	current gossip.ConfigRecord
@@ -100,6 +105,9 @@
 	if c.rank() < readers {
 		return part(c.due, readerPart), true
 	}
+	if c.isBehind() && c.now().Sub(c.asked) >= askAgain {
+		return 0, true
+	}
 	_, age := c.state()
 	return 0, age > part(c.due, peersPart)+rand.N(viewJitter)
 }
@@ -107,6 +115,7 @@
 // read reads the newest records once, and what follows from then on.
 func (c *configuration) read(ctx context.Context, wait time.Duration) error {
 	asked := c.now()
+	c.asked = asked
 	var batch platform.KeyedBatch
 	var err error
 	if c.listed {
@@ -158,6 +167,7 @@
 		return
 	}
 	c.current = gossip.ConfigRecord{Revision: table.Revision(), Offset: offset, Data: data}
+	c.behind = time.Time{}
 	c.board.table.Publish(table)
 	c.log.Info("configuration in force", "revision", table.Revision(), "offset", offset, "from", from, "bytes", len(data))
 }
@@ -184,13 +194,25 @@
 }
 
 // confirmBy takes another gateway's word that a revision was the newest at an
-// instant.
+// instant. Of a newer one than is in force it is the first news.
 func (c *configuration) confirmBy(revision ident.Revision, at time.Time) {
-	if current, _ := c.state(); current > 0 && current >= revision {
+	c.mu.Lock()
+	known := c.current.Revision
+	if revision > known && c.behind.IsZero() {
+		c.behind = c.now()
+	}
+	c.mu.Unlock()
+	if known > 0 && known >= revision {
 		c.confirm(at)
 	}
 }
 
+func (c *configuration) isBehind() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.behind.IsZero()
+}
+
 // state returns the revision in force, and how long ago it was confirmed to be the
 // newest.
 func (c *configuration) state() (ident.Revision, time.Duration) {
@@ -202,19 +224,13 @@
 	return c.current.Revision, c.now().Sub(c.confirmed)
 }
 
-// lacks takes in which revision others are heard to have, and reports whether one of
-// them should be asked for it: only if the store does not bring it.
+// lacks reports whether another gateway should be asked for the configuration, where
+// others are heard to have a revision: only if the store does not bring it.
 func (c *configuration) lacks(heard ident.Revision, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch {
-	case c.current.Revision == 0:
+	if c.current.Revision == 0 {
 		return true
-	case heard <= c.current.Revision:
-		c.behind = time.Time{}
-		return false
-	case c.behind.IsZero():
-		c.behind = now
 	}
-	return c.failing.Load() || now.Sub(c.behind) >= storeFirst
+	return heard > c.current.Revision && !c.behind.IsZero() && (c.failing.Load() || now.Sub(c.behind) >= storeFirst)
 }
--- a/internal/entry/configuration_test.go
+++ b/internal/entry/configuration_test.go
@@ -128,6 +128,16 @@
 	if s.lacks(8, s.now) {
 		t.Error("asks others before the store had its time")
 	}
+	// Symptom: a change comes half a second later than the store could bring it.
+	if _, due := s.nextRead(); !due {
+		t.Error("does not ask the store at once")
+	}
+	if err := s.read(t.Context(), 0); err != nil {
+		t.Fatal(err)
+	}
+	if _, due := s.nextRead(); due {
+		t.Error("asks the store again at once")
+	}
 	if !s.lacks(8, s.now.Add(storeFirst)) {
 		t.Error("does not ask others")
 	}
