Renewals of upstreams' entries are no news; a whole list is told only where it is asked for

Now an entry keeps the offset of the record that said anything new, and the whole list goes, like the configuration, to one that asks. TestRenewalsAreNoNews; TestAnOffsetStandsForAllBeforeIt plays reading, listing, telling and forgetting in any order (noticed a since that was not moved).

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -43,6 +43,9 @@
 // Entry is the newest known record of one upstream.
 type Entry struct {
 	Offset ident.Offset
+	// Since is the offset of the record that said anything new: upstreams renew
+	// their entries about once a second, and a renewal says nothing new.
+	Since ident.Offset
 	// Present is false where the record dropped the entry. Upstream then
 	// holds what was known last.
 	Present  bool
@@ -111,7 +114,7 @@
 	if u == nil {
 		return d.drop(id, offset, graceEnd, now)
 	}
-	next := &Entry{Offset: offset, Present: true, Upstream: *u, ChangedAt: now}
+	next := &Entry{Offset: offset, Since: offset, Present: true, Upstream: *u, ChangedAt: now}
 	d.entries[id] = next
 	if known == nil || !known.Present {
 		return true
@@ -121,7 +124,7 @@
 		next.Upstream.State = Leaving
 	}
 	if sameButTime(known.Upstream, next.Upstream) {
-		next.ChangedAt = known.ChangedAt
+		next.ChangedAt, next.Since = known.ChangedAt, known.Since
 		return false
 	}
 	return true
@@ -134,14 +137,14 @@
 
 // drop notes that an entry was dropped; until graceEnd it stays usable.
 func (d *Directory) drop(id ident.Instance, offset ident.Offset, graceEnd, now time.Time) bool {
-	next := Entry{Offset: offset, ChangedAt: now}
+	next := Entry{Offset: offset, Since: offset, ChangedAt: now}
 	known := d.entries[id]
 	wasPresent := known != nil && known.Present
 	if known != nil {
 		next.Upstream = known.Upstream
 	}
 	if known != nil && !wasPresent {
-		next.ChangedAt = known.ChangedAt
+		next.ChangedAt, next.Since = known.ChangedAt, known.Since
 	}
 	if wasPresent && known.Upstream.State == Ready && now.Before(graceEnd) {
 		next.UsableUntil = graceEnd
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -196,6 +196,34 @@
 	}
 }
 
+// Symptom: gateways exchange hundreds of KB a second with 3,000 upstreams that do
+// nothing. Cause: each renewal of an entry is told to all. What is new must still be
+// told, also of an entry that was renewed since.
+func TestRenewalsAreNoNews(t *testing.T) {
+	here, there := New(), New()
+	for _, d := range []*Directory{here, there} {
+		d.Apply("u", 1, ready("u"), at(0))
+		d.Reached(2)
+	}
+	there.Apply("u", 2, ready("u"), at(time.Second))
+	there.Apply("v", 3, ready("v"), at(time.Second))
+	there.Apply("v", 4, ready("v"), at(time.Second))
+	there.Reached(5)
+	news := there.News(here.Next(), at(time.Second))
+	if len(news.Records) != 1 || news.Records[0].ID != "v" || news.UpTo != 5 || news.Complete {
+		t.Fatalf("news: %+v", news)
+	}
+	here.Take(news, at(time.Second))
+	there.Apply("u", 5, leavingOf("u"), at(2*time.Second))
+	there.Apply("u", 6, leavingOf("u"), at(2*time.Second))
+	there.Apply("v", 7, nil, at(2*time.Second))
+	there.Reached(8)
+	here.Take(there.News(here.Next(), at(2*time.Second)), at(2*time.Second))
+	if usable(here, "u", at(3*time.Second)) || usable(here, "v", at(3*time.Second)) {
+		t.Error("upstreams that left are usable")
+	}
+}
+
 // Symptom and cause: as above. Sequence: the other gateway has forgotten a drop that
 // is a minute old, and this one was cut off for longer.
 func TestADropThatAnotherGatewayHasForgotten(t *testing.T) {
--- a/internal/directory/news.go
+++ b/internal/directory/news.go
@@ -31,10 +31,12 @@
 // lists the store's entries, and knows nothing of those dropped before. Another one
 // that takes over its offset would keep such an upstream for good (requests reached
 // upstreams 2.3 s after they had left in one play of four of a day with restarts).
+// Renewals are left out: with 3,000 upstreams they came to hundreds of KB a second at
+// each gateway.
 func (d *Directory) News(from ident.Offset, now time.Time) News {
-	news := News{UpTo: d.next, Complete: from < d.since}
+	news := News{UpTo: d.next, Complete: !d.Covers(from)}
 	for id, entry := range d.entries {
-		if entry.Offset < from && !news.Complete {
+		if entry.Since < from && !news.Complete {
 			continue
 		}
 		record := Record{ID: id, Offset: entry.Offset}
@@ -50,6 +52,10 @@
 	return news
 }
 
+// Covers reports whether the news for a directory that knows all records before an
+// offset is only what is newer, and not all entries.
+func (d *Directory) Covers(from ident.Offset) bool { return from >= d.since }
+
 // Take takes another gateway's news and returns the records that changed something,
 // and whether anything did. A dropped entry stays usable for as long as it does
 // there: this gateway alone may have been away from the store, or may hear of the
--- /dev/null
+++ b/internal/directory/news_test.go
@@ -0,0 +1,131 @@
+package directory
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+// logged is a record of the store; a nil upstream drops the entry.
+type logged struct {
+	id       ident.Instance
+	upstream *Upstream
+}
+
+// stateAt returns which upstreams are present, and whether they are leaving, as of an
+// offset of the store.
+func stateAt(log []logged, end ident.Offset) map[ident.Instance]State {
+	out := make(map[ident.Instance]State)
+	for _, r := range log[:end] {
+		switch {
+		case r.upstream == nil:
+			delete(out, r.id)
+		case out[r.id] != Leaving:
+			out[r.id] = r.upstream.State
+		}
+	}
+	return out
+}
+
+// Symptom: a gateway keeps an upstream that left, or lacks one. Sequence: any of reading
+// the store's next records, listing it, telling each other, and forgetting. Cause:
+// an offset that is taken over without all that goes with it.
+func TestAnOffsetStandsForAllBeforeIt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		dirs := []*Directory{New(), New(), New()}
+		listed := make([]bool, len(dirs))
+		now := start
+		var log []logged
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			i := rapid.IntRange(0, len(dirs)-1).Draw(t, "directory")
+			d := dirs[i]
+			switch rapid.SampledFrom([]string{"write", "write", "read", "list", "tell", "tell", "forget"}).Draw(t, "step") {
+			case "write":
+				log = append(log, draw(t, log))
+			case "read":
+				if !listed[i] {
+					continue
+				}
+				for offset := d.Next(); int(offset) < len(log); offset++ {
+					d.Apply(log[offset].id, offset, log[offset].upstream, now)
+					d.Reached(offset + 1)
+				}
+			case "list":
+				list(d, log, now)
+				listed[i] = true
+			case "tell":
+				from := dirs[(i+1)%len(dirs)]
+				if from.Next() > d.Next() && (from.Covers(d.Next()) || rapid.Bool().Draw(t, "all are asked for")) {
+					d.Take(from.News(d.Next(), now), now)
+				}
+			case "forget":
+				now = now.Add(dropKept + time.Second)
+				d.Expire(now)
+			}
+			check(t, d, log, now)
+		}
+	})
+}
+
+// draw returns the next record: an entry, its renewal, its leaving, or its drop. IDs are
+// not used again.
+func draw(t *rapid.T, log []logged) logged {
+	present := stateAt(log, ident.Offset(len(log)))
+	id := ident.Instance(fmt.Sprint("u", rapid.IntRange(0, 3).Draw(t, "id")))
+	for _, r := range log {
+		if _, still := present[id]; r.id == id && !still {
+			id = ident.Instance(fmt.Sprint("new", len(log)))
+		}
+	}
+	if _, known := present[id]; !known {
+		return logged{id, ready(string(id))}
+	}
+	switch rapid.IntRange(0, 3).Draw(t, "kind") {
+	case 0:
+		return logged{id, nil}
+	case 1:
+		return logged{id, leavingOf(string(id))}
+	}
+	if present[id] == Leaving {
+		return logged{id, leavingOf(string(id))}
+	}
+	return logged{id, ready(string(id))}
+}
+
+// list takes the store's newest record of each key, as a listing does.
+func list(d *Directory, log []logged, now time.Time) {
+	end := ident.Offset(len(log))
+	present := make(map[ident.Instance]bool)
+	for id := range stateAt(log, end) {
+		present[id] = true
+	}
+	newest := make(map[ident.Instance]int)
+	for offset, r := range log {
+		newest[r.id] = offset
+	}
+	for id, offset := range newest {
+		if present[id] {
+			d.Apply(id, ident.Offset(offset), log[offset].upstream, now)
+		}
+	}
+	d.Listed(present, end, now)
+}
+
+func check(t *rapid.T, d *Directory, log []logged, now time.Time) {
+	want := stateAt(log, d.Next())
+	view := d.Snapshot(now)
+	for id, state := range want {
+		if got, known := view.Upstream(id); !known && d.entries[id].Offset < d.Next() || known && got.State != state && d.entries[id].Offset < d.Next() {
+			t.Fatalf("%s: known %v, state %v, want state %v as of %d", id, known, got.State, state, d.Next())
+		}
+	}
+	for _, id := range view.IDs() {
+		if _, present := want[id]; !present && d.entries[id].Offset < d.Next() {
+			t.Fatalf("%s is kept as of %d", id, d.Next())
+		}
+	}
+}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -145,7 +145,12 @@
 }
 
 // Upstreams implements gossip.Knowledge.
-func (k knowledge) Upstreams(from ident.Offset) directory.News { return k.p.upstreams.news(from) }
+func (k knowledge) Upstreams(from ident.Offset, all bool) *directory.News {
+	return k.p.upstreams.news(from, all)
+}
+
+// LacksUpstreams implements gossip.Knowledge.
+func (k knowledge) LacksUpstreams() bool { return k.p.upstreams.lacks() }
 
 // Learn implements gossip.Knowledge.
 func (k knowledge) Learn(config *gossip.ConfigRecord, upstreams *directory.News) {
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -62,6 +63,8 @@
 	rank func() int
 	// due is within which time a departure must be followed.
 	due time.Duration
+	// failing: the store does not answer.
+	failing atomic.Bool
 
 	mu  sync.Mutex
 	dir *directory.Directory
@@ -86,7 +89,9 @@
 			pause.For(ctx, viewTick)
 			continue
 		}
-		if err := u.read(ctx); err != nil {
+		err := u.read(ctx)
+		u.failing.Store(err != nil)
+		if err != nil {
 			u.away()
 			health.failed(ctx, err)
 			continue
@@ -235,13 +240,23 @@
 	}
 }
 
-// news returns what another gateway lacks that knows all records before an offset.
-func (u *upstreams) news(from ident.Offset) directory.News {
+// news returns what another gateway lacks that knows all records before an offset; nil
+// where that is all of them and these are not asked for.
+func (u *upstreams) news(from ident.Offset, all bool) *directory.News {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.dir.News(from, u.now())
+	if !all && !u.dir.Covers(from) {
+		return nil
+	}
+	news := u.dir.News(from, u.now())
+	return &news
 }
 
+// lacks reports whether another gateway should be asked for all entries: the store does
+// not answer this one, and what the others tell by themselves does not bring its view
+// up to date.
+func (u *upstreams) lacks() bool { return u.failing.Load() && u.age() > part(u.due, otherPart) }
+
 // learn takes in what another gateway knows.
 func (u *upstreams) learn(news directory.News) {
 	u.mu.Lock()
--- a/internal/gossip/config.go
+++ b/internal/gossip/config.go
@@ -13,14 +13,15 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 )
 
-// A configuration can be large: 300 KB take a quarter of a second on a link of
+// A configuration can be large, and the entries of all upstreams too: 300 KB take a quarter of a second on a link of
 // 10 Mbit/s. What goes wrong if it is part of each exchange with a gateway that lacks
 // it: after a change, each of sixty gateways is sent it by several others at once,
 // the links stand still for seconds, exchanges run into their timeout and begin
 // again, and neither the configuration nor departures arrive in time (a day with
-// such a configuration broke both rules in two plays of two). So a gateway asks
-// one other at a time for it, only if the store does not bring it, and gets it
-// compressed.
+// such a configuration broke both rules in two plays of two; 300 gateways that were
+// killed together did not serve again within 30 s with 3,000 upstreams). So a gateway
+// asks one other at a time, only if the store does not bring it, and gets the
+// configuration compressed.
 
 const (
 	// fetchTimeout ends the transfer of a configuration: several hundred KB
@@ -78,11 +79,11 @@
 	return &ConfigRecord{Revision: p.Revision, Offset: p.Offset, Data: data}, nil
 }
 
-// fetch asks one other gateway for the configuration if this one lacks it, unless it
-// is already asking. It does not wait for the answer.
+// fetch asks one other gateway for the configuration, or for all upstreams' entries, if
+// this one lacks them, unless it is already asking. It does not wait for the answer.
 func (g *Gossip) fetch(ctx context.Context, addresses []string) {
 	heard, from := g.cfg.Table.newestConfig(g.cfg.Now())
-	if !g.cfg.Knowledge.LacksConfig(heard) {
+	if !g.cfg.Knowledge.LacksConfig(heard) && !g.cfg.Knowledge.LacksUpstreams() {
 		return
 	}
 	if len(from) == 0 {
@@ -103,22 +104,27 @@
 	defer cancel()
 	answer, err := g.call(ctx, address, g.report(true))
 	if err != nil {
-		g.cfg.Log.Info("no configuration from another gateway", "address", address, "error", err)
+		g.cfg.Log.Info("nothing fetched from another gateway", "address", address, "error", err)
 		return
 	}
 	g.take(answer)
 }
 
-// handConfig adds the configuration to an answer, if the asker wants it and its turn
-// has come; otherwise it asks again, or another gateway. Call done when the answer is
-// sent.
-func (g *Gossip) handConfig(asked, reply *message) (done func()) {
-	if !asked.Wants || reply.From.Revision <= asked.From.Revision {
-		return func() {}
+// hand adds to an answer what the asker lacks. What is large it gets only if it wants
+// it and its turn has come; otherwise it asks again, or another gateway. Call done when
+// the answer is sent.
+func (g *Gossip) hand(asked, reply *message) (done func()) {
+	large := asked.Wants && g.handing.Add(1) <= mostHanding
+	done = func() {
+		if asked.Wants {
+			g.handing.Add(-1)
+		}
+	}
+	if reply.From.Upstreams > asked.From.Upstreams {
+		reply.Upstreams = g.cfg.Knowledge.Upstreams(asked.From.Upstreams, large)
 	}
-	if g.handing.Add(1) > mostHanding {
-		g.handing.Add(-1)
-		return func() {}
+	if !large || reply.From.Revision <= asked.From.Revision {
+		return done
 	}
 	if record := g.cfg.Knowledge.Config(asked.From.Revision); record != nil {
 		packed, err := g.pack(record)
@@ -127,7 +133,7 @@
 		}
 		reply.Config = packed
 	}
-	return func() { g.handing.Add(-1) }
+	return done
 }
 
 // newestConfig returns the newest revision among the gateways that are heard, and the
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -62,8 +62,10 @@
 	// configuration, where others are heard to have a revision.
 	LacksConfig(heard ident.Revision) bool
 	// Upstreams returns what a gateway lacks that knows the upstreams' entries up
-	// to an offset.
-	Upstreams(from ident.Offset) directory.News
+	// to an offset; nil where that is all of them and these are not asked for.
+	Upstreams(from ident.Offset, all bool) *directory.News
+	// LacksUpstreams reports whether another gateway should be asked for all entries.
+	LacksUpstreams() bool
 	// Learn takes in what another gateway gave; nil where it gave nothing.
 	Learn(config *ConfigRecord, upstreams *directory.News)
 }
@@ -276,11 +278,7 @@
 	now, wall := g.cfg.Now(), time.Now()
 	g.cfg.Table.Hear(asked.From, now, wall)
 	reply := message{From: g.cfg.Knowledge.Report(now)}
-	defer g.handConfig(&asked, &reply)()
-	if reply.From.Upstreams > asked.From.Upstreams {
-		news := g.cfg.Knowledge.Upstreams(asked.From.Upstreams)
-		reply.Upstreams = &news
-	}
+	defer g.hand(&asked, &reply)()
 	if asked.Knows != g.cfg.Table.Digest(now) {
 		reply.Contacts = g.cfg.Table.Contacts(now)
 	}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -116,12 +116,18 @@
 	return h.config == nil && heard > 0 || h.config != nil && heard > h.config.Revision
 }
 
-func (h *holder) Upstreams(ident.Offset) directory.News {
+func (h *holder) Upstreams(_ ident.Offset, all bool) *directory.News {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.upstreams
+	if h.upstreams.Complete && !all {
+		return nil
+	}
+	news := h.upstreams
+	return &news
 }
 
+func (h *holder) LacksUpstreams() bool { return false }
+
 func (h *holder) Learn(config *ConfigRecord, upstreams *directory.News) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -218,12 +224,13 @@
 	gossips, holders := mesh(t, 2)
 	data := []byte(strings.Repeat(`{"Prefix":"/a/","Service":"b"},`, 10_000))
 	holders[0].config = &ConfigRecord{Revision: 5, Offset: 3, Data: data}
+	holders[0].upstreams = directory.News{Records: []directory.Record{{ID: "u", Offset: 7}}, UpTo: 8, Complete: true}
 	lacking, address := gossips[1], gossips[0].cfg.Address
 	for range 10 {
 		lacking.exchange(t.Context(), address, lacking.report(false))
 	}
-	if n := lacking.Bytes(); n > 10_000 || holders[1].config != nil {
-		t.Errorf("ten exchanges took %d bytes, configuration %v", n, holders[1].config != nil)
+	if n := lacking.Bytes(); n > 10_000 || holders[1].config != nil || holders[1].upstreams.UpTo != 0 {
+		t.Errorf("ten exchanges took %d bytes, configuration %v, entries up to %d", n, holders[1].config != nil, holders[1].upstreams.UpTo)
 	}
 	gossips[0].handing.Store(mostHanding)
 	lacking.fetchFrom(t.Context(), address)
@@ -232,7 +239,7 @@
 	}
 	gossips[0].handing.Store(0)
 	lacking.fetchFrom(t.Context(), address)
-	if got := holders[1].config; got == nil || got.Revision != 5 || !bytes.Equal(got.Data, data) {
+	if got := holders[1].config; got == nil || got.Revision != 5 || !bytes.Equal(got.Data, data) || holders[1].upstreams.UpTo != 8 {
 		t.Error("not fetched")
 	}
 	if n := lacking.Bytes(); n > int64(len(data))/4 {
--- a/internal/gossip/types.go
+++ b/internal/gossip/types.go
@@ -77,7 +77,8 @@
 	// of them, where the receiver's digest differs.
 	Knows    uint64    `json:"knows,omitempty"`
 	Contacts []Contact `json:"contacts,omitempty"`
-	// Wants: the sender lacks a configuration, and takes it with the answer.
+	// Wants: the sender takes a configuration, or all entries of upstreams, with the
+	// answer.
 	Wants bool `json:"wants,omitempty"`
 	// Config and Upstreams are what the receiver lacks.
 	Config    *packedConfig   `json:"config,omitempty"`
