--- a/internal/gossip/fetch.go
+++ b/internal/gossip/fetch.go
@@ -13,15 +13,15 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 )
 
-// A configuration can be large, and the entries of all upstreams too: 300 KB take a quarter of a second on a link of
-// 10 Mbit/s. What goes wrong if it is part of each exchange with a gateway that lacks
-// it: after a change, each of sixty gateways is sent it by several others at once,
-// the links stand still for seconds, exchanges run into their timeout and begin
-// again, and neither the configuration nor departures arrive in time (a day with
-// such a configuration broke both rules in two plays of two; 300 gateways that were
-// killed together did not serve again within 30 s with 3,000 upstreams). So a gateway
-// asks one other at a time, only if the store does not bring it, and gets the
-// configuration compressed.
+// A configuration can be large, and the entries of all upstreams too: 300 KB take a
+// quarter of a second on a link of 10 Mbit/s. What goes wrong if they are part of each
+// exchange with a gateway that lacks them: after a change, each of sixty gateways is
+// sent them by several others at once, the links stand still for seconds, exchanges run
+// into their timeout and begin again, and neither the configuration nor departures
+// arrive in time (a day with such a configuration broke both rules in two plays of two;
+// 300 gateways that were killed together did not serve again within 30 s with 3,000
+// upstreams). So a gateway asks one other at a time, only if the store does not bring
+// it, and gets the configuration compressed.
 
 const (
 	// fetchTimeout ends the transfer of a configuration: several hundred KB
