--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -192,9 +192,8 @@
 					all.Go(func() { g.exchange(t.Context(), addresses[(round*fanout+i)%len(addresses)], g.report(false)) })
 				}
 				all.Wait()
-				g.fetch(t.Context(), addresses)
-				for g.fetching.Load() {
-					time.Sleep(time.Millisecond)
+				if heard, from := g.cfg.Table.newestConfig(boottime.Now()); g.cfg.Knowledge.LacksConfig(heard) {
+					g.fetchFrom(t.Context(), from[0])
 				}
 			}
 			round++
