--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -28,7 +28,7 @@
 	// this by one round at the most where a round reaches all gateways; half of it
 	// would cost twice the bytes. Among ninety they are 1.4 s old when gateways meet.
 	// Twice the interval would let an account that suddenly asks for seven times its
-	// limit have 5 in a hundred more than it may (the quota's tests play both).
+	// limit have 5 in a hundred more than it may (by the quota's test of ninety gateways).
 	Interval = 250 * time.Millisecond
 	// fanout bounds the exchanges of a round, so that the work of a gateway does
 	// not grow with their number. Today's sites have up to nine gateways, all
