--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -196,9 +196,9 @@
 	}
 }
 
-// Symptom: gateways exchange hundreds of KB a second with 3,000 upstreams that do
-// nothing. Cause: each renewal of an entry is told to all. What is new must still be
-// told, also of an entry that was renewed since.
+// Symptom: the last of 99 gateways with 1,000 upstreams hears of a departure 1.3 s after
+// it. Cause: each renewal of an entry is told to all. What is new must still be told,
+// also of an entry that was renewed since.
 func TestRenewalsAreNoNews(t *testing.T) {
 	here, there := New(), New()
 	for _, d := range []*Directory{here, there} {
--- a/internal/directory/news.go
+++ b/internal/directory/news.go
@@ -31,8 +31,8 @@
 // lists the store's entries, and knows nothing of those dropped before. Another one
 // that takes over its offset would keep such an upstream for good (requests reached
 // upstreams 2.3 s after they had left in one play of four of a day with restarts).
-// Renewals are left out: with 3,000 upstreams they came to hundreds of KB a second at
-// each gateway.
+// Renewals are left out: of 99 gateways with 1,000 upstreams the last heard of a
+// departure 1.3 s after it with them, 0.6 s without.
 func (d *Directory) News(from ident.Offset, now time.Time) News {
 	news := News{UpTo: d.next, Complete: !d.Covers(from)}
 	for id, entry := range d.entries {
--- a/internal/gossip/fetch.go
+++ b/internal/gossip/fetch.go
@@ -18,10 +18,9 @@
 // exchange with a gateway that lacks them: after a change, each of sixty gateways is
 // sent them by several others at once, the links stand still for seconds, exchanges run
 // into their timeout and begin again, and neither the configuration nor departures
-// arrive in time (a day with such a configuration broke both rules in two plays of two;
-// 300 gateways that were killed together did not serve again within 30 s with 3,000
-// upstreams). So a gateway asks one other at a time, only if the store does not bring
-// it, and gets the configuration compressed.
+// arrive in time (a day with such a configuration broke both rules in two plays of
+// two). So a gateway asks one other at a time, only if the store does not bring it, and
+// gets the configuration compressed.
 
 const (
 	// fetchTimeout ends the transfer of a configuration: several hundred KB
