Read again: dead fields and copies go, what exists is called

A word that a rename had broken (planner). Behaviour is the same; metrics of kinds now come in a fixed order.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -143,10 +143,11 @@
 	if known != nil {
 		next.Upstream = known.Upstream
 	}
-	if known != nil && !wasPresent {
+	switch {
+	case known == nil:
+	case !wasPresent:
 		next.ChangedAt, next.Since = known.ChangedAt, known.Since
-	}
-	if wasPresent && known.Upstream.State == Ready && now.Before(graceEnd) {
+	case known.Upstream.State == Ready && now.Before(graceEnd):
 		next.UsableUntil = graceEnd
 	}
 	d.entries[id] = &next
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -231,6 +231,11 @@
 	if errors.Is(failure, errSlow) {
 		s.f.cfg.Pool.Distrust(choice.Upstream)
 	}
+	return s.brokenOff()
+}
+
+// brokenOff is the result of an answer that did not come, or broke off.
+func (s *session) brokenOff() Result {
 	if s.began {
 		return Cut
 	}
@@ -313,7 +318,7 @@
 func (s *session) meter() {
 	if !s.metered {
 		s.metered = true
-		s.f.cfg.Meter.Began(s.call.Account, s.f.cfg.Now())
+		s.f.cfg.Meter.Began(s.call.Account)
 	}
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -80,10 +80,7 @@
 		}
 		if err != nil {
 			s.reason = err.Error()
-			if s.began {
-				return s.overOr(Cut)
-			}
-			return s.overOr(Broken)
+			return s.overOr(s.brokenOff())
 		}
 	}
 }
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -109,7 +109,7 @@
 
 // Meter counts the requests that began to run.
 type Meter interface {
-	Began(account ident.ClientAccount, now time.Time)
+	Began(account ident.ClientAccount)
 }
 
 // Caller takes the answer. Its methods are called one after the other.
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -70,9 +70,7 @@
 	Stage Stage
 	// Sent is false only if no byte of the request can have left.
 	Sent bool
-	// Reused: the connection had carried a request before.
-	Reused bool
-	Err    error
+	Err  error
 }
 
 // Error implements error.
@@ -89,8 +87,6 @@
 type Answer struct {
 	Status int
 	Header http.Header
-	// Reused: the connection had carried a request before.
-	Reused bool
 
 	conn     *conn
 	response *http.Response
@@ -109,7 +105,7 @@
 		return n, io.EOF
 	}
 	if err != nil {
-		return n, &Failure{Stage: StageBody, Sent: true, Reused: a.Reused, Err: err}
+		return n, &Failure{Stage: StageBody, Sent: true, Err: err}
 	}
 	return n, nil
 }
@@ -154,7 +150,7 @@
 		if ctx.Err() != nil {
 			err = context.Cause(ctx)
 		}
-		return nil, &Failure{Stage: stage, Sent: true, Reused: c.used > 1, Err: err}
+		return nil, &Failure{Stage: stage, Sent: true, Err: err}
 	}
 	written, err := c.write(req)
 	if err != nil {
@@ -165,7 +161,7 @@
 		return fail(StageHead, err)
 	}
 	return &Answer{
-		Status: response.StatusCode, Header: response.Header, Reused: c.used > 1,
+		Status: response.StatusCode, Header: response.Header,
 		conn: c, response: response, written: written, stop: stop,
 	}, nil
 }
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -18,10 +18,10 @@
 // ErrConnections: this gateway's part of the upstream's connections is in use.
 var ErrConnections = errors.New("all connections to the upstream are in use")
 
-// DefaultDialTimeout bounds one connection attempt. Domains are milliseconds
+// dialTimeout bounds one connection attempt. Domains are milliseconds
 // apart; an upstream that has not answered by then is down, cut off, or drops
 // openings because its queue is full, and another one serves sooner.
-const DefaultDialTimeout = 350 * time.Millisecond
+const dialTimeout = 350 * time.Millisecond
 
 // Counters count what a pool does. Load them for metrics.
 type Counters struct {
@@ -31,9 +31,8 @@
 // Pool keeps connections by upstream. An upstream's next incarnation has
 // another ID, so that no connection is ever taken for one to it.
 type Pool struct {
-	now         boottime.Clock
-	dialTimeout time.Duration
-	dial        func(ctx context.Context, address string) (net.Conn, error)
+	now    boottime.Clock
+	dialer *net.Dialer
 
 	mu       sync.Mutex
 	hosts    map[ident.Instance]*host
@@ -56,7 +55,6 @@
 	net    net.Conn
 	reader *bufio.Reader
 	limit  *limitedReader
-	used   int
 	// strays counts answers to other requests.
 	strays int
 	// until is when it must not be reused any more, and unsaid for how long it
@@ -69,15 +67,7 @@
 
 // NewPool returns a pool without connections.
 func NewPool(now boottime.Clock) *Pool {
-	dialer := &net.Dialer{KeepAlive: -1}
-	return &Pool{
-		now:         now,
-		dialTimeout: DefaultDialTimeout,
-		dial: func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp", address)
-		},
-		hosts: make(map[ident.Instance]*host),
-	}
+	return &Pool{now: now, dialer: &net.Dialer{KeepAlive: -1, Timeout: dialTimeout}, hosts: make(map[ident.Instance]*host)}
 }
 
 // Target says where a request goes.
@@ -98,7 +88,6 @@
 	if err != nil {
 		return nil, &Failure{Stage: StageConnect, Err: err}
 	}
-	c.used++
 	c.unsaid = max(target.IdleFor, unsaidIdle)
 	return c.exchange(ctx, req)
 }
@@ -109,9 +98,7 @@
 	if c != nil || err != nil {
 		return c, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, p.dialTimeout)
-	defer cancel()
-	raw, err := p.dial(ctx, target.Address)
+	raw, err := p.dialer.DialContext(ctx, "tcp", target.Address)
 	p.mu.Lock()
 	p.counters.Dials++
 	if err != nil {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -76,8 +76,9 @@
 	// mostHeader bounds what net/http reads of a header; the operators' limit
 	// is checked after it. It is twice the users' limit of 16 KiB.
 	mostHeader = 32 << 10
-	// headerTime bounds the reading of a header where no configuration says
-	// otherwise: the users' limit of 3 s and some slack.
+	// headerTime bounds the reading of a header: the users' limit of 3 s and some
+	// slack. net/http takes it when the server is made, before a configuration is
+	// known, so that the operators' own limit is not followed.
 	headerTime = 4 * time.Second
 	// loggedSuccesses a second get a line each; a flood of successes would
 	// cost more processor time than it explains. Others always get theirs.
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -70,16 +71,12 @@
 func (m *Metrics) Write(w io.Writer) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	names := make([]string, 0, len(m.counts))
-	for name := range m.counts {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(m.counts)) {
 		fmt.Fprintf(w, "%s %d\n", name, m.counts[name])
 	}
 	fmt.Fprintf(w, "requests_unlogged_total %d\n", m.unlogged)
-	for kind, h := range m.firsts {
+	for _, kind := range slices.Sorted(maps.Keys(m.firsts)) {
+		h := m.firsts[kind]
 		for _, q := range []float64{50, 95, 99} {
 			fmt.Fprintf(w, "first_part_seconds{kind=%q,quantile=\"%g\"} %.4f\n", kind, q/100, float64(h.ValueAtQuantile(q))/1e6)
 		}
--- a/internal/metering/counter.go
+++ b/internal/metering/counter.go
@@ -4,6 +4,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,9 +47,9 @@
 	return at.UnixNano() / int64(length)
 }
 
-// Began implements forward.Meter. Time that a clock shows wrongly is corrected
-// by the other gateways', so the instant that the caller knows is not used.
-func (c *Counter) Began(account ident.ClientAccount, _ time.Time) {
+// Began implements forward.Meter. It counts by the true time of day: what a clock
+// shows wrongly is corrected by the other gateways'.
+func (c *Counter) Began(account ident.ClientAccount) {
 	if account == "" {
 		return
 	}
@@ -59,21 +60,15 @@
 	if counts == nil {
 		counts = make(Counts)
 		c.windows[window] = counts
-		c.forget()
+		keepNewest(c.windows, keptWindows)
 	}
 	counts[account]++
 }
 
-// forget drops the oldest windows beyond those kept.
-func (c *Counter) forget() {
-	for len(c.windows) > keptWindows {
-		oldest := int64(0)
-		for window := range c.windows {
-			if oldest == 0 || window < oldest {
-				oldest = window
-			}
-		}
-		delete(c.windows, oldest)
+// keepNewest drops the oldest windows beyond a number.
+func keepNewest[V any](windows map[int64]V, most int) {
+	for len(windows) > most {
+		delete(windows, slices.Min(slices.Collect(maps.Keys(windows))))
 	}
 }
 
@@ -110,7 +105,7 @@
 	for window, counts := range windows {
 		l.join(window, life, counts)
 	}
-	l.forget()
+	keepNewest(l.counts, ledgerWindows)
 }
 
 // Join takes in what another ledger held.
@@ -122,7 +117,7 @@
 			l.join(window, life, counts)
 		}
 	}
-	l.forget()
+	keepNewest(l.counts, ledgerWindows)
 }
 
 func (l *Ledger) join(window int64, life string, counts map[ident.ClientAccount]int64) {
@@ -161,19 +156,6 @@
 // ledgerWindows bounds the ledger, also against a gateway with a wild clock.
 const ledgerWindows = 24
 
-func (l *Ledger) forget() {
-	for len(l.counts) > ledgerWindows {
-		first := true
-		oldest := int64(0)
-		for window := range l.counts {
-			if first || window < oldest {
-				oldest, first = window, false
-			}
-		}
-		delete(l.counts, oldest)
-	}
-}
-
 // Sum returns a window's counts over all gateways, without accounts of none.
 func (l *Ledger) Sum(window int64) Counts {
 	l.mu.Lock()
--- a/internal/metering/metering_test.go
+++ b/internal/metering/metering_test.go
@@ -264,7 +264,7 @@
 	l := NewLedger()
 	for i := range 100 {
 		now = now.Add(length)
-		c.Began("acct", now)
+		c.Began("acct")
 		l.Hear(fmt.Sprint("a/", i%3), c.Windows())
 	}
 	if n := len(c.Windows()); n > keptWindows {
--- a/internal/metering/reporter.go
+++ b/internal/metering/reporter.go
@@ -166,11 +166,7 @@
 		next.Windows[window] = r.Ledger.Sum(window)
 		changed = true
 	}
-	for _, window := range slices.Sorted(maps.Keys(next.Windows)) {
-		if len(next.Windows) > decidedKept {
-			delete(next.Windows, window)
-		}
-	}
+	keepNewest(next.Windows, decidedKept)
 	return next, changed
 }
 
--- a/internal/planner/choose.go
+++ b/internal/planner/choose.go
@@ -121,7 +121,7 @@
 }
 
 // placeBeyondLimit puts on-demand instances where they cost least: the share
-// of on-demand ones is the document'd word, the limit is only ours.
+// of on-demand ones is the document's word, the limit is only ours.
 func placeBeyondLimit(choices []domainChoice, count int) int {
 	i := cheapest(choices, onDemandOnly, func(*domainChoice) bool { return true })
 	if i < 0 {
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -154,7 +154,6 @@
 type Limits struct {
 	HeaderBytes int
 	BodyBytes   int64
-	HeaderTime  time.Duration
 	IdleTime    time.Duration
 }
 
@@ -172,7 +171,6 @@
 	spec     Spec
 	hosts    map[string][]*Route
 	services map[ident.Service]*Service
-	accounts map[ident.ClientAccount]*Account
 	keys     map[string]*Account
 }
 
@@ -182,7 +180,6 @@
 		spec:     spec,
 		hosts:    make(map[string][]*Route),
 		services: make(map[ident.Service]*Service, len(spec.Services)),
-		accounts: make(map[ident.ClientAccount]*Account, len(spec.Accounts)),
 		keys:     make(map[string]*Account),
 	}
 	for i := range spec.Routes {
@@ -194,7 +191,6 @@
 	}
 	for i := range spec.Accounts {
 		a := &spec.Accounts[i]
-		t.accounts[a.Name] = a
 		for _, key := range a.Keys {
 			t.keys[key] = a
 		}
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/pause"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
 )
 
@@ -141,15 +142,6 @@
 
 // sleep waits for d, or returns the context's error.
 func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	pause.For(ctx, d)
+	return ctx.Err()
 }
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -5,10 +5,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"testing"
@@ -205,16 +207,7 @@
 	}
 	var one [1]byte
 	_, err := w.conn.Read(one[:])
-	var timeout net.Error
-	return err != nil && !(asTimeout(err, &timeout) && timeout.Timeout())
-}
-
-func asTimeout(err error, into *net.Error) bool {
-	timeout, ok := err.(net.Error)
-	if ok {
-		*into = timeout
-	}
-	return ok
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // Answer runs the request and answers.
