Read again: counts that follow from others are not kept, and look-ups and writes stand once

quota.Others counts the gateways it hears by their reports; the lease's record is encoded and put in one place; placement looks up or makes its entries by one function; an order of upstreams takes the round that it belongs to instead of eight values. One line tells that a lease is lost, with the number that ran out, instead of two. Behaviour is the same but for that line.

--- a/internal/duty/manager.go
+++ b/internal/duty/manager.go
@@ -120,7 +120,6 @@
 	}
 	m.mu.Unlock()
 	if over {
-		m.cfg.Log.Info("lease has run out", "fence", fence)
 		m.cfg.Lost()
 	}
 }
@@ -243,11 +242,7 @@
 	record, condition := m.state.Next(action, uuid.NewString(), decided, m.cfg.Now())
 	m.mu.Unlock()
 	record.Gateways = m.cfg.Gateways()
-	data, err := json.Marshal(record)
-	if err != nil {
-		return pkgerrors.Wrap(err, "encode lease record")
-	}
-	offset, err := m.cfg.Store.Put(ctx, Topic, key, data, &condition)
+	offset, err := m.put(ctx, record, condition)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	switch {
@@ -267,6 +262,15 @@
 	return err
 }
 
+// put writes a record if nothing was written since the one that it follows.
+func (m *Manager) put(ctx context.Context, record Record, condition ident.Offset) (ident.Offset, error) {
+	data, err := json.Marshal(record)
+	if err != nil {
+		return 0, pkgerrors.Wrap(err, "encode lease record")
+	}
+	return m.cfg.Store.Put(ctx, Topic, key, data, &condition)
+}
+
 // note logs when the lease is taken or lost.
 func (m *Manager) note() {
 	grant, held := m.Grant()
@@ -279,7 +283,7 @@
 	if held {
 		m.cfg.Log.Info("lease held", "fence", grant.Fence, "before", m.state.record.Before)
 	} else {
-		m.cfg.Log.Info("lease lost", "holder", m.state.record.Holder, "dropped", m.state.dropped)
+		m.cfg.Log.Info("lease lost", "holder", m.state.record.Holder, "dropped", m.state.dropped, "run_out", m.givenUp)
 	}
 }
 
@@ -295,14 +299,9 @@
 	if !holds {
 		return
 	}
-	data, err := json.Marshal(record)
-	if err != nil {
-		m.cfg.Log.Error("release not encoded", "error", err)
-		return
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), step*5)
 	defer cancel()
-	if _, err := m.cfg.Store.Put(ctx, Topic, key, data, &condition); err != nil {
+	if _, err := m.put(ctx, record, condition); err != nil {
 		m.cfg.Log.Info("lease not released, it runs out", "error", err)
 		return
 	}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -96,7 +96,7 @@
 // quotaOthers returns what the other gateways report of an account.
 func (p *Process) quotaOthers(account ident.ClientAccount) quota.Others {
 	v, now := p.view.Load(), p.now()
-	o := quota.Others{Fresh: len(v.Fresh), Known: p.gateways() - 1, Reports: make(map[string]quota.Report, len(v.Fresh))}
+	o := quota.Others{Known: p.gateways() - 1, Reports: make(map[string]quota.Report, len(v.Fresh))}
 	for i := range v.Fresh {
 		m := &v.Fresh[i]
 		o.Reports[v.lives[i]] = quota.Report{Spent: m.Report.Spent[account], Refused: m.Report.Refused[account], Age: now.Sub(m.HeardAt)}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -59,10 +59,9 @@
 
 // Others is what the other gateways report of one account, since their starts.
 type Others struct {
-	// Fresh and Known count the gateways heard and those that may admit,
-	// without this one.
-	Fresh, Known int
-	// Reports by gateway and incarnation.
+	// Known counts the gateways that may admit, without this one.
+	Known int
+	// Reports of those that are heard, by gateway and incarnation.
 	Reports map[string]Report
 }
 
@@ -200,9 +199,16 @@
 	return limit.Rate + rateTolerance*beyond/t.Window.Seconds(), limit.Burst + burstTolerance*beyond
 }
 
-// part is the part of the gateways that is heard, with this one.
+// counts returns how many gateways are heard and how many may admit, with this one.
+func (o Others) counts() (heard, known int) {
+	heard = len(o.Reports) + 1
+	return heard, max(o.Known+1, heard)
+}
+
+// part is the part of the gateways that is heard.
 func (o Others) part() float64 {
-	return float64(o.Fresh+1) / float64(max(o.Known, o.Fresh)+1)
+	heard, known := o.counts()
+	return float64(heard) / float64(known)
 }
 
 // lag is the mean age of the reports.
@@ -257,7 +263,7 @@
 	part, lag := others.part(), others.lag()
 	rate, burst := k.limits(limit, lag)
 	a.rate, a.burst = rate*part, burst*part
-	a.heard, a.known = others.Fresh+1, max(others.Known, others.Fresh)+1
+	a.heard, a.known = others.counts()
 	a.fill(now)
 	elapsed := max(now.Sub(a.ticked).Seconds(), 0)
 	a.ticked = now
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -74,7 +75,6 @@
 	for _, r := range m.heard {
 		o.Known++
 		if f.now.Sub(r.at) <= f.fresh {
-			o.Fresh++
 			o.Reports[r.life] = Report{Spent: r.spent, Refused: r.refused, Age: f.now.Sub(r.at)}
 		}
 	}
@@ -258,17 +258,20 @@
 	}
 }
 
+// manyGateways returns ninety gateways that hear of another one in one of a number of
+// rounds, and even weights.
+func manyGateways(rate float64, rounds int) (*fleet, []float64) {
+	f := newFleet(90, rate)
+	f.fresh = 8 * time.Second
+	f.hears = func(int, int) bool { return f.rng.IntN(rounds) == 0 }
+	return f, slices.Repeat([]float64{1}, 90)
+}
+
 // Symptom: a small account of ninety gateways gets several times its limit.
 // Sequence: it asks for many times its rate, and each gateway hears of another one
 // every few seconds. Cause: every gateway may admit a request at once.
 func TestASmallAccountOfManyGateways(t *testing.T) {
-	f := newFleet(90, 26_000)
-	even := make([]float64, 90)
-	for i := range even {
-		even[i] = 1
-	}
-	f.fresh = 8 * time.Second
-	f.hears = func(int, int) bool { return f.rng.IntN(6) == 0 }
+	f, even := manyGateways(26_000, 6)
 	f.run(6*time.Second, 0.5*26_000, 5000, even)
 	f.run(20*time.Second, 4*26_000, 5000, even)
 	f.check(t)
@@ -282,13 +285,7 @@
 // probably spent since their reports is taken out of a bucket that was full to its
 // brim only because it had not been taken out before.
 func TestNobodyIsRefusedFarBelowTheLimitAtManyGateways(t *testing.T) {
-	f := newFleet(90, 160_000)
-	even := make([]float64, 90)
-	for i := range even {
-		even[i] = 1
-	}
-	f.fresh = 8 * time.Second
-	f.hears = func(int, int) bool { return f.rng.IntN(11) == 0 }
+	f, even := manyGateways(160_000, 11)
 	f.run(10*time.Second, 0.7*160_000, 5000, even)
 	f.refused, f.asked = 0, 0
 	f.run(30*time.Second, 0.7*160_000, 5000, even)
--- a/internal/routing/placement/learn.go
+++ b/internal/routing/placement/learn.go
@@ -18,8 +18,8 @@
 	}
 	p.began = true
 	p.latency = now.Sub(p.sent)
-	c.ownAt(choice.Upstream).load.Unread -= p.unread
-	c.timing(p.service).learn(p.latency - p.expected)
+	at(c.own, choice.Upstream).load.Unread -= p.unread
+	at(c.learned, p.service).learn(p.latency - p.expected)
 }
 
 // Finished implements forward.Placement.
@@ -27,9 +27,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := choice.Place.(*place)
-	o := c.ownAt(choice.Upstream)
+	o := at(c.own, choice.Upstream)
 	o.load.Running--
-	c.workAt(p.service).ended(now)
+	at(c.work, p.service).ended(now)
 	if !p.began {
 		o.load.Unread -= p.unread
 	}
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -173,8 +173,8 @@
 	set.Started(now, best.upstream.ID)
 	best.own.load.Running++
 	best.own.load.Unread += best.uncached
-	c.workAt(call.Service.Name).began(best.uncached, now)
-	t := c.timing(call.Service.Name)
+	at(c.work, call.Service.Name).began(best.uncached, now)
+	t := at(c.learned, call.Service.Name)
 	return forward.Choice{
 		Upstream:       best.upstream.ID,
 		Address:        best.upstream.Address,
@@ -196,7 +196,7 @@
 	order := c.line(call, all)
 	for i := range all {
 		u := &all[i]
-		o := c.ownAt(u.ID)
+		o := at(c.own, u.ID)
 		if u.State != directory.Ready || !fits(u, o) {
 			continue
 		}
@@ -360,22 +360,15 @@
 	return set
 }
 
-func (c *Chooser) ownAt(id ident.Instance) *own {
-	o := c.own[id]
-	if o == nil {
-		o = &own{}
-		c.own[id] = o
+// at returns what a map holds of a key; a zero value that it holds from now on, if
+// nothing.
+func at[K comparable, V any](m map[K]*V, key K) *V {
+	v := m[key]
+	if v == nil {
+		v = new(V)
+		m[key] = v
 	}
-	return o
-}
-
-func (c *Chooser) timing(service ident.Service) *timing {
-	t := c.learned[service]
-	if t == nil {
-		t = &timing{}
-		c.learned[service] = t
-	}
-	return t
+	return v
 }
 
 // Own returns this gateway's work at each upstream that has any.
--- a/internal/routing/placement/work.go
+++ b/internal/routing/placement/work.go
@@ -49,19 +49,10 @@
 func (c *Chooser) Work(service ident.Service, now time.Time) (prompt, running float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	w := c.workAt(service)
+	w := at(c.work, service)
 	w.moveTo(now)
 	return w.prompt, w.running
 }
 
-func (c *Chooser) workAt(service ident.Service) *workOf {
-	w := c.work[service]
-	if w == nil {
-		w = &workOf{}
-		c.work[service] = w
-	}
-	return w
-}
-
 // Params returns the weights of the choice.
 func (c *Chooser) Params() Params { return c.cfg.Params }
--- a/internal/scaling/controller.go
+++ b/internal/scaling/controller.go
@@ -127,7 +127,7 @@
 	for slot, until := range state.closed {
 		closed[slot] = now.Before(until)
 	}
-	r := &round{scale: s.Scale, state: state, serving: serving, keep: keep, now: now}
+	r := &round{service: s, state: state, serving: serving, need: need, keep: keep, now: now}
 	for _, n := range serving {
 		r.total += n
 	}
@@ -136,7 +136,7 @@
 		if closed[slot] || !c.due(r, slot, wanted[slot]) {
 			continue
 		}
-		if !c.send(ctx, s, state, slot, wanted[slot], serving[slot], need, now) {
+		if !c.send(ctx, r, slot, wanted[slot]) {
 			return
 		}
 		r.total -= max(0, serving[slot]-wanted[slot])
@@ -145,13 +145,14 @@
 
 // round is one look at a service.
 type round struct {
-	scale   *routetable.Scale
+	service *routetable.Service
 	state   *service
 	serving map[Slot]int
 	// total serve; keep must not be given up.
 	total int
-	keep  float64
-	now   time.Time
+	// need is that of the present work.
+	need, keep float64
+	now        time.Time
 }
 
 // inOrder returns slots in a fixed order, so that two holders act alike.
@@ -238,7 +239,7 @@
 	if last == nil {
 		return false
 	}
-	missing := r.serving[slot] != wanted && r.now.Sub(last.at) > r.scale.Startup+showSlack
+	missing := r.serving[slot] != wanted && r.now.Sub(last.at) > r.service.Scale.Startup+showSlack
 	return !last.answered || missing
 }
 
@@ -264,40 +265,38 @@
 }
 
 // pauseOthers closes all reclaimable slots for a moment.
-func (c *Controller) pauseOthers(s *routetable.Service, state *service, now time.Time) {
-	until := now.Add(pauseFor)
-	for d := range s.Scale.Prices {
+func (r *round) pauseOthers() {
+	until := r.now.Add(pauseFor)
+	for d := range r.service.Scale.Prices {
 		slot := Slot{d, true}
-		if state.closed[slot].Before(until) {
-			state.closed[slot] = until
+		if r.state.closed[slot].Before(until) {
+			r.state.closed[slot] = until
 		}
 	}
 }
 
 // send sends one order and reports whether to go on.
-func (c *Controller) send(ctx context.Context, s *routetable.Service, state *service, slot Slot, wanted, serving int, need float64, now time.Time) bool {
+func (c *Controller) send(ctx context.Context, r *round, slot Slot, wanted int) bool {
 	grant, holds := c.Leases.Grant()
 	if !holds || grant.Fence != c.fence {
 		return false
 	}
 	err := c.Duties.Scale(ctx, grant.Fence, platform.ScaleOrder{
-		Service: s.Name, FailureDomain: slot.FailureDomain, Reclaimable: slot.Reclaimable, Wanted: wanted,
+		Service: r.service.Name, FailureDomain: slot.FailureDomain, Reclaimable: slot.Reclaimable, Wanted: wanted,
 	})
-	c.Log.Info("upstreams ordered", "service", s.Name, "domain", slot.FailureDomain, "reclaimable", slot.Reclaimable,
-		"wanted", wanted, "serving", serving, "need", need, "fence", grant.Fence, "error", err)
-	delete(state.less, slot)
+	c.Log.Info("upstreams ordered", "service", r.service.Name, "domain", slot.FailureDomain, "reclaimable", slot.Reclaimable,
+		"wanted", wanted, "serving", r.serving[slot], "need", r.need, "fence", grant.Fence, "error", err)
+	delete(r.state.less, slot)
 	switch {
-	case err == nil:
-		state.orders[slot] = &order{wanted: wanted, answered: true, at: now}
 	case errors.Is(err, platform.ErrOldFence):
 		c.Leases.Refused(grant.Fence)
 		return false
 	case errors.Is(err, platform.ErrNoCapacity):
-		state.closed[slot] = now.Add(closedFor)
-		state.reclaimed = now
-		c.pauseOthers(s, state, now)
+		r.state.closed[slot] = r.now.Add(closedFor)
+		r.state.reclaimed = r.now
+		r.pauseOthers()
 	default:
-		state.orders[slot] = &order{wanted: wanted, at: now}
+		r.state.orders[slot] = &order{wanted: wanted, answered: err == nil, at: r.now}
 	}
 	return true
 }
