Read again: the two followers of the store share their loop, and what is lacked has one question

storeHealth.follow is the loop that both had, and whether the store fails follows from its count instead of a flag beside it; ageOf and one lock for an age. gossip asks Lacks once, and looks for who has the newest configuration only then, not four times a second. Behaviour is the same, but that a gateway whose better-informed neighbours have all gone asks another one once a round until it hears more.

--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -13,7 +12,6 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
 	"github.com/goldcrestspool/goldcrestspool/internal/gossip"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
-	"github.com/goldcrestspool/goldcrestspool/internal/pause"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
 )
 
@@ -51,9 +49,8 @@
 	// rank is this gateway's place in line for asking the store.
 	rank func() int
 	// due is within which time a change must be in force.
-	due time.Duration
-	// failing: the store does not answer.
-	failing atomic.Bool
+	due    time.Duration
+	health storeHealth
 
 	// next is the offset up to which the store's records were read, once listed, and
 	// asked is when it was asked last.
@@ -74,26 +71,18 @@
 }
 
 func newConfiguration(ports Ports, b *board, now boottime.Clock, rank func() int, due time.Duration, log hclog.Logger) *configuration {
-	return &configuration{ports: ports, board: b, now: now, rank: rank, due: due, log: log}
+	return &configuration{ports: ports, board: b, now: now, rank: rank, due: due, log: log, health: storeHealth{log: log, topic: ports.ConfigTopic}}
 }
 
 // run follows the store until ctx ends.
 func (c *configuration) run(ctx context.Context) {
-	health := storeHealth{log: c.log, topic: c.ports.ConfigTopic}
-	for ctx.Err() == nil {
+	c.health.follow(ctx, func(ctx context.Context) (bool, error) {
 		wait, due := c.nextRead()
 		if !due {
-			pause.For(ctx, viewTick)
-			continue
+			return false, nil
 		}
-		err := c.read(ctx, wait)
-		c.failing.Store(err != nil)
-		if err != nil {
-			health.failed(ctx, err)
-			continue
-		}
-		health.answered()
-	}
+		return true, c.read(ctx, wait)
+	})
 }
 
 // nextRead reports whether a read of the store is due, and for how long it waits for
@@ -197,14 +186,15 @@
 // instant. Of a newer one than is in force it is the first news.
 func (c *configuration) confirmBy(revision ident.Revision, at time.Time) {
 	c.mu.Lock()
-	known := c.current.Revision
-	if revision > known && c.behind.IsZero() {
+	defer c.mu.Unlock()
+	switch {
+	case revision <= c.current.Revision:
+		if c.current.Revision > 0 && at.After(c.confirmed) {
+			c.confirmed = at
+		}
+	case c.behind.IsZero():
 		c.behind = c.now()
 	}
-	c.mu.Unlock()
-	if known > 0 && known >= revision {
-		c.confirm(at)
-	}
 }
 
 func (c *configuration) isBehind() bool {
@@ -218,19 +208,16 @@
 func (c *configuration) state() (ident.Revision, time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.confirmed.IsZero() {
-		return c.current.Revision, time.Hour
-	}
-	return c.current.Revision, c.now().Sub(c.confirmed)
+	return c.current.Revision, ageOf(c.confirmed, c.now())
 }
 
-// lacks reports whether another gateway should be asked for the configuration, where
-// others are heard to have a revision: only if the store does not bring it.
-func (c *configuration) lacks(heard ident.Revision, now time.Time) bool {
+// lacks reports whether another gateway should be asked for the configuration: only if
+// the store does not bring it.
+func (c *configuration) lacks() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.current.Revision == 0 {
 		return true
 	}
-	return heard > c.current.Revision && !c.behind.IsZero() && (c.failing.Load() || now.Sub(c.behind) >= storeFirst)
+	return !c.behind.IsZero() && (c.health.failing() || c.now().Sub(c.behind) >= storeFirst)
 }
--- a/internal/entry/configuration_test.go
+++ b/internal/entry/configuration_test.go
@@ -68,7 +68,7 @@
 		}
 		wait, due := s.nextRead()
 		if !due {
-			s.now = s.now.Add(viewTick)
+			s.now = s.now.Add(lookEvery)
 			continue
 		}
 		if err := s.read(t.Context(), wait); err != nil {
@@ -125,7 +125,7 @@
 	if _, age := s.state(); age != time.Second {
 		t.Errorf("confirmed %v ago", age)
 	}
-	if s.lacks(8, s.now) {
+	if s.lacks() {
 		t.Error("asks others before the store had its time")
 	}
 	// Symptom: a change comes half a second later than the store could bring it.
@@ -138,7 +138,8 @@
 	if _, due := s.nextRead(); due {
 		t.Error("asks the store again at once")
 	}
-	if !s.lacks(8, s.now.Add(storeFirst)) {
+	s.now = s.now.Add(storeFirst)
+	if !s.lacks() {
 		t.Error("does not ask others")
 	}
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -139,18 +139,13 @@
 	return k.p.configuration.record(than)
 }
 
-// LacksConfig implements gossip.Knowledge.
-func (k knowledge) LacksConfig(heard ident.Revision) bool {
-	return k.p.configuration.lacks(heard, k.p.now())
-}
-
 // Upstreams implements gossip.Knowledge.
 func (k knowledge) Upstreams(from ident.Offset, all bool) *directory.News {
 	return k.p.upstreams.news(from, all)
 }
 
-// LacksUpstreams implements gossip.Knowledge.
-func (k knowledge) LacksUpstreams() bool { return k.p.upstreams.lacks() }
+// Lacks implements gossip.Knowledge.
+func (k knowledge) Lacks() bool { return k.p.configuration.lacks() || k.p.upstreams.lacks() }
 
 // Learn implements gossip.Knowledge.
 func (k knowledge) Learn(config *gossip.ConfigRecord, upstreams *directory.News) {
--- a/internal/entry/storehealth.go
+++ b/internal/entry/storehealth.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -24,20 +25,42 @@
 	return pause/2 + rand.N(pause/2+1)
 }
 
-// storeHealth tells when the store stops to answer and when it is back, once each.
+// storeHealth follows a topic of the store. It tells when the store stops to answer and
+// when it is back, once each.
 type storeHealth struct {
 	log   hclog.Logger
 	topic string
 	// failures in a row.
-	failures int
+	failures atomic.Int64
 }
 
+// lookEvery is how often a follower looks whether a read is due.
+const lookEvery = 50 * time.Millisecond
+
+// follow reads whenever it is due until ctx ends. step reports whether a read was due,
+// and how it ended.
+func (h *storeHealth) follow(ctx context.Context, step func(context.Context) (due bool, err error)) {
+	for ctx.Err() == nil {
+		due, err := step(ctx)
+		switch {
+		case !due:
+			pause.For(ctx, lookEvery)
+		case err != nil:
+			h.failed(ctx, err)
+		default:
+			h.answered()
+		}
+	}
+}
+
+// failing reports whether the store did not answer the last call.
+func (h *storeHealth) failing() bool { return h.failures.Load() > 0 }
+
 // answered notes a call that the store answered.
 func (h *storeHealth) answered() {
-	if h.failures > 0 {
-		h.log.Info("store answers again", "topic", h.topic, "failures", h.failures)
+	if failures := h.failures.Swap(0); failures > 0 {
+		h.log.Info("store answers again", "topic", h.topic, "failures", failures)
 	}
-	h.failures = 0
 }
 
 // failed notes a call that failed, and waits until the next one is due or ctx has
@@ -46,9 +69,17 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if h.failures == 0 {
+	failures := h.failures.Add(1)
+	if failures == 1 {
 		h.log.Warn("store does not answer", "topic", h.topic, "error", err)
 	}
-	h.failures++
-	pause.For(ctx, retryPause(h.failures))
+	pause.For(ctx, retryPause(int(failures)))
+}
+
+// ageOf is how long ago a view was confirmed; an hour, if never.
+func ageOf(confirmed, now time.Time) time.Duration {
+	if confirmed.IsZero() {
+		return time.Hour
+	}
+	return now.Sub(confirmed)
 }
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -14,7 +13,6 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/directory"
 	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
-	"github.com/goldcrestspool/goldcrestspool/internal/pause"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
 )
 
@@ -34,8 +32,6 @@
 	// count as away: longer than a gateway that is turned away by the store waits
 	// for the others' view, shorter than an entry lives without renewal (3.6 s).
 	awayPart = 0.9
-	// viewTick is how often the age is looked at.
-	viewTick = 50 * time.Millisecond
 )
 
 // viewLimit is how old the view may become at a gateway with a place in line.
@@ -62,9 +58,8 @@
 	// rank is this gateway's place in line for asking the store.
 	rank func() int
 	// due is within which time a departure must be followed.
-	due time.Duration
-	// failing: the store does not answer.
-	failing atomic.Bool
+	due    time.Duration
+	health storeHealth
 
 	mu  sync.Mutex
 	dir *directory.Directory
@@ -77,36 +72,30 @@
 }
 
 func newUpstreams(ports Ports, b *board, pool *httpconn.Pool, now boottime.Clock, rank func() int, due time.Duration, log hclog.Logger) *upstreams {
-	return &upstreams{ports: ports, board: b, pool: pool, now: now, rank: rank, due: due, log: log, dir: directory.New(), faulty: make(map[string]bool)}
+	return &upstreams{
+		ports: ports, board: b, pool: pool, now: now, rank: rank, due: due, log: log, health: storeHealth{log: log, topic: ports.UpstreamsTopic},
+		dir: directory.New(), faulty: make(map[string]bool),
+	}
 }
 
 // run keeps the view young until ctx ends.
 func (u *upstreams) run(ctx context.Context) {
-	health := storeHealth{log: u.log, topic: u.ports.UpstreamsTopic}
-	for ctx.Err() == nil {
+	u.health.follow(ctx, func(ctx context.Context) (bool, error) {
 		if u.age() < u.viewLimit() {
 			u.expire()
-			pause.For(ctx, viewTick)
-			continue
+			return false, nil
 		}
 		err := u.read(ctx)
-		u.failing.Store(err != nil)
 		if err != nil {
 			u.away()
-			health.failed(ctx, err)
-			continue
 		}
-		health.answered()
-	}
+		return true, err
+	})
 }
 
 func (u *upstreams) age() time.Duration {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.confirmed.IsZero() {
-		return time.Hour
-	}
-	return u.now().Sub(u.confirmed)
+	_, age := u.state()
+	return age
 }
 
 // away notes that the store did not answer. Only where no gateway hears from it
@@ -255,7 +244,7 @@
 // lacks reports whether another gateway should be asked for all entries: the store does
 // not answer this one, and what the others tell by themselves does not bring its view
 // up to date.
-func (u *upstreams) lacks() bool { return u.failing.Load() && u.age() > part(u.due, otherPart) }
+func (u *upstreams) lacks() bool { return u.health.failing() && u.age() > part(u.due, otherPart) }
 
 // learn takes in what another gateway knows.
 func (u *upstreams) learn(news directory.News) {
@@ -274,9 +263,8 @@
 // state returns the offset up to which all is known, and the view's age.
 func (u *upstreams) state() (ident.Offset, time.Duration) {
 	u.mu.Lock()
-	next := u.dir.Next()
-	u.mu.Unlock()
-	return next, u.age()
+	defer u.mu.Unlock()
+	return u.dir.Next(), ageOf(u.confirmed, u.now())
 }
 
 // confirm takes another gateway's word that the store confirmed a view some time
--- a/internal/gossip/fetch.go
+++ b/internal/gossip/fetch.go
@@ -81,10 +81,10 @@
 // fetch asks one other gateway for the configuration, or for all upstreams' entries, if
 // this one lacks them, unless it is already asking. It does not wait for the answer.
 func (g *Gossip) fetch(ctx context.Context, addresses []string) {
-	heard, from := g.cfg.Table.newestConfig(g.cfg.Now())
-	if !g.cfg.Knowledge.LacksConfig(heard) && !g.cfg.Knowledge.LacksUpstreams() {
+	if !g.cfg.Knowledge.Lacks() {
 		return
 	}
+	_, from := g.cfg.Table.newestConfig(g.cfg.Now())
 	if len(from) == 0 {
 		from = addresses
 	}
@@ -122,7 +122,7 @@
 	if reply.From.Upstreams > asked.From.Upstreams {
 		reply.Upstreams = g.cfg.Knowledge.Upstreams(asked.From.Upstreams, large)
 	}
-	if !large || reply.From.Revision <= asked.From.Revision {
+	if !large {
 		return done
 	}
 	if record := g.cfg.Knowledge.Config(asked.From.Revision); record != nil {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -1,7 +1,6 @@
 package gossip
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -58,14 +57,12 @@
 	Report(now time.Time) Report
 	// Config returns the configuration if it is newer than a revision.
 	Config(than ident.Revision) *ConfigRecord
-	// LacksConfig reports whether another gateway should be asked for the
-	// configuration, where others are heard to have a revision.
-	LacksConfig(heard ident.Revision) bool
 	// Upstreams returns what a gateway lacks that knows the upstreams' entries up
 	// to an offset; nil where that is all of them and these are not asked for.
 	Upstreams(from ident.Offset, all bool) *directory.News
-	// LacksUpstreams reports whether another gateway should be asked for all entries.
-	LacksUpstreams() bool
+	// Lacks reports whether another gateway should be asked for the configuration, or
+	// for all entries.
+	Lacks() bool
 	// Learn takes in what another gateway gave; nil where it gave nothing.
 	Learn(config *ConfigRecord, upstreams *directory.News)
 }
@@ -86,9 +83,9 @@
 	cfg    Config
 	server *http.Server
 
-	// fetching: another gateway is being asked for the configuration.
+	// fetching: another gateway is being asked for what this one lacks.
 	fetching atomic.Bool
-	// handing counts the gateways that are being handed it.
+	// handing counts the gateways that are being handed what they lack.
 	handing atomic.Int32
 
 	mu sync.Mutex
@@ -282,8 +279,8 @@
 	if asked.Knows != g.cfg.Table.Digest(now) {
 		reply.Contacts = g.cfg.Table.Contacts(now)
 	}
-	var body bytes.Buffer
-	if err := json.NewEncoder(&body).Encode(reply); err != nil {
+	body, err := json.Marshal(reply)
+	if err != nil {
 		g.cfg.Log.Error("report not encoded", "error", err)
 		http.Error(w, "not encoded", http.StatusInternalServerError)
 		return
@@ -291,5 +288,5 @@
 	w.Header().Set("Keep-Alive", keepAliveHeader)
 	w.Header().Set("Content-Type", "application/json")
 	// The other gateway may be gone; it asks again.
-	_, _ = w.Write(body.Bytes())
+	_, _ = w.Write(body)
 }
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -110,12 +110,6 @@
 	return h.config
 }
 
-func (h *holder) LacksConfig(heard ident.Revision) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.config == nil && heard > 0 || h.config != nil && heard > h.config.Revision
-}
-
 func (h *holder) Upstreams(_ ident.Offset, all bool) *directory.News {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -126,7 +120,7 @@
 	return &news
 }
 
-func (h *holder) LacksUpstreams() bool { return false }
+func (h *holder) Lacks() bool { return false }
 
 func (h *holder) Learn(config *ConfigRecord, upstreams *directory.News) {
 	h.mu.Lock()
@@ -192,7 +186,7 @@
 					all.Go(func() { g.exchange(t.Context(), addresses[(round*fanout+i)%len(addresses)], g.report(false)) })
 				}
 				all.Wait()
-				if heard, from := g.cfg.Table.newestConfig(boottime.Now()); g.cfg.Knowledge.LacksConfig(heard) {
+				if heard, from := g.cfg.Table.newestConfig(boottime.Now()); g.cfg.Knowledge.Report(boottime.Now()).Revision < heard {
 					g.fetchFrom(t.Context(), from[0])
 				}
 			}
