--- a/internal/capacity/cost.go
+++ b/internal/capacity/cost.go
@@ -2,8 +2,9 @@
 
 import (
 	"runtime"
-	"syscall"
 	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/procstat"
 )
 
 const (
@@ -17,11 +18,11 @@
 
 // processor returns the processor time that this process has used.
 func processor() time.Duration {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+	used, err := procstat.Processor()
+	if err != nil {
 		panic(err)
 	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	return used
 }
 
 // cost returns the processor time of one call of op, in microseconds.
@@ -63,12 +64,8 @@
 
 // inUse returns heap and stacks in use after garbage collection.
 func inUse() int64 {
-	// Finalizers run after the first collection and free more.
-	runtime.GC()
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc + m.StackInuse)
+	heap, stacks := procstat.Memory()
+	return heap + stacks
 }
 
 // rate runs for a time and returns the processor time of this process, in
--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -85,38 +85,43 @@
 	outcome *callerv1.Outcome
 }
 
-// generate reads a token stream to its end.
-func generate(ctx context.Context, client callerv1connect.CallerServiceClient, req *callerv1.GenerateRequest) (streamed, error) {
-	stream, err := client.Generate(ctx, req)
-	if err != nil {
-		return streamed{}, err
-	}
+// part is a message of a token stream.
+type part[M any] interface {
+	*M
+	GetTokens() *callerv1.TokenFrame
+	GetOutcome() *callerv1.Outcome
+}
+
+// collect reads a token stream to its end.
+func collect[M any, P part[M]](stream *connect.ServerStreamForClient[M]) (streamed, error) {
 	defer func() { _ = stream.Close() }()
 	var got streamed
 	for stream.Receive() {
-		got.tokens = append(got.tokens, stream.Msg().GetTokens().GetTokens()...)
-		if o := stream.Msg().GetOutcome(); o != nil {
+		message := P(stream.Msg())
+		got.tokens = append(got.tokens, message.GetTokens().GetTokens()...)
+		if o := message.GetOutcome(); o != nil {
 			got.outcome = o
 		}
 	}
 	return got, stream.Err()
 }
 
+// generate reads a token stream to its end.
+func generate(ctx context.Context, client callerv1connect.CallerServiceClient, req *callerv1.GenerateRequest) (streamed, error) {
+	stream, err := client.Generate(ctx, req)
+	if err != nil {
+		return streamed{}, err
+	}
+	return collect(stream)
+}
+
 // resume reads the rest of a token stream to its end.
 func resume(ctx context.Context, client callerv1connect.CallerServiceClient, req *callerv1.ResumeRequest) (streamed, error) {
 	stream, err := client.Resume(ctx, req)
 	if err != nil {
 		return streamed{}, err
 	}
-	defer func() { _ = stream.Close() }()
-	var got streamed
-	for stream.Receive() {
-		got.tokens = append(got.tokens, stream.Msg().GetTokens().GetTokens()...)
-		if o := stream.Msg().GetOutcome(); o != nil {
-			got.outcome = o
-		}
-	}
-	return got, stream.Err()
+	return collect(stream)
 }
 
 // wireText returns the code and the text of an error.
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"fmt"
@@ -33,6 +32,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/standin/engine"
 	"github.com/goldcrestspool/goldcrestspool/internal/standin/logstore"
 	"github.com/goldcrestspool/goldcrestspool/internal/streaming"
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
 	"github.com/goldcrestspool/goldcrestspool/internal/upstream"
 )
 
@@ -114,24 +114,6 @@
 
 func (noNotes) NoteLeaving(ident.Instance, ident.Incarnation) {}
 
-// logBuffer is a log that a test reads while it is written.
-type logBuffer struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-func (b *logBuffer) Write(data []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.Write(data)
-}
-
-func (b *logBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.String()
-}
-
 // world is the real handler with its real parts over in-memory upstreams and
 // an in-memory log, behind a real HTTP server.
 type world struct {
@@ -141,7 +123,7 @@
 	first   *fakePlain
 	second  *fakePlain
 	log     *logstore.Log
-	output  *logBuffer
+	output  *testkit.LogBuffer
 	client  callerv1connect.CallerServiceClient
 }
 
@@ -230,7 +212,7 @@
 		first:  &fakePlain{},
 		second: &fakePlain{},
 		log:    logstore.New(logstore.Options{}),
-		output: &logBuffer{},
+		output: &testkit.LogBuffer{},
 	}
 	if o.engine == nil {
 		o.engine = newEngine(t)
--- /dev/null
+++ b/internal/standin/tokens/tokens.go
@@ -0,0 +1,80 @@
+// Package tokens is an engine without delay and a caller that only counts, for
+// measurements of what lies between them.
+package tokens
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strconv"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/streaming"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstream"
+)
+
+// Engine answers without delay, up to a token from which it is silent. It implements
+// upstream.Engine as far as streams need it, and streaming.Picker.
+type Engine struct {
+	upstream.Engine
+	StopAt uint32
+}
+
+// Generate implements upstream.Engine.
+func (e Engine) Generate(ctx context.Context, req upstream.GenerateRequest) (upstream.TokenStream, error) {
+	return &stream{ctx: ctx, req: req, next: uint32(len(req.Delivered)), stopAt: e.StopAt}, nil
+}
+
+// Pick implements streaming.Picker.
+func (e Engine) Pick(context.Context, streaming.PickRequest) (streaming.Target, error) {
+	return streaming.Target{Instance: "i-1", Engine: e}, nil
+}
+
+type stream struct {
+	ctx          context.Context
+	req          upstream.GenerateRequest
+	next, stopAt uint32
+}
+
+// Next implements upstream.TokenStream. Each token is a string of its own, as a
+// decoder of messages makes it.
+func (s *stream) Next() (upstream.Frame, error) {
+	if s.next == s.stopAt {
+		<-s.ctx.Done()
+		return upstream.Frame{}, errors.New("closed")
+	}
+	if s.next == s.req.MaxTokens {
+		return upstream.Frame{}, io.EOF
+	}
+	f := upstream.Frame{Attempt: s.req.Attempt, Index: s.next, Tokens: []string{strconv.Itoa(100_000 + int(s.next))}}
+	s.next++
+	return f, nil
+}
+
+// Close implements upstream.TokenStream.
+func (s *stream) Close() error { return nil }
+
+// Sink counts tokens and calls Done once the first Left have come. It implements
+// streaming.Sink.
+type Sink struct {
+	Left int
+	Done func()
+}
+
+// Tokens implements streaming.Sink.
+func (s *Sink) Tokens(_ uint32, tokens []string) error {
+	s.Left -= len(tokens)
+	if s.Left == 0 {
+		s.Done()
+	}
+	return nil
+}
+
+// Heartbeat implements streaming.Sink.
+func (s *Sink) Heartbeat() error { return nil }
+
+// NewRegistry returns a registry of streams that come from an engine.
+func NewRegistry(e Engine) *streaming.Registry {
+	config := streaming.DefaultConfig()
+	config.IdleStreams = 1
+	return streaming.NewRegistry(config, streaming.NewRunner(config, e, nil, nil))
+}
