Upstreams' lives, entries of other writers, resets, and the right to call

Cause: (1) the directory kept an ID as leaving for good, so that an upstream that starts again under its name never took work, and all that is kept by ID would have passed to its next life; born was not read. (3) An exchange that was given up over a cut link was only closed: the kernel went on repeating it, and an order arrived 5.6 s late, under a lower fencing number than the platform had seen. (4) A holder said that its lease had run out while a call under it could still be in flight, and the right to call was not asked again after a connection was made.

Now an ID names one life; the name stays for homes of prompt parts, the store and the upstream itself. Unreadable records are told of once and name no upstream. What is given up is reset. Duties carry an Authority that is asked right before the first byte leaves; the word that a lease has run out waits for calls in flight.

Ruled out: a margin for late arrivals (retransmissions come after any time).

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -9,6 +9,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
@@ -27,7 +28,16 @@
 
 // Upstream is one upstream's entry.
 type Upstream struct {
-	ID            ident.Instance
+	// ID names one life of an upstream, so that whatever is kept by ID (loads,
+	// connections, failures, what it holds in memory) ends with that life. See
+	// LifeID.
+	ID ident.Instance
+	// Name is the upstream's key in the store, and what it answers to. A later life
+	// may have the name of an earlier one.
+	Name ident.Instance
+	// Born is the upstream's own time of its start, milliseconds since 1970, and
+	// higher in a later life; 0 if not said.
+	Born          int64
 	Service       ident.Service
 	Address       string
 	FailureDomain ident.FailureDomain
@@ -40,9 +50,24 @@
 	LeavesIn time.Duration
 }
 
-// Entry is the newest known record of one upstream.
+// LifeID returns the ID of an upstream's life. What goes wrong if lives share an ID:
+// an upstream that was leaving, crashed and came back under its name never gets work
+// again, or its next life gets the blame, the load and the believed memory of the one
+// before.
+func LifeID(name ident.Instance, born int64) ident.Instance {
+	if born == 0 {
+		return name
+	}
+	return name + ident.Instance("/"+strconv.FormatInt(born, 36))
+}
+
+// Entry is the newest known record of one upstream's newest life.
 type Entry struct {
+	// Offset is that of the record that gave the entry its state.
 	Offset ident.Offset
+	// dropped is the offset after the newest record that dropped the name, also
+	// before Offset; 0 if none did.
+	dropped ident.Offset
 	// Since is the offset of the record that said anything new: upstreams renew
 	// their entries about once a second, and a renewal says nothing new.
 	Since ident.Offset
@@ -101,35 +126,72 @@
 }
 
 // Apply takes one record of the store and reports whether something changed beyond
-// its offset. A record that is not newer than what is known changes nothing.
-func (d *Directory) Apply(id ident.Instance, offset ident.Offset, u *Upstream, now time.Time) bool {
-	return d.apply(id, offset, u, d.graceEnd(now), now)
+// its offset; a nil upstream drops the name. A record that is not newer than what is
+// known changes nothing, nor does one of an earlier life, however late it was written.
+func (d *Directory) Apply(name ident.Instance, offset ident.Offset, u *Upstream, now time.Time) bool {
+	return d.apply(name, offset, u, d.graceEnd(now), now)
 }
 
-func (d *Directory) apply(id ident.Instance, offset ident.Offset, u *Upstream, graceEnd, now time.Time) bool {
-	known := d.entries[id]
-	if known != nil && offset <= known.Offset {
+// Unreadable takes a record that names no upstream to use. Whoever wrote it, the name
+// gets no work until a readable record follows: another gateway that lists the store
+// now sees nothing else of it.
+func (d *Directory) Unreadable(name ident.Instance, offset ident.Offset, now time.Time) bool {
+	if _, known := d.entries[name]; !known {
 		return false
 	}
+	return d.apply(name, offset, nil, time.Time{}, now)
+}
+
+func (d *Directory) apply(name ident.Instance, offset ident.Offset, u *Upstream, graceEnd, now time.Time) bool {
+	known := d.entries[name]
 	if u == nil {
-		return d.drop(id, offset, graceEnd, now)
+		if known != nil {
+			known.dropped = max(known.dropped, offset+1)
+			if offset <= known.Offset {
+				return false
+			}
+		}
+		return d.drop(name, offset, graceEnd, now)
 	}
 	next := &Entry{Offset: offset, Since: offset, Present: true, Upstream: *u, ChangedAt: now}
-	d.entries[id] = next
-	if known == nil || !known.Present {
+	if known == nil {
+		d.entries[name] = next
 		return true
 	}
-	if known.Upstream.State == Leaving && u.State == Ready {
-		// A leaving upstream never becomes ready again under its ID.
+	next.dropped = known.dropped
+	switch {
+	case u.Born < known.Upstream.Born:
+		return false
+	case u.Born > known.Upstream.Born:
+		return d.nextLife(name, known, next)
+	case offset <= known.Offset:
+		return false
+	}
+	d.entries[name] = next
+	if known.Upstream.State == Leaving && u.State == Ready && (known.Present || u.Born != 0) {
+		// A leaving upstream never becomes ready again in the same life.
 		next.Upstream.State = Leaving
 	}
-	if sameButTime(known.Upstream, next.Upstream) {
+	if known.Present && sameButTime(known.Upstream, next.Upstream) {
 		next.ChangedAt, next.Since = known.ChangedAt, known.Since
 		return false
 	}
 	return true
 }
 
+// nextLife replaces an entry by that of a later life. The records of two lives may
+// come in any order: a drop after the later life's record concerns that life, also if
+// it was seen first.
+func (d *Directory) nextLife(name ident.Instance, known, next *Entry) bool {
+	d.entries[name] = next
+	if next.dropped <= next.Offset {
+		return true
+	}
+	next.Offset, next.Since = next.dropped-1, next.dropped-1
+	next.Present = false
+	return known.Present || !known.UsableUntil.IsZero()
+}
+
 func sameButTime(a, b Upstream) bool {
 	a.LeavesIn, b.LeavesIn = 0, 0
 	return a == b
@@ -137,7 +199,7 @@
 
 // drop notes that an entry was dropped; until graceEnd it stays usable.
 func (d *Directory) drop(id ident.Instance, offset ident.Offset, graceEnd, now time.Time) bool {
-	next := Entry{Offset: offset, Since: offset, ChangedAt: now}
+	next := Entry{Offset: offset, Since: offset, dropped: offset + 1, ChangedAt: now}
 	known := d.entries[id]
 	wasPresent := known != nil && known.Present
 	if known != nil {
--- /dev/null
+++ b/internal/directory/lives_test.go
@@ -0,0 +1,153 @@
+package directory
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+// life returns an entry of one life of the upstream "u".
+func life(born int64, state State) *Upstream {
+	u := ready("u")
+	u.Name, u.Born, u.ID, u.State = "u", born, LifeID("u", born), state
+	return u
+}
+
+// Symptom: an upstream that came back never gets work again, or its earlier life gets
+// some. Sequence: an upstream leaves or crashes, and starts again under its name; the
+// records of both lives come in some order, from the store and from other gateways.
+// Cause: what is kept by name outlives the life that it is about.
+func TestAnUpstreamStartsAgainUnderItsName(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		play func(d *Directory)
+		// want is the life that takes work; 0 for none.
+		want int64
+	}{
+		{"crashes and is back before its entry lapsed", func(d *Directory) {
+			d.Apply("u", 1, life(100, Ready), at(0))
+			d.Apply("u", 2, life(200, Ready), at(time.Second))
+		}, 200},
+		{"was leaving, crashed, and is back", func(d *Directory) {
+			d.Apply("u", 1, life(100, Leaving), at(0))
+			d.Apply("u", 2, life(200, Ready), at(time.Second))
+		}, 200},
+		{"left, was removed, and is back", func(d *Directory) {
+			d.Apply("u", 1, life(100, Leaving), at(0))
+			d.Apply("u", 2, nil, at(time.Second))
+			d.Apply("u", 3, life(200, Ready), at(2*time.Second))
+		}, 200},
+		{"its earlier life's departure is written late", func(d *Directory) {
+			d.Apply("u", 1, life(200, Ready), at(0))
+			d.Apply("u", 2, life(100, Leaving), at(time.Second))
+		}, 200},
+		{"its earlier life's renewal is written late", func(d *Directory) {
+			d.Apply("u", 1, life(200, Leaving), at(0))
+			d.Apply("u", 2, life(100, Ready), at(time.Second))
+		}, 0},
+		{"its earlier life is told late by another gateway", func(d *Directory) {
+			d.Apply("u", 5, life(200, Ready), at(0))
+			d.Take(News{Records: []Record{{ID: "u", Offset: 4, Upstream: life(100, Leaving)}}, UpTo: 5}, at(time.Second))
+		}, 200},
+		{"its new life is told after a late record of the earlier one", func(d *Directory) {
+			d.Apply("u", 5, life(100, Ready), at(0))
+			d.Take(News{Records: []Record{{ID: "u", Offset: 4, Upstream: life(200, Ready)}}, UpTo: 5}, at(time.Second))
+		}, 200},
+		{"the same life left and was removed: it does not come back", func(d *Directory) {
+			d.Apply("u", 1, life(100, Leaving), at(0))
+			d.Apply("u", 2, nil, at(time.Second))
+			d.Apply("u", 3, life(100, Ready), at(2*time.Second))
+		}, 0},
+		{"the same life lapsed in an outage and is back", func(d *Directory) {
+			d.Apply("u", 1, life(100, Ready), at(0))
+			d.Apply("u", 2, nil, at(time.Second))
+			d.Apply("u", 3, life(100, Ready), at(2*time.Second))
+		}, 100},
+		{"the new life was removed too", func(d *Directory) {
+			d.Apply("u", 3, nil, at(0))
+			d.Apply("u", 2, life(200, Ready), at(time.Second))
+		}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := New()
+			c.play(d)
+			view := d.Snapshot(at(3 * time.Second))
+			got := int64(0)
+			for _, u := range view.Of("svc") {
+				if u.State == Ready {
+					got = u.Born
+				}
+			}
+			if got != c.want {
+				t.Errorf("life %d takes work, want %d", got, c.want)
+			}
+			if _, known := view.Upstream(LifeID("u", 100)); known && c.want == 200 {
+				t.Error("the earlier life is still listed")
+			}
+		})
+	}
+}
+
+// Symptom and cause: as above, for any records of several lives, in any order and more
+// than once.
+func TestLivesJoinInAnyOrder(t *testing.T) {
+	type step struct {
+		offset   ident.Offset
+		upstream *Upstream
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		var steps []step
+		left := make(map[int64]bool)
+		for offset := range rapid.IntRange(1, 10).Draw(t, "records") {
+			s := step{offset: ident.Offset(offset)}
+			born := int64(100 * rapid.IntRange(1, 3).Draw(t, "life"))
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0:
+			case 1:
+				s.upstream, left[born] = life(born, Leaving), true
+			default:
+				s.upstream = life(born, Ready)
+				if left[born] {
+					s.upstream = life(born, Leaving)
+				}
+			}
+			steps = append(steps, s)
+		}
+		apply := func(order []step) string {
+			d := New()
+			for _, s := range order {
+				d.Apply("u", s.offset, s.upstream, start)
+			}
+			return fmt.Sprint(d.Snapshot(start).Of("svc"))
+		}
+		want := apply(steps)
+		shuffled := rapid.Permutation(append(steps, steps...)).Draw(t, "order")
+		if diff := cmp.Diff(want, apply(shuffled)); diff != "" {
+			t.Fatal(diff)
+		}
+	})
+}
+
+// Symptom: requests go to an upstream of which the store says nothing that can be read.
+// Sequence: another writer's record takes the place of an entry; the upstream renews it.
+// Cause: the last readable record is kept, which a gateway that has just started lacks.
+func TestAnUnreadableRecordNamesNoUpstream(t *testing.T) {
+	d := New()
+	d.Apply("u", 1, life(100, Ready), at(0))
+	d.Apply("v", 2, ready("v"), at(0))
+	if !d.Unreadable("u", 3, at(time.Second)) || d.Unreadable("w", 4, at(time.Second)) {
+		t.Error("the change of a known name, and only that, is to be told")
+	}
+	if usable(d, "u/2s", at(time.Second)) || !usable(d, "v", at(time.Second)) {
+		t.Error("u takes work, or v does not")
+	}
+	d.Apply("u", 5, life(100, Ready), at(2*time.Second))
+	if !usable(d, "u/2s", at(2*time.Second)) {
+		t.Error("u takes no work though its entry can be read again")
+	}
+}
--- a/internal/directory/news.go
+++ b/internal/directory/news.go
@@ -8,6 +8,7 @@
 
 // Record is an upstream's entry as gateways tell it each other.
 type Record struct {
+	// ID is the upstream's name.
 	ID     ident.Instance `json:"id"`
 	Offset ident.Offset   `json:"off"`
 	// Upstream is nil for a dropped entry.
--- a/internal/duty/lease_test.go
+++ b/internal/duty/lease_test.go
@@ -251,6 +251,31 @@
 			t.Errorf("held: %v, fence %d after %d", holds, grant.Fence, holder.GivenUp())
 		}
 	})
+	// Symptom: the platform gets a call under an older fencing number after one under
+	// a newer number. Sequence: the holder calls just before its lease runs out, and
+	// says that it has run out; its successor calls before that call arrives. Cause: the
+	// lease's margin for a call in flight does not count where the holder gives its word.
+	t.Run("its holder's word waits for calls in flight", func(t *testing.T) {
+		w := newWorld(2)
+		w.run(time.Second)
+		holder := w.managers[0]
+		grant, _ := holder.Grant()
+		ended, ok := grant.Begin()
+		if !ok {
+			t.Fatal("the holder may not call")
+		}
+		w.fault = func() fault { return unavailable }
+		w.managers = w.managers[:1]
+		w.run(testTiming.Length)
+		if _, ok := grant.Begin(); ok || holder.GivenUp() != 0 {
+			t.Errorf("may still call: %v; says that %d has run out while a call is in flight", ok, holder.GivenUp())
+		}
+		ended()
+		w.run(step)
+		if holder.GivenUp() != grant.Fence {
+			t.Errorf("says that %d has run out, want %d", holder.GivenUp(), grant.Fence)
+		}
+	})
 	// Symptom: the duty goes from one gateway to another and back within the
 	// length of a lease. Sequence: the holder releases it and is started again;
 	// its successor releases it too. Cause: a released lease is free for all.
--- a/internal/duty/manager.go
+++ b/internal/duty/manager.go
@@ -66,8 +66,11 @@
 	state  *State
 	readAt time.Time
 	held   bool
-	// givenUp is the newest lease of this gateway that ran out.
-	givenUp ident.Fence
+	// inFlight counts the calls that were begun under a lease and have not ended.
+	inFlight int
+	// runOut is the newest lease of this gateway that ran out, and givenUp the newest
+	// one of which the others are told.
+	runOut, givenUp ident.Fence
 }
 
 // NewManager returns a manager that holds nothing.
@@ -75,10 +78,9 @@
 	return &Manager{cfg: cfg, state: NewState(cfg.Self, cfg.Life)}
 }
 
-// Grant is the right to make one call. Its deadline leaves time for the call's
-// flight.
+// Grant is the right to make calls. Its deadline leaves time for a call's flight.
 type Grant struct {
-	Fence    ident.Fence
+	platform.Authority
 	Deadline time.Time
 }
 
@@ -90,7 +92,27 @@
 	if deadline.IsZero() || !m.cfg.Now().Before(deadline) {
 		return Grant{}, false
 	}
-	return Grant{Fence: m.state.fence, Deadline: deadline}, true
+	fence := m.state.fence
+	return Grant{
+		Authority: platform.Authority{Fence: fence, Begin: func() (func(), bool) { return m.begin(fence) }},
+		Deadline:  deadline,
+	}, true
+}
+
+// begin takes part of the lease for one call, if it is still held under that number.
+func (m *Manager) begin(fence ident.Fence) (ended func(), ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	deadline := m.state.Deadline(m.cfg.Timing)
+	if deadline.IsZero() || m.state.fence != fence || !m.cfg.Now().Before(deadline) {
+		return nil, false
+	}
+	m.inFlight++
+	return func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.inFlight--
+	}, true
 }
 
 // Refused notes that a call was refused because a later holder has called.
@@ -111,15 +133,20 @@
 	return m.givenUp
 }
 
-// expire notes when the lease has run out.
+// expire notes when the lease has run out. The others are told once no call under it is
+// in flight: at its holder's word a successor calls at once, and where the platform does
+// not check fencing numbers, a call that arrives after that one would count.
 func (m *Manager) expire() {
 	m.mu.Lock()
-	fence, over := m.state.Expire(m.cfg.Timing, m.cfg.Now())
-	if over {
-		m.givenUp = fence
+	if fence, over := m.state.Expire(m.cfg.Timing, m.cfg.Now()); over {
+		m.runOut = fence
+	}
+	tell := m.runOut != m.givenUp && m.inFlight == 0
+	if tell {
+		m.givenUp = m.runOut
 	}
 	m.mu.Unlock()
-	if over {
+	if tell {
 		m.cfg.Lost()
 	}
 }
--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -56,7 +56,9 @@
 	// asked is when it was asked last.
 	next   ident.Offset
 	listed bool
-	asked  time.Time
+	// unreadable are the records that were told of; run alone uses it.
+	unreadable onceByKey
+	asked      time.Time
 
 	mu      sync.Mutex
 	current gossip.ConfigRecord
@@ -120,6 +122,9 @@
 		return err
 	}
 	for _, record := range batch.Records {
+		if record.Unreadable != nil && c.unreadable.first(record.Key) {
+			c.log.Error("record not readable", "topic", c.ports.ConfigTopic, "key", record.Key, "offset", record.Offset, "error", record.Unreadable)
+		}
 		if record.Key == c.ports.ConfigKey && record.Value != nil {
 			c.take(record.Offset, record.Value, "store")
 		}
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -11,6 +11,7 @@
 
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
 	"github.com/goldcrestspool/goldcrestspool/internal/directory"
+	"github.com/goldcrestspool/goldcrestspool/internal/finding"
 	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
@@ -67,14 +68,15 @@
 	confirmed time.Time
 	// listed: the newest records were read once in this life.
 	listed bool
-	// faulty are the entries that could not be used, so that each is logged once.
-	faulty map[string]bool
+	// faulty are the entries that could not be used, and strange those whose service
+	// nobody knows, so that each is logged once.
+	faulty, strange onceByKey
 }
 
 func newUpstreams(ports Ports, b *board, pool *httpconn.Pool, now boottime.Clock, rank func() int, due time.Duration, log hclog.Logger) *upstreams {
 	return &upstreams{
 		ports: ports, board: b, pool: pool, now: now, rank: rank, due: due, log: log, health: storeHealth{log: log, topic: ports.UpstreamsTopic},
-		dir: directory.New(), faulty: make(map[string]bool),
+		dir: directory.New(),
 	}
 }
 
@@ -171,27 +173,47 @@
 }
 
 func (u *upstreams) applyOne(record platform.KeyedRecord) bool {
-	id := ident.Instance(record.Key)
-	if record.Value == nil {
-		delete(u.faulty, record.Key)
-		changed := u.dir.Apply(id, record.Offset, nil, u.now())
-		u.logEntry(changed, id, record.Offset, nil, "store")
+	name := ident.Instance(record.Key)
+	if record.Unreadable == nil && record.Value == nil {
+		u.faulty.ok(record.Key)
+		changed := u.dir.Apply(name, record.Offset, nil, u.now())
+		u.logEntry(changed, name, record.Offset, nil, "store")
 		return changed
 	}
-	entry, findings := u.ports.DecodeUpstream(u.ports.UpstreamsTopic+"/"+record.Key, record.Key, record.Value)
-	if err := findings.Err(); err != nil {
-		if !u.faulty[record.Key] {
-			u.faulty[record.Key] = true
-			u.log.Error("upstream's entry not usable, its last one stays", "upstream", id, "offset", record.Offset, "findings", err)
+	var entry directory.Upstream
+	err := record.Unreadable
+	if err == nil {
+		var findings finding.List
+		entry, findings = u.ports.DecodeUpstream(u.ports.UpstreamsTopic+"/"+record.Key, record.Key, record.Value)
+		err = findings.Err()
+	}
+	if err != nil {
+		if u.faulty.first(record.Key) {
+			u.log.Error("upstream's entry not usable", "upstream", name, "offset", record.Offset, "findings", err)
 		}
-		return false
+		return u.dir.Unreadable(name, record.Offset, u.now())
 	}
-	delete(u.faulty, record.Key)
-	changed := u.dir.Apply(id, record.Offset, &entry, u.now())
-	u.logEntry(changed, id, record.Offset, &entry, "store")
+	u.faulty.ok(record.Key)
+	u.logStrange(record.Key, &entry)
+	changed := u.dir.Apply(name, record.Offset, &entry, u.now())
+	u.logEntry(changed, entry.ID, record.Offset, &entry, "store")
 	return changed
 }
 
+// logStrange tells of an upstream that no route can reach, because its service is not
+// in the configuration.
+func (u *upstreams) logStrange(key string, entry *directory.Upstream) {
+	table := u.board.table.Value()
+	if table == nil {
+		return
+	}
+	if table.Service(entry.Service) != nil {
+		u.strange.ok(key)
+	} else if u.strange.first(key) {
+		u.log.Warn("upstream's service is not in the configuration", "upstream", entry.ID, "service", entry.Service)
+	}
+}
+
 // logEntry tells of an upstream's entry that changed something.
 func (u *upstreams) logEntry(changed bool, id ident.Instance, offset ident.Offset, entry *directory.Upstream, from string) {
 	switch {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -194,7 +194,7 @@
 	}
 	target := httpconn.Target{ID: choice.Upstream, Address: choice.Address, MaxConnections: choice.MaxConnections}
 	answer, failure := s.f.cfg.Pool.Send(ctx, target, s.f.cfg.Dialect.Request(s.call, Attempt{
-		Upstream: choice.Upstream, Left: s.call.Remaining(s.f.cfg.Now()), LastEvent: s.lastEvent,
+		Upstream: choice.Name, Left: s.call.Remaining(s.f.cfg.Now()), LastEvent: s.lastEvent,
 	}))
 	if failure != nil {
 		if probablyBegan(failure) {
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -51,6 +51,7 @@
 
 // Attempt says how a call is sent to one upstream.
 type Attempt struct {
+	// Upstream is the name that the upstream answers to.
 	Upstream ident.Instance
 	// Left is the time that the upstream may take.
 	Left time.Duration
@@ -78,7 +79,8 @@
 
 // Choice is an upstream that was chosen, with the place taken there.
 type Choice struct {
-	Upstream       ident.Instance
+	// Upstream is the ID of the upstream's life, and Name what it answers to.
+	Upstream, Name ident.Instance
 	Address        string
 	MaxConnections int
 	// Slow is after how long without an answer, or a first event, the
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -48,6 +48,9 @@
 	// Belongs tells whether an answer with this header is the one to this
 	// request. Nil takes any.
 	Belongs func(http.Header) bool
+	// Before is asked when a connection is there, right before the first byte
+	// leaves; an error ends the exchange unsent. Nil asks nothing.
+	Before func() error
 }
 
 // Stage says how far an exchange got.
@@ -111,10 +114,14 @@
 }
 
 // Close ends the exchange. The connection is kept only if the answer is
-// complete and the upstream agreed.
+// complete and the upstream agreed, and reset if the exchange is given up.
 func (a *Answer) Close() {
 	inTime := a.stop()
-	if !inTime || !a.complete || a.response.Close || !a.hasEnd() || a.conn.strays > 0 || !a.allWritten() || a.conn.reader.Buffered() > 0 {
+	switch {
+	case !inTime || !a.complete || !a.allWritten():
+		a.conn.giveUp()
+		return
+	case a.response.Close || !a.hasEnd() || a.conn.strays > 0 || a.conn.reader.Buffered() > 0:
 		a.conn.discard()
 		return
 	}
@@ -146,7 +153,7 @@
 	stop := context.AfterFunc(ctx, c.abort)
 	fail := func(stage Stage, err error) (*Answer, *Failure) {
 		stop()
-		c.discard()
+		c.giveUp()
 		if ctx.Err() != nil {
 			err = context.Cause(ctx)
 		}
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -88,6 +88,12 @@
 	if err != nil {
 		return nil, &Failure{Stage: StageConnect, Err: err}
 	}
+	if req.Before != nil {
+		if err := req.Before(); err != nil {
+			c.discard()
+			return nil, &Failure{Stage: StageConnect, Err: err}
+		}
+	}
 	c.unsaid = max(target.IdleFor, unsaidIdle)
 	return c.exchange(ctx, req)
 }
@@ -159,10 +165,30 @@
 	return err == nil && quiet
 }
 
-// abort ends the connection from outside of its exchange.
-func (c *conn) abort() { _ = c.net.Close() } // the exchange sees its reads fail
+// abort ends the connection from outside of its exchange, which sees its reads fail.
+func (c *conn) abort() { c.reset() }
+
+// reset closes the connection so that nothing of its exchange can arrive any more. What
+// goes wrong with an orderly close: what the other side has not acknowledged stays with
+// the kernel, which goes on repeating it for minutes; a request or an order that was given
+// up while a link was cut then arrives once the link heals, after its caller was answered
+// or after a later holder's orders (seen 5.6 s late). The price: the other side may lose
+// what it has received and not read, which is of no use to anyone, and a reset that gets
+// lost on the way is not repeated until the other side writes.
+func (c *conn) reset() {
+	if tcp, ok := c.net.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a connection that was closed before
+	}
+	_ = c.net.Close() // nothing is owed on it any more
+}
+
+// giveUp resets the connection and gives its place back.
+func (c *conn) giveUp() {
+	c.reset()
+	c.discard()
+}
 
-// discard closes the connection and gives its place back.
+// discard closes a connection whose exchange has ended, and gives its place back.
 func (c *conn) discard() {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
--- /dev/null
+++ b/internal/httpconn/reset_test.go
@@ -0,0 +1,54 @@
+package httpconn
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/worker"
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
+)
+
+// Symptom: an order is carried out 5.6 s after its sender gave it up, when another
+// sender's newer order has been; or a request starts to run long after its caller was
+// answered. Sequence: a link is cut; an exchange is begun over it and given up; the link
+// heals. Cause: closing a connection leaves what is unsent with the kernel, which goes
+// on repeating it. A request that ran because its connection was only closed shows that
+// the relay plays the fault.
+func TestAnExchangeThatIsGivenUpNeverArrivesLater(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// kept: the exchange goes over a connection that was used before the cut.
+		kept bool
+	}{{"over a new connection", false}, {"over a kept connection", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			w := worker.New(t, "u")
+			relay := testkit.NewRelay(t, "http://"+w.Address())
+			pool := NewPool(boottime.Now)
+			target := Target{ID: "u", Address: relay.Address(), IdleFor: time.Minute}
+			if c.kept {
+				answer, failure := pool.Send(t.Context(), target, request("before", ""))
+				if failure != nil {
+					t.Fatal(failure)
+				}
+				if _, err := io.ReadAll(answer); err != nil {
+					t.Fatal(err)
+				}
+				answer.Close()
+			}
+			relay.Hold(true)
+			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+			defer cancel()
+			if _, failure := pool.Send(ctx, target, request("order", "body")); failure == nil {
+				t.Fatal("an answer came over a cut link")
+			}
+			relay.Hold(false)
+			<-time.After(100 * time.Millisecond)
+			if n := w.Ran("order"); n != 0 {
+				t.Errorf("the order arrived %d times after it was given up", n)
+			}
+		})
+	}
+}
--- a/internal/metering/metering_test.go
+++ b/internal/metering/metering_test.go
@@ -25,9 +25,11 @@
 	reported []platform.UsageReport
 }
 
-func (h *holder) Grant() (duty.Grant, bool) { return duty.Grant{Fence: h.fence}, h.holds }
-func (h *holder) Refused(ident.Fence)       { h.holds = false }
-func (h *holder) Decided() json.RawMessage  { return h.decided }
+func (h *holder) Grant() (duty.Grant, bool) {
+	return duty.Grant{Authority: platform.Authority{Fence: h.fence}}, h.holds
+}
+func (h *holder) Refused(ident.Fence)      { h.holds = false }
+func (h *holder) Decided() json.RawMessage { return h.decided }
 
 func (h *holder) Commit(_ context.Context, decided json.RawMessage) error {
 	if h.commit == nil {
@@ -36,9 +38,9 @@
 	return h.commit
 }
 
-func (h *holder) Scale(context.Context, ident.Fence, platform.ScaleOrder) error { return nil }
+func (h *holder) Scale(context.Context, platform.Authority, platform.ScaleOrder) error { return nil }
 
-func (h *holder) Report(_ context.Context, _ ident.Fence, r platform.UsageReport) error {
+func (h *holder) Report(_ context.Context, _ platform.Authority, r platform.UsageReport) error {
 	if h.report != nil {
 		return h.report
 	}
--- a/internal/metering/reporter.go
+++ b/internal/metering/reporter.go
@@ -204,7 +204,7 @@
 		if !holds || grant.Fence != r.fence {
 			return
 		}
-		err := r.Duties.Report(ctx, grant.Fence, platform.UsageReport{Window: window, Counts: d.Windows[window]})
+		err := r.Duties.Report(ctx, grant.Authority, platform.UsageReport{Window: window, Counts: d.Windows[window]})
 		switch {
 		case err == nil:
 			r.sent[window] = true
--- a/internal/platform/keyed.go
+++ b/internal/platform/keyed.go
@@ -18,6 +18,10 @@
 	Key    string
 	// Value is nil where the key was dropped.
 	Value []byte
+	// Unreadable says why Key or Value could not be read; nil where both could. A
+	// topic may have other writers, and one record of theirs must not keep the
+	// others from being read.
+	Unreadable error
 }
 
 // KeyedBatch is the answer to a read of a keyed topic.
@@ -63,10 +67,21 @@
 	Counts map[ident.ClientAccount]int64
 }
 
+// Authority is the right to make a duty's call. The platform may not check fencing
+// numbers, so that the caller has to see to it that no call arrives after a later
+// holder's.
+type Authority struct {
+	Fence ident.Fence
+	// Begin is asked right before the call's first byte leaves, after a connection was
+	// made: the process may have stood still since the right was granted. If it
+	// returns ok, ended must be called once nothing of the call can arrive any more.
+	Begin func() (ended func(), ok bool)
+}
+
 // Duties are calls that one gateway at a time makes, under a fencing number.
 type Duties interface {
 	// Scale errors: ErrOldFence, ErrNoCapacity, ErrUnavailable, ErrAnswerLost.
-	Scale(ctx context.Context, fence ident.Fence, order ScaleOrder) error
+	Scale(ctx context.Context, authority Authority, order ScaleOrder) error
 	// Report errors: ErrOldFence, ErrUnavailable, ErrAnswerLost.
-	Report(ctx context.Context, fence ident.Fence, report UsageReport) error
+	Report(ctx context.Context, authority Authority, report UsageReport) error
 }
--- a/internal/routing/placement/bench_test.go
+++ b/internal/routing/placement/bench_test.go
@@ -17,7 +17,7 @@
 		var list []directory.Upstream
 		for i := range n {
 			list = append(list, directory.Upstream{
-				ID: ident.Instance(fmt.Sprintf("i-%08x", i)), Service: "svc", FailureDomain: ident.FailureDomain(rune('a' + i%5)), Slots: 64, State: directory.Ready,
+				ID: ident.Instance(fmt.Sprintf("i-%08x", i)), Name: ident.Instance(fmt.Sprintf("i-%08x", i)), Service: "svc", FailureDomain: ident.FailureDomain(rune('a' + i%5)), Slots: 64, State: directory.Ready,
 			})
 		}
 		f.view = directory.NewView(list)
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -177,6 +177,7 @@
 	t := at(c.learned, call.Service.Name)
 	return forward.Choice{
 		Upstream:       best.upstream.ID,
+		Name:           best.upstream.Name,
 		Address:        best.upstream.Address,
 		MaxConnections: c.connections(call.Service),
 		Slow:           t.slow(call.Route.Objective, c.reading(best.uncached)),
@@ -277,7 +278,7 @@
 		if all[i].State != directory.Ready {
 			continue
 		}
-		l.weights[i] = rendezvous(part, all[i].ID)
+		l.weights[i] = rendezvous(part, all[i].Name)
 		if l.home < 0 || l.weights[i] > l.weights[l.home] {
 			l.home = i
 		}
@@ -288,11 +289,13 @@
 // behind is how far an upstream is from the front, from 0 to 1.
 func (l *line) behind(i int) float64 { return 1 - float64(l.weights[i])/float64(math.MaxUint64) }
 
-func rendezvous(part uint64, id ident.Instance) uint64 {
+// rendezvous weighs an upstream for a part, by its name: an upstream that starts again
+// is the home of the same parts as before, so that the others keep theirs.
+func rendezvous(part uint64, name ident.Instance) uint64 {
 	var d xxhash.Digest
 	d.ResetWithSeed(part)
 	// Writing to a digest never fails.
-	_, _ = d.WriteString(string(id))
+	_, _ = d.WriteString(string(name))
 	return d.Sum64()
 }
 
--- a/internal/routing/placement/placement_test.go
+++ b/internal/routing/placement/placement_test.go
@@ -44,7 +44,7 @@
 func (f *fixture) see(state directory.State, ids ...string) {
 	var list []directory.Upstream
 	for _, id := range ids {
-		list = append(list, directory.Upstream{ID: ident.Instance(id), Service: "svc", FailureDomain: ident.FailureDomain(id[:1]), Slots: 8, State: state})
+		list = append(list, directory.Upstream{ID: ident.Instance(id), Name: ident.Instance(id), Service: "svc", FailureDomain: ident.FailureDomain(id[:1]), Slots: 8, State: state})
 	}
 	f.view = directory.NewView(list)
 }
--- a/internal/scaling/controller.go
+++ b/internal/scaling/controller.go
@@ -281,7 +281,7 @@
 	if !holds || grant.Fence != c.fence {
 		return false
 	}
-	err := c.Duties.Scale(ctx, grant.Fence, platform.ScaleOrder{
+	err := c.Duties.Scale(ctx, grant.Authority, platform.ScaleOrder{
 		Service: r.service.Name, FailureDomain: slot.FailureDomain, Reclaimable: slot.Reclaimable, Wanted: wanted,
 	})
 	c.Log.Info("upstreams ordered", "service", r.service.Name, "domain", slot.FailureDomain, "reclaimable", slot.Reclaimable,
--- a/internal/scaling/scaling_test.go
+++ b/internal/scaling/scaling_test.go
@@ -109,13 +109,15 @@
 	orders []platform.ScaleOrder
 }
 
-func (c *cloud) Grant() (duty.Grant, bool) { return duty.Grant{Fence: 1}, c.holds }
-func (c *cloud) Refused(ident.Fence)       { c.holds = false }
-func (c *cloud) Report(context.Context, ident.Fence, platform.UsageReport) error {
+func (c *cloud) Grant() (duty.Grant, bool) {
+	return duty.Grant{Authority: platform.Authority{Fence: 1}}, c.holds
+}
+func (c *cloud) Refused(ident.Fence) { c.holds = false }
+func (c *cloud) Report(context.Context, platform.Authority, platform.UsageReport) error {
 	return nil
 }
 
-func (c *cloud) Scale(_ context.Context, _ ident.Fence, o platform.ScaleOrder) error {
+func (c *cloud) Scale(_ context.Context, _ platform.Authority, o platform.ScaleOrder) error {
 	c.orders = append(c.orders, o)
 	return c.err
 }
--- a/internal/testkit/relay.go
+++ b/internal/testkit/relay.go
@@ -1,10 +1,13 @@
 package testkit
 
 import (
+	"errors"
 	"net"
 	"net/url"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -17,9 +20,9 @@
 	listener net.Listener
 	group    sync.WaitGroup
 
-	// delay is in nanoseconds; cut drops everything.
-	delay atomic.Int64
-	cut   atomic.Bool
+	// delay is in nanoseconds; cut drops everything, hold keeps it for later.
+	delay     atomic.Int64
+	cut, hold atomic.Bool
 
 	mu    sync.Mutex
 	pairs []*pair
@@ -76,6 +79,11 @@
 // Cut drops all bytes of all connections, also of new ones, until it is undone.
 func (r *Relay) Cut(cut bool) { r.cut.Store(cut) }
 
+// Hold keeps all bytes until it is undone, and delivers them then, also those of
+// connections that were closed meanwhile: as a cut link does, over which the sender's
+// kernel goes on repeating them. Only a reset by the sender drops what is held.
+func (r *Relay) Hold(hold bool) { r.hold.Store(hold) }
+
 // Silence drops all further bytes of the open connections, closes included.
 func (r *Relay) Silence() {
 	r.mu.Lock()
@@ -121,15 +129,44 @@
 		if delay := p.relay.delay.Load(); delay > 0 {
 			<-time.After(time.Duration(delay))
 		}
+		piece := buffer[:n]
+		if p.relay.hold.Load() {
+			piece, err = p.held(from, append([]byte(nil), piece...), err)
+		}
+		if _, failed := to.Write(piece); failed != nil {
+			_ = from.Close()
+			return
+		}
 		if err != nil {
 			_ = to.Close()
 			return
 		}
-		if _, err := to.Write(buffer[:n]); err != nil {
-			_ = from.Close()
-			return
+	}
+}
+
+// held gathers what comes while the relay holds, and returns it with how the reading
+// ended, if it did. Of a connection that was reset nothing is left.
+func (p *pair) held(from net.Conn, pending []byte, err error) ([]byte, error) {
+	const look = 5 * time.Millisecond
+	buffer := make([]byte, 4096)
+	for p.relay.hold.Load() {
+		if err != nil {
+			<-time.After(look)
+			continue
+		}
+		_ = from.SetReadDeadline(time.Now().Add(look)) // TCP connections all take deadlines
+		var n int
+		n, err = from.Read(buffer)
+		pending = append(pending, buffer[:n]...)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			err = nil
 		}
 	}
+	_ = from.SetReadDeadline(time.Time{})
+	if errors.Is(err, syscall.ECONNRESET) {
+		return nil, err
+	}
+	return pending, err
 }
 
 func (r *Relay) close() {
