--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -135,9 +135,9 @@
 const (
 	// busyReading is the part of its time that reading prompts may take.
 	busyReading = 0.6
-	// busyRunning is the part of its slots that may be generating: a step takes
+	// busyGenerating is the part of its slots that may be generating: a step takes
 	// the longer the more there are, and the first events wait for steps.
-	busyRunning = 0.3
+	busyGenerating = 0.3
 )
 
 // need is how many upstreams the present work of all gateways keeps busy.
@@ -145,16 +145,16 @@
 	if s.Engine == nil {
 		return 1
 	}
-	prompt, running := p.chooser.Work(s.Name, p.now())
+	prompt, generating := p.chooser.Work(s.Name, p.now())
 	v := p.view.Load()
 	for i := range v.Fresh {
 		w := v.Fresh[i].Report.Work[s.Name]
 		prompt += w.Prompt
-		running += w.Running
+		generating += w.Generating
 	}
 	byReading := prompt / (p.chooser.EngineFigures(s.Name, p.now()).Rate() * busyReading)
-	byRunning := running / (float64(max(1, s.Engine.Slots)) * busyRunning)
-	return byReading + byRunning
+	byGenerating := generating / (float64(max(1, s.Engine.Slots)) * busyGenerating)
+	return byReading + byGenerating
 }
 
 // work is what this gateway asks of each service, for its report.
@@ -166,8 +166,8 @@
 	out := make(map[ident.Service]gossip.Work)
 	for i := range table.Services() {
 		if s := &table.Services()[i]; s.Scale != nil {
-			prompt, running := p.chooser.Work(s.Name, now)
-			out[s.Name] = gossip.Work{Prompt: prompt, Running: running}
+			prompt, generating := p.chooser.Work(s.Name, now)
+			out[s.Name] = gossip.Work{Prompt: prompt, Generating: generating}
 		}
 	}
 	return out
--- a/internal/gossip/types.go
+++ b/internal/gossip/types.go
@@ -54,10 +54,10 @@
 
 // Work is a rate of work.
 type Work struct {
-	// Prompt is tokens to be read a second, and Running the mean number of
-	// requests in progress.
-	Prompt  float64 `json:"p"`
-	Running float64 `json:"r"`
+	// Prompt is tokens to be read a second, and Generating the number of requests
+	// that would be generating at their usual speed.
+	Prompt     float64 `json:"p"`
+	Generating float64 `json:"g"`
 }
 
 // Contact is where a gateway can be reached.
--- a/internal/routing/placement/learn.go
+++ b/internal/routing/placement/learn.go
@@ -30,7 +30,9 @@
 	p := choice.Place.(*place)
 	o := at(c.own, choice.Upstream)
 	o.load.Running--
-	at(c.work, p.service).ended(now)
+	if result == forward.Done && p.began {
+		at(c.work, p.service).ended(p.route, now.Sub(p.sent)-p.latency)
+	}
 	if !p.began {
 		o.load.Unread -= p.unread
 	}
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -124,6 +124,7 @@
 type place struct {
 	domain  ident.FailureDomain
 	service ident.Service
+	route   string
 	unread  int
 	// ahead is what was there when it was sent.
 	ahead Load
@@ -175,7 +176,9 @@
 	set.Started(now, best.upstream.ID)
 	best.own.load.Running++
 	best.own.load.Unread += best.uncached
-	at(c.work, call.Service.Name).began(offered(call, exclude), now)
+	if len(exclude) == 0 {
+		at(c.work, call.Service.Name).began(call, now)
+	}
 	t := at(c.learned, call.Service.Name)
 	reading := c.figures(call.Service.Name, now).Reading(float64(best.uncached))
 	return forward.Choice{
@@ -185,7 +188,7 @@
 		MaxConnections: c.connections(call.Service),
 		Slow:           t.slow(call.Route.Objective, reading),
 		Why:            why,
-		Place:          &place{domain: best.upstream.FailureDomain, service: call.Service.Name, unread: best.uncached, sent: now, expected: reading, ahead: best.load},
+		Place:          &place{domain: best.upstream.FailureDomain, service: call.Service.Name, route: call.Route.Name, unread: best.uncached, sent: now, expected: reading, ahead: best.load},
 	}, true
 }
 
--- a/internal/routing/placement/placement_test.go
+++ b/internal/routing/placement/placement_test.go
@@ -237,3 +237,30 @@
 		t.Errorf("a second attempt counts: %.0f tokens a second, %.0f before", asked(), before)
 	}
 }
+
+// Symptom: an on-demand engine is ordered for each that is there, and comes when it is
+// over. Sequence: engines are short for ten seconds, and all answers take five times as
+// long. Cause: what is in progress is taken for what callers ask.
+func TestSlowAnswersAreNoMoreWork(t *testing.T) {
+	f := newFixture()
+	// play sends ten requests a second for a time; each generates for so long.
+	play := func(d, generating time.Duration) float64 {
+		for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(100 * time.Millisecond) {
+			choice, found := f.Choose(f.call(engine, 7), nil, f.now)
+			if !found {
+				t.Fatal("no upstream")
+			}
+			f.Began(choice, f.now.Add(50*time.Millisecond))
+			f.Finished(choice, forward.Done, f.now.Add(50*time.Millisecond+generating))
+		}
+		_, busy := f.Work("svc", f.now)
+		return busy
+	}
+	usual := play(20*time.Second, time.Second)
+	if usual < 8 || usual > 12 {
+		t.Errorf("%.1f generating, want 10: ten a second of a second each", usual)
+	}
+	if short := play(10*time.Second, 5*time.Second); short > 1.7*usual {
+		t.Errorf("%.1f generating while engines are short, %.1f before", short, usual)
+	}
+}
--- a/internal/routing/placement/work.go
+++ b/internal/routing/placement/work.go
@@ -8,33 +8,37 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 )
 
-// workMemory is over how long the work of a service is averaged: two or three
-// seconds show a burst before its queues have grown.
-const workMemory = 2500 * time.Millisecond
+const (
+	// workMemory is over how long the work of a service is averaged: two or three
+	// seconds show a burst before its queues have grown.
+	workMemory = 2500 * time.Millisecond
+	// usualMemory is over how many answers a route's usual time is averaged: some ten
+	// seconds of want of engines hardly move it.
+	usualMemory = 200
+	// usualClip bounds what one answer counts, in times of the usual one.
+	usualClip = 2
+)
 
-// offered is how many prompt tokens a call adds to the work that callers ask: those that
-// are to be read at the home of its prompt parts, once. What goes wrong if what is read
-// were counted instead: where engines are short, requests are sent away from their homes
-// and sent again, three times as many tokens are read, and twice the engines that the
-// callers' load needs are ordered for the time after. Without that, upstreams cost a tenth
-// less, at the same worth before prices.
-func offered(call *forward.Call, exclude []ident.Instance) int {
-	if len(exclude) > 0 {
-		return 0
-	}
-	if call.Service.Engine == nil {
-		return call.PromptTokens
-	}
-	return call.PromptTokens - sharedTokens(call)
+// workOf is the work that callers ask of a service through this gateway: what engines
+// would have to do if there were enough of them. What goes wrong if what they have in
+// progress were counted instead: where they are short, all answers take several times as
+// long, and an on-demand engine was ordered for each three that were there already (need
+// 44 instead of 12 under a burst while three domains were reclaimed).
+type workOf struct {
+	// prompt is tokens to be read a second; it decays.
+	prompt float64
+	at     time.Time
+	routes map[string]*routeWork
 }
 
-// workOf is the work that this gateway asks of a service.
-type workOf struct {
-	// prompt is tokens to be read a second, running the mean number of requests
-	// in progress; both decay.
-	prompt, running float64
-	inProgress      int
-	at              time.Time
+// routeWork is the generating that one route asks for.
+type routeWork struct {
+	// rate is requests a second; it decays.
+	rate float64
+	// usual is how long an answer takes from its first event to its end, in seconds,
+	// of so many samples.
+	usual   float64
+	samples int
 }
 
 // moveTo lets time pass.
@@ -45,28 +49,67 @@
 	}
 	keep := math.Exp(-elapsed.Seconds() / workMemory.Seconds())
 	w.prompt *= keep
-	w.running = w.running*keep + float64(w.inProgress)*(1-keep)
+	for _, r := range w.routes {
+		r.rate *= keep
+	}
 	w.at = now
 }
 
-// began notes a request that is sent, with the tokens to be read.
-func (w *workOf) began(tokens int, now time.Time) {
+// began notes a call that is sent for the first time, with the tokens that it asks to be
+// read.
+func (w *workOf) began(call *forward.Call, now time.Time) {
 	w.moveTo(now)
-	w.prompt += float64(tokens) / workMemory.Seconds()
-	w.inProgress++
+	w.prompt += float64(offered(call)) / workMemory.Seconds()
+	w.route(call.Route.Name).rate += 1 / workMemory.Seconds()
 }
 
-func (w *workOf) ended(now time.Time) {
-	w.moveTo(now)
-	w.inProgress--
+// ended notes how long a whole answer of a route took from its first event on.
+func (w *workOf) ended(route string, generating time.Duration) {
+	w.route(route).learn(generating.Seconds())
+}
+
+func (w *workOf) route(name string) *routeWork {
+	if w.routes == nil {
+		w.routes = make(map[string]*routeWork)
+	}
+	return at(w.routes, name)
+}
+
+func (r *routeWork) learn(seconds float64) {
+	r.samples++
+	if r.samples == 1 {
+		r.usual = seconds
+		return
+	}
+	weight := 1 / float64(min(r.samples, usualMemory))
+	r.usual += weight * (min(seconds, usualClip*r.usual) - r.usual)
+}
+
+// generating is how many requests would be generating at their usual speed.
+func (w *workOf) generating() float64 {
+	sum := 0.0
+	for _, r := range w.routes {
+		sum += r.rate * r.usual
+	}
+	return sum
+}
+
+// offered is how many prompt tokens a call asks to be read: those that the home of its
+// parts lacks. Where engines are short, requests are sent away from their homes and sent
+// again, and three times as many are read.
+func offered(call *forward.Call) int {
+	if call.Service.Engine == nil {
+		return call.PromptTokens
+	}
+	return call.PromptTokens - sharedTokens(call)
 }
 
-// Work returns how many prompt tokens a second this gateway asks a service to
-// read, and how many of its requests are in progress on average.
-func (c *Chooser) Work(service ident.Service, now time.Time) (prompt, running float64) {
+// Work returns how many prompt tokens a second this gateway's callers ask a service to
+// read, and how many of their requests would be generating at their usual speed.
+func (c *Chooser) Work(service ident.Service, now time.Time) (prompt, generating float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := at(c.work, service)
 	w.moveTo(now)
-	return w.prompt, w.running
+	return w.prompt, w.generating()
 }
