--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -14,6 +14,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/operations"
 	"github.com/goldcrestspool/goldcrestspool/internal/pause"
 	"github.com/goldcrestspool/goldcrestspool/internal/program"
+	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
 	"github.com/goldcrestspool/goldcrestspool/internal/settings"
 )
 
@@ -92,6 +93,7 @@
 	fmt.Fprintf(w, "upstreams_offset %d\nupstreams_age_seconds %.3f\nupstreams_known %d\n", next, age.Seconds(), p.board.upstreams.Value().Count())
 	if table := p.table(); table != nil {
 		fmt.Fprintf(w, "configuration_revision %d\n", table.Revision())
+		p.writeEngines(w, table)
 	}
 	v := p.view.Load()
 	fmt.Fprintf(w, "gateways_heard %d\ngateways_known %d\nclock_correction_seconds %.3f\n", len(v.Fresh), v.Known, v.WallCorrection().Seconds())
@@ -101,6 +103,18 @@
 	fmt.Fprintf(w, "memory_heap_bytes %d\nmemory_system_bytes %d\ngoroutines %d\n", m.HeapAlloc, m.Sys, runtime.NumGoroutine())
 }
 
+// writeEngines prints what is known of each service's engines.
+func (p *Process) writeEngines(w io.Writer, table *routetable.Table) {
+	for _, s := range table.Services() {
+		if s.Engine == nil {
+			continue
+		}
+		f := p.chooser.EngineFigures(s.Name, p.now())
+		fmt.Fprintf(w, "engine_tokens_per_second{service=%q} %.0f\nengine_base_seconds{service=%q} %.4f\nengine_running_seconds{service=%q} %.5f\nengine_samples{service=%q} %.0f\n",
+			s.Name, f.Rate(), s.Name, f.Base.Seconds(), s.Name, f.Running, s.Name, f.Samples)
+	}
+}
+
 // leave stops the process without cutting anything off: callers are told to go
 // elsewhere, what runs is finished, and only then the connections are closed.
 func (p *Process) leave(ctx context.Context, signals program.Signals) {
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -15,6 +15,7 @@
 	pkgerrors "github.com/pkg/errors"
 	"golang.org/x/net/netutil"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/admission/returntime"
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
 	"github.com/goldcrestspool/goldcrestspool/internal/directory"
 	"github.com/goldcrestspool/goldcrestspool/internal/duty"
@@ -130,7 +131,7 @@
 	forwarder := forward.New(forward.Config{
 		Now: p.now, Pool: p.pool, Dialect: p.ports.Protocol, Placement: p.chooser,
 		Budget: retry.NewShared(retry.SharedConfig{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window}, p.gateways),
-		Meter:  p.counter, Log: p.log.Named("forward"), Tracer: p.tracing.Tracer, RetryAfter: retryAfter,
+		Meter:  p.counter, Log: p.log.Named("forward"), Tracer: p.tracing.Tracer, RetryAfter: p.retryAfter,
 	})
 	p.lease = p.newLease()
 	p.callers = ingress.New(ingress.Config{
@@ -140,11 +141,15 @@
 	})
 }
 
-// retryAfter is when a caller comes back whose request no upstream took. Slots
-// become free all the time, and the callers wait for a third of their time left
-// at the most.
-func retryAfter(call *forward.Call) time.Duration {
-	return max(call.Route.Objective/2, 100*time.Millisecond)
+// leastReturn is the least time after which a caller comes back whose request no upstream
+// took: slots become free all the time.
+const leastReturn = 100 * time.Millisecond
+
+// retryAfter is when such a caller comes back: when an engine will have read what is
+// before it, and spread, so that callers who were refused together do not return together.
+func (p *Process) retryAfter(call *forward.Call) time.Duration {
+	room := p.chooser.RoomIn(call, p.now())
+	return returntime.Spread(max(call.Route.Objective/2, room, leastReturn), call.ID)
 }
 
 func (p *Process) table() *routetable.Table { return p.board.table.Value() }
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -9,12 +9,10 @@
 package placement
 
 import (
-	"math"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/admission/ejection"
@@ -209,6 +207,9 @@
 			continue
 		}
 		c.score(call, &next, order, i, &figures)
+		if c.hopeless(call, &next, &figures, now) {
+			continue
+		}
 		if !found || next.score < best.score {
 			best, found = next, true
 		}
@@ -225,6 +226,18 @@
 	return Load{Running: o.load.Running + others.Running, Unread: o.load.Unread + others.Unread}
 }
 
+// hopeless reports whether a first event would come only after the call's time is over.
+// What goes wrong without it: a request that cannot be served takes an engine's time from
+// those that can, and its caller waits for its whole deadline for nothing. The figures
+// decide only once they stand on samples of some requests.
+func (c *Chooser) hopeless(call *forward.Call, x *candidate, figures *enginemodel.Figures, now time.Time) bool {
+	if call.Service.Engine == nil || figures.Samples < fewest {
+		return false
+	}
+	first := figures.First(float64(x.uncached), float64(x.load.Unread), float64(x.load.Running))
+	return first > call.Remaining(now)
+}
+
 // full reports whether an upstream has as much work as it may get.
 func (c *Chooser) full(call *forward.Call, x *candidate) bool {
 	queue := c.cfg.Params.PlainQueue
@@ -263,54 +276,6 @@
 	}
 }
 
-// line is the order of upstreams for a shared part: by weights that all gateways
-// work out alike. The one with the highest weight is the part's home.
-type line struct {
-	weights []uint64
-	home    int
-}
-
-// line returns the order for the call's shared part, or nil if it shares none.
-func (c *Chooser) line(call *forward.Call, all []directory.Upstream) *line {
-	if call.Service.Engine == nil || len(call.Parts) < 2 {
-		return nil
-	}
-	part := call.Parts[len(call.Parts)-2].ID
-	l := &line{weights: make([]uint64, len(all)), home: -1}
-	for i := range all {
-		if all[i].State != directory.Ready {
-			continue
-		}
-		l.weights[i] = rendezvous(part, all[i].Name)
-		if l.home < 0 || l.weights[i] > l.weights[l.home] {
-			l.home = i
-		}
-	}
-	return l
-}
-
-// behind is how far an upstream is from the front, from 0 to 1.
-func (l *line) behind(i int) float64 { return 1 - float64(l.weights[i])/float64(math.MaxUint64) }
-
-// rendezvous weighs an upstream for a part, by its name: an upstream that starts again
-// is the home of the same parts as before, so that the others keep theirs.
-func rendezvous(part uint64, name ident.Instance) uint64 {
-	var d xxhash.Digest
-	d.ResetWithSeed(part)
-	// Writing to a digest never fails.
-	_, _ = d.WriteString(string(name))
-	return d.Sum64()
-}
-
-// sharedTokens are those of all parts but the last, which belongs to the call.
-func sharedTokens(call *forward.Call) int {
-	sum := 0
-	for _, part := range call.Parts[:max(0, len(call.Parts)-1)] {
-		sum += part.Tokens
-	}
-	return sum
-}
-
 // connections is this gateway's part of an upstream's connections.
 func (c *Chooser) connections(service *routetable.Service) int {
 	if service.MaxConnections <= 0 {
--- a/internal/routing/placement/placement_test.go
+++ b/internal/routing/placement/placement_test.go
@@ -58,7 +58,7 @@
 }
 
 func (f *fixture) call(service *routetable.Service, part uint64) *forward.Call {
-	c := &forward.Call{Route: route, Service: service}
+	c := &forward.Call{Route: route, Service: service, Expires: f.now.Add(time.Minute)}
 	if part > 0 {
 		c.PromptTokens = 6000
 		c.Parts = []forward.PromptPart{{ID: 1, Tokens: 500}, {ID: part, Tokens: 5000}, {ID: part * 1000, Tokens: 500}}
@@ -264,3 +264,46 @@
 		t.Errorf("%.1f generating while engines are short, %.1f before", short, usual)
 	}
 }
+
+// Symptom: callers wait for their whole deadline for nothing, and engines work for them.
+// Sequence: engines are short, and the queue at each is longer than a request's time.
+// Cause: a request that surely cannot be served is sent nevertheless. The load is a queue
+// of 200,000 tokens at every engine, two seconds' reading; callers with four seconds left
+// are served, those with one are refused at once.
+func TestWhatCannotBeServedIsNotSent(t *testing.T) {
+	f := newFixture()
+	for _, u := range f.view.Of("svc") {
+		f.others[u.ID] = Load{Running: 5, Unread: 200_000}
+	}
+	for _, c := range []struct {
+		left time.Duration
+		want bool
+	}{{4 * time.Second, true}, {time.Second, false}} {
+		call := f.call(engine, 7)
+		call.Expires = f.now.Add(c.left)
+		if _, found := f.Choose(call, nil, f.now); found != c.want {
+			t.Errorf("with %v left: sent %v, want %v", c.left, found, c.want)
+		}
+	}
+}
+
+// Symptom: a crowd that was refused is refused again. Sequence: engines are short, and all
+// that are refused come back after the same time, which is shorter than the queues. Cause:
+// a return time that knows nothing of the queues. 200,000 tokens are two seconds' reading
+// here, and 20,000 a fifth of one.
+func TestTheReturnTimeFollowsTheShortestQueue(t *testing.T) {
+	f := newFixture()
+	if got := f.RoomIn(f.call(engine, 7), f.now); got != 0 {
+		t.Errorf("room in %v at idle engines", got)
+	}
+	for _, u := range f.view.Of("svc") {
+		f.others[u.ID] = Load{Unread: 200_000}
+	}
+	if got := f.RoomIn(f.call(engine, 7), f.now); got < time.Second || got > 2500*time.Millisecond {
+		t.Errorf("room in %v behind 200,000 tokens everywhere", got)
+	}
+	f.others["b1"] = Load{Unread: 20_000}
+	if got := f.RoomIn(f.call(engine, 7), f.now); got > 200*time.Millisecond {
+		t.Errorf("room in %v behind 20,000 tokens at one engine", got)
+	}
+}
--- /dev/null
+++ b/internal/routing/placement/room.go
@@ -0,0 +1,32 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/directory"
+	"github.com/goldcrestspool/goldcrestspool/internal/forward"
+)
+
+// RoomIn returns after how long the first engine will have so little to read that the
+// call's first event would come within its objective; 0 for now, and where nothing is
+// known. Queues are taken to be read without new work, so that it is a lower bound.
+func (c *Chooser) RoomIn(call *forward.Call, now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	figures := c.figures(call.Service.Name, now)
+	if call.Service.Engine == nil || figures.Samples < fewest {
+		return 0
+	}
+	room, found := time.Duration(0), false
+	for _, u := range c.refresh().Of(call.Service.Name) {
+		if u.State != directory.Ready {
+			continue
+		}
+		load := c.loadAt(u.ID, at(c.own, u.ID))
+		first := figures.First(float64(offered(call)), float64(load.Unread), float64(load.Running))
+		if late := max(0, first-call.Route.Objective); !found || late < room {
+			room, found = late, true
+		}
+	}
+	return room
+}
