--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -23,6 +23,8 @@
 	// leastAfter and mostAfter bound when a refused caller is told to return.
 	leastAfter = 100 * time.Millisecond
 	mostAfter  = 2 * time.Second
+	// leastRate keeps a part of nothing from telling a caller to return never.
+	leastRate = 1e-6
 	// settling is for how long after its start a gateway knows few of the others and
 	// gives a small part of the limits, and settledAfter when a caller that it refuses
 	// then is told to return: after two rounds of reports it knows them all.
@@ -202,7 +204,7 @@
 		d.OK = true
 		return d
 	}
-	after := time.Duration((d.Need - d.Level) / rate * float64(time.Second))
+	after := time.Duration((d.Need - d.Level) / max(rate, leastRate) * float64(time.Second))
 	most := mostAfter
 	if now.Sub(k.started) < settling && d.Heard < d.Known {
 		most = settledAfter
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -207,7 +207,7 @@
 			continue
 		}
 		c.score(call, &next, order, i, &figures)
-		if c.hopeless(call, &next, &figures, now) {
+		if tooLate(call, &next, &figures, now) {
 			continue
 		}
 		if !found || next.score < best.score {
@@ -226,11 +226,11 @@
 	return Load{Running: o.load.Running + others.Running, Unread: o.load.Unread + others.Unread}
 }
 
-// hopeless reports whether a first event would come only after the call's time is over.
+// tooLate reports whether a first event would come only after the call's time is over.
 // What goes wrong without it: a request that cannot be served takes an engine's time from
 // those that can, and its caller waits for its whole deadline for nothing. The figures
 // decide only once they stand on samples of some requests.
-func (c *Chooser) hopeless(call *forward.Call, x *candidate, figures *enginemodel.Figures, now time.Time) bool {
+func tooLate(call *forward.Call, x *candidate, figures *enginemodel.Figures, now time.Time) bool {
 	if call.Service.Engine == nil || figures.Samples < fewest {
 		return false
 	}
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -21,7 +21,7 @@
   rounds=$((rounds + 1))
 done
 # The coverage-guided targets share what is left, a few seconds each.
-grep -rn --include='*_test.go' -o 'func Fuzz[A-Za-z0-9]*' internal | sed 's/:[0-9]*:func / /' | while read -r file target; do
+grep -rn --include='*_test.go' -o 'func Fuzz[A-Za-z0-9]*' internal platform | sed 's/:[0-9]*:func / /' | while read -r file target; do
   go test -run '^$' -fuzz "^$target\$" -fuzztime 5s "./$(dirname "$file")" >/dev/null 2>&1 || { echo "found by $target in $file"; exit 1; }
 done || found=1
 echo "$rounds rounds of the state machines, last seed $FUZZ_SEED, found: $found"
