Patience counts the queue

Now what is expected of an attempt is its place behind what the engine has; the ejection compares with the same.

--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -120,7 +120,7 @@
 	// ahead is what was there when it was sent.
 	ahead Load
 	sent  time.Time
-	// expected is the time to the first event at an idle upstream.
+	// expected is the time to the first event behind what is there.
 	expected time.Duration
 	began    bool
 	latency  time.Duration
@@ -171,15 +171,18 @@
 		at(c.work, call.Service.Name).began(call, now)
 	}
 	t := at(c.learned, call.Service.Name)
-	reading := c.figures(call.Service.Name, now).Reading(float64(best.uncached))
+	expected := time.Duration(0)
+	if call.Service.Engine != nil {
+		expected = c.figures(call.Service.Name, now).First(float64(best.uncached), float64(best.load.Unread), float64(best.load.Running))
+	}
 	return forward.Choice{
 		Upstream:       best.upstream.ID,
 		Name:           best.upstream.Name,
 		Address:        best.upstream.Address,
 		MaxConnections: c.connections(call.Service),
-		Slow:           t.slow(call.Route.Objective, reading),
+		Slow:           t.slow(call.Route.Objective, expected),
 		Why:            why,
-		Place:          &place{domain: best.upstream.FailureDomain, service: call.Service.Name, route: call.Route.Name, unread: best.uncached, sent: now, expected: reading, ahead: best.load},
+		Place:          &place{domain: best.upstream.FailureDomain, service: call.Service.Name, route: call.Route.Name, unread: best.uncached, sent: now, expected: expected, ahead: best.load},
 	}, true
 }
 
--- a/internal/routing/placement/timing.go
+++ b/internal/routing/placement/timing.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// timing learns how long first events of a service take, beyond the reading of
-// their prompts.
+// timing learns how long first events of a service take, beyond what is expected of
+// them behind what their upstream has before them.
 type timing struct {
 	mean, deviation float64
 	samples         int
@@ -32,11 +32,14 @@
 
 // slow is after how long an attempt is slower than nearly all are: never under
 // half of the objective, so that a calm service is not tried twice for nothing.
-// Where all are slow, waiting is better than moving.
-func (t *timing) slow(objective, reading time.Duration) time.Duration {
+// Where all are slow, waiting is better than moving: an attempt behind a queue is
+// expected to wait for it. What goes wrong if only the own prompt's reading is expected:
+// under a want of engines requests are moved from queue to queue, away from the homes of
+// their prompt parts, and three times as much is read.
+func (t *timing) slow(objective, expected time.Duration) time.Duration {
 	if t.samples < fewest {
-		return max(objective, 2*reading)
+		return max(objective, 2*expected)
 	}
-	usual := 2*reading + time.Duration((t.mean+deviations*t.deviation)*float64(time.Second))
+	usual := 2*expected + time.Duration((t.mean+deviations*t.deviation)*float64(time.Second))
 	return max(usual, objective/2)
 }
