--- a/internal/gossip/bench_test.go
+++ b/internal/gossip/bench_test.go
@@ -4,7 +4,9 @@
 	"encoding/json"
 	"fmt"
 	"testing"
+	"time"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/enginemodel"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 )
 
@@ -29,6 +31,11 @@
 				r.Began[w][name] = 412
 			}
 		}
+		var sums enginemodel.Sums
+		for i := range 100 {
+			sums.Learn(enginemodel.Sample{Own: float64(700 + 31*i), Ahead: float64(17 * i), Running: float64(i % 7), First: 90 * time.Millisecond}, sums.Fit())
+		}
+		r.Engines = map[ident.Service]enginemodel.Sums{"huvo11a": sums}
 		b.Run(fmt.Sprintf("%d upstreams %d accounts", n.upstreams, n.accounts), func(b *testing.B) {
 			b.ReportAllocs()
 			size := 0
