A part of an account that is not known yet tells the least return time

Cause: the time until there is room was divided by a rate of next to nothing and converted to a duration that cannot hold it; on this machine the result was the least return time for some requests and the longest for others, on another it would differ.

TestAPartOfNothingTellsAReturnTime, with a rate of 0 to a million.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -23,7 +23,8 @@
 	// leastAfter and mostAfter bound when a refused caller is told to return.
 	leastAfter = 100 * time.Millisecond
 	mostAfter  = 2 * time.Second
-	// leastRate keeps a part of nothing from telling a caller to return never.
+	// leastRate, a second, is that of a part which is not known yet: this gateway's
+	// callers have only begun to ask.
 	leastRate = 1e-6
 	// settling is for how long after its start a gateway knows few of the others and
 	// gives a small part of the limits, and settledAfter when a caller that it refuses
@@ -204,13 +205,23 @@
 		d.OK = true
 		return d
 	}
-	after := time.Duration((d.Need - d.Level) / max(rate, leastRate) * float64(time.Second))
+	d.After = k.after(d, rate, now)
+	return d
+}
+
+// after is when a refused request may be admitted, at the rate at which its bucket fills.
+func (k *Keeper) after(d Decision, rate float64, now time.Time) time.Duration {
+	if rate < leastRate {
+		// The next report tells this gateway its part.
+		return leastAfter
+	}
 	most := mostAfter
 	if now.Sub(k.started) < settling && d.Heard < d.Known {
 		most = settledAfter
 	}
-	d.After = min(max(after, leastAfter), most)
-	return d
+	// Compared in seconds: a small rate's time is too long for a time.Duration.
+	seconds := min((d.Need-d.Level)/rate, most.Seconds())
+	return max(time.Duration(seconds*float64(time.Second)), leastAfter)
 }
 
 // filling is what a gateway may use of an account's limit now.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -333,6 +333,23 @@
 	}
 }
 
+// Symptom: a caller is told to return after a time that is none. Sequence: an account
+// asks for many times its limit through other gateways; its first request comes to this
+// one, whose part is not known yet, or next to nothing. Cause: a time that is longer than
+// its type holds.
+func TestAPartOfNothingTellsAReturnTime(t *testing.T) {
+	f := newFleet(1, 57_000)
+	for _, c := range []struct {
+		rate float64
+		want time.Duration
+	}{{0, leastAfter}, {1e-9, leastAfter}, {1e-5, mostAfter}, {5000, 1900 * time.Millisecond}, {19_000, 500 * time.Millisecond}, {1e6, leastAfter}} {
+		d := Decision{Need: 9500, Heard: 1, Known: 1}
+		if got := f.gateways[0].keeper.after(d, c.rate, f.now); got != c.want {
+			t.Errorf("rate %g: %v, want %v", c.rate, got, c.want)
+		}
+	}
+}
+
 // A request larger than the whole burst must still pass at times.
 func TestALargeRequestPassesWhenTheBucketIsFull(t *testing.T) {
 	f := newFleet(1, 10_000)
