Read again: the expected first event is worked out once a candidate, what exists is called

Manager.holds stands once for Grant and begin. - conn.abort was conn.reset; Figures.Reading had no caller; offered's branch for applications gave what the other one gives. - The log's run_out is the lease that ran out, also while its word waits for calls in flight. - The tests of queues share fixture.queue.

--- a/internal/duty/lease_test.go
+++ b/internal/duty/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -260,15 +261,15 @@
 		w.run(time.Second)
 		holder := w.managers[0]
 		grant, _ := holder.Grant()
-		ended, ok := grant.Begin()
-		if !ok {
-			t.Fatal("the holder may not call")
+		ended, err := grant.Begin()
+		if err != nil {
+			t.Fatal(err)
 		}
 		w.fault = func() fault { return unavailable }
 		w.managers = w.managers[:1]
 		w.run(testTiming.Length)
-		if _, ok := grant.Begin(); ok || holder.GivenUp() != 0 {
-			t.Errorf("may still call: %v; says that %d has run out while a call is in flight", ok, holder.GivenUp())
+		if _, err := grant.Begin(); !errors.Is(err, ErrNotHeld) || holder.GivenUp() != 0 {
+			t.Errorf("may still call: %v; says that %d has run out while a call is in flight", err, holder.GivenUp())
 		}
 		ended()
 		w.run(step)
--- a/internal/duty/manager.go
+++ b/internal/duty/manager.go
@@ -88,31 +88,36 @@
 func (m *Manager) Grant() (Grant, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	deadline := m.state.Deadline(m.cfg.Timing)
-	if deadline.IsZero() || !m.cfg.Now().Before(deadline) {
+	if !m.holds() {
 		return Grant{}, false
 	}
 	fence := m.state.fence
 	return Grant{
-		Authority: platform.Authority{Fence: fence, Begin: func() (func(), bool) { return m.begin(fence) }},
-		Deadline:  deadline,
+		Authority: platform.Authority{Fence: fence, Begin: func() (func(), error) { return m.begin(fence) }},
+		Deadline:  m.state.Deadline(m.cfg.Timing),
 	}, true
 }
 
-// begin takes part of the lease for one call, if it is still held under that number.
-func (m *Manager) begin(fence ident.Fence) (ended func(), ok bool) {
+// holds reports whether this gateway may act under its lease; m.mu is held.
+func (m *Manager) holds() bool {
+	deadline := m.state.Deadline(m.cfg.Timing)
+	return !deadline.IsZero() && m.cfg.Now().Before(deadline)
+}
+
+// begin counts one call under the lease, if it is still held under that number, until
+// ended. Errors: ErrNotHeld.
+func (m *Manager) begin(fence ident.Fence) (ended func(), err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	deadline := m.state.Deadline(m.cfg.Timing)
-	if deadline.IsZero() || m.state.fence != fence || !m.cfg.Now().Before(deadline) {
-		return nil, false
+	if !m.holds() || m.state.fence != fence {
+		return nil, ErrNotHeld
 	}
 	m.inFlight++
 	return func() {
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		m.inFlight--
-	}, true
+	}, nil
 }
 
 // Refused notes that a call was refused because a later holder has called.
@@ -310,7 +315,7 @@
 	if held {
 		m.cfg.Log.Info("lease held", "fence", grant.Fence, "before", m.state.record.Before)
 	} else {
-		m.cfg.Log.Info("lease lost", "holder", m.state.record.Holder, "dropped", m.state.dropped, "run_out", m.givenUp)
+		m.cfg.Log.Info("lease lost", "holder", m.state.record.Holder, "dropped", m.state.dropped, "run_out", m.runOut)
 	}
 }
 
--- a/internal/enginemodel/enginemodel.go
+++ b/internal/enginemodel/enginemodel.go
@@ -158,7 +158,7 @@
 func (s *Sums) Learn(sample Sample, figures Figures) {
 	s.scale(1 - 1.0/memory)
 	row, first := sample.row(), sample.First.Seconds()
-	expected := figures.First(sample.Own, sample.Ahead, sample.Running).Seconds()
+	expected := figures.FirstSeconds(sample.Own, sample.Ahead, sample.Running)
 	allowed := max(leastTolerance, tolerance*expected)
 	weight := allowed / max(allowed, math.Abs(first-expected))
 	s.Weight += weight
@@ -199,12 +199,14 @@
 // Rate is how many prompt tokens an engine reads in a second.
 func (f Figures) Rate() float64 { return 1 / f.Token }
 
-// Reading is the time to read tokens.
-func (f Figures) Reading(tokens float64) time.Duration { return seconds(tokens * f.Token) }
-
 // First is the expected time to a first event.
-func (f Figures) First(own, ahead, running float64) time.Duration {
-	return f.Base + seconds(own*f.Token+ahead*f.Ahead+running*f.Running)
+func (f *Figures) First(own, ahead, running float64) time.Duration {
+	return seconds(f.FirstSeconds(own, ahead, running))
+}
+
+// FirstSeconds is First in seconds, for those who compare many.
+func (f *Figures) FirstSeconds(own, ahead, running float64) float64 {
+	return f.Base.Seconds() + own*f.Token + ahead*f.Ahead + running*f.Running
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -150,7 +150,7 @@
 
 // exchange sends a request and reads the answer's header.
 func (c *conn) exchange(ctx context.Context, req *Request) (*Answer, *Failure) {
-	stop := context.AfterFunc(ctx, c.abort)
+	stop := context.AfterFunc(ctx, c.reset)
 	fail := func(stage Stage, err error) (*Answer, *Failure) {
 		stop()
 		c.giveUp()
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -165,10 +165,7 @@
 	return err == nil && quiet
 }
 
-// abort ends the connection from outside of its exchange, which sees its reads fail.
-func (c *conn) abort() { c.reset() }
-
-// reset closes the connection so that nothing of its exchange can arrive any more. What
+// reset closes the connection, also from outside of its exchange, so that nothing of its exchange can arrive any more. What
 // goes wrong with an orderly close: what the other side has not acknowledged stays with
 // the kernel, which goes on repeating it for minutes; a request or an order that was given
 // up while a link was cut then arrives once the link heals, after its caller was answered
--- a/internal/platform/keyed.go
+++ b/internal/platform/keyed.go
@@ -73,9 +73,9 @@
 type Authority struct {
 	Fence ident.Fence
 	// Begin is asked right before the call's first byte leaves, after a connection was
-	// made: the process may have stood still since the right was granted. If it
-	// returns ok, ended must be called once nothing of the call can arrive any more.
-	Begin func() (ended func(), ok bool)
+	// made: the process may have stood still since the right was granted. Without an
+	// error, ended must be called once nothing of the call can arrive any more.
+	Begin func() (ended func(), err error)
 }
 
 // Duties are calls that one gateway at a time makes, under a fencing number.
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -142,6 +142,9 @@
 	load     Load
 	score    float64
 	uncached int
+	// first is the expected time to the call's first event there, in seconds; 0 at an
+	// application.
+	first float64
 }
 
 // Choose implements forward.Placement.
@@ -153,12 +156,13 @@
 	all := view.Of(call.Service.Name)
 	excluded := set.Excluded(now)
 	cut := c.cutOff(now)
-	best, why, found := c.best(call, all, now, func(u *directory.Upstream, o *own) bool {
+	figures := c.figures(call.Service.Name, now)
+	best, why, found := c.best(call, all, &figures, now, func(u *directory.Upstream, o *own) bool {
 		return !contains(exclude, u.ID) && !contains(excluded, u.ID) && !now.Before(o.avoidUntil) && !contains(cut, u.FailureDomain)
 	})
 	if !found {
 		// Where only suspects are left, one of them is better than none.
-		best, why, found = c.best(call, all, now, func(u *directory.Upstream, _ *own) bool { return !contains(exclude, u.ID) })
+		best, why, found = c.best(call, all, &figures, now, func(u *directory.Upstream, _ *own) bool { return !contains(exclude, u.ID) })
 		why = "suspect, " + why
 	}
 	if !found {
@@ -171,10 +175,7 @@
 		at(c.work, call.Service.Name).began(call, now)
 	}
 	t := at(c.learned, call.Service.Name)
-	expected := time.Duration(0)
-	if call.Service.Engine != nil {
-		expected = c.figures(call.Service.Name, now).First(float64(best.uncached), float64(best.load.Unread), float64(best.load.Running))
-	}
+	expected := time.Duration(best.first * float64(time.Second))
 	return forward.Choice{
 		Upstream:       best.upstream.ID,
 		Name:           best.upstream.Name,
@@ -187,11 +188,11 @@
 }
 
 // best returns the candidate with the least score among those that fit.
-func (c *Chooser) best(call *forward.Call, all []directory.Upstream, now time.Time, fits func(*directory.Upstream, *own) bool) (candidate, string, bool) {
+func (c *Chooser) best(call *forward.Call, all []directory.Upstream, figures *enginemodel.Figures, now time.Time, fits func(*directory.Upstream, *own) bool) (candidate, string, bool) {
 	var best candidate
 	found := false
 	order := c.line(call, all)
-	figures := c.figures(call.Service.Name, now)
+	left := call.Remaining(now).Seconds()
 	for i := range all {
 		u := &all[i]
 		o := at(c.own, u.ID)
@@ -202,8 +203,10 @@
 		if c.full(call, &next) {
 			continue
 		}
-		c.score(call, &next, order, i, &figures)
-		if tooLate(call, &next, &figures, now) {
+		c.score(call, &next, order, i, figures)
+		if figures.Samples >= fewest && next.first > left {
+			// A request that surely cannot be served would take an engine's time
+			// from those that can, and its caller would wait for nothing.
 			continue
 		}
 		if !found || next.score < best.score {
@@ -222,18 +225,6 @@
 	return Load{Running: o.load.Running + others.Running, Unread: o.load.Unread + others.Unread}
 }
 
-// tooLate reports whether a first event would come only after the call's time is over.
-// What goes wrong without it: a request that cannot be served takes an engine's time from
-// those that can, and its caller waits for its whole deadline for nothing. The figures
-// decide only once they stand on samples of some requests.
-func tooLate(call *forward.Call, x *candidate, figures *enginemodel.Figures, now time.Time) bool {
-	if call.Service.Engine == nil || figures.Samples < fewest {
-		return false
-	}
-	first := figures.First(float64(x.uncached), float64(x.load.Unread), float64(x.load.Running))
-	return first > call.Remaining(now)
-}
-
 // full reports whether an upstream has as much work as it may get.
 func (c *Chooser) full(call *forward.Call, x *candidate) bool {
 	queue := c.cfg.Params.PlainQueue
@@ -244,7 +235,8 @@
 	return x.upstream.Slots > 0 && float64(x.load.Running) >= most
 }
 
-// score sets the candidate's score: the time to its first event, in seconds.
+// score sets the candidate's expected first event, and its score: that time in seconds,
+// and what else speaks against it.
 func (c *Chooser) score(call *forward.Call, x *candidate, order *line, i int, figures *enginemodel.Figures) {
 	p := c.cfg.Params
 	x.uncached = call.PromptTokens
@@ -260,7 +252,8 @@
 	if call.Service.Engine == nil {
 		x.score = float64(x.load.Running) / float64(max(1, x.upstream.Slots)) * call.Route.Objective.Seconds()
 	} else {
-		x.score = float64(x.load.Unread)*figures.Ahead + (float64(x.uncached)+again)*figures.Token + float64(x.load.Running)*figures.Running
+		x.first = figures.FirstSeconds(float64(x.uncached), float64(x.load.Unread), float64(x.load.Running))
+		x.score = x.first + again*figures.Token
 	}
 	if order != nil {
 		// Among equals the first in line, so that copies of a part stay few. The
--- a/internal/routing/placement/placement_test.go
+++ b/internal/routing/placement/placement_test.go
@@ -57,6 +57,13 @@
 	f.view = directory.NewView(list)
 }
 
+// queue sets what the other gateways have at each upstream.
+func (f *fixture) queue(load Load) {
+	for _, u := range f.view.Of("svc") {
+		f.others[u.ID] = load
+	}
+}
+
 func (f *fixture) call(service *routetable.Service, part uint64) *forward.Call {
 	c := &forward.Call{Route: route, Service: service, Expires: f.now.Add(time.Minute)}
 	if part > 0 {
@@ -272,9 +279,7 @@
 // are served, those with one are refused at once.
 func TestWhatCannotBeServedIsNotSent(t *testing.T) {
 	f := newFixture()
-	for _, u := range f.view.Of("svc") {
-		f.others[u.ID] = Load{Running: 5, Unread: 200_000}
-	}
+	f.queue(Load{Running: 5, Unread: 200_000})
 	for _, c := range []struct {
 		left time.Duration
 		want bool
@@ -296,9 +301,7 @@
 	if got := f.RoomIn(f.call(engine, 7), f.now); got != 0 {
 		t.Errorf("room in %v at idle engines", got)
 	}
-	for _, u := range f.view.Of("svc") {
-		f.others[u.ID] = Load{Unread: 200_000}
-	}
+	f.queue(Load{Unread: 200_000})
 	if got := f.RoomIn(f.call(engine, 7), f.now); got < time.Second || got > 2500*time.Millisecond {
 		t.Errorf("room in %v behind 200,000 tokens everywhere", got)
 	}
--- a/internal/routing/placement/timing_test.go
+++ b/internal/routing/placement/timing_test.go
@@ -30,9 +30,7 @@
 		t.Errorf("waits %v for an idle engine", got)
 	}
 	f.see(directory.Ready, "a0", "b0")
-	for _, u := range f.view.Of("svc") {
-		f.others[u.ID] = Load{Unread: 200_000}
-	}
+	f.queue(Load{Unread: 200_000})
 	if got := slow(); got < 2*time.Second {
 		t.Errorf("waits only %v behind two seconds of queue", got)
 	}
--- a/internal/routing/placement/work.go
+++ b/internal/routing/placement/work.go
@@ -98,9 +98,6 @@
 // parts lacks. Where engines are short, requests are sent away from their homes and sent
 // again, and three times as many are read.
 func offered(call *forward.Call) int {
-	if call.Service.Engine == nil {
-		return call.PromptTokens
-	}
 	return call.PromptTokens - sharedTokens(call)
 }
 
