--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -72,6 +72,7 @@
 // newOperators serves the metrics, what is barred, liveness, and readiness with its reason.
 func (p *Process) newOperators(listener net.Listener) *operations.Server {
 	handlers := p.barredHandlers()
+	handlers["GET "+limitedPath] = http.HandlerFunc(p.listLimited)
 	handlers["GET "+metricsPath] = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { p.writeMetrics(w) })
 	return operations.New(operations.Config{Listener: listener, Ready: p.readiness, Handlers: handlers})
 }
@@ -98,6 +99,7 @@
 			o.Order.Service, o.Verdict.Answers, o.Order.Service, o.Verdict.Against)
 	}
 	p.writeBarred(w)
+	p.writeLimits(w)
 	v := p.view.Load()
 	fmt.Fprintf(w, "gateways_heard %d\ngateways_known %d\nclock_correction_seconds %.3f\n", v.Heard, v.Known, v.WallCorrection.Seconds())
 	fmt.Fprintf(w, "requests_active %d\ngossip_bytes_total %d\n", p.callers.Active(), p.gossip.Bytes())
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -35,6 +35,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/routing/placement"
 	"github.com/goldcrestspool/goldcrestspool/internal/settings"
 	"github.com/goldcrestspool/goldcrestspool/internal/telemetry"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstreamlimit"
 )
 
 const (
@@ -78,6 +79,7 @@
 	chooser       *placement.Chooser
 	rollouts      *rollout.Tracker
 	poison        *poison.Tracker
+	limits        *upstreamlimit.Keeper
 	lease         *duty.Manager
 	keeper        *quota.Keeper
 	counter       *metering.Counter
@@ -122,6 +124,7 @@
 	p.poison = poison.New(poison.Config{
 		Now: p.now, Log: p.log.Named("poison"), Key: func(id ident.Instance) uint32 { return uint32(gossip.KeyOf(id)) },
 	})
+	p.limits = upstreamlimit.NewKeeper(upstreamlimit.Config{Now: p.now, Log: p.log.Named("limits")})
 	p.configuration = newConfiguration(p.ports, p.board, p.rollouts, p.now, p.place, s.Configuration.ChangeDue, p.log.Named("configuration"))
 	p.upstreams = newUpstreams(p.ports, p.board, p.rollouts, p.pool, p.now, p.place, s.Upstreams.DepartureDue, p.log.Named("upstreams"))
 	p.gossip = gossip.New(gossip.Config{
@@ -142,7 +145,7 @@
 	forwarder := forward.New(forward.Config{
 		Now: p.now, Pool: p.pool, Dialect: p.ports.Protocol, Placement: p.chooser,
 		Budget: retry.NewShared(retry.SharedConfig{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window}, p.gateways),
-		Guard:  p.poison, Meter: p.counter, Log: p.log.Named("forward"), Tracer: p.tracing.Tracer, RetryAfter: p.retryAfter,
+		Guard:  p.poison, Limits: p.limits, Meter: p.counter, Log: p.log.Named("forward"), Tracer: p.tracing.Tracer, RetryAfter: p.retryAfter,
 	})
 	p.lease = p.newLease()
 	p.callers = ingress.New(ingress.Config{
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -47,6 +47,7 @@
 	Placement Placement
 	Budget    Budget
 	Guard     Guard
+	Limits    Limits
 	Meter     Meter
 	Log       hclog.Logger
 	Tracer    trace.Tracer
@@ -287,6 +288,9 @@
 // read takes an answer whose header has come.
 func (s *session) read(choice Choice, answer *httpconn.Answer, patience *patience) Result {
 	reading := s.f.cfg.Dialect.Read(answer.Status, answer.Header)
+	if !reading.Other {
+		s.f.cfg.Limits.Hear(choice.Upstream, s.call.ID, reading.Limit)
+	}
 	if reading.NotRun {
 		s.reason = "status " + http.StatusText(answer.Status)
 		s.drain(answer)
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -8,6 +8,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/poison"
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstreamlimit"
 )
 
 // PromptPart is a part of a prompt that other requests may share.
@@ -72,6 +73,10 @@
 	Genuine bool
 	// Stream: the body is events.
 	Stream bool
+	// Other: another upstream than the one that was asked for answered.
+	Other bool
+	// Limit is what the answer says of the rate that its upstream takes.
+	Limit upstreamlimit.Statement
 }
 
 // Dialect writes requests and reads answers in the upstreams' protocol.
@@ -125,6 +130,12 @@
 	Completed(content ident.Content)
 }
 
+// Limits are the rates that upstreams name in their answers.
+type Limits interface {
+	// Hear takes in what an answer of an upstream to a request says.
+	Hear(upstream ident.Instance, id ident.Request, s upstreamlimit.Statement)
+}
+
 // Budget bounds what arrives at a service beyond the first attempts, over all
 // gateways together.
 type Budget interface {
--- /dev/null
+++ b/internal/upstreamlimit/list.go
@@ -0,0 +1,34 @@
+package upstreamlimit
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+// Entry is one upstream's limit, for operators.
+type Entry struct {
+	Upstream ident.Instance
+	Rate     float64
+	// Age is how long ago an answer last named it, and Answers how many came here since it
+	// was heard of.
+	Age     time.Duration
+	Answers int
+}
+
+// List returns the limits that are in force, by upstream.
+func (k *Keeper) List() []Entry {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.cfg.Now()
+	var out []Entry
+	for upstream, l := range k.limits {
+		if l.limited {
+			out = append(out, Entry{Upstream: upstream, Rate: l.rate, Age: now.Sub(l.saidAt), Answers: l.answers})
+		}
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.Upstream, b.Upstream) })
+	return out
+}
