--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -37,6 +37,17 @@
 	conns map[net.Conn]bool
 	// bodies are those of the requests seen.
 	bodies []string
+	// limit is what all answers name as the rate that is taken; empty for none.
+	limit string
+	// namedAt is when an answer first named a limit, and arrivals the requests since.
+	namedAt  time.Time
+	arrivals []Arrival
+}
+
+// Arrival is a request that came to a worker which had named a limit.
+type Arrival struct {
+	ID string
+	At time.Time
 }
 
 // New starts a worker; it ends with the test.
@@ -104,6 +115,34 @@
 	return append([]*http.Request(nil), w.seen...), append([]string(nil), w.bodies...)
 }
 
+// Limit has all answers name a rate, whatever the text, or none where it is empty.
+func (w *Worker) Limit(text string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.limit = text
+}
+
+// Arrivals returns the requests that came since an answer first named a limit, and when
+// that was.
+func (w *Worker) Arrivals() (namedAt time.Time, arrivals []Arrival) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.namedAt, append([]Arrival(nil), w.arrivals...)
+}
+
+// limitLine is the header line that names the limit, if there is one.
+func (w *Worker) limitLine() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.limit == "" {
+		return ""
+	}
+	if w.namedAt.IsZero() {
+		w.namedAt = time.Now()
+	}
+	return "Server-Limit: " + w.limit + "\r\n"
+}
+
 // Connections returns how many connections are open.
 func (w *Worker) Connections() int {
 	w.mu.Lock()
@@ -155,6 +194,9 @@
 	defer w.mu.Unlock()
 	w.seen = append(w.seen, r)
 	w.bodies = append(w.bodies, body)
+	if !w.namedAt.IsZero() {
+		w.arrivals = append(w.arrivals, Arrival{ID: r.Header.Get(RequestID), At: time.Now()})
+	}
 	if len(w.acts) == 0 {
 		return w.usual
 	}
@@ -186,8 +228,8 @@
 
 // Head writes a status line and the headers of a genuine answer.
 func (w *Writer) Head(status int, more string) {
-	w.Raw(fmt.Sprintf("HTTP/1.1 %d X\r\nX-Request-Id: %s\r\nX-Response-Signature: sig-%s\r\nX-Instance-Id: %s\r\n%s\r\n",
-		status, w.request.Header.Get(RequestID), w.worker.ID, w.worker.ID, more))
+	w.Raw(fmt.Sprintf("HTTP/1.1 %d X\r\nX-Request-Id: %s\r\nX-Response-Signature: sig-%s\r\nX-Instance-Id: %s\r\n%s%s\r\n",
+		status, w.request.Header.Get(RequestID), w.worker.ID, w.worker.ID, w.worker.limitLine(), more))
 }
 
 // Close ends the connection; with reset it is reset.
