--- a/internal/duty/lease.go
+++ b/internal/duty/lease.go
@@ -32,8 +32,15 @@
 	// Gateways is how many gateways the holder knew, for those that have just
 	// started and know none.
 	Gateways int `json:"gateways,omitempty"`
-	// Kept is what gateways that start need to know of those before them.
-	Kept json.RawMessage `json:"kept,omitempty"`
+	Kept
+}
+
+// Kept is what gateways that start need to know of those before them.
+type Kept struct {
+	// Requests that end upstreams.
+	Requests json.RawMessage `json:"kept,omitempty"`
+	// Limits that upstreams named.
+	Limits json.RawMessage `json:"kept_limits,omitempty"`
 }
 
 // Timing bounds a lease. All are measured by a clock that counts suspensions.
--- a/internal/duty/lease_test.go
+++ b/internal/duty/lease_test.go
@@ -333,8 +333,13 @@
 	w := newWorld(0)
 	kept := func(m *Manager, first string) *string {
 		learned := first
-		m.cfg.Keep = func() json.RawMessage { return json.RawMessage(learned) }
-		m.cfg.Learn = func(data json.RawMessage) { learned = string(data) }
+		m.cfg.Keep = func() Kept { return Kept{Requests: json.RawMessage(learned), Limits: json.RawMessage(learned)} }
+		m.cfg.Learn = func(kept Kept) {
+			if string(kept.Requests) != string(kept.Limits) {
+				t.Errorf("learned %s and %s", kept.Requests, kept.Limits)
+			}
+			learned = string(kept.Limits)
+		}
 		return &learned
 	}
 	first := w.add("a", 0)
--- a/internal/duty/manager.go
+++ b/internal/duty/manager.go
@@ -48,8 +48,8 @@
 	Gateways func() int
 	// Keep returns what the record carries for gateways that start, and Learn takes in
 	// what it carried; it is called before this gateway can write one. Both may be nil.
-	Keep  func() json.RawMessage
-	Learn func(kept json.RawMessage)
+	Keep  func() Kept
+	Learn func(kept Kept)
 	// GivenUp is the highest fencing number whose holder says that it acts under it
 	// no more. Without its word, a holder that has lost the store, and it alone, is
 	// followed only when its record has stood for the lease's length (some 4 s).
--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -75,11 +75,21 @@
 	return duty.NewManager(duty.Config{
 		Self: p.settings.Instance.ID, Life: p.incarnation, Timing: duty.NewTiming(p.settings.Lease.Length, platform.DutyTimeout),
 		Store: p.ports.Store, Now: p.now, Log: p.log.Named("lease"), Rank: p.rank, Gateways: p.gateways,
-		GivenUp: p.givenUp, Keep: p.poison.Keep, Learn: p.poison.Learn,
+		GivenUp: p.givenUp, Keep: p.keep, Learn: p.learnKept,
 		Lost: func() { go p.gossip.Say(context.Background()) },
 	})
 }
 
+// keep returns what must outlive all gateways, and learnKept takes it in.
+func (p *Process) keep() duty.Kept {
+	return duty.Kept{Requests: p.poison.Keep(), Limits: p.limits.Keep()}
+}
+
+func (p *Process) learnKept(kept duty.Kept) {
+	p.poison.Learn(kept.Requests)
+	p.limits.Restore(kept.Limits)
+}
+
 // givenUp is the highest fencing number whose holder says that it has run out.
 func (p *Process) givenUp() ident.Fence {
 	return p.view.Load().GivenUp
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -4,6 +4,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/directory"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstreamlimit"
 )
 
 // limitedPath is where operators look up the upstreams that named a limit.
@@ -19,6 +24,29 @@
 // writeLimits prints the counters of the limits that upstreams name.
 func (p *Process) writeLimits(w io.Writer) {
 	c := p.limits.Counters()
-	fmt.Fprintf(w, "upstreams_limited_now %d\nupstream_limits_changed_total %d\nupstream_limits_unreadable_total %d\n",
-		len(p.limits.List()), c.Changes, c.Unreadable)
+	fmt.Fprintf(w, "upstreams_limited_now %d\nupstream_limits_changed_total %d\nupstream_limits_unreadable_total %d\n"+
+		"requests_within_limits_total %d\nrequests_passed_over_limits_total %d\n",
+		len(p.limits.List()), c.Changes, c.Unreadable, c.Sent, c.PassedOver)
+}
+
+// refreshLimits takes in what the other gateways do with upstreams that have a limit.
+func (p *Process) refreshLimits(v *peerView) {
+	var uses upstreamlimit.Uses
+	for i := range v.Groups {
+		uses = uses.Plus(v.Groups[i].LimitUses)
+	}
+	p.limits.Refresh(uses, upstreamlimit.Fleet{Heard: v.Heard + 1, Known: p.gateways()})
+	p.limits.Listed(func(note func(ident.Instance)) {
+		p.board.upstreams.Value().Each(func(u *directory.Upstream) { note(u.ID) })
+	})
+}
+
+// learnLimits takes in what another gateway says of upstreams' limits, as of an instant, or
+// of nobody knows when, where that is zero: as of now, then, because it was on its way for
+// less than gateways take to hear of each other.
+func (p *Process) learnLimits(said []upstreamlimit.Said, asOf time.Time) {
+	if asOf.IsZero() {
+		asOf = p.now()
+	}
+	p.limits.Learn(said, asOf)
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -37,6 +37,7 @@
 	p.view.Store(v)
 	p.rollouts.Refresh(wordsOf(v.Groups))
 	p.poison.Refresh(poisonOf(v.Groups))
+	p.refreshLimits(v)
 	if table := p.table(); table != nil {
 		p.keeper.Tick(table.Accounts(), now)
 	}
@@ -137,6 +138,7 @@
 	_, r.Holds = p.lease.Grant()
 	r.Rollouts = p.rollouts.Words(p.idle)
 	r.Poison = p.poison.Words()
+	r.Limits = p.limits.Say()
 	return r
 }
 
@@ -153,6 +155,7 @@
 	for account, total := range p.keeper.Totals() {
 		r.Accounts[account] = gossip.Spending{Spent: total.Spent, Refused: total.Refused}
 	}
+	r.LimitUses = p.limits.Uses()
 	r.Work = p.work(now)
 	r.Engines = p.chooser.Engines()
 	return r
@@ -192,6 +195,7 @@
 func (k knowledge) Heard(r *gossip.Report, asOf time.Time) {
 	// What a gateway says that it knows of the operators' records comes after what they say.
 	k.p.rollouts.Learn(r.Rollouts)
+	k.p.learnLimits(r.Limits, asOf)
 	// As of long ago a report confirms nothing; a newer revision is news all the same.
 	k.p.configuration.confirmBy(r.Revision, asOf.Add(-r.RevisionAge))
 	k.p.upstreams.confirm(r.Upstreams, asOf.Add(-r.UpstreamsAge))
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -124,7 +124,9 @@
 	p.poison = poison.New(poison.Config{
 		Now: p.now, Log: p.log.Named("poison"), Key: func(id ident.Instance) uint32 { return uint32(gossip.KeyOf(id)) },
 	})
-	p.limits = upstreamlimit.NewKeeper(upstreamlimit.Config{Now: p.now, Log: p.log.Named("limits")})
+	p.limits = upstreamlimit.NewKeeper(upstreamlimit.Config{
+		Now: p.now, Log: p.log.Named("limits"), Key: func(id ident.Instance) uint32 { return uint32(gossip.KeyOf(id)) }, Seed: uint64(p.incarnation),
+	})
 	p.configuration = newConfiguration(p.ports, p.board, p.rollouts, p.now, p.place, s.Configuration.ChangeDue, p.log.Named("configuration"))
 	p.upstreams = newUpstreams(p.ports, p.board, p.rollouts, p.pool, p.now, p.place, s.Upstreams.DepartureDue, p.log.Named("upstreams"))
 	p.gossip = gossip.New(gossip.Config{
@@ -140,6 +142,7 @@
 		Silent:   func(d ident.FailureDomain) bool { return p.view.Load().Silent[d] },
 		Gateways: p.gateways,
 		Engines:  p.engineSums,
+		Limits:   p.limits,
 		Split:    p.rollouts.Of,
 	})
 	forwarder := forward.New(forward.Config{
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -21,6 +21,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
 	"github.com/goldcrestspool/goldcrestspool/internal/routing/placement"
 	"github.com/goldcrestspool/goldcrestspool/internal/standin/engine"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstreamlimit"
 )
 
 // Case is one run.
@@ -160,6 +161,7 @@
 		Gateways: func() int { return w.c.Fleet.Gateways },
 		Engines:  func(ident.Service) enginemodel.Sums { return w.sums },
 		Split:    func(ident.Service) *rollout.Split { return nil },
+		Limits:   upstreamlimit.NewKeeper(upstreamlimit.Config{Now: time.Now, Log: hclog.NewNullLogger()}),
 	})
 	w.gateways = append(w.gateways, g)
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -100,6 +100,8 @@
 	// failed, kept to be delivered if nothing better comes.
 	failure *wholeAnswer
 	reason  string
+	// onlyLimits: nothing but limits that upstreams named kept the call from one.
+	onlyLimits bool
 	// ended: an upstream ended under the call. The timer of an attempt reads it too.
 	ended atomic.Bool
 	// barredFor is when the call may come back; 0 if it is not barred.
@@ -163,6 +165,9 @@
 	switch context.Cause(s.ctx) {
 	case nil:
 		s.reason = "no upstream takes work"
+		if s.onlyLimits {
+			s.reason = "all upstreams are at the limits that they named"
+		}
 	case errExpired:
 		if !s.state.MayHaveRun() {
 			s.reason = "its time was over before an upstream took it"
@@ -191,7 +196,11 @@
 	for {
 		now := s.f.cfg.Now()
 		choice, found := s.f.cfg.Placement.Choose(s.call, s.state.Tried, now)
-		if found || !now.Before(waitUntil) || s.ctx.Err() != nil {
+		if len(choice.AtLimit) > 0 {
+			s.outcome.AtLimit = choice.AtLimit
+		}
+		s.onlyLimits = choice.OnlyLimits
+		if found || choice.OnlyLimits || !now.Before(waitUntil) || s.ctx.Err() != nil {
 			return choice, found && s.ctx.Err() == nil
 		}
 		pause.For(s.ctx, waitStep) // the next look sees whether the call has ended
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -98,6 +98,10 @@
 	Slow time.Duration
 	// Why names what decided, for the log.
 	Why string
+	// AtLimit are the upstreams that would have been better but for the limits which they
+	// named. OnlyLimits: there is no upstream, and nothing but limits is in the way.
+	AtLimit    []ident.Instance
+	OnlyLimits bool
 	// Place must be given back with Placement.Finished.
 	Place any
 }
@@ -180,4 +184,6 @@
 	// there was none.
 	FirstPart time.Duration
 	Events    int
+	// AtLimit are the upstreams that were passed over for the limits which they named.
+	AtLimit []ident.Instance
 }
--- a/internal/gossip/collector.go
+++ b/internal/gossip/collector.go
@@ -233,6 +233,7 @@
 			s.addTo(chosen.sum.Loads, chosen.sum.Work, chosen.sum.Engines)
 			s.Rollouts = s.Rollouts.Plus(chosen.sum.Rollouts.Aged(now.Sub(chosen.at)))
 			s.Poison = s.Poison.Plus(chosen.sum.Poison.Aged(now.Sub(chosen.at)))
+			s.LimitUses = s.LimitUses.Plus(chosen.sum.LimitUses)
 			s.Holds = s.Holds || chosen.sum.Holds
 			s.GivenUp = max(s.GivenUp, chosen.sum.GivenUp)
 		}
@@ -271,6 +272,7 @@
 		s.addTo(m.report.Loads, m.report.Work, m.report.Engines)
 		s.Rollouts = s.Rollouts.Plus(m.report.Rollouts.Aged(age))
 		s.Poison = s.Poison.Plus(m.report.Poison.Aged(age))
+		s.LimitUses = s.LimitUses.Plus(m.report.LimitUses)
 		s.Holds = s.Holds || m.report.Holds
 		s.GivenUp = max(s.GivenUp, m.report.GivenUp)
 	}
--- a/internal/gossip/types.go
+++ b/internal/gossip/types.go
@@ -24,6 +24,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/poison"
 	"github.com/goldcrestspool/goldcrestspool/internal/rollout"
 	"github.com/goldcrestspool/goldcrestspool/internal/routing/placement"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstreamlimit"
 )
 
 // UpstreamKey stands for an upstream's ID between gateways: four bytes instead of some
@@ -75,6 +76,10 @@
 	Rollouts rollout.Words
 	// Poison is what it knows of requests that end upstreams.
 	Poison poison.Words
+	// Limits are what upstreams say of the rates that they take, and LimitUses what it
+	// does with those that have a limit.
+	Limits    []upstreamlimit.Said
+	LimitUses upstreamlimit.Uses
 }
 
 // Contact is where a gateway can be reached.
@@ -117,6 +122,8 @@
 	GivenUp  ident.Fence
 	Rollouts rollout.Words
 	Poison   poison.Words
+	// LimitUses are what they do with upstreams that have a limit.
+	LimitUses upstreamlimit.Uses
 	// Silent are failure domains that were heard lately and are not now.
 	Silent []ident.FailureDomain
 	// TrueWallMillis is the source's time of day as most gateways have it.
--- a/internal/gossip/view.go
+++ b/internal/gossip/view.go
@@ -8,6 +8,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/poison"
 	"github.com/goldcrestspool/goldcrestspool/internal/rollout"
 	"github.com/goldcrestspool/goldcrestspool/internal/routing/placement"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstreamlimit"
 )
 
 // View is the other gateways at an instant, however they were heard.
@@ -44,6 +45,7 @@
 	Engines    map[ident.Service]enginemodel.Sums
 	Rollouts   rollout.Words
 	Poison     poison.Words
+	LimitUses  upstreamlimit.Uses
 }
 
 // allOthers names the group of all gateways by a collector's word.
@@ -81,7 +83,7 @@
 		life := LifeOf(r.Node, r.Incarnation)
 		v.Groups = append(v.Groups, Group{
 			Name: life, Source: life, Gateways: 1, ReportedAt: m.HeardAt, Loads: r.Loads, Accounts: r.Accounts, Work: r.Work, Engines: r.Engines,
-			Rollouts: r.Rollouts.Aged(now.Sub(m.HeardAt)), Poison: r.Poison.Aged(now.Sub(m.HeardAt)),
+			Rollouts: r.Rollouts.Aged(now.Sub(m.HeardAt)), Poison: r.Poison.Aged(now.Sub(m.HeardAt)), LimitUses: r.LimitUses,
 		})
 		v.Holds = v.Holds || r.Holds
 		v.GivenUp = max(v.GivenUp, r.GivenUp)
@@ -120,6 +122,7 @@
 	v.Groups = []Group{{
 		Name: allOthers, Source: sum.Source, Gateways: sum.Heard, ReportedAt: heardAt.Add(-sum.Age),
 		Loads: sum.Loads, Accounts: sum.Accounts, Work: sum.Work, Engines: sum.Engines, Rollouts: sum.Rollouts.Aged(age), Poison: sum.Poison.Aged(age),
+		LimitUses: sum.LimitUses,
 	}}
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -415,6 +415,9 @@
 		"step", outcome.Step.String(), "status", outcome.Status, "reason", outcome.Reason, "attempts", outcome.Attempts, "upstreams", outcome.Tried,
 		"resumed", outcome.Resumed, "events", outcome.Events, "first_ms", outcome.FirstPart.Milliseconds(), "took_ms", took.Milliseconds(),
 		"prompt", call.PromptTokens, "most", call.MostTokens}
+	if len(outcome.AtLimit) > 0 {
+		fields = append(fields, "at_limit", outcome.AtLimit)
+	}
 	if !plain {
 		// A plain success's whole body would be hashed for its line alone.
 		fields = append(fields, "content", call.Content())
--- a/internal/routing/placement/bench_test.go
+++ b/internal/routing/placement/bench_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/directory"
 	"github.com/goldcrestspool/goldcrestspool/internal/forward"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstreamlimit"
 )
 
 // BenchmarkChoose gives the slope of docs/CAPACITY.md: one request placed among so
@@ -22,12 +24,18 @@
 		}
 		f.view = directory.NewView(list)
 		call := f.call(engine, 7)
-		b.Run(fmt.Sprintf("%d", n), func(b *testing.B) {
+		choose := func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
+				f.now = f.now.Add(time.Millisecond)
 				choice, _ := f.Choose(call, nil, f.now)
 				f.Finished(choice, forward.Done, f.now)
 			}
-		})
+		}
+		b.Run(fmt.Sprint(n), choose)
+		for i := range min(n, 50) / 2 {
+			f.limits.Hear(list[2*i].ID, "", upstreamlimit.RateOf(1))
+		}
+		b.Run(fmt.Sprintf("%d, some with limits", n), choose)
 	}
 }
--- /dev/null
+++ b/internal/routing/placement/limits_test.go
@@ -0,0 +1,115 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/directory"
+	"github.com/goldcrestspool/goldcrestspool/internal/forward"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstreamlimit"
+)
+
+// chooseAll sends so many calls of a service, a millisecond apart, and counts where they go.
+func (f *fixture) chooseAll(calls int, next func(i int) *forward.Call) (where map[ident.Instance]int, none int) {
+	where = make(map[ident.Instance]int)
+	for i := range calls {
+		f.now = f.now.Add(time.Millisecond)
+		choice, found := f.Choose(next(i), nil, f.now)
+		if !found {
+			none++
+			continue
+		}
+		where[choice.Upstream]++
+		f.Finished(choice, forward.Done, f.now)
+	}
+	return where, none
+}
+
+// Guards against requests that are refused, or sent to an upstream beyond the rate which it
+// named, while others have room.
+func TestUpstreamsWithLimitsArePassedOverForOthers(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		limited []ident.Instance
+		rate    float64
+		state   directory.State
+	}{
+		{name: "one", limited: []ident.Instance{"a0"}, rate: 1},
+		{name: "zero", limited: []ident.Instance{"a0"}},
+		{name: "all of the own domain", limited: []ident.Instance{"a0", "a1"}, rate: 2},
+		{name: "all but one", limited: []ident.Instance{"a0", "a1", "b0", "b1", "c0"}, rate: 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture()
+			for _, id := range c.limited {
+				f.limits.Hear(id, "", upstreamlimit.RateOf(c.rate))
+			}
+			f.limits.Refresh(nil, upstreamlimit.Fleet{Heard: 1, Known: 1})
+			const calls = 8000
+			where, none := f.chooseAll(calls, func(i int) *forward.Call { return f.call(engine, uint64(i%20+1)) })
+			if none > 0 {
+				t.Errorf("%d calls found no upstream", none)
+			}
+			for _, id := range c.limited {
+				seconds := float64(calls) / 1000
+				if allowed := 1.5*max(c.rate, 0.2)*seconds + 5; float64(where[id]) > allowed {
+					t.Errorf("%s got %d in %.0f s, allowed %.0f", id, where[id], seconds, allowed)
+				}
+			}
+		})
+	}
+}
+
+// Guards against requests that wait, or are sent all the same, where every upstream has a
+// limit: they are refused at once, with when to return.
+func TestWhereAllHaveLimitsCallsAreRefusedAtOnce(t *testing.T) {
+	f := newFixture()
+	for _, u := range f.view.Of("svc") {
+		f.limits.Hear(u.ID, "", upstreamlimit.RateOf(2))
+	}
+	f.limits.Refresh(nil, upstreamlimit.Fleet{Heard: 1, Known: 1})
+	const calls = 8000
+	where, none := f.chooseAll(calls, func(int) *forward.Call { return f.call(plain, 0) })
+	if served := calls - none; served < 50 || served > 2*6*8*3/2 {
+		t.Errorf("%d calls served in 8 s by six upstreams that take 2 a second", served)
+	}
+	for id, n := range where {
+		if n > 29 {
+			t.Errorf("%s got %d", id, n)
+		}
+	}
+	choice, found := forward.Choice{}, true
+	for found {
+		choice, found = f.Choose(f.call(plain, 0), nil, f.now)
+	}
+	if !choice.OnlyLimits || len(choice.AtLimit) != 6 {
+		t.Errorf("a call that found none: %+v", choice)
+	}
+	if in := f.RoomIn(f.call(plain, 0), f.now); in < time.Second || in > 30*time.Second {
+		t.Errorf("room in %v, with 1000 calls a second for 12", in)
+	}
+	for _, u := range f.view.Of("svc") {
+		f.limits.Hear(u.ID, "", upstreamlimit.Statement{})
+	}
+	if _, found := f.Choose(f.call(plain, 0), nil, f.now); !found {
+		t.Error("limits were lifted, and a call found no upstream")
+	}
+}
+
+// Guards against a wait in vain, or none, where an upstream with a limit is not all that is
+// in the way: a full one takes work again soon.
+func TestAFullUpstreamBesideOneWithALimitIsWaitedFor(t *testing.T) {
+	f := newFixture()
+	f.see(directory.Ready, "a0", "a1")
+	f.others["a1"] = Load{Running: 1000}
+	f.limits.Hear("a0", "", upstreamlimit.RateOf(0))
+	f.limits.Refresh(nil, upstreamlimit.Fleet{Heard: 1, Known: 1})
+	choice, found := forward.Choice{}, true
+	for found {
+		choice, found = f.Choose(f.call(engine, 0), nil, f.now)
+	}
+	if choice.OnlyLimits || len(choice.AtLimit) != 1 {
+		t.Errorf("a call that found none: %+v", choice)
+	}
+}
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -79,10 +79,25 @@
 	Gateways func() int
 	// Engines returns what the other gateways' requests saw of a service's engines.
 	Engines func(ident.Service) enginemodel.Sums
+	// Limits are the rates that upstreams named.
+	Limits Limits
 	// Split returns how a service's upstreams are split by version; nil if they are not.
 	Split func(ident.Service) *rollout.Split
 }
 
+// Limits are the rates that upstreams named, to which all gateways keep together.
+type Limits interface {
+	// Some reports whether any upstream has a limit; Version changes with those that have.
+	Some() bool
+	Version() uint64
+	Limited(ident.Instance) bool
+	// Take reports whether a request may be sent to an upstream for which it is the best
+	// choice. It is counted as sent.
+	Take(ident.Instance) bool
+	// RoomIn returns after how long upstreams take one more request that all have a limit.
+	RoomIn([]ident.Instance) time.Duration
+}
+
 // Chooser implements forward.Placement. It is safe for concurrent use.
 type Chooser struct {
 	cfg Config
@@ -97,6 +112,7 @@
 	reported map[ident.Instance]ejection.State
 	work     map[ident.Service]*workOf
 	engines  map[ident.Service]*engines
+	limited  limitedMarks
 }
 
 // own is what this gateway has at an upstream.
@@ -170,16 +186,17 @@
 	excluded := set.Excluded(now)
 	cut := c.cutOff(now)
 	figures := c.figures(call.Service.Name, now)
-	best, why, found := c.first(call, lists, &figures, now, func(u *directory.Upstream, o *own) bool {
+	s := &search{chooser: c, call: call, figures: &figures, now: now}
+	best, why, found := s.first(lists, func(u *directory.Upstream, o *own) bool {
 		return !contains(exclude, u.ID) && !contains(excluded, u.ID) && !now.Before(o.avoidUntil) && !contains(cut, u.FailureDomain)
 	})
 	if !found {
 		// Where only suspects are left, one of them is better than none.
-		best, why, found = c.first(call, lists, &figures, now, func(u *directory.Upstream, _ *own) bool { return !contains(exclude, u.ID) })
+		best, why, found = s.first(lists, func(u *directory.Upstream, _ *own) bool { return !contains(exclude, u.ID) })
 		why = "suspect, " + why
 	}
 	if !found {
-		return forward.Choice{}, false
+		return forward.Choice{AtLimit: s.atLimit, OnlyLimits: len(s.atLimit) > 0 && !s.full}, false
 	}
 	var side rollout.Side
 	if split != nil {
@@ -200,6 +217,7 @@
 		MaxConnections: c.connections(call.Service),
 		Slow:           t.slow(call.Route.Objective, expected),
 		Why:            why,
+		AtLimit:        s.atLimit,
 		Place:          &place{domain: best.upstream.FailureDomain, service: call.Service.Name, route: call.Route.Name, unread: best.uncached, sent: now, expected: expected, ahead: best.load, split: split, side: side, upstream: best.upstream},
 	}, true
 }
@@ -213,25 +231,40 @@
 	return split, split.Lists(call.ID, call.Route.Name, again, now)
 }
 
+// search is the search for one call's upstream.
+type search struct {
+	chooser *Chooser
+	call    *forward.Call
+	figures *enginemodel.Figures
+	now     time.Time
+	// atLimit are the upstreams that would have been better but for their limits, and full
+	// whether one had as much work as it may get.
+	atLimit []ident.Instance
+	full    bool
+}
+
 // first returns the best candidate of the first list that has one.
-func (c *Chooser) first(call *forward.Call, lists rollout.Lists, figures *enginemodel.Figures, now time.Time, fits func(*directory.Upstream, *own) bool) (candidate, string, bool) {
-	best, why, found := c.best(call, lists.First, figures, now, fits)
+func (s *search) first(lists rollout.Lists, fits func(*directory.Upstream, *own) bool) (candidate, string, bool) {
+	best, why, found := s.best(lists.First, fits)
 	if !found && len(lists.Then) > 0 {
-		return c.best(call, lists.Then, figures, now, fits)
+		return s.best(lists.Then, fits)
 	}
 	return best, why, found
 }
 
-// best returns the candidate with the least score among those that fit.
-func (c *Chooser) best(call *forward.Call, all []directory.Upstream, figures *enginemodel.Figures, now time.Time, fits func(*directory.Upstream, *own) bool) (candidate, string, bool) {
+// best returns the candidate with the least score among those that fit and take it.
+func (s *search) best(all []directory.Upstream, fits func(*directory.Upstream, *own) bool) (candidate, string, bool) {
 	var best candidate
+	var held []candidate
 	found := false
+	c, call, figures := s.chooser, s.call, s.figures
+	limited := c.limited.of(all, c.cfg.Limits)
 	order := c.line(call, all)
 	var two drawn
 	if call.Service.Engine != nil {
 		two = draw(call, all)
 	}
-	left := call.Remaining(now).Seconds()
+	left := call.Remaining(s.now).Seconds()
 	for i := range all {
 		u := &all[i]
 		o := at(c.own, u.ID)
@@ -240,6 +273,7 @@
 		}
 		next := candidate{upstream: *u, own: o, load: c.loadAt(u.ID, o)}
 		if c.full(call, &next) {
+			s.full = true
 			continue
 		}
 		c.score(call, &next, order, i, figures)
@@ -251,10 +285,15 @@
 			// from those that can, and its caller would wait for nothing.
 			continue
 		}
+		if limited != nil && limited[i] {
+			held = append(held, next)
+			continue
+		}
 		if !found || next.score < best.score {
 			best, found = next, true
 		}
 	}
+	best, found = s.withLimits(best, found, held)
 	why := "least work"
 	if found && order != nil && best.uncached < call.PromptTokens {
 		why = "holds the prompt's parts"
--- a/internal/routing/placement/placement_test.go
+++ b/internal/routing/placement/placement_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/directory"
@@ -13,6 +14,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/rollout"
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstreamlimit"
 )
 
 // fixture is a Chooser in failure domain a, with upstreams in a, b and c.
@@ -25,7 +27,8 @@
 	silent map[ident.FailureDomain]bool
 	others map[ident.Instance]Load
 	// sums are what the other gateways saw of engines that read 92,100 tokens a second.
-	sums enginemodel.Sums
+	sums   enginemodel.Sums
+	limits *upstreamlimit.Keeper
 }
 
 var (
@@ -41,6 +44,10 @@
 		own := float64(500 * (1 + i%7))
 		f.sums.Learn(enginemodel.Sample{Own: own, First: 15*time.Millisecond + time.Duration(own/92_100*float64(time.Second))}, f.sums.Fit())
 	}
+	f.limits = upstreamlimit.NewKeeper(upstreamlimit.Config{
+		Now: func() time.Time { return f.now }, Log: hclog.NewNullLogger(),
+		Key: func(id ident.Instance) uint32 { return uint32(xxhash.Sum64String(string(id))) },
+	})
 	f.Chooser = New(Config{
 		Params: DefaultParams(), Domain: "a", Log: hclog.NewNullLogger(),
 		View:     func() *directory.View { return f.view },
@@ -49,6 +56,7 @@
 		Gateways: func() int { return 3 },
 		Engines:  func(ident.Service) enginemodel.Sums { return f.sums },
 		Split:    func(ident.Service) *rollout.Split { return f.split },
+		Limits:   f.limits,
 	})
 	return f
 }
--- a/internal/routing/placement/room.go
+++ b/internal/routing/placement/room.go
@@ -9,10 +9,14 @@
 
 // RoomIn returns after how long the first engine will have so little to read that the
 // call's first event would come within its objective; 0 for now, and where nothing is
-// known. Queues are taken to be read without new work, so that it is a lower bound.
+// known. Queues are taken to be read without new work, so that it is a lower bound. Where
+// all upstreams have limits, it is when these let through what came before the call.
 func (c *Chooser) RoomIn(call *forward.Call, now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if limited := c.limitedOf(call.Service.Name); len(limited) > 0 {
+		return c.cfg.Limits.RoomIn(limited)
+	}
 	figures := c.figures(call.Service.Name, now)
 	if call.Service.Engine == nil || figures.Samples < fewest {
 		return 0
--- a/internal/upstreamlimit/keeper.go
+++ b/internal/upstreamlimit/keeper.go
@@ -1,7 +1,9 @@
 package upstreamlimit
 
 import (
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -10,33 +12,71 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 )
 
-// lineEvery bounds the log lines of an upstream that names another rate in each answer.
-const lineEvery = time.Second
+const (
+	// lineEvery bounds the log lines of an upstream that names another rate in each answer.
+	lineEvery = time.Second
+	// mostLimits bounds the upstreams whose limits are known.
+	mostLimits = 5000
+	// keptUnlisted is for how long the limit of an upstream is kept that is not listed: what
+	// other gateways say of one that has just started may come before its entry.
+	keptUnlisted = 15 * time.Second
+	// keptLifted is for how long it is remembered that a limit was lifted: longer than an
+	// older word of it can be on its way.
+	keptLifted = 30 * time.Second
+)
 
 // Config is what a Keeper works with. All fields are required.
 type Config struct {
 	Now boottime.Clock
 	Log hclog.Logger
+	// Key stands for an upstream between gateways.
+	Key func(ident.Instance) uint32
+	// Seed of what is drawn; it should differ between gateways.
+	Seed uint64
 }
 
-// Keeper holds the limits that upstreams named. It is safe for concurrent use.
+// Keeper holds the limits that upstreams named, and this gateway's part in keeping to them.
+// It is safe for concurrent use.
 type Keeper struct {
 	cfg Config
+	// version grows when the set of upstreams with a limit changes, and some is whether
+	// there are any.
+	version atomic.Uint64
+	some    atomic.Bool
 
-	mu       sync.Mutex
-	limits   map[ident.Instance]*limit
+	mu     sync.Mutex
+	limits map[uint32]*limit
+	// fleet is the other gateways as of the last Refresh.
+	fleet Fleet
+	rng   *rand.Rand
+	// share is how a rate is divided between gateways.
+	share    share
 	counters Counters
 	// unreadableAt is when a line last told of a limit that could not be read.
 	unreadableAt time.Time
 }
 
+// Fleet counts gateways.
+type Fleet struct {
+	// Heard gateways are in touch, and Known ones may send to upstreams; both with this one.
+	Heard, Known int
+}
+
 // limit is what is known of one upstream's limit.
 type limit struct {
-	limited bool
-	rate    float64
-	// saidAt is when an answer last said so.
+	// upstream is empty as long as only its key is known.
+	upstream ident.Instance
+	limited  bool
+	rate     float64
+	// saidAt is when an answer last said so, to any gateway.
 	saidAt time.Time
-	// answers counts those that came since the limit was heard of.
+	// changedAt is when this gateway last heard a change, and since when it knows that there
+	// is a limit.
+	changedAt, since time.Time
+	// listedAt is when the upstream was last listed.
+	listedAt time.Time
+	use
+	// answers counts those that came here since the limit was heard of.
 	answers int
 	// loggedAt is when a line told of it last, and unlogged how many changes came since.
 	loggedAt time.Time
@@ -47,46 +87,93 @@
 type Counters struct {
 	// Changes of a limit that answers named here, and answers whose limit was unreadable.
 	Changes, Unreadable int
+	// Sent requests were within a limit, and PassedOver ones went elsewhere, or nowhere.
+	Sent, PassedOver int
 }
 
 // NewKeeper returns a keeper that knows no limit.
 func NewKeeper(cfg Config) *Keeper {
-	return &Keeper{cfg: cfg, limits: make(map[ident.Instance]*limit)}
+	return &Keeper{
+		cfg: cfg, limits: make(map[uint32]*limit), fleet: Fleet{Heard: 1, Known: 1},
+		rng: rand.New(rand.NewPCG(cfg.Seed, 0)), share: thinned,
+	}
 }
 
 // Hear takes in what an answer of an upstream to a request says.
 func (k *Keeper) Hear(upstream ident.Instance, id ident.Request, s Statement) {
+	if s.Kind == Unlimited && !k.some.Load() {
+		return
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.cfg.Now()
-	l := k.limits[upstream]
-	if s.Problem != "" || s.Kind == Unreadable {
+	key := k.cfg.Key(upstream)
+	l := k.limits[key]
+	if s.Problem != "" {
 		k.unreadable(upstream, id, s, l, now)
 	}
-	switch {
-	case s.Kind == Unreadable, s.Kind == Unlimited && l == nil:
+	if s.Kind == Unreadable || s.Kind == Unlimited && l == nil {
 		return
-	case l == nil:
-		l = &limit{}
-		k.limits[upstream] = l
 	}
-	l.saidAt = now
+	if l == nil {
+		l = k.add(key)
+	}
+	l.upstream = upstream
 	l.answers++
-	if l.limited == (s.Kind == Limited) && l.rate == s.Rate {
-		return
+	if k.set(l, s.Kind == Limited, s.Rate, now, now) {
+		k.counters.Changes++
+		k.tell(l, id, now)
+	}
+}
+
+// add adds an upstream of which nothing is known.
+func (k *Keeper) add(key uint32) *limit {
+	l := &limit{listedAt: k.cfg.Now()}
+	k.limits[key] = l
+	return l
+}
+
+// set takes in what was said of a limit at an instant, and reports whether that is new.
+func (k *Keeper) set(l *limit, limited bool, rate float64, at, now time.Time) bool {
+	l.saidAt = at
+	if l.limited == limited && l.rate == rate {
+		return false
+	}
+	switch {
+	case limited && !l.limited:
+		l.since = now
+		l.use = use{at: now, credit: k.rng.Float64()}
+	case limited:
+		// What was sent within one rate says of another how far it was used.
+		l.sent *= max(rate, leastRate) / l.allowed()
+	}
+	changed := l.limited != limited
+	l.limited, l.rate, l.changedAt = limited, rate, now
+	if changed {
+		k.version.Add(1)
+		k.some.Store(k.count() > 0)
+	}
+	return true
+}
+
+func (k *Keeper) count() int {
+	n := 0
+	for _, l := range k.limits {
+		if l.limited {
+			n++
+		}
 	}
-	l.limited, l.rate = s.Kind == Limited, s.Rate
-	k.counters.Changes++
-	k.tell(upstream, id, l, now)
+	return n
 }
 
 // tell logs a change, once in a time.
-func (k *Keeper) tell(upstream ident.Instance, id ident.Request, l *limit, now time.Time) {
+func (k *Keeper) tell(l *limit, id ident.Request, now time.Time) {
 	if !l.loggedAt.IsZero() && now.Sub(l.loggedAt) < lineEvery {
 		l.unlogged++
 		return
 	}
-	k.cfg.Log.Info("upstream's limit changed", "upstream", upstream, "id", id, "limited", l.limited, "per_second", l.rate, "changes_unlogged", l.unlogged)
+	k.cfg.Log.Info("upstream's limit changed", "upstream", l.upstream, "id", id, "limited", l.limited, "per_second", l.rate,
+		"changes_unlogged", l.unlogged, "heard", k.fleet.Heard, "known", k.fleet.Known)
 	l.loggedAt, l.unlogged = now, 0
 }
 
@@ -107,3 +194,56 @@
 	defer k.mu.Unlock()
 	return k.counters
 }
+
+// Some reports whether any upstream has a limit.
+func (k *Keeper) Some() bool { return k.some.Load() }
+
+// Version changes with the set of upstreams that have a limit.
+func (k *Keeper) Version() uint64 { return k.version.Load() }
+
+// Limited reports whether an upstream has a limit.
+func (k *Keeper) Limited(upstream ident.Instance) bool {
+	_, limited := k.Rate(upstream)
+	return limited
+}
+
+// Rate returns the rate that all gateways together may send to an upstream.
+func (k *Keeper) Rate(upstream ident.Instance) (perSecond float64, limited bool) {
+	if !k.some.Load() {
+		return 0, false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	l := k.limits[k.cfg.Key(upstream)]
+	if l == nil || !l.limited {
+		return 0, false
+	}
+	return l.allowed(), true
+}
+
+// Listed takes in which upstreams there are, and forgets the limits of those that are gone.
+func (k *Keeper) Listed(each func(func(ident.Instance))) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.limits) == 0 {
+		return
+	}
+	now := k.cfg.Now()
+	each(func(upstream ident.Instance) {
+		if l := k.limits[k.cfg.Key(upstream)]; l != nil {
+			l.upstream, l.listedAt = upstream, now
+		}
+	})
+	changed := false
+	for key, l := range k.limits {
+		gone := now.Sub(l.listedAt) > keptUnlisted
+		if gone || !l.limited && now.Sub(l.changedAt) > keptLifted {
+			delete(k.limits, key)
+			changed = changed || l.limited
+		}
+	}
+	if changed {
+		k.version.Add(1)
+		k.some.Store(k.count() > 0)
+	}
+}
--- a/internal/upstreamlimit/list.go
+++ b/internal/upstreamlimit/list.go
@@ -24,9 +24,9 @@
 	defer k.mu.Unlock()
 	now := k.cfg.Now()
 	var out []Entry
-	for upstream, l := range k.limits {
+	for _, l := range k.limits {
 		if l.limited {
-			out = append(out, Entry{Upstream: upstream, Rate: l.rate, Age: now.Sub(l.saidAt), Answers: l.answers})
+			out = append(out, Entry{Upstream: l.upstream, Rate: l.rate, Age: now.Sub(l.saidAt), Answers: l.answers})
 		}
 	}
 	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.Upstream, b.Upstream) })
--- /dev/null
+++ b/internal/upstreamlimit/share.go
@@ -0,0 +1,146 @@
+package upstreamlimit
+
+import (
+	"math"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+const (
+	// leastRate, requests a second, is what an upstream gets that takes less: it says only
+	// in an answer that it takes more again.
+	leastRate = 0.2
+	// askedMemory is over how long it is counted how often an upstream is the best choice,
+	// and sentMemory over how long what is sent to it.
+	askedMemory = 3 * time.Second
+	sentMemory  = 4 * time.Second
+	// heardWithin is the time after which about two thirds of the others are heard, and
+	// heardLate by how much later the last of them begin to count, and are heard.
+	heardWithin = 400 * time.Millisecond
+	heardLate   = 800 * time.Millisecond
+	// gain is how much less of its part is sent where more was sent than the limit allows,
+	// and more where less was; mostGain bounds it.
+	gain     = 4.0
+	mostGain = 2.0
+	// aim is the part of a rate that is aimed at: chance sends more than the rate in some
+	// seconds, and what many gateways do is known late.
+	aim = 0.95
+)
+
+// use is what this gateway and the others send to an upstream with a limit.
+type use struct {
+	// asked counts how often the upstream was the best choice here, and sent how often it
+	// was sent a request. Both decay, up to at.
+	asked, sent float64
+	at          time.Time
+	// othersAsked and othersSent are those of the other gateways.
+	othersAsked, othersSent float64
+	// credit grows with each request by the part of them that is sent; a whole one is spent
+	// on each that is sent.
+	credit float64
+	// begun: sent holds this gateway's part of what was sent before it counted.
+	begun bool
+	// lastSent is when one was sent.
+	lastSent time.Time
+}
+
+// begin counts an even part of what the rate allows as sent: what was sent before is not
+// known, and if it counted as nothing, all gateways would make up for it at once.
+func (l *limit) begin(fleet Fleet) {
+	if !l.begun {
+		l.begun = true
+		l.sent += l.allowed() * sentMemory.Seconds() / float64(max(fleet.Known, 1))
+	}
+}
+
+// decay lets time pass.
+func (u *use) decay(now time.Time) {
+	elapsed := now.Sub(u.at).Seconds()
+	if elapsed <= 0 {
+		return
+	}
+	u.asked *= math.Exp(-elapsed / askedMemory.Seconds())
+	u.sent *= math.Exp(-elapsed / sentMemory.Seconds())
+	u.at = now
+}
+
+// allowed is the rate that all gateways together may send.
+func (l *limit) allowed() float64 { return max(l.rate, leastRate) }
+
+// share returns which part of the requests for which a limited upstream is the best choice
+// is sent there.
+type share func(l *limit, fleet Fleet, now time.Time) float64
+
+// thinned is the part that makes all gateways' requests together the rate: of what they all
+// ask for, the rate. It follows what they sent lately, so that what is sent by chance, or
+// before they hear of each other, is less afterwards. A gateway that does not hear all others
+// uses the part of the rate that those have which it hears.
+func thinned(l *limit, fleet Fleet, now time.Time) float64 {
+	rate := aim * l.allowed() * fleet.part()
+	over := (l.sent+l.othersSent)/(rate*sentMemory.Seconds()) - 1
+	factor := min(max(1-gain*over, 0), mostGain)
+	return min(rate*factor/l.askedOfAll(fleet, now), 1)
+}
+
+// askedOfAll is how often a second all gateways would choose the upstream. As long as they
+// are not heard, each is taken to ask once.
+func (l *limit) askedOfAll(fleet Fleet, now time.Time) float64 {
+	memory, since := askedMemory.Seconds(), now.Sub(l.since).Seconds()
+	unheard := float64(fleet.Known) * math.Exp(-since/heardWithin.Seconds())
+	counted := 1 - math.Exp(-(since-heardLate.Seconds())/memory)
+	if counted <= 0 {
+		return unheard / memory
+	}
+	return ((l.asked+l.othersAsked)/counted + unheard) / memory
+}
+
+// part is that of the gateways that are heard.
+func (f Fleet) part() float64 { return float64(max(f.Heard, 1)) / float64(max(f.Known, f.Heard, 1)) }
+
+// Take reports whether a request may be sent to an upstream for which it is the best choice.
+func (k *Keeper) Take(upstream ident.Instance) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	l := k.limits[k.cfg.Key(upstream)]
+	if l == nil || !l.limited {
+		return true
+	}
+	now := k.cfg.Now()
+	l.decay(now)
+	l.credit += k.share(l, k.fleet, now)
+	l.asked++
+	if l.credit < 1 {
+		k.counters.PassedOver++
+		return false
+	}
+	l.credit--
+	l.sent++
+	l.lastSent = now
+	k.counters.Sent++
+	return true
+}
+
+// mostReturn bounds what a caller is told of when to return.
+const mostReturn = 30 * time.Second
+
+// RoomIn returns after how long upstreams that all have a limit take one more request: when
+// they have taken what is asked of them in a second.
+func (k *Keeper) RoomIn(upstreams []ident.Instance) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.cfg.Now()
+	asked, allowed := 0.0, 0.0
+	for _, id := range upstreams {
+		l := k.limits[k.cfg.Key(id)]
+		if l == nil || !l.limited {
+			return 0
+		}
+		l.decay(now)
+		// A request that is not taken asks at each of them.
+		asked = max(asked, l.askedOfAll(k.fleet, now))
+		allowed += l.allowed()
+	}
+	seconds := max(asked, 1) / allowed
+	return min(time.Duration(seconds*float64(time.Second)), mostReturn)
+}
--- /dev/null
+++ b/internal/upstreamlimit/stories_test.go
@@ -0,0 +1,244 @@
+package upstreamlimit
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// The flags are for reports, not for CI.
+var (
+	seeds = flag.Int("limit.seeds", 6, "plays of each story, a tenth of it for large fleets")
+	large = flag.Bool("limit.large", false, "fleets of over 100 gateways too")
+	table = flag.String("limit.table", "", "file for the table, with other ways beside the one that stands")
+	only  = flag.String("limit.only", "", "stories whose names hold this")
+)
+
+func small(name string, limits map[int]plan) story {
+	return story{name: name, gateways: 8, domains: 4, upstreams: 13, rate: 80, limits: limits}
+}
+
+// each gives upstreams from 0 on the same plan.
+func each(n int, p plan) map[int]plan {
+	out := make(map[int]plan, n)
+	for i := range n {
+		out[i] = p
+	}
+	return out
+}
+
+// changing names another rate in each answer.
+func changing(at time.Duration) (float64, bool) { return 1 + float64(at.Milliseconds()%7)/2, true }
+
+// flapping names a limit for a second, and none for the next.
+func flapping(at time.Duration) (float64, bool) { return 2, int(at.Seconds())%2 == 0 }
+
+// steps names 10 a second, then 1, then 4.
+func steps(at time.Duration) (float64, bool) {
+	switch {
+	case at < 12*time.Second:
+		return 10, true
+	case at < 24*time.Second:
+		return 1, true
+	}
+	return 4, true
+}
+
+func stories() []story {
+	const from = 4 * time.Second
+	at82 := func(s *story) { s.gateways, s.upstreams, s.rate = 82, 60, 800 }
+	at195 := func(s *story) { s.gateways, s.domains, s.upstreams, s.rate = 195, 6, 117, 1500 }
+	at330 := func(s *story) { s.gateways, s.domains, s.upstreams, s.rate = 330, 10, 690, 4200 }
+	return []story{
+		small("0.2 a second", each(1, always(0.2, from))),
+		small("0.5 a second", each(1, always(0.5, from))),
+		small("1 a second", each(2, always(1, from))),
+		small("2 a second", each(1, always(2, from))),
+		small("5 a second", each(1, always(5, from))),
+		small("200 a second", each(1, always(200, from))).with(func(s *story) { s.rate = 4000 }),
+		small("none", nil),
+		small("zero", each(1, always(0, from))),
+		small("half of all, 1 a second", each(6, always(1, from))),
+		small("all, 1 a second", each(13, always(1, from))).with(func(s *story) { s.again = 1 }),
+		small("half, then all", func() map[int]plan {
+			limits := each(6, always(1, from))
+			for i := 6; i < 13; i++ {
+				limits[i] = always(1, 18*time.Second)
+			}
+			return limits
+		}()),
+		small("the only upstream, 5 a second", each(1, always(5, from))).with(func(s *story) { s.upstreams, s.rate, s.again = 1, 40, 3 }),
+		small("lifted after 20 s", each(2, between(1, from, 24*time.Second))),
+		small("10, then 1, then 4 a second", each(1, steps)),
+		small("another rate in each answer", each(2, changing)),
+		small("on and off each second", each(2, flapping)),
+		small("from the first second", each(2, always(1, 0))),
+		small("beside a burst of 2.5 times", each(2, always(1, from))).with(func(s *story) { s.burst = 2.5 }),
+		small("named in a burst", each(2, always(1, 13*time.Second))).with(func(s *story) { s.burst = 2.5 }),
+		small("a domain cut off for 5 s", each(3, always(1, from))).with(func(s *story) { s.cut = true }),
+		small("gateways killed one by one", each(2, always(1, from))).with(func(s *story) { s.killEach = true }),
+		small("all gateways killed twice", each(2, always(1, from))).with(func(s *story) {
+			s.killed = []time.Duration{14 * time.Second, 27 * time.Second}
+		}),
+		small("gateways join", each(2, always(1, from))).with(func(s *story) { s.joins = 4 }),
+		small("callers keep to one gateway", each(2, always(1, from))).with(func(s *story) { s.part = 0.125 }),
+		small("started again without a limit", each(2, always(1, from))).with(func(s *story) { s.reborn = true }),
+		small("82 gateways, 0.5 a second", each(3, always(0.5, from))).with(at82),
+		small("82 gateways, 5 a second, all killed", each(3, always(5, from))).with(at82).with(func(s *story) { s.killed = []time.Duration{15 * time.Second} }),
+		small("82 gateways, callers at few", each(3, always(2, from))).with(at82).with(func(s *story) { s.part = 0.1 }),
+		small("82 gateways, 20 a second, a domain cut off", each(3, always(5, from))).with(at82).with(func(s *story) { s.cut = true }),
+		small("195 gateways, 1 a second", each(10, always(1, from))).with(at195),
+		small("195 gateways, callers at few, burst", each(10, always(1, from))).with(at195).with(func(s *story) { s.part, s.burst = 0.05, 2.5 }),
+		small("330 gateways, 0.5 a second", each(50, always(0.5, from))).with(at330),
+		small("330 gateways, 2 a second, all killed", each(50, always(2, from))).with(at330).with(func(s *story) { s.killed = []time.Duration{15 * time.Second} }),
+	}
+}
+
+// sums are those of a story's plays.
+type sums struct {
+	plays, beyond, refused, refusedAll, requests, said, told int
+	worst, over                                              float64
+	used                                                     []float64
+	known, forgot                                            time.Duration
+}
+
+func (s *sums) add(r result) {
+	s.plays++
+	if r.beyond > 0 {
+		s.beyond++
+	}
+	s.refused += r.refused
+	s.refusedAll += r.refusedAll
+	s.requests += r.requests
+	s.worst, s.over = max(s.worst, r.worst), max(s.over, r.over)
+	s.used = append(s.used, r.used...)
+	s.known, s.forgot = max(s.known, r.known), max(s.forgot, r.forgot)
+	s.said, s.told = max(s.said, r.said), max(s.told, r.told)
+}
+
+// usedAim is the part of its limit that an upstream should get over 10 s.
+const usedAim = 0.8
+
+func (s *sums) line(name string) string {
+	mean, low := 0.0, 0
+	for _, u := range s.used {
+		mean += u / float64(len(s.used))
+		if u < usedAim {
+			low++
+		}
+	}
+	least := 0.0
+	if len(s.used) > 0 {
+		least = slices.Min(s.used)
+	}
+	return fmt.Sprintf("%-44s %6d %6d %6.2f %6.2f  %5.2f %5.2f %5.2f %5d/%-6d %8d %8d %9d  %5.2f %5.2f %5d %5d", name, s.plays, s.beyond, s.worst, s.over,
+		mean, median(s.used), least, low, len(s.used), s.refused, s.refusedAll, s.requests, s.known.Seconds(), s.forgot.Seconds(), s.said, s.told)
+}
+
+const heading = "story                                         plays beyond  worst   over   mean   med least  under 0.8    refused      all  requests  known  forg.  said  told"
+
+// Guards against upstreams that get more than the limit which they name, or far less, and
+// against requests that are refused for it while others have room.
+func TestStories(t *testing.T) {
+	var lines []string
+	for _, s := range stories() {
+		n := *seeds
+		if s.gateways >= collectAt {
+			n = max(1, n/10)
+		}
+		if s.gateways > 100 && !*large || !strings.Contains(s.name, *only) {
+			continue
+		}
+		t.Run(s.name, func(t *testing.T) {
+			all := playAll(s, n, func(seed int, r result) {
+				if r.beyond > 0 {
+					t.Errorf("seed %d: %d windows beyond what is allowed, the worst %.2f of it", seed, r.beyond, r.worst)
+				}
+				if r.refused > 0 {
+					t.Errorf("seed %d: %d requests refused while upstreams without a limit had room", seed, r.refused)
+				}
+			})
+			lines = append(lines, all.line(s.name))
+		})
+		if *table != "" {
+			for _, w := range ways {
+				s := w.change(s)
+				lines = append(lines, playAll(s, min(n, 20), func(int, result) {}).line("  "+w.name))
+			}
+		}
+	}
+	text := heading + "\n" + strings.Join(lines, "\n") + "\n"
+	t.Log("\n" + text)
+	if *table != "" {
+		if err := os.WriteFile(*table, []byte(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// playAll plays a story with several seeds, and has each result looked at.
+func playAll(s story, n int, look func(seed int, r result)) *sums {
+	var mu sync.Mutex
+	var work sync.WaitGroup
+	all := &sums{}
+	limit := make(chan struct{}, 4)
+	for i := range n {
+		limit <- struct{}{}
+		work.Go(func() {
+			defer func() { <-limit }()
+			r := play(s, uint64(i)+1)
+			mu.Lock()
+			defer mu.Unlock()
+			all.add(r)
+			look(i+1, r)
+		})
+	}
+	work.Wait()
+	return all
+}
+
+// way is another way to divide a rate between gateways, for comparison.
+type way struct {
+	name   string
+	change func(story) story
+}
+
+func by(name string, s share) way {
+	return way{name, func(x story) story { x.share = s; return x }}
+}
+
+var ways = []way{
+	by("each gateway takes the whole", func(l *limit, _ Fleet, now time.Time) float64 {
+		return spaced(l, l.allowed(), now)
+	}),
+	by("equal parts", func(l *limit, fleet Fleet, now time.Time) float64 {
+		return spaced(l, l.allowed()/float64(fleet.Known), now)
+	}),
+	by("whoever comes first, by all uses", func(l *limit, fleet Fleet, _ time.Time) float64 {
+		if l.sent+l.othersSent < l.allowed()*fleet.part()*sentMemory.Seconds() {
+			return 1
+		}
+		return 0
+	}),
+	by("thinned by what is asked alone", func(l *limit, fleet Fleet, now time.Time) float64 {
+		return min(l.allowed()*fleet.part()/l.askedOfAll(fleet, now), 1)
+	}),
+}
+
+// spaced lets a request pass when a rate's time is over since the last.
+func spaced(l *limit, rate float64, now time.Time) float64 {
+	l.credit = 0
+	from := l.lastSent
+	if from.IsZero() {
+		from = l.since
+	}
+	if now.Sub(from).Seconds()*rate >= 1 {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/upstreamlimit/words.go
@@ -0,0 +1,153 @@
+package upstreamlimit
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// newsFor is for how long a change is told to the other gateways in each message, so
+	// that two lost ones change nothing.
+	newsFor = 3 * time.Second
+	// mostNews bounds the changes in one message, and turns is how many other limits are
+	// told in one. Where there are more, they are told in turns of turnFor: each message of a
+	// turn tells the same, because each goes to another gateway.
+	mostNews, turns = 16, 4
+	turnFor         = 250 * time.Millisecond
+	// leastUse is the least that is told of asked and sent.
+	leastUse = 1.0 / 32
+)
+
+// Said is what an upstream's answers say of its limit.
+type Said struct {
+	// Upstream stands for the ID of the upstream's life.
+	Upstream uint32
+	Limited  bool
+	Rate     float64
+	// Age is how long ago an answer said so.
+	Age time.Duration
+}
+
+// Use is what one or more gateways asked of an upstream and sent to it.
+type Use struct{ Asked, Sent float64 }
+
+// Uses are those of several upstreams, by their keys.
+type Uses map[uint32]Use
+
+// Plus returns the uses of two groups of gateways together.
+func (u Uses) Plus(o Uses) Uses {
+	if len(o) == 0 {
+		return u
+	}
+	out := make(Uses, max(len(u), len(o)))
+	for key, use := range u {
+		out[key] = use
+	}
+	for key, use := range o {
+		out[key] = Use{out[key].Asked + use.Asked, out[key].Sent + use.Sent}
+	}
+	return out
+}
+
+// Say returns what to tell the other gateways of limits: what changed lately, and some
+// others in turn.
+func (k *Keeper) Say() []Said {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.limits) == 0 {
+		return nil
+	}
+	now := k.cfg.Now()
+	var news, others []uint32
+	for key, l := range k.limits {
+		if now.Sub(l.changedAt) < newsFor {
+			news = append(news, key)
+		} else {
+			others = append(others, key)
+		}
+	}
+	turn := int(now.UnixNano() / int64(turnFor))
+	told := append(inTurn(news, mostNews, turn), inTurn(others, turns, turn)...)
+	out := make([]Said, len(told))
+	for i, key := range told {
+		l := k.limits[key]
+		out[i] = Said{Upstream: key, Limited: l.limited, Rate: l.rate, Age: now.Sub(l.saidAt)}
+	}
+	return out
+}
+
+// inTurn returns so many keys, other ones in the next turn.
+func inTurn(keys []uint32, most, turn int) []uint32 {
+	slices.Sort(keys)
+	if len(keys) <= most {
+		return keys
+	}
+	out := make([]uint32, most)
+	for i := range out {
+		out[i] = keys[(turn*most+i)%len(keys)]
+	}
+	return out
+}
+
+// Learn takes in what another gateway says of limits, with ages as of an instant.
+func (k *Keeper) Learn(said []Said, asOf time.Time) {
+	if len(said) == 0 {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, s := range said {
+		k.learn(s, asOf.Add(-s.Age), k.cfg.Now())
+	}
+}
+
+// learn takes in what was said at an instant.
+func (k *Keeper) learn(s Said, at, now time.Time) {
+	l := k.limits[s.Upstream]
+	switch {
+	case l == nil && (!s.Limited || len(k.limits) >= mostLimits):
+		return
+	case l == nil:
+		l = k.add(s.Upstream)
+	case !at.After(l.saidAt):
+		return
+	}
+	if k.set(l, s.Limited, s.Rate, at, now) && l.upstream != "" {
+		k.tell(l, "", now)
+	}
+}
+
+// Uses returns what this gateway asked and sent.
+func (k *Keeper) Uses() Uses {
+	if !k.some.Load() {
+		return nil
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.cfg.Now()
+	out := make(Uses)
+	for key, l := range k.limits {
+		if !l.limited {
+			continue
+		}
+		l.decay(now)
+		if l.asked >= leastUse || l.sent >= leastUse {
+			out[key] = Use{Asked: l.asked, Sent: l.sent}
+		}
+	}
+	return out
+}
+
+// Refresh takes in what the other gateways asked and sent, and how many they are.
+func (k *Keeper) Refresh(others Uses, fleet Fleet) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.fleet = fleet
+	for key, l := range k.limits {
+		u := others[key]
+		l.othersAsked, l.othersSent = u.Asked, u.Sent
+		if l.limited {
+			l.begin(fleet)
+		}
+	}
+}
