--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -113,6 +113,7 @@
 	work     map[ident.Service]*workOf
 	engines  map[ident.Service]*engines
 	limited  limitedMarks
+	search   search
 }
 
 // own is what this gateway has at an upstream.
@@ -186,7 +187,8 @@
 	excluded := set.Excluded(now)
 	cut := c.cutOff(now)
 	figures := c.figures(call.Service.Name, now)
-	s := &search{chooser: c, call: call, figures: &figures, now: now}
+	s := &c.search
+	*s = search{chooser: c, call: call, figures: figures, now: now, held: s.held}
 	best, why, found := s.first(lists, func(u *directory.Upstream, o *own) bool {
 		return !contains(exclude, u.ID) && !contains(excluded, u.ID) && !now.Before(o.avoidUntil) && !contains(cut, u.FailureDomain)
 	})
@@ -235,8 +237,10 @@
 type search struct {
 	chooser *Chooser
 	call    *forward.Call
-	figures *enginemodel.Figures
+	figures enginemodel.Figures
 	now     time.Time
+	// held are those of the candidates that have limits; kept for the next search.
+	held []candidate
 	// atLimit are the upstreams that would have been better but for their limits, and full
 	// whether one had as much work as it may get.
 	atLimit []ident.Instance
@@ -255,9 +259,9 @@
 // best returns the candidate with the least score among those that fit and take it.
 func (s *search) best(all []directory.Upstream, fits func(*directory.Upstream, *own) bool) (candidate, string, bool) {
 	var best candidate
-	var held []candidate
 	found := false
-	c, call, figures := s.chooser, s.call, s.figures
+	c, call, figures := s.chooser, s.call, &s.figures
+	s.held = s.held[:0]
 	limited := c.limited.of(all, c.cfg.Limits)
 	order := c.line(call, all)
 	var two drawn
@@ -286,14 +290,16 @@
 			continue
 		}
 		if limited != nil && limited[i] {
-			held = append(held, next)
+			s.held = append(s.held, next)
 			continue
 		}
 		if !found || next.score < best.score {
 			best, found = next, true
 		}
 	}
-	best, found = s.withLimits(best, found, held)
+	if len(s.held) > 0 {
+		best, found = s.withLimits(best, found)
+	}
 	why := "least work"
 	if found && order != nil && best.uncached < call.PromptTokens {
 		why = "holds the prompt's parts"
