Survivors of a kill still count the gateways that their dead collector knew

Cause: a gateway took its number of others from the newest collector alone. Of 78 of which 69 are killed, a survivor whose collector died knew 8, so that each gave accounts a ninth of their limits. The limits that upstreams name are shared by the same number.

--- a/internal/gossip/collect.go
+++ b/internal/gossip/collect.go
@@ -187,9 +187,42 @@
 		return
 	}
 	g.answer, g.answeredAt = m.Others, now
+	g.noteKnown(m.Others, now)
 	g.answerOff = time.UnixMilli(m.Others.TrueWallMillis).Sub(wall)
 }
 
+// knownCount is how many other gateways may admit requests, by a collector's word.
+type knownCount struct {
+	known int
+	at    time.Time
+}
+
+// noteKnown notes how many gateways a sum's source knows; g.mu is held.
+func (g *Gossip) noteKnown(s *Sum, now time.Time) {
+	g.knownBy[s.Source] = knownCount{known: s.Known, at: now}
+	for source, k := range g.knownBy {
+		if now.Sub(k.at) > KnownFor {
+			delete(g.knownBy, source)
+		}
+	}
+}
+
+// known is how many other gateways may admit requests: the most that any collector knew
+// lately. What goes wrong with the newest collector's word alone: it begins when the one
+// before it was killed, knows only those that report to it, and the survivors take each
+// other for all, though the killed ones have admitted until just now and are back soon.
+func (g *Gossip) known(now time.Time) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	most := 0
+	for _, k := range g.knownBy {
+		if now.Sub(k.at) <= KnownFor {
+			most = max(most, k.known)
+		}
+	}
+	return most
+}
+
 // settled reports whether collecting works for this gateway: it hears of the others by a
 // collector, or collects itself. Until then it meets others directly too, which tell it
 // who there is.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -103,6 +103,8 @@
 	answer     *Sum
 	answeredAt time.Time
 	answerOff  time.Duration
+	// knownBy is how many gateways the collectors that were heard lately knew.
+	knownBy map[string]knownCount
 	// countedAt is when a domain's counts came.
 	countedAt map[ident.FailureDomain]time.Time
 }
@@ -111,7 +113,7 @@
 func New(cfg Config) *Gossip {
 	g := &Gossip{
 		cfg: cfg, collector: NewCollector(cfg.Self, cfg.Incarnation), began: cfg.Now(), silent: make(map[string]bool), refused: make(map[string]bool),
-		busy: make(map[string]bool), countedAt: make(map[ident.FailureDomain]time.Time),
+		busy: make(map[string]bool), knownBy: make(map[string]knownCount), countedAt: make(map[ident.FailureDomain]time.Time),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+path, g.serveExchange)
--- a/internal/gossip/view.go
+++ b/internal/gossip/view.go
@@ -103,9 +103,12 @@
 		return
 	}
 	age := now.Sub(heardAt)
-	if age <= KnownFor {
-		v.Known = sum.Known
+	if collecting {
+		g.mu.Lock()
+		g.noteKnown(sum, now)
+		g.mu.Unlock()
 	}
+	v.Known = g.known(now)
 	for _, domain := range sum.Silent {
 		v.Silent[domain] = true
 	}
