Limits of upstreams: tables and properties of what is said, kept and told

A word that a limit was lifted is remembered of an upstream that was not known to have one: TestWordsComeInAnyOrder found that an older word of the limit, coming later, put it back.

--- a/internal/gossip/codec_test.go
+++ b/internal/gossip/codec_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/poison"
 	"github.com/goldcrestspool/goldcrestspool/internal/rollout"
 	"github.com/goldcrestspool/goldcrestspool/internal/routing/placement"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstreamlimit"
 )
 
 // fullReport uses all fields.
@@ -37,6 +39,10 @@
 		Engines:  map[ident.Service]enginemodel.Sums{"llm": exact},
 		Rollouts: fullWords(),
 		Poison:   fullPoison(),
+		Limits: []upstreamlimit.Said{
+			{Upstream: 7, Limited: true, Rate: 0.5, Age: 40 * time.Millisecond}, {Upstream: 8, Limited: true}, {Upstream: 1 << 31, Age: time.Second},
+		},
+		LimitUses: upstreamlimit.Uses{7: {Asked: 12.5, Sent: 2}, 1 << 31: {Asked: 0.125}},
 	}
 }
 
@@ -66,7 +72,8 @@
 		Source: "gw-1/5", Seq: 8, Domain: "hall-a", Heard: 3, Known: 4, Age: 130 * time.Millisecond, Holds: true, GivenUp: 2,
 		Loads: map[UpstreamKey]placement.Load{4: {Running: 1, Unread: 2}}, Accounts: map[ident.ClientAccount]Spending{"a": {Spent: 1}},
 		Work: map[ident.Service]placement.Demand{"llm": {Prompt: 1}}, Engines: map[ident.Service]enginemodel.Sums{},
-		Rollouts: fullWords(), Poison: fullPoison(), Silent: []ident.FailureDomain{"hall-b"}, TrueWallMillis: 1_800_000_000_000,
+		LimitUses: upstreamlimit.Uses{9: {Asked: 100, Sent: 20}},
+		Rollouts:  fullWords(), Poison: fullPoison(), Silent: []ident.FailureDomain{"hall-b"}, TrueWallMillis: 1_800_000_000_000,
 	}
 	up := directory.Upstream{
 		ID: "u/1", Name: "u", Born: 36, Service: "llm", Address: "10.0.0.9:1", FailureDomain: "hall-b", Slots: 12, State: directory.Leaving,
@@ -137,6 +144,13 @@
 	for name, change := range map[string]func(*exchangev1.Message){
 		"no name":                     func(m *exchangev1.Message) { m.From.Node = "" },
 		"no address":                  func(m *exchangev1.Message) { m.From.Address = "" },
+		"limits without ages":         func(m *exchangev1.Message) { m.From.Limits.AgeMs = nil },
+		"a limit that is no number":   func(m *exchangev1.Message) { m.From.Limits.PerSecond[0] = float32(nan()) },
+		"an infinite limit":           func(m *exchangev1.Message) { m.From.Limits.PerSecond[0] = float32(math.Inf(1)) },
+		"a limit of minus two":        func(m *exchangev1.Message) { m.From.Limits.PerSecond[0] = -2 },
+		"a limit of a year ago":       func(m *exchangev1.Message) { m.From.Limits.AgeMs[0] = ^uint32(0) },
+		"uses without figures":        func(m *exchangev1.Message) { m.From.LimitUses.Sent = nil },
+		"uses of billions":            func(m *exchangev1.Message) { m.From.LimitUses.Asked[0] = ^uint32(0) },
 		"an age of a year":            func(m *exchangev1.Message) { m.From.UpstreamsAgeMs = 365 * 86_400_000 },
 		"a negative age":              func(m *exchangev1.Message) { m.From.RevisionAgeMs = ^uint64(0) },
 		"a negative load":             func(m *exchangev1.Message) { m.From.Loads.Running[0] = ^uint32(0) },
--- a/internal/upstreamlimit/keeper.go
+++ b/internal/upstreamlimit/keeper.go
@@ -136,6 +136,9 @@
 // set takes in what was said of a limit at an instant, and reports whether that is new.
 func (k *Keeper) set(l *limit, limited bool, rate float64, at, now time.Time) bool {
 	l.saidAt = at
+	if !limited {
+		rate = 0
+	}
 	if l.limited == limited && l.rate == rate {
 		return false
 	}
@@ -237,7 +240,7 @@
 	changed := false
 	for key, l := range k.limits {
 		gone := now.Sub(l.listedAt) > keptUnlisted
-		if gone || !l.limited && now.Sub(l.changedAt) > keptLifted {
+		if gone || !l.limited && now.Sub(l.saidAt) > keptLifted {
 			delete(k.limits, key)
 			changed = changed || l.limited
 		}
--- /dev/null
+++ b/internal/upstreamlimit/keeper_test.go
@@ -0,0 +1,313 @@
+package upstreamlimit
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"pgregory.net/rapid"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
+)
+
+func init() { testkit.FixSeed() }
+
+// fixture is a keeper with a clock and its log.
+type fixture struct {
+	*Keeper
+	now time.Time
+	log bytes.Buffer
+}
+
+func newFixture() *fixture {
+	f := &fixture{now: epoch}
+	f.Keeper = NewKeeper(Config{Now: func() time.Time { return f.now }, Log: hclog.New(&hclog.LoggerOptions{Output: &f.log}), Key: key, Seed: 1})
+	f.Refresh(nil, Fleet{Heard: 1, Known: 1})
+	return f
+}
+
+const u ident.Instance = "u"
+
+// listed has the keeper see upstreams.
+func (f *fixture) listed(ids ...ident.Instance) {
+	f.Listed(func(note func(ident.Instance)) {
+		for _, id := range ids {
+			note(id)
+		}
+	})
+}
+
+// Guards against a limit that is lost, or stays, because of what answers say after one
+// another.
+func TestTheNewestReadableStatementCounts(t *testing.T) {
+	bad := Statement{Kind: Unreadable, Problem: "x"}
+	none := Statement{}
+	for _, c := range []struct {
+		name    string
+		said    []Statement
+		limited bool
+		rate    float64
+	}{
+		{name: "none", said: []Statement{none}},
+		{name: "a limit", said: []Statement{RateOf(2)}, limited: true, rate: 2},
+		{name: "another", said: []Statement{RateOf(2), RateOf(5)}, limited: true, rate: 5},
+		{name: "lifted", said: []Statement{RateOf(2), none}},
+		{name: "named again", said: []Statement{RateOf(2), none, RateOf(2)}, limited: true, rate: 2},
+		{name: "unreadable first", said: []Statement{bad}},
+		{name: "unreadable after a limit", said: []Statement{RateOf(2), bad}, limited: true, rate: 2},
+		{name: "unreadable after it was lifted", said: []Statement{RateOf(2), none, bad}},
+		{name: "zero", said: []Statement{RateOf(0)}, limited: true, rate: leastRate},
+		{name: "tiny", said: []Statement{RateOf(1e-300)}, limited: true, rate: leastRate},
+		{name: "huge", said: []Statement{RateOf(1e300)}, limited: true, rate: mostRate},
+		{name: "negative", said: []Statement{RateOf(-1)}},
+		{name: "no number", said: []Statement{RateOf(math.NaN())}},
+		{name: "a limit beside what cannot be read", said: []Statement{{Kind: Limited, Rate: 3, Problem: "x"}}, limited: true, rate: 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture()
+			for _, s := range c.said {
+				f.Hear(u, "r", s)
+				f.now = f.now.Add(time.Millisecond)
+			}
+			rate, limited := f.Rate(u)
+			if limited != c.limited || limited && rate != c.rate {
+				t.Errorf("limited %v to %v", limited, rate)
+			}
+			if f.Some() != c.limited || f.Limited(u) != c.limited {
+				t.Error("the fast answers differ")
+			}
+		})
+	}
+}
+
+// Guards against a log that an upstream fills which names another rate in each answer, and
+// against a value that cannot be read and leaves no trace.
+func TestLinesOfChangingLimitsAreBounded(t *testing.T) {
+	f := newFixture()
+	const answers = 5000
+	for i := range answers {
+		f.Hear(u, "r", RateOf(float64(1+i%7)))
+		f.Hear(u, "r", Statement{Kind: Unreadable, Problem: "few"})
+		f.now = f.now.Add(time.Millisecond)
+	}
+	if lines := strings.Count(f.log.String(), "\n"); lines > 2*(answers/1000+1) {
+		t.Errorf("%d lines in 5 s", lines)
+	}
+	if !strings.Contains(f.log.String(), "few") || !strings.Contains(f.log.String(), "changes_unlogged=") {
+		t.Errorf("the log does not tell:\n%s", f.log.String())
+	}
+	if c := f.Counters(); c.Changes != answers || c.Unreadable != answers {
+		t.Errorf("%+v", c)
+	}
+	if len(f.Say()) != 1 || len(f.List()) != 1 {
+		t.Error("an upstream has more than one limit")
+	}
+}
+
+// Guards against a limit that outlives its upstream, and against keepers that grow without
+// bound.
+func TestLimitsOfUpstreamsThatAreGoneAreForgotten(t *testing.T) {
+	f := newFixture()
+	f.Hear(u, "r", RateOf(1))
+	f.Hear("v", "r", RateOf(1))
+	f.Hear("w", "r", RateOf(1))
+	f.Hear("w", "r", Statement{})
+	version := f.Version()
+	for range 60 {
+		f.now = f.now.Add(time.Second)
+		f.listed(u)
+	}
+	if !f.Limited(u) || f.Limited("v") || len(f.limits) != 1 {
+		t.Errorf("%d limits are known: %+v", len(f.limits), f.List())
+	}
+	if f.Version() == version {
+		t.Error("a limit was forgotten, and the version stands")
+	}
+	for i := range 3 * mostLimits {
+		f.Learn([]Said{{Upstream: uint32(i), Limited: true, Rate: 1}}, f.now)
+	}
+	if len(f.limits) > mostLimits {
+		t.Errorf("%d limits are known", len(f.limits))
+	}
+	f.now = f.now.Add(2 * keptUnlisted)
+	f.listed()
+	if f.Some() {
+		t.Error("limits of upstreams that nobody lists stay")
+	}
+}
+
+// Guards against an older word that undoes a newer one, in whichever order they come.
+func TestWordsComeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		said := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Said {
+			return Said{
+				Upstream: key(u), Limited: rapid.Bool().Draw(t, "limited"), Rate: float64(rapid.IntRange(1, 3).Draw(t, "rate")),
+				Age: time.Duration(rapid.IntRange(0, 5000).Draw(t, "age")) * time.Millisecond,
+			}
+		}), 1, 12).Draw(t, "said")
+		newest := said[0]
+		for _, s := range said {
+			if s.Age < newest.Age {
+				newest = s
+			}
+		}
+		for _, s := range said {
+			if s.Age == newest.Age && s != newest {
+				t.Skip("two answers at one time")
+			}
+		}
+		f := newFixture()
+		for _, s := range said {
+			f.Learn([]Said{s}, f.now)
+		}
+		rate, limited := f.Rate(u)
+		if limited != newest.Limited || limited && rate != newest.Rate {
+			t.Fatalf("limited %v to %v, the newest is %+v", limited, rate, newest)
+		}
+	})
+}
+
+// Guards against a gateway that starts, or all of them after a kill, and sends to an
+// upstream in need until its own answers tell.
+func TestLimitsOutliveAllGateways(t *testing.T) {
+	f := newFixture()
+	if f.Keep() != nil {
+		t.Error("something is kept of no limit")
+	}
+	f.Hear(u, "r", RateOf(0.5))
+	f.Hear("v", "r", RateOf(3))
+	f.Hear("v", "r", Statement{})
+	later := newFixture()
+	later.Restore(f.Keep())
+	if rate, limited := later.Rate(u); !limited || rate != 0.5 || later.Limited("v") {
+		t.Errorf("restored: %v %v", rate, limited)
+	}
+	if said := later.Say(); len(said) != 1 || said[0].Age < keptAge {
+		t.Errorf("told as %+v, younger than anything that was heard since", said)
+	}
+	// What an answer says here wins, also before the record is read.
+	first := newFixture()
+	first.Hear(u, "r", RateOf(4))
+	first.Restore(f.Keep())
+	if rate, _ := first.Rate(u); rate != 4 {
+		t.Errorf("an old record changed a limit to %v", rate)
+	}
+	for _, bad := range []string{`{`, `[{"upstream":1,"per_second":-1}]`, `[{"upstream":1,"age_ms":-5}]`, `[{"upstream":1,"age_ms":99999999999}]`, `"x"`} {
+		g := newFixture()
+		g.Restore(json.RawMessage(bad))
+		if g.Some() || !strings.Contains(g.log.String(), "not usable") {
+			t.Errorf("%s: %v, log %q", bad, g.List(), g.log.String())
+		}
+	}
+}
+
+// Guards against a lease's record that grows with the upstreams.
+func TestWhatIsKeptIsBounded(t *testing.T) {
+	f := newFixture()
+	for i := range 2000 {
+		f.Hear(ident.Instance(fmt.Sprint("u", i)), "r", RateOf(1.25))
+	}
+	if data := f.Keep(); len(data) > 16<<10 {
+		t.Errorf("%d bytes are kept", len(data))
+	}
+}
+
+// Guards against messages that grow with the limits, and against one of many that is never
+// told.
+func TestAllLimitsAreToldInTurns(t *testing.T) {
+	f := newFixture()
+	const limits = 50
+	var all []ident.Instance
+	for i := range limits {
+		all = append(all, ident.Instance(fmt.Sprint("u", i)))
+		f.Hear(all[i], "r", RateOf(1))
+	}
+	f.now = f.now.Add(newsFor)
+	f.listed(all...)
+	told := make(map[uint32]bool)
+	for range limits/turns + 1 {
+		said := f.Say()
+		if len(said) > turns {
+			t.Errorf("%d limits in a message", len(said))
+		}
+		for _, s := range said {
+			told[s.Upstream] = true
+		}
+		f.now = f.now.Add(turnFor)
+	}
+	if len(told) != limits {
+		t.Errorf("%d of %d limits were told", len(told), limits)
+	}
+	f.Hear(all[3], "r", RateOf(2))
+	news := false
+	for _, s := range f.Say() {
+		news = news || s.Upstream == key(all[3]) && s.Rate == 2
+	}
+	if !news {
+		t.Error("a change is not told at once")
+	}
+}
+
+// Guards against a side of a cut that uses the whole of a limit.
+func TestASideOfACutUsesItsPart(t *testing.T) {
+	sent := func(fleet Fleet) int {
+		f := newFixture()
+		f.Hear(u, "r", RateOf(10))
+		n := 0
+		for range 4000 {
+			f.now = f.now.Add(10 * time.Millisecond)
+			f.Refresh(nil, fleet)
+			if f.Take(u) {
+				n++
+			}
+		}
+		return n
+	}
+	whole, part := sent(Fleet{1, 1}), sent(Fleet{1, 4})
+	if whole < 320 || whole > 420 {
+		t.Errorf("%d requests in 40 s at 10 a second", whole)
+	}
+	if part < 80 || part > 110 {
+		t.Errorf("%d requests in 40 s by a quarter of the gateways", part)
+	}
+}
+
+// Guards against a lower rate that is made up for by sending nothing, and a higher one that
+// is used with a jump.
+func TestAChangedRateIsUsedFromTheStart(t *testing.T) {
+	for _, c := range []struct{ before, after float64 }{{20, 2}, {2, 20}} {
+		f := newFixture()
+		f.Hear(u, "r", RateOf(c.before))
+		ask := func(seconds float64) (sent int) {
+			for range int(seconds * 200) {
+				f.now = f.now.Add(5 * time.Millisecond)
+				if f.Take(u) {
+					sent++
+				}
+			}
+			return sent
+		}
+		ask(20)
+		f.Hear(u, "r", RateOf(c.after))
+		if got, want := float64(ask(10)), 10*c.after; got < usedAim*want || got > 1.2*want {
+			t.Errorf("from %v to %v a second: %v requests in 10 s, %v are allowed", c.before, c.after, got, want)
+		}
+	}
+}
+
+func BenchmarkTake(b *testing.B) {
+	f := newFixture()
+	for i := range 50 {
+		f.Hear(ident.Instance(fmt.Sprint("u", i)), "r", RateOf(1))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		f.Take("u7")
+	}
+}
--- a/internal/upstreamlimit/words.go
+++ b/internal/upstreamlimit/words.go
@@ -101,11 +101,12 @@
 	}
 }
 
-// learn takes in what was said at an instant.
+// learn takes in what was said at an instant. That a limit was lifted is remembered of any
+// upstream: an older word of the limit may come later.
 func (k *Keeper) learn(s Said, at, now time.Time) {
 	l := k.limits[s.Upstream]
 	switch {
-	case l == nil && (!s.Limited || len(k.limits) >= mostLimits):
+	case l == nil && len(k.limits) >= mostLimits:
 		return
 	case l == nil:
 		l = k.add(s.Upstream)
