Limits: an upstream that was hardly asked, and becomes the best choice of all

Cause: how often all gateways choose an upstream was taken from the last seconds alone. Where nobody asked, each sent all that it was asked until it heard of the others. And an upstream was asked only where it was better than all others, so that nobody asked among equals.

Now a gateway's own requests show within 0.4 s that more is asked; next to no requests say nothing; a part of what was asked is expected again; unused time is not all to be had at once; and equals are asked too.

--- a/internal/routing/placement/limits.go
+++ b/internal/routing/placement/limits.go
@@ -10,11 +10,11 @@
 
 // withLimits returns the best candidate where some have limits: the first of those that are
 // better than all others and take the call within their limit, else the best of the others.
-// An upstream is asked only where it is the best choice, so that others with less to do go
-// on being compared with it, and its prompt parts keep their home.
+// An upstream is asked only where no other is better, so that others with less to do go on
+// being compared with it, and its prompt parts keep their home.
 func (s *search) withLimits(best candidate, found bool) (candidate, bool) {
 	if found {
-		s.held = slices.DeleteFunc(s.held, func(x candidate) bool { return x.score >= best.score })
+		s.held = slices.DeleteFunc(s.held, func(x candidate) bool { return x.score > best.score })
 	}
 	slices.SortFunc(s.held, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
 	for i := range s.held {
--- a/internal/upstreamlimit/fleet_test.go
+++ b/internal/upstreamlimit/fleet_test.go
@@ -71,6 +71,9 @@
 	reborn bool
 	// again is how often a refused caller comes back.
 	again int
+	// wanted says when the upstreams with limits are the best choice of all requests, and
+	// when of none; nil where they are of some.
+	wanted func(at time.Duration) bool
 	// share is another way to divide a rate; nil for the one that stands.
 	share share
 	// apart: gateways do not hear each other's uses.
@@ -465,6 +468,12 @@
 	}
 	for i := range f.ups {
 		u := f.ups[(start+i*step)%len(f.ups)]
+		if f.s.wanted != nil {
+			u = f.ups[i]
+			if u.plan != nil && !f.s.wanted(f.Now()) {
+				continue
+			}
+		}
 		if f.apart(g.domain, u.domain) {
 			continue
 		}
--- a/internal/upstreamlimit/share.go
+++ b/internal/upstreamlimit/share.go
@@ -15,10 +15,19 @@
 	// and sentMemory over how long what is sent to it.
 	askedMemory = 3 * time.Second
 	sentMemory  = 4 * time.Second
-	// heardWithin is the time after which about two thirds of the others are heard, and
-	// heardLate by how much later the last of them begin to count, and are heard.
-	heardWithin = 400 * time.Millisecond
-	heardLate   = 800 * time.Millisecond
+	// heardLate is by how much later the last of the other gateways begin to count, and are
+	// heard, and soon the time within which a gateway's own requests show that more is asked.
+	heardLate = 800 * time.Millisecond
+	soon      = 400 * time.Millisecond
+	// expectedPart of what was asked at most is expected again at any time, less and less
+	// over expectedFor.
+	expectedPart = 0.5
+	expectedFor  = 30 * time.Second
+	// fewAsked requests lately say next to nothing of how many will come.
+	fewAsked = 3
+	// unusedPart of what a rate allows in the memory counts as sent where less was: what
+	// was not used in a time is not all to be had at once afterwards.
+	unusedPart = 0.5
 	// gain is how much less of its part is sent where more was sent than the limit allows,
 	// and more where less was; mostGain bounds it.
 	gain     = 4.0
@@ -41,6 +50,16 @@
 	credit float64
 	// begun: sent holds this gateway's part of what was sent before it counted.
 	begun bool
+	// lately counts as asked does, over a shorter time, and settled follows asked as late as
+	// the others are heard.
+	lately, settled float64
+	// expected is how often a second all gateways may choose the upstream again, by what they
+	// asked before, as of expectedAt.
+	expected   float64
+	expectedAt time.Time
+	// unused counts as sent beside what was, as of unusedAt; it decays.
+	unused   float64
+	unusedAt time.Time
 	// lastSent is when one was sent.
 	lastSent time.Time
 }
@@ -60,7 +79,9 @@
 	if elapsed <= 0 {
 		return
 	}
+	u.settled += (u.asked - u.settled) * (1 - math.Exp(-elapsed/heardLate.Seconds()))
 	u.asked *= math.Exp(-elapsed / askedMemory.Seconds())
+	u.lately *= math.Exp(-elapsed / soon.Seconds())
 	u.sent *= math.Exp(-elapsed / sentMemory.Seconds())
 	u.at = now
 }
@@ -78,21 +99,40 @@
 // uses the part of the rate that those have which it hears.
 func thinned(l *limit, fleet Fleet, now time.Time) float64 {
 	rate := aim * l.allowed() * fleet.part()
-	over := (l.sent+l.othersSent)/(rate*sentMemory.Seconds()) - 1
+	over := l.used(rate, now)/(rate*sentMemory.Seconds()) - 1
 	factor := min(max(1-gain*over, 0), mostGain)
 	return min(rate*factor/l.askedOfAll(fleet, now), 1)
 }
 
-// askedOfAll is how often a second all gateways would choose the upstream. As long as they
-// are not heard, each is taken to ask once.
+// used is what counts as sent lately, at a rate.
+func (l *limit) used(rate float64, now time.Time) float64 {
+	sent := l.sent + l.othersSent
+	l.unused *= math.Exp(-now.Sub(l.unusedAt).Seconds() / sentMemory.Seconds())
+	l.unused, l.unusedAt = max(l.unused, unusedPart*rate*sentMemory.Seconds()-sent, 0), now
+	return sent + l.unused
+}
+
+// askedOfAll is how often a second all gateways choose the upstream: what they asked lately,
+// or what this gateway's own requests show, whichever is more. What goes wrong with the first
+// alone: an upstream that was hardly asked becomes the best choice of all requests, and each
+// gateway sends all that it is asked until it hears of the others.
 func (l *limit) askedOfAll(fleet Fleet, now time.Time) float64 {
-	memory, since := askedMemory.Seconds(), now.Sub(l.since).Seconds()
-	unheard := float64(fleet.Known) * math.Exp(-since/heardWithin.Seconds())
-	counted := 1 - math.Exp(-(since-heardLate.Seconds())/memory)
-	if counted <= 0 {
-		return unheard / memory
-	}
-	return ((l.asked+l.othersAsked)/counted + unheard) / memory
+	memory, known := askedMemory.Seconds(), float64(max(fleet.Known, 1))
+	counted := 1 - math.Exp(-max(now.Sub(l.since)-heardLate, soon/4).Seconds()/memory)
+	asked := l.asked + l.othersAsked
+	// Where next to nothing was asked, each gateway is taken to ask once.
+	unknown := known / heardLate.Seconds() * math.Exp(-asked*asked/(fewAsked*fewAsked))
+	// A single request shows nothing: among many gateways each has one now and then.
+	part := (l.settled + 1/known) / (l.settled + l.othersAsked + 1)
+	shown := max(l.lately-1, 0) / soon.Seconds() / part
+	l.expect(now)
+	return max(asked/counted/memory+unknown, shown, l.expected)
+}
+
+// expect notes what may be asked again.
+func (l *limit) expect(now time.Time) {
+	l.expected *= math.Exp(-now.Sub(l.expectedAt).Seconds() / expectedFor.Seconds())
+	l.expected, l.expectedAt = max(l.expected, expectedPart*(l.asked+l.othersAsked)/askedMemory.Seconds()), now
 }
 
 // part is that of the gateways that are heard.
@@ -108,6 +148,7 @@
 	}
 	now := k.cfg.Now()
 	l.decay(now)
+	l.lately++
 	l.credit += k.share(l, k.fleet, now)
 	l.asked++
 	if l.credit < 1 {
--- a/internal/upstreamlimit/words.go
+++ b/internal/upstreamlimit/words.go
@@ -149,6 +149,8 @@
 		l.othersAsked, l.othersSent = u.Asked, u.Sent
 		if l.limited {
 			l.begin(fleet)
+			l.decay(k.cfg.Now())
+			l.expect(l.at)
 		}
 	}
 }
