Need: upstreams that take less than they could are made up for

A limited upstream counted as one that serves, so that the others carried its work out of the reserve for the next reclaim. The part of the requests for which it is the best choice and that it does not take counts as missing.

--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -119,6 +119,7 @@
 	return &scaling.Controller{
 		Now: p.now, Table: p.table, View: p.board.upstreams.Value, Need: p.need, Leases: p.lease,
 		Duties: p.ports.Duties, Log: p.log.Named("scaling"), Serves: p.rollouts.Serves, Changing: p.rollouts.Running,
+		Lacking: p.limits.Lacking,
 	}
 }
 
--- a/internal/fleetsim/cloud.go
+++ b/internal/fleetsim/cloud.go
@@ -43,6 +43,7 @@
 	c.controller = &scaling.Controller{
 		Now: w.Clock, Table: w.table, View: func() *directory.View { return w.view }, Leases: c, Duties: c, Log: hclog.NewNullLogger(),
 		Serves: func(*directory.Upstream) bool { return true }, Changing: func(ident.Service) bool { return false },
+		Lacking: func(ident.Instance) float64 { return 0 },
 		Need: func(s *routetable.Service) float64 {
 			return scaling.Need(w.demand(), w.gateways[0].chooser.EngineFigures(service, w.Clock()), s.Engine.Slots)
 		},
--- a/internal/scaling/controller.go
+++ b/internal/scaling/controller.go
@@ -83,6 +83,9 @@
 	// whether a service's upstreams are being changed for those of another version.
 	Serves   func(*directory.Upstream) bool
 	Changing func(ident.Service) bool
+	// Lacking is the part of an upstream's work that it does not take, because it named a
+	// limit.
+	Lacking func(ident.Instance) float64
 
 	fence    ident.Fence
 	since    time.Time
@@ -173,7 +176,7 @@
 	for _, n := range serving {
 		r.total += n
 	}
-	wanted := Plan(Situation{Scale: s.Scale, Need: need, Serving: serving, Coming: coming(s, state, serving, now), Closed: closed, AtRisk: state.atRisk(s.Scale.Startup, now)})
+	wanted := Plan(Situation{Scale: s.Scale, Need: need, Serving: serving, Coming: coming(s, state, serving, now), Closed: closed, Lacking: c.lacking(s.Name), AtRisk: state.atRisk(s.Scale.Startup, now)})
 	for _, slot := range inOrder(wanted) {
 		if closed[slot] || !c.due(r, slot, wanted[slot]) {
 			continue
@@ -245,6 +248,19 @@
 	return sum
 }
 
+// lacking is how many upstreams are missing because serving ones take less than they could.
+// What goes wrong without it: an upstream in need counts as one that serves, the others
+// carry its work, and the reserve for the next reclaim is gone.
+func (c *Controller) lacking(name ident.Service) float64 {
+	sum := 0.0
+	for _, u := range c.View().Of(name) {
+		if u.State == directory.Ready && c.Serves(&u) {
+			sum += c.Lacking(u.ID)
+		}
+	}
+	return sum
+}
+
 // count counts the ready upstreams, and closes slots whose upstreams are being
 // reclaimed: most reclaimable ones of a domain begin to leave at once, and nobody gave
 // them up. Not all of them have to: one that has crashed never says that it leaves. Their
--- a/internal/scaling/plan.go
+++ b/internal/scaling/plan.go
@@ -28,6 +28,9 @@
 	// were ordered and can still be on their way.
 	Serving map[Slot]int
 	Coming  int
+	// Lacking is how many of the serving upstreams are missing because some take less than
+	// they could serve, as a real number.
+	Lacking float64
 	// AtRisk is how many domains are expected to be reclaimed before an on-demand upstream
 	// that is ordered now has started.
 	AtRisk float64
@@ -74,11 +77,11 @@
 		wanted[Slot{d, true}], wanted[Slot{d, false}] = 0, 0
 	}
 	if s.Scale.ReclaimablePrice <= 0 {
-		s.fill(wanted, domains, s.total(s.Need), s.Scale.Most, false)
+		s.fill(wanted, domains, s.total(s.Need+s.Lacking), s.Scale.Most, false)
 		s.keepLeast(wanted, domains, false)
 		return wanted
 	}
-	total := max(s.total(reserve(len(domains))*s.Need), min(minimum, s.Scale.Most)*len(domains))
+	total := max(s.total(reserve(len(domains))*s.Need+s.Lacking), min(minimum, s.Scale.Most)*len(domains))
 	s.fill(wanted, domains, total, (total+len(domains)-1)/len(domains)+uneven, true)
 	s.keepLeast(wanted, domains, true)
 	s.fill(wanted, domains, s.short(), s.Scale.Most, false)
@@ -100,7 +103,7 @@
 		}
 	}
 	there -= int(largest(domains, s.AtRisk))
-	return max(0, int(math.Ceil(s.Need))-max(0, there))
+	return max(0, int(math.Ceil(s.Need+s.Lacking))-max(0, there))
 }
 
 // largest adds up so many of the largest numbers, the last of them in part.
--- a/internal/scaling/scaling_test.go
+++ b/internal/scaling/scaling_test.go
@@ -109,6 +109,8 @@
 	err    error
 	view   *directory.View
 	orders []platform.ScaleOrder
+	// lacking is the part that an upstream does not take.
+	lacking map[ident.Instance]float64
 }
 
 func (c *cloud) Grant() (duty.Grant, bool) {
@@ -133,6 +135,41 @@
 		Leases: c, Duties: c, Log: hclog.NewNullLogger(),
 		Serves:   func(u *directory.Upstream) bool { return c.tried == "" || u.Version != c.tried },
 		Changing: func(ident.Service) bool { return c.tried != "" },
+		Lacking:  func(id ident.Instance) float64 { return c.lacking[id] },
+	}
+}
+
+// Guards against a plan that counts on upstreams which take a part of what they could serve.
+func TestUpstreamsWithLimitsAreMadeUpFor(t *testing.T) {
+	there := map[Slot]int{{"a", true}: 3, {"b", true}: 3, {"c", true}: 3, {"d", true}: 3}
+	sum := func(s Situation) (reclaimable, onDemand int) {
+		for slot, n := range Plan(s) {
+			if slot.Reclaimable {
+				reclaimable += n
+			} else {
+				onDemand += n
+			}
+		}
+		return reclaimable, onDemand
+	}
+	scale := standardScale()
+	scale.Most = 10
+	for _, c := range []struct {
+		lacking               float64
+		reclaimable, onDemand int
+	}{{0, 12, 0}, {0.4, 13, 0}, {2, 14, 0}, {7.5, 20, 2}} {
+		reclaimable, onDemand := sum(Situation{Scale: scale, Need: 6, Serving: there, Lacking: c.lacking})
+		if reclaimable != c.reclaimable || onDemand != c.onDemand {
+			t.Errorf("%v lacking: %d and %d on demand, want %d and %d", c.lacking, reclaimable, onDemand, c.reclaimable, c.onDemand)
+		}
+	}
+	c, controller := newCloud()
+	c.view = directory.NewView([]directory.Upstream{
+		{ID: "u1", Service: "svc", State: directory.Ready}, {ID: "u2", Service: "svc", State: directory.Ready}, {ID: "u3", Service: "svc", State: directory.Leaving},
+	})
+	c.lacking = map[ident.Instance]float64{"u1": 0.75, "u3": 1}
+	if got := controller.lacking("svc"); got != 0.75 {
+		t.Errorf("%v lacking, want 0.75", got)
 	}
 }
 
--- a/internal/upstreamlimit/keeper_test.go
+++ b/internal/upstreamlimit/keeper_test.go
@@ -311,3 +311,24 @@
 		f.Take("u7")
 	}
 }
+
+// Guards against an upstream that counts as missing though it takes all that is asked of it.
+func TestWhatAnUpstreamLacks(t *testing.T) {
+	f := newFixture()
+	f.Hear(u, "r", RateOf(2))
+	f.Hear("idle", "r", RateOf(2))
+	for range 2000 {
+		f.now = f.now.Add(10 * time.Millisecond)
+		f.Take(u)
+	}
+	if got := f.Lacking(u); got < 0.95 || got > 0.99 {
+		t.Errorf("%v lacking at 2 of 100 a second", got)
+	}
+	if f.Lacking("idle") != 0 || f.Lacking("unknown") != 0 {
+		t.Error("an upstream that nobody asks counts as missing")
+	}
+	f.Hear(u, "r", Statement{})
+	if f.Lacking(u) != 0 {
+		t.Error("a lifted limit counts")
+	}
+}
--- a/internal/upstreamlimit/share.go
+++ b/internal/upstreamlimit/share.go
@@ -185,3 +185,20 @@
 	seconds := max(asked, 1) / allowed
 	return min(time.Duration(seconds*float64(time.Second)), mostReturn)
 }
+
+// Lacking is the part of the requests for which an upstream is the best choice that it does
+// not take.
+func (k *Keeper) Lacking(upstream ident.Instance) float64 {
+	if !k.some.Load() {
+		return 0
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	l := k.limits[k.cfg.Key(upstream)]
+	if l == nil || !l.limited {
+		return 0
+	}
+	l.decay(k.cfg.Now())
+	asked := (l.asked + l.othersAsked) / askedMemory.Seconds()
+	return 1 - min(l.allowed()/max(asked, l.allowed()), 1)
+}
