--- a/Makefile
+++ b/Makefile
@@ -90,6 +90,11 @@
 poison-report:
 	$(GO) test ./internal/poison -count=1 -timeout 60m -run '^TestStories$$' -args -poison.seeds $(SEEDS) -poison.large -poison.table="$$PWD/$(REPORT)/poison.txt"
 
+# Plays of upstreams that name limits, in virtual time, beside other ways to share a rate; into REPORT.
+.PHONY: limits-report
+limits-report:
+	$(GO) test ./internal/upstreamlimit -count=1 -timeout 60m -run '^TestStories$$' -args -limit.seeds $(SEEDS) -limit.large -limit.table="$$PWD/$(REPORT)/limits.txt"
+
 # --- capacity (cmd/capacity, docs/CAPACITY.md) ---
 .PHONY: capacity capacity-fleet capacity-whole
 
