--- a/internal/upstreamlimit/keeper_test.go
+++ b/internal/upstreamlimit/keeper_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -366,3 +367,111 @@
 		}
 	})
 }
+
+// Guards against a gateway that goes on sending what its part allows where all together have
+// sent too much, and against one that leaves unused what the others do not send.
+func TestWhatAllSentLatelyIsFollowed(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		othersSent float64
+		most       int
+		least      int
+	}{
+		{name: "twice what the rate allows", othersSent: 80, most: 0},
+		{name: "nothing", othersSent: 0, most: 100, least: 70},
+	} {
+		f := newFixture()
+		f.Hear(u, "r", RateOf(10))
+		sent := 0
+		for i := range 2000 {
+			f.now = f.now.Add(10 * time.Millisecond)
+			// Half of all that is asked comes here.
+			f.Refresh(Uses{key(u): {Asked: 300, Sent: c.othersSent}}, Fleet{2, 2})
+			if f.Take(u) && i >= 1000 {
+				sent++
+			}
+		}
+		if sent < c.least || sent > c.most {
+			t.Errorf("%s: %d sent in 10 s at 10 a second", c.name, sent)
+		}
+	}
+}
+
+// Guards against gateways that all send what they are asked when a limit is heard of, or when
+// they start, because nobody has counted yet.
+func TestTheFirstRequestsOfManyGatewaysAreFew(t *testing.T) {
+	sent := 0
+	const gateways = 82
+	for i := range gateways {
+		f := newFixture()
+		f.rng = rand.New(rand.NewPCG(uint64(i), 1))
+		f.Refresh(nil, Fleet{gateways, gateways})
+		f.Hear(u, "r", RateOf(5))
+		f.now = f.now.Add(2 * time.Second)
+		if f.Take(u) {
+			sent++
+		}
+	}
+	if sent > 35 {
+		t.Errorf("%d gateways send their first request at 5 a second", sent)
+	}
+}
+
+// Guards against an upstream that is sent all at once what it was not asked for in a pause.
+func TestAPauseIsNotMadeUpFor(t *testing.T) {
+	f := newFixture()
+	f.Hear(u, "r", RateOf(5))
+	ask := func(seconds float64) (sent int) {
+		for range int(seconds * 100) {
+			f.now = f.now.Add(10 * time.Millisecond)
+			f.Refresh(nil, Fleet{1, 1})
+			if f.Take(u) {
+				sent++
+			}
+		}
+		return sent
+	}
+	ask(10)
+	f.now = f.now.Add(10 * time.Second)
+	// The first few come before it shows how much is asked.
+	if sent := ask(0.1); sent > 4 {
+		t.Errorf("%d of the first 10 requests are sent, at 5 a second", sent)
+	}
+}
+
+// Guards against a gateway that begins with nothing sent and makes up for it.
+func TestAGatewayBeginsWithItsPartSent(t *testing.T) {
+	f := newFixture()
+	f.Hear(u, "r", RateOf(20))
+	sent := 0
+	for range 600 {
+		f.now = f.now.Add(5 * time.Millisecond)
+		f.Refresh(nil, Fleet{1, 1})
+		if f.Take(u) {
+			sent++
+		}
+	}
+	if sent > 66 {
+		t.Errorf("%d sent in the first 3 s at 20 a second", sent)
+	}
+}
+
+// Guards against an upstream that took nothing for a while and never gets a request again: it
+// says only in an answer that it takes more.
+func TestAnUpstreamThatTakesNothingIsAskedNowAndThen(t *testing.T) {
+	for _, rate := range []float64{0, 1e-300, 0.01} {
+		f := newFixture()
+		f.Hear(u, "r", RateOf(rate))
+		sent := 0
+		for range 6000 {
+			f.now = f.now.Add(10 * time.Millisecond)
+			f.Refresh(nil, Fleet{1, 1})
+			if f.Take(u) {
+				sent++
+			}
+		}
+		if sent < 6 || sent > 18 {
+			t.Errorf("%d requests in a minute at %v a second", sent, rate)
+		}
+	}
+}
