--- a/internal/upstreamlimit/keeper.go
+++ b/internal/upstreamlimit/keeper.go
@@ -238,6 +238,10 @@
 	each(func(upstream ident.Instance) {
 		if l := k.limits[k.cfg.Key(upstream)]; l != nil {
 			l.upstream, l.listedAt = upstream, now
+			if l.limited && l.loggedAt.IsZero() {
+				// It was heard of before its entry.
+				k.tell(l, "", now)
+			}
 		}
 	})
 	changed := false
--- a/internal/upstreamlimit/stories_test.go
+++ b/internal/upstreamlimit/stories_test.go
@@ -264,15 +264,20 @@
 	}),
 }
 
+// spacedAt is when a limit's last request was let pass by spaced.
+var spacedAt sync.Map
+
 // spaced lets a request pass when a rate's time is over since the last.
 func spaced(l *limit, rate float64, now time.Time) float64 {
 	l.credit = 0
-	from := l.lastSent
-	if from.IsZero() {
-		from = l.since
+	last, some := spacedAt.Load(l)
+	from := l.since
+	if some {
+		from = last.(time.Time)
 	}
-	if now.Sub(from).Seconds()*rate >= 1 {
-		return 1
+	if now.Sub(from).Seconds()*rate < 1 {
+		return 0
 	}
-	return 0
+	spacedAt.Store(l, now)
+	return 1
 }
--- /dev/null
+++ b/internal/upstreamlimit/take.go
@@ -0,0 +1,71 @@
+package upstreamlimit
+
+import (
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+// Take reports whether a request may be sent to an upstream for which it is the best choice.
+func (k *Keeper) Take(upstream ident.Instance) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	l := k.limits[k.cfg.Key(upstream)]
+	if l == nil || !l.limited {
+		return true
+	}
+	now := k.cfg.Now()
+	l.decay(now)
+	l.lately++
+	l.credit += k.share(l, k.fleet, now)
+	l.asked++
+	if l.credit < 1 {
+		k.counters.PassedOver++
+		return false
+	}
+	l.credit--
+	l.sent++
+	k.counters.Sent++
+	return true
+}
+
+// mostReturn bounds what a caller is told of when to return.
+const mostReturn = 30 * time.Second
+
+// RoomIn returns after how long upstreams that all have a limit take one more request: when
+// they have taken what is asked of them in a second.
+func (k *Keeper) RoomIn(upstreams []ident.Instance) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.cfg.Now()
+	asked, allowed := 0.0, 0.0
+	for _, id := range upstreams {
+		l := k.limits[k.cfg.Key(id)]
+		if l == nil || !l.limited {
+			return 0
+		}
+		l.decay(now)
+		// A request that is not taken asks at each of them.
+		asked = max(asked, l.askedOfAll(k.fleet, now))
+		allowed += l.allowed()
+	}
+	seconds := max(asked, 1) / allowed
+	return min(time.Duration(seconds*float64(time.Second)), mostReturn)
+}
+
+// Lacking is the part of the requests for which an upstream is the best choice that it does
+// not take.
+func (k *Keeper) Lacking(upstream ident.Instance) float64 {
+	if !k.some.Load() {
+		return 0
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	l := k.limits[k.cfg.Key(upstream)]
+	if l == nil || !l.limited {
+		return 0
+	}
+	l.decay(k.cfg.Now())
+	asked := (l.asked + l.othersAsked) / askedMemory.Seconds()
+	return 1 - min(l.allowed()/max(asked, l.allowed()), 1)
+}
