--- a/internal/upstreamlimit/fleet_test.go
+++ b/internal/upstreamlimit/fleet_test.go
@@ -98,7 +98,6 @@
 	fleet  Fleet
 	// listAt is when it next looks which upstreams there are.
 	listAt time.Duration
-	knows  []bool
 }
 
 // report is one gateway's uses.
