--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -31,9 +31,9 @@
 
 // refreshLimits takes in what the other gateways do with upstreams that have a limit.
 func (p *Process) refreshLimits(v *peerView) {
-	var uses upstreamlimit.Uses
+	uses := make(upstreamlimit.Uses)
 	for i := range v.Groups {
-		uses = uses.Plus(v.Groups[i].LimitUses)
+		uses.Add(v.Groups[i].LimitUses)
 	}
 	p.limits.Refresh(uses, upstreamlimit.Fleet{Heard: v.Heard + 1, Known: p.gateways()})
 	p.limits.Listed(func(note func(ident.Instance)) {
--- a/internal/gossip/collector.go
+++ b/internal/gossip/collector.go
@@ -10,6 +10,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/enginemodel"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/routing/placement"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstreamlimit"
 )
 
 const (
@@ -233,7 +234,7 @@
 			s.addTo(chosen.sum.Loads, chosen.sum.Work, chosen.sum.Engines)
 			s.Rollouts = s.Rollouts.Plus(chosen.sum.Rollouts.Aged(now.Sub(chosen.at)))
 			s.Poison = s.Poison.Plus(chosen.sum.Poison.Aged(now.Sub(chosen.at)))
-			s.LimitUses = s.LimitUses.Plus(chosen.sum.LimitUses)
+			s.LimitUses.Add(chosen.sum.LimitUses)
 			s.Holds = s.Holds || chosen.sum.Holds
 			s.GivenUp = max(s.GivenUp, chosen.sum.GivenUp)
 		}
@@ -247,6 +248,7 @@
 	return Sum{
 		Source: c.life, Seq: c.seq, TrueWallMillis: wall.Add(c.wallCorrection(now)).UnixMilli(),
 		Loads: make(map[UpstreamKey]placement.Load), Work: make(map[ident.Service]placement.Demand), Engines: make(map[ident.Service]enginemodel.Sums),
+		LimitUses: make(upstreamlimit.Uses),
 	}
 }
 
@@ -272,7 +274,7 @@
 		s.addTo(m.report.Loads, m.report.Work, m.report.Engines)
 		s.Rollouts = s.Rollouts.Plus(m.report.Rollouts.Aged(age))
 		s.Poison = s.Poison.Plus(m.report.Poison.Aged(age))
-		s.LimitUses = s.LimitUses.Plus(m.report.LimitUses)
+		s.LimitUses.Add(m.report.LimitUses)
 		s.Holds = s.Holds || m.report.Holds
 		s.GivenUp = max(s.GivenUp, m.report.GivenUp)
 	}
--- a/internal/gossip/limits_test.go
+++ b/internal/gossip/limits_test.go
@@ -59,7 +59,7 @@
 	for _, n := range f.order {
 		uses := upstreamlimit.Uses{}
 		for _, g := range n.gossip.View(time.Now()).Groups {
-			uses = uses.Plus(g.LimitUses)
+			uses.Add(g.LimitUses)
 		}
 		for i := range limits {
 			want := 0.0
--- a/internal/upstreamlimit/fleet_test.go
+++ b/internal/upstreamlimit/fleet_test.go
@@ -313,11 +313,11 @@
 
 // answer gives a gateway its collector's sum of all others.
 func (f *fleet) answer(c, g *gateway) {
-	sum := domainReport{at: f.Now()}
+	sum := domainReport{uses: make(Uses), at: f.Now()}
 	f.addMembers(c, &sum, g.i)
 	for _, other := range c.sums {
 		if f.Now()-other.at <= fresh {
-			sum.uses = sum.uses.Plus(other.uses)
+			sum.uses.Add(other.uses)
 			sum.heard += other.heard
 		}
 		if f.Now()-other.at <= knownFor {
@@ -337,7 +337,7 @@
 		}
 		if f.Now()-r.at <= fresh {
 			sum.heard++
-			sum.uses = sum.uses.Plus(r.uses)
+			sum.uses.Add(r.uses)
 		}
 	}
 }
@@ -349,7 +349,7 @@
 	if c == nil {
 		return
 	}
-	sum := domainReport{at: f.Now()}
+	sum := domainReport{uses: make(Uses), at: f.Now()}
 	f.addMembers(c, &sum, -1)
 	for d := range f.s.domains {
 		if o := f.collector(d); d != domain && o != nil && !f.apart(domain, d) {
@@ -364,7 +364,7 @@
 	if !g.up {
 		return
 	}
-	var others Uses
+	others := make(Uses)
 	fleet := Fleet{Heard: 1, Known: 1}
 	if f.many() {
 		if sum := g.answer; f.Now()-sum.at <= fresh && sum.at > 0 {
@@ -378,7 +378,7 @@
 				continue
 			}
 			if f.Now()-r.at <= fresh {
-				others = others.Plus(r.uses)
+				others.Add(r.uses)
 				fleet.Heard++
 			}
 			if f.Now()-r.at <= knownFor {
--- a/internal/upstreamlimit/words.go
+++ b/internal/upstreamlimit/words.go
@@ -34,19 +34,11 @@
 // Uses are those of several upstreams, by their keys.
 type Uses map[uint32]Use
 
-// Plus returns the uses of two groups of gateways together.
-func (u Uses) Plus(o Uses) Uses {
-	if len(o) == 0 {
-		return u
-	}
-	out := make(Uses, max(len(u), len(o)))
-	for key, use := range u {
-		out[key] = use
-	}
+// Add adds the uses of other gateways.
+func (u Uses) Add(o Uses) {
 	for key, use := range o {
-		out[key] = Use{out[key].Asked + use.Asked, out[key].Sent + use.Sent}
+		u[key] = Use{u[key].Asked + use.Asked, u[key].Sent + use.Sent}
 	}
-	return out
 }
 
 // Say returns what to tell the other gateways of limits: what changed lately, and some
