Limits, read once more: one look-up, one place where the set of limited upstreams changes

Four functions looked a limit up and asked whether it is in force, two noted a changed set; one each now. Turns follow the exchange's round, which had been copied as a constant. Fields that nobody set in tests are gone.

--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -121,11 +121,10 @@
 		Limits: rollout.Limits{Share: s.Rollout.Share, Slack: s.Rollout.Slack, StopDue: s.Rollout.StopDue}, Now: p.now, Log: p.log.Named("rollout"),
 		Life: p.life, Gateways: p.gateways, OrdersKnown: func() time.Time { return p.configuration.confirmedAt() },
 	})
-	p.poison = poison.New(poison.Config{
-		Now: p.now, Log: p.log.Named("poison"), Key: func(id ident.Instance) uint32 { return uint32(gossip.KeyOf(id)) },
-	})
+	key := func(id ident.Instance) uint32 { return uint32(gossip.KeyOf(id)) }
+	p.poison = poison.New(poison.Config{Now: p.now, Log: p.log.Named("poison"), Key: key})
 	p.limits = upstreamlimit.NewKeeper(upstreamlimit.Config{
-		Now: p.now, Log: p.log.Named("limits"), Key: func(id ident.Instance) uint32 { return uint32(gossip.KeyOf(id)) }, Seed: uint64(p.incarnation),
+		Now: p.now, Log: p.log.Named("limits"), Key: key, Round: gossip.Interval, Seed: uint64(p.incarnation),
 	})
 	p.configuration = newConfiguration(p.ports, p.board, p.rollouts, p.now, p.place, s.Configuration.ChangeDue, p.log.Named("configuration"))
 	p.upstreams = newUpstreams(p.ports, p.board, p.rollouts, p.pool, p.now, p.place, s.Upstreams.DepartureDue, p.log.Named("upstreams"))
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -15,6 +15,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/directory"
 	"github.com/goldcrestspool/goldcrestspool/internal/enginemodel"
 	"github.com/goldcrestspool/goldcrestspool/internal/forward"
+	"github.com/goldcrestspool/goldcrestspool/internal/gossip"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/prompt"
 	"github.com/goldcrestspool/goldcrestspool/internal/rollout"
@@ -161,7 +162,9 @@
 		Gateways: func() int { return w.c.Fleet.Gateways },
 		Engines:  func(ident.Service) enginemodel.Sums { return w.sums },
 		Split:    func(ident.Service) *rollout.Split { return nil },
-		Limits:   upstreamlimit.NewKeeper(upstreamlimit.Config{Now: time.Now, Log: hclog.NewNullLogger()}),
+		Limits: upstreamlimit.NewKeeper(upstreamlimit.Config{
+			Now: w.Clock, Log: hclog.NewNullLogger(), Key: func(id ident.Instance) uint32 { return uint32(gossip.KeyOf(id)) }, Round: gossip.Interval,
+		}),
 	})
 	w.gateways = append(w.gateways, g)
 }
--- a/internal/routing/placement/limits_test.go
+++ b/internal/routing/placement/limits_test.go
@@ -33,7 +33,6 @@
 		name    string
 		limited []ident.Instance
 		rate    float64
-		state   directory.State
 	}{
 		{name: "one", limited: []ident.Instance{"a0"}, rate: 1},
 		{name: "zero", limited: []ident.Instance{"a0"}},
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -372,6 +372,8 @@
 		return view
 	}
 	c.view = view
+	// Marks by their lists would keep the views of before in memory.
+	c.limited.marks = nil
 	for service, set := range c.sets {
 		set.SetUpstreams(ready(view.Of(service)))
 	}
--- a/internal/routing/placement/placement_test.go
+++ b/internal/routing/placement/placement_test.go
@@ -46,7 +46,7 @@
 	}
 	f.limits = upstreamlimit.NewKeeper(upstreamlimit.Config{
 		Now: func() time.Time { return f.now }, Log: hclog.NewNullLogger(),
-		Key: func(id ident.Instance) uint32 { return uint32(xxhash.Sum64String(string(id))) },
+		Key: func(id ident.Instance) uint32 { return uint32(xxhash.Sum64String(string(id))) }, Round: time.Second,
 	})
 	f.Chooser = New(Config{
 		Params: DefaultParams(), Domain: "a", Log: hclog.NewNullLogger(),
--- a/internal/upstreamlimit/fleet_test.go
+++ b/internal/upstreamlimit/fleet_test.go
@@ -76,8 +76,6 @@
 	wanted func(at time.Duration) bool
 	// share is another way to divide a rate; nil for the one that stands.
 	share share
-	// apart: gateways do not hear each other's uses.
-	apart bool
 }
 
 func (s story) with(change func(*story)) story {
@@ -229,7 +227,7 @@
 	g.up, g.startedAt = true, f.Now()
 	g.reports, g.sums, g.answer = make(map[int]report), make(map[int]domainReport), domainReport{}
 	g.fleet = Fleet{Heard: 1, Known: f.s.gateways}
-	g.keeper = NewKeeper(Config{Now: f.clock, Log: hclog.NewNullLogger(), Key: key, Seed: f.rng.Uint64()})
+	g.keeper = NewKeeper(Config{Now: f.clock, Log: hclog.NewNullLogger(), Key: key, Round: round, Seed: f.rng.Uint64()})
 	if f.s.share != nil {
 		g.keeper.share = f.s.share
 	}
@@ -280,9 +278,6 @@
 	}
 	own := g.keeper.Uses()
 	f.r.told = max(f.r.told, len(own))
-	if f.s.apart {
-		own = nil
-	}
 	if f.many() {
 		if c := f.collector(g.domain); c != nil {
 			f.say(g, c, func() { c.reports[g.i] = report{own, f.Now()} })
--- a/internal/upstreamlimit/keeper.go
+++ b/internal/upstreamlimit/keeper.go
@@ -31,6 +31,8 @@
 	Log hclog.Logger
 	// Key stands for an upstream between gateways.
 	Key func(ident.Instance) uint32
+	// Round is the time between two messages to the same gateway.
+	Round time.Duration
 	// Seed of what is drawn; it should differ between gateways.
 	Seed uint64
 }
@@ -156,20 +158,28 @@
 	k.order = Order{}
 	l.limited, l.rate, l.changedAt = limited, rate, now
 	if changed {
-		k.version.Add(1)
-		k.some.Store(k.count() > 0)
+		k.limitedChanged()
 	}
 	return true
 }
 
-func (k *Keeper) count() int {
-	n := 0
+// limitedChanged takes in that other upstreams have limits than before.
+func (k *Keeper) limitedChanged() {
+	k.order = Order{}
+	k.version.Add(1)
+	some := false
 	for _, l := range k.limits {
-		if l.limited {
-			n++
-		}
+		some = some || l.limited
+	}
+	k.some.Store(some)
+}
+
+// inForce returns an upstream's limit; nil if it has none.
+func (k *Keeper) inForce(upstream ident.Instance) *limit {
+	if l := k.limits[k.cfg.Key(upstream)]; l != nil && l.limited {
+		return l
 	}
-	return n
+	return nil
 }
 
 // tell logs a change, once in a time.
@@ -220,8 +230,8 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	l := k.limits[k.cfg.Key(upstream)]
-	if l == nil || !l.limited {
+	l := k.inForce(upstream)
+	if l == nil {
 		return 0, false
 	}
 	return l.allowed(), true
@@ -253,8 +263,6 @@
 		}
 	}
 	if changed {
-		k.order = Order{}
-		k.version.Add(1)
-		k.some.Store(k.count() > 0)
+		k.limitedChanged()
 	}
 }
--- a/internal/upstreamlimit/keeper_test.go
+++ b/internal/upstreamlimit/keeper_test.go
@@ -28,7 +28,7 @@
 
 func newFixture() *fixture {
 	f := &fixture{now: epoch}
-	f.Keeper = NewKeeper(Config{Now: func() time.Time { return f.now }, Log: hclog.New(&hclog.LoggerOptions{Output: &f.log}), Key: key, Seed: 1})
+	f.Keeper = NewKeeper(Config{Now: func() time.Time { return f.now }, Log: hclog.New(&hclog.LoggerOptions{Output: &f.log}), Key: key, Round: round, Seed: 1})
 	f.Refresh(nil, Fleet{Heard: 1, Known: 1})
 	return f
 }
@@ -235,7 +235,7 @@
 		for _, s := range said {
 			told[s.Upstream] = true
 		}
-		f.now = f.now.Add(turnFor)
+		f.now = f.now.Add(round)
 	}
 	if len(told) != limits {
 		t.Errorf("%d of %d limits were told", len(told), limits)
--- a/internal/upstreamlimit/take.go
+++ b/internal/upstreamlimit/take.go
@@ -10,8 +10,8 @@
 func (k *Keeper) Take(upstream ident.Instance) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	l := k.limits[k.cfg.Key(upstream)]
-	if l == nil || !l.limited {
+	l := k.inForce(upstream)
+	if l == nil {
 		return true
 	}
 	now := k.cfg.Now()
@@ -40,8 +40,8 @@
 	now := k.cfg.Now()
 	asked, allowed := 0.0, 0.0
 	for _, id := range upstreams {
-		l := k.limits[k.cfg.Key(id)]
-		if l == nil || !l.limited {
+		l := k.inForce(id)
+		if l == nil {
 			return 0
 		}
 		l.decay(now)
@@ -61,8 +61,8 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	l := k.limits[k.cfg.Key(upstream)]
-	if l == nil || !l.limited {
+	l := k.inForce(upstream)
+	if l == nil {
 		return 0
 	}
 	l.decay(k.cfg.Now())
--- a/internal/upstreamlimit/words.go
+++ b/internal/upstreamlimit/words.go
@@ -10,10 +10,9 @@
 	// that two lost ones change nothing.
 	newsFor = 3 * time.Second
 	// mostNews bounds the changes in one message, and turns is how many other limits are
-	// told in one. Where there are more, they are told in turns of turnFor: each message of a
-	// turn tells the same, because each goes to another gateway.
+	// told in one. Where there are more, they are told in turns, a round each: all messages of
+	// a round tell the same, because each goes to another gateway.
 	mostNews, turns = 16, 4
-	turnFor         = 250 * time.Millisecond
 	// leastUse is the least that is told of asked and sent.
 	leastUse = 1.0 / 32
 )
@@ -58,7 +57,7 @@
 			others = append(others, key)
 		}
 	}
-	turn := int(now.UnixNano() / int64(turnFor))
+	turn := int(now.UnixNano() / int64(k.cfg.Round))
 	told := append(inTurn(news, mostNews, turn), inTurn(others, turns, turn)...)
 	out := make([]Said, len(told))
 	for i, key := range told {
