Tests that play stories by seed share their queue of events and their loop over seeds

testkit.Timeline, which the plays of limits brought, replaces the twin in the plays of requests that end upstreams, and testkit.Plays the two loops that run four plays at once. Results are taken in the order of the seeds, and reports in that of the gateways, so that a table of limits plays alike to the digit.

--- a/internal/poison/fleet_test.go
+++ b/internal/poison/fleet_test.go
@@ -1,7 +1,6 @@
 package poison
 
 import (
-	"container/heap"
 	"encoding/json"
 	"maps"
 	"math/rand/v2"
@@ -13,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
 )
 
 // A fleet plays requests that end upstreams beside ordinary ones, in virtual time: gateways
@@ -111,26 +111,6 @@
 	calmSince time.Duration
 }
 
-type event struct {
-	at time.Duration
-	n  int
-	do func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].n < e[j].n
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 type result struct {
 	// worst is the most sends of one content that were too late.
 	worst, ends, ordinary, refused, lost int
@@ -141,11 +121,9 @@
 }
 
 type fleet struct {
+	testkit.Timeline
 	s        story
 	rng      *rand.Rand
-	now      time.Duration
-	events   events
-	n        int
 	gateways []*gateway
 	ups      []*upstream
 	words    []heard
@@ -168,7 +146,7 @@
 	at    time.Duration
 }
 
-func (f *fleet) aged(h heard) Words { return h.words.Aged(f.now - h.at) }
+func (f *fleet) aged(h heard) Words { return h.words.Aged(f.Now() - h.at) }
 
 var epoch = time.Unix(1_000_000, 0)
 
@@ -191,26 +169,14 @@
 	}
 	f.words, f.sums = make([]heard, s.gateways), make([]heard, s.domains)
 	f.schedule()
-	for len(f.events) > 0 {
-		e := heap.Pop(&f.events).(event)
-		if e.at > length {
-			break
-		}
-		f.now = e.at
-		e.do()
-	}
+	f.Play(length)
 	for _, n := range f.late {
 		f.r.worst = max(f.r.worst, n)
 	}
 	return f.r
 }
 
-func (f *fleet) clock() time.Time { return epoch.Add(f.now) }
-
-func (f *fleet) in(d time.Duration, do func()) {
-	f.n++
-	heap.Push(&f.events, event{at: f.now + d, n: f.n, do: do})
-}
+func (f *fleet) clock() time.Time { return epoch.Add(f.Now()) }
 
 func (f *fleet) exp(mean time.Duration) time.Duration {
 	return time.Duration(f.rng.ExpFloat64() * float64(mean))
@@ -218,34 +184,34 @@
 
 func (f *fleet) schedule() {
 	s := f.s
-	f.in(0, f.arrive)
+	f.In(0, f.arrive)
 	for i := range s.killers {
 		k := &s.killers[i]
 		content := ident.ContentOf(ident.Outline(1+i), 0)
-		f.in(k.from, func() { f.killerComes(k, content) })
+		f.In(k.from, func() { f.killerComes(k, content) })
 	}
 	for _, g := range f.gateways {
-		f.in(time.Duration(f.rng.Int64N(int64(round))), func() { f.exchange(g) })
-		f.in(time.Duration(f.rng.Int64N(int64(round/2))), func() { f.refresh(g) })
+		f.In(time.Duration(f.rng.Int64N(int64(round))), func() { f.exchange(g) })
+		f.In(time.Duration(f.rng.Int64N(int64(round/2))), func() { f.refresh(g) })
 	}
 	if s.gateways >= collectAt {
 		for d := range s.domains {
-			f.in(time.Duration(f.rng.Int64N(int64(round/2))), func() { f.collect(d) })
+			f.In(time.Duration(f.rng.Int64N(int64(round/2))), func() { f.collect(d) })
 		}
 	}
 	if s.selfEnds > 0 {
-		f.in(f.exp(time.Duration(float64(time.Second)/s.selfEnds)), f.selfEnd)
+		f.In(f.exp(time.Duration(float64(time.Second)/s.selfEnds)), f.selfEnd)
 	}
 	for i := range s.flaps {
-		f.in(f.exp(time.Second), func() { f.flap(f.ups[i]) })
+		f.In(f.exp(time.Second), func() { f.flap(f.ups[i]) })
 	}
 	domain := f.rng.IntN(s.domains)
 	at := 2*time.Second + time.Duration(f.rng.Int64N(int64(6*time.Second)))
 	if s.reclaimed {
-		f.in(at, func() { f.reclaim(domain) })
+		f.In(at, func() { f.reclaim(domain) })
 	}
 	if s.lost {
-		f.in(at, func() {
+		f.In(at, func() {
 			for _, u := range f.ups {
 				if u.domain == domain {
 					f.end(u)
@@ -254,11 +220,11 @@
 		})
 	}
 	if s.cut {
-		f.in(at, func() { f.cutDomain(domain) })
+		f.In(at, func() { f.cutDomain(domain) })
 	}
-	f.in(renewal, f.renew)
+	f.In(renewal, f.renew)
 	for _, at := range s.killed {
-		f.in(at, func() {
+		f.In(at, func() {
 			for _, g := range f.gateways {
 				f.restart(g)
 			}
@@ -266,21 +232,21 @@
 	}
 	if s.restart {
 		for _, g := range f.gateways {
-			f.in(time.Duration(f.rng.Int64N(int64(length))), func() { f.restart(g) })
+			f.In(time.Duration(f.rng.Int64N(int64(length))), func() { f.restart(g) })
 		}
 	}
 }
 
 func (f *fleet) restart(g *gateway) {
-	g.tracker, g.calmSince = newTracker(f.clock), f.now
-	f.in(startTime, func() { g.tracker.Learn(f.kept) })
+	g.tracker, g.calmSince = newTracker(f.clock), f.Now()
+	f.In(startTime, func() { g.tracker.Learn(f.kept) })
 	f.words[g.i] = heard{}
 }
 
 // renew writes the lease's record.
 func (f *fleet) renew() {
 	f.kept = f.gateways[0].tracker.Keep()
-	f.in(renewal, f.renew)
+	f.In(renewal, f.renew)
 }
 
 func (f *fleet) reclaim(domain int) {
@@ -289,7 +255,7 @@
 			u.leaving = true
 		}
 	}
-	f.in(2500*time.Millisecond, func() {
+	f.In(2500*time.Millisecond, func() {
 		for _, u := range f.ups {
 			if u.domain == domain && u.up {
 				f.end(u)
@@ -308,11 +274,11 @@
 			}
 		}
 	}
-	f.in(5*time.Second, func() {
+	f.In(5*time.Second, func() {
 		f.cutOff = -1
 		for _, g := range f.gateways {
 			if g.domain == domain {
-				g.calmSince = f.now
+				g.calmSince = f.Now()
 			}
 		}
 	})
@@ -326,23 +292,23 @@
 	if u := f.ups[f.rng.IntN(len(f.ups))]; u.up {
 		f.end(u)
 	}
-	f.in(f.exp(time.Duration(float64(time.Second)/f.s.selfEnds)), f.selfEnd)
+	f.In(f.exp(time.Duration(float64(time.Second)/f.s.selfEnds)), f.selfEnd)
 }
 
 func (f *fleet) flap(u *upstream) {
 	if u.up {
 		f.end(u)
 	}
-	f.in(5*time.Second, func() { f.flap(u) })
+	f.In(5*time.Second, func() { f.flap(u) })
 }
 
 // arrive brings an ordinary request, and schedules the next.
 func (f *fleet) arrive() {
 	rate := f.s.rate
-	if f.s.burst && f.now > 5*time.Second && f.now < 10*time.Second {
+	if f.s.burst && f.Now() > 5*time.Second && f.Now() < 10*time.Second {
 		rate *= 2
 	}
-	f.in(f.exp(time.Duration(float64(time.Second)/rate)), f.arrive)
+	f.In(f.exp(time.Duration(float64(time.Second)/rate)), f.arrive)
 	f.ids++
 	r := &request{id: f.ids, content: ident.ContentOf(ident.Outline(1_000_000+f.ids), 0), attempts: 1 + 2*f.rng.IntN(2), group: f.rng.IntN(10)}
 	if f.rng.Float64() < f.s.hot {
@@ -357,7 +323,7 @@
 		f.ids++
 		f.come(&request{id: f.ids, content: content, killer: k, attempts: k.attempts, group: k.group})
 	}
-	f.in(f.exp(k.every), func() { f.killerComes(k, content) })
+	f.In(f.exp(k.every), func() { f.killerComes(k, content) })
 }
 
 // come brings a request to some gateway.
@@ -369,7 +335,7 @@
 		f.refuse(r)
 		return
 	}
-	r.waitedFrom = f.now
+	r.waitedFrom = f.Now()
 	f.admit(r)
 }
 
@@ -382,13 +348,13 @@
 func (f *fleet) admit(r *request) {
 	var avoid []ident.Instance
 	if t := r.gateway.tracker; !f.s.none && !t.Quiet() && t.Knows(r.content.Outline()) {
-		d := t.Admit(r.content, f.now-r.waitedFrom)
+		d := t.Admit(r.content, f.Now()-r.waitedFrom)
 		switch d.Step {
 		case Bar:
 			f.refuse(r)
 			return
 		case Wait:
-			f.in(look, func() { f.admit(r) })
+			f.In(look, func() { f.admit(r) })
 			return
 		}
 		avoid = d.Avoid
@@ -434,13 +400,13 @@
 	}
 	life := u.life
 	if r.killer == nil {
-		f.in(f.exp(f.s.took), func() { f.complete(r, u, life) })
+		f.In(f.exp(f.s.took), func() { f.complete(r, u, life) })
 		return
 	}
-	if third, known := f.thirdEnd[r.content]; known && f.now > third+f.s.contact && f.now-r.gateway.calmSince > f.s.contact {
+	if third, known := f.thirdEnd[r.content]; known && f.Now() > third+f.s.contact && f.Now()-r.gateway.calmSince > f.s.contact {
 		f.late[r.content]++
 	}
-	f.in(r.killer.after+time.Duration(f.rng.Int64N(int64(50*time.Millisecond))), func() {
+	f.In(r.killer.after+time.Duration(f.rng.Int64N(int64(50*time.Millisecond))), func() {
 		if u.up && u.life == life && u.runs[r] {
 			f.kill(r, u)
 		}
@@ -450,7 +416,7 @@
 func (f *fleet) kill(r *request, u *upstream) {
 	f.kills[r.content]++
 	if f.kills[r.content] == 3 {
-		f.thirdEnd[r.content] = f.now
+		f.thirdEnd[r.content] = f.Now()
 	}
 	f.end(u)
 }
@@ -476,7 +442,7 @@
 	for _, r := range u.inOrder() {
 		f.brokenOff(r, u, !u.leaving)
 	}
-	f.in(2*time.Second+time.Duration(f.rng.Int64N(int64(2*time.Second))), func() {
+	f.In(2*time.Second+time.Duration(f.rng.Int64N(int64(2*time.Second))), func() {
 		u.up, u.leaving = true, false
 		u.life++
 	})
@@ -492,8 +458,8 @@
 		r.ended = true
 	}
 	if r.runs < r.attempts && (f.s.none || !r.ended || t.Resend(r.content)) {
-		r.waitedFrom = f.now
-		f.in(time.Millisecond, func() { f.admit(r) })
+		r.waitedFrom = f.Now()
+		f.In(time.Millisecond, func() { f.admit(r) })
 		return
 	}
 	if r.killer == nil {
@@ -507,38 +473,38 @@
 		f.r.lost++
 		return
 	}
-	f.in(retryAfter, func() { f.come(r) })
+	f.In(retryAfter, func() { f.come(r) })
 }
 
 // exchange tells what one gateway has to say.
 func (f *fleet) exchange(g *gateway) {
-	f.in(round, func() { f.exchange(g) })
+	f.In(round, func() { f.exchange(g) })
 	w := g.tracker.Words()
 	told := len(w.Verdicts)
 	for _, c := range w.Crashes {
 		told += len(c.Marks)
 	}
 	f.r.told = max(f.r.told, told)
-	at := f.now
-	f.in(hop, func() { f.words[g.i] = heard{w, at} })
+	at := f.Now()
+	f.In(hop, func() { f.words[g.i] = heard{w, at} })
 }
 
 // collect adds up a domain's words, as of now.
 func (f *fleet) collect(d int) {
-	f.in(round/2, func() { f.collect(d) })
+	f.In(round/2, func() { f.collect(d) })
 	var sum Words
 	for _, g := range f.gateways {
 		if g.domain == d {
 			sum = sum.Plus(f.aged(f.words[g.i]))
 		}
 	}
-	at := f.now
-	f.in(hop, func() { f.sums[d] = heard{sum, at} })
+	at := f.Now()
+	f.In(hop, func() { f.sums[d] = heard{sum, at} })
 }
 
 // refresh takes in what the others said.
 func (f *fleet) refresh(g *gateway) {
-	f.in(round/2, func() { f.refresh(g) })
+	f.In(round/2, func() { f.refresh(g) })
 	var words Words
 	if f.s.gateways < collectAt {
 		for _, o := range f.gateways {
@@ -554,8 +520,8 @@
 		}
 	}
 	g.tracker.Refresh(words)
-	if f.now >= f.notedAt+look {
-		f.notedAt = f.now
+	if f.Now() >= f.notedAt+look {
+		f.notedAt = f.Now()
 		f.noteKnown()
 	}
 }
@@ -575,6 +541,6 @@
 				return
 			}
 		}
-		f.r.known, f.r.found = max(f.r.known, f.now-third), true
+		f.r.known, f.r.found = max(f.r.known, f.Now()-third), true
 	}
 }
--- a/internal/poison/stories_test.go
+++ b/internal/poison/stories_test.go
@@ -6,9 +6,10 @@
 	"os"
 	"slices"
 	"strings"
-	"sync"
 	"testing"
 	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
 )
 
 var (
@@ -126,7 +127,6 @@
 // being taken for it.
 func TestStories(t *testing.T) {
 	var lines []string
-	var mu sync.Mutex
 	for _, s := range stories() {
 		n := *seeds
 		if s.gateways >= collectAt {
@@ -148,22 +148,12 @@
 			}
 			t.Run(fmt.Sprintf("%s/%v", s.name, none), func(t *testing.T) {
 				var all sums
-				var work sync.WaitGroup
-				limit := make(chan struct{}, 4)
-				for seed := range plays {
-					limit <- struct{}{}
-					work.Go(func() {
-						r := play(s, uint64(seed)+1)
-						mu.Lock()
-						defer mu.Unlock()
-						all.add(r, len(s.killers))
-						<-limit
-						if r.worst > 3 && !none {
-							t.Errorf("seed %d: sent %d times more, at most 3", seed+1, r.worst)
-						}
-					})
+				for i, r := range testkit.Plays(plays, func(seed uint64) result { return play(s, seed) }) {
+					all.add(r, len(s.killers))
+					if r.worst > 3 && !none {
+						t.Errorf("seed %d: sent %d times more, at most 3", i+1, r.worst)
+					}
 				}
-				work.Wait()
 				if !none && all.refused*1000 > all.ordinary {
 					t.Errorf("%d of %d ordinary requests refused, under 1 in 1,000 is asked", all.refused, all.ordinary)
 				}
--- a/internal/upstreamlimit/fleet_test.go
+++ b/internal/upstreamlimit/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -310,7 +311,8 @@
 func (f *fleet) answer(c, g *gateway) {
 	sum := domainReport{uses: make(Uses), at: f.Now()}
 	f.addMembers(c, &sum, g.i)
-	for _, other := range c.sums {
+	for _, d := range slices.Sorted(maps.Keys(c.sums)) {
+		other := c.sums[d]
 		if f.Now()-other.at <= fresh {
 			sum.uses.Add(other.uses)
 			sum.heard += other.heard
@@ -323,10 +325,11 @@
 }
 
 func (f *fleet) addMembers(c *gateway, sum *domainReport, without int) {
-	for i, r := range c.reports {
+	for _, i := range slices.Sorted(maps.Keys(c.reports)) {
 		if i == without {
 			continue
 		}
+		r := c.reports[i]
 		if f.Now()-r.at <= knownFor {
 			sum.known++
 		}
@@ -368,10 +371,11 @@
 			fleet.Known = 1 + sum.known
 		}
 	} else {
-		for i, r := range g.reports {
+		for _, i := range slices.Sorted(maps.Keys(g.reports)) {
 			if i == g.i {
 				continue
 			}
+			r := g.reports[i]
 			if f.Now()-r.at <= fresh {
 				others.Add(r.uses)
 				fleet.Heard++
--- a/internal/upstreamlimit/stories_test.go
+++ b/internal/upstreamlimit/stories_test.go
@@ -9,6 +9,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
 )
 
 // The flags are for reports, not for CI.
@@ -217,22 +219,11 @@
 
 // playAll plays a story with several seeds, and has each result looked at.
 func playAll(s story, n int, look func(seed int, r result)) *sums {
-	var mu sync.Mutex
-	var work sync.WaitGroup
 	all := &sums{}
-	limit := make(chan struct{}, 4)
-	for i := range n {
-		limit <- struct{}{}
-		work.Go(func() {
-			defer func() { <-limit }()
-			r := play(s, uint64(i)+1)
-			mu.Lock()
-			defer mu.Unlock()
-			all.add(r)
-			look(i+1, r)
-		})
+	for i, r := range testkit.Plays(n, func(seed uint64) result { return play(s, seed) }) {
+		all.add(r)
+		look(i+1, r)
 	}
-	work.Wait()
 	return all
 }
 
