--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -44,12 +44,6 @@
 	arrivals []Arrival
 }
 
-// Arrival is a request that came to a worker which had named a limit.
-type Arrival struct {
-	ID string
-	At time.Time
-}
-
 // New starts a worker; it ends with the test.
 func New(t testing.TB, id string) *Worker {
 	t.Helper()
@@ -115,34 +109,6 @@
 	return append([]*http.Request(nil), w.seen...), append([]string(nil), w.bodies...)
 }
 
-// Limit has all answers name a rate, whatever the text, or none where it is empty.
-func (w *Worker) Limit(text string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.limit = text
-}
-
-// Arrivals returns the requests that came since an answer first named a limit, and when
-// that was.
-func (w *Worker) Arrivals() (namedAt time.Time, arrivals []Arrival) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.namedAt, append([]Arrival(nil), w.arrivals...)
-}
-
-// limitLine is the header line that names the limit, if there is one.
-func (w *Worker) limitLine() string {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.limit == "" {
-		return ""
-	}
-	if w.namedAt.IsZero() {
-		w.namedAt = time.Now()
-	}
-	return "Server-Limit: " + w.limit + "\r\n"
-}
-
 // Connections returns how many connections are open.
 func (w *Worker) Connections() int {
 	w.mu.Lock()
