Limits beside a version that is tried: a test; the ways of the report begin with none

Where the tried version is limited, requests go to the old one and the verdict does not turn on it. Where the old one is, the tried one gets its share and no more. The report lacked the figures of before.

--- a/internal/routing/placement/limits_test.go
+++ b/internal/routing/placement/limits_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -112,3 +113,47 @@
 		t.Errorf("a call that found none: %+v", choice)
 	}
 }
+
+// Guards against a verdict on a version that turns on the limits of its upstreams, or of the
+// old version's, and against a version that is tried on more than its share for these.
+func TestLimitsSayNothingOfAVersion(t *testing.T) {
+	for _, limited := range []ident.Version{"v1", "v2"} {
+		f, tracker := trying(8)
+		for _, u := range f.view.Of("svc") {
+			if u.Version == limited {
+				f.limits.Hear(u.ID, "", upstreamlimit.RateOf(1))
+			}
+		}
+		f.limits.Refresh(nil, upstreamlimit.Fleet{Heard: 1, Known: 1})
+		sent := make(map[ident.Version]int)
+		none := 0
+		for i := range 3000 {
+			call := f.call(engine, 7)
+			call.ID = ident.Request(fmt.Sprint(i))
+			f.now = f.now.Add(time.Millisecond)
+			choice, found := f.Choose(call, nil, f.now)
+			if !found {
+				none++
+				continue
+			}
+			u, _ := f.view.Upstream(choice.Upstream)
+			sent[u.Version]++
+			f.Began(choice, f.now)
+			f.Finished(choice, forward.Done, f.now)
+		}
+		tracker.Refresh(nil)
+		verdict := tracker.Orders()[0].Verdict
+		if verdict.Against > 1 || len(f.set("svc").Excluded(f.now)) > 0 {
+			t.Errorf("%s limited: %v against the version that is tried", limited, verdict.Against)
+		}
+		if most := 4*3*3/2 + 4*5; sent[limited] > most {
+			t.Errorf("%s limited: it got %d requests in 3 s, at most %d", limited, sent[limited], most)
+		}
+		if share := 3000/10 + 50; sent["v2"] > share {
+			t.Errorf("%s limited: %d requests to the version that is tried, at most %d", limited, sent["v2"], share)
+		}
+		if limited == "v2" && none > 0 {
+			t.Errorf("%d calls found no upstream while the old version has room", none)
+		}
+	}
+}
--- a/internal/upstreamlimit/stories_test.go
+++ b/internal/upstreamlimit/stories_test.go
@@ -238,6 +238,7 @@
 }
 
 var ways = []way{
+	by("limits are not kept to", func(*limit, Fleet, time.Time) float64 { return 1 }),
 	by("each gateway takes the whole", func(l *limit, _ Fleet, now time.Time) float64 {
 		return spaced(l, l.allowed(), now)
 	}),
