A gateway that has heard nobody is no candidate for the lease

Cause: what a process knows of the others is empty until its first look, after an eighth of a second, and the place in line in it was 0, the first. Ruled out: the line itself (a gateway that has looked and heard nobody is behind all for its first second).

--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -109,7 +109,7 @@
 	}
 	p.life = gossip.LifeOf(s.Instance.ID, p.incarnation)
 	p.ports = makePorts(p.pool)
-	p.view.Store(&peerView{})
+	p.view.Store(&peerView{View: gossip.NoView()})
 	p.wire()
 	return p, nil
 }
--- a/internal/gossip/view.go
+++ b/internal/gossip/view.go
@@ -31,6 +31,11 @@
 	WallCorrection time.Duration
 }
 
+// NoView is what a gateway knows before it has heard anything: it leaves what few of all do
+// to others. What goes wrong with a place of 0: of a thousand gateways that start together
+// each takes itself for the first in line, and writes a claim of the lease.
+func NoView() View { return View{Place: behindAll} }
+
 // Group is one or more gateways that are reported together.
 type Group struct {
 	// Name tells groups apart. Totals of the same group and another source cannot be
@@ -121,7 +126,7 @@
 	if age > collectedFor || sum.Heard == 0 {
 		return
 	}
-	v.Heard, v.Holds, v.GivenUp = sum.Heard, sum.Holds, sum.GivenUp
+	v.Heard, v.Holds, v.GivenUp = sum.Heard, sum.Holders > 0, sum.GivenUp
 	v.Groups = []Group{{
 		Name: allOthers, Source: sum.Source, Gateways: sum.Heard, ReportedAt: heardAt.Add(-sum.Age),
 		Loads: sum.Loads, Accounts: sum.Accounts, Work: sum.Work, Engines: sum.Engines, Rollouts: sum.Rollouts.Aged(age), Poison: sum.Poison.Aged(age),
