Collectors add up one sum a round for all that ask

Cause: a collector added all reports and all accounts of its domain up anew for each gateway that asked, four times a second, and encoded each answer: its work grew as the square of the gateways. Now the sum of all gateways is added up and encoded once for all that ask within a sixteenth of a round; accounts' totals are kept up to date as reports come; each gateway takes its own report, named in the answer, out of the sum itself. Words about versions and crashing requests cannot be taken out of a sum; they are joined before and after each that has any. A gateway of an older build says nothing of this and gets the others as before; one that finds a report in the sum that it does not know refuses it with a line.

Only another collector's answers are refused now.

--- a/internal/enginemodel/enginemodel.go
+++ b/internal/enginemodel/enginemodel.go
@@ -143,6 +143,15 @@
 	}
 }
 
+// Subtract takes out sums that were added before. What rounding leaves below zero counts as
+// nothing.
+func (s *Sums) Subtract(other Sums) {
+	taken := other.list()
+	for i, v := range s.list() {
+		*v = max(0, *v-*taken[i])
+	}
+}
+
 // Learn takes a sample in, and forgets a little of the earlier ones. figures are what is
 // believed now, of all gateways' samples.
 func (s *Sums) Learn(sample Sample, figures Figures) {
--- a/internal/gossip/bench_test.go
+++ b/internal/gossip/bench_test.go
@@ -13,7 +13,7 @@
 // BenchmarkReport gives the slopes of docs/CAPACITY.md: one report encoded and
 // decoded, and its bytes, with the loads at so many upstreams and so many accounts.
 func BenchmarkReport(b *testing.B) {
-	for _, n := range []struct{ upstreams, accounts int }{{9, 5}, {64, 16}, {64, 100}} {
+	for _, n := range []struct{ upstreams, accounts int }{{9, 5}, {64, 16}, {64, 100}, {3000, 333}} {
 		r := report("edge-hall-a-1", 1, 1)
 		r.Loads = make(map[UpstreamKey]placement.Load)
 		r.Accounts = make(map[ident.ClientAccount]Spending)
@@ -54,3 +54,56 @@
 		})
 	}
 }
+
+// BenchmarkCollectorAnswer gives what one answer of a collector costs, from the report's
+// taking in to the encoded answer, with so many gateways in its domain and the sums of five
+// other domains.
+func BenchmarkCollectorAnswer(b *testing.B) {
+	for _, n := range []struct{ gateways, upstreams, accounts int }{{8, 300, 40}, {75, 3000, 333}, {164, 3000, 333}, {328, 6000, 333}} {
+		b.Run(fmt.Sprint(n.gateways, " gateways ", n.upstreams, " upstreams"), func(b *testing.B) {
+			d := newDomain()
+			for domain := range 5 {
+				d.collector.Hear(domainSumOf(domain, n.upstreams, n.accounts), d.now, d.now)
+			}
+			for i := range n.gateways {
+				d.collector.Collect(d.reportOf(i, 10, 40), d.now, d.now)
+			}
+			b.ReportAllocs()
+			size := 0
+			for i := 0; b.Loop(); i++ {
+				gateway := i % n.gateways
+				d.now = d.now.Add(Interval / time.Duration(n.gateways))
+				for domain := range 5 {
+					d.collector.domains[ident.FailureDomain(fmt.Sprint("hall-", domain))].sums["c/1"].at = d.now
+				}
+				d.collector.Collect(d.reportOf(gateway, 10, 40), d.now, d.now)
+				sum, part, err := d.collector.othersParts(nodeOf(gateway), d.now, d.now)
+				if err != nil {
+					b.Fatal(err)
+				}
+				m := message{From: report("gw-0", 1, 1), Others: &sum, OthersPart: part}
+				data, err := m.encode()
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
+
+// domainSumOf is the sum of another domain, with loads at a part of all upstreams.
+func domainSumOf(domain, upstreams, accounts int) Sum {
+	s := Sum{
+		Source: "c/1", Seq: 1, Domain: ident.FailureDomain(fmt.Sprint("hall-", domain)), Heard: 100, Known: 100,
+		Loads: make(map[UpstreamKey]placement.Load), Accounts: make(map[ident.ClientAccount]Spending),
+	}
+	for i := range upstreams {
+		s.Loads[UpstreamKey(i)] = placement.Load{Running: 3, Unread: 12000}
+	}
+	for i := range accounts {
+		s.Accounts[ident.ClientAccount(fmt.Sprint("acct", i))] = Spending{Spent: 1234567, Refused: 2345678}
+	}
+	return s
+}
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	exchangev1 "github.com/goldcrestspool/goldcrestspool/api/exchange/v1"
@@ -39,7 +40,7 @@
 func (m *message) encode() ([]byte, error) {
 	out := &exchangev1.Message{
 		From: m.From.toProto(), Knows: m.Knows, Contacts: contactsToProto(m.Contacts), Wants: m.Wants, Upstreams: newsToProto(m.Upstreams),
-		Collect: m.Collect, Others: m.Others.toProto(), Domain: m.DomainSum.toProto(), WantsCounts: m.WantsCounts,
+		Collect: m.Collect, TakesWhole: m.TakesWhole, Others: m.Others.toProto(), Domain: m.DomainSum.toProto(), WantsCounts: m.WantsCounts,
 	}
 	if c := m.Config; c != nil {
 		out.Configuration = &exchangev1.Configuration{Revision: uint64(c.Revision), Offset: uint64(c.Offset), Gzip: c.Gzip}
@@ -53,7 +54,34 @@
 	for _, c := range m.Counts {
 		out.Counts = append(out.Counts, &exchangev1.LifeCounts{Life: c.Life, Began: countsToProto(c.Began)})
 	}
-	return proto.Marshal(out)
+	data, err := proto.Marshal(out)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode a message")
+	}
+	// A field that stands twice in a message is merged by its receiver.
+	data = appendPart(data, othersField, m.OthersPart)
+	return appendPart(data, domainField, m.DomainPart), nil
+}
+
+// The fields of a message that may be made of parts that were encoded before.
+const (
+	othersField protowire.Number = 8
+	domainField protowire.Number = 9
+)
+
+func appendPart(data []byte, field protowire.Number, part []byte) []byte {
+	if len(part) == 0 {
+		return data
+	}
+	data = protowire.AppendTag(data, field, protowire.BytesType)
+	return protowire.AppendBytes(data, part)
+}
+
+// encodeParts writes what of a sum grows with the upstreams, the accounts and the services.
+func (s *Sum) encodeParts() ([]byte, error) {
+	parts := exchangev1.Sum{Loads: loadsToProto(s.Loads), Accounts: accountsToProto(s.Accounts), Work: workToProto(s.Work, s.Engines)}
+	data, err := proto.Marshal(&parts)
+	return data, errors.Wrap(err, "encode a sum")
 }
 
 // decode reads a message and checks all of it.
@@ -63,7 +91,7 @@
 		return nil, errors.Wrap(err, "not a message")
 	}
 	c := &checker{}
-	m := &message{Knows: in.Knows, Wants: in.Wants, Collect: in.Collect, WantsCounts: in.WantsCounts}
+	m := &message{Knows: in.Knows, Wants: in.Wants, Collect: in.Collect, TakesWhole: in.TakesWhole, WantsCounts: in.WantsCounts}
 	if in.From == nil {
 		return nil, errors.New("a message without its sender's report")
 	}
@@ -155,8 +183,9 @@
 	out := &exchangev1.Sum{
 		Source: s.Source, Seq: s.Seq, FailureDomain: string(s.Domain), Heard: uint32(s.Heard), Known: uint32(s.Known), AgeMs: millis(s.Age),
 		Loads: loadsToProto(s.Loads), Accounts: accountsToProto(s.Accounts), Work: workToProto(s.Work, s.Engines),
-		LeaseHeld: s.Holds, GivenUpFence: uint64(s.GivenUp), TrueWallMs: s.TrueWallMillis, Rollouts: rolloutsToProto(s.Rollouts), Poison: poisonToProto(s.Poison),
-		LimitUses: usesToProto(s.LimitUses, s.LimitColumns),
+		LeaseHeld: s.Holders > 0, LeaseHolders: uint32(s.Holders), GivenUpFence: uint64(s.GivenUp), TrueWallMs: s.TrueWallMillis, Rollouts: rolloutsToProto(s.Rollouts), Poison: poisonToProto(s.Poison),
+		LimitUses:          usesToProto(s.LimitUses, s.LimitColumns),
+		CountedIncarnation: uint64(s.Counted.Incarnation), CountedSeq: s.Counted.Seq,
 	}
 	for _, domain := range s.Silent {
 		out.Silent = append(out.Silent, string(domain))
@@ -168,14 +197,15 @@
 	if in == nil {
 		return nil
 	}
-	if in.Source == "" || in.Heard > mostItems || in.Known > mostItems {
-		c.fail("a sum of %d of %d gateways by %q", in.Heard, in.Known, in.Source)
+	if in.Source == "" || in.Heard > mostItems || in.Known > mostItems || in.LeaseHolders > in.Heard {
+		c.fail("a sum of %d of %d gateways by %q, of which %d hold the lease", in.Heard, in.Known, in.Source, in.LeaseHolders)
 	}
 	s := &Sum{
 		Source: in.Source, Seq: in.Seq, Domain: ident.FailureDomain(in.FailureDomain), Heard: int(in.Heard), Known: int(in.Known), Age: c.age(in.AgeMs),
-		Loads: c.loads(in.Loads), Accounts: c.accounts(in.Accounts), Holds: in.LeaseHeld, GivenUp: ident.Fence(in.GivenUpFence),
+		Loads: c.loads(in.Loads), Accounts: c.accounts(in.Accounts), Holders: holders(in), GivenUp: ident.Fence(in.GivenUpFence),
 		TrueWallMillis: in.TrueWallMs, Rollouts: c.rollouts(in.Rollouts), Poison: c.poison(in.Poison),
 		LimitUses: c.limitUses(in.LimitUses), LimitColumns: c.limitColumns(in.LimitUses),
+		Counted: reportID{ident.Incarnation(in.CountedIncarnation), in.CountedSeq},
 	}
 	s.Work, s.Engines = c.work(in.Work)
 	for _, domain := range in.Silent {
@@ -184,6 +214,14 @@
 	return s
 }
 
+// holders is how many hold the lease; an older build says only that one does.
+func holders(in *exchangev1.Sum) int {
+	if in.LeaseHeld {
+		return max(1, int(in.LeaseHolders))
+	}
+	return 0
+}
+
 func loadsToProto(loads map[UpstreamKey]placement.Load) *exchangev1.Loads {
 	if len(loads) == 0 {
 		return nil
--- a/internal/gossip/codec_test.go
+++ b/internal/gossip/codec_test.go
@@ -70,7 +70,7 @@
 
 func TestMessagesTravelUnchanged(t *testing.T) {
 	sum := &Sum{
-		Source: "gw-1/5", Seq: 8, Domain: "hall-a", Heard: 3, Known: 4, Age: 130 * time.Millisecond, Holds: true, GivenUp: 2,
+		Source: "gw-1/5", Seq: 8, Domain: "hall-a", Heard: 3, Known: 4, Age: 130 * time.Millisecond, Holders: 1, GivenUp: 2, Counted: reportID{1 << 60, 9},
 		Loads: map[UpstreamKey]placement.Load{4: {Running: 1, Unread: 2}}, Accounts: map[ident.ClientAccount]Spending{"a": {Spent: 1}},
 		Work: map[ident.Service]placement.Demand{"llm": {Prompt: 1}}, Engines: map[ident.Service]enginemodel.Sums{},
 		LimitUses: upstreamlimit.Uses{9: {Asked: 100, Sent: 20}},
@@ -86,7 +86,7 @@
 	for name, m := range map[string]message{
 		"between two":                  {From: fullReport(), Knows: 5, Contacts: contacts, Wants: true, Config: &packedConfig{Revision: 5, Offset: 6, Gzip: []byte("x")}},
 		"news":                         {From: fullReport(), Upstreams: &directory.News{UpTo: 9, Complete: true, Records: []directory.Record{{ID: "u", Offset: 3, Upstream: &up}, {ID: "v", Offset: 4, Usable: time.Second}}}},
-		"to a collector":               {From: fullReport(), Collect: true, KnowsRosters: map[ident.FailureDomain]uint64{"hall-a": 1}, WantsCounts: true},
+		"to a collector":               {From: fullReport(), Collect: true, TakesWhole: true, KnowsRosters: map[ident.FailureDomain]uint64{"hall-a": 1}, WantsCounts: true},
 		"to one that knows the limits": {From: fullReport(), Others: &inOrder},
 		"from a collector":             {From: fullReport(), Others: sum, DomainSum: sum, Rosters: []Roster{{Domain: "hall-b", Gateways: contacts}}, Counts: []LifeCounts{{Life: "a/1", Began: Windows{1: {"a": 2}}}}},
 	} {
--- a/internal/gossip/collect.go
+++ b/internal/gossip/collect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -106,14 +107,70 @@
 		report.LimitColumns, report.LimitUses = report.LimitUses.Columns(g.cfg.Knowledge.LimitOrder()), nil
 	}
 	g.mu.Unlock()
-	return g.encode(&message{From: report, Collect: true, KnowsRosters: digests})
+	g.remember(report)
+	return g.encode(&message{From: report, Collect: true, TakesWhole: true, KnowsRosters: digests})
+}
+
+// reportsKept is how many of its own reports a gateway remembers, to take the one that is
+// counted out of a collector's answer: those of two seconds, twice as long as one counts.
+const reportsKept = 2 * freshRounds
+
+// remember keeps a report that is sent to a collector.
+func (g *Gossip) remember(report Report) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.reported = append(g.reported, report)
+	if extra := len(g.reported) - reportsKept; extra > 0 {
+		g.reported = slices.Delete(g.reported, 0, extra)
+	}
+}
+
+// takeOutOwn takes this gateway's report out of a collector's sum and reports whether it
+// could: g.mu is held.
+func (g *Gossip) takeOutOwn(s *Sum) bool {
+	if s.Counted == (reportID{}) {
+		return true
+	}
+	for i := range g.reported {
+		if g.reported[i].id() == s.Counted {
+			s.takeOut(&g.reported[i])
+			return true
+		}
+	}
+	return false
 }
 
 // sumsRequest is a collector's word to another domain's.
 func (g *Gossip) sumsRequest(now time.Time) []byte {
 	_, digests := g.cfg.Table.Rosters(now)
-	sum := g.collector.Domain(now, time.Now())
-	return g.encode(&message{From: g.cfg.Knowledge.Brief(now), DomainSum: &sum, KnowsRosters: digests})
+	m := &message{From: g.cfg.Knowledge.Brief(now), KnowsRosters: digests}
+	g.addDomainSum(m, now, time.Now())
+	return g.encode(m)
+}
+
+// addDomainSum adds this domain's sum to a message.
+func (g *Gossip) addDomainSum(m *message, now, wall time.Time) {
+	sum, encoded, err := g.collector.domainParts(now, wall)
+	if err != nil {
+		g.cfg.Log.Error("the domain's sum is not told", "error", err)
+		return
+	}
+	m.DomainSum, m.DomainPart = &sum, encoded
+}
+
+// addOthers adds the sum of the other gateways to an answer.
+func (g *Gossip) addOthers(asked, reply *message, now, wall time.Time) {
+	if !asked.TakesWhole {
+		sum := g.collector.Others(asked.From.Node, now, wall)
+		reply.Others = &sum
+		return
+	}
+	sum, encoded, err := g.collector.othersParts(asked.From.Node, now, wall)
+	if err != nil {
+		g.cfg.Log.Error("the sum of all gateways is not told", "asker", asked.From.Node, "error", err)
+		return
+	}
+	reply.Others, reply.OthersPart = &sum, encoded
 }
 
 // answerCollected adds to an answer what a gateway that reports here, or another domain's
@@ -126,13 +183,11 @@
 	case asked.Collect:
 		g.resolveUses(&asked.From)
 		g.collector.Collect(asked.From, now, wall)
-		others := g.collector.Others(asked.From.Node, now, wall)
-		reply.Others = &others
+		g.addOthers(asked, reply, now, wall)
 		g.shortenLimits(asked, reply)
 	case asked.DomainSum != nil:
 		g.takeSums(asked, now, wall)
-		sum := g.collector.Domain(now, wall)
-		reply.DomainSum = &sum
+		g.addDomainSum(reply, now, wall)
 	default:
 		return
 	}
@@ -191,8 +246,13 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.answer != nil && m.Others.Heard < g.answer.Heard && now.Sub(g.answeredAt) < fillFor {
-		// A collector that has just begun is still being told of the others.
+	if !g.takeOutOwn(m.Others) {
+		g.cfg.Log.Warn("a collector's sum counts a report that is not known any more, it changes nothing", "node", m.From.Node, "seq", m.Others.Counted.Seq)
+		return
+	}
+	if g.answer != nil && m.Others.Source != g.answer.Source && m.Others.Heard < g.answer.Heard && now.Sub(g.answeredAt) < fillFor {
+		// A collector that has just begun is still being told of the others. Where the same
+		// one hears fewer, some have gone: in a large fleet that is so every few rounds.
 		return
 	}
 	g.takeLimits(m)
--- a/internal/gossip/collector.go
+++ b/internal/gossip/collector.go
@@ -7,10 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/goldcrestspool/goldcrestspool/internal/enginemodel"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
-	"github.com/goldcrestspool/goldcrestspool/internal/routing/placement"
-	"github.com/goldcrestspool/goldcrestspool/internal/upstreamlimit"
 )
 
 const (
@@ -27,7 +24,8 @@
 // something where others choose it.
 //
 // Nothing is counted twice: each gateway is counted by its newest report, each domain by
-// the sum of one of its collectors, and the gateway that asks is left out. What a gateway
+// the sum of one of its collectors, and a gateway that asks takes its own report out of the
+// answer. What a gateway
 // or a domain that fell silent had in progress is forgotten after collectedFor; its
 // totals stay, because totals only grow.
 //
@@ -40,6 +38,11 @@
 	seq     uint64
 	members map[ident.Instance]*collected
 	domains map[ident.FailureDomain]*domainSums
+	// domain and all are the newest sums of this domain and of all gateways.
+	domain, all *wholeSum
+	// forgotAt is when what is too old was last forgotten.
+	forgotAt time.Time
+	work     collectorWork
 	// reported are the accounts' totals of own members, and told those of the other
 	// domains.
 	reported, told accumulator
@@ -98,11 +101,16 @@
 	life := LifeOf(r.Node, r.Incarnation)
 	c.reported.take(string(r.Node), life, r.Accounts)
 	c.counts[life] = &lifeCounts{began: r.Began, at: now}
+	c.work.reports++
 	c.forget(now)
 }
 
-// forget drops what is too old to matter.
+// forget drops what is too old to matter, once a round.
 func (c *Collector) forget(now time.Time) {
+	if now.Sub(c.forgotAt) < Interval {
+		return
+	}
+	c.forgotAt = now
 	for life, counts := range c.counts {
 		if now.Sub(counts.at) > countsKept {
 			delete(c.counts, life)
@@ -200,101 +208,6 @@
 	return false
 }
 
-// Domain returns the sum of this domain's gateways.
-func (c *Collector) Domain(now, wall time.Time) Sum {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	s := c.newSum(now, wall)
-	s.Domain = c.self.Domain
-	age := c.addMembers(&s, "", now)
-	s.Age = mean(age, s.Heard)
-	s.Accounts = c.reported.without("")
-	return s
-}
-
-// Others returns the sum of all gateways but one, of all domains.
-func (c *Collector) Others(asker ident.Instance, now, wall time.Time) Sum {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	s := c.newSum(now, wall)
-	age := c.addMembers(&s, asker, now)
-	s.Accounts = c.reported.without(string(asker))
-	for name, told := range c.told.without("") {
-		s.Accounts[name] = s.Accounts[name].plus(told)
-	}
-	for _, domain := range slices.Sorted(maps.Keys(c.domains)) {
-		d := c.domains[domain]
-		s.Known += d.known(now)
-		if d.silent(now) {
-			s.Silent = append(s.Silent, domain)
-		}
-		if chosen := d.choose(now); chosen != nil {
-			s.Heard += chosen.sum.Heard
-			age += time.Duration(chosen.sum.Heard) * (now.Sub(chosen.at) + chosen.sum.Age)
-			s.addTo(chosen.sum.Loads, chosen.sum.Work, chosen.sum.Engines)
-			s.Rollouts = s.Rollouts.Plus(chosen.sum.Rollouts.Aged(now.Sub(chosen.at)))
-			s.Poison = s.Poison.Plus(chosen.sum.Poison.Aged(now.Sub(chosen.at)))
-			s.LimitUses.Add(chosen.sum.LimitUses)
-			s.Holds = s.Holds || chosen.sum.Holds
-			s.GivenUp = max(s.GivenUp, chosen.sum.GivenUp)
-		}
-	}
-	s.Age = mean(age, s.Heard)
-	return s
-}
-
-func (c *Collector) newSum(now, wall time.Time) Sum {
-	c.seq++
-	return Sum{
-		Source: c.life, Seq: c.seq, TrueWallMillis: wall.Add(c.wallCorrection(now)).UnixMilli(),
-		Loads: make(map[UpstreamKey]placement.Load), Work: make(map[ident.Service]placement.Demand), Engines: make(map[ident.Service]enginemodel.Sums),
-		LimitUses: make(upstreamlimit.Uses),
-	}
-}
-
-func mean(sum time.Duration, n int) time.Duration { return sum / time.Duration(max(1, n)) }
-
-// addMembers adds this domain's gateways but one and returns the sum of their reports'
-// ages.
-func (c *Collector) addMembers(s *Sum, without ident.Instance, now time.Time) time.Duration {
-	sum := time.Duration(0)
-	for node, m := range c.members {
-		age := now.Sub(m.at)
-		if node == without {
-			continue
-		}
-		if age <= KnownFor && (!m.report.Leaving || age <= leavingFor) {
-			s.Known++
-		}
-		if age > collectedFor {
-			continue
-		}
-		s.Heard++
-		sum += age
-		s.addTo(m.report.Loads, m.report.Work, m.report.Engines)
-		s.Rollouts = s.Rollouts.Plus(m.report.Rollouts.Aged(age))
-		s.Poison = s.Poison.Plus(m.report.Poison.Aged(age))
-		s.LimitUses.Add(m.report.LimitUses)
-		s.Holds = s.Holds || m.report.Holds
-		s.GivenUp = max(s.GivenUp, m.report.GivenUp)
-	}
-	return sum
-}
-
-func (s *Sum) addTo(loads map[UpstreamKey]placement.Load, work map[ident.Service]placement.Demand, engines map[ident.Service]enginemodel.Sums) {
-	for key, load := range loads {
-		s.Loads[key] = s.Loads[key].Plus(load)
-	}
-	for service, w := range work {
-		s.Work[service] = s.Work[service].Plus(w)
-	}
-	for service, sums := range engines {
-		all := s.Engines[service]
-		all.Add(sums)
-		s.Engines[service] = all
-	}
-}
-
 // wallCorrection returns what to add to this machine's time of day so that it is the
 // median of the gateways that are heard; each other domain counts once.
 func (c *Collector) wallCorrection(now time.Time) time.Duration {
@@ -360,70 +273,3 @@
 	}
 	return out
 }
-
-// accumulator adds up totals that grow, of sources that come, go and begin anew.
-// What a source had reached when it was first heard is no news: it was counted before.
-type accumulator struct{ sources map[string]*accumulated }
-
-type accumulated struct {
-	life string
-	last map[ident.ClientAccount]Spending
-	sum  map[ident.ClientAccount]Spending
-}
-
-func newAccumulator() accumulator { return accumulator{sources: make(map[string]*accumulated)} }
-
-// take takes in a source's totals; life tells its totals from those of an earlier life.
-func (a *accumulator) take(source, life string, totals map[ident.ClientAccount]Spending) {
-	s := a.sources[source]
-	if s == nil {
-		s = &accumulated{sum: make(map[ident.ClientAccount]Spending)}
-		a.sources[source] = s
-	}
-	if s.life == life {
-		for account, total := range totals {
-			s.sum[account] = s.sum[account].plus(total.minus(s.last[account]))
-		}
-	}
-	s.life, s.last = life, totals
-}
-
-// forget turns a source's part into that of nobody, so that the sum never shrinks.
-func (a *accumulator) forget(source string) {
-	s := a.sources[source]
-	if s == nil {
-		return
-	}
-	delete(a.sources, source)
-	gone := a.sources[""]
-	if gone == nil {
-		gone = &accumulated{sum: make(map[ident.ClientAccount]Spending)}
-		a.sources[""] = gone
-	}
-	for account, sum := range s.sum {
-		gone.sum[account] = gone.sum[account].plus(sum)
-	}
-}
-
-// without returns the sum of all sources but one.
-func (a *accumulator) without(source string) map[ident.ClientAccount]Spending {
-	out := make(map[ident.ClientAccount]Spending)
-	for name, s := range a.sources {
-		if name == source && source != "" {
-			continue
-		}
-		for account, sum := range s.sum {
-			out[account] = out[account].plus(sum)
-		}
-	}
-	return out
-}
-
-func (s Spending) plus(o Spending) Spending {
-	return Spending{s.Spent + o.Spent, s.Refused + o.Refused}
-}
-
-// minus is how much two totals differ; a total that fell is one that begins anew.
-func (s Spending) minus(o Spending) Spending {
-	return Spending{max(0, s.Spent-o.Spent), max(0, s.Refused-o.Refused)}
-}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -106,6 +106,8 @@
 	answer     *Sum
 	answeredAt time.Time
 	answerOff  time.Duration
+	// reported are the newest reports that were sent to collectors, the newest last.
+	reported []Report
 	// knownBy is how many gateways the collectors that were heard lately knew.
 	knownBy map[string]knownCount
 	// answerLimits is the digest of the limits that the collector which answered last knew.
--- a/internal/gossip/limits.go
+++ b/internal/gossip/limits.go
@@ -9,7 +9,7 @@
 // themselves, and of which upstreams the uses are.
 func (g *Gossip) shortenLimits(asked, reply *message) {
 	order := g.cfg.Knowledge.LimitOrder()
-	if order.Set == 0 || asked.From.LimitSet != order.Set {
+	if reply.Others == nil || order.Set == 0 || asked.From.LimitSet != order.Set {
 		return
 	}
 	reply.From.Limits = nil
--- a/internal/gossip/types.go
+++ b/internal/gossip/types.go
@@ -103,39 +103,6 @@
 	Data     []byte
 }
 
-// Sum is what several gateways report together.
-type Sum struct {
-	// Source is the life of the gateway that added it up. Totals of two sources
-	// cannot be compared.
-	Source string
-	Seq    uint64
-	// Domain is that of the gateways, where they are those of one.
-	Domain ident.FailureDomain
-	// Heard counts the gateways in it, and Known those that may admit requests, heard
-	// lately or not.
-	Heard, Known int
-	// Age is the mean age of the reports in it.
-	Age      time.Duration
-	Loads    map[UpstreamKey]placement.Load
-	Accounts map[ident.ClientAccount]Spending
-	Work     map[ident.Service]placement.Demand
-	Engines  map[ident.Service]enginemodel.Sums
-	// Holds: one of them holds the lease of the duties. GivenUp is the highest fencing
-	// number under which its holder acts no more.
-	Holds    bool
-	GivenUp  ident.Fence
-	Rollouts rollout.Words
-	Poison   poison.Words
-	// LimitUses are what they do with upstreams that have a limit, and LimitColumns the same
-	// for a receiver that knows the same limits.
-	LimitUses    upstreamlimit.Uses
-	LimitColumns upstreamlimit.Columns
-	// Silent are failure domains that were heard lately and are not now.
-	Silent []ident.FailureDomain
-	// TrueWallMillis is the source's time of day as most gateways have it.
-	TrueWallMillis int64
-}
-
 // LifeCounts are the requests that one life of a gateway counted.
 type LifeCounts struct {
 	Life  string
@@ -161,11 +128,15 @@
 	// Config and Upstreams are what the receiver lacks.
 	Config    *packedConfig
 	Upstreams *directory.News
-	// Collect: the receiver collects the report and answers with Others.
-	Collect bool
-	Others  *Sum
+	// Collect: the receiver collects the report and answers with Others. TakesWhole: the
+	// sender takes its own report out of the answer itself.
+	Collect, TakesWhole bool
+	Others              *Sum
 	// DomainSum is that of the sender's failure domain, between collectors.
 	DomainSum *Sum
+	// OthersPart and DomainPart are parts of Others and DomainSum that were encoded before,
+	// for several messages; what stands in these themselves goes before.
+	OthersPart, DomainPart []byte
 	// KnowsRosters are the sender's rosters by digest, and Rosters those that the
 	// receiver lacks.
 	KnowsRosters map[ident.FailureDomain]uint64
--- /dev/null
+++ b/internal/gossip/whole_test.go
@@ -0,0 +1,214 @@
+package gossip
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/poison"
+	"github.com/goldcrestspool/goldcrestspool/internal/routing/placement"
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
+)
+
+func init() { testkit.FixSeed() }
+
+// domainOf is one failure domain's gateways with their collector, and the sums of others.
+type domainOf struct {
+	collector *Collector
+	now       time.Time
+	seq       uint64
+}
+
+func newDomain() *domainOf {
+	self := Contact{Node: "gw-0", Address: "gw-0:1", Domain: "hall-a", Cores: 1}
+	return &domainOf{collector: NewCollector(self, 1), now: time.Unix(1000, 0)}
+}
+
+// reportOf is a report of one gateway, with loads at some upstreams and totals of some accounts.
+func (d *domainOf) reportOf(gateway, upstreams, accounts int) Report {
+	d.seq++
+	r := Report{
+		Contact: Contact{Node: nodeOf(gateway), Address: fmt.Sprint("gw-", gateway, ":1"), Domain: "hall-a"}, Incarnation: 1, Seq: d.seq,
+		WallMillis: d.now.UnixMilli(), Loads: make(map[UpstreamKey]placement.Load), Accounts: make(map[ident.ClientAccount]Spending),
+		Work: map[ident.Service]placement.Demand{"llm": {Prompt: 100, Generating: 1}},
+	}
+	for i := range upstreams {
+		r.Loads[UpstreamKey(gateway*7+i*13)] = placement.Load{Running: 1 + gateway%3, Unread: 100 * (i + 1)}
+	}
+	for i := range accounts {
+		r.Accounts[ident.ClientAccount(fmt.Sprint("acct", (gateway+i)%333))] = Spending{Spent: float64(d.seq * 1000), Refused: float64(i)}
+	}
+	return r
+}
+
+func nodeOf(gateway int) ident.Instance { return ident.Instance(fmt.Sprint("gw-", gateway)) }
+
+// travelled is a collector's answer as its asker decodes it.
+func travelled(t testing.TB, sum Sum, part []byte) *Sum {
+	t.Helper()
+	m := message{From: fullReport(), Others: &sum, OthersPart: part}
+	data, err := m.encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := decode(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return got.Others
+}
+
+// Guards against a gateway that counts itself among the others, or one of them twice or not
+// at all, where it takes its own report out of a sum of all.
+func TestWhoTakesItselfOutKnowsTheOthers(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		d := newDomain()
+		sent, first := make(map[int][]Report), make(map[int]float64)
+		tell := func(gateway, upstreams int) {
+			r := d.reportOf(gateway, upstreams, 0)
+			r.Holds = gateway == 2
+			total := float64(d.seq * 1000)
+			r.Accounts["shared"] = Spending{Spent: total}
+			if gateway%2 == 0 {
+				r.Poison = poison.Words{Crashes: []poison.Crash{{Upstream: uint32(gateway), Marks: []ident.Mark{1 << 8}}}}
+			}
+			if _, known := first[gateway]; !known {
+				first[gateway] = total
+			}
+			sent[gateway] = append(sent[gateway], r)
+			d.collector.Collect(r, d.now, d.now)
+		}
+		for range rapid.IntRange(1, 40).Draw(rt, "reports") {
+			d.now = d.now.Add(time.Duration(rapid.IntRange(0, 30).Draw(rt, "pause")) * time.Millisecond)
+			tell(rapid.IntRange(0, 5).Draw(rt, "gateway"), rapid.IntRange(0, 3).Draw(rt, "upstreams"))
+			// Somebody asks, so that later sums are of before.
+			d.collector.othersParts(nodeOf(rapid.IntRange(0, 5).Draw(rt, "other")), d.now, d.now)
+		}
+		asker := rapid.IntRange(0, 5).Draw(rt, "asker")
+		tell(asker, 1)
+		sum, part, err := d.collector.othersParts(nodeOf(asker), d.now, d.now)
+		if err != nil {
+			rt.Fatal(err)
+		}
+		got := travelled(t, sum, part)
+		own := slices.IndexFunc(sent[asker], func(r Report) bool { return r.id() == got.Counted })
+		if own < 0 {
+			rt.Fatalf("report %v is counted, which the asker has not sent", got.Counted)
+		}
+		got.takeOut(&sent[asker][own])
+
+		loads, holders, heard, spent := make(map[UpstreamKey]placement.Load), 0, 0, -first[asker]
+		for gateway := range 6 {
+			counted := d.collector.all.counted[nodeOf(gateway)]
+			if counted == nil || gateway == asker {
+				continue
+			}
+			heard++
+			spent += counted.report.Accounts["shared"].Spent - first[gateway]
+			for key, load := range counted.report.Loads {
+				loads[key] = loads[key].Plus(load)
+			}
+			if counted.report.Holds {
+				holders++
+			}
+		}
+		if !maps.Equal(loads, got.Loads) {
+			rt.Error(cmp.Diff(loads, got.Loads))
+		}
+		if got.Heard != heard || got.Holders != holders || got.Accounts["shared"].Spent != spent {
+			rt.Errorf("heard %d, want %d; %d hold the lease, want %d; spent %.0f, want %.0f", got.Heard, heard, got.Holders, holders, got.Accounts["shared"].Spent, spent)
+		}
+		if work := got.Work["llm"].Generating; math.Abs(work-float64(heard)) > 1e-3 {
+			rt.Errorf("%d others generate %.3f requests", heard, work)
+		}
+		for _, crash := range got.Poison.Crashes {
+			if crash.Upstream == uint32(asker) {
+				rt.Error("the asker's own word comes back to it")
+			}
+		}
+	})
+}
+
+// Guards against gateways of an older build, which do not take themselves out of a sum, and
+// would count their own requests twice.
+func TestAGatewayThatTakesNoWholeGetsTheOthers(t *testing.T) {
+	d := newDomain()
+	for gateway := range 3 {
+		d.collector.Collect(d.reportOf(gateway, 1, 1), d.now, d.now)
+	}
+	got := d.collector.Others(nodeOf(1), d.now, d.now)
+	if _, some := got.Loads[UpstreamKey(7)]; some || got.Heard != 2 || got.Counted != (reportID{}) {
+		t.Errorf("heard %d, loads %v, counted %v", got.Heard, got.Loads, got.Counted)
+	}
+}
+
+// Guards against a gateway that starts again and finds its last life in the sum, which it
+// cannot take out.
+func TestANewLifeIsCountedInItsFirstAnswer(t *testing.T) {
+	d := newDomain()
+	d.collector.Collect(d.reportOf(1, 1, 1), d.now, d.now)
+	d.collector.othersParts(nodeOf(1), d.now, d.now)
+	again := d.reportOf(1, 1, 1)
+	again.Incarnation = 2
+	d.collector.Collect(again, d.now, d.now)
+	sum, _, err := d.collector.othersParts(nodeOf(1), d.now, d.now)
+	if err != nil || sum.Counted != again.id() {
+		t.Errorf("counted %v, want %v (%v)", sum.Counted, again.id(), err)
+	}
+}
+
+// Guards against a collector whose work for each report grows with the gateways that report
+// to it: beyond some hundred of them it answered late.
+func TestACollectorsWorkForAReportDoesNotGrowWithTheFleet(t *testing.T) {
+	const (
+		rounds = 4
+		// partsOfReport is how often a report may be added up: once in each sum.
+		partsOfReport = int64(Interval/sumFor) + 1
+	)
+	own := make(map[int]int)
+	for _, gateways := range []int{100, 300, 1000, 2000} {
+		d := newDomain()
+		for round := range rounds {
+			for i := range gateways {
+				d.now = time.Unix(1000, 0).Add(time.Duration(round)*Interval + Interval*time.Duration(i)/time.Duration(gateways))
+				d.collector.Collect(d.reportOf(i, 3, 3), d.now, d.now)
+				if round == 0 {
+					continue // all are new: each needs a sum that counts it
+				}
+				sum, part, err := d.collector.othersParts(nodeOf(i), d.now, d.now)
+				if err != nil {
+					t.Fatal(err)
+				}
+				own[gateways] = max(own[gateways], len(encodedAlone(t, sum, part))-len(part))
+			}
+			if round == 0 {
+				d.collector.work = collectorWork{}
+			}
+		}
+		w := d.collector.work
+		t.Logf("%d gateways: %+v, %d bytes of an answer for its asker alone", gateways, w, own[gateways])
+		if w.parts > partsOfReport*w.reports {
+			t.Errorf("%d gateways: %d parts were added up for %d reports", gateways, w.parts, w.reports)
+		}
+	}
+	if own[2000] > own[100]+16 {
+		t.Errorf("bytes of an answer for its asker alone: %v", own)
+	}
+}
+
+func encodedAlone(t *testing.T, sum Sum, part []byte) []byte {
+	t.Helper()
+	m := message{From: report("gw-0", 1, 1), Others: &sum, OthersPart: part}
+	data, err := m.encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
--- a/internal/routing/placement/work.go
+++ b/internal/routing/placement/work.go
@@ -128,6 +128,11 @@
 	return Demand{d.Prompt + o.Prompt, d.Generating + o.Generating}
 }
 
+// Minus is what is left of a demand without a part of it.
+func (d Demand) Minus(o Demand) Demand {
+	return Demand{max(0, d.Prompt-o.Prompt), max(0, d.Generating-o.Generating)}
+}
+
 // Demand returns what this gateway's callers ask of a service.
 func (c *Chooser) Demand(service ident.Service, now time.Time) Demand {
 	c.mu.Lock()
--- a/internal/upstreamlimit/words.go
+++ b/internal/upstreamlimit/words.go
@@ -40,6 +40,18 @@
 	}
 }
 
+// Subtract takes out the uses of a gateway that were added before.
+func (u Uses) Subtract(o Uses) {
+	for key, use := range o {
+		left := Use{max(0, u[key].Asked-use.Asked), max(0, u[key].Sent-use.Sent)}
+		if left == (Use{}) {
+			delete(u, key)
+			continue
+		}
+		u[key] = left
+	}
+}
+
 // Say returns what to tell the other gateways of limits: what changed lately, and some
 // others in turn.
 func (k *Keeper) Say() []Said {
