A change of a large configuration travels between gateways as a patch

Cause: a configuration of the fleet is 103 KB (250 routes, 333 accounts), more than what is told with an answer (6 KB compressed), so that each of 984 gateways read each change from the store: calls grow as gateways times changes. Now a gateway keeps the last four configurations and tells one that has an earlier one of them what changed: zstd with the earlier as its dictionary, which its checksum guards. Whole ones go on as before, also to older builds.

Test: a change of one letter of 150 KB comes with the next answer in under 6 KB; the code before tells nothing. A patch of another configuration changes nothing. klauspost/compress is new; the standard library's window of 32 KB does not reach back to the start of such a configuration.

--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -39,11 +39,11 @@
 // encode writes a message.
 func (m *message) encode() ([]byte, error) {
 	out := &exchangev1.Message{
-		From: m.From.toProto(), Knows: m.Knows, Contacts: contactsToProto(m.Contacts), Wants: m.Wants, Upstreams: newsToProto(m.Upstreams),
+		From: m.From.toProto(), Knows: m.Knows, Contacts: contactsToProto(m.Contacts), Wants: m.Wants, TakesPatches: m.TakesPatches, Upstreams: newsToProto(m.Upstreams),
 		Collect: m.Collect, TakesWhole: m.TakesWhole, Others: m.Others.toProto(), Domain: m.DomainSum.toProto(), WantsCounts: m.WantsCounts,
 	}
 	if c := m.Config; c != nil {
-		out.Configuration = &exchangev1.Configuration{Revision: uint64(c.Revision), Offset: uint64(c.Offset), Gzip: c.Gzip}
+		out.Configuration = &exchangev1.Configuration{Revision: uint64(c.Revision), Offset: uint64(c.Offset), Gzip: c.Gzip, BaseRevision: uint64(c.Base), Patch: c.Patch}
 	}
 	for domain, digest := range m.KnowsRosters {
 		out.KnowsRosters = append(out.KnowsRosters, &exchangev1.RosterDigest{FailureDomain: string(domain), Digest: digest})
@@ -91,7 +91,7 @@
 		return nil, errors.Wrap(err, "not a message")
 	}
 	c := &checker{}
-	m := &message{Knows: in.Knows, Wants: in.Wants, Collect: in.Collect, TakesWhole: in.TakesWhole, WantsCounts: in.WantsCounts}
+	m := &message{Knows: in.Knows, Wants: in.Wants, TakesPatches: in.TakesPatches, Collect: in.Collect, TakesWhole: in.TakesWhole, WantsCounts: in.WantsCounts}
 	if in.From == nil {
 		return nil, errors.New("a message without its sender's report")
 	}
@@ -100,7 +100,7 @@
 	m.Upstreams = c.news(in.Upstreams)
 	m.Others, m.DomainSum = c.sum(in.Others), c.sum(in.Domain)
 	if p := in.Configuration; p != nil {
-		m.Config = &packedConfig{Revision: ident.Revision(p.Revision), Offset: ident.Offset(p.Offset), Gzip: p.Gzip}
+		m.Config = &packedConfig{Revision: ident.Revision(p.Revision), Offset: ident.Offset(p.Offset), Gzip: p.Gzip, Base: ident.Revision(p.BaseRevision), Patch: p.Patch}
 	}
 	if len(in.KnowsRosters) > 0 {
 		m.KnowsRosters = make(map[ident.FailureDomain]uint64, len(in.KnowsRosters))
--- a/internal/gossip/codec_test.go
+++ b/internal/gossip/codec_test.go
@@ -85,6 +85,7 @@
 	contacts := []Contact{{Node: "b", Address: "b:1", Domain: "hall-b", Cores: 0.8}}
 	for name, m := range map[string]message{
 		"between two":                  {From: fullReport(), Knows: 5, Contacts: contacts, Wants: true, Config: &packedConfig{Revision: 5, Offset: 6, Gzip: []byte("x")}},
+		"a patch":                      {From: fullReport(), TakesPatches: true, Config: &packedConfig{Revision: 5, Offset: 6, Base: 4, Patch: []byte("x")}},
 		"news":                         {From: fullReport(), Upstreams: &directory.News{UpTo: 9, Complete: true, Records: []directory.Record{{ID: "u", Offset: 3, Upstream: &up}, {ID: "v", Offset: 4, Usable: time.Second}}}},
 		"to a collector":               {From: fullReport(), Collect: true, TakesWhole: true, KnowsRosters: map[ident.FailureDomain]uint64{"hall-a": 1}, WantsCounts: true},
 		"to one that knows the limits": {From: fullReport(), Others: &inOrder},
--- a/internal/gossip/fetch.go
+++ b/internal/gossip/fetch.go
@@ -19,8 +19,9 @@
 // sent them by several others at once, the links stand still for seconds, exchanges run
 // into their timeout and begin again, and neither the configuration nor departures
 // arrive in time. So a gateway asks one other at a time, only if the store does not bring
-// it, and gets the configuration compressed. A small one is part of the answer to whoever
-// lacks it: otherwise each gateway would ask the store for each change.
+// it, and gets the configuration compressed. A small one, or a small change of a large one,
+// is part of the answer to whoever lacks it: otherwise each gateway would ask the store for
+// each change.
 
 const (
 	// fetchTimeout ends the transfer of a configuration: several hundred KB
@@ -39,8 +40,11 @@
 type packedConfig struct {
 	Revision ident.Revision
 	Offset   ident.Offset
-	// Gzip is the record's data, compressed.
-	Gzip []byte
+	// Gzip is the record's data, compressed; empty where Patch makes it of the data of an
+	// earlier revision, Base.
+	Gzip  []byte
+	Base  ident.Revision
+	Patch []byte
 }
 
 // pack compresses a configuration. The last one is kept, because others ask for it.
@@ -127,6 +131,12 @@
 		reply.Upstreams = g.cfg.Knowledge.Upstreams(asked.From.Upstreams, large)
 	}
 	if record := g.cfg.Knowledge.Config(asked.From.Revision); record != nil {
+		if asked.TakesPatches {
+			reply.Config = g.patchFor(asked.From.Revision)
+		}
+		if reply.Config != nil {
+			return done
+		}
 		packed, err := g.pack(record)
 		if err != nil {
 			g.cfg.Log.Error("configuration not handed on", "revision", record.Revision, "error", err)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -94,8 +94,10 @@
 	leaving atomic.Bool
 
 	mu sync.Mutex
-	// packed is the newest configuration that was handed on.
-	packed *packedConfig
+	// packed is the newest configuration that was handed on whole, and configs those that
+	// were in force lately.
+	packed  *packedConfig
+	configs configHistory
 	// silent are the addresses that did not answer last, and refused those whose last
 	// message was not valid, for the log.
 	silent, refused map[string]bool
@@ -163,6 +165,7 @@
 // directly with up to fanout others where there are few or no collector is heard.
 func (g *Gossip) round(ctx context.Context) {
 	now := g.cfg.Now()
+	g.noteConfig()
 	addresses := g.cfg.Table.Addresses(g.cfg.Self.Address, now)
 	if collects(len(addresses)) {
 		g.collect(ctx, now)
@@ -269,6 +272,7 @@
 }
 
 func (g *Gossip) encode(m *message) []byte {
+	m.TakesPatches = true
 	body, err := m.encode()
 	if err != nil {
 		// A name that is not text, for instance; the others then say that they got
@@ -354,7 +358,7 @@
 	var config *ConfigRecord
 	if m.Config != nil {
 		var err error
-		if config, err = m.Config.unpack(); err != nil {
+		if config, err = g.unpackConfig(m.Config); err != nil {
 			g.cfg.Log.Error("a gateway's configuration is not usable", "node", m.From.Node, "revision", m.Config.Revision, "error", err)
 		}
 	}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -294,3 +294,46 @@
 		t.Error("accepted")
 	}
 }
+
+// Guards against a store that each of a thousand gateways reads for each change: a small
+// change of a large configuration comes with the answer of whoever has it.
+func TestASmallChangeOfALargeConfigurationComesWithTheAnswer(t *testing.T) {
+	gossips, holders := mesh(t, 2)
+	var lines strings.Builder
+	for i := range 3000 {
+		fmt.Fprintf(&lines, `{"Prefix":"/%x/","Service":"b","Key":"%x"},`, i*i*7919, i*104729)
+	}
+	before := []byte(lines.String())
+	after := []byte(strings.Replace(lines.String(), `"Service":"b"`, `"Service":"c"`, 1))
+	for _, h := range holders {
+		h.config = &ConfigRecord{Revision: 5, Offset: 3, Data: before}
+	}
+	gossips[0].noteConfig()
+	holders[0].config = &ConfigRecord{Revision: 9, Offset: 4, Data: after}
+	gossips[1].exchange(t.Context(), gossips[0].cfg.Self.Address, gossips[1].request(false))
+	if got := holders[1].config; got.Revision != 9 || got.Offset != 4 || !bytes.Equal(got.Data, after) {
+		t.Errorf("revision %d", got.Revision)
+	}
+	if n := gossips[1].Bytes(); n > smallConfig {
+		t.Errorf("%d bytes for a change of one letter of %d", n, len(after))
+	}
+}
+
+// Guards against a patch that is applied to another configuration than it was made from.
+func TestAPatchOfAnotherConfigurationChangesNothing(t *testing.T) {
+	gossips, holders := mesh(t, 1)
+	base := bytes.Repeat([]byte(`{"Prefix":"/a/","Service":"b"},`), 1000)
+	patch, err := makePatch(base, append(base, 'x'))
+	if err != nil {
+		t.Fatal(err)
+	}
+	packed := &packedConfig{Revision: 9, Base: 5, Patch: patch}
+	holders[0].config = &ConfigRecord{Revision: 6, Data: base}
+	if got, err := gossips[0].unpackConfig(packed); got != nil || err != nil {
+		t.Errorf("revision 6 became %v, %v", got, err)
+	}
+	holders[0].config = &ConfigRecord{Revision: 5, Data: bytes.ToUpper(base)}
+	if got, err := gossips[0].unpackConfig(packed); err == nil {
+		t.Errorf("other data under the same revision became revision %d", got.Revision)
+	}
+}
--- /dev/null
+++ b/internal/gossip/patch.go
@@ -0,0 +1,133 @@
+package gossip
+
+import (
+	"github.com/klauspost/compress/zstd"
+	"github.com/pkg/errors"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+// A change of a large configuration is mostly a small one. What goes wrong without patches:
+// each gateway reads each change whole from the store, so that the store's calls and bytes
+// grow with the gateways, for each change of which there are hundreds a day.
+
+const (
+	// configsKept is how many configurations a gateway keeps to make patches from: some
+	// gateways are a few changes behind.
+	configsKept = 4
+	// dictionary numbers the earlier configuration in a patch.
+	dictionary = 1
+	// patchWindow is how far back in it a patch may refer, bytes.
+	patchWindow = 1 << 20
+)
+
+// makePatch returns what makes next of base.
+func makePatch(base, next []byte) ([]byte, error) {
+	e, err := zstd.NewWriter(nil, zstd.WithEncoderDictRaw(dictionary, base), zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(patchWindow))
+	if err != nil {
+		return nil, errors.Wrap(err, "make a patch")
+	}
+	defer e.Close()
+	return e.EncodeAll(next, nil), nil
+}
+
+// applyPatch is the inverse of makePatch. A patch of another base is an error.
+func applyPatch(base, patch []byte) ([]byte, error) {
+	d, err := zstd.NewReader(nil, zstd.WithDecoderDictRaw(dictionary, base), zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(mostConfig))
+	if err != nil {
+		return nil, errors.Wrap(err, "apply a patch")
+	}
+	defer d.Close()
+	next, err := d.DecodeAll(patch, nil)
+	return next, errors.Wrap(err, "apply a patch")
+}
+
+// configHistory is the configurations that a gateway had lately, and the patches from them
+// to the newest.
+type configHistory struct {
+	// records are in the order in which they came, the newest last.
+	records []ConfigRecord
+	patches map[ident.Revision]*packedConfig
+}
+
+// note keeps a configuration that came into force.
+func (h *configHistory) note(record *ConfigRecord) {
+	if record == nil || h.newest() != nil && h.newest().Revision >= record.Revision {
+		return
+	}
+	h.records = append(h.records, *record)
+	if extra := len(h.records) - configsKept; extra > 0 {
+		h.records = append([]ConfigRecord(nil), h.records[extra:]...)
+	}
+	h.patches = make(map[ident.Revision]*packedConfig)
+}
+
+func (h *configHistory) newest() *ConfigRecord {
+	if len(h.records) == 0 {
+		return nil
+	}
+	return &h.records[len(h.records)-1]
+}
+
+// patch returns the patch from an earlier configuration to the newest; nil where that one is
+// not known.
+func (h *configHistory) patch(from ident.Revision) (*packedConfig, error) {
+	if p := h.patches[from]; p != nil {
+		return p, nil
+	}
+	next := h.newest()
+	for i := range h.records {
+		base := &h.records[i]
+		if base.Revision != from || base.Revision == next.Revision {
+			continue
+		}
+		patch, err := makePatch(base.Data, next.Data)
+		if err != nil {
+			return nil, err
+		}
+		h.patches[from] = &packedConfig{Revision: next.Revision, Offset: next.Offset, Base: from, Patch: patch}
+		return h.patches[from], nil
+	}
+	return nil, nil
+}
+
+// noteConfig keeps the configuration in force, for those that lack it.
+func (g *Gossip) noteConfig() {
+	record := g.cfg.Knowledge.Config(0)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.configs.note(record)
+}
+
+// patchFor returns a patch for a gateway that has an earlier configuration; nil where there
+// is none that is small.
+func (g *Gossip) patchFor(revision ident.Revision) *packedConfig {
+	g.noteConfig()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p, err := g.configs.patch(revision)
+	if err != nil {
+		g.cfg.Log.Error("no patch of the configuration", "from", revision, "error", err)
+	}
+	if p == nil || len(p.Patch) > smallConfig {
+		return nil
+	}
+	return p
+}
+
+// unpackConfig returns a configuration that another gateway handed on; nil where it is a
+// patch of one that this gateway does not have.
+func (g *Gossip) unpackConfig(p *packedConfig) (*ConfigRecord, error) {
+	if len(p.Patch) == 0 {
+		return p.unpack()
+	}
+	base := g.cfg.Knowledge.Config(0)
+	if base == nil || base.Revision != p.Base {
+		return nil, nil
+	}
+	data, err := applyPatch(base.Data, p.Patch)
+	if err != nil {
+		return nil, err
+	}
+	return &ConfigRecord{Revision: p.Revision, Offset: p.Offset, Data: data}, nil
+}
--- a/internal/gossip/types.go
+++ b/internal/gossip/types.go
@@ -122,6 +122,8 @@
 	// of them, where the receiver's digest differs.
 	Knows    uint64
 	Contacts []Contact
+	// TakesPatches: the sender takes a configuration as a patch of the one that it has.
+	TakesPatches bool
 	// Wants: the sender takes a configuration, or all entries of upstreams, with the
 	// answer.
 	Wants bool
