Scaling: what is several times what callers need is given up without waiting for a wave

Cause: a new holder keeps what it finds for 6 s after the first work, and then waits 8 s for less to be wanted, as long as a wave of traffic takes. A fleet of 2,928 engines whose callers need some hundred pays for all of them for those 14 s. Now the number found counts only up to three times the need once half of that time has passed (the averages then show two thirds of the work), and what is beyond three times the plan is given up after 2 s. Below that all is as before: a small system finds about what it needs. Ruled out: giving up more before any work is seen (nothing tells what callers will ask; TestWhatServesStaysUntilWorkWasSeen).

--- a/internal/scaling/controller.go
+++ b/internal/scaling/controller.go
@@ -41,6 +41,16 @@
 	// watchFor is for how long work is watched before the number of upstreams
 	// follows it: the averages take some seconds to fill.
 	watchFor = 6 * time.Second
+	// leastWatch is after how much of watchFor the averages show more than two thirds of
+	// the work.
+	leastWatch = 3 * time.Second
+	// surplus is how many times what is wanted are more upstreams than the users' traffic
+	// asks for again within a wave or a burst, and surplusFor for how long they must have
+	// been too many before those beyond it are given up. What goes wrong without it: a
+	// fleet that starts with thirty times what its first callers need pays for all of it
+	// for as long as a small system waits for a wave to come back.
+	surplus    = 3
+	surplusFor = 2 * time.Second
 	// calmAfter is for how long after a reclaim nothing is given up: the next
 	// domain's reclaim mostly follows within that time, and nothing can be had
 	// then.
@@ -177,14 +187,18 @@
 		r.total += n
 	}
 	wanted := Plan(Situation{Scale: s.Scale, Need: need, Serving: serving, Coming: coming(s, state, serving, now), Closed: closed, Lacking: c.lacking(s.Name), AtRisk: state.atRisk(s.Scale.Startup, now)})
+	for _, n := range wanted {
+		r.wanted += n
+	}
 	for _, slot := range inOrder(wanted) {
-		if closed[slot] || !c.due(r, slot, wanted[slot]) {
+		count, due := c.due(r, slot, wanted[slot])
+		if closed[slot] || !due {
 			continue
 		}
-		if !c.send(ctx, r, slot, wanted[slot]) {
+		if !c.send(ctx, r, slot, count) {
 			return
 		}
-		r.total -= max(0, serving[slot]-wanted[slot])
+		r.total -= max(0, serving[slot]-count)
 	}
 }
 
@@ -193,8 +207,8 @@
 	service *routetable.Service
 	state   *service
 	serving map[Slot]int
-	// total serve; keep must not be given up.
-	total int
+	// total serve, and wanted are planned; keep must not be given up.
+	total, wanted int
 	// need is that of the present work.
 	need, keep float64
 	now        time.Time
@@ -230,10 +244,14 @@
 	if state.workSince.IsZero() && need > leastWork {
 		state.workSince = now
 	}
-	if state.workSince.IsZero() || now.Sub(state.workSince) < watchFor {
-		return max(need, float64(state.found)/reserve(domains)), max(need, float64(state.found))
+	if !state.workSince.IsZero() && now.Sub(state.workSince) >= watchFor {
+		return need, need
+	}
+	keep = float64(state.found)
+	if !state.workSince.IsZero() && now.Sub(state.workSince) >= leastWatch {
+		keep = min(keep, surplus*need)
 	}
-	return need, need
+	return max(need, keep/reserve(domains)), max(need, keep)
 }
 
 // coming is how many reclaimable upstreams were ordered and may still start: not those of
@@ -306,8 +324,8 @@
 	c.Log.Info("upstreams are reclaimed", "service", name, "domain", slot.FailureDomain, "upstreams", ids)
 }
 
-// due reports whether an order must be sent for a slot.
-func (c *Controller) due(r *round, slot Slot, wanted int) bool {
+// due reports whether an order must be sent for a slot, and for how many.
+func (c *Controller) due(r *round, slot Slot, wanted int) (int, bool) {
 	last := r.state.orders[slot]
 	before := r.serving[slot]
 	if last != nil {
@@ -316,41 +334,56 @@
 	if wanted <= before && c.Changing(r.service.Name) {
 		// An order counts the upstreams of both versions, or of one: nobody says which.
 		// Less, or the same once more, might take away those that serve.
-		return false
+		return 0, false
 	}
 	if wanted < before {
-		return c.mayShrink(r, slot, wanted)
+		return c.mayShrink(r, slot, before, wanted)
 	}
 	delete(r.state.less, slot)
 	if wanted > before {
-		return true
+		return wanted, true
 	}
 	if last == nil {
-		return false
+		return 0, false
 	}
 	missing := r.serving[slot] != wanted && r.now.Sub(last.at) > r.service.Scale.Startup+showSlack
-	return !last.answered || missing
+	return wanted, !last.answered || missing
 }
 
-// mayShrink reports whether a slot's upstreams may be given up: not as long as
-// the others could not carry the work, nor reclaimable ones before less was wanted
-// for a while, or soon after a reclaim.
-func (c *Controller) mayShrink(r *round, slot Slot, wanted int) bool {
+// mayShrink reports whether upstreams of a slot may be given up, and how many are to stay:
+// not as long as the others could not carry the work, nor reclaimable ones before less was
+// wanted for a while, or soon after a reclaim.
+func (c *Controller) mayShrink(r *round, slot Slot, before, wanted int) (int, bool) {
 	since, waiting := r.state.less[slot]
 	if !waiting {
 		r.state.less[slot] = r.now
 		since = r.now
 	}
-	left := r.total - max(r.serving[slot]-wanted, 0)
-	if r.now.Sub(c.since) < settleAfter || float64(left) < r.keep {
-		return false
-	}
+	count := c.staying(r, slot, before, wanted, r.now.Sub(since))
+	left := r.total - max(r.serving[slot]-count, 0)
+	return count, count < before && r.now.Sub(c.since) >= settleAfter && float64(left) >= r.keep
+}
+
+// staying is how many upstreams of a slot are to stay where less than before has been wanted
+// for so long; before itself for all of them.
+func (c *Controller) staying(r *round, slot Slot, before, wanted int, lessFor time.Duration) int {
 	if !slot.Reclaimable {
 		replaced := r.state.workSince.IsZero()
-		return replaced || r.now.Sub(since) >= shortFor
+		if replaced || lessFor >= shortFor {
+			return wanted
+		}
+		return before
 	}
 	calm := r.state.reclaimed.IsZero() || r.now.Sub(r.state.reclaimed) >= calmAfter
-	return calm && r.now.Sub(since) >= shrinkAfter
+	switch {
+	case !calm:
+		return before
+	case lessFor >= shrinkAfter:
+		return wanted
+	case lessFor >= surplusFor && r.total > surplus*r.wanted:
+		return min(before, surplus*wanted)
+	}
+	return before
 }
 
 // pauseOthers closes all reclaimable slots for a moment.
--- a/internal/scaling/scaling_test.go
+++ b/internal/scaling/scaling_test.go
@@ -317,6 +317,47 @@
 	}
 }
 
+// Pattern: a fleet starts with thirty times what its callers need. Guards against paying for
+// all of it for as long as a wave of traffic takes, and against giving up what a wave takes.
+func TestAManifoldSurplusIsGivenUpSoon(t *testing.T) {
+	for _, test := range []struct {
+		name             string
+		serving, need    int
+		within, leftMost int
+	}{
+		{"thirty times the need", 240, 8, 6, 4 * surplus * 8},
+		{"a wave's top", 24, 8, 6, 24},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c, controller := newCloud()
+			controller.Table().Services()[0].Scale.Most = 100
+			there := make(map[Slot]int)
+			for _, d := range domains {
+				there[Slot{d, true}] = test.serving / len(domains)
+			}
+			c.serve(there, directory.Ready)
+			c.steps(t, controller, 5*time.Second)
+			c.orders = nil
+			c.need = float64(test.need)
+			c.steps(t, controller, time.Duration(test.within)*time.Second)
+			left := make(map[ident.FailureDomain]int)
+			for slot, n := range there {
+				left[slot.FailureDomain] = n
+			}
+			for _, o := range c.orders {
+				left[o.FailureDomain] = o.Wanted
+			}
+			sum := 0
+			for _, n := range left {
+				sum += n
+			}
+			if sum > test.leftMost || sum < min(test.serving, surplus*test.need) {
+				t.Errorf("%d are left of %d after %d s", sum, test.serving, test.within)
+			}
+		})
+	}
+}
+
 // Symptom: an order is lost for good. Sequence: its answer is lost. Cause: an
 // order that counts as given.
 func TestAnOrderIsRepeatedUntilItIsAnswered(t *testing.T) {
