A look at the others reads the clock once, not for each account; many entries are one line

Causes: (1) each gateway looks at what the others spent of each of 333 accounts eight times a second, and read the system's clock three times for each: 8,000 calls a second at rest. Reports come as a list now instead of a map for each account. What comes from another gateway in a batch of more than 16 changes is one line with counts, offsets and some of those that leave; the gateway that reads the store tells each as before.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -89,9 +89,11 @@
 const assumedFor = 3 * time.Second
 
 // gateways is how many gateways there may be, with this one.
-func (p *Process) gateways() int {
+func (p *Process) gateways() int { return p.gatewaysAt(p.now()) }
+
+func (p *Process) gatewaysAt(now time.Time) int {
 	known := p.view.Load().Known + 1
-	if p.now().Sub(p.started) < assumedFor {
+	if now.Sub(p.started) < assumedFor {
 		return max(known, int(p.assumed.Load()))
 	}
 	return known
@@ -100,15 +102,16 @@
 // trueTime is the time of day as most gateways have it.
 func (p *Process) trueTime() time.Time { return time.Now().Add(p.view.Load().WallCorrection) }
 
-// quotaOthers returns what the other gateways report of an account.
-func (p *Process) quotaOthers(account ident.ClientAccount) quota.Others {
-	v, now := p.view.Load(), p.now()
-	o := quota.Others{Known: p.gateways() - 1, Reports: make(map[string]quota.Report, len(v.Groups))}
+// quotaOthers returns what the other gateways report of an account. It reads no clock: it is
+// called for each of hundreds of accounts, eight times a second.
+func (p *Process) quotaOthers(account ident.ClientAccount, now time.Time) quota.Others {
+	v := p.view.Load()
+	o := quota.Others{Known: p.gatewaysAt(now) - 1, Reports: make([]quota.Report, len(v.Groups))}
 	for i := range v.Groups {
 		g := &v.Groups[i]
 		spending := g.Accounts[account]
-		o.Reports[g.Name] = quota.Report{
-			Source: g.Source, Gateways: g.Gateways, Spent: spending.Spent, Refused: spending.Refused, Age: now.Sub(g.ReportedAt),
+		o.Reports[i] = quota.Report{
+			Name: g.Name, Source: g.Source, Gateways: g.Gateways, Spent: spending.Spent, Refused: spending.Refused, Age: now.Sub(g.ReportedAt),
 		}
 	}
 	return o
--- /dev/null
+++ b/internal/entry/peers_test.go
@@ -0,0 +1,32 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/gossip"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/quota"
+	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
+)
+
+// Guards against a gateway at rest that reads the clock for each account of the fleet in
+// each look at the others: that was most of what it did.
+func TestALookAtTheOthersReadsTheClockAFewTimes(t *testing.T) {
+	reads := 0
+	p := &Process{now: func() time.Time { reads++; return time.Unix(1000, 0) }}
+	p.view.Store(&peerView{View: gossip.View{Known: 983, Groups: []gossip.Group{{Name: "all", Source: "c", Gateways: 983}}}})
+	var accounts []routetable.Account
+	for i := range 333 {
+		accounts = append(accounts, routetable.Account{Name: ident.ClientAccount(fmt.Sprint("acct", i)), Rate: 36_000, Burst: 36_000})
+	}
+	now := p.now()
+	keeper := quota.NewKeeper(quota.Tolerance{Window: 8 * time.Second}, p.quotaOthers, now)
+	for range 8 {
+		keeper.Tick(accounts, now)
+	}
+	if reads > 8 {
+		t.Errorf("the clock was read %d times in 8 looks at %d accounts", reads, len(accounts))
+	}
+}
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -133,7 +133,10 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.dir.StoreBack(u.now())
-	changed := u.applyAll(batch.Records)
+	changes, changed := u.applyAll(batch.Records)
+	for _, r := range changes {
+		u.logEntry(r.ID, r.Offset, r.Upstream, "store")
+	}
 	if n := len(batch.Records); n > 0 {
 		u.dir.Reached(batch.Records[n-1].Offset + 1)
 	}
@@ -171,25 +174,31 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.dir.StoreBack(u.now())
-	u.publish(u.applyAll(records))
+	changes, changed := u.applyAll(records)
+	u.logBatch(changes, "store")
+	u.publish(changed)
 }
 
-// applyAll takes records in and reports whether the upstreams changed.
-func (u *upstreams) applyAll(records []platform.KeyedRecord) bool {
-	changed := false
+// applyAll takes records in and returns those that changed something, and whether any did.
+func (u *upstreams) applyAll(records []platform.KeyedRecord) (changes []directory.Record, changed bool) {
 	for _, record := range records {
-		changed = u.applyOne(record) || changed
+		change, different := u.applyOne(record)
+		changed = changed || different
+		if different && change.ID != "" {
+			changes = append(changes, change)
+		}
 	}
-	return changed
+	return changes, changed
 }
 
-func (u *upstreams) applyOne(record platform.KeyedRecord) bool {
+// applyOne takes a record in and reports whether it changed something; the change has no ID
+// where the record could not be used.
+func (u *upstreams) applyOne(record platform.KeyedRecord) (directory.Record, bool) {
 	name := ident.Instance(record.Key)
 	if record.Unreadable == nil && record.Value == nil {
 		u.faulty.ok(record.Key)
 		changed := u.dir.Apply(name, record.Offset, nil, u.now())
-		u.logEntry(changed, name, record.Offset, nil, "store")
-		return changed
+		return directory.Record{ID: name, Offset: record.Offset}, changed
 	}
 	var entry directory.Upstream
 	err := record.Unreadable
@@ -202,13 +211,12 @@
 		if u.faulty.first(record.Key) {
 			u.log.Error("upstream's entry not usable", "upstream", name, "offset", record.Offset, "findings", err)
 		}
-		return u.dir.Unreadable(name, record.Offset, u.now())
+		return directory.Record{}, u.dir.Unreadable(name, record.Offset, u.now())
 	}
 	u.faulty.ok(record.Key)
 	u.logStrange(record.Key, &entry)
 	changed := u.dir.Apply(name, record.Offset, &entry, u.now())
-	u.logEntry(changed, entry.ID, record.Offset, &entry, "store")
-	return changed
+	return directory.Record{ID: entry.ID, Offset: record.Offset, Upstream: &entry}, changed
 }
 
 // logStrange tells of an upstream that no route can reach, because its service is not
@@ -225,16 +233,45 @@
 	}
 }
 
+// linesOfBatch is up to how many changes that come together each get a line of their own.
+// What goes wrong without a bound: where thousands of upstreams start or are replaced, each
+// of a thousand gateways writes all of them, and that is most of what it does.
+const linesOfBatch = 16
+
+// logBatch tells of changes that came together: each in its own line, or where there are
+// many, how many there were, and those that left. What the store said of each stands in the
+// log of the gateway that read it there.
+func (u *upstreams) logBatch(changes []directory.Record, from string) {
+	if len(changes) <= linesOfBatch {
+		for _, r := range changes {
+			u.logEntry(r.ID, r.Offset, r.Upstream, from)
+		}
+		return
+	}
+	var leaving, dropped []ident.Instance
+	first, last := changes[0].Offset, changes[0].Offset
+	for _, r := range changes {
+		first, last = min(first, r.Offset), max(last, r.Offset)
+		switch {
+		case r.Upstream == nil:
+			dropped = append(dropped, r.ID)
+		case r.Upstream.State == directory.Leaving:
+			leaving = append(leaving, r.ID)
+		}
+	}
+	u.log.Info("upstreams' entries", "changes", len(changes), "first_offset", first, "last_offset", last, "leaving", len(leaving), "dropped", len(dropped),
+		"some_leaving", leaving[:min(len(leaving), linesOfBatch)], "some_dropped", dropped[:min(len(dropped), linesOfBatch)], "from", from)
+}
+
 // logEntry tells of an upstream's entry that changed something.
-func (u *upstreams) logEntry(changed bool, id ident.Instance, offset ident.Offset, entry *directory.Upstream, from string) {
-	switch {
-	case changed && entry == nil:
+func (u *upstreams) logEntry(id ident.Instance, offset ident.Offset, entry *directory.Upstream, from string) {
+	if entry == nil {
 		u.log.Info("upstream's entry dropped", "upstream", id, "offset", offset, "from", from)
-	case changed:
-		u.log.Info("upstream's entry", "upstream", id, "service", entry.Service, "address", entry.Address, "domain", entry.FailureDomain,
-			"version", entry.Version, "leaving", entry.State == directory.Leaving, "leaves_ms", entry.LeavesIn.Milliseconds(), "reclaimable", entry.Reclaimable,
-			"offset", offset, "from", from)
+		return
 	}
+	u.log.Info("upstream's entry", "upstream", id, "service", entry.Service, "address", entry.Address, "domain", entry.FailureDomain,
+		"version", entry.Version, "leaving", entry.State == directory.Leaving, "leaves_ms", entry.LeavesIn.Milliseconds(), "reclaimable", entry.Reclaimable,
+		"offset", offset, "from", from)
 }
 
 // expire ends the grace of entries that lapsed.
@@ -256,11 +293,11 @@
 	view := u.dir.Snapshot(u.now())
 	u.rollouts.Observe(view)
 	u.board.upstreams.Publish(view)
-	for _, id := range old.IDs() {
-		if _, still := view.Upstream(id); !still {
-			u.pool.Forget(id)
+	old.Each(func(up *directory.Upstream) {
+		if _, still := view.Upstream(up.ID); !still {
+			u.pool.Forget(up.ID)
 		}
-	}
+	})
 }
 
 // news returns what another gateway lacks that knows all records before an offset; nil
@@ -285,9 +322,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	changes, changed := u.dir.Take(news, u.now())
-	for _, r := range changes {
-		u.logEntry(true, r.ID, r.Offset, r.Upstream, "gateway")
-	}
+	u.logBatch(changes, "gateway")
 	if news.Complete {
 		u.log.Info("upstreams listed by another gateway", "count", len(news.Records), "end", news.UpTo, "changes", len(changes))
 	}
--- a/internal/entry/upstreams_test.go
+++ b/internal/entry/upstreams_test.go
@@ -1,7 +1,10 @@
 package entry
 
 import (
+	"bytes"
 	"context"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,6 +12,7 @@
 
 	"github.com/goldcrestspool/goldcrestspool/internal/directory"
 	"github.com/goldcrestspool/goldcrestspool/internal/finding"
+	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
 	"github.com/goldcrestspool/goldcrestspool/internal/rollout"
@@ -49,3 +53,30 @@
 		t.Errorf("the view counts as confirmed %v ago", age)
 	}
 }
+
+// Guards against a log that is most of a gateway's work: of thousands of entries that come
+// together, a few lines tell, and name some that leave.
+func TestManyEntriesTogetherAreAFewLines(t *testing.T) {
+	now := time.Unix(1000, 0)
+	clock := func() time.Time { return now }
+	var log bytes.Buffer
+	tracker := rollout.New(rollout.Config{Now: clock, Log: hclog.NewNullLogger(), OrdersKnown: clock, Gateways: func() int { return 1 }})
+	u := newUpstreams(Ports{}, newBoard(), tracker, httpconn.NewPool(clock), clock, func() int { return 0 }, 3*time.Second, hclog.New(&hclog.LoggerOptions{Output: &log}))
+	news := directory.News{UpTo: 4000}
+	for i := range 3000 {
+		up := directory.Upstream{ID: ident.Instance(fmt.Sprint("u", i)), Service: "svc", State: directory.Ready}
+		if i == 7 {
+			up.State = directory.Leaving
+		}
+		news.Records = append(news.Records, directory.Record{ID: up.ID, Offset: ident.Offset(i), Upstream: &up})
+	}
+	u.learn(news)
+	if lines := strings.Count(log.String(), "\n"); lines != 1 || !strings.Contains(log.String(), "some_leaving=[\"u7\"]") {
+		t.Errorf("%d lines: %.300s", lines, log.String())
+	}
+	log.Reset()
+	u.learn(directory.News{UpTo: 4001, Records: []directory.Record{{ID: "u9", Offset: 4000}}})
+	if !strings.Contains(log.String(), "upstream's entry dropped: upstream=u9") {
+		t.Errorf("a single change has no line of its own: %s", log.String())
+	}
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -9,6 +9,7 @@
 package quota
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -77,12 +78,14 @@
 type Others struct {
 	// Known counts the gateways that may admit, without this one.
 	Known int
-	// Reports of those that are heard, by name.
-	Reports map[string]Report
+	// Reports of those that are heard, each of another name.
+	Reports []Report
 }
 
 // Report is what another gateway, or several together, last said of an account.
 type Report struct {
+	// Name tells the gateways, or groups of them, apart.
+	Name string
 	// Source is who added the totals up: those of two sources cannot be compared.
 	Source string
 	// Gateways is how many they are of.
@@ -96,8 +99,8 @@
 // Keeper admits requests. It is safe for concurrent use.
 type Keeper struct {
 	tolerance Tolerance
-	// others returns the reports on an account.
-	others func(ident.ClientAccount) Others
+	// others returns the reports on an account, as of an instant.
+	others func(ident.ClientAccount, time.Time) Others
 
 	mu       sync.Mutex
 	started  time.Time
@@ -169,7 +172,7 @@
 }
 
 // NewKeeper returns a keeper that has admitted nothing.
-func NewKeeper(tolerance Tolerance, others func(ident.ClientAccount) Others, now time.Time) *Keeper {
+func NewKeeper(tolerance Tolerance, others func(ident.ClientAccount, time.Time) Others, now time.Time) *Keeper {
 	return &Keeper{tolerance: tolerance, others: others, started: now, accounts: make(map[ident.ClientAccount]*account)}
 }
 
@@ -293,7 +296,7 @@
 	defer k.mu.Unlock()
 	for i := range limits {
 		if limit := &limits[i]; limit.Rate > 0 {
-			k.refresh(k.account(limit, now), limit, k.others(limit.Name), now)
+			k.refresh(k.account(limit, now), limit, k.others(limit.Name, now), now)
 		}
 	}
 }
@@ -303,7 +306,7 @@
 func (k *Keeper) account(limit *routetable.Account, now time.Time) *account {
 	a := k.accounts[limit.Name]
 	if a == nil {
-		others := k.others(limit.Name)
+		others := k.others(limit.Name, now)
 		_, burst, _ := k.limits(limit, 0)
 		a = &account{level: startPart * burst * others.part(), filled: k.started, ticked: k.started, others: make(map[string]*other)}
 		k.accounts[limit.Name] = a
@@ -335,19 +338,20 @@
 	a.fill(now)
 	elapsed := max(now.Sub(a.ticked).Seconds(), 0)
 	a.ticked = now
-	a.forgetUnheard(others)
 	a.othersSpend, a.askedOfAll = 0, a.own.update(a.asked, now)
-	for gateway, r := range others.Reports {
-		o := a.others[gateway]
+	for i := range others.Reports {
+		r := &others.Reports[i]
+		o := a.others[r.Name]
 		if o == nil {
 			o = &other{source: r.Source, seen: r.Spent, seenAt: now.Add(-r.Age)}
-			a.others[gateway] = o
+			a.others[r.Name] = o
 		}
 		o.expected += o.spends.rate * elapsed
 		a.level -= o.hear(r, now)
 		a.othersSpend += o.spends.rate
 		a.askedOfAll += o.askedBeside(r, a.own.rate)
 	}
+	a.forgetUnheard(others)
 	a.level = min(a.level, a.burst)
 	a.divide()
 }
@@ -376,7 +380,7 @@
 }
 
 // hear takes a report in and returns how much more was spent than was expected.
-func (o *other) hear(r Report, now time.Time) float64 {
+func (o *other) hear(r *Report, now time.Time) float64 {
 	at := now.Add(-r.Age)
 	if r.Source != o.source {
 		o.compareAnew(r, at)
@@ -397,7 +401,7 @@
 // taken to be asked as much as this gateway. What goes wrong if it counts as nothing: after
 // all gateways were killed, each takes the whole refill for its part in the moment in which
 // they hear each other again.
-func (o *other) askedBeside(r Report, own float64) float64 {
+func (o *other) askedBeside(r *Report, own float64) float64 {
 	if !o.asked.known {
 		return own * float64(r.Gateways)
 	}
@@ -407,7 +411,7 @@
 // compareAnew begins with another source's totals, at the rates of before: a gateway
 // that hears of all others by another collector from now on would else take an account
 // far beyond its limit for one that hardly anybody uses.
-func (o *other) compareAnew(r Report, at time.Time) {
+func (o *other) compareAnew(r *Report, at time.Time) {
 	o.source = r.Source
 	o.seen, o.seenAt = r.Spent, at
 	o.expected = o.spends.rate * r.Age.Seconds()
@@ -419,9 +423,12 @@
 // in meanwhile; what they spend then must not be taken out a second time when they
 // are heard again.
 func (a *account) forgetUnheard(others Others) {
-	for gateway := range a.others {
-		if _, heard := others.Reports[gateway]; !heard {
-			delete(a.others, gateway)
+	if len(a.others) == len(others.Reports) {
+		return
+	}
+	for name := range a.others {
+		if !slices.ContainsFunc(others.Reports, func(r Report) bool { return r.Name == name }) {
+			delete(a.others, name)
 		}
 	}
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -68,7 +68,7 @@
 
 func (f *fleet) restart(i int) {
 	m := &member{life: fmt.Sprint(i, "/", f.now.UnixNano()), heard: make(map[int]report)}
-	m.keeper = NewKeeper(f.tolerance, func(ident.ClientAccount) Others { return f.others(m) }, f.now)
+	m.keeper = NewKeeper(f.tolerance, func(ident.ClientAccount, time.Time) Others { return f.others(m) }, f.now)
 	f.gateways[i] = m
 }
 
@@ -76,11 +76,11 @@
 	if f.collected != nil {
 		return f.collected.others(m, f.now)
 	}
-	o := Others{Reports: make(map[string]Report)}
+	var o Others
 	for _, r := range m.heard {
 		o.Known++
 		if f.now.Sub(r.at) <= f.fresh {
-			o.Reports[r.life] = Report{Source: r.life, Gateways: 1, Spent: r.spent, Refused: r.refused, Age: f.now.Sub(r.at)}
+			o.Reports = append(o.Reports, Report{Name: r.life, Source: r.life, Gateways: 1, Spent: r.spent, Refused: r.refused, Age: f.now.Sub(r.at)})
 		}
 	}
 	return o
@@ -137,8 +137,8 @@
 		return Others{}
 	}
 	own := c.told.parts[m.life]
-	return Others{Known: n, Reports: map[string]Report{"all": {
-		Source: "collector", Gateways: n, Spent: c.told.all.spent - own.spent, Refused: c.told.all.refused - own.refused, Age: now.Sub(c.told.all.at),
+	return Others{Known: n, Reports: []Report{{
+		Name: "all", Source: "collector", Gateways: n, Spent: c.told.all.spent - own.spent, Refused: c.told.all.refused - own.refused, Age: now.Sub(c.told.all.at),
 	}}}
 }
 
