A gateway at rest looks less often, and sorts nothing to do so

Causes, by reading and by a profile of gateways at rest: two followers of the store looked 20 times a second each whether a read is due, the lease's candidate 10 times; each look at the first in line (some 40 a second) sorted its domain's 164 gateways; each round listed and sorted all 984 addresses; each look at the others hashed all 3,000 upstreams. Now followers sleep until a read is due by what is known, at most 0.2 s (0.05 s while lapsed entries are in their grace); who is no candidate looks twice a second; the first two of a domain are taken from the roster, which is in order; addresses are listed only where gateways meet directly; upstreams are hashed once a view. The three first in line go on looking ten times a second, so that a lease that is handed on is taken as soon as before.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -256,12 +256,13 @@
 }
 
 // Expire forgets what was dropped long ago and ends the grace of lapsed entries.
-// It reports whether an entry stopped to be usable.
-func (d *Directory) Expire(now time.Time) bool {
-	changed := false
+// It reports whether an entry stopped to be usable, and whether the grace of others goes on.
+func (d *Directory) Expire(now time.Time) (changed, more bool) {
 	for id, entry := range d.entries {
 		switch {
-		case entry.Present || d.usable(entry, now):
+		case entry.Present:
+		case d.usable(entry, now):
+			more = true
 		case !entry.UsableUntil.IsZero():
 			entry.UsableUntil = time.Time{}
 			changed = true
@@ -270,7 +271,7 @@
 			delete(d.entries, id)
 		}
 	}
-	return changed
+	return changed, more
 }
 
 // usable reports whether a dropped entry is within its grace, which does not end
--- a/internal/duty/manager.go
+++ b/internal/duty/manager.go
@@ -13,6 +13,7 @@
 
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/pause"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
 )
 
@@ -22,6 +23,8 @@
 	key   = "entry"
 	// step is how often a candidate looks whether something is due.
 	step = 100 * time.Millisecond
+	// idleStep is the same at a gateway that is no candidate: of a thousand, nearly all.
+	idleStep = 500 * time.Millisecond
 	// readEvery is how often a candidate reads the lease when it does not hear
 	// of a holder.
 	readEvery = 700 * time.Millisecond
@@ -183,22 +186,20 @@
 
 // Run keeps the lease until ctx ends, and then releases it.
 func (m *Manager) Run(ctx context.Context) {
-	ticker := time.NewTicker(step)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			m.release()
-			return
-		case <-ticker.C:
+	wait := step
+	for pause.For(ctx, wait) {
+		wait = idleStep
+		if m.tick(ctx) {
+			wait = step
 		}
-		m.tick(ctx)
 		m.note()
 	}
+	m.release()
 }
 
-// tick reads what is new where that matters, and writes what is due.
-func (m *Manager) tick(ctx context.Context) {
+// tick reads what is new where that matters, and writes what is due. It reports whether this
+// gateway holds the lease or is a candidate for it.
+func (m *Manager) tick(ctx context.Context) bool {
 	m.expire()
 	rank, heard := m.cfg.Rank()
 	now := m.cfg.Now()
@@ -209,7 +210,7 @@
 		// its record has stood.
 		m.state.known = false
 		m.mu.Unlock()
-		return
+		return rank < candidates
 	}
 	m.mu.Lock()
 	stale := !m.state.known || !holding && now.Sub(m.readAt) >= readEvery
@@ -217,18 +218,19 @@
 	if stale {
 		if err := m.read(ctx); err != nil {
 			m.cfg.Log.Debug("lease not read", "error", err)
-			return
+			return true
 		}
 	}
 	m.mu.Lock()
 	action := m.state.Due(m.cfg.Timing, rank, m.cfg.GivenUp(), m.cfg.Now())
 	m.mu.Unlock()
 	if action == Wait {
-		return
+		return true
 	}
 	if err := m.write(ctx, action, nil); err != nil {
 		m.cfg.Log.Info("lease not written", "action", int(action), "error", err)
 	}
+	return true
 }
 
 // read reads the lease's record.
--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -83,29 +83,30 @@
 
 // run follows the store until ctx ends.
 func (c *configuration) run(ctx context.Context) {
-	c.health.follow(ctx, func(ctx context.Context) (bool, error) {
-		wait, due := c.nextRead()
-		if !due {
-			return false, nil
+	c.health.follow(ctx, func(ctx context.Context) (time.Duration, error) {
+		wait, idle := c.nextRead()
+		if idle > 0 {
+			return idle, nil
 		}
-		return true, c.read(ctx, wait)
+		return 0, c.read(ctx, wait)
 	})
 }
 
-// nextRead reports whether a read of the store is due, and for how long it waits for
-// the next configuration.
-func (c *configuration) nextRead() (wait time.Duration, due bool) {
+// nextRead returns after how long a read of the store is due, 0 for now, and then for how
+// long it waits for the next configuration.
+func (c *configuration) nextRead() (wait, idle time.Duration) {
 	if !c.listed {
-		return 0, true
+		return 0, 0
 	}
 	if c.rank() < readers {
-		return part(c.due, readerPart), true
-	}
-	if c.isBehind() && c.now().Sub(c.asked) >= askAgain {
-		return 0, true
+		return part(c.due, readerPart), 0
 	}
 	_, age := c.state()
-	return 0, age > part(c.due, peersPart)+rand.N(viewJitter)
+	idle = part(c.due, peersPart) + rand.N(viewJitter) - age
+	if behind := c.behindFor(); behind > 0 {
+		idle = min(idle, max(peersFirst-behind, askAgain-c.now().Sub(c.asked)))
+	}
+	return 0, max(0, idle)
 }
 
 // read reads the newest records once, and what follows from then on.
@@ -233,11 +234,14 @@
 	}
 }
 
-// isBehind reports whether others have a newer configuration, and do not bring it.
-func (c *configuration) isBehind() bool {
+// behindFor is for how long others are heard to have a newer configuration; 0 if not.
+func (c *configuration) behindFor() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.behind.IsZero() && c.now().Sub(c.behind) >= peersFirst
+	if c.behind.IsZero() {
+		return 0
+	}
+	return max(1, c.now().Sub(c.behind))
 }
 
 // state returns the revision in force, and how long ago it was confirmed to be the
--- a/internal/entry/configuration_test.go
+++ b/internal/entry/configuration_test.go
@@ -66,9 +66,9 @@
 			s.confirmBy(7, s.now.Add(-age))
 			next = s.now.Add(every)
 		}
-		wait, due := s.nextRead()
-		if !due {
-			s.now = s.now.Add(lookEvery)
+		wait, idle := s.nextRead()
+		if idle > 0 {
+			s.now = s.now.Add(min(max(idle, leastLook), lookEvery))
 			continue
 		}
 		if err := s.read(t.Context(), wait); err != nil {
@@ -130,18 +130,18 @@
 	}
 	// Symptom: hundreds of gateways ask the store for each change. Cause: they ask before
 	// the others' next answers, which bring it.
-	if _, due := s.nextRead(); due {
+	if _, idle := s.nextRead(); idle == 0 {
 		t.Error("asks the store before the others had their time")
 	}
 	// Symptom: a change comes half a second later than the store could bring it.
 	s.now = s.now.Add(peersFirst)
-	if _, due := s.nextRead(); !due {
+	if _, idle := s.nextRead(); idle > 0 {
 		t.Error("does not ask the store")
 	}
 	if err := s.read(t.Context(), 0); err != nil {
 		t.Fatal(err)
 	}
-	if _, due := s.nextRead(); due {
+	if _, idle := s.nextRead(); idle == 0 {
 		t.Error("asks the store again at once")
 	}
 	s.now = s.now.Add(storeFirst)
--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -102,10 +102,7 @@
 		return notCandidate, true
 	}
 	v := p.view.Load()
-	if v.Holds {
-		return notCandidate, true
-	}
-	return v.Place, false
+	return v.Place, v.Holds
 }
 
 func (p *Process) newReporter() *metering.Reporter {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -33,7 +33,7 @@
 func (p *Process) refreshPeers() {
 	now := p.now()
 	v := &peerView{View: p.gossip.View(now)}
-	v.loads = loadsOf(v.Groups, p.board.upstreams.Value())
+	v.loads = p.keys.loadsOf(v.Groups, p.board.upstreams.Value())
 	p.ledger.Hear(p.life, p.counter.Windows())
 	p.view.Store(v)
 	p.rollouts.Refresh(wordsOf(v.Groups))
@@ -62,20 +62,36 @@
 	return words
 }
 
+// upstreamKeys finds upstreams by the keys that stand for them between gateways.
+type upstreamKeys struct {
+	view *directory.View
+	ids  map[gossip.UpstreamKey][]ident.Instance
+}
+
+// of returns the upstreams of a view by key.
+func (k *upstreamKeys) of(view *directory.View) map[gossip.UpstreamKey][]ident.Instance {
+	if k.view == view {
+		return k.ids
+	}
+	k.view, k.ids = view, make(map[gossip.UpstreamKey][]ident.Instance, view.Count())
+	view.Each(func(u *directory.Upstream) {
+		key := gossip.KeyOf(u.ID)
+		k.ids[key] = append(k.ids[key], u.ID)
+	})
+	return k.ids
+}
+
 // loadsOf adds up what the groups have at each upstream that this gateway knows.
-func loadsOf(groups []gossip.Group, upstreams *directory.View) map[ident.Instance]placement.Load {
-	sums := make(map[gossip.UpstreamKey]placement.Load)
+func (k *upstreamKeys) loadsOf(groups []gossip.Group, view *directory.View) map[ident.Instance]placement.Load {
+	ids := k.of(view)
+	loads := make(map[ident.Instance]placement.Load)
 	for i := range groups {
 		for key, load := range groups[i].Loads {
-			sums[key] = sums[key].Plus(load)
+			for _, id := range ids[key] {
+				loads[id] = loads[id].Plus(load)
+			}
 		}
 	}
-	loads := make(map[ident.Instance]placement.Load, len(sums))
-	upstreams.Each(func(u *directory.Upstream) {
-		if load, some := sums[gossip.KeyOf(u.ID)]; some {
-			loads[u.ID] = load
-		}
-	})
 	return loads
 }
 
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -88,6 +88,8 @@
 	callers       *ingress.Server
 
 	view atomic.Pointer[peerView]
+	// keys belongs to the one who looks at the others.
+	keys upstreamKeys
 }
 
 // New wires a process; makePorts gets the pool that all connections of the
--- a/internal/entry/storehealth.go
+++ b/internal/entry/storehealth.go
@@ -34,17 +34,22 @@
 	failures atomic.Int64
 }
 
-// lookEvery is how often a follower looks whether a read is due.
-const lookEvery = 50 * time.Millisecond
+const (
+	// lookEvery is how often a follower looks at least whether a read is due. What
+	// others say changes that, and mostly puts it off.
+	lookEvery = 200 * time.Millisecond
+	// leastLook is the least time between two looks: a gateway at rest mostly looks.
+	leastLook = 50 * time.Millisecond
+)
 
-// follow reads whenever it is due until ctx ends. step reports whether a read was due,
-// and how it ended.
-func (h *storeHealth) follow(ctx context.Context, step func(context.Context) (due bool, err error)) {
+// follow reads whenever it is due until ctx ends. step reports after how long the next read
+// is due by what is known now, 0 where it read, and how that ended.
+func (h *storeHealth) follow(ctx context.Context, step func(context.Context) (idle time.Duration, err error)) {
 	for ctx.Err() == nil {
-		due, err := step(ctx)
+		idle, err := step(ctx)
 		switch {
-		case !due:
-			pause.For(ctx, lookEvery)
+		case idle > 0:
+			pause.For(ctx, min(max(idle, leastLook), lookEvery))
 		case err != nil:
 			h.failed(ctx, err)
 		default:
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -85,16 +85,18 @@
 
 // run keeps the view young until ctx ends.
 func (u *upstreams) run(ctx context.Context) {
-	u.health.follow(ctx, func(ctx context.Context) (bool, error) {
-		if u.age() < u.viewLimit() {
-			u.expire()
-			return false, nil
+	u.health.follow(ctx, func(ctx context.Context) (time.Duration, error) {
+		if idle := u.viewLimit() - u.age(); idle > 0 {
+			if u.expire() {
+				idle = min(idle, leastLook)
+			}
+			return idle, nil
 		}
 		err := u.read(ctx)
 		if err != nil {
 			u.away()
 		}
-		return true, err
+		return 0, err
 	})
 }
 
@@ -274,13 +276,13 @@
 		"offset", offset, "from", from)
 }
 
-// expire ends the grace of entries that lapsed.
-func (u *upstreams) expire() {
+// expire ends the grace of entries that lapsed and reports whether there are more.
+func (u *upstreams) expire() (more bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.dir.Expire(u.now()) {
-		u.publish(true)
-	}
+	changed, more := u.dir.Expire(u.now())
+	u.publish(changed)
+	return more
 }
 
 // publish puts a new view on the board, and closes the connections to upstreams
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -166,14 +166,14 @@
 func (g *Gossip) round(ctx context.Context) {
 	now := g.cfg.Now()
 	g.noteConfig()
-	addresses := g.cfg.Table.Addresses(g.cfg.Self.Address, now)
-	if collects(len(addresses)) {
+	if collects(g.cfg.Table.Count(now)) {
 		g.collect(ctx, now)
 		if g.settled(now) {
 			g.fetch(ctx, nil)
 			return
 		}
 	}
+	addresses := g.cfg.Table.Addresses(g.cfg.Self.Address, now)
 	if len(addresses) > fanout {
 		rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 		addresses = addresses[:fanout]
@@ -201,12 +201,11 @@
 func (g *Gossip) Say(ctx context.Context) {
 	var all sync.WaitGroup
 	now := g.cfg.Now()
-	addresses := g.cfg.Table.Addresses(g.cfg.Self.Address, now)
-	if collects(len(addresses)) {
+	if collects(g.cfg.Table.Count(now)) {
 		g.sayCollectors(ctx, &all, now)
 	} else {
 		body := g.request(false)
-		for _, address := range addresses {
+		for _, address := range g.cfg.Table.Addresses(g.cfg.Self.Address, now) {
 			all.Go(func() { g.exchange(ctx, address, body) })
 		}
 	}
--- a/internal/gossip/roster.go
+++ b/internal/gossip/roster.go
@@ -105,41 +105,54 @@
 	return out, digests
 }
 
-// Collectors returns another failure domain's gateways, or the others of this
-// gateway's own, in the order in which they collect, without those that did not answer
-// lately.
+// Collectors returns the first of another failure domain's gateways, or of the others of
+// this gateway's own, in the order in which they collect, without those that did not answer
+// lately. They are tries at the most, because no more are asked: whoever looks several times
+// a round must not sort a domain of hundreds each time.
 func (t *Table) Collectors(domain ident.FailureDomain, now time.Time) []Contact {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var all []Contact
+	var order []Contact
 	if r := t.rosters[domain]; r != nil && now.Sub(r.at) <= KnownFor {
-		all = slices.Clone(r.gateways)
+		order = t.firstOf(r.gateways, now)
 	} else {
-		all = t.contactsIn(domain, now)
+		all := t.contactsIn(domain, now)
+		sortCollectors(all)
+		order = t.firstOf(all, now)
 	}
-	all = slices.DeleteFunc(all, func(c Contact) bool { return c.Node == t.self.Node || now.Before(t.down[c.Address]) })
-	if domain == t.self.Domain {
-		all = t.addContacts(all, now)
+	if domain == t.self.Domain && (len(order) == 0 || compareCollectors(t.self, order[0]) < 0) {
+		return t.firstBeside(order, now)
 	}
-	sortCollectors(all)
-	return all
+	return order
+}
+
+// firstOf returns the first of gateways that are in order.
+func (t *Table) firstOf(gateways []Contact, now time.Time) []Contact {
+	order := make([]Contact, 0, tries)
+	for _, c := range gateways {
+		if len(order) == tries {
+			break
+		}
+		if c.Node != t.self.Node && !now.Before(t.down[c.Address]) {
+			order = append(order, c)
+		}
+	}
+	return order
 }
 
-// addContacts adds the gateways that the roster lacks where this one would collect by it.
+// firstBeside adds the gateways that the roster lacks where this one would collect by it.
 // What goes wrong without it: of gateways that start together two each take themselves
 // for the collector, gather some of the domain each, and hear nothing of each other. So
 // the first of them tells the first of all others that it is there.
-func (t *Table) addContacts(all []Contact, now time.Time) []Contact {
-	if slices.ContainsFunc(all, func(c Contact) bool { return compareCollectors(c, t.self) < 0 }) {
-		return all
-	}
-	for _, c := range t.contactsIn(t.self.Domain, now) {
-		known := slices.ContainsFunc(all, func(other Contact) bool { return other.Node == c.Node })
-		if !known && c.Node != t.self.Node && !now.Before(t.down[c.Address]) {
+func (t *Table) firstBeside(order []Contact, now time.Time) []Contact {
+	all := t.contactsIn(t.self.Domain, now)
+	for _, c := range order {
+		if !slices.ContainsFunc(all, func(other Contact) bool { return other.Node == c.Node }) {
 			all = append(all, c)
 		}
 	}
-	return all
+	sortCollectors(all)
+	return t.firstOf(all, now)
 }
 
 // contactsIn returns a failure domain's gateways by whatever word.
--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -144,8 +144,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := 0
-	for _, c := range t.contacts {
-		if c.Address != t.self.Address && (c.until.IsZero() || now.Before(c.until)) {
+	for address, c := range t.contacts {
+		switch {
+		case !c.until.IsZero() && !now.Before(c.until):
+			delete(t.contacts, address)
+		case c.Address != t.self.Address:
 			n++
 		}
 	}
