A first start leaves the reading of the store to the first in line

Cause: at its start each gateway asks the store for the configuration, the upstreams' entries and the lease: three calls and more of each of 984 (15 pages of entries each where 3,000 stand there), all at one moment. Calls grow as gateways, listings as gateways times upstreams. Every other start reads at once, as before: callers wait then.

--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -40,7 +40,9 @@
 			}
 		})
 	}
-	steps.Go(func() { p.learnGateways(stop) })
+	if !p.settings.Peers.FirstStart {
+		steps.Go(func() { p.learnGateways(stop) })
+	}
 	run(p.newRollouts().Step)
 	if slices.Contains(p.settings.Cloud.Duties, "metering") {
 		run(p.newReporter().Step)
