Placement: gateways share an upstream's connections at any size, and spread what few requests they have

Causes: (1) each gateway may have two connections to an upstream at the least, however many gateways there are: 1,968 of 984, where an engine takes 1,900 and an application 1,800, and resets what is beyond. Now each uses a part of the upstreams, another one at each gateway, where two times the gateways is more than nine tenths of the connections: 0.87 and 0.82 of them at 984. A gateway that has none left uses any. Now equals stand in an order that each gateway has for itself and keeps, so that its connections are used again. TestAnUpstreamThatFailsIsEjectedAndComesBack took the first by name for the one that is chosen; it makes the one that is chosen faulty now, and also asks that any request failed.

--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -138,7 +138,7 @@
 	p.counter = metering.NewCounter(s.Usage.Window, p.trueTime)
 	p.keeper = quota.NewKeeper(quota.Tolerance{Window: s.Quota.Window, Overage: s.Quota.Overage, Slack: s.Quota.Slack}, p.quotaOthers, p.now())
 	p.chooser = placement.New(placement.Config{
-		Params: placement.DefaultParams(), Domain: s.Instance.FailureDomain, Log: p.log.Named("placement"),
+		Params: placement.DefaultParams(), Self: s.Instance.ID, Domain: s.Instance.FailureDomain, Log: p.log.Named("placement"),
 		View:     func() *directory.View { return p.board.upstreams.Value() },
 		Others:   func(id ident.Instance) placement.Load { return p.view.Load().loads[id] },
 		Silent:   func(d ident.FailureDomain) bool { return p.view.Load().Silent[d] },
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -155,7 +155,7 @@
 func (w *world) addGateway(i int) {
 	g := &gateway{present: make(map[ident.Instance]placement.Load)}
 	g.chooser = placement.New(placement.Config{
-		Params: placement.DefaultParams(), Domain: w.domain(i % w.c.Fleet.Domains), Log: hclog.NewNullLogger(),
+		Params: placement.DefaultParams(), Self: ident.Instance(fmt.Sprint("gw", i)), Domain: w.domain(i % w.c.Fleet.Domains), Log: hclog.NewNullLogger(),
 		View:     func() *directory.View { return w.view },
 		Others:   func(id ident.Instance) placement.Load { return w.others(g, id) },
 		Silent:   func(ident.FailureDomain) bool { return false },
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/admission/ejection"
@@ -21,7 +22,6 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/forward"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/rollout"
-	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
 )
 
 // Params are the weights of the choice.
@@ -66,6 +66,8 @@
 // Config is what a Chooser works with.
 type Config struct {
 	Params Params
+	// Self is this gateway, and Domain where it is.
+	Self   ident.Instance
 	Domain ident.FailureDomain
 	Log    hclog.Logger
 	// View returns the upstreams; it is called for each choice.
@@ -101,6 +103,8 @@
 // Chooser implements forward.Placement. It is safe for concurrent use.
 type Chooser struct {
 	cfg Config
+	// seed makes this gateway's order of upstreams another one than that of others.
+	seed uint64
 
 	mu   sync.Mutex
 	view *directory.View
@@ -159,7 +163,7 @@
 // New returns a Chooser that has sent nothing.
 func New(cfg Config) *Chooser {
 	return &Chooser{
-		cfg: cfg, lost: make(map[ident.FailureDomain]time.Time), own: make(map[ident.Instance]*own), sets: make(map[ident.Service]*ejection.Set),
+		cfg: cfg, seed: xxhash.Sum64String(string(cfg.Self)), lost: make(map[ident.FailureDomain]time.Time), own: make(map[ident.Instance]*own), sets: make(map[ident.Service]*ejection.Set),
 		learned: make(map[ident.Service]*timing), reported: make(map[ident.Instance]ejection.State),
 		work: make(map[ident.Service]*workOf), engines: make(map[ident.Service]*engines),
 	}
@@ -187,10 +191,11 @@
 	excluded := set.Excluded(now)
 	cut := c.cutOff(now)
 	figures := c.figures(call.Service.Name, now)
+	share := c.share(call.Service)
 	s := &c.search
 	*s = search{chooser: c, call: call, figures: figures, now: now, held: s.held}
 	best, why, found := s.first(lists, func(u *directory.Upstream, o *own) bool {
-		return !contains(exclude, u.ID) && !contains(excluded, u.ID) && !now.Before(o.avoidUntil) && !contains(cut, u.FailureDomain)
+		return !contains(exclude, u.ID) && !contains(excluded, u.ID) && !now.Before(o.avoidUntil) && !contains(cut, u.FailureDomain) && c.uses(u, share)
 	})
 	if !found {
 		// Where only suspects are left, one of them is better than none.
@@ -216,7 +221,7 @@
 		Upstream:       best.upstream.ID,
 		Name:           best.upstream.Name,
 		Address:        best.upstream.Address,
-		MaxConnections: c.connections(call.Service),
+		MaxConnections: share.most,
 		Slow:           t.slow(call.Route.Objective, expected),
 		Why:            why,
 		AtLimit:        s.atLimit,
@@ -321,6 +326,10 @@
 	return x.upstream.Slots > 0 && float64(x.load.Running) >= most
 }
 
+// amongEquals is what an upstream's place in this gateway's order counts, in seconds: less
+// than a request in progress, or another failure domain.
+const amongEquals = 1e-4
+
 // score sets the candidate's expected first event, and its score: that time in seconds,
 // and what else speaks against it.
 func (c *Chooser) score(call *forward.Call, x *candidate, order *line, i int, figures *enginemodel.Figures) {
@@ -337,6 +346,9 @@
 	}
 	if call.Service.Engine == nil {
 		x.score = float64(x.load.Running) / float64(max(1, x.upstream.Slots)) * call.Route.Objective.Seconds()
+		// What goes wrong if all gateways take the same one of several idle upstreams: each
+		// of hundreds sends it what few requests it has, and the others stand by.
+		x.score += c.rank(x.upstream.Name) * amongEquals
 	} else {
 		x.first = figures.FirstSeconds(float64(x.uncached), float64(x.load.Unread), float64(x.load.Running))
 		x.score = x.first + again*figures.Token
@@ -351,20 +363,6 @@
 	}
 }
 
-// connections is this gateway's part of an upstream's connections.
-func (c *Chooser) connections(service *routetable.Service) int {
-	if service.MaxConnections <= 0 {
-		return 0
-	}
-	const (
-		// kept is left for gateways that are not known yet.
-		kept = 0.9
-		// least connections of a gateway, however many gateways there are.
-		least = 2
-	)
-	return max(least, int(kept*float64(service.MaxConnections)/float64(max(1, c.cfg.Gateways()))))
-}
-
 // refresh takes over a new view of the upstreams.
 func (c *Chooser) refresh() *directory.View {
 	view := c.cfg.View()
--- a/internal/routing/placement/placement_test.go
+++ b/internal/routing/placement/placement_test.go
@@ -199,23 +199,24 @@
 // faulty. Cause: its failures are not held against it.
 func TestAnUpstreamThatFailsIsEjectedAndComesBack(t *testing.T) {
 	f := newFixture()
+	faulty := f.choose(t, f.call(plain, 0), forward.Done).Upstream
 	failed := 0
 	for range 60 {
 		choice, _ := f.Choose(f.call(plain, 0), nil, f.now)
 		result := forward.Done
-		if choice.Upstream == "a0" {
+		if choice.Upstream == faulty {
 			result = forward.Failed
 			failed++
 		}
 		f.Finished(choice, result, f.now)
 	}
-	if failed > ejectionConfig.Failures {
+	if failed == 0 || failed > ejectionConfig.Failures {
 		t.Errorf("%d requests failed", failed)
 	}
 	f.now = f.now.Add(ejectionConfig.Longest)
 	back := false
 	for range 60 {
-		back = f.choose(t, f.call(plain, 0), forward.Done).Upstream == "a0" || back
+		back = f.choose(t, f.call(plain, 0), forward.Done).Upstream == faulty || back
 	}
 	if !back {
 		t.Error("never tried again")
--- /dev/null
+++ b/internal/routing/placement/subset.go
@@ -0,0 +1,57 @@
+package placement
+
+import (
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/directory"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
+)
+
+const (
+	// keptConnections is the part of an upstream's connections that the known gateways
+	// share; the rest is for gateways that are not known yet.
+	keptConnections = 0.9
+	// leastConnections is what a gateway may have to an upstream at the least, so that two
+	// requests can run there at a time.
+	leastConnections = 2
+)
+
+// share is a gateway's part of the connections that a service's upstreams take.
+type share struct {
+	// most connections to one upstream; 0 for no limit.
+	most int
+	// part of the upstreams may be used, where there are more gateways than connections.
+	part float64
+}
+
+// share returns this gateway's part of a service's connections. What goes wrong with the
+// least number alone: where that times the gateways is more than an upstream takes, all of
+// them together may open more, and it resets what is beyond. So each then uses a part of the
+// upstreams, another one at each gateway.
+func (c *Chooser) share(service *routetable.Service) share {
+	if service.MaxConnections <= 0 {
+		return share{part: 1}
+	}
+	gateways := float64(max(1, c.cfg.Gateways()))
+	kept := keptConnections * float64(service.MaxConnections)
+	most := max(leastConnections, int(kept/gateways))
+	return share{most: most, part: min(1, kept/(gateways*float64(most)))}
+}
+
+// uses reports whether an upstream is among those that this gateway uses.
+func (c *Chooser) uses(u *directory.Upstream, s share) bool {
+	return s.part >= 1 || c.rank(u.Name) < s.part
+}
+
+// rank is where an upstream stands among those of this gateway, from 0 to 1: another order
+// at each gateway, and the same each time.
+func (c *Chooser) rank(name ident.Instance) float64 {
+	var d xxhash.Digest
+	d.ResetWithSeed(c.seed)
+	// Writing to a digest never fails.
+	_, _ = d.WriteString(string(name))
+	return float64(d.Sum64()) / math.MaxUint64
+}
