Metering: pending counts of a thousand gateways are recorded

Cause: the record of the lease names each gateway's life and account in each window; over 128 KiB all of it was left out, so that a window was lost where all gateways were killed before it was decided. The bound was computed for ninety gateways with sixteen accounts. Beyond the bound the newest window is left out first, instead of all. A record of an older build is read; one that is damaged costs its pending counts and a line.

--- a/internal/metering/counter.go
+++ b/internal/metering/counter.go
@@ -87,6 +87,27 @@
 // of the gateway that counted: a life is one incarnation of an instance.
 type Pending map[int64]map[string]Counts
 
+func (p Pending) add(window int64, life string, counts Counts) {
+	if p[window] == nil {
+		p[window] = make(map[string]Counts)
+	}
+	p[window][life] = counts
+}
+
+// byLife returns the same by life and window, so that each life is named once.
+func (p Pending) byLife() map[string]map[int64]Counts {
+	out := make(map[string]map[int64]Counts)
+	for window, lives := range p {
+		for life, counts := range lives {
+			if out[life] == nil {
+				out[life] = make(map[int64]Counts)
+			}
+			out[life][window] = counts
+		}
+	}
+	return out
+}
+
 // Ledger joins the gateways' counts. A gateway that is gone keeps its part, so
 // that what it began is not forgotten with it. It is safe for concurrent use.
 type Ledger struct {
--- a/internal/metering/reporter.go
+++ b/internal/metering/reporter.go
@@ -1,14 +1,18 @@
 package metering
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"maps"
 	"slices"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	pkgerrors "github.com/pkg/errors"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
 	"github.com/goldcrestspool/goldcrestspool/internal/duty"
@@ -23,8 +27,12 @@
 	Windows map[int64]Counts `json:"windows"`
 	// Pending is what was counted of later windows, for a successor. Without it,
 	// a window is lost whose counts were heard only by gateways that were all
-	// killed or restarted before it was decided.
+	// killed or restarted before it was decided. It stands in the record compressed;
+	// older builds write it as it is.
 	Pending Pending `json:"pending,omitempty"`
+	// PackedPending is Pending by life and window as JSON, compressed by gzip: it has a
+	// name for each gateway and account, and grows with both.
+	PackedPending []byte `json:"pending_gzip,omitempty"`
 }
 
 const (
@@ -49,9 +57,11 @@
 	// lease would be renewed anyway (1.65 s with the users' lease of 3 s), so that
 	// there are hardly more writes.
 	recordEvery = 1500 * time.Millisecond
-	// mostPending bounds the recorded counts, bytes: the platform takes 256 KiB a
-	// record, and ninety gateways with sixteen accounts make some 50 KiB.
+	// mostPending bounds the record with the pending counts, bytes: the platform takes
+	// 256 KiB a record.
 	mostPending = 128 << 10
+	// mostUnpacked bounds what a record's pending counts are when they are read.
+	mostUnpacked = 16 << 20
 	// mostBehind is how many windows a new holder reports that nobody decided.
 	mostBehind = 4
 )
@@ -99,7 +109,7 @@
 	}
 	if grant.Fence != r.fence || r.sent == nil {
 		r.fence, r.sent = grant.Fence, make(map[int64]bool)
-		r.Ledger.Join(decision.Pending)
+		r.takeOver(&decision)
 	}
 	next, changed := r.decide(ctx, decision)
 	if changed || r.Now().Sub(r.recordedAt) >= recordEvery {
@@ -121,23 +131,59 @@
 	r.send(ctx, decision)
 }
 
-// encode encodes a decision with the counts of the later windows, as far as they
-// have room.
+// takeOver joins what the holder before had counted of windows that are not decided.
+func (r *Reporter) takeOver(d *Decision) {
+	pending, err := d.pending()
+	if err != nil {
+		r.Log.Error("pending usage not readable, the gateways' own counts stand", "error", err)
+		return
+	}
+	r.Ledger.Join(pending)
+}
+
+// encode encodes a decision with the counts of the later windows, as far as they have room.
+// The newest are left out first: the gateways that count them are the likeliest to live.
 func (r *Reporter) encode(d Decision) (json.RawMessage, error) {
 	last := Window(r.TrueTime(), r.Length) - mostBehind
 	for window := range d.Windows {
 		last = max(last, window)
 	}
-	d.Pending = r.Ledger.After(last)
-	data, err := json.Marshal(d)
-	if err != nil || len(data) <= mostPending {
-		return data, err
+	pending := r.Ledger.After(last)
+	for {
+		data, err := packDecision(d, pending)
+		if err != nil || len(data) <= mostPending || len(pending) == 0 {
+			return data, err
+		}
+		newest := slices.Max(slices.Collect(maps.Keys(pending)))
+		r.Log.Warn("pending usage of a window not recorded, there is too much", "window", newest, "gateways", len(pending[newest]), "bytes", len(data), "most", mostPending)
+		delete(pending, newest)
 	}
-	r.Log.Warn("pending usage not recorded, there is too much", "bytes", len(data), "most", mostPending)
-	d.Pending = nil
-	return json.Marshal(d)
 }
 
+// packDecision encodes a decision with pending counts.
+func packDecision(d Decision, pending Pending) (json.RawMessage, error) {
+	d.Pending, d.PackedPending = nil, nil
+	if len(pending) > 0 {
+		data, err := json.Marshal(pending.byLife())
+		if err != nil {
+			return nil, pkgerrors.Wrap(err, "encode pending usage")
+		}
+		var packed bytes.Buffer
+		w := gzip.NewWriter(&packed)
+		if _, err := w.Write(data); err != nil {
+			return nil, pkgerrors.Wrap(err, "compress pending usage")
+		}
+		if err := w.Close(); err != nil {
+			return nil, pkgerrors.Wrap(err, "compress pending usage")
+		}
+		d.PackedPending = packed.Bytes()
+	}
+	data, err := json.Marshal(d)
+	return data, pkgerrors.Wrap(err, "encode decided usage")
+}
+
+// readDecision reads what packDecision wrote, but for the pending counts: only a new holder
+// needs them.
 func readDecision(data json.RawMessage) (Decision, error) {
 	d := Decision{Windows: make(map[int64]Counts)}
 	if len(data) == 0 {
@@ -150,6 +196,32 @@
 	return d, err
 }
 
+// pending returns the pending counts of a decision as it was read.
+func (d *Decision) pending() (Pending, error) {
+	if len(d.PackedPending) == 0 {
+		return d.Pending, nil
+	}
+	r, err := gzip.NewReader(bytes.NewReader(d.PackedPending))
+	if err != nil {
+		return nil, pkgerrors.Wrap(err, "decompress pending usage")
+	}
+	data, err := io.ReadAll(io.LimitReader(r, mostUnpacked))
+	if err != nil {
+		return nil, pkgerrors.Wrap(err, "decompress pending usage")
+	}
+	var lives map[string]map[int64]Counts
+	if err := json.Unmarshal(data, &lives); err != nil {
+		return nil, pkgerrors.Wrap(err, "decode pending usage")
+	}
+	pending := make(Pending)
+	for life, windows := range lives {
+		for window, counts := range windows {
+			pending.add(window, life, counts)
+		}
+	}
+	return pending, nil
+}
+
 // decide adds the windows whose counts have settled.
 func (r *Reporter) decide(ctx context.Context, d Decision) (Decision, bool) {
 	now := r.TrueTime()
