--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -88,8 +88,9 @@
 
 	// began: a part of the answer was delivered.
 	began bool
-	// lastEvent is the ID of the last event that was delivered.
+	// lastEvent is the ID of the last event that was delivered, and partAt when it was.
 	lastEvent string
+	partAt    time.Time
 	// paid: the next attempt was taken out of the budget already.
 	paid atomic.Bool
 	// counted: the first attempt was paid into the budget.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -99,9 +99,13 @@
 
 // deliver passes events on and reports whether the caller still takes them.
 func (s *session) deliver(answer *httpconn.Answer, events []byte) bool {
+	now := s.f.cfg.Now()
 	if !s.began {
 		s.begin(answer)
+	} else {
+		s.outcome.LongestPause = max(s.outcome.LongestPause, now.Sub(s.partAt))
 	}
+	s.partAt = now
 	if id := lastID(events); id != "" {
 		s.lastEvent = id
 	}
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -184,6 +184,8 @@
 	// there was none.
 	FirstPart time.Duration
 	Events    int
+	// LongestPause is the longest time between two events of a stream that came apart.
+	LongestPause time.Duration
 	// AtLimit are the upstreams that were passed over for the limits which they named.
 	AtLimit []ident.Instance
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -413,7 +413,7 @@
 	}
 	fields := []any{"id", call.ID, "route", call.Route.Name, "account", call.Account, "service", call.Service.Name,
 		"step", outcome.Step.String(), "status", outcome.Status, "reason", outcome.Reason, "attempts", outcome.Attempts, "upstreams", outcome.Tried,
-		"resumed", outcome.Resumed, "events", outcome.Events, "first_ms", outcome.FirstPart.Milliseconds(), "took_ms", took.Milliseconds(),
+		"resumed", outcome.Resumed, "events", outcome.Events, "first_ms", outcome.FirstPart.Milliseconds(), "pause_ms", outcome.LongestPause.Milliseconds(), "took_ms", took.Milliseconds(),
 		"prompt", call.PromptTokens, "most", call.MostTokens}
 	if len(outcome.AtLimit) > 0 {
 		fields = append(fields, "at_limit", outcome.AtLimit)
