A view of the upstreams is made from the one before

Then each looked up which of all earlier upstreams had gone. What the others have at upstreams is looked up by key, without a map for each view. Tests: the view made from the one before equals that of all entries, and earlier ones do not change (property); allocations of a change at 300, 3,000 and 6,000.

--- /dev/null
+++ b/internal/directory/bench_test.go
@@ -0,0 +1,31 @@
+package directory
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+// BenchmarkSnapshot gives the slope of docs/CAPACITY.md: one new view of so many upstreams,
+// of which one has changed.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, n := range []int{64, 690, 3000} {
+		d := New()
+		for i := range n {
+			up := ready(fmt.Sprintf("i-%010x", i))
+			up.Service = ident.Service(fmt.Sprint("svc", i%2))
+			d.Apply(up.ID, ident.Offset(i), up, start)
+		}
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for offset := ident.Offset(n); b.Loop(); offset++ {
+				u := ready("i-0000000000")
+				u.Service, u.LeavesIn = "svc0", time.Duration(offset)
+				d.Apply(u.ID, offset, u, start)
+				d.Snapshot(start)
+			}
+		})
+	}
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -6,9 +6,6 @@
 package directory
 
 import (
-	"cmp"
-	"maps"
-	"slices"
 	"strconv"
 	"time"
 
@@ -109,11 +106,21 @@
 	// away.
 	outageEnded time.Time
 	away        bool
+	views       viewBuilder
 }
 
 // New returns a directory that knows nothing.
 func New() *Directory {
-	return &Directory{entries: make(map[ident.Instance]*Entry)}
+	return &Directory{entries: make(map[ident.Instance]*Entry), views: newViewBuilder()}
+}
+
+// set replaces an entry.
+func (d *Directory) set(name ident.Instance, next *Entry) {
+	known := d.entries[name]
+	if known == nil || known.Present != next.Present || known.UsableUntil != next.UsableUntil || known.Upstream != next.Upstream {
+		d.views.changed[name] = true
+	}
+	d.entries[name] = next
 }
 
 // Next is the offset up to which all records of the store are known.
@@ -164,7 +171,7 @@
 		next.Upstream.WarmAt = now.Add(u.ColdFor)
 	}
 	if known == nil {
-		d.entries[name] = next
+		d.set(name, next)
 		return true
 	}
 	next.dropped = known.dropped
@@ -176,11 +183,11 @@
 	case offset <= known.Offset:
 		return false
 	}
-	d.entries[name] = next
 	if known.Upstream.State == Leaving && u.State == Ready && (known.Present || u.Born != 0) {
 		// A leaving upstream never becomes ready again in the same life.
 		next.Upstream.State = Leaving
 	}
+	d.set(name, next)
 	if known.Present && sameButTime(known.Upstream, next.Upstream) {
 		next.ChangedAt, next.Since = known.ChangedAt, known.Since
 		return false
@@ -192,12 +199,13 @@
 // come in any order: a drop after the later life's record concerns that life, also if
 // it was seen first.
 func (d *Directory) nextLife(name ident.Instance, known, next *Entry) bool {
-	d.entries[name] = next
 	if next.dropped <= next.Offset {
+		d.set(name, next)
 		return true
 	}
 	next.Offset, next.Since = next.dropped-1, next.dropped-1
 	next.Present = false
+	d.set(name, next)
 	return known.Present || !known.UsableUntil.IsZero()
 }
 
@@ -223,7 +231,7 @@
 	case known.Upstream.State == Ready && now.Before(graceEnd):
 		next.UsableUntil = graceEnd
 	}
-	d.entries[id] = &next
+	d.set(id, &next)
 	return wasPresent
 }
 
@@ -264,7 +272,9 @@
 		case d.usable(entry, now):
 			more = true
 		case !entry.UsableUntil.IsZero():
-			entry.UsableUntil = time.Time{}
+			lapsed := *entry
+			lapsed.UsableUntil = time.Time{}
+			d.set(id, &lapsed)
 			changed = true
 		case now.Sub(entry.ChangedAt) > dropKept:
 			d.since = max(d.since, entry.Offset+1)
@@ -279,58 +289,3 @@
 func (d *Directory) usable(entry *Entry, now time.Time) bool {
 	return !entry.UsableUntil.IsZero() && (d.away || now.Before(entry.UsableUntil))
 }
-
-// View is an immutable snapshot of the upstreams, by service.
-type View struct {
-	services map[ident.Service][]Upstream
-	known    map[ident.Instance]Upstream
-}
-
-// NewView returns a view of upstreams, for tests and fixed settings.
-func NewView(upstreams []Upstream) *View {
-	v := &View{services: make(map[ident.Service][]Upstream), known: make(map[ident.Instance]Upstream)}
-	for _, u := range upstreams {
-		v.services[u.Service] = append(v.services[u.Service], u)
-		v.known[u.ID] = u
-	}
-	for _, list := range v.services {
-		slices.SortFunc(list, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
-	}
-	return v
-}
-
-// Snapshot returns a view of the upstreams that still run: ready, leaving, and
-// lapsed ones within their grace.
-func (d *Directory) Snapshot(now time.Time) *View {
-	var list []Upstream
-	for _, entry := range d.entries {
-		if entry.Present || d.usable(entry, now) {
-			list = append(list, entry.Upstream)
-		}
-	}
-	return NewView(list)
-}
-
-// Of returns a service's upstreams in the order of their IDs, also leaving ones.
-func (v *View) Of(service ident.Service) []Upstream { return v.services[service] }
-
-// Upstream returns one upstream.
-func (v *View) Upstream(id ident.Instance) (Upstream, bool) {
-	u, ok := v.known[id]
-	return u, ok
-}
-
-// Count returns how many upstreams run.
-func (v *View) Count() int { return len(v.known) }
-
-// Each calls f for each upstream that runs, in no order.
-func (v *View) Each(f func(*Upstream)) {
-	for _, list := range v.services {
-		for i := range list {
-			f(&list[i])
-		}
-	}
-}
-
-// IDs returns all upstreams that run, sorted.
-func (v *View) IDs() []ident.Instance { return slices.Sorted(maps.Keys(v.known)) }
--- /dev/null
+++ b/internal/directory/view.go
@@ -0,0 +1,196 @@
+package directory
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+// View is an immutable snapshot of the upstreams, by service.
+type View struct {
+	// services are in the order of the upstreams' IDs.
+	services map[ident.Service][]Upstream
+	count    int
+}
+
+// NewView returns a view of upstreams, for tests and fixed settings.
+func NewView(upstreams []Upstream) *View {
+	v := &View{services: make(map[ident.Service][]Upstream), count: len(upstreams)}
+	for _, u := range upstreams {
+		v.services[u.Service] = append(v.services[u.Service], u)
+	}
+	for _, list := range v.services {
+		slices.SortFunc(list, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return v
+}
+
+// Of returns a service's upstreams in the order of their IDs, also leaving ones.
+func (v *View) Of(service ident.Service) []Upstream { return v.services[service] }
+
+// Upstream returns one upstream.
+func (v *View) Upstream(id ident.Instance) (Upstream, bool) {
+	for _, list := range v.services {
+		if i, found := find(list, id); found {
+			return list[i], true
+		}
+	}
+	return Upstream{}, false
+}
+
+func find(list []Upstream, id ident.Instance) (int, bool) {
+	return slices.BinarySearchFunc(list, id, func(u Upstream, id ident.Instance) int { return cmp.Compare(u.ID, id) })
+}
+
+// Count returns how many upstreams run.
+func (v *View) Count() int { return v.count }
+
+// Each calls f for each upstream that runs, in no order.
+func (v *View) Each(f func(*Upstream)) {
+	for _, list := range v.services {
+		for i := range list {
+			f(&list[i])
+		}
+	}
+}
+
+// IDs returns all upstreams that run, sorted.
+func (v *View) IDs() []ident.Instance {
+	ids := make([]ident.Instance, 0, v.count)
+	v.Each(func(u *Upstream) { ids = append(ids, u.ID) })
+	slices.Sort(ids)
+	return ids
+}
+
+// Gone returns the upstreams of this view that a later one lacks.
+func (v *View) Gone(later *View) []ident.Instance {
+	var gone []ident.Instance
+	for service, list := range v.services {
+		next := later.services[service]
+		if len(list) > 0 && len(list) == len(next) && &list[0] == &next[0] {
+			continue
+		}
+		j := 0
+		for i := range list {
+			for j < len(next) && next[j].ID < list[i].ID {
+				j++
+			}
+			if j == len(next) || next[j].ID != list[i].ID {
+				gone = append(gone, list[i].ID)
+			}
+		}
+	}
+	return gone
+}
+
+// viewBuilder makes views from the one before. What goes wrong if each is made anew: among
+// thousands of upstreams something changes several times a second, and each gateway of a
+// fleet spends most of its time on views of what has not changed.
+type viewBuilder struct {
+	newest *View
+	// shown is where the newest view has each name, and changed are the names of which it
+	// may be wrong.
+	shown   map[ident.Instance]shown
+	changed map[ident.Instance]bool
+	// inGrace are dropped names that were usable when they were looked at last.
+	inGrace map[ident.Instance]bool
+}
+
+type shown struct {
+	id      ident.Instance
+	service ident.Service
+}
+
+func newViewBuilder() viewBuilder {
+	return viewBuilder{
+		newest: NewView(nil), shown: make(map[ident.Instance]shown), changed: make(map[ident.Instance]bool), inGrace: make(map[ident.Instance]bool),
+	}
+}
+
+// Snapshot returns a view of the upstreams that still run: ready, leaving, and
+// lapsed ones within their grace.
+func (d *Directory) Snapshot(now time.Time) *View {
+	b := &d.views
+	for name := range b.inGrace {
+		b.changed[name] = true
+	}
+	if len(b.changed) == 0 {
+		return b.newest
+	}
+	edits := make(map[ident.Service]*edit)
+	for name := range b.changed {
+		if was, known := b.shown[name]; known {
+			editOf(edits, was.service).remove(was.id)
+			delete(b.shown, name)
+		}
+		entry := d.entries[name]
+		delete(b.inGrace, name)
+		if entry == nil || !entry.Present && !d.usable(entry, now) {
+			continue
+		}
+		if !entry.Present {
+			b.inGrace[name] = true
+		}
+		editOf(edits, entry.Upstream.Service).add(entry.Upstream)
+		b.shown[name] = shown{entry.Upstream.ID, entry.Upstream.Service}
+	}
+	clear(b.changed)
+	b.newest = b.newest.with(edits)
+	return b.newest
+}
+
+// with returns a view with edits. Services without any share their upstreams with this one.
+func (v *View) with(edits map[ident.Service]*edit) *View {
+	next := &View{services: maps.Clone(v.services), count: v.count}
+	for service, e := range edits {
+		list := e.applyTo(v.services[service])
+		next.count += len(list) - len(v.services[service])
+		if len(list) == 0 {
+			delete(next.services, service)
+			continue
+		}
+		next.services[service] = list
+	}
+	return next
+}
+
+// edit is what changes among a service's upstreams.
+type edit struct {
+	removed []ident.Instance
+	added   []Upstream
+}
+
+func editOf(edits map[ident.Service]*edit, service ident.Service) *edit {
+	e := edits[service]
+	if e == nil {
+		e = &edit{}
+		edits[service] = e
+	}
+	return e
+}
+
+func (e *edit) remove(id ident.Instance) { e.removed = append(e.removed, id) }
+
+func (e *edit) add(u Upstream) { e.added = append(e.added, u) }
+
+// applyTo returns a new list in order.
+func (e *edit) applyTo(list []Upstream) []Upstream {
+	slices.Sort(e.removed)
+	slices.SortFunc(e.added, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	next := make([]Upstream, 0, len(list)+len(e.added))
+	removed, added := e.removed, e.added
+	for i := range list {
+		if len(removed) > 0 && removed[0] == list[i].ID {
+			removed = removed[1:]
+			continue
+		}
+		for len(added) > 0 && added[0].ID < list[i].ID {
+			next, added = append(next, added[0]), added[1:]
+		}
+		next = append(next, list[i])
+	}
+	return append(next, added...)
+}
--- /dev/null
+++ b/internal/directory/view_test.go
@@ -0,0 +1,135 @@
+package directory
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+// madeAnew returns a view that is made from all entries.
+func madeAnew(d *Directory, now time.Time) *View {
+	var list []Upstream
+	for _, entry := range d.entries {
+		if entry.Present || d.usable(entry, now) {
+			list = append(list, entry.Upstream)
+		}
+	}
+	return NewView(list)
+}
+
+// listOf is all upstreams of a view, for comparing.
+func listOf(v *View) map[ident.Service][]Upstream {
+	out := make(map[ident.Service][]Upstream)
+	for service, list := range v.services {
+		out[service] = slices.Clone(list)
+	}
+	return out
+}
+
+// Guards against a view that is made from the one before and lacks a change, or that changes
+// an earlier view under those that use it.
+func TestAViewMadeFromTheOneBeforeIsThatOfAllEntries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d, now := New(), start
+		offset := ident.Offset(0)
+		var before *View
+		var kept map[ident.Service][]Upstream
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			name := fmt.Sprint("u", rapid.IntRange(0, 5).Draw(t, "name"))
+			offset++
+			switch rapid.SampledFrom([]string{"ready", "ready", "leaving", "later life", "other service", "drop", "away", "back", "pass", "list", "view", "view"}).Draw(t, "step") {
+			case "ready":
+				d.Apply(ident.Instance(name), offset, ready(name), now)
+			case "leaving":
+				d.Apply(ident.Instance(name), offset, leavingOf(name), now)
+			case "later life":
+				u := ready(name)
+				u.Born = int64(offset)
+				u.ID = LifeID(u.Name, u.Born) + ident.Instance(name)
+				d.Apply(ident.Instance(name), offset, u, now)
+			case "other service":
+				u := ready(name)
+				u.Service = "other"
+				d.Apply(ident.Instance(name), offset, u, now)
+			case "drop":
+				d.Apply(ident.Instance(name), offset, nil, now)
+			case "away":
+				d.StoreAway()
+			case "back":
+				d.StoreBack(now)
+			case "pass":
+				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+				if rapid.Bool().Draw(t, "expire") {
+					d.Expire(now)
+				}
+			case "list":
+				d.Listed(map[ident.Instance]bool{"u0": true, "u1": true}, offset, now)
+			case "view":
+				view := d.Snapshot(now)
+				if diff := cmp.Diff(listOf(madeAnew(d, now)), listOf(view)); diff != "" {
+					t.Fatal(diff)
+				}
+				if n := len(view.IDs()); n != view.Count() {
+					t.Fatalf("%d upstreams are counted as %d", n, view.Count())
+				}
+				if before != nil {
+					if diff := cmp.Diff(kept, listOf(before)); diff != "" {
+						t.Fatalf("an earlier view has changed: %s", diff)
+					}
+					checkGone(t, before, view)
+				}
+				before, kept = view, listOf(view)
+			}
+		}
+	})
+}
+
+func checkGone(t *rapid.T, before, view *View) {
+	var want []ident.Instance
+	before.Each(func(u *Upstream) {
+		list := view.Of(u.Service)
+		if !slices.ContainsFunc(list, func(other Upstream) bool { return other.ID == u.ID }) {
+			want = append(want, u.ID)
+		}
+	})
+	got := before.Gone(view)
+	slices.Sort(got)
+	slices.Sort(want)
+	if !slices.Equal(got, want) {
+		t.Fatalf("gone are %v, want %v", got, want)
+	}
+}
+
+// Guards against views that cost as much as all upstreams: a thousand gateways make one for
+// each change.
+func TestAChangeCopiesOneListOfItsService(t *testing.T) {
+	for _, n := range []int{300, 3000, 6000} {
+		d := New()
+		for i := range n {
+			up := ready(fmt.Sprintf("i-%010x", i))
+			up.Service = ident.Service(fmt.Sprint("svc", i%2))
+			d.Apply(up.ID, ident.Offset(i), up, start)
+		}
+		before := d.Snapshot(start)
+		offset := ident.Offset(n)
+		allocations := testing.AllocsPerRun(20, func() {
+			offset++
+			u := ready("i-0000000000")
+			u.Service, u.LeavesIn = "svc0", time.Duration(offset)
+			d.Apply(u.ID, offset, u, start)
+			d.Snapshot(start)
+		})
+		if allocations > 20 {
+			t.Errorf("%d upstreams: %.0f allocations for a change", n, allocations)
+		}
+		if a, b := before.Of("svc1"), d.Snapshot(start).Of("svc1"); &a[0] != &b[0] {
+			t.Errorf("%d upstreams: the list of a service without a change was copied", n)
+		}
+	}
+}
--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -145,9 +145,9 @@
 // running is how many requests all gateways have at a service.
 func (p *Process) running(service ident.Service) int {
 	sum := 0
-	own, others := p.chooser.Own(), p.view.Load().loads
+	own, others := p.chooser.Own(), p.view.Load()
 	for _, u := range p.board.upstreams.Value().Of(service) {
-		sum += own[u.ID].Running + others[u.ID].Running
+		sum += own[u.ID].Running + others.loadOf(u.ID).Running
 	}
 	return sum
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -20,7 +20,7 @@
 // whole, once a round.
 type peerView struct {
 	gossip.View
-	loads map[ident.Instance]placement.Load
+	loads map[gossip.UpstreamKey]placement.Load
 }
 
 // follow takes over the other gateways' reports, twice a round.
@@ -33,7 +33,7 @@
 func (p *Process) refreshPeers() {
 	now := p.now()
 	v := &peerView{View: p.gossip.View(now)}
-	v.loads = p.keys.loadsOf(v.Groups, p.board.upstreams.Value())
+	v.loads = loadsOf(v.Groups)
 	p.ledger.Hear(p.life, p.counter.Windows())
 	p.view.Store(v)
 	p.rollouts.Refresh(wordsOf(v.Groups))
@@ -62,39 +62,23 @@
 	return words
 }
 
-// upstreamKeys finds upstreams by the keys that stand for them between gateways.
-type upstreamKeys struct {
-	view *directory.View
-	ids  map[gossip.UpstreamKey][]ident.Instance
-}
-
-// of returns the upstreams of a view by key.
-func (k *upstreamKeys) of(view *directory.View) map[gossip.UpstreamKey][]ident.Instance {
-	if k.view == view {
-		return k.ids
+// loadsOf adds up what the groups have at each upstream.
+func loadsOf(groups []gossip.Group) map[gossip.UpstreamKey]placement.Load {
+	if len(groups) == 1 {
+		return groups[0].Loads
 	}
-	k.view, k.ids = view, make(map[gossip.UpstreamKey][]ident.Instance, view.Count())
-	view.Each(func(u *directory.Upstream) {
-		key := gossip.KeyOf(u.ID)
-		k.ids[key] = append(k.ids[key], u.ID)
-	})
-	return k.ids
-}
-
-// loadsOf adds up what the groups have at each upstream that this gateway knows.
-func (k *upstreamKeys) loadsOf(groups []gossip.Group, view *directory.View) map[ident.Instance]placement.Load {
-	ids := k.of(view)
-	loads := make(map[ident.Instance]placement.Load)
+	loads := make(map[gossip.UpstreamKey]placement.Load)
 	for i := range groups {
 		for key, load := range groups[i].Loads {
-			for _, id := range ids[key] {
-				loads[id] = loads[id].Plus(load)
-			}
+			loads[key] = loads[key].Plus(load)
 		}
 	}
 	return loads
 }
 
+// loadOf is what the other gateways have at an upstream.
+func (v *peerView) loadOf(id ident.Instance) placement.Load { return v.loads[gossip.KeyOf(id)] }
+
 // place is this gateway's place in line among those that are heard.
 func (p *Process) place() int { return p.view.Load().Place }
 
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -88,8 +88,6 @@
 	callers       *ingress.Server
 
 	view atomic.Pointer[peerView]
-	// keys belongs to the one who looks at the others.
-	keys upstreamKeys
 }
 
 // New wires a process; makePorts gets the pool that all connections of the
@@ -140,7 +138,7 @@
 	p.chooser = placement.New(placement.Config{
 		Params: placement.DefaultParams(), Self: s.Instance.ID, Domain: s.Instance.FailureDomain, Log: p.log.Named("placement"),
 		View:     func() *directory.View { return p.board.upstreams.Value() },
-		Others:   func(id ident.Instance) placement.Load { return p.view.Load().loads[id] },
+		Others:   func(id ident.Instance) placement.Load { return p.view.Load().loadOf(id) },
 		Silent:   func(d ident.FailureDomain) bool { return p.view.Load().Silent[d] },
 		Gateways: p.gateways,
 		Engines:  p.engineSums,
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -310,11 +310,9 @@
 	view := u.dir.Snapshot(u.now())
 	u.rollouts.Observe(view)
 	u.board.upstreams.Publish(view)
-	old.Each(func(up *directory.Upstream) {
-		if _, still := view.Upstream(up.ID); !still {
-			u.pool.Forget(up.ID)
-		}
-	})
+	for _, id := range old.Gone(view) {
+		u.pool.Forget(id)
+	}
 }
 
 // news returns what another gateway lacks that knows all records before an offset; nil
