What upstreams' entries changed is found without a look at all of them

Now changes are kept in their order and the newest are found by binary search; those after which an entry changed again are left out once they are most of all.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -107,6 +107,7 @@
 	outageEnded time.Time
 	away        bool
 	views       viewBuilder
+	order       changeOrder
 }
 
 // New returns a directory that knows nothing.
@@ -120,7 +121,11 @@
 	if known == nil || known.Present != next.Present || known.UsableUntil != next.UsableUntil || known.Upstream != next.Upstream {
 		d.views.changed[name] = true
 	}
+	if known == nil || known.Since != next.Since {
+		d.order.add(next.Since, name)
+	}
 	d.entries[name] = next
+	d.order.trim(d.entries)
 }
 
 // Next is the offset up to which all records of the store are known.
@@ -187,12 +192,12 @@
 		// A leaving upstream never becomes ready again in the same life.
 		next.Upstream.State = Leaving
 	}
-	d.set(name, next)
-	if known.Present && sameButTime(known.Upstream, next.Upstream) {
+	same := known.Present && sameButTime(known.Upstream, next.Upstream)
+	if same {
 		next.ChangedAt, next.Since = known.ChangedAt, known.Since
-		return false
 	}
-	return true
+	d.set(name, next)
+	return !same
 }
 
 // nextLife replaces an entry by that of a later life. The records of two lives may
--- a/internal/directory/news.go
+++ b/internal/directory/news.go
@@ -1,6 +1,8 @@
 package directory
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
@@ -35,23 +37,80 @@
 // delay the few that matter.
 func (d *Directory) News(from ident.Offset, now time.Time) News {
 	news := News{UpTo: d.next, Complete: !d.Covers(from)}
-	for id, entry := range d.entries {
-		if entry.Since < from && !news.Complete {
-			continue
+	if news.Complete {
+		for name, entry := range d.entries {
+			news.Records = append(news.Records, recordOf(name, entry, now))
 		}
-		record := Record{ID: id, Offset: entry.Offset}
-		switch {
-		case entry.Present:
-			upstream := entry.Upstream
-			record.Upstream = &upstream
-		case now.Before(entry.UsableUntil):
-			record.Usable = entry.UsableUntil.Sub(now)
+		return news
+	}
+	for _, change := range d.order.from(from) {
+		// An entry that has changed again since stands there once more.
+		if entry := d.entries[change.name]; entry != nil && entry.Since == change.since {
+			news.Records = append(news.Records, recordOf(change.name, entry, now))
 		}
-		news.Records = append(news.Records, record)
 	}
 	return news
 }
 
+func recordOf(name ident.Instance, entry *Entry, now time.Time) Record {
+	record := Record{ID: name, Offset: entry.Offset}
+	switch {
+	case entry.Present:
+		upstream := entry.Upstream
+		record.Upstream = &upstream
+	case now.Before(entry.UsableUntil):
+		record.Usable = entry.UsableUntil.Sub(now)
+	}
+	return record
+}
+
+// changeOrder is the entries in the order in which they changed. What goes wrong if all
+// entries are looked at for each gateway that lacks a few: a collector does it for each
+// gateway of its domain in each round, and its work grows as gateways times upstreams.
+type changeOrder struct {
+	changes  []change
+	unsorted bool
+}
+
+type change struct {
+	since ident.Offset
+	name  ident.Instance
+}
+
+// add notes that an entry changed. Mostly it is the newest change; what other gateways tell
+// comes in any order.
+func (o *changeOrder) add(since ident.Offset, name ident.Instance) {
+	if n := len(o.changes); n > 0 && o.changes[n-1].since > since {
+		o.unsorted = true
+	}
+	o.changes = append(o.changes, change{since, name})
+}
+
+// trim leaves out changes after which an entry changed again, once they are most of all.
+func (o *changeOrder) trim(entries map[ident.Instance]*Entry) {
+	const least = 64
+	if len(o.changes) <= 2*len(entries)+least {
+		return
+	}
+	o.changes = slices.DeleteFunc(o.changes, func(c change) bool {
+		entry := entries[c.name]
+		return entry == nil || entry.Since != c.since
+	})
+}
+
+// from returns the changes from an offset on.
+func (o *changeOrder) from(offset ident.Offset) []change {
+	if o.unsorted {
+		slices.SortFunc(o.changes, func(a, b change) int {
+			return cmp.Or(cmp.Compare(a.since, b.since), cmp.Compare(a.name, b.name))
+		})
+		o.changes = slices.Compact(o.changes)
+		o.unsorted = false
+	}
+	i, _ := slices.BinarySearchFunc(o.changes, offset, func(c change, offset ident.Offset) int { return cmp.Compare(c.since, offset) })
+	return o.changes[i:]
+}
+
 // Covers reports whether the news for a directory that knows all records before an
 // offset is only what is newer, and not all entries.
 func (d *Directory) Covers(from ident.Offset) bool { return from >= d.since }
--- a/internal/directory/news_test.go
+++ b/internal/directory/news_test.go
@@ -129,3 +129,39 @@
 		}
 	}
 }
+
+// Guards against a collector that looks at all upstreams for each gateway that lacks a few,
+// and against an order of changes that grows without end.
+func TestNewsLookAtWhatChanged(t *testing.T) {
+	d := New()
+	const upstreams = 3000
+	offset := ident.Offset(0)
+	write := func(i int, u *Upstream) {
+		offset++
+		d.Apply(ident.Instance(fmt.Sprint("u", i)), offset, u, start)
+		d.Reached(offset + 1)
+	}
+	for i := range upstreams {
+		write(i, ready(fmt.Sprint("u", i)))
+	}
+	from := d.Next()
+	for round := range 4 * upstreams {
+		u := ready(fmt.Sprint("u", round%7))
+		u.Slots = round
+		write(round%7, u)
+	}
+	if n := len(d.order.from(from)); n > 4*upstreams {
+		t.Errorf("%d changes are looked at", n)
+	}
+	if n := len(d.order.changes); n > 3*upstreams {
+		t.Errorf("%d changes are kept of %d upstreams", n, upstreams)
+	}
+	if n := len(d.News(from, start).Records); n != 7 {
+		t.Errorf("%d entries are told, 7 have changed", n)
+	}
+	from = d.Next()
+	write(9, leavingOf("u9"))
+	if n := len(d.order.from(from)); n != 1 {
+		t.Errorf("%d changes are looked at for one", n)
+	}
+}
