--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -102,6 +102,10 @@
 	p.writeLimits(w)
 	v := p.view.Load()
 	fmt.Fprintf(w, "gateways_heard %d\ngateways_known %d\nclock_correction_seconds %.3f\n", v.Heard, v.Known, v.WallCorrection.Seconds())
+	fmt.Fprintf(w, "gateways_reports_age_seconds %.3f\n", v.age(p.now()).Seconds())
+	work := p.gossip.Work()
+	fmt.Fprintf(w, "collector_reports_total %d\ncollector_sums_total %d\ncollector_sum_parts_total %d\ncollector_answers_refused_total %d\n",
+		work.Reports, work.Sums, work.Parts, work.Refused)
 	fmt.Fprintf(w, "requests_active %d\ngossip_bytes_total %d\n", p.callers.Active(), p.gossip.Bytes())
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -76,6 +76,16 @@
 	return loads
 }
 
+// age is the mean age of what the other gateways reported; 0 where none is heard.
+func (v *peerView) age(now time.Time) time.Duration {
+	sum, gateways := time.Duration(0), 0
+	for i := range v.Groups {
+		sum += time.Duration(v.Groups[i].Gateways) * now.Sub(v.Groups[i].ReportedAt)
+		gateways += v.Groups[i].Gateways
+	}
+	return sum / time.Duration(max(1, gateways))
+}
+
 // loadOf is what the other gateways have at an upstream.
 func (v *peerView) loadOf(id ident.Instance) placement.Load { return v.loads[gossip.KeyOf(id)] }
 
--- a/internal/gossip/collect.go
+++ b/internal/gossip/collect.go
@@ -247,6 +247,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.takeOutOwn(m.Others) {
+		g.uncounted.Add(1)
 		g.cfg.Log.Warn("a collector's sum counts a report that is not known any more, it changes nothing", "node", m.From.Node, "seq", m.Others.Counted.Seq)
 		return
 	}
--- a/internal/gossip/collector.go
+++ b/internal/gossip/collector.go
@@ -42,7 +42,7 @@
 	domain, all *wholeSum
 	// forgotAt is when what is too old was last forgotten.
 	forgotAt time.Time
-	work     collectorWork
+	work     CollectorWork
 	// reported are the accounts' totals of own members, and told those of the other
 	// domains.
 	reported, told accumulator
@@ -101,7 +101,7 @@
 	life := LifeOf(r.Node, r.Incarnation)
 	c.reported.take(string(r.Node), life, r.Accounts)
 	c.counts[life] = &lifeCounts{began: r.Began, at: now}
-	c.work.reports++
+	c.work.Reports++
 	c.forget(now)
 }
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -92,6 +92,9 @@
 	// handing counts the gateways that are being handed what they lack.
 	handing atomic.Int32
 	leaving atomic.Bool
+	// uncounted are the collectors' answers that were refused, because they hold a report
+	// which is not known any more.
+	uncounted atomic.Int64
 
 	mu sync.Mutex
 	// packed is the newest configuration that was handed on whole, and configs those that
--- a/internal/gossip/whole.go
+++ b/internal/gossip/whole.go
@@ -40,12 +40,22 @@
 	uses    upstreamlimit.Uses
 }
 
-// collectorWork counts what a collector does: what of it grows faster than the gateways
-// shows here.
-type collectorWork struct {
-	// reports were collected, and sums added up from so many parts: reports, and sums of
+// CollectorWork counts what a collector has done since its start.
+type CollectorWork struct {
+	// Reports were collected, and Sums added up from so many Parts: reports, and sums of
 	// other domains.
-	reports, sums, parts int64
+	Reports, Sums, Parts int64
+	// Refused are answers of collectors that held a report which is not known any more.
+	Refused int64
+}
+
+// Work returns what this gateway has done as a collector.
+func (g *Gossip) Work() CollectorWork {
+	g.collector.mu.Lock()
+	defer g.collector.mu.Unlock()
+	work := g.collector.work
+	work.Refused = g.uncounted.Load()
+	return work
 }
 
 // fresh reports whether a sum can be given to a gateway now; it counts that gateway's
@@ -164,7 +174,7 @@
 
 func (c *Collector) newSum(now time.Time) *wholeSum {
 	c.seq++
-	c.work.sums++
+	c.work.Sums++
 	return &wholeSum{
 		at: now, counted: make(map[ident.Instance]*collected), uses: make(upstreamlimit.Uses),
 		sum: Sum{
@@ -185,7 +195,7 @@
 		if age > collectedFor {
 			continue
 		}
-		c.work.parts++
+		c.work.Parts++
 		w.counted[node] = m
 		w.sum.Heard++
 		sum += age
@@ -212,7 +222,7 @@
 	if chosen == nil {
 		return 0
 	}
-	c.work.parts++
+	c.work.Parts++
 	age := now.Sub(chosen.at)
 	w.sum.Heard += chosen.sum.Heard
 	w.sum.add(chosen.sum.Loads, chosen.sum.Work, chosen.sum.Engines)
--- a/internal/gossip/whole_test.go
+++ b/internal/gossip/whole_test.go
@@ -189,13 +189,13 @@
 				own[gateways] = max(own[gateways], len(encodedAlone(t, sum, part))-len(part))
 			}
 			if round == 0 {
-				d.collector.work = collectorWork{}
+				d.collector.work = CollectorWork{}
 			}
 		}
 		w := d.collector.work
 		t.Logf("%d gateways: %+v, %d bytes of an answer for its asker alone", gateways, w, own[gateways])
-		if w.parts > partsOfReport*w.reports {
-			t.Errorf("%d gateways: %d parts were added up for %d reports", gateways, w.parts, w.reports)
+		if w.Parts > partsOfReport*w.Reports {
+			t.Errorf("%d gateways: %d parts were added up for %d reports", gateways, w.Parts, w.Reports)
 		}
 	}
 	if own[2000] > own[100]+16 {
