--- a/internal/gossip/fleet_test.go
+++ b/internal/gossip/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"flag"
 	"fmt"
 	"slices"
 	"sync"
@@ -359,8 +360,15 @@
 // bytesPerSecond bounds what a gateway in the middle sends and receives.
 const bytesPerSecond = 24_000
 
+// large plays fleets of a thousand and two thousand gateways too: some minutes, by hand.
+var large = flag.Bool("gossip.large", false, "play fleets of 984 and 1,968 gateways too")
+
 func TestAllHearAllAtEverySize(t *testing.T) {
-	for _, size := range []struct{ gateways, domains int }{{8, 4}, {18, 3}, {78, 3}, {195, 6}, {330, 10}} {
+	sizes := []struct{ gateways, domains int }{{8, 4}, {18, 3}, {78, 3}, {195, 6}, {330, 10}}
+	if *large {
+		sizes = append(sizes, struct{ gateways, domains int }{984, 6}, struct{ gateways, domains int }{1968, 6})
+	}
+	for _, size := range sizes {
 		t.Run(fmt.Sprint(size.gateways), func(t *testing.T) {
 			bubble(t, func(t *testing.T) {
 				f := newFleet(t, size.gateways, size.domains)
