--- a/internal/directory/news_test.go
+++ b/internal/directory/news_test.go
@@ -165,3 +165,26 @@
 		t.Errorf("%d changes are looked at for one", n)
 	}
 }
+
+// Guards against a gateway that passes a part of the news on, where it heard of the changes in
+// another order than they were written in.
+func TestNewsAreWholeAfterChangesInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := New()
+		offsets := rapid.Permutation([]ident.Offset{1, 2, 3, 4, 5, 6, 7, 8}).Draw(t, "order")
+		for _, offset := range offsets {
+			d.Apply(ident.Instance(fmt.Sprint("u", offset)), offset, ready(fmt.Sprint("u", offset)), start)
+		}
+		d.Reached(9)
+		from := ident.Offset(rapid.IntRange(1, 9).Draw(t, "from"))
+		got := make(map[ident.Offset]bool)
+		for _, r := range d.News(from, start).Records {
+			got[r.Offset] = true
+		}
+		for offset := from; offset < 9; offset++ {
+			if !got[offset] {
+				t.Errorf("news from %d lack the change at %d", from, offset)
+			}
+		}
+	})
+}
