--- a/internal/gossip/fleet_test.go
+++ b/internal/gossip/fleet_test.go
@@ -617,6 +617,69 @@
 	})
 }
 
+// Guards against starts and stops of single gateways that are told to all of a fleet, each
+// with its whole domain: they grow with the fleet, and so does what is told.
+func TestStartsOfSmallGatewaysAreNotToldToAll(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		f := newFleet(t, 195, 6)
+		time.Sleep(settle)
+		watched := f.order[40]
+		const length = 8 * time.Second
+		during := func(play func()) int {
+			f.mu.Lock()
+			before := watched.received
+			f.mu.Unlock()
+			end := time.Now().Add(length)
+			play()
+			time.Sleep(time.Until(end))
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return watched.received - before
+		}
+		quiet := during(func() {})
+		restarts := during(func() {
+			// The last of the domains' orders, one after the other, long enough to be missed.
+			for i := range 8 {
+				f.order[len(f.order)-1-i].kill()
+				time.Sleep(Interval)
+			}
+			time.Sleep(listedFor)
+			for i := range 8 {
+				f.order[len(f.order)-1-i].start()
+				time.Sleep(Interval)
+			}
+		})
+		t.Logf("%d bytes in %v, %d with eight restarts", quiet, length, restarts)
+		if restarts > quiet*11/10 {
+			t.Errorf("eight restarts cost a gateway %d bytes more than %d", restarts-quiet, quiet)
+		}
+		time.Sleep(settle)
+		f.expect(f.order, mostMeanAge)
+	})
+}
+
+// Guards against a start of a thousand gateways in which each is told of all by each that it
+// meets.
+func TestANewGatewayIsToldOfAFew(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable(Contact{Node: "self", Address: "self:1", Domain: "hall-a"}, nil)
+	for i := range 984 {
+		table.Hear(Report{Contact: Contact{
+			Node: ident.Instance(fmt.Sprint("gw-", i)), Address: fmt.Sprint("gw-", i, ":1"), Domain: ident.FailureDomain(fmt.Sprintf("hall-%c", 'a'+i%6)), Cores: float64(i),
+		}, Incarnation: 1, Seq: 1}, now, now)
+	}
+	got := table.Contacts(now)
+	if len(got) > contactsMost {
+		t.Errorf("%d contacts", len(got))
+	}
+	// Those with most cores collect.
+	for i := 984 - 6*tries; i < 984; i++ {
+		if !slices.ContainsFunc(got, func(c Contact) bool { return c.Node == ident.Instance(fmt.Sprint("gw-", i)) }) {
+			t.Errorf("gw-%d, which collects, is not among the contacts", i)
+		}
+	}
+}
+
 // Symptom: usage is off where gateways were killed, or among hundreds of them. Sequence:
 // one is killed after it counted; the holder of the lease gathers all counts. Cause:
 // counts that only their own gateway knows.
--- a/internal/gossip/whole.go
+++ b/internal/gossip/whole.go
@@ -71,18 +71,8 @@
 	return counted != nil && counted.report.Incarnation == asker.report.Incarnation
 }
 
-// Domain returns the sum of this domain's gateways.
-func (c *Collector) Domain(now, wall time.Time) Sum {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	w := c.domainSum(now)
-	s := c.present(w, now, wall)
-	s.add(w.sum.Loads, w.sum.Work, w.sum.Engines)
-	s.addAccounts(w.sum.Accounts)
-	return s
-}
-
-// domainParts returns the same in two parts, of which the second is encoded.
+// domainParts returns the sum of this domain's gateways in two parts, of which the second is
+// encoded.
 func (c *Collector) domainParts(now, wall time.Time) (s Sum, encoded []byte, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
