--- a/internal/gossip/collector.go
+++ b/internal/gossip/collector.go
@@ -245,7 +245,7 @@
 	return out
 }
 
-// Roster returns this domain's gateways that are heard and do not leave.
+// Roster returns the first of this domain's gateways that are heard and do not leave.
 func (c *Collector) Roster(now time.Time) Roster {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -256,6 +256,7 @@
 		}
 	}
 	sortCollectors(r.Gateways)
+	r.Gateways = r.Gateways[:min(len(r.Gateways), rosterMost)]
 	return r
 }
 
--- a/internal/gossip/fleet_test.go
+++ b/internal/gossip/fleet_test.go
@@ -658,9 +658,6 @@
 	})
 }
 
-// mostContacts is how many contacts a gateway that starts needs to be told at the most.
-const mostContacts = 64
-
 // Guards against a start of a thousand gateways in which each is told of all by each that it
 // meets.
 func TestANewGatewayIsToldOfAFew(t *testing.T) {
@@ -672,7 +669,7 @@
 		}, Incarnation: 1, Seq: 1}, now, now)
 	}
 	got := table.Contacts(now)
-	if len(got) > mostContacts {
+	if len(got) > contactsMost {
 		t.Errorf("%d contacts", len(got))
 	}
 	// Those with most cores collect.
--- a/internal/gossip/roster.go
+++ b/internal/gossip/roster.go
@@ -24,6 +24,12 @@
 	at, renewed time.Time
 }
 
+// rosterMost is how many of a failure domain's gateways stand in its roster: those that
+// collect if the ones before them are lost. What goes wrong with all of them: whenever one
+// of a thousand gateways starts or stops, the roster of its domain, which grows with the
+// fleet, is told to all.
+const rosterMost = 16
+
 // renewEvery is how often the contacts of a roster's gateways are renewed as long as the
 // roster stands: a part of the time after which they are given up.
 const renewEvery = contactFor / 4
--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -155,11 +156,32 @@
 	return n
 }
 
-// Contacts returns the gateways heard of lately, directly or by a collector's word.
+// contactsMost is how many contacts are told to a gateway that knows others: enough to meet
+// one that collects, and from it the rosters. What goes wrong with all of them: of a thousand
+// gateways that start together each is told of all by each that it meets.
+const contactsMost = 64
+
+// Contacts returns gateways heard of lately, directly or by a collector's word: the first of
+// each failure domain, and of the rest any, contactsMost at the most.
 func (t *Table) Contacts(now time.Time) []Contact {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.heardOf(now)
+	all := t.heardOf(now)
+	if len(all) <= contactsMost {
+		return all
+	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	first := make(map[ident.FailureDomain]int)
+	inOrder := slices.Clone(all)
+	sortCollectors(inOrder)
+	var told []Contact
+	for _, c := range inOrder {
+		if first[c.Domain] < tries && len(told) < contactsMost {
+			first[c.Domain]++
+			told = append(told, c)
+		}
+	}
+	return append(told, all[:contactsMost-len(told)]...)
 }
 
 func (t *Table) heardOf(now time.Time) []Contact {
--- a/internal/gossip/types.go
+++ b/internal/gossip/types.go
@@ -109,7 +109,7 @@
 	Began Windows
 }
 
-// Roster is the gateways of a failure domain, in the order in which they collect.
+// Roster is the first gateways of a failure domain, in the order in which they collect.
 type Roster struct {
 	Domain   ident.FailureDomain
 	Gateways []Contact
