--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -56,8 +56,6 @@
 	// due is within which time a change must be in force.
 	due    time.Duration
 	health storeHealth
-	// leaveToOthers reports whether the first reading is left to other gateways.
-	leaveToOthers func() bool
 
 	// next is the offset up to which the store's records were read, once listed, and
 	// asked is when it was asked last.
@@ -80,7 +78,7 @@
 }
 
 func newConfiguration(ports Ports, b *board, rollouts *rollout.Tracker, now boottime.Clock, rank func() int, due time.Duration, log hclog.Logger) *configuration {
-	return &configuration{ports: ports, board: b, rollouts: rollouts, now: now, rank: rank, due: due, log: log, health: storeHealth{log: log, topic: ports.ConfigTopic}, leaveToOthers: never}
+	return &configuration{ports: ports, board: b, rollouts: rollouts, now: now, rank: rank, due: due, log: log, health: storeHealth{log: log, topic: ports.ConfigTopic}}
 }
 
 // run follows the store until ctx ends.
@@ -97,16 +95,13 @@
 // nextRead returns after how long a read of the store is due, 0 for now, and then for how
 // long it waits for the next configuration.
 func (c *configuration) nextRead() (wait, idle time.Duration) {
-	revision, age := c.state()
-	if !c.listed && revision == 0 {
-		if c.leaveToOthers() {
-			return 0, leastLook
-		}
+	if !c.listed {
 		return 0, 0
 	}
 	if c.rank() < readers {
 		return part(c.due, readerPart), 0
 	}
+	_, age := c.state()
 	idle = part(c.due, peersPart) + rand.N(viewJitter) - age
 	if behind := c.behindFor(); behind > 0 {
 		idle = min(idle, max(peersFirst-behind, askAgain-c.now().Sub(c.asked)))
--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -40,9 +40,7 @@
 			}
 		})
 	}
-	if !p.settings.Peers.FirstStart {
-		steps.Go(func() { p.learnGateways(stop) })
-	}
+	steps.Go(func() { p.learnGateways(stop) })
 	run(p.newRollouts().Step)
 	if slices.Contains(p.settings.Cloud.Duties, "metering") {
 		run(p.newReporter().Step)
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -128,7 +128,6 @@
 	})
 	p.configuration = newConfiguration(p.ports, p.board, p.rollouts, p.now, p.place, s.Configuration.ChangeDue, p.log.Named("configuration"))
 	p.upstreams = newUpstreams(p.ports, p.board, p.rollouts, p.pool, p.now, p.place, s.Upstreams.DepartureDue, p.log.Named("upstreams"))
-	p.configuration.leaveToOthers, p.upstreams.leaveToOthers = p.leavesStore, p.leavesStore
 	p.gossip = gossip.New(gossip.Config{
 		Self: p.contact(), Incarnation: p.incarnation, Table: p.peers, Knowledge: knowledge{p},
 		Network: gossip.OverHTTP{Pool: p.pool}, Now: p.now, Log: p.log.Named("gossip"),
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -64,15 +64,12 @@
 	// due is within which time a departure must be followed.
 	due    time.Duration
 	health storeHealth
-	// leaveToOthers reports whether the first reading is left to other gateways.
-	leaveToOthers func() bool
 
 	mu  sync.Mutex
 	dir *directory.Directory
 	// confirmed is when the store, or a peer by its word, confirmed the view.
 	confirmed time.Time
-	// listed: all entries up to an offset were read once in this life, or taken from
-	// another gateway.
+	// listed: the newest records were read once in this life.
 	listed bool
 	// faulty are the entries that could not be used, and strange those whose service
 	// nobody knows, so that each is logged once.
@@ -82,18 +79,13 @@
 func newUpstreams(ports Ports, b *board, rollouts *rollout.Tracker, pool *httpconn.Pool, now boottime.Clock, rank func() int, due time.Duration, log hclog.Logger) *upstreams {
 	return &upstreams{
 		ports: ports, board: b, rollouts: rollouts, pool: pool, now: now, rank: rank, due: due, log: log, health: storeHealth{log: log, topic: ports.UpstreamsTopic},
-		dir: directory.New(), leaveToOthers: never,
+		dir: directory.New(),
 	}
 }
 
-func never() bool { return false }
-
 // run keeps the view young until ctx ends.
 func (u *upstreams) run(ctx context.Context) {
 	u.health.follow(ctx, func(ctx context.Context) (time.Duration, error) {
-		if u.lists() && u.leaveToOthers() {
-			return leastLook, nil
-		}
 		if idle := u.viewLimit() - u.age(); idle > 0 {
 			if u.expire() {
 				idle = min(idle, leastLook)
@@ -108,13 +100,6 @@
 	})
 }
 
-// lists reports whether the next read lists all entries, because none are known.
-func (u *upstreams) lists() bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return !u.listed
-}
-
 func (u *upstreams) age() time.Duration {
 	_, age := u.state()
 	return age
@@ -327,23 +312,16 @@
 	return &news
 }
 
-// lacks reports whether another gateway should be asked for all entries: the first reading
-// is left to others, or the store does not answer this one, and what the others tell by
-// themselves does not bring its view up to date.
-func (u *upstreams) lacks() bool {
-	if u.lists() && u.leaveToOthers() {
-		return true
-	}
-	return u.health.failing() && u.age() > part(u.due, otherPart)
-}
+// lacks reports whether another gateway should be asked for all entries: the store does
+// not answer this one, and what the others tell by themselves does not bring its view
+// up to date.
+func (u *upstreams) lacks() bool { return u.health.failing() && u.age() > part(u.due, otherPart) }
 
 // learn takes in what another gateway knows.
 func (u *upstreams) learn(news directory.News) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	changes, changed := u.dir.Take(news, u.now())
-	// A gateway tells one that knows nothing either all entries or nothing.
-	u.listed = u.listed || news.UpTo > 0
 	u.logBatch(changes, "gateway")
 	if news.Complete {
 		u.log.Info("upstreams listed by another gateway", "count", len(news.Records), "end", news.UpTo, "changes", len(changes))
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -44,8 +44,6 @@
 // EntryPeers are where to find other entry processes at the start.
 type EntryPeers struct {
 	Seeds []string `toml:"seeds"`
-	// FirstStart: the whole system starts for the first time, and no callers wait for it.
-	FirstStart bool `toml:"first_start"`
 }
 
 // Address is where a service answers, host:port.
