Collector: an answer's own part is made once, the clock's correction once a sum

What one gateway gets was made for nobody first and then made again; the clocks' median over all of a domain's gateways was worked out for each answer, which grows with them and is in each sum's reach.

--- a/internal/gossip/whole.go
+++ b/internal/gossip/whole.go
@@ -38,6 +38,8 @@
 	counted map[ident.Instance]*collected
 	words   wordsWithout
 	uses    upstreamlimit.Uses
+	// wallOff is what to add to this machine's time of day.
+	wallOff time.Duration
 }
 
 // CollectorWork counts what a collector has done since its start.
@@ -77,7 +79,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := c.domainSum(now)
-	return c.present(w, now, wall), w.encoded, w.err
+	return w.present("", now, wall), w.encoded, w.err
 }
 
 // Others returns the sum of all gateways but one, of all domains.
@@ -85,7 +87,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := c.allSum(c.members[asker], now)
-	s := c.presentFor(w, asker, now, wall)
+	s := w.present(asker, now, wall)
 	s.add(w.sum.Loads, w.sum.Work, w.sum.Engines)
 	s.addAccounts(w.sum.Accounts)
 	if counted := w.counted[asker]; counted != nil {
@@ -101,33 +103,26 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := c.allSum(c.members[asker], now)
-	return c.presentFor(w, asker, now, wall), w.encoded, w.err
+	return w.present(asker, now, wall), w.encoded, w.err
 }
 
-// present is what of a sum belongs to this instant and is not encoded before.
-func (c *Collector) present(w *wholeSum, now, wall time.Time) Sum {
+// present is what of a sum belongs to this instant and to the gateway that asks, and is not
+// encoded before: without that one's words and uses. It has no name where nobody's are left
+// out.
+func (w *wholeSum) present(asker ident.Instance, now, wall time.Time) Sum {
 	s := w.sum
 	s.Loads, s.Accounts = make(map[UpstreamKey]placement.Load), make(map[ident.ClientAccount]Spending)
 	s.Work, s.Engines = make(map[ident.Service]placement.Demand), make(map[ident.Service]enginemodel.Sums)
-	s.Age += now.Sub(w.at)
-	s.TrueWallMillis = wall.Add(c.wallCorrection(now)).UnixMilli()
-	s.Rollouts, s.Poison = w.words.without("")
-	s.Rollouts, s.Poison = s.Rollouts.Aged(now.Sub(w.at)), s.Poison.Aged(now.Sub(w.at))
+	age := now.Sub(w.at)
+	s.Age += age
+	s.TrueWallMillis = wall.Add(w.wallOff).UnixMilli()
+	words := w.words.without(asker)
+	s.Rollouts, s.Poison = words.rollouts.Aged(age), words.poison.Aged(age)
 	s.LimitUses = maps.Clone(w.uses)
-	return s
-}
-
-// presentFor is the same without the words and uses of the gateway that asks.
-func (c *Collector) presentFor(w *wholeSum, asker ident.Instance, now, wall time.Time) Sum {
-	s := c.present(w, now, wall)
-	counted := w.counted[asker]
-	if counted == nil {
-		return s
+	if counted := w.counted[asker]; counted != nil {
+		s.Counted = counted.report.id()
+		s.LimitUses.Subtract(counted.report.LimitUses)
 	}
-	s.Counted = counted.report.id()
-	s.LimitUses.Subtract(counted.report.LimitUses)
-	s.Rollouts, s.Poison = w.words.without(asker)
-	s.Rollouts, s.Poison = s.Rollouts.Aged(now.Sub(w.at)), s.Poison.Aged(now.Sub(w.at))
 	return s
 }
 
@@ -166,7 +161,7 @@
 	c.seq++
 	c.work.Sums++
 	return &wholeSum{
-		at: now, counted: make(map[ident.Instance]*collected), uses: make(upstreamlimit.Uses),
+		at: now, counted: make(map[ident.Instance]*collected), uses: make(upstreamlimit.Uses), wallOff: c.wallCorrection(now),
 		sum: Sum{
 			Source: c.life, Seq: c.seq, Loads: make(map[UpstreamKey]placement.Load), Accounts: make(map[ident.ClientAccount]Spending),
 			Work: make(map[ident.Service]placement.Demand), Engines: make(map[ident.Service]enginemodel.Sums),
@@ -234,9 +229,8 @@
 // They cannot be taken out of a sum again, so that the sums of those before and after each
 // gateway are kept.
 type wordsWithout struct {
-	nodes    []ident.Instance
-	rollouts []rollout.Words
-	poison   []poison.Words
+	nodes []ident.Instance
+	words []joinedWords
 	// before[i] joins all before i, and after[i] all from i on.
 	before, after []joinedWords
 }
@@ -255,27 +249,25 @@
 	if len(r) == 0 && p.Empty() {
 		return
 	}
-	w.nodes, w.rollouts, w.poison = append(w.nodes, node), append(w.rollouts, r), append(w.poison, p)
+	w.nodes, w.words = append(w.nodes, node), append(w.words, joinedWords{r, p})
 }
 
 func (w *wordsWithout) finish() {
 	n := len(w.nodes)
 	w.before, w.after = make([]joinedWords, n+1), make([]joinedWords, n+1)
 	for i := range n {
-		w.before[i+1] = w.before[i].plus(joinedWords{w.rollouts[i], w.poison[i]})
+		w.before[i+1] = w.before[i].plus(w.words[i])
 	}
 	for i := n - 1; i >= 0; i-- {
-		w.after[i] = joinedWords{w.rollouts[i], w.poison[i]}.plus(w.after[i+1])
+		w.after[i] = w.words[i].plus(w.after[i+1])
 	}
 }
 
-// without returns the words of all but one.
-func (w *wordsWithout) without(node ident.Instance) (rollout.Words, poison.Words) {
+// without returns the words of all but one; of all where it has no name or no words.
+func (w *wordsWithout) without(node ident.Instance) joinedWords {
 	i := slices.Index(w.nodes, node)
 	if node == "" || i < 0 {
-		all := w.before[len(w.nodes)]
-		return all.rollouts, all.poison
+		return w.before[len(w.nodes)]
 	}
-	others := w.before[i].plus(w.after[i+1])
-	return others.rollouts, others.poison
+	return w.before[i].plus(w.after[i+1])
 }
