--- a/internal/directory/bench_test.go
+++ b/internal/directory/bench_test.go
@@ -12,12 +12,7 @@
 // of which one has changed.
 func BenchmarkSnapshot(b *testing.B) {
 	for _, n := range []int{64, 690, 3000} {
-		d := New()
-		for i := range n {
-			up := ready(fmt.Sprintf("i-%010x", i))
-			up.Service = ident.Service(fmt.Sprint("svc", i%2))
-			d.Apply(up.ID, ident.Offset(i), up, start)
-		}
+		d := ofTwoServices(n)
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			b.ReportAllocs()
 			for offset := ident.Offset(n); b.Loop(); offset++ {
--- a/internal/directory/view_test.go
+++ b/internal/directory/view_test.go
@@ -106,16 +106,22 @@
 	}
 }
 
+// ofTwoServices returns a directory of so many upstreams.
+func ofTwoServices(n int) *Directory {
+	d := New()
+	for i := range n {
+		up := ready(fmt.Sprintf("i-%010x", i))
+		up.Service = ident.Service(fmt.Sprint("svc", i%2))
+		d.Apply(up.ID, ident.Offset(i), up, start)
+	}
+	return d
+}
+
 // Guards against views that cost as much as all upstreams: a thousand gateways make one for
 // each change.
 func TestAChangeCopiesOneListOfItsService(t *testing.T) {
 	for _, n := range []int{300, 3000, 6000} {
-		d := New()
-		for i := range n {
-			up := ready(fmt.Sprintf("i-%010x", i))
-			up.Service = ident.Service(fmt.Sprint("svc", i%2))
-			d.Apply(up.ID, ident.Offset(i), up, start)
-		}
+		d := ofTwoServices(n)
 		before := d.Snapshot(start)
 		offset := ident.Offset(n)
 		allocations := testing.AllocsPerRun(20, func() {
--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -103,7 +103,7 @@
 	}
 	_, age := c.state()
 	idle = part(c.due, peersPart) + rand.N(viewJitter) - age
-	if behind := c.behindFor(); behind > 0 {
+	if behind, is := c.behindFor(); is {
 		idle = min(idle, max(peersFirst-behind, askAgain-c.now().Sub(c.asked)))
 	}
 	return 0, max(0, idle)
@@ -234,14 +234,11 @@
 	}
 }
 
-// behindFor is for how long others are heard to have a newer configuration; 0 if not.
-func (c *configuration) behindFor() time.Duration {
+// behindFor reports whether others are heard to have a newer configuration, and for how long.
+func (c *configuration) behindFor() (time.Duration, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.behind.IsZero() {
-		return 0
-	}
-	return max(1, c.now().Sub(c.behind))
+	return c.now().Sub(c.behind), !c.behind.IsZero()
 }
 
 // state returns the revision in force, and how long ago it was confirmed to be the
--- a/internal/gossip/collect.go
+++ b/internal/gossip/collect.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -119,10 +118,7 @@
 func (g *Gossip) remember(report Report) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.reported = append(g.reported, report)
-	if extra := len(g.reported) - reportsKept; extra > 0 {
-		g.reported = slices.Delete(g.reported, 0, extra)
-	}
+	g.reported = appendNewest(g.reported, report, reportsKept)
 }
 
 // takeOutOwn takes this gateway's report out of a collector's sum and reports whether it
--- a/internal/gossip/fetch.go
+++ b/internal/gossip/fetch.go
@@ -1,15 +1,14 @@
 package gossip
 
 import (
-	"bytes"
 	"compress/gzip"
 	"context"
-	"io"
 	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/gzipped"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 )
 
@@ -54,33 +53,19 @@
 	if p := g.packed; p != nil && p.Revision == record.Revision && p.Offset == record.Offset {
 		return p, nil
 	}
-	var buffer bytes.Buffer
-	w, err := gzip.NewWriterLevel(&buffer, gzip.BestSpeed)
+	data, err := gzipped.Pack(record.Data, gzip.BestSpeed)
 	if err != nil {
-		return nil, errors.Wrap(err, "compress the configuration")
+		return nil, errors.Wrap(err, "the configuration")
 	}
-	if _, err := w.Write(record.Data); err != nil {
-		return nil, errors.Wrap(err, "compress the configuration")
-	}
-	if err := w.Close(); err != nil {
-		return nil, errors.Wrap(err, "compress the configuration")
-	}
-	g.packed = &packedConfig{Revision: record.Revision, Offset: record.Offset, Gzip: buffer.Bytes()}
+	g.packed = &packedConfig{Revision: record.Revision, Offset: record.Offset, Gzip: data}
 	return g.packed, nil
 }
 
 // unpack is the inverse of pack.
 func (p *packedConfig) unpack() (*ConfigRecord, error) {
-	r, err := gzip.NewReader(bytes.NewReader(p.Gzip))
+	data, err := gzipped.Unpack(p.Gzip, mostConfig)
 	if err != nil {
-		return nil, errors.Wrap(err, "decompress the configuration")
-	}
-	data, err := io.ReadAll(io.LimitReader(r, mostConfig+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "decompress the configuration")
-	}
-	if len(data) > mostConfig {
-		return nil, errors.Errorf("a configuration of more than %d bytes", mostConfig)
+		return nil, errors.Wrap(err, "the configuration")
 	}
 	return &ConfigRecord{Revision: p.Revision, Offset: p.Offset, Data: data}, nil
 }
--- a/internal/gossip/patch.go
+++ b/internal/gossip/patch.go
@@ -1,6 +1,8 @@
 package gossip
 
 import (
+	"slices"
+
 	"github.com/klauspost/compress/zstd"
 	"github.com/pkg/errors"
 
@@ -55,13 +57,16 @@
 	if record == nil || h.newest() != nil && h.newest().Revision >= record.Revision {
 		return
 	}
-	h.records = append(h.records, *record)
-	if extra := len(h.records) - configsKept; extra > 0 {
-		h.records = append([]ConfigRecord(nil), h.records[extra:]...)
-	}
+	h.records = appendNewest(h.records, *record, configsKept)
 	h.patches = make(map[ident.Revision]*packedConfig)
 }
 
+// appendNewest adds an element at the end of a list and keeps the last most of it.
+func appendNewest[T any](list []T, next T, most int) []T {
+	list = append(list, next)
+	return slices.Delete(list, 0, max(0, len(list)-most))
+}
+
 func (h *configHistory) newest() *ConfigRecord {
 	if len(h.records) == 0 {
 		return nil
--- a/internal/metering/counter.go
+++ b/internal/metering/counter.go
@@ -87,20 +87,15 @@
 // of the gateway that counted: a life is one incarnation of an instance.
 type Pending map[int64]map[string]Counts
 
-func (p Pending) add(window int64, life string, counts Counts) {
-	if p[window] == nil {
-		p[window] = make(map[string]Counts)
-	}
-	p[window][life] = counts
-}
+// pendingByLife is the same by life and window, so that each life is named once.
+type pendingByLife map[string]map[int64]map[ident.ClientAccount]int64
 
-// byLife returns the same by life and window, so that each life is named once.
-func (p Pending) byLife() map[string]map[int64]Counts {
-	out := make(map[string]map[int64]Counts)
+func (p Pending) byLife() pendingByLife {
+	out := make(pendingByLife)
 	for window, lives := range p {
 		for life, counts := range lives {
 			if out[life] == nil {
-				out[life] = make(map[int64]Counts)
+				out[life] = make(map[int64]map[ident.ClientAccount]int64)
 			}
 			out[life][window] = counts
 		}
--- a/internal/metering/reporter.go
+++ b/internal/metering/reporter.go
@@ -1,12 +1,10 @@
 package metering
 
 import (
-	"bytes"
 	"compress/gzip"
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"maps"
 	"slices"
 	"time"
@@ -16,6 +14,7 @@
 
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
 	"github.com/goldcrestspool/goldcrestspool/internal/duty"
+	"github.com/goldcrestspool/goldcrestspool/internal/gzipped"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
 )
@@ -133,12 +132,14 @@
 
 // takeOver joins what the holder before had counted of windows that are not decided.
 func (r *Reporter) takeOver(d *Decision) {
-	pending, err := d.pending()
+	r.Ledger.Join(d.Pending)
+	lives, err := unpackPending(d.PackedPending)
 	if err != nil {
 		r.Log.Error("pending usage not readable, the gateways' own counts stand", "error", err)
-		return
 	}
-	r.Ledger.Join(pending)
+	for life, windows := range lives {
+		r.Ledger.Hear(life, windows)
+	}
 }
 
 // encode encodes a decision with the counts of the later windows, as far as they have room.
@@ -168,15 +169,10 @@
 		if err != nil {
 			return nil, pkgerrors.Wrap(err, "encode pending usage")
 		}
-		var packed bytes.Buffer
-		w := gzip.NewWriter(&packed)
-		if _, err := w.Write(data); err != nil {
-			return nil, pkgerrors.Wrap(err, "compress pending usage")
-		}
-		if err := w.Close(); err != nil {
-			return nil, pkgerrors.Wrap(err, "compress pending usage")
+		d.PackedPending, err = gzipped.Pack(data, gzip.DefaultCompression)
+		if err != nil {
+			return nil, pkgerrors.Wrap(err, "pending usage")
 		}
-		d.PackedPending = packed.Bytes()
 	}
 	data, err := json.Marshal(d)
 	return data, pkgerrors.Wrap(err, "encode decided usage")
@@ -196,30 +192,18 @@
 	return d, err
 }
 
-// pending returns the pending counts of a decision as it was read.
-func (d *Decision) pending() (Pending, error) {
-	if len(d.PackedPending) == 0 {
-		return d.Pending, nil
+// unpackPending reads the pending counts of a record; it may have none.
+func unpackPending(packed []byte) (pendingByLife, error) {
+	if len(packed) == 0 {
+		return nil, nil
 	}
-	r, err := gzip.NewReader(bytes.NewReader(d.PackedPending))
+	data, err := gzipped.Unpack(packed, mostUnpacked)
 	if err != nil {
-		return nil, pkgerrors.Wrap(err, "decompress pending usage")
-	}
-	data, err := io.ReadAll(io.LimitReader(r, mostUnpacked))
-	if err != nil {
-		return nil, pkgerrors.Wrap(err, "decompress pending usage")
-	}
-	var lives map[string]map[int64]Counts
-	if err := json.Unmarshal(data, &lives); err != nil {
-		return nil, pkgerrors.Wrap(err, "decode pending usage")
-	}
-	pending := make(Pending)
-	for life, windows := range lives {
-		for window, counts := range windows {
-			pending.add(window, life, counts)
-		}
+		return nil, pkgerrors.Wrap(err, "pending usage")
 	}
-	return pending, nil
+	var lives pendingByLife
+	err = json.Unmarshal(data, &lives)
+	return lives, pkgerrors.Wrap(err, "decode pending usage")
 }
 
 // decide adds the windows whose counts have settled.
--- a/internal/routing/placement/subset.go
+++ b/internal/routing/placement/subset.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/goldcrestspool/goldcrestspool/internal/directory"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
@@ -49,9 +47,5 @@
 // rank is where an upstream stands among those of this gateway, from 0 to 1: another order
 // at each gateway, and the same each time.
 func (c *Chooser) rank(name ident.Instance) float64 {
-	var d xxhash.Digest
-	d.ResetWithSeed(c.seed)
-	// Writing to a digest never fails.
-	_, _ = d.WriteString(string(name))
-	return float64(d.Sum64()) / math.MaxUint64
+	return float64(rendezvous(c.seed, name)) / math.MaxUint64
 }
