Sight: what upstreams announce (leaving, pauses) is read, logged, counted and listed

The stand-in of upstreams says both and records which sender was told what and sent all the same. No decision changes.

--- /dev/null
+++ b/internal/announced/registry.go
@@ -0,0 +1,175 @@
+package announced
+
+import (
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstreamlimit"
+)
+
+const (
+	// logInterval is the shortest time between two log lines on an upstream's pauses, and between
+	// two on unreadable statements. An upstream may announce another pause in each answer.
+	logInterval = time.Second
+	// unlistedRetention is how long the statements of an unlisted upstream are retained. Other
+	// gateways may report one of an upstream that has just started before it is listed here, and
+	// an entry that expired in an outage of the store may come back.
+	unlistedRetention = 15 * time.Second
+)
+
+// Config configures a registry. All fields are required.
+type Config struct {
+	Now boottime.Clock
+	Log hclog.Logger
+	// Limits keeps the rate limits.
+	Limits *upstreamlimit.Limiter
+	// MaxPause bounds the pauses that upstreams ask for.
+	MaxPause time.Duration
+}
+
+// Registry holds what upstreams announced. It is safe for concurrent use.
+type Registry struct {
+	cfg Config
+
+	mu sync.Mutex
+	// records are by the IDs of the upstreams' incarnations, so that a statement ends with the
+	// incarnation that made it.
+	records  map[ident.Instance]*record
+	counters Counters
+	// unreadableLoggedAt is when an unreadable statement was last logged.
+	unreadableLoggedAt time.Time
+}
+
+// record holds what one upstream announced.
+type record struct {
+	// leavingAt is when an answer first announced that the upstream leaves; zero if none did.
+	leavingAt time.Time
+	// pausedUntil is the latest end of the pauses that the upstream asked this gateway for.
+	pausedUntil time.Time
+	// listedAt is when the upstream was last listed.
+	listedAt time.Time
+	// pauseLoggedAt is when a pause was last logged, and unloggedPauses the number of pauses
+	// since.
+	pauseLoggedAt  time.Time
+	unloggedPauses int
+}
+
+// Counters are totals since the start.
+type Counters struct {
+	// Leaving is the number of upstreams of which an answer received here announced first that
+	// they leave.
+	Leaving int
+	// Pauses is the number of answers that asked for a pause, and Unreadable that of answers with
+	// a statement that could not be read.
+	Pauses, Unreadable int
+}
+
+// NewRegistry returns a registry without statements.
+func NewRegistry(cfg Config) *Registry {
+	return &Registry{cfg: cfg, records: make(map[ident.Instance]*record)}
+}
+
+// Record records what an upstream's answer to a request announces.
+func (r *Registry) Record(upstream ident.Instance, id ident.Request, s Statement) {
+	r.cfg.Limits.RecordStatement(upstream, id, s.Limit)
+	if !s.Leaving && s.Pause <= 0 && s.Problem == "" {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.cfg.Now()
+	if s.Problem != "" {
+		r.logUnreadable(upstream, id, s, now)
+	}
+	if s.Leaving {
+		r.recordLeaving(upstream, id, now)
+	}
+	if s.Pause > 0 {
+		r.recordPause(upstream, id, min(s.Pause, r.cfg.MaxPause), now)
+	}
+}
+
+// recordOf returns the record of an upstream, and adds one if there is none. r.mu must be held.
+func (r *Registry) recordOf(upstream ident.Instance, now time.Time) *record {
+	rec := r.records[upstream]
+	if rec == nil {
+		rec = &record{listedAt: now}
+		r.records[upstream] = rec
+	}
+	return rec
+}
+
+// recordLeaving records that an answer announced that its upstream leaves. r.mu must be held.
+func (r *Registry) recordLeaving(upstream ident.Instance, id ident.Request, now time.Time) {
+	rec := r.recordOf(upstream, now)
+	if !rec.leavingAt.IsZero() {
+		return
+	}
+	rec.leavingAt = now
+	r.counters.Leaving++
+	r.cfg.Log.Info("upstream announced that it leaves", "upstream", upstream, "id", id)
+}
+
+// recordPause records that an answer asked this gateway for a pause. The latest end counts: an
+// answer that asks for less may be older than one that asked for more. r.mu must be held.
+func (r *Registry) recordPause(upstream ident.Instance, id ident.Request, pause time.Duration, now time.Time) {
+	rec := r.recordOf(upstream, now)
+	r.counters.Pauses++
+	until := now.Add(pause)
+	if until.After(rec.pausedUntil) {
+		rec.pausedUntil = until
+	}
+	if now.Sub(rec.pauseLoggedAt) < logInterval {
+		rec.unloggedPauses++
+		return
+	}
+	r.cfg.Log.Info("upstream asked for a pause", "upstream", upstream, "id", id, "pause_ms", pause.Milliseconds(),
+		"left_ms", rec.pausedUntil.Sub(now).Milliseconds(), "pauses_unlogged", rec.unloggedPauses)
+	rec.pauseLoggedAt, rec.unloggedPauses = now, 0
+}
+
+// logUnreadable counts an unreadable statement and logs it, unless one of any upstream was logged
+// within logInterval. r.mu must be held.
+func (r *Registry) logUnreadable(upstream ident.Instance, id ident.Request, s Statement, now time.Time) {
+	r.counters.Unreadable++
+	if r.counters.Unreadable > 1 && now.Sub(r.unreadableLoggedAt) < logInterval {
+		return
+	}
+	r.unreadableLoggedAt = now
+	r.cfg.Log.Warn("cannot read upstream's announcement", "upstream", upstream, "id", id, "problem", s.Problem,
+		"unreadable_total", r.counters.Unreadable)
+}
+
+// Counters returns the totals since the start.
+func (r *Registry) Counters() Counters {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.counters
+}
+
+// UpdateListed updates which upstreams exist and forgets the statements of those that are gone.
+// each must call its argument for every upstream that exists.
+func (r *Registry) UpdateListed(each func(func(ident.Instance))) {
+	r.cfg.Limits.UpdateListed(each)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.records) == 0 {
+		return
+	}
+	now := r.cfg.Now()
+	each(func(upstream ident.Instance) {
+		if rec := r.records[upstream]; rec != nil {
+			rec.listedAt = now
+		}
+	})
+	for upstream, rec := range r.records {
+		paused := now.Sub(rec.pausedUntil) < unlistedRetention
+		if now.Sub(rec.listedAt) > unlistedRetention || rec.leavingAt.IsZero() && !paused {
+			delete(r.records, upstream)
+		}
+	}
+}
--- /dev/null
+++ b/internal/announced/statement.go
@@ -0,0 +1,23 @@
+// Package announced keeps what upstreams announce about themselves in their answers: that they
+// leave, that the gateway which received the answer should pause, and a rate limit for all
+// gateways together, which package upstreamlimit divides between them.
+package announced
+
+import (
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/upstreamlimit"
+)
+
+// Statement is what one answer announces about its upstream.
+type Statement struct {
+	// Limit is the rate limit for all gateways together.
+	Limit upstreamlimit.Statement
+	// Leaving: the upstream leaves and accepts no new work.
+	Leaving bool
+	// Pause is how long the upstream asks the receiving gateway to send it nothing; 0 if it does
+	// not ask for it.
+	Pause time.Duration
+	// Problem describes what could not be read about Leaving and Pause; empty if everything could.
+	Problem string
+}
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -71,10 +71,11 @@
 const metricsPath = "/metrics"
 
 // newOperatorsServer returns the server for operators. It serves the metrics, the barred
-// requests, the upstreams with rate limits, liveness, and readiness with its reason.
+// requests, what upstreams announced, liveness, and readiness with its reason.
 func (p *Process) newOperatorsServer(listener net.Listener) *operatorserver.Server {
 	handlers := p.barredHandlers()
 	handlers["GET "+limitedPath] = http.HandlerFunc(p.listLimited)
+	handlers["GET "+announcedPath] = http.HandlerFunc(p.listAnnounced)
 	handlers["GET "+metricsPath] = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { p.writeMetrics(w) })
 	return operatorserver.New(operatorserver.Config{Listener: listener, Ready: p.readiness, Handlers: handlers})
 }
@@ -102,6 +103,7 @@
 	}
 	p.writePoisonMetrics(w)
 	p.writeLimitMetrics(w)
+	p.writeAnnouncedMetrics(w)
 	v := p.view.Load()
 	fmt.Fprintf(w, "gateways_heard %d\ngateways_known %d\nclock_correction_seconds %.3f\n", v.Heard, v.Known, v.WallCorrection.Seconds())
 	fmt.Fprintf(w, "gateways_reports_age_seconds %.3f\n", v.age(p.now()).Seconds())
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -37,7 +37,7 @@
 		uses.Add(v.Groups[i].LimitUses)
 	}
 	p.limits.Refresh(uses, upstreamlimit.Fleet{Heard: v.Heard + 1, Known: p.gatewayCount()})
-	p.limits.UpdateListed(func(note func(ident.Instance)) {
+	p.announced.UpdateListed(func(note func(ident.Instance)) {
 		p.board.upstreams.Value().Each(func(u *directory.Upstream) { note(u.ID) })
 	})
 }
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -16,6 +16,7 @@
 	"golang.org/x/net/netutil"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/admission/retryafter"
+	"github.com/goldcrestspool/goldcrestspool/internal/announced"
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
 	"github.com/goldcrestspool/goldcrestspool/internal/daemon"
 	"github.com/goldcrestspool/goldcrestspool/internal/directory"
@@ -82,6 +83,7 @@
 	rollouts      *rollout.Tracker
 	poison        *poison.Tracker
 	limits        *upstreamlimit.Limiter
+	announced     *announced.Registry
 	lease         *duty.Manager
 	quotas        *quota.Limiter
 	counter       *metering.Counter
@@ -129,6 +131,9 @@
 	p.limits = upstreamlimit.NewLimiter(upstreamlimit.Config{
 		Now: p.now, Log: p.log.Named("limits"), Key: key, Round: gossip.Interval, Seed: uint64(p.incarnation),
 	})
+	p.announced = announced.NewRegistry(announced.Config{
+		Now: p.now, Log: p.log.Named("announced"), Limits: p.limits, MaxPause: s.Upstreams.MaxPause,
+	})
 	p.configuration = newConfigFollower(p.ports, p.board, p.rollouts, p.now, p.storeRank, s.Configuration.ChangeDue, p.log.Named("configuration"))
 	p.upstreams = newUpstreamsFollower(p.ports, p.board, p.rollouts, p.pool, p.now, p.storeRank, s.Upstreams.DepartureDue, p.log.Named("upstreams"))
 	p.gossip = gossip.New(gossip.Config{
@@ -150,7 +155,7 @@
 	forwarder := forward.New(forward.Config{
 		Now: p.now, Pool: p.pool, Dialect: p.ports.Protocol, Placement: p.chooser,
 		Budget: retry.NewFleetBudget(retry.FleetBudgetConfig{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window}, p.gatewayCount),
-		Guard:  p.poison, Limits: p.limits, Meter: p.counter, Log: p.log.Named("forward"), Tracer: p.tracing.Tracer, RetryAfter: p.retryAfter,
+		Guard:  p.poison, Announcements: p.announced, Meter: p.counter, Log: p.log.Named("forward"), Tracer: p.tracing.Tracer, RetryAfter: p.retryAfter,
 	})
 	p.lease = p.newLease()
 	p.callers = ingress.New(ingress.Config{
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -49,10 +49,11 @@
 	Placement Placement
 	Budget    Budget
 	Guard     Guard
-	Limits    Limits
-	Meter     Meter
-	Log       hclog.Logger
-	Tracer    trace.Tracer
+	// Announcements gets what upstreams announce.
+	Announcements Announcements
+	Meter         Meter
+	Log           hclog.Logger
+	Tracer        trace.Tracer
 	// RetryAfter returns the retry-after time of a refused call.
 	RetryAfter func(call *Call) time.Duration
 }
@@ -316,7 +317,7 @@
 func (s *session) readAnswer(choice Choice, answer *httpconn.Answer, silence *silenceTimer) Result {
 	info := s.f.cfg.Dialect.ParseAnswer(answer.Status, answer.Header)
 	if !info.FromOtherUpstream {
-		s.f.cfg.Limits.RecordStatement(choice.Upstream, s.call.ID, info.Limit)
+		s.f.cfg.Announcements.Record(choice.Upstream, s.call.ID, info.Announced)
 	}
 	if info.NotRun {
 		s.reason = "status " + http.StatusText(answer.Status)
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -4,11 +4,11 @@
 	"net/http"
 	"time"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/announced"
 	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/poison"
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
-	"github.com/goldcrestspool/goldcrestspool/internal/upstreamlimit"
 )
 
 // PromptPart is a part of a prompt, which other requests may have in common with it.
@@ -80,8 +80,8 @@
 	Stream bool
 	// FromOtherUpstream: the answer came from another upstream than the request was meant for.
 	FromOtherUpstream bool
-	// Limit is what the answer says about its upstream's rate limit.
-	Limit upstreamlimit.Statement
+	// Announced is what the answer announces about its upstream.
+	Announced announced.Statement
 }
 
 // Dialect writes requests and interprets answers in the upstreams' protocol.
@@ -149,10 +149,10 @@
 	Completed(content ident.ContentHash)
 }
 
-// Limits records the rate limits that upstreams announce in their answers.
-type Limits interface {
-	// RecordStatement records what an upstream's answer to a request says about its limit.
-	RecordStatement(upstream ident.Instance, id ident.Request, s upstreamlimit.Statement)
+// Announcements records what upstreams announce about themselves in their answers.
+type Announcements interface {
+	// Record records what an upstream's answer to a request announces.
+	Record(upstream ident.Instance, id ident.Request, s announced.Statement)
 }
 
 // Budget bounds the retries that all gateways together send to a service, as a share of
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -98,6 +98,10 @@
 	// DepartureDue bounds how long an upstream still gets new work after it
 	// announced its departure. Default 2s.
 	DepartureDue time.Duration `toml:"departure_due"`
+	// MaxPause bounds how long an upstream gets no requests because it asked for a
+	// pause: one that asks for a day by mistake gets a request after this time, whose
+	// answer shows whether it still wants none. Default 10m.
+	MaxPause time.Duration `toml:"max_pause"`
 }
 
 // Retries configures the retry budget, which limits the attempts that reach a
@@ -150,7 +154,7 @@
 	return Entry{
 		Machine:       Machine{MemoryMiB: 256, Descriptors: 1024, Cores: 1},
 		Stop:          EntryStop{Grace: 8 * time.Second},
-		Upstreams:     EntryUpstreams{DepartureDue: 2 * time.Second},
+		Upstreams:     EntryUpstreams{DepartureDue: 2 * time.Second, MaxPause: 10 * time.Minute},
 		Configuration: EntryConfiguration{ChangeDue: 2 * time.Second},
 		Retries:       Retries{Ratio: 0.2, Window: 10 * time.Second, Slack: 50},
 		Quota:         EntryQuota{Window: 10 * time.Second, Overage: 0.05},
@@ -190,6 +194,7 @@
 	s.Check(e.Stop.Grace >= time.Second, "stop.grace", "is too short", "1s or more")
 	s.Check(e.Configuration.ChangeDue >= time.Second, "configuration.change_due", "is too short", "1s or more: news of it are up to 0.6 of it old")
 	s.Check(e.Upstreams.DepartureDue >= time.Second, "upstreams.departure_due", "is too short", "1s or more: the view is up to 0.55 of it old")
+	s.Check(e.Upstreams.MaxPause >= time.Second, "upstreams.max_pause", "is too short", "1s or more: upstreams ask for seconds")
 	s.Check(e.Retries.Window > 0, "retries.window", "is zero", "more than 0")
 	s.Check(e.Retries.Ratio >= 0 && e.Retries.Slack >= 0, "retries.ratio", "or slack is negative", "0 or more")
 	s.Check(e.Quota.Window > 0, "quota.window", "is zero", "more than 0")
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -43,6 +43,13 @@
 	// requests received since.
 	limitAnnouncedAt time.Time
 	arrivals         []Arrival
+	// leaving is the text by which all answers announce that the worker leaves; empty for none.
+	leaving string
+	// told is what senders were told, by the result of senderOf, and lateArrivals are the
+	// requests that they sent all the same.
+	told         map[string]told
+	senderOf     func(*http.Request) string
+	lateArrivals []LateArrival
 }
 
 // New starts a worker that is stopped at the end of the test.
@@ -52,7 +59,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &Worker{ID: id, listener: listener, defaultAct: Answer(http.StatusOK, "fine"), runs: make(map[string]int), conns: make(map[net.Conn]bool)}
+	w := &Worker{ID: id, listener: listener, defaultAct: Answer(http.StatusOK, "fine"), runs: make(map[string]int), conns: make(map[net.Conn]bool), told: make(map[string]told)}
 	var work sync.WaitGroup
 	work.Go(func() { w.accept(&work) })
 	t.Cleanup(func() {
@@ -164,6 +171,7 @@
 	defer w.mu.Unlock()
 	w.requests = append(w.requests, r)
 	w.bodies = append(w.bodies, body)
+	w.recordLateArrival(r)
 	if !w.limitAnnouncedAt.IsZero() {
 		w.arrivals = append(w.arrivals, Arrival{ID: r.Header.Get(RequestID), At: time.Now()})
 	}
@@ -199,8 +207,8 @@
 // Head writes a status line, the headers that sign an answer as the worker's own, and
 // further header lines, each of which ends with CRLF.
 func (w *Writer) Head(status int, headerLines string) {
-	w.Raw(fmt.Sprintf("HTTP/1.1 %d X\r\nX-Request-Id: %s\r\nX-Response-Signature: sig-%s\r\nX-Instance-Id: %s\r\n%s%s\r\n",
-		status, w.request.Header.Get(RequestID), w.worker.ID, w.worker.ID, w.worker.limitHeader(), headerLines))
+	w.Raw(fmt.Sprintf("HTTP/1.1 %d X\r\nX-Request-Id: %s\r\nX-Response-Signature: sig-%s\r\nX-Instance-Id: %s\r\n%s%s%s\r\n",
+		status, w.request.Header.Get(RequestID), w.worker.ID, w.worker.ID, w.worker.limitHeader(), w.worker.leavingHeader(w.request), headerLines))
 }
 
 // Close closes the connection, with a TCP reset if reset is set.
