forward: only resumable streams are resumed after a cut

State.After returned Resume for an idempotent route of another kind whose answer was cut after a part was delivered. No caller could meet it: such answers are held until they are whole, so that they are never cut. Row in TestSteps, which failed before ('resume, want break').

--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -146,7 +146,8 @@
 // idempotent requests and resumable streams may run once more, at no more
 // upstreams than the route allows, and within the retry budget.
 func (s *State) afterPossibleRun(result Result, spend func() bool) Step {
-	again := (s.route.Repeatable() || s.route.Resumable) && s.possibleRuns < s.route.Attempts && spend()
+	mayRepeat := s.route.Resumable || s.route.Repeatable() && result != Cut
+	again := mayRepeat && s.possibleRuns < s.route.Attempts && spend()
 	switch {
 	case again && result == Cut:
 		return Resume
--- a/internal/forward/state_test.go
+++ b/internal/forward/state_test.go
@@ -94,6 +94,7 @@
 		{"a lookup is sent to two at the most", again, []Result{Broken, Broken}, yes, Fail},
 		{"a lookup that failed and cannot be sent again is told so", again, []Result{Failed}, no, Deliver},
 		{"a stream that broke off is broken off", stream, []Result{Cut}, yes, Break},
+		{"a lookup's answer of which a part was delivered is broken off", again, []Result{Cut}, yes, Break},
 		{"a resumable stream goes on", resume, []Result{Cut}, yes, Resume},
 		{"a resumable stream goes on once", resume, []Result{Cut, Cut}, yes, Break},
 		{"rejected by three, it is refused", again, []Result{Rejected, Rejected, Rejected}, yes, Refuse},
