An upstream that says in an answer that it leaves gets nothing more

What callers saw: requests went to an engine for up to 4.2 s (bound 2 s) after its answers had said that it leaves, through gateways that had passed such answers on; while the store was away, 21 in 8 s, as many as before.

Cause: the store's entry was the only source of an upstream's state. Nothing read what its answers say, and where the store does not answer nothing else could tell. Class: a belief with one source, though the one that it is about says otherwise on the same connection.

Ruled out as a cause of the two reports: word of other gateways (both gateways had heard it themselves). It is mended all the same, as it is what would be left.

Why this works: internal/announced holds what upstreams say of themselves, by incarnation, so that neither an entry, nor a listing, nor another gateway's view, nor a later answer lifts it, and a successor under the ID is not bound by it. Views of the directory show such an upstream as leaving, so that placement, scaling, roll-outs, homes and the judgement of an ended process follow without a line of their own. A request that was placed but not sent when the answer came goes elsewhere, for free. A rejection by an upstream that gets nothing more does not count as one of the three that end a request. Where all upstreams leave, requests are refused at once, to return when a replacement can have started.

--- a/internal/announced/registry.go
+++ b/internal/announced/registry.go
@@ -19,6 +19,9 @@
 	// gateways may report one of an upstream that has just started before it is listed here, and
 	// an entry that expired in an outage of the store may come back.
 	unlistedRetention = 15 * time.Second
+	// forgottenRetention is how long it is retained that an upstream was forgotten: longer than
+	// another gateway may report its statements.
+	forgottenRetention = time.Minute
 )
 
 // Config configures a registry. All fields are required.
@@ -27,8 +30,15 @@
 	Log hclog.Logger
 	// Limits keeps the rate limits.
 	Limits *upstreamlimit.Limiter
+	// Round is the interval between two messages to the same gateway.
+	Round time.Duration
 	// MaxPause bounds the pauses that upstreams ask for.
 	MaxPause time.Duration
+	// Listed reports whether an upstream is listed at this gateway.
+	Listed func(ident.Instance) bool
+	// OnLeaving is called when the registry has learned that upstreams leave, after which Leaving
+	// returns true for them. It may call the registry.
+	OnLeaving func([]ident.Instance)
 }
 
 // Registry holds what upstreams announced. It is safe for concurrent use.
@@ -38,16 +48,20 @@
 	mu sync.Mutex
 	// records are by the IDs of the upstreams' incarnations, so that a statement ends with the
 	// incarnation that made it.
-	records  map[ident.Instance]*record
-	counters Counters
+	records map[ident.Instance]*record
+	// forgottenAt says of upstreams without a known incarnation when they were forgotten, so that
+	// a statement of an earlier process is not taken for one of its successor.
+	forgottenAt map[ident.Instance]time.Time
+	counters    Counters
 	// unreadableLoggedAt is when an unreadable statement was last logged.
 	unreadableLoggedAt time.Time
 }
 
 // record holds what one upstream announced.
 type record struct {
-	// leavingAt is when an answer first announced that the upstream leaves; zero if none did.
-	leavingAt time.Time
+	// leavingAt is when an answer to any gateway first announced that the upstream leaves; zero if
+	// none did. learnedAt is when this gateway learned of it.
+	leavingAt, learnedAt time.Time
 	// pausedUntil is the latest end of the pauses that the upstream asked this gateway for.
 	pausedUntil time.Time
 	// listedAt is when the upstream was last listed.
@@ -60,9 +74,9 @@
 
 // Counters are totals since the start.
 type Counters struct {
-	// Leaving is the number of upstreams of which an answer received here announced first that
-	// they leave.
-	Leaving int
+	// Leaving is the number of upstreams that leave, as an answer received here announced first,
+	// and LeavingReported the number that another gateway reported first.
+	Leaving, LeavingReported int
 	// Pauses is the number of answers that asked for a pause, and Unreadable that of answers with
 	// a statement that could not be read.
 	Pauses, Unreadable int
@@ -70,27 +84,43 @@
 
 // NewRegistry returns a registry without statements.
 func NewRegistry(cfg Config) *Registry {
-	return &Registry{cfg: cfg, records: make(map[ident.Instance]*record)}
+	return &Registry{cfg: cfg, records: make(map[ident.Instance]*record), forgottenAt: make(map[ident.Instance]time.Time)}
 }
 
 // Record records what an upstream's answer to a request announces.
 func (r *Registry) Record(upstream ident.Instance, id ident.Request, s Statement) {
 	r.cfg.Limits.RecordStatement(upstream, id, s.Limit)
+	r.RecordTrailer(upstream, id, s)
+}
+
+// RecordTrailer is like Record for an answer's trailer, of which Statement.Limit is ignored: a
+// trailer without a limit does not mean that there is none.
+func (r *Registry) RecordTrailer(upstream ident.Instance, id ident.Request, s Statement) {
 	if !s.Leaving && s.Pause <= 0 && s.Problem == "" {
 		return
 	}
+	if r.recordAll(upstream, id, s) {
+		r.cfg.OnLeaving([]ident.Instance{upstream})
+	}
+}
+
+// recordAll records a statement and reports whether it is the first that the upstream leaves.
+func (r *Registry) recordAll(upstream ident.Instance, id ident.Request, s Statement) (leaves bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.cfg.Now()
 	if s.Problem != "" {
 		r.logUnreadable(upstream, id, s, now)
 	}
-	if s.Leaving {
-		r.recordLeaving(upstream, id, now)
-	}
 	if s.Pause > 0 {
 		r.recordPause(upstream, id, min(s.Pause, r.cfg.MaxPause), now)
 	}
+	if !s.Leaving || !r.recordLeaving(upstream, now, now) {
+		return false
+	}
+	r.counters.Leaving++
+	r.cfg.Log.Info("upstream announced that it leaves", "upstream", upstream, "id", id)
+	return true
 }
 
 // recordOf returns the record of an upstream, and adds one if there is none. r.mu must be held.
@@ -103,17 +133,29 @@
 	return rec
 }
 
-// recordLeaving records that an answer announced that its upstream leaves. r.mu must be held.
-func (r *Registry) recordLeaving(upstream ident.Instance, id ident.Request, now time.Time) {
+// recordLeaving records that an answer announced at the given time that its upstream leaves, and
+// reports whether that is new. r.mu must be held.
+func (r *Registry) recordLeaving(upstream ident.Instance, at, now time.Time) bool {
 	rec := r.recordOf(upstream, now)
 	if !rec.leavingAt.IsZero() {
-		return
+		return false
 	}
-	rec.leavingAt = now
-	r.counters.Leaving++
-	r.cfg.Log.Info("upstream announced that it leaves", "upstream", upstream, "id", id)
+	rec.leavingAt, rec.learnedAt = at, now
+	return true
 }
 
+// Leaving reports whether an upstream announced that it leaves. Nothing takes that back: an answer
+// without the statement may be older than one with it.
+func (r *Registry) Leaving(upstream ident.Instance) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rec := r.records[upstream]
+	return rec != nil && !rec.leavingAt.IsZero()
+}
+
+// Accepts reports whether an upstream takes requests from this gateway.
+func (r *Registry) Accepts(upstream ident.Instance) bool { return !r.Leaving(upstream) }
+
 // recordPause records that an answer asked this gateway for a pause. The latest end counts: an
 // answer that asks for less may be older than one that asked for more. r.mu must be held.
 func (r *Registry) recordPause(upstream ident.Instance, id ident.Request, pause time.Duration, now time.Time) {
@@ -157,7 +199,7 @@
 	r.cfg.Limits.UpdateListed(each)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.records) == 0 {
+	if len(r.records) == 0 && len(r.forgottenAt) == 0 {
 		return
 	}
 	now := r.cfg.Now()
@@ -166,6 +208,11 @@
 			rec.listedAt = now
 		}
 	})
+	for upstream, at := range r.forgottenAt {
+		if now.Sub(at) > forgottenRetention {
+			delete(r.forgottenAt, upstream)
+		}
+	}
 	for upstream, rec := range r.records {
 		paused := now.Sub(rec.pausedUntil) < unlistedRetention
 		if now.Sub(rec.listedAt) > unlistedRetention || rec.leavingAt.IsZero() && !paused {
@@ -173,3 +220,12 @@
 		}
 	}
 }
+
+// Forget forgets what an upstream announced whose entry is gone and named no incarnation: the next
+// process under its ID cannot be told from it.
+func (r *Registry) Forget(upstream ident.Instance) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.records, upstream)
+	r.forgottenAt[upstream] = r.cfg.Now()
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -110,6 +110,9 @@
 	storeAway   bool
 	views       viewBuilder
 	changes     changeLog
+	// announcedLeaving reports whether an upstream announced in an answer that it leaves; nil if
+	// entries alone tell.
+	announcedLeaving func(ident.Instance) bool
 }
 
 // New returns an empty directory that knows no records.
@@ -117,6 +120,23 @@
 	return &Directory{entries: make(map[ident.Instance]*Entry), views: newViewBuilder()}
 }
 
+// UseAnnouncements sets the function that reports whether an upstream announced in an answer that
+// it leaves, whatever its entry says. Views show it as leaving. AnnouncedLeaving must be called
+// when the function's result changes.
+func (d *Directory) UseAnnouncements(leaving func(ident.Instance) bool) { d.announcedLeaving = leaving }
+
+// AnnouncedLeaving makes the next view show upstreams as leaving that have announced it, and
+// reports whether any of them is listed as ready.
+func (d *Directory) AnnouncedLeaving(ids []ident.Instance) (changed bool) {
+	for _, id := range ids {
+		if u, listed := d.views.newest.Upstream(id); listed && u.State == Ready {
+			d.views.changed[u.Name] = true
+			changed = true
+		}
+	}
+	return changed
+}
+
 // set replaces an entry, and records the change for views and updates.
 func (d *Directory) set(name ident.Instance, next *Entry) {
 	known := d.entries[name]
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -137,7 +137,7 @@
 		if !entry.Present {
 			b.inGrace[name] = true
 		}
-		editOf(edits, entry.Upstream.Service).add(entry.Upstream)
+		editOf(edits, entry.Upstream.Service).add(d.withAnnounced(entry.Upstream))
 		b.listed[name] = viewKey{entry.Upstream.ID, entry.Upstream.Service}
 	}
 	clear(b.changed)
@@ -145,6 +145,14 @@
 	return b.newest
 }
 
+// withAnnounced returns an upstream as the view shows it: leaving, if it announced that itself.
+func (d *Directory) withAnnounced(u Upstream) Upstream {
+	if d.announcedLeaving != nil && d.announcedLeaving(u.ID) {
+		u.State = Leaving
+	}
+	return u
+}
+
 // with returns a view with edits applied. Services without edits share their list with this
 // view.
 func (v *View) with(edits map[ident.Service]*edit) *View {
--- a/internal/directory/view_test.go
+++ b/internal/directory/view_test.go
@@ -139,3 +139,56 @@
 		}
 	}
 }
+
+// Guards against an entry, a listing or another gateway's update that brings an upstream back which
+// announced in an answer that it leaves, and against a later incarnation that counts as leaving.
+func TestViewsShowAnnouncedDepartures(t *testing.T) {
+	d := New()
+	announced := make(map[ident.Instance]bool)
+	d.UseAnnouncements(func(id ident.Instance) bool { return announced[id] })
+	stateOf := func(id ident.Instance) State {
+		u, _ := d.Snapshot(start).Upstream(id)
+		return u.State
+	}
+	first := ready("u1")
+	first.ID, first.Name, first.Born = "u1/a", "u1", 1
+	d.Apply("u1", 1, first, start)
+	d.Apply("u2", 2, ready("u2"), start)
+	if stateOf("u1/a") != Ready {
+		t.Error("u1 has announced nothing yet")
+	}
+	announced["u1/a"] = true
+	if !d.AnnouncedLeaving([]ident.Instance{"u1/a", "unknown"}) || d.AnnouncedLeaving(nil) {
+		t.Error("the view must change for u1 alone")
+	}
+	for _, step := range []struct {
+		name string
+		do   func()
+	}{
+		{"nothing", func() {}},
+		{"a renewal", func() { d.Apply("u1", 3, first, start) }},
+		{"a listing", func() { d.ApplyListing(map[ident.Instance]bool{"u1": true, "u2": true}, 4, start) }},
+		{"an update", func() {
+			d.ApplyUpdate(Update{UpTo: 6, Records: []Record{{Name: "u1", Offset: 5, Upstream: first}}}, start)
+		}},
+		{"more slots", func() {
+			more := *first
+			more.Slots++
+			d.Apply("u1", 7, &more, start)
+		}},
+	} {
+		step.do()
+		if stateOf("u1/a") != Leaving || stateOf("u2") != Ready {
+			t.Errorf("after %s u1 is in state %d and u2 in %d", step.name, stateOf("u1/a"), stateOf("u2"))
+		}
+	}
+	if d.AnnouncedLeaving([]ident.Instance{"u1/a"}) {
+		t.Error("the view changes again for what it shows already")
+	}
+	second := *first
+	second.ID, second.Born = "u1/b", 2
+	d.Apply("u1", 20, &second, start)
+	if stateOf("u1/b") != Ready {
+		t.Error("the later incarnation counts as leaving")
+	}
+}
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/directory"
+	"github.com/goldcrestspool/goldcrestspool/internal/gossip"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/upstreamlimit"
 )
@@ -42,12 +43,13 @@
 	})
 }
 
-// applyLimits merges the rate limits of upstreams that another gateway reported as of the
-// given time. A zero time means that it is unknown, and counts as now: the report was in
-// transit for less time than gateways need to learn of each other.
-func (p *Process) applyLimits(limits []upstreamlimit.LimitReport, asOf time.Time) {
+// applyAnnounced merges what another gateway reported of upstreams' announcements as of the given
+// time. A zero time means that it is unknown, and counts as now: the report was in transit for
+// less time than gateways need to learn of each other.
+func (p *Process) applyAnnounced(r *gossip.Report, asOf time.Time) {
 	if asOf.IsZero() {
 		asOf = p.now()
 	}
-	p.limits.MergeLimitReports(limits, asOf)
+	p.limits.MergeLimitReports(r.Limits, asOf)
+	p.announced.MergeLeaving(r.UpstreamsLeaving, asOf)
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -159,6 +159,7 @@
 	r.Poison = p.poison.Report()
 	r.Limits = p.limits.LimitReports()
 	r.LimitSet = p.limits.LimitedSet().Hash
+	r.UpstreamsLeaving = p.announced.LeavingReports()
 	return r
 }
 
@@ -218,7 +219,7 @@
 	// The orders in the report are applied before what it confirms, so that this gateway
 	// doesn't count its knowledge of the operators' records as complete without them.
 	k.p.rollouts.Merge(r.Rollouts)
-	k.p.applyLimits(r.Limits, asOf)
+	k.p.applyAnnounced(r, asOf)
 	// An old report confirms nothing, but it may still announce a newer revision.
 	k.p.configuration.confirmFromPeer(r.Revision, asOf.Add(-r.RevisionAge))
 	k.p.upstreams.confirmFromPeer(r.UpstreamsOffset, asOf.Add(-r.UpstreamsAge))
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -132,10 +132,15 @@
 		Now: p.now, Log: p.log.Named("limits"), Key: key, Round: gossip.Interval, Seed: uint64(p.incarnation),
 	})
 	p.announced = announced.NewRegistry(announced.Config{
-		Now: p.now, Log: p.log.Named("announced"), Limits: p.limits, MaxPause: s.Upstreams.MaxPause,
+		Now: p.now, Log: p.log.Named("announced"), Limits: p.limits, Round: gossip.Interval, MaxPause: s.Upstreams.MaxPause,
+		Listed: func(id ident.Instance) bool {
+			_, listed := p.board.upstreams.Value().Upstream(id)
+			return listed
+		},
+		OnLeaving: func(ids []ident.Instance) { p.upstreams.recordLeaving(ids) },
 	})
 	p.configuration = newConfigFollower(p.ports, p.board, p.rollouts, p.now, p.storeRank, s.Configuration.ChangeDue, p.log.Named("configuration"))
-	p.upstreams = newUpstreamsFollower(p.ports, p.board, p.rollouts, p.pool, p.now, p.storeRank, s.Upstreams.DepartureDue, p.log.Named("upstreams"))
+	p.upstreams = newUpstreamsFollower(p.ports, p.board, p.announced, p.rollouts, p.pool, p.now, p.storeRank, s.Upstreams.DepartureDue, p.log.Named("upstreams"))
 	p.gossip = gossip.New(gossip.Config{
 		Self: p.contact(), Incarnation: p.incarnation, Table: p.peers, Knowledge: knowledge{p},
 		Network: gossip.HTTPNetwork{Pool: p.pool}, Now: p.now, Log: p.log.Named("gossip"),
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/announced"
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
 	"github.com/goldcrestspool/goldcrestspool/internal/directory"
 	"github.com/goldcrestspool/goldcrestspool/internal/finding"
@@ -59,6 +60,8 @@
 type upstreamsFollower struct {
 	ports Ports
 	board *board
+	// announced tells what upstreams announced in their answers.
+	announced *announced.Registry
 	// rollouts observes each view before it is published.
 	rollouts *rollout.Tracker
 	pool     *httpconn.Pool
@@ -83,10 +86,12 @@
 	loggedUnusable, loggedUnknownService onceByKey
 }
 
-func newUpstreamsFollower(ports Ports, b *board, rollouts *rollout.Tracker, pool *httpconn.Pool, now boottime.Clock, rank func() int, due time.Duration, log hclog.Logger) *upstreamsFollower {
+func newUpstreamsFollower(ports Ports, b *board, announcements *announced.Registry, rollouts *rollout.Tracker, pool *httpconn.Pool, now boottime.Clock, rank func() int, due time.Duration, log hclog.Logger) *upstreamsFollower {
+	dir := directory.New()
+	dir.UseAnnouncements(announcements.Leaving)
 	return &upstreamsFollower{
-		ports: ports, board: b, rollouts: rollouts, pool: pool, now: now, rank: rank, due: due, log: log, health: storeHealth{log: log, topic: ports.UpstreamsTopic},
-		dir: directory.New(),
+		ports: ports, board: b, announced: announcements, rollouts: rollouts, pool: pool, now: now, rank: rank, due: due, log: log, health: storeHealth{log: log, topic: ports.UpstreamsTopic},
+		dir: dir,
 	}
 }
 
@@ -309,6 +314,20 @@
 	u.board.upstreams.Publish(view)
 	for _, id := range old.MissingFrom(view) {
 		u.pool.Forget(id)
+		if gone, listed := old.Upstream(id); listed && gone.Born == 0 {
+			u.announced.Forget(id)
+		}
+	}
+}
+
+// recordLeaving publishes a view in which upstreams leave that have announced it, and closes the
+// idle connections to them.
+func (u *upstreamsFollower) recordLeaving(ids []ident.Instance) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.publish(u.dir.AnnouncedLeaving(ids))
+	for _, id := range ids {
+		u.pool.CloseIdle(id)
 	}
 }
 
--- a/internal/entry/upstreams_test.go
+++ b/internal/entry/upstreams_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/announced"
 	"github.com/goldcrestspool/goldcrestspool/internal/directory"
 	"github.com/goldcrestspool/goldcrestspool/internal/finding"
 	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
@@ -42,7 +43,7 @@
 	}
 	b := newBoard()
 	tracker := rollout.New(rollout.Config{Now: clock, Log: hclog.NewNullLogger(), OrdersKnown: clock, Gateways: func() int { return 1 }})
-	u := newUpstreamsFollower(ports, b, tracker, nil, clock, func() int { return 0 }, 3*time.Second, hclog.NewNullLogger())
+	u := newUpstreamsFollower(ports, b, announced.NewRegistry(announced.Config{Now: clock}), tracker, nil, clock, func() int { return 0 }, 3*time.Second, hclog.NewNullLogger())
 	if err := u.read(t.Context()); err == nil {
 		t.Fatal("the listing ended without an error")
 	}
@@ -61,7 +62,7 @@
 	clock := func() time.Time { return now }
 	var log bytes.Buffer
 	tracker := rollout.New(rollout.Config{Now: clock, Log: hclog.NewNullLogger(), OrdersKnown: clock, Gateways: func() int { return 1 }})
-	u := newUpstreamsFollower(Ports{}, newBoard(), tracker, httpconn.NewPool(clock), clock, func() int { return 0 }, 3*time.Second, hclog.New(&hclog.LoggerOptions{Output: &log}))
+	u := newUpstreamsFollower(Ports{}, newBoard(), announced.NewRegistry(announced.Config{Now: clock}), tracker, httpconn.NewPool(clock), clock, func() int { return 0 }, 3*time.Second, hclog.New(&hclog.LoggerOptions{Output: &log}))
 	update := directory.Update{UpTo: 4000}
 	for i := range 3000 {
 		up := directory.Upstream{ID: ident.Instance(fmt.Sprint("u", i)), Service: "svc", State: directory.Ready}
--- /dev/null
+++ b/internal/forward/announced_test.go
@@ -0,0 +1,144 @@
+package forward
+
+import (
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/announced"
+	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/poison"
+	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/worker"
+)
+
+// inOrder is a Placement that chooses upstreams in a fixed order, and records how attempts end.
+type inOrder struct {
+	workers []*worker.Worker
+	results []Result
+}
+
+func (p *inOrder) Choose(_ *Call, exclude []ident.Instance, _ time.Time) (Choice, bool) {
+	for _, w := range p.workers {
+		if id := ident.Instance(w.ID); !slices.Contains(exclude, id) {
+			return Choice{Upstream: id, Name: id, Address: w.Address()}, true
+		}
+	}
+	return Choice{}, false
+}
+
+func (p *inOrder) FirstEventArrived(Choice, time.Time) {}
+func (p *inOrder) UpstreamEnded(Choice) bool           { return false }
+func (p *inOrder) Finished(_ Choice, result Result, _ time.Time) {
+	p.results = append(p.results, result)
+}
+
+// announcements are what the upstreams in the set have announced: that they take no requests.
+type announcements map[ident.Instance]bool
+
+func (a announcements) Record(id ident.Instance, _ ident.Request, s announced.Statement) {
+	a[id] = a[id] || s.Leaving
+}
+
+func (a announcements) RecordTrailer(id ident.Instance, r ident.Request, s announced.Statement) {
+	a.Record(id, r, s)
+}
+func (a announcements) Accepts(id ident.Instance) bool { return !a[id] }
+
+// noGuard is a Guard that knows no request.
+type noGuard struct{ Guard }
+
+func (noGuard) KnowsNone() bool { return true }
+func (noGuard) Admit(ident.ContentHash, time.Duration) poison.Decision {
+	return poison.Decision{Step: poison.Send}
+}
+
+// limitedRetries is a Budget of a number of retries.
+type limitedRetries struct{ left int }
+
+func (*limitedRetries) RecordFirstAttempt(ident.Service, time.Time) {}
+func (b *limitedRetries) Spend(ident.Service, time.Time) bool {
+	b.left--
+	return b.left >= 0
+}
+
+// testDialect reads "Leaving" and "Not-Run" headers.
+type testDialect struct{}
+
+func (testDialect) Request(call *Call, _ Attempt) *httpconn.Request {
+	return &httpconn.Request{Method: call.Method, URI: call.URI, Host: "h", Header: call.Header}
+}
+
+func (testDialect) ParseAnswer(_ int, h http.Header) AnswerInfo {
+	return AnswerInfo{NotRun: h.Get("X-Not-Executed") != "", Signed: true, Announced: announced.Statement{Leaving: h.Get("Server-Leaving") != ""}}
+}
+func (testDialect) ParseTrailer(http.Header) announced.Statement { return announced.Statement{} }
+
+// recordingCaller records how the call ended.
+type recordingCaller struct{ status int }
+
+func (c *recordingCaller) Answer(status int, _ http.Header, _ []byte) { c.status = status }
+func (c *recordingCaller) Begin(status int, _ http.Header)            { c.status = status }
+func (c *recordingCaller) Part([]byte) error                          { return nil }
+func (c *recordingCaller) End()                                       {}
+func (c *recordingCaller) Break()                                     {}
+func (c *recordingCaller) Refuse(string, time.Duration)               { c.status = http.StatusServiceUnavailable }
+func (c *recordingCaller) Fail(string)                                { c.status = http.StatusBadGateway }
+func (c *recordingCaller) TimeOut()                                   { c.status = http.StatusGatewayTimeout }
+
+type noMeter struct{}
+
+func (noMeter) CountStarted(ident.ClientAccount) {}
+
+// serveOnce serves a call that must not be repeated, and returns the status and the outcome.
+func serveOnce(t *testing.T, p *inOrder, a announcements, retries int) (int, Outcome) {
+	t.Helper()
+	route := &routetable.Route{Kind: routetable.NonIdempotent, Attempts: 1, Objective: 100 * time.Millisecond}
+	now := time.Now()
+	call := &Call{ID: "r", Route: route, Service: &routetable.Service{Name: "svc"}, Method: "POST", URI: "/x", Header: http.Header{"X-Request-Id": {"r"}}, Received: now, Expires: now.Add(10 * time.Second)}
+	caller := &recordingCaller{}
+	f := New(Config{
+		Now: time.Now, Pool: httpconn.NewPool(time.Now), Dialect: testDialect{}, Placement: p, Budget: &limitedRetries{left: retries}, Guard: noGuard{},
+		Announcements: a, Meter: noMeter{}, Log: hclog.NewNullLogger(), Tracer: noop.NewTracerProvider().Tracer(""), RetryAfter: func(*Call) time.Duration { return time.Second },
+	})
+	outcome := f.Serve(t.Context(), call, caller)
+	return caller.status, outcome
+}
+
+// Guards against a request that is sent although its upstream has announced since the choice that it
+// takes none, and against one that pays for the change out of the retry budget.
+func TestNothingIsSentAfterAnUpstreamHasWithdrawn(t *testing.T) {
+	p := &inOrder{workers: []*worker.Worker{worker.New(t, "u0"), worker.New(t, "u1")}}
+	status, outcome := serveOnce(t, p, announcements{"u0": true}, 0)
+	if requests, _ := p.workers[0].Requests(); len(requests) > 0 {
+		t.Error("the request was sent to the upstream that takes none")
+	}
+	if status != http.StatusOK || !slices.Equal(p.results, []Result{Withdrawn, Done}) {
+		t.Errorf("status %d, results %v, outcome %+v", status, p.results, outcome)
+	}
+}
+
+// Guards against a refusal after three rejections where each came from an upstream that gets no more
+// requests, and another has room.
+func TestUpstreamsThatDeclineDoNotEndACall(t *testing.T) {
+	p := &inOrder{}
+	for _, id := range []string{"u0", "u1", "u2", "u3", "u4"} {
+		w := worker.New(t, id)
+		w.SetLeaving("1")
+		w.SetDefaultAct(worker.Reject(http.StatusServiceUnavailable))
+		p.workers = append(p.workers, w)
+	}
+	p.workers = append(p.workers, worker.New(t, "u5"))
+	if status, outcome := serveOnce(t, p, announcements{}, 5); status != http.StatusOK || outcome.Attempts != 6 {
+		t.Errorf("status %d after %d attempts", status, outcome.Attempts)
+	}
+	p.results = nil
+	if status, _ := serveOnce(t, p, announcements{}, 4); status != http.StatusServiceUnavailable || p.results[0] != Declined {
+		t.Errorf("without a retry budget: status %d, results %v", status, p.results)
+	}
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -37,6 +38,9 @@
 var (
 	// errExpired cancels a call whose deadline passed.
 	errExpired = errors.New("the request's time is over")
+	// errWithdrawn keeps a request from being sent to an upstream that has announced meanwhile
+	// that it takes none.
+	errWithdrawn = errors.New("the upstream announced that it takes no requests")
 	// errSilent cancels an attempt at an upstream that was silent for too long.
 	errSilent = errors.New("the upstream is silent")
 )
@@ -108,9 +112,9 @@
 	buffered *bufferedAnswer
 	// reason is why the last failed attempt failed, or why no further one is made.
 	reason string
-	// onlyLimits: the last choice found no upstream only because of the rate limits that
-	// upstreams announced.
-	onlyLimits bool
+	// noChoice is why the last choice found no upstream, if waiting would not help; empty if it
+	// might.
+	noChoice string
 	// upstreamCrashed: an upstream crashed while it had the call. The timer of an attempt
 	// reads it too.
 	upstreamCrashed atomic.Bool
@@ -175,10 +179,7 @@
 func (s *session) endWithoutUpstream() Step {
 	switch context.Cause(s.ctx) {
 	case nil:
-		s.reason = "no upstream takes work"
-		if s.onlyLimits {
-			s.reason = "all upstreams are at the limits that they named"
-		}
+		s.reason = cmp.Or(s.noChoice, "no upstream takes work")
 	case errExpired:
 		if !s.state.MayHaveRun() {
 			s.reason = "its time was over before an upstream took it"
@@ -214,14 +215,26 @@
 		if len(choice.AtLimit) > 0 {
 			s.outcome.AtLimit = choice.AtLimit
 		}
-		s.onlyLimits = choice.OnlyLimits
-		if found || choice.OnlyLimits || !now.Before(waitUntil) || s.ctx.Err() != nil {
+		s.noChoice = whyNoChoice(&choice)
+		if found || s.noChoice != "" || !now.Before(waitUntil) || s.ctx.Err() != nil {
 			return choice, found && s.ctx.Err() == nil
 		}
 		sleep.For(s.ctx, waitInterval) // the loop checks whether the call has ended
 	}
 }
 
+// whyNoChoice returns why no upstream was found, if none will be found by waiting; else an empty
+// string.
+func whyNoChoice(choice *Choice) string {
+	switch {
+	case choice.OnlyLimits:
+		return "all upstreams are at the limits that they named"
+	case choice.AllLeave:
+		return "all upstreams leave"
+	}
+	return ""
+}
+
 // attempt makes one attempt at an upstream: it runs the exchange, and records the attempt
 // with the retry budget, the guard and the trace.
 func (s *session) attempt(choice Choice) Result {
@@ -254,9 +267,17 @@
 // exchange sends the call to an upstream and reads its answer. The events of a stream are
 // delivered as they arrive.
 func (s *session) exchange(ctx context.Context, choice Choice, target httpconn.Target, silence *silenceTimer) Result {
-	answer, failure := s.f.cfg.Pool.Send(ctx, target, s.f.cfg.Dialect.Request(s.call, Attempt{
+	request := s.f.cfg.Dialect.Request(s.call, Attempt{
 		Upstream: choice.Name, TimeLeft: s.call.Remaining(s.f.cfg.Now()), LastEventID: s.lastEvent,
-	}))
+	})
+	// Another request's answer may have arrived since the choice, while a connection was dialed.
+	request.BeforeSend = func() error {
+		if !s.f.cfg.Announcements.Accepts(choice.Upstream) {
+			return errWithdrawn
+		}
+		return nil
+	}
+	answer, failure := s.f.cfg.Pool.Send(ctx, target, request)
 	if failure != nil {
 		if countsAsStarted(failure) {
 			s.countForUsage()
@@ -281,6 +302,9 @@
 func (s *session) resultOfFailure(choice Choice, failure *httpconn.Failure) Result {
 	s.reason = failure.Error()
 	ended := s.callEnded()
+	if errors.Is(failure, errWithdrawn) && ended != CallerGone {
+		return Withdrawn
+	}
 	if !failure.MaybeSent && ended != CallerGone {
 		return NoConnection
 	}
@@ -322,7 +346,10 @@
 	if info.NotRun {
 		s.reason = "status " + http.StatusText(answer.Status)
 		s.drainRejection(answer)
-		return Rejected
+		if info.FromOtherUpstream || s.f.cfg.Announcements.Accepts(choice.Upstream) {
+			return Rejected
+		}
+		return Declined
 	}
 	// Any other answer means that the request began to run, whether or not it is delivered.
 	s.countForUsage()
@@ -337,6 +364,14 @@
 	return s.readWhole(choice, answer, info)
 }
 
+// recordTrailer records what the trailer of an answer that was read to its end announces. An
+// upstream that began to leave during a long answer can only say so there.
+func (s *session) recordTrailer(choice Choice, answer *httpconn.Answer) {
+	if trailer := answer.Trailer(); len(trailer) > 0 {
+		s.f.cfg.Announcements.RecordTrailer(choice.Upstream, s.call.ID, s.f.cfg.Dialect.ParseTrailer(trailer))
+	}
+}
+
 // drainRejection reads the rest of a rejection, so that its connection can be reused.
 func (s *session) drainRejection(answer *httpconn.Answer) {
 	if _, err := io.Copy(io.Discard, io.LimitReader(answer, maxBufferedBytes)); err != nil {
@@ -352,6 +387,7 @@
 		s.reason = err.Error()
 		return s.callEndedOr(Broken)
 	}
+	s.recordTrailer(choice, answer)
 	if len(body) > maxBufferedBytes {
 		s.reason = "the answer is too long to be held"
 		return Broken
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -17,8 +17,14 @@
 const (
 	// NoConnection: no connection to the upstream was made, and nothing was sent.
 	NoConnection Result = iota + 1
+	// Withdrawn: before anything was sent, the upstream announced that it takes no requests from
+	// this gateway.
+	Withdrawn
 	// Rejected: the upstream answered that it did not run the request.
 	Rejected
+	// Declined is like Rejected, and the upstream announced that it takes no requests from this
+	// gateway.
+	Declined
 	// Failed: the upstream ran the request and answered with an error.
 	Failed
 	// Broken: the request was sent, but no valid answer was received. It may have run.
@@ -34,7 +40,7 @@
 )
 
 var resultNames = map[Result]string{
-	NoConnection: "no_connection", Rejected: "rejected", Failed: "failed", Broken: "broken",
+	NoConnection: "no_connection", Withdrawn: "withdrawn", Rejected: "rejected", Declined: "declined", Failed: "failed", Broken: "broken",
 	Cut: "cut", Done: "done", Expired: "expired", CallerGone: "caller_gone",
 }
 
@@ -117,10 +123,12 @@
 	case Expired:
 		s.possibleRuns++
 		return TimeOut
-	case NoConnection:
+	case NoConnection, Withdrawn:
 		return s.afterNoConnection()
 	case Rejected:
 		return s.afterRejection(spend)
+	case Declined:
+		return s.afterDeclined(spend)
 	}
 	s.possibleRuns++
 	return s.afterPossibleRun(result, spend)
@@ -142,6 +150,16 @@
 	return s.GiveUp()
 }
 
+// afterDeclined decides after a rejection by an upstream that gets no more requests for now. It
+// does not count towards maxRejections: other upstreams may well have room, and each that has none
+// drops out after one request.
+func (s *State) afterDeclined(spend func() bool) Step {
+	if spend() {
+		return TryAnother
+	}
+	return s.GiveUp()
+}
+
 // afterPossibleRun decides after an attempt in which the request may have run. Only
 // idempotent requests and resumable streams may run once more, at no more
 // upstreams than the route allows, and within the retry budget.
--- a/internal/forward/state_test.go
+++ b/internal/forward/state_test.go
@@ -30,7 +30,7 @@
 		s := NewState(route)
 		ran, spent, delivered := 0, 0, false
 		for i := range 50 {
-			result := rapid.SampledFrom([]Result{NoConnection, Rejected, Failed, Broken, Cut, Done, Expired, CallerGone}).Draw(t, "result")
+			result := rapid.SampledFrom([]Result{NoConnection, Withdrawn, Rejected, Declined, Failed, Broken, Cut, Done, Expired, CallerGone}).Draw(t, "result")
 			if delivered && (result == Broken || result == Failed) {
 				result = Cut
 			}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -81,6 +81,7 @@
 			scanner.discard(len(events))
 		}
 		if err == io.EOF {
+			s.recordTrailer(choice, answer)
 			return s.streamEnd(answer, &scanner)
 		}
 		if err != nil {
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -90,6 +90,8 @@
 	Request(call *Call, attempt Attempt) *httpconn.Request
 	// ParseAnswer interprets the status and header of an answer.
 	ParseAnswer(status int, header http.Header) AnswerInfo
+	// ParseTrailer interprets the trailer of an answer.
+	ParseTrailer(trailer http.Header) announced.Statement
 }
 
 // Choice is the upstream chosen for an attempt, with the slot reserved there.
@@ -111,6 +113,8 @@
 	AtLimit []ident.Instance
 	// OnlyLimits: no upstream was found, and only rate limits prevented it.
 	OnlyLimits bool
+	// AllLeave: no upstream was found, because all that are known leave.
+	AllLeave bool
 	// Reservation is the reserved slot, which Placement.Finished releases.
 	Reservation any
 }
@@ -153,6 +157,10 @@
 type Announcements interface {
 	// Record records what an upstream's answer to a request announces.
 	Record(upstream ident.Instance, id ident.Request, s announced.Statement)
+	// RecordTrailer does so for an answer's trailer, whose header was recorded before.
+	RecordTrailer(upstream ident.Instance, id ident.Request, s announced.Statement)
+	// Accepts reports whether an upstream takes requests from this gateway, by what it announced.
+	Accepts(upstream ident.Instance) bool
 }
 
 // Budget bounds the retries that all gateways together send to a service, as a share of
--- a/internal/gossip/codec_test.go
+++ b/internal/gossip/codec_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	exchangev1 "github.com/goldcrestspool/goldcrestspool/api/exchange/v1"
+	"github.com/goldcrestspool/goldcrestspool/internal/announced"
 	"github.com/goldcrestspool/goldcrestspool/internal/directory"
 	"github.com/goldcrestspool/goldcrestspool/internal/enginemodel"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
@@ -42,8 +43,9 @@
 		Limits: []upstreamlimit.LimitReport{
 			{Upstream: 7, Limited: true, Rate: 0.5, Age: 40 * time.Millisecond}, {Upstream: 8, Limited: true}, {Upstream: 1 << 31, Age: time.Second},
 		},
-		LimitUses: upstreamlimit.Uses{7: {Demand: 12.5, Sent: 2}, 1 << 31: {Demand: 0.125}},
-		LimitSet:  1 << 31,
+		LimitUses:        upstreamlimit.Uses{7: {Demand: 12.5, Sent: 2}, 1 << 31: {Demand: 0.125}},
+		LimitSet:         1 << 31,
+		UpstreamsLeaving: []announced.LeavingReport{{Upstream: "u1/5", Age: 40 * time.Millisecond}, {Upstream: "u2"}},
 	}
 }
 
@@ -160,25 +162,27 @@
 		"too few positions": func(m *exchangev1.Message) {
 			m.Others = &exchangev1.Sum{Source: "s", LimitUses: &exchangev1.LimitUses{LimitSet: 5, Positions: []uint32{1}, Asked: []uint32{1, 2}, Sent: []uint32{1, 2}}}
 		},
-		"uses without figures":        func(m *exchangev1.Message) { m.From.LimitUses.Sent = nil },
-		"uses of billions":            func(m *exchangev1.Message) { m.From.LimitUses.Asked[0] = ^uint32(0) },
-		"an age of a year":            func(m *exchangev1.Message) { m.From.UpstreamsAgeMs = 365 * 86_400_000 },
-		"a negative age":              func(m *exchangev1.Message) { m.From.RevisionAgeMs = ^uint64(0) },
-		"a negative load":             func(m *exchangev1.Message) { m.From.Loads.Running[0] = ^uint32(0) },
-		"loads without figures":       func(m *exchangev1.Message) { m.From.Loads.Running = nil },
-		"too few counts":              func(m *exchangev1.Message) { m.From.Began.Windows = []int64{1, 2} },
-		"a negative count":            func(m *exchangev1.Message) { m.From.Began.Accounts[0].Counts[0] = ^uint64(0) },
-		"a rate that is no number":    func(m *exchangev1.Message) { m.From.Work[0].PromptTokensPerS = float32(nan()) },
-		"a negative rate":             func(m *exchangev1.Message) { m.From.Work[0].Generating = -1 },
-		"sums of too few figures":     func(m *exchangev1.Message) { m.From.Work[0].Engines = m.From.Work[0].Engines[1:] },
-		"sums that are no numbers":    func(m *exchangev1.Message) { m.From.Work[0].Engines[0] = float32(nan()) },
-		"a machine of a million":      func(m *exchangev1.Message) { m.From.MilliCores = 1_000_000_000 },
-		"a sum of nobody":             func(m *exchangev1.Message) { m.Others = &exchangev1.Sum{} },
-		"a sum of very many gateways": func(m *exchangev1.Message) { m.Domain = &exchangev1.Sum{Source: "a/1", Heard: 1 << 30} },
-		"an end under nothing":        func(m *exchangev1.Message) { m.From.Poison.Crashes[0].Marks[0] = 7 },
-		"a verdict of nothing":        func(m *exchangev1.Message) { m.From.Poison.Verdicts[0].Content = 0 },
-		"an end of a year ago":        func(m *exchangev1.Message) { m.From.Poison.Crashes[0].AgeMs = 365 * 86_400_000 },
-		"a gateway without a name":    func(m *exchangev1.Message) { m.Contacts = []*exchangev1.Contact{{Address: "b:1"}} },
+		"uses without figures":             func(m *exchangev1.Message) { m.From.LimitUses.Sent = nil },
+		"uses of billions":                 func(m *exchangev1.Message) { m.From.LimitUses.Asked[0] = ^uint32(0) },
+		"an age of a year":                 func(m *exchangev1.Message) { m.From.UpstreamsAgeMs = 365 * 86_400_000 },
+		"a negative age":                   func(m *exchangev1.Message) { m.From.RevisionAgeMs = ^uint64(0) },
+		"a negative load":                  func(m *exchangev1.Message) { m.From.Loads.Running[0] = ^uint32(0) },
+		"loads without figures":            func(m *exchangev1.Message) { m.From.Loads.Running = nil },
+		"too few counts":                   func(m *exchangev1.Message) { m.From.Began.Windows = []int64{1, 2} },
+		"a negative count":                 func(m *exchangev1.Message) { m.From.Began.Accounts[0].Counts[0] = ^uint64(0) },
+		"a rate that is no number":         func(m *exchangev1.Message) { m.From.Work[0].PromptTokensPerS = float32(nan()) },
+		"a negative rate":                  func(m *exchangev1.Message) { m.From.Work[0].Generating = -1 },
+		"sums of too few figures":          func(m *exchangev1.Message) { m.From.Work[0].Engines = m.From.Work[0].Engines[1:] },
+		"sums that are no numbers":         func(m *exchangev1.Message) { m.From.Work[0].Engines[0] = float32(nan()) },
+		"a machine of a million":           func(m *exchangev1.Message) { m.From.MilliCores = 1_000_000_000 },
+		"a sum of nobody":                  func(m *exchangev1.Message) { m.Others = &exchangev1.Sum{} },
+		"a sum of very many gateways":      func(m *exchangev1.Message) { m.Domain = &exchangev1.Sum{Source: "a/1", Heard: 1 << 30} },
+		"a leaving upstream without an ID": func(m *exchangev1.Message) { m.From.UpstreamsLeaving[0].Id = "" },
+		"leaving since a year":             func(m *exchangev1.Message) { m.From.UpstreamsLeaving[0].AgeMs = ^uint32(0) },
+		"an end under nothing":             func(m *exchangev1.Message) { m.From.Poison.Crashes[0].Marks[0] = 7 },
+		"a verdict of nothing":             func(m *exchangev1.Message) { m.From.Poison.Verdicts[0].Content = 0 },
+		"an end of a year ago":             func(m *exchangev1.Message) { m.From.Poison.Crashes[0].AgeMs = 365 * 86_400_000 },
+		"a gateway without a name":         func(m *exchangev1.Message) { m.Contacts = []*exchangev1.Contact{{Address: "b:1"}} },
 		"an upstream without address": func(m *exchangev1.Message) {
 			m.Upstreams = &exchangev1.News{Records: []*exchangev1.EntryRecord{{Name: "u", Upstream: &exchangev1.Upstream{Id: "u", Service: "s"}}}}
 		},
--- a/internal/gossip/fleet_test.go
+++ b/internal/gossip/fleet_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/announced"
 	"github.com/goldcrestspool/goldcrestspool/internal/directory"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/routing/placement"
@@ -65,6 +66,8 @@
 	receivedCounts           map[string]WindowCounts
 	// confirmedAt is when the newest revision was confirmed, as far as this gateway knows.
 	confirmedAt time.Time
+	// announced is what the gateway knows of upstreams' announcements.
+	announced *announced.Registry
 }
 
 // spentPerSecond is what each gateway of a fleet admits per second.
@@ -107,6 +110,7 @@
 	n.incarnation++
 	n.seq, n.dead, n.stop, n.startedAt, n.receivedCounts = 0, false, stop, time.Now(), make(map[string]WindowCounts)
 	n.confirmedAt = n.startedAt
+	n.announced = newAnnounced()
 	n.gossip = New(Config{
 		Self: n.contact, Incarnation: n.incarnation, Table: NewTable(n.contact, seeds), Knowledge: n, Network: n, Now: time.Now, Log: hclog.NewNullLogger(),
 	})
@@ -197,6 +201,7 @@
 	for _, key := range limited.Keys[:min(4, len(limited.Keys))] {
 		r.Limits = append(r.Limits, upstreamlimit.LimitReport{Upstream: key, Limited: true, Rate: 1.5, Age: time.Second})
 	}
+	r.UpstreamsLeaving = n.announced.LeavingReports()
 	return r
 }
 
@@ -226,6 +231,10 @@
 
 // ApplyReport implements Knowledge.
 func (n *node) ApplyReport(r *Report, asOf time.Time) {
+	if asOf.IsZero() {
+		asOf = time.Now()
+	}
+	n.announced.MergeLeaving(r.UpstreamsLeaving, asOf)
 	n.fleet.mu.Lock()
 	defer n.fleet.mu.Unlock()
 	if at := asOf.Add(-r.RevisionAge); at.After(n.confirmedAt) {
--- a/internal/gossip/types.go
+++ b/internal/gossip/types.go
@@ -19,6 +19,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/announced"
 	"github.com/goldcrestspool/goldcrestspool/internal/directory"
 	"github.com/goldcrestspool/goldcrestspool/internal/enginemodel"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
@@ -88,6 +89,8 @@
 	// the short form of LimitUses, sent instead of it to a receiver that knows the same limits.
 	LimitSet     uint32
 	LimitColumns upstreamlimit.Columns
+	// UpstreamsLeaving are upstreams that announced in an answer that they leave.
+	UpstreamsLeaving []announced.LeavingReport
 }
 
 // Contact tells where a gateway can be reached.
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -125,6 +125,10 @@
 	return n, nil
 }
 
+// Trailer returns the fields that followed the body of a chunked answer, once Read has returned
+// io.EOF; nil if there were none.
+func (a *Answer) Trailer() http.Header { return a.response.Trailer }
+
 // Close ends the exchange. It keeps the connection for reuse if the answer is
 // complete and the upstream keeps the connection open, resets it if the
 // exchange was abandoned, and closes it otherwise.
--- a/internal/routing/placement/learn.go
+++ b/internal/routing/placement/learn.go
@@ -73,7 +73,8 @@
 		return sample, false
 	}
 	switch result {
-	case forward.CallerGone:
+	case forward.CallerGone, forward.Withdrawn, forward.Declined:
+		// To leave or to ask for a pause is no failure.
 		return sample, false
 	case forward.Expired:
 		if r.gotFirstEvent {
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -132,9 +132,11 @@
 	// loggedStates are the ejection states that were logged last.
 	loggedStates map[ident.Instance]ejection.State
 	demands      map[ident.Service]*serviceDemand
-	engines      map[ident.Service]*serviceEngines
-	limitedMarks limitedMarks
-	search       search
+	// allLeaveSince is since when all known upstreams of a service leave, as its requests showed.
+	allLeaveSince map[ident.Service]time.Time
+	engines       map[ident.Service]*serviceEngines
+	limitedMarks  limitedMarks
+	search        search
 }
 
 // ownWork is this gateway's work at an upstream.
@@ -188,7 +190,8 @@
 	return &Chooser{
 		cfg: cfg, seed: xxhash.Sum64String(string(cfg.Self)), lastUnreachable: make(map[ident.FailureDomain]time.Time), own: make(map[ident.Instance]*ownWork), ejectionSets: make(map[ident.Service]*ejection.Set),
 		firstEventTimings: make(map[ident.Service]*firstEventTiming), loggedStates: make(map[ident.Instance]ejection.State),
-		demands: make(map[ident.Service]*serviceDemand), engines: make(map[ident.Service]*serviceEngines),
+		allLeaveSince: make(map[ident.Service]time.Time),
+		demands:       make(map[ident.Service]*serviceDemand), engines: make(map[ident.Service]*serviceEngines),
 	}
 }
 
@@ -229,8 +232,9 @@
 		why = "suspect, " + why
 	}
 	if !found {
-		return forward.Choice{AtLimit: s.atLimit, OnlyLimits: len(s.atLimit) > 0 && !s.foundFull}, false
+		return forward.Choice{AtLimit: s.atLimit, OnlyLimits: len(s.atLimit) > 0 && !s.foundFull, AllLeave: c.allLeave(call.Service.Name, now)}, false
 	}
+	delete(c.allLeaveSince, call.Service.Name)
 	var side rollout.Side
 	if split != nil {
 		side = split.Sent(&best.upstream, call.Route.Name)
--- a/internal/routing/placement/retryafter.go
+++ b/internal/routing/placement/retryafter.go
@@ -12,13 +12,17 @@
 // short now, for a plain service, and while too little is known about the engines. The
 // time is a lower bound, because it assumes that no more work arrives. If all ready
 // upstreams have limits, RetryAfter returns the time until the limits will have
-// admitted the requests that came before the call.
+// admitted the requests that came before the call. If all upstreams leave, it returns
+// the time until a replacement has started.
 func (c *Chooser) RetryAfter(call *forward.Call, now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if limited := c.readyIfAllLimited(call.Service.Name); len(limited) > 0 {
 		return c.cfg.Limits.RetryAfter(limited)
 	}
+	if startup := c.replacementIn(call.Service, now); startup > 0 {
+		return startup
+	}
 	estimate := c.engineEstimate(call.Service.Name, now)
 	if call.Service.Engine == nil || estimate.Samples < minSamples {
 		return 0
--- a/internal/routing/placement/versions.go
+++ b/internal/routing/placement/versions.go
@@ -40,7 +40,7 @@
 		return rollout.Answer{}, false
 	}
 	switch result {
-	case forward.NoConnection, forward.Rejected:
+	case forward.NoConnection, forward.Withdrawn, forward.Rejected, forward.Declined:
 		return rollout.Answer{}, false
 	case forward.Done:
 		return rollout.Answer{Timed: true, Time: r.slowness(elapsed, demand)}, true
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -250,6 +250,17 @@
 // Event returns the text of one event of a stream.
 func Event(id int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id) }
 
+// AnswerWithTrailer returns an act that runs the request and answers it in chunks, with a
+// trailer line that ends with CRLF.
+func AnswerWithTrailer(body, trailerLine string) Act {
+	return func(w *Writer, _ *http.Request) {
+		w.RecordRun()
+		w.Head(http.StatusOK, "Transfer-Encoding: chunked\r\n")
+		w.Chunk(body)
+		w.Raw("0\r\n" + trailerLine + "\r\n")
+	}
+}
+
 // Stream returns an act that runs the request and sends the events that follow the
 // request's Last-Event-ID, up to last. Then it calls end, or completes the answer if
 // end is nil.
