--- a/internal/gossip/fleet_test.go
+++ b/internal/gossip/fleet_test.go
@@ -231,10 +231,11 @@
 
 // ApplyReport implements Knowledge.
 func (n *node) ApplyReport(r *Report, asOf time.Time) {
-	if asOf.IsZero() {
-		asOf = time.Now()
+	heardAt := asOf
+	if heardAt.IsZero() {
+		heardAt = time.Now()
 	}
-	n.announced.MergeLeaving(r.UpstreamsLeaving, asOf)
+	n.announced.MergeLeaving(r.UpstreamsLeaving, heardAt)
 	n.fleet.mu.Lock()
 	defer n.fleet.mu.Unlock()
 	if at := asOf.Add(-r.RevisionAge); at.After(n.confirmedAt) {
