--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -221,7 +221,8 @@
 
 // candidate is an upstream that may take a request.
 type candidate struct {
-	upstream directory.Upstream
+	// upstream points into the list of the view.
+	upstream *directory.Upstream
 	own      *ownWork
 	// load is the load of all gateways at the upstream.
 	load Load
@@ -261,7 +262,7 @@
 	delete(c.allLeaveSince, call.Service.Name)
 	var side rollout.Side
 	if split != nil {
-		side = split.Sent(&best.upstream, call.Route.Name)
+		side = split.Sent(best.upstream, call.Route.Name)
 	}
 	set.RecordAttemptStart(now, best.upstream.ID)
 	best.own.load.Running++
@@ -280,7 +281,7 @@
 		Why:            why,
 		AtLimit:        s.atLimit,
 		Paused:         s.paused,
-		Reservation:    &reservation{domain: best.upstream.FailureDomain, service: call.Service.Name, route: call.Route.Name, unreadTokens: best.prefillTokens, sentAt: now, expectedFirstEvent: expected, loadAhead: best.load, split: split, side: side, upstream: best.upstream},
+		Reservation:    &reservation{domain: best.upstream.FailureDomain, service: call.Service.Name, route: call.Route.Name, unreadTokens: best.prefillTokens, sentAt: now, expectedFirstEvent: expected, loadAhead: best.load, split: split, side: side, upstream: *best.upstream},
 	}, true
 }
 
@@ -349,7 +350,7 @@
 		if u.State != directory.Ready || !fits(u, o) {
 			continue
 		}
-		next := candidate{upstream: *u, own: o, load: c.totalLoad(u.ID, o)}
+		next := candidate{upstream: u, own: o, load: c.totalLoad(u.ID, o)}
 		lastChoice := false
 		if paused != nil && paused[i] {
 			usable := false
@@ -456,9 +457,9 @@
 		return view
 	}
 	c.view = view
-	// The keys of the marks point into the previous view and would keep it in
-	// memory.
-	c.limitedMarks.marks, c.pauseMarks.marks = nil, nil
+	// The keys of the marks and the candidates point into the previous view and
+	// would keep it in memory.
+	c.limitedMarks.marks, c.pauseMarks.marks, c.search.limitedCandidates = nil, nil, nil
 	for service, set := range c.ejectionSets {
 		set.SetUpstreams(readyIDs(view.Of(service)))
 	}
