What upstreams announce to gateways is not passed on to callers

A caller may be an application that calls an engine through a gateway and copies the answer's headers into its own answer. The gateway would then take the engine's words for the application's: that it leaves (for as long as it lives), or its rate limit. An application's Retry-After is not affected, as only refusals of requests that did not run count. Nothing else tells the two apart, since the application's answer is its own and signed.

--- a/internal/forward/announced_test.go
+++ b/internal/forward/announced_test.go
@@ -79,6 +79,7 @@
 func (testDialect) ParseAnswer(_ int, h http.Header) AnswerInfo {
 	return AnswerInfo{NotRun: h.Get("X-Not-Executed") != "", Signed: true, Announced: announced.Statement{Leaving: h.Get("Server-Leaving") != ""}}
 }
+func (testDialect) RemoveAnnouncements(http.Header)              {}
 func (testDialect) ParseTrailer(http.Header) announced.Statement { return announced.Statement{} }
 
 // recordingCaller records how the call ended.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -349,6 +349,7 @@
 	if !info.FromOtherUpstream {
 		s.f.cfg.Announcements.Record(choice.Upstream, s.call.ID, info.Announced)
 	}
+	s.f.cfg.Dialect.RemoveAnnouncements(answer.Header)
 	if info.NotRun {
 		s.reason = "status " + http.StatusText(answer.Status)
 		s.drainRejection(answer)
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -94,6 +94,9 @@
 	Request(call *Call, attempt Attempt) *httpconn.Request
 	// ParseAnswer interprets the status and header of an answer.
 	ParseAnswer(status int, header http.Header) AnswerInfo
+	// RemoveAnnouncements removes from an answer's header what its upstream announces to
+	// gateways alone.
+	RemoveAnnouncements(header http.Header)
 	// ParseTrailer interprets the trailer of an answer.
 	ParseTrailer(trailer http.Header) announced.Statement
 }
