Gateways forget the limits of upstreams that are gone together

A gateway that had forgotten such a limit took another gateway's report for news, with a listing age of its own, and passed it on, so that two gateways that had listed the upstream a second apart kept its limit for good.

A limit that a gateway knows from another's report alone is not passed on until the upstream is listed here or has answered here.

--- a/internal/upstreamlimit/exchange.go
+++ b/internal/upstreamlimit/exchange.go
@@ -67,6 +67,11 @@
 	now := lim.cfg.Now()
 	var changed, others []uint32
 	for key, l := range lim.limits {
+		if l.hearsay && l.upstream == "" {
+			// Only another gateway's report says that there is such an upstream. If gateways
+			// passed such reports on, they would never forget it.
+			continue
+		}
 		if now.Sub(l.changedAt) < reportChangeFor {
 			changed = append(changed, key)
 		} else {
@@ -106,7 +111,11 @@
 	lim.mu.Lock()
 	defer lim.mu.Unlock()
 	for _, r := range reports {
+		_, known := lim.limits[r.Upstream]
 		lim.merge(r, asOf.Add(-r.Age), lim.cfg.Now())
+		if l := lim.limits[r.Upstream]; l != nil && !known {
+			l.hearsay = true
+		}
 	}
 }
 
--- a/internal/upstreamlimit/limiter.go
+++ b/internal/upstreamlimit/limiter.go
@@ -73,7 +73,9 @@
 type limit struct {
 	// upstream is empty while only the key is known.
 	upstream ident.Instance
-	limited  bool
+	// hearsay: this gateway first learned of the limit from another gateway's report.
+	hearsay bool
+	limited bool
 	// rate, in requests per second, is 0 if limited is not set.
 	rate float64
 	// announcedAt is when an answer to any gateway last announced the rate, or last none.
--- a/internal/upstreamlimit/limiter_test.go
+++ b/internal/upstreamlimit/limiter_test.go
@@ -470,3 +470,29 @@
 		}
 	}
 }
+
+// Guards against gateways that keep telling each other of the limit of an upstream that is gone, each
+// of which takes the other's report for news after it has forgotten it.
+func TestGatewaysForgetLimitsTogether(t *testing.T) {
+	a, b := newFixture(), newFixture()
+	exchange := func(length time.Duration, listedAtA, listedAtB ident.Instance) {
+		for range length / round {
+			a.now = a.now.Add(round)
+			b.now = a.now.Add(-round / 2)
+			a.applyList(listedAtA)
+			b.applyList(listedAtB)
+			b.MergeLimitReports(a.LimitReports(), b.now)
+			a.MergeLimitReports(b.LimitReports(), a.now)
+		}
+	}
+	a.RecordStatement(u, "r", LimitedTo(1))
+	exchange(2*time.Second, u, u)
+	if !b.Limited(u) {
+		t.Fatal("the other gateway does not know the limit")
+	}
+	exchange(time.Second, "other", u)
+	exchange(3*unlistedRetention, "other", "other")
+	if len(a.limits)+len(b.limits) > 0 {
+		t.Errorf("%d and %d limits of upstreams that are gone are kept", len(a.limits), len(b.limits))
+	}
+}
