--- a/internal/standin/worker/announced.go
+++ b/internal/standin/worker/announced.go
@@ -10,7 +10,8 @@
 // or had been asked for a pause that was not over.
 type LateArrival struct {
 	ID, Sender string
-	// After is the time since the sender was told.
+	// At is when it arrived, After the time since the sender was told.
+	At    time.Time
 	After time.Duration
 	// Leaving: the sender had been told that the worker leaves. Otherwise it had been asked for a
 	// pause.
@@ -59,7 +60,7 @@
 func (w *Worker) recordLateArrival(r *http.Request) {
 	sender, now := w.sender(r), time.Now()
 	t := w.told[sender]
-	late := LateArrival{ID: r.Header.Get(RequestID), Sender: sender}
+	late := LateArrival{ID: r.Header.Get(RequestID), Sender: sender, At: now}
 	switch {
 	case t.leavingAt.IsZero() && !now.Before(t.pausedUntil):
 		return
