--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -35,6 +35,7 @@
 	runs       map[string]int
 	requests   []*http.Request
 	conns      map[net.Conn]bool
+	stopped    bool
 	// bodies are those of requests.
 	bodies []string
 	// limit is the rate limit that all answers announce; empty for none.
@@ -77,6 +78,7 @@
 	_ = w.listener.Close() // a second stop finds it closed
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.stopped = true
 	for c := range w.conns {
 		_ = c.Close() // cuts off requests in progress
 	}
@@ -132,13 +134,24 @@
 		if err != nil {
 			return
 		}
-		w.mu.Lock()
-		w.conns[c] = true
-		w.mu.Unlock()
+		if !w.track(c) {
+			_ = c.Close() // accepted while Stop closed the others
+			continue
+		}
 		work.Go(func() { w.serve(c) })
 	}
 }
 
+// track adds a connection to those that Stop closes, and reports whether the worker still runs.
+func (w *Worker) track(c net.Conn) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.stopped {
+		w.conns[c] = true
+	}
+	return !w.stopped
+}
+
 func (w *Worker) serve(c net.Conn) {
 	defer func() {
 		w.mu.Lock()
--- /dev/null
+++ b/internal/standin/worker/worker_test.go
@@ -0,0 +1,53 @@
+package worker
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"testing"
+	"time"
+)
+
+// lateListener is a listener that returns one connection, accepted just before it was closed.
+type lateListener struct {
+	net.Listener
+	closed chan struct{}
+	conns  chan net.Conn
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	<-l.closed
+	select {
+	case c := <-l.conns:
+		return c, nil
+	default:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *lateListener) Close() error {
+	close(l.closed)
+	return nil
+}
+
+// Guards against a connection that stays open after Stop because it was accepted at that moment: a
+// test that waits for the worker's end hangs until its time-out.
+func TestStopClosesAConnectionThatIsBeingAccepted(t *testing.T) {
+	client, server := net.Pipe()
+	l := &lateListener{closed: make(chan struct{}), conns: make(chan net.Conn, 1)}
+	l.conns <- server
+	w := &Worker{listener: l, conns: make(map[net.Conn]bool)}
+	w.Stop()
+	var work sync.WaitGroup
+	work.Go(func() { w.accept(&work) })
+	if err := client.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	var one [1]byte
+	if _, err := client.Read(one[:]); errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Error("the connection is still open after Stop")
+	}
+	_ = client.Close() // ends serve on a worker that left the connection open
+	work.Wait()
+}
