--- a/internal/announced/registry.go
+++ b/internal/announced/registry.go
@@ -101,12 +101,12 @@
 // Record records what an upstream's answer to a request announces.
 func (r *Registry) Record(upstream ident.Instance, id ident.Request, s Statement) {
 	r.cfg.Limits.RecordStatement(upstream, id, s.Limit)
-	r.RecordTrailer(upstream, id, s)
+	r.RecordFields(upstream, id, s)
 }
 
-// RecordTrailer is like Record for an answer's trailer, of which Statement.Limit is ignored: a
-// trailer without a limit does not mean that there is none.
-func (r *Registry) RecordTrailer(upstream ident.Instance, id ident.Request, s Statement) {
+// RecordFields is like Record for a trailer, or for the header of an interim answer or of one to
+// another request. Statement.Limit is ignored: fields without a limit do not mean that there is none.
+func (r *Registry) RecordFields(upstream ident.Instance, id ident.Request, s Statement) {
 	if !s.Leaving && s.Pause <= 0 && s.Problem == "" {
 		return
 	}
--- a/internal/forward/announced_test.go
+++ b/internal/forward/announced_test.go
@@ -45,7 +45,7 @@
 	a[id] = a[id] || s.Leaving
 }
 
-func (a announcements) RecordTrailer(id ident.Instance, r ident.Request, s announced.Statement) {
+func (a announcements) RecordFields(id ident.Instance, r ident.Request, s announced.Statement) {
 	a.Record(id, r, s)
 }
 func (a announcements) AnyPause() bool                 { return false }
@@ -79,8 +79,8 @@
 func (testDialect) ParseAnswer(_ int, h http.Header) AnswerInfo {
 	return AnswerInfo{NotRun: h.Get("X-Not-Executed") != "", Signed: true, Announced: announced.Statement{Leaving: h.Get("Server-Leaving") != ""}}
 }
-func (testDialect) RemoveAnnouncements(http.Header)              {}
-func (testDialect) ParseTrailer(http.Header) announced.Statement { return announced.Statement{} }
+func (testDialect) RemoveAnnouncements(http.Header)             {}
+func (testDialect) ParseFields(http.Header) announced.Statement { return announced.Statement{} }
 
 // recordingCaller records how the call ended.
 type recordingCaller struct{ status int }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -283,6 +283,7 @@
 		}
 		return nil
 	}
+	request.OnOtherHeader = func(header http.Header) { s.recordFields(choice, header) }
 	answer, failure := s.f.cfg.Pool.Send(ctx, target, request)
 	if failure != nil {
 		if countsAsStarted(failure) {
@@ -375,10 +376,16 @@
 // upstream that began to leave during a long answer can only say so there.
 func (s *session) recordTrailer(choice Choice, answer *httpconn.Answer) {
 	if trailer := answer.Trailer(); len(trailer) > 0 {
-		s.f.cfg.Announcements.RecordTrailer(choice.Upstream, s.call.ID, s.f.cfg.Dialect.ParseTrailer(trailer))
+		s.recordFields(choice, trailer)
 	}
 }
 
+// recordFields records what an upstream announces in fields that are not the header of its answer
+// to the call.
+func (s *session) recordFields(choice Choice, fields http.Header) {
+	s.f.cfg.Announcements.RecordFields(choice.Upstream, s.call.ID, s.f.cfg.Dialect.ParseFields(fields))
+}
+
 // drainRejection reads the rest of a rejection, so that its connection can be reused.
 func (s *session) drainRejection(answer *httpconn.Answer) {
 	if _, err := io.Copy(io.Discard, io.LimitReader(answer, maxBufferedBytes)); err != nil {
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -97,8 +97,9 @@
 	// RemoveAnnouncements removes from an answer's header what its upstream announces to
 	// gateways alone.
 	RemoveAnnouncements(header http.Header)
-	// ParseTrailer interprets the trailer of an answer.
-	ParseTrailer(trailer http.Header) announced.Statement
+	// ParseFields interprets fields of an upstream that are not the header of an answer: a
+	// trailer, or the header of an interim answer or of one to another request.
+	ParseFields(fields http.Header) announced.Statement
 }
 
 // Choice is the upstream chosen for an attempt, with the slot reserved there.
@@ -170,8 +171,8 @@
 type Announcements interface {
 	// Record records what an upstream's answer to a request announces.
 	Record(upstream ident.Instance, id ident.Request, s announced.Statement)
-	// RecordTrailer does so for an answer's trailer, whose header was recorded before.
-	RecordTrailer(upstream ident.Instance, id ident.Request, s announced.Statement)
+	// RecordFields records what an upstream announces elsewhere than in an answer's header.
+	RecordFields(upstream ident.Instance, id ident.Request, s announced.Statement)
 	// Accepts reports whether an upstream takes requests from this gateway, by what it announced.
 	Accepts(upstream ident.Instance) bool
 	// AnyPause reports whether upstreams ask for pauses.
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -52,6 +52,9 @@
 	// IsAnswer reports whether an answer with the given header belongs to this
 	// request. Nil accepts every answer.
 	IsAnswer func(http.Header) bool
+	// OnOtherHeader is called with the headers that precede the answer's: of interim answers
+	// (1xx), and of answers to other requests. It may be nil.
+	OnOtherHeader func(http.Header)
 	// BeforeSend is called once a connection is available, right before the first
 	// byte is sent. If it returns an error, nothing is sent. It may be nil.
 	BeforeSend func() error
@@ -244,12 +247,16 @@
 			return nil, preferWriteError(written, err)
 		}
 		c.header.remaining = unlimited
-		if response.StatusCode >= 100 && response.StatusCode < 200 {
-			continue
-		}
-		if req.IsAnswer == nil || req.IsAnswer(response.Header) {
+		interim := response.StatusCode >= 100 && response.StatusCode < 200
+		if !interim && (req.IsAnswer == nil || req.IsAnswer(response.Header)) {
 			return response, nil
 		}
+		if req.OnOtherHeader != nil {
+			req.OnOtherHeader(response.Header)
+		}
+		if interim {
+			continue
+		}
 		c.unmatched++
 		if c.unmatched > maxUnmatchedAnswers || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 			return nil, errUnmatchedAnswers
--- a/internal/routing/placement/announced_fleet_test.go
+++ b/internal/routing/placement/announced_fleet_test.go
@@ -347,7 +347,7 @@
 			}
 			for id, until := range remaining {
 				if left := until - f.Now(); left > 0 && o.announced.Accepts(id) {
-					o.announced.RecordTrailer(id, "", announced.Statement{Pause: left})
+					o.announced.RecordFields(id, "", announced.Statement{Pause: left})
 				}
 			}
 		})
