--- a/Makefile
+++ b/Makefile
@@ -97,6 +97,12 @@
 limits-report:
 	$(GO) test ./internal/upstreamlimit -count=1 -timeout 60m -run '^TestStories$$' -args -limit.seeds $(SEEDS) -limit.large -limit.table="$$PWD/$(REPORT)/limits.txt"
 
+# Simulates upstreams that leave or ask for pauses in virtual time, and compares what gateways do that
+# hear of a pause; writes a table into REPORT.
+.PHONY: announced-report
+announced-report:
+	$(GO) test ./internal/routing/placement -count=1 -timeout 120m -run '^TestAnnouncedStories$$' -args -announced.seeds $(SEEDS) -announced.large -announced.ways -announced.table="$$PWD/$(REPORT)/announced.txt"
+
 # --- capacity (cmd/capacity, docs/CAPACITY.md) ---
 .PHONY: capacity capacity-fleet capacity-whole
 
--- a/internal/routing/placement/bench_test.go
+++ b/internal/routing/placement/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/directory"
 	"github.com/goldcrestspool/goldcrestspool/internal/forward"
@@ -35,5 +36,10 @@
 			f.limits.RecordStatement(list[2*i].ID, "", upstreamlimit.LimitedTo(1))
 		}
 		b.Run(fmt.Sprintf("%d, some with limits", n), choose)
+		for i := range min(n, 50) / 2 {
+			f.limits.RecordStatement(list[2*i].ID, "", upstreamlimit.Statement{})
+			f.pause(time.Hour, list[2*i].ID)
+		}
+		b.Run(fmt.Sprintf("%d, some with pauses", n), choose)
 	}
 }
--- a/internal/routing/placement/pauses_test.go
+++ b/internal/routing/placement/pauses_test.go
@@ -229,3 +229,42 @@
 		}
 	}
 }
+
+// Guards against pauses of upstreams, of the new version or the old one, that influence the verdict on
+// the new version, or give it more than its share of the requests.
+func TestPausesSayNothingOfAVersion(t *testing.T) {
+	for _, paused := range []ident.Version{"v1", "v2"} {
+		f, tracker := newRolloutFixture(8)
+		for _, u := range f.view.Of("svc") {
+			if u.Version == paused {
+				f.pause(time.Minute, u.ID)
+			}
+		}
+		sent := make(map[ident.Version]int)
+		none := 0
+		for i := range 3000 {
+			call := f.call(engine, 7)
+			call.ID = ident.Request(fmt.Sprint(i))
+			f.now = f.now.Add(time.Millisecond)
+			choice, found := f.Choose(call, nil, f.now)
+			if !found {
+				none++
+				continue
+			}
+			u, _ := f.view.Upstream(choice.Upstream)
+			sent[u.Version]++
+			f.FirstEventArrived(choice, f.now)
+			f.Finished(choice, forward.Done, f.now)
+		}
+		tracker.Refresh(nil)
+		if against := tracker.Orders()[0].Verdict.Against; against > 1 {
+			t.Errorf("%s paused: evidence %v against the new version, want at most 1", paused, against)
+		}
+		if share := 3000/10 + 50; sent[paused] > 0 || sent["v2"] > share {
+			t.Errorf("%s paused: it got %d requests, the new version %d, want 0 and at most %d", paused, sent[paused], sent["v2"], share)
+		}
+		if paused == "v2" && none > 0 {
+			t.Errorf("%d calls found no upstream while the old version has capacity", none)
+		}
+	}
+}
