A pause after an upstream has served begins a new count of pauses in a row

Read once more: the backoff grew with a pause that followed one after which the upstream had served, though its comment says only 'before the upstream has served again'. TestTheBackoffGrowsWithPausesThatFollowEachOther serves one request before the next pause now, instead of six, and failed before. The test of gateways that forget together lists the upstream a second longer at one of them, without which a mutation (old reports count) stayed green.

--- a/internal/announced/pause.go
+++ b/internal/announced/pause.go
@@ -7,7 +7,8 @@
 )
 
 const (
-	// firstWindow is the window right after a pause. maxWindow is the window at which an upstream counts as serving as before its pause.
+	// firstWindow is the window right after a pause, and maxWindow the one at which an upstream
+	// counts as serving as before.
 	firstWindow, maxWindow = 1, 32
 	// pauseRetention is how long after its end a pause is retained if the upstream gets no requests
 	// that would show that it serves again.
@@ -65,12 +66,16 @@
 	rec.pauseLoggedAt, rec.unloggedPauses = now, 0
 }
 
-// followedBy returns the pause that an upstream asks for after p, with its backoff. If p is not over,
-// the answer may be as old as the one that asked for p.
+// followedBy returns the pause that an upstream asks for after p, with its backoff.
 func (p *Pause) followedBy(next Pause, now time.Time) Pause {
-	next.Backoff = max(p.Backoff, minAvoidance-next.Asked, 0)
-	if !p.Until.IsZero() && !now.Before(p.Until) {
-		next.Backoff = min(max(2*p.Backoff, p.Asked), maxBackoff)
+	next.Backoff = max(minAvoidance-next.Asked, 0)
+	switch {
+	case p.Until.IsZero() || p.Served():
+	case now.Before(p.Until):
+		// The answer may be as old as the one that asked for p.
+		next.Backoff = max(next.Backoff, p.Backoff)
+	default:
+		next.Backoff = max(next.Backoff, min(max(2*p.Backoff, p.Asked), maxBackoff))
 	}
 	return next
 }
--- a/internal/announced/registry_test.go
+++ b/internal/announced/registry_test.go
@@ -154,6 +154,7 @@
 		t.Fatal("the other gateway has not learned of it")
 	}
 	a.list()
+	exchange(4)
 	b.list()
 	exchange(int(3 * unlistedRetention / testRound))
 	if len(a.records)+len(b.records) != 0 {
@@ -359,9 +360,7 @@
 	if last != maxBackoff {
 		t.Errorf("the backoff is %v after eight pauses, want %v", last, maxBackoff)
 	}
-	for range 6 {
-		f.Served("u1", f.now)
-	}
+	f.Served("u1", f.now)
 	f.Record("u1", "r", Statement{Pause: 2 * time.Second})
 	if pause, _ := f.Pause("u1"); pause.Backoff != 0 {
 		t.Errorf("the backoff is %v after the upstream has served", pause.Backoff)
