One piece for what limits and announcements did twice: turns of long lists, throttled log lines

internal/inturn selects the part of a list that fits a message, internal/ logthrottle lets one line pass per interval; upstreamlimit used its own of both. ReportLag and UnlistedRetention are exported for the same reason. A limit that only a report tells of is called reportedOnly.

--- a/internal/upstreamlimit/exchange.go
+++ b/internal/upstreamlimit/exchange.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/inturn"
 )
 
 const (
@@ -67,9 +69,8 @@
 	now := lim.cfg.Now()
 	var changed, others []uint32
 	for key, l := range lim.limits {
-		if l.hearsay && l.upstream == "" {
-			// Only another gateway's report says that there is such an upstream. If gateways
-			// passed such reports on, they would never forget it.
+		if l.reportedOnly && l.upstream == "" {
+			// If gateways passed such reports on, they would never forget the upstream.
 			continue
 		}
 		if now.Sub(l.changedAt) < reportChangeFor {
@@ -78,8 +79,10 @@
 			others = append(others, key)
 		}
 	}
+	slices.Sort(changed)
+	slices.Sort(others)
 	turn := int(now.UnixNano() / int64(lim.cfg.Round))
-	selected := append(selectInTurn(changed, maxReportedChanges, turn), selectInTurn(others, maxReportedOthers, turn)...)
+	selected := append(inturn.Select(changed, maxReportedChanges, turn), inturn.Select(others, maxReportedOthers, turn)...)
 	out := make([]LimitReport, len(selected))
 	for i, key := range selected {
 		l := lim.limits[key]
@@ -88,20 +91,6 @@
 	return out
 }
 
-// selectInTurn returns at most maxCount of the keys. If there are more, each turn
-// selects the next ones.
-func selectInTurn(keys []uint32, maxCount, turn int) []uint32 {
-	slices.Sort(keys)
-	if len(keys) <= maxCount {
-		return keys
-	}
-	out := make([]uint32, maxCount)
-	for i := range out {
-		out[i] = keys[(turn*maxCount+i)%len(keys)]
-	}
-	return out
-}
-
 // MergeLimitReports merges another gateway's reports on limits, whose ages are as of the given
 // time.
 func (lim *Limiter) MergeLimitReports(reports []LimitReport, asOf time.Time) {
@@ -114,7 +103,7 @@
 		_, known := lim.limits[r.Upstream]
 		lim.merge(r, asOf.Add(-r.Age), lim.cfg.Now())
 		if l := lim.limits[r.Upstream]; l != nil && !known {
-			l.hearsay = true
+			l.reportedOnly = true
 		}
 	}
 }
--- a/internal/upstreamlimit/limiter.go
+++ b/internal/upstreamlimit/limiter.go
@@ -10,6 +10,7 @@
 
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/logthrottle"
 )
 
 const (
@@ -18,9 +19,9 @@
 	logInterval = time.Second
 	// maxLimits bounds the number of upstreams whose limits are known.
 	maxLimits = 5000
-	// unlistedRetention is how long the limit of an unlisted upstream is retained. Other gateways
+	// UnlistedRetention is how long the limit of an unlisted upstream is retained. Other gateways
 	// may report the limit of an upstream that has just started before it is listed here.
-	unlistedRetention = 15 * time.Second
+	UnlistedRetention = 15 * time.Second
 	// liftedRetention is how long it is retained that a limit was lifted. It is longer than an
 	// older report of the limit can be in flight.
 	liftedRetention = 30 * time.Second
@@ -58,8 +59,8 @@
 	// shareOf divides a rate between the gateways.
 	shareOf  shareFunc
 	counters Counters
-	// unreadableLoggedAt is when an unreadable limit was last logged.
-	unreadableLoggedAt time.Time
+	// unreadableLines bounds the log lines on unreadable limits of all upstreams.
+	unreadableLines logthrottle.Throttle
 }
 
 // Fleet counts the gateways.
@@ -73,9 +74,10 @@
 type limit struct {
 	// upstream is empty while only the key is known.
 	upstream ident.Instance
-	// hearsay: this gateway first learned of the limit from another gateway's report.
-	hearsay bool
-	limited bool
+	// reportedOnly: this gateway learned of the limit from another gateway's report. Until the
+	// upstream is listed here, nothing else says that it exists.
+	reportedOnly bool
+	limited      bool
 	// rate, in requests per second, is 0 if limited is not set.
 	rate float64
 	// announcedAt is when an answer to any gateway last announced the rate, or last none.
@@ -87,10 +89,8 @@
 	listedAt time.Time
 	traffic
 	// answers is the number of answers received here since the limit has been known.
-	answers int
-	// loggedAt is when a change was last logged, and unloggedChanges the number of changes since.
-	loggedAt        time.Time
-	unloggedChanges int
+	answers     int
+	changeLines logthrottle.Throttle
 }
 
 // Counters are totals since the start.
@@ -114,7 +114,7 @@
 
 // RecordStatement records what an upstream's answer to a request says about its limit.
 func (lim *Limiter) RecordStatement(upstream ident.Instance, id ident.Request, s Statement) {
-	if s.Kind == Unlimited && !lim.anyLimited.Load() {
+	if s.Kind == NotStated || s.Kind == Unlimited && !lim.anyLimited.Load() {
 		return
 	}
 	lim.mu.Lock()
@@ -193,23 +193,21 @@
 
 // logChange logs a change of a limit, unless one was logged within logInterval.
 func (lim *Limiter) logChange(l *limit, id ident.Request, now time.Time) {
-	if !l.loggedAt.IsZero() && now.Sub(l.loggedAt) < logInterval {
-		l.unloggedChanges++
+	unlogged, ok := l.changeLines.Pass(now, logInterval)
+	if !ok {
 		return
 	}
 	lim.cfg.Log.Info("upstream's limit changed", "upstream", l.upstream, "id", id, "limited", l.limited, "per_second", l.rate,
-		"changes_unlogged", l.unloggedChanges, "heard", lim.fleet.Heard, "known", lim.fleet.Known)
-	l.loggedAt, l.unloggedChanges = now, 0
+		"changes_unlogged", unlogged, "heard", lim.fleet.Heard, "known", lim.fleet.Known)
 }
 
 // logUnreadable counts an unreadable limit and logs it, unless one of any upstream was logged
 // within logInterval.
 func (lim *Limiter) logUnreadable(upstream ident.Instance, id ident.Request, s Statement, l *limit, now time.Time) {
 	lim.counters.Unreadable++
-	if lim.counters.Unreadable > 1 && now.Sub(lim.unreadableLoggedAt) < logInterval {
+	if _, ok := lim.unreadableLines.Pass(now, logInterval); !ok {
 		return
 	}
-	lim.unreadableLoggedAt = now
 	lim.cfg.Log.Warn("cannot read upstream's limit", "upstream", upstream, "id", id, "problem", s.Problem,
 		"stays_limited", l != nil && l.limited, "unreadable_total", lim.counters.Unreadable)
 }
@@ -260,7 +258,7 @@
 	each(func(upstream ident.Instance) {
 		if l := lim.limits[lim.cfg.Key(upstream)]; l != nil {
 			l.upstream, l.listedAt = upstream, now
-			if l.limited && l.loggedAt.IsZero() {
+			if l.limited && !l.changeLines.Used() {
 				// Another gateway reported the limit before the upstream was listed here.
 				lim.logChange(l, "", now)
 			}
@@ -268,7 +266,7 @@
 	})
 	changed := false
 	for key, l := range lim.limits {
-		gone := now.Sub(l.listedAt) > unlistedRetention
+		gone := now.Sub(l.listedAt) > UnlistedRetention
 		if gone || !l.limited && now.Sub(l.announcedAt) > liftedRetention {
 			delete(lim.limits, key)
 			changed = changed || l.limited
--- a/internal/upstreamlimit/limiter_test.go
+++ b/internal/upstreamlimit/limiter_test.go
@@ -135,7 +135,7 @@
 	if len(f.limits) > maxLimits {
 		t.Errorf("%d limits are known", len(f.limits))
 	}
-	f.now = f.now.Add(2 * unlistedRetention)
+	f.now = f.now.Add(2 * UnlistedRetention)
 	f.applyList()
 	if f.AnyLimited() {
 		t.Error("limits of upstreams that are not listed any more were not dropped")
@@ -491,7 +491,7 @@
 		t.Fatal("the other gateway does not know the limit")
 	}
 	exchange(time.Second, "other", u)
-	exchange(3*unlistedRetention, "other", "other")
+	exchange(3*UnlistedRetention, "other", "other")
 	if len(a.limits)+len(b.limits) > 0 {
 		t.Errorf("%d and %d limits of upstreams that are gone are kept", len(a.limits), len(b.limits))
 	}
--- a/internal/upstreamlimit/share.go
+++ b/internal/upstreamlimit/share.go
@@ -13,10 +13,10 @@
 	// requests decay by a factor of e.
 	demandDecayTime = 3 * time.Second
 	sentDecayTime   = 4 * time.Second
-	// reportLag is the delay until the last of the other gateways have begun to count and their
+	// ReportLag is the delay until the last of the other gateways have begun to count and their
 	// counts have arrived. recentDecayTime is the time within which a gateway's own requests show a
 	// rise in demand.
-	reportLag       = 800 * time.Millisecond
+	ReportLag       = 800 * time.Millisecond
 	recentDecayTime = 400 * time.Millisecond
 	// expectedDemandShare of the highest demand so far is expected to come again at any time. The
 	// expectation decays over expectedDecayTime.
@@ -51,7 +51,7 @@
 	// began.
 	sentSeeded bool
 	// recentDemand counts like demand but decays over recentDecayTime. delayedDemand follows demand
-	// with a delay of reportLag, like the counts of the other gateways.
+	// with a delay of ReportLag, like the counts of the other gateways.
 	recentDemand, delayedDemand float64
 	// expectedDemand is how many requests per second may choose the upstream again at all gateways,
 	// judged by earlier demand, as of expectedDemandAt.
@@ -77,7 +77,7 @@
 	if elapsed <= 0 {
 		return
 	}
-	t.delayedDemand += (t.demand - t.delayedDemand) * (1 - math.Exp(-elapsed/reportLag.Seconds()))
+	t.delayedDemand += (t.demand - t.delayedDemand) * (1 - math.Exp(-elapsed/ReportLag.Seconds()))
 	t.demand *= math.Exp(-elapsed / demandDecayTime.Seconds())
 	t.recentDemand *= math.Exp(-elapsed / recentDecayTime.Seconds())
 	t.sent *= math.Exp(-elapsed / sentDecayTime.Seconds())
@@ -119,11 +119,11 @@
 func (l *limit) totalDemand(fleet Fleet, now time.Time) float64 {
 	decaySeconds, known := demandDecayTime.Seconds(), float64(max(fleet.Known, 1))
 	// counted is how much of the full count has built up since the limit became known.
-	counted := 1 - math.Exp(-max(now.Sub(l.limitedSince)-reportLag, recentDecayTime/4).Seconds()/decaySeconds)
+	counted := 1 - math.Exp(-max(now.Sub(l.limitedSince)-ReportLag, recentDecayTime/4).Seconds()/decaySeconds)
 	demand := l.demand + l.othersDemand
 	// If the demand was next to nothing, each gateway is assumed to have one request within
-	// reportLag.
-	assumed := known / reportLag.Seconds() * math.Exp(-demand*demand/(fewRequests*fewRequests))
+	// ReportLag.
+	assumed := known / ReportLag.Seconds() * math.Exp(-demand*demand/(fewRequests*fewRequests))
 	// The latest requests here are scaled up by this gateway's share of the demand. A single
 	// request shows nothing: among many gateways each has one now and then.
 	ownShare := (l.delayedDemand + 1/known) / (l.delayedDemand + l.othersDemand + 1)
--- a/internal/upstreamlimit/statement.go
+++ b/internal/upstreamlimit/statement.go
@@ -14,6 +14,9 @@
 	// Unreadable: the answer announces something that is not a rate. Such an answer changes
 	// nothing: there may be a limit or none.
 	Unreadable
+	// NotStated: what was read is not an answer's header, which alone announces limits. It
+	// changes nothing.
+	NotStated
 )
 
 // maxRate, in requests per second, is more than any upstream serves. A higher rate that an
