--- a/internal/announced/exchange.go
+++ b/internal/announced/exchange.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/inturn"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstreamlimit"
 )
 
 const (
@@ -19,6 +21,13 @@
 	maxRecords = 10_000
 )
 
+// Reports are a gateway's reports to another on what upstreams announced.
+type Reports struct {
+	Limits []upstreamlimit.LimitReport
+	// Leaving are the upstreams that announced that they leave.
+	Leaving []LeavingReport
+}
+
 // LeavingReport is a gateway's report to another that an upstream announced that it leaves.
 type LeavingReport struct {
 	Upstream ident.Instance
@@ -26,18 +35,20 @@
 	Age time.Duration
 }
 
-// LeavingReports returns the reports for the other gateways: those on upstreams that were learned
-// of lately, and some of the others in turn.
-func (r *Registry) LeavingReports() []LeavingReport {
+// Reports returns the reports for the other gateways: those on what was learned lately, and some of the
+// others in turn.
+func (r *Registry) Reports() Reports {
+	return Reports{Limits: r.cfg.Limits.LimitReports(), Leaving: r.leavingReports()}
+}
+
+func (r *Registry) leavingReports() []LeavingReport {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.records) == 0 {
-		return nil
-	}
 	now := r.cfg.Now()
 	var lately, others []LeavingReport
 	for upstream, rec := range r.records {
-		if rec.leavingAt.IsZero() {
+		if !rec.leaves() || rec.reportedOnly {
+			// If gateways passed on what only others report, they would never forget the upstream.
 			continue
 		}
 		report := LeavingReport{Upstream: upstream, Age: max(0, now.Sub(rec.leavingAt))}
@@ -47,63 +58,44 @@
 			others = append(others, report)
 		}
 	}
+	byUpstream := func(a, b LeavingReport) int { return cmp.Compare(a.Upstream, b.Upstream) }
+	slices.SortFunc(lately, byUpstream)
+	slices.SortFunc(others, byUpstream)
 	turn := int(now.UnixNano() / int64(r.cfg.Round))
-	return append(selectInTurn(lately, maxReportedNew, turn), selectInTurn(others, maxReportedOthers, turn)...)
+	return append(inturn.Select(lately, maxReportedNew, turn), inturn.Select(others, maxReportedOthers, turn)...)
 }
 
-// selectInTurn returns at most maxCount of the reports. If there are more, each turn selects the
-// next ones.
-func selectInTurn(reports []LeavingReport, maxCount, turn int) []LeavingReport {
-	slices.SortFunc(reports, func(a, b LeavingReport) int { return cmp.Compare(a.Upstream, b.Upstream) })
-	if len(reports) <= maxCount {
-		return reports
-	}
-	out := make([]LeavingReport, maxCount)
-	for i := range out {
-		out[i] = reports[(turn*maxCount+i)%len(reports)]
-	}
-	return out
-}
-
-// MergeLeaving merges another gateway's reports, whose ages are as of the given time.
-func (r *Registry) MergeLeaving(reports []LeavingReport, asOf time.Time) {
-	if len(reports) == 0 {
+// Merge merges another gateway's reports, whose ages are as of the given time.
+func (r *Registry) Merge(reports Reports, asOf time.Time) {
+	r.cfg.Limits.MergeLimitReports(reports.Limits, asOf)
+	if len(reports.Leaving) == 0 {
 		return
 	}
-	if leaving := r.mergeAll(reports, asOf); len(leaving) > 0 {
+	if leaving := r.mergeLeaving(reports.Leaving, asOf); len(leaving) > 0 {
 		r.cfg.OnLeaving(leaving)
 	}
 }
 
-// mergeAll merges reports and returns the upstreams of which this gateway did not know that they
+// mergeLeaving merges reports and returns the upstreams of which this gateway did not know that they
 // leave.
-func (r *Registry) mergeAll(reports []LeavingReport, asOf time.Time) []ident.Instance {
+func (r *Registry) mergeLeaving(reports []LeavingReport, asOf time.Time) []ident.Instance {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.cfg.Now()
 	var leaving []ident.Instance
 	for _, report := range reports {
 		at := asOf.Add(-report.Age)
-		if !r.acceptable(report.Upstream, at, now) || !r.recordLeaving(report.Upstream, at, now) {
+		known := r.records[report.Upstream] != nil
+		if forgotten, ok := r.forgottenAt[report.Upstream]; ok && !at.After(forgotten) || !known && len(r.records) >= maxRecords {
+			continue
+		}
+		if !r.recordLeaving(report.Upstream, at, now) {
 			continue
 		}
+		r.records[report.Upstream].reportedOnly = !known && !r.cfg.Listed(report.Upstream)
 		r.counters.LeavingReported++
 		r.cfg.Log.Info("another gateway reports that an upstream leaves", "upstream", report.Upstream, "age_ms", report.Age.Milliseconds())
 		leaving = append(leaving, report.Upstream)
 	}
 	return leaving
 }
-
-// acceptable reports whether a report on an upstream is taken in. r.mu must be held.
-func (r *Registry) acceptable(upstream ident.Instance, at, now time.Time) bool {
-	if forgotten, ok := r.forgottenAt[upstream]; ok && !at.After(forgotten) {
-		return false
-	}
-	if r.records[upstream] != nil {
-		return true
-	}
-	// Gateways that go on telling each other of an upstream that is gone must not keep the report
-	// alive.
-	old := now.Sub(at) > unlistedRetention
-	return len(r.records) < maxRecords && (!old || r.cfg.Listed(upstream))
-}
--- a/internal/announced/list.go
+++ b/internal/announced/list.go
@@ -8,7 +8,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 )
 
-// Entry is what one upstream announced, for operators.
+// Entry is what one upstream announced apart from its limit, for operators.
 type Entry struct {
 	Upstream ident.Instance
 	// Leaving is set if the upstream announced that it leaves, LeavingFor ago.
@@ -30,7 +30,7 @@
 		if rec.paused(now) {
 			e.PauseLeft = rec.pause.Until.Sub(now)
 		}
-		if !rec.leavingAt.IsZero() {
+		if rec.leaves() {
 			e.Leaving, e.LeavingFor = true, now.Sub(rec.leavingAt)
 		}
 		if e.Leaving || e.PauseLeft > 0 {
--- a/internal/announced/pause.go
+++ b/internal/announced/pause.go
@@ -13,11 +13,10 @@
 	// pauseRetention is how long after its end a pause is retained if the upstream gets no requests
 	// that would show that it serves again.
 	pauseRetention = 30 * time.Second
-	// minAvoidance is the least time from the answer that asks for a pause until the upstream is no
-	// longer the last choice: so long that the other gateways hear of a short pause too. maxBackoff
-	// bounds the time from the end of a pause until then.
-	minAvoidance = time.Second
-	maxBackoff   = 4 * time.Second
+	// minPauseAndBackoff is the least sum of a pause and its backoff: so long that the other gateways
+	// hear of a short pause too.
+	minPauseAndBackoff = time.Second
+	maxBackoff         = 4 * time.Second
 )
 
 // Pause is a pause that an upstream asked this gateway for. It is retained until the upstream has
@@ -57,18 +56,15 @@
 	if until := now.Add(asked); until.After(rec.pause.Until) {
 		*rec.pause = rec.pause.followedBy(Pause{Until: until, Asked: asked, Jitter: r.rng.Float64(), Window: firstWindow}, now)
 	}
-	if now.Sub(rec.pauseLoggedAt) < logInterval {
-		rec.unloggedPauses++
-		return
+	if unlogged, ok := rec.pauseLines.Pass(now, logInterval); ok {
+		r.cfg.Log.Info("upstream asked for a pause", "upstream", upstream, "id", id, "pause_ms", asked.Milliseconds(),
+			"left_ms", rec.pause.Until.Sub(now).Milliseconds(), "pauses_unlogged", unlogged)
 	}
-	r.cfg.Log.Info("upstream asked for a pause", "upstream", upstream, "id", id, "pause_ms", asked.Milliseconds(),
-		"left_ms", rec.pause.Until.Sub(now).Milliseconds(), "pauses_unlogged", rec.unloggedPauses)
-	rec.pauseLoggedAt, rec.unloggedPauses = now, 0
 }
 
 // followedBy returns the pause that an upstream asks for after p, with its backoff.
 func (p *Pause) followedBy(next Pause, now time.Time) Pause {
-	next.Backoff = max(minAvoidance-next.Asked, 0)
+	next.Backoff = max(minPauseAndBackoff-next.Asked, 0)
 	switch {
 	case p.Until.IsZero() || p.Served():
 	case now.Before(p.Until):
@@ -125,8 +121,9 @@
 	}
 }
 
-// Pauses returns the pauses that are retained.
-func (r *Registry) Pauses() map[ident.Instance]Pause {
+// RetainedPauses returns all pauses, also those that are over and after which the upstream has not
+// shown yet that it serves as before.
+func (r *Registry) RetainedPauses() map[ident.Instance]Pause {
 	if !r.AnyPause() {
 		return nil
 	}
--- a/internal/announced/registry.go
+++ b/internal/announced/registry.go
@@ -10,6 +10,7 @@
 
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/logthrottle"
 	"github.com/goldcrestspool/goldcrestspool/internal/upstreamlimit"
 )
 
@@ -17,10 +18,6 @@
 	// logInterval is the shortest time between two log lines on an upstream's pauses, and between
 	// two on unreadable statements. An upstream may announce another pause in each answer.
 	logInterval = time.Second
-	// unlistedRetention is how long the statements of an unlisted upstream are retained. Other
-	// gateways may report one of an upstream that has just started before it is listed here, and
-	// an entry that expired in an outage of the store may come back.
-	unlistedRetention = 15 * time.Second
 	// forgottenRetention is how long it is retained that an upstream was forgotten: longer than
 	// another gateway may report its statements.
 	forgottenRetention = time.Minute
@@ -38,7 +35,7 @@
 	MaxPause time.Duration
 	// Seed seeds the registry's random numbers. It should differ between gateways.
 	Seed uint64
-	// Listed reports whether an upstream is listed at this gateway.
+	// Listed reports whether an upstream is listed at this gateway. It must not call the registry.
 	Listed func(ident.Instance) bool
 	// OnLeaving is called when the registry has learned that upstreams leave, after which Leaving
 	// returns true for them. It may call the registry.
@@ -62,8 +59,8 @@
 	// a statement of an earlier process is not taken for one of its successor.
 	forgottenAt map[ident.Instance]time.Time
 	counters    Counters
-	// unreadableLoggedAt is when an unreadable statement was last logged.
-	unreadableLoggedAt time.Time
+	// unreadableLines bounds the log lines on unreadable statements of all upstreams.
+	unreadableLines logthrottle.Throttle
 }
 
 // record holds what one upstream announced.
@@ -75,13 +72,12 @@
 	pause *Pause
 	// listedAt is when the upstream was last listed.
 	listedAt time.Time
-	// pauseLoggedAt is when a pause was last logged, and unloggedPauses the number of pauses
-	// since.
-	pauseLoggedAt  time.Time
-	unloggedPauses int
+	// reportedOnly: only another gateway's report says that there is such an upstream.
+	reportedOnly bool
+	pauseLines   logthrottle.Throttle
 }
 
-// Counters are totals since the start.
+// Counters are totals since the start, and present numbers.
 type Counters struct {
 	// Leaving is the number of upstreams that leave, as an answer received here announced first,
 	// and LeavingReported the number that another gateway reported first.
@@ -91,6 +87,8 @@
 	Pauses, Unreadable int
 	// Resumed is the number of pauses after which the upstream served again.
 	Resumed int
+	// LeavingNow and PausedNow are the numbers of upstreams that leave, and whose pause is not over.
+	LeavingNow, PausedNow int
 }
 
 // NewRegistry returns a registry without statements.
@@ -101,22 +99,17 @@
 // Record records what an upstream's answer to a request announces.
 func (r *Registry) Record(upstream ident.Instance, id ident.Request, s Statement) {
 	r.cfg.Limits.RecordStatement(upstream, id, s.Limit)
-	r.RecordFields(upstream, id, s)
-}
-
-// RecordFields is like Record for a trailer, or for the header of an interim answer or of one to
-// another request. Statement.Limit is ignored: fields without a limit do not mean that there is none.
-func (r *Registry) RecordFields(upstream ident.Instance, id ident.Request, s Statement) {
 	if !s.Leaving && s.Pause <= 0 && s.Problem == "" {
 		return
 	}
-	if r.recordAll(upstream, id, s) {
+	if r.recordOwn(upstream, id, s) {
 		r.cfg.OnLeaving([]ident.Instance{upstream})
 	}
 }
 
-// recordAll records a statement and reports whether it is the first that the upstream leaves.
-func (r *Registry) recordAll(upstream ident.Instance, id ident.Request, s Statement) (leaves bool) {
+// recordOwn records a statement without its limit, and reports whether it is the first that the
+// upstream leaves.
+func (r *Registry) recordOwn(upstream ident.Instance, id ident.Request, s Statement) (leaves bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.cfg.Now()
@@ -161,35 +154,46 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rec := r.records[upstream]
-	return rec != nil && !rec.leavingAt.IsZero()
+	return rec != nil && rec.leaves()
 }
 
+// leaves reports whether the upstream announced that it leaves.
+func (rec *record) leaves() bool { return !rec.leavingAt.IsZero() }
+
 // Accepts reports whether an upstream takes requests from this gateway: it does not leave, and has
 // asked for no pause that is not over.
 func (r *Registry) Accepts(upstream ident.Instance) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rec := r.records[upstream]
-	return rec == nil || rec.leavingAt.IsZero() && !rec.paused(r.cfg.Now())
+	return rec == nil || !rec.leaves() && !rec.paused(r.cfg.Now())
 }
 
 // logUnreadable counts an unreadable statement and logs it, unless one of any upstream was logged
 // within logInterval. r.mu must be held.
 func (r *Registry) logUnreadable(upstream ident.Instance, id ident.Request, s Statement, now time.Time) {
 	r.counters.Unreadable++
-	if r.counters.Unreadable > 1 && now.Sub(r.unreadableLoggedAt) < logInterval {
+	if _, ok := r.unreadableLines.Pass(now, logInterval); !ok {
 		return
 	}
-	r.unreadableLoggedAt = now
 	r.cfg.Log.Warn("cannot read upstream's announcement", "upstream", upstream, "id", id, "problem", s.Problem,
 		"unreadable_total", r.counters.Unreadable)
 }
 
-// Counters returns the totals since the start.
+// Counters returns the totals since the start and the present numbers.
 func (r *Registry) Counters() Counters {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.counters
+	out, now := r.counters, r.cfg.Now()
+	for _, rec := range r.records {
+		if rec.leaves() {
+			out.LeavingNow++
+		}
+		if rec.paused(now) {
+			out.PausedNow++
+		}
+	}
+	return out
 }
 
 // UpdateListed updates which upstreams exist and forgets the statements of those that are gone.
@@ -198,25 +202,20 @@
 	r.cfg.Limits.UpdateListed(each)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.records) == 0 && len(r.forgottenAt) == 0 {
-		return
-	}
 	now := r.cfg.Now()
-	each(func(upstream ident.Instance) {
-		if rec := r.records[upstream]; rec != nil {
-			rec.listedAt = now
-		}
-	})
 	for upstream, at := range r.forgottenAt {
 		if now.Sub(at) > forgottenRetention {
 			delete(r.forgottenAt, upstream)
 		}
 	}
 	for upstream, rec := range r.records {
+		if r.cfg.Listed(upstream) {
+			rec.listedAt, rec.reportedOnly = now, false
+		}
 		if rec.pause != nil && now.Sub(rec.pause.Until) > pauseRetention {
 			r.endPause(rec)
 		}
-		if now.Sub(rec.listedAt) > unlistedRetention || rec.leavingAt.IsZero() && rec.pause == nil {
+		if now.Sub(rec.listedAt) > upstreamlimit.UnlistedRetention || !rec.leaves() && rec.pause == nil {
 			r.remove(upstream, rec)
 		}
 	}
--- a/internal/announced/registry_test.go
+++ b/internal/announced/registry_test.go
@@ -75,7 +75,7 @@
 	f.Record("u1", "r2", Statement{})
 	f.Record("u1", "r3", Statement{Problem: "x"})
 	f.Record("u1", "r4", Statement{Leaving: true})
-	f.MergeLeaving([]LeavingReport{{Upstream: "u1", Age: time.Hour}}, f.now)
+	f.Merge(Reports{Leaving: []LeavingReport{{Upstream: "u1", Age: time.Hour}}}, f.now)
 	f.pass(time.Hour)
 	if !f.Leaving("u1") || f.Accepts("u1") || f.Leaving("u2") || !f.Accepts("u2") {
 		t.Error("u1 leaves and takes nothing, u2 does not leave")
@@ -95,13 +95,13 @@
 	f.list("u1/a")
 	f.Record("u1/a", "r1", Statement{Leaving: true})
 	f.list()
-	f.pass(unlistedRetention - time.Second)
+	f.pass(upstreamlimit.UnlistedRetention - time.Second)
 	f.list("u1/a")
 	if !f.Leaving("u1/a") {
 		t.Error("forgotten though the upstream came back")
 	}
 	f.list("u1/b")
-	f.pass(unlistedRetention + time.Second)
+	f.pass(upstreamlimit.UnlistedRetention + time.Second)
 	if f.Leaving("u1/a") || f.Leaving("u1/b") || len(f.records) != 0 {
 		t.Errorf("kept although the upstream is gone: %v", f.records)
 	}
@@ -118,16 +118,16 @@
 	f.Forget("u1")
 	f.pass(time.Second)
 	f.list("u1")
-	f.MergeLeaving([]LeavingReport{{Upstream: "u1", Age: 3 * time.Second}}, f.now)
+	f.Merge(Reports{Leaving: []LeavingReport{{Upstream: "u1", Age: 3 * time.Second}}}, f.now)
 	if f.Leaving("u1") {
 		t.Error("an older statement counts")
 	}
-	f.MergeLeaving([]LeavingReport{{Upstream: "u1", Age: 500 * time.Millisecond}}, f.now)
+	f.Merge(Reports{Leaving: []LeavingReport{{Upstream: "u1", Age: 500 * time.Millisecond}}}, f.now)
 	if !f.Leaving("u1") {
 		t.Error("the successor's own statement does not count")
 	}
 	f.list()
-	f.pass(forgottenRetention + unlistedRetention)
+	f.pass(forgottenRetention + upstreamlimit.UnlistedRetention)
 	if len(f.forgottenAt) != 0 {
 		t.Errorf("%d IDs are kept for good", len(f.forgottenAt))
 	}
@@ -142,8 +142,8 @@
 			a.pass(testRound)
 			b.now = a.now.Add(-testRound / 2)
 			b.pass(testRound / 2)
-			b.MergeLeaving(a.LeavingReports(), a.now)
-			a.MergeLeaving(b.LeavingReports(), b.now)
+			b.Merge(a.Reports(), a.now)
+			a.Merge(b.Reports(), b.now)
 		}
 	}
 	a.list("u1")
@@ -156,9 +156,9 @@
 	a.list()
 	exchange(4)
 	b.list()
-	exchange(int(3 * unlistedRetention / testRound))
+	exchange(int(3 * upstreamlimit.UnlistedRetention / testRound))
 	if len(a.records)+len(b.records) != 0 {
-		t.Errorf("still known: %v, %v", a.LeavingReports(), b.LeavingReports())
+		t.Errorf("still known: %v, %v", a.Reports().Leaving, b.Reports().Leaving)
 	}
 }
 
@@ -173,7 +173,7 @@
 	}
 	reported := make(map[ident.Instance]bool)
 	for range int(500/maxReportedOthers + 1 + int(reportNewFor/testRound)) {
-		reports := f.LeavingReports()
+		reports := f.Reports().Leaving
 		if len(reports) > maxReportedNew+maxReportedOthers {
 			t.Fatalf("%d reports in a message", len(reports))
 		}
@@ -202,7 +202,7 @@
 	for i := range 2 * maxRecords {
 		reports = append(reports, LeavingReport{Upstream: ident.Instance(fmt.Sprint("x", i))})
 	}
-	f.MergeLeaving(reports, f.now)
+	f.Merge(Reports{Leaving: reports}, f.now)
 	if len(f.records) > maxRecords {
 		t.Errorf("%d upstreams are kept", len(f.records))
 	}
@@ -236,7 +236,7 @@
 			case "is silent":
 				f.Record(id, "r", Statement{})
 			case "report":
-				f.MergeLeaving([]LeavingReport{{Upstream: id}}, f.now)
+				f.Merge(Reports{Leaving: []LeavingReport{{Upstream: id}}}, f.now)
 				if f.forgottenAt[id] != f.now {
 					tell(id)
 				}
@@ -256,7 +256,7 @@
 				switch {
 				case told && f.listed[id]:
 					toldAt[id] = f.now
-				case told && f.now.Sub(at) > unlistedRetention:
+				case told && f.now.Sub(at) > upstreamlimit.UnlistedRetention:
 					delete(toldAt, id)
 					told = false
 				}
@@ -351,7 +351,7 @@
 	for range 8 {
 		f.Record("u1", "r", Statement{Pause: asked})
 		pause, _ := f.Pause("u1")
-		if pause.Backoff < last || pause.Backoff > maxBackoff || pause.Backoff+asked < minAvoidance {
+		if pause.Backoff < last || pause.Backoff > maxBackoff || pause.Backoff+asked < minPauseAndBackoff {
 			t.Errorf("the backoff is %v after %v", pause.Backoff, last)
 		}
 		last = pause.Backoff
@@ -387,12 +387,12 @@
 			case "pass":
 				f.pass(time.Duration(rapid.IntRange(1, 10_000).Draw(t, "ms")) * time.Millisecond)
 			case "leaving report":
-				f.MergeLeaving([]LeavingReport{{Upstream: "u2"}}, f.now)
+				f.Merge(Reports{Leaving: []LeavingReport{{Upstream: "u2"}}}, f.now)
 			}
 			if f.Accepts("u1") == f.now.Before(end) {
 				t.Fatalf("accepts requests: %t, the latest pause ends in %v", f.Accepts("u1"), end.Sub(f.now))
 			}
-			if n := len(f.Pauses()); f.AnyPause() != (n > 0) || int(f.pauses.Load()) != n {
+			if n := len(f.RetainedPauses()); f.AnyPause() != (n > 0) || int(f.pauses.Load()) != n {
 				t.Fatalf("%d pauses are counted, %d retained", f.pauses.Load(), n)
 			}
 		}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -121,13 +121,13 @@
 }
 
 // UseAnnouncements sets the function that reports whether an upstream announced in an answer that
-// it leaves, whatever its entry says. Views show it as leaving. AnnouncedLeaving must be called
-// when the function's result changes.
+// it leaves. Views show such an upstream as leaving, whatever its entry says. ShowLeaving must be
+// called when the function's result changes.
 func (d *Directory) UseAnnouncements(leaving func(ident.Instance) bool) { d.announcedLeaving = leaving }
 
-// AnnouncedLeaving makes the next view show upstreams as leaving that have announced it, and
-// reports whether any of them is listed as ready.
-func (d *Directory) AnnouncedLeaving(ids []ident.Instance) (changed bool) {
+// ShowLeaving makes the next view show upstreams as leaving that have just announced it, and
+// reports whether that changes the view.
+func (d *Directory) ShowLeaving(ids []ident.Instance) (changed bool) {
 	for _, id := range ids {
 		if u, listed := d.views.newest.Upstream(id); listed && u.State == Ready {
 			d.views.changed[u.Name] = true
--- a/internal/directory/view_test.go
+++ b/internal/directory/view_test.go
@@ -158,7 +158,7 @@
 		t.Error("u1 has announced nothing yet")
 	}
 	announced["u1/a"] = true
-	if !d.AnnouncedLeaving([]ident.Instance{"u1/a", "unknown"}) || d.AnnouncedLeaving(nil) {
+	if !d.ShowLeaving([]ident.Instance{"u1/a", "unknown"}) || d.ShowLeaving(nil) {
 		t.Error("the view must change for u1 alone")
 	}
 	for _, step := range []struct {
@@ -182,7 +182,7 @@
 			t.Errorf("after %s u1 is in state %d and u2 in %d", step.name, stateOf("u1/a"), stateOf("u2"))
 		}
 	}
-	if d.AnnouncedLeaving([]ident.Instance{"u1/a"}) {
+	if d.ShowLeaving([]ident.Instance{"u1/a"}) {
 		t.Error("the view changes again for what it shows already")
 	}
 	second := *first
--- a/internal/entry/announced.go
+++ b/internal/entry/announced.go
@@ -4,6 +4,13 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/announced"
+	"github.com/goldcrestspool/goldcrestspool/internal/directory"
+	"github.com/goldcrestspool/goldcrestspool/internal/gossip"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstreamlimit"
 )
 
 // announcedPath is the path where operators list the upstreams that leave or asked for a pause.
@@ -19,17 +26,31 @@
 
 // writeAnnouncedMetrics prints the counters of what upstreams announce.
 func (p *Process) writeAnnouncedMetrics(w io.Writer) {
-	leaving, paused := 0, 0
-	for _, e := range p.announced.List() {
-		if e.Leaving {
-			leaving++
-		}
-		if e.PauseLeft > 0 {
-			paused++
-		}
-	}
 	c := p.announced.Counters()
 	fmt.Fprintf(w, "upstreams_leaving_now %d\nupstreams_paused_now %d\nupstreams_leaving_announced_total %d\nupstreams_leaving_reported_total %d\n"+
 		"upstream_pauses_total %d\nupstream_pauses_resumed_total %d\nupstream_announcements_unreadable_total %d\n",
-		leaving, paused, c.Leaving, c.LeavingReported, c.Pauses, c.Resumed, c.Unreadable)
+		c.LeavingNow, c.PausedNow, c.Leaving, c.LeavingReported, c.Pauses, c.Resumed, c.Unreadable)
+}
+
+// refreshAnnounced applies how much of the upstreams' rate limits the other gateways use, and
+// which upstreams are listed now.
+func (p *Process) refreshAnnounced(v *peerView) {
+	uses := make(upstreamlimit.Uses)
+	for i := range v.Groups {
+		uses.Add(v.Groups[i].LimitUses)
+	}
+	p.limits.Refresh(uses, upstreamlimit.Fleet{Heard: v.Heard + 1, Known: p.gatewayCount()})
+	p.announced.UpdateListed(func(note func(ident.Instance)) {
+		p.board.upstreams.Value().Each(func(u *directory.Upstream) { note(u.ID) })
+	})
+}
+
+// applyAnnounced merges what another gateway reported of upstreams' announcements as of the given
+// time. A zero time means that it is unknown, and counts as now: the report was in transit for
+// less time than gateways need to learn of each other.
+func (p *Process) applyAnnounced(r *gossip.Report, asOf time.Time) {
+	if asOf.IsZero() {
+		asOf = p.now()
+	}
+	p.announced.Merge(announced.Reports{Limits: r.Limits, Leaving: r.UpstreamsLeaving}, asOf)
 }
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -4,12 +4,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"time"
-
-	"github.com/goldcrestspool/goldcrestspool/internal/directory"
-	"github.com/goldcrestspool/goldcrestspool/internal/gossip"
-	"github.com/goldcrestspool/goldcrestspool/internal/ident"
-	"github.com/goldcrestspool/goldcrestspool/internal/upstreamlimit"
 )
 
 // limitedPath is the path where operators list the upstreams that announced a rate limit.
@@ -29,27 +23,3 @@
 		"requests_within_limits_total %d\nrequests_passed_over_limits_total %d\n",
 		len(p.limits.List()), c.Changes, c.Unreadable, c.Sent, c.PassedOver)
 }
-
-// refreshLimits applies how much of the upstreams' rate limits the other gateways use, and
-// which upstreams are listed now.
-func (p *Process) refreshLimits(v *peerView) {
-	uses := make(upstreamlimit.Uses)
-	for i := range v.Groups {
-		uses.Add(v.Groups[i].LimitUses)
-	}
-	p.limits.Refresh(uses, upstreamlimit.Fleet{Heard: v.Heard + 1, Known: p.gatewayCount()})
-	p.announced.UpdateListed(func(note func(ident.Instance)) {
-		p.board.upstreams.Value().Each(func(u *directory.Upstream) { note(u.ID) })
-	})
-}
-
-// applyAnnounced merges what another gateway reported of upstreams' announcements as of the given
-// time. A zero time means that it is unknown, and counts as now: the report was in transit for
-// less time than gateways need to learn of each other.
-func (p *Process) applyAnnounced(r *gossip.Report, asOf time.Time) {
-	if asOf.IsZero() {
-		asOf = p.now()
-	}
-	p.limits.MergeLimitReports(r.Limits, asOf)
-	p.announced.MergeLeaving(r.UpstreamsLeaving, asOf)
-}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -40,7 +40,7 @@
 	p.view.Store(v)
 	p.rollouts.Refresh(mergeRolloutStates(v.Groups))
 	p.poison.Refresh(mergePoisonReports(v.Groups))
-	p.refreshLimits(v)
+	p.refreshAnnounced(v)
 	if table := p.table(); table != nil {
 		p.quotas.ApplyReports(table.Accounts(), now)
 	}
@@ -157,9 +157,9 @@
 	_, r.HoldsLease = p.lease.Grant()
 	r.Rollouts = p.rollouts.OrderStates(p.hasNoRequests)
 	r.Poison = p.poison.Report()
-	r.Limits = p.limits.LimitReports()
+	reports := p.announced.Reports()
+	r.Limits, r.UpstreamsLeaving = reports.Limits, reports.Leaving
 	r.LimitSet = p.limits.LimitedSet().Hash
-	r.UpstreamsLeaving = p.announced.LeavingReports()
 	return r
 }
 
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -147,6 +147,7 @@
 	})
 	p.counter = metering.NewCounter(s.Usage.Window, p.trueTime)
 	p.quotas = quota.NewLimiter(quota.Tolerance{Window: s.Quota.Window, Overage: s.Quota.Overage, Slack: s.Quota.Slack}, p.quotaReports, p.now())
+	budget := retry.NewFleetBudget(retry.FleetBudgetConfig{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window}, p.gatewayCount)
 	p.chooser = placement.New(placement.Config{
 		Params: placement.DefaultParams(), Self: s.Instance.ID, Domain: s.Instance.FailureDomain, Log: p.log.Named("placement"),
 		View:            func() *directory.View { return p.board.upstreams.Value() },
@@ -156,12 +157,12 @@
 		OtherEngineSums: p.engineSums,
 		Limits:          p.limits,
 		Pauses:          p.announced,
+		RetryLeft:       budget.Left,
 		Split:           p.rollouts.SplitOf,
 	})
 	forwarder := forward.New(forward.Config{
 		Now: p.now, Pool: p.pool, Dialect: p.ports.Protocol, Placement: p.chooser,
-		Budget: retry.NewFleetBudget(retry.FleetBudgetConfig{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window}, p.gatewayCount),
-		Guard:  p.poison, Announcements: p.announced, Meter: p.counter, Log: p.log.Named("forward"), Tracer: p.tracing.Tracer, RetryAfter: p.retryAfter,
+		Budget: budget, Guard: p.poison, Announcements: p.announced, Meter: p.counter, Log: p.log.Named("forward"), Tracer: p.tracing.Tracer, RetryAfter: p.retryAfter,
 	})
 	p.lease = p.newLease()
 	p.callers = ingress.New(ingress.Config{
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -325,7 +325,7 @@
 func (u *upstreamsFollower) recordLeaving(ids []ident.Instance) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.publish(u.dir.AnnouncedLeaving(ids))
+	u.publish(u.dir.ShowLeaving(ids))
 	for _, id := range ids {
 		u.pool.CloseIdle(id)
 	}
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -172,7 +172,11 @@
 		OtherEngineSums: func(ident.Service) enginemodel.Sums { return w.sums },
 		Split:           func(ident.Service) *rollout.Split { return nil },
 		Limits:          limits,
-		Pauses:          announced.NewRegistry(announced.Config{Now: w.Clock, Log: hclog.NewNullLogger(), Limits: limits}),
+		Pauses: announced.NewRegistry(announced.Config{
+			Now: w.Clock, Log: hclog.NewNullLogger(), Limits: limits, Round: gossip.Interval, MaxPause: time.Minute,
+			Listed: func(ident.Instance) bool { return true }, OnLeaving: func([]ident.Instance) {},
+		}),
+		RetryLeft: func(ident.Service, time.Time) bool { return true },
 	})
 	w.gateways = append(w.gateways, g)
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -38,9 +38,6 @@
 var (
 	// errExpired cancels a call whose deadline passed.
 	errExpired = errors.New("the request's time is over")
-	// errWithdrawn keeps a request from being sent to an upstream that has announced meanwhile
-	// that it takes none.
-	errWithdrawn = errors.New("the upstream announced that it takes no requests")
 	// errSilent cancels an attempt at an upstream that was silent for too long.
 	errSilent = errors.New("the upstream is silent")
 )
@@ -112,9 +109,8 @@
 	buffered *bufferedAnswer
 	// reason is why the last failed attempt failed, or why no further one is made.
 	reason string
-	// noChoice is why the last choice found no upstream, if waiting would not help; empty if it
-	// might.
-	noChoice string
+	// blocked is that of the last choice.
+	blocked Block
 	// upstreamCrashed: an upstream crashed while it had the call. The timer of an attempt
 	// reads it too.
 	upstreamCrashed atomic.Bool
@@ -179,7 +175,7 @@
 func (s *session) endWithoutUpstream() Step {
 	switch context.Cause(s.ctx) {
 	case nil:
-		s.reason = cmp.Or(s.noChoice, "no upstream takes work")
+		s.reason = cmp.Or(blockReasons[s.blocked], "no upstream takes work")
 	case errExpired:
 		if !s.state.MayHaveRun() {
 			s.reason = "its time was over before an upstream took it"
@@ -211,7 +207,6 @@
 	waitUntil := s.call.Received.Add(s.call.Route.Objective / waitDivisor)
 	for {
 		now := s.f.cfg.Now()
-		s.call.NoRetryLeft = s.f.cfg.Announcements.AnyPause() && !s.f.cfg.Budget.Left(s.call.Service.Name, now)
 		choice, found := s.f.cfg.Placement.Choose(s.call, s.state.Tried, now)
 		if len(choice.AtLimit) > 0 {
 			s.outcome.AtLimit = choice.AtLimit
@@ -219,28 +214,14 @@
 		if len(choice.Paused) > 0 {
 			s.outcome.Paused = choice.Paused
 		}
-		s.noChoice = whyNoChoice(&choice, waitUntil)
-		if found || s.noChoice != "" || !now.Before(waitUntil) || s.ctx.Err() != nil {
+		s.blocked = choice.Blocked
+		if found || choice.blockedPast(waitUntil) || !now.Before(waitUntil) || s.ctx.Err() != nil {
 			return choice, found && s.ctx.Err() == nil
 		}
 		sleep.For(s.ctx, waitInterval) // the loop checks whether the call has ended
 	}
 }
 
-// whyNoChoice returns why no upstream was found, if none will be found by waiting; else an empty
-// string.
-func whyNoChoice(choice *Choice, waitUntil time.Time) string {
-	switch {
-	case choice.PauseEnds.After(waitUntil):
-		return "all upstreams asked for a pause"
-	case choice.OnlyLimits:
-		return "all upstreams are at the limits that they named"
-	case choice.AllLeave:
-		return "all upstreams leave"
-	}
-	return ""
-}
-
 // attempt makes one attempt at an upstream: it runs the exchange, and records the attempt
 // with the retry budget, the guard and the trace.
 func (s *session) attempt(choice Choice) Result {
@@ -276,13 +257,7 @@
 	request := s.f.cfg.Dialect.Request(s.call, Attempt{
 		Upstream: choice.Name, TimeLeft: s.call.Remaining(s.f.cfg.Now()), LastEventID: s.lastEvent,
 	})
-	// Another request's answer may have arrived since the choice, while a connection was dialed.
-	request.BeforeSend = func() error {
-		if !s.f.cfg.Announcements.Accepts(choice.Upstream) {
-			return errWithdrawn
-		}
-		return nil
-	}
+	request.BeforeSend = func() error { return s.checkAccepts(choice) }
 	request.OnOtherHeader = func(header http.Header) { s.recordFields(choice, header) }
 	answer, failure := s.f.cfg.Pool.Send(ctx, target, request)
 	if failure != nil {
@@ -348,7 +323,7 @@
 func (s *session) readAnswer(choice Choice, answer *httpconn.Answer, silence *silenceTimer) Result {
 	info := s.f.cfg.Dialect.ParseAnswer(answer.Status, answer.Header)
 	if !info.FromOtherUpstream {
-		s.f.cfg.Announcements.Record(choice.Upstream, s.call.ID, info.Announced)
+		s.record(choice, info.Announced)
 	}
 	s.f.cfg.Dialect.RemoveAnnouncements(answer.Header)
 	if info.NotRun {
@@ -372,20 +347,6 @@
 	return s.readWhole(choice, answer, info)
 }
 
-// recordTrailer records what the trailer of an answer that was read to its end announces. An
-// upstream that began to leave during a long answer can only say so there.
-func (s *session) recordTrailer(choice Choice, answer *httpconn.Answer) {
-	if trailer := answer.Trailer(); len(trailer) > 0 {
-		s.recordFields(choice, trailer)
-	}
-}
-
-// recordFields records what an upstream announces in fields that are not the header of its answer
-// to the call.
-func (s *session) recordFields(choice Choice, fields http.Header) {
-	s.f.cfg.Announcements.RecordFields(choice.Upstream, s.call.ID, s.f.cfg.Dialect.ParseFields(fields))
-}
-
 // drainRejection reads the rest of a rejection, so that its connection can be reused.
 func (s *session) drainRejection(answer *httpconn.Answer) {
 	if _, err := io.Copy(io.Discard, io.LimitReader(answer, maxBufferedBytes)); err != nil {
--- a/internal/forward/state.go
+++ b/internal/forward/state.go
@@ -124,37 +124,23 @@
 		s.possibleRuns++
 		return TimeOut
 	case NoConnection, Withdrawn:
-		return s.afterNoConnection()
+		s.unsent++
+		return s.anotherIf(s.unsent < maxUnsentAttempts)
 	case Rejected:
-		return s.afterRejection(spend)
+		s.rejected++
+		return s.anotherIf(s.rejected < maxRejections && spend())
 	case Declined:
-		return s.afterDeclined(spend)
+		// It does not count towards maxRejections: the upstream gets no more requests for now, and
+		// others may well have room.
+		return s.anotherIf(spend())
 	}
 	s.possibleRuns++
 	return s.afterPossibleRun(result, spend)
 }
 
-func (s *State) afterNoConnection() Step {
-	s.unsent++
-	if s.unsent < maxUnsentAttempts {
-		return TryAnother
-	}
-	return s.GiveUp()
-}
-
-func (s *State) afterRejection(spend func() bool) Step {
-	s.rejected++
-	if s.rejected < maxRejections && spend() {
-		return TryAnother
-	}
-	return s.GiveUp()
-}
-
-// afterDeclined decides after a rejection by an upstream that gets no more requests for now. It
-// does not count towards maxRejections: other upstreams may well have room, and each that has none
-// drops out after one request.
-func (s *State) afterDeclined(spend func() bool) Step {
-	if spend() {
+// anotherIf returns TryAnother if the request may go to another upstream.
+func (s *State) anotherIf(allowed bool) Step {
+	if allowed {
 		return TryAnother
 	}
 	return s.GiveUp()
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -51,10 +51,6 @@
 	// whichever is earlier.
 	Expires time.Time
 
-	// NoRetryLeft: if an upstream turns the call away, the retry budget allows no other. It is
-	// set only while upstreams ask for pauses.
-	NoRetryLeft bool
-
 	// outline and content cache the results of Outline and Content; 0 until computed.
 	outline ident.OutlineHash
 	content ident.ContentHash
@@ -119,20 +115,41 @@
 	// AtLimit lists the upstreams that were preferable but have reached the rate limit that
 	// they announced. It may be set where no upstream was found.
 	AtLimit []ident.Instance
-	// OnlyLimits: no upstream was found, and only rate limits prevented it.
-	OnlyLimits bool
 	// Paused lists some of the upstreams that were passed over because they had asked this
 	// gateway for a pause. It may be set where no upstream was found.
 	Paused []ident.Instance
-	// PauseEnds is when the first pause ends, if no upstream was found and no slot that
-	// becomes free before it would help; zero otherwise.
-	PauseEnds time.Time
-	// AllLeave: no upstream was found, because all that are known leave.
-	AllLeave bool
+	// Blocked is why no upstream was found, if no slot that becomes free would help; zero
+	// otherwise. BlockedUntil is when it may end by itself; zero if that is not known.
+	Blocked      Block
+	BlockedUntil time.Time
 	// Reservation is the reserved slot, which Placement.Finished releases.
 	Reservation any
 }
 
+// blockedPast reports whether no upstream was found and none will be by waiting until a time.
+func (c *Choice) blockedPast(t time.Time) bool {
+	return c.Blocked != 0 && (c.BlockedUntil.IsZero() || c.BlockedUntil.After(t))
+}
+
+// Block is what the upstreams of a service announced so that none of them accepts a call.
+type Block int
+
+// The blocks.
+const (
+	// BlockedByLimits: their rate limits admit no more.
+	BlockedByLimits Block = iota + 1
+	// BlockedByPauses: they asked this gateway for pauses, or some of them did and the limits of
+	// the others admit no more.
+	BlockedByPauses
+	// BlockedByLeaving: they leave.
+	BlockedByLeaving
+)
+
+// blockReasons are the reasons that callers are given.
+var blockReasons = map[Block]string{
+	BlockedByLimits: "all upstreams are at the limits that they named", BlockedByPauses: "all upstreams asked for a pause", BlockedByLeaving: "all upstreams leave",
+}
+
 // Placement chooses upstreams and records how attempts at them go. It is safe for
 // concurrent use.
 type Placement interface {
@@ -169,14 +186,10 @@
 
 // Announcements records what upstreams announce about themselves in their answers.
 type Announcements interface {
-	// Record records what an upstream's answer to a request announces.
+	// Record records what an upstream announces in an answer to a request, or beside it.
 	Record(upstream ident.Instance, id ident.Request, s announced.Statement)
-	// RecordFields records what an upstream announces elsewhere than in an answer's header.
-	RecordFields(upstream ident.Instance, id ident.Request, s announced.Statement)
 	// Accepts reports whether an upstream takes requests from this gateway, by what it announced.
 	Accepts(upstream ident.Instance) bool
-	// AnyPause reports whether upstreams ask for pauses.
-	AnyPause() bool
 }
 
 // Budget bounds the retries that all gateways together send to a service, as a share of
@@ -186,8 +199,6 @@
 	RecordFirstAttempt(service ident.Service, now time.Time)
 	// Spend takes one retry out of the budget and reports whether the budget allowed it.
 	Spend(service ident.Service, now time.Time) bool
-	// Left reports whether a retry is left.
-	Left(service ident.Service, now time.Time) bool
 }
 
 // Meter counts the requests that began to run, for each account's usage.
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -231,16 +231,16 @@
 		return nil
 	}
 	out := &exchangev1.Loads{Upstreams: make([]uint32, 0, len(loads)), Running: make([]uint32, 0, len(loads)), UnreadTokens: make([]uint32, 0, len(loads))}
-	anyPaused := false
 	for key, load := range loads {
 		out.Upstreams = append(out.Upstreams, uint32(key))
 		out.Running = append(out.Running, uint32(max(0, load.Running)))
 		out.UnreadTokens = append(out.UnreadTokens, uint32(max(0, load.UnreadTokens)))
-		out.Paused = append(out.Paused, uint32(max(0, load.Paused)))
-		anyPaused = anyPaused || load.Paused > 0
-	}
-	if !anyPaused {
-		out.Paused = nil
+		if load.Paused > 0 && out.Paused == nil {
+			out.Paused = make([]uint32, len(out.Upstreams)-1, len(loads))
+		}
+		if out.Paused != nil {
+			out.Paused = append(out.Paused, uint32(max(0, load.Paused)))
+		}
 	}
 	return out
 }
@@ -257,27 +257,19 @@
 	}
 	out := make(map[UpstreamKey]placement.Load, n)
 	for i, key := range in.Upstreams {
-		if in.Running[i] > maxRunning || in.UnreadTokens[i] > maxUnreadTokens {
-			c.fail("load of %d requests and %d unread tokens is too high, at most %d and %d", in.Running[i], in.UnreadTokens[i], maxRunning, maxUnreadTokens)
-		}
-		load := placement.Load{Running: int(in.Running[i]), UnreadTokens: int(in.UnreadTokens[i])}
+		paused := uint32(0)
 		if len(in.Paused) > 0 {
-			load.Paused = c.paused(in.Paused[i])
+			paused = in.Paused[i]
 		}
-		out[UpstreamKey(key)] = load
+		if in.Running[i] > maxRunning || in.UnreadTokens[i] > maxUnreadTokens || paused > maxItems {
+			c.fail("load of %d requests, %d unread tokens and %d paused gateways is too high, at most %d, %d and %d",
+				in.Running[i], in.UnreadTokens[i], paused, maxRunning, maxUnreadTokens, maxItems)
+		}
+		out[UpstreamKey(key)] = placement.Load{Running: int(in.Running[i]), UnreadTokens: int(in.UnreadTokens[i]), Paused: int(paused)}
 	}
 	return out
 }
 
-// paused converts the number of gateways that an upstream asked for a pause.
-func (c *checker) paused(gateways uint32) int {
-	if gateways > maxItems {
-		c.fail("%d gateways have a pause, at most %d", gateways, maxItems)
-		return 0
-	}
-	return int(gateways)
-}
-
 func accountsToProto(accounts map[ident.ClientAccount]Spending) []*exchangev1.Account {
 	out := make([]*exchangev1.Account, 0, len(accounts))
 	for name, s := range accounts {
--- a/internal/gossip/fleet_test.go
+++ b/internal/gossip/fleet_test.go
@@ -201,7 +201,7 @@
 	for _, key := range limited.Keys[:min(4, len(limited.Keys))] {
 		r.Limits = append(r.Limits, upstreamlimit.LimitReport{Upstream: key, Limited: true, Rate: 1.5, Age: time.Second})
 	}
-	r.UpstreamsLeaving = n.announced.LeavingReports()
+	r.UpstreamsLeaving = n.announced.Reports().Leaving
 	return r
 }
 
@@ -235,7 +235,7 @@
 	if heardAt.IsZero() {
 		heardAt = time.Now()
 	}
-	n.announced.MergeLeaving(r.UpstreamsLeaving, heardAt)
+	n.announced.Merge(announced.Reports{Leaving: r.UpstreamsLeaving}, heardAt)
 	n.fleet.mu.Lock()
 	defer n.fleet.mu.Unlock()
 	if at := asOf.Add(-r.RevisionAge); at.After(n.confirmedAt) {
--- a/internal/routing/placement/announced_stories_test.go
+++ b/internal/routing/placement/announced_stories_test.go
@@ -178,9 +178,7 @@
 	r.refusedWithRoom += o.refusedWithRoom
 	r.refusedByBudget += o.refusedByBudget
 	r.turnedAway += o.turnedAway
-	r.attempts += o.attempts
 	r.backAfter = max(r.backAfter, o.backAfter)
-	r.rejectedOnReturn += o.rejectedOnReturn
 	r.keptShare = min(r.keptShare, o.keptShare)
 	r.latencies = append(r.latencies, o.percentile(0.5), o.percentile(0.95))
 }
--- /dev/null
+++ b/internal/routing/placement/announced_upstream_test.go
@@ -0,0 +1,151 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/announced"
+	"github.com/goldcrestspool/goldcrestspool/internal/forward"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+// pausing describes upstreams that turn requests away and ask for a pause of a length.
+type pausing struct {
+	upstreams []int
+	from, to  time.Duration
+	length    time.Duration
+	// gateways are those that are asked, as a share of all; 0 means all.
+	gateways float64
+	// everySecond: only every second refusal asks for a pause.
+	everySecond bool
+}
+
+type fleetUpstream struct {
+	i, domain int
+	born      int
+	id        ident.Instance
+	running   int
+	queue     []func()
+	refusals  int
+	// arrivals are the times of all requests that reached it.
+	arrivals []time.Duration
+	// toldAt is when it first told any gateway that it leaves; negative if it has not.
+	toldAt time.Duration
+}
+
+// start begins a life of the upstream.
+func (u *fleetUpstream) start() {
+	u.born++
+	u.id = ident.Instance(fmt.Sprintf("u%03d/%d", u.i, u.born))
+	u.running, u.queue, u.toldAt = 0, nil, -1
+}
+
+// upstreamOf returns the upstream whose present life has an ID, or nil.
+func (f *announcedFleet) upstreamOf(id ident.Instance) *fleetUpstream {
+	i, err := strconv.Atoi(string(id[1:4]))
+	if err != nil || f.upstreams[i].id != id {
+		return nil
+	}
+	return f.upstreams[i]
+}
+
+// leaving reports whether an upstream says now that it leaves.
+func (f *announcedFleet) leaving(u *fleetUpstream) bool {
+	at, leaves := f.story.leaves[u.i]
+	return leaves && u.born == 1 && f.Now() >= at
+}
+
+// refuses reports whether an upstream turns a gateway's requests away now, and the pause that it
+// asks for.
+func (f *announcedFleet) refuses(u *fleetUpstream, g *fleetGateway) (bool, time.Duration) {
+	for _, p := range f.story.pauses {
+		asked := p.gateways == 0 || float64(g.i) < p.gateways*float64(f.story.gateways)
+		if !asked || f.Now() < p.from || f.Now() >= p.to || !slices.Contains(p.upstreams, u.i) {
+			continue
+		}
+		u.refusals++
+		if p.everySecond && u.refusals%2 == 0 {
+			return true, 0
+		}
+		return true, p.length
+	}
+	return false, 0
+}
+
+// takesNothing reports whether an upstream leaves or turns a gateway's requests away now.
+func (f *announcedFleet) takesNothing(u *fleetUpstream, g *fleetGateway) bool {
+	refuses, _ := f.refuses(u, g)
+	return refuses || f.leaving(u)
+}
+
+// receive lets a request arrive at an upstream.
+func (f *announcedFleet) receive(u *fleetUpstream, r *fleetRequest, choice forward.Choice, delay time.Duration) {
+	u.arrivals = append(u.arrivals, f.Now())
+	born := u.born
+	refuses, pause := f.refuses(u, r.g)
+	switch {
+	case refuses:
+		f.result.turnedAway++
+		f.answer(u, r, choice, delay, announced.Statement{Pause: pause}, true)
+	case u.running+len(u.queue) >= f.story.slots*(1+queuePerSlot):
+		f.answer(u, r, choice, delay, announced.Statement{}, true)
+	default:
+		work := time.Duration((0.5 + 0.5*f.rng.ExpFloat64()) * float64(serviceTime))
+		run := func() {
+			f.In(work, func() {
+				if u.born != born {
+					return
+				}
+				f.answer(u, r, choice, delay, announced.Statement{}, false)
+				u.running--
+				if len(u.queue) > 0 {
+					next := u.queue[0]
+					u.queue = u.queue[1:]
+					u.running++
+					next()
+				}
+			})
+		}
+		if u.running >= f.story.slots {
+			u.queue = append(u.queue, run)
+			return
+		}
+		u.running++
+		run()
+	}
+}
+
+// answer sends an upstream's answer, with what the upstream announces at that moment.
+func (f *announcedFleet) answer(u *fleetUpstream, r *fleetRequest, choice forward.Choice, delay time.Duration, s announced.Statement, notRun bool) {
+	at, leaves := f.story.leaves[u.i]
+	s.Leaving = leaves && f.leaving(u) && (f.story.withdrawnAfter == 0 || f.Now() < at+f.story.withdrawnAfter)
+	if s.Leaving && u.toldAt < 0 {
+		u.toldAt = f.Now()
+	}
+	f.In(delay, func() { r.readAnswer(choice, s, notRun) })
+}
+
+// arrivalsIn counts the requests that arrived in a span.
+func (u *fleetUpstream) arrivalsIn(from, to time.Duration) int {
+	n := 0
+	for _, at := range u.arrivals {
+		if at >= from && at < to {
+			n++
+		}
+	}
+	return n
+}
+
+// backAfter returns the time from the end of an upstream's refusals until it has half of its usual
+// requests in a second.
+func (u *fleetUpstream) backAfter(end time.Duration) time.Duration {
+	usual := float64(u.arrivalsIn(4*time.Second, statementAt)) / (statementAt - 4*time.Second).Seconds()
+	for at := end; at+time.Second < storyTime; at += 100 * time.Millisecond {
+		if float64(u.arrivalsIn(at, at+time.Second)) >= usual/2 {
+			return at - end
+		}
+	}
+	return storyTime - end
+}
--- a/internal/routing/placement/leaving.go
+++ b/internal/routing/placement/leaving.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/directory"
@@ -8,23 +9,18 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
 )
 
-// allLeave reports whether upstreams of a service are known and all of them leave. No slot becomes
-// free at any of them for a new request.
-func (c *Chooser) allLeave(service ident.Service, now time.Time) bool {
+// allLeave reports whether upstreams of a service are known and all of them leave.
+func (c *Chooser) allLeave(service ident.Service) bool {
 	upstreams := c.view.Of(service)
-	for i := range upstreams {
-		if upstreams[i].State == directory.Ready {
-			delete(c.allLeaveSince, service)
-			return false
-		}
-	}
-	if len(upstreams) == 0 {
-		return false
-	}
+	ready := func(u directory.Upstream) bool { return u.State == directory.Ready }
+	return len(upstreams) > 0 && !slices.ContainsFunc(upstreams, ready)
+}
+
+// noteAllLeave notes that a request found that all upstreams of its service leave.
+func (c *Chooser) noteAllLeave(service ident.Service, now time.Time) {
 	if c.allLeaveSince[service].IsZero() {
 		c.allLeaveSince[service] = now
 	}
-	return true
 }
 
 // replacementIn returns the time until a replacement can serve if all upstreams of a service leave:
--- a/internal/routing/placement/leaving_test.go
+++ b/internal/routing/placement/leaving_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/directory"
+	"github.com/goldcrestspool/goldcrestspool/internal/forward"
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
 )
 
@@ -16,8 +17,8 @@
 	call := f.call(service, 0)
 	f.setUpstreams(directory.Leaving, "a0", "b0")
 	choice, found := f.Choose(call, nil, f.now)
-	if found || !choice.AllLeave {
-		t.Fatalf("found %t, all leave %t", found, choice.AllLeave)
+	if found || choice.Blocked != forward.BlockedByLeaving || !choice.BlockedUntil.IsZero() {
+		t.Fatalf("found %t, blocked by %d until %v", found, choice.Blocked, choice.BlockedUntil)
 	}
 	for _, elapsed := range []time.Duration{0, time.Second, 3 * time.Second, 5 * time.Second} {
 		if got, want := f.RetryAfter(call, f.now.Add(elapsed)), max(0, 4*time.Second-elapsed); got != want {
@@ -35,7 +36,7 @@
 		t.Errorf("the next time: return after %v", got)
 	}
 	f.setUpstreams(directory.Ready)
-	if choice, _ := f.Choose(call, nil, f.now); choice.AllLeave {
+	if choice, _ := f.Choose(call, nil, f.now); choice.Blocked != 0 {
 		t.Error("none known is not the same as all leave")
 	}
 }
--- a/internal/routing/placement/limits.go
+++ b/internal/routing/placement/limits.go
@@ -77,22 +77,3 @@
 	}
 	return c.limitedMarks.marksOf(all, c.cfg.Limits.Version(), c.cfg.Limits.Limited)
 }
-
-// readyIfAllLimited returns the ready upstreams of a service if all of them have
-// limits, else nil.
-func (c *Chooser) readyIfAllLimited(service ident.Service) []ident.Instance {
-	if !c.cfg.Limits.AnyLimited() {
-		return nil
-	}
-	var ids []ident.Instance
-	for _, u := range c.refreshView().Of(service) {
-		if u.State != directory.Ready {
-			continue
-		}
-		if !c.cfg.Limits.Limited(u.ID) {
-			return nil
-		}
-		ids = append(ids, u.ID)
-	}
-	return ids
-}
--- a/internal/routing/placement/limits_test.go
+++ b/internal/routing/placement/limits_test.go
@@ -84,7 +84,7 @@
 	for found {
 		choice, found = f.Choose(f.call(plain, 0), nil, f.now)
 	}
-	if !choice.OnlyLimits || len(choice.AtLimit) != 6 {
+	if choice.Blocked != forward.BlockedByLimits || len(choice.AtLimit) != 6 {
 		t.Errorf("choice of a call that found no upstream: %+v, want 6 at their limits and nothing else in the way", choice)
 	}
 	if in := f.RetryAfter(f.call(plain, 0), f.now); in < time.Second || in > 30*time.Second {
@@ -110,11 +110,32 @@
 	for found {
 		choice, found = f.Choose(f.call(engine, 0), nil, f.now)
 	}
-	if choice.OnlyLimits || len(choice.AtLimit) != 1 {
+	if choice.Blocked != 0 || len(choice.AtLimit) != 1 {
 		t.Errorf("choice of a call that found no upstream: %+v, want one at its limit and not only limits in the way", choice)
 	}
 }
 
+// chooseDuringRollout sends a number of calls, a millisecond apart. It returns how many each version got
+// and how many found no upstream.
+func (f *fixture) chooseDuringRollout(calls int) (sent map[ident.Version]int, none int) {
+	sent = make(map[ident.Version]int)
+	for i := range calls {
+		call := f.call(engine, 7)
+		call.ID = ident.Request(fmt.Sprint(i))
+		f.now = f.now.Add(time.Millisecond)
+		choice, found := f.Choose(call, nil, f.now)
+		if !found {
+			none++
+			continue
+		}
+		u, _ := f.view.Upstream(choice.Upstream)
+		sent[u.Version]++
+		f.FirstEventArrived(choice, f.now)
+		f.Finished(choice, forward.Done, f.now)
+	}
+	return sent, none
+}
+
 // Guards against rate limits of upstreams, of the new version or the old one, that influence
 // the verdict on the new version, or give it more than its share of the requests.
 func TestLimitsSayNothingOfAVersion(t *testing.T) {
@@ -126,22 +147,7 @@
 			}
 		}
 		f.limits.Refresh(nil, upstreamlimit.Fleet{Heard: 1, Known: 1})
-		sent := make(map[ident.Version]int)
-		none := 0
-		for i := range 3000 {
-			call := f.call(engine, 7)
-			call.ID = ident.Request(fmt.Sprint(i))
-			f.now = f.now.Add(time.Millisecond)
-			choice, found := f.Choose(call, nil, f.now)
-			if !found {
-				none++
-				continue
-			}
-			u, _ := f.view.Upstream(choice.Upstream)
-			sent[u.Version]++
-			f.FirstEventArrived(choice, f.now)
-			f.Finished(choice, forward.Done, f.now)
-		}
+		sent, none := f.chooseDuringRollout(3000)
 		tracker.Refresh(nil)
 		verdict := tracker.Orders()[0].Verdict
 		if verdict.Against > 1 || len(f.ejectionSet("svc").Excluded(f.now)) > 0 {
--- a/internal/routing/placement/pauses.go
+++ b/internal/routing/placement/pauses.go
@@ -8,15 +8,13 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/directory"
 	"github.com/goldcrestspool/goldcrestspool/internal/forward"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/upstreamlimit"
 )
 
 const (
 	// lastChoicePenalty, in seconds, makes an upstream the choice only where no other
 	// accepts the call.
 	lastChoicePenalty = 1e3
-	// loadLag is the time until a request of one gateway shows in the loads that all
-	// others know.
-	loadLag = 800 * time.Millisecond
 	// maxReturnSpread bounds the time over which gateways return to an upstream, as a
 	// multiple of the pause that it asked for.
 	maxReturnSpread = 2
@@ -39,22 +37,42 @@
 	})
 }
 
-// usableAfterPause reports whether an upstream that asked for a pause may get the call,
-// and whether only as a last choice, because the gateways return to it one after the
-// other.
-func (s *search) usableAfterPause(u *directory.Upstream, o *ownWork) (usable, lastChoice bool) {
+// use says how an upstream may be used for a call.
+type use int
+
+const (
+	usable use = iota
+	// lastChoice: only if no other upstream accepts the call.
+	lastChoice
+	unusable
+)
+
+// useAfterPause returns how an upstream that asked for a pause may be used.
+func (s *search) useAfterPause(u *directory.Upstream, o *ownWork) use {
 	pause, has := s.chooser.cfg.Pauses.Pause(u.ID)
 	switch {
 	case !has:
-		return true, false
+		return usable
 	case s.now.Before(pause.Until):
 		s.passOverPaused(u.ID, pause.Until)
-		return false, false
+		return unusable
 	case o.load.Running >= pause.Window:
 		s.foundFull = true
-		return false, false
+		return unusable
+	case s.now.Before(s.chooser.returnTime(&pause, u)), !pause.Served() && s.isCautious():
+		return lastChoice
+	}
+	return usable
+}
+
+// isCautious reports whether the call would probably be refused if an upstream turned it away: it was
+// sent before, or no retry is left.
+func (s *search) isCautious() bool {
+	if !s.cautiousKnown {
+		s.cautiousKnown = true
+		s.cautious = s.again || !s.chooser.cfg.RetryLeft(s.call.Service.Name, s.now)
 	}
-	return true, s.cautious && !pause.Served() || s.now.Before(s.chooser.returnTime(&pause, u))
+	return s.cautious
 }
 
 // passOverPaused records that an upstream was passed over because of its pause.
@@ -71,7 +89,7 @@
 // whose pauses end together return over so long a time that, until they know each other's
 // load, they send no more requests than the upstream has slots.
 func (c *Chooser) returnTime(pause *announced.Pause, u *directory.Upstream) time.Time {
-	spread := loadLag * time.Duration(c.cfg.Gateways()) / time.Duration(max(1, u.Slots))
+	spread := upstreamlimit.ReportLag * time.Duration(c.cfg.Gateways()) / time.Duration(max(1, u.Slots))
 	spread = min(spread, maxReturnSpread*pause.Asked)
 	return pause.Until.Add(max(pause.Backoff, time.Duration(pause.Jitter*float64(spread))))
 }
@@ -81,11 +99,8 @@
 // others then return to the upstream no sooner than the gateways that it asked.
 func (c *Chooser) ReportedLoads(now time.Time) map[ident.Instance]Load {
 	loads := c.OwnLoads()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	view := c.refreshView()
-	for id, pause := range c.cfg.Pauses.Pauses() {
-		u, known := view.Upstream(id)
+	for id, pause := range c.cfg.Pauses.RetainedPauses() {
+		u, known := c.cfg.View().Upstream(id)
 		if !known || pause.Served() || now.Sub(c.returnTime(&pause, &u)) > unservedReportTime {
 			continue
 		}
@@ -97,53 +112,60 @@
 }
 
 // avoidsForOthers reports whether the call avoids an upstream that has asked other gateways
-// for a pause, and not this one, if there is another upstream. With the number of these
-// gateways grows the share of calls that avoid it: an upstream that asks one gateway keeps
-// the load of the others, and one that serves nobody is not asked by each of hundreds of
-// gateways in turn. A call for which to be turned away costs more always avoids it.
+// for a pause, and not this one, if there is another upstream. The more gateways it asked, the
+// larger is the share of calls that avoid it: an upstream that asks one gateway keeps the load
+// of the others, and one that serves nobody is not asked by each of hundreds of gateways in
+// turn. A cautious call always avoids it.
 func (s *search) avoidsForOthers(x *candidate) bool {
 	others := x.load.Paused
-	if others == 0 || s.cautious {
-		return others > 0
+	if others == 0 {
+		return false
 	}
-	return retryafter.Fraction(s.call.ID) < 1-1/float64(others)
+	return s.isCautious() || retryafter.Fraction(s.call.ID) < 1-1/float64(others)
 }
 
 // noChoice returns the result of a search that found no upstream.
 func (s *search) noChoice() forward.Choice {
-	choice := forward.Choice{AtLimit: s.atLimit, Paused: s.paused, AllLeave: s.chooser.allLeave(s.call.Service.Name, s.now)}
+	choice := forward.Choice{AtLimit: s.atLimit, Paused: s.paused}
 	switch {
 	case s.foundFull:
+	case s.chooser.allLeave(s.call.Service.Name):
+		choice.Blocked = forward.BlockedByLeaving
+		s.chooser.noteAllLeave(s.call.Service.Name, s.now)
 	case len(s.paused) > 0 && !s.foundSlow:
-		choice.PauseEnds = s.pauseEnds
-	case len(s.paused) == 0:
-		choice.OnlyLimits = len(s.atLimit) > 0
+		choice.Blocked, choice.BlockedUntil = forward.BlockedByPauses, s.pauseEnds
+	case len(s.paused) == 0 && len(s.atLimit) > 0:
+		choice.Blocked = forward.BlockedByLimits
 	}
 	return choice
 }
 
-// firstPauseEndsIn returns the time until the first of the pauses of a service's upstreams
-// ends, if none of the ready ones accepts calls: each has a pause that is not over, or a
-// limit. It returns 0 otherwise.
-func (c *Chooser) firstPauseEndsIn(service ident.Service, now time.Time) time.Duration {
-	if !c.cfg.Pauses.AnyPause() {
-		return 0
-	}
-	var first time.Duration
+// acceptsIn returns the time until one of a service's ready upstreams accepts a call again, if all of
+// them have limits or pauses that are not over. It returns 0 otherwise.
+func (c *Chooser) acceptsIn(service ident.Service, now time.Time) time.Duration {
+	var limited []ident.Instance
+	var pauseLeft time.Duration
 	for _, u := range c.refreshView().Of(service) {
 		if u.State != directory.Ready {
 			continue
 		}
 		pause, has := c.cfg.Pauses.Pause(u.ID)
-		if !has || !now.Before(pause.Until) {
-			if c.cfg.Limits.Limited(u.ID) {
-				continue
-			}
+		switch left := pause.Until.Sub(now); {
+		case has && left > 0 && (pauseLeft == 0 || left < pauseLeft):
+			pauseLeft = left
+		case has && left > 0:
+		case c.cfg.Limits.Limited(u.ID):
+			limited = append(limited, u.ID)
+		default:
 			return 0
 		}
-		if left := pause.Until.Sub(now); first == 0 || left < first {
-			first = left
-		}
 	}
-	return first
+	if len(limited) == 0 {
+		return pauseLeft
+	}
+	left := c.cfg.Limits.RetryAfter(limited)
+	if pauseLeft > 0 {
+		left = min(left, pauseLeft)
+	}
+	return left
 }
--- a/internal/routing/placement/pauses_test.go
+++ b/internal/routing/placement/pauses_test.go
@@ -80,8 +80,8 @@
 	f.pause(2*time.Second, "c1")
 	call := f.call(engine, 1)
 	choice, found := f.Choose(call, nil, f.now)
-	if want := f.now.Add(2 * time.Second); found || !choice.PauseEnds.Equal(want) || len(choice.Paused) != 6 {
-		t.Fatalf("found %t, the first pause ends %v, %d paused", found, choice.PauseEnds, len(choice.Paused))
+	if want := f.now.Add(2 * time.Second); found || choice.Blocked != forward.BlockedByPauses || !choice.BlockedUntil.Equal(want) || len(choice.Paused) != 6 {
+		t.Fatalf("found %t, blocked by %d until %v, %d paused", found, choice.Blocked, choice.BlockedUntil, len(choice.Paused))
 	}
 	if after := f.RetryAfter(call, f.now); after != 2*time.Second {
 		t.Errorf("return after %v", after)
@@ -98,7 +98,7 @@
 	f.pause(3*time.Second, "a0", "a1", "b0", "b1", "c0")
 	f.others["c1"] = Load{Running: 1000}
 	choice, found := f.Choose(f.call(plain, 0), nil, f.now)
-	if found || !choice.PauseEnds.IsZero() || choice.OnlyLimits || choice.AllLeave {
+	if found || choice.Blocked != 0 {
 		t.Errorf("found %t, %+v", found, choice)
 	}
 }
@@ -113,11 +113,11 @@
 	returned := make([]int, 20)
 	for i := range gateways {
 		pause := announced.Pause{Until: f.now, Asked: 10 * time.Second, Jitter: float64(i) / gateways}
-		returned[int(f.returnTime(&pause, upstream).Sub(f.now)/loadLag)]++
+		returned[int(f.returnTime(&pause, upstream).Sub(f.now)/upstreamlimit.ReportLag)]++
 	}
 	for i, n := range returned {
 		if n > upstream.Slots {
-			t.Errorf("%d gateways return within one %v (number %d) to an upstream with %d slots", n, loadLag, i, upstream.Slots)
+			t.Errorf("%d gateways return within one %v (number %d) to an upstream with %d slots", n, upstreamlimit.ReportLag, i, upstream.Slots)
 		}
 	}
 
@@ -156,6 +156,7 @@
 	} {
 		t.Run(fmt.Sprintf("%d gateways, cautious: %t", c.asked, c.cautious), func(t *testing.T) {
 			f := newFixture()
+			f.noRetryLeft = c.cautious
 			f.others["a0"] = Load{Paused: c.asked}
 			// Without work at a0, all plain calls would go there.
 			for _, id := range []ident.Instance{"a1", "b0", "b1", "c0", "c1"} {
@@ -165,7 +166,7 @@
 			const calls = 1000
 			for i := range calls {
 				call := f.call(plain, 0)
-				call.ID, call.NoRetryLeft = ident.Request(fmt.Sprint("r", i)), c.cautious
+				call.ID = ident.Request(fmt.Sprint("r", i))
 				choice, found := f.Choose(call, nil, f.now)
 				if !found {
 					t.Fatal("no upstream found")
@@ -240,22 +241,7 @@
 				f.pause(time.Minute, u.ID)
 			}
 		}
-		sent := make(map[ident.Version]int)
-		none := 0
-		for i := range 3000 {
-			call := f.call(engine, 7)
-			call.ID = ident.Request(fmt.Sprint(i))
-			f.now = f.now.Add(time.Millisecond)
-			choice, found := f.Choose(call, nil, f.now)
-			if !found {
-				none++
-				continue
-			}
-			u, _ := f.view.Upstream(choice.Upstream)
-			sent[u.Version]++
-			f.FirstEventArrived(choice, f.now)
-			f.Finished(choice, forward.Done, f.now)
-		}
+		sent, none := f.chooseDuringRollout(3000)
 		tracker.Refresh(nil)
 		if against := tracker.Orders()[0].Verdict.Against; against > 1 {
 			t.Errorf("%s paused: evidence %v against the new version, want at most 1", paused, against)
@@ -268,3 +254,18 @@
 		}
 	}
 }
+
+// Guards against a return time that is too late where some upstreams have limits and the others pauses.
+func TestTheReturnTimeIsThatOfWhicheverAcceptsFirst(t *testing.T) {
+	f := newFixture()
+	f.setUpstreams(directory.Ready, "a0", "b0")
+	f.limits.RecordStatement("a0", "", upstreamlimit.LimitedTo(1))
+	byLimit := f.limits.RetryAfter([]ident.Instance{"a0"})
+	for _, c := range []struct{ pause, want time.Duration }{{byLimit / 2, byLimit / 2}, {2 * byLimit, byLimit}} {
+		f.announced.Forget("b0")
+		f.pause(c.pause, "b0")
+		if got := f.RetryAfter(f.call(plain, 0), f.now); got != c.want {
+			t.Errorf("a pause of %v beside a limit that admits after %v: return after %v, want %v", c.pause, byLimit, got, c.want)
+		}
+	}
+}
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -99,6 +99,8 @@
 	Limits Limits
 	// Pauses are the pauses that upstreams asked this gateway for.
 	Pauses Pauses
+	// RetryLeft reports whether the retry budget of a service allows one more retry.
+	RetryLeft func(ident.Service, time.Time) bool
 	// Split returns how a service's upstreams are split by version, or nil if
 	// they are not.
 	Split func(ident.Service) *rollout.Split
@@ -112,8 +114,9 @@
 	PausesVersion() uint64
 	// Pause returns an upstream's pause, or false if it has none.
 	Pause(ident.Instance) (announced.Pause, bool)
-	// Pauses returns the pauses that are retained.
-	Pauses() map[ident.Instance]announced.Pause
+	// RetainedPauses returns all pauses, also those that are over and after which
+	// the upstream has not shown yet that it serves as before.
+	RetainedPauses() map[ident.Instance]announced.Pause
 	// Served records that an upstream served a request that was sent at the given
 	// time.
 	Served(upstream ident.Instance, sentAt time.Time)
@@ -156,9 +159,11 @@
 	// loggedStates are the ejection states that were logged last.
 	loggedStates map[ident.Instance]ejection.State
 	demands      map[ident.Service]*serviceDemand
-	// allLeaveSince is since when all known upstreams of a service leave, as its requests showed.
-	allLeaveSince            map[ident.Service]time.Time
-	engines                  map[ident.Service]*serviceEngines
+	engines      map[ident.Service]*serviceEngines
+	// allLeaveSince is when a request first found that all known upstreams of its service
+	// leave. It is kept as long as they do.
+	allLeaveSince map[ident.Service]time.Time
+	// limitedMarks and pauseMarks tell which upstreams have limits and pauses.
 	limitedMarks, pauseMarks listMarks
 	search                   search
 }
@@ -219,22 +224,6 @@
 	}
 }
 
-// candidate is an upstream that may take a request.
-type candidate struct {
-	// upstream points into the list of the view.
-	upstream *directory.Upstream
-	own      *ownWork
-	// load is the load of all gateways at the upstream.
-	load Load
-	// score ranks candidates, in seconds; the lowest is the best.
-	score float64
-	// prefillTokens is how many prompt tokens the upstream would have to read.
-	prefillTokens int
-	// firstEventSeconds is the predicted time to the call's first event, in
-	// seconds; 0 at a plain upstream.
-	firstEventSeconds float64
-}
-
 // Choose implements forward.Placement.
 func (c *Chooser) Choose(call *forward.Call, exclude []ident.Instance, now time.Time) (forward.Choice, bool) {
 	c.mu.Lock()
@@ -247,7 +236,7 @@
 	estimate := c.engineEstimate(call.Service.Name, now)
 	share := c.connectionShareOf(call.Service)
 	s := &c.search
-	*s = search{chooser: c, call: call, estimate: estimate, now: now, cautious: len(exclude) > 0 || call.NoRetryLeft, limitedCandidates: s.limitedCandidates}
+	*s = search{chooser: c, call: call, estimate: estimate, now: now, again: len(exclude) > 0, limitedCandidates: s.limitedCandidates}
 	best, why, found := s.bestOfLists(lists, func(u *directory.Upstream, o *ownWork) bool {
 		return !contains(exclude, u.ID) && !contains(excluded, u.ID) && !now.Before(o.avoidUntil) && !contains(cut, u.FailureDomain) && c.mayUse(u, share)
 	})
@@ -259,7 +248,6 @@
 	if !found {
 		return s.noChoice(), false
 	}
-	delete(c.allLeaveSince, call.Service.Name)
 	var side rollout.Side
 	if split != nil {
 		side = split.Sent(best.upstream, call.Route.Name)
@@ -295,160 +283,6 @@
 	return split, split.Candidates(call.ID, call.Route.Name, again, now)
 }
 
-// search is the state of the search for one call's upstream.
-type search struct {
-	chooser  *Chooser
-	call     *forward.Call
-	estimate enginemodel.Estimate
-	now      time.Time
-	// cautious: to be turned away costs the call more than others, because it was sent before or
-	// no retry is left.
-	cautious bool
-	// limitedCandidates are the candidates with rate limits. The next search reuses
-	// the slice.
-	limitedCandidates []candidate
-	// atLimit are the upstreams that scored better than the chosen one, but whose
-	// limits did not admit the call.
-	atLimit []ident.Instance
-	// foundFull is set if an upstream was passed over because it was full, and
-	// foundSlow if one was because it would not serve the call in time.
-	foundFull, foundSlow bool
-	// paused are some of the upstreams that were passed over because they had asked
-	// for a pause, and pauseEnds is when the first of these pauses ends.
-	paused    []ident.Instance
-	pauseEnds time.Time
-}
-
-// bestOfLists returns the best candidate of the first list that has one, and
-// the reason of the choice for the log.
-func (s *search) bestOfLists(lists rollout.Candidates, fits func(*directory.Upstream, *ownWork) bool) (candidate, string, bool) {
-	best, why, found := s.bestOfList(lists.Preferred, fits)
-	if !found && len(lists.Fallback) > 0 {
-		return s.bestOfList(lists.Fallback, fits)
-	}
-	return best, why, found
-}
-
-// bestOfList returns the candidate with the lowest score among the ready
-// upstreams that fit, are not full, can probably serve the call in time, and
-// whose limits admit it.
-func (s *search) bestOfList(all []directory.Upstream, fits func(*directory.Upstream, *ownWork) bool) (candidate, string, bool) {
-	var best candidate
-	found := false
-	c, call, estimate := s.chooser, s.call, &s.estimate
-	s.limitedCandidates = s.limitedCandidates[:0]
-	limited, paused := c.limitedOf(all), c.pausedOf(all)
-	order := c.homeOrderOf(call, all)
-	var pair sampledPair
-	if call.Service.Engine != nil {
-		pair = samplePair(call, all)
-	}
-	remaining := call.Remaining(s.now).Seconds()
-	for i := range all {
-		u := &all[i]
-		o := getOrCreate(c.own, u.ID)
-		if u.State != directory.Ready || !fits(u, o) {
-			continue
-		}
-		next := candidate{upstream: u, own: o, load: c.totalLoad(u.ID, o)}
-		lastChoice := false
-		if paused != nil && paused[i] {
-			usable := false
-			if usable, lastChoice = s.usableAfterPause(u, o); !usable {
-				continue
-			}
-		}
-		if c.isFull(call, &next) {
-			s.foundFull = true
-			continue
-		}
-		c.score(call, &next, order, i, estimate)
-		if next.firstEventSeconds > 0 && (order == nil || order.home != i) && !pair.has(i) {
-			next.score += unsampledPenalty
-		}
-		if lastChoice || s.avoidsForOthers(&next) {
-			next.score += lastChoicePenalty
-		}
-		if estimate.Samples >= minSamples && next.firstEventSeconds > remaining {
-			// A request that will not be served in time would take engine time
-			// from requests that can be, and its caller would wait in vain.
-			s.foundSlow = true
-			continue
-		}
-		if limited != nil && limited[i] {
-			s.limitedCandidates = append(s.limitedCandidates, next)
-			continue
-		}
-		if !found || next.score < best.score {
-			best, found = next, true
-		}
-	}
-	if len(s.limitedCandidates) > 0 {
-		best, found = s.applyLimits(best, found)
-	}
-	why := "least work"
-	if found && order != nil && best.prefillTokens < call.PromptTokens {
-		why = "holds the prompt's parts"
-	}
-	return best, why, found
-}
-
-// totalLoad returns the load of all gateways at an upstream.
-func (c *Chooser) totalLoad(id ident.Instance, o *ownWork) Load {
-	return o.load.Plus(c.cfg.OtherLoad(id))
-}
-
-// isFull reports whether an upstream has as many requests as it may get.
-func (c *Chooser) isFull(call *forward.Call, x *candidate) bool {
-	queue := c.cfg.Params.PlainQueuePerSlot
-	if call.Service.Engine != nil {
-		queue = c.cfg.Params.EngineQueuePerSlot
-	}
-	capacity := float64(x.upstream.Slots) * (1 + queue)
-	return x.upstream.Slots > 0 && float64(x.load.Running) >= capacity
-}
-
-// tieBreakSeconds is the most that the rank of an upstream adds to its score, in
-// seconds. It is less than what a request in progress or another failure domain
-// adds.
-const tieBreakSeconds = 1e-4
-
-// score sets the candidate's predicted time to the first event, and its score:
-// that time, plus penalties for reading shared parts again, for another failure
-// domain, and for breaking ties. i is the upstream's index in the list of order,
-// which is nil if the call shares no prompt part.
-func (c *Chooser) score(call *forward.Call, x *candidate, order *homeOrder, i int, estimate *enginemodel.Estimate) {
-	p := c.cfg.Params
-	x.prefillTokens = call.PromptTokens
-	extraTokens := 0.0
-	if order != nil {
-		shared := sharedTokens(call)
-		if order.home == i {
-			x.prefillTokens -= shared
-		} else {
-			extraTokens = (p.RecomputeWeight - 1) * float64(shared)
-		}
-	}
-	if call.Service.Engine == nil {
-		x.score = float64(x.load.Running) / float64(max(1, x.upstream.Slots)) * call.Route.Objective.Seconds()
-		// The rank differs between gateways. Without it hundreds of gateways with
-		// few requests each would all use the same one of several idle upstreams.
-		x.score += c.rank(x.upstream.Name) * tieBreakSeconds
-	} else {
-		x.firstEventSeconds = estimate.FirstEventSeconds(float64(x.prefillTokens), float64(x.load.UnreadTokens), float64(x.load.Running))
-		x.score = x.firstEventSeconds + extraTokens*estimate.SecondsPerToken
-	}
-	if order != nil {
-		// Among equals the front of the home order is preferred, so that few
-		// engines hold copies of a part. The weight is less than what a request in
-		// progress adds.
-		x.score += order.distanceFromFront(i) * 1e-3
-	}
-	if x.upstream.FailureDomain != c.cfg.Domain {
-		x.score += p.OtherDomainCost
-	}
-}
-
 // refreshView returns the current view of the upstreams. If the view is new, it also
 // updates the state that the Chooser holds for each upstream.
 func (c *Chooser) refreshView() *directory.View {
@@ -463,6 +297,11 @@
 	for service, set := range c.ejectionSets {
 		set.SetUpstreams(readyIDs(view.Of(service)))
 	}
+	for service := range c.allLeaveSince {
+		if !c.allLeave(service) {
+			delete(c.allLeaveSince, service)
+		}
+	}
 	for id, o := range c.own {
 		if _, known := view.Upstream(id); !known && o.load == (Load{}) {
 			delete(c.own, id)
--- a/internal/routing/placement/placement_test.go
+++ b/internal/routing/placement/placement_test.go
@@ -28,8 +28,9 @@
 	silent map[ident.FailureDomain]bool
 	others map[ident.Instance]Load
 	// sums are the other gateways' samples of engines that read 92,100 tokens per second.
-	sums   enginemodel.Sums
-	limits *upstreamlimit.Limiter
+	sums        enginemodel.Sums
+	limits      *upstreamlimit.Limiter
+	noRetryLeft bool
 	// announced is what the upstreams announced.
 	announced *announced.Registry
 }
@@ -65,6 +66,7 @@
 		Split:           func(ident.Service) *rollout.Split { return f.split },
 		Limits:          f.limits,
 		Pauses:          f.announced,
+		RetryLeft:       func(ident.Service, time.Time) bool { return !f.noRetryLeft },
 	})
 	return f
 }
--- a/internal/routing/placement/retryafter.go
+++ b/internal/routing/placement/retryafter.go
@@ -11,18 +11,14 @@
 // call's first event would arrive within its objective. It returns 0 if a queue is that
 // short now, for a plain service, and while too little is known about the engines. The
 // time is a lower bound, because it assumes that no more work arrives. If all ready
-// upstreams have limits, RetryAfter returns the time until the limits will have
-// admitted the requests that came before the call; if they have asked for pauses, the
-// time until the first of these ends. If all upstreams leave, it returns the time until
-// a replacement has started.
+// upstreams have limits or pauses, RetryAfter returns the time until the limits will have
+// admitted the requests that came before the call, or until the first pause ends. If all
+// upstreams leave, it returns the time until a replacement has started.
 func (c *Chooser) RetryAfter(call *forward.Call, now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if limited := c.readyIfAllLimited(call.Service.Name); len(limited) > 0 {
-		return c.cfg.Limits.RetryAfter(limited)
-	}
-	if pause := c.firstPauseEndsIn(call.Service.Name, now); pause > 0 {
-		return pause
+	if left := c.acceptsIn(call.Service.Name, now); left > 0 {
+		return left
 	}
 	if startup := c.replacementIn(call.Service, now); startup > 0 {
 		return startup
--- /dev/null
+++ b/internal/routing/placement/search.go
@@ -0,0 +1,182 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/directory"
+	"github.com/goldcrestspool/goldcrestspool/internal/enginemodel"
+	"github.com/goldcrestspool/goldcrestspool/internal/forward"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/rollout"
+)
+
+// candidate is an upstream that may take a request.
+type candidate struct {
+	// upstream points into the list of the view.
+	upstream *directory.Upstream
+	own      *ownWork
+	// load is the load of all gateways at the upstream.
+	load Load
+	// score ranks candidates, in seconds; the lowest is the best.
+	score float64
+	// prefillTokens is how many prompt tokens the upstream would have to read.
+	prefillTokens int
+	// firstEventSeconds is the predicted time to the call's first event, in
+	// seconds; 0 at a plain upstream.
+	firstEventSeconds float64
+}
+
+// search is the state of the search for one call's upstream.
+type search struct {
+	chooser  *Chooser
+	call     *forward.Call
+	estimate enginemodel.Estimate
+	now      time.Time
+	// again: the call was sent before.
+	again bool
+	// cautious is the result of isCautious, once cautiousKnown is set.
+	cautious, cautiousKnown bool
+	// limitedCandidates are the candidates with rate limits. The next search reuses
+	// the slice.
+	limitedCandidates []candidate
+	// atLimit are the upstreams that scored better than the chosen one, but whose
+	// limits did not admit the call.
+	atLimit []ident.Instance
+	// foundFull is set if an upstream was passed over because it was full, and
+	// foundSlow if one was because it would not serve the call in time.
+	foundFull, foundSlow bool
+	// paused are some of the upstreams that were passed over because they had asked
+	// for a pause, and pauseEnds is when the first of these pauses ends.
+	paused    []ident.Instance
+	pauseEnds time.Time
+}
+
+// bestOfLists returns the best candidate of the first list that has one, and
+// the reason of the choice for the log.
+func (s *search) bestOfLists(lists rollout.Candidates, fits func(*directory.Upstream, *ownWork) bool) (candidate, string, bool) {
+	best, why, found := s.bestOfList(lists.Preferred, fits)
+	if !found && len(lists.Fallback) > 0 {
+		return s.bestOfList(lists.Fallback, fits)
+	}
+	return best, why, found
+}
+
+// bestOfList returns the candidate with the lowest score among the ready
+// upstreams that fit, are not full, can probably serve the call in time, and
+// whose limits admit it.
+func (s *search) bestOfList(all []directory.Upstream, fits func(*directory.Upstream, *ownWork) bool) (candidate, string, bool) {
+	var best candidate
+	found := false
+	c, call, estimate := s.chooser, s.call, &s.estimate
+	s.limitedCandidates = s.limitedCandidates[:0]
+	limited, paused := c.limitedOf(all), c.pausedOf(all)
+	order := c.homeOrderOf(call, all)
+	var pair sampledPair
+	if call.Service.Engine != nil {
+		pair = samplePair(call, all)
+	}
+	remaining := call.Remaining(s.now).Seconds()
+	for i := range all {
+		u := &all[i]
+		o := getOrCreate(c.own, u.ID)
+		if u.State != directory.Ready || !fits(u, o) {
+			continue
+		}
+		next := candidate{upstream: u, own: o, load: c.totalLoad(u.ID, o)}
+		use := usable
+		if paused != nil && paused[i] {
+			use = s.useAfterPause(u, o)
+		}
+		if use == unusable {
+			continue
+		}
+		if c.isFull(call, &next) {
+			s.foundFull = true
+			continue
+		}
+		c.score(call, &next, order, i, estimate)
+		if next.firstEventSeconds > 0 && (order == nil || order.home != i) && !pair.has(i) {
+			next.score += unsampledPenalty
+		}
+		if use == lastChoice || s.avoidsForOthers(&next) {
+			next.score += lastChoicePenalty
+		}
+		if estimate.Samples >= minSamples && next.firstEventSeconds > remaining {
+			// A request that will not be served in time would take engine time
+			// from requests that can be, and its caller would wait in vain.
+			s.foundSlow = true
+			continue
+		}
+		if limited != nil && limited[i] {
+			s.limitedCandidates = append(s.limitedCandidates, next)
+			continue
+		}
+		if !found || next.score < best.score {
+			best, found = next, true
+		}
+	}
+	if len(s.limitedCandidates) > 0 {
+		best, found = s.applyLimits(best, found)
+	}
+	why := "least work"
+	if found && order != nil && best.prefillTokens < call.PromptTokens {
+		why = "holds the prompt's parts"
+	}
+	return best, why, found
+}
+
+// totalLoad returns the load of all gateways at an upstream.
+func (c *Chooser) totalLoad(id ident.Instance, o *ownWork) Load {
+	return o.load.Plus(c.cfg.OtherLoad(id))
+}
+
+// isFull reports whether an upstream has as many requests as it may get.
+func (c *Chooser) isFull(call *forward.Call, x *candidate) bool {
+	queue := c.cfg.Params.PlainQueuePerSlot
+	if call.Service.Engine != nil {
+		queue = c.cfg.Params.EngineQueuePerSlot
+	}
+	capacity := float64(x.upstream.Slots) * (1 + queue)
+	return x.upstream.Slots > 0 && float64(x.load.Running) >= capacity
+}
+
+// tieBreakSeconds is the most that the rank of an upstream adds to its score, in
+// seconds. It is less than what a request in progress or another failure domain
+// adds.
+const tieBreakSeconds = 1e-4
+
+// score sets the candidate's predicted time to the first event, and its score:
+// that time, plus penalties for reading shared parts again, for another failure
+// domain, and for breaking ties. i is the upstream's index in the list of order,
+// which is nil if the call shares no prompt part.
+func (c *Chooser) score(call *forward.Call, x *candidate, order *homeOrder, i int, estimate *enginemodel.Estimate) {
+	p := c.cfg.Params
+	x.prefillTokens = call.PromptTokens
+	extraTokens := 0.0
+	if order != nil {
+		shared := sharedTokens(call)
+		if order.home == i {
+			x.prefillTokens -= shared
+		} else {
+			extraTokens = (p.RecomputeWeight - 1) * float64(shared)
+		}
+	}
+	if call.Service.Engine == nil {
+		x.score = float64(x.load.Running) / float64(max(1, x.upstream.Slots)) * call.Route.Objective.Seconds()
+		// The rank differs between gateways. Without it hundreds of gateways with
+		// few requests each would all use the same one of several idle upstreams.
+		x.score += c.rank(x.upstream.Name) * tieBreakSeconds
+	} else {
+		x.firstEventSeconds = estimate.FirstEventSeconds(float64(x.prefillTokens), float64(x.load.UnreadTokens), float64(x.load.Running))
+		x.score = x.firstEventSeconds + extraTokens*estimate.SecondsPerToken
+	}
+	if order != nil {
+		// Among equals the front of the home order is preferred, so that few
+		// engines hold copies of a part. The weight is less than what a request in
+		// progress adds.
+		x.score += order.distanceFromFront(i) * 1e-3
+	}
+	if x.upstream.FailureDomain != c.cfg.Domain {
+		x.score += p.OtherDomainCost
+	}
+}
