--- a/internal/routing/placement/announced_fleet_test.go
+++ b/internal/routing/placement/announced_fleet_test.go
@@ -26,6 +26,8 @@
 	loadsAge     = 300 * time.Millisecond
 	loadsStep    = 50 * time.Millisecond
 	waitStep     = 10 * time.Millisecond
+	// fleetSlowFactor is how many times slower a slow upstream is.
+	fleetSlowFactor = 8
 	// fleetDialTimeout is how long an attempt at an upstream beyond a cut takes to fail.
 	fleetDialTimeout = 350 * time.Millisecond
 	storyTime        = 30 * time.Second
@@ -68,7 +70,13 @@
 	withdrawnAfter time.Duration
 	// rebornAfter: they start again under their names after this time; 0 means never.
 	rebornAfter time.Duration
-	pauses      []pausing
+	// goneAfter: they refuse connections after this time; 0 means never.
+	goneAfter time.Duration
+	// slow are upstreams that are fleetSlowFactor times slower from statementAt on.
+	slow []int
+	// limits are the rates, in requests per second, that upstreams name from statementAt on.
+	limits map[int]float64
+	pauses []pausing
 	// burst: callers send 2.5 times the requests from eventFrom to eventTo.
 	burst bool
 	// cut: a failure domain is cut off from the others from eventFrom to eventTo.
