--- a/internal/routing/placement/pauses.go
+++ b/internal/routing/placement/pauses.go
@@ -150,15 +150,16 @@
 			continue
 		}
 		pause, has := c.cfg.Pauses.Pause(u.ID)
-		switch left := pause.Until.Sub(now); {
-		case has && left > 0 && (pauseLeft == 0 || left < pauseLeft):
-			pauseLeft = left
-		case has && left > 0:
-		case c.cfg.Limits.Limited(u.ID):
-			limited = append(limited, u.ID)
-		default:
+		if left := pause.Until.Sub(now); has && left > 0 {
+			if pauseLeft == 0 || left < pauseLeft {
+				pauseLeft = left
+			}
+			continue
+		}
+		if !c.cfg.Limits.Limited(u.ID) {
 			return 0
 		}
+		limited = append(limited, u.ID)
 	}
 	if len(limited) == 0 {
 		return pauseLeft
