--- a/scripts/promises.sh
+++ b/scripts/promises.sh
@@ -4,7 +4,7 @@
 # A named test that does not exist counts as failed.
 #
 # The script reads two kinds of lines below a heading "## N. ...":
-#   - `./package` `TestName` text
+#   - `./package` `TestName`, `TestOther` text
 #   - not proved: text
 set -uo pipefail
 cd "$(dirname "$0")/.."
@@ -14,7 +14,8 @@
 NAMED=$(awk '
   /^## [0-9]+\. /   { split($2, n, "."); promise = n[1] }
   /^- `\.\/[^`]*` `Test[^`]*`/ {
-    split($0, part, "`"); print promise, part[2], part[4]
+    fields = split($0, part, "`")
+    for (i = 4; i <= fields; i += 2) if (part[i] ~ /^Test/) print promise, part[2], part[i]
   }' "$PAGE")
 [ -n "$NAMED" ] || { echo "no tests named in $PAGE"; exit 1; }
 
