--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -215,7 +215,7 @@
 			s.outcome.Paused = choice.Paused
 		}
 		s.blocked = choice.Blocked
-		if found || choice.blockedPast(waitUntil) || !now.Before(waitUntil) || s.ctx.Err() != nil {
+		if found || choice.BlockedPast(waitUntil) || !now.Before(waitUntil) || s.ctx.Err() != nil {
 			return choice, found && s.ctx.Err() == nil
 		}
 		sleep.For(s.ctx, waitInterval) // the loop checks whether the call has ended
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -126,8 +126,8 @@
 	Reservation any
 }
 
-// blockedPast reports whether no upstream was found and none will be by waiting until a time.
-func (c *Choice) blockedPast(t time.Time) bool {
+// BlockedPast reports whether no upstream was found and none will be by waiting until a time.
+func (c *Choice) BlockedPast(t time.Time) bool {
 	return c.Blocked != 0 && (c.BlockedUntil.IsZero() || c.BlockedUntil.After(t))
 }
 
--- a/internal/routing/placement/announced_fleet_test.go
+++ b/internal/routing/placement/announced_fleet_test.go
@@ -63,7 +63,7 @@
 	slots                        int
 	// load is the share of the slots that the requests need on average.
 	load float64
-	// leaves are the upstreams, by index, that leave at a time, and pausing those that ask for a
+	// leaves are the upstreams, by index, that leave at a time, and pauses those that ask for a
 	// pause.
 	leaves map[int]time.Duration
 	// withdrawnAfter: the upstreams that leave stop saying so after this time; 0 means never.
@@ -87,7 +87,7 @@
 	engine         bool
 }
 
-// result is what a play measured.
+// fleetResult is what a play measured.
 type fleetResult struct {
 	// afterLeaving and inPause count the requests that a gateway sent to an upstream after it had
 	// been told that it leaves, or in a pause. latest is the longest time after it was told.
--- a/internal/routing/placement/announced_gateway_test.go
+++ b/internal/routing/placement/announced_gateway_test.go
@@ -174,8 +174,7 @@
 		return
 	}
 	waitUntil := r.call.Received.Add(f.route.Objective / 8)
-	blocked := choice.Blocked != 0 && (choice.BlockedUntil.IsZero() || choice.BlockedUntil.After(waitUntil))
-	if blocked || !f.clock().Before(waitUntil) {
+	if choice.BlockedPast(waitUntil) || !f.clock().Before(waitUntil) {
 		r.refuse()
 		return
 	}
