Accounts' limits: two gateways keep an account's pool, the others borrow from it

Cause: each gateway kept a bucket for the whole limit and estimated what the others spent. What it might spend before it heard from them was bounded by nothing: a debt of one request each (together the whole tolerance), a quarter of the burst each at every start, small requests without limit until the overdraft was known, and the tolerance given to callers besides: 1.6 of it in sum. A kill forgot the debts, so that a second one gave them again.

Ruled out: another constant.

Now tokens are created at one gateway and spent where they are held: two pools of an account at gateways chosen by hash, refilled at the rate; loans that count as held until they expire; a small part of each gateway for small requests and for when no keeper answers. Pools, loans and parts share what may be admitted beyond the rate (allotment.go); a pool that moves starts empty, one that must shrink hands on what it holds. A keeper that does not hear all refills only by those it hears.

--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -103,6 +103,7 @@
 	}
 	p.writePoisonMetrics(w)
 	p.writeLimitMetrics(w)
+	p.writeLendingMetrics(w)
 	p.writeAnnouncedMetrics(w)
 	v := p.view.Load()
 	fmt.Fprintf(w, "gateways_heard %d\ngateways_known %d\nclock_correction_seconds %.3f\n", v.Heard, v.Known, v.WallCorrection.Seconds())
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -26,6 +26,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/ingress"
+	"github.com/goldcrestspool/goldcrestspool/internal/lending"
 	"github.com/goldcrestspool/goldcrestspool/internal/metering"
 	"github.com/goldcrestspool/goldcrestspool/internal/poison"
 	"github.com/goldcrestspool/goldcrestspool/internal/quota"
@@ -72,6 +73,8 @@
 	// gatewaysBeforeStart is how many gateways there were before the start. It counts for
 	// gatewaysBeforeStartPeriod.
 	gatewaysBeforeStart atomic.Int64
+	// lends is set once this gateway may keep accounts' pools.
+	lends atomic.Bool
 
 	board         *board
 	pool          *httpconn.Pool
@@ -86,6 +89,7 @@
 	announced     *announced.Registry
 	lease         *duty.Manager
 	quotas        *quota.Limiter
+	lending       *lending.Lending
 	counter       *metering.Counter
 	ledger        *metering.Ledger
 	metrics       *ingress.Metrics
@@ -143,10 +147,15 @@
 	p.upstreams = newUpstreamsFollower(p.ports, p.board, p.announced, p.rollouts, p.pool, p.now, p.storeRank, s.Upstreams.DepartureDue, p.log.Named("upstreams"))
 	p.gossip = gossip.New(gossip.Config{
 		Self: p.contact(), Incarnation: p.incarnation, Table: p.peers, Knowledge: knowledge{p},
-		Network: gossip.HTTPNetwork{Pool: p.pool}, Now: p.now, Log: p.log.Named("gossip"),
+		Network: gossip.HTTPNetwork{Pool: p.pool}, LoanNetwork: gossip.HTTPNetwork{Pool: p.pool, Path: gossip.LoanPath},
+		Lend: func(ctx context.Context, request []byte) ([]byte, error) { return p.lending.Serve(ctx, request) }, Now: p.now, Log: p.log.Named("gossip"),
 	})
 	p.counter = metering.NewCounter(s.Usage.Window, p.trueTime)
 	p.quotas = quota.NewLimiter(quota.Tolerance{Window: s.Quota.Window, Overage: s.Quota.Overage, Slack: s.Quota.Slack}, p.quotaReports, p.now())
+	p.lending = lending.New(lending.Config{
+		Self: s.Instance.ID, Now: p.now, Log: p.log.Named("lending"), Network: loanNetwork{p.gossip, p.pool}, Limiter: p.quotas, Account: p.accountLimit,
+	})
+	p.quotas.SetLender(p.lending)
 	budget := retry.NewFleetBudget(retry.FleetBudgetConfig{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window}, p.gatewayCount)
 	p.chooser = placement.New(placement.Config{
 		Params: placement.DefaultParams(), Self: s.Instance.ID, Domain: s.Instance.FailureDomain, Log: p.log.Named("placement"),
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -158,7 +158,7 @@
 		Loads: loadsToProto(r.Loads), Accounts: accountsToProto(r.Accounts), Work: workToProto(r.Demand, r.Engines), Began: countsToProto(r.StartedRequests),
 		Rollouts: rolloutsToProto(r.Rollouts), Poison: poisonToProto(r.Poison),
 		Limits: limitsToProto(r.Limits), LimitUses: usesToProto(r.LimitUses, r.LimitColumns), LimitSet: r.LimitSet,
-		UpstreamsLeaving: leavingToProto(r.UpstreamsLeaving),
+		UpstreamsLeaving: leavingToProto(r.UpstreamsLeaving), Lends: r.Lends,
 	}
 }
 
@@ -170,7 +170,7 @@
 		UpstreamsOffset: ident.Offset(in.UpstreamsOffset), UpstreamsAge: c.age(in.UpstreamsAgeMs),
 		Loads: c.loads(in.Loads), Accounts: c.accounts(in.Accounts), StartedRequests: c.counts(in.Began), Rollouts: c.rollouts(in.Rollouts), Poison: c.poison(in.Poison),
 		Limits: c.limits(in.Limits), LimitUses: c.limitUses(in.LimitUses), LimitColumns: c.limitColumns(in.LimitUses), LimitSet: in.LimitSet,
-		UpstreamsLeaving: c.leaving(in.UpstreamsLeaving),
+		UpstreamsLeaving: c.leaving(in.UpstreamsLeaving), Lends: in.Lends,
 	}
 	if in.Node == "" || in.Address == "" {
 		c.fail("report of gateway %q at address %q lacks the name or the address", in.Node, in.Address)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -80,6 +80,10 @@
 	Table       *Table
 	Knowledge   Knowledge
 	Network     Network
+	// LoanNetwork carries requests for loans, which Lend answers. Both are nil where gateways lend
+	// nothing to each other.
+	LoanNetwork Network
+	Lend        LoanServer
 	Now         boottime.Clock
 	Log         hclog.Logger
 }
@@ -135,6 +139,9 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+exchangePath, g.serveExchange)
+	if cfg.Lend != nil {
+		mux.HandleFunc("POST "+LoanPath, g.serveLoan)
+	}
 	g.server = &http.Server{Handler: mux, ReadHeaderTimeout: exchangeTimeout, IdleTimeout: connectionIdleTimeout,
 		ErrorLog: cfg.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
 	return g
@@ -382,7 +389,7 @@
 
 // serveExchange answers a request of another gateway.
 func (g *Gossip) serveExchange(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxMessageBytes+1))
+	data, err := readMessage(r.Body)
 	if err != nil {
 		return // the connection broke; the other gateway tries again
 	}
@@ -397,10 +404,20 @@
 		return
 	}
 	defer done()
+	writeMessage(w, body)
+}
+
+// readMessage reads an encoded message, and one byte more than maxMessageBytes at most.
+func readMessage(body io.Reader) ([]byte, error) {
+	return io.ReadAll(io.LimitReader(body, maxMessageBytes+1))
+}
+
+// writeMessage writes an encoded message as an answer.
+func writeMessage(w http.ResponseWriter, message []byte) {
 	w.Header().Set("Keep-Alive", keepAliveHeader)
 	w.Header().Set("Content-Type", "application/x-protobuf")
 	// A write error is ignored: the other gateway tries again.
-	_, _ = w.Write(body)
+	_, _ = w.Write(message)
 }
 
 // handleRequest decodes a request and returns the encoded answer. The caller calls done once
--- a/internal/gossip/network.go
+++ b/internal/gossip/network.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -18,12 +19,16 @@
 }
 
 // HTTPNetwork is a Network that uses HTTP/1.1 connections and reuses each for several exchanges.
-type HTTPNetwork struct{ Pool *httpconn.Pool }
+type HTTPNetwork struct {
+	Pool *httpconn.Pool
+	// Path is the requests' URL path; "" means that of exchanges.
+	Path string
+}
 
 // Send implements Network.
 func (n HTTPNetwork) Send(ctx context.Context, address string, request []byte) ([]byte, error) {
 	target := httpconn.Target{ID: ident.Instance(address), Address: address}
-	answer, failure := n.Pool.Send(ctx, target, &httpconn.Request{Method: http.MethodPost, URI: exchangePath, Host: address, Body: request})
+	answer, failure := n.Pool.Send(ctx, target, &httpconn.Request{Method: http.MethodPost, URI: cmp.Or(n.Path, exchangePath), Host: address, Body: request})
 	if failure != nil {
 		return nil, failure
 	}
--- a/internal/gossip/types.go
+++ b/internal/gossip/types.go
@@ -56,6 +56,8 @@
 	Leaving bool
 	// HoldsLease is set while the gateway holds the lease of the duties.
 	HoldsLease bool
+	// Lends is set while the gateway may keep accounts' pools for others.
+	Lends bool
 	// GivenUpFence is the fencing number of the newest of the gateway's leases that expired.
 	// The gateway no longer acts under that number; 0 if there is none.
 	GivenUpFence ident.Fence
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -56,7 +56,7 @@
 // Quota enforces the accounts' rate limits over all gateways.
 type Quota interface {
 	// Admit takes a cost out of an account's limit, or refuses the request with a
-	// retry-after time.
+	// retry-after time. It may wait for another gateway, 0.1 s at most.
 	Admit(account *routetable.Account, cost float64, now time.Time) quota.Decision
 }
 
@@ -289,7 +289,7 @@
 		if d := s.cfg.Quota.Admit(account, cost, now); !d.OK {
 			s.bodyBytes.Add(-int64(len(call.Body)))
 			s.cfg.Log.Info("account at its limit", "id", call.ID, "account", account.Name, "cost", cost, "rate", account.Rate,
-				"level", d.Level, "need", d.Need, "asked", d.DemandRate, "heard", d.Heard, "known", d.Known)
+				"source", d.Source, "keeper", d.Keeper, "level", d.Level, "need", d.Need, "asked", d.DemandRate, "heard", d.Heard, "known", d.Known)
 			return call, &refusal{status: http.StatusTooManyRequests, reason: "the account's limit is reached", retryAfter: d.RetryAfter}
 		}
 	}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -1,102 +1,70 @@
-// Package quota enforces each client account's rate limit over all gateways together, without any
-// communication per request.
+// Package quota enforces each client account's rate limit over all gateways together.
 //
-// Each gateway keeps a token bucket for the account's whole limit. It deducts what it admits at
-// once, deducts what the other gateways admit when their reports arrive, and assumes that each of
-// them keeps spending at its last known rate until its next report. A gateway that doesn't hear all
-// others (receives no reports from some) refills its bucket only with the share of the gateways that
-// it hears, so that the two sides of a network partition together never admit more than the limit.
+// Tokens are never counted twice: each is created at one gateway and spent where it is held. Of each
+// account, two gateways keep a pool each, which are refilled at most of the account's rate. With one
+// pool, callers would be refused until another gateway takes over from one that was killed. The other
+// gateways borrow from the pools: a loan covers the present request and, while the pool is well
+// filled, those expected within a second. Besides, each gateway has a small part of its own, for small
+// requests and for the time in which it can't reach a pool. The pools, all loans and all parts
+// together never hold more than the limit and its tolerance allow beyond the rate. So the limit holds
+// whatever the gateways do before they hear from each other.
+//
+// A gateway that keeps a pool but doesn't hear all others refills it only with the share of the
+// gateways that it hears: the two sides of a network partition keep pools of their own.
 package quota
 
 import (
-	"slices"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
 )
 
+// StartupPeriod is the time after its start within which a gateway hears of all others.
+const StartupPeriod = time.Second
+
 const (
-	// rateAveragingTime is the time over which rates are averaged. It spans a few requests at each
-	// gateway and is short compared with a load spike of an account.
-	rateAveragingTime = 2 * time.Second
 	// minRetryAfter and maxRetryAfter bound the retry-after time that a refused caller is given.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
 	// minFillRate, per second, is the refill rate below which this gateway's share counts as
-	// unknown, because its callers have only begun to send requests.
+	// unknown, because it has only just started.
 	minFillRate = 1e-6
-	// startupPeriod is the time after its start in which a gateway knows few of the others and
-	// admits only a small share of the limits. A caller that is refused then is given a retry-after
-	// time of at most startupMaxRetryAfter: after two rounds of reports the gateway knows all
-	// others.
-	startupPeriod        = time.Second
+	// startupPeriod is the time after its start in which a gateway may know few of the others.
+	// Unless it knows how many there are, it admits nothing of its own and keeps no pool until
+	// then. A caller that is refused then is given a retry-after time of at most
+	// startupMaxRetryAfter: after two rounds of reports the gateway knows all others.
+	startupPeriod        = StartupPeriod
 	startupMaxRetryAfter = 300 * time.Millisecond
+	// maxRefreshGap is the time without a call of ApplyReports after which this gateway was frozen, and
+	// another one has kept its pools meanwhile. Reports count for no longer.
+	maxRefreshGap = time.Second
+	// knownPeriod is the time for which a gateway still counts after it is no longer known. A collector
+	// that has just started knows few of the gateways.
+	knownPeriod = 3 * time.Second
+	// smallRequestBurstShare is the fraction of the burst up to which a request costs next to
+	// nothing. Such a request needs only its own cost in the pool, and may use the gateway's own
+	// part: otherwise a posting of 200 tokens is refused because a draft took 20,000.
+	smallRequestBurstShare = 0.003
+	// extraLoanSafety is how much more than its recent use a gateway borrows for the time of a loan.
+	extraLoanSafety = 1.25
 )
 
-// Tolerance is the amount by which an account may exceed its limit in a window before that counts
-// as a violation.
-type Tolerance struct {
-	Window time.Duration
-	// Overage is a fraction of what the limit allows in a window. Slack is an amount on top of
-	// that, in the account's unit (requests or tokens).
-	Overage, Slack float64
-}
-
-// burstToleranceShare and rateToleranceShare are the shares of the tolerance that are given to
-// callers, on top of the burst and, spread over the window, on top of the rate. Requests that stay
-// just below the limit come in bursts, and some would be refused at random without these shares.
-// The rest covers what gateways admit before they receive each other's reports.
-//
-// overdraftToleranceShare is the share by which all gateways together may overdraw the bucket, one
-// request each. The three shares may add up to more than 1, because the gateways seldom all overdraw
-// at once, and each of them then does so by half a request on average.
-const (
-	burstToleranceShare     = 0.25
-	rateToleranceShare      = 0.35
-	overdraftToleranceShare = 1.0
-	// lagWithoutTolerance is the mean age of reports from which on callers get no tolerance: the
-	// gateways need all of it for what they admit before they receive each other's reports.
-	lagWithoutTolerance = time.Second
-)
-
-const (
-	// A request that costs at most smallRequestBurstShare of the burst costs next to nothing. It is
-	// admitted even if the bucket is overdrawn, as long as the overdraft is below
-	// smallRequestMaxOverdraft of the burst. Without this rule a posting of 200 tokens is refused
-	// because a draft took 20,000: two in a hundred postings and status reads were refused so. A sixth of a
-	// busy account's requests are that small, and they cost a fiftieth of its tokens.
-	smallRequestBurstShare   = 0.003
-	smallRequestMaxOverdraft = 0.25
-)
-
-// initialFillShare is the fraction of a bucket that is filled at the start. What was admitted just
-// before the start is unknown, and all gateways may have started at once.
-const initialFillShare = 0.25
-
-// OtherGateways holds the other gateways' reports on one account.
-type OtherGateways struct {
-	// Known counts the gateways that may admit requests, without this one.
-	Known int
-	// Reports are the latest reports of the gateways that are heard. Each has a different Name.
-	Reports []Report
-}
-
-// Report is the latest report on an account from another gateway, or the sum for a group of
-// gateways.
-type Report struct {
-	// Name identifies the gateway or the group.
-	Name string
-	// Source is the process that added up the totals. Totals of different sources can't be
-	// compared.
-	Source string
-	// Gateways is the number of gateways that the report covers.
-	Gateways int
-	// Spent and Refused are the admitted and the refused cost since the source started.
-	Spent, Refused float64
-	// Age is the time since the report was made.
-	Age time.Duration
+// MaxKeepers is how many gateways keep a pool of an account, all of the same size.
+const MaxKeepers = 2
+
+// Lender reaches the gateways that keep an account's pools.
+type Lender interface {
+	// KeeperShare returns the fraction of the account's pools that this gateway keeps, 0 if none.
+	KeeperShare(account ident.ClientAccount) float64
+	// Borrow asks the other gateways that keep a pool for a loan, one after the other. It returns the
+	// last refusal if all refuse, and an error if none is known or answers.
+	Borrow(request LoanRequest) (LoanAnswer, error)
+	// GiveBack hands what this gateway no longer keeps to one that keeps a pool. It doesn't wait.
+	GiveBack(account ident.ClientAccount, amount float64)
 }
 
 // Limiter admits or refuses requests by their accounts' limits. It is safe for concurrent use.
@@ -105,90 +73,80 @@
 	// otherGateways returns the other gateways' reports on an account, with ages as of the given
 	// time.
 	otherGateways func(ident.ClientAccount, time.Time) OtherGateways
+	// lender is nil where gateways don't lend to each other: then each keeps an even part of the
+	// pool.
+	lender Lender
 
 	mu       sync.Mutex
 	started  time.Time
 	accounts map[ident.ClientAccount]*account
 }
 
+// NewLimiter returns a limiter that has admitted nothing. The function others returns the other
+// gateways' reports on an account, as of a time.
+func NewLimiter(tolerance Tolerance, others func(ident.ClientAccount, time.Time) OtherGateways, now time.Time) *Limiter {
+	return &Limiter{tolerance: tolerance, otherGateways: others, started: now, accounts: make(map[ident.ClientAccount]*account)}
+}
+
+// SetLender connects the limiter with the gateways that keep the pools. Call it before Admit.
+func (l *Limiter) SetLender(lender Lender) { l.lender = lender }
+
+// account is an account's state at this gateway.
 type account struct {
-	// level is the content of the bucket. It is negative when more than the limit was admitted.
-	level float64
-	// shareLevel is the content of this gateway's share of the bucket. It decides while demand
-	// exceeds the rate. If the whole bucket decided then, all gateways would spend the same refill,
-	// find the bucket overdrawn when they receive each other's reports, and refuse everything for
-	// half a second at a time, postings that cost next to nothing included (half of those were
-	// refused at four times the limit with nine gateways; with shares, one in twelve at most).
-	shareLevel float64
-	// filledAt is the time up to which the bucket was refilled.
-	filledAt time.Time
-	// allowance, heard and known are as of the reports applied last.
-	allowance
+	allotment
+	// burst is the account's own, and small the cost up to which a request counts as small.
+	small float64
+	// heard and known count gateways as of the reports applied last. counted is set if known can be
+	// relied on.
 	heard, known int
+	mostKnown    recentMax
+	counted      bool
+	// part is this gateway's own part, filled up to partFilledAt.
+	part         float64
+	partFilledAt time.Time
+	// loan may be spent until loanExpires.
+	loan        float64
+	loanExpires time.Time
+	// largest is the largest cost that was requested here lately. A loan must cover it, whatever the
+	// present request costs: what is left over would serve only the small ones.
+	largest windowMax
+	pool    pool
+	// refusal is the answer to the last loan that was refused. This gateway doesn't ask again until
+	// askAgainAt.
+	refusal    LoanAnswer
+	askAgainAt time.Time
 	// admittedTotal and requestedTotal are the costs that this gateway admitted and was asked for
 	// since its start.
 	admittedTotal, requestedTotal float64
-	ownDemand                     rateMeter
-	groups                        map[string]*groupUsage
-	// refreshedAt is the time up to which the groups' estimated spending was added.
-	refreshedAt time.Time
+	spending                      rateMeter
+	demand                        demandMeter
+	totalDemand                   float64
+	refreshedAt                   time.Time
 }
 
-// groupUsage is one account's usage at another gateway or a group of gateways.
-type groupUsage struct {
-	source string
-	// reportedSpent is the spending by the newest report, which was made at reportedAt.
-	reportedSpent float64
-	reportedAt    time.Time
-	// estimatedSpent is the estimated spending since reportedAt, which is already deducted from the
-	// bucket.
-	estimatedSpent   float64
-	spending, demand rateMeter
-}
+// Source tells which tokens decided on a request.
+type Source string
 
-// rateMeter measures the rate per second at which a total grows.
-type rateMeter struct {
-	last float64
-	rate float64
-	at   time.Time
-	// known is set once two totals were compared.
-	known bool
-}
-
-// update records a total and returns its rate per second.
-func (r *rateMeter) update(total float64, now time.Time) float64 {
-	if r.at.IsZero() {
-		r.last, r.at = total, now
-		return 0
-	}
-	elapsed := now.Sub(r.at)
-	if elapsed < rateAveragingTime/10 {
-		return r.rate
-	}
-	weight := min(1, elapsed.Seconds()/rateAveragingTime.Seconds())
-	if !r.known {
-		// The first measurement is taken as it is. Averaged with the initial zero, the rate would
-		// be too low for seconds.
-		r.known, weight = true, 1
-	}
-	r.rate += weight * ((total-r.last)/elapsed.Seconds() - r.rate)
-	r.last, r.at = total, now
-	return r.rate
-}
-
-// NewLimiter returns a limiter that has admitted nothing. The function others returns the other
-// gateways' reports on an account, as of a time.
-func NewLimiter(tolerance Tolerance, others func(ident.ClientAccount, time.Time) OtherGateways, now time.Time) *Limiter {
-	return &Limiter{tolerance: tolerance, otherGateways: others, started: now, accounts: make(map[ident.ClientAccount]*account)}
-}
+// Sources of tokens.
+const (
+	FromLoan Source = "loan"
+	FromPart Source = "part"
+	FromPool Source = "pool"
+	// FromRefusal: the pool refused this gateway a loan a moment ago.
+	FromRefusal Source = "earlier refusal"
+)
 
 // Decision tells whether a request is admitted, and the values that decided it.
 type Decision struct {
 	OK bool
 	// RetryAfter is the retry-after time of a refused request.
 	RetryAfter time.Duration
-	// Level is the content of the bucket, or of this gateway's share of it. Need is the content
-	// that the request needs.
+	// Source tells whose tokens decided.
+	Source Source
+	// Keeper is the gateway that was asked for a loan; "" if none was.
+	Keeper ident.Instance
+	// Level is the content of the pool, or of this gateway's own part. Need is the content that the
+	// request needs.
 	Level, Need float64
 	// DemandRate is the cost that callers request of all gateways per second.
 	DemandRate float64
@@ -197,253 +155,246 @@
 	Heard, Known int
 }
 
-// Admit deducts a request's cost from its account's bucket, or refuses the request and estimates
-// when it would be admitted. One request may overdraw the bucket by a share of the tolerance, so
-// that large requests are admitted about as often as small ones. If the whole cost had to be in the
-// bucket, the small requests of an account at its limit would leave nothing for the large ones.
+// Admit takes a request's cost out of this gateway's loan or part or borrows it from the account's
+// pool, or refuses the request and estimates when it would be admitted. It may wait for the gateway
+// that keeps the pool.
 func (l *Limiter) Admit(limit *routetable.Account, cost float64, now time.Time) Decision {
 	if limit.Rate <= 0 {
 		return Decision{OK: true}
 	}
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	a := l.account(limit, now)
 	a.requestedTotal += cost
-	a.advance(now)
-	d := Decision{Level: a.level, Need: max(0, min(cost, a.burst)-a.overdraft), DemandRate: a.totalDemand, Heard: a.heard, Known: a.known}
-	rate := a.rate
-	if a.share < 1 {
-		// Demand exceeds the rate, so this gateway's share decides.
-		rate *= a.share
-		d.Level, d.Need = a.shareLevel, min(d.Need, a.burst*a.share)
-	}
-	small := cost <= smallRequestBurstShare*a.burst && a.level > -smallRequestMaxOverdraft*a.burst
-	if d.Level >= d.Need || small {
-		a.level -= cost
-		a.shareLevel -= cost
-		a.admittedTotal += cost
-		d.OK = true
+	if d, decided := l.admitLocally(a, limit, cost, now); decided {
+		l.mu.Unlock()
 		return d
 	}
-	d.RetryAfter = l.retryAfter(d, rate, now)
-	return d
+	refusal := a.refusal
+	request := LoanRequest{Account: limit.Name, Cost: cost, Extra: a.expectedCost(), Returned: a.giveUpLoan(now)}
+	l.mu.Unlock()
+	answer, err := l.lender.Borrow(request)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case err == nil:
+		return a.applyAnswer(answer, cost, now)
+	case a.pool.share > 0:
+		return a.refuse(refusal, FromPool)
+	}
+	return l.admitFromPart(a, cost, now)
 }
 
-// retryAfter estimates when a refused request may be admitted, from the rate at which its bucket
-// refills.
-func (l *Limiter) retryAfter(d Decision, rate float64, now time.Time) time.Duration {
-	if rate < minFillRate {
-		// The share of this gateway will be known after the next report.
-		return minRetryAfter
+// admitLocally decides on a request if that needs no other gateway.
+func (l *Limiter) admitLocally(a *account, limit *routetable.Account, cost float64, now time.Time) (d Decision, decided bool) {
+	a.fillPart(now)
+	largest := a.largest.add(cost, now)
+	if now.Before(a.loanExpires) && a.loan >= largest {
+		a.loan -= cost
+		return a.admit(cost, FromLoan), true
 	}
-	longest := maxRetryAfter
-	if now.Sub(l.started) < startupPeriod && d.Heard < d.Known {
-		longest = startupMaxRetryAfter
+	if cost <= a.small && a.part >= cost {
+		a.part -= cost
+		return a.admit(cost, FromPart), true
 	}
-	// The bound is applied in seconds: at a small rate the time overflows a time.Duration.
-	seconds := min((d.Need-d.Level)/rate, longest.Seconds())
-	return max(time.Duration(seconds*float64(time.Second)), minRetryAfter)
-}
-
-// allowance is what this gateway may use of an account's limit at present.
-type allowance struct {
-	// rate, per second, and burst are the parts of the limit for all gateways that are heard,
-	// together.
-	rate, burst float64
-	// overdraft is the amount by which one request may overdraw the bucket at this gateway.
-	overdraft float64
-	// othersSpendingRate is the expected spending of the other gateways per second.
-	othersSpendingRate float64
-	// totalDemand is the cost requested per second at all gateways that are heard.
-	totalDemand float64
-	// share is this gateway's fraction of the total demand while the total demand exceeds the
-	// rate, otherwise 1.
-	share float64
+	if a.pool.share > 0 {
+		answer := l.lendFrom(a, LoanRequest{Cost: cost, Returned: a.giveUpLoan(now)}, now)
+		if answer.Granted || l.lender == nil {
+			return a.applyAnswer(answer, cost, now), true
+		}
+		a.refusal = answer
+	}
+	if cost > a.small && now.Before(a.askAgainAt) {
+		return a.refuse(a.refusal, FromRefusal), true
+	}
+	return Decision{}, false
 }
 
-// effectiveLimits returns an account's rate, burst and overdraft with the tolerance that callers
-// get when the gateways' reports have the given mean age.
-func (l *Limiter) effectiveLimits(limit *routetable.Account, lag time.Duration) (rate, burst, overdraft float64) {
-	t := l.tolerance
-	tolerated := t.Overage*(limit.Rate*t.Window.Seconds()+limit.Burst) + t.Slack
-	tolerated *= max(0, 1-lag.Seconds()/lagWithoutTolerance.Seconds())
-	return limit.Rate + rateToleranceShare*tolerated/t.Window.Seconds(), limit.Burst + burstToleranceShare*tolerated, overdraftToleranceShare * tolerated
+// giveUpLoan returns what is left of the loan, which this gateway then no longer has.
+func (a *account) giveUpLoan(now time.Time) float64 {
+	left := a.loan
+	a.loan = 0
+	if !now.Before(a.loanExpires) {
+		return 0
+	}
+	return left
 }
 
-// counts returns how many gateways are heard and how many may admit requests, both with this one.
-func (o OtherGateways) counts() (heard, known int) {
-	heard = 1
-	for _, r := range o.Reports {
-		heard += r.Gateways
+// expectedCost returns what this gateway expects to admit within the time of a loan, beyond the
+// present request. It is 0 where that is less than one large request: the loan would be left over.
+func (a *account) expectedCost() float64 {
+	expected := extraLoanSafety * a.spending.rate * loanDuration.Seconds()
+	if expected < a.largest.value() {
+		return 0
 	}
-	return heard, max(o.Known+1, heard)
+	return expected
 }
 
-// heardShare returns the fraction of the gateways that is heard.
-func (o OtherGateways) heardShare() float64 {
-	heard, known := o.counts()
-	return float64(heard) / float64(known)
+// ErrNotKeeper is the error of Lend at a gateway that doesn't keep a pool of the account.
+var ErrNotKeeper = errors.New("this gateway does not keep a pool of the account")
+
+// Lend decides on another gateway's request for a loan, as a gateway that keeps a pool.
+func (l *Limiter) Lend(limit *routetable.Account, r LoanRequest, now time.Time) (LoanAnswer, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(limit, now)
+	if a.pool.share == 0 {
+		return LoanAnswer{}, ErrNotKeeper
+	}
+	return l.lendFrom(a, r, now), nil
 }
 
-// meanAge returns the mean age of the reports, weighted by their gateways.
-func (o OtherGateways) meanAge() time.Duration {
-	if len(o.Reports) == 0 {
-		return 0
+// lendFrom decides on a loan from the pool that this gateway keeps.
+func (l *Limiter) lendFrom(a *account, r LoanRequest, now time.Time) LoanAnswer {
+	if now.Sub(a.refreshedAt) > maxRefreshGap {
+		a.pool.empty(now)
 	}
-	sum, gateways := time.Duration(0), 0
-	for _, r := range o.Reports {
-		sum += time.Duration(r.Gateways) * r.Age
-		gateways += r.Gateways
+	kept := a.keptPool()
+	if kept.poolRate < minFillRate {
+		return LoanAnswer{Need: r.Cost, AskPause: minAskPause, RetryAfter: minRetryAfter}
 	}
-	return sum / time.Duration(max(1, gateways))
+	answer := a.pool.lend(r, kept.poolRate, kept.poolSize, r.Cost <= a.small, now)
+	if !answer.Granted {
+		answer.RetryAfter = l.retryAfter(Decision{Level: answer.Level, Need: answer.Need, Heard: a.heard, Known: a.known}, kept.poolRate, now)
+	}
+	return answer
 }
 
-// ApplyReports applies the other gateways' reports to the accounts with the given limits. Call it
-// with every round of reports: then other gateways' spending is deducted in small steps, and Admit
-// doesn't have to go through the reports.
-func (l *Limiter) ApplyReports(limits []routetable.Account, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for i := range limits {
-		if limit := &limits[i]; limit.Rate > 0 {
-			l.refreshAccount(l.account(limit, now), limit, l.otherGateways(limit.Name, now), now)
-		}
+// keptPool returns the part of the allotment that the pool at this gateway has.
+func (a *account) keptPool() allotment {
+	if !a.counted {
+		return allotment{}
 	}
+	return a.scaled(a.pool.share * float64(a.heard) / float64(a.known))
 }
 
-// account returns an account's state. If the account is new to this gateway, the other gateways'
-// reports on it are applied first.
-func (l *Limiter) account(limit *routetable.Account, now time.Time) *account {
-	a := l.accounts[limit.Name]
-	if a == nil {
-		others := l.otherGateways(limit.Name, now)
-		_, burst, _ := l.effectiveLimits(limit, 0)
-		a = &account{level: initialFillShare * burst * others.heardShare(), filledAt: l.started, refreshedAt: l.started, groups: make(map[string]*groupUsage)}
-		l.accounts[limit.Name] = a
-		l.refreshAccount(a, limit, others, now)
+// applyAnswer admits or refuses a request by the answer of the gateway that keeps the pool.
+func (a *account) applyAnswer(answer LoanAnswer, cost float64, now time.Time) Decision {
+	if !answer.Granted {
+		a.refusal, a.askAgainAt = answer, now.Add(answer.AskPause)
+		return a.refuse(answer, FromPool)
 	}
-	return a
+	if answer.Extra > 0 {
+		// A loan that another request brought meanwhile is given up: it expires sooner.
+		a.loan, a.loanExpires = answer.Extra, now.Add(loanDuration)
+	}
+	d := a.admit(cost, FromPool)
+	d.Keeper, d.Level, d.Need = answer.Keeper, answer.Level, answer.Need
+	return d
 }
 
-// advance refills the bucket up to now and deducts the other gateways' expected spending.
-func (a *account) advance(now time.Time) {
-	elapsed := max(now.Sub(a.filledAt).Seconds(), 0)
-	a.filledAt = now
-	a.level = min(a.level+(a.rate-a.othersSpendingRate)*elapsed, a.burst)
-	// The whole bucket's level sets how fast the share refills: not at all when the bucket is
-	// overdrawn by a burst, at twice the rate when it is full. This keeps the whole bucket from
-	// staying overdrawn or filling up.
-	fillFactor := 1 + min(max(a.level/max(a.burst, 1), -1), 1)
-	a.shareLevel = min(a.shareLevel+a.rate*a.share*fillFactor*elapsed, a.burst*a.share)
+func (a *account) admit(cost float64, source Source) Decision {
+	a.admittedTotal += cost
+	return Decision{OK: true, Source: source, Level: a.part, Need: cost, DemandRate: a.totalDemand, Heard: a.heard, Known: a.known}
 }
 
-// refreshAccount applies the other gateways' reports: it deducts what they spent beyond the
-// estimate and updates their rates.
-func (l *Limiter) refreshAccount(a *account, limit *routetable.Account, others OtherGateways, now time.Time) {
-	heardShare, lag := others.heardShare(), others.meanAge()
-	rate, burst, overdraft := l.effectiveLimits(limit, lag)
-	a.rate, a.burst = rate*heardShare, burst*heardShare
-	heardBefore := a.heard
-	a.heard, a.known = others.counts()
-	a.scaleOverdraft(heardBefore)
-	a.overdraft = overdraft / float64(a.known)
-	a.advance(now)
-	elapsed := max(now.Sub(a.refreshedAt).Seconds(), 0)
-	a.refreshedAt = now
-	a.othersSpendingRate, a.totalDemand = 0, a.ownDemand.update(a.requestedTotal, now)
-	for i := range others.Reports {
-		r := &others.Reports[i]
-		g := a.groups[r.Name]
-		if g == nil {
-			g = &groupUsage{source: r.Source, reportedSpent: r.Spent, reportedAt: now.Add(-r.Age)}
-			a.groups[r.Name] = g
-		}
-		g.estimatedSpent += g.spending.rate * elapsed
-		a.level -= g.applyReport(r, now)
-		a.othersSpendingRate += g.spending.rate
-		a.totalDemand += g.demandRate(r, a.ownDemand.rate)
-	}
-	a.removeUnheard(others)
-	a.level = min(a.level, a.burst)
-	a.updateShare()
+func (a *account) refuse(answer LoanAnswer, source Source) Decision {
+	return Decision{RetryAfter: max(answer.RetryAfter, minRetryAfter), Source: source, Keeper: answer.Keeper, Level: answer.Level, Need: answer.Need, DemandRate: a.totalDemand, Heard: a.heard, Known: a.known}
 }
 
-// scaleOverdraft scales the overdraft when the number of gateways that share the bucket changes,
-// because the gateways' overdrafts add up. Otherwise, after all gateways were killed and restarted,
-// each would drop the others' overdrafts from the time before they heard each other, and all would
-// overdraw again.
-func (a *account) scaleOverdraft(heardBefore int) {
-	if heardBefore > 0 && a.level < 0 {
-		a.level *= float64(a.heard) / float64(heardBefore)
+// admitFromPart decides on a request by this gateway's own part, because the gateway that keeps the
+// pool can't be reached.
+func (l *Limiter) admitFromPart(a *account, cost float64, now time.Time) Decision {
+	a.fillPart(now)
+	part := a.ownPart()
+	if a.part >= cost {
+		a.part -= cost
+		return a.admit(cost, FromPart)
 	}
+	d := Decision{Source: FromPart, Level: a.part, Need: cost, DemandRate: a.totalDemand, Heard: a.heard, Known: a.known}
+	// Another gateway keeps the pool within some rounds of reports.
+	d.RetryAfter = min(l.retryAfter(d, part.partsRate, now), startupMaxRetryAfter)
+	return d
 }
 
-// updateShare sets this gateway's share to its fraction of the total demand while the total demand
-// exceeds the rate, otherwise to 1.
-func (a *account) updateShare() {
-	share := 1.0
-	if a.totalDemand > a.rate {
-		share = a.ownDemand.rate / a.totalDemand
+// retryAfter estimates when a refused request may be admitted, from the rate at which its tokens are
+// refilled.
+func (l *Limiter) retryAfter(d Decision, rate float64, now time.Time) time.Duration {
+	if rate < minFillRate {
+		// The share of this gateway will be known after the next report.
+		return minRetryAfter
 	}
-	if a.share == 1 && share < 1 {
-		// The share starts with its fraction of what is left in the bucket.
-		a.shareLevel = share * a.level
+	longest := maxRetryAfter
+	if now.Sub(l.started) < startupPeriod && d.Heard < d.Known {
+		longest = startupMaxRetryAfter
 	}
-	a.share = share
+	return secondsBetween((d.Need-d.Level)/rate, minRetryAfter, longest)
 }
 
-// applyReport records a report and returns by how much the spending up to now exceeds what was
-// already deducted.
-func (g *groupUsage) applyReport(r *Report, now time.Time) float64 {
-	at := now.Add(-r.Age)
-	if r.Source != g.source {
-		g.switchSource(r, at)
-		return 0
-	}
-	if !at.After(g.reportedAt) {
-		return 0
+// ownPart returns this gateway's own part of the allotment.
+func (a *account) ownPart() allotment {
+	if !a.counted {
+		return allotment{}
 	}
-	g.demand.update(r.Spent+r.Refused, at)
-	g.spending.update(r.Spent, at)
-	sinceReport := g.spending.rate * r.Age.Seconds()
-	excess := r.Spent - g.reportedSpent - g.estimatedSpent + sinceReport
-	g.reportedSpent, g.reportedAt, g.estimatedSpent = r.Spent, at, sinceReport
-	return excess
+	return a.scaled(1 / float64(a.known))
 }
 
-// demandRate returns the cost requested per second at the group's gateways. As long as the demand is
-// unknown, each of them is assumed to have the same demand as this gateway, ownRate. If unknown
-// demand counted as zero, then after all gateways were killed and restarted, each would take the
-// whole refill as its share at the moment in which they hear each other again.
-func (g *groupUsage) demandRate(r *Report, ownRate float64) float64 {
-	if !g.demand.known {
-		return ownRate * float64(r.Gateways)
+// fillPart refills this gateway's own part up to now.
+func (a *account) fillPart(now time.Time) {
+	part := a.ownPart()
+	a.part = min(a.part+part.partsRate*max(now.Sub(a.partFilledAt).Seconds(), 0), part.partsSize)
+	a.partFilledAt = now
+}
+
+// ApplyReports applies the other gateways' reports to the accounts with the given limits. Call it
+// with every round of reports.
+func (l *Limiter) ApplyReports(limits []routetable.Account, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range limits {
+		limit := &limits[i]
+		if limit.Rate <= 0 {
+			continue
+		}
+		a := l.account(limit, now)
+		l.refresh(a, limit, now)
+		if excess := a.pool.takeExcess(); excess > 0 && l.lender != nil {
+			l.lender.GiveBack(limit.Name, excess)
+		}
 	}
-	return g.demand.rate
 }
 
-// switchSource continues from another source's totals and keeps the measured rates. Without the
-// rates, a gateway that begins to hear the others through another collector would take an account
-// far beyond its limit for an almost unused one.
-func (g *groupUsage) switchSource(r *Report, at time.Time) {
-	g.source = r.Source
-	g.reportedSpent, g.reportedAt = r.Spent, at
-	g.estimatedSpent = g.spending.rate * r.Age.Seconds()
-	g.spending.last, g.spending.at = r.Spent, at
-	g.demand.last, g.demand.at = r.Spent+r.Refused, at
+// account returns an account's state. If the account is new to this gateway, the other gateways'
+// reports on it are applied first.
+func (l *Limiter) account(limit *routetable.Account, now time.Time) *account {
+	a := l.accounts[limit.Name]
+	if a == nil {
+		a = &account{partFilledAt: l.started, demand: demandMeter{groups: make(map[string]*groupDemand)}}
+		l.accounts[limit.Name] = a
+		l.refresh(a, limit, now)
+	}
+	return a
 }
 
-// removeUnheard removes the groups that are no longer heard. The bucket isn't refilled with their
-// share meanwhile, so what they spend in that time must not be deducted when they are heard again.
-func (a *account) removeUnheard(others OtherGateways) {
-	if len(a.groups) == len(others.Reports) {
-		return
+// refresh applies the other gateways' reports, and the limit, which may have changed.
+func (l *Limiter) refresh(a *account, limit *routetable.Account, now time.Time) {
+	others := l.otherGateways(limit.Name, now)
+	heard, known := others.counts()
+	a.fillPart(now)
+	share := l.keeperShare(limit.Name, known)
+	a.pool.keep(share, a.scaled(share).poolSize, now)
+	if now.Sub(a.refreshedAt) > maxRefreshGap {
+		a.pool.empty(now)
 	}
-	for name := range a.groups {
-		if !slices.ContainsFunc(others.Reports, func(r Report) bool { return r.Name == name }) {
-			delete(a.groups, name)
-		}
+	if a.pool.share > 0 {
+		kept := a.keptPool()
+		a.pool.refill(kept.poolRate, kept.poolSize, now)
+	}
+	a.allotment = l.tolerance.allot(limit)
+	a.small = smallRequestBurstShare * limit.Burst
+	a.heard, a.known = heard, a.mostKnown.add(known, now)
+	a.counted = others.Known > 0 || now.Sub(l.started) >= startupPeriod
+	a.refreshedAt = now
+	a.spending.update(a.admittedTotal, now)
+	a.totalDemand = a.demand.update(a.requestedTotal, others.Reports, now)
+}
+
+// keeperShare returns the fraction of an account's pools that this gateway keeps: an even part where
+// gateways don't lend to each other.
+func (l *Limiter) keeperShare(name ident.ClientAccount, known int) float64 {
+	if l.lender == nil {
+		return 1 / float64(known)
 	}
+	return l.lender.KeeperShare(name)
 }
 
 // Total is the cost that a gateway admitted and refused for an account since its start.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -26,15 +26,20 @@
 	collector *collector
 	// hears reports whether gateway a hears gateway b.
 	hears func(a, b int) bool
+	// isDown reports whether a gateway is not running.
+	isDown func(int) bool
 	// admitted are the admitted requests, by time.
 	admitted  []admission
 	refused   int
 	requested int
+	// asked counts requests for loans.
+	asked int
 }
 
 type gateway struct {
 	limiter     *Limiter
 	incarnation string
+	startedAt   time.Time
 	// heard are the latest reports of the other gateways, by their index.
 	heard map[int]report
 }
@@ -55,7 +60,7 @@
 
 func newFleet(n int, rate float64) *fleet {
 	f := &fleet{
-		now: time.Unix(1000, 0), maxReportAge: time.Second, rng: rand.New(rand.NewPCG(1, 2)), hears: func(int, int) bool { return true },
+		now: time.Unix(1000, 0), maxReportAge: time.Second, rng: rand.New(rand.NewPCG(1, 2)), hears: func(int, int) bool { return true }, isDown: func(int) bool { return false },
 		limit:     routetable.Account{Name: "acct", Rate: rate, Burst: rate, CountsTokens: true},
 		tolerance: Tolerance{Window: 8 * time.Second, Overage: 0.1, Slack: 140_000},
 	}
@@ -69,6 +74,8 @@
 func (f *fleet) restart(i int) {
 	g := &gateway{incarnation: fmt.Sprint(i, "/", f.now.UnixNano()), heard: make(map[int]report)}
 	g.limiter = NewLimiter(f.tolerance, func(ident.ClientAccount, time.Time) OtherGateways { return f.others(g) }, f.now)
+	g.limiter.SetLender(lender{f, i})
+	g.startedAt = f.now
 	f.gateways[i] = g
 }
 
@@ -94,12 +101,15 @@
 	for i, from := range f.gateways {
 		total := from.limiter.Totals()["acct"]
 		for j, to := range f.gateways {
-			if i != j && f.hears(j, i) {
+			if i != j && f.hears(j, i) && !f.isDown(i) {
 				to.heard[i] = report{incarnation: from.incarnation, spent: total.Spent, refused: total.Refused, at: f.now}
 			}
 		}
 	}
-	for _, g := range f.gateways {
+	for i, g := range f.gateways {
+		if f.isDown(i) {
+			continue
+		}
 		g.limiter.ApplyReports([]routetable.Account{f.limit}, f.now)
 	}
 }
@@ -110,17 +120,23 @@
 	// Before the time until, each gateway knows of unheard other gateways and hears none of them.
 	unheard int
 	until   time.Time
+	// side, if not 0, is the number of gateways that are cut off from the others since cutAt.
+	side  int
+	cutAt time.Time
 }
 
 type collectedTotals struct {
 	all       report
 	byGateway map[string]report
+	// order are the gateways' incarnations in the order of their indexes.
+	order []string
 }
 
 func (c *collector) add(f *fleet) {
 	c.published, c.next = c.next, collectedTotals{all: report{at: f.now}, byGateway: make(map[string]report)}
 	for _, g := range f.gateways {
 		total := g.limiter.Totals()["acct"]
+		c.next.order = append(c.next.order, g.incarnation)
 		c.next.byGateway[g.incarnation] = report{spent: total.Spent, refused: total.Refused}
 		c.next.all.spent += total.Spent
 		c.next.all.refused += total.Refused
@@ -136,11 +152,36 @@
 		return OtherGateways{}
 	}
 	own := c.published.byGateway[g.incarnation]
+	if c.side > 0 && now.Sub(c.cutAt) > time.Second {
+		return c.othersOfSide(g, now)
+	}
 	return OtherGateways{Known: n, Reports: []Report{{
 		Name: "all", Source: "collector", Gateways: n, Spent: c.published.all.spent - own.spent, Refused: c.published.all.refused - own.refused, Age: now.Sub(c.published.all.at),
 	}}}
 }
 
+// othersOfSide returns the reports of the gateways on the same side of the partition.
+func (c *collector) othersOfSide(g *gateway, now time.Time) OtherGateways {
+	i := slices.Index(c.published.order, g.incarnation)
+	from, to := 0, c.side
+	if i >= c.side {
+		from, to = c.side, len(c.published.order)
+	}
+	r := Report{Name: "all", Source: fmt.Sprint("collector ", i < c.side), Age: now.Sub(c.published.all.at)}
+	for j := from; j < to; j++ {
+		if j != i {
+			total := c.published.byGateway[c.published.order[j]]
+			r.Gateways++
+			r.Spent += total.spent
+			r.Refused += total.refused
+		}
+	}
+	if r.Gateways == 0 {
+		return OtherGateways{Known: len(c.published.order) - 1}
+	}
+	return OtherGateways{Known: len(c.published.order) - 1, Reports: []Report{r}}
+}
+
 // run sends requests for the duration d, with a total cost of rate per second and a mean cost of
 // size, spread over the gateways by weights.
 func (f *fleet) run(d time.Duration, rate, size float64, weights []float64) {
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -235,6 +235,16 @@
 // Accounts returns all client accounts. They must not be changed.
 func (t *Table) Accounts() []Account { return t.spec.Accounts }
 
+// Account returns the account with the name, or nil if there is none.
+func (t *Table) Account(name ident.ClientAccount) *Account {
+	for i := range t.spec.Accounts {
+		if a := &t.spec.Accounts[i]; a.Name == name {
+			return a
+		}
+	}
+	return nil
+}
+
 // AccountByKey returns the account with the key, or nil if there is none.
 func (t *Table) AccountByKey(key string) *Account { return t.keys[key] }
 
