Upstreams' limits: a gateway compares its latest requests with counts that are as old as the others'

Cause, by a trace of the counts each 0.2 s: a gateway scales its latest requests up by its share of the demand. The count that stands for its demand as the others know it was an average that follows the present demand, so that within 0.2 s a gateway that had asked twice took itself for 0.29 of all instead of 1 of 82: the others' counts were not there yet. All sent 37 to 44 requests in the first 0.8 s. Besides, what was not used in the pause doubled the rate aimed at, and a few requests left over from before counted as knowledge of hundreds of gateways' demand.

Now the count is the one of at least the lag ago; a gateway whose requests rise beyond what they vary by expects the same rise at all others; the rate is raised for unused seconds only where demand is known.

--- a/internal/upstreamlimit/share.go
+++ b/internal/upstreamlimit/share.go
@@ -24,6 +24,11 @@
 	expectedDecayTime   = 30 * time.Second
 	// Fewer recent requests than fewRequests hardly tell how many will come.
 	fewRequests = 3
+	// gatewaysPerRequest is the number of gateways beyond which one more recent request is needed to
+	// tell how many will come.
+	gatewaysPerRequest = 16
+	// usualDeviations is how many standard deviations a gateway's requests vary from their mean.
+	usualDeviations = 2
 	// minUsedShare is the least share of what the rate allows in sentDecayTime that counts as sent:
 	// requests that were not sent in a pause must not all be sent at once afterwards.
 	minUsedShare = 0.5
@@ -50,9 +55,13 @@
 	// sentSeeded is set once sent includes this gateway's share of what was sent before counting
 	// began.
 	sentSeeded bool
-	// recentDemand counts like demand but decays over recentDecayTime. delayedDemand follows demand
-	// with a delay of ReportLag, like the counts of the other gateways.
-	recentDemand, delayedDemand float64
+	// recentDemand counts like demand but decays over recentDecayTime.
+	recentDemand float64
+	// delayedDemand is demand as it was at least ReportLag ago, like the counts of the other
+	// gateways. An average that follows demand would soon exceed counts that haven't arrived.
+	// sampledDemand becomes delayedDemand ReportLag after sampledAt.
+	delayedDemand, sampledDemand float64
+	sampledAt                    time.Time
 	// expectedDemand is how many requests per second may choose the upstream again at all gateways,
 	// judged by earlier demand, as of expectedDemandAt.
 	expectedDemand   float64
@@ -77,7 +86,9 @@
 	if elapsed <= 0 {
 		return
 	}
-	t.delayedDemand += (t.demand - t.delayedDemand) * (1 - math.Exp(-elapsed/ReportLag.Seconds()))
+	if now.Sub(t.sampledAt) >= ReportLag {
+		t.delayedDemand, t.sampledDemand, t.sampledAt = t.sampledDemand, t.demand, now
+	}
 	t.demand *= math.Exp(-elapsed / demandDecayTime.Seconds())
 	t.recentDemand *= math.Exp(-elapsed / recentDecayTime.Seconds())
 	t.sent *= math.Exp(-elapsed / sentDecayTime.Seconds())
@@ -98,10 +109,18 @@
 func demandShare(l *limit, fleet Fleet, now time.Time) float64 {
 	rate := targetUtilization * l.allowedRate() * fleet.heardShare()
 	excess := l.countedSent(rate, now)/(rate*sentDecayTime.Seconds()) - 1
-	factor := min(max(1-correctionGain*excess, 0), maxCorrection)
+	factor := min(max(1-correctionGain*excess, 0), 1+(maxCorrection-1)*l.establishedShare(fleet))
 	return min(rate*factor/l.totalDemand(fleet, now), 1)
 }
 
+// establishedShare returns 1 if all gateways know of each other's demand and 0 if there was next to
+// none until now. The more gateways there are, the more requests may come in one moment.
+func (l *limit) establishedShare(fleet Fleet) float64 {
+	known := l.delayedDemand + l.othersDemand
+	few := max(fewRequests, float64(fleet.Known)/gatewaysPerRequest)
+	return 1 - math.Exp(-known*known/(few*few))
+}
+
 // countedSent returns how many requests count as recently sent, at least minUsedShare of what the
 // rate allows.
 func (l *limit) countedSent(rate float64, now time.Time) float64 {
@@ -129,7 +148,15 @@
 	ownShare := (l.delayedDemand + 1/known) / (l.delayedDemand + l.othersDemand + 1)
 	suggested := max(l.recentDemand-1, 0) / recentDecayTime.Seconds() / ownShare
 	l.updateExpectedDemand(now)
-	return max(demand/counted/decaySeconds+assumed, suggested, l.expectedDemand)
+	return max(demand/counted/decaySeconds+assumed, suggested, l.expectedDemand, l.surgeDemand(known))
+}
+
+// surgeDemand returns how many requests per second choose the upstream if all gateways now have as many
+// more requests than before as this one. It is 0 while this gateway's requests vary as usual.
+func (l *limit) surgeDemand(known float64) float64 {
+	usual := l.delayedDemand * recentDecayTime.Seconds() / demandDecayTime.Seconds()
+	more := l.recentDemand - 1 - usual - usualDeviations*math.Sqrt(usual)
+	return max(more, 0) / recentDecayTime.Seconds() * known
 }
 
 // updateExpectedDemand lets the expected demand decay and raises it if the present demand is higher
--- a/internal/upstreamlimit/stories_test.go
+++ b/internal/upstreamlimit/stories_test.go
@@ -112,6 +112,7 @@
 		small("82 gateways, 20 a second, a domain cut off", each(3, always(5, from))).with(at82).with(func(s *scenario) { s.cut = true }),
 		small("195 gateways, 1 a second", each(10, always(1, from))).with(at195),
 		small("195 gateways, callers at few, burst", each(10, always(1, from))).with(at195).with(func(s *scenario) { s.gatewayShare, s.burst = 0.05, 2.5 }),
+		small("330 gateways, all ask at once", each(3, always(5, from))).with(at330).with(func(s *scenario) { s.preferred = late }),
 		small("330 gateways, 0.5 a second", each(50, always(0.5, from))).with(at330),
 		small("330 gateways, 2 a second, all killed", each(50, always(2, from))).with(at330).with(func(s *scenario) { s.killed = []time.Duration{15 * time.Second} }),
 	}
