Upstreams: a long listing applies what changes while it goes on

Cause: pages are used at once, but changes were followed only after the last one, from the beginning of the listing; and other gateways' updates are not taken before, because the gateway cannot name an offset up to which it knows all.

Evidence: TestChangesDuringAListingAreApplied, red before: five pages of 1 s, an upstream that is dropped after the first and one that leaves are still in use after each later page, and after the listing.

--- a/internal/duty/lease_test.go
+++ b/internal/duty/lease_test.go
@@ -115,7 +115,7 @@
 	panic("the lease is read with Newest, not followed")
 }
 
-func (w *world) Newest(context.Context, string, func([]platform.KeyedRecord)) (platform.KeyedBatch, error) {
+func (w *world) Newest(context.Context, string, func(platform.KeyedBatch)) (platform.KeyedBatch, error) {
 	batch := platform.KeyedBatch{End: ident.Offset(len(w.records))}
 	if n := len(w.records); n > 0 {
 		batch.Records = w.records[n-1:]
--- a/internal/entry/configuration_test.go
+++ b/internal/entry/configuration_test.go
@@ -21,7 +21,7 @@
 	waits []time.Duration
 }
 
-func (s *unchangingStore) Newest(context.Context, string, func([]platform.KeyedRecord)) (platform.KeyedBatch, error) {
+func (s *unchangingStore) Newest(context.Context, string, func(platform.KeyedBatch)) (platform.KeyedBatch, error) {
 	return platform.KeyedBatch{Records: []platform.KeyedRecord{{Key: "config", Offset: 3, Value: []byte("x")}}, End: 4}, nil
 }
 
--- a/internal/entry/upstreams_test.go
+++ b/internal/entry/upstreams_test.go
@@ -23,8 +23,8 @@
 type brokenListing struct{ unchangingStore }
 
 // Newest implements platform.KeyedLog.
-func (s *brokenListing) Newest(_ context.Context, _ string, each func([]platform.KeyedRecord)) (platform.KeyedBatch, error) {
-	each([]platform.KeyedRecord{{Key: "u1", Value: []byte("x"), Offset: 4}, {Key: "u2", Value: []byte("x"), Offset: 7}})
+func (s *brokenListing) Newest(_ context.Context, _ string, each func(platform.KeyedBatch)) (platform.KeyedBatch, error) {
+	each(platform.KeyedBatch{Records: []platform.KeyedRecord{{Key: "u1", Value: []byte("x"), Offset: 4}, {Key: "u2", Value: []byte("x"), Offset: 7}}, End: 8})
 	return platform.KeyedBatch{}, platform.ErrUnavailable
 }
 
@@ -55,6 +55,80 @@
 	}
 }
 
+// slowListing is a store whose listing takes a second for each page. u1 is dropped after the first
+// page, and u2 leaves.
+type slowListing struct {
+	unchangingStore
+	afterPage func(page int)
+}
+
+// Newest implements platform.KeyedLog.
+func (s *slowListing) Newest(_ context.Context, _ string, each func(platform.KeyedBatch)) (platform.KeyedBatch, error) {
+	all := platform.KeyedBatch{End: 10}
+	for page, key := range []string{"u1", "u2", "u3", "u4", "u5"} {
+		record := platform.KeyedRecord{Key: key, Value: []byte("ready"), Offset: ident.Offset(page)}
+		all.Records = append(all.Records, record)
+		each(platform.KeyedBatch{Records: []platform.KeyedRecord{record}, End: all.End})
+		s.afterPage(page)
+		*s.now = s.now.Add(time.Second)
+	}
+	return all, nil
+}
+
+// Follow implements platform.KeyedLog.
+func (s *slowListing) Follow(_ context.Context, _ string, from ident.Offset, _ time.Duration) (platform.KeyedBatch, error) {
+	batch := platform.KeyedBatch{End: 10}
+	if s.now.Sub(time.Unix(1000, 0)) >= time.Second {
+		batch.End = 12
+		for _, r := range []platform.KeyedRecord{{Key: "u1", Offset: 10}, {Key: "u2", Value: []byte("leaving"), Offset: 11}} {
+			if r.Offset >= from {
+				batch.Records = append(batch.Records, r)
+			}
+		}
+	}
+	return batch, nil
+}
+
+// Guards against requests that a gateway sends, for as long as its listing of thousands of upstreams
+// takes, to upstreams that were dropped or began to leave since it read their page.
+func TestChangesDuringAListingAreApplied(t *testing.T) {
+	now := time.Unix(1000, 0)
+	clock := func() time.Time { return now }
+	store := &slowListing{unchangingStore: unchangingStore{now: &now}}
+	ports := Ports{
+		Store: store, UpstreamsTopic: "upstreams",
+		DecodeUpstream: func(_, name string, value []byte) (directory.Upstream, finding.List) {
+			u := directory.Upstream{ID: ident.Instance(name), Name: ident.Instance(name), Service: "svc", Address: "127.0.0.1:1", State: directory.Ready}
+			if string(value) == "leaving" {
+				u.State = directory.Leaving
+			}
+			return u, nil
+		},
+	}
+	b := newBoard()
+	tracker := rollout.New(rollout.Config{Now: clock, Log: hclog.NewNullLogger(), OrdersKnown: clock, Gateways: func() int { return 1 }})
+	u := newUpstreamsFollower(ports, b, announced.NewRegistry(announced.Config{Now: clock}), tracker, httpconn.NewPool(clock), clock, func() int { return 0 }, 2*time.Second, hclog.NewNullLogger())
+	check := func(page int) {
+		view := b.upstreams.Value()
+		_, listed := view.Upstream("u1")
+		if u2, _ := view.Upstream("u2"); listed || u2.State != directory.Leaving {
+			t.Errorf("after page %d: u1 is listed: %v, state of u2: %v", page, listed, u2.State)
+		}
+		if _, used := view.Upstream("u3"); !used && page >= 2 {
+			t.Errorf("after page %d: u3 is not used yet", page)
+		}
+	}
+	store.afterPage = func(page int) {
+		if page >= 1 {
+			check(page)
+		}
+	}
+	if err := u.read(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	check(5)
+}
+
 // Guards against logging that is most of a gateway's work: thousands of entries that arrive
 // together are logged in a few lines, which name some of those that leave.
 func TestManyEntriesTogetherAreAFewLines(t *testing.T) {
--- a/internal/platform/keyed.go
+++ b/internal/platform/keyed.go
@@ -44,9 +44,9 @@
 	Follow(ctx context.Context, topic string, from ident.Offset, wait time.Duration) (KeyedBatch, error)
 	// Newest returns the newest record of each key. Its pages are not a snapshot: End
 	// is the end at the first page, so following from there misses nothing. Unless each
-	// is nil, it is called with the records of every page as soon as the page arrives:
-	// in a long listing the first page arrives seconds before the last.
-	Newest(ctx context.Context, topic string, each func([]KeyedRecord)) (KeyedBatch, error)
+	// is nil, it is called with every page, and that End, as soon as the page arrives: in
+	// a long listing the first page arrives seconds before the last.
+	Newest(ctx context.Context, topic string, each func(page KeyedBatch)) (KeyedBatch, error)
 }
 
 // DutyTimeout bounds each call of Duties. The cloud answers within some milliseconds,
--- a/internal/rollout/store_test.go
+++ b/internal/rollout/store_test.go
@@ -44,7 +44,7 @@
 }
 
 // Newest implements platform.KeyedLog.
-func (s *memoryStore) Newest(_ context.Context, topic string, each func([]platform.KeyedRecord)) (platform.KeyedBatch, error) {
+func (s *memoryStore) Newest(_ context.Context, topic string, each func(platform.KeyedBatch)) (platform.KeyedBatch, error) {
 	if s.unavailable {
 		return platform.KeyedBatch{}, platform.ErrUnavailable
 	}
@@ -57,7 +57,7 @@
 		batch.Records = append(batch.Records, r)
 	}
 	if each != nil {
-		each(batch.Records)
+		each(batch)
 	}
 	return batch, nil
 }
