Tests with processes keep their output where they fail; a listing's pages are named in the log

Each process's output now goes to a file of the test's own directory, which is kept, and its path printed, if the test fails; processes' standard output was read up to its first line only. Lines of entries name a listing's page as their source. The keepers of pools are taken from the view that is there already, which a collector adds up once less.

--- a/internal/e2e/system_test.go
+++ b/internal/e2e/system_test.go
@@ -3,22 +3,24 @@
 package e2e
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/loadgen"
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
 )
 
 const (
@@ -68,29 +70,45 @@
 	err       error
 }
 
+// logDirs holds the directory for the output of each test's processes.
+var logDirs sync.Map
+
+// failureLogs returns the directory for the output of a test's processes.
+func failureLogs(t *testing.T) string {
+	t.Helper()
+	if dir, made := logDirs.Load(t.Name()); made {
+		return dir.(string)
+	}
+	dir := testkit.FailureLogs(t)
+	logDirs.Store(t.Name(), dir)
+	t.Cleanup(func() { logDirs.Delete(t.Name()) })
+	return dir
+}
+
 // launch starts a program and waits until it prints where it listens. If the
 // program still runs at the end of the test, it is killed.
 func launch(t *testing.T, name, program string, args ...string) *process {
 	t.Helper()
 	p := &process{t: t, name: name, cmd: exec.Command(filepath.Join(binDir, program), args...), exited: make(chan struct{})}
-	p.cmd.Stderr = &p.stderr
-	stdout, err := p.cmd.StdoutPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
+	output := testkit.NewProcessOutput(t, failureLogs(t), name)
+	p.cmd.Stderr = io.MultiWriter(&p.stderr, output)
+	p.cmd.Stdout = output
+	firstLine := output.FirstLine()
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	line, err := bufio.NewReader(stdout).ReadBytes('\n')
 	go func() {
 		p.err = p.cmd.Wait()
+		_ = output.Close() // the test reads nothing of it
 		close(p.exited)
 	}()
 	t.Cleanup(p.kill)
-	if err == nil {
-		err = json.Unmarshal(line, &p.addresses)
+	var line []byte
+	select {
+	case line = <-firstLine:
+	case <-p.exited:
 	}
-	if err != nil {
+	if err := json.Unmarshal(line, &p.addresses); err != nil {
 		p.kill()
 		t.Fatalf("%s does not listen: %v\n%s", name, err, p.stderr.String())
 	}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -44,19 +44,19 @@
 	p.rollouts.Refresh(mergeRolloutStates(v.Groups))
 	p.poison.Refresh(mergePoisonReports(v.Groups))
 	p.refreshAnnounced(v)
-	p.refreshKeepers(now)
+	p.refreshKeepers(v, now)
 	if table := p.table(); table != nil {
 		p.quotas.ApplyReports(table.Accounts(), now)
 	}
 }
 
 // refreshKeepers updates which gateways keep accounts' pools.
-func (p *Process) refreshKeepers(now time.Time) {
+func (p *Process) refreshKeepers(v *peerView, now time.Time) {
 	if !p.lends.Load() && p.mayLend(now) {
 		p.lends.Store(true)
 	}
 	lends := p.lends.Load() && !p.leaving.Load()
-	p.lending.SetKeepers(lending.NewKeepers(p.gossip.Keepers(lends, now)))
+	p.lending.SetKeepers(lending.NewKeepers(p.gossip.Keepers(lends, v.SilentDomains, now)))
 }
 
 // keeperStartPeriod is how long after its start a gateway keeps no pools if others keep them. Some
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -196,7 +196,7 @@
 	defer u.mu.Unlock()
 	u.dir.StoreBack(u.now())
 	changes, changed := u.applyAll(page.Records)
-	u.logBatch(changes, "store")
+	u.logBatch(changes, "listing")
 	u.publish(changed)
 }
 
--- a/internal/gossip/keepers.go
+++ b/internal/gossip/keepers.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 )
 
 // LoanPath is the URL path of requests for loans, on the gateways' own listener.
@@ -11,13 +13,12 @@
 
 // Keepers returns the gateways that may keep accounts' pools for others, including this one if lends
 // is set. In a small fleet these are all that reported lately; in a large one, the first collector
-// of each failure domain.
-func (g *Gossip) Keepers(lends bool, now time.Time) []Contact {
+// of each failure domain that is not silent.
+func (g *Gossip) Keepers(lends bool, silent map[ident.FailureDomain]bool, now time.Time) []Contact {
 	if !usesCollectors(g.cfg.Table.CountOthers(now)) {
 		return g.directKeepers(lends, now)
 	}
 	var keepers []Contact
-	silent := g.View(now).SilentDomains
 	for _, domain := range g.cfg.Table.Domains() {
 		switch own := domain == g.cfg.Self.Domain; {
 		case silent[domain]:
