Accounts' limits: a keeper whose pool is not nearly full asks the other keeper first

Callers who use an account through one gateway that keeps one of its pools were refused 4 times as often at 0.9 of the limit as callers of the others (160,000 a second, requests of 11,000: 0.0180 of 6,372): it emptied its own pool first, while the other one was full and lost its refill.

--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -12,6 +12,8 @@
 	// lendingLevel is the fraction of the pool below which gateways are lent only what the present
 	// request needs.
 	lendingLevel = 0.5
+	// ownPoolLevel is the fraction of the pool below which its keeper asks the other one first.
+	ownPoolLevel = 0.75
 	// maxExtraShare bounds a loan beyond the present request, as a fraction of the pool.
 	maxExtraShare = 0.1
 	// largestCostWindow is the time over which the largest cost is remembered.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -169,22 +169,26 @@
 		l.mu.Unlock()
 		return d
 	}
-	refusal := a.refusal
 	request := LoanRequest{Account: limit.Name, Cost: cost, Extra: a.expectedCost(), Returned: a.giveUpLoan(now)}
 	l.mu.Unlock()
 	answer, err := l.lender.Borrow(request)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if err == nil && !answer.Granted {
+		a.refusal, a.askAgainAt = answer, now.Add(answer.AskPause)
+	}
 	switch {
-	case err == nil:
-		return a.applyAnswer(answer, cost, now)
-	case a.pool.share > 0:
-		return a.refuse(refusal, FromPool)
+	case a.pool.share > 0 && !answer.Granted:
+		return a.applyAnswer(l.lendFrom(a, LoanRequest{Cost: cost}, now), cost, now)
+	case err != nil:
+		return l.admitFromPart(a, cost, now)
 	}
-	return l.admitFromPart(a, cost, now)
+	return a.applyAnswer(answer, cost, now)
 }
 
-// admitLocally decides on a request if that needs no other gateway.
+// admitLocally decides on a request if that needs no other gateway. A gateway that keeps a pool asks
+// the other keeper first while its own is not nearly full, so that the pools empty evenly: a full
+// one can't be refilled.
 func (l *Limiter) admitLocally(a *account, limit *routetable.Account, cost float64, now time.Time) (d Decision, decided bool) {
 	a.fillPart(now)
 	largest := a.largest.add(cost, now)
@@ -196,14 +200,11 @@
 		a.part -= cost
 		return a.admit(cost, FromPart), true
 	}
-	if a.pool.share > 0 {
-		answer := l.lendFrom(a, LoanRequest{Cost: cost, Returned: a.giveUpLoan(now)}, now)
-		if answer.Granted || l.lender == nil {
-			return a.applyAnswer(answer, cost, now), true
-		}
-		a.refusal = answer
+	mayAsk := l.lender != nil && (cost <= a.small || !now.Before(a.askAgainAt))
+	if a.pool.share > 0 && (!mayAsk || a.pool.level >= ownPoolLevel*a.keptPool().poolSize) {
+		return a.applyAnswer(l.lendFrom(a, LoanRequest{Cost: cost, Returned: a.giveUpLoan(now)}, now), cost, now), true
 	}
-	if cost > a.small && now.Before(a.askAgainAt) {
+	if !mayAsk {
 		return a.refuse(a.refusal, FromRefusal), true
 	}
 	return Decision{}, false
@@ -270,7 +271,6 @@
 // applyAnswer admits or refuses a request by the answer of the gateway that keeps the pool.
 func (a *account) applyAnswer(answer LoanAnswer, cost float64, now time.Time) Decision {
 	if !answer.Granted {
-		a.refusal, a.askAgainAt = answer, now.Add(answer.AskPause)
 		return a.refuse(answer, FromPool)
 	}
 	if answer.Extra > 0 {
