--- a/internal/lending/lending_test.go
+++ b/internal/lending/lending_test.go
@@ -157,7 +157,14 @@
 func TestWhatIsReturnedArrivesOnce(t *testing.T) {
 	f, _ := newFleet(t, 6)
 	asker := f.bystander()
-	// More than a pool holds, so that both keepers are asked.
+	for _, g := range f.gateways {
+		if g.KeeperShare("acct") > 0 {
+			if _, err := g.cfg.Limiter.Lend(account, quota.LoanRequest{Account: "acct", Cost: 20_000}, f.now); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	// More than is in a pool, so that both keepers are asked.
 	if _, err := asker.Borrow(quota.LoanRequest{Account: "acct", Cost: 10_000_000, Returned: 700}); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/quota/plays_test.go
+++ b/internal/quota/plays_test.go
@@ -235,3 +235,38 @@
 	slices.Sort(all)
 	return all[len(all)/2]
 }
+
+// Guards against gateways that have just started, know of no other yet, and each admit what all may
+// admit together.
+func TestAGatewayThatKnowsNobodyYetAdmitsNothing(t *testing.T) {
+	f := newFleet(8, 160_000)
+	for ; f.now.Sub(f.gateways[0].startedAt) < startupPeriod-playStep; f.now = f.now.Add(playStep) {
+		for _, g := range f.gateways {
+			f.request(g, 300)
+			f.request(g, 9000)
+		}
+	}
+	if len(f.admitted) > 0 {
+		t.Errorf("%d of %d requests admitted", len(f.admitted), f.requested)
+	}
+}
+
+// Guards against refusing callers because the pool that a keeper gives up, to a gateway that runs
+// again, is lost.
+func TestAPoolIsHandedToTheGatewayThatKeepsItNow(t *testing.T) {
+	f, even := newFleet(4, 160_000), []float64{1, 1, 1, 1}
+	f.run(6*time.Second, 0, 1, even)
+	frozen := true
+	f.isDown = func(i int) bool { return i == 0 && frozen }
+	f.run(3*time.Second, 0, 1, even)
+	pool := func(i int) *pool { return &f.gateways[i].limiter.accounts["acct"].pool }
+	if pool(2).share == 0 {
+		t.Fatal("no other gateway keeps the pool of the one that is frozen")
+	}
+	held := pool(2).level
+	frozen = false
+	f.run(reportInterval+playStep, 0, 1, even)
+	if got := pool(0).level; got < held || pool(2).share != 0 {
+		t.Errorf("the pool holds %.0f after it moved, want %.0f; share of the former keeper %v", got, held, pool(2).share)
+	}
+}
