--- a/internal/lending/lending_test.go
+++ b/internal/lending/lending_test.go
@@ -47,7 +47,7 @@
 var account = &routetable.Account{Name: "acct", Rate: 100_000, Burst: 100_000, CountsTokens: true}
 
 // newFleet returns n gateways with full pools.
-func newFleet(t *testing.T, n int) (*fleet, *Keepers) {
+func newFleet(t testing.TB, n int) (*fleet, *Keepers) {
 	t.Helper()
 	f := &fleet{gateways: make(map[ident.Instance]*Lending), down: make(map[ident.Instance]bool), ended: make(map[ident.Instance]bool), now: time.Unix(1000, 0)}
 	var contacts []gossip.Contact
