Accounts' limits: tokens are not created twice by requests that were read slowly

A request's time is that of its arrival. A bucket was refilled up to it and took it for the time of its last refill, so that a request with a slow body set that time back, and the next one was given the same span again: at one moment, 20,000 requests of which every second came 0.2 s before got 400,000 tokens of 239,000 (TestRequestsThatWereReadSlowlyCreateNoTokens, red before). Time now only moves on.

--- a/internal/quota/plays_test.go
+++ b/internal/quota/plays_test.go
@@ -270,3 +270,24 @@
 		t.Errorf("the pool holds %.0f after it moved, want %.0f; share of the former keeper %v", got, held, pool(2).share)
 	}
 }
+
+// Guards against tokens that are created twice because requests are admitted in another order than that
+// of their times: a request's time is that of its arrival, and its body may take long to read.
+func TestRequestsThatWereReadSlowlyCreateNoTokens(t *testing.T) {
+	f := newFleet(1, 10_000)
+	f.run(8*time.Second, 0, 1, []float64{1})
+	g := f.gateways[0]
+	admitted := 0.0
+	for i := range 20_000 {
+		at := f.now
+		if i%2 == 1 {
+			at = at.Add(-200 * time.Millisecond)
+		}
+		if g.limiter.Admit(&f.limit, 20, at).OK {
+			admitted += 20
+		}
+	}
+	if _, allowed := f.busiestWindow(); admitted > allowed-f.limit.Rate*f.tolerance.Window.Seconds() {
+		t.Errorf("%.0f tokens admitted at one moment, %.0f allowed in a window", admitted, allowed)
+	}
+}
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -100,13 +100,25 @@
 }
 
 // empty gives up what the pool holds.
-func (p *pool) empty(now time.Time) { p.level, p.filledAt = 0, now }
+func (p *pool) empty(now time.Time) {
+	p.level = 0
+	passed(&p.filledAt, now)
+}
 
 // refill refills the pool up to now. size is reduced by the loans that may still be unspent.
 func (p *pool) refill(rate, size float64, now time.Time) {
-	elapsed := max(now.Sub(p.filledAt).Seconds(), 0)
-	p.filledAt = now
-	p.level = min(p.level+rate*elapsed, size-p.loans.unspent(now))
+	p.level = min(p.level+rate*passed(&p.filledAt, now), size-p.loans.unspent(now))
+}
+
+// passed returns the seconds from an instant to now and moves the instant there, never back: requests
+// are admitted in another order than that of their times.
+func passed(since *time.Time, now time.Time) float64 {
+	elapsed := now.Sub(*since)
+	if elapsed <= 0 {
+		return 0
+	}
+	*since = now
+	return elapsed.Seconds()
 }
 
 // lend decides on a loan. small requests need only their own cost in the pool.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -331,8 +331,7 @@
 // fillPart refills this gateway's own part up to now.
 func (a *account) fillPart(now time.Time) {
 	part := a.ownPart()
-	a.part = min(a.part+part.partsRate*max(now.Sub(a.partFilledAt).Seconds(), 0), part.partsSize)
-	a.partFilledAt = now
+	a.part = min(a.part+part.partsRate*passed(&a.partFilledAt, now), part.partsSize)
 }
 
 // ApplyReports applies the other gateways' reports to the accounts with the given limits. Call it
