--- a/internal/upstreamlimit/share.go
+++ b/internal/upstreamlimit/share.go
@@ -116,8 +116,10 @@
 // establishedShare returns 1 if all gateways know of each other's demand and 0 if there was next to
 // none until now. The more gateways there are, the more requests may come in one moment.
 func (l *limit) establishedShare(fleet Fleet) float64 {
-	known := l.delayedDemand + l.othersDemand
-	few := max(fewRequests, float64(fleet.Known)/gatewaysPerRequest)
+	gateways := float64(max(fleet.Known, 1))
+	// A gateway knows its own demand at once: with few others, little else is unknown.
+	known := l.delayedDemand + l.othersDemand + max(l.demand-l.delayedDemand, 0)/gateways
+	few := max(fewRequests, gateways/gatewaysPerRequest)
 	return 1 - math.Exp(-known*known/(few*few))
 }
 
