Accounts' limits: callers are served while a keeper is cut off

Causes: (1) one time for both keepers: the one that was cut off used it up, so that the other one was not asked, and counted as silent besides (TestTheOtherKeeperIsAskedAfterASilentOne, red before: 2 of 4 calls refused). (2) The gateways' own parts were small and took a minute to fill; on the side without a keeper nothing else is there for a second. (3) The pool that a cut-off side begins with is empty, and a keeper did not use its own part.

Now each keeper has its own time; parts are 0.15 of what may be admitted beyond the rate (0.05 before, at the expense of the pools), filled from loans; a keeper that does not hear all uses its part where its pool refuses.

--- a/internal/lending/lending.go
+++ b/internal/lending/lending.go
@@ -18,11 +18,11 @@
 )
 
 const (
-	// loanTimeout bounds a request for a loan, including one that is passed on. Gateways are about
-	// 1 ms apart, and a caller waits for it.
-	loanTimeout = 100 * time.Millisecond
+	// askTimeout bounds a request for a loan to one gateway, including one that is passed on. Gateways
+	// are about 1 ms apart, and a caller waits for it.
+	askTimeout = 60 * time.Millisecond
 	// relayTimeout bounds a request that is passed on.
-	relayTimeout = loanTimeout / 2
+	relayTimeout = askTimeout / 2
 	// silencePause is how long a gateway that didn't answer is not asked again.
 	silencePause = 250 * time.Millisecond
 )
@@ -97,10 +97,8 @@
 
 // Borrow implements quota.Lender.
 func (l *Lending) Borrow(request quota.LoanRequest) (quota.LoanAnswer, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), loanTimeout)
-	defer cancel()
 	l.asked.Add(1)
-	answer, err := l.askKeepers(ctx, request)
+	answer, err := l.askKeepers(request)
 	if err != nil {
 		l.failed.Add(1)
 	}
@@ -116,10 +114,10 @@
 }
 
 // askKeepers asks the other keepers of a pool until one grants the loan.
-func (l *Lending) askKeepers(ctx context.Context, request quota.LoanRequest) (answer quota.LoanAnswer, err error) {
+func (l *Lending) askKeepers(request quota.LoanRequest) (answer quota.LoanAnswer, err error) {
 	err = quota.ErrNotKeeper
 	for _, keeper := range l.order(request.Account) {
-		a, failure := l.ask(ctx, keeper, request, false)
+		a, failure := l.askOne(keeper, request)
 		// What was returned must not arrive twice.
 		request.Returned = 0
 		if failure != nil {
@@ -136,6 +134,14 @@
 	return answer, err
 }
 
+// askOne asks one gateway within askTimeout. Each has its own time: if one that is cut off used up that
+// of the other, callers would be refused though the other one lends.
+func (l *Lending) askOne(keeper gossip.Contact, request quota.LoanRequest) (quota.LoanAnswer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	return l.ask(ctx, keeper, request, false)
+}
+
 // order returns the other gateways that keep a pool of an account, in the order in which they are asked
 // now. It alternates, so that the pools empty evenly.
 func (l *Lending) order(account ident.ClientAccount) []gossip.Contact {
--- a/internal/lending/lending_test.go
+++ b/internal/lending/lending_test.go
@@ -21,13 +21,18 @@
 	gateways map[ident.Instance]*Lending
 	// down are the gateways that don't answer, ended those of them that don't run.
 	down, ended map[ident.Instance]bool
+	// cutOff are those whose connections went silent.
+	cutOff      map[ident.Instance]bool
 	unreachable []ident.Instance
 	requests    []quota.LoanRequest
 	now         time.Time
 }
 
 func (f *fleet) AskForLoan(ctx context.Context, keeper gossip.Contact, data []byte) ([]byte, error) {
-	if f.down[keeper.Node] {
+	if f.cutOff[keeper.Node] {
+		<-ctx.Done()
+	}
+	if f.down[keeper.Node] || ctx.Err() != nil {
 		return nil, errors.New("no answer")
 	}
 	request, _, err := decodeRequest(data)
@@ -49,7 +54,7 @@
 // newFleet returns n gateways with full pools.
 func newFleet(t testing.TB, n int) (*fleet, *Keepers) {
 	t.Helper()
-	f := &fleet{gateways: make(map[ident.Instance]*Lending), down: make(map[ident.Instance]bool), ended: make(map[ident.Instance]bool), now: time.Unix(1000, 0)}
+	f := &fleet{gateways: make(map[ident.Instance]*Lending), down: make(map[ident.Instance]bool), ended: make(map[ident.Instance]bool), cutOff: make(map[ident.Instance]bool), now: time.Unix(1000, 0)}
 	var contacts []gossip.Contact
 	for i := range n {
 		contacts = append(contacts, gossip.Contact{Node: ident.Instance(fmt.Sprint("gw", i))})
@@ -133,6 +138,18 @@
 	}
 }
 
+// Guards against refusing callers because a keeper that was cut off used up the time to ask the other one.
+func TestTheOtherKeeperIsAskedAfterASilentOne(t *testing.T) {
+	f, keepers := newFleet(t, 6)
+	asker := f.bystander()
+	f.cutOff[keepers.Of("acct")[0].Node] = true
+	for range 4 {
+		if d := asker.cfg.Limiter.Admit(account, 5000, f.now); !d.OK {
+			t.Errorf("refused: %+v", d)
+		}
+	}
+}
+
 // Guards against a request that waits again and again for a keeper that is cut off, and against
 // another one that takes over while that keeper may still lend to others.
 func TestASilentKeeperIsNotAskedForAWhile(t *testing.T) {
--- a/internal/quota/allotment.go
+++ b/internal/quota/allotment.go
@@ -22,9 +22,9 @@
 	// extraRateShare is spread over the window, on top of the rate.
 	extraRateShare = 0.25
 	// poolShare is the capacity of the pool, from which gateways borrow.
-	poolShare = 0.55
+	poolShare = 0.45
 	// partsShare is the capacity of all gateways' own parts together.
-	partsShare = 0.05
+	partsShare = 0.15
 	// The rest covers what two pools create while gateways learn that another gateway keeps the
 	// pool, and loans that are still on their way.
 )
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -169,7 +169,7 @@
 		l.mu.Unlock()
 		return d
 	}
-	request := LoanRequest{Account: limit.Name, Cost: cost, Extra: a.expectedCost(), Returned: a.giveUpLoan(now)}
+	request := LoanRequest{Account: limit.Name, Cost: cost, Extra: a.expectedCost() + a.partDeficit(), Returned: a.giveUpLoan(now)}
 	l.mu.Unlock()
 	answer, err := l.lender.Borrow(request)
 	l.mu.Lock()
@@ -179,7 +179,7 @@
 	}
 	switch {
 	case a.pool.share > 0 && !answer.Granted:
-		return a.applyAnswer(l.lendFrom(a, LoanRequest{Cost: cost}, now), cost, now)
+		return l.admitFromOwnPool(a, LoanRequest{Cost: cost}, now)
 	case err != nil:
 		return l.admitFromPart(a, cost, now)
 	}
@@ -202,7 +202,7 @@
 	}
 	mayAsk := l.lender != nil && (cost <= a.small || !now.Before(a.askAgainAt))
 	if a.pool.share > 0 && (!mayAsk || a.pool.level >= ownPoolLevel*a.keptPool().poolSize) {
-		return a.applyAnswer(l.lendFrom(a, LoanRequest{Cost: cost, Returned: a.giveUpLoan(now)}, now), cost, now), true
+		return l.admitFromOwnPool(a, LoanRequest{Cost: cost, Extra: a.partDeficit(), Returned: a.giveUpLoan(now)}, now), true
 	}
 	if !mayAsk {
 		return a.refuse(a.refusal, FromRefusal), true
@@ -210,6 +210,17 @@
 	return Decision{}, false
 }
 
+// admitFromOwnPool decides on a request by the pool that this gateway keeps. On its side of a network
+// partition that pool begins empty, so the gateway's own part serves meanwhile.
+func (l *Limiter) admitFromOwnPool(a *account, r LoanRequest, now time.Time) Decision {
+	answer := l.lendFrom(a, r, now)
+	if !answer.Granted && a.heard < a.known && a.part >= r.Cost {
+		a.part -= r.Cost
+		return a.admit(r.Cost, FromPart)
+	}
+	return a.applyAnswer(answer, r.Cost, now)
+}
+
 // giveUpLoan returns what is left of the loan, which this gateway then no longer has.
 func (a *account) giveUpLoan(now time.Time) float64 {
 	left := a.loan
@@ -273,9 +284,11 @@
 	if !answer.Granted {
 		return a.refuse(answer, FromPool)
 	}
-	if answer.Extra > 0 {
+	toPart := min(answer.Extra, a.partDeficit())
+	a.part += toPart
+	if loan := answer.Extra - toPart; loan > 0 {
 		// A loan that another request brought meanwhile is given up: it expires sooner.
-		a.loan, a.loanExpires = answer.Extra, now.Add(loanDuration)
+		a.loan, a.loanExpires = loan, now.Add(loanDuration)
 	}
 	d := a.admit(cost, FromPool)
 	d.Keeper, d.Level, d.Need = answer.Keeper, answer.Level, answer.Need
@@ -328,6 +341,10 @@
 	return a.scaled(1 / float64(a.known))
 }
 
+// partDeficit returns what this gateway's own part lacks. Loans fill it up, because its own refill takes
+// minutes.
+func (a *account) partDeficit() float64 { return max(0, a.ownPart().partsSize-a.part) }
+
 // fillPart refills this gateway's own part up to now.
 func (a *account) fillPart(now time.Time) {
 	part := a.ownPart()
