Accounts' limits: one huge request no longer makes all others of its account need a full pool

Cause: after a refusal every request needs what the largest of the last seconds cost; that was 63,360, more than the pool holds, so that only a full pool admitted anything, and a full pool loses its refill.

Now that need is half of the pool at most. TestOneHugeRequestDoesNotHoldUpTheOthers: red before (156 of 156 refused).

--- a/internal/quota/plays_test.go
+++ b/internal/quota/plays_test.go
@@ -271,6 +271,22 @@
 	}
 }
 
+// Guards against refusing an account's small requests, far below its limit, because one request is as
+// large as the pool: each would need the full pool.
+func TestOneHugeRequestDoesNotHoldUpTheOthers(t *testing.T) {
+	f, even := newFleet(6, 23_000), []float64{1, 1, 1, 1, 1, 1}
+	f.run(10*time.Second, 0, 1, even)
+	for range 4 {
+		f.request(f.gateways[5], 60_000)
+	}
+	f.run(4*time.Second, 0, 1, even)
+	f.refused, f.requested = 0, 0
+	f.run(6*time.Second, 0.5*23_000, 1500, even)
+	if f.refused > 0 {
+		t.Errorf("%d of %d requests refused", f.refused, f.requested)
+	}
+}
+
 // Guards against tokens that are created twice because requests are admitted in another order than that
 // of their times: a request's time is that of its arrival, and its body may take long to read.
 func TestRequestsThatWereReadSlowlyCreateNoTokens(t *testing.T) {
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -21,6 +21,9 @@
 	// pressureTime is how long after a refused loan small requests need as much in the pool as large
 	// ones.
 	pressureTime = 2 * time.Second
+	// maxCommonNeed bounds what every request needs in the pool, as a fraction of it. If a request is as
+	// large as the pool, the others would wait until the pool is full.
+	maxCommonNeed = 0.5
 	// minAskPause and maxAskPause bound the time for which a gateway that was refused a loan doesn't
 	// ask again.
 	minAskPause, maxAskPause = 5 * time.Millisecond, 250 * time.Millisecond
@@ -129,7 +132,7 @@
 	largest := p.largest.add(r.Cost, now)
 	a := LoanAnswer{Level: p.level, Need: r.Cost}
 	if !small && now.Sub(p.refusedAt) < pressureTime {
-		a.Need = max(r.Cost, largest)
+		a.Need = max(r.Cost, min(largest, maxCommonNeed*size))
 	}
 	// A request that is larger than the pool is admitted when the pool is full.
 	a.Need = min(a.Need, size)
