--- a/internal/quota/plays_test.go
+++ b/internal/quota/plays_test.go
@@ -279,9 +279,9 @@
 	for range 4 {
 		f.request(f.gateways[5], 60_000)
 	}
-	f.run(4*time.Second, 0, 1, even)
+	f.run(6*time.Second, 0.8*23_000, 1500, even)
 	f.refused, f.requested = 0, 0
-	f.run(6*time.Second, 0.5*23_000, 1500, even)
+	f.run(6*time.Second, 0.8*23_000, 1500, even)
 	if f.refused > 0 {
 		t.Errorf("%d of %d requests refused", f.refused, f.requested)
 	}
