--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -94,10 +94,10 @@
 // account is an account's state at this gateway.
 type account struct {
 	allotment
-	// burst is the account's own, and small the cost up to which a request counts as small.
+	// small is the cost up to which a request counts as small.
 	small float64
-	// heard and known count gateways as of the reports applied last. counted is set if known can be
-	// relied on.
+	// heard and known count gateways as of the reports applied last; known is the largest of
+	// mostKnown. counted is set if known can be relied on.
 	heard, known int
 	mostKnown    recentMax
 	counted      bool
@@ -155,9 +155,9 @@
 	Heard, Known int
 }
 
-// Admit takes a request's cost out of this gateway's loan or part or borrows it from the account's
-// pool, or refuses the request and estimates when it would be admitted. It may wait for the gateway
-// that keeps the pool.
+// Admit takes a request's cost out of this gateway's loan, part or pool or borrows it from another
+// gateway that keeps a pool of the account, or refuses the request and estimates when it would be
+// admitted. It may wait for the other gateways.
 func (l *Limiter) Admit(limit *routetable.Account, cost float64, now time.Time) Decision {
 	if limit.Rate <= 0 {
 		return Decision{OK: true}
@@ -165,7 +165,7 @@
 	l.mu.Lock()
 	a := l.account(limit, now)
 	a.requestedTotal += cost
-	if d, decided := l.admitLocally(a, limit, cost, now); decided {
+	if d, decided := l.admitLocally(a, cost, now); decided {
 		l.mu.Unlock()
 		return d
 	}
@@ -189,7 +189,7 @@
 // admitLocally decides on a request if that needs no other gateway. A gateway that keeps a pool asks
 // the other keeper first while its own is not nearly full, so that the pools empty evenly: a full
 // one can't be refilled.
-func (l *Limiter) admitLocally(a *account, limit *routetable.Account, cost float64, now time.Time) (d Decision, decided bool) {
+func (l *Limiter) admitLocally(a *account, cost float64, now time.Time) (d Decision, decided bool) {
 	a.fillPart(now)
 	largest := a.largest.add(cost, now)
 	if now.Before(a.loanExpires) && a.loan >= largest {
@@ -255,7 +255,8 @@
 	return l.lendFrom(a, r, now), nil
 }
 
-// lendFrom decides on a loan from the pool that this gateway keeps.
+// lendFrom decides on a loan from the pool that this gateway keeps. A gateway that stood still may have
+// been replaced as a keeper, and begins with an empty pool.
 func (l *Limiter) lendFrom(a *account, r LoanRequest, now time.Time) LoanAnswer {
 	if now.Sub(a.refreshedAt) > maxRefreshGap {
 		a.pool.empty(now)
