--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -16,13 +16,6 @@
 	}
 }
 
-// writeLendingMetrics prints the counters of loans between gateways.
-func (p *Process) writeLendingMetrics(w io.Writer) {
-	c := p.lending.Counters()
-	fmt.Fprintf(w, "quota_loans_asked_total %d\nquota_loans_failed_total %d\nquota_loans_answered_total %d\nquota_loans_relayed_total %d\n",
-		c.Asked, c.Failed, c.Answered, c.Relayed)
-}
-
 // writeLimitMetrics prints the counters of the rate limits that upstreams announce.
 func (p *Process) writeLimitMetrics(w io.Writer) {
 	c := p.limits.Counters()
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -17,6 +17,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
 	"github.com/goldcrestspool/goldcrestspool/internal/directory"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/logthrottle"
 	"github.com/goldcrestspool/goldcrestspool/internal/sleep"
 	"github.com/goldcrestspool/goldcrestspool/internal/upstreamlimit"
 )
@@ -113,6 +114,7 @@
 	// unresponsive holds the addresses that did not answer the last request, and invalidSenders
 	// those from which the last message was not valid; each is logged once.
 	unresponsive, invalidSenders map[string]bool
+	invalidLoanLines             logthrottle.Throttle
 	inFlight                     map[string]bool
 	bytes                        int64
 	// collectorSum is the newest sum of all other gateways that a collector sent, received at
--- a/internal/gossip/keepers.go
+++ b/internal/gossip/keepers.go
@@ -35,7 +35,7 @@
 // a connection since then.
 func (g *Gossip) directKeepers(lends bool, now time.Time) []Contact {
 	var keepers []Contact
-	if lends && !g.leaving.Load() {
+	if lends {
 		keepers = append(keepers, g.cfg.Self)
 	}
 	for _, m := range g.cfg.Table.DirectPeers(now).Fresh {
@@ -100,12 +100,25 @@
 	}
 	answer, err := g.cfg.Lend(r.Context(), data)
 	if err != nil {
-		g.cfg.Log.Warn("ignored an invalid request for a loan", "from", r.RemoteAddr, "error", err)
+		g.logInvalidLoan(r.RemoteAddr, err)
 		http.Error(w, "not a valid request", http.StatusBadRequest)
 		return
 	}
 	writeMessage(w, answer)
 }
 
+// invalidLoanInterval is the shortest time between two log lines on invalid requests for loans.
+const invalidLoanInterval = time.Second
+
+// logInvalidLoan logs an invalid request for a loan, unless one was logged within invalidLoanInterval.
+func (g *Gossip) logInvalidLoan(from string, err error) {
+	g.mu.Lock()
+	unlogged, ok := g.invalidLoanLines.Pass(g.cfg.Now(), invalidLoanInterval)
+	g.mu.Unlock()
+	if ok {
+		g.cfg.Log.Warn("ignored an invalid request for a loan", "from", from, "error", err, "unlogged", unlogged)
+	}
+}
+
 // LoanServer decides on an encoded request for a loan and returns the encoded answer.
 type LoanServer func(ctx context.Context, request []byte) ([]byte, error)
--- a/internal/lending/keepers.go
+++ b/internal/lending/keepers.go
@@ -47,6 +47,15 @@
 	return out
 }
 
+// nodes returns the names of all keepers.
+func (k *Keepers) nodes() []ident.Instance {
+	out := make([]ident.Instance, len(k.contacts))
+	for i, c := range k.contacts {
+		out[i] = c.Node
+	}
+	return out
+}
+
 // mix spreads the bits of a hash (the finalizer of SplitMix64).
 func mix(x uint64) uint64 {
 	x ^= x >> 30
--- a/internal/lending/lending.go
+++ b/internal/lending/lending.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
 	"github.com/goldcrestspool/goldcrestspool/internal/gossip"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/logthrottle"
 	"github.com/goldcrestspool/goldcrestspool/internal/quota"
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
 )
@@ -25,6 +27,8 @@
 	relayTimeout = askTimeout / 2
 	// silencePause is how long a gateway that didn't answer is not asked again.
 	silencePause = 250 * time.Millisecond
+	// logInterval is the shortest time between two log lines on tokens that are handed on.
+	logInterval = time.Second
 )
 
 // Network reaches the other gateways.
@@ -67,6 +71,8 @@
 	mu sync.Mutex
 	// silentUntil holds the gateways that didn't answer and until when they are not asked.
 	silentUntil map[ident.Instance]time.Time
+	// givenBackLines bounds the log lines on tokens that are handed to another gateway.
+	givenBackLines logthrottle.Throttle
 }
 
 // New returns a Lending that knows no keepers.
@@ -76,11 +82,11 @@
 	return l
 }
 
-// SetKeepers replaces the gateways that keep pools, and logs a change of their number.
+// SetKeepers replaces the gateways that keep pools, and logs a change.
 func (l *Lending) SetKeepers(k *Keepers) {
 	before := l.keepers.Swap(k)
-	if len(before.contacts) != len(k.contacts) {
-		l.cfg.Log.Info("gateways that keep accounts' pools", "count", len(k.contacts), "before", len(before.contacts))
+	if !slices.Equal(before.hashes, k.hashes) {
+		l.cfg.Log.Info("gateways that keep accounts' pools", "count", len(k.contacts), "before", len(before.contacts), "nodes", k.nodes())
 	}
 }
 
@@ -109,10 +115,21 @@
 func (l *Lending) GiveBack(account ident.ClientAccount, amount float64) {
 	go func() {
 		_, err := l.Borrow(quota.LoanRequest{Account: account, Returned: amount})
-		l.cfg.Log.Info("tokens handed to another gateway", "account", account, "amount", amount, "error", err)
+		l.logGivenBack(account, amount, err)
 	}()
 }
 
+// logGivenBack logs that tokens were handed to another gateway, unless that was logged within
+// logInterval: when a gateway comes or goes, many accounts' pools move.
+func (l *Lending) logGivenBack(account ident.ClientAccount, amount float64, err error) {
+	l.mu.Lock()
+	unlogged, ok := l.givenBackLines.Pass(l.cfg.Now(), logInterval)
+	l.mu.Unlock()
+	if ok {
+		l.cfg.Log.Info("tokens handed to another gateway", "account", account, "amount", amount, "error", err, "accounts_unlogged", unlogged)
+	}
+}
+
 // askKeepers asks the other keepers of a pool until one grants the loan.
 func (l *Lending) askKeepers(request quota.LoanRequest) (answer quota.LoanAnswer, err error) {
 	err = quota.ErrNotKeeper
@@ -126,7 +143,7 @@
 			}
 			continue
 		}
-		answer, err = a.Better(answer), nil
+		answer, err = a.Sooner(answer), nil
 		if a.Granted {
 			break
 		}
@@ -187,6 +204,7 @@
 	}
 	l.mu.Lock()
 	first := !now.Before(l.silentUntil[keeper.Node])
+	maps.DeleteFunc(l.silentUntil, func(_ ident.Instance, until time.Time) bool { return now.After(until) })
 	l.silentUntil[keeper.Node] = now.Add(silencePause)
 	l.mu.Unlock()
 	if first {
--- a/internal/quota/lender_test.go
+++ b/internal/quota/lender_test.go
@@ -32,7 +32,7 @@
 		if failure != nil {
 			continue
 		}
-		answer, err = a.Better(answer), nil
+		answer, err = a.Sooner(answer), nil
 		if a.Granted {
 			break
 		}
@@ -55,10 +55,11 @@
 		return answer, err
 	}
 	asked := lender{l.f, k}
-	for _, next := range asked.order() {
-		return asked.ask(next, r, true)
+	order := asked.order()
+	if len(order) == 0 {
+		return answer, err
 	}
-	return answer, err
+	return asked.ask(order[0], r, true)
 }
 
 // order returns the other gateways that keep a pool in the order in which they are asked now.
@@ -87,9 +88,9 @@
 // lends reports whether a gateway knows enough to keep the pool.
 func (f *fleet) lends(g *gateway) bool {
 	if f.collector != nil {
-		return f.now.Sub(g.startedAt) >= startupPeriod || len(f.collector.published.byGateway) > 1 || f.now.Before(f.collector.until)
+		return f.now.Sub(g.startedAt) >= StartupPeriod || len(f.collector.published.byGateway) > 1 || f.now.Before(f.collector.until)
 	}
-	return f.now.Sub(g.startedAt) >= startupPeriod || len(g.heard) > 0
+	return f.now.Sub(g.startedAt) >= StartupPeriod || len(g.heard) > 0
 }
 
 func (f *fleet) hearsLately(i, j int) bool {
--- a/internal/quota/plays_test.go
+++ b/internal/quota/plays_test.go
@@ -240,7 +240,7 @@
 // admit together.
 func TestAGatewayThatKnowsNobodyYetAdmitsNothing(t *testing.T) {
 	f := newFleet(8, 160_000)
-	for ; f.now.Sub(f.gateways[0].startedAt) < startupPeriod-playStep; f.now = f.now.Add(playStep) {
+	for ; f.now.Sub(f.gateways[0].startedAt) < StartupPeriod-playStep; f.now = f.now.Add(playStep) {
 		for _, g := range f.gateways {
 			f.request(g, 300)
 			f.request(g, 9000)
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -54,9 +54,10 @@
 	Level, Need float64
 }
 
-// Better returns the answer, or another gateway's if that one promises more.
-func (a LoanAnswer) Better(other LoanAnswer) LoanAnswer {
-	if a.Granted || other.AskPause == 0 || a.AskPause < other.AskPause {
+// Sooner returns which of two answers grants the loan or else allows to ask again sooner. The zero value
+// stands for no answer.
+func (a LoanAnswer) Sooner(other LoanAnswer) LoanAnswer {
+	if a.Granted || other == (LoanAnswer{}) || a.AskPause < other.AskPause {
 		return a
 	}
 	return other
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -23,7 +23,8 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
 )
 
-// StartupPeriod is the time after its start within which a gateway hears of all others.
+// StartupPeriod is the time after its start in which a gateway may know few of the others. Unless it
+// knows how many there are, it admits nothing of its own and keeps no pool until then.
 const StartupPeriod = time.Second
 
 const (
@@ -33,11 +34,8 @@
 	// minFillRate, per second, is the refill rate below which this gateway's share counts as
 	// unknown, because it has only just started.
 	minFillRate = 1e-6
-	// startupPeriod is the time after its start in which a gateway may know few of the others.
-	// Unless it knows how many there are, it admits nothing of its own and keeps no pool until
-	// then. A caller that is refused then is given a retry-after time of at most
-	// startupMaxRetryAfter: after two rounds of reports the gateway knows all others.
-	startupPeriod        = StartupPeriod
+	// startupMaxRetryAfter bounds the retry-after time of a caller that is refused within StartupPeriod:
+	// after two rounds of reports the gateway knows all others.
 	startupMaxRetryAfter = 300 * time.Millisecond
 	// maxRefreshGap is the time without a call of ApplyReports after which this gateway was frozen, and
 	// another one has kept its pools meanwhile. Reports count for no longer.
@@ -47,7 +45,7 @@
 	knownPeriod = 3 * time.Second
 	// smallRequestBurstShare is the fraction of the burst up to which a request costs next to
 	// nothing. Such a request needs only its own cost in the pool, and may use the gateway's own
-	// part: otherwise a posting of 200 tokens is refused because a draft took 20,000.
+	// part: otherwise it is refused because large requests emptied the pool.
 	smallRequestBurstShare = 0.003
 	// extraLoanSafety is how much more than its recent use a gateway borrows for the time of a loan.
 	extraLoanSafety = 1.25
@@ -91,39 +89,6 @@
 // SetLender connects the limiter with the gateways that keep the pools. Call it before Admit.
 func (l *Limiter) SetLender(lender Lender) { l.lender = lender }
 
-// account is an account's state at this gateway.
-type account struct {
-	allotment
-	// small is the cost up to which a request counts as small.
-	small float64
-	// heard and known count gateways as of the reports applied last; known is the largest of
-	// mostKnown. counted is set if known can be relied on.
-	heard, known int
-	mostKnown    recentMax
-	counted      bool
-	// part is this gateway's own part, filled up to partFilledAt.
-	part         float64
-	partFilledAt time.Time
-	// loan may be spent until loanExpires.
-	loan        float64
-	loanExpires time.Time
-	// largest is the largest cost that was requested here lately. A loan must cover it, whatever the
-	// present request costs: what is left over would serve only the small ones.
-	largest windowMax
-	pool    pool
-	// refusal is the answer to the last loan that was refused. This gateway doesn't ask again until
-	// askAgainAt.
-	refusal    LoanAnswer
-	askAgainAt time.Time
-	// admittedTotal and requestedTotal are the costs that this gateway admitted and was asked for
-	// since its start.
-	admittedTotal, requestedTotal float64
-	spending                      rateMeter
-	demand                        demandMeter
-	totalDemand                   float64
-	refreshedAt                   time.Time
-}
-
 // Source tells which tokens decided on a request.
 type Source string
 
@@ -221,26 +186,6 @@
 	return a.applyAnswer(answer, r.Cost, now)
 }
 
-// giveUpLoan returns what is left of the loan, which this gateway then no longer has.
-func (a *account) giveUpLoan(now time.Time) float64 {
-	left := a.loan
-	a.loan = 0
-	if !now.Before(a.loanExpires) {
-		return 0
-	}
-	return left
-}
-
-// expectedCost returns what this gateway expects to admit within the time of a loan, beyond the
-// present request. It is 0 where that is less than one large request: the loan would be left over.
-func (a *account) expectedCost() float64 {
-	expected := extraLoanSafety * a.spending.rate * loanDuration.Seconds()
-	if expected < a.largest.value() {
-		return 0
-	}
-	return expected
-}
-
 // ErrNotKeeper is the error of Lend at a gateway that doesn't keep a pool of the account.
 var ErrNotKeeper = errors.New("this gateway does not keep a pool of the account")
 
@@ -272,39 +217,6 @@
 	return answer
 }
 
-// keptPool returns the part of the allotment that the pool at this gateway has.
-func (a *account) keptPool() allotment {
-	if !a.counted {
-		return allotment{}
-	}
-	return a.scaled(a.pool.share * float64(a.heard) / float64(a.known))
-}
-
-// applyAnswer admits or refuses a request by the answer of the gateway that keeps the pool.
-func (a *account) applyAnswer(answer LoanAnswer, cost float64, now time.Time) Decision {
-	if !answer.Granted {
-		return a.refuse(answer, FromPool)
-	}
-	toPart := min(answer.Extra, a.partDeficit())
-	a.part += toPart
-	if loan := answer.Extra - toPart; loan > 0 {
-		// A loan that another request brought meanwhile is given up: it expires sooner.
-		a.loan, a.loanExpires = loan, now.Add(loanDuration)
-	}
-	d := a.admit(cost, FromPool)
-	d.Keeper, d.Level, d.Need = answer.Keeper, answer.Level, answer.Need
-	return d
-}
-
-func (a *account) admit(cost float64, source Source) Decision {
-	a.admittedTotal += cost
-	return Decision{OK: true, Source: source, Level: a.part, Need: cost, DemandRate: a.totalDemand, Heard: a.heard, Known: a.known}
-}
-
-func (a *account) refuse(answer LoanAnswer, source Source) Decision {
-	return Decision{RetryAfter: max(answer.RetryAfter, minRetryAfter), Source: source, Keeper: answer.Keeper, Level: answer.Level, Need: answer.Need, DemandRate: a.totalDemand, Heard: a.heard, Known: a.known}
-}
-
 // admitFromPart decides on a request by this gateway's own part, because the gateway that keeps the
 // pool can't be reached.
 func (l *Limiter) admitFromPart(a *account, cost float64, now time.Time) Decision {
@@ -328,30 +240,12 @@
 		return minRetryAfter
 	}
 	longest := maxRetryAfter
-	if now.Sub(l.started) < startupPeriod && d.Heard < d.Known {
+	if now.Sub(l.started) < StartupPeriod && d.Heard < d.Known {
 		longest = startupMaxRetryAfter
 	}
 	return secondsBetween((d.Need-d.Level)/rate, minRetryAfter, longest)
 }
 
-// ownPart returns this gateway's own part of the allotment.
-func (a *account) ownPart() allotment {
-	if !a.counted {
-		return allotment{}
-	}
-	return a.scaled(1 / float64(a.known))
-}
-
-// partDeficit returns what this gateway's own part lacks. Loans fill it up, because its own refill takes
-// minutes.
-func (a *account) partDeficit() float64 { return max(0, a.ownPart().partsSize-a.part) }
-
-// fillPart refills this gateway's own part up to now.
-func (a *account) fillPart(now time.Time) {
-	part := a.ownPart()
-	a.part = min(a.part+part.partsRate*passed(&a.partFilledAt, now), part.partsSize)
-}
-
 // ApplyReports applies the other gateways' reports to the accounts with the given limits. Call it
 // with every round of reports.
 func (l *Limiter) ApplyReports(limits []routetable.Account, now time.Time) {
@@ -399,7 +293,7 @@
 	a.allotment = l.tolerance.allot(limit)
 	a.small = smallRequestBurstShare * limit.Burst
 	a.heard, a.known = heard, a.mostKnown.add(known, now)
-	a.counted = others.Known > 0 || now.Sub(l.started) >= startupPeriod
+	a.counted = others.Known > 0 || now.Sub(l.started) >= StartupPeriod
 	a.refreshedAt = now
 	a.spending.update(a.admittedTotal, now)
 	a.totalDemand = a.demand.update(a.requestedTotal, others.Reports, now)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -444,7 +444,7 @@
 	if d := g.limiter.Admit(&f.limit, 9500, f.now); d.OK || d.RetryAfter > startupMaxRetryAfter {
 		t.Errorf("after the start: admitted %v, retry after %v", d.OK, d.RetryAfter)
 	}
-	f.now = f.now.Add(startupPeriod)
+	f.now = f.now.Add(StartupPeriod)
 	g.limiter.Admit(&f.limit, 40_000, f.now)
 	if d := g.limiter.Admit(&f.limit, 90_000, f.now); d.OK || d.RetryAfter <= startupMaxRetryAfter {
 		t.Errorf("others still unheard after the startup period: admitted %v, retry after %v", d.OK, d.RetryAfter)
--- a/internal/upstreamlimit/share.go
+++ b/internal/upstreamlimit/share.go
@@ -133,8 +133,8 @@
 }
 
 // totalDemand returns how many requests per second choose the upstream at all gateways. It is the
-// highest of the recent demand of all, the demand that this gateway's latest requests suggest, and
-// the expected demand. With the recent demand alone, when an upstream that was hardly ever chosen
+// highest of the recent demand of all, the demand that this gateway's latest requests suggest, the
+// expected demand, and the demand if this gateway's latest rise is the same at all. With the recent demand alone, when an upstream that was hardly ever chosen
 // becomes the best choice for all requests, each gateway would send all of its own until it receives
 // the others' reports.
 func (l *limit) totalDemand(fleet Fleet, now time.Time) float64 {
