Sight: the log, the span and the metrics tell how an answer ended

Now 'request ended' and 'attempt ended' have framing, ending, position, last_event, bytes_after; the attempt's span the first three; answers_ended_total counts them. Nothing decides by them yet.

--- /dev/null
+++ b/internal/completion/completion.go
@@ -0,0 +1,74 @@
+// Package completion names what can be observed of the end of an HTTP answer.
+package completion
+
+// Framing is what marks the end of an answer's body.
+type Framing int
+
+// The framings.
+const (
+	// NoAnswer: no header of an answer was received.
+	NoAnswer Framing = iota
+	// ByLength: the header states the body's length, or the status or the method allows no body.
+	ByLength
+	// ByChunks: the last chunk of a chunked body.
+	ByChunks
+	// ByClose: neither; the body ends with its connection.
+	ByClose
+)
+
+// Ending is how the reading of an answer's body ended.
+type Ending int
+
+// The endings.
+const (
+	// NotEnded: the body was not read to its end.
+	NotEnded Ending = iota
+	// AtFrame: the framing's mark was reached: the length, or the last chunk.
+	AtFrame
+	// Closed: the upstream closed the connection in an orderly way.
+	Closed
+	// Reset: the connection was reset, or failed in another way.
+	Reset
+	// Malformed: the body's framing was not valid.
+	Malformed
+	// Abandoned: this gateway ended the exchange: time was over, the upstream was silent, or the
+	// caller had gone.
+	Abandoned
+)
+
+// Position is where in its content an answer ended.
+type Position int
+
+// The positions.
+const (
+	// NotAStream: the content is no stream of events.
+	NotAStream Position = iota
+	// BeforeEvents: a stream without any content.
+	BeforeEvents
+	// AfterEvent: right after a whole event.
+	AfterEvent
+	// InsideEvent: after a part of an event.
+	InsideEvent
+)
+
+// End is what was observed of the end of an answer.
+type End struct {
+	Framing  Framing
+	Ending   Ending
+	Position Position
+}
+
+var (
+	framingNames  = [...]string{"none", "length", "chunks", "close"}
+	endingNames   = [...]string{"not_ended", "frame", "close", "reset", "malformed", "abandoned"}
+	positionNames = [...]string{"no_stream", "before_events", "after_event", "inside_event"}
+)
+
+// String returns the framing's name in logs and metrics.
+func (f Framing) String() string { return framingNames[f] }
+
+// String returns the ending's name in logs and metrics.
+func (e Ending) String() string { return endingNames[e] }
+
+// String returns the position's name in logs and metrics.
+func (p Position) String() string { return positionNames[p] }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -107,6 +107,8 @@
 	// buffered is the complete answer to deliver: the successful one, or the last one of
 	// an upstream that ran the request and failed, kept in case no better one follows.
 	buffered *bufferedAnswer
+	// ended is how the answer to the last attempt ended; zero if none was received.
+	ended AnswerEnd
 	// reason is why the last failed attempt failed, or why no further one is made.
 	reason string
 	// blocked is that of the last choice.
@@ -144,7 +146,9 @@
 		if result != Done {
 			s.f.cfg.Log.Info("attempt ended", "id", s.call.ID, "upstream", choice.Upstream, "why", choice.Why,
 				"result", result.String(), "cause", s.reason, "next", step.String(), "attempt", s.state.Attempts(),
-				"left_ms", s.call.Remaining(s.f.cfg.Now()).Milliseconds(), "content", s.call.Content())
+				"left_ms", s.call.Remaining(s.f.cfg.Now()).Milliseconds(), "content", s.call.Content(),
+				"framing", s.ended.Framing.String(), "ending", s.ended.Ending.String(), "position", s.ended.Position.String(),
+				"last_event", s.lastEvent, "bytes_after", s.ended.BytesAfter)
 		}
 		if step != TryAnother && step != Resume {
 			s.finish(step)
@@ -241,7 +245,8 @@
 		defer s.f.cfg.Guard.Started(choice.Upstream, s.call.Content())()
 	}
 	result := s.exchange(ctx, choice, target, silence)
-	span.SetAttributes(attribute.String("result", result.String()))
+	span.SetAttributes(attribute.String("result", result.String()), attribute.String("framing", s.ended.Framing.String()),
+		attribute.String("ending", s.ended.Ending.String()), attribute.String("position", s.ended.Position.String()))
 	if (result == Broken || result == Cut) && ctx.Err() == nil && s.f.processEnded(ctx, target) {
 		s.recordUpstreamEnd(choice, result)
 	}
@@ -254,6 +259,7 @@
 // exchange sends the call to an upstream and reads its answer. The events of a stream are
 // delivered as they arrive.
 func (s *session) exchange(ctx context.Context, choice Choice, target httpconn.Target, silence *silenceTimer) Result {
+	s.ended = AnswerEnd{}
 	request := s.f.cfg.Dialect.Request(s.call, Attempt{
 		Upstream: choice.Name, TimeLeft: s.call.Remaining(s.f.cfg.Now()), LastEventID: s.lastEvent,
 	})
@@ -267,7 +273,10 @@
 		return s.resultOfFailure(choice, failure)
 	}
 	defer answer.Close()
-	return s.readAnswer(choice, answer, silence)
+	result := s.readAnswer(choice, answer, silence)
+	s.ended.Framing, s.ended.Ending = answer.Framing(), answer.Ending()
+	s.outcome.Ends = append(s.outcome.Ends, s.ended)
+	return result
 }
 
 // countsAsStarted reports whether a failed exchange counts for usage as a request that
@@ -402,6 +411,7 @@
 func (s *session) finish(step Step) {
 	s.outcome.Step, s.outcome.Reason = step, s.reason
 	s.outcome.Attempts, s.outcome.Tried = s.state.Attempts(), s.state.Tried
+	s.outcome.LastEvent = s.lastEvent
 	if s.answerBegan {
 		s.finishStream(step)
 		return
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/completion"
 	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
 )
 
@@ -64,6 +65,7 @@
 		return Broken
 	}
 	var scanner eventScanner
+	defer func() { s.observeStreamEnd(&scanner) }()
 	buffer := make([]byte, streamBufferBytes)
 	first := true
 	for {
@@ -91,6 +93,19 @@
 	}
 }
 
+// observeStreamEnd records where in its content a stream ended.
+func (s *session) observeStreamEnd(scanner *eventScanner) {
+	s.ended.BytesAfter = len(scanner.pending)
+	switch {
+	case s.ended.BytesAfter > 0:
+		s.ended.Position = completion.InsideEvent
+	case s.answerBegan:
+		s.ended.Position = completion.AfterEvent
+	default:
+		s.ended.Position = completion.BeforeEvents
+	}
+}
+
 // streamEnd completes a stream that the upstream completed. It also delivers the bytes after
 // the last whole event, which are a part of the body.
 func (s *session) streamEnd(answer *httpconn.Answer, scanner *eventScanner) Result {
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/announced"
+	"github.com/goldcrestspool/goldcrestspool/internal/completion"
 	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/poison"
@@ -228,6 +229,13 @@
 	TimeOut()
 }
 
+// AnswerEnd is how the answer to one attempt ended, for the log and the metrics.
+type AnswerEnd struct {
+	completion.End
+	// BytesAfter counts the bytes after a stream's last whole event.
+	BytesAfter int
+}
+
 // Outcome is how a call ended, for the log and the metrics.
 type Outcome struct {
 	// Step is the last step.
@@ -245,8 +253,11 @@
 	// FirstPart is the time from receiving the call to the answer, or to a stream's first
 	// event; 0 if nothing of an answer was delivered.
 	FirstPart time.Duration
-	// Events counts the delivered events.
-	Events int
+	// Events counts the delivered events, and LastEvent is the ID of the last one that has one.
+	Events    int
+	LastEvent string
+	// Ends lists how the answers to the attempts ended, in order.
+	Ends []AnswerEnd
 	// LongestPause is the longest time between two consecutive deliveries of events.
 	LongestPause time.Duration
 	// AtLimit lists the upstreams that were passed over because they had reached the rate
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -19,6 +19,8 @@
 	"time"
 
 	pkgerrors "github.com/pkg/errors"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/completion"
 )
 
 const (
@@ -101,6 +103,8 @@
 	Status int
 	Header http.Header
 
+	// ctx is the request's context, at whose end the connection is reset.
+	ctx      context.Context
 	conn     *conn
 	response *http.Response
 	// written receives the result of the concurrent write of a long request;
@@ -109,8 +113,8 @@
 	// stopReset stops the reset of the connection at the end of the request's
 	// context. It returns false if the reset has already begun.
 	stopReset func() bool
-	// complete: the body was read up to its end.
-	complete bool
+	// ending is how the reading of the body ended.
+	ending completion.Ending
 }
 
 // Read reads the body. It returns io.EOF only if the whole body was received:
@@ -118,14 +122,49 @@
 // and is reset, ends with a *Failure.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.response.Body.Read(p)
+	if err == nil {
+		return n, nil
+	}
+	a.ending = a.endingOf(err)
 	if err == io.EOF {
-		a.complete = true
 		return n, io.EOF
 	}
-	if err != nil {
-		return n, &Failure{Stage: StageBody, MaybeSent: true, Err: err}
+	return n, &Failure{Stage: StageBody, MaybeSent: true, Err: err}
+}
+
+// endingOf returns the ending that an error of the body's reader shows.
+func (a *Answer) endingOf(err error) completion.Ending {
+	var network net.Error
+	switch {
+	case err == io.EOF && a.Framing() != completion.ByClose:
+		return completion.AtFrame
+	case err == io.EOF, errors.Is(err, io.ErrUnexpectedEOF):
+		return completion.Closed
+	case a.ctx.Err() != nil:
+		return completion.Abandoned
+	case errors.As(err, &network):
+		return completion.Reset
 	}
-	return n, nil
+	return completion.Malformed
+}
+
+// Framing returns what marks the end of the body.
+func (a *Answer) Framing() completion.Framing {
+	switch {
+	case len(a.response.TransferEncoding) > 0:
+		return completion.ByChunks
+	case a.response.ContentLength >= 0 || a.response.Body == http.NoBody:
+		return completion.ByLength
+	}
+	return completion.ByClose
+}
+
+// Ending returns how the reading of the body has ended.
+func (a *Answer) Ending() completion.Ending { return a.ending }
+
+// readToEnd reports whether Read has returned io.EOF.
+func (a *Answer) readToEnd() bool {
+	return a.ending == completion.AtFrame || a.ending == completion.Closed && a.Framing() == completion.ByClose
 }
 
 // Trailer returns the fields that followed the body of a chunked answer, once Read has returned
@@ -138,22 +177,16 @@
 func (a *Answer) Close() {
 	notReset := a.stopReset()
 	switch {
-	case !notReset || !a.complete || !a.requestSent():
+	case !notReset || !a.readToEnd() || !a.requestSent():
 		a.conn.resetAndDiscard()
 		return
-	case a.response.Close || !a.endsWithoutClose() || a.conn.unmatched > 0 || a.conn.reader.Buffered() > 0:
+	case a.response.Close || a.Framing() == completion.ByClose || a.conn.unmatched > 0 || a.conn.reader.Buffered() > 0:
 		a.conn.discard()
 		return
 	}
 	a.conn.putIdle(keepAliveTime(a.Header, a.conn.defaultIdle))
 }
 
-// endsWithoutClose reports whether the end of the answer is given by its length
-// or its encoding, and not by the end of the connection.
-func (a *Answer) endsWithoutClose() bool {
-	return a.response.ContentLength >= 0 || len(a.response.TransferEncoding) > 0
-}
-
 // requestSent reports whether the whole request was written. If the upstream
 // answered before that, it still expects the rest of the body, so no other
 // request may follow on this connection.
@@ -191,7 +224,7 @@
 	}
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header,
-		conn: c, response: response, written: written, stopReset: stop,
+		ctx: ctx, conn: c, response: response, written: written, stopReset: stop,
 	}, nil
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -438,6 +438,11 @@
 		"step", outcome.Step.String(), "status", outcome.Status, "reason", outcome.Reason, "attempts", outcome.Attempts, "upstreams", outcome.Tried,
 		"resumed", outcome.Resumed, "events", outcome.Events, "first_ms", outcome.FirstPart.Milliseconds(), "pause_ms", outcome.LongestPause.Milliseconds(), "took_ms", took.Milliseconds(),
 		"prompt", call.PromptTokens, "most", call.MaxTokens}
+	if n := len(outcome.Ends); n > 0 {
+		end := outcome.Ends[n-1]
+		fields = append(fields, "framing", end.Framing.String(), "ending", end.Ending.String(), "position", end.Position.String(),
+			"last_event", outcome.LastEvent, "bytes_after", end.BytesAfter)
+	}
 	if len(outcome.AtLimit) > 0 {
 		fields = append(fields, "at_limit", outcome.AtLimit)
 	}
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -58,6 +58,9 @@
 	m.counts[fmt.Sprintf("requests_ended_total{kind=%q,step=%q,status=\"%d\"}", kind, outcome.Step, outcome.Status)]++
 	m.counts[fmt.Sprintf("attempts_total{kind=%q}", kind)] += int64(outcome.Attempts)
 	m.counts[fmt.Sprintf("streams_resumed_total{kind=%q}", kind)] += int64(outcome.Resumed)
+	for _, end := range outcome.Ends {
+		m.counts[fmt.Sprintf("answers_ended_total{framing=%q,ending=%q,position=%q}", end.Framing, end.Ending, end.Position)]++
+	}
 	if outcome.FirstPart <= 0 {
 		return
 	}
