--- a/internal/completion/completion.go
+++ b/internal/completion/completion.go
@@ -1,4 +1,7 @@
-// Package completion names what can be observed of the end of an HTTP answer.
+// Package completion decides whether an HTTP answer that has ended is complete.
+//
+// Every reader of an answer describes its end as an End, and takes the answer for complete
+// only if the End's Verdict is Complete.
 package completion
 
 // Framing is what marks the end of an answer's body.
@@ -58,12 +61,47 @@
 	Position Position
 }
 
+// Verdict is what is known about an answer that has ended.
+type Verdict int
+
+// The verdicts.
+const (
+	// Unknown: nothing tells whether its upstream completed it.
+	Unknown Verdict = iota
+	// Complete: its upstream completed it.
+	Complete
+	// Incomplete: it was broken off.
+	Incomplete
+)
+
+// Verdict returns what an answer's end tells about it. An orderly close ends an answer that
+// has neither a length nor chunks (RFC 9112, section 6.3), but an upstream that breaks off
+// before the first event closes in the same way.
+func (e End) Verdict() Verdict {
+	switch {
+	case !e.reachedItsMark(), e.Position == InsideEvent:
+		return Incomplete
+	case e.Framing == ByClose && e.Position == BeforeEvents:
+		return Unknown
+	}
+	return Complete
+}
+
+// reachedItsMark reports whether what ends the body, by its framing, was received.
+func (e End) reachedItsMark() bool {
+	return e.Ending == AtFrame || e.Ending == Closed && e.Framing == ByClose
+}
+
 var (
+	verdictNames  = [...]string{"unknown", "complete", "incomplete"}
 	framingNames  = [...]string{"none", "length", "chunks", "close"}
 	endingNames   = [...]string{"not_ended", "frame", "close", "reset", "malformed", "abandoned"}
 	positionNames = [...]string{"no_stream", "before_events", "after_event", "inside_event"}
 )
 
+// String returns the verdict's name in logs and metrics.
+func (v Verdict) String() string { return verdictNames[v] }
+
 // String returns the framing's name in logs and metrics.
 func (f Framing) String() string { return framingNames[f] }
 
--- /dev/null
+++ b/internal/eventstream/scanner.go
@@ -0,0 +1,171 @@
+// Package eventstream splits a stream of server-sent events (text/event-stream) at the ends
+// of its events. Lines end with CR LF, LF or CR, and an event ends with an empty line.
+package eventstream
+
+import (
+	"bytes"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/completion"
+)
+
+// byteOrderMark may precede the first line.
+const byteOrderMark = "\ufeff"
+
+// Scanner finds the ends of the events in a stream that is added piece by piece. The zero
+// value is ready to use. It is not safe for concurrent use.
+type Scanner struct {
+	// pending holds the bytes that Add has not returned yet. The first scanned bytes were
+	// examined, and the last line begins at lineStart.
+	pending            []byte
+	scanned, lineStart int
+	// returned is how many of the pending bytes the last Add returned.
+	returned int
+
+	// openCR: the last examined byte is a CR, and only the next byte shows whether the line
+	// ends with it or with a CR LF.
+	openCR bool
+	// bareCR: a line has ended with a CR alone. From then on a CR ends its line at once, and
+	// endedByCR is true right after it.
+	bareCR, endedByCR bool
+	// anyLine: a line has ended, so that no byte order mark can follow.
+	anyLine bool
+
+	// event is what is known of the event that has not ended yet.
+	event unfinishedEvent
+
+	events, eventsAfterID int
+	lastID                string
+}
+
+// unfinishedEvent is an event of which the end was not found yet.
+type unfinishedEvent struct {
+	// hasFields: it has a line that is no comment.
+	hasFields bool
+	id        string
+	hasID     bool
+}
+
+// Add adds data and returns all whole events that Add has not returned before, byte for byte
+// with the comments and empty lines between them. The result is valid until the next call.
+func (s *Scanner) Add(data []byte) []byte {
+	s.drop()
+	s.pending = append(s.pending, data...)
+	for ; s.scanned < len(s.pending); s.scanned++ {
+		s.examine(s.pending[s.scanned])
+	}
+	return s.pending[:s.returned]
+}
+
+// drop removes the bytes that the last Add returned.
+func (s *Scanner) drop() {
+	if s.returned == 0 {
+		return
+	}
+	rest := copy(s.pending, s.pending[s.returned:])
+	s.pending = s.pending[:rest]
+	s.scanned -= s.returned
+	s.lineStart -= s.returned
+	s.returned = 0
+}
+
+// examine examines the byte at s.scanned.
+func (s *Scanner) examine(b byte) {
+	switch {
+	case s.openCR && b == '\n':
+		s.openCR = false
+		s.endLine(s.scanned-1, s.scanned+1)
+		return
+	case s.openCR:
+		s.openCR, s.bareCR = false, true
+		s.endLine(s.scanned-1, s.scanned)
+	case s.endedByCR && b == '\n':
+		s.endedByCR = false
+		s.extendLineEnd()
+		return
+	}
+	s.endedByCR = false
+	switch {
+	case b == '\n':
+		s.endLine(s.scanned, s.scanned+1)
+	case b == '\r' && s.bareCR:
+		s.endedByCR = true
+		s.endLine(s.scanned, s.scanned+1)
+	case b == '\r':
+		s.openCR = true
+	}
+}
+
+// extendLineEnd makes the LF at s.scanned a part of the line end before it.
+func (s *Scanner) extendLineEnd() {
+	s.lineStart = s.scanned + 1
+	if s.returned == s.scanned {
+		s.returned = s.lineStart
+	}
+}
+
+// endLine ends the line that begins at s.lineStart and whose text ends before end; the next
+// line begins at next.
+func (s *Scanner) endLine(end, next int) {
+	line := s.pending[s.lineStart:end]
+	if !s.anyLine {
+		s.anyLine = true
+		line = bytes.TrimPrefix(line, []byte(byteOrderMark))
+	}
+	s.lineStart = next
+	if len(line) > 0 {
+		s.addLine(line)
+		return
+	}
+	s.returned = next
+	s.endEvent()
+}
+
+// addLine adds a line that is not empty to the unfinished event.
+func (s *Scanner) addLine(line []byte) {
+	if line[0] == ':' {
+		return // a comment
+	}
+	s.event.hasFields = true
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	if string(name) == "id" {
+		s.event.hasID, s.event.id = true, string(bytes.TrimSpace(value))
+	}
+}
+
+// endEvent ends the unfinished event. Without fields it is no event.
+func (s *Scanner) endEvent() {
+	event := s.event
+	s.event = unfinishedEvent{}
+	if !event.hasFields {
+		return
+	}
+	s.events++
+	s.eventsAfterID++
+	if event.hasID && event.id != "" {
+		s.lastID, s.eventsAfterID = event.id, 0
+	}
+}
+
+// Rest returns the bytes after the last whole event.
+func (s *Scanner) Rest() []byte { return s.pending[s.returned:] }
+
+// Position returns where in the stream its content has ended, if nothing is added any more.
+// Whole lines of comments do not belong to an event.
+func (s *Scanner) Position() completion.Position {
+	switch {
+	case s.event.hasFields || s.lineStart < len(s.pending):
+		return completion.InsideEvent
+	case s.events > 0:
+		return completion.AfterEvent
+	}
+	return completion.BeforeEvents
+}
+
+// Events returns the number of whole events.
+func (s *Scanner) Events() int { return s.events }
+
+// LastID returns the ID of the last whole event that has one, or "".
+func (s *Scanner) LastID() string { return s.lastID }
+
+// EventsAfterID returns the number of whole events after the last one that has an ID.
+func (s *Scanner) EventsAfterID() int { return s.eventsAfterID }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
+	"github.com/goldcrestspool/goldcrestspool/internal/completion"
 	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
 	"github.com/goldcrestspool/goldcrestspool/internal/sleep"
@@ -95,6 +96,8 @@
 	// lastEvent is the ID of the last delivered event that has one. Until such an event is
 	// delivered, it is the call's LastEventID.
 	lastEvent string
+	// earlierEvents counts the events that were delivered before the current attempt.
+	earlierEvents int
 	// lastPartAt is when events were delivered last.
 	lastPartAt time.Time
 	// nextAttemptPaid: the next attempt was already taken out of the retry budget. The
@@ -148,7 +151,7 @@
 				"result", result.String(), "cause", s.reason, "next", step.String(), "attempt", s.state.Attempts(),
 				"left_ms", s.call.Remaining(s.f.cfg.Now()).Milliseconds(), "content", s.call.Content(),
 				"framing", s.ended.Framing.String(), "ending", s.ended.Ending.String(), "position", s.ended.Position.String(),
-				"last_event", s.lastEvent, "bytes_after", s.ended.BytesAfter)
+				"last_event", s.lastEvent, "bytes_after", s.ended.BytesAfter, "answer", s.ended.Verdict().String())
 		}
 		if step != TryAnother && step != Resume {
 			s.finish(step)
@@ -274,7 +277,6 @@
 	}
 	defer answer.Close()
 	result := s.readAnswer(choice, answer, silence)
-	s.ended.Framing, s.ended.Ending = answer.Framing(), answer.Ending()
 	s.outcome.Ends = append(s.outcome.Ends, s.ended)
 	return result
 }
@@ -338,6 +340,7 @@
 	if info.NotRun {
 		s.reason = "status " + http.StatusText(answer.Status)
 		s.drainRejection(answer)
+		s.ended.End = answer.End(completion.NotAStream)
 		if info.FromOtherUpstream || s.f.cfg.Announcements.Accepts(choice.Upstream) {
 			return Rejected
 		}
@@ -367,15 +370,16 @@
 // answer that breaks off the request can still be sent to another upstream.
 func (s *session) readWhole(choice Choice, answer *httpconn.Answer, info AnswerInfo) Result {
 	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes+1))
-	if err != nil {
-		s.reason = err.Error()
-		return s.callEndedOr(Broken)
-	}
-	s.recordTrailer(choice, answer)
+	s.ended.End = answer.End(completion.NotAStream)
 	if len(body) > maxBufferedBytes {
 		s.reason = "the answer is too long to be held"
 		return Broken
 	}
+	if s.ended.Verdict() != completion.Complete {
+		s.reason = s.whyIncomplete(err)
+		return s.callEndedOr(Broken)
+	}
+	s.recordTrailer(choice, answer)
 	if !info.Signed && answer.Status/100 == 2 {
 		s.reason = "a success without the upstream's signature"
 		return Broken
@@ -391,6 +395,15 @@
 	return Done
 }
 
+// whyIncomplete returns why the last answer is not taken for complete; err is how its reading
+// ended.
+func (s *session) whyIncomplete(err error) string {
+	if err != nil && err != io.EOF {
+		return err.Error()
+	}
+	return "the answer ended " + s.ended.Position.String() + " by " + s.ended.Ending.String()
+}
+
 // callEndedOr returns the result of a call that has ended, and otherwise the given result.
 func (s *session) callEndedOr(result Result) Result {
 	if ended := s.callEnded(); ended != 0 {
--- a/internal/forward/state_test.go
+++ b/internal/forward/state_test.go
@@ -117,36 +117,3 @@
 		})
 	}
 }
-
-// However the bytes of a stream are split into reads, only whole events may reach the
-// caller, and IDs must be read correctly. Guards against a scanner that looks at each read
-// by itself.
-func TestEventsAreWholeWhereverTheBytesAreCut(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		n := rapid.IntRange(0, 6).Draw(t, "events")
-		whole := ""
-		for id := 1; id <= n; id++ {
-			whole += fmt.Sprintf("id: %d\ndata: id: 99\n\n", id)
-		}
-		rest := rapid.SampledFrom([]string{"", "id: 7", "id: 7\ndata: x\n"}).Draw(t, "rest")
-		data := []byte(whole + rest)
-		var scanner eventScanner
-		got, id := "", ""
-		for len(data) > 0 {
-			size := rapid.IntRange(1, len(data)).Draw(t, "size")
-			events := scanner.add(data[:size])
-			got += string(events)
-			if last := lastID(events); last != "" {
-				id = last
-			}
-			scanner.discard(len(events))
-			data = data[size:]
-		}
-		if got != whole || string(scanner.pending) != rest {
-			t.Fatalf("whole events %q, rest %q", got, scanner.pending)
-		}
-		if n > 0 && id != fmt.Sprint(n) {
-			t.Fatalf("last ID %q, want %d", id, n)
-		}
-	})
-}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/completion"
+	"github.com/goldcrestspool/goldcrestspool/internal/eventstream"
 	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
 )
 
@@ -64,52 +65,51 @@
 		s.reason = "a stream without the upstream's signature"
 		return Broken
 	}
-	var scanner eventScanner
-	defer func() { s.observeStreamEnd(&scanner) }()
+	var scanner eventstream.Scanner
+	s.earlierEvents = s.outcome.Events
 	buffer := make([]byte, streamBufferBytes)
 	first := true
 	for {
 		n, err := answer.Read(buffer)
-		events := scanner.add(buffer[:n])
-		if len(events) > 0 {
+		if events := scanner.Add(buffer[:n]); len(events) > 0 {
 			silence.reset()
 			if first {
 				first = false
 				s.f.cfg.Placement.FirstEventArrived(choice, s.f.cfg.Now())
 			}
-			if !s.deliver(answer, events) {
+			if !s.deliver(answer, &scanner, events) {
+				s.observeStreamEnd(answer, &scanner)
 				return CallerGone
 			}
-			scanner.discard(len(events))
-		}
-		if err == io.EOF {
-			s.recordTrailer(choice, answer)
-			return s.streamEnd(answer, &scanner)
 		}
 		if err != nil {
-			s.reason = err.Error()
-			return s.callEndedOr(s.interrupted())
+			s.observeStreamEnd(answer, &scanner)
+			return s.endStream(choice, answer, &scanner, err)
+		}
+		if len(scanner.Rest()) > maxBufferedBytes {
+			s.observeStreamEnd(answer, &scanner)
+			s.reason = "an event is too long to be held"
+			return s.interrupted()
 		}
 	}
 }
 
-// observeStreamEnd records where in its content a stream ended.
-func (s *session) observeStreamEnd(scanner *eventScanner) {
-	s.ended.BytesAfter = len(scanner.pending)
-	switch {
-	case s.ended.BytesAfter > 0:
-		s.ended.Position = completion.InsideEvent
-	case s.answerBegan:
-		s.ended.Position = completion.AfterEvent
-	default:
-		s.ended.Position = completion.BeforeEvents
-	}
+// observeStreamEnd records how a stream ended.
+func (s *session) observeStreamEnd(answer *httpconn.Answer, scanner *eventstream.Scanner) {
+	s.ended = AnswerEnd{End: answer.End(scanner.Position()), BytesAfter: len(scanner.Rest())}
 }
 
-// streamEnd completes a stream that the upstream completed. It also delivers the bytes after
-// the last whole event, which are a part of the body.
-func (s *session) streamEnd(answer *httpconn.Answer, scanner *eventScanner) Result {
-	if len(scanner.pending) > 0 && !s.deliver(answer, scanner.pending) {
+// endStream ends a stream whose reading ended with err. Only a complete one is completed for
+// the caller; the comments after the last event are a part of it.
+func (s *session) endStream(choice Choice, answer *httpconn.Answer, scanner *eventstream.Scanner, err error) Result {
+	if err == io.EOF {
+		s.recordTrailer(choice, answer)
+	}
+	if s.ended.Verdict() != completion.Complete {
+		s.reason = s.whyIncomplete(err)
+		return s.callEndedOr(s.interrupted())
+	}
+	if rest := scanner.Rest(); len(rest) > 0 && !s.deliver(answer, scanner, rest) {
 		return CallerGone
 	}
 	if !s.answerBegan {
@@ -118,8 +118,9 @@
 	return Done
 }
 
-// deliver sends events to the caller and reports whether the caller is still there.
-func (s *session) deliver(answer *httpconn.Answer, events []byte) bool {
+// deliver sends a part of a stream to the caller and reports whether the caller is still
+// there.
+func (s *session) deliver(answer *httpconn.Answer, scanner *eventstream.Scanner, part []byte) bool {
 	now := s.f.cfg.Now()
 	if !s.answerBegan {
 		s.beginStream(answer)
@@ -127,11 +128,11 @@
 		s.outcome.LongestPause = max(s.outcome.LongestPause, now.Sub(s.lastPartAt))
 	}
 	s.lastPartAt = now
-	if id := lastID(events); id != "" {
+	if id := scanner.LastID(); id != "" {
 		s.lastEvent = id
 	}
-	s.outcome.Events += countEvents(events)
-	if err := s.caller.Part(events); err != nil {
+	s.outcome.Events = s.earlierEvents + scanner.Events()
+	if err := s.caller.Part(part); err != nil {
 		s.reason = err.Error()
 		return false
 	}
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -159,12 +159,14 @@
 	return completion.ByClose
 }
 
-// Ending returns how the reading of the body has ended.
-func (a *Answer) Ending() completion.Ending { return a.ending }
+// End describes the end of the answer, of which position is where in its content it ended.
+func (a *Answer) End(position completion.Position) completion.End {
+	return completion.End{Framing: a.Framing(), Ending: a.ending, Position: position}
+}
 
 // readToEnd reports whether Read has returned io.EOF.
 func (a *Answer) readToEnd() bool {
-	return a.ending == completion.AtFrame || a.ending == completion.Closed && a.Framing() == completion.ByClose
+	return a.End(completion.NotAStream).Verdict() == completion.Complete
 }
 
 // Trailer returns the fields that followed the body of a chunked answer, once Read has returned
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -441,7 +441,7 @@
 	if n := len(outcome.Ends); n > 0 {
 		end := outcome.Ends[n-1]
 		fields = append(fields, "framing", end.Framing.String(), "ending", end.Ending.String(), "position", end.Position.String(),
-			"last_event", outcome.LastEvent, "bytes_after", end.BytesAfter)
+			"last_event", outcome.LastEvent, "bytes_after", end.BytesAfter, "answer", end.Verdict().String())
 	}
 	if len(outcome.AtLimit) > 0 {
 		fields = append(fields, "at_limit", outcome.AtLimit)
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -59,7 +59,7 @@
 	m.counts[fmt.Sprintf("attempts_total{kind=%q}", kind)] += int64(outcome.Attempts)
 	m.counts[fmt.Sprintf("streams_resumed_total{kind=%q}", kind)] += int64(outcome.Resumed)
 	for _, end := range outcome.Ends {
-		m.counts[fmt.Sprintf("answers_ended_total{framing=%q,ending=%q,position=%q}", end.Framing, end.Ending, end.Position)]++
+		m.counts[fmt.Sprintf("answers_ended_total{framing=%q,ending=%q,position=%q,answer=%q}", end.Framing, end.Ending, end.Position, end.Verdict())]++
 	}
 	if outcome.FirstPart <= 0 {
 		return
