A caller of HTTP/1.0 can tell a broken-off answer from a whole one

What callers saw: over HTTP/1.0 a stream that the gateway broke off looked complete, since the connection was closed in an orderly way, and there the end of the connection is the end of the answer. Cause: breaking off was left to net/http, whose abort is a close; with chunks the missing last chunk tells, without them nothing does. Evidence: TestEveryCallerCanTellABrokenOffAnswer, its three HTTP/1.0 cases red before (status 200, no error), green now; HTTP/1.1 with keep-alive, with Connection: close, pipelined and read slowly were green before. Why this works: where the connection's end marks the answer's, the connection is reset, after which reading it is an error; what was sent before stays readable.

--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -13,7 +13,6 @@
 
 	"github.com/hashicorp/go-hclog"
 	pkgerrors "github.com/pkg/errors"
-	"golang.org/x/net/netutil"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/admission/retryafter"
 	"github.com/goldcrestspool/goldcrestspool/internal/announced"
@@ -177,7 +176,8 @@
 	p.callers = ingress.New(ingress.Config{
 		Now: p.now, Table: p.table, Protocol: p.ports.Protocol, Quota: p.quotas, Guard: p.poison, Forwarder: forwarder,
 		Log: p.log.Named("ingress"), Tracer: p.tracing.Tracer, Metrics: p.metrics,
-		BodyBudget: int64(bodyMemoryShare * s.Machine.MemoryMiB * (1 << 20)),
+		BodyBudget:     int64(bodyMemoryShare * s.Machine.MemoryMiB * (1 << 20)),
+		MaxConnections: int(callerDescriptorShare * float64(s.Machine.Descriptors)),
 	})
 }
 
@@ -269,7 +269,6 @@
 		}
 		*each.into = listener
 	}
-	l.callers = netutil.LimitListener(l.callers, int(callerDescriptorShare*float64(p.settings.Machine.Descriptors)))
 	return l, nil
 }
 
--- a/internal/ingress/idle.go
+++ b/internal/ingress/idle.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/net/netutil"
+
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
 )
 
@@ -21,6 +23,8 @@
 // from happening during a read.
 type callerConn struct {
 	net.Conn
+	// tcp is the same connection; nil if it is none of TCP.
+	tcp *net.TCPConn
 
 	mu sync.Mutex
 	// arriving: bytes of a request were read that no handler has read completely yet.
@@ -75,6 +79,14 @@
 	return true
 }
 
+// resetOnClose makes the close of the connection a reset. To a caller of HTTP/1.0 an orderly
+// close completes an answer that has no length.
+func (c *callerConn) resetOnClose() {
+	if c.tcp != nil {
+		_ = c.tcp.SetLinger(0) // fails only if the connection is closed already
+	}
+}
+
 // callerConns tracks all callers' connections. It is safe for concurrent use.
 type callerConns struct {
 	now boottime.Clock
@@ -110,10 +122,17 @@
 	return c
 }
 
-// listener wraps accepted connections as callerConns and tracks them.
+// listener accepts a bounded number of connections, wraps them as callerConns and tracks them.
+// Its Accept must not be called concurrently.
 type listener struct {
 	net.Listener
-	conns *callerConns
+	accepted *lastAccepted
+	conns    *callerConns
+}
+
+func newListener(l net.Listener, maxConnections int, conns *callerConns) *listener {
+	accepted := &lastAccepted{Listener: l}
+	return &listener{Listener: netutil.LimitListener(accepted, maxConnections), accepted: accepted, conns: conns}
 }
 
 // Accept implements net.Listener.
@@ -122,13 +141,28 @@
 	if err != nil {
 		return nil, err
 	}
-	wrapped := &callerConn{Conn: c, idleSince: l.conns.now()}
+	tcp, _ := l.accepted.conn.(*net.TCPConn)
+	wrapped := &callerConn{Conn: c, tcp: tcp, idleSince: l.conns.now()}
 	l.conns.mu.Lock()
 	l.conns.conns[wrapped] = true
 	l.conns.mu.Unlock()
 	return wrapped, nil
 }
 
+// lastAccepted is a listener that remembers the connection that it accepted last, which
+// netutil.LimitListener hides.
+type lastAccepted struct {
+	net.Listener
+	conn net.Conn
+}
+
+// Accept implements net.Listener.
+func (l *lastAccepted) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	l.conn = c
+	return c, err
+}
+
 // trackState records the state changes of a connection; it is net/http's ConnState hook.
 func (cs *callerConns) trackState(c net.Conn, state http.ConnState) {
 	wrapped, ok := c.(*callerConn)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -86,6 +86,8 @@
 	Metrics   *Metrics
 	// BodyBudget bounds the bytes of all request bodies that are held in memory together.
 	BodyBudget int64
+	// MaxConnections bounds callers' open connections; further ones wait to be accepted.
+	MaxConnections int
 }
 
 const (
@@ -142,7 +144,7 @@
 // Serve answers callers until Close is called or the listener fails, and returns the error
 // of net/http's Server.Serve.
 func (s *Server) Serve(l net.Listener) error {
-	return s.http.Serve(&listener{Listener: l, conns: s.conns})
+	return s.http.Serve(newListener(l, s.cfg.MaxConnections, s.conns))
 }
 
 // Leave announces that the server will close: from now on, answers ask callers to use their
@@ -221,10 +223,19 @@
 	s.bodyBytes.Add(-int64(len(call.Body)))
 	s.recordOutcome(call, outcome)
 	if caller.abort {
-		panic(http.ErrAbortHandler)
+		abort(r)
 	}
 }
 
+// abort ends a request's connection so that its caller sees that the answer is incomplete. It does
+// not return.
+func abort(r *http.Request) {
+	if conn := connOf(r.Context()); conn != nil && !r.ProtoAtLeast(1, 1) {
+		conn.resetOnClose()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // refusal says why a request is not forwarded.
 type refusal struct {
 	status int
@@ -406,7 +417,7 @@
 	}
 	s.cfg.Log.Info("request refused", fields...)
 	if why.abort {
-		panic(http.ErrAbortHandler)
+		abort(r)
 	}
 	writeError(w, why.status, why.reason, why.retryAfter)
 }
