A stream is not resumed after events without an ID

What callers saw: events twice in one answer, where an upstream broke off after events that have no ID. Cause: the stream was resumed after the last event that has an ID, which is not the last event; with no ID at all from its start. Evidence: TestAStreamIsNotResumedAfterEventsWithoutAnID, two of its four cases red before. Why this works: what is after the last ID cannot be named to another upstream, so that the answer is broken off, as on a route that may not be resumed. Comments do not count.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -98,6 +98,9 @@
 	lastEvent string
 	// earlierEvents counts the events that were delivered before the current attempt.
 	earlierEvents int
+	// unresumable: an event without an ID was delivered after the last one that has one, so that
+	// the stream cannot be resumed without repeating it. The timer of an attempt reads it too.
+	unresumable atomic.Bool
 	// lastPartAt is when events were delivered last.
 	lastPartAt time.Time
 	// nextAttemptPaid: the next attempt was already taken out of the retry budget. The
@@ -198,7 +201,7 @@
 // spendRetry takes one retry out of the retry budget, unless the next attempt is already
 // paid for, and reports whether the call may be sent once more.
 func (s *session) spendRetry() bool {
-	if s.upstreamCrashed.Load() && !s.f.cfg.Guard.MayResend(s.call.Content()) {
+	if s.unresumable.Load() || s.upstreamCrashed.Load() && !s.f.cfg.Guard.MayResend(s.call.Content()) {
 		return false
 	}
 	if s.nextAttemptPaid.Swap(false) {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -130,6 +130,9 @@
 	s.lastPartAt = now
 	if id := scanner.LastID(); id != "" {
 		s.lastEvent = id
+		s.unresumable.Store(scanner.EventsAfterID() > 0)
+	} else if scanner.Events() > 0 {
+		s.unresumable.Store(true)
 	}
 	s.outcome.Events = s.earlierEvents + scanner.Events()
 	if err := s.caller.Part(part); err != nil {
