--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -279,6 +279,7 @@
 		return s.resultOfFailure(choice, failure)
 	}
 	defer answer.Close()
+	s.ended.End = answer.End(completion.NotAStream)
 	result := s.readAnswer(choice, answer, silence)
 	s.outcome.Ends = append(s.outcome.Ends, s.ended)
 	return result
