A caller of HTTP/1.0 can tell that its gateway ended in the middle of an answer

What callers saw: over HTTP/1.0 a stream looked complete where its gateway closed it at the end of its grace (or was killed: the kernel closes in an orderly way). Cause: the end of the connection was made a reset only where the gateway decided to break the answer off, not for the ends that nobody decides. Evidence: TestEveryCallerCanTellThatItsGatewayEnded, HTTP/1.0 red before (status 200, no error); HTTP/1.1 was green. Why this works: from the first byte of an answer that its connection ends, every close is a reset; only completing the answer makes it orderly again. So an end looks complete only if the gateway knew it to be.

--- a/internal/ingress/caller.go
+++ b/internal/ingress/caller.go
@@ -15,6 +15,9 @@
 	// abort: the connection must be closed, so that the caller sees that the answer is
 	// incomplete.
 	abort bool
+	// endedByClose is the connection if its end marks the end of an answer without length, as
+	// with HTTP/1.0; nil otherwise.
+	endedByClose *callerConn
 }
 
 // Answer delivers a complete answer.
@@ -30,6 +33,10 @@
 
 // Begin starts an answer that is delivered in parts.
 func (c *caller) Begin(status int, header http.Header) {
+	if c.endedByClose != nil {
+		// From here on, whatever ends the connection, even the end of this process, resets it.
+		c.endedByClose.resetOnClose(true)
+	}
 	c.copyHeader(header)
 	c.setWriteDeadline()
 	c.w.WriteHeader(status)
@@ -43,8 +50,13 @@
 	return c.control.Flush()
 }
 
-// End completes an answer that was delivered in parts; net/http does so by itself.
-func (c *caller) End() {}
+// End completes an answer that was delivered in parts; net/http writes the last chunk or closes
+// the connection.
+func (c *caller) End() {
+	if c.endedByClose != nil {
+		c.endedByClose.resetOnClose(false)
+	}
+}
 
 // Break makes the server close the connection, so that the caller doesn't take the answer
 // for complete.
--- a/internal/ingress/idle.go
+++ b/internal/ingress/idle.go
@@ -79,12 +79,18 @@
 	return true
 }
 
-// resetOnClose makes the close of the connection a reset. To a caller of HTTP/1.0 an orderly
-// close completes an answer that has no length.
-func (c *callerConn) resetOnClose() {
-	if c.tcp != nil {
-		_ = c.tcp.SetLinger(0) // fails only if the connection is closed already
+// resetOnClose sets whether the close of the connection is a reset. To a caller of HTTP/1.0 an
+// orderly close completes an answer that has no length.
+func (c *callerConn) resetOnClose(reset bool) {
+	if c.tcp == nil {
+		return
+	}
+	const atOnce, orderly = 0, -1
+	seconds := orderly
+	if reset {
+		seconds = atOnce
 	}
+	_ = c.tcp.SetLinger(seconds) // fails only if the connection is closed already
 }
 
 // callerConns tracks all callers' connections. It is safe for concurrent use.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -200,6 +200,9 @@
 	s.active.Add(1)
 	defer s.active.Add(-1)
 	caller := &caller{w: w, control: http.NewResponseController(w)}
+	if !r.ProtoAtLeast(1, 1) {
+		caller.endedByClose = connOf(r.Context())
+	}
 	if s.leaving.Load() != nil || len(r.TransferEncoding) > 0 {
 		// net/http drops the Content-Length of a request with a chunked body. A proxy
 		// before us that went by that length would take the rest of the body for a second
@@ -223,17 +226,8 @@
 	s.bodyBytes.Add(-int64(len(call.Body)))
 	s.recordOutcome(call, outcome)
 	if caller.abort {
-		abort(r)
-	}
-}
-
-// abort ends a request's connection so that its caller sees that the answer is incomplete. It does
-// not return.
-func abort(r *http.Request) {
-	if conn := connOf(r.Context()); conn != nil && !r.ProtoAtLeast(1, 1) {
-		conn.resetOnClose()
+		panic(http.ErrAbortHandler)
 	}
-	panic(http.ErrAbortHandler)
 }
 
 // refusal says why a request is not forwarded.
@@ -417,7 +411,7 @@
 	}
 	s.cfg.Log.Info("request refused", fields...)
 	if why.abort {
-		abort(r)
+		panic(http.ErrAbortHandler)
 	}
 	writeError(w, why.status, why.reason, why.retryAfter)
 }
