Tests with processes wait for the first line of standard output, not of both outputs

Seen: 1 of 30 runs of TestPlannedStopOfHoldersCutsNothingOff, beside a load of 24: 'timed out waiting until gateway-1/controller holds the leases over the engines' after 60 s. Cause: a finding of the kept output. Standard output and error go into one file, and the first line of both together was taken for the line that tells where the process listens. In this run a log line was first, which is JSON too, so that the test asked no address for a minute; the controller had held both leases for all that time (orders with fences 3 and 4).

--- a/internal/e2e/system_test.go
+++ b/internal/e2e/system_test.go
@@ -91,7 +91,7 @@
 	t.Helper()
 	p := &process{t: t, name: name, cmd: exec.Command(filepath.Join(binDir, program), args...), exited: make(chan struct{})}
 	output := testkit.NewProcessOutput(t, failureLogs(t), name)
-	p.cmd.Stderr = io.MultiWriter(&p.stderr, output)
+	p.cmd.Stderr = io.MultiWriter(&p.stderr, output.Stderr())
 	p.cmd.Stdout = output
 	firstLine := output.FirstLine()
 	if err := p.cmd.Start(); err != nil {
--- a/internal/testkit/failurelogs.go
+++ b/internal/testkit/failurelogs.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"os"
 	"strings"
 	"sync"
@@ -28,8 +29,8 @@
 	return dir
 }
 
-// ProcessOutput is a writer for a process's output. It keeps all of it in a file, and passes the first
-// line on. It is safe for concurrent use.
+// ProcessOutput is a writer for a process's standard output. It keeps all of it in a file, together
+// with the standard error, and passes the first line on. It is safe for concurrent use.
 type ProcessOutput struct {
 	mu        sync.Mutex
 	file      *os.File
@@ -61,7 +62,20 @@
 	return o.file.Write(data)
 }
 
-// FirstLine returns a channel that receives the first line. Call it before the process starts.
+// Stderr returns a writer for the process's standard error.
+func (o *ProcessOutput) Stderr() io.Writer { return stderrWriter{o} }
+
+// stderrWriter writes to the file of a ProcessOutput.
+type stderrWriter struct{ output *ProcessOutput }
+
+// Write implements io.Writer.
+func (w stderrWriter) Write(data []byte) (int, error) {
+	w.output.mu.Lock()
+	defer w.output.mu.Unlock()
+	return w.output.file.Write(data)
+}
+
+// FirstLine returns a channel that receives the first line of the standard output. Call it before the process starts.
 func (o *ProcessOutput) FirstLine() <-chan []byte { return o.firstLine }
 
 // Close closes the file.
