The rest of a stream is not learned as a whole answer

Seen: an upstream that gives the rest of a stream that was broken off elsewhere taught the mean time of the route's answers, from which engines are ordered and the time to drain follows, a part of a whole answer's; to a rollout the version that gave it looked fast. TestTheRestOfAStreamIsNoWholeAnswer failed: ten rests of 0.1 s among twenty answers of 1 s took the time within which answers end from 3 s to 2.1 s, and counted with a time of half the usual one.

Cause: Finished took any completed answer for a whole one. Now the answer to a call that its caller resumes, or that was sent before on a resumable route, counts as complete and without a time. A stream that is sent again before its first event is left out too, since the choice does not know.

TestWhatAResultCountsAs lists what each result is to ejection, rollout, learned times and the evidence of a cut; all its rows held before.

--- a/internal/routing/placement/learn.go
+++ b/internal/routing/placement/learn.go
@@ -47,7 +47,7 @@
 	o := getOrCreate(c.own, choice.Upstream)
 	o.load.Running--
 	r.reportToRollout(result, c.demands[r.service], now)
-	if result == forward.Done && r.gotFirstEvent && !r.usesUnprovenVersion() {
+	if result == forward.Done && r.gotFirstEvent && !r.maybePartial && !r.usesUnprovenVersion() {
 		getOrCreate(c.demands, r.service).answerFinished(r.route, now.Sub(r.sentAt)-r.firstEventLatency)
 	}
 	if !r.gotFirstEvent {
@@ -63,6 +63,14 @@
 	}
 }
 
+// maybePartial reports whether the answer to a call may be the rest of a stream: its
+// caller resumes one, or the call was sent before and one may have begun there. The rest
+// takes a part of the time of a whole answer. exclude lists the upstreams to which the
+// call was sent before.
+func maybePartial(call *forward.Call, exclude []ident.Instance) bool {
+	return call.LastEventID != "" || call.Route.Resumable && len(exclude) > 0
+}
+
 // ejectionSample returns what a result says about its upstream. It returns false
 // for results that say nothing: those of requests that the caller cancelled, or
 // that expired after their first event.
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -207,6 +207,9 @@
 	firstEventLatency time.Duration
 	// upstreamEnded is set if the upstream's process ended during the request.
 	upstreamEnded bool
+	// maybePartial: the answer may be the rest of a stream of which the caller has the
+	// first part.
+	maybePartial bool
 	// split is how the service's upstreams were split by version when the request
 	// was sent, or nil if they were not.
 	split    *rollout.Split
@@ -269,7 +272,7 @@
 		Why:            why,
 		AtLimit:        s.atLimit,
 		Paused:         s.paused,
-		Reservation:    &reservation{domain: best.upstream.FailureDomain, service: call.Service.Name, route: call.Route.Name, unreadTokens: best.prefillTokens, sentAt: now, expectedFirstEvent: expected, loadAhead: best.load, split: split, side: side, upstream: *best.upstream},
+		Reservation:    &reservation{domain: best.upstream.FailureDomain, service: call.Service.Name, route: call.Route.Name, unreadTokens: best.prefillTokens, sentAt: now, expectedFirstEvent: expected, loadAhead: best.load, maybePartial: maybePartial(call, exclude), split: split, side: side, upstream: *best.upstream},
 	}, true
 }
 
--- a/internal/routing/placement/versions.go
+++ b/internal/routing/placement/versions.go
@@ -43,7 +43,7 @@
 	case forward.NoConnection, forward.Withdrawn, forward.Rejected, forward.Declined:
 		return rollout.Answer{}, false
 	case forward.Done:
-		return rollout.Answer{Timed: true, Time: r.slowness(elapsed, demand)}, true
+		return rollout.Answer{Timed: !r.maybePartial, Time: r.slowness(elapsed, demand)}, true
 	case forward.CallerGone, forward.Expired:
 		if r.gotFirstEvent || elapsed < slowFactor*r.referenceLatency() {
 			return rollout.Answer{}, false
