An upstream without the time to answer has not failed

Seen: a request that one upstream broke off goes to another one with what is left of its time, 20 ms at the least; if that is over before any upstream could have answered, the second one's record got a failure too, three of which in a row eject it. One broken-off answer counted against two upstreams. TestAnUpstreamWithoutTimeToAnswerHasNotFailed failed: an upstream was ejected after three requests that expired half of an idle upstream's time after they were sent.

Cause: any request that expired before its first event was a failure of its upstream. Now it is one only if the first event was due: the predicted time, with the wait for the upstream's queue, and an idle upstream's time have passed.

--- a/internal/routing/placement/beliefs_test.go
+++ b/internal/routing/placement/beliefs_test.go
@@ -9,6 +9,22 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
 )
 
+// at reserves a slot at one upstream for a call.
+func (f *fixture) at(t *testing.T, call *forward.Call, upstream ident.Instance) forward.Choice {
+	t.Helper()
+	var others []ident.Instance
+	for _, u := range f.view.Of("svc") {
+		if u.ID != upstream {
+			others = append(others, u.ID)
+		}
+	}
+	choice, found := f.Choose(call, others, f.now)
+	if !found {
+		t.Fatal("no upstream")
+	}
+	return choice
+}
+
 // Guards against a broken-off answer that counts as a success or twice, and against one that the
 // gateway ended itself and that counts as the upstream's failure.
 func TestWhatAResultCountsAs(t *testing.T) {
@@ -52,7 +68,7 @@
 			f.Finished(choice, c.result, end)
 			got := map[bool]string{true: failure, false: success}
 			ejection, rollout := nothing, nothing
-			if sample, counts := ejectionSample(r, c.result); counts {
+			if sample, counts := ejectionSample(r, c.result, end.Sub(r.sentAt)); counts {
 				ejection = got[sample.Failed]
 			}
 			if answer, counts := r.rolloutAnswer(c.result, f.demands["svc"], end); counts {
@@ -119,3 +135,26 @@
 		})
 	}
 }
+
+// Guards against one broken-off answer that counts against two upstreams: its request goes to another
+// one with so little time left that no upstream could answer.
+func TestAnUpstreamWithoutTimeToAnswerHasNotFailed(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		left    time.Duration
+		ejected bool
+	}{
+		{"less time than an idle upstream takes", idleAnswerTime / 2, false},
+		{"time enough", 2 * time.Second, true},
+	} {
+		f := newFixture()
+		for range ejectionConfig.ConsecutiveFailures {
+			choice := f.at(t, f.call(plain, 0), "a0")
+			f.now = f.now.Add(c.left)
+			f.Finished(choice, forward.Expired, f.now)
+		}
+		if ejected := contains(f.ejectionSet("svc").Excluded(f.now), "a0"); ejected != c.ejected {
+			t.Errorf("%s: ejected: %v", c.name, ejected)
+		}
+	}
+}
--- a/internal/routing/placement/learn.go
+++ b/internal/routing/placement/learn.go
@@ -57,7 +57,7 @@
 	if result == forward.NoConnection || result == forward.Broken || result == forward.Cut {
 		c.lastUnreachable[r.domain] = now
 	}
-	if sample, counts := ejectionSample(r, result); counts {
+	if sample, counts := ejectionSample(r, result, now.Sub(r.sentAt)); counts {
 		c.ejectionSet(r.service).RecordAttemptEnd(now, choice.Upstream, sample)
 		c.logEjectionChange(r.service, choice.Upstream)
 	}
@@ -71,10 +71,11 @@
 	return call.LastEventID != "" || call.Route.Resumable && len(exclude) > 0
 }
 
-// ejectionSample returns what a result says about its upstream. It returns false
-// for results that say nothing: those of requests that the caller cancelled, or
-// that expired after their first event.
-func ejectionSample(r *reservation, result forward.Result) (ejection.Sample, bool) {
+// ejectionSample returns what a result says about its upstream, which had the request for
+// the given time. It returns false for results that say nothing: those of requests that
+// the caller cancelled, or that expired after their first event or before it was due. A
+// request that another upstream broke off may come with hardly any time left.
+func ejectionSample(r *reservation, result forward.Result, elapsed time.Duration) (ejection.Sample, bool) {
 	sample := ejection.Sample{Started: r.sentAt}
 	if r.upstreamEnded {
 		// The request itself may have crashed the upstream, which shows nothing about
@@ -86,7 +87,7 @@
 		// To leave or to ask for a pause is no failure.
 		return sample, false
 	case forward.Expired:
-		if r.gotFirstEvent {
+		if r.gotFirstEvent || elapsed < r.referenceLatency() {
 			return sample, false
 		}
 		sample.Failed = true
