The line of a request tells the answer that was broken off

Seen: a stream was broken off, another upstream turned its rest away, and the line 'request ended' said answer=complete, framing=length: it named the rejection, which is a whole answer. The request's metrics were right.

Cause: the line named the last answer, whatever it was. Now it names the last incomplete one where the call was not delivered. TestTheLineOfARequestTellsTheEndThatDecided failed in that row.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -19,6 +20,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
+	"github.com/goldcrestspool/goldcrestspool/internal/completion"
 	"github.com/goldcrestspool/goldcrestspool/internal/finding"
 	"github.com/goldcrestspool/goldcrestspool/internal/forward"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
@@ -436,6 +438,24 @@
 	_, _ = io.WriteString(w, reason+"\n")
 }
 
+// decidingEnd returns how the answer ended that decided how a call ended, and false if no
+// upstream answered. It is the last answer, unless the call ended without a whole one: then
+// it is the last incomplete answer, if there is one, since upstreams that turned the call
+// away afterwards answered completely too.
+func decidingEnd(outcome forward.Outcome) (end forward.AnswerEnd, found bool) {
+	if len(outcome.Ends) == 0 {
+		return end, false
+	}
+	if outcome.Step != forward.Deliver {
+		for _, e := range slices.Backward(outcome.Ends) {
+			if e.Verdict() != completion.Complete {
+				return e, true
+			}
+		}
+	}
+	return outcome.Ends[len(outcome.Ends)-1], true
+}
+
 // recordOutcome records how a call ended in the log and the metrics.
 func (s *Server) recordOutcome(call *forward.Call, outcome forward.Outcome) {
 	took := s.cfg.Now().Sub(call.Received)
@@ -449,8 +469,7 @@
 		"step", outcome.Step.String(), "status", outcome.Status, "reason", outcome.Reason, "attempts", outcome.Attempts, "upstreams", outcome.Tried,
 		"resumed", outcome.Resumed, "events", outcome.Events, "first_ms", outcome.FirstPart.Milliseconds(), "pause_ms", outcome.LongestPause.Milliseconds(), "took_ms", took.Milliseconds(),
 		"prompt", call.PromptTokens, "most", call.MaxTokens}
-	if n := len(outcome.Ends); n > 0 {
-		end := outcome.Ends[n-1]
+	if end, found := decidingEnd(outcome); found {
 		fields = append(fields, "framing", end.Framing.String(), "ending", end.Ending.String(), "position", end.Position.String(),
 			"last_event", outcome.LastEvent, "bytes_after", end.BytesAfter, "answer", end.Verdict().String())
 	}
