--- /dev/null
+++ b/internal/testkit/rawanswer.go
@@ -0,0 +1,129 @@
+package testkit
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+)
+
+// Framing is what marks the end of a RawAnswer's body.
+type Framing string
+
+// The framings.
+const (
+	ByLength Framing = "length"
+	ByChunks Framing = "chunks"
+	// UntilClose: neither a length nor chunks; the body ends with its connection.
+	UntilClose Framing = "close"
+)
+
+// Framings lists all framings.
+func Framings() []Framing { return []Framing{ByLength, ByChunks, UntilClose} }
+
+// Frame returns a body as it is sent in the framing. Chunks have a few bytes each.
+func (f Framing) Frame(body string) string {
+	if f != ByChunks {
+		return body
+	}
+	const chunkBytes = 7
+	var framed strings.Builder
+	for len(body) > 0 {
+		n := min(chunkBytes, len(body))
+		fmt.Fprintf(&framed, "%x\r\n%s\r\n", n, body[:n])
+		body = body[n:]
+	}
+	return framed.String() + "0\r\n\r\n"
+}
+
+// HeaderLine returns the header line of a body with the framing.
+func (f Framing) HeaderLine(body string) string {
+	switch f {
+	case ByLength:
+		return "Content-Length: " + strconv.Itoa(len(body)) + "\r\n"
+	case ByChunks:
+		return "Transfer-Encoding: chunked\r\n"
+	}
+	return "Connection: close\r\n"
+}
+
+// RawAnswer is an HTTP answer that may be broken off.
+type RawAnswer struct {
+	Status  int
+	Framing Framing
+	Body    string
+	// Cut is how many bytes of the framed body are sent; a negative one sends all.
+	Cut int
+	// Reset resets the connection after the last byte instead of closing it.
+	Reset bool
+}
+
+// RawServer answers each request with a RawAnswer and then ends the connection.
+type RawServer struct {
+	listener net.Listener
+	mu       sync.Mutex
+	answer   func(*http.Request) RawAnswer
+}
+
+// NewRawServer starts a server on loopback that is stopped at the end of the test.
+func NewRawServer(t testing.TB) *RawServer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &RawServer{listener: listener}
+	var work sync.WaitGroup
+	work.Go(func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			work.Go(func() { s.serve(c) })
+		}
+	})
+	t.Cleanup(func() {
+		_ = listener.Close() // ends the loop above
+		work.Wait()
+	})
+	return s
+}
+
+// Address returns the host:port on which the server listens.
+func (s *RawServer) Address() string { return s.listener.Addr().String() }
+
+// SetAnswer sets the answer to later requests.
+func (s *RawServer) SetAnswer(answer func(*http.Request) RawAnswer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answer = answer
+}
+
+// serve reads one request and answers it. A client that goes away before is none of its concern.
+func (s *RawServer) serve(c net.Conn) {
+	defer func() { _ = c.Close() }() // closed already after a reset
+	request, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		return
+	}
+	s.mu.Lock()
+	answer := s.answer(request)
+	s.mu.Unlock()
+	framed := answer.Framing.Frame(answer.Body)
+	if answer.Cut >= 0 {
+		framed = framed[:answer.Cut]
+	}
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d X\r\n%s\r\n%s", answer.Status, answer.Framing.HeaderLine(answer.Body), framed)
+	if tcp, ok := c.(*net.TCPConn); ok && answer.Reset {
+		_ = tcp.SetLinger(0) // makes the close a reset
+	}
+}
