An answer of another gateway is used only if its frame was complete

What was seen: the beginning of an answer without length and chunks, or over 8 MiB, was applied as the whole: entries of upstreams missing, a loan counted by its keeper only. Gateways of this build always send a length or chunks; anything between them may not. Cause: a protocol buffer that is cut between two fields is valid, and an orderly close ends an answer without length. Now ReadFramed refuses one.

--- a/internal/gossip/network.go
+++ b/internal/gossip/network.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"io"
 	"net/http"
 
 	"github.com/pkg/errors"
@@ -14,7 +13,8 @@
 
 // Network carries requests to other gateways.
 type Network interface {
-	// Send sends a request to an address and returns the answer. It returns when ctx ends.
+	// Send sends a request to an address and returns the answer, or an error if it is not known to
+	// be complete. It returns when ctx ends.
 	Send(ctx context.Context, address string, request []byte) ([]byte, error)
 }
 
@@ -33,7 +33,8 @@
 		return nil, failure
 	}
 	defer answer.Close()
-	data, err := io.ReadAll(io.LimitReader(answer, maxMessageBytes+1))
+	// A message that is cut between two fields is valid, so that only the frame tells its end.
+	data, err := httpconn.ReadFramed(answer, maxMessageBytes)
 	if err != nil {
 		return nil, errors.Wrap(err, "read the answer of another gateway")
 	}
