A gateway answers another's broken-off request with 400

What was seen: status 200 with an empty body, which for a loan is a valid answer: not granted, ask again at once. Cause: the handler returned without a status. Nothing was applied or lent, before or now. Evidence: TestBrokenOffRequestsOfGatewaysAreNotUsed, red for each half-closed cut before.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -393,7 +393,8 @@
 func (g *Gossip) serveExchange(w http.ResponseWriter, r *http.Request) {
 	data, err := readMessage(r.Body)
 	if err != nil {
-		return // the connection broke; the other gateway tries again
+		refuseBrokenOff(w) // the other gateway tries again
+		return
 	}
 	// The port changes with each connection, so that the sender is identified by its host.
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
@@ -414,6 +415,12 @@
 	return io.ReadAll(io.LimitReader(body, maxMessageBytes+1))
 }
 
+// refuseBrokenOff answers a request of which only a part was received. An empty answer with status 200
+// would be a valid message.
+func refuseBrokenOff(w http.ResponseWriter) {
+	http.Error(w, "the request broke off", http.StatusBadRequest)
+}
+
 // writeMessage writes an encoded message as an answer.
 func writeMessage(w http.ResponseWriter, message []byte) {
 	w.Header().Set("Keep-Alive", keepAliveHeader)
--- a/internal/gossip/keepers.go
+++ b/internal/gossip/keepers.go
@@ -96,7 +96,8 @@
 func (g *Gossip) serveLoan(w http.ResponseWriter, r *http.Request) {
 	data, err := readMessage(r.Body)
 	if err != nil {
-		return // the connection broke; the other gateway does without the loan
+		refuseBrokenOff(w) // the other gateway does without the loan
+		return
 	}
 	answer, err := g.cfg.Lend(r.Context(), data)
 	if err != nil {
