--- a/internal/testkit/rawrequest.go
+++ b/internal/testkit/rawrequest.go
@@ -30,9 +30,23 @@
 	Body    string
 	// Cut is how many bytes of the framed body are sent; a negative one sends all.
 	Cut int
+	// Raw, if it is not empty, is sent instead of all above.
+	Raw string
 	End RequestEnd
 }
 
+// text returns the bytes to send.
+func (r RawRequest) text() string {
+	if r.Raw != "" {
+		return r.Raw
+	}
+	framed := r.Framing.Frame(r.Body)
+	if r.Cut >= 0 {
+		framed = framed[:r.Cut]
+	}
+	return r.Head + r.Framing.HeaderLine(r.Body) + "\r\n" + framed
+}
+
 // Send sends the request on a new connection and ends it. With HalfClose it returns what the server
 // sent until it closed the connection, for which it waits 10 s at most.
 func (r RawRequest) Send(t testing.TB, address string) string {
@@ -42,11 +56,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = c.Close() }() // closed already, or nothing is owed to the server
-	framed := r.Framing.Frame(r.Body)
-	if r.Cut >= 0 {
-		framed = framed[:r.Cut]
-	}
-	if _, err := io.WriteString(c, r.Head+r.Framing.HeaderLine(r.Body)+"\r\n"+framed); err != nil {
+	if _, err := io.WriteString(c, r.text()); err != nil {
 		t.Fatal(err)
 	}
 	tcp, ok := c.(*net.TCPConn)
