--- a/internal/testkit/rawanswer.go
+++ b/internal/testkit/rawanswer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -54,9 +55,11 @@
 
 // RawAnswer is an HTTP answer that may be broken off.
 type RawAnswer struct {
-	Status  int
-	Framing Framing
-	Body    string
+	Status int
+	// HeaderLines are further header lines, each of which ends with CRLF.
+	HeaderLines string
+	Framing     Framing
+	Body        string
 	// Cut is how many bytes of the framed body are sent; a negative one sends all.
 	Cut int
 	// Reset resets the connection after the last byte instead of closing it.
@@ -112,9 +115,11 @@
 	if err != nil {
 		return
 	}
-	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
 		return
 	}
+	request.Body = io.NopCloser(bytes.NewReader(body))
 	s.mu.Lock()
 	answer := s.answer(request)
 	s.mu.Unlock()
@@ -122,7 +127,7 @@
 	if answer.Cut >= 0 {
 		framed = framed[:answer.Cut]
 	}
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d X\r\n%s\r\n%s", answer.Status, answer.Framing.HeaderLine(answer.Body), framed)
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d X\r\n%s%s\r\n%s", answer.Status, answer.HeaderLines, answer.Framing.HeaderLine(answer.Body), framed)
 	if tcp, ok := c.(*net.TCPConn); ok && answer.Reset {
 		_ = tcp.SetLinger(0) // makes the close a reset
 	}
