The log's answers over Connect are used only if something frames them

What was seen: an answer without length and chunks that its server ended by an orderly close before the first byte of the body was a valid empty message: a read said that the log ends at 0, so that a reader counts as up to date, and an append was done at offset 0. Longer beginnings fail today only because answers come compressed. Now the client of the platform refuses an answer that nothing frames; Connect's own servers always frame theirs. Evidence: TestABrokenOffAnswerOfTheLogIsNotUsed, red at cut 0 without RequireFrame. Not set, outside this change: internal/controller/wire.go; clients of upstreams, whose whole answers may come so.

--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -177,7 +177,7 @@
 	if err := p.wireTLS(); err != nil {
 		return err
 	}
-	p.platform = connectplatform.NewClient(transport.NewClient(transport.Options{FreshConnections: true}), p.settings.Platform.Address)
+	p.platform = connectplatform.NewClient(transport.NewClient(transport.Options{FreshConnections: true, RequireFrame: true}), p.settings.Platform.Address)
 	p.wireState()
 	p.wireRequests()
 	return nil
--- a/internal/spoolctl/spoolctl.go
+++ b/internal/spoolctl/spoolctl.go
@@ -196,7 +196,7 @@
 	if err != nil {
 		return nil, err
 	}
-	client := transport.NewClient(transport.Options{FreshConnections: true})
+	client := transport.NewClient(transport.Options{FreshConnections: true, RequireFrame: true})
 	return &configStream{log: platform.Log(connectplatform.NewClient(client, base)), timeout: a.Patience}, nil
 }
 
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -40,13 +41,20 @@
 	HTTP2 bool
 	// TLS is the configuration for https URLs; nil is the default one.
 	TLS *tls.Config
+	// RequireFrame refuses answers that have neither a length nor chunks, with ErrNoFrame: of
+	// these, an orderly close is the end, whether the server wanted it or its process ended. The
+	// message of an answer does not tell its own end; cut between two of its fields, it is valid.
+	RequireFrame bool
 }
 
+// ErrNoFrame is the error of an answer that has neither a length nor chunks.
+var ErrNoFrame = errors.New("the answer has neither a length nor chunks")
+
 // NewClient returns a client that never repeats a request by itself, follows no
 // redirects, and sends the W3C trace context of the request's context.
 func NewClient(options Options) *http.Client {
 	return &http.Client{
-		Transport:     &noRetryTransport{next: newTransport(options)},
+		Transport:     &noRetryTransport{next: newTransport(options), requireFrame: options.RequireFrame},
 		CheckRedirect: refuseRedirect,
 	}
 }
@@ -110,6 +118,8 @@
 // GetBody, and with a body that net/http cannot know to be empty, fails instead.
 type noRetryTransport struct {
 	next http.RoundTripper
+	// requireFrame is Options.RequireFrame.
+	requireFrame bool
 }
 
 // RoundTrip implements http.RoundTripper.
@@ -120,7 +130,18 @@
 		once.Body = emptyBody{}
 	}
 	propagation.TraceContext{}.Inject(once.Context(), propagation.HeaderCarrier(once.Header))
-	return t.next.RoundTrip(once)
+	resp, err := t.next.RoundTrip(once)
+	if err == nil && t.requireFrame && !isFramed(resp) {
+		_ = resp.Body.Close() // the answer is not used
+		return nil, ErrNoFrame
+	}
+	return resp, err
+}
+
+// isFramed reports whether something other than the end of its connection ends an answer's body. The
+// end of compressed data is marked.
+func isFramed(resp *http.Response) bool {
+	return resp.ProtoMajor >= 2 || resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Uncompressed
 }
 
 // CloseIdleConnections is called by http.Client.CloseIdleConnections.
