--- a/internal/spoolctl/gateway.go
+++ b/internal/spoolctl/gateway.go
@@ -66,10 +66,13 @@
 		return errcode.Wrap(errcode.Unavailable, err, "the gateway does not answer")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil {
 		return errcode.Wrap(errcode.Unavailable, err, "the gateway's answer broke off")
 	}
+	if len(body) > maxAnswerBytes {
+		return errcode.Errorf(errcode.Internal, "the gateway's answer is longer than %d bytes", maxAnswerBytes)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return errcode.Errorf(errcode.NotFound, "the gateway answers %s: %s", resp.Status, errorText(body))
 	}
