A whole answer of one comment that ends with a CR is not broken off

What callers saw: a stream whose lines end with a CR alone, broken off by its upstream after its last event and resumed at another, was broken off for its caller too, though the continuation was whole: a single comment (": done" and a CR) in chunks up to the last chunk. It was asked for again until the route's attempts were used up.

Cause: a scanner that has seen no other line leaves it open whether a CR at the very end is half of a CR LF, and took the end for one inside an event, whatever the line was.

Why it works: where all that was received is one line without a field, no event has begun, so that the end cannot be inside one. A CR at the end of a stream whose lines ended with LF before is still taken for half of a line end, since there it shows a break.

--- a/internal/eventstream/scanner.go
+++ b/internal/eventstream/scanner.go
@@ -153,7 +153,7 @@
 // Whole lines of comments do not belong to an event.
 func (s *Scanner) Position() completion.Position {
 	switch {
-	case s.event.hasFields || s.lineStart < len(s.pending):
+	case s.event.hasFields || s.lineStart < len(s.pending) && !s.isOneCommentLine():
 		return completion.InsideEvent
 	case s.events > 0:
 		return completion.AfterEvent
@@ -161,6 +161,16 @@
 	return completion.BeforeEvents
 }
 
+// isOneCommentLine reports whether all that was added is one line without a field that ends with a
+// CR: where no line before it shows that lines end otherwise, the line is whole.
+func (s *Scanner) isOneCommentLine() bool {
+	if !s.openCR || s.anyLine {
+		return false
+	}
+	line := bytes.TrimPrefix(s.pending[s.lineStart:len(s.pending)-1], []byte(byteOrderMark))
+	return len(line) == 0 || line[0] == ':'
+}
+
 // Events returns the number of whole events.
 func (s *Scanner) Events() int { return s.events }
 
