An ID with a NUL is no ID of an event

What callers saw: nothing so far. A stream that broke off after an event with such an ID would be resumed with a Last-Event-Id field that is not valid HTTP, and refused by its upstream.

Cause: the standard for server-sent events says that an id field with a NUL in its value is ignored. The scanner took it for an ID.

Why it works: such a field leaves the event without an ID, or with the ID of an earlier field, as in browsers. The stream is then not resumed after it, as after any event without an ID.

--- a/internal/eventstream/scanner.go
+++ b/internal/eventstream/scanner.go
@@ -127,7 +127,7 @@
 	}
 	s.event.hasFields = true
 	name, value, _ := bytes.Cut(line, []byte(":"))
-	if string(name) == "id" {
+	if string(name) == "id" && !bytes.ContainsRune(value, 0) { // by the standard, an ID with a NUL is ignored
 		s.event.hasID, s.event.id = true, string(bytes.TrimSpace(value))
 	}
 }
--- a/internal/eventstream/scanner_test.go
+++ b/internal/eventstream/scanner_test.go
@@ -53,6 +53,7 @@
 		{"an event without an ID after one with", "id: 7\ndata: a\n\ndata: b\n\n", "id: 7\ndata: a\n\ndata: b\n\n", after, 2, "7", 1},
 		{"an ID within another word", "data: id: 3\n\n", "data: id: 3\n\n", after, 1, "", 1},
 		{"an ID of an event that has not ended", "id: 1\n\nid: 2\nda", "id: 1\n\n", inside, 1, "1", 0},
+		{"an ID with a NUL", "id: 1\ndata: a\n\nid: 2\x00\n\n", "id: 1\ndata: a\n\nid: 2\x00\n\n", after, 2, "1", 1},
 		{"a byte order mark", "\ufeffid: 1\ndata: a\n\n", "\ufeffid: 1\ndata: a\n\n", after, 1, "1", 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
