A whole stream of a byte order mark alone is complete

What callers saw: 502 instead of a stream with a length or chunks that was complete and held nothing but a byte order mark.

Cause: the mark was taken for the beginning of a line, so that the end seemed to be inside an event.

Why it works: the mark may precede the first line and is no part of it, in the same way as where a line has ended. Half of a mark still is an end inside a line.

--- a/internal/eventstream/scanner.go
+++ b/internal/eventstream/scanner.go
@@ -153,7 +153,7 @@
 // Whole lines of comments do not belong to an event.
 func (s *Scanner) Position() completion.Position {
 	switch {
-	case s.event.hasFields || s.lineStart < len(s.pending) && !s.isOneCommentLine():
+	case s.event.hasFields || s.insideLine():
 		return completion.InsideEvent
 	case s.events > 0:
 		return completion.AfterEvent
@@ -161,14 +161,19 @@
 	return completion.BeforeEvents
 }
 
-// isOneCommentLine reports whether all that was added is one line without a field that ends with a
-// CR: where no line before it shows that lines end otherwise, the line is whole.
-func (s *Scanner) isOneCommentLine() bool {
-	if !s.openCR || s.anyLine {
+// insideLine reports whether the content ends inside a line. A byte order mark is no part of a line.
+// A CR at the end may be half of a CR LF, and thus inside a line, unless all that was added is one
+// line without a field: no line before it shows that lines end otherwise.
+func (s *Scanner) insideLine() bool {
+	line := s.pending[s.lineStart:]
+	if s.anyLine {
+		return len(line) > 0
+	}
+	line = bytes.TrimPrefix(line, []byte(byteOrderMark))
+	if s.openCR && (len(line) == 1 || line[0] == ':') {
 		return false
 	}
-	line := bytes.TrimPrefix(s.pending[s.lineStart:len(s.pending)-1], []byte(byteOrderMark))
-	return len(line) == 0 || line[0] == ':'
+	return len(line) > 0
 }
 
 // Events returns the number of whole events.
--- a/internal/eventstream/scanner_test.go
+++ b/internal/eventstream/scanner_test.go
@@ -46,6 +46,8 @@
 		{"only a comment that ends with a CR", ": done\r", "", before, 0, "", 0},
 		{"only a byte order mark and a comment that ends with a CR", "\ufeff: done\r", "", before, 0, "", 0},
 		{"only an empty line that ends with a CR", "\r", "", before, 0, "", 0},
+		{"only a byte order mark", "\ufeff", "", before, 0, "", 0},
+		{"half of a byte order mark", "\xef\xbb", "", inside, 0, "", 0},
 		{"only a field that ends with a CR", "data: a\r", "", inside, 0, "", 0},
 		{"half of a comment after one that ends with a CR", ": a\r: do", "", inside, 0, "", 0},
 		{"only comments", ": ping\n\n", ": ping\n\n", before, 0, "", 0},
