--- a/internal/standin/worker/framing.go
+++ b/internal/standin/worker/framing.go
@@ -42,6 +42,9 @@
 	Body        string
 	// Piece is how many bytes are written at a time; 0 for all at once.
 	Piece int
+	// Sizes are the sizes of the pieces in bytes, used over and over; if there are any, Piece is
+	// ignored.
+	Sizes []int
 	// Cut is how many bytes of the body are written before the answer is ended with Ending. It is
 	// ignored for Whole.
 	Cut    int
@@ -78,12 +81,8 @@
 
 // writePieces writes a body in pieces; each is a chunk where the framing is Chunks.
 func (w *Writer) writePieces(f Framed, body string) {
-	piece := f.Piece
-	if piece <= 0 {
-		piece = max(len(body), 1)
-	}
-	for len(body) > 0 {
-		n := min(piece, len(body))
+	for i := 0; len(body) > 0; i++ {
+		n := f.pieceSize(i, len(body))
 		if f.Framing == Chunks {
 			w.Chunk(body[:n])
 		} else {
@@ -93,6 +92,18 @@
 	}
 }
 
+// pieceSize returns the size of a piece, counted from 0, of which at most left bytes are left.
+func (f Framed) pieceSize(i, left int) int {
+	size := f.Piece
+	if len(f.Sizes) > 0 {
+		size = f.Sizes[i%len(f.Sizes)]
+	}
+	if size <= 0 {
+		return left
+	}
+	return min(size, left)
+}
+
 func (w *Writer) end(f Framed) {
 	switch f.Ending {
 	case Whole:
