--- a/internal/standin/worker/source_requests.go
+++ b/internal/standin/worker/source_requests.go
@@ -24,9 +24,9 @@
 	// if Waits is set.
 	Expect, Waits bool
 	// BreaksOff: the caller closes its connection after Cut bytes of the body's text, which is less
-	// than all of it; with a reset, if Reset is set.
-	BreaksOff, Reset bool
-	Cut              int
+	// than all of it: with a reset, if Reset is set, or only its own direction, if HalfClose is set.
+	BreaksOff, Reset, HalfClose bool
+	Cut                         int
 }
 
 // DrawRequest draws a request.
@@ -58,7 +58,13 @@
 		r.Trailer = pick(rng, "", "X-Sum: 1\r\n", "X-Request-Id: other\r\n")
 	}
 	if rng.IntN(6) == 0 && (r.Chunked || r.Body != "") {
-		r.BreaksOff, r.Reset = true, rng.IntN(2) == 0
+		r.BreaksOff = true
+		switch rng.IntN(3) {
+		case 0:
+			r.Reset = true
+		case 1:
+			r.HalfClose = true
+		}
 		r.Cut = rng.IntN(len(r.bodyText()))
 	}
 	return r
