--- a/internal/eventstream/scanner.go
+++ b/internal/eventstream/scanner.go
@@ -127,7 +127,7 @@
 	}
 	s.event.hasFields = true
 	name, value, _ := bytes.Cut(line, []byte(":"))
-	if string(name) == "id" {
+	if string(name) == "id" && !bytes.ContainsRune(value, 0) { // by the standard, an ID with a NUL is ignored
 		s.event.hasID, s.event.id = true, string(bytes.TrimSpace(value))
 	}
 }
@@ -153,7 +153,7 @@
 // Whole lines of comments do not belong to an event.
 func (s *Scanner) Position() completion.Position {
 	switch {
-	case s.event.hasFields || s.lineStart < len(s.pending):
+	case s.event.hasFields || s.insideLine():
 		return completion.InsideEvent
 	case s.events > 0:
 		return completion.AfterEvent
@@ -161,6 +161,21 @@
 	return completion.BeforeEvents
 }
 
+// insideLine reports whether the content ends inside a line. A byte order mark is no part of a line.
+// A CR at the end may be half of a CR LF, and thus inside a line, unless all that was added is one
+// line without a field: no line before it shows that lines end otherwise.
+func (s *Scanner) insideLine() bool {
+	line := s.pending[s.lineStart:]
+	if s.anyLine {
+		return len(line) > 0
+	}
+	line = bytes.TrimPrefix(line, []byte(byteOrderMark))
+	if s.openCR && (len(line) == 1 || line[0] == ':') {
+		return false
+	}
+	return len(line) > 0
+}
+
 // Events returns the number of whole events.
 func (s *Scanner) Events() int { return s.events }
 
