A long extra answer is not read as the answer to another request

What callers saw: status 200 with bytes out of the middle of another answer, where an upstream sent a second answer to an earlier request late, longer than 64 KiB. Cause: the skipped answer was read up to a bound, and the reader went on as if that were its end; the rest of its body was parsed as the next answer. Evidence: TestTheRestOfALongExtraAnswerIsNoAnswer was red (200, 'forged'). Why this works: an answer that is longer than the bound ends the connection.

--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -36,6 +36,8 @@
 	concurrentWriteBytes = 16 << 10
 	// readBufferBytes holds an answer's header and several events.
 	readBufferBytes = 4 << 10
+	// maxSkippedBytes bounds the body of an answer to another request that is skipped.
+	maxSkippedBytes = 64 << 10
 	// maxUnmatchedAnswers is how many answers to other requests are skipped on
 	// a connection before the connection is closed. At most one late answer can be
 	// outstanding; a second one shows that requests and answers on the
@@ -296,9 +298,14 @@
 		if c.unmatched > maxUnmatchedAnswers || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 			return nil, errUnmatchedAnswers
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxHeaderBytes)); err != nil {
+		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes+1))
+		if err != nil {
 			return nil, pkgerrors.Wrap(err, "skip the answer to another request")
 		}
+		if skipped > maxSkippedBytes {
+			// The rest of its body would be read as the answer to this request.
+			return nil, errUnmatchedAnswers
+		}
 	}
 }
 
