A caller that falls silent inside its body is cut off at its deadline

What callers saw: nothing; a connection stayed open without a deadline for as long as its caller sent nothing, with the request over. Cause: the read deadline was taken back before net/http reads the rest of the body. Evidence: TestACallerThatIsSilentInItsBodyIsCutOff was red (open 5 s after a deadline of 100 ms). Why this works: the deadline stays where the body did not come; the connection ends then.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -337,10 +337,11 @@
 	// deadline, the only harm would be that a caller that sends nothing goes unnoticed.
 	_ = control.SetReadDeadline(time.Now().Add(call.Remaining(call.Received)))
 	body, err := readAll(r, limit)
-	_ = control.SetReadDeadline(time.Time{})
 	if err != nil {
+		// The deadline stays: net/http reads the rest of the body before it closes the connection.
 		return &refusal{status: http.StatusRequestTimeout, reason: "the body did not come: " + err.Error(), abort: r.Context().Err() != nil}
 	}
+	_ = control.SetReadDeadline(time.Time{})
 	if int64(len(body)) > limit {
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too long"}
 	}
