Fix: a process that is just ending is not taken for a running one

What was seen: the probe that tells the end of an upstream's process from the end of one connection was made at once. The kernel closes a killed process's connections one by one and its listener with them or last, so that the probe was answered by a process that was ending: the failure counted against an upstream that was gone, and a request that ends upstreams was not suspected.

The probe delays the retry of an answer that broke off by 5 ms; its bound is 105 ms.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -65,10 +65,12 @@
 	cfg Config
 	// probes merges the concurrent probes of one upstream that broke off several answers.
 	probes singleflight.Group
+	// probeAfter is closingTime.
+	probeAfter time.Duration
 }
 
 // New returns a Forwarder.
-func New(cfg Config) *Forwarder { return &Forwarder{cfg: cfg} }
+func New(cfg Config) *Forwarder { return &Forwarder{cfg: cfg, probeAfter: closingTime} }
 
 // Serve forwards one call, delivers its answer and returns how it ended. ctx must end when
 // the caller closes its connection.
--- a/internal/forward/poison.go
+++ b/internal/forward/poison.go
@@ -11,17 +11,23 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/sleep"
 )
 
+// closingTime is how long after the end of an answer its upstream's process is probed. The kernel
+// closes the connections of a process that ends one by one, and its listener with them or last;
+// until then it makes new connections.
+const closingTime = 5 * time.Millisecond
+
 // probeTimeout bounds the probe of an upstream that broke an answer off. A host whose
 // process has ended refuses connections at once; a host that is cut off does not respond.
 const probeTimeout = 100 * time.Millisecond
 
 // processEnded probes whether the upstream's process has ended, and not just one of its
-// connections.
+// connections. It takes closingTime and at most probeTimeout more.
 func (f *Forwarder) processEnded(ctx context.Context, target httpconn.Target) bool {
 	refused, _, _ := f.probes.Do(string(target.ID), func() (any, error) {
 		// A caller that goes away must not cancel the probe that other calls wait for.
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), f.probeAfter+probeTimeout)
 		defer cancel()
+		sleep.For(ctx, f.probeAfter)
 		return f.cfg.Pool.Refuses(ctx, target), nil
 	})
 	return refused.(bool)
