Fix: the unexpected end of an upstream's process completes no answer

What callers saw: a stream or another answer without length that was closed exactly after an event, because its upstream's process had ended, arrived as complete. It counted as a success of the upstream, and the end was not recorded where no other answer broke off.

Cause: an orderly close ends such an answer by HTTP, and the kernel closes a dead process's connections in an orderly way. Only what becomes of the process tells them apart, and nobody asked. Now an End carries what is known of the process, and Verdict uses it. Nothing is held or asked otherwise. Connections made for a doubt and not used are under 1 in 64 of the others. The end counts once, as Cut or Broken.

TestTheEndOfAProcessIsNoEndOfItsAnswers failed before.

--- a/internal/completion/completion.go
+++ b/internal/completion/completion.go
@@ -54,11 +54,26 @@
 	InsideEvent
 )
 
+// Process is what is known of the upstream's process at the end of its answer.
+type Process int
+
+// What is known of a process.
+const (
+	// NotKnown: nothing shows that the process has ended.
+	NotKnown Process = iota
+	// EndedAsAnnounced: the process has ended, as it had announced.
+	EndedAsAnnounced
+	// EndedUnexpectedly: the process has ended without having announced it. The operating system
+	// then closes its connections in an orderly way, wherever its answers were.
+	EndedUnexpectedly
+)
+
 // End is what was observed of the end of an answer.
 type End struct {
 	Framing  Framing
 	Ending   Ending
 	Position Position
+	Process  Process
 }
 
 // Verdict is what is known about an answer that has ended.
@@ -83,10 +98,20 @@
 		return Incomplete
 	case e.Framing == ByClose && e.Position == BeforeEvents:
 		return Unknown
+	case e.Framing == ByClose && e.Process == EndedUnexpectedly:
+		return Incomplete
 	}
 	return Complete
 }
 
+// DependsOnProcess reports whether the answer counts as complete only as long as nothing is known
+// of an unexpected end of its upstream's process.
+func (e End) DependsOnProcess() bool {
+	ended := e
+	ended.Process = EndedUnexpectedly
+	return e.Verdict() == Complete && ended.Verdict() != Complete
+}
+
 // reachedItsMark reports whether what ends the body, by its framing, was received.
 func (e End) reachedItsMark() bool {
 	return e.Ending == AtFrame || e.Ending == Closed && e.Framing == ByClose
@@ -97,6 +122,7 @@
 	framingNames  = [...]string{"none", "length", "chunks", "close"}
 	endingNames   = [...]string{"not_ended", "frame", "close", "reset", "malformed", "abandoned"}
 	positionNames = [...]string{"no_stream", "before_events", "after_event", "inside_event"}
+	processNames  = [...]string{"not_known", "ended_as_announced", "ended_unexpectedly"}
 )
 
 // String returns the verdict's name in logs and metrics.
@@ -110,3 +136,6 @@
 
 // String returns the position's name in logs and metrics.
 func (p Position) String() string { return positionNames[p] }
+
+// String returns the name in logs and metrics of what is known of the process.
+func (p Process) String() string { return processNames[p] }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -65,12 +65,17 @@
 	cfg Config
 	// probes merges the concurrent probes of one upstream that broke off several answers.
 	probes singleflight.Group
+	// suspects reports whether something else than an answer's own end speaks for the end of its
+	// upstream's process, so that asking is worth a connection.
+	suspects func(*httpconn.Answer) bool
 	// probeAfter is closingTime.
 	probeAfter time.Duration
 }
 
 // New returns a Forwarder.
-func New(cfg Config) *Forwarder { return &Forwarder{cfg: cfg, probeAfter: closingTime} }
+func New(cfg Config) *Forwarder {
+	return &Forwarder{cfg: cfg, suspects: (*httpconn.Answer).WorthAsking, probeAfter: closingTime}
+}
 
 // Serve forwards one call, delivers its answer and returns how it ended. ctx must end when
 // the caller closes its connection.
@@ -155,7 +160,7 @@
 			s.f.cfg.Log.Info("attempt ended", "id", s.call.ID, "upstream", choice.Upstream, "why", choice.Why,
 				"result", result.String(), "cause", s.reason, "next", step.String(), "attempt", s.state.Attempts(),
 				"left_ms", s.call.Remaining(s.f.cfg.Now()).Milliseconds(), "content", s.call.Content(),
-				"framing", s.ended.Framing.String(), "ending", s.ended.Ending.String(), "position", s.ended.Position.String(),
+				"framing", s.ended.Framing.String(), "ending", s.ended.Ending.String(), "position", s.ended.Position.String(), "process", s.ended.Process.String(),
 				"last_event", s.lastEvent, "bytes_after", s.ended.BytesAfter, "answer", s.ended.Verdict().String())
 		}
 		if step != TryAnother && step != Resume {
@@ -248,14 +253,13 @@
 		s.firstAttemptCounted = true
 		s.f.cfg.Budget.RecordFirstAttempt(s.call.Service.Name, s.f.cfg.Now())
 	}
-	target := httpconn.Target{ID: choice.Upstream, Address: choice.Address, MaxConnections: choice.MaxConnections}
 	if s.call.KnownTo(s.f.cfg.Guard) {
 		defer s.f.cfg.Guard.Started(choice.Upstream, s.call.Content())()
 	}
-	result := s.exchange(ctx, choice, target, silence)
+	result := s.exchange(ctx, choice, silence)
 	span.SetAttributes(attribute.String("result", result.String()), attribute.String("framing", s.ended.Framing.String()),
 		attribute.String("ending", s.ended.Ending.String()), attribute.String("position", s.ended.Position.String()))
-	if (result == Broken || result == Cut) && ctx.Err() == nil && s.f.processEnded(ctx, target) {
+	if (result == Broken || result == Cut) && ctx.Err() == nil && s.upstreamEnded(choice, false) {
 		s.recordUpstreamEnd(choice, result)
 	}
 	if result == Done && s.call.KnownTo(s.f.cfg.Guard) {
@@ -266,14 +270,14 @@
 
 // exchange sends the call to an upstream and reads its answer. The events of a stream are
 // delivered as they arrive.
-func (s *session) exchange(ctx context.Context, choice Choice, target httpconn.Target, silence *silenceTimer) Result {
+func (s *session) exchange(ctx context.Context, choice Choice, silence *silenceTimer) Result {
 	s.ended = AnswerEnd{}
 	request := s.f.cfg.Dialect.Request(s.call, Attempt{
 		Upstream: choice.Name, TimeLeft: s.call.Remaining(s.f.cfg.Now()), LastEventID: s.lastEvent,
 	})
 	request.BeforeSend = func() error { return s.checkAccepts(choice) }
 	request.OnOtherHeader = func(header http.Header) { s.recordFields(choice, header) }
-	answer, failure := s.f.cfg.Pool.Send(ctx, target, request)
+	answer, failure := s.f.cfg.Pool.Send(ctx, choice.target(), request)
 	if failure != nil {
 		if countsAsStarted(failure) {
 			s.countForUsage()
@@ -361,7 +365,7 @@
 		s.reason = "status " + http.StatusText(answer.Status) + " instead of the stream's rest"
 		return Cut
 	}
-	return s.readWhole(choice, answer, info)
+	return s.readWhole(choice, answer, info, silence)
 }
 
 // drainRejection reads the rest of a rejection, so that its connection can be reused.
@@ -373,9 +377,11 @@
 
 // readWhole reads a complete answer before any of it is delivered, so that after an
 // answer that breaks off the request can still be sent to another upstream.
-func (s *session) readWhole(choice Choice, answer *httpconn.Answer, info AnswerInfo) Result {
+func (s *session) readWhole(choice Choice, answer *httpconn.Answer, info AnswerInfo, silence *silenceTimer) Result {
 	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes+1))
+	silence.stop()
 	s.ended.End = answer.End(completion.NotAStream)
+	s.doubtEnd(choice, answer)
 	if len(body) > maxBufferedBytes {
 		s.reason = "the answer is too long to be held"
 		return Broken
@@ -406,6 +412,9 @@
 	if err != nil && err != io.EOF {
 		return err.Error()
 	}
+	if s.ended.Process == completion.EndedUnexpectedly {
+		return "the upstream's process ended with the answer, " + s.ended.Position.String()
+	}
 	return "the answer ended " + s.ended.Position.String() + " by " + s.ended.Ending.String()
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -83,7 +83,9 @@
 			}
 		}
 		if err != nil {
+			silence.stop()
 			s.observeStreamEnd(answer, &scanner)
+			s.doubtEnd(choice, answer)
 			return s.endStream(choice, answer, &scanner, err)
 		}
 		if len(scanner.Rest()) > maxBufferedBytes {
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -127,6 +127,11 @@
 	Reservation any
 }
 
+// target returns where the choice's requests are sent.
+func (c *Choice) target() httpconn.Target {
+	return httpconn.Target{ID: c.Upstream, Address: c.Address, MaxConnections: c.MaxConnections}
+}
+
 // BlockedPast reports whether no upstream was found and none will be by waiting until a time.
 func (c *Choice) BlockedPast(t time.Time) bool {
 	return c.Blocked != 0 && (c.BlockedUntil.IsZero() || c.BlockedUntil.After(t))
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -113,8 +113,9 @@
 	// stopReset stops the reset of the connection at the end of the request's
 	// context. It returns false if the reset has already begun.
 	stopReset func() bool
-	// ending is how the reading of the body ended.
-	ending completion.Ending
+	// ending is how the reading of the body ended, and endedAt when.
+	ending  completion.Ending
+	endedAt time.Time
 }
 
 // Read reads the body. It returns io.EOF only if the whole body was received:
@@ -125,7 +126,7 @@
 	if err == nil {
 		return n, nil
 	}
-	a.ending = a.endingOf(err)
+	a.ending, a.endedAt = a.endingOf(err), a.conn.pool.now()
 	if err == io.EOF {
 		return n, io.EOF
 	}
@@ -178,6 +179,9 @@
 // exchange was abandoned, and closes it otherwise.
 func (a *Answer) Close() {
 	notReset := a.stopReset()
+	if a.ending == completion.Closed || a.ending == completion.Reset {
+		a.conn.noteClosed(a.endedAt)
+	}
 	switch {
 	case !notReset || !a.readToEnd() || !a.requestSent():
 		a.conn.resetAndDiscard()
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -51,11 +51,33 @@
 	open int
 	// idle connections, the most recently used one last.
 	idle []*conn
+	// conns are all connections, in use or idle.
+	conns map[*conn]struct{}
+	// lastAlive is when the last connection was begun that was made, and lastClosed when the
+	// upstream last closed a connection of which the exchange is over.
+	lastAlive, lastClosed time.Time
+	// askCredit is how many connections may still be made only because of a doubt, in parts of which
+	// dialsPerAsk are one connection. It can be negative: doubts that come together are not merged
+	// here.
+	askCredit int
 	// forgotten: the upstream has left, so its connections are closed after
 	// use.
 	forgotten bool
 }
 
+const (
+	// dialsPerAsk is how many connections for requests allow one that is made only because of a doubt
+	// and that no request uses later: under 2 in 100.
+	dialsPerAsk = 64
+	// maxAskCredit bounds how many such connections to one upstream are saved up.
+	maxAskCredit = 4 * dialsPerAsk
+)
+
+// addAskCredit adds parts of a connection to the credit. The caller holds Pool.mu.
+func (h *host) addAskCredit(parts int) {
+	h.askCredit = min(h.askCredit+parts, maxAskCredit)
+}
+
 // conn is one connection. At most one exchange uses it at a time.
 type conn struct {
 	pool   *Pool
@@ -66,6 +88,8 @@
 	header *headerReader
 	// unmatched counts the received answers to other requests.
 	unmatched int
+	// inDoubt: it was made only because of a doubt, and no request has used it yet.
+	inDoubt bool
 	// reuseUntil is the time after which the connection must not be reused.
 	reuseUntil time.Time
 	// defaultIdle is how long the connection is kept idle if the upstream does
@@ -116,23 +140,32 @@
 	if c != nil || err != nil {
 		return c, err
 	}
-	return p.dial(ctx, target, h)
+	c, err = p.dial(ctx, target, h)
+	if err == nil {
+		p.mu.Lock()
+		h.addAskCredit(1)
+		p.mu.Unlock()
+	}
+	return c, err
 }
 
 // dial opens a connection that is already counted in h.open.
 func (p *Pool) dial(ctx context.Context, target Target, h *host) (*conn, error) {
+	begun := p.now()
 	raw, err := p.dialer.DialContext(ctx, "tcp", target.Address)
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.counters.Dials++
 	if err != nil {
 		p.counters.DialFailures++
 		h.open--
-		p.mu.Unlock()
 		return nil, err
 	}
-	p.mu.Unlock()
 	reader, header := newReader(raw)
-	return &conn{pool: p, id: target.ID, host: h, net: raw, reader: reader, header: header}, nil
+	c := &conn{pool: p, id: target.ID, host: h, net: raw, reader: reader, header: header}
+	h.lastAlive = boottime.Later(h.lastAlive, begun)
+	h.conns[c] = struct{}{}
+	return c, nil
 }
 
 // Refuses reports whether the upstream's address refuses a new connection:
@@ -140,7 +173,15 @@
 // false if a connection is made, which is then kept for reuse. It also returns
 // false if the attempt fails in another way or does not end before ctx, because
 // that does not show that the process has ended.
-func (p *Pool) Refuses(ctx context.Context, target Target) bool {
+func (p *Pool) Refuses(ctx context.Context, target Target) bool { return p.refuses(ctx, target, false) }
+
+// RefusesInDoubt is like Refuses where nothing has failed: a connection that is made counts against
+// the bound that Answer.WorthAsking keeps.
+func (p *Pool) RefusesInDoubt(ctx context.Context, target Target) bool {
+	return p.refuses(ctx, target, true)
+}
+
+func (p *Pool) refuses(ctx context.Context, target Target, inDoubt bool) bool {
 	p.mu.Lock()
 	h := p.host(target.ID)
 	h.open++
@@ -149,15 +190,26 @@
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
+	if inDoubt {
+		c.chargeDoubt()
+	}
 	c.putIdle(defaultIdleTimeout)
 	return false
 }
 
+// chargeDoubt records that the connection was made only because of a doubt.
+func (c *conn) chargeDoubt() {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.inDoubt = true
+	c.host.addAskCredit(-dialsPerAsk)
+}
+
 // host returns the connections to an upstream. The caller holds p.mu.
 func (p *Pool) host(id ident.Instance) *host {
 	h := p.hosts[id]
 	if h == nil {
-		h = &host{}
+		h = &host{conns: make(map[*conn]struct{}), askCredit: dialsPerAsk}
 		p.hosts[id] = h
 	}
 	return h
@@ -177,6 +229,10 @@
 		h.idle = h.idle[:len(h.idle)-1]
 		if now.Before(c.reuseUntil) && c.nothingReceived() {
 			p.counters.Reuses++
+			if c.inDoubt {
+				c.inDoubt = false
+				h.addAskCredit(dialsPerAsk) // a request would have needed a connection all the same
+			}
 			return h, c, nil
 		}
 		p.close(c)
@@ -245,6 +301,7 @@
 	c.closeOnce.Do(func() {
 		_ = c.net.Close() // the connection is not used again, whatever the error
 		c.host.open--
+		delete(c.host.conns, c)
 		p.counters.Discards++
 		if c.unmatched > 0 {
 			p.counters.ClosedUnmatched++
