A stream whose rest was turned away ends as broken off, not as failed

What was seen: step=fail with status 200 in log and metrics, for a caller whose answer was cut off. Cause: the state machine does not know that a part was delivered by an earlier attempt. Evidence: row 'the rest is turned away' of TestWhatABrokenOffAnswerCountsAsAtTheEdges, red before. Callers saw the same.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -156,6 +156,9 @@
 		result := s.attempt(choice)
 		s.f.cfg.Placement.Finished(choice, result, s.f.cfg.Now())
 		step := s.state.After(choice.Upstream, result, s.spendRetry)
+		if step == Fail && s.answerBegan {
+			step = Break
+		}
 		if result != Done {
 			s.f.cfg.Log.Info("attempt ended", "id", s.call.ID, "upstream", choice.Upstream, "why", choice.Why,
 				"result", result.String(), "cause", s.reason, "next", step.String(), "attempt", s.state.Attempts(),
