No retry is paid for where no time is left for it

What callers saw: less of the retry budget that all gateways share. Cause: the budget was asked before the time that is left. Evidence: row 'no time left for the rest' of TestWhatABrokenOffAnswerCountsAsAtTheEdges, red before (1 retry, want 0).

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -211,6 +211,9 @@
 // spendRetry takes one retry out of the retry budget, unless the next attempt is already
 // paid for, and reports whether the call may be sent once more.
 func (s *session) spendRetry() bool {
+	if s.call.Remaining(s.f.cfg.Now()) < minTimeForAttempt {
+		return false
+	}
 	if s.unresumable.Load() || s.upstreamCrashed.Load() && !s.f.cfg.Guard.MayResend(s.call.Content()) {
 		return false
 	}
