Sight: an answer whose caller has gone is abandoned, whichever side is noticed first

What was seen: ending=not_ended where the write to the caller failed before its connection was seen to end, abandoned otherwise. Evidence: row 'its caller goes' of TestWhatABrokenOffAnswerCountsAsAtTheEdges, red before.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -79,6 +79,7 @@
 			}
 			if !s.deliver(answer, &scanner, events) {
 				s.observeStreamEnd(answer, &scanner)
+				s.ended.Ending = completion.Abandoned
 				return CallerGone
 			}
 		}
