Sight: the reason of an answer that this gateway ended says why

What was seen: 'use of closed network connection' as the reason of a stream whose time was over, or that was silent. Cause: the error of the closed connection was kept instead of the cause that closed it, as it is before the body. Evidence: row 'its time is over' of TestWhatABrokenOffAnswerCountsAsAtTheEdges, red before.

--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -132,6 +132,9 @@
 	if err == io.EOF {
 		return n, io.EOF
 	}
+	if a.ending == completion.Abandoned {
+		err = context.Cause(a.ctx)
+	}
 	return n, &Failure{Stage: StageBody, MaybeSent: true, Err: err}
 }
 
