A request that is suspected of ending upstreams is not cleared by half of an answer

What was seen: a stream without length whose upstream's process ended right after an event counted as answered completely, which clears its content of the suspicion of ending upstreams, and its caller got it as complete. Where it was the only request there, nothing else spoke for the end of the process, so that nobody asked. Why this works: of a suspected request the end is always asked for, before the verdict.

--- a/internal/forward/poison.go
+++ b/internal/forward/poison.go
@@ -55,10 +55,10 @@
 
 // doubtEnd finds out whether the upstream's process has ended, where nothing else could tell
 // whether the last answer is complete, and only if something speaks for it: the process also closes
-// its other connections then. An upstream that goes on gets no connection for that, and its answer
-// is completed at once.
+// its other connections then, or the request is suspected of ending upstreams. An upstream that goes
+// on gets no connection for that, and its answer is completed at once.
 func (s *session) doubtEnd(choice Choice, answer *httpconn.Answer) {
-	if s.ended.DependsOnProcess() && s.f.suspects(answer) {
+	if s.ended.DependsOnProcess() && (s.call.KnownTo(s.f.cfg.Guard) || s.f.suspects(answer)) {
 		s.upstreamEnded(choice, true)
 	}
 }
