An upstream's whole failure is delivered where no better answer follows

What callers saw: the gateway's 502 instead of an upstream's signed 500, where the upstreams that were asked afterwards rejected the request or broke off. Cause: the state machine does not know of the answer that is held; only where no attempt followed it was delivered. Evidence: TestAFailureIsDeliveredWhereNoBetterAnswerFollows, red before. Why this works: a call that fails ends like any call that gets no further attempt: by a part that was delivered, an answer that is held, or 502.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -156,8 +156,8 @@
 		result := s.attempt(choice)
 		s.f.cfg.Placement.Finished(choice, result, s.f.cfg.Now())
 		step := s.state.After(choice.Upstream, result, s.spendRetry)
-		if step == Fail && s.answerBegan {
-			step = Break
+		if step == Fail {
+			step = s.giveUp()
 		}
 		if result != Done {
 			s.f.cfg.Log.Info("attempt ended", "id", s.call.ID, "upstream", choice.Upstream, "why", choice.Why,
