The answer to HEAD keeps the length that its upstream states

What callers saw: Content-Length: 0. Cause: the gateway states the length of the body that it holds, and this answer has none. Evidence: TestTheAnswerToHEADKeepsItsLength, red before.

--- a/internal/ingress/caller.go
+++ b/internal/ingress/caller.go
@@ -15,6 +15,8 @@
 	// abort: the connection must be closed, so that the caller sees that the answer is
 	// incomplete.
 	abort bool
+	// headOnly: the answer has no body, but may state the length of one, as the answer to HEAD.
+	headOnly bool
 	// endedByClose is the connection if its end marks the end of an answer without length, as
 	// with HTTP/1.0; nil otherwise.
 	endedByClose *callerConn
@@ -23,7 +25,13 @@
 // Answer delivers a complete answer.
 func (c *caller) Answer(status int, header http.Header, body []byte) {
 	c.copyHeader(header)
-	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	length := strconv.Itoa(len(body))
+	if c.headOnly {
+		length = header.Get("Content-Length")
+	}
+	if length != "" {
+		c.w.Header().Set("Content-Length", length)
+	}
 	c.setWriteDeadline()
 	c.w.WriteHeader(status)
 	if _, err := c.w.Write(body); err != nil {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -201,7 +201,7 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.active.Add(1)
 	defer s.active.Add(-1)
-	caller := &caller{w: w, control: http.NewResponseController(w)}
+	caller := &caller{w: w, control: http.NewResponseController(w), headOnly: r.Method == http.MethodHead}
 	if !r.ProtoAtLeast(1, 1) {
 		caller.endedByClose = connOf(r.Context())
 	}
