The rest of a stream brings no byte order mark into the middle of the answer

What callers saw: the first field after a resumption under another name, where the upstream's stream begins with a byte order mark. Cause: what another upstream sends was appended as it is. Evidence: TestAContinuationBringsNoByteOrderMark, red before.

--- a/internal/eventstream/scanner.go
+++ b/internal/eventstream/scanner.go
@@ -11,6 +11,10 @@
 // byteOrderMark may precede the first line.
 const byteOrderMark = "\ufeff"
 
+// TrimMark returns the beginning of a stream without its byte order mark. Where it follows the
+// first part of another stream, the mark would be a part of the next line.
+func TrimMark(beginning []byte) []byte { return bytes.TrimPrefix(beginning, []byte(byteOrderMark)) }
+
 // Scanner finds the ends of the events in a stream that is added piece by piece. The zero
 // value is ready to use. It is not safe for concurrent use.
 type Scanner struct {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -68,11 +68,14 @@
 	var scanner eventstream.Scanner
 	s.earlierEvents = s.outcome.Events
 	buffer := make([]byte, streamBufferBytes)
-	first := true
+	first, continues := true, s.answerBegan
 	for {
 		n, err := answer.Read(buffer)
 		if events := scanner.Add(buffer[:n]); len(events) > 0 {
 			silence.reset()
+			if first && continues {
+				events = eventstream.TrimMark(events)
+			}
 			if first {
 				first = false
 				s.f.cfg.Placement.FirstEventArrived(choice, s.f.cfg.Now())
