--- a/internal/eventstream/scanner.go
+++ b/internal/eventstream/scanner.go
@@ -34,14 +34,14 @@
 	event unfinishedEvent
 
 	events, eventsAfterID int
-	lastID                string
+	lastID                []byte
 }
 
 // unfinishedEvent is an event of which the end was not found yet.
 type unfinishedEvent struct {
 	// hasFields: it has a line that is no comment.
 	hasFields bool
-	id        string
+	id        []byte
 	hasID     bool
 }
 
@@ -50,12 +50,32 @@
 func (s *Scanner) Add(data []byte) []byte {
 	s.drop()
 	s.pending = append(s.pending, data...)
-	for ; s.scanned < len(s.pending); s.scanned++ {
+	for {
+		s.skipText()
+		if s.scanned == len(s.pending) {
+			break
+		}
 		s.examine(s.pending[s.scanned])
+		s.scanned++
 	}
 	return s.pending[:s.returned]
 }
 
+// skipText skips the bytes that neither end a line nor follow a CR.
+func (s *Scanner) skipText() {
+	if s.openCR || s.endedByCR {
+		return
+	}
+	text := s.pending[s.scanned:]
+	if i := bytes.IndexByte(text, '\n'); i >= 0 {
+		text = text[:i]
+	}
+	if i := bytes.IndexByte(text, '\r'); i >= 0 {
+		text = text[:i]
+	}
+	s.scanned += len(text)
+}
+
 // drop removes the bytes that the last Add returned.
 func (s *Scanner) drop() {
 	if s.returned == 0 {
@@ -128,21 +148,22 @@
 	s.event.hasFields = true
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	if string(name) == "id" {
-		s.event.hasID, s.event.id = true, string(bytes.TrimSpace(value))
+		s.event.hasID, s.event.id = true, append(s.event.id[:0], bytes.TrimSpace(value)...)
 	}
 }
 
 // endEvent ends the unfinished event. Without fields it is no event.
 func (s *Scanner) endEvent() {
 	event := s.event
-	s.event = unfinishedEvent{}
+	s.event = unfinishedEvent{id: event.id[:0]}
 	if !event.hasFields {
 		return
 	}
 	s.events++
 	s.eventsAfterID++
-	if event.hasID && event.id != "" {
-		s.lastID, s.eventsAfterID = event.id, 0
+	if event.hasID && len(event.id) > 0 {
+		s.event.id, s.lastID = s.lastID[:0], event.id // each memory is used again
+		s.eventsAfterID = 0
 	}
 }
 
@@ -165,7 +186,7 @@
 func (s *Scanner) Events() int { return s.events }
 
 // LastID returns the ID of the last whole event that has one, or "".
-func (s *Scanner) LastID() string { return s.lastID }
+func (s *Scanner) LastID() string { return string(s.lastID) }
 
 // EventsAfterID returns the number of whole events after the last one that has an ID.
 func (s *Scanner) EventsAfterID() int { return s.eventsAfterID }
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -166,12 +166,17 @@
 
 // serve forwards a call on a route and returns what its caller got.
 func (g *gatewayUnderTest) serve(t testing.TB, id string, route *routetable.Route, caller *plainCaller) (*plainCaller, Outcome) {
+	return caller, g.serveTo(t, id, route, caller)
+}
+
+// serveTo forwards a call on a route.
+func (g *gatewayUnderTest) serveTo(t testing.TB, id string, route *routetable.Route, caller Caller) Outcome {
 	now := boottime.Now()
 	call := &Call{
 		ID: ident.Request(id), Route: route, Service: &routetable.Service{Name: "svc"}, Method: http.MethodPost, URI: "/x", Host: "app", Header: http.Header{},
 		Received: now, Expires: now.Add(time.Minute),
 	}
-	return caller, g.Serve(t.Context(), call, caller)
+	return g.Serve(t.Context(), call, caller)
 }
 
 var (
