A comment before the first event does not begin the caller's answer

What callers saw: a 200 that broke off, instead of a 502 or a repeat, where an upstream sent a comment (': ping') and broke off before its first event; on a route that may be resumed the comment came once for each attempt. Cause: comments between events are passed on with them, and those before the first one began the answer. Evidence: two new cases of TestAStreamThatEndsInsideAnEventIsNotComplete, red before. The expectations of TestWholeEventsForEachLineEnd ('only comments') and of the fuzz target's splitter follow: before the first event nothing is whole, which is stricter. Why this works: before the first whole event nothing is owed to the upstream's answer.

--- a/internal/eventstream/fuzz_test.go
+++ b/internal/eventstream/fuzz_test.go
@@ -16,7 +16,7 @@
 // split is what a stream's text is made of.
 type split struct {
 	// whole is the length of the part up to the last whole event, with the comments and empty lines
-	// between events.
+	// before and between events; 0 if there is no event.
 	whole           int
 	position        completion.Position
 	events, afterID int
@@ -43,9 +43,11 @@
 		at = end[1]
 		switch {
 		case line == "":
-			s.whole = at
 			s.addEvent(fields)
 			fields = nil
+			if s.events > 0 {
+				s.whole = at
+			}
 		case line[0] != ':':
 			fields = append(fields, line)
 		}
--- a/internal/eventstream/scanner.go
+++ b/internal/eventstream/scanner.go
@@ -50,7 +50,8 @@
 }
 
 // Add adds data and returns all whole events that Add has not returned before, byte for byte
-// with the comments and empty lines between them. The result is valid until the next call.
+// with the comments and empty lines between them, and with those before the first event only once
+// it has ended. The result is valid until the next call.
 func (s *Scanner) Add(data []byte) []byte {
 	s.drop()
 	s.pending = append(s.pending, data...)
@@ -140,8 +141,10 @@
 		s.addLine(line)
 		return
 	}
-	s.returned = next
 	s.endEvent()
+	if s.events > 0 {
+		s.returned = next
+	}
 }
 
 // addLine adds a line that is not empty to the unfinished event.
