Whether content tells its own end is a part of what decides completeness

Class of the incident: a condition beside the decision. httpconn.ReadFramed refused answers without a frame by looking at the framing itself; now the reader says what its content is (completion.Undelimited), and Verdict decides. Same tests, the error's name changed.

--- a/internal/completion/completion.go
+++ b/internal/completion/completion.go
@@ -52,6 +52,9 @@
 	AfterEvent
 	// InsideEvent: after a part of an event.
 	InsideEvent
+	// Undelimited: the content is valid wherever it is cut, or in many places, like a protocol
+	// buffer, so that only the framing can tell its end.
+	Undelimited
 )
 
 // Process is what is known of the upstream's process at the end of its answer.
@@ -96,7 +99,7 @@
 	switch {
 	case !e.reachedItsMark(), e.Position == InsideEvent:
 		return Incomplete
-	case e.Framing == ByClose && e.Position == BeforeEvents:
+	case e.Framing == ByClose && (e.Position == BeforeEvents || e.Position == Undelimited):
 		return Unknown
 	case e.Framing == ByClose && e.Process == EndedUnexpectedly:
 		return Incomplete
@@ -121,7 +124,7 @@
 	verdictNames  = [...]string{"unknown", "complete", "incomplete"}
 	framingNames  = [...]string{"none", "length", "chunks", "close"}
 	endingNames   = [...]string{"not_ended", "frame", "close", "reset", "malformed", "abandoned"}
-	positionNames = [...]string{"no_stream", "before_events", "after_event", "inside_event"}
+	positionNames = [...]string{"no_stream", "before_events", "after_event", "inside_event", "undelimited"}
 	processNames  = [...]string{"not_known", "ended_as_announced", "ended_unexpectedly"}
 )
 
--- a/internal/completion/completion_test.go
+++ b/internal/completion/completion_test.go
@@ -7,7 +7,7 @@
 func TestVerdictOfEachEnd(t *testing.T) {
 	framings := []Framing{NoAnswer, ByLength, ByChunks, ByClose}
 	endings := []Ending{NotEnded, AtFrame, Closed, Reset, Malformed, Abandoned}
-	positions := []Position{NotAStream, BeforeEvents, AfterEvent, InsideEvent}
+	positions := []Position{NotAStream, BeforeEvents, AfterEvent, InsideEvent, Undelimited}
 	processes := []Process{NotKnown, EndedAsAnnounced, EndedUnexpectedly}
 	// An unexpected end of the process changes only the verdict on answers that end by a close.
 	want := map[End]Verdict{
@@ -18,6 +18,9 @@
 		{ByChunks, AtFrame, BeforeEvents, EndedUnexpectedly}: Complete,
 		{ByChunks, AtFrame, AfterEvent, EndedUnexpectedly}:   Complete,
 		{ByClose, Closed, BeforeEvents, EndedUnexpectedly}:   Unknown,
+		{ByLength, AtFrame, Undelimited, EndedUnexpectedly}:  Complete,
+		{ByChunks, AtFrame, Undelimited, EndedUnexpectedly}:  Complete,
+		{ByClose, Closed, Undelimited, EndedUnexpectedly}:    Unknown,
 	}
 	for _, process := range []Process{NotKnown, EndedAsAnnounced} {
 		for end, verdict := range map[End]Verdict{
@@ -30,6 +33,9 @@
 			{ByClose, Closed, NotAStream, process}:     Complete,
 			{ByClose, Closed, AfterEvent, process}:     Complete,
 			{ByClose, Closed, BeforeEvents, process}:   Unknown,
+			{ByLength, AtFrame, Undelimited, process}:  Complete,
+			{ByChunks, AtFrame, Undelimited, process}:  Complete,
+			{ByClose, Closed, Undelimited, process}:    Unknown,
 		} {
 			want[end] = verdict
 		}
--- a/internal/gossip/cut_test.go
+++ b/internal/gossip/cut_test.go
@@ -57,7 +57,7 @@
 				}
 				// Nothing tells the end of a message without length and chunks. Gateways send none.
 				unframed := framing == testkit.UntilClose
-				if got, err := send(-1, false); errors.Is(err, httpconn.ErrNoFrame) != unframed || !unframed && got != body {
+				if got, err := send(-1, false); errors.Is(err, httpconn.ErrIncomplete) != unframed || !unframed && got != body {
 					t.Errorf("whole answer: %q, error %v", got, err)
 				}
 				for cut := range len(framing.Frame(body)) {
--- a/internal/gossip/network.go
+++ b/internal/gossip/network.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/completion"
 	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 )
@@ -33,8 +34,7 @@
 		return nil, failure
 	}
 	defer answer.Close()
-	// A message that is cut between two fields is valid, so that only the frame tells its end.
-	data, err := httpconn.ReadFramed(answer, maxMessageBytes)
+	data, err := httpconn.ReadAll(answer, completion.Undelimited, maxMessageBytes)
 	if err != nil {
 		return nil, errors.Wrap(err, "read the answer of another gateway")
 	}
