Tests: the port of a stopped stand-in stays taken up to the end of the test

Cause: a stopped stand-in's port is free, gateways still know it, and the stand-in of another test process got it from the kernel.

--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -28,6 +28,8 @@
 type Worker struct {
 	ID       string
 	listener net.Listener
+	// afterFirstStop is called by the first Stop.
+	afterFirstStop func()
 
 	mu         sync.Mutex
 	queuedActs []Act
@@ -60,7 +62,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &Worker{ID: id, listener: listener, defaultAct: Answer(http.StatusOK, "fine"), runs: make(map[string]int), conns: make(map[net.Conn]bool), told: make(map[string]told)}
+	w := &Worker{ID: id, listener: listener, afterFirstStop: func() { keepPort(t, listener) }, defaultAct: Answer(http.StatusOK, "fine"), runs: make(map[string]int), conns: make(map[net.Conn]bool), told: make(map[string]told)}
 	var work sync.WaitGroup
 	work.Go(func() { w.accept(&work) })
 	t.Cleanup(func() {
@@ -73,11 +75,15 @@
 // Address returns the host:port on which the worker listens.
 func (w *Worker) Address() string { return w.listener.Addr().String() }
 
-// Stop stops the worker like a crash: it closes the listener and all connections.
+// Stop stops the worker like a crash: it closes the listener and all connections. Up to the end of
+// the test nobody else gets its port, which gateways may still know.
 func (w *Worker) Stop() {
 	_ = w.listener.Close() // a second stop finds it closed
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if !w.stopped {
+		w.afterFirstStop()
+	}
 	w.stopped = true
 	for c := range w.conns {
 		_ = c.Close() // cuts off requests in progress
--- a/internal/standin/worker/worker_test.go
+++ b/internal/standin/worker/worker_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -37,7 +38,7 @@
 	client, server := net.Pipe()
 	l := &lateListener{closed: make(chan struct{}), conns: make(chan net.Conn, 1)}
 	l.conns <- server
-	w := &Worker{listener: l, conns: make(map[net.Conn]bool)}
+	w := &Worker{listener: l, afterFirstStop: func() {}, conns: make(map[net.Conn]bool)}
 	w.Stop()
 	var work sync.WaitGroup
 	work.Go(func() { w.accept(&work) })
@@ -51,3 +52,18 @@
 	_ = client.Close() // ends serve on a worker that left the connection open
 	work.Wait()
 }
+
+// Guards against a request to a worker that has stopped, answered by another process's worker that got
+// its port.
+func TestAStoppedWorkersPortIsTaken(t *testing.T) {
+	w := New(t, "u")
+	w.Stop()
+	w.Stop()
+	if l, err := net.Listen("tcp", w.Address()); err == nil {
+		l.Close()
+		t.Error("another process could listen at the port")
+	}
+	if c, err := net.Dial("tcp", w.Address()); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("a connection to the port is not refused: %v, %v", c, err)
+	}
+}
