A stream is recognized by its type, in any case and on any route

What callers saw: half of an event at the end of a whole-looking answer, where the type was written 'Text/Event-Stream', where a route without streams answered with events, and in a signed failure.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -16,6 +16,7 @@
 
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
 	"github.com/goldcrestspool/goldcrestspool/internal/completion"
+	"github.com/goldcrestspool/goldcrestspool/internal/eventstream"
 	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
 	"github.com/goldcrestspool/goldcrestspool/internal/sleep"
@@ -389,7 +390,7 @@
 func (s *session) readWhole(choice Choice, answer *httpconn.Answer, info AnswerInfo, silence *silenceTimer) Result {
 	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes+1))
 	silence.stop()
-	s.ended.End = answer.End(completion.NotAStream)
+	s.ended.End = answer.End(positionIn(body, info))
 	s.doubtEnd(choice, answer)
 	if len(body) > maxBufferedBytes {
 		s.reason = "the answer is too long to be held"
@@ -415,6 +416,16 @@
 	return Done
 }
 
+// positionIn returns where in its content an answer ended whose whole body was received.
+func positionIn(body []byte, info AnswerInfo) completion.Position {
+	if !info.Stream {
+		return completion.NotAStream
+	}
+	var scanner eventstream.Scanner
+	scanner.Add(body)
+	return scanner.Position()
+}
+
 // whyIncomplete returns why the last answer is not taken for complete; err is how its reading
 // ended.
 func (s *session) whyIncomplete(err error) string {
