The rest of a stream is taken only from an upstream that signs it

What callers could see: events without any upstream's signature joined into a signed stream. Cause: the signature was asked for the first part only. Evidence: TestAStreamWithoutASignatureIsNotDelivered, its second half red before.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -61,9 +61,9 @@
 
 // readStream reads a stream and delivers its events as they arrive.
 func (s *session) readStream(choice Choice, answer *httpconn.Answer, info AnswerInfo, silence *silenceTimer) Result {
-	if !info.Signed && !s.answerBegan {
+	if !info.Signed {
 		s.reason = "a stream without the upstream's signature"
-		return Broken
+		return s.interrupted()
 	}
 	var scanner eventstream.Scanner
 	s.earlierEvents = s.outcome.Events
