--- a/internal/completion/completion.go
+++ b/internal/completion/completion.go
@@ -1,7 +1,7 @@
 // Package completion decides whether an HTTP answer that has ended is complete.
 //
-// Every reader of an answer describes its end as an End, and takes the answer for complete
-// only if the End's Verdict is Complete.
+// A reader describes the end of an answer as an End, and takes the answer for complete only if
+// the End's Verdict is Complete. Unknown is told apart from Incomplete for the log alone.
 package completion
 
 // Framing is what marks the end of an answer's body.
--- a/internal/controller/wire.go
+++ b/internal/controller/wire.go
@@ -22,7 +22,7 @@
 	p.documents = blackboard.NewSection(&document.Set{})
 	p.health = blackboard.NewSection(blackboard.ConfigurationHealth{Problem: "not read yet"})
 	p.listing = blackboard.NewSection(blackboard.Listing{})
-	p.client = transport.NewClient(transport.Options{FreshConnections: true})
+	p.client = transport.NewClient(transport.Options{FreshConnections: true, RequireFrame: true})
 	p.platform = connectplatform.NewClient(p.client, s.Platform.Address)
 
 	trusted, err := s.TLS.Upstream.ClientConfig()
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -121,9 +121,10 @@
 	endedAt time.Time
 }
 
-// Read reads the body. It returns io.EOF only if the whole body was received:
-// an answer that breaks off before its stated end, or that has no stated end
-// and is reset, ends with a *Failure.
+// Read reads the body. An answer that breaks off before its stated end, or that
+// has no stated end and is reset, ends with a *Failure. After io.EOF, End tells
+// whether the answer is complete: a body without a stated end may have been
+// closed in its middle.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.response.Body.Read(p)
 	if err == nil {
--- a/internal/httpconn/readall.go
+++ b/internal/httpconn/readall.go
@@ -16,7 +16,7 @@
 
 // ReadAll returns the whole body of an answer, limit bytes at most. It returns an error, and no
 // body, if the answer is not known to be complete or is longer. content is NotAStream if the content
-// tells its own end, such as JSON, and otherwise Undelimited.
+// tells its own end, such as JSON or records after their lengths, and otherwise Undelimited.
 func ReadAll(answer *Answer, content completion.Position, limit int64) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(answer, limit+1))
 	if err != nil {
