Calls in progress are answered before their gateway closes

What callers saw: a connection that ended without any answer, where their gateway reached the end of its grace; also where it held an upstream's whole answer (a failure, while another upstream was asked). Cause: at the end of the grace the connections were closed, and the calls ended as if their callers had gone. Why this works: the end of the gateway ends the calls' time first, so that each ends as it does at its deadline, within 100 ms; an answer that is held is delivered, also at the deadline.

--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -149,12 +149,30 @@
 			break
 		}
 	}
+	p.endCalls(signals)
 	p.log.Info("closing", "active", p.callers.Active(), "after_ms", p.now().Sub(start).Milliseconds())
 	if err := p.callers.Close(); err != nil {
 		p.log.Warn("cannot close callers' connections", "error", err)
 	}
 }
 
+// finalAnswersTime bounds how long the final answers of calls may take that are in progress when
+// the callers' server closes.
+const finalAnswersTime = 100 * time.Millisecond
+
+// endCalls gives the calls in progress their final answers.
+func (p *Process) endCalls(signals daemon.Signals) {
+	p.callers.EndCalls()
+	for end := p.now().Add(finalAnswersTime); p.callers.CloseIdle() > 0 && p.now().Before(end); {
+		if !sleep.For(signals.Kill, endCallsPollInterval) {
+			return
+		}
+	}
+}
+
+// endCallsPollInterval is how often the calls in progress are counted at the end.
+const endCallsPollInterval = 10 * time.Millisecond
+
 // flushSpans sends the spans that are still buffered, within half of stopMargin.
 func (p *Process) flushSpans() {
 	ctx, cancel := context.WithTimeout(context.Background(), stopMargin/2)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -37,9 +37,11 @@
 	minTimeForAttempt = 20 * time.Millisecond
 )
 
+// ErrTimeOver is the cause with which a call's context ends when its deadline passes, or when its
+// gateway ends before that.
+var ErrTimeOver = errors.New("the request's time is over")
+
 var (
-	// errExpired cancels a call whose deadline passed.
-	errExpired = errors.New("the request's time is over")
 	// errSilent cancels an attempt at an upstream that was silent for too long.
 	errSilent = errors.New("the upstream is silent")
 )
@@ -83,7 +85,7 @@
 func (f *Forwarder) Serve(ctx context.Context, call *Call, caller Caller) Outcome {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	timer := time.AfterFunc(call.Remaining(f.cfg.Now()), func() { cancel(errExpired) })
+	timer := time.AfterFunc(call.Remaining(f.cfg.Now()), func() { cancel(ErrTimeOver) })
 	defer timer.Stop()
 	s := &session{f: f, call: call, caller: caller, ctx: ctx, state: NewState(call.Route), lastEvent: call.LastEventID}
 	s.run()
@@ -157,7 +159,7 @@
 		result := s.attempt(choice)
 		s.f.cfg.Placement.Finished(choice, result, s.f.cfg.Now())
 		step := s.state.After(choice.Upstream, result, s.spendRetry)
-		if step == Fail {
+		if step == Fail || step == TimeOut && s.buffered != nil {
 			step = s.giveUp()
 		}
 		if result != Done {
@@ -197,7 +199,7 @@
 	switch context.Cause(s.ctx) {
 	case nil:
 		s.reason = cmp.Or(blockReasons[s.blocked], "no upstream takes work")
-	case errExpired:
+	case ErrTimeOver:
 		if !s.state.MayHaveRun() {
 			s.reason = "its time was over before an upstream took it"
 			return Refuse
@@ -307,7 +309,7 @@
 // is far rarer. An exchange that stayed silent does not count: the request may just as well
 // never have arrived.
 func countsAsStarted(failure *httpconn.Failure) bool {
-	return failure.MaybeSent && !errors.Is(failure, errSilent) && !errors.Is(failure, errExpired)
+	return failure.MaybeSent && !errors.Is(failure, errSilent) && !errors.Is(failure, ErrTimeOver)
 }
 
 // resultOfFailure returns the result of an attempt whose exchange failed.
@@ -343,7 +345,7 @@
 	if s.ctx.Err() == nil {
 		return 0
 	}
-	if errors.Is(context.Cause(s.ctx), errExpired) {
+	if errors.Is(context.Cause(s.ctx), ErrTimeOver) {
 		return Expired
 	}
 	return CallerGone
--- a/internal/forward/meter_test.go
+++ b/internal/forward/meter_test.go
@@ -17,7 +17,7 @@
 	}{
 		{"broken off", httpconn.Failure{MaybeSent: true, Err: errors.New("connection reset")}, true},
 		{"silent", httpconn.Failure{MaybeSent: true, Err: errSilent}, false},
-		{"silent until its time was over", httpconn.Failure{MaybeSent: true, Err: errExpired}, false},
+		{"silent until its time was over", httpconn.Failure{MaybeSent: true, Err: ErrTimeOver}, false},
 		{"no connection", httpconn.Failure{Err: errors.New("refused")}, false},
 	} {
 		if got := countsAsStarted(&c.failure); got != c.want {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -117,10 +117,13 @@
 
 // Server serves callers. Create it with New.
 type Server struct {
-	cfg               Config
-	http              *http.Server
-	conns             *callerConns
-	leaving           atomic.Pointer[leaveDeadlines]
+	cfg     Config
+	http    *http.Server
+	conns   *callerConns
+	leaving atomic.Pointer[leaveDeadlines]
+	// lifetime ends with the calls that are in progress.
+	lifetime          context.Context
+	endCalls          context.CancelFunc
 	bodyBytes         atomic.Int64
 	active            atomic.Int64
 	successLogLimiter *rate.Limiter
@@ -129,6 +132,7 @@
 // New returns a Server. Call Serve with a listener to start it.
 func New(cfg Config) *Server {
 	s := &Server{cfg: cfg, conns: newCallerConns(cfg.Now), successLogLimiter: rate.NewLimiter(loggedSuccessesPerSecond, loggedSuccessesPerSecond)}
+	s.lifetime, s.endCalls = context.WithCancel(context.Background())
 	s.http = &http.Server{
 		Handler:           http.HandlerFunc(s.serve),
 		ReadHeaderTimeout: headerTimeout,
@@ -184,6 +188,9 @@
 // Active returns the number of requests in progress.
 func (s *Server) Active() int { return int(s.active.Load()) }
 
+// EndCalls ends the time of all calls in progress, so that each gets its final answer at once.
+func (s *Server) EndCalls() { s.endCalls() }
+
 // Close closes the listener and all connections at once.
 func (s *Server) Close() error { return s.http.Close() }
 
@@ -224,6 +231,9 @@
 		attribute.String("request", string(call.ID)), attribute.String("route", call.Route.Name)))
 	defer span.End()
 	caller.timeLimit = call.Expires.Sub(received)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(s.lifetime, func() { cancel(forward.ErrTimeOver) })()
 	outcome := s.cfg.Forwarder.Serve(ctx, call, caller)
 	s.bodyBytes.Add(-int64(len(call.Body)))
 	s.recordOutcome(call, outcome)
