Tests: each process has a block of ports for itself

Cause: the ports of processes under test were chosen by the process ID modulo 120; two soaks whose IDs met chose the same, and one's gateway came up at the port of the other's that was stopped for a moment (both logs: callers 127.0.0.1:24804). Not a fault of the product.

--- a/internal/testkit/serve.go
+++ b/internal/testkit/serve.go
@@ -5,9 +5,12 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"testing"
 
+	"github.com/pkg/errors"
+
 	"github.com/goldcrestspool/goldcrestspool/internal/transport"
 )
 
@@ -32,18 +35,51 @@
 	return "http://" + listener.Addr().String()
 }
 
-// nextPort is the last port that FreeAddress tried. Its ports are below those that the
-// kernel gives to outgoing connections, so that no connection takes a port between its
-// choice and its use. They depend on the process ID, because tests of other packages run
-// at the same time.
+// The ports of FreeAddress are below those that the kernel gives to outgoing connections, so that no
+// connection takes a port between its choice and its use. Each process has a block of them for
+// itself, because tests of other packages run at the same time, and a process under test that is
+// started again needs the port that it had.
+const (
+	firstPort     = 20000
+	portsPerBlock = 1000
+	portBlocks    = 12
+)
+
+// portBlock is a block of ports that belongs to this process as long as claim, the listener at its
+// first port, is open.
+type portBlock struct {
+	first int
+	claim net.Listener
+}
+
+// ownPorts returns this process's block, which it claims at the first call.
+var ownPorts = sync.OnceValues(func() (portBlock, error) { return claimPortBlock(os.Getpid()) })
+
+// nextPort counts the ports of the block that were tried.
 var nextPort atomic.Int32
 
+// claimPortBlock claims a block of ports, preferably the one with an index.
+func claimPortBlock(preferred int) (portBlock, error) {
+	var err error
+	for i := range portBlocks {
+		first := firstPort + (preferred+i)%portBlocks*portsPerBlock
+		var claim net.Listener
+		if claim, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first)); err == nil {
+			return portBlock{first: first, claim: claim}, nil
+		}
+	}
+	return portBlock{}, errors.Wrap(err, "all blocks of ports are claimed")
+}
+
 // FreeAddress returns a loopback address on which nobody listens.
 func FreeAddress(t testing.TB) string {
 	t.Helper()
-	nextPort.CompareAndSwap(0, int32(20000+os.Getpid()%120*100))
-	for range 1000 {
-		address := fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1))
+	block, err := ownPorts()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 2 * portsPerBlock {
+		address := fmt.Sprintf("127.0.0.1:%d", block.first+1+int(nextPort.Add(1))%(portsPerBlock-1))
 		if l, err := net.Listen("tcp", address); err == nil {
 			_ = l.Close() // the port was only tried
 			return address
