--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -36,8 +36,9 @@
 // another ID, so it never gets a connection that belonged to its previous
 // incarnation. A Pool is safe for concurrent use.
 type Pool struct {
-	now    boottime.Clock
-	dialer *net.Dialer
+	now boottime.Clock
+	// dialContext opens a connection; it is that of a net.Dialer.
+	dialContext func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu       sync.Mutex
 	hosts    map[ident.Instance]*host
@@ -101,7 +102,13 @@
 
 // NewPool returns an empty pool.
 func NewPool(now boottime.Clock) *Pool {
-	return &Pool{now: now, dialer: &net.Dialer{KeepAlive: -1, Timeout: dialTimeout}, hosts: make(map[ident.Instance]*host)}
+	return &Pool{now: now, dialContext: (&net.Dialer{KeepAlive: -1}).DialContext, hosts: make(map[ident.Instance]*host)}
+}
+
+// DialWith makes the pool open its connections by another function, such as one that simulates
+// faults of the network. Call it before the pool is used.
+func (p *Pool) DialWith(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
+	p.dialContext = dial
 }
 
 // Target is the upstream that a request is sent to.
@@ -152,7 +159,9 @@
 // dial opens a connection that is already counted in h.open.
 func (p *Pool) dial(ctx context.Context, target Target, h *host) (*conn, error) {
 	begun := p.now()
-	raw, err := p.dialer.DialContext(ctx, "tcp", target.Address)
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	raw, err := p.dialContext(ctx, "tcp", target.Address)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.counters.Dials++
--- a/internal/testkit/relay.go
+++ b/internal/testkit/relay.go
@@ -20,10 +20,10 @@
 	listener net.Listener
 	group    sync.WaitGroup
 
-	// delay is in nanoseconds. While cut is set, all bytes are dropped; while hold
-	// is set, they are kept for later.
-	delay     atomic.Int64
-	cut, hold atomic.Bool
+	// delay is in nanoseconds. While cut is set, all bytes are dropped, while cutReplies is set,
+	// those from the server; while hold is set, they are kept for later.
+	delay                 atomic.Int64
+	cut, cutReplies, hold atomic.Bool
 
 	mu    sync.Mutex
 	conns []*relayedConn
@@ -81,6 +81,9 @@
 // ones. A connection that has lost bytes stays silent for ever.
 func (r *Relay) Cut(cut bool) { r.cut.Store(cut) }
 
+// CutReplies is like Cut for the bytes from the server alone.
+func (r *Relay) CutReplies(cut bool) { r.cutReplies.Store(cut) }
+
 // Hold starts to keep all bytes, and with false delivers them, also those of connections
 // that were closed meanwhile. It simulates a link that is broken for a time, over which
 // the sender's kernel goes on retransmitting them. Only a reset by the sender drops the
@@ -122,7 +125,7 @@
 	buffer := make([]byte, 4096)
 	for {
 		n, err := from.Read(buffer)
-		if c.silent.Load() || c.relay.cut.Load() {
+		if c.silent.Load() || c.relay.cut.Load() || from == c.server && c.relay.cutReplies.Load() {
 			if err != nil {
 				return
 			}
