--- a/internal/routing/placement/learn.go
+++ b/internal/routing/placement/learn.go
@@ -53,7 +53,7 @@
 	if !r.gotFirstEvent {
 		o.load.UnreadTokens -= r.unreadTokens
 	}
-	c.updateAvoidance(o, result, now)
+	c.updateAvoidance(o, choice.Upstream, result, now)
 	if result == forward.NoConnection || result == forward.Broken || result == forward.Cut {
 		c.lastUnreachable[r.domain] = now
 	}
@@ -103,12 +103,20 @@
 // prompt. It is added to predictions, so that short requests do not look slow.
 const idleAnswerTime = 60 * time.Millisecond
 
-// updateAvoidance avoids the upstream for a while if the connection failed.
-func (c *Chooser) updateAvoidance(o *ownWork, result forward.Result, now time.Time) {
+// updateAvoidance avoids the upstream for a while if the connection failed. It logs the first failure
+// and the first connection after it; what the other gateways have in progress there tells an
+// upstream that is down from one that this gateway alone does not reach.
+func (c *Chooser) updateAvoidance(o *ownWork, id ident.Instance, result forward.Result, now time.Time) {
 	if result != forward.NoConnection {
+		if o.failures > 0 {
+			c.cfg.Log.Info("upstream connects again", "upstream", id, "failures", o.failures, "result", result.String())
+		}
 		o.failures = 0
 		return
 	}
+	if o.failures == 0 {
+		c.cfg.Log.Info("upstream does not connect", "upstream", id, "others_running", c.cfg.OtherLoad(id).Running)
+	}
 	wait := min(minAvoidance<<min(o.failures, 8), maxAvoidance)
 	o.failures++
 	o.avoidUntil = now.Add(wait)
