A call goes through another gateway where its own has lost the path to the upstream

Cause: a gateway had one path to an upstream, its own, and took a lost path for a lost upstream. Each call tried five upstreams, 350 ms each, or five refused connections, and was refused.

Evidence: from 5 s on every attempt of the four gateways failed by its connection (779 time-outs), while the other four were served by the same upstreams (429 of 451); readiness, store and gossip were untouched.

Why it works: reach belongs to the pair of a gateway and an upstream, health to the upstream. internal/reach sends over the own path, and where no connection is made, offers the same request to another gateway, which makes one exchange over its own connections (internal/relay) and never passes it on. That another gateway reaches the upstream is what tells a lost path from a dead upstream; a second lost path makes all others doubtful, so that kept connections, which take a request without an error, are used no more until the upstream has answered; an exchange without an answer has its path checked. The gateway of the caller goes on deciding everything and counting once; the relaying one records what the upstream announces to it. How an answer ended crosses the hop as a verdict. What fails over a lost path is no evidence against the upstream, a version or a request.

--- a/internal/completion/completion.go
+++ b/internal/completion/completion.go
@@ -19,6 +19,9 @@
 	ByClose
 )
 
+// Valid reports whether the framing is one of those above.
+func (f Framing) Valid() bool { return f >= NoAnswer && f <= ByClose }
+
 // Ending is how the reading of an answer's body ended.
 type Ending int
 
@@ -39,6 +42,9 @@
 	Abandoned
 )
 
+// Valid reports whether the ending is one of those above.
+func (e Ending) Valid() bool { return e >= NotEnded && e <= Abandoned }
+
 // Position is where in its content an answer ended.
 type Position int
 
--- a/internal/entry/lending.go
+++ b/internal/entry/lending.go
@@ -48,7 +48,7 @@
 
 // Refuses implements lending.Network.
 func (n loanNetwork) Refuses(ctx context.Context, keeper gossip.Contact) bool {
-	return n.pool.Refuses(ctx, httpconn.Target{ID: ident.Instance(keeper.Address), Address: keeper.Address})
+	return n.pool.Refuses(ctx, httpconn.Target{ID: ident.Instance(keeper.Address), Address: keeper.Address}, false)
 }
 
 // accountLimit returns the limit of an account, or nil if it isn't configured.
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -105,6 +105,7 @@
 	p.writeLimitMetrics(w)
 	p.writeLendingMetrics(w)
 	p.writeAnnouncedMetrics(w)
+	p.writeNetworkMetrics(w)
 	v := p.view.Load()
 	fmt.Fprintf(w, "gateways_heard %d\ngateways_known %d\nclock_correction_seconds %.3f\n", v.Heard, v.Known, v.WallCorrection.Seconds())
 	fmt.Fprintf(w, "gateways_reports_age_seconds %.3f\n", v.age(p.now()).Seconds())
@@ -143,7 +144,7 @@
 	for now := p.now(); now.Before(end); now = p.now() {
 		left := 1
 		if now.Sub(start) >= closeIdleAfter {
-			left = p.callers.CloseIdle()
+			left = p.callers.CloseIdle() + p.relays.Active()
 		}
 		if left == 0 && now.Sub(start) >= platformNoticeTime || !sleep.For(signals.Kill, stopPollInterval) {
 			break
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -11,6 +11,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/ingress"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/relay"
 	"github.com/goldcrestspool/goldcrestspool/internal/rollout"
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
 )
@@ -20,6 +21,7 @@
 type Protocol interface {
 	ingress.Protocol
 	forward.Dialect
+	relay.Dialect
 }
 
 // Ports connect the process to the platform.
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -29,6 +29,8 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/metering"
 	"github.com/goldcrestspool/goldcrestspool/internal/poison"
 	"github.com/goldcrestspool/goldcrestspool/internal/quota"
+	"github.com/goldcrestspool/goldcrestspool/internal/reach"
+	"github.com/goldcrestspool/goldcrestspool/internal/relay"
 	"github.com/goldcrestspool/goldcrestspool/internal/retry"
 	"github.com/goldcrestspool/goldcrestspool/internal/rollout"
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
@@ -89,6 +91,8 @@
 	lease         *duty.Manager
 	quotas        *quota.Limiter
 	lending       *lending.Lending
+	network       *reach.Network
+	relays        *relay.Server
 	counter       *metering.Counter
 	ledger        *metering.Ledger
 	metrics       *ingress.Metrics
@@ -142,12 +146,14 @@
 		},
 		OnLeaving: func(ids []ident.Instance) { p.upstreams.recordLeaving(ids) },
 	})
+	p.wireNetwork()
 	p.configuration = newConfigFollower(p.ports, p.board, p.rollouts, p.now, p.storeRank, s.Configuration.ChangeDue, p.log.Named("configuration"))
-	p.upstreams = newUpstreamsFollower(p.ports, p.board, p.announced, p.rollouts, p.pool, p.now, p.storeRank, s.Upstreams.DepartureDue, p.log.Named("upstreams"))
+	p.upstreams = newUpstreamsFollower(p.ports, p.board, p.announced, p.rollouts, p.network, p.now, p.storeRank, s.Upstreams.DepartureDue, p.log.Named("upstreams"))
 	p.gossip = gossip.New(gossip.Config{
 		Self: p.contact(), Incarnation: p.incarnation, Table: p.peers, Knowledge: knowledge{p},
 		Network: gossip.HTTPNetwork{Pool: p.pool}, LoanNetwork: gossip.HTTPNetwork{Pool: p.pool, Path: gossip.LoanPath},
-		Lend: func(ctx context.Context, request []byte) ([]byte, error) { return p.lending.Serve(ctx, request) }, Now: p.now, Log: p.log.Named("gossip"),
+		Lend:     func(ctx context.Context, request []byte) ([]byte, error) { return p.lending.Serve(ctx, request) },
+		Handlers: map[string]http.Handler{"POST " + relay.Path: p.relays}, Now: p.now, Log: p.log.Named("gossip"),
 	})
 	p.counter = metering.NewCounter(s.Usage.Window, p.trueTime)
 	p.quotas = quota.NewLimiter(quota.Tolerance{Window: s.Quota.Window, Overage: s.Quota.Overage, Slack: s.Quota.Slack}, p.quotaReports, p.now())
@@ -169,7 +175,7 @@
 		Split:           p.rollouts.SplitOf,
 	})
 	forwarder := forward.New(forward.Config{
-		Now: p.now, Pool: p.pool, Dialect: p.ports.Protocol, Placement: p.chooser,
+		Now: p.now, Network: p.network, Dialect: p.ports.Protocol, Placement: p.chooser,
 		Budget: budget, Guard: p.poison, Announcements: p.announced, Meter: p.counter, Log: p.log.Named("forward"), Tracer: p.tracing.Tracer, RetryAfter: p.retryAfter,
 	})
 	p.lease = p.newLease()
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -13,7 +13,6 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
 	"github.com/goldcrestspool/goldcrestspool/internal/directory"
 	"github.com/goldcrestspool/goldcrestspool/internal/finding"
-	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
 	"github.com/goldcrestspool/goldcrestspool/internal/rollout"
@@ -55,6 +54,13 @@
 // shareOf returns a share of d; a share of 1 is all of it.
 func shareOf(d time.Duration, share float64) time.Duration { return time.Duration(share * float64(d)) }
 
+// connections are the connections to upstreams.
+type connections interface {
+	// Forget closes those to an upstream that is gone, and CloseIdle the idle ones to one that leaves.
+	Forget(ident.Instance)
+	CloseIdle(ident.Instance)
+}
+
 // upstreamsFollower follows the upstreams' entries and publishes them. It is the only
 // writer of board.upstreams.
 type upstreamsFollower struct {
@@ -64,7 +70,7 @@
 	announced *announced.Registry
 	// rollouts observes each view before it is published.
 	rollouts *rollout.Tracker
-	pool     *httpconn.Pool
+	conns    connections
 	now      boottime.Clock
 	log      hclog.Logger
 	// rank returns this gateway's rank among those that may ask the store; 0 is first.
@@ -86,11 +92,11 @@
 	loggedUnusable, loggedUnknownService onceByKey
 }
 
-func newUpstreamsFollower(ports Ports, b *board, announcements *announced.Registry, rollouts *rollout.Tracker, pool *httpconn.Pool, now boottime.Clock, rank func() int, due time.Duration, log hclog.Logger) *upstreamsFollower {
+func newUpstreamsFollower(ports Ports, b *board, announcements *announced.Registry, rollouts *rollout.Tracker, conns connections, now boottime.Clock, rank func() int, due time.Duration, log hclog.Logger) *upstreamsFollower {
 	dir := directory.New()
 	dir.UseAnnouncements(announcements.Leaving)
 	return &upstreamsFollower{
-		ports: ports, board: b, announced: announcements, rollouts: rollouts, pool: pool, now: now, rank: rank, due: due, log: log, health: storeHealth{log: log, topic: ports.UpstreamsTopic},
+		ports: ports, board: b, announced: announcements, rollouts: rollouts, conns: conns, now: now, rank: rank, due: due, log: log, health: storeHealth{log: log, topic: ports.UpstreamsTopic},
 		dir: dir,
 	}
 }
@@ -280,7 +286,7 @@
 	u.rollouts.Observe(view)
 	u.board.upstreams.Publish(view)
 	for _, id := range old.MissingFrom(view) {
-		u.pool.Forget(id)
+		u.conns.Forget(id)
 		if gone, listed := old.Upstream(id); listed && gone.Born == 0 {
 			u.announced.Forget(id)
 		}
@@ -294,7 +300,7 @@
 	defer u.mu.Unlock()
 	u.publish(u.dir.ShowLeaving(ids))
 	for _, id := range ids {
-		u.pool.CloseIdle(id)
+		u.conns.CloseIdle(id)
 	}
 }
 
--- a/internal/forward/announced.go
+++ b/internal/forward/announced.go
@@ -28,7 +28,7 @@
 // recordTrailer records what the trailer of an answer that was read to its end announces. An
 // upstream that began to leave during a long answer can only say so there.
 func (s *session) recordTrailer(choice Choice, answer *httpconn.Answer) {
-	if trailer := answer.Trailer(); len(trailer) > 0 {
+	if trailer := answer.Trailer(); len(trailer) > 0 && answer.Relayed == nil {
 		s.recordFields(choice, trailer)
 	}
 }
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -13,7 +13,8 @@
 // readAnswer reads an answer whose header was received.
 func (s *session) readAnswer(choice Choice, answer *httpconn.Answer, silence *silenceTimer) Result {
 	info := s.f.cfg.Dialect.ParseAnswer(answer.Status, answer.Header)
-	if !info.FromOtherUpstream {
+	if !info.FromOtherUpstream && answer.Relayed == nil {
+		// What a relayed answer announces was said to the relaying gateway, which records it.
 		s.record(choice, info.Announced)
 	}
 	s.f.cfg.Dialect.RemoveAnnouncements(answer.Header)
--- a/internal/forward/ended.go
+++ b/internal/forward/ended.go
@@ -26,10 +26,7 @@
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), f.probeAfter+probeTimeout)
 		defer cancel()
 		sleep.For(ctx, f.probeAfter)
-		if inDoubt {
-			return f.cfg.Pool.RefusesInDoubt(ctx, target), nil
-		}
-		return f.cfg.Pool.Refuses(ctx, target), nil
+		return f.cfg.Network.Refuses(ctx, target, inDoubt), nil
 	})
 	return refused.(bool)
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -46,7 +46,7 @@
 // Config holds what a Forwarder uses. All fields are required.
 type Config struct {
 	Now       boottime.Clock
-	Pool      *httpconn.Pool
+	Network   Network
 	Dialect   Dialect
 	Placement Placement
 	Budget    Budget
@@ -154,6 +154,9 @@
 			return
 		}
 		result := s.attempt(choice)
+		if result != Done && s.f.cfg.Network.Lost(choice.Upstream) {
+			s.f.cfg.Placement.PathLost(choice)
+		}
 		s.f.cfg.Placement.Finished(choice, result, s.f.cfg.Now())
 		step := s.state.After(choice.Upstream, result, s.spendRetry)
 		if step == Fail || step == TimeOut && s.buffered != nil {
@@ -161,7 +164,7 @@
 		}
 		if result != Done {
 			s.f.cfg.Log.Info("attempt ended", "id", s.call.ID, "upstream", choice.Upstream, "why", choice.Why,
-				"result", result.String(), "cause", s.reason, "next", step.String(), "attempt", s.state.Attempts(),
+				"result", result.String(), "cause", s.reason, "relayed_by", s.outcome.RelayedBy, "next", step.String(), "attempt", s.state.Attempts(),
 				"left_ms", s.call.Remaining(s.f.cfg.Now()).Milliseconds(), "content", s.call.Content(),
 				"framing", s.ended.Framing.String(), "ending", s.ended.Ending.String(), "position", s.ended.Position.String(), "process", s.ended.Process.String(),
 				"last_event", s.lastEvent, "bytes_after", s.ended.BytesAfter, "answer", s.ended.Verdict().String())
@@ -279,13 +282,15 @@
 // exchange sends the call to an upstream and reads its answer. The events of a stream are
 // delivered as they arrive.
 func (s *session) exchange(ctx context.Context, choice Choice, silence *silenceTimer) Result {
-	s.ended = AnswerEnd{}
+	s.ended, s.outcome.RelayedBy = AnswerEnd{}, ""
 	request := s.f.cfg.Dialect.Request(s.call, Attempt{
 		Upstream: choice.Name, TimeLeft: s.call.Remaining(s.f.cfg.Now()), LastEventID: s.lastEvent,
 	})
 	request.BeforeSend = func() error { return s.checkAccepts(choice) }
 	request.OnOtherHeader = func(header http.Header) { s.recordFields(choice, header) }
-	answer, failure := s.f.cfg.Pool.Send(ctx, choice.target(), request)
+	answer, failure := s.f.cfg.Network.Send(ctx, choice.target(), Exchange{
+		Request: request, ID: s.call.ID, TimeLeft: s.call.Remaining(s.f.cfg.Now()), SuspectAfter: choice.SilenceTimeout,
+	})
 	if failure != nil {
 		if countsAsStarted(failure) {
 			s.countForUsage()
@@ -293,6 +298,9 @@
 		return s.resultOfFailure(choice, failure)
 	}
 	defer answer.Close()
+	if answer.Relayed != nil {
+		s.outcome.RelayedBy = answer.Relayed.By
+	}
 	s.ended.End = answer.End(completion.NotAStream)
 	result := s.readAnswer(choice, answer, silence)
 	s.outcome.Ends = append(s.outcome.Ends, s.ended)
@@ -323,7 +331,7 @@
 		return ended
 	}
 	if errors.Is(failure, errSilent) {
-		s.f.cfg.Pool.CloseIdle(choice.Upstream)
+		s.f.cfg.Network.CloseIdle(choice.Upstream)
 	}
 	return s.interrupted()
 }
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -66,6 +66,8 @@
 
 func (p *listed) FirstEventArrived(Choice, time.Time) {}
 
+func (p *listed) PathLost(Choice) {}
+
 func (p *listed) UpstreamEnded(Choice) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -158,7 +160,7 @@
 func newGatewayUnderTest(now boottime.Clock, upstreams ...*worker.Worker) *gatewayUnderTest {
 	g := &gatewayUnderTest{placement: &listed{upstreams: upstreams}, guard: &countingGuard{}, budget: &countingBudget{}, pool: httpconn.NewPool(now)}
 	g.Forwarder = New(Config{
-		Now: boottime.Now, Pool: g.pool, Dialect: plainDialect{}, Placement: g.placement, Budget: g.budget, Guard: g.guard, Announcements: unlimited{}, Meter: unlimited{},
+		Now: boottime.Now, Network: DirectNetwork{Pool: g.pool}, Dialect: plainDialect{}, Placement: g.placement, Budget: g.budget, Guard: g.guard, Announcements: unlimited{}, Meter: unlimited{},
 		Log: hclog.NewNullLogger(), Tracer: noop.NewTracerProvider().Tracer(""), RetryAfter: func(*Call) time.Duration { return time.Second },
 	})
 	return g
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -99,6 +100,31 @@
 	ParseFields(fields http.Header) announced.Statement
 }
 
+// Exchange is one request to an upstream.
+type Exchange struct {
+	*httpconn.Request
+	ID ident.Request
+	// TimeLeft is how much longer the caller waits.
+	TimeLeft time.Duration
+	// SuspectAfter is how long an answer is awaited before the path to the upstream is checked.
+	SuspectAfter time.Duration
+}
+
+// Network sends requests to upstreams, over whichever path reaches them. It is safe for concurrent
+// use.
+type Network interface {
+	// Send sends a request at most once and returns when the answer's header was received, like
+	// httpconn.Pool.Send.
+	Send(ctx context.Context, target httpconn.Target, e Exchange) (*httpconn.Answer, *httpconn.Failure)
+	// Refuses reports whether new connections to an upstream are refused, as after the end of its
+	// process. inDoubt: nothing has failed yet.
+	Refuses(ctx context.Context, target httpconn.Target, inDoubt bool) bool
+	// CloseIdle closes the kept connections to an upstream on which another one went silent.
+	CloseIdle(upstream ident.Instance)
+	// Lost reports whether this gateway's own path to an upstream is lost.
+	Lost(upstream ident.Instance) bool
+}
+
 // Choice is the upstream chosen for an attempt, with the slot reserved there.
 type Choice struct {
 	// Upstream identifies one incarnation of the upstream; Name is the name that the
@@ -168,6 +194,9 @@
 	// the failed attempt says nothing about how the upstream serves other requests. It
 	// reports whether the end was unexpected. Finished is called after it.
 	UpstreamEnded(choice Choice) bool
+	// PathLost records that the path to the upstream is lost, so that a failed attempt says nothing
+	// about the upstream. Finished is called after it.
+	PathLost(choice Choice)
 	// Finished records the result of the attempt and releases its slot.
 	Finished(choice Choice, result Result, now time.Time)
 }
@@ -263,6 +292,8 @@
 	LastEvent string
 	// Ends lists how the answers to the attempts ended, in order.
 	Ends []AnswerEnd
+	// RelayedBy is the gateway that relayed the last answer; empty if none did.
+	RelayedBy ident.Instance
 	// LongestPause is the longest time between two consecutive deliveries of events.
 	LongestPause time.Duration
 	// AtLimit lists the upstreams that were passed over because they had reached the rate
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -85,8 +85,10 @@
 	// nothing to each other.
 	LoanNetwork Network
 	Lend        LoanServer
-	Now         boottime.Clock
-	Log         hclog.Logger
+	// Handlers serve further paths on the gateways' own listener; it may be nil.
+	Handlers map[string]http.Handler
+	Now      boottime.Clock
+	Log      hclog.Logger
 }
 
 // Gossip exchanges reports with the other gateways. It is safe for concurrent use.
@@ -144,6 +146,9 @@
 	if cfg.Lend != nil {
 		mux.HandleFunc("POST "+LoanPath, g.serveLoan)
 	}
+	for pattern, handler := range cfg.Handlers {
+		mux.Handle(pattern, handler)
+	}
 	g.server = &http.Server{Handler: mux, ReadHeaderTimeout: exchangeTimeout, IdleTimeout: connectionIdleTimeout,
 		ErrorLog: cfg.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
 	return g
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -21,6 +21,7 @@
 	pkgerrors "github.com/pkg/errors"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/completion"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 )
 
 const (
@@ -105,6 +106,11 @@
 	Status int
 	Header http.Header
 
+	// Relayed is set if another gateway passed the request and the answer on; nil otherwise.
+	Relayed *RelayedEnd
+	// OnClose is called when the answer is closed; it may be nil.
+	OnClose func()
+
 	// ctx is the request's context, at whose end the connection is reset.
 	ctx      context.Context
 	conn     *conn
@@ -121,6 +127,16 @@
 	endedAt time.Time
 }
 
+// RelayedEnd is how the answer behind a relaying gateway ended.
+type RelayedEnd struct {
+	// By is the gateway that relayed it.
+	By ident.Instance
+	// Ended returns the end that the gateway observed, as far as the body of the relayed answer
+	// was read to its own end, and whether the gateway would ask for the end of the upstream's
+	// process. The position is left out.
+	Ended func(trailer http.Header) (end completion.End, worthAsking bool)
+}
+
 // Read reads the body. An answer that breaks off before its stated end, or that
 // has no stated end and is reset, ends with a *Failure. After io.EOF, End tells
 // whether the answer is complete: a body without a stated end may have been
@@ -178,7 +194,12 @@
 
 // End describes the end of the answer, of which position is where in its content it ended.
 func (a *Answer) End(position completion.Position) completion.End {
-	return completion.End{Framing: a.Framing(), Ending: a.ending, Position: position}
+	end := completion.End{Framing: a.Framing(), Ending: a.ending}
+	if a.Relayed != nil && a.ending == completion.AtFrame {
+		end, _ = a.Relayed.Ended(a.response.Trailer)
+	}
+	end.Position = position
+	return end
 }
 
 // readToEnd reports whether Read has returned io.EOF.
@@ -194,6 +215,9 @@
 // complete and the upstream keeps the connection open, resets it if the
 // exchange was abandoned, and closes it otherwise.
 func (a *Answer) Close() {
+	if a.OnClose != nil {
+		a.OnClose()
+	}
 	notReset := a.stopReset()
 	if a.closedByUpstream() {
 		a.conn.noteClosed(a.endedAt)
@@ -227,6 +251,7 @@
 // exchange sends a request and reads the answer's header. It resets the
 // connection when ctx ends.
 func (c *conn) exchange(ctx context.Context, req *Request) (*Answer, *Failure) {
+	suspicions := c.pool.suspicions.Load()
 	stop := context.AfterFunc(ctx, c.reset)
 	fail := func(stage Stage, err error) (*Answer, *Failure) {
 		stop()
@@ -244,6 +269,8 @@
 	if err != nil {
 		return fail(StageHeader, err)
 	}
+	c.host.verify(suspicions)
+	c.host.answers.Add(1)
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header,
 		ctx: ctx, conn: c, response: response, written: written, stopReset: stop,
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,6 +21,9 @@
 // open to the upstream.
 var ErrNoFreeConnection = errors.New("all connections to the upstream are in use")
 
+// ErrNoKeptConnection: no kept connection to the upstream can be used.
+var ErrNoKeptConnection = errors.New("no kept connection to the upstream can be used")
+
 // dialTimeout bounds one connection attempt. Round trips between failure
 // domains take milliseconds; an upstream that has not answered within this time
 // is down, unreachable, or drops connection attempts because its accept queue
@@ -40,6 +45,9 @@
 	// dialContext opens a connection; it is that of a net.Dialer.
 	dialContext func(ctx context.Context, network, address string) (net.Conn, error)
 
+	// suspicions counts the calls of Suspect.
+	suspicions atomic.Uint64
+
 	mu       sync.Mutex
 	hosts    map[ident.Instance]*host
 	counters Counters
@@ -64,6 +72,11 @@
 	// forgotten: the upstream has left, so its connections are closed after
 	// use.
 	forgotten bool
+	// suspected is the number of the last suspicion of this upstream.
+	suspected uint64
+	// verified is the number of the newest suspicion after which an exchange or a connection was
+	// begun to which the upstream answered, and answers counts the answers.
+	verified, answers atomic.Uint64
 }
 
 const (
@@ -121,6 +134,10 @@
 	// DefaultIdleTime is how long a connection is kept idle if the upstream does not
 	// say; at least and by default 400 ms.
 	DefaultIdleTime time.Duration
+	// DialTimeout bounds a connection attempt; 0 means 350 ms.
+	DialTimeout time.Duration
+	// KeptOnly: no connection is opened for the request.
+	KeptOnly bool
 }
 
 // Send sends a request at most once and returns when the answer's header has
@@ -158,8 +175,8 @@
 
 // dial opens a connection that is already counted in h.open.
 func (p *Pool) dial(ctx context.Context, target Target, h *host) (*conn, error) {
-	begun := p.now()
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	begun, suspicions := p.now(), p.suspicions.Load()
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(target.DialTimeout, dialTimeout))
 	defer cancel()
 	raw, err := p.dialContext(ctx, "tcp", target.Address)
 	p.mu.Lock()
@@ -170,6 +187,7 @@
 		h.open--
 		return nil, err
 	}
+	h.verify(suspicions)
 	reader, header := newReader(raw)
 	c := &conn{pool: p, id: target.ID, host: h, net: raw, reader: reader, header: header}
 	h.lastAlive = boottime.Later(h.lastAlive, begun)
@@ -182,28 +200,70 @@
 // false if a connection is made, which is then kept for reuse. It also returns
 // false if the attempt fails in another way or does not end before ctx, because
 // that does not show that the process has ended.
-func (p *Pool) Refuses(ctx context.Context, target Target) bool { return p.refuses(ctx, target, false) }
-
-// RefusesInDoubt is like Refuses where nothing has failed: a connection that is made counts against
-// the bound that Answer.WorthAsking keeps.
-func (p *Pool) RefusesInDoubt(ctx context.Context, target Target) bool {
-	return p.refuses(ctx, target, true)
+func (p *Pool) Refuses(ctx context.Context, target Target, inDoubt bool) bool {
+	return errors.Is(p.Connect(ctx, target, inDoubt), syscall.ECONNREFUSED)
 }
 
-func (p *Pool) refuses(ctx context.Context, target Target, inDoubt bool) bool {
+// Connect opens a connection and keeps it for reuse. It returns the error of the attempt. inDoubt:
+// nothing has failed, and the connection counts against the bound that Answer.WorthAsking keeps.
+func (p *Pool) Connect(ctx context.Context, target Target, inDoubt bool) error {
 	p.mu.Lock()
 	h := p.host(target.ID)
 	h.open++
 	p.mu.Unlock()
 	c, err := p.dial(ctx, target, h)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return err
 	}
 	if inDoubt {
 		c.chargeDoubt()
 	}
 	c.putIdle(defaultIdleTimeout)
-	return false
+	return nil
+}
+
+// Suspect makes the kept connections to some upstreams doubtful: they are used only once the
+// upstream has answered to something that was begun later. A path that is cut takes what is sent on
+// an open connection without an error.
+func (p *Pool) Suspect(upstreams ...ident.Instance) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	number := p.suspicions.Add(1)
+	for _, id := range upstreams {
+		p.host(id).suspected = number
+	}
+}
+
+// Doubtful reports whether the upstream has answered to nothing that was begun after it was
+// suspected.
+func (p *Pool) Doubtful(id ident.Instance) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[id]
+	return h != nil && h.doubtful()
+}
+
+// doubtful implements Pool.Doubtful. The caller holds Pool.mu.
+func (h *host) doubtful() bool { return h.verified.Load() < h.suspected }
+
+// Answers returns how many answers of the upstream have begun so far.
+func (p *Pool) Answers(id ident.Instance) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h := p.hosts[id]; h != nil {
+		return h.answers.Load()
+	}
+	return 0
+}
+
+// verify records that the upstream answered to something that was begun after a number of suspicions.
+func (h *host) verify(suspicions uint64) {
+	for {
+		before := h.verified.Load()
+		if before >= suspicions || h.verified.CompareAndSwap(before, suspicions) {
+			return
+		}
+	}
 }
 
 // chargeDoubt records that the connection was made only because of a doubt.
@@ -231,7 +291,7 @@
 	defer p.mu.Unlock()
 	h := p.host(target.ID)
 	now := p.now()
-	for len(h.idle) > 0 {
+	for len(h.idle) > 0 && !h.doubtful() {
 		// The most recently used connection is the least likely to have become
 		// unusable.
 		c := h.idle[len(h.idle)-1]
@@ -246,6 +306,9 @@
 		}
 		p.close(c)
 	}
+	if target.KeptOnly {
+		return h, nil, ErrNoKeptConnection
+	}
 	if target.MaxConnections > 0 && h.open >= target.MaxConnections {
 		return h, nil, ErrNoFreeConnection
 	}
--- a/internal/httpconn/together.go
+++ b/internal/httpconn/together.go
@@ -19,6 +19,10 @@
 // same time as now, none was begun and made since, and few enough were made because of a doubt. It
 // sends nothing.
 func (a *Answer) WorthAsking() bool {
+	if a.Relayed != nil {
+		_, worthAsking := a.Relayed.Ended(a.response.Trailer)
+		return worthAsking
+	}
 	others, since, closed := a.conn.others()
 	if closed || len(others) == 0 {
 		return closed
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -481,6 +481,9 @@
 	if len(outcome.AtLimit) > 0 {
 		fields = append(fields, "at_limit", outcome.AtLimit)
 	}
+	if outcome.RelayedBy != "" {
+		fields = append(fields, "relayed_by", outcome.RelayedBy)
+	}
 	if len(outcome.Paused) > 0 {
 		fields = append(fields, "paused", outcome.Paused)
 	}
--- /dev/null
+++ b/internal/reach/relays.go
@@ -0,0 +1,101 @@
+package reach
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/gossip"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+const (
+	// maxRelayTries bounds the gateways that one request is offered to. Each that declines costs a
+	// round trip.
+	maxRelayTries = 4
+	// spreadOver is among how many gateways the requests of this one are spread.
+	spreadOver = 3
+	// minRelayPause is how long a gateway that did not take a request is not asked again for the
+	// same, and maxRelayPause bounds the doubling of it.
+	minRelayPause, maxRelayPause = 500 * time.Millisecond, 2 * time.Second
+)
+
+// relayKey names what a gateway did not take: requests to one upstream, or all if upstream is empty.
+type relayKey struct{ gateway, upstream ident.Instance }
+
+// relayPause is until when a gateway is not asked.
+type relayPause struct {
+	until  time.Time
+	length time.Duration
+}
+
+// relays chooses the gateways that relay this one's requests. Each gateway ranks the others in an
+// order of its own, so that the requests of many are spread evenly, and who relays for whom changes
+// only where a gateway comes, goes or declines. It is not safe for concurrent use.
+type relays struct {
+	self     ident.Instance
+	pauses   map[relayKey]relayPause
+	inFlight map[ident.Instance]int
+}
+
+func newRelays(self ident.Instance) *relays {
+	return &relays{self: self, pauses: make(map[relayKey]relayPause), inFlight: make(map[ident.Instance]int)}
+}
+
+// order returns the gateways to offer a request to, the best one first.
+func (r *relays) order(gateways []gossip.Contact, upstream ident.Instance, now time.Time) []gossip.Contact {
+	ranked := make([]gossip.Contact, 0, len(gateways))
+	for _, g := range gateways {
+		if g.Node != r.self && g.Node != "" && !r.pausing(relayKey{g.Node, ""}, now) && !r.pausing(relayKey{g.Node, upstream}, now) {
+			ranked = append(ranked, g)
+		}
+	}
+	own := xxhash.Sum64String(string(r.self))
+	slices.SortFunc(ranked, func(a, b gossip.Contact) int { return cmp.Compare(rank(own, a.Node), rank(own, b.Node)) })
+	slices.SortStableFunc(ranked[:min(spreadOver, len(ranked))], func(a, b gossip.Contact) int {
+		return cmp.Compare(r.inFlight[a.Node], r.inFlight[b.Node])
+	})
+	return ranked[:min(maxRelayTries, len(ranked))]
+}
+
+// rank returns the rank of a gateway at the one with the given hash; the lowest comes first.
+func rank(own uint64, node ident.Instance) uint64 {
+	x := own ^ xxhash.Sum64String(string(node))
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func (r *relays) pausing(key relayKey, now time.Time) bool {
+	p, found := r.pauses[key]
+	return found && now.Before(p.until)
+}
+
+// declined records that a gateway did not take a request to an upstream, or took none if upstream is
+// empty.
+func (r *relays) declined(gateway, upstream ident.Instance, now time.Time) {
+	key := relayKey{gateway, upstream}
+	length := min(max(2*r.pauses[key].length, minRelayPause), maxRelayPause)
+	r.pauses[key] = relayPause{until: now.Add(length), length: length}
+	for k, p := range r.pauses {
+		if now.Sub(p.until) > maxRelayPause {
+			delete(r.pauses, k)
+		}
+	}
+}
+
+// took records that a gateway took a request to an upstream.
+func (r *relays) took(gateway, upstream ident.Instance) {
+	delete(r.pauses, relayKey{gateway, upstream})
+	delete(r.pauses, relayKey{gateway, ""})
+}
+
+// begin counts a request in flight at a gateway, and end ends it.
+func (r *relays) begin(gateway ident.Instance) { r.inFlight[gateway]++ }
+func (r *relays) end(gateway ident.Instance) {
+	if r.inFlight[gateway]--; r.inFlight[gateway] <= 0 {
+		delete(r.inFlight, gateway)
+	}
+}
--- a/internal/routing/placement/learn.go
+++ b/internal/routing/placement/learn.go
@@ -39,6 +39,11 @@
 	return known && u.State == directory.Ready
 }
 
+// PathLost implements forward.Placement.
+func (c *Chooser) PathLost(choice forward.Choice) {
+	choice.Reservation.(*reservation).pathLost = true
+}
+
 // Finished implements forward.Placement.
 func (c *Chooser) Finished(choice forward.Choice, result forward.Result, now time.Time) {
 	c.mu.Lock()
@@ -54,7 +59,7 @@
 		o.load.UnreadTokens -= r.unreadTokens
 	}
 	c.updateAvoidance(o, choice.Upstream, result, now)
-	if result == forward.NoConnection || result == forward.Broken || result == forward.Cut {
+	if !r.pathLost && (result == forward.NoConnection || result == forward.Broken || result == forward.Cut) {
 		c.lastUnreachable[r.domain] = now
 	}
 	if sample, counts := ejectionSample(r, result, now.Sub(r.sentAt)); counts {
@@ -77,9 +82,9 @@
 // request that another upstream broke off may come with hardly any time left.
 func ejectionSample(r *reservation, result forward.Result, elapsed time.Duration) (ejection.Sample, bool) {
 	sample := ejection.Sample{Started: r.sentAt}
-	if r.upstreamEnded {
-		// The request itself may have crashed the upstream, which shows nothing about
-		// how the upstream serves other requests.
+	if r.upstreamEnded || r.pathLost {
+		// The request itself may have crashed the upstream, or never have reached it, which shows
+		// nothing about how the upstream serves other requests.
 		return sample, false
 	}
 	switch result {
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -207,6 +207,8 @@
 	firstEventLatency time.Duration
 	// upstreamEnded is set if the upstream's process ended during the request.
 	upstreamEnded bool
+	// pathLost is set if this gateway's path to the upstream is lost.
+	pathLost bool
 	// maybePartial: the answer may be the rest of a stream of which the caller has the
 	// first part.
 	maybePartial bool
--- a/internal/routing/placement/subset.go
+++ b/internal/routing/placement/subset.go
@@ -43,6 +43,14 @@
 	return connectionShare{maxPerUpstream: own, upstreamFraction: min(1, shared/(gateways*float64(own)))}
 }
 
+// MaxConnections returns how many connections this gateway may open to each upstream of a service; 0
+// means no bound.
+func (c *Chooser) MaxConnections(service *routetable.Service) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.connectionShareOf(service).maxPerUpstream
+}
+
 // mayUse reports whether this gateway may use an upstream under its share of the
 // connections.
 func (c *Chooser) mayUse(u *directory.Upstream, s connectionShare) bool {
--- a/internal/routing/placement/versions.go
+++ b/internal/routing/placement/versions.go
@@ -35,8 +35,8 @@
 // the first event was slow to arrive by then.
 func (r *reservation) rolloutAnswer(result forward.Result, demand *serviceDemand, now time.Time) (rollout.Answer, bool) {
 	elapsed := now.Sub(r.sentAt)
-	if r.upstreamEnded {
-		// Another request may have crashed the upstream and so broken off this one.
+	if r.upstreamEnded || r.pathLost {
+		// Another request may have crashed the upstream and so broken off this one, or the path did.
 		return rollout.Answer{}, false
 	}
 	switch result {
