--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -225,6 +225,7 @@
 	run(p.configuration.run)
 	run(p.upstreams.run)
 	run(p.gossip.Run)
+	run(p.network.Run)
 	run(p.followPeers)
 	run(p.sweepIdle)
 	run(func(ctx context.Context) { p.reload(ctx, reload) })
--- a/internal/reach/network.go
+++ b/internal/reach/network.go
@@ -16,19 +16,19 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/relay"
+	"github.com/goldcrestspool/goldcrestspool/internal/sleep"
 )
 
 const (
 	// doubtDialTimeout bounds a connection attempt over a doubtful path, after which another gateway
-	// is asked. Upstreams are some milliseconds away.
-	doubtDialTimeout = 40 * time.Millisecond
+	// is asked. Upstreams are some milliseconds away; one that is farther works again, for this
+	// gateway, with the next try of its path.
+	doubtDialTimeout = 15 * time.Millisecond
 	// checkTimeout bounds the connection attempt that checks a path, and retryTimeout the one that
 	// tries a lost path again.
 	checkTimeout, retryTimeout = 120 * time.Millisecond, 300 * time.Millisecond
 	// relayCheckTimeout bounds the question to another gateway whether it reaches an upstream.
 	relayCheckTimeout = 150 * time.Millisecond
-	// maxRelaysAsked bounds how many gateways are asked that.
-	maxRelaysAsked = 2
 	// minSilence and maxSilence bound the silence of an exchange after which its path is checked.
 	minSilence, maxSilence = 150 * time.Millisecond, 600 * time.Millisecond
 )
@@ -162,7 +162,7 @@
 		}
 		answer, failure := n.sendThrough(ctx, by, target, req, left)
 		if failure == nil || failure.MaybeSent {
-			n.recordRelayed(by, target.ID, failure, direct)
+			n.recordRelayed(by, target, failure, direct)
 			return answer, failure
 		}
 		last = failure
@@ -216,15 +216,17 @@
 
 // recordRelayed records that another gateway sent a request. failure is that of the exchange, if it
 // failed later.
-func (n *Network) recordRelayed(by gossip.Contact, upstream ident.Instance, failure, direct *httpconn.Failure) {
+func (n *Network) recordRelayed(by gossip.Contact, target httpconn.Target, failure, direct *httpconn.Failure) {
 	if failure != nil && !errors.Is(failure, relay.ErrNoAnswer) {
 		return // the way to the other gateway broke, which says nothing about the upstream
 	}
 	n.count(func() {
 		n.counters.Relayed++
-		n.relays.took(by.Node, upstream)
+		n.relays.took(by.Node, target.ID, n.cfg.Now())
 	})
-	n.recordLost(upstream, by.Node, direct)
+	if !errors.Is(direct, httpconn.ErrNoKeptConnection) { // else the own path was not tried
+		n.recordLost(target, by.Node, direct)
+	}
 }
 
 func (n *Network) recordDeclined(by gossip.Contact, upstream ident.Instance, failure *httpconn.Failure) {
@@ -242,10 +244,11 @@
 }
 
 // recordLost records that another gateway reaches an upstream that this one does not. The kept
-// connections to it become doubtful, and those to all upstreams if another path is lost too.
-func (n *Network) recordLost(upstream, by ident.Instance, cause error) {
+// connections to it become doubtful. A path that is silent shows by itself only when a request was
+// lost on it, so that then those to all upstreams become doubtful.
+func (n *Network) recordLost(target httpconn.Target, by ident.Instance, cause error) {
 	n.mu.Lock()
-	first, spread := n.paths.recordLost(upstream, n.cfg.Now())
+	first := n.paths.recordLost(target, n.cfg.Now())
 	lost := n.paths.lost
 	if first {
 		n.counters.Lost++
@@ -254,21 +257,21 @@
 	if !first {
 		return
 	}
-	suspects := []ident.Instance{upstream}
-	if spread {
+	silent := timedOut(cause)
+	suspects := []ident.Instance{target.ID}
+	if silent {
 		suspects = append(suspects, n.cfg.Upstreams()...)
 	}
 	n.cfg.Direct.Suspect(suspects...)
-	n.cfg.Log.Info("path to upstream lost", "upstream", upstream, "reached_by", by, "cause", cause, "lost", lost, "all_doubtful", spread)
+	n.cfg.Log.Info("path to upstream lost", "upstream", target.ID, "reached_by", by, "cause", cause, "lost", lost, "all_doubtful", silent)
 }
 
 func (n *Network) recordWorks(upstream ident.Instance) {
 	n.mu.Lock()
-	since := n.paths.recordWorks(upstream)
-	lost := n.paths.lost
+	since, others := n.paths.recordWorks(upstream)
 	n.mu.Unlock()
 	if !since.IsZero() {
-		n.cfg.Log.Info("path to upstream works again", "upstream", upstream, "after_ms", n.cfg.Now().Sub(since).Milliseconds(), "lost", lost)
+		n.cfg.Log.Info("path to upstream works again", "upstream", upstream, "after_ms", n.cfg.Now().Sub(since).Milliseconds(), "others_doubtful", others)
 	}
 }
 
@@ -276,7 +279,7 @@
 func (n *Network) recordDown(upstream ident.Instance) {
 	n.count(func() {
 		n.counters.Down++
-		n.paths.of(upstream).unreachableUntil = n.cfg.Now().Add(unreachableTTL)
+		n.paths.recordDown(upstream, n.cfg.Now())
 	})
 }
 
@@ -290,6 +293,18 @@
 	return n.cfg.Direct.Connect(ctx, target, false)
 }
 
+// Run tries lost paths again, one at a time, until ctx ends.
+func (n *Network) Run(ctx context.Context) {
+	for sleep.For(ctx, retryInterval) {
+		n.mu.Lock()
+		target, lost := n.paths.anyLost()
+		n.mu.Unlock()
+		if lost {
+			n.retry(target)
+		}
+	}
+}
+
 // retry tries a lost path again.
 func (n *Network) retry(target httpconn.Target) {
 	ctx, cancel := context.WithTimeout(context.Background(), retryTimeout)
@@ -348,28 +363,34 @@
 // askRelays asks other gateways whether they reach an upstream that this one does not, and records
 // the answer. asked is set if one answered, and refused if connections are refused there too.
 func (n *Network) askRelays(ctx context.Context, target httpconn.Target, direct error) (refused, asked bool) {
-	for i, by := range n.order(target.ID) {
-		if i == maxRelaysAsked {
-			break
-		}
-		answer := n.askRelay(ctx, by, target)
+	ctx, cancel := context.WithTimeout(ctx, relayCheckTimeout)
+	defer cancel()
+	order := n.order(target.ID)
+	answers := make(chan relayAnswer, len(order))
+	for _, by := range order {
+		go func() { answers <- relayAnswer{by, n.cfg.Relay.Connect(ctx, by, target)} }()
+	}
+	for range order {
+		answer := <-answers
 		switch {
-		case answer == nil:
-			n.recordLost(target.ID, by.Node, direct)
+		case answer.err == nil:
+			n.count(func() { n.relays.took(answer.by.Node, target.ID, n.cfg.Now()) })
+			n.recordLost(target, answer.by.Node, direct)
 			return false, true
-		case errors.Is(answer, relay.ErrRefused):
+		case errors.Is(answer.err, relay.ErrRefused):
 			refused, asked = true, true
-		case errors.Is(answer, relay.ErrNotReached):
+		case errors.Is(answer.err, relay.ErrNotReached):
 			asked = true
 		}
 	}
 	return refused, asked
 }
 
-func (n *Network) askRelay(ctx context.Context, by gossip.Contact, target httpconn.Target) error {
-	ctx, cancel := context.WithTimeout(ctx, relayCheckTimeout)
-	defer cancel()
-	return n.cfg.Relay.Connect(ctx, by, target)
+// relayAnswer is what another gateway answers when it is asked whether it reaches an upstream: a nil
+// error if it does.
+type relayAnswer struct {
+	by  gossip.Contact
+	err error
 }
 
 // Lost reports whether this gateway's path to an upstream is lost.
--- a/internal/reach/paths.go
+++ b/internal/reach/paths.go
@@ -10,25 +10,25 @@
 import (
 	"time"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 )
 
 const (
-	// retryInterval is how often a lost path is tried again while requests want it, so that it is
-	// used again within a second of its return.
+	// retryInterval is how often a lost path is tried again that a request wants, and how often one of
+	// all lost paths is, so that they are used again within a second of their return.
 	retryInterval = 400 * time.Millisecond
-	// spreadWindow is how long after one path was lost the loss of a second one makes all others
-	// doubtful.
-	spreadWindow = time.Second
 	// unreachableTTL is how long an upstream fails at once that neither this gateway nor the others
 	// could connect to in time. Without it, each call would wait for several time-outs.
 	unreachableTTL = 250 * time.Millisecond
 	// verifyInterval is the shortest time between two checks of one path.
-	verifyInterval = time.Second
+	verifyInterval = 500 * time.Millisecond
 )
 
 // path is what is known of the path to one upstream.
 type path struct {
+	// target is where the upstream is, once the path was lost.
+	target httpconn.Target
 	// lostAt is when the path was found lost; zero if it is not.
 	lostAt time.Time
 	// retryAt is when a lost path is tried again.
@@ -44,8 +44,6 @@
 // paths holds the paths of which anything is known. It is not safe for concurrent use.
 type paths struct {
 	byUpstream map[ident.Instance]*path
-	// lastLostAt is when a path was found lost last.
-	lastLostAt time.Time
 	lost       int
 }
 
@@ -62,36 +60,50 @@
 
 // forget drops what is known of an upstream that has left.
 func (s *paths) forget(id ident.Instance) {
-	s.recordWorks(id)
+	if p := s.byUpstream[id]; p != nil && p.lost() {
+		s.lost--
+	}
 	delete(s.byUpstream, id)
 }
 
-// recordLost records that another gateway reaches an upstream that this one does not. first is set if
-// the path was not lost before, and spread if others may be lost too.
-func (s *paths) recordLost(id ident.Instance, now time.Time) (first, spread bool) {
-	p := s.of(id)
+// recordLost records that another gateway reaches an upstream that this one does not, and reports
+// whether the path was not lost before.
+func (s *paths) recordLost(target httpconn.Target, now time.Time) (first bool) {
+	p := s.of(target.ID)
+	p.unreachableUntil = time.Time{}
 	if p.lost() {
-		return false, false
+		return false
 	}
-	spread = s.lost > 0 || !s.lastLostAt.IsZero() && now.Sub(s.lastLostAt) < spreadWindow
-	p.lostAt, p.retryAt = now, now.Add(retryInterval)
-	p.unreachableUntil = time.Time{}
-	s.lastLostAt = now
+	p.target, p.lostAt, p.retryAt = target, now, now.Add(retryInterval)
 	s.lost++
-	return true, spread
+	return true
+}
+
+// recordDown records that neither this gateway nor others reach the upstream, so that this is no
+// matter of the path.
+func (s *paths) recordDown(id ident.Instance, now time.Time) {
+	p := s.of(id)
+	p.unreachableUntil = now.Add(unreachableTTL)
+	if p.lost() {
+		p.lostAt = time.Time{}
+		s.lost--
+	}
 }
 
 // recordWorks records that a connection to the upstream was made, and returns since when the path was
-// lost; zero if it was not.
-func (s *paths) recordWorks(id ident.Instance) (since time.Time) {
+// lost, or zero if it was not, and how many others are lost. The others may work again too, and are
+// taken for lost no more: the next request to each finds out, with little time for it.
+func (s *paths) recordWorks(id ident.Instance) (since time.Time, others int) {
 	p := s.byUpstream[id]
 	if p == nil || !p.lost() {
-		return since
+		return since, s.lost
+	}
+	since, others = p.lostAt, s.lost-1
+	for _, p := range s.byUpstream {
+		p.lostAt = time.Time{}
 	}
-	since = p.lostAt
-	p.lostAt = time.Time{}
-	s.lost--
-	return since
+	s.lost = 0
+	return since, others
 }
 
 // mayRetry reports whether a lost path is to be tried again now. It returns true once per
@@ -105,6 +117,16 @@
 	return true
 }
 
+// anyLost returns the target of one of the lost paths, or false if none is lost.
+func (s *paths) anyLost() (httpconn.Target, bool) {
+	for _, p := range s.byUpstream { // in random order
+		if p.lost() {
+			return p.target, true
+		}
+	}
+	return httpconn.Target{}, false
+}
+
 // mayVerify reports whether a path that is not known to be lost may be checked now. It returns true
 // once per verifyInterval.
 func (s *paths) mayVerify(id ident.Instance, now time.Time) bool {
--- a/internal/reach/relays.go
+++ b/internal/reach/relays.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -22,6 +23,9 @@
 	minRelayPause, maxRelayPause = 500 * time.Millisecond, 2 * time.Second
 )
 
+// rememberFor is how long it counts whether a gateway took or declined a request.
+const rememberFor = 5 * time.Second
+
 // relayKey names what a gateway did not take: requests to one upstream, or all if upstream is empty.
 type relayKey struct{ gateway, upstream ident.Instance }
 
@@ -35,13 +39,18 @@
 // order of its own, so that the requests of many are spread evenly, and who relays for whom changes
 // only where a gateway comes, goes or declines. It is not safe for concurrent use.
 type relays struct {
-	self     ident.Instance
-	pauses   map[relayKey]relayPause
-	inFlight map[ident.Instance]int
+	self   ident.Instance
+	pauses map[relayKey]relayPause
+	// tookAt is when a gateway took a request last, and declinedAt when it did not.
+	tookAt, declinedAt map[ident.Instance]time.Time
+	inFlight           map[ident.Instance]int
 }
 
 func newRelays(self ident.Instance) *relays {
-	return &relays{self: self, pauses: make(map[relayKey]relayPause), inFlight: make(map[ident.Instance]int)}
+	return &relays{
+		self: self, pauses: make(map[relayKey]relayPause), tookAt: make(map[ident.Instance]time.Time), declinedAt: make(map[ident.Instance]time.Time),
+		inFlight: make(map[ident.Instance]int),
+	}
 }
 
 // order returns the gateways to offer a request to, the best one first.
@@ -53,13 +62,28 @@
 		}
 	}
 	own := xxhash.Sum64String(string(r.self))
-	slices.SortFunc(ranked, func(a, b gossip.Contact) int { return cmp.Compare(rank(own, a.Node), rank(own, b.Node)) })
+	slices.SortFunc(ranked, func(a, b gossip.Contact) int {
+		return cmp.Or(cmp.Compare(r.tier(a.Node, now), r.tier(b.Node, now)), cmp.Compare(rank(own, a.Node), rank(own, b.Node)))
+	})
 	slices.SortStableFunc(ranked[:min(spreadOver, len(ranked))], func(a, b gossip.Contact) int {
 		return cmp.Compare(r.inFlight[a.Node], r.inFlight[b.Node])
 	})
 	return ranked[:min(maxRelayTries, len(ranked))]
 }
 
+// tier returns 0 for a gateway that took a request lately, 2 for one that last declined one, and 1 for
+// others.
+func (r *relays) tier(node ident.Instance, now time.Time) int {
+	took, declined := r.tookAt[node], r.declinedAt[node]
+	switch {
+	case !took.IsZero() && !declined.After(took) && now.Sub(took) < rememberFor:
+		return 0
+	case !declined.IsZero() && now.Sub(declined) < rememberFor:
+		return 2
+	}
+	return 1
+}
+
 // rank returns the rank of a gateway at the one with the given hash; the lowest comes first.
 func rank(own uint64, node ident.Instance) uint64 {
 	x := own ^ xxhash.Sum64String(string(node))
@@ -76,18 +100,24 @@
 // declined records that a gateway did not take a request to an upstream, or took none if upstream is
 // empty.
 func (r *relays) declined(gateway, upstream ident.Instance, now time.Time) {
+	r.declinedAt[gateway] = now
 	key := relayKey{gateway, upstream}
 	length := min(max(2*r.pauses[key].length, minRelayPause), maxRelayPause)
 	r.pauses[key] = relayPause{until: now.Add(length), length: length}
-	for k, p := range r.pauses {
-		if now.Sub(p.until) > maxRelayPause {
-			delete(r.pauses, k)
-		}
-	}
+	r.prune(now)
+}
+
+// prune drops what counts no more.
+func (r *relays) prune(now time.Time) {
+	maps.DeleteFunc(r.pauses, func(_ relayKey, p relayPause) bool { return now.Sub(p.until) > maxRelayPause })
+	old := func(_ ident.Instance, at time.Time) bool { return now.Sub(at) > rememberFor }
+	maps.DeleteFunc(r.tookAt, old)
+	maps.DeleteFunc(r.declinedAt, old)
 }
 
 // took records that a gateway took a request to an upstream.
-func (r *relays) took(gateway, upstream ident.Instance) {
+func (r *relays) took(gateway, upstream ident.Instance, now time.Time) {
+	r.tookAt[gateway] = now
 	delete(r.pauses, relayKey{gateway, upstream})
 	delete(r.pauses, relayKey{gateway, ""})
 }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -29,7 +29,7 @@
 	// maxRequestBytes bounds a request with its header and body.
 	maxRequestBytes = 8 << 20
 	// connectTime bounds a connection attempt to an upstream that another gateway waits for.
-	connectTime = 100 * time.Millisecond
+	connectTime = 40 * time.Millisecond
 	// readBytes is how much of an answer is read at a time; an event has some 80 bytes.
 	readBytes = 4 << 10
 	// writeGrace is how long after the caller's time is over the rest of an answer may be written.
