--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -57,7 +57,11 @@
 	}
 	answer.Header.Del(fieldOutcome)
 	answer.Header.Del("Keep-Alive") // that of the connection to the gateway
-	answer.Relayed = &httpconn.RelayedEnd{By: by.Node, Ended: endReader(req.Method, answer.Status)}
+	if length := answer.Header.Get(fieldLength); length != "" {
+		answer.Header.Set("Content-Length", length)
+		answer.Header.Del(fieldLength)
+	}
+	answer.Relayed = &httpconn.RelayedEnd{By: by.Node, Ended: endReader(answer.Status)}
 	return answer, nil
 }
 
@@ -108,9 +112,9 @@
 	return &httpconn.Failure{Stage: stage, MaybeSent: sent, Err: errors.WithMessagef(err, "through %s: %s", by.Node, reason)}
 }
 
-// endReader returns how the end of an answer to a method is read from the relayed answer's trailer.
-func endReader(method string, status int) func(http.Header) (completion.End, bool) {
-	if method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified {
+// endReader returns how the end of an answer is read from the relayed answer's trailer.
+func endReader(status int) func(http.Header) (completion.End, bool) {
+	if status == http.StatusNoContent || status == http.StatusNotModified {
 		// There is no body, and so no trailer.
 		return func(http.Header) (completion.End, bool) {
 			return completion.End{Framing: completion.ByLength, Ending: completion.AtFrame}, false
--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -17,6 +17,8 @@
 	fieldOutcome = "Relay-Outcome"
 	// fieldReason is the reason of an outcome other than outcomeAnswer.
 	fieldReason = "Relay-Reason"
+	// fieldLength is the length that the answer to a HEAD request states.
+	fieldLength = "Relay-Length"
 	// fieldEnd is a trailer: the framing and the ending of the upstream's answer, and whether its
 	// process should be asked for. An answer that broke off has none, and breaks off too.
 	fieldEnd = "Relay-End"
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -243,10 +243,10 @@
 }
 
 // hopHeaders are the fields that concern one connection only, or that mark the end of a body.
-var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", fieldOutcome, fieldReason, fieldEnd}
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", fieldOutcome, fieldReason, fieldLength, fieldEnd}
 
-// copyHeader copies the header of an upstream's answer without what concerns its connection.
-// headOnly: the answer has no body, and its length is that of another answer.
+// copyHeader copies the header of an upstream's answer without what concerns its connection. headOnly:
+// the answer has no body, and its length is that of another answer.
 func copyHeader(to, from http.Header, headOnly bool) {
 	for _, value := range from["Connection"] {
 		for name := range strings.SplitSeq(value, ",") {
@@ -259,8 +259,8 @@
 	for _, name := range hopHeaders {
 		to.Del(name)
 	}
-	if !headOnly {
-		to.Del("Content-Length")
+	if length := from.Get("Content-Length"); headOnly && length != "" {
+		to.Set(fieldLength, length)
 	}
 	for _, name := range []string{"Content-Type", "Date"} {
 		if from.Get(name) == "" {
