Another gateway is asked for a connection before it gets a request

A play without any cut, in which half of the upstreams crash, showed paths to crashed upstreams taken for lost (7 at 8 gateways): where this gateway's connection failed, the request went to another gateway at once, which sent it on a connection that it kept to the same dead host. That also lost the call, which would have been served by the next upstream. Now up to four gateways are asked at the same time for a new connection; one that makes it proves the lost path, and gets the request. Without any, the upstream is down, as before.

--- a/internal/reach/network.go
+++ b/internal/reach/network.go
@@ -103,6 +103,16 @@
 	if failure == nil || failure.MaybeSent || ctx.Err() != nil || !pathFailed(failure) {
 		return answer, failure
 	}
+	if !n.Lost(target.ID) {
+		// Others are asked for new connections first: one of theirs that is kept takes a request
+		// without an error also where the upstream is gone.
+		if refused, _ := n.askRelays(ctx, target, failure); !n.Lost(target.ID) {
+			if !refused && timedOut(failure) {
+				n.recordDown(target.ID)
+			}
+			return nil, failure
+		}
+	}
 	return n.sendRelayed(ctx, target, req, failure)
 }
 
@@ -162,7 +172,7 @@
 		}
 		answer, failure := n.sendThrough(ctx, by, target, req, left)
 		if failure == nil || failure.MaybeSent {
-			n.recordRelayed(by, target, failure, direct)
+			n.recordRelayed(by, target, failure)
 			return answer, failure
 		}
 		last = failure
@@ -172,7 +182,7 @@
 		}
 		n.recordDeclined(by, target.ID, failure)
 	}
-	if notReached && !errors.Is(direct, syscall.ECONNREFUSED) {
+	if notReached {
 		n.recordDown(target.ID)
 	}
 	if last != nil && !declinedByRelay(last) {
@@ -216,7 +226,7 @@
 
 // recordRelayed records that another gateway sent a request. failure is that of the exchange, if it
 // failed later.
-func (n *Network) recordRelayed(by gossip.Contact, target httpconn.Target, failure, direct *httpconn.Failure) {
+func (n *Network) recordRelayed(by gossip.Contact, target httpconn.Target, failure *httpconn.Failure) {
 	if failure != nil && !errors.Is(failure, relay.ErrNoAnswer) {
 		return // the way to the other gateway broke, which says nothing about the upstream
 	}
@@ -224,9 +234,6 @@
 		n.counters.Relayed++
 		n.relays.took(by.Node, target.ID, n.cfg.Now())
 	})
-	if !errors.Is(direct, httpconn.ErrNoKeptConnection) { // else the own path was not tried
-		n.recordLost(target, by.Node, direct)
-	}
 }
 
 func (n *Network) recordDeclined(by gossip.Contact, upstream ident.Instance, failure *httpconn.Failure) {
@@ -382,6 +389,7 @@
 		case errors.Is(answer.err, relay.ErrNotReached):
 			asked = true
 		}
+		n.count(func() { n.relays.doesNotReach(answer.by.Node, n.cfg.Now()) })
 	}
 	return refused, asked
 }
--- /dev/null
+++ b/internal/reach/network_test.go
@@ -0,0 +1,62 @@
+package reach
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/forward"
+	"github.com/goldcrestspool/goldcrestspool/internal/gossip"
+	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+// cutOff is a Direct whose connections all fail.
+type cutOff struct{ Direct }
+
+func (cutOff) Send(context.Context, httpconn.Target, *httpconn.Request) (*httpconn.Answer, *httpconn.Failure) {
+	return nil, &httpconn.Failure{Stage: httpconn.StageConnect, Err: context.DeadlineExceeded}
+}
+func (cutOff) Connect(context.Context, httpconn.Target, bool) error { return context.DeadlineExceeded }
+func (cutOff) Suspect(...ident.Instance)                            {}
+func (cutOff) Doubtful(ident.Instance) bool                         { return false }
+func (cutOff) Answers(ident.Instance) uint64                        { return 0 }
+
+// countingRelay counts the requests that it is given, and serves each.
+type countingRelay struct{ sent, connects int }
+
+func (r *countingRelay) Send(context.Context, gossip.Contact, httpconn.Target, ident.Request, time.Duration, *httpconn.Request) (*httpconn.Answer, *httpconn.Failure) {
+	r.sent++
+	return &httpconn.Answer{}, nil
+}
+
+func (r *countingRelay) Connect(context.Context, gossip.Contact, httpconn.Target) error {
+	r.connects++
+	return nil
+}
+
+// Guards against a relayed request that the relaying gateway passes on to a third one: while each of two
+// believes that the other reaches an upstream, requests would go round.
+func TestARelayedRequestIsPassedOnByNobody(t *testing.T) {
+	relays := &countingRelay{}
+	n := New(Config{
+		Self: "gw0", Now: time.Now, Log: hclog.NewNullLogger(), Direct: cutOff{}, Relay: relays, Introduce: func(gossip.Contact) {},
+		Gateways:  func(time.Time) []gossip.Contact { return []gossip.Contact{{Node: "gw1", Address: "gw1"}} },
+		Upstreams: func() []ident.Instance { return []ident.Instance{"u0"} },
+	})
+	target, request := httpconn.Target{ID: "u0"}, &httpconn.Request{}
+	if _, failure := n.SendDirect(t.Context(), target, request); failure == nil || failure.MaybeSent {
+		t.Errorf("got %v, want that nothing was sent", failure)
+	}
+	if err := n.Connect(t.Context(), target); err == nil {
+		t.Error("connected")
+	}
+	if relays.sent+relays.connects > 0 {
+		t.Errorf("%d requests and %d questions went to a third gateway", relays.sent, relays.connects)
+	}
+	if _, failure := n.Send(t.Context(), target, forward.Exchange{Request: request, TimeLeft: time.Second}); failure != nil || relays.sent != 1 {
+		t.Errorf("an own request: failure %v, %d sent", failure, relays.sent)
+	}
+}
--- a/internal/reach/plays_test.go
+++ b/internal/reach/plays_test.go
@@ -76,6 +76,14 @@
 		name: "half, from all, beside crashes", cut: func(r *rand.Rand, g, u int) ([]int, []int) { return share(r, g, 0.5), indexes(0, u) },
 		beside: func(w *world, _ []int) { w.crash(testkit.LinkRefuses, indexes(0, len(w.upstreams)/4)) },
 	},
+	{
+		name: "none, but crashes", cut: func(*rand.Rand, int, int) ([]int, []int) { return nil, nil },
+		beside: func(w *world, _ []int) {
+			half := len(w.upstreams) / 2
+			w.crash(testkit.LinkRefuses, indexes(0, half/2))
+			w.crash(testkit.LinkHangs, indexes(half/2, half))
+		},
+	},
 	{
 		name: "half, from all, and a quarter of the others killed", cut: func(r *rand.Rand, g, u int) ([]int, []int) { return share(r, g, 0.5), indexes(0, u) },
 		beside: func(w *world, cut []int) {
@@ -104,8 +112,10 @@
 	// relayedLate counts the calls that were relayed later than settle after the end of the cut.
 	relayedLate int
 	ranTwice    int
-	worst       float64
-	worstSeed   uint64
+	// falseLost counts the paths that were ever taken for lost and were not.
+	falseLost int
+	worst     float64
+	worstSeed uint64
 }
 
 // shareOf returns how often the tries at gateways that were cut off were served, as a share of the
@@ -202,6 +212,11 @@
 			o.othersTook = append(o.othersTook, r.took)
 		}
 	}
+	if len(cut) == 0 {
+		for _, g := range w.gateways {
+			o.falseLost += int(g.network.Counters().Lost)
+		}
+	}
 	runs := make(map[ident.Request]int)
 	for _, u := range w.upstreams {
 		for id, n := range u.runs {
@@ -220,7 +235,7 @@
 	o.plays += p.plays
 	o.cut, o.cutServed, o.others, o.othersServed = o.cut+p.cut, o.cutServed+p.cutServed, o.others+p.others, o.othersServed+p.othersServed
 	o.cutTook, o.othersTook = append(o.cutTook, p.cutTook...), append(o.othersTook, p.othersTook...)
-	o.relayedLate, o.ranTwice = o.relayedLate+p.relayedLate, o.ranTwice+p.ranTwice
+	o.relayedLate, o.ranTwice, o.falseLost = o.relayedLate+p.relayedLate, o.ranTwice+p.ranTwice, o.falseLost+p.falseLost
 }
 
 // fleetSize is a size of fleets that are played.
@@ -262,6 +277,9 @@
 				if o.ranTwice > 0 {
 					t.Errorf("%s: %d calls ran twice", name, o.ranTwice)
 				}
+				if o.falseLost > 0 {
+					t.Errorf("%s: %d paths to crashed upstreams were taken for lost", name, o.falseLost)
+				}
 				if o.relayedLate > 0 {
 					t.Errorf("%s: %d calls were relayed a second after the paths were back", name, o.relayedLate)
 				}
--- a/internal/reach/relays.go
+++ b/internal/reach/relays.go
@@ -97,10 +97,14 @@
 	return found && now.Before(p.until)
 }
 
+// doesNotReach records that a gateway did not reach an upstream, or did not say, so that others are
+// asked first.
+func (r *relays) doesNotReach(gateway ident.Instance, now time.Time) { r.declinedAt[gateway] = now }
+
 // declined records that a gateway did not take a request to an upstream, or took none if upstream is
 // empty.
 func (r *relays) declined(gateway, upstream ident.Instance, now time.Time) {
-	r.declinedAt[gateway] = now
+	r.doesNotReach(gateway, now)
 	key := relayKey{gateway, upstream}
 	length := min(max(2*r.pauses[key].length, minRelayPause), maxRelayPause)
 	r.pauses[key] = relayPause{until: now.Add(length), length: length}
--- a/internal/testkit/links.go
+++ b/internal/testkit/links.go
@@ -93,6 +93,12 @@
 		return refused(syscall.ECONNREFUSED)
 	}
 	if relay != nil {
+		// The relay accepts connections even where its server refuses them.
+		probe, err := new(net.Dialer).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		_ = probe.Close() // nothing was sent
 		address = relay.Address()
 	}
 	return new(net.Dialer).DialContext(ctx, network, address)
