Fields that Connection names beside close do not reach callers

What callers saw: an upstream's field that concerned its connection only (Connection: close, X-Hop). Cause: net/http's ReadResponse removes Connection where it holds close, before the hop-by-hop fields are removed. Now the exchange keeps the header's bytes and gives such an answer its Connection back.

--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -10,11 +10,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/textproto"
 	"strconv"
 	"time"
 
@@ -323,12 +325,13 @@
 // answer to this one is expected.
 func (c *conn) readHeader(req *Request, written <-chan error) (*http.Response, error) {
 	for {
-		c.header.remaining = maxHeaderBytes
+		c.header.begin(c.reader)
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: req.Method})
 		if err != nil {
 			return nil, preferWriteError(written, err)
 		}
 		c.header.remaining = unlimited
+		restoreConnection(response, c.header.seen)
 		interim := response.StatusCode >= 100 && response.StatusCode < 200
 		if !interim && (req.IsAnswer == nil || req.IsAnswer(response.Header)) {
 			return response, nil
@@ -379,6 +382,30 @@
 	source io.Reader
 	// remaining is how many bytes may still be read, or unlimited.
 	remaining int
+	// seen are the bytes that the header is in, and some after it.
+	seen []byte
+}
+
+// begin starts a header, of which the reader above may hold a part already.
+func (l *headerReader) begin(above *bufio.Reader) {
+	l.remaining = maxHeaderBytes
+	buffered, _ := above.Peek(above.Buffered()) // never longer than what is buffered
+	l.seen = append(l.seen[:0], buffered...)
+}
+
+// restoreConnection gives an answer the Connection fields that net/http removes where they hold
+// "close". They may name further fields that concern this connection only.
+func restoreConnection(response *http.Response, head []byte) {
+	if !response.Close || response.Header["Connection"] != nil {
+		return
+	}
+	lines := textproto.NewReader(bufio.NewReader(bytes.NewReader(head)))
+	if _, err := lines.ReadLine(); err != nil {
+		return // net/http has read the same bytes
+	}
+	if fields, err := lines.ReadMIMEHeader(); err == nil && fields["Connection"] != nil {
+		response.Header["Connection"] = fields["Connection"]
+	}
 }
 
 var errHeaderTooLong = errors.New("answer header is longer than 64 KiB")
@@ -395,6 +422,7 @@
 	}
 	n, err := l.source.Read(p)
 	l.remaining -= n
+	l.seen = append(l.seen, p[:n]...)
 	return n, err
 }
 
