No status that says 'not run' is passed on for a request that ran and may run once only

What callers saw: an upstream's own signed 503, 429 or 408, without word that the request was not run, unchanged. These statuses tell a caller that its request has not run and never will; it would send a booking again. Requests that may be repeated get the answer unchanged.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -67,7 +67,7 @@
 		s.reason = "a success without the upstream's signature"
 		return Broken
 	}
-	whole := &bufferedAnswer{status: answer.Status, header: answer.Header, body: body}
+	whole := &bufferedAnswer{status: answer.Status, saysNotRun: info.SaysNotRun, header: answer.Header, body: body}
 	if answer.Status >= http.StatusInternalServerError || answer.Status/100 != 2 && !info.Signed {
 		s.buffered = whole
 		s.reason = "status " + http.StatusText(answer.Status)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -136,6 +136,8 @@
 // bufferedAnswer is a complete answer that has not been delivered yet.
 type bufferedAnswer struct {
 	status int
+	// saysNotRun: the status tells callers that the request did not run.
+	saysNotRun bool
 	header http.Header
 	body   []byte
 }
@@ -374,6 +376,10 @@
 
 // finish ends the call with a step that is final, and delivers the answer or an error.
 func (s *session) finish(step Step) {
+	if step == Deliver && !s.answerBegan && s.buffered.saysNotRun && !s.mayRepeat() {
+		// The upstream ran it: its caller would send it again and have it run twice.
+		step = Fail
+	}
 	s.outcome.Step, s.outcome.Reason = step, s.reason
 	s.outcome.Attempts, s.outcome.Tried = s.state.Attempts(), s.state.Tried
 	s.outcome.LastEvent = s.lastEvent
@@ -400,6 +406,9 @@
 	}
 }
 
+// mayRepeat reports whether the call may run more than once.
+func (s *session) mayRepeat() bool { return s.call.Route.Repeatable() || s.call.Route.Resumable }
+
 // retryAfter returns the retry-after time of a refused call.
 func (s *session) retryAfter() time.Duration {
 	if s.barredFor > 0 {
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -76,6 +76,8 @@
 type AnswerInfo struct {
 	// NotRun: the upstream did not run the request and never will.
 	NotRun bool
+	// SaysNotRun: the status tells callers that the request did not run and never will.
+	SaysNotRun bool
 	// Signed: the answer carries the upstream's signature.
 	Signed bool
 	// Stream: the body is a stream of server-sent events.
