--- a/internal/reach/world_test.go
+++ b/internal/reach/world_test.go
@@ -54,6 +54,14 @@
 	pool       map[ident.Instance]*simConns
 	suspicions int
 	avoidUntil map[int]time.Time
+	// failedAt lists the connection attempts that failed.
+	failedAt []failedDial
+}
+
+// failedDial is a connection attempt that failed.
+type failedDial struct {
+	at       time.Time
+	upstream ident.Instance
 }
 
 // simConns are a gateway's kept connections to an upstream.
@@ -188,7 +196,12 @@
 	fault := g.w.link(g.index, target.ID)
 	suspicions := g.suspicions
 	g.w.mu.Unlock()
-	failed := func(err error) error { return &net.OpError{Op: "dial", Err: err} }
+	failed := func(err error) error {
+		g.w.mu.Lock()
+		defer g.w.mu.Unlock()
+		g.failedAt = append(g.failedAt, failedDial{time.Now(), target.ID})
+		return &net.OpError{Op: "dial", Err: err}
+	}
 	switch fault {
 	case testkit.LinkHangs, testkit.LinkLosesReplies:
 		<-ctx.Done()
