Other gateways are asked for an upstream four times a second at most

Reading of the diff: where dozens of upstreams end, each attempt at each of them asked up to four other gateways, which tried it too; now what they said counts for 250 ms. The loss of a path to an upstream that has left meanwhile is not recorded: it would be tried again for ever.

--- a/internal/reach/network.go
+++ b/internal/reach/network.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -254,6 +255,10 @@
 // connections to it become doubtful. A path that is silent shows by itself only when a request was
 // lost on it, so that then those to all upstreams become doubtful.
 func (n *Network) recordLost(target httpconn.Target, by ident.Instance, cause error) {
+	upstreams := n.cfg.Upstreams()
+	if !slices.Contains(upstreams, target.ID) {
+		return // it has left meanwhile
+	}
 	n.mu.Lock()
 	first := n.paths.recordLost(target, n.cfg.Now())
 	lost := n.paths.lost
@@ -267,7 +272,7 @@
 	silent := timedOut(cause)
 	suspects := []ident.Instance{target.ID}
 	if silent {
-		suspects = append(suspects, n.cfg.Upstreams()...)
+		suspects = upstreams
 	}
 	n.cfg.Direct.Suspect(suspects...)
 	n.cfg.Log.Info("path to upstream lost", "upstream", target.ID, "reached_by", by, "cause", cause, "lost", lost, "all_doubtful", silent)
@@ -368,8 +373,16 @@
 }
 
 // askRelays asks other gateways whether they reach an upstream that this one does not, and records
-// the answer. asked is set if one answered, and refused if connections are refused there too.
+// the answer. Whatever it is, kept connections to the upstream are doubtful. asked is set if one
+// answered, and refused if connections are refused there too.
 func (n *Network) askRelays(ctx context.Context, target httpconn.Target, direct error) (refused, asked bool) {
+	n.mu.Lock()
+	denied, refused := n.paths.denied(target.ID, n.cfg.Now())
+	n.mu.Unlock()
+	if denied {
+		return refused, true
+	}
+	n.cfg.Direct.Suspect(target.ID)
 	ctx, cancel := context.WithTimeout(ctx, relayCheckTimeout)
 	defer cancel()
 	order := n.order(target.ID)
@@ -391,6 +404,9 @@
 		}
 		n.count(func() { n.relays.doesNotReach(answer.by.Node, n.cfg.Now()) })
 	}
+	if asked {
+		n.count(func() { n.paths.recordDenied(target.ID, refused, n.cfg.Now()) })
+	}
 	return refused, asked
 }
 
--- a/internal/reach/paths.go
+++ b/internal/reach/paths.go
@@ -19,7 +19,8 @@
 	// all lost paths is, so that they are used again within a second of their return.
 	retryInterval = 400 * time.Millisecond
 	// unreachableTTL is how long an upstream fails at once that neither this gateway nor the others
-	// could connect to in time. Without it, each call would wait for several time-outs.
+	// could connect to in time, and how long the others are not asked again. Without it, each call
+	// would wait for several time-outs, and the end of many upstreams would be asked for by all.
 	unreachableTTL = 250 * time.Millisecond
 	// verifyInterval is the shortest time between two checks of one path.
 	verifyInterval = 500 * time.Millisecond
@@ -35,6 +36,10 @@
 	retryAt time.Time
 	// unreachableUntil is until when no gateway is expected to reach the upstream.
 	unreachableUntil time.Time
+	// deniedUntil is until when it counts that the gateways that were asked did not reach the upstream
+	// either, and refused that one of them was refused.
+	deniedUntil time.Time
+	refused     bool
 	// verifyAt is when the path may be checked again.
 	verifyAt time.Time
 }
@@ -117,6 +122,19 @@
 	return true
 }
 
+// recordDenied records that the gateways that were asked did not reach the upstream either.
+func (s *paths) recordDenied(id ident.Instance, refused bool, now time.Time) {
+	p := s.of(id)
+	p.deniedUntil, p.refused = now.Add(unreachableTTL), refused
+}
+
+// denied reports whether other gateways did not reach the upstream a moment ago, and whether one of
+// them was refused.
+func (s *paths) denied(id ident.Instance, now time.Time) (denied, refused bool) {
+	p := s.byUpstream[id]
+	return p != nil && now.Before(p.deniedUntil), p != nil && p.refused
+}
+
 // anyLost returns the target of one of the lost paths, or false if none is lost.
 func (s *paths) anyLost() (httpconn.Target, bool) {
 	for _, p := range s.byUpstream { // in random order
--- a/internal/reach/world_test.go
+++ b/internal/reach/world_test.go
@@ -358,6 +358,7 @@
 		return err
 	}
 	defer time.Sleep(hopTime)
+	target.DialTimeout = 40 * time.Millisecond
 	if err := g.network.Connect(ctx, target); err != nil {
 		return notSent(err)
 	}
