Brittle upstreams: no request waits there, and none is risked right after a rejection

How: the statement is kept beside what upstreams announce (leaving, pauses, limits). While one upstream of a service says so, all are treated so: no request waits there, and the gateways' parts of what it bears add up to its slots, so that nobody needs luck or news; what it bears is learned from rejections and grows back. A rejection counts as a pause of a second that the upstream asks for: the existing machinery tells the others and comes back one request at a time.

Open: a gateway whose path is lost does not hear the statement, which goes to the gateway that relays.

--- a/internal/announced/registry.go
+++ b/internal/announced/registry.go
@@ -49,6 +49,8 @@
 	// these upstreams does.
 	pauses        atomic.Int64
 	pausesVersion atomic.Uint64
+	// brittle is the number of upstreams that said that they are brittle.
+	brittle atomic.Int64
 
 	mu  sync.Mutex
 	rng *rand.Rand
@@ -70,6 +72,8 @@
 	leavingAt, learnedAt time.Time
 	// pause is nil if the upstream asked this gateway for none lately.
 	pause *Pause
+	// brittleUntil is until when the upstream counts as brittle; zero if it has not said so lately.
+	brittleUntil time.Time
 	// listedAt is when the upstream was last listed.
 	listedAt time.Time
 	// reportedOnly: only another gateway's report says that there is such an upstream.
@@ -99,7 +103,10 @@
 // Record records what an upstream's answer to a request announces.
 func (r *Registry) Record(upstream ident.Instance, id ident.Request, s Statement) {
 	r.cfg.Limits.RecordStatement(upstream, id, s.Limit)
-	if !s.Leaving && s.Pause <= 0 && s.Problem == "" {
+	if s.Brittle.Is && s.Rejected {
+		s.Pause = max(s.Pause, brittlePause)
+	}
+	if !s.Leaving && s.Pause <= 0 && s.Problem == "" && !s.Brittle.Is && !r.AnyBrittle() {
 		return
 	}
 	if r.recordOwn(upstream, id, s) {
@@ -116,6 +123,7 @@
 	if s.Problem != "" {
 		r.logUnreadable(upstream, id, s, now)
 	}
+	r.recordBrittle(upstream, id, s, now)
 	if s.Pause > 0 {
 		r.recordPause(upstream, id, min(s.Pause, r.cfg.MaxPause), now)
 	}
@@ -215,7 +223,10 @@
 		if rec.pause != nil && now.Sub(rec.pause.Until) > pauseRetention {
 			r.endPause(rec)
 		}
-		if now.Sub(rec.listedAt) > upstreamlimit.UnlistedRetention || !rec.leaves() && rec.pause == nil {
+		if !rec.brittle(now) {
+			r.endBrittle(rec)
+		}
+		if now.Sub(rec.listedAt) > upstreamlimit.UnlistedRetention || !rec.leaves() && rec.pause == nil && rec.brittleUntil.IsZero() {
 			r.remove(upstream, rec)
 		}
 	}
@@ -226,6 +237,7 @@
 	if rec.pause != nil {
 		r.endPause(rec)
 	}
+	r.endBrittle(rec)
 	delete(r.records, upstream)
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -138,8 +138,8 @@
 	status int
 	// saysNotRun: the status tells callers that the request did not run.
 	saysNotRun bool
-	header http.Header
-	body   []byte
+	header     http.Header
+	body       []byte
 }
 
 // run makes attempts until the call has ended.
--- a/internal/routing/placement/announced_fleet_test.go
+++ b/internal/routing/placement/announced_fleet_test.go
@@ -35,6 +35,10 @@
 	statementAt = 8 * time.Second
 	// eventFrom and eventTo bound the bursts, cuts and frozen gateways of stories.
 	eventFrom, eventTo = 9 * time.Second, 12 * time.Second
+	// brittleShrinks is when brittle upstreams stop to let requests wait, brittleTo when they are
+	// brittle no more, and fallTime how long one that fell over is away.
+	brittleShrinks, brittleTo = statementAt + 3*time.Second, 24 * time.Second
+	fallTime                  = 4 * time.Second
 	// queuePerSlot is how many requests an upstream queues for each of its slots.
 	queuePerSlot = 2
 )
@@ -77,6 +81,11 @@
 	// limits are the rates, in requests per second, that upstreams name from statementAt on.
 	limits map[int]float64
 	pauses []pausing
+	// brittle: from statementAt to brittleTo the upstreams say that they bear so many rejections a
+	// second, and from brittleShrinks on no request waits there; one that rejects more falls over.
+	brittle int
+	// bearsHalf: they let only half of their slots run from then on.
+	bearsHalf bool
 	// burst: callers send 2.5 times the requests from eventFrom to eventTo.
 	burst bool
 	// cut: a failure domain is cut off from the others from eventFrom to eventTo.
@@ -102,6 +111,8 @@
 	// refusedByBudget counts those of refusedWithRoom that had been turned away and could not be
 	// sent once more within the retry budget.
 	refusedByBudget int
+	// falls counts how often brittle upstreams fell over.
+	falls int
 	// turnedAway counts the requests that pausing upstreams turned away.
 	turnedAway int
 	latencies  []time.Duration
--- a/internal/routing/placement/announced_stories_test.go
+++ b/internal/routing/placement/announced_stories_test.go
@@ -98,6 +98,10 @@
 			s.leaves, s.limits = leavingAt(statementAt, 0), map[int]float64{0: 2}
 			s.pauses = pause(3*time.Second, 0)
 		}),
+		with("all brittle, 4 a second", func(s *story) { s.brittle, s.load = 4, 0.7 }),
+		with("all brittle, 4 a second, bear half", func(s *story) { s.brittle, s.load, s.bearsHalf = 4, 0.6, true }),
+		with("all brittle, 2 a second, in a burst", func(s *story) { s.brittle, s.load, s.burst = 2, 0.6, true }),
+		with("all brittle, 2 a second, more than they bear", func(s *story) { s.brittle, s.load = 2, 1.2 }),
 		with("a domain is reclaimed, two ask", func(s *story) {
 			s.leaves, s.goneAfter = make(map[int]time.Duration), 2*time.Second
 			for i := 0; i < upstreams; i += domains {
@@ -118,7 +122,7 @@
 		large = append(large, announcedStories(195, 6, 64)...)
 		large = append(large, announcedStories(330, 12, 96)...)
 	} else if *announcedSeeds == 1 && *announcedOnly == "" {
-		large = large[len(large)-9:]
+		large = large[len(large)-13:]
 	}
 	ways := []way{avoidance}
 	if *announcedWays {
@@ -150,6 +154,9 @@
 			t.Errorf("seed %d: %d requests after an upstream had said that it leaves, %d in a pause, the latest after %v; %d after all had heard",
 				seed+1, r.afterLeaving, r.inPause, r.latest, r.afterHearsay)
 		}
+		if allowed := 2 + s.upstreams/10; w == avoidance && r.falls > allowed {
+			t.Errorf("seed %d: brittle upstreams fell over %d times, %d are allowed", seed+1, r.falls, allowed)
+		}
 		if w == avoidance && s.gateways <= 8 && !s.overloaded() && r.refusedWithRoom > 0 {
 			t.Errorf("seed %d: %d of %d requests were refused though an upstream had room", seed+1, r.refusedWithRoom, r.requests)
 		}
@@ -169,14 +176,14 @@
 	if len(s.pauses) > 0 {
 		left -= len(s.pauses[0].upstreams)
 	}
-	return s.burst || s.cut || s.load*float64(s.upstreams) > maxLoadOfTheRest*float64(left)
+	return s.brittle > 0 || s.burst || s.cut || s.load*float64(s.upstreams) > maxLoadOfTheRest*float64(left)
 }
 
 // writeTable logs the table of the plays, and writes it into a file if one is named.
 func writeTable(t *testing.T, rows []*string) {
 	var table strings.Builder
-	fmt.Fprintf(&table, "%-46s %-9s %6s %6s %6s %7s %9s %8s %8s %8s %7s %7s %8s %7s %6s\n", "story", "way", "after", "in it", "heard", "latest",
-		"requests", "refused", "no need", "budget", "turned", "p50", "p95", "back", "kept")
+	fmt.Fprintf(&table, "%-46s %-9s %6s %6s %6s %7s %9s %8s %8s %8s %7s %7s %8s %7s %6s %6s\n", "story", "way", "after", "in it", "heard", "latest",
+		"requests", "refused", "no need", "budget", "turned", "p50", "p95", "back", "kept", "falls")
 	for _, row := range rows {
 		fmt.Fprintln(&table, *row)
 	}
@@ -199,6 +206,7 @@
 	r.refusedWithRoom += o.refusedWithRoom
 	r.refusedByBudget += o.refusedByBudget
 	r.turnedAway += o.turnedAway
+	r.falls += o.falls
 	r.backAfter = max(r.backAfter, o.backAfter)
 	r.keptShare = min(r.keptShare, o.keptShare)
 	r.latencies = append(r.latencies, o.percentile(0.5), o.percentile(0.95))
@@ -212,6 +220,6 @@
 		p95 += r.latencies[i+1]
 	}
 	plays := time.Duration(max(1, len(r.latencies)/2))
-	return fmt.Sprintf("%-46s %-9s %6d %6d %6d %7d %9d %8d %8d %8d %7d %7d %8d %7.1f %6.2f", s.name, w, r.afterLeaving, r.inPause, r.afterHearsay,
-		r.latest.Milliseconds(), r.requests, r.refused, r.refusedWithRoom, r.refusedByBudget, r.turnedAway, (p50 / plays).Milliseconds(), (p95 / plays).Milliseconds(), r.backAfter.Seconds(), r.keptShare)
+	return fmt.Sprintf("%-46s %-9s %6d %6d %6d %7d %9d %8d %8d %8d %7d %7d %8d %7.1f %6.2f %6d", s.name, w, r.afterLeaving, r.inPause, r.afterHearsay,
+		r.latest.Milliseconds(), r.requests, r.refused, r.refusedWithRoom, r.refusedByBudget, r.turnedAway, (p50 / plays).Milliseconds(), (p95 / plays).Milliseconds(), r.backAfter.Seconds(), r.keptShare, r.falls)
 }
--- a/internal/routing/placement/announced_upstream_test.go
+++ b/internal/routing/placement/announced_upstream_test.go
@@ -29,6 +29,11 @@
 	id        ident.Instance
 	running   int
 	queue     []func()
+	// rejectedAt lists when it had no room for a request, and downUntil is when it is back after it
+	// fell over, for the falls-th time.
+	rejectedAt []time.Duration
+	downUntil  time.Duration
+	falls      int
 	// turnedAway counts the requests that it turned away.
 	turnedAway int
 	// arrivals are the times of all requests that reached it.
@@ -84,15 +89,16 @@
 // receive lets a request arrive at an upstream.
 func (f *announcedFleet) receive(u *fleetUpstream, r *fleetRequest, choice forward.Choice, delay time.Duration) {
 	u.arrivals = append(u.arrivals, f.Now())
-	born := u.born
+	born, falls := u.born, u.falls
 	refuses, pause := f.refuses(u, r.g)
 	switch {
 	case refuses:
 		u.turnedAway++
 		f.result.turnedAway++
 		f.answer(u, r, choice, delay, announced.Statement{Pause: pause}, true)
-	case u.running+len(u.queue) >= f.story.slots*(1+queuePerSlot):
+	case u.running+len(u.queue) >= f.room():
 		f.answer(u, r, choice, delay, announced.Statement{}, true)
+		f.rejected(u)
 	default:
 		work := time.Duration((0.5 + 0.5*f.rng.ExpFloat64()) * float64(serviceTime))
 		if slices.Contains(f.story.slow, u.i) && f.Now() >= statementAt {
@@ -103,6 +109,10 @@
 				if u.born != born {
 					return
 				}
+				if u.falls != falls {
+					f.In(delay, func() { r.after(choice, forward.Broken) })
+					return
+				}
 				f.answer(u, r, choice, delay, announced.Statement{}, false)
 				u.running--
 				if len(u.queue) > 0 {
@@ -132,13 +142,47 @@
 	if rate, limited := f.story.limits[u.i]; limited && f.Now() >= statementAt {
 		s.Limit = upstreamlimit.LimitedTo(rate)
 	}
+	s.Rejected = notRun
+	if f.brittle() {
+		s.Brittle = announced.Brittle{Is: true, Rejections: f.story.brittle}
+	}
 	f.In(delay, func() { r.readAnswer(choice, s, notRun) })
 }
 
+// brittle reports whether the upstreams say now that they are brittle.
+func (f *announcedFleet) brittle() bool {
+	return f.story.brittle > 0 && f.Now() >= statementAt && f.Now() < brittleTo
+}
+
+// room returns how many requests an upstream takes now.
+func (f *announcedFleet) room() int {
+	if f.brittle() && f.Now() >= brittleShrinks {
+		if f.story.bearsHalf {
+			return f.story.slots / 2
+		}
+		return f.story.slots
+	}
+	return f.story.slots * (1 + queuePerSlot)
+}
+
+// rejected lets a brittle upstream fall over that rejected too many requests in a second.
+func (f *announcedFleet) rejected(u *fleetUpstream) {
+	if !f.brittle() {
+		return
+	}
+	u.rejectedAt = append(slices.DeleteFunc(u.rejectedAt, func(at time.Duration) bool { return f.Now()-at > time.Second }), f.Now())
+	if len(u.rejectedAt) > f.story.brittle {
+		u.falls++
+		f.result.falls++
+		u.running, u.queue, u.rejectedAt = 0, nil, nil
+		u.downUntil = f.Now() + fallTime
+	}
+}
+
 // gone reports whether an upstream refuses connections now.
 func (f *announcedFleet) gone(u *fleetUpstream) bool {
 	at, leaves := f.story.leaves[u.i]
-	return leaves && f.story.goneAfter > 0 && u.born == 1 && f.Now() >= at+f.story.goneAfter
+	return f.Now() < u.downUntil || leaves && f.story.goneAfter > 0 && u.born == 1 && f.Now() >= at+f.story.goneAfter
 }
 
 // arrivalsIn counts the requests that arrived in a span.
--- a/internal/routing/placement/learn.go
+++ b/internal/routing/placement/learn.go
@@ -50,6 +50,7 @@
 	defer c.mu.Unlock()
 	r := choice.Reservation.(*reservation)
 	o := getOrCreate(c.own, choice.Upstream)
+	c.recordRejection(o, choice.Upstream, result, now)
 	o.load.Running--
 	r.reportToRollout(result, c.demands[r.service], now)
 	if result == forward.Done && r.gotFirstEvent && !r.maybePartial && !r.usesUnprovenVersion() {
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -114,6 +114,10 @@
 	PausesVersion() uint64
 	// Pause returns an upstream's pause, or false if it has none.
 	Pause(ident.Instance) (announced.Pause, bool)
+	// AnyBrittle reports whether any upstream said lately that it falls over if it has to turn many
+	// requests away, and Brittle whether one did.
+	AnyBrittle() bool
+	Brittle(ident.Instance) bool
 	// RetainedPauses returns all pauses, also those that are over and after which
 	// the upstream has not shown yet that it serves as before.
 	RetainedPauses() map[ident.Instance]announced.Pause
@@ -175,6 +179,8 @@
 	avoidUntil time.Time
 	// failures counts the failed connections in a row.
 	failures int
+	// bears is what the upstream was seen to bear while it was brittle; zero if it bore all.
+	bears bearing
 }
 
 // An upstream that cannot be reached is avoided for minAvoidance, and for twice
--- a/internal/routing/placement/search.go
+++ b/internal/routing/placement/search.go
@@ -69,7 +69,7 @@
 	found := false
 	c, call, estimate := s.chooser, s.call, &s.estimate
 	s.limitedCandidates = s.limitedCandidates[:0]
-	limited, paused := c.limitedOf(all), c.pausedOf(all)
+	limited, paused, brittle := c.limitedOf(all), c.pausedOf(all), c.anyBrittle(all)
 	order := c.homeOrderOf(call, all)
 	var pair sampledPair
 	if call.Service.Engine != nil {
@@ -90,7 +90,7 @@
 		if use == unusable {
 			continue
 		}
-		if c.isFull(call, &next) {
+		if brittle && c.isFullWhileBrittle(&next, all, s.now) || c.isFull(call, &next) {
 			s.foundFull = true
 			continue
 		}
