--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -393,10 +393,24 @@
 	l.seen = append(l.seen[:0], buffered...)
 }
 
+// namesFields reports whether a Connection field may hold something else than "close".
+func namesFields(head []byte) bool {
+	const name, alone = "connection:", "close"
+	for line := range bytes.Lines(head) {
+		if len(bytes.TrimSpace(line)) == 0 {
+			return false // the header's end
+		}
+		if len(line) >= len(name) && bytes.EqualFold(line[:len(name)], []byte(name)) && !bytes.EqualFold(bytes.TrimSpace(line[len(name):]), []byte(alone)) {
+			return true
+		}
+	}
+	return false
+}
+
 // restoreConnection gives an answer the Connection fields that net/http removes where they hold
 // "close". They may name further fields that concern this connection only.
 func restoreConnection(response *http.Response, head []byte) {
-	if !response.Close || response.Header["Connection"] != nil {
+	if !response.Close || response.Header["Connection"] != nil || !namesFields(head) {
 		return
 	}
 	lines := textproto.NewReader(bufio.NewReader(bytes.NewReader(head)))
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -53,7 +53,7 @@
 	delay    time.Duration
 }
 
-func newRelaying(t *testing.T) *relaying {
+func newRelaying(t testing.TB) *relaying {
 	t.Helper()
 	r := &relaying{Pool: httpconn.NewPool(time.Now), upstream: worker.New(t, "u0")}
 	r.server = relay.NewServer(relay.ServerConfig{
