--- a/internal/reach/network_test.go
+++ b/internal/reach/network_test.go
@@ -60,3 +60,19 @@
 		t.Errorf("an own request: failure %v, %d sent", failure, relays.sent)
 	}
 }
+
+// Guards against a path that is tried again for ever: another gateway reaches an upstream that has left
+// this one's view meanwhile.
+func TestThePathToAnUpstreamThatHasLeftIsNotRecorded(t *testing.T) {
+	n := New(Config{
+		Self: "gw0", Now: time.Now, Log: hclog.NewNullLogger(), Direct: cutOff{}, Relay: &countingRelay{}, Introduce: func(gossip.Contact) {},
+		Gateways:  func(time.Time) []gossip.Contact { return []gossip.Contact{{Node: "gw1", Address: "gw1"}} },
+		Upstreams: func() []ident.Instance { return nil },
+	})
+	if _, failure := n.Send(t.Context(), httpconn.Target{ID: "u0"}, forward.Exchange{Request: &httpconn.Request{}, TimeLeft: time.Second}); failure == nil {
+		t.Error("an upstream that has left got a request")
+	}
+	if lost := n.Counters().LostNow; lost != 0 {
+		t.Errorf("%d paths count as lost", lost)
+	}
+}
