--- a/internal/reach/network_test.go
+++ b/internal/reach/network_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -76,3 +77,31 @@
 		t.Errorf("%d paths count as lost", lost)
 	}
 }
+
+// silent is a Direct whose kept connection takes a request and never answers, while no new connection is
+// made.
+type silent struct{ cutOff }
+
+func (silent) Send(ctx context.Context, _ httpconn.Target, _ *httpconn.Request) (*httpconn.Answer, *httpconn.Failure) {
+	<-ctx.Done()
+	return nil, &httpconn.Failure{Stage: httpconn.StageHeader, MaybeSent: true, Err: context.Cause(ctx)}
+}
+
+// Guards against requests that go out one after the other on connections kept over a path that is
+// silent: a call that may not be repeated shows it only at its deadline.
+func TestThePathOfASilentExchangeIsChecked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := New(Config{
+			Self: "gw0", Now: time.Now, Log: hclog.NewNullLogger(), Direct: silent{}, Relay: &countingRelay{}, Introduce: func(gossip.Contact) {},
+			Gateways:  func(time.Time) []gossip.Contact { return []gossip.Contact{{Node: "gw1", Address: "gw1"}} },
+			Upstreams: func() []ident.Instance { return []ident.Instance{"u0"} },
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		go n.Send(ctx, httpconn.Target{ID: "u0"}, forward.Exchange{Request: &httpconn.Request{}, TimeLeft: 5 * time.Second, SuspectAfter: minSilence})
+		time.Sleep(time.Second)
+		if !n.Lost("u0") {
+			t.Error("a second later the path counts as working")
+		}
+	})
+}
