--- a/Makefile
+++ b/Makefile
@@ -103,6 +103,12 @@
 announced-report:
 	$(GO) test ./internal/routing/placement -count=1 -timeout 120m -run '^TestAnnouncedStories$$' -args -announced.seeds $(SEEDS) -announced.large -announced.ways -announced.table="$$PWD/$(REPORT)/announced.txt"
 
+# Simulates gateways that lose their paths to upstreams in virtual time, and compares ways to serve their
+# callers; writes tables into REPORT.
+.PHONY: paths-report
+paths-report:
+	$(GO) test ./internal/reach -count=1 -timeout 60m -args -reach.seeds $(SEEDS) -reach.large -reach.table="$$PWD/$(REPORT)/lost-paths.txt"
+
 # --- capacity (cmd/capacity, docs/CAPACITY.md) ---
 .PHONY: capacity capacity-fleet capacity-whole
 
--- a/internal/reach/ways_test.go
+++ b/internal/reach/ways_test.go
@@ -158,7 +158,7 @@
 		fmt.Fprintf(&table, "own failures, %d upstreams in a second: crashes taken for a cut %d of %d, cuts not told %d of %d, told after %v\n", k, crashes, 8*seeds, cutsMissed, 4*seeds, mean.Round(time.Millisecond))
 	}
 	if *playTable != "" {
-		if err := os.WriteFile(*playTable+".ways", []byte(table.String()), 0o644); err != nil {
+		if err := os.WriteFile(strings.TrimSuffix(*playTable, ".txt")+"-ways.txt", []byte(table.String()), 0o644); err != nil {
 			t.Fatal(err)
 		}
 	}
