--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -157,8 +157,9 @@
 // connectionIdleTimeout is how long an idle connection between gateways is kept open.
 const connectionIdleTimeout = 10 * time.Second
 
-// keepAliveHeader announces connectionIdleTimeout to the other gateway, in seconds.
-const keepAliveHeader = "timeout=10"
+// KeepAliveHeader announces on the gateways' own listener how long a connection may be reused: its idle
+// timeout, in seconds.
+const KeepAliveHeader = "timeout=10"
 
 // Serve answers other gateways until Close is called.
 func (g *Gossip) Serve(listener net.Listener) error {
@@ -428,7 +429,7 @@
 
 // writeMessage writes an encoded message as an answer.
 func writeMessage(w http.ResponseWriter, message []byte) {
-	w.Header().Set("Keep-Alive", keepAliveHeader)
+	w.Header().Set("Keep-Alive", KeepAliveHeader)
 	w.Header().Set("Content-Type", "application/x-protobuf")
 	// A write error is ignored: the other gateway tries again.
 	_, _ = w.Write(message)
--- a/internal/ingress/caller.go
+++ b/internal/ingress/caller.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
 )
 
 // caller delivers the answer of one request. It implements forward.Caller.
@@ -94,7 +96,7 @@
 // concern the upstream's connection.
 func (c *caller) copyHeader(header http.Header) {
 	own := c.w.Header()
-	for name, values := range removeHopByHop(header.Clone()) {
+	for name, values := range httpconn.RemoveHopByHop(header.Clone()) {
 		own[name] = values
 	}
 	if header.Get("Content-Type") == "" {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -23,6 +23,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/completion"
 	"github.com/goldcrestspool/goldcrestspool/internal/finding"
 	"github.com/goldcrestspool/goldcrestspool/internal/forward"
+	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/quota"
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
@@ -269,7 +270,7 @@
 	}
 	parsed, findings := s.cfg.Protocol.Parse(r)
 	call := &forward.Call{
-		ID: parsed.ID, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: removeHopByHop(parsed.Header), Received: now,
+		ID: parsed.ID, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: httpconn.RemoveHopByHop(parsed.Header), Received: now,
 		Parts: parsed.Parts, PromptTokens: parsed.PromptTokens, MaxTokens: parsed.MaxTokens, LastEventID: parsed.LastEventID,
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
@@ -385,27 +386,6 @@
 	return size
 }
 
-// hopByHopHeaders are the headers that concern one connection only. Content-Length and
-// Expect are among them because the body is buffered and sent anew.
-var hopByHopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
-}
-
-// removeHopByHop removes the headers that concern one connection only, in place, and
-// returns header.
-func removeHopByHop(header http.Header) http.Header {
-	for _, value := range header["Connection"] {
-		for name := range strings.SplitSeq(value, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHopHeaders {
-		header.Del(name)
-	}
-	return header
-}
-
 // refuse logs and answers a request that is not forwarded.
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request, call *forward.Call, why *refusal) {
 	s.cfg.Metrics.Refused(why.status)
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -18,6 +18,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/announced"
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
 	"github.com/goldcrestspool/goldcrestspool/internal/completion"
+	"github.com/goldcrestspool/goldcrestspool/internal/gossip"
 	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/telemetry"
@@ -242,24 +243,20 @@
 	w.Header()[http.TrailerPrefix+fieldEnd] = []string{encodeEnd(end, end.DependsOnProcess() && answer.WorthAsking())}
 }
 
-// hopHeaders are the fields that concern one connection only, or that mark the end of a body.
-var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", fieldOutcome, fieldReason, fieldLength, fieldEnd}
+// ownFields are the header fields of answers to relayed requests.
+var ownFields = []string{fieldOutcome, fieldReason, fieldLength, fieldEnd}
 
 // copyHeader copies the header of an upstream's answer without what concerns its connection. headOnly:
 // the answer has no body, and its length is that of another answer.
 func copyHeader(to, from http.Header, headOnly bool) {
-	for _, value := range from["Connection"] {
-		for name := range strings.SplitSeq(value, ",") {
-			from.Del(strings.TrimSpace(name))
-		}
-	}
-	for name, values := range from {
+	length := from.Get("Content-Length")
+	for name, values := range httpconn.RemoveHopByHop(from) {
 		to[name] = values
 	}
-	for _, name := range hopHeaders {
+	for _, name := range ownFields {
 		to.Del(name)
 	}
-	if length := from.Get("Content-Length"); headOnly && length != "" {
+	if headOnly && length != "" {
 		to.Set(fieldLength, length)
 	}
 	for _, name := range []string{"Content-Type", "Date"} {
@@ -270,7 +267,7 @@
 }
 
 // writeKeepAlive tells the other gateway how long it may reuse the connection.
-func writeKeepAlive(w http.ResponseWriter) { w.Header().Set("Keep-Alive", "timeout=10") }
+func writeKeepAlive(w http.ResponseWriter) { w.Header().Set("Keep-Alive", gossip.KeepAliveHeader) }
 
 func (s *Server) record(req *request, statement announced.Statement) {
 	s.cfg.Announcements.Record(req.Upstream, req.ID, statement)
