--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -134,7 +134,7 @@
 	// DefaultIdleTime is how long a connection is kept idle if the upstream does not
 	// say; at least and by default 400 ms.
 	DefaultIdleTime time.Duration
-	// DialTimeout bounds a connection attempt; 0 means 350 ms.
+	// DialTimeout bounds a connection attempt; 0 means dialTimeout.
 	DialTimeout time.Duration
 	// KeptOnly: no connection is opened for the request.
 	KeptOnly bool
--- a/internal/lending/keepers.go
+++ b/internal/lending/keepers.go
@@ -8,6 +8,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/gossip"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/quota"
+	"github.com/goldcrestspool/goldcrestspool/internal/rendezvous"
 )
 
 // Keepers are the gateways among which the accounts' pools are divided. It is immutable.
@@ -31,10 +32,10 @@
 	hash := xxhash.Sum64String(string(account))
 	first, second := -1, -1
 	for i, h := range k.hashes {
-		switch weight := mix(hash ^ h); {
-		case first < 0 || weight > mix(hash^k.hashes[first]):
+		switch weight := rendezvous.Weight(hash, h); {
+		case first < 0 || weight > rendezvous.Weight(hash, k.hashes[first]):
 			first, second = i, first
-		case second < 0 || weight > mix(hash^k.hashes[second]):
+		case second < 0 || weight > rendezvous.Weight(hash, k.hashes[second]):
 			second = i
 		}
 	}
@@ -55,12 +56,3 @@
 	}
 	return out
 }
-
-// mix spreads the bits of a hash (the finalizer of SplitMix64).
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/internal/reach/plays_test.go
+++ b/internal/reach/plays_test.go
@@ -118,7 +118,7 @@
 	worstSeed uint64
 }
 
-// shareOf returns how often the tries at gateways that were cut off were served, as a share of the
+// share returns how often the tries at gateways that were cut off were served, as a share of the
 // others.
 func (o *outcome) share() float64 {
 	if o.cut == 0 || o.othersServed == 0 {
--- a/internal/reach/relays.go
+++ b/internal/reach/relays.go
@@ -10,6 +10,7 @@
 
 	"github.com/goldcrestspool/goldcrestspool/internal/gossip"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/rendezvous"
 )
 
 const (
@@ -86,10 +87,7 @@
 
 // rank returns the rank of a gateway at the one with the given hash; the lowest comes first.
 func rank(own uint64, node ident.Instance) uint64 {
-	x := own ^ xxhash.Sum64String(string(node))
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
+	return rendezvous.Weight(own, xxhash.Sum64String(string(node)))
 }
 
 func (r *relays) pausing(key relayKey, now time.Time) bool {
--- a/internal/routing/placement/brittle.go
+++ b/internal/routing/placement/brittle.go
@@ -58,8 +58,8 @@
 	}
 }
 
-// isFullWhileBrittle reports whether this gateway may send no more requests to the i-th of some brittle
-// upstreams. The parts of all gateways together are what the upstream bears; that holds whatever the
+// isFullWhileBrittle reports whether this gateway may send no more requests to one of the brittle upstreams
+// of a list. The parts of all gateways together are what the upstream bears; that holds whatever the
 // others do, of which this gateway hears some tenths of a second late.
 func (c *Chooser) isFullWhileBrittle(x *candidate, all []directory.Upstream, now time.Time) bool {
 	if x.upstream.Slots == 0 {
