Logs name the shared parts of a request's prompt

'upstream process ended during a request', 'attempt ended', 'request ended' and 'request refused' of a barred request list the IDs of the prompt's parts but the last, 16 at most.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -175,7 +175,7 @@
 		if result != Done {
 			s.f.cfg.Log.Info("attempt ended", "id", s.call.ID, "upstream", choice.Upstream, "software_version", choice.SoftwareVersion, "why", choice.Why,
 				"result", result.String(), "cause", s.reason, "relayed_by", s.outcome.RelayedBy, "next", step.String(), "attempt", s.state.Attempts(),
-				"left_ms", s.call.Remaining(s.f.cfg.Now()).Milliseconds(), "content", s.call.Content(),
+				"left_ms", s.call.Remaining(s.f.cfg.Now()).Milliseconds(), "content", s.call.Content(), "parts", s.call.PartsForLog(),
 				"framing", s.ended.Framing.String(), "ending", s.ended.Ending.String(), "position", s.ended.Position.String(), "process", s.ended.Process.String(),
 				"last_event", s.lastEvent, "bytes_after", s.ended.BytesAfter, "answer", s.ended.Verdict().String())
 		}
--- a/internal/forward/poison.go
+++ b/internal/forward/poison.go
@@ -13,7 +13,7 @@
 // is a crash if it was unexpected.
 func (s *session) recordUpstreamEnd(choice Choice, result Result) {
 	unexpected := s.ended.Process == completion.EndedUnexpectedly
-	s.f.cfg.Log.Info("upstream process ended during a request", "id", s.call.ID, "content", s.call.Content(), "account", s.call.Account,
+	s.f.cfg.Log.Info("upstream process ended during a request", "id", s.call.ID, "content", s.call.Content(), "parts", s.call.PartsForLog(), "account", s.call.Account,
 		"route", s.call.Route.Name, "upstream", choice.Upstream, "result", result.String(), "unexpected", unexpected, "again", s.upstreamCrashed.Load())
 	if unexpected {
 		s.f.cfg.Guard.Crashed(choice.Upstream, ident.MarkOf(s.call.Content(), s.call.ID))
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -411,7 +411,7 @@
 	fields := []any{"id", id, "route", route, "host", r.Host, "target", r.RequestURI, "status", why.status,
 		"reason", why.reason, "after_ms", why.retryAfter.Milliseconds()}
 	if why.content != 0 {
-		fields = append(fields, "content", why.content, "account", call.Account)
+		fields = append(fields, "content", why.content, "parts", call.PartsForLog(), "account", call.Account)
 	}
 	if call != nil {
 		fields = append(fields, takeUpFields(call)...)
@@ -496,7 +496,7 @@
 	if !plainSuccess {
 		// Of a plain success the content is left out, because its whole body would have to
 		// be hashed for the log line alone.
-		fields = append(fields, "content", call.Content())
+		fields = append(fields, "content", call.Content(), "parts", call.PartsForLog())
 	}
 	s.cfg.Log.Info("request ended", fields...)
 }
--- a/internal/routing/placement/homes.go
+++ b/internal/routing/placement/homes.go
@@ -61,7 +61,7 @@
 // which belongs to the call alone.
 func sharedTokens(call *forward.Call) int {
 	sum := 0
-	for _, part := range call.Parts[:max(0, len(call.Parts)-1)] {
+	for _, part := range call.SharedParts() {
 		sum += part.Tokens
 	}
 	return sum
