--- a/internal/gossip/codec_test.go
+++ b/internal/gossip/codec_test.go
@@ -231,6 +231,46 @@
 	})
 }
 
+// Guards against reports that grow with prompt parts that crash upstreams: what a gateway reports about
+// them must stay below 600 bytes, a tenth of the 24 KB that control may take in a second, whatever the
+// prompts are.
+func TestPartsTakeFewBytesOfAReport(t *testing.T) {
+	const maxBytes = 600
+	now := time.Unix(1_000_000, 0)
+	tracker := poison.New(poison.Config{
+		Now: func() time.Time { return now }, Log: hclog.NewNullLogger(), Key: func(id ident.Instance) uint32 { return uint32(UpstreamKeyOf(id)) },
+	})
+	most := 0
+	for i := range 100 {
+		var features []ident.Feature
+		for k := range 64 {
+			features = append(features, ident.Feature{Kind: ident.PartFeature, Value: uint64(1000*i + k)})
+		}
+		features[0].Value = uint64(i / 6)
+		for request := range 8 {
+			tracker.Crashed(ident.Instance(fmt.Sprint(i)), 1, ident.Request(fmt.Sprint(i, request)), features)
+		}
+		now = now.Add(Interval)
+		tracker.Refresh(poison.Report{})
+		m := message{From: fullReport()}
+		m.From.Poison = poison.Report{}
+		without, err := m.encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		m.From.Poison = tracker.Report()
+		with, err := m.encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		most = max(most, len(with)-len(without))
+	}
+	if most > maxBytes {
+		t.Errorf("%d bytes, at most %d allowed", most, maxBytes)
+	}
+	t.Logf("at most %d bytes were used", most)
+}
+
 // Guards against reports that grow with poison requests: what a gateway reports per round about
 // them must stay below 200 bytes, also while many different requests crash upstreams, and take
 // no bytes while none does.
--- a/internal/poison/bench_test.go
+++ b/internal/poison/bench_test.go
@@ -47,6 +47,24 @@
 			}
 		})
 	}
+	for _, n := range []int{3, 64} {
+		var parts []ident.Feature
+		for i := range n {
+			parts = append(parts, part(uint64(1<<20+i)))
+		}
+		b.Run(fmt.Sprint("unknown parts, ", n), func(b *testing.B) {
+			for b.Loop() {
+				if len(tr.AppendKnownParts(nil, parts)) > 0 {
+					b.Fatal("a part with no crash is known")
+				}
+			}
+		})
+		b.Run(fmt.Sprint("served parts, ", n), func(b *testing.B) {
+			for b.Loop() {
+				tr.Served(parts)
+			}
+		})
+	}
 	b.Run("refresh", func(b *testing.B) {
 		for b.Loop() {
 			tr.dirty = true
