Parts in doubt: a further end says nothing if another part was in its requests; stored ends count once; popular parts

Two causes, each with a test that was red before:

- A part that was convicted together with another was convicted alone by one more end, although a second harmful part was in the very requests of that end.
Now what was in the same requests comes with it, as at a first conviction (TestConvictionsOfParts, 'with a third').
- What the lease's record says of ends before a restart was added to what other gateways tell of the same ends: 6 counted of 3 (TestStoredSuspicionsCountOnce).

--- a/internal/poison/kinds.go
+++ b/internal/poison/kinds.go
@@ -50,7 +50,7 @@
 
 const (
 	// moreIfProven is how many more crashes in a row it takes to convict a feature that was served
-	// before and that could not be answered for long.
+	// before, or is popular, and that could not be answered for long.
 	moreIfProven = 3
 	// shortAnswerTime and longAnswerTime are how long it must have been possible to answer requests with
 	// such a feature, since the first crash against it, until it may be convicted, and until it takes no
@@ -61,7 +61,7 @@
 
 // leastCrashes returns how many crashes in a row convict a suspect; false if none do yet.
 func (r *rules) leastCrashes(s *suspect, now time.Time) (least int, possible bool) {
-	if !s.proven || !r.combines || len(s.crashes) == 0 {
+	if !r.combines || len(s.crashes) == 0 || !s.proven && !s.popular() {
 		return r.minCrashes, true
 	}
 	switch age := now.Sub(s.crashes[0].at); {
--- a/internal/poison/parts_test.go
+++ b/internal/poison/parts_test.go
@@ -76,6 +76,10 @@
 			tr.crashUnderParts(1, harmfulPart)
 			tr.crashUnderParts(1, soundPart)
 		}, [][]uint64{{harmfulPart}, {soundPart}}, [][]uint64{{routePart}}},
+		{"two parts that came together, and one ends an upstream with a third", func(tr *testTracker) {
+			tr.crashUnderParts(5, harmfulPart, routePart)
+			tr.crashUnderParts(1, soundPart, routePart)
+		}, [][]uint64{{harmfulPart, routePart}}, [][]uint64{{routePart}, {soundPart}, {harmfulPart}}},
 		{"one request that its gateway and its caller sent on", func(tr *testTracker) {
 			for i := range 6 {
 				tr.Crashed(ident.Instance(fmt.Sprint("u", i)), testSoftware, ident.Request(fmt.Sprint(i/3)), []ident.Feature{content(i / 3), part(soundPart)})
@@ -134,3 +138,24 @@
 		}
 	}
 }
+
+// Guards against a crash that counts twice: in the record that a gateway reads at its start, and in what
+// the others tell it.
+func TestStoredSuspicionsCountOnce(t *testing.T) {
+	a, b := newTestTracker(), newTestTracker()
+	a.crashUnder("u1", testSoftware, content(1), part(harmfulPart))
+	a.crashUnder("u2", testSoftware, content(2), part(harmfulPart))
+	a.crashUnder("u3", testSoftware, content(3), part(harmfulPart))
+	b.now = a.now
+	b.Restore(a.Snapshot())
+	b.advance(100*time.Millisecond, a.Report())
+	if n := b.crashesAgainst(part(harmfulPart), b.now); n != 3 {
+		t.Errorf("%d crashes counted, want 3", n)
+	}
+	b.advance(10 * time.Second)
+	b.lastID = 100
+	b.crashUnderParts(2, harmfulPart)
+	if !b.barsParts(harmfulPart) {
+		t.Error("not barred after three crashes before the restart and two after it")
+	}
+}
--- a/internal/poison/stored.go
+++ b/internal/poison/stored.go
@@ -108,7 +108,7 @@
 	t.rebuildSuspects(now)
 	var out []storedVerdict
 	for f, s := range t.suspects {
-		if f.Kind != ident.PartFeature || f.Value == 0 || s.proven || s.count() < minStoredCrashes {
+		if f.Kind != ident.PartFeature || f.Value == 0 || s.proven || s.tally.arrivals < 2 || s.count() < minStoredCrashes {
 			continue
 		}
 		age := now.Sub(s.unexplained[len(s.unexplained)-1].at).Milliseconds()
--- a/internal/poison/suspects.go
+++ b/internal/poison/suspects.go
@@ -36,9 +36,8 @@
 	// mayBeBeside: the credit is for crashes that the feature may have had no part in, because many
 	// requests have it.
 	mayBeBeside bool
-	// earlier is how many crashes counted against the feature before all gateways restarted, and was
-	// not answered since.
-	earlier int
+	// earlier is what counted against the feature when all gateways restarted, and was not answered since.
+	earlier earlierCrashes
 	// cleared: the feature was answered completely before, on any software.
 	cleared bool
 	// proven: the feature was answered completely, lately or at any time since it is suspected.
@@ -51,16 +50,36 @@
 	if s == nil || len(s.unexplained) == 0 {
 		return 0
 	}
-	return len(s.unexplained) + s.credit + s.earlier
+	return max(len(s.unexplained), s.countWithEarlier()) + s.credit
 }
 
+// countWithEarlier counts the earlier crashes and those since.
+func (s *suspect) countWithEarlier() int {
+	if s.earlier.crashes == 0 {
+		return 0
+	}
+	n := s.earlier.crashes
+	for _, c := range s.unexplained {
+		if c.at.After(s.earlier.newest.Add(sameCrashWindow)) {
+			n++
+		}
+	}
+	return n
+}
+
+// maxArrivalsPerCrash is how many requests in each crash may have had a feature that is not popular.
+const maxArrivalsPerCrash = 2
+
+// popular reports whether so many requests have the feature that it is in many crashes for that alone.
+func (s *suspect) popular() bool { return s.tally.arrivals > maxArrivalsPerCrash*s.tally.crashes }
+
 // discount takes out the crashes of a software up to an instant.
 func (s *suspect) discount(software Software, at time.Time) {
 	old := func(c *crash) bool { return software.covers(c.software) && !c.at.After(at) }
 	s.crashes = slices.DeleteFunc(s.crashes, old)
 	s.unexplained = slices.DeleteFunc(s.unexplained, old)
 	s.tally = tallyOf(s.feature, s.crashes)
-	s.cleared, s.proven, s.earlier = true, true, 0
+	s.cleared, s.proven, s.earlier = true, true, earlierCrashes{}
 }
 
 // convicted is a conviction with the crashes that it explains: those in which one request had all of
@@ -116,7 +135,7 @@
 		}
 		s := t.suspects[mark.Feature]
 		if s == nil {
-			s = &suspect{feature: mark.Feature, cleared: len(t.clearances[mark.Feature]) > 0, earlier: t.earlier[mark.Feature].crashes}
+			s = &suspect{feature: mark.Feature, cleared: len(t.clearances[mark.Feature]) > 0, earlier: t.earlier[mark.Feature]}
 			s.proven = s.cleared || t.served.has(mark.Feature)
 			t.suspects[mark.Feature] = s
 		}
@@ -155,7 +174,7 @@
 			inDoubt = v.features(lead)
 		}
 		for _, f := range inDoubt {
-			if one := t.suspects[f]; one != nil && !one.proven {
+			if one := t.suspects[f]; one != nil && !one.proven && !one.popular() {
 				one.credit = rulesOf(f).memberCredit
 			}
 		}
@@ -246,7 +265,7 @@
 		if rulesOf(s.feature).combines && t.hasOtherCauses(settled) {
 			continue
 		}
-		if settled.earlier > 0 || rulesOf(s.feature).enoughArrivals(settled.tally) {
+		if settled.earlier.crashes > 0 || rulesOf(s.feature).enoughArrivals(settled.tally) {
 			out = append(out, settled)
 		}
 	}
@@ -348,15 +367,19 @@
 	return n
 }
 
-// companions returns the features that were, with at most one exception, in the same requests as the
-// suspect in each of its crashes. One that the crashes already tell apart has none.
+// companions returns the features that may be the cause as well, because they were in the same requests
+// as the suspect in each of its crashes, with one exception if there are several, and were never answered.
 func (t *Tracker) companions(s *suspect) []ident.Feature {
-	if !rulesOf(s.feature).combines || s.credit > 0 {
+	if !rulesOf(s.feature).combines {
 		return nil
 	}
+	exceptions := 0
+	if len(s.unexplained) >= minFreshCrashes {
+		exceptions = 1
+	}
 	var out []ident.Feature
 	for f, o := range t.suspects {
-		if f != s.feature && f.Kind == s.feature.Kind && len(o.unexplained) >= len(s.unexplained)-1 && s.apartFrom(o) <= 1 {
+		if f != s.feature && f.Kind == s.feature.Kind && !o.proven && len(o.unexplained) >= len(s.unexplained)-exceptions && s.apartFrom(o) <= exceptions {
 			out = append(out, f)
 		}
 	}
--- a/internal/poison/verdicts.go
+++ b/internal/poison/verdicts.go
@@ -100,7 +100,7 @@
 func (t *Tracker) answered(f ident.Feature, software Software, before, now time.Time) {
 	barred, involved := t.isBarredAlone(f, now), t.isInConviction(f, now)
 	s := t.suspects[f]
-	if !involved && (s == nil || !slices.ContainsFunc(s.crashes, func(c *crash) bool { return software.covers(c.software) && !c.at.After(before) }) && s.earlier == 0) {
+	if !involved && (s == nil || !slices.ContainsFunc(s.crashes, func(c *crash) bool { return software.covers(c.software) && !c.at.After(before) }) && s.earlier.crashes == 0) {
 		return
 	}
 	share := involved || t.countedElsewhere(f, software) >= shareFrom
@@ -322,8 +322,11 @@
 const ageTolerance = 100 * time.Millisecond
 
 // addConviction adds a conviction. One of a single feature replaces those of the feature together
-// with others.
+// with others; one of several gets a lead of its own if it can.
 func (t *Tracker) addConviction(lead ident.Feature, v *conviction) {
+	if t.convictions[lead] != nil {
+		lead = t.freeLead(lead, v)
+	}
 	if len(v.with) == 0 {
 		for o, known := range t.convictions {
 			if known.has(o, lead) {
@@ -346,6 +349,18 @@
 	}
 }
 
+// freeLead makes one of the features the conviction's lead that leads no other yet.
+func (t *Tracker) freeLead(lead ident.Feature, v *conviction) ident.Feature {
+	for i, f := range v.with {
+		if t.convictions[f] == nil {
+			v.with[i] = lead
+			slices.SortFunc(v.with, ident.Feature.Compare)
+			return f
+		}
+	}
+	return lead
+}
+
 // limitClearances drops the oldest clearances beyond maxClearances.
 func (t *Tracker) limitClearances() {
 	if len(t.clearances) <= maxClearances {
