--- a/internal/poison/parts_test.go
+++ b/internal/poison/parts_test.go
@@ -159,3 +159,77 @@
 		t.Error("not barred after three crashes before the restart and two after it")
 	}
 }
+
+// Guards against parts that crash as many upstreams again after all gateways have restarted.
+func TestStoredParts(t *testing.T) {
+	a, b := newTestTracker(), newTestTracker()
+	a.crashUnderParts(5, harmfulPart)
+	b.now = a.now
+	b.Restore(a.Snapshot())
+	if !b.barsParts(harmfulPart) {
+		t.Error("a stored part is not barred")
+	}
+	c, d := newTestTracker(), newTestTracker()
+	c.crashUnderParts(5, harmfulPart, soundPart)
+	d.now = c.now
+	d.Restore(c.Snapshot())
+	if !d.barsParts(harmfulPart, soundPart) || d.barsParts(harmfulPart) || d.barsParts(soundPart) {
+		t.Error("stored parts that were convicted together are not barred together, and together only")
+	}
+	e, f := newTestTracker(), newTestTracker()
+	e.crashUnderParts(3, harmfulPart)
+	f.now, f.lastID = e.now, 100
+	f.Restore(e.Snapshot())
+	f.crashUnderParts(2, harmfulPart)
+	if !f.barsParts(harmfulPart) {
+		t.Error("not barred after three crashes before the restart and two after it")
+	}
+}
+
+// Guards against a popular part that a gateway convicts because only the other gateways have seen it served.
+func TestServedPartsAreReported(t *testing.T) {
+	a, b := newTestTracker(), newTestTracker()
+	a.Served([]ident.Feature{part(routePart)})
+	for i := range 5 {
+		for _, tr := range []*testTracker{a, b} {
+			tr.lastID = i
+			tr.crashUnder(fmt.Sprint("u", i), testSoftware, content(1000+i), part(routePart))
+		}
+		a.advance(200 * time.Millisecond)
+		b.advance(200*time.Millisecond, a.Report())
+	}
+	a.advance(settleTime)
+	b.advance(settleTime, a.Report())
+	if a.barsParts(routePart) || b.barsParts(routePart) {
+		t.Error("a part that was served before is barred after five crashes within 2 s")
+	}
+}
+
+// Guards against a popular part, of which nobody knows yet whether it is sound, that is barred for the
+// crashes that others cause.
+func TestPopularPartsAreBesideManyCrashes(t *testing.T) {
+	tr := newTestTracker()
+	for i := range 6 {
+		for range 4 {
+			tr.crashUnder(fmt.Sprint("u", i), testSoftware, content(1000+tr.lastID), part(routePart))
+		}
+		tr.advance(200 * time.Millisecond)
+	}
+	tr.advance(settleTime)
+	if tr.barsParts(routePart) {
+		t.Error("a popular part is barred after six crashes within 2 s")
+	}
+}
+
+// Guards against a part that was served before and is barred for crashes that two harmful contents explain.
+func TestCrashesWithOtherCauses(t *testing.T) {
+	tr := newTestTracker()
+	for i := range 5 {
+		tr.crashUnder(fmt.Sprint("u", i), testSoftware, content(1+i%2), part(routePart))
+		tr.advance(10 * time.Millisecond)
+	}
+	tr.advance(settleTime)
+	if tr.barsParts(routePart) {
+		t.Error("the part is barred for the crashes of two contents")
+	}
+}
