Convictions of several parts rest on one request that had all of them

Read in the diff, with a test (TestPartsThatWereNeverAllTogether): companions were chosen pair by pair, so that a set may explain no crash at all, and the round of convictions would go on for ever with the tracker's lock held. Now a set is only of parts that one request had in each crash, and a round is bounded.

--- a/internal/poison/parts_test.go
+++ b/internal/poison/parts_test.go
@@ -233,3 +233,18 @@
 		t.Error("the part is barred for the crashes of two contents")
 	}
 }
+
+// Guards against a gateway that hangs over parts that were in each other's requests, but never all in one.
+func TestPartsThatWereNeverAllTogether(t *testing.T) {
+	tr := newTestTracker()
+	for i := range 12 {
+		upstream := fmt.Sprint("u", i)
+		for k := range 6 {
+			tr.crashUnder(upstream, testSoftware, content(2000+tr.lastID), part(uint64(10+k)), part(uint64(10+(k+1)%6)))
+		}
+		tr.advance(time.Second)
+	}
+	if tr.barsParts(10) || tr.barsParts(13) {
+		t.Error("a part is barred alone that was never alone")
+	}
+}
--- a/internal/poison/suspects.go
+++ b/internal/poison/suspects.go
@@ -95,8 +95,8 @@
 // changed.
 //
 // A crash that a conviction explains does not count against the other features there. The exceptions
-// were in as many crashes as the conviction explains and were never answered: a content, because the
-// convicted one may only have run beside it, and a part in the same requests, which is given credit.
+// were in as many crashes as the conviction explains: a content that was never answered, because the
+// convicted one may only have run beside it, and a part, which is given credit.
 func (t *Tracker) rebuildSuspects(now time.Time) {
 	if !t.dirty {
 		return
@@ -154,7 +154,7 @@
 		}
 		k := &convicted{lead: lead, conviction: v}
 		for _, c := range s.crashes {
-			if !slices.ContainsFunc(v.with, func(o ident.Feature) bool { return !c.hadTogether(lead, o) }) {
+			if c.hadTogether(v.features(lead)...) {
 				k.crashes = append(k.crashes, c)
 			}
 		}
@@ -197,7 +197,8 @@
 // outdoes reports whether the conviction, which explains the crash, is a likelier cause than the
 // suspect.
 func (k *convicted) outdoes(s *suspect, c *crash) bool {
-	return s.tally.crashes <= k.tally.crashes && c.hadTogether(k.lead, s.feature) || s.tally.compare(k.tally) < 0
+	answered := s.cleared && !rulesOf(s.feature).combines
+	return answered || s.tally.crashes <= k.tally.crashes && c.hadTogether(k.lead, s.feature) || s.tally.compare(k.tally) < 0
 }
 
 // tallyOf counts the given crashes and a feature's distinct requests in them.
@@ -215,10 +216,13 @@
 	return tally{crashes: len(crashes), arrivals: n}
 }
 
+// maxConvictedAtOnce bounds the convictions of one round; further ones follow in the next.
+const maxConvictedAtOnce = 16
+
 // convictCauses convicts one cause after another until the remaining crashes are explained or
 // the evidence about them is still incomplete.
 func (t *Tracker) convictCauses(now time.Time) {
-	for {
+	for range maxConvictedAtOnce {
 		t.rebuildSuspects(now)
 		candidates := t.candidates(now)
 		best, with, found := t.likeliestCause(candidates)
@@ -377,14 +381,27 @@
 	if len(s.unexplained) >= minFreshCrashes {
 		exceptions = 1
 	}
-	var out []ident.Feature
+	var others []ident.Feature
 	for f, o := range t.suspects {
 		if f != s.feature && f.Kind == s.feature.Kind && !o.proven && len(o.unexplained) >= len(s.unexplained)-exceptions && s.apartFrom(o) <= exceptions {
+			others = append(others, f)
+		}
+	}
+	slices.SortFunc(others, ident.Feature.Compare)
+	var out []ident.Feature
+	for _, f := range others {
+		all := append([]ident.Feature{s.feature, f}, out...)
+		apart := 0
+		for _, c := range s.unexplained {
+			if !c.hadTogether(all...) {
+				apart++
+			}
+		}
+		if apart <= exceptions && len(out) < maxWith {
 			out = append(out, f)
 		}
 	}
-	slices.SortFunc(out, ident.Feature.Compare)
-	return out[:min(len(out), maxWith)]
+	return out
 }
 
 // sharesCrash reports whether a crash counts against both suspects.
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -259,12 +259,13 @@
 	return c.marks[from:to]
 }
 
-// hadTogether reports whether one of the interrupted requests had both features.
-func (c *crash) hadTogether(a, b ident.Feature) bool {
-	marksB := c.marksOf(b)
-	return slices.ContainsFunc(c.marksOf(a), func(m ident.Mark) bool {
-		_, found := slices.BinarySearchFunc(marksB, m.Request, func(o ident.Mark, request uint8) int { return int(o.Request) - int(request) })
-		return found
+// hadTogether reports whether one of the interrupted requests had all the features.
+func (c *crash) hadTogether(features ...ident.Feature) bool {
+	return slices.ContainsFunc(c.marksOf(features[0]), func(m ident.Mark) bool {
+		return !slices.ContainsFunc(features[1:], func(f ident.Feature) bool {
+			_, found := slices.BinarySearchFunc(c.marks, ident.Mark{Feature: f, Request: m.Request}, ident.Mark.Compare)
+			return !found
+		})
 	})
 }
 
