--- a/internal/poison/suspects.go
+++ b/internal/poison/suspects.go
@@ -301,6 +301,7 @@
 			others = append(others, o)
 		}
 	}
+	slices.SortFunc(others, func(a, b *suspect) int { return a.feature.Compare(b.feature) })
 	left := slices.Clone(s.unexplained)
 	for range max(maxOtherCauses, len(left)/3) {
 		var most *suspect
