Repeated requests do not hide the part that they have in common

Cause: each content was convicted at its third crash and then explained its crashes to its own part, so that the part was left with fewer than five; and a part's arrivals were requests, so that repeats looked like many.

And a suspicion in the lease's record that is read again does not come back after an answer (TestAStoredSuspicionIsOlderThanAnAnswer, red before). Three stories of repeats, TestAPartInRepeatedRequests (red before).

--- a/internal/forward/content_test.go
+++ b/internal/forward/content_test.go
@@ -30,7 +30,7 @@
 	if again.Content() != base.Content() {
 		t.Error("another ID changed the content")
 	}
-	if ident.MarkOf(base.Content().Feature(), "1").Feature != base.Content().Feature() {
+	if ident.ContentMark(base.Content(), "1").Feature != base.Content().Feature() {
 		t.Error("a mark is not of its content")
 	}
 }
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -97,7 +97,7 @@
 
 func (*countingGuard) KnowsNone() bool                { return true }
 func (*countingGuard) MayResend([]ident.Feature) bool { return true }
-func (g *countingGuard) Crashed(ident.Instance, poison.Software, ident.Request, []ident.Feature) {
+func (g *countingGuard) Crashed(ident.Instance, poison.Software, ident.Request, ident.ContentHash, []ident.Feature) {
 	g.crashes.Add(1)
 }
 func (*countingGuard) Admit([]ident.Feature, time.Duration) poison.Decision {
--- a/internal/forward/poison.go
+++ b/internal/forward/poison.go
@@ -17,7 +17,7 @@
 	s.f.cfg.Log.Info("upstream process ended during a request", "id", s.call.ID, "content", s.call.Content(), "parts", s.call.PartsForLog(), "account", s.call.Account,
 		"route", s.call.Route.Name, "upstream", choice.Upstream, "result", result.String(), "unexpected", unexpected, "again", s.upstreamCrashed.Load())
 	if unexpected {
-		s.f.cfg.Guard.Crashed(choice.Upstream, s.softwareOf(choice), s.call.ID, s.call.Features())
+		s.f.cfg.Guard.Crashed(choice.Upstream, s.softwareOf(choice), s.call.ID, s.call.Content(), s.call.partFeatures())
 		s.upstreamCrashed.Store(true)
 	}
 }
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -265,8 +265,9 @@
 	// Started records that a request is sent to an upstream. The caller must call ended
 	// when the attempt is over.
 	Started(upstream ident.Instance, features []ident.Feature) (ended func())
-	// Crashed records that an upstream, which ran the given software, crashed while it had the request.
-	Crashed(upstream ident.Instance, software poison.Software, id ident.Request, features []ident.Feature)
+	// Crashed records that an upstream, which ran the given software, crashed while it had a request with
+	// this ID, content and shared prompt parts.
+	Crashed(upstream ident.Instance, software poison.Software, id ident.Request, content ident.ContentHash, parts []ident.Feature)
 	// MayResend reports whether a request whose upstream crashed may go to another one.
 	MayResend(features []ident.Feature) bool
 	// Completed records that a request with known or suspected features was answered completely.
--- a/internal/gossip/codec_poison.go
+++ b/internal/gossip/codec_poison.go
@@ -47,7 +47,7 @@
 			continue
 		}
 		to.Parts = append(to.Parts, mark.Feature.Value)
-		to.PartRequests = append(to.PartRequests, mark.Request)
+		to.PartTags = append(to.PartTags, mark.Tag)
 	}
 }
 
@@ -94,12 +94,12 @@
 		}
 		out = append(out, mark)
 	}
-	if len(in.Parts) != len(in.PartRequests) {
-		c.fail("a crash has %d parts and %d requests", len(in.Parts), len(in.PartRequests))
+	if len(in.Parts) != len(in.PartTags) {
+		c.fail("a crash has %d parts and %d tags", len(in.Parts), len(in.PartTags))
 		return out
 	}
 	for i, part := range in.Parts {
-		out = append(out, ident.Mark{Feature: ident.Feature{Kind: ident.PartFeature, Value: part}, Request: in.PartRequests[i]})
+		out = append(out, ident.Mark{Feature: ident.Feature{Kind: ident.PartFeature, Value: part}, Tag: in.PartTags[i]})
 	}
 	return out
 }
--- a/internal/gossip/codec_test.go
+++ b/internal/gossip/codec_test.go
@@ -49,8 +49,8 @@
 	}
 }
 
-func fullMark(kind ident.FeatureKind, value uint64, request uint8) ident.Mark {
-	return ident.Mark{Feature: ident.Feature{Kind: kind, Value: value}, Request: request}
+func fullMark(kind ident.FeatureKind, value uint64, tag uint8) ident.Mark {
+	return ident.Mark{Feature: ident.Feature{Kind: kind, Value: value}, Tag: tag}
 }
 
 // fullPoison returns a report on poison requests in which all fields are set.
@@ -190,7 +190,7 @@
 		"leaving since a year":             func(m *exchangev1.Message) { m.From.UpstreamsLeaving[0].AgeMs = ^uint32(0) },
 		"an end under nothing":             func(m *exchangev1.Message) { m.From.Poison.Crashes[0].Marks[0] = 7 },
 		"a verdict of nothing":             func(m *exchangev1.Message) { m.From.Poison.Verdicts[0].Content = 0 },
-		"parts without requests":           func(m *exchangev1.Message) { m.From.Poison.Crashes[0].PartRequests = nil },
+		"parts without tags":               func(m *exchangev1.Message) { m.From.Poison.Crashes[0].PartTags = nil },
 		"an end of a year ago":             func(m *exchangev1.Message) { m.From.Poison.Crashes[0].AgeMs = 365 * 86_400_000 },
 		"a gateway without a name":         func(m *exchangev1.Message) { m.Contacts = []*exchangev1.Contact{{Address: "b:1"}} },
 		"an upstream without address": func(m *exchangev1.Message) {
@@ -248,7 +248,7 @@
 		}
 		features[0].Value = uint64(i / 6)
 		for request := range 8 {
-			tracker.Crashed(ident.Instance(fmt.Sprint(i)), 1, ident.Request(fmt.Sprint(i, request)), features)
+			tracker.Crashed(ident.Instance(fmt.Sprint(i)), 1, ident.Request(fmt.Sprint(i, request)), ident.ContentHashOf(ident.OutlineHash(1+8*i+request), 0), features)
 		}
 		now = now.Add(Interval)
 		tracker.Refresh(poison.Report{})
@@ -302,7 +302,7 @@
 				if request > 0 {
 					content = ident.ContentHashOf(ident.OutlineHash(1+i*100+10*k+request), 0)
 				}
-				tracker.Crashed(upstream, 1, ident.Request(fmt.Sprint(i, k, request)), []ident.Feature{content.Feature()})
+				tracker.Crashed(upstream, 1, ident.Request(fmt.Sprint(i, k, request)), content, nil)
 			}
 		}
 		now = now.Add(Interval)
--- a/internal/ident/content.go
+++ b/internal/ident/content.go
@@ -97,28 +97,40 @@
 	return f.Kind == PartFeature || f.Kind == ContentFeature && f.Value > requestBits && f.Value&requestBits == 0
 }
 
-// Mark says that a request with a feature was somewhere. Of the request it holds one byte: two
-// requests have the same one by chance once in 256.
+// Mark says that a request with a feature was somewhere. Its tag tells the arrivals of the feature
+// apart: for a content it is a byte of the hash of the request's ID, for a prompt part the Tag of the
+// request's content. Two arrivals have the same one by chance once in 256.
 type Mark struct {
 	Feature Feature
-	Request uint8
+	Tag     uint8
 }
 
-// MarkOf returns the Mark of a request with a feature and an ID.
-func MarkOf(f Feature, id Request) Mark {
-	return Mark{Feature: f, Request: uint8(xxhash.Sum64String(string(id)) & requestBits)}
+// ContentMark returns the mark of a content that arrived in a request.
+func ContentMark(content ContentHash, id Request) Mark {
+	return Mark{Feature: content.Feature(), Tag: uint8(xxhash.Sum64String(string(id)) & requestBits)}
 }
 
-// Compare orders marks by feature and request.
+// PartMark returns the mark of a prompt part that arrived in a request with a content.
+func PartMark(part Feature, content ContentHash) Mark {
+	return Mark{Feature: part, Tag: content.Tag()}
+}
+
+// Tag returns a byte that is drawn from all of the content hash.
+func (c ContentHash) Tag() uint8 {
+	const oddMultiplier = 0x9E3779B97F4A7C15 // 2^64 divided by the golden ratio: spreads all bits
+	return uint8(uint64(c) * oddMultiplier >> 56)
+}
+
+// Compare orders marks by feature and tag.
 func (m Mark) Compare(o Mark) int {
-	return cmp.Or(m.Feature.Compare(o.Feature), cmp.Compare(m.Request, o.Request))
+	return cmp.Or(m.Feature.Compare(o.Feature), cmp.Compare(m.Tag, o.Tag))
 }
 
-// PackContentMark returns the mark of a content as one number: the content hash with the request's
-// byte as its lowest.
-func PackContentMark(m Mark) uint64 { return m.Feature.Value | uint64(m.Request) }
+// PackContentMark returns the mark of a content as one number: the content hash with the tag as its
+// lowest byte.
+func PackContentMark(m Mark) uint64 { return m.Feature.Value | uint64(m.Tag) }
 
 // UnpackContentMark returns the mark that PackContentMark packed.
 func UnpackContentMark(packed uint64) Mark {
-	return Mark{Feature: Feature{Kind: ContentFeature, Value: packed &^ requestBits}, Request: uint8(packed & requestBits)}
+	return Mark{Feature: Feature{Kind: ContentFeature, Value: packed &^ requestBits}, Tag: uint8(packed & requestBits)}
 }
--- a/internal/poison/fleet_test.go
+++ b/internal/poison/fleet_test.go
@@ -40,6 +40,8 @@
 	apartFrom time.Duration
 	// withIsPoison: the parts in with crash upstreams too; from apartFrom on half of the requests have them alone.
 	withIsPoison bool
+	// repeats is how often the client of a broken-off request sends it again, with the same content.
+	repeats int
 	// soundInterval is the mean time between sound requests that have the parts in with; 0 for none.
 	soundInterval time.Duration
 	// harmlessUntil is the time until which its requests are served, and harmlessSoftware the software
@@ -590,7 +592,7 @@
 	r.onFinished()
 	t := r.gateway.tracker
 	if asCrash && !f.s.withoutTracker {
-		t.Crashed(u.id(f.s.keepsIDs), f.softwareOf(u), ident.Request(strconv.Itoa(r.id)), r.features)
+		t.Crashed(u.id(f.s.keepsIDs), f.softwareOf(u), ident.Request(strconv.Itoa(r.id)), r.content, r.features[1:])
 		r.crashed = true
 	}
 	if r.sends < r.maxSends && (f.s.withoutTracker || !r.crashed || t.MayResend(r.features)) {
@@ -600,6 +602,8 @@
 	}
 	if r.poison == nil {
 		f.retryByClient(r)
+	} else if r.retries++; r.retries <= r.poison.repeats {
+		f.In(clientRetryDelay, func() { f.receive(r) })
 	}
 }
 
--- a/internal/poison/kinds.go
+++ b/internal/poison/kinds.go
@@ -49,28 +49,28 @@
 }
 
 const (
-	// moreIfProven is how many more crashes in a row it takes to convict a feature that was served
-	// before, or is popular, and that could not be answered for long.
-	moreIfProven = 3
-	// shortAnswerTime and longAnswerTime are how long it must have been possible to answer requests with
-	// such a feature, since the first crash against it, until it may be convicted, and until it takes no
-	// more crashes than usual.
+	// minAnswerTime is how long it must have been possible to answer requests with a part, since the first
+	// crash against it, until it may be convicted: a sound part is in many crashes if they follow each
+	// other faster than answers come.
+	minAnswerTime = 2 * settleTime
+	// A part that was served before, or is popular, may be convicted after shortAnswerTime at moreIfProven
+	// more crashes, and after longAnswerTime at as many as others.
 	shortAnswerTime = 2500 * time.Millisecond
 	longAnswerTime  = 5 * time.Second
+	moreIfProven    = 3
 )
 
 // leastCrashes returns how many crashes in a row convict a suspect; false if none do yet.
-func (r *rules) leastCrashes(s *suspect, now time.Time) (least int, possible bool) {
-	if !r.combines || len(s.crashes) == 0 || !s.proven && !s.popular() {
+func (s *suspect) leastCrashes(now time.Time) (least int, possible bool) {
+	r := rulesOf(s.feature)
+	if !r.combines {
 		return r.minCrashes, true
 	}
-	switch age := now.Sub(s.crashes[0].at); {
-	case age >= longAnswerTime:
-		return r.minCrashes, true
-	case age >= shortAnswerTime:
-		return r.minCrashes + moreIfProven, true
+	age := s.age(now)
+	if age < longAnswerTime && (s.proven || s.popular()) {
+		return r.minCrashes + moreIfProven, age >= shortAnswerTime
 	}
-	return 0, false
+	return r.minCrashes, age >= minAnswerTime
 }
 
 // provenAt returns until when an answer that is complete now shows that its features were harmless.
--- a/internal/poison/parts_test.go
+++ b/internal/poison/parts_test.go
@@ -17,11 +17,11 @@
 // crashUnderParts records crashes of different upstreams, each under a new content with the parts.
 func (tr *testTracker) crashUnderParts(n int, parts ...uint64) {
 	for range n {
-		features := []ident.Feature{content(1000 + tr.lastID)}
+		var features []ident.Feature
 		for _, p := range parts {
 			features = append(features, part(p))
 		}
-		tr.crashUnder(fmt.Sprint("u", tr.lastID), testSoftware, features...)
+		tr.crashUnder(fmt.Sprint("u", tr.lastID), testSoftware, content(1000+tr.lastID), features...)
 		tr.advance(2 * time.Second)
 	}
 }
@@ -82,7 +82,7 @@
 		}, [][]uint64{{harmfulPart, routePart}}, [][]uint64{{routePart}, {soundPart}, {harmfulPart}}},
 		{"one request that its gateway and its caller sent on", func(tr *testTracker) {
 			for i := range 6 {
-				tr.Crashed(ident.Instance(fmt.Sprint("u", i)), testSoftware, ident.Request(fmt.Sprint(i/3)), []ident.Feature{content(i / 3), part(soundPart)})
+				tr.crashUnderRequest(fmt.Sprint("u", i), testSoftware, fmt.Sprint(i/3), content(i/3+1), part(soundPart))
 				tr.advance(2 * time.Second)
 			}
 		}, nil, [][]uint64{{soundPart}}},
@@ -248,3 +248,35 @@
 		t.Error("a part is barred alone that was never alone")
 	}
 }
+
+// Guards against a suspicion that a later reading of the lease's record brings back after an answer.
+func TestAStoredSuspicionIsOlderThanAnAnswer(t *testing.T) {
+	a, b := newTestTracker(), newTestTracker()
+	a.crashUnderParts(3, soundPart)
+	record := a.Snapshot()
+	b.now = a.now
+	b.Restore(record)
+	b.advance(time.Second)
+	b.answer(part(soundPart))
+	b.advance(time.Second)
+	b.Restore(record)
+	b.lastID = 100
+	b.crashUnderParts(2, soundPart)
+	if b.barsParts(soundPart) {
+		t.Error("barred after two crashes since an answer")
+	}
+}
+
+// Guards against a harmful part that hides behind the contents of requests that are sent several times.
+func TestAPartInRepeatedRequests(t *testing.T) {
+	tr := newTestTracker()
+	for i := range 4 {
+		for k := range 3 {
+			tr.crashUnder(fmt.Sprint("u", i, k), testSoftware, content(i+1), part(harmfulPart))
+			tr.advance(time.Second)
+		}
+	}
+	if !tr.barsParts(harmfulPart) {
+		t.Error("not barred after four requests that each crashed three upstreams")
+	}
+}
--- a/internal/poison/stored.go
+++ b/internal/poison/stored.go
@@ -123,6 +123,17 @@
 // maxStoredSuspicions bounds the suspicions in the lease's record.
 const maxStoredSuspicions = 8
 
+// restoreSuspicion adds what counted against a part, unless the part was answered since.
+func (t *Tracker) restoreSuspicion(v *storedVerdict, now time.Time) {
+	f := ident.Feature{Kind: ident.PartFeature, Value: v.SuspectedPart}
+	newest := now.Add(-time.Duration(v.AgeMillis) * time.Millisecond)
+	if t.clearedAt(f, UnknownSoftware).After(newest) {
+		return
+	}
+	t.earlier[f] = earlierCrashes{crashes: v.Crashes, newest: newest}
+	t.dirty = true
+}
+
 // Restore merges the convictions that an earlier holder stored in the lease's record; see
 // Snapshot. Entries that cannot be used are logged and skipped.
 func (t *Tracker) Restore(data json.RawMessage) {
@@ -144,9 +155,7 @@
 			continue
 		}
 		if v.SuspectedPart != 0 {
-			t.earlier[ident.Feature{Kind: ident.PartFeature, Value: v.SuspectedPart}] = earlierCrashes{
-				crashes: v.Crashes, newest: now.Add(-time.Duration(v.AgeMillis) * time.Millisecond)}
-			t.dirty = true
+			t.restoreSuspicion(v, now)
 			continue
 		}
 		verdict := v.verdict()
--- a/internal/poison/suspects.go
+++ b/internal/poison/suspects.go
@@ -67,6 +67,18 @@
 	return n
 }
 
+// age returns the time since the first crash that is known to count against the feature.
+func (s *suspect) age(now time.Time) time.Duration {
+	var age time.Duration
+	if len(s.crashes) > 0 {
+		age = now.Sub(s.crashes[0].at)
+	}
+	if s.earlier.crashes > 0 {
+		age = max(age, now.Sub(s.earlier.newest))
+	}
+	return age
+}
+
 // maxArrivalsPerCrash is how many requests in each crash may have had a feature that is not popular.
 const maxArrivalsPerCrash = 2
 
@@ -118,7 +130,7 @@
 			case c.topConvicted == nil:
 				s.unexplained = append(s.unexplained, c)
 			case c.topConvicted.outdoes(s, c):
-			case rulesOf(s.feature).combines:
+			case c.topConvicted.isBeside(s, c):
 				s.addCredit()
 			default:
 				s.unexplained = append(s.unexplained, c)
@@ -197,8 +209,19 @@
 // outdoes reports whether the conviction, which explains the crash, is a likelier cause than the
 // suspect.
 func (k *convicted) outdoes(s *suspect, c *crash) bool {
+	if c.hadTogether(k.lead, s.feature) {
+		return s.tally.crashes <= k.tally.crashes
+	}
 	answered := s.cleared && !rulesOf(s.feature).combines
-	return answered || s.tally.crashes <= k.tally.crashes && c.hadTogether(k.lead, s.feature) || s.tally.compare(k.tally) < 0
+	return answered || s.tally.compare(k.tally) < 0
+}
+
+// isBeside reports whether the suspect is a part that may only have run beside what the conviction explains
+// the crash by: many parts are in many crashes because many requests have them. A part of the very
+// request that a convicted content explains the crash by is not: contents that have it may be all
+// different.
+func (k *convicted) isBeside(s *suspect, c *crash) bool {
+	return rulesOf(s.feature).combines && (rulesOf(k.lead).combines || !c.hadTogether(k.lead, s.feature))
 }
 
 // tallyOf counts the given crashes and a feature's distinct requests in them.
@@ -207,8 +230,8 @@
 	n := 0
 	for _, c := range crashes {
 		for _, mark := range c.marksOf(f) {
-			if !arrived[mark.Request] {
-				arrived[mark.Request] = true
+			if !arrived[mark.Tag] {
+				arrived[mark.Tag] = true
 				n++
 			}
 		}
@@ -252,7 +275,7 @@
 func (t *Tracker) candidates(now time.Time) []*suspect {
 	var out []*suspect
 	for _, s := range t.suspects {
-		least, possible := rulesOf(s.feature).leastCrashes(s, now)
+		least, possible := s.leastCrashes(now)
 		if !possible || s.count() < least {
 			continue
 		}
@@ -269,7 +292,7 @@
 		if rulesOf(s.feature).combines && t.hasOtherCauses(settled) {
 			continue
 		}
-		if settled.earlier.crashes > 0 || rulesOf(s.feature).enoughArrivals(settled.tally) {
+		if settled.earlier.crashes > 0 || rulesOf(s.feature).enoughArrivals(s.tally) {
 			out = append(out, settled)
 		}
 	}
@@ -295,35 +318,46 @@
 // answered, were in all the crashes that count against the suspect. If the suspect was never answered
 // either, only contents count: other parts may be in the same requests by chance.
 func (t *Tracker) hasOtherCauses(s *suspect) bool {
-	var others []*suspect
+	var contents, all []*suspect
 	for f, o := range t.suspects {
-		if f != s.feature && !o.proven && o.credit == 0 && o.tally.arrivals >= 2 && len(o.unexplained) >= 2 && (s.proven || s.mayBeBeside || !rulesOf(f).combines) {
-			others = append(others, o)
+		if f == s.feature || o.proven || o.credit > 0 || o.tally.arrivals < 2 || len(o.crashes) < 2 {
+			continue
+		}
+		if !rulesOf(f).combines {
+			contents = append(contents, o)
 		}
+		if len(o.unexplained) >= 2 {
+			all = append(all, o)
+		}
+	}
+	if explain(s.unexplained, contents, maxOtherCauses) {
+		return true
 	}
-	slices.SortFunc(others, func(a, b *suspect) int { return a.feature.Compare(b.feature) })
-	left := slices.Clone(s.unexplained)
-	for range max(maxOtherCauses, len(left)/3) {
-		var most *suspect
-		explained := 0
-		for _, o := range others {
-			if n := len(left) - len(without(left, o.unexplained)); n > explained {
-				most, explained = o, n
+	return (s.proven || s.mayBeBeside) && explain(s.unexplained, all, max(maxOtherCauses, len(s.unexplained)/3))
+}
+
+// maxOtherCauses is how many features may explain the crashes of another one together.
+const maxOtherCauses = 2
+
+// explain reports whether at most so many causes, each time the one that explains the most of what is left,
+// were in all of the crashes.
+func explain(crashes []*crash, causes []*suspect, most int) bool {
+	slices.SortFunc(causes, func(a, b *suspect) int { return a.feature.Compare(b.feature) })
+	left := crashes
+	for range most {
+		fewest := left
+		for _, o := range causes {
+			if rest := without(left, o.crashes); len(rest) < len(fewest) {
+				fewest = rest
 			}
 		}
-		if most == nil {
-			return false
-		}
-		if left = without(left, most.unexplained); len(left) == 0 {
+		if left = fewest; len(left) == 0 {
 			return true
 		}
 	}
 	return false
 }
 
-// maxOtherCauses is how many features at least may explain the crashes of another one together.
-const maxOtherCauses = 2
-
 // without returns the crashes that are not among others.
 func without(crashes, others []*crash) []*crash {
 	return slices.DeleteFunc(slices.Clone(crashes), func(c *crash) bool { return slices.Contains(others, c) })
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -178,31 +178,32 @@
 }
 
 // Crashed records that an upstream's process, which ran the given software, ended while one of this
-// gateway's requests was in progress there.
-func (t *Tracker) Crashed(upstream ident.Instance, software Software, id ident.Request, features []ident.Feature) {
+// gateway's requests, with the given content and shared prompt parts, was in progress there.
+func (t *Tracker) Crashed(upstream ident.Instance, software Software, id ident.Request, content ident.ContentHash, parts []ident.Feature) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.cfg.Now()
 	c := t.findOrAddCrash(t.cfg.Key(upstream), software, now)
 	c.lastOwnAt = now
-	for _, f := range t.suspectedFirst(features) {
-		mark := ident.MarkOf(f, id)
+	marks := []ident.Mark{ident.ContentMark(content, id)}
+	for _, part := range t.suspectedFirst(parts) {
+		marks = append(marks, ident.PartMark(part, content))
+	}
+	t.knownMu.Lock()
+	defer t.knownMu.Unlock()
+	for _, mark := range marks {
+		addKnown(t.knownOutlines, t.knownParts, mark.Feature)
 		if t.addMark(c, mark) {
 			c.ownMarks, _ = insertSorted(c.ownMarks, mark)
 		}
 	}
-	t.knownMu.Lock()
-	for _, f := range features {
-		addKnown(t.knownOutlines, t.knownParts, f)
-	}
-	t.knownMu.Unlock()
 	t.empty.Store(false)
 }
 
-// suspectedFirst returns the features with those first against which crashes count, because the marks
+// suspectedFirst returns the parts with those first against which crashes count, because the marks
 // of a crash are bounded.
-func (t *Tracker) suspectedFirst(features []ident.Feature) []ident.Feature {
-	out := slices.Clone(features)
+func (t *Tracker) suspectedFirst(parts []ident.Feature) []ident.Feature {
+	out := slices.Clone(parts)
 	slices.SortStableFunc(out, func(a, b ident.Feature) int {
 		return t.suspects[b].count() - t.suspects[a].count()
 	})
@@ -261,14 +262,24 @@
 
 // hadTogether reports whether one of the interrupted requests had all the features.
 func (c *crash) hadTogether(features ...ident.Feature) bool {
-	return slices.ContainsFunc(c.marksOf(features[0]), func(m ident.Mark) bool {
-		return !slices.ContainsFunc(features[1:], func(f ident.Feature) bool {
-			_, found := slices.BinarySearchFunc(c.marks, ident.Mark{Feature: f, Request: m.Request}, ident.Mark.Compare)
-			return !found
-		})
+	return slices.ContainsFunc(c.contentTagsOf(features[0]), func(tag uint8) bool {
+		return !slices.ContainsFunc(features[1:], func(f ident.Feature) bool { return !slices.Contains(c.contentTagsOf(f), tag) })
 	})
 }
 
+// contentTagsOf returns the tags of the contents of the interrupted requests that had a feature.
+func (c *crash) contentTagsOf(f ident.Feature) []uint8 {
+	marks := c.marksOf(f)
+	if f.Kind == ident.ContentFeature && len(marks) > 0 {
+		return []uint8{ident.ContentHash(f.Value).Tag()}
+	}
+	tags := make([]uint8, len(marks))
+	for i, mark := range marks {
+		tags[i] = mark.Tag
+	}
+	return tags
+}
+
 // insertSorted inserts a mark into a sorted list and reports whether the mark is new.
 func insertSorted(list []ident.Mark, mark ident.Mark) ([]ident.Mark, bool) {
 	i, found := slices.BinarySearchFunc(list, mark, ident.Mark.Compare)
--- a/internal/poison/tracker_test.go
+++ b/internal/poison/tracker_test.go
@@ -38,10 +38,15 @@
 	}
 }
 
-// crashUnder records a crash of an upstream under one new request with the features.
-func (tr *testTracker) crashUnder(upstream string, software Software, features ...ident.Feature) {
+// crashUnder records a crash of an upstream under one new request with a content and parts.
+func (tr *testTracker) crashUnder(upstream string, software Software, content ident.Feature, parts ...ident.Feature) {
 	tr.lastID++
-	tr.Crashed(ident.Instance(upstream), software, ident.Request(fmt.Sprint(tr.lastID)), features)
+	tr.crashUnderRequest(upstream, software, fmt.Sprint(tr.lastID), content, parts...)
+}
+
+// crashUnderRequest records a crash of an upstream under a request with an ID, a content and parts.
+func (tr *testTracker) crashUnderRequest(upstream string, software Software, id string, content ident.Feature, parts ...ident.Feature) {
+	tr.Crashed(ident.Instance(upstream), software, ident.Request(id), ident.ContentHash(content.Value), parts)
 }
 
 // answer records the complete answer to a request with the features.
@@ -105,7 +110,7 @@
 		}, nil, []ident.Feature{cause}},
 		{"one request that its gateway sent on", func(tr *testTracker) {
 			for _, u := range []string{"a", "b", "c", "d"} {
-				tr.Crashed(ident.Instance(u), testSoftware, "one", []ident.Feature{beside})
+				tr.crashUnderRequest(u, testSoftware, "one", beside)
 			}
 			tr.advance(settleTime)
 		}, nil, []ident.Feature{beside}},
--- a/internal/poison/verdicts.go
+++ b/internal/poison/verdicts.go
@@ -99,8 +99,7 @@
 // answered clears a feature of crashes before an instant, if any count against it.
 func (t *Tracker) answered(f ident.Feature, software Software, before, now time.Time) {
 	barred, involved := t.isBarredAlone(f, now), t.isInConviction(f, now)
-	s := t.suspects[f]
-	if !involved && (s == nil || !slices.ContainsFunc(s.crashes, func(c *crash) bool { return software.covers(c.software) && !c.at.After(before) }) && s.earlier.crashes == 0) {
+	if !involved && !t.countsBefore(f, software, before) {
 		return
 	}
 	share := involved || t.countedElsewhere(f, software) >= shareFrom
@@ -110,6 +109,15 @@
 	}
 }
 
+// countsBefore reports whether a crash of a software up to an instant may count against a feature.
+func (t *Tracker) countsBefore(f ident.Feature, software Software, before time.Time) bool {
+	if t.earlier[f].crashes > 0 {
+		return true
+	}
+	s := t.suspects[f]
+	return s != nil && slices.ContainsFunc(s.crashes, func(c *crash) bool { return software.covers(c.software) && !c.at.After(before) })
+}
+
 // countedElsewhere returns how many crashes other gateways may count against a feature: those since the
 // last clearance that was reported to them.
 func (t *Tracker) countedElsewhere(f ident.Feature, software Software) int {
