--- a/internal/gossip/codec_poison.go
+++ b/internal/gossip/codec_poison.go
@@ -22,7 +22,7 @@
 	}
 	for _, v := range report.Verdicts {
 		verdict := &exchangev1.Verdict{
-			AgeMs: millis(min(v.Age, maxAge)), IdleMs: millis(min(v.Idle, maxAge)), Cleared: v.Cleared, Served: v.Served,
+			AgeMs: millis(min(v.Age, maxAge)), IdleMs: millis(min(v.Idle, maxAge)), Cleared: v.Ruling == poison.Cleared, Served: v.Ruling == poison.Served,
 		}
 		if v.Feature.Kind == ident.ContentFeature {
 			verdict.Content = v.Feature.Value
@@ -77,13 +77,23 @@
 	if !f.Valid() {
 		c.fail("verdict on %s is not valid", f)
 	}
-	out := poison.Verdict{Feature: f, Software: poison.Software(in.Software), Age: c.age(in.AgeMs), Idle: c.age(in.IdleMs), Cleared: in.Cleared, Served: in.Served}
+	out := poison.Verdict{Feature: f, Ruling: rulingOf(in), Software: poison.Software(in.Software), Age: c.age(in.AgeMs), Idle: c.age(in.IdleMs)}
 	for _, part := range in.WithParts {
 		out.With = append(out.With, ident.Feature{Kind: ident.PartFeature, Value: part})
 	}
 	return out
 }
 
+func rulingOf(in *exchangev1.Verdict) poison.Ruling {
+	switch {
+	case in.Cleared:
+		return poison.Cleared
+	case in.Served:
+		return poison.Served
+	}
+	return poison.Convicted
+}
+
 func (c *checker) marks(in *exchangev1.Crash) []ident.Mark {
 	c.checkCount("marks", len(in.Marks)+len(in.Parts))
 	var out []ident.Mark
--- a/internal/gossip/codec_test.go
+++ b/internal/gossip/codec_test.go
@@ -58,8 +58,9 @@
 	return poison.Report{
 		Crashes: []poison.Crash{{Upstream: 7, Age: 300 * time.Millisecond, Software: 4, Marks: []ident.Mark{fullMark(ident.ContentFeature, 1<<8, 0), fullMark(ident.ContentFeature, 1<<63, 5), fullMark(ident.PartFeature, 0xbad0, 7)}}},
 		Verdicts: []poison.Verdict{
-			{Feature: ident.Feature{Kind: ident.ContentFeature, Value: 9 << 8}, Age: time.Second, Idle: 20 * time.Millisecond, Cleared: true},
-			{Feature: ident.Feature{Kind: ident.PartFeature, Value: 0xbad0}, With: []ident.Feature{{Kind: ident.PartFeature, Value: 3}}, Software: 5, Age: time.Second, Idle: 20 * time.Millisecond},
+			{Feature: ident.Feature{Kind: ident.ContentFeature, Value: 9 << 8}, Ruling: poison.Cleared, Age: time.Second, Idle: 20 * time.Millisecond},
+			{Feature: ident.Feature{Kind: ident.PartFeature, Value: 0xbad0}, Ruling: poison.Convicted, With: []ident.Feature{{Kind: ident.PartFeature, Value: 3}}, Software: 5, Age: time.Second, Idle: 20 * time.Millisecond},
+			{Feature: ident.Feature{Kind: ident.PartFeature, Value: 0xa1}, Ruling: poison.Served, Age: time.Second, Idle: time.Second},
 		},
 	}
 }
--- a/internal/poison/outgoing.go
+++ b/internal/poison/outgoing.go
@@ -45,41 +45,23 @@
 // crashToReport returns this gateway's part of a crash. Marks of features with the most crashes
 // come first, so that limit drops the others; of equal ones others come first in each round.
 func (t *Tracker) crashToReport(c *crash, now time.Time) Crash {
-	marks := slices.Clone(c.ownMarks)
+	var marks []ident.Mark
+	for _, kind := range ident.FeatureKinds {
+		marks = append(marks, turned(marksOfKind(c.ownMarks, kind), t.markCursor*rulesByKind[kind].maxReported)...)
+	}
 	slices.SortStableFunc(marks, func(a, b ident.Mark) int {
 		return cmp.Compare(t.suspects[b.Feature].count(), t.suspects[a.Feature].count())
 	})
-	for _, kind := range ident.FeatureKinds {
-		t.rotate(marks, kind)
-	}
 	return Crash{Upstream: c.upstream, Software: c.software, Age: now.Sub(c.at), Marks: marks}
 }
 
-// rotate turns the marks of a kind that have no more than one crash, if there are more of the kind than
-// fit a report.
-func (t *Tracker) rotate(marks []ident.Mark, kind ident.FeatureKind) {
-	var at []int
-	total := 0
-	for i, mark := range marks {
-		if mark.Feature.Kind != kind {
-			continue
-		}
-		total++
-		if t.suspects[mark.Feature].count() <= 1 {
-			at = append(at, i)
-		}
-	}
-	room := rulesByKind[kind].maxReported
-	if total <= room {
-		return
-	}
-	turned := make([]ident.Mark, len(at))
-	for i := range at {
-		turned[i] = marks[at[(i+t.markCursor*room)%len(at)]]
-	}
-	for i, mark := range turned {
-		marks[at[i]] = mark
+// turned returns a copy of a list that begins so many elements later, and ends with those before.
+func turned(list []ident.Mark, by int) []ident.Mark {
+	if len(list) == 0 {
+		return nil
 	}
+	by %= len(list)
+	return slices.Concat(list[by:], list[:by])
 }
 
 // verdictsToReport returns as many verdicts of a kind as fit a report: always the newest conviction, or
@@ -91,20 +73,20 @@
 		if f.Kind != kind {
 			continue
 		}
-		convicted = append(convicted, Verdict{Feature: f, With: v.with, Software: v.software, Age: now.Sub(v.at), Idle: now.Sub(v.lastSeen)})
+		convicted = append(convicted, Verdict{Feature: f, Ruling: Convicted, With: v.with, Software: v.software, Age: now.Sub(v.at), Idle: now.Sub(v.lastSeen)})
 	}
 	for f, list := range t.clearances {
 		for _, c := range list {
 			if f.Kind == kind && !c.sharedAt.IsZero() && now.Sub(c.sharedAt) < reportClearedFor {
 				age := now.Sub(c.sharedAt)
-				cleared = append(cleared, Verdict{Feature: f, Software: c.software, Age: age, Idle: age, Cleared: true})
+				cleared = append(cleared, Verdict{Feature: f, Software: c.software, Ruling: Cleared, Age: age, Idle: age})
 			}
 		}
 	}
 	for f, s := range t.suspects {
-		if f.Kind == kind && f.Kind == ident.PartFeature && s.proven && s.count() >= shareFrom {
+		if f.Kind == kind && kind == ident.PartFeature && s.proven && s.count() >= shareFrom {
 			age := now.Sub(s.unexplained[len(s.unexplained)-1].at)
-			cleared = append(cleared, Verdict{Feature: f, Age: age, Idle: age, Served: true})
+			cleared = append(cleared, Verdict{Feature: f, Ruling: Served, Age: age, Idle: age})
 		}
 	}
 	newestFirst := func(a, b Verdict) int { return cmp.Or(cmp.Compare(a.Age, b.Age), a.Feature.Compare(b.Feature)) }
--- a/internal/poison/report.go
+++ b/internal/poison/report.go
@@ -21,9 +21,25 @@
 	Marks []ident.Mark
 }
 
-// Verdict is the conviction or the clearance of a feature.
+// Ruling is what a Verdict says.
+type Ruling int
+
+// The rulings.
+const (
+	// Convicted: requests with the feature, together with all of Verdict.With, are barred.
+	Convicted Ruling = iota + 1
+	// Cleared: a request with the feature was answered completely, or an operator cleared it. Only later
+	// crashes count against it.
+	Cleared
+	// Served: requests with the feature were answered with a success at some time. Crashes count
+	// against it, but it takes more of them to convict it.
+	Served
+)
+
+// Verdict is what a gateway says of a feature.
 type Verdict struct {
 	Feature ident.Feature
+	Ruling  Ruling
 	// With are features that are convicted together with it.
 	With []ident.Feature
 	// Software is what ran in all the crashes, or what answered a request with the feature;
@@ -32,12 +48,6 @@
 	// Age is the time since the verdict, and Idle the time since a barred request last arrived at
 	// any gateway.
 	Age, Idle time.Duration
-	// Served means that requests with the feature were answered with a success at some time, and
-	// nothing else: neither Cleared nor convicted.
-	Served bool
-	// Cleared means that a request with the feature was answered completely, or that an
-	// operator cleared it: only later crashes count against it. Otherwise it is convicted.
-	Cleared bool
 }
 
 // Report is the report that gateways exchange. Reports may arrive in any order and more than
@@ -112,17 +122,17 @@
 	return a
 }
 
-// addVerdict adds a verdict. Of two verdicts on a feature of the same kind, the one that says more
-// stays, with the shorter idle time of the two: the newer clearance, or the conviction with fewer
-// companions. A conviction and a clearance both stay.
+// addVerdict adds a verdict. Of two with the same ruling on a feature the one that says more stays, with the
+// shorter idle time of the two: the conviction with fewer companions, or the newer one of the others.
+// Verdicts with different rulings all stay.
 func (r *Report) addVerdict(v Verdict) {
 	for i := range r.Verdicts {
 		known := &r.Verdicts[i]
-		if known.Feature != v.Feature || known.Cleared != v.Cleared || known.Served != v.Served || v.Cleared && known.Software != v.Software {
+		if known.Feature != v.Feature || known.Ruling != v.Ruling || v.Ruling == Cleared && known.Software != v.Software {
 			continue
 		}
 		idle := min(known.Idle, v.Idle)
-		if (v.Cleared || v.Served) && v.Age < known.Age || !v.Cleared && len(v.With) < len(known.With) {
+		if v.Ruling == Convicted && len(v.With) < len(known.With) || v.Ruling != Convicted && v.Age < known.Age {
 			*known = v
 		}
 		known.Idle = idle
--- a/internal/poison/stored.go
+++ b/internal/poison/stored.go
@@ -29,9 +29,8 @@
 	Part     uint64   `json:"part,omitempty"`
 	With     []uint64 `json:"with,omitempty"`
 	Software Software `json:"software,omitempty"`
-	// SuspectedPart is used if Content and Part are 0, and Crashes counts the crashes against it.
-	SuspectedPart uint64 `json:"suspected_part,omitempty"`
-	Crashes       int    `json:"crashes,omitempty"`
+	// Crashes is set for a part that is only suspected: so many crashes count against it.
+	Crashes int `json:"crashes,omitempty"`
 	// AgeMillis and IdleMillis are measured at the time the record was written.
 	AgeMillis  int64 `json:"age_ms"`
 	IdleMillis int64 `json:"idle_ms"`
@@ -52,7 +51,7 @@
 
 func (v *storedVerdict) verdict() Verdict {
 	out := Verdict{
-		Feature: ident.Feature{Kind: ident.PartFeature, Value: v.Part}, Software: v.Software,
+		Feature: ident.Feature{Kind: ident.PartFeature, Value: v.Part}, Ruling: Convicted, Software: v.Software,
 		Age: time.Duration(v.AgeMillis) * time.Millisecond, Idle: time.Duration(v.IdleMillis) * time.Millisecond,
 	}
 	if v.Content != 0 {
@@ -66,12 +65,12 @@
 
 // valid reports whether the entry can be used. A part whose ID is 0 is not stored.
 func (v *storedVerdict) valid() bool {
-	return len(slices.DeleteFunc([]uint64{v.Content, v.Part, v.SuspectedPart}, func(id uint64) bool { return id == 0 })) == 1 &&
+	return (v.Content != 0) != (v.Part != 0) && (v.Content == 0 || v.Crashes == 0) &&
 		v.Crashes >= 0 && v.Crashes <= maxCrashes && v.AgeMillis >= 0 && v.IdleMillis >= 0 && v.verdict().Feature.Valid() && len(v.With) <= maxWith
 }
 
-// Snapshot returns the convictions, to be stored in the lease's record, the most recently seen
-// first, or nil if there are none. Without the record, after all gateways were killed, the requests
+// Snapshot returns the convictions, the most recently seen first, and the strongest suspicions, to be
+// stored in the lease's record, or nil if there are none. Without the record, after all gateways were killed, the requests
 // would crash as many more upstreams before they are convicted again.
 func (t *Tracker) Snapshot() json.RawMessage {
 	if t.empty.Load() {
@@ -86,13 +85,13 @@
 			stored = append(stored, toStored(f, v, now))
 		}
 	}
+	slices.SortFunc(stored, func(a, b storedVerdict) int {
+		return cmp.Or(cmp.Compare(a.IdleMillis, b.IdleMillis), cmp.Compare(a.Content, b.Content), cmp.Compare(a.Part, b.Part))
+	})
 	stored = append(stored, t.suspicionsToStore(now)...)
 	if len(stored) == 0 {
 		return nil
 	}
-	slices.SortFunc(stored, func(a, b storedVerdict) int {
-		return cmp.Or(cmp.Compare(a.Crashes, b.Crashes), cmp.Compare(a.IdleMillis, b.IdleMillis), cmp.Compare(a.Content, b.Content), cmp.Compare(a.Part, b.Part))
-	})
 	data, err := json.Marshal(stored[:min(len(stored), maxStoredVerdicts)])
 	if err != nil {
 		t.cfg.Log.Error("cannot encode poison verdicts for storage", "error", err)
@@ -112,10 +111,10 @@
 			continue
 		}
 		age := now.Sub(s.unexplained[len(s.unexplained)-1].at).Milliseconds()
-		out = append(out, storedVerdict{SuspectedPart: f.Value, Crashes: min(s.count(), rulesOf(f).minCrashes-1), AgeMillis: age, IdleMillis: age})
+		out = append(out, storedVerdict{Part: f.Value, Crashes: min(s.count(), rulesOf(f).minCrashes-1), AgeMillis: age, IdleMillis: age})
 	}
 	slices.SortFunc(out, func(a, b storedVerdict) int {
-		return cmp.Or(cmp.Compare(b.Crashes, a.Crashes), cmp.Compare(a.SuspectedPart, b.SuspectedPart))
+		return cmp.Or(cmp.Compare(b.Crashes, a.Crashes), cmp.Compare(a.Part, b.Part))
 	})
 	return out[:min(len(out), maxStoredSuspicions)]
 }
@@ -125,7 +124,7 @@
 
 // restoreSuspicion adds what counted against a part, unless the part was answered since.
 func (t *Tracker) restoreSuspicion(v *storedVerdict, now time.Time) {
-	f := ident.Feature{Kind: ident.PartFeature, Value: v.SuspectedPart}
+	f := ident.Feature{Kind: ident.PartFeature, Value: v.Part}
 	newest := now.Add(-time.Duration(v.AgeMillis) * time.Millisecond)
 	if t.clearedAt(f, UnknownSoftware).After(newest) {
 		return
@@ -134,7 +133,7 @@
 	t.dirty = true
 }
 
-// Restore merges the convictions that an earlier holder stored in the lease's record; see
+// Restore merges the convictions and suspicions that an earlier holder stored in the lease's record; see
 // Snapshot. Entries that cannot be used are logged and skipped.
 func (t *Tracker) Restore(data json.RawMessage) {
 	if len(data) == 0 {
@@ -154,7 +153,7 @@
 			t.cfg.Log.Error("stored poison verdict is not valid", "content", v.Content, "part", v.Part, "age_ms", v.AgeMillis, "idle_ms", v.IdleMillis)
 			continue
 		}
-		if v.SuspectedPart != 0 {
+		if v.Crashes > 0 {
 			t.restoreSuspicion(v, now)
 			continue
 		}
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -19,6 +19,7 @@
 package poison
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -72,13 +73,9 @@
 	// suspects is derived from crashes and verdicts; dirty means that these have changed since.
 	suspects map[ident.Feature]*suspect
 	dirty    bool
-	// known are the features in crashes and convictions, with the outlines of the contents among
-	// them. The body of a request with another outline need not be read.
-	knownMu       sync.RWMutex
-	knownOutlines map[ident.OutlineHash]bool
-	knownParts    map[uint64]bool
-
-	// served are the prompt parts in complete answers.
+	// known are the features in crashes, convictions and earlier, served the prompt parts in complete
+	// answers. Both are safe to use without mu.
+	known  *knownFeatures
 	served served
 	// earlier is what counted against features when all gateways restarted.
 	earlier map[ident.Feature]earlierCrashes
@@ -118,7 +115,7 @@
 	t := &Tracker{
 		cfg: cfg, suspects: make(map[ident.Feature]*suspect), convictions: make(map[ident.Feature]*conviction),
 		clearances: make(map[ident.Feature][]clearance), inFlight: make(map[ident.Feature]map[ident.Instance]int), earlier: make(map[ident.Feature]earlierCrashes),
-		knownOutlines: make(map[ident.OutlineHash]bool), knownParts: make(map[uint64]bool),
+		known: newKnownFeatures(),
 	}
 	t.empty.Store(true)
 	return t
@@ -129,52 +126,31 @@
 func (t *Tracker) KnowsNone() bool { return t.empty.Load() }
 
 // Knows reports whether any content with this outline is suspected or convicted.
-func (t *Tracker) Knows(outline ident.OutlineHash) bool {
-	t.knownMu.RLock()
-	defer t.knownMu.RUnlock()
-	return t.knownOutlines[outline]
-}
+func (t *Tracker) Knows(outline ident.OutlineHash) bool { return t.known.hasOutline(outline) }
 
 // AppendKnownParts appends those of the given prompt parts that are suspected or convicted.
 func (t *Tracker) AppendKnownParts(to, parts []ident.Feature) []ident.Feature {
-	t.knownMu.RLock()
-	defer t.knownMu.RUnlock()
-	for _, part := range parts {
-		if t.knownParts[part.Value] {
-			to = append(to, part)
-		}
-	}
-	return to
+	return t.known.appendParts(to, parts)
 }
 
 // rebuildKnown recomputes the known features and the empty flag.
 func (t *Tracker) rebuildKnown() {
-	outlines, parts := make(map[ident.OutlineHash]bool), make(map[uint64]bool)
+	known := newKnownFeatures()
 	for _, c := range t.crashes {
 		for _, mark := range c.marks {
-			addKnown(outlines, parts, mark.Feature)
+			known.add(mark.Feature)
 		}
 	}
 	for lead, v := range t.convictions {
 		for _, f := range v.features(lead) {
-			addKnown(outlines, parts, f)
+			known.add(f)
 		}
 	}
 	for f := range t.earlier {
-		addKnown(outlines, parts, f)
-	}
-	t.knownMu.Lock()
-	t.knownOutlines, t.knownParts = outlines, parts
-	t.knownMu.Unlock()
-	t.empty.Store(len(outlines)+len(parts) == 0 && len(t.clearances) == 0)
-}
-
-func addKnown(outlines map[ident.OutlineHash]bool, parts map[uint64]bool, f ident.Feature) {
-	if f.Kind == ident.PartFeature {
-		parts[f.Value] = true
-	} else {
-		outlines[ident.ContentHash(f.Value).Outline()] = true
+		known.add(f)
 	}
+	t.known.replaceBy(known)
+	t.empty.Store(t.known.empty() && len(t.clearances) == 0)
 }
 
 // Crashed records that an upstream's process, which ran the given software, ended while one of this
@@ -189,10 +165,8 @@
 	for _, part := range t.suspectedFirst(parts) {
 		marks = append(marks, ident.PartMark(part, content))
 	}
-	t.knownMu.Lock()
-	defer t.knownMu.Unlock()
 	for _, mark := range marks {
-		addKnown(t.knownOutlines, t.knownParts, mark.Feature)
+		t.known.add(mark.Feature)
 		if t.addMark(c, mark) {
 			c.ownMarks, _ = insertSorted(c.ownMarks, mark)
 		}
@@ -233,7 +207,7 @@
 
 // addMark records that a request was interrupted by a crash, and reports whether there is room.
 func (t *Tracker) addMark(c *crash, mark ident.Mark) bool {
-	if c.countOf(mark.Feature.Kind) >= rulesOf(mark.Feature).maxMarks {
+	if len(marksOfKind(c.marks, mark.Feature.Kind)) >= rulesOf(mark.Feature).maxMarks {
 		return false
 	}
 	var isNew bool
@@ -243,11 +217,12 @@
 	return true
 }
 
-// countOf returns the number of the crash's marks of a kind.
-func (c *crash) countOf(kind ident.FeatureKind) int {
-	from, _ := slices.BinarySearchFunc(c.marks, kind, func(m ident.Mark, k ident.FeatureKind) int { return int(m.Feature.Kind) - int(k) })
-	to, _ := slices.BinarySearchFunc(c.marks, kind+1, func(m ident.Mark, k ident.FeatureKind) int { return int(m.Feature.Kind) - int(k) })
-	return to - from
+// marksOfKind returns the marks of a kind in a sorted list.
+func marksOfKind(marks []ident.Mark, kind ident.FeatureKind) []ident.Mark {
+	compare := func(m ident.Mark, k ident.FeatureKind) int { return cmp.Compare(m.Feature.Kind, k) }
+	from, _ := slices.BinarySearchFunc(marks, kind, compare)
+	to, _ := slices.BinarySearchFunc(marks, kind+1, compare)
+	return marks[from:to]
 }
 
 // marksOf returns the crash's marks of one feature.
--- a/internal/poison/verdicts.go
+++ b/internal/poison/verdicts.go
@@ -261,13 +261,14 @@
 
 // mergeVerdict applies another gateway's verdict if it supersedes what is known.
 func (t *Tracker) mergeVerdict(reported *Verdict, now time.Time) {
-	at, lastSeen := now.Add(-reported.Age), now.Add(-reported.Idle)
-	if reported.Served {
+	at := now.Add(-reported.Age)
+	switch {
+	case reported.Ruling == Served:
 		t.mergeServed(reported.Feature)
-	} else if reported.Cleared {
-		t.mergeClearance(reported, at)
-	} else if reported.Idle < VerdictTTL {
-		t.mergeConviction(reported, at, lastSeen)
+	case reported.Ruling == Cleared:
+		t.mergeClearance(reported, at, now)
+	case reported.Idle < VerdictTTL:
+		t.mergeConviction(reported, at, now.Add(-reported.Idle))
 	}
 }
 
@@ -279,7 +280,7 @@
 	t.dirty = true
 }
 
-func (t *Tracker) mergeClearance(reported *Verdict, at time.Time) {
+func (t *Tracker) mergeClearance(reported *Verdict, at, now time.Time) {
 	if reported.Age >= crashTTL {
 		return
 	}
@@ -288,10 +289,10 @@
 			return
 		}
 	}
-	wasConvicted := t.convictions[reported.Feature] != nil
+	wasConvicted := t.isInConviction(reported.Feature, now)
 	t.clear(reported.Feature, reported.Software, true, at)
 	t.dirty = true
-	if wasConvicted && t.convictions[reported.Feature] == nil {
+	if wasConvicted && !t.isInConviction(reported.Feature, now) {
 		t.logReceived(reported)
 	}
 }
@@ -320,7 +321,7 @@
 }
 
 func (t *Tracker) logReceived(v *Verdict) {
-	t.cfg.Log.Info("received a poison verdict", "feature", v.Feature, "with", v.With, "cleared", v.Cleared,
+	t.cfg.Log.Info("received a poison verdict", "feature", v.Feature, "with", v.With, "cleared", v.Ruling == Cleared,
 		"age_ms", v.Age.Milliseconds(), "idle_ms", v.Idle.Milliseconds())
 }
 
