--- a/internal/poison/kinds.go
+++ b/internal/poison/kinds.go
@@ -10,9 +10,6 @@
 type rules struct {
 	// minCrashes is how many crashes in a row convict a feature.
 	minCrashes int
-	// memberCredit is how many crashes a feature that is convicted together with others is given, so that
-	// few more without the others convict it alone.
-	memberCredit int
 	// maxMarks bounds the marks of one crash that are kept, maxReported those in one gateway's report,
 	// and maxMerged those in a collector's merged report.
 	maxMarks, maxReported, maxMerged int
@@ -32,8 +29,8 @@
 }
 
 var rulesByKind = [...]rules{
-	ident.ContentFeature: {minCrashes: 3, memberCredit: 2, maxMarks: 256, maxReported: 14, maxMerged: 160, maxVerdicts: 3, anyAnswer: true},
-	ident.PartFeature:    {minCrashes: 5, memberCredit: 4, maxMarks: 1024, maxReported: 32, maxMerged: 320, maxVerdicts: 6, bySoftware: true, combines: true, sinceSent: true},
+	ident.ContentFeature: {minCrashes: 3, maxMarks: 256, maxReported: 14, maxMerged: 160, maxVerdicts: 3, anyAnswer: true},
+	ident.PartFeature:    {minCrashes: 5, maxMarks: 1024, maxReported: 32, maxMerged: 320, maxVerdicts: 6, bySoftware: true, combines: true, sinceSent: true},
 }
 
 func rulesOf(f ident.Feature) *rules { return &rulesByKind[f.Kind] }
@@ -42,8 +39,8 @@
 // same crashes, so that the two cannot be told apart.
 func (r *rules) minCrashesIfTied() int { return r.minCrashes + 2 }
 
-// enoughArrivals reports whether so many distinct requests were in so many crashes that the feature is no
-// mere session, which its gateway and its caller sent again.
+// enoughArrivals reports whether the feature arrived so often that the crashes are not those of one or two
+// requests that were sent again and again.
 func (r *rules) enoughArrivals(t tally) bool {
 	return t.arrivals >= 3 || t.arrivals == 2 && t.crashes+t.arrivals >= 2*r.minCrashes
 }
