--- a/internal/entry/barred.go
+++ b/internal/entry/barred.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 )
@@ -23,10 +24,18 @@
 // listBarred prints a line for each feature whose requests are barred.
 func (p *Process) listBarred(w http.ResponseWriter, _ *http.Request) {
 	for _, b := range p.poison.List() {
-		fmt.Fprintf(w, "%s found_s=%.0f idle_s=%.0f ends=%d with=%v\n", b.Feature, b.Age.Seconds(), b.Idle.Seconds(), b.Crashes, b.With)
+		fmt.Fprintf(w, "%s found_s=%.0f idle_s=%.0f ends=%d with=%s\n", b.Feature, b.Age.Seconds(), b.Idle.Seconds(), b.Crashes, joined(b.With))
 	}
 }
 
+func joined(features []ident.Feature) string {
+	names := make([]string, len(features))
+	for i, f := range features {
+		names[i] = f.String()
+	}
+	return strings.Join(names, ",")
+}
+
 // clearBarred allows requests with one feature to run again, at all gateways.
 func (p *Process) clearBarred(w http.ResponseWriter, r *http.Request) {
 	feature, err := ident.ParseFeature(r.PathValue("name"))
--- a/internal/forward/content.go
+++ b/internal/forward/content.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -49,6 +50,24 @@
 	return guard.AppendKnownParts(known, c.partFeatures())
 }
 
+// SharedParts returns the prompt parts that other requests may have too: all but the last, which belongs
+// to the call alone.
+func (c *Call) SharedParts() []PromptPart { return c.Parts[:max(0, len(c.Parts)-1)] }
+
+// maxLoggedParts bounds the prompt parts in a log line.
+const maxLoggedParts = 16
+
+// PartsForLog returns the IDs of the shared prompt parts, maxLoggedParts at most, as a barred feature names
+// them.
+func (c *Call) PartsForLog() []string {
+	shared := c.SharedParts()
+	out := make([]string, min(len(shared), maxLoggedParts))
+	for i := range out {
+		out[i] = strconv.FormatUint(shared[i].ID, 16)
+	}
+	return out
+}
+
 // Features returns all features that the call may have in common with others.
 func (c *Call) Features() []ident.Feature {
 	return append([]ident.Feature{c.Content().Feature()}, c.partFeatures()...)
@@ -65,10 +84,8 @@
 	for _, part := range shared {
 		c.parts = append(c.parts, ident.Feature{Kind: ident.PartFeature, Value: part.ID})
 	}
-	if len(c.parts) > 1 {
-		slices.SortFunc(c.parts, ident.Feature.Compare)
-		c.parts = slices.Compact(c.parts)
-	}
+	slices.SortFunc(c.parts, ident.Feature.Compare)
+	c.parts = slices.Compact(c.parts)
 	return c.parts
 }
 
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/announced"
@@ -22,23 +21,6 @@
 	Tokens int
 }
 
-// maxLoggedParts bounds the prompt parts in a log line.
-const maxLoggedParts = 16
-
-// SharedParts returns the prompt parts that other requests may have too: all but the last, which belongs
-// to the call alone.
-func (c *Call) SharedParts() []PromptPart { return c.Parts[:max(0, len(c.Parts)-1)] }
-
-// PartsForLog returns the IDs of the shared prompt parts, as callers write them, of which there may be many.
-func (c *Call) PartsForLog() []string {
-	shared := c.SharedParts()
-	out := make([]string, 0, min(len(shared), maxLoggedParts))
-	for _, part := range shared[:cap(out)] {
-		out = append(out, strconv.FormatUint(part.ID, 16))
-	}
-	return out
-}
-
 // Call is one request of a caller, checked and ready to be sent. It is not safe for
 // concurrent use.
 type Call struct {
--- a/internal/gossip/codec_test.go
+++ b/internal/gossip/codec_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -232,6 +233,19 @@
 	})
 }
 
+// Guards against a gateway of an older build, which knows contents alone, that takes prompt parts for them.
+func TestPartsAreApartFromContents(t *testing.T) {
+	sent := poisonToProto(fullPoison())
+	for _, mark := range sent.Crashes[0].Marks {
+		if !slices.Contains(fullPoison().Crashes[0].Marks, ident.UnpackContentMark(mark)) {
+			t.Errorf("mark %d is of no content", mark)
+		}
+	}
+	if len(sent.Crashes[0].Marks) != 2 || len(sent.Verdicts) != 1 {
+		t.Errorf("%d marks and %d verdicts in the fields of contents, want 2 and 1", len(sent.Crashes[0].Marks), len(sent.Verdicts))
+	}
+}
+
 // Guards against reports that grow with prompt parts that crash upstreams: what a gateway reports about
 // them must stay below 600 bytes, a tenth of the 24 KB that control may take in a second, whatever the
 // prompts are.
--- a/internal/ident/content.go
+++ b/internal/ident/content.go
@@ -63,7 +63,7 @@
 // FeatureKinds are all kinds of features.
 var FeatureKinds = [...]FeatureKind{ContentFeature, PartFeature}
 
-var featureKindNames = map[FeatureKind]string{ContentFeature: "content", PartFeature: "part"}
+var featureKindNames = [...]string{ContentFeature: "content", PartFeature: "part"}
 
 // String returns the kind's name, as in logs and in operators' requests.
 func (k FeatureKind) String() string { return featureKindNames[k] }
@@ -117,8 +117,9 @@
 
 // Tag returns a byte that is drawn from all of the content hash.
 func (c ContentHash) Tag() uint8 {
-	const oddMultiplier = 0x9E3779B97F4A7C15 // 2^64 divided by the golden ratio: spreads all bits
-	return uint8(uint64(c) * oddMultiplier >> 56)
+	// Fibonacci hashing: the highest byte of the product depends on all bits.
+	const multiplier = 0x9E3779B97F4A7C15 // 2^64 divided by the golden ratio
+	return uint8(uint64(c) * multiplier >> 56)
 }
 
 // Compare orders marks by feature and tag.
--- a/internal/poison/parts_test.go
+++ b/internal/poison/parts_test.go
@@ -100,6 +100,27 @@
 			}
 			tr.advance(settleTime)
 		}, nil, [][]uint64{{soundPart}}},
+		{"a popular part, of which nobody knows yet whether it is sound", func(tr *testTracker) {
+			for i := range 6 {
+				for range 4 {
+					tr.crashUnder(fmt.Sprint("u", i), testSoftware, content(1000+tr.lastID), part(soundPart))
+				}
+				tr.advance(400 * time.Millisecond)
+			}
+		}, nil, [][]uint64{{soundPart}}},
+		{"a part whose crashes two contents explain", func(tr *testTracker) {
+			for i := range 5 {
+				tr.crashUnder(fmt.Sprint("u", i), testSoftware, content(1+i%2), part(soundPart))
+				tr.advance(10 * time.Millisecond)
+			}
+			tr.advance(3 * settleTime)
+		}, nil, [][]uint64{{soundPart}}},
+		{"five ends that follow each other faster than answers come", func(tr *testTracker) {
+			for i := range 5 {
+				tr.crashUnder(fmt.Sprint("u", i), testSoftware, content(1000+i), part(harmfulPart))
+			}
+			tr.advance(settleTime)
+		}, nil, [][]uint64{{harmfulPart}}},
 		{"a part that was served for long begins to end upstreams", func(tr *testTracker) {
 			served(tr, harmfulPart)
 			tr.crashUnderParts(8, harmfulPart)
@@ -205,35 +226,6 @@
 	}
 }
 
-// Guards against a popular part, of which nobody knows yet whether it is sound, that is barred for the
-// crashes that others cause.
-func TestPopularPartsAreBesideManyCrashes(t *testing.T) {
-	tr := newTestTracker()
-	for i := range 6 {
-		for range 4 {
-			tr.crashUnder(fmt.Sprint("u", i), testSoftware, content(1000+tr.lastID), part(routePart))
-		}
-		tr.advance(200 * time.Millisecond)
-	}
-	tr.advance(settleTime)
-	if tr.barsParts(routePart) {
-		t.Error("a popular part is barred after six crashes within 2 s")
-	}
-}
-
-// Guards against a part that was served before and is barred for crashes that two harmful contents explain.
-func TestCrashesWithOtherCauses(t *testing.T) {
-	tr := newTestTracker()
-	for i := range 5 {
-		tr.crashUnder(fmt.Sprint("u", i), testSoftware, content(1+i%2), part(routePart))
-		tr.advance(10 * time.Millisecond)
-	}
-	tr.advance(settleTime)
-	if tr.barsParts(routePart) {
-		t.Error("the part is barred for the crashes of two contents")
-	}
-}
-
 // Guards against a gateway that hangs over parts that were in each other's requests, but never all in one.
 func TestPartsThatWereNeverAllTogether(t *testing.T) {
 	tr := newTestTracker()
