A reported conviction of several parts holds for those that were not answered

Found in the reading of the diff: a gateway that had seen an answer to one of the parts dropped the whole verdict, where its own would have been left with the others. TestReportedConvictionsOfSeveralParts was red before. The look at clearances is clearedAt, which mergeConviction had written again.

--- a/internal/poison/parts_test.go
+++ b/internal/poison/parts_test.go
@@ -272,3 +272,28 @@
 		t.Error("not barred after four requests that each crashed three upstreams")
 	}
 }
+
+// Guards against a harmful part that is not barred because the gateway has seen an answer to one that was
+// convicted with it.
+func TestReportedConvictionsOfSeveralParts(t *testing.T) {
+	a, b := newTestTracker(), newTestTracker()
+	a.crashUnderParts(5, harmfulPart, soundPart)
+	b.now = a.now
+	b.advance(0, a.Report())
+	b.now = b.now.Add(time.Second)
+	b.answer(part(soundPart))
+	a.now = b.now
+	b.advance(0, a.Report())
+	if !b.barsParts(harmfulPart) || b.barsParts(soundPart) {
+		t.Error("want the harmful part barred, and the answered one not")
+	}
+	c := newTestTracker()
+	c.now = a.now.Add(-2 * time.Second)
+	c.crashUnder("u", testSoftware, content(1), part(soundPart))
+	c.now = a.now
+	c.answer(part(soundPart))
+	c.advance(0, a.Report())
+	if !c.barsParts(harmfulPart) || c.barsParts(soundPart) {
+		t.Error("want the harmful part barred, and the one that was answered before not")
+	}
+}
--- a/internal/poison/verdicts.go
+++ b/internal/poison/verdicts.go
@@ -60,26 +60,23 @@
 	}
 }
 
+// mergeConviction applies a conviction as far as its features were not answered since.
 func (t *Tracker) mergeConviction(reported *Verdict, at, lastSeen time.Time) {
-	if known := t.convictions[reported.Feature]; known != nil {
+	answered := func(f ident.Feature) bool {
+		return t.clearedAt(f, reported.Software).After(at.Add(-ageTolerance))
+	}
+	features := slices.DeleteFunc(slices.Concat([]ident.Feature{reported.Feature}, reported.With), answered)
+	if len(features) == 0 {
+		return
+	}
+	lead, with := features[0], features[1:]
+	if known := t.convictions[lead]; known != nil {
 		known.lastSeen = boottime.Later(known.lastSeen, lastSeen)
-		if len(reported.With) >= len(known.with) {
+		if len(with) >= len(known.with) {
 			return
 		}
 	}
-	v := &conviction{at: at, lastSeen: lastSeen, with: slices.Clone(reported.With), software: reported.Software}
-	cleared := func(f ident.Feature) bool {
-		for _, c := range t.clearances[f] {
-			if c.software.covers(v.software) && c.at.After(at.Add(-ageTolerance)) {
-				return true
-			}
-		}
-		return false
-	}
-	if cleared(reported.Feature) || slices.ContainsFunc(v.with, cleared) {
-		return
-	}
-	t.addConviction(reported.Feature, v)
+	t.addConviction(lead, &conviction{at: at, lastSeen: lastSeen, with: with, software: reported.Software})
 	t.logReceived(reported)
 }
 
