--- a/internal/poison/stories_test.go
+++ b/internal/poison/stories_test.go
@@ -114,6 +114,9 @@
 		smallFleet("part, 330 gateways", frequentPart, secondPart).with(func(s *scenario) {
 			s.gateways, s.domains, s.upstreams, s.slots, s.rate, s.knownWithin = 330, 10, 690, 12, 1500, 5*time.Second
 		}),
+		smallFleet("part, 984 gateways", frequentPart, secondPart).with(func(s *scenario) {
+			s.gateways, s.domains, s.upstreams, s.slots, s.rate, s.knownWithin = 984, 6, 3000, 12, 1500, 5*time.Second
+		}),
 		smallFleet("82 gateways", frequentPoison, second).with(func(s *scenario) {
 			s.gateways, s.upstreams, s.rate, s.knownWithin = 82, 60, 500, 4*time.Second
 		}),
