Routing: gateways that outnumber a plain service's slots draw its upstreams by room

Cause: gateways hear each other's loads a quarter of a second late, several times as long as a request of a plain service takes. Each took the upstream that was least loaded then, so all took the same one: it refused calls while others were idle.

Now, where there are more gateways than slots, what is heard is aged towards the mean of all upstreams by how long requests take in a slot, and the upstream is drawn by the room that it then has, by the call and the gateway.

--- a/internal/routing/placement/learn.go
+++ b/internal/routing/placement/learn.go
@@ -64,6 +64,9 @@
 	o := getOrCreate(c.own, choice.Upstream)
 	c.recordRejection(o, choice.Upstream, result, now)
 	o.load.Running--
+	if result == forward.Done && r.expectedFirstEvent == 0 {
+		getOrCreate(c.work, r.service).Learn(now.Sub(r.sentAt), r.loadAhead.Running, r.upstream.Slots)
+	}
 	r.reportToRollout(result, c.demands[r.service], now)
 	if result == forward.Done && r.gotFirstEvent && !r.maybePartial && !r.usesUnprovenVersion() {
 		getOrCreate(c.demands, r.service).answerFinished(r.route, now.Sub(r.sentAt)-r.firstEventLatency)
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -24,6 +24,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/forward"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/rollout"
+	"github.com/goldcrestspool/goldcrestspool/internal/routing/spread"
 )
 
 // Params are the weights and bounds of the choice.
@@ -167,6 +168,8 @@
 	loggedStates map[ident.Instance]ejection.State
 	demands      map[ident.Service]*serviceDemand
 	engines      map[ident.Service]*serviceEngines
+	// work is how long the requests of plain services take.
+	work map[ident.Service]*spread.Work
 	// allLeaveSince is when a request first found that all known upstreams of its service
 	// leave. It is kept as long as they do.
 	allLeaveSince map[ident.Service]time.Time
@@ -235,6 +238,7 @@
 		firstEventTimings: make(map[ident.Service]*firstEventTiming), loggedStates: make(map[ident.Instance]ejection.State),
 		allLeaveSince: make(map[ident.Service]time.Time),
 		demands:       make(map[ident.Service]*serviceDemand), engines: make(map[ident.Service]*serviceEngines),
+		work: make(map[ident.Service]*spread.Work),
 	}
 }
 
@@ -247,10 +251,12 @@
 	split, lists := c.upstreamLists(call, view, len(exclude) > 0, now)
 	estimate := c.engineEstimate(call.Service.Name, now)
 	share := c.connectionShareOf(call.Service)
+	all := view.Of(call.Service.Name)
 	s := &c.search
 	*s = search{
 		chooser: c, call: call, estimate: estimate, now: now, again: len(exclude) > 0, limitedCandidates: s.limitedCandidates,
-		software: softwareFilterOf(call, view.Of(call.Service.Name)),
+		software: softwareFilterOf(call, all),
+		fleet:    c.sharedFleet(call.Service, all),
 		bans:     bans{tried: exclude, ejected: set.Excluded(now), cutOff: c.cutOffDomains(now), share: share},
 	}
 	best, why, found := s.bestOfLists(lists)
--- a/internal/routing/placement/search.go
+++ b/internal/routing/placement/search.go
@@ -8,6 +8,8 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/forward"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/rollout"
+	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
+	"github.com/goldcrestspool/goldcrestspool/internal/routing/spread"
 )
 
 // candidate is an upstream that may take a request.
@@ -44,6 +46,9 @@
 	atLimit  []ident.Instance
 	bans     bans
 	software softwareFilter
+	// fleet is the load by which the call is spread over upstreams that have fewer slots than there are
+	// gateways; nil otherwise.
+	fleet *spread.Fleet
 	// excluded counts the upstreams that were passed over, by the reason. An upstream may be counted
 	// twice.
 	excluded exclusionCounts
@@ -92,11 +97,18 @@
 		if use == unusable {
 			continue
 		}
-		if brittle && c.isFullWhileBrittle(&next, all, s.now) || c.isFull(call, &next) {
+		full := brittle && c.isFullWhileBrittle(&next, all, s.now)
+		if s.fleet != nil {
+			next.load.Running = o.load.Running + s.fleet.Now(next.load.Running-o.load.Running, u.Slots)
+		}
+		if full || c.isFull(call, &next) {
 			s.excluded[isFull]++
 			continue
 		}
 		c.score(call, &next, order, i, estimate)
+		if s.fleet != nil {
+			next.score = spread.Of(call.ID, c.seed).Score(u.Name, c.capacityOf(call.Service, u)-float64(next.load.Running))
+		}
 		if next.firstEventSeconds > 0 && (order == nil || order.home != i) && !pair.has(i) {
 			next.score += unsampledPenalty
 		}
@@ -121,6 +133,9 @@
 		best, found = s.applyLimits(best, found)
 	}
 	why := "least work"
+	if s.fleet != nil {
+		why = "drawn by room"
+	}
 	if found && order != nil && best.prefillTokens < call.PromptTokens {
 		why = "holds the prompt's parts"
 	}
@@ -134,12 +149,39 @@
 
 // isFull reports whether an upstream has as many requests as it may get.
 func (c *Chooser) isFull(call *forward.Call, x *candidate) bool {
+	return x.upstream.Slots > 0 && float64(x.load.Running) >= c.capacityOf(call.Service, x.upstream)
+}
+
+// capacityOf returns how many requests an upstream of a service may get, those that wait there included.
+func (c *Chooser) capacityOf(service *routetable.Service, u *directory.Upstream) float64 {
 	queue := c.cfg.Params.PlainQueuePerSlot
-	if call.Service.Engine != nil {
+	if service.Engine != nil {
 		queue = c.cfg.Params.EngineQueuePerSlot
 	}
-	capacity := float64(x.upstream.Slots) * (1 + queue)
-	return x.upstream.Slots > 0 && float64(x.load.Running) >= capacity
+	return float64(u.Slots) * (1 + queue)
+}
+
+// sharedFleet returns the load by which calls are spread over the upstreams of a plain service, or nil if
+// these have a slot for each gateway, or one of them doesn't name its slots.
+func (c *Chooser) sharedFleet(service *routetable.Service, all []directory.Upstream) *spread.Fleet {
+	if service.Engine != nil {
+		return nil
+	}
+	f := &spread.Fleet{Kept: getOrCreate(c.work, service.Name).Kept()}
+	for i := range all {
+		switch u := &all[i]; {
+		case u.State != directory.Ready:
+		case u.Slots == 0:
+			return nil
+		default:
+			f.Slots += u.Slots
+			f.Running += c.cfg.OtherLoad(u.ID).Running
+		}
+	}
+	if !spread.Needed(c.cfg.Gateways(), f.Slots) {
+		return nil
+	}
+	return f
 }
 
 // tieBreakSeconds is the most that the rank of an upstream adds to its score, in
