--- a/internal/admission/fairshare/account.go
+++ b/internal/admission/fairshare/account.go
@@ -101,11 +101,22 @@
 	q.meanCost += costSmoothing * (cost - q.meanCost)
 }
 
+// grant removes an item and charges its account. smallest is the result of
+// chooseAccount.
+func (q *Queue) grant(item *Item, smallest float64) {
+	a := item.lane.account
+	q.virtualTime = max(q.virtualTime, smallest)
+	a.settleCredit(item, q.config.ClassShare)
+	q.dequeue(item)
+	q.charge(a, item.cost())
+}
+
 // chooseAccount returns the account to serve, or nil if no allowed item waits:
 // of the accounts within the lead, the one with the most urgent item, then the
-// one with the smallest start tag. An account without allowed items doesn't hold
-// the others back; it keeps its tag and so catches up later.
-func (q *Queue) chooseAccount(allowed func(int) bool) *account {
+// one with the smallest start tag. It also returns the smallest start tag of all
+// accounts with allowed items. An account without allowed items doesn't hold the
+// others back; it keeps its tag and so catches up later.
+func (q *Queue) chooseAccount(allowed func(int) bool) (*account, float64) {
 	smallest := math.Inf(1)
 	for _, a := range q.backlogged {
 		if a.startTag < smallest && a.mostUrgentLane(allowed) != nil {
@@ -113,9 +124,8 @@
 		}
 	}
 	if math.IsInf(smallest, 1) {
-		return nil
+		return nil, 0
 	}
-	q.virtualTime = max(q.virtualTime, smallest)
 	limit := smallest + q.config.Lead*q.meanCost
 	var best *account
 	var first *Item
@@ -131,7 +141,7 @@
 			best, first = a, l.items[0]
 		}
 	}
-	return best
+	return best, smallest
 }
 
 // servedBefore reports whether account a, with its most urgent item, is served
@@ -227,15 +237,15 @@
 // other lanes must be served for the item to make up its lane's share.
 func creditPrice(item *Item, share float64) float64 { return item.cost() * (1 - share) / share }
 
-// settleCredit adds the served cost to the credit of the other waiting lanes and
-// subtracts the item's price from the credit of the served lane.
-func (a *account) settleCredit(served *lane, cost, share float64) {
+// settleCredit adds the cost of a granted item to the credit of the other waiting
+// lanes and subtracts the item's price from the credit of its own lane.
+func (a *account) settleCredit(granted *Item, share float64) {
 	for _, l := range a.lanes {
-		if l != served && len(l.items) > 0 {
-			l.credit += cost
+		if l != granted.lane && len(l.items) > 0 {
+			l.credit += granted.cost()
 		}
 	}
-	served.credit = max(0, served.credit-creditPrice(served.items[0], a.laneShare(share)))
+	granted.lane.credit = max(0, granted.lane.credit-creditPrice(granted, a.laneShare(share)))
 }
 
 // lastItem returns the item that would be served last, that is the last item of
--- a/internal/admission/fairshare/queue.go
+++ b/internal/admission/fairshare/queue.go
@@ -164,15 +164,12 @@
 // whose priority isn't allowed in the queue; if allowed is nil, all priorities
 // are allowed. It returns nil if no allowed item waits.
 func (q *Queue) Pop(allowed func(priority int) bool) *Item {
-	a := q.chooseAccount(allowed)
+	a, smallest := q.chooseAccount(allowed)
 	if a == nil {
 		return nil
 	}
-	l := a.chooseLane(q.config.ClassShare, allowed)
-	item := l.items[0]
-	a.settleCredit(l, item.cost(), q.config.ClassShare)
-	q.dequeue(item)
-	q.charge(a, item.cost())
+	item := a.chooseLane(q.config.ClassShare, allowed).items[0]
+	q.grant(item, smallest)
 	return item
 }
 
