--- a/internal/fleetsim/plain/figures.go
+++ b/internal/fleetsim/plain/figures.go
@@ -22,6 +22,8 @@
 	MostAsked float64
 	// PlacesUsed is the part of the time in which slots ran a request.
 	PlacesUsed float64
+	// Messages counts the asks and the slots that were given back, each a message.
+	Messages int
 	// Chosen is a digest of all choices, in their order.
 	Chosen uint64
 }
--- /dev/null
+++ b/internal/fleetsim/plain/keeper.go
@@ -0,0 +1,78 @@
+package plain
+
+import (
+	"slices"
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/slotlease"
+)
+
+// keeper is the gateway that leases the upstreams' slots; each message to it and from it takes oneWay.
+type keeper struct {
+	*fleet
+	decide *slotlease.Keeper
+	calls  map[slotlease.LeaseID]*call
+	asks   uint64
+	tickAt time.Duration
+}
+
+func newKeeper(f *fleet) *keeper {
+	var upstreams []slotlease.Upstream
+	for _, u := range f.view.Of(serviceName) {
+		upstreams = append(upstreams, slotlease.Upstream{ID: u.ID, Domain: u.FailureDomain, Slots: u.Slots})
+	}
+	none := func(ident.Instance) int { return 0 }
+	return &keeper{fleet: f, decide: slotlease.NewKeeper(upstreams, none, f.Clock()), calls: make(map[slotlease.LeaseID]*call)}
+}
+
+// keeperOf returns the keeper that a gateway asks; nil if it asks none.
+func (f *fleet) keeperOf(g *gateway) *keeper {
+	i := slices.Index(f.gateways, g)
+	if len(f.keepers) == 0 || float64(i) < f.c.Alone*float64(len(f.gateways)) {
+		return nil
+	}
+	return f.keepers[i%len(f.keepers)]
+}
+
+// ask asks for a slot for a call.
+func (k *keeper) ask(c *call) {
+	k.figures.Messages++
+	k.asks++
+	id := slotlease.LeaseID{Gateway: "gateway", Number: k.asks}
+	k.calls[id], c.lease = c, id
+	k.At(k.Now()+oneWay, func() {
+		ask := slotlease.Ask{ID: id, Account: "account", Wait: maxWait, Hold: timeout}
+		k.answer(k.decide.Ask(ask, k.Clock()))
+	})
+}
+
+// giveBack gives the slot of a call back.
+func (k *keeper) giveBack(c *call) {
+	k.figures.Messages++
+	k.At(k.Now()+oneWay, func() { k.answer(k.decide.Return(c.lease, k.Clock())) })
+}
+
+// answer brings decisions to the gateways that asked.
+func (k *keeper) answer(decided []slotlease.Decision) {
+	for _, d := range decided {
+		k.At(k.Now()+oneWay, func() { k.answered(k.calls[d.ID], d.Answer) })
+	}
+	next, ok := k.decide.NextTick(k.Clock())
+	at := max(k.Now(), next.Sub(time.Unix(0, 0)))
+	if ok && (k.tickAt <= k.Now() || at < k.tickAt) {
+		k.tickAt = at
+		k.At(at, func() { k.answer(k.decide.Tick(k.Clock())) })
+	}
+}
+
+// answered sends a call to the upstream at which it has a slot.
+func (k *keeper) answered(c *call, a slotlease.Answer) {
+	delete(k.calls, c.lease)
+	if a.Upstream == "" {
+		k.count(c, &k.figures.RefusedByGateway)
+		return
+	}
+	c.choice, _ = c.gateway.chooser.ChooseOne(&c.Call, a.Upstream, k.Clock())
+	k.At(k.Now()+oneWay, func() { k.receive(c) })
+}
--- a/internal/fleetsim/plain/plain.go
+++ b/internal/fleetsim/plain/plain.go
@@ -20,6 +20,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/rollout"
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
 	"github.com/goldcrestspool/goldcrestspool/internal/routing/placement"
+	"github.com/goldcrestspool/goldcrestspool/internal/slotlease"
 	"github.com/goldcrestspool/goldcrestspool/internal/upstreamlimit"
 )
 
@@ -32,6 +33,11 @@
 	Load float64
 	// LeastLoaded makes gateways choose the upstream that seems least loaded, whatever their number.
 	LeastLoaded bool
+	// Keepers is how many gateways lease the upstreams' slots, all of them each: one, or two that don't know of
+	// each other; 0 if none does.
+	Keepers int
+	// Alone is the part of the gateways that ask no keeper.
+	Alone float64
 	// SlowSpells makes one upstream in slowOneIn slow, another one in each slowSpell.
 	SlowSpells bool
 	Seed       uint64
@@ -71,6 +77,7 @@
 	// totals are the loads of all gateways at the reports of the past, the newest last.
 	totals  []map[ident.Instance]placement.Load
 	asked   map[time.Duration]map[ident.Instance]int
+	keepers []*keeper
 	figures Figures
 }
 
@@ -96,6 +103,9 @@
 	for i := range c.Gateways {
 		f.addGateway(i)
 	}
+	for range c.Keepers {
+		f.keepers = append(f.keepers, newKeeper(f))
+	}
 	f.At(0, f.report)
 	f.At(0, f.arrive)
 	for f.Step() {
@@ -184,6 +194,10 @@
 			Call: forward.Call{ID: ident.Request(fmt.Sprint(f.c.Seed, "-", f.figures.Offered, "-", int64(f.Now()))), Route: f.route, Service: f.service, Received: now, Expires: now.Add(timeout)},
 		}
 		f.count(c, &f.figures.Offered)
+		if k := f.keeperOf(c.gateway); k != nil {
+			k.ask(c)
+			return
+		}
 		f.place(c)
 	})
 }
@@ -195,6 +209,7 @@
 	arrived time.Duration
 	work    time.Duration
 	choice  forward.Choice
+	lease   slotlease.LeaseID
 }
 
 // count counts a call unless it arrived before warmUp.
@@ -272,5 +287,8 @@
 			f.count(c, &f.figures.Late)
 		}
 		c.gateway.chooser.Finished(c.choice, result, f.Clock())
+		if k := f.keeperOf(c.gateway); k != nil {
+			k.giveBack(c)
+		}
 	})
 }
--- a/internal/routing/placement/eligibility.go
+++ b/internal/routing/placement/eligibility.go
@@ -34,6 +34,8 @@
 	hasPause
 	// isFull: it has as many requests as it may get.
 	isFull
+	// notLeased: the call has a slot at another one.
+	notLeased
 	// tooSlow: it would probably not serve the call in time.
 	tooSlow
 	numExclusions
@@ -42,7 +44,7 @@
 // exclusionNames are the names of the exclusions in logs.
 var exclusionNames = [numExclusions]string{
 	leaves: "leaves", otherSoftware: "other_software", tried: "tried", ejected: "ejected", unreachable: "unreachable", cutOff: "cut_off",
-	notShared: "not_shared", hasPause: "paused", isFull: "full", tooSlow: "too_slow",
+	notShared: "not_shared", hasPause: "paused", isFull: "full", notLeased: "not_leased", tooSlow: "too_slow",
 }
 
 // exclusionCounts counts upstreams by why they were passed over.
@@ -61,6 +63,8 @@
 
 // bans are the upstreams that a search passes over.
 type bans struct {
+	// only is the upstream at which the call has a slot; empty if it has none.
+	only    ident.Instance
 	tried   []ident.Instance
 	ejected []ident.Instance
 	cutOff  []ident.FailureDomain
@@ -100,6 +104,8 @@
 		return otherSoftware
 	case u.State != directory.Ready:
 		return leaves
+	case b.only != "" && u.ID != b.only:
+		return notLeased
 	case contains(b.tried, u.ID):
 		return tried
 	case b.suspectsToo:
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -244,6 +244,11 @@
 
 // Choose implements forward.Placement.
 func (c *Chooser) Choose(call *forward.Call, exclude []ident.Instance, now time.Time) (forward.Choice, bool) {
+	return c.choose(call, exclude, "", now)
+}
+
+// choose is Choose, or ChooseOne if only names an upstream.
+func (c *Chooser) choose(call *forward.Call, exclude []ident.Instance, only ident.Instance, now time.Time) (forward.Choice, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	view := c.refreshView()
@@ -257,10 +262,10 @@
 		chooser: c, call: call, estimate: estimate, now: now, again: len(exclude) > 0, limitedCandidates: s.limitedCandidates,
 		software: softwareFilterOf(call, all),
 		fleet:    c.sharedFleet(call.Service, all),
-		bans:     bans{tried: exclude, ejected: set.Excluded(now), cutOff: c.cutOffDomains(now), share: share},
+		bans:     bans{only: only, tried: exclude, ejected: set.Excluded(now), cutOff: c.cutOffDomains(now), share: share},
 	}
 	best, why, found := s.bestOfLists(lists)
-	if !found {
+	if !found && only == "" {
 		s.bans.suspectsToo = true
 		best, why, found = s.bestOfLists(lists)
 		why = "suspect, " + why
--- a/internal/routing/placement/search.go
+++ b/internal/routing/placement/search.go
@@ -101,7 +101,7 @@
 		if s.fleet != nil {
 			next.load.Running = o.load.Running + s.fleet.Now(next.load.Running-o.load.Running, u.Slots)
 		}
-		if full || c.isFull(call, &next) {
+		if s.bans.only == "" && (full || c.isFull(call, &next)) {
 			s.excluded[isFull]++
 			continue
 		}
@@ -133,7 +133,10 @@
 		best, found = s.applyLimits(best, found)
 	}
 	why := "least work"
-	if s.fleet != nil {
+	switch {
+	case s.bans.only != "":
+		why = "leased a slot"
+	case s.fleet != nil:
 		why = "drawn by room"
 	}
 	if found && order != nil && best.prefillTokens < call.PromptTokens {
@@ -142,6 +145,46 @@
 	return best, why, found
 }
 
+// ChooseOne reserves a slot at an upstream at which the call leased one, unless this gateway may not use it.
+// What others have there is known to whoever leases the slots.
+func (c *Chooser) ChooseOne(call *forward.Call, id ident.Instance, now time.Time) (forward.Choice, bool) {
+	return c.choose(call, nil, id, now)
+}
+
+// Barred returns the upstreams of a call's service that this gateway may not use for it now, apart from their
+// load, and whether there are others. exclude lists those to which the call was sent before.
+func (c *Chooser) Barred(call *forward.Call, exclude []ident.Instance, now time.Time) (barred []ident.Instance, others bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := c.refreshView().Of(call.Service.Name)
+	s := search{
+		chooser: c, call: call, now: now, again: len(exclude) > 0, software: softwareFilterOf(call, all),
+		bans: bans{tried: exclude, ejected: c.ejectionSet(call.Service.Name).Excluded(now), cutOff: c.cutOffDomains(now), share: c.connectionShareOf(call.Service)},
+	}
+	for i := range all {
+		u := &all[i]
+		o := getOrCreate(c.own, u.ID)
+		if s.exclusionOf(u, o) == eligible && s.useAfterPause(u, o) == usable {
+			others = true
+		} else {
+			barred = append(barred, u.ID)
+		}
+	}
+	return barred, others
+}
+
+// SharedSlots returns the upstreams of a plain service that has fewer slots than there are gateways; nil if each
+// gateway has one, and while upstreams are split by version, as the split decides which one takes a call.
+func (c *Chooser) SharedSlots(service *routetable.Service) []directory.Upstream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := c.refreshView().Of(service.Name)
+	if c.cfg.Split(service.Name) != nil || c.sharedFleet(service, all) == nil {
+		return nil
+	}
+	return all
+}
+
 // totalLoad returns the load of all gateways at an upstream.
 func (c *Chooser) totalLoad(id ident.Instance, o *ownWork) Load {
 	return o.load.Plus(c.cfg.OtherLoad(id))
--- /dev/null
+++ b/internal/slotlease/ways_test.go
@@ -0,0 +1,48 @@
+package slotlease_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/fleetsim/plain"
+)
+
+// Guards against upstreams that refuse calls while others are idle, and against slots that stay free while
+// calls wait or are refused: each gateway alone can't know which slots are free.
+func TestLeasedSlotsAgainstDrawnUpstreams(t *testing.T) {
+	for _, fleet := range []plain.Case{{Gateways: 89, Upstreams: 6}, {Gateways: 89, Upstreams: 6, SlowSpells: true}, {Gateways: 330, Upstreams: 6}} {
+		for _, load := range []float64{0.3, 0.8, 1, 1.5} {
+			for _, queue := range []int{6, 24} {
+				c := fleet
+				c.Slots, c.Queue, c.Load, c.Seed = 6, queue, load, 1
+				drawn := plain.Run(c)
+				c.Keepers = 1
+				leased := plain.Run(c)
+				name := fmt.Sprintf("%d gateways, load %.1f, queue %d, slow spells %v", c.Gateways, load, queue, c.SlowSpells)
+				t.Logf("%s\n  drawn:  %v\n  leased: %v", name, drawn, leased)
+				if leased.MostAsked > 1.5 {
+					t.Errorf("%s: most asked %.2f times the mean", name, leased.MostAsked)
+				}
+				if load <= 0.8 && 1000*leased.RefusedByUpstream > leased.Offered {
+					t.Errorf("%s: %d of %d refused by an upstream", name, leased.RefusedByUpstream, leased.Offered)
+				}
+				if load >= 1.5 && leased.PlacesUsed < 0.97 {
+					t.Errorf("%s: %.3f of the places used", name, leased.PlacesUsed)
+				}
+			}
+		}
+	}
+}
+
+// Guards against upstreams that refuse calls because two gateways that don't hear of each other lease the same
+// slots, or because gateways of an older build ask none: more wait at the upstreams then, and no more than that.
+func TestSlotsLeasedTwiceOrNotAtAll(t *testing.T) {
+	for _, c := range []plain.Case{{Keepers: 2}, {Keepers: 1, Alone: 0.25}, {Keepers: 1, Alone: 0.75}} {
+		c.Gateways, c.Upstreams, c.Slots, c.Queue, c.Load, c.Seed = 89, 6, 6, 24, 0.8, 1
+		got := plain.Run(c)
+		t.Logf("%d keepers, %.2f of the gateways alone: %v", c.Keepers, c.Alone, got)
+		if 1000*got.RefusedByUpstream > got.Offered || got.MostAsked > 1.5 {
+			t.Errorf("%d keepers, %.2f of the gateways alone: %v", c.Keepers, c.Alone, got)
+		}
+	}
+}
