Entry: calls of a plain service with fewer slots than gateways lease a slot

Cause: slotlease was not wired. Now the gateways that may keep accounts' pools keep slots too, on the path /slots of the gateways' own listener. The forwarder gets its upstreams from forward.Places; the slots' client stands before it and passes on each call that needs no lease or gets no answer.

--- a/internal/entry/lending.go
+++ b/internal/entry/lending.go
@@ -14,13 +14,15 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
 )
 
-// refreshKeepers updates which gateways keep accounts' pools.
+// refreshKeepers updates which gateways keep accounts' pools and upstreams' slots.
 func (p *Process) refreshKeepers(v *peerView, now time.Time) {
 	if !p.lends.Load() && p.mayLend(now) {
 		p.lends.Store(true)
 	}
 	lends := p.lends.Load() && !p.leaving.Load()
-	p.lending.SetKeepers(lending.NewKeepers(p.gossip.Keepers(lends, v.SilentDomains, now)))
+	keepers := p.gossip.Keepers(lends, v.SilentDomains, now)
+	p.lending.SetKeepers(lending.NewKeepers(keepers))
+	p.refreshSlots(keepers)
 }
 
 // keeperStartPeriod is how long after its start a gateway keeps no pools if others keep them. Some
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -106,6 +106,7 @@
 	p.writePoisonMetrics(w)
 	p.writeLimitMetrics(w)
 	p.writeLendingMetrics(w)
+	p.writeSlotMetrics(w)
 	p.writeAnnouncedMetrics(w)
 	p.writeNetworkMetrics(w)
 	p.writeOriginMetrics(w)
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -39,6 +39,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/routing/placement"
 	"github.com/goldcrestspool/goldcrestspool/internal/settings"
 	"github.com/goldcrestspool/goldcrestspool/internal/sleep"
+	"github.com/goldcrestspool/goldcrestspool/internal/slotlease"
 	"github.com/goldcrestspool/goldcrestspool/internal/telemetry"
 	"github.com/goldcrestspool/goldcrestspool/internal/upstreamlimit"
 )
@@ -93,6 +94,8 @@
 	lease         *duty.Manager
 	quotas        *quota.Limiter
 	lending       *lending.Lending
+	slotServer    *slotlease.Server
+	slots         *slotlease.Client
 	network       *reach.Network
 	relays        *relay.Server
 	origins       *origin.Registry
@@ -164,7 +167,7 @@
 		Self: p.contact(), Incarnation: p.incarnation, Table: p.peers, Knowledge: knowledge{p},
 		Network: gossip.HTTPNetwork{Pool: p.pool}, LoanNetwork: gossip.HTTPNetwork{Pool: p.pool, Path: gossip.LoanPath},
 		Lend:     func(ctx context.Context, request []byte) ([]byte, error) { return p.lending.Serve(ctx, request) },
-		Messages: p.originMessages(),
+		Messages: p.messages(),
 		Handlers: map[string]http.Handler{"POST " + relay.Path: p.relays}, Now: p.now, Log: p.log.Named("gossip"),
 	})
 	p.counter = metering.NewCounter(s.Usage.Window, p.trueTime)
@@ -187,8 +190,9 @@
 		HoldsBack:       p.origins.HoldsBack,
 		Split:           p.rollouts.SplitOf,
 	})
+	p.wireSlots(forward.Polling{Now: p.now, Placement: p.chooser})
 	forwarder := forward.New(forward.Config{
-		Now: p.now, Network: p.network, Dialect: p.ports.Protocol, Placement: p.chooser,
+		Now: p.now, Network: p.network, Dialect: p.ports.Protocol, Placement: p.slots, Places: p.slots,
 		Budget: budget, Guard: p.poison, Announcements: p.announced, Origins: p.origins, Meter: p.counter, Log: p.log.Named("forward"), Tracer: p.tracing.Tracer, RetryAfter: p.retryAfter,
 	})
 	p.lease = p.newLease()
@@ -208,7 +212,8 @@
 // until an engine will probably have read the prompts that are queued there, spread so that
 // callers that were refused together do not return together.
 func (p *Process) retryAfter(call *forward.Call) time.Duration {
-	capacityIn := p.chooser.RetryAfter(call, p.now())
+	now := p.now()
+	capacityIn := max(p.chooser.RetryAfter(call, now), p.slots.RetryAfter(call.Service.Name, now))
 	return retryafter.Spread(max(call.Route.Objective/2, capacityIn, minRetryAfter), call.ID)
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -16,19 +16,12 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
 	"github.com/goldcrestspool/goldcrestspool/internal/completion"
 	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
-	"github.com/goldcrestspool/goldcrestspool/internal/sleep"
 )
 
 const (
 	// maxBufferedBytes bounds an answer that is buffered until it is complete. A longer
 	// one counts as broken. The users' answers are below 5 KiB.
 	maxBufferedBytes = 1 << 20
-	// waitDivisor divides the route's objective: a request waits for at most an eighth of
-	// it until an upstream accepts work. After that it is refused, so that the caller can
-	// retry within its deadline. Waiting up to an eighth costs the users nothing.
-	waitDivisor = 8
-	// waitInterval is how often a waiting request checks again.
-	waitInterval = 10 * time.Millisecond
 	// minTimeForAttempt is the least remaining time that makes a further attempt
 	// worthwhile: an upstream in another failure domain does not answer faster.
 	minTimeForAttempt = 20 * time.Millisecond
@@ -49,8 +42,10 @@
 	Network   Network
 	Dialect   Dialect
 	Placement Placement
-	Budget    Budget
-	Guard     Guard
+	// Places is where calls get their upstreams; nil for Polling of Placement.
+	Places Places
+	Budget Budget
+	Guard  Guard
 	// Announcements gets what upstreams announce.
 	Announcements Announcements
 	Origins       Origins
@@ -75,6 +70,9 @@
 
 // New returns a Forwarder.
 func New(cfg Config) *Forwarder {
+	if cfg.Places == nil {
+		cfg.Places = Polling{Now: cfg.Now, Placement: cfg.Placement}
+	}
 	return &Forwarder{cfg: cfg, suspects: (*httpconn.Answer).WorthAsking, probeAfter: closingTime}
 }
 
@@ -237,29 +235,20 @@
 	return s.f.cfg.Budget.Spend(s.call.Service.Name, s.f.cfg.Now())
 }
 
-// chooseOrWait reserves a slot at an upstream and reports whether it found one. While no
-// upstream accepts work, it waits for up to an eighth of the route's objective after the
-// call was received.
+// chooseOrWait reserves a slot at an upstream and reports whether it found one.
 func (s *session) chooseOrWait() (Choice, bool) {
-	waitUntil := s.call.Received.Add(s.call.Route.Objective / waitDivisor)
-	for {
-		now := s.f.cfg.Now()
-		choice, found := s.f.cfg.Placement.Choose(s.call, s.state.Tried, now)
-		if len(choice.AtLimit) > 0 {
-			s.outcome.AtLimit = choice.AtLimit
-		}
-		if len(choice.Paused) > 0 {
-			s.outcome.Paused = choice.Paused
-		}
-		s.blocked = choice.Blocked
-		if !found {
-			s.outcome.PassedOver = choice.PassedOver
-		}
-		if found || choice.BlockedPast(waitUntil) || !now.Before(waitUntil) || s.ctx.Err() != nil {
-			return choice, found && s.ctx.Err() == nil
-		}
-		sleep.For(s.ctx, waitInterval) // the loop checks whether the call has ended
+	choice, found := s.f.cfg.Places.Take(s.ctx, s.call, s.state.Tried)
+	if len(choice.AtLimit) > 0 {
+		s.outcome.AtLimit = choice.AtLimit
+	}
+	if len(choice.Paused) > 0 {
+		s.outcome.Paused = choice.Paused
+	}
+	s.blocked = choice.Blocked
+	if !found {
+		s.outcome.PassedOver = choice.PassedOver
 	}
+	return choice, found
 }
 
 // attempt makes one attempt at an upstream: it runs the exchange, and records the attempt
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -215,6 +215,14 @@
 	BlockedBySoftware: "no upstream of the software version that began the stream",
 }
 
+// Places finds upstreams for calls. It is safe for concurrent use.
+type Places interface {
+	// Take reserves a place at an upstream that is not in exclude. While no upstream accepts the call it
+	// waits, at most until the call's time is up, ctx ends, or it is known that waiting doesn't help; the
+	// choice then says why. It reports whether a place is reserved.
+	Take(ctx context.Context, call *Call, exclude []ident.Instance) (Choice, bool)
+}
+
 // Placement chooses upstreams and records how attempts at them go. It is safe for
 // concurrent use.
 type Placement interface {
--- a/internal/slotlease/client.go
+++ b/internal/slotlease/client.go
@@ -98,7 +98,7 @@
 }
 
 // clientCounters count since the start.
-type clientCounters struct{ asked, granted, refused, unanswered, unusable atomic.Int64 }
+type clientCounters struct{ asked, granted, refused, unanswered, unusable, bytes atomic.Int64 }
 
 // NewClient returns a Client that knows no keepers yet.
 func NewClient(cfg ClientConfig) *Client {
@@ -237,6 +237,7 @@
 	ctx, cancel := context.WithTimeout(ctx, a.Wait+askTimeout)
 	defer cancel()
 	encoded, err := c.cfg.Network.SendSlots(ctx, keeper, data)
+	c.counters.bytes.Add(int64(len(data) + len(encoded)))
 	if err != nil {
 		return Answer{}, errors.Wrapf(err, "ask %s for a slot", keeper.Node)
 	}
@@ -305,6 +306,8 @@
 	Asked, Granted, Refused, Unanswered, Unusable int64
 	// Returned counts the slots that were given back to other gateways, Lost those that could not be.
 	Returned, Lost int64
+	// Bytes counts those of the messages to other gateways and of their answers, without headers.
+	Bytes int64
 	// Held is the number of leases now.
 	Held int
 }
@@ -317,6 +320,6 @@
 	n := &c.counters
 	return ClientCounters{
 		Asked: n.asked.Load(), Granted: n.granted.Load(), Refused: n.refused.Load(), Unanswered: n.unanswered.Load(), Unusable: n.unusable.Load(),
-		Returned: c.returns.sent.Load(), Lost: c.returns.lost.Load(), Held: held,
+		Returned: c.returns.sent.Load(), Lost: c.returns.lost.Load(), Bytes: n.bytes.Load() + c.returns.bytes.Load(), Held: held,
 	}
 }
--- a/internal/slotlease/returns.go
+++ b/internal/slotlease/returns.go
@@ -27,8 +27,8 @@
 	network Network
 	log     hclog.Logger
 	now     boottime.Clock
-	// sent and lost count slots.
-	sent, lost atomic.Int64
+	// sent and lost count slots, bytes those of the messages.
+	sent, lost, bytes atomic.Int64
 
 	mu sync.Mutex
 	// pending are the leases to be given back, by where; a key is present while a message is in flight.
@@ -93,6 +93,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), returnTimeout)
 		_, err = r.network.SendSlots(ctx, to.keeper, data)
 		cancel()
+		r.bytes.Add(int64(len(data)))
 	}
 	if err == nil {
 		r.sent.Add(int64(len(leases)))
--- a/internal/slotlease/server.go
+++ b/internal/slotlease/server.go
@@ -47,6 +47,8 @@
 	// answers get the decisions on the asks that wait.
 	answers map[LeaseID]chan Answer
 	timer   *time.Timer
+	// askedAt is when the last ask arrived.
+	askedAt time.Time
 }
 
 // NewServer returns a Server that keeps nothing yet.
@@ -99,7 +101,8 @@
 	}
 	answers := make(chan Answer, 1)
 	p.answers[a.ID] = answers
-	s.deliver(p, p.keeper.Ask(a, s.cfg.Now()))
+	p.askedAt = s.cfg.Now()
+	s.deliver(p, p.keeper.Ask(a, p.askedAt))
 	return answers, nil
 }
 
@@ -118,14 +121,18 @@
 	}
 }
 
+// unusedTimeout is how long a gateway goes on keeping a part that it is not asked for.
+const unusedTimeout = 5 * time.Second
+
 // Refresh applies the current upstreams to what this gateway keeps, and drops what is no longer used.
 func (s *Server) Refresh() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, p := range s.parts {
 		s.refresh(p)
-		if p.keeper.Idle() && len(p.keeper.upstreams) == 0 {
+		if p.keeper.Idle() && s.cfg.Now().Sub(p.askedAt) > unusedTimeout {
 			delete(s.parts, id)
+			s.cfg.Log.Info("keeps the slots of a service's upstreams no longer", "service", id.service, "part", id.number)
 		}
 	}
 }
