Waiting calls: a room that gives them places in their order

Cause: a call that finds no place asks again by itself, so that the account with most askers gets most places, and neither priority nor the time left counts.

waiting.Room gives the places of a service to the calls that wait for it in the order of its Queue, at an end here, at news of loads, upstreams or the configuration, and at the end of a pause.

A call leaves at once whose caller left, whose route, service or key was removed, whose upstreams leave, or that an engine can't serve in time any more.

--- a/internal/admission/waiting/queue.go
+++ b/internal/admission/waiting/queue.go
@@ -11,6 +11,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/admission/fairshare"
@@ -180,6 +181,9 @@
 	return q.expiries[0].expiresAt, true
 }
 
+// Waiters returns all waiters, in no order.
+func (q *Queue) Waiters() []*Waiter { return slices.Clone(q.expiries) }
+
 // Wait returns the time until a waiter's turn if nobody else arrives and perSecond seconds of slots become
 // free each second, which must be more than 0. The waiter may be in the queue or not.
 func (q *Queue) Wait(w *Waiter, perSecond float64) time.Duration {
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -31,6 +31,8 @@
 	// them. They are set only if TakesUp.
 	Services []*routetable.Service
 	Account  ident.ClientAccount
+	// Key is the key with which the caller authenticated; empty if it named none.
+	Key string
 	// Priority is the account's priority, or the route's where the account has none;
 	// 0 is served first.
 	Priority int
@@ -179,8 +181,13 @@
 	// otherwise. BlockedUntil is when it may end by itself; zero if that is not known.
 	Blocked      Block
 	BlockedUntil time.Time
+	// Late: an upstream that accepts work was passed over because it would probably not serve the call in
+	// time. It is set only where no upstream was found.
+	Late bool
 	// Reservation is the reserved slot, which Placement.Finished releases.
 	Reservation any
+	// Held is what Places keeps of the call until Placement.Finished; nil if it keeps nothing.
+	Held any
 }
 
 // target returns where the choice's requests are sent.
@@ -193,7 +200,8 @@
 	return c.Blocked != 0 && (c.BlockedUntil.IsZero() || c.BlockedUntil.After(t))
 }
 
-// Block is what the upstreams of a service announced so that none of them accepts a call.
+// Block is why waiting doesn't get a call an upstream: what the upstreams of its service announced, or a
+// limit or a change at this gateway.
 type Block int
 
 // The blocks.
@@ -207,12 +215,37 @@
 	BlockedByLeaving
 	// BlockedBySoftware: none of them has the software version whose events the caller holds.
 	BlockedBySoftware
+	// BlockedByQueue: too many calls wait for them, and the call's account has most of these beyond its
+	// part.
+	BlockedByQueue
+	// BlockedByRoute: the route, or its service, was removed from the configuration.
+	BlockedByRoute
+	// BlockedByKey: the key was removed from the configuration.
+	BlockedByKey
 )
 
 // blockReasons are the reasons that callers are given.
 var blockReasons = map[Block]string{
 	BlockedByLimits: "all upstreams are at the limits that they named", BlockedByPauses: "all upstreams asked for a pause", BlockedByLeaving: "all upstreams leave",
 	BlockedBySoftware: "no upstream of the software version that began the stream",
+	BlockedByQueue:    "too many requests wait for the upstreams",
+	BlockedByRoute:    "the route was removed", BlockedByKey: "the key was removed",
+}
+
+// String returns the reason that callers are given; empty for no block.
+func (b Block) String() string { return blockReasons[b] }
+
+// lasts reports whether sending the call again doesn't help, as far as is known.
+func (b Block) lasts() bool {
+	return b == BlockedBySoftware || b == BlockedByRoute || b == BlockedByKey
+}
+
+// Places finds upstreams for calls. It is safe for concurrent use.
+type Places interface {
+	// Take reserves a place at an upstream that is not in exclude. While no upstream accepts the call it
+	// waits, at most until the call's time is up, ctx ends, or it is known that waiting doesn't help; the
+	// choice then says why. It reports whether a place is reserved.
+	Take(ctx context.Context, call *Call, exclude []ident.Instance) (Choice, bool)
 }
 
 // Placement chooses upstreams and records how attempts at them go. It is safe for
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -335,7 +335,7 @@
 	if account == nil {
 		return nil, &refusal{status: http.StatusUnauthorized, reason: "the key is not known"}
 	}
-	call.Account = account.Name
+	call.Account, call.Key = account.Name, parsed.Key
 	if account.Priority != nil {
 		call.Priority = *account.Priority
 	}
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -229,6 +229,9 @@
 // Service returns the service with the name, or nil if there is none.
 func (t *Table) Service(name ident.Service) *Service { return t.services[name] }
 
+// Routes returns all routes. They must not be changed.
+func (t *Table) Routes() []Route { return t.spec.Routes }
+
 // Services returns all services. They must not be changed.
 func (t *Table) Services() []Service { return t.spec.Services }
 
--- a/internal/routing/placement/engines.go
+++ b/internal/routing/placement/engines.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/enginemodel"
+	"github.com/goldcrestspool/goldcrestspool/internal/forward"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 )
 
@@ -70,6 +71,19 @@
 	return c.engineEstimate(service, now)
 }
 
+// IdleFirstEvent returns the time that an idle engine takes to a call's first event; 0 at a plain service, and
+// while too little is known about the engines.
+func (c *Chooser) IdleFirstEvent(call *forward.Call, now time.Time) time.Duration {
+	if call.Service.Engine == nil {
+		return 0
+	}
+	estimate := c.EngineEstimate(call.Service.Name, now)
+	if estimate.Samples < minSamples {
+		return 0
+	}
+	return estimate.FirstEvent(float64(prefillTokens(call)), 0, 0)
+}
+
 // EngineSums returns the samples of this gateway's requests for each service.
 func (c *Chooser) EngineSums() map[ident.Service]enginemodel.Sums {
 	c.mu.Lock()
--- a/internal/routing/placement/pauses.go
+++ b/internal/routing/placement/pauses.go
@@ -128,7 +128,7 @@
 
 // noChoice returns the result of a search that found no upstream.
 func (s *search) noChoice(lists rollout.Candidates) forward.Choice {
-	choice := forward.Choice{AtLimit: s.atLimit, Paused: s.paused, PassedOver: s.excluded.names()}
+	choice := forward.Choice{AtLimit: s.atLimit, Paused: s.paused, PassedOver: s.excluded.names(), Late: s.excluded[tooSlow] > 0}
 	switch {
 	case s.excluded[isFull] > 0:
 	case s.lacksSoftware(lists):
