--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -103,6 +103,7 @@
 			o.Order.Service, o.Order.To, o.Phase.String(), o.Phase, o.Order.Service, o.Sent, o.Order.Service, o.Exposed,
 			o.Order.Service, o.Verdict.Answers, o.Order.Service, o.Verdict.Against)
 	}
+	p.room.WriteMetrics(w)
 	p.writePoisonMetrics(w)
 	p.writeLimitMetrics(w)
 	p.writeLendingMetrics(w)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -47,6 +47,7 @@
 	if table := p.table(); table != nil {
 		p.quotas.ApplyReports(table.Accounts(), now)
 	}
+	p.room.WakeAll()
 }
 
 // mergeRolloutStates merges what the groups report about rollouts.
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -15,6 +15,7 @@
 	pkgerrors "github.com/pkg/errors"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/admission/retryafter"
+	"github.com/goldcrestspool/goldcrestspool/internal/admission/waiting"
 	"github.com/goldcrestspool/goldcrestspool/internal/announced"
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
 	"github.com/goldcrestspool/goldcrestspool/internal/daemon"
@@ -86,6 +87,7 @@
 	peers         *gossip.Table
 	gossip        *gossip.Gossip
 	chooser       *placement.Chooser
+	room          *waiting.Room
 	rollouts      *rollout.Tracker
 	poison        *poison.Tracker
 	limits        *upstreamlimit.Limiter
@@ -187,8 +189,11 @@
 		HoldsBack:       p.origins.HoldsBack,
 		Split:           p.rollouts.SplitOf,
 	})
+	p.room = waiting.NewRoom(waiting.RoomConfig{
+		Now: p.now, Placement: p.chooser, Table: p.table, Reading: p.chooser.IdleFirstEvent, Log: p.log.Named("waiting"),
+	})
 	forwarder := forward.New(forward.Config{
-		Now: p.now, Network: p.network, Dialect: p.ports.Protocol, Placement: p.chooser,
+		Now: p.now, Network: p.network, Dialect: p.ports.Protocol, Placement: p.room, Places: p.room,
 		Budget: budget, Guard: p.poison, Announcements: p.announced, Origins: p.origins, Meter: p.counter, Log: p.log.Named("forward"), Tracer: p.tracing.Tracer, RetryAfter: p.retryAfter,
 	})
 	p.lease = p.newLease()
@@ -240,6 +245,8 @@
 	run(p.gossip.Run)
 	run(p.network.Run)
 	run(p.followPeers)
+	run(p.wakeAtUpstreams)
+	run(p.wakeAtConfiguration)
 	run(p.sweepIdle)
 	run(func(ctx context.Context) { p.reload(ctx, reload) })
 	run(func(ctx context.Context) { p.runDuties(ctx, signals.Stop) })
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"net/http"
 	"slices"
 	"strings"
@@ -65,6 +66,11 @@
 	return Choice{}, false
 }
 
+// Take implements Places.
+func (p *listed) Take(_ context.Context, call *Call, exclude []ident.Instance) (Choice, bool) {
+	return p.Choose(call, exclude, time.Time{})
+}
+
 func (p *listed) FirstEventArrived(Choice, time.Time) {}
 
 func (p *listed) PathLost(Choice)    {}
@@ -164,7 +170,7 @@
 func newGatewayUnderTest(now boottime.Clock, upstreams ...*worker.Worker) *gatewayUnderTest {
 	g := &gatewayUnderTest{placement: &listed{upstreams: upstreams}, guard: &countingGuard{}, budget: &countingBudget{}, pool: httpconn.NewPool(now)}
 	g.Forwarder = New(Config{
-		Now: boottime.Now, Network: DirectNetwork{Pool: g.pool}, Dialect: plainDialect{}, Placement: g.placement, Budget: g.budget, Guard: g.guard, Announcements: unlimited{}, Origins: origintest.NewRegistry(), Meter: unlimited{},
+		Now: boottime.Now, Network: DirectNetwork{Pool: g.pool}, Dialect: plainDialect{}, Placement: g.placement, Places: g.placement, Budget: g.budget, Guard: g.guard, Announcements: unlimited{}, Origins: origintest.NewRegistry(), Meter: unlimited{},
 		Log: hclog.NewNullLogger(), Tracer: noop.NewTracerProvider().Tracer(""), RetryAfter: func(*Call) time.Duration { return time.Second },
 	})
 	return g
--- a/internal/forward/poison.go
+++ b/internal/forward/poison.go
@@ -10,6 +10,9 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/sleep"
 )
 
+// admissionInterval is how often a request that waits for the guard asks it again.
+const admissionInterval = 10 * time.Millisecond
+
 // recordUpstreamEnd records that an upstream's process ended while it had the call, which
 // is a crash if it was unexpected.
 func (s *session) recordUpstreamEnd(choice Choice, result Result) {
@@ -56,7 +59,7 @@
 			s.barredFor, s.reason = decision.Barred.RetryAfter, BarredReason
 			s.outcome.BarredBy = decision.Barred.Features
 			return nil, false
-		case decision.Step == poison.Send || !sleep.For(s.ctx, waitInterval):
+		case decision.Step == poison.Send || !sleep.For(s.ctx, admissionInterval):
 			return decision.Avoid, true
 		}
 	}
@@ -66,7 +69,7 @@
 const BarredReason = "upstreams end under this request"
 
 // chooseAvoiding reserves a slot at an upstream that is not in avoid. If no such upstream
-// accepts work, it falls back to chooseOrWait, which may choose an upstream in avoid.
+// accepts work, it falls back to takePlace, which may choose an upstream in avoid.
 func (s *session) chooseAvoiding(avoid []ident.Instance) (Choice, bool) {
 	if len(avoid) > 0 {
 		exclude := append(slices.Clone(s.state.Tried), avoid...)
@@ -74,5 +77,5 @@
 			return choice, true
 		}
 	}
-	return s.chooseOrWait()
+	return s.takePlace()
 }
