--- a/internal/admission/fairshare/accept.go
+++ b/internal/admission/fairshare/accept.go
@@ -5,12 +5,24 @@
 	"math"
 )
 
-// PopAccepted is like Pop, but skips items that accepts refuses: it removes and
-// charges the first item in order that is accepted, and returns nil if none is.
-// Skipped items keep their place. accepts must not change the queue.
-func (q *Queue) PopAccepted(accepts func(*Item) bool) *Item {
+// Verdict says what PopFirst does with an item.
+type Verdict int
+
+// The verdicts.
+const (
+	// Skip leaves the item in its place and goes on with the next one.
+	Skip Verdict = iota
+	// Accept grants the item.
+	Accept
+	// Stop leaves the item and all that follow it in their places.
+	Stop
+)
+
+// PopFirst is like Pop, but asks about each item in order: it removes and charges the first one that is
+// accepted, and returns nil if none is. judge must not change the queue.
+func (q *Queue) PopFirst(judge func(*Item) Verdict) *Item {
 	var skipped []*Item
-	item, smallest := q.firstAccepted(accepts, &skipped)
+	item, smallest := q.firstAccepted(judge, &skipped)
 	for _, s := range skipped {
 		heap.Push(&s.lane.items, s)
 	}
@@ -22,9 +34,9 @@
 
 // firstAccepted returns the first accepted item, or nil if there is none, and the
 // smallest start tag of the accounts that still had items to offer. It takes
-// items that aren't accepted out of their lanes' heaps and adds them to skipped;
-// the totals go on counting them.
-func (q *Queue) firstAccepted(accepts func(*Item) bool, skipped *[]*Item) (*Item, float64) {
+// skipped items out of their lanes' heaps and adds them to skipped; the totals go
+// on counting them.
+func (q *Queue) firstAccepted(judge func(*Item) Verdict, skipped *[]*Item) (*Item, float64) {
 	for {
 		a, smallest := q.chooseAccount(nil)
 		if a == nil {
@@ -32,8 +44,11 @@
 		}
 		l := a.chooseLane(q.config.ClassShare, nil)
 		item := l.items[0]
-		if accepts(item) {
+		switch judge(item) {
+		case Accept:
 			return item, smallest
+		case Stop:
+			return nil, 0
 		}
 		heap.Pop(&l.items)
 		*skipped = append(*skipped, item)
--- a/internal/admission/fairshare/accept_test.go
+++ b/internal/admission/fairshare/accept_test.go
@@ -9,9 +9,9 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 )
 
-// TestPopAcceptedKeepsOrder guards against items that lose their place because they were skipped: a queue
+// TestPopFirstKeepsOrder guards against items that lose their place because they were skipped: a queue
 // in which some searches accept nothing must grant in the same order as one without such searches.
-func TestPopAcceptedKeepsOrder(t *testing.T) {
+func TestPopFirstKeepsOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		plain, skipping := New(Config{}), New(Config{})
 		for i := range rapid.IntRange(1, 200).Draw(t, "steps") {
@@ -26,17 +26,21 @@
 				continue
 			}
 			asked := map[*Item]bool{}
-			none := skipping.PopAccepted(func(item *Item) bool {
+			stopAfter := rapid.IntRange(0, 300).Draw(t, "stop after")
+			none := skipping.PopFirst(func(item *Item) Verdict {
 				if asked[item] {
 					t.Fatal("an item was offered twice")
 				}
+				if len(asked) == stopAfter {
+					return Stop
+				}
 				asked[item] = true
-				return false
+				return Skip
 			})
-			if none != nil || len(asked) != skipping.Len() {
-				t.Fatalf("%d of %d items were offered", len(asked), skipping.Len())
+			if none != nil || len(asked) != min(stopAfter, skipping.Len()) {
+				t.Fatalf("%d of %d items were offered, want at most %d", len(asked), skipping.Len(), stopAfter)
 			}
-			want, got := plain.Pop(nil), skipping.PopAccepted(func(*Item) bool { return true })
+			want, got := plain.Pop(nil), skipping.PopFirst(func(*Item) Verdict { return Accept })
 			if (want == nil) != (got == nil) || want != nil && (want.Account != got.Account || want.Cost != got.Cost) {
 				t.Fatalf("granted %+v, want %+v", got, want)
 			}
--- a/internal/admission/waiting/queue.go
+++ b/internal/admission/waiting/queue.go
@@ -132,9 +132,22 @@
 // and returns it; nil if there is none. Waiters that aren't accepted keep their place and hold nobody back.
 // accepts is called once for each waiter at most, and must not change the queue.
 func (q *Queue) Next(now time.Time, accepts func(*Waiter) bool) *Waiter {
-	item := q.shares.PopAccepted(func(item *fairshare.Item) bool {
+	return q.first(now, func(w *Waiter) fairshare.Verdict {
+		if accepts(w) {
+			return fairshare.Accept
+		}
+		return fairshare.Skip
+	})
+}
+
+// first is Next for a judge that may also stop the search.
+func (q *Queue) first(now time.Time, judge func(*Waiter) fairshare.Verdict) *Waiter {
+	item := q.shares.PopFirst(func(item *fairshare.Item) fairshare.Verdict {
 		w := q.waiters[item]
-		return w.expiresAt.After(now) && accepts(w)
+		if !w.expiresAt.After(now) {
+			return fairshare.Skip
+		}
+		return judge(w)
 	})
 	if item == nil {
 		return nil
--- a/internal/admission/waiting/search.go
+++ b/internal/admission/waiting/search.go
@@ -1,8 +1,10 @@
 package waiting
 
 import (
+	"slices"
 	"time"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/admission/fairshare"
 	"github.com/goldcrestspool/goldcrestspool/internal/forward"
 )
 
@@ -31,34 +33,35 @@
 	return &search{queue: q, now: now, full: make(map[string]forward.Choice), asked: make(map[*Waiter]bool)}
 }
 
-// accepts reports whether a free place accepts a waiter's call, which then is reserved.
-func (s *search) accepts(w *Waiter) bool {
+// judge decides on a waiter. If it is accepted, its place is reserved.
+func (s *search) judge(w *Waiter) fairshare.Verdict {
 	c := callOf(w)
 	if s.asked[w] {
-		return false
+		return fairshare.Skip
 	}
-	// Calls that may go to any upstream find none if another one of their route did not.
-	plain := len(c.exclude) == 0 && c.call.Origin == nil
-	if full, known := s.full[c.call.Route.Name]; plain && known {
+	if full, known := s.full[c.call.Route.Name]; known && c.goesAnywhere() {
 		c.lastChoice = full
 		s.miss(w, full)
-		return false
+		return fairshare.Skip
 	}
 	if s.misses >= maxMisses {
-		return false
+		return fairshare.Skip
 	}
 	choice, found := s.queue.choose(w, s.now)
 	if found {
 		s.choice = choice
-		return true
+		return fairshare.Accept
 	}
-	if plain && !choice.Late {
+	if c.goesAnywhere() && !choice.Late {
 		s.full[c.call.Route.Name] = choice
 	} else {
 		s.misses++
 	}
 	s.miss(w, choice)
-	return false
+	if choice.Blocked == 0 && s.exhausted() {
+		return fairshare.Stop
+	}
+	return fairshare.Skip
 }
 
 // miss records that no place was found for a waiter.
@@ -68,3 +71,20 @@
 		s.blocked = append(s.blocked, w)
 	}
 }
+
+// exhausted reports whether no waiter is left for whom a place might be found.
+func (s *search) exhausted() bool {
+	return !slices.ContainsFunc(s.queue.order.expiries, func(w *Waiter) bool {
+		c := callOf(w)
+		if c.goesAnywhere() {
+			if _, known := s.full[c.call.Route.Name]; known {
+				return false
+			}
+		}
+		return !s.asked[w] && s.misses < maxMisses
+	})
+}
+
+// goesAnywhere reports whether the call may go to any upstream. Such a call finds none if another one of its
+// route did not.
+func (c *waitingCall) goesAnywhere() bool { return len(c.exclude) == 0 && c.call.Origin == nil }
--- a/internal/admission/waiting/servicequeue.go
+++ b/internal/admission/waiting/servicequeue.go
@@ -19,6 +19,8 @@
 	// mu guards the fields below. Nobody holds it while waiting.
 	mu    sync.Mutex
 	order *Queue
+	// full are the routes for whose calls the last search found no place, with the choice that said so.
+	full map[string]forward.Choice
 	// wakeAt is when wakeTimer wakes the queue, because upstreams may accept calls again then; zero if
 	// nothing is known to end.
 	wakeAt    time.Time
@@ -58,12 +60,20 @@
 	if !q.add(w, now) {
 		return callOf(w).lastChoice, false, false
 	}
-	if !first {
+	if !first && !q.foundFullFor(w) {
 		q.grant(now)
 	}
 	return forward.Choice{}, false, true
 }
 
+// foundFullFor reports whether the last search found no place for a call like this one. Nothing has become
+// free since, as far as is known.
+func (q *serviceQueue) foundFullFor(w *Waiter) bool {
+	c := callOf(w)
+	choice, full := q.full[c.call.Route.Name]
+	return full && choice.Blocked == 0 && c.goesAnywhere()
+}
+
 // add makes a call wait, with the standing that it has in the present configuration, and reports whether it
 // may.
 func (q *serviceQueue) add(w *Waiter, now time.Time) bool {
@@ -133,18 +143,20 @@
 
 // grant gives free places to waiting calls in their order.
 func (q *serviceQueue) grant(now time.Time) {
+	q.full = nil
 	if q.order.Len() == 0 {
 		return
 	}
 	s := newSearch(q, now)
 	for {
-		w := q.order.Next(now, s.accepts)
+		w := q.order.first(now, s.judge)
 		if w == nil {
 			break
 		}
 		q.room.stats.granted(q.service, now.Sub(w.ArrivedAt))
 		callOf(w).ended <- waitEnd{s.choice, true}
 	}
+	q.full = s.full
 	for _, w := range s.blocked {
 		q.order.Remove(w)
 		q.refuse(w, callOf(w).lastChoice.Blocked.String(), now)
