Waiting calls: a large account in a room, charges without a wait, metrics; removed accounts are dropped

Cause: mutations showed that no test failed when calls that don't wait are not charged, and that the bound of misses was compared with itself.

--- a/internal/admission/fairshare/account.go
+++ b/internal/admission/fairshare/account.go
@@ -33,6 +33,19 @@
 	return a
 }
 
+// KeepAccounts drops what is kept of the accounts without waiting items for which
+// inUse returns false.
+func (q *Queue) KeepAccounts(inUse func(ident.ClientAccount) bool) {
+	for name, a := range q.accounts {
+		if a.backlogIndex < 0 && !inUse(name) {
+			delete(q.accounts, name)
+		}
+	}
+}
+
+// Accounts returns the number of accounts of which anything is kept.
+func (q *Queue) Accounts() int { return len(q.accounts) }
+
 // minTag returns the smallest start tag that an account may have: the virtual
 // time less the credit.
 func (q *Queue) minTag() float64 { return q.virtualTime - q.config.Credit*q.meanCost }
--- a/internal/admission/waiting/queue.go
+++ b/internal/admission/waiting/queue.go
@@ -175,6 +175,9 @@
 	heap.Remove(&q.expiries, w.expiryPosition-1)
 }
 
+// KeepAccounts drops what is kept of the accounts without waiters for which inUse returns false.
+func (q *Queue) KeepAccounts(inUse func(ident.ClientAccount) bool) { q.shares.KeepAccounts(inUse) }
+
 // Expired removes the waiters whose time is over, and returns them in the order in which it ended.
 func (q *Queue) Expired(now time.Time) []*Waiter {
 	var expired []*Waiter
--- a/internal/admission/waiting/queue_test.go
+++ b/internal/admission/waiting/queue_test.go
@@ -87,6 +87,40 @@
 	}
 }
 
+// TestCharge guards against an account that gets places beyond its part because others found it served
+// without a wait.
+func TestCharge(t *testing.T) {
+	q := New(Config{})
+	for range 30 {
+		q.Charge(newWaiter("a", 0, time.Second))
+		q.Charge(newWaiter("b", 0, time.Second))
+	}
+	for range 5 {
+		q.Charge(newWaiter("a", 0, time.Second))
+	}
+	q.Add(newWaiter("a", 0, time.Second), at(0))
+	q.Add(newWaiter("b", 0, time.Second), at(0))
+	if w := q.Next(at(0), accept); w.Account != "b" {
+		t.Errorf("granted a call of account %s, want one of the account that was served less", w.Account)
+	}
+}
+
+// TestKeepAccounts guards against memory that grows with every account that was ever removed.
+func TestKeepAccounts(t *testing.T) {
+	q := New(Config{})
+	served, waits := newWaiter("served", 0, time.Second), newWaiter("waits", 0, time.Second)
+	q.Charge(served)
+	q.Add(waits, at(0))
+	q.KeepAccounts(func(ident.ClientAccount) bool { return false })
+	if w := q.Next(at(0), accept); w != waits {
+		t.Errorf("granted %+v, want the call that waited while its account was removed", w)
+	}
+	q.KeepAccounts(func(ident.ClientAccount) bool { return false })
+	if n := q.shares.Accounts(); n != 0 {
+		t.Errorf("%d accounts are kept, want none", n)
+	}
+}
+
 // TestWait guards against a time that counts calls which go after the waiter, or leaves out those before.
 func TestWait(t *testing.T) {
 	q := New(Config{})
--- a/internal/admission/waiting/room.go
+++ b/internal/admission/waiting/room.go
@@ -129,14 +129,19 @@
 	}
 }
 
-// forgetRemoved drops what is kept of routes and services that are gone.
+// forgetRemoved drops what is kept of routes, accounts and services that are gone.
 func (r *Room) forgetRemoved(table *routetable.Table) {
 	routes := make(map[string]bool)
 	for _, route := range table.Routes() {
 		routes[route.Name] = true
 	}
 	r.costs.keep(func(route string) bool { return routes[route] })
+	accounts := make(map[ident.ClientAccount]bool)
+	for _, account := range table.Accounts() {
+		accounts[account.Name] = true
+	}
 	for _, q := range r.allQueues() {
+		q.keepAccounts(accounts)
 		if table.Service(q.service) == nil && q.waiting() == 0 {
 			r.mu.Lock()
 			delete(r.queues, q.service)
--- a/internal/admission/waiting/room_test.go
+++ b/internal/admission/waiting/room_test.go
@@ -5,174 +5,16 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"sync"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-
 	"github.com/goldcrestspool/goldcrestspool/internal/forward"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
 )
 
-// fewPlaces is a Placement with a number of places at each of its upstreams.
-type fewPlaces struct {
-	forward.Placement
-	mu sync.Mutex
-	// free are the free places by upstream, and order is how upstreams are preferred.
-	free  map[ident.Instance]int
-	order []ident.Instance
-	// blocked is what a choice says that finds no place.
-	blocked      forward.Block
-	blockedUntil time.Time
-	// choices counts the calls of Choose, and chosen lists the calls that got places.
-	choices int
-	chosen  []ident.Request
-	results []forward.Result
-}
-
-func newFewPlaces(places int, upstreams ...ident.Instance) *fewPlaces {
-	p := &fewPlaces{free: make(map[ident.Instance]int), order: upstreams}
-	for _, id := range upstreams {
-		p.free[id] = places
-	}
-	return p
-}
-
-func (p *fewPlaces) Choose(call *forward.Call, exclude []ident.Instance, _ time.Time) (forward.Choice, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.choices++
-	for _, id := range p.order {
-		if p.free[id] > 0 && !slices.Contains(exclude, id) {
-			p.free[id]--
-			p.chosen = append(p.chosen, call.ID)
-			return forward.Choice{Upstream: id}, true
-		}
-	}
-	return forward.Choice{Blocked: p.blocked, BlockedUntil: p.blockedUntil, PassedOver: []string{"full"}}, false
-}
-
-func (p *fewPlaces) Finished(choice forward.Choice, result forward.Result, _ time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.free[choice.Upstream]++
-	p.results = append(p.results, result)
-}
-
-// set changes the placement, as a report or a view of the upstreams does.
-func (p *fewPlaces) set(f func()) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	f()
-}
-
-func (p *fewPlaces) grants() []ident.Request {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return slices.Clone(p.chosen)
-}
-
-// objective is that of the tests' routes; a call waits for an eighth of it, longestWait.
-const (
-	objective   = 800 * time.Millisecond
-	longestWait = objective / waitDivisor
-)
-
-var (
-	testRoute   = &routetable.Route{Name: "r", Host: "app", Prefix: "/", Kind: routetable.Idempotent, Objective: objective, Priority: 1, Targets: []routetable.Target{{Service: "svc"}}}
-	testService = &routetable.Service{Name: "svc"}
-)
-
-// roomFixture is a Room in a bubble, with what became of the calls in it.
-type roomFixture struct {
-	*Room
-	t      *testing.T
-	places *fewPlaces
-	table  *routetable.Table
-
-	mu   sync.Mutex
-	ends map[ident.Request]takeEnd
-	done sync.WaitGroup
-}
-
-// takeEnd is the result of a Take and how long it took.
-type takeEnd struct {
-	choice forward.Choice
-	found  bool
-	took   time.Duration
-}
-
-// inRoom runs a test with a Room in a bubble.
-func inRoom(t *testing.T, places *fewPlaces, run func(*roomFixture)) {
-	synctest.Test(t, func(t *testing.T) {
-		f := &roomFixture{t: t, places: places, ends: make(map[ident.Request]takeEnd)}
-		f.Room = NewRoom(RoomConfig{
-			Now: time.Now, Placement: places, Table: func() *routetable.Table { return f.table }, Log: hclog.NewNullLogger(), MaxWaiters: 4,
-		})
-		run(f)
-		f.done.Wait()
-		if n := f.queueOf("svc").waiting(); n != 0 {
-			t.Errorf("%d calls wait at the end", n)
-		}
-	})
-}
-
-func newCall(id ident.Request, account ident.ClientAccount) *forward.Call {
-	now := time.Now()
-	return &forward.Call{ID: id, Account: account, Key: string(account), Route: testRoute, Service: testService, Host: "app", URI: "/x", Priority: 1, Received: now, Expires: now.Add(time.Minute)}
-}
-
-// take lets a call take a place in a goroutine of its own, and returns when it has one or waits.
-func (f *roomFixture) take(ctx context.Context, call *forward.Call, exclude ...ident.Instance) {
-	begin := time.Now()
-	f.done.Go(func() {
-		choice, found := f.Take(ctx, call, exclude)
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.ends[call.ID] = takeEnd{choice, found, time.Since(begin)}
-	})
-	synctest.Wait()
-}
-
-// end returns how a call's Take ended. It fails the test if it hasn't.
-func (f *roomFixture) end(id ident.Request) takeEnd {
-	f.t.Helper()
-	synctest.Wait()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	end, ended := f.ends[id]
-	if !ended {
-		f.t.Fatalf("call %s still waits", id)
-	}
-	return end
-}
-
-func (f *roomFixture) waits(id ident.Request) bool {
-	synctest.Wait()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	_, ended := f.ends[id]
-	return !ended
-}
-
-// fill takes a place for a call that holds it until the returned function is called.
-func (f *roomFixture) fill(id ident.Request) (finish func()) {
-	f.take(f.t.Context(), newCall(id, "other"))
-	choice := f.end(id).choice
-	return func() { f.Finished(choice, forward.Done, time.Now()) }
-}
-
-// wantRefused fails the test unless a call was refused after a time because of a block.
-func (f *roomFixture) wantRefused(id ident.Request, after time.Duration, block forward.Block) {
-	f.t.Helper()
-	if end := f.end(id); end.found || end.took != after || end.choice.Blocked != block {
-		f.t.Errorf("call %s: %+v, want it refused after %v with %q", id, end, after, block)
-	}
-}
-
 // Guards against a place that goes to whoever asks next instead of the account that has had least.
 func TestPlacesGoByAccount(t *testing.T) {
 	inRoom(t, newFewPlaces(1, "u"), func(f *roomFixture) {
@@ -256,16 +98,6 @@
 	})
 }
 
-// tableOf returns a configuration with a route and accounts whose keys are their names.
-func tableOf(priority int, accounts ...ident.ClientAccount) *routetable.Table {
-	spec := routetable.Spec{Revision: 1, Services: []routetable.Service{*testService}, Routes: []routetable.Route{*testRoute}}
-	spec.Routes[0].Priority = priority
-	for _, name := range accounts {
-		spec.Accounts = append(spec.Accounts, routetable.Account{Name: name, Keys: []string{string(name)}})
-	}
-	return routetable.New(spec)
-}
-
 // Guards against calls that go on waiting under a configuration that isn't in force any more.
 func TestAChangedConfigurationHoldsForWaitingCalls(t *testing.T) {
 	withoutRoute := tableOf(1, "a", "b")
@@ -386,6 +218,7 @@
 
 // Guards against a wake that asks for hundreds of waiting calls while no place is free.
 func TestAWakeAsksForFewCalls(t *testing.T) {
+	const mostChoices = 16 + 1 // the bound and the first of the route
 	inRoom(t, newFewPlaces(0, "u"), func(f *roomFixture) {
 		f.queueOf("svc").order.config.MaxWaiters = 400
 		for i := range 200 {
@@ -395,8 +228,8 @@
 		f.places.set(func() { f.places.choices = 0 })
 		f.WakeAll()
 		f.places.set(func() {
-			if f.places.choices > maxMisses+1 {
-				t.Errorf("%d choices in one wake, want at most %d", f.places.choices, maxMisses+1)
+			if f.places.choices > mostChoices {
+				t.Errorf("%d choices in one wake, want at most %d", f.places.choices, mostChoices)
 			}
 		})
 	})
@@ -445,3 +278,98 @@
 		}
 	}
 }
+
+// Guards against an account that has ten times as many callers as the others and takes their places: at one
+// and a half times the room, accounts that ask for less than their part must be served.
+func TestOneLargeAccountInARoom(t *testing.T) {
+	const (
+		places, hold, playFor = 36, 60 * time.Millisecond, 10 * time.Second
+		small                 = 15
+	)
+	perSecond := 1.5 * places / hold.Seconds() / (small + largeAccountAsks)
+	inRoom(t, newFewPlaces(places, "u"), func(f *roomFixture) {
+		f.queueOf("svc").order.config.MaxWaiters = DefaultMaxWaiters
+		random := rand.New(rand.NewPCG(1, 0))
+		asked := make(map[ident.ClientAccount]int)
+		for i := range small {
+			name := ident.ClientAccount(fmt.Sprint("small", i))
+			asked[name] = f.serveAtRandom(random, name, perSecond, hold, playFor)
+		}
+		f.serveAtRandom(random, "large", largeAccountAsks*perSecond, hold, playFor)
+		time.Sleep(playFor + time.Second)
+		served := make(map[ident.ClientAccount]int)
+		for _, id := range f.places.grants() {
+			name, _, _ := strings.Cut(string(id), "/")
+			served[ident.ClientAccount(name)]++
+		}
+		for name, asked := range asked {
+			if share := float64(served[name]) / float64(asked); share < minServedOfPart {
+				t.Errorf("account %s was served %.3f of %d calls, want at least %v", name, share, asked, minServedOfPart)
+			}
+		}
+		if used := float64(len(f.places.grants())) * hold.Seconds() / places / playFor.Seconds(); used < minPlacesUsed {
+			t.Errorf("%.3f of the places used, want at least %v", used, minPlacesUsed)
+		}
+	})
+}
+
+// serveAtRandom lets calls of an account, whose names begin with its, take places at random times, and
+// returns how many.
+func (f *roomFixture) serveAtRandom(random *rand.Rand, account ident.ClientAccount, perSecond float64, hold, playFor time.Duration) (calls int) {
+	for at := random.ExpFloat64() / perSecond; at < playFor.Seconds(); at += random.ExpFloat64() / perSecond {
+		calls++
+		id := ident.Request(fmt.Sprint(account, "/", calls))
+		time.AfterFunc(time.Duration(at*float64(time.Second)), func() {
+			if choice, found := f.Take(f.t.Context(), newCall(id, account), nil); found {
+				time.Sleep(hold)
+				f.Finished(choice, forward.Done, time.Now())
+			}
+		})
+	}
+	return calls
+}
+
+// Guards against accounts that get places beyond their part because others found theirs without a wait.
+func TestCallsThatDontWaitAreCharged(t *testing.T) {
+	inRoom(t, newFewPlaces(100, "u"), func(f *roomFixture) {
+		for i := range 30 {
+			f.take(f.t.Context(), newCall(ident.Request(fmt.Sprint("a", i)), "a"))
+			f.take(f.t.Context(), newCall(ident.Request(fmt.Sprint("b", i)), "b"))
+		}
+		for i := range 5 {
+			f.take(f.t.Context(), newCall(ident.Request(fmt.Sprint("more", i)), "a"))
+		}
+		f.places.set(func() { f.places.free["u"] = 0 })
+		f.take(f.t.Context(), newCall("of a", "a"))
+		f.take(f.t.Context(), newCall("of b", "b"))
+		f.places.set(func() { f.places.free["u"] = 1 })
+		f.WakeAll()
+		if !f.end("of b").found || !f.waits("of a") {
+			t.Error("the place went to the account that was served more")
+		}
+	})
+}
+
+// Guards against waits that no operator sees.
+func TestMetrics(t *testing.T) {
+	inRoom(t, newFewPlaces(1, "u"), func(f *roomFixture) {
+		finish := f.fill("first")
+		f.take(f.t.Context(), newCall("granted", "a"))
+		f.take(f.t.Context(), newCall("refused", "a"))
+		time.Sleep(10 * time.Millisecond)
+		finish()
+		var text strings.Builder
+		f.WriteMetrics(&text)
+		time.Sleep(longestWait)
+		synctest.Wait()
+		f.WriteMetrics(&text)
+		for _, want := range []string{
+			`calls_waiting{service="svc"} 1`, `calls_waiting{service="svc"} 0`, `waits_refused_total{service="svc",reason="no place within the wait"} 1`,
+			`wait_granted_seconds_bucket{service="svc",le="0.005"} 0`, `wait_granted_seconds_bucket{service="svc",le="0.02"} 1`, `wait_granted_seconds_count{service="svc"} 1`,
+		} {
+			if !strings.Contains(text.String(), want+"\n") {
+				t.Errorf("metrics lack %s:\n%s", want, text.String())
+			}
+		}
+	})
+}
--- a/internal/admission/waiting/servicequeue.go
+++ b/internal/admission/waiting/servicequeue.go
@@ -34,6 +34,13 @@
 	return q.order.Len()
 }
 
+// keepAccounts drops what is kept of the other accounts that have nothing waiting.
+func (q *serviceQueue) keepAccounts(accounts map[ident.ClientAccount]bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.order.KeepAccounts(func(name ident.ClientAccount) bool { return accounts[name] })
+}
+
 // tryAtOnce chooses for a call if nobody waits.
 func (q *serviceQueue) tryAtOnce(w *Waiter) (forward.Choice, bool) {
 	q.mu.Lock()
