--- a/internal/admission/waiting/queue.go
+++ b/internal/admission/waiting/queue.go
@@ -11,6 +11,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/admission/fairshare"
@@ -131,9 +132,22 @@
 // and returns it; nil if there is none. Waiters that aren't accepted keep their place and hold nobody back.
 // accepts is called once for each waiter at most, and must not change the queue.
 func (q *Queue) Next(now time.Time, accepts func(*Waiter) bool) *Waiter {
-	item := q.shares.PopAccepted(func(item *fairshare.Item) bool {
+	return q.first(now, func(w *Waiter) fairshare.Verdict {
+		if accepts(w) {
+			return fairshare.Accept
+		}
+		return fairshare.Skip
+	})
+}
+
+// first is Next for a judge that may also stop the search.
+func (q *Queue) first(now time.Time, judge func(*Waiter) fairshare.Verdict) *Waiter {
+	item := q.shares.PopFirst(func(item *fairshare.Item) fairshare.Verdict {
 		w := q.waiters[item]
-		return w.expiresAt.After(now) && accepts(w)
+		if !w.expiresAt.After(now) {
+			return fairshare.Skip
+		}
+		return judge(w)
 	})
 	if item == nil {
 		return nil
@@ -161,6 +175,9 @@
 	heap.Remove(&q.expiries, w.expiryPosition-1)
 }
 
+// KeepAccounts drops what is kept of the accounts without waiters for which inUse returns false.
+func (q *Queue) KeepAccounts(inUse func(ident.ClientAccount) bool) { q.shares.KeepAccounts(inUse) }
+
 // Expired removes the waiters whose time is over, and returns them in the order in which it ended.
 func (q *Queue) Expired(now time.Time) []*Waiter {
 	var expired []*Waiter
@@ -180,6 +197,9 @@
 	return q.expiries[0].expiresAt, true
 }
 
+// Waiters returns all waiters, in no order.
+func (q *Queue) Waiters() []*Waiter { return slices.Clone(q.expiries) }
+
 // Wait returns the time until a waiter's turn if nobody else arrives and perSecond seconds of slots become
 // free each second, which must be more than 0. The waiter may be in the queue or not.
 func (q *Queue) Wait(w *Waiter, perSecond float64) time.Duration {
