--- a/internal/entry/slots.go
+++ b/internal/entry/slots.go
@@ -69,6 +69,7 @@
 	log := p.log.Named("slots")
 	p.slotServer = slotlease.NewServer(slotlease.ServerConfig{
 		Now: p.now, Log: log, View: func() *directory.View { return p.board.upstreams.Value() }, InProgress: p.requestsAt, Keeps: p.keepsSlots,
+		KnowsAccount: func(account ident.ClientAccount) bool { return p.accountLimit(account) != nil },
 	})
 	p.slots = slotlease.NewClient(slotlease.ClientConfig{
 		Self: p.settings.Instance.ID, Domain: p.settings.Instance.FailureDomain, Incarnation: p.incarnationID, Now: p.now, Log: log,
--- a/internal/slotlease/keeper.go
+++ b/internal/slotlease/keeper.go
@@ -194,7 +194,7 @@
 // grantWaiting grants free slots to the asks that wait, in the order of the queue.
 func (k *Keeper) grantWaiting(now time.Time) []Decision {
 	var decided []Decision
-	for k.queue.Len() > 0 {
+	for k.queue.Len() > 0 && k.anyFree(now) {
 		var free *keptUpstream
 		w := k.queue.Next(now, func(w *waiting.Waiter) bool {
 			free = k.freeUpstream(w.Value.(Ask), now)
@@ -210,6 +210,14 @@
 	return decided
 }
 
+// anyFree reports whether any upstream has a free slot.
+func (k *Keeper) anyFree(now time.Time) bool {
+	return slices.ContainsFunc(k.upstreams, func(u *keptUpstream) bool { return k.running(u, now) < room(u.Slots) })
+}
+
+// KeepAccounts drops what is kept of the accounts without asks that are not in use.
+func (k *Keeper) KeepAccounts(inUse func(ident.ClientAccount) bool) { k.queue.KeepAccounts(inUse) }
+
 // freeUpstream returns the upstream with a free slot that has the fewest requests for each of its slots among
 // those that an ask may use; nil if there is none.
 func (k *Keeper) freeUpstream(a Ask, now time.Time) *keptUpstream {
--- a/internal/slotlease/server.go
+++ b/internal/slotlease/server.go
@@ -24,6 +24,8 @@
 	View func() *directory.View
 	// InProgress returns how many requests the gateways reported to have at an upstream.
 	InProgress func(ident.Instance) int
+	// KnowsAccount reports whether an account is configured.
+	KnowsAccount func(ident.ClientAccount) bool
 	// Keeps reports whether this gateway may keep slots for others; it may not while it leaves.
 	Keeps func() bool
 }
@@ -34,6 +36,8 @@
 
 	mu    sync.Mutex
 	parts map[partID]*keptPart
+	// sweptAt is when the accounts were last looked through.
+	sweptAt time.Time
 	// granted and refused count answers since the start.
 	granted, refused int64
 }
@@ -128,9 +132,17 @@
 func (s *Server) Refresh() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.cfg.Now()
+	sweeps := now.Sub(s.sweptAt) > unusedTimeout
+	if sweeps {
+		s.sweptAt = now
+	}
 	for id, p := range s.parts {
 		s.refresh(p)
-		if p.keeper.Idle() && s.cfg.Now().Sub(p.askedAt) > unusedTimeout {
+		if sweeps {
+			p.keeper.KeepAccounts(s.cfg.KnowsAccount)
+		}
+		if p.keeper.Idle() && now.Sub(p.askedAt) > unusedTimeout {
 			delete(s.parts, id)
 			s.cfg.Log.Info("keeps the slots of a service's upstreams no longer", "service", id.service, "part", id.number)
 		}
