--- a/internal/entry/slots.go
+++ b/internal/entry/slots.go
@@ -5,12 +5,15 @@
 	"fmt"
 	"io"
 	"maps"
+	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/directory"
 	"github.com/goldcrestspool/goldcrestspool/internal/forward"
 	"github.com/goldcrestspool/goldcrestspool/internal/gossip"
 	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
+	"github.com/goldcrestspool/goldcrestspool/internal/routing/placement"
 	"github.com/goldcrestspool/goldcrestspool/internal/slotlease"
 )
 
@@ -39,15 +42,38 @@
 	return all
 }
 
-// wireSlots creates the parts that lease slots. Calls without a lease get their places from places.
-func (p *Process) wireSlots(places forward.Places) {
+// slotPlacement implements slotlease.Placement. What leases don't need goes through the room, so that it notices
+// when places become free.
+type slotPlacement struct {
+	forward.Placement
+	chooser *placement.Chooser
+}
+
+// ChooseOne implements slotlease.Placement.
+func (s slotPlacement) ChooseOne(call *forward.Call, id ident.Instance, now time.Time) (forward.Choice, bool) {
+	return s.chooser.ChooseOne(call, id, now)
+}
+
+// Barred implements slotlease.Placement.
+func (s slotPlacement) Barred(call *forward.Call, exclude []ident.Instance, now time.Time) (barred []ident.Instance, others bool) {
+	return s.chooser.Barred(call, exclude, now)
+}
+
+// SharedSlots implements slotlease.Placement.
+func (s slotPlacement) SharedSlots(service *routetable.Service) []directory.Upstream {
+	return s.chooser.SharedSlots(service)
+}
+
+// wireSlots creates the parts that lease slots. Calls without a lease wait in the room.
+func (p *Process) wireSlots() {
 	log := p.log.Named("slots")
 	p.slotServer = slotlease.NewServer(slotlease.ServerConfig{
 		Now: p.now, Log: log, View: func() *directory.View { return p.board.upstreams.Value() }, InProgress: p.requestsAt, Keeps: p.keepsSlots,
+		KnowsAccount: func(account ident.ClientAccount) bool { return p.accountLimit(account) != nil },
 	})
 	p.slots = slotlease.NewClient(slotlease.ClientConfig{
 		Self: p.settings.Instance.ID, Domain: p.settings.Instance.FailureDomain, Incarnation: p.incarnationID, Now: p.now, Log: log,
-		Network: slotNetwork{p.pool}, Placement: p.chooser, Places: places, Server: p.slotServer,
+		Network: slotNetwork{p.pool}, Placement: slotPlacement{p.room, p.chooser}, Places: p.room, Server: p.slotServer,
 	})
 }
 
