--- a/internal/standin/worker/source.go
+++ b/internal/standin/worker/source.go
@@ -278,9 +278,9 @@
 func (w *Writer) Body() string {
 	w.worker.mu.Lock()
 	defer w.worker.mu.Unlock()
-	for i := len(w.worker.requests) - 1; i >= 0; i-- {
-		if w.worker.requests[i] == w.request {
-			return w.worker.bodies[i]
+	for _, r := range slices.Backward(w.worker.received) {
+		if r.Request == w.request {
+			return r.Body
 		}
 	}
 	return ""
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -31,16 +32,13 @@
 	// afterFirstStop is called by the first Stop.
 	afterFirstStop func()
 
-	mu           sync.Mutex
-	queuedActs   []Act
-	defaultAct   Act
-	runs         map[string]int
-	requestTimes []time.Time
-	requests     []*http.Request
-	conns        map[net.Conn]bool
-	stopped      bool
-	// bodies are those of requests.
-	bodies []string
+	mu         sync.Mutex
+	queuedActs []Act
+	defaultAct Act
+	runs       map[string]int
+	received   []Received
+	conns      map[net.Conn]bool
+	stopped    bool
 	// limit is the rate limit that all answers announce; empty for none.
 	limit string
 	// limitAnnouncedAt is when an answer first announced a limit, and arrivals are the
@@ -122,27 +120,25 @@
 }
 
 // Requests returns the requests received so far, and their bodies.
-func (w *Worker) Requests() ([]*http.Request, []string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return append([]*http.Request(nil), w.requests...), append([]string(nil), w.bodies...)
+func (w *Worker) Requests() (requests []*http.Request, bodies []string) {
+	for _, r := range w.Received() {
+		requests, bodies = append(requests, r.Request), append(bodies, r.Body)
+	}
+	return requests, bodies
 }
 
-// Received is a request and when it was received.
+// Received is a request with its body, and when it was received.
 type Received struct {
 	Request *http.Request
+	Body    string
 	At      time.Time
 }
 
-// Received returns the requests received so far, with their times.
+// Received returns what was received so far.
 func (w *Worker) Received() []Received {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	out := make([]Received, len(w.requests))
-	for i := range w.requests {
-		out[i] = Received{w.requests[i], w.requestTimes[i]}
-	}
-	return out
+	return slices.Clone(w.received)
 }
 
 // Connections returns the number of open connections.
@@ -206,9 +202,7 @@
 func (w *Worker) recordRequest(r *http.Request, body string) Act {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.requests = append(w.requests, r)
-	w.requestTimes = append(w.requestTimes, time.Now())
-	w.bodies = append(w.bodies, body)
+	w.received = append(w.received, Received{r, body, time.Now()})
 	w.recordLateArrival(r)
 	if !w.limitAnnouncedAt.IsZero() {
 		w.arrivals = append(w.arrivals, Arrival{ID: r.Header.Get(RequestID), At: time.Now()})
