What is kept against an older copy of the store: one name, and one place where positions become messages

Entries "stood against" a copy, were "contradicting" it and "kept": they are kept. A position is written into messages and read from them by two functions, which the entries, the reports, the configurations and the rollout orders share; before, each had its own, and the era of where a copy ended could exceed the newest era that it was counted from. That a position is of a later era than one known is asked by one method, and which reports call for entries by another, which the plays use too.

Positions are no longer read from text: nothing did but the test of it. That test gives way to one of the text itself, which logs and pages show.

Looked for and not found: a place where a directory's next position is of a later era than its own era, which two comparisons no longer ask.

Changed one by one to see a test go red: the mark of a kept position, the eras behind and "nothing known" in messages; what calls for entries; the copy's record that a gateway or the store adds; a leaving upstream that is kept; the era that a listing begins; the position of a kept order. Three stayed green (nothing known; the record that the store adds; a leaving upstream kept without a new era) and have tests now. The three behaviours were there before.

Ran: tests of ident, directory, rollout and entry with the race detector, and those of the messages.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -3,7 +3,7 @@
 //
 // It does no I/O. Entries carry the position of their record, so that records from the store
 // and from other gateways can be merged in any order, and a stale one changes nothing. If the
-// store comes back from an older copy, in a new era, what was known of an upstream stands
+// store comes back from an older copy, in a new era, what was known of an upstream is kept
 // against its record in the copy (see era.go).
 package directory
 
@@ -93,7 +93,7 @@
 	// UsableUntil is until when a dropped entry may still be used, in case it expired only
 	// because the store was unavailable; zero for a departure.
 	UsableUntil time.Time
-	// copied is the record of an older copy against which the entry stands; nil if there is none.
+	// copied is the record of an older copy against which the entry is kept; nil if there is none.
 	copied *copiedRecord
 }
 
@@ -115,8 +115,8 @@
 	// All records before next are known, and all drops from dropsKnownFrom on: a listing of the
 	// store does not show earlier drops.
 	next, dropsKnownFrom ident.Position
-	// era is the era of the newest record or listing, and beforeEra what next was in the era before;
-	// zero if none was known then.
+	// era is the newest era of which a record or a listing is known, which next reaches at the end of a listing.
+	// beforeEra is what next was in the era before; zero if none was known then.
 	era       ident.Era
 	beforeEra ident.Position
 	// knownFrom is the position from which on all records of this era are known, if others came before: a listing
@@ -126,8 +126,8 @@
 	// era is the first that this process knows. eraSeenAt is when the era became known.
 	copyEnd   ident.Position
 	eraSeenAt time.Time
-	// contradicting are the names of the entries that stand against an older copy.
-	contradicting map[ident.Instance]bool
+	// kept are the names of the entries that are kept against an older copy.
+	kept map[ident.Instance]bool
 	// renewal is the interval at which upstreams renew their entries.
 	renewal time.Duration
 	// outageEnded is when the store's last outage ended; zero if there was none.
@@ -142,7 +142,7 @@
 
 // New returns an empty directory that knows no records.
 func New() *Directory {
-	return &Directory{entries: make(map[ident.Instance]*Entry), contradicting: make(map[ident.Instance]bool), views: newViewBuilder()}
+	return &Directory{entries: make(map[ident.Instance]*Entry), kept: make(map[ident.Instance]bool), views: newViewBuilder()}
 }
 
 // UseAnnouncements sets the function that reports whether an upstream announced in an answer that
@@ -176,9 +176,9 @@
 	}
 	d.entries[name] = next
 	if next.copied != nil {
-		d.contradicting[name] = true
+		d.kept[name] = true
 	} else {
-		delete(d.contradicting, name)
+		delete(d.kept, name)
 	}
 	d.changes.trim(d.entries)
 }
@@ -244,16 +244,22 @@
 	case u.Born > known.Upstream.Born:
 		return d.applyNewIncarnation(name, known, next)
 	case !at.After(known.At):
-		d.keepListed(name, at, u, now)
+		if !known.Present && known.At == at.Kept() {
+			d.setCopied(name, u, now)
+		}
 		return false
 	case !d.isWrittenSince(at) && known.outlivesCopy(at):
-		d.keepAgainst(name, known, next)
+		kept := *known
+		kept.keepAgainst(at, &next.Upstream, now)
+		d.set(name, &kept)
 		return false
 	}
 	if known.Upstream.State == Leaving && u.State == Ready && (known.Present || u.Born != 0) {
 		// A leaving upstream never becomes ready again in the same incarnation.
 		next.Upstream.State = Leaving
-		next.standAgainst(u, known, now)
+		if known.copied != nil || !at.SameEra(known.At) {
+			next.keepAgainst(at, u, now)
+		}
 	}
 	same := known.Present && known.Upstream.IsRenewedBy(next.Upstream)
 	if same {
@@ -332,7 +338,7 @@
 // since are dropped.
 func (d *Directory) ApplyListing(present map[ident.Instance]bool, end ident.Position, now time.Time) bool {
 	d.BeginEra(end, now)
-	newEra := !d.next.IsZero() && !d.next.SameEra(end)
+	newEra := end.InNewEra(d.next)
 	changed := false
 	for id, entry := range d.entries {
 		switch {
@@ -353,7 +359,7 @@
 }
 
 // Expire forgets entries that were dropped long ago, ends the grace of expired ones, and gives up the
-// entries that stand against an older copy once it has proved right. confirmed is when the view was known
+// entries that are kept against an older copy once it has proved right. confirmed is when the view was known
 // to be complete last. Expire reports whether the view changed, and whether entries wait for their time.
 func (d *Directory) Expire(now, confirmed time.Time) (changed, more bool) {
 	changed, more = d.giveWay(now, confirmed)
@@ -370,7 +376,7 @@
 		case now.Sub(entry.ChangedAt) > dropRetention:
 			d.dropsKnownFrom = d.dropsKnownFrom.Later(entry.At.Next())
 			delete(d.entries, id)
-			delete(d.contradicting, id)
+			delete(d.kept, id)
 		}
 	}
 	return changed, more
--- a/internal/directory/era.go
+++ b/internal/directory/era.go
@@ -8,15 +8,15 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 )
 
-// copiedRecord is an upstream's record in the older copy that an era began with, where more is known of the
-// upstream.
+// copiedRecord is an upstream's record in the older copy that an era began with, where later news of the
+// upstream is known.
 type copiedRecord struct {
 	upstream Upstream
 	// since is when this process first had both.
 	since time.Time
 }
 
-// hearingTime is how long it takes at most until a drop is known here.
+// hearingTime is how long it takes until a drop in the store is known to a gateway that reaches it or others.
 const hearingTime = time.Second
 
 // entryLifetime is how long after a store's return it may still seem to list an upstream that has ended: entries
@@ -26,37 +26,31 @@
 // UseRenewal sets the interval at which upstreams renew their entries.
 func (d *Directory) UseRenewal(interval time.Duration) { d.renewal = interval }
 
-// BeginEra records that the store's log is of an era and had an end, and reports whether that is a new one. The
-// store came back then: an entry that is missing has as long to be back as after an outage.
-func (d *Directory) BeginEra(end ident.Position, now time.Time) bool {
-	if end.Era() <= max(d.era, d.next.Era()) {
-		return false
+// BeginEra records that the store's log is of an era and had an end. If the era is new, the store came back: an
+// entry that is missing has as long to be back as after an outage.
+func (d *Directory) BeginEra(end ident.Position, now time.Time) {
+	if end.Era() <= d.era {
+		return
 	}
-	risen := !d.next.IsZero()
-	d.copyEnd = ident.Position{}
-	if risen {
+	d.era, d.copyEnd = end.Era(), ident.Position{}
+	if end.InNewEra(d.next) {
 		d.beforeEra = d.next
 		d.storeAway, d.outageEnded = false, now
 		d.copyEnd, d.eraSeenAt = end, now
 	}
-	d.era = end.Era()
-	return risen
 }
 
-// copyEndTime is how long after a new era its copy's end is passed on: as long as an entry may stand against
-// the copy.
-func (d *Directory) copyEndTime() time.Duration { return 2 * d.entryLifetime() }
-
-// CopyEnd returns the lowest known end of the log in its era, for some time after that began; zero otherwise.
+// CopyEnd returns the lowest known end of the log in its era, as long after that began as entries may be kept against
+// the copy; zero otherwise.
 func (d *Directory) CopyEnd(now time.Time) ident.Position {
-	if d.copyEnd.IsZero() || now.Sub(d.eraSeenAt) > d.copyEndTime() {
+	if d.copyEnd.IsZero() || now.Sub(d.eraSeenAt) > 2*d.entryLifetime() {
 		return ident.Position{}
 	}
 	return d.copyEnd
 }
 
 // LowerCopyEnd records an end of the log in an era that another gateway saw, and reports whether the view
-// changed: entries that stood against a record that is no copy give way.
+// changed: entries that were kept against a record that is no copy give way.
 func (d *Directory) LowerCopyEnd(end ident.Position, now time.Time) (changed bool) {
 	if end.IsZero() || d.era != end.Era() || !d.copyEnd.IsZero() && !end.Before(d.copyEnd) {
 		return false
@@ -65,7 +59,7 @@
 		d.eraSeenAt = now
 	}
 	d.copyEnd = end
-	for name := range d.contradicting {
+	for name := range d.kept {
 		if entry := d.entries[name]; !entry.Present && d.isWrittenSince(entry.At) {
 			d.giveWayTo(name, entry, now)
 			changed = true
@@ -79,7 +73,7 @@
 	return !d.copyEnd.IsZero() && at.SameEra(d.copyEnd) && !at.Before(d.copyEnd)
 }
 
-// outlivesCopy reports whether a dropped entry stands against a record at a position, because that record may
+// outlivesCopy reports whether a dropped entry is kept against a record at a position, because that record may
 // be older than the drop. Otherwise a copy would bring back upstreams that are gone, whose address may be
 // another's by now. An entry that is still in its grace is perhaps not gone, and does not.
 func (e *Entry) outlivesCopy(at ident.Position) bool {
@@ -94,21 +88,9 @@
 // knows only the log of its era: that may have nothing of the entry before.
 func (e *Entry) isNewsAt(at ident.Position) bool { return !e.At.SameEra(at) || e.At.IsKept() }
 
-// keepAgainst keeps a dropped entry against its record in an older copy.
-func (d *Directory) keepAgainst(name ident.Instance, known, record *Entry) {
-	kept := *known
-	kept.At = known.At.KeptAgainst(record.At)
-	kept.Change = kept.At
-	kept.copied = &copiedRecord{record.Upstream, record.ChangedAt}
-	d.set(name, &kept)
-}
-
-// standAgainst notes that a record that makes an upstream ready stands against what is known: it leaves.
-func (e *Entry) standAgainst(record *Upstream, known *Entry, now time.Time) {
-	if e.At.SameEra(known.At) && known.copied == nil {
-		return
-	}
-	e.At = e.At.KeptAgainst(e.At)
+// keepAgainst makes an entry one that is kept against the record of an older copy at a position.
+func (e *Entry) keepAgainst(at ident.Position, record *Upstream, now time.Time) {
+	e.At = at.Kept()
 	e.Change = e.At
 	e.copied = &copiedRecord{*record, now}
 }
@@ -125,8 +107,8 @@
 	d.set(name, &gone)
 }
 
-// mayBeListed reports whether the store may still have the record that a kept entry of another gateway stands
-// against: this process knows it, or has not listed the store so far.
+// mayBeListed reports whether the store may still have the record against which another gateway keeps an entry: this
+// process knows it, or has not listed the store so far.
 func (d *Directory) mayBeListed(r *Record) bool {
 	known := d.entries[r.Name]
 	if known != nil && known.Present && known.At.SameEra(r.At) && known.At.SameOffset(r.At) {
@@ -135,30 +117,14 @@
 	return !r.At.SameEra(d.next) || !r.At.Before(d.next)
 }
 
-// keepFromPeer notes that an entry stands against an older copy, as another gateway says.
-func (d *Directory) keepFromPeer(r *Record, now time.Time) {
-	entry := d.entries[r.Name]
-	copied := r.Copied
-	if copied == nil {
-		copied = r.Upstream
-	}
-	if entry == nil || entry.At != r.At || copied == nil || entry.copied != nil {
-		return
-	}
-	kept := *entry
-	kept.copied = &copiedRecord{*copied, now}
-	d.set(r.Name, &kept)
-}
-
-// keepListed notes that the store lists a record against which a dropped entry stands, as another gateway had
-// said before.
-func (d *Directory) keepListed(name ident.Instance, at ident.Position, u *Upstream, now time.Time) {
-	entry := d.entries[name]
-	if entry.Present || entry.copied != nil || !entry.At.IsKept() || !entry.At.SameEra(at) || !entry.At.SameOffset(at) {
+// setCopied notes the record of an older copy against which an entry is kept, if none is known. That the entry is
+// kept was another gateway's decision.
+func (d *Directory) setCopied(name ident.Instance, record *Upstream, now time.Time) {
+	if d.entries[name].copied != nil {
 		return
 	}
-	kept := *entry
-	kept.copied = &copiedRecord{*u, now}
+	kept := *d.entries[name]
+	kept.copied = &copiedRecord{*record, now}
 	d.set(name, &kept)
 }
 
@@ -166,7 +132,7 @@
 // one that has ended: it lives, and was dropped only because it could not renew its entry. It reports
 // whether there were any, and whether others wait.
 func (d *Directory) giveWay(now, confirmed time.Time) (changed, more bool) {
-	for name := range d.contradicting {
+	for name := range d.kept {
 		entry := d.entries[name]
 		if entry.Present {
 			continue
@@ -181,19 +147,19 @@
 	return changed, more
 }
 
-// giveWayTo makes a dropped entry that stood against a record what that record says.
+// giveWayTo makes a dropped entry that was kept against a record what that record says.
 func (d *Directory) giveWayTo(name ident.Instance, entry *Entry, now time.Time) {
 	d.set(name, &Entry{At: entry.At, written: entry.At, dropEnd: entry.dropEnd, Change: entry.Change, Present: true, Upstream: entry.copied.upstream, ChangedAt: now})
 }
 
-// KeptDigest returns a digest of the entries that stand against an older copy; 0 if there are none.
+// KeptDigest returns a digest of the entries that are kept against an older copy; 0 if there are none.
 func (d *Directory) KeptDigest() uint32 {
 	sum := uint64(0)
-	for name := range d.contradicting {
+	for name := range d.kept {
 		sum ^= xxhash.Sum64String(string(name) + " " + d.entries[name].At.String())
 	}
 	return uint32(sum)
 }
 
-// Contradicting returns how many entries stand against an older copy.
-func (d *Directory) Contradicting() int { return len(d.contradicting) }
+// KeptEntries returns how many entries are kept against an older copy.
+func (d *Directory) KeptEntries() int { return len(d.kept) }
--- a/internal/directory/era_test.go
+++ b/internal/directory/era_test.go
@@ -113,8 +113,8 @@
 		d.UseRenewal(1200 * time.Millisecond)
 		listEra2(d, at(0), 30, listed{20, ready("leaves")}, listed{21, ready("gone")}, listed{22, ready("stays")})
 	}
-	if lived.Contradicting() != 2 {
-		t.Fatalf("%d entries stand against the copy, want 2", lived.Contradicting())
+	if lived.KeptEntries() != 2 {
+		t.Fatalf("%d entries are kept against the copy, want 2", lived.KeptEntries())
 	}
 	started.ApplyUpdate(lived.UpdateSince(started.Next(), at(0)), at(0))
 	for u, want := range map[string]bool{"leaves": false, "gone": false, "stays": true} {
@@ -248,3 +248,30 @@
 		t.Error("it is passed on for ever")
 	}
 }
+
+// Guards against an upstream that counts as kept against a copy though the store never came back: its gateways would
+// send all entries to each other for nothing.
+func TestALeavingUpstreamIsNotKeptInOneEra(t *testing.T) {
+	d := New()
+	d.Apply("u", pos(20), leavingOf("u"), at(0))
+	d.Apply("u", pos(21), ready("u"), at(0))
+	if usable(d, "u", at(0)) || d.KeptEntries() != 0 {
+		t.Errorf("usable: %v, %d entries are kept", usable(d, "u", at(0)), d.KeptEntries())
+	}
+}
+
+// Guards against an upstream that stays out of use, because a gateway that did not say what the copy has of it keeps its
+// entry, which the store still lists.
+func TestAKeptEntryWithoutItsRecordGivesWay(t *testing.T) {
+	d := New()
+	d.UseRenewal(1200 * time.Millisecond)
+	d.ApplyUpdate(Update{UpTo: in2(30), Complete: true, Records: []Record{{Name: "u", At: in2(20).Kept()}}}, at(0))
+	listEra2(d, at(0), 30, listed{20, ready("u")})
+	if usable(d, "u", at(0)) || d.KeptEntries() != 1 {
+		t.Errorf("usable: %v, %d entries are kept", usable(d, "u", at(0)), d.KeptEntries())
+	}
+	d.Expire(at(6*time.Second), at(6*time.Second))
+	if !usable(d, "u", at(6*time.Second)) {
+		t.Error("not usable though the store still lists it")
+	}
+}
--- a/internal/directory/updates.go
+++ b/internal/directory/updates.go
@@ -18,7 +18,7 @@
 	// UsableFor is how long a dropped entry stays usable, in case it expired only
 	// because the store was unavailable.
 	UsableFor time.Duration
-	// Copied is the upstream's record in an older copy of the store, if the entry was dropped and stands
+	// Copied is the upstream's record in an older copy of the store, if the entry was dropped and is kept
 	// against it; nil otherwise.
 	Copied *Upstream
 }
@@ -62,7 +62,7 @@
 			update.Records = append(update.Records, recordOf(change.name, entry, now))
 		}
 	}
-	for name := range d.contradicting {
+	for name := range d.kept {
 		// The receiver may have read the copy's record at a later position than this one's.
 		if entry := d.entries[name]; entry.Change.Before(from) {
 			update.Records = append(update.Records, recordOf(name, entry, now))
@@ -164,9 +164,9 @@
 // may have been cut off from the store, or may receive the drop long after it, and would
 // otherwise give a departure the grace of an outage. An update of an earlier era changes nothing.
 func (d *Directory) ApplyUpdate(update Update, now time.Time) (changes []Record, changed bool) {
-	newEra := !d.next.IsZero() && update.UpTo.Era() > d.next.Era()
+	newEra := update.UpTo.InNewEra(d.next)
 	switch {
-	case update.UpTo.Era() < max(d.era, d.next.Era()):
+	case update.UpTo.Era() < d.era:
 		return nil, false
 	case newEra && !update.Complete && (!update.Through.SameEra(d.next) || d.next.After(update.Through)):
 		return nil, false
@@ -176,13 +176,9 @@
 	for i := range update.Records {
 		r := update.Records[i]
 		present[r.Name] = r.Upstream != nil || r.Copied != nil
-		mayBeListed := d.mayBeListed(&r)
-		if d.apply(r.Name, r.At, r.Upstream, now.Add(r.UsableFor), now) {
+		if d.applyFromPeer(&r, now) {
 			changes = append(changes, r)
 		}
-		if r.At.IsKept() && mayBeListed {
-			d.keepFromPeer(&r, now)
-		}
 	}
 	changed = len(changes) > 0
 	if update.Complete {
@@ -194,3 +190,14 @@
 	}
 	return changes, changed
 }
+
+// applyFromPeer applies one record of another gateway's update, and reports whether it changed something.
+func (d *Directory) applyFromPeer(r *Record, now time.Time) (changed bool) {
+	mayBeListed := r.At.IsKept() && d.mayBeListed(r)
+	changed = d.apply(r.Name, r.At, r.Upstream, now.Add(r.UsableFor), now)
+	copied := cmp.Or(r.Copied, r.Upstream)
+	if entry := d.entries[r.Name]; mayBeListed && copied != nil && entry != nil && entry.At == r.At {
+		d.setCopied(r.Name, copied, now)
+	}
+	return changed
+}
--- a/internal/entry/era_plays_test.go
+++ b/internal/entry/era_plays_test.go
@@ -236,7 +236,7 @@
 
 // missing returns what the sender of a request lacks; with all, also if that is all entries.
 func (g *playGateway) missing(request, reply *gossip.Report, all bool) (config *gossip.ConfigRecord, upstreams *directory.Update) {
-	if reply.UpstreamsKnown.After(request.UpstreamsKnown) || reply.KeptEntries != 0 && reply.KeptEntries != request.KeptEntries {
+	if reply.KnowsMoreUpstreams(request) {
 		upstreams = g.upstreams.updateSince(request.UpstreamsKnown, all)
 	}
 	return g.config.newerThan(request.Revision), upstreams
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -93,7 +93,7 @@
 	fmt.Fprintf(w, "log_lines_total %d\nlog_lines_dropped_total %d\n", lines, dropped)
 	next, age := p.upstreams.state()
 	upstreamsEra, offset, _ := next.Parts()
-	fmt.Fprintf(w, "upstreams_era %d\nupstreams_offset %d\nupstreams_kept_against_copy %d\nupstreams_age_seconds %.3f\nupstreams_known %d\n", upstreamsEra, offset, p.upstreams.contradicting(), age.Seconds(), p.board.upstreams.Value().Count())
+	fmt.Fprintf(w, "upstreams_era %d\nupstreams_offset %d\nupstreams_kept_against_copy %d\nupstreams_age_seconds %.3f\nupstreams_known %d\n", upstreamsEra, offset, p.upstreams.keptEntries(), age.Seconds(), p.board.upstreams.Value().Count())
 	if table := p.table(); table != nil {
 		fmt.Fprintf(w, "configuration_revision %d\n", table.Revision())
 		p.writeEngineMetrics(w, table)
--- a/internal/entry/listing.go
+++ b/internal/entry/listing.go
@@ -53,7 +53,7 @@
 
 // logEra logs that the entries are of a new era. before is what was known in the one before. u.mu must be held.
 func (u *upstreamsFollower) logEra(from string, before ident.Position) {
-	u.log.Info("upstreams' entries are of a new era", "known", u.dir.Next(), "before", before, "kept_against_copy", u.dir.Contradicting(), "from", from)
+	u.log.Info("upstreams' entries are of a new era", "known", u.dir.Next(), "before", before, "kept_against_copy", u.dir.KeptEntries(), "from", from)
 }
 
 // listingChangesInterval is how often the changes since the beginning of a listing are read while it
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -428,9 +428,9 @@
 	u.publish(u.dir.LowerCopyEnd(end, u.now()))
 }
 
-// contradicting returns how many entries stand against an older copy of the store.
-func (u *upstreamsFollower) contradicting() int {
+// keptEntries returns how many entries are kept against an older copy of the store.
+func (u *upstreamsFollower) keptEntries() int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.dir.Contradicting()
+	return u.dir.KeptEntries()
 }
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -11,7 +12,6 @@
 	"google.golang.org/protobuf/proto"
 
 	exchangev1 "github.com/goldcrestspool/goldcrestspool/api/exchange/v1"
-	"github.com/goldcrestspool/goldcrestspool/internal/directory"
 	"github.com/goldcrestspool/goldcrestspool/internal/enginemodel"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/routing/placement"
@@ -101,7 +101,7 @@
 	m.Upstreams = c.update(in.Upstreams)
 	m.Others, m.DomainSum = c.sum(in.Others), c.sum(in.Domain)
 	if config := in.Configuration; config != nil {
-		m.Config = &encodedConfig{Revision: ident.Revision(config.Revision), At: ident.NewPosition(ident.Era(config.Era), config.Offset), Gzip: config.Gzip, Base: ident.Revision(config.BaseRevision), Patch: config.Patch}
+		m.Config = &encodedConfig{Revision: ident.Revision(config.Revision), At: c.position(config.Era, 0, config.Offset, false), Gzip: config.Gzip, Base: ident.Revision(config.BaseRevision), Patch: config.Patch}
 	}
 	if len(in.KnowsRosters) > 0 {
 		m.RosterDigests = make(map[ident.FailureDomain]uint64, len(in.KnowsRosters))
@@ -152,24 +152,21 @@
 }
 
 func (r *Report) toProto() *exchangev1.Report {
-	era, offset, _ := r.UpstreamsKnown.Parts()
-	newest := max(r.StoreEra, era)
-	copyEra, copyEnd, hasCopy := r.CopyEnd.Parts()
-	if !hasCopy {
-		copyEra, copyEnd = newest, 0
-	} else {
-		copyEnd++
-	}
-	return &exchangev1.Report{
-		CopyEnd: copyEnd, CopyErasBehind: uint64(newest - copyEra),
+	newest := max(r.StoreEra, r.UpstreamsKnown.Era(), r.CopyEnd.Era())
+	out := &exchangev1.Report{
 		Node: string(r.Node), Incarnation: uint64(r.Incarnation), Seq: r.Seq, Address: r.Address, FailureDomain: string(r.Domain),
 		MilliCores: milliCores(r.Cores), WallMs: r.WallMillis, Leaving: r.Leaving, HoldsLease: r.HoldsLease, GivenUpFence: uint64(r.GivenUpFence),
-		Revision: uint64(r.Revision), RevisionAgeMs: millis(r.RevisionAge), StoreEra: uint64(newest), UpstreamsOffset: knownOffset(r.UpstreamsKnown, offset), UpstreamsErasBehind: uint64(newest - era), UpstreamsAgeMs: millis(r.UpstreamsAge),
+		Revision: uint64(r.Revision), RevisionAgeMs: millis(r.RevisionAge), StoreEra: uint64(newest), UpstreamsAgeMs: millis(r.UpstreamsAge),
 		Loads: loadsToProto(r.Loads), Accounts: accountsToProto(r.Accounts), Work: workToProto(r.Demand, r.Engines), Began: countsToProto(r.StartedRequests),
 		Rollouts: rolloutsToProto(r.Rollouts), Poison: poisonToProto(r.Poison),
 		Limits: limitsToProto(r.Limits), LimitUses: usesToProto(r.LimitUses, r.LimitColumns), LimitSet: r.LimitSet,
 		UpstreamsLeaving: leavingToProto(r.UpstreamsLeaving), Lends: r.Lends, KeptEntries: r.KeptEntries,
 	}
+	out.UpstreamsErasBehind, out.UpstreamsOffset = positionToProto(newest, cmp.Or(r.UpstreamsKnown, noneKnown))
+	if !r.CopyEnd.IsZero() {
+		out.CopyErasBehind, out.CopyEnd = positionToProto(newest, r.CopyEnd.Next())
+	}
+	return out
 }
 
 func (c *checker) report(in *exchangev1.Report) Report {
@@ -177,10 +174,16 @@
 		Contact:     Contact{Node: ident.Instance(in.Node), Address: in.Address, Domain: ident.FailureDomain(in.FailureDomain), Cores: c.cores(in.MilliCores)},
 		Incarnation: ident.Incarnation(in.Incarnation), Seq: in.Seq, WallMillis: in.WallMs, Leaving: in.Leaving, HoldsLease: in.HoldsLease,
 		GivenUpFence: ident.Fence(in.GivenUpFence), Revision: ident.Revision(in.Revision), RevisionAge: c.age(in.RevisionAgeMs),
-		StoreEra: ident.Era(in.StoreEra), UpstreamsKnown: c.known(in.StoreEra, in.UpstreamsErasBehind, in.UpstreamsOffset), UpstreamsAge: c.age(in.UpstreamsAgeMs),
+		StoreEra: ident.Era(in.StoreEra), UpstreamsKnown: c.position(in.StoreEra, in.UpstreamsErasBehind, in.UpstreamsOffset, false), UpstreamsAge: c.age(in.UpstreamsAgeMs),
 		Loads: c.loads(in.Loads), Accounts: c.accounts(in.Accounts), StartedRequests: c.counts(in.Began), Rollouts: c.rollouts(in.Rollouts), Poison: c.poison(in.Poison),
 		Limits: c.limits(in.Limits), LimitUses: c.limitUses(in.LimitUses), LimitColumns: c.limitColumns(in.LimitUses), LimitSet: in.LimitSet,
-		UpstreamsLeaving: c.leaving(in.UpstreamsLeaving), Lends: in.Lends, KeptEntries: in.KeptEntries, CopyEnd: c.copyEnd(in),
+		UpstreamsLeaving: c.leaving(in.UpstreamsLeaving), Lends: in.Lends, KeptEntries: in.KeptEntries,
+	}
+	if r.UpstreamsKnown == noneKnown {
+		r.UpstreamsKnown = ident.Position{}
+	}
+	if in.CopyEnd > 0 {
+		r.CopyEnd = c.position(in.StoreEra, in.CopyErasBehind, in.CopyEnd, false).Previous()
 	}
 	if in.Node == "" || in.Address == "" {
 		c.fail("report of gateway %q at address %q lacks the name or the address", in.Node, in.Address)
@@ -419,117 +422,3 @@
 }
 
 func millis(d time.Duration) uint64 { return uint64(max(0, d.Milliseconds())) }
-
-func updateToProto(update *directory.Update) *exchangev1.News {
-	if update == nil {
-		return nil
-	}
-	era, offset, _ := update.UpTo.Parts()
-	out := &exchangev1.News{Era: uint64(era), UpTo: offset, Complete: update.Complete}
-	if throughEra, through, ok := update.Through.Parts(); ok {
-		out.ThroughErasBehind, out.ThroughOffset = uint64(era-throughEra), through
-	}
-	for i := range update.Records {
-		r := &update.Records[i]
-		recordEra, offset, _ := r.At.Parts()
-		out.Records = append(out.Records, &exchangev1.EntryRecord{
-			Name: string(r.Name), ErasBehind: uint64(era - recordEra), Offset: offset, Kept: r.At.IsKept(), UsableMs: millis(r.UsableFor),
-			Upstream: upstreamToProto(r.Upstream), Copied: upstreamToProto(r.Copied),
-		})
-	}
-	return out
-}
-
-func upstreamToProto(u *directory.Upstream) *exchangev1.Upstream {
-	if u == nil {
-		return nil
-	}
-	return &exchangev1.Upstream{
-		Id: string(u.ID), Name: string(u.Name), BornMs: u.Born, Service: string(u.Service), Address: u.Address,
-		FailureDomain: string(u.FailureDomain), Slots: uint32(max(0, u.Slots)), Leaving: u.State == directory.Leaving,
-		Reclaimable: u.Reclaimable, LeavesInMs: millis(u.LeavesIn), SoftwareVersion: string(u.SoftwareVersion), ColdMs: millis(u.ColdFor),
-	}
-}
-
-func (c *checker) update(in *exchangev1.News) *directory.Update {
-	if in == nil {
-		return nil
-	}
-	c.checkCount("entries", len(in.Records))
-	update := &directory.Update{UpTo: ident.NewPosition(ident.Era(in.Era), in.UpTo), Complete: in.Complete}
-	if in.ThroughErasBehind > 0 {
-		update.Through = ident.NewPosition(c.era(in.Era, in.ThroughErasBehind), in.ThroughOffset)
-	}
-	for _, r := range in.Records {
-		record := directory.Record{Name: ident.Instance(r.Name), At: c.recordAt(in.Era, r), UsableFor: c.age(r.UsableMs)}
-		if u := r.Upstream; u != nil {
-			record.Upstream = c.upstream(u)
-		}
-		if u := r.Copied; u != nil {
-			record.Copied = c.upstream(u)
-		}
-		if r.Name == "" {
-			c.fail("upstream entry at %v has no name", record.At)
-		}
-		update.Records = append(update.Records, record)
-	}
-	return update
-}
-
-// recordAt returns the position of a record in an update up to an era.
-func (c *checker) recordAt(era uint64, r *exchangev1.EntryRecord) ident.Position {
-	at := ident.NewPosition(c.era(era, r.ErasBehind), r.Offset)
-	if r.Kept {
-		return at.KeptAgainst(at)
-	}
-	return at
-}
-
-// copyEnd returns where the older copy of the store ended, as a report says; zero if it does not.
-func (c *checker) copyEnd(in *exchangev1.Report) ident.Position {
-	if in.CopyEnd == 0 {
-		return ident.Position{}
-	}
-	return ident.NewPosition(c.era(in.StoreEra, in.CopyErasBehind), in.CopyEnd-1)
-}
-
-// era returns the era that is behind another one.
-func (c *checker) era(newest, behind uint64) ident.Era {
-	if behind > newest {
-		c.fail("position is %d eras behind era %d", behind, newest)
-		return 0
-	}
-	return ident.Era(newest - behind)
-}
-
-// known returns the position up to which a gateway knows the upstreams' entries. Offset 0 of no era is none.
-func (c *checker) known(newest, behind, offset uint64) ident.Position {
-	era := c.era(newest, behind)
-	if era == 0 && offset == 0 {
-		return ident.Position{}
-	}
-	return ident.NewPosition(era, offset)
-}
-
-// knownOffset is the inverse of known.
-func knownOffset(known ident.Position, offset uint64) uint64 {
-	if known.IsZero() {
-		return 0
-	}
-	return offset
-}
-
-func (c *checker) upstream(u *exchangev1.Upstream) *directory.Upstream {
-	if u.Id == "" || u.Address == "" || u.Service == "" || u.Slots > maxRunning {
-		c.fail("upstream entry is not valid: id %q, address %q, service %q, %d slots", u.Id, u.Address, u.Service, u.Slots)
-	}
-	state := directory.Ready
-	if u.Leaving {
-		state = directory.Leaving
-	}
-	return &directory.Upstream{
-		ID: ident.Instance(u.Id), Name: ident.Instance(u.Name), Born: u.BornMs, Service: ident.Service(u.Service), Address: u.Address,
-		FailureDomain: ident.FailureDomain(u.FailureDomain), Slots: int(u.Slots), State: state, Reclaimable: u.Reclaimable, LeavesIn: c.age(u.LeavesInMs),
-		SoftwareVersion: ident.SoftwareVersion(u.SoftwareVersion), ColdFor: c.age(u.ColdMs),
-	}
-}
--- a/internal/gossip/codec_rollout.go
+++ b/internal/gossip/codec_rollout.go
@@ -47,13 +47,9 @@
 		if each.Service == "" || each.To == "" || phase < rollout.Waiting || phase > rollout.Completed || each.Settled > maxItems {
 			c.fail("rollout is not valid: service %q, version %q, phase %d, settled at %d gateways", each.Service, each.To, each.Phase, each.Settled)
 		}
-		at := ident.NewPosition(ident.Era(each.Era), each.Order)
-		if each.Kept {
-			at = at.KeptAgainst(at)
-		}
 		out = append(out, rollout.OrderState{
 			Order: rollout.Order{
-				Service: ident.Service(each.Service), At: at, To: ident.SoftwareVersion(each.To), TimeLimit: c.length(each.LengthMs),
+				Service: ident.Service(each.Service), At: c.position(each.Era, 0, each.Order, each.Kept), To: ident.SoftwareVersion(each.To), TimeLimit: c.length(each.LengthMs),
 			},
 			Age: c.age(each.AgeMs), Phase: phase, ConfirmedAge: c.age(each.ConfirmedMs), Stopped: each.Stopped, Settled: int(each.Settled),
 			Evidence: c.evidence(each.Routes, each.Figures),
--- a/internal/gossip/codec_test.go
+++ b/internal/gossip/codec_test.go
@@ -74,7 +74,7 @@
 		evidence.CountAnswer(rollout.KeyOf("r"), side, rollout.Answer{Failed: side > rollout.Old, Timed: true, Time: 0.3})
 	}
 	return rollout.OrderStates{{
-		Order: rollout.Order{Service: "llm", To: "v2", TimeLimit: 12 * time.Second, At: ident.NewPosition(2, 9).KeptAgainst(ident.NewPosition(2, 9))}, Age: 3 * time.Second, Phase: rollout.Canary,
+		Order: rollout.Order{Service: "llm", To: "v2", TimeLimit: 12 * time.Second, At: ident.NewPosition(2, 9).Kept()}, Age: 3 * time.Second, Phase: rollout.Canary,
 		ConfirmedAge: 200 * time.Millisecond, Stopped: true, Settled: 1, Evidence: evidence,
 	}}
 }
@@ -94,10 +94,13 @@
 		Reclaimable: true, LeavesIn: 2 * time.Second, SoftwareVersion: "v2", ColdFor: time.Second,
 	}
 	contacts := []Contact{{Node: "b", Address: "b:1", Domain: "hall-b", Cores: 0.8}}
+	nothingKnown := fullReport()
+	nothingKnown.UpstreamsKnown, nothingKnown.CopyEnd = ident.Position{}, ident.Position{}
 	for name, m := range map[string]message{
 		"between two":                  {From: fullReport(), KnownDigest: 5, Contacts: contacts, WantsLarge: true, Config: &encodedConfig{Revision: 5, At: ident.NewPosition(3, 6), Gzip: []byte("x")}},
+		"from one that knows nothing":  {From: nothingKnown},
 		"a patch":                      {From: fullReport(), AcceptsPatches: true, Config: &encodedConfig{Revision: 5, At: ident.NewPosition(3, 6), Base: 4, Patch: []byte("x")}},
-		"news":                         {From: fullReport(), Upstreams: &directory.Update{UpTo: ident.NewPosition(3, 9), Through: ident.NewPosition(2, 12), Complete: true, Records: []directory.Record{{Name: "u", At: ident.NewPosition(2, 3), Upstream: &up}, {Name: "v", At: ident.NewPosition(3, 4), UsableFor: time.Second}, {Name: "w", At: ident.NewPosition(2, 5).KeptAgainst(ident.NewPosition(3, 5)), Copied: &up}}}},
+		"news":                         {From: fullReport(), Upstreams: &directory.Update{UpTo: ident.NewPosition(3, 9), Through: ident.NewPosition(2, 12), Complete: true, Records: []directory.Record{{Name: "u", At: ident.NewPosition(2, 3), Upstream: &up}, {Name: "v", At: ident.NewPosition(3, 4), UsableFor: time.Second}, {Name: "w", At: ident.NewPosition(3, 5).Kept(), Copied: &up}, {Name: "x", At: ident.NewPosition(3, 0).Previous()}}}},
 		"to a collector":               {From: fullReport(), Collect: true, SubtractsOwn: true, RosterDigests: map[ident.FailureDomain]uint64{"hall-a": 1}, WantsCounts: true},
 		"to one that knows the limits": {From: fullReport(), Others: &withColumns},
 		"from a collector":             {From: fullReport(), Others: sum, DomainSum: sum, Rosters: []Roster{{Domain: "hall-b", Gateways: contacts}}, Counts: []IncarnationCounts{{IncarnationID: "a/1", StartedRequests: WindowCounts{1: {"a": 2}}}}},
--- a/internal/gossip/fetch.go
+++ b/internal/gossip/fetch.go
@@ -114,9 +114,7 @@
 			g.activeTransfers.Add(-1)
 		}
 	}
-	// Positions alone don't tell: what stands against an older copy of the store is in no log.
-	lacksKept := reply.From.KeptEntries != 0 && reply.From.KeptEntries != request.From.KeptEntries
-	if reply.From.UpstreamsKnown.After(request.From.UpstreamsKnown) || lacksKept {
+	if reply.From.KnowsMoreUpstreams(&request.From) {
 		reply.Upstreams = g.cfg.Knowledge.UpstreamsSince(request.From.UpstreamsKnown, large)
 	}
 	if record := g.cfg.Knowledge.ConfigSince(request.From.Revision); record != nil {
--- a/internal/gossip/types.go
+++ b/internal/gossip/types.go
@@ -67,7 +67,7 @@
 	StoreEra ident.Era
 	// UpstreamsKnown is the position up to which the gateway knows the upstream entries.
 	UpstreamsKnown ident.Position
-	// KeptEntries is a digest of the upstream entries that stand against an older copy of the store; 0 if
+	// KeptEntries is a digest of the upstream entries that are kept against an older copy of the store; 0 if
 	// there are none.
 	KeptEntries uint32
 	// CopyEnd is where the copy ended that the store came back from, as far as the gateway knows; zero if that
@@ -103,6 +103,12 @@
 	UpstreamsLeaving []announced.LeavingReport
 }
 
+// KnowsMoreUpstreams reports whether the sender of r may know upstream entries that the sender of other lacks.
+// Positions alone don't tell: what is kept against an older copy of the store is in no log.
+func (r *Report) KnowsMoreUpstreams(other *Report) bool {
+	return r.UpstreamsKnown.After(other.UpstreamsKnown) || r.KeptEntries != 0 && r.KeptEntries != other.KeptEntries
+}
+
 // Contact tells where a gateway can be reached.
 type Contact struct {
 	Node    ident.Instance
--- a/internal/ident/position.go
+++ b/internal/ident/position.go
@@ -3,9 +3,6 @@
 import (
 	"cmp"
 	"strconv"
-	"strings"
-
-	"github.com/pkg/errors"
 )
 
 // Position is the place of a record in a keyed topic of the platform's store, or the end of the topic: the
@@ -24,7 +21,8 @@
 // NewPosition returns the position of the record at an offset of an era's log.
 func NewPosition(era Era, offset uint64) Position { return Position{era: era, index: offset + 1} }
 
-// Parts returns a position's era and offset, for messages and calls. ok is false if it has no offset.
+// Parts returns a position's era and offset, for messages and calls. ok is false if it precedes the first record of
+// its log; the offset is then one from which NewPosition returns the position too.
 func (p Position) Parts() (era Era, offset uint64, ok bool) { return p.era, p.index - 1, p.index > 0 }
 
 // Era returns the era of the log that the position is in.
@@ -33,6 +31,9 @@
 // SameEra reports whether two positions are in one log.
 func (p Position) SameEra(q Position) bool { return p.era == q.era }
 
+// InNewEra reports whether p is in a later era than known, which is not zero.
+func (p Position) InNewEra(known Position) bool { return !known.IsZero() && p.era > known.era }
+
 // IsZero reports whether p is no position.
 func (p Position) IsZero() bool { return p == Position{} }
 
@@ -50,7 +51,7 @@
 	return -1
 }
 
-// Equal reports whether two positions are the same.
+// Equal reports whether two positions are the same. Comparisons of whole values in tests call it.
 func (p Position) Equal(q Position) bool { return p == q }
 
 // Before reports whether p precedes q.
@@ -93,13 +94,11 @@
 // SameOffset reports whether a later era may have p's record from the log that q is in.
 func (p Position) SameOffset(q Position) bool { return p.index == q.index }
 
-// KeptAgainst returns the position of what is known although the record at copied, which is from an older
-// copy, contradicts it.
-func (p Position) KeptAgainst(copied Position) Position {
-	return Position{era: copied.era, index: copied.index, kept: true}
-}
+// Kept returns the position of what is known although the record at p, which is from an older copy, contradicts
+// it.
+func (p Position) Kept() Position { return Position{era: p.era, index: p.index, kept: true} }
 
-// IsKept reports whether the position is one that KeptAgainst returned.
+// IsKept reports whether the position is one that Kept returned.
 func (p Position) IsKept() bool { return p.kept }
 
 // fenceOffsetBits is the part of a fencing number that is the offset of the claim in its era. A lease that is
@@ -130,26 +129,5 @@
 	return text
 }
 
-// MarshalText implements encoding.TextMarshaler.
+// MarshalText implements encoding.TextMarshaler, for logs in JSON.
 func (p Position) MarshalText() ([]byte, error) { return []byte(p.String()), nil }
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (p *Position) UnmarshalText(text []byte) error {
-	*p = Position{}
-	if string(text) == "none" {
-		return nil
-	}
-	whole, kept := strings.CutSuffix(string(text), "+")
-	before, after, found := strings.Cut(whole, "/")
-	era, err := strconv.ParseUint(before, 10, 64)
-	if err != nil || !found {
-		return errors.Errorf("position %q is not era/offset", text)
-	}
-	p.era, p.kept = Era(era), kept
-	if after == "" {
-		return nil
-	}
-	offset, err := strconv.ParseUint(after, 10, 64)
-	p.index = offset + 1
-	return errors.Wrapf(err, "offset of position %q", text)
-}
--- a/internal/ident/position_test.go
+++ b/internal/ident/position_test.go
@@ -1,7 +1,9 @@
 package ident
 
 import (
+	"encoding/json"
 	"math"
+	"strconv"
 	"testing"
 )
 
@@ -10,7 +12,7 @@
 func TestPositionsAreOrderedByEraFirst(t *testing.T) {
 	ordered := []Position{
 		{}, NewPosition(0, 0), NewPosition(0, 7), NewPosition(1, 0).Previous(), NewPosition(1, 0), NewPosition(1, 37),
-		NewPosition(2, 3), NewPosition(1, 37).KeptAgainst(NewPosition(2, 3)), NewPosition(2, 4), NewPosition(2, 37), NewPosition(3, 0),
+		NewPosition(2, 3), NewPosition(2, 3).Kept(), NewPosition(2, 4), NewPosition(2, 37), NewPosition(3, 0),
 	}
 	for i, p := range ordered {
 		for j, q := range ordered {
@@ -18,15 +20,17 @@
 				t.Errorf("%v and %v: %d", p, q, p.Compare(q))
 			}
 		}
-		text, err := p.MarshalText()
-		var back Position
-		if err != nil || back.UnmarshalText(text) != nil || back != p {
-			t.Errorf("%v is read as %v", p, back)
-		}
 	}
-	for _, bad := range []string{"", "7", "x/1", "1/x", "1/-1", "1/2/3"} {
-		if err := new(Position).UnmarshalText([]byte(bad)); err == nil {
-			t.Errorf("%q is read", bad)
+}
+
+// Guards against a position that is logged as another one.
+func TestPositionsHaveTheirText(t *testing.T) {
+	for want, p := range map[string]Position{
+		"none": {}, "0/0": NewPosition(0, 0), "0/7": NewPosition(0, 7), "1/": NewPosition(1, 0).Previous(), "1/0": NewPosition(1, 0),
+		"2/3": NewPosition(2, 3), "2/3+": NewPosition(2, 3).Kept(), "3/18446744073709551614": NewPosition(3, math.MaxUint64-1),
+	} {
+		if text, err := json.Marshal(p); err != nil || string(text) != strconv.Quote(want) {
+			t.Errorf("position %s is logged as %s, error %v", want, text, err)
 		}
 	}
 }
--- a/internal/rollout/tracker.go
+++ b/internal/rollout/tracker.go
@@ -120,7 +120,7 @@
 		}
 		return false
 	}
-	if last != nil && !o.At.SameEra(last.order.At) && t.isKnown(o, last) {
+	if last != nil && o.At.InNewEra(last.order.At) && t.isKnown(o, last) {
 		return true
 	}
 	next := &trackedOrder{order: o, orderedAt: now.Add(-age), phaseSince: now, ownEvidence: make(EvidenceByRoute)}
@@ -136,7 +136,8 @@
 		t.reject(o.Service, last.order.To)
 	}
 	if last != nil {
-		t.replaced[o.Service] = keepLast(append(t.replaced[o.Service], last.order), maxReplaced)
+		replaced := append(t.replaced[o.Service], last.order)
+		t.replaced[o.Service] = replaced[max(0, len(replaced)-maxReplaced):]
 	}
 	delete(t.rejected[o.Service], o.To)
 	delete(t.frozen, o.Service)
@@ -149,11 +150,9 @@
 // maxReplaced is how many replaced orders of a service are remembered.
 const maxReplaced = 8
 
-func keepLast(orders []Order, n int) []Order { return orders[max(0, len(orders)-n):] }
-
-// isKnown applies an order that is in a later era than the current one, if it is not new, and reports whether
-// that is so: the current order itself, in the copy that the store came back from or written again, or one
-// that the current one replaced, in the copy.
+// isKnown reports whether an order that is in a later era than the current one is not new, and then gives the current
+// one a position in that era. It is the current order itself, in the copy that the store came back from or written
+// again, or one that the current one replaced, in the copy.
 func (t *Tracker) isKnown(o Order, current *trackedOrder) bool {
 	if o.demandsSame(&current.order) {
 		current.order.At = o.At
@@ -161,7 +160,7 @@
 	}
 	for i := range t.replaced[o.Service] {
 		if old := &t.replaced[o.Service][i]; o.demandsSame(old) && o.At.SameOffset(old.At) {
-			current.order.At = current.order.At.KeptAgainst(o.At)
+			current.order.At = o.At.Kept()
 			t.cfg.Log.Info("rollout order kept against an older copy of the store", "service", o.Service, "to", current.order.To, "order", current.order.At, "copy_to", o.To)
 			return true
 		}
