Plays of store eras: the gateways of a play and its judge have files of their own

Moves only, but for two functions that begin a play and count its calls, which stood twice. What is judged, and when, is as it was.

Ran: the tests of entry with the race detector.

--- a/internal/entry/era_plays_test.go
+++ b/internal/entry/era_plays_test.go
@@ -8,23 +8,13 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-
-	"github.com/goldcrestspool/goldcrestspool/internal/announced"
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
-	"github.com/goldcrestspool/goldcrestspool/internal/directory"
-	"github.com/goldcrestspool/goldcrestspool/internal/finding"
-	"github.com/goldcrestspool/goldcrestspool/internal/gossip"
-	"github.com/goldcrestspool/goldcrestspool/internal/ident"
-	"github.com/goldcrestspool/goldcrestspool/internal/platform"
-	"github.com/goldcrestspool/goldcrestspool/internal/rollout"
-	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
 )
 
 var (
@@ -58,195 +48,6 @@
 	return 4 * time.Second
 }
 
-// playGateway is a gateway that follows the store and hears others, with the decisions for requests replaced by
-// looking at what it would decide by.
-type playGateway struct {
-	index     int
-	play      *eraPlay
-	eras      *platform.Eras
-	board     *board
-	config    *configFollower
-	upstreams *upstreamsFollower
-	started   time.Time
-	stop      context.CancelFunc
-	// cutStore and cutPeers are until when it is cut off.
-	cutStore, cutPeers time.Time
-	// disturbedUntil is until when it is not judged.
-	disturbedUntil time.Time
-	// highest is the highest revision that was in force.
-	highest ident.Revision
-}
-
-func decodePlayConfig(_ string, data []byte) (*routetable.Table, finding.List) {
-	n, err := strconv.Atoi(string(data))
-	if err != nil {
-		panic(err)
-	}
-	return routetable.New(routetable.Spec{Revision: ident.Revision(n)}), nil
-}
-
-func decodePlayUpstream(_, name string, value []byte) (directory.Upstream, finding.List) {
-	u := directory.Upstream{ID: ident.Instance(name), Name: ident.Instance(name), Service: "svc", Address: "10.0.0.1:1", State: directory.Ready}
-	if string(value) == "leaving" {
-		u.State = directory.Leaving
-	}
-	return u, nil
-}
-
-// startGateway starts the gateway with an index, in place of one that runs.
-func (p *eraPlay) startGateway(ctx context.Context, index int) {
-	if old := p.gateways[index]; old != nil {
-		old.stop()
-	}
-	g := &playGateway{index: index, play: p, eras: platform.NewEras(), board: newBoard(), started: time.Now(), disturbedUntil: time.Now().Add(contactTime)}
-	client := &playClient{store: p.store, eras: g.eras, cut: g.isCutOff}
-	ports := Ports{
-		Store: client, Eras: g.eras, ConfigTopic: "op", ConfigKey: "config", UpstreamsTopic: "servers",
-		DecodeConfig: decodePlayConfig, DecodeUpstream: decodePlayUpstream,
-	}
-	log := hclog.NewNullLogger()
-	if p.log != nil {
-		log = hclog.New(&hclog.LoggerOptions{Name: fmt.Sprint("gw", index), Output: p.log, Level: hclog.Info, TimeFormat: "05.000"})
-	}
-	tracker := rollout.New(rollout.Config{Now: time.Now, Log: hclog.NewNullLogger(), OrdersKnown: time.Now, Gateways: func() int { return 1 }})
-	g.config = newConfigFollower(ports, g.board, tracker, time.Now, g.rank, p.playDue, log)
-	g.upstreams = newUpstreamsFollower(ports, g.board, announced.NewRegistry(announced.Config{Now: time.Now}), nil, func(time.Time) {}, noConnections{}, time.Now, g.rank, p.playDue, playRenewal, log)
-	ctx, g.stop = context.WithCancel(ctx)
-	p.gateways[index] = g
-	go g.config.run(ctx)
-	go g.upstreams.run(ctx)
-	go g.exchange(ctx)
-}
-
-// playLog collects the lines of all gateways.
-type playLog struct {
-	mu   sync.Mutex
-	text strings.Builder
-}
-
-// Write implements io.Writer.
-func (l *playLog) Write(line []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.Write(line)
-}
-
-type noConnections struct{}
-
-func (noConnections) Forget(ident.Instance)    {}
-func (noConnections) CloseIdle(ident.Instance) {}
-
-// rank returns how many gateways come before this one, of those that it hears.
-func (g *playGateway) rank() int {
-	g.play.mu.Lock()
-	defer g.play.mu.Unlock()
-	n := 0
-	for _, other := range g.play.gateways[:g.index] {
-		if g.hears(other) {
-			n++
-		}
-	}
-	return n
-}
-
-// isCutOff reports whether no call of the gateway reaches the store.
-func (g *playGateway) isCutOff() bool {
-	g.play.mu.Lock()
-	defer g.play.mu.Unlock()
-	return time.Now().Before(g.cutStore)
-}
-
-func (g *playGateway) hears(other *playGateway) bool {
-	now := time.Now()
-	return other != nil && !now.Before(g.cutPeers) && !now.Before(other.cutPeers)
-}
-
-// inTouch reports whether a gateway has been undisturbed for long enough to be judged: it reaches the store, or hears
-// one that does.
-func (g *playGateway) inTouch(now time.Time) bool {
-	calm := func(g *playGateway) bool {
-		return !now.Before(g.cutPeers.Add(contactTime)) && !now.Before(g.disturbedUntil)
-	}
-	reads := func(g *playGateway) bool { return !now.Before(g.cutStore.Add(contactTime)) }
-	if now.Before(g.disturbedUntil) {
-		return false
-	}
-	return reads(g) || calm(g) && slices.ContainsFunc(g.play.gateways, func(other *playGateway) bool { return calm(other) && reads(other) })
-}
-
-// partners are the gateways with which this one exchanges in a round: all in a small fleet; otherwise its
-// collector, and collectors with each other.
-func (g *playGateway) partners() []*playGateway {
-	g.play.mu.Lock()
-	defer g.play.mu.Unlock()
-	all := g.play.gateways
-	switch {
-	case len(all) <= collectorShare:
-	case g.index < collectors:
-		all = all[:collectors]
-	default:
-		all = all[g.index%collectors : g.index%collectors+1]
-	}
-	var out []*playGateway
-	for _, other := range all {
-		if other != g && g.hears(other) {
-			out = append(out, other)
-		}
-	}
-	return out
-}
-
-// exchange exchanges reports with the partners until ctx ends.
-func (g *playGateway) exchange(ctx context.Context) {
-	rng := rand.New(rand.NewPCG(uint64(g.index), g.play.seed))
-	time.Sleep(time.Duration(rng.Int64N(int64(gossipRound))))
-	for ctx.Err() == nil {
-		for _, other := range g.partners() {
-			g.ask(other)
-		}
-		time.Sleep(gossipRound)
-	}
-}
-
-// ask sends a report and applies the answer, as the exchange between gateways does.
-func (g *playGateway) ask(other *playGateway) {
-	request := g.report()
-	time.Sleep(time.Millisecond)
-	other.applyReport(&request)
-	reply := other.report()
-	config, upstreams := other.missing(&request, &reply, g.upstreams.needsFetch())
-	time.Sleep(time.Millisecond)
-	if config != nil {
-		g.config.apply(config.At, config.Data, "gateway")
-	}
-	if upstreams != nil {
-		g.upstreams.applyUpdate(*upstreams)
-	}
-	g.applyReport(&reply)
-}
-
-func (g *playGateway) report() gossip.Report {
-	var r gossip.Report
-	r.Revision, r.RevisionAge = g.config.state()
-	r.UpstreamsKnown, r.UpstreamsAge = g.upstreams.state()
-	r.StoreEra, _ = g.eras.Newest()
-	r.KeptEntries, r.CopyEnd = g.upstreams.eraState()
-	return r
-}
-
-// missing returns what the sender of a request lacks; with all, also if that is all entries.
-func (g *playGateway) missing(request, reply *gossip.Report, all bool) (config *gossip.ConfigRecord, upstreams *directory.Update) {
-	if reply.KnowsMoreUpstreams(request) {
-		upstreams = g.upstreams.updateSince(request.UpstreamsKnown, all)
-	}
-	return g.config.newerThan(request.Revision), upstreams
-}
-
-func (g *playGateway) applyReport(r *gossip.Report) {
-	now := time.Now()
-	applyStoreReport(g.eras, g.config, g.upstreams, r, now)
-}
-
 // eraPlay is one play: an operator and upstreams that write, a store that comes back from older copies, and
 // gateways that are cut off and started meanwhile.
 type eraPlay struct {
@@ -257,7 +58,7 @@
 	rng      *rand.Rand
 	store    *playStore
 	gateways []*playGateway
-	log      *playLog
+	log      *testkit.LogBuffer
 	start    time.Time
 	playDue  time.Duration
 	// returns are the times at which the store came back.
@@ -273,6 +74,14 @@
 	failures  int
 }
 
+// newEraPlay returns a play in which nothing runs yet.
+func newEraPlay(t *testing.T, seed uint64, gateways int) *eraPlay {
+	return &eraPlay{
+		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 59)), store: newPlayStore(), start: time.Now(), playDue: dueOf(gateways),
+		gateways: make([]*playGateway, gateways), upstreams: make(map[string]*playUpstream),
+	}
+}
+
 // change is something that was acknowledged.
 type change struct {
 	at time.Time
@@ -462,94 +271,6 @@
 	}
 }
 
-// storeCalm reports whether the store has been back for a time.
-func (p *eraPlay) storeCalm(d time.Duration) bool {
-	p.store.mu.Lock()
-	away := p.store.away
-	p.store.mu.Unlock()
-	return !away && (len(p.returns) == 0 || time.Since(p.returns[len(p.returns)-1]) >= d)
-}
-
-// judge checks what the gateways would decide by now.
-func (p *eraPlay) judge() {
-	now := time.Now()
-	for _, g := range p.gateways {
-		table, view := g.board.table.Value(), g.board.upstreams.Value()
-		if table == nil {
-			continue
-		}
-		if r := table.Revision(); r < g.highest {
-			p.fail("%v: gateway %d went back from revision %d to %d", now.Sub(p.start), g.index, g.highest, r)
-		} else {
-			g.highest = r
-		}
-		if !g.inTouch(now) {
-			continue
-		}
-		if late := now.Sub(p.revised.at); late > p.due() && p.storeCalm(p.due()) && !p.revised.lost && !p.revised.at.Before(p.awayAt) && int(table.Revision()) < p.revision {
-			p.fail("%v: gateway %d has revision %d in force, %d was acknowledged %v before", now.Sub(p.start), g.index, table.Revision(), p.revision, late)
-		}
-		for name, u := range p.upstreams {
-			p.judgeUpstream(g, view, name, u, now)
-		}
-	}
-}
-
-// judgeUpstream checks whether a gateway would send to an upstream that it must not send to, or would not to one
-// that it must know.
-func (p *eraPlay) judgeUpstream(g *playGateway, view *directory.View, name string, u *playUpstream, now time.Time) {
-	shown, listed := view.Upstream(ident.Instance(name))
-	used := listed && shown.State == directory.Ready
-	since := now.Sub(u.at)
-	if u.lost || since <= p.due() || !p.known(g, u) {
-		return
-	}
-	// Within two seconds of the store's return, a drop may be of an entry that could not be renewed.
-	grace := len(p.returns) > 0 && now.Sub(p.returns[len(p.returns)-1]) < 2*time.Second+p.due()
-	switch {
-	case u.state == "leaving" && used:
-		p.fail("%v: gateway %d sends to %s, which has left %v before", now.Sub(p.start), g.index, name, since)
-	case u.state == "gone" && used && !grace:
-		p.fail("%v: gateway %d sends to %s, which is gone since %v", now.Sub(p.start), g.index, name, since)
-	case u.state == "ready" && !used && p.storeCalm(p.backWithin(u)+p.due()):
-		p.fail("%v: gateway %d does not use %s, which is there since %v", now.Sub(p.start), g.index, name, since)
-	}
-}
-
-// backWithin is how long after the store's return an upstream may be out of use: one that lapsed and whose new record
-// may be one of the copy, until it must be a dead one's.
-func (p *eraPlay) backWithin(u *playUpstream) time.Duration {
-	if u.writtenAgain {
-		return 3*playRenewal + time.Second
-	}
-	return 2 * time.Second
-}
-
-// due is the time within which changes must be followed now: half of what the users allow, and all of it while the
-// gateways that read the store for the others, or collect, are disturbed too.
-func (p *eraPlay) due() time.Duration {
-	for _, g := range p.gateways[:min(len(p.gateways), collectors)] {
-		if now := time.Now(); now.Before(g.cutStore.Add(p.playDue)) || now.Before(g.disturbedUntil) {
-			return p.playDue
-		}
-	}
-	return p.playDue / 2
-}
-
-// known reports whether a gateway must know what an upstream says: it, or one that it hears, has been there since
-// before that, or it was acknowledged since the store came back.
-func (p *eraPlay) known(g *playGateway, u *playUpstream) bool {
-	if len(p.returns) == 0 || !u.at.Before(p.awayAt) || p.unheard(u.at) {
-		return p.storeCalm(p.due())
-	}
-	for _, other := range p.gateways {
-		if other.started.Before(u.at) && (other == g || g.hears(other)) && !time.Now().Before(other.disturbedUntil) {
-			return true
-		}
-	}
-	return p.storeCalm(3*playRenewal + p.playDue)
-}
-
 // disturb cuts a gateway off from the store or from the others, or starts it anew.
 func (p *eraPlay) disturb(ctx context.Context) {
 	i := p.rng.IntN(len(p.gateways))
@@ -571,19 +292,24 @@
 	}
 }
 
-func (p *eraPlay) run() {
-	p.start = time.Now()
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
+// begin writes the first configuration and the entries of some upstreams, and starts all gateways.
+func (p *eraPlay) begin(ctx context.Context, upstreams int) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.configure()
-	for range 6 {
+	for range upstreams {
 		p.bear()
 	}
 	for i := range p.gateways {
 		p.startGateway(ctx, i)
 	}
-	p.mu.Unlock()
+}
+
+// run lets the play take its course.
+func (p *eraPlay) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	p.begin(ctx, 6)
 	time.Sleep(contactTime)
 	end := time.Now().Add(time.Duration(20+p.rng.IntN(30)) * time.Second)
 	drills := 1 + p.rng.IntN(3)
@@ -632,17 +358,16 @@
 			lists, reads := 0, 0
 			for seed := *eraFirst; seed < *eraFirst+seeds; seed++ {
 				synctest.Test(t, func(t *testing.T) {
-					p := &eraPlay{t: t, seed: uint64(seed), rng: rand.New(rand.NewPCG(uint64(seed), 59)), store: newPlayStore(), playDue: dueOf(size), gateways: make([]*playGateway, size), upstreams: make(map[string]*playUpstream)}
+					p := newEraPlay(t, uint64(seed), size)
 					if *eraLog {
-						p.log = &playLog{}
+						p.log = &testkit.LogBuffer{}
 					}
 					p.run()
 					if p.failures > 0 && p.log != nil {
-						t.Log(p.log.text.String())
+						t.Log(p.log.String())
 					}
-					p.store.mu.Lock()
-					defer p.store.mu.Unlock()
-					lists, reads = lists+p.store.calls["list"], reads+p.store.calls["read"]
+					listed, read := p.store.callCounts()
+					lists, reads = lists+listed, reads+read
 				})
 			}
 			t.Logf("%d plays, %d listings and %d reads", seeds, lists, reads)
@@ -669,28 +394,15 @@
 // disturbs.
 func playReturn(t *testing.T, size int, away time.Duration) {
 	synctest.Test(t, func(t *testing.T) {
-		p := &eraPlay{t: t, seed: 1, rng: rand.New(rand.NewPCG(1, 59)), store: newPlayStore(), playDue: dueOf(size), gateways: make([]*playGateway, size), upstreams: make(map[string]*playUpstream), start: time.Now()}
+		p := newEraPlay(t, 1, size)
 		ctx, cancel := context.WithCancel(context.Background())
-		p.mu.Lock()
-		p.configure()
-		for range 30 {
-			p.bear()
-		}
-		for i := range p.gateways {
-			p.startGateway(ctx, i)
-		}
-		p.mu.Unlock()
+		p.begin(ctx, 30)
 		time.Sleep(5 * time.Second)
-		calls := func() (lists, reads int) {
-			p.store.mu.Lock()
-			defer p.store.mu.Unlock()
-			return p.store.calls["list"], p.store.calls["read"]
-		}
 		p.store.setAway(away > 0)
 		time.Sleep(away)
 		p.store.restore(time.Now().Add(-away - time.Second))
 		p.store.setAway(false)
-		listsBefore, readsBefore := calls()
+		listsBefore, readsBefore := p.store.callCounts()
 		time.Sleep(time.Second)
 		known := 0
 		for _, g := range p.gateways {
@@ -699,7 +411,7 @@
 			}
 		}
 		time.Sleep(2 * time.Second)
-		lists, reads := calls()
+		lists, reads := p.store.callCounts()
 		lists, reads = lists-listsBefore, reads-readsBefore
 		t.Logf("%d gateways, %v away: %d know the era after 1 s; %d listings and %d reads in 3 s", size, away, known, lists, reads)
 		if known < size || lists > size/5 {
--- a/internal/entry/era_store_test.go
+++ b/internal/entry/era_store_test.go
@@ -75,6 +75,13 @@
 	}
 }
 
+// callCounts returns how many listings and reads there were.
+func (s *playStore) callCounts() (lists, reads int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls["list"], s.calls["read"]
+}
+
 // newest returns the newest value of each key; s.mu must be held.
 func (t *playTopic) newest() map[string]int {
 	out := make(map[string]int)
