Store eras: reads and pauses end when a new era becomes known; a listing follows at once

A read that waits at an offset of the log before was ended by the follower of the configuration alone; the store's client ends it now for every reader. A gateway that had just failed to reach the store waited out its pause though others had told it that the store is back in a new era; for the one that reads for all, that is up to half a second in which the others begin to list themselves. The pause ends with the news now. Whether a listing is due follows from the eras, not from an error of the read before.

The pauses of the plays are drawn from the play's seed, so that a seed's play goes the same way as far as the scheduler lets it.

Ran: lint; tests of the store's client, entry and duty with the race detector.

--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -68,9 +67,8 @@
 
 	// next is the position of the first record that was not read yet, once listed is true.
 	next ident.Position
-	// listed: the newest records of the topic were read, in the era of next.
-	listed  bool
-	eraWait eraWait
+	// listed: the newest records of the topic were read, and those that follow up to next.
+	listed bool
 	// refused: the last read from next was refused, as its records are not kept.
 	refused bool
 	// loggedUnreadable holds the keys of the unreadable records that were logged.
@@ -93,7 +91,7 @@
 }
 
 func newConfigFollower(ports Ports, b *board, rollouts *rollout.Tracker, now boottime.Clock, rank func() int, due time.Duration, log hclog.Logger) *configFollower {
-	return &configFollower{ports: ports, board: b, rollouts: rollouts, now: now, rank: rank, due: due, log: log, health: storeHealth{log: log, rank: rank, topic: ports.ConfigTopic}}
+	return &configFollower{ports: ports, board: b, rollouts: rollouts, now: now, rank: rank, due: due, log: log, health: newStoreHealth(ports, ports.ConfigTopic, rank, log)}
 }
 
 // run follows the store until ctx ends.
@@ -110,36 +108,39 @@
 // nextRead returns the time until the next read of the store is due, as idle, which is 0
 // for now, and for how long that read waits for the next configuration.
 func (c *configFollower) nextRead() (wait, idle time.Duration) {
-	if wait := c.eraWait.remaining(c.ports.Eras, c.rank(), c.next, c.now()); wait > 0 {
+	if wait := c.health.waitInNewEra(c.next, c.now()); wait > 0 {
 		return 0, wait
 	}
-	if !c.listed && (c.next.IsZero() || c.rank() < waitingReaders) {
+	if c.mustList() && (c.next.IsZero() || c.rank() < waitingReaders) {
 		return 0, 0
 	}
 	if c.rank() < waitingReaders {
 		return shareOf(c.due, readWaitShare), 0
 	}
 	_, age := c.state()
-	idle = shareOf(c.due, peerConfirmationShare) + rand.N(viewJitter) - age
+	idle = shareOf(c.due, peerConfirmationShare) + c.health.draw(viewJitter) - age
 	if behind, isBehind := c.behindFor(); isBehind {
 		idle = min(idle, max(peerHeadStart-behind, minReadInterval-c.now().Sub(c.lastReadAt)))
 	}
 	return 0, max(0, idle)
 }
 
+// mustList reports whether the newest record of each key has to be read: the records from c.next on do not tell what
+// has changed.
+func (c *configFollower) mustList() bool { return !c.listed || c.ports.Eras.Newest() > c.next.Era() }
+
 // read reads the newest record of each key the first time and in each new era of the store, and the records
 // that follow in later calls.
 func (c *configFollower) read(ctx context.Context, wait time.Duration) error {
 	asOf := c.now()
 	c.lastReadAt = asOf
-	if !c.listed {
+	if c.mustList() {
 		return c.list(ctx, asOf)
 	}
-	batch, err := c.follow(ctx, wait)
+	batch, err := c.ports.Store.Follow(ctx, c.ports.ConfigTopic, c.next, wait)
 	switch {
 	case errors.Is(err, platform.ErrEraChanged):
-		c.listed = false
-		return nil
+		return nil // the next read lists
 	case errors.Is(err, platform.ErrExpired):
 		c.log.Info("records not kept, listing again", "topic", c.ports.ConfigTopic, "from", c.next, "first", batch.First)
 		c.listed = false
@@ -171,9 +172,6 @@
 	return nil
 }
 
-// errWentBack means that the store's log is shorter than before, in the same era.
-var errWentBack = errors.New("the store's log went back without a new era")
-
 // list reads the newest record of each key.
 func (c *configFollower) list(ctx context.Context, asOf time.Time) error {
 	batch, err := c.ports.Store.Newest(ctx, c.ports.ConfigTopic, nil)
@@ -182,7 +180,7 @@
 	}
 	revision, _ := c.state()
 	c.applyRecords(batch.Records)
-	if !c.next.IsZero() && !c.next.SameEra(batch.End) {
+	if batch.End.InNewEra(c.next) {
 		now, _ := c.state()
 		c.log.Info("operators' records listed in a new era", "end", batch.End, "known", c.next, "revision_before", revision, "revision", now)
 	}
@@ -191,30 +189,6 @@
 	return nil
 }
 
-// follow reads the records from c.next on. It ends its wait if a new era becomes known.
-func (c *configFollower) follow(ctx context.Context, wait time.Duration) (platform.KeyedBatch, error) {
-	newest, risen := c.ports.Eras.Newest()
-	if newest > c.next.Era() {
-		return platform.KeyedBatch{}, platform.ErrEraChanged
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	read := make(chan struct{})
-	defer close(read)
-	go func() {
-		select {
-		case <-risen:
-			cancel()
-		case <-read:
-		}
-	}()
-	batch, err := c.ports.Store.Follow(ctx, c.ports.ConfigTopic, c.next, wait)
-	if newest, _ := c.ports.Eras.Newest(); newest > c.next.Era() {
-		return platform.KeyedBatch{}, platform.ErrEraChanged
-	}
-	return batch, err
-}
-
 // applyRecords applies records of the operators' topic.
 func (c *configFollower) applyRecords(records []platform.KeyedRecord) {
 	for _, record := range records {
--- a/internal/entry/configuration_test.go
+++ b/internal/entry/configuration_test.go
@@ -177,22 +177,28 @@
 	}
 }
 
+// newPlayFollower returns a configFollower of rank 0 that reads from a playStore.
+func newPlayFollower(store *playStore) *configFollower {
+	eras := platform.NewEras()
+	client := &playClient{store: store, eras: eras, cut: func() bool { return false }}
+	ports := Ports{Store: client, Eras: eras, ConfigTopic: "op", ConfigKey: "config", DecodeConfig: decodePlayConfig}
+	return newConfigFollower(ports, newBoard(), nil, time.Now, func() int { return 0 }, changeDue, hclog.NewNullLogger())
+}
+
 // Guards against a change that waits for the end of a read which had begun before the store came back from an older
 // copy, at an offset that the log reaches only later.
 func TestAWaitingReadEndsInANewEra(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := newPlayStore()
 		store.write("op", "config", []byte("1"))
-		eras := platform.NewEras()
-		client := &playClient{store: store, eras: eras, cut: func() bool { return false }}
-		c := newConfigFollower(Ports{Store: client, Eras: eras, ConfigTopic: "op", ConfigKey: "config", DecodeConfig: decodePlayConfig}, newBoard(), nil, time.Now, func() int { return 0 }, changeDue, hclog.NewNullLogger())
+		c := newPlayFollower(store)
 		if err := c.read(t.Context(), 0); err != nil {
 			t.Fatal(err)
 		}
 		time.AfterFunc(100*time.Millisecond, func() {
 			store.restore(time.Now().Add(-time.Second))
 			store.write("op", "config", []byte("2"))
-			eras.Observe(2) // as another read or gateway tells it
+			c.ports.Eras.Observe(2) // as another read or gateway tells it
 		})
 		began := time.Now()
 		for c.current.Revision < 2 && time.Since(began) < 10*time.Second {
@@ -206,6 +212,35 @@
 	})
 }
 
+// Guards against gateways that all list a store which is back, as the one that reads for them waits out the pause after
+// its last failure, though they have told it that the store answers.
+func TestAPauseAfterFailuresEndsInANewEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newPlayStore()
+		store.write("op", "config", []byte("1"))
+		c := newPlayFollower(store)
+		c.health.draw = func(below time.Duration) time.Duration { return below - 1 } // the longest pauses
+		ctx, cancel := context.WithCancel(t.Context())
+		go c.run(ctx)
+		time.Sleep(time.Second)
+		store.setAway(true)
+		time.Sleep(10 * time.Second)
+		for failures := c.health.failures.Load(); c.health.failures.Load() == failures; {
+			time.Sleep(time.Millisecond)
+		}
+		store.restore(time.Now().Add(-time.Second))
+		store.write("op", "config", []byte("2"))
+		store.setAway(false)
+		c.ports.Eras.Observe(2)
+		time.Sleep(2 * playDelay)
+		if revision, _ := c.state(); revision != 2 {
+			t.Errorf("revision %d is in force", revision)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Guards against a gateway that takes an older configuration for the newest because one that has not heard of the
 // store's new era says so, or one of an earlier build, which knows no eras.
 func TestReportsOfAnEarlierEraConfirmNothing(t *testing.T) {
--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -66,7 +67,7 @@
 			p.log.Info("gateways before the start", "count", n)
 			return
 		}
-		if !sleep.For(ctx, retryPause(failures)) {
+		if !sleep.For(ctx, draw(rand.N[time.Duration]).retryPause(failures, maxRetryPause)) {
 			return
 		}
 	}
@@ -82,10 +83,7 @@
 }
 
 // storeEra returns the newest known era of the store.
-func (p *Process) storeEra() ident.Era {
-	era, _ := p.ports.Eras.Newest()
-	return era
-}
+func (p *Process) storeEra() ident.Era { return p.ports.Eras.Newest() }
 
 // stateToStore returns the state to store in the lease's record, so that it survives when
 // all gateways end at once.
--- a/internal/entry/era_gateway_test.go
+++ b/internal/entry/era_gateway_test.go
@@ -73,6 +73,7 @@
 	tracker := rollout.New(rollout.Config{Now: time.Now, Log: hclog.NewNullLogger(), OrdersKnown: time.Now, Gateways: func() int { return 1 }})
 	g.config = newConfigFollower(ports, g.board, tracker, time.Now, g.rank, p.playDue, log)
 	g.upstreams = newUpstreamsFollower(ports, g.board, announced.NewRegistry(announced.Config{Now: time.Now}), nil, func(time.Time) {}, noConnections{}, time.Now, g.rank, p.playDue, playRenewal, log)
+	g.config.health.draw, g.upstreams.health.draw = p.seededDraw(2*index), p.seededDraw(2*index+1)
 	ctx, g.stop = context.WithCancel(ctx)
 	p.gateways[index] = g
 	go g.config.run(ctx)
@@ -80,6 +81,12 @@
 	go g.exchange(ctx)
 }
 
+// seededDraw returns a source of random pauses.
+func (p *eraPlay) seededDraw(stream int) draw {
+	rng := rand.New(rand.NewPCG(p.seed, uint64(stream)))
+	return func(below time.Duration) time.Duration { return time.Duration(rng.Int64N(int64(below))) }
+}
+
 type noConnections struct{}
 
 func (noConnections) Forget(ident.Instance)    {}
@@ -178,7 +185,7 @@
 	var r gossip.Report
 	r.Revision, r.RevisionAge = g.config.state()
 	r.UpstreamsKnown, r.UpstreamsAge = g.upstreams.state()
-	r.StoreEra, _ = g.eras.Newest()
+	r.StoreEra = g.eras.Newest()
 	r.KeptEntries, r.CopyEnd = g.upstreams.eraState()
 	return r
 }
--- a/internal/entry/era_store_test.go
+++ b/internal/entry/era_store_test.go
@@ -111,17 +111,16 @@
 	return c.store.away || cut
 }
 
-// stale observes an answer's era and reports whether a later one is known.
-func (c *playClient) stale(era ident.Era) bool { return c.eras.Observe(era) > era }
-
 func (c *playClient) Put(context.Context, string, string, []byte, *ident.Position) (ident.Position, error) {
 	return ident.Position{}, platform.ErrUnavailable
 }
 
 func (c *playClient) Follow(ctx context.Context, topic string, from ident.Position, wait time.Duration) (platform.KeyedBatch, error) {
-	if newest, _ := c.eras.Newest(); newest > from.Era() {
+	if c.eras.Observe(from.Era()) > from.Era() {
 		return platform.KeyedBatch{}, platform.ErrEraChanged
 	}
+	ctx, cancel := c.eras.During(ctx, from.Era())
+	defer cancel()
 	if c.refused("read") {
 		return platform.KeyedBatch{}, platform.ErrUnavailable
 	}
@@ -145,18 +144,19 @@
 				waiting = false
 				continue
 			case <-ctx.Done():
-				return platform.KeyedBatch{}, platform.ErrAnswerLost
+				away = true
 			}
 		}
-		if away || c.cut() {
-			return platform.KeyedBatch{}, platform.ErrAnswerLost
-		}
-		if c.stale(era) {
-			return platform.KeyedBatch{}, platform.ErrUnavailable
+		lost := away || c.cut()
+		if !lost {
+			c.eras.Observe(era)
 		}
-		if era != from.Era() {
+		if c.eras.Newest() > from.Era() {
 			return platform.KeyedBatch{}, platform.ErrEraChanged
 		}
+		if lost {
+			return platform.KeyedBatch{}, platform.ErrAnswerLost
+		}
 		if offset > end {
 			return platform.KeyedBatch{}, platform.ErrExpired
 		}
@@ -182,7 +182,7 @@
 		}
 	}
 	c.store.mu.Unlock()
-	if c.stale(era) {
+	if c.eras.Observe(era) > era {
 		return platform.KeyedBatch{}, platform.ErrUnavailable
 	}
 	if each != nil {
--- a/internal/entry/listing.go
+++ b/internal/entry/listing.go
@@ -29,9 +29,7 @@
 	before := u.dir.Next()
 	changed := u.dir.ApplyListing(present, batch.End, u.now())
 	u.log.Info("upstreams listed", "count", len(batch.Records), "end", batch.End, "known", before)
-	if !before.IsZero() && !before.SameEra(batch.End) {
-		u.logEra("store", before)
-	}
+	u.logNewEra("store", before)
 	u.publish(changed)
 	u.confirmed, u.behindSince = asOf, time.Time{}
 	u.onComplete(asOf)
@@ -51,11 +49,6 @@
 	u.publish(changed)
 }
 
-// logEra logs that the entries are of a new era. before is what was known in the one before. u.mu must be held.
-func (u *upstreamsFollower) logEra(from string, before ident.Position) {
-	u.log.Info("upstreams' entries are of a new era", "known", u.dir.Next(), "before", before, "kept_against_copy", u.dir.KeptEntries(), "from", from)
-}
-
 // listingChangesInterval is how often the changes since the beginning of a listing are read while it
 // goes on. A short listing ends before.
 const listingChangesInterval = 300 * time.Millisecond
--- a/internal/entry/storehealth.go
+++ b/internal/entry/storehealth.go
@@ -8,6 +8,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/platform"
 	"github.com/goldcrestspool/goldcrestspool/internal/sleep"
 )
 
@@ -22,12 +23,13 @@
 	maxReaderRetryPause = 500 * time.Millisecond
 )
 
-// retryPause returns the pause after the given number of consecutive failures.
-func retryPause(failures int) time.Duration { return retryPauseUpTo(failures, maxRetryPause) }
+// draw returns a random duration below a limit.
+type draw func(below time.Duration) time.Duration
 
-func retryPauseUpTo(failures int, longest time.Duration) time.Duration {
+// retryPause returns the pause after the given number of consecutive failures, where the backoff is at most longest.
+func (d draw) retryPause(failures int, longest time.Duration) time.Duration {
 	pause := min(minRetryPause<<min(failures, 5), longest)
-	return pause/2 + rand.N(pause/2+1)
+	return pause/2 + d(pause/2+1)
 }
 
 // storeHealth drives the reading of one topic of the store with backoff. It logs once when
@@ -35,10 +37,18 @@
 type storeHealth struct {
 	log   hclog.Logger
 	topic string
-	// rank returns the gateway's rank among those that read the store; nil counts as the last.
+	eras  *platform.Eras
+	// rank returns the gateway's rank among those that may ask the store; 0 is first.
 	rank func() int
+	// draw draws the random part of pauses.
+	draw draw
 	// failures is the number of consecutive failures.
 	failures atomic.Int64
+	newEra   eraWait
+}
+
+func newStoreHealth(ports Ports, topic string, rank func() int, log hclog.Logger) storeHealth {
+	return storeHealth{log: log, topic: topic, rank: rank, eras: ports.Eras, draw: rand.N[time.Duration]}
 }
 
 const (
@@ -76,7 +86,7 @@
 	}
 }
 
-// recordFailure records a failed call, and waits for the backoff or until ctx ends.
+// recordFailure records a failed call, and waits for the backoff, or until ctx ends or a new era is known.
 func (h *storeHealth) recordFailure(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
@@ -85,11 +95,14 @@
 	if failures == 1 {
 		h.log.Warn("store does not answer", "topic", h.topic, "error", err)
 	}
-	sleep.For(ctx, retryPauseUpTo(int(failures), h.longestPause()))
+	// A new era is news from a gateway that the store answers.
+	ctx, cancel := h.eras.During(ctx, h.eras.Newest())
+	defer cancel()
+	sleep.For(ctx, h.draw.retryPause(int(failures), h.longestPause()))
 }
 
 func (h *storeHealth) longestPause() time.Duration {
-	if h.rank != nil && h.rank() < waitingReaders {
+	if h.rank() < waitingReaders {
 		return maxReaderRetryPause
 	}
 	return maxRetryPause
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -50,19 +49,19 @@
 	case 1:
 		return shareOf(u.due, secondMaxViewAgeShare)
 	}
-	return shareOf(u.due, otherMaxViewAgeShare) + rand.N(viewJitter)
+	return shareOf(u.due, otherMaxViewAgeShare) + u.health.draw(viewJitter)
 }
 
 // nextRead returns the time until the next read of the store is due, 0 for now.
 func (u *upstreamsFollower) nextRead() time.Duration {
-	rank := u.rank()
 	idle := u.maxViewAge() - u.age()
 	u.mu.Lock()
-	defer u.mu.Unlock()
-	if !u.behindSince.IsZero() {
-		idle = min(idle, peerHeadStart+rand.N(behindJitter)-u.now().Sub(u.behindSince))
+	known, behindSince := u.dir.Next(), u.behindSince
+	u.mu.Unlock()
+	if !behindSince.IsZero() {
+		idle = min(idle, peerHeadStart+u.health.draw(behindJitter)-u.now().Sub(behindSince))
 	}
-	return max(0, idle, u.eraWait.remaining(u.ports.Eras, rank, u.dir.Next(), u.now()))
+	return max(0, idle, u.health.waitInNewEra(known, u.now()))
 }
 
 // shareOf returns a share of d; a share of 1 is all of it.
@@ -109,7 +108,6 @@
 	// behindSince is since when another gateway is known to know later records; zero if none is. They
 	// mostly come with its next answer.
 	behindSince time.Time
-	eraWait     eraWait
 	// listed: this process has read the newest record of each upstream once.
 	listed bool
 	// loggedUnusable and loggedUnknownService hold the keys of the entries of which it was
@@ -123,7 +121,7 @@
 	dir.UseAnnouncements(announcements.Leaving)
 	dir.UseRenewal(renewal)
 	return &upstreamsFollower{
-		ports: ports, board: b, announced: announcements, observers: observers, onComplete: onComplete, conns: conns, now: now, rank: rank, due: due, renewal: renewal, log: log, health: storeHealth{log: log, rank: rank, topic: ports.UpstreamsTopic},
+		ports: ports, board: b, announced: announcements, observers: observers, onComplete: onComplete, conns: conns, now: now, rank: rank, due: due, renewal: renewal, log: log, health: newStoreHealth(ports, ports.UpstreamsTopic, rank, log),
 		dir: dir,
 	}
 }
@@ -162,24 +160,23 @@
 	u.dir.StoreAway()
 }
 
-// read reads the new records from the store, or lists all upstreams if the offset to read
-// from is not known or has expired.
+// read reads the new records from the store, or lists all upstreams if the position to read
+// from is not known, has expired, or is of an earlier era.
 func (u *upstreamsFollower) read(ctx context.Context) error {
 	asOf := u.now()
 	u.mu.Lock()
 	next, listed := u.dir.Next(), u.listed
 	u.mu.Unlock()
-	if !listed {
+	if !listed || u.ports.Eras.Newest() > next.Era() {
 		return u.list(ctx, asOf)
 	}
 	batch, err := u.ports.Store.Follow(ctx, u.ports.UpstreamsTopic, next, 0)
-	if errors.Is(err, platform.ErrEraChanged) && u.nextRead() > 0 {
-		return nil
-	}
-	if errors.Is(err, platform.ErrExpired) || errors.Is(err, platform.ErrEraChanged) {
+	switch {
+	case errors.Is(err, platform.ErrEraChanged):
+		return nil // the next read lists
+	case errors.Is(err, platform.ErrExpired):
 		return u.list(ctx, asOf)
-	}
-	if err != nil {
+	case err != nil:
 		return err
 	}
 	if batch.End.Before(next) {
@@ -375,9 +372,7 @@
 	if u.dir.Next().After(before) {
 		u.behindSince = time.Time{}
 	}
-	if after := u.dir.Next(); !before.IsZero() && !after.SameEra(before) {
-		u.logEra("gateway", before)
-	}
+	u.logNewEra("gateway", before)
 	u.logBatch(changes, "gateway")
 	if update.Complete {
 		u.log.Info("upstreams listed by another gateway", "count", len(update.Records), "end", update.UpTo, "changes", len(changes))
@@ -412,25 +407,3 @@
 		u.dir.StoreBack(at)
 	}
 }
-
-// eraState returns a digest of the entries that stand against an older copy of the store, and where that ended.
-func (u *upstreamsFollower) eraState() (kept uint32, copyEnd ident.Position) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.dir.KeptDigest(), u.dir.CopyEnd(u.now())
-}
-
-// applyCopyEnd applies where the older copy of the store ended that its era began with, as another gateway saw
-// it.
-func (u *upstreamsFollower) applyCopyEnd(end ident.Position) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.publish(u.dir.LowerCopyEnd(end, u.now()))
-}
-
-// keptEntries returns how many entries are kept against an older copy of the store.
-func (u *upstreamsFollower) keptEntries() int {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.dir.KeptEntries()
-}
--- a/internal/entry/upstreams_test.go
+++ b/internal/entry/upstreams_test.go
@@ -36,7 +36,7 @@
 	now := time.Unix(1000, 0)
 	clock := func() time.Time { return now }
 	ports := Ports{
-		Store: &brokenListing{unchangingStore{now: &now}}, UpstreamsTopic: "upstreams",
+		Store: &brokenListing{unchangingStore{now: &now}}, Eras: platform.NewEras(), UpstreamsTopic: "upstreams",
 		DecodeUpstream: func(_, name string, _ []byte) (directory.Upstream, finding.List) {
 			return directory.Upstream{ID: ident.Instance(name), Name: ident.Instance(name), Service: "svc", Address: "127.0.0.1:1", State: directory.Ready}, nil
 		},
@@ -96,7 +96,7 @@
 	clock := func() time.Time { return now }
 	store := &slowListing{unchangingStore: unchangingStore{now: &now}}
 	ports := Ports{
-		Store: store, UpstreamsTopic: "upstreams",
+		Store: store, Eras: platform.NewEras(), UpstreamsTopic: "upstreams",
 		DecodeUpstream: func(_, name string, value []byte) (directory.Upstream, finding.List) {
 			u := directory.Upstream{ID: ident.Instance(name), Name: ident.Instance(name), Service: "svc", Address: "127.0.0.1:1", State: directory.Ready}
 			if string(value) == "leaving" {
@@ -136,7 +136,7 @@
 	clock := func() time.Time { return now }
 	var log bytes.Buffer
 	tracker := rollout.New(rollout.Config{Now: clock, Log: hclog.NewNullLogger(), OrdersKnown: clock, Gateways: func() int { return 1 }})
-	u := newUpstreamsFollower(Ports{}, newBoard(), announced.NewRegistry(announced.Config{Now: clock}), []viewObserver{func(v *directory.View, _ time.Duration) { tracker.Observe(v) }}, func(time.Time) {}, httpconn.NewPool(clock), clock, func() int { return 0 }, 3*time.Second, time.Second, hclog.New(&hclog.LoggerOptions{Output: &log}))
+	u := newUpstreamsFollower(Ports{Eras: platform.NewEras()}, newBoard(), announced.NewRegistry(announced.Config{Now: clock}), []viewObserver{func(v *directory.View, _ time.Duration) { tracker.Observe(v) }}, func(time.Time) {}, httpconn.NewPool(clock), clock, func() int { return 0 }, 3*time.Second, time.Second, hclog.New(&hclog.LoggerOptions{Output: &log}))
 	update := directory.Update{UpTo: ident.NewPosition(0, 4000)}
 	for i := range 3000 {
 		up := directory.Upstream{ID: ident.Instance(fmt.Sprint("u", i)), Service: "svc", State: directory.Ready}
--- a/internal/platform/era.go
+++ b/internal/platform/era.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"context"
 	"sync"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
@@ -41,9 +42,29 @@
 	return e.newest
 }
 
-// Newest returns the newest known era, and a channel that is closed when a newer one becomes known.
-func (e *Eras) Newest() (ident.Era, <-chan struct{}) {
+// Newest returns the newest known era.
+func (e *Eras) Newest() ident.Era {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.newest, e.risen
+	return e.newest
+}
+
+// During returns a context that ends with ctx, and when an era later than the given one becomes known.
+func (e *Eras) During(ctx context.Context, era ident.Era) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	e.mu.Lock()
+	newest, risen := e.newest, e.risen
+	e.mu.Unlock()
+	if newest > era {
+		cancel()
+		return ctx, cancel
+	}
+	go func() {
+		defer cancel()
+		select {
+		case <-risen:
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
 }
--- a/internal/platform/keyed.go
+++ b/internal/platform/keyed.go
@@ -44,7 +44,8 @@
 	// ends at that position. Errors: ErrConflict, ErrUnavailable, ErrAnswerLost, ErrEraChanged.
 	Put(ctx context.Context, topic, key string, value []byte, condition *ident.Position) (ident.Position, error)
 	// Follow returns the records from a position on. It waits up to wait for a first
-	// one. Errors: ErrUnavailable; ErrEraChanged; ErrExpired, with KeyedBatch.First set.
+	// one, or until a later era becomes known. Errors: ErrUnavailable; ErrEraChanged; ErrExpired,
+	// with KeyedBatch.First set.
 	Follow(ctx context.Context, topic string, from ident.Position, wait time.Duration) (KeyedBatch, error)
 	// Newest returns the newest record of each key. Its pages are not a snapshot: End
 	// is the end at the first page, so following from there misses nothing. All pages are of
