Upstreams' entries are logged once they are in force

A line that an entry has changed came before the view that has the change. An operator who compares lines with requests is misled in the same way.

--- a/internal/entry/listing.go
+++ b/internal/entry/listing.go
@@ -28,9 +28,9 @@
 	}
 	before := u.dir.Next()
 	changed := u.dir.ApplyListing(present, batch.End, u.now())
+	u.publish(changed)
 	u.log.Info("upstreams listed", "count", len(batch.Records), "end", batch.End, "known", before)
 	u.logNewEra("store", before)
-	u.publish(changed)
 	u.confirmed, u.behindSince = asOf, time.Time{}
 	u.onComplete(asOf)
 	return nil
@@ -45,8 +45,8 @@
 	u.dir.StoreBack(u.now())
 	u.dir.BeginEra(page.End, u.now())
 	changes, changed := u.applyAll(page.Records)
-	u.logBatch(changes, "listing")
 	u.publish(changed)
+	u.logBatch(changes, "listing")
 }
 
 // listingChangesInterval is how often the changes since the beginning of a listing are read while it
@@ -76,9 +76,9 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	changes, changed := u.applyAll(batch.Records)
-	u.logBatch(changes, "changes during a listing")
 	if n := len(batch.Records); n > 0 {
 		since.next = batch.Records[n-1].At.Next()
 	}
 	u.publish(changed)
+	u.logBatch(changes, "changes during a listing")
 }
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -186,13 +186,13 @@
 	defer u.mu.Unlock()
 	u.dir.StoreBack(u.now())
 	changes, changed := u.applyAll(batch.Records)
-	for _, r := range changes {
-		u.logEntry(r.Name, r.At, r.Upstream, "store")
-	}
 	if n := len(batch.Records); n > 0 {
 		u.dir.AdvanceTo(batch.Records[n-1].At.Next())
 	}
 	u.publish(changed)
+	for _, r := range changes {
+		u.logEntry(r.Name, r.At, r.Upstream, "store")
+	}
 	if !batch.End.After(u.dir.Next()) {
 		u.confirmed = asOf
 	}
@@ -372,13 +372,11 @@
 	if u.dir.Next().After(before) {
 		u.behindSince = time.Time{}
 	}
+	u.publish(changed)
 	u.logNewEra("gateway", before)
 	u.logBatch(changes, "gateway")
 	if update.Complete {
 		u.log.Info("upstreams listed by another gateway", "count", len(update.Records), "end", update.UpTo, "changes", len(changes))
-	}
-	u.publish(changed)
-	if update.Complete {
 		u.onComplete(u.now())
 	}
 }
