--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -241,64 +241,6 @@
 	return directory.Record{Name: entry.ID, At: record.At, Upstream: &entry}, changed
 }
 
-// logUnknownService logs an upstream that no route can reach, because its service is not
-// in the configuration.
-func (u *upstreamsFollower) logUnknownService(key string, entry *directory.Upstream) {
-	table := u.board.table.Value()
-	if table == nil {
-		return
-	}
-	if table.Service(entry.Service) != nil {
-		u.loggedUnknownService.reset(key)
-	} else if u.loggedUnknownService.firstTime(key) {
-		u.log.Warn("upstream's service is not in the configuration", "upstream", entry.ID, "service", entry.Service)
-	}
-}
-
-// maxLinesPerBatch is how many changes that arrive together are logged one by one at most.
-// Without a bound, where thousands of upstreams start or are replaced, each of a thousand
-// gateways would log all of them, and would do little else.
-const maxLinesPerBatch = 16
-
-// logBatch logs changes that arrived together: each in its own line, or, if there are many,
-// in one line with their number and some of the upstreams that leave or were removed. Each
-// record that a gateway reads from the store after the first listing is in that gateway's log.
-func (u *upstreamsFollower) logBatch(changes []directory.Record, from string) {
-	if len(changes) <= maxLinesPerBatch {
-		for _, r := range changes {
-			u.logEntry(r.Name, r.At, r.Upstream, from)
-		}
-		return
-	}
-	var leaving, dropped []ident.Instance
-	first, last := changes[0].At, changes[0].At
-	for _, r := range changes {
-		last = last.Later(r.At)
-		if r.At.Before(first) {
-			first = r.At
-		}
-		switch {
-		case r.Upstream == nil:
-			dropped = append(dropped, r.Name)
-		case r.Upstream.State == directory.Leaving:
-			leaving = append(leaving, r.Name)
-		}
-	}
-	u.log.Info("upstream entries changed", "changes", len(changes), "first", first, "last", last, "leaving", len(leaving), "dropped", len(dropped),
-		"some_leaving", leaving[:min(len(leaving), maxLinesPerBatch)], "some_dropped", dropped[:min(len(dropped), maxLinesPerBatch)], "from", from)
-}
-
-// logEntry logs a changed upstream entry; a nil entry was removed.
-func (u *upstreamsFollower) logEntry(id ident.Instance, at ident.Position, entry *directory.Upstream, from string) {
-	if entry == nil {
-		u.log.Info("upstream entry removed", "upstream", id, "position", at, "from", from)
-		return
-	}
-	u.log.Info("upstream entry changed", "upstream", id, "service", entry.Service, "address", entry.Address, "domain", entry.FailureDomain,
-		"software_version", entry.SoftwareVersion, "leaving", entry.State == directory.Leaving, "leaves_ms", entry.LeavesIn.Milliseconds(), "reclaimable", entry.Reclaimable,
-		"position", at, "from", from)
-}
-
 // expire ends the use of dropped entries whose grace period is over, publishes the view if
 // that changed it, and reports whether the grace period of other entries still runs.
 func (u *upstreamsFollower) expire() (more bool) {
@@ -341,67 +283,9 @@
 	}
 }
 
-// updateSince returns the records that another gateway lacks if it knows all records before
-// the position; nil if there are none. If all records would have to be sent, it returns nil unless all is set.
-func (u *upstreamsFollower) updateSince(from ident.Position, all bool) *directory.Update {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if !all && !u.dir.HasChangesSince(from) {
-		return nil
-	}
-	update := u.dir.UpdateSince(from, u.now())
-	if len(update.Records) == 0 && !update.UpTo.After(from) {
-		return nil
-	}
-	return &update
-}
-
-// needsFetch reports whether all entries should be requested from another gateway: the store
-// does not answer this one, and the other gateways' reports do not bring its view up to date.
-func (u *upstreamsFollower) needsFetch() bool {
-	return u.health.failing() && u.age() > shareOf(u.due, otherMaxViewAgeShare)
-}
-
-// applyUpdate applies the entries that another gateway sent, and publishes the view if they
-// change it.
-func (u *upstreamsFollower) applyUpdate(update directory.Update) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	before := u.dir.Next()
-	changes, changed := u.dir.ApplyUpdate(update, u.now())
-	if u.dir.Next().After(before) {
-		u.behindSince = time.Time{}
-	}
-	u.publish(changed)
-	u.logNewEra("gateway", before)
-	u.logBatch(changes, "gateway")
-	if update.Complete {
-		u.log.Info("upstreams listed by another gateway", "count", len(update.Records), "end", update.UpTo, "changes", len(changes))
-		u.onComplete(u.now())
-	}
-}
-
 // state returns the position before which all records are known, and the view's age; see ageOf.
 func (u *upstreamsFollower) state() (ident.Position, time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return u.dir.Next(), ageOf(u.confirmed, u.now())
 }
-
-// confirmFromPeer records another gateway's report that its view, which knows all records
-// before next, was complete at the given time. It counts if this gateway's view is at least
-// as new.
-func (u *upstreamsFollower) confirmFromPeer(next ident.Position, at time.Time) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	known := u.dir.Next()
-	switch {
-	case next.After(known):
-		if u.behindSince.IsZero() {
-			u.behindSince = u.now()
-		}
-	case !next.IsZero() && next.SameEra(known) && at.After(u.confirmed):
-		u.confirmed = at
-		u.dir.StoreBack(at)
-	}
-}
