--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -12,7 +11,6 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	pkgerrors "github.com/pkg/errors"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
 	"github.com/goldcrestspool/goldcrestspool/internal/directory"
@@ -314,168 +312,9 @@
 	return body
 }
 
-// exchange sends a request to another gateway and applies its answer.
-func (g *Gossip) exchange(ctx context.Context, address string, request []byte) {
-	sent := g.cfg.Now()
-	answer, err := g.callWithTimeout(ctx, exchangeTimeout, address, request)
-	g.endExchange(address)
-	g.logReachability(address, err)
-	if err == nil {
-		g.handleAnswer(answer, sent)
-	}
-}
-
-func (g *Gossip) callWithTimeout(ctx context.Context, timeout time.Duration, address string, request []byte) (*message, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	return g.call(ctx, address, request)
-}
-
-func (g *Gossip) call(ctx context.Context, address string, request []byte) (*message, error) {
-	data, err := g.cfg.Network.Send(ctx, address, request)
-	if err != nil {
-		return nil, err
-	}
-	g.mu.Lock()
-	g.bytes += int64(len(request) + len(data))
-	g.mu.Unlock()
-	return g.decodeFrom(address, data)
-}
-
-// decodeFrom decodes a message of another gateway. It logs the first invalid one and no more
-// until a valid one comes: a gateway of an older build would fill the log otherwise.
-func (g *Gossip) decodeFrom(from string, data []byte) (*message, error) {
-	var m *message
-	err := pkgerrors.Errorf("message exceeds %d bytes", maxMessageBytes)
-	if len(data) <= maxMessageBytes {
-		m, err = decode(data)
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if err == nil {
-		delete(g.invalidSenders, from)
-		return m, nil
-	}
-	if !g.invalidSenders[from] && len(g.invalidSenders) < maxInvalidSenders {
-		g.invalidSenders[from] = true
-		g.cfg.Log.Warn("ignored an invalid message from another gateway", "from", from, "bytes", len(data), "error", err)
-	}
-	return nil, err
-}
-
-// maxInvalidSenders bounds the senders of invalid messages that are remembered.
-const maxInvalidSenders = 1000
-
 // Bytes returns how many bytes of messages this gateway has sent and received as a caller.
 func (g *Gossip) Bytes() int64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.bytes
 }
-
-// handleAnswer applies the answer to a request that was sent at the given instant. How long
-// the answer took is unknown, so its ages count from the sending of the request. If they
-// counted from the arrival, two collectors that exchange sums eight times a second over a
-// delay of 0.1 s would make a view younger with each exchange, and the store would no longer
-// be read.
-func (g *Gossip) handleAnswer(m *message, sent time.Time) {
-	now, wall := g.cfg.Now(), time.Now()
-	// What the report confirms counts only once the data that this gateway lacked is applied.
-	defer g.cfg.Knowledge.ApplyReport(&m.From, sent)
-	g.cfg.Table.RecordReport(m.From, now, wall)
-	g.cfg.Table.AddContacts(m.Contacts, now)
-	g.applyCollectorAnswer(m, now, wall)
-	if len(m.Counts) > 0 {
-		g.cfg.Knowledge.ApplyCounts(m.Counts)
-	}
-	var config *ConfigRecord
-	if m.Config != nil {
-		var err error
-		if config, err = g.decodeConfig(m.Config); err != nil {
-			g.cfg.Log.Error("cannot decode the configuration that a gateway sent", "node", m.From.Node, "revision", m.Config.Revision, "error", err)
-		}
-	}
-	if config != nil || m.Upstreams != nil {
-		g.cfg.Knowledge.ApplyUpdates(config, m.Upstreams)
-	}
-}
-
-// serveExchange answers a request of another gateway.
-func (g *Gossip) serveExchange(w http.ResponseWriter, r *http.Request) {
-	data, err := readMessage(r.Body)
-	if err != nil {
-		refuseBrokenOff(w) // the other gateway tries again
-		return
-	}
-	// The port changes with each connection, so that the sender is identified by its host.
-	host, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err != nil {
-		host = r.RemoteAddr
-	}
-	body, done, err := g.handleRequest(host, data)
-	if err != nil {
-		http.Error(w, "not a valid message", http.StatusBadRequest)
-		return
-	}
-	defer done()
-	writeMessage(w, body)
-}
-
-// readMessage reads an encoded message, and one byte more than maxMessageBytes at most.
-func readMessage(body io.Reader) ([]byte, error) {
-	return io.ReadAll(io.LimitReader(body, maxMessageBytes+1))
-}
-
-// refuseBrokenOff answers a request of which only a part was received. An empty answer with status 200
-// would be a valid message.
-func refuseBrokenOff(w http.ResponseWriter) {
-	http.Error(w, "the request broke off", http.StatusBadRequest)
-}
-
-// writeMessage writes an encoded message as an answer.
-func writeMessage(w http.ResponseWriter, message []byte) {
-	w.Header().Set("Keep-Alive", KeepAliveHeader)
-	w.Header().Set("Content-Type", "application/x-protobuf")
-	// A write error is ignored: the other gateway tries again.
-	_, _ = w.Write(message)
-}
-
-// handleRequest decodes a request and returns the encoded answer. The caller calls done once
-// the answer is sent.
-func (g *Gossip) handleRequest(from string, data []byte) (answer []byte, done func(), err error) {
-	request, err := g.decodeFrom(from, data)
-	if err != nil {
-		return nil, nil, err
-	}
-	reply, done := g.answerRequest(request)
-	return g.encode(reply), done, nil
-}
-
-// reportFor returns this gateway's report for an answer. In answers to a collector or from one
-// it is the brief report: the sums contain the rest.
-func (g *Gossip) reportFor(request *message, now time.Time) Report {
-	if request.Collect || request.DomainSum != nil || request.WantsCounts {
-		return g.cfg.Knowledge.BriefReport(now)
-	}
-	return g.cfg.Knowledge.Report(now)
-}
-
-// answerRequest applies another gateway's report and returns the answer with what that gateway
-// lacks. The caller calls done once the answer is sent.
-func (g *Gossip) answerRequest(request *message) (reply *message, done func()) {
-	now, wall := g.cfg.Now(), time.Now()
-	g.cfg.Table.RecordReport(request.From, now, wall)
-	g.cfg.Knowledge.ApplyReport(&request.From, time.Time{})
-	reply = &message{From: g.reportFor(request, now)}
-	done = g.addMissing(request, reply)
-	if request.KnownDigest != 0 && request.KnownDigest != g.cfg.Table.Digest(now) {
-		reply.Contacts = g.cfg.Table.Contacts(now)
-	}
-	g.addCollectorAnswer(request, reply, now, wall)
-	if request.From.UpstreamsKnown.After(reply.From.UpstreamsKnown) && g.tryBeginExchange(request.From.Address) {
-		// The asker has newer upstream entries. Entries are sent only in answers, so this
-		// gateway asks in turn.
-		go g.exchange(context.Background(), request.From.Address, g.encodeReport(false))
-	}
-	return reply, done
-}
