--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -6,10 +6,8 @@
 import (
 	"cmp"
 	"context"
-	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -246,18 +244,6 @@
 	}
 }
 
-// refusal says why a request is not forwarded.
-type refusal struct {
-	status int
-	reason string
-	// retryAfter is the retry-after time; 0 if the caller is given none.
-	retryAfter time.Duration
-	// abort: the connection is closed without an answer.
-	abort bool
-	// barredBy are the features because of which a request is barred; nil for others.
-	barredBy []ident.Feature
-}
-
 // accept checks a request, reads its body and returns the call. If the request is refused,
 // it returns the refusal and what is known of the call, which may be nil.
 func (s *Server) accept(control *http.ResponseController, r *http.Request, now time.Time) (*forward.Call, *refusal) {
@@ -341,97 +327,3 @@
 	}
 	return account, nil
 }
-
-// readBody reads the whole body into memory, so that it can be sent more than once and with
-// its length. A limit of 0 or less means that only BodyBudget bounds the body.
-func (s *Server) readBody(control *http.ResponseController, r *http.Request, call *forward.Call, limit int64) *refusal {
-	if limit > 0 && r.ContentLength > limit {
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too long"}
-	}
-	if limit <= 0 {
-		limit = s.cfg.BodyBudget
-	}
-	if s.bodyBytes.Load()+max(r.ContentLength, 0) > s.cfg.BodyBudget {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "too many bodies are in memory", retryAfter: retryAfterShortage}
-	}
-	// The error is ignored: all connections of net/http support deadlines. Without a
-	// deadline, the only harm would be that a caller that sends nothing goes unnoticed.
-	_ = control.SetReadDeadline(time.Now().Add(call.Remaining(call.Received)))
-	body, err := readAll(r, limit)
-	if err != nil {
-		// The deadline stays: net/http reads the rest of the body before it closes the connection.
-		return &refusal{status: http.StatusRequestTimeout, reason: "the body did not come: " + err.Error(), abort: r.Context().Err() != nil}
-	}
-	_ = control.SetReadDeadline(time.Time{})
-	if int64(len(body)) > limit {
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too long"}
-	}
-	s.bodyBytes.Add(int64(len(body)))
-	call.Body = body
-	return nil
-}
-
-// readAll returns the request's body. Of a body without a declared length it reads at most
-// limit+1 bytes, so that the caller can tell that it is too long.
-func readAll(r *http.Request, limit int64) ([]byte, error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	if r.ContentLength > 0 {
-		body := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(r.Body, body)
-		return body, err
-	}
-	return io.ReadAll(io.LimitReader(r.Body, limit+1))
-}
-
-// headerSize returns the approximate size of the request line and the headers in bytes.
-func headerSize(r *http.Request) int {
-	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
-	for name, values := range r.Header {
-		for _, value := range values {
-			size += len(name) + len(value) + len(": \r\n")
-		}
-	}
-	return size
-}
-
-// refuse logs and answers a request that is not forwarded.
-func (s *Server) refuse(w http.ResponseWriter, r *http.Request, call *forward.Call, why *refusal) {
-	s.cfg.Metrics.Refused(why.status)
-	var id ident.Request
-	route := ""
-	if call != nil {
-		id = call.ID
-		if call.Route != nil {
-			route = call.Route.Name
-		}
-	}
-	fields := []any{"id", id, "route", route, "host", r.Host, "target", r.RequestURI, "status", why.status,
-		"reason", why.reason, "after_ms", why.retryAfter.Milliseconds()}
-	if why.barredBy != nil {
-		fields = append(fields, "barred_by", why.barredBy, "content", call.Content(), "parts", call.PartsForLog(), "account", call.Account)
-	}
-	if call != nil {
-		fields = append(fields, takeUpFields(call)...)
-	}
-	s.cfg.Log.Info("request refused", fields...)
-	if why.abort {
-		panic(http.ErrAbortHandler)
-	}
-	writeError(w, why.status, why.reason, why.retryAfter)
-}
-
-// writeError answers with a reason of the gateway's own instead of an upstream's answer.
-// retryAfter is the retry-after time; 0 for none.
-func writeError(w http.ResponseWriter, status int, reason string, retryAfter time.Duration) {
-	h := w.Header()
-	h.Set("Content-Type", "text/plain; charset=utf-8")
-	if retryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
-	}
-	h.Set("Content-Length", strconv.Itoa(len(reason)+1))
-	w.WriteHeader(status)
-	// The error is ignored: it means that the caller has gone.
-	_, _ = io.WriteString(w, reason+"\n")
-}
