--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -66,7 +67,7 @@
 			p.log.Info("gateways before the start", "count", n)
 			return
 		}
-		if !sleep.For(ctx, retryPause(failures)) {
+		if !sleep.For(ctx, draw(rand.N[time.Duration]).retryPause(failures, maxRetryPause)) {
 			return
 		}
 	}
@@ -82,10 +83,7 @@
 }
 
 // storeEra returns the newest known era of the store.
-func (p *Process) storeEra() ident.Era {
-	era, _ := p.ports.Eras.Newest()
-	return era
-}
+func (p *Process) storeEra() ident.Era { return p.ports.Eras.Newest() }
 
 // stateToStore returns the state to store in the lease's record, so that it survives when
 // all gateways end at once.
@@ -132,7 +130,7 @@
 
 func (p *Process) newRollouts() *rollout.Controller {
 	return rollout.NewController(rollout.ControllerConfig{
-		Tracker: p.rollouts, Leases: p.lease, Store: p.ports.Store, StatusTopic: p.ports.RolloutReports, TrueTime: p.trueTime,
+		Tracker: p.rollouts, Leases: p.lease, Store: p.ports.Store, StatusTopic: p.ports.RolloutReports, Now: p.now, TrueTime: p.trueTime,
 		Era: p.storeEra, Gateways: p.gatewayCount, DrainTime: p.chooser.DrainTime, InFlight: p.runningRequests, Log: p.log.Named("rollout"),
 		Settled: func(service ident.Service) bool { return p.rollouts.Settled(service, p.hasNoRequests) },
 	})
--- a/internal/entry/listing.go
+++ b/internal/entry/listing.go
@@ -28,11 +28,9 @@
 	}
 	before := u.dir.Next()
 	changed := u.dir.ApplyListing(present, batch.End, u.now())
-	u.log.Info("upstreams listed", "count", len(batch.Records), "end", batch.End, "known", before)
-	if !before.IsZero() && !before.SameEra(batch.End) {
-		u.logEra("store", before)
-	}
 	u.publish(changed)
+	u.log.Info("upstreams listed", "count", len(batch.Records), "end", batch.End, "known", before)
+	u.logNewEra("store", before)
 	u.confirmed, u.behindSince = asOf, time.Time{}
 	u.onComplete(asOf)
 	return nil
@@ -47,13 +45,8 @@
 	u.dir.StoreBack(u.now())
 	u.dir.BeginEra(page.End, u.now())
 	changes, changed := u.applyAll(page.Records)
-	u.logBatch(changes, "listing")
 	u.publish(changed)
-}
-
-// logEra logs that the entries are of a new era. before is what was known in the one before. u.mu must be held.
-func (u *upstreamsFollower) logEra(from string, before ident.Position) {
-	u.log.Info("upstreams' entries are of a new era", "known", u.dir.Next(), "before", before, "kept_against_copy", u.dir.Contradicting(), "from", from)
+	u.logBatch(changes, "listing")
 }
 
 // listingChangesInterval is how often the changes since the beginning of a listing are read while it
@@ -83,9 +76,9 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	changes, changed := u.applyAll(batch.Records)
-	u.logBatch(changes, "changes during a listing")
 	if n := len(batch.Records); n > 0 {
 		since.next = batch.Records[n-1].At.Next()
 	}
 	u.publish(changed)
+	u.logBatch(changes, "changes during a listing")
 }
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -50,19 +49,19 @@
 	case 1:
 		return shareOf(u.due, secondMaxViewAgeShare)
 	}
-	return shareOf(u.due, otherMaxViewAgeShare) + rand.N(viewJitter)
+	return shareOf(u.due, otherMaxViewAgeShare) + u.health.draw(viewJitter)
 }
 
 // nextRead returns the time until the next read of the store is due, 0 for now.
 func (u *upstreamsFollower) nextRead() time.Duration {
-	rank := u.rank()
 	idle := u.maxViewAge() - u.age()
 	u.mu.Lock()
-	defer u.mu.Unlock()
-	if !u.behindSince.IsZero() {
-		idle = min(idle, peerHeadStart+rand.N(behindJitter)-u.now().Sub(u.behindSince))
+	known, behindSince := u.dir.Next(), u.behindSince
+	u.mu.Unlock()
+	if !behindSince.IsZero() {
+		idle = min(idle, peerHeadStart+u.health.draw(behindJitter)-u.now().Sub(behindSince))
 	}
-	return max(0, idle, u.eraWait.remaining(u.ports.Eras, rank, u.dir.Next(), u.now()))
+	return max(0, idle, u.health.waitInNewEra(known, u.now()))
 }
 
 // shareOf returns a share of d; a share of 1 is all of it.
@@ -109,7 +108,6 @@
 	// behindSince is since when another gateway is known to know later records; zero if none is. They
 	// mostly come with its next answer.
 	behindSince time.Time
-	eraWait     eraWait
 	// listed: this process has read the newest record of each upstream once.
 	listed bool
 	// loggedUnusable and loggedUnknownService hold the keys of the entries of which it was
@@ -123,7 +121,7 @@
 	dir.UseAnnouncements(announcements.Leaving)
 	dir.UseRenewal(renewal)
 	return &upstreamsFollower{
-		ports: ports, board: b, announced: announcements, observers: observers, onComplete: onComplete, conns: conns, now: now, rank: rank, due: due, renewal: renewal, log: log, health: storeHealth{log: log, rank: rank, topic: ports.UpstreamsTopic},
+		ports: ports, board: b, announced: announcements, observers: observers, onComplete: onComplete, conns: conns, now: now, rank: rank, due: due, renewal: renewal, log: log, health: newStoreHealth(ports, ports.UpstreamsTopic, rank, log),
 		dir: dir,
 	}
 }
@@ -162,24 +160,23 @@
 	u.dir.StoreAway()
 }
 
-// read reads the new records from the store, or lists all upstreams if the offset to read
-// from is not known or has expired.
+// read reads the new records from the store, or lists all upstreams if the position to read
+// from is not known, has expired, or is of an earlier era.
 func (u *upstreamsFollower) read(ctx context.Context) error {
 	asOf := u.now()
 	u.mu.Lock()
 	next, listed := u.dir.Next(), u.listed
 	u.mu.Unlock()
-	if !listed {
+	if !listed || u.ports.Eras.Newest() > next.Era() {
 		return u.list(ctx, asOf)
 	}
 	batch, err := u.ports.Store.Follow(ctx, u.ports.UpstreamsTopic, next, 0)
-	if errors.Is(err, platform.ErrEraChanged) && u.nextRead() > 0 {
-		return nil
-	}
-	if errors.Is(err, platform.ErrExpired) || errors.Is(err, platform.ErrEraChanged) {
+	switch {
+	case errors.Is(err, platform.ErrEraChanged):
+		return nil // the next read lists
+	case errors.Is(err, platform.ErrExpired):
 		return u.list(ctx, asOf)
-	}
-	if err != nil {
+	case err != nil:
 		return err
 	}
 	if batch.End.Before(next) {
@@ -189,13 +186,13 @@
 	defer u.mu.Unlock()
 	u.dir.StoreBack(u.now())
 	changes, changed := u.applyAll(batch.Records)
-	for _, r := range changes {
-		u.logEntry(r.Name, r.At, r.Upstream, "store")
-	}
 	if n := len(batch.Records); n > 0 {
 		u.dir.AdvanceTo(batch.Records[n-1].At.Next())
 	}
 	u.publish(changed)
+	for _, r := range changes {
+		u.logEntry(r.Name, r.At, r.Upstream, "store")
+	}
 	if !batch.End.After(u.dir.Next()) {
 		u.confirmed = asOf
 	}
@@ -244,64 +241,6 @@
 	return directory.Record{Name: entry.ID, At: record.At, Upstream: &entry}, changed
 }
 
-// logUnknownService logs an upstream that no route can reach, because its service is not
-// in the configuration.
-func (u *upstreamsFollower) logUnknownService(key string, entry *directory.Upstream) {
-	table := u.board.table.Value()
-	if table == nil {
-		return
-	}
-	if table.Service(entry.Service) != nil {
-		u.loggedUnknownService.reset(key)
-	} else if u.loggedUnknownService.firstTime(key) {
-		u.log.Warn("upstream's service is not in the configuration", "upstream", entry.ID, "service", entry.Service)
-	}
-}
-
-// maxLinesPerBatch is how many changes that arrive together are logged one by one at most.
-// Without a bound, where thousands of upstreams start or are replaced, each of a thousand
-// gateways would log all of them, and would do little else.
-const maxLinesPerBatch = 16
-
-// logBatch logs changes that arrived together: each in its own line, or, if there are many,
-// in one line with their number and some of the upstreams that leave or were removed. Each
-// record that a gateway reads from the store after the first listing is in that gateway's log.
-func (u *upstreamsFollower) logBatch(changes []directory.Record, from string) {
-	if len(changes) <= maxLinesPerBatch {
-		for _, r := range changes {
-			u.logEntry(r.Name, r.At, r.Upstream, from)
-		}
-		return
-	}
-	var leaving, dropped []ident.Instance
-	first, last := changes[0].At, changes[0].At
-	for _, r := range changes {
-		last = last.Later(r.At)
-		if r.At.Before(first) {
-			first = r.At
-		}
-		switch {
-		case r.Upstream == nil:
-			dropped = append(dropped, r.Name)
-		case r.Upstream.State == directory.Leaving:
-			leaving = append(leaving, r.Name)
-		}
-	}
-	u.log.Info("upstream entries changed", "changes", len(changes), "first", first, "last", last, "leaving", len(leaving), "dropped", len(dropped),
-		"some_leaving", leaving[:min(len(leaving), maxLinesPerBatch)], "some_dropped", dropped[:min(len(dropped), maxLinesPerBatch)], "from", from)
-}
-
-// logEntry logs a changed upstream entry; a nil entry was removed.
-func (u *upstreamsFollower) logEntry(id ident.Instance, at ident.Position, entry *directory.Upstream, from string) {
-	if entry == nil {
-		u.log.Info("upstream entry removed", "upstream", id, "position", at, "from", from)
-		return
-	}
-	u.log.Info("upstream entry changed", "upstream", id, "service", entry.Service, "address", entry.Address, "domain", entry.FailureDomain,
-		"software_version", entry.SoftwareVersion, "leaving", entry.State == directory.Leaving, "leaves_ms", entry.LeavesIn.Milliseconds(), "reclaimable", entry.Reclaimable,
-		"position", at, "from", from)
-}
-
 // expire ends the use of dropped entries whose grace period is over, publishes the view if
 // that changed it, and reports whether the grace period of other entries still runs.
 func (u *upstreamsFollower) expire() (more bool) {
@@ -344,93 +283,9 @@
 	}
 }
 
-// updateSince returns the records that another gateway lacks if it knows all records before
-// the position; nil if there are none. If all records would have to be sent, it returns nil unless all is set.
-func (u *upstreamsFollower) updateSince(from ident.Position, all bool) *directory.Update {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if !all && !u.dir.HasChangesSince(from) {
-		return nil
-	}
-	update := u.dir.UpdateSince(from, u.now())
-	if len(update.Records) == 0 && !update.UpTo.After(from) {
-		return nil
-	}
-	return &update
-}
-
-// needsFetch reports whether all entries should be requested from another gateway: the store
-// does not answer this one, and the other gateways' reports do not bring its view up to date.
-func (u *upstreamsFollower) needsFetch() bool {
-	return u.health.failing() && u.age() > shareOf(u.due, otherMaxViewAgeShare)
-}
-
-// applyUpdate applies the entries that another gateway sent, and publishes the view if they
-// change it.
-func (u *upstreamsFollower) applyUpdate(update directory.Update) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	before := u.dir.Next()
-	changes, changed := u.dir.ApplyUpdate(update, u.now())
-	if u.dir.Next().After(before) {
-		u.behindSince = time.Time{}
-	}
-	if after := u.dir.Next(); !before.IsZero() && !after.SameEra(before) {
-		u.logEra("gateway", before)
-	}
-	u.logBatch(changes, "gateway")
-	if update.Complete {
-		u.log.Info("upstreams listed by another gateway", "count", len(update.Records), "end", update.UpTo, "changes", len(changes))
-	}
-	u.publish(changed)
-	if update.Complete {
-		u.onComplete(u.now())
-	}
-}
-
 // state returns the position before which all records are known, and the view's age; see ageOf.
 func (u *upstreamsFollower) state() (ident.Position, time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return u.dir.Next(), ageOf(u.confirmed, u.now())
 }
-
-// confirmFromPeer records another gateway's report that its view, which knows all records
-// before next, was complete at the given time. It counts if this gateway's view is at least
-// as new.
-func (u *upstreamsFollower) confirmFromPeer(next ident.Position, at time.Time) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	known := u.dir.Next()
-	switch {
-	case next.After(known):
-		if u.behindSince.IsZero() {
-			u.behindSince = u.now()
-		}
-	case !next.IsZero() && next.SameEra(known) && at.After(u.confirmed):
-		u.confirmed = at
-		u.dir.StoreBack(at)
-	}
-}
-
-// eraState returns a digest of the entries that stand against an older copy of the store, and where that ended.
-func (u *upstreamsFollower) eraState() (kept uint32, copyEnd ident.Position) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.dir.KeptDigest(), u.dir.CopyEnd(u.now())
-}
-
-// applyCopyEnd applies where the older copy of the store ended that its era began with, as another gateway saw
-// it.
-func (u *upstreamsFollower) applyCopyEnd(end ident.Position) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.publish(u.dir.LowerCopyEnd(end, u.now()))
-}
-
-// contradicting returns how many entries stand against an older copy of the store.
-func (u *upstreamsFollower) contradicting() int {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.dir.Contradicting()
-}
