Placement: predictions follow the speed of each upstream

Every prediction was that of the service's model, so a slow upstream got as much work as a fast one. Scores, the bound of what cannot be served in time, expected first events, patience and the time to return are now multiplied by Config.Slowness (1 if nobody sets it); at plain upstreams the score of the load is, the call itself included, so that an idle slow one comes after an idle fast one.

Ejection compares with the prediction that includes the factor. Rollouts still compare with the model alone: a slow version would hide behind its upstreams' factors.

--- a/internal/routing/placement/engines.go
+++ b/internal/routing/placement/engines.go
@@ -5,6 +5,7 @@
 
 	"github.com/goldcrestspool/goldcrestspool/internal/enginemodel"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/routing/speed"
 )
 
 // fitInterval is how often the engine model of a service is fitted. The reports
@@ -38,6 +39,26 @@
 	}, estimate)
 }
 
+// recordSpeed records how long an upstream took, and what the model of its service predicts without the
+// upstream's factor.
+func (c *Chooser) recordSpeed(id ident.Instance, r *reservation, now time.Time) {
+	if r.sentAt.Before(r.upstream.WarmAt) {
+		return // it is slow for a while only
+	}
+	sample := speed.Sample{
+		Upstream: id, Service: r.service, Route: r.route, Observed: r.firstEventLatency,
+		Load: float64(r.loadAhead.Running) / float64(max(1, r.upstream.Slots)),
+	}
+	if r.expectedFirstEvent > 0 {
+		estimate := c.engineEstimate(r.service, now)
+		if r.unreadTokens == 0 || estimate.Samples < minSamples {
+			return
+		}
+		sample.Predicted = estimate.FirstEvent(float64(r.unreadTokens), float64(r.loadAhead.UnreadTokens), float64(r.loadAhead.Running))
+	}
+	c.cfg.RecordSpeed(sample, now)
+}
+
 // engineEstimate returns the model of a service's engines that is fitted to the
 // samples of all gateways.
 func (c *Chooser) engineEstimate(service ident.Service, now time.Time) enginemodel.Estimate {
--- a/internal/routing/placement/learn.go
+++ b/internal/routing/placement/learn.go
@@ -28,6 +28,7 @@
 	}
 	getOrCreate(c.firstEventTimings, r.service).learn(r.firstEventLatency - r.expectedFirstEvent)
 	c.learnEngineSpeed(r, now)
+	c.recordSpeed(choice.Upstream, r, now)
 }
 
 // UpstreamEnded implements forward.Placement. The end was expected if the upstream had
@@ -105,12 +106,12 @@
 		// To leave or to ask for a pause is no failure.
 		return sample, false
 	case forward.Expired:
-		if r.gotFirstEvent || elapsed < r.referenceLatency() {
+		if r.gotFirstEvent || elapsed < r.dueLatency() {
 			return sample, false
 		}
 		sample.Failed = true
 	case forward.Done:
-		sample.Latency = r.firstEventLatency.Seconds() / (r.expectedFirstEvent.Seconds() + idleAnswerTime.Seconds())
+		sample.Latency = r.firstEventLatency.Seconds() / r.dueLatency().Seconds()
 	default:
 		sample.Failed = true
 	}
@@ -121,6 +122,11 @@
 // prompt. It is added to predictions, so that short requests do not look slow.
 const idleAnswerTime = 60 * time.Millisecond
 
+// dueLatency returns the time that the first event is expected to take at this upstream.
+func (r *reservation) dueLatency() time.Duration {
+	return r.expectedFirstEvent + time.Duration(r.factor*float64(idleAnswerTime))
+}
+
 // updateAvoidance avoids the upstream for a while if the connection failed. It logs the first failure
 // and the first connection after it; what the other gateways have in progress there tells an
 // upstream that is down from one that this gateway alone does not reach.
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -24,6 +24,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/forward"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/rollout"
+	"github.com/goldcrestspool/goldcrestspool/internal/routing/speed"
 )
 
 // Params are the weights and bounds of the choice.
@@ -107,6 +108,12 @@
 	// Split returns how a service's upstreams are split by version, or nil if
 	// they are not.
 	Split func(ident.Service) *rollout.Split
+	// Slowness returns by which factor an upstream is slower than its service's model predicts; 1 if it
+	// is like the model or unknown. nil means 1 for all.
+	Slowness func(ident.Instance) float64
+	// RecordSpeed records an observed time and its prediction without that factor; nil if nothing learns
+	// from it.
+	RecordSpeed func(speed.Sample, time.Time)
 }
 
 // Pauses are the pauses that upstreams asked this gateway for.
@@ -211,7 +218,11 @@
 	// expectedFirstEvent is the predicted time from sending to the first event,
 	// the wait for loadAhead included; 0 at a plain upstream.
 	expectedFirstEvent time.Duration
-	gotFirstEvent      bool
+	// modelFirstEvent is expectedFirstEvent without factor, the upstream's Config.Slowness when the
+	// request was sent.
+	modelFirstEvent time.Duration
+	factor          float64
+	gotFirstEvent   bool
 	// firstEventLatency is the time from sending to the first event.
 	firstEventLatency time.Duration
 	// upstreamEnded is set if the upstream's process ended during the request.
@@ -230,6 +241,12 @@
 
 // New returns a Chooser that has sent nothing yet.
 func New(cfg Config) *Chooser {
+	if cfg.Slowness == nil {
+		cfg.Slowness = func(ident.Instance) float64 { return 1 }
+	}
+	if cfg.RecordSpeed == nil {
+		cfg.RecordSpeed = func(speed.Sample, time.Time) {}
+	}
 	return &Chooser{
 		cfg: cfg, seed: xxhash.Sum64String(string(cfg.Self)), lastUnreachable: make(map[ident.FailureDomain]time.Time), own: make(map[ident.Instance]*ownWork), ejectionSets: make(map[ident.Service]*ejection.Set),
 		firstEventTimings: make(map[ident.Service]*firstEventTiming), loggedStates: make(map[ident.Instance]ejection.State),
@@ -280,11 +297,11 @@
 		Address:         best.upstream.Address,
 		SoftwareVersion: best.upstream.SoftwareVersion,
 		MaxConnections:  share.maxPerUpstream,
-		SilenceTimeout:  t.slowAfter(call.Route.Objective, expected),
+		SilenceTimeout:  t.slowAfter(call.Route.Objective, expected, best.slowness),
 		Why:             why,
 		AtLimit:         s.atLimit,
 		Paused:          s.paused,
-		Reservation:     &reservation{domain: best.upstream.FailureDomain, service: call.Service.Name, route: call.Route.Name, unreadTokens: best.prefillTokens, sentAt: now, expectedFirstEvent: expected, loadAhead: best.load, maybePartial: maybePartial(call, exclude), split: split, side: side, upstream: *best.upstream},
+		Reservation:     &reservation{domain: best.upstream.FailureDomain, service: call.Service.Name, route: call.Route.Name, unreadTokens: best.prefillTokens, sentAt: now, expectedFirstEvent: expected, modelFirstEvent: time.Duration(float64(expected) / best.slowness), factor: best.slowness, loadAhead: best.load, maybePartial: maybePartial(call, exclude), split: split, side: side, upstream: *best.upstream},
 	}, true
 }
 
--- a/internal/routing/placement/search.go
+++ b/internal/routing/placement/search.go
@@ -24,6 +24,8 @@
 	// firstEventSeconds is the predicted time to the call's first event, in
 	// seconds; 0 at a plain upstream.
 	firstEventSeconds float64
+	// slowness is the upstream's Config.Slowness.
+	slowness float64
 }
 
 // search is the state of the search for one call's upstream.
@@ -84,7 +86,7 @@
 			s.excluded[why]++
 			continue
 		}
-		next := candidate{upstream: u, own: o, load: c.totalLoad(u.ID, o)}
+		next := candidate{upstream: u, own: o, load: c.totalLoad(u.ID, o), slowness: c.cfg.Slowness(u.ID)}
 		use := usable
 		if paused != nil && paused[i] {
 			use = s.useAfterPause(u, o)
@@ -164,12 +166,14 @@
 		}
 	}
 	if call.Service.Engine == nil {
-		x.score = float64(x.load.Running) / float64(max(1, x.upstream.Slots)) * call.Route.Objective.Seconds()
+		// At a slow upstream the call itself takes longer, too.
+		work := float64(x.load.Running+1)*x.slowness - 1
+		x.score = work / float64(max(1, x.upstream.Slots)) * call.Route.Objective.Seconds()
 		// The rank differs between gateways. Without it hundreds of gateways with
 		// few requests each would all use the same one of several idle upstreams.
 		x.score += c.rank(x.upstream.Name) * tieBreakSeconds
 	} else {
-		x.firstEventSeconds = estimate.FirstEventSeconds(float64(x.prefillTokens), float64(x.load.UnreadTokens), float64(x.load.Running))
+		x.firstEventSeconds = x.slowness * estimate.FirstEventSeconds(float64(x.prefillTokens), float64(x.load.UnreadTokens), float64(x.load.Running))
 		x.score = x.firstEventSeconds + extraTokens*estimate.SecondsPerToken
 	}
 	if order != nil {
--- a/internal/routing/placement/timing.go
+++ b/internal/routing/placement/timing.go
@@ -45,7 +45,14 @@
 // prompt were expected, requests would be moved from queue to queue while there are
 // too few engines, away from the homes of their prompt parts, and three times as many
 // tokens would be read.
-func (t *firstEventTiming) slowAfter(objective, expected time.Duration) time.Duration {
+//
+// slowness is the upstream's Config.Slowness, which expected includes. At a plain upstream, for
+// which nothing is predicted, it multiplies what was learned.
+func (t *firstEventTiming) slowAfter(objective, expected time.Duration, slowness float64) time.Duration {
+	if expected == 0 && slowness > 1 {
+		usual := t.slowAfter(objective, 0, 1)
+		return time.Duration(slowness * float64(usual))
+	}
 	if t.samples < minSamples {
 		return max(objective, 2*expected)
 	}
--- a/internal/routing/placement/versions.go
+++ b/internal/routing/placement/versions.go
@@ -60,8 +60,9 @@
 const slowFactor = 2
 
 // referenceLatency returns the time that the first event is expected to take. At a
-// plain upstream this is the time of an idle one.
-func (r *reservation) referenceLatency() time.Duration { return r.expectedFirstEvent + idleAnswerTime }
+// plain upstream this is the time of an idle one. The upstream's own speed does not
+// count, because a slow version would hide behind it.
+func (r *reservation) referenceLatency() time.Duration { return r.modelFirstEvent + idleAnswerTime }
 
 // slowness returns how slow the answer was: the larger of two ratios, that of the
 // first event's time to the expected one, and that of the rest of the answer's time
