Speed: the factor is that of the part that depends on the upstream

The factor multiplied the whole prediction, the model's base included, which is mostly the way to the engine. With long queues the factor was then too low, and slow engines were ejected at 0.8 of the room; with short prompts it was too high.

A sample now is the ratio of the times without the base, weighted by the square of the share that is left; a prediction is the base plus the factor times the rest. A factor in use stays until it differs from 1 by less than 1.25 of its errors (2.75 to begin with), as factors near the bound came and went.

Rejected: the whole prediction.

--- a/internal/enginemodel/enginemodel.go
+++ b/internal/enginemodel/enginemodel.go
@@ -223,6 +223,13 @@
 	return e.Base.Seconds() + own*e.SecondsPerToken + ahead*e.SecondsPerTokenAhead + running*e.SecondsPerRunning
 }
 
+// FirstEventSecondsAt is FirstEventSeconds at an engine that is slower than the model by a factor. The
+// base does not depend on it, because most of that is spent on the way to the engine and back.
+func (e *Estimate) FirstEventSecondsAt(slowness, own, ahead, running float64) float64 {
+	base := e.Base.Seconds()
+	return base + slowness*(e.FirstEventSeconds(own, ahead, running)-base)
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // Fit returns the coefficients that fit the sums and the prior best, within bounds.
--- a/internal/routing/placement/engines.go
+++ b/internal/routing/placement/engines.go
@@ -54,11 +54,21 @@
 		if r.unreadTokens == 0 || estimate.Samples < minSamples {
 			return
 		}
+		sample.Fixed = estimate.Base
 		sample.Predicted = estimate.FirstEvent(float64(r.unreadTokens), float64(r.loadAhead.UnreadTokens), float64(r.loadAhead.Running))
 	}
 	c.cfg.RecordSpeed(sample, now)
 }
 
+// modelFirstEvent returns the predicted time to the call's first event without the upstream's factor; 0
+// at a plain upstream.
+func (x *candidate) modelFirstEvent(estimate *enginemodel.Estimate) time.Duration {
+	if x.firstEventSeconds == 0 {
+		return 0
+	}
+	return estimate.FirstEvent(float64(x.prefillTokens), float64(x.load.UnreadTokens), float64(x.load.Running))
+}
+
 // engineEstimate returns the model of a service's engines that is fitted to the
 // samples of all gateways.
 func (c *Chooser) engineEstimate(service ident.Service, now time.Time) enginemodel.Estimate {
--- a/internal/routing/placement/learn.go
+++ b/internal/routing/placement/learn.go
@@ -124,7 +124,7 @@
 
 // dueLatency returns the time that the first event is expected to take at this upstream.
 func (r *reservation) dueLatency() time.Duration {
-	return r.expectedFirstEvent + time.Duration(r.factor*float64(idleAnswerTime))
+	return r.expectedFirstEvent + time.Duration(max(1, r.factor)*float64(idleAnswerTime))
 }
 
 // updateAvoidance avoids the upstream for a while if the connection failed. It logs the first failure
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -108,8 +108,8 @@
 	// Split returns how a service's upstreams are split by version, or nil if
 	// they are not.
 	Split func(ident.Service) *rollout.Split
-	// Slowness returns by which factor an upstream is slower than its service's model predicts; 1 if it
-	// is like the model or unknown. nil means 1 for all.
+	// Slowness returns by which factor an upstream is slower than its service's model predicts, the
+	// model's base aside; 1 if it is like the model or unknown. nil means 1 for all.
 	Slowness func(ident.Instance) float64
 	// RecordSpeed records an observed time and its prediction without that factor; nil if nothing learns
 	// from it.
@@ -301,7 +301,7 @@
 		Why:             why,
 		AtLimit:         s.atLimit,
 		Paused:          s.paused,
-		Reservation:     &reservation{domain: best.upstream.FailureDomain, service: call.Service.Name, route: call.Route.Name, unreadTokens: best.prefillTokens, sentAt: now, expectedFirstEvent: expected, modelFirstEvent: time.Duration(float64(expected) / best.slowness), factor: best.slowness, loadAhead: best.load, maybePartial: maybePartial(call, exclude), split: split, side: side, upstream: *best.upstream},
+		Reservation:     &reservation{domain: best.upstream.FailureDomain, service: call.Service.Name, route: call.Route.Name, unreadTokens: best.prefillTokens, sentAt: now, expectedFirstEvent: expected, modelFirstEvent: best.modelFirstEvent(&estimate), factor: best.slowness, loadAhead: best.load, maybePartial: maybePartial(call, exclude), split: split, side: side, upstream: *best.upstream},
 	}, true
 }
 
--- a/internal/routing/placement/retryafter.go
+++ b/internal/routing/placement/retryafter.go
@@ -35,8 +35,8 @@
 			continue
 		}
 		load := c.totalLoad(u.ID, getOrCreate(c.own, u.ID))
-		seconds := estimate.FirstEventSeconds(float64(prefillTokens(call)), float64(load.UnreadTokens), float64(load.Running))
-		first := time.Duration(c.cfg.Slowness(u.ID) * seconds * float64(time.Second))
+		seconds := estimate.FirstEventSecondsAt(c.cfg.Slowness(u.ID), float64(prefillTokens(call)), float64(load.UnreadTokens), float64(load.Running))
+		first := time.Duration(seconds * float64(time.Second))
 		if late := max(0, first-call.Route.Objective); !found || late < shortest {
 			shortest, found = late, true
 		}
--- a/internal/routing/placement/search.go
+++ b/internal/routing/placement/search.go
@@ -173,7 +173,7 @@
 		// few requests each would all use the same one of several idle upstreams.
 		x.score += c.rank(x.upstream.Name) * tieBreakSeconds
 	} else {
-		x.firstEventSeconds = x.slowness * estimate.FirstEventSeconds(float64(x.prefillTokens), float64(x.load.UnreadTokens), float64(x.load.Running))
+		x.firstEventSeconds = estimate.FirstEventSecondsAt(x.slowness, float64(x.prefillTokens), float64(x.load.UnreadTokens), float64(x.load.Running))
 		x.score = x.firstEventSeconds + extraTokens*estimate.SecondsPerToken
 	}
 	if order != nil {
--- a/internal/routing/speed/samples.go
+++ b/internal/routing/speed/samples.go
@@ -17,6 +17,9 @@
 	// Predicted is the prediction of the service's model, without the upstream's factor. It is 0
 	// at a plain upstream, for which the mean of the service's answers at like load stands in.
 	Predicted time.Duration
+	// Fixed is the part of Predicted that does not depend on the upstream's speed. The factor is that
+	// of the rest.
+	Fixed time.Duration
 	// Load is the number of requests per slot that the upstream had before.
 	Load float64
 }
@@ -27,6 +30,9 @@
 	initialDeviation, minDeviation = 0.4, 0.1
 	// absoluteToStandard is the standard deviation by the mean absolute one, for normal samples.
 	absoluteToStandard = 1.25
+	// minVariableShare is the least share of a prediction that must depend on the upstream's speed
+	// for the sample to tell of it.
+	minVariableShare = 0.25
 	// deviationSamples is the number of samples over which the deviation is averaged.
 	deviationSamples = 200
 	// deviationMinWeight is the weight of an upstream's samples from which its mean is known well
@@ -39,6 +45,21 @@
 	maxDeviations = 3
 )
 
+// variableShare returns the share of the predicted time that depends on the upstream's speed.
+func (s *Sample) variableShare() float64 {
+	if s.Predicted <= 0 {
+		return 1
+	}
+	return 1 - s.Fixed.Seconds()/s.Predicted.Seconds()
+}
+
+// logRatio returns the logarithm of the observed by the predicted time, both without the fixed part.
+func (s *Sample) logRatio() float64 {
+	predicted := (s.Predicted - s.Fixed).Seconds()
+	observed := max((s.Observed - s.Fixed).Seconds(), predicted/(2*maxFactor))
+	return math.Log(observed / predicted)
+}
+
 // robustWeight returns the weight of a sample that is so far from the mean of its upstream, of which
 // the estimate is known.
 func robustWeight(distance float64, known Estimate, deviation float64) float64 {
--- a/internal/routing/speed/sums.go
+++ b/internal/routing/speed/sums.go
@@ -6,7 +6,8 @@
 // and their callers wait.
 //
 // A sample is the logarithm of an observed time divided by the time that the service's model
-// predicts without the upstream's factor. The factor of an upstream follows from the weighted
+// predicts without the upstream's factor, both without what does not depend on the upstream's
+// speed. The factor of an upstream follows from the weighted
 // mean of its samples, which is drawn towards 1 while there are few. Samples far from the
 // upstream's own mean have low weights, so that a slow spell changes the factor little. Sums of
 // samples decay with time and can be added: gateways exchange them, because one of hundreds of
@@ -31,8 +32,9 @@
 	// are in progress together are slow together, so that their number alone promises too much.
 	minError = 0.03
 	// certainErrors is by how many errors a factor must differ from 1 to be used: few of some
-	// hundred upstreams that are like the model differ by more.
-	certainErrors = 3
+	// hundred upstreams that are like the model differ by more. A factor in use stays in use as long
+	// as it differs by keptErrors, so that work does not change to and fro.
+	certainErrors, keptErrors = 2.75, 1.25
 	// maxFactor bounds the factors in both directions.
 	maxFactor = 4
 	// forgottenWeight is the weight below which sums are dropped.
@@ -82,9 +84,14 @@
 }
 
 // Factor returns by how much the upstream is slower than its service's model: 2 if requests take
-// twice as long there as predicted. It is exactly 1 unless it differs from that for certain.
-func (e Estimate) Factor() float64 {
-	if math.Abs(e.Log) <= certainErrors*e.Error {
+// twice as long there as predicted. It is exactly 1 unless it differs from that for certain. inUse is
+// set if the factor was not 1 until now.
+func (e Estimate) Factor(inUse bool) float64 {
+	errors := certainErrors
+	if inUse {
+		errors = keptErrors
+	}
+	if math.Abs(e.Log) <= errors*e.Error {
 		return 1
 	}
 	return min(max(math.Exp(e.Log), 1.0/maxFactor), maxFactor)
--- a/internal/routing/speed/table.go
+++ b/internal/routing/speed/table.go
@@ -2,12 +2,9 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"maps"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Entry holds the sums of one upstream in messages.
@@ -98,35 +95,68 @@
 			out = append(out, Entry{upstream, s})
 		}
 	}
-	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.Upstream, b.Upstream) })
+	sortEntries(out)
 	return out
 }
 
-// Differing returns the entries of the upstreams that may differ from their service's model. It keeps
-// those that differ if samples have the lowest deviation, because it does not know the services.
+func sortEntries(entries []Entry) {
+	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Upstream, b.Upstream) })
+}
+
+// Differing returns the entries of the upstreams whose factors a gateway may use. It takes samples to
+// have the lowest deviation, because it does not know the services.
 func Differing(entries []Entry) []Entry {
 	var out []Entry
 	for _, e := range entries {
-		if e.Estimate(minDeviation).Factor() != 1 {
+		if e.Estimate(minDeviation).Factor(true) != 1 {
 			out = append(out, e)
 		}
 	}
 	return out
 }
 
-// Window returns at most count of the entries: each round other ones, so that all are sent in time,
-// whichever rounds a receiver misses.
-func Window(entries []Entry, count int, round int64) []Entry {
+// Following returns at most count of the entries, which are sorted by upstream: those that follow an
+// upstream, and the first ones after the last. A receiver that names the last upstream that it got is
+// sent all in turn, whatever entries come or go and whichever messages are lost.
+func Following(entries []Entry, upstream uint32, count int) []Entry {
 	n := len(entries)
 	if n <= count {
 		return entries
 	}
-	var seed [8]byte
-	binary.LittleEndian.PutUint64(seed[:], uint64(round))
-	start := int(xxhash.Sum64(seed[:]) % uint64(n))
+	first, found := slices.BinarySearchFunc(entries, upstream, func(e Entry, upstream uint32) int { return cmp.Compare(e.Upstream, upstream) })
+	if found {
+		first++
+	}
 	out := make([]Entry, 0, count)
 	for i := range count {
-		out = append(out, entries[(start+i)%n])
+		out = append(out, entries[(first+i)%n])
+	}
+	return out
+}
+
+// Last returns the upstream of the last entry; 0 if there is none.
+func Last(entries []Entry) uint32 {
+	if len(entries) == 0 {
+		return 0
+	}
+	return entries[len(entries)-1].Upstream
+}
+
+// Rotation chooses which entries are sent to all receivers in a round. The zero value starts with the
+// first.
+type Rotation struct {
+	round int64
+	// after is the upstream that the entries of the round follow, and last the last one of them.
+	after, last uint32
+}
+
+// Window returns at most count of the entries: in each round those that follow the ones of the round
+// before.
+func (r *Rotation) Window(entries []Entry, count int, round int64) []Entry {
+	if round != r.round {
+		r.round, r.after = round, r.last
 	}
+	out := Following(entries, r.after, count)
+	r.last = Last(out)
 	return out
 }
--- a/internal/routing/speed/tracker.go
+++ b/internal/routing/speed/tracker.go
@@ -40,6 +40,7 @@
 	// own, as it reported them.
 	others     *Table
 	wholeFleet bool
+	rotation   Rotation
 	spreads    map[ident.Service]*spread
 	baselines  map[baselineKey]*baseline
 	// logged are the factors that were logged last.
@@ -81,21 +82,27 @@
 	if !ok {
 		return
 	}
-	distance := log - known.Log
-	weight := robustWeight(distance, known, spread.deviation())
+	// The whole time has the same relative error whatever it consists of, so that the ratio of a
+	// small part of it tells little.
+	share := s.variableShare()
+	distance := share * (log - known.Log)
+	weight := share * share * robustWeight(distance, known, spread.deviation())
 	if sums.Weight >= deviationMinWeight {
 		spread.learn(distance)
 	}
 	t.own[upstream] = timedSums{t.own[upstream].asOf(now).Plus(Sums{weight, weight * log}), now}
 }
 
-// logRatio returns the logarithm of the observed by the predicted time. It returns false while too
-// little is known of a plain service.
+// logRatio returns the logarithm of the observed by the predicted time. It returns false if the sample
+// tells nothing of the upstream's speed, or while too little is known of a plain service.
 func (t *Tracker) logRatio(s *Sample, known Estimate) (float64, bool) {
-	log := math.Log(s.Observed.Seconds())
 	if s.Predicted > 0 {
-		return log - math.Log(s.Predicted.Seconds()), true
+		if s.variableShare() < minVariableShare {
+			return 0, false
+		}
+		return s.logRatio(), true
 	}
+	log := math.Log(s.Observed.Seconds())
 	key := baselineKeyOf(s)
 	b := t.baselines[key]
 	if b == nil {
@@ -135,21 +142,31 @@
 	AsOf       time.Time
 }
 
-// Refresh applies what was heard of the other gateways and works out the factors of all upstreams.
-// It forgets upstreams that are gone.
-func (t *Tracker) Refresh(view *directory.View, heard []Heard, now time.Time) {
+// Apply applies what was heard of the other gateways. Sums of single gateways and those of the whole
+// fleet are not added: a change from the ones to the others starts anew.
+func (t *Tracker) Apply(heard []Heard) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, h := range heard {
-		t.apply(h)
+		if h.WholeFleet != t.wholeFleet {
+			t.wholeFleet, t.others = h.WholeFleet, NewTable()
+		}
+		t.others.Apply(h.Source, h.Entries, h.AsOf)
 	}
+}
+
+// Refresh works out the factors of all upstreams. It forgets upstreams that are gone.
+func (t *Tracker) Refresh(view *directory.View, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.others.Expire(now)
-	factors := make(map[ident.Instance]float64)
+	before, factors := *t.factors.Load(), make(map[ident.Instance]float64)
 	listed := make(map[uint32]bool, view.Count())
 	view.Each(func(u *directory.Upstream) {
 		upstream := t.cfg.Key(u.ID)
 		listed[upstream] = true
-		if factor := t.sums(upstream, now).Estimate(t.spreads[u.Service].deviation()).Factor(); factor != 1 {
+		estimate := t.sums(upstream, now).Estimate(t.spreads[u.Service].deviation())
+		if factor := estimate.Factor(factorOf(before, u.ID) != 1); factor != 1 {
 			factors[u.ID] = factor
 		}
 	})
@@ -160,18 +177,12 @@
 	t.logChanges(view, factors, now)
 }
 
-// apply applies sums of others. Those of single gateways and of the whole fleet are not added.
-func (t *Tracker) apply(h Heard) {
-	if h.WholeFleet != t.wholeFleet {
-		t.wholeFleet, t.others = h.WholeFleet, NewTable()
-	}
-	t.others.Apply(h.Source, h.Entries, h.AsOf)
-}
-
 const (
-	// newestReported is how many of the upstreams with the newest samples a report contains, which
-	// are those of some rounds, and olderReported how many of the others.
+	// newestReported is how many of the upstreams with the newest samples a report to a collector
+	// contains, which are those of some rounds, and olderReported how many of the others.
 	newestReported, olderReported = 10, 4
+	// newestDirect and olderDirect are the same for a report to each of a few gateways.
+	newestDirect, olderDirect = 3, 2
 	// forgetReportAfter is the age of the newest sample after which sums are not reported: a
 	// receiver has them.
 	forgetReportAfter = 2 * memory
@@ -191,8 +202,14 @@
 			entries = append(entries, Entry{upstream, t.own[upstream].asOf(now)})
 		}
 	}
-	newest := min(newestReported, len(entries))
-	older := Window(entries[newest:], olderReported, now.UnixNano()/int64(t.cfg.Interval))
+	newest, others := newestDirect, olderDirect
+	if t.wholeFleet {
+		newest, others = newestReported, olderReported
+	}
+	newest = min(newest, len(entries))
+	older := entries[newest:]
+	sortEntries(older)
+	older = t.rotation.Window(older, others, now.UnixNano()/int64(t.cfg.Interval))
 	entries = append(slices.Clone(entries[:newest]), older...)
 	for _, e := range entries {
 		t.sent[e.Upstream] = timedSums{e.Sums, now}
