--- a/internal/fleetsim/cloud.go
+++ b/internal/fleetsim/cloud.go
@@ -78,18 +78,15 @@
 	c.w.every(dutyEvery, c.addCosts)
 }
 
-// startEngine adds an engine that is ready. Every third one is slower by the kind's slowdown.
+// startEngine adds an engine that is ready.
 func (c *cloud) startEngine(slot scaling.Slot) {
 	w := c.w
-	slowdown := 1.0
-	if c.started%3 == 2 {
-		slowdown = w.c.Engine.Slowdown
-	}
+	slowdown := w.c.slowdownOf(c.started)
 	id := ident.Instance(fmt.Sprintf("e%04d", c.started))
 	c.started++
 	s := &simEngine{Upstream: directory.Upstream{
 		ID: id, Name: id, Service: service, FailureDomain: slot.FailureDomain, Slots: w.c.Engine.Slots, State: directory.Ready, Reclaimable: slot.Reclaimable,
-	}, model: engine.NewModel(w.c.Engine.parameters(slowdown))}
+	}, slowdown: slowdown, model: engine.NewModel(w.c.Engine.parameters(slowdown))}
 	w.engines = append(w.engines, s)
 	w.byID[id] = s
 	w.publish()
--- a/internal/fleetsim/figures.go
+++ b/internal/fleetsim/figures.go
@@ -23,6 +23,10 @@
 	Orders, OrdersRefused int
 	// RateRatio is the reading rate that a gateway estimated, relative to the true one.
 	RateRatio float64
+	// FirstEvent is the mean time to a first event, and Ejections is how often gateways ejected an
+	// engine.
+	FirstEvent time.Duration
+	Ejections  int
 }
 
 const (
@@ -63,6 +67,8 @@
 	kinds := make([]worthSum, len(w.kinds))
 	windows := make([]worthSum, (arrivalsEnd-warmUp)/windowLength)
 	refused, n := 0, 0
+	var events time.Duration
+	served := 0
 	for _, c := range w.calls {
 		if c.arrived < warmUp || c.arrived >= arrivalsEnd {
 			continue
@@ -71,6 +77,10 @@
 		if c.engine == nil {
 			refused++
 		}
+		if c.firstEventAt > 0 {
+			served++
+			events += c.firstEventAt - c.arrived
+		}
 		k := w.kinds[c.kind]
 		earned := 0.0
 		switch {
@@ -89,6 +99,7 @@
 		EarnedShare: all.share(), WorstKind: meanOfLowest(kinds, 1), WorstWindows: meanOfLowest(windows, worstWindowCount), Refused: float64(refused) / float64(max(1, n)),
 		RereadShare: float64(w.rereadTokens) / float64(max(1, w.readTokens)), Paid: w.paidSeconds / (arrivalsEnd - warmUp).Seconds() / w.c.BusyEngines,
 		Orders: w.cloud.orders, OrdersRefused: w.cloud.refused,
+		FirstEvent: events / time.Duration(max(1, served)), Ejections: w.ejections.lines,
 	}
 	f.RateRatio = w.gateways[0].chooser.EngineEstimate(service, w.Clock()).Rate() / (w.c.Engine.TokensPerMS * 1000)
 	return f
@@ -120,9 +131,12 @@
 		m.RereadShare += f.RereadShare / n
 		m.Paid += f.Paid / n
 		m.RateRatio += f.RateRatio / n
+		m.FirstEvent += f.FirstEvent / time.Duration(len(all))
+		m.Ejections += f.Ejections
 		m.Orders += f.Orders
 		m.OrdersRefused += f.OrdersRefused
 	}
+	m.Ejections /= len(all)
 	m.Orders /= len(all)
 	m.OrdersRefused /= len(all)
 	return m
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -22,6 +22,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/rollout"
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
 	"github.com/goldcrestspool/goldcrestspool/internal/routing/placement"
+	"github.com/goldcrestspool/goldcrestspool/internal/routing/speed"
 	"github.com/goldcrestspool/goldcrestspool/internal/standin/engine"
 	"github.com/goldcrestspool/goldcrestspool/internal/upstreamlimit"
 )
@@ -40,6 +41,12 @@
 	// FixedEngines is a number of on-demand engines that run all the time, to find the
 	// smallest sufficient number; 0 leaves the number to the policy.
 	FixedEngines int
+	// Slowdowns are the engines' slowdowns, by turns in the order of their start; without any, that
+	// of the kind holds.
+	Slowdowns []float64
+	Speeds    SpeedSource
+	// Spells are slow spells of engines; none if Every is 0.
+	Spells Spells
 }
 
 // The periods of the entry process's own loops: recording loads, the steps of the holder of the
@@ -75,6 +82,8 @@
 	// them.
 	currentLoads map[ident.Instance]placement.Load
 	sums         enginemodel.Sums
+	speeds       speedExchange
+	ejections    ejectionCounter
 	cloud        *cloud
 	calls        []*call
 	readPrompts  map[uint64]bool
@@ -89,13 +98,17 @@
 type simEngine struct {
 	directory.Upstream
 	model *engine.Model
-	busy  bool
-	ended bool
+	// slowdown is the engine's slowdown apart from spells.
+	slowdown float64
+	busy     bool
+	ended    bool
 }
 
 // gateway is one entry gateway.
 type gateway struct {
+	name    string
 	chooser *placement.Chooser
+	speeds  *speed.Tracker
 	// pastLoads are the gateway's loads at recorded times, and currentLoads its loads now.
 	pastLoads    []map[ident.Instance]placement.Load
 	currentLoads map[ident.Instance]placement.Load
@@ -124,14 +137,16 @@
 	w := newWorld(c)
 	w.scheduleArrivals()
 	w.every(recordEvery, w.recordLoads)
+	w.every(exchangeEvery, w.exchangeSpeeds)
 	w.cloud.startFleet()
+	w.startSpells()
 	for w.Now() < arrivalsEnd+20*time.Second && w.Step() {
 	}
 	return w.figures()
 }
 
 func newWorld(c Case) *world {
-	w := &world{c: c, rng: rand.New(rand.NewPCG(c.Seed, 11)), byID: make(map[ident.Instance]*simEngine), readPrompts: make(map[uint64]bool), currentLoads: make(map[ident.Instance]placement.Load), view: directory.NewView(nil)}
+	w := &world{c: c, rng: rand.New(rand.NewPCG(c.Seed, 11)), byID: make(map[ident.Instance]*simEngine), readPrompts: make(map[uint64]bool), currentLoads: make(map[ident.Instance]placement.Load), view: directory.NewView(nil), speeds: speedExchange{table: speed.NewTable()}}
 	scale := &routetable.Scale{MinPerDomain: 1, MaxPerDomain: 400, Startup: 4 * time.Second, ReclaimablePrice: reclaimablePrice, Prices: make(map[ident.FailureDomain]float64)}
 	for i := range c.Fleet.Domains {
 		scale.Prices[w.domain(i)] = 1
@@ -159,12 +174,13 @@
 }
 
 func (w *world) addGateway(i int) {
-	g := &gateway{currentLoads: make(map[ident.Instance]placement.Load)}
+	g := &gateway{name: fmt.Sprint("gw", i), speeds: newTracker(), currentLoads: make(map[ident.Instance]placement.Load)}
 	limits := upstreamlimit.NewLimiter(upstreamlimit.Config{
-		Now: w.Clock, Log: hclog.NewNullLogger(), Key: func(id ident.Instance) uint32 { return uint32(gossip.UpstreamKeyOf(id)) }, Round: gossip.Interval,
+		Now: w.Clock, Log: hclog.NewNullLogger(), Key: keyOf, Round: gossip.Interval,
 	})
 	g.chooser = placement.New(placement.Config{
-		Params: placement.DefaultParams(), Self: ident.Instance(fmt.Sprint("gw", i)), Domain: w.domain(i % w.c.Fleet.Domains), Log: hclog.NewNullLogger(),
+		Params: placement.DefaultParams(), Self: ident.Instance(g.name), Domain: w.domain(i % w.c.Fleet.Domains),
+		Log:             hclog.New(&hclog.LoggerOptions{Output: &w.ejections, TimeFn: w.Clock}),
 		View:            func() *directory.View { return w.view },
 		OtherLoad:       func(id ident.Instance) placement.Load { return w.loadOfOthers(g, id) },
 		Silent:          func(ident.FailureDomain) bool { return false },
@@ -177,7 +193,9 @@
 			Now: w.Clock, Log: hclog.NewNullLogger(), Limits: limits, Round: gossip.Interval, MaxPause: time.Minute,
 			Listed: func(ident.Instance) bool { return true }, OnLeaving: func([]ident.Instance) {},
 		}),
-		RetryLeft: func(ident.Service, time.Time) bool { return true },
+		RetryLeft:   func(ident.Service, time.Time) bool { return true },
+		Slowness:    func(id ident.Instance) float64 { return w.slowness(g, id) },
+		RecordSpeed: g.speeds.Record,
 	})
 	w.gateways = append(w.gateways, g)
 }
