Test of slow spells: a bound that fails without robust weights

With equal weights for all samples the test passed: the factor was off by a ratio of 1.13, 1.15 were allowed. 1.1 are allowed now; it fails without robust weights and passes with them.

--- a/internal/routing/speed/tracker_test.go
+++ b/internal/routing/speed/tracker_test.go
@@ -144,7 +144,7 @@
 				f.expectFactor(t, id, 1.2)
 			}
 		}
-		f.expectFactor(t, id, 1.15)
+		f.expectFactor(t, id, 1.1)
 	}
 }
 
