--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -38,6 +38,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/rollout"
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
 	"github.com/goldcrestspool/goldcrestspool/internal/routing/placement"
+	"github.com/goldcrestspool/goldcrestspool/internal/routing/speed"
 	"github.com/goldcrestspool/goldcrestspool/internal/settings"
 	"github.com/goldcrestspool/goldcrestspool/internal/sleep"
 	"github.com/goldcrestspool/goldcrestspool/internal/slotlease"
@@ -89,6 +90,7 @@
 	gossip        *gossip.Gossip
 	chooser       *placement.Chooser
 	room          *waiting.Room
+	speeds        *speed.Tracker
 	rollouts      *rollout.Tracker
 	poison        *poison.Tracker
 	limits        *upstreamlimit.Limiter
@@ -179,6 +181,7 @@
 	})
 	p.quotas.SetLender(p.lending)
 	budget := retry.NewFleetBudget(retry.FleetBudgetConfig{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window}, p.gatewayCount)
+	p.speeds = speed.New(speed.Config{Log: p.log.Named("speed"), Key: key, Interval: gossip.Interval})
 	p.chooser = placement.New(placement.Config{
 		Params: placement.DefaultParams(), Self: s.Instance.ID, Domain: s.Instance.FailureDomain, Log: p.log.Named("placement"),
 		View:            func() *directory.View { return p.board.upstreams.Value() },
@@ -191,6 +194,8 @@
 		RetryLeft:       budget.Left,
 		HoldsBack:       p.origins.HoldsBack,
 		Split:           p.rollouts.SplitOf,
+		Slowness:        p.speeds.Factor,
+		RecordSpeed:     p.speeds.Record,
 	})
 	p.room = waiting.NewRoom(waiting.RoomConfig{
 		Now: p.now, Placement: p.chooser, Table: p.table, Reading: p.chooser.IdleFirstEvent, Log: p.log.Named("waiting"),
