--- a/internal/testkit/relay.go
+++ b/internal/testkit/relay.go
@@ -25,8 +25,9 @@
 	delay                 atomic.Int64
 	cut, cutReplies, hold atomic.Bool
 
-	mu    sync.Mutex
-	conns []*relayedConn
+	mu     sync.Mutex
+	conns  []*relayedConn
+	closed bool
 }
 
 // relayedConn is one forwarded connection. Once silent is set, all its bytes are dropped.
@@ -112,14 +113,28 @@
 			continue
 		}
 		c := &relayedConn{relay: r, client: client, server: server}
-		r.mu.Lock()
-		r.conns = append(r.conns, c)
-		r.mu.Unlock()
+		r.add(c)
 		r.group.Go(func() { c.forward(client, server) })
 		r.group.Go(func() { c.forward(server, client) })
 	}
 }
 
+// add records a connection, and closes it if the relay was closed while it was made.
+func (r *Relay) add(c *relayedConn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		c.close()
+		return
+	}
+	r.conns = append(r.conns, c)
+}
+
+func (c *relayedConn) close() {
+	_ = c.client.Close()
+	_ = c.server.Close()
+}
+
 // forward copies bytes until one end closes. Once the connection is silent, it drops them.
 func (c *relayedConn) forward(from, to net.Conn) {
 	buffer := make([]byte, 4096)
@@ -182,9 +197,9 @@
 func (r *Relay) close() {
 	_ = r.listener.Close()
 	r.mu.Lock()
+	r.closed = true
 	for _, c := range r.conns {
-		_ = c.client.Close()
-		_ = c.server.Close()
+		c.close()
 	}
 	r.mu.Unlock()
 	r.group.Wait()
