Placement: loads are summed only where gateways outnumber the slots

Each call of a plain service summed what the others have at all its upstreams, also where it takes the least loaded one. Now the slots are counted first.

--- a/internal/routing/placement/search.go
+++ b/internal/routing/placement/search.go
@@ -145,6 +145,21 @@
 	return best, why, found
 }
 
+// readySlots returns how many slots the ready upstreams have together; 0 if one doesn't name its slots.
+func readySlots(all []directory.Upstream) int {
+	sum := 0
+	for i := range all {
+		if all[i].State != directory.Ready {
+			continue
+		}
+		if all[i].Slots == 0 {
+			return 0
+		}
+		sum += all[i].Slots
+	}
+	return sum
+}
+
 // ChooseOne reserves a slot at an upstream at which the call leased one, unless this gateway may not use it.
 // What others have there is known to whoever leases the slots.
 func (c *Chooser) ChooseOne(call *forward.Call, id ident.Instance, now time.Time) (forward.Choice, bool) {
@@ -210,20 +225,16 @@
 	if service.Engine != nil {
 		return nil
 	}
-	f := &spread.Fleet{Kept: getOrCreate(c.work, service.Name).Kept()}
+	slots := readySlots(all)
+	if !spread.Needed(c.cfg.Gateways(), slots) {
+		return nil
+	}
+	f := &spread.Fleet{Slots: slots, Kept: getOrCreate(c.work, service.Name).Kept()}
 	for i := range all {
-		switch u := &all[i]; {
-		case u.State != directory.Ready:
-		case u.Slots == 0:
-			return nil
-		default:
-			f.Slots += u.Slots
-			f.Running += c.cfg.OtherLoad(u.ID).Running
+		if all[i].State == directory.Ready {
+			f.Running += c.cfg.OtherLoad(all[i].ID).Running
 		}
 	}
-	if !spread.Needed(c.cfg.Gateways(), f.Slots) {
-		return nil
-	}
 	return f
 }
 
