Waiting calls: a pause that is over wakes nobody

Cause: a choice may name the end of a pause that has passed, and the timer for it would ask again at once, without end. TestAPauseThatIsOverWakesNobody doesn't end without the check.

--- a/internal/admission/waiting/servicequeue.go
+++ b/internal/admission/waiting/servicequeue.go
@@ -114,7 +114,7 @@
 		return choice, true
 	}
 	c.lastChoice = choice
-	if choice.Blocked != 0 && !choice.BlockedUntil.IsZero() {
+	if choice.Blocked != 0 && choice.BlockedUntil.After(now) {
 		q.wakeBy(choice.BlockedUntil, now)
 	}
 	return choice, false
