--- a/internal/routing/placement/bench_test.go
+++ b/internal/routing/placement/bench_test.go
@@ -32,6 +32,9 @@
 			}
 		}
 		b.Run(fmt.Sprint(n), choose)
+		f.cfg.Slowness = slownessOf(list)
+		b.Run(fmt.Sprintf("%d, all of their own speeds", n), choose)
+		f.cfg.Slowness = func(ident.Instance) float64 { return 1 }
 		for i := range min(n, 50) / 2 {
 			f.limits.RecordStatement(list[2*i].ID, "", upstreamlimit.LimitedTo(1))
 		}
@@ -43,3 +46,12 @@
 		b.Run(fmt.Sprintf("%d, some with pauses", n), choose)
 	}
 }
+
+// slownessOf returns factors for all upstreams, as package speed holds them.
+func slownessOf(list []directory.Upstream) func(ident.Instance) float64 {
+	factors := make(map[ident.Instance]float64)
+	for i, u := range list {
+		factors[u.ID] = 0.6 + float64(i%11)/10
+	}
+	return func(id ident.Instance) float64 { return factors[id] }
+}
--- a/internal/routing/placement/slowness_test.go
+++ b/internal/routing/placement/slowness_test.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/admission/ejection"
+	"github.com/goldcrestspool/goldcrestspool/internal/directory"
 	"github.com/goldcrestspool/goldcrestspool/internal/forward"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
@@ -184,3 +185,50 @@
 		t.Error("an upstream was chosen though all are too slow")
 	}
 }
+
+// Guards against a slow version that hides behind the factors of its upstreams: a rollout compares with
+// what the model predicts.
+func TestRolloutsCompareWithTheModelAlone(t *testing.T) {
+	f := newFixture()
+	want := f.reserve(t).referenceLatency()
+	f.cfg.Slowness = func(ident.Instance) float64 { return 2 }
+	slow := f.reserve(t)
+	if got := slow.referenceLatency(); got != want {
+		t.Errorf("a rollout compares with %v at a slow upstream, want %v", got, want)
+	}
+	if slow.dueLatency() <= want {
+		t.Errorf("a slow upstream's first event is due after %v, want more than %v", slow.dueLatency(), want)
+	}
+}
+
+// reserve places a call and withdraws it.
+func (f *fixture) reserve(t *testing.T) *reservation {
+	t.Helper()
+	choice, found := f.Choose(f.freshCall(engine, 1), nil, f.now)
+	if !found {
+		t.Fatal("no upstream")
+	}
+	f.Finished(choice, forward.Withdrawn, f.now)
+	return choice.Reservation.(*reservation)
+}
+
+// Guards against an upstream that is taken for a slow one because it has just started.
+func TestColdUpstreamsAreNotSampled(t *testing.T) {
+	f, samples := newFixture(), 0
+	f.cfg.RecordSpeed = func(speed.Sample, time.Time) { samples++ }
+	f.choose(t, f.freshCall(engine, 1), forward.Done)
+	if samples != 1 {
+		t.Fatalf("%d samples of a warm upstream, want 1", samples)
+	}
+	var cold []directory.Upstream
+	f.view.Each(func(u *directory.Upstream) {
+		next := *u
+		next.WarmAt = f.now.Add(time.Second)
+		cold = append(cold, next)
+	})
+	f.view = directory.NewView(cold)
+	f.choose(t, f.freshCall(engine, 2), forward.Done)
+	if samples != 1 {
+		t.Error("a cold upstream was sampled")
+	}
+}
