--- a/internal/fleetsim/speeds_test.go
+++ b/internal/fleetsim/speeds_test.go
@@ -18,8 +18,8 @@
 }
 
 // compare plays a run with speeds that are learned, told and ignored, and one with engines that are all
-// alike. It fails if learning them costs callers too much, and returns how often engines were ejected
-// where the speeds are learned and where all are alike.
+// alike. It fails if learning them costs callers too much or gains them nothing, and returns how often
+// engines were ejected where the speeds are learned and where all are alike.
 func compare(t *testing.T, c Case) (ejected, ejectedAlike int) {
 	t.Helper()
 	c.Speeds = SpeedsTold
@@ -37,6 +37,9 @@
 	if learned.EarnedShare < (1-maxRegret)*told.EarnedShare {
 		t.Errorf("%.3f of the worth is earned, %.3f if the speeds are told", learned.EarnedShare, told.EarnedShare)
 	}
+	if learned.EarnedShare < ignored.EarnedShare {
+		t.Errorf("%.3f of the worth is earned, %.3f if the speeds are ignored", learned.EarnedShare, ignored.EarnedShare)
+	}
 	if float64(learned.FirstEvent) > (1+maxRegret)*float64(told.FirstEvent) {
 		t.Errorf("first events take %v, %v if the speeds are told", learned.FirstEvent, told.FirstEvent)
 	}
