Slots: a lease that comes as its caller leaves is given back

Cause: Client.ask gave an ask back only if it got no answer. If the answer arrived and the caller had gone meanwhile, ask returned why the caller had gone, and nobody gave the lease back: the slot stayed taken until the lease ended by itself, a second after the call's time.

Ruled out: the gateway that asks itself; Server.Ask withdraws the ask if the caller goes first, and otherwise the attempt holds the lease until its end.

Before: 1 lease at the keeper after such a call; after: none (go test ./internal/slotlease -run AsTheAnswer).

Conclusion: an ask that doesn't return a lease to the attempt is given back, whatever its answer was.

--- a/internal/slotlease/client.go
+++ b/internal/slotlease/client.go
@@ -193,7 +193,8 @@
 	}
 }
 
-// ask asks the gateway that keeps a part. A lost answer may have been a lease, so the ask is given back.
+// ask asks the gateway that keeps a part. An answer that is lost, or that comes as the caller leaves, may be a
+// lease, so the ask is given back then.
 func (c *Client) ask(ctx context.Context, keeper gossip.Contact, part partID, a Ask) (Answer, error) {
 	if keeper.Node == c.cfg.Self {
 		answer, err := c.cfg.Server.Ask(ctx, part, a)
@@ -205,12 +206,12 @@
 	}
 	answer, err := c.send(ctx, keeper, part, a)
 	c.count(answer, err)
-	if err != nil {
+	if err != nil || ctx.Err() != nil {
 		c.giveBack(heldLease{part: part, keeper: keeper, number: a.ID.Number})
 	}
 	if ctx.Err() != nil {
 		c.health.abandoned(keeper.Node)
-		return answer, context.Cause(ctx)
+		return Answer{}, context.Cause(ctx)
 	}
 	c.health.ended(keeper.Node, err)
 	return answer, err
