Slots: calls go to the parts of a service by their slots, and to a second one

Cause: with more than 16 upstreams these were divided into parts by the hash of their names, so the parts were uneven, while calls were drawn evenly. The smallest part got more calls for each slot than the others and refused while they had free slots; a refusal was final. A part could be empty. A retry whose part had only upstreams that it may not use was refused as well.

Now the upstreams, in the order of their hashes, are cut into parts whose sizes differ by one at most; a call draws its part in proportion to the slots that it may use there, and asks a second part before it is refused. The play in virtual time has one keeper for each part.

Ruled out: asking all parts before a refusal; at overload that is as many messages a call as there are parts.

--- a/internal/fleetsim/plain/keeper.go
+++ b/internal/fleetsim/plain/keeper.go
@@ -8,7 +8,29 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/slotlease"
 )
 
-// keeper is the gateway that leases the upstreams' slots; each message to it and from it takes oneWay.
+// partKeepers are the gateways that lease the slots of all parts.
+type partKeepers struct {
+	parts   [][]slotlease.Upstream
+	keepers []*keeper
+}
+
+func newPartKeepers(f *fleet) *partKeepers {
+	p := &partKeepers{parts: slotlease.Divide(f.view.Of(serviceName))}
+	for _, upstreams := range p.parts {
+		p.keepers = append(p.keepers, newKeeper(f, upstreams))
+	}
+	return p
+}
+
+// begin asks the first part for a slot for a call.
+func (p *partKeepers) begin(c *call) {
+	for _, number := range slotlease.DrawParts(c.ID, p.parts, nil) {
+		c.keepers = append(c.keepers, p.keepers[number])
+	}
+	c.keepers[0].ask(c)
+}
+
+// keeper is the gateway that leases the slots of a part; each message to it and from it takes oneWay.
 type keeper struct {
 	*fleet
 	decide *slotlease.Keeper
@@ -17,17 +39,13 @@
 	tickAt time.Duration
 }
 
-func newKeeper(f *fleet) *keeper {
-	var upstreams []slotlease.Upstream
-	for _, u := range f.view.Of(serviceName) {
-		upstreams = append(upstreams, slotlease.Upstream{ID: u.ID, Domain: u.FailureDomain, Slots: u.Slots})
-	}
+func newKeeper(f *fleet, upstreams []slotlease.Upstream) *keeper {
 	none := func(ident.Instance) int { return 0 }
 	return &keeper{fleet: f, decide: slotlease.NewKeeper(upstreams, none, f.Clock()), calls: make(map[slotlease.LeaseID]*call)}
 }
 
-// keeperOf returns the keeper that a gateway asks; nil if it asks none.
-func (f *fleet) keeperOf(g *gateway) *keeper {
+// keepersOf returns the keepers that a gateway asks; nil if it asks none.
+func (f *fleet) keepersOf(g *gateway) *partKeepers {
 	i := slices.Index(f.gateways, g)
 	if len(f.keepers) == 0 || float64(i) < f.c.Alone*float64(len(f.gateways)) {
 		return nil
@@ -41,8 +59,9 @@
 	k.asks++
 	id := slotlease.LeaseID{Gateway: "gateway", Number: k.asks}
 	k.calls[id], c.lease = c, id
+	wait := max(0, c.arrived+maxWait-k.Now())
 	k.At(k.Now()+oneWay, func() {
-		ask := slotlease.Ask{ID: id, Account: "account", Wait: maxWait, Hold: timeout}
+		ask := slotlease.Ask{ID: id, Account: "account", Wait: wait, Hold: timeout}
 		k.answer(k.decide.Ask(ask, k.Clock()))
 	})
 }
@@ -66,9 +85,14 @@
 	}
 }
 
-// answered sends a call to the upstream at which it has a slot.
+// answered sends a call to the upstream at which it has a slot, or asks the next part.
 func (k *keeper) answered(c *call, a slotlease.Answer) {
 	delete(k.calls, c.lease)
+	if a.Upstream == "" && len(c.keepers) > 1 {
+		c.keepers = c.keepers[1:]
+		c.keepers[0].ask(c)
+		return
+	}
 	if a.Upstream == "" {
 		k.count(c, &k.figures.RefusedByGateway)
 		return
--- a/internal/fleetsim/plain/plain.go
+++ b/internal/fleetsim/plain/plain.go
@@ -33,7 +33,7 @@
 	Load float64
 	// LeastLoaded makes gateways choose the upstream that seems least loaded, whatever their number.
 	LeastLoaded bool
-	// Keepers is how many gateways lease the upstreams' slots, all of them each: one, or two that don't know of
+	// Keepers is how many gateways lease the slots of each part of the upstreams: one, or two that don't know of
 	// each other; 0 if none does.
 	Keepers int
 	// Alone is the part of the gateways that ask no keeper.
@@ -77,7 +77,7 @@
 	// totals are the loads of all gateways at the reports of the past, the newest last.
 	totals  []map[ident.Instance]placement.Load
 	asked   map[time.Duration]map[ident.Instance]int
-	keepers []*keeper
+	keepers []*partKeepers
 	figures Figures
 }
 
@@ -104,7 +104,7 @@
 		f.addGateway(i)
 	}
 	for range c.Keepers {
-		f.keepers = append(f.keepers, newKeeper(f))
+		f.keepers = append(f.keepers, newPartKeepers(f))
 	}
 	f.At(0, f.report)
 	f.At(0, f.arrive)
@@ -194,8 +194,8 @@
 			Call: forward.Call{ID: ident.Request(fmt.Sprint(f.c.Seed, "-", f.figures.Offered, "-", int64(f.Now()))), Route: f.route, Service: f.service, Received: now, Expires: now.Add(timeout)},
 		}
 		f.count(c, &f.figures.Offered)
-		if k := f.keeperOf(c.gateway); k != nil {
-			k.ask(c)
+		if k := f.keepersOf(c.gateway); k != nil {
+			k.begin(c)
 			return
 		}
 		f.place(c)
@@ -210,6 +210,8 @@
 	work    time.Duration
 	choice  forward.Choice
 	lease   slotlease.LeaseID
+	// keepers are those of the parts that the call asks, from the one that it asks now.
+	keepers []*keeper
 }
 
 // count counts a call unless it arrived before warmUp.
@@ -287,8 +289,8 @@
 			f.count(c, &f.figures.Late)
 		}
 		c.gateway.chooser.Finished(c.choice, result, f.Clock())
-		if k := f.keeperOf(c.gateway); k != nil {
-			k.giveBack(c)
+		if len(c.keepers) > 0 {
+			c.keepers[0].giveBack(c)
 		}
 	})
 }
--- a/internal/slotlease/client.go
+++ b/internal/slotlease/client.go
@@ -86,6 +86,8 @@
 	held map[any]heldLease
 	// refusals tell until when a keeper expects no free slot, by service.
 	refusals map[ident.Service]time.Time
+	// divided are the services' upstreams in parts.
+	divided map[ident.Service]divided
 }
 
 // heldLease is a lease of this gateway.
@@ -102,7 +104,7 @@
 
 // NewClient returns a Client that knows no keepers yet.
 func NewClient(cfg ClientConfig) *Client {
-	c := &Client{Placement: cfg.Placement, cfg: cfg, health: newHealth(cfg.Now, cfg.Log), held: make(map[any]heldLease), refusals: make(map[ident.Service]time.Time)}
+	c := &Client{Placement: cfg.Placement, cfg: cfg, health: newHealth(cfg.Now, cfg.Log), held: make(map[any]heldLease), refusals: make(map[ident.Service]time.Time), divided: make(map[ident.Service]divided)}
 	c.returns = newReturns(cfg.Incarnation, cfg.Network, cfg.Log, cfg.Now)
 	c.SetKeepers(nil)
 	return c
@@ -122,8 +124,7 @@
 	if len(upstreams) == 0 || ctx.Err() != nil {
 		return c.cfg.Places.Take(ctx, call, exclude)
 	}
-	part := partOf(call.Service.Name, string(call.ID), countParts(countReady(upstreams)))
-	choice, err := c.lease(ctx, call, exclude, part)
+	choice, err := c.lease(ctx, call, exclude, upstreams)
 	switch {
 	case err == nil:
 		return choice, true
@@ -145,17 +146,51 @@
 	errUnusable = errors.New("the upstreams with free slots may not be used")
 )
 
-// lease leases a slot for a call and reserves it.
-func (c *Client) lease(ctx context.Context, call *forward.Call, exclude []ident.Instance, part partID) (forward.Choice, error) {
+// lease leases a slot for a call and reserves it. A part that refuses may have none while another one does, so
+// the call asks a second one then.
+func (c *Client) lease(ctx context.Context, call *forward.Call, exclude []ident.Instance, upstreams []directory.Upstream) (forward.Choice, error) {
+	avoid, others := c.cfg.Placement.Barred(call, exclude, c.cfg.Now())
+	if !others {
+		return forward.Choice{}, errUnusable
+	}
+	var choice forward.Choice
+	err := errUnusable
+	for _, number := range DrawParts(call.ID, c.divide(call.Service.Name, upstreams), avoid) {
+		choice, err = c.leaseIn(ctx, call, partID{call.Service.Name, number}, avoid)
+		if !errors.Is(err, errRefused) || ctx.Err() != nil {
+			break
+		}
+	}
+	return choice, err
+}
+
+// divided is a service's upstreams and the parts into which they are divided.
+type divided struct {
+	upstreams []directory.Upstream
+	parts     [][]Upstream
+}
+
+// divide returns the parts of a service's upstreams. They are kept until the upstreams change.
+func (c *Client) divide(service ident.Service, upstreams []directory.Upstream) [][]Upstream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := c.divided[service]
+	// A view's list is never written to, so the same list has the same parts.
+	if len(d.upstreams) != len(upstreams) || &d.upstreams[0] != &upstreams[0] {
+		d = divided{upstreams, Divide(upstreams)}
+		c.divided[service] = d
+	}
+	return d.parts
+}
+
+// leaseIn leases a slot of a part for a call and reserves it.
+func (c *Client) leaseIn(ctx context.Context, call *forward.Call, part partID, avoid []ident.Instance) (forward.Choice, error) {
 	keeper, found := keeperOf(part, *c.keepers.Load())
 	if !found {
 		return forward.Choice{}, errNoKeeper
 	}
-	avoid, others := c.cfg.Placement.Barred(call, exclude, c.cfg.Now())
+	avoid = slices.Clone(avoid)
 	for n := range maxAsksPerCall {
-		if !others {
-			break
-		}
 		ask := c.newAsk(call, avoid)
 		answer, err := c.ask(ctx, keeper, part, ask)
 		if err != nil {
--- a/internal/slotlease/client_test.go
+++ b/internal/slotlease/client_test.go
@@ -122,7 +122,7 @@
 func (g *fakeGateway) SharedSlots(*routetable.Service) []directory.Upstream { return g.view.Of("svc") }
 
 func (g *fakeGateway) Barred(*forward.Call, []ident.Instance, time.Time) ([]ident.Instance, bool) {
-	return g.barred, len(g.barred) == 0
+	return g.barred, len(g.barred) < len(g.view.Of("svc"))
 }
 
 func (g *fakeGateway) ChooseOne(_ *forward.Call, id ident.Instance, _ time.Time) (forward.Choice, bool) {
--- a/internal/slotlease/ways_test.go
+++ b/internal/slotlease/ways_test.go
@@ -46,3 +46,18 @@
 		}
 	}
 }
+
+// Guards against calls that are refused while slots are free, where several gateways keep parts of a service's
+// upstreams.
+func TestSlotsInSeveralParts(t *testing.T) {
+	for _, c := range []plain.Case{{Gateways: 150, Upstreams: 20}, {Gateways: 400, Upstreams: 60}} {
+		c.Slots, c.Queue, c.Load, c.Keepers = 6, 6, 0.8, 1
+		for _, c.Seed = range []uint64{1, 2} {
+			got := plain.Run(c)
+			t.Logf("%d upstreams, seed %d: %v", c.Upstreams, c.Seed, got)
+			if 1000*(got.RefusedByGateway+got.RefusedByUpstream) > got.Offered {
+				t.Errorf("%d upstreams, seed %d: %d and %d of %d refused", c.Upstreams, c.Seed, got.RefusedByGateway, got.RefusedByUpstream, got.Offered)
+			}
+		}
+	}
+}
