Slots: hold times are learned from requests that ran

Cause: a keeper took the time for which each lease was held as that of a request, also of leases that no request used: the caller left during the answer, or the gateway could not use the upstream. These samples of about a millisecond made the mean too short; calls then waited that should have been refused at once, and refused ones were told to return too soon.

Now a gateway tells which leases had a request that ran to its end or for all of its time; only these are learned from. What an upstream failed or refused was not learned from before either. Callers that leave during the request tell nothing: their number may be large, and their time is cut off.

Ruled out: leaving out short samples; there are requests that are short.

Conclusion: the mean hold is that of requests.

--- a/internal/slotlease/client.go
+++ b/internal/slotlease/client.go
@@ -95,10 +95,21 @@
 	part   partID
 	keeper gossip.Contact
 	number uint64
-	// failed: the upstream failed or refused the attempt.
-	failed bool
+	end    leaseEnd
 }
 
+// leaseEnd is how the attempt of a lease ended.
+type leaseEnd int
+
+const (
+	// endUnfinished: no request ran to its end.
+	endUnfinished leaseEnd = iota
+	// endFinished: a request ran to its end, or for all of its time.
+	endFinished
+	// endFailed: the upstream failed or refused the attempt.
+	endFailed
+)
+
 // clientCounters count since the start.
 type clientCounters struct{ asked, granted, refused, unanswered, unusable, bytes atomic.Int64 }
 
@@ -288,18 +299,20 @@
 	delete(c.held, choice.Reservation)
 	c.mu.Unlock()
 	if leased {
-		l.failed = isFailure(result)
+		l.end = endOf(result)
 		c.giveBack(l)
 	}
 }
 
-// isFailure reports whether a result means that the upstream takes no requests now.
-func isFailure(result forward.Result) bool {
+// endOf returns how a lease ended whose attempt has a result.
+func endOf(result forward.Result) leaseEnd {
 	switch result {
 	case forward.NoConnection, forward.Broken, forward.Cut, forward.Rejected, forward.Declined:
-		return true
+		return endFailed
+	case forward.Done, forward.Failed, forward.Expired:
+		return endFinished
 	}
-	return false
+	return endUnfinished
 }
 
 func (c *Client) hold(choice forward.Choice, l heldLease) {
@@ -314,10 +327,12 @@
 	switch {
 	case l.keeper.Node != c.cfg.Self:
 		c.returns.add(l)
-	case l.failed:
+	case l.end == endFailed:
 		c.cfg.Server.Fail(l.part, id)
-	default:
+	case l.end == endFinished:
 		c.cfg.Server.Return(l.part, id)
+	default:
+		c.cfg.Server.Withdraw(l.part, id)
 	}
 }
 
--- a/internal/slotlease/codec.go
+++ b/internal/slotlease/codec.go
@@ -30,15 +30,15 @@
 type message struct {
 	part    partID
 	gateway string
-	// returned are the numbers of asks whose slots are given back or that are withdrawn, failed those at which
-	// the upstream failed or refused the attempt.
-	returned, failed []uint64
+	// returned are the numbers of asks whose slots are given back, failed those at which the upstream failed or
+	// refused the attempt, and unfinished those at which no request ran to its end, or that are withdrawn.
+	returned, failed, unfinished []uint64
 	// ask is nil if nothing is asked.
 	ask *Ask
 }
 
 func (m message) encode() ([]byte, error) {
-	out := &exchangev1.SlotMessage{Service: string(m.part.service), Part: uint32(m.part.number), Gateway: m.gateway, Returned: m.returned, Failed: m.failed}
+	out := &exchangev1.SlotMessage{Service: string(m.part.service), Part: uint32(m.part.number), Gateway: m.gateway, Returned: m.returned, Failed: m.failed, Unfinished: m.unfinished}
 	if a := m.ask; a != nil {
 		out.Ask = &exchangev1.SlotAsk{
 			Number: a.ID.Number, Account: string(a.Account), Priority: int32(a.Priority), FailureDomain: string(a.Domain), WaitMs: toMillis(a.Wait), HoldMs: toMillis(a.Hold),
@@ -56,10 +56,10 @@
 	if err := proto.Unmarshal(data, &in); err != nil {
 		return message{}, errors.Wrap(err, "decode a message about slots")
 	}
-	if in.Service == "" || in.Gateway == "" || len(in.Returned)+len(in.Failed) > maxReturned || in.Ask != nil && (in.Ask.Number == 0 || len(in.Ask.Avoid) > maxAvoid) {
+	if in.Service == "" || in.Gateway == "" || len(in.Returned)+len(in.Failed)+len(in.Unfinished) > maxReturned || in.Ask != nil && (in.Ask.Number == 0 || len(in.Ask.Avoid) > maxAvoid) {
 		return message{}, errInvalid
 	}
-	m := message{part: partID{ident.Service(in.Service), int(in.Part)}, gateway: in.Gateway, returned: in.Returned, failed: in.Failed}
+	m := message{part: partID{ident.Service(in.Service), int(in.Part)}, gateway: in.Gateway, returned: in.Returned, failed: in.Failed, unfinished: in.Unfinished}
 	if a := in.Ask; a != nil {
 		m.ask = &Ask{
 			ID: LeaseID{in.Gateway, a.Number}, Account: ident.ClientAccount(a.Account), Priority: int(a.Priority), Domain: ident.FailureDomain(a.FailureDomain),
--- a/internal/slotlease/keeper.go
+++ b/internal/slotlease/keeper.go
@@ -106,8 +106,17 @@
 	return decided
 }
 
-// Return takes a lease back, or withdraws an ask that waits.
+// Return takes a lease back whose request has ended, or withdraws an ask that waits.
 func (k *Keeper) Return(id LeaseID, now time.Time) []Decision {
+	if l, known := k.leases[id]; known {
+		k.learnHold(now.Sub(l.since).Seconds())
+	}
+	return k.Withdraw(id, now)
+}
+
+// Withdraw withdraws an ask that waits, or takes a lease back for which no request ran to its end. The time for
+// which such a lease is held says nothing about how long requests take.
+func (k *Keeper) Withdraw(id LeaseID, now time.Time) []Decision {
 	if w := k.waiters[id]; w != nil {
 		delete(k.waiters, id)
 		k.queue.Remove(w)
@@ -117,7 +126,6 @@
 	if !known {
 		return nil // it has ended by itself
 	}
-	k.learnHold(now.Sub(l.since).Seconds())
 	k.end(id, l)
 	return k.Tick(now)
 }
--- a/internal/slotlease/leave_test.go
+++ b/internal/slotlease/leave_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/forward"
 	"github.com/goldcrestspool/goldcrestspool/internal/gossip"
 	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
 )
@@ -39,3 +40,50 @@
 		time.Sleep(3 * time.Second)
 	})
 }
+
+// meanHold returns the mean time for which the keeper of the first part saw its leases held, in seconds.
+func (f *fakeFleet) meanHold() float64 {
+	s := f.servers["k"]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.parts[partID{"svc", 0}].keeper.meanHold
+}
+
+// Guards against calls that wait in vain, or are told to return too soon: leases that no request used make slots
+// seem to become free sooner than they do.
+func TestOnlyRequestsThatRanTellHowLongSlotsAreHeld(t *testing.T) {
+	for name, lose := range map[string]func(g *fakeGateway){
+		"the caller leaves during the answer": func(g *fakeGateway) {
+			ctx, leave := context.WithCancel(context.Background())
+			network := g.client.cfg.Network
+			g.client.cfg.Network = leavesOnAnswer{g.fakeFleet, leave}
+			g.take(ctx)
+			g.client.cfg.Network = network
+		},
+		"the upstream may not be used": func(g *fakeGateway) {
+			g.unusable = true
+			g.take(context.Background())
+			g.unusable = false
+		},
+		"the caller leaves": func(g *fakeGateway) {
+			choice, _ := g.take(context.Background())
+			g.client.Finished(choice, forward.CallerGone, time.Now())
+		},
+	} {
+		testkit.Bubble(t, func() {
+			f := newFakeFleet("k")
+			g := f.gateway("g", "k")
+			choice, _ := g.take(context.Background())
+			time.Sleep(60 * time.Millisecond)
+			g.client.Finished(choice, forward.Done, time.Now())
+			time.Sleep(10 * time.Millisecond)
+			before := f.meanHold()
+			lose(g)
+			time.Sleep(10 * time.Millisecond)
+			if n := f.leases("k"); before < 0.06 || f.meanHold() != before || n != 0 {
+				t.Errorf("%s: mean hold %v s after %v s, %d leases, want it to stay and none", name, f.meanHold(), before, n)
+			}
+			time.Sleep(3 * time.Second)
+		})
+	}
+}
--- a/internal/slotlease/returns.go
+++ b/internal/slotlease/returns.go
@@ -82,10 +82,13 @@
 func (r *returns) send(to destination, leases []heldLease) {
 	m := message{part: to.part, gateway: r.gateway}
 	for _, l := range leases {
-		if l.failed {
+		switch l.end {
+		case endFailed:
 			m.failed = append(m.failed, l.number)
-		} else {
+		case endFinished:
 			m.returned = append(m.returned, l.number)
+		default:
+			m.unfinished = append(m.unfinished, l.number)
 		}
 	}
 	data, err := m.encode()
--- a/internal/slotlease/server.go
+++ b/internal/slotlease/server.go
@@ -69,6 +69,9 @@
 	for _, number := range m.returned {
 		s.Return(m.part, LeaseID{m.gateway, number})
 	}
+	for _, number := range m.unfinished {
+		s.Withdraw(m.part, LeaseID{m.gateway, number})
+	}
 	for _, number := range m.failed {
 		s.Fail(m.part, LeaseID{m.gateway, number})
 	}
@@ -90,7 +93,7 @@
 	case answer := <-answers:
 		return answer, nil
 	case <-ctx.Done():
-		s.Return(part, a.ID)
+		s.Withdraw(part, a.ID)
 		return Answer{}, context.Cause(ctx)
 	}
 }
@@ -110,9 +113,12 @@
 	return answers, nil
 }
 
-// Return takes a lease back, or withdraws an ask.
+// Return takes a lease back whose request has ended.
 func (s *Server) Return(part partID, id LeaseID) { s.end(part, id, (*Keeper).Return) }
 
+// Withdraw withdraws an ask, or takes a lease back for which no request ran to its end.
+func (s *Server) Withdraw(part partID, id LeaseID) { s.end(part, id, (*Keeper).Withdraw) }
+
 // Fail is Return for a lease whose upstream failed or refused the attempt.
 func (s *Server) Fail(part partID, id LeaseID) { s.end(part, id, (*Keeper).Fail) }
 
