Slots: a new keeper counts earlier requests for as long as they take

Cause: a gateway that begins to keep slots counts what was reported in progress as leased, less and less over 300 ms, whatever the service's requests take. Where these take 2 s, it leased all slots again while most of the earlier requests still ran.

Now it does so over the mean time that the gateway's own requests of the service took, 300 ms at least. A gateway that has served none doesn't know that time and takes 300 ms, as before.

Ruled out: taking what is reported later less the own leases. Reports are some tenths of a second late, so that new leases would count as earlier requests that have ended.

Conclusion: a takeover doesn't ask more of an upstream than it takes.

--- a/internal/entry/slots.go
+++ b/internal/entry/slots.go
@@ -68,7 +68,7 @@
 func (p *Process) wireSlots() {
 	log := p.log.Named("slots")
 	p.slotServer = slotlease.NewServer(slotlease.ServerConfig{
-		Now: p.now, Log: log, View: func() *directory.View { return p.board.upstreams.Value() }, InProgress: p.requestsAt, Keeps: p.keepsSlots,
+		Now: p.now, Log: log, View: func() *directory.View { return p.board.upstreams.Value() }, InProgress: p.requestsAt, Work: p.chooser.MeanWork, Keeps: p.keepsSlots,
 		KnowsAccount: func(account ident.ClientAccount) bool { return p.accountLimit(account) != nil },
 	})
 	p.slots = slotlease.NewClient(slotlease.ClientConfig{
--- a/internal/fleetsim/plain/keeper.go
+++ b/internal/fleetsim/plain/keeper.go
@@ -41,7 +41,7 @@
 
 func newKeeper(f *fleet, upstreams []slotlease.Upstream) *keeper {
 	none := func(ident.Instance) int { return 0 }
-	return &keeper{fleet: f, decide: slotlease.NewKeeper(upstreams, none, f.Clock()), calls: make(map[slotlease.LeaseID]*call)}
+	return &keeper{fleet: f, decide: slotlease.NewKeeper(upstreams, none, 0, f.Clock()), calls: make(map[slotlease.LeaseID]*call)}
 }
 
 // keepersOf returns the keepers that a gateway asks; nil if it asks none.
--- a/internal/routing/placement/search.go
+++ b/internal/routing/placement/search.go
@@ -202,6 +202,16 @@
 	return all
 }
 
+// MeanWork returns the mean time that a service's requests take in a slot; 0 if it isn't known.
+func (c *Chooser) MeanWork(service ident.Service) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w := c.work[service]; w != nil {
+		return w.Mean()
+	}
+	return 0
+}
+
 // totalLoad returns the load of all gateways at an upstream.
 func (c *Chooser) totalLoad(id ident.Instance, o *ownWork) Load {
 	return o.load.Plus(c.cfg.OtherLoad(id))
--- a/internal/routing/spread/work.go
+++ b/internal/routing/spread/work.go
@@ -27,6 +27,9 @@
 	w.mean += time.Duration(sampleWeight * float64(work-w.mean))
 }
 
+// Mean returns the mean time that requests take in a slot; 0 if it isn't known.
+func (w *Work) Mean() time.Duration { return w.mean }
+
 // Kept returns the part of the requests in progress at the time of the others' reports that still are.
 func (w *Work) Kept() float64 {
 	if w.mean <= 0 {
--- a/internal/slotlease/bench_test.go
+++ b/internal/slotlease/bench_test.go
@@ -14,7 +14,7 @@
 	for _, n := range []int{1, 6, MaxUpstreams} {
 		for _, waiting := range []int{0, 100} {
 			b.Run(fmt.Sprintf("%d upstreams, %d waiting", n, waiting), func(b *testing.B) {
-				k := NewKeeper(upstreams(n), none, start)
+				k := NewKeeper(upstreams(n), none, 0, start)
 				last := uint64(0)
 				for held := 0; held < n*room(6)-1; held++ {
 					last++
--- a/internal/slotlease/client_test.go
+++ b/internal/slotlease/client_test.go
@@ -67,7 +67,7 @@
 	f.view = directory.NewView([]directory.Upstream{{ID: "u0", Name: "u0", Service: "svc", Slots: 6, State: directory.Ready}})
 	for _, g := range gateways {
 		f.servers[g] = NewServer(ServerConfig{
-			Now: time.Now, Log: hclog.NewNullLogger(), View: func() *directory.View { return f.view }, InProgress: none, Keeps: f.keeps,
+			Now: time.Now, Log: hclog.NewNullLogger(), View: func() *directory.View { return f.view }, InProgress: none, Work: unknownWork, Keeps: f.keeps,
 		})
 	}
 	return f
@@ -106,7 +106,7 @@
 	g := &fakeGateway{fakeFleet: f}
 	server := f.servers[self]
 	if server == nil {
-		server = NewServer(ServerConfig{Now: time.Now, Log: hclog.NewNullLogger(), View: func() *directory.View { return f.view }, InProgress: none, Keeps: func() bool { return true }})
+		server = NewServer(ServerConfig{Now: time.Now, Log: hclog.NewNullLogger(), View: func() *directory.View { return f.view }, InProgress: none, Work: unknownWork, Keeps: func() bool { return true }})
 	}
 	g.client = NewClient(ClientConfig{
 		Self: self, Incarnation: string(self), Now: time.Now, Log: hclog.NewNullLogger(), Network: f, Placement: g, Places: g, Server: server,
--- a/internal/slotlease/keeper.go
+++ b/internal/slotlease/keeper.go
@@ -13,8 +13,9 @@
 	// queuedPerSlot is how many requests may wait at an upstream for each of its slots, one at least. They
 	// start while the slot that became free is given back and leased again.
 	queuedPerSlot = 1.0 / 8
-	// handover is the time within which the requests end that were in progress when a keeper began.
-	handover = 300 * time.Millisecond
+	// minHandover is the shortest time within which the requests end that were in progress when a keeper began.
+	// Reports of them are about that old.
+	minHandover = 300 * time.Millisecond
 	// handoverStep is how often a keeper looks during the handover whether some have ended.
 	handoverStep = 20 * time.Millisecond
 	// holdSampleWeight is the weight of the newest sample in the mean time for which a lease is held.
@@ -34,8 +35,10 @@
 	leases    map[LeaseID]lease
 	queue     *waiting.Queue
 	waiters   map[LeaseID]*waiting.Waiter
-	// began is when the keeper began.
-	began time.Time
+	// began is when the keeper began, and handover the time within which the requests end that were in progress
+	// then.
+	began    time.Time
+	handover time.Duration
 	// meanHold is the mean time for which a lease is held, in seconds; 0 if unknown.
 	meanHold float64
 	// nextEnd is not later than the end of any lease; zero if there is none.
@@ -58,9 +61,13 @@
 }
 
 // NewKeeper returns a keeper of upstreams. inProgress returns how many requests gateways reported to have at
-// one; a keeper that takes over counts them as leased until they have ended.
-func NewKeeper(upstreams []Upstream, inProgress func(ident.Instance) int, now time.Time) *Keeper {
-	k := &Keeper{leases: make(map[LeaseID]lease), queue: waiting.New(waiting.Config{}), waiters: make(map[LeaseID]*waiting.Waiter), began: now}
+// one; a keeper that takes over counts them as leased until they have ended, less and less over work, the mean
+// time that a request takes; 0 if it isn't known.
+func NewKeeper(upstreams []Upstream, inProgress func(ident.Instance) int, work time.Duration, now time.Time) *Keeper {
+	k := &Keeper{
+		leases: make(map[LeaseID]lease), queue: waiting.New(waiting.Config{}), waiters: make(map[LeaseID]*waiting.Waiter),
+		began: now, handover: min(max(minHandover, work), maxHold),
+	}
 	for _, u := range upstreams {
 		k.upstreams = append(k.upstreams, &keptUpstream{Upstream: u, earlier: inProgress(u.ID)})
 	}
@@ -168,7 +175,7 @@
 	if !k.nextEnd.IsZero() && (!waits || k.nextEnd.Before(next)) {
 		next = k.nextEnd
 	}
-	if step := now.Add(handoverStep); waits && now.Sub(k.began) < handover && step.Before(next) {
+	if step := now.Add(handoverStep); waits && now.Sub(k.began) < k.handover && step.Before(next) {
 		next = step
 	}
 	return next, !next.IsZero()
@@ -254,7 +261,7 @@
 
 // running returns how many requests there are at an upstream.
 func (k *Keeper) running(u *keptUpstream, now time.Time) int {
-	left := 1 - now.Sub(k.began).Seconds()/handover.Seconds()
+	left := 1 - now.Sub(k.began).Seconds()/k.handover.Seconds()
 	return u.leased + int(math.Ceil(float64(u.earlier)*max(0, left)))
 }
 
--- a/internal/slotlease/keeper_test.go
+++ b/internal/slotlease/keeper_test.go
@@ -17,6 +17,8 @@
 
 func none(ident.Instance) int { return 0 }
 
+func unknownWork(ident.Service) time.Duration { return 0 }
+
 // upstreams returns n upstreams with 6 slots each.
 func upstreams(n int) []Upstream {
 	var list []Upstream
@@ -46,7 +48,7 @@
 func TestKeeperInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := start
-		k := NewKeeper(upstreams(3), none, now)
+		k := NewKeeper(upstreams(3), none, 0, now)
 		asked := make(map[LeaseID]Ask)
 		leased := make(map[LeaseID]ident.Instance)
 		apply := func(decided []Decision) {
@@ -130,7 +132,7 @@
 
 // Guards against slots that are lost for good: a gateway is killed, or its message is lost.
 func TestLeaseEndsByItself(t *testing.T) {
-	k := NewKeeper(upstreams(1), none, start)
+	k := NewKeeper(upstreams(1), none, 0, start)
 	last := fill(k, start)
 	next, waits := k.NextTick(start)
 	if !waits || !next.Equal(start.Add(time.Second)) {
@@ -144,12 +146,12 @@
 
 // Guards against twice the requests at each upstream after a keeper died: the new one knows no leases.
 func TestKeeperTakesOverWhatIsInProgress(t *testing.T) {
-	k := NewKeeper(upstreams(1), func(ident.Instance) int { return 7 }, start)
+	k := NewKeeper(upstreams(1), func(ident.Instance) int { return 7 }, 0, start)
 	if decided := k.Ask(ask(1), start); len(decided) > 0 {
 		t.Fatalf("%v while the upstream has what it takes", decided)
 	}
 	granted := 0
-	for now := start; now.Before(start.Add(handover)); now = now.Add(handoverStep) {
+	for now := start; now.Before(start.Add(minHandover)); now = now.Add(handoverStep) {
 		granted += len(k.Ask(ask(uint64(2+now.Sub(start))), now))
 	}
 	if granted == 0 || granted > 2*room(6) {
@@ -157,9 +159,34 @@
 	}
 }
 
+// Guards against an upstream that gets twice the requests that it takes after a keeper died, where requests take
+// longer than their reports: those of before still run.
+func TestKeeperTakesOverLongRequests(t *testing.T) {
+	const work, before = 2 * time.Second, 7
+	k := NewKeeper(upstreams(1), func(ident.Instance) int { return before }, work, start)
+	granted := 0
+	for at := time.Duration(0); at < work; at += handoverStep {
+		a := ask(uint64(1 + at))
+		a.Wait, a.Hold = 0, time.Minute
+		for _, d := range k.Ask(a, start.Add(at)) {
+			if d.Answer.Upstream != "" {
+				granted++
+			}
+		}
+		// They had begun evenly over the time that one takes.
+		still := before - int(before*at/work)
+		if granted+still > room(6) {
+			t.Fatalf("after %v: %d leased, %d of before still run, want %d at most", at, granted, still, room(6))
+		}
+	}
+	if granted < before-1 {
+		t.Errorf("%d leased as %d requests ended, want one for each", granted, before)
+	}
+}
+
 // Guards against a caller that waits until its time is over for a slot that it surely doesn't get.
 func TestHopelessAskIsRefusedAtOnce(t *testing.T) {
-	k := NewKeeper(upstreams(1), none, start)
+	k := NewKeeper(upstreams(1), none, 0, start)
 	last := fill(k, start)
 	now := start.Add(60 * time.Millisecond)
 	k.Return(ask(1).ID, now)
@@ -182,7 +209,7 @@
 
 // Guards against an upstream that refuses each request at once and so gets all of them, as it has the fewest.
 func TestFailingUpstreamDoesNotGetAllRequests(t *testing.T) {
-	k := NewKeeper(upstreams(2), none, start)
+	k := NewKeeper(upstreams(2), none, 0, start)
 	failed := 0
 	for n := range uint64(600) {
 		now := start.Add(time.Duration(n) * 5 * time.Millisecond)
@@ -203,7 +230,7 @@
 // Guards against a second lease for an ask whose message was repeated, and against a slot that is given back
 // twice.
 func TestRepeatedMessages(t *testing.T) {
-	k := NewKeeper(upstreams(1), none, start)
+	k := NewKeeper(upstreams(1), none, 0, start)
 	one, two := k.Ask(ask(1), start), k.Ask(ask(1), start)
 	if len(one) != 1 || len(two) != 1 || one[0] != two[0] || len(k.leases) != 1 {
 		t.Errorf("%v and %v, want one lease", one, two)
--- a/internal/slotlease/server.go
+++ b/internal/slotlease/server.go
@@ -24,6 +24,8 @@
 	View func() *directory.View
 	// InProgress returns how many requests the gateways reported to have at an upstream.
 	InProgress func(ident.Instance) int
+	// Work returns the mean time that a service's requests take in a slot; 0 if it isn't known.
+	Work func(ident.Service) time.Duration
 	// KnowsAccount reports whether an account is configured.
 	KnowsAccount func(ident.ClientAccount) bool
 	// Keeps reports whether this gateway may keep slots for others; it may not while it leaves.
@@ -169,7 +171,7 @@
 	if len(upstreams) == 0 {
 		return nil
 	}
-	p := &keptPart{id: id, keeper: NewKeeper(upstreams, s.cfg.InProgress, s.cfg.Now()), view: view, answers: make(map[LeaseID]chan Answer)}
+	p := &keptPart{id: id, keeper: NewKeeper(upstreams, s.cfg.InProgress, s.cfg.Work(id.service), s.cfg.Now()), view: view, answers: make(map[LeaseID]chan Answer)}
 	s.parts[id] = p
 	s.cfg.Log.Info("keeps the slots of a service's upstreams", "service", id.service, "part", id.number, "upstreams", len(upstreams))
 	return p
