Slots: a call whose key was removed while it waited gets no slot

Cause: a changed configuration reached the calls that wait in the gateway's own room, not those that wait at a keeper: these were sent to an upstream after their key, route or service was removed.

Now the gateway looks at the call's standing when the lease arrives, by the rule of the room, gives the lease back and answers with the true reason.

Ruled out: ending such waits when the configuration changes; they are short, and the keeper knows no keys.

Before: the call was sent; after: refused because of the key, and no lease stays (go test ./internal/slotlease -run KeyWasRemoved).

Conclusion: a changed configuration holds for all calls that wait.

--- a/internal/admission/waiting/standing.go
+++ b/internal/admission/waiting/standing.go
@@ -14,6 +14,12 @@
 	priority int
 }
 
+// Standing returns why a call that was accepted under an earlier configuration may not go on in the present one;
+// 0 if it may.
+func (r *Room) Standing(call *forward.Call) forward.Block {
+	return standingOf(call, r.cfg.Table()).block
+}
+
 // standingOf returns the standing of a call in a configuration; a nil table changes nothing.
 func standingOf(call *forward.Call, table *routetable.Table) standing {
 	if table == nil {
--- a/internal/entry/slots.go
+++ b/internal/entry/slots.go
@@ -73,7 +73,7 @@
 	})
 	p.slots = slotlease.NewClient(slotlease.ClientConfig{
 		Self: p.settings.Instance.ID, Domain: p.settings.Instance.FailureDomain, Incarnation: p.incarnationID, Now: p.now, Log: log,
-		Network: slotNetwork{p.pool}, Placement: slotPlacement{p.room, p.chooser}, Places: p.room, Server: p.slotServer,
+		Network: slotNetwork{p.pool}, Placement: slotPlacement{p.room, p.chooser}, Places: p.room, Standing: p.room.Standing, Server: p.slotServer,
 	})
 }
 
--- a/internal/slotlease/client.go
+++ b/internal/slotlease/client.go
@@ -66,6 +66,8 @@
 	Placement   Placement
 	// Places serves the calls whose service has enough slots, and those that get no answer in time.
 	Places Places
+	// Standing returns why a call may not go on in the present configuration; 0 if it may.
+	Standing func(*forward.Call) forward.Block
 	// Server keeps the slots that this gateway itself keeps.
 	Server *Server
 }
@@ -139,6 +141,8 @@
 	switch {
 	case err == nil:
 		return choice, true
+	case errors.Is(err, errRemoved):
+		return forward.Choice{Blocked: c.cfg.Standing(call)}, false
 	case errors.Is(err, errRefused):
 		return forward.Choice{PassedOver: []string{"no slot"}}, false
 	case ctx.Err() != nil:
@@ -155,6 +159,8 @@
 	errNoKeeper = errors.New("no gateway that keeps the slots answers")
 	// errUnusable: this gateway may not use the upstreams that it could lease a slot at.
 	errUnusable = errors.New("the upstreams with free slots may not be used")
+	// errRemoved: the call's key, route or service was removed while it waited.
+	errRemoved = errors.New("the key, route or service of the call was removed")
 )
 
 // lease leases a slot for a call and reserves it. A part that refuses may have none while another one does, so
@@ -215,6 +221,10 @@
 			return forward.Choice{}, errRefused
 		}
 		l := heldLease{part: part, keeper: keeper, number: ask.ID.Number}
+		if c.cfg.Standing(call) != 0 {
+			c.giveBack(l)
+			return forward.Choice{}, errRemoved
+		}
 		if choice, reserved := c.cfg.Placement.ChooseOne(call, answer.Upstream, c.cfg.Now()); reserved {
 			c.hold(choice, l)
 			return choice, nil
--- a/internal/slotlease/client_test.go
+++ b/internal/slotlease/client_test.go
@@ -100,8 +100,12 @@
 	unusable bool
 	alone    int
 	finished int
+	// removed is why calls may not go on.
+	removed forward.Block
 }
 
+func (g *fakeGateway) standing(*forward.Call) forward.Block { return g.removed }
+
 func (f *fakeFleet) gateway(self ident.Instance, keepers ...ident.Instance) *fakeGateway {
 	g := &fakeGateway{fakeFleet: f}
 	server := f.servers[self]
@@ -109,7 +113,7 @@
 		server = NewServer(ServerConfig{Now: time.Now, Log: hclog.NewNullLogger(), View: func() *directory.View { return f.view }, InProgress: none, Work: unknownWork, Keeps: func() bool { return true }})
 	}
 	g.client = NewClient(ClientConfig{
-		Self: self, Incarnation: string(self), Now: time.Now, Log: hclog.NewNullLogger(), Network: f, Placement: g, Places: g, Server: server,
+		Self: self, Incarnation: string(self), Now: time.Now, Log: hclog.NewNullLogger(), Network: f, Placement: g, Places: g, Standing: g.standing, Server: server,
 	})
 	var contacts []gossip.Contact
 	for _, k := range keepers {
--- a/internal/slotlease/leave_test.go
+++ b/internal/slotlease/leave_test.go
@@ -87,3 +87,29 @@
 		})
 	}
 }
+
+// Guards against a call that is sent to an upstream after its key was removed while it waited for a slot.
+func TestCallWhoseKeyWasRemovedGetsNoSlot(t *testing.T) {
+	testkit.Bubble(t, func() {
+		f := newFakeFleet("k")
+		g := f.gateway("g", "k")
+		var held []forward.Choice
+		for range room(6) {
+			choice, _ := g.take(context.Background())
+			held = append(held, choice)
+		}
+		time.AfterFunc(5*time.Millisecond, func() {
+			g.removed = forward.BlockedByKey
+			g.client.Finished(held[0], forward.Done, time.Now())
+		})
+		choice, found := g.take(context.Background())
+		if found || g.alone > 0 || choice.Blocked != forward.BlockedByKey {
+			t.Errorf("found %v, alone %d, blocked %v, want none because of the key", found, g.alone, choice.Blocked)
+		}
+		time.Sleep(5 * time.Millisecond)
+		if n := f.leases("k"); n != room(6)-1 {
+			t.Errorf("%d leases, want %d", n, room(6)-1)
+		}
+		time.Sleep(3 * time.Second)
+	})
+}
