Slots: a gateway that keeps nothing of a part is not taken for silent

Cause: the answer that a gateway keeps no slots of a part was recorded like none: it was logged as a gateway that doesn't answer, and not asked for 0.25 s for any part or service.

Now the call is placed without it, as before, and the gateway goes on being asked.

Ruled out: a pause for that part alone; the answer takes a millisecond, and the reports soon name the next keeper.

Before: the next call was placed without a lease; after: it gets one (go test ./internal/slotlease -run NotSilent; "before" is a trial).

Conclusion: an answer that says no is an answer.

--- a/internal/slotlease/client.go
+++ b/internal/slotlease/client.go
@@ -269,6 +269,11 @@
 		c.health.abandoned(keeper.Node)
 		return Answer{}, context.Cause(ctx)
 	}
+	if errors.Is(err, errNotKeeper) { // it answers, and may keep other parts
+		c.cfg.Log.Debug("gateway keeps no slots of a part, the call is placed without it", "keeper", keeper.Node, "service", part.service, "part", part.number)
+		c.health.ended(keeper.Node, nil)
+		return answer, err
+	}
 	c.health.ended(keeper.Node, err)
 	return answer, err
 }
--- a/internal/slotlease/leave_test.go
+++ b/internal/slotlease/leave_test.go
@@ -113,3 +113,21 @@
 		time.Sleep(3 * time.Second)
 	})
 }
+
+// Guards against a gateway that is taken for silent, and not asked for what it keeps, because it keeps no slots of
+// one part.
+func TestGatewayThatKeepsNoSlotsOfAPartIsNotSilent(t *testing.T) {
+	testkit.Bubble(t, func() {
+		f := newFakeFleet("k")
+		g := f.gateway("g", "k")
+		f.set(up, true)
+		if _, found := g.take(context.Background()); !found || g.alone != 1 {
+			t.Errorf("found %v, alone %d, want the gateway to decide alone", found, g.alone)
+		}
+		f.set(up, false)
+		if _, found := g.take(context.Background()); !found || g.alone != 1 {
+			t.Errorf("found %v, alone %d, want a lease at once", found, g.alone)
+		}
+		time.Sleep(3 * time.Second)
+	})
+}
