Slots: calls wait as long as they can still be served in time

Cause: a call waited for a slot for an eighth of its objective at most. In a burst calls were refused that would have been served in time a little later.

Now it waits for its objective less twice the mean time that requests take at its gateway (MaxWait): an eighth of the objective at least, and while the mean isn't known; half of it at most, so that a call whose keeper is frozen is still placed in time. What surely has no turn by then is refused at once, as before.

--- a/internal/entry/slots.go
+++ b/internal/entry/slots.go
@@ -64,6 +64,11 @@
 	return s.chooser.SharedSlots(service)
 }
 
+// MeanWork implements slotlease.Placement.
+func (s slotPlacement) MeanWork(service ident.Service) time.Duration {
+	return s.chooser.MeanWork(service)
+}
+
 // wireSlots creates the parts that lease slots. Calls without a lease wait in the room.
 func (p *Process) wireSlots() {
 	log := p.log.Named("slots")
--- a/internal/fleetsim/plain/keeper.go
+++ b/internal/fleetsim/plain/keeper.go
@@ -59,13 +59,21 @@
 	k.asks++
 	id := slotlease.LeaseID{Gateway: "gateway", Number: k.asks}
 	k.calls[id], c.lease = c, id
-	wait := max(0, c.arrived+maxWait-k.Now())
+	wait := max(0, c.arrived+c.maxWait(k.c)-k.Now())
 	k.At(k.Now()+oneWay, func() {
 		ask := slotlease.Ask{ID: id, Account: "account", Wait: wait, Hold: timeout}
 		k.answer(k.decide.Ask(ask, k.Clock()))
 	})
 }
 
+// maxWait returns how long a call may wait for a leased slot.
+func (c *call) maxWait(played Case) time.Duration {
+	if played.ShortWait {
+		return maxWait
+	}
+	return slotlease.MaxWait(objective, c.gateway.chooser.MeanWork(serviceName))
+}
+
 // giveBack gives the slot of a call back.
 func (k *keeper) giveBack(c *call) {
 	k.figures.Messages++
--- a/internal/fleetsim/plain/plain.go
+++ b/internal/fleetsim/plain/plain.go
@@ -31,6 +31,10 @@
 	Slots, Queue int
 	// Load is the rate of calls in parts of what all slots can run.
 	Load float64
+	// BurstLoad is Load in the first burstFor of each burstEvery; 0 if there are no bursts.
+	BurstLoad float64
+	// ShortWait lets calls wait for a leased slot for maxWait, instead of as long as they could be served in time.
+	ShortWait bool
 	// LeastLoaded makes gateways choose the upstream that seems least loaded, whatever their number.
 	LeastLoaded bool
 	// Keepers is how many gateways lease the slots of each part of the upstreams: one, or two that don't know of
@@ -52,6 +56,8 @@
 	oneWay = time.Millisecond
 	// waitEvery and maxWait are how often and for how long a call asks again if no upstream has room.
 	waitEvery, maxWait = 10 * time.Millisecond, objective / 8
+	// burstEvery and burstFor are how often bursts begin and how long they last.
+	burstEvery, burstFor = time.Second, 300 * time.Millisecond
 	// An upstream in a slow spell takes slowFactor as long.
 	slowSpell, slowOneIn, slowFactor = 500 * time.Millisecond, 7, 2.5
 	// Calls arrive until arrivalsEnd; figures are of those after warmUp.
@@ -180,9 +186,17 @@
 	return f.totals[i][id].Minus(g.past[i][id])
 }
 
+// load returns the load now.
+func (f *fleet) load() float64 {
+	if f.c.BurstLoad > 0 && f.Now()%burstEvery < burstFor {
+		return f.c.BurstLoad
+	}
+	return f.c.Load
+}
+
 // arrive lets a call arrive at a gateway, and the next one after it.
 func (f *fleet) arrive() {
-	rate := f.c.Load * float64(f.c.Upstreams*f.c.Slots) / work.Seconds()
+	rate := f.load() * float64(f.c.Upstreams*f.c.Slots) / work.Seconds()
 	f.At(f.Now()+time.Duration(f.rng.ExpFloat64()/rate*float64(time.Second)), func() {
 		if f.Now() >= arrivalsEnd {
 			return
--- a/internal/slotlease/client.go
+++ b/internal/slotlease/client.go
@@ -24,9 +24,6 @@
 	askTimeout = 30 * time.Millisecond
 	// holdMargin is how long a lease lasts beyond the call's time, so that it doesn't end before the attempt.
 	holdMargin = time.Second
-	// waitDivisor divides a route's objective: a call waits for an eighth of it at most, so that a caller that
-	// is refused can send the request again and still be served in time.
-	waitDivisor = 8
 	// maxAsksPerCall bounds the asks of one attempt, if the gateway may not use the upstream that it got.
 	maxAsksPerCall = 2
 )
@@ -47,6 +44,8 @@
 	// SharedSlots returns the upstreams of a service that has fewer slots than there are gateways; nil if
 	// there are enough.
 	SharedSlots(service *routetable.Service) []directory.Upstream
+	// MeanWork returns the mean time that a service's requests take in a slot; 0 if it isn't known.
+	MeanWork(service ident.Service) time.Duration
 }
 
 // Places is where calls get a place without a lease.
@@ -239,7 +238,7 @@
 // newAsk returns an ask for a call.
 func (c *Client) newAsk(call *forward.Call, avoid []ident.Instance) Ask {
 	now := c.cfg.Now()
-	latest := call.Received.Add(call.Route.Objective / waitDivisor)
+	latest := call.Received.Add(MaxWait(call.Route.Objective, c.cfg.Placement.MeanWork(call.Service.Name)))
 	if call.Expires.Before(latest) {
 		latest = call.Expires
 	}
--- a/internal/slotlease/client_test.go
+++ b/internal/slotlease/client_test.go
@@ -104,6 +104,8 @@
 	removed forward.Block
 }
 
+func (g *fakeGateway) MeanWork(service ident.Service) time.Duration { return unknownWork(service) }
+
 func (g *fakeGateway) standing(*forward.Call) forward.Block { return g.removed }
 
 func (f *fakeFleet) gateway(self ident.Instance, keepers ...ident.Instance) *fakeGateway {
--- a/internal/slotlease/ways_test.go
+++ b/internal/slotlease/ways_test.go
@@ -61,3 +61,23 @@
 		}
 	}
 }
+
+// Guards against calls that are refused in a burst although they could be served in time a little later, and
+// against calls that wait so long for a slot that they are late.
+func TestCallsWaitForSlotsAsLongAsTheyAreServedInTime(t *testing.T) {
+	for _, c := range []plain.Case{{Load: 0.7, BurstLoad: 1.4}, {Load: 0.7, BurstLoad: 2}, {Load: 1.5}} {
+		for _, c.Upstreams = range []int{6, 20} {
+			c.Gateways, c.Slots, c.Queue, c.Keepers, c.Seed, c.ShortWait = 150, 6, 6, 1, 1, false
+			inTime := plain.Run(c)
+			c.ShortWait = true
+			short := plain.Run(c)
+			t.Logf("%d upstreams, load %.1f, bursts %.1f\n  an eighth: %v\n  in time:   %v", c.Upstreams, c.Load, c.BurstLoad, short, inTime)
+			if 1000*inTime.Late > inTime.Offered {
+				t.Errorf("%d upstreams, load %.1f, bursts %.1f: %d of %d late", c.Upstreams, c.Load, c.BurstLoad, inTime.Late, inTime.Offered)
+			}
+			if c.BurstLoad > 0 && inTime.Served-inTime.Late <= short.Served-short.Late {
+				t.Errorf("%d upstreams, load %.1f, bursts %.1f: no more served in time", c.Upstreams, c.Load, c.BurstLoad)
+			}
+		}
+	}
+}
