Slots: spreading stops well below where it begins

Cause: whether gateways spread their calls and lease slots flipped at as many gateways as slots. Where one gateway came and went at that border, a part of the fleet leased slots and the others took the least loaded upstream, unknown to the keeper.

Now it begins above as many gateways as slots, as before, and stops below 0.8 of them.

Ruled out: one decision for the fleet; it needs a message of its own.

Before: 6 changes in a row of 11 counts around the border, after: 2 (go test ./internal/routing/spread -run SpreadingStops; "before" is a trial).

Conclusion: one gateway that comes or goes changes no decision.

--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -25,7 +25,6 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/rollout"
 	"github.com/goldcrestspool/goldcrestspool/internal/routing/speed"
-	"github.com/goldcrestspool/goldcrestspool/internal/routing/spread"
 )
 
 // Params are the weights and bounds of the choice.
@@ -175,8 +174,8 @@
 	loggedStates map[ident.Instance]ejection.State
 	demands      map[ident.Service]*serviceDemand
 	engines      map[ident.Service]*serviceEngines
-	// work is how long the requests of plain services take.
-	work map[ident.Service]*spread.Work
+	// work is what is known of the calls of plain services.
+	work map[ident.Service]*plainWork
 	// allLeaveSince is when a request first found that all known upstreams of its service
 	// leave. It is kept as long as they do.
 	allLeaveSince map[ident.Service]time.Time
@@ -255,7 +254,7 @@
 		firstEventTimings: make(map[ident.Service]*firstEventTiming), loggedStates: make(map[ident.Instance]ejection.State),
 		allLeaveSince: make(map[ident.Service]time.Time),
 		demands:       make(map[ident.Service]*serviceDemand), engines: make(map[ident.Service]*serviceEngines),
-		work: make(map[ident.Service]*spread.Work),
+		work: make(map[ident.Service]*plainWork),
 	}
 }
 
--- a/internal/routing/placement/search.go
+++ b/internal/routing/placement/search.go
@@ -231,17 +231,25 @@
 	return float64(u.Slots) * (1 + queue)
 }
 
+// plainWork is what is known of a plain service's calls.
+type plainWork struct {
+	spread.Work
+	// spreads: the service's upstreams have too few slots for the gateways, as of the last choice.
+	spreads bool
+}
+
 // sharedFleet returns the load by which calls are spread over the upstreams of a plain service, or nil if
 // these have a slot for each gateway, or one of them doesn't name its slots.
 func (c *Chooser) sharedFleet(service *routetable.Service, all []directory.Upstream) *spread.Fleet {
 	if service.Engine != nil {
 		return nil
 	}
-	slots := readySlots(all)
-	if !spread.Needed(c.cfg.Gateways(), slots) {
+	slots, w := readySlots(all), getOrCreate(c.work, service.Name)
+	w.spreads = spread.Needed(c.cfg.Gateways(), slots, w.spreads)
+	if !w.spreads {
 		return nil
 	}
-	f := &spread.Fleet{Slots: slots, Kept: getOrCreate(c.work, service.Name).Kept()}
+	f := &spread.Fleet{Slots: slots, Kept: w.Kept()}
 	for i := range all {
 		if all[i].State == directory.Ready {
 			f.Running += c.cfg.OtherLoad(all[i].ID).Running
--- a/internal/routing/spread/spread.go
+++ b/internal/routing/spread/spread.go
@@ -16,9 +16,22 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/rendezvous"
 )
 
+// stopShare is the number of gateways, in parts of the slots, below which gateways spread their calls no longer
+// if they did. It is below 1, so that the decision doesn't change with each gateway that comes or goes.
+const stopShare = 0.8
+
 // Needed reports whether so many gateways spread their calls over upstreams that have so many slots
-// together: each has less than one of them. It is false if the number of slots is not known, which is 0.
-func Needed(gateways, slots int) bool { return slots > 0 && gateways > slots }
+// together: each has less than one of them, or had when they began to. before is whether they do so now. It is
+// false if the number of slots is not known, which is 0.
+func Needed(gateways, slots int, before bool) bool {
+	if slots <= 0 {
+		return false
+	}
+	if before {
+		return float64(gateways) >= stopShare*float64(slots)
+	}
+	return gateways > slots
+}
 
 // Fleet is what all other gateways have in progress at the upstreams of a service, as they reported it.
 type Fleet struct {
--- a/internal/routing/spread/spread_test.go
+++ b/internal/routing/spread/spread_test.go
@@ -95,7 +95,22 @@
 	if got := fleet.Now(15, 6); got != 10 {
 		t.Errorf("%d requests, want half-way from the 15 reported to the mean of 5", got)
 	}
-	if spread.Needed(36, 36) || !spread.Needed(37, 36) || spread.Needed(89, 0) {
+	if spread.Needed(36, 36, false) || !spread.Needed(37, 36, false) || spread.Needed(89, 0, false) || spread.Needed(89, 0, true) {
 		t.Error("needed only where gateways outnumber known slots")
 	}
 }
+
+// Guards against a decision that flips with each gateway that comes or goes, so that a part of the gateways lease
+// slots and the others don't.
+func TestSpreadingStopsWellBelowWhereItBegins(t *testing.T) {
+	needed, changes := false, 0
+	for _, gateways := range []int{36, 37, 36, 37, 35, 37, 30, 36, 28, 36, 35} {
+		if now := spread.Needed(gateways, 36, needed); now != needed {
+			needed = now
+			changes++
+		}
+	}
+	if needed || changes != 2 {
+		t.Errorf("needed %v after %d changes, want one beginning above 36 gateways and one end at 28", needed, changes)
+	}
+}
