--- a/internal/entry/slots.go
+++ b/internal/entry/slots.go
@@ -64,16 +64,21 @@
 	return s.chooser.SharedSlots(service)
 }
 
+// MeanWork implements slotlease.Placement.
+func (s slotPlacement) MeanWork(service ident.Service) time.Duration {
+	return s.chooser.MeanWork(service)
+}
+
 // wireSlots creates the parts that lease slots. Calls without a lease wait in the room.
 func (p *Process) wireSlots() {
 	log := p.log.Named("slots")
 	p.slotServer = slotlease.NewServer(slotlease.ServerConfig{
-		Now: p.now, Log: log, View: func() *directory.View { return p.board.upstreams.Value() }, InProgress: p.requestsAt, Keeps: p.keepsSlots,
+		Now: p.now, Log: log, View: func() *directory.View { return p.board.upstreams.Value() }, InProgress: p.requestsAt, Work: p.chooser.MeanWork, Keeps: p.keepsSlots,
 		KnowsAccount: func(account ident.ClientAccount) bool { return p.accountLimit(account) != nil },
 	})
 	p.slots = slotlease.NewClient(slotlease.ClientConfig{
 		Self: p.settings.Instance.ID, Domain: p.settings.Instance.FailureDomain, Incarnation: p.incarnationID, Now: p.now, Log: log,
-		Network: slotNetwork{p.pool}, Placement: slotPlacement{p.room, p.chooser}, Places: p.room, Server: p.slotServer,
+		Network: slotNetwork{p.pool}, Placement: slotPlacement{p.room, p.chooser}, Places: p.room, Standing: p.room.Standing, Server: p.slotServer,
 	})
 }
 
--- a/internal/fleetsim/plain/plain.go
+++ b/internal/fleetsim/plain/plain.go
@@ -31,9 +31,13 @@
 	Slots, Queue int
 	// Load is the rate of calls in parts of what all slots can run.
 	Load float64
+	// BurstLoad is Load in the first burstFor of each burstEvery; 0 if there are no bursts.
+	BurstLoad float64
+	// ShortWait lets calls wait for a leased slot for maxWait, instead of as long as they could be served in time.
+	ShortWait bool
 	// LeastLoaded makes gateways choose the upstream that seems least loaded, whatever their number.
 	LeastLoaded bool
-	// Keepers is how many gateways lease the upstreams' slots, all of them each: one, or two that don't know of
+	// Keepers is how many gateways lease the slots of each part of the upstreams: one, or two that don't know of
 	// each other; 0 if none does.
 	Keepers int
 	// Alone is the part of the gateways that ask no keeper.
@@ -52,6 +56,8 @@
 	oneWay = time.Millisecond
 	// waitEvery and maxWait are how often and for how long a call asks again if no upstream has room.
 	waitEvery, maxWait = 10 * time.Millisecond, objective / 8
+	// burstEvery and burstFor are how often bursts begin and how long they last.
+	burstEvery, burstFor = time.Second, 300 * time.Millisecond
 	// An upstream in a slow spell takes slowFactor as long.
 	slowSpell, slowOneIn, slowFactor = 500 * time.Millisecond, 7, 2.5
 	// Calls arrive until arrivalsEnd; figures are of those after warmUp.
@@ -77,7 +83,7 @@
 	// totals are the loads of all gateways at the reports of the past, the newest last.
 	totals  []map[ident.Instance]placement.Load
 	asked   map[time.Duration]map[ident.Instance]int
-	keepers []*keeper
+	keepers []*partKeepers
 	figures Figures
 }
 
@@ -104,7 +110,7 @@
 		f.addGateway(i)
 	}
 	for range c.Keepers {
-		f.keepers = append(f.keepers, newKeeper(f))
+		f.keepers = append(f.keepers, newPartKeepers(f))
 	}
 	f.At(0, f.report)
 	f.At(0, f.arrive)
@@ -180,9 +186,17 @@
 	return f.totals[i][id].Minus(g.past[i][id])
 }
 
+// load returns the load now.
+func (f *fleet) load() float64 {
+	if f.c.BurstLoad > 0 && f.Now()%burstEvery < burstFor {
+		return f.c.BurstLoad
+	}
+	return f.c.Load
+}
+
 // arrive lets a call arrive at a gateway, and the next one after it.
 func (f *fleet) arrive() {
-	rate := f.c.Load * float64(f.c.Upstreams*f.c.Slots) / work.Seconds()
+	rate := f.load() * float64(f.c.Upstreams*f.c.Slots) / work.Seconds()
 	f.At(f.Now()+time.Duration(f.rng.ExpFloat64()/rate*float64(time.Second)), func() {
 		if f.Now() >= arrivalsEnd {
 			return
@@ -194,8 +208,8 @@
 			Call: forward.Call{ID: ident.Request(fmt.Sprint(f.c.Seed, "-", f.figures.Offered, "-", int64(f.Now()))), Route: f.route, Service: f.service, Received: now, Expires: now.Add(timeout)},
 		}
 		f.count(c, &f.figures.Offered)
-		if k := f.keeperOf(c.gateway); k != nil {
-			k.ask(c)
+		if k := f.keepersOf(c.gateway); k != nil {
+			k.begin(c)
 			return
 		}
 		f.place(c)
@@ -210,6 +224,8 @@
 	work    time.Duration
 	choice  forward.Choice
 	lease   slotlease.LeaseID
+	// keepers are those of the parts that the call asks, from the one that it asks now.
+	keepers []*keeper
 }
 
 // count counts a call unless it arrived before warmUp.
@@ -287,8 +303,8 @@
 			f.count(c, &f.figures.Late)
 		}
 		c.gateway.chooser.Finished(c.choice, result, f.Clock())
-		if k := f.keeperOf(c.gateway); k != nil {
-			k.giveBack(c)
+		if len(c.keepers) > 0 {
+			c.keepers[0].giveBack(c)
 		}
 	})
 }
--- a/internal/slotlease/client.go
+++ b/internal/slotlease/client.go
@@ -24,9 +24,6 @@
 	askTimeout = 30 * time.Millisecond
 	// holdMargin is how long a lease lasts beyond the call's time, so that it doesn't end before the attempt.
 	holdMargin = time.Second
-	// waitDivisor divides a route's objective: a call waits for an eighth of it at most, so that a caller that
-	// is refused can send the request again and still be served in time.
-	waitDivisor = 8
 	// maxAsksPerCall bounds the asks of one attempt, if the gateway may not use the upstream that it got.
 	maxAsksPerCall = 2
 )
@@ -47,6 +44,8 @@
 	// SharedSlots returns the upstreams of a service that has fewer slots than there are gateways; nil if
 	// there are enough.
 	SharedSlots(service *routetable.Service) []directory.Upstream
+	// MeanWork returns the mean time that a service's requests take in a slot; 0 if it isn't known.
+	MeanWork(service ident.Service) time.Duration
 }
 
 // Places is where calls get a place without a lease.
@@ -66,6 +65,8 @@
 	Placement   Placement
 	// Places serves the calls whose service has enough slots, and those that get no answer in time.
 	Places Places
+	// Standing returns why a call may not go on in the present configuration; 0 if it may.
+	Standing func(*forward.Call) forward.Block
 	// Server keeps the slots that this gateway itself keeps.
 	Server *Server
 }
@@ -86,6 +87,8 @@
 	held map[any]heldLease
 	// refusals tell until when a keeper expects no free slot, by service.
 	refusals map[ident.Service]time.Time
+	// divided are the services' upstreams in parts.
+	divided map[ident.Service]divided
 }
 
 // heldLease is a lease of this gateway.
@@ -93,16 +96,27 @@
 	part   partID
 	keeper gossip.Contact
 	number uint64
-	// failed: the upstream failed or refused the attempt.
-	failed bool
+	end    leaseEnd
 }
 
+// leaseEnd is how the attempt of a lease ended.
+type leaseEnd int
+
+const (
+	// endUnfinished: no request ran to its end.
+	endUnfinished leaseEnd = iota
+	// endFinished: a request ran to its end, or for all of its time.
+	endFinished
+	// endFailed: the upstream failed or refused the attempt.
+	endFailed
+)
+
 // clientCounters count since the start.
 type clientCounters struct{ asked, granted, refused, unanswered, unusable, bytes atomic.Int64 }
 
 // NewClient returns a Client that knows no keepers yet.
 func NewClient(cfg ClientConfig) *Client {
-	c := &Client{Placement: cfg.Placement, cfg: cfg, health: newHealth(cfg.Now, cfg.Log), held: make(map[any]heldLease), refusals: make(map[ident.Service]time.Time)}
+	c := &Client{Placement: cfg.Placement, cfg: cfg, health: newHealth(cfg.Now, cfg.Log), held: make(map[any]heldLease), refusals: make(map[ident.Service]time.Time), divided: make(map[ident.Service]divided)}
 	c.returns = newReturns(cfg.Incarnation, cfg.Network, cfg.Log, cfg.Now)
 	c.SetKeepers(nil)
 	return c
@@ -122,11 +136,12 @@
 	if len(upstreams) == 0 || ctx.Err() != nil {
 		return c.cfg.Places.Take(ctx, call, exclude)
 	}
-	part := partOf(call.Service.Name, string(call.ID), countParts(countReady(upstreams)))
-	choice, err := c.lease(ctx, call, exclude, part)
+	choice, err := c.lease(ctx, call, exclude, upstreams)
 	switch {
 	case err == nil:
 		return choice, true
+	case errors.Is(err, errRemoved):
+		return forward.Choice{Blocked: c.cfg.Standing(call)}, false
 	case errors.Is(err, errRefused):
 		return forward.Choice{PassedOver: []string{"no slot"}}, false
 	case ctx.Err() != nil:
@@ -143,19 +158,55 @@
 	errNoKeeper = errors.New("no gateway that keeps the slots answers")
 	// errUnusable: this gateway may not use the upstreams that it could lease a slot at.
 	errUnusable = errors.New("the upstreams with free slots may not be used")
+	// errRemoved: the call's key, route or service was removed while it waited.
+	errRemoved = errors.New("the key, route or service of the call was removed")
 )
 
-// lease leases a slot for a call and reserves it.
-func (c *Client) lease(ctx context.Context, call *forward.Call, exclude []ident.Instance, part partID) (forward.Choice, error) {
+// lease leases a slot for a call and reserves it. A part that refuses may have none while another one does, so
+// the call asks a second one then.
+func (c *Client) lease(ctx context.Context, call *forward.Call, exclude []ident.Instance, upstreams []directory.Upstream) (forward.Choice, error) {
+	avoid, others := c.cfg.Placement.Barred(call, exclude, c.cfg.Now())
+	if !others {
+		return forward.Choice{}, errUnusable
+	}
+	var choice forward.Choice
+	err := errUnusable
+	for _, number := range DrawParts(call.ID, c.divide(call.Service.Name, upstreams), avoid) {
+		choice, err = c.leaseIn(ctx, call, partID{call.Service.Name, number}, avoid)
+		if !errors.Is(err, errRefused) || ctx.Err() != nil {
+			break
+		}
+	}
+	return choice, err
+}
+
+// divided is a service's upstreams and the parts into which they are divided.
+type divided struct {
+	upstreams []directory.Upstream
+	parts     [][]Upstream
+}
+
+// divide returns the parts of a service's upstreams. They are kept until the upstreams change.
+func (c *Client) divide(service ident.Service, upstreams []directory.Upstream) [][]Upstream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := c.divided[service]
+	// A view's list is never written to, so the same list has the same parts.
+	if len(d.upstreams) != len(upstreams) || &d.upstreams[0] != &upstreams[0] {
+		d = divided{upstreams, Divide(upstreams)}
+		c.divided[service] = d
+	}
+	return d.parts
+}
+
+// leaseIn leases a slot of a part for a call and reserves it.
+func (c *Client) leaseIn(ctx context.Context, call *forward.Call, part partID, avoid []ident.Instance) (forward.Choice, error) {
 	keeper, found := keeperOf(part, *c.keepers.Load())
 	if !found {
 		return forward.Choice{}, errNoKeeper
 	}
-	avoid, others := c.cfg.Placement.Barred(call, exclude, c.cfg.Now())
+	avoid = slices.Clone(avoid)
 	for n := range maxAsksPerCall {
-		if !others {
-			break
-		}
 		ask := c.newAsk(call, avoid)
 		answer, err := c.ask(ctx, keeper, part, ask)
 		if err != nil {
@@ -169,6 +220,10 @@
 			return forward.Choice{}, errRefused
 		}
 		l := heldLease{part: part, keeper: keeper, number: ask.ID.Number}
+		if c.cfg.Standing(call) != 0 {
+			c.giveBack(l)
+			return forward.Choice{}, errRemoved
+		}
 		if choice, reserved := c.cfg.Placement.ChooseOne(call, answer.Upstream, c.cfg.Now()); reserved {
 			c.hold(choice, l)
 			return choice, nil
@@ -183,7 +238,7 @@
 // newAsk returns an ask for a call.
 func (c *Client) newAsk(call *forward.Call, avoid []ident.Instance) Ask {
 	now := c.cfg.Now()
-	latest := call.Received.Add(call.Route.Objective / waitDivisor)
+	latest := call.Received.Add(MaxWait(call.Route.Objective, c.cfg.Placement.MeanWork(call.Service.Name)))
 	if call.Expires.Before(latest) {
 		latest = call.Expires
 	}
@@ -193,7 +248,8 @@
 	}
 }
 
-// ask asks the gateway that keeps a part. A lost answer may have been a lease, so the ask is given back.
+// ask asks the gateway that keeps a part. An answer that is lost, or that comes as the caller leaves, may be a
+// lease, so the ask is given back then.
 func (c *Client) ask(ctx context.Context, keeper gossip.Contact, part partID, a Ask) (Answer, error) {
 	if keeper.Node == c.cfg.Self {
 		answer, err := c.cfg.Server.Ask(ctx, part, a)
@@ -205,12 +261,17 @@
 	}
 	answer, err := c.send(ctx, keeper, part, a)
 	c.count(answer, err)
-	if err != nil {
+	if err != nil || ctx.Err() != nil {
 		c.giveBack(heldLease{part: part, keeper: keeper, number: a.ID.Number})
 	}
 	if ctx.Err() != nil {
 		c.health.abandoned(keeper.Node)
-		return answer, context.Cause(ctx)
+		return Answer{}, context.Cause(ctx)
+	}
+	if errors.Is(err, errNotKeeper) { // it answers, and may keep other parts
+		c.cfg.Log.Debug("gateway keeps no slots of a part, the call is placed without it", "keeper", keeper.Node, "service", part.service, "part", part.number)
+		c.health.ended(keeper.Node, nil)
+		return answer, err
 	}
 	c.health.ended(keeper.Node, err)
 	return answer, err
@@ -252,18 +313,20 @@
 	delete(c.held, choice.Reservation)
 	c.mu.Unlock()
 	if leased {
-		l.failed = isFailure(result)
+		l.end = endOf(result)
 		c.giveBack(l)
 	}
 }
 
-// isFailure reports whether a result means that the upstream takes no requests now.
-func isFailure(result forward.Result) bool {
+// endOf returns how a lease ended whose attempt has a result.
+func endOf(result forward.Result) leaseEnd {
 	switch result {
 	case forward.NoConnection, forward.Broken, forward.Cut, forward.Rejected, forward.Declined:
-		return true
+		return endFailed
+	case forward.Done, forward.Failed, forward.Expired:
+		return endFinished
 	}
-	return false
+	return endUnfinished
 }
 
 func (c *Client) hold(choice forward.Choice, l heldLease) {
@@ -278,10 +341,12 @@
 	switch {
 	case l.keeper.Node != c.cfg.Self:
 		c.returns.add(l)
-	case l.failed:
+	case l.end == endFailed:
 		c.cfg.Server.Fail(l.part, id)
-	default:
+	case l.end == endFinished:
 		c.cfg.Server.Return(l.part, id)
+	default:
+		c.cfg.Server.Withdraw(l.part, id)
 	}
 }
 
--- a/internal/slotlease/client_test.go
+++ b/internal/slotlease/client_test.go
@@ -67,7 +67,7 @@
 	f.view = directory.NewView([]directory.Upstream{{ID: "u0", Name: "u0", Service: "svc", Slots: 6, State: directory.Ready}})
 	for _, g := range gateways {
 		f.servers[g] = NewServer(ServerConfig{
-			Now: time.Now, Log: hclog.NewNullLogger(), View: func() *directory.View { return f.view }, InProgress: none, Keeps: f.keeps,
+			Now: time.Now, Log: hclog.NewNullLogger(), View: func() *directory.View { return f.view }, InProgress: none, Work: unknownWork, Keeps: f.keeps,
 		})
 	}
 	return f
@@ -100,16 +100,22 @@
 	unusable bool
 	alone    int
 	finished int
+	// removed is why calls may not go on.
+	removed forward.Block
 }
 
+func (g *fakeGateway) MeanWork(service ident.Service) time.Duration { return unknownWork(service) }
+
+func (g *fakeGateway) standing(*forward.Call) forward.Block { return g.removed }
+
 func (f *fakeFleet) gateway(self ident.Instance, keepers ...ident.Instance) *fakeGateway {
 	g := &fakeGateway{fakeFleet: f}
 	server := f.servers[self]
 	if server == nil {
-		server = NewServer(ServerConfig{Now: time.Now, Log: hclog.NewNullLogger(), View: func() *directory.View { return f.view }, InProgress: none, Keeps: func() bool { return true }})
+		server = NewServer(ServerConfig{Now: time.Now, Log: hclog.NewNullLogger(), View: func() *directory.View { return f.view }, InProgress: none, Work: unknownWork, Keeps: func() bool { return true }})
 	}
 	g.client = NewClient(ClientConfig{
-		Self: self, Incarnation: string(self), Now: time.Now, Log: hclog.NewNullLogger(), Network: f, Placement: g, Places: g, Server: server,
+		Self: self, Incarnation: string(self), Now: time.Now, Log: hclog.NewNullLogger(), Network: f, Placement: g, Places: g, Standing: g.standing, Server: server,
 	})
 	var contacts []gossip.Contact
 	for _, k := range keepers {
@@ -122,7 +128,7 @@
 func (g *fakeGateway) SharedSlots(*routetable.Service) []directory.Upstream { return g.view.Of("svc") }
 
 func (g *fakeGateway) Barred(*forward.Call, []ident.Instance, time.Time) ([]ident.Instance, bool) {
-	return g.barred, len(g.barred) == 0
+	return g.barred, len(g.barred) < len(g.view.Of("svc"))
 }
 
 func (g *fakeGateway) ChooseOne(_ *forward.Call, id ident.Instance, _ time.Time) (forward.Choice, bool) {
--- a/internal/slotlease/server.go
+++ b/internal/slotlease/server.go
@@ -24,6 +24,8 @@
 	View func() *directory.View
 	// InProgress returns how many requests the gateways reported to have at an upstream.
 	InProgress func(ident.Instance) int
+	// Work returns the mean time that a service's requests take in a slot; 0 if it isn't known.
+	Work func(ident.Service) time.Duration
 	// KnowsAccount reports whether an account is configured.
 	KnowsAccount func(ident.ClientAccount) bool
 	// Keeps reports whether this gateway may keep slots for others; it may not while it leaves.
@@ -69,6 +71,9 @@
 	for _, number := range m.returned {
 		s.Return(m.part, LeaseID{m.gateway, number})
 	}
+	for _, number := range m.unfinished {
+		s.Withdraw(m.part, LeaseID{m.gateway, number})
+	}
 	for _, number := range m.failed {
 		s.Fail(m.part, LeaseID{m.gateway, number})
 	}
@@ -90,7 +95,7 @@
 	case answer := <-answers:
 		return answer, nil
 	case <-ctx.Done():
-		s.Return(part, a.ID)
+		s.Withdraw(part, a.ID)
 		return Answer{}, context.Cause(ctx)
 	}
 }
@@ -110,9 +115,12 @@
 	return answers, nil
 }
 
-// Return takes a lease back, or withdraws an ask.
+// Return takes a lease back whose request has ended.
 func (s *Server) Return(part partID, id LeaseID) { s.end(part, id, (*Keeper).Return) }
 
+// Withdraw withdraws an ask, or takes a lease back for which no request ran to its end.
+func (s *Server) Withdraw(part partID, id LeaseID) { s.end(part, id, (*Keeper).Withdraw) }
+
 // Fail is Return for a lease whose upstream failed or refused the attempt.
 func (s *Server) Fail(part partID, id LeaseID) { s.end(part, id, (*Keeper).Fail) }
 
@@ -163,7 +171,7 @@
 	if len(upstreams) == 0 {
 		return nil
 	}
-	p := &keptPart{id: id, keeper: NewKeeper(upstreams, s.cfg.InProgress, s.cfg.Now()), view: view, answers: make(map[LeaseID]chan Answer)}
+	p := &keptPart{id: id, keeper: NewKeeper(upstreams, s.cfg.InProgress, s.cfg.Work(id.service), s.cfg.Now()), view: view, answers: make(map[LeaseID]chan Answer)}
 	s.parts[id] = p
 	s.cfg.Log.Info("keeps the slots of a service's upstreams", "service", id.service, "part", id.number, "upstreams", len(upstreams))
 	return p
