Waiting calls: calls that fit no free place hold nobody back

Cause: a wake asks for 16 calls in vain at most, and then asked for nobody. Calls that were refused by the upstream that is free, or that would be answered too late, used that up one by one, and a call of another account that fitted the place got it only at the end of its wait.

Beyond the bound, the first call of each account and route is asked; the first of each kind alone doesn't do for calls that are late, as these say nothing about others of their kind.

Without the mend, TestManyCallsThatFitNoPlaceHoldNobodyBack (alike and not) and TestManyLateCallsHoldNobodyBack fail; with it, the tests of internal/admission/... pass with the race detector. TestCallsThatTriedOtherUpstreamsAreNotAlike passes before and after: it guards the kinds.

Not mended: an account whose first call of a route fits no place, beyond the bound, waits for the next wake with its other calls.

--- a/internal/admission/waiting/fixture_test.go
+++ b/internal/admission/waiting/fixture_test.go
@@ -26,6 +26,8 @@
 	// blocked is what a choice says that finds no place.
 	blocked      forward.Block
 	blockedUntil time.Time
+	// late are the accounts whose calls no engine could answer in time.
+	late map[ident.ClientAccount]bool
 	// choices counts the calls of Choose, and chosen lists the calls that got places.
 	choices int
 	chosen  []ident.Request
@@ -44,6 +46,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.choices++
+	if p.late[call.Account] {
+		return forward.Choice{Late: true}, false
+	}
 	for _, id := range p.order {
 		if p.free[id] > 0 && !slices.Contains(exclude, id) {
 			p.free[id]--
--- a/internal/admission/waiting/room.go
+++ b/internal/admission/waiting/room.go
@@ -176,6 +176,7 @@
 type waitingCall struct {
 	call    *forward.Call
 	exclude []ident.Instance
+	kind    callKind
 	reading time.Duration
 	// ended gets how the wait ended, once, after the waiter has left the queue.
 	ended chan waitEnd
@@ -201,6 +202,6 @@
 	}
 	return &Waiter{
 		Account: call.Account, Priority: call.Priority, Cost: r.costs.of(call, reading), ArrivedAt: now, LatestStart: latest,
-		Value: &waitingCall{call: call, exclude: exclude, reading: reading, ended: make(chan waitEnd, 1)},
+		Value: &waitingCall{call: call, exclude: exclude, kind: kindOf(call, exclude), reading: reading, ended: make(chan waitEnd, 1)},
 	}
 }
--- a/internal/admission/waiting/room_test.go
+++ b/internal/admission/waiting/room_test.go
@@ -215,6 +215,64 @@
 	})
 }
 
+// Guards against many calls of one account that fit no free place, alike or not, and hold back another account's call
+// that does.
+func TestManyCallsThatFitNoPlaceHoldNobodyBack(t *testing.T) {
+	for _, alike := range []bool{true, false} {
+		inRoom(t, newFewPlaces(0, "u", "v"), func(f *roomFixture) {
+			f.queueOf("svc").order.config.MaxWaiters = 400
+			for i := range 2 * maxMisses {
+				exclude := []ident.Instance{"u"}
+				if !alike {
+					exclude = append(exclude, ident.Instance(fmt.Sprint("gone", i)))
+				}
+				f.take(f.t.Context(), newCall(ident.Request(fmt.Sprint("tried", i)), "a"), exclude...)
+			}
+			f.take(f.t.Context(), newCall("next", "b"))
+			f.places.set(func() { f.places.free["u"], f.places.choices = 1, 0 })
+			f.WakeAll()
+			if f.waits("next") {
+				t.Errorf("alike %v: the place didn't go to the call that it fits", alike)
+			}
+			f.places.set(func() {
+				if most := maxMisses + 2; f.places.choices > most {
+					t.Errorf("alike %v: %d choices in one wake, want at most %d", alike, f.places.choices, most)
+				}
+			})
+		})
+	}
+}
+
+// Guards against many calls of one account that would be answered too late and hold back another account's call.
+func TestManyLateCallsHoldNobodyBack(t *testing.T) {
+	inRoom(t, newFewPlaces(0, "u"), func(f *roomFixture) {
+		f.queueOf("svc").order.config.MaxWaiters = 400
+		f.places.set(func() { f.places.late = map[ident.ClientAccount]bool{"a": true} })
+		for i := range 2 * maxMisses {
+			f.take(f.t.Context(), newCall(ident.Request(fmt.Sprint("late", i)), "a"))
+		}
+		f.take(f.t.Context(), newCall("next", "b"))
+		f.places.set(func() { f.places.free["u"] = 1 })
+		f.WakeAll()
+		if f.waits("next") {
+			t.Error("the place didn't go to the call that it fits")
+		}
+	})
+}
+
+// Guards against a call that counts as like another one which tried other upstreams, and misses the place that fits it.
+func TestCallsThatTriedOtherUpstreamsAreNotAlike(t *testing.T) {
+	inRoom(t, newFewPlaces(0, "u", "v"), func(f *roomFixture) {
+		f.take(f.t.Context(), newCall("tried v", "a"), "v")
+		f.take(f.t.Context(), newCall("tried u", "b"), "u")
+		f.places.set(func() { f.places.free["v"] = 1 })
+		f.WakeAll()
+		if f.waits("tried u") || !f.waits("tried v") {
+			t.Error("the place didn't go to the call that it fits")
+		}
+	})
+}
+
 // Guards against a queue without bound, and against one that refuses accounts that wait for little.
 func TestAFullRoomRefusesTheLargestAccount(t *testing.T) {
 	inRoom(t, newFewPlaces(0, "u"), func(f *roomFixture) {
--- a/internal/admission/waiting/servicequeue.go
+++ b/internal/admission/waiting/servicequeue.go
@@ -19,8 +19,8 @@
 	// mu guards the fields below. Nobody holds it while waiting.
 	mu    sync.Mutex
 	order *Queue
-	// full are the routes for whose calls the last search found no place, with the choice that said so.
-	full map[string]forward.Choice
+	// full are the kinds of calls for which the last search found no place, with the choice that said so.
+	full map[callKind]forward.Choice
 	// wakeAt is when wakeTimer wakes the queue, because upstreams may accept calls again then; zero if
 	// nothing is known to end.
 	wakeAt    time.Time
@@ -77,8 +77,8 @@
 // free since, as far as is known.
 func (q *serviceQueue) foundFullFor(w *Waiter) bool {
 	c := callOf(w)
-	choice, full := q.full[c.call.Route.Name]
-	return full && choice.Blocked == 0 && c.goesAnywhere()
+	choice, full := q.full[c.kind]
+	return full && choice.Blocked == 0
 }
 
 // add makes a call wait, with the standing that it has in the present configuration, and reports whether it
