--- a/internal/routing/placement/pauses.go
+++ b/internal/routing/placement/pauses.go
@@ -96,6 +96,19 @@
 	return pause.Until.Add(max(pause.Backoff, time.Duration(pause.Jitter*float64(spread))))
 }
 
+// OwnLoads returns this gateway's load at each upstream where it has any.
+func (c *Chooser) OwnLoads() map[ident.Instance]Load {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[ident.Instance]Load)
+	for id, o := range c.own {
+		if o.load != (Load{}) {
+			out[id] = o.load
+		}
+	}
+	return out
+}
+
 // ReportedLoads returns what this gateway reports to the others: its load at each upstream
 // where it has any, and the pauses after which an upstream has not served it yet. The
 // others then return to the upstream no sooner than the gateways that it asked.
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -391,17 +391,4 @@
 	return v
 }
 
-// OwnLoads returns this gateway's load at each upstream where it has any.
-func (c *Chooser) OwnLoads() map[ident.Instance]Load {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	out := make(map[ident.Instance]Load)
-	for id, o := range c.own {
-		if o.load != (Load{}) {
-			out[id] = o.load
-		}
-	}
-	return out
-}
-
 func contains[T comparable](list []T, x T) bool { return slices.Contains(list, x) }
