One bound of a waiting call's time for waiting, leased slots and both simulations; an unknown lease is withdrawn

The eighth of the objective stood in four places. Keeper.Fail went through Return for an ask that it doesn't know, which is Withdraw. No behaviour changes. Ran: tests of slotlease, waiting, spread and fleetsim, without the race detector.

--- a/internal/admission/waiting/fixture_test.go
+++ b/internal/admission/waiting/fixture_test.go
@@ -82,7 +82,7 @@
 // objective is that of the tests' routes; a call waits for an eighth of it, longestWait.
 const (
 	objective   = 800 * time.Millisecond
-	longestWait = objective / waitDivisor
+	longestWait = objective / WaitDivisor
 )
 
 var (
--- a/internal/admission/waiting/room.go
+++ b/internal/admission/waiting/room.go
@@ -15,9 +15,9 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
 )
 
-// waitDivisor divides a route's objective: a call waits for an eighth of it at most, so that a caller that is
+// WaitDivisor divides a route's objective: a call waits for an eighth of it at most, so that a caller that is
 // refused can send the request again and still be served in time.
-const waitDivisor = 8
+const WaitDivisor = 8
 
 // RoomConfig holds what a Room uses. Now, Placement and Log are required.
 type RoomConfig struct {
@@ -196,7 +196,7 @@
 func (r *Room) newWaiter(call *forward.Call, exclude []ident.Instance) *Waiter {
 	now := r.cfg.Now()
 	reading := r.cfg.Reading(call, now)
-	latest := call.Received.Add(call.Route.Objective / waitDivisor)
+	latest := call.Received.Add(call.Route.Objective / WaitDivisor)
 	if inTime := call.Expires.Add(-reading); inTime.Before(latest) {
 		latest = inTime
 	}
--- a/internal/fleetsim/plain/plain.go
+++ b/internal/fleetsim/plain/plain.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/admission/waiting"
 	"github.com/goldcrestspool/goldcrestspool/internal/announced"
 	"github.com/goldcrestspool/goldcrestspool/internal/directory"
 	"github.com/goldcrestspool/goldcrestspool/internal/enginemodel"
@@ -55,7 +56,7 @@
 	// oneWay is the time that a message takes.
 	oneWay = time.Millisecond
 	// waitEvery and maxWait are how often and for how long a call asks again if no upstream has room.
-	waitEvery, maxWait = 10 * time.Millisecond, objective / 8
+	waitEvery, maxWait = 10 * time.Millisecond, objective / waiting.WaitDivisor
 	// burstEvery and burstFor are how often bursts begin and how long they last.
 	burstEvery, burstFor = time.Second, 300 * time.Millisecond
 	// An upstream in a slow spell takes slowFactor as long.
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/admission/retryafter"
+	"github.com/goldcrestspool/goldcrestspool/internal/admission/waiting"
 	"github.com/goldcrestspool/goldcrestspool/internal/announced"
 	"github.com/goldcrestspool/goldcrestspool/internal/directory"
 	"github.com/goldcrestspool/goldcrestspool/internal/enginemodel"
@@ -55,9 +56,6 @@
 	recordEvery = 50 * time.Millisecond
 	dutyEvery   = 250 * time.Millisecond
 	placeEvery  = 10 * time.Millisecond
-	// waitDivisor divides a request's objective to give the longest time that it waits for an
-	// engine.
-	waitDivisor = 8
 )
 
 // service is the name of the only service.
@@ -303,7 +301,7 @@
 	switch {
 	case found:
 		w.send(c, choice)
-	case w.Now() < since+c.Route.Objective/waitDivisor:
+	case w.Now() < since+c.Route.Objective/waiting.WaitDivisor:
 		w.At(w.Now()+placeEvery, func() { w.place(c, since) })
 	case !c.retried:
 		// The caller retries once, after the retry-after time.
--- a/internal/slotlease/keeper.go
+++ b/internal/slotlease/keeper.go
@@ -142,7 +142,7 @@
 func (k *Keeper) Fail(id LeaseID, now time.Time) []Decision {
 	l, known := k.leases[id]
 	if !known {
-		return k.Return(id, now)
+		return k.Withdraw(id, now)
 	}
 	l.end = now.Add(failurePause)
 	k.leases[id] = l
--- a/internal/slotlease/wait.go
+++ b/internal/slotlease/wait.go
@@ -1,20 +1,24 @@
 package slotlease
 
-import "time"
+import (
+	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/admission/waiting"
+)
 
 const (
 	// worksBeforeObjective is how many times the mean time that a request takes must be left of the objective
 	// when a call gets its slot. Requests take longer than the mean, or wait at the upstream for another one.
 	worksBeforeObjective = 2
-	// minWaitDivisor and maxWaitDivisor divide a route's objective to the shortest and the longest time for
-	// which a call may wait. Half of it is left if a keeper is frozen and the call is placed without it.
-	minWaitDivisor, maxWaitDivisor = 8, 2
+	// maxWaitDivisor divides a route's objective to the longest time for which a call may wait. Half of it is
+	// left if a keeper is frozen and the call is placed without it.
+	maxWaitDivisor = 2
 )
 
 // MaxWait returns how long a call may wait for a slot: as long as it could still be served within its objective.
 // work is the mean time that a request takes in a slot; 0 if it isn't known.
 func MaxWait(objective, work time.Duration) time.Duration {
-	shortest, longest := objective/minWaitDivisor, objective/maxWaitDivisor
+	shortest, longest := objective/waiting.WaitDivisor, objective/maxWaitDivisor
 	if work <= 0 {
 		return shortest
 	}
