One running mean, and one place where an account's priority goes before its route's

waiting.routeCost and placement.routeDemand wrote the same mean, and ingress and waiting the same choice of a priority. Both call runningmean.Mean and routetable.Route.PriorityOf now. A lease's refusal is decided in one switch. No behaviour changes but rounding in the last digit of a mean.

--- a/internal/admission/waiting/cost.go
+++ b/internal/admission/waiting/cost.go
@@ -5,11 +5,10 @@
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/forward"
+	"github.com/goldcrestspool/goldcrestspool/internal/runningmean"
 )
 
 const (
-	// maxMeanSamples is the number of answers over which a route's means are taken.
-	maxMeanSamples = 200
 	// maxSampleRatio bounds one answer in the mean, and the cost of one call, as a multiple of the mean.
 	maxSampleRatio = 2
 	// minCost is the least that a call costs, in seconds.
@@ -25,10 +24,9 @@
 
 // routeCost is what the answers of one route took.
 type routeCost struct {
-	// meanSeconds is the mean time for which a slot was held after the prompt was read, and meanMaxTokens
-	// the mean of the answers' largest sizes.
-	meanSeconds, meanMaxTokens float64
-	samples                    int
+	// seconds is the mean time for which a slot was held after the prompt was read, and maxTokens the mean of the
+	// answers' largest sizes.
+	seconds, maxTokens runningmean.Mean
 }
 
 // of returns a call's cost in seconds. reading is the time to read its prompt; 0 if it has none. Until an
@@ -46,10 +44,10 @@
 // generating returns the seconds for an answer of at most this size. A size that callers declare may be
 // far larger than any answer, so the mean bounds it.
 func (r *routeCost) generating(maxTokens int) float64 {
-	if maxTokens <= 0 || r.meanMaxTokens <= 0 {
-		return r.meanSeconds
+	if maxTokens <= 0 || r.maxTokens.Value <= 0 {
+		return r.seconds.Value
 	}
-	return r.meanSeconds * min(float64(maxTokens)/r.meanMaxTokens, maxSampleRatio)
+	return r.seconds.Value * min(float64(maxTokens)/r.maxTokens.Value, maxSampleRatio)
 }
 
 // learn records that an answer to a call held its slot for a time, of which reading its prompt took a part.
@@ -64,18 +62,8 @@
 		r = &routeCost{}
 		c.routes[call.Route.Name] = r
 	}
-	r.add(max(0, (held-reading).Seconds()), float64(call.MaxTokens))
-}
-
-func (r *routeCost) add(seconds, maxTokens float64) {
-	r.samples++
-	if r.samples == 1 {
-		r.meanSeconds, r.meanMaxTokens = seconds, maxTokens
-		return
-	}
-	weight := 1 / float64(min(r.samples, maxMeanSamples))
-	r.meanSeconds += weight * (min(seconds, maxSampleRatio*r.meanSeconds) - r.meanSeconds)
-	r.meanMaxTokens += weight * (maxTokens - r.meanMaxTokens)
+	r.seconds.AddBounded(max(0, (held-reading).Seconds()), maxSampleRatio)
+	r.maxTokens.Add(float64(call.MaxTokens))
 }
 
 // keep drops the routes for which inUse returns false.
--- a/internal/admission/waiting/standing.go
+++ b/internal/admission/waiting/standing.go
@@ -31,14 +31,11 @@
 		return standing{block: forward.BlockedByRoute}
 	}
 	if route.Public || !table.NeedsKeys() {
-		return standing{priority: route.Priority}
+		return standing{priority: route.PriorityOf(nil)}
 	}
 	account := table.AccountByKey(call.Key)
 	if account == nil || account.Name != call.Account {
 		return standing{block: forward.BlockedByKey}
 	}
-	if account.Priority != nil {
-		return standing{priority: *account.Priority}
-	}
-	return standing{priority: route.Priority}
+	return standing{priority: route.PriorityOf(account)}
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -313,7 +313,7 @@
 // authenticate sets the call's account and priority. It returns the account, or nil if the
 // request needs no key, or the refusal of a request with an unknown key.
 func (s *Server) authenticate(table *routetable.Table, call *forward.Call, parsed *Parsed) (*routetable.Account, *refusal) {
-	call.Priority = call.Route.Priority
+	call.Priority = call.Route.PriorityOf(nil)
 	if call.Route.Public || !table.NeedsKeys() {
 		return nil, nil
 	}
@@ -322,8 +322,6 @@
 		return nil, &refusal{status: http.StatusUnauthorized, reason: "the key is not known"}
 	}
 	call.Account, call.Key = account.Name, parsed.Key
-	if account.Priority != nil {
-		call.Priority = *account.Priority
-	}
+	call.Priority = call.Route.PriorityOf(account)
 	return account, nil
 }
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -145,6 +145,14 @@
 	DefaultTokens float64
 }
 
+// PriorityOf returns the priority of an account's requests on the route; nil is no account.
+func (r *Route) PriorityOf(a *Account) int {
+	if a != nil && a.Priority != nil {
+		return *a.Priority
+	}
+	return r.Priority
+}
+
 // Cost returns what a request takes from the account's limit. declared says whether the
 // request declares its tokens, and tokens how many.
 func (a *Account) Cost(declared bool, tokens int) float64 {
--- a/internal/routing/placement/beliefs_test.go
+++ b/internal/routing/placement/beliefs_test.go
@@ -77,7 +77,7 @@
 			if ejection != c.ejection || rollout != c.rollout {
 				t.Errorf("to ejection %s, to the rollout %s; want %s and %s", ejection, rollout, c.ejection, c.rollout)
 			}
-			if learned := f.demands["svc"].route(route.Name).samples > 0; learned != c.learned {
+			if learned := f.demands["svc"].route(route.Name).answer.Samples > 0; learned != c.learned {
 				t.Errorf("the time of the answer was learned: %v", learned)
 			}
 			if _, unreachable := f.lastUnreachable[r.domain]; unreachable != c.unreachable {
--- a/internal/routing/placement/demand.go
+++ b/internal/routing/placement/demand.go
@@ -6,15 +6,13 @@
 
 	"github.com/goldcrestspool/goldcrestspool/internal/forward"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/runningmean"
 )
 
 const (
 	// demandWindow is the time constant of a service's average demand. Two or three
 	// seconds show a burst before its queues have grown.
 	demandWindow = 2500 * time.Millisecond
-	// maxMeanSamples is the number of answers over which a route's mean time is averaged:
-	// so many that a shortage of engines for some ten seconds hardly changes the mean.
-	maxMeanSamples = 200
 	// maxSampleRatio bounds the time of one answer that enters the mean, as a multiple of
 	// the mean.
 	maxSampleRatio = 2
@@ -37,10 +35,9 @@
 type routeDemand struct {
 	// requestRate is the number of requests per second, as of updatedAt of the service.
 	requestRate float64
-	// meanSeconds is the mean time of an answer from its first event to its end, in
-	// seconds, and samples the number of answers that were measured.
-	meanSeconds float64
-	samples     int
+	// answer is the mean time of an answer from its first event to its end, in seconds. A shortage of engines for
+	// some ten seconds hardly changes it.
+	answer runningmean.Mean
 }
 
 // decayTo lets the rates decay until now.
@@ -67,7 +64,7 @@
 // answerFinished records how long a whole answer of a route took from its first
 // event to its end.
 func (d *serviceDemand) answerFinished(route string, generating time.Duration) {
-	d.route(route).learn(generating.Seconds())
+	d.route(route).answer.AddBounded(generating.Seconds(), maxSampleRatio)
 }
 
 func (d *serviceDemand) route(name string) *routeDemand {
@@ -77,23 +74,12 @@
 	return getOrCreate(d.routes, name)
 }
 
-// learn adds the time of an answer to the mean.
-func (r *routeDemand) learn(seconds float64) {
-	r.samples++
-	if r.samples == 1 {
-		r.meanSeconds = seconds
-		return
-	}
-	weight := 1 / float64(min(r.samples, maxMeanSamples))
-	r.meanSeconds += weight * (min(seconds, maxSampleRatio*r.meanSeconds) - r.meanSeconds)
-}
-
 // generating returns how many requests would be generating an answer at a time if
 // each took the mean time of its route.
 func (d *serviceDemand) generating() float64 {
 	sum := 0.0
 	for _, r := range d.routes {
-		sum += r.requestRate * r.meanSeconds
+		sum += r.requestRate * r.answer.Value
 	}
 	return sum
 }
@@ -109,7 +95,7 @@
 	defer c.mu.Unlock()
 	longest := 0.0
 	for _, r := range getOrCreate(c.demands, service).routes {
-		longest = max(longest, r.meanSeconds)
+		longest = max(longest, r.answer.Value)
 	}
 	return time.Duration(drainFactor * longest * float64(time.Second))
 }
--- a/internal/routing/placement/versions.go
+++ b/internal/routing/placement/versions.go
@@ -73,8 +73,8 @@
 		return first
 	}
 	route := demand.route(r.route)
-	if route.samples < minSamples || route.meanSeconds <= 0 {
+	if route.answer.Samples < minSamples || route.answer.Value <= 0 {
 		return first
 	}
-	return max(first, (elapsed-r.firstEventLatency).Seconds()/route.meanSeconds)
+	return max(first, (elapsed-r.firstEventLatency).Seconds()/route.answer.Value)
 }
--- a/internal/slotlease/client.go
+++ b/internal/slotlease/client.go
@@ -212,10 +212,11 @@
 		if err != nil {
 			return forward.Choice{}, err
 		}
-		if answer.Upstream == "" && n > 0 {
-			break
-		}
-		if answer.Upstream == "" {
+		switch {
+		case answer.Upstream != "":
+		case n > 0:
+			return forward.Choice{}, errUnusable
+		default:
 			c.recordRefusal(call.Service.Name, answer.RetryAfter)
 			return forward.Choice{}, errRefused
 		}
