Waiting calls: one bound for a wait

Cause: the timer of a wait was its latest start alone, and the queue passed a call over after 10 s. With an objective above 80 s a call stood in the queue, got no place that became free, and was asked once at its end. Its latest start is at most 10 s away now. The test fails without it: the call still waits.

--- a/internal/admission/waiting/room.go
+++ b/internal/admission/waiting/room.go
@@ -67,7 +67,7 @@
 	reading   time.Duration
 }
 
-// Take implements forward.Places. A call waits for an eighth of its route's objective at most.
+// Take implements forward.Places. A call waits for an eighth of its route's objective and DefaultMaxWait at most.
 func (r *Room) Take(ctx context.Context, call *forward.Call, exclude []ident.Instance) (forward.Choice, bool) {
 	if ctx.Err() != nil {
 		return forward.Choice{}, false
@@ -197,8 +197,10 @@
 	now := r.cfg.Now()
 	reading := r.cfg.Reading(call, now)
 	latest := call.Received.Add(call.Route.Objective / WaitDivisor)
-	if inTime := call.Expires.Add(-reading); inTime.Before(latest) {
-		latest = inTime
+	for _, bound := range []time.Time{call.Expires.Add(-reading), now.Add(DefaultMaxWait)} {
+		if bound.Before(latest) {
+			latest = bound
+		}
 	}
 	return &Waiter{
 		Account: call.Account, Priority: call.Priority, Cost: r.costs.of(call, reading), ArrivedAt: now, LatestStart: latest,
