--- a/internal/fleetsim/speeds_test.go
+++ b/internal/fleetsim/speeds_test.go
@@ -1,6 +1,7 @@
 package fleetsim
 
 import (
+	"sync"
 	"testing"
 	"time"
 )
@@ -22,14 +23,16 @@
 // engines were ejected where the speeds are learned and where all are alike.
 func compare(t *testing.T, c Case) (ejected, ejectedAlike int) {
 	t.Helper()
-	c.Speeds = SpeedsTold
-	told := Run(c)
-	c.Speeds = SpeedsIgnored
-	ignored := Run(c)
-	c.Speeds = SpeedsLearned
-	learned := Run(c)
-	c.Slowdowns = []float64{1}
-	alike := Run(c)
+	cases := [4]Case{c, c, c, c}
+	cases[0].Speeds, cases[1].Speeds, cases[2].Speeds = SpeedsTold, SpeedsIgnored, SpeedsLearned
+	cases[3].Speeds, cases[3].Slowdowns = SpeedsLearned, []float64{1}
+	var figures [len(cases)]Figures
+	var runs sync.WaitGroup
+	for i := range cases {
+		runs.Go(func() { figures[i] = Run(cases[i]) })
+	}
+	runs.Wait()
+	told, ignored, learned, alike := figures[0], figures[1], figures[2], figures[3]
 	t.Logf("%s, %d gateways, %.1f of %d engines busy: earned %.3f ignored, %.3f learned, %.3f told; first event %v, %v, %v; ejections %d, %d, %d, and %d where all are alike",
 		c.Engine.Name, c.Fleet.Gateways, c.BusyEngines, c.FixedEngines, ignored.EarnedShare, learned.EarnedShare, told.EarnedShare,
 		ignored.FirstEvent.Round(time.Millisecond), learned.FirstEvent.Round(time.Millisecond), told.FirstEvent.Round(time.Millisecond),
