Retry budget: each decision is logged with what decided it, and counted

attempt ended tells the last decision of the retry budget: what was counted in the window and over how many gateways the slack was shared; /metrics counts what was allowed and refused. What is decided does not change.

--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -107,6 +107,7 @@
 	p.writePoisonMetrics(w)
 	p.writeLimitMetrics(w)
 	p.writeLendingMetrics(w)
+	p.writeRetryMetrics(w)
 	p.writeSlotMetrics(w)
 	p.writeAnnouncedMetrics(w)
 	p.writeNetworkMetrics(w)
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -90,6 +90,7 @@
 	gossip        *gossip.Gossip
 	chooser       *placement.Chooser
 	room          *waiting.Room
+	retries       *retry.FleetBudget
 	speeds        *speed.Tracker
 	rollouts      *rollout.Tracker
 	poison        *poison.Tracker
@@ -180,7 +181,7 @@
 		Self: s.Instance.ID, Now: p.now, Log: p.log.Named("lending"), Network: loanNetwork{p.gossip, p.pool}, Limiter: p.quotas, Account: p.accountLimit,
 	})
 	p.quotas.SetLender(p.lending)
-	budget := retry.NewFleetBudget(retry.FleetBudgetConfig{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window}, p.gatewayCount)
+	p.retries = retry.NewFleetBudget(retry.FleetBudgetConfig{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window}, p.gatewayCount)
 	p.speeds = speed.New(speed.Config{Log: p.log.Named("speed"), Key: key, Interval: gossip.Interval})
 	p.chooser = placement.New(placement.Config{
 		Params: placement.DefaultParams(), Self: s.Instance.ID, Domain: s.Instance.FailureDomain, Log: p.log.Named("placement"),
@@ -191,7 +192,7 @@
 		OtherEngineSums: p.engineSums,
 		Limits:          p.limits,
 		Pauses:          p.announced,
-		RetryLeft:       budget.Left,
+		RetryLeft:       p.retries.Left,
 		HoldsBack:       p.origins.HoldsBack,
 		Split:           p.rollouts.SplitOf,
 		Slowness:        p.speeds.Factor,
@@ -203,7 +204,7 @@
 	p.wireSlots()
 	forwarder := forward.New(forward.Config{
 		Now: p.now, Network: p.network, Dialect: p.ports.Protocol, Placement: p.slots, Places: p.slots,
-		Budget: budget, Guard: p.poison, Announcements: p.announced, Origins: p.origins, Meter: p.counter, Log: p.log.Named("forward"), Tracer: p.tracing.Tracer, RetryAfter: p.retryAfter,
+		Budget: p.retries, Guard: p.poison, Announcements: p.announced, Origins: p.origins, Meter: p.counter, Log: p.log.Named("forward"), Tracer: p.tracing.Tracer, RetryAfter: p.retryAfter,
 	})
 	p.lease = p.newLease()
 	p.callers = ingress.New(ingress.Config{
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -19,6 +19,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/origin/origintest"
 	"github.com/goldcrestspool/goldcrestspool/internal/poison"
+	"github.com/goldcrestspool/goldcrestspool/internal/retry"
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
 	"github.com/goldcrestspool/goldcrestspool/internal/standin/worker"
 )
@@ -114,9 +115,9 @@
 type countingBudget struct{ retries atomic.Int64 }
 
 func (*countingBudget) RecordFirstAttempt(ident.Service, time.Time) {}
-func (b *countingBudget) Spend(ident.Service, time.Time) bool {
+func (b *countingBudget) Spend(ident.Service, time.Time) retry.Decision {
 	b.retries.Add(1)
-	return true
+	return retry.Decision{OK: true}
 }
 
 // unlimited announces nothing, and counts nothing.
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -11,6 +11,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/origin"
 	"github.com/goldcrestspool/goldcrestspool/internal/poison"
+	"github.com/goldcrestspool/goldcrestspool/internal/retry"
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
 )
 
@@ -313,8 +314,9 @@
 type Budget interface {
 	// RecordFirstAttempt records the first attempt of a request.
 	RecordFirstAttempt(service ident.Service, now time.Time)
-	// Spend takes one retry out of the budget and reports whether the budget allowed it.
-	Spend(service ident.Service, now time.Time) bool
+	// Spend takes one retry out of the budget, if the budget allows it. It may wait for other gateways, 0.2 s
+	// at most.
+	Spend(service ident.Service, now time.Time) retry.Decision
 }
 
 // Meter counts the requests that began to run, for each account's usage.
--- a/internal/retry/fleetbudget.go
+++ b/internal/retry/fleetbudget.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
@@ -36,6 +37,7 @@
 
 	mu       sync.Mutex
 	services map[ident.Service]*window
+	counters Counters
 }
 
 // window counts first and extra attempts in time slices of a sliding window.
@@ -61,16 +63,50 @@
 	w.firsts[w.slice%sliceCount]++
 }
 
-// Spend takes one extra attempt from the service's budget, or returns false if none is left.
-func (b *FleetBudget) Spend(service ident.Service, now time.Time) bool {
+// Decision tells whether an extra attempt is allowed, and the values that decided it. The zero value stands
+// for no decision.
+type Decision struct {
+	OK bool
+	// Firsts and Extras are the first and the extra attempts of this process in the window before the decision.
+	Firsts, Extras float64
+	// Gateways is the number of gateways that share the slack.
+	Gateways int
+}
+
+// String returns the decision as it is logged.
+func (d *Decision) String() string {
+	if d == nil {
+		return "not asked"
+	}
+	return fmt.Sprintf("ok=%v firsts=%.0f extras=%.0f gateways=%d", d.OK, d.Firsts, d.Extras, d.Gateways)
+}
+
+// Spend takes one extra attempt from the service's budget, if one is left.
+func (b *FleetBudget) Spend(service ident.Service, now time.Time) Decision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.currentWindow(service, now)
-	if !b.allowsOne(w) {
-		return false
+	d := Decision{OK: b.allowsOne(w), Firsts: sum(w.firsts), Extras: sum(w.extras), Gateways: max(b.gateways(), minGateways)}
+	if !d.OK {
+		b.counters.Refused++
+		return d
 	}
+	b.counters.Allowed++
 	w.extras[w.slice%sliceCount]++
-	return true
+	return d
+}
+
+// Counters are totals since the start.
+type Counters struct {
+	// Allowed and Refused count the extra attempts that were asked for.
+	Allowed, Refused int64
+}
+
+// Counters returns the totals of all services.
+func (b *FleetBudget) Counters() Counters {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.counters
 }
 
 // Left reports whether an extra attempt is left in the service's budget.
--- a/internal/retry/fleetbudget_test.go
+++ b/internal/retry/fleetbudget_test.go
@@ -36,7 +36,7 @@
 			if rapid.IntRange(0, 2).Draw(t, "kind") == 0 {
 				b.RecordFirstAttempt(service, now)
 				events = append(events, event{now, false})
-			} else if b.Spend(service, now) {
+			} else if b.Spend(service, now).OK {
 				events = append(events, event{now, true})
 			}
 			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "passes")) * time.Millisecond)
@@ -66,7 +66,7 @@
 	granted := 0
 	for range 100 {
 		b.RecordFirstAttempt("svc", now)
-		if b.Spend("svc", now) {
+		if b.Spend("svc", now).OK {
 			granted++
 		}
 		now = now.Add(100 * time.Millisecond)
@@ -75,7 +75,7 @@
 	if granted != 16 {
 		t.Errorf("%d of 100 requests were granted an extra attempt, want 16", granted)
 	}
-	if !b.Spend("other", now) {
+	if !b.Spend("other", now).OK {
 		t.Error("another service's budget is used up")
 	}
 }
--- a/internal/retry/plays_test.go
+++ b/internal/retry/plays_test.go
@@ -190,7 +190,7 @@
 			return
 		}
 		p.wanted++
-		if !g.budget.Spend(playService, p.now) {
+		if !g.budget.Spend(playService, p.now).OK {
 			p.refused++
 			if used, allowed := p.window(p.now); used+1 <= allowed/2 {
 				p.refusedWithRoom++
--- a/internal/routing/placement/announced_gateway_test.go
+++ b/internal/routing/placement/announced_gateway_test.go
@@ -202,7 +202,7 @@
 func (r *fleetRequest) after(choice forward.Choice, result forward.Result) {
 	now := r.f.clock()
 	r.chooser.Finished(choice, result, now)
-	switch r.state.After(choice.Upstream, result, func() bool { return r.g.budget.Spend("svc", now) }) {
+	switch r.state.After(choice.Upstream, result, func() bool { return r.g.budget.Spend("svc", now).OK }) {
 	case forward.TryAnother:
 		r.choose()
 	case forward.Deliver:
