Retry budget: what a start brings is earned, and the slack is lent by two gateways

What callers of a service saw: more repeats in a window than the budget allows, while gateways were killed or replaced.

Cause: what was spent was known to the process that spent it alone, so that each start brought a whole share again.

Now requests earn half of the ratio, which is kept for less than a window, so that the retries of any window are covered by the requests of that window and the one before, at any number of gateways, through starts, and with arrivals up to two tenths of a window late. The slack is lent out of pools that two gateways keep, by the mechanism of the accounts' limits, and begins empty.

--- a/internal/entry/lending.go
+++ b/internal/entry/lending.go
@@ -22,6 +22,7 @@
 	lends := p.lends.Load() && !p.leaving.Load()
 	keepers := p.gossip.Keepers(lends, v.SilentDomains, now)
 	p.lending.SetKeepers(lending.NewKeepers(keepers))
+	p.retryLending.SetKeepers(lending.NewKeepers(keepers))
 	p.refreshSlots(keepers)
 }
 
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -47,6 +47,7 @@
 	p.refreshOriginPeers(now)
 	if table := p.table(); table != nil {
 		p.quotas.ApplyReports(table.Accounts(), now)
+		p.refreshRetrySlack(table, now)
 	}
 	p.room.WakeAll()
 }
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -35,6 +35,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/reach"
 	"github.com/goldcrestspool/goldcrestspool/internal/relay"
 	"github.com/goldcrestspool/goldcrestspool/internal/retry"
+	"github.com/goldcrestspool/goldcrestspool/internal/retryslack"
 	"github.com/goldcrestspool/goldcrestspool/internal/rollout"
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
 	"github.com/goldcrestspool/goldcrestspool/internal/routing/placement"
@@ -91,6 +92,8 @@
 	chooser       *placement.Chooser
 	room          *waiting.Room
 	retries       *retry.FleetBudget
+	retrySlack    retryslack.Slack
+	retryLending  *lending.Lending
 	speeds        *speed.Tracker
 	rollouts      *rollout.Tracker
 	poison        *poison.Tracker
@@ -181,7 +184,7 @@
 		Self: s.Instance.ID, Now: p.now, Log: p.log.Named("lending"), Network: loanNetwork{p.gossip, p.pool}, Limiter: p.quotas, Account: p.accountLimit,
 	})
 	p.quotas.SetLender(p.lending)
-	p.retries = retry.NewFleetBudget(retry.FleetBudgetConfig{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window}, p.gatewayCount)
+	p.wireRetries()
 	p.speeds = speed.New(speed.Config{Log: p.log.Named("speed"), Key: key, Interval: gossip.Interval})
 	p.chooser = placement.New(placement.Config{
 		Params: placement.DefaultParams(), Self: s.Instance.ID, Domain: s.Instance.FailureDomain, Log: p.log.Named("placement"),
--- a/internal/entry/slots.go
+++ b/internal/entry/slots.go
@@ -39,6 +39,7 @@
 func (p *Process) messages() map[string]gossip.MessageServer {
 	all := p.originMessages()
 	maps.Copy(all, p.slotMessages())
+	maps.Copy(all, p.retryMessages())
 	return all
 }
 
--- a/internal/retry/fleetbudget.go
+++ b/internal/retry/fleetbudget.go
@@ -18,59 +18,96 @@
 }
 
 const (
-	// usedBudgetShare is the fraction of the budget that the known gateways use. The rest is for
-	// gateways that are not known yet, and for attempts that a network partition delays into another
-	// window.
-	usedBudgetShare = 0.6
-	// minGateways is the number of gateways assumed while fewer are known, so that a gateway that
-	// has just started doesn't take the whole slack.
-	minGateways = 4
+	// sliceCount is the number of slices into which a window is divided.
+	sliceCount = 10
+	// lateSlices is how many slices later than it was sent an attempt may arrive and still count as
+	// allowed for.
+	lateSlices = 2
+	// earnedShare is the fraction of the ratio that a request earns. The users' rule compares a window's
+	// arrivals with the requests of that window or of the one before it, while the retries of one window
+	// may have been earned in both.
+	earnedShare = 0.5
 )
 
-// FleetBudget is a retry budget for many services that all gateways together stay within, without
-// communication: each gateway uses the ratio of its own requests and an even share of the slack. It
-// is safe for concurrent use.
+// Slack lends the part of the budget that all gateways share.
+type Slack interface {
+	// Take takes one extra attempt out of a service's slack. It may wait for other gateways.
+	Take(service ident.Service, now time.Time) SlackDecision
+}
+
+// SlackDecision tells whether the slack gave an extra attempt.
+type SlackDecision struct {
+	OK bool
+	// RetryAfter is when the slack will probably have one; 0 if OK.
+	RetryAfter time.Duration
+	// Values tells what decided, as it is logged.
+	Values string
+}
+
+// SlackWindow is the time in which attempts are sent that arrive in one window.
+func (c FleetBudgetConfig) SlackWindow() time.Duration {
+	return c.Window * (sliceCount + lateSlices) / sliceCount
+}
+
+// FleetBudget is a retry budget for many services that all gateways together stay within. Extra attempts are
+// first taken from those that this gateway's own requests have earned, and then from the slack that
+// all gateways share. Nothing is there at the start of a process: what an earlier process of the
+// gateway spent is not known. It is safe for concurrent use.
 type FleetBudget struct {
-	cfg FleetBudgetConfig
-	// gateways returns how many gateways there may be, with this one.
-	gateways func() int
+	cfg   FleetBudgetConfig
+	slack Slack
 
 	mu       sync.Mutex
-	services map[ident.Service]*window
+	services map[ident.Service]*earnings
 	counters Counters
 }
 
-// window counts first and extra attempts in time slices of a sliding window.
-type window struct {
-	firsts, extras [sliceCount]float64
-	// slice is the number of the newest slice.
-	slice int64
+// earnings are the extra attempts of a service that requests have earned.
+type earnings struct {
+	// slices holds integer units (unitsPerAttempt) by the time slice in which they were earned, until they
+	// expire.
+	slices [sliceCount - lateSlices]int64
+	// newest is the number of the newest slice.
+	newest int64
+	// slackEmptyUntil is when the slack will have another extra attempt.
+	slackEmptyUntil time.Time
 }
 
-const sliceCount = 10
-
-// NewFleetBudget returns a budget of which nothing is spent. gateways returns how many gateways there
-// may be, with this one.
-func NewFleetBudget(cfg FleetBudgetConfig, gateways func() int) *FleetBudget {
-	return &FleetBudget{cfg: cfg, gateways: gateways, services: make(map[ident.Service]*window)}
+// NewFleetBudget returns a budget that holds nothing.
+func NewFleetBudget(cfg FleetBudgetConfig, slack Slack) *FleetBudget {
+	return &FleetBudget{cfg: cfg, slack: slack, services: make(map[ident.Service]*earnings)}
 }
 
-// RecordFirstAttempt records a request's first attempt.
+// RecordFirstAttempt records a request's first attempt, which earns a part of an extra one.
 func (b *FleetBudget) RecordFirstAttempt(service ident.Service, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.currentWindow(service, now)
-	w.firsts[w.slice%sliceCount]++
+	e := b.earnings(service, now)
+	e.slices[e.index(e.newest)] += int64(earnedShare * b.cfg.Ratio * unitsPerAttempt)
 }
 
-// Decision tells whether an extra attempt is allowed, and the values that decided it. The zero value stands
-// for no decision.
+// Source tells which part of the budget decided.
+type Source string
+
+// The sources.
+const (
+	// FromEarned: requests of this gateway have earned the attempt.
+	FromEarned Source = "earned"
+	// FromSlack: the slack of all gateways.
+	FromSlack Source = "slack"
+	// FromRefusal: the slack was found empty a moment ago.
+	FromRefusal Source = "slack, earlier refusal"
+)
+
+// Decision tells whether an extra attempt is allowed, and the values that decided it. A nil Decision stands
+// for none.
 type Decision struct {
-	OK bool
-	// Firsts and Extras are the first and the extra attempts of this process in the window before the decision.
-	Firsts, Extras float64
-	// Gateways is the number of gateways that share the slack.
-	Gateways int
+	OK     bool
+	Source Source
+	// Earned is how many extra attempts this gateway's requests had earned.
+	Earned float64
+	// Slack is the decision on the slack; the zero value unless Source is FromSlack.
+	Slack SlackDecision
 }
 
 // String returns the decision as it is logged.
@@ -78,28 +115,72 @@
 	if d == nil {
 		return "not asked"
 	}
-	return fmt.Sprintf("ok=%v firsts=%.0f extras=%.0f gateways=%d", d.OK, d.Firsts, d.Extras, d.Gateways)
+	text := fmt.Sprintf("ok=%v from=%q earned=%.2f", d.OK, d.Source, d.Earned)
+	if d.Source == FromSlack {
+		text += " " + d.Slack.Values
+	}
+	return text
 }
 
-// Spend takes one extra attempt from the service's budget, if one is left.
+// Spend takes one extra attempt from the service's budget, if one is left. It may wait for other gateways.
 func (b *FleetBudget) Spend(service ident.Service, now time.Time) Decision {
+	d, decided := b.spendEarned(service, now)
+	if decided {
+		return d
+	}
+	d.Slack = b.slack.Take(service, now)
+	d.OK, d.Source = d.Slack.OK, FromSlack
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.currentWindow(service, now)
-	d := Decision{OK: b.allowsOne(w), Firsts: sum(w.firsts), Extras: sum(w.extras), Gateways: max(b.gateways(), minGateways)}
 	if !d.OK {
-		b.counters.Refused++
-		return d
+		b.earnings(service, now).slackEmptyUntil = now.Add(d.Slack.RetryAfter)
 	}
-	b.counters.Allowed++
-	w.extras[w.slice%sliceCount]++
+	b.counters.add(d)
 	return d
 }
 
+// spendEarned decides without the slack if that is possible.
+func (b *FleetBudget) spendEarned(service ident.Service, now time.Time) (d Decision, decided bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.earnings(service, now)
+	d = Decision{Earned: float64(e.sum()) / unitsPerAttempt}
+	switch {
+	case e.spend():
+		d.OK, d.Source = true, FromEarned
+	case b.cfg.Slack <= 0 || now.Before(e.slackEmptyUntil):
+		d.Source = FromRefusal
+	default:
+		return d, false
+	}
+	b.counters.add(d)
+	return d, true
+}
+
+// Left reports, without waiting, whether an extra attempt is probably left in the service's budget.
+func (b *FleetBudget) Left(service ident.Service, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.earnings(service, now)
+	return e.sum() >= unitsPerAttempt || b.cfg.Slack > 0 && !now.Before(e.slackEmptyUntil)
+}
+
 // Counters are totals since the start.
 type Counters struct {
-	// Allowed and Refused count the extra attempts that were asked for.
-	Allowed, Refused int64
+	// Earned and Slack count the extra attempts that were allowed, by their source, and Refused those that
+	// were not.
+	Earned, Slack, Refused int64
+}
+
+func (c *Counters) add(d Decision) {
+	switch {
+	case !d.OK:
+		c.Refused++
+	case d.Source == FromEarned:
+		c.Earned++
+	default:
+		c.Slack++
+	}
 }
 
 // Counters returns the totals of all services.
@@ -109,42 +190,47 @@
 	return b.counters
 }
 
-// Left reports whether an extra attempt is left in the service's budget.
-func (b *FleetBudget) Left(service ident.Service, now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.allowsOne(b.currentWindow(service, now))
+// earnings returns a service's earnings without those that have expired. b.mu must be held.
+func (b *FleetBudget) earnings(service ident.Service, now time.Time) *earnings {
+	slice := now.UnixNano() / int64(b.cfg.Window/sliceCount)
+	e := b.services[service]
+	if e == nil {
+		e = &earnings{newest: slice}
+		b.services[service] = e
+	}
+	e.advance(slice)
+	return e
 }
 
-// allowsOne reports whether a window allows one more extra attempt. b.mu must be held.
-func (b *FleetBudget) allowsOne(w *window) bool {
-	gateways := max(b.gateways(), minGateways)
-	allowed := usedBudgetShare * (b.cfg.Ratio*sum(w.firsts) + b.cfg.Slack/float64(gateways))
-	return sum(w.extras)+1 <= allowed
+func (e *earnings) index(slice int64) int { return int(slice % int64(len(e.slices))) }
+
+// advance drops what has expired when a slice begins. A clock that went back changes nothing.
+func (e *earnings) advance(slice int64) {
+	e.newest = max(e.newest, slice-int64(len(e.slices)))
+	for e.newest < slice {
+		e.newest++
+		e.slices[e.index(e.newest)] = 0
+	}
 }
 
-func sum(counts [sliceCount]float64) float64 {
-	total := 0.0
-	for _, n := range counts {
+func (e *earnings) sum() (total int64) {
+	for _, n := range e.slices {
 		total += n
 	}
 	return total
 }
 
-// currentWindow returns a service's window, advanced to now.
-func (b *FleetBudget) currentWindow(service ident.Service, now time.Time) *window {
-	slice := now.UnixNano() / int64(b.cfg.Window/sliceCount)
-	w := b.services[service]
-	if w == nil {
-		w = &window{slice: slice}
-		b.services[service] = w
+// spend takes one extra attempt, out of what expires first, if so much was earned.
+func (e *earnings) spend() bool {
+	if e.sum() < unitsPerAttempt {
+		return false
 	}
-	for w.slice < slice {
-		w.slice++
-		w.firsts[w.slice%sliceCount], w.extras[w.slice%sliceCount] = 0, 0
-		if slice-w.slice > sliceCount {
-			w.slice = slice - sliceCount
-		}
+	left := int64(unitsPerAttempt)
+	for slice := e.newest - int64(len(e.slices)) + 1; left > 0; slice++ {
+		n := &e.slices[e.index(slice)]
+		taken := min(*n, left)
+		*n -= taken
+		left -= taken
 	}
-	return w
+	return true
 }
--- a/internal/retry/plays_test.go
+++ b/internal/retry/plays_test.go
@@ -111,8 +111,10 @@
 	// perSecond requests arrive, rejects is how often upstreams reject.
 	perSecond, rejects float64
 	late, cut          bool
-	firsts, extras     []time.Time
-	wanted, refused    int
+	// running counts the running gateways on each side of a cut.
+	running         [2]int
+	firsts, extras  []time.Time
+	wanted, refused int
 	// refusedWithRoom counts attempts that were refused while less than half of the budget was used.
 	refusedWithRoom int
 }
@@ -145,8 +147,16 @@
 	return p.gateways[i].playedProcess != nil && !p.now.Before(p.gateways[i].pausedUntil)
 }
 
+// sideOf returns on which side of a cut a gateway is.
+func sideOf(i int) int {
+	if i%3 == 0 {
+		return 1
+	}
+	return 0
+}
+
 // hears reports whether two gateways reach each other.
-func (p *play) hears(i, j int) bool { return !p.cut || (i%3 == 0) == (j%3 == 0) }
+func (p *play) hears(i, j int) bool { return !p.cut || sideOf(i) == sideOf(j) }
 
 // heardBy returns how many other gateways one has heard from lately.
 func (p *play) heardBy(i int) int {
@@ -155,12 +165,25 @@
 		return 0
 	}
 	heard := 0
-	for j := range p.gateways {
-		if j != i && p.runs(j) && p.hears(i, j) {
-			heard++
+	if p.runs(i) {
+		heard-- // itself
+	}
+	for side, n := range p.running {
+		if !p.cut || side == sideOf(i) {
+			heard += n
+		}
+	}
+	return max(heard, 0)
+}
+
+// countRunning counts the running gateways on each side.
+func (p *play) countRunning() {
+	p.running = [2]int{}
+	for i := range p.gateways {
+		if p.runs(i) {
+			p.running[sideOf(i)]++
 		}
 	}
-	return heard
 }
 
 func (p *play) run(s story) {
@@ -170,6 +193,7 @@
 				p.restart(i)
 			}
 		}
+		p.countRunning()
 		p.fleet.refresh()
 		s.run(p)
 		for credit += p.perSecond * playStep.Seconds(); credit >= 1; credit-- {
--- a/internal/routing/placement/announced_fleet_test.go
+++ b/internal/routing/placement/announced_fleet_test.go
@@ -9,6 +9,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/enginemodel"
 	"github.com/goldcrestspool/goldcrestspool/internal/forward"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/retryslack"
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
 	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
 )
@@ -137,9 +138,11 @@
 	// engineSums are samples of engines that read 92,100 tokens per second.
 	engineSums enginemodel.Sums
 	service    *routetable.Service
-	route      *routetable.Route
-	seq        int
-	result     fleetResult
+	// slack is the slack of the retry budget.
+	slack  retryslack.Slack
+	route  *routetable.Route
+	seq    int
+	result fleetResult
 }
 
 var fleetEpoch = time.Unix(1_000_000, 0)
@@ -161,6 +164,7 @@
 		own := float64(500 * (1 + i%7))
 		f.engineSums.AddSample(enginemodel.Sample{OwnTokens: own, FirstEvent: 15*time.Millisecond + time.Duration(own/92_100*float64(time.Second))}, f.engineSums.Fit())
 	}
+	f.startSlack()
 	for i := range s.upstreams {
 		u := &fleetUpstream{i: i, domain: i % s.domains}
 		u.start()
--- a/internal/routing/placement/announced_gateway_test.go
+++ b/internal/routing/placement/announced_gateway_test.go
@@ -13,8 +13,11 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/enginemodel"
 	"github.com/goldcrestspool/goldcrestspool/internal/forward"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/quota"
 	"github.com/goldcrestspool/goldcrestspool/internal/retry"
+	"github.com/goldcrestspool/goldcrestspool/internal/retryslack"
 	"github.com/goldcrestspool/goldcrestspool/internal/rollout"
+	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
 	"github.com/goldcrestspool/goldcrestspool/internal/upstreamlimit"
 )
 
@@ -37,6 +40,35 @@
 	toldLeaving, pausedUntil, pausedAt map[ident.Instance]time.Duration
 }
 
+// fleetRetries is the retry budget that the gateways share.
+var fleetRetries = retry.FleetBudgetConfig{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}
+
+// startSlack creates the slack of the retry budget as a fleet has it that has run for a while: all gateways
+// borrow from one pool.
+func (f *announcedFleet) startSlack() {
+	const ranFor, refresh = 20 * time.Second, 500 * time.Millisecond
+	now := f.clock()
+	f.slack = retryslack.Slack{Config: fleetRetries, Limiter: quota.NewLimiter(retryslack.Tolerance(fleetRetries), noOtherGateways, now.Add(-ranFor-quota.StartupPeriod))}
+	for at := now.Add(-ranFor); at.Before(now); at = at.Add(refresh) {
+		f.refreshSlackAt(at)
+	}
+	f.refreshSlack()
+}
+
+// refreshSlack refills the slack, now and in each round.
+func (f *announcedFleet) refreshSlack() {
+	f.In(fleetRound, f.refreshSlack)
+	f.refreshSlackAt(f.clock())
+}
+
+func (f *announcedFleet) refreshSlackAt(at time.Time) {
+	f.slack.Limiter.ApplyReports([]routetable.Account{retryslack.Limit(fleetRetries, "svc")}, at)
+}
+
+func noOtherGateways(ident.ClientAccount, time.Time) quota.OtherGateways {
+	return quota.OtherGateways{}
+}
+
 func (g *fleetGateway) start() {
 	f := g.f
 	g.started = f.Now()
@@ -53,7 +85,7 @@
 		},
 		OnLeaving: func([]ident.Instance) { g.showUpstreams() },
 	})
-	g.budget = retry.NewFleetBudget(retry.FleetBudgetConfig{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, func() int { return f.story.gateways })
+	g.budget = retry.NewFleetBudget(fleetRetries, f.slack)
 	g.showUpstreams()
 	g.chooser = New(Config{
 		Params: DefaultParams(), Self: g.id, Domain: f.domainName(g.domain), Log: hclog.NewNullLogger(),
