Streams joined from two versions after a kill of all gateways: two failing tests and hypotheses

Seen in the unit tests: a version that the store's history lists counts as unused when the gateway has just heard of it, and the history is taken to reach back for the renewals of the upstream that wrote most.

--- a/internal/entry/earlier_test.go
+++ b/internal/entry/earlier_test.go
@@ -51,3 +51,20 @@
 		})
 	}
 }
+
+// Guards against a stream that goes on at another version after a start: the history is taken to reach back
+// for as many renewals as the upstream has that wrote most, though it wrote several times within one
+// (a write without an answer is made again), while the others show that the history is short.
+func TestAnUpstreamThatWritesOftenDoesNotLengthenTheHistory(t *testing.T) {
+	const renewal, within = time.Second, time.Minute
+	reader := earlierReader{known: make(map[string]directory.Upstream), renewals: make(map[string]int), listed: make(map[origin.Origin]bool)}
+	decode := func(_, key string, _ []byte) (directory.Upstream, finding.List) {
+		return directory.Upstream{Service: "svc", SoftwareVersion: "v1"}, nil
+	}
+	for _, key := range "abcaaaaaaaaaaaabc" {
+		reader.add(&platform.KeyedRecord{Key: string(key), Value: []byte("x")}, decode)
+	}
+	if got := reader.result(false, renewal, within); got.For > renewal {
+		t.Errorf("it reaches back for %v; two of three upstreams were renewed once, %v", got.For, renewal)
+	}
+}
--- a/internal/origin/history_test.go
+++ b/internal/origin/history_test.go
@@ -69,3 +69,19 @@
 		}
 	}
 }
+
+// Guards against a stream that goes on at another version after a start: a version that the store's history
+// lists is taken for one that began no streams yet, since this gateway heard of it a moment ago.
+func TestAVersionThatTheHistoryListsIsNotUnused(t *testing.T) {
+	h, now := NewHistory(), start
+	h.Observe(viewOf("v1"), 0, now)
+	h.MarkComplete(now)
+	now = now.Add(300 * time.Millisecond)
+	h.Observe(viewOf("v1", "v2"), 0, now)
+	h.AddEarlier("svc", "v2", now)
+	h.MarkComplete(now.Add(-time.Minute))
+	listed := h.Listed("svc", now.Add(-10*time.Second), now)
+	if !slices.Equal(listed.Versions, []ident.SoftwareVersion{"v1", "v2"}) || len(listed.Unused) > 0 {
+		t.Errorf("listed %v, unused %v, want both versions listed", listed.Versions, listed.Unused)
+	}
+}
