A stream that goes on while the retry budget is asked is not cut off; each log line has its own decision

Found in reading. Since the slack is lent, asking the budget may take as long as two other gateways do. The silence timer asks it, and cancelled the attempt after the answer even if an event had arrived meanwhile: tokens would be made again for nothing. Now it looks once more; the retry that was paid for is kept. TestAStreamThatGoesOnWhileTheBudgetIsAskedIsNotCutOff failed before.

The line of an attempt after which the budget was not asked repeated the decision on an earlier one (TestTheLogTellsTheBudgetsDecisionOnEachAttempt, failed before).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -20,6 +20,7 @@
 	defer span.End()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	s.retryDecision.Store(nil)
 	silence := s.watchForSilence(choice, cancel)
 	defer silence.stop()
 	if !s.firstAttemptCounted {
--- a/internal/forward/ends_test.go
+++ b/internal/forward/ends_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -12,9 +13,12 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
 	"github.com/goldcrestspool/goldcrestspool/internal/standin/worker"
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
 )
 
 const streamHeader = "Content-Type: text/event-stream\r\n"
@@ -148,3 +152,33 @@
 		t.Errorf("recorded %d ends of the process and %d crashes, want 1 of each", g.placement.ended, g.guard.crashes.Load())
 	}
 }
+
+// Guards against a line in the log that tells, of an attempt after which no retry was paid for, the retry budget's
+// decision on an earlier one.
+func TestTheLogTellsTheBudgetsDecisionOnEachAttempt(t *testing.T) {
+	crashing, down, sound := worker.New(t, "u0"), worker.New(t, "u1"), worker.New(t, "u2")
+	crashing.SetDefaultAct(worker.Crash)
+	down.Stop()
+	g := newGatewayUnderTest(boottime.Now, crashing, down, sound)
+	log := &testkit.LogBuffer{}
+	g.cfg.Log = hclog.New(&hclog.LoggerOptions{Output: log, JSONFormat: true})
+	if got, _ := g.serve(t, "r", idempotentRoute, &plainCaller{}); got.status != http.StatusOK {
+		t.Fatalf("status %d", got.status)
+	}
+	var budgets []string
+	for line := range strings.Lines(log.String()) {
+		var entry struct {
+			Message string `json:"@message"`
+			Budget  string `json:"budget"`
+		}
+		if err := json.Unmarshal([]byte(line), &entry); err != nil {
+			t.Fatal(err)
+		}
+		if entry.Message == "attempt ended" {
+			budgets = append(budgets, entry.Budget)
+		}
+	}
+	if len(budgets) != 2 || !strings.HasPrefix(budgets[0], "ok=true") || budgets[1] != "not asked" {
+		t.Errorf("the budget's decisions are %q", budgets)
+	}
+}
--- a/internal/forward/session.go
+++ b/internal/forward/session.go
@@ -34,9 +34,9 @@
 	// nextAttemptPaid: the next attempt was already taken out of the retry budget. The
 	// timer of an attempt sets it.
 	nextAttemptPaid atomic.Bool
-	// budget is the last decision of the retry budget on this call; nil before the first. The timer of an
-	// attempt sets it.
-	budget atomic.Pointer[retry.Decision]
+	// retryDecision is the retry budget's decision on whether another attempt follows the current one; nil
+	// while there is none. The timer of an attempt sets it.
+	retryDecision atomic.Pointer[retry.Decision]
 	// firstAttemptCounted: the first attempt was recorded in the retry budget.
 	firstAttemptCounted bool
 	// metered: the call was counted for the account's usage; a call counts once.
@@ -96,7 +96,7 @@
 				"result", result.String(), "cause", s.reason, "relayed_by", s.outcome.RelayedBy, "next", step.String(), "attempt", s.state.Attempts(),
 				"left_ms", s.call.Remaining(s.f.cfg.Now()).Milliseconds(), "content", s.call.Content(), "parts", s.call.PartsForLog(),
 				"framing", s.ended.Framing.String(), "ending", s.ended.Ending.String(), "position", s.ended.Position.String(), "process", s.ended.Process.String(),
-				"last_event", s.lastEvent, "bytes_after", s.ended.BytesAfter, "answer", s.ended.Verdict().String(), "budget", s.budget.Load().String())
+				"last_event", s.lastEvent, "bytes_after", s.ended.BytesAfter, "answer", s.ended.Verdict().String(), "budget", s.retryDecision.Load().String())
 		}
 		if step != TryAnother && step != Resume {
 			s.finish(step)
@@ -154,7 +154,7 @@
 		return true
 	}
 	d := s.f.cfg.Budget.Spend(s.call.Service.Name, s.f.cfg.Now())
-	s.budget.Store(&d)
+	s.retryDecision.Store(&d)
 	return d.OK
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/completion"
@@ -20,6 +21,8 @@
 	timer *time.Timer
 	// afterEvent is the longest silence allowed after an event.
 	afterEvent time.Duration
+	// resets counts the restarts: events may arrive while the timer waits for the retry budget.
+	resets atomic.Int64
 }
 
 // watchForSilence starts the silence timer of an attempt. A call that no further upstream may
@@ -33,8 +36,12 @@
 	}
 	t := &silenceTimer{afterEvent: max(silentGapFactor*route.GapObjective, choice.SilenceTimeout)}
 	t.timer = time.AfterFunc(choice.SilenceTimeout, func() {
-		if s.call.Remaining(s.f.cfg.Now()) > choice.SilenceTimeout && s.spendRetry() {
-			s.nextAttemptPaid.Store(true)
+		resets := t.resets.Load()
+		if s.call.Remaining(s.f.cfg.Now()) <= choice.SilenceTimeout || !s.spendRetry() {
+			return
+		}
+		s.nextAttemptPaid.Store(true)
+		if t.resets.Load() == resets {
 			cancel(errSilent)
 		}
 	})
@@ -49,6 +56,7 @@
 // reset restarts the timer after an event was received.
 func (t *silenceTimer) reset() {
 	if t.timer != nil {
+		t.resets.Add(1)
 		t.timer.Reset(t.afterEvent)
 	}
 }
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -1,10 +1,16 @@
 package forward
 
 import (
+	"context"
+	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/eventstream"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/retry"
+	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
 )
 
 // acceptingCaller is a caller that accepts all parts.
@@ -27,3 +33,44 @@
 		t.Errorf("the longest pause is %v", got)
 	}
 }
+
+// slowBudget is a Budget that asks other gateways: meanwhile something happens.
+type slowBudget struct{ meanwhile func() }
+
+func (slowBudget) RecordFirstAttempt(ident.Service, time.Time) {}
+func (b slowBudget) Spend(ident.Service, time.Time) retry.Decision {
+	b.meanwhile()
+	return retry.Decision{OK: true}
+}
+
+// Guards against a stream that is cut off though it goes on: its next event arrives while the retry budget is asked
+// whether the stream, silent until then, may be sent to another upstream. The retry that was paid for is kept.
+func TestAStreamThatGoesOnWhileTheBudgetIsAskedIsNotCutOff(t *testing.T) {
+	for _, goesOn := range []bool{true, false} {
+		t.Run(fmt.Sprintf("goes on %v", goesOn), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const silence = 100 * time.Millisecond
+				var timer *silenceTimer
+				budget := slowBudget{func() {
+					if goesOn {
+						timer.reset()
+					}
+				}}
+				now := time.Now()
+				s := &session{f: &Forwarder{cfg: Config{Now: time.Now, Budget: budget}}, state: NewState(resumableRoute), call: &Call{
+					Route: resumableRoute, Service: &routetable.Service{Name: "svc"}, Received: now, Expires: now.Add(time.Minute),
+				}}
+				ctx, cancel := context.WithCancelCause(t.Context())
+				timer = s.watchForSilence(Choice{SilenceTimeout: silence}, cancel)
+				defer timer.stop()
+				time.Sleep(2 * silence)
+				if cut := ctx.Err() != nil; cut == goesOn {
+					t.Errorf("it is cut off: %v", cut)
+				}
+				if !s.nextAttemptPaid.Load() {
+					t.Error("the retry is lost")
+				}
+			})
+		})
+	}
+}
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -314,8 +314,7 @@
 type Budget interface {
 	// RecordFirstAttempt records the first attempt of a request.
 	RecordFirstAttempt(service ident.Service, now time.Time)
-	// Spend takes one retry out of the budget, if the budget allows it. It may wait for other gateways, 0.2 s
-	// at most.
+	// Spend takes one retry out of the budget, if the budget allows it. It may wait for other gateways.
 	Spend(service ident.Service, now time.Time) retry.Decision
 }
 
