One piece of code asks the keepers of a pool in turn; their list is made once

quota.BorrowFrom serves lending and both simulated fleets, which had a copy each. Keepers are hashed once a refresh for accounts and retries. Log lines on pools no longer speak of accounts where the pool may be a service's.

--- a/internal/entry/lending.go
+++ b/internal/entry/lending.go
@@ -14,16 +14,17 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
 )
 
-// refreshKeepers updates which gateways keep accounts' pools and upstreams' slots.
+// refreshKeepers updates which gateways keep the pools of accounts and of the retry budget, and upstreams' slots.
 func (p *Process) refreshKeepers(v *peerView, now time.Time) {
 	if !p.lends.Load() && p.mayLend(now) {
 		p.lends.Store(true)
 	}
 	lends := p.lends.Load() && !p.leaving.Load()
-	keepers := p.gossip.Keepers(lends, v.SilentDomains, now)
-	p.lending.SetKeepers(lending.NewKeepers(keepers))
-	p.retryLending.SetKeepers(lending.NewKeepers(keepers))
-	p.refreshSlots(keepers)
+	contacts := p.gossip.Keepers(lends, v.SilentDomains, now)
+	keepers := lending.NewKeepers(contacts)
+	p.lending.SetKeepers(keepers)
+	p.retryLending.SetKeepers(keepers)
+	p.refreshSlots(contacts)
 }
 
 // keeperStartPeriod is how long after its start a gateway keeps no pools if others keep them. Some
--- a/internal/lending/lending.go
+++ b/internal/lending/lending.go
@@ -86,7 +86,7 @@
 func (l *Lending) SetKeepers(k *Keepers) {
 	before := l.keepers.Swap(k)
 	if !slices.Equal(before.hashes, k.hashes) {
-		l.cfg.Log.Info("gateways that keep accounts' pools", "count", len(k.contacts), "before", len(before.contacts), "nodes", k.nodes())
+		l.cfg.Log.Info("gateways that keep pools", "count", len(k.contacts), "before", len(before.contacts), "nodes", k.nodes())
 	}
 }
 
@@ -104,7 +104,7 @@
 // Borrow implements quota.Lender.
 func (l *Lending) Borrow(request quota.LoanRequest) (quota.LoanAnswer, error) {
 	l.asked.Add(1)
-	answer, err := l.askKeepers(request)
+	answer, err := quota.BorrowFrom(l.order(request.Account), request, l.askOne)
 	if err != nil {
 		l.failed.Add(1)
 	}
@@ -126,31 +126,10 @@
 	unlogged, ok := l.givenBackLines.Pass(l.cfg.Now(), logInterval)
 	l.mu.Unlock()
 	if ok {
-		l.cfg.Log.Info("tokens handed to another gateway", "account", account, "amount", amount, "error", err, "accounts_unlogged", unlogged)
+		l.cfg.Log.Info("tokens handed to another gateway", "pool", account, "amount", amount, "error", err, "unlogged", unlogged)
 	}
 }
 
-// askKeepers asks the other keepers of a pool until one grants the loan.
-func (l *Lending) askKeepers(request quota.LoanRequest) (answer quota.LoanAnswer, err error) {
-	err = quota.ErrNotKeeper
-	for _, keeper := range l.order(request.Account) {
-		a, failure := l.askOne(keeper, request)
-		// What was returned must not arrive twice.
-		request.Returned = 0
-		if failure != nil {
-			if errors.Is(err, quota.ErrNotKeeper) {
-				err = failure
-			}
-			continue
-		}
-		answer, err = a.Sooner(answer), nil
-		if a.Granted {
-			break
-		}
-	}
-	return answer, err
-}
-
 // askOne asks one gateway within askTimeout. Each has its own time: if one that is cut off used up that
 // of the other, callers would be refused though the other one lends.
 func (l *Lending) askOne(keeper gossip.Contact, request quota.LoanRequest) (quota.LoanAnswer, error) {
@@ -208,7 +187,7 @@
 	l.silentUntil[keeper.Node] = now.Add(silencePause)
 	l.mu.Unlock()
 	if first {
-		l.cfg.Log.Info("gateway that keeps an account's pool doesn't answer", "keeper", keeper.Node, "ended", ended, "error", err)
+		l.cfg.Log.Info("gateway that keeps a pool doesn't answer", "keeper", keeper.Node, "ended", ended, "error", err)
 	}
 }
 
--- a/internal/quota/lender_test.go
+++ b/internal/quota/lender_test.go
@@ -24,20 +24,8 @@
 	return 1 / float64(len(kept))
 }
 
-func (l lender) Borrow(r LoanRequest) (answer LoanAnswer, err error) {
-	err = errors.New("no other gateway keeps a pool")
-	for _, k := range l.order() {
-		a, failure := l.ask(k, r, false)
-		r.Returned = 0
-		if failure != nil {
-			continue
-		}
-		answer, err = a.Sooner(answer), nil
-		if a.Granted {
-			break
-		}
-	}
-	return answer, err
+func (l lender) Borrow(r LoanRequest) (LoanAnswer, error) {
+	return BorrowFrom(l.order(), r, func(k int, r LoanRequest) (LoanAnswer, error) { return l.ask(k, r, false) })
 }
 
 func (l lender) GiveBack(account ident.ClientAccount, amount float64) {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -65,6 +65,28 @@
 	GiveBack(account ident.ClientAccount, amount float64)
 }
 
+// BorrowFrom asks the gateways that keep a pool in turn until one grants the loan. It returns the best refusal
+// if all refuse, and the first failure, or ErrNotKeeper, if none answers.
+func BorrowFrom[K any](keepers []K, request LoanRequest, ask func(K, LoanRequest) (LoanAnswer, error)) (answer LoanAnswer, err error) {
+	err = ErrNotKeeper
+	for _, keeper := range keepers {
+		a, failure := ask(keeper, request)
+		// What was returned must not arrive twice.
+		request.Returned = 0
+		if failure != nil {
+			if errors.Is(err, ErrNotKeeper) {
+				err = failure
+			}
+			continue
+		}
+		answer, err = a.Sooner(answer), nil
+		if a.Granted {
+			break
+		}
+	}
+	return answer, err
+}
+
 // Limiter admits or refuses requests by their accounts' limits. It is safe for concurrent use.
 type Limiter struct {
 	tolerance Tolerance
