--- a/internal/entry/earlier_test.go
+++ b/internal/entry/earlier_test.go
@@ -11,13 +11,30 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
 )
 
+// readHistory reads a history with a record for each letter of keys, which names its upstream; a capital letter
+// drops the entry.
+func readHistory(keys string) *earlierReader {
+	reader := &earlierReader{known: make(map[string]directory.Upstream), renewals: make(map[string]int), listed: make(map[origin.Origin]bool)}
+	decode := func(_, _ string, _ []byte) (directory.Upstream, finding.List) {
+		return directory.Upstream{Service: "svc", SoftwareVersion: "v1"}, nil
+	}
+	for _, key := range keys {
+		record := platform.KeyedRecord{Key: string(key), Value: []byte("x")}
+		if key < 'a' {
+			record = platform.KeyedRecord{Key: string(key - 'A' + 'a')}
+		}
+		reader.add(&record, decode)
+	}
+	return reader
+}
+
 // Guards against a history of the entries that is taken to reach further back than it does, and against
 // versions in it that are overlooked because their entries are gone.
 func TestHowFarAHistoryReachesBack(t *testing.T) {
 	const renewal, within = time.Second, time.Minute
 	for _, c := range []struct {
 		name string
-		// keys are the upstreams whose records follow each other; one in capitals drops its entry.
+		// keys are those of the history's records, as readHistory gets them.
 		keys  string
 		whole bool
 		want  time.Duration
@@ -30,18 +47,7 @@
 		{"one that comes and goes", "aAaAaAa", false, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			reader := earlierReader{known: make(map[string]directory.Upstream), renewals: make(map[string]int), listed: make(map[origin.Origin]bool)}
-			decode := func(_, key string, _ []byte) (directory.Upstream, finding.List) {
-				return directory.Upstream{Service: "svc", SoftwareVersion: "v1"}, nil
-			}
-			for _, key := range c.keys {
-				record := platform.KeyedRecord{Key: string(key), Value: []byte("x")}
-				if key < 'a' {
-					record = platform.KeyedRecord{Key: string(key - 'A' + 'a')}
-				}
-				reader.add(&record, decode)
-			}
-			got := reader.result(c.whole, renewal, within)
+			got := readHistory(c.keys).result(c.whole, renewal, within)
 			if got.For != c.want {
 				t.Errorf("it reaches back for %v, want %v", got.For, c.want)
 			}
@@ -57,14 +63,7 @@
 // (a write without an answer is made again), while the others show that the history is short.
 func TestAnUpstreamThatWritesOftenDoesNotLengthenTheHistory(t *testing.T) {
 	const renewal, within = time.Second, time.Minute
-	reader := earlierReader{known: make(map[string]directory.Upstream), renewals: make(map[string]int), listed: make(map[origin.Origin]bool)}
-	decode := func(_, key string, _ []byte) (directory.Upstream, finding.List) {
-		return directory.Upstream{Service: "svc", SoftwareVersion: "v1"}, nil
-	}
-	for _, key := range "abcaaaaaaaaaaaabc" {
-		reader.add(&platform.KeyedRecord{Key: string(key), Value: []byte("x")}, decode)
-	}
-	if got := reader.result(false, renewal, within); got.For > renewal {
+	if got := readHistory("abcaaaaaaaaaaaabc").result(false, renewal, within); got.For > renewal {
 		t.Errorf("it reaches back for %v; two of three upstreams were renewed once, %v", got.For, renewal)
 	}
 }
--- a/internal/retry/fleetbudget.go
+++ b/internal/retry/fleetbudget.go
@@ -11,7 +11,7 @@
 // FleetBudgetConfig limits the extra attempts that arrive at a service from all gateways together,
 // in any window.
 type FleetBudgetConfig struct {
-	// Ratio is the number of extra attempts that each request in the window allows. Slack is a
+	// Ratio is the number of extra attempts that each request allows in its window and the next. Slack is a
 	// number of extra attempts allowed on top of that.
 	Ratio, Slack float64
 	Window       time.Duration
@@ -20,12 +20,11 @@
 const (
 	// sliceCount is the number of slices into which a window is divided.
 	sliceCount = 10
-	// lateSlices is how many slices later than it was sent an attempt may arrive and still count as
-	// allowed for.
+	// lateSlices is how many slices later than it was sent an attempt may arrive without exceeding the
+	// budget.
 	lateSlices = 2
-	// earnedShare is the fraction of the ratio that a request earns. The users' rule compares a window's
-	// arrivals with the requests of that window or of the one before it, while the retries of one window
-	// may have been earned in both.
+	// earnedShare is the fraction of the ratio that a request earns. The attempts of a window may have been
+	// earned in that window and in the one before, while only the requests of one of them count.
 	earnedShare = 0.5
 )
 
@@ -40,8 +39,11 @@
 	OK bool
 	// RetryAfter is when the slack will probably have one; 0 if OK.
 	RetryAfter time.Duration
-	// Values tells what decided, as it is logged.
-	Values string
+	// Keeper is the gateway that was asked; "" if it is this one. Level is how many extra attempts its pool held.
+	Keeper ident.Instance
+	Level  float64
+	// Heard counts the gateways that are heard and Known those that there may be, both with this one.
+	Heard, Known int
 }
 
 // SlackWindow is the time in which attempts are sent that arrive in one window.
@@ -117,7 +119,7 @@
 	}
 	text := fmt.Sprintf("ok=%v from=%q earned=%.2f", d.OK, d.Source, d.Earned)
 	if d.Source == FromSlack {
-		text += " " + d.Slack.Values
+		text += fmt.Sprintf(" keeper=%q level=%.2f heard=%d known=%d", d.Slack.Keeper, d.Slack.Level, d.Slack.Heard, d.Slack.Known)
 	}
 	return text
 }
--- a/internal/retry/fleetbudget_test.go
+++ b/internal/retry/fleetbudget_test.go
@@ -1,12 +1,14 @@
 package retry
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
 )
 
 // fewLeft is a slack that holds a number of extra attempts.
@@ -23,11 +25,10 @@
 var testConfig = FleetBudgetConfig{Ratio: 0.2, Slack: 56, Window: 10 * time.Second}
 
 // Guards against a service that gets more extra attempts in some window than its requests allow, without any
-// of the slack. Gateways make first attempts and ask for extra ones at any time and in any order, they are
-// started anew at any time, and extra attempts arrive late. The test fails when a request earns more than
-// half of the ratio, when what was earned is kept for longer, or when a start brings something along.
+// of the slack, because gateways are started anew. They make first attempts and ask for extra ones at any time and
+// in any order, and extra attempts arrive late.
 func TestGatewaysKeepTheBudgetTogether(t *testing.T) {
-	const latest = lateSlices * 10 * time.Second / sliceCount
+	latest := lateSlices * testConfig.Window / sliceCount
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 12).Draw(t, "gateways")
 		start := func() *FleetBudget { return NewFleetBudget(testConfig, &fewLeft{}) }
@@ -52,23 +53,61 @@
 			}
 			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "passes")) * time.Millisecond)
 		}
-		count := func(times []time.Time, from, to time.Time) (n float64) {
-			for _, at := range times {
-				if at.After(from) && !at.After(to) {
-					n++
-				}
-			}
-			return n
+		slices.SortFunc(extras, time.Time.Compare)
+		checkEarned(t, firsts, extras)
+	})
+}
+
+// checkEarned checks that in no window more extra attempts arrived than the requests of that window, or of the
+// one before, allow by themselves. Both lists are sorted.
+func checkEarned(t interface{ Fatalf(string, ...any) }, firsts, extras []time.Time) {
+	w := testConfig.Window
+	for _, end := range extras {
+		got := testkit.CountBetween(extras, end.Add(-w), end)
+		requests := max(testkit.CountBetween(firsts, end.Add(-w), end), testkit.CountBetween(firsts, end.Add(-2*w), end.Add(-w)))
+		if allowed := testConfig.Ratio * float64(requests); float64(got) > allowed {
+			t.Fatalf("%d extra attempts in a window, %.1f allowed by its requests alone", got, allowed)
 		}
-		w := testConfig.Window
-		for _, end := range extras {
-			got := count(extras, end.Add(-w), end)
-			requests := max(count(firsts, end.Add(-w), end), count(firsts, end.Add(-2*w), end.Add(-w)))
-			if allowed := testConfig.Ratio * requests; got > allowed {
-				t.Fatalf("%.0f extra attempts in a window, %.1f allowed by its requests alone", got, allowed)
+	}
+}
+
+// Guards against bursts of requests that allow more extra attempts together than the requests of one window:
+// what each has earned is spent as late as possible, and arrives late.
+func TestBurstsEarnNoMoreThanOneWindowAllows(t *testing.T) {
+	const burst = 50
+	for _, c := range []struct {
+		name string
+		// bursts are the times of the bursts, and of the attempts to spend what they earned, in seconds. lateness
+		// is how much later those of the first burst arrive.
+		bursts, spends []float64
+		lateness       time.Duration
+	}{
+		{"one in each of two windows, spent in the same", []float64{0, 10.1}, []float64{7.9, 17.6}, 0},
+		{"one that is kept for a window and arrives in the third", []float64{0, 11, 21.9}, []float64{9.95, 18, 21.9}, lateSlices * testConfig.Window / sliceCount},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := NewFleetBudget(testConfig, &fewLeft{})
+			at := func(seconds float64) time.Time {
+				return time.Unix(1000, 0).Add(time.Duration(seconds * float64(time.Second)))
 			}
-		}
-	})
+			var firsts, extras []time.Time
+			for i := range c.bursts {
+				for range burst {
+					b.RecordFirstAttempt("svc", at(c.bursts[i]))
+					firsts = append(firsts, at(c.bursts[i]))
+				}
+				late := c.lateness
+				if i > 0 {
+					late = 0
+				}
+				for b.Spend("svc", at(c.spends[i])).OK {
+					extras = append(extras, at(c.spends[i]).Add(late))
+				}
+			}
+			slices.SortFunc(extras, time.Time.Compare)
+			checkEarned(t, firsts, extras)
+		})
+	}
 }
 
 // Guards against a failing service that gets more retries than its requests earn and the slack holds, and
--- a/internal/retry/fleet_plays_test.go
+++ b/internal/retryslack/fleet_test.go
@@ -1,10 +1,12 @@
-package retry_test
+package retryslack_test
 
 import (
 	"fmt"
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/goldcrestspool/goldcrestspool/internal/gossip"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/lending"
@@ -21,6 +23,8 @@
 	keeperStart = 2 * time.Second
 )
 
+var errNotReached = errors.New("not reached")
+
 // playedFleet is what the gateways of a play have in common.
 type playedFleet struct {
 	play  *play
@@ -71,8 +75,10 @@
 		return
 	}
 	f.keepers[1] = f.keepers[0]
-	for side := range f.keepers[0] {
-		f.keepers[0][side] = f.chooseKeepers(side)
+	f.keepers[0][0] = f.chooseKeepers(0)
+	f.keepers[0][1] = f.keepers[0][0]
+	if f.play.cut {
+		f.keepers[0][1] = f.chooseKeepers(1)
 	}
 	for i := range f.play.gateways {
 		if f.play.runs(i) {
@@ -114,30 +120,23 @@
 	return 1 / float64(len(keepers))
 }
 
-func (l playedLender) Borrow(r quota.LoanRequest) (answer quota.LoanAnswer, err error) {
-	err = quota.ErrNotKeeper
+func (l playedLender) Borrow(r quota.LoanRequest) (quota.LoanAnswer, error) {
 	order := slices.Clone(l.keepers())
 	if l.f.turn++; l.f.turn%2 == 0 {
 		slices.Reverse(order)
 	}
-	for _, c := range order {
-		k := l.f.index[c.Node]
-		if k == l.i || !l.f.play.runs(k) || !l.f.play.hears(l.i, k) {
-			continue
-		}
-		a, failure := l.f.play.gateways[k].limiter.Lend(&l.f.limit, r, l.f.play.now)
-		r.Returned = 0
-		if failure != nil {
-			continue
-		}
-		answer, err = a.Sooner(answer), nil
-		if a.Granted {
-			break
-		}
+	return quota.BorrowFrom(order, r, l.ask)
+}
+
+func (l playedLender) ask(keeper gossip.Contact, r quota.LoanRequest) (quota.LoanAnswer, error) {
+	k := l.f.index[keeper.Node]
+	if k == l.i || !l.f.play.runs(k) || !l.f.play.hears(l.i, k) {
+		return quota.LoanAnswer{}, errNotReached
 	}
-	return answer, err
+	return l.f.play.gateways[k].limiter.Lend(&l.f.limit, r, l.f.play.now)
 }
 
 func (l playedLender) GiveBack(account ident.ClientAccount, amount float64) {
+	// The answer only says that the attempts arrived.
 	_, _ = l.Borrow(quota.LoanRequest{Account: account, Returned: amount})
 }
--- a/internal/retry/plays_test.go
+++ b/internal/retryslack/plays_test.go
@@ -1,21 +1,21 @@
-package retry_test
+package retryslack_test
 
 import (
 	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"sort"
 	"testing"
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/retry"
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
 )
 
 var (
 	// budgetSeeds is the number of plays of each story. CI uses the default.
-	budgetSeeds = flag.Int("budget.seeds", 1, "plays of each story")
+	budgetSeeds = flag.Int("budget.seeds", 6, "plays of each story")
 	// budgetLarge adds fleets of hundreds of gateways.
 	budgetLarge = flag.Bool("budget.large", false, "fleets of 330 and 984 gateways too")
 )
@@ -30,7 +30,10 @@
 	maxLateness = 2 * time.Second
 )
 
-var playConfig = retry.FleetBudgetConfig{Ratio: 0.2, Slack: 58, Window: 10 * time.Second}
+var (
+	playConfig = retry.FleetBudgetConfig{Ratio: 0.2, Slack: 58, Window: 10 * time.Second}
+	playRule   = testkit.RetryRule(playConfig)
+)
 
 // story is what happens to a fleet of gateways while all upstreams reject.
 type story struct {
@@ -42,19 +45,17 @@
 // killEvery kills all gateways at intervals; each is back after downtime.
 func killEvery(interval, downtime time.Duration) func(*play) {
 	return func(p *play) {
-		if since := p.now.Sub(p.began) - calm; since > 0 && since%interval < playStep {
-			for i := range p.gateways {
-				p.kill(i, downtime)
-			}
+		if p.isTime(interval) {
+			p.killAll(downtime)
 		}
 	}
 }
 
-// replaceInTurn stops one gateway after the other and starts it again.
+// replaceInTurn ends one gateway after the other and starts it again.
 func replaceInTurn(pause time.Duration) func(*play) {
 	return func(p *play) {
-		if since := p.now.Sub(p.began) - calm; since > 0 && since%pause < playStep {
-			p.kill(int(since/pause)%len(p.gateways), 300*time.Millisecond)
+		if p.isTime(pause) {
+			p.kill(int(p.sinceCalm()/pause)%len(p.gateways), 300*time.Millisecond)
 		}
 	}
 }
@@ -62,15 +63,15 @@
 var stories = []story{
 	{"nothing ends", func(*play) {}},
 	{"all killed once", func(p *play) {
-		if since := p.now.Sub(p.began) - calm; since >= 3*time.Second && since < 3*time.Second+playStep {
-			killEvery(time.Second, 700*time.Millisecond)(p)
+		if p.sinceCalm() == 3*time.Second {
+			p.killAll(700 * time.Millisecond)
 		}
 	}},
 	{"all killed each 3 s", killEvery(3*time.Second, 400*time.Millisecond)},
 	{"all killed each 6 s", killEvery(6*time.Second, time.Second)},
 	{"replaced in turn", replaceInTurn(300 * time.Millisecond)},
 	{"killed at random", func(p *play) {
-		if p.now.Sub(p.began) > calm && p.rng.IntN(100) < 3 {
+		if p.sinceCalm() > 0 && p.rng.IntN(100) < 3 {
 			for range 1 + p.rng.IntN(len(p.gateways)) {
 				p.kill(p.rng.IntN(len(p.gateways)), time.Duration(100+p.rng.IntN(1500))*time.Millisecond)
 			}
@@ -81,15 +82,15 @@
 		killEvery(3*time.Second, 400*time.Millisecond)(p)
 	}},
 	{"two sides for 6 s", func(p *play) {
-		since := p.now.Sub(p.began) - calm
-		p.cut = since > 4*time.Second && since < 10*time.Second
+		p.cut = p.sinceCalm() > 4*time.Second && p.sinceCalm() < 10*time.Second
 	}},
 	{"paused and back", func(p *play) {
-		if since := p.now.Sub(p.began) - calm; since > 0 && since%(4*time.Second) < playStep {
-			for i := range p.gateways {
-				if p.rng.IntN(2) == 0 {
-					p.gateways[i].pausedUntil = p.now.Add(3 * time.Second)
-				}
+		if !p.isTime(4 * time.Second) {
+			return
+		}
+		for _, g := range p.gateways {
+			if p.rng.IntN(2) == 0 {
+				g.pausedUntil = p.now.Add(3 * time.Second)
 			}
 		}
 	}},
@@ -112,7 +113,8 @@
 	perSecond, rejects float64
 	late, cut          bool
 	// running counts the running gateways on each side of a cut.
-	running         [2]int
+	running [2]int
+	// firsts and extras are when first attempts were sent and extra ones arrived; both are sorted.
 	firsts, extras  []time.Time
 	wanted, refused int
 	// refusedWithRoom counts attempts that were refused while less than half of the budget was used.
@@ -135,6 +137,21 @@
 	p.gateways[i].playedProcess = p.fleet.start(i)
 }
 
+// sinceCalm returns the time since the upstreams began to reject requests; it is negative before.
+func (p *play) sinceCalm() time.Duration { return p.now.Sub(p.began) - calm }
+
+// isTime reports whether a multiple of an interval has passed since the upstreams began to reject requests.
+func (p *play) isTime(interval time.Duration) bool {
+	return p.sinceCalm() > 0 && p.sinceCalm()%interval < playStep
+}
+
+func (p *play) killAll(downtime time.Duration) {
+	for i := range p.gateways {
+		p.kill(i, downtime)
+	}
+}
+
+// kill ends a gateway's process, unless it is down; it is back after downtime.
 func (p *play) kill(i int, downtime time.Duration) {
 	if g := p.gateways[i]; !p.now.Before(g.downUntil) {
 		g.downUntil = p.now.Add(downtime)
@@ -210,13 +227,13 @@
 	p.firsts = append(p.firsts, p.now)
 	g.budget.RecordFirstAttempt(playService, p.now)
 	for range 2 {
-		if p.now.Sub(p.began) < calm || p.rng.Float64() > p.rejects {
+		if p.sinceCalm() < 0 || p.rng.Float64() > p.rejects {
 			return
 		}
 		p.wanted++
 		if !g.budget.Spend(playService, p.now).OK {
 			p.refused++
-			if used, allowed := p.window(p.now); used+1 <= allowed/2 {
+			if float64(playRule.Arrived(p.extras, p.now)+1) <= playRule.Allowed(p.firsts, p.now)/2 {
 				p.refusedWithRoom++
 			}
 			return
@@ -225,37 +242,9 @@
 		if p.late && p.rng.IntN(2) == 0 {
 			at = at.Add(time.Duration(p.rng.Int64N(int64(maxLateness))))
 		}
-		p.extras = append(p.extras, at)
-	}
-}
-
-// between counts the times in (from, to] among sorted ones.
-func between(times []time.Time, from, to time.Time) float64 {
-	until := func(t time.Time) int { return sort.Search(len(times), func(i int) bool { return times[i].After(t) }) }
-	return float64(until(to) - until(from))
-}
-
-// window returns the extra attempts in the window that ends now, and how many the users' rule allows.
-func (p *play) window(end time.Time) (used, allowed float64) {
-	w := playConfig.Window
-	requests := max(between(p.firsts, end.Add(-w), end), between(p.firsts, end.Add(-2*w), end.Add(-w)), between(p.firsts, end.Add(-w*3/2), end.Add(-w/2)))
-	for i := len(p.extras) - 1; i >= 0 && p.extras[i].After(end.Add(-w-maxLateness)); i-- {
-		if p.extras[i].After(end.Add(-w)) && !p.extras[i].After(end) {
-			used++
-		}
-	}
-	return used, playConfig.Ratio*requests + playConfig.Slack
-}
-
-// worst returns the fraction of the budget that was used in the busiest window.
-func (p *play) worst() float64 {
-	slices.SortFunc(p.extras, time.Time.Compare)
-	worst := 0.0
-	for _, at := range p.extras {
-		used, allowed := p.window(at)
-		worst = max(worst, used/allowed)
+		i, _ := slices.BinarySearchFunc(p.extras, at, time.Time.Compare)
+		p.extras = slices.Insert(p.extras, i, at)
 	}
-	return worst
 }
 
 // Guards against a service that gets more retries in some window than its budget allows, because gateways
@@ -274,7 +263,8 @@
 					for _, perSecond := range []float64{10, 40, 160} {
 						p := newPlay(n, perSecond, rand.New(rand.NewPCG(uint64(seed), uint64(n))))
 						p.run(s)
-						got := p.worst()
+						arrived, allowed := playRule.Worst(p.firsts, p.extras)
+						got := float64(arrived) / allowed
 						if got > 1 {
 							t.Errorf("seed %d, %.0f requests a second: %.2f of the allowed retries in a window", seed, perSecond, got)
 						}
--- a/internal/retryslack/retryslack.go
+++ b/internal/retryslack/retryslack.go
@@ -3,7 +3,6 @@
 package retryslack
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
@@ -14,7 +13,7 @@
 
 const (
 	// usedShare is the fraction of the slack that is lent. The rest is for attempts that arrive later than
-	// the budget's window allows for, which the kernel of a killed process may still deliver.
+	// the budget covers: the kernel of a killed process may still deliver some.
 	usedShare = 0.95
 	// rateShare is the fraction of the lent slack that is refilled evenly over a window. The rest is divided
 	// between the pools, and what refills them beyond that.
@@ -42,8 +41,5 @@
 func (s Slack) Take(service ident.Service, now time.Time) retry.SlackDecision {
 	limit := Limit(s.Config, service)
 	d := s.Limiter.Admit(&limit, 1, now)
-	return retry.SlackDecision{
-		OK: d.OK, RetryAfter: d.RetryAfter,
-		Values: fmt.Sprintf("tokens=%q keeper=%q level=%.2f heard=%d known=%d", d.Source, d.Keeper, d.Level, d.Heard, d.Known),
-	}
+	return retry.SlackDecision{OK: d.OK, RetryAfter: d.RetryAfter, Keeper: d.Keeper, Level: d.Level, Heard: d.Heard, Known: d.Known}
 }
