--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -34,12 +34,13 @@
 	}
 }
 
-// slowBudget is a Budget that asks other gateways: meanwhile something happens.
-type slowBudget struct{ meanwhile func() }
+// slowBudget is a Budget that waits for the answers of other gateways.
+type slowBudget struct{ asked, answer chan struct{} }
 
 func (slowBudget) RecordFirstAttempt(ident.Service, time.Time) {}
 func (b slowBudget) Spend(ident.Service, time.Time) retry.Decision {
-	b.meanwhile()
+	close(b.asked)
+	<-b.answer
 	return retry.Decision{OK: true}
 }
 
@@ -50,20 +51,20 @@
 		t.Run(fmt.Sprintf("goes on %v", goesOn), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				const silence = 100 * time.Millisecond
-				var timer *silenceTimer
-				budget := slowBudget{func() {
-					if goesOn {
-						timer.reset()
-					}
-				}}
+				budget := slowBudget{asked: make(chan struct{}), answer: make(chan struct{})}
 				now := time.Now()
 				s := &session{f: &Forwarder{cfg: Config{Now: time.Now, Budget: budget}}, state: NewState(resumableRoute), call: &Call{
 					Route: resumableRoute, Service: &routetable.Service{Name: "svc"}, Received: now, Expires: now.Add(time.Minute),
 				}}
 				ctx, cancel := context.WithCancelCause(t.Context())
-				timer = s.watchForSilence(Choice{SilenceTimeout: silence}, cancel)
+				timer := s.watchForSilence(Choice{SilenceTimeout: silence}, cancel)
 				defer timer.stop()
-				time.Sleep(2 * silence)
+				<-budget.asked
+				if goesOn {
+					timer.reset()
+				}
+				close(budget.answer)
+				synctest.Wait()
 				if cut := ctx.Err() != nil; cut == goesOn {
 					t.Errorf("it is cut off: %v", cut)
 				}
