--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -89,6 +89,16 @@
 	}
 }
 
+// DropConnections closes all connections like a crash, and goes on listening: as a process whose listener closes
+// later than its connections, or another one that listens at once in its place.
+func (w *Worker) DropConnections() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for c := range w.conns {
+		_ = c.Close() // cuts off requests in progress
+	}
+}
+
 // QueueActs queues acts for the next requests, one for each; later requests get the default
 // act.
 func (w *Worker) QueueActs(acts ...Act) {
