--- a/internal/reach/network_test.go
+++ b/internal/reach/network_test.go
@@ -12,6 +12,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/gossip"
 	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/relay"
 )
 
 // cutOff is a Direct whose connections all fail.
@@ -105,3 +106,44 @@
 		}
 	})
 }
+
+// slowRefusal is a Direct whose connections are refused only when their time is nearly over.
+type slowRefusal struct{ cutOff }
+
+func (slowRefusal) Connect(ctx context.Context, _ httpconn.Target, _ bool) error {
+	<-ctx.Done()
+	return context.DeadlineExceeded
+}
+
+// refusedRelay is a Relay through gateways whose connections are refused too, after a time.
+type refusedRelay struct{ after time.Duration }
+
+func (refusedRelay) Send(context.Context, gossip.Contact, httpconn.Target, ident.Request, time.Duration, *httpconn.Request) (*httpconn.Answer, *httpconn.Failure) {
+	return nil, &httpconn.Failure{Stage: httpconn.StageConnect, Err: relay.ErrRefused}
+}
+
+func (r refusedRelay) Connect(ctx context.Context, _ gossip.Contact, _ httpconn.Target) error {
+	select {
+	case <-time.After(r.after):
+		return relay.ErrRefused
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Guards against the end of a process that is not seen because the question whether this gateway reaches it has used up
+// the time to ask others.
+func TestOthersAreAskedWhetherAnUpstreamHasEndedInATimeOfTheirOwn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := New(Config{
+			Self: "gw0", Now: time.Now, Log: hclog.NewNullLogger(), Direct: slowRefusal{}, Relay: refusedRelay{after: 30 * time.Millisecond}, Introduce: func(gossip.Contact) {},
+			Gateways:  func(time.Time) []gossip.Contact { return []gossip.Contact{{Node: "gw1", Address: "gw1"}} },
+			Upstreams: func() []ident.Instance { return []ident.Instance{"u0"} },
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		if !n.Refuses(ctx, httpconn.Target{ID: "u0"}, false) {
+			t.Error("the process counts as running, though the gateway that was asked was refused")
+		}
+	})
+}
--- a/internal/reach/probe.go
+++ b/internal/reach/probe.go
@@ -59,7 +59,8 @@
 	if !connectFailed(err) {
 		return false
 	}
-	refused, asked := n.askRelays(ctx, target, err)
+	// The others have a time of their own: the own connection may have used up that of ctx.
+	refused, asked := n.askRelays(context.WithoutCancel(ctx), target, err)
 	if asked {
 		return refused
 	}
