--- a/internal/directory/era.go
+++ b/internal/directory/era.go
@@ -23,6 +23,10 @@
 // that are not renewed for three intervals expire.
 func (d *Directory) entryLifetime() time.Duration { return 3*d.renewal + hearingTime }
 
+// LapseTime is how long after the end of an upstream's process its entry may still be listed, or be usable after an
+// outage of the store.
+func (d *Directory) LapseTime() time.Duration { return d.entryLifetime() + graceAfterOutage }
+
 // UseRenewal sets the interval at which upstreams renew their entries.
 func (d *Directory) UseRenewal(interval time.Duration) { d.renewal = interval }
 
--- a/internal/entry/barred.go
+++ b/internal/entry/barred.go
@@ -52,6 +52,7 @@
 // writePoisonMetrics prints the counters of poison requests.
 func (p *Process) writePoisonMetrics(w io.Writer) {
 	c := p.poison.Counters()
-	fmt.Fprintf(w, "upstreams_ended_total %d\nrequests_barred_found_total %d\nrequests_barred_total %d\nrequests_barred_now %d\nrequests_suspected_now %d\nrequests_suspected_waited_total %d\n",
-		c.Crashes, c.Convicted, c.Barred, len(p.poison.List()), p.poison.Suspected(), c.Waited)
+	fmt.Fprintf(w, "upstreams_ended_total %d\nrequests_barred_found_total %d\nrequests_barred_total %d\nrequests_barred_now %d\nrequests_suspected_now %d\nrequests_suspected_waited_total %d\n"+
+		"upstreams_ended_late_total %d\nrequests_held_total %d\n",
+		c.Crashes, c.Convicted, c.Barred, len(p.poison.List()), p.poison.Suspected(), c.Waited, c.LateCrashes, c.Held)
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -119,6 +119,9 @@
 	return known
 }
 
+// alone reports whether this gateway hears no other one, though there are some.
+func (p *Process) alone() bool { return p.view.Load().Heard == 0 && p.gatewayCount() > 1 }
+
 // trueTime returns the wall-clock time, corrected to that of most gateways.
 func (p *Process) trueTime() time.Time { return time.Now().Add(p.view.Load().WallCorrection) }
 
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -152,7 +152,10 @@
 		IncarnationID: p.incarnationID, Gateways: p.gatewayCount, OrdersKnown: func() time.Time { return p.configuration.confirmedAt() },
 	})
 	key := func(id ident.Instance) uint32 { return uint32(gossip.UpstreamKeyOf(id)) }
-	p.poison = poison.New(poison.Config{Now: p.now, Log: p.log.Named("poison"), Key: key})
+	p.poison = poison.New(poison.Config{
+		Self: s.Instance.ID, Now: p.now, Log: p.log.Named("poison"), Key: key, Alone: p.alone,
+		Standing: func(id ident.Instance, since time.Time) poison.Standing { return p.upstreams.standing(id, since) },
+	})
 	p.limits = upstreamlimit.NewLimiter(upstreamlimit.Config{
 		Now: p.now, Log: p.log.Named("limits"), Key: key, Round: gossip.Interval, Seed: uint64(p.incarnation),
 	})
@@ -259,6 +262,7 @@
 	run(p.gossip.Run)
 	run(p.network.Run)
 	run(p.followPeers)
+	run(p.newPoisonStore().run)
 	run(p.wakeAtUpstreams)
 	run(p.wakeAtConfiguration)
 	run(p.sweepIdle)
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -14,6 +14,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/finding"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
+	"github.com/goldcrestspool/goldcrestspool/internal/poison"
 )
 
 const (
@@ -283,6 +284,23 @@
 	}
 }
 
+// standing returns what an upstream's entry shows of its process since an instant.
+func (u *upstreamsFollower) standing(id ident.Instance, since time.Time) poison.Standing {
+	listed, known := u.board.upstreams.Value().Upstream(id)
+	switch {
+	case !known:
+		return poison.Gone
+	case listed.State != directory.Ready:
+		return poison.Leaving
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.confirmed.Sub(since) >= u.dir.LapseTime() {
+		return poison.Renewed
+	}
+	return poison.Unconfirmed
+}
+
 // state returns the position before which all records are known, and the view's age; see ageOf.
 func (u *upstreamsFollower) state() (ident.Position, time.Duration) {
 	u.mu.Lock()
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -21,6 +21,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	s.retryDecision.Store(nil)
+	s.evidence = 0
 	silence := s.watchForSilence(choice, cancel)
 	defer silence.stop()
 	if !s.firstAttemptCounted {
@@ -36,11 +37,11 @@
 		span.SetAttributes(attribute.String("result", result.String()), attribute.String("framing", s.ended.Framing.String()),
 			attribute.String("ending", s.ended.Ending.String()), attribute.String("position", s.ended.Position.String()))
 	}
-	if (result == Broken || result == Cut) && ctx.Err() == nil && s.upstreamEnded(choice, false) {
-		s.recordUpstreamEnd(choice, result)
-	}
-	if result == Done {
+	switch result {
+	case Done:
 		s.recordCompletion(choice, sent)
+	case Broken, Cut, Expired, CallerGone:
+		s.recordInterruption(choice, result, ctx.Err() == nil)
 	}
 	return result
 }
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -102,10 +102,13 @@
 	crashes atomic.Int64
 }
 
-func (*countingGuard) KnowsNone() bool                { return true }
-func (*countingGuard) MayResend([]ident.Feature) bool { return true }
-func (g *countingGuard) Crashed(ident.Instance, poison.Software, ident.Request, ident.ContentHash, []ident.Feature) {
-	g.crashes.Add(1)
+func (*countingGuard) KnowsNone() bool                    { return true }
+func (*countingGuard) MayResend([]ident.Feature) bool     { return true }
+func (*countingGuard) Answered(ident.Instance, time.Time) {}
+func (g *countingGuard) Interrupted(i *poison.Interruption) {
+	if i.Evidence == poison.ProcessEnded {
+		g.crashes.Add(1)
+	}
 }
 func (*countingGuard) Admit([]ident.Feature, time.Duration) poison.Decision {
 	return poison.Decision{Step: poison.Send}
--- a/internal/forward/poison.go
+++ b/internal/forward/poison.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"net/http"
 	"slices"
 	"time"
 
@@ -13,15 +14,33 @@
 // admissionInterval is how often a request that waits for the guard asks it again.
 const admissionInterval = 10 * time.Millisecond
 
-// recordUpstreamEnd records that an upstream's process ended while it had the call, which
-// is a crash if it was unexpected.
-func (s *session) recordUpstreamEnd(choice Choice, result Result) {
-	unexpected := s.ended.Process == completion.EndedUnexpectedly
-	s.f.cfg.Log.Info("upstream process ended during a request", "id", s.call.ID, "content", s.call.Content(), "parts", s.call.PartsForLog(), "account", s.call.Account,
-		"route", s.call.Route.Name, "upstream", choice.Upstream, "result", result.String(), "unexpected", unexpected, "again", s.upstreamCrashed.Load())
-	if unexpected {
-		s.f.cfg.Guard.Crashed(choice.Upstream, s.softwareOf(choice), s.call.ID, s.call.Content(), s.call.partFeatures())
-		s.upstreamCrashed.Store(true)
+// recordInterruption records that the attempt ended without a complete answer, and what that shows of the
+// upstream's process. brokenOff: neither this gateway nor the caller gave the attempt up.
+func (s *session) recordInterruption(choice Choice, result Result, brokenOff bool) {
+	if result == Broken && s.ended.Verdict() == completion.Complete {
+		return // the answer came whole and cannot be used
+	}
+	evidence := poison.GivenUp
+	if brokenOff && (result == Broken || result == Cut) {
+		evidence = poison.BrokenOff
+		if s.upstreamEnded(choice, false) {
+			evidence = poison.ProcessEnded
+		}
+	}
+	expected := evidence == poison.ProcessEnded && s.ended.Process != completion.EndedUnexpectedly
+	s.evidence = evidence
+	if evidence == poison.ProcessEnded {
+		s.f.cfg.Log.Info("upstream process ended during a request", "id", s.call.ID, "content", s.call.Content(), "parts", s.call.PartsForLog(), "account", s.call.Account,
+			"route", s.call.Route.Name, "upstream", choice.Upstream, "result", result.String(), "unexpected", !expected, "again", s.interruptedBefore.Load())
+	}
+	if expected {
+		return
+	}
+	s.f.cfg.Guard.Interrupted(&poison.Interruption{
+		Upstream: choice.Upstream, Software: s.softwareOf(choice), Request: s.call.ID, Content: s.call.Content(), Parts: s.call.partFeatures(), Evidence: evidence,
+	})
+	if evidence != poison.GivenUp {
+		s.interruptedBefore.Store(true)
 	}
 }
 
@@ -33,7 +52,11 @@
 // recordCompletion records that the call, which was sent to the chosen upstream at the given time, was
 // answered completely.
 func (s *session) recordCompletion(choice Choice, sent time.Time) {
+	s.f.cfg.Guard.Answered(choice.Upstream, sent)
 	success := s.buffered == nil || s.buffered.status/100 == 2
+	if !success && !showsRun(s.buffered.status) {
+		return
+	}
 	if known := s.call.FeaturesKnownTo(s.f.cfg.Guard); len(known) > 0 {
 		s.f.cfg.Guard.Completed(&poison.Completion{Features: known, Software: s.softwareOf(choice), Sent: sent, Success: success})
 	}
@@ -42,6 +65,16 @@
 	}
 }
 
+// showsRun reports whether a failure's status shows that its upstream worked on the request: it may answer the others
+// before it looks at it.
+func showsRun(status int) bool {
+	switch status {
+	case http.StatusNotFound, http.StatusMethodNotAllowed, http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests:
+		return false
+	}
+	return true
+}
+
 // waitForAdmission waits until the guard decides, and reports whether the call may be sent
 // and which upstreams it should avoid. A poison request arrives at every gateway under new
 // IDs, so that each arrival by itself looks like the first; its features show what it has in
--- a/internal/forward/session.go
+++ b/internal/forward/session.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/poison"
 	"github.com/goldcrestspool/goldcrestspool/internal/retry"
 )
 
@@ -50,9 +51,11 @@
 	reason string
 	// blocked is that of the last choice.
 	blocked Block
-	// upstreamCrashed: an upstream crashed while it had the call. The timer of an attempt
+	// interruptedBefore: an upstream crashed, or may have, while it had the call. The timer of an attempt
 	// reads it too.
-	upstreamCrashed atomic.Bool
+	interruptedBefore atomic.Bool
+	// evidence is what the end of the last attempt showed of its upstream's process; zero if it was complete.
+	evidence poison.Evidence
 	// hopeless: no upstream can take the call now, and none is known that will.
 	hopeless bool
 	// barredFor is the retry-after time of a barred call; 0 if the call is not barred.
@@ -96,7 +99,7 @@
 				"result", result.String(), "cause", s.reason, "relayed_by", s.outcome.RelayedBy, "next", step.String(), "attempt", s.state.Attempts(),
 				"left_ms", s.call.Remaining(s.f.cfg.Now()).Milliseconds(), "content", s.call.Content(), "parts", s.call.PartsForLog(),
 				"framing", s.ended.Framing.String(), "ending", s.ended.Ending.String(), "position", s.ended.Position.String(), "process", s.ended.Process.String(),
-				"last_event", s.lastEvent, "bytes_after", s.ended.BytesAfter, "answer", s.ended.Verdict().String(), "budget", s.retryDecision.Load().String())
+				"last_event", s.lastEvent, "bytes_after", s.ended.BytesAfter, "evidence", s.evidence.String(), "answer", s.ended.Verdict().String(), "budget", s.retryDecision.Load().String())
 		}
 		if step != TryAnother && step != Resume {
 			s.finish(step)
@@ -147,7 +150,7 @@
 	if s.call.Remaining(s.f.cfg.Now()) < minTimeForAttempt {
 		return false
 	}
-	if s.unresumable.Load() || s.upstreamCrashed.Load() && !s.f.cfg.Guard.MayResend(s.call.Features()) {
+	if s.unresumable.Load() || s.interruptedBefore.Load() && !s.f.cfg.Guard.MayResend(s.call.Features()) {
 		return false
 	}
 	if s.nextAttemptPaid.Swap(false) {
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -281,10 +281,12 @@
 	// Started records that a request is sent to an upstream. The caller must call ended
 	// when the attempt is over.
 	Started(upstream ident.Instance, features []ident.Feature) (ended func())
-	// Crashed records that an upstream, which ran the given software, crashed while it had a request with
-	// this ID, content and shared prompt parts.
-	Crashed(upstream ident.Instance, software poison.Software, id ident.Request, content ident.ContentHash, parts []ident.Feature)
-	// MayResend reports whether a request whose upstream crashed may go to another one.
+	// Interrupted records that an attempt ended without a complete answer, because the upstream crashed or may
+	// have.
+	Interrupted(i *poison.Interruption)
+	// Answered records that an upstream answered a request that was sent to it at an instant.
+	Answered(upstream ident.Instance, sent time.Time)
+	// MayResend reports whether a request that was interrupted may go to another upstream.
 	MayResend(features []ident.Feature) bool
 	// Completed records that a request with known or suspected features was answered completely.
 	Completed(c *poison.Completion)
--- a/internal/gossip/codec_poison.go
+++ b/internal/gossip/codec_poison.go
@@ -1,6 +1,11 @@
 package gossip
 
 import (
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
 	exchangev1 "github.com/goldcrestspool/goldcrestspool/api/exchange/v1"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/poison"
@@ -11,15 +16,7 @@
 		return nil
 	}
 	out := &exchangev1.Poison{}
-	for i := range report.Crashes {
-		c := &report.Crashes[i]
-		crash := &exchangev1.Crash{Upstream: c.Upstream, AgeMs: millis(min(c.Age, maxAge))}
-		addMarks(crash, c.Marks)
-		if len(crash.Parts) > 0 {
-			crash.Software = uint32(c.Software)
-		}
-		out.Crashes = append(out.Crashes, crash)
-	}
+	out.Crashes, out.Doubts = crashesToProto(report.Crashes), crashesToProto(report.Doubts)
 	for _, v := range report.Verdicts {
 		verdict := &exchangev1.Verdict{
 			AgeMs: millis(min(v.Age, maxAge)), IdleMs: millis(min(v.Idle, maxAge)), Cleared: v.Ruling == poison.Cleared, Served: v.Ruling == poison.Served,
@@ -38,6 +35,37 @@
 	return out
 }
 
+// EncodePoison encodes a report that was made at a true time, for the platform's store.
+func EncodePoison(report poison.Report, at time.Time) ([]byte, error) {
+	data, err := proto.Marshal(&exchangev1.StoredPoison{WrittenMs: at.UnixMilli(), Poison: poisonToProto(report)})
+	return data, errors.Wrap(err, "encode poison requests")
+}
+
+// DecodePoison decodes a report from the platform's store, and returns the true time at which it was made.
+func DecodePoison(data []byte) (poison.Report, time.Time, error) {
+	var stored exchangev1.StoredPoison
+	if err := proto.Unmarshal(data, &stored); err != nil {
+		return poison.Report{}, time.Time{}, errors.Wrap(err, "decode poison requests")
+	}
+	c := checker{}
+	report := c.poison(stored.Poison)
+	return report, time.UnixMilli(stored.WrittenMs), c.err
+}
+
+func crashesToProto(list []poison.Crash) []*exchangev1.Crash {
+	var out []*exchangev1.Crash
+	for i := range list {
+		c := &list[i]
+		crash := &exchangev1.Crash{Upstream: c.Upstream, AgeMs: millis(min(c.Age, maxAge))}
+		addMarks(crash, c.Marks)
+		if len(crash.Parts) > 0 {
+			crash.Software = uint32(c.Software)
+		}
+		out = append(out, crash)
+	}
+	return out
+}
+
 // addMarks adds marks to a message. Those of prompt parts have fields of their own, because an older
 // build would take them for contents.
 func addMarks(to *exchangev1.Crash, marks []ident.Mark) {
@@ -55,14 +83,10 @@
 	if in == nil {
 		return poison.Report{}
 	}
-	c.checkCount("crashes of upstreams", len(in.Crashes))
+	c.checkCount("crashes of upstreams", len(in.Crashes)+len(in.Doubts))
 	c.checkCount("verdicts", len(in.Verdicts)+len(in.PartVerdicts))
 	var out poison.Report
-	for _, each := range in.Crashes {
-		out.Crashes = append(out.Crashes, poison.Crash{
-			Upstream: each.Upstream, Software: poison.Software(each.Software), Age: c.age(each.AgeMs), Marks: c.marks(each),
-		})
-	}
+	out.Crashes, out.Doubts = c.crashes(in.Crashes), c.crashes(in.Doubts)
 	for _, each := range in.Verdicts {
 		out.Verdicts = append(out.Verdicts, c.verdict(each, ident.Feature{Kind: ident.ContentFeature, Value: each.Content}))
 	}
@@ -72,6 +96,14 @@
 	return out
 }
 
+func (c *checker) crashes(in []*exchangev1.Crash) []poison.Crash {
+	var out []poison.Crash
+	for _, each := range in {
+		out = append(out, poison.Crash{Upstream: each.Upstream, Software: poison.Software(each.Software), Age: c.age(each.AgeMs), Marks: c.marks(each)})
+	}
+	return out
+}
+
 func (c *checker) verdict(in *exchangev1.Verdict, f ident.Feature) poison.Verdict {
 	c.checkCount("parts of a verdict", len(in.WithParts))
 	if !f.Valid() {
--- a/internal/gossip/codec_test.go
+++ b/internal/gossip/codec_test.go
@@ -270,6 +270,7 @@
 	now := time.Unix(1_000_000, 0)
 	tracker := poison.New(poison.Config{
 		Now: func() time.Time { return now }, Log: hclog.NewNullLogger(), Key: func(id ident.Instance) uint32 { return uint32(UpstreamKeyOf(id)) },
+		Standing: func(ident.Instance, time.Time) poison.Standing { return poison.Unconfirmed }, Alone: func() bool { return false },
 	})
 	most := 0
 	for i := range 100 {
@@ -279,7 +280,9 @@
 		}
 		features[0].Value = uint64(i / 6)
 		for request := range 8 {
-			tracker.Crashed(ident.Instance(fmt.Sprint(i)), 1, ident.Request(fmt.Sprint(i, request)), ident.ContentHashOf(ident.OutlineHash(1+8*i+request), 0), features)
+			tracker.Interrupted(&poison.Interruption{
+				Upstream: ident.Instance(fmt.Sprint(i)), Software: 1, Request: ident.Request(fmt.Sprint(i, request)), Content: ident.ContentHashOf(ident.OutlineHash(1+8*i+request), 0), Parts: features, Evidence: poison.ProcessEnded,
+			})
 		}
 		now = now.Add(Interval)
 		tracker.Refresh(poison.Report{})
@@ -310,6 +313,7 @@
 	now := time.Unix(1_000_000, 0)
 	tracker := poison.New(poison.Config{
 		Now: func() time.Time { return now }, Log: hclog.NewNullLogger(), Key: func(id ident.Instance) uint32 { return uint32(UpstreamKeyOf(id)) },
+		Standing: func(ident.Instance, time.Time) poison.Standing { return poison.Unconfirmed }, Alone: func() bool { return false },
 	})
 	size := func(report poison.Report) int {
 		m := message{From: fullReport()}
@@ -333,7 +337,7 @@
 				if request > 0 {
 					content = ident.ContentHashOf(ident.OutlineHash(1+i*100+10*k+request), 0)
 				}
-				tracker.Crashed(upstream, 1, ident.Request(fmt.Sprint(i, k, request)), content, nil)
+				tracker.Interrupted(&poison.Interruption{Upstream: upstream, Software: 1, Request: ident.Request(fmt.Sprint(i, k, request)), Content: content, Evidence: poison.ProcessEnded})
 			}
 		}
 		now = now.Add(Interval)
@@ -386,3 +390,39 @@
 		t.Errorf("%d bytes, at most %d allowed", got, maxBytes)
 	}
 }
+
+// Guards against reports that grow with the requests that upstreams break off: what a gateway reports per round about
+// them must stay below a twentieth of what a node may spend on control, 24 KB/s, however many are open.
+func TestOpenEndsTakeFewBytesOfAReport(t *testing.T) {
+	const maxBytes = 24_000 / 4 / 20
+	now := time.Unix(1_000_000, 0)
+	tracker := poison.New(poison.Config{
+		Now: func() time.Time { return now }, Log: hclog.NewNullLogger(), Key: func(id ident.Instance) uint32 { return uint32(UpstreamKeyOf(id)) },
+		Standing: func(ident.Instance, time.Time) poison.Standing { return poison.Unconfirmed }, Alone: func() bool { return false },
+	})
+	size := func(report poison.Report) int {
+		m := message{From: fullReport()}
+		m.From.Poison = report
+		data, err := m.encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(data)
+	}
+	without, most := size(poison.Report{}), 0
+	for i := range 500 {
+		tracker.Interrupted(&poison.Interruption{
+			Upstream: ident.Instance(fmt.Sprint(i % 50)), Software: 1, Request: ident.Request(fmt.Sprint(i)), Content: ident.ContentHashOf(ident.OutlineHash(1+i%100), 0),
+			Parts: []ident.Feature{{Kind: ident.PartFeature, Value: uint64(i)}, {Kind: ident.PartFeature, Value: 7}}, Evidence: poison.BrokenOff,
+		})
+		if i%20 == 0 {
+			now = now.Add(Interval)
+			tracker.Refresh(poison.Report{})
+			most = max(most, size(tracker.Report())-without)
+		}
+	}
+	if most > maxBytes {
+		t.Errorf("%d bytes, at most %d allowed", most, maxBytes)
+	}
+	t.Logf("at most %d bytes were used", most)
+}
--- a/internal/poison/admit.go
+++ b/internal/poison/admit.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 )
 
@@ -36,7 +35,8 @@
 // A request waits if it has a feature with enough crashes to be convicted, until all gateways have
 // reported what they had running in them. With one crash fewer it is sent, but not while another
 // request with the feature is in progress at this gateway, because the end of that request may
-// decide whether the feature is the cause. No request waits longer than settleTime.
+// decide whether the feature is the cause. It waits too while it is open whether upstreams crashed under it (see
+// held), and is barred for now if that stays open. No request waits longer than settleTime.
 func (t *Tracker) Admit(features []ident.Feature, waited time.Duration) Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -45,26 +45,30 @@
 		return Decision{Step: Bar, Barred: barred}
 	}
 	acted := t.actedOn(features, now)
-	if len(acted) == 0 {
+	isHeld := func(f ident.Feature) bool { return t.held(f, now) }
+	held := slices.IndexFunc(features, isHeld)
+	if len(acted) == 0 && held < 0 {
 		return Decision{Step: Send}
 	}
-	if waited < settleTime && slices.ContainsFunc(acted, func(s *suspect) bool { return t.undecided(s, now) }) {
+	if waited < settleTime && (held >= 0 || slices.ContainsFunc(acted, func(s *suspect) bool { return t.undecided(s, now) })) {
 		if waited == 0 {
 			t.counts.Waited++
 		}
 		return Decision{Step: Wait}
 	}
+	if held >= 0 {
+		t.counts.Held++
+		f := features[held]
+		t.cfg.Log.Info("request held back", "feature", f, "ends", t.crashesAgainst(f, now), "open_ends", t.doubtsAbout(f), "alone", t.cfg.Alone())
+		return Decision{Step: Bar, Barred: &Barred{Features: []ident.Feature{f}, RetryAfter: holdRetryAfter}}
+	}
 	return Decision{Step: Send, Avoid: t.upstreamsOfOtherSuspects(features)}
 }
 
 // undecided reports whether evidence about a suspect is on its way.
 func (t *Tracker) undecided(s *suspect, now time.Time) bool {
 	least := rulesOf(s.feature).minCrashes
-	var newest time.Time
-	for _, c := range s.unexplained {
-		newest = boottime.Later(newest, c.at)
-	}
-	return s.count() >= least-1 && len(t.inFlight[s.feature]) > 0 || s.count() >= least && now.Sub(newest) < settleTime
+	return s.count() >= least-1 && len(t.inFlight[s.feature]) > 0 || s.count() >= least && now.Sub(s.newestSettledFrom()) < settleTime
 }
 
 // actedOn returns those of the features against which so many crashes count that it is acted on.
@@ -85,11 +89,15 @@
 func (t *Tracker) MayResend(features []ident.Feature) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, s := range t.actedOn(features, t.cfg.Now()) {
+	now := t.cfg.Now()
+	for _, s := range t.actedOn(features, now) {
 		if s.count() >= rulesOf(s.feature).minCrashes {
 			return false
 		}
 	}
+	if slices.ContainsFunc(features, func(f ident.Feature) bool { return t.held(f, now) }) {
+		return false
+	}
 	return t.barIfConvicted(features) == nil
 }
 
--- a/internal/poison/causes.go
+++ b/internal/poison/causes.go
@@ -147,7 +147,7 @@
 func (s *suspect) onlySettled(now time.Time) *suspect {
 	out := &suspect{feature: s.feature, doubt: s.doubt, earlier: s.earlier, proven: s.proven}
 	for _, c := range s.unexplained {
-		if now.Sub(c.at) >= settleTime {
+		if now.Sub(c.settledFrom) >= settleTime {
 			out.unexplained = append(out.unexplained, c)
 		}
 	}
--- a/internal/poison/clearance.go
+++ b/internal/poison/clearance.go
@@ -84,6 +84,9 @@
 	if t.earlier[f].crashes > 0 {
 		return true
 	}
+	if t.doubtsAbout(f) > 0 {
+		return true
+	}
 	s := t.suspects[f]
 	return s != nil && slices.ContainsFunc(s.crashes, func(c *crash) bool { return software.covers(c.software) && !c.at.After(before) })
 }
@@ -103,7 +106,7 @@
 			n++
 		}
 	}
-	return n
+	return n + t.doubtsAbout(f)
 }
 
 // clear discounts all crashes of a software up to an instant for a feature, and lifts the convictions
--- a/internal/poison/crash.go
+++ b/internal/poison/crash.go
@@ -13,6 +13,9 @@
 	upstream uint32
 	software Software
 	at       time.Time
+	// settledFrom is when the crash became known, if that was long after it, and otherwise at: settleTime counts
+	// from it.
+	settledFrom time.Time
 	// marks identify the features of the interrupted requests, ownMarks those of this gateway's
 	// requests. Both are sorted.
 	marks, ownMarks []ident.Mark
--- a/internal/poison/fleet_test.go
+++ b/internal/poison/fleet_test.go
@@ -52,6 +52,13 @@
 	burst             bool
 	// maxRetries is how often the client of a failed ordinary request retries it; 0 means once.
 	maxRetries int
+	// unseenShare is the share of crashes that a gateway which had requests there does not see at once: it knows
+	// only that its requests were broken off.
+	unseenShare float64
+	// unheard is the number of gateways whose exchange with the others is silent from unheardFrom on for unheardFor.
+	// They reach the store and serve on.
+	unheard                 int
+	unheardFrom, unheardFor time.Duration
 	// massRestarts are the times at which all gateways restart together.
 	massRestarts []time.Duration
 }
@@ -62,6 +69,8 @@
 	up                 bool
 	leaving            bool
 	inFlight           map[*request]bool
+	// lapsesAt is when the entry of each incarnation that crashed is dropped.
+	lapsesAt map[ident.Instance]time.Duration
 }
 
 func (u *upstream) id(same bool) ident.Instance {
@@ -82,6 +91,13 @@
 	tracker       *Tracker
 	// connectedSince is when its latest restart or disconnection ended.
 	connectedSince time.Duration
+	// hearingDelay is how long after others the gateway hears what the store knows, and sees which crashes it saw at
+	// once.
+	hearingDelay time.Duration
+	sees         map[ident.Instance]bool
+	sync         *StoreSync
+	// readUpTo is the number of records of the store's topic that it knows while it reads; -1 if it does not.
+	readUpTo int
 }
 
 type result struct {
@@ -103,7 +119,9 @@
 	s   scenario
 	rng *rand.Rand
 	// partsRng draws the parts of ordinary requests.
-	partsRng   *rand.Rand
+	partsRng *rand.Rand
+	// lossRng draws what gateways do not see, and lapses.
+	lossRng    *rand.Rand
 	gateways   []*gateway
 	upstreams  []*upstream
 	received   []receivedReport
@@ -119,6 +137,15 @@
 	checkedAt     time.Duration
 	// storedRecord is the content of the lease's record, which outlives all gateways.
 	storedRecord json.RawMessage
+	// topic are the reports that gateways have written to the store.
+	topic []storedReport
+}
+
+// storedReport is a report in the store.
+type storedReport struct {
+	by     int
+	report Report
+	at     time.Duration
 }
 
 // receivedReport is the latest report of a gateway or a collector, and when it was sent.
@@ -134,19 +161,134 @@
 func testUpstreamKey(id ident.Instance) uint32 { return uint32(xxhash.Sum64String(string(id))) }
 
 func newTracker(now func() time.Time) *Tracker {
-	return New(Config{Now: now, Log: hclog.NewNullLogger(), Key: testUpstreamKey})
+	return New(Config{
+		Now: now, Log: hclog.NewNullLogger(), Key: testUpstreamKey, Alone: func() bool { return false },
+		Standing: func(ident.Instance, time.Time) Standing { return Unconfirmed },
+	})
+}
+
+// newGatewayTracker returns the tracker of a gateway that has just started.
+func (f *fleet) newGatewayTracker(g *gateway) *Tracker {
+	return New(Config{
+		Self: ident.Instance("gw" + strconv.Itoa(g.index)), Now: f.clock, Log: hclog.NewNullLogger(), Key: testUpstreamKey, Alone: func() bool { return f.alone(g) },
+		Standing: func(id ident.Instance, since time.Time) Standing { return f.standing(g, id, since) },
+	})
+}
+
+const (
+	// heartbeat is how often upstreams renew their entries, and maxHearingDelay how long the gateways take at most to
+	// hear what has changed in the store.
+	heartbeat       = 1200 * time.Millisecond
+	maxHearingDelay = 700 * time.Millisecond
+	// silentAfter is how long others are silent until a gateway notices.
+	silentAfter = time.Second
+)
+
+// syncDelay is what a call of the store takes.
+const syncDelay = 30 * time.Millisecond
+
+// syncWithStore has a gateway write to the store's topic and read it, if it does that for its group.
+func (f *fleet) syncWithStore(g *gateway) {
+	f.In(exchangePeriod, func() { f.syncWithStore(g) })
+	rank, whole := f.rankOf(g)
+	if report, due := g.sync.NextWrite(rank, whole, f.clock()); due {
+		f.In(syncDelay, func() { f.topic = append(f.topic, storedReport{g.index, report, f.Now() - syncDelay}) })
+	}
+	if !g.sync.Reads(rank, whole) {
+		g.readUpTo = -1
+		return
+	}
+	tracker, first := g.tracker, g.readUpTo < 0
+	f.In(syncDelay, func() {
+		if g.tracker != tracker {
+			return
+		}
+		for _, r := range f.topic[max(0, g.readUpTo):] {
+			age := f.Now() - r.at
+			if first { // by the clock of the writer
+				age = max(0, age+time.Duration(f.lossRng.Int64N(int64(600*time.Millisecond)))-300*time.Millisecond)
+			}
+			if r.by != g.index {
+				tracker.MergeStored(r.report.Aged(age))
+			}
+		}
+		g.readUpTo = len(f.topic)
+	})
+}
+
+// rankOf returns a gateway's rank among those that it hears, and whether it hears all.
+func (f *fleet) rankOf(g *gateway) (rank int, whole bool) {
+	split := f.s.unheard > 0 && f.Now() >= f.s.unheardFrom+silentAfter && f.Now() < f.s.unheardFrom+f.s.unheardFor
+	cut := f.cutOffDomain >= 0
+	for _, o := range f.gateways[:g.index] {
+		heard := !f.isUnheard(g) && !f.isUnheard(o) && (!cut || (o.domain == f.cutOffDomain) == (g.domain == f.cutOffDomain))
+		if heard || f.isUnheard(g) && !f.alone(g) {
+			rank++
+		}
+	}
+	return rank, !split && !cut
+}
+
+// isUnheard reports whether a gateway's exchange with the others is silent.
+func (f *fleet) isUnheard(g *gateway) bool {
+	return g.index < f.s.unheard && f.Now() >= f.s.unheardFrom && f.Now() < f.s.unheardFrom+f.s.unheardFor
+}
+
+// alone reports whether a gateway has noticed that it hears no other one.
+func (f *fleet) alone(g *gateway) bool {
+	return f.isUnheard(g) && f.Now() >= f.s.unheardFrom+silentAfter
+}
+
+// standing returns what a gateway knows of an upstream's process from its entry.
+func (f *fleet) standing(g *gateway, id ident.Instance, since time.Time) Standing {
+	for _, u := range f.upstreams {
+		if lapses, crashed := u.lapsesAt[id]; crashed && f.Now() >= lapses+g.hearingDelay {
+			return Gone
+		} else if crashed {
+			return Unconfirmed
+		}
+		if u.id(f.s.keepsIDs) == id && u.leaving {
+			return Leaving
+		}
+	}
+	if f.clock().Sub(since) >= 3*heartbeat+3*time.Second {
+		return Renewed
+	}
+	return Unconfirmed
+}
+
+// evidence returns what a gateway sees of a crash at once.
+func (f *fleet) evidence(g *gateway, id ident.Instance) Evidence {
+	saw, drawn := g.sees[id]
+	if !drawn {
+		saw = f.lossRng.Float64() >= f.s.unseenShare
+		g.sees[id] = saw
+	}
+	switch {
+	case saw:
+		return ProcessEnded
+	case *way == "proofs":
+		return GivenUp
+	}
+	return BrokenOff
 }
 
 func playScenario(s scenario, seed uint64) result {
 	f := &fleet{
-		s: s, rng: rand.New(rand.NewPCG(seed, 7)), partsRng: rand.New(rand.NewPCG(seed, 8)), decidingAt: make(map[ident.Feature]time.Duration),
+		s: s, rng: rand.New(rand.NewPCG(seed, 7)), partsRng: rand.New(rand.NewPCG(seed, 8)), lossRng: rand.New(rand.NewPCG(seed, 9)), decidingAt: make(map[ident.Feature]time.Duration),
 		crashesCaused: make(map[ident.Feature]int), lateSends: make(map[ident.Feature]int), cutOffDomain: -1,
 	}
 	for i := range s.gateways {
-		f.gateways = append(f.gateways, &gateway{index: i, domain: i % s.domains, tracker: newTracker(f.clock), connectedSince: -time.Hour})
+		g := &gateway{
+			index: i, domain: i % s.domains, connectedSince: -time.Hour, readUpTo: -1, sees: make(map[ident.Instance]bool),
+			hearingDelay: time.Duration(f.lossRng.Int64N(int64(maxHearingDelay))),
+		}
+		g.tracker = f.newGatewayTracker(g)
+		g.sync = NewStoreSync(g.tracker)
+		f.gateways = append(f.gateways, g)
 	}
 	for i := range s.upstreams {
-		f.upstreams = append(f.upstreams, &upstream{index: i, domain: i % s.domains, up: true, inFlight: make(map[*request]bool)})
+		f.upstreams = append(f.upstreams, &upstream{index: i, domain: i % s.domains, up: true, inFlight: make(map[*request]bool), lapsesAt: make(map[ident.Instance]time.Duration)})
 	}
 	f.received, f.domainSums = make([]receivedReport, s.gateways), make([]receivedReport, s.domains)
 	f.schedule()
@@ -180,6 +322,9 @@
 	for _, g := range f.gateways {
 		f.In(time.Duration(f.rng.Int64N(int64(exchangePeriod))), func() { f.exchange(g) })
 		f.In(time.Duration(f.rng.Int64N(int64(exchangePeriod/2))), func() { f.refresh(g) })
+		if *way != "no store" && (s.unheard > 0 || s.domainCutOff) {
+			f.In(time.Duration(f.lossRng.Int64N(int64(exchangePeriod))), func() { f.syncWithStore(g) })
+		}
 	}
 	if s.gateways >= minGatewaysForCollectors {
 		for d := range s.domains {
@@ -225,7 +370,8 @@
 }
 
 func (f *fleet) restart(g *gateway) {
-	g.tracker, g.connectedSince = newTracker(f.clock), f.Now()
+	g.tracker, g.connectedSince = f.newGatewayTracker(g), f.Now()
+	g.sync, g.readUpTo = NewStoreSync(g.tracker), -1
 	f.In(restoreDelay, func() { g.tracker.Restore(f.storedRecord) })
 	f.received[g.index] = receivedReport{}
 }
@@ -409,6 +555,7 @@
 	}
 	delete(u.inFlight, r)
 	r.onFinished()
+	r.gateway.tracker.Answered(u.id(f.s.keepsIDs), epoch.Add(r.sentAt))
 	if known := r.known(); !f.s.withoutTracker && len(known) > 0 {
 		r.gateway.tracker.Completed(&Completion{Features: known, Software: f.softwareOf(u), Sent: epoch.Add(r.sentAt), Success: true})
 	}
@@ -422,6 +569,9 @@
 	}
 	u.up = false
 	f.result.crashes++
+	if !f.s.keepsIDs {
+		u.lapsesAt[u.id(false)] = f.Now() + 3*heartbeat - time.Duration(f.lossRng.Int64N(int64(heartbeat)))
+	}
 	for _, r := range u.sortedInFlight() {
 		f.interrupt(r, u, !u.leaving)
 	}
@@ -438,7 +588,13 @@
 	r.onFinished()
 	t := r.gateway.tracker
 	if asCrash && !f.s.withoutTracker {
-		t.Crashed(u.id(f.s.keepsIDs), f.softwareOf(u), ident.Request(strconv.Itoa(r.id)), r.content, r.features[1:])
+		id := u.id(f.s.keepsIDs)
+		evidence := f.evidence(r.gateway, id)
+		if evidence != BrokenOff || *way != "at once" {
+			t.Interrupted(&Interruption{
+				Upstream: id, Software: f.softwareOf(u), Request: ident.Request(strconv.Itoa(r.id)), Content: r.content, Parts: r.features[1:], Evidence: evidence,
+			})
+		}
 		r.crashed = true
 	}
 	if r.sends < r.maxSends && (f.s.withoutTracker || !r.crashed || t.MayResend(r.features)) {
@@ -465,7 +621,13 @@
 // exchange sends one gateway's report.
 func (f *fleet) exchange(g *gateway) {
 	f.In(exchangePeriod, func() { f.exchange(g) })
+	if f.isUnheard(g) {
+		return
+	}
 	report := g.tracker.Report()
+	if *way == "own" {
+		report.Doubts = nil
+	}
 	reported := len(report.Verdicts)
 	for _, c := range report.Crashes {
 		reported += len(c.Marks)
@@ -492,6 +654,10 @@
 func (f *fleet) refresh(g *gateway) {
 	f.In(exchangePeriod/2, func() { f.refresh(g) })
 	var others Report
+	if f.isUnheard(g) {
+		g.tracker.Refresh(others)
+		return
+	}
 	if f.s.gateways < minGatewaysForCollectors {
 		for _, o := range f.gateways {
 			if o != g && (f.cutOffDomain < 0 || (o.domain == f.cutOffDomain) == (g.domain == f.cutOffDomain)) {
--- a/internal/poison/outgoing.go
+++ b/internal/poison/outgoing.go
@@ -21,7 +21,7 @@
 
 // Report returns this gateway's current report to the other gateways.
 func (t *Tracker) Report() Report {
-	if t.empty.Load() {
+	if t.empty.Load() && !t.doubtful.Load() {
 		return Report{}
 	}
 	t.mu.Lock()
@@ -38,7 +38,12 @@
 			report.Crashes = append(report.Crashes, t.crashToReport(c, now))
 		}
 	}
-	report.limit(maxReported, maxMergedVerdicts)
+	for _, o := range t.doubts {
+		if o.evidence == BrokenOff {
+			report.Doubts = append(report.Doubts, t.crashToReport(&o.crash, now))
+		}
+	}
+	report.limit(maxReported, maxDoubtMarks, maxMergedVerdicts)
 	return report
 }
 
@@ -68,21 +73,7 @@
 // the newest clearance if there is none, and the others in turn. A clearance is reported only
 // for reportClearedFor.
 func (t *Tracker) verdictsToReport(kind ident.FeatureKind, now time.Time) []Verdict {
-	var convicted, cleared []Verdict
-	for f, v := range t.convictions {
-		if f.Kind != kind {
-			continue
-		}
-		convicted = append(convicted, Verdict{Feature: f, Ruling: Convicted, With: v.with, Software: v.software, Age: now.Sub(v.at), Idle: now.Sub(v.lastSeen)})
-	}
-	for f, list := range t.clearances {
-		for _, c := range list {
-			if f.Kind == kind && !c.sharedAt.IsZero() && now.Sub(c.sharedAt) < reportClearedFor {
-				age := now.Sub(c.sharedAt)
-				cleared = append(cleared, Verdict{Feature: f, Software: c.software, Ruling: Cleared, Age: age, Idle: age})
-			}
-		}
-	}
+	convicted, cleared := t.convictionsOf(kind, now), t.sharedClearancesOf(kind, now)
 	for f, s := range t.suspects {
 		if f.Kind == kind && kind == ident.PartFeature && s.proven && s.count() >= shareFrom {
 			age := now.Sub(s.unexplained[len(s.unexplained)-1].at)
@@ -105,3 +96,28 @@
 	}
 	return out
 }
+
+// convictionsOf returns the convictions of features of a kind.
+func (t *Tracker) convictionsOf(kind ident.FeatureKind, now time.Time) []Verdict {
+	var out []Verdict
+	for f, v := range t.convictions {
+		if f.Kind == kind {
+			out = append(out, Verdict{Feature: f, Ruling: Convicted, With: v.with, Software: v.software, Age: now.Sub(v.at), Idle: now.Sub(v.lastSeen)})
+		}
+	}
+	return out
+}
+
+// sharedClearancesOf returns the clearances of features of a kind that other gateways have to know.
+func (t *Tracker) sharedClearancesOf(kind ident.FeatureKind, now time.Time) []Verdict {
+	var out []Verdict
+	for f, list := range t.clearances {
+		for _, c := range list {
+			if f.Kind == kind && !c.sharedAt.IsZero() && now.Sub(c.sharedAt) < reportClearedFor {
+				age := now.Sub(c.sharedAt)
+				out = append(out, Verdict{Feature: f, Software: c.software, Ruling: Cleared, Age: age, Idle: age})
+			}
+		}
+	}
+	return out
+}
--- a/internal/poison/report.go
+++ b/internal/poison/report.go
@@ -53,18 +53,22 @@
 // Report is the report that gateways exchange. Reports may arrive in any order and more than
 // once.
 type Report struct {
-	Crashes  []Crash
+	Crashes []Crash
+	// Doubts are interruptions of which it is open whether they were crashes.
+	Doubts   []Crash
 	Verdicts []Verdict
 }
 
 // Empty reports whether the report contains nothing.
-func (r Report) Empty() bool { return len(r.Crashes) == 0 && len(r.Verdicts) == 0 }
+func (r Report) Empty() bool { return len(r.Crashes)+len(r.Doubts)+len(r.Verdicts) == 0 }
 
 // Aged returns a copy of the report with all ages increased.
 func (r Report) Aged(by time.Duration) Report {
-	out := Report{Crashes: slices.Clone(r.Crashes), Verdicts: slices.Clone(r.Verdicts)}
-	for i := range out.Crashes {
-		out.Crashes[i].Age += by
+	out := Report{Crashes: slices.Clone(r.Crashes), Doubts: slices.Clone(r.Doubts), Verdicts: slices.Clone(r.Verdicts)}
+	for _, list := range [][]Crash{out.Crashes, out.Doubts} {
+		for i := range list {
+			list[i].Age += by
+		}
 	}
 	for i := range out.Verdicts {
 		out.Verdicts[i].Age += by
@@ -78,14 +82,17 @@
 	if o.Empty() {
 		return r
 	}
-	out := Report{Crashes: cloneCrashes(r.Crashes), Verdicts: slices.Clone(r.Verdicts)}
+	out := Report{Crashes: cloneCrashes(r.Crashes), Doubts: cloneCrashes(r.Doubts), Verdicts: slices.Clone(r.Verdicts)}
 	for i := range o.Crashes {
-		out.addCrash(&o.Crashes[i])
+		out.Crashes = addCrash(out.Crashes, &o.Crashes[i])
+	}
+	for i := range o.Doubts {
+		out.Doubts = addCrash(out.Doubts, &o.Doubts[i])
 	}
 	for _, v := range o.Verdicts {
 		out.addVerdict(v)
 	}
-	out.limit(maxMerged, maxMergedVerdicts)
+	out.limit(maxMerged, maxMerged(ident.ContentFeature), maxMergedVerdicts)
 	return out
 }
 
@@ -98,18 +105,18 @@
 }
 
 // addCrash merges a crash into the same upstream's crash at about the same time, if there is one.
-func (r *Report) addCrash(c *Crash) {
-	for i := range r.Crashes {
-		known := &r.Crashes[i]
+func addCrash(list []Crash, c *Crash) []Crash {
+	for i := range list {
+		known := &list[i]
 		if known.Upstream == c.Upstream && (known.Age-c.Age).Abs() < sameCrashWindow {
 			known.Software = max(known.Software, c.Software)
 			known.Marks = union(known.Marks, c.Marks)
-			return
+			return list
 		}
 	}
 	added := *c
 	added.Marks = slices.Clone(c.Marks)
-	r.Crashes = append(r.Crashes, added)
+	return append(list, added)
 }
 
 // union appends to a the elements of b that it lacks.
@@ -146,29 +153,42 @@
 func maxReported(kind ident.FeatureKind) int { return rulesByKind[kind].maxReported }
 func maxMerged(kind ident.FeatureKind) int   { return rulesByKind[kind].maxMerged }
 
+// maxDoubtMarks bounds the marks of a kind of doubtful interruptions in one gateway's report.
+const maxDoubtMarks = 8
+
 // limit cuts the report down to the size of one message: it drops marks, those of the oldest
 // crashes first, then crashes without marks, and the verdicts that were idle for longest.
-func (r *Report) limit(most func(ident.FeatureKind) int, verdicts int) {
-	slices.SortStableFunc(r.Crashes, func(a, b Crash) int { return cmp.Compare(a.Age, b.Age) })
-	for _, kind := range ident.FeatureKinds {
-		left := most(kind)
-		for i := range r.Crashes {
-			c := &r.Crashes[i]
-			c.Marks = slices.DeleteFunc(c.Marks, func(m ident.Mark) bool {
-				if m.Feature.Kind != kind {
-					return false
-				}
-				left--
-				return left < 0
-			})
-		}
-	}
-	r.Crashes = slices.DeleteFunc(r.Crashes, func(c Crash) bool { return len(c.Marks) == 0 })
+func (r *Report) limit(most func(ident.FeatureKind) int, doubtMarks, verdicts int) {
+	r.Crashes = limitMarks(r.Crashes, most)
+	r.Doubts = limitMarks(r.Doubts, func(ident.FeatureKind) int { return doubtMarks })
 	if len(r.Verdicts) > verdicts {
 		slices.SortStableFunc(r.Verdicts, func(a, b Verdict) int { return cmp.Compare(a.Idle, b.Idle) })
 		r.Verdicts = r.Verdicts[:verdicts]
 	}
-	if len(r.Crashes) == 0 {
-		r.Crashes = nil
+}
+
+// limitMarks keeps the marks of the newest crashes, so many of each kind.
+func limitMarks(list []Crash, most func(ident.FeatureKind) int) []Crash {
+	if len(list) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(list, func(a, b Crash) int { return cmp.Compare(a.Age, b.Age) })
+	left := make(map[ident.FeatureKind]int)
+	for _, kind := range ident.FeatureKinds {
+		left[kind] = most(kind)
 	}
+	out := list[:0]
+	for _, c := range list {
+		c.Marks = slices.DeleteFunc(c.Marks, func(m ident.Mark) bool {
+			left[m.Feature.Kind]--
+			return left[m.Feature.Kind] < 0
+		})
+		if len(c.Marks) > 0 {
+			out = append(out, c)
+		}
+	}
+	if len(out) == 0 {
+		return nil
+	}
+	return out
 }
--- a/internal/poison/stories_test.go
+++ b/internal/poison/stories_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"os"
 	"slices"
 	"strings"
@@ -15,6 +16,8 @@
 var (
 	seeds = flag.Int("poison.seeds", 2, "plays per scenario")
 	large = flag.Bool("poison.large", false, "also play fleets of over 100 gateways")
+	only  = flag.String("poison.only", "", "play only the scenarios whose names contain this")
+	way   = flag.String("poison.way", "", "play another way: "+strings.Join(slices.Sorted(maps.Keys(ways)), ", "))
 	table = flag.String("poison.table", "", "file to write the table of all scenarios to")
 )
 
@@ -30,6 +33,27 @@
 	return s
 }
 
+// ways are other ways to treat a crash that a gateway does not see at once, for comparison.
+var ways = map[string]string{
+	"at once": "what is not seen at once never counts", "proofs": "it counts once it is proved, and nothing is held back until then",
+	"own": "each gateway holds back by what itself saw", "no store": "gateways that do not hear each other exchange nothing", "as it is": "",
+}
+
+// unseen has gateways not see a share of the crashes at once.
+func unseen(share float64) func(*scenario) {
+	return func(s *scenario) { s.unseenShare = share }
+}
+
+// unheard has some of n gateways hear and be heard by none for 10 s.
+func unheard(n, some int) func(*scenario) {
+	return func(s *scenario) {
+		for i := range s.poisonKinds {
+			s.poisonKinds[i].startsAt = 4 * time.Second
+		}
+		s.gateways, s.unheard, s.unheardFrom, s.unheardFor = n, some, 3*time.Second, 10*time.Second
+	}
+}
+
 var (
 	frequentPoison = poisonKind{meanInterval: 300 * time.Millisecond, crashDelay: 80 * time.Millisecond, maxSends: 1}
 	rarePoison     = poisonKind{meanInterval: 1500 * time.Millisecond, crashDelay: 80 * time.Millisecond, maxSends: 1}
@@ -117,6 +141,38 @@
 		smallFleet("part, 984 gateways", frequentPart, secondPart).with(func(s *scenario) {
 			s.gateways, s.domains, s.upstreams, s.slots, s.rate, s.knownWithin = 984, 6, 3000, 12, 1500, 5*time.Second
 		}),
+		smallFleet("a fifth of the ends unseen, often", frequentPoison).with(unseen(0.2)),
+		smallFleet("half of the ends unseen, often", frequentPoison).with(unseen(0.5)),
+		smallFleet("half of the ends unseen, seldom", rarePoison).with(unseen(0.5)),
+		smallFleet("half of the ends unseen, resumed", poisonKind{meanInterval: time.Second, crashDelay: 200 * time.Millisecond, maxSends: 3}).with(unseen(0.5)),
+		smallFleet("half of the ends unseen, 3 gateways", frequentPoison).with(unseen(0.5)).with(func(s *scenario) { s.gateways, s.domains = 3, 3 }),
+		smallFleet("half of the ends unseen, 70 gateways", frequentPoison).with(unseen(0.5)).with(func(s *scenario) { s.gateways, s.upstreams, s.rate, s.knownWithin = 70, 60, 500, 4*time.Second }),
+		smallFleet("half of the ends unseen, ends by themselves", frequentPoison).with(unseen(0.5)).with(func(s *scenario) { s.crashRate, s.maxRetries = 0.5, 5 }),
+		smallFleet("half of the ends unseen, none", frequentPoison).with(unseen(0.5)).with(func(s *scenario) { s.crashRate, s.maxRetries, s.poisonKinds = 0.5, 5, nil }),
+		smallFleet("half of the ends unseen, hot content", frequentPoison).with(unseen(0.5)).with(func(s *scenario) { s.crashRate, s.hotShare = 0.5, 0.3 }),
+		smallFleet("half of the ends unseen, gateways started anew", rarePoison).with(unseen(0.5)).with(func(s *scenario) { s.rollingRestart = true }),
+		smallFleet("few requests, half of the ends unseen, often", frequentPoison).with(unseen(0.5)).with(func(s *scenario) { s.rate = 2 }),
+		smallFleet("few requests, half of the ends unseen, seldom", rarePoison).with(unseen(0.5)).with(func(s *scenario) { s.rate = 2 }),
+		smallFleet("few requests, most ends unseen, often", frequentPoison).with(unseen(0.8)).with(func(s *scenario) { s.rate = 2 }),
+		smallFleet("few requests, no end seen, often", frequentPoison).with(unseen(1)).with(func(s *scenario) { s.rate = 2 }),
+		smallFleet("few requests, no end seen, seldom", rarePoison).with(unseen(1)).with(func(s *scenario) { s.rate = 2 }),
+		smallFleet("most ends unseen, often", frequentPoison).with(unseen(0.8)),
+		smallFleet("most ends unseen, seldom", rarePoison).with(unseen(0.8)),
+		smallFleet("no end seen, often", frequentPoison).with(unseen(1)),
+		smallFleet("no end seen, a domain cut off by resets, none", frequentPoison).with(unseen(1)).with(func(s *scenario) { s.domainCutOff, s.poisonKinds = true, nil }),
+		smallFleet("no end seen, a domain cut off by resets, hot content", frequentPoison).with(unseen(1)).with(func(s *scenario) { s.domainCutOff, s.poisonKinds, s.hotShare = true, nil, 0.3 }),
+		smallFleet("no end seen, a domain cut off by resets, rather hot content", frequentPoison).with(unseen(1)).with(func(s *scenario) { s.domainCutOff, s.poisonKinds, s.hotShare = true, nil, 0.05 }),
+		smallFleet("part, half of the ends unseen", frequentPart).with(unseen(0.5)),
+		smallFleet("part, half of the ends unseen, seldom", rarePart).with(unseen(0.5)),
+		smallFleet("part, few requests, most ends unseen", frequentPart).with(unseen(0.8)).with(func(s *scenario) { s.rate = 2 }),
+		smallFleet("part, no end seen, a domain cut off by resets", rarePart).with(unseen(1)).with(func(s *scenario) { s.domainCutOff = true }),
+		smallFleet("one of eight unheard, often", frequentPoison).with(unheard(8, 1)),
+		smallFleet("one of nine unheard, often", frequentPoison).with(unheard(9, 1)),
+		smallFleet("two of nine unheard, often", frequentPoison).with(unheard(9, 2)),
+		smallFleet("four of nine unheard, often", frequentPoison).with(unheard(9, 4)),
+		smallFleet("four of nine unheard, seldom", rarePoison).with(unheard(9, 4)),
+		smallFleet("four of nine unheard, started anew", frequentPoison).with(unheard(9, 4)).with(func(s *scenario) { s.rollingRestart = true }),
+		smallFleet("four of nine unheard, half of the ends unseen", frequentPoison).with(unheard(9, 4)).with(unseen(0.5)),
 		smallFleet("82 gateways", frequentPoison, second).with(func(s *scenario) {
 			s.gateways, s.upstreams, s.rate, s.knownWithin = 82, 60, 500, 4*time.Second
 		}),
@@ -179,7 +235,7 @@
 		if s.gateways >= minGatewaysForCollectors {
 			n = max(1, n/10)
 		}
-		if s.gateways > 100 && !*large {
+		if s.gateways > 100 && !*large || !strings.Contains(s.name, *only) {
 			continue
 		}
 		variants := []bool{false}
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -54,10 +54,16 @@
 
 // Config configures a Tracker. All fields are required.
 type Config struct {
-	Now boottime.Clock
-	Log hclog.Logger
+	// Self is this gateway.
+	Self ident.Instance
+	Now  boottime.Clock
+	Log  hclog.Logger
 	// Key returns the hash of an upstream's ID that all gateways use in their reports.
 	Key func(ident.Instance) uint32
+	// Standing returns what the upstream's entry shows of its process since an instant.
+	Standing func(upstream ident.Instance, since time.Time) Standing
+	// Alone reports whether this gateway hears no other one, though there are some.
+	Alone func() bool
 }
 
 // Tracker holds what one gateway knows about poison requests. It is safe for concurrent use.
@@ -67,8 +73,13 @@
 	// other checks of a request.
 	empty atomic.Bool
 
+	// doubtful is true while there are interruptions of which it is open whether they were crashes.
+	doubtful atomic.Bool
+
 	mu      sync.Mutex
 	crashes []*crash
+	// doubts are this gateway's unexplained interruptions, heardDoubts those that others report.
+	doubts, heardDoubts []*interruption
 	// suspects is derived from crashes and verdicts; dirty means that these have changed since.
 	suspects map[ident.Feature]*suspect
 	dirty    bool
@@ -93,6 +104,9 @@
 	// Crashes counts crashes of upstreams that had requests in progress, Convicted the
 	// convicted features, Barred the refused requests and Waited those that waited for evidence.
 	Crashes, Convicted, Barred, Waited int64
+	// LateCrashes counts the crashes that showed only after the request's end, and Held the requests that
+	// were refused while it was open whether upstreams had crashed under them.
+	LateCrashes, Held int64
 }
 
 // New returns an empty Tracker.
@@ -134,29 +148,13 @@
 	for f := range t.earlier {
 		known.add(f)
 	}
-	t.known.replaceBy(known)
-	t.empty.Store(t.known.empty() && len(t.clearances) == 0)
-}
-
-// Crashed records that an upstream's process, which ran the given software, ended while one of this
-// gateway's requests, with the given content and shared prompt parts, was in progress there.
-func (t *Tracker) Crashed(upstream ident.Instance, software Software, id ident.Request, content ident.ContentHash, parts []ident.Feature) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.cfg.Now()
-	c := t.findOrAddCrash(t.cfg.Key(upstream), software, now)
-	c.lastOwnAt = now
-	marks := []ident.Mark{ident.ContentMark(content, id)}
-	for _, part := range t.suspectedFirst(parts) {
-		marks = append(marks, ident.PartMark(part, content))
-	}
-	for _, mark := range marks {
-		t.known.add(mark.Feature)
-		if t.addMark(c, mark) {
-			c.ownMarks, _ = insertSorted(c.ownMarks, mark)
+	for _, o := range slices.Concat(t.doubts, t.heardDoubts) {
+		for _, mark := range o.marks {
+			known.add(mark.Feature)
 		}
 	}
-	t.empty.Store(false)
+	t.known.replaceBy(known)
+	t.empty.Store(t.known.empty() && len(t.clearances) == 0)
 }
 
 // suspectedFirst returns the parts with those first against which crashes count, because the marks
@@ -171,7 +169,7 @@
 
 // findOrAddCrash returns the crash of an upstream within sameCrashWindow of an instant. If there
 // is none it adds one, and drops the oldest if there are too many.
-func (t *Tracker) findOrAddCrash(upstream uint32, software Software, at time.Time) *crash {
+func (t *Tracker) findOrAddCrash(upstream uint32, software Software, at, now time.Time) *crash {
 	for i := len(t.crashes) - 1; i >= 0; i-- {
 		if c := t.crashes[i]; c.upstream == upstream && c.at.Sub(at).Abs() < sameCrashWindow {
 			if c.software == UnknownSoftware {
@@ -180,7 +178,10 @@
 			return c
 		}
 	}
-	c := &crash{upstream: upstream, software: software, at: at}
+	c := &crash{upstream: upstream, software: software, at: at, settledFrom: at}
+	if now.Sub(at) >= lateProof {
+		c.settledFrom = now
+	}
 	t.crashes = append(t.crashes, c)
 	t.counts.Crashes++
 	if len(t.crashes) > maxCrashes {
@@ -205,7 +206,7 @@
 // Refresh merges the reports of the other gateways, convicts causes and drops expired crashes
 // and verdicts. It must be called regularly, also with an empty report.
 func (t *Tracker) Refresh(report Report) {
-	if report.Empty() && t.empty.Load() {
+	if report.Empty() && t.empty.Load() && !t.doubtful.Load() {
 		return
 	}
 	t.mu.Lock()
@@ -214,9 +215,13 @@
 	for i := range report.Crashes {
 		t.mergeCrash(&report.Crashes[i], now)
 	}
+	for i := range report.Doubts {
+		t.mergeDoubt(&report.Doubts[i], heardDoubtTTL, now)
+	}
 	for i := range report.Verdicts {
 		t.mergeVerdict(&report.Verdicts[i], now)
 	}
+	t.judgeDoubts(now)
 	changed := t.dirty
 	t.convictCauses(now)
 	t.expire(now)
@@ -229,7 +234,9 @@
 	if reported.Age >= crashTTL {
 		return
 	}
-	c := t.findOrAddCrash(reported.Upstream, reported.Software, now.Add(-reported.Age))
+	at := now.Add(-reported.Age)
+	t.proveByReport(reported.Upstream, at, now)
+	c := t.findOrAddCrash(reported.Upstream, reported.Software, at, now)
 	for _, mark := range reported.Marks {
 		t.addMark(c, mark)
 	}
--- a/internal/poison/tracker_test.go
+++ b/internal/poison/tracker_test.go
@@ -46,7 +46,14 @@
 
 // crashUnderRequest records a crash of an upstream under a request with an ID, a content and parts.
 func (tr *testTracker) crashUnderRequest(upstream string, software Software, id string, content ident.Feature, parts ...ident.Feature) {
-	tr.Crashed(ident.Instance(upstream), software, ident.Request(id), ident.ContentHash(content.Value), parts)
+	tr.interrupt(upstream, software, id, ProcessEnded, content, parts...)
+}
+
+// interrupt records that a request with an ID, a content and parts was interrupted at an upstream.
+func (tr *testTracker) interrupt(upstream string, software Software, id string, evidence Evidence, content ident.Feature, parts ...ident.Feature) {
+	tr.Interrupted(&Interruption{
+		Upstream: ident.Instance(upstream), Software: software, Request: ident.Request(id), Content: ident.ContentHash(content.Value), Parts: parts, Evidence: evidence,
+	})
 }
 
 // answer records the complete answer to a request with the features.
