Streams: no version is the only one because no other is known

What callers would see: a stream that began at a new version, is taken up at a gateway that was cut off or stood still, and goes on at another version (reported by operators of a system like ours).

Cause: a gateway decided alone, by a view up to 1.8 s old that lists one version. That rested on a hold of 2 s for versions that have just appeared, which had exceptions (no other takes streams; a gateway that has just started), and on its converse, that no stream can be of such a version. Class: a belief taken for complete though nothing says so.

Now others are asked at each take-up without a record; 'only version' needs most of them, or a read of the store that began after the question. Streams begin at a held-back version only once that is recorded in the store, and that nobody began any there counts only if the record, read after the question, does not say otherwise. What the history lists has been listed; half of the upstreams say how far it reaches.

--- a/internal/entry/earlier.go
+++ b/internal/entry/earlier.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -45,7 +46,7 @@
 		return origin.Earlier{}, errors.Wrapf(errHistoryTooLong, "%d", count)
 	}
 	from := end.Back(uint64(count)).Later(end.FirstOf())
-	reader := earlierReader{known: make(map[string]directory.Upstream), renewals: make(map[string]int), listed: make(map[origin.Origin]bool)}
+	reader := newEarlierReader()
 	for next := from; next.Before(end); {
 		batch, err := u.ports.Store.Follow(ctx, u.ports.UpstreamsTopic, next, 0)
 		if err != nil {
@@ -66,7 +67,13 @@
 type earlierReader struct {
 	known    map[string]directory.Upstream
 	renewals map[string]int
-	listed   map[origin.Origin]bool
+	// seen are the upstreams that wrote.
+	seen   map[string]bool
+	listed map[origin.Origin]bool
+}
+
+func newEarlierReader() *earlierReader {
+	return &earlierReader{known: make(map[string]directory.Upstream), renewals: make(map[string]int), seen: make(map[string]bool), listed: make(map[origin.Origin]bool)}
 }
 
 func (r *earlierReader) add(record *platform.KeyedRecord, decode func(record, name string, data []byte) (directory.Upstream, finding.List)) {
@@ -78,6 +85,7 @@
 	if findings.Err() != nil {
 		return // the follower logs entries that it cannot use
 	}
+	r.seen[record.Key] = true
 	r.listed[origin.Origin{Service: entry.Service, SoftwareVersion: entry.SoftwareVersion}] = true
 	if before, seen := r.known[record.Key]; seen && before.IsRenewedBy(entry) {
 		r.renewals[record.Key]++
@@ -85,14 +93,20 @@
 	r.known[record.Key] = entry
 }
 
-// result returns what was listed. The history reaches back as long as the upstream with the most renewals
-// took for them; whole: it is all that there ever was.
+// result returns what was listed. The history reaches back as long as half of the upstreams took for their renewals at
+// least: one alone may have written several times within one renewal, as a write without an answer is made again. whole:
+// it is all that there ever was.
 func (r *earlierReader) result(whole bool, renewal, within time.Duration) origin.Earlier {
-	most := 0
-	for _, n := range r.renewals {
-		most = max(most, n)
+	var counts []int
+	for name := range r.seen {
+		counts = append(counts, r.renewals[name])
+	}
+	slices.Sort(counts)
+	least := 0
+	if len(counts) > 0 {
+		least = counts[(len(counts)-1)/2]
 	}
-	out := origin.Earlier{For: time.Duration(earlierMargin * float64(most) * float64(renewal))}
+	out := origin.Earlier{For: time.Duration(earlierMargin * float64(least) * float64(renewal))}
 	if whole {
 		out.For = max(out.For, within)
 	}
--- a/internal/entry/earlier_test.go
+++ b/internal/entry/earlier_test.go
@@ -14,7 +14,7 @@
 // readHistory reads a history with a record for each letter of keys, which names its upstream; a capital letter
 // drops the entry.
 func readHistory(keys string) *earlierReader {
-	reader := &earlierReader{known: make(map[string]directory.Upstream), renewals: make(map[string]int), listed: make(map[origin.Origin]bool)}
+	reader := newEarlierReader()
 	decode := func(_, _ string, _ []byte) (directory.Upstream, finding.List) {
 		return directory.Upstream{Service: "svc", SoftwareVersion: "v1"}, nil
 	}
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -169,6 +169,8 @@
 	})
 	p.wireNetwork()
 	p.origins = origin.NewRegistry(origin.Config{Now: p.now, Log: p.log.Named("origin"), Network: originNetwork{p.pool}, ViewAge: func() time.Duration { return p.upstreams.age() },
+		Beginnings: storedBeginnings{p.ports.Store, p.log.Named("origin")}, OnBegun: func() { p.room.WakeAll() },
+		Refresh: func(ctx context.Context) bool { return p.upstreams.refresh(ctx) },
 		Earlier: func(ctx context.Context, within time.Duration) (origin.Earlier, error) {
 			return p.upstreams.earlier(ctx, within)
 		}})
@@ -200,6 +202,7 @@
 		Pauses:          p.announced,
 		RetryLeft:       p.retries.Left,
 		HoldsBack:       p.origins.HoldsBack,
+		MayBegin:        p.origins.MayBegin,
 		Split:           p.rollouts.SplitOf,
 		Slowness:        p.speeds.Factor,
 		RecordSpeed:     p.speeds.Record,
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -100,6 +100,8 @@
 	// renewal is how often upstreams renew their entries.
 	renewal time.Duration
 	health  storeHealth
+	// refreshing is held during a refresh.
+	refreshing sync.Mutex
 
 	mu  sync.Mutex
 	dir *directory.Directory
@@ -201,6 +203,29 @@
 	return nil
 }
 
+// refresh brings the view up to date as of an instant after its call, and reports whether it is. Those that wait for it
+// together share a read.
+func (u *upstreamsFollower) refresh(ctx context.Context) bool {
+	asked := u.now()
+	u.refreshing.Lock()
+	defer u.refreshing.Unlock()
+	upToDate := func() bool {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		return !u.confirmed.Before(asked)
+	}
+	for tries := 0; !upToDate() && tries < maxRefreshReads && ctx.Err() == nil; tries++ {
+		if err := u.read(ctx); err != nil {
+			u.log.Info("upstreams not read for a stream that is taken up", "error", err)
+			return false
+		}
+	}
+	return upToDate()
+}
+
+// maxRefreshReads bounds the reads for one question: a read may bring a part of the records alone.
+const maxRefreshReads = 3
+
 // applyAll applies records. It returns the usable ones that changed something, and whether
 // any record did. u.mu must be held.
 func (u *upstreamsFollower) applyAll(records []platform.KeyedRecord) (changes []directory.Record, changed bool) {
--- a/internal/fleetsim/plain/plain.go
+++ b/internal/fleetsim/plain/plain.go
@@ -151,6 +151,7 @@
 		Gateways:        func() int { return known },
 		OtherEngineSums: func(ident.Service) enginemodel.Sums { return enginemodel.Sums{} },
 		HoldsBack:       func(ident.Service, ident.SoftwareVersion, time.Time) bool { return false },
+		MayBegin:        func(ident.Service, ident.SoftwareVersion) bool { return true },
 		Split:           func(ident.Service) *rollout.Split { return nil },
 		Limits:          limits,
 		Pauses: announced.NewRegistry(announced.Config{
--- a/internal/fleetsim/world.go
+++ b/internal/fleetsim/world.go
@@ -185,6 +185,7 @@
 		Gateways:        func() int { return w.c.Fleet.Gateways },
 		OtherEngineSums: func(ident.Service) enginemodel.Sums { return w.sums },
 		HoldsBack:       func(ident.Service, ident.SoftwareVersion, time.Time) bool { return false },
+		MayBegin:        func(ident.Service, ident.SoftwareVersion) bool { return true },
 		Split:           func(ident.Service) *rollout.Split { return nil },
 		Limits:          limits,
 		Pauses: announced.NewRegistry(announced.Config{
--- a/internal/origin/bench_test.go
+++ b/internal/origin/bench_test.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -17,7 +18,7 @@
 		for _, gateways := range []int{8, 330, 984} {
 			b.Run(fmt.Sprintf("%d versions, %d gateways", versions, gateways), func(b *testing.B) {
 				now := start
-				r := NewRegistry(Config{Now: func() time.Time { return now }, Log: hclog.NewNullLogger(), ViewAge: func() time.Duration { return 0 }, Network: simNetwork{g: &simGateway{w: &world{}}}})
+				r := NewRegistry(Config{Now: func() time.Time { return now }, Log: hclog.NewNullLogger(), ViewAge: func() time.Duration { return 0 }, Refresh: func(context.Context) bool { return true }, Beginnings: &simBeginnings{}, OnBegun: func() {}, Network: simNetwork{g: &simGateway{w: &world{}}}})
 				var upstreams []directory.Upstream
 				for i := range versions {
 					upstreams = append(upstreams, directory.Upstream{ID: ident.Instance(fmt.Sprint("u", i)), Service: "svc", SoftwareVersion: ident.SoftwareVersion(fmt.Sprint("v", i))})
--- a/internal/origin/callers_test.go
+++ b/internal/origin/callers_test.go
@@ -52,7 +52,11 @@
 	if g == nil || len(g.view) == 0 {
 		return
 	}
-	u := g.chooseForNew()
+	u, found := g.chooseForNew()
+	if !found {
+		c.w.notBegun++
+		return
+	}
 	if c.w.way.byID {
 		u = chosenByID(c.first, g.view)
 	}
@@ -89,24 +93,44 @@
 	}
 }
 
-// chooseForNew returns an upstream for a new stream.
-func (g *simGateway) chooseForNew() directory.Upstream {
-	list := slices.DeleteFunc(slices.Clone(g.view), func(u directory.Upstream) bool { return g.registry.HoldsBack(u.Service, u.SoftwareVersion, time.Now()) })
+// chooseForNew returns an upstream for a new stream, once there is one.
+func (g *simGateway) chooseForNew() (directory.Upstream, bool) {
+	for range 200 {
+		if u, found := g.choose(); found || !g.alive {
+			return u, found
+		}
+		g.w.wait(10 * time.Millisecond)
+	}
+	return directory.Upstream{}, false
+}
+
+func (g *simGateway) choose() (directory.Upstream, bool) {
+	taking := slices.DeleteFunc(slices.Clone(g.view), func(u directory.Upstream) bool { return g.w.full[u.SoftwareVersion] })
+	if len(taking) == 0 {
+		taking = g.view
+	}
+	list := slices.DeleteFunc(slices.Clone(taking), func(u directory.Upstream) bool { return g.registry.HoldsBack(u.Service, u.SoftwareVersion, time.Now()) })
 	if len(list) == 0 {
-		list = g.view
+		list = slices.DeleteFunc(slices.Clone(taking), func(u directory.Upstream) bool { return !g.registry.MayBegin(u.Service, u.SoftwareVersion) })
 	}
-	return list[g.w.rng.IntN(len(list))]
+	if len(list) == 0 {
+		return directory.Upstream{}, false
+	}
+	return list[g.w.rng.IntN(len(list))], true
 }
 
 // read reads events until the stream is complete or breaks off, and reports whether it broke off.
 func (c *caller) read(g *simGateway, u directory.Upstream) bool {
 	rest := time.Duration(c.w.rng.ExpFloat64() * float64(4*time.Second))
-	process := g.ctx
+	process, resets := g.ctx, c.w.resets
 	for end := time.Now().Add(rest); time.Now().Before(end); {
-		if !c.w.sleep(process, 200*time.Millisecond) {
+		if !c.w.sleep(process, 50*time.Millisecond) {
 			return true // its gateway was killed
 		}
-		if !slices.ContainsFunc(c.w.upstreams, func(x directory.Upstream) bool { return x.ID == u.ID }) || c.w.rng.IntN(100) == 0 {
+		if c.w.resets != resets {
+			return true
+		}
+		if !slices.ContainsFunc(c.w.upstreams, func(x directory.Upstream) bool { return x.ID == u.ID }) || c.w.rng.IntN(400) == 0 {
 			return true // its upstream is gone, or its connection was reset
 		}
 	}
--- a/internal/origin/history.go
+++ b/internal/origin/history.go
@@ -52,6 +52,9 @@
 	// appeared is when the version appeared beside another one; zero if it may have been listed before
 	// this gateway heard of it.
 	appeared time.Time
+	// newHereAt is when this gateway heard of it while others were listed, or at first with others; zero if it was the
+	// only one.
+	newHereAt time.Time
 }
 
 // NewHistory returns an empty History.
@@ -85,7 +88,33 @@
 			l.appeared = now
 			h.settledAt.Store(now.Add(holdBack).UnixNano())
 		}
+		if !known {
+			l.newHereAt = now
+		}
 	})
+	for _, versions := range h.services {
+		for _, l := range versions {
+			switch {
+			case l.newHereAt != now:
+			case len(versions) == 1:
+				l.newHereAt = time.Time{}
+			default:
+				h.settledAt.Store(now.Add(holdBack).UnixNano())
+			}
+		}
+	}
+}
+
+// IsNewHere reports whether this gateway has heard of a version so lately, beside others, that it may have appeared
+// then: it knows no better if it has just started, or heard of the upstreams after a silence.
+func (h *History) IsNewHere(service ident.Service, version ident.SoftwareVersion, now time.Time) bool {
+	if now.UnixNano() >= h.settledAt.Load() {
+		return false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	l := h.services[service][version]
+	return l != nil && !l.newHereAt.IsZero() && now.Sub(l.newHereAt) < holdBack
 }
 
 // HoldsBack reports whether a version of a service begins no streams yet, if upstreams of another one
@@ -105,7 +134,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	l := h.listingOf(service, version, last)
-	l.last = later(l.last, last)
+	l.last, l.appeared = later(l.last, last), time.Time{}
 }
 
 // MarkComplete records that all upstreams that have been listed since an instant are known.
--- a/internal/origin/origintest/origintest.go
+++ b/internal/origin/origintest/origintest.go
@@ -2,6 +2,7 @@
 package origintest
 
 import (
+	"context"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -13,9 +14,18 @@
 
 // NewRegistry returns the registry of a gateway that has just started and knows no others.
 func NewRegistry() *origin.Registry {
-	return origin.NewRegistry(origin.Config{Now: time.Now, Log: hclog.NewNullLogger(), ViewAge: func() time.Duration { return 0 }})
+	return origin.NewRegistry(origin.Config{Now: time.Now, Log: hclog.NewNullLogger(), ViewAge: func() time.Duration { return 0 }, Refresh: func(context.Context) bool { return true }, Beginnings: NoBeginnings{}, OnBegun: func() {}})
 }
 
+// NoBeginnings keeps nothing and forbids nothing.
+type NoBeginnings struct{}
+
+// Record implements origin.Beginnings.
+func (NoBeginnings) Record(context.Context, origin.Origin) error { return nil }
+
+// Read implements origin.Beginnings.
+func (NoBeginnings) Read(context.Context) ([]origin.Origin, error) { return nil, nil }
+
 // OneVersion returns the registry of a gateway that has always known that one software version of a
 // service serves.
 func OneVersion(service ident.Service) *origin.Registry {
--- a/internal/origin/plays_test.go
+++ b/internal/origin/plays_test.go
@@ -150,6 +150,86 @@
 	w.freeze(0.34, 7*time.Second)
 }}
 
+// Releases in which the old upstreams take no new streams, so that the new ones, of which not all gateways have heard,
+// begin some at once.
+var outOfStep = []story{
+	{name: "release, the old are full", prepare: oneVersion, happen: func(w *world) {
+		for i := range 4 {
+			w.wait(3 * time.Second)
+			w.full["v1"] = true
+			w.list(ident.SoftwareVersion(fmt.Sprint("n", i)), 2)
+			for range 10 {
+				w.wait(200 * time.Millisecond)
+				w.resets++
+			}
+			w.full["v1"] = false
+			w.delist(ident.SoftwareVersion(fmt.Sprint("n", i)), -1)
+		}
+	}},
+	{name: "release, the old are full, a third stands still for a second", prepare: oneVersion, happen: func(w *world) {
+		for i := range 4 {
+			w.wait(3 * time.Second)
+			w.full["v1"] = true
+			w.spawn(func() {
+				w.freeze(0.34, 300*time.Millisecond+time.Duration(w.rng.Int64N(int64(1300*time.Millisecond))))
+				w.resets++
+			})
+			w.list(ident.SoftwareVersion(fmt.Sprint("n", i)), 2)
+			w.wait(2 * time.Second)
+			w.full["v1"] = false
+		}
+	}},
+	{name: "release, the old are full, a third stands still, a domain is cut off", prepare: oneVersion, happen: func(w *world) {
+		for i := range 4 {
+			w.wait(3 * time.Second)
+			w.full["v1"] = true
+			w.cut["d1"] = i%2 == 0
+			w.spawn(func() {
+				w.freeze(0.34, 300*time.Millisecond+time.Duration(w.rng.Int64N(int64(4*time.Second))))
+				w.resets++
+			})
+			w.list(ident.SoftwareVersion(fmt.Sprint("n", i)), 2)
+			w.wait(2 * time.Second)
+			w.full["v1"] = false
+			w.cut["d1"] = false
+		}
+	}},
+	{name: "release, the old are full, half killed as it begins", prepare: oneVersion, happen: func(w *world) {
+		for i := range 4 {
+			w.wait(3 * time.Second)
+			w.full["v1"] = true
+			w.spawn(func() { w.killShare(0.5, 200*time.Millisecond) })
+			w.wait(100 * time.Millisecond)
+			w.list(ident.SoftwareVersion(fmt.Sprint("n", i)), 2)
+			for range 10 {
+				w.wait(200 * time.Millisecond)
+				w.resets++
+			}
+			w.full["v1"] = false
+		}
+	}},
+}
+
+// Guards against a stream that goes on at another version at a gateway that has not heard of the one that began it: the
+// old upstreams took no new streams, so that streams began at the new ones at once.
+func TestStreamsOfVersionsThatBeginAtOnceAreNotMixed(t *testing.T) {
+	for _, gateways := range []int{3, 8} {
+		for _, s := range outOfStep {
+			t.Run(fmt.Sprintf("%d gateways/%s", gateways, s.name), func(t *testing.T) {
+				var sum tally
+				for seed := uint64(1); seed <= uint64(*playSeeds); seed++ {
+					got := play(t, s, gateways, seed, chosen)
+					sum.add(&got)
+				}
+				t.Log(sum.row(*playSeeds))
+				if sum.mixed > 0 {
+					t.Errorf("%d of %d streams have events of two versions", sum.mixed, sum.streams)
+				}
+			})
+		}
+	}
+}
+
 // Guards against callers that get events of two software versions in one stream, and against streams that
 // are refused though they could go on, whatever happens to the gateways that knew them.
 func TestStreamsKeepToTheirSoftwareVersion(t *testing.T) {
@@ -244,6 +324,7 @@
 func (t *tally) add(o *tally) {
 	t.streams += o.streams
 	t.broken += o.broken
+	t.notBegun += o.notBegun
 	t.mixed += o.mixed
 	t.able += o.able
 	t.wentOn += o.wentOn
@@ -266,7 +347,7 @@
 }
 
 func (t *tally) row(plays int) string {
-	return fmt.Sprintf("streams %6d broken %5d mixed %4d go on %.3f (%d of %d, unknown %d, none left %d; of streams %.3f) waited %.2f ms messages %.1f/s bytes %.0f/s",
-		t.streams, t.broken, t.mixed, t.share(), t.wentOn, t.able, t.refusedUnknown, t.impossible, 1-float64(t.lost)/float64(max(1, t.ableStreams)),
+	return fmt.Sprintf("streams %6d not begun %3d broken %5d mixed %4d go on %.3f (%d of %d, unknown %d, none left %d; of streams %.3f) waited %.2f ms messages %.1f/s bytes %.0f/s",
+		t.streams, t.notBegun, t.broken, t.mixed, t.share(), t.wentOn, t.able, t.refusedUnknown, t.impossible, 1-float64(t.lost)/float64(max(1, t.ableStreams)),
 		float64(t.waited.Microseconds())/1000/float64(max(1, t.able+t.impossible)), float64(t.messages)/playTime.Seconds()/float64(plays), float64(t.bytes)/playTime.Seconds()/float64(plays))
 }
--- a/internal/origin/registry.go
+++ b/internal/origin/registry.go
@@ -20,12 +20,13 @@
 	// askTimeout bounds the question to other gateways, for which a caller waits. Gateways are about
 	// 1 ms apart.
 	askTimeout = 80 * time.Millisecond
+	// refreshTimeout bounds the reading of what is listed now, for which a caller waits.
+	refreshTimeout = 200 * time.Millisecond
 	// earlierTimeout bounds the reading of what was listed before, for which a caller waits too, and
 	// earlierInterval is the shortest time between two of them.
 	earlierTimeout  = 200 * time.Millisecond
 	earlierInterval = time.Second
-	// maxViewAge is how old what a gateway in touch knows of the upstreams is at the most. It is less than
-	// holdBack: within that time no stream begins at a version of which it has not heard.
+	// maxViewAge is how old what a gateway in touch knows of the upstreams is at the most.
 	maxViewAge = 1800 * time.Millisecond
 	// startPeriod is how long after its start a gateway may not know the others yet.
 	startPeriod = 2 * time.Second
@@ -48,6 +49,13 @@
 	Network Network
 	// ViewAge returns how long ago it was known last that the view of the upstreams was up to date.
 	ViewAge func() time.Duration
+	// Refresh brings the view of the upstreams up to date, as of an instant after its call, and reports whether it
+	// is: streams begin at versions of which this gateway has not heard.
+	Refresh func(ctx context.Context) bool
+	// Beginnings keeps at which versions that have just appeared streams begin. OnBegun is called when this gateway may
+	// begin streams at one.
+	Beginnings Beginnings
+	OnBegun    func()
 	// Earlier returns which versions were listed before this process started, as far as the platform
 	// tells.
 	Earlier func(ctx context.Context, within time.Duration) (Earlier, error)
@@ -67,7 +75,9 @@
 	memory  *Memory
 	history *History
 	outbox  *outbox
-	peers   atomic.Pointer[peers]
+	// beginnings are the versions that had just appeared and began streams all the same.
+	beginnings *beginnings
+	peers      atomic.Pointer[peers]
 	// hadPeers: other gateways were known at some time.
 	hadPeers atomic.Bool
 
@@ -101,7 +111,7 @@
 func NewRegistry(cfg Config) *Registry {
 	r := &Registry{
 		cfg: cfg, started: cfg.Now(), memory: NewMemory(), history: NewHistory(), outbox: newOutbox(cfg.Now, cfg.Log, cfg.Network), own: make(map[Stream]*ownStream),
-		copies: copies, askWidth: askWidth,
+		beginnings: newBeginnings(), copies: copies, askWidth: askWidth,
 	}
 	r.peers.Store(newPeers(nil))
 	return r
@@ -148,10 +158,10 @@
 	return listed.Complete && len(listed.Unused) == 0 && len(listed.Versions) == 1 && listed.Versions[0] == o.SoftwareVersion
 }
 
-// HoldsBack reports whether a version of a service begins no streams yet, if upstreams of another one take
-// them: other gateways may not have heard of it.
+// HoldsBack reports whether a version of a service begins no streams yet, unless MayBegin says so: other gateways may
+// not have heard of it.
 func (r *Registry) HoldsBack(service ident.Service, version ident.SoftwareVersion, now time.Time) bool {
-	return r.history.HoldsBack(service, version, now)
+	return r.history.HoldsBack(service, version, now) || r.history.IsNewHere(service, version, now)
 }
 
 // Observe records which versions a view of the upstreams lists; age is how old the one before had become.
@@ -203,13 +213,27 @@
 	r.memory.Expire(now)
 }
 
-// Find returns which software began a stream that a caller takes up. It asks other gateways, for at most
-// askTimeout, if this one doesn't know, and then the platform, for at most earlierTimeout.
+// Find returns which software began a stream that a caller takes up. Unless it has a record, it asks other gateways, for
+// at most askTimeout: it alone may be the one that has not heard of another version. Where too few of them answer, or
+// none has heard of the upstreams lately, it reads what is listed now, for at most refreshTimeout. It then may read
+// what was listed earlier, for at most earlierTimeout.
 func (r *Registry) Find(ctx context.Context, q Question) Verdict {
-	if v := decide([]evidence{r.evidenceOf(q, r.cfg.Now())}, false); v.Source != NotKnown {
-		return v
+	own := r.evidenceOf(q, r.cfg.Now())
+	if len(own.recorded) > 0 {
+		return decide([]evidence{own}, false)
 	}
 	others := r.askOthers(ctx, q)
+	if others.recorded() || others.fromMost && others.current(own) && !others.deduces(own) {
+		return r.concluded(ctx, others, q)
+	}
+	refreshCtx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	others.refreshed = r.cfg.Refresh(refreshCtx) && r.readBeginnings(refreshCtx)
+	return r.concluded(ctx, others, q)
+}
+
+// concluded decides by what others answered and, if that may help, by what was listed earlier.
+func (r *Registry) concluded(ctx context.Context, others answers, q Question) Verdict {
 	v := r.decideWith(others, q)
 	if v.Source == NotKnown && v.TooEarly && r.readEarlier(ctx, q.Within) {
 		v = r.decideWith(others, q)
@@ -223,7 +247,15 @@
 // decideWith decides from what this gateway knows and what others answered.
 func (r *Registry) decideWith(others answers, q Question) Verdict {
 	now := r.cfg.Now()
-	v := decide(append(slices.Clone(others.evidence), r.evidenceOf(q, now)), others.fromMost)
+	all := append(slices.Clone(others.evidence), r.evidenceOf(q, now))
+	for i := range all {
+		all[i].stale = all[i].stale || !others.fromMost
+		r.limitDeduction(&all[i], others.refreshed)
+	}
+	if own := &all[len(all)-1]; others.refreshed {
+		own.stale = false
+	}
+	v := decide(all, others.fromMost)
 	v.Asked, v.Silent = others.asked, others.silent
 	v.TooEarly = v.TooEarly || others.asked == 0 && now.Sub(r.started) < startPeriod
 	return v
@@ -288,6 +320,37 @@
 	asked, silent int
 	// fromMost: with this gateway, they are most of those that were asked, or there never were others.
 	fromMost bool
+	// refreshed: what is listed was read after the question.
+	refreshed bool
+}
+
+// recorded reports whether a gateway has a record of the stream.
+func (a *answers) recorded() bool {
+	return slices.ContainsFunc(a.evidence, func(e evidence) bool { return len(e.recorded) > 0 })
+}
+
+// current reports whether a gateway that answered, or this one, has heard of the upstreams lately.
+func (a *answers) current(own evidence) bool {
+	return !own.stale || slices.ContainsFunc(a.evidence, func(e evidence) bool { return !e.stale })
+}
+
+// deduces reports whether a gateway that answered, or this one, takes a version for one that began no streams.
+func (a *answers) deduces(own evidence) bool {
+	return len(own.unused) > 0 || slices.ContainsFunc(a.evidence, func(e evidence) bool { return len(e.unused) > 0 })
+}
+
+// limitDeduction takes versions for ones that may have begun streams, though they have only just appeared, if that is
+// recorded, or was not read after the question.
+func (r *Registry) limitDeduction(e *evidence, beginningsRead bool) {
+	var unused []Origin
+	for _, o := range e.unused {
+		if !beginningsRead || r.beginnings.has(o) {
+			e.listed = append(slices.Clone(e.listed), o)
+		} else {
+			unused = append(unused, o)
+		}
+	}
+	e.unused = unused
 }
 
 // askOthers asks other gateways about a stream. It returns as soon as one has a record of it.
--- a/internal/origin/registry_test.go
+++ b/internal/origin/registry_test.go
@@ -17,7 +17,7 @@
 	now, reads := start, 0
 	listedEarlier := []Origin(nil)
 	r := NewRegistry(Config{
-		Now: func() time.Time { return now }, Log: hclog.NewNullLogger(), ViewAge: func() time.Duration { return 0 },
+		Now: func() time.Time { return now }, Log: hclog.NewNullLogger(), ViewAge: func() time.Duration { return 0 }, Refresh: func(context.Context) bool { return true }, Beginnings: &simBeginnings{}, OnBegun: func() {},
 		Earlier: func(context.Context, time.Duration) (Earlier, error) {
 			reads++
 			return Earlier{Listed: listedEarlier, For: time.Hour}, nil
@@ -58,7 +58,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			now := start
 			r := NewRegistry(Config{
-				Now: func() time.Time { return now }, Log: hclog.NewNullLogger(), ViewAge: func() time.Duration { return 2 * maxViewAge },
+				Now: func() time.Time { return now }, Log: hclog.NewNullLogger(), ViewAge: func() time.Duration { return 2 * maxViewAge }, Refresh: func(context.Context) bool { return false }, Beginnings: &simBeginnings{}, OnBegun: func() {},
 				Earlier: func(context.Context, time.Duration) (Earlier, error) { return Earlier{}, context.DeadlineExceeded },
 			})
 			r.Observe(viewOf("v1"), 0)
@@ -85,7 +85,7 @@
 func TestAJustStartedGatewayTellsCallersToComeBack(t *testing.T) {
 	now := start
 	r := NewRegistry(Config{
-		Now: func() time.Time { return now }, Log: hclog.NewNullLogger(), ViewAge: func() time.Duration { return 0 },
+		Now: func() time.Time { return now }, Log: hclog.NewNullLogger(), ViewAge: func() time.Duration { return 0 }, Refresh: func(context.Context) bool { return true }, Beginnings: &simBeginnings{}, OnBegun: func() {},
 		Earlier: func(context.Context, time.Duration) (Earlier, error) {
 			return Earlier{Listed: []Origin{{"svc", "v1"}, {"svc", "v2"}}, For: time.Hour}, nil
 		},
@@ -103,7 +103,7 @@
 func TestTheHistoryIsNotReadWhereItIsKnown(t *testing.T) {
 	now, reads := start, 0
 	r := NewRegistry(Config{
-		Now: func() time.Time { return now }, Log: hclog.NewNullLogger(), ViewAge: func() time.Duration { return 2 * maxViewAge },
+		Now: func() time.Time { return now }, Log: hclog.NewNullLogger(), ViewAge: func() time.Duration { return 2 * maxViewAge }, Refresh: func(context.Context) bool { return false }, Beginnings: &simBeginnings{}, OnBegun: func() {},
 		Earlier: func(context.Context, time.Duration) (Earlier, error) { reads++; return Earlier{}, nil },
 	})
 	r.Observe(viewOf("v1"), 0)
--- a/internal/origin/world_test.go
+++ b/internal/origin/world_test.go
@@ -59,6 +59,14 @@
 	// history are the versions that were listed and until when; zero while they are.
 	history  map[ident.SoftwareVersion]time.Time
 	gateways []*simGateway
+	// full are the versions whose upstreams take no new streams, though they go on with those that are taken up.
+	full map[ident.SoftwareVersion]bool
+	// begun is what is recorded of beginnings.
+	begun []Origin
+	// storeLost: no gateway reaches the store.
+	storeLost bool
+	// resets counts how often all streams were broken off.
+	resets int
 	// cut are the domains that are cut off from the others.
 	cut map[ident.FailureDomain]bool
 	tally
@@ -91,6 +99,8 @@
 // tally counts what callers saw.
 type tally struct {
 	streams, broken int
+	// notBegun streams found no upstream at which they might begin.
+	notBegun int
 	// mixed streams have events of two versions.
 	mixed int
 	// able counts the take-ups that could have gone on, since an upstream of the version was listed and
@@ -127,7 +137,7 @@
 }
 
 func newWorld(seed uint64, gateways int, w way) *world {
-	out := &world{way: w, rng: rand.New(rand.NewPCG(seed, uint64(gateways))), history: make(map[ident.SoftwareVersion]time.Time), cut: make(map[ident.FailureDomain]bool)}
+	out := &world{way: w, rng: rand.New(rand.NewPCG(seed, uint64(gateways))), history: make(map[ident.SoftwareVersion]time.Time), cut: make(map[ident.FailureDomain]bool), full: make(map[ident.SoftwareVersion]bool)}
 	for i := range gateways {
 		out.gateways = append(out.gateways, &simGateway{w: out, node: ident.Instance(fmt.Sprint("gw", i)), domain: ident.FailureDomain(fmt.Sprint("d", i%domains))})
 	}
@@ -186,6 +196,9 @@
 	g.registry.Observe(directory.NewView(upstreams), g.viewAge())
 }
 
+// peersForgottenAfter is how old the reports of the other gateways are when they count no more.
+const peersForgottenAfter = 2 * time.Second
+
 // freeze stops the processes of some gateways for a time. When they go on, what they know of the
 // upstreams is as old, for as long as it takes to hear of them again.
 func (w *world) freeze(share float64, d time.Duration) {
@@ -200,8 +213,9 @@
 	for _, g := range frozen {
 		g.frozen = false
 		if g.alive {
-			// All reports of the other gateways are too old by now.
-			g.registry.SetPeers(nil)
+			if d > peersForgottenAfter {
+				g.registry.SetPeers(nil)
+			}
 			g.after(exchangeRound, func() {
 				g.observe(w.upstreams)
 				g.deafSince.Store(0)
@@ -213,6 +227,8 @@
 // loseStore keeps all gateways from hearing of upstreams for a time; none changes meanwhile.
 func (w *world) loseStore(d time.Duration) {
 	since := time.Now()
+	w.storeLost = true
+	defer func() { w.storeLost = false }()
 	for end := since.Add(d); time.Now().Before(end); w.wait(100 * time.Millisecond) {
 		for _, g := range w.gateways {
 			g.deafSince.Store(since.UnixNano())
@@ -223,6 +239,51 @@
 	}
 }
 
+// refresh reads what is listed now.
+func (g *simGateway) refresh(ctx context.Context) bool {
+	w := g.w
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.storeLost || !w.sleep(ctx, 5*hop) || !g.alive {
+		return false
+	}
+	g.observe(w.upstreams)
+	return true
+}
+
+// simBeginnings implements Beginnings for a gateway of the world, or for one without any.
+type simBeginnings struct {
+	w   *world
+	ctx context.Context
+}
+
+// Record implements Beginnings.
+func (b *simBeginnings) Record(_ context.Context, o Origin) error {
+	if b.w == nil {
+		return nil
+	}
+	b.w.mu.Lock()
+	defer b.w.mu.Unlock()
+	if b.w.storeLost || !b.w.sleep(b.ctx, 5*hop) {
+		return errDown
+	}
+	b.w.begun = append(b.w.begun, o)
+	return nil
+}
+
+// Read implements Beginnings.
+func (b *simBeginnings) Read(context.Context) ([]Origin, error) {
+	if b.w == nil {
+		return nil, nil
+	}
+	b.w.mu.Lock()
+	defer b.w.mu.Unlock()
+	if b.w.storeLost || !b.w.sleep(b.ctx, 5*hop) {
+		return nil, errDown
+	}
+	return slices.Clone(b.w.begun), nil
+}
+
 // viewAge returns how old what a gateway knows of the upstreams is.
 func (g *simGateway) viewAge() time.Duration {
 	if since := g.deafSince.Load(); since != 0 {
@@ -236,7 +297,7 @@
 	g.incarnation++
 	g.alive = true
 	g.ctx, g.kill = context.WithCancel(context.Background())
-	g.registry = NewRegistry(Config{Now: time.Now, Log: hclog.NewNullLogger(), Network: simNetwork{g, g.incarnation}, Earlier: g.w.earlier, ViewAge: g.viewAge})
+	g.registry = NewRegistry(Config{Now: time.Now, Log: hclog.NewNullLogger(), Network: simNetwork{g, g.incarnation}, Earlier: g.w.earlier, ViewAge: g.viewAge, Refresh: g.refresh, Beginnings: &simBeginnings{w: g.w, ctx: g.ctx}, OnBegun: func() {}})
 	all := len(g.w.gateways)
 	g.registry.copies, g.registry.askWidth = orAll(g.w.way.copies, all), orAll(g.w.way.ask, all)
 	g.observe(g.w.upstreams)
--- a/internal/routing/placement/announced_gateway_test.go
+++ b/internal/routing/placement/announced_gateway_test.go
@@ -95,6 +95,7 @@
 		Gateways:        func() int { return f.story.gateways },
 		OtherEngineSums: func(ident.Service) enginemodel.Sums { return f.engineSums },
 		HoldsBack:       func(ident.Service, ident.SoftwareVersion, time.Time) bool { return false },
+		MayBegin:        func(ident.Service, ident.SoftwareVersion) bool { return true },
 		Split:           func(ident.Service) *rollout.Split { return nil },
 		Limits:          g.limits, Pauses: g.announced, RetryLeft: g.budget.Left,
 	})
--- a/internal/routing/placement/eligibility.go
+++ b/internal/routing/placement/eligibility.go
@@ -36,6 +36,9 @@
 	isFull
 	// notLeased: the call has a slot at another one.
 	notLeased
+	// tooNew: other gateways may not have heard of its software version, at which streams begin only if no other takes
+	// them.
+	tooNew
 	// tooSlow: it would probably not serve the call in time.
 	tooSlow
 	numExclusions
@@ -44,7 +47,7 @@
 // exclusionNames are the names of the exclusions in logs.
 var exclusionNames = [numExclusions]string{
 	leaves: "leaves", otherSoftware: "other_software", tried: "tried", ejected: "ejected", unreachable: "unreachable", cutOff: "cut_off",
-	notShared: "not_shared", hasPause: "paused", isFull: "full", notLeased: "not_leased", tooSlow: "too_slow",
+	notShared: "not_shared", hasPause: "paused", isFull: "full", notLeased: "not_leased", tooNew: "too_new", tooSlow: "too_slow",
 }
 
 // exclusionCounts counts upstreams by why they were passed over.
@@ -118,6 +121,8 @@
 		return cutOff
 	case !s.chooser.mayUse(u, b.share):
 		return notShared
+	case s.holdsBack(u) && !(s.newToo && s.chooser.cfg.MayBegin(u.Service, u.SoftwareVersion)):
+		return tooNew
 	}
 	return eligible
 }
--- a/internal/routing/placement/eligibility_test.go
+++ b/internal/routing/placement/eligibility_test.go
@@ -103,6 +103,11 @@
 	if choice, found := f.Choose(began, nil, f.now); !found || choice.Upstream == "b0" {
 		t.Errorf("with v1 full, a stream began at %q", choice.Upstream)
 	}
+	f.cfg.MayBegin = func(ident.Service, ident.SoftwareVersion) bool { return false }
+	if choice, found := f.Choose(began, nil, f.now); found {
+		t.Errorf("a stream began at %q, of whose version others cannot find out", choice.Upstream)
+	}
+	f.cfg.MayBegin = func(ident.Service, ident.SoftwareVersion) bool { return true }
 	request := &forward.Call{Route: route, Service: plain, Expires: f.now.Add(time.Minute)}
 	f.others["b0"] = Load{}
 	if choice, found := f.Choose(request, nil, f.now); !found || choice.Upstream == "b0" {
--- a/internal/routing/placement/placement_test.go
+++ b/internal/routing/placement/placement_test.go
@@ -64,6 +64,7 @@
 		Gateways:        func() int { return 3 },
 		OtherEngineSums: func(ident.Service) enginemodel.Sums { return f.sums },
 		HoldsBack:       func(ident.Service, ident.SoftwareVersion, time.Time) bool { return false },
+		MayBegin:        func(ident.Service, ident.SoftwareVersion) bool { return true },
 		Split:           func(ident.Service) *rollout.Split { return f.split },
 		Limits:          f.limits,
 		Pauses:          f.announced,
--- a/internal/routing/placement/search.go
+++ b/internal/routing/placement/search.go
@@ -58,11 +58,22 @@
 	// for a pause, and pauseEnds is when the first of these pauses ends.
 	paused    []ident.Instance
 	pauseEnds time.Time
+	// newToo: upstreams of versions that have just appeared may be chosen.
+	newToo bool
 }
 
 // bestOfLists returns the best candidate of the first list that has one, and
 // the reason of the choice for the log.
 func (s *search) bestOfLists(lists rollout.Candidates) (candidate, string, bool) {
+	best, why, found := s.bestOfEach(lists)
+	if !found && s.excluded[tooNew] > 0 {
+		s.newToo = true
+		return s.bestOfEach(lists)
+	}
+	return best, why, found
+}
+
+func (s *search) bestOfEach(lists rollout.Candidates) (candidate, string, bool) {
 	best, why, found := s.bestOfList(lists.Preferred)
 	if !found && len(lists.Fallback) > 0 {
 		return s.bestOfList(lists.Fallback)
@@ -114,7 +125,7 @@
 		if next.firstEventSeconds > 0 && (order == nil || order.home != i) && !pair.has(i) {
 			next.score += unsampledPenalty
 		}
-		if use == lastChoice || s.avoidsForOthers(&next) || s.holdsBack(u) {
+		if use == lastChoice || s.avoidsForOthers(&next) {
 			next.score += lastChoicePenalty
 		}
 		if estimate.Samples >= minSamples && next.firstEventSeconds > remaining {
