--- a/internal/routing/placement/eligibility.go
+++ b/internal/routing/placement/eligibility.go
@@ -111,6 +111,8 @@
 		return notLeased
 	case contains(b.tried, u.ID):
 		return tried
+	case s.holdsBack(u) && !(s.newToo && s.chooser.cfg.MayBegin(u.Service, u.SoftwareVersion)):
+		return tooNew
 	case b.suspectsToo:
 		return eligible
 	case contains(b.ejected, u.ID):
@@ -121,8 +123,6 @@
 		return cutOff
 	case !s.chooser.mayUse(u, b.share):
 		return notShared
-	case s.holdsBack(u) && !(s.newToo && s.chooser.cfg.MayBegin(u.Service, u.SoftwareVersion)):
-		return tooNew
 	}
 	return eligible
 }
