--- a/internal/gossip/codec_test.go
+++ b/internal/gossip/codec_test.go
@@ -426,3 +426,25 @@
 	}
 	t.Logf("at most %d bytes were used", most)
 }
+
+// Guards against what another writer left in the store's topic of poison requests: it must not end the process that reads
+// it, nor be used with impossible values.
+func FuzzDecodePoison(f *testing.F) {
+	data, err := EncodePoison(poison.Report{Crashes: []poison.Crash{{Upstream: 1, Age: time.Second, Marks: []ident.Mark{{Feature: ident.Feature{Kind: ident.PartFeature, Value: 7}, Tag: 1}}}}}, time.Unix(1, 0))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		report, _, err := DecodePoison(data)
+		if err != nil {
+			return
+		}
+		for _, c := range append(report.Crashes, report.Doubts...) {
+			if c.Age < 0 {
+				t.Errorf("an age of %v", c.Age)
+			}
+		}
+	})
+}
