--- a/internal/entry/beginnings.go
+++ b/internal/entry/beginnings.go
@@ -19,8 +19,9 @@
 	beginningsTopic = "keyed.beginnings"
 	// maxTopicKey is the longest key of a keyed topic, in bytes.
 	maxTopicKey = 255
-	// beginningsKeptFor is how long a key is kept.
-	beginningsKeptFor = time.Minute
+	// beginningsKeptFor is how long a key is kept: longer than gateways take a version for one that may begin streams
+	// because of it.
+	beginningsKeptFor = 10 * time.Minute
 	// beginningsDropTime bounds the call that drops a key.
 	beginningsDropTime = time.Second
 )
@@ -68,12 +69,13 @@
 			continue
 		}
 		service, version, found := strings.Cut(record.Key, "/")
-		s, err1 := url.PathUnescape(service)
-		v, err2 := url.PathUnescape(version)
+		service, err1 := url.PathUnescape(service)
+		version, err2 := url.PathUnescape(version)
 		if !found || err1 != nil || err2 != nil {
-			return nil, errors.Errorf("key %q names no software", record.Key)
+			s.log.Error("recorded beginning of streams names no software", "key", record.Key, "position", record.At)
+			continue
 		}
-		out = append(out, origin.Origin{Service: ident.Service(s), SoftwareVersion: ident.SoftwareVersion(v)})
+		out = append(out, origin.Origin{Service: ident.Service(service), SoftwareVersion: ident.SoftwareVersion(version)})
 	}
 	return out, nil
 }
--- a/internal/entry/poisonstore.go
+++ b/internal/entry/poisonstore.go
@@ -67,15 +67,19 @@
 		if err == nil {
 			err = s.read(ctx, whole)
 		}
-		pause := poisonSyncInterval
 		if err == nil {
+			if failures > 0 {
+				s.log.Info("poison requests exchanged through the store again", "failures", failures)
+			}
 			failures = 0
-		} else if ctx.Err() == nil {
-			s.log.Info("poison requests not exchanged through the store", "failures", failures, "error", err)
-			pause = draw(rand.N[time.Duration]).retryPause(failures, maxRetryPause)
-			failures++
+			sleep.For(ctx, poisonSyncInterval)
+			continue
+		}
+		if failures == 0 && ctx.Err() == nil {
+			s.log.Info("poison requests not exchanged through the store", "error", err)
 		}
-		sleep.For(ctx, pause)
+		sleep.For(ctx, draw(rand.N[time.Duration]).retryPause(failures, maxRetryPause))
+		failures++
 	}
 }
 
