--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -175,7 +175,8 @@
 			return p.upstreams.earlier(ctx, within)
 		}})
 	p.configuration = newConfigFollower(p.ports, p.board, p.rollouts, p.now, p.storeRank, s.Configuration.ChangeDue, p.log.Named("configuration"))
-	p.upstreams = newUpstreamsFollower(p.ports, p.board, p.announced, []viewObserver{func(v *directory.View, _ time.Duration) { p.rollouts.Observe(v) }, p.origins.Observe}, p.origins.MarkComplete, p.network, p.now, p.storeRank, s.Upstreams.DepartureDue, s.Upstreams.Renewal, p.log.Named("upstreams"))
+	gone := newDepartures(p.now, s.Upstreams.DepartureDue)
+	p.upstreams = newUpstreamsFollower(p.ports, p.board, p.announced, []viewObserver{func(v *directory.View, _ time.Duration) { p.rollouts.Observe(v) }, p.origins.Observe, gone.Observe}, p.origins.MarkComplete, p.network, p.now, p.storeRank, s.Upstreams.DepartureDue, s.Upstreams.Renewal, p.log.Named("upstreams"))
 	p.gossip = gossip.New(gossip.Config{
 		Self: p.contact(), Incarnation: p.incarnation, Table: p.peers, Knowledge: knowledge{p},
 		Network: gossip.HTTPNetwork{Pool: p.pool}, LoanNetwork: gossip.HTTPNetwork{Pool: p.pool, Path: gossip.LoanPath},
@@ -203,6 +204,7 @@
 		RetryLeft:       p.retries.Left,
 		HoldsBack:       p.origins.HoldsBack,
 		MayBegin:        p.origins.MayBegin,
+		EndedEarly:      gone.EndedEarly,
 		Split:           p.rollouts.SplitOf,
 		Slowness:        p.speeds.Factor,
 		RecordSpeed:     p.speeds.Record,
--- a/internal/fleetsim/plain/plain.go
+++ b/internal/fleetsim/plain/plain.go
@@ -152,6 +152,7 @@
 		OtherEngineSums: func(ident.Service) enginemodel.Sums { return enginemodel.Sums{} },
 		HoldsBack:       func(ident.Service, ident.SoftwareVersion, time.Time) bool { return false },
 		MayBegin:        func(ident.Service, ident.SoftwareVersion) bool { return true },
+		EndedEarly:      func(ident.Instance) bool { return false },
 		Split:           func(ident.Service) *rollout.Split { return nil },
 		Limits:          limits,
 		Pauses: announced.NewRegistry(announced.Config{
--- a/internal/origin/onlyversion_test.go
+++ b/internal/origin/onlyversion_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,18 +14,31 @@
 
 // keptBeginnings is what is recorded of beginnings; err fails all calls.
 type keptBeginnings struct {
+	mu   sync.Mutex
 	list []Origin
 	err  error
 }
 
+func (b *keptBeginnings) set(err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.err = err
+}
+
 func (b *keptBeginnings) Record(_ context.Context, o Origin) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	if b.err == nil {
 		b.list = append(b.list, o)
 	}
 	return b.err
 }
 
-func (b *keptBeginnings) Read(context.Context) ([]Origin, error) { return b.list, b.err }
+func (b *keptBeginnings) Read(context.Context) ([]Origin, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.list, b.err
+}
 
 // answering reaches the gateways that it has; the others are silent.
 type answering map[ident.Instance]*Registry
@@ -44,13 +58,16 @@
 	peers      int
 	viewAge    time.Duration
 	refreshes  bool
-	beginnings keptBeginnings
+	beginnings *keptBeginnings
 }
 
 // registryOf returns a gateway's registry that has long known v1, and the given versions besides for 0.3 s.
 func (g *lateGateway) registryOf(newVersions ...ident.SoftwareVersion) *Registry {
+	if g.beginnings == nil {
+		g.beginnings = &keptBeginnings{}
+	}
 	r := NewRegistry(Config{
-		Now: time.Now, Log: hclog.NewNullLogger(), Network: g.others, ViewAge: func() time.Duration { return g.viewAge }, Beginnings: &g.beginnings, OnBegun: func() {},
+		Now: time.Now, Log: hclog.NewNullLogger(), Network: g.others, ViewAge: func() time.Duration { return g.viewAge }, Beginnings: g.beginnings, OnBegun: func() {},
 		Refresh: func(context.Context) bool { return g.refreshes }, Earlier: func(context.Context, time.Duration) (Earlier, error) { return Earlier{}, errDown },
 	})
 	r.Observe(viewOf("v1"), 0)
@@ -80,10 +97,10 @@
 		{name: "most others answer", gw: lateGateway{peers: 2}, others: [][]ident.SoftwareVersion{nil, nil}, want: OnlyVersion},
 		{name: "most others answer, one lists another version", gw: lateGateway{peers: 2}, others: [][]ident.SoftwareVersion{nil, {"v2"}}, want: NotKnown},
 		{name: "they do, and nobody began a stream there", gw: lateGateway{peers: 2, refreshes: true}, others: [][]ident.SoftwareVersion{nil, {"v2"}}, want: OnlyVersion},
-		{name: "they do, and somebody did", gw: lateGateway{peers: 2, refreshes: true, beginnings: keptBeginnings{list: []Origin{v2}}}, others: [][]ident.SoftwareVersion{nil, {"v2"}}, want: NotKnown},
+		{name: "they do, and somebody did", gw: lateGateway{peers: 2, refreshes: true, beginnings: &keptBeginnings{list: []Origin{v2}}}, others: [][]ident.SoftwareVersion{nil, {"v2"}}, want: NotKnown},
 		{name: "cut off, another version has just appeared", gw: lateGateway{peers: 3, refreshes: true}, knows: []ident.SoftwareVersion{"v2"}, want: OnlyVersion},
-		{name: "and began streams", gw: lateGateway{peers: 3, refreshes: true, beginnings: keptBeginnings{list: []Origin{v2}}}, knows: []ident.SoftwareVersion{"v2"}, want: NotKnown},
-		{name: "and it is not known whether", gw: lateGateway{peers: 3, refreshes: true, beginnings: keptBeginnings{err: errDown}}, knows: []ident.SoftwareVersion{"v2"}, want: NotKnown},
+		{name: "and began streams", gw: lateGateway{peers: 3, refreshes: true, beginnings: &keptBeginnings{list: []Origin{v2}}}, knows: []ident.SoftwareVersion{"v2"}, want: NotKnown},
+		{name: "and it is not known whether", gw: lateGateway{peers: 3, refreshes: true, beginnings: &keptBeginnings{err: errDown}}, knows: []ident.SoftwareVersion{"v2"}, want: NotKnown},
 		{name: "stood still, most others have heard lately", gw: lateGateway{peers: 2, viewAge: time.Minute}, others: [][]ident.SoftwareVersion{nil, nil}, want: OnlyVersion},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -111,7 +128,7 @@
 // gateway that has just started, knows no better, and begins some at once.
 func TestStreamsBeginAtAVersionThatHasJustAppearedOnceThatIsRecorded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		gw := lateGateway{beginnings: keptBeginnings{err: errDown}}
+		gw := lateGateway{beginnings: &keptBeginnings{err: errDown}}
 		r := gw.registryOf("v2")
 		for range 3 {
 			if r.MayBegin("svc", "v2") {
@@ -119,7 +136,7 @@
 			}
 			time.Sleep(2 * recordInterval)
 		}
-		gw.beginnings.err = nil
+		gw.beginnings.set(nil)
 		r.MayBegin("svc", "v2")
 		synctest.Wait()
 		if !r.MayBegin("svc", "v2") || len(gw.beginnings.list) != 1 {
--- a/internal/poison/interruption.go
+++ b/internal/poison/interruption.go
@@ -302,7 +302,7 @@
 // held reports whether a feature is to be held back: it would be barred, or its next crash would decide, if the
 // processes that broke it off have ended, or once all gateways have told what they had there. After that it is tried
 // again, at one gateway after the other. A gateway that hears no other one, though there are some, holds back each
-// content that upstreams may have crashed under, because the others may know of more. A part that was served is not held
+// content that two upstreams may have crashed under, until the store can have told it what others know. A part that was served is not held
 // back.
 func (t *Tracker) held(f ident.Feature, now time.Time) bool {
 	crashes, doubts := t.crashesAgainst(f, now), t.doubtsAbout(f)
@@ -310,15 +310,28 @@
 		// Parts are in many requests, of which some are at the end of any upstream.
 		return doubts > 0 && crashes+doubts >= rulesOf(f).minCrashes && !t.served.has(f) && !t.suspects[f].isKnownPopular()
 	}
-	if t.cfg.Alone() && crashes+doubts > 0 {
+	if crashes+doubts >= aloneMinCrashes && t.cfg.Alone() && (doubts > 0 || now.Sub(t.suspects[f].newestSettledFrom()) < aloneHold) {
 		return true
 	}
 	if crashes+doubts < rulesOf(f).minCrashes {
 		return false
 	}
-	return doubts > 0 || now.Sub(t.suspects[f].newestSettledFrom()) < settleTime+t.trialDelay(f)
+	return doubts > 0 || t.suspects[f].hasLateNews() && now.Sub(t.suspects[f].newestSettledFrom()) < settleTime+t.trialDelay(f)
 }
 
+// hasLateNews reports whether a crash that counts against the feature became known only long after it.
+func (s *suspect) hasLateNews() bool {
+	return slices.ContainsFunc(s.unexplained, func(c *crash) bool { return c.settledFrom.After(c.at) })
+}
+
+// aloneHold is how long a gateway that hears no other one holds a content back after a crash: by then it has read
+// what others have written to the store, and written its own.
+const aloneHold = 2 * time.Second
+
+// aloneMinCrashes is from how many crashes on such a gateway holds a content back: with one, it would hold back all that
+// ran at any upstream that crashed.
+const aloneMinCrashes = 2
+
 // isKnownPopular reports whether the feature is known to arrive so often that it is in many crashes for that alone.
 func (s *suspect) isKnownPopular() bool { return s != nil && s.popular() }
 
--- a/internal/poison/interruption_test.go
+++ b/internal/poison/interruption_test.go
@@ -182,12 +182,20 @@
 		t.Errorf("before anything happened: %+v", got)
 	}
 	o.breakOff(ProcessEnded, c, "a")
-	if got := o.Admit([]ident.Feature{c}, settleTime); got.Step != Bar {
+	if got := o.Admit([]ident.Feature{c}, settleTime); got.Step != Send {
 		t.Errorf("after one crash: %+v", got)
 	}
+	o.breakOff(ProcessEnded, c, "b")
+	if got := o.Admit([]ident.Feature{c}, settleTime); got.Step != Bar {
+		t.Errorf("after two crashes: %+v", got)
+	}
 	if got := o.Admit([]ident.Feature{content(2)}, settleTime); got.Step != Send {
 		t.Errorf("another content: %+v", got)
 	}
+	o.advance(aloneHold)
+	if got := o.Admit([]ident.Feature{c}, settleTime); got.Step != Send {
+		t.Errorf("once the store can have told what others know: %+v", got)
+	}
 }
 
 // Guards against gateways that cannot hear each other and never learn of each other's crashes though both reach the
--- a/internal/routing/placement/announced_gateway_test.go
+++ b/internal/routing/placement/announced_gateway_test.go
@@ -96,6 +96,7 @@
 		OtherEngineSums: func(ident.Service) enginemodel.Sums { return f.engineSums },
 		HoldsBack:       func(ident.Service, ident.SoftwareVersion, time.Time) bool { return false },
 		MayBegin:        func(ident.Service, ident.SoftwareVersion) bool { return true },
+		EndedEarly:      func(ident.Instance) bool { return false },
 		Split:           func(ident.Service) *rollout.Split { return nil },
 		Limits:          g.limits, Pauses: g.announced, RetryLeft: g.budget.Left,
 	})
--- a/internal/routing/placement/learn.go
+++ b/internal/routing/placement/learn.go
@@ -32,13 +32,16 @@
 }
 
 // UpstreamEnded implements forward.Placement. The end was expected if the upstream had
-// announced that it leaves, or if its entry is gone from the directory.
+// announced that it leaves, or if its entry has been gone for as long as one that did not may serve on.
 func (c *Chooser) UpstreamEnded(choice forward.Choice) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	choice.Reservation.(*reservation).upstreamEnded = true
 	u, known := c.cfg.View().Upstream(choice.Upstream)
-	return known && u.State == directory.Ready
+	if !known {
+		return c.cfg.EndedEarly(choice.Upstream)
+	}
+	return u.State == directory.Ready
 }
 
 // Replaced implements forward.Placement.
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -105,6 +105,9 @@
 	// HoldsBack reports whether a software version of a service begins no streams yet, if upstreams of
 	// another one take them.
 	HoldsBack func(ident.Service, ident.SoftwareVersion, time.Time) bool
+	// EndedEarly reports whether an upstream that is not listed any more, and whose process has ended now, ended sooner
+	// than one that leaves without announcing it.
+	EndedEarly func(ident.Instance) bool
 	// MayBegin reports whether it may all the same, as no other version takes them: the other gateways can find out.
 	MayBegin func(ident.Service, ident.SoftwareVersion) bool
 	// Split returns how a service's upstreams are split by version, or nil if
--- a/internal/routing/placement/placement_test.go
+++ b/internal/routing/placement/placement_test.go
@@ -65,6 +65,7 @@
 		OtherEngineSums: func(ident.Service) enginemodel.Sums { return f.sums },
 		HoldsBack:       func(ident.Service, ident.SoftwareVersion, time.Time) bool { return false },
 		MayBegin:        func(ident.Service, ident.SoftwareVersion) bool { return true },
+		EndedEarly:      func(ident.Instance) bool { return false },
 		Split:           func(ident.Service) *rollout.Split { return f.split },
 		Limits:          f.limits,
 		Pauses:          f.announced,
