Entry: bodies and heads are reserved in one account before they are held

Cause: the budget for bodies was compared before a body was read and counted after. What arrived counted nowhere, nor did the old and new array of io.ReadAll together, nor heads: 3,000 short header lines of 18 KB cost 250 KB. Bytes were given back without defer, and the sum with an announced length overflowed where no limit is in force.

Now package membudget holds one account: connections, heads by lines and bytes, bodies by capacity. A body's first 64 KiB are reserved as they come, then its whole length (chunks: by doubling, old and new together), so that bodies which progress do not stall each other half-way. Where room is short, who made no progress for 0.5 s yields, the highest bytes times time first, and hears 503 with when to come back; who progresses never does. Long bodies leave a fifth to short ones. A share ends with a defer.

Ruled out: a lock around the comparison alone (heads, growth and unread bytes are not in it), counting announced lengths at once (silent clients would shut all others out).

--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -27,6 +27,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/ingress"
 	"github.com/goldcrestspool/goldcrestspool/internal/lending"
+	"github.com/goldcrestspool/goldcrestspool/internal/membudget"
 	"github.com/goldcrestspool/goldcrestspool/internal/metering"
 	"github.com/goldcrestspool/goldcrestspool/internal/origin"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
@@ -52,8 +53,13 @@
 	// garbage collector; the rest is for its own structures, stacks and the kernel's
 	// buffers.
 	goMemoryShare = 0.7
-	// bodyMemoryShare is the share of the machine's memory that callers' bodies may take.
-	bodyMemoryShare = 0.25
+	// callerMemoryShare is the share of the machine's memory that callers may make the process hold:
+	// connections, heads, bodies, and what the kernel holds of them unread. Beside it, Go's garbage collector
+	// has to have room within goMemoryShare.
+	callerMemoryShare = 0.35
+	// connectionBytes is what a caller's connection costs this process while a request of ordinary size is on
+	// it.
+	connectionBytes = 20 << 10
 	// callerDescriptorShare is the share of the file descriptors that callers' connections
 	// may take; the rest is for upstreams, peers and files.
 	callerDescriptorShare = 0.6
@@ -110,6 +116,7 @@
 	counter       *metering.Counter
 	ledger        *metering.Ledger
 	metrics       *ingress.Metrics
+	memory        *membudget.Budget
 	callers       *ingress.Server
 
 	view atomic.Pointer[peerView]
@@ -218,11 +225,13 @@
 		Budget: p.retries, Guard: p.poison, Announcements: p.announced, Origins: p.origins, Meter: p.counter, Log: p.log.Named("forward"), Tracer: p.tracing.Tracer, RetryAfter: p.retryAfter,
 	})
 	p.lease = p.newLease()
+	p.memory = membudget.New(membudget.Config{
+		Now: p.now, Log: p.log.Named("memory"), Bytes: int64(callerMemoryShare * s.Machine.MemoryMiB * (1 << 20)),
+		Connections: int(callerDescriptorShare * float64(s.Machine.Descriptors)), ConnectionBytes: connectionBytes, MetersHeads: true,
+	})
 	p.callers = ingress.New(ingress.Config{
 		Now: p.now, Table: p.table, Protocol: p.ports.Protocol, Quota: p.quotas, Guard: p.poison, Forwarder: forwarder,
-		Log: p.log.Named("ingress"), Tracer: p.tracing.Tracer, Metrics: p.metrics,
-		BodyBudget:     int64(bodyMemoryShare * s.Machine.MemoryMiB * (1 << 20)),
-		MaxConnections: int(callerDescriptorShare * float64(s.Machine.Descriptors)),
+		Log: p.log.Named("ingress"), Tracer: p.tracing.Tracer, Metrics: p.metrics, Memory: p.memory,
 	})
 }
 
--- a/internal/ingress/idle.go
+++ b/internal/ingress/idle.go
@@ -7,9 +7,8 @@
 	"sync"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
+	"github.com/goldcrestspool/goldcrestspool/internal/membudget"
 )
 
 // callerConn is a caller's connection that tracks whether a request is being received or
@@ -23,8 +22,8 @@
 // from happening during a read.
 type callerConn struct {
 	net.Conn
-	// tcp is the same connection; nil if it is none of TCP.
-	tcp *net.TCPConn
+	// share is the same connection as the memory budget knows it; nil in tests without one.
+	share *membudget.Conn
 
 	mu sync.Mutex
 	// arriving: bytes of a request were read that no handler has read completely yet.
@@ -82,7 +81,7 @@
 // resetOnClose sets whether the close of the connection is a reset. To a caller of HTTP/1.0 an
 // orderly close completes an answer that has no length.
 func (c *callerConn) resetOnClose(reset bool) {
-	if c.tcp == nil {
+	if c.share == nil || c.share.TCP() == nil {
 		return
 	}
 	const atOnce, orderly = 0, -1
@@ -90,7 +89,7 @@
 	if reset {
 		seconds = atOnce
 	}
-	_ = c.tcp.SetLinger(seconds) // fails only if the connection is closed already
+	_ = c.share.TCP().SetLinger(seconds) // fails only if the connection is closed already
 }
 
 // callerConns tracks all callers' connections. It is safe for concurrent use.
@@ -128,17 +127,18 @@
 	return c
 }
 
-// listener accepts a bounded number of connections, wraps them as callerConns and tracks them.
-// Its Accept must not be called concurrently.
-type listener struct {
-	net.Listener
-	accepted *lastAccepted
-	conns    *callerConns
+// memoryShare returns the connection as the memory budget knows it, or nil.
+func (c *callerConn) memoryShare() *membudget.Conn {
+	if c == nil {
+		return nil
+	}
+	return c.share
 }
 
-func newListener(l net.Listener, maxConnections int, conns *callerConns) *listener {
-	accepted := &lastAccepted{Listener: l}
-	return &listener{Listener: netutil.LimitListener(accepted, maxConnections), accepted: accepted, conns: conns}
+// listener wraps the connections of a memory budget's listener as callerConns and tracks them.
+type listener struct {
+	net.Listener
+	conns *callerConns
 }
 
 // Accept implements net.Listener.
@@ -147,28 +147,14 @@
 	if err != nil {
 		return nil, err
 	}
-	tcp, _ := l.accepted.conn.(*net.TCPConn)
-	wrapped := &callerConn{Conn: c, tcp: tcp, idleSince: l.conns.now()}
+	share, _ := c.(*membudget.Conn)
+	wrapped := &callerConn{Conn: c, share: share, idleSince: l.conns.now()}
 	l.conns.mu.Lock()
 	l.conns.conns[wrapped] = true
 	l.conns.mu.Unlock()
 	return wrapped, nil
 }
 
-// lastAccepted is a listener that remembers the connection that it accepted last, which
-// netutil.LimitListener hides.
-type lastAccepted struct {
-	net.Listener
-	conn net.Conn
-}
-
-// Accept implements net.Listener.
-func (l *lastAccepted) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	l.conn = c
-	return c, err
-}
-
 // trackState records the state changes of a connection; it is net/http's ConnState hook.
 func (cs *callerConns) trackState(c net.Conn, state http.ConnState) {
 	wrapped, ok := c.(*callerConn)
@@ -178,6 +164,9 @@
 	switch state {
 	case http.StateIdle:
 		wrapped.handlerDone(cs.now())
+		if wrapped.share != nil {
+			wrapped.share.SetIdle()
+		}
 	case http.StateClosed, http.StateHijacked:
 		cs.mu.Lock()
 		delete(cs.conns, wrapped)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -22,6 +22,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/forward"
 	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/membudget"
 	"github.com/goldcrestspool/goldcrestspool/internal/poison"
 	"github.com/goldcrestspool/goldcrestspool/internal/quota"
 	"github.com/goldcrestspool/goldcrestspool/internal/routetable"
@@ -88,10 +89,8 @@
 	Log       hclog.Logger
 	Tracer    trace.Tracer
 	Metrics   *Metrics
-	// BodyBudget bounds the bytes of all request bodies that are held in memory together.
-	BodyBudget int64
-	// MaxConnections bounds callers' open connections; further ones wait to be accepted.
-	MaxConnections int
+	// Memory bounds what callers make the process hold.
+	Memory *membudget.Budget
 }
 
 const (
@@ -126,7 +125,6 @@
 	// lifetime ends with the calls that are in progress.
 	lifetime          context.Context
 	endCalls          context.CancelFunc
-	bodyBytes         atomic.Int64
 	active            atomic.Int64
 	successLogLimiter *rate.Limiter
 }
@@ -152,7 +150,7 @@
 // Serve answers callers until Close is called or the listener fails, and returns the error
 // of net/http's Server.Serve.
 func (s *Server) Serve(l net.Listener) error {
-	return s.http.Serve(newListener(l, s.cfg.MaxConnections, s.conns))
+	return s.http.Serve(&listener{Listener: s.cfg.Memory.Listener(l), conns: s.conns})
 }
 
 // Leave announces that the server will close: from now on, answers ask callers to use their
@@ -221,8 +219,15 @@
 		w.Header().Set("Connection", "close")
 	}
 	received := s.cfg.Now()
-	call, refusal := s.accept(caller.control, r, received)
-	if conn := connOf(r.Context()); conn != nil {
+	conn := connOf(r.Context())
+	share, err := s.cfg.Memory.Begin(conn.memoryShare(), 0, func() { _ = caller.control.SetReadDeadline(longPast) })
+	if err != nil {
+		// The connection had to yield, and is closed. Nothing of the request has been used.
+		panic(http.ErrAbortHandler)
+	}
+	defer share.End()
+	call, refusal := s.accept(caller.control, r, share, received)
+	if conn != nil {
 		conn.handlerStarted()
 	}
 	if refusal != nil {
@@ -237,7 +242,6 @@
 	defer cancel(nil)
 	defer context.AfterFunc(s.lifetime, func() { cancel(forward.ErrTimeOver) })()
 	outcome := s.cfg.Forwarder.Serve(ctx, call, caller)
-	s.bodyBytes.Add(-int64(len(call.Body)))
 	s.recordOutcome(call, outcome)
 	if caller.abort {
 		panic(http.ErrAbortHandler)
@@ -246,7 +250,7 @@
 
 // accept checks a request, reads its body and returns the call. If the request is refused,
 // it returns the refusal and what is known of the call, which may be nil.
-func (s *Server) accept(control *http.ResponseController, r *http.Request, now time.Time) (*forward.Call, *refusal) {
+func (s *Server) accept(control *http.ResponseController, r *http.Request, share *membudget.Request, now time.Time) (*forward.Call, *refusal) {
 	table := s.cfg.Table()
 	if table == nil {
 		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "no configuration is known yet", retryAfter: retryAfterShortage}
@@ -274,6 +278,7 @@
 	if refused != nil {
 		return call, refused
 	}
+	share.SetAccount(call.Account)
 	if err := findings.Err(); err != nil {
 		return call, &refusal{status: http.StatusBadRequest, reason: err.Error()}
 	}
@@ -289,19 +294,17 @@
 	if parsed.Deadline > 0 && parsed.Deadline < call.Route.Timeout {
 		call.Expires = now.Add(parsed.Deadline)
 	}
-	if refused := s.readBody(control, r, call, table.Limits().BodyBytes); refused != nil {
+	if refused := s.readBody(control, r, call, share, table.Limits().BodyBytes); refused != nil {
 		return call, refused
 	}
 	if known := call.FeaturesKnownTo(s.cfg.Guard); len(known) > 0 {
 		if barred := s.cfg.Guard.Barred(known); barred != nil {
-			s.bodyBytes.Add(-int64(len(call.Body)))
 			return call, &refusal{status: http.StatusServiceUnavailable, reason: forward.BarredReason, retryAfter: barred.RetryAfter, barredBy: barred.Features}
 		}
 	}
 	if account != nil {
 		cost := account.Cost(parsed.TokensDeclared, parsed.PromptTokens+parsed.MaxTokens)
 		if d := s.cfg.Quota.Admit(account, cost, now); !d.OK {
-			s.bodyBytes.Add(-int64(len(call.Body)))
 			s.cfg.Log.Info("account at its limit", "id", call.ID, "account", account.Name, "cost", cost, "rate", account.Rate,
 				"source", d.Source, "keeper", d.Keeper, "level", d.Level, "need", d.Need, "asked", d.DemandRate, "heard", d.Heard, "known", d.Known)
 			return call, &refusal{status: http.StatusTooManyRequests, reason: "the account's limit is reached", retryAfter: d.RetryAfter}
--- a/internal/ingress/keepalive_test.go
+++ b/internal/ingress/keepalive_test.go
@@ -5,6 +5,9 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/membudget"
 	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
 )
 
@@ -15,7 +18,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := newListener(plain, 1, newCallerConns(time.Now))
+	memory := membudget.New(membudget.Config{Now: time.Now, Log: hclog.NewNullLogger(), Bytes: 1 << 20, Connections: 1, ConnectionBytes: 1, MetersHeads: true})
+	l := &listener{Listener: memory.Listener(plain), conns: newCallerConns(time.Now)}
 	defer l.Close()
 	caller, err := net.Dial("tcp", plain.Addr().String())
 	if err != nil {
@@ -27,7 +31,7 @@
 		t.Fatal(err)
 	}
 	defer accepted.Close()
-	got := testkit.KeepAliveOf(t, accepted.(*callerConn).tcp)
+	got := testkit.KeepAliveOf(t, accepted.(*callerConn).share.TCP())
 	if want := (testkit.KeepAlive{On: true, IdleSeconds: 15, IntervalSeconds: 15, Probes: 9}); got != want {
 		t.Errorf("got %+v, want %+v", got, want)
 	}
--- /dev/null
+++ b/internal/membudget/budget.go
@@ -0,0 +1,173 @@
+// Package membudget bounds what callers make a process hold: connections, heads, and bodies as they arrive.
+//
+// All of it is reserved in one Budget before it is held. Where room is short, who holds a share and makes
+// no progress yields; whoever makes progress is never cut off for others. docs/design/callers-memory.md
+// compares the ways.
+package membudget
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
+	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+)
+
+// The errors of a request that gets no room. In both cases it has not been read whole.
+var (
+	// ErrNoRoom: nobody holds what could yield to the request.
+	ErrNoRoom = errors.New("there is no room in the memory for callers")
+	// ErrYielded: the request or its connection had to yield, because it made no progress while others
+	// needed the room.
+	ErrYielded = errors.New("it came too slowly while the memory for callers was short")
+)
+
+const (
+	// connectionShare is the part of the budget that connections may take by themselves, without
+	// requests, and bulkShare the part up to which long bodies get room. The rest is for short requests,
+	// which long ones can't crowd out.
+	connectionShare = 0.6
+	bulkShare       = 0.8
+	// bulkBytes is how much a request may hold before it counts as long.
+	bulkBytes = 64 << 10
+	// stallTime is how long a request makes no progress before it yields to others.
+	stallTime = 500 * time.Millisecond
+	// waitTime bounds how long a request waits for the room of those that had to yield.
+	waitTime = 2 * time.Second
+	// logInterval is the shortest time between two log lines of a kind.
+	logInterval = time.Second
+)
+
+// Config holds what a Budget uses. All fields are required.
+type Config struct {
+	Now boottime.Clock
+	Log hclog.Logger
+	// Bytes bounds all that callers make the process hold.
+	Bytes int64
+	// Connections bounds callers' open connections, whatever they hold.
+	Connections int
+	// ConnectionBytes is what a connection costs: its goroutine, its buffers and an ordinary head.
+	ConnectionBytes int64
+	// MetersHeads: connections carry HTTP/1.1 in plaintext, so that long heads can be told and reserved for.
+	MetersHeads bool
+}
+
+// Budget is the account of what callers make a process hold. Create it with New. It is safe for concurrent
+// use.
+type Budget struct {
+	cfg Config
+
+	mu sync.Mutex
+	// held is the sum of all shares. Of it, yielding belongs to requests that had to yield and have not
+	// ended.
+	held, yielding int64
+	// awaited is what waiting requests need of what is yielding.
+	awaited int64
+	// released is closed and replaced when a share becomes smaller while somebody waits.
+	released chan struct{}
+	waiting  int
+	conns    map[*Conn]struct{}
+	requests map[*Request]struct{}
+	counters Counters
+	lines    throttles
+}
+
+// New returns a Budget of which nothing is held.
+func New(cfg Config) *Budget {
+	return &Budget{cfg: cfg, released: make(chan struct{}), conns: make(map[*Conn]struct{}), requests: make(map[*Request]struct{})}
+}
+
+// maxConnections is how many connections callers may have.
+func (b *Budget) maxConnections() int {
+	return max(1, min(b.cfg.Connections, int(connectionShare*float64(b.cfg.Bytes))/int(b.cfg.ConnectionBytes)))
+}
+
+// ceiling is up to where a request gets room that holds so much then.
+func (b *Budget) ceiling(holds int64) int64 {
+	if holds > bulkBytes {
+		return int64(bulkShare * float64(b.cfg.Bytes))
+	}
+	return b.cfg.Bytes
+}
+
+// add changes what is held. The caller holds b.mu.
+func (b *Budget) add(n int64) {
+	b.held += n
+	if n < 0 && b.waiting > 0 {
+		close(b.released)
+		b.released = make(chan struct{})
+	}
+}
+
+// evict makes requests without progress yield until so many bytes become free, those first that held the most
+// for the longest time. It evicts none if all together are not enough. The caller holds b.mu and calls the
+// returned functions without it.
+func (b *Budget) evict(need int64, asking *Request, now time.Time) (yields []func(), enough bool) {
+	var victims []*Request
+	var found int64
+	for r := range b.requests {
+		if r != asking && r.stalled(now) {
+			victims = append(victims, r)
+			found += r.held
+		}
+	}
+	if found < need {
+		return nil, false
+	}
+	sortByCost(victims, now)
+	for _, r := range victims {
+		if need <= 0 {
+			break
+		}
+		need -= r.held
+		b.counters.RequestsYielded++
+		b.logYield(r, now)
+		r.markYielded()
+		yields = append(yields, r.yield)
+	}
+	return yields, true
+}
+
+// LongestBody is the longest body for which there can be room, if no configuration bounds it: old and new room
+// are held while it grows.
+func (b *Budget) LongestBody() int64 { return b.ceiling(bulkBytes+1) / 2 }
+
+// Counters counts what happened since the start.
+type Counters struct {
+	// RequestsYielded had to yield. RequestsRefused and ConnectionsRefused found no room.
+	RequestsYielded, RequestsRefused int64
+	ConnectionsRefused               int64
+}
+
+// State is what callers make the process hold at a moment.
+type State struct {
+	Counters
+	Bytes, Limit                int64
+	Connections, MaxConnections int
+	// Arriving and Answered are the requests whose bodies arrive, and those that are being answered, with
+	// what they hold by client account.
+	Arriving, Answered int
+	ByAccount          map[ident.ClientAccount]int64
+}
+
+// State returns the current state.
+func (b *Budget) State() State {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := State{
+		Counters: b.counters, Bytes: b.held, Limit: b.cfg.Bytes,
+		Connections: len(b.conns), MaxConnections: b.maxConnections(), ByAccount: make(map[ident.ClientAccount]int64),
+	}
+	for r := range b.requests {
+		if r.arriving {
+			s.Arriving++
+		} else {
+			s.Answered++
+		}
+		s.ByAccount[r.account] += r.held
+	}
+	return s
+}
--- /dev/null
+++ b/internal/membudget/budget_test.go
@@ -0,0 +1,440 @@
+package membudget
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/iotest"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"pgregory.net/rapid"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
+)
+
+func init() { testkit.FixSeed() }
+
+const testConnectionBytes = 10 << 10
+
+func newTestBudget(bytes int64, connections int) *Budget {
+	return New(Config{Now: time.Now, Log: hclog.NewNullLogger(), Bytes: bytes, Connections: connections, ConnectionBytes: testConnectionBytes, MetersHeads: true})
+}
+
+// caller is the far end of a connection that the budget admitted.
+type caller struct {
+	conn *Conn
+	far  net.Conn
+}
+
+// connect returns a new connection, or a nil conn if there is no room for it.
+func connect(b *Budget) caller {
+	near, far := net.Pipe()
+	return caller{conn: b.admit(near), far: far}
+}
+
+func (c caller) leave() {
+	if c.conn != nil {
+		_ = c.conn.closeNow() // may be closed already
+	}
+	_ = c.far.Close() // may be closed already
+}
+
+// begin begins a request whose reader fails as soon as it has to yield.
+func begin(t testing.TB, b *Budget, c *Conn) (*Request, *arrivingBody) {
+	t.Helper()
+	body := newArrivingBody()
+	r, err := b.Begin(c, 0, sync.OnceFunc(func() { close(body.cut) }))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r, body
+}
+
+// arrivingBody is a body whose bytes come through a channel.
+type arrivingBody struct {
+	more chan []byte
+	cut  chan struct{}
+	// over is closed when nothing more is read.
+	over chan struct{}
+	rest []byte
+}
+
+func newArrivingBody() *arrivingBody {
+	return &arrivingBody{more: make(chan []byte), cut: make(chan struct{}), over: make(chan struct{})}
+}
+
+var errCut = errors.New("cut")
+
+func (b *arrivingBody) Read(p []byte) (int, error) {
+	if len(b.rest) == 0 {
+		select {
+		case data, open := <-b.more:
+			if !open {
+				return 0, io.EOF
+			}
+			b.rest = data
+		case <-b.cut:
+			return 0, errCut
+		}
+	}
+	n := copy(p, b.rest)
+	b.rest = b.rest[n:]
+	return n, nil
+}
+
+// send lets bytes come, unless nothing more is read.
+func (b *arrivingBody) send(n int) {
+	select {
+	case b.more <- make([]byte, n):
+	case <-b.cut:
+	case <-b.over:
+	}
+}
+
+// framed ends a body at its length, as net/http does, unless it is not known.
+func framed(body io.Reader, length int64) io.Reader {
+	if length < 0 {
+		return body
+	}
+	return io.LimitReader(body, length)
+}
+
+// read reads the body of a request elsewhere, and returns where its result comes.
+func read(r *Request, body *arrivingBody, length, limit int64) <-chan error {
+	result := make(chan error, 1)
+	go func() {
+		defer close(body.over)
+		_, err := r.ReadBody(framed(body, length), length, limit)
+		result <- err
+		if err != nil {
+			r.End()
+		}
+	}()
+	return result
+}
+
+// checkSums fails the test if the sums of a budget are not those of its shares, or are beyond its bounds.
+func checkSums(t rapid.TB, b *Budget) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var held, yielding int64
+	for c := range b.conns {
+		held += c.held
+	}
+	for r := range b.requests {
+		held += r.held
+		if r.yielded {
+			yielding += r.held
+		}
+	}
+	if held != b.held || yielding != b.yielding {
+		t.Fatalf("held %d, yielding %d; the shares add up to %d, %d", b.held, b.yielding, held, yielding)
+	}
+	if b.held > b.cfg.Bytes+b.yielding {
+		t.Fatalf("%d bytes are held, %d of them by those that yield; the limit is %d", b.held, b.yielding, b.cfg.Bytes)
+	}
+	if len(b.conns) > b.maxConnections() {
+		t.Fatalf("%d connections; the limit is %d", len(b.conns), b.maxConnections())
+	}
+}
+
+// Guards against callers that hold more than the budget, whatever they do, and against shares that are not
+// given back: callers connect, send bodies of any length at any pace, stop short or leave.
+func TestWhatCallersHoldStaysWithinTheBudget(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		testkit.Bubble(t, func() {
+			b := newTestBudget(rapid.Int64Range(1<<20, 4<<20).Draw(rt, "bytes"), rapid.IntRange(1, 40).Draw(rt, "connections"))
+			var work sync.WaitGroup
+			for range rapid.IntRange(1, 60).Draw(rt, "callers") {
+				pause := time.Duration(rapid.IntRange(0, 3000).Draw(rt, "pause")) * time.Millisecond
+				length := rapid.IntRange(0, 1<<20).Draw(rt, "length")
+				stops := rapid.IntRange(0, 2<<20).Draw(rt, "stops after")
+				piece := rapid.IntRange(1, 256<<10).Draw(rt, "piece")
+				chunked := rapid.Bool().Draw(rt, "chunked")
+				answered := time.Duration(rapid.IntRange(0, 2000).Draw(rt, "answered in")) * time.Millisecond
+				work.Go(func() {
+					time.Sleep(pause)
+					playCaller(t, rt, b, length, stops, piece, chunked, answered)
+				})
+			}
+			work.Wait()
+			time.Sleep(10 * time.Second)
+			checkSums(rt, b)
+			if s := b.State(); s.Bytes != 0 || s.Connections != 0 || s.Arriving+s.Answered != 0 {
+				rt.Fatalf("after all have left: %+v", s)
+			}
+		})
+	})
+}
+
+// playCaller sends one body that stops after some bytes, and leaves.
+func playCaller(t testing.TB, rt *rapid.T, b *Budget, length, stops, piece int, chunked bool, answered time.Duration) {
+	c := connect(b)
+	defer c.leave()
+	checkSums(rt, b)
+	if c.conn == nil {
+		return
+	}
+	body := newArrivingBody()
+	r, err := b.Begin(c.conn, 0, sync.OnceFunc(func() { close(body.cut) }))
+	if err != nil {
+		return
+	}
+	defer r.End()
+	declared := int64(length)
+	if chunked {
+		declared = -1
+	}
+	result := make(chan error, 1)
+	go func() {
+		_, err := r.ReadBody(framed(body, declared), declared, 1<<20)
+		result <- err
+	}()
+	for sent := 0; sent < min(length, stops); sent += piece {
+		select {
+		case body.more <- make([]byte, min(piece, length-sent)):
+		case err := <-result:
+			result <- err
+		case <-body.cut:
+		}
+		checkSums(rt, b)
+		time.Sleep(10 * time.Millisecond)
+	}
+	if stops < length {
+		select {
+		case <-time.After(5 * time.Second):
+		case <-body.cut:
+		case err := <-result:
+			result <- err
+		}
+	}
+	close(body.more)
+	if err := <-result; err == nil {
+		time.Sleep(answered)
+	}
+	checkSums(rt, b)
+}
+
+// Guards against a crowd that stops short of its bodies' ends and keeps everybody out for as long as it stays.
+func TestBodiesThatStopYieldToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBudget(2<<20, 100)
+		var stopped []<-chan error
+		var bodies []*arrivingBody
+		for range 3 {
+			r, body := begin(t, b, connect(b).conn)
+			bodies = append(bodies, body)
+			stopped = append(stopped, read(r, body, 256<<10, 1<<20))
+			body.send(255 << 10)
+		}
+		time.Sleep(stallTime)
+		r, body := begin(t, b, connect(b).conn)
+		result := read(r, body, 1<<20, 1<<20)
+		body.send(1 << 20)
+		if err := <-result; err != nil {
+			t.Errorf("the body that came whole: %v", err)
+		}
+		yielded := 0
+		for _, each := range stopped {
+			select {
+			case err := <-each:
+				if !errors.Is(err, ErrYielded) {
+					t.Errorf("a body that stopped: %v, want ErrYielded", err)
+				}
+				yielded++
+			default:
+			}
+		}
+		if yielded == 0 || yielded == 3 {
+			t.Errorf("%d of 3 bodies yielded, want as many as were needed", yielded)
+		}
+		r.End()
+		for _, each := range bodies {
+			close(each.more)
+		}
+	})
+}
+
+// Guards against a body that is cut off for others though it comes steadily.
+func TestABodyThatProgressesNeverYields(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBudget(1<<20, 100)
+		r, body := begin(t, b, connect(b).conn)
+		steady := read(r, body, 512<<10, 1<<20)
+		refused := 0
+		for range 32 {
+			body.send(16 << 10)
+			other, otherBody := begin(t, b, nil)
+			result := read(other, otherBody, 512<<10, 1<<20)
+			otherBody.send(512 << 10)
+			if err := <-result; err != nil {
+				refused++
+			}
+			other.End()
+			time.Sleep(stallTime / 2)
+		}
+		if err := <-steady; err != nil {
+			t.Errorf("the steady body: %v", err)
+		}
+		if refused == 0 {
+			t.Error("room was not short, so that the test shows nothing")
+		}
+		r.End()
+	})
+}
+
+// Guards against long bodies that leave no room for the short requests of ordinary callers.
+func TestShortBodiesHaveRoomBesideLongOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBudget(1<<20, 100)
+		long := 0
+		for range 20 {
+			r, body := begin(t, b, nil)
+			result := read(r, body, 100<<10, 1<<20)
+			body.send(100 << 10)
+			if err := <-result; err == nil {
+				long++ // it is being answered, and holds its share
+			} else if !errors.Is(err, ErrNoRoom) {
+				t.Errorf("a long body: %v", err)
+			}
+		}
+		r, body := begin(t, b, nil)
+		result := read(r, body, 1000, 1<<20)
+		body.send(1000)
+		if err := <-result; err != nil || long == 20 {
+			t.Errorf("beside %d long bodies a short one: %v", long, err)
+		}
+	})
+}
+
+// Guards against heads whose many lines cost far more than their bytes, and against bodies that count as heads.
+func TestTheCostOfHeads(t *testing.T) {
+	const line = "a: b\r\n"
+	ordinary := "GET / HTTP/1.1\r\n" + strings.Repeat(line, 20)
+	many := strings.Repeat(line, 1000)
+	for name, c := range map[string]struct {
+		text string
+		most int64
+		want bool
+	}{
+		"ordinary":                  {text: ordinary + "\r\n"},
+		"ordinary, with a body":     {text: ordinary + "\r\n" + strings.Repeat("\n", 50_000)},
+		"ordinary, bare line feeds": {text: strings.ReplaceAll(ordinary+"\r\n", "\r", "") + many},
+		"many lines":                {text: ordinary + many, want: true},
+		"a long line":               {text: ordinary + strings.Repeat("x", 20<<10), want: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var whole, parts headMeter
+			cost := whole.add([]byte(c.text))
+			var sum int64
+			for _, b := range []byte(c.text) {
+				sum += parts.add([]byte{b})
+			}
+			if sum != cost {
+				t.Errorf("read by bytes it costs %d, at once %d", sum, cost)
+			}
+			if (cost > 0) != c.want {
+				t.Errorf("costs %d beside its connection, want any: %v", cost, c.want)
+			}
+		})
+	}
+}
+
+// Guards against bodies that are cut, lengthened, or taken for whole though they are not.
+func TestBodiesAreReadWhole(t *testing.T) {
+	const limit = 300_000
+	for name, c := range map[string]struct {
+		sent   int
+		length int64
+		want   error
+	}{
+		"none":                         {sent: 0, length: 0},
+		"short, with a length":         {sent: 5, length: 5},
+		"long, with a length":          {sent: 200_000, length: 200_000},
+		"the limit, with a length":     {sent: limit, length: limit},
+		"above it, with a length":      {sent: 0, length: limit + 1, want: ErrTooLong},
+		"short of its length":          {sent: 199_999, length: 200_000, want: io.ErrUnexpectedEOF},
+		"none, in chunks":              {sent: 0, length: -1},
+		"short, in chunks":             {sent: 5, length: -1},
+		"long, in chunks":              {sent: 200_000, length: -1},
+		"the limit, in chunks":         {sent: limit, length: -1},
+		"above the limit, in chunks":   {sent: limit + 1, length: -1, want: ErrTooLong},
+		"more than the budget's bytes": {sent: 0, length: 1 << 40, want: ErrTooLong},
+	} {
+		t.Run(name, func(t *testing.T) {
+			text := bytes.Repeat([]byte("0123456789"), limit/10+1)[:c.sent]
+			for reading, body := range map[string]io.Reader{
+				"at once": bytes.NewReader(text), "by bytes": iotest.OneByteReader(bytes.NewReader(text)), "with the end": iotest.DataErrReader(bytes.NewReader(text)),
+			} {
+				b := newTestBudget(4<<20, 1)
+				r, err := b.Begin(nil, 0, func() {})
+				if err != nil {
+					t.Fatal(err)
+				}
+				got, err := r.ReadBody(body, c.length, limit)
+				if !errors.Is(err, c.want) || c.want == nil && !bytes.Equal(got, text) {
+					t.Errorf("%s: %d bytes, %v; want %d, %v", reading, len(got), err, c.sent, c.want)
+				}
+				if held := b.State().Bytes; err == nil && held != int64(cap(got)) {
+					t.Errorf("%s: %d bytes are held for a body that takes %d", reading, held, cap(got))
+				}
+				r.End()
+				if held := b.State().Bytes; held != 0 {
+					t.Errorf("%s: %d bytes are held after the end", reading, held)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a caller that is left waiting, or closed without a word, where all places are taken by
+// requests that are being answered.
+func TestACallerWithoutAPlaceIsToldSo(t *testing.T) {
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := newTestBudget(1<<20, 1)
+	l := b.Listener(plain)
+	defer l.Close()
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			r, err := b.Begin(c.(*Conn), 0, func() {})
+			if err != nil || r.Whole() != nil {
+				t.Error("the first request was refused")
+			}
+			accepted <- c
+		}
+	}()
+	first, err := net.Dial("tcp", plain.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	defer (<-accepted).Close()
+	second, err := net.Dial("tcp", plain.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer second.Close()
+	answer, err := io.ReadAll(second)
+	if err != nil || !strings.HasPrefix(string(answer), "HTTP/1.1 503 ") || !strings.Contains(string(answer), "\r\nRetry-After: ") {
+		t.Errorf("got %q, %v", answer, err)
+	}
+	_, body, _ := strings.Cut(string(answer), "\r\n\r\n")
+	if !strings.Contains(string(answer), "Content-Length: "+strconv.Itoa(len(body))+"\r\n") {
+		t.Errorf("the length is not that of the body: %q", answer)
+	}
+}
