Entry: what a refused caller costs ends with its refusal

Cause: a refusal did not end what its connection costs. net/http reads on up to 256 KiB, as long as the body's deadline lasts, and then keeps the connection half a second; meanwhile the kernel's receive buffer grows by itself, up to 32 MiB a connection.

Now callers' receive buffers have a size, 8 KiB, which bounds the unread bytes to 12 KiB (measured: 1.5 times the size at 4 sizes, also with writes of one byte); a connection's share holds them. While a body over 64 KiB arrives and there is room, the buffer is 64 KiB, and the share holds that until the connection is idle. A refused request with an unread body over 16 KiB is answered at once, nothing more is read, and its connection lingers 0.5 s without a goroutine, so that the answer is not lost in a reset. A shorter rest is read within 0.1 s, and the connection is kept.

The slow body of the longest length is served.

Ruled out: reading on until the caller ends (endless callers), closing at once (a close with unread bytes resets, and the refusal may be lost).

--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -317,7 +317,11 @@
 		if each.address == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp", each.address)
+		listen := net.Listen
+		if each.into == &l.callers {
+			listen = func(_, address string) (net.Listener, error) { return membudget.Listen(address, p.log.Named("memory")) }
+		}
+		listener, err := listen("tcp", each.address)
 		if err != nil && each.into == &l.operators {
 			// Callers can be served without the operators' server.
 			p.log.Error("cannot listen for operators, metrics are not served", "address", each.address, "error", err)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -231,6 +231,9 @@
 		conn.handlerStarted()
 	}
 	if refusal != nil {
+		if share.Arriving() && r.ContentLength != 0 {
+			leaveUnread(w, r, caller.control)
+		}
 		s.refuse(w, r, call, refusal)
 		return
 	}
--- a/internal/membudget/body.go
+++ b/internal/membudget/body.go
@@ -25,6 +25,7 @@
 		return nil, ErrTooLong
 	}
 	read := &bodyReader{request: r, from: body, length: length, limit: limit}
+	defer read.narrow()
 	data, err := read.all()
 	if r.hasYielded() {
 		return nil, ErrYielded
@@ -50,6 +51,7 @@
 	data          []byte
 	// unrecorded is how much came since progress was recorded.
 	unrecorded int
+	widened    bool
 }
 
 // all reads until the end of the body.
@@ -128,5 +130,16 @@
 	copy(data, b.data)
 	b.data = data
 	b.request.Shrink(before)
+	if next > bulkBytes && !b.widened {
+		b.widened = true
+		b.request.conn.widen()
+	}
 	return nil
 }
+
+// narrow undoes what grow did to the connection.
+func (b *bodyReader) narrow() {
+	if b.widened {
+		b.request.conn.narrow()
+	}
+}
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -1,4 +1,5 @@
-// Package membudget bounds what callers make a process hold: connections, heads, and bodies as they arrive.
+// Package membudget bounds what callers make a process hold: connections, heads, bodies as they arrive,
+// and what the kernel holds of them unread.
 //
 // All of it is reserved in one Budget before it is held. Where room is short, who holds a share and makes
 // no progress yields; whoever makes progress is never cut off for others. docs/design/callers-memory.md
@@ -49,7 +50,8 @@
 	Bytes int64
 	// Connections bounds callers' open connections, whatever they hold.
 	Connections int
-	// ConnectionBytes is what a connection costs: its goroutine, its buffers and an ordinary head.
+	// ConnectionBytes is what a connection costs beside what the kernel holds of it: its goroutine, its
+	// buffers and an ordinary head.
 	ConnectionBytes int64
 	// MetersHeads: connections carry HTTP/1.1 in plaintext, so that long heads can be told and reserved for.
 	MetersHeads bool
@@ -77,6 +79,7 @@
 
 // New returns a Budget of which nothing is held.
 func New(cfg Config) *Budget {
+	cfg.ConnectionBytes += unreadBytes(smallReceiveBuffer)
 	return &Budget{cfg: cfg, released: make(chan struct{}), conns: make(map[*Conn]struct{}), requests: make(map[*Request]struct{})}
 }
 
--- a/internal/membudget/budget_test.go
+++ b/internal/membudget/budget_test.go
@@ -397,7 +397,7 @@
 // Guards against a caller that is left waiting, or closed without a word, where all places are taken by
 // requests that are being answered.
 func TestACallerWithoutAPlaceIsToldSo(t *testing.T) {
-	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	plain, err := Listen("127.0.0.1:0", hclog.NewNullLogger())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/membudget/conn.go
+++ b/internal/membudget/conn.go
@@ -7,6 +7,20 @@
 	"github.com/hashicorp/go-hclog"
 )
 
+const (
+	// smallReceiveBuffer is the size that is set for each connection's receive buffer, in bytes, and
+	// bulkReceiveBuffer the one while a long body arrives for which there is room.
+	smallReceiveBuffer = 8 << 10
+	bulkReceiveBuffer  = 64 << 10
+	// lingerTime is how long a connection with an answer on its way stays open after the last write,
+	// though the caller still sends: a close with unread bytes resets it, and the answer may be lost.
+	lingerTime = 500 * time.Millisecond
+)
+
+// unreadBytes returns the most that the kernel holds unread at a connection whose receive buffer was set
+// to a size: Linux doubles the size, and offers a window of three quarters of that.
+func unreadBytes(receiveBuffer int64) int64 { return receiveBuffer * 3 / 2 }
+
 // Conn is a caller's connection, with its share of a Budget.
 type Conn struct {
 	net.Conn
@@ -16,16 +30,19 @@
 
 	// The fields below are guarded by budget.mu.
 	held int64
-	// headBytes is the part of held that a head cost that has not been read whole.
-	headBytes int64
-	head      headMeter
-	requests  map[*Request]struct{}
+	// headBytes is the part of held that a head cost that has not been read whole, and windowBytes the part
+	// that the kernel may hold because the receive buffer was made larger.
+	headBytes, windowBytes int64
+	head                   headMeter
+	requests               map[*Request]struct{}
 	// proven: a whole request came on this connection.
 	proven bool
 	// since is when the connection last made progress: it was accepted, a request on it made progress or
 	// ended.
-	since  time.Time
-	closed bool
+	since time.Time
+	// lingers: the next Close waits for lingerTime, and lingering: it does.
+	lingers, lingering bool
+	closed             bool
 }
 
 // TCP returns the TCP connection, or nil if it is none.
@@ -38,6 +55,7 @@
 		return n, err
 	}
 	if !c.budget.arrived(c, p[:n]) {
+		c.LingerOnClose()
 		refuse(c)
 		return 0, errNotRead
 	}
@@ -84,12 +102,59 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c.head, c.since = headMeter{}, b.cfg.Now()
-	b.add(-c.headBytes)
-	c.held, c.headBytes = c.held-c.headBytes, 0
+	gone := c.headBytes + c.windowBytes
+	c.held, c.headBytes, c.windowBytes = c.held-gone, 0, 0
+	b.add(-gone)
+}
+
+// widen lets the kernel receive more at a time, if there is room for that. What is reserved for it stays so
+// until the connection is idle or closed: up to then the kernel may hold it.
+func (c *Conn) widen() {
+	if c == nil || c.tcp == nil {
+		return
+	}
+	b := c.budget
+	more := unreadBytes(bulkReceiveBuffer) - unreadBytes(smallReceiveBuffer)
+	b.mu.Lock()
+	fits := c.windowBytes == 0 && b.held+b.awaited+more <= b.ceiling(bulkBytes+more)
+	if fits {
+		c.held, c.windowBytes = c.held+more, more
+		b.add(more)
+	}
+	b.mu.Unlock()
+	if fits {
+		_ = c.tcp.SetReadBuffer(bulkReceiveBuffer) // fails only if the connection is closed
+	}
+}
+
+// narrow undoes widen for what comes from now on.
+func (c *Conn) narrow() {
+	if c != nil && c.tcp != nil {
+		_ = c.tcp.SetReadBuffer(smallReceiveBuffer) // fails only if the connection is closed
+	}
+}
+
+// LingerOnClose makes the next Close wait, so that an answer is not lost because the caller still sends.
+func (c *Conn) LingerOnClose() {
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	c.lingers = true
 }
 
 // Close implements net.Conn.
-func (c *Conn) Close() error { return c.closeNow() }
+func (c *Conn) Close() error {
+	b := c.budget
+	b.mu.Lock()
+	linger := c.lingers && !c.lingering && !c.closed && c.tcp != nil
+	c.lingering = c.lingering || linger
+	b.mu.Unlock()
+	if !linger {
+		return c.closeNow()
+	}
+	_ = c.tcp.CloseWrite() // fails only if the caller has gone
+	time.AfterFunc(lingerTime, func() { _ = c.closeNow() })
+	return nil
+}
 
 // closeNow closes the connection and gives its share back.
 func (c *Conn) closeNow() error {
@@ -103,7 +168,7 @@
 	c.closed = true
 	delete(b.conns, c)
 	b.add(-c.held)
-	c.held, c.headBytes = 0, 0
+	c.held, c.headBytes, c.windowBytes = 0, 0, 0
 	return err
 }
 
--- a/internal/membudget/listener.go
+++ b/internal/membudget/listener.go
@@ -1,9 +1,13 @@
 package membudget
 
 import (
+	"context"
 	"io"
 	"net"
+	"syscall"
 	"time"
+
+	"github.com/hashicorp/go-hclog"
 )
 
 // refusalOfConnection is what a caller gets for whom there is no room: all is taken by requests that are being
@@ -13,8 +17,20 @@
 // refusalTime bounds the writing of refusalOfConnection.
 const refusalTime = 10 * time.Millisecond
 
+// Listen listens for callers. The kernel holds little unread at each of their connections.
+func Listen(address string, log hclog.Logger) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			if err := syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallReceiveBuffer); err != nil {
+				log.Warn("cannot bound what the kernel holds unread of callers", "error", err)
+			}
+		})
+	}}
+	return config.Listen(context.Background(), "tcp", address)
+}
+
 // Listener admits the connections of a listener to the budget. Its connections are of type *Conn. It never
-// leaves a connection waiting: where all places are taken, the caller is refused.
+// leaves a connection waiting: where all places are taken, somebody yields, or the caller is refused.
 func (b *Budget) Listener(l net.Listener) net.Listener { return &listener{Listener: l, budget: b} }
 
 type listener struct {
