Entry: a full house admits newcomers; who makes no progress yields its place

Cause: netutil.LimitListener stops accepting, and nothing made room.

Where the house is full, one yields: first who is refused already and lingers, then who stalls before a first whole request or within one, then who is idle the longest. What is read whole keeps its place until its answer is written. Of a connection that yielded nothing more is read, under the lock under which it was chosen, so that no request is used whose caller was closed.

--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -36,8 +36,10 @@
 	bulkBytes = 64 << 10
 	// stallTime is how long a request makes no progress before it yields to others.
 	stallTime = 500 * time.Millisecond
+	// yieldTime bounds how long a request that had to yield takes to end; then its connection is closed.
+	yieldTime = time.Second
 	// waitTime bounds how long a request waits for the room of those that had to yield.
-	waitTime = 2 * time.Second
+	waitTime = 2 * yieldTime
 	// logInterval is the shortest time between two log lines of a kind.
 	logInterval = time.Second
 )
@@ -73,6 +75,8 @@
 	waiting  int
 	conns    map[*Conn]struct{}
 	requests map[*Request]struct{}
+	// closing is how many of conns had to yield.
+	closing  int
 	counters Counters
 	lines    throttles
 }
@@ -140,9 +144,10 @@
 
 // Counters counts what happened since the start.
 type Counters struct {
-	// RequestsYielded had to yield. RequestsRefused and ConnectionsRefused found no room.
-	RequestsYielded, RequestsRefused int64
-	ConnectionsRefused               int64
+	// RequestsYielded and ConnectionsYielded had to yield. RequestsRefused found no room, and
+	// ConnectionsRefused found all places taken by requests that are being answered.
+	RequestsYielded, RequestsRefused       int64
+	ConnectionsYielded, ConnectionsRefused int64
 }
 
 // State is what callers make the process hold at a moment.
--- a/internal/membudget/conn.go
+++ b/internal/membudget/conn.go
@@ -37,9 +37,16 @@
 	requests               map[*Request]struct{}
 	// proven: a whole request came on this connection.
 	proven bool
+	// answered counts the requests that came whole and have not ended. unflushed: a whole request came, and
+	// its answer may not have been written to its end; always false where requests share the connection.
+	answered  int
+	unflushed bool
+	shared    bool
 	// since is when the connection last made progress: it was accepted, a request on it made progress or
 	// ended.
 	since time.Time
+	// yielded: the connection had to yield. Nothing more is read from it.
+	yielded bool
 	// lingers: the next Close waits for lingerTime, and lingering: it does.
 	lingers, lingering bool
 	closed             bool
@@ -48,16 +55,19 @@
 // TCP returns the TCP connection, or nil if it is none.
 func (c *Conn) TCP() *net.TCPConn { return c.tcp }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It returns net.ErrClosed after the connection had to yield.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n == 0 {
 		return n, err
 	}
-	if !c.budget.arrived(c, p[:n]) {
+	switch c.budget.arrived(c, p[:n]) {
+	case headRefused:
 		c.LingerOnClose()
 		refuse(c)
 		return 0, errNotRead
+	case mustYield:
+		return 0, errNotRead
 	}
 	return n, err
 }
@@ -65,16 +75,31 @@
 // errNotRead ends a connection of which nothing more is read. net/http answers nothing after such an error.
 var errNotRead = &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
 
-// arrived records that bytes were read from a connection, and reports whether there is room for them.
-func (b *Budget) arrived(c *Conn, data []byte) bool {
+// arrival tells what becomes of bytes that were read.
+type arrival int
+
+const (
+	mayBeUsed arrival = iota
+	// mustYield: the connection had to yield its place.
+	mustYield
+	// headRefused: there is no room for a long head.
+	headRefused
+)
+
+// arrived records that bytes were read from a connection, and tells what becomes of them.
+func (b *Budget) arrived(c *Conn, data []byte) arrival {
 	b.mu.Lock()
+	if c.yielded && len(c.requests) == 0 {
+		b.mu.Unlock()
+		return mustYield
+	}
 	more := int64(0)
 	if b.cfg.MetersHeads && len(c.requests) == 0 {
 		more = c.head.add(data)
 	}
 	if more == 0 {
 		b.mu.Unlock()
-		return true
+		return mayBeUsed
 	}
 	c.since = b.cfg.Now()
 	var yields []func()
@@ -93,7 +118,10 @@
 	for _, yield := range yields {
 		yield()
 	}
-	return enough
+	if !enough {
+		return headRefused
+	}
+	return mayBeUsed
 }
 
 // SetIdle records that no request is in progress on the connection, as net/http reports it.
@@ -101,7 +129,7 @@
 	b := c.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	c.head, c.since = headMeter{}, b.cfg.Now()
+	c.unflushed, c.head, c.since = false, headMeter{}, b.cfg.Now()
 	gone := c.headBytes + c.windowBytes
 	c.held, c.headBytes, c.windowBytes = c.held-gone, 0, 0
 	b.add(-gone)
@@ -116,7 +144,7 @@
 	b := c.budget
 	more := unreadBytes(bulkReceiveBuffer) - unreadBytes(smallReceiveBuffer)
 	b.mu.Lock()
-	fits := c.windowBytes == 0 && b.held+b.awaited+more <= b.ceiling(bulkBytes+more)
+	fits := c.windowBytes == 0 && !c.yielded && b.held+b.awaited+more <= b.ceiling(bulkBytes+more)
 	if fits {
 		c.held, c.windowBytes = c.held+more, more
 		b.add(more)
@@ -134,11 +162,29 @@
 	}
 }
 
+// Share records that requests share the connection, as those of HTTP/2 do, and reserves what the kernel and
+// the streams' windows hold for it. It does that once, and reports whether there was room.
+func (c *Conn) Share(bytes int64) bool {
+	b := c.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.shared {
+		return true
+	}
+	if b.held+b.awaited+bytes > b.cfg.Bytes {
+		return false
+	}
+	c.shared, c.unflushed = true, false
+	c.held += bytes
+	b.add(bytes)
+	return true
+}
+
 // LingerOnClose makes the next Close wait, so that an answer is not lost because the caller still sends.
 func (c *Conn) LingerOnClose() {
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
-	c.lingers = true
+	c.lingers = !c.yielded
 }
 
 // Close implements net.Conn.
@@ -167,12 +213,32 @@
 	}
 	c.closed = true
 	delete(b.conns, c)
+	if c.yielded {
+		b.closing--
+	}
 	b.add(-c.held)
 	c.held, c.headBytes, c.windowBytes = 0, 0, 0
 	return err
 }
 
-// admit returns the share of a connection that was accepted, or nil if there is no room for it.
+// answering reports whether a request on the connection is being answered. The caller holds budget.mu.
+func (c *Conn) answering() bool { return c.answered > 0 || c.unflushed }
+
+// rank tells in which order connections yield their places; lower ones yield first. The caller holds
+// budget.mu.
+func (c *Conn) rank(now time.Time) int {
+	const lingers, stalls, idles = 0, 1, 2
+	switch {
+	case c.lingering:
+		return lingers
+	case !c.proven && now.Sub(c.since) >= stallTime, len(c.requests) > 0 && now.Sub(c.since) >= stallTime:
+		return stalls
+	}
+	return idles
+}
+
+// admit returns the share of a connection that was accepted, or nil if there is no room for it. Where all
+// places are taken, one that makes no progress yields its own.
 func (b *Budget) admit(accepted net.Conn) *Conn {
 	now := b.cfg.Now()
 	c := &Conn{Conn: accepted, budget: b, held: b.cfg.ConnectionBytes, requests: make(map[*Request]struct{}), since: now}
@@ -196,17 +262,61 @@
 	return c
 }
 
-// makeRoom makes requests yield to a new connection, and reports whether there is room then. The caller holds
-// b.mu and calls the returned functions without it.
+// makeRoom makes requests or a connection yield to a new connection, and reports whether there is room then.
+// The caller holds b.mu and calls the returned functions without it.
 func (b *Budget) makeRoom(c *Conn, now time.Time) (yields []func(), enough bool) {
-	if len(b.conns) >= b.maxConnections() {
-		return nil, false
-	}
 	missing := b.held + c.held - b.yielding - b.cfg.Bytes
-	if missing <= 0 {
-		return nil, true
+	if missing > 0 {
+		yields, enough = b.evict(missing, nil, now)
+	}
+	if len(b.conns)-b.closing < b.maxConnections() && (missing <= 0 || enough) {
+		return yields, true
+	}
+	victim := b.longestWithoutProgress(now)
+	if victim == nil {
+		return yields, false
+	}
+	return append(yields, b.evictConn(victim, now)), true
+}
+
+// longestWithoutProgress returns the connection that yields its place, or nil if requests are being answered
+// on all. The caller holds b.mu.
+func (b *Budget) longestWithoutProgress(now time.Time) *Conn {
+	var victim *Conn
+	for c := range b.conns {
+		if c.yielded || c.answering() {
+			continue
+		}
+		if victim == nil || c.rank(now) < victim.rank(now) || c.rank(now) == victim.rank(now) && c.since.Before(victim.since) {
+			victim = c
+		}
+	}
+	return victim
+}
+
+// evictConn makes a connection yield its place. Requests that arrive on it are told so, if there are not too
+// many that are being told. The caller holds b.mu and calls the returned function without it.
+func (b *Budget) evictConn(c *Conn, now time.Time) (yield func()) {
+	b.counters.ConnectionsYielded++
+	b.logConnection("connection closed for another", c, now)
+	c.yielded, c.lingers = true, false
+	b.closing++
+	var tells []func()
+	for r := range c.requests {
+		if !r.yielded {
+			r.markYielded()
+			tells = append(tells, r.yield)
+		}
+	}
+	if len(tells) == 0 || b.closing > max(1, b.maxConnections()/8) {
+		return func() { _ = c.closeNow() }
+	}
+	return func() {
+		for _, tell := range tells {
+			tell()
+		}
+		time.AfterFunc(yieldTime, func() { _ = c.closeNow() })
 	}
-	return b.evict(missing, nil, now)
 }
 
 // throttles bound the log lines.
--- a/internal/membudget/metrics.go
+++ b/internal/membudget/metrics.go
@@ -17,8 +17,8 @@
 	s := b.State()
 	fmt.Fprintf(w, "callers_memory_bytes %d\ncallers_memory_limit_bytes %d\ncallers_connections %d\ncallers_connections_limit %d\n", s.Bytes, s.Limit, s.Connections, s.MaxConnections)
 	fmt.Fprintf(w, "callers_requests{state=\"arriving\"} %d\ncallers_requests{state=\"answered\"} %d\n", s.Arriving, s.Answered)
-	fmt.Fprintf(w, "callers_requests_yielded_total %d\ncallers_requests_without_room_total %d\ncallers_connections_refused_total %d\n",
-		s.RequestsYielded, s.RequestsRefused, s.ConnectionsRefused)
+	fmt.Fprintf(w, "callers_requests_yielded_total %d\ncallers_requests_without_room_total %d\ncallers_connections_yielded_total %d\ncallers_connections_refused_total %d\n",
+		s.RequestsYielded, s.RequestsRefused, s.ConnectionsYielded, s.ConnectionsRefused)
 	for _, account := range s.largest() {
 		fmt.Fprintf(w, "callers_account_bytes{account=%q} %d\n", account, s.ByAccount[account])
 	}
--- a/internal/membudget/request.go
+++ b/internal/membudget/request.go
@@ -33,6 +33,10 @@
 func (b *Budget) Begin(c *Conn, bytes int64, yield func()) (*Request, error) {
 	r := &Request{budget: b, conn: c, yield: yield, arriving: true, since: b.cfg.Now()}
 	b.mu.Lock()
+	if c != nil && c.yielded {
+		b.mu.Unlock()
+		return nil, ErrYielded
+	}
 	b.requests[r] = struct{}{}
 	if c != nil {
 		r.held, c.held = r.held+c.headBytes, c.held-c.headBytes
@@ -126,7 +130,8 @@
 		return ErrYielded
 	}
 	if c := r.conn; c != nil && r.arriving {
-		c.proven = true
+		c.proven, c.unflushed = true, !c.shared
+		c.answered++
 	}
 	r.arriving = false
 	return nil
@@ -145,6 +150,9 @@
 	if c := r.conn; c != nil {
 		delete(c.requests, r)
 		c.since = b.cfg.Now()
+		if !r.arriving {
+			c.answered--
+		}
 	}
 }
 
