Gateway: callers' memory is held in the same account as the entry process's

What callers saw: nothing yet; a crowd took 1,274 to 1,323 MiB in bodies that stop short, 797 with an unknown token (719 that nobody read) and 2,747 descriptors, 1,591 in 600 streams of HTTP/2, on a gateway for which 256 MiB and 1,024 descriptors are meant.

Cause: bounds of one body (1 MiB), one connection (1,000 streams) and of time (10 s), none of all together nor of connections; an HTTP/2 connection may send 1 MiB before anything is read, and a compressed message of 1 KiB becomes 1 MiB.

Now the gateway has the settings machine.memory_mib and machine.descriptors (256, 1,024) and the account of membudget: connections (HTTP/2 ones with their windows, 128 KiB, at the cost of idle ones), streams, bytes as Connect reads them, three times (its buffer grows by copying, then the message is decoded), compressed messages at their largest size. Who gets no room hears resource_exhausted, that it was not run, and Retry-After. A refused caller's unread body ends with its refusal, as at the entry process. The shares of the machine stand once, in membudget.Machine.

Found on the way, in the account itself, by a test that was red in 3 of 25 runs: idle HTTP/2 connections filled the account and kept newcomers out; connections by themselves are bounded to 0.6 of it now, and those without progress yield (TestIdleSharedConnectionsYield).

--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"os"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,20 +48,9 @@
 )
 
 const (
-	// goMemoryShare is the share of the machine's memory that is set as the limit of Go's
-	// garbage collector; the rest is for its own structures, stacks and the kernel's
-	// buffers.
-	goMemoryShare = 0.7
-	// callerMemoryShare is the share of the machine's memory that callers may make the process hold:
-	// connections, heads, bodies, and what the kernel holds of them unread. Beside it, Go's garbage collector
-	// has to have room within goMemoryShare.
-	callerMemoryShare = 0.35
 	// connectionBytes is what a caller's connection costs this process while a request of ordinary size is on
 	// it.
 	connectionBytes = 20 << 10
-	// callerDescriptorShare is the share of the file descriptors that callers' connections
-	// may take; the rest is for upstreams, peers and files.
-	callerDescriptorShare = 0.6
 	// sweepInterval is how often idle connections are checked.
 	sweepInterval = time.Second
 )
@@ -226,8 +214,8 @@
 	})
 	p.lease = p.newLease()
 	p.memory = membudget.New(membudget.Config{
-		Now: p.now, Log: p.log.Named("memory"), Bytes: int64(callerMemoryShare * s.Machine.MemoryMiB * (1 << 20)),
-		Connections: int(callerDescriptorShare * float64(s.Machine.Descriptors)), ConnectionBytes: connectionBytes, MetersHeads: true,
+		Now: p.now, Log: p.log.Named("memory"), Bytes: p.machine().CallerBytes(),
+		Connections: p.machine().CallerConnections(), ConnectionBytes: connectionBytes, MetersHeads: true,
 	})
 	p.callers = ingress.New(ingress.Config{
 		Now: p.now, Table: p.table, Protocol: p.ports.Protocol, Quota: p.quotas, Guard: p.poison, Forwarder: forwarder,
@@ -248,13 +236,16 @@
 	return retryafter.Spread(max(call.Route.Objective/2, capacityIn, minRetryAfter), call.ID)
 }
 
+// machine returns what the process may use.
+func (p *Process) machine() membudget.Machine { return p.settings.Machine.Budget() }
+
 // table returns the operators' configuration in force, or nil while none is known.
 func (p *Process) table() *routetable.Table { return p.board.table.Value() }
 
 // Run serves until signals.Stop ends, and then leaves within the grace period. It returns an
 // error only if it cannot listen. Each value from reload makes it read the settings again.
 func (p *Process) Run(signals daemon.Signals, reload <-chan os.Signal) error {
-	debug.SetMemoryLimit(int64(goMemoryShare * p.settings.Machine.MemoryMiB * (1 << 20)))
+	p.machine().LimitGo()
 	p.log.Info("started", "version", daemon.Version(), "domain", p.settings.Instance.FailureDomain,
 		"callers", p.settings.Listen.Callers, "operators", p.settings.Listen.Operators, "seeds", p.settings.Peers.Seeds)
 	listeners, err := p.listen()
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -14,6 +14,7 @@
 	"github.com/goldcrestspool/goldcrestspool/api/caller/v1/callerv1connect"
 	"github.com/goldcrestspool/goldcrestspool/internal/auth"
 	"github.com/goldcrestspool/goldcrestspool/internal/certificate"
+	"github.com/goldcrestspool/goldcrestspool/internal/membudget"
 	"github.com/goldcrestspool/goldcrestspool/internal/settings"
 	"github.com/goldcrestspool/goldcrestspool/internal/telemetry"
 	"github.com/goldcrestspool/goldcrestspool/internal/transport"
@@ -28,19 +29,23 @@
 //
 // A caller's token is checked before its body is read: otherwise anyone could make this
 // process read and decode bodies up to the size limit.
-func newCallersServer(h *handler, limits settings.Limits) *http.Server {
+func newCallersServer(h *handler, limits settings.Limits, memory *membudget.Budget) *http.Server {
 	mux := http.NewServeMux()
 	mux.Handle(callerv1connect.NewCallerServiceHandler(h,
 		connect.WithInterceptors(refusalLog{log: h.log}),
 		connect.WithRecover(h.recoverPanic),
 		connect.WithCompressMinBytes(minCompressBytes),
 		connect.WithReadMaxBytes(int(limits.MaxBody))))
-	authenticated := h.auth.Middleware(h.logUnhandledRefusals(mux), h.logUnauthenticated)
-	bounded := withCallerTimeouts(authenticated, callerTimeouts{read: callerReadTimeout, write: callerWriteTimeout})
+	authenticated := h.auth.Middleware(withShareOfAccount(h.logUnhandledRefusals(mux)), h.logUnauthenticated)
+	reserved := withCallerMemory(authenticated, memory, int64(limits.MaxBody), h.log)
+	bounded := withCallerTimeouts(reserved, callerTimeouts{read: callerReadTimeout, write: callerWriteTimeout})
 	server := transport.NewServer(telemetry.ContinueTrace(bounded))
 	server.ReadHeaderTimeout = limits.HeaderTimeout
 	server.MaxHeaderBytes = int(limits.MaxHeader)
-	server.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: limits.MaxStreams}
+	server.HTTP2 = &http.HTTP2Config{
+		MaxConcurrentStreams: limits.MaxStreams, MaxReceiveBufferPerConnection: http2WindowBytes, MaxReceiveBufferPerStream: http2StreamWindowBytes,
+	}
+	trackMemory(server)
 	server.ErrorLog = h.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Warn})
 	return server
 }
--- a/internal/gateway/cut_test.go
+++ b/internal/gateway/cut_test.go
@@ -112,7 +112,7 @@
 			server.SetAnswer(func(r *http.Request) testkit.RawAnswer {
 				if whole == nil {
 					whole = httptest.NewRecorder()
-					newCallersServer(env.handler, envLimits()).Handler.ServeHTTP(whole, r)
+					newCallersServer(env.handler, envLimits(), ampleMemory()).Handler.ServeHTTP(whole, r)
 				}
 				return testkit.RawAnswer{Status: whole.Code, HeaderLines: "Content-Type: " + whole.Header().Get("Content-Type") + "\r\n",
 					Framing: framing, Body: whole.Body.String(), Cut: cut, Reset: reset}
--- a/internal/gateway/env_test.go
+++ b/internal/gateway/env_test.go
@@ -26,6 +26,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/document"
 	"github.com/goldcrestspool/goldcrestspool/internal/explain"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/membudget"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
 	"github.com/goldcrestspool/goldcrestspool/internal/retry"
 	"github.com/goldcrestspool/goldcrestspool/internal/settings"
@@ -141,6 +142,8 @@
 	// peers returns the other gateways; nil is none.
 	peers  func(*testEnv) calls.Peers
 	limits settings.Limits
+	// memory is the account of what callers make the process hold; nil is ampleMemory.
+	memory *membudget.Budget
 	// level is the level of the log; zero logs everything.
 	level hclog.Level
 }
@@ -223,7 +226,10 @@
 	env.board.Documents.Publish(envDocuments(o.limit))
 	env.board.Upstreams.Publish(envUpstreams())
 	env.wire(t, o)
-	env.serve(t, o.limits)
+	if o.memory == nil {
+		o.memory = ampleMemory()
+	}
+	env.serve(t, o.limits, o.memory)
 	return env
 }
 
@@ -287,14 +293,22 @@
 	}
 }
 
-func (env *testEnv) serve(t testing.TB, limits settings.Limits) {
+func (env *testEnv) serve(t testing.TB, limits settings.Limits, memory *membudget.Budget) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := newCallersServer(env.handler, limits)
-	go func() { _ = server.Serve(listener) }()
+	server := newCallersServer(env.handler, limits, memory)
+	go func() { _ = server.Serve(memory.Listener(listener)) }()
 	t.Cleanup(func() { _ = server.Close() })
 	env.url = "http://" + listener.Addr().String()
 	env.client = env.clientWithToken(t, registrarToken)
 }
+
+// ampleMemory returns an account that refuses nobody.
+func ampleMemory() *membudget.Budget { return memoryOf(1 << 30) }
+
+// memoryOf returns an account of so many bytes.
+func memoryOf(bytes int64) *membudget.Budget {
+	return membudget.New(membudget.Config{Now: time.Now, Log: hclog.NewNullLogger(), Bytes: bytes, Connections: 1 << 20, ConnectionBytes: 1, MetersHeads: true})
+}
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -255,7 +255,7 @@
 
 // newEmptyServer returns the callers' server without services behind it.
 func newEmptyServer(limits settings.Limits) *http.Server {
-	return newCallersServer(&handler{log: hclog.NewNullLogger(), auth: auth.New(nil)}, limits)
+	return newCallersServer(&handler{log: hclog.NewNullLogger(), auth: auth.New(nil)}, limits, ampleMemory())
 }
 
 func TestHeadersAreBounded(t *testing.T) {
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -25,6 +25,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/explain"
 	"github.com/goldcrestspool/goldcrestspool/internal/gateway/peering"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/membudget"
 	"github.com/goldcrestspool/goldcrestspool/internal/peer"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform/connectplatform"
@@ -65,6 +66,7 @@
 	notices   *noticeBoard
 	recorder  *explain.Recorder
 	admission *admission.Controller
+	memory    *membudget.Budget
 	members   *membership.Controller
 	documents *configuration.Controller
 	calls     *calls.Coordinator
@@ -82,7 +84,7 @@
 // listeners are a gateway's open listeners.
 type listeners struct{ callers, peers, operators net.Listener }
 
-func listen(addresses settings.GatewayListen) (listeners, error) {
+func listen(addresses settings.GatewayListen, log hclog.Logger) (listeners, error) {
 	var l listeners
 	for _, side := range []struct {
 		address string
@@ -92,7 +94,11 @@
 		{addresses.Peers, &l.peers},
 		{addresses.Operators, &l.operators},
 	} {
-		opened, err := net.Listen("tcp", side.address)
+		open := func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+		if side.into == &l.callers {
+			open = func(address string) (net.Listener, error) { return membudget.Listen(address, log) }
+		}
+		opened, err := open(side.address)
 		if err != nil {
 			l.close()
 			return listeners{}, errcode.Wrap(errcode.Unavailable, err, "listen on "+side.address)
@@ -117,7 +123,7 @@
 	if err != nil {
 		return nil, err
 	}
-	opened, err := listen(s.Listen)
+	opened, err := listen(s.Listen, t.Log)
 	if err != nil {
 		return nil, err
 	}
@@ -249,6 +255,8 @@
 	metrics := &admission.Metrics{}
 	metrics.Publish()
 	p.admission = admission.New(admission.Config{Metrics: metrics})
+	p.memory = newMemory(p.settings, p.log)
+	publishMemory(p.memory)
 	attempts := &admissionRecorder{admission: p.admission}
 	router := &upstreamRouter{board: p.board, domain: p.self.FailureDomain, ejections: p.admission}
 	dispatcher := &plainDispatcher{
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -27,6 +27,7 @@
 // Run serves until a stop signal or a reclaim notice arrives, then leaves gracefully.
 // It returns early with an error if a part fails.
 func (p *Process) Run(signals daemon.Signals, stdout io.Writer) error {
+	p.settings.Machine.Budget().LimitGo()
 	servers, err := p.servers()
 	if err != nil {
 		p.listeners.close()
@@ -71,7 +72,7 @@
 		return nil, err
 	}
 	return &servers{
-		callers: newCallersServer(p.handler, p.settings.Limits),
+		callers: newCallersServer(p.handler, p.settings.Limits, p.memory),
 		peers:   peers,
 		operators: operatorserver.New(operatorserver.Config{
 			Listener: p.listeners.operators,
@@ -113,7 +114,7 @@
 }
 
 func (p *Process) serveCallers(server *http.Server) error {
-	return serve(server, p.listeners.callers, p.certificate)
+	return serve(server, p.memory.Listener(p.listeners.callers), p.certificate)
 }
 
 // awaitStop waits for a stop signal, a reclaim notice or the failure of a part. It
--- a/internal/gateway/tls_test.go
+++ b/internal/gateway/tls_test.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := newCallersServer(env.handler, envLimits())
+	server := newCallersServer(env.handler, envLimits(), ampleMemory())
 	go func() { _ = serve(server, listener, shown) }()
 	t.Cleanup(func() { _ = server.Close() })
 	env.address = listener.Addr().String()
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -28,8 +28,8 @@
 
 const (
 	// connectionShare is the part of the budget that connections may take by themselves, without
-	// requests, and bulkShare the part up to which long bodies get room. The rest is for short requests,
-	// which long ones can't crowd out.
+	// requests, so that who keeps connections open leaves room for who sends. bulkShare is the part up to
+	// which long bodies get room, so that these leave room for short ones.
 	connectionShare = 0.6
 	bulkShare       = 0.8
 	// bulkBytes is how much a request may hold before it counts as long.
@@ -48,7 +48,7 @@
 type Config struct {
 	Now boottime.Clock
 	Log hclog.Logger
-	// Bytes bounds all that callers make the process hold.
+	// Bytes bounds all that callers make the process hold; see Machine.
 	Bytes int64
 	// Connections bounds callers' open connections, whatever they hold.
 	Connections int
@@ -65,8 +65,8 @@
 	cfg Config
 
 	mu sync.Mutex
-	// held is the sum of all shares. Of it, yielding belongs to requests that had to yield and have not
-	// ended.
+	// held is the sum of all shares. Of it, yielding belongs to requests and connections that had to yield and
+	// have not ended.
 	held, yielding int64
 	// awaited is what waiting requests need of what is yielding.
 	awaited int64
@@ -75,10 +75,12 @@
 	waiting  int
 	conns    map[*Conn]struct{}
 	requests map[*Request]struct{}
-	// closing is how many of conns had to yield.
-	closing  int
-	counters Counters
-	lines    throttles
+	// fixed is what connections hold by themselves, without heads and windows. Of it, closingFixed belongs to
+	// those of conns that had to yield, which are closing many.
+	fixed, closingFixed int64
+	closing             int
+	counters            Counters
+	lines               throttles
 }
 
 // New returns a Budget of which nothing is held.
@@ -89,7 +91,12 @@
 
 // maxConnections is how many connections callers may have.
 func (b *Budget) maxConnections() int {
-	return max(1, min(b.cfg.Connections, int(connectionShare*float64(b.cfg.Bytes))/int(b.cfg.ConnectionBytes)))
+	return max(1, min(b.cfg.Connections, int(b.fixedLimit()/b.cfg.ConnectionBytes)))
+}
+
+// fixedLimit is how much connections may hold by themselves; one at least has room.
+func (b *Budget) fixedLimit() int64 {
+	return max(b.cfg.ConnectionBytes, int64(connectionShare*float64(b.cfg.Bytes)))
 }
 
 // ceiling is up to where a request gets room that holds so much then.
--- a/internal/membudget/budget_test.go
+++ b/internal/membudget/budget_test.go
@@ -124,12 +124,15 @@
 func checkSums(t rapid.TB, b *Budget) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var held, yielding int64
+	var held, yielding, fixed, closingFixed int64
 	closing := 0
 	for c := range b.conns {
 		held += c.held
+		fixed += c.fixed
 		if c.yielded {
 			closing++
+			closingFixed += c.fixed
+			yielding += c.held
 		}
 	}
 	for r := range b.requests {
@@ -138,10 +141,14 @@
 			yielding += r.held
 		}
 	}
-	if held != b.held || yielding != b.yielding || closing != b.closing {
-		t.Fatalf("held %d, yielding %d, closing %d; the shares add up to %d, %d, %d", b.held, b.yielding, b.closing, held, yielding, closing)
+	if held != b.held || yielding != b.yielding || closing != b.closing || fixed != b.fixed || closingFixed != b.closingFixed {
+		t.Fatalf("held %d, yielding %d, closing %d, fixed %d, closing %d; the shares add up to %d, %d, %d, %d, %d",
+			b.held, b.yielding, b.closing, b.fixed, b.closingFixed, held, yielding, closing, fixed, closingFixed)
 	}
-	if b.held > b.cfg.Bytes+b.yielding+int64(b.closing)*b.cfg.ConnectionBytes {
+	if b.fixed-b.closingFixed > b.fixedLimit() {
+		t.Fatalf("connections hold %d by themselves, %d of them closing; the limit is %d", b.fixed, b.closingFixed, b.fixedLimit())
+	}
+	if b.held > b.cfg.Bytes+b.yielding {
 		t.Fatalf("%d bytes are held, %d of them by those that yield; the limit is %d", b.held, b.yielding, b.cfg.Bytes)
 	}
 	if len(b.conns)-b.closing > b.maxConnections() {
@@ -162,10 +169,11 @@
 				stops := rapid.IntRange(0, 2<<20).Draw(rt, "stops after")
 				piece := rapid.IntRange(1, 256<<10).Draw(rt, "piece")
 				chunked := rapid.Bool().Draw(rt, "chunked")
+				shared := rapid.SampledFrom([]int64{0, 0, 100 << 10}).Draw(rt, "shared")
 				answered := time.Duration(rapid.IntRange(0, 2000).Draw(rt, "answered in")) * time.Millisecond
 				work.Go(func() {
 					time.Sleep(pause)
-					playCaller(t, rt, b, length, stops, piece, chunked, answered)
+					playCaller(t, rt, b, shared, length, stops, piece, chunked, answered)
 				})
 			}
 			work.Wait()
@@ -179,13 +187,17 @@
 }
 
 // playCaller sends one body that stops after some bytes, and leaves.
-func playCaller(t testing.TB, rt *rapid.T, b *Budget, length, stops, piece int, chunked bool, answered time.Duration) {
+func playCaller(t testing.TB, rt *rapid.T, b *Budget, shared int64, length, stops, piece int, chunked bool, answered time.Duration) {
 	c := connect(b)
 	defer c.leave()
 	checkSums(rt, b)
 	if c.conn == nil {
 		return
 	}
+	if shared > 0 && !c.conn.Share(shared) {
+		return
+	}
+	checkSums(rt, b)
 	body := newArrivingBody()
 	r, err := b.Begin(c.conn, 0, sync.OnceFunc(func() { close(body.cut) }))
 	if err != nil {
@@ -275,6 +287,7 @@
 		refused := 0
 		for range 32 {
 			body.send(16 << 10)
+			synctest.Wait() // so that it has its room before the other
 			other, otherBody := begin(t, b, nil)
 			result := read(other, otherBody, 512<<10, 1<<20)
 			otherBody.send(512 << 10)
@@ -346,6 +359,27 @@
 	})
 }
 
+// Guards against idle connections on which requests were shared, which cost far more than others, and keep all
+// newcomers out.
+func TestIdleSharedConnectionsYield(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBudget(1<<20, 1000)
+		for range 50 {
+			c := connect(b)
+			if c.conn == nil || !c.conn.Share(100<<10) {
+				t.Fatal("a newcomer found no room beside idle connections")
+			}
+			r, _ := begin(t, b, c.conn)
+			if _, err := r.ReadBody(strings.NewReader("body"), 4, 4); err != nil {
+				t.Fatal(err)
+			}
+			r.End()
+			c.conn.SetIdle()
+			checkSums(t, b)
+		}
+	})
+}
+
 // Guards against connections that yield in the wrong order, so that ordinary callers pay for a crowd.
 func TestTheOrderInWhichConnectionsYield(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -365,6 +399,7 @@
 		silent := connect(b)
 		time.Sleep(time.Second)
 		young := connect(b)
+		time.Sleep(time.Millisecond)
 		for _, want := range []caller{stopped, silent, idle, young} {
 			if c := connect(b); c.conn == nil {
 				t.Fatal("no place")
--- a/internal/membudget/conn.go
+++ b/internal/membudget/conn.go
@@ -28,8 +28,8 @@
 	// tcp is the same connection; nil if it is none of TCP.
 	tcp *net.TCPConn
 
-	// The fields below are guarded by budget.mu.
-	held int64
+	// The fields below are guarded by budget.mu. fixed is what the connection holds by itself.
+	fixed, held int64
 	// headBytes is the part of held that a head cost that has not been read whole, and windowBytes the part
 	// that the kernel may hold because the receive buffer was made larger.
 	headBytes, windowBytes int64
@@ -108,8 +108,8 @@
 		yields, enough = b.evict(missing, nil, c.since)
 	}
 	if enough {
-		c.held, c.headBytes = c.held+more, c.headBytes+more
-		b.add(more)
+		c.headBytes += more
+		c.hold(more)
 	} else {
 		b.counters.ConnectionsRefused++
 		b.logConnection("head of a request refused", c, c.since)
@@ -131,8 +131,8 @@
 	defer b.mu.Unlock()
 	c.unflushed, c.head, c.since = false, headMeter{}, b.cfg.Now()
 	gone := c.headBytes + c.windowBytes
-	c.held, c.headBytes, c.windowBytes = c.held-gone, 0, 0
-	b.add(-gone)
+	c.headBytes, c.windowBytes = 0, 0
+	c.hold(-gone)
 }
 
 // widen lets the kernel receive more at a time, if there is room for that. What is reserved for it stays so
@@ -146,8 +146,8 @@
 	b.mu.Lock()
 	fits := c.windowBytes == 0 && !c.yielded && b.held+b.awaited+more <= b.ceiling(bulkBytes+more)
 	if fits {
-		c.held, c.windowBytes = c.held+more, more
-		b.add(more)
+		c.windowBytes = more
+		c.hold(more)
 	}
 	b.mu.Unlock()
 	if fits {
@@ -163,21 +163,29 @@
 }
 
 // Share records that requests share the connection, as those of HTTP/2 do, and reserves what the kernel and
-// the streams' windows hold for it. It does that once, and reports whether there was room.
+// the streams' windows hold for it, at the cost of connections without progress. It does that once, and
+// reports whether there was room.
 func (c *Conn) Share(bytes int64) bool {
 	b := c.budget
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	if c.shared {
-		return true
+	if c.shared || c.yielded {
+		b.mu.Unlock()
+		return c.shared
+	}
+	yields, enough := b.evictConns(bytes, 0, c, b.cfg.Now())
+	if enough {
+		c.shared, c.unflushed = true, false
+		c.fixed += bytes
+		b.fixed += bytes
+		c.hold(bytes)
+	} else {
+		b.counters.RequestsRefused++
 	}
-	if b.held+b.awaited+bytes > b.cfg.Bytes {
-		return false
+	b.mu.Unlock()
+	for _, yield := range yields {
+		yield()
 	}
-	c.shared, c.unflushed = true, false
-	c.held += bytes
-	b.add(bytes)
-	return true
+	return enough
 }
 
 // LingerOnClose makes the next Close wait, so that an answer is not lost because the caller still sends.
@@ -215,12 +223,23 @@
 	delete(b.conns, c)
 	if c.yielded {
 		b.closing--
+		b.closingFixed -= c.fixed
 	}
-	b.add(-c.held)
-	c.held, c.headBytes, c.windowBytes = 0, 0, 0
+	b.fixed -= c.fixed
+	c.hold(-c.held)
+	c.fixed, c.headBytes, c.windowBytes = 0, 0, 0
 	return err
 }
 
+// hold changes what the connection holds. The caller holds budget.mu.
+func (c *Conn) hold(n int64) {
+	c.held += n
+	if c.yielded {
+		c.budget.yielding += n
+	}
+	c.budget.add(n)
+}
+
 // answering reports whether a request on the connection is being answered. The caller holds budget.mu.
 func (c *Conn) answering() bool { return c.answered > 0 || c.unflushed }
 
@@ -241,12 +260,13 @@
 // places are taken, one that makes no progress yields its own.
 func (b *Budget) admit(accepted net.Conn) *Conn {
 	now := b.cfg.Now()
-	c := &Conn{Conn: accepted, budget: b, held: b.cfg.ConnectionBytes, requests: make(map[*Request]struct{}), since: now}
+	c := &Conn{Conn: accepted, budget: b, fixed: b.cfg.ConnectionBytes, held: b.cfg.ConnectionBytes, requests: make(map[*Request]struct{}), since: now}
 	c.tcp, _ = accepted.(*net.TCPConn)
 	b.mu.Lock()
 	yields, enough := b.makeRoom(c, now)
 	if enough {
 		b.conns[c] = struct{}{}
+		b.fixed += c.fixed
 		b.add(c.held)
 	} else {
 		b.counters.ConnectionsRefused++
@@ -262,29 +282,38 @@
 	return c
 }
 
-// makeRoom makes requests or a connection yield to a new connection, and reports whether there is room then.
+// makeRoom makes requests and connections yield to a new connection, and reports whether there is room then.
 // The caller holds b.mu and calls the returned functions without it.
 func (b *Budget) makeRoom(c *Conn, now time.Time) (yields []func(), enough bool) {
+	yields, enough = b.evictConns(c.fixed, 1, nil, now)
 	missing := b.held + c.held - b.yielding - b.cfg.Bytes
-	if missing > 0 {
-		yields, enough = b.evict(missing, nil, now)
+	if !enough || missing <= 0 {
+		return yields, enough
 	}
-	if len(b.conns)-b.closing < b.maxConnections() && (missing <= 0 || enough) {
-		return yields, true
-	}
-	victim := b.longestWithoutProgress(now)
-	if victim == nil {
-		return yields, false
+	more, enough := b.evict(missing, nil, now)
+	return append(yields, more...), enough
+}
+
+// evictConns makes connections yield until there is room for so many bytes and places more, in what connections
+// may hold by themselves, and reports whether there is. asking does not yield. The caller holds b.mu and calls
+// the returned functions without it.
+func (b *Budget) evictConns(bytes int64, places int, asking *Conn, now time.Time) (yields []func(), enough bool) {
+	for b.fixed-b.closingFixed+bytes > b.fixedLimit() || len(b.conns)-b.closing+places > b.maxConnections() {
+		victim := b.longestWithoutProgress(asking, now)
+		if victim == nil {
+			return yields, false
+		}
+		yields = append(yields, b.evictConn(victim, now))
 	}
-	return append(yields, b.evictConn(victim, now)), true
+	return yields, true
 }
 
 // longestWithoutProgress returns the connection that yields its place, or nil if requests are being answered
-// on all. The caller holds b.mu.
-func (b *Budget) longestWithoutProgress(now time.Time) *Conn {
+// on all but the asking one. The caller holds b.mu.
+func (b *Budget) longestWithoutProgress(asking *Conn, now time.Time) *Conn {
 	var victim *Conn
 	for c := range b.conns {
-		if c.yielded || c.answering() {
+		if c == asking || c.yielded || c.answering() {
 			continue
 		}
 		if victim == nil || c.rank(now) < victim.rank(now) || c.rank(now) == victim.rank(now) && c.since.Before(victim.since) {
@@ -301,6 +330,8 @@
 	b.logConnection("connection closed for another", c, now)
 	c.yielded, c.lingers = true, false
 	b.closing++
+	b.closingFixed += c.fixed
+	b.yielding += c.held
 	var tells []func()
 	for r := range c.requests {
 		if !r.yielded {
--- /dev/null
+++ b/internal/membudget/machine.go
@@ -0,0 +1,36 @@
+package membudget
+
+import "runtime/debug"
+
+// How a process shares its machine out. docs/CAPACITY.md adds the parts up.
+const (
+	// goMemoryShare is the share of the machine's memory that is set as the limit of Go's garbage collector;
+	// the rest is for the program itself, its own structures and the kernel's buffers.
+	goMemoryShare = 0.7
+	// callerMemoryShare is the share that callers may make the process hold: connections, heads, bodies, and
+	// what the kernel holds of them unread.
+	callerMemoryShare = 0.35
+	// callerDescriptorShare is the share of the file descriptors that callers' connections may take; the rest
+	// is for upstreams, peers and files.
+	callerDescriptorShare = 0.6
+)
+
+// Machine is what a process may use.
+type Machine struct {
+	// MemoryMiB is the memory in MiB at which the process would be killed.
+	MemoryMiB float64
+	// Descriptors is how many file descriptors the process may have open.
+	Descriptors int
+}
+
+// share returns a share of the memory in bytes.
+func (m Machine) share(part float64) int64 { return int64(part * m.MemoryMiB * (1 << 20)) }
+
+// LimitGo sets the limit of Go's garbage collector.
+func (m Machine) LimitGo() { debug.SetMemoryLimit(m.share(goMemoryShare)) }
+
+// CallerBytes is how much callers may make the process hold.
+func (m Machine) CallerBytes() int64 { return m.share(callerMemoryShare) }
+
+// CallerConnections is how many connections the descriptors allow to callers.
+func (m Machine) CallerConnections() int { return int(callerDescriptorShare * float64(m.Descriptors)) }
--- a/internal/membudget/request.go
+++ b/internal/membudget/request.go
@@ -39,7 +39,7 @@
 	}
 	b.requests[r] = struct{}{}
 	if c != nil {
-		r.held, c.held = r.held+c.headBytes, c.held-c.headBytes
+		r.held, c.held = r.held+c.headBytes, c.held-c.headBytes // c has not yielded
 		c.headBytes, c.requests[r], c.since = 0, struct{}{}, r.since
 	}
 	b.mu.Unlock()
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -23,6 +23,7 @@
 	checkListener(s, "listen.callers", g.Listen.Callers, g.TLS.Callers.IsSet() || g.Listen.AcceptPlaintext)
 	checkListener(s, "listen.peers", g.Listen.Peers, g.TLS.Peers.IsSet() || g.Listen.AcceptPlaintext)
 	checkListener(s, "listen.operators", g.Listen.Operators, g.Listen.AcceptPlaintext)
+	checkMachineLimits(s, g.Machine)
 	checkAccounts(s, g.ClientAccounts)
 }
 
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -47,7 +47,8 @@
 
 func defaultGateway() *Gateway {
 	return &Gateway{
-		Common: defaultCommon(),
+		Common:  defaultCommon(),
+		Machine: defaultMachineLimits(),
 		Listen: GatewayListen{
 			Callers:   loopbackAnyPort,
 			Peers:     loopbackAnyPort,
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -65,14 +65,9 @@
 // report that names more.
 const MaxCores = 1024
 
-// Machine tells how much of the machine the process may use.
+// Machine tells how much of the machine an entry process may use.
 type Machine struct {
-	// MemoryMiB is the memory in MiB at which the process would be killed.
-	// Default 256.
-	MemoryMiB float64 `toml:"memory_mib"`
-	// Descriptors is how many file descriptors the process may have open.
-	// Default 1024.
-	Descriptors int `toml:"descriptors"`
+	MachineLimits
 	// Cores is how many processor cores the process may use: 0.4 is two fifths of
 	// one. Among many gateways, those with the most cores are the collectors of the
 	// others' reports. Default 1.
@@ -154,7 +149,7 @@
 
 func defaultEntry() Entry {
 	return Entry{
-		Machine:       Machine{MemoryMiB: 256, Descriptors: 1024, Cores: 1},
+		Machine:       Machine{MachineLimits: defaultMachineLimits(), Cores: 1},
 		Stop:          EntryStop{Grace: 8 * time.Second},
 		Upstreams:     EntryUpstreams{DepartureDue: 2 * time.Second, Renewal: 1200 * time.Millisecond, MaxPause: 10 * time.Minute},
 		Configuration: EntryConfiguration{ChangeDue: 2 * time.Second},
@@ -190,8 +185,7 @@
 	checkRequired(s, "listen.readiness", e.Listen.Readiness)
 	checkRequired(s, "listen.peers", e.Listen.Peers)
 	checkRequired(s, "store.address", e.Store.Address)
-	s.Check(e.Machine.MemoryMiB >= 32, "machine.memory_mib", "is too small", "32 or more")
-	s.Check(e.Machine.Descriptors >= 64, "machine.descriptors", "is too small", "64 or more")
+	checkMachineLimits(s, e.Machine.MachineLimits)
 	s.Check(e.Machine.Cores > 0 && e.Machine.Cores <= MaxCores, "machine.cores", "is out of range", "more than 0, 1024 at the most")
 	s.Check(e.Stop.Grace >= time.Second, "stop.grace", "is too short", "1s or more")
 	s.Check(e.Configuration.ChangeDue >= time.Second, "configuration.change_due", "is too short", "1s or more: news of it are up to 0.6 of it old")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,6 +31,7 @@
 type Gateway struct {
 	Common
 	Listen         GatewayListen   `toml:"listen"`
+	Machine        MachineLimits   `toml:"machine"`
 	ClientAccounts []ClientAccount `toml:"client_accounts"`
 }
 
