membudget: one reading of the clock a reservation, none for requests without a body

CLOCK_BOOTTIME is a system call. Requests without a body read it once instead of three times. No measurement: the calls are counted by reading.

--- a/internal/membudget/request.go
+++ b/internal/membudget/request.go
@@ -43,6 +43,9 @@
 		c.headBytes, c.requests[r], c.since = 0, struct{}{}, r.since
 	}
 	b.mu.Unlock()
+	if bytes == 0 {
+		return r, nil
+	}
 	if err := r.Grow(bytes); err != nil {
 		r.End()
 		return nil, err
@@ -61,14 +64,14 @@
 // for those that have to yield to this request. The error is ErrNoRoom or ErrYielded.
 func (r *Request) Grow(n int64) error {
 	b := r.budget
-	deadline := b.cfg.Now().Add(waitTime)
+	now := b.cfg.Now()
+	deadline := now.Add(waitTime)
 	b.mu.Lock()
-	for {
+	for ; ; now = b.cfg.Now() {
 		if r.yielded {
 			b.mu.Unlock()
 			return ErrYielded
 		}
-		now := b.cfg.Now()
 		r.progress(now)
 		free := b.ceiling(r.held+n) - b.held
 		if n <= free {
