Relay: other gateways' requests are held in the account of callers' memory

What would be seen: gateways that lost their paths hand long bodies to another one, up to 8 MiB each; that it relays 256 at the most was compared only after a body had been read, so that 2 GiB and more could be held.

Now a relayed request is read into the account, with room for its decoded copy. Without room the sender hears that nothing was sent, once it has sent all, and asks another way.

Test: the row 'it has no room for it' of TestFailuresTellWhetherTheRequestWasSent. It needs the account, so that it could not fail before. Open: the copy that the sender makes of a body for the relay is in no account.

--- a/internal/entry/network.go
+++ b/internal/entry/network.go
@@ -27,7 +27,7 @@
 	p.relays = relay.NewServer(relay.ServerConfig{
 		Now: p.now, Log: p.log.Named("relay"), Tracer: p.tracing.Tracer, Upstreams: ownPaths{p}, Dialect: p.ports.Protocol, Announcements: p.announced,
 		IsGateway: func(node ident.Instance, host string) bool { return p.gossip.IsGateway(node, host) },
-		Leaving:   p.leaving.Load,
+		Leaving:   p.leaving.Load, Memory: p.memory,
 	})
 }
 
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -162,6 +162,10 @@
 		},
 		OnLeaving: func(ids []ident.Instance) { p.upstreams.recordLeaving(ids) },
 	})
+	p.memory = membudget.New(membudget.Config{
+		Now: p.now, Log: p.log.Named("memory"), Bytes: p.machine().CallerBytes(),
+		Connections: p.machine().CallerConnections(), ConnectionBytes: connectionBytes, MetersHeads: true,
+	})
 	p.wireNetwork()
 	p.origins = origin.NewRegistry(origin.Config{Now: p.now, Log: p.log.Named("origin"), Network: originNetwork{p.pool}, ViewAge: func() time.Duration { return p.upstreams.age() },
 		Beginnings: storedBeginnings{p.ports.Store, p.log.Named("origin")}, OnBegun: func() { p.room.WakeAll() },
@@ -213,10 +217,6 @@
 		Budget: p.retries, Guard: p.poison, Announcements: p.announced, Origins: p.origins, Meter: p.counter, Log: p.log.Named("forward"), Tracer: p.tracing.Tracer, RetryAfter: p.retryAfter,
 	})
 	p.lease = p.newLease()
-	p.memory = membudget.New(membudget.Config{
-		Now: p.now, Log: p.log.Named("memory"), Bytes: p.machine().CallerBytes(),
-		Connections: p.machine().CallerConnections(), ConnectionBytes: connectionBytes, MetersHeads: true,
-	})
 	p.callers = ingress.New(ingress.Config{
 		Now: p.now, Table: p.table, Protocol: p.ports.Protocol, Quota: p.quotas, Guard: p.poison, Forwarder: forwarder,
 		Log: p.log.Named("ingress"), Tracer: p.tracing.Tracer, Metrics: p.metrics, Memory: p.memory,
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -20,6 +20,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/gossip"
 	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/membudget"
 	"github.com/goldcrestspool/goldcrestspool/internal/relay"
 	"github.com/goldcrestspool/goldcrestspool/internal/standin/worker"
 )
@@ -45,6 +46,7 @@
 	client   *relay.Client
 	by       gossip.Contact
 	target   httpconn.Target
+	memory   *membudget.Budget
 
 	mu       sync.Mutex
 	recorded []announced.Statement
@@ -53,12 +55,15 @@
 	delay    time.Duration
 }
 
+// relayMemory is how much other gateways' requests may take.
+const relayMemory = 64 << 10
+
 func newRelaying(t testing.TB) *relaying {
 	t.Helper()
-	r := &relaying{Pool: httpconn.NewPool(time.Now), upstream: worker.New(t, "u0")}
+	r := &relaying{Pool: httpconn.NewPool(time.Now), upstream: worker.New(t, "u0"), memory: membudget.New(membudget.Config{Now: time.Now, Log: hclog.NewNullLogger(), Bytes: relayMemory, Connections: 1, ConnectionBytes: 1})}
 	r.server = relay.NewServer(relay.ServerConfig{
 		Now: time.Now, Log: hclog.NewNullLogger(), Tracer: noop.NewTracerProvider().Tracer(""), Upstreams: r, Dialect: dialect{}, Announcements: r,
-		IsGateway: func(ident.Instance, string) bool { return true }, Leaving: func() bool { return r.leaving },
+		IsGateway: func(ident.Instance, string) bool { return true }, Leaving: func() bool { return r.leaving }, Memory: r.memory,
 	})
 	mux := http.NewServeMux()
 	mux.Handle("POST "+relay.Path, r.server)
@@ -105,6 +110,11 @@
 	}{
 		{"no such upstream there", func(r *relaying) { r.target.ID = "u1" }, false, relay.ErrNotSent},
 		{"the gateway leaves", func(r *relaying) { r.leaving = true }, false, relay.ErrNotSent},
+		{"it has no room for it", func(r *relaying) {
+			if _, err := r.memory.Begin(nil, relayMemory, func() {}); err != nil {
+				t.Fatal(err)
+			}
+		}, false, relay.ErrNotSent},
 		{"the upstream takes none from it", func(r *relaying) { r.declines = true }, false, relay.ErrNotSent},
 		{"the upstream refuses it too", func(r *relaying) { r.upstream.Stop() }, false, relay.ErrRefused},
 		{"an older build", func(r *relaying) { r.http.Config.Handler = http.NotFoundHandler() }, false, relay.ErrNotSent},
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -21,6 +21,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/gossip"
 	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
+	"github.com/goldcrestspool/goldcrestspool/internal/membudget"
 	"github.com/goldcrestspool/goldcrestspool/internal/telemetry"
 )
 
@@ -84,6 +85,8 @@
 	IsGateway func(node ident.Instance, host string) bool
 	// Leaving reports whether this gateway is leaving.
 	Leaving func() bool
+	// Memory is the account in which other gateways' requests are held like callers' own.
+	Memory *membudget.Budget
 }
 
 // Server relays other gateways' requests to upstreams. Create it with NewServer.
@@ -115,13 +118,15 @@
 	s.active.Add(1)
 	defer s.active.Add(-1)
 	received := s.cfg.Now()
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxRequestBytes+1))
-	if err != nil || len(data) > maxRequestBytes {
-		s.refuse(w, nil, http.StatusBadRequest, outcomeNotSent, "the request broke off or is too long")
+	req, end, err := s.read(w, r)
+	defer end()
+	switch {
+	case errors.Is(err, membudget.ErrNoRoom):
+		// The sender sees the refusal only once it could send all.
+		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxRequestBytes)) // the sender may have gone
+		s.refuse(w, nil, http.StatusServiceUnavailable, outcomeNotSent, err.Error())
 		return
-	}
-	req, err := decodeRequest(data)
-	if err != nil {
+	case err != nil:
 		s.refuse(w, nil, http.StatusBadRequest, outcomeNotSent, err.Error())
 		return
 	}
@@ -137,6 +142,23 @@
 	s.relay(w, r, req, target, received)
 }
 
+// read reads and decodes a request. Its memory is given back by end.
+func (s *Server) read(w http.ResponseWriter, r *http.Request) (req *request, end func(), err error) {
+	control := http.NewResponseController(w)
+	share, err := s.cfg.Memory.Begin(nil, 0, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+	if err != nil {
+		return nil, func() {}, err
+	}
+	data, err := share.ReadBody(r.Body, r.ContentLength, maxRequestBytes)
+	if err == nil {
+		err = share.Grow(int64(len(data))) // the decoded request is a copy
+	}
+	if err == nil {
+		req, err = decodeRequest(data)
+	}
+	return req, share.End, err
+}
+
 // admit decides whether a request is relayed. It returns the outcome and the reason if not.
 func (s *Server) admit(r *http.Request, req *request) (target httpconn.Target, outcome, reason string) {
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
