membudget: on small machines the program itself leaves less than the shares do

Cause: Go's limit was 0.7 of the memory whatever the machine; the program's code and data, some 16 to 20 MiB, are beside it. By reading, 64 MiB and less did not add up.

Now Go's limit leaves 24 MiB to the program, and callers have at the most half of what is beside an idle process (32 MiB); from 107 MiB upwards nothing changes.

--- a/internal/membudget/machine.go
+++ b/internal/membudget/machine.go
@@ -7,12 +7,18 @@
 	// goMemoryShare is the share of the machine's memory that is set as the limit of Go's garbage collector;
 	// the rest is for the program itself, its own structures and the kernel's buffers.
 	goMemoryShare = 0.7
+	// programBytes is what the program itself takes beside Go's memory: its code and data. idleBytes is what
+	// the process takes with nobody connected. On small machines they are more than the shares leave.
+	programBytes = 24 << 20
+	idleBytes    = 32 << 20
 	// callerMemoryShare is the share that callers may make the process hold: connections, heads, bodies, and
 	// what the kernel holds of them unread.
 	callerMemoryShare = 0.35
 	// callerDescriptorShare is the share of the file descriptors that callers' connections may take; the rest
 	// is for upstreams, peers and files.
 	callerDescriptorShare = 0.6
+	// callerLeastShare is what callers have at the least, however small the machine is.
+	callerLeastShare = 0.1
 )
 
 // Machine is what a process may use.
@@ -26,11 +32,19 @@
 // share returns a share of the memory in bytes.
 func (m Machine) share(part float64) int64 { return int64(part * m.MemoryMiB * (1 << 20)) }
 
+// goLimit is the limit of Go's garbage collector.
+func (m Machine) goLimit() int64 {
+	return min(m.share(goMemoryShare), max(m.share(1)-programBytes, m.share(callerLeastShare)))
+}
+
 // LimitGo sets the limit of Go's garbage collector.
-func (m Machine) LimitGo() { debug.SetMemoryLimit(m.share(goMemoryShare)) }
+func (m Machine) LimitGo() { debug.SetMemoryLimit(m.goLimit()) }
 
-// CallerBytes is how much callers may make the process hold.
-func (m Machine) CallerBytes() int64 { return m.share(callerMemoryShare) }
+// CallerBytes is how much callers may make the process hold: at the most half of what is left beside the idle
+// process, since Go's garbage takes as much again.
+func (m Machine) CallerBytes() int64 {
+	return min(m.share(callerMemoryShare), max((m.share(1)-idleBytes)/2, m.share(callerLeastShare)))
+}
 
 // CallerConnections is how many connections the descriptors allow to callers.
 func (m Machine) CallerConnections() int { return int(callerDescriptorShare * float64(m.Descriptors)) }
