forward: a caller that shuts down its side reads no success that nobody gave

Cause: net/http takes the end of the caller's direction for its leaving and cancels the request; the forwarder abandons it and writes nothing, and net/http completes the answer by itself. Streams that had begun were broken off already.

Now an abandoned call breaks its connection. A closed connection promises nothing, which is true.

--- a/internal/forward/finish.go
+++ b/internal/forward/finish.go
@@ -30,7 +30,9 @@
 		s.outcome.Status = http.StatusGatewayTimeout
 		s.caller.TimeOut()
 	case Abandon:
-		// The caller has gone.
+		// The caller has gone, or has shut down its side and reads on: without a break, the server would
+		// complete an answer that no upstream gave.
+		s.caller.Break()
 	default:
 		s.outcome.Status = http.StatusBadGateway
 		s.caller.Fail(s.reason)
