membudget: HTTP/2 connections have room in the whole account, or are refused

Found by a mutation (long bodies may take all): the property test then saw more held than the account has. Cause: what HTTP/2 adds to a connection was compared with the connections' part alone, so that with the rest full of short requests the sum went beyond. Now both are compared, and requests without progress yield to it as to a new connection.

--- a/internal/membudget/budget_test.go
+++ b/internal/membudget/budget_test.go
@@ -307,6 +307,165 @@
 	})
 }
 
+// slowToYield begins a request of so many bytes that has made no progress, and that takes some time to end once
+// it has to yield.
+func slowToYield(t *testing.T, b *Budget, bytes int64, takes time.Duration) {
+	t.Helper()
+	var r *Request
+	r, err := b.Begin(nil, bytes, func() { time.AfterFunc(takes, func() { r.End() }) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(stallTime)
+}
+
+// grow lets a request grow elsewhere, and returns where its result comes.
+func grow(r *Request, n int64) <-chan error {
+	result := make(chan error, 1)
+	go func() { result <- r.Grow(n) }()
+	synctest.Wait()
+	return result
+}
+
+// Guards against a request that has to yield because it waits for others that yield.
+func TestWhoWaitsForRoomDoesNotYield(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBudget(1<<20, 1)
+		slowToYield(t, b, 600<<10, yieldTime)
+		waits, err := b.Begin(nil, 150<<10, func() {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		result := grow(waits, 450<<10)
+		time.Sleep(yieldTime * 9 / 10)
+		if other, err := b.Begin(nil, 400<<10, func() {}); err == nil {
+			t.Errorf("another request took the room: %+v", other)
+		}
+		if err := <-result; err != nil {
+			t.Errorf("the request that waited: %v", err)
+		}
+		waits.End()
+	})
+}
+
+// Guards against a request that waits, and is refused late, for room that another one waits for already.
+func TestRoomIsAwaitedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBudget(1<<20, 1)
+		slowToYield(t, b, 700<<10, yieldTime)
+		first, _ := begin(t, b, nil)
+		result := grow(first, 700<<10)
+		began := time.Now()
+		second, _ := begin(t, b, nil)
+		if err := second.Grow(700 << 10); !errors.Is(err, ErrNoRoom) || time.Since(began) > 0 {
+			t.Errorf("the second request: %v after %v, want ErrNoRoom at once", err, time.Since(began))
+		}
+		if err := <-result; err != nil {
+			t.Errorf("the first request: %v", err)
+		}
+	})
+}
+
+// Guards against a request that is told that it was not run, and runs: once it had to yield, it is never whole.
+func TestARequestThatYieldedIsNeverWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBudget(1<<20, 1)
+		r, err := b.Begin(nil, 700<<10, func() {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(stallTime)
+		other, _ := begin(t, b, nil)
+		result := grow(other, 700<<10)
+		if err := r.Whole(); !errors.Is(err, ErrYielded) {
+			t.Errorf("got %v, want ErrYielded", err)
+		}
+		r.End()
+		if err := <-result; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// Guards against heads of many lines that are held without room, and against a caller that is then closed
+// without a word.
+func TestALongHeadNeedsRoom(t *testing.T) {
+	for _, c := range []struct {
+		bytes   int64
+		refused bool
+	}{{4 << 20, false}, {100 << 10, true}} {
+		b := newTestBudget(c.bytes, 1)
+		caller := connect(b)
+		head := "GET / HTTP/1.1\r\n" + strings.Repeat("a:\r\n", 3000)
+		go func() { _, _ = io.WriteString(caller.far, head) }() // its end may be refused
+		answer := make(chan []byte, 1)
+		go func() {
+			text, _ := io.ReadAll(caller.far)
+			answer <- text
+		}()
+		read := 0
+		for read < len(head) {
+			n, err := caller.conn.Read(make([]byte, 4096))
+			if err != nil {
+				break
+			}
+			read += n
+		}
+		if refused := read < len(head); refused != c.refused {
+			t.Errorf("of %d bytes: refused %v, want %v", c.bytes, refused, c.refused)
+		}
+		if held := b.State().Bytes; !c.refused && held < 3000*headLineBytes {
+			t.Errorf("%d bytes are held for a head of 3000 lines", held)
+		}
+		_ = caller.conn.Close() // nothing is open beside it
+		if text := <-answer; c.refused != strings.HasPrefix(string(text), "HTTP/1.1 503 ") {
+			t.Errorf("of %d bytes: the caller got %q", c.bytes, text)
+		}
+		if held := b.State().Bytes; held != 0 {
+			t.Errorf("%d bytes are held after the end", held)
+		}
+	}
+}
+
+// Guards against what the kernel may hold for a long body, and that nobody counts: also when the body has been
+// read or refused, up to the connection's next request.
+func TestTheWindowOfALongBodyIsHeld(t *testing.T) {
+	plain, err := Listen("127.0.0.1:0", hclog.NewNullLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := newTestBudget(4<<20, 1)
+	l := b.Listener(plain)
+	defer l.Close()
+	far, err := net.Dial("tcp", plain.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
+	conn := accepted.(*Conn)
+	before := b.State().Bytes
+	r, err := b.Begin(conn, 0, func() {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := r.ReadBody(strings.NewReader(strings.Repeat("x", 200<<10)), 200<<10, 1<<20); err != nil {
+		t.Fatal(err)
+	}
+	r.End()
+	if window := b.State().Bytes - before; window != unreadBytes(bulkReceiveBuffer)-unreadBytes(smallReceiveBuffer) {
+		t.Errorf("%d bytes are held for the window", window)
+	}
+	conn.SetIdle()
+	if after := b.State().Bytes; after != before {
+		t.Errorf("%d bytes are held by the idle connection, %d before", after, before)
+	}
+}
+
 // Guards against long bodies that leave no room for the short requests of ordinary callers.
 func TestShortBodiesHaveRoomBesideLongOnes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/membudget/conn.go
+++ b/internal/membudget/conn.go
@@ -172,7 +172,7 @@
 		b.mu.Unlock()
 		return c.shared
 	}
-	yields, enough := b.evictConns(bytes, 0, c, b.cfg.Now())
+	yields, enough := b.makeRoom(bytes, 0, c, b.cfg.Now())
 	if enough {
 		c.shared, c.unflushed = true, false
 		c.fixed += bytes
@@ -263,7 +263,7 @@
 	c := &Conn{Conn: accepted, budget: b, fixed: b.cfg.ConnectionBytes, held: b.cfg.ConnectionBytes, requests: make(map[*Request]struct{}), since: now}
 	c.tcp, _ = accepted.(*net.TCPConn)
 	b.mu.Lock()
-	yields, enough := b.makeRoom(c, now)
+	yields, enough := b.makeRoom(c.fixed, 1, nil, now)
 	if enough {
 		b.conns[c] = struct{}{}
 		b.fixed += c.fixed
@@ -282,11 +282,12 @@
 	return c
 }
 
-// makeRoom makes requests and connections yield to a new connection, and reports whether there is room then.
-// The caller holds b.mu and calls the returned functions without it.
-func (b *Budget) makeRoom(c *Conn, now time.Time) (yields []func(), enough bool) {
-	yields, enough = b.evictConns(c.fixed, 1, nil, now)
-	missing := b.held + c.held - b.yielding - b.cfg.Bytes
+// makeRoom makes requests and connections yield until there is room for so many bytes and places more in what
+// connections hold by themselves, and reports whether there is. asking does not yield its place. The caller
+// holds b.mu and calls the returned functions without it.
+func (b *Budget) makeRoom(bytes int64, places int, asking *Conn, now time.Time) (yields []func(), enough bool) {
+	yields, enough = b.evictConns(bytes, places, asking, now)
+	missing := b.held + b.awaited + bytes - b.yielding - b.cfg.Bytes
 	if !enough || missing <= 0 {
 		return yields, enough
 	}
