membudget: nothing is reserved for a connection that has been closed meanwhile

Found in reading the diff: bytes that were read just before a connection was closed, the first stream of HTTP/2, or a long body, reserved for it what nothing gave back; over time the account would have filled.

A long head also counts what is yielding as room, as all others do.

--- a/internal/membudget/budget_test.go
+++ b/internal/membudget/budget_test.go
@@ -601,6 +601,35 @@
 
 func (lateConn) Read(p []byte) (int, error) { return copy(p, "GET "), nil }
 
+// Guards against what is reserved for a connection that has been closed meanwhile, and that nothing gives back.
+func TestNothingIsHeldForAClosedConnection(t *testing.T) {
+	b := newTestBudget(4<<20, 1)
+	near, far := net.Pipe()
+	defer far.Close()
+	c := b.admit(longHeadConn{near})
+	if err := c.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := c.Read(make([]byte, 64<<10)); n != 0 || err == nil {
+		t.Errorf("read %d bytes, error %v", n, err)
+	}
+	if c.Share(100 << 10) {
+		t.Error("a closed connection is shared")
+	}
+	c.tcp = &net.TCPConn{}
+	c.widen()
+	if s := b.State(); s.Bytes != 0 || s.Connections != 0 {
+		t.Errorf("%+v", s)
+	}
+}
+
+// longHeadConn is a connection that still delivers a long head after it was closed.
+type longHeadConn struct{ net.Conn }
+
+func (longHeadConn) Read(p []byte) (int, error) {
+	return copy(p, bytes.Repeat([]byte("a:\r\n"), 3000)), nil
+}
+
 // Guards against heads whose many lines cost far more than their bytes, and against bodies that count as heads.
 func TestTheCostOfHeads(t *testing.T) {
 	const line = "a: b\r\n"
--- a/internal/membudget/conn.go
+++ b/internal/membudget/conn.go
@@ -80,7 +80,7 @@
 
 const (
 	mayBeUsed arrival = iota
-	// mustYield: the connection had to yield its place.
+	// mustYield: the connection had to yield its place, or was closed.
 	mustYield
 	// headRefused: there is no room for a long head.
 	headRefused
@@ -89,7 +89,7 @@
 // arrived records that bytes were read from a connection, and tells what becomes of them.
 func (b *Budget) arrived(c *Conn, data []byte) arrival {
 	b.mu.Lock()
-	if c.yielded && len(c.requests) == 0 {
+	if c.closed || c.yielded && len(c.requests) == 0 {
 		b.mu.Unlock()
 		return mustYield
 	}
@@ -104,7 +104,7 @@
 	c.since = b.cfg.Now()
 	var yields []func()
 	enough := true
-	if missing := more - (b.cfg.Bytes - b.held); missing > 0 {
+	if missing := b.held + b.awaited + more - b.yielding - b.cfg.Bytes; missing > 0 {
 		yields, enough = b.evict(missing, nil, c.since)
 	}
 	if enough {
@@ -144,7 +144,7 @@
 	b := c.budget
 	more := unreadBytes(bulkReceiveBuffer) - unreadBytes(smallReceiveBuffer)
 	b.mu.Lock()
-	fits := c.windowBytes == 0 && !c.yielded && b.held+b.awaited+more <= b.ceiling(bulkBytes+more)
+	fits := c.windowBytes == 0 && !c.yielded && !c.closed && b.held+b.awaited+more <= b.ceiling(bulkBytes+more)
 	if fits {
 		c.windowBytes = more
 		c.hold(more)
@@ -168,9 +168,10 @@
 func (c *Conn) Share(bytes int64) bool {
 	b := c.budget
 	b.mu.Lock()
-	if c.shared || c.yielded {
+	if c.shared || c.yielded || c.closed {
+		shared := c.shared
 		b.mu.Unlock()
-		return c.shared
+		return shared
 	}
 	yields, enough := b.makeRoom(bytes, 0, c, b.cfg.Now())
 	if enough {
