membudget: newcomers find room beside long heads that stop, and beside many short bodies

Cause: heads of thousands of lines held what no request had begun to hold, so that nothing could take it back before the head's four seconds; new connections found places but no bytes.

Now a long head that stops yields as a request does, and counts as long (0.8); a new connection takes room from connections without progress if requests are not enough; between 16 and 64 KiB the ceiling is 0.9, so that many short bodies leave room for ordinary ones.

Ruled out: memory (65 MiB then), places (360 of 360, 4,237 newcomers a second refused for bytes).

--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -7,7 +7,9 @@
 package membudget
 
 import (
+	"cmp"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,8 +34,11 @@
 	// which long bodies get room, so that these leave room for short ones.
 	connectionShare = 0.6
 	bulkShare       = 0.8
-	// bulkBytes is how much a request may hold before it counts as long.
-	bulkBytes = 64 << 10
+	// bulkBytes is how much a request or a head may hold before it counts as long. Those between smallBytes and
+	// that get room up to shortShare, and leave room for still smaller ones.
+	bulkBytes  = 64 << 10
+	shortShare = 0.9
+	smallBytes = 16 << 10
 	// stallTime is how long a request makes no progress before it yields to others.
 	stallTime = 500 * time.Millisecond
 	// yieldTime bounds how long a request that had to yield takes to end; then its connection is closed.
@@ -99,10 +104,13 @@
 	return max(b.cfg.ConnectionBytes, int64(connectionShare*float64(b.cfg.Bytes)))
 }
 
-// ceiling is up to where a request gets room that holds so much then.
+// ceiling is up to where a request or a head gets room that holds so much then.
 func (b *Budget) ceiling(holds int64) int64 {
-	if holds > bulkBytes {
+	switch {
+	case holds > bulkBytes:
 		return int64(bulkShare * float64(b.cfg.Bytes))
+	case holds > smallBytes:
+		return int64(shortShare * float64(b.cfg.Bytes))
 	}
 	return b.cfg.Bytes
 }
@@ -116,35 +124,59 @@
 	}
 }
 
-// evict makes requests without progress yield until so many bytes become free, those first that held the most
-// for the longest time. It evicts none if all together are not enough. The caller holds b.mu and calls the
-// returned functions without it.
-func (b *Budget) evict(need int64, asking *Request, now time.Time) (yields []func(), enough bool) {
-	var victims []*Request
+// victim is a request without progress, or a connection on which a long head makes none.
+type victim struct {
+	held int64
+	// cost is how much it holds, times how long it made no progress.
+	cost float64
+	// evict makes it yield, with the budget's lock held, and returns what to call without it.
+	evict func() func()
+}
+
+// evict makes requests and long heads without progress yield until so many bytes become free, those first that
+// held the most for the longest time. It evicts none if all together are not enough. Who asks, a request or a
+// connection, does not yield. The caller holds b.mu and calls the returned functions without it.
+func (b *Budget) evict(need int64, asking *Request, askingConn *Conn, now time.Time) (yields []func(), enough bool) {
+	victims := b.victims(asking, askingConn, now)
 	var found int64
-	for r := range b.requests {
-		if r != asking && r.stalled(now) {
-			victims = append(victims, r)
-			found += r.held
-		}
+	for _, v := range victims {
+		found += v.held
 	}
 	if found < need {
 		return nil, false
 	}
-	sortByCost(victims, now)
-	for _, r := range victims {
+	slices.SortFunc(victims, func(x, y victim) int { return cmp.Compare(y.cost, x.cost) })
+	for _, v := range victims {
 		if need <= 0 {
 			break
 		}
-		need -= r.held
-		b.counters.RequestsYielded++
-		b.logYield(r, now)
-		r.markYielded()
-		yields = append(yields, r.yield)
+		need -= v.held
+		yields = append(yields, v.evict())
 	}
 	return yields, true
 }
 
+// victims returns what may yield. The caller holds b.mu.
+func (b *Budget) victims(asking *Request, askingConn *Conn, now time.Time) []victim {
+	var victims []victim
+	for r := range b.requests {
+		if r != asking && r.stalled(now) {
+			victims = append(victims, victim{held: r.held, cost: float64(r.held) * now.Sub(r.since).Seconds(), evict: func() func() {
+				b.counters.RequestsYielded++
+				b.logYield(r, now)
+				r.markYielded()
+				return r.yield
+			}})
+		}
+	}
+	for c := range b.conns {
+		if c != askingConn && c.headStalls(now) {
+			victims = append(victims, victim{held: c.held, cost: float64(c.held) * now.Sub(c.since).Seconds(), evict: func() func() { return b.evictConn(c, now) }})
+		}
+	}
+	return victims
+}
+
 // LongestBody is the longest body for which there can be room, if no configuration bounds it: old and new room
 // are held while it grows.
 func (b *Budget) LongestBody() int64 { return b.ceiling(bulkBytes+1) / 2 }
--- a/internal/membudget/budget_test.go
+++ b/internal/membudget/budget_test.go
@@ -630,6 +630,50 @@
 	return copy(p, bytes.Repeat([]byte("a:\r\n"), 3000)), nil
 }
 
+// Guards against long heads that are not ended, or shorts bodies that stop, and that keep newcomers out: a new
+// connection and a short request find room at the cost of what makes no progress.
+func TestNewcomersFindRoomBesideHeadsThatStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBudget(2<<20, 100)
+		head := "GET / HTTP/1.1\r\n" + strings.Repeat("a:\r\n", 1000)
+		for range 30 {
+			near, far := net.Pipe()
+			defer far.Close()
+			c := b.admit(near)
+			if c == nil {
+				t.Fatal("a connection found no place")
+			}
+			go func() { _, _ = io.WriteString(far, head) }() // it may be refused
+			go func() { _, _ = io.Copy(io.Discard, far) }()
+			for read := 0; read < len(head); {
+				n, err := c.Read(make([]byte, 4096))
+				if err != nil {
+					_ = c.closeNow()
+					break
+				}
+				read += n
+			}
+			checkSums(t, b)
+		}
+		if held := b.State().Bytes; held < 1<<20 {
+			t.Errorf("heads hold %d bytes, so that the test shows nothing", held)
+		}
+		for range 50 {
+			c := connect(b)
+			if c.conn == nil {
+				t.Fatal("a newcomer found no place")
+			}
+			r, err := b.Begin(c.conn, 4<<10, func() {})
+			if err != nil {
+				t.Fatalf("a short request: %v", err)
+			}
+			r.End()
+			checkSums(t, b)
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+}
+
 // Guards against heads whose many lines cost far more than their bytes, and against bodies that count as heads.
 func TestTheCostOfHeads(t *testing.T) {
 	const line = "a: b\r\n"
--- a/internal/membudget/conn.go
+++ b/internal/membudget/conn.go
@@ -101,18 +101,21 @@
 		b.mu.Unlock()
 		return mayBeUsed
 	}
-	c.since = b.cfg.Now()
+	now := b.cfg.Now()
+	if c.headBytes == 0 {
+		c.since = now
+	}
 	var yields []func()
 	enough := true
-	if missing := b.held + b.awaited + more - b.yielding - b.cfg.Bytes; missing > 0 {
-		yields, enough = b.evict(missing, nil, c.since)
+	if missing := b.held + b.awaited + more - b.yielding - b.ceiling(c.headBytes+more); missing > 0 {
+		yields, enough = b.evict(missing, nil, c, now)
 	}
 	if enough {
 		c.headBytes += more
 		c.hold(more)
 	} else {
 		b.counters.ConnectionsRefused++
-		b.logConnection("head of a request refused", c, c.since)
+		b.logConnection("head of a request refused", c, now)
 	}
 	b.mu.Unlock()
 	for _, yield := range yields {
@@ -244,6 +247,12 @@
 // answering reports whether a request on the connection is being answered. The caller holds budget.mu.
 func (c *Conn) answering() bool { return c.answered > 0 || c.unflushed }
 
+// headStalls reports whether a long head has begun on the connection and does not come to its end. The caller
+// holds budget.mu.
+func (c *Conn) headStalls(now time.Time) bool {
+	return c.headBytes > 0 && !c.yielded && len(c.requests) == 0 && !c.answering() && now.Sub(c.since) >= stallTime
+}
+
 // rank tells in which order connections yield their places; lower ones yield first. The caller holds
 // budget.mu.
 func (c *Conn) rank(now time.Time) int {
@@ -287,20 +296,10 @@
 // connections hold by themselves, and reports whether there is. asking does not yield its place. The caller
 // holds b.mu and calls the returned functions without it.
 func (b *Budget) makeRoom(bytes int64, places int, asking *Conn, now time.Time) (yields []func(), enough bool) {
-	yields, enough = b.evictConns(bytes, places, asking, now)
-	missing := b.held + b.awaited + bytes - b.yielding - b.cfg.Bytes
-	if !enough || missing <= 0 {
-		return yields, enough
+	if missing := b.missing(bytes); missing > 0 {
+		yields, _ = b.evict(missing, nil, asking, now)
 	}
-	more, enough := b.evict(missing, nil, now)
-	return append(yields, more...), enough
-}
-
-// evictConns makes connections yield until there is room for so many bytes and places more, in what connections
-// may hold by themselves, and reports whether there is. asking does not yield. The caller holds b.mu and calls
-// the returned functions without it.
-func (b *Budget) evictConns(bytes int64, places int, asking *Conn, now time.Time) (yields []func(), enough bool) {
-	for b.fixed-b.closingFixed+bytes > b.fixedLimit() || len(b.conns)-b.closing+places > b.maxConnections() {
+	for b.missing(bytes) > 0 || b.fixed-b.closingFixed+bytes > b.fixedLimit() || len(b.conns)-b.closing+places > b.maxConnections() {
 		victim := b.longestWithoutProgress(asking, now)
 		if victim == nil {
 			return yields, false
@@ -310,6 +309,12 @@
 	return yields, true
 }
 
+// missing is how much is too little for so many bytes more, once all that yields has ended. The caller holds
+// b.mu.
+func (b *Budget) missing(bytes int64) int64 {
+	return b.held + b.awaited + bytes - b.yielding - b.cfg.Bytes
+}
+
 // longestWithoutProgress returns the connection that yields its place, or nil if requests are being answered
 // on all but the asking one. The caller holds b.mu.
 func (b *Budget) longestWithoutProgress(asking *Conn, now time.Time) *Conn {
--- a/internal/membudget/request.go
+++ b/internal/membudget/request.go
@@ -1,8 +1,6 @@
 package membudget
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
@@ -82,7 +80,7 @@
 		}
 		yields, enough := []func(){}, now.Before(deadline)
 		if missing := n - free + b.awaited - b.yielding; enough && missing > 0 {
-			yields, enough = b.evict(missing, r, now)
+			yields, enough = b.evict(missing, r, nil, now)
 		}
 		if !enough {
 			b.counters.RequestsRefused++
@@ -192,14 +190,6 @@
 	r.budget.yielding += r.held
 }
 
-// cost is how much the request holds, times how long it made no progress.
-func (r *Request) cost(now time.Time) float64 { return float64(r.held) * now.Sub(r.since).Seconds() }
-
-// sortByCost sorts requests by their cost, the highest first.
-func sortByCost(requests []*Request, now time.Time) {
-	slices.SortFunc(requests, func(x, y *Request) int { return cmp.Compare(y.cost(now), x.cost(now)) })
-}
-
 // await waits until a channel is closed, for at most within.
 func await(closed <-chan struct{}, within time.Duration) {
 	timer := time.NewTimer(within)
