--- a/internal/e2e/crowd_test.go
+++ b/internal/e2e/crowd_test.go
@@ -74,6 +74,14 @@
 	})
 }
 
+// Guards against the same, by clients that each have an HTTP/2 connection of their own with few streams.
+func TestCrowdsOfHTTP2ConnectionsLeaveTheGatewayAlive(t *testing.T) {
+	header := http.Header{"Authorization": {"Bearer " + token}, "Content-Type": {"application/proto"}}
+	bear(t, func(address string) (leave func()) {
+		return crowd.StartStreams(address, callPath, header, 400, 3, crowdBodyLimit-1).Leave
+	})
+}
+
 // bear lets a crowd come to a gateway, and checks that it lives, holds no more than its machine has, and serves
 // an ordinary caller while the crowd stays and after it has left.
 func bear(t *testing.T, come func(address string) (leave func())) {
