Gateway: strangers reserve nothing for compressed messages, and a refusal for lack of room ends its body

Found in reading the diff. What a compressed message may become was reserved before the token was checked, so that strangers could make the account full and others yield; and a request refused for lack of room was read on by net/http, up to 256 KiB for ten seconds. Now the reservation comes after the token, and both refusals end the unread body in one place.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -36,8 +36,8 @@
 		connect.WithRecover(h.recoverPanic),
 		connect.WithCompressMinBytes(minCompressBytes),
 		connect.WithReadMaxBytes(int(limits.MaxBody))))
-	authenticated := h.auth.Middleware(withShareOfAccount(h.logUnhandledRefusals(mux)), h.logUnauthenticated)
-	reserved := withCallerMemory(authenticated, memory, int64(limits.MaxBody), h.log)
+	authenticated := h.auth.Middleware(h.logUnhandledRefusals(withShareOfAccount(mux, int64(limits.MaxBody))), h.logUnauthenticated)
+	reserved := withCallerMemory(authenticated, memory, h.log)
 	bounded := withCallerTimeouts(reserved, callerTimeouts{read: callerReadTimeout, write: callerWriteTimeout})
 	server := transport.NewServer(telemetry.ContinueTrace(bounded))
 	server.ReadHeaderTimeout = limits.HeaderTimeout
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -81,19 +81,14 @@
 }
 
 // withCallerMemory returns a handler that reserves what a request makes the process hold before it is held.
-// maxBody is the largest message after its decompression, in bytes.
-func withCallerMemory(next http.Handler, memory *membudget.Budget, maxBody int64, log hclog.Logger) http.Handler {
+func withCallerMemory(next http.Handler, memory *membudget.Budget, log hclog.Logger) http.Handler {
 	errorWriter := connect.NewErrorWriter()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		share, err := beginShare(w, r, memory, maxBody)
+		share, err := beginShare(w, r, memory)
 		if err != nil {
 			log.Info("request refused", "procedure", r.URL.Path, "error", err)
-			if !errorWriter.IsSupported(r) {
-				http.Error(w, err.Error(), http.StatusServiceUnavailable)
-				return
-			}
-			// The error is ignored: it means that the caller's connection is gone.
-			_ = errorWriter.Write(w, r, noRoom(err))
+			endUnread(w, r)
+			writeNoRoom(w, r, errorWriter, err)
 			return
 		}
 		defer share.End()
@@ -112,7 +107,7 @@
 }
 
 // beginShare returns the share of a request whose head was read.
-func beginShare(w http.ResponseWriter, r *http.Request, memory *membudget.Budget, maxBody int64) (*membudget.Request, error) {
+func beginShare(w http.ResponseWriter, r *http.Request, memory *membudget.Budget) (*membudget.Request, error) {
 	conn, _ := r.Context().Value(memoryConnKey{}).(*membudget.Conn)
 	cost := int64(0)
 	if r.ProtoMajor >= 2 {
@@ -121,9 +116,6 @@
 		}
 		cost = streamBytes
 	}
-	if compressed(r.Header) {
-		cost += membudget.LibraryCost * maxBody
-	}
 	control := http.NewResponseController(w)
 	return memory.Begin(conn, cost, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
 }
@@ -145,6 +137,17 @@
 	return refusal
 }
 
+// writeNoRoom answers a request that was not run because memory is short.
+func writeNoRoom(w http.ResponseWriter, r *http.Request, errorWriter *connect.ErrorWriter, err error) {
+	if !errorWriter.IsSupported(r) {
+		w.Header().Set("Retry-After", strconv.Itoa(int(retryAfterShortage.Seconds())))
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	// The error is ignored: it means that the caller's connection is gone.
+	_ = errorWriter.Write(w, r, noRoom(err))
+}
+
 // callerBody is a body whose errors Connect passes on to the caller.
 type callerBody struct{ io.ReadCloser }
 
@@ -167,27 +170,44 @@
 
 // WriteHeader implements http.ResponseWriter.
 func (u *unreadEnder) WriteHeader(status int) {
-	if status >= http.StatusBadRequest && u.request.ProtoMajor == 1 && u.share.Arriving() {
-		u.Header().Set("Connection", "close")
-		_ = http.NewResponseController(u.ResponseWriter).SetReadDeadline(time.Unix(1, 0))
-		if conn, _ := u.request.Context().Value(memoryConnKey{}).(*membudget.Conn); conn != nil {
-			conn.LingerOnClose()
-		}
+	if status >= http.StatusBadRequest && u.share.Arriving() {
+		endUnread(u.ResponseWriter, u.request)
 	}
 	u.ResponseWriter.WriteHeader(status)
 }
 
+// endUnread ends the reading of a refused request's body, before its answer is written. A stream of HTTP/2 ends
+// by itself.
+func endUnread(w http.ResponseWriter, r *http.Request) {
+	if r.ProtoMajor != 1 || r.Body == http.NoBody {
+		return
+	}
+	w.Header().Set("Connection", "close")
+	_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
+	if conn, _ := r.Context().Value(memoryConnKey{}).(*membudget.Conn); conn != nil {
+		conn.LingerOnClose()
+	}
+}
+
 // Flush implements http.Flusher.
 func (u *unreadEnder) Flush() { _ = http.NewResponseController(u.ResponseWriter).Flush() }
 
 // Unwrap lets http.ResponseController reach the connection.
 func (u *unreadEnder) Unwrap() http.ResponseWriter { return u.ResponseWriter }
 
-// withShareOfAccount returns a handler that records the client account for the request's share of the memory.
-func withShareOfAccount(next http.Handler) http.Handler {
+// withShareOfAccount returns a handler that records the client account for the request's share of the memory,
+// and reserves what a compressed message may become. maxBody is the longest one after its decompression, in bytes.
+func withShareOfAccount(next http.Handler, maxBody int64) http.Handler {
+	errorWriter := connect.NewErrorWriter()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if share, ok := r.Context().Value(shareKey{}).(*membudget.Request); ok {
 			share.SetAccount(auth.Account(r.Context()))
+			if compressed(r.Header) {
+				if err := share.Grow(membudget.LibraryCost * maxBody); err != nil {
+					writeNoRoom(w, r, errorWriter, err)
+					return
+				}
+			}
 		}
 		next.ServeHTTP(w, r)
 	})
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -130,6 +130,27 @@
 	}
 }
 
+// Guards against strangers who make the account full: what a compressed message may become is reserved for those
+// who have a token.
+func TestAStrangersCompressedMessageReservesNothing(t *testing.T) {
+	memory := memoryOf(64 << 10)
+	env := newTestEnv(t, envOptions{memory: memory})
+	request, err := http.NewRequest(http.MethodPost, env.url+callerv1connect.CallerServiceCallProcedure, strings.NewReader("message"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Content-Type", "application/proto")
+	request.Header.Set("Content-Encoding", "gzip")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close() // its status says all
+	if s := memory.State(); response.StatusCode != http.StatusUnauthorized || s.RequestsRefused != 0 {
+		t.Errorf("status %d, %+v; want 401, and nobody refused for lack of room", response.StatusCode, s)
+	}
+}
+
 // endlessBody is a body without end.
 type endlessBody struct{}
 
