entry: repeats of one write are no renewals of an upstream's entry

Cause: a gateway that starts works out from the store's history how long ago other versions were listed, by counting renewals; a write that is made again because its answer was lost counted as one. Sixty repeats stood for 58 s, and v1 seemed never to have been.

Now a record that equals its upstream's last one is a repeat. Renewals count on in Seq, so that they differ; the tests' entries do so too now, as the platform's do.

--- a/internal/entry/earlier.go
+++ b/internal/entry/earlier.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"slices"
 	"time"
@@ -65,7 +66,9 @@
 
 // earlierReader adds up the records of a history of upstreams' entries.
 type earlierReader struct {
-	known    map[string]directory.Upstream
+	known map[string]directory.Upstream
+	// written is each upstream's last record. A write that is made again is the same, a renewal is not.
+	written  map[string][]byte
 	renewals map[string]int
 	// seen are the upstreams that wrote.
 	seen   map[string]bool
@@ -73,7 +76,7 @@
 }
 
 func newEarlierReader() *earlierReader {
-	return &earlierReader{known: make(map[string]directory.Upstream), renewals: make(map[string]int), seen: make(map[string]bool), listed: make(map[origin.Origin]bool)}
+	return &earlierReader{known: make(map[string]directory.Upstream), written: make(map[string][]byte), renewals: make(map[string]int), seen: make(map[string]bool), listed: make(map[origin.Origin]bool)}
 }
 
 func (r *earlierReader) add(record *platform.KeyedRecord, decode func(record, name string, data []byte) (directory.Upstream, finding.List)) {
@@ -87,10 +90,10 @@
 	}
 	r.seen[record.Key] = true
 	r.listed[origin.Origin{Service: entry.Service, SoftwareVersion: entry.SoftwareVersion}] = true
-	if before, seen := r.known[record.Key]; seen && before.IsRenewedBy(entry) {
+	if before, seen := r.known[record.Key]; seen && before.IsRenewedBy(entry) && !bytes.Equal(r.written[record.Key], record.Value) {
 		r.renewals[record.Key]++
 	}
-	r.known[record.Key] = entry
+	r.known[record.Key], r.written[record.Key] = entry, record.Value
 }
 
 // result returns what was listed. The history reaches back as long as half of the upstreams took for their renewals at
--- a/internal/entry/earlier_test.go
+++ b/internal/entry/earlier_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -12,22 +13,31 @@
 )
 
 // readHistory reads a history with a record for each letter of keys, which names its upstream; a capital letter
-// drops the entry.
+// drops the entry. Each record counts on, as upstreams' renewals do; a repeat mark makes the last write again.
 func readHistory(keys string) *earlierReader {
 	reader := newEarlierReader()
 	decode := func(_, _ string, _ []byte) (directory.Upstream, finding.List) {
 		return directory.Upstream{Service: "svc", SoftwareVersion: "v1"}, nil
 	}
-	for _, key := range keys {
-		record := platform.KeyedRecord{Key: string(key), Value: []byte("x")}
+	var last platform.KeyedRecord
+	for i, key := range keys {
+		if key == repeatMark {
+			reader.add(&last, decode)
+			continue
+		}
+		record := platform.KeyedRecord{Key: string(key), Value: fmt.Append(nil, i)}
 		if key < 'a' {
 			record = platform.KeyedRecord{Key: string(key - 'A' + 'a')}
 		}
 		reader.add(&record, decode)
+		last = record
 	}
 	return reader
 }
 
+// repeatMark stands for the same write once more.
+const repeatMark = '='
+
 // Guards against a history of the entries that is taken to reach further back than it does, and against
 // versions in it that are overlooked because their entries are gone.
 func TestHowFarAHistoryReachesBack(t *testing.T) {
@@ -43,6 +53,8 @@
 		{"the whole history", "a", true, within},
 		{"one upstream, three renewals", "aaaa", false, 2400 * time.Millisecond},
 		{"two upstreams, renewed in turn", "abababab", false, 2400 * time.Millisecond},
+		{"one upstream that repeats its write", "a===============", false, 0},
+		{"one renewal, and repeats", "a===a====", false, 800 * time.Millisecond},
 		{"many upstreams, none renewed", "abcdefgh", false, 0},
 		{"one that comes and goes", "aAaAaAa", false, 0},
 	} {
