membudget: a full house chooses among 64 connections, and long heads are looked up

Found in reading the diff: for each newcomer of a full house all connections were compared, and for each request without room all connections once more. A crowd that comes again 5,000 times a second would have taken a third of a core.

Now the one that yields its place is the longest without progress among 64 that Go's maps give in any order; only connections with a long head are looked at for one. The other way, lists in the order of progress, has to be kept at every request.

--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -41,6 +41,9 @@
 	smallBytes = 16 << 10
 	// stallTime is how long a request makes no progress before it yields to others.
 	stallTime = 500 * time.Millisecond
+	// sampleSize is among how many connections the one is chosen that yields its place: the choice is made for
+	// each newcomer while the house is full, and among all it would take most of the processor's time.
+	sampleSize = 64
 	// yieldTime bounds how long a request that had to yield takes to end; then its connection is closed.
 	yieldTime = time.Second
 	// waitTime bounds how long a request waits for the room of those that had to yield.
@@ -78,8 +81,9 @@
 	// released is closed and replaced when a share becomes smaller while somebody waits.
 	released chan struct{}
 	waiting  int
-	conns    map[*Conn]struct{}
-	requests map[*Request]struct{}
+	// heads are those of conns on which a long head has not been read whole.
+	conns, heads map[*Conn]struct{}
+	requests     map[*Request]struct{}
 	// fixed is what connections hold by themselves, without heads and windows. Of it, closingFixed belongs to
 	// those of conns that had to yield, which are closing many.
 	fixed, closingFixed int64
@@ -91,7 +95,7 @@
 // New returns a Budget of which nothing is held.
 func New(cfg Config) *Budget {
 	cfg.ConnectionBytes += unreadBytes(smallReceiveBuffer)
-	return &Budget{cfg: cfg, released: make(chan struct{}), conns: make(map[*Conn]struct{}), requests: make(map[*Request]struct{})}
+	return &Budget{cfg: cfg, released: make(chan struct{}), conns: make(map[*Conn]struct{}), heads: make(map[*Conn]struct{}), requests: make(map[*Request]struct{})}
 }
 
 // maxConnections is how many connections callers may have.
@@ -169,7 +173,7 @@
 			}})
 		}
 	}
-	for c := range b.conns {
+	for c := range b.heads {
 		if c != askingConn && c.headStalls(now) {
 			victims = append(victims, victim{held: c.held, cost: float64(c.held) * now.Sub(c.since).Seconds(), evict: func() func() { return b.evictConn(c, now) }})
 		}
--- a/internal/membudget/budget_test.go
+++ b/internal/membudget/budget_test.go
@@ -145,6 +145,11 @@
 		t.Fatalf("held %d, yielding %d, closing %d, fixed %d, closing %d; the shares add up to %d, %d, %d, %d, %d",
 			b.held, b.yielding, b.closing, b.fixed, b.closingFixed, held, yielding, closing, fixed, closingFixed)
 	}
+	for c := range b.heads {
+		if _, open := b.conns[c]; !open || c.headBytes == 0 {
+			t.Fatalf("a connection without a long head counts as one with it")
+		}
+	}
 	if b.fixed-b.closingFixed > b.fixedLimit() {
 		t.Fatalf("connections hold %d by themselves, %d of them closing; the limit is %d", b.fixed, b.closingFixed, b.fixedLimit())
 	}
--- a/internal/membudget/conn.go
+++ b/internal/membudget/conn.go
@@ -111,8 +111,7 @@
 		yields, enough = b.evict(missing, nil, c, now)
 	}
 	if enough {
-		c.headBytes += more
-		c.hold(more)
+		c.setHead(c.headBytes + more)
 	} else {
 		b.counters.ConnectionsRefused++
 		b.logConnection("head of a request refused", c, now)
@@ -133,9 +132,20 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c.unflushed, c.head, c.since = false, headMeter{}, b.cfg.Now()
-	gone := c.headBytes + c.windowBytes
-	c.headBytes, c.windowBytes = 0, 0
-	c.hold(-gone)
+	c.setHead(0)
+	c.hold(-c.windowBytes)
+	c.windowBytes = 0
+}
+
+// setHead changes what a head costs that has not been read whole. The caller holds budget.mu.
+func (c *Conn) setHead(bytes int64) {
+	c.hold(bytes - c.headBytes)
+	c.headBytes = bytes
+	if bytes > 0 {
+		c.budget.heads[c] = struct{}{}
+	} else {
+		delete(c.budget.heads, c)
+	}
 }
 
 // widen lets the kernel receive more at a time, if there is room for that. What is reserved for it stays so
@@ -230,8 +240,9 @@
 		b.closingFixed -= c.fixed
 	}
 	b.fixed -= c.fixed
+	c.setHead(0)
 	c.hold(-c.held)
-	c.fixed, c.headBytes, c.windowBytes = 0, 0, 0
+	c.fixed, c.windowBytes = 0, 0
 	return err
 }
 
@@ -316,13 +327,18 @@
 }
 
 // longestWithoutProgress returns the connection that yields its place, or nil if requests are being answered
-// on all but the asking one. The caller holds b.mu.
+// on all but the asking one. Of many it is the one among sampleSize that Go's maps give in any order. The caller
+// holds b.mu.
 func (b *Budget) longestWithoutProgress(asking *Conn, now time.Time) *Conn {
 	var victim *Conn
+	seen := 0
 	for c := range b.conns {
 		if c == asking || c.yielded || c.answering() {
 			continue
 		}
+		if seen++; seen > sampleSize {
+			break
+		}
 		if victim == nil || c.rank(now) < victim.rank(now) || c.rank(now) == victim.rank(now) && c.since.Before(victim.since) {
 			victim = c
 		}
--- a/internal/membudget/request.go
+++ b/internal/membudget/request.go
@@ -37,8 +37,10 @@
 	}
 	b.requests[r] = struct{}{}
 	if c != nil {
-		r.held, c.held = r.held+c.headBytes, c.held-c.headBytes // c has not yielded
-		c.headBytes, c.requests[r], c.since = 0, struct{}{}, r.since
+		r.held = c.headBytes
+		b.held += r.held // setHead takes it back
+		c.setHead(0)
+		c.requests[r], c.since = struct{}{}, r.since
 	}
 	b.mu.Unlock()
 	if bytes == 0 {
