--- a/internal/membudget/head.go
+++ b/internal/membudget/head.go
@@ -1,9 +1,5 @@
 package membudget
 
-import "github.com/goldcrestspool/goldcrestspool/internal/logthrottle"
-
-type logThrottle = logthrottle.Throttle
-
 const (
 	// headLineBytes is what a header line costs beside its bytes, which are held twice: its entries in the
 	// table of the headers.
