--- a/internal/entry/earlier.go
+++ b/internal/entry/earlier.go
@@ -66,34 +66,43 @@
 
 // earlierReader adds up the records of a history of upstreams' entries.
 type earlierReader struct {
-	known map[string]directory.Upstream
-	// written is each upstream's last record. A write that is made again is the same, a renewal is not.
-	written  map[string][]byte
+	// last holds each upstream's last record.
+	last     map[string]earlierRecord
 	renewals map[string]int
 	// seen are the upstreams that wrote.
 	seen   map[string]bool
 	listed map[origin.Origin]bool
 }
 
+// earlierRecord is a record of an upstream's entry, with the entry.
+type earlierRecord struct {
+	value []byte
+	entry directory.Upstream
+}
+
 func newEarlierReader() *earlierReader {
-	return &earlierReader{known: make(map[string]directory.Upstream), written: make(map[string][]byte), renewals: make(map[string]int), seen: make(map[string]bool), listed: make(map[origin.Origin]bool)}
+	return &earlierReader{last: make(map[string]earlierRecord), renewals: make(map[string]int), seen: make(map[string]bool), listed: make(map[origin.Origin]bool)}
 }
 
 func (r *earlierReader) add(record *platform.KeyedRecord, decode func(record, name string, data []byte) (directory.Upstream, finding.List)) {
 	if record.Unreadable != nil || record.Value == nil {
-		delete(r.known, record.Key) // what follows is no renewal
+		delete(r.last, record.Key) // what follows is no renewal
 		return
 	}
+	before, seen := r.last[record.Key]
+	if seen && bytes.Equal(before.value, record.Value) {
+		return // a write that was made again; a renewal differs
+	}
 	entry, findings := decode("", record.Key, record.Value)
 	if findings.Err() != nil {
 		return // the follower logs entries that it cannot use
 	}
 	r.seen[record.Key] = true
 	r.listed[origin.Origin{Service: entry.Service, SoftwareVersion: entry.SoftwareVersion}] = true
-	if before, seen := r.known[record.Key]; seen && before.IsRenewedBy(entry) && !bytes.Equal(r.written[record.Key], record.Value) {
+	if seen && before.entry.IsRenewedBy(entry) {
 		r.renewals[record.Key]++
 	}
-	r.known[record.Key], r.written[record.Key] = entry, record.Value
+	r.last[record.Key] = earlierRecord{value: record.Value, entry: entry}
 }
 
 // result returns what was listed. The history reaches back as long as half of the upstreams took for their renewals at
