--- a/internal/testkit/crowd/crowd.go
+++ b/internal/testkit/crowd/crowd.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -37,6 +38,14 @@
 	Again bool
 }
 
+// Chunked is the framing of a body in chunks.
+const Chunked = "Transfer-Encoding: chunked"
+
+// ByLength is the framing of a body whose length is announced.
+func ByLength(bytes int) string { return lengthHeader + strconv.Itoa(bytes) }
+
+const lengthHeader = "Content-Length: "
+
 const (
 	// IDPlaceholder stands for the ID of a request.
 	IDPlaceholder = "ID"
@@ -214,7 +223,7 @@
 	drawn := make([]Shape, 0, len(shapes))
 	for i, s := range shapes {
 		s.Clients = clients / len(shapes)
-		if s.BodyBytes > 0 && !strings.HasPrefix(s.Framing, "Content-Length") {
+		if s.BodyBytes > 0 && !strings.HasPrefix(s.Framing, lengthHeader) {
 			s.BodyBytes = 1 + rng.IntN(mostBytes)
 		}
 		if s.ChunkBytes > 0 {
