membudget: one wrapper of callers' connections, one refusal, one reader

Read again as one who joins, without a change of what callers see: - ingress wrapped connections a second time, with a lock, an idea of idle and a guard of late reads of its own; membudget.Conn has all of them, under the one lock under which connections are chosen to yield. Both servers are tracked by membudget.Track. - What ends a refused request's unread body stood in ingress and in gateway, by two rules: Request.Refused.

--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -237,7 +237,9 @@
 }
 
 // machine returns what the process may use.
-func (p *Process) machine() membudget.Machine { return p.settings.Machine.Budget() }
+func (p *Process) machine() membudget.Machine {
+	return membudget.Machine(p.settings.Machine.MachineLimits)
+}
 
 // table returns the operators' configuration in force, or nil while none is known.
 func (p *Process) table() *routetable.Table { return p.board.table.Value() }
@@ -298,21 +300,20 @@
 // for the operators' listener.
 func (p *Process) listen() (listeners, error) {
 	var l listeners
+	plain := func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	bounded := func(address string) (net.Listener, error) { return membudget.Listen(address, p.log.Named("memory")) }
 	for _, each := range []struct {
 		into    *net.Listener
 		address string
+		open    func(address string) (net.Listener, error)
 	}{
-		{&l.callers, p.settings.Listen.Callers}, {&l.peers, p.settings.Listen.Peers},
-		{&l.readiness, p.settings.Listen.Readiness}, {&l.operators, p.settings.Listen.Operators},
+		{&l.callers, p.settings.Listen.Callers, bounded}, {&l.peers, p.settings.Listen.Peers, plain},
+		{&l.readiness, p.settings.Listen.Readiness, plain}, {&l.operators, p.settings.Listen.Operators, plain},
 	} {
 		if each.address == "" {
 			continue
 		}
-		listen := net.Listen
-		if each.into == &l.callers {
-			listen = func(_, address string) (net.Listener, error) { return membudget.Listen(address, p.log.Named("memory")) }
-		}
-		listener, err := listen("tcp", each.address)
+		listener, err := each.open(each.address)
 		if err != nil && each.into == &l.operators {
 			// Callers can be served without the operators' server.
 			p.log.Error("cannot listen for operators, metrics are not served", "address", each.address, "error", err)
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -36,7 +36,7 @@
 		connect.WithRecover(h.recoverPanic),
 		connect.WithCompressMinBytes(minCompressBytes),
 		connect.WithReadMaxBytes(int(limits.MaxBody))))
-	authenticated := h.auth.Middleware(h.logUnhandledRefusals(withShareOfAccount(mux, int64(limits.MaxBody))), h.logUnauthenticated)
+	authenticated := h.auth.Middleware(h.logUnhandledRefusals(withMessageMemory(mux, int64(limits.MaxBody))), h.logUnauthenticated)
 	reserved := withCallerMemory(authenticated, memory, h.log)
 	bounded := withCallerTimeouts(reserved, callerTimeouts{read: callerReadTimeout, write: callerWriteTimeout})
 	server := transport.NewServer(telemetry.ContinueTrace(bounded))
@@ -45,7 +45,7 @@
 	server.HTTP2 = &http.HTTP2Config{
 		MaxConcurrentStreams: limits.MaxStreams, MaxReceiveBufferPerConnection: http2WindowBytes, MaxReceiveBufferPerStream: http2StreamWindowBytes,
 	}
-	trackMemory(server)
+	membudget.Track(server)
 	server.ErrorLog = h.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Warn})
 	return server
 }
--- a/internal/gateway/env_test.go
+++ b/internal/gateway/env_test.go
@@ -142,7 +142,7 @@
 	// peers returns the other gateways; nil is none.
 	peers  func(*testEnv) calls.Peers
 	limits settings.Limits
-	// memory is the account of what callers make the process hold; nil is ampleMemory.
+	// memory bounds what callers make the process hold; nil is ampleMemory.
 	memory *membudget.Budget
 	// level is the level of the log; zero logs everything.
 	level hclog.Level
@@ -305,10 +305,10 @@
 	env.client = env.clientWithToken(t, registrarToken)
 }
 
-// ampleMemory returns an account that refuses nobody.
+// ampleMemory returns a budget that refuses nobody.
 func ampleMemory() *membudget.Budget { return memoryOf(1 << 30) }
 
-// memoryOf returns an account of so many bytes.
+// memoryOf returns a budget of so many bytes.
 func memoryOf(bytes int64) *membudget.Budget {
 	return membudget.New(membudget.Config{Now: time.Now, Log: hclog.NewNullLogger(), Bytes: bytes, Connections: 1 << 20, ConnectionBytes: 1, MetersHeads: true})
 }
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -130,7 +130,7 @@
 	}
 }
 
-// Guards against strangers who make the account full: what a compressed message may become is reserved for those
+// Guards against strangers who take all the room: what a compressed message may become is reserved for those
 // who have a token.
 func TestAStrangersCompressedMessageReservesNothing(t *testing.T) {
 	memory := memoryOf(64 << 10)
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -86,19 +86,18 @@
 
 func listen(addresses settings.GatewayListen, log hclog.Logger) (listeners, error) {
 	var l listeners
+	plain := func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	bounded := func(address string) (net.Listener, error) { return membudget.Listen(address, log) }
 	for _, side := range []struct {
 		address string
 		into    *net.Listener
+		open    func(address string) (net.Listener, error)
 	}{
-		{addresses.Callers, &l.callers},
-		{addresses.Peers, &l.peers},
-		{addresses.Operators, &l.operators},
+		{addresses.Callers, &l.callers, bounded},
+		{addresses.Peers, &l.peers, plain},
+		{addresses.Operators, &l.operators, plain},
 	} {
-		open := func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
-		if side.into == &l.callers {
-			open = func(address string) (net.Listener, error) { return membudget.Listen(address, log) }
-		}
-		opened, err := open(side.address)
+		opened, err := side.open(side.address)
 		if err != nil {
 			l.close()
 			return listeners{}, errcode.Wrap(errcode.Unavailable, err, "listen on "+side.address)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -11,6 +11,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/daemon"
 	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
 	"github.com/goldcrestspool/goldcrestspool/internal/gateway/peering"
+	"github.com/goldcrestspool/goldcrestspool/internal/membudget"
 	"github.com/goldcrestspool/goldcrestspool/internal/operatorserver"
 	"github.com/goldcrestspool/goldcrestspool/internal/peer"
 )
@@ -27,7 +28,7 @@
 // Run serves until a stop signal or a reclaim notice arrives, then leaves gracefully.
 // It returns early with an error if a part fails.
 func (p *Process) Run(signals daemon.Signals, stdout io.Writer) error {
-	p.settings.Machine.Budget().LimitGo()
+	membudget.Machine(p.settings.Machine).LimitGo()
 	servers, err := p.servers()
 	if err != nil {
 		p.listeners.close()
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -23,7 +23,7 @@
 	case errors.Is(err, membudget.ErrTooLong):
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: err.Error()}
 	case errors.Is(err, membudget.ErrNoRoom), errors.Is(err, membudget.ErrYielded):
-		return &refusal{status: http.StatusServiceUnavailable, reason: err.Error(), retryAfter: retryAfterShortage}
+		return &refusal{status: http.StatusServiceUnavailable, reason: err.Error(), retryAfter: membudget.RetryAfter}
 	case err != nil:
 		return &refusal{status: http.StatusRequestTimeout, reason: "the body did not come: " + err.Error(), abort: r.Context().Err() != nil}
 	}
@@ -32,30 +32,6 @@
 	return nil
 }
 
-const (
-	// drainedBytes is the longest rest of a refused request's body that is read, within drainTime, so that
-	// its connection can be used again.
-	drainedBytes = 16 << 10
-	drainTime    = 100 * time.Millisecond
-)
-
-// leaveUnread ends what a refused request's unread body costs: nothing more of it is read, and its connection
-// is closed after the answer. Without that, net/http would read on for as long as the body's deadline.
-func leaveUnread(w http.ResponseWriter, r *http.Request, control *http.ResponseController) {
-	if r.ContentLength >= 0 && r.ContentLength <= drainedBytes {
-		_ = control.SetReadDeadline(time.Now().Add(drainTime)) // as in readBody
-		return
-	}
-	w.Header().Set("Connection", "close")
-	_ = control.SetReadDeadline(longPast) // as in readBody
-	if conn := connOf(r.Context()); conn != nil && conn.share != nil {
-		conn.share.LingerOnClose()
-	}
-}
-
-// longPast is a deadline that ends all reads at once.
-var longPast = time.Unix(1, 0)
-
 // headerSize returns the approximate size of the request line and the headers in bytes.
 func headerSize(r *http.Request) int {
 	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
--- a/internal/ingress/caller.go
+++ b/internal/ingress/caller.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
+	"github.com/goldcrestspool/goldcrestspool/internal/membudget"
 )
 
 // caller delivers the answer of one request. It implements forward.Caller.
@@ -21,7 +22,7 @@
 	headOnly bool
 	// endedByClose is the connection if its end marks the end of an answer without length, as
 	// with HTTP/1.0; nil otherwise.
-	endedByClose *callerConn
+	endedByClose *membudget.Conn
 }
 
 // Answer delivers a complete answer.
@@ -45,7 +46,7 @@
 func (c *caller) Begin(status int, header http.Header) {
 	if c.endedByClose != nil {
 		// From here on, whatever ends the connection, even the end of this process, resets it.
-		c.endedByClose.resetOnClose(true)
+		resetOnClose(c.endedByClose, true)
 	}
 	c.copyHeader(header)
 	c.setWriteDeadline()
@@ -64,7 +65,7 @@
 // the connection.
 func (c *caller) End() {
 	if c.endedByClose != nil {
-		c.endedByClose.resetOnClose(false)
+		resetOnClose(c.endedByClose, false)
 	}
 }
 
@@ -104,3 +105,17 @@
 		own["Content-Type"] = nil
 	}
 }
+
+// resetOnClose sets whether the close of a connection is a reset. To a caller of HTTP/1.0 an
+// orderly close completes an answer that has no length.
+func resetOnClose(c *membudget.Conn, reset bool) {
+	if c.TCP() == nil {
+		return
+	}
+	const atOnce, orderly = 0, -1
+	seconds := orderly
+	if reset {
+		seconds = atOnce
+	}
+	_ = c.TCP().SetLinger(seconds) // fails only if the connection is closed already
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -105,9 +105,9 @@
 	// of them would cost processor time and explain nothing. Other outcomes are always
 	// logged.
 	loggedSuccessesPerSecond = 50
-	// retryAfterShortage is the retry-after time where this gateway lacks memory or has no
-	// configuration yet, so that it may serve the request soon.
-	retryAfterShortage = 500 * time.Millisecond
+	// retryAfterStart is the retry-after time where this gateway has no configuration yet, so
+	// that it may serve the request soon.
+	retryAfterStart = 500 * time.Millisecond
 	// retryAtOnce is the retry-after time where another gateway can serve the request at
 	// once.
 	retryAtOnce = 20 * time.Millisecond
@@ -120,37 +120,34 @@
 type Server struct {
 	cfg     Config
 	http    *http.Server
-	conns   *callerConns
 	leaving atomic.Pointer[leaveDeadlines]
 	// lifetime ends with the calls that are in progress.
 	lifetime          context.Context
 	endCalls          context.CancelFunc
 	active            atomic.Int64
+	idleLimits        *idleLimits
 	successLogLimiter *rate.Limiter
 }
 
 // New returns a Server. Call Serve with a listener to start it.
 func New(cfg Config) *Server {
-	s := &Server{cfg: cfg, conns: newCallerConns(cfg.Now), successLogLimiter: rate.NewLimiter(loggedSuccessesPerSecond, loggedSuccessesPerSecond)}
+	s := &Server{cfg: cfg, idleLimits: newIdleLimits(), successLogLimiter: rate.NewLimiter(loggedSuccessesPerSecond, loggedSuccessesPerSecond)}
 	s.lifetime, s.endCalls = context.WithCancel(context.Background())
 	s.http = &http.Server{
-		Handler:           http.HandlerFunc(s.serve),
-		ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         s.conns.trackState,
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, connContextKey{}, c)
-		},
+		Handler:                      http.HandlerFunc(s.serve),
+		ReadHeaderTimeout:            headerTimeout,
+		MaxHeaderBytes:               maxHeaderBytes,
 		DisableGeneralOptionsHandler: true,
 		ErrorLog:                     cfg.Log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
+	membudget.Track(s.http)
 	return s
 }
 
 // Serve answers callers until Close is called or the listener fails, and returns the error
 // of net/http's Server.Serve.
 func (s *Server) Serve(l net.Listener) error {
-	return s.http.Serve(&listener{Listener: s.cfg.Memory.Listener(l), conns: s.conns})
+	return s.http.Serve(s.cfg.Memory.Listener(l))
 }
 
 // Leave announces that the server will close: from now on, answers ask callers to use their
@@ -183,7 +180,7 @@
 
 // CloseIdle closes the connections on which no request is in progress, and returns how
 // many connections are left.
-func (s *Server) CloseIdle() int { return s.conns.closeAllIdle() }
+func (s *Server) CloseIdle() int { return s.cfg.Memory.CloseIdle(s.cfg.Now()) }
 
 // Active returns the number of requests in progress.
 func (s *Server) Active() int { return int(s.active.Load()) }
@@ -201,7 +198,8 @@
 	if table := s.cfg.Table(); table != nil {
 		limit = table.Limits().IdleTimeout
 	}
-	s.conns.sweep(limit)
+	now := s.cfg.Now()
+	s.cfg.Memory.CloseIdle(now.Add(-s.idleLimits.longest(limit, now) - idleSlack))
 }
 
 // serve answers one request.
@@ -209,8 +207,9 @@
 	s.active.Add(1)
 	defer s.active.Add(-1)
 	caller := &caller{w: w, control: http.NewResponseController(w), headOnly: r.Method == http.MethodHead}
+	conn := membudget.ConnOf(r.Context())
 	if !r.ProtoAtLeast(1, 1) {
-		caller.endedByClose = connOf(r.Context())
+		caller.endedByClose = conn
 	}
 	if s.leaving.Load() != nil || len(r.TransferEncoding) > 0 {
 		// net/http drops the Content-Length of a request with a chunked body. A proxy
@@ -219,21 +218,15 @@
 		w.Header().Set("Connection", "close")
 	}
 	received := s.cfg.Now()
-	conn := connOf(r.Context())
-	share, err := s.cfg.Memory.Begin(conn.memoryShare(), 0, func() { _ = caller.control.SetReadDeadline(longPast) })
+	share, err := s.cfg.Memory.Begin(conn, 0, caller.control)
 	if err != nil {
 		// The connection had to yield, and is closed. Nothing of the request has been used.
 		panic(http.ErrAbortHandler)
 	}
 	defer share.End()
 	call, refusal := s.accept(caller.control, r, share, received)
-	if conn != nil {
-		conn.handlerStarted()
-	}
 	if refusal != nil {
-		if share.Arriving() && r.ContentLength != 0 {
-			leaveUnread(w, r, caller.control)
-		}
+		share.Refused(w.Header(), r.ContentLength)
 		s.refuse(w, r, call, refusal)
 		return
 	}
@@ -256,7 +249,7 @@
 func (s *Server) accept(control *http.ResponseController, r *http.Request, share *membudget.Request, now time.Time) (*forward.Call, *refusal) {
 	table := s.cfg.Table()
 	if table == nil {
-		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "no configuration is known yet", retryAfter: retryAfterShortage}
+		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "no configuration is known yet", retryAfter: retryAfterStart}
 	}
 	if !strings.HasPrefix(r.RequestURI, "/") {
 		return nil, &refusal{status: http.StatusBadRequest, reason: "the request target is not a path"}
--- a/internal/ingress/keepalive_test.go
+++ b/internal/ingress/keepalive_test.go
@@ -19,7 +19,7 @@
 		t.Fatal(err)
 	}
 	memory := membudget.New(membudget.Config{Now: time.Now, Log: hclog.NewNullLogger(), Bytes: 1 << 20, Connections: 1, ConnectionBytes: 1, MetersHeads: true})
-	l := &listener{Listener: memory.Listener(plain), conns: newCallerConns(time.Now)}
+	l := memory.Listener(plain)
 	defer l.Close()
 	caller, err := net.Dial("tcp", plain.Addr().String())
 	if err != nil {
@@ -31,7 +31,7 @@
 		t.Fatal(err)
 	}
 	defer accepted.Close()
-	got := testkit.KeepAliveOf(t, accepted.(*callerConn).share.TCP())
+	got := testkit.KeepAliveOf(t, accepted.(*membudget.Conn).TCP())
 	if want := (testkit.KeepAlive{On: true, IdleSeconds: 15, IntervalSeconds: 15, Probes: 9}); got != want {
 		t.Errorf("got %+v, want %+v", got, want)
 	}
--- a/internal/membudget/body.go
+++ b/internal/membudget/body.go
@@ -12,8 +12,6 @@
 	// firstBytes is how much is reserved first for a body, and firstChunkedBytes for one of unknown length.
 	firstBytes        = 16 << 10
 	firstChunkedBytes = 4 << 10
-	// progressBytes is how much of a body has to come to count as progress.
-	progressBytes = 16 << 10
 )
 
 // ReadBody reads a whole body. Its length is negative if it is not known; limit bounds it. Memory is reserved
@@ -27,31 +25,18 @@
 	read := &bodyReader{request: r, from: body, length: length, limit: limit}
 	defer read.narrow()
 	data, err := read.all()
-	if r.hasYielded() {
-		return nil, ErrYielded
-	}
 	if err != nil {
 		return nil, err
 	}
 	return data, r.Whole()
 }
 
-// hasYielded reports whether the request had to yield.
-func (r *Request) hasYielded() bool {
-	r.budget.mu.Lock()
-	defer r.budget.mu.Unlock()
-	return r.yielded
-}
-
 // bodyReader reads one body.
 type bodyReader struct {
 	request       *Request
 	from          io.Reader
 	length, limit int64
 	data          []byte
-	// unrecorded is how much came since progress was recorded.
-	unrecorded int
-	widened    bool
 }
 
 // all reads until the end of the body.
@@ -68,9 +53,8 @@
 				return nil, err
 			}
 		}
-		n, err := b.from.Read(b.data[len(b.data):cap(b.data)])
+		n, err := b.request.read(b.from, b.data[len(b.data):cap(b.data)])
 		b.data = b.data[:len(b.data)+n]
-		b.recordProgress(n)
 		switch {
 		case err == io.EOF && b.length >= 0 && int64(len(b.data)) < b.length:
 			return nil, io.ErrUnexpectedEOF
@@ -82,15 +66,6 @@
 	}
 }
 
-// recordProgress records that bytes came, once it is enough of them.
-func (b *bodyReader) recordProgress(n int) {
-	b.unrecorded += n
-	if b.unrecorded >= progressBytes {
-		b.unrecorded = 0
-		b.request.Progress()
-	}
-}
-
 // mostBytes is how many bytes the body has at the most.
 func (b *bodyReader) mostBytes() int64 {
 	if b.length >= 0 {
@@ -102,13 +77,16 @@
 // atEnd reads the end of a body that has as many bytes as it may have.
 func (b *bodyReader) atEnd() ([]byte, error) {
 	var one [1]byte
-	switch n, err := io.ReadFull(b.from, one[:]); {
-	case n > 0:
-		return nil, ErrTooLong
-	case err != io.EOF:
-		return nil, err
+	for {
+		switch n, err := b.request.read(b.from, one[:]); {
+		case n > 0:
+			return nil, ErrTooLong
+		case err == io.EOF:
+			return b.data, nil
+		case err != nil:
+			return nil, err
+		}
 	}
-	return b.data, nil
 }
 
 // grow makes room for more bytes.
@@ -130,8 +108,7 @@
 	copy(data, b.data)
 	b.data = data
 	b.request.Shrink(before)
-	if next > bulkBytes && !b.widened {
-		b.widened = true
+	if next > bulkBytes {
 		b.request.conn.widen()
 	}
 	return nil
@@ -139,7 +116,7 @@
 
 // narrow undoes what grow did to the connection.
 func (b *bodyReader) narrow() {
-	if b.widened {
+	if cap(b.data) > bulkBytes {
 		b.request.conn.narrow()
 	}
 }
--- a/internal/membudget/body_test.go
+++ b/internal/membudget/body_test.go
@@ -69,7 +69,7 @@
 				"at once": bytes.NewReader(text), "by bytes": iotest.OneByteReader(bytes.NewReader(text)), "with the end": iotest.DataErrReader(bytes.NewReader(text)),
 			} {
 				b := newTestBudget(4<<20, 1)
-				r, err := b.Begin(nil, 0, func() {})
+				r, err := b.Begin(nil, 0, yieldFunc(func() {}))
 				if err != nil {
 					t.Fatal(err)
 				}
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -19,6 +19,9 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 )
 
+// RetryAfter is the retry-after time of who found no room: some is given back all the time.
+const RetryAfter = 500 * time.Millisecond
+
 // The errors of a request that gets no room. In both cases it has not been read whole.
 var (
 	// ErrNoRoom: nobody holds what could yield to the request.
@@ -67,7 +70,7 @@
 	MetersHeads bool
 }
 
-// Budget is the account of what callers make a process hold. Create it with New. It is safe for concurrent
+// Budget holds what callers make a process hold, and its bounds. Create it with New. It is safe for concurrent
 // use.
 type Budget struct {
 	cfg Config
@@ -119,6 +122,14 @@
 	return b.cfg.Bytes
 }
 
+// unlock unlocks b.mu, and then makes those yield that were chosen.
+func (b *Budget) unlock(yields []func()) {
+	b.mu.Unlock()
+	for _, yield := range yields {
+		yield()
+	}
+}
+
 // add changes what is held. The caller holds b.mu.
 func (b *Budget) add(n int64) {
 	b.held += n
@@ -169,7 +180,7 @@
 				b.counters.RequestsYielded++
 				b.logYield(r, now)
 				r.markYielded()
-				return r.yield
+				return r.stopReading
 			}})
 		}
 	}
--- a/internal/membudget/budget_test.go
+++ b/internal/membudget/budget_test.go
@@ -46,13 +46,19 @@
 func begin(t testing.TB, b *Budget, c *Conn) (*Request, *arrivingBody) {
 	t.Helper()
 	body := newArrivingBody()
-	r, err := b.Begin(c, 0, sync.OnceFunc(func() { close(body.cut) }))
+	r, err := b.Begin(c, 0, yieldFunc(sync.OnceFunc(func() { close(body.cut) })))
 	if err != nil {
 		t.Fatal(err)
 	}
 	return r, body
 }
 
+// yieldFunc is what ends the reading of a body.
+type yieldFunc func()
+
+// SetReadDeadline implements ReadDeadliner.
+func (f yieldFunc) SetReadDeadline(time.Time) error { f(); return nil }
+
 // arrivingBody is a body whose bytes come through a channel.
 type arrivingBody struct {
 	more chan []byte
@@ -195,12 +201,12 @@
 	if c.conn == nil {
 		return
 	}
-	if shared > 0 && !c.conn.Share(shared) {
+	if shared > 0 && !c.conn.Multiplex(shared) {
 		return
 	}
 	checkSums(rt, b)
 	body := newArrivingBody()
-	r, err := b.Begin(c.conn, 0, sync.OnceFunc(func() { close(body.cut) }))
+	r, err := b.Begin(c.conn, 0, yieldFunc(sync.OnceFunc(func() { close(body.cut) })))
 	if err != nil {
 		return
 	}
@@ -313,7 +319,7 @@
 func slowToYield(t *testing.T, b *Budget, bytes int64, takes time.Duration) {
 	t.Helper()
 	var r *Request
-	r, err := b.Begin(nil, bytes, func() { time.AfterFunc(takes, func() { r.End() }) })
+	r, err := b.Begin(nil, bytes, yieldFunc(func() { time.AfterFunc(takes, func() { r.End() }) }))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -333,13 +339,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestBudget(1<<20, 1)
 		slowToYield(t, b, 600<<10, yieldTime)
-		waits, err := b.Begin(nil, 150<<10, func() {})
+		waits, err := b.Begin(nil, 150<<10, yieldFunc(func() {}))
 		if err != nil {
 			t.Fatal(err)
 		}
 		result := grow(waits, 450<<10)
 		time.Sleep(yieldTime * 9 / 10)
-		if other, err := b.Begin(nil, 400<<10, func() {}); err == nil {
+		if other, err := b.Begin(nil, 400<<10, yieldFunc(func() {})); err == nil {
 			t.Errorf("another request took the room: %+v", other)
 		}
 		if err := <-result; err != nil {
@@ -371,7 +377,7 @@
 func TestARequestThatYieldedIsNeverWhole(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestBudget(1<<20, 1)
-		r, err := b.Begin(nil, 700<<10, func() {})
+		r, err := b.Begin(nil, 700<<10, yieldFunc(func() {}))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/membudget/conn.go
+++ b/internal/membudget/conn.go
@@ -20,6 +20,12 @@
 func unreadBytes(receiveBuffer int64) int64 { return receiveBuffer * 3 / 2 }
 
 // Conn is a caller's connection, with its share of a Budget.
+//
+// It knows more than net/http of whether a request is in progress: net/http reports a connection as idle
+// until it has read a whole header. If connections were closed by that state, one could be closed after the
+// first bytes of a request had been read; the request would then be forwarded, and its answer could not be
+// delivered. Therefore a Conn counts as busy from the first byte that is read, and what is read is admitted
+// under the lock under which connections are chosen to be closed.
 type Conn struct {
 	net.Conn
 	budget *Budget
@@ -33,17 +39,18 @@
 	headBytes, windowBytes int64
 	head                   headMeter
 	requests               map[*Request]struct{}
-	// proven: a whole request came on this connection.
-	proven bool
-	// answered counts the requests that came whole and have not ended. unflushed: a whole request came, and
-	// its answer may not have been written to its end; always false where requests share the connection.
-	answered  int
-	unflushed bool
-	shared    bool
+	// arriving: bytes were read that belong to no request that came whole or was refused. serving: one did,
+	// and its answer may not have been written to its end; always false where requests share the connection.
+	arriving, serving bool
+	// multiplexed: requests share the connection.
+	multiplexed bool
+	// proven: a whole request came on this connection. answered counts those that have not ended.
+	proven   bool
+	answered int
 	// since is when the connection last made progress: it was accepted, a request on it made progress or
-	// ended.
+	// ended, or it became idle.
 	since time.Time
-	// yielded: the connection had to yield. Nothing more is read from it.
+	// yielded: the connection had to yield, or was closed as idle. Nothing more is read from it.
 	yielded bool
 	// lingers: the next Close waits for lingerTime, and lingering: it does.
 	lingers, lingering bool
@@ -53,7 +60,7 @@
 // TCP returns the TCP connection, or nil if it is none.
 func (c *Conn) TCP() *net.TCPConn { return c.tcp }
 
-// Read implements net.Conn. It returns net.ErrClosed after the connection had to yield.
+// Read implements net.Conn. After the connection was chosen to be closed it returns errNotRead.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n == 0 {
@@ -61,7 +68,7 @@
 	}
 	switch c.budget.arrived(c, p[:n]) {
 	case headRefused:
-		c.LingerOnClose()
+		c.lingerOnClose()
 		refuse(c)
 		return 0, errNotRead
 	case mustYield:
@@ -91,6 +98,7 @@
 		b.mu.Unlock()
 		return mustYield
 	}
+	c.arriving = true
 	more := int64(0)
 	if b.cfg.MetersHeads && len(c.requests) == 0 {
 		more = c.head.add(data)
@@ -99,12 +107,22 @@
 		b.mu.Unlock()
 		return mayBeUsed
 	}
+	yields, enough := b.growHead(c, more)
+	b.unlock(yields)
+	if !enough {
+		return headRefused
+	}
+	return mayBeUsed
+}
+
+// growHead reserves so many bytes more for a long head, and reports whether there was room. The caller holds
+// b.mu and calls the returned functions without it.
+func (b *Budget) growHead(c *Conn, more int64) (yields []func(), enough bool) {
 	now := b.cfg.Now()
 	if c.headBytes == 0 {
 		c.since = now
 	}
-	var yields []func()
-	enough := true
+	enough = true
 	if missing := b.held + b.awaited + more - b.yielding - b.ceiling(c.headBytes+more); missing > 0 {
 		yields, enough = b.evict(missing, nil, c, now)
 	}
@@ -114,22 +132,22 @@
 		b.counters.ConnectionsRefused++
 		b.logConnection("head of a request refused", c, now)
 	}
-	b.mu.Unlock()
-	for _, yield := range yields {
-		yield()
-	}
-	if !enough {
-		return headRefused
+	return yields, enough
+}
+
+// serve records that a request on the connection came whole or was refused. The caller holds budget.mu.
+func (c *Conn) serve() {
+	if !c.multiplexed {
+		c.arriving, c.serving = false, true
 	}
-	return mayBeUsed
 }
 
-// SetIdle records that no request is in progress on the connection, as net/http reports it.
-func (c *Conn) SetIdle() {
+// setIdle records that no request is in progress on the connection, as net/http reports it.
+func (c *Conn) setIdle() {
 	b := c.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	c.unflushed, c.head, c.since = false, headMeter{}, b.cfg.Now()
+	c.serving, c.head, c.since = false, headMeter{}, b.cfg.Now()
 	c.setHead(0)
 	c.hold(-c.windowBytes)
 	c.windowBytes = 0
@@ -146,6 +164,16 @@
 	}
 }
 
+// takeHead moves what the head costs from the connection, which has not yielded, to a request. The caller holds
+// budget.mu.
+func (c *Conn) takeHead() (bytes int64) {
+	bytes = c.headBytes
+	c.held -= bytes
+	c.headBytes = 0
+	delete(c.budget.heads, c)
+	return bytes
+}
+
 // widen lets the kernel receive more at a time, if there is room for that. What is reserved for it stays so
 // until the connection is idle or closed: up to then the kernel may hold it.
 func (c *Conn) widen() {
@@ -168,40 +196,43 @@
 
 // narrow undoes widen for what comes from now on.
 func (c *Conn) narrow() {
-	if c != nil && c.tcp != nil {
+	if c == nil || c.tcp == nil {
+		return
+	}
+	c.budget.mu.Lock()
+	wide := c.windowBytes > 0
+	c.budget.mu.Unlock()
+	if wide {
 		_ = c.tcp.SetReadBuffer(smallReceiveBuffer) // fails only if the connection is closed
 	}
 }
 
-// Share records that requests share the connection, as those of HTTP/2 do, and reserves what the kernel and
+// Multiplex records that requests share the connection, as those of HTTP/2 do, and reserves what the kernel and
 // the streams' windows hold for it, at the cost of connections without progress. It does that once, and
 // reports whether there was room.
-func (c *Conn) Share(bytes int64) bool {
+func (c *Conn) Multiplex(bytes int64) bool {
 	b := c.budget
 	b.mu.Lock()
-	if c.shared || c.yielded || c.closed {
-		shared := c.shared
+	if c.multiplexed || c.yielded || c.closed {
+		multiplexed := c.multiplexed
 		b.mu.Unlock()
-		return shared
+		return multiplexed
 	}
 	yields, enough := b.makeRoom(bytes, 0, c, b.cfg.Now())
 	if enough {
-		c.shared, c.unflushed = true, false
+		c.multiplexed, c.serving = true, false
 		c.fixed += bytes
 		b.fixed += bytes
 		c.hold(bytes)
 	} else {
 		b.counters.RequestsRefused++
 	}
-	b.mu.Unlock()
-	for _, yield := range yields {
-		yield()
-	}
+	b.unlock(yields)
 	return enough
 }
 
-// LingerOnClose makes the next Close wait, so that an answer is not lost because the caller still sends.
-func (c *Conn) LingerOnClose() {
+// lingerOnClose makes the next Close wait, so that an answer is not lost because the caller still sends.
+func (c *Conn) lingerOnClose() {
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
 	c.lingers = !c.yielded
@@ -254,7 +285,7 @@
 }
 
 // answering reports whether a request on the connection is being answered. The caller holds budget.mu.
-func (c *Conn) answering() bool { return c.answered > 0 || c.unflushed }
+func (c *Conn) answering() bool { return (c.answered > 0 || c.serving) && !c.lingering }
 
 // headStalls reports whether a long head has begun on the connection and does not come to its end. The caller
 // holds budget.mu.
--- a/internal/membudget/listener.go
+++ b/internal/membudget/listener.go
@@ -1,22 +1,19 @@
 package membudget
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"strings"
 	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 )
 
-// refusalOfConnection is what a caller gets for whom there is no room: all is taken by requests that are being
-// answered. No request of it has been used.
-const refusalOfConnection = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.50\r\nConnection: close\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: 33\r\n\r\nthere is no room for this caller\n"
-
-// refusalTime bounds the writing of refusalOfConnection.
-const refusalTime = 10 * time.Millisecond
-
 // Listen listens for callers. The kernel holds little unread at each of their connections.
 func Listen(address string, log hclog.Logger) (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
@@ -52,9 +49,30 @@
 	}
 }
 
-// refuse tells a caller to come back, and closes its connection.
+// refusalTime bounds the writing of a refusal that no handler writes.
+const refusalTime = 10 * time.Millisecond
+
+// refuse tells a caller for whom there is no room to come back, and closes its connection. No request of it has
+// been used.
 func refuse(c net.Conn) {
 	_ = c.SetWriteDeadline(time.Now().Add(refusalTime))
-	_, _ = io.WriteString(c, refusalOfConnection) // the caller may have gone
+	_, _ = c.Write(refusal) // the caller may have gone
 	_ = c.Close()
 }
+
+// refusal is the answer that refuse writes.
+var refusal = renderRefusal()
+
+func renderRefusal() []byte {
+	const reason = "there is no room for this caller\n"
+	answer := http.Response{
+		StatusCode: http.StatusServiceUnavailable, ProtoMajor: 1, ProtoMinor: 1, Close: true,
+		Header:        http.Header{"Retry-After": {fmt.Sprintf("%.2f", RetryAfter.Seconds())}, "Content-Type": {"text/plain; charset=utf-8"}},
+		ContentLength: int64(len(reason)), Body: io.NopCloser(strings.NewReader(reason)),
+	}
+	var text bytes.Buffer
+	if err := answer.Write(&text); err != nil {
+		panic("membudget: " + err.Error()) // neither the body nor the buffer can fail
+	}
+	return text.Bytes()
+}
--- a/internal/membudget/places.go
+++ b/internal/membudget/places.go
@@ -1,6 +1,7 @@
 package membudget
 
 import (
+	"cmp"
 	"net"
 	"time"
 )
@@ -12,12 +13,17 @@
 	switch {
 	case c.lingering:
 		return lingers
-	case !c.proven && now.Sub(c.since) >= stallTime, len(c.requests) > 0 && now.Sub(c.since) >= stallTime:
+	case (!c.proven || len(c.requests) > 0) && now.Sub(c.since) >= stallTime:
 		return stalls
 	}
 	return idles
 }
 
+// yieldsBefore reports whether the connection yields its place before another one. The caller holds budget.mu.
+func (c *Conn) yieldsBefore(other *Conn, now time.Time) bool {
+	return cmp.Or(cmp.Compare(c.rank(now), other.rank(now)), c.since.Compare(other.since)) < 0
+}
+
 // admit returns the share of a connection that was accepted, or nil if there is no room for it. Where all
 // places are taken, one that makes no progress yields its own.
 func (b *Budget) admit(accepted net.Conn) *Conn {
@@ -34,10 +40,7 @@
 		b.counters.ConnectionsRefused++
 		b.logConnection("connection refused", c, now)
 	}
-	b.mu.Unlock()
-	for _, yield := range yields {
-		yield()
-	}
+	b.unlock(yields)
 	if !enough {
 		return nil
 	}
@@ -80,7 +83,7 @@
 		if seen++; seen > sampleSize {
 			break
 		}
-		if victim == nil || c.rank(now) < victim.rank(now) || c.rank(now) == victim.rank(now) && c.since.Before(victim.since) {
+		if victim == nil || c.yieldsBefore(victim, now) {
 			victim = c
 		}
 	}
@@ -92,15 +95,12 @@
 func (b *Budget) evictConn(c *Conn, now time.Time) (yield func()) {
 	b.counters.ConnectionsYielded++
 	b.logConnection("connection closed for another", c, now)
-	c.yielded, c.lingers = true, false
-	b.closing++
-	b.closingFixed += c.fixed
-	b.yielding += c.held
+	c.retire()
 	var tells []func()
 	for r := range c.requests {
 		if !r.yielded {
 			r.markYielded()
-			tells = append(tells, r.yield)
+			tells = append(tells, r.stopReading)
 		}
 	}
 	if len(tells) == 0 || b.closing > max(1, b.maxConnections()/8) {
--- a/internal/membudget/places_test.go
+++ b/internal/membudget/places_test.go
@@ -76,7 +76,7 @@
 	defer accepted.Close()
 	conn := accepted.(*Conn)
 	before := b.State().Bytes
-	r, err := b.Begin(conn, 0, func() {})
+	r, err := b.Begin(conn, 0, yieldFunc(func() {}))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -87,7 +87,7 @@
 	if window := b.State().Bytes - before; window != unreadBytes(bulkReceiveBuffer)-unreadBytes(smallReceiveBuffer) {
 		t.Errorf("%d bytes are held for the window", window)
 	}
-	conn.SetIdle()
+	conn.setIdle()
 	if after := b.State().Bytes; after != before {
 		t.Errorf("%d bytes are held by the idle connection, %d before", after, before)
 	}
@@ -112,7 +112,7 @@
 		if other := connect(b); other.conn != nil {
 			t.Error("a connection took the place of one whose answer is being written")
 		}
-		c.conn.SetIdle()
+		c.conn.setIdle()
 		other := connect(b)
 		if other.conn == nil {
 			t.Error("an idle connection kept its place")
@@ -128,7 +128,7 @@
 		b := newTestBudget(1<<20, 1000)
 		for range 50 {
 			c := connect(b)
-			if c.conn == nil || !c.conn.Share(100<<10) {
+			if c.conn == nil || !c.conn.Multiplex(100<<10) {
 				t.Fatal("a newcomer found no room beside idle connections")
 			}
 			r, _ := begin(t, b, c.conn)
@@ -136,7 +136,7 @@
 				t.Fatal(err)
 			}
 			r.End()
-			c.conn.SetIdle()
+			c.conn.setIdle()
 			checkSums(t, b)
 		}
 	})
@@ -152,7 +152,7 @@
 			t.Fatal(err)
 		}
 		whole.End()
-		idle.conn.SetIdle()
+		idle.conn.setIdle()
 		time.Sleep(time.Second)
 		stopped := connect(b)
 		r, body := begin(t, b, stopped.conn)
@@ -194,7 +194,7 @@
 	if n, err := c.Read(make([]byte, 10)); n != 0 || err == nil {
 		t.Errorf("read %d bytes, error %v", n, err)
 	}
-	if _, err := b.Begin(c, 0, func() {}); !errors.Is(err, ErrYielded) {
+	if _, err := b.Begin(c, 0, yieldFunc(func() {})); !errors.Is(err, ErrYielded) {
 		t.Errorf("a request that had been read before: %v, want ErrYielded", err)
 	}
 }
@@ -216,7 +216,7 @@
 	if n, err := c.Read(make([]byte, 64<<10)); n != 0 || err == nil {
 		t.Errorf("read %d bytes, error %v", n, err)
 	}
-	if c.Share(100 << 10) {
+	if c.Multiplex(100 << 10) {
 		t.Error("a closed connection is shared")
 	}
 	c.tcp = &net.TCPConn{}
@@ -266,7 +266,7 @@
 			if c.conn == nil {
 				t.Fatal("a newcomer found no place")
 			}
-			r, err := b.Begin(c.conn, 4<<10, func() {})
+			r, err := b.Begin(c.conn, 4<<10, yieldFunc(func() {}))
 			if err != nil {
 				t.Fatalf("a short request: %v", err)
 			}
@@ -294,7 +294,7 @@
 			if err != nil {
 				return
 			}
-			r, err := b.Begin(c.(*Conn), 0, func() {})
+			r, err := b.Begin(c.(*Conn), 0, yieldFunc(func() {}))
 			if err != nil || r.Whole() != nil {
 				t.Error("the first request was refused")
 			}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -113,7 +113,7 @@
 		{"it has no room for it", func(r *relaying) {
 			for held := 0; held < relayMemory; held += relayMemory / 16 {
 				// What doesn't fit any more leaves no room for the request either.
-				_, _ = r.memory.Begin(nil, relayMemory/16, func() {})
+				_, _ = r.memory.Begin(nil, relayMemory/16, nil)
 			}
 		}, false, relay.ErrNotSent},
 		{"the upstream takes none from it", func(r *relaying) { r.declines = true }, false, relay.ErrNotSent},
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -85,7 +85,7 @@
 	IsGateway func(node ident.Instance, host string) bool
 	// Leaving reports whether this gateway is leaving.
 	Leaving func() bool
-	// Memory is the account in which other gateways' requests are held like callers' own.
+	// Memory bounds what other gateways' requests make the process hold, together with callers' own.
 	Memory *membudget.Budget
 }
 
@@ -144,8 +144,7 @@
 
 // read reads and decodes a request. Its memory is given back by end.
 func (s *Server) read(w http.ResponseWriter, r *http.Request) (req *request, end func(), err error) {
-	control := http.NewResponseController(w)
-	share, err := s.cfg.Memory.Begin(nil, 0, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+	share, err := s.cfg.Memory.Begin(nil, 0, http.NewResponseController(w))
 	if err != nil {
 		return nil, func() {}, err
 	}
--- a/internal/settings/machine.go
+++ b/internal/settings/machine.go
@@ -1,9 +1,6 @@
 package settings
 
-import (
-	"github.com/goldcrestspool/goldcrestspool/internal/membudget"
-	"github.com/goldcrestspool/goldcrestspool/internal/tomlfile"
-)
+import "github.com/goldcrestspool/goldcrestspool/internal/tomlfile"
 
 // MachineLimits tells how much memory and how many descriptors a process may use.
 type MachineLimits struct {
@@ -21,8 +18,3 @@
 	s.Check(m.MemoryMiB >= 32, "machine.memory_mib", "is too small", "32 or more")
 	s.Check(m.Descriptors >= 64, "machine.descriptors", "is too small", "64 or more")
 }
-
-// Budget returns the machine as the budget of callers' memory is worked out from it.
-func (m MachineLimits) Budget() membudget.Machine {
-	return membudget.Machine{MemoryMiB: m.MemoryMiB, Descriptors: m.Descriptors}
-}
