--- a/internal/membudget/places_test.go
+++ b/internal/membudget/places_test.go
@@ -55,21 +55,35 @@
 	}
 }
 
-// Guards against what the kernel may hold for a long body, and that nobody counts: also when the body has been
-// read or refused, up to the connection's next request.
-func TestTheWindowOfALongBodyIsHeld(t *testing.T) {
+// listen returns a listener of a budget on loopback.
+func listen(t *testing.T, b *Budget) net.Listener {
+	t.Helper()
 	plain, err := Listen("127.0.0.1:0", hclog.NewNullLogger())
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := newTestBudget(4<<20, 1)
 	l := b.Listener(plain)
-	defer l.Close()
-	far, err := net.Dial("tcp", plain.Addr().String())
+	t.Cleanup(func() { _ = l.Close() }) // nothing is left to accept
+	return l
+}
+
+// dial returns a new connection to a listener.
+func dial(t *testing.T, l net.Listener) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer far.Close()
+	t.Cleanup(func() { _ = c.Close() }) // may be closed already
+	return c
+}
+
+// Guards against what the kernel may hold for a long body, and that nobody counts: also when the body has been
+// read or refused, up to the connection's next request.
+func TestTheWindowOfALongBodyIsHeld(t *testing.T) {
+	b := newTestBudget(4<<20, 1)
+	l := listen(t, b)
+	dial(t, l)
 	accepted, err := l.Accept()
 	if err != nil {
 		t.Fatal(err)
@@ -329,13 +343,8 @@
 // Guards against a caller that is left waiting, or closed without a word, where all places are taken by
 // requests that are being answered.
 func TestACallerWithoutAPlaceIsToldSo(t *testing.T) {
-	plain, err := Listen("127.0.0.1:0", hclog.NewNullLogger())
-	if err != nil {
-		t.Fatal(err)
-	}
 	b := newTestBudget(1<<20, 1)
-	l := b.Listener(plain)
-	defer l.Close()
+	l := listen(t, b)
 	accepted := make(chan net.Conn, 1)
 	go func() {
 		for {
@@ -350,18 +359,9 @@
 			accepted <- c
 		}
 	}()
-	first, err := net.Dial("tcp", plain.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer first.Close()
+	dial(t, l)
 	defer (<-accepted).Close()
-	second, err := net.Dial("tcp", plain.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer second.Close()
-	answer, err := io.ReadAll(second)
+	answer, err := io.ReadAll(dial(t, l))
 	if err != nil || !strings.HasPrefix(string(answer), "HTTP/1.1 503 ") || !strings.Contains(string(answer), "\r\nRetry-After: ") {
 		t.Errorf("got %q, %v", answer, err)
 	}
