connend: a reset that a write was told of is no orderly end of the answer

What callers saw: a runner answered a long upload at once with a 200 without a length, sent a part and reset the connection while the upload was still written. The caller got that part as the whole answer; a stream ended as complete.

Cause: the kernel gives a socket's error to the first call that meets it. Requests over 16 KiB are written while their answer is read. If the write takes ECONNRESET, the next read finds no error left and returns the end of the stream, which ends an answer without a length. Ruled out: the looks at other and idle connections (TCP_INFO takes no error, MSG_PEEK is for idle ones), and completion, which was told of a close.

Why it works: connend.Conn is the connection of both clients. A write keeps the error that it takes, and a read that meets the end returns that error. EPIPE is not kept: the peer had ended its side before the reset, and its answer is whole. A write in progress is ended first, so that no reader waits for an upload that nobody reads.

--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -290,7 +290,7 @@
 	written := make(chan error, 1)
 	buffers := net.Buffers{head, req.Body}
 	go func() {
-		_, err := buffers.WriteTo(c.net)
+		_, err := c.net.WriteBuffers(buffers)
 		written <- err
 	}()
 	return written, nil
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
+	"github.com/goldcrestspool/goldcrestspool/internal/connend"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 )
 
@@ -97,7 +98,7 @@
 	pool   *Pool
 	id     ident.Instance
 	host   *host
-	net    net.Conn
+	net    *connend.Conn
 	reader *bufio.Reader
 	header *headerReader
 	// unmatched counts the received answers to other requests.
@@ -188,8 +189,9 @@
 		return nil, err
 	}
 	h.verify(suspicions)
-	reader, header := newReader(raw)
-	c := &conn{pool: p, id: target.ID, host: h, net: raw, reader: reader, header: header}
+	wrapped := connend.New(raw)
+	reader, header := newReader(wrapped)
+	c := &conn{pool: p, id: target.ID, host: h, net: wrapped, reader: reader, header: header}
 	h.lastAlive = boottime.Later(h.lastAlive, begun)
 	h.conns[c] = struct{}{}
 	return c, nil
@@ -319,7 +321,7 @@
 // nothingReceived reports whether nothing has arrived on an idle connection:
 // neither its end nor bytes that belong to no request.
 func (c *conn) nothingReceived() bool {
-	sc, ok := c.net.(syscall.Conn)
+	sc, ok := c.net.NetConn().(syscall.Conn)
 	if !ok {
 		return true
 	}
@@ -348,7 +350,7 @@
 // has received and not read, which is of no use to anyone, and a reset that is
 // lost on the way is not repeated until the other side writes.
 func (c *conn) reset() {
-	if tcp, ok := c.net.(*net.TCPConn); ok {
+	if tcp, ok := c.net.NetConn().(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // fails only if the connection is already closed
 	}
 	_ = c.net.Close() // the connection is not used again, whatever the error
--- a/internal/httpconn/together.go
+++ b/internal/httpconn/together.go
@@ -66,7 +66,7 @@
 // closedByUpstream reports whether the other side has closed or reset the connection, and how long
 // ago its last packet came. Bytes that were not read yet do not hide it.
 func (c *conn) closedByUpstream() (age time.Duration, closed bool) {
-	sc, ok := c.net.(syscall.Conn)
+	sc, ok := c.net.NetConn().(syscall.Conn)
 	if !ok {
 		return 0, false
 	}
--- a/internal/testkit/rawanswer.go
+++ b/internal/testkit/rawanswer.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 )
 
 // Framing is what marks the end of a RawAnswer's body.
@@ -64,23 +65,40 @@
 	Cut int
 	// Reset resets the connection after the last byte instead of closing it.
 	Reset bool
+	// After is how long after the last byte the connection is ended.
+	After time.Duration
 }
 
 // RawServer answers each request with a RawAnswer and then ends the connection.
 type RawServer struct {
 	listener net.Listener
-	mu       sync.Mutex
-	answer   func(*http.Request) RawAnswer
+	// early: it answers before it reads the request's body. It ends a connection in an orderly way by ending its own
+	// side first, and then reads the rest.
+	early  bool
+	mu     sync.Mutex
+	answer func(*http.Request) RawAnswer
+	conns  []net.Conn
 }
 
 // NewRawServer starts a server on loopback that is stopped at the end of the test.
 func NewRawServer(t testing.TB) *RawServer {
+	t.Helper()
+	return startRawServer(t, false)
+}
+
+// NewEarlyServer starts a server like NewRawServer that answers before it reads the bodies of requests.
+func NewEarlyServer(t testing.TB) *RawServer {
+	t.Helper()
+	return startRawServer(t, true)
+}
+
+func startRawServer(t testing.TB, early bool) *RawServer {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &RawServer{listener: listener}
+	s := &RawServer{listener: listener, early: early}
 	var work sync.WaitGroup
 	work.Go(func() {
 		for {
@@ -88,16 +106,29 @@
 			if err != nil {
 				return
 			}
+			s.mu.Lock()
+			s.conns = append(s.conns, c)
+			s.mu.Unlock()
 			work.Go(func() { s.serve(c) })
 		}
 	})
 	t.Cleanup(func() {
 		_ = listener.Close() // ends the loop above
+		s.closeAll()
 		work.Wait()
 	})
 	return s
 }
 
+// closeAll closes the connections, on some of which the client may send nothing.
+func (s *RawServer) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		_ = c.Close() // most are closed already
+	}
+}
+
 // Address returns the host:port on which the server listens.
 func (s *RawServer) Address() string { return s.listener.Addr().String() }
 
@@ -115,11 +146,13 @@
 	if err != nil {
 		return
 	}
-	body, err := io.ReadAll(request.Body)
-	if err != nil {
-		return
+	if !s.early {
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		request.Body = io.NopCloser(bytes.NewReader(body))
 	}
-	request.Body = io.NopCloser(bytes.NewReader(body))
 	s.mu.Lock()
 	answer := s.answer(request)
 	s.mu.Unlock()
@@ -128,7 +161,15 @@
 		framed = framed[:answer.Cut]
 	}
 	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d X\r\n%s%s\r\n%s", answer.Status, answer.HeaderLines, answer.Framing.HeaderLine(answer.Body), framed)
-	if tcp, ok := c.(*net.TCPConn); ok && answer.Reset {
+	if answer.After > 0 {
+		time.Sleep(answer.After)
+	}
+	tcp := c.(*net.TCPConn)
+	switch {
+	case answer.Reset:
 		_ = tcp.SetLinger(0) // makes the close a reset
+	case s.early:
+		_ = tcp.CloseWrite()
+		_, _ = io.Copy(io.Discard, c) // a close with unread bytes would be a reset
 	}
 }
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"go.opentelemetry.io/otel/propagation"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/connend"
 )
 
 const (
@@ -68,7 +70,7 @@
 			// about a single request.
 			return c, err
 		}
-		return &trackedConn{Conn: c}, nil
+		return &trackedConn{Conn: connend.New(c)}, nil
 	}
 	var protocols http.Protocols
 	protocols.SetHTTP1(!options.HTTP2)
