answerhead: an answer whose status HTTP does not have is no answer

What callers saw: a runner in trouble sent an answer of status 000. Here the caller's connection ended without an answer (000 to 099), or it was given the status (600, 999); with "not run" in such a head a request that may run once ran at a second runner too; "I leave" was believed. The product's gateway believed a refusal of status 000 and sent the call elsewhere; the store's answer counted as "nothing was done".

Cause: net/http takes any three characters that are a number for a status, and nobody asked whether HTTP has it. Ruled out: the writing of answers to callers, which only shows it (net/http's server panics below 100).

Why it works: one check for both clients, before anything of a head is used, lets 100 to 599 pass, and 101 not, as no gateway asks for another protocol. Whatever is read after that, whole, stream, refusal, interim, skipped, relayed, of the store or the cloud, has passed it.

--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -22,6 +22,7 @@
 
 	pkgerrors "github.com/pkg/errors"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/answerhead"
 	"github.com/goldcrestspool/goldcrestspool/internal/completion"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 )
@@ -332,8 +333,11 @@
 			return nil, preferWriteError(written, err)
 		}
 		c.header.remaining = unlimited
+		if err := answerhead.Check(response); err != nil {
+			return nil, err
+		}
 		restoreConnection(response, c.header.seen)
-		interim := response.StatusCode >= 100 && response.StatusCode < 200
+		interim := answerhead.IsInterim(response.StatusCode)
 		if !interim && (req.IsAnswer == nil || req.IsAnswer(response.Header)) {
 			return response, nil
 		}
--- a/internal/testkit/rawanswer.go
+++ b/internal/testkit/rawanswer.go
@@ -160,7 +160,7 @@
 	if answer.Cut >= 0 {
 		framed = framed[:answer.Cut]
 	}
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d X\r\n%s%s\r\n%s", answer.Status, answer.HeaderLines, answer.Framing.HeaderLine(answer.Body), framed)
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %03d X\r\n%s%s\r\n%s", answer.Status, answer.HeaderLines, answer.Framing.HeaderLine(answer.Body), framed)
 	if answer.After > 0 {
 		time.Sleep(answer.After)
 	}
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -16,6 +16,7 @@
 
 	"go.opentelemetry.io/otel/propagation"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/answerhead"
 	"github.com/goldcrestspool/goldcrestspool/internal/connend"
 )
 
@@ -133,11 +134,25 @@
 	}
 	propagation.TraceContext{}.Inject(once.Context(), propagation.HeaderCarrier(once.Header))
 	resp, err := t.next.RoundTrip(once)
-	if err == nil && t.requireFrame && !isFramed(resp) {
+	if err != nil {
+		return nil, err
+	}
+	if err := t.check(resp); err != nil {
 		_ = resp.Body.Close() // the answer is not used
-		return nil, ErrNoFrame
+		return nil, err
+	}
+	return resp, nil
+}
+
+// check returns an error unless the head of an answer may be used.
+func (t *noRetryTransport) check(resp *http.Response) error {
+	if err := answerhead.Check(resp); err != nil {
+		return err
+	}
+	if t.requireFrame && !isFramed(resp) {
+		return ErrNoFrame
 	}
-	return resp, err
+	return nil
 }
 
 // isFramed reports whether something other than the end of its connection ends an answer's body. The
