answerhead: a head or a trailer with a line that is no field is no answer

What callers saw: an answer in whose head the name of a field held a blank was delivered without that line. If the line framed the body (Content-Length : 4, Transfer-Encoding : chunked), the caller got what came until the close, marks of chunks included, or 504. A refusal with such a line was believed, and a request that may run once ran twice; so was "I leave" in an interim answer, an answer to another request, or a trailer.

Cause: net/http takes names with blanks, joins a line that begins with a blank to the field before, and drops the announcement of chunks in HTTP/1.0.

Why it works: what decides on statuses decides on names too, for final, interim and skipped heads and for trailers, in both clients, before anything is used. The entry process also looks at the head's text, where the two others show.

--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -149,6 +149,9 @@
 	if err == nil {
 		return n, nil
 	}
+	if err == io.EOF {
+		err = a.checkTrailer()
+	}
 	a.ending = a.endingOf(err)
 	if a.closedByUpstream() {
 		a.endedAt = a.conn.pool.now()
@@ -162,6 +165,14 @@
 	return n, &Failure{Stage: StageBody, MaybeSent: true, Err: err}
 }
 
+// checkTrailer returns io.EOF if the trailer of a body that was read to its end is valid.
+func (a *Answer) checkTrailer() error {
+	if err := answerhead.CheckFields(a.response.Trailer); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
 // closedByUpstream reports whether the reading of the body ended because the upstream closed or reset
 // the connection.
 func (a *Answer) closedByUpstream() bool {
@@ -333,7 +344,7 @@
 			return nil, preferWriteError(written, err)
 		}
 		c.header.remaining = unlimited
-		if err := answerhead.Check(response); err != nil {
+		if err := checkHead(response, c.header.seen); err != nil {
 			return nil, err
 		}
 		restoreConnection(response, c.header.seen)
@@ -366,6 +377,14 @@
 	}
 }
 
+// checkHead returns an error unless what net/http has read from a text is the head of an answer.
+func checkHead(response *http.Response, text []byte) error {
+	if err := answerhead.Check(response); err != nil {
+		return err
+	}
+	return answerhead.CheckText(text, response)
+}
+
 var errTooManyInterimAnswers = errors.New("interim answers are longer than 64 KiB")
 
 // interimSize returns about how many bytes an interim answer took.
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -12,6 +12,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
 	"time"
 
 	"go.opentelemetry.io/otel/propagation"
@@ -133,7 +135,7 @@
 		once.Body = emptyBody{}
 	}
 	propagation.TraceContext{}.Inject(once.Context(), propagation.HeaderCarrier(once.Header))
-	resp, err := t.next.RoundTrip(once)
+	resp, err := t.next.RoundTrip(once.WithContext(withInterimCheck(once.Context())))
 	if err != nil {
 		return nil, err
 	}
@@ -141,9 +143,35 @@
 		_ = resp.Body.Close() // the answer is not used
 		return nil, err
 	}
+	resp.Body = &answerBody{ReadCloser: resp.Body, answer: resp}
 	return resp, nil
 }
 
+// withInterimCheck returns a context whose request fails if an interim answer to it is none.
+func withInterimCheck(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error { return answerhead.CheckFields(header) },
+	})
+}
+
+// answerBody is the body of an answer, which ends only if its trailer is valid.
+type answerBody struct {
+	io.ReadCloser
+	answer *http.Response
+}
+
+// Read implements io.Reader.
+func (b *answerBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	if invalid := answerhead.CheckFields(b.answer.Trailer); invalid != nil {
+		return n, invalid
+	}
+	return n, io.EOF
+}
+
 // check returns an error unless the head of an answer may be used.
 func (t *noRetryTransport) check(resp *http.Response) error {
 	if err := answerhead.Check(resp); err != nil {
--- a/internal/upstream/connectupstream/odd_heads_test.go
+++ b/internal/upstream/connectupstream/odd_heads_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 
+	"google.golang.org/protobuf/proto"
+
+	upstreamv1 "github.com/goldcrestspool/goldcrestspool/api/upstream/v1"
+	"github.com/goldcrestspool/goldcrestspool/internal/standin/worker"
 	"github.com/goldcrestspool/goldcrestspool/internal/testkit"
 	"github.com/goldcrestspool/goldcrestspool/internal/upstream"
 	"github.com/goldcrestspool/goldcrestspool/internal/upstream/connectupstream"
@@ -55,3 +60,40 @@
 		checkRefusalIsNotBelieved(t, status, "")
 	}
 }
+
+// Guards against a refusal in whose head a line is no field, and that is believed.
+func TestARefusalWithALineThatIsNoFieldIsNotBelieved(t *testing.T) {
+	for _, line := range []string{"X Odd: v", "X-Odd : v", "Content-Length : 4", "X\x01Odd: v", "X\x7fOdd: v", "X\tOdd: v", ": v"} {
+		checkRefusalIsNotBelieved(t, http.StatusPreconditionFailed, line+"\r\n")
+	}
+}
+
+// Guards against an answer that is used though a line of an interim answer before it, or of its trailer, is no field.
+func TestAnAnswerWithALineThatIsNoFieldIsNotUsed(t *testing.T) {
+	body, err := proto.Marshal(&upstreamv1.InvokeResponse{Payload: []byte("the answer")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	const sound = "HTTP/1.1 200 OK\r\nContent-Type: application/proto\r\n"
+	length := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+	chunks := fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n", len(body), body)
+	for text, used := range map[string]bool{
+		sound + length:                                               true,
+		sound + chunks + "\r\n":                                      true,
+		sound + chunks + "X: y\r\n\r\n":                              true,
+		sound + "X Odd: v\r\n" + length:                              false,
+		sound + chunks + "X : y\r\n\r\n":                             false,
+		sound + chunks + "X y: z\r\n\r\n":                            false,
+		"HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n" + sound + length:  true,
+		"HTTP/1.1 103 Early Hints\r\nX : y\r\n\r\n" + sound + length: false,
+	} {
+		w := worker.New(t, "u")
+		w.SetDefaultAct(func(w *worker.Writer, _ *http.Request) { w.Raw(text) })
+		clients := connectupstream.NewClients(nil)
+		got, err := connectupstream.NewPlain(clients, "http://"+w.Address()).Invoke(t.Context(), upstream.InvokeRequest{Method: "m"})
+		if used != (err == nil) || used && string(got.Payload) != "the answer" || err != nil && !upstream.MayHaveRun(err) {
+			t.Errorf("%q: payload %q, error %v, want it to be used: %v", text, got.Payload, err, used)
+		}
+		clients.Close()
+	}
+}
