--- a/internal/membudget/conn.go
+++ b/internal/membudget/conn.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"time"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/headcost"
 )
 
 const (
@@ -37,7 +39,7 @@
 	// headBytes is the part of held that a head cost that has not been read whole, and windowBytes the part
 	// that the kernel may hold because the receive buffer was made larger.
 	headBytes, windowBytes int64
-	head                   headMeter
+	head                   headcost.Meter
 	requests               map[*Request]struct{}
 	// arriving: bytes were read that belong to no request that came whole or was refused. serving: one did,
 	// and its answer may not have been written to its end; always false where requests share the connection.
@@ -101,7 +103,7 @@
 	c.arriving = true
 	more := int64(0)
 	if b.cfg.MetersHeads && len(c.requests) == 0 {
-		more = c.head.add(data)
+		more = c.head.Add(data)
 	}
 	if more == 0 {
 		b.mu.Unlock()
@@ -147,7 +149,7 @@
 	b := c.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	c.serving, c.head, c.since = false, headMeter{}, b.cfg.Now()
+	c.serving, c.head, c.since = false, headcost.Meter{}, b.cfg.Now()
 	c.setHead(0)
 	c.hold(-c.windowBytes)
 	c.windowBytes = 0
--- a/internal/membudget/places_test.go
+++ b/internal/membudget/places_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/headcost"
 )
 
 // Guards against heads of many lines that are held without room, and against a caller that is then closed
@@ -42,7 +44,7 @@
 		if refused := read < len(head); refused != c.refused {
 			t.Errorf("of %d bytes: refused %v, want %v", c.bytes, refused, c.refused)
 		}
-		if held := b.State().Bytes; !c.refused && held < 3000*headLineBytes {
+		if held := b.State().Bytes; !c.refused && held < 3000*headcost.LineBytes {
 			t.Errorf("%d bytes are held for a head of 3000 lines", held)
 		}
 		_ = caller.conn.Close() // nothing is open beside it
