answerbudget: all answers that an entry process holds have one bound

What callers would see: a faulty runner sends a head, a body or an event that stops short of the bound for one, to as many callers as want it. The process holds one for each of them until their time is over, runs out of memory, and the requests of all others end with it.

Cause: each answer had a bound, all together had none. Ruled out: bytes without end, which end at those bounds (137 MiB at the most of 160, 600 callers), and the store's answers (27 to 55 MiB; that test is green before and stays).

Why it works: each answer reserves what it will hold before it does, in one budget of the process (one of its own for answers of the platform and of other gateways). Where room is short the source that holds least is first, few wait, a part is kept for one answer at a time so that one always gets to its end, and who makes no progress yields. The kernel holds 72 KiB of an answer at the most.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	$(GO) test -tags e2e -count=1 $(SKIP) ./internal/e2e
 
 # What soak runs.
-SOAK ?= TestSoak|Crowd|Calm
+SOAK ?= TestSoak|Crowd|Calm|Flood|LongAnswers
 # Causes faults at entry processes for a time: make soak SOAK_FOR=5m SOAK_SEED=7
 .PHONY: soak
 soak:
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -105,6 +105,7 @@
 	ledger        *metering.Ledger
 	metrics       *ingress.Metrics
 	memory        *membudget.Budget
+	answers       answerMemory
 	callers       *ingress.Server
 
 	view atomic.Pointer[peerView]
@@ -162,6 +163,8 @@
 		},
 		OnLeaving: func(ids []ident.Instance) { p.upstreams.recordLeaving(ids) },
 	})
+	p.answers = newAnswerMemory(p.machine(), p.now, p.log)
+	p.pool.BoundAnswers(p.answers.forCallers, p.answers.own)
 	p.memory = membudget.New(membudget.Config{
 		Now: p.now, Log: p.log.Named("memory"), Bytes: p.machine().CallerBytes(),
 		Connections: p.machine().CallerConnections(), ConnectionBytes: connectionBytes, MetersHeads: true,
--- a/internal/eventstream/scanner.go
+++ b/internal/eventstream/scanner.go
@@ -15,6 +15,9 @@
 // first part of another stream, the mark would be a part of the next line.
 func TrimMark(beginning []byte) []byte { return bytes.TrimPrefix(beginning, []byte(byteOrderMark)) }
 
+// keptBytes is how large a buffer stays after a long event.
+const keptBytes = 16 << 10
+
 // Scanner finds the ends of the events in a stream that is added piece by piece. The zero
 // value is ready to use. It is not safe for concurrent use.
 type Scanner struct {
@@ -86,8 +89,12 @@
 	if s.returned == 0 {
 		return
 	}
-	rest := copy(s.pending, s.pending[s.returned:])
-	s.pending = s.pending[:rest]
+	rest := s.pending[s.returned:]
+	if cap(s.pending) > keptBytes && len(rest) <= keptBytes {
+		s.pending = append(make([]byte, 0, keptBytes), rest...)
+	} else {
+		s.pending = s.pending[:copy(s.pending, rest)]
+	}
 	s.scanned -= s.returned
 	s.lineStart -= s.returned
 	s.returned = 0
@@ -174,6 +181,9 @@
 	}
 }
 
+// Held returns how many bytes the scanner's buffer takes.
+func (s *Scanner) Held() int { return cap(s.pending) }
+
 // Rest returns the bytes after the last whole event.
 func (s *Scanner) Rest() []byte { return s.pending[s.returned:] }
 
--- a/internal/eventstream/scanner_test.go
+++ b/internal/eventstream/scanner_test.go
@@ -1,6 +1,7 @@
 package eventstream
 
 import (
+	"bytes"
 	"fmt"
 	"strings"
 	"testing"
@@ -106,3 +107,21 @@
 		}
 	})
 }
+
+// Guards against a buffer that stays as large as the longest event of its stream was.
+func TestTheBufferOfALongEventIsGivenBack(t *testing.T) {
+	var s Scanner
+	const piece = 4 << 10
+	for range 256 {
+		s.Add(append([]byte("data: "), bytes.Repeat([]byte("x"), piece)...))
+	}
+	if s.Held() < 256*piece {
+		t.Errorf("%d bytes are held of an event of %d", s.Held(), 256*piece)
+	}
+	if got := s.Add([]byte("\n\ndata: n")); len(got) < 256*piece {
+		t.Errorf("%d bytes of the event were returned", len(got))
+	}
+	if got := s.Add([]byte("ext\n\n")); string(got) != "data: next\n\n" || s.Held() > keptBytes {
+		t.Errorf("the next event is %q, and %d bytes are held", got, s.Held())
+	}
+}
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -1,9 +1,11 @@
 package forward
 
 import (
+	"errors"
 	"io"
 	"net/http"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/answerbudget"
 	"github.com/goldcrestspool/goldcrestspool/internal/completion"
 	"github.com/goldcrestspool/goldcrestspool/internal/eventstream"
 	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
@@ -50,11 +52,12 @@
 // readWhole reads a complete answer before any of it is delivered, so that after an
 // answer that breaks off the request can still be sent to another upstream.
 func (s *session) readWhole(choice Choice, answer *httpconn.Answer, info AnswerInfo, silence *silenceTimer) Result {
-	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes+1))
+	body, err := answer.ReadBody(maxBufferedBytes)
 	silence.stop()
+	s.noRoom = errors.Is(err, answerbudget.ErrNoRoom)
 	s.ended.End = answer.End(positionIn(body, info))
 	s.doubtEnd(choice, answer)
-	if len(body) > maxBufferedBytes {
+	if errors.Is(err, httpconn.ErrTooLong) {
 		s.reason = "the answer is too long to be held"
 		return Broken
 	}
@@ -67,17 +70,30 @@
 		s.reason = "a success without the upstream's signature"
 		return Broken
 	}
-	whole := &bufferedAnswer{status: answer.Status, saysNotRun: info.SaysNotRun, header: answer.Header, body: body}
+	whole := &bufferedAnswer{status: answer.Status, saysNotRun: info.SaysNotRun, header: answer.Header, body: body, share: answer.Keep()}
 	if answer.Status >= http.StatusInternalServerError || answer.Status/100 != 2 && !info.Signed {
-		s.buffered = whole
+		s.buffer(whole)
 		s.reason = "status " + http.StatusText(answer.Status)
 		return Failed
 	}
 	s.f.cfg.Placement.FirstEventArrived(choice, s.f.cfg.Now())
-	s.buffered = whole
+	s.buffer(whole)
 	return Done
 }
 
+// buffer holds a whole answer, in place of the one that is held.
+func (s *session) buffer(whole *bufferedAnswer) {
+	s.dropBuffered()
+	s.buffered = whole
+}
+
+// dropBuffered gives back what the answer that is held makes the process hold.
+func (s *session) dropBuffered() {
+	if s.buffered != nil {
+		s.buffered.share.End()
+	}
+}
+
 // positionIn returns where in its content an answer ended whose whole body was received.
 func positionIn(body []byte, info AnswerInfo) completion.Position {
 	if !info.Stream {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -8,6 +8,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/answerbudget"
 	"github.com/goldcrestspool/goldcrestspool/internal/completion"
 	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
 )
@@ -21,7 +22,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	s.retryDecision.Store(nil)
-	s.evidence = 0
+	s.evidence, s.noRoom = 0, false
 	silence := s.watchForSilence(choice, cancel)
 	defer silence.stop()
 	if !s.firstAttemptCounted {
@@ -41,7 +42,7 @@
 	case Done:
 		s.recordCompletion(choice, sent)
 	case Broken, Cut, Expired, CallerGone:
-		s.recordInterruption(choice, result, ctx.Err() == nil)
+		s.recordInterruption(choice, result, ctx.Err() == nil && !s.noRoom)
 	}
 	return result
 }
@@ -87,6 +88,7 @@
 // resultOfFailure returns the result of an attempt whose exchange failed.
 func (s *session) resultOfFailure(choice Choice, failure *httpconn.Failure) Result {
 	s.reason = failure.Error()
+	s.noRoom = errors.Is(failure, answerbudget.ErrNoRoom)
 	ended := s.callEnded()
 	if errors.Is(failure, errWithdrawn) && ended != CallerGone {
 		return Withdrawn
--- a/internal/forward/finish.go
+++ b/internal/forward/finish.go
@@ -22,7 +22,9 @@
 	case Deliver:
 		s.outcome.Status = s.buffered.status
 		s.outcome.FirstPart = s.f.cfg.Now().Sub(s.call.Received)
-		s.caller.Answer(s.buffered.status, s.buffered.header, s.buffered.body)
+		delivered := s.buffered.share.Deliver(s.caller.Interrupt)
+		s.caller.Answer(s.buffered.status, s.buffered.header, s.buffered.body, s.buffered.share.Progress)
+		delivered()
 	case Refuse:
 		s.outcome.Status = http.StatusServiceUnavailable
 		s.caller.Refuse(s.reason, s.retryAfter())
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -75,6 +75,7 @@
 	timer := time.AfterFunc(call.Remaining(f.cfg.Now()), func() { cancel(ErrTimeOver) })
 	defer timer.Stop()
 	s := &session{f: f, call: call, caller: caller, ctx: ctx, state: NewState(call.Route), lastEvent: call.LastEventID}
+	defer s.dropBuffered()
 	if s.findOrigin() {
 		s.run()
 	} else {
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -53,6 +53,8 @@
 	ended int
 	// leaving: the first upstream has announced that it leaves.
 	leaving bool
+	// blameless counts the attempts of which it was recorded that they say nothing of their upstream.
+	blameless int
 }
 
 func (p *listed) Choose(_ *Call, exclude []ident.Instance, _ time.Time) (Choice, bool) {
@@ -74,7 +76,11 @@
 
 func (p *listed) FirstEventArrived(Choice, time.Time) {}
 
-func (p *listed) PathLost(Choice)    {}
+func (p *listed) PathLost(Choice) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.blameless++
+}
 func (*listed) Replaced(Choice) bool { return false }
 
 func (p *listed) UpstreamEnded(Choice) bool {
@@ -99,15 +105,18 @@
 // countingGuard is a Guard that knows no request and counts crashes.
 type countingGuard struct {
 	Guard
-	crashes atomic.Int64
+	crashes, brokenOff atomic.Int64
 }
 
 func (*countingGuard) KnowsNone() bool                    { return true }
 func (*countingGuard) MayResend([]ident.Feature) bool     { return true }
 func (*countingGuard) Answered(ident.Instance, time.Time) {}
 func (g *countingGuard) Interrupted(i *poison.Interruption) {
-	if i.Evidence == poison.ProcessEnded {
+	switch i.Evidence {
+	case poison.ProcessEnded:
 		g.crashes.Add(1)
+	case poison.BrokenOff:
+		g.brokenOff.Add(1)
 	}
 }
 func (*countingGuard) Admit([]ident.Feature, time.Duration) poison.Decision {
@@ -143,7 +152,7 @@
 	onPart func()
 }
 
-func (c *plainCaller) Answer(status int, _ http.Header, body []byte) {
+func (c *plainCaller) Answer(status int, _ http.Header, body []byte, _ func()) {
 	c.status, c.complete = status, true
 	c.text.Write(body)
 }
@@ -158,6 +167,7 @@
 }
 func (c *plainCaller) End()                         { c.complete, c.endDelay = true, time.Since(c.lastPartAt) }
 func (c *plainCaller) Break()                       {}
+func (c *plainCaller) Interrupt()                   {}
 func (c *plainCaller) Refuse(string, time.Duration) { c.status = http.StatusServiceUnavailable }
 func (c *plainCaller) Fail(string)                  { c.status = http.StatusBadGateway }
 func (c *plainCaller) TimeOut()                     { c.status = http.StatusGatewayTimeout }
--- a/internal/forward/session.go
+++ b/internal/forward/session.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/answerbudget"
 	"github.com/goldcrestspool/goldcrestspool/internal/poison"
 	"github.com/goldcrestspool/goldcrestspool/internal/retry"
 )
@@ -58,6 +59,8 @@
 	evidence poison.Evidence
 	// hopeless: no upstream can take the call now, and none is known that will.
 	hopeless bool
+	// noRoom: this gateway had no memory for the answer to the last attempt, which says nothing of its upstream.
+	noRoom bool
 	// barredFor is the retry-after time of a barred call; 0 if the call is not barred.
 	barredFor time.Duration
 }
@@ -69,6 +72,8 @@
 	saysNotRun bool
 	header     http.Header
 	body       []byte
+	// share is what it makes the process hold until it is delivered.
+	share *answerbudget.Share
 }
 
 // run makes attempts until the call has ended.
@@ -85,7 +90,7 @@
 			return
 		}
 		result := s.attempt(choice)
-		if result != Done && s.f.cfg.Network.Lost(choice.Upstream) {
+		if result != Done && (s.noRoom || s.f.cfg.Network.Lost(choice.Upstream)) {
 			s.f.cfg.Placement.PathLost(choice)
 		}
 		s.f.cfg.Placement.Finished(choice, result, s.f.cfg.Now())
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"sync/atomic"
 	"time"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/answerbudget"
 	"github.com/goldcrestspool/goldcrestspool/internal/completion"
 	"github.com/goldcrestspool/goldcrestspool/internal/eventstream"
 	"github.com/goldcrestspool/goldcrestspool/internal/httpconn"
@@ -95,7 +97,10 @@
 				}
 				s.f.cfg.Placement.FirstEventArrived(choice, s.f.cfg.Now())
 			}
-			if !s.deliver(choice, answer, &scanner, events) {
+			delivered := answer.Share().Deliver(s.caller.Interrupt)
+			ok := s.deliver(choice, answer, &scanner, events)
+			delivered()
+			if !ok {
 				s.observeStreamEnd(answer, &scanner)
 				s.ended.Ending = completion.Abandoned
 				return CallerGone
@@ -107,6 +112,11 @@
 			s.doubtEnd(choice, answer)
 			return s.endStream(choice, answer, &scanner, err)
 		}
+		if err := s.holdEvent(answer, &scanner); err != nil {
+			s.observeStreamEnd(answer, &scanner)
+			s.reason, s.noRoom = err.Error(), errors.Is(err, answerbudget.ErrNoRoom)
+			return s.callEndedOr(s.interrupted())
+		}
 		if tooMuchPadding {
 			s.observeStreamEnd(answer, &scanner)
 			s.reason = "comments and empty lines without an event"
@@ -120,6 +130,17 @@
 	}
 }
 
+// holdEvent reserves room for an event of which a part has come, with what its buffer takes as it grows.
+func (s *session) holdEvent(answer *httpconn.Answer, scanner *eventstream.Scanner) error {
+	const growth = 9.0 / 4
+	held := int64(growth * float64(scanner.Held()))
+	if held <= streamBufferBytes {
+		answer.Drop(held)
+		return nil
+	}
+	return answer.Hold(held)
+}
+
 // maxPaddingBytes bounds the comments and empty lines between two events. They keep a connection alive, some
 // bytes now and then; an upstream that sends more than this makes no events.
 const maxPaddingBytes = 64 << 10
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -261,8 +261,8 @@
 	// the failed attempt says nothing about how the upstream serves other requests. It
 	// reports whether the end was unexpected. Finished is called after it.
 	UpstreamEnded(choice Choice) bool
-	// PathLost records that the path to the upstream is lost, so that a failed attempt says nothing
-	// about the upstream. Finished is called after it.
+	// PathLost records that the path to the upstream is lost, or that this gateway has no room for its answer, so that a
+	// failed attempt says nothing about the upstream. Finished is called after it.
 	PathLost(choice Choice)
 	// Replaced reports whether a later process than the chosen one has taken the upstream's name, so that
 	// an answer may come from that.
@@ -328,8 +328,8 @@
 
 // Caller receives the answer. Its methods are never called concurrently.
 type Caller interface {
-	// Answer delivers a whole answer.
-	Answer(status int, header http.Header, body []byte)
+	// Answer delivers a whole answer. It calls progress whenever the caller has taken a part of a long one.
+	Answer(status int, header http.Header, body []byte, progress func())
 	// Begin starts an answer that is delivered in parts.
 	Begin(status int, header http.Header)
 	// Part delivers the next part; an error means that the caller has gone.
@@ -339,6 +339,8 @@
 	// Break cuts off an answer that was delivered in parts, so that the caller sees that
 	// it is incomplete.
 	Break()
+	// Interrupt makes a delivery in progress fail. Unlike the others it may be called concurrently, and it does not block.
+	Interrupt()
 	// Refuse tells the caller that the request did not run, and after how long to retry.
 	Refuse(reason string, after time.Duration)
 	// Fail tells the caller that the request failed and may have run.
--- a/internal/gossip/network.go
+++ b/internal/gossip/network.go
@@ -29,7 +29,7 @@
 // Send implements Network.
 func (n HTTPNetwork) Send(ctx context.Context, address string, request []byte) ([]byte, error) {
 	target := httpconn.Target{ID: ident.Instance(address), Address: address}
-	answer, failure := n.Pool.Send(ctx, target, &httpconn.Request{Method: http.MethodPost, URI: cmp.Or(n.Path, exchangePath), Host: address, Body: request})
+	answer, failure := n.Pool.Send(ctx, target, &httpconn.Request{Method: http.MethodPost, URI: cmp.Or(n.Path, exchangePath), Host: address, Body: request, ForGateway: true})
 	if failure != nil {
 		return nil, failure
 	}
--- a/internal/headcost/headcost.go
+++ b/internal/headcost/headcost.go
@@ -7,13 +7,8 @@
 	LineBytes = 160
 	// ordinaryBytes is the cost of a head up to which it is a part of its connection's.
 	ordinaryBytes = 8 << 10
-	// leastLine is the least that a field's line takes: a name, a colon and the line's end.
-	leastLine = 3
 )
 
-// Most returns the most that a head of so many bytes costs more than an ordinary one.
-func Most(bytes int64) int64 { return max(0, 2*bytes+bytes/leastLine*LineBytes-ordinaryBytes) }
-
 // Meter tells what a head costs, as it is read. The zero value is ready to use.
 type Meter struct {
 	cost int64
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -22,8 +22,10 @@
 
 	pkgerrors "github.com/pkg/errors"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/answerbudget"
 	"github.com/goldcrestspool/goldcrestspool/internal/answerhead"
 	"github.com/goldcrestspool/goldcrestspool/internal/completion"
+	"github.com/goldcrestspool/goldcrestspool/internal/headcost"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 )
 
@@ -66,6 +68,9 @@
 	// BeforeSend is called once a connection is available, right before the first
 	// byte is sent. If it returns an error, nothing is sent. It may be nil.
 	BeforeSend func() error
+	// ForGateway: the answer is for the gateway itself, as those of the platform and of other gateways are, and not for a
+	// caller.
+	ForGateway bool
 }
 
 // Stage is the part of an exchange in which it failed.
@@ -124,6 +129,9 @@
 	// stopReset stops the reset of the connection at the end of the request's
 	// context. It returns false if the reset has already begun.
 	stopReset func() bool
+	// share is what the answer makes the process hold, of which its head costs headBytes.
+	share     *answerbudget.Share
+	headBytes int64
 	// ending is how the reading of the body ended, and endedAt when, if the upstream closed or reset
 	// the connection.
 	ending  completion.Ending
@@ -146,11 +154,17 @@
 // closed in its middle.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.response.Body.Read(p)
+	if n > 0 {
+		a.share.Progress()
+	}
 	if err == nil {
 		return n, nil
 	}
-	if err == io.EOF {
+	switch {
+	case err == io.EOF:
 		err = a.checkTrailer()
+	case a.share.Yielded():
+		err = answerbudget.ErrStalled
 	}
 	a.ending = a.endingOf(err)
 	if a.closedByUpstream() {
@@ -159,7 +173,7 @@
 	if err == io.EOF {
 		return n, io.EOF
 	}
-	if a.ending == completion.Abandoned {
+	if a.ctx.Err() != nil {
 		err = context.Cause(a.ctx)
 	}
 	return n, &Failure{Stage: StageBody, MaybeSent: true, Err: err}
@@ -187,7 +201,7 @@
 		return completion.AtFrame
 	case err == io.EOF, errors.Is(err, io.ErrUnexpectedEOF):
 		return completion.Closed
-	case a.ctx.Err() != nil:
+	case a.ctx.Err() != nil, errors.Is(err, answerbudget.ErrStalled):
 		return completion.Abandoned
 	case errors.As(err, &network):
 		return completion.Reset
@@ -232,6 +246,7 @@
 	if a.OnClose != nil {
 		a.OnClose()
 	}
+	a.share.End()
 	notReset := a.stopReset()
 	if a.closedByUpstream() {
 		a.conn.noteClosed(a.endedAt)
@@ -267,14 +282,20 @@
 func (c *conn) exchange(ctx context.Context, req *Request) (*Answer, *Failure) {
 	suspicions := c.pool.suspicions.Load()
 	stop := context.AfterFunc(ctx, c.reset)
+	share := c.pool.budget(req).Begin(c.id, c.stopReading)
 	fail := func(stage Stage, err error) (*Answer, *Failure) {
 		stop()
-		c.resetAndDiscard()
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			err = context.Cause(ctx)
+		case share.Yielded():
+			err = answerbudget.ErrStalled
 		}
+		share.End()
+		c.resetAndDiscard()
 		return nil, &Failure{Stage: stage, MaybeSent: true, Err: err}
 	}
+	c.header.hold = func(bytes int64) error { return share.Reserve(ctx, bytes) }
 	written, err := c.write(req)
 	if err != nil {
 		return fail(StageWrite, err)
@@ -287,7 +308,7 @@
 	c.host.answers.Add(1)
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header,
-		ctx: ctx, conn: c, response: response, written: written, stopReset: stop,
+		ctx: ctx, conn: c, response: response, written: written, stopReset: stop, share: share, headBytes: c.header.cost.Cost(),
 	}, nil
 }
 
@@ -340,6 +361,9 @@
 	for {
 		c.header.begin(c.reader)
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: req.Method})
+		if c.header.short != nil {
+			return nil, c.header.short
+		}
 		if err != nil {
 			return nil, preferWriteError(written, err)
 		}
@@ -426,6 +450,11 @@
 	remaining int
 	// seen are the bytes that the header is in, and some after it.
 	seen []byte
+	// cost is what the header costs, for which hold reserves room before it is parsed, and short is the error if there was
+	// none: net/http reports a malformed line then.
+	cost  headcost.Meter
+	hold  func(bytes int64) error
+	short error
 }
 
 // begin starts a header, of which the reader above may hold a part already.
@@ -433,6 +462,8 @@
 	l.remaining = maxHeaderBytes
 	buffered, _ := above.Peek(above.Buffered()) // never longer than what is buffered
 	l.seen = append(l.seen[:0], buffered...)
+	l.cost, l.short = headcost.Meter{}, nil
+	l.cost.Add(buffered)
 }
 
 // namesFields reports whether a Connection field may hold something else than "close".
@@ -479,6 +510,11 @@
 	n, err := l.source.Read(p)
 	l.remaining -= n
 	l.seen = append(l.seen, p[:n]...)
+	if l.cost.Add(p[:n]) > 0 {
+		if l.short = l.hold(l.cost.Cost()); l.short != nil {
+			return 0, l.short
+		}
+	}
 	return n, err
 }
 
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/answerbudget"
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
 	"github.com/goldcrestspool/goldcrestspool/internal/connend"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
@@ -45,6 +46,8 @@
 	now boottime.Clock
 	// dialContext opens a connection; it is that of a net.Dialer.
 	dialContext func(ctx context.Context, network, address string) (net.Conn, error)
+	// forCallers and forGateway bound what answers make the process hold; nil for no bound.
+	forCallers, forGateway *answerbudget.Budget
 
 	// suspicions counts the calls of Suspect.
 	suspicions atomic.Uint64
@@ -116,7 +119,8 @@
 
 // NewPool returns an empty pool.
 func NewPool(now boottime.Clock) *Pool {
-	return &Pool{now: now, dialContext: (&net.Dialer{KeepAlive: -1}).DialContext, hosts: make(map[ident.Instance]*host)}
+	dialer := &net.Dialer{KeepAlive: -1, Control: boundUnread}
+	return &Pool{now: now, dialContext: dialer.DialContext, hosts: make(map[ident.Instance]*host)}
 }
 
 // DialWith makes the pool open its connections by another function, such as one that simulates
@@ -125,6 +129,20 @@
 	p.dialContext = dial
 }
 
+// BoundAnswers bounds what answers make the process hold: those for callers, and those for the gateway itself. Call it
+// before the pool is used.
+func (p *Pool) BoundAnswers(forCallers, forGateway *answerbudget.Budget) {
+	p.forCallers, p.forGateway = forCallers, forGateway
+}
+
+// budget returns the bound of the answer to a request.
+func (p *Pool) budget(req *Request) *answerbudget.Budget {
+	if req.ForGateway {
+		return p.forGateway
+	}
+	return p.forCallers
+}
+
 // Target is the upstream that a request is sent to.
 type Target struct {
 	ID      ident.Instance
@@ -356,6 +374,14 @@
 	_ = c.net.Close() // the connection is not used again, whatever the error
 }
 
+// stopReading makes all reads fail. It may be called while an exchange uses the connection.
+func (c *conn) stopReading() {
+	_ = c.net.SetReadDeadline(longPast) // fails only if the connection is closed
+}
+
+// longPast is a deadline that has passed.
+var longPast = time.Unix(1, 0)
+
 // resetAndDiscard resets the connection and frees its place in the pool.
 func (c *conn) resetAndDiscard() {
 	c.reset()
--- a/internal/ingress/caller.go
+++ b/internal/ingress/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -25,8 +26,11 @@
 	endedByClose *membudget.Conn
 }
 
+// pieceBytes is how much of a long answer is written at a time.
+const pieceBytes = 64 << 10
+
 // Answer delivers a complete answer.
-func (c *caller) Answer(status int, header http.Header, body []byte) {
+func (c *caller) Answer(status int, header http.Header, body []byte, progress func()) {
 	c.copyHeader(header)
 	length := strconv.Itoa(len(body))
 	if c.headOnly {
@@ -37,11 +41,23 @@
 	}
 	c.setWriteDeadline()
 	c.w.WriteHeader(status)
-	if _, err := c.w.Write(body); err != nil {
-		c.abort = true
+	for piece := range slices.Chunk(body, pieceBytes) {
+		if _, err := c.w.Write(piece); err != nil {
+			c.abort = true
+			return
+		}
+		progress()
 	}
 }
 
+// Interrupt makes a write in progress, and all later ones, fail.
+func (c *caller) Interrupt() {
+	_ = c.control.SetWriteDeadline(longPast) // all connections of net/http support deadlines
+}
+
+// longPast is a deadline that has passed.
+var longPast = time.Unix(1, 0)
+
 // Begin starts an answer that is delivered in parts.
 func (c *caller) Begin(status int, header http.Header) {
 	if c.endedByClose != nil {
--- a/internal/membudget/machine.go
+++ b/internal/membudget/machine.go
@@ -19,6 +19,14 @@
 	callerDescriptorShare = 0.6
 	// callerLeastShare is what callers have at the least, however small the machine is.
 	callerLeastShare = 0.1
+	// answerShare is the share that answers may make the process hold, as far as what callers hold leaves it within
+	// liveShare of Go's limit. Of that, ownAnswerShare is for answers to the process itself: of the platform and of other
+	// gateways.
+	answerShare    = 0.2
+	ownAnswerShare = 0.25
+	liveShare      = 0.9
+	// waitingShare is the share for what the kernel holds unread of answers that wait for room.
+	waitingShare = 0.025
 )
 
 // Machine is what a process may use.
@@ -46,5 +54,28 @@
 	return min(m.share(callerMemoryShare), max((m.share(1)-idleBytes)/2, m.share(callerLeastShare)))
 }
 
+// Answers is what answers may make the process hold.
+type Answers struct {
+	// Bytes bounds what is read of them.
+	Bytes int64
+	// Waiting bounds how many wait for room, of each of which the kernel holds bytes unread.
+	Waiting int
+}
+
+// Answers returns what answers that callers wait for may make the process hold, and answers to the process itself. unread
+// is how many bytes the kernel holds of one that waits for room.
+func (m Machine) Answers(unread int64) (forCallers, own Answers) {
+	part := func(share float64) Answers {
+		return Answers{Bytes: int64(share * float64(m.answers())), Waiting: int(share * float64(m.share(waitingShare)) / float64(unread))}
+	}
+	return part(1 - ownAnswerShare), part(ownAnswerShare)
+}
+
+// answers is how much all answers may make the process hold.
+func (m Machine) answers() int64 {
+	const idleGoBytes = idleBytes - programBytes
+	return min(m.share(answerShare), int64(liveShare*float64(m.goLimit()))-idleGoBytes-m.CallerBytes())
+}
+
 // CallerConnections is how many connections the descriptors allow to callers.
 func (m Machine) CallerConnections() int { return int(callerDescriptorShare * float64(m.Descriptors)) }
--- a/internal/testkit/crowd/watch.go
+++ b/internal/testkit/crowd/watch.go
@@ -24,8 +24,10 @@
 type Watch struct {
 	pid  int
 	port int
-	stop chan struct{}
-	work sync.WaitGroup
+	// upstreams are the ports of the upstreams to whose connections is looked too.
+	upstreams []int
+	stop      chan struct{}
+	work      sync.WaitGroup
 
 	mu sync.Mutex
 	// most holds the largest sum of resident and unread bytes with its parts, and the most descriptors.
@@ -35,8 +37,20 @@
 // sampleInterval is how often a Watch samples.
 const sampleInterval = 10 * time.Millisecond
 
-// NewWatch watches the process with an ID that listens on an address.
-func NewWatch(t testing.TB, pid int, address string) *Watch {
+// NewWatch watches the process with an ID that listens on an address, and its connections to upstreams at other
+// addresses.
+func NewWatch(t testing.TB, pid int, address string, upstreams ...string) *Watch {
+	t.Helper()
+	w := &Watch{pid: pid, port: portOf(t, address), stop: make(chan struct{})}
+	for _, upstream := range upstreams {
+		w.upstreams = append(w.upstreams, portOf(t, upstream))
+	}
+	w.work.Go(w.run)
+	return w
+}
+
+// portOf returns the port of an address.
+func portOf(t testing.TB, address string) int {
 	t.Helper()
 	_, port, err := net.SplitHostPort(address)
 	if err != nil {
@@ -46,9 +60,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &Watch{pid: pid, port: number, stop: make(chan struct{})}
-	w.work.Go(w.run)
-	return w
+	return number
 }
 
 func (w *Watch) run() {
@@ -60,7 +72,7 @@
 			return
 		case <-tick.C:
 		}
-		held, err := Sample(w.pid, w.port)
+		held, err := Sample(w.pid, w.port, w.upstreams...)
 		if err != nil {
 			return // the process has ended, which the test notices
 		}
@@ -82,13 +94,13 @@
 	return w.most
 }
 
-// Sample returns what a process holds now. Callers connect to its port.
-func Sample(pid, port int) (Held, error) {
+// Sample returns what a process holds now. Callers connect to its port, and it connects to those of upstreams.
+func Sample(pid, port int, upstreams ...int) (Held, error) {
 	resident, err := residentBytes(pid)
 	if err != nil {
 		return Held{}, err
 	}
-	unread, err := unreadBytes(port)
+	unread, err := unreadBytes(port, upstreams)
 	if err != nil {
 		return Held{}, err
 	}
@@ -112,23 +124,37 @@
 	return resident * int64(os.Getpagesize()), nil
 }
 
-// listening is the state of a listening socket in /proc/net/tcp, whose queue counts connections.
-const listening = "0A"
+// portSuffix returns how the addresses with a port end in /proc/net/tcp.
+func portSuffix(port int) string { return fmt.Sprintf(":%04X", port) }
+
+// States in /proc/net/tcp of sockets whose queue counts no bytes: listening ones have connections in it, and of connecting
+// ones, which have received nothing, it tells nothing.
+const (
+	connecting = "02"
+	listening  = "0A"
+)
 
-// unreadBytes returns how many bytes the kernel holds for the reader at all connections whose local port
-// is the given one.
-func unreadBytes(port int) (int64, error) {
+// unreadBytes returns how many bytes the kernel holds for the reader at all connections whose local port is the given
+// one, or whose other end has the port of an upstream.
+func unreadBytes(port int, upstreams []int) (int64, error) {
 	file, err := os.Open("/proc/net/tcp")
 	if err != nil {
 		return 0, err
 	}
 	defer func() { _ = file.Close() }() // only read
-	suffix := fmt.Sprintf(":%04X", port)
+	suffix := portSuffix(port)
+	remote := make(map[string]bool)
+	for _, upstream := range upstreams {
+		remote[portSuffix(upstream)] = true
+	}
 	var sum int64
 	lines := bufio.NewScanner(file)
 	for lines.Scan() {
 		fields := strings.Fields(lines.Text())
-		if len(fields) < 5 || !strings.HasSuffix(fields[1], suffix) || fields[3] == listening {
+		if len(fields) < 5 || fields[3] == listening || fields[3] == connecting || len(fields[2]) < len(suffix) {
+			continue
+		}
+		if !strings.HasSuffix(fields[1], suffix) && !remote[fields[2][len(fields[2])-len(suffix):]] {
 			continue
 		}
 		_, queue, found := strings.Cut(fields[4], ":")
--- a/internal/testkit/relay.go
+++ b/internal/testkit/relay.go
@@ -16,7 +16,6 @@
 // the two. Among others it can make the open connections silent for ever while new ones
 // work, as when a device on the way has lost their state. It is safe for concurrent use.
 type Relay struct {
-	target   string
 	listener net.Listener
 	group    sync.WaitGroup
 
@@ -26,6 +25,7 @@
 	cut, cutReplies, hold atomic.Bool
 
 	mu     sync.Mutex
+	target string
 	conns  []*relayedConn
 	closed bool
 }
@@ -60,6 +60,21 @@
 // Address returns the relay's address, as host:port.
 func (r *Relay) Address() string { return r.listener.Addr().String() }
 
+// Redirect makes the relay forward to another server, host:port, and resets the open connections.
+func (r *Relay) Redirect(server string) {
+	r.mu.Lock()
+	r.target = server
+	r.mu.Unlock()
+	r.Reset()
+}
+
+// currentTarget returns the server to which new connections go.
+func (r *Relay) currentTarget() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.target
+}
+
 // Delay delays the bytes of each read from now on. Zero ends the delay.
 func (r *Relay) Delay(d time.Duration) { r.delay.Store(int64(d)) }
 
@@ -107,7 +122,7 @@
 		if err != nil {
 			return
 		}
-		server, err := net.Dial("tcp", r.target)
+		server, err := net.Dial("tcp", r.currentTarget())
 		if err != nil {
 			_ = client.Close()
 			continue
