transport: all answers that a gateway or a controller holds have one bound

What callers would see: a faulty upstream sends a message, an error's message or a stream's frame without end, or one that stops short, or a head of many fields. The product's gateway keeps all of it, runs out of memory within a second, and the requests of all its callers end with it.

Cause: Connect's clients read a message to its end, however long, net/http a head of 10 MiB, and nothing knew what all answers held together. Ruled out: admission, which bounds how many requests are in flight, not what they hold.

Why it works: what the entry process does, where net/http's client hands the bytes over: heads on the connection (also over TLS, which is dialled here for that), messages before Connect reads them, of a stream the message that has not ended, compressed answers of the platform as they are decompressed, a decoded message until its caller has been answered. Logs are read with fewer records where there is no room for as many. testkit's server is its own, as transport now imports packages whose tests use testkit. Not mended, by reading: outcomes that are kept for callers that ask again (docs/incidents/answers-without-a-common-bound.md).

--- a/internal/answerbudget/budget.go
+++ b/internal/answerbudget/budget.go
@@ -45,16 +45,21 @@
 	logInterval = time.Second
 )
 
-// Config holds what a Budget uses. All fields are required.
-type Config struct {
-	Now boottime.Clock
-	Log hclog.Logger
+// Limits are the bounds of a Budget.
+type Limits struct {
 	// Bytes bounds what the answers hold.
 	Bytes int64
 	// Waiting bounds how many answers wait for room at a time: what comes of them meanwhile is held unread.
 	Waiting int
 }
 
+// Config holds what a Budget uses. All fields are required.
+type Config struct {
+	Now boottime.Clock
+	Log hclog.Logger
+	Limits
+}
+
 // Budget holds what answers make a process hold, and its bound. Create it with New. It is safe for concurrent use. Of a
 // nil Budget, shares have no bound.
 type Budget struct {
--- a/internal/answerbudget/budget_test.go
+++ b/internal/answerbudget/budget_test.go
@@ -21,7 +21,7 @@
 const mib = 1 << 20
 
 func newTestBudget(bytes int64, waiting int) *Budget {
-	return New(Config{Now: time.Now, Log: hclog.NewNullLogger(), Bytes: bytes, Waiting: waiting})
+	return New(Config{Now: time.Now, Log: hclog.NewNullLogger(), Limits: Limits{Bytes: bytes, Waiting: waiting}})
 }
 
 // answer is a share whose reading can be stopped.
--- a/internal/answerbudget/share.go
+++ b/internal/answerbudget/share.go
@@ -228,6 +228,16 @@
 	s.stop()
 }
 
+// Held returns how many bytes the answer holds.
+func (s *Share) Held() int64 {
+	if s == nil {
+		return 0
+	}
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	return s.held
+}
+
 // Yielded reports whether the answer had to yield.
 func (s *Share) Yielded() bool {
 	if s == nil {
--- a/internal/capacity/probing.go
+++ b/internal/capacity/probing.go
@@ -129,7 +129,7 @@
 	if err != nil {
 		return wireFigures{}, err
 	}
-	dialer := connectupstream.NewDialer(nil)
+	dialer := connectupstream.NewDialer(nil, nil)
 	defer dialer.Close()
 	engine := dialer.Engine(l.address)
 	return measureServer(l, func() error {
--- a/internal/httpconn/window.go
+++ b/internal/connend/window.go
@@ -1,4 +1,4 @@
-package httpconn
+package connend
 
 import "syscall"
 
@@ -10,8 +10,8 @@
 	UnreadBytes = receiveBuffer * 3 / 2
 )
 
-// boundUnread bounds what the kernel holds unread at a socket that is about to be connected.
-func boundUnread(_, _ string, raw syscall.RawConn) error {
+// BoundUnread bounds what the kernel holds unread at a socket that is about to be connected, as a net.Dialer's Control.
+func BoundUnread(_, _ string, raw syscall.RawConn) error {
 	return raw.Control(func(fd uintptr) {
 		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer) // fails only for what is no socket
 	})
--- a/internal/controller/wire.go
+++ b/internal/controller/wire.go
@@ -1,14 +1,21 @@
 package controller
 
 import (
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/answerbudget"
 	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
+	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
+	"github.com/goldcrestspool/goldcrestspool/internal/connend"
 	"github.com/goldcrestspool/goldcrestspool/internal/controllers/configuration"
 	"github.com/goldcrestspool/goldcrestspool/internal/controllers/fleet"
 	"github.com/goldcrestspool/goldcrestspool/internal/controllers/orders"
 	"github.com/goldcrestspool/goldcrestspool/internal/document"
 	"github.com/goldcrestspool/goldcrestspool/internal/lease"
+	"github.com/goldcrestspool/goldcrestspool/internal/membudget"
 	"github.com/goldcrestspool/goldcrestspool/internal/peer"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform/connectplatform"
+	"github.com/goldcrestspool/goldcrestspool/internal/settings"
 	"github.com/goldcrestspool/goldcrestspool/internal/transport"
 	"github.com/goldcrestspool/goldcrestspool/internal/upstream/connectupstream"
 )
@@ -22,14 +29,15 @@
 	p.documents = blackboard.NewSection(&document.Set{})
 	p.health = blackboard.NewSection(blackboard.ConfigurationHealth{Problem: "not read yet"})
 	p.listing = blackboard.NewSection(blackboard.Listing{})
-	p.client = transport.NewClient(transport.Options{FreshConnections: true, RequireFrame: true})
-	p.platform = connectplatform.NewClient(p.client, s.Platform.Address)
+	answers := newAnswers(s, p.log)
+	p.client = transport.NewClient(transport.Options{FreshConnections: true, RequireFrame: true, Answers: answers.Own})
+	p.platform = connectplatform.NewClient(p.client, s.Platform.Address, transport.Gzip(answers.Own, "platform"))
 
 	trusted, err := s.TLS.Upstream.ClientConfig()
 	if err != nil {
 		return err
 	}
-	p.dialer = connectupstream.NewDialer(trusted)
+	p.dialer = connectupstream.NewDialer(trusted, answers.ForCallers)
 	if p.pool, err = peer.NewPool(s.TLS.Peers.Files()); err != nil {
 		return err
 	}
@@ -48,6 +56,12 @@
 	return nil
 }
 
+// newAnswers returns the bounds of what answers make the process hold.
+func newAnswers(s *settings.Controller, log hclog.Logger) answerbudget.Pair {
+	ofUpstreams, own := membudget.Machine(s.Machine).Answers(connend.UnreadBytes)
+	return answerbudget.NewPair(boottime.Now, log, ofUpstreams, own)
+}
+
 func (p *Process) wireLeases() error {
 	s := p.settings
 	config := lease.Config{
--- a/internal/e2e/control_test.go
+++ b/internal/e2e/control_test.go
@@ -150,7 +150,7 @@
 // of the lease over its failure domain.
 func (s *system) awaitVersion(version string, fences map[lease.Name]ident.Fence) {
 	s.t.Helper()
-	dialer := connectupstream.NewDialer(nil)
+	dialer := connectupstream.NewDialer(nil, nil)
 	defer dialer.Close()
 	for i, p := range s.engines {
 		s.await(p.name+" runs "+version+" by the holder's order", func() bool {
@@ -210,7 +210,7 @@
 // to order them again.
 func (s *system) sendStaleOrders(version string, fences map[lease.Name]ident.Fence) {
 	s.t.Helper()
-	dialer := connectupstream.NewDialer(nil)
+	dialer := connectupstream.NewDialer(nil, nil)
 	defer dialer.Close()
 	for i, p := range s.engines {
 		stale := upstream.Order{Fence: fences[engineLeases[i%len(engineLeases)]], Model: "spool-llm", Version: version}
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -114,7 +114,7 @@
 	p.writeSpeedMetrics(w)
 	p.writeOriginMetrics(w)
 	p.memory.WriteMetrics(w)
-	p.answers.writeMetrics(w)
+	p.answers.WriteMetrics(w)
 	v := p.view.Load()
 	fmt.Fprintf(w, "gateways_heard %d\ngateways_known %d\nclock_correction_seconds %.3f\n", v.Heard, v.Known, v.WallCorrection.Seconds())
 	fmt.Fprintf(w, "gateways_reports_age_seconds %.3f\n", v.age(p.now()).Seconds())
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -16,7 +16,9 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/admission/retryafter"
 	"github.com/goldcrestspool/goldcrestspool/internal/admission/waiting"
 	"github.com/goldcrestspool/goldcrestspool/internal/announced"
+	"github.com/goldcrestspool/goldcrestspool/internal/answerbudget"
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
+	"github.com/goldcrestspool/goldcrestspool/internal/connend"
 	"github.com/goldcrestspool/goldcrestspool/internal/daemon"
 	"github.com/goldcrestspool/goldcrestspool/internal/directory"
 	"github.com/goldcrestspool/goldcrestspool/internal/duty"
@@ -105,7 +107,7 @@
 	ledger        *metering.Ledger
 	metrics       *ingress.Metrics
 	memory        *membudget.Budget
-	answers       answerMemory
+	answers       answerbudget.Pair
 	callers       *ingress.Server
 
 	view atomic.Pointer[peerView]
@@ -163,8 +165,9 @@
 		},
 		OnLeaving: func(ids []ident.Instance) { p.upstreams.recordLeaving(ids) },
 	})
-	p.answers = newAnswerMemory(p.machine(), p.now, p.log)
-	p.pool.BoundAnswers(p.answers.forCallers, p.answers.own)
+	forCallers, own := p.machine().Answers(connend.UnreadBytes)
+	p.answers = answerbudget.NewPair(p.now, p.log, forCallers, own)
+	p.pool.BoundAnswers(p.answers.ForCallers, p.answers.Own)
 	p.memory = membudget.New(membudget.Config{
 		Now: p.now, Log: p.log.Named("memory"), Bytes: p.machine().CallerBytes(),
 		Connections: p.machine().CallerConnections(), ConnectionBytes: connectionBytes, MetersHeads: true,
--- a/internal/forward/room_test.go
+++ b/internal/forward/room_test.go
@@ -17,7 +17,7 @@
 
 // boundAnswers bounds what answers make the gateway hold.
 func (g *gatewayUnderTest) boundAnswers(bytes int64) *answerbudget.Budget {
-	b := answerbudget.New(answerbudget.Config{Now: boottime.Now, Log: hclog.NewNullLogger(), Bytes: bytes, Waiting: 8})
+	b := answerbudget.New(answerbudget.Config{Now: boottime.Now, Log: hclog.NewNullLogger(), Limits: answerbudget.Limits{Bytes: bytes, Waiting: 8}})
 	g.pool.BoundAnswers(b, b)
 	return b
 }
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -12,8 +12,10 @@
 	"connectrpc.com/connect"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/answerbudget"
 	"github.com/goldcrestspool/goldcrestspool/internal/auth"
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
+	"github.com/goldcrestspool/goldcrestspool/internal/connend"
 	"github.com/goldcrestspool/goldcrestspool/internal/membudget"
 	"github.com/goldcrestspool/goldcrestspool/internal/settings"
 )
@@ -49,9 +51,16 @@
 	})
 }
 
-// publishMemory exports what callers make the process hold through expvar.
-func publishMemory(memory *membudget.Budget) {
+// newAnswers returns the bounds of what answers make the process hold.
+func newAnswers(s *settings.Gateway, log hclog.Logger) answerbudget.Pair {
+	forCallers, own := membudget.Machine(s.Machine).Answers(connend.UnreadBytes)
+	return answerbudget.NewPair(boottime.Now, log.Named("memory"), forCallers, own)
+}
+
+// publishMemory exports what callers and answers make the process hold through expvar.
+func publishMemory(memory *membudget.Budget, answers answerbudget.Pair) {
 	expvar.Publish("goldcrestspool.callers.memory", expvar.Func(func() any { return memory.State() }))
+	expvar.Publish("goldcrestspool.answers.memory", expvar.Func(func() any { return answers.States() }))
 }
 
 // shareKey is the context key of a request's share of the memory.
@@ -76,7 +85,9 @@
 		} else if share.Whole() != nil {
 			panic(http.ErrAbortHandler) // as above
 		}
-		r = r.WithContext(context.WithValue(r.Context(), shareKey{}, share))
+		ctx, held := answerbudget.WithHolder(context.WithValue(r.Context(), shareKey{}, share))
+		defer held.End()
+		r = r.WithContext(ctx)
 		next.ServeHTTP(&unreadEnder{ResponseWriter: w, request: r, share: share}, r)
 	})
 }
--- a/internal/gateway/overhead_test.go
+++ b/internal/gateway/overhead_test.go
@@ -85,7 +85,7 @@
 	connectupstream.MountEngine(mux, pacedEngine{})
 	connectupstream.MountPlain(mux, &fakePlain{})
 	url := testkit.Serve(b, mux)
-	clients := connectupstream.NewClients(nil)
+	clients := connectupstream.NewClients(nil, nil)
 	b.Cleanup(clients.Close)
 	many := concurrency.Config{Initial: 4096, Min: 4096, Max: 4096}
 	env := newTestEnv(b, envOptions{
--- a/internal/gateway/plains.go
+++ b/internal/gateway/plains.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/answerbudget"
 	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
 	"github.com/goldcrestspool/goldcrestspool/internal/document"
 	"github.com/goldcrestspool/goldcrestspool/internal/errcode"
@@ -157,7 +159,7 @@
 		sentAt:     active.sentAt,
 		inFlight:   active.inFlight,
 		firstToken: took,
-		failed:     err != nil && !isLeaving(err) && ctx.Err() == nil,
+		failed:     countsAgainstUpstream(ctx, err),
 	})
 	p.explain.RecordAttempt(a.subject, explain.Attempt{
 		Upstream:            u.Instance.ID,
@@ -170,6 +172,12 @@
 	return answer, err
 }
 
+// countsAgainstUpstream reports whether an attempt's error says something of its upstream. That this gateway had no room
+// for the answer says nothing.
+func countsAgainstUpstream(ctx context.Context, err error) bool {
+	return err != nil && !isLeaving(err) && !errors.Is(err, answerbudget.ErrNoRoom) && ctx.Err() == nil
+}
+
 func plainRoutingResult(err error) routing.Result {
 	switch {
 	case err == nil:
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/admission"
+	"github.com/goldcrestspool/goldcrestspool/internal/answerbudget"
 	"github.com/goldcrestspool/goldcrestspool/internal/auth"
 	"github.com/goldcrestspool/goldcrestspool/internal/blackboard"
 	"github.com/goldcrestspool/goldcrestspool/internal/calls"
@@ -37,6 +38,9 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/upstream/connectupstream"
 )
 
+// platformSource names the platform among the sources of answers.
+const platformSource ident.Instance = "platform"
+
 // maxExplainEvents is the number of attempts and endings that a gateway keeps for
 // operators who ask about a request.
 const maxExplainEvents = 4096
@@ -67,6 +71,7 @@
 	recorder  *explain.Recorder
 	admission *admission.Controller
 	memory    *membudget.Budget
+	answers   answerbudget.Pair
 	members   *membership.Controller
 	documents *configuration.Controller
 	calls     *calls.Coordinator
@@ -137,6 +142,7 @@
 		recorder:  explain.NewRecorder(maxExplainEvents),
 		reclaimed: make(chan time.Duration, 1),
 	}
+	p.answers = newAnswers(s, p.log)
 	p.ready = &readiness{board: p.board, startedAt: time.Now()}
 	p.self = ownInstance(s, opened)
 	if err := p.wire(); err != nil {
@@ -182,7 +188,8 @@
 	if err := p.wireTLS(); err != nil {
 		return err
 	}
-	p.platform = connectplatform.NewClient(transport.NewClient(transport.Options{FreshConnections: true, RequireFrame: true}), p.settings.Platform.Address)
+	p.platform = connectplatform.NewClient(transport.NewClient(transport.Options{FreshConnections: true, RequireFrame: true, Answers: p.answers.Own}), p.settings.Platform.Address,
+		transport.Gzip(p.answers.Own, platformSource))
 	p.wireState()
 	p.wireRequests()
 	return nil
@@ -202,7 +209,7 @@
 	if err != nil {
 		return err
 	}
-	p.dialer = connectupstream.NewDialer(upstreams)
+	p.dialer = connectupstream.NewDialer(upstreams, p.answers.ForCallers)
 	return nil
 }
 
@@ -255,7 +262,7 @@
 	metrics.Publish()
 	p.admission = admission.New(admission.Config{Metrics: metrics})
 	p.memory = newMemory(p.settings, p.log)
-	publishMemory(p.memory)
+	publishMemory(p.memory, p.answers)
 	attempts := &admissionRecorder{admission: p.admission}
 	router := &upstreamRouter{board: p.board, domain: p.self.FailureDomain, ejections: p.admission}
 	dispatcher := &plainDispatcher{
--- a/internal/gateway/span_test.go
+++ b/internal/gateway/span_test.go
@@ -120,7 +120,7 @@
 	connectupstream.MountEngine(mux, newEngine(t))
 	connectupstream.MountPlain(mux, &fakePlain{})
 	url := testkit.Serve(t, recorder.record(mux))
-	clients := connectupstream.NewClients(nil)
+	clients := connectupstream.NewClients(nil, nil)
 	t.Cleanup(clients.Close)
 	env := newTestEnv(t, envOptions{
 		plain:  connectupstream.NewPlain(clients, url),
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -119,7 +119,7 @@
 
 // NewPool returns an empty pool.
 func NewPool(now boottime.Clock) *Pool {
-	dialer := &net.Dialer{KeepAlive: -1, Control: boundUnread}
+	dialer := &net.Dialer{KeepAlive: -1, Control: connend.BoundUnread}
 	return &Pool{now: now, dialContext: dialer.DialContext, hosts: make(map[ident.Instance]*host)}
 }
 
--- a/internal/httpconn/window_test.go
+++ b/internal/httpconn/window_test.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/boottime"
+	"github.com/goldcrestspool/goldcrestspool/internal/connend"
 )
 
 // unread returns how many bytes the kernel holds of what was received.
@@ -60,8 +61,8 @@
 	for last := -1; ; {
 		<-time.After(50 * time.Millisecond)
 		held := answer.conn.unread(t)
-		if held > UnreadBytes {
-			t.Fatalf("%d bytes are held unread, want %d at the most", held, UnreadBytes)
+		if held > connend.UnreadBytes {
+			t.Fatalf("%d bytes are held unread, want %d at the most", held, connend.UnreadBytes)
 		}
 		if held == last {
 			break
--- a/internal/membudget/machine.go
+++ b/internal/membudget/machine.go
@@ -1,6 +1,10 @@
 package membudget
 
-import "runtime/debug"
+import (
+	"runtime/debug"
+
+	"github.com/goldcrestspool/goldcrestspool/internal/answerbudget"
+)
 
 // How a process shares its machine out. docs/CAPACITY.md adds the parts up.
 const (
@@ -54,19 +58,11 @@
 	return min(m.share(callerMemoryShare), max((m.share(1)-idleBytes)/2, m.share(callerLeastShare)))
 }
 
-// Answers is what answers may make the process hold.
-type Answers struct {
-	// Bytes bounds what is read of them.
-	Bytes int64
-	// Waiting bounds how many wait for room, of each of which the kernel holds bytes unread.
-	Waiting int
-}
-
 // Answers returns what answers that callers wait for may make the process hold, and answers to the process itself. unread
 // is how many bytes the kernel holds of one that waits for room.
-func (m Machine) Answers(unread int64) (forCallers, own Answers) {
-	part := func(share float64) Answers {
-		return Answers{Bytes: int64(share * float64(m.answers())), Waiting: int(share * float64(m.share(waitingShare)) / float64(unread))}
+func (m Machine) Answers(unread int64) (forCallers, own answerbudget.Limits) {
+	part := func(share float64) answerbudget.Limits {
+		return answerbudget.Limits{Bytes: int64(share * float64(m.answers())), Waiting: int(share * float64(m.share(waitingShare)) / float64(unread))}
 	}
 	return part(1 - ownAnswerShare), part(ownAnswerShare)
 }
--- a/internal/platform/connectplatform/client.go
+++ b/internal/platform/connectplatform/client.go
@@ -9,10 +9,12 @@
 	"net/http"
 	"time"
 
+	"connectrpc.com/connect"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	platformv1 "github.com/goldcrestspool/goldcrestspool/api/platform/v1"
 	"github.com/goldcrestspool/goldcrestspool/api/platform/v1/platformv1connect"
+	"github.com/goldcrestspool/goldcrestspool/internal/answerbudget"
 	"github.com/goldcrestspool/goldcrestspool/internal/ident"
 	"github.com/goldcrestspool/goldcrestspool/internal/platform"
 	"github.com/goldcrestspool/goldcrestspool/internal/transport"
@@ -49,12 +51,12 @@
 // repeats no request: a repeated append would be in the log twice. It should dial a
 // connection for each request (transport.Options.FreshConnections), so that a
 // connection that goes silent costs one request at most.
-func NewClient(client *http.Client, baseURL string) *Client {
+func NewClient(client *http.Client, baseURL string, options ...connect.ClientOption) *Client {
 	return &Client{
-		log:       platformv1connect.NewLogServiceClient(client, baseURL),
-		instances: platformv1connect.NewInstanceServiceClient(client, baseURL),
-		cloud:     platformv1connect.NewCloudServiceClient(client, baseURL),
-		weights:   platformv1connect.NewWeightServiceClient(client, baseURL),
+		log:       platformv1connect.NewLogServiceClient(client, baseURL, options...),
+		instances: platformv1connect.NewInstanceServiceClient(client, baseURL, options...),
+		cloud:     platformv1connect.NewCloudServiceClient(client, baseURL, options...),
+		weights:   platformv1connect.NewWeightServiceClient(client, baseURL, options...),
 		timeout:   requestTimeout,
 		readGrace: readGrace,
 	}
@@ -72,9 +74,20 @@
 	return ident.Offset(response.GetFirstOffset()), nil
 }
 
-// Read implements platform.Log.
+// Read implements platform.Log. It asks for fewer records if there is no room in the memory for as many.
 func (c *Client) Read(
 	ctx context.Context, stream string, from ident.Offset, limit int, wait time.Duration,
+) (platform.Batch, error) {
+	for ; ; limit /= 2 {
+		batch, err := c.readOnce(ctx, stream, from, limit, wait)
+		if limit <= 1 || !errors.Is(err, answerbudget.ErrNoRoom) {
+			return batch, err
+		}
+	}
+}
+
+func (c *Client) readOnce(
+	ctx context.Context, stream string, from ident.Offset, limit int, wait time.Duration,
 ) (platform.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+c.readGrace)
 	defer cancel()
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -30,6 +30,7 @@
 func checkController(s *tomlfile.Source, c *Controller) {
 	checkCommon(s, &c.Common)
 	checkListener(s, "listen.operators", c.Listen.Operators, c.Listen.AcceptPlaintext)
+	checkMachineLimits(s, c.Machine)
 	s.Check(c.Control.Lease > 0, "control.lease", "is zero", "more than 0")
 	s.Check(c.Control.Interval > 0, "control.interval", "is zero", "more than 0")
 	s.Check(c.Control.SnapshotInterval > 0, "control.snapshot_interval", "is zero", "more than 0")
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -59,8 +59,9 @@
 
 func defaultController() *Controller {
 	return &Controller{
-		Common: defaultCommon(),
-		Listen: ControllerListen{Operators: loopbackAnyPort},
+		Common:  defaultCommon(),
+		Machine: defaultMachineLimits(),
+		Listen:  ControllerListen{Operators: loopbackAnyPort},
 		Control: Control{
 			Lease:            10 * time.Second,
 			Margin:           2 * time.Second,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,6 +39,7 @@
 type Controller struct {
 	Common
 	Listen  ControllerListen `toml:"listen"`
+	Machine MachineLimits    `toml:"machine"`
 	Control Control          `toml:"control"`
 }
 
--- a/internal/standin/command/command_test.go
+++ b/internal/standin/command/command_test.go
@@ -97,7 +97,7 @@
 	p, client := launchPlatform(t)
 	engineProgram := launch(t, upstreamArgs("engine", p, "--step", "5ms")...)
 	plainProgram := launch(t, upstreamArgs("plain", p, "--before", "1s")...)
-	clients := connectupstream.NewClients(nil)
+	clients := connectupstream.NewClients(nil, nil)
 	t.Cleanup(clients.Close)
 	engine := connectupstream.NewEngine(clients, baseURL(engineProgram.Address))
 	plain := connectupstream.NewPlain(clients, baseURL(plainProgram.Address))
--- a/internal/streaming/sockets_test.go
+++ b/internal/streaming/sockets_test.go
@@ -144,7 +144,7 @@
 	mux := http.NewServeMux()
 	connectupstream.MountEngine(mux, fake)
 	between := newRelay(t, strings.TrimPrefix(testkit.Serve(t, mux), "http://"))
-	clients := connectupstream.NewClients(nil)
+	clients := connectupstream.NewClients(nil, nil)
 	t.Cleanup(clients.Close)
 	client := connectupstream.NewEngine(clients, "http://"+between.listener.Addr().String())
 
--- a/internal/testkit/serve.go
+++ b/internal/testkit/serve.go
@@ -10,8 +10,6 @@
 	"testing"
 
 	"github.com/pkg/errors"
-
-	"github.com/goldcrestspool/goldcrestspool/internal/transport"
 )
 
 // Serve serves a handler on a loopback port that the kernel chooses, until the test ends,
@@ -22,7 +20,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := transport.NewServer(handler)
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	server := &http.Server{Handler: handler, Protocols: &protocols}
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
--- a/internal/transport/attempt.go
+++ b/internal/transport/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"net"
 	"net/http/httptrace"
@@ -106,10 +105,10 @@
 	a.conns = append(a.conns, usedConn{conn: c, writesBefore: c.writeCount()})
 }
 
-// trackedConnOf returns the trackedConn that c is or that TLS wraps, or nil if there is none.
+// trackedConnOf returns the trackedConn that c is or wraps, or nil if there is none.
 func trackedConnOf(c net.Conn) *trackedConn {
-	if secure, ok := c.(*tls.Conn); ok {
-		c = secure.NetConn()
+	if metered, ok := c.(*answerConn); ok {
+		return metered.tracked
 	}
 	tracked, _ := c.(*trackedConn)
 	return tracked
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -18,6 +18,7 @@
 
 	"go.opentelemetry.io/otel/propagation"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/answerbudget"
 	"github.com/goldcrestspool/goldcrestspool/internal/answerhead"
 	"github.com/goldcrestspool/goldcrestspool/internal/connend"
 )
@@ -50,6 +51,8 @@
 	// these, an orderly close is the end, whether the server wanted it or its process ended. The
 	// message of an answer does not tell its own end; cut between two of its fields, it is valid.
 	RequireFrame bool
+	// Answers bounds what all answers together make the process hold; nil for no bound.
+	Answers *answerbudget.Budget
 }
 
 // ErrNoFrame is the error of an answer that has neither a length nor chunks.
@@ -59,13 +62,13 @@
 // redirects, and sends the W3C trace context of the request's context.
 func NewClient(options Options) *http.Client {
 	return &http.Client{
-		Transport:     &noRetryTransport{next: newTransport(options), requireFrame: options.RequireFrame},
+		Transport:     &noRetryTransport{next: newTransport(options), requireFrame: options.RequireFrame, answers: options.Answers},
 		CheckRedirect: refuseRedirect,
 	}
 }
 
 func newTransport(options Options) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := &net.Dialer{Timeout: dialTimeout, Control: connend.BoundUnread}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dialer.DialContext(ctx, network, address)
 		if err != nil || options.HTTP2 {
@@ -73,23 +76,29 @@
 			// about a single request.
 			return c, err
 		}
-		return &trackedConn{Conn: connend.New(c)}, nil
+		tracked := &trackedConn{Conn: connend.New(c)}
+		return &answerConn{Conn: tracked, tracked: tracked}, nil
 	}
 	var protocols http.Protocols
 	protocols.SetHTTP1(!options.HTTP2)
 	protocols.SetUnencryptedHTTP2(options.HTTP2)
-	return &http.Transport{
-		DialContext:         dial,
-		Protocols:           &protocols,
-		TLSClientConfig:     clientTLS(options.TLS),
-		DisableKeepAlives:   options.FreshConnections,
-		IdleConnTimeout:     idleTimeout,
-		MaxIdleConnsPerHost: maxIdlePerHost,
+	transport := &http.Transport{
+		DialContext:            dial,
+		Protocols:              &protocols,
+		TLSClientConfig:        clientTLS(options.TLS),
+		DisableKeepAlives:      options.FreshConnections,
+		IdleConnTimeout:        idleTimeout,
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout: pingIdleTime,
 			PingTimeout:     pingTimeout,
 		},
 	}
+	if !options.HTTP2 {
+		transport.DialTLSContext = secure(dial, transport.TLSClientConfig)
+	}
+	return transport
 }
 
 // maxCachedSessions is the number of servers whose TLS sessions a client caches. A
@@ -123,55 +132,48 @@
 // GetBody, and with a body that net/http cannot know to be empty, fails instead.
 type noRetryTransport struct {
 	next http.RoundTripper
-	// requireFrame is Options.RequireFrame.
+	// requireFrame is Options.RequireFrame, and answers is Options.Answers.
 	requireFrame bool
+	answers      *answerbudget.Budget
 }
 
 // RoundTrip implements http.RoundTripper.
 func (t *noRetryTransport) RoundTrip(req *http.Request) (*http.Response, error) {
-	once := req.Clone(req.Context())
+	e := t.begin(req)
+	once := req.Clone(withAnswerTrace(e.ctx, e))
 	once.GetBody = nil
 	if once.Body == nil || once.Body == http.NoBody {
 		once.Body = emptyBody{}
 	}
 	propagation.TraceContext{}.Inject(once.Context(), propagation.HeaderCarrier(once.Header))
-	resp, err := t.next.RoundTrip(once.WithContext(withInterimCheck(once.Context())))
-	if err != nil {
-		return nil, err
+	resp, err := t.next.RoundTrip(once)
+	if err == nil {
+		if err = t.check(resp); err != nil {
+			_ = resp.Body.Close() // the answer is not used
+		}
 	}
-	if err := t.check(resp); err != nil {
-		_ = resp.Body.Close() // the answer is not used
+	if err != nil {
+		err = e.explain(err)
+		e.end()
 		return nil, err
 	}
-	resp.Body = &answerBody{ReadCloser: resp.Body, answer: resp}
+	resp.Body = newAnswerBody(resp, e)
 	return resp, nil
 }
 
-// withInterimCheck returns a context whose request fails if an interim answer to it is none.
-func withInterimCheck(ctx context.Context) context.Context {
+// withAnswerTrace returns a context whose request fails if an interim answer to it is none, and whose connection reserves
+// room for the head of the answer.
+func withAnswerTrace(ctx context.Context, e *exchange) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*answerConn); ok {
+				c.begin(e)
+			}
+		},
 		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error { return answerhead.CheckFields(header) },
 	})
 }
 
-// answerBody is the body of an answer, which ends only if its trailer is valid.
-type answerBody struct {
-	io.ReadCloser
-	answer *http.Response
-}
-
-// Read implements io.Reader.
-func (b *answerBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if err != io.EOF {
-		return n, err
-	}
-	if invalid := answerhead.CheckFields(b.answer.Trailer); invalid != nil {
-		return n, invalid
-	}
-	return n, io.EOF
-}
-
 // check returns an error unless the head of an answer may be used.
 func (t *noRetryTransport) check(resp *http.Response) error {
 	if err := answerhead.Check(resp); err != nil {
--- a/internal/upstream/connectupstream/bench_test.go
+++ b/internal/upstream/connectupstream/bench_test.go
@@ -31,7 +31,7 @@
 				trusted = &tls.Config{RootCAs: authority.Pool()}
 				serve = func(b testing.TB, handler http.Handler) string { return serveTLS(b, authority, handler) }
 			}
-			clients := connectupstream.NewClients(trusted)
+			clients := connectupstream.NewClients(trusted, nil)
 			b.Cleanup(clients.Close)
 			subject := connectupstream.NewPlain(clients, serve(b, mux))
 			req := bidRequest
--- a/internal/upstream/connectupstream/clients.go
+++ b/internal/upstream/connectupstream/clients.go
@@ -9,6 +9,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/answerbudget"
 	"github.com/goldcrestspool/goldcrestspool/internal/transport"
 )
 
@@ -28,11 +29,11 @@
 }
 
 // NewClients returns the clients of a process. The configuration is used for
-// https addresses and may be nil.
-func NewClients(config *tls.Config) *Clients {
+// https addresses and may be nil. answers bounds what upstreams' answers make the process hold; nil for no bound.
+func NewClients(config *tls.Config, answers *answerbudget.Budget) *Clients {
 	return &Clients{
-		pooled: transport.NewClient(transport.Options{TLS: config}),
-		fresh:  transport.NewClient(transport.Options{TLS: config, FreshConnections: true}),
+		pooled: transport.NewClient(transport.Options{TLS: config, Answers: answers}),
+		fresh:  transport.NewClient(transport.Options{TLS: config, FreshConnections: true, Answers: answers}),
 	}
 }
 
--- a/internal/upstream/connectupstream/cut_test.go
+++ b/internal/upstream/connectupstream/cut_test.go
@@ -53,7 +53,7 @@
 	mux := http.NewServeMux()
 	connectupstream.MountEngine(mux, fake)
 	server := newCutServer(t, mux)
-	clients := connectupstream.NewClients(nil)
+	clients := connectupstream.NewClients(nil, nil)
 	t.Cleanup(clients.Close)
 	return server, connectupstream.NewEngine(clients, "http://"+server.server.Address())
 }
@@ -123,7 +123,7 @@
 			mux := http.NewServeMux()
 			connectupstream.MountPlain(mux, echo{})
 			server := newCutServer(t, mux)
-			clients := connectupstream.NewClients(nil)
+			clients := connectupstream.NewClients(nil, nil)
 			t.Cleanup(clients.Close)
 			subject := connectupstream.NewPlain(clients, "http://"+server.server.Address())
 			return server, func(ctx context.Context) error {
--- a/internal/upstream/connectupstream/dialer.go
+++ b/internal/upstream/connectupstream/dialer.go
@@ -4,6 +4,7 @@
 	"crypto/tls"
 	"sync"
 
+	"github.com/goldcrestspool/goldcrestspool/internal/answerbudget"
 	"github.com/goldcrestspool/goldcrestspool/internal/upstream"
 )
 
@@ -16,13 +17,13 @@
 	plains  sync.Map // address to upstream.Plain
 }
 
-// NewDialer returns a dialer that uses TLS if config is not nil.
-func NewDialer(config *tls.Config) *Dialer {
+// NewDialer returns a dialer that uses TLS if config is not nil. answers is as for NewClients.
+func NewDialer(config *tls.Config, answers *answerbudget.Budget) *Dialer {
 	scheme := "http://"
 	if config != nil {
 		scheme = "https://"
 	}
-	return &Dialer{scheme: scheme, clients: NewClients(config)}
+	return &Dialer{scheme: scheme, clients: NewClients(config, answers)}
 }
 
 // Engine returns the client of a model engine.
--- a/internal/upstream/connectupstream/engine_test.go
+++ b/internal/upstream/connectupstream/engine_test.go
@@ -41,7 +41,7 @@
 		t.Cleanup(fake.Close)
 		mux := http.NewServeMux()
 		connectupstream.MountEngine(mux, fake)
-		clients := connectupstream.NewClients(nil)
+		clients := connectupstream.NewClients(nil, nil)
 		t.Cleanup(clients.Close)
 		test(t, fake, connectupstream.NewEngine(clients, testkit.Serve(t, mux)))
 	})
--- a/internal/upstream/connectupstream/odd_heads_test.go
+++ b/internal/upstream/connectupstream/odd_heads_test.go
@@ -29,7 +29,7 @@
 	server.SetAnswer(func(*http.Request) testkit.RawAnswer {
 		return testkit.RawAnswer{Status: status, HeaderLines: refusalLines + headerLines, Framing: testkit.ByLength, Body: refusalBody, Cut: -1}
 	})
-	clients := connectupstream.NewClients(nil)
+	clients := connectupstream.NewClients(nil, nil)
 	t.Cleanup(clients.Close)
 	plain, engine := connectupstream.NewPlain(clients, "http://"+server.Address()), connectupstream.NewEngine(clients, "http://"+server.Address())
 	for name, call := range map[string]func(context.Context) error{
@@ -89,7 +89,7 @@
 	} {
 		w := worker.New(t, "u")
 		w.SetDefaultAct(func(w *worker.Writer, _ *http.Request) { w.Raw(text) })
-		clients := connectupstream.NewClients(nil)
+		clients := connectupstream.NewClients(nil, nil)
 		got, err := connectupstream.NewPlain(clients, "http://"+w.Address()).Invoke(t.Context(), upstream.InvokeRequest{Method: "m"})
 		if used != (err == nil) || used && string(got.Payload) != "the answer" || err != nil && !upstream.MayHaveRun(err) {
 			t.Errorf("%q: payload %q, error %v, want it to be used: %v", text, got.Payload, err, used)
--- a/internal/upstream/connectupstream/plain_test.go
+++ b/internal/upstream/connectupstream/plain_test.go
@@ -34,7 +34,7 @@
 		fake := plain.New(options)
 		mux := http.NewServeMux()
 		connectupstream.MountPlain(mux, fake)
-		clients := connectupstream.NewClients(nil)
+		clients := connectupstream.NewClients(nil, nil)
 		t.Cleanup(clients.Close)
 		test(t, fake, connectupstream.NewPlain(clients, testkit.Serve(t, mux)))
 	})
--- a/internal/upstream/connectupstream/silence_test.go
+++ b/internal/upstream/connectupstream/silence_test.go
@@ -54,7 +54,7 @@
 			mux := http.NewServeMux()
 			connectupstream.MountPlain(mux, fake)
 			relay := testkit.NewRelay(t, testkit.Serve(t, mux))
-			clients := connectupstream.NewClients(nil)
+			clients := connectupstream.NewClients(nil, nil)
 			t.Cleanup(clients.Close)
 			subject := connectupstream.NewPlain(clients, relay.URL())
 			if c.first != nil {
@@ -110,7 +110,7 @@
 	mux := http.NewServeMux()
 	connectupstream.MountEngine(mux, fake)
 	relay := testkit.NewRelay(t, testkit.Serve(t, mux))
-	clients := connectupstream.NewClients(nil)
+	clients := connectupstream.NewClients(nil, nil)
 	t.Cleanup(clients.Close)
 	subject := connectupstream.NewEngine(clients, relay.URL())
 	req := upstream.GenerateRequest{Request: "r-1", Attempt: 1, Prompt: promptText, MaxTokens: endlessTokens}
@@ -147,7 +147,7 @@
 	connectupstream.MountEngine(mux, fake)
 	connectupstream.MountPlain(mux, plain.New(plain.Options{FindsOutcomes: true}))
 	relay := testkit.NewRelay(t, testkit.Serve(t, mux))
-	clients := connectupstream.NewClients(nil)
+	clients := connectupstream.NewClients(nil, nil)
 	t.Cleanup(clients.Close)
 	e := connectupstream.NewEngine(clients, relay.URL())
 	p := connectupstream.NewPlain(clients, relay.URL())
@@ -198,7 +198,7 @@
 	t.Helper()
 	mux := http.NewServeMux()
 	connectupstream.MountEngine(mux, singleStreamEngine{stream: stream})
-	clients := connectupstream.NewClients(nil)
+	clients := connectupstream.NewClients(nil, nil)
 	t.Cleanup(clients.Close)
 	return connectupstream.NewEngine(clients, testkit.Serve(t, mux))
 }
--- a/internal/upstream/connectupstream/upload_test.go
+++ b/internal/upstream/connectupstream/upload_test.go
@@ -35,7 +35,7 @@
 			Body: string(first) + string(rest), Cut: len(first), Reset: true,
 		}
 	})
-	clients := connectupstream.NewClients(nil)
+	clients := connectupstream.NewClients(nil, nil)
 	t.Cleanup(clients.Close)
 	subject := connectupstream.NewPlain(clients, "http://"+server.Address())
 	payload := []byte(strings.Repeat("x", 200<<10))
