gateway: callers whose requests are longer than a planned stop get their outcomes

What callers saw: in a planned stop of the product's gateway, calls that were in progress when limits.stop_timeout ended were cut without an answer ("unexpected EOF"), among them calls that may not be repeated and that their upstream had run.

Cause: Process.leave waits for calls and server until the limit and then closes the server; the handlers never hear that their time is over. shutdownReserve was kept for token streams only.

Why it works: all callers' requests have one base context, which ends half a second before the limit with the cause outcome.ErrLeaving; the handlers then answer as they do when a request's time is over. The three copies of the function that names that reason are one, outcome.EndReason.

Ruled out: requests taken late in the grace (they are refused at once); a longer wait (the platform ends the process).

--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -60,7 +60,7 @@
 // returns nil if the entry was granted a slot.
 func (s *service) admit(ctx context.Context, t *Ticket) *outcome.Outcome {
 	if ctx.Err() != nil {
-		refusal := outcome.NewNotRun(contextReason(ctx), "The request was given up before it ran.", 0)
+		refusal := outcome.NewNotRun(outcome.EndReason(ctx), "The request was given up before it ran.", 0)
 		return &refusal
 	}
 	now := time.Now()
@@ -93,7 +93,7 @@
 	case <-t.decided:
 		return t.refusal
 	case <-ctx.Done():
-		return s.abandonWait(t, contextReason(ctx))
+		return s.abandonWait(t, outcome.EndReason(ctx))
 	case <-timer.C:
 		return s.abandonWait(t, outcome.ReasonOverloaded)
 	}
@@ -293,12 +293,3 @@
 	s.refreshUpstreams(now)
 	return s.exclusion.Load().ids
 }
-
-// contextReason returns ReasonDeadline if the context's deadline has passed,
-// and ReasonCancelled if the caller left.
-func contextReason(ctx context.Context) outcome.Reason {
-	if ctx.Err() == context.DeadlineExceeded {
-		return outcome.ReasonDeadline
-	}
-	return outcome.ReasonCancelled
-}
--- a/internal/calls/dispatch.go
+++ b/internal/calls/dispatch.go
@@ -121,7 +121,7 @@
 	case <-cl.done:
 		return cl.result.outcome, cl.result.tryAnother
 	case <-ctx.Done():
-		return outcome.NewUnknown(cancelReason(ctx), "the call was dispatched and still runs; ask again by key", retrySoon), false
+		return outcome.NewUnknown(outcome.EndReason(ctx), "the call was dispatched and still runs; ask again by key", retrySoon), false
 	}
 }
 
--- a/internal/calls/do.go
+++ b/internal/calls/do.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/goldcrestspool/goldcrestspool/internal/calls/fold"
@@ -222,7 +221,7 @@
 		return outcome.ReasonNoUpstream
 	}
 	if ctx.Err() != nil {
-		return cancelReason(ctx)
+		return outcome.EndReason(ctx)
 	}
 	return ""
 }
@@ -251,7 +250,7 @@
 	case o = <-cl.handedOverOutcome:
 		return r, o, false
 	case <-ctx.Done():
-		reason = cancelReason(ctx)
+		reason = outcome.EndReason(ctx)
 	case <-limit.C:
 	}
 	if !cl.leaveWaiting(abandoned) {
@@ -276,14 +275,6 @@
 	return journal.Outcome{Head: cl.record.Head, Kind: outcome.NotRun, Reason: reason}
 }
 
-// cancelReason returns the reason for an ended ctx.
-func cancelReason(ctx context.Context) outcome.Reason {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return outcome.ReasonDeadline
-	}
-	return outcome.ReasonCancelled
-}
-
 // lostClaimOutcome abandons a claim that does not own its key, or is not proven
 // to own it, and returns the answer to its caller.
 func (c *Coordinator) lostClaimOutcome(p *partition, cl *claim, r resolution) outcome.Outcome {
--- a/internal/gateway/plains.go
+++ b/internal/gateway/plains.go
@@ -78,7 +78,7 @@
 		}
 		mayHaveRun = mayHaveRun || upstream.MayHaveRun(err)
 		if ctx.Err() != nil {
-			return unansweredOutcome(mayHaveRun, contextReason(ctx), "the request was given up before an upstream answered")
+			return unansweredOutcome(mayHaveRun, outcome.EndReason(ctx), "the request was given up before an upstream answered")
 		}
 		if attempt == maxAttempts || !retry.Retryable(err, true, upstream.MayHaveRun(err)) {
 			return unansweredOutcome(mayHaveRun, outcome.ReasonUpstreamLost, "no upstream answered")
@@ -88,7 +88,7 @@
 		}
 		tried = append(tried, u.Instance.ID)
 		if !sleep.For(ctx, p.backoff.Delay(attempt, call.request)) {
-			return unansweredOutcome(mayHaveRun, contextReason(ctx), "the request was given up before an upstream answered")
+			return unansweredOutcome(mayHaveRun, outcome.EndReason(ctx), "the request was given up before an upstream answered")
 		}
 	}
 }
@@ -110,13 +110,6 @@
 	return outcome.Outcome{Kind: outcome.Completed, Payload: a.Payload}
 }
 
-func contextReason(ctx context.Context) outcome.Reason {
-	if ctx.Err() == context.DeadlineExceeded {
-		return outcome.ReasonDeadline
-	}
-	return outcome.ReasonCancelled
-}
-
 // decide chooses an upstream of a plain service.
 func (p *plainDispatcher) decide(ctx context.Context, doc *document.Document, account ident.ClientAccount, exclude []ident.Instance) (blackboard.Upstream, routing.Decision, bool) {
 	_, span, end := startSpan(ctx, p.tracer, "routing")
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/goldcrestspool/goldcrestspool/internal/gateway/peering"
 	"github.com/goldcrestspool/goldcrestspool/internal/membudget"
 	"github.com/goldcrestspool/goldcrestspool/internal/operatorserver"
+	"github.com/goldcrestspool/goldcrestspool/internal/outcome"
 	"github.com/goldcrestspool/goldcrestspool/internal/peer"
 )
 
@@ -61,6 +63,8 @@
 	operators *operatorserver.Server
 	peers     *peer.Server
 	stopPeers context.CancelFunc
+	// endRequests ends the contexts of all callers' requests, which then get their outcomes.
+	endRequests context.CancelCauseFunc
 }
 
 func (p *Process) servers() (*servers, error) {
@@ -72,9 +76,13 @@
 	if err != nil {
 		return nil, err
 	}
+	callers := newCallersServer(p.handler, p.settings.Limits, p.memory)
+	requests, endRequests := context.WithCancelCause(context.Background())
+	callers.BaseContext = func(net.Listener) context.Context { return requests }
 	return &servers{
-		callers: newCallersServer(p.handler, p.settings.Limits, p.memory),
-		peers:   peers,
+		callers:     callers,
+		endRequests: endRequests,
+		peers:       peers,
 		operators: operatorserver.New(operatorserver.Config{
 			Listener: p.listeners.operators,
 			Ready:    func() (bool, string) { return p.ready.check(time.Now()) },
@@ -136,11 +144,17 @@
 }
 
 // leave stops gracefully: it accepts no new work, finishes or hands over the requests
-// in progress and flushes the journal. A second signal ends this at once.
+// in progress and flushes the journal. Requests that are still in progress shutdownReserve
+// before the limit get their outcomes then. A second signal ends this at once.
 func (p *Process) leave(signals daemon.Signals, s *servers, limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(signals.Kill, limit)
 	defer cancel()
 	p.board.Stopping.Publish(true)
+	end := time.AfterFunc(max(limit-shutdownReserve, 0), func() {
+		p.log.Info("answering the requests that are still in progress", "until_exit", shutdownReserve)
+		s.endRequests(outcome.ErrLeaving)
+	})
+	defer end.Stop()
 	var parts sync.WaitGroup
 	var callsErr error
 	parts.Go(func() {
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -2,7 +2,11 @@
 // callers receive.
 package outcome
 
-import "time"
+import (
+	"context"
+	"errors"
+	"time"
+)
 
 // Kind says how a request ended, or that it is still in progress.
 type Kind int
@@ -75,6 +79,22 @@
 	ReasonReplaced Reason = "replaced"
 )
 
+// ErrLeaving is the cause with which the context of a request ends that is still in
+// progress when its gateway has to stop.
+var ErrLeaving = errors.New("the gateway is leaving")
+
+// EndReason returns the reason for which a request's ctx has ended: the gateway leaves,
+// the deadline has passed, or the caller has gone.
+func EndReason(ctx context.Context) Reason {
+	switch {
+	case errors.Is(context.Cause(ctx), ErrLeaving):
+		return ReasonLeaving
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return ReasonDeadline
+	}
+	return ReasonCancelled
+}
+
 // Outcome is how a request ended, and when the caller may ask again.
 type Outcome struct {
 	Kind   Kind
